--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, the demo and the capacity slopes."""
--- /dev/null
+++ b/src/mulberrywharf/__init__.py
@@ -0,0 +1,1 @@
+"""Mulberrywharf serves language-model requests on a fixed fleet."""
--- /dev/null
+++ b/src/mulberrywharf/_wsgi.py
@@ -0,0 +1,87 @@
+"""gevent's WSGI server as every listener of the project uses it."""
+
+import json
+import socket
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import gevent
+import gevent.event
+from gevent import pywsgi
+from gevent import socket as gevent_socket
+
+StartResponse = Callable[..., Any]
+Environ = dict[str, Any]
+Application = Callable[[Environ, StartResponse], Iterable[bytes]]
+
+
+class _Handler(pywsgi.WSGIHandler):
+    """Serves one connection and tells the server while a request runs."""
+
+    def handle_one_response(self) -> None:
+        self.server.request_began()
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.request_ended()
+
+
+class WsgiServer(pywsgi.WSGIServer):
+    """A listener that sends small writes at once and can finish its work.
+
+    Without TCP_NODELAY the second small write of a connection waits for the
+    reader's delayed ACK: a streamed token arrives some 40 ms late.
+    """
+
+    def __init__(self, ip: str, port: int, application: Application):
+        listener = _listening_socket(ip, port)
+        super().__init__(
+            listener,
+            application,
+            log=None,
+            error_log=None,
+            handler_class=_Handler,
+        )
+        self.in_flight_count = 0
+        self._idle = gevent.event.Event()
+        self._idle.set()
+
+    @property
+    def port(self) -> int:
+        """The TCP port that it listens on."""
+        return int(self.socket.getsockname()[1])
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serves one accepted connection without delaying small writes."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+    def request_began(self) -> None:
+        """Counts a request in."""
+        self.in_flight_count += 1
+        self._idle.clear()
+
+    def request_ended(self) -> None:
+        """Counts a request out."""
+        self.in_flight_count -= 1
+        if self.in_flight_count == 0:
+            self._idle.set()
+
+    def wait_idle(self) -> None:
+        """Waits until no request is in flight, however long that takes."""
+        self._idle.wait()
+
+
+def _listening_socket(ip: str, port: int) -> Any:
+    listener = gevent_socket.socket(
+        socket.AF_INET6 if ":" in ip else socket.AF_INET
+    )
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((ip, port))
+    listener.listen(1024)
+    return listener
+
+
+def announce_ready(**fields: object) -> None:
+    """Prints the line that tells a supervisor which ports are open."""
+    print("READY " + json.dumps(fields), flush=True)
--- /dev/null
+++ b/src/mulberrywharf/backend_servers/__init__.py
@@ -0,0 +1,1 @@
+"""Plain services that run beside the engines."""
--- /dev/null
+++ b/src/mulberrywharf/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers."""
--- /dev/null
+++ b/src/mulberrywharf/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Requests, orders, loads and cache events of the engines."""
--- /dev/null
+++ b/src/mulberrywharf/errors.py
@@ -0,0 +1,267 @@
+"""The failures of mulberrywharf, one small hierarchy.
+
+Every failure has a type. A function that can fail for reasons its caller must
+handle returns a ``result.Result`` whose ``Err`` holds one of these; the same
+classes are raised only where no caller can go on. Each carries a message that
+says what went wrong and ``advice`` that says what to do next.
+"""
+
+from typing import ClassVar, Literal, NamedTuple
+
+Outcome = Literal["not-run", "unknown"]
+"""What a refused caller may assume: nothing ran, or nobody knows."""
+
+
+class Fault(NamedTuple):
+    """One fault in a document that an operator wrote.
+
+    Attributes:
+        path: Where the fault is, such as ``callers.port``.
+        message: What is wrong there.
+        advice: What the operator should write instead.
+    """
+
+    path: str
+    message: str
+    advice: str
+
+
+class MulberryError(Exception):
+    """Base of all failures.
+
+    Attributes:
+        code: Stable short name, used in metrics, logs and problem details.
+        advice: What the reader should do next.
+    """
+
+    code: ClassVar[str] = "internal"
+    advice: str = "Look up the code in docs/operators/errors.md."
+
+    def __init__(self, message: str, *, advice: str | None = None):
+        super().__init__(message)
+        self.message = message
+        if advice is not None:
+            self.advice = advice
+
+
+# --- documents written by operators ---------------------------------------
+
+
+class DocumentError(MulberryError):
+    """A settings or rules document has faults; all are listed at once."""
+
+    code = "bad-document"
+
+    def __init__(self, source: str, faults: list[Fault]):
+        lines = [f"{f.path}: {f.message} ({f.advice})" for f in faults]
+        super().__init__(
+            f"{source}: {len(faults)} fault(s)\n" + "\n".join(lines),
+            advice="Correct every listed fault, then check again.",
+        )
+        self.source = source
+        self.faults = faults
+
+
+class SettingsError(DocumentError):
+    """The settings file of a process cannot be used."""
+
+    code = "bad-settings"
+
+
+class RulesError(DocumentError):
+    """The operators' rules document cannot be accepted."""
+
+    code = "bad-rules"
+
+
+# --- requests of callers ----------------------------------------------------
+
+
+class RequestError(MulberryError):
+    """A caller's request ends without its answer.
+
+    Attributes:
+        status: HTTP status towards the caller.
+        outcome: ``not-run`` only when no byte reached a back end.
+        retry_after_s: When to come back, or None when a retry cannot help.
+    """
+
+    code = "request-failed"
+    status: ClassVar[int] = 500
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        outcome: Outcome = "not-run",
+        retry_after_s: float | None = None,
+        advice: str | None = None,
+    ):
+        super().__init__(message, advice=advice)
+        self.outcome: Outcome = outcome
+        self.retry_after_s = retry_after_s
+
+
+class BadRequestError(RequestError):
+    """The request is malformed; a retry of the same bytes cannot succeed."""
+
+    code = "bad-request"
+    status = 400
+
+
+class RequestTooLargeError(BadRequestError):
+    """A body or header exceeds the bound in the settings."""
+
+    code = "request-too-large"
+    status = 413
+
+
+class UnknownTargetError(RequestError):
+    """No such model, service or path."""
+
+    code = "unknown-target"
+    status = 404
+
+
+class KeyReuseError(RequestError):
+    """An idempotency key came back with another body."""
+
+    code = "idempotency-key-reused"
+    status = 422
+
+
+class OverLimitError(RequestError):
+    """The customer's own limit is spent."""
+
+    code = "over-limit"
+    status = 429
+
+
+class OverloadedError(RequestError):
+    """The fleet cannot answer within the caller's deadline."""
+
+    code = "overloaded"
+    status = 503
+
+
+class ClaimUnavailableError(RequestError):
+    """At-most-once could not be secured, so the request was not run."""
+
+    code = "claim-unavailable"
+    status = 503
+
+
+class BackEndLostError(RequestError):
+    """The back end failed after it may have received the request."""
+
+    code = "back-end-lost"
+    status = 502
+
+
+class DeadlineExceededError(RequestError):
+    """The caller's deadline passed."""
+
+    code = "deadline-exceeded"
+    status = 504
+
+
+# --- engines and backend servers ---------------------------------------------
+
+
+class EngineError(MulberryError):
+    """An exchange with an engine or a backend server failed."""
+
+    code = "engine-failed"
+
+
+class EngineUnreachableError(EngineError):
+    """No connection was made, so no byte of the request left."""
+
+    code = "engine-unreachable"
+
+
+class EngineRefusedError(EngineError):
+    """The engine answered that it will not run the request."""
+
+    code = "engine-refused"
+
+
+class StreamBrokenError(EngineError):
+    """An answer ended before its checked end, or is not the caller's own."""
+
+    code = "stream-broken"
+
+
+class OrderRefusedError(EngineError):
+    """An engine refused an order, such as one with an old fencing number."""
+
+    code = "order-refused"
+
+
+# --- the platform's services --------------------------------------------------
+
+
+class PlatformError(MulberryError):
+    """An exchange with the platform's services failed."""
+
+    code = "platform-failed"
+
+
+class PlatformUnavailableError(PlatformError):
+    """The service did not answer; nothing was written."""
+
+    code = "platform-unavailable"
+    advice = "The fleet keeps its last accepted state; try again later."
+
+
+class WriteOutcomeUnknownError(PlatformError):
+    """A write was sent and its answer was lost; read back before deciding."""
+
+    code = "write-outcome-unknown"
+
+
+class RevisionConflictError(PlatformError):
+    """Another writer changed the key first.
+
+    Attributes:
+        key: The key that was to be written.
+    """
+
+    code = "revision-conflict"
+
+    def __init__(self, key: str):
+        super().__init__(f"{key} was changed by another writer")
+        self.key = key
+
+
+class BudgetExceededError(PlatformError):
+    """This process has spent its share of calls for the purpose."""
+
+    code = "call-budget-exceeded"
+
+
+class AuthorityLostError(PlatformError):
+    """The lease that entitled this process to act has lapsed."""
+
+    code = "authority-lost"
+
+
+# --- between our own processes ---------------------------------------------
+
+
+class NodeError(MulberryError):
+    """An exchange with another entry VM failed."""
+
+    code = "node-failed"
+
+
+class BadFrameError(NodeError):
+    """A frame is malformed, too large or not authenticated."""
+
+    code = "bad-frame"
+
+
+class NodeUnreachableError(NodeError):
+    """The other entry VM does not answer."""
+
+    code = "node-unreachable"
--- /dev/null
+++ b/src/mulberrywharf/metrics.py
@@ -0,0 +1,44 @@
+"""The process's metrics, in the Prometheus text format.
+
+aioprometheus's collectors and renderer need no event loop, so gevent's WSGI
+server serves them directly.
+"""
+
+from collections.abc import Mapping
+
+from aioprometheus import REGISTRY, Counter, Gauge, render
+
+__all__ = ["Counter", "Gauge", "counter", "gauge", "render_text"]
+
+_ACCEPT_TEXT = ["text/plain"]
+
+_counters: dict[str, Counter] = {}
+_gauges: dict[str, Gauge] = {}
+
+
+def counter(name: str, doc: str) -> Counter:
+    """Returns the counter of that name, made on first use.
+
+    Args:
+        name: Metric name; ends in ``_total``.
+        doc: One line for whoever reads the metrics page.
+    """
+    if name not in _counters:
+        _counters[name] = Counter(name, doc)
+    return _counters[name]
+
+
+def gauge(name: str, doc: str) -> Gauge:
+    """Returns the gauge of that name, made on first use."""
+    if name not in _gauges:
+        _gauges[name] = Gauge(name, doc)
+    return _gauges[name]
+
+
+def render_text() -> tuple[bytes, Mapping[str, str]]:
+    """Renders all metrics.
+
+    Returns:
+        The body and its HTTP headers.
+    """
+    return render(REGISTRY, _ACCEPT_TEXT)
--- /dev/null
+++ b/src/mulberrywharf/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Traffic between entry VMs: membership, load slices, claims."""
--- /dev/null
+++ b/src/mulberrywharf/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The admin listener and the audit trail."""
--- /dev/null
+++ b/src/mulberrywharf/platform_service/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service, VM list and weight store."""
--- /dev/null
+++ b/src/mulberrywharf/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on typed views; nothing here opens a socket or sleeps."""
--- /dev/null
+++ b/src/mulberrywharf/programs/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries: arguments, start and close."""
--- /dev/null
+++ b/src/mulberrywharf/rules/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' ordered rules: read, check, match, explain."""
--- /dev/null
+++ b/src/mulberrywharf/settings.py
@@ -0,0 +1,230 @@
+"""Checked settings of one process, read from JSON with comments.
+
+Every field is checked: unknown keys, wrong types, values out of range,
+addresses that are not IP numbers. All faults are listed at once, each with
+its path and what to write instead.
+"""
+
+import ipaddress
+import pathlib
+from typing import Annotated, Any, Literal, NotRequired, TypedDict
+
+import json5
+import pydantic
+from result import Err, Ok, Result
+
+from mulberrywharf import errors
+
+
+def _check_ip(text: str) -> str:
+    ipaddress.ip_address(text)
+    return text
+
+
+Ip = Annotated[str, pydantic.AfterValidator(_check_ip)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[a-z0-9]([a-z0-9._-]{0,62}[a-z0-9])?$")
+]
+PositiveSeconds = Annotated[float, pydantic.Field(gt=0, le=86_400)]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+PositiveCount = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
+Sha256Hex = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
+
+_STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
+
+
+class Endpoint(TypedDict):
+    """An IP number and a TCP port; port 0 lets the kernel choose."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    ip: Ip
+    port: Port
+
+
+class CallersSettings(TypedDict):
+    """The listener for callers.
+
+    Attributes:
+        listen: Where it listens.
+        body_limit_bytes: Larger request bodies are refused.
+        header_limit_bytes: Larger request heads are refused.
+        default_deadline_s: For requests that name none.
+        drain_notice_s: How long readiness is off before a planned stop
+            closes the listener, so that the balancer has noticed.
+    """
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    listen: Endpoint
+    body_limit_bytes: NotRequired[PositiveCount]
+    header_limit_bytes: NotRequired[PositiveCount]
+    default_deadline_s: NotRequired[PositiveSeconds]
+    drain_notice_s: NotRequired[Annotated[float, pydantic.Field(ge=0, le=600)]]
+
+
+class OperatorToken(TypedDict):
+    """An operator who may use the admin listener and mulberryctl."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    operator: Name
+    token_sha256_hex: Sha256Hex
+
+
+class OperatorsSettings(TypedDict):
+    """The admin listener: health, readiness, metrics, status."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    listen: Endpoint
+    tokens: NotRequired[list[OperatorToken]]
+
+
+class NodesSettings(TypedDict):
+    """Traffic between our own processes.
+
+    Attributes:
+        listen: Where other entry VMs connect.
+        key_hex: Shared key that authenticates every frame, 32 bytes.
+        heartbeat_interval_s: Between heartbeats to a neighbour.
+        suspect_after_s: Silence after which a neighbour is suspected.
+    """
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    listen: Endpoint
+    key_hex: Sha256Hex
+    heartbeat_interval_s: NotRequired[PositiveSeconds]
+    suspect_after_s: NotRequired[PositiveSeconds]
+
+
+class PlatformSettings(TypedDict):
+    """Where the platform's services answer.
+
+    Attributes:
+        key_value: Endpoints of the key-value service, tried in order.
+        vm_list: The VM list.
+        weight_store: The weight store.
+        call_timeout_s: For one call.
+    """
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    key_value: Annotated[list[Endpoint], pydantic.Field(min_length=1)]
+    vm_list: Endpoint
+    weight_store: NotRequired[Endpoint]
+    call_timeout_s: NotRequired[PositiveSeconds]
+
+
+class EnginesSettings(TypedDict):
+    """What is known of the engines.
+
+    Attributes:
+        fencing_checking_kinds: Kinds that refuse an old fencing number.
+        load_interval_s: Between reads of an engine's load.
+        connect_timeout_s: For a new connection.
+        idle_timeout_s: Silence on a stream after which it counts as broken.
+    """
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    fencing_checking_kinds: NotRequired[list[Name]]
+    load_interval_s: NotRequired[PositiveSeconds]
+    connect_timeout_s: NotRequired[PositiveSeconds]
+    idle_timeout_s: NotRequired[PositiveSeconds]
+
+
+class ControllerSettings(TypedDict):
+    """Authority and planning.
+
+    Attributes:
+        lease_ttl_s: Length of the controller's lease.
+        clock_margin_s: Allowed error between clocks.
+        order_user_timeout_s: How long unacknowledged order bytes may live.
+        evaluate_interval_s: Between evaluations of the rules.
+        role_change_away_s: How long a role change takes an engine away.
+        goodput_weight: Weight of goodput in the planner's gain.
+        role_change_weight: Weight of one role change against it.
+    """
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    lease_ttl_s: NotRequired[PositiveSeconds]
+    clock_margin_s: NotRequired[PositiveSeconds]
+    order_user_timeout_s: NotRequired[PositiveSeconds]
+    evaluate_interval_s: NotRequired[PositiveSeconds]
+    role_change_away_s: NotRequired[PositiveSeconds]
+    goodput_weight: NotRequired[Annotated[float, pydantic.Field(ge=0)]]
+    role_change_weight: NotRequired[Annotated[float, pydantic.Field(ge=0)]]
+
+
+class Settings(TypedDict):
+    """The whole settings file of a router or a controller."""
+
+    __pydantic_config__ = _STRICT  # type: ignore[misc]
+    deployment: Name
+    vm_id: Name
+    availability_zone: Name
+    region: Name
+    callers: NotRequired[CallersSettings]
+    operators: OperatorsSettings
+    nodes: NodesSettings
+    platform: PlatformSettings
+    engines: NotRequired[EnginesSettings]
+    controller: NotRequired[ControllerSettings]
+    log_level: NotRequired[Literal["DEBUG", "INFO", "WARNING", "ERROR"]]
+
+
+_SETTINGS_ADAPTER = pydantic.TypeAdapter(Settings)
+
+_ADVICE_BY_KIND = {
+    "missing": "add this field",
+    "extra_forbidden": "remove it or correct its name; units are suffixes",
+    "string_pattern_mismatch": "write it in the documented form",
+}
+
+
+def check_document(
+    adapter: "pydantic.TypeAdapter[Any]", document: object
+) -> list[errors.Fault]:
+    """Lists every fault that the adapter finds in a parsed document."""
+    try:
+        adapter.validate_python(document)
+    except pydantic.ValidationError as error:
+        return [_fault(detail) for detail in error.errors()]
+    return []
+
+
+def _fault(detail: Any) -> errors.Fault:
+    path = ".".join(str(part) for part in detail["loc"]) or "document"
+    advice = _ADVICE_BY_KIND.get(
+        detail["type"], "see docs/operators/settings.md for this field"
+    )
+    return errors.Fault(path, detail["msg"], advice)
+
+
+def parse(text: str, source: str) -> Result[Settings, errors.SettingsError]:
+    """Reads settings from JSON with comments.
+
+    Args:
+        text: The whole file.
+        source: Its name, for messages.
+
+    Returns:
+        The checked settings, or every fault found.
+    """
+    try:
+        document = json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        fault = errors.Fault(
+            "document", str(error), "write JSON; comments are allowed"
+        )
+        return Err(errors.SettingsError(source, [fault]))
+    faults = check_document(_SETTINGS_ADAPTER, document)
+    if faults:
+        return Err(errors.SettingsError(source, faults))
+    return Ok(document)
+
+
+def load(path: str) -> Result[Settings, errors.SettingsError]:
+    """Reads and checks the settings file at ``path``."""
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        fault = errors.Fault("file", str(error), "name a readable UTF-8 file")
+        return Err(errors.SettingsError(path, [fault]))
+    return parse(text, path)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the systems outside, for tests, demo and bench."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one module for each concept."""
