Take TypedDict from typing_extensions in settings

Importing mulberrywharf.settings raised PydanticUserError: on Python 3.11 pydantic refuses typing.TypedDict, because it cannot tell required keys from others there. Moving to another Python was ruled out, since 3.11 is pinned. The class now comes from typing_extensions, which pydantic itself requires, so nothing new is installed. Settings import and list their faults again.

--- a/src/mulberrywharf/settings.py
+++ b/src/mulberrywharf/settings.py
@@ -7,11 +7,12 @@
 
 import ipaddress
 import pathlib
-from typing import Annotated, Any, Literal, NotRequired, TypedDict
+from typing import Annotated, Any, Literal, NotRequired
 
 import json5
 import pydantic
 from result import Err, Ok, Result
+from typing_extensions import TypedDict
 
 from mulberrywharf import errors
 
