Serve one request end to end through separate processes

A first run answered 500: xxhash takes bytes only, and the listener hid the cause because gevent's error log was off; it now goes to the structured log. An in-process fake was ruled out because it would not show the ports, signals and buffering of real processes.

--- a/src/mulberrywharf/_wsgi.py
+++ b/src/mulberrywharf/_wsgi.py
@@ -9,12 +9,27 @@
 import gevent.event
 from gevent import pywsgi
 from gevent import socket as gevent_socket
+from loguru import logger
 
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
 
 
+class _ErrorLog:
+    """Hands gevent's error lines to the structured log."""
+
+    def write(self, text: str) -> None:
+        if text.strip():
+            logger.error(text.rstrip())
+
+    def writelines(self, lines: Iterable[str]) -> None:
+        self.write("".join(lines))
+
+    def flush(self) -> None:
+        """Does nothing; the log flushes itself."""
+
+
 class _Handler(pywsgi.WSGIHandler):
     """Serves one connection and tells the server while a request runs."""
 
@@ -39,7 +54,7 @@
             listener,
             application,
             log=None,
-            error_log=None,
+            error_log=_ErrorLog(),
             handler_class=_Handler,
         )
         self.in_flight_count = 0
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,82 @@
+"""Starts the project's programs and stand-ins as real processes for tests."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+from typing import Any
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+_READY_WAIT_S = 60
+_STOP_WAIT_S = 60
+
+
+class Process:
+    """One child process and the ports that it announced."""
+
+    def __init__(self, module: str, *arguments: str):
+        self.stderr = tempfile.TemporaryFile()  # noqa: SIM115 (closed below)
+        self._child = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=self.stderr,
+            text=True,
+        )
+        self.ready = self._wait_ready(module)
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._child.pid
+
+    def _wait_ready(self, module: str) -> dict[str, Any]:
+        # A child that hangs would otherwise hang the whole test run.
+        watchdog = threading.Timer(_READY_WAIT_S, self._child.kill)
+        watchdog.start()
+        try:
+            assert self._child.stdout is not None
+            for line in self._child.stdout:
+                if line.startswith("READY "):
+                    return dict(json.loads(line.removeprefix("READY ")))
+        finally:
+            watchdog.cancel()
+        self._child.wait()
+        raise AssertionError(f"{module} ended early: {self.errors()}")
+
+    def errors(self) -> str:
+        """Returns what the process wrote to standard error."""
+        self.stderr.seek(0)
+        return self.stderr.read().decode(errors="replace")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal."""
+        os.kill(self.pid, number)
+
+    def poll(self) -> int | None:
+        """Returns the exit code, or None while it runs."""
+        return self._child.poll()
+
+    def wait(self) -> int:
+        """Waits for the end and returns the exit code."""
+        return self._child.wait(_STOP_WAIT_S)
+
+    def stop(self) -> int:
+        """Asks for a graceful stop and returns the exit code."""
+        if self.poll() is None:
+            self.signal(signal.SIGCONT)
+            self.signal(signal.SIGTERM)
+        return self.wait()
+
+    def close(self) -> None:
+        """Ends the process whatever it does."""
+        if self.poll() is None:
+            self._child.kill()
+        self._child.wait()
+        if self._child.stdout is not None:
+            self._child.stdout.close()
+        self.stderr.close()
