Add the codec and the links between entry VMs

Entry VMs need a way to talk that a stranger on the network cannot forge or play back. Messages are NamedTuples, packed by pycapnp, in length-prefixed frames with a keyed BLAKE2b over a rising sequence number. The key is derived for each connection and direction from both sides' nonces, so a recorded frame is worthless elsewhere; a plain shared key with a counter alone would have let a frame be replayed on a new connection, and was ruled out. Arbitrary and damaged bytes give a BadFrameError.

--- /dev/null
+++ b/src/mulberrywharf/nodes/codec.py
@@ -0,0 +1,365 @@
+"""Messages to bytes and back: packed Cap'n Proto in authenticated frames.
+
+A frame is ``length:uint32 sequence:uint64 mac:16 bytes payload``, big endian.
+The MAC is keyed BLAKE2b over the sequence number and the payload. Its key is
+derived for each connection and direction from the shared key and a nonce of
+either side, so that a frame recorded on one connection is worthless on any
+other; the rising sequence number makes it worthless a second time on its own.
+"""
+
+import functools
+import hashlib
+import hmac
+import pathlib
+import struct
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from mulberrywharf import errors
+from mulberrywharf.nodes import messages
+
+FRAME_LIMIT_BYTES = 2 * 1024 * 1024
+NONCE_BYTES = 16
+MAC_BYTES = 16
+HEADER = struct.Struct(f">IQ{MAC_BYTES}s")
+
+_DIGEST_BYTES = 16
+_SEQUENCE = struct.Struct(">Q")
+# A packed payload can claim to unpack to far more than its own length; the
+# reader refuses a message that exceeds this many 8-byte words.
+_TRAVERSAL_LIMIT_WORDS = 2 * FRAME_LIMIT_BYTES // 8
+_NESTING_LIMIT = 8
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
+
+
+class SessionKeys(NamedTuple):
+    """The keys of one connection.
+
+    Attributes:
+        client_to_server: Authenticates what the connecting side sends.
+        server_to_client: Authenticates the other direction.
+    """
+
+    client_to_server: bytes
+    server_to_client: bytes
+
+
+def session_keys(
+    shared_key: bytes, client_nonce: bytes, server_nonce: bytes
+) -> SessionKeys:
+    """Derives the keys of one connection from both sides' nonces."""
+
+    def derive(direction: bytes) -> bytes:
+        seed = direction + client_nonce + server_nonce
+        return hashlib.blake2b(seed, key=shared_key, digest_size=32).digest()
+
+    return SessionKeys(derive(b"client"), derive(b"server"))
+
+
+class FrameSealer:
+    """Makes the frames of one direction of one connection."""
+
+    def __init__(self, key: bytes):
+        self._key = key
+        self._sequence = 0
+
+    def seal(
+        self, envelope: messages.Envelope
+    ) -> Result[bytes, errors.BadFrameError]:
+        """Returns the next frame, or an error if it exceeds the bound."""
+        payload = encode(envelope)
+        if len(payload) > FRAME_LIMIT_BYTES:
+            return Err(
+                errors.BadFrameError(
+                    f"a message of {len(payload)} bytes exceeds the bound"
+                )
+            )
+        self._sequence += 1
+        mac = _mac(self._key, self._sequence, payload)
+        return Ok(HEADER.pack(len(payload), self._sequence, mac) + payload)
+
+
+class FrameOpener:
+    """Checks the frames of one direction of one connection."""
+
+    def __init__(self, key: bytes):
+        self._key = key
+        self._last_sequence = 0
+
+    def payload_bytes(self, header: bytes) -> Result[int, errors.BadFrameError]:
+        """Returns the payload's length, checked before anything is read."""
+        if len(header) != HEADER.size:
+            return Err(errors.BadFrameError("a frame header is cut short"))
+        length_bytes, _, _ = HEADER.unpack(header)
+        if length_bytes > FRAME_LIMIT_BYTES:
+            return Err(
+                errors.BadFrameError(
+                    f"a frame of {length_bytes} bytes exceeds the bound"
+                )
+            )
+        return Ok(length_bytes)
+
+    def open(
+        self, header: bytes, payload: bytes
+    ) -> Result[messages.Envelope, errors.BadFrameError]:
+        """Returns the envelope of a frame that is genuine and new."""
+        length = self.payload_bytes(header)
+        if isinstance(length, Err):
+            return length
+        _, sequence, mac = HEADER.unpack(header)
+        expected = _mac(self._key, sequence, payload)
+        if not hmac.compare_digest(mac, expected):
+            return Err(errors.BadFrameError("a frame fails authentication"))
+        # A frame that is sent again by whoever recorded it carries a genuine
+        # MAC; only the sequence number shows that it was read before.
+        if sequence <= self._last_sequence:
+            return Err(errors.BadFrameError("a frame arrived a second time"))
+        self._last_sequence = sequence
+        return decode(payload)
+
+
+def encode(envelope: messages.Envelope) -> bytes:
+    """Returns the packed payload of an envelope."""
+    builder = _SCHEMA.Envelope.new_message()
+    builder.senderVmId = envelope.sender_vm_id
+    builder.correlation = envelope.correlation
+    _write(envelope.message, builder)
+    return bytes(builder.to_bytes_packed())
+
+
+def decode(payload: bytes) -> Result[messages.Envelope, errors.BadFrameError]:
+    """Reads a payload; whatever the bytes, the error is a BadFrameError."""
+    try:
+        reader = _SCHEMA.Envelope.from_bytes_packed(
+            payload,
+            traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS,
+            nesting_limit=_NESTING_LIMIT,
+        )
+        read = _READERS[str(reader.which())]
+        return Ok(
+            messages.Envelope(
+                reader.senderVmId, reader.correlation, read(reader)
+            )
+        )
+    except (
+        capnp.KjException,
+        errors.BadFrameError,
+        KeyError,
+        UnicodeDecodeError,
+        ValueError,
+        MemoryError,
+    ) as error:
+        return Err(errors.BadFrameError(f"a payload is malformed: {error}"))
+
+
+def _mac(key: bytes, sequence: int, payload: bytes) -> bytes:
+    mac = hashlib.blake2b(
+        _SEQUENCE.pack(sequence), key=key, digest_size=MAC_BYTES
+    )
+    mac.update(payload)
+    return mac.digest()
+
+
+@functools.singledispatch
+def _write(message: object, builder: Any) -> None:
+    raise TypeError(f"no wire form for {type(message).__name__}")
+
+
+@_write.register
+def _(message: messages.Heartbeat, builder: Any) -> None:
+    body = builder.init("heartbeat")
+    body.availabilityZone = message.availability_zone
+    body.incarnation = message.incarnation
+    body.configVersion = message.config_version
+    body.listHash = message.list_hash
+    body.stamps = message.stamps
+    body.suspicions = message.suspicions
+    body.loads = message.loads
+    body.loadAges = message.load_ages
+    demands = body.init("demands", len(message.demands))
+    for slot, demand in zip(demands, message.demands, strict=True):
+        slot.customerHash = demand.customer_hash
+        slot.requestsPerS = demand.requests_per_s
+
+
+@_write.register
+def _(message: messages.Leaving, builder: Any) -> None:
+    builder.init("leaving").incarnation = message.incarnation
+
+
+@_write.register
+def _(message: messages.ConfigFetch, builder: Any) -> None:
+    del message
+    builder.configFetch = None
+
+
+@_write.register
+def _(message: messages.ConfigDocument, builder: Any) -> None:
+    builder.configDocument = message.document
+
+
+@_write.register
+def _(message: messages.ClaimRequest, builder: Any) -> None:
+    body = builder.init("claimRequest")
+    body.claimId = message.claim_id
+    body.bodyDigest = message.body_digest
+    body.requestId = message.request_id
+    body.token = message.token
+    body.runnerIp = message.runner_ip
+    body.runnerPort = message.runner_port
+    body.runBoundS = message.run_bound_s
+
+
+@_write.register
+def _(message: messages.ClaimComplete, builder: Any) -> None:
+    body = builder.init("claimComplete")
+    body.claimId = message.claim_id
+    body.token = message.token
+    body.status = message.status
+    body.answerDigest = message.answer_digest
+    body.answer = message.answer or b""
+    body.hasAnswer = message.answer is not None
+
+
+@_write.register
+def _(message: messages.ClaimRelease, builder: Any) -> None:
+    body = builder.init("claimRelease")
+    body.claimId = message.claim_id
+    body.token = message.token
+
+
+@_write.register
+def _(message: messages.ClaimWait, builder: Any) -> None:
+    body = builder.init("claimWait")
+    body.claimId = message.claim_id
+    body.waitS = message.wait_s
+
+
+@_write.register
+def _(message: messages.ClaimReply, builder: Any) -> None:
+    body = builder.init("claimReply")
+    body.kind = message.kind
+    body.runnerVmId = message.runner_vm_id
+    body.runnerIp = message.runner_ip
+    body.runnerPort = message.runner_port
+    body.status = message.status
+    body.answerDigest = message.answer_digest
+    body.answer = message.answer or b""
+    body.hasAnswer = message.answer is not None
+    body.requestId = message.request_id
+
+
+@_write.register
+def _(message: messages.ShardHandover, builder: Any) -> None:
+    builder.shardHandover = message.shard
+
+
+def _digest(value: bytes) -> bytes:
+    if len(value) != _DIGEST_BYTES:
+        raise errors.BadFrameError("a digest has the wrong length")
+    return bytes(value)
+
+
+def _read_heartbeat(reader: Any) -> messages.Message:
+    body = reader.heartbeat
+    return messages.Heartbeat(
+        body.availabilityZone,
+        body.incarnation,
+        body.configVersion,
+        body.listHash,
+        bytes(body.stamps),
+        bytes(body.suspicions),
+        bytes(body.loads),
+        bytes(body.loadAges),
+        tuple(
+            messages.Demand(d.customerHash, d.requestsPerS)
+            for d in body.demands
+        ),
+    )
+
+
+def _read_leaving(reader: Any) -> messages.Message:
+    return messages.Leaving(reader.leaving.incarnation)
+
+
+def _read_config_fetch(reader: Any) -> messages.Message:
+    del reader
+    return messages.ConfigFetch()
+
+
+def _read_config_document(reader: Any) -> messages.Message:
+    return messages.ConfigDocument(bytes(reader.configDocument))
+
+
+def _read_claim_request(reader: Any) -> messages.Message:
+    body = reader.claimRequest
+    return messages.ClaimRequest(
+        _digest(body.claimId),
+        _digest(body.bodyDigest),
+        body.requestId,
+        body.token,
+        body.runnerIp,
+        body.runnerPort,
+        body.runBoundS,
+    )
+
+
+def _read_claim_complete(reader: Any) -> messages.Message:
+    body = reader.claimComplete
+    return messages.ClaimComplete(
+        _digest(body.claimId),
+        body.token,
+        body.status,
+        _digest(body.answerDigest),
+        bytes(body.answer) if body.hasAnswer else None,
+    )
+
+
+def _read_claim_release(reader: Any) -> messages.Message:
+    body = reader.claimRelease
+    return messages.ClaimRelease(_digest(body.claimId), body.token)
+
+
+def _read_claim_wait(reader: Any) -> messages.Message:
+    body = reader.claimWait
+    return messages.ClaimWait(_digest(body.claimId), body.waitS)
+
+
+def _read_claim_reply(reader: Any) -> messages.Message:
+    body = reader.claimReply
+    kind = body.kind
+    if kind not in messages.CLAIM_REPLY_KINDS:
+        raise errors.BadFrameError("a claim reply of an unknown kind")
+    return messages.ClaimReply(
+        kind,
+        body.runnerVmId,
+        body.runnerIp,
+        body.runnerPort,
+        body.status,
+        bytes(body.answerDigest),
+        bytes(body.answer) if body.hasAnswer else None,
+        body.requestId,
+    )
+
+
+def _read_shard_handover(reader: Any) -> messages.Message:
+    return messages.ShardHandover(reader.shardHandover)
+
+
+_READERS: dict[str, Callable[[Any], messages.Message]] = {
+    "heartbeat": _read_heartbeat,
+    "leaving": _read_leaving,
+    "configFetch": _read_config_fetch,
+    "configDocument": _read_config_document,
+    "claimRequest": _read_claim_request,
+    "claimComplete": _read_claim_complete,
+    "claimRelease": _read_claim_release,
+    "claimWait": _read_claim_wait,
+    "claimReply": _read_claim_reply,
+    "shardHandover": _read_shard_handover,
+}
--- /dev/null
+++ b/src/mulberrywharf/nodes/messages.capnp
@@ -0,0 +1,81 @@
+@0xd1c9a0f35be7712e;
+# What entry VMs say to each other. codec.py turns these into NamedTuples.
+
+struct Envelope {
+  senderVmId @0 :Text;
+  correlation @1 :UInt64;  # 0: no answer is expected
+  union {
+    heartbeat @2 :Heartbeat;
+    leaving @3 :Leaving;
+    configFetch @4 :Void;
+    configDocument @5 :Data;
+    claimRequest @6 :ClaimRequest;
+    claimComplete @7 :ClaimComplete;
+    claimRelease @8 :ClaimRelease;
+    claimWait @9 :ClaimWait;
+    claimReply @10 :ClaimReply;
+    shardHandover @11 :UInt32;
+  }
+}
+
+struct Heartbeat {
+  availabilityZone @0 :Text;
+  incarnation @1 :UInt64;
+  configVersion @2 :UInt64;
+  listHash @3 :UInt64;  # of the lists that the four columns follow
+  stamps @4 :Data;      # two bytes for each entry VM of the zone
+  suspicions @5 :Data;  # one bit for each entry VM of the zone
+  loads @6 :Data;       # one byte for each engine of the zone
+  loadAges @7 :Data;    # one byte for each engine, in tenths of a second
+  demands @8 :List(Demand);
+}
+
+struct Demand {
+  customerHash @0 :UInt32;
+  requestsPerS @1 :Float32;
+}
+
+struct Leaving {
+  incarnation @0 :UInt64;
+}
+
+struct ClaimRequest {
+  claimId @0 :Data;
+  bodyDigest @1 :Data;
+  requestId @2 :Text;
+  token @3 :UInt64;
+  runnerIp @4 :Text;
+  runnerPort @5 :UInt16;
+  runBoundS @6 :Float64;
+}
+
+struct ClaimComplete {
+  claimId @0 :Data;
+  token @1 :UInt64;
+  status @2 :UInt16;
+  answerDigest @3 :Data;
+  answer @4 :Data;
+  hasAnswer @5 :Bool;
+}
+
+struct ClaimRelease {
+  claimId @0 :Data;
+  token @1 :UInt64;
+}
+
+struct ClaimWait {
+  claimId @0 :Data;
+  waitS @1 :Float64;
+}
+
+struct ClaimReply {
+  kind @0 :Text;
+  runnerVmId @1 :Text;
+  runnerIp @2 :Text;
+  runnerPort @3 :UInt16;
+  status @4 :UInt16;
+  answerDigest @5 :Data;
+  answer @6 :Data;
+  hasAnswer @7 :Bool;
+  requestId @8 :Text;
+}
--- /dev/null
+++ b/src/mulberrywharf/nodes/server.py
@@ -0,0 +1,160 @@
+"""Listens for other entry VMs, one task for each connection."""
+
+import os
+import socket
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import gevent
+import gevent.pool
+import gevent.server
+from gevent import socket as gevent_socket
+from loguru import logger
+from result import Err
+
+from mulberrywharf import settings
+from mulberrywharf.nodes import codec, frames, link, messages
+
+Handler = Callable[[str, Any], messages.Message | None]
+"""Takes the sender's vm_id and the message; returns the answer, if any."""
+
+_CONNECTION_LIMIT_COUNT = 2048
+_HANDSHAKE_TIMEOUT_S = 5.0
+_QUESTIONS_LIMIT_COUNT = 4096
+
+
+class _Registration(NamedTuple):
+    handler: Handler
+    may_wait: bool
+
+
+class NodeServer:
+    """Hands each authenticated message to the handler of its type.
+
+    Attributes:
+        traffic: Bytes and frames of all its connections.
+        port: The TCP port, known after ``start``.
+    """
+
+    def __init__(self, ip: str, port: int, vm_id: str, shared_key: bytes):
+        self.traffic = frames.Traffic()
+        self.port = port
+        self._ip = ip
+        self._vm_id = vm_id
+        self._shared_key = shared_key
+        self._handlers: dict[type, _Registration] = {}
+        self._questions = gevent.pool.Pool(_QUESTIONS_LIMIT_COUNT)
+        self._connections: set[frames.FrameSocket] = set()
+        self._server: gevent.server.StreamServer | None = None
+
+    @classmethod
+    def from_config(cls, config: settings.Settings) -> "NodeServer":
+        """Makes the server that the settings describe."""
+        nodes = config["nodes"]
+        return cls(
+            nodes["listen"]["ip"],
+            nodes["listen"]["port"],
+            config["vm_id"],
+            bytes.fromhex(nodes["key_hex"]),
+        )
+
+    def register(
+        self, message_type: type, handler: Handler, *, may_wait: bool = False
+    ) -> None:
+        """Sets who answers a type of message.
+
+        Args:
+            message_type: One of the messages.
+            handler: Called for each.
+            may_wait: True for handlers that wait for something; they run in
+                a greenlet of their own so that the connection is read on.
+        """
+        self._handlers[message_type] = _Registration(handler, may_wait)
+
+    def start(self) -> None:
+        """Binds and begins to accept."""
+        listener = gevent_socket.socket(
+            socket.AF_INET6 if ":" in self._ip else socket.AF_INET
+        )
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._ip, self.port))
+        listener.listen(256)
+        self.port = int(listener.getsockname()[1])
+        self._server = gevent.server.StreamServer(
+            listener,
+            self._serve,
+            spawn=gevent.pool.Pool(_CONNECTION_LIMIT_COUNT),
+        )
+        self._server.start()
+
+    def close(self) -> None:
+        """Stops accepting and closes every connection."""
+        if self._server is not None:
+            self._server.stop(timeout=0)
+            self._server = None
+        for connection in list(self._connections):
+            connection.close()
+        self._questions.kill()
+
+    def _serve(self, sock: Any, peer: Any) -> None:
+        try:
+            link.configure_socket(sock)
+            sock.settimeout(_HANDSHAKE_TIMEOUT_S)
+            connection = frames.greet_as_server(
+                sock,
+                self._shared_key,
+                os.urandom(codec.NONCE_BYTES),
+                self.traffic,
+            )
+            sock.settimeout(None)
+        except OSError:
+            sock.close()
+            return
+        self._connections.add(connection)
+        try:
+            self._read_messages(connection, peer)
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+    def _read_messages(self, connection: frames.FrameSocket, peer: Any) -> None:
+        sender_vm_id = ""
+        while True:
+            received = connection.read()
+            if isinstance(received, Err):
+                if received.err_value.code == "bad-frame":
+                    logger.warning(
+                        "refused a frame of {}: {}", peer, received.err_value
+                    )
+                return
+            envelope = received.ok_value
+            if sender_vm_id and envelope.sender_vm_id != sender_vm_id:
+                logger.warning("{} changed its name", peer)
+                return
+            sender_vm_id = envelope.sender_vm_id
+            self._dispatch(connection, envelope)
+
+    def _dispatch(
+        self, connection: frames.FrameSocket, envelope: messages.Envelope
+    ) -> None:
+        registration = self._handlers.get(type(envelope.message))
+        if registration is None:
+            return
+        if registration.may_wait:
+            self._questions.spawn(
+                self._answer, connection, envelope, registration.handler
+            )
+        else:
+            self._answer(connection, envelope, registration.handler)
+
+    def _answer(
+        self,
+        connection: frames.FrameSocket,
+        envelope: messages.Envelope,
+        handler: Handler,
+    ) -> None:
+        answer = handler(envelope.sender_vm_id, envelope.message)
+        if answer is not None and envelope.correlation:
+            connection.write(
+                messages.Envelope(self._vm_id, envelope.correlation, answer)
+            )
--- /dev/null
+++ b/tests/builders_nodes.py
@@ -0,0 +1,62 @@
+"""Test data for the traffic between entry VMs."""
+
+from mulberrywharf import fleet
+from mulberrywharf.nodes import messages
+
+DIGEST = bytes(range(16))
+KEY = b"k" * 32
+
+
+def one_of_each_message() -> list[messages.Message]:
+    """Returns one message of each type, no field at its default."""
+    return [
+        messages.Heartbeat(
+            "nave-heredia",
+            5,
+            6,
+            7,
+            b"\x01\x02",
+            b"\x01",
+            b"\x09",
+            b"\x03",
+            (messages.Demand(8, 1.5),),
+        ),
+        messages.Leaving(3),
+        messages.ConfigFetch(),
+        messages.ConfigDocument(b"{}"),
+        messages.ClaimRequest(
+            DIGEST, DIGEST, "request-1", 2**63, "127.0.0.1", 80, 30.0
+        ),
+        messages.ClaimComplete(DIGEST, 4, 200, DIGEST, b"yes"),
+        messages.ClaimComplete(DIGEST, 4, 200, DIGEST, None),
+        messages.ClaimRelease(DIGEST, 4),
+        messages.ClaimWait(DIGEST, 2.5),
+        messages.ClaimReply(
+            "done", "entry-2", "127.0.0.1", 80, 200, DIGEST, b"", "request-1"
+        ),
+        messages.ShardHandover(3),
+    ]
+
+
+def entry_vm(
+    number: int, port: int = 1, availability_zone: str = "regina-hall"
+) -> fleet.VmRecord:
+    """Returns an entry VM's line of the VM list."""
+    return fleet.VmRecord(
+        f"{availability_zone}-entry-{number}",
+        "entry",
+        availability_zone,
+        fleet.Address("127.0.0.1", port),
+    )
+
+
+def engine_vm(
+    number: int, availability_zone: str = "regina-hall"
+) -> fleet.VmRecord:
+    """Returns an engine's line of the VM list."""
+    return fleet.VmRecord(
+        f"{availability_zone}-engine-{number}",
+        "engine",
+        availability_zone,
+        fleet.Address("127.0.0.1", 2),
+    )
--- /dev/null
+++ b/tests/test_node_codec.py
@@ -0,0 +1,126 @@
+"""Frames between entry VMs: round trips, and what is refused."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from mulberrywharf import errors
+from mulberrywharf.nodes import codec, messages
+from tests import builders_nodes
+
+_KEY = b"k" * 32
+
+
+def _open(opener: codec.FrameOpener, frame: bytes):
+    size = codec.HEADER.size
+    return opener.open(frame[:size], frame[size:])
+
+
+def _seal(key: bytes, message: messages.Message) -> bytes:
+    envelope = messages.Envelope("entry-1", 7, message)
+    return codec.FrameSealer(key).seal(envelope).unwrap()
+
+
+class RoundTripTest(unittest.TestCase):
+    def test_every_message(self):
+        for message in builders_nodes.one_of_each_message():
+            with self.subTest(type=type(message).__name__):
+                envelope = messages.Envelope("entry-1", 7, message)
+                decoded = codec.decode(codec.encode(envelope))
+                self.assertEqual(decoded, Ok(envelope))
+
+    def test_a_sealed_frame_opens(self):
+        opened = _open(
+            codec.FrameOpener(_KEY), _seal(_KEY, messages.Leaving(3))
+        )
+        self.assertEqual(opened.unwrap().message, messages.Leaving(3))
+
+
+class RefusalTest(unittest.TestCase):
+    def assert_refused(self, result):
+        self.assertIsInstance(result, Err)
+        self.assertIsInstance(result.err_value, errors.BadFrameError)
+
+    def test_wrong_key(self):
+        frame = _seal(b"x" * 32, messages.Leaving(3))
+        self.assert_refused(_open(codec.FrameOpener(_KEY), frame))
+
+    def test_other_connection_and_direction(self):
+        """A recorded frame is played into another connection.
+
+        Symptom: an old leaving notice empties the zone. Sequence: recorded on
+        one connection, sent again on a new one, or back to its sender. Cause:
+        one key for all connections.
+        """
+        keys = codec.session_keys(_KEY, b"c" * 16, b"s" * 16)
+        frame = _seal(keys.client_to_server, messages.Leaving(3))
+        others = (
+            codec.session_keys(_KEY, b"c" * 16, b"t" * 16).client_to_server,
+            keys.server_to_client,
+        )
+        for other in others:
+            with self.subTest(other=other.hex()):
+                self.assert_refused(_open(codec.FrameOpener(other), frame))
+
+    def test_replay_on_the_same_connection(self):
+        """A recorded frame arrives again on its own connection.
+
+        Symptom: one claim is handled twice. Sequence: the frame is genuine
+        and was read before. Cause: a MAC alone doesn't tell old from new.
+        """
+        opener = codec.FrameOpener(_KEY)
+        frame = _seal(_KEY, messages.Leaving(3))
+        self.assertIsInstance(_open(opener, frame), Ok)
+        self.assert_refused(_open(opener, frame))
+
+    def test_too_long(self):
+        header = codec.HEADER.pack(codec.FRAME_LIMIT_BYTES + 1, 1, b"0" * 16)
+        opener = codec.FrameOpener(_KEY)
+        self.assert_refused(opener.payload_bytes(header))
+        document = messages.ConfigDocument(b"x" * codec.FRAME_LIMIT_BYTES)
+        sealer = codec.FrameSealer(_KEY)
+        envelope = messages.Envelope("entry-1", 1, document)
+        self.assert_refused(sealer.seal(envelope))
+
+    def test_every_changed_byte(self):
+        frame = _seal(_KEY, messages.Leaving(3))
+        for position in range(4, len(frame)):
+            changed = bytearray(frame)
+            changed[position] ^= 1
+            self.assert_refused(_open(codec.FrameOpener(_KEY), bytes(changed)))
+
+
+class ArbitraryBytesTest(unittest.TestCase):
+    @settings(max_examples=400, deadline=None)
+    @given(st.binary(max_size=400))
+    def test_unauthenticated(self, data):
+        opened = _open(codec.FrameOpener(_KEY), data)
+        self.assertIsInstance(opened.err_value, errors.BadFrameError)
+
+    @settings(max_examples=600, deadline=None)
+    @given(st.binary(max_size=400))
+    def test_authenticated_payload(self, data):
+        decoded = codec.decode(data)
+        if isinstance(decoded, Err):
+            self.assertIsInstance(decoded.err_value, errors.BadFrameError)
+
+    @settings(max_examples=600, deadline=None)
+    @given(
+        st.sampled_from(builders_nodes.one_of_each_message()),
+        st.data(),
+    )
+    def test_damaged_message(self, message, data):
+        payload = bytearray(
+            codec.encode(messages.Envelope("entry-1", 7, message))
+        )
+        position = data.draw(st.integers(0, len(payload) - 1))
+        payload[position] = data.draw(st.integers(0, 255))
+        decoded = codec.decode(bytes(payload))
+        if isinstance(decoded, Err):
+            self.assertIsInstance(decoded.err_value, errors.BadFrameError)
+
+
+if __name__ == "__main__":
+    unittest.main()
