Add the decisions on requests: engine, admission, limits, retries

The router needs to decide on each request where it runs, whether it is admitted, whether its customer is within its limit and whether a failed attempt is repeated.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -123,6 +123,27 @@
     status = 404
 
 
+class UnknownCustomerError(RequestError):
+    """The bearer key is missing or names no customer."""
+
+    code = "unknown-customer"
+    status = 401
+
+
+class NotReadyError(RequestError):
+    """This node has no accepted configuration yet."""
+
+    code = "not-ready"
+    status = 503
+
+
+class CallerGoneError(RequestError):
+    """The caller closed its connection before its answer was whole."""
+
+    code = "caller-gone"
+    status = 400
+
+
 class KeyReuseError(RequestError):
     """An idempotency key came back with another body."""
 
@@ -144,6 +165,20 @@
     status = 503
 
 
+class NoEngineError(RequestError):
+    """No engine that is ready has the model and adapter loaded."""
+
+    code = "no-engine"
+    status = 503
+
+
+class RetryBudgetSpentError(RequestError):
+    """The request failed and another attempt is not allowed now."""
+
+    code = "retry-budget-spent"
+    status = 503
+
+
 class ClaimUnavailableError(RequestError):
     """At-most-once could not be secured, so the request was not run."""
 
@@ -169,21 +204,62 @@
 
 
 class EngineError(MulberryError):
-    """An exchange with an engine or a backend server failed."""
+    """An exchange with an engine or a backend server failed.
+
+    Attributes:
+        outcome: ``not-run`` only when the request certainly did not run.
+    """
 
     code = "engine-failed"
+    outcome: Outcome = "unknown"
 
 
 class EngineUnreachableError(EngineError):
     """No connection was made, so no byte of the request left."""
 
     code = "engine-unreachable"
+    outcome: Outcome = "not-run"
 
 
 class EngineRefusedError(EngineError):
-    """The engine answered that it will not run the request."""
+    """The back end answered that it will not run the request.
+
+    Attributes:
+        status: Its HTTP status.
+        reason: Its short word for why, such as ``queue-full``.
+        retry_after_s: When it wants to be asked again, or None.
+        body: Its answer's body, bounded.
+    """
 
     code = "engine-refused"
+    outcome: Outcome = "not-run"
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int = 503,
+        reason: str = "",
+        retry_after_s: float | None = None,
+        body: bytes = b"",
+    ):
+        super().__init__(message)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+        self.body = body
+
+
+class AnswerLostError(EngineError):
+    """The request may have left, and its whole answer did not come."""
+
+    code = "answer-lost"
+
+
+class AnswerTooLargeError(EngineError):
+    """An answer exceeds the bound on what is kept in memory."""
+
+    code = "answer-too-large"
 
 
 class StreamBrokenError(EngineError):
@@ -192,12 +268,56 @@
     code = "stream-broken"
 
 
+class ForeignAnswerError(StreamBrokenError):
+    """An answer carries another request's id; none of it is passed on."""
+
+    code = "foreign-answer"
+
+
+class ResumeFailedError(StreamBrokenError):
+    """No engine could carry a begun answer to its end.
+
+    Attributes:
+        delivered_count: Tokens that the caller already has.
+    """
+
+    code = "resume-failed"
+
+    def __init__(self, message: str, *, delivered_count: int):
+        super().__init__(message)
+        self.delivered_count = delivered_count
+
+
 class OrderRefusedError(EngineError):
     """An engine refused an order, such as one with an old fencing number."""
 
     code = "order-refused"
 
 
+class EngineBusyError(OrderRefusedError):
+    """The engine is in mid-change; the order can be repeated later."""
+
+    code = "engine-busy"
+
+
+class StaleFencingNumberError(OrderRefusedError):
+    """The engine has seen a newer fencing number: the authority has passed."""
+
+    code = "stale-fencing-number"
+
+
+class OrderOutcomeUnknownError(EngineError):
+    """An order was sent and no answer came; read the engine's state back."""
+
+    code = "order-outcome-unknown"
+
+
+class OrderRecordsError(MulberryError):
+    """The zone's order records cannot be read; nothing is ordered."""
+
+    code = "bad-order-records"
+
+
 # --- the platform's services --------------------------------------------------
 
 
@@ -234,6 +354,13 @@
         self.key = key
 
 
+class PlatformRefusedError(PlatformError):
+    """The service refused the call as it is; nothing was written."""
+
+    code = "platform-refused"
+    advice = "The same call will be refused again; see the message."
+
+
 class BudgetExceededError(PlatformError):
     """This process has spent its share of calls for the purpose."""
 
--- /dev/null
+++ b/src/mulberrywharf/policy/choice_types.py
@@ -0,0 +1,58 @@
+"""What a choice of engine is asked and what it answers."""
+
+from typing import NamedTuple
+
+from mulberrywharf import fleet
+
+
+class RequestShape(NamedTuple):
+    """The parts of a request that decide where it runs well.
+
+    Attributes:
+        model: Name of the model.
+        adapter: Name of the adapter, or empty.
+        prompt_tokens: Length of the prompt.
+        expected_output_tokens: Expected length of the answer.
+        prompt_block_hashes: Hash of each whole block of the prompt, see
+            ``prefix_index.prompt_block_hashes``.
+        priority: 0 (first) to 9 (last).
+        availability_zone: Where the entry VM that took it stands.
+    """
+
+    model: str
+    adapter: str = ""
+    prompt_tokens: int = 0
+    expected_output_tokens: int = 0
+    prompt_block_hashes: tuple[str, ...] = ()
+    priority: int = 5
+    availability_zone: str = ""
+
+
+class Choice(NamedTuple):
+    """Where a request is to run.
+
+    Attributes:
+        prefill: The engine that prefills the prompt.
+        decode: The engine that generates the answer; the same VM as
+            ``prefill`` unless the KV cache is to be handed over.
+        first_token_s: Estimated time to the first token.
+        between_tokens_s: Estimated time between two tokens.
+        cached_tokens: Prompt tokens that the prefill engine is believed to
+            hold already.
+    """
+
+    prefill: fleet.VmRecord
+    decode: fleet.VmRecord
+    first_token_s: float
+    between_tokens_s: float
+    cached_tokens: int = 0
+
+    @property
+    def is_split(self) -> bool:
+        """Whether the KV cache is to be handed over between two engines."""
+        return self.prefill.vm_id != self.decode.vm_id
+
+    def total_s(self, output_tokens: int) -> float:
+        """Returns the estimated time to the last of ``output_tokens``."""
+        following_count = max(0, output_tokens - 1)
+        return self.first_token_s + following_count * self.between_tokens_s
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,116 @@
+"""Whether a request is admitted, waits, or is refused at once."""
+
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberrywharf import errors
+from mulberrywharf.policy import admission
+
+
+def _demand(**fields: Any) -> admission.Demand:
+    values: dict[str, Any] = {
+        "time_left_s": 30.0,
+        "priority": 0,
+        "first_token_target_s": 1.3,
+    }
+    return admission.Demand(**(values | fields))
+
+
+def _outlook(**fields: Any) -> admission.Outlook:
+    values: dict[str, Any] = {"first_token_s": 0.2, "total_s": 3.0}
+    return admission.Outlook(**(values | fields))
+
+
+class DecideTest(unittest.TestCase):
+    def test_free_engine_admits(self):
+        decision = admission.decide(_demand(), _outlook())
+        self.assertIsInstance(decision, admission.Admit)
+
+    def test_shed_at_once_when_too_late(self):
+        cases = {
+            "deadline": (_demand(time_left_s=2.0), _outlook()),
+            "first token": (_demand(), _outlook(first_token_s=2.0)),
+            "queue": (
+                _demand(),
+                _outlook(queue_wait_s=2.0, has_slot=False, queued_count=3),
+            ),
+        }
+        for name, (demand, outlook) in cases.items():
+            with self.subTest(name):
+                decision = admission.decide(demand, outlook)
+                self.assertIsInstance(decision, admission.Shed)
+                self.assertIsInstance(decision.error, errors.OverloadedError)
+                self.assertEqual(decision.error.outcome, "not-run")
+                self.assertGreater(decision.retry_after_s, 0)
+
+    def test_deadline_that_passed_is_told_as_such(self):
+        decision = admission.decide(_demand(time_left_s=0.0), _outlook())
+        self.assertIsInstance(decision.error, errors.DeadlineExceededError)
+
+    def test_request_without_target_needs_only_its_deadline(self):
+        demand = _demand(first_token_target_s=None)
+        decision = admission.decide(demand, _outlook(first_token_s=2.5))
+        self.assertIsInstance(decision, admission.Admit)
+
+    def test_wait_ends_while_an_answer_is_still_of_use(self):
+        outlook = _outlook(has_slot=False, queue_wait_s=0.3, queued_count=2)
+        decision = admission.decide(_demand(time_left_s=3.5), outlook)
+        self.assertIsInstance(decision, admission.Wait)
+        self.assertAlmostEqual(decision.limit_s, 0.5)
+
+    def test_less_important_are_refused_first(self):
+        late = _outlook(first_token_s=1.3)
+        full = _outlook(has_slot=False, queued_count=100)
+        for name, outlook, taken in (
+            ("late", late, admission.Admit),
+            ("full", full, admission.Wait),
+        ):
+            with self.subTest(name):
+                first = admission.decide(_demand(priority=0), outlook)
+                last = admission.decide(_demand(priority=9), outlook)
+                self.assertIsInstance(first, taken)
+                self.assertIsInstance(last, admission.Shed)
+
+    def test_queue_is_bounded_for_the_most_important_too(self):
+        outlook = _outlook(has_slot=False, queued_count=256)
+        decision = admission.decide(_demand(priority=0), outlook)
+        self.assertIsInstance(decision, admission.Shed)
+
+
+class AdmissionPropertyTest(unittest.TestCase):
+    @given(
+        st.floats(-1, 60),
+        st.integers(0, 9),
+        st.floats(0, 10),
+        st.floats(0, 10),
+        st.floats(0, 10),
+        st.integers(0, 500),
+        st.booleans(),
+    )
+    @settings(derandomize=True, deadline=None)
+    def test_nothing_is_kept_that_cannot_meet_its_deadline(
+        self, left_s, priority, first_s, after_s, wait_s, queued, has_slot
+    ):
+        demand = _demand(time_left_s=left_s, priority=priority)
+        total_s = first_s + after_s
+        outlook = _outlook(
+            first_token_s=first_s,
+            total_s=total_s,
+            queue_wait_s=wait_s,
+            queued_count=queued,
+            has_slot=has_slot,
+        )
+        decision = admission.decide(demand, outlook)
+        if isinstance(decision, admission.Shed):
+            return
+        self.assertLessEqual(total_s, left_s)
+        if isinstance(decision, admission.Wait):
+            self.assertLessEqual(decision.limit_s + total_s, left_s + 1e-9)
+            self.assertGreaterEqual(decision.limit_s, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
