Add the operators' ordered rules

Operators need rules of which only the first match counts, and a controller that starts, wakes from a pause or loses its reports must not change the fleet for want of knowledge. Taking an unknown condition for one that fails was ruled out: it undoes a rule with for_s at every takeover. Conditions are three-valued, for_s keeps bounds of what was seen, and an undecided match holds. Documents are checked whole, with paths and advice; shadowed rules, flapping pairs and requests beyond the fleet are warnings.

--- a/src/mulberrywharf/rules/__init__.py
+++ b/src/mulberrywharf/rules/__init__.py
@@ -1,1 +1,31 @@
 """The operators' ordered rules: read, check, match, explain."""
+
+from mulberrywharf.rules.check import FleetSize, check
+from mulberrywharf.rules.configuration import AuditEntry, Configuration
+from mulberrywharf.rules.document import Actions, Conditions, Document, Rule
+from mulberrywharf.rules.explain import explain
+from mulberrywharf.rules.match import Match, match
+from mulberrywharf.rules.parse import parse
+from mulberrywharf.rules.situation import Reading, Situation
+from mulberrywharf.rules.sustain import Sustain
+from mulberrywharf.rules.wanted import WantedRoles, wanted_roles
+
+__all__ = [
+    "Actions",
+    "AuditEntry",
+    "Conditions",
+    "Configuration",
+    "Document",
+    "FleetSize",
+    "Match",
+    "Reading",
+    "Rule",
+    "Situation",
+    "Sustain",
+    "WantedRoles",
+    "check",
+    "explain",
+    "match",
+    "parse",
+    "wanted_roles",
+]
--- /dev/null
+++ b/src/mulberrywharf/rules/consistency.py
@@ -0,0 +1,185 @@
+"""Faults of a document that span several of its fields.
+
+Everything here follows from the document alone, whatever the fleet looks
+like, so a document with such a fault is never accepted.
+"""
+
+from collections.abc import Iterator
+
+from mulberrywharf.errors import Fault
+from mulberrywharf.rules.document import Actions, Conditions, Document, Roles
+
+DEFAULT_NAME = "default"
+"""Stands for the default in explanations, so no rule may be called so."""
+
+_SHARE_KEYS = ("prefill", "decode", "mixed")
+_SUM_TOLERANCE = 1e-9
+_RANGES = (
+    ("prefill_share_above", "prefill_share_below"),
+    ("queue_delay_above_s", "queue_delay_below_s"),
+    ("requests_above_per_s", "requests_below_per_s"),
+)
+
+
+def faults(document: Document) -> list[Fault]:
+    """Lists every inconsistency of a document whose types are correct."""
+    return [
+        *_name_faults(document),
+        *_key_faults(document),
+        *_rule_faults(document),
+        *_actions_faults("default", document["default"], document),
+    ]
+
+
+def _name_faults(document: Document) -> Iterator[Fault]:
+    seen: dict[str, int] = {}
+    for index, rule in enumerate(document["rules"]):
+        path = f"rules.{index}.name"
+        name = rule["name"]
+        if name == DEFAULT_NAME:
+            yield Fault(path, "this name means the default", "rename the rule")
+        if name in seen:
+            yield Fault(
+                path,
+                f"{name} is also the name of rules.{seen[name]}",
+                "give each rule a name of its own",
+            )
+        seen.setdefault(name, index)
+
+
+def _key_faults(document: Document) -> Iterator[Fault]:
+    owners: dict[str, str] = {}
+    for name, customer in document.get("customers", {}).items():
+        other = owners.setdefault(customer["key_sha256_hex"], name)
+        if other != name:
+            yield Fault(
+                f"customers.{name}.key_sha256_hex",
+                f"{other} has the same key, so requests name neither",
+                "give each customer a key of its own",
+            )
+
+
+def _rule_faults(document: Document) -> Iterator[Fault]:
+    for index, rule in enumerate(document["rules"]):
+        path = f"rules.{index}"
+        yield from _conditions_faults(f"{path}.when", rule["when"], document)
+        if not rule["then"]:
+            yield Fault(f"{path}.then", "no action", 'say {"hold": true}')
+        yield from _actions_faults(f"{path}.then", rule["then"], document)
+
+
+def _conditions_faults(
+    path: str, when: Conditions, document: Document
+) -> Iterator[Fault]:
+    if not set(when) - {"for_s"}:
+        yield Fault(path, "no condition", "move the actions to the default")
+    for above, below in _RANGES:
+        low, high = when.get(above), when.get(below)
+        if low is None or high is None:
+            continue
+        if low >= high:  # type: ignore[operator]
+            yield Fault(
+                f"{path}.{below}",
+                f"nothing is above {low} and below {high}",
+                f"make {above} smaller than {below}",
+            )
+    window = when.get("between_utc")
+    if window and window[0] == window[1]:
+        yield Fault(
+            f"{path}.between_utc",
+            "the window is empty",
+            "name two times of day, or leave it out for the whole day",
+        )
+    yield from _rate_faults(path, when)
+    yield from _reference_faults(
+        path, when.get("customer"), when.get("model"), document
+    )
+
+
+def _rate_faults(path: str, when: Conditions) -> Iterator[Fault]:
+    subjects = [key for key in ("customer", "model") if key in when]
+    for key in ("requests_above_per_s", "requests_below_per_s"):
+        if key in when and len(subjects) != 1:
+            yield Fault(
+                f"{path}.{key}",
+                "whose requests are meant is not clear",
+                "name one customer or one model beside it",
+            )
+
+
+def _reference_faults(
+    path: str, customer: str | None, model: str | None, document: Document
+) -> Iterator[Fault]:
+    if customer is not None and customer not in document.get("customers", {}):
+        yield Fault(
+            f"{path}.customer",
+            f"no customer {customer}",
+            "add it under customers, or correct the name",
+        )
+    if model is not None and model not in document.get("models", {}):
+        yield Fault(
+            f"{path}.model",
+            f"no model {model}",
+            "add it under models, or correct the name",
+        )
+
+
+def _actions_faults(
+    path: str, actions: Actions, document: Document
+) -> Iterator[Fault]:
+    if "roles" in actions:
+        yield from _roles_faults(f"{path}.roles", actions["roles"])
+    if actions.get("hold") and set(actions) & {"roles", "load", "drain"}:
+        yield Fault(
+            f"{path}.hold",
+            "hold leaves engines alone, but another action changes them",
+            "keep hold or the roles, load and drain beside it",
+        )
+    limit, load = actions.get("limit"), actions.get("load")
+    if limit:
+        yield from _reference_faults(
+            f"{path}.limit", limit["customer"], None, document
+        )
+    if load:
+        yield from _reference_faults(
+            f"{path}.load", None, load["model"], document
+        )
+        yield from _load_faults(f"{path}.load", actions, document)
+
+
+def _load_faults(
+    path: str, actions: Actions, document: Document
+) -> Iterator[Fault]:
+    load = actions["load"]
+    model = document.get("models", {}).get(load["model"])
+    if model is None:
+        return
+    adapter, version = load.get("adapter"), load.get("version")
+    if adapter is not None and adapter not in model["adapters"]:
+        yield Fault(
+            f"{path}.adapter",
+            f"{load['model']} has no adapter {adapter}",
+            "list it under the model's adapters, or correct the name",
+        )
+    if version is not None and version not in model["versions"]:
+        yield Fault(
+            f"{path}.version",
+            f"{load['model']} has no version {version}",
+            "list it under the model's versions, or correct the name",
+        )
+
+
+def _roles_faults(path: str, roles: Roles) -> Iterator[Fault]:
+    shares = [roles[key] for key in _SHARE_KEYS if key in roles]  # type: ignore[literal-required]
+    if not roles:
+        yield Fault(path, "no role", "name a share or a count of engines")
+    if shares and len(shares) != len(roles):
+        yield Fault(
+            path, "shares and counts are mixed", "use one kind in one action"
+        )
+    if sum(shares) > 1 + _SUM_TOLERANCE:
+        yield Fault(
+            path,
+            f"shares add up to {sum(shares):.3f}",
+            "make them add up to at most 1; the rest stays mixed",
+        )
--- /dev/null
+++ b/src/mulberrywharf/rules/shadowing.py
@@ -0,0 +1,87 @@
+"""Finds rules that can never count because an earlier one always does.
+
+A rule is shadowed when its conditions imply those of an earlier rule. Only
+single earlier rules are weighed; a rule that several earlier ones cover
+together is not found.
+"""
+
+from collections.abc import Iterator
+
+from mulberrywharf.errors import Fault
+from mulberrywharf.rules.document import Conditions, Rule
+from mulberrywharf.rules.situation import MINUTES_IN_DAY, within
+
+_ABOVE = (
+    "prefill_share_above",
+    "queue_delay_above_s",
+    "engines_lost_above_count",
+)
+_BELOW = ("prefill_share_below", "queue_delay_below_s")
+_EQUAL = ("availability_zone", "customer", "model")
+
+
+def shadowing_warnings(rules: list[Rule]) -> Iterator[Fault]:
+    """Points out each rule that an earlier one shadows."""
+    for index, rule in enumerate(rules):
+        for earlier in rules[:index]:
+            if implies(rule["when"], earlier["when"]):
+                yield Fault(
+                    f"rules.{index}",
+                    f"{rule['name']} never counts: whenever it matches, "
+                    f"{earlier['name']} matches first",
+                    f"move it before {earlier['name']}, or remove it",
+                )
+                break
+
+
+def implies(when: Conditions, other: Conditions) -> bool:
+    """Says whether ``other`` holds whenever ``when`` does."""
+    return (
+        _levels_imply(when, other)
+        and all(when.get(key) == other[key] for key in _EQUAL if key in other)  # type: ignore[literal-required]
+        and _rates_imply(when, other)
+        and _window_implies(when, other)
+        and when.get("for_s", 0.0) >= other.get("for_s", 0.0)
+    )
+
+
+def _levels_imply(when: Conditions, other: Conditions) -> bool:
+    above = all(
+        key in when and when[key] >= other[key]  # type: ignore[literal-required]
+        for key in _ABOVE
+        if key in other
+    )
+    below = all(
+        key in when and when[key] <= other[key]  # type: ignore[literal-required]
+        for key in _BELOW
+        if key in other
+    )
+    return above and below
+
+
+def _rates_imply(when: Conditions, other: Conditions) -> bool:
+    if not other.keys() & {"customer", "model"}:
+        return True
+    above, below = _rate_range(when)
+    other_above, other_below = _rate_range(other)
+    return above >= other_above and below <= other_below
+
+
+def _rate_range(when: Conditions) -> tuple[float, float]:
+    below = when.get("requests_below_per_s", float("inf"))
+    # Without a bound from below, "sends requests" means above 0; a bound from
+    # above alone also holds for a customer who sends none.
+    lowest = 0.0 if "requests_below_per_s" not in when else -1.0
+    return when.get("requests_above_per_s", lowest), below
+
+
+def _window_implies(when: Conditions, other: Conditions) -> bool:
+    outer = other.get("between_utc")
+    if outer is None:
+        return True
+    inner = when.get("between_utc")
+    return all(
+        within(minute, outer)
+        for minute in range(MINUTES_IN_DAY)
+        if inner is None or within(minute, inner)
+    )
--- /dev/null
+++ b/tests/test_rules_document.py
@@ -0,0 +1,304 @@
+"""Reading the configuration document: what is refused, and how."""
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from mulberrywharf.errors import RulesError
+from mulberrywharf.rules import parse
+from mulberrywharf.rules.configuration import (
+    AUDIT_LIMIT_COUNT,
+    AuditEntry,
+    Configuration,
+    diff,
+    from_bytes,
+    to_bytes,
+)
+from mulberrywharf.rules.document import DOCUMENT_LIMIT_BYTES
+from tests import builders_rules as build
+
+BOUNDED = settings(derandomize=True, max_examples=150, deadline=None)
+
+_FRAGMENTS = st.sampled_from(
+    [
+        "{",
+        "}",
+        "[",
+        "]",
+        '"rules"',
+        ":",
+        ",",
+        "//x\n",
+        "1e999",
+        "NaN",
+        "'",
+        "\\",
+    ]
+)
+
+
+def _faults(document: Any) -> dict[str, str]:
+    """Returns message and advice by path."""
+    found = parse(json.dumps(document), "rules.json")
+    if isinstance(found, Ok):
+        return {}
+    return {f.path: f"{f.message}; {f.advice}" for f in found.err_value.faults}
+
+
+class ParseTest(unittest.TestCase):
+    def test_comments_and_trailing_commas(self):
+        text = """{
+          // No rule yet.
+          rules: [],
+          "default": {"hold": true}, /* leave engines alone */
+        }"""
+        self.assertEqual(
+            parse(text, "rules.json").ok(),
+            {"rules": [], "default": {"hold": True}},
+        )
+
+    def test_full_document(self):
+        document = build.document(
+            build.rule(
+                "all",
+                {
+                    "prefill_share_above": 0.2,
+                    "prefill_share_below": 0.8,
+                    "customer": "dispatch",
+                    "requests_above_per_s": 2,
+                    "between_utc": ["22:00", "06:00"],
+                    "for_s": 30,
+                },
+                {
+                    "roles": {"prefill": 0.5, "decode": 0.5},
+                    "load": {
+                        "model": "verdict-70b",
+                        "adapter": "tags",
+                        "engines_count": 2,
+                    },
+                    "limit": {"customer": "dispatch", "requests_per_s": 5},
+                    "prefer_zone": "hall-a",
+                    "drain": {"engine_id": "engine-3"},
+                },
+            ),
+            services={
+                "dispatch": {
+                    "idempotent_paths": ["/echo"],
+                    "default_idempotent": False,
+                    "timeout_s": 30,
+                }
+            },
+            shed={
+                "first_token_target_ms": 1300,
+                "between_tokens_target_ms": 28,
+            },
+        )
+        self.assertEqual(_faults(document), {})
+
+    def test_faults_and_advice(self):
+        share = {"prefill_share_above": 0.5}
+        cases: list[tuple[dict[str, Any], dict[str, Any], str, str]] = [
+            (
+                {"queue_delay_above": 1},
+                {},
+                "when.queue_delay_above",
+                "_above_s",
+            ),
+            ({"prefil_share_above": 1}, {}, "when.prefil_share_above", "mean"),
+            ({"prefill_share_above": 1.5}, {}, "when.prefill_share_above", "1"),
+            ({"prefill_share_above": "1"}, {}, "when.prefill_share_above", ""),
+            ({"for_s": 3}, {}, "when", "no condition"),
+            ({"between_utc": ["24:00", "06:00"]}, {}, "when.between_utc.0", ""),
+            ({"between_utc": ["06:00"]}, {}, "when.between_utc", ""),
+            (
+                {"between_utc": ["06:00", "06:00"]},
+                {},
+                "when.between_utc",
+                "empty",
+            ),
+            (
+                {"prefill_share_above": 0.5, "prefill_share_below": 0.5},
+                {},
+                "when.prefill_share_below",
+                "nothing is above",
+            ),
+            ({"customer": "nobody"}, {}, "when.customer", "no customer"),
+            ({"model": "none"}, {}, "when.model", "no model"),
+            (
+                share | {"requests_above_per_s": 1},
+                {},
+                "when.requests_above_per_s",
+                "one customer or one model",
+            ),
+            (share, {"hold": False}, "then.hold", ""),
+            (
+                share,
+                {"hold": True, "drain": {"engine_id": "engine-1"}},
+                "then.hold",
+                "another action",
+            ),
+            (
+                share,
+                build.roles(prefill=0.6, decode=0.6),
+                "then.roles",
+                "add up to 1.200",
+            ),
+            (
+                share,
+                build.roles(prefill=0.6, decode_count=2),
+                "then.roles",
+                "mixed",
+            ),
+            (share, {"roles": {}}, "then.roles", "no role"),
+            (
+                share,
+                {"limit": {"customer": "nobody", "requests_per_s": 1}},
+                "then.limit.customer",
+                "no customer",
+            ),
+            (
+                share,
+                {
+                    "load": {
+                        "model": "verdict-70b",
+                        "adapter": "none",
+                        "version": "v9",
+                        "engines_count": 1,
+                    }
+                },
+                "then.load.adapter",
+                "no adapter",
+            ),
+        ]
+        for when, then, path, message in cases:
+            with self.subTest(when=when, then=then):
+                rule = build.rule("only", when, then or {"hold": True})
+                faults = _faults(build.document(rule))
+                self.assertIn(f"rules.0.{path}", faults)
+                self.assertIn(message, faults[f"rules.0.{path}"])
+
+    def test_all_faults_at_once(self):
+        document = build.document(
+            build.rule("one", {"queue_delay_above": 1}),
+            build.rule("two", {"prefill_share_above": 2}),
+            extra=1,
+        )
+        del document["default"]
+        self.assertEqual(
+            set(_faults(document)),
+            {
+                "rules.0.when.queue_delay_above",
+                "rules.1.when.prefill_share_above",
+                "default",
+                "extra",
+            },
+        )
+
+    def test_names_and_keys_are_unique(self):
+        document = build.document(
+            build.rule("one"),
+            build.rule("one"),
+            build.rule("default"),
+            customers={"a": build.customer("k"), "b": build.customer("k")},
+        )
+        self.assertEqual(
+            set(_faults(document)),
+            {
+                "rules.1.name",
+                "rules.2.name",
+                "customers.b.key_sha256_hex",
+            },
+        )
+
+    def test_unreadable_text(self):
+        cases = [
+            "",
+            "{",
+            "[]",
+            "[" * 100_000,
+            '{"rules": [], "rules": [], "default": {}}',
+            "{rules: [], rules: [], default: {}}",
+            '{"rules": [], "default": {"hold": NaN}}',
+            " " * (DOCUMENT_LIMIT_BYTES + 1),
+        ]
+        for text in cases:
+            with self.subTest(text=text[:40]):
+                found = parse(text, "rules.json")
+                self.assertIsInstance(found.err(), RulesError)
+
+    @given(st.one_of(st.text(max_size=200), st.lists(_FRAGMENTS).map("".join)))
+    @BOUNDED
+    def test_any_text_gives_a_result(self, text):
+        self.assertIsInstance(parse(text, "rules.json"), (Ok, Err))
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.floats() | st.text(max_size=8),
+            lambda inner: (
+                st.lists(inner, max_size=3)
+                | st.dictionaries(
+                    st.sampled_from(["rules", "default", "when", "then", "x"]),
+                    inner,
+                    max_size=4,
+                )
+            ),
+            max_leaves=10,
+        )
+    )
+    @BOUNDED
+    def test_any_json_gives_a_result(self, value):
+        self.assertIsInstance(parse(json.dumps(value), "x"), (Ok, Err))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def setUp(self):
+        self.entry = AuditEntry(
+            version=1,
+            change_id="c1",
+            author="ana",
+            changed_unix_s=5.0,
+            note="first",
+            diff=[],
+        )
+        self.configuration = Configuration(
+            1, "c1", "ana", 5.0, build.document(), (self.entry,)
+        )
+
+    def test_round_trip(self):
+        stored = to_bytes(self.configuration)
+        self.assertEqual(from_bytes(stored, "config").ok(), self.configuration)
+
+    def test_audit_is_bounded(self):
+        many = (self.entry,) * (AUDIT_LIMIT_COUNT + 5)
+        stored = to_bytes(self.configuration._replace(audit=many))
+        read = from_bytes(stored, "config").unwrap()
+        self.assertEqual(len(read.audit), AUDIT_LIMIT_COUNT)
+
+    def test_a_stored_value_that_is_damaged_is_refused(self):
+        stored = to_bytes(self.configuration)
+        bad_rules = to_bytes(self.configuration._replace(document={}))
+        for value in (b"", b"\xff", b"[]", stored[:-3], bad_rules):
+            with self.subTest(value=value[:20]):
+                found = from_bytes(value, "config")
+                self.assertIsInstance(found.err(), RulesError)
+
+    def test_diff_names_what_changed(self):
+        before = build.document(build.rule("a"), build.rule("b"))
+        after = build.document(
+            build.rule("b"), build.rule("a", {"prefill_share_above": 0.6})
+        )
+        lines = {line["path"]: line for line in diff(before, after)}
+        path = "rules.a.when.prefill_share_above"
+        self.assertEqual(set(lines), {path, "rules order"})
+        self.assertEqual(lines[path]["before"], "0.5")
+        self.assertEqual(lines[path]["after"], "0.6")
+        self.assertEqual(diff(after, after), [])
+        self.assertTrue(diff(None, after))
+
+
+if __name__ == "__main__":
+    unittest.main()
