Read engine streams token by token with a checked end

Answers were relayed as bytes, so a stream that was cut after a clean chunk, skipped a token or carried another request's events passed for a whole one. It runs on an exchange that writes a request once: the library's client was ruled out because it resends GET, PUT and DELETE silently and its pool uses select(). The tests of broken ends, foreign events and fairness were seen red with the checks and the giving way taken out, and green with them.

--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,227 @@
+"""EngineStream: whole, own answers or a typed failure."""
+
+import itertools
+import json
+import unittest
+from typing import Any
+
+import gevent
+
+from mulberrywharf import errors
+from mulberrywharf.engines import streams
+from tests import builders_engines as build
+
+
+class StreamCase(unittest.TestCase):
+    def serve(self, script: build.Script) -> build.ScriptedServer:
+        server = build.ScriptedServer(script)
+        self.addCleanup(server.close)
+        return server
+
+    def serve_bytes(self, data: bytes, *, close: bool = True) -> Any:
+        def script(sock: Any, request: bytes) -> None:
+            if build.is_cancel(request):
+                sock.sendall(build.plain_answer(b'{"cancelled": true}'))
+                return
+            sock.sendall(data)
+            if close:
+                sock.close()
+
+        return self.serve(script)
+
+    def open(self, server: Any, **options: Any) -> streams.EngineStream:
+        stream = streams.EngineStream.open(
+            server.address,
+            "/v1/completions",
+            json.dumps(build.request_body()).encode(),
+            build.REQUEST_ID,
+            **options,
+        ).unwrap()
+        self.addCleanup(stream.close)
+        return stream
+
+
+class WholeStreamTest(StreamCase):
+    def test_yields_every_token_in_order(self) -> None:
+        stream = self.open(self.serve_bytes(build.whole_stream(0, 8)))
+        tokens = list(stream)
+        self.assertEqual([token.index for token in tokens], list(range(8)))
+        text = "".join(token.text for token in tokens)
+        self.assertEqual(text, build.answer_text(8))
+        self.assertEqual(tokens[-1].finish_reason, "stop")
+        self.assertEqual(tokens[-1].usage, streams.Usage(3, 8))
+
+    def test_coalesces_what_already_arrived(self) -> None:
+        stream = self.open(self.serve_bytes(build.whole_stream(0, 8)))
+        batches = list(stream.batches())
+        raw = b"".join(batch.raw for batch in batches)
+        self.assertEqual(raw, build.events(0, 8, 8) + build.DONE)
+        self.assertLess(len(batches), 8)
+        self.assertTrue(batches[-1].is_last)
+
+    def test_events_cut_anywhere_are_put_together(self) -> None:
+        body = build.events(0, 3, 3) + build.DONE
+
+        def script(sock: Any, request: bytes) -> None:
+            sock.sendall(build.STREAM_HEAD)
+            for start in range(0, len(body), 50):
+                sock.sendall(build.chunk(body[start : start + 50]))
+                gevent.sleep(0)
+            sock.sendall(build.LAST_CHUNK)
+
+        tokens = list(self.open(self.serve(script)))
+        self.assertEqual(len(tokens), 3)
+
+    def test_a_resumed_stream_starts_at_its_first_index(self) -> None:
+        server = self.serve_bytes(build.whole_stream(5, 8))
+        tokens = list(self.open(server, first_index=5))
+        self.assertEqual([token.index for token in tokens], [5, 6, 7])
+
+
+class BrokenStreamTest(StreamCase):
+    """A short or foreign answer passes for a whole one.
+
+    Symptom: a caller acts on a verdict that lost its end, or on another
+    caller's. Sequence: an engine dies, skips a token or crosses two answers,
+    and the bytes up to there look well formed. Cause: an end of stream or an
+    event taken without check.
+    """
+
+    def test_every_unchecked_end_is_an_error(self) -> None:
+        head = build.STREAM_HEAD
+        last = build.LAST_CHUNK
+        own = build.events(0, 4, 8)
+        cases = {
+            "cut after four tokens": head + build.chunk(own),
+            "clean end without finish_reason": head + build.chunk(own) + last,
+            "[DONE] without finish_reason": head
+            + build.chunk(own + build.DONE)
+            + last,
+            "finish_reason without [DONE]": head
+            + build.chunk(build.events(0, 8, 8))
+            + last,
+            "a token left out": head + build.chunk(own + build.event(5)) + last,
+            "a token twice": head + build.chunk(own + build.event(3)) + last,
+            "token after the finish": head
+            + build.chunk(build.events(0, 8, 8) + build.event(8))
+            + last,
+            "not JSON": head + build.chunk(b"data: {\n\n") + last,
+            "engine's error": head
+            + build.chunk(own + b'data: {"error": {"type": "crash"}}\n\n')
+            + last,
+        }
+        for name, data in cases.items():
+            with self.subTest(name):
+                stream = self.open(self.serve_bytes(data))
+                with self.assertRaises(errors.StreamBrokenError):
+                    list(stream)
+
+    def test_a_crossed_event_is_foreign(self) -> None:
+        data = build.events(0, 2, 8) + build.event(2, request_id="other")
+        stream = self.open(
+            self.serve_bytes(build.STREAM_HEAD + build.chunk(data))
+        )
+        with self.assertRaises(errors.ForeignAnswerError):
+            list(stream)
+
+    def test_a_crossed_head_is_foreign(self) -> None:
+        data = build.whole_stream(0, 8).replace(
+            b"\r\n\r\n", b"\r\nx-request-id: other\r\n\r\n", 1
+        )
+        server = self.serve_bytes(data)
+        opened = streams.EngineStream.open(
+            server.address, "/v1/completions", b"{}", build.REQUEST_ID
+        )
+        self.assertIsInstance(opened.unwrap_err(), errors.ForeignAnswerError)
+
+    def test_silence_of_a_half_open_engine_ends_the_wait(self) -> None:
+        data = build.STREAM_HEAD + build.chunk(build.events(0, 2, 8))
+        server = self.serve_bytes(data, close=False)
+        stream = self.open(server, idle_timeout_s=0.05)
+        with self.assertRaises(errors.StreamBrokenError):
+            list(stream)
+
+
+class OpeningTest(StreamCase):
+    def open_error(self, address: Any) -> errors.EngineError:
+        return streams.EngineStream.open(
+            address, "/v1/completions", b"{}", build.REQUEST_ID
+        ).unwrap_err()
+
+    def test_gone_before_connect_is_not_run(self) -> None:
+        error = self.open_error(build.closed_address())
+        self.assertIsInstance(error, errors.EngineUnreachableError)
+        self.assertEqual(error.outcome, "not-run")
+
+    def test_gone_after_send_is_unknown(self) -> None:
+        error = self.open_error(self.serve_bytes(b"").address)
+        self.assertIsInstance(error, errors.AnswerLostError)
+        self.assertEqual(error.outcome, "unknown")
+
+    def test_a_refusal_is_not_run_and_says_when_to_come_back(self) -> None:
+        body = b'{"type": "queue-full"}'
+        answer = build.plain_answer(body, headers=b"retry-after: 2\r\n")
+        answer = answer.replace(b"200 OK", b"503 Busy")
+        error = self.open_error(self.serve_bytes(answer).address)
+        assert isinstance(error, errors.EngineRefusedError)
+        self.assertEqual(error.outcome, "not-run")
+        self.assertEqual(error.reason, "queue-full")
+        self.assertEqual(error.retry_after_s, 2.0)
+
+    def test_a_500_leaves_open_whether_it_ran(self) -> None:
+        answer = build.plain_answer(b"").replace(b"200 OK", b"500 Oh")
+        error = self.open_error(self.serve_bytes(answer).address)
+        self.assertEqual(error.outcome, "unknown")
+
+
+class CancelTest(StreamCase):
+    def cancels(self, server: Any) -> list[bytes]:
+        return [r for r in server.requests if build.is_cancel(r)]
+
+    def test_closing_early_cancels_at_the_engine(self) -> None:
+        data = build.STREAM_HEAD + build.chunk(build.events(0, 2, 8))
+        server = self.serve_bytes(data, close=False)
+        stream = self.open(server)
+        next(stream.batches())
+        stream.close()
+        self.assertTrue(build.wait_until(lambda: bool(self.cancels(server))))
+        sent = build.document_of(self.cancels(server)[0])
+        self.assertEqual(sent, {"request_id": build.REQUEST_ID})
+
+    def test_a_finished_stream_is_not_cancelled(self) -> None:
+        server = self.serve_bytes(build.whole_stream(0, 8))
+        stream = self.open(server)
+        list(stream)
+        stream.close()
+        gevent.sleep(0.02)
+        self.assertEqual(self.cancels(server), [])
+
+
+class FairnessTest(StreamCase):
+    def test_a_busy_stream_lets_others_run(self) -> None:
+        """One always-busy stream starves the rest.
+
+        Symptom: first tokens of other callers come tens of milliseconds
+        late. Sequence: an engine sends faster than its stream is read, so
+        reading never waits. Cause: a greenlet that never waits never yields.
+        """
+        count = 5000
+        server = self.serve_bytes(build.whole_stream(0, count), close=False)
+        stream = self.open(server)
+        turns_at: list[int] = []
+
+        def other() -> None:
+            while True:
+                turns_at.append(stream.next_index)
+                gevent.sleep(0)
+
+        greenlet = gevent.spawn(other)
+        list(stream)
+        greenlet.kill()
+        seen = [0, *turns_at, count]
+        gaps = [b - a for a, b in itertools.pairwise(seen)]
+        self.assertLessEqual(max(gaps), 256)
+
+
+if __name__ == "__main__":
+    unittest.main()
