Add the admin listener and the audit trail

The balancer has to learn when a process takes no more work, and operators have to see what a process does and stop it without cutting requests. Keeping the trail on disk was ruled out, as the VMs have none: it is bounded in memory, shown in status and written as log lines.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -392,3 +392,46 @@
     """The other entry VM does not answer."""
 
     code = "node-unreachable"
+
+
+# --- operators and their tools -----------------------------------------------
+
+
+class OperatorError(MulberryError):
+    """Something that an operator asked for could not be done."""
+
+    code = "operator-failed"
+
+
+class NotAuthorisedError(OperatorError):
+    """The request carries no token of an operator."""
+
+    code = "not-authorised"
+    advice = (
+        "Put the token into the variable that --operator-token-env names; its "
+        "SHA-256 must be in operators.tokens of the node's settings."
+    )
+
+
+class OperatorRequestError(OperatorError):
+    """The admin listener has no such path or method."""
+
+    code = "unknown-operator-request"
+    advice = "docs/design/interfaces.md lists what the admin listener answers."
+
+
+class AdminListenerError(OperatorError):
+    """A node's admin listener did not answer, or not in the known form."""
+
+    code = "admin-listener-failed"
+    advice = (
+        "Check that the node runs and that this machine reaches its "
+        "operators' address; the VM list may lag behind."
+    )
+
+
+class UsageError(OperatorError):
+    """mulberryctl was called with arguments that cannot be used."""
+
+    code = "bad-usage"
+    advice = "Run the command with --help."
--- /dev/null
+++ b/tests/test_operators_server.py
@@ -0,0 +1,157 @@
+"""The admin listener: who gets what, readiness, drain and audit."""
+
+import hashlib
+import json
+import unittest
+from typing import Any
+
+import gevent.event
+from geventhttpclient import HTTPClient
+from loguru import logger
+
+from mulberrywharf.clock import SystemClock
+from mulberrywharf.operators import audit
+from mulberrywharf.operators.server import OperatorsServer
+from mulberrywharf.operators.status import ADAPTER, StatusReport
+
+TOKEN = "night shift token"
+GUARD_S = 10
+
+
+def setUpModule():
+    logger.disable("mulberrywharf")
+    unittest.addModuleCleanup(logger.enable, "mulberrywharf")
+
+
+def _status() -> StatusReport:
+    return {
+        "vm_id": "entry-1",
+        "availability_zone": "hall-a",
+        "program": "router",
+        "config_version": 3,
+        "ready": True,
+        "engines": [],
+        "platform": {"key_value_age_s": 0.5, "vm_list_age_s": None},
+    }
+
+
+class OperatorsServerTest(unittest.TestCase):
+    def setUp(self):
+        self.drained_count = 0
+        self.drained = gevent.event.Event()
+        self.audit = audit.AuditLog(SystemClock(), limit_count=3)
+        settings: Any = {
+            "operators": {
+                "listen": {"ip": "127.0.0.1", "port": 0},
+                "tokens": [
+                    {"operator": "ana", "token_sha256_hex": "0" * 64},
+                    {
+                        "operator": "luis",
+                        "token_sha256_hex": hashlib.sha256(
+                            TOKEN.encode()
+                        ).hexdigest(),
+                    },
+                ],
+            }
+        }
+        self.server = OperatorsServer.from_config(
+            settings, _status, self._drain, audit=self.audit
+        )
+        self.server.start()
+        self.addCleanup(self.server.close)
+        self.client = HTTPClient("127.0.0.1", self.server.port)
+        self.addCleanup(self.client.close)
+
+    def _drain(self):
+        self.drained_count += 1
+        self.drained.set()
+
+    def ask(self, method, path, token=None):
+        headers = {}
+        if token is not None:
+            headers["authorization"] = f"Bearer {token}"
+        response = self.client.request(method, path, headers=headers)
+        return response.status_code, bytes(response.read())
+
+    def test_who_gets_what(self):
+
+        cases = [
+            ("GET", "/healthz", None, 200),
+            ("GET", "/readyz", None, 503),
+            ("GET", "/metrics", None, 200),
+            ("GET", "/status", None, 401),
+            ("GET", "/status", "wrong", 401),
+            ("GET", "/status", "", 401),
+            ("GET", "/status", "0" * 64, 401),
+            ("POST", "/drain", None, 401),
+            ("POST", "/drain", "wrong", 401),
+            ("POST", "/status", TOKEN, 404),
+            ("GET", "/other", None, 404),
+        ]
+        for method, path, token, expected in cases:
+            with self.subTest(method=method, path=path, token=token):
+                status, body = self.ask(method, path, token)
+                self.assertEqual(status, expected)
+                if status in (401, 404):
+                    problem = json.loads(body)
+                    self.assertIn("urn:mulberrywharf:", problem["type"])
+                    self.assertTrue(problem["advice"])
+        self.assertEqual(self.drained_count, 0)
+
+    def test_status_shows_the_report_and_the_audit_trail(self):
+        for version in range(5):
+            self.audit.record(
+                audit.ConfigurationInForce(version, "ana", f"c{version}")
+            )
+        status, body = self.ask("GET", "/status", TOKEN)
+        self.assertEqual(status, 200)
+        report = ADAPTER.validate_json(body)
+        self.assertEqual(report["config_version"], 3)
+        self.assertEqual(
+            [line["subject"] for line in report["audit"]],
+            ["version 2", "version 3", "version 4"],
+        )
+
+    def test_readiness_follows(self):
+        for ready, expected in ((True, 200), (False, 503)):
+            self.server.set_ready(ready)
+            self.assertEqual(self.ask("GET", "/readyz")[0], expected)
+
+    def test_drain_begins_once(self):
+        for _ in range(3):
+            self.assertEqual(self.ask("POST", "/drain", TOKEN)[0], 202)
+        self.assertTrue(self.drained.wait(GUARD_S))
+        self.assertEqual(self.drained_count, 1)
+        lines = self.audit.lines()
+        self.assertEqual([line["kind"] for line in lines], ["drain"])
+        self.assertIn("luis", lines[0]["reason"])
+
+
+class AuditLogTest(unittest.TestCase):
+    def test_every_event_has_a_line(self):
+        events = [
+            audit.ConfigurationInForce(7, "ana", "c7"),
+            audit.OrderChanged("e1", "o1", "set-role", "sent", 4, "rule x"),
+            audit.RoleChanged("e1", "decode", "prefill"),
+            audit.DrainBegan("e1", "rule x"),
+            audit.LeaseTaken("controllers/hall-a", 4),
+            audit.LeaseLost("controllers/hall-a", 4, "lapsed"),
+        ]
+        log = audit.AuditLog(SystemClock())
+        for event in events:
+            log.record(event)
+        self.assertEqual(
+            [line["kind"] for line in log.lines()],
+            [
+                "configuration",
+                "order",
+                "role-change",
+                "drain",
+                "lease-taken",
+                "lease-lost",
+            ],
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
