Let operators' tools read a node's status

mulberryctl has to read status from many nodes and try other rules on a controller's live inputs. Sending the whole rule engine's memory was ruled out as too large.

--- /dev/null
+++ b/src/mulberrywharf/operators/situations.py
@@ -0,0 +1,46 @@
+"""Carries the rules' inputs from a controller's status to a dry run."""
+
+from mulberrywharf.operators.status import RuleStatus, SituationStatus
+from mulberrywharf.rules.explain import explain
+from mulberrywharf.rules.match import STALE_AFTER_S, Match
+from mulberrywharf.rules.situation import Reading, Situation
+
+
+def rule_status(match: Match, config_version: int) -> RuleStatus:
+    """Builds what /status says about the last evaluation."""
+    return RuleStatus(
+        rule_name=match.rule_name,
+        undecided=match.undecided,
+        explanation=explain(match, config_version),
+    )
+
+
+def situation_status(situation: Situation) -> SituationStatus:
+    """Builds what /status says about the inputs; stale ones are None."""
+    return SituationStatus(
+        availability_zone=situation.availability_zone,
+        utc_minute=situation.utc_minute,
+        prefill_share=_fresh(situation.prefill_share),
+        queue_delay_s=_fresh(situation.queue_delay_s),
+        engines_lost_count=_fresh(situation.engines_lost_count),
+        customer_requests_per_s=dict(situation.customer_requests_per_s),
+        model_requests_per_s=dict(situation.model_requests_per_s),
+    )
+
+
+def situation_from_status(status: SituationStatus) -> Situation:
+    """Reads the inputs back, as if they had been taken just now."""
+    return Situation(
+        availability_zone=status["availability_zone"],
+        utc_minute=status["utc_minute"],
+        prefill_share=Reading(status["prefill_share"], 0.0),
+        queue_delay_s=Reading(status["queue_delay_s"], 0.0),
+        engines_lost_count=Reading(status["engines_lost_count"], 0.0),
+        customer_requests_per_s=status["customer_requests_per_s"],
+        model_requests_per_s=status["model_requests_per_s"],
+        rates_age_s=0.0,
+    )
+
+
+def _fresh(reading: Reading) -> float | None:
+    return reading.value if reading.age_s <= STALE_AFTER_S else None
--- a/src/mulberrywharf/operators/status.py
+++ b/src/mulberrywharf/operators/status.py
@@ -12,6 +12,7 @@
 _OPEN = pydantic.ConfigDict(extra="ignore")
 
 
+@pydantic.with_config(_OPEN)
 class OrderStatus(TypedDict):
     """The latest order of an engine.
 
@@ -28,7 +29,6 @@
         recorded_unix_s: When the phase was recorded.
     """
 
-    __pydantic_config__ = _OPEN  # type: ignore[misc]
     order_id: str
     action: str
     wanted: str
@@ -41,6 +41,7 @@
     recorded_unix_s: float
 
 
+@pydantic.with_config(_OPEN)
 class EngineStatus(TypedDict):
     """One engine as this process sees it.
 
@@ -54,7 +55,6 @@
         order: Its latest order.
     """
 
-    __pydantic_config__ = _OPEN  # type: ignore[misc]
     engine_id: str
     availability_zone: str
     seen_role: str
@@ -64,6 +64,7 @@
     order: NotRequired[OrderStatus | None]
 
 
+@pydantic.with_config(_OPEN)
 class PlatformStatus(TypedDict):
     """How old the process's picture of the platform is.
 
@@ -73,11 +74,11 @@
         vm_list_age_s: Since the last read of the VM list; None likewise.
     """
 
-    __pydantic_config__ = _OPEN  # type: ignore[misc]
     key_value_age_s: float | None
     vm_list_age_s: float | None
 
 
+@pydantic.with_config(_OPEN)
 class LeaseStatus(TypedDict):
     """The zone's controller lease as this process sees it.
 
@@ -87,12 +88,12 @@
         holder_vm_id: Who holds it, as far as known.
     """
 
-    __pydantic_config__ = _OPEN  # type: ignore[misc]
     held: bool
     fencing_number: int
     holder_vm_id: NotRequired[str]
 
 
+@pydantic.with_config(_OPEN)
 class RuleStatus(TypedDict):
     """What the rules said at the last evaluation.
 
@@ -102,12 +103,35 @@
         explanation: Rule, version, inputs and their age, for an operator.
     """
 
-    __pydantic_config__ = _OPEN  # type: ignore[misc]
     rule_name: str
     undecided: bool
     explanation: str
 
 
+@pydantic.with_config(_OPEN)
+class SituationStatus(TypedDict):
+    """What the rules were evaluated on, for dry runs of other rules.
+
+    Attributes:
+        availability_zone: The zone that is ruled.
+        utc_minute: Minute of the UTC day.
+        prefill_share: Prefill's share of the work; None when unknown.
+        queue_delay_s: None when unknown.
+        engines_lost_count: None when unknown.
+        customer_requests_per_s: By customer.
+        model_requests_per_s: By model.
+    """
+
+    availability_zone: str
+    utc_minute: int
+    prefill_share: float | None
+    queue_delay_s: float | None
+    engines_lost_count: float | None
+    customer_requests_per_s: dict[str, float]
+    model_requests_per_s: dict[str, float]
+
+
+@pydantic.with_config(_OPEN)
 class StatusReport(TypedDict):
     """The body of ``GET /status``.
 
@@ -121,11 +145,11 @@
         platform: Age of its picture of the platform.
         lease: Of controllers.
         rule: Of controllers.
+        situation: Of controllers; what the rules were evaluated on.
         counts: Totals that help an operator, by name.
         audit: Latest changes of state, oldest first; the server adds them.
     """
 
-    __pydantic_config__ = _OPEN  # type: ignore[misc]
     vm_id: str
     availability_zone: str
     program: str
@@ -135,6 +159,7 @@
     platform: PlatformStatus
     lease: NotRequired[LeaseStatus]
     rule: NotRequired[RuleStatus]
+    situation: NotRequired[SituationStatus]
     counts: NotRequired[dict[str, float]]
     audit: NotRequired[list[AuditLine]]
 
--- a/src/mulberrywharf/rules/document.py
+++ b/src/mulberrywharf/rules/document.py
@@ -33,6 +33,7 @@
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
 
+@pydantic.with_config(_STRICT)
 class Conditions(TypedDict, total=False):
     """What must hold for a rule to match; every given field must.
 
@@ -52,7 +53,6 @@
         for_s: The others have held without a break for so long.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     prefill_share_above: Share
     prefill_share_below: Share
     queue_delay_above_s: Seconds
@@ -69,13 +69,13 @@
     for_s: Seconds
 
 
+@pydantic.with_config(_STRICT)
 class Roles(TypedDict, total=False):
     """How a zone's engines are split; all as shares or all as counts.
 
     Engines that no field asks for are ``mixed``.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     prefill: Share
     decode: Share
     mixed: Share
@@ -84,31 +84,32 @@
     mixed_count: Count
 
 
+@pydantic.with_config(_STRICT)
 class Load(TypedDict):
     """A model that a number of the zone's engines should have loaded."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     model: ModelName
     adapter: NotRequired[ModelName]
     version: NotRequired[ModelName]
     engines_count: settings.PositiveCount
 
 
+@pydantic.with_config(_STRICT)
 class Drain(TypedDict):
     """An engine that should get no new work."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     engine_id: Name
 
 
+@pydantic.with_config(_STRICT)
 class Limit(TypedDict):
     """A customer's rate while the rule matches."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     customer: Name
     requests_per_s: Rate
 
 
+@pydantic.with_config(_STRICT)
 class Actions(TypedDict, total=False):
     """What is done while a rule matches.
 
@@ -121,7 +122,6 @@
         hold: Leave every engine as it is.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     roles: Roles
     load: Load
     drain: Drain
@@ -130,15 +130,16 @@
     hold: Literal[True]
 
 
+@pydantic.with_config(_STRICT)
 class Rule(TypedDict):
     """One of the ordered rules; the first that matches counts."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     name: Name
     when: Conditions
     then: Actions
 
 
+@pydantic.with_config(_STRICT)
 class Customer(TypedDict):
     """A customer: its key, its limits and its standing.
 
@@ -150,7 +151,6 @@
         priority: 0 goes first, 9 last.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     key_sha256_hex: settings.Sha256Hex
     requests_per_s: Rate
     tokens_per_s: Rate
@@ -158,6 +158,7 @@
     priority: Priority
 
 
+@pydantic.with_config(_STRICT)
 class Service(TypedDict):
     """A plain service on backend servers.
 
@@ -167,28 +168,28 @@
         timeout_s: For one call.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     idempotent_paths: list[Path]
     default_idempotent: bool
     timeout_s: settings.PositiveSeconds
 
 
+@pydantic.with_config(_STRICT)
 class Model(TypedDict):
     """A model that callers may name."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     adapters: list[ModelName]
     versions: list[ModelName]
 
 
+@pydantic.with_config(_STRICT)
 class Shed(TypedDict):
     """Targets that decide when work is refused early."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     first_token_target_ms: Annotated[float, pydantic.Field(gt=0, le=600_000)]
     between_tokens_target_ms: Annotated[float, pydantic.Field(gt=0, le=600_000)]
 
 
+@pydantic.with_config(_STRICT)
 class Document(TypedDict):
     """The whole configuration document of a deployment.
 
@@ -201,7 +202,6 @@
         shed: Targets of admission.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     rules: Annotated[list[Rule], pydantic.Field(max_length=1000)]
     default: Actions
     customers: NotRequired[dict[Name, Customer]]
--- a/src/mulberrywharf/rules/match.py
+++ b/src/mulberrywharf/rules/match.py
@@ -96,6 +96,19 @@
     return found or Match(consistency.DEFAULT_NAME, -1, document["default"], ())
 
 
+def match_once(document: Document, situation: Situation) -> Match:
+    """Returns what would match if the situation lasted, whatever ``for_s``.
+
+    For dry runs, which see one instant and have no memory.
+    """
+    at_once: Document = {**document, "rules": []}
+    for rule in document["rules"]:
+        when = rule["when"].copy()
+        when.pop("for_s", None)
+        at_once["rules"].append({**rule, "when": when})
+    return match(at_once, situation, sustain=Sustain(), now_s=0.0)
+
+
 def _all_hold(inputs: tuple[SeenInput, ...]) -> bool | None:
     if any(seen.holds is False for seen in inputs):
         return False
