--- /dev/null
+++ b/src/mulberrywharf/backend_servers/client.py
@@ -0,0 +1,190 @@
+"""One exchange with a plain service, passed through as it comes."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from mulberrywharf import _exchange, errors, fleet, metrics
+
+DEFAULT_CONNECT_TIMEOUT_S = 1.0
+REQUEST_ID_HEADER = "x-request-id"
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+_foreign = metrics.counter(
+    "mulberry_foreign_answers_total",
+    "Answers dropped because they carry another request's id.",
+)
+
+
+class ServiceRequest(NamedTuple):
+    """One request to a plain service.
+
+    Attributes:
+        method: HTTP method.
+        path: Target with its query, percent-encoded.
+        headers: The caller's header fields; hop-by-hop ones are left out.
+        body: The whole body.
+        request_id: Goes along as ``x-request-id``.
+        idempotent: Whether running it twice does no harm.
+        timeout_s: How long each wait for the server may last.
+    """
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    request_id: str
+    idempotent: bool
+    timeout_s: float
+
+
+class BackendAnswer:
+    """The answer of a plain service, its body still to be read.
+
+    Attributes:
+        status: HTTP status.
+        reason: The status line's phrase.
+        headers: End-to-end header fields, repeated ones kept apart.
+    """
+
+    def __init__(
+        self,
+        exchange: _exchange.Exchange,
+        answer: _exchange.Answer,
+        timeout_s: float,
+    ):
+        self.status = answer.status_code
+        self.reason = answer.status_message or ""
+        self.headers = _end_to_end(list(answer.items()))
+        self._exchange = exchange
+        self._timeout_s = timeout_s
+
+    def body(self) -> Iterator[bytes]:
+        """Yields the body in blocks; only one is in memory at a time.
+
+        Raises:
+            AnswerLostError: The server broke off. Whoever passes the answer
+                on must break off as well, so that the caller does not take
+                the part for the whole.
+        """
+        try:
+            while True:
+                some = self._exchange.read_some(self._timeout_s)
+                if isinstance(some, Err):
+                    raise some.err_value
+                if not some.ok_value:
+                    return
+                yield some.ok_value
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Gives the connection back, or closes it if bytes are unread."""
+        self._exchange.finish()
+
+
+class BackendClient:
+    """Sends requests to plain services; each is written at most once."""
+
+    def __init__(
+        self, connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._pool = _exchange.ConnectionPool()
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
+
+    def forget(self, address: fleet.Address) -> None:
+        """Closes idle connections to a server that left."""
+        self._pool.forget(address)
+
+    def send(
+        self, address: fleet.Address, request: ServiceRequest
+    ) -> Result[BackendAnswer, errors.EngineError]:
+        """Sends a request and waits for the head of its answer.
+
+        Args:
+            address: The backend server.
+            request: What to send.
+
+        Returns:
+            The answer. Else an error whose ``outcome`` is ``not-run`` if no
+            byte left and ``unknown`` otherwise: ``EngineUnreachableError``,
+            ``AnswerLostError``, or ``ForeignAnswerError`` when the answer
+            carries another request's id.
+
+        Raises:
+            BadRequestError: The request is malformed; nothing was sent.
+        """
+        # A non-idempotent request never takes an idle connection, which the
+        # server may close just then: nobody would know whether it ran.
+        pool = self._pool if request.idempotent else None
+        opened = _exchange.Exchange.open(
+            address, connect_timeout_s=self._connect_timeout_s, pool=pool
+        )
+        if isinstance(opened, Err):
+            return opened
+        exchange = opened.ok_value
+        try:
+            received = _receive(exchange, address, request)
+        except BaseException:
+            exchange.close()
+            raise
+        if isinstance(received, Err):
+            exchange.close()
+        return received
+
+
+def _receive(
+    exchange: _exchange.Exchange,
+    address: fleet.Address,
+    request: ServiceRequest,
+) -> Result[BackendAnswer, errors.EngineError]:
+    sent = exchange.send(_wire_request(request), request.timeout_s)
+    if isinstance(sent, Err):
+        return sent
+    answer = sent.ok_value
+    echoed = answer.header(REQUEST_ID_HEADER)
+    if echoed is not None and echoed != request.request_id:
+        _foreign.inc({"server": str(address)})
+        message = f"{address} sent an answer with another request's id"
+        return Err(errors.ForeignAnswerError(message))
+    if not answer.is_framed:
+        message = f"{address} sent an answer without a length"
+        return Err(errors.AnswerLostError(message))
+    return Ok(BackendAnswer(exchange, answer, request.timeout_s))
+
+
+def _wire_request(request: ServiceRequest) -> _exchange.Request:
+    headers = dict(_end_to_end(list(request.headers.items())))
+    headers = {name.lower(): value for name, value in headers.items()}
+    headers[REQUEST_ID_HEADER] = request.request_id
+    return _exchange.Request(
+        request.method, request.path, headers, request.body
+    )
+
+
+def _end_to_end(fields: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Leaves out what concerns only one connection (RFC 9110, 7.6.1)."""
+    dropped = set(_HOP_BY_HOP)
+    for name, value in fields:
+        if name.lower() == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return [field for field in fields if field[0].lower() not in dropped]
--- a/tests/builders_engines.py
+++ b/tests/builders_engines.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import gevent
+import gevent.pool
 from gevent import socket
 from gevent.server import StreamServer
 
@@ -36,7 +37,9 @@
         self.requests: list[bytes] = []
         self.connection_count = 0
         self._script = script
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer(
+            ("127.0.0.1", 0), self._serve, spawn=gevent.pool.Pool()
+        )
         self._server.start()
 
     @property
