Add the client of the platform's services and their stand-ins

Routers, controllers and mulberryctl need the key-value service, the VM list and the weight store. Treating every failed call alike was ruled out: a timeout while connecting and one while waiting for the answer look the same in the HTTP library, so the pool tells them apart, and a write whose answer is lost ends as outcome unknown instead of being repeated. Watches resume from the last revision and read again after a compaction, a restore or a lower revision. The stand-ins speak a subset of etcd's JSON gateway and inject faults.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -6,7 +6,11 @@
 says what went wrong and ``advice`` that says what to do next.
 """
 
-from typing import ClassVar, Literal, NamedTuple
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, ClassVar, Literal, NamedTuple
+
+if TYPE_CHECKING:
+    from mulberrywharf.rules.configuration import AuditEntry, DiffLine
 
 Outcome = Literal["not-run", "unknown"]
 """What a refused caller may assume: nothing ran, or nobody knows."""
@@ -373,6 +377,84 @@
     code = "authority-lost"
 
 
+class ConfigChangeError(PlatformError):
+    """A change of the configuration was refused; nothing of it applies."""
+
+    code = "config-change-refused"
+
+
+class ConfigConflictError(ConfigChangeError):
+    """Another operator's change came first.
+
+    Attributes:
+        expected_version: The version that the author started from.
+        held_version: The version that the service holds.
+        others: Audit entries of the changes in between, oldest first, each
+            with its own diff; the service keeps only the latest.
+        diff: From the held document to the refused one.
+    """
+
+    code = "config-conflict"
+    advice = "Read the other change, merge yours into it and apply again."
+
+    def __init__(
+        self,
+        *,
+        expected_version: int,
+        held_version: int,
+        others: "Sequence[AuditEntry]",
+        diff: "Sequence[DiffLine]",
+    ):
+        authors = ", ".join(sorted({other["author"] for other in others}))
+        super().__init__(
+            f"the configuration is at version {held_version}, not "
+            f"{expected_version}; changed by {authors or 'nobody known'}"
+        )
+        self.expected_version = expected_version
+        self.held_version = held_version
+        self.others = tuple(others)
+        self.diff = tuple(diff)
+
+
+class ConfigStoreBehindError(ConfigChangeError):
+    """The service holds an older version than nodes run.
+
+    Attributes:
+        held_version: The version that the service holds.
+        seen_version: The version that nodes run.
+    """
+
+    code = "config-store-behind"
+    advice = (
+        "The service came back with older data; nodes put the newer version "
+        "back within seconds. Apply again then."
+    )
+
+    def __init__(self, *, held_version: int, seen_version: int):
+        super().__init__(
+            f"the service holds version {held_version}, nodes run "
+            f"{seen_version}"
+        )
+        self.held_version = held_version
+        self.seen_version = seen_version
+
+
+class ChangeIdReusedError(ConfigChangeError):
+    """A change id came back with another document."""
+
+    code = "change-id-reused"
+    advice = "Use a new change id for a new change."
+
+    def __init__(self, change_id: str):
+        super().__init__(f"change id {change_id} belongs to another document")
+
+
+class StoredConfigurationError(DocumentError):
+    """The stored configuration is not in the form that we write."""
+
+    code = "bad-stored-configuration"
+
+
 # --- between our own processes ---------------------------------------------
 
 
--- /dev/null
+++ b/src/mulberrywharf/platform_service/config_store.py
@@ -0,0 +1,317 @@
+"""Reads and changes the one configuration document of a deployment."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from mulberrywharf import clock, errors, settings
+from mulberrywharf.platform_service import (
+    configuration as configuration_module,
+)
+from mulberrywharf.platform_service import key_value
+from mulberrywharf.platform_service.configuration import (
+    AuditEntry,
+    Configuration,
+)
+from mulberrywharf.rules import configuration as rules_configuration
+from mulberrywharf.rules.document import Document
+
+CHANGE_PURPOSE = "config-change"
+
+_ATTEMPTS_COUNT = 5
+
+ConfigError = errors.PlatformError | errors.DocumentError
+
+
+class _Held(NamedTuple):
+    """What the service holds, and at which revision (0: nothing)."""
+
+    configuration: Configuration | None
+    mod_revision: int
+
+    def version(self) -> int:
+        """Returns the version held, 0 if none is."""
+        return self.configuration.version if self.configuration else 0
+
+
+class _Change(NamedTuple):
+    """One change that an author asks for."""
+
+    document: Document
+    author: str
+    note: str
+    change_id: str
+    expected_version: int
+    seen_version: int
+
+
+class ConfigStore:
+    """The configuration in the key-value service."""
+
+    def __init__(
+        self,
+        client: key_value.KeyValueClient,
+        deployment: str,
+        *,
+        system_clock: clock.Clock | None = None,
+    ):
+        self._client = client
+        self._key = configuration_module.config_key(deployment)
+        self._clock = system_clock or clock.SystemClock()
+
+    @classmethod
+    def from_config(
+        cls, config: settings.Settings, client: key_value.KeyValueClient
+    ) -> "ConfigStore":
+        """Builds the store of the settings' deployment."""
+        return cls(client, config["deployment"])
+
+    def read(self) -> Result[Configuration | None, ConfigError]:
+        """Reads the configuration; ``Ok(None)`` if there is none yet.
+
+        Its document is as stored and not checked again.
+        """
+        return self._read().map(lambda held: held.configuration)
+
+    def change(
+        self,
+        document: Document,
+        author: str,
+        note: str,
+        change_id: str,
+        expected_version: int,
+        *,
+        seen_version: int = 0,
+    ) -> Result[Configuration, ConfigError]:
+        """Replaces the document, with its audit entry, in one write.
+
+        Safe to repeat with the same change id: a change that took effect is
+        found by its id and reported as accepted, not applied twice.
+
+        Args:
+            document: The new document, already checked.
+            author: The operator.
+            note: Why, for the audit trail.
+            change_id: New for each change, the same for its repeats.
+            expected_version: The version that the author started from, 0
+                for the first.
+            seen_version: The highest version that any node runs, as far as
+                the author's tool knows.
+
+        Returns:
+            The accepted configuration; ``ConfigConflictError`` if another
+            change came first; ``ConfigStoreBehindError`` if the service
+            lost versions that nodes still run; ``ChangeIdReusedError`` if
+            the id belongs to another document; with these, nothing of this
+            change is applied. ``WriteOutcomeUnknownError`` if it could not
+            be found out; repeat with the same id.
+        """
+        change = _Change(
+            document, author, note, change_id, expected_version, seen_version
+        )
+        unresolved: errors.PlatformError | None = None
+        for _ in range(_ATTEMPTS_COUNT):
+            read = self._read()
+            if isinstance(read, Err):
+                return Err(_unresolved_or(unresolved, read.err_value))
+            held = read.ok_value
+            refusal = _settled(change, held)
+            if refusal is not None:
+                return refusal
+            written = self._write(change, held)
+            if isinstance(written, Ok):
+                return written
+            failure = written.err_value
+            if isinstance(failure, errors.WriteOutcomeUnknownError):
+                # The write may be on its way still. The next round sends
+                # the same change from the same revision: at most one of
+                # them takes effect, and the reading tells that it did.
+                unresolved = failure
+            elif not isinstance(failure, errors.RevisionConflictError):
+                return Err(_unresolved_or(unresolved, failure))
+        return Err(
+            unresolved
+            or errors.PlatformUnavailableError(
+                "the configuration kept changing"
+            )
+        )
+
+    def reinstate(
+        self, configuration: Configuration
+    ) -> Result[bool, ConfigError]:
+        """Puts back a configuration that the service has lost.
+
+        A service that comes back from an older backup, or empty, holds less
+        than what operators were told is accepted. Left so, the next change
+        would get a version that nodes have already passed, and every node
+        would ignore it.
+
+        Args:
+            configuration: The highest that this node knows.
+
+        Returns:
+            Whether it was written; False if the service holds as much.
+        """
+        failure: ConfigError | None = None
+        for _ in range(_ATTEMPTS_COUNT):
+            read = self._read()
+            if isinstance(read, Err):
+                return read
+            held = read.ok_value
+            if not _is_behind(held, configuration):
+                return Ok(False)
+            written = self._swap(configuration.raw, held)
+            if isinstance(written, Ok):
+                logger.warning(
+                    "configuration {} put back over version {}",
+                    configuration.version,
+                    held.version(),
+                )
+                return Ok(True)
+            failure = written.err_value
+        assert failure is not None
+        return Err(failure)
+
+    def _read(self) -> Result[_Held, ConfigError]:
+        read = self._client.get(self._key, purpose=CHANGE_PURPOSE)
+        if isinstance(read, Err):
+            return read
+        found = read.ok_value
+        if found is None:
+            return Ok(_Held(None, 0))
+        decoded = configuration_module.decode_unchecked(found.value)
+        if isinstance(decoded, Err):
+            return decoded
+        return Ok(_Held(decoded.ok_value, found.mod_revision))
+
+    def _write(
+        self, change: _Change, held: _Held
+    ) -> Result[Configuration, errors.PlatformError]:
+        new = _next_configuration(change, held, self._clock.unix_s())
+        return self._swap(new.raw, held).map(lambda _: new)
+
+    def _swap(
+        self, raw: bytes, held: _Held
+    ) -> Result[key_value.KeyValue, errors.PlatformError]:
+        return self._client.compare_and_swap(
+            self._key,
+            raw,
+            expected_revision=held.mod_revision,
+            purpose=CHANGE_PURPOSE,
+        )
+
+
+def _unresolved_or(
+    unresolved: errors.PlatformError | None, failure: ConfigError
+) -> ConfigError:
+    """Keeps "outcome unknown" when a later step fails for another reason.
+
+    The later failure alone would read as "nothing was written".
+    """
+    return unresolved or failure
+
+
+def _is_behind(held: _Held, configuration: Configuration) -> bool:
+    if held.configuration is None:
+        return True
+    return held.configuration.rank() < configuration.rank()
+
+
+def _settled(
+    change: _Change, held: _Held
+) -> Result[Configuration, ConfigError] | None:
+    """Decides a change that must not be written; None if it may be."""
+    own_entry = _entry_of(change.change_id, held)
+    if own_entry is not None:
+        return _already_accepted(change, held, own_entry)
+    if held.version() < change.seen_version:
+        return Err(
+            errors.ConfigStoreBehindError(
+                held_version=held.version(), seen_version=change.seen_version
+            )
+        )
+    if held.version() != change.expected_version:
+        return Err(_conflict(change, held))
+    return None
+
+
+def _entry_of(change_id: str, held: _Held) -> AuditEntry | None:
+    if held.configuration is None:
+        return None
+    for entry in held.configuration.audit:
+        if entry["change_id"] == change_id:
+            return entry
+    return None
+
+
+def _already_accepted(
+    change: _Change, held: _Held, entry: AuditEntry
+) -> Result[Configuration, ConfigError]:
+    """Answers the repeat of a change that took effect earlier."""
+    current = held.configuration
+    assert current is not None
+    is_current = current.change_id == change.change_id
+    if is_current and current.document != change.document:
+        return Err(errors.ChangeIdReusedError(change.change_id))
+    if is_current:
+        return Ok(current)
+    position = current.audit.index(entry)
+    return Ok(
+        configuration_module.build(
+            version=entry["version"],
+            change_id=entry["change_id"],
+            author=entry["author"],
+            changed_unix_s=entry["changed_unix_s"],
+            document=change.document,
+            audit=current.audit[: position + 1],
+        )
+    )
+
+
+def _conflict(change: _Change, held: _Held) -> errors.ConfigConflictError:
+    current = held.configuration
+    others: Sequence[AuditEntry] = ()
+    if current is not None:
+        others = [
+            entry
+            for entry in current.audit
+            if entry["version"] > change.expected_version
+        ]
+    return errors.ConfigConflictError(
+        expected_version=change.expected_version,
+        held_version=held.version(),
+        others=others,
+        diff=_diff(held, change.document),
+    )
+
+
+def _diff(
+    held: _Held, document: Document
+) -> list[rules_configuration.DiffLine]:
+    before = held.configuration.document if held.configuration else None
+    return rules_configuration.diff(before, document)
+
+
+def _next_configuration(
+    change: _Change, held: _Held, now_unix_s: float
+) -> Configuration:
+    version = held.version() + 1
+    entry = AuditEntry(
+        version=version,
+        change_id=change.change_id,
+        author=change.author,
+        changed_unix_s=now_unix_s,
+        note=change.note,
+        diff=_diff(held, change.document),
+    )
+    earlier = held.configuration.audit if held.configuration else ()
+    return configuration_module.build(
+        version=version,
+        change_id=change.change_id,
+        author=change.author,
+        changed_unix_s=now_unix_s,
+        document=change.document,
+        audit=[*earlier, entry],
+    )
--- /dev/null
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -0,0 +1,246 @@
+"""HTTP calls to one endpoint of the platform, with typed failures.
+
+What a writer may assume after a failure depends on when it happened: before
+a connection stood, nothing can have been written; afterwards nobody knows.
+This module tells the two apart, the modules beside it decide what follows.
+"""
+
+import json
+import random
+import socket
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import geventhttpclient
+from gevent import lock
+from geventhttpclient import connectionpool, response
+from result import Err, Ok, Result
+
+from mulberrywharf import errors, settings
+
+CONCURRENT_CALLS_COUNT = 32
+"""Calls to one endpoint that may wait for their answers at once."""
+
+_JSON_HEADERS = {"content-type": "application/json"}
+_BLOCK_BYTES = 65_536
+_KEEP_ALIVE_IDLE_S = 5
+_KEEP_ALIVE_INTERVAL_S = 2
+_KEEP_ALIVE_PROBES_COUNT = 3
+
+
+class Answer(NamedTuple):
+    """A whole HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Parsed JSON object, empty if the body is none.
+        retry_after_s: What the service asked for, or None.
+    """
+
+    status: int
+    body: dict[str, Any]
+    retry_after_s: float | None
+
+
+class ConnectError(OSError):
+    """No connection stood, so no byte of the call left this process."""
+
+
+class _Pool(connectionpool.ConnectionPool):
+    """Connections whose failure to open is told apart from later ones.
+
+    A timeout while connecting and one while waiting for the answer are the
+    same exception in the library. Taken for the same, every write in a
+    partition would end as "outcome unknown" although nothing had left.
+    """
+
+    def _create_socket(self) -> Any:
+        try:
+            return super()._create_socket()
+        except OSError as error:
+            raise ConnectError(str(error)) from error
+
+    def after_connect(self, sock: Any) -> None:
+        """Sends small calls at once and notices a peer that vanished."""
+        tcp = socket.IPPROTO_TCP
+        sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEP_ALIVE_IDLE_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEP_ALIVE_INTERVAL_S)
+        sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEP_ALIVE_PROBES_COUNT)
+
+
+class _Client(geventhttpclient.HTTPClient):
+    """The library's client over the pool above."""
+
+    def __init__(
+        self,
+        endpoint: settings.Endpoint,
+        *,
+        connect_timeout_s: float,
+        read_timeout_s: float,
+    ):
+        super().__init__(endpoint["ip"], endpoint["port"])
+        self.block_size = _BLOCK_BYTES
+        self._connection_pool = _Pool(
+            endpoint["ip"],
+            endpoint["port"],
+            endpoint["ip"],
+            endpoint["port"],
+            size=CONCURRENT_CALLS_COUNT,
+            connection_timeout=connect_timeout_s,
+            network_timeout=read_timeout_s,
+        )
+
+
+class HttpCalls:
+    """Pooled calls to one endpoint, and streams from it."""
+
+    def __init__(self, endpoint: settings.Endpoint, timeout_s: float):
+        self._endpoint = endpoint
+        self._timeout_s = timeout_s
+        self._slots = lock.BoundedSemaphore(CONCURRENT_CALLS_COUNT)
+        self._client = _Client(
+            endpoint, connect_timeout_s=timeout_s, read_timeout_s=timeout_s
+        )
+
+    @property
+    def name(self) -> str:
+        """The endpoint as ``ip:port``."""
+        return f"{self._endpoint['ip']}:{self._endpoint['port']}"
+
+    def close(self) -> None:
+        """Closes the pooled connections."""
+        self._client.close()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None = None,
+        *,
+        headers: Mapping[str, str] | None = None,
+    ) -> Result[Answer, errors.PlatformError]:
+        """Sends one call and reads its whole answer, without a retry.
+
+        Returns:
+            The answer, ``PlatformUnavailableError`` if nothing left this
+            process, or ``WriteOutcomeUnknownError`` if the call left and its
+            answer did not come; for a read the latter means the same as the
+            former.
+        """
+        if not self._slots.acquire(timeout=self._timeout_s):
+            return Err(self._unavailable("all connections are waiting"))
+        try:
+            return Ok(self._exchange(method, path, body, headers or {}))
+        except ConnectError as error:
+            return Err(self._unavailable(str(error)))
+        except (OSError, response.HTTPParseError, ValueError) as error:
+            message = f"{self.name}: the answer to {path} was lost: {error}"
+            return Err(errors.WriteOutcomeUnknownError(message))
+        finally:
+            self._slots.release()
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, Any] | None,
+        headers: Mapping[str, str],
+    ) -> Answer:
+        data = b"" if body is None else json.dumps(body).encode()
+        answer = self._client.request(
+            method, path, data, {**_JSON_HEADERS, **headers}
+        )
+        text = answer.read()
+        if not answer.message_complete:
+            raise ConnectionResetError("the answer was cut short")
+        return Answer(
+            answer.status_code, _parse_object(text), _retry_after_s(answer)
+        )
+
+    def _unavailable(self, reason: str) -> errors.PlatformUnavailableError:
+        return errors.PlatformUnavailableError(f"{self.name}: {reason}")
+
+    def open_stream(
+        self, path: str, body: Mapping[str, Any], *, silence_s: float
+    ) -> "LineStream":
+        """Opens an answer that is read line by line.
+
+        Args:
+            path: What to post to.
+            body: The request.
+            silence_s: A read fails after this long without a byte.
+
+        Raises:
+            OSError: No connection, or it broke.
+            HTTPParseError: The answer is not HTTP.
+        """
+        client = _Client(
+            self._endpoint,
+            connect_timeout_s=self._timeout_s,
+            read_timeout_s=silence_s,
+        )
+        data = json.dumps(body).encode()
+        try:
+            answer = client.request("POST", path, data, _JSON_HEADERS)
+        except BaseException:
+            client.close()
+            raise
+        return LineStream(client, answer)
+
+
+class LineStream:
+    """JSON objects, one a line, from an answer that does not end."""
+
+    def __init__(self, client: Any, answer: Any):
+        self._client = client
+        self._answer = answer
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer."""
+        return int(self._answer.status_code)
+
+    def read(self) -> dict[str, Any] | None:
+        """Returns the next object, or None when the stream has ended."""
+        line = self._answer.readline(b"\n")
+        return _parse_object(line) if line else None
+
+    def close(self) -> None:
+        """Closes the connection, whose answer never ends by itself."""
+        self._answer.release()
+        self._client.close()
+
+
+def _parse_object(text: bytes) -> dict[str, Any]:
+    if not text.strip():
+        return {}
+    parsed = json.loads(text)
+    if not isinstance(parsed, dict):
+        raise ValueError("the answer is not a JSON object")
+    return parsed
+
+
+def _retry_after_s(answer: Any) -> float | None:
+    text = answer.get("retry-after")
+    try:
+        return max(0.0, float(text)) if text is not None else None
+    except (TypeError, ValueError):
+        return None
+
+
+def full_jitter_s(attempt: int, *, base_s: float, limit_s: float) -> float:
+    """Returns a random wait below an exponentially growing bound.
+
+    After an outage every node would otherwise come back in the same
+    instant and overload the service again; a wait that is random over the
+    whole interval spreads them.
+
+    Args:
+        attempt: 0 for the first wait.
+        base_s: Bound of the first wait.
+        limit_s: Bound of every wait.
+    """
+    bound_s = min(limit_s, base_s * 2 ** min(attempt, 16))
+    return random.uniform(0.0, bound_s)
--- /dev/null
+++ b/src/mulberrywharf/platform_service/vm_list.py
@@ -0,0 +1,224 @@
+"""The platform's VM list as this node last read it.
+
+The list lags and its service has outages; whoever uses it learns its age.
+"""
+
+import random
+from collections.abc import Mapping
+from typing import Any, Literal, NotRequired
+
+import gevent
+import gevent.event
+import pydantic
+from loguru import logger
+from result import Err, Ok, Result
+from typing_extensions import TypedDict
+
+from mulberrywharf import clock, errors, fleet, metrics, settings
+from mulberrywharf.platform_service import http_calls
+
+POLL_INTERVAL_S = 1.0
+
+OLDER_ANSWERS_LIMIT_COUNT = 10
+"""So many older lists in a row mean that the list itself went back."""
+
+_DEFAULT_CALL_TIMEOUT_S = 2.0
+_JITTER_SHARE = 0.2
+_BACKOFF_LIMIT_S = 5.0
+
+_reads = metrics.counter(
+    "mulberry_vm_list_reads_total", "Reads of the VM list, by outcome."
+)
+
+
+class _Vm(TypedDict):
+    """One VM on the wire; unknown fields are left to other readers."""
+
+    vm_id: str
+    kind: Literal["entry", "engine", "backend"]
+    availability_zone: str
+    ip: str
+    port: int
+    state: NotRequired[Literal["live", "leaving"]]
+    service: NotRequired[str]
+    engine_kind: NotRequired[str]
+    operators_ip: NotRequired[str | None]
+    operators_port: NotRequired[int | None]
+
+
+_VM_ADAPTER: pydantic.TypeAdapter[_Vm] = pydantic.TypeAdapter(_Vm)
+
+
+class VmListReader:
+    """Polls the VM list and keeps the last good answer."""
+
+    def __init__(
+        self,
+        endpoint: settings.Endpoint,
+        *,
+        timeout_s: float = _DEFAULT_CALL_TIMEOUT_S,
+        interval_s: float = POLL_INTERVAL_S,
+        system_clock: clock.Clock | None = None,
+    ):
+        self._calls = http_calls.HttpCalls(endpoint, timeout_s)
+        self._interval_s = interval_s
+        self._clock = system_clock or clock.SystemClock()
+        self._vms: list[fleet.VmRecord] = []
+        self._version: int | None = None
+        self._older_answers_count = 0
+        self._read_s = float("-inf")
+        self._exists = gevent.event.Event()
+        self._greenlet: gevent.Greenlet | None = None
+
+    @classmethod
+    def from_config(cls, config: settings.Settings) -> "VmListReader":
+        """Builds the reader that the settings describe."""
+        platform = config["platform"]
+        return cls(
+            platform["vm_list"],
+            timeout_s=platform.get("call_timeout_s", _DEFAULT_CALL_TIMEOUT_S),
+        )
+
+    def start(self) -> None:
+        """Begins to poll."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Ends polling; the last list stays readable."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        self._calls.close()
+
+    def vms(self) -> list[fleet.VmRecord]:
+        """Returns the last list that was read, empty before the first."""
+        return list(self._vms)
+
+    def version(self) -> int:
+        """Returns the version of that list, 0 before the first."""
+        return self._version or 0
+
+    def age_s(self) -> float:
+        """Returns how long ago the list was confirmed, inf before."""
+        return self._clock.monotonic_s() - self._read_s
+
+    def wait(self, timeout_s: float | None = None) -> bool:
+        """Waits for the first list; False if time ran out."""
+        return bool(self._exists.wait(timeout_s))
+
+    def _run(self) -> None:
+        failures_count = 0
+        while True:
+            outcome = self.read_once()
+            if isinstance(outcome, Err):
+                failures_count += 1
+                logger.debug("VM list not read: {}", outcome.err_value)
+            else:
+                failures_count = 0
+            gevent.sleep(self._pause_s(failures_count))
+
+    def _pause_s(self, failures_count: int) -> float:
+        if failures_count:
+            return self._interval_s / 2 + http_calls.full_jitter_s(
+                failures_count,
+                base_s=self._interval_s,
+                limit_s=_BACKOFF_LIMIT_S,
+            )
+        spread = random.uniform(1 - _JITTER_SHARE, 1 + _JITTER_SHARE)
+        return self._interval_s * spread
+
+    def read_once(self) -> Result[None, errors.PlatformError]:
+        """Reads the list now, for callers that cannot wait for the poll."""
+        headers = {}
+        if self._version is not None:
+            # An unchanged list is not sent again: at a thousand VMs it
+            # would be by far the largest part of a node's control traffic.
+            headers["if-none-match"] = f'"{self._version}"'
+        sent = self._calls.call("GET", "/vms", headers=headers)
+        if isinstance(sent, Err):
+            _reads.inc({"outcome": "failed"})
+            return sent
+        answer = sent.ok_value
+        if answer.status == 304:
+            self._confirm("unchanged")
+            return Ok(None)
+        if answer.status != 200:
+            _reads.inc({"outcome": str(answer.status)})
+            message = f"{self._calls.name}: the VM list says {answer.status}"
+            return Err(errors.PlatformUnavailableError(message))
+        return self._take(answer.body)
+
+    def _take(
+        self, body: Mapping[str, Any]
+    ) -> Result[None, errors.PlatformError]:
+        version = body.get("version")
+        entries = body.get("vms")
+        if not isinstance(version, int) or not isinstance(entries, list):
+            _reads.inc({"outcome": "malformed"})
+            message = f"{self._calls.name}: the VM list is malformed"
+            return Err(errors.PlatformUnavailableError(message))
+        if self._is_older(version):
+            _reads.inc({"outcome": "older"})
+            return Ok(None)
+        vms = _records(entries)
+        if self._vms and not vms:
+            # An empty list after a full one is a fault of the list, not a
+            # fleet that vanished: believed, it would stop all service.
+            _reads.inc({"outcome": "empty"})
+            message = f"{self._calls.name}: the VM list came back empty"
+            return Err(errors.PlatformUnavailableError(message))
+        self._vms = vms
+        self._version = version
+        self._confirm("changed")
+        return Ok(None)
+
+    def _is_older(self, version: int) -> bool:
+        """Tells whether a list precedes the one that is held.
+
+        Replicas of the list lag differently. Believed, an older one makes a
+        leaving VM live again, and it gets new work while it shuts down.
+        """
+        if self._version is None or version >= self._version:
+            self._older_answers_count = 0
+            return False
+        self._older_answers_count += 1
+        if self._older_answers_count > OLDER_ANSWERS_LIMIT_COUNT:
+            self._older_answers_count = 0
+            return False
+        return True
+
+    def _confirm(self, outcome: str) -> None:
+        _reads.inc({"outcome": outcome})
+        self._read_s = self._clock.monotonic_s()
+        if self._vms:
+            self._exists.set()
+
+
+def _records(entries: list[Any]) -> list[fleet.VmRecord]:
+    """Reads each VM; one that is malformed does not hide the others."""
+    records = []
+    for entry in entries:
+        try:
+            vm = _VM_ADAPTER.validate_python(entry)
+        except pydantic.ValidationError as error:
+            logger.warning("VM list: a malformed entry: {}", error)
+            continue
+        records.append(_record(vm))
+    return records
+
+
+def _record(vm: _Vm) -> fleet.VmRecord:
+    operators_ip = vm.get("operators_ip")
+    operators_port = vm.get("operators_port")
+    operators_address = None
+    if operators_ip and operators_port:
+        operators_address = fleet.Address(operators_ip, operators_port)
+    return fleet.VmRecord(
+        vm["vm_id"],
+        vm["kind"],
+        vm["availability_zone"],
+        fleet.Address(vm["ip"], vm["port"]),
+        vm.get("state", "live"),
+        vm.get("service", ""),
+        vm.get("engine_kind", ""),
+        operators_address,
+    )
--- /dev/null
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -0,0 +1,193 @@
+"""One long watch on the keys under a prefix.
+
+A waiting watch is one call however long it waits, so a node that watches
+costs the service nothing while nothing changes.
+"""
+
+import random
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING, Any
+
+import gevent
+from geventhttpclient import response
+from loguru import logger
+from result import Err
+
+from mulberrywharf.platform_service import http_calls
+from mulberrywharf.platform_service.key_value_types import (
+    KeyValue,
+    ServiceState,
+    WatchEvent,
+    decode_header,
+    decode_key_value,
+)
+
+if TYPE_CHECKING:
+    from mulberrywharf.platform_service.key_value import KeyValueClient
+
+REOPEN_S = 60.0
+"""A watch that has been silent so long is opened again.
+
+A service that hangs, or a middlebox that keeps the connection while the
+service is gone, looks like a quiet time. One would notice only that changes
+no longer arrive; reopening bounds how long that lasts.
+"""
+
+_BACKOFF_BASE_S = 0.5
+_BACKOFF_LIMIT_S = 5.0
+
+
+class Watch:
+    """Reports each key under a prefix, first as it is, then as it changes.
+
+    Each change is reported at least once and in the order of revisions;
+    changes that follow closely may be seen as the last of them only, after
+    a cut. When the service has dropped the history that the watch missed, or
+    comes back behind what it already reported, the prefix is read again and
+    the differences are reported.
+    """
+
+    def __init__(
+        self,
+        client: "KeyValueClient",
+        prefix: str,
+        on_change: Callable[[WatchEvent], None],
+        *,
+        purpose: str,
+        reopen_s: float = REOPEN_S,
+    ):
+        self._client = client
+        self._prefix = prefix
+        self._on_change = on_change
+        self._purpose = purpose
+        self._reopen_s = reopen_s
+        self._known: dict[str, KeyValue] = {}
+        self._state: ServiceState | None = None
+        self._failures_count = 0
+        self._opened_count = 0
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to watch."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Ends the watch; no callback runs afterwards."""
+        self._client.forget_watch(self)
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            if not self._follow():
+                self._failures_count += 1
+            gevent.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        return http_calls.full_jitter_s(
+            self._failures_count,
+            base_s=_BACKOFF_BASE_S,
+            limit_s=_BACKOFF_LIMIT_S,
+        )
+
+    def _follow(self) -> bool:
+        """Reads if need be, then follows one stream until it ends."""
+        if self._state is None and not self._read():
+            return False
+        silence_s = self._reopen_s * random.uniform(0.75, 1.0)
+        opened = self._client.open_watch(
+            self._prefix,
+            (self._state.revision if self._state else 0) + 1,
+            attempt=self._opened_count,
+            silence_s=silence_s,
+            purpose=self._purpose,
+        )
+        self._opened_count += 1
+        if isinstance(opened, Err):
+            return False
+        stream = opened.ok_value
+        try:
+            return self._consume(stream)
+        except (OSError, ValueError, response.HTTPParseError) as error:
+            logger.debug("watch on {} was cut: {}", self._prefix, error)
+            return True
+        finally:
+            stream.close()
+
+    def _read(self) -> bool:
+        read = self._client.read_for_watch(self._prefix, purpose=self._purpose)
+        if isinstance(read, Err):
+            return False
+        found, state = read.ok_value
+        self._report_differences(found)
+        self._state = state
+        return True
+
+    def _report_differences(self, found: Iterable[KeyValue]) -> None:
+        present = {kv.key: kv for kv in found}
+        for key in sorted(self._known.keys() - present.keys()):
+            gone = self._known[key]._replace(value=b"")
+            self._report(WatchEvent("delete", gone))
+        for kv in sorted(present.values(), key=lambda kv: kv.mod_revision):
+            if self._known.get(kv.key) != kv:
+                self._report(WatchEvent("put", kv))
+
+    def _consume(self, stream: http_calls.LineStream) -> bool:
+        """Reports what the stream brings; False if it brought nothing."""
+        brought_any = False
+        while True:
+            message = stream.read()
+            if message is None:
+                return brought_any
+            if not message:
+                continue
+            result = message.get("result", {})
+            if not self._is_continuous(result):
+                self._state = None
+                return True
+            self._failures_count = 0
+            brought_any = True
+            self._take_events(result)
+
+    def _is_continuous(self, result: dict[str, Any]) -> bool:
+        """Tells whether the stream goes on where this watch stopped.
+
+        ``canceled`` means that the history in between was dropped. Another
+        cluster id or a lower revision means that the service came back with
+        older data: resumed as if nothing had happened, the watch would stay
+        silent until the service had caught up, and miss every change on the
+        way.
+        """
+        if result.get("canceled"):
+            return False
+        state = decode_header(result)
+        held = self._state
+        return held is None or (
+            state.cluster_id == held.cluster_id
+            and state.revision >= held.revision
+        )
+
+    def _take_events(self, result: dict[str, Any]) -> None:
+        for event in result.get("events", []):
+            kv = decode_key_value(event["kv"])
+            # The JSON gateway leaves out the default, which is PUT.
+            kind = event.get("type", "PUT")
+            self._report(
+                WatchEvent("delete" if kind == "DELETE" else "put", kv)
+            )
+        # The first message shows where the service stands, not what it has
+        # sent: taken as progress it would skip the changes in between.
+        if not result.get("created"):
+            self._state = decode_header(result)
+
+    def _report(self, event: WatchEvent) -> None:
+        if event.kind == "put":
+            self._known[event.key_value.key] = event.key_value
+        else:
+            self._known.pop(event.key_value.key, None)
+        try:
+            self._on_change(event)
+        except Exception:
+            # A callback that fails must not end the watch: the node would
+            # go on with its last configuration and nobody would notice.
+            logger.exception("a watch callback failed on {}", self._prefix)
--- /dev/null
+++ b/tests/test_key_value.py
@@ -0,0 +1,306 @@
+"""The key-value client against the stand-in, in fair and foul weather."""
+
+import unittest
+
+import gevent
+from result import Err, Ok
+
+from mulberrywharf import errors
+from mulberrywharf.platform_service import call_budget, key_value
+from tests import builders_platform as builders
+
+
+class CallsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.service = self.enterContext(builders.running_key_value())
+        self.client = builders.client_for(self.service.port, timeout_s=0.3)
+        self.addCleanup(self.client.close)
+
+    def create(self, key: str, value: bytes = b"1") -> key_value.KeyValue:
+        return self.client.compare_and_swap(
+            key, value, expected_revision=0, purpose="test"
+        ).unwrap()
+
+    def test_reads_what_was_written(self) -> None:
+        first = self.create("/a/1")
+        second = self.create("/a/2", b"\x00\xff")
+        self.create("/b")
+        self.assertEqual(first.create_revision, first.mod_revision)
+        self.assertGreater(second.mod_revision, first.mod_revision)
+        self.assertEqual(
+            self.client.get_prefix("/a/", purpose="test").unwrap(),
+            [first, second],
+        )
+        self.assertIsNone(self.client.get("/c", purpose="test").unwrap())
+
+    def test_conflict_names_the_key_that_changed(self) -> None:
+        guard = self.create("/guard")
+        held = self.create("/a")
+        stale = guard.mod_revision + 100
+        cases = (
+            ("/a", 0, guard.mod_revision, "/a"),
+            ("/a", held.mod_revision, stale, "/guard"),
+        )
+        for key, revision, guarded, changed in cases:
+            with self.subTest(changed=changed):
+                refused = self.client.compare_and_swap(
+                    key,
+                    b"2",
+                    expected_revision=revision,
+                    guards=[key_value.Guard("/guard", guarded)],
+                    purpose="test",
+                ).unwrap_err()
+                assert isinstance(refused, errors.RevisionConflictError)
+                self.assertEqual(refused.key, changed)
+        self.assertEqual(len(self.service.log()["history"]), 2)
+
+    def test_delete_is_conditional(self) -> None:
+        held = self.create("/a")
+        stale = self.client.delete(
+            "/a", expected_revision=held.mod_revision + 1, purpose="test"
+        )
+        self.assertIsInstance(stale, Err)
+        self.client.delete(
+            "/a", expected_revision=held.mod_revision, purpose="test"
+        ).unwrap()
+        self.assertIsNone(self.client.get("/a", purpose="test").unwrap())
+
+    def test_refuses_a_value_over_the_limit_without_a_call(self) -> None:
+        refused = self.client.compare_and_swap(
+            "/a", b"x" * 1_000_001, expected_revision=0, purpose="test"
+        ).unwrap_err()
+        self.assertIsInstance(refused, errors.PlatformRefusedError)
+        self.assertEqual(self.service.calls_by_kind["txn"], 0)
+
+    def test_lost_answer_leaves_a_write_unknown(self) -> None:
+        """Symptom: a write is taken for failed and done twice.
+
+        Sequence: the service writes, the connection closes before the
+        answer. Cause: a lost answer read as "nothing was written".
+        """
+        self.service.set_faults(lose_answers_count=1)
+        lost = self.client.compare_and_swap(
+            "/a", b"1", expected_revision=0, purpose="test"
+        ).unwrap_err()
+        self.assertIsInstance(lost, errors.WriteOutcomeUnknownError)
+        found = self.client.get("/a", purpose="test").unwrap()
+        self.assertIsNotNone(found)
+        self.assertEqual(self.service.calls_by_kind["txn"], 1)
+
+    def test_late_write_lands_after_its_author_gave_up(self) -> None:
+        """Symptom: a write that "failed" changes a key seconds later.
+
+        Sequence: the service is slow, the client's timeout passes, the
+        service then writes. Cause: a timeout read as "nothing was written".
+        """
+        self.service.set_faults(delay_s=0.6)
+        late = self.client.compare_and_swap(
+            "/a", b"1", expected_revision=0, purpose="test"
+        ).unwrap_err()
+        self.assertIsInstance(late, errors.WriteOutcomeUnknownError)
+        self.assertEqual(self.service.log()["history"], [])
+        self.assertTrue(
+            builders.wait_until(lambda: self.service.log()["history"])
+        )
+
+    def test_failures_that_wrote_nothing_say_so(self) -> None:
+        """Symptom: in an outage every write ends as "outcome unknown".
+
+        Sequence: the service refuses connections, or answers that it takes
+        no writes. Cause: all failures of a call treated alike.
+        """
+        self.service.set_faults(refuse_writes=True)
+        refused = self.client.compare_and_swap(
+            "/a", b"1", expected_revision=0, purpose="test"
+        ).unwrap_err()
+        self.assertIsInstance(refused, errors.PlatformUnavailableError)
+        self.service.close()
+        unreachable = self.client.compare_and_swap(
+            "/a", b"1", expected_revision=0, purpose="test"
+        ).unwrap_err()
+        self.assertIsInstance(unreachable, errors.PlatformUnavailableError)
+        self.assertEqual(self.service.log()["history"], [])
+
+    def test_read_in_an_outage_is_unavailable(self) -> None:
+        for faults in ({"down": True}, {"delay_s": 0.6}):
+            with self.subTest(faults=faults):
+                self.service.set_faults(**faults)
+                read = self.client.get("/a", purpose="test").unwrap_err()
+                self.assertIsInstance(read, errors.PlatformUnavailableError)
+
+    def test_next_endpoint_answers(self) -> None:
+        closed = builders.closed_port()
+        client = builders.client_for(closed, self.service.port)
+        self.addCleanup(client.close)
+        client.compare_and_swap(
+            "/a", b"1", expected_revision=0, purpose="test"
+        ).unwrap()
+
+    def test_spent_budget_of_one_purpose_leaves_others(self) -> None:
+        """Symptom: a lease lapses although the service is well.
+
+        Sequence: a loop elsewhere in the process retries at once and uses
+        up the rate that the service allows. Cause: one budget for all.
+        """
+        client = key_value.KeyValueClient(
+            [builders.endpoint(self.service.port)],
+            purpose_budgets={"loop": call_budget.CallBudget(0.001, 3)},
+        )
+        self.addCleanup(client.close)
+        answers = [client.get("/a", purpose="loop") for _ in range(5)]
+        spent = [a for a in answers if isinstance(a, Err)]
+        self.assertEqual(len(spent), 2)
+        self.assertIsInstance(spent[0].err_value, errors.BudgetExceededError)
+        self.assertEqual(self.service.calls_by_kind["range"], 3)
+        self.assertIsInstance(client.get("/a", purpose="lease"), Ok)
+
+    def test_service_over_its_rate_wrote_nothing(self) -> None:
+        with builders.running_key_value(writes_per_s=1.0) as service:
+            client = builders.client_for(service.port)
+            self.addCleanup(client.close)
+            outcomes = [
+                client.compare_and_swap(
+                    f"/{i}", b"1", expected_revision=0, purpose="test"
+                )
+                for i in range(4)
+            ]
+            refused = [o for o in outcomes if isinstance(o, Err)]
+            self.assertTrue(refused)
+            self.assertEqual(len(service.log()["history"]), 4 - len(refused))
+
+
+class WatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.service = self.enterContext(builders.running_key_value())
+        self.client = builders.client_for(self.service.port)
+        self.addCleanup(self.client.close)
+        self.events: list[key_value.WatchEvent] = []
+
+    def watch(self) -> None:
+        self.client.watch("/a", self.events.append, purpose="test")
+        self.assertTrue(
+            builders.wait_until(lambda: self.service.store.watchers)
+        )
+
+    def put(self, key: str, value: bytes, revision: int = 0) -> int:
+        return (
+            self.client.compare_and_swap(
+                key, value, expected_revision=revision, purpose="test"
+            )
+            .unwrap()
+            .mod_revision
+        )
+
+    def seen(self) -> list[tuple[str, str, bytes]]:
+        return [
+            (e.kind, e.key_value.key, e.key_value.value) for e in self.events
+        ]
+
+    def assert_sees(self, *expected: tuple[str, str, bytes]) -> None:
+        builders.wait_until(lambda: len(self.events) >= len(expected))
+        self.assertEqual(self.seen(), list(expected))
+
+    def test_reports_what_is_there_then_changes(self) -> None:
+        revision = self.put("/a1", b"1")
+        self.watch()
+        self.put("/b", b"other")
+        self.put("/a1", b"2", revision)
+        self.client.delete("/a1", purpose="test").unwrap()
+        self.assert_sees(
+            ("put", "/a1", b"1"), ("put", "/a1", b"2"), ("delete", "/a1", b"")
+        )
+
+    def test_change_during_a_cut_is_reported_once(self) -> None:
+        """Symptom: a node misses the change made while its watch was cut.
+
+        Sequence: the service ends the stream, a key changes, the watch
+        reconnects. Cause: a watch that starts again from "now".
+        """
+        self.watch()
+        self.service.store.cut_watches()
+        builders.wait_until(lambda: not self.service.store.watchers)
+        self.put("/a1", b"1")
+        self.assert_sees(("put", "/a1", b"1"))
+        builders.wait_until(lambda: self.service.store.watchers)
+        self.put("/a2", b"2")
+        self.assert_sees(("put", "/a1", b"1"), ("put", "/a2", b"2"))
+
+    def test_falls_back_to_a_read_when_history_is_gone(self) -> None:
+        """Symptom: a node that was cut off for long never catches up.
+
+        Sequence: the watch is cut, keys change, the service drops the
+        history, the watch resumes and is cancelled. Cause: resuming again
+        and again from a revision that is gone.
+        """
+        self.put("/a1", b"1")
+        self.watch()
+        self.assert_sees(("put", "/a1", b"1"))
+        self.service.store.cut_watches()
+        builders.wait_until(lambda: not self.service.store.watchers)
+        self.client.delete("/a1", purpose="test").unwrap()
+        self.put("/a2", b"2")
+        self.service.store.compact()
+        self.assert_sees(
+            ("put", "/a1", b"1"), ("delete", "/a1", b""), ("put", "/a2", b"2")
+        )
+
+    def test_notices_a_service_that_lost_data_and_caught_up(self) -> None:
+        """Symptom: a watch stays silent about a key that has changed.
+
+        Sequence: the service is restored from a backup, takes writes until
+        its revision passes the watch's, the watch resumes there. Cause:
+        revisions compared across two histories.
+        """
+        snapshot = self.service.snapshot()
+        for index in range(5):
+            self.put(f"/a{index}", b"old")
+        self.watch()
+        builders.wait_until(lambda: len(self.events) == 5)
+        self.events.clear()
+        self.service.restore(snapshot)
+        for index in range(9):
+            self.service.store.transact(
+                [builders.put_operation(f"/z{index}", b"")]
+            )
+        self.service.store.transact([builders.put_operation("/a0", b"new")])
+        self.service.store.compact()
+        self.service.store.compacted_revision = 0
+        expected = {
+            *(("delete", f"/a{index}", b"") for index in range(1, 5)),
+            ("put", "/a0", b"new"),
+        }
+        builders.wait_until(lambda: len(self.events) >= len(expected))
+        self.assertEqual(set(self.seen()), expected)
+
+    def test_reconnects_after_an_outage_without_a_storm(self) -> None:
+        """Symptom: the service falls over again as soon as it is back.
+
+        Sequence: many watches are cut, the service stays down, all come
+        back. Cause: reconnecting at once and in step.
+        """
+        clients = [builders.client_for(self.service.port) for _ in range(20)]
+        for client in clients:
+            self.addCleanup(client.close)
+            client.watch("/a", self.events.append, purpose="test")
+        watchers = self.service.store.watchers
+        builders.wait_until(lambda: len(watchers) == 20)
+        calls_before_count = sum(self.service.calls_by_kind.values())
+        self.service.set_faults(down=True)
+        gevent.sleep(1.0)
+        calls_count = sum(self.service.calls_by_kind.values())
+        # A loop without back-off would send thousands.
+        self.assertLess(calls_count - calls_before_count, 20 * 20)
+        self.service.set_faults()
+        self.assertTrue(builders.wait_until(lambda: len(watchers) == 20))
+
+    def test_closed_watch_reports_nothing(self) -> None:
+        watch = self.client.watch("/a", self.events.append, purpose="test")
+        builders.wait_until(lambda: self.service.store.watchers)
+        watch.close()
+        self.put("/a1", b"1")
+        gevent.sleep(0.05)
+        self.assertEqual(self.events, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
