Add the zone's controller: lease, fuse, records, reconciliation

One controller of each zone is active by a lease and works out each round anew from the order records, the engines' own reports and the rule in force, so that whoever takes over goes on where the last one stopped. An order is recorded by compare-and-swap, guarded by the lease key, before it is sent; it is sent over a connection of its own whose bytes die with it. A keeper that sends from memory of earlier rounds was ruled out: after a takeover nothing of it is left.

--- /dev/null
+++ b/src/mulberrywharf/authority/__init__.py
@@ -0,0 +1,1 @@
+"""Authority over engines: lease, fuse, order records, reconciliation."""
--- /dev/null
+++ b/src/mulberrywharf/authority/wanted_states.py
@@ -0,0 +1,262 @@
+"""Turns the rule in force into the state that each engine shall have."""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from mulberrywharf import fleet, rules
+from mulberrywharf.authority import order_records, reconcile, situation_builder
+from mulberrywharf.policy import role_planner
+
+
+class RuleInForce(NamedTuple):
+    """What the rules say now.
+
+    Attributes:
+        match: The rule that matched.
+        config_version: Version of the configuration that holds it.
+        reason: One line for operators.
+    """
+
+    match: rules.Match
+    config_version: int
+    reason: str
+
+
+class Zone(NamedTuple):
+    """The zone's engines as last seen.
+
+    Attributes:
+        reports: The latest report of each engine that gave one.
+        records: The latest order record of each engine that has one.
+        demand: What callers ask, or None.
+        change_ends_unix_s: When recent role changes ended.
+    """
+
+    reports: Mapping[str, situation_builder.SeenReport]
+    records: Mapping[str, order_records.OrderRecord]
+    demand: role_planner.Demand | None = None
+    change_ends_unix_s: tuple[float, ...] = ()
+
+
+class WantedZone(NamedTuple):
+    """What every engine shall be, and what the planner said.
+
+    Attributes:
+        engines: By engine id.
+        plan: The planner's decision.
+    """
+
+    engines: dict[str, reconcile.WantedEngine]
+    plan: role_planner.Plan
+
+
+def settled_role(
+    report: fleet.LoadReport, record: order_records.OrderRecord | None
+) -> fleet.Role:
+    """Returns the role that an engine is to play by its last order.
+
+    Its own word counts only if no order says otherwise: after a crash in
+    mid-change, or an order of a process without authority, the engine may
+    play a role that nobody wants.
+    """
+    if record is None:
+        return report.role
+    for role in role_planner.ROLES:
+        if role == record.role:
+            return role
+    return report.role
+
+
+def wanted_zone(
+    zone: Zone,
+    in_force: RuleInForce,
+    options: role_planner.PlannerSettings,
+    now_unix_s: float,
+) -> WantedZone:
+    """Works out what every engine that gave a report shall be."""
+    actions = in_force.match.actions
+    held = in_force.match.undecided or bool(actions.get("hold"))
+    plan = _plan(zone, actions, held, options, now_unix_s)
+    loading = _engines_to_load(zone, actions) if not held else frozenset()
+    engines = {
+        engine_id: _wanted_engine(
+            engine_id, zone, in_force, plan, engine_id in loading
+        )
+        for engine_id in zone.reports
+    }
+    return WantedZone(engines, plan)
+
+
+def _plan(
+    zone: Zone,
+    actions: rules.Actions,
+    held: bool,
+    options: role_planner.PlannerSettings,
+    now_unix_s: float,
+) -> role_planner.Plan:
+    if held:
+        return role_planner.Stay("the rules hold the fleet as it is")
+    engines = _planner_engines(zone, actions)
+    view = role_planner.PlannerView(
+        engines=engines,
+        demand=zone.demand,
+        target=_target(actions, engines),
+        in_change_count=in_change_count(zone),
+        change_ends_unix_s=zone.change_ends_unix_s,
+    )
+    return role_planner.plan(view, options, now_unix_s)
+
+
+def _planner_engines(
+    zone: Zone, actions: rules.Actions
+) -> tuple[role_planner.PlannerEngine, ...]:
+    """Returns the engines that share the work; one that is drained doesn't."""
+    drained_id = _drained_id(actions)
+    speeds = situation_builder.dedicated_speeds(
+        [seen.report for seen in zone.reports.values()]
+    )
+    return tuple(
+        _planner_engine(seen, zone.records.get(engine_id), speeds[engine_id])
+        for engine_id, seen in sorted(zone.reports.items())
+        if engine_id != drained_id
+    )
+
+
+def _drained_id(actions: rules.Actions) -> str:
+    drain = actions.get("drain")
+    return "" if drain is None else drain["engine_id"]
+
+
+def _target(
+    actions: rules.Actions, engines: Sequence[role_planner.PlannerEngine]
+) -> role_planner.RoleCounts | None:
+    split = rules.wanted_roles(actions, len(engines))
+    return None if split is None else role_planner.RoleCounts(*split)
+
+
+def _is_pointless(engine_id: str, zone: Zone, in_force: RuleInForce) -> bool:
+    """Tells whether an engine still drains for a role that is not wanted.
+
+    The rules may have changed since. As long as the role change itself has
+    not been sent, dropping it costs nothing; finishing it would take the
+    engine away twice.
+    """
+    record = zone.records.get(engine_id)
+    if record is None or record.phase not in ("recorded", "draining"):
+        return False
+    actions = in_force.match.actions
+    engines = _planner_engines(zone, actions)
+    target = _target(actions, engines)
+    if record.action != "set-role" or target is None:
+        return False
+    surplus = role_planner.surplus_by_role(engines, target)
+    now_role = zone.reports[engine_id].report.role
+    next_role = settled_role(zone.reports[engine_id].report, record)
+    return surplus[next_role] > 0 and surplus[now_role] < 0
+
+
+def in_change_count(zone: Zone) -> int:
+    """Returns how many engines are away for a planned change."""
+    return sum(
+        1
+        for engine_id, seen in zone.reports.items()
+        if seen.report.state == "changing"
+        or _is_planned_change(zone.records.get(engine_id))
+    )
+
+
+def _is_planned_change(record: order_records.OrderRecord | None) -> bool:
+    if record is None or not record.in_flight():
+        return False
+    return record.action in ("set-role", "load-model")
+
+
+def _planner_engine(
+    seen: situation_builder.SeenReport,
+    record: order_records.OrderRecord | None,
+    speeds: situation_builder.Speeds,
+) -> role_planner.PlannerEngine:
+    report = seen.report
+    last_change_unix_s = 0.0
+    if record is not None and record.action == "set-role":
+        last_change_unix_s = record.recorded_unix_s
+    return role_planner.PlannerEngine(
+        engine_id=report.engine_id,
+        role=settled_role(report, record),
+        usable=report.state in ("ready", "failed"),
+        prefill_tokens_per_s=speeds.prefill_tokens_per_s,
+        decode_tokens_per_s=speeds.decode_tokens_per_s,
+        running_count=report.running_count,
+        report_age_s=seen.age_s,
+        reported_unix_s=report.reported_unix_s,
+        last_change_unix_s=last_change_unix_s,
+    )
+
+
+def _engines_to_load(zone: Zone, actions: rules.Actions) -> frozenset[str]:
+    """Picks the engines that shall hold the model that a rule names.
+
+    Those that have it already come first, then those that are being
+    changed to have it, then the least busy.
+    """
+    load = actions.get("load")
+    if load is None:
+        return frozenset()
+
+    def cost(engine_id: str) -> tuple[bool, bool, int, str]:
+        report = zone.reports[engine_id].report
+        record = zone.records.get(engine_id)
+        loading = record is not None and record.model == load["model"]
+        loaded = load["model"] in report.models
+        return (not loaded, not loading, report.running_count, engine_id)
+
+    ranked: Sequence[str] = sorted(zone.reports, key=cost)
+    return frozenset(ranked[: load["engines_count"]])
+
+
+def _wanted_engine(
+    engine_id: str,
+    zone: Zone,
+    in_force: RuleInForce,
+    plan: role_planner.Plan,
+    is_to_load: bool,
+) -> reconcile.WantedEngine:
+    actions = in_force.match.actions
+    record = zone.records.get(engine_id)
+    role = settled_role(zone.reports[engine_id].report, record)
+    reason = in_force.reason
+    if isinstance(plan, role_planner.RoleChange) and (
+        plan.engine_id == engine_id
+    ):
+        role = plan.role
+        reason = f"{reason}; {plan.reason}"
+    elif _is_pointless(engine_id, zone, in_force):
+        role = zone.reports[engine_id].report.role
+    wanted = reconcile.WantedEngine(
+        role=role,
+        rule=in_force.match.rule_name,
+        config_version=in_force.config_version,
+        reason=reason,
+        drained=_is_drained(engine_id, in_force, record),
+    )
+    if not is_to_load:
+        return wanted
+    load = actions["load"]
+    return wanted._replace(
+        model=load["model"],
+        adapter=load.get("adapter", ""),
+        version=load.get("version", ""),
+    )
+
+
+def _is_drained(
+    engine_id: str,
+    in_force: RuleInForce,
+    record: order_records.OrderRecord | None,
+) -> bool:
+    actions = in_force.match.actions
+    if in_force.match.undecided or actions.get("hold"):
+        if record is None or record.phase == "failed":
+            return False
+        return record.action == "drain"
+    return _drained_id(actions) == engine_id
--- /dev/null
+++ b/src/mulberrywharf/programs/_controller_lease.py
@@ -0,0 +1,246 @@
+"""Keeps the zone's controller lease, or waits for it."""
+
+import json
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import gevent
+import gevent.event
+from result import Err
+
+from mulberrywharf import clock as clocks
+from mulberrywharf import errors, metrics, settings
+from mulberrywharf.authority import lease_fuse, record_store
+from mulberrywharf.operators import audit
+from mulberrywharf.platform_service import key_value, lease, watch
+
+_PURPOSE = "lease"
+_DEFAULT_LEASE_TTL_S = 10.0
+_CHECK_SHARE = 0.02
+_SPREAD_SHARE = 0.1
+
+_transitions = metrics.counter(
+    "mulberry_controller_lease_transitions_total",
+    "Changes between standby and active, by the new state.",
+)
+_held_gauge = metrics.gauge(
+    "mulberry_controller_lease_held", "1 while this controller is active."
+)
+
+
+class HeldLease(NamedTuple):
+    """The lease that entitles this process to order the zone's engines.
+
+    Attributes:
+        holder: Renews it.
+        fencing_number: Rises with every change of holder.
+        key: The zone's controller key.
+        acquired_s: Monotonic clock when it was known to be held.
+    """
+
+    holder: lease.LeaseHolder
+    fencing_number: int
+    key: str
+    acquired_s: float
+
+    def proof(self) -> record_store.LeaseKey:
+        """Returns what guarded writes compare with."""
+        return record_store.LeaseKey(self.key, self.fencing_number)
+
+
+def controller_key(config: settings.Settings) -> str:
+    """Returns the key that the zone's active controller holds."""
+    deployment = config["deployment"]
+    return f"/mulberry/{deployment}/controllers/{config['availability_zone']}"
+
+
+def _do_nothing() -> None:
+    """Stands in until someone wants to know."""
+
+
+class LeaseKeeper:
+    """One greenlet that acquires the lease, keeps it, and steps down.
+
+    Attributes:
+        held: The lease while this process is active, else None.
+        changed: Set whenever ``held`` changes.
+        on_step_down: Called when the authority ends, before anything else
+            runs; drops the orders that are being sent.
+    """
+
+    def __init__(
+        self,
+        key_value_client: key_value.KeyValueClient,
+        fuse: lease_fuse.LeaseFuse,
+        clock: clocks.Clock,
+        audit_log: audit.AuditLog,
+        *,
+        vm_id: str,
+        key: str,
+        ttl_s: float,
+    ):
+        self._key_value = key_value_client
+        self._fuse = fuse
+        self._clock = clock
+        self._audit = audit_log
+        self._vm_id = vm_id
+        self._key = key
+        # The service counts in whole seconds. Rounded up, this process
+        # would believe in a longer lease than it was given.
+        self._ttl_s = float(max(1, int(ttl_s)))
+        self._key_changed = gevent.event.Event()
+        self._greenlet: gevent.Greenlet | None = None
+        self._watch: watch.Watch | None = None
+        self.held: HeldLease | None = None
+        self.changed = gevent.event.Event()
+        self.on_step_down: Callable[[], None] = _do_nothing
+
+    @classmethod
+    def from_config(
+        cls,
+        config: settings.Settings,
+        key_value_client: key_value.KeyValueClient,
+        fuse: lease_fuse.LeaseFuse,
+        clock: clocks.Clock,
+        audit_log: audit.AuditLog,
+    ) -> "LeaseKeeper":
+        """Builds the keeper of the settings' zone."""
+        controller = config.get("controller", {})
+        return cls(
+            key_value_client,
+            fuse,
+            clock,
+            audit_log,
+            vm_id=config["vm_id"],
+            key=controller_key(config),
+            ttl_s=controller.get("lease_ttl_s", _DEFAULT_LEASE_TTL_S),
+        )
+
+    @property
+    def ttl_s(self) -> float:
+        """Length of the lease as the service knows it."""
+        return self._ttl_s
+
+    def start(self) -> None:
+        """Begins to compete for the lease."""
+        self._watch = self._key_value.watch(
+            self._key, self._on_key_change, purpose=_PURPOSE
+        )
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stops competing and gives the lease back, if it is held."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+        if self._watch is not None:
+            self._watch.close()
+        held = self.held
+        if held is not None:
+            self._end(held, "stopping")
+            held.holder.close()
+
+    def step_down(self, why: str) -> None:
+        """Ends the authority now; no order leaves from here on."""
+        held = self.held
+        if held is None:
+            return
+        self._end(held, why)
+        # In a greenlet of its own: it calls the service, and it ends the
+        # greenlets of the lease, one of which may have led here.
+        gevent.spawn(held.holder.close)
+
+    def _end(self, held: HeldLease, why: str) -> None:
+        self._fuse.step_down()
+        self.held = None
+        self.on_step_down()
+        self._audit.record(audit.LeaseLost(self._key, held.fencing_number, why))
+        _held_gauge.set({}, 0)
+        _transitions.inc({"to": "standby"})
+        self.changed.set()
+
+    def _on_key_change(self, event: key_value.WatchEvent) -> None:
+        self._key_changed.set()
+        held = self.held
+        if held is None or event.key_value.key != self._key:
+            return
+        # An operator who deletes the key takes the authority away. Without
+        # this the holder would go on until its next write was refused. A
+        # watch may lag: what is older than the lease says nothing about it.
+        if event.key_value.mod_revision <= held.fencing_number:
+            return
+        self.step_down("the lease key was taken away")
+
+    def _run(self) -> None:
+        while True:
+            holder = lease.LeaseHolder(
+                self._key_value,
+                ttl_s=self._ttl_s,
+                purpose=_PURPOSE,
+                on_renewed=self._on_renewed,
+                on_lost=self._on_lost,
+            )
+            if not self._acquire(holder):
+                holder.close()
+                self._wait_for_change()
+                continue
+            self._step_down_in_time()
+            # Whoever was active competes again last, so that a holder with
+            # a poor connection doesn't win the lease back and lose it anew.
+            gevent.sleep(self._ttl_s * random.uniform(0.5, 1.0))
+
+    def _wait_for_change(self) -> None:
+        """Waits until the key may be free, spread over all standbys."""
+        self._key_changed.wait(timeout=self._ttl_s * random.uniform(1.0, 2.0))
+        self._key_changed.clear()
+        # Every standby sees the deletion at the same instant.
+        gevent.sleep(random.uniform(0.0, _SPREAD_SHARE * self._ttl_s))
+
+    def _acquire(self, holder: lease.LeaseHolder) -> bool:
+        found = self._key_value.get(self._key, purpose=_PURPOSE)
+        if isinstance(found, Err) or found.ok_value is not None:
+            return False
+        granted = holder.start()
+        if isinstance(granted, Err):
+            return False
+        value = {"vm_id": self._vm_id, "lease_id": granted.ok_value}
+        created = holder.create_key(self._key, json.dumps(value).encode())
+        if isinstance(created, Err):
+            return False
+        if not self._fuse.renewed(holder.valid_until_monotonic_s):
+            self._fuse.step_down()
+            return False
+        self.held = HeldLease(
+            holder,
+            created.ok_value.create_revision,
+            self._key,
+            self._clock.monotonic_s(),
+        )
+        self._audit.record(
+            audit.LeaseTaken(self._key, self.held.fencing_number)
+        )
+        _held_gauge.set({}, 1)
+        _transitions.inc({"to": "active"})
+        self.changed.set()
+        return True
+
+    def _on_renewed(self, valid_until_monotonic_s: float) -> None:
+        if self.held is None:
+            return
+        if not self._fuse.renewed(valid_until_monotonic_s):
+            self.step_down("the renewal's answer came too late")
+
+    def _on_lost(self, error: errors.AuthorityLostError) -> None:
+        self.step_down(error.message)
+
+    def _step_down_in_time(self) -> None:
+        """Waits while the lease is held, and ends it before it is spent.
+
+        A renewal may hang for longer than the lease lasts while the service
+        is away; the timer would then end a process that only has to wait.
+        """
+        while self.held is not None:
+            if not self._fuse.holds():
+                self.step_down("the lease could not be renewed in time")
+                return
+            gevent.sleep(self._ttl_s * _CHECK_SHARE)
--- /dev/null
+++ b/src/mulberrywharf/programs/_controller_status.py
@@ -0,0 +1,91 @@
+"""What the controller's ``GET /status`` says."""
+
+from mulberrywharf import settings
+from mulberrywharf.authority import order_records, reconcile
+from mulberrywharf.operators import situations, status
+from mulberrywharf.programs import _controller_lease, _controller_zone
+
+
+def build(
+    config: settings.Settings,
+    view: _controller_zone.ZoneView,
+    held: _controller_lease.HeldLease | None,
+    *,
+    config_version: int,
+    ready: bool,
+    vm_list_age_s: float,
+    now_unix_s: float,
+) -> status.StatusReport:
+    """Puts the last round into the form that operators read.
+
+    Args:
+        config: Settings of the process.
+        view: What the last round saw.
+        held: The lease, or None on standby.
+        config_version: Version in force here, 0 when there is none.
+        ready: Whether the process takes part.
+        vm_list_age_s: Age of the VM list.
+        now_unix_s: Wall clock.
+    """
+    report = status.StatusReport(
+        vm_id=config["vm_id"],
+        availability_zone=config["availability_zone"],
+        program="controller",
+        config_version=config_version,
+        ready=ready,
+        engines=[
+            _engine(config["availability_zone"], fact, now_unix_s)
+            for _, fact in sorted(view.facts.items())
+        ],
+        platform=status.PlatformStatus(
+            key_value_age_s=None,
+            vm_list_age_s=_finite(vm_list_age_s),
+        ),
+        lease=status.LeaseStatus(
+            held=held is not None,
+            fencing_number=0 if held is None else held.fencing_number,
+        ),
+    )
+    if view.match is not None:
+        report["rule"] = situations.rule_status(view.match, view.config_version)
+    if view.situation is not None:
+        report["situation"] = situations.situation_status(view.situation)
+    return report
+
+
+def _engine(
+    availability_zone: str, fact: reconcile.EngineFacts, now_unix_s: float
+) -> status.EngineStatus:
+    engine = status.EngineStatus(
+        engine_id=fact.engine_id,
+        availability_zone=availability_zone,
+        seen_role="unknown",
+        seen_state="unknown",
+        report_age_s=None,
+        wanted_role=None if fact.wanted is None else fact.wanted.role,
+        order=None if fact.record is None else _order(fact.record),
+    )
+    if fact.report is not None:
+        engine["seen_role"] = fact.report.role
+        engine["seen_state"] = fact.report.state
+        engine["report_age_s"] = now_unix_s - fact.report.reported_unix_s
+    return engine
+
+
+def _order(record: order_records.OrderRecord) -> status.OrderStatus:
+    return status.OrderStatus(
+        order_id=record.order_id,
+        action=record.action,
+        wanted=record.model or record.role,
+        phase=record.phase,
+        in_flight=record.in_flight(),
+        rule=record.rule,
+        config_version=record.config_version,
+        fencing_number=record.fencing_number,
+        reason=record.reason,
+        recorded_unix_s=record.recorded_unix_s,
+    )
+
+
+def _finite(age_s: float) -> float | None:
+    return None if age_s == float("inf") else age_s
--- /dev/null
+++ b/src/mulberrywharf/programs/controller.py
@@ -0,0 +1,217 @@
+"""``mulberry-controller``: keeps a zone's engines as the rules say.
+
+One controller of each availability zone is active, by a lease; the others
+wait. A controller that loses its lease goes back to waiting; one that was
+frozen past it is ended by the kernel, see ``authority.lease_fuse``.
+"""
+
+# ruff: noqa: E402
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import signal
+import sys
+from typing import NamedTuple
+
+import gevent
+import gevent.event
+from result import Err
+
+from mulberrywharf import _wsgi, logs, settings
+from mulberrywharf import clock as clocks
+from mulberrywharf.authority import lease_fuse, record_store
+from mulberrywharf.operators import audit, server, status
+from mulberrywharf.platform_service import (
+    config_follower,
+    key_value,
+    vm_list,
+    weight_store,
+)
+from mulberrywharf.programs import (
+    _controller_lease,
+    _controller_sending,
+    _controller_status,
+    _controller_weights,
+    _controller_zone,
+)
+
+_FINISH_S = 20.0
+
+
+class Mechanisms(NamedTuple):
+    """What guards the authority; tests turn one off to see why it is there.
+
+    Attributes:
+        fuse: The kernel ends a process that was frozen past its lease.
+        guard: Writes of records compare the lease key.
+        quiet: A new holder waits until old orders can't arrive any more.
+    """
+
+    fuse: bool = True
+    guard: bool = True
+    quiet: bool = True
+
+
+class ControllerProgram:
+    """The controller of one entry VM.
+
+    Attributes:
+        stopping: Set when the process is to stop.
+    """
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        clock: clocks.Clock,
+        mechanisms: Mechanisms,
+    ):
+        self._config = config
+        self._clock = clock
+        self.stopping = gevent.event.Event()
+        self._audit = audit.AuditLog(clock)
+        self._key_value = key_value.KeyValueClient.from_config(config)
+        self._configuration = config_follower.ConfigFollower.from_config(
+            config, self._key_value
+        )
+        self._vm_list = vm_list.VmListReader.from_config(config)
+        self._weights = _controller_weights.WeightLoads(
+            weight_store.WeightStoreClient.from_config(config)
+        )
+        fuse = lease_fuse.LeaseFuse(
+            clock,
+            margin_s=_controller_zone.clock_margin_s(config),
+            user_timeout_s=_controller_zone.user_timeout_s(config),
+            enabled=mechanisms.fuse,
+        )
+        self._keeper = _controller_lease.LeaseKeeper.from_config(
+            config, self._key_value, fuse, clock, self._audit
+        )
+        sender = _controller_sending.OrderSender(
+            fuse, user_timeout_s=_controller_zone.user_timeout_s(config)
+        )
+        self._keeper.on_step_down = sender.drop_all
+        self._zone = self._make_zone(sender, mechanisms)
+        self._operators = server.OperatorsServer.from_config(
+            config, self._status, self.stopping.set, audit=self._audit
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        config: settings.Settings,
+        mechanisms: Mechanisms | None = None,
+    ) -> "ControllerProgram":
+        """Builds the program; nothing is opened before ``start``."""
+        return cls(config, clocks.SystemClock(), mechanisms or Mechanisms())
+
+    def start(self) -> None:
+        """Begins to follow the platform and to compete for the lease."""
+        self._key_value.start()
+        self._configuration.start()
+        self._vm_list.start()
+        self._weights.start()
+        self._operators.start()
+        self._keeper.start()
+        self._zone.start()
+        self._operators.set_ready(True)
+        _wsgi.announce_ready(
+            program="controller", operators=self._operators.port
+        )
+
+    def close(self) -> None:
+        """Finishes or hands over the orders, then releases the lease."""
+        self._operators.set_ready(False)
+        self._zone.close(_FINISH_S)
+        self._keeper.close()
+        self._weights.close()
+        self._vm_list.close()
+        self._configuration.close()
+        self._key_value.close()
+        self._operators.close()
+
+    def _make_zone(
+        self,
+        sender: _controller_sending.OrderSender,
+        mechanisms: Mechanisms,
+    ) -> _controller_zone.ZoneController:
+        deployment = self._config["deployment"]
+        zone = self._config["availability_zone"]
+        options = _controller_zone.options_from_config(
+            self._config, self._keeper.ttl_s
+        )
+        if not mechanisms.quiet:
+            options = options._replace(quiet=options.quiet._replace(off=True))
+        return _controller_zone.ZoneController(
+            options,
+            keeper=self._keeper,
+            store=record_store.RecordStore(
+                self._key_value,
+                f"/mulberry/{deployment}/orders/{zone}",
+                guarded=mechanisms.guard,
+            ),
+            sender=sender,
+            weights=self._weights,
+            engine_vms=self._vm_list.vms,
+            vm_list_age_s=self._vm_list.age_s,
+            current_configuration=self._configuration.current,
+            clock=self._clock,
+            audit_log=self._audit,
+        )
+
+    def _status(self) -> status.StatusReport:
+        return _controller_status.build(
+            self._config,
+            self._zone.view,
+            self._keeper.held,
+            config_version=self._configuration.version(),
+            ready=self._operators.ready,
+            vm_list_age_s=self._vm_list.age_s(),
+            now_unix_s=self._clock.unix_s(),
+        )
+
+
+def run(config: settings.Settings, mechanisms: Mechanisms) -> None:
+    """Runs a controller until SIGTERM or SIGINT."""
+    logs.configure(
+        vm_id=config["vm_id"],
+        availability_zone=config["availability_zone"],
+        program="controller",
+        level=config.get("log_level", "INFO"),
+    )
+    lease_fuse.restore_default_alarm()
+    program = ControllerProgram.from_config(config, mechanisms)
+    gevent.signal_handler(signal.SIGTERM, program.stopping.set)
+    gevent.signal_handler(signal.SIGINT, program.stopping.set)
+    program.start()
+    program.stopping.wait()
+    program.close()
+
+
+def main() -> int:
+    """Runs ``mulberry-controller``."""
+    parser = argparse.ArgumentParser(
+        prog="mulberry-controller",
+        description="Keeps a zone's engines as the rules say.",
+    )
+    parser.add_argument("--settings", required=True, help="JSON with comments")
+    parser.add_argument(
+        "--check-settings",
+        action="store_true",
+        help="check the file, list every fault, and exit",
+    )
+    arguments = parser.parse_args()
+    loaded = settings.load(arguments.settings)
+    if isinstance(loaded, Err):
+        print(loaded.err_value, file=sys.stderr)
+        return 1
+    if arguments.check_settings:
+        print(f"{arguments.settings}: no faults")
+        return 0
+    run(loaded.ok_value, Mechanisms())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/builders_authority.py
@@ -0,0 +1,332 @@
+"""Builders for tests of the controllers: a zone of real processes."""
+
+import base64
+import http.client
+import json
+import signal
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from mulberrywharf import fleet
+from mulberrywharf.authority import order_records
+from mulberrywharf.platform_service import configuration
+from tests import builders_settings, processes
+
+DEPLOYMENT = "prairie"
+ZONE = "regina-hall"
+CHECKING_KIND = "checks"
+IGNORING_KIND = "ignores"
+
+LEASE_KEY = f"/mulberry/{DEPLOYMENT}/controllers/{ZONE}"
+ORDERS_KEY = f"/mulberry/{DEPLOYMENT}/orders/{ZONE}"
+
+_POLL_S = 0.02
+
+
+def load_report(
+    engine_id: str = "engine-1", **changes: Any
+) -> fleet.LoadReport:
+    """Returns a report of an idle mixed engine, with changes laid over."""
+    report = fleet.LoadReport(
+        engine_id=engine_id,
+        role="mixed",
+        state="ready",
+        models=("verdict",),
+        prefill_tokens_per_s=20_000.0,
+        decode_tokens_per_s=4_000.0,
+        reported_unix_s=1_000.0,
+    )
+    return report._replace(**changes)
+
+
+def order_record(**changes: Any) -> order_records.OrderRecord:
+    """Returns a role change in flight, with changes laid over."""
+    record = order_records.OrderRecord(
+        order_id="order-1",
+        rule="day",
+        config_version=3,
+        fencing_number=7,
+        action="set-role",
+        role="prefill",
+        phase="sent",
+        recorded_unix_s=900.0,
+    )
+    return record._replace(**changes)
+
+
+def call(
+    port: int, method: str, path: str, body: object = None
+) -> dict[str, Any]:
+    """Calls a stand-in's HTTP and returns its JSON."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    try:
+        data = None if body is None else json.dumps(body)
+        headers = {"content-type": "application/json"}
+        connection.request(method, path, data, headers)
+        return dict(json.loads(connection.getresponse().read() or b"{}"))
+    finally:
+        connection.close()
+
+
+def wait_for(condition: Callable[[], object], limit_s: float = 30.0) -> bool:
+    """Polls until a condition holds; False when it never did."""
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        if condition():
+            return True
+        time.sleep(_POLL_S)
+    return bool(condition())
+
+
+def roles_document(prefill: int, decode: int, mixed: int = 0) -> dict[str, Any]:
+    """Returns a configuration that fixes the split of roles."""
+    roles = {
+        "prefill_count": prefill,
+        "decode_count": decode,
+        "mixed_count": mixed,
+    }
+    return {"rules": [], "default": {"roles": roles}}
+
+
+class Timing(NamedTuple):
+    """How fast a test zone runs.
+
+    Attributes:
+        lease_ttl_s: Of the controllers; whole seconds.
+        margin_s: Between clocks.
+        user_timeout_s: Of order bytes.
+        evaluate_s: Between rounds.
+        role_change_s: How long a change takes an engine away.
+    """
+
+    lease_ttl_s: float = 1.0
+    margin_s: float = 0.1
+    user_timeout_s: float = 0.2
+    evaluate_s: float = 0.2
+    role_change_s: float = 0.3
+
+
+class Zone:
+    """One zone: key-value service, VM list, engines, controllers."""
+
+    def __init__(
+        self,
+        *,
+        engines: int = 4,
+        timing: Timing | None = None,
+        mechanism_off: str = "",
+        weight_store: bool = False,
+    ):
+        self.timing = timing or Timing()
+        self._mechanism_off = mechanism_off
+        self.key_value = processes.Process(
+            "standins.key_value", "--writes-per-s", "0", "--reads-per-s", "0"
+        )
+        self.vm_list = processes.Process("standins.vm_list", "--lag-s", "0")
+        self.weight_store: processes.Process | None = None
+        if weight_store:
+            self.weight_store = processes.Process(
+                "standins.weight_store", "--loads-per-s", "2"
+            )
+        self.engines: dict[str, processes.Process] = {}
+        self.kinds: dict[str, str] = {}
+        for index in range(engines):
+            kind = CHECKING_KIND if index % 2 else IGNORING_KIND
+            self._start_engine(f"engine-{index}", kind)
+        self.controllers: list[processes.Process] = []
+        self._version = 0
+        self._publish_vms()
+
+    def close(self) -> None:
+        """Ends every process."""
+        standins = [self.key_value, self.vm_list]
+        if self.weight_store is not None:
+            standins.append(self.weight_store)
+        for process in [*self.controllers, *self.engines.values(), *standins]:
+            process.close()
+
+    def _start_engine(self, engine_id: str, kind: str) -> None:
+        self.kinds[engine_id] = kind
+        self.engines[engine_id] = processes.Process(
+            "standins.engine",
+            "--engine-id",
+            engine_id,
+            "--checks-fencing",
+            "true" if kind == CHECKING_KIND else "false",
+            "--role-change-s",
+            str(self.timing.role_change_s),
+            "--load-model-s",
+            str(self.timing.role_change_s),
+        )
+
+    def _publish_vms(self) -> None:
+        vms = [
+            {
+                "vm_id": engine_id,
+                "kind": "engine",
+                "availability_zone": ZONE,
+                "ip": "127.0.0.1",
+                "port": engine.ready["port"],
+                "state": "live",
+                "engine_kind": self.kinds[engine_id],
+            }
+            for engine_id, engine in self.engines.items()
+        ]
+        call(self.vm_list.ready["port"], "POST", "/standin/vms", {"vms": vms})
+
+    def settings(self, vm_id: str) -> dict[str, Any]:
+        """Returns the settings of one controller."""
+        platform: dict[str, Any] = {
+            "key_value": [_endpoint(self.key_value)],
+            "vm_list": _endpoint(self.vm_list),
+            "call_timeout_s": 0.5,
+        }
+        if self.weight_store is not None:
+            platform["weight_store"] = _endpoint(self.weight_store)
+        return builders_settings.node_settings(
+            deployment=DEPLOYMENT,
+            vm_id=vm_id,
+            availability_zone=ZONE,
+            platform=platform,
+            engines={"fencing_checking_kinds": [CHECKING_KIND]},
+            controller={
+                "lease_ttl_s": self.timing.lease_ttl_s,
+                "clock_margin_s": self.timing.margin_s,
+                "order_user_timeout_s": self.timing.user_timeout_s,
+                "evaluate_interval_s": self.timing.evaluate_s,
+                "role_change_away_s": self.timing.role_change_s,
+            },
+        )
+
+    def start_controller(self, vm_id: str) -> processes.Process:
+        """Starts a controller and waits until it takes part."""
+        path = builders_settings.write_settings(self.settings(vm_id))
+        if self._mechanism_off:
+            process = processes.Process(
+                "tests.controller_without",
+                "--settings",
+                path,
+                "--off",
+                self._mechanism_off,
+            )
+        else:
+            process = processes.Process(
+                "mulberrywharf.programs.controller", "--settings", path
+            )
+        self.controllers.append(process)
+        return process
+
+    def accept(self, document: dict[str, Any]) -> int:
+        """Puts a configuration in force; returns its version."""
+        self._version += 1
+        built = configuration.build(
+            version=self._version,
+            change_id=f"change-{self._version}",
+            author="ana",
+            changed_unix_s=time.time(),
+            document=document,
+            audit=[],
+        )
+        put = {
+            "key": _base64(configuration.config_key(DEPLOYMENT).encode()),
+            "value": _base64(built.raw),
+        }
+        self._key_value_call(
+            "/v3/kv/txn", {"compare": [], "success": [{"requestPut": put}]}
+        )
+        return self._version
+
+    def read(self, key: str) -> bytes | None:
+        """Reads one key of the service."""
+        answer = self._key_value_call(
+            "/v3/kv/range", {"key": _base64(key.encode())}
+        )
+        kvs = answer.get("kvs", [])
+        return base64.b64decode(kvs[0]["value"]) if kvs else None
+
+    def _key_value_call(self, path: str, body: object) -> dict[str, Any]:
+        return call(self.key_value.ready["port"], "POST", path, body)
+
+    def set_key_value_faults(self, **faults: Any) -> None:
+        """Replaces the faults of the key-value service."""
+        self._key_value_call("/standin/faults", faults)
+
+    def set_engine_faults(self, engine_id: str, **faults: Any) -> None:
+        """Sets faults of one engine."""
+        port = self.engines[engine_id].ready["port"]
+        call(port, "POST", "/standin/faults", faults)
+
+    def records(self) -> order_records.ZoneRecords:
+        """Returns the zone's order records."""
+        value = self.read(ORDERS_KEY)
+        if value is None:
+            return order_records.EMPTY
+        return order_records.decode(value).unwrap()
+
+    def holder_vm_id(self) -> str:
+        """Returns who holds the controller lease, or empty."""
+        value = self.read(LEASE_KEY)
+        return "" if value is None else str(json.loads(value)["vm_id"])
+
+    def holder(self) -> processes.Process | None:
+        """Returns the process that holds the controller lease."""
+        vm_id = self.holder_vm_id()
+        if not vm_id:
+            return None
+        return self.controllers[int(vm_id.rsplit("-", 1)[1])]
+
+    def loads(self) -> dict[str, dict[str, Any]]:
+        """Returns every engine's own report."""
+        return {
+            engine_id: call(engine.ready["port"], "GET", "/load")
+            for engine_id, engine in self.engines.items()
+        }
+
+    def role_counts(self) -> tuple[int, int, int]:
+        """Returns how many ready engines prefill, decode and do both."""
+        ready = [r for r in self.loads().values() if r["state"] == "ready"]
+        return (
+            sum(1 for r in ready if r["role"] == "prefill"),
+            sum(1 for r in ready if r["role"] == "decode"),
+            sum(1 for r in ready if r["role"] == "mixed"),
+        )
+
+    def is_calm(self, prefill: int, decode: int, mixed: int = 0) -> bool:
+        """Tells whether the zone is as wanted and nothing is in flight."""
+        if self.role_counts() != (prefill, decode, mixed):
+            return False
+        records = self.records().records.values()
+        return not any(record.in_flight() for record in records)
+
+    def order_logs(self) -> dict[str, list[dict[str, Any]]]:
+        """Returns what each engine says that it was ordered."""
+        return {
+            engine_id: call(engine.ready["port"], "GET", "/standin/log")[
+                "orders"
+            ]
+            for engine_id, engine in self.engines.items()
+        }
+
+    def lease_history(self) -> list[dict[str, Any]]:
+        """Returns every change of the lease key, oldest first."""
+        log = call(self.key_value.ready["port"], "GET", "/standin/log")
+        return [e for e in log["history"] if e["key"] == LEASE_KEY]
+
+
+def freeze(process: processes.Process) -> None:
+    """Stops a process at whatever instruction it is."""
+    process.signal(signal.SIGSTOP)
+
+
+def thaw(process: processes.Process) -> None:
+    """Lets a stopped process go on."""
+    process.signal(signal.SIGCONT)
+
+
+def _endpoint(process: processes.Process) -> dict[str, Any]:
+    return {"ip": "127.0.0.1", "port": process.ready["port"]}
+
+
+def _base64(data: bytes) -> str:
+    return base64.b64encode(data).decode()
