Add mulberryctl

Three shifts have to change one set of rules without overwriting each other, and the next shift must see what holds and what is half done. mulberryctl checks, plans, applies by compare-and-swap from the version that was edited, and waits until each node reports the new one, naming those behind or not reached. Taking the version at the time of writing as base was ruled out: it overwrites another shift's change without a conflict.

--- /dev/null
+++ b/src/mulberrywharf/programs/_ctl_arguments.py
@@ -0,0 +1,197 @@
+"""The command line of mulberryctl and its help."""
+
+import argparse
+import ipaddress
+
+from mulberrywharf.fleet import Address
+
+_DESCRIPTION = """\
+Reads and changes the rules of a deployment, and shows what its fleet does.
+
+A change of shift begins with:  mulberryctl handover
+A change of the rules:
+  mulberryctl show > rules.json     take the rules in force
+  (edit rules.json)
+  mulberryctl check rules.json      find faults and doubtful rules
+  mulberryctl plan rules.json       see what would change and why
+  mulberryctl apply rules.json --note "why"
+"""
+
+_EPILOG = """\
+exit codes:
+  0  done
+  1  the document has faults (with --strict: or warnings)
+  2  the command line cannot be used
+  3  another operator changed the rules first; nothing of yours was applied
+  4  the platform or the nodes cannot be reached
+  5  accepted, but not known to be in force on every node
+  6  a node refuses the operator's token
+"""
+
+_TOKEN_ENV = "MULBERRY_OPERATOR_TOKEN"
+
+
+def address(text: str) -> Address:
+    """Reads ``ip:port`` or ``[ip6]:port``; names are not looked up."""
+    ip, _, port = text.rpartition(":")
+    ip = ip.strip("[]")
+    try:
+        ipaddress.ip_address(ip)
+        number = int(port)
+    except ValueError:
+        number = -1
+    if not 0 < number <= 65_535:
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not an IP number and port, such as 10.0.0.1:2379"
+        )
+    return Address(ip, number)
+
+
+def _duration_s(text: str) -> float:
+    try:
+        value_s = float(text)
+    except ValueError:
+        value_s = -1.0
+    if not 0 <= value_s <= 3600:
+        raise argparse.ArgumentTypeError("a time from 0 to 3600 seconds")
+    return value_s
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Builds the parser of every command."""
+    parser = argparse.ArgumentParser(
+        prog="mulberryctl",
+        description=_DESCRIPTION,
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    _add_global_arguments(parser)
+    commands = parser.add_subparsers(
+        dest="command", required=True, metavar="COMMAND"
+    )
+    _add_document_commands(commands)
+    _add_reading_commands(commands)
+    return parser
+
+
+def _add_global_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--deployment", default="", help="name of the deployment"
+    )
+    parser.add_argument(
+        "--platform",
+        metavar="IP:PORT",
+        type=address,
+        action="append",
+        default=[],
+        help="key-value service; repeat it for each endpoint",
+    )
+    parser.add_argument(
+        "--vm-list",
+        metavar="IP:PORT",
+        type=address,
+        help="VM list; left out: the first --platform",
+    )
+    parser.add_argument(
+        "--node",
+        metavar="IP:PORT",
+        type=address,
+        action="append",
+        default=[],
+        help="admin listener of a node; repeat it for each. Left out: the "
+        "entry VMs in the VM list and the controllers that hold a lease",
+    )
+    parser.add_argument(
+        "--operator-token-env",
+        metavar="NAME",
+        default=_TOKEN_ENV,
+        help="environment variable with the operator's token "
+        "(default: %(default)s)",
+    )
+    parser.add_argument(
+        "--timeout-s",
+        type=_duration_s,
+        default=3.0,
+        help="for each call (default: %(default)s)",
+    )
+    parser.add_argument(
+        "--output",
+        choices=("text", "json"),
+        default="text",
+        help="json prints one object, also for errors",
+    )
+
+
+def _add_document_commands(commands: "argparse._SubParsersAction") -> None:
+    check = commands.add_parser(
+        "check",
+        help="find faults and doubtful rules in a document",
+        description="Checks a document without changing anything. Against "
+        "the fleet only when --platform or --vm-list is given.",
+    )
+    plan = commands.add_parser(
+        "plan",
+        help="show what a document would change, and why",
+        description="A dry run: the difference to the rules in force, and "
+        "for each zone which rule would count on what its controller sees "
+        "now, as if that lasted (for_s is not waited for).",
+    )
+    apply = commands.add_parser(
+        "apply",
+        help="put a document in force and wait until it is everywhere",
+        description="Checks the document, changes the configuration if "
+        "nobody else has since you took it, and waits until every node "
+        "reports the new version. Running it again with the same "
+        "--change-id never applies it twice.",
+    )
+    for command in (check, plan, apply):
+        command.add_argument("file", help="JSON with comments")
+        command.add_argument(
+            "--strict", action="store_true", help="treat warnings as faults"
+        )
+    _add_apply_arguments(apply)
+
+
+def _add_apply_arguments(apply: argparse.ArgumentParser) -> None:
+    apply.add_argument("--note", required=True, help="why, for the audit trail")
+    apply.add_argument(
+        "--author", required=True, help="your name, for the audit trail"
+    )
+    apply.add_argument(
+        "--base-version",
+        type=int,
+        help="version that you edited; left out: the line "
+        "'// base-version: N' that show wrote into the file. 0: none yet",
+    )
+    apply.add_argument(
+        "--change-id",
+        help="of an earlier run whose outcome is not known",
+    )
+    apply.add_argument(
+        "--wait-s",
+        type=_duration_s,
+        default=15.0,
+        help="how long to wait for the nodes (default: %(default)s)",
+    )
+
+
+def _add_reading_commands(commands: "argparse._SubParsersAction") -> None:
+    commands.add_parser("show", help="print the rules in force")
+    history = commands.add_parser(
+        "history", help="list the latest changes of the rules"
+    )
+    history.add_argument(
+        "--count", type=int, default=10, help="how many (default: 10)"
+    )
+    explain = commands.add_parser(
+        "explain",
+        help="say which rule counts in each zone, on which inputs",
+    )
+    explain.add_argument("--zone", help="only this availability zone")
+    commands.add_parser("status", help="show every node")
+    commands.add_parser(
+        "handover",
+        help="all that the next shift must know",
+        description="The rules in force, each engine's wanted and seen "
+        "state, and orders in flight with their reasons.",
+    )
--- /dev/null
+++ b/src/mulberrywharf/programs/_ctl_show.py
@@ -0,0 +1,85 @@
+"""``mulberryctl show`` and ``history``: the rules and how they came to be."""
+
+import json
+from collections.abc import Sequence
+from datetime import UTC, datetime
+
+from result import Err
+
+from mulberrywharf.errors import MulberryError, OperatorError
+from mulberrywharf.platform_service.configuration import Configuration
+from mulberrywharf.programs._ctl_context import Context
+from mulberrywharf.programs._ctl_result import CommandResult, ExitCode
+from mulberrywharf.programs._ctl_result import error_result as _error_result
+from mulberrywharf.rules.configuration import AuditEntry, DiffLine
+
+
+def run_show(context: Context) -> CommandResult:
+    """Prints the rules in force, ready to be edited and applied."""
+    found = _configuration(context)
+    if isinstance(found, CommandResult):
+        return found
+    lines = [
+        f"// base-version: {found.version}",
+        f"// changed {time_text(found.changed_unix_s)} by {found.author}",
+        json.dumps(found.document, indent=2),
+    ]
+    value = {
+        "version": found.version,
+        "change_id": found.change_id,
+        "author": found.author,
+        "changed_unix_s": found.changed_unix_s,
+        "document": found.document,
+    }
+    return CommandResult(ExitCode.OK, value, lines)
+
+
+def run_history(context: Context) -> CommandResult:
+    """Lists the latest changes, newest first."""
+    found = _configuration(context)
+    if isinstance(found, CommandResult):
+        return found
+    count = max(0, context.arguments.count)
+    entries = list(reversed(found.audit))[:count]
+    lines = [line for entry in entries for line in entry_lines(entry)]
+    return CommandResult(ExitCode.OK, {"changes": entries}, lines)
+
+
+def entry_lines(entry: AuditEntry) -> list[str]:
+    """Describes one change of the configuration."""
+    lines = [
+        f"version {entry['version']}  {time_text(entry['changed_unix_s'])}  "
+        f"{entry['author']}: {entry['note']}  (change {entry['change_id']})"
+    ]
+    return lines + diff_lines(entry["diff"])
+
+
+def diff_lines(changes: Sequence[DiffLine]) -> list[str]:
+    """Describes each place that a change touched."""
+    return [
+        f"  {change['path']}: {change['before'] or 'none'} -> "
+        f"{change['after'] or 'none'}"
+        for change in changes
+    ]
+
+
+def time_text(unix_s: float) -> str:
+    """Writes an instant in UTC, as all shifts read it."""
+    return datetime.fromtimestamp(unix_s, UTC).strftime("%Y-%m-%d %H:%M:%SZ")
+
+
+def _configuration(context: Context) -> Configuration | CommandResult:
+    found = context.configuration()
+    if isinstance(found, Err):
+        return _error_result(found.err_value)
+    if found.ok_value is None:
+        return _error_result(no_configuration())
+    return found.ok_value
+
+
+def no_configuration() -> MulberryError:
+    """Says that nobody has applied rules yet."""
+    return OperatorError(
+        "no configuration is in force",
+        advice="Write one and run: mulberryctl apply FILE --base-version 0",
+    )
--- a/src/mulberrywharf/rules/__init__.py
+++ b/src/mulberrywharf/rules/__init__.py
@@ -1,7 +1,7 @@
 """The operators' ordered rules: read, check, match, explain."""
 
 from mulberrywharf.rules.check import FleetSize, check
-from mulberrywharf.rules.configuration import AuditEntry, Configuration
+from mulberrywharf.rules.configuration import AuditEntry
 from mulberrywharf.rules.document import Actions, Conditions, Document, Rule
 from mulberrywharf.rules.explain import explain
 from mulberrywharf.rules.match import Match, match
@@ -14,7 +14,6 @@
     "Actions",
     "AuditEntry",
     "Conditions",
-    "Configuration",
     "Document",
     "FleetSize",
     "Match",
--- a/src/mulberrywharf/rules/configuration.py
+++ b/src/mulberrywharf/rules/configuration.py
@@ -1,15 +1,14 @@
-"""A configuration as it is stored: document, version and recent changes."""
+"""The audit trail of a configuration and the difference of two documents.
+
+The configuration itself, with its version and its stored bytes, is in
+``platform_service.configuration``.
+"""
 
 import json
-from typing import Annotated, NamedTuple
 
-import pydantic
-from result import Err, Ok, Result
 from typing_extensions import TypedDict
 
-from mulberrywharf.errors import Fault, RulesError
 from mulberrywharf.rules.document import ADAPTER, Document
-from mulberrywharf.rules.parse import check_value
 
 AUDIT_LIMIT_COUNT = 100
 """Changes that the stored value keeps; older ones are in the logs."""
@@ -40,84 +39,6 @@
     diff: list[DiffLine]
 
 
-class Configuration(NamedTuple):
-    """A configuration that was accepted.
-
-    Attributes:
-        version: Rises by one with each change.
-        change_id: Chosen by the author; tells whether a write took effect.
-        author: The operator.
-        changed_unix_s: When it was accepted.
-        document: What the operator wrote.
-        audit: The latest changes, oldest first.
-    """
-
-    version: int
-    change_id: str
-    author: str
-    changed_unix_s: float
-    document: Document
-    audit: tuple[AuditEntry, ...] = ()
-
-
-class _Stored(TypedDict):
-    """The stored value, whose document is checked apart."""
-
-    version: Annotated[int, pydantic.Field(ge=1)]
-    change_id: str
-    author: str
-    changed_unix_s: float
-    document: object
-    audit: list[AuditEntry]
-
-
-_STORED_ADAPTER: pydantic.TypeAdapter[_Stored] = pydantic.TypeAdapter(_Stored)
-
-
-def to_bytes(configuration: Configuration) -> bytes:
-    """Writes a configuration as the key-value service stores it."""
-    value = configuration._asdict()
-    value["audit"] = list(configuration.audit[-AUDIT_LIMIT_COUNT:])
-    return json.dumps(value, separators=(",", ":")).encode()
-
-
-def from_bytes(stored: bytes, source: str) -> Result[Configuration, RulesError]:
-    """Reads and checks a stored configuration.
-
-    Args:
-        stored: The value of the key.
-        source: Where it came from, for messages.
-
-    Returns:
-        The configuration, or every fault found in it.
-    """
-    try:
-        value = _STORED_ADAPTER.validate_json(stored)
-    except pydantic.ValidationError as error:
-        found = [
-            Fault(
-                ".".join(map(str, detail["loc"])) or "configuration",
-                detail["msg"],
-                "look who wrote the key; mulberryctl writes it in this form",
-            )
-            for detail in error.errors()
-        ]
-        return Err(RulesError(source, found))
-    document = check_value(value["document"], source)
-    if isinstance(document, Err):
-        return document
-    return Ok(
-        Configuration(
-            version=value["version"],
-            change_id=value["change_id"],
-            author=value["author"],
-            changed_unix_s=value["changed_unix_s"],
-            document=document.ok_value,
-            audit=tuple(value["audit"]),
-        )
-    )
-
-
 def diff(before: Document | None, after: Document) -> list[DiffLine]:
     """Lists every place in which two documents differ.
 
--- /dev/null
+++ b/tests/test_ctl.py
@@ -0,0 +1,359 @@
+"""mulberryctl: its exit codes and what each command tells."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+from mulberrywharf.authority import order_records
+from mulberrywharf.operators.situations import rule_status, situation_status
+from mulberrywharf.platform_service import config_store
+from mulberrywharf.rules.match import match_once
+from standins.vm_list import VmListStandin
+from tests import builders_operators as build
+from tests import builders_platform, builders_rules
+from tests.builders_platform import DEPLOYMENT
+
+FLAPPING = builders_rules.document(
+    builders_rules.rule("contracts", None, builders_rules.roles(prefill=0.5)),
+    default=builders_rules.roles(prefill=0.2),
+)
+PLAIN = builders_rules.document()
+
+
+def _write(content: Any, test: unittest.TestCase) -> str:
+    directory = tempfile.TemporaryDirectory(prefix="mulberry-test-")
+    test.addCleanup(directory.cleanup)
+    path = pathlib.Path(directory.name) / "rules.json"
+    text = content if isinstance(content, str) else json.dumps(content)
+    path.write_text(text, encoding="utf-8")
+    return str(path)
+
+
+class CheckTest(unittest.TestCase):
+    def test_exit_codes(self):
+        cases = [
+            (PLAIN, [], 0, "no fault, 0 warnings"),
+            (FLAPPING, [], 0, "warning: rules.0"),
+            (FLAPPING, ["--strict"], 1, "rules.0"),
+            ({"rules": []}, [], 1, "default: Field required"),
+            ("{", [], 1, "document"),
+        ]
+        for content, options, exit_code, text in cases:
+            with self.subTest(content=content, options=options):
+                path = _write(content, self)
+                found = build.run_ctl("check", path, *options)
+                self.assertEqual(found.exit_code, exit_code)
+                self.assertIn(text, found.stdout + found.stderr)
+
+    def test_faults_as_json(self):
+        path = _write({"rules": []}, self)
+        found = build.run_ctl("--output", "json", "check", path)
+        self.assertEqual(found.value()["faults"][0]["path"], "default")
+
+    def test_a_file_that_is_not_there(self):
+        self.assertEqual(build.run_ctl("check", "/no/such").exit_code, 1)
+
+    def test_as_a_process(self):
+        path = _write(PLAIN, self)
+        command = [sys.executable, "-m", "mulberrywharf.programs.ctl"]
+        done = subprocess.run(
+            [*command, "check", path], capture_output=True, timeout=60
+        )
+        self.assertEqual((done.returncode, done.stderr), (0, b""))
+
+
+class UsageTest(unittest.TestCase):
+    def test_arguments_that_cannot_be_used(self):
+        cases = [
+            [],
+            ["unknown"],
+            ["--platform", "localhost:1", "show"],
+            ["--platform", "127.0.0.1", "show"],
+            ["--platform", "127.0.0.1:99999", "show"],
+            ["--timeout-s", "-1", "show"],
+        ]
+        for arguments in cases:
+            with (
+                self.subTest(arguments=arguments),
+                mock.patch("sys.stderr"),
+                self.assertRaises(SystemExit) as raised,
+            ):
+                build.run_ctl(*arguments)
+            self.assertEqual(raised.exception.code, 2)
+
+    def test_no_platform(self):
+        for command in ("show", "history", "status", "explain", "handover"):
+            with self.subTest(command=command):
+                found = build.run_ctl(command)
+                self.assertEqual(found.exit_code, 2)
+                self.assertIn("next:", found.stderr)
+
+
+class LiveTest(unittest.TestCase):
+    """With a key-value service and nodes that follow it."""
+
+    def setUp(self):
+        patched = mock.patch.dict(
+            "os.environ", {"MULBERRY_OPERATOR_TOKEN": build.TOKEN}
+        )
+        patched.start()
+        self.addCleanup(patched.stop)
+        self.platform = self.enterContext(builders_platform.running_key_value())
+        self.client = builders_platform.client_for(self.platform.port)
+        self.addCleanup(self.client.close)
+        self.store = config_store.ConfigStore(self.client, DEPLOYMENT)
+
+    def ctl(self, *arguments: str, nodes: tuple[int, ...] = ()) -> Any:
+        options = ["--deployment", DEPLOYMENT, "--timeout-s", "2"]
+        options += ["--platform", f"127.0.0.1:{self.platform.port}"]
+        for port in nodes:
+            options += ["--node", f"127.0.0.1:{port}"]
+        return build.run_ctl(*options, *arguments)
+
+    def apply(
+        self,
+        content: Any,
+        *options: str,
+        nodes: tuple[int, ...] = (),
+        author: str = "ana",
+    ) -> Any:
+        path = _write(content, self)
+        common = ["--author", author, "--note", f"by {author}"]
+        return self.ctl("apply", path, *common, *options, nodes=nodes)
+
+    def node(self, **changes: Any) -> int:
+        """Starts a node that follows the configuration, unless told."""
+
+        def report() -> Any:
+            held = self.store.read().unwrap()
+            version = held.version if held else 0
+            return build.status(**({"config_version": version} | changes))
+
+        server = build.start_node(report)
+        self.addCleanup(server.close)
+        return server.port
+
+    def test_apply_waits_until_all_run_it(self):
+        nodes = (self.node(), self.node(vm_id="entry-2"))
+        found = self.apply(PLAIN, "--base-version", "0", nodes=nodes)
+        self.assertEqual(found.exit_code, 0, found)
+        self.assertIn("in force on all 2 nodes", found.stdout)
+        self.assertIn("entry-2", found.stdout)
+
+    def test_apply_names_nodes_behind_and_not_reached(self):
+        nodes = (
+            self.node(),
+            self.node(vm_id="entry-2", config_version=0),
+            builders_platform.closed_port(),
+        )
+        options = ["--base-version", "0", "--wait-s", "0.5"]
+        found = self.apply(PLAIN, *options, nodes=nodes)
+        self.assertEqual(found.exit_code, 5)
+        for text in (
+            "accepted as version 1",
+            "entry-1 router",
+            "still runs version 0",
+            f"127.0.0.1:{nodes[2]}: not reached",
+            "in force on 1 of 3 nodes",
+        ):
+            self.assertIn(text, found.stdout)
+
+    def test_the_loser_of_a_race_changes_nothing(self):
+        """Two shifts edit the same version; the later must not overwrite.
+
+        Symptom: a rule that one shift applied is gone without a trace.
+        Sequence: both take version 1; one applies; the other applies.
+        Cause: the second write took the version at its own time as base.
+        """
+        nodes = (self.node(),)
+        self.apply(PLAIN, "--base-version", "0", nodes=nodes)
+        shown = self.ctl("show").stdout
+        first = self.apply(
+            shown.replace('"hold"', '"prefer_zone": "hall-a", "hold"'),
+            nodes=nodes,
+        )
+        self.assertEqual(first.exit_code, 0, first)
+        second = self.apply(shown, nodes=nodes, author="luis")
+        self.assertEqual(second.exit_code, 3)
+        self.assertIn("by ana", second.stderr)
+        self.assertIn("default.prefer_zone", second.stderr)
+        held = self.store.read().unwrap()
+        self.assertEqual((held.version, held.author), (2, "ana"))
+
+    def test_a_lost_answer_applies_once(self):
+        """The write takes effect but its answer is lost.
+
+        Symptom: a change is refused as a conflict with itself, or stands
+        twice in the history.
+        Sequence: apply; the service writes; the connection breaks.
+        Cause: a lost answer was taken for a write that failed.
+        """
+        self.platform.faults["lose_answers_count"] = 1
+        nodes = (self.node(),)
+        found = self.apply(PLAIN, "--base-version", "0", nodes=nodes)
+        self.assertEqual(found.exit_code, 0, found)
+        self.assertEqual(len(self.store.read().unwrap().audit), 1)
+
+    def test_a_repeat_with_the_change_id_applies_once(self):
+        nodes = (self.node(),)
+        options = ["--base-version", "0", "--change-id", "c-1"]
+        for _ in range(2):
+            found = self.apply(PLAIN, *options, nodes=nodes)
+            self.assertEqual(found.exit_code, 0, found)
+        other = self.apply(FLAPPING, *options, nodes=nodes)
+        self.assertEqual(other.exit_code, 2)
+        self.assertEqual(self.store.read().unwrap().version, 1)
+
+    def test_a_service_that_lost_versions_is_not_written(self):
+        nodes = (self.node(config_version=9),)
+        found = self.apply(PLAIN, "--base-version", "0", nodes=nodes)
+        self.assertEqual(found.exit_code, 4)
+        self.assertIn("config-store-behind", found.stderr)
+        self.assertIsNone(self.store.read().unwrap())
+
+    def test_apply_asks_which_version_was_edited(self):
+        found = self.apply(PLAIN, nodes=(self.node(),))
+        self.assertEqual(found.exit_code, 2)
+        self.assertIn("--base-version", found.stderr)
+
+    def test_a_platform_that_is_away(self):
+        self.platform.faults["down"] = True
+        for command in ("show", "handover"):
+            with self.subTest(command=command):
+                found = self.ctl(command, nodes=(self.node(),))
+                self.assertEqual(found.exit_code, 4)
+
+    def test_a_token_that_is_refused(self):
+        with mock.patch.dict("os.environ", {"OTHER": "wrong"}):
+            found = self.ctl(
+                "--operator-token-env", "OTHER", "status", nodes=(self.node(),)
+            )
+        self.assertEqual(found.exit_code, 6)
+        self.assertIn("--operator-token-env", found.stderr)
+
+    def test_history_tells_who_changed_what(self):
+        nodes = (self.node(),)
+        self.apply(PLAIN, "--base-version", "0", nodes=nodes)
+        changed = builders_rules.document(default={"prefer_zone": "hall-b"})
+        self.apply(changed, "--base-version", "1", nodes=nodes, author="luis")
+        found = self.ctl("history", "--count", "1")
+        self.assertIn("luis: by luis", found.stdout)
+        self.assertIn('default.prefer_zone: none -> "hall-b"', found.stdout)
+        self.assertNotIn("by ana", found.stdout)
+
+    def controller(self, share: float = 0.7) -> int:
+        """Starts hall-a's active controller, which sees long prompts."""
+        view = builders_rules.situation(share)
+        engines = [build.engine_status(f"engine-{n}") for n in range(4)]
+        engines[0]["wanted_role"] = "prefill"
+        return self.node(
+            program="controller",
+            engines=engines,
+            lease={"held": True, "fencing_number": 7},
+            situation=situation_status(view),
+            rule=rule_status(match_once(FLAPPING, view), 1),
+        )
+
+    def test_plan_says_what_would_change_and_changes_nothing(self):
+        nodes = (self.controller(),)
+        self.apply(PLAIN, "--base-version", "0", nodes=nodes)
+        path = _write(FLAPPING, self)
+        found = self.ctl("plan", path, nodes=nodes)
+        self.assertEqual(found.exit_code, 0, found)
+        for text in (
+            "hall-a: rule default -> contracts",
+            "prefill_share_above 0.5: seen 0.7",
+            "engines wanted: prefill 2, decode 0, mixed 2",
+            "at least 4 role changes",
+            "rules.contracts.then.roles.prefill: none -> 0.5",
+        ):
+            self.assertIn(text, found.stdout)
+        self.assertEqual(self.store.read().unwrap().version, 1)
+
+    def test_explain_and_status(self):
+        nodes = (self.controller(), self.node(), 1)
+        found = self.ctl("explain", nodes=nodes)
+        self.assertIn("rule contracts (#1)", found.stdout)
+        self.assertEqual(
+            self.ctl("explain", "--zone", "hall-z", nodes=nodes).exit_code, 4
+        )
+        found = self.ctl("status", nodes=nodes)
+        self.assertIn("holds the lease", found.stdout)
+        self.assertIn("not reached: 127.0.0.1:1", found.stdout)
+
+    def test_handover_shows_wanted_seen_and_orders_in_flight(self):
+        nodes = (self.controller(), self.node())
+        self.apply(FLAPPING, "--base-version", "0", nodes=nodes)
+        record = order_records.OrderRecord(
+            order_id="o-1",
+            rule="contracts",
+            config_version=1,
+            fencing_number=7,
+            action="set-role",
+            role="prefill",
+            phase="sent",
+            recorded_unix_s=time.time() - 90,
+            reason="long contracts",
+        )
+        holder = order_records.Holder("entry-1", 7, False)
+        records = order_records.ZoneRecords(holder, {"engine-0": record})
+        self.client.compare_and_swap(
+            f"/mulberry/{DEPLOYMENT}/orders/hall-a",
+            order_records.encode(records, "7-1"),
+            expected_revision=0,
+            purpose="test",
+        ).unwrap()
+        found = self.ctl("handover", nodes=nodes)
+        self.assertEqual(found.exit_code, 0, found)
+        for text in (
+            "RULES: version 1",
+            "hall-a: controller on entry-1",
+            "engine-0: prefill / decode, reported 1.0 s ago  DIFFERS",
+            "engine-1: as it is / decode",
+            "sent for 9",
+            "LONG; rule contracts of version 1: long contracts",
+        ):
+            self.assertIn(text, found.stdout)
+        as_json = self.ctl("--output", "json", "handover", nodes=nodes).value()
+        self.assertTrue(as_json["engines"][0]["in_flight"])
+
+    def test_nodes_are_found_in_the_vm_list(self):
+        vm_list = VmListStandin()
+        vm_list.start()
+        self.addCleanup(vm_list.close)
+        node = {
+            "vm_id": "entry-1",
+            "kind": "entry",
+            "availability_zone": "hall-a",
+            "ip": "127.0.0.1",
+            "port": 1,
+            "operators_ip": "127.0.0.1",
+            "operators_port": self.node(),
+        }
+        vm_list.set_vms([node])
+        lease = {
+            "vm_id": "entry-1",
+            "operators_ip": "127.0.0.1",
+            "operators_port": self.controller(),
+        }
+        self.client.compare_and_swap(
+            f"/mulberry/{DEPLOYMENT}/controllers/hall-a",
+            json.dumps(lease).encode(),
+            expected_revision=0,
+            purpose="test",
+        ).unwrap()
+        address = f"127.0.0.1:{vm_list.port}"
+        found = self.ctl("--vm-list", address, "status")
+        self.assertEqual(found.exit_code, 0, found)
+        self.assertIn("entry-1 router", found.stdout)
+        self.assertIn("entry-1 controller", found.stdout)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_operators_server.py
+++ b/tests/test_operators_server.py
@@ -1,9 +1,7 @@
 """The admin listener: who gets what, readiness, drain and audit."""
 
-import hashlib
 import json
 import unittest
-from typing import Any
 
 import gevent.event
 from geventhttpclient import HTTPClient
@@ -12,9 +10,9 @@
 from mulberrywharf.clock import SystemClock
 from mulberrywharf.operators import audit
 from mulberrywharf.operators.server import OperatorsServer
-from mulberrywharf.operators.status import ADAPTER, StatusReport
+from mulberrywharf.operators.status import ADAPTER
+from tests import builders_operators as build
 
-TOKEN = "night shift token"
 GUARD_S = 10
 
 
@@ -23,39 +21,16 @@
     unittest.addModuleCleanup(logger.enable, "mulberrywharf")
 
 
-def _status() -> StatusReport:
-    return {
-        "vm_id": "entry-1",
-        "availability_zone": "hall-a",
-        "program": "router",
-        "config_version": 3,
-        "ready": True,
-        "engines": [],
-        "platform": {"key_value_age_s": 0.5, "vm_list_age_s": None},
-    }
-
-
 class OperatorsServerTest(unittest.TestCase):
     def setUp(self):
         self.drained_count = 0
         self.drained = gevent.event.Event()
         self.audit = audit.AuditLog(SystemClock(), limit_count=3)
-        settings: Any = {
-            "operators": {
-                "listen": {"ip": "127.0.0.1", "port": 0},
-                "tokens": [
-                    {"operator": "ana", "token_sha256_hex": "0" * 64},
-                    {
-                        "operator": "luis",
-                        "token_sha256_hex": hashlib.sha256(
-                            TOKEN.encode()
-                        ).hexdigest(),
-                    },
-                ],
-            }
-        }
         self.server = OperatorsServer.from_config(
-            settings, _status, self._drain, audit=self.audit
+            build.operators_settings(),
+            build.status,
+            self._drain,
+            audit=self.audit,
         )
         self.server.start()
         self.addCleanup(self.server.close)
@@ -85,7 +60,7 @@
             ("GET", "/status", "0" * 64, 401),
             ("POST", "/drain", None, 401),
             ("POST", "/drain", "wrong", 401),
-            ("POST", "/status", TOKEN, 404),
+            ("POST", "/status", build.TOKEN, 404),
             ("GET", "/other", None, 404),
         ]
         for method, path, token, expected in cases:
@@ -103,7 +78,7 @@
             self.audit.record(
                 audit.ConfigurationInForce(version, "ana", f"c{version}")
             )
-        status, body = self.ask("GET", "/status", TOKEN)
+        status, body = self.ask("GET", "/status", build.TOKEN)
         self.assertEqual(status, 200)
         report = ADAPTER.validate_json(body)
         self.assertEqual(report["config_version"], 3)
@@ -119,7 +94,7 @@
 
     def test_drain_begins_once(self):
         for _ in range(3):
-            self.assertEqual(self.ask("POST", "/drain", TOKEN)[0], 202)
+            self.assertEqual(self.ask("POST", "/drain", build.TOKEN)[0], 202)
         self.assertTrue(self.drained.wait(GUARD_S))
         self.assertEqual(self.drained_count, 1)
         lines = self.audit.lines()
--- a/tests/test_rules_document.py
+++ b/tests/test_rules_document.py
@@ -10,14 +10,7 @@
 
 from mulberrywharf.errors import RulesError
 from mulberrywharf.rules import parse
-from mulberrywharf.rules.configuration import (
-    AUDIT_LIMIT_COUNT,
-    AuditEntry,
-    Configuration,
-    diff,
-    from_bytes,
-    to_bytes,
-)
+from mulberrywharf.rules.configuration import diff
 from mulberrywharf.rules.document import DOCUMENT_LIMIT_BYTES
 from tests import builders_rules as build
 
@@ -254,38 +247,7 @@
         self.assertIsInstance(parse(json.dumps(value), "x"), (Ok, Err))
 
 
-class ConfigurationTest(unittest.TestCase):
-    def setUp(self):
-        self.entry = AuditEntry(
-            version=1,
-            change_id="c1",
-            author="ana",
-            changed_unix_s=5.0,
-            note="first",
-            diff=[],
-        )
-        self.configuration = Configuration(
-            1, "c1", "ana", 5.0, build.document(), (self.entry,)
-        )
-
-    def test_round_trip(self):
-        stored = to_bytes(self.configuration)
-        self.assertEqual(from_bytes(stored, "config").ok(), self.configuration)
-
-    def test_audit_is_bounded(self):
-        many = (self.entry,) * (AUDIT_LIMIT_COUNT + 5)
-        stored = to_bytes(self.configuration._replace(audit=many))
-        read = from_bytes(stored, "config").unwrap()
-        self.assertEqual(len(read.audit), AUDIT_LIMIT_COUNT)
-
-    def test_a_stored_value_that_is_damaged_is_refused(self):
-        stored = to_bytes(self.configuration)
-        bad_rules = to_bytes(self.configuration._replace(document={}))
-        for value in (b"", b"\xff", b"[]", stored[:-3], bad_rules):
-            with self.subTest(value=value[:20]):
-                found = from_bytes(value, "config")
-                self.assertIsInstance(found.err(), RulesError)
-
+class DiffTest(unittest.TestCase):
     def test_diff_names_what_changed(self):
         before = build.document(build.rule("a"), build.rule("b"))
         after = build.document(
--- a/tests/test_rules_match.py
+++ b/tests/test_rules_match.py
@@ -7,7 +7,6 @@
 from hypothesis import strategies as st
 
 from mulberrywharf.rules import Reading, Sustain, match, wanted_roles
-from mulberrywharf.rules.configuration import Configuration
 from mulberrywharf.rules.explain import explain, reason
 from mulberrywharf.rules.situation import utc_minute, within
 from mulberrywharf.rules.wanted import largest_remainder
@@ -266,10 +265,6 @@
         self.assertTrue(within(0, ["23:00", "01:00"]))
         self.assertFalse(within(60, ["23:00", "01:00"]))
 
-    def test_configuration_is_a_named_tuple(self):
-        built = Configuration(1, "c", "ana", 0.0, build.document())
-        self.assertEqual(built.version, 1)
-
 
 if __name__ == "__main__":
     unittest.main()
