--- a/standins/_http.py
+++ b/standins/_http.py
@@ -108,11 +108,16 @@
         **ready: Fields of the READY line beside the port.
     """
     server = start_server(ip, port, application)
-    gevent.signal_handler(signal.SIGTERM, os._exit, 0)
+    end_on_sigterm()
     _wsgi.announce_ready(**ready, port=server.port)
     server.serve_forever()
 
 
+def end_on_sigterm() -> None:
+    """Ends the process at once, with code 0, when SIGTERM comes."""
+    gevent.signal_handler(signal.SIGTERM, os._exit, 0)
+
+
 def start_server(ip: str, port: int, application: Any) -> _wsgi.WsgiServer:
     """Returns a running server whose requests carry their socket."""
     server = _wsgi.WsgiServer(ip, port, application)
