Split the controller by job and test its parts

Order ids that an engine has seen before are not sent again after a crash in mid-change, since it would ignore them as repeats.

--- /dev/null
+++ b/src/mulberrywharf/programs/_controller_records.py
@@ -0,0 +1,159 @@
+"""The order records as one controller keeps them under its lease."""
+
+from collections.abc import Mapping
+
+from result import Err, Ok, Result
+
+from mulberrywharf import clock as clocks
+from mulberrywharf import metrics
+from mulberrywharf.authority import order_records, quiet_time, record_store
+from mulberrywharf.operators import audit
+from mulberrywharf.programs import _controller_lease, _controller_options
+
+_CHANGES_KEPT_COUNT = 200
+
+_role_changes = metrics.counter(
+    "mulberry_controller_role_changes_total",
+    "Role changes that engines have carried out.",
+)
+
+
+class ZoneRecords:
+    """Claims the zone's records for a lease, then writes them.
+
+    Attributes:
+        takeover: How the lease was won.
+        change_ends_unix_s: When recent role changes ended.
+    """
+
+    def __init__(
+        self,
+        options: _controller_options.ZoneOptions,
+        store: record_store.RecordStore,
+        clock: clocks.Clock,
+        audit_log: audit.AuditLog,
+    ):
+        self._options = options
+        self._store = store
+        self._clock = clock
+        self._audit = audit_log
+        self._held: _controller_lease.HeldLease | None = None
+        self.takeover = quiet_time.Takeover(0.0, True)
+        self.change_ends_unix_s: tuple[float, ...] = ()
+
+    @property
+    def by_engine(self) -> Mapping[str, order_records.OrderRecord]:
+        """The latest order of each engine that has one."""
+        return self._store.zone_records.records
+
+    def claim(
+        self, held: _controller_lease.HeldLease
+    ) -> Result[None, record_store.StoreError]:
+        """Makes the records this process's own, once for each lease.
+
+        The first write of a lease changes the records' revision. From then
+        on a write that an earlier holder still has under way is refused.
+        """
+        if self._held is held and not self._store.must_load:
+            return Ok(None)
+        loaded = self._store.load()
+        if isinstance(loaded, Err):
+            return loaded
+        if self._held is held:
+            return Ok(None)
+        predecessor = loaded.ok_value.holder
+        claimed = self._write(held, loaded.ok_value.records, settled=False)
+        if isinstance(claimed, Err):
+            return claimed
+        self._held = held
+        self.takeover = quiet_time.Takeover(
+            acquired_s=held.acquired_s,
+            predecessor_unsettled=(
+                predecessor is not None and not predecessor.settled
+            ),
+        )
+        return Ok(None)
+
+    def change(
+        self,
+        held: _controller_lease.HeldLease,
+        changed: Mapping[str, order_records.OrderRecord],
+    ) -> Result[None, record_store.StoreError]:
+        """Stores all changed records in one write.
+
+        Args:
+            held: The lease under which they were changed.
+            changed: By engine id.
+        """
+        if not changed:
+            return Ok(None)
+        before = dict(self.by_engine)
+        written = self._write(held, {**before, **changed}, settled=False)
+        if isinstance(written, Ok):
+            for engine_id, record in changed.items():
+                self._note(engine_id, before.get(engine_id), record)
+        return written
+
+    def fail(
+        self,
+        held: _controller_lease.HeldLease,
+        engine_id: str,
+        order_id: str,
+        reason: str,
+    ) -> Result[None, record_store.StoreError]:
+        """Settles an order that the engine will never carry out."""
+        record = self.by_engine.get(engine_id)
+        if record is None or record.order_id != order_id:
+            return Ok(None)
+        failed = record._replace(phase="failed", reason=reason)
+        return self.change(held, {engine_id: failed})
+
+    def mark_settled(self, held: _controller_lease.HeldLease) -> None:
+        """Tells the next holder that no order can still be on its way.
+
+        The caller knows that of its own orders. Those of its predecessor
+        may still arrive until the quiet time is over.
+        """
+        if self._held is not held:
+            return
+        if self._options.quiet.all_over(
+            self.takeover, self._clock.monotonic_s()
+        ):
+            self._write(held, self.by_engine, settled=True)
+
+    def _write(
+        self,
+        held: _controller_lease.HeldLease,
+        records: Mapping[str, order_records.OrderRecord],
+        *,
+        settled: bool,
+    ) -> Result[None, record_store.StoreError]:
+        holder = order_records.Holder(
+            self._options.vm_id, held.fencing_number, settled
+        )
+        zone_records = order_records.ZoneRecords(holder, dict(records))
+        return self._store.write(zone_records, held.proof())
+
+    def _note(
+        self,
+        engine_id: str,
+        before: order_records.OrderRecord | None,
+        record: order_records.OrderRecord,
+    ) -> None:
+        self._audit.record(
+            audit.OrderChanged(
+                engine_id,
+                record.order_id,
+                f"{record.action} {record.model or record.role}",
+                record.phase,
+                record.fencing_number,
+                record.reason,
+            )
+        )
+        if record.phase != "applied" or record.action != "set-role":
+            return
+        if before is not None and before.phase == "applied":
+            return
+        _role_changes.inc({"role": record.role})
+        ends = (*self.change_ends_unix_s, record.recorded_unix_s)
+        self.change_ends_unix_s = ends[-_CHANGES_KEPT_COUNT:]
--- a/src/mulberrywharf/programs/_controller_status.py
+++ b/src/mulberrywharf/programs/_controller_status.py
@@ -3,12 +3,12 @@
 from mulberrywharf import settings
 from mulberrywharf.authority import order_records, reconcile
 from mulberrywharf.operators import situations, status
-from mulberrywharf.programs import _controller_lease, _controller_zone
+from mulberrywharf.programs import _controller_lease, _controller_observer
 
 
 def build(
     config: settings.Settings,
-    view: _controller_zone.ZoneView,
+    view: _controller_observer.ZoneView,
     held: _controller_lease.HeldLease | None,
     *,
     config_version: int,
--- a/src/mulberrywharf/programs/controller.py
+++ b/src/mulberrywharf/programs/controller.py
@@ -31,6 +31,9 @@
 )
 from mulberrywharf.programs import (
     _controller_lease,
+    _controller_observer,
+    _controller_options,
+    _controller_records,
     _controller_sending,
     _controller_status,
     _controller_weights,
@@ -81,15 +84,15 @@
         )
         fuse = lease_fuse.LeaseFuse(
             clock,
-            margin_s=_controller_zone.clock_margin_s(config),
-            user_timeout_s=_controller_zone.user_timeout_s(config),
+            margin_s=_controller_options.clock_margin_s(config),
+            user_timeout_s=_controller_options.user_timeout_s(config),
             enabled=mechanisms.fuse,
         )
         self._keeper = _controller_lease.LeaseKeeper.from_config(
             config, self._key_value, fuse, clock, self._audit
         )
         sender = _controller_sending.OrderSender(
-            fuse, user_timeout_s=_controller_zone.user_timeout_s(config)
+            fuse, user_timeout_s=_controller_options.user_timeout_s(config)
         )
         self._keeper.on_step_down = sender.drop_all
         self._zone = self._make_zone(sender, mechanisms)
@@ -138,26 +141,31 @@
     ) -> _controller_zone.ZoneController:
         deployment = self._config["deployment"]
         zone = self._config["availability_zone"]
-        options = _controller_zone.options_from_config(
+        options = _controller_options.ZoneOptions.from_config(
             self._config, self._keeper.ttl_s
         )
         if not mechanisms.quiet:
             options = options._replace(quiet=options.quiet._replace(off=True))
+        store = record_store.RecordStore(
+            self._key_value,
+            f"/mulberry/{deployment}/orders/{zone}",
+            guarded=mechanisms.guard,
+        )
+        vm_source = _controller_observer.VmSource(
+            self._vm_list.vms, self._vm_list.age_s
+        )
         return _controller_zone.ZoneController(
             options,
+            self._clock,
             keeper=self._keeper,
-            store=record_store.RecordStore(
-                self._key_value,
-                f"/mulberry/{deployment}/orders/{zone}",
-                guarded=mechanisms.guard,
+            observer=_controller_observer.ZoneObserver(
+                options, self._clock, vm_source, self._configuration.current
+            ),
+            records=_controller_records.ZoneRecords(
+                options, store, self._clock, self._audit
             ),
             sender=sender,
             weights=self._weights,
-            engine_vms=self._vm_list.vms,
-            vm_list_age_s=self._vm_list.age_s,
-            current_configuration=self._configuration.current,
-            clock=self._clock,
-            audit_log=self._audit,
         )
 
     def _status(self) -> status.StatusReport:
--- /dev/null
+++ b/tests/test_reconcile.py
@@ -0,0 +1,166 @@
+"""What follows from an engine's record, its report and the wanted state."""
+
+import unittest
+
+from mulberrywharf.authority import reconcile
+from tests import builders_authority
+
+_HOLDER = reconcile.Holder(fencing_number=7, quiet=False, clock_margin_s=0.5)
+_PREFILL = reconcile.WantedEngine(role="prefill", rule="day", config_version=3)
+_MIXED = _PREFILL._replace(role="mixed")
+_CONTEXT = reconcile.StepContext(7, "new-order", 2_000.0)
+
+_report = builders_authority.load_report
+_record = builders_authority.order_record
+
+
+def _find(
+    *, wanted=_PREFILL, record=None, report=None, holder=_HOLDER
+) -> reconcile.Finding:
+    facts = reconcile.EngineFacts("engine-1", wanted, record, report)
+    return reconcile.find(facts, holder)
+
+
+class FindTest(unittest.TestCase):
+    def test_settled_engines(self):
+        loading = _PREFILL._replace(role="", model="waiver", adapter="es")
+        both = ("verdict", "waiver")
+        cases = (
+            ("no report", _PREFILL, None, reconcile.Unseen),
+            ("as wanted", _PREFILL, _report(role="prefill"), reconcile.InOrder),
+            ("no configuration", None, _report(), reconcile.InOrder),
+            ("other role", _PREFILL, _report(), "set-role"),
+            ("failed", _MIXED, _report(state="failed"), "set-role"),
+            ("no model", loading, _report(), "load-model"),
+            ("no adapter", loading, _report(models=both), "load-model"),
+            ("drain", _MIXED._replace(drained=True), _report(), "drain"),
+            ("resume", _MIXED, _report(state="draining"), "resume"),
+            (
+                "changing",
+                _PREFILL,
+                _report(state="changing"),
+                reconcile.Waiting,
+            ),
+        )
+        for name, wanted, report, expected in cases:
+            with self.subTest(name):
+                finding = _find(wanted=wanted, report=report)
+                if isinstance(expected, str):
+                    self.assertIsInstance(finding, reconcile.Astray)
+                    self.assertEqual(finding.action, expected)
+                else:
+                    self.assertIsInstance(finding, expected)
+
+    def test_orders_in_flight(self):
+        done = _report(role="prefill", order_id="order-1")
+        fresh = _report(reported_unix_s=901.0)
+        other = _record(fencing_number=5)
+        draining = _record(phase="draining")
+        cases = (
+            ("applied", _record(), _PREFILL, done, reconcile.Applied),
+            ("lost", _record(), _PREFILL, fresh, reconcile.Unfinished),
+            ("unwanted, own", _record(), _MIXED, fresh, reconcile.Unfinished),
+            ("unwanted, old", other, _MIXED, fresh, reconcile.Superseded),
+            ("unwanted drain", draining, _MIXED, fresh, reconcile.Superseded),
+            ("unknown wish", draining, None, fresh, reconcile.Unfinished),
+            (
+                "unwanted, old, but the report is older",
+                other,
+                _MIXED,
+                _report(reported_unix_s=900.2),
+                reconcile.Unfinished,
+            ),
+        )
+        for name, record, wanted, report, expected in cases:
+            with self.subTest(name):
+                finding = _find(wanted=wanted, record=record, report=report)
+                self.assertIsInstance(finding, expected)
+
+    def test_a_crash_in_mid_change_is_seen(self):
+        """An engine crashes in mid-change and comes back as nobody ordered.
+
+        Symptom: the engine stays failed for ever, since its order is in
+        flight and repeating the same id is ignored as a duplicate.
+        """
+        crashed = (
+            _report(state="failed", role="decode"),
+            _report(state="ready", role="decode", order_id="order-1"),
+        )
+        for report in crashed:
+            with self.subTest(state=report.state):
+                finding = _find(record=_record(), report=report)
+                self.assertIsInstance(finding, reconcile.Broken)
+        old = _report(state="failed", reported_unix_s=900.1)
+        self.assertIsInstance(
+            _find(record=_record(), report=old), reconcile.Unfinished
+        )
+
+    def test_an_engine_that_lost_its_ordered_role_is_noticed(self):
+        record = _record(phase="applied")
+        finding = _find(record=record, report=_report(role="decode"))
+        self.assertTrue(finding.unordered)
+        self.assertEqual(finding.wanted.role, "prefill")
+
+    def test_quiet_time_forbids_all_but_taking_notice(self):
+        quiet = _HOLDER._replace(quiet=True)
+        done = _report(role="prefill", order_id="order-1")
+        self.assertIsInstance(
+            _find(record=_record(), report=done, holder=quiet),
+            reconcile.Applied,
+        )
+        for record in (None, _record(), _record(phase="draining")):
+            with self.subTest(record=record):
+                finding = _find(record=record, report=_report(), holder=quiet)
+                self.assertIsInstance(finding, reconcile.Waiting)
+
+
+class NextStepTest(unittest.TestCase):
+    def test_a_change_drains_before_it_is_sent(self):
+        """A planned change must cut no stream.
+
+        Symptom: a verdict ends half way when its engine changes role. The
+        change is sent only once a report that was taken after the engine
+        stopped new work says that it has none left.
+        """
+        step = reconcile.next_step(_find(report=_report()), _CONTEXT)
+        self.assertEqual(step.record.phase, "draining")
+        self.assertTrue(step.planned and step.sends_drain)
+        self.assertFalse(step.sends_order)
+        cases = (
+            ("ready", 0, 0, True, False),
+            ("draining", 1, 0, False, False),
+            ("draining", 0, 1, False, False),
+            ("draining", 0, 0, False, True),
+        )
+        for state, running, waiting, drains, sends in cases:
+            with self.subTest(state=state, running=running, waiting=waiting):
+                report = _report(
+                    state=state, running_count=running, waiting_count=waiting
+                )
+                finding = _find(record=_record(phase="draining"), report=report)
+                step = reconcile.next_step(finding, _CONTEXT)
+                self.assertEqual(step.sends_drain, drains)
+                self.assertEqual(step.sends_order, sends)
+
+    def test_a_failed_engine_is_not_drained(self):
+        step = reconcile.next_step(
+            _find(report=_report(state="failed")), _CONTEXT
+        )
+        self.assertTrue(step.sends_order)
+        self.assertEqual(step.record.phase, "sent")
+
+    def test_a_taken_over_order_is_recorded_anew_before_it_is_sent(self):
+        record = _record(fencing_number=5)
+        finding = _find(record=record, report=_report())
+        step = reconcile.next_step(finding, _CONTEXT)
+        self.assertEqual(step.record.fencing_number, 7)
+        self.assertEqual(step.record.order_id, record.order_id)
+
+    def test_a_dropped_order_no_longer_says_the_role(self):
+        finding = reconcile.Superseded(_record(phase="draining"))
+        step = reconcile.next_step(finding, _CONTEXT)
+        self.assertEqual((step.record.phase, step.record.role), ("failed", ""))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_role_planner.py
@@ -0,0 +1,143 @@
+"""The role planner weighs goodput against changes, on an old picture."""
+
+import unittest
+
+from mulberrywharf.policy import planner_baselines, role_planner
+
+_NOW_S = 10_000.0
+_OPTIONS = role_planner.PlannerSettings(away_s=5.0)
+_PROMPT_HEAVY = role_planner.Demand(60_000.0, 2_000.0, age_s=1.0)
+
+
+def _engine(index: int, role: str, **changes) -> role_planner.PlannerEngine:
+    engine = role_planner.PlannerEngine(
+        engine_id=f"engine-{index}",
+        role=role,  # type: ignore[arg-type]
+        usable=True,
+        prefill_tokens_per_s=20_000.0,
+        decode_tokens_per_s=4_000.0,
+        reported_unix_s=_NOW_S - 1.0,
+    )
+    return engine._replace(**changes)
+
+
+def _view(
+    roles: str = "pdddd",
+    demand: role_planner.Demand | None = _PROMPT_HEAVY,
+    **changes,
+) -> role_planner.PlannerView:
+    names = {"p": "prefill", "d": "decode", "m": "mixed"}
+    engines = tuple(_engine(i, names[r]) for i, r in enumerate(roles))
+    return role_planner.PlannerView(engines, demand)._replace(**changes)
+
+
+def _plan(
+    view: role_planner.PlannerView, **options
+) -> role_planner.RoleChange | role_planner.Stay:
+    return role_planner.plan(view, _OPTIONS._replace(**options), _NOW_S)
+
+
+class FreePlanTest(unittest.TestCase):
+    def test_a_mix_swing_moves_an_engine(self):
+        plan = _plan(_view())
+        self.assertIsInstance(plan, role_planner.RoleChange)
+        self.assertNotEqual(plan.role, "decode")
+
+    def test_what_holds_it_back(self):
+        old = tuple(
+            e._replace(reported_unix_s=_NOW_S - 30.0) for e in _view().engines
+        )
+        dwelling = tuple(
+            e._replace(last_change_unix_s=_NOW_S - 5.0) for e in _view().engines
+        )
+        cases = (
+            ("one at a time", _view(in_change_count=1), {}),
+            ("no demand known", _view(demand=None), {}),
+            (
+                "demand too old",
+                _view(demand=_PROMPT_HEAVY._replace(age_s=60.0)),
+                {},
+            ),
+            ("dwell", _view(engines=dwelling), {}),
+            (
+                "reports older than the last change",
+                _view(engines=old, change_ends_unix_s=(_NOW_S - 20.0,)),
+                {},
+            ),
+            (
+                "budget",
+                _view(change_ends_unix_s=(_NOW_S - 99.0, _NOW_S - 98.0)),
+                {"budget_count": 2},
+            ),
+            ("price of a change", _view(), {"role_change_weight": 1e6}),
+            ("goodput doesn't count", _view(), {"goodput_weight": 0.0}),
+            (
+                "all is served",
+                _view(demand=role_planner.Demand(100.0, 100.0, 1.0)),
+                {},
+            ),
+        )
+        for name, view, options in cases:
+            with self.subTest(name):
+                plan = _plan(view, **options)
+                self.assertIsInstance(plan, role_planner.Stay, plan)
+
+    def test_it_settles(self):
+        view = _view("pdddd")
+        for _ in range(10):
+            plan = _plan(view)
+            if isinstance(plan, role_planner.Stay):
+                return
+            engines = tuple(
+                e._replace(role=plan.role)
+                if e.engine_id == plan.engine_id
+                else e
+                for e in view.engines
+            )
+            view = view._replace(engines=engines)
+        self.fail("still changing after ten changes")
+
+    def test_the_last_engine_of_a_phase_stays(self):
+        plan = _plan(_view("pd"))
+        if isinstance(plan, role_planner.RoleChange):
+            self.assertEqual(plan.role, "mixed")
+
+    def test_the_eager_baseline_ignores_price_and_age(self):
+        view = _view(demand=_PROMPT_HEAVY._replace(age_s=60.0))
+        options = _OPTIONS._replace(role_change_weight=1e6)
+        eager = planner_baselines.plan_eager(view, options, _NOW_S)
+        static = planner_baselines.plan_static(view, options, _NOW_S)
+        self.assertIsInstance(eager, role_planner.RoleChange)
+        self.assertIsInstance(static, role_planner.Stay)
+
+
+class TargetTest(unittest.TestCase):
+    def test_it_reaches_the_split_that_the_rules_fix(self):
+        target = role_planner.RoleCounts(3, 1, 1)
+        view = _view("ddddd", demand=None, target=target)
+        for _ in range(4):
+            plan = _plan(view)
+            assert isinstance(plan, role_planner.RoleChange)
+            engines = tuple(
+                e._replace(role=plan.role)
+                if e.engine_id == plan.engine_id
+                else e
+                for e in view.engines
+            )
+            view = view._replace(engines=engines)
+        self.assertIsInstance(_plan(view), role_planner.Stay)
+        surplus = role_planner.surplus_by_role(view.engines, target)
+        self.assertEqual(set(surplus.values()), {0})
+
+    def test_the_least_busy_engine_goes_first(self):
+        engines = (
+            _engine(0, "decode", running_count=9),
+            _engine(1, "decode", running_count=2),
+            _engine(2, "decode", usable=False),
+        )
+        view = _view(engines=engines, target=role_planner.RoleCounts(1, 2, 0))
+        self.assertEqual(_plan(view).engine_id, "engine-1")
+
+
+if __name__ == "__main__":
+    unittest.main()
