Show a handover during outages and read commented rules fast

A shift also changes while the key-value service is away, and handover then showed only an error: one failing source hid the others. It now joins configuration, order records and nodes, shows what can be read, names what cannot and exits 5. A faster json5 library was ruled out as another dependency.

--- a/src/mulberrywharf/programs/_ctl_arguments.py
+++ b/src/mulberrywharf/programs/_ctl_arguments.py
@@ -14,7 +14,7 @@
   (edit rules.json)
   mulberryctl check rules.json      find faults and doubtful rules
   mulberryctl plan rules.json       see what would change and why
-  mulberryctl apply rules.json --note "why"
+  mulberryctl apply rules.json --author NAME --note "why"
 """
 
 _EPILOG = """\
@@ -24,10 +24,12 @@
   2  the command line cannot be used
   3  another operator changed the rules first; nothing of yours was applied
   4  the platform or the nodes cannot be reached
-  5  accepted, but not known to be in force on every node
+  5  apply: accepted, but not known to be in force on every node;
+     handover: part of the picture could not be read
   6  a node refuses the operator's token
 """
 
+_AUDIT_TEXT_LIMIT_COUNT = 500
 _TOKEN_ENV = "MULBERRY_OPERATOR_TOKEN"
 
 
@@ -57,6 +59,18 @@
     return value_s
 
 
+def _audit_text(text: str) -> str:
+    # Others read this in their terminals; control characters could hide or
+    # forge lines of the history there.
+    if not text.strip() or len(text) > _AUDIT_TEXT_LIMIT_COUNT:
+        raise argparse.ArgumentTypeError(
+            f"1 to {_AUDIT_TEXT_LIMIT_COUNT} characters"
+        )
+    if not text.isprintable():
+        raise argparse.ArgumentTypeError("one line of printable characters")
+    return text
+
+
 def build_parser() -> argparse.ArgumentParser:
     """Builds the parser of every command."""
     parser = argparse.ArgumentParser(
@@ -153,9 +167,17 @@
 
 
 def _add_apply_arguments(apply: argparse.ArgumentParser) -> None:
-    apply.add_argument("--note", required=True, help="why, for the audit trail")
     apply.add_argument(
-        "--author", required=True, help="your name, for the audit trail"
+        "--note",
+        required=True,
+        type=_audit_text,
+        help="why, for the audit trail",
+    )
+    apply.add_argument(
+        "--author",
+        required=True,
+        type=_audit_text,
+        help="your name, for the audit trail",
     )
     apply.add_argument(
         "--base-version",
@@ -165,6 +187,7 @@
     )
     apply.add_argument(
         "--change-id",
+        type=_audit_text,
         help="of an earlier run whose outcome is not known",
     )
     apply.add_argument(
--- a/src/mulberrywharf/programs/_ctl_handover.py
+++ b/src/mulberrywharf/programs/_ctl_handover.py
@@ -1,15 +1,21 @@
-"""``mulberryctl handover``: all that the next shift must know."""
+"""``mulberryctl handover``: all that the next shift must know.
+
+Its three sources fail apart: the configuration and the order records in the
+key-value service, and the nodes. A shift also changes during an outage, so
+whatever can be read is shown, and what cannot is named.
+"""
 
 import time
 from typing import NamedTuple
 
 from result import Err
 
-from mulberrywharf.authority.order_records import OrderRecord
+from mulberrywharf.errors import MulberryError, NotAuthorisedError, UsageError
 from mulberrywharf.operators.client import NodeAnswer
-from mulberrywharf.operators.status import EngineStatus
+from mulberrywharf.platform_service.configuration import Configuration
 from mulberrywharf.programs import _ctl_show
 from mulberrywharf.programs._ctl_context import Context
+from mulberrywharf.programs._ctl_engines import EngineLine, join_engines
 from mulberrywharf.programs._ctl_nodes import (
     active_controllers,
     ask_nodes,
@@ -25,39 +31,70 @@
 
 _LATEST_CHANGES_COUNT = 3
 _LONG_IN_FLIGHT_S = 60.0
+_SOURCES_COUNT = 3
 
 
-class _EngineLine(NamedTuple):
-    """One engine: what is wanted of it, what is seen, and its order."""
+class _Picture(NamedTuple):
+    """What could be read.
 
-    engine_id: str
-    availability_zone: str
-    wanted: str
-    seen: str
-    seen_age_s: float | None
-    order: OrderRecord | None
+    Attributes:
+        configuration: In the key-value service, or None.
+        answers: Of the nodes.
+        engines: Wanted and seen, with their orders.
+        failures: Sources that could not be read.
+    """
 
-    def differs(self) -> bool:
-        """Tells whether what is seen is known not to be what is wanted."""
-        return self.wanted not in ("", self.seen)
+    configuration: Configuration | None
+    answers: list[NodeAnswer]
+    engines: list[EngineLine]
+    failures: list[MulberryError]
 
 
 def run(context: Context) -> CommandResult:
     """Shows the rules, the engines and the orders in flight."""
+    picture = _read(context)
+    # A wrong command line or token is the operator's to correct, at once.
+    for error in picture.failures:
+        if isinstance(error, (UsageError, NotAuthorisedError)):
+            return error_result(error)
+    if len(picture.failures) == _SOURCES_COUNT:
+        return error_result(picture.failures[0])
+    lines = [
+        *_rule_lines(picture.configuration),
+        *_zone_lines(picture.answers),
+        *_engine_lines(picture.engines),
+        *_order_lines(picture.engines, time.time()),
+        *_node_lines(picture),
+        *_failure_lines(picture.failures),
+    ]
+    is_partial = picture.failures or missing_lines(picture.answers)
+    code = ExitCode.NOT_EVERYWHERE if is_partial else ExitCode.OK
+    return CommandResult(code, _value(picture), lines)
+
+
+def _read(context: Context) -> _Picture:
+    failures: list[MulberryError] = []
     current = context.configuration()
     if isinstance(current, Err):
-        return error_result(current.err_value)
-    configuration = current.ok_value
-    if configuration is None:
-        return error_result(_ctl_show.no_configuration())
+        failures.append(current.err_value)
     orders = context.order_records()
     if isinstance(orders, Err):
-        return error_result(orders.err_value)
+        failures.append(orders.err_value)
     asked = ask_nodes(context)
     if isinstance(asked, Err):
-        return error_result(asked.err_value)
-    answers = asked.ok_value
-    engines = _engines(answers, orders.ok_value)
+        failures.append(asked.err_value)
+    answers = asked.unwrap_or([])
+    return _Picture(
+        configuration=current.unwrap_or(None),
+        answers=answers,
+        engines=join_engines(reports(answers), orders.unwrap_or({})),
+        failures=failures,
+    )
+
+
+def _rule_lines(configuration: Configuration | None) -> list[str]:
+    if configuration is None:
+        return ["RULES: none could be read"]
     lines = [
         f"RULES: version {configuration.version}, changed "
         f"{_ctl_show.time_text(configuration.changed_unix_s)} by "
@@ -65,74 +102,7 @@
     ]
     for entry in reversed(configuration.audit[-_LATEST_CHANGES_COUNT:]):
         lines.append(f"  {_ctl_show.entry_lines(entry)[0]}")
-    lines += _zone_lines(answers)
-    lines += _engine_lines(engines)
-    lines += _order_lines(engines, time.time())
-    lines += _node_lines(answers, configuration.version)
-    value = {
-        "version": configuration.version,
-        "changes": list(configuration.audit[-_LATEST_CHANGES_COUNT:]),
-        "zones": {
-            zone: report.get("rule")
-            for zone, report in active_controllers(answers).items()
-        },
-        "engines": [_engine_value(engine) for engine in engines],
-        "nodes": reports(answers),
-        "not_reached": missing_lines(answers),
-    }
-    return CommandResult(ExitCode.OK, value, lines)
-
-
-def _engines(
-    answers: list[NodeAnswer], orders: dict[str, OrderRecord]
-) -> list[_EngineLine]:
-    """Joins the newest report of each engine with its order record."""
-    seen: dict[str, EngineStatus] = {}
-    wanted: dict[str, str] = {}
-    for report in reports(answers):
-        for engine in report["engines"]:
-            engine_id = engine["engine_id"]
-            if _is_newer(engine, seen.get(engine_id)):
-                seen[engine_id] = engine
-            if engine.get("wanted_role"):
-                wanted[engine_id] = str(engine.get("wanted_role"))
-    return [
-        _engine_line(engine_id, seen.get(engine_id), wanted, orders)
-        for engine_id in sorted(seen.keys() | orders.keys())
-    ]
-
-
-def _engine_line(
-    engine_id: str,
-    status: EngineStatus | None,
-    wanted: dict[str, str],
-    orders: dict[str, OrderRecord],
-) -> _EngineLine:
-    order = orders.get(engine_id)
-    ordered = order.role if order and order.action == "set-role" else ""
-    return _EngineLine(
-        engine_id=engine_id,
-        availability_zone=status["availability_zone"] if status else "",
-        wanted=wanted.get(engine_id, ordered),
-        seen=_seen_text(status),
-        seen_age_s=status["report_age_s"] if status else None,
-        order=order,
-    )
-
-
-def _seen_text(status: EngineStatus | None) -> str:
-    if status is None:
-        return "unknown"
-    if status["seen_state"] == "ready":
-        return status["seen_role"]
-    return f"{status['seen_role']} {status['seen_state']}"
-
-
-def _is_newer(engine: EngineStatus, other: EngineStatus | None) -> bool:
-    if other is None or other["report_age_s"] is None:
-        return True
-    age_s = engine["report_age_s"]
-    return age_s is not None and age_s < other["report_age_s"]
+    return lines
 
 
 def _zone_lines(answers: list[NodeAnswer]) -> list[str]:
@@ -149,7 +119,7 @@
     return lines
 
 
-def _engine_lines(engines: list[_EngineLine]) -> list[str]:
+def _engine_lines(engines: list[EngineLine]) -> list[str]:
     lines = ["ENGINES (wanted / seen):"]
     for engine in engines:
         age_s = engine.seen_age_s
@@ -163,37 +133,64 @@
     return lines
 
 
-def _order_lines(engines: list[_EngineLine], now_unix_s: float) -> list[str]:
+def _order_lines(engines: list[EngineLine], now_unix_s: float) -> list[str]:
     lines = []
     for engine in engines:
         order = engine.order
-        if order is None or not order.in_flight():
+        if order is None or not order["in_flight"]:
             continue
-        age_s = now_unix_s - order.recorded_unix_s
+        age_s = now_unix_s - order["recorded_unix_s"]
         late = "  LONG" if age_s > _LONG_IN_FLIGHT_S else ""
         lines.append(
-            f"  {engine.engine_id}: {order.action} {order.role}{order.model} "
-            f"{order.phase} for {age_s:.0f} s{late}; rule {order.rule} of "
-            f"version {order.config_version}: {order.reason}"
+            f"  {engine.engine_id}: {order['action']} {order['wanted']} "
+            f"{order['phase']} for {age_s:.0f} s{late}; rule {order['rule']} "
+            f"of version {order['config_version']}: {order['reason']}"
         )
-    return ["ORDERS IN FLIGHT:", *(lines or ["  none"])]
+    return ["ORDERS IN FLIGHT:", *(lines or ["  none known"])]
 
 
-def _node_lines(answers: list[NodeAnswer], version: int) -> list[str]:
+def _node_lines(picture: _Picture) -> list[str]:
+    found = reports(picture.answers)
+    configuration = picture.configuration
+    # Without the service, the highest version that a node runs is accepted.
+    versions = [report["config_version"] for report in found]
+    version = configuration.version if configuration else max([0, *versions])
     behind = [
         f"  {report['vm_id']} {report['program']} runs version "
-        f"{report['config_version']}"
-        for report in reports(answers)
+        f"{report['config_version']}, not {version}"
+        for report in found
         if report["config_version"] < version
     ]
-    missing = [f"  {line}" for line in missing_lines(answers)]
-    everything = f"  all {len(answers)} asked run version {version}"
-    return ["NODES:", *(behind + missing or [everything])]
+    missing = [f"  {line}" for line in missing_lines(picture.answers)]
+    everything = f"  all {len(found)} that answer run version {version}"
+    return ["NODES:", *(behind or [everything]), *missing]
+
+
+def _failure_lines(failures: list[MulberryError]) -> list[str]:
+    if not failures:
+        return []
+    lines = ["NOT KNOWN:"]
+    for error in failures:
+        lines.append(f"  {error.code}: {error.message}")
+        lines.append(f"    next: {error.advice}")
+    return lines
 
 
-def _engine_value(engine: _EngineLine) -> dict[str, object]:
-    order = engine.order
-    value = engine._asdict() | {"differs": engine.differs()}
-    value["order"] = order._asdict() if order else None
-    value["in_flight"] = bool(order and order.in_flight())
-    return value
+def _value(picture: _Picture) -> dict[str, object]:
+    configuration = picture.configuration
+    audit = configuration.audit if configuration else ()
+    return {
+        "version": configuration.version if configuration else None,
+        "changes": list(audit[-_LATEST_CHANGES_COUNT:]),
+        "zones": {
+            zone: report.get("rule")
+            for zone, report in active_controllers(picture.answers).items()
+        },
+        "engines": [
+            engine._asdict() | {"differs": engine.differs()}
+            for engine in picture.engines
+        ],
+        "nodes": reports(picture.answers),
+        "not_reached": missing_lines(picture.answers),
+        "not_known": [error.message for error in picture.failures],
+    }
--- a/src/mulberrywharf/rules/parse.py
+++ b/src/mulberrywharf/rules/parse.py
@@ -24,6 +24,9 @@
     "int_type": "write a whole number without quotation marks",
 }
 _ADVICE = "see docs/operators/rules.md for this field"
+_COMMENT_LINE = re.compile(
+    r"^[ \t]*//[^\r\n\u2028\u2029]*(?=\r?\n|\Z)", re.MULTILINE
+)
 _KNOWN_KEYS = sorted(
     {
         key
@@ -89,11 +92,14 @@
 
 
 def _read(text: str) -> object:
-    # The json5 reader is written in Python and some thousand times slower;
-    # a stored document is plain JSON and must not hold up a node's greenlets.
+    # The json5 reader is written in Python and some thousand times slower.
+    # Whole comment lines, which mulberryctl writes itself, are blanked first.
+    # That is safe: a JSON string cannot span lines, so a line of one never
+    # begins with a comment, and whatever is no plain JSON then goes to json5
+    # as it was written.
     try:
         return json.loads(
-            text,
+            _COMMENT_LINE.sub("", text),
             object_pairs_hook=_object,
             parse_constant=_refuse_constant,
         )
--- a/tests/test_rules_document.py
+++ b/tests/test_rules_document.py
@@ -1,9 +1,11 @@
 """Reading the configuration document: what is refused, and how."""
 
+import contextlib
 import json
 import unittest
 from typing import Any
 
+import json5
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err, Ok
@@ -12,6 +14,7 @@
 from mulberrywharf.rules import parse
 from mulberrywharf.rules.configuration import diff
 from mulberrywharf.rules.document import DOCUMENT_LIMIT_BYTES
+from mulberrywharf.rules.parse import _read
 from tests import builders_rules as build
 
 BOUNDED = settings(derandomize=True, max_examples=150, deadline=None)
@@ -54,6 +57,37 @@
             {"rules": [], "default": {"hold": True}},
         )
 
+    @given(
+        st.lists(
+            st.sampled_from(
+                [
+                    "// note",
+                    "  // /* note",
+                    "/* block",
+                    "// */",
+                    '"rules": [],',
+                    '"x": "a // b",',
+                    '"y": "// \\',
+                    '// ",',
+                    "// cut\u2028",
+                    '"default": {"hold": true}',
+                ]
+            ),
+            max_size=8,
+        ),
+        st.sampled_from(["\n", "\r\n", "\r"]),
+    )
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    def test_comment_lines_mean_what_json5_says(self, lines, line_end):
+        text = line_end.join(["{", *lines, "}"])
+        expected: object = None
+        with contextlib.suppress(ValueError):
+            expected = json5.loads(text, allow_duplicate_keys=False)
+        found: object = None
+        with contextlib.suppress(ValueError):
+            found = _read(text)
+        self.assertEqual(found, expected)
+
     def test_full_document(self):
         document = build.document(
             build.rule(
