Look at the peer without waiting for its bytes

A request that waited in the stand-in engine's queue got no answer until its caller left. The look whether the caller is still there used gevent's socket, whose recv waits for data even with MSG_DONTWAIT; the plain socket beneath tells at once. The batch and the queue were ruled out first: the run's tokens were there, unread. The test of overtaking hid it, since it did not check that its callers ended; it does now.

--- a/standins/_http.py
+++ b/standins/_http.py
@@ -58,20 +58,16 @@
 
 def is_peer_gone(environ: dict[str, Any]) -> bool:
     """Tells whether the other side closed its connection."""
-    sock = environ[SOCKET_KEY]
-    try:
-        raw = socket.socket(fileno=os.dup(sock.fileno()))
-    except OSError:
-        return True
+    # The plain socket beneath gevent's, whose own recv would wait for data
+    # instead of telling that there is none.
+    plain = environ[SOCKET_KEY]._sock
     try:
         flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        return raw.recv(1, flags) == b""
+        return bool(plain.recv(1, flags) == b"")
     except BlockingIOError:
         return False
     except OSError:
         return True
-    finally:
-        raw.close()
 
 
 def break_connection(environ: dict[str, Any]) -> None:
--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -167,7 +167,9 @@
                 lambda n=count: self.get(port, "/load")["waiting_count"] == n
             )
         self.post(port, "/v1/cancel", request_id="first")
-        gevent.joinall([first, *later], timeout=_WAIT_S)
+        callers = [first, *later]
+        ended = gevent.joinall(callers, timeout=_WAIT_S)
+        self.assertEqual(len(ended), len(callers))
         runs = self.get(port, "/standin/log")["runs"]
         self.assertEqual(
             [run["request_id"] for run in runs], ["first", "high", "low"]
