Add idempotency claims owned by lease and committed in groups

A second press of a payment may reach any entry VM, so the claim on its key must be agreed without a store of our own. Shards are owned by lease; an owner appends the claims of a few milliseconds to the shard's log in one compare-and-swap that is guarded by its ownership key.

--- /dev/null
+++ b/src/mulberrywharf/nodes/claim_client.py
@@ -0,0 +1,368 @@
+"""Asks the owners of claim shards on behalf of this node's callers."""
+
+import json
+import random
+from typing import NamedTuple
+
+import gevent
+import gevent.pool
+from result import Err, Ok, Result
+
+from mulberrywharf import clock, errors, fleet, metrics, settings
+from mulberrywharf.nodes import (
+    claim_log,
+    claim_owner,
+    claims,
+    links,
+    messages,
+)
+
+DEFAULT_TIMEOUT_S = 4.0
+DEFAULT_RUN_BOUND_S = 60.0
+
+_CALL_TIMEOUT_S = 3.0
+_FIRST_LOOKUP_DELAY_S = 0.1
+_LONGEST_LOOKUP_DELAY_S = 1.0
+_RELEASE_ATTEMPTS_COUNT = 10
+_LONGEST_RELEASE_DELAY_S = 30.0
+_RELEASES_LIMIT_COUNT = 1000
+_COMPLETE_TIMEOUT_S = 30.0
+_WAIT_SLICE_S = 20.0
+
+ClaimError = errors.ClaimUnavailableError | errors.KeyReuseError
+
+_outcomes = metrics.counter(
+    "mulberry_claims_total", "Claims asked for, by outcome."
+)
+
+
+class _Question(NamedTuple):
+    shard: int
+    message: messages.Message
+    timeout_s: float
+
+
+class ClaimClient:
+    """Claims, completes and releases for one node.
+
+    Attributes:
+        lookups_count: Reads of the owners' keys so far.
+    """
+
+    def __init__(
+        self,
+        store: claim_log.KeyValue,
+        node_links: links.Links,
+        owner: claim_owner.ClaimOwner,
+        own_vm_id: str,
+        callers_address: fleet.Address,
+        deployment: str,
+        *,
+        system_clock: clock.Clock | None = None,
+        shard_count: int = claims.SHARD_COUNT,
+    ):
+        self.lookups_count = 0
+        self._store = store
+        self._links = node_links
+        self._owner = owner
+        self._own_vm_id = own_vm_id
+        self._callers_address = callers_address
+        self._deployment = deployment
+        self._clock = system_clock or clock.SystemClock()
+        self._shard_count = shard_count
+        self._owners: dict[int, fleet.Address] = {}
+        self._own_shards: set[int] = set()
+        self._releases = gevent.pool.Pool(_RELEASES_LIMIT_COUNT)
+        self._next_lookup_s = 0.0
+        self._lookup_delay_s = _FIRST_LOOKUP_DELAY_S
+
+    @classmethod
+    def from_config(
+        cls,
+        config: settings.Settings,
+        store: claim_log.KeyValue,
+        node_links: links.Links,
+        owner: claim_owner.ClaimOwner,
+        callers_address: fleet.Address,
+    ) -> "ClaimClient":
+        """Makes the client of the node that the settings describe."""
+        return cls(
+            store,
+            node_links,
+            owner,
+            config["vm_id"],
+            callers_address,
+            config["deployment"],
+        )
+
+    def close(self) -> None:
+        """Gives up releases that are still being tried."""
+        self._releases.kill()
+
+    def claim(
+        self,
+        customer: str,
+        key: str,
+        body_digest: bytes,
+        request_id: str,
+        *,
+        run_bound_s: float = DEFAULT_RUN_BOUND_S,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> Result[claims.ClaimGranted | claims.ClaimMet, ClaimError]:
+        """Asks for the right to run a request.
+
+        Args:
+            customer: Who sent it.
+            key: The idempotency key.
+            body_digest: ``claims.digest`` of method, path and body.
+            request_id: The request.
+            run_bound_s: Time after which a run without a completion counts
+                as of unknown outcome; at most the window.
+            timeout_s: For an answer.
+
+        Returns:
+            ``ClaimGranted``: run it, then ``complete`` it, or ``release`` it
+            if no byte left. ``ClaimMet``: do not run it. ``KeyReuseError``:
+            the key came with another body. ``ClaimUnavailableError``: nobody
+            could confirm; the request is not run.
+        """
+        claim = claims.claim_id(customer, key)
+        token = random.getrandbits(63)
+        question = messages.ClaimRequest(
+            claim,
+            body_digest,
+            request_id,
+            token,
+            self._callers_address.ip,
+            self._callers_address.port,
+            run_bound_s,
+        )
+        reply = self._ask(claim, question, timeout_s, insist=True)
+        if reply is not None and reply.kind == "granted":
+            _outcomes.inc({"outcome": "granted"})
+            return Ok(claims.ClaimGranted(claim, token))
+        if reply is not None and reply.kind == "key-reused":
+            _outcomes.inc({"outcome": "key-reused"})
+            return Err(
+                errors.KeyReuseError(
+                    "the idempotency key was used with another request",
+                    advice="Use a new key for a new request.",
+                )
+            )
+        if reply is None or reply.kind == "unavailable":
+            # The claim may have been committed all the same; unless it is
+            # freed, the caller's next try would meet a run that never began.
+            if self._releases.free_count():
+                self._releases.spawn(self._release_quietly, claim, token)
+            _outcomes.inc({"outcome": "unavailable"})
+            return Err(_unavailable())
+        _outcomes.inc({"outcome": f"met-{reply.kind}"})
+        return Ok(_met(reply))
+
+    def wait(
+        self, customer: str, key: str, timeout_s: float
+    ) -> Result[claims.ClaimMet, errors.ClaimUnavailableError]:
+        """Waits until a run that was met has ended.
+
+        Returns:
+            The claim as it is at the end of the wait, ``in-progress`` if the
+            time ran out; an error if nobody knows the claim any more, such
+            as after a release, or no owner answered.
+        """
+        claim = claims.claim_id(customer, key)
+        deadline_s = self._clock.monotonic_s() + timeout_s
+        while True:
+            left_s = max(0.0, deadline_s - self._clock.monotonic_s())
+            slice_s = min(left_s, _WAIT_SLICE_S)
+            reply = self._ask(
+                claim,
+                messages.ClaimWait(claim, slice_s),
+                slice_s + _CALL_TIMEOUT_S,
+            )
+            if reply is None or reply.kind in ("not-found", "unavailable"):
+                return Err(_unavailable())
+            if reply.kind != "in-progress" or left_s <= slice_s:
+                return Ok(_met(reply))
+
+    def complete(
+        self,
+        granted: claims.ClaimGranted,
+        status: int,
+        answer: bytes,
+        *,
+        timeout_s: float = _COMPLETE_TIMEOUT_S,
+    ) -> Result[None, errors.ClaimUnavailableError]:
+        """Records the answer of a run; may run beside its delivery.
+
+        Args:
+            granted: What ``claim`` returned.
+            status: HTTP status of the answer.
+            answer: Its body; kept only up to ``ANSWER_LIMIT_BYTES``.
+            timeout_s: How long to try.
+
+        Returns:
+            An error if no owner confirmed: the claim then becomes
+            ``unknown``, and is still not run again.
+        """
+        kept = answer if len(answer) <= claims.ANSWER_LIMIT_BYTES else None
+        message = messages.ClaimComplete(
+            granted.claim_id,
+            granted.token,
+            status,
+            claims.digest(answer),
+            kept,
+        )
+        reply = self._ask(granted.claim_id, message, timeout_s, insist=True)
+        if reply is not None and reply.kind == "accepted":
+            return Ok(None)
+        return Err(_unavailable())
+
+    def release(
+        self, granted: claims.ClaimGranted
+    ) -> Result[None, errors.ClaimUnavailableError]:
+        """Frees a claim of a request of which no byte reached a back end."""
+        message = messages.ClaimRelease(granted.claim_id, granted.token)
+        reply = self._ask(
+            granted.claim_id, message, DEFAULT_TIMEOUT_S, insist=True
+        )
+        if reply is not None and reply.kind in ("accepted", "not-found"):
+            return Ok(None)
+        return Err(_unavailable())
+
+    def _release_quietly(self, claim: bytes, token: int) -> None:
+        granted = claims.ClaimGranted(claim, token)
+        for attempt in range(_RELEASE_ATTEMPTS_COUNT):
+            if isinstance(self.release(granted), Ok):
+                return
+            gevent.sleep(
+                random.uniform(0, min(2.0**attempt, _LONGEST_RELEASE_DELAY_S))
+            )
+
+    def _ask(
+        self,
+        claim: bytes,
+        message: messages.Message,
+        timeout_s: float,
+        *,
+        insist: bool = False,
+    ) -> messages.ClaimReply | None:
+        """Asks whoever owns the claim's shard until somebody answers.
+
+        Args:
+            claim: The claim.
+            message: The question; harmless when asked twice.
+            timeout_s: In all.
+            insist: Whether ``unavailable`` is asked again.
+
+        Returns:
+            The owner's answer, or None.
+        """
+        shard = claims.shard_of(claim, self._shard_count)
+        deadline_s = self._clock.monotonic_s() + timeout_s
+        reply = None
+        while True:
+            left_s = deadline_s - self._clock.monotonic_s()
+            if left_s <= 0:
+                return reply
+            call_s = min(left_s, _call_timeout_s(message))
+            reply = self._ask_once(_Question(shard, message, call_s))
+            if reply is not None and not _asks_again(reply, insist):
+                return reply
+            self._owners.pop(shard, None)
+            reply = None
+            gevent.sleep(random.uniform(0.02, 0.1))
+
+    def _ask_once(self, question: _Question) -> messages.ClaimReply | None:
+        if question.shard in self._owner.owned_shards():
+            return self._ask_own(question)
+        address = self._owners.get(question.shard)
+        if address is None:
+            self._look_up()
+            address = self._owners.get(question.shard)
+        if address is None:
+            self._owner.consider(question.shard)
+            return None
+        answered = self._links.to(address).call(
+            question.message, question.timeout_s
+        )
+        if isinstance(answered, Err):
+            return None
+        answer = answered.ok_value
+        return answer if isinstance(answer, messages.ClaimReply) else None
+
+    def _ask_own(self, question: _Question) -> messages.ClaimReply | None:
+        # In a greenlet of its own, as for other nodes: cut off in the middle
+        # by this caller's timeout, the owner would not note that nobody
+        # waits for the claim any more.
+        task = gevent.spawn(
+            self._owner.answer, self._own_vm_id, question.message
+        )
+        task.join(question.timeout_s)
+        reply: messages.ClaimReply | None = task.value
+        return reply
+
+    def _look_up(self) -> None:
+        """Reads who owns what, ever less often while it does not help.
+
+        During a takeover every node that holds a request would else read in
+        a tight loop, and the service's rate is shared by the whole fleet.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_lookup_s:
+            return
+        known_before = dict(self._owners)
+        self.lookups_count += 1
+        self._next_lookup_s = now_s + self._lookup_delay_s * random.uniform(
+            0.5, 1.0
+        )
+        found = self._store.get_prefix(
+            claims.owners_prefix(self._deployment),
+            purpose=claim_owner.PURPOSE_OWNER,
+        )
+        if isinstance(found, Ok):
+            for key_value in found.ok_value:
+                shard = int(key_value.key.rsplit("/", 1)[1])
+                fields = json.loads(key_value.value)
+                self._owners[shard] = fleet.Address(
+                    fields["ip"], fields["port"]
+                )
+        if self._owners == known_before:
+            self._lookup_delay_s = min(
+                2 * self._lookup_delay_s, _LONGEST_LOOKUP_DELAY_S
+            )
+        else:
+            self._lookup_delay_s = _FIRST_LOOKUP_DELAY_S
+
+
+def _call_timeout_s(message: messages.Message) -> float:
+    if isinstance(message, messages.ClaimWait):
+        return message.wait_s + _CALL_TIMEOUT_S
+    return _CALL_TIMEOUT_S
+
+
+def _asks_again(reply: messages.ClaimReply, insist: bool) -> bool:
+    return reply.kind == "not-owner" or (insist and reply.kind == "unavailable")
+
+
+def _met(reply: messages.ClaimReply) -> claims.ClaimMet:
+    state: claims.ClaimState = "unknown"
+    if reply.kind == "in-progress" or reply.kind == "done":
+        state = reply.kind
+    return claims.ClaimMet(
+        state,
+        reply.runner_vm_id,
+        fleet.Address(reply.runner_ip, reply.runner_port),
+        reply.request_id,
+        reply.status,
+        reply.answer_digest,
+        reply.answer,
+    )
+
+
+def _unavailable() -> errors.ClaimUnavailableError:
+    return errors.ClaimUnavailableError(
+        "at most one run could not be secured",
+        outcome="not-run",
+        retry_after_s=5.0,
+        advice="Send the request again with the same idempotency key.",
+    )
--- /dev/null
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -0,0 +1,422 @@
+"""Owns claim shards by lease: acquires, keeps and hands them over.
+
+Two tasks: one renews the lease, the other looks for shards without an owner.
+The order in which VMs are drawn to a shard decides who looks first, so that
+few nodes spend calls on looking and the owners are spread.
+"""
+
+import json
+from typing import Protocol
+
+import gevent
+import gevent.event
+from loguru import logger
+from result import Err, Ok, Result
+
+from mulberrywharf import clock, errors, fleet, metrics, settings
+from mulberrywharf.nodes import (
+    claim_log,
+    claim_shard,
+    claims,
+    links,
+    messages,
+    ranking,
+    server,
+)
+from mulberrywharf.platform_service import call_budget, key_value
+
+PURPOSE_OWNER = "claim-owner"
+
+PURPOSE_BUDGETS = {
+    claim_log.PURPOSE_COMMIT: call_budget.CallBudget(60.0, 120),
+    claim_log.PURPOSE_READ: call_budget.CallBudget(20.0, 60),
+    PURPOSE_OWNER: call_budget.CallBudget(10.0, 60),
+}
+"""What the key-value client of a router should allow for claims."""
+
+LEASE_TTL_S = 10.0
+POLL_INTERVAL_S = 2.0
+CANDIDATES_COUNT = 3
+"""Nodes that look after a shard without being asked to."""
+
+_RENEWALS_PER_TTL_COUNT = 3
+_FINISH_TIMEOUT_S = 5.0
+_HANDOVER_TIMEOUT_S = 1.0
+
+
+class VmList(Protocol):
+    """What claims need of ``VmListReader``."""
+
+    def vms(self) -> list[fleet.VmRecord]:
+        """Returns the VM list as last read."""
+        ...
+
+
+class ClaimOwner:
+    """The shards that this process owns."""
+
+    def __init__(
+        self,
+        store: claim_log.KeyValue,
+        vm_list: VmList,
+        node_links: links.Links,
+        own: fleet.VmRecord,
+        deployment: str,
+        *,
+        system_clock: clock.Clock | None = None,
+        lease_ttl_s: float = LEASE_TTL_S,
+        poll_interval_s: float = POLL_INTERVAL_S,
+        shard_count: int = claims.SHARD_COUNT,
+        window_s: float = claims.WINDOW_S,
+    ):
+        self._store = store
+        self._vm_list = vm_list
+        self._links = node_links
+        self._own = own
+        self._deployment = deployment
+        self._clock = system_clock or clock.SystemClock()
+        self._lease_ttl_s = lease_ttl_s
+        self._poll_interval_s = poll_interval_s
+        self._shard_count = shard_count
+        self._window_s = window_s
+        self._shards: dict[int, claim_shard.ClaimShard] = {}
+        self._revisions: dict[int, int] = {}
+        self._ownerless_since_s: dict[int, float] = {}
+        self._lease_id = 0
+        self._is_leaving = False
+        self._tasks: list[gevent.Greenlet] = []
+        self._wanted: set[int] = set()
+        self._look_now = gevent.event.Event()
+
+    @classmethod
+    def from_config(
+        cls,
+        config: settings.Settings,
+        store: claim_log.KeyValue,
+        vm_list: VmList,
+        node_links: links.Links,
+        node_server: server.NodeServer,
+    ) -> "ClaimOwner":
+        """Makes the owner that the settings describe.
+
+        Args:
+            config: Settings of the process.
+            store: Client of the key-value service.
+            vm_list: The VM list.
+            node_links: Links to other nodes.
+            node_server: Listens already, so that its port is known; gets the
+                handlers for claims.
+        """
+        own = fleet.VmRecord(
+            config["vm_id"],
+            "entry",
+            config["availability_zone"],
+            fleet.Address(config["nodes"]["listen"]["ip"], node_server.port),
+        )
+        owner = cls(store, vm_list, node_links, own, config["deployment"])
+        owner.register(node_server)
+        return owner
+
+    def register(self, node_server: server.NodeServer) -> None:
+        """Lets other nodes ask this owner."""
+
+        def handler(
+            sender_vm_id: str, message: messages.Message
+        ) -> messages.Message | None:
+            return self.answer(sender_vm_id, message)
+
+        for message_type in (
+            messages.ClaimRequest,
+            messages.ClaimComplete,
+            messages.ClaimRelease,
+            messages.ClaimWait,
+            messages.ShardHandover,
+        ):
+            node_server.register(message_type, handler, may_wait=True)
+
+    def start(self) -> None:
+        """Begins to look for shards."""
+        self._tasks = [
+            gevent.spawn(self._keep_lease),
+            gevent.spawn(self._look_for_shards),
+        ]
+
+    def close(self) -> None:
+        """Stops at once, as a crash would; the lease then has to lapse."""
+        gevent.killall(self._tasks)
+        self._tasks = []
+        self._drop_all()
+
+    def hand_over(self) -> None:
+        """Gives up every shard so that others own them within moments.
+
+        Without it a planned stop would leave the shards without an owner
+        until the lease lapses, and every claim in them unavailable.
+        """
+        self._is_leaving = True
+        finishing = [
+            gevent.spawn(shard.finish, _FINISH_TIMEOUT_S)
+            for shard in self._shards.values()
+        ]
+        gevent.joinall(finishing)
+        for number in list(self._shards):
+            self._give_up(number)
+        if self._lease_id:
+            self._store.revoke(self._lease_id, purpose=PURPOSE_OWNER)
+            self._lease_id = 0
+
+    def owned_shards(self) -> list[int]:
+        """Returns the numbers of the shards that it answers for."""
+        return sorted(n for n, s in self._shards.items() if s.is_owner)
+
+    def statistics(self) -> claim_shard.ShardStatistics:
+        """Sums the counts of the shards that it owns."""
+        each = [shard.statistics for shard in self._shards.values()]
+        return claim_shard.ShardStatistics(
+            sum(s.records_count for s in each),
+            sum(s.commits_count for s in each),
+        )
+
+    def consider(self, shard: int) -> None:
+        """Notes that somebody needs a shard that seems to have no owner.
+
+        The candidates may all be gone while the VM list still names them;
+        then whoever needs the shard takes it.
+        """
+        self._wanted.add(shard)
+        self._look_now.set()
+
+    def answer(
+        self, sender_vm_id: str, message: messages.Message
+    ) -> messages.ClaimReply | None:
+        """Answers one claim message, from another node or this one."""
+        if isinstance(message, messages.ShardHandover):
+            self.consider(message.shard)
+            return messages.ClaimReply("accepted")
+        if not isinstance(
+            message,
+            messages.ClaimRequest
+            | messages.ClaimComplete
+            | messages.ClaimRelease
+            | messages.ClaimWait,
+        ):
+            return None
+        number = claims.shard_of(message.claim_id, self._shard_count)
+        shard = self._shards.get(number)
+        if shard is None:
+            return messages.ClaimReply("not-owner")
+        if isinstance(message, messages.ClaimRequest):
+            return shard.claim(sender_vm_id, message)
+        if isinstance(message, messages.ClaimComplete):
+            return shard.complete(message)
+        if isinstance(message, messages.ClaimRelease):
+            return shard.release(message)
+        return shard.wait(message)
+
+    def _keep_lease(self) -> None:
+        while True:
+            if self._lease_id and not self._is_leaving:
+                self._renew()
+            gevent.sleep(self._lease_ttl_s / _RENEWALS_PER_TTL_COUNT)
+
+    def _renew(self) -> None:
+        renewed = self._store.keep_alive(self._lease_id, purpose=PURPOSE_OWNER)
+        if isinstance(renewed, Ok):
+            return
+        if isinstance(renewed.err_value, errors.AuthorityLostError):
+            logger.warning("the lease on claim shards lapsed")
+            self._lease_id = 0
+            self._drop_all()
+        # While the service is away the shards are kept: their commits fail
+        # anyhow, and if it is back before the lease lapses nothing moved.
+
+    def _look_for_shards(self) -> None:
+        while True:
+            if not self._is_leaving:
+                self._look()
+            self._look_now.wait(self._poll_interval_s)
+            self._look_now.clear()
+
+    def _look(self) -> None:
+        self._forget_lost()
+        ranks = self._ranks()
+        if not ranks and not self._wanted:
+            return
+        found = self._store.get_prefix(
+            claims.owners_prefix(self._deployment), purpose=PURPOSE_OWNER
+        )
+        if isinstance(found, Err):
+            return
+        owned = {_shard_number(kv.key): kv for kv in found.ok_value}
+        for number in range(self._shard_count):
+            if number in owned:
+                self._adopt(number, owned[number])
+                self._ownerless_since_s.pop(number, None)
+                self._wanted.discard(number)
+            elif self._is_due(number, ranks):
+                self._acquire(number)
+
+    def _adopt(self, number: int, owned: key_value.KeyValue) -> None:
+        """Serves a shard that is this process's own without its knowledge.
+
+        A write that won the ownership may take effect after its answer was
+        lost and the reading back showed nothing. Nobody else could take the
+        shard for as long as this process renews its lease.
+        """
+        if owned.lease_id == self._lease_id and number not in self._shards:
+            self._open(number, owned.mod_revision)
+
+    def _ranks(self) -> dict[int, int]:
+        """Returns this node's rank for each shard it is a candidate of."""
+        vm_ids = {
+            vm.vm_id
+            for vm in self._vm_list.vms()
+            if vm.kind == "entry" and vm.state == "live"
+        }
+        vm_ids.add(self._own.vm_id)
+        ranks = {}
+        for number in range(self._shard_count):
+            ranked = ranking.rank(f"claim-shard-{number}", vm_ids)
+            rank = ranked.index(self._own.vm_id)
+            if rank < CANDIDATES_COUNT:
+                ranks[number] = rank
+        return ranks
+
+    def _is_due(self, number: int, ranks: dict[int, int]) -> bool:
+        """Tells whether it is this node's turn to take an unowned shard.
+
+        All candidates would otherwise write at once, and one node that
+        starts first would own everything.
+        """
+        now_s = self._clock.monotonic_s()
+        since_s = self._ownerless_since_s.setdefault(number, now_s)
+        rank = ranks.get(number, CANDIDATES_COUNT)
+        if rank == CANDIDATES_COUNT and number not in self._wanted:
+            return False
+        if number in self._wanted:
+            rank = min(rank, 1)
+        return now_s - since_s >= rank * self._poll_interval_s
+
+    def _acquire(self, number: int) -> None:
+        if not self._has_lease():
+            return
+        key = claims.owner_key(self._deployment, number)
+        created = self._create(key)
+        if isinstance(created, Ok):
+            self._open(number, created.ok_value.mod_revision)
+
+    def _open(self, number: int, mod_revision: int) -> None:
+        """Reads the log of a shard that was won and begins to answer."""
+        key = claims.owner_key(self._deployment, number)
+        shard = claim_shard.ClaimShard(
+            claim_log.ClaimLog(
+                self._store,
+                self._deployment,
+                number,
+                claim_log.Ownership(key, mod_revision),
+            ),
+            self._clock,
+            window_s=self._window_s,
+        )
+        self._revisions[number] = mod_revision
+        started = shard.start()
+        if isinstance(started, Err):
+            # Owning a shard without having read its log would grant claims
+            # that were granted before.
+            self._delete_ownership(number)
+            return
+        self._shards[number] = shard
+        self._ownerless_since_s.pop(number, None)
+        self._wanted.discard(number)
+        _shards_owned.set({}, len(self._shards))
+
+    def _has_lease(self) -> bool:
+        if self._lease_id:
+            return True
+        granted = self._store.grant_lease(
+            self._lease_ttl_s, purpose=PURPOSE_OWNER
+        )
+        if isinstance(granted, Err):
+            return False
+        self._lease_id = granted.ok_value
+        return True
+
+    def _create(
+        self, key: str
+    ) -> Result[key_value.KeyValue, errors.PlatformError]:
+        value = json.dumps(
+            {
+                "vm_id": self._own.vm_id,
+                "ip": self._own.address.ip,
+                "port": self._own.address.port,
+                "lease_id": str(self._lease_id),
+            }
+        ).encode()
+        created = self._store.compare_and_swap(
+            key,
+            value,
+            expected_revision=0,
+            lease_id=self._lease_id,
+            purpose=PURPOSE_OWNER,
+        )
+        if isinstance(created, Ok):
+            return created
+        # The answer may be lost though the key was written, at this attempt
+        # or one before; the value names this process's own lease.
+        found = self._store.get(key, purpose=PURPOSE_OWNER)
+        if isinstance(found, Err) or found.ok_value is None:
+            return created
+        if found.ok_value.value != value:
+            return created
+        return Ok(found.ok_value)
+
+    def _give_up(self, number: int) -> None:
+        shard = self._shards.pop(number)
+        shard.close()
+        self._delete_ownership(number)
+        successor = self._successor(number)
+        if successor is not None:
+            self._links.to(successor).call(
+                messages.ShardHandover(number), _HANDOVER_TIMEOUT_S
+            )
+
+    def _delete_ownership(self, number: int) -> None:
+        self._store.delete(
+            claims.owner_key(self._deployment, number),
+            expected_revision=self._revisions.pop(number),
+            purpose=PURPOSE_OWNER,
+        )
+
+    def _successor(self, number: int) -> fleet.Address | None:
+        others = {
+            vm.vm_id: vm.address
+            for vm in self._vm_list.vms()
+            if vm.kind == "entry"
+            and vm.state == "live"
+            and vm.vm_id != self._own.vm_id
+        }
+        name = ranking.first(f"claim-shard-{number}", others)
+        return others.get(name)
+
+    def _forget_lost(self) -> None:
+        for number, shard in list(self._shards.items()):
+            if not shard.is_owner:
+                del self._shards[number]
+                self._revisions.pop(number, None)
+        _shards_owned.set({}, len(self._shards))
+
+    def _drop_all(self) -> None:
+        for shard in self._shards.values():
+            shard.close()
+        self._shards.clear()
+        self._revisions.clear()
+
+
+def _shard_number(owner_key: str) -> int:
+    return int(owner_key.rsplit("/", 1)[1])
+
+
+_shards_owned = metrics.gauge(
+    "mulberry_claim_shards_owned_count",
+    "Claim shards that this process owns.",
+)
--- /dev/null
+++ b/src/mulberrywharf/nodes/claim_shard.py
@@ -0,0 +1,423 @@
+"""One claim shard at its owner: answers claims, commits them in groups."""
+
+from typing import NamedTuple
+
+import gevent
+import gevent.event
+from result import Err, Ok, Result
+
+from mulberrywharf import clock, errors
+from mulberrywharf.nodes import claim_log, claims, messages
+
+GATHER_S = 0.003
+"""The first claim of a group waits so long for others."""
+
+COMMIT_INTERVAL_S = 0.1
+"""Least time between two commits, which bounds the writes of a shard."""
+
+ANSWER_WITHIN_S = 2.0
+"""A claim that is not committed by then is answered ``unavailable``."""
+
+ENTRIES_LIMIT_COUNT = 50_000
+_BATCH_LIMIT_BYTES = 256 * 1024
+_QUEUE_LIMIT_COUNT = 4096
+_GIVEN_UP_LIMIT_COUNT = 4096
+_EXPIRE_INTERVAL_S = 5.0
+_WAIT_LIMIT_S = 60.0
+
+_NOT_OWNER = messages.ClaimReply("not-owner")
+_UNAVAILABLE = messages.ClaimReply("unavailable")
+_ACCEPTED = messages.ClaimReply("accepted")
+_NOT_FOUND = messages.ClaimReply("not-found")
+
+
+class _Queued:
+    """A record on its way into the log.
+
+    Attributes:
+        record: The record.
+        committed: Set to True once it is in the log, False if it never will.
+        is_abandoned: Whoever asked was told ``unavailable`` meanwhile.
+    """
+
+    def __init__(self, record: claims.Record):
+        self.record = record
+        self.committed = gevent.event.AsyncResult()
+        self.is_abandoned = False
+
+
+class ShardStatistics(NamedTuple):
+    """Counts since the ownership began.
+
+    Attributes:
+        records_count: Records committed.
+        commits_count: Writes that committed them.
+    """
+
+    records_count: int
+    commits_count: int
+
+
+class ClaimShard:
+    """The owner's side of one shard; one task commits."""
+
+    def __init__(
+        self,
+        log: claim_log.ClaimLog,
+        system_clock: clock.Clock,
+        *,
+        window_s: float = claims.WINDOW_S,
+    ):
+        self._log = log
+        self._clock = system_clock
+        self._window_s = window_s
+        self._table = claims.Table(window_s)
+        self._queue: list[_Queued] = []
+        self._queued_claims: dict[bytes, _Queued] = {}
+        self._queued_releases: dict[bytes, _Queued] = {}
+        self._given_up_tokens: dict[int, None] = {}
+        self._waiters: dict[bytes, gevent.event.Event] = {}
+        self._wake = gevent.event.Event()
+        self._idle = gevent.event.Event()
+        self._idle.set()
+        self._task: gevent.Greenlet | None = None
+        self._next_expiry_s = 0.0
+        self._records_count = 0
+        self._commits_count = 0
+        self.is_owner = False
+
+    @property
+    def statistics(self) -> ShardStatistics:
+        """Counts since the ownership began."""
+        return ShardStatistics(self._records_count, self._commits_count)
+
+    def start(self) -> Result[None, errors.PlatformError]:
+        """Reads the log and begins to answer."""
+        replayed = self._log.replay(self._table, self._clock.unix_s())
+        if isinstance(replayed, Err):
+            return replayed
+        self.is_owner = True
+        self._task = gevent.spawn(self._run)
+        return Ok(None)
+
+    def close(self) -> None:
+        """Stops at once; whoever waits is sent to the next owner."""
+        self.is_owner = False
+        if self._task is not None and self._task is not gevent.getcurrent():
+            self._task.kill()
+        self._task = None
+        self._fail(self._queue)
+        for event in self._waiters.values():
+            event.set()
+
+    def finish(self, timeout_s: float) -> None:
+        """Commits what is queued, takes nothing new, then stops."""
+        self.is_owner = False
+        self._idle.wait(timeout_s)
+        self.close()
+
+    def claim(
+        self, sender_vm_id: str, request: messages.ClaimRequest
+    ) -> messages.ClaimReply:
+        """Answers a claim once it is known to be committed or met."""
+        deadline_s = self._clock.monotonic_s() + ANSWER_WITHIN_S
+        while self.is_owner:
+            # The question may be older than the release of the same attempt:
+            # held up in the network, or waiting here for the very commit that
+            # the release undid. Granted now, it would be run by nobody.
+            if request.token in self._given_up_tokens:
+                return _UNAVAILABLE
+            left_s = deadline_s - self._clock.monotonic_s()
+            # A claim that is being released is neither held nor free: to
+            # grant it again now would let the release free it under its
+            # new holder, and a third press would run beside him.
+            leaving = self._queued_releases.get(request.claim_id)
+            if leaving is not None:
+                if not _wait(leaving, left_s):
+                    return _UNAVAILABLE
+                continue
+            entry = self._table.get(request.claim_id)
+            if entry is not None:
+                return self._met(entry, request)
+            reply = self._take(sender_vm_id, request, left_s)
+            if reply is not None:
+                return reply
+        return _NOT_OWNER
+
+    def complete(self, request: messages.ClaimComplete) -> messages.ClaimReply:
+        """Records the answer of a run."""
+        if not self.is_owner:
+            return _NOT_OWNER
+        entry = self._table.get(request.claim_id)
+        if entry is None or entry.token != request.token:
+            return _NOT_FOUND
+        if entry.is_done:
+            return _ACCEPTED
+        record = claims.Completed(
+            request.claim_id,
+            request.token,
+            request.status,
+            request.answer_digest,
+            request.answer,
+        )
+        return self._commit_and_reply(_Queued(record))
+
+    def release(self, request: messages.ClaimRelease) -> messages.ClaimReply:
+        """Frees a claim whose request was not run."""
+        if not self.is_owner:
+            return _NOT_OWNER
+        self._note_given_up(request.token)
+        queued = self._queued_claims.get(request.claim_id)
+        if queued is not None and _token_of(queued) == request.token:
+            queued.is_abandoned = True
+            # Accepted any earlier, the release would be forgotten with this
+            # owner while the claim's write, still under way, might survive.
+            queued.committed.wait(ANSWER_WITHIN_S)
+            if not queued.committed.ready():
+                return _UNAVAILABLE
+            if not self.is_owner:
+                return _NOT_OWNER
+        entry = self._table.get(request.claim_id)
+        if entry is None or entry.token != request.token or entry.is_done:
+            return _NOT_FOUND
+        leaving = self._queued_releases.get(request.claim_id)
+        if leaving is None:
+            leaving = self._queue_release(request.claim_id, request.token)
+        if _wait(leaving, ANSWER_WITHIN_S):
+            return _ACCEPTED
+        return _UNAVAILABLE if self.is_owner else _NOT_OWNER
+
+    def wait(self, request: messages.ClaimWait) -> messages.ClaimReply:
+        """Waits until the run in progress has ended one way or another."""
+        deadline_s = self._clock.monotonic_s() + min(
+            request.wait_s, _WAIT_LIMIT_S
+        )
+        while self.is_owner:
+            entry = self._table.get(request.claim_id)
+            if entry is None:
+                return _NOT_FOUND
+            now_unix_s = self._clock.unix_s()
+            left_s = deadline_s - self._clock.monotonic_s()
+            if entry.state(now_unix_s) != "in-progress" or left_s <= 0:
+                return _reply_of(entry, now_unix_s)
+            run_left_s = entry.run_until_unix_s - now_unix_s
+            event = self._waiters.setdefault(
+                request.claim_id, gevent.event.Event()
+            )
+            event.wait(max(0.01, min(left_s, run_left_s)))
+        return _NOT_OWNER
+
+    def _note_given_up(self, token: int) -> None:
+        self._given_up_tokens[token] = None
+        if len(self._given_up_tokens) > _GIVEN_UP_LIMIT_COUNT:
+            del self._given_up_tokens[next(iter(self._given_up_tokens))]
+
+    def _met(
+        self, entry: claims.Entry, request: messages.ClaimRequest
+    ) -> messages.ClaimReply:
+        if entry.body_digest != request.body_digest:
+            return messages.ClaimReply("key-reused")
+        reply = _reply_of(entry, self._clock.unix_s())
+        # The same attempt asks again because the answer to its first question
+        # was lost, for instance with the owner that committed it.
+        if entry.token == request.token and reply.kind == "in-progress":
+            return reply._replace(kind="granted")
+        return reply
+
+    def _take(
+        self, sender_vm_id: str, request: messages.ClaimRequest, left_s: float
+    ) -> messages.ClaimReply | None:
+        """Queues the claim and waits; None means look at the table again."""
+        queued = self._queued_claims.get(request.claim_id)
+        if queued is None:
+            if self._is_full():
+                return _UNAVAILABLE
+            queued = _Queued(self._claimed(sender_vm_id, request))
+            self._queued_claims[request.claim_id] = queued
+            self._enqueue(queued)
+        is_own = _token_of(queued) == request.token
+        if is_own:
+            queued.is_abandoned = False
+        if _wait(queued, left_s):
+            return None
+        if queued.committed.ready():
+            # Not written. Another attempt's failure is not this one's.
+            surely_failed = is_own and self.is_owner
+            return _UNAVAILABLE if surely_failed else None
+        if is_own:
+            queued.is_abandoned = True
+        return _UNAVAILABLE
+
+    def _claimed(
+        self, sender_vm_id: str, request: messages.ClaimRequest
+    ) -> claims.Claimed:
+        now_unix_s = self._clock.unix_s()
+        run_bound_s = request.run_bound_s
+        if not 0 < run_bound_s <= self._window_s:
+            run_bound_s = self._window_s
+        return claims.Claimed(
+            claims.Entry(
+                request.claim_id,
+                request.body_digest,
+                request.request_id,
+                request.token,
+                sender_vm_id,
+                request.runner_ip,
+                request.runner_port,
+                now_unix_s,
+                now_unix_s + run_bound_s,
+            )
+        )
+
+    def _is_full(self) -> bool:
+        return (
+            len(self._queue) >= _QUEUE_LIMIT_COUNT
+            or len(self._table) >= ENTRIES_LIMIT_COUNT
+        )
+
+    def _commit_and_reply(self, queued: _Queued) -> messages.ClaimReply:
+        self._enqueue(queued)
+        if _wait(queued, ANSWER_WITHIN_S):
+            return _ACCEPTED
+        return _UNAVAILABLE if self.is_owner else _NOT_OWNER
+
+    def _queue_release(self, claim: bytes, token: int) -> _Queued:
+        leaving = _Queued(claims.Released(claim, token))
+        self._queued_releases[claim] = leaving
+        self._enqueue(leaving)
+        return leaving
+
+    def _enqueue(self, queued: _Queued) -> None:
+        self._queue.append(queued)
+        self._idle.clear()
+        self._wake.set()
+
+    def _run(self) -> None:
+        while True:
+            if self._wake.wait(_EXPIRE_INTERVAL_S):
+                gevent.sleep(GATHER_S)
+                if not self._commit_batch():
+                    self.close()
+                    return
+                gevent.sleep(COMMIT_INTERVAL_S)
+            self._expire()
+
+    def _commit_batch(self) -> bool:
+        """Commits part of the queue; False if the ownership is lost."""
+        batch = self._cut_batch()
+        if not batch:
+            return True
+        appended = self._log.append(
+            [queued.record for queued in batch],
+            self._clock.unix_s(),
+            ANSWER_WITHIN_S,
+        )
+        if isinstance(appended, Err):
+            if isinstance(appended.err_value, errors.AuthorityLostError):
+                self._queue[:0] = batch
+                return False
+            self._put_back(batch)
+            return True
+        self._commits_count += 1
+        self._records_count += len(batch)
+        for queued in batch:
+            self._settle(queued)
+        self._note_idle()
+        return True
+
+    def _cut_batch(self) -> list[_Queued]:
+        batch: list[_Queued] = []
+        size_bytes = 0
+        while self._queue and size_bytes < _BATCH_LIMIT_BYTES:
+            queued = self._queue.pop(0)
+            # A claim that nobody waits for any more need not be written.
+            if queued.is_abandoned:
+                self._forget(queued)
+                queued.committed.set(False)
+                continue
+            batch.append(queued)
+            size_bytes += len(claims.encode_record(queued.record))
+        if not self._queue:
+            self._wake.clear()
+        if not batch:
+            self._note_idle()
+        return batch
+
+    def _settle(self, queued: _Queued) -> None:
+        record = queued.record
+        self._table.apply(record)
+        self._forget(queued)
+        queued.committed.set(True)
+        if isinstance(record, claims.Claimed):
+            # The asker was told that nothing runs, so the key must be free
+            # for his next try; committed all the same, it would block him.
+            if queued.is_abandoned:
+                self._queue_release(record.entry.claim_id, record.entry.token)
+            return
+        event = self._waiters.pop(record.claim_id, None)
+        if event is not None:
+            event.set()
+
+    def _put_back(self, batch: list[_Queued]) -> None:
+        """Fails claims that were surely not written; keeps the rest."""
+        kept = [q for q in batch if not isinstance(q.record, claims.Claimed)]
+        self._fail([q for q in batch if isinstance(q.record, claims.Claimed)])
+        self._queue[:0] = kept
+        if self._queue:
+            self._wake.set()
+        self._note_idle()
+
+    def _fail(self, batch: list[_Queued]) -> None:
+        for queued in list(batch):
+            self._forget(queued)
+            queued.committed.set(False)
+
+    def _forget(self, queued: _Queued) -> None:
+        record = queued.record
+        if isinstance(record, claims.Claimed):
+            self._queued_claims.pop(record.entry.claim_id, None)
+        elif isinstance(record, claims.Released):
+            self._queued_releases.pop(record.claim_id, None)
+
+    def _note_idle(self) -> None:
+        if not self._queue:
+            self._idle.set()
+
+    def _expire(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = now_s + _EXPIRE_INTERVAL_S
+        now_unix_s = self._clock.unix_s()
+        self._table.expire(now_unix_s)
+        self._log.delete_expired(now_unix_s, 2 * self._window_s)
+
+
+def _wait(queued: _Queued, timeout_s: float) -> bool:
+    """Waits for a record; True once it is in the log."""
+    queued.committed.wait(max(0.0, timeout_s))
+    # Read afresh: the record may have been settled between the end of the
+    # timeout and the moment this greenlet ran again.
+    return bool(queued.committed.value)
+
+
+def _token_of(queued: _Queued) -> int:
+    record = queued.record
+    return (
+        record.entry.token
+        if isinstance(record, claims.Claimed)
+        else record.token
+    )
+
+
+def _reply_of(entry: claims.Entry, now_unix_s: float) -> messages.ClaimReply:
+    return messages.ClaimReply(
+        entry.state(now_unix_s),
+        entry.runner_vm_id,
+        entry.runner_ip,
+        entry.runner_port,
+        entry.status,
+        entry.answer_digest,
+        entry.answer,
+        entry.request_id,
+    )
--- a/src/mulberrywharf/nodes/link.py
+++ b/src/mulberrywharf/nodes/link.py
@@ -19,6 +19,7 @@
 from mulberrywharf.nodes import codec, frames, messages
 
 _CONNECT_TIMEOUT_S = 2.0
+_CONNECT_WAIT_S = 1.0
 _WRITE_TIMEOUT_S = 10.0
 _FIRST_DELAY_S = 0.1
 _LONGEST_DELAY_S = 5.0
@@ -82,7 +83,7 @@
         self._pending[correlation] = answer
         try:
             with gevent.Timeout(timeout_s, False):
-                self._connected.wait()
+                self._connected.wait(_CONNECT_WAIT_S)
                 written = self._write(
                     messages.Envelope(self._own_vm_id, correlation, message)
                 )
--- /dev/null
+++ b/src/mulberrywharf/nodes/links.py
@@ -0,0 +1,47 @@
+"""The links of a process, one for each address it speaks to."""
+
+from mulberrywharf import fleet, settings
+from mulberrywharf.nodes import frames, link
+
+
+class Links:
+    """Opens links on first use and keeps them until they are dropped.
+
+    Attributes:
+        traffic: Bytes and frames of all links.
+    """
+
+    def __init__(self, own_vm_id: str, shared_key: bytes):
+        self.traffic = frames.Traffic()
+        self._own_vm_id = own_vm_id
+        self._shared_key = shared_key
+        self._links: dict[fleet.Address, link.Link] = {}
+
+    @classmethod
+    def from_config(cls, config: settings.Settings) -> "Links":
+        """Makes the links of the node that the settings describe."""
+        return cls(config["vm_id"], bytes.fromhex(config["nodes"]["key_hex"]))
+
+    def to(self, address: fleet.Address) -> link.Link:
+        """Returns the running link to an address."""
+        existing = self._links.get(address)
+        if existing is not None:
+            return existing
+        made = link.Link(
+            address, self._own_vm_id, self._shared_key, self.traffic
+        )
+        self._links[address] = made
+        made.start()
+        return made
+
+    def keep_only(self, addresses: set[fleet.Address]) -> None:
+        """Closes the links to all other addresses.
+
+        A VM that left the list would else be dialled for ever.
+        """
+        for address in self._links.keys() - addresses:
+            self._links.pop(address).close()
+
+    def close(self) -> None:
+        """Closes every link."""
+        self.keep_only(set())
