--- a/src/mulberrywharf/backend_servers/client.py
+++ b/src/mulberrywharf/backend_servers/client.py
@@ -93,6 +93,17 @@
         finally:
             self.close()
 
+    def read_all(self, limit_bytes: int) -> Result[bytes, errors.EngineError]:
+        """Reads the whole body into memory.
+
+        Args:
+            limit_bytes: A larger body is an ``AnswerTooLargeError``.
+        """
+        try:
+            return self._exchange.read_all(self._timeout_s, limit_bytes)
+        finally:
+            self.close()
+
     def close(self) -> None:
         """Gives the connection back, or closes it if bytes are unread."""
         self._exchange.finish()
--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -232,7 +232,7 @@
 
     def _foreign(self) -> errors.ForeignAnswerError:
         self._failed = True
-        _foreign.inc({"engine": str(self._address)})
+        count_foreign(self._address)
         return errors.ForeignAnswerError(
             f"{self._address} sent an answer with another request's id"
         )
@@ -312,6 +312,11 @@
             gevent.sleep(0)
 
 
+def count_foreign(address: fleet.Address) -> None:
+    """Counts an answer that carried another request's id."""
+    _foreign.inc({"engine": str(address)})
+
+
 def _text(choice: Any) -> str:
     if "text" in choice:
         return str(choice["text"])
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -278,20 +278,6 @@
     code = "foreign-answer"
 
 
-class ResumeFailedError(StreamBrokenError):
-    """No engine could carry a begun answer to its end.
-
-    Attributes:
-        delivered_count: Tokens that the caller already has.
-    """
-
-    code = "resume-failed"
-
-    def __init__(self, message: str, *, delivered_count: int):
-        super().__init__(message)
-        self.delivered_count = delivered_count
-
-
 class OrderRefusedError(EngineError):
     """An engine refused an order, such as one with an old fencing number."""
 
