--- a/standins/engine_batch.py
+++ b/standins/engine_batch.py
@@ -78,6 +78,7 @@
         self.prefill_only = prefill_only
         self.has_imported_kv = has_imported_kv
         self.prefill_left_tokens = 0
+        self.came_unix_s = time.time()
         self.began_unix_s = 0.0
         self.ended_unix_s = 0.0
         self.is_finished = False
@@ -102,6 +103,7 @@
         return {
             "request_id": self.request_id,
             "model": self.model,
+            "came_unix_s": self.came_unix_s,
             "began_unix_s": self.began_unix_s,
             "ended_unix_s": self.ended_unix_s or None,
             "finished": self.is_finished,
