Add the mesh of entry VMs: membership, load slices, versions

Routers need to know who is alive, how long engines' queues are and that a newer configuration exists, on 2 KB/s a node. Telling all 42 neighbours each second was ruled out by its frame overhead alone; a node tells two neighbours of its zone each second in a shuffled rotation, and everybody passes on the newest stamps and loads. Stamps are counters of the sender and not ages, so that frames read after a pause make no dead node look alive.

--- a/src/mulberrywharf/nodes/codec.py
+++ b/src/mulberrywharf/nodes/codec.py
@@ -175,16 +175,20 @@
     body = builder.init("heartbeat")
     body.availabilityZone = message.availability_zone
     body.incarnation = message.incarnation
+    body.stamp = message.stamp
     body.configVersion = message.config_version
     body.listHash = message.list_hash
     body.stamps = message.stamps
     body.suspicions = message.suspicions
     body.loads = message.loads
     body.loadAges = message.load_ages
+    body.roundNumber = message.round_number
+    body.liveDigest = message.live_digest
     demands = body.init("demands", len(message.demands))
     for slot, demand in zip(demands, message.demands, strict=True):
-        slot.customerHash = demand.customer_hash
+        slot.customer = demand.customer
         slot.requestsPerS = demand.requests_per_s
+        slot.tokensPerS = demand.tokens_per_s
 
 
 @_write.register
@@ -270,14 +274,17 @@
     return messages.Heartbeat(
         body.availabilityZone,
         body.incarnation,
+        body.stamp,
         body.configVersion,
         body.listHash,
         bytes(body.stamps),
         bytes(body.suspicions),
         bytes(body.loads),
         bytes(body.loadAges),
+        body.roundNumber,
+        body.liveDigest,
         tuple(
-            messages.Demand(d.customerHash, d.requestsPerS)
+            messages.Demand(d.customer, d.requestsPerS, d.tokensPerS)
             for d in body.demands
         ),
     )
--- a/src/mulberrywharf/nodes/messages.capnp
+++ b/src/mulberrywharf/nodes/messages.capnp
@@ -21,18 +21,22 @@
 struct Heartbeat {
   availabilityZone @0 :Text;
   incarnation @1 :UInt64;
-  configVersion @2 :UInt64;
-  listHash @3 :UInt64;  # of the lists that the four columns follow
-  stamps @4 :Data;      # two bytes for each entry VM of the zone
-  suspicions @5 :Data;  # one bit for each entry VM of the zone
-  loads @6 :Data;       # one byte for each engine of the zone
-  loadAges @7 :Data;    # one byte for each engine, in tenths of a second
-  demands @8 :List(Demand);
+  stamp @2 :UInt16;
+  configVersion @3 :UInt64;
+  listHash @4 :UInt64;  # of the lists that the four columns follow
+  stamps @5 :Data;      # two bytes for each entry VM of the zone
+  suspicions @6 :Data;  # one bit for each entry VM of the zone
+  loads @7 :Data;       # one byte for each engine of the zone
+  loadAges @8 :Data;    # half a byte for each engine of the zone
+  roundNumber @9 :UInt64;
+  liveDigest @10 :UInt64;
+  demands @11 :List(Demand);
 }
 
 struct Demand {
-  customerHash @0 :UInt32;
+  customer @0 :Text;
   requestsPerS @1 :Float32;
+  tokensPerS @2 :Float32;
 }
 
 struct Leaving {
--- a/src/mulberrywharf/nodes/messages.py
+++ b/src/mulberrywharf/nodes/messages.py
@@ -24,12 +24,14 @@
     """What one node sees of one customer.
 
     Attributes:
-        customer_hash: xxhash32 of the customer's name.
-        requests_per_s: Requests that arrived at the node.
+        customer: The customer's name.
+        requests_per_s: Requests, refused ones too.
+        tokens_per_s: Their tokens.
     """
 
-    customer_hash: int
+    customer: str
     requests_per_s: float
+    tokens_per_s: float
 
 
 class Heartbeat(NamedTuple):
@@ -42,23 +44,29 @@
     Attributes:
         availability_zone: The zone that the columns describe.
         incarnation: Start of the sending process in Unix milliseconds.
+        stamp: The sender's own heartbeat stamp.
         config_version: Version of the configuration that it runs.
         list_hash: Names the two lists.
         stamps: Two bytes for each entry VM: its newest known heartbeat stamp.
         suspicions: One bit for each entry VM that the sender suspects.
-        loads: One quantised queue estimate for each engine.
-        load_ages: Age of each load in tenths of a second; 255 is unknown.
+        loads: One quantised load for each engine.
+        load_ages: Half a byte for each engine, the age of its load.
+        round_number: Round of the demand report; 0 without one.
+        live_digest: The report's digest of the nodes held for live.
         demands: The sender's busiest customers.
     """
 
     availability_zone: str
     incarnation: int
+    stamp: int
     config_version: int
     list_hash: int = 0
     stamps: bytes = b""
     suspicions: bytes = b""
     loads: bytes = b""
     load_ages: bytes = b""
+    round_number: int = 0
+    live_digest: int = 0
     demands: tuple[Demand, ...] = ()
 
 
--- /dev/null
+++ b/tests/builders_mesh.py
@@ -0,0 +1,79 @@
+"""Nodes of a mesh in this process, with real sockets on loopback."""
+
+from typing import NamedTuple
+
+from result import Ok
+
+from mulberrywharf import fleet
+from mulberrywharf.nodes import links, mesh, server
+from tests import builders_claims, builders_nodes
+
+INTERVAL_S = 0.05
+SUSPECT_AFTER_S = 1.0
+
+
+class HeldConfiguration(NamedTuple):
+    version: int
+    raw: bytes
+
+
+class ConfigurationHolder:
+    """A configuration follower without a service behind it."""
+
+    def __init__(self, version: int = 1):
+        self.held = HeldConfiguration(version, str(version).encode())
+
+    def version(self):
+        return self.held.version
+
+    def current(self):
+        return self.held
+
+    def offer(self, raw):
+        offered = HeldConfiguration(int(raw), raw)
+        if offered.version <= self.held.version:
+            return Ok(False)
+        self.held = offered
+        return Ok(True)
+
+
+class MeshNode:
+    """One entry VM's part in the mesh."""
+
+    def __init__(self, number: int, vm_list, zone="regina-hall", **options):
+        name = f"{zone}-entry-{number}"
+        self.server = server.NodeServer(
+            "127.0.0.1", 0, name, builders_nodes.KEY
+        )
+        self.server.start()
+        self.record = fleet.VmRecord(
+            name,
+            "entry",
+            zone,
+            fleet.Address("127.0.0.1", self.server.port),
+        )
+        self.vm_id = name
+        self.links = links.Links(name, builders_nodes.KEY)
+        self.configuration = ConfigurationHolder()
+        options.setdefault("interval_s", INTERVAL_S)
+        options.setdefault("suspect_after_s", SUSPECT_AFTER_S)
+        self.mesh = mesh.NodeMesh(
+            name, zone, vm_list, self.configuration, self.links, **options
+        )
+        self.mesh.register(self.server)
+        vm_list.records.append(self.record)
+
+    def close(self):
+        """Stops like a killed process."""
+        self.mesh.close()
+        self.links.close()
+        self.server.close()
+
+
+def start_zone(count: int, vm_list=None, **options):
+    """Starts a zone of nodes that know each other from the start."""
+    vm_list = vm_list or builders_claims.ListedVms()
+    nodes = [MeshNode(n, vm_list, **options) for n in range(count)]
+    for node in nodes:
+        node.mesh.start()
+    return vm_list, nodes
