--- a/src/mulberrywharf/programs/_ctl_nodes.py
+++ b/src/mulberrywharf/programs/_ctl_nodes.py
@@ -139,4 +139,4 @@
 
 
 def _age(age_s: float | None) -> str:
-    return "never read" if age_s is None else f"read {age_s:.1f} s ago"
+    return "of unknown age" if age_s is None else f"read {age_s:.1f} s ago"
