Keep only a few links to other zones

A node linked to every entry VM that it ever told, so at 340 entry VMs it would have dialled some 300 addresses over and over while regions are cut off from each other. It now has one partner in each other zone, drawn anew each minute by rendezvous hashing, and links to all of its own zone from the start, so that the first rotation is not lost to links that are still connecting. Links with a pending answer are never closed by this.

--- a/src/mulberrywharf/nodes/link.py
+++ b/src/mulberrywharf/nodes/link.py
@@ -50,6 +50,11 @@
         """Whether a connection stands at this instant."""
         return self._connected.is_set()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether somebody waits for an answer."""
+        return bool(self._pending)
+
     def start(self) -> None:
         """Starts the task that keeps the connection."""
         self._task = gevent.spawn(self._run)
--- a/src/mulberrywharf/nodes/links.py
+++ b/src/mulberrywharf/nodes/links.py
@@ -35,13 +35,16 @@
         return made
 
     def keep_only(self, addresses: set[fleet.Address]) -> None:
-        """Closes the links to all other addresses.
+        """Closes the links to all other addresses, unless they are in use.
 
         A VM that left the list would else be dialled for ever.
         """
         for address in self._links.keys() - addresses:
-            self._links.pop(address).close()
+            if not self._links[address].is_busy:
+                self._links.pop(address).close()
 
     def close(self) -> None:
         """Closes every link."""
-        self.keep_only(set())
+        for each in self._links.values():
+            each.close()
+        self._links.clear()
--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -33,6 +33,9 @@
 OTHER_ZONES_EVERY_COUNT = 2
 """Every so many intervals a node tells one node of another zone."""
 
+PARTNER_EPOCH_S = 60.0
+"""How long a node keeps its partners in the other zones."""
+
 DEMAND_LIMIT_BYTES = 128
 """Room for the demand report in a heartbeat; the busiest come first."""
 
@@ -116,6 +119,9 @@
         self._membership = suspicion.Membership(
             frozenset({vm_id}), frozenset(), frozenset(), False
         )
+        self._neighbours: list[fleet.VmRecord] = []
+        self._partners: list[fleet.VmRecord] = []
+        self._epoch = -1
         self._slice: tuple[fleet.VmRecord, ...] = ()
         self._task: gevent.Greenlet | None = None
         self._fetching: gevent.Greenlet | None = None
@@ -135,7 +141,8 @@
             config: Settings of the process.
             vm_list: The VM list.
             configuration: The configuration in force here.
-            node_links: Links to other nodes.
+            node_links: Links of the mesh alone; it closes those that it no
+                longer needs.
             node_server: Gets the handlers for the mesh's messages.
         """
         nodes = config["nodes"]
@@ -258,17 +265,18 @@
         if not self._book.update(self._vm_list.vms()):
             return False
         lists = self._book.current(self._zone)
-        elsewhere = self._book.entry_vms_elsewhere(self._zone)
         self._members.expect(lists.entry_vm_ids, now_s)
         self._loads.keep_only(self._book.engine_ids())
-        present = {vm.vm_id for vm in (*lists.entry_vms, *elsewhere)}
+        present = {
+            vm_id
+            for zone in self._book.zones()
+            for vm_id in self._book.current(zone).entry_vm_ids
+        }
         for book in (self._versions, self._demands, self._incarnations):
             for vm_id in book.keys() - present:
                 del book[vm_id]
         self._leaving &= present
-        self._links.keep_only(
-            {vm.address for vm in (*lists.entry_vms, *elsewhere)}
-        )
+        self._epoch = -1
         return True
 
     def _judge(self, now_s: float) -> None:
@@ -290,21 +298,35 @@
 
     def _tell(self, now_s: float) -> None:
         heartbeat = self._heartbeat(now_s)
-        others = [
-            vm
-            for vm in self._book.current(self._zone).entry_vms
-            if vm.vm_id != self._vm_id
-        ]
-        for address in self._rotation.take(others, FAN_OUT_COUNT):
+        self._choose_links()
+        for address in self._rotation.take(self._neighbours, FAN_OUT_COUNT):
             self._links.to(address).send(heartbeat)
         if self._ticks_count % OTHER_ZONES_EVERY_COUNT:
             return
-        elsewhere = self._book.entry_vms_elsewhere(self._zone)
         # Stamps and suspicions concern the own zone only.
         brief = heartbeat._replace(stamps=b"", suspicions=b"")
-        for address in self._rotation_elsewhere.take(elsewhere, 1):
+        for address in self._rotation_elsewhere.take(self._partners, 1):
             self._links.to(address).send(brief)
 
+    def _choose_links(self) -> None:
+        """Links to all of the zone and to a few partners elsewhere."""
+        epoch = int(self._clock.unix_s() / PARTNER_EPOCH_S)
+        if epoch == self._epoch:
+            return
+        self._epoch = epoch
+        self._neighbours = [
+            vm
+            for vm in self._book.current(self._zone).entry_vms
+            if vm.vm_id != self._vm_id
+        ]
+        self._partners = neighbours.partners(
+            self._vm_id, self._zone, self._book, epoch
+        )
+        addresses = {vm.address for vm in self._neighbours + self._partners}
+        self._links.keep_only(addresses)
+        for address in addresses:
+            self._links.to(address)
+
     def _heartbeat(self, now_s: float) -> messages.Heartbeat:
         lists = self._book.current(self._zone)
         loads, load_ages = self._loads.columns(lists.engine_ids, now_s)
--- a/src/mulberrywharf/nodes/neighbours.py
+++ b/src/mulberrywharf/nodes/neighbours.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from mulberrywharf import fleet
+from mulberrywharf.nodes import ranking
 
 _LISTS_KEPT_COUNT = 4
 
@@ -88,20 +89,39 @@
         """Returns the lists that a heartbeat's columns follow."""
         return self._by_hash.get(list_hash)
 
-    def entry_vms_elsewhere(self, zone: str) -> list[fleet.VmRecord]:
-        """Returns the entry VMs of all other zones."""
-        return [
-            vm
-            for lists in self._current.values()
-            if lists.availability_zone != zone
-            for vm in lists.entry_vms
-        ]
+    def zones(self) -> list[str]:
+        """Returns the names of all zones."""
+        return sorted(self._current)
 
     def engine_ids(self) -> list[str]:
         """Returns the engines of all zones."""
         return [vm.vm_id for vm in self._vms if vm.kind == "engine"]
 
 
+def partners(
+    own_vm_id: str, own_zone: str, book: ListBook, epoch: int
+) -> list[fleet.VmRecord]:
+    """Returns one entry VM of each other zone, another one each epoch.
+
+    With links to all of them, a node would dial hundreds of addresses over
+    and over while the regions are cut off from each other.
+
+    Args:
+        own_vm_id: This node.
+        own_zone: Its zone.
+        book: The VM list.
+        epoch: Number of the present period.
+    """
+    chosen = []
+    for zone in book.zones():
+        entry_vms = book.current(zone).entry_vms
+        if zone == own_zone or not entry_vms:
+            continue
+        by_id = {vm.vm_id: vm for vm in entry_vms}
+        chosen.append(by_id[ranking.first(f"{own_vm_id} {epoch}", by_id)])
+    return chosen
+
+
 class Rotation:
     """Gives each neighbour its turn, in an order shuffled every round.
 
