Set one timer again for each block instead of a new timeout

When tokens of many streams come one by one, each waits for its own block, and a Timeout object with its exception was made and thrown away for each. A watchdog over all streams was ruled out: it would need a list of them and end them late.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -110,17 +110,16 @@
     return head.encode("latin-1") + request.body
 
 
-def _silent(timeout_s: float) -> TimeoutError:
-    return TimeoutError(f"nothing came for {timeout_s} s")
-
-
 class Connection:
     """A TCP connection to a back end."""
 
     def __init__(self, address: fleet.Address, sock: Any):
         self.address = address
         self.sock = sock
-        self._readable = gevent.get_hub().loop.io(sock.fileno(), _LOOP_READ)
+        loop = gevent.get_hub().loop
+        self._readable = loop.io(sock.fileno(), _LOOP_READ)
+        self._silence = loop.timer(0.0)
+        self._silence_limit_s = 0.0
 
     @classmethod
     def open(
@@ -167,13 +166,29 @@
         Raises:
             OSError: Nothing came in time, or the connection was closed.
         """
-        gevent_socket.wait(self._readable, timeout_s, _silent(timeout_s))
+        if timeout_s != self._silence_limit_s:
+            self._silence.close()
+            self._silence = gevent.get_hub().loop.timer(timeout_s, timeout_s)
+            self._silence_limit_s = timeout_s
+        # One timer that is set again costs less than a Timeout object for
+        # each token.
+        self._silence.again(self._end_silence)
+        try:
+            gevent_socket.wait(self._readable)
+        finally:
+            self._silence.stop()
+
+    def _end_silence(self) -> None:
+        limit_s = self._silence_limit_s
+        error = TimeoutError(f"nothing came for {limit_s} s")
+        gevent.get_hub().cancel_wait(self._readable, error)
 
     def close(self) -> None:
         """Closes the connection; whoever waits for it gets an OSError."""
         gevent.get_hub().cancel_wait(
             self._readable, gevent_socket.cancel_wait_ex, close_watcher=True
         )
+        self._silence.close()
         self.sock.close()
 
 
