Tell unknown rates from none in dry runs

A controller that is not told the customers' rates holds at a rule on them, but mulberryctl plan took the rates for zero and promised that the next rule would count. Leaving such rules out of plan was ruled out: it hides why a zone holds. The status now carries the rates' age, and an unknown rate shows as unknown.

--- a/src/mulberrywharf/operators/situations.py
+++ b/src/mulberrywharf/operators/situations.py
@@ -1,5 +1,7 @@
 """Carries the rules' inputs from a controller's status to a dry run."""
 
+import math
+
 from mulberrywharf.operators.status import RuleStatus, SituationStatus
 from mulberrywharf.rules.explain import explain
 from mulberrywharf.rules.match import STALE_AFTER_S, Match
@@ -17,6 +19,7 @@
 
 def situation_status(situation: Situation) -> SituationStatus:
     """Builds what /status says about the inputs; stale ones are None."""
+    age_s = situation.rates_age_s
     return SituationStatus(
         availability_zone=situation.availability_zone,
         utc_minute=situation.utc_minute,
@@ -25,11 +28,13 @@
         engines_lost_count=_fresh(situation.engines_lost_count),
         customer_requests_per_s=dict(situation.customer_requests_per_s),
         model_requests_per_s=dict(situation.model_requests_per_s),
+        rates_age_s=None if math.isinf(age_s) else age_s,
     )
 
 
 def situation_from_status(status: SituationStatus) -> Situation:
     """Reads the inputs back, as if they had been taken just now."""
+    age_s = status["rates_age_s"]
     return Situation(
         availability_zone=status["availability_zone"],
         utc_minute=status["utc_minute"],
@@ -38,7 +43,7 @@
         engines_lost_count=Reading(status["engines_lost_count"], 0.0),
         customer_requests_per_s=status["customer_requests_per_s"],
         model_requests_per_s=status["model_requests_per_s"],
-        rates_age_s=0.0,
+        rates_age_s=math.inf if age_s is None else age_s,
     )
 
 
--- a/src/mulberrywharf/operators/status.py
+++ b/src/mulberrywharf/operators/status.py
@@ -120,6 +120,7 @@
         engines_lost_count: None when unknown.
         customer_requests_per_s: By customer.
         model_requests_per_s: By model.
+        rates_age_s: Age of both kinds of rates; None when unknown.
     """
 
     availability_zone: str
@@ -129,6 +130,7 @@
     engines_lost_count: float | None
     customer_requests_per_s: dict[str, float]
     model_requests_per_s: dict[str, float]
+    rates_age_s: float | None
 
 
 @pydantic.with_config(_OPEN)
--- a/src/mulberrywharf/rules/match.py
+++ b/src/mulberrywharf/rules/match.py
@@ -8,6 +8,7 @@
 """
 
 import json
+import math
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -160,7 +161,10 @@
     for condition, name, rates in subjects:
         if name is None:
             continue
-        reading = Reading(rates.get(name, 0.0), situation.rates_age_s)
+        # Whoever is absent sends nothing, unless the rates are not known.
+        known = not math.isinf(situation.rates_age_s)
+        rate = rates.get(name, 0.0) if known else None
+        reading = Reading(rate, situation.rates_age_s)
         above = when.get("requests_above_per_s")
         below = when.get("requests_below_per_s")
         if above is not None or below is None:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -11,7 +11,11 @@
 from unittest import mock
 
 from mulberrywharf.authority import order_records
-from mulberrywharf.operators.situations import rule_status, situation_status
+from mulberrywharf.operators.situations import (
+    rule_status,
+    situation_from_status,
+    situation_status,
+)
 from mulberrywharf.platform_service import config_store
 from mulberrywharf.rules.match import match_once
 from standins.vm_list import VmListStandin
@@ -97,6 +101,26 @@
                 self.assertIn("next:", found.stderr)
 
 
+class SituationStatusTest(unittest.TestCase):
+    def test_a_dry_run_sees_what_the_controller_saw(self):
+        views = (
+            builders_rules.situation(0.7, customer_requests_per_s={"a": 2.0}),
+            builders_rules.situation(None, rates_age_s=float("inf")),
+            builders_rules.situation(0.7, age_s=99.0),
+        )
+        document = builders_rules.document(
+            builders_rules.rule("rates", {"customer": "a"}),
+            builders_rules.rule("long"),
+        )
+        for view in views:
+            with self.subTest(view=view):
+                status = json.loads(json.dumps(situation_status(view)))
+                found = match_once(document, situation_from_status(status))
+                expected = match_once(document, view)
+                self.assertEqual(found[:3], expected[:3])
+                self.assertEqual(found.undecided, expected.undecided)
+
+
 class LiveTest(unittest.TestCase):
     """With a key-value service and nodes that follow it."""
 
--- a/tests/test_rules_match.py
+++ b/tests/test_rules_match.py
@@ -110,6 +110,19 @@
                 self.assertEqual(found.actions, {"hold": True})
                 self.assertIsNone(wanted_roles(found.actions, 8))
 
+    def test_unknown_rates_are_not_zero(self):
+        for when in (
+            {"customer": "dispatch"},
+            {"customer": "dispatch", "requests_below_per_s": 5},
+            {"model": "verdict-70b", "requests_above_per_s": 5},
+        ):
+            with self.subTest(when=when):
+                document = build.document(build.rule("rates", when))
+                unknown = build.situation(rates_age_s=float("inf"))
+                found = _matched(document, unknown)
+                self.assertTrue(found.undecided)
+                self.assertEqual(found.inputs[0].value, "unknown")
+
     def test_a_condition_that_fails_decides_despite_unknown_ones(self):
         when = {"prefill_share_above": 0.5, "availability_zone": "hall-b"}
         document = build.document(build.rule("elsewhere", when))
