--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -17,6 +17,8 @@
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _DONE = b"[DONE]"
+# json.loads() looks for the encoding of each event; it is always UTF-8.
+_DECODER = json.JSONDecoder()
 _EVENT_LIMIT_BYTES = 1024 * 1024
 _ERROR_BODY_LIMIT_BYTES = 64 * 1024
 _CANCEL_TIMEOUT_S = 1.0
@@ -276,7 +278,7 @@
 
     def _token(self, payload: bytes, event: bytes) -> Token:
         try:
-            document = json.loads(payload)
+            document = _DECODER.decode(payload.decode())
             token = self._checked_token(document, event)
         except (ValueError, KeyError, TypeError, IndexError) as error:
             raise self._broken(f"malformed event: {error!r}") from error
