Test operators who apply at the same instant

That one of several operators wins was only shown one after the other, where the version read at the start already tells the loser. Three now apply at once through a slowed key-value service; exactly one gets its document in force and the others exit 3. A test with real processes was ruled out, since their start-up spreads the writes.

--- a/src/mulberrywharf/operators/status.py
+++ b/src/mulberrywharf/operators/status.py
@@ -7,8 +7,10 @@
 
 from mulberrywharf.operators.audit import AuditLine
 
-# A newer process may say more than an older mulberryctl knows; during a
-# rolling replacement the known part must still be readable.
+# Nodes and mulberryctl are replaced one by one. A newer node may say more than
+# an older mulberryctl knows, and the known part must still be readable; a
+# field that is added to a released report must be NotRequired, or a newer
+# mulberryctl would take every older node for one that does not answer.
 _OPEN = pydantic.ConfigDict(extra="ignore")
 
 
--- a/src/mulberrywharf/rules/configuration.py
+++ b/src/mulberrywharf/rules/configuration.py
@@ -61,10 +61,11 @@
 def _flat(document: Document) -> dict[str, str]:
     value = ADAPTER.dump_python(document)
     rules = value.pop("rules")
-    value["rules"] = {
-        rule["name"]: {"when": rule["when"], "then": rule["then"]}
-        for rule in rules
-    }
+    if rules:
+        value["rules"] = {
+            rule["name"]: {"when": rule["when"], "then": rule["then"]}
+            for rule in rules
+        }
     value["rules order"] = [rule["name"] for rule in rules]
     flat: dict[str, str] = {}
     _flatten("", value, flat)
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -10,6 +10,8 @@
 from typing import Any
 from unittest import mock
 
+import gevent
+
 from mulberrywharf.authority import order_records
 from mulberrywharf.operators.situations import (
     rule_status,
@@ -214,6 +216,38 @@
         held = self.store.read().unwrap()
         self.assertEqual((held.version, held.author), (2, "ana"))
 
+    def test_of_several_that_apply_at_once_one_wins(self):
+        """Operators of several shifts apply within the same instant.
+
+        Symptom: two are told that their rules are in force, and one's are.
+        Sequence: all read version 0; all write; the last write stays.
+        Cause: a write that did not compare with what it replaces.
+        """
+        self.platform.faults["delay_s"] = 0.02
+        nodes = (self.node(),)
+        authors = ("ana", "luis", "mei")
+        runs = [
+            gevent.spawn(
+                self.apply,
+                builders_rules.document(default={"prefer_zone": author}),
+                "--base-version",
+                "0",
+                nodes=nodes,
+                author=author,
+            )
+            for author in authors
+        ]
+        gevent.joinall(runs, timeout=builders_platform.WAIT_LIMIT_S)
+        codes = {
+            author: run.value.exit_code
+            for author, run in zip(authors, runs, strict=True)
+        }
+        self.assertEqual(sorted(codes.values()), [0, 3, 3])
+        held = self.store.read().unwrap()
+        self.assertEqual(codes[held.author], 0)
+        self.assertEqual(held.document["default"]["prefer_zone"], held.author)
+        self.assertEqual(len(held.audit), 1)
+
     def test_a_lost_answer_applies_once(self):
         """The write takes effect but its answer is lost.
 
