Refuse connections for real and keep resets out of lost ways

The proxy's `refuse` accepted a connection and reset it, so a test of an unreachable engine saw one that may have received bytes; and a client's reset went through a way that was to lose everything. The port is now held without listening while connections are refused, a reset on a lost way stays unseen until the way is reset, and a pump whose target is gone no longer waits on its full queue. Closing the port was ruled out, since another process could take it meanwhile. `cut` still accepts and resets, which is a case of its own.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -7,8 +7,9 @@
 ``POST /faults`` on the control port takes any of these fields; a field that
 is left out keeps its value:
 
-- ``mode``: ``pass``; ``cut`` (ends every connection at once and refuses new
-  ones); ``refuse`` (refuses new ones only); ``freeze`` (holds all bytes and
+- ``mode``: ``pass``; ``cut`` (resets every connection, new ones right after
+  they were accepted); ``refuse`` (new ones get no connection at all, those
+  that are open go on); ``freeze`` (holds all bytes and
   delivers them after the thaw, as a healed partition does); ``half-open-up``
   (drops what goes to the upstream) and ``half-open-down`` (drops what comes
   back), in both of which no side is told.
@@ -48,6 +49,7 @@
 )
 _READ_BYTES = 65_536
 _HELD_PIECES = 256
+_BACKLOG = 256
 _CONNECT_TIMEOUT_S = 10.0
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 _UP = "up"
@@ -92,28 +94,25 @@
 
     def _pump(self, way: str, source: Any, target: Any) -> None:
         held: gevent.queue.Queue = gevent.queue.Queue(maxsize=_HELD_PIECES)
-        writer = gevent.spawn(self._write, way, held, target)
+        reader = gevent.spawn(_read, source, held)
         try:
-            while data := source.recv(_READ_BYTES):
-                held.put((time.monotonic(), data))
-            held.put((time.monotonic(), b""))
-        except OSError:
-            # A reset is passed on as one, after what came before it.
-            held.put((time.monotonic(), None))
-        writer.join()
+            self._write(way, held, target)
+        finally:
+            # After a reset nobody empties the queue any more.
+            reader.kill()
 
     def _write(self, way: str, held: gevent.queue.Queue, target: Any) -> None:
         while True:
             came_s, data = held.get()
             self._hold_back(came_s)
-            if data is None:
-                self.reset()
-                return
             if self._proxy.drops(way):
                 if not data:
                     self._await_heal(way)
                     return
                 continue
+            if data is None:
+                self.reset()
+                return
             if not self._deliver(way, target, data):
                 return
 
@@ -168,42 +167,70 @@
             sock.close()
 
 
+def _read(source: Any, held: gevent.queue.Queue) -> None:
+    try:
+        while data := source.recv(_READ_BYTES):
+            held.put((time.monotonic(), data))
+        held.put((time.monotonic(), b""))
+    except OSError:
+        # A reset is passed on as one, after what came before it.
+        held.put((time.monotonic(), None))
+
+
 class FaultProxy:
     """A listener whose connections go to one upstream, with faults.
 
     Attributes:
         faults: What it does now.
         thawed: Set while bytes may move.
+        port: The TCP port that clients connect to, once started.
     """
 
     def __init__(self, upstream: tuple[str, int], *, ip: str = "127.0.0.1"):
         self.faults = Faults()
         self.thawed = gevent.event.Event()
         self.thawed.set()
+        self.port = 0
         self._upstream = upstream
         self._ip = ip
         self._connections: set[_Connection] = set()
         self._server: gevent.server.StreamServer | None = None
-
-    @property
-    def port(self) -> int:
-        """The TCP port that clients connect to."""
-        assert self._server is not None
-        return int(self._server.server_port)
+        # Keeps the port, without listening, while connections are refused.
+        self._bound: Any = None
 
     def start(self, port: int = 0) -> None:
         """Starts to listen."""
-        self._server = gevent.server.StreamServer(
-            (self._ip, port), self._accept
-        )
-        self._server.start()
+        self._bind(port)
+        self._listen()
 
     def close(self) -> None:
         """Stops listening and resets every connection."""
         if self._server is not None:
             self._server.stop(timeout=0)
+        if self._bound is not None:
+            self._bound.close()
         self.reset_all()
 
+    def _bind(self, port: int) -> None:
+        self._bound = gevent_socket.socket()
+        self._bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._bound.bind((self._ip, port))
+        self.port = self._bound.getsockname()[1]
+
+    def _listen(self) -> None:
+        if self._server is not None:
+            return
+        self._bound.listen(_BACKLOG)
+        self._server = gevent.server.StreamServer(self._bound, self._accept)
+        self._server.start()
+
+    def _refuse(self) -> None:
+        if self._server is None:
+            return
+        self._server.close()
+        self._server = None
+        self._bind(self.port)
+
     def set_faults(self, **fields: Any) -> None:
         """Lays fields over the faults in force.
 
@@ -218,6 +245,10 @@
             self.thawed.clear()
         else:
             self.thawed.set()
+        if self.faults.mode == "refuse":
+            self._refuse()
+        else:
+            self._listen()
         if self.faults.mode == "cut":
             self.reset_all()
 
@@ -238,7 +269,7 @@
 
     def _accept(self, client: Any, address: Any) -> None:
         del address
-        if self.faults.mode in ("cut", "refuse"):
+        if self.faults.mode == "cut":
             client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
             client.close()
             return
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -1,6 +1,7 @@
 """What other tests rely on in the fault-injecting proxy."""
 
 import json
+import struct
 import unittest
 from typing import Any
 
@@ -19,6 +20,7 @@
 class FaultProxyTest(unittest.TestCase):
     def setUp(self) -> None:
         self.seen = b""
+        self.ends = 0
         self.upstream = gevent.server.StreamServer(("127.0.0.1", 0), self.echo)
         self.upstream.start()
         self.addCleanup(self.upstream.stop, 0)
@@ -34,7 +36,8 @@
                 self.seen += data
                 sock.sendall(data)
         except OSError:
-            return
+            pass
+        self.ends += 1
 
     def connect(self) -> Any:
         sock = socket.create_connection(
@@ -92,8 +95,8 @@
         sock = self.connect()
         self.exchange(sock, b"one")
         self.proxy.set_faults(mode="refuse")
-        with self.assertRaises(OSError):
-            self.connect().recv(1)
+        with self.assertRaises(ConnectionRefusedError):
+            self.connect()
         self.assertEqual(self.exchange(sock, b"two"), b"two")
         self.proxy.set_faults(mode="cut")
         with self.assertRaises(OSError):
@@ -101,6 +104,25 @@
         self.proxy.set_faults(mode="pass")
         self.assertEqual(self.exchange(self.connect(), b"new"), b"new")
 
+    def test_reset_is_passed_on_but_not_through_a_half_open_way(self) -> None:
+        for mode, is_told in (("pass", True), ("half-open-up", False)):
+            with self.subTest(mode=mode):
+                self.ends = 0
+                self.proxy.set_faults(mode="pass")
+                sock = self.connect()
+                self.exchange(sock, b"one")
+                self.proxy.set_faults(mode=mode)
+                linger = struct.pack("ii", 1, 0)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                sock.close()
+                if is_told:
+                    with gevent.Timeout(_WAIT_S):
+                        while not self.ends:
+                            gevent.sleep(0.01)
+                else:
+                    gevent.sleep(_QUIET_S)
+                    self.assertEqual(self.ends, 0)
+
     def test_reset_after_bytes_in_either_direction(self) -> None:
         cases = (
             ("reset_after_up_bytes", b"0123456", b""),
