Test leases, the configuration and the VM list under faults

The tests cause outages, slow calls, writes whose answer is lost, late writes, racing operators and a service restored from a backup. Two tests were too weak and are stricter now: a closed stand-in went on answering on open connections, so an outage was none, and a lease loss told late went unnoticed.

--- a/src/mulberrywharf/platform_service/config_store.py
+++ b/src/mulberrywharf/platform_service/config_store.py
@@ -1,5 +1,6 @@
 """Reads and changes the one configuration document of a deployment."""
 
+import json
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 )
 from mulberrywharf.rules import configuration as rules_configuration
 from mulberrywharf.rules.document import Document
+from mulberrywharf.rules.parse import check_value
 
 CHANGE_PURPOSE = "config-change"
 
@@ -91,7 +93,9 @@
         found by its id and reported as accepted, not applied twice.
 
         Args:
-            document: The new document, already checked.
+            document: The new document; checked once more here, because one
+                that nodes refuse to read would be accepted and in force
+                nowhere.
             author: The operator.
             note: Why, for the audit trail.
             change_id: New for each change, the same for its repeats.
@@ -101,13 +105,17 @@
                 the author's tool knows.
 
         Returns:
-            The accepted configuration; ``ConfigConflictError`` if another
-            change came first; ``ConfigStoreBehindError`` if the service
-            lost versions that nodes still run; ``ChangeIdReusedError`` if
-            the id belongs to another document; with these, nothing of this
-            change is applied. ``WriteOutcomeUnknownError`` if it could not
+            The accepted configuration; ``RulesError`` if the document has
+            faults; ``ConfigConflictError`` if another change came first;
+            ``ConfigStoreBehindError`` if the service lost versions that
+            nodes still run; ``ChangeIdReusedError`` if the id belongs to
+            another document; with these, nothing of this change is applied.
+            ``WriteOutcomeUnknownError`` if it could not
             be found out; repeat with the same id.
         """
+        checked = check_value(_as_stored(document), "new document")
+        if isinstance(checked, Err):
+            return checked
         change = _Change(
             document, author, note, change_id, expected_version, seen_version
         )
@@ -249,14 +257,19 @@
 def _already_accepted(
     change: _Change, held: _Held, entry: AuditEntry
 ) -> Result[Configuration, ConfigError]:
-    """Answers the repeat of a change that took effect earlier."""
+    """Answers the repeat of a change that took effect earlier.
+
+    The document of a change that another has replaced is no longer stored;
+    then author and note tell a repeat from an id that was used twice.
+    """
     current = held.configuration
     assert current is not None
-    is_current = current.change_id == change.change_id
-    if is_current and current.document != change.document:
-        return Err(errors.ChangeIdReusedError(change.change_id))
-    if is_current:
+    if current.change_id == change.change_id:
+        if current.document != _as_stored(change.document):
+            return Err(errors.ChangeIdReusedError(change.change_id))
         return Ok(current)
+    if (entry["author"], entry["note"]) != (change.author, change.note):
+        return Err(errors.ChangeIdReusedError(change.change_id))
     position = current.audit.index(entry)
     return Ok(
         configuration_module.build(
@@ -270,6 +283,11 @@
     )
 
 
+def _as_stored(document: Document) -> object:
+    """Returns a document as it reads after it was written as JSON."""
+    return json.loads(json.dumps(document))
+
+
 def _conflict(change: _Change, held: _Held) -> errors.ConfigConflictError:
     current = held.configuration
     others: Sequence[AuditEntry] = ()
@@ -290,7 +308,10 @@
 def _diff(
     held: _Held, document: Document
 ) -> list[rules_configuration.DiffLine]:
+    """Lists what a document changes; all of it if the held one is faulty."""
     before = held.configuration.document if held.configuration else None
+    if before is not None and isinstance(check_value(before, "held"), Err):
+        before = None
     return rules_configuration.diff(before, document)
 
 
--- a/src/mulberrywharf/platform_service/vm_list.py
+++ b/src/mulberrywharf/platform_service/vm_list.py
@@ -200,7 +200,9 @@
         try:
             vm = _VM_ADAPTER.validate_python(entry)
         except pydantic.ValidationError as error:
-            logger.warning("VM list: a malformed entry: {}", error)
+            logger.warning(
+                "VM list: an entry has {} fault(s)", error.error_count()
+            )
             continue
         records.append(_record(vm))
     return records
--- a/standins/http_control.py
+++ b/standins/http_control.py
@@ -10,6 +10,7 @@
 
 import gevent
 import gevent.event
+import gevent.pool
 
 from mulberrywharf import _wsgi
 
@@ -31,9 +32,17 @@
     """Makes a listener whose answers can be cut."""
     server = _wsgi.WsgiServer(ip, port, application)
     server.handler_class = _Handler
+    # Without a pool a stopped server goes on answering on the connections
+    # that it has: an outage that a test causes would not be one.
+    server.set_spawn(gevent.pool.Pool())
     return server
 
 
+def stop_server(server: _wsgi.WsgiServer) -> None:
+    """Stops listening and closes every connection at once."""
+    server.stop(timeout=0)
+
+
 def read_json(environ: Environ) -> dict[str, Any]:
     """Reads the request's JSON body."""
     return dict(json.loads(environ["wsgi.input"].read() or b"{}"))
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -81,7 +81,7 @@
         if self._expiry is not None:
             self._expiry.kill()
         self.store.cut_watches()
-        self._server.stop(timeout=0.2)
+        http_control.stop_server(self._server)
 
     def set_faults(self, **faults: Any) -> None:
         """Replaces the faults; none clears them."""
--- a/standins/vm_list.py
+++ b/standins/vm_list.py
@@ -20,6 +20,8 @@
         port: The TCP port that it listens on, also after ``close``.
         faults: ``down`` closes connections without an answer, ``delay_s``
             holds every answer back.
+        reads_count: Reads, unchanged answers included.
+        full_answers_count: Answers that carried the list.
     """
 
     def __init__(
@@ -27,6 +29,7 @@
     ):
         self.faults: dict[str, Any] = {}
         self.reads_count = 0
+        self.full_answers_count = 0
         self._lag_s = lag_s
         self._version = 0
         self._visible: dict[str, Any] = {"version": 0, "vms": []}
@@ -40,7 +43,7 @@
 
     def close(self) -> None:
         """Stops."""
-        self._server.stop(timeout=0.2)
+        http_control.stop_server(self._server)
 
     def set_vms(self, vms: list[dict[str, Any]]) -> int:
         """Replaces the list; returns its version."""
@@ -49,6 +52,11 @@
         self._pending.append((time.monotonic() + self._lag_s, document))
         return self._version
 
+    def pin(self, document: dict[str, Any]) -> None:
+        """Shows readers this document, as a replica that lags would."""
+        self._pending.clear()
+        self._visible = document
+
     def _application(
         self, environ: http_control.Environ, start_response: Any
     ) -> Iterable[bytes]:
@@ -68,15 +76,17 @@
             gevent.sleep(self.faults["delay_s"])
         if self.faults.get("down"):
             return http_control.cut(environ, start_response)
-        current = self._current()
+        current = self.current()
         etag = f'"{current["version"]}"'
         if environ.get("HTTP_IF_NONE_MATCH") == etag:
             start_response("304 Not Modified", [("etag", etag)])
             return []
+        self.full_answers_count += 1
         headers = [("etag", etag)]
         return http_control.answer(start_response, "200 OK", current, headers)
 
-    def _current(self) -> dict[str, Any]:
+    def current(self) -> dict[str, Any]:
+        """Returns the list as readers see it now."""
         while self._pending and self._pending[0][0] <= time.monotonic():
             self._visible = self._pending.pop(0)[1]
         return self._visible
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -40,7 +40,7 @@
 
     def close(self) -> None:
         """Stops."""
-        self._server.stop(timeout=0.2)
+        http_control.stop_server(self._server)
 
     def _application(
         self, environ: http_control.Environ, start_response: Any
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -15,6 +15,7 @@
     configuration,
     key_value,
 )
+from mulberrywharf.rules.document import Document
 from standins.key_value import KeyValueStandin
 
 WAIT_LIMIT_S = 10.0
@@ -107,3 +108,31 @@
             "value": base64.b64encode(value).decode(),
         }
     }
+
+
+def document_of(name: str) -> Document:
+    return {
+        "rules": [
+            {
+                "name": name,
+                "when": {"prefill_share_above": 0.5},
+                "then": {"hold": True},
+            }
+        ],
+        "default": {"hold": True},
+    }
+
+
+def value_of(log_entry: dict[str, Any]) -> bytes:
+    return base64.b64decode(log_entry["value"])
+
+
+def vm_on_wire(vm_id: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "vm_id": vm_id,
+        "kind": "engine",
+        "availability_zone": "zone-a",
+        "ip": "127.0.0.1",
+        "port": 80,
+        **fields,
+    }
