--- a/src/mulberrywharf/policy/prefix_index.py
+++ b/src/mulberrywharf/policy/prefix_index.py
@@ -189,9 +189,9 @@
         feed = self._feeds.get(engine_id)
         if feed is None:
             return True
-        if confirmed_s <= feed.forgotten_s:
+        if confirmed_s < feed.forgotten_s:
             return False
-        if confirmed_s > feed.gap_s:
+        if confirmed_s >= feed.gap_s:
             return True
         return now_s - feed.gap_s <= self._settings.gap_lifetime_s
 
--- a/src/mulberrywharf/policy/shares.py
+++ b/src/mulberrywharf/policy/shares.py
@@ -30,12 +30,13 @@
     Attributes:
         customer: Who asked.
         requests_per_s: Requests, refused ones too.
-        tokens_per_s: Their tokens.
+        tokens_per_s: Their tokens; where no node tells them, the tokens are
+            divided as the requests are.
     """
 
     customer: str
     requests_per_s: float
-    tokens_per_s: float
+    tokens_per_s: float = 0.0
 
 
 class DemandReport(NamedTuple):
@@ -89,7 +90,7 @@
         """Returns the present averages; what has all but faded is zero."""
         self._fade(now_s, constant_s)
         if self._requests_per_s < 0.001:
-            return CustomerDemand(customer, 0.0, 0.0)
+            return CustomerDemand(customer, 0.0)
         return CustomerDemand(
             customer, self._requests_per_s, self._tokens_per_s
         )
@@ -134,13 +135,15 @@
         group_count = len(self._reports)
         group_share = group_count * equal_share
         own = _demand_of(self._reports[node_id], customer)
-        total = self._totals.get(customer, CustomerDemand(customer, 0.0, 0.0))
+        total = self._totals.get(customer, CustomerDemand(customer, 0.0))
         requests_share = _divide(
             own.requests_per_s, total.requests_per_s, group_count
         )
-        tokens_share = _divide(
-            own.tokens_per_s, total.tokens_per_s, group_count
-        )
+        tokens_share = requests_share
+        if total.tokens_per_s > 0:
+            tokens_share = _divide(
+                own.tokens_per_s, total.tokens_per_s, group_count
+            )
         return Part(group_share * requests_share, group_share * tokens_share)
 
 
@@ -198,7 +201,7 @@
     for demand in report.demands:
         if demand.customer == customer:
             return demand
-    return CustomerDemand(customer, 0.0, 0.0)
+    return CustomerDemand(customer, 0.0)
 
 
 def _total_demands(
@@ -208,7 +211,7 @@
     for report in reports.values():
         for demand in report.demands:
             before = totals.get(
-                demand.customer, CustomerDemand(demand.customer, 0.0, 0.0)
+                demand.customer, CustomerDemand(demand.customer, 0.0)
             )
             totals[demand.customer] = CustomerDemand(
                 demand.customer,
--- /dev/null
+++ b/tests/test_concurrency.py
@@ -0,0 +1,86 @@
+"""The adaptive limit of requests at one engine."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mulberrywharf.policy import concurrency
+
+_IDLE_S = 0.1
+
+
+def _limit() -> concurrency.ConcurrencyLimit:
+    return concurrency.ConcurrencyLimit.from_config()
+
+
+def _feed(
+    limit: concurrency.ConcurrencyLimit, capacity_count: int, samples: int
+) -> None:
+    """Keeps the limit used at an engine that slows beyond a capacity."""
+    for _ in range(samples):
+        in_flight = limit.limit_count
+        overload = max(1.0, in_flight / capacity_count)
+        limit.on_first_token(_IDLE_S * 2 * overload, _IDLE_S, in_flight)
+
+
+class ConcurrencyLimitTest(unittest.TestCase):
+    def test_settles_near_what_the_engine_bears(self):
+        for capacity_count in (8, 40, 100):
+            with self.subTest(capacity_count=capacity_count):
+                limit = _limit()
+                _feed(limit, capacity_count, 500)
+                self.assertGreater(limit.limit_count, capacity_count)
+                self.assertLess(limit.limit_count, capacity_count * 3)
+
+    def test_shrinks_when_the_engine_slows(self):
+        limit = _limit()
+        _feed(limit, 100, 500)
+        before_count = limit.limit_count
+        _feed(limit, 10, 100)
+        self.assertLess(limit.limit_count, before_count / 3)
+
+    def test_unused_limit_does_not_grow(self):
+        limit = _limit()
+        before_count = limit.limit_count
+        for _ in range(100):
+            limit.on_first_token(_IDLE_S, _IDLE_S, 1)
+        self.assertEqual(limit.limit_count, before_count)
+
+    def test_long_prompt_is_no_overload(self):
+        limit = _limit()
+        before_count = limit.limit_count
+        for _ in range(50):
+            limit.on_first_token(2.0, 1.9, before_count)
+        self.assertGreaterEqual(limit.limit_count, before_count)
+
+    def test_refusals_at_once_are_one_event(self):
+        limit = _limit()
+        before_count = limit.limit_count
+        for _ in range(20):
+            limit.on_refused(10.0)
+        self.assertGreater(limit.limit_count, before_count / 2)
+        limit.on_refused(12.0)
+        self.assertLess(limit.limit_count, before_count / 2 + 1)
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.floats(0, 100), st.floats(0, 100), st.integers(0, 500)
+            ),
+            max_size=100,
+        )
+    )
+    @settings(derandomize=True, deadline=None)
+    def test_stays_within_its_bounds(self, samples):
+        limit = _limit()
+        for number, (delay_s, idle_delay_s, in_flight) in enumerate(samples):
+            limit.on_first_token(delay_s, idle_delay_s, in_flight)
+            if number % 3 == 0:
+                limit.on_refused(float(number))
+            self.assertGreaterEqual(limit.limit_count, 2)
+            self.assertLessEqual(limit.limit_count, 256)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -132,8 +132,9 @@
 
     def test_floor_allows_retries_again_after_a_while(self):
         budget = _budget()
-        while isinstance(_decide(budget, _attempt()), retry_budget.Retry):
-            pass
+        for _ in range(10):
+            spent = _decide(budget, _attempt())
+        self.assertIsInstance(spent, retry_budget.GiveUp)
         decision = _decide(budget, _attempt(), now_s=10.0)
         self.assertIsInstance(decision, retry_budget.Retry)
 
