Bound whole exchanges and read finished answers to their last byte

Four faults found by reading our own code. A small exchange had a bound on each wait but none on the whole, so a dripping back end could hold its reader for hours. One unreadable cache event ended an engine's reader for good. A NaN in a load report makes every comparison of scores false. And a stream closed at [DONE] reset its connection when the body's last chunk arrived, which engines log as a caller who left. Each has a test, seen red without its guard and green with it. Leaving the last chunk to the kernel with a lingering close was ruled out, as gevent would block in it.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -441,6 +441,21 @@
         else:
             connection.close()
 
+    def drain(self, limit_s: float) -> None:
+        """Reads what little is left of an answer, then ends the exchange.
+
+        Bytes that meet a closed connection reset it; the back end would take
+        that for a caller who left in mid-answer, and log it so.
+
+        Args:
+            limit_s: Bound on all of it.
+        """
+        with gevent.Timeout(limit_s, False):
+            some = self.read_some(limit_s)
+            while isinstance(some, Ok) and some.ok_value:
+                some = self.read_some(limit_s)
+        self.finish()
+
     def close(self) -> None:
         """Ends the exchange and closes its connection."""
         connection = self._connection
@@ -462,7 +477,7 @@
     Args:
         address: The back end.
         request: What to send.
-        timeout_s: For the connection and for each wait.
+        timeout_s: For the connection, and for the rest of the exchange.
         limit_bytes: Bound on the body.
         pool: Idle connections, for idempotent requests only.
 
@@ -473,12 +488,27 @@
     if isinstance(opened, Err):
         return opened
     exchange = opened.ok_value
+    # A back end that sends one byte now and then passes every bound on a
+    # single wait; without one on the whole its reader would hang for hours.
+    bound = gevent.Timeout(timeout_s)
     try:
-        sent = exchange.send(request, timeout_s)
-        if isinstance(sent, Err):
-            return sent
-        body = exchange.read_all(timeout_s, limit_bytes)
-        answer = sent.ok_value
-        return body.map(lambda data: (answer, data))
+        with bound:
+            return _fetch(exchange, request, timeout_s, limit_bytes)
+    except gevent.Timeout as timeout:
+        if timeout is not bound:
+            raise
+        message = f"{address} did not answer whole within {timeout_s} s"
+        return Err(errors.AnswerLostError(message))
     finally:
         exchange.finish()
+
+
+def _fetch(
+    exchange: Exchange, request: Request, timeout_s: float, limit_bytes: int
+) -> Result[tuple[Answer, bytes], errors.EngineError]:
+    sent = exchange.send(request, timeout_s)
+    if isinstance(sent, Err):
+        return sent
+    body = exchange.read_all(timeout_s, limit_bytes)
+    answer = sent.ok_value
+    return body.map(lambda data: (answer, data))
--- a/src/mulberrywharf/engines/loads.py
+++ b/src/mulberrywharf/engines/loads.py
@@ -1,7 +1,9 @@
 """What this node knows of each engine's load, read at intervals."""
 
 import json
+import math
 import random
+import re
 from collections.abc import Collection, Iterable
 from typing import Any, Protocol
 
@@ -20,6 +22,7 @@
 _TIMEOUT_S = 2.0
 _ANSWER_LIMIT_BYTES = 1024 * 1024
 _OK = 200
+_BLOCK_HASH = re.compile(r"[0-9a-f]{1,16}")
 
 _REPORT_ADAPTER = pydantic.TypeAdapter(fleet.LoadReport)
 _EVENTS_ADAPTER = pydantic.TypeAdapter(list[prefix_index.CacheEvent])
@@ -247,8 +250,10 @@
             document = json.loads(fetched.ok_value)
             events = _EVENTS_ADAPTER.validate_python(document["events"])
             last_sequence = int(document["last_sequence"])
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, OverflowError) as error:
             return Err(errors.EngineError(f"malformed cache events: {error}"))
+        if not all(_BLOCK_HASH.fullmatch(e.block_hash) for e in events):
+            return Err(errors.EngineError("a block hash is not hexadecimal"))
         now_s = self._clock.monotonic_s()
         sink.apply(book.vm.vm_id, events, last_sequence, now_s)
         restarted = last_sequence < book.last_sequence
@@ -285,6 +290,16 @@
             for name in fleet.LoadReport._fields
             if name in document
         }
-        return Ok(_REPORT_ADAPTER.validate_python(known))
+        report = _REPORT_ADAPTER.validate_python(known)
     except (ValueError, TypeError) as error:
         return Err(errors.EngineError(f"malformed load report: {error}"))
+    if not _is_plausible(report):
+        return Err(errors.EngineError("a load report has impossible figures"))
+    return Ok(report)
+
+
+def _is_plausible(report: fleet.LoadReport) -> bool:
+    # One NaN makes every comparison of scores false, and with it every
+    # choice of engine arbitrary; nothing would show but bad latencies.
+    figures = [field for field in report if isinstance(field, (int, float))]
+    return all(math.isfinite(figure) and figure >= 0 for figure in figures)
--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -22,6 +22,7 @@
 _EVENT_LIMIT_BYTES = 1024 * 1024
 _ERROR_BODY_LIMIT_BYTES = 64 * 1024
 _CANCEL_TIMEOUT_S = 1.0
+_DRAIN_LIMIT_S = 1.0
 _CANCEL_ANSWER_LIMIT_BYTES = 4096
 _OK = 200
 _SERVICE_UNAVAILABLE = 503
@@ -195,11 +196,14 @@
         connection: the answer may go on at the same engine under the same
         request id, and a late order would cancel that.
         """
+        if self._done and not self._failed:
+            gevent.spawn(self._exchange.drain, _DRAIN_LIMIT_S)
+            return
         sent = not isinstance(self._exchange.stage, _exchange.NotSent)
         self._exchange.close()
-        if sent and not self._done and not self._failed:
+        if sent and not self._failed:
             gevent.spawn(cancel, self._address, self._request_id)
-        self._done = True
+        self._failed = True
 
     def _begin(
         self, path: str, body: bytes
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -205,6 +205,25 @@
                     self.fetch(server.address).unwrap_err(), kind
                 )
 
+    def test_a_dripping_answer_ends_in_time(self) -> None:
+        """A reader hangs on one back end.
+
+        Symptom: an engine's load is hours old although it answers. Sequence:
+        it sends a byte now and then, so no single wait is long. Cause: a
+        bound on each wait and none on the whole.
+        """
+
+        def script(sock: Any, request: bytes) -> None:
+            sock.sendall(build.plain_answer(b"x" * 900)[:-900])
+            for _ in range(900):
+                sock.sendall(b"x")
+                gevent.sleep(0.02)
+
+        server = self.serve(script)
+        with gevent.Timeout(10.0):
+            error = self.fetch(server.address, timeout_s=0.2).unwrap_err()
+        self.assertIsInstance(error, errors.AnswerLostError)
+
     def test_an_interim_answer_is_passed_over(self) -> None:
         data = b"HTTP/1.1 103 Early Hints\r\n\r\n" + build.plain_answer(b"x")
         server = self.serve(lambda s, r: s.sendall(data))
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -117,10 +117,14 @@
             {"engine_id": "another"},
             {"role": "cook"},
             {"kv_used_share": "much"},
+            {"kv_used_share": float("nan")},
+            {"prefill_tokens_per_s": float("inf")},
+            {"waiting_count": -1},
         ]
+        well = self.engine.report
         for change in bad:
             with self.subTest(change):
-                self.engine.report |= change
+                self.engine.report = well | change
                 self.start()
                 self.wait(lambda: self.view().failures_recent_count > 0)
                 self.assertIsNone(self.view().report)
@@ -136,6 +140,24 @@
         self.wait(lambda: 6 in self.engine.asked_after)
         self.assertEqual(self.sink.batches[0], ("e1", [1, 2, 5], 6))
 
+    def test_a_malformed_event_does_not_end_the_reading(self) -> None:
+        """An engine's load is never read again.
+
+        Symptom: its report ages for ever while the engine is well.
+        Sequence: it publishes one event that nobody can read. Cause: the
+        reader's greenlet dies of it.
+        """
+        event = {"sequence": 1, "kind": "stored", "block_hash": "not hex"}
+        index = prefix_index.PrefixIndex.from_config()
+        self.reader = loads.LoadReader.from_config(
+            {"load_interval_s": 0.01}, sink=index
+        )
+        self.addCleanup(self.reader.close)
+        self.engine.events, self.engine.last_sequence = [event], 1
+        self.start()
+        self.wait(lambda: len(self.engine.asked_after) >= 3)
+        self.assertGreater(self.view().failures_recent_count, 0)
+
     def test_a_restarted_engine_is_read_from_the_start(self) -> None:
         self.engine.last_sequence = 9
         self.start()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -199,6 +199,35 @@
         self.assertEqual(self.cancels(server), [])
 
 
+class FinishTest(StreamCase):
+    def test_a_finished_answer_is_read_to_its_last_byte(self) -> None:
+        """Engines log whole answers as broken off by the caller.
+
+        Symptom: an engine counts a cancel for each answer. Sequence: the
+        stream is closed at ``[DONE]``, before the chunked body's last bytes.
+        Cause: bytes that meet a closed connection reset it.
+        """
+        resets: list[OSError] = []
+        ends: list[bytes] = []
+        whole = build.whole_stream(0, 8).removesuffix(build.LAST_CHUNK)
+
+        def script(sock: Any, request: bytes) -> None:
+            sock.sendall(whole)
+            try:
+                for part in (build.LAST_CHUNK[:3], build.LAST_CHUNK[3:]):
+                    gevent.sleep(0.02)
+                    sock.sendall(part)
+                ends.append(sock.recv(1))
+            except OSError as error:
+                resets.append(error)
+
+        stream = self.open(self.serve(script))
+        list(stream)
+        stream.close()
+        self.assertTrue(build.wait_until(lambda: bool(ends or resets)))
+        self.assertEqual((ends, resets), ([b""], []))
+
+
 class FairnessTest(StreamCase):
     """One always-busy stream starves the rest.
 
