Split the stand-in engine's reading of requests from its serving

Loading of adapters and models, the slow and the late engine get tests, which they lacked. Splitting the answers further was ruled out: they are one job.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,8 +14,6 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-import geventhttpclient
-
 from standins import (
     _http,
     engine_answers,
@@ -24,7 +22,7 @@
     engine_faults,
     engine_loads,
     engine_orders,
-    engine_tokens,
+    engine_requests,
 )
 
 _NOT_SERVING = _http.Reply(
@@ -32,8 +30,6 @@
 )
 _QUEUE_FULL = _http.Reply(503, {"type": "queue-full"}, (("retry-after", "1"),))
 _NOT_FOUND = _http.Reply(404, {"type": "not-found"})
-_DEFAULT_PRIORITY = 5
-_KV_FETCH_TIMEOUT_S = 10.0
 
 
 class Engine:
@@ -184,11 +180,13 @@
         start_response: Any,
     ) -> Iterable[bytes]:
         is_chat = path.endswith("chat/completions")
-        refusal = self._request_refusal(body, is_chat)
+        refusal = engine_requests.refusal(body, is_chat)
         if refusal is not None:
             return _http.send_reply(refusal, start_response)
+        if not self._orders.serves(body["model"]):
+            return _http.send_reply(_NOT_SERVING, start_response)
         request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
-        run = self._make_run(request_id, body, is_chat)
+        run = engine_requests.make_run(request_id, body)
         # The import took time, in which an order may have come.
         if not self._orders.serves(body["model"]):
             return _http.send_reply(_NOT_SERVING, start_response)
@@ -197,67 +195,26 @@
         reason = "length" if body.get("max_tokens") is not None else "stop"
         source = self._faults.source_of(run)
         shape = engine_answers.Shape(source.request_id, is_chat, reason)
-        return self._answer(run, source, shape, body, environ, start_response)
-
-    def _request_refusal(
-        self, body: dict[str, Any], is_chat: bool
-    ) -> _http.Reply | None:
-        if not _is_well_formed(body, is_chat):
-            return _http.Reply(400, {"type": "bad-request"})
-        if not self._orders.serves(body["model"]):
-            return _NOT_SERVING
-        extension = body.get("mulberry") or {}
-        count = extension.get("resume_token_count", 0)
-        resumed = extension.get("resume_text")
-        prompt = prompt_text(body)
-        if resumed is not None and resumed != "".join(
-            engine_tokens.token_text(body["model"], prompt, index)
-            for index in range(count)
-        ):
-            return _http.Reply(400, {"type": "resume-text-mismatch"})
-        return None
-
-    def _make_run(
-        self, request_id: str, body: dict[str, Any], is_chat: bool
-    ) -> engine_batch.Run:
-        extension = body.get("mulberry") or {}
-        prompt = prompt_text(body)
-        model = body["model"]
-        return engine_batch.Run(
-            request_id,
-            model,
-            prompt,
-            answer_tokens=engine_tokens.answer_length(
-                model, prompt, body.get("max_tokens")
-            ),
-            first_index=extension.get("resume_token_count", 0),
-            priority=extension.get("priority", _DEFAULT_PRIORITY),
-            prefill_only=bool(extension.get("prefill_only")),
-            has_imported_kv=_import_kv(
-                extension.get("kv_source"), model, prompt
-            ),
-        )
+        return self._answer(source, shape, body, environ, start_response)
 
     def _answer(
         self,
         run: engine_batch.Run,
-        source: engine_batch.Run,
         shape: engine_answers.Shape,
         body: dict[str, Any],
         environ: dict[str, Any],
         start_response: Any,
     ) -> Iterator[bytes]:
         try:
-            if body.get("stream") and not source.prefill_only:
-                yield from self._stream(source, shape, environ, start_response)
+            if body.get("stream") and not run.prefill_only:
+                yield from self._stream(run, shape, environ, start_response)
             else:
-                yield from self._plain(source, shape, environ, start_response)
+                yield from self._plain(run, shape, environ, start_response)
         except engine_answers.PeerGoneError:
             _http.break_connection(environ)
         finally:
-            # A caller that left needs no more tokens; a crossed run has
-            # another reader, which ends it.
-            self._batch.cancel(source)
+            # A caller that left needs no more tokens.
+            self._batch.cancel(run)
 
     def _stream(
         self,
@@ -324,54 +281,6 @@
         }
 
 
-def prompt_text(body: dict[str, Any]) -> str:
-    """Returns the prompt that the answer's tokens depend on.
-
-    Chat messages are joined as ``role: content`` lines.
-    """
-    if "messages" not in body:
-        return str(body["prompt"])
-    return "".join(f"{m['role']}: {m['content']}\n" for m in body["messages"])
-
-
-def _is_well_formed(body: dict[str, Any], is_chat: bool) -> bool:
-    if not isinstance(body.get("model"), str):
-        return False
-    limit = body.get("max_tokens")
-    if limit is not None and (not isinstance(limit, int) or limit < 1):
-        return False
-    if not is_chat:
-        return isinstance(body.get("prompt"), str)
-    messages = body.get("messages")
-    return isinstance(messages, list) and all(
-        isinstance(m, dict) and {"role", "content"} <= m.keys()
-        for m in messages
-    )
-
-
-def _import_kv(source: dict[str, Any] | None, model: str, prompt: str) -> bool:
-    """Fetches a prompt's KV cache; False means to prefill here."""
-    if not source:
-        return False
-    client = geventhttpclient.HTTPClient(
-        source["ip"],
-        source["port"],
-        connection_timeout=_KV_FETCH_TIMEOUT_S,
-        network_timeout=_KV_FETCH_TIMEOUT_S,
-    )
-    try:
-        response = client.get(f"/kv/{source['handle']}")
-        response.read()
-    except OSError:
-        return False
-    finally:
-        client.close()
-    wanted = engine_cache.prompt_hash(model, prompt)
-    return response.status_code == 200 and (
-        response.get("x-prompt-hash") == wanted
-    )
-
-
 def parse_arguments(arguments: list[str] | None = None) -> argparse.Namespace:
     """Returns the command line's settings, with defaults for tests."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -1,6 +1,7 @@
 """What other tests rely on in the stand-in engine and backend server."""
 
 import json
+import time
 import unittest
 from typing import Any
 
@@ -296,6 +297,23 @@
         self.order(port, "o3", "set-role", role="decode")
         self.wait_for(lambda: self.get(port, "/load")["state"] == "ready")
 
+    def test_loaded_adapter_and_model_serve_and_an_adapter_cuts_nothing(
+        self,
+    ) -> None:
+        port = self.start("--load-model-s", "0.3")
+        caller = gevent.spawn(self.complete, port, max_tokens=200)
+        self.wait_running(port, 1)
+        self.order(port, "o1", "load-model", model="tagger", adapter="bibs")
+        busy = self.order(port, "o2", "load-model", model="other")
+        self.assertEqual(busy.json(), {"type": "busy"})
+        self.wait_for(lambda: self.get(port, "/load")["order_id"] == "o1")
+        self.assertTrue(caller.get(timeout=_WAIT_S).is_done)
+        self.assertTrue(self.complete(port, model="tagger:bibs").is_done)
+        self.order(port, "o3", "load-model", model="other", version="v2")
+        self.wait_for(lambda: self.get(port, "/load")["order_id"] == "o3")
+        self.assertEqual(self.get(port, "/load")["version"], "v2")
+        self.assertTrue(self.complete(port, model="other").is_done)
+
     def test_load_report_lags(self) -> None:
         port = self.start("--load-lag-s", "3600")
         self.order(port, "o1", "drain")
@@ -333,6 +351,23 @@
                 engine_tokens.answer_text("tagger", other, 8),
             )
 
+    def test_slow_engine_and_late_answer(self) -> None:
+        port = self.start()
+        fast = self.get(port, "/load")["decode_tokens_per_s"]
+        self.post(port, "/standin/faults", slow_factor=4, late_answer_s=0.3)
+        slow = self.get(port, "/load")["decode_tokens_per_s"]
+        self.assertEqual(fast, 4 * slow)
+        for stream in (True, False):
+            with self.subTest(stream=stream):
+                began_s = time.monotonic()
+                answer = self.complete(port, max_tokens=2, stream=stream)
+                self.assertEqual(answer.status, 200)
+                self.assertGreaterEqual(time.monotonic() - began_s, 0.3)
+
+    def test_unknown_fault_is_refused(self) -> None:
+        port = self.start()
+        self.assertEqual(self.post(port, "/standin/faults", typo=1).status, 400)
+
     def test_order_whose_answer_is_lost_takes_effect(self) -> None:
         port = self.start()
         self.post(port, "/standin/faults", drop_order_answers=1)
