--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -106,6 +106,7 @@
         self._finished = False
         self._done = False
         self._failed = False
+        self._closed = False
 
     @classmethod
     def open(
@@ -196,6 +197,9 @@
         connection: the answer may go on at the same engine under the same
         request id, and a late order would cancel that.
         """
+        if self._closed:
+            return
+        self._closed = True
         if self._done and not self._failed:
             gevent.spawn(self._exchange.drain, _DRAIN_LIMIT_S)
             return
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -189,6 +189,9 @@
         self.assertTrue(build.wait_until(lambda: bool(self.cancels(server))))
         sent = build.document_of(self.cancels(server)[0])
         self.assertEqual(sent, {"request_id": build.REQUEST_ID})
+        stream.close()
+        gevent.sleep(0.02)
+        self.assertEqual(len(self.cancels(server)), 1)
 
     def test_a_finished_stream_is_not_cancelled(self) -> None:
         server = self.serve_bytes(build.whole_stream(0, 8))
