--- a/tests/test_engine_standin.py
+++ b/tests/test_engine_standin.py
@@ -153,6 +153,20 @@
         ids = {run["request_id"] for run in runs}
         self.assertTrue(ids.isdisjoint({"refused", "unloaded"}))
 
+    def test_malformed_request_is_refused_and_harms_no_other(self) -> None:
+        port = self.start()
+        cases: tuple[dict[str, Any], ...] = (
+            {"max_tokens": 0},
+            {"prompt": None},
+            {"mulberry": {"priority": "high"}},
+            {"mulberry": {"resume_token_count": "two"}},
+            {"mulberry": {"resume_token_count": 1, "resume_text": "x"}},
+        )
+        for changes in cases:
+            with self.subTest(changes=changes):
+                self.assertEqual(self.complete(port, **changes).status, 400)
+        self.assertTrue(self.complete(port).is_done)
+
     def test_more_urgent_request_overtakes_the_queue(self) -> None:
         port = self.start("--batch-limit", "1")
         first = gevent.spawn(self.complete, port, "first", max_tokens=10**6)
