--- a/src/mulberrywharf/platform_service/config_store.py
+++ b/src/mulberrywharf/platform_service/config_store.py
@@ -325,7 +325,7 @@
         author=change.author,
         changed_unix_s=now_unix_s,
         note=change.note,
-        diff=_diff(held, change.document),
+        diff=configuration_module.bounded_diff(_diff(held, change.document)),
     )
     earlier = held.configuration.audit if held.configuration else ()
     return configuration_module.build(
--- a/src/mulberrywharf/platform_service/configuration.py
+++ b/src/mulberrywharf/platform_service/configuration.py
@@ -34,6 +34,9 @@
 VALUE_LIMIT_BYTES = 950_000
 """What the service takes, less room for what encodings add."""
 
+DIFF_LINES_LIMIT_COUNT = 20
+DIFF_TEXT_LIMIT_CHARS = 200
+
 _SOURCE = "stored configuration"
 
 
@@ -142,6 +145,37 @@
     )
 
 
+def bounded_diff(diff: Sequence[DiffLine]) -> list[DiffLine]:
+    """Cuts a diff to what an audit entry keeps.
+
+    Every node reads the whole value at each change. One change of all
+    customers, kept line by line for the next hundred changes, would make
+    each of them several times as large.
+
+    Returns:
+        The first lines; a last one whose path says how many were left out.
+    """
+    kept = [
+        DiffLine(
+            path=line["path"],
+            before=_cut(line["before"]),
+            after=_cut(line["after"]),
+        )
+        for line in diff[:DIFF_LINES_LIMIT_COUNT]
+    ]
+    left_out_count = len(diff) - len(kept)
+    if left_out_count:
+        path = f"({left_out_count} more)"
+        kept.append(DiffLine(path=path, before="", after=""))
+    return kept
+
+
+def _cut(text: str) -> str:
+    if len(text) <= DIFF_TEXT_LIMIT_CHARS:
+        return text
+    return text[:DIFF_TEXT_LIMIT_CHARS] + "..."
+
+
 def build(
     *,
     version: int,
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -274,6 +274,28 @@
                     built.audit[-1]["version"], entries[count - 1]["version"]
                 )
 
+    def test_audit_of_a_large_change_stays_small(self) -> None:
+        """Symptom: each change sends hundreds of kilobytes to every node.
+
+        Sequence: a change touches every customer; its audit entry lists
+        each of them and stays in the value for a hundred changes. Cause: a
+        diff without a bound.
+        """
+        document = builders.document_of("one")
+        document["customers"] = {
+            f"c{i}": {
+                "key_sha256_hex": f"{i:064x}",
+                "requests_per_s": 1.0,
+                "tokens_per_s": 1.0,
+                "weight": 1.0,
+                "priority": 1,
+            }
+            for i in range(300)
+        }
+        diff = self.change("one", 0, document).audit[0]["diff"]
+        self.assertEqual(len(diff), configuration.DIFF_LINES_LIMIT_COUNT + 1)
+        self.assertRegex(diff[-1]["path"], r"^\(\d+ more\)$")
+
 
 if __name__ == "__main__":
     unittest.main()
