Join the packages into the router's request path

The router relayed one engine's bytes: it knew no customer, no limit, no deadline and no claim, and a request had as many readings as gevent's parser allows. callers/ now reads heads against one grammar, types requests and tells every failure as problem details with its outcome; requests/ is the straight pipeline from the customer's limit over a place at an engine to the resumed stream, and from the claim to the one exchange with a plain service.

--- /dev/null
+++ b/src/mulberrywharf/callers/problems.py
@@ -0,0 +1,160 @@
+"""Turns a failure into the answer that its caller can act on.
+
+Every refusal is an ``application/problem+json`` document whose ``outcome``
+says what the caller may assume: ``not-run`` is a promise, ``unknown`` is
+everything else. A failure that no code foresaw is ``unknown``.
+"""
+
+import functools
+import json
+import math
+
+from typing_extensions import TypedDict
+
+from mulberrywharf import errors
+
+CONTENT_TYPE = "application/problem+json"
+_TYPE_PREFIX = "urn:mulberrywharf:"
+_REASONS = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Problem(TypedDict):
+    """The body of a refusal.
+
+    Attributes:
+        type: Stable URN of the failure.
+        title: The failure's name in words.
+        status: HTTP status.
+        detail: What went wrong with this request.
+        outcome: What the caller may assume.
+        request_id: The request that failed.
+        advice: What the caller should do next.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: errors.Outcome
+    request_id: str
+    advice: str
+
+
+@functools.singledispatch
+def as_request_error(error: Exception) -> errors.RequestError:
+    """Returns what a caller is told about ``error``.
+
+    Args:
+        error: Any failure. One without a rule of its own is told as an
+            internal failure with an unknown outcome.
+    """
+    return errors.RequestError(
+        f"internal failure ({type(error).__name__})", outcome="unknown"
+    )
+
+
+@as_request_error.register
+def _(error: errors.RequestError) -> errors.RequestError:
+    return error
+
+
+@as_request_error.register
+def _(error: errors.EngineUnreachableError) -> errors.RequestError:
+    return errors.OverloadedError(
+        error.message, outcome="not-run", retry_after_s=1.0
+    )
+
+
+@as_request_error.register
+def _(error: errors.EngineRefusedError) -> errors.RequestError:
+    return errors.OverloadedError(
+        error.message, outcome="not-run", retry_after_s=1.0
+    )
+
+
+@as_request_error.register
+def _(error: errors.EngineError) -> errors.RequestError:
+    return errors.BackEndLostError(error.message, outcome="unknown")
+
+
+@as_request_error.register
+def _(error: errors.PlatformError) -> errors.RequestError:
+    return errors.ClaimUnavailableError(
+        error.message, outcome="not-run", retry_after_s=1.0
+    )
+
+
+@as_request_error.register
+def _(error: errors.NodeError) -> errors.RequestError:
+    return errors.ClaimUnavailableError(
+        error.message, outcome="not-run", retry_after_s=1.0
+    )
+
+
+def problem(error: errors.RequestError, request_id: str) -> Problem:
+    """Returns the document that tells ``error`` to its caller."""
+    return {
+        "type": _TYPE_PREFIX + error.code,
+        "title": error.code.replace("-", " "),
+        "status": error.status,
+        "detail": error.message,
+        "outcome": error.outcome,
+        "request_id": request_id,
+        "advice": error.advice,
+    }
+
+
+def status_line(status: int) -> str:
+    """Returns the status with its reason phrase."""
+    return f"{status} {_REASONS.get(status, 'Error')}"
+
+
+def headers(
+    error: errors.RequestError, request_id: str
+) -> list[tuple[str, str]]:
+    """Returns the response headers of a refusal, without the length."""
+    fields = [
+        ("content-type", CONTENT_TYPE),
+        ("x-request-id", request_id),
+        ("x-mulberry-outcome", error.outcome),
+    ]
+    if error.retry_after_s is not None:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        fields.append(("retry-after", str(seconds)))
+    return fields
+
+
+def body(error: errors.RequestError, request_id: str) -> bytes:
+    """Returns the response body of a refusal."""
+    return json.dumps(problem(error, request_id)).encode()
+
+
+def stream_event(error: errors.RequestError, request_id: str) -> bytes:
+    """Returns the event that ends a stream which had already begun.
+
+    No ``[DONE]`` follows it, so a caller that checks the end of its stream
+    cannot take the short answer for a whole one.
+    """
+    document = json.dumps({"error": problem(error, request_id)})
+    return b"data: " + document.encode() + b"\n\n"
+
+
+def raw_response(error: errors.RequestError, request_id: str) -> bytes:
+    """Returns a whole HTTP/1.1 response for a head that cannot be parsed."""
+    content = body(error, request_id)
+    lines = [f"HTTP/1.1 {status_line(error.status)}"]
+    lines += [f"{name}: {value}" for name, value in headers(error, request_id)]
+    lines += [f"content-length: {len(content)}", "connection: close", "", ""]
+    return "\r\n".join(lines).encode("latin-1", "replace") + content
--- /dev/null
+++ b/src/mulberrywharf/callers/response.py
@@ -0,0 +1,41 @@
+"""One answer towards a caller."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from mulberrywharf import errors
+from mulberrywharf.callers import problems
+
+
+class Response(NamedTuple):
+    """What is written to the caller.
+
+    Attributes:
+        status_line: Such as ``200 OK``.
+        headers: Header fields; a body of one part gets its length from the
+            server.
+        body: Its parts. An iterator is pulled only as fast as the caller
+            reads, so a slow caller costs no memory here.
+    """
+
+    status_line: str
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
+
+
+def json_response(body: bytes, request_id: str) -> Response:
+    """Returns a successful answer with a JSON body."""
+    headers = [
+        ("content-type", "application/json"),
+        ("x-request-id", request_id),
+    ]
+    return Response("200 OK", headers, [body])
+
+
+def refusal(error: errors.RequestError, request_id: str) -> Response:
+    """Returns the answer that tells ``error`` to its caller."""
+    return Response(
+        problems.status_line(error.status),
+        problems.headers(error, request_id),
+        [problems.body(error, request_id)],
+    )
--- a/src/mulberrywharf/callers/server.py
+++ b/src/mulberrywharf/callers/server.py
@@ -1,52 +1,186 @@
-"""The listener for callers."""
+"""The listener for callers: finds who answers a path, and how failures tell."""
 
-import uuid
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, NamedTuple
 
-from mulberrywharf import _wsgi, fleet, settings
-from mulberrywharf.engines import streams
+from loguru import logger
+from result import Err
 
+from mulberrywharf import _wsgi, clock, errors, metrics
+from mulberrywharf.callers import (
+    completions,
+    listener,
+    models,
+    passthrough,
+    problems,
+    request,
+    response,
+)
 
-class CallerServer:
-    """Relays completions from engines to callers."""
+_COMPLETION_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
+_MODELS_PATH = "/v1/models"
+_NOT_READY_RETRY_S = 1.0
+
+_requests_total = metrics.counter(
+    "mulberry_caller_requests_total", "Answers to callers by kind and result."
+)
+
+
+class Catalogue(NamedTuple):
+    """What a configuration says about callers and what they may name.
+
+    Attributes:
+        customers: Finds customers by key.
+        models: Models by name.
+        services: Plain services by name.
+    """
+
+    customers: request.Customers
+    models: Mapping[str, Mapping[str, Any]]
+    services: Mapping[str, Mapping[str, Any]]
 
-    def __init__(self, listen: settings.Endpoint, engines: list[fleet.Address]):
-        self._engines = engines
-        self._server = _wsgi.WsgiServer(
-            listen["ip"], listen["port"], self._application
+    @classmethod
+    def from_config(cls, document: Mapping[str, Any]) -> "Catalogue":
+        """Reads it from a checked configuration document."""
+        return cls(
+            request.Customers(document.get("customers", {})),
+            document.get("models", {}),
+            document.get("services", {}),
         )
 
+
+class CallerServer:
+    """Answers callers."""
+
+    def __init__(
+        self,
+        caller_listener: listener.CallerListener,
+        *,
+        catalogue: Callable[[], Catalogue | None],
+        generations: completions.Generations,
+        service_calls: passthrough.ServiceCalls,
+        default_deadline_s: float = request.DEFAULT_DEADLINE_S,
+        system_clock: clock.Clock | None = None,
+    ):
+        self._listener = caller_listener
+        self._catalogue = catalogue
+        self._generations = generations
+        self._service_calls = service_calls
+        self._default_deadline_s = default_deadline_s
+        self._clock = system_clock or clock.SystemClock()
+        caller_listener.serve(self.application)
+
     @property
     def port(self) -> int:
         """The TCP port for callers."""
-        return self._server.port
+        return self._listener.port
+
+    @property
+    def in_flight_count(self) -> int:
+        """Requests that are being answered."""
+        return self._listener.in_flight_count
 
     def start(self) -> None:
         """Begins to accept callers."""
-        self._server.start()
+        self._listener.start()
+
+    def announce_stop(self) -> None:
+        """Makes every further answer the last of its connection."""
+        self._listener.announce_stop()
 
     def close(self) -> None:
-        """Stops accepting and waits for every request in flight."""
-        self._server.stop_accepting()
-        self._server.wait_idle()
-        self._server.stop()
+        """Stops accepting; returns once every request has its answer."""
+        self._listener.finish()
 
-    def _application(
+    def application(
         self, environ: _wsgi.Environ, start_response: _wsgi.StartResponse
     ) -> Iterable[bytes]:
-        request_id = environ.get("HTTP_X_REQUEST_ID") or uuid.uuid4().hex
-        body = environ["wsgi.input"].read()
-        events = self._relay(environ["PATH_INFO"], body, request_id)
-        start_response(
-            "200 OK",
-            [
-                ("content-type", "text/event-stream"),
-                ("x-request-id", request_id),
-            ],
+        """Answers one request, whatever it holds."""
+        request_id = request.request_id_of(environ)
+        answer = self._answer_or_refusal(environ, request_id)
+        start_response(answer.status_line, answer.headers)
+        return answer.body
+
+    def _answer_or_refusal(
+        self, environ: _wsgi.Environ, request_id: str
+    ) -> response.Response:
+        kind = _kind(environ["PATH_INFO"])
+        try:
+            answer = self._answer(environ, request_id)
+        except errors.MulberryError as error:
+            told = problems.as_request_error(error)
+            _requests_total.inc({"kind": kind, "result": told.code})
+            return response.refusal(told, request_id)
+        except Exception as error:
+            # A fault of ours must not look like a promise: the caller is
+            # told that the outcome is unknown, and the log has the trace.
+            logger.exception("request {} failed", request_id)
+            told = problems.as_request_error(error)
+            _requests_total.inc({"kind": kind, "result": told.code})
+            return response.refusal(told, request_id)
+        _requests_total.inc({"kind": kind, "result": "answered"})
+        return answer
+
+    def _answer(
+        self, environ: _wsgi.Environ, request_id: str
+    ) -> response.Response:
+        catalogue = self._catalogue()
+        if catalogue is None:
+            raise errors.NotReadyError(
+                "this node has no accepted configuration yet",
+                retry_after_s=_NOT_READY_RETRY_S,
+                advice="Try again; another entry VM may have it already.",
+            )
+        read = request.read(
+            environ,
+            request_id=request_id,
+            customers=catalogue.customers,
+            now_s=self._clock.monotonic_s(),
+            body_limit_bytes=self._listener.body_limit_bytes,
+            default_deadline_s=self._default_deadline_s,
+        )
+        if isinstance(read, Err):
+            raise read.err_value
+        return self._dispatch(read.ok_value, catalogue, environ)
+
+    def _dispatch(
+        self,
+        caller: request.CallerRequest,
+        catalogue: Catalogue,
+        environ: _wsgi.Environ,
+    ) -> response.Response:
+        if caller.path in _COMPLETION_PATHS:
+            _require_method(caller, "POST")
+            wanted = request.read_completion(caller, catalogue.models)
+            if isinstance(wanted, Err):
+                raise wanted.err_value
+            return completions.respond(
+                wanted.ok_value,
+                self._generations,
+                environ[listener.SOCKET_KEY],
+            )
+        if caller.path == _MODELS_PATH:
+            _require_method(caller, "GET")
+            return models.respond(catalogue.models, caller.request_id)
+        if passthrough.is_service_path(caller.path):
+            return passthrough.respond(
+                caller, catalogue.services, self._service_calls
+            )
+        raise errors.UnknownTargetError(
+            "no such path", advice="See docs/operators/routers.md for paths."
         )
-        return events
 
-    def _relay(
-        self, path: str, body: bytes, request_id: str
-    ) -> Iterator[bytes]:
-        yield from streams.relay(self._engines[0], path, body, request_id)
+
+def _kind(path: str) -> str:
+    if path in _COMPLETION_PATHS:
+        return "completion"
+    if path == _MODELS_PATH:
+        return "models"
+    return "service" if passthrough.is_service_path(path) else "other"
+
+
+def _require_method(caller: request.CallerRequest, method: str) -> None:
+    if caller.method != method:
+        raise errors.UnknownTargetError(
+            f"{caller.method} is not served here", advice=f"Use {method}."
+        )
--- /dev/null
+++ b/src/mulberrywharf/programs/_router.py
@@ -0,0 +1,204 @@
+"""A router, put together from its settings."""
+
+import random
+
+import gevent
+import gevent.event
+from loguru import logger
+
+from mulberrywharf import clock, fleet, settings
+from mulberrywharf.callers import listener, request, server
+from mulberrywharf.operators import audit, status
+from mulberrywharf.operators import server as operators_server
+from mulberrywharf.policy import limits, retry_budget
+from mulberrywharf.programs import (
+    _router_backends,
+    _router_configuration,
+    _router_nodes,
+    _router_platform,
+    _router_sharing,
+    _router_status,
+)
+from mulberrywharf.requests import generation, in_flight, service_call
+
+DEFAULT_DRAIN_NOTICE_S = 5.0
+_READINESS_INTERVAL_S = 0.1
+
+
+class Router:
+    """One router: every part of it, started and closed in order.
+
+    Attributes:
+        stopping: Set it to begin the graceful stop.
+    """
+
+    def __init__(
+        self, config: settings.Settings, callers: settings.CallersSettings
+    ):
+        self.stopping = gevent.event.Event()
+        self._config = config
+        self._clock = clock.SystemClock()
+        self._rng = random.Random()
+        self._drain_notice_s = callers.get(
+            "drain_notice_s", DEFAULT_DRAIN_NOTICE_S
+        )
+        self._audit = audit.AuditLog(self._clock)
+        self._operators = operators_server.OperatorsServer.from_config(
+            config, self._status, self.stopping.set, audit=self._audit
+        )
+        caller_listener = listener.CallerListener.from_config(callers)
+        self._platform = _router_platform.Platform(config)
+        self._backends = _router_backends.Backends(
+            config, self._platform, self._clock, self._rng
+        )
+        self._nodes = _router_nodes.Nodes(
+            config,
+            self._platform,
+            fleet.Address(callers["listen"]["ip"], caller_listener.port),
+        )
+        self._background = in_flight.InFlight()
+        self._add_requests(callers, caller_listener)
+        self._readiness: gevent.Greenlet | None = None
+
+    @classmethod
+    def from_config(cls, config: settings.Settings) -> "Router":
+        """Binds every listener; nothing is served before ``start``."""
+        return cls(config, config["callers"])
+
+    def _add_requests(
+        self,
+        callers: settings.CallersSettings,
+        caller_listener: listener.CallerListener,
+    ) -> None:
+        now_s = self._clock.monotonic_s()
+        customer_limits = limits.CustomerLimits.from_config(
+            self._config["vm_id"], {}, now_s, nodes_count=1
+        )
+        self._sharing = _router_sharing.Sharing(
+            _router_sharing.LoadSharing(
+                self._backends.loads,
+                self._nodes.mesh,
+                self._clock,
+                self._rng,
+            ),
+            _router_sharing.LimitSharing(
+                self._config["vm_id"],
+                customer_limits,
+                self._nodes.mesh,
+                self._platform.vm_list,
+                self._clock,
+            ),
+        )
+        retries = retry_budget.RetryBudget.from_config(now_s)
+        self._configuration = _router_configuration.RouterConfiguration(
+            self._platform.follower, customer_limits, self._audit, self._clock
+        )
+        generations = generation.GenerationPipeline(
+            reader=self._backends.loads,
+            engine_places=self._backends.places,
+            customer_limits=customer_limits,
+            retries=retries,
+            standings=self._configuration.standings,
+            availability_zone=self._config["availability_zone"],
+            timeouts=generation.EngineTimeouts.from_config(
+                self._config.get("engines")
+            ),
+            system_clock=self._clock,
+            rng=self._rng,
+        )
+        services = service_call.ServiceCallPipeline(
+            vm_id=self._config["vm_id"],
+            servers=self._backends.servers,
+            backend=self._backends.client,
+            node_claims=self._nodes.claims,
+            customer_limits=customer_limits,
+            retries=retries,
+            background=self._background,
+            system_clock=self._clock,
+            rng=self._rng,
+        )
+        self._callers = server.CallerServer(
+            caller_listener,
+            catalogue=self._configuration.catalogue,
+            generations=generations,
+            service_calls=services,
+            default_deadline_s=callers.get(
+                "default_deadline_s", request.DEFAULT_DEADLINE_S
+            ),
+            system_clock=self._clock,
+        )
+
+    def ports(self) -> dict[str, int]:
+        """Returns the TCP port of each listener."""
+        return {
+            "callers": self._callers.port,
+            "operators": self._operators.port,
+            "nodes": self._nodes.port,
+        }
+
+    def start(self) -> None:
+        """Begins to serve; ready once there is something to serve by."""
+        self._operators.start()
+        self._platform.start()
+        self._configuration.start()
+        self._backends.start()
+        self._nodes.start()
+        self._sharing.start()
+        self._callers.start()
+        self._readiness = gevent.spawn(self._keep_ready)
+
+    def stop(self) -> None:
+        """Stops gracefully: nothing that was accepted is cut.
+
+        It lasts as long as the longest request. The balancer is told first,
+        then no more is accepted, and only when every answer is out do the
+        other nodes take over what this one looked after.
+        """
+        logger.info("stopping: no longer ready")
+        if self._readiness is not None:
+            self._readiness.kill()
+        self._operators.set_ready(False)
+        self._callers.announce_stop()
+        gevent.sleep(self._drain_notice_s)
+        logger.info("stopping: finishing what is in flight")
+        self._callers.close()
+        self._background.wait_idle()
+        self._nodes.leave()
+        self.close()
+        logger.info("stopped")
+
+    def close(self) -> None:
+        """Ends every part at once."""
+        self._sharing.close()
+        self._nodes.close()
+        self._backends.close()
+        self._platform.close()
+        self._operators.close()
+
+    def _keep_ready(self) -> None:
+        while True:
+            self._operators.set_ready(self._is_ready())
+            gevent.sleep(_READINESS_INTERVAL_S)
+
+    def _is_ready(self) -> bool:
+        has_configuration = self._configuration.catalogue() is not None
+        return has_configuration and self._backends.knows_vms()
+
+    def _status(self) -> status.StatusReport:
+        return status.StatusReport(
+            vm_id=self._config["vm_id"],
+            availability_zone=self._config["availability_zone"],
+            program="router",
+            config_version=self._platform.follower.version(),
+            ready=self._operators.ready,
+            engines=_router_status.engine_statuses(
+                self._backends.loads.views()
+            ),
+            platform=self._platform.status(),
+            counts={
+                "requests_in_flight_count": self._callers.in_flight_count,
+                "requests_queued_count": self._backends.places.queued_count(),
+                "background_count": self._background.count,
+                "claim_shards_count": self._nodes.owned_shards_count(),
+            },
+        )
--- /dev/null
+++ b/src/mulberrywharf/programs/_router_configuration.py
@@ -0,0 +1,51 @@
+"""What a router takes from the configuration in force."""
+
+from mulberrywharf import clock
+from mulberrywharf.callers import server
+from mulberrywharf.operators import audit
+from mulberrywharf.platform_service import config_follower, configuration
+from mulberrywharf.policy import limits
+from mulberrywharf.requests import standing
+
+
+class RouterConfiguration:
+    """Hands each new configuration to the parts that live by it."""
+
+    def __init__(
+        self,
+        follower: config_follower.ConfigFollower,
+        customer_limits: limits.CustomerLimits,
+        audit_log: audit.AuditLog,
+        system_clock: clock.Clock,
+    ):
+        self._follower = follower
+        self._limits = customer_limits
+        self._audit = audit_log
+        self._clock = system_clock
+        self._catalogue: server.Catalogue | None = None
+        self._standings = standing.Standings()
+
+    def start(self) -> None:
+        """Takes the configuration in force and each later one."""
+        self._follower.on_change(self._take)
+
+    def catalogue(self) -> server.Catalogue | None:
+        """Returns who may call for what; None before any configuration."""
+        return self._catalogue
+
+    def standings(self) -> standing.Standings:
+        """Returns the customers' standing."""
+        return self._standings
+
+    def _take(self, taken: configuration.Configuration) -> None:
+        document = taken.document
+        self._catalogue = server.Catalogue.from_config(document)
+        self._standings = standing.Standings.from_config(document)
+        self._limits.set_limits(
+            standing.customer_limits(document), self._clock.monotonic_s()
+        )
+        self._audit.record(
+            audit.ConfigurationInForce(
+                taken.version, taken.author, taken.change_id
+            )
+        )
--- /dev/null
+++ b/src/mulberrywharf/programs/_router_sharing.py
@@ -0,0 +1,201 @@
+"""What a router shares with the others: engines' loads, customers' demand.
+
+At the size of the target nobody can read every engine each second. Each
+router reads its slice in full and learns of the others by one byte each, from
+heartbeats. A small fleet is read in full by everybody: that costs little, and
+every router then sees all cache events.
+"""
+
+import random
+from collections.abc import Collection, Mapping
+
+import gevent
+from loguru import logger
+from result import Ok
+
+from mulberrywharf import clock, fleet
+from mulberrywharf.engines import loads, state
+from mulberrywharf.nodes import mesh, slices
+from mulberrywharf.platform_service import vm_list
+from mulberrywharf.policy import limits, shares
+
+WHOLE_FLEET_LIMIT_COUNT = 24
+"""Up to so many engines, every router reads them all."""
+
+FULL_READ_INTERVAL_S = 300.0
+"""Between full reads of an engine outside the slice; its role, models and
+speeds change seldom, and one that comes back from a change is read at once."""
+
+_INTERVAL_S = 0.5
+_READS_AT_ONCE_COUNT = 4
+_READ_TIMEOUT_S = 2.0
+_LEAST_ROUND_S = 3.0
+_ROTATIONS_PER_ROUND = 1.5
+
+
+class _Known:
+    """An engine outside the slice.
+
+    Attributes:
+        report: Its last full report.
+        read_again_s: When to read it in full again.
+        was_serving: What its last byte said.
+    """
+
+    def __init__(self, report: fleet.LoadReport, read_again_s: float):
+        self.report = report
+        self.read_again_s = read_again_s
+        self.was_serving = True
+
+
+class LoadSharing:
+    """Reads a slice of the engines and takes the rest from neighbours."""
+
+    def __init__(
+        self,
+        reader: loads.LoadReader,
+        node_mesh: mesh.NodeMesh,
+        system_clock: clock.Clock,
+        rng: random.Random,
+    ):
+        self._reader = reader
+        self._mesh = node_mesh
+        self._clock = system_clock
+        self._rng = rng
+        self._known: dict[str, _Known] = {}
+
+    def tick(self) -> None:
+        """Does the work of one interval."""
+        views = self._reader.views()
+        own = frozenset(vm.vm_id for vm in self._mesh.engine_slice())
+        self._publish(views, own)
+        if len(views) <= WHOLE_FLEET_LIMIT_COUNT:
+            self._reader.set_slice(None)
+            return
+        self._reader.set_slice(own)
+        others = [view for view in views if view.vm.vm_id not in own]
+        self._read_some(others)
+        self._refresh(others, self._mesh.coarse_loads())
+
+    def _publish(
+        self, views: Collection[fleet.EngineView], own: frozenset[str]
+    ) -> None:
+        for view in views:
+            if view.vm.vm_id in own and view.report is not None:
+                self._mesh.publish_load(view.report)
+
+    def _read_some(self, others: Collection[fleet.EngineView]) -> None:
+        now_s = self._clock.monotonic_s()
+        due = [view.vm for view in others if self._is_due(view.vm, now_s)]
+        reads = [
+            gevent.spawn(self._read, vm) for vm in due[:_READS_AT_ONCE_COUNT]
+        ]
+        gevent.joinall(reads)
+        present = {view.vm.vm_id for view in others}
+        for engine_id in self._known.keys() - present:
+            del self._known[engine_id]
+
+    def _is_due(self, vm: fleet.VmRecord, now_s: float) -> bool:
+        known = self._known.get(vm.vm_id)
+        return known is None or known.read_again_s <= now_s
+
+    def _read(self, vm: fleet.VmRecord) -> None:
+        read = state.read_load(vm.address, timeout_s=_READ_TIMEOUT_S)
+        if not isinstance(read, Ok) or read.ok_value.engine_id != vm.vm_id:
+            return
+        spread_s = FULL_READ_INTERVAL_S * self._rng.uniform(0.5, 1.0)
+        again_s = self._clock.monotonic_s() + spread_s
+        self._known[vm.vm_id] = _Known(read.ok_value, again_s)
+        self._reader.accept(read.ok_value, 0.0)
+
+    def _refresh(
+        self,
+        others: Collection[fleet.EngineView],
+        coarse: Mapping[str, slices.AgedLoad],
+    ) -> None:
+        for view in others:
+            known = self._known.get(view.vm.vm_id)
+            aged = coarse.get(view.vm.vm_id)
+            if known is None or aged is None:
+                continue
+            if aged.load.is_serving and not known.was_serving:
+                known.read_again_s = 0.0
+            known.was_serving = aged.load.is_serving
+            report = slices.refresh(known.report, aged.load)
+            self._reader.accept(report, aged.age_s)
+
+
+class LimitSharing:
+    """Divides the customers' limits among the zone's routers, in rounds."""
+
+    def __init__(
+        self,
+        vm_id: str,
+        customer_limits: limits.CustomerLimits,
+        node_mesh: mesh.NodeMesh,
+        vms: vm_list.VmListReader,
+        system_clock: clock.Clock,
+    ):
+        self._vm_id = vm_id
+        self._limits = customer_limits
+        self._mesh = node_mesh
+        self._vms = vms
+        self._clock = system_clock
+        self._round_number = 0
+
+    def tick(self) -> None:
+        """Begins the next round once it is time."""
+        round_s = max(
+            _LEAST_ROUND_S, self._mesh.rotation_s() * _ROTATIONS_PER_ROUND
+        )
+        number = shares.round_number(self._clock.unix_s(), round_s)
+        if number == self._round_number:
+            return
+        self._round_number = number
+        now_s = self._clock.monotonic_s()
+        live = self._mesh.membership().live | {self._vm_id}
+        entry_vms = [vm for vm in self._vms.vms() if vm.kind == "entry"]
+        division = shares.divide(
+            self._vm_id,
+            live,
+            len(entry_vms),
+            self._mesh.demand_reports(),
+            number - 1,
+        )
+        self._limits.set_division(division, now_s)
+        self._mesh.publish_demand(
+            shares.DemandReport(
+                self._vm_id,
+                number,
+                shares.live_digest(live),
+                self._limits.demand(now_s),
+            )
+        )
+
+
+class Sharing:
+    """Runs both at intervals."""
+
+    def __init__(self, load_sharing: LoadSharing, limit_sharing: LimitSharing):
+        self._parts = (load_sharing, limit_sharing)
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to share."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Ends sharing."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
+
+    def _run(self) -> None:
+        while True:
+            for part in self._parts:
+                try:
+                    part.tick()
+                except Exception:
+                    # One bad interval must not leave this node with an old
+                    # picture, or old limits, for good.
+                    logger.exception("an interval of sharing failed")
+            gevent.sleep(_INTERVAL_S)
--- /dev/null
+++ b/src/mulberrywharf/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of one request, from its admission to its whole answer."""
--- /dev/null
+++ b/src/mulberrywharf/requests/standing.py
@@ -0,0 +1,63 @@
+"""What the configuration says about customers' standing and the targets."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from mulberrywharf.policy import limits
+
+_DEFAULT_WEIGHT = 1.0
+_DEFAULT_PRIORITY = 5
+_MS_PER_S = 1000.0
+
+
+class Standing(NamedTuple):
+    """One customer's standing when the fleet is short.
+
+    Attributes:
+        weight: Its share against others.
+        priority: 0 (first) to 9.
+    """
+
+    weight: float = _DEFAULT_WEIGHT
+    priority: int = _DEFAULT_PRIORITY
+
+
+class Standings(NamedTuple):
+    """What the pipeline reads from one configuration.
+
+    Attributes:
+        customers: By name.
+        first_token_target_s: Admission's target, or None for none.
+    """
+
+    customers: Mapping[str, Standing] = {}
+    first_token_target_s: float | None = None
+
+    @classmethod
+    def from_config(cls, document: Mapping[str, Any]) -> "Standings":
+        """Reads it from a checked configuration document."""
+        customers = {
+            name: Standing(entry["weight"], entry["priority"])
+            for name, entry in document.get("customers", {}).items()
+        }
+        shed = document.get("shed")
+        target_s = None
+        if shed is not None:
+            target_s = shed["first_token_target_ms"] / _MS_PER_S
+        return cls(customers, target_s)
+
+    def of(self, customer: str) -> Standing:
+        """Returns a customer's standing."""
+        return self.customers.get(customer, Standing())
+
+
+def customer_limits(
+    document: Mapping[str, Any],
+) -> dict[str, limits.CustomerLimit]:
+    """Returns the customers' limits over the whole deployment."""
+    return {
+        name: limits.CustomerLimit(
+            entry["requests_per_s"], entry["tokens_per_s"]
+        )
+        for name, entry in document.get("customers", {}).items()
+    }
