--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -86,6 +86,7 @@
         self._is_leaving = False
         self._tasks: list[gevent.Greenlet] = []
         self._wanted: set[int] = set()
+        self._handed: set[int] = set()
         self._look_now = gevent.event.Event()
 
     @classmethod
@@ -191,7 +192,8 @@
     ) -> messages.ClaimReply | None:
         """Answers one claim message, from another node or this one."""
         if isinstance(message, messages.ShardHandover):
-            self.consider(message.shard)
+            self._handed.add(message.shard)
+            self._look_now.set()
             return messages.ClaimReply("accepted")
         if not isinstance(
             message,
@@ -240,7 +242,7 @@
     def _look(self) -> None:
         self._forget_lost()
         ranks = self._ranks()
-        if not ranks and not self._wanted:
+        if not ranks and not self._wanted and not self._handed:
             return
         found = self._store.get_prefix(
             claims.owners_prefix(self._deployment), purpose=PURPOSE_OWNER
@@ -253,6 +255,7 @@
                 self._adopt(number, owned[number])
                 self._ownerless_since_s.pop(number, None)
                 self._wanted.discard(number)
+                self._handed.discard(number)
             elif self._is_due(number, ranks):
                 self._acquire(number)
 
@@ -288,6 +291,8 @@
         All candidates would otherwise write at once, and one node that
         starts first would own everything.
         """
+        if number in self._handed:
+            return True
         now_s = self._clock.monotonic_s()
         since_s = self._ownerless_since_s.setdefault(number, now_s)
         rank = ranks.get(number, CANDIDATES_COUNT)
@@ -328,6 +333,7 @@
         self._shards[number] = shard
         self._ownerless_since_s.pop(number, None)
         self._wanted.discard(number)
+        self._handed.discard(number)
         _shards_owned.set({}, len(self._shards))
 
     def _has_lease(self) -> bool:
--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -30,7 +30,7 @@
 FAN_OUT_COUNT = 2
 """Neighbours of its own zone that a node tells each interval."""
 
-OTHER_ZONES_EVERY_COUNT = 2
+OTHER_ZONES_EVERY_COUNT = 4
 """Every so many intervals a node tells one node of another zone."""
 
 PARTNER_EPOCH_S = 60.0
@@ -39,6 +39,7 @@
 DEMAND_LIMIT_BYTES = 128
 """Room for the demand report in a heartbeat; the busiest come first."""
 
+_ROUNDS_KEPT_COUNT = 3
 _DEMAND_OVERHEAD_BYTES = 14
 _FETCH_GRACE_S = 1.5
 _FETCH_TIMEOUT_S = 5.0
@@ -115,13 +116,14 @@
         self._leaving: set[str] = set()
         self._versions: dict[str, int] = {}
         self._own_demand: shares.DemandReport | None = None
-        self._demands: dict[str, shares.DemandReport] = {}
+        self._demands: dict[str, dict[int, shares.DemandReport]] = {}
         self._membership = suspicion.Membership(
             frozenset({vm_id}), frozenset(), frozenset(), False
         )
         self._neighbours: list[fleet.VmRecord] = []
         self._partners: list[fleet.VmRecord] = []
         self._epoch = -1
+        self._told: dict[fleet.Address, int] = {}
         self._slice: tuple[fleet.VmRecord, ...] = ()
         self._task: gevent.Greenlet | None = None
         self._fetching: gevent.Greenlet | None = None
@@ -208,10 +210,24 @@
         node more than its part.
         """
         self._own_demand = report._replace(demands=_busiest(report.demands))
+        self._keep_demand(self._own_demand)
 
-    def demand_reports(self) -> Mapping[str, shares.DemandReport]:
-        """Returns the last report of each node heard, its own included."""
-        return dict(self._demands)
+    def demand_reports(
+        self, round_number: int | None = None
+    ) -> Mapping[str, shares.DemandReport]:
+        """Returns the report of each node heard, its own included.
+
+        Args:
+            round_number: Of which round; the last of each node when None.
+                A node whose clock is a little ahead already reports the next
+                round while this one still divides by the one before.
+        """
+        found = {}
+        for vm_id, reports in self._demands.items():
+            wanted = max(reports) if round_number is None else round_number
+            if wanted in reports:
+                found[vm_id] = reports[wanted]
+        return found
 
     def rotation_s(self) -> float:
         """Returns how long it takes to tell each neighbour of the zone once.
@@ -247,8 +263,6 @@
             self._stamp, self._clock.unix_s(), self._interval_s
         )
         self._members.note_stamp(self._vm_id, self._stamp, now_s)
-        if self._own_demand is not None:
-            self._demands[self._vm_id] = self._own_demand
         self._tell(now_s)
 
     def _run(self) -> None:
@@ -300,7 +314,7 @@
         heartbeat = self._heartbeat(now_s)
         self._choose_links()
         for address in self._rotation.take(self._neighbours, FAN_OUT_COUNT):
-            self._links.to(address).send(heartbeat)
+            self._tell_neighbour(address, heartbeat)
         if self._ticks_count % OTHER_ZONES_EVERY_COUNT:
             return
         # Stamps and suspicions concern the own zone only.
@@ -308,6 +322,28 @@
         for address in self._rotation_elsewhere.take(self._partners, 1):
             self._links.to(address).send(brief)
 
+    def _tell_neighbour(
+        self, address: fleet.Address, heartbeat: messages.Heartbeat
+    ) -> None:
+        """Sends a heartbeat, with the demand report if it is new there.
+
+        The report is a third of a heartbeat and stays the same for a round,
+        in which each neighbour is told more than once.
+        """
+        report = self._own_demand
+        if report is None or self._told.get(address) == report.round_number:
+            self._links.to(address).send(heartbeat)
+            return
+        sent = self._links.to(address).send(
+            heartbeat._replace(
+                round_number=report.round_number,
+                live_digest=report.live_digest,
+                demands=_demands_on_wire(report),
+            )
+        )
+        if isinstance(sent, Ok):
+            self._told[address] = report.round_number
+
     def _choose_links(self) -> None:
         """Links to all of the zone and to a few partners elsewhere."""
         epoch = int(self._clock.unix_s() / PARTNER_EPOCH_S)
@@ -324,13 +360,14 @@
         )
         addresses = {vm.address for vm in self._neighbours + self._partners}
         self._links.keep_only(addresses)
+        for address in self._told.keys() - addresses:
+            del self._told[address]
         for address in addresses:
             self._links.to(address)
 
     def _heartbeat(self, now_s: float) -> messages.Heartbeat:
         lists = self._book.current(self._zone)
         loads, load_ages = self._loads.columns(lists.engine_ids, now_s)
-        demand = self._own_demand
         return messages.Heartbeat(
             self._zone,
             self._incarnation,
@@ -343,9 +380,6 @@
             ),
             loads,
             load_ages,
-            demand.round_number if demand else 0,
-            demand.live_digest if demand else 0,
-            _demands_on_wire(demand) if demand else (),
         )
 
     def _on_heartbeat(
@@ -402,18 +436,24 @@
     ) -> None:
         if not heartbeat.round_number:
             return
-        self._demands[sender_vm_id] = shares.DemandReport(
-            sender_vm_id,
-            heartbeat.round_number,
-            heartbeat.live_digest,
-            tuple(
-                shares.CustomerDemand(
-                    demand.customer, demand.requests_per_s, demand.tokens_per_s
-                )
-                for demand in heartbeat.demands
-            ),
+        self._keep_demand(
+            shares.DemandReport(
+                sender_vm_id,
+                heartbeat.round_number,
+                heartbeat.live_digest,
+                tuple(
+                    shares.CustomerDemand(*demand)
+                    for demand in heartbeat.demands
+                ),
+            )
         )
 
+    def _keep_demand(self, report: shares.DemandReport) -> None:
+        reports = self._demands.setdefault(report.node_id, {})
+        reports[report.round_number] = report
+        while len(reports) > _ROUNDS_KEPT_COUNT:
+            del reports[min(reports)]
+
     def _on_leaving(self, sender_vm_id: str, notice: messages.Leaving) -> None:
         # A notice that arrives after the node's restart is about the process
         # before.
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -15,12 +15,15 @@
 
 class ClaimsTestCase(unittest.TestCase):
     nodes_count = 2
+    node_options = {}
 
     def setUp(self):
         self.standin = builders_claims.start_standin()
         self.addCleanup(self.standin.close)
         self.vm_list = builders_claims.ListedVms()
-        self.nodes = [self.add_node() for _ in range(self.nodes_count)]
+        self.nodes = [
+            self.add_node(**self.node_options) for _ in range(self.nodes_count)
+        ]
         for node in self.nodes:
             node.owner.start()
         builders_claims.wait_until(lambda: self.owner() is not None)
@@ -191,12 +194,22 @@
         self.assertEqual(reply.kind, "not-owner")
         self.assertFalse(woken_shard.is_owner)
 
+
+class HandoverTest(ClaimsTestCase):
+    node_options = {"poll_interval_s": 30.0, "lease_ttl_s": 60.0}
+
     def test_planned_stop_hands_over_at_once(self):
+        """An owner stops as planned.
+
+        Symptom: claims of its shards are refused for seconds. Sequence: it
+        gives the shard up; the next node finds out when it looks again.
+        Cause: the successor is not told, or waits its turn all the same.
+        """
         owner, other = self.owner(), self.other()
         granted = self.assert_granted(self.claim(owner))
         owner.client.complete(granted, 200, b"done")
         owner.owner.hand_over()
-        builders_claims.wait_until(lambda: other.owner.owned_shards(), 5.0)
+        builders_claims.wait_until(lambda: other.owner.owned_shards(), 10.0)
         self.assertEqual(owner.owner.owned_shards(), [])
         met = self.assert_met(self.claim(owner), "done")
         self.assertEqual(met.answer, b"done")
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -163,6 +163,28 @@
                 )
             )
 
+    def test_the_round_before_is_kept(self):
+        """A neighbour's clock is a little ahead.
+
+        Symptom: limits fall to equal parts at every round. Sequence: the
+        neighbour reports the next round just before this node divides by the
+        one before. Cause: only the last report of each node is kept.
+        """
+        _, nodes = self.start_zone(2)
+        first, second = nodes
+        for number in (4, 5):
+            first.mesh.publish_demand(
+                shares.DemandReport(first.vm_id, number, 6, ())
+            )
+            wait_until(
+                lambda n=number: first.vm_id in second.mesh.demand_reports(n)
+            )
+        for number in (4, 5):
+            report = second.mesh.demand_reports(number)[first.vm_id]
+            self.assertEqual(report.round_number, number)
+        last = second.mesh.demand_reports()[first.vm_id]
+        self.assertEqual(last.round_number, 5)
+
     def test_what_has_no_room_is_left_out_everywhere(self):
         _, nodes = self.start_zone(2)
         demands = tuple(
