--- a/src/mulberrywharf/platform_service/http_calls.py
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -54,6 +54,13 @@
     partition would end as "outcome unknown" although nothing had left.
     """
 
+    def __init__(self, *args: Any, **options: Any):
+        super().__init__(*args, **options)
+        # The library doesn't give a place back when a greenlet is killed
+        # while it sends: with its own limit, so many kills later every call
+        # would wait for ever. ``HttpCalls`` limits the calls instead.
+        self._semaphore = lock.DummySemaphore()
+
     def _create_socket(self) -> Any:
         try:
             return super()._create_socket()
@@ -100,6 +107,7 @@
         self._endpoint = endpoint
         self._timeout_s = timeout_s
         self._slots = lock.BoundedSemaphore(CONCURRENT_CALLS_COUNT)
+        self._is_closed = False
         self._client = _Client(
             endpoint, connect_timeout_s=timeout_s, read_timeout_s=timeout_s
         )
@@ -110,7 +118,8 @@
         return f"{self._endpoint['ip']}:{self._endpoint['port']}"
 
     def close(self) -> None:
-        """Closes the pooled connections."""
+        """Closes the pooled connections; later calls are not sent."""
+        self._is_closed = True
         self._client.close()
 
     def call(
@@ -131,6 +140,9 @@
         """
         if not self._slots.acquire(timeout=self._timeout_s):
             return Err(self._unavailable("all connections are waiting"))
+        if self._is_closed:
+            self._slots.release()
+            return Err(self._unavailable("this client is closed"))
         try:
             return Ok(self._exchange(method, path, body, headers or {}))
         except ConnectError as error:
--- a/tests/builders_platform.py
+++ b/tests/builders_platform.py
@@ -101,6 +101,15 @@
         return int(sock.getsockname()[1])
 
 
+@contextlib.contextmanager
+def listener_that_never_reads() -> Iterator[int]:
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen(16)
+        yield int(sock.getsockname()[1])
+
+
 def put_operation(key: str, value: bytes) -> dict[str, Any]:
     return {
         "requestPut": {
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -1,12 +1,13 @@
 """The key-value client against the stand-in, in fair and foul weather."""
 
 import unittest
+from unittest import mock
 
 import gevent
 from result import Err, Ok
 
 from mulberrywharf import errors
-from mulberrywharf.platform_service import call_budget, key_value
+from mulberrywharf.platform_service import call_budget, http_calls, key_value
 from tests import builders_platform as builders
 
 
@@ -136,6 +137,35 @@
             "/a", b"1", expected_revision=0, purpose="test"
         ).unwrap()
 
+    def test_closed_client_sends_nothing(self) -> None:
+        self.client.get("/a", purpose="test").unwrap()
+        self.client.close()
+        refused = self.client.get("/a", purpose="test").unwrap_err()
+        self.assertIsInstance(refused, errors.PlatformUnavailableError)
+        self.assertEqual(self.service.calls_by_kind["range"], 1)
+
+    def test_killed_callers_use_up_no_connection(self) -> None:
+        """Symptom: after days, every call of a process waits for ever.
+
+        Sequence: the service stops reading, greenlets are killed while they
+        send. Cause: the library's pool keeps their places.
+        """
+        with (
+            builders.listener_that_never_reads() as port,
+            mock.patch.object(http_calls, "CONCURRENT_CALLS_COUNT", 2),
+        ):
+            calls = http_calls.HttpCalls(builders.endpoint(port), 0.5)
+            self.addCleanup(calls.close)
+            body = {"value": "x" * 16_000_000}
+            for _ in range(3):
+                sender = gevent.spawn(calls.call, "POST", "/", body)
+                gevent.sleep(0.1)
+                sender.kill()
+            last = gevent.spawn(calls.call, "POST", "/", {})
+            last.join(timeout=builders.WAIT_LIMIT_S)
+            self.assertTrue(last.ready())
+            self.assertIsInstance(last.value, Err)
+
     def test_spent_budget_of_one_purpose_leaves_others(self) -> None:
         """Symptom: a lease lapses although the service is well.
 
