Watch a caller once for each answer, not for each block

A watcher of the caller's connection was made, started and closed around every block of a stream, thousands of times for one answer, and its callback could only mean something while the answer was waited for. One watch now serves the whole answer and is told when its interruption is welcome; a caller that left during a write is noticed at the next wait.

--- a/src/mulberrywharf/callers/completions.py
+++ b/src/mulberrywharf/callers/completions.py
@@ -60,17 +60,17 @@
         BackEndLostError: The answer ended without its end mark.
     """
     is_whole = False
+    watch = caller_watch.CallerWatch(sock)
+    watch.start()
     try:
-        while True:
-            # Only while the answer is waited for: in a write the caller's
-            # end shows by itself.
-            with caller_watch.CallerWatch(sock):
-                batch = next(batches, None)
-            if batch is None:
-                break
+        watch.expect()
+        for batch in batches:
+            watch.ignore()
             is_whole = batch.is_last
             yield batch
+            watch.expect()
     finally:
+        watch.close()
         _close(batches)
     if not is_whole:
         raise errors.BackEndLostError(
