Tell whether an accepted change is still stored

A change accepted on a service restored from a backup is replaced when nodes put their newer configuration back, and a node's higher version then looks like proof that the change is in force. Comparing versions only was ruled out as proof; still_holds looks for the change itself. A watch whose stream hangs is now covered by a test.

--- a/src/mulberrywharf/platform_service/config_store.py
+++ b/src/mulberrywharf/platform_service/config_store.py
@@ -146,6 +146,23 @@
             )
         )
 
+    def still_holds(self, accepted: Configuration) -> Result[bool, ConfigError]:
+        """Tells whether an accepted change is part of what is stored now.
+
+        It is not, if it was accepted on data that the service had lost and
+        nodes have put the newer configuration back since. Whoever waits for
+        a change to be in force everywhere asks this at the end: a node with
+        a higher version need not have the change.
+
+        Args:
+            accepted: What ``change`` returned.
+
+        Returns:
+            True also if so many changes followed that its audit entry is no
+            longer kept.
+        """
+        return self._read().map(lambda held: _includes(held, accepted))
+
     def reinstate(
         self, configuration: Configuration
     ) -> Result[bool, ConfigError]:
@@ -245,6 +262,15 @@
     return None
 
 
+def _includes(held: _Held, accepted: Configuration) -> bool:
+    if held.version() < accepted.version or held.configuration is None:
+        return False
+    if _entry_of(accepted.change_id, held) is not None:
+        return True
+    audit = held.configuration.audit
+    return bool(audit) and audit[0]["version"] > accepted.version
+
+
 def _entry_of(change_id: str, held: _Held) -> AuditEntry | None:
     if held.configuration is None:
         return None
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -234,7 +234,7 @@
                     return
                 yield _line(message)
         finally:
-            self.store.watchers.remove(watcher)
+            self.store.forget(watcher)
 
     def _control(
         self, path: str, environ: http_control.Environ, start_response: Any
--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -173,6 +173,15 @@
         for watcher in self.watchers:
             watcher.queue.put(None)
 
+    def forget(self, watcher: Watcher) -> None:
+        """Drops a watch whose stream has ended."""
+        if watcher in self.watchers:
+            self.watchers.remove(watcher)
+
+    def hang_watches(self) -> None:
+        """Leaves every watch open and sends it nothing any more."""
+        self.watchers.clear()
+
     def grant(self, ttl_s: float) -> int:
         """Grants a lease and returns its id."""
         self._last_lease_id += 1
--- a/tests/test_config_store.py
+++ b/tests/test_config_store.py
@@ -212,6 +212,24 @@
         self.assertFalse(self.store.reinstate(lost).unwrap())
         self.assertEqual(self.change("three", 2, seen_version=2).version, 3)
 
+    def test_change_on_lost_history_is_found_out(self) -> None:
+        """Symptom: an operator is told "in force everywhere" of a lost change.
+
+        Sequence: the service is restored from a backup, a change is accepted
+        on it, nodes put their higher version back. Cause: a version at least
+        as high taken for proof that the change is in it.
+        """
+        first = self.change("one", 0)
+        backup = self.service.snapshot()
+        self.change("two", 1)
+        latest = self.change("three", 2)
+        self.service.restore(backup)
+        lost = self.change("lost", 1)
+        self.store.reinstate(latest).unwrap()
+        self.assertFalse(self.store.still_holds(lost).unwrap())
+        self.assertTrue(self.store.still_holds(first).unwrap())
+        self.assertTrue(self.store.still_holds(latest).unwrap())
+
     def test_outage_refuses_as_not_written(self) -> None:
         self.service.close()
         self.assertIsInstance(
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -7,7 +7,12 @@
 from result import Err, Ok
 
 from mulberrywharf import errors
-from mulberrywharf.platform_service import call_budget, http_calls, key_value
+from mulberrywharf.platform_service import (
+    call_budget,
+    http_calls,
+    key_value,
+    watch,
+)
 from tests import builders_platform as builders
 
 
@@ -255,6 +260,26 @@
         self.put("/a2", b"2")
         self.assert_sees(("put", "/a1", b"1"), ("put", "/a2", b"2"))
 
+    def test_hung_watch_is_reopened(self) -> None:
+        """Symptom: a node misses every change and believes itself current.
+
+        Sequence: the stream stays open and nothing comes any more. Cause:
+        silence taken for "nothing has changed", for ever.
+        """
+        hung = watch.Watch(
+            self.client,
+            "/a",
+            self.events.append,
+            purpose="test",
+            reopen_s=0.5,
+        )
+        self.addCleanup(hung.close)
+        hung.start()
+        builders.wait_until(lambda: self.service.store.watchers)
+        self.service.store.hang_watches()
+        self.put("/a1", b"1")
+        self.assert_sees(("put", "/a1", b"1"))
+
     def test_falls_back_to_a_read_when_history_is_gone(self) -> None:
         """Symptom: a node that was cut off for long never catches up.
 
@@ -324,9 +349,9 @@
         self.assertTrue(builders.wait_until(lambda: len(watchers) == 20))
 
     def test_closed_watch_reports_nothing(self) -> None:
-        watch = self.client.watch("/a", self.events.append, purpose="test")
+        watched = self.client.watch("/a", self.events.append, purpose="test")
         builders.wait_until(lambda: self.service.store.watchers)
-        watch.close()
+        watched.close()
         self.put("/a1", b"1")
         gevent.sleep(0.05)
         self.assertEqual(self.events, [])
