Split the exchange by job and remove the old relay

Connections, answers and refusals now have modules of their own, and the counter one label, peer. streams.relay has no caller left since the router joined its packages, so it goes.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -7,24 +7,17 @@
 """
 
 import re
-import socket
 from collections.abc import Mapping
 from functools import singledispatch
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import gevent
-from gevent import socket as gevent_socket
 from geventhttpclient import response as http_response
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet
+from mulberrywharf import _answers, _connections, errors, fleet
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
-READ_BLOCK_BYTES = 16 * 1024
-_HEAD_LIMIT_BYTES = 64 * 1024
-_IDLE_LIMIT_COUNT = 16
-_FIRST_FINAL_STATUS = 200
-_LOOP_READ = 1
 
 _METHOD = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _TARGET = re.compile(r"/[\x21-\x7e]*")
@@ -110,209 +103,6 @@
     return head.encode("latin-1") + request.body
 
 
-class Connection:
-    """A TCP connection to a back end."""
-
-    def __init__(self, address: fleet.Address, sock: Any):
-        self.address = address
-        self.sock = sock
-        loop = gevent.get_hub().loop
-        self._readable = loop.io(sock.fileno(), _LOOP_READ)
-        self._silence = loop.timer(0.0)
-        self._silence_limit_s = 0.0
-
-    @classmethod
-    def open(
-        cls, address: fleet.Address, connect_timeout_s: float
-    ) -> Result["Connection", errors.EngineUnreachableError]:
-        """Connects; small writes leave at once (TCP_NODELAY)."""
-        family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-        sock = gevent_socket.socket(family, socket.SOCK_STREAM)
-        try:
-            sock.settimeout(connect_timeout_s)
-            sock.connect((address.ip, address.port))
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as error:
-            sock.close()
-            message = f"no connection to {address}: {error}"
-            return Err(errors.EngineUnreachableError(message))
-        except BaseException:
-            sock.close()
-            raise
-        return Ok(cls(address, sock))
-
-    def is_quiet(self) -> bool:
-        """Tells whether the idle connection is open and holds no bytes.
-
-        A peek works for any descriptor; select() fails above 1023.
-        """
-        self.sock.settimeout(0.0)
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-    def wait_readable(self, timeout_s: float) -> None:
-        """Waits for bytes or the end, at least one turn of the event loop.
-
-        A greenlet whose socket always has bytes never waits in ``recv``, and
-        ``sleep(0)`` lets others run but does not poll their sockets for up
-        to gevent's switch interval: beside one busy stream the others' first
-        tokens came 90 ms late. A turn of the loop polls every socket.
-
-        Raises:
-            OSError: Nothing came in time, or the connection was closed.
-        """
-        if timeout_s != self._silence_limit_s:
-            self._silence.close()
-            self._silence = gevent.get_hub().loop.timer(timeout_s, timeout_s)
-            self._silence_limit_s = timeout_s
-        # One timer that is set again costs less than a Timeout object for
-        # each token.
-        self._silence.again(self._end_silence)
-        try:
-            gevent_socket.wait(self._readable)
-        finally:
-            self._silence.stop()
-
-    def _end_silence(self) -> None:
-        limit_s = self._silence_limit_s
-        error = TimeoutError(f"nothing came for {limit_s} s")
-        gevent.get_hub().cancel_wait(self._readable, error)
-
-    def close(self) -> None:
-        """Closes the connection; whoever waits for it gets an OSError."""
-        gevent.get_hub().cancel_wait(
-            self._readable, gevent_socket.cancel_wait_ex, close_watcher=True
-        )
-        self._silence.close()
-        self.sock.close()
-
-
-class Answer(http_response.HTTPSocketResponse):
-    """The answer to one request, its body read as it comes."""
-
-    def __init__(self, sock: Any, method: str):
-        self._final_complete = False
-        self._unexpected = False
-        self._head_bytes = 0
-        super().__init__(sock, block_size=READ_BLOCK_BYTES, method=method)
-
-    @property
-    def is_framed(self) -> bool:
-        """Whether the answer itself says where it ends.
-
-        Without a length the end of the connection ends the body, so a cut
-        answer looks just like a whole one.
-        """
-        if self.method == "HEAD" or self.status_code in (204, 304):
-            return True
-        return "content-length" in self or "transfer-encoding" in self
-
-    @property
-    def is_reusable(self) -> bool:
-        """Whether the connection may carry another request."""
-        return (
-            self._final_complete
-            and not self._unexpected
-            and self.is_framed
-            and not self.should_close()
-        )
-
-    @property
-    def needs_bytes(self) -> bool:
-        """Whether ``read_some`` has to read from the connection."""
-        return not self._body_buffer and not self.message_complete
-
-    def header(self, name: str) -> str | None:
-        """Returns a header field; the first if it came several times."""
-        value = self.get(name)
-        if isinstance(value, list):
-            return str(value[0])
-        return value
-
-    def read_some(self) -> bytes:
-        """Waits for the next bytes of the body.
-
-        Returns:
-            At least one byte, or nothing at the end of the answer.
-
-        Raises:
-            OSError: The connection failed or timed out.
-            HTTPParseError: The answer is malformed or cut off.
-        """
-        while self.needs_bytes:
-            if self._sock is None:
-                raise http_response.HTTPConnectionClosed("connection closed")
-            self.feed(self._sock.recv(self.block_size))
-        data = bytes(self._body_buffer)
-        self._body_buffer.clear()
-        return data
-
-    def feed(self, data: str | bytes) -> None:
-        """Hands bytes of the connection to the parser."""
-        if not self.headers_complete:
-            self._head_bytes += len(data)
-            if self._head_bytes > _HEAD_LIMIT_BYTES:
-                raise http_response.HTTPParseError("the head is too large")
-        super().feed(data)
-
-    def release(self) -> None:
-        """Leaves the socket to the exchange, which owns it."""
-
-    def _on_message_begin(self) -> None:
-        # A second answer on the wire would be parsed into this one's body:
-        # the caller would get bytes that belong to another request.
-        if self._final_complete:
-            self._unexpected = True
-            raise http_response.HTTPProtocolViolationError("a second answer")
-        super()._on_message_begin()
-
-    def _on_message_complete(self) -> None:
-        super()._on_message_complete()
-        if self.get_code() >= _FIRST_FINAL_STATUS:
-            self._final_complete = True
-
-
-class ConnectionPool:
-    """Idle connections whose last answer was read to its checked end."""
-
-    def __init__(self, idle_limit_count: int = _IDLE_LIMIT_COUNT):
-        self._idle_limit_count = idle_limit_count
-        self._idle: dict[fleet.Address, list[Connection]] = {}
-
-    def take(self, address: fleet.Address) -> Connection | None:
-        """Returns an idle connection that still looks open, or None."""
-        idle = self._idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_quiet():
-                return connection
-            connection.close()
-        return None
-
-    def put(self, connection: Connection) -> None:
-        """Keeps a connection, or closes it when there are enough."""
-        idle = self._idle.setdefault(connection.address, [])
-        if len(idle) < self._idle_limit_count:
-            idle.append(connection)
-        else:
-            connection.close()
-
-    def forget(self, address: fleet.Address) -> None:
-        """Closes the idle connections to an address that left."""
-        for connection in self._idle.pop(address, []):
-            connection.close()
-
-    def close(self) -> None:
-        """Closes every idle connection."""
-        for address in list(self._idle):
-            self.forget(address)
-
-
 class Exchange:
     """One request on one connection, written at most once.
 
@@ -320,11 +110,15 @@
         stage: How far it came.
     """
 
-    def __init__(self, connection: Connection, pool: ConnectionPool | None):
+    def __init__(
+        self,
+        connection: _connections.Connection,
+        pool: _connections.ConnectionPool | None,
+    ):
         self.stage: Stage = NotSent()
-        self._connection: Connection | None = connection
+        self._connection: _connections.Connection | None = connection
         self._pool = pool
-        self._answer: Answer | None = None
+        self._answer: _answers.Answer | None = None
 
     @classmethod
     def open(
@@ -332,7 +126,7 @@
         address: fleet.Address,
         *,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
-        pool: ConnectionPool | None = None,
+        pool: _connections.ConnectionPool | None = None,
     ) -> Result["Exchange", errors.EngineUnreachableError]:
         """Takes an idle connection or makes one.
 
@@ -347,12 +141,12 @@
         idle = pool.take(address) if pool is not None else None
         if idle is not None:
             return Ok(cls(idle, pool))
-        opened = Connection.open(address, connect_timeout_s)
+        opened = _connections.Connection.open(address, connect_timeout_s)
         return opened.map(lambda connection: cls(connection, pool))
 
     def send(
         self, request: Request, answer_timeout_s: float
-    ) -> Result[Answer, errors.AnswerLostError]:
+    ) -> Result[_answers.Answer, errors.AnswerLostError]:
         """Writes the request once and waits for the head of the answer.
 
         Args:
@@ -370,7 +164,7 @@
         try:
             self.stage = MaybeSent()
             connection.sock.sendall(data)
-            answer = Answer(connection.sock, request.method)
+            answer = _answers.Answer(connection.sock, request.method)
         except _LOST_CONNECTION as error:
             self.close()
             message = f"{connection.address} gave no answer: {error}"
@@ -470,8 +264,8 @@
     *,
     timeout_s: float,
     limit_bytes: int,
-    pool: ConnectionPool | None = None,
-) -> Result[tuple[Answer, bytes], errors.EngineError]:
+    pool: _connections.ConnectionPool | None = None,
+) -> Result[tuple[_answers.Answer, bytes], errors.EngineError]:
     """Runs one small exchange with the whole answer in memory.
 
     Args:
@@ -505,7 +299,7 @@
 
 def _fetch(
     exchange: Exchange, request: Request, timeout_s: float, limit_bytes: int
-) -> Result[tuple[Answer, bytes], errors.EngineError]:
+) -> Result[tuple[_answers.Answer, bytes], errors.EngineError]:
     sent = exchange.send(request, timeout_s)
     if isinstance(sent, Err):
         return sent
--- a/src/mulberrywharf/backend_servers/client.py
+++ b/src/mulberrywharf/backend_servers/client.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import _exchange, errors, fleet, metrics
+from mulberrywharf import _answers, _connections, _exchange, errors, fleet
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 REQUEST_ID_HEADER = "x-request-id"
@@ -25,11 +25,6 @@
     )
 )
 
-_foreign = metrics.counter(
-    "mulberry_foreign_answers_total",
-    "Answers dropped because they carry another request's id.",
-)
-
 
 class ServiceRequest(NamedTuple):
     """One request to a plain service.
@@ -65,7 +60,7 @@
     def __init__(
         self,
         exchange: _exchange.Exchange,
-        answer: _exchange.Answer,
+        answer: _answers.Answer,
         timeout_s: float,
     ):
         self.status = answer.status_code
@@ -116,7 +111,7 @@
         self, connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S
     ) -> None:
         self._connect_timeout_s = connect_timeout_s
-        self._pool = _exchange.ConnectionPool()
+        self._pool = _connections.ConnectionPool()
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -174,7 +169,7 @@
     answer = sent.ok_value
     echoed = answer.header(REQUEST_ID_HEADER)
     if echoed is not None and echoed != request.request_id:
-        _foreign.inc({"server": str(address)})
+        _answers.count_foreign(address)
         message = f"{address} sent an answer with another request's id"
         return Err(errors.ForeignAnswerError(message))
     if not answer.is_framed:
--- a/src/mulberrywharf/engines/handover.py
+++ b/src/mulberrywharf/engines/handover.py
@@ -6,8 +6,8 @@
 from result import Err, Ok, Result
 from typing_extensions import TypedDict
 
-from mulberrywharf import _exchange, errors, fleet, metrics
-from mulberrywharf.engines import resume, streams
+from mulberrywharf import _answers, _exchange, errors, fleet, metrics
+from mulberrywharf.engines import refusals, resume
 
 DEFAULT_PREFILL_TIMEOUT_S = 10.0
 _ANSWER_LIMIT_BYTES = 64 * 1024
@@ -63,7 +63,7 @@
         return fetched
     answer, data = fetched.ok_value
     if answer.status_code != _OK:
-        return Err(streams.refusal(address, answer, data))
+        return Err(refusals.refusal(address, answer, data))
     return _source(address, data, generation.request_id)
 
 
@@ -113,7 +113,7 @@
         return Err(errors.EngineError(f"malformed prefill answer: {error!r}"))
     if answered_id != request_id:
         # A crossed handle would lead to another caller's KV cache.
-        streams.count_foreign(address)
+        _answers.count_foreign(address)
         message = f"{address} answered another request's prefill"
         return Err(errors.ForeignAnswerError(message))
     return Ok({"ip": address.ip, "port": address.port, "handle": handle})
--- a/src/mulberrywharf/engines/loads.py
+++ b/src/mulberrywharf/engines/loads.py
@@ -12,7 +12,15 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import _exchange, clock, errors, fleet, metrics, settings
+from mulberrywharf import (
+    _connections,
+    _exchange,
+    clock,
+    errors,
+    fleet,
+    metrics,
+    settings,
+)
 from mulberrywharf.engines import load_books
 from mulberrywharf.policy import prefix_index
 
@@ -69,7 +77,7 @@
         self._sink = sink
         self._clock = now
         self._chance = chance
-        self._pool = _exchange.ConnectionPool(idle_limit_count=1)
+        self._pool = _connections.ConnectionPool(idle_limit_count=1)
         self._books: dict[str, load_books.EngineBook] = {}
         self._readers: dict[str, gevent.Greenlet] = {}
         self._drained: frozenset[str] = frozenset()
--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -5,10 +5,10 @@
 from typing import Any, NamedTuple
 
 import gevent
-from geventhttpclient import HTTPClient
 from result import Err, Ok, Result
 
-from mulberrywharf import _exchange, errors, fleet, metrics
+from mulberrywharf import _answers, _exchange, errors, fleet
+from mulberrywharf.engines import refusals
 
 DONE_EVENT = b"data: [DONE]\n\n"
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
@@ -25,12 +25,6 @@
 _DRAIN_LIMIT_S = 1.0
 _CANCEL_ANSWER_LIMIT_BYTES = 4096
 _OK = 200
-_SERVICE_UNAVAILABLE = 503
-
-_foreign = metrics.counter(
-    "mulberry_foreign_answers_total",
-    "Answers dropped because they carry another request's id.",
-)
 
 
 class Usage(NamedTuple):
@@ -230,16 +224,16 @@
             return Err(self._foreign())
         return Ok(None)
 
-    def _refusal(self, answer: _exchange.Answer) -> errors.EngineError:
+    def _refusal(self, answer: _answers.Answer) -> errors.EngineError:
         read = self._exchange.read_all(
             self._idle_timeout_s, _ERROR_BODY_LIMIT_BYTES
         )
         body = read.unwrap_or(b"")
-        return refusal(self._address, answer, body)
+        return refusals.refusal(self._address, answer, body)
 
     def _foreign(self) -> errors.ForeignAnswerError:
         self._failed = True
-        count_foreign(self._address)
+        _answers.count_foreign(self._address)
         return errors.ForeignAnswerError(
             f"{self._address} sent an answer with another request's id"
         )
@@ -310,11 +304,6 @@
         return Token(index, _text(choice), reason, event + _EVENT_END, usage)
 
 
-def count_foreign(address: fleet.Address) -> None:
-    """Counts an answer that carried another request's id."""
-    _foreign.inc({"engine": str(address)})
-
-
 def _text(choice: Any) -> str:
     if "text" in choice:
         return str(choice["text"])
@@ -328,46 +317,6 @@
     return Usage(usage["prompt_tokens"], usage["completion_tokens"])
 
 
-def refusal(
-    address: fleet.Address, answer: _exchange.Answer, body: bytes
-) -> errors.EngineError:
-    """Types an answer that is not a success.
-
-    A 503 with a ``type``, and any 4xx, say that the engine did not run the
-    request; whatever else comes leaves that open.
-    """
-    status = answer.status_code
-    reason = _reason(body)
-    message = f"{address} answered {status} {reason}".rstrip()
-    unavailable = status == _SERVICE_UNAVAILABLE and reason
-    if unavailable or 400 <= status < 500:
-        return errors.EngineRefusedError(
-            message,
-            status=status,
-            reason=reason,
-            retry_after_s=_retry_after_s(answer),
-            body=body,
-        )
-    return errors.EngineError(message)
-
-
-def _reason(body: bytes) -> str:
-    try:
-        document = json.loads(body)
-    except ValueError:
-        return ""
-    if not isinstance(document, dict):
-        return ""
-    return str(document.get("type", ""))
-
-
-def _retry_after_s(answer: _exchange.Answer) -> float | None:
-    try:
-        return float(answer.header("retry-after") or "")
-    except ValueError:
-        return None
-
-
 def cancel(address: fleet.Address, request_id: str) -> bool:
     """Asks an engine to stop a request; best effort.
 
@@ -388,34 +337,3 @@
         limit_bytes=_CANCEL_ANSWER_LIMIT_BYTES,
     )
     return isinstance(fetched, Ok) and b"true" in fetched.ok_value[1]
-
-
-def relay(
-    address: fleet.Address, path: str, body: bytes, request_id: str
-) -> Iterator[bytes]:
-    """Yields an engine's events as they come.
-
-    Args:
-        address: The engine.
-        path: Such as ``/v1/completions``.
-        body: The OpenAI request as JSON.
-        request_id: Sent along, and echoed by the engine.
-
-    Raises:
-        EngineUnreachableError: No connection was made.
-        StreamBrokenError: The stream ended before its checked end.
-    """
-    client = HTTPClient(address.ip, address.port)
-    headers = {"content-type": "application/json", "x-request-id": request_id}
-    try:
-        try:
-            response = client.request("POST", path, body, headers)
-        except ConnectionRefusedError as error:
-            raise errors.EngineUnreachableError(str(error)) from error
-        while event := response.readline(_EVENT_END):
-            yield event
-            if event.startswith(DONE_EVENT.rstrip()):
-                return
-        raise errors.StreamBrokenError("the stream ended without [DONE]")
-    finally:
-        client.close()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -6,7 +6,7 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from mulberrywharf import _exchange, errors
+from mulberrywharf import _connections, _exchange, errors
 from tests import builders_engines as build
 
 _BODY_LIMIT_BYTES = 1000
@@ -14,7 +14,7 @@
 
 class ExchangeCase(unittest.TestCase):
     def setUp(self) -> None:
-        self.pool = _exchange.ConnectionPool()
+        self.pool = _connections.ConnectionPool()
         self.addCleanup(self.pool.close)
 
     def serve(self, script: build.Script) -> build.ScriptedServer:
