Make two failure tests catch what they are named for

With its mechanism off, the test of an owner paused past its lease stayed green, since the paused owner had written nothing and met the new owner's segment; it now commits once before the pause and goes red without the guard. A test for stamps passed on by others was missing, since the quorum alone keeps the cut link's test green; both are red with their mechanism off.

--- a/src/mulberrywharf/nodes/claim_client.py
+++ b/src/mulberrywharf/nodes/claim_client.py
@@ -326,7 +326,6 @@
                 self._owners[shard] = fleet.Address(
                     fields["ip"], fields["port"]
                 )
-            self._links.keep_only(set(self._owners.values()))
         if self._owners == known_before:
             self._lookup_delay_s = min(
                 2 * self._lookup_delay_s, _LONGEST_LOOKUP_DELAY_S
--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -143,8 +143,8 @@
             config: Settings of the process.
             vm_list: The VM list.
             configuration: The configuration in force here.
-            node_links: Links of the mesh alone; it closes those that it no
-                longer needs.
+            node_links: Links of the process; once a minute the mesh closes
+                those that it does not need and nobody uses.
             node_server: Gets the handlers for the mesh's messages.
         """
         nodes = config["nodes"]
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -177,6 +177,7 @@
         a claim in its hands. Cause: a commit that is not tied to ownership.
         """
         paused, second = self.owner(), self.other()
+        self.assert_granted(self.claim(paused, key="key-0"))
         woken_shard = paused.owner._shards[0]
         gevent.killall(paused.owner._tasks)
         builders_claims.wait_until(lambda: second.owner.owned_shards())
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -105,6 +105,16 @@
         self.assertFalse(table.note_stamp("dead", 100, 60.0))
         self.assertEqual(table.silent(60.0), {"dead"})
 
+    def test_a_stamp_passed_on_counts_as_heard(self):
+        table = membership.MembershipTable("me", suspect_after_s=5.0)
+        names = ["far", "me"]
+        table.expect(names, 0.0)
+        for second in range(1, 20):
+            column = second.to_bytes(2, "big") + bytes(2)
+            table.merge_stamps(names, column, float(second))
+        self.assertEqual(table.silent(20.0), frozenset())
+        self.assertEqual(table.silent(30.0), {"far"})
+
     def test_stamps_wrap_and_never_go_back(self):
         cases = [
             # previous, unix_s, wanted
