Split the key-value client and the configuration store

Retries, budgets and metrics of calls move to gateway, the decisions about a change to config_change as plain functions without input or output.

--- a/src/mulberrywharf/platform_service/config_store.py
+++ b/src/mulberrywharf/platform_service/config_store.py
@@ -1,22 +1,17 @@
 """Reads and changes the one configuration document of a deployment."""
 
-import json
-from collections.abc import Sequence
-from typing import NamedTuple
-
 from loguru import logger
 from result import Err, Ok, Result
 
 from mulberrywharf import clock, errors, settings
 from mulberrywharf.platform_service import (
-    configuration as configuration_module,
+    config_change,
+    key_value,
 )
-from mulberrywharf.platform_service import key_value
-from mulberrywharf.platform_service.configuration import (
-    AuditEntry,
-    Configuration,
+from mulberrywharf.platform_service import (
+    configuration as configuration_module,
 )
-from mulberrywharf.rules import configuration as rules_configuration
+from mulberrywharf.platform_service.configuration import Configuration
 from mulberrywharf.rules.document import Document
 from mulberrywharf.rules.parse import check_value
 
@@ -24,29 +19,7 @@
 
 _ATTEMPTS_COUNT = 5
 
-ConfigError = errors.PlatformError | errors.DocumentError
-
-
-class _Held(NamedTuple):
-    """What the service holds, and at which revision (0: nothing)."""
-
-    configuration: Configuration | None
-    mod_revision: int
-
-    def version(self) -> int:
-        """Returns the version held, 0 if none is."""
-        return self.configuration.version if self.configuration else 0
-
-
-class _Change(NamedTuple):
-    """One change that an author asks for."""
-
-    document: Document
-    author: str
-    note: str
-    change_id: str
-    expected_version: int
-    seen_version: int
+ConfigError = config_change.ConfigError
 
 
 class ConfigStore:
@@ -113,10 +86,10 @@
             ``WriteOutcomeUnknownError`` if it could not
             be found out; repeat with the same id.
         """
-        checked = check_value(_as_stored(document), "new document")
+        checked = check_value(config_change.as_stored(document), "new document")
         if isinstance(checked, Err):
             return checked
-        change = _Change(
+        change = config_change.Change(
             document, author, note, change_id, expected_version, seen_version
         )
         unresolved: errors.PlatformError | None = None
@@ -125,7 +98,7 @@
             if isinstance(read, Err):
                 return Err(_unresolved_or(unresolved, read.err_value))
             held = read.ok_value
-            refusal = _settled(change, held)
+            refusal = config_change.settled(change, held)
             if refusal is not None:
                 return refusal
             written = self._write(change, held)
@@ -161,7 +134,9 @@
             True also if so many changes followed that its audit entry is no
             longer kept.
         """
-        return self._read().map(lambda held: _includes(held, accepted))
+        return self._read().map(
+            lambda held: config_change.includes(held, accepted)
+        )
 
     def reinstate(
         self, configuration: Configuration
@@ -185,7 +160,7 @@
             if isinstance(read, Err):
                 return read
             held = read.ok_value
-            if not _is_behind(held, configuration):
+            if not config_change.is_behind(held, configuration):
                 return Ok(False)
             written = self._swap(configuration.raw, held)
             if isinstance(written, Ok):
@@ -199,26 +174,28 @@
         assert failure is not None
         return Err(failure)
 
-    def _read(self) -> Result[_Held, ConfigError]:
+    def _read(self) -> Result[config_change.Held, ConfigError]:
         read = self._client.get(self._key, purpose=CHANGE_PURPOSE)
         if isinstance(read, Err):
             return read
         found = read.ok_value
         if found is None:
-            return Ok(_Held(None, 0))
+            return Ok(config_change.Held(None, 0))
         decoded = configuration_module.decode_unchecked(found.value)
         if isinstance(decoded, Err):
             return decoded
-        return Ok(_Held(decoded.ok_value, found.mod_revision))
+        return Ok(config_change.Held(decoded.ok_value, found.mod_revision))
 
     def _write(
-        self, change: _Change, held: _Held
+        self, change: config_change.Change, held: config_change.Held
     ) -> Result[Configuration, errors.PlatformError]:
-        new = _next_configuration(change, held, self._clock.unix_s())
+        new = config_change.next_configuration(
+            change, held, self._clock.unix_s()
+        )
         return self._swap(new.raw, held).map(lambda _: new)
 
     def _swap(
-        self, raw: bytes, held: _Held
+        self, raw: bytes, held: config_change.Held
     ) -> Result[key_value.KeyValue, errors.PlatformError]:
         return self._client.compare_and_swap(
             self._key,
@@ -236,129 +213,3 @@
     The later failure alone would read as "nothing was written".
     """
     return unresolved or failure
-
-
-def _is_behind(held: _Held, configuration: Configuration) -> bool:
-    if held.configuration is None:
-        return True
-    return held.configuration.rank() < configuration.rank()
-
-
-def _settled(
-    change: _Change, held: _Held
-) -> Result[Configuration, ConfigError] | None:
-    """Decides a change that must not be written; None if it may be."""
-    own_entry = _entry_of(change.change_id, held)
-    if own_entry is not None:
-        return _already_accepted(change, held, own_entry)
-    if held.version() < change.seen_version:
-        return Err(
-            errors.ConfigStoreBehindError(
-                held_version=held.version(), seen_version=change.seen_version
-            )
-        )
-    if held.version() != change.expected_version:
-        return Err(_conflict(change, held))
-    return None
-
-
-def _includes(held: _Held, accepted: Configuration) -> bool:
-    if held.version() < accepted.version or held.configuration is None:
-        return False
-    if _entry_of(accepted.change_id, held) is not None:
-        return True
-    audit = held.configuration.audit
-    return bool(audit) and audit[0]["version"] > accepted.version
-
-
-def _entry_of(change_id: str, held: _Held) -> AuditEntry | None:
-    if held.configuration is None:
-        return None
-    for entry in held.configuration.audit:
-        if entry["change_id"] == change_id:
-            return entry
-    return None
-
-
-def _already_accepted(
-    change: _Change, held: _Held, entry: AuditEntry
-) -> Result[Configuration, ConfigError]:
-    """Answers the repeat of a change that took effect earlier.
-
-    The document of a change that another has replaced is no longer stored;
-    then author and note tell a repeat from an id that was used twice.
-    """
-    current = held.configuration
-    assert current is not None
-    if current.change_id == change.change_id:
-        if current.document != _as_stored(change.document):
-            return Err(errors.ChangeIdReusedError(change.change_id))
-        return Ok(current)
-    if (entry["author"], entry["note"]) != (change.author, change.note):
-        return Err(errors.ChangeIdReusedError(change.change_id))
-    position = current.audit.index(entry)
-    return Ok(
-        configuration_module.build(
-            version=entry["version"],
-            change_id=entry["change_id"],
-            author=entry["author"],
-            changed_unix_s=entry["changed_unix_s"],
-            document=change.document,
-            audit=current.audit[: position + 1],
-        )
-    )
-
-
-def _as_stored(document: Document) -> object:
-    """Returns a document as it reads after it was written as JSON."""
-    return json.loads(json.dumps(document))
-
-
-def _conflict(change: _Change, held: _Held) -> errors.ConfigConflictError:
-    current = held.configuration
-    others: Sequence[AuditEntry] = ()
-    if current is not None:
-        others = [
-            entry
-            for entry in current.audit
-            if entry["version"] > change.expected_version
-        ]
-    return errors.ConfigConflictError(
-        expected_version=change.expected_version,
-        held_version=held.version(),
-        others=others,
-        diff=_diff(held, change.document),
-    )
-
-
-def _diff(
-    held: _Held, document: Document
-) -> list[rules_configuration.DiffLine]:
-    """Lists what a document changes; all of it if the held one is faulty."""
-    before = held.configuration.document if held.configuration else None
-    if before is not None and isinstance(check_value(before, "held"), Err):
-        before = None
-    return rules_configuration.diff(before, document)
-
-
-def _next_configuration(
-    change: _Change, held: _Held, now_unix_s: float
-) -> Configuration:
-    version = held.version() + 1
-    entry = AuditEntry(
-        version=version,
-        change_id=change.change_id,
-        author=change.author,
-        changed_unix_s=now_unix_s,
-        note=change.note,
-        diff=configuration_module.bounded_diff(_diff(held, change.document)),
-    )
-    earlier = held.configuration.audit if held.configuration else ()
-    return configuration_module.build(
-        version=version,
-        change_id=change.change_id,
-        author=change.author,
-        changed_unix_s=now_unix_s,
-        document=change.document,
-        audit=[*earlier, entry],
-    )
--- /dev/null
+++ b/src/mulberrywharf/platform_service/gateway.py
@@ -0,0 +1,167 @@
+"""Calls to the gateway of the key-value service: retries, budgets, metrics.
+
+A call is tried at every endpoint in turn, but a write only while it is
+certain that nothing was written.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Any, NamedTuple
+
+import gevent
+from geventhttpclient import response
+from result import Err, Ok, Result
+
+from mulberrywharf import clock, errors, metrics, settings
+from mulberrywharf.platform_service import call_budget, http_calls
+
+_ROUNDS_COUNT = 2
+_BACKOFF_BASE_S = 0.05
+_BACKOFF_LIMIT_S = 1.0
+_NOTHING_DONE_STATUSES = frozenset({429, 503})
+
+_calls = metrics.counter(
+    "mulberry_platform_calls_total",
+    "Calls sent to the key-value service, by purpose, kind and outcome.",
+)
+
+
+class Call(NamedTuple):
+    """One call to the service.
+
+    Attributes:
+        path: Path of the gateway.
+        body: JSON request.
+        kind: Short name for the metrics.
+        purpose: Whose budget pays for it.
+        is_write: Whether a lost answer leaves the outcome open.
+    """
+
+    path: str
+    body: Mapping[str, Any]
+    kind: str
+    purpose: str
+    is_write: bool
+
+
+class Gateway:
+    """The endpoints of the service, counted and budgeted by purpose."""
+
+    def __init__(
+        self,
+        endpoints: Sequence[settings.Endpoint],
+        *,
+        timeout_s: float,
+        purpose_budgets: Mapping[str, call_budget.CallBudget] | None,
+        system_clock: clock.Clock,
+    ):
+        self._clock = system_clock
+        self._endpoints = [
+            http_calls.HttpCalls(endpoint, timeout_s) for endpoint in endpoints
+        ]
+        self._budgets = call_budget.PurposeBudgets(purpose_budgets)
+
+    def close(self) -> None:
+        """Closes the connections; later calls are not sent."""
+        for endpoint in self._endpoints:
+            endpoint.close()
+
+    def open_stream(
+        self,
+        path: str,
+        body: Mapping[str, Any],
+        *,
+        attempt: int,
+        silence_s: float,
+        purpose: str,
+    ) -> Result[http_calls.LineStream, errors.PlatformError]:
+        """Opens a stream at the endpoint of this attempt."""
+        if not self._take(purpose):
+            return Err(_budget_spent(purpose))
+        endpoint = self._endpoints[attempt % len(self._endpoints)]
+        try:
+            stream = endpoint.open_stream(path, body, silence_s=silence_s)
+        except (OSError, response.HTTPParseError) as error:
+            self._count(purpose, "watch", "failed")
+            message = f"{endpoint.name}: no watch: {error}"
+            return Err(errors.PlatformUnavailableError(message))
+        if stream.status != 200:
+            stream.close()
+            self._count(purpose, "watch", str(stream.status))
+            message = f"{endpoint.name}: watch refused with {stream.status}"
+            return Err(errors.PlatformUnavailableError(message))
+        self._count(purpose, "watch", "ok")
+        return Ok(stream)
+
+    def send(self, call: Call) -> Result[dict[str, Any], errors.PlatformError]:
+        """Tries the endpoints in turn while nothing can have been written."""
+        failure: errors.PlatformError = errors.PlatformUnavailableError(
+            "no endpoint was tried"
+        )
+        attempts_count = _ROUNDS_COUNT * len(self._endpoints)
+        for attempt in range(attempts_count):
+            if not self._take(call.purpose):
+                return Err(_budget_spent(call.purpose))
+            endpoint = self._endpoints[attempt % len(self._endpoints)]
+            outcome = self._send_once(endpoint, call)
+            if isinstance(outcome, Ok):
+                return outcome
+            failure = outcome.err_value
+            if not isinstance(failure, errors.PlatformUnavailableError):
+                return Err(failure)
+            if attempt + 1 < attempts_count:
+                gevent.sleep(_backoff_s(attempt))
+        return Err(failure)
+
+    def _send_once(
+        self, endpoint: http_calls.HttpCalls, call: Call
+    ) -> Result[dict[str, Any], errors.PlatformError]:
+        sent = endpoint.call("POST", call.path, call.body)
+        if isinstance(sent, Err):
+            failure = sent.err_value
+            self._count(call.purpose, call.kind, failure.code)
+            return Err(failure if call.is_write else _as_unavailable(failure))
+        answer = sent.ok_value
+        self._count(call.purpose, call.kind, str(answer.status))
+        if answer.status == 200:
+            return Ok(answer.body)
+        return Err(_refusal(endpoint.name, call, answer))
+
+    def _take(self, purpose: str) -> bool:
+        return self._budgets.take(purpose, self._clock.monotonic_s())
+
+    def _count(self, purpose: str, kind: str, outcome: str) -> None:
+        _calls.inc({"purpose": purpose, "kind": kind, "outcome": outcome})
+
+
+def _refusal(
+    name: str, call: Call, answer: http_calls.Answer
+) -> errors.PlatformError:
+    """Classifies an answer that is not 200 by what it says about effect."""
+    message = f"{name}: {call.path} answered {answer.status}"
+    if answer.status in _NOTHING_DONE_STATUSES:
+        return errors.PlatformUnavailableError(message)
+    if answer.status < 500:
+        return errors.PlatformRefusedError(message)
+    if call.is_write:
+        return errors.WriteOutcomeUnknownError(message)
+    return errors.PlatformUnavailableError(message)
+
+
+def _as_unavailable(
+    failure: errors.PlatformError,
+) -> errors.PlatformUnavailableError:
+    if isinstance(failure, errors.PlatformUnavailableError):
+        return failure
+    return errors.PlatformUnavailableError(failure.message)
+
+
+def _budget_spent(purpose: str) -> errors.BudgetExceededError:
+    return errors.BudgetExceededError(
+        f"the call budget for {purpose} is spent; nothing was sent"
+    )
+
+
+def _backoff_s(attempt: int) -> float:
+    return http_calls.full_jitter_s(
+        attempt, base_s=_BACKOFF_BASE_S, limit_s=_BACKOFF_LIMIT_S
+    )
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -7,13 +7,12 @@
 
 import base64
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import Any
 
-import gevent
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, metrics, settings
-from mulberrywharf.platform_service import call_budget, http_calls
+from mulberrywharf import clock, errors, settings
+from mulberrywharf.platform_service import call_budget, gateway, http_calls
 from mulberrywharf.platform_service import watch as watch_module
 from mulberrywharf.platform_service.key_value_types import (
     Guard,
@@ -31,33 +30,6 @@
 VALUE_LIMIT_BYTES = 1_000_000
 
 _DEFAULT_CALL_TIMEOUT_S = 2.0
-_ROUNDS_COUNT = 2
-_BACKOFF_BASE_S = 0.05
-_BACKOFF_LIMIT_S = 1.0
-_NOTHING_DONE_STATUSES = frozenset({429, 503})
-
-_calls = metrics.counter(
-    "mulberry_platform_calls_total",
-    "Calls sent to the key-value service, by purpose, kind and outcome.",
-)
-
-
-class _Call(NamedTuple):
-    """One call to the service.
-
-    Attributes:
-        path: Path of the gateway.
-        body: JSON request.
-        kind: Short name for the metrics.
-        purpose: Whose budget pays for it.
-        is_write: Whether a lost answer leaves the outcome open.
-    """
-
-    path: str
-    body: Mapping[str, Any]
-    kind: str
-    purpose: str
-    is_write: bool
 
 
 class KeyValueClient:
@@ -71,11 +43,12 @@
         purpose_budgets: Mapping[str, call_budget.CallBudget] | None = None,
         system_clock: clock.Clock | None = None,
     ):
-        self._clock = system_clock or clock.SystemClock()
-        self._endpoints = [
-            http_calls.HttpCalls(endpoint, timeout_s) for endpoint in endpoints
-        ]
-        self._budgets = call_budget.PurposeBudgets(purpose_budgets)
+        self._gateway = gateway.Gateway(
+            endpoints,
+            timeout_s=timeout_s,
+            purpose_budgets=purpose_budgets,
+            system_clock=system_clock or clock.SystemClock(),
+        )
         self._watches: list[watch_module.Watch] = []
 
     @classmethod
@@ -106,8 +79,7 @@
         for watch in list(self._watches):
             watch.close()
         self._watches.clear()
-        for endpoint in self._endpoints:
-            endpoint.close()
+        self._gateway.close()
 
     def get(
         self, key: str, *, purpose: str
@@ -127,8 +99,8 @@
     def _range(
         self, body: Mapping[str, Any], purpose: str
     ) -> Result[list[KeyValue], errors.PlatformError]:
-        call = _Call("/v3/kv/range", body, "range", purpose, False)
-        return self._send(call).map(
+        call = gateway.Call("/v3/kv/range", body, "range", purpose, False)
+        return self._gateway.send(call).map(
             lambda answer: [
                 decode_key_value(kv) for kv in answer.get("kvs", [])
             ]
@@ -215,8 +187,8 @@
                 _revisions_of(condition.key) for condition in conditions
             ],
         }
-        call = _Call("/v3/kv/txn", body, "txn", purpose, True)
-        sent = self._send(call)
+        call = gateway.Call("/v3/kv/txn", body, "txn", purpose, True)
+        sent = self._gateway.send(call)
         if isinstance(sent, Err):
             return sent
         answer = sent.ok_value
@@ -239,8 +211,10 @@
         body = {"TTL": str(max(1, int(ttl_s)))}
         # A grant whose answer is lost leaves a lease without keys, which
         # lapses by itself; so it is tried again like a read.
-        call = _Call("/v3/lease/grant", body, "lease_grant", purpose, False)
-        return self._send(call).map(lambda answer: int(answer["ID"]))
+        call = gateway.Call(
+            "/v3/lease/grant", body, "lease_grant", purpose, False
+        )
+        return self._gateway.send(call).map(lambda answer: int(answer["ID"]))
 
     def keep_alive(
         self, lease_id: int, *, purpose: str
@@ -254,10 +228,10 @@
         body = {"ID": str(lease_id)}
         # A renewal that is repeated does no harm, so a lost answer is
         # treated as that of a read.
-        call = _Call(
+        call = gateway.Call(
             "/v3/lease/keepalive", body, "lease_keepalive", purpose, False
         )
-        sent = self._send(call)
+        sent = self._gateway.send(call)
         if isinstance(sent, Err):
             return sent
         ttl_s = float(sent.ok_value.get("result", {}).get("TTL", 0))
@@ -270,8 +244,10 @@
     ) -> Result[None, errors.PlatformError]:
         """Ends a lease; the service deletes its keys at once."""
         body = {"ID": str(lease_id)}
-        call = _Call("/v3/lease/revoke", body, "lease_revoke", purpose, False)
-        return self._send(call).map(lambda _: None)
+        call = gateway.Call(
+            "/v3/lease/revoke", body, "lease_revoke", purpose, False
+        )
+        return self._gateway.send(call).map(lambda _: None)
 
     def watch(
         self,
@@ -308,8 +284,8 @@
     ) -> Result[tuple[list[KeyValue], ServiceState], errors.PlatformError]:
         """Reads a prefix and where the service stood then."""
         body = {"key": encode(prefix), "range_end": prefix_end(prefix)}
-        call = _Call("/v3/kv/range", body, "range", purpose, False)
-        return self._send(call).map(
+        call = gateway.Call("/v3/kv/range", body, "range", purpose, False)
+        return self._gateway.send(call).map(
             lambda answer: (
                 [decode_key_value(kv) for kv in answer.get("kvs", [])],
                 decode_header(answer),
@@ -326,72 +302,19 @@
         purpose: str,
     ) -> Result[http_calls.LineStream, errors.PlatformError]:
         """Opens the stream of one watch at the endpoint of this attempt."""
-        if not self._take(purpose):
-            return Err(_budget_spent(purpose))
         request = {
             "key": encode(prefix),
             "range_end": prefix_end(prefix),
             "start_revision": str(start_revision),
             "progress_notify": True,
         }
-        endpoint = self._endpoints[attempt % len(self._endpoints)]
-        try:
-            stream = endpoint.open_stream(
-                "/v3/watch", {"create_request": request}, silence_s=silence_s
-            )
-        except (OSError, http_calls.response.HTTPParseError) as error:
-            self._count(purpose, "watch", "failed")
-            message = f"{endpoint.name}: no watch: {error}"
-            return Err(errors.PlatformUnavailableError(message))
-        if stream.status != 200:
-            stream.close()
-            self._count(purpose, "watch", str(stream.status))
-            message = f"{endpoint.name}: watch refused with {stream.status}"
-            return Err(errors.PlatformUnavailableError(message))
-        self._count(purpose, "watch", "ok")
-        return Ok(stream)
-
-    def _send(
-        self, call: _Call
-    ) -> Result[dict[str, Any], errors.PlatformError]:
-        """Tries the endpoints in turn while nothing can have been written."""
-        failure: errors.PlatformError = errors.PlatformUnavailableError(
-            "no endpoint was tried"
+        return self._gateway.open_stream(
+            "/v3/watch",
+            {"create_request": request},
+            attempt=attempt,
+            silence_s=silence_s,
+            purpose=purpose,
         )
-        attempts_count = _ROUNDS_COUNT * len(self._endpoints)
-        for attempt in range(attempts_count):
-            if not self._take(call.purpose):
-                return Err(_budget_spent(call.purpose))
-            endpoint = self._endpoints[attempt % len(self._endpoints)]
-            outcome = self._send_once(endpoint, call)
-            if isinstance(outcome, Ok):
-                return outcome
-            failure = outcome.err_value
-            if not isinstance(failure, errors.PlatformUnavailableError):
-                return Err(failure)
-            if attempt + 1 < attempts_count:
-                gevent.sleep(_backoff_s(attempt))
-        return Err(failure)
-
-    def _send_once(
-        self, endpoint: http_calls.HttpCalls, call: _Call
-    ) -> Result[dict[str, Any], errors.PlatformError]:
-        sent = endpoint.call("POST", call.path, call.body)
-        if isinstance(sent, Err):
-            failure = sent.err_value
-            self._count(call.purpose, call.kind, failure.code)
-            return Err(failure if call.is_write else _as_unavailable(failure))
-        answer = sent.ok_value
-        self._count(call.purpose, call.kind, str(answer.status))
-        if answer.status == 200:
-            return Ok(answer.body)
-        return Err(_refusal(endpoint.name, call, answer))
-
-    def _take(self, purpose: str) -> bool:
-        return self._budgets.take(purpose, self._clock.monotonic_s())
-
-    def _count(self, purpose: str, kind: str, outcome: str) -> None:
-        _calls.inc({"purpose": purpose, "kind": kind, "outcome": outcome})
 
 
 def _comparison(condition: Guard) -> dict[str, str]:
@@ -423,37 +346,3 @@
         if revision != condition.mod_revision:
             return condition.key
     return conditions[0].key
-
-
-def _refusal(
-    name: str, call: _Call, answer: http_calls.Answer
-) -> errors.PlatformError:
-    """Classifies an answer that is not 200 by what it says about effect."""
-    message = f"{name}: {call.path} answered {answer.status}"
-    if answer.status in _NOTHING_DONE_STATUSES:
-        return errors.PlatformUnavailableError(message)
-    if answer.status < 500:
-        return errors.PlatformRefusedError(message)
-    if call.is_write:
-        return errors.WriteOutcomeUnknownError(message)
-    return errors.PlatformUnavailableError(message)
-
-
-def _as_unavailable(
-    failure: errors.PlatformError,
-) -> errors.PlatformUnavailableError:
-    if isinstance(failure, errors.PlatformUnavailableError):
-        return failure
-    return errors.PlatformUnavailableError(failure.message)
-
-
-def _budget_spent(purpose: str) -> errors.BudgetExceededError:
-    return errors.BudgetExceededError(
-        f"the call budget for {purpose} is spent; nothing was sent"
-    )
-
-
-def _backoff_s(attempt: int) -> float:
-    return http_calls.full_jitter_s(
-        attempt, base_s=_BACKOFF_BASE_S, limit_s=_BACKOFF_LIMIT_S
-    )
