Keep bearer tokens out of logged tracebacks

A test run printed a listener's WSGI environ: loguru's diagnose mode writes the values of local variables into tracebacks, and those hold the authorization header. Redacting the header in each listener was ruled out because any frame may hold it; diagnose is now off.

--- a/src/mulberrywharf/logs.py
+++ b/src/mulberrywharf/logs.py
@@ -28,4 +28,8 @@
             "program": program,
         }
     )
-    logger.add(sys.stderr, level=level, serialize=True, backtrace=False)
+    # With diagnose on, a traceback prints the values of local variables, and
+    # those of a listener hold callers' and operators' bearer tokens.
+    logger.add(
+        sys.stderr, level=level, serialize=True, backtrace=False, diagnose=False
+    )
