--- a/bench/load.py
+++ b/bench/load.py
@@ -100,12 +100,17 @@
         self._key_by_customer = key_by_customer
         self._model = model
         self._turn = 0
+        self._left_out: set[int] = set()
 
     def close(self) -> None:
         """Closes all connections."""
         for client in self._clients:
             client.close()
 
+    def leave_out(self, index: int) -> None:
+        """Sends no new call to a router, as a balancer would."""
+        self._left_out.add(index)
+
     def run_open(self, calls: Sequence[workload.Call]) -> list[CallOutcome]:
         """Makes each call when it is due; returns all outcomes."""
         pool = gevent.pool.Pool(_IN_FLIGHT_LIMIT_COUNT)
@@ -125,8 +130,7 @@
         return pool.map(lambda call: self._one(call, time.monotonic()), calls)
 
     def _one(self, call: workload.Call, due_s: float) -> CallOutcome:
-        client = self._clients[self._turn % len(self._clients)]
-        self._turn += 1
+        client = self._next_client()
         try:
             with gevent.Timeout(_CALL_TIMEOUT_S):
                 return self._exchange(client, call, due_s)
@@ -134,6 +138,13 @@
             total_ms = (time.monotonic() - due_s) * 1000
             return CallOutcome(call, 0, "broken", False, 0.0, 0.0, total_ms)
 
+    def _next_client(self) -> HTTPClient:
+        while True:
+            self._turn += 1
+            index = self._turn % len(self._clients)
+            if index not in self._left_out:
+                return self._clients[index]
+
     def _exchange(
         self, client: HTTPClient, call: workload.Call, due_s: float
     ) -> CallOutcome:
