Refuse a lease that is spent before its first renewal

With lease_ttl_s 3 and the other defaults a controller took its lease and stepped down half a second later, again and again, and ordered nothing. Settings now refuse it with the shortest value that works, and the three defaults stand once, in settings. The new case of test_settings was red without the check (no fault found) and is green; 25 tests of the touched modules pass.

--- a/src/mulberrywharf/policy/role_planner.py
+++ b/src/mulberrywharf/policy/role_planner.py
@@ -18,7 +18,6 @@
 """Assumed speed of a mixed engine against a dedicated one."""
 
 _DEFAULT_AWAY_S = 8.0
-_DEFAULT_CLOCK_MARGIN_S = 0.5
 _BISECTION_STEPS = 24
 _MAX_COVER = 4.0
 _TINY = 1e-9
@@ -54,7 +53,7 @@
     headroom: float = 1.15
     mixed_efficiency: float = MIXED_EFFICIENCY
     stale_after_s: float = 20.0
-    clock_margin_s: float = _DEFAULT_CLOCK_MARGIN_S
+    clock_margin_s: float = settings.DEFAULT_CLOCK_MARGIN_S
 
     @classmethod
     def from_config(cls, config: settings.Settings) -> "PlannerSettings":
@@ -65,7 +64,7 @@
             role_change_weight=controller.get("role_change_weight", 1.0),
             away_s=controller.get("role_change_away_s", _DEFAULT_AWAY_S),
             clock_margin_s=controller.get(
-                "clock_margin_s", _DEFAULT_CLOCK_MARGIN_S
+                "clock_margin_s", settings.DEFAULT_CLOCK_MARGIN_S
             ),
         )
 
--- a/src/mulberrywharf/programs/_controller_lease.py
+++ b/src/mulberrywharf/programs/_controller_lease.py
@@ -16,7 +16,6 @@
 from mulberrywharf.platform_service import key_value, lease, watch
 
 _PURPOSE = "lease"
-_DEFAULT_LEASE_TTL_S = 10.0
 _CHECK_SHARE = 0.02
 _SPREAD_SHARE = 0.1
 
@@ -114,7 +113,7 @@
             audit_log,
             vm_id=config["vm_id"],
             key=controller_key(config),
-            ttl_s=controller.get("lease_ttl_s", _DEFAULT_LEASE_TTL_S),
+            ttl_s=controller.get("lease_ttl_s", settings.DEFAULT_LEASE_TTL_S),
         )
 
     @property
--- a/src/mulberrywharf/programs/_controller_options.py
+++ b/src/mulberrywharf/programs/_controller_options.py
@@ -7,8 +7,6 @@
 from mulberrywharf.policy import role_planner
 
 _DEFAULT_EVALUATE_INTERVAL_S = 1.0
-_DEFAULT_CLOCK_MARGIN_S = 0.5
-_DEFAULT_USER_TIMEOUT_S = 2.0
 
 
 class ZoneOptions(NamedTuple):
@@ -64,10 +62,12 @@
 def clock_margin_s(config: settings.Settings) -> float:
     """Returns the allowed error between clocks."""
     controller = config.get("controller", {})
-    return controller.get("clock_margin_s", _DEFAULT_CLOCK_MARGIN_S)
+    return controller.get("clock_margin_s", settings.DEFAULT_CLOCK_MARGIN_S)
 
 
 def user_timeout_s(config: settings.Settings) -> float:
     """Returns how long unacknowledged order bytes may live."""
     controller = config.get("controller", {})
-    return controller.get("order_user_timeout_s", _DEFAULT_USER_TIMEOUT_S)
+    return controller.get(
+        "order_user_timeout_s", settings.DEFAULT_ORDER_USER_TIMEOUT_S
+    )
--- a/src/mulberrywharf/settings.py
+++ b/src/mulberrywharf/settings.py
@@ -32,17 +32,25 @@
 PositiveCount = Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
 Sha256Hex = Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")]
 
+DEFAULT_LEASE_TTL_S = 10.0
+DEFAULT_CLOCK_MARGIN_S = 0.5
+DEFAULT_ORDER_USER_TIMEOUT_S = 2.0
+
+_RENEWALS_IN_LEASE_COUNT = 3
+"""A holder renews after a third of its lease at the latest."""
+
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
 
+@pydantic.with_config(_STRICT)
 class Endpoint(TypedDict):
     """An IP number and a TCP port; port 0 lets the kernel choose."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     ip: Ip
     port: Port
 
 
+@pydantic.with_config(_STRICT)
 class CallersSettings(TypedDict):
     """The listener for callers.
 
@@ -55,7 +63,6 @@
             closes the listener, so that the balancer has noticed.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     listen: Endpoint
     body_limit_bytes: NotRequired[PositiveCount]
     header_limit_bytes: NotRequired[PositiveCount]
@@ -63,22 +70,23 @@
     drain_notice_s: NotRequired[Annotated[float, pydantic.Field(ge=0, le=600)]]
 
 
+@pydantic.with_config(_STRICT)
 class OperatorToken(TypedDict):
     """An operator who may use the admin listener and mulberryctl."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     operator: Name
     token_sha256_hex: Sha256Hex
 
 
+@pydantic.with_config(_STRICT)
 class OperatorsSettings(TypedDict):
     """The admin listener: health, readiness, metrics, status."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     listen: Endpoint
     tokens: NotRequired[list[OperatorToken]]
 
 
+@pydantic.with_config(_STRICT)
 class NodesSettings(TypedDict):
     """Traffic between our own processes.
 
@@ -89,13 +97,13 @@
         suspect_after_s: Silence after which a neighbour is suspected.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     listen: Endpoint
     key_hex: Sha256Hex
     heartbeat_interval_s: NotRequired[PositiveSeconds]
     suspect_after_s: NotRequired[PositiveSeconds]
 
 
+@pydantic.with_config(_STRICT)
 class PlatformSettings(TypedDict):
     """Where the platform's services answer.
 
@@ -106,13 +114,13 @@
         call_timeout_s: For one call.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     key_value: Annotated[list[Endpoint], pydantic.Field(min_length=1)]
     vm_list: Endpoint
     weight_store: NotRequired[Endpoint]
     call_timeout_s: NotRequired[PositiveSeconds]
 
 
+@pydantic.with_config(_STRICT)
 class EnginesSettings(TypedDict):
     """What is known of the engines.
 
@@ -123,13 +131,13 @@
         idle_timeout_s: Silence on a stream after which it counts as broken.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     fencing_checking_kinds: NotRequired[list[Name]]
     load_interval_s: NotRequired[PositiveSeconds]
     connect_timeout_s: NotRequired[PositiveSeconds]
     idle_timeout_s: NotRequired[PositiveSeconds]
 
 
+@pydantic.with_config(_STRICT)
 class ControllerSettings(TypedDict):
     """Authority and planning.
 
@@ -143,7 +151,6 @@
         role_change_weight: Weight of one role change against it.
     """
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     lease_ttl_s: NotRequired[PositiveSeconds]
     clock_margin_s: NotRequired[PositiveSeconds]
     order_user_timeout_s: NotRequired[PositiveSeconds]
@@ -153,10 +160,10 @@
     role_change_weight: NotRequired[Annotated[float, pydantic.Field(ge=0)]]
 
 
+@pydantic.with_config(_STRICT)
 class Settings(TypedDict):
     """The whole settings file of a router or a controller."""
 
-    __pydantic_config__ = _STRICT  # type: ignore[misc]
     deployment: Name
     vm_id: Name
     availability_zone: Name
@@ -216,11 +223,39 @@
         )
         return Err(errors.SettingsError(source, [fault]))
     faults = check_document(_SETTINGS_ADAPTER, document)
+    faults = faults or _lease_faults(document)
     if faults:
         return Err(errors.SettingsError(source, faults))
     return Ok(document)
 
 
+def _lease_faults(config: Settings) -> list[errors.Fault]:
+    """Finds a lease that is spent before its first renewal.
+
+    Orders stop ``order_user_timeout_s`` and ``clock_margin_s`` before the
+    lease ends. Where less than a renewal's time is left, the controller takes
+    the lease and steps down again and again, and no engine is ever ordered.
+    """
+    controller = config.get("controller", {})
+    ttl_s = controller.get("lease_ttl_s", DEFAULT_LEASE_TTL_S)
+    kept_back_s = controller.get(
+        "clock_margin_s", DEFAULT_CLOCK_MARGIN_S
+    ) + controller.get("order_user_timeout_s", DEFAULT_ORDER_USER_TIMEOUT_S)
+    shortest_s = (
+        kept_back_s * _RENEWALS_IN_LEASE_COUNT / (_RENEWALS_IN_LEASE_COUNT - 1)
+    )
+    if ttl_s > shortest_s:
+        return []
+    return [
+        errors.Fault(
+            "controller.lease_ttl_s",
+            f"a lease of {ttl_s} s leaves no time for orders between renewals",
+            f"write more than {shortest_s} s, or lower clock_margin_s and "
+            "order_user_timeout_s",
+        )
+    ]
+
+
 def load(path: str) -> Result[Settings, errors.SettingsError]:
     """Reads and checks the settings file at ``path``."""
     try:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -59,6 +59,7 @@
             ("nodes.suspect_after_s", "1s", "number"),
             ("platform.key_value", [], "at least 1"),
             ("controller.lease_ttl_s", 1e9, "86400"),
+            ("controller.lease_ttl_s", 3.0, "between renewals"),
             ("controller.goodput_weight", -1, "0"),
             ("log_level", "LOUD", ""),
             ("vm_id", "Entry 1", ""),
