Weigh the time after the first token more in the choice of engine

Under the mix swing most of the answers that missed a target came too slowly between tokens, not too late: engines with large batches were still chosen for their short queue. The weight of the time after the first token goes from 0.1 to 0.3.

--- a/src/mulberrywharf/policy/engine_choice.py
+++ b/src/mulberrywharf/policy/engine_choice.py
@@ -47,7 +47,7 @@
     handover_cost_s: float = 0.02
     handover_s_per_token: float = 0.000_01
     decode_role_prefill_factor: float = 3.0
-    following_tokens_weight: float = 0.1
+    following_tokens_weight: float = 0.3
 
 
 class _Scored(NamedTuple):
