Believe load reports for a shorter while

Reports come every half second and up to a second late; what they say of a queue is half wrong by then. The age at which a report is believed by 1/e goes from 2 s to 1 s.

--- a/src/mulberrywharf/policy/engine_choice.py
+++ b/src/mulberrywharf/policy/engine_choice.py
@@ -37,7 +37,7 @@
         following_tokens_weight: Weight of the time after the first token.
     """
 
-    age_constant_s: float = 2.0
+    age_constant_s: float = 1.0
     stale_after_s: float = 15.0
     zone_cost_s: float = 0.05
     failure_cost_s: float = 1.0
