Look at three engines in the zone and two elsewhere

With four engines in a zone, a sample of two leaves the least loaded one out half of the time. Three in the zone and two elsewhere are looked at now. The test against herding stays as it was and passes.

--- a/src/mulberrywharf/policy/engine_choice.py
+++ b/src/mulberrywharf/policy/engine_choice.py
@@ -1,8 +1,8 @@
 """Chooses the engine, or the two engines, that a request runs on.
 
 Each router decides alone on an old picture. If all took the engine that looks
-best they would all take the same one, so only a few are looked at: two at
-random in the preferred availability zone, one elsewhere, and those that hold
+best they would all take the same one, so only a few are looked at: three at
+random in the preferred availability zone, two elsewhere, and those that hold
 the longest beginning of the prompt. The best of these by estimated time wins.
 """
 
@@ -41,8 +41,8 @@
     stale_after_s: float = 15.0
     zone_cost_s: float = 0.05
     failure_cost_s: float = 1.0
-    home_sample_count: int = 2
-    away_sample_count: int = 1
+    home_sample_count: int = 3
+    away_sample_count: int = 2
     holder_sample_count: int = 2
     handover_cost_s: float = 0.02
     handover_s_per_token: float = 0.000_01
