Type every malformed answer of an engine

An event that is nested too deep or whose delta is no object ended in a RecursionError or AttributeError instead of a broken stream, so the answer was not resumed and its caller got an internal failure. The same holds for load reports, cache events and prefill answers. All of these are now malformed answers. Catching Exception was ruled out: it would hide faults of our own.

--- a/src/mulberrywharf/engines/handover.py
+++ b/src/mulberrywharf/engines/handover.py
@@ -109,7 +109,7 @@
         document = json.loads(data)
         answered_id = document["id"]
         handle = str(document["kv_handle"])
-    except (ValueError, KeyError, TypeError) as error:
+    except (KeyError, RecursionError, TypeError, ValueError) as error:
         return Err(errors.EngineError(f"malformed prefill answer: {error!r}"))
     if answered_id != request_id:
         # A crossed handle would lead to another caller's KV cache.
--- a/src/mulberrywharf/engines/loads.py
+++ b/src/mulberrywharf/engines/loads.py
@@ -30,6 +30,7 @@
 _TIMEOUT_S = 2.0
 _ANSWER_LIMIT_BYTES = 1024 * 1024
 _OK = 200
+_MALFORMED = (KeyError, OverflowError, RecursionError, TypeError, ValueError)
 _BLOCK_HASH = re.compile(r"[0-9a-f]{1,16}")
 
 _REPORT_ADAPTER = pydantic.TypeAdapter(fleet.LoadReport)
@@ -258,7 +259,7 @@
             document = json.loads(fetched.ok_value)
             events = _EVENTS_ADAPTER.validate_python(document["events"])
             last_sequence = int(document["last_sequence"])
-        except (ValueError, KeyError, TypeError, OverflowError) as error:
+        except _MALFORMED as error:
             return Err(errors.EngineError(f"malformed cache events: {error}"))
         if not all(_BLOCK_HASH.fullmatch(e.block_hash) for e in events):
             return Err(errors.EngineError("a block hash is not hexadecimal"))
@@ -299,7 +300,7 @@
             if name in document
         }
         report = _REPORT_ADAPTER.validate_python(known)
-    except (ValueError, TypeError) as error:
+    except _MALFORMED as error:
         return Err(errors.EngineError(f"malformed load report: {error}"))
     if not _is_plausible(report):
         return Err(errors.EngineError("a load report has impossible figures"))
--- a/src/mulberrywharf/engines/refusals.py
+++ b/src/mulberrywharf/engines/refusals.py
@@ -33,7 +33,7 @@
 def _reason(body: bytes) -> str:
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return ""
     if not isinstance(document, dict):
         return ""
--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -25,6 +25,14 @@
 _DRAIN_LIMIT_S = 1.0
 _CANCEL_ANSWER_LIMIT_BYTES = 4096
 _OK = 200
+_MALFORMED = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class Usage(NamedTuple):
@@ -282,7 +290,7 @@
         try:
             document = _DECODER.decode(payload.decode())
             token = self._checked_token(document, event)
-        except (ValueError, KeyError, TypeError, IndexError) as error:
+        except _MALFORMED as error:
             raise self._broken(f"malformed event: {error!r}") from error
         self._next_index = token.index + 1
         return token
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -108,6 +108,15 @@
             + build.chunk(build.events(0, 8, 8) + build.event(8))
             + last,
             "not JSON": head + build.chunk(b"data: {\n\n") + last,
+            "not an object": head + build.chunk(b"data: 7\n\n") + last,
+            "nested too deep": head
+            + build.chunk(b"data: " + b"[" * 100_000 + b"\n\n")
+            + last,
+            "a delta that is no object": head
+            + build.chunk(
+                build.event(0).replace(b'"text"', b'"delta": null, "x"')
+            )
+            + last,
             "engine's error": head
             + build.chunk(own + b'data: {"error": {"type": "crash"}}\n\n')
             + last,
