--- a/bench/claims.py
+++ b/bench/claims.py
@@ -25,6 +25,7 @@
 from mulberrywharf import fleet
 from mulberrywharf.nodes import (
     claim_client,
+    claim_log,
     claim_owner,
     claims,
     links,
@@ -41,6 +42,9 @@
 _PURPOSES = (*claim_owner.PURPOSE_BUDGETS, "bench")
 _LONGEST_MS = 60_000
 _LIGHT_PER_S = 30.0
+_REPLAY_CLAIMS_COUNT = 10_000
+_REPLAY_BATCH_COUNT = 20
+_REPLAY_ANSWER_BYTES = 100
 
 
 class Figures(NamedTuple):
@@ -300,6 +304,56 @@
     return figures
 
 
+def _replay() -> dict[str, float]:
+    """Measures how long a new owner reads a long log."""
+    standin = key_value_standin.KeyValueStandin(writes_per_s=1e6)
+    standin.start()
+    store = _store(standin.port)
+    owned = store.compare_and_swap(
+        "owner", b"", expected_revision=0, purpose="bench"
+    ).unwrap()
+    ownership = claim_log.Ownership("owner", owned.mod_revision)
+    log = claim_log.ClaimLog(store, _DEPLOYMENT, 0, ownership)
+    for first in range(0, _REPLAY_CLAIMS_COUNT, _REPLAY_BATCH_COUNT):
+        records: list[claims.Record] = []
+        for number in range(first, first + _REPLAY_BATCH_COUNT):
+            claim = claims.claim_id("c", str(number))
+            entry = claims.Entry(
+                claim,
+                _BODY,
+                f"request-{number:020d}",
+                random.getrandbits(63),
+                "zone-1-entry-001",
+                "127.0.0.1",
+                8080,
+                time.time(),
+                time.time() + 60.0,
+            )
+            answer = b"x" * _REPLAY_ANSWER_BYTES
+            records.append(claims.Claimed(entry))
+            records.append(
+                claims.Completed(claim, entry.token, 200, claim, answer)
+            )
+        log.append(records, time.time(), 1.0).unwrap()
+    stored = store.get_prefix(
+        claims.segments_prefix(_DEPLOYMENT, 0), purpose="bench"
+    ).unwrap()
+    table = claims.Table()
+    began_s = time.monotonic()
+    reader = claim_log.ClaimLog(store, _DEPLOYMENT, 0, ownership)
+    reader.replay(table, time.time()).unwrap()
+    took_s = time.monotonic() - began_s
+    figures = {
+        "claims_count": float(len(table)),
+        "segments_count": float(len(stored)),
+        "bytes_per_claim": sum(len(kv.value) for kv in stored) / len(table),
+        "replay_s": took_s,
+    }
+    store.close()
+    standin.close()
+    return figures
+
+
 def main() -> int:
     """Runs everything and prints one JSON object last."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -331,6 +385,7 @@
         10.0, lambda node: node.owner.hand_over()
     )
     summary["outage"] = _outage(10.0, 4.0)
+    summary["replay"] = _replay()
     summary["group_to_create_granted_ratio"] = (
         summary["group"]["granted_per_s"] / summary["create"]["granted_per_s"]
     )
--- a/src/mulberrywharf/nodes/claim_shard.py
+++ b/src/mulberrywharf/nodes/claim_shard.py
@@ -18,7 +18,10 @@
 ANSWER_WITHIN_S = 2.0
 """A claim that is not committed by then is answered ``unavailable``."""
 
-ENTRIES_LIMIT_COUNT = 50_000
+ENTRIES_LIMIT_COUNT = 20_000
+"""Claims that a shard remembers; more are refused as not run."""
+
+_EXPIRY_MARGIN_S = 60.0
 _BATCH_LIMIT_BYTES = 256 * 1024
 _QUEUE_LIMIT_COUNT = 4096
 _GIVEN_UP_LIMIT_COUNT = 4096
@@ -390,7 +393,7 @@
         self._next_expiry_s = now_s + _EXPIRE_INTERVAL_S
         now_unix_s = self._clock.unix_s()
         self._table.expire(now_unix_s)
-        self._log.delete_expired(now_unix_s, 2 * self._window_s)
+        self._log.delete_expired(now_unix_s, self._window_s + _EXPIRY_MARGIN_S)
 
 
 def _wait(queued: _Queued, timeout_s: float) -> bool:
--- a/src/mulberrywharf/nodes/claims.py
+++ b/src/mulberrywharf/nodes/claims.py
@@ -22,8 +22,12 @@
 ANSWER_LIMIT_BYTES = 4096
 """Longer answers are remembered by their digest only."""
 
-SEGMENT_LIMIT_BYTES = 64 * 1024
-"""A segment that has grown so long gets a successor."""
+SEGMENT_LIMIT_BYTES = 16 * 1024
+"""A segment that has grown so long gets a successor.
+
+Every commit writes its segment anew, so the bytes written grow with this; the
+keys that the next owner reads grow as it shrinks.
+"""
 
 DIGEST_BYTES = 16
 
--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -48,6 +48,10 @@
     "mulberry_nodes_suspected_count",
     "Entry VMs of this zone that are suspected.",
 )
+_sent_bytes = metrics.gauge(
+    "mulberry_nodes_sent_bytes",
+    "Bytes of frames sent to other entry VMs since the start.",
+)
 _distrusted = metrics.gauge(
     "mulberry_nodes_picture_distrusted",
     "1 while too many entry VMs look dead for the picture to be believed.",
@@ -301,6 +305,7 @@
         self._membership = self._members.judge(vms, now_s)
         _suspected_count.set({}, len(self._membership.suspected))
         _distrusted.set({}, int(self._membership.distrusted))
+        _sent_bytes.set({}, self._links.traffic.sent_bytes)
 
     def _assign_slice(self) -> None:
         lists = self._book.current(self._zone)
