Avoid engines whose own answers show them slow

An engine that is four times slower without knowing it reports usual speeds and a normal queue, so it went on being chosen until its queue grew. Each router now compares the pace of its own answers at each engine with the median engine (PaceMeter) and passes the factors into the choice, where they stretch the estimates and add a cost. The comparison fades in ten seconds so that an engine which recovered is tried again; a hard exclusion was ruled out, since a wrong one would take a good engine away.

The new tests were written after the mechanism; without the comparison the test of the choice has nothing to tell the engines apart by.

--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -15,7 +15,7 @@
 from typing import Any, NamedTuple
 
 from mulberrywharf import fleet
-from mulberrywharf.policy import prefix_index
+from mulberrywharf.policy import pace, prefix_index
 
 MODEL = "verdict"
 ZONES = ("regina-hall", "saskatoon-hall", "winnipeg-hall")
@@ -23,6 +23,9 @@
 _PREFILL_SCALE = {"prefill": 1.6, "decode": 0.2, "mixed": 1.0}
 _DECODE_SCALE = {"prefill": 0.2, "decode": 1.6, "mixed": 1.0}
 
+_PACE_AFTER_S = 0.3
+"""How long after its first token a run's pace is told."""
+
 
 class EngineSpeeds(NamedTuple):
     """How fast a mixed engine is and how much it holds.
@@ -51,6 +54,7 @@
         block_hashes: Of the prompt.
         output_tokens: To generate; 0 stops after the prefill.
         on_end: Called with the run and the time when it ends.
+        on_pace: Called with the time between its tokens early in the answer.
     """
 
     __slots__ = (
@@ -58,6 +62,7 @@
         "first_token_s",
         "has_failed",
         "on_end",
+        "on_pace",
         "output_tokens",
         "prefill_left_tokens",
         "prompt_tokens",
@@ -69,11 +74,13 @@
         block_hashes: tuple[str, ...],
         output_tokens: int,
         on_end: "Callable[[Run, float], None]",
+        on_pace: Callable[[float], None] | None = None,
     ):
         self.prompt_tokens = prompt_tokens
         self.block_hashes = block_hashes
         self.output_tokens = output_tokens
         self.on_end = on_end
+        self.on_pace = on_pace
         self.prefill_left_tokens = 0
         self.first_token_s = 0.0
         self.has_failed = False
@@ -233,8 +240,22 @@
             end_step = self._step_number + run.output_tokens - 1
             entry = (end_step, next(self._numbers), run)
             heapq.heappush(self._decoding, entry)
+            if run.on_pace is not None:
+                self._timeline.at(
+                    now_s + _PACE_AFTER_S,
+                    self._tell_pace,
+                    run.on_pace,
+                    self._step_number,
+                )
         self._begin_step()
 
+    def _tell_pace(
+        self, on_pace: Callable[[float], None], first_step: int
+    ) -> None:
+        if not self.is_lost:
+            step_count = self._step_number - first_step
+            on_pace(_PACE_AFTER_S / max(1, step_count))
+
     def _admit(self) -> None:
         limit_count = self._speeds.batch_limit_count
         while self._waiting:
@@ -280,10 +301,12 @@
     Attributes:
         zone: Its availability zone.
         index: Its beliefs about the prefix caches.
+        pace: What its own answers say of the engines' speed.
     """
 
     def __init__(self, zone: str):
         self.zone = zone
+        self.pace = pace.PaceMeter.from_config()
         self.index = prefix_index.PrefixIndex.from_config()
         self._reports: dict[str, fleet.LoadReport] = {}
         self._in_flight: collections.Counter[str] = collections.Counter()
--- a/bench/policy_choice.py
+++ b/bench/policy_choice.py
@@ -11,6 +11,7 @@
 """
 
 import argparse
+import functools
 import json
 import random
 from collections.abc import Callable
@@ -99,7 +100,8 @@
     for scenario, choosers in _plan(arguments.seconds):
         figures[scenario.name] = {}
         for name, factory in choosers.items():
-            figure = Play(scenario, factory, arguments).run()
+            uses_pace = name == "ours"
+            figure = Play(scenario, factory, arguments, uses_pace).run()
             figures[scenario.name][name] = figure
             print(
                 f"{scenario.name:16}{name:16}{figure['goodput_per_s']:8.1f}"
@@ -125,6 +127,7 @@
     ours: dict[str, ChooserFactory] = {"ours": lambda: engine_choice.choose}
     every: dict[str, ChooserFactory] = {
         **ours,
+        "ours_no_pace": lambda: engine_choice.choose,
         "random": lambda: baselines.choose_random,
         "round_robin": baselines.RoundRobin,
         "least_reported": lambda: baselines.choose_least_reported,
@@ -145,7 +148,11 @@
 ) -> dict[str, object]:
     ratios = {}
     for scenario, by_chooser in figures.items():
-        others = [f for name, f in by_chooser.items() if name != "ours"]
+        others = [
+            figure
+            for name, figure in by_chooser.items()
+            if not name.startswith("ours")
+        ]
         if others:
             best = max(figure["goodput_per_s"] for figure in others)
             ours = by_chooser["ours"]["goodput_per_s"]
@@ -170,8 +177,10 @@
         scenario: Scenario,
         factory: ChooserFactory,
         arguments: argparse.Namespace,
+        uses_pace: bool,
     ):
         self._scenario = scenario
+        self._uses_pace = uses_pace
         self._choosers = [factory() for _ in range(_ROUTERS_COUNT)]
         self._end_s = arguments.seconds
         self._seed = arguments.seed
@@ -255,6 +264,10 @@
         )
         views = [router.view(vm, now_s) for vm in self._visible]
         choose = self._choosers[arrival.router_number]
+        if self._uses_pace:
+            choose = functools.partial(
+                choose, slow_factors=router.pace.slow_factors(now_s)
+            )
         chosen = choose(views, request, router.index, self._rng, now_s=now_s)
         if chosen.is_err():
             return
@@ -295,11 +308,18 @@
                 )
             )
 
+        def tell_pace(between_tokens_s: float) -> None:
+            router.pace.on_pace(
+                choice.decode.vm_id, between_tokens_s, self._timeline.now_s
+            )
+
         def hand_over(run: engine_model.Run, now_s: float) -> None:
             router.on_ended(choice.prefill.vm_id, run.has_failed, now_s)
             if run.has_failed:
                 return
-            imported = engine_model.Run(0, (), arrival.output_tokens, finish)
+            imported = engine_model.Run(
+                0, (), arrival.output_tokens, finish, tell_pace
+            )
             router.on_sent(choice.decode.vm_id, 0, now_s)
             handover_s = 0.02 + arrival.prompt_tokens * 0.000_01
             decode = self._engines[choice.decode.vm_id]
@@ -316,6 +336,7 @@
             arrival.block_hashes,
             0 if choice.is_split else arrival.output_tokens,
             hand_over if choice.is_split else finish,
+            None if choice.is_split else tell_pace,
         )
         self._engines[choice.prefill.vm_id].submit(run)
 
--- a/src/mulberrywharf/policy/engine_choice.py
+++ b/src/mulberrywharf/policy/engine_choice.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -27,6 +27,8 @@
         stale_after_s: Engines with an older report come last.
         zone_cost_s: Cost of leaving the preferred availability zone.
         failure_cost_s: Cost of each recent failure of an engine.
+        slow_cost_s: Cost of an engine for each time that it is slower than
+            the others, beside its longer estimates.
         home_sample_count: Engines looked at in the preferred zone.
         away_sample_count: Engines looked at elsewhere.
         holder_sample_count: Engines looked at for their cached prefix.
@@ -41,6 +43,7 @@
     stale_after_s: float = 15.0
     zone_cost_s: float = 0.05
     failure_cost_s: float = 1.0
+    slow_cost_s: float = 0.5
     home_sample_count: int = 3
     away_sample_count: int = 2
     holder_sample_count: int = 2
@@ -64,6 +67,7 @@
     cached_block_counts: dict[str, int]
     mean: estimates.FleetMean
     zone: str
+    slow_factors: Mapping[str, float]
     settings: ChoiceSettings
 
 
@@ -76,6 +80,7 @@
     now_s: float,
     prefer_zone: str = "",
     excluded_engine_ids: Collection[str] = (),
+    slow_factors: Mapping[str, float] | None = None,
     settings: ChoiceSettings | None = None,
 ) -> Result[Choice, errors.NoEngineError]:
     """Chooses where a request runs.
@@ -88,6 +93,8 @@
         now_s: The present, on the clock of the index.
         prefer_zone: Zone that a rule prefers; empty for the request's own.
         excluded_engine_ids: Engines that this request already failed on.
+        slow_factors: How many times slower than it says an engine was
+            found to be, see ``pace.PaceMeter``; those left out are normal.
         settings: Weights; the defaults when None.
 
     Returns:
@@ -109,6 +116,7 @@
         ),
         mean=estimates.fleet_mean(fresh),
         zone=prefer_zone or request.availability_zone,
+        slow_factors=slow_factors or {},
         settings=settings,
     )
     # Old pictures only when there is no newer one: an engine that has been
@@ -210,17 +218,25 @@
     view: fleet.EngineView, situation: _Situation
 ) -> estimates.EngineEstimate:
     cached_tokens = _cached_tokens(view, situation)
-    return estimates.estimate(
+    estimated = estimates.estimate(
         view,
         situation.request.prompt_tokens - cached_tokens,
         situation.mean,
         situation.settings.age_constant_s,
     )
+    slow_factor = situation.slow_factors.get(view.vm.vm_id, 1.0)
+    return estimates.EngineEstimate(
+        wait_s=estimated.wait_s * slow_factor,
+        prefill_s=estimated.prefill_s * slow_factor,
+        between_tokens_s=estimated.between_tokens_s * slow_factor,
+    )
 
 
 def _standing_cost_s(view: fleet.EngineView, situation: _Situation) -> float:
     settings = situation.settings
     cost_s = view.failures_recent_count * settings.failure_cost_s
+    slow_factor = situation.slow_factors.get(view.vm.vm_id, 1.0)
+    cost_s += (slow_factor - 1.0) * settings.slow_cost_s
     if view.vm.availability_zone != situation.zone:
         cost_s += settings.zone_cost_s
     return cost_s
--- a/tests/test_engine_choice.py
+++ b/tests/test_engine_choice.py
@@ -131,6 +131,12 @@
         away = builders_fleet.view("away", zone=builders_fleet.OTHER_ZONE)
         self._assert_prefers(away, home, prefer_zone=builders_fleet.OTHER_ZONE)
 
+    def test_engine_found_slow_is_avoided(self):
+        views = [builders_fleet.view("slow"), builders_fleet.view("normal")]
+        for seed in range(5):
+            choice = _choose(views, seed=seed, slow_factors={"slow": 4.0})
+            self.assertEqual(choice.unwrap().decode.vm_id, "normal")
+
     def test_cached_prefix_wins_over_a_small_difference_in_wait(self):
         prompt = " ".join(f"w{i}" for i in range(6_400))
         hashes = prefix_index.prompt_block_hashes(prompt)
