Judge controllers by the engines' logs, read rules on takeover

Seeded runs put two controllers under kills, stops across the lease's end, cuts, lost answers and a lease key deleted early, then audit the engines' order logs against the history of the lease key. One run kept the old split for 25 s: a cut that drops bytes silently had left the configuration watch open, so a holder obeyed rules that had been replaced.

--- a/src/mulberrywharf/programs/_controller_zone.py
+++ b/src/mulberrywharf/programs/_controller_zone.py
@@ -19,6 +19,7 @@
 from mulberrywharf.engines import orders
 from mulberrywharf.platform_service import weight_store
 from mulberrywharf.programs import (
+    _controller_config,
     _controller_lease,
     _controller_observer,
     _controller_options,
@@ -51,6 +52,7 @@
         clock: clocks.Clock,
         *,
         keeper: _controller_lease.LeaseKeeper,
+        config_refresh: _controller_config.ConfigRefresh,
         observer: _controller_observer.ZoneObserver,
         records: _controller_records.ZoneRecords,
         sender: _controller_sending.OrderSender,
@@ -59,6 +61,7 @@
         self._options = options
         self._clock = clock
         self._keeper = keeper
+        self._config_refresh = config_refresh
         self._observer = observer
         self._records = records
         self._sender = sender
@@ -129,6 +132,9 @@
         claimed = self._records.claim(held)
         if isinstance(claimed, Err):
             return self._fail(held, claimed.err_value)
+        if not self._config_refresh.refresh(held):
+            _rounds.inc({"outcome": "no-configuration"})
+            return True
         view = self._observer.look(
             self._records.by_engine, self._records.change_ends_unix_s
         )
--- a/src/mulberrywharf/programs/controller.py
+++ b/src/mulberrywharf/programs/controller.py
@@ -30,6 +30,7 @@
     weight_store,
 )
 from mulberrywharf.programs import (
+    _controller_config,
     _controller_lease,
     _controller_observer,
     _controller_options,
@@ -158,6 +159,9 @@
             options,
             self._clock,
             keeper=self._keeper,
+            config_refresh=_controller_config.ConfigRefresh(
+                self._key_value, self._configuration, self._clock, deployment
+            ),
             observer=_controller_observer.ZoneObserver(
                 options, self._clock, vm_source, self._configuration.current
             ),
--- /dev/null
+++ b/tests/authority_faults.py
@@ -0,0 +1,313 @@
+"""Seeded runs of two controllers under faults, judged by the audit."""
+
+import itertools
+import random
+import signal
+import time
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from tests import authority_audit, builders_authority
+
+_CALM_LIMIT_S = 25.0
+_CALM_BEFORE_S = 5.0
+_FAULTS_COUNT = 3
+_CALM_FOR_ROUNDS_COUNT = 2
+_WINDOW_WAIT_S = 2.0
+GAP_S = 0.05
+"""How wide runs make the gap between check and send."""
+
+_WINDOW_POLL_S = 0.001
+_LATE_DELAY_MS = 700.0
+
+
+class RunResult(NamedTuple):
+    """What one run showed.
+
+    Attributes:
+        seed: Of the run.
+        faults: Names of the faults, in order.
+        findings: Breaches.
+        calm_s: Until all was as the rules say; None when it never was.
+        left_over: What was not settled then.
+        killed_by_fuse_count: Controllers that SIGALRM ended.
+    """
+
+    seed: int
+    faults: tuple[str, ...]
+    findings: tuple[authority_audit.Finding, ...]
+    calm_s: float | None
+    left_over: str = ""
+    killed_by_fuse_count: int = 0
+
+    def is_clean(self) -> bool:
+        """Tells whether all held."""
+        return not self.findings and self.calm_s is not None
+
+
+class FaultyRun:
+    """One seeded run in a zone that several runs may share, one by one."""
+
+    def __init__(self, zone: builders_authority.Zone, seed: int):
+        self._zone = zone
+        self._seed = seed
+        self._random = random.Random(seed)
+        self._late_allowed: set[int] = set()
+        self._killed_by_fuse_count = 0
+        self._split = (0, 0, len(zone.engines))
+        self._model = ""
+        self._model_numbers = itertools.count()
+        self._since_unix_s = 0.0
+
+    def run(self, names: Sequence[str] = ()) -> RunResult:
+        """Applies faults while the rules change, then judges.
+
+        Args:
+            names: Of the faults; chosen at random when there are none.
+        """
+        self._since_unix_s = time.time()
+        self._change_rules()
+        if not names:
+            names = self._random.choices(sorted(FAULTS), k=_FAULTS_COUNT)
+        for name in names:
+            FAULTS[name](self)
+            if self._random.random() < 0.5:
+                self._change_rules()
+            time.sleep(self._random.uniform(0.0, 0.3))
+        self._heal()
+        return self._judge(tuple(names))
+
+    # --- faults -------------------------------------------------------------
+
+    def kill_holder(self) -> None:
+        """SIGKILL at any instant."""
+        index = self._holder_or_any()
+        self._zone.controllers[index].signal(signal.SIGKILL)
+        self._zone.controllers[index].wait()
+
+    def freeze_holder(self) -> None:
+        """SIGSTOP across the lease's end, at any instant."""
+        self._freeze(self._holder_or_any())
+
+    def freeze_before_send(self) -> None:
+        """SIGSTOP between an order's last check and its first byte.
+
+        Hits that gap only in a zone whose controllers have it widened.
+        """
+        index = self._holder_or_any()
+        self._change_rules()
+        if self._await_new_order():
+            time.sleep(self._random.uniform(0.0, GAP_S))
+            self._freeze(index)
+
+    def cut_from_service(self) -> None:
+        """The holder is cut off from the key-value service."""
+        name = f"key-value-{self._holder_or_any()}"
+        mode = self._random.choice(
+            ("cut", "freeze", "half-open-up", "half-open-down")
+        )
+        self._zone.set_proxy_faults(name, mode=mode)
+        time.sleep(self._across_lease_s())
+        self._zone.set_proxy_faults(name, mode="pass")
+
+    def service_down(self) -> None:
+        """The key-value service is down for all."""
+        self._zone.set_key_value_faults(down=True)
+        time.sleep(self._across_lease_s())
+        self._zone.set_key_value_faults()
+
+    def lose_answers(self) -> None:
+        """Writes take effect and their answers are lost."""
+        count = self._random.randint(1, 4)
+        self._zone.set_key_value_faults(lose_answers_count=count)
+
+    def crash_engine(self) -> None:
+        """An engine fails in the middle of its next change."""
+        self._zone.set_engine_faults(self._an_engine(), crash_mid_change=True)
+
+    def lose_order_answers(self) -> None:
+        """Engines take orders and their answers are lost."""
+        count = self._random.randint(1, 2)
+        self._zone.set_engine_faults(
+            self._an_engine(), drop_order_answers=count
+        )
+
+    def delay_engine(self) -> None:
+        """Bytes to an engine are late, within what the margins allow."""
+        timing = self._zone.timing
+        bound_s = timing.margin_s + timing.user_timeout_s
+        delay_ms = self._random.uniform(0.1, 0.8) * bound_s * 1000
+        self._zone.set_proxy_faults(self._an_engine(), delay_ms=delay_ms)
+
+    def cut_engine(self) -> None:
+        """An engine can't be reached for a while."""
+        engine_id = self._an_engine()
+        self._zone.set_proxy_faults(engine_id, mode="cut")
+        time.sleep(self._random.uniform(0.1, 0.6))
+        self._zone.set_proxy_faults(engine_id, mode="pass")
+
+    def take_lease_away(self) -> None:
+        """The lease key is deleted before its time."""
+        history = self._zone.lease_history()
+        tenures = authority_audit.tenures(history)
+        if tenures:
+            self._late_allowed.add(tenures[-1].fencing_number)
+        self._zone.take_lease_key_away()
+
+    def send_late_and_lose_lease(self) -> None:
+        """A load is on its way when its sender's lease is taken away.
+
+        The next holder takes over at once and is told to load another.
+        """
+        builders_authority.wait_for(self._is_calm, _CALM_BEFORE_S)
+        self._change_load()
+        if not self._await_new_order(phases=("sent",)):
+            return
+        engine_ids = sorted(self._zone.engines)
+        for engine_id in engine_ids:
+            self._zone.set_proxy_faults(engine_id, delay_ms=_LATE_DELAY_MS)
+        time.sleep(1.5 * GAP_S)
+        for engine_id in engine_ids:
+            self._zone.set_proxy_faults(engine_id, delay_ms=0.0)
+        self._change_load()
+        self.take_lease_away()
+
+    # --- helpers --------------------------------------------------------------
+
+    def _await_new_order(
+        self, phases: tuple[str, ...] = ("draining", "sent")
+    ) -> bool:
+        """Waits until a controller records something that it then sends."""
+        known = set(self._zone.records().records.values())
+
+        def is_new() -> bool:
+            records = self._zone.records().records.values()
+            return any(r.phase in phases for r in set(records) - known)
+
+        return builders_authority.wait_for(
+            is_new, _WINDOW_WAIT_S, poll_s=_WINDOW_POLL_S
+        )
+
+    def _freeze(self, index: int) -> None:
+        process = self._zone.controllers[index]
+        builders_authority.freeze(process)
+        time.sleep(self._across_lease_s())
+        builders_authority.thaw(process)
+
+    def _across_lease_s(self) -> float:
+        return self._random.uniform(0.4, 2.2) * self._zone.timing.lease_ttl_s
+
+    def _holder_or_any(self) -> int:
+        index = self._zone.holder_index()
+        if index is None:
+            index = self._random.randrange(len(self._zone.controllers))
+        if self._zone.controllers[index].poll() is not None:
+            self._restart_dead()
+        return index
+
+    def _an_engine(self) -> str:
+        return self._random.choice(sorted(self._zone.engines))
+
+    def _change_rules(self) -> None:
+        count = len(self._zone.engines)
+        prefill = self._random.randint(0, count)
+        decode = self._random.randint(0, count - prefill)
+        self._split = (prefill, decode, count - prefill - decode)
+        self._accept()
+
+    def _change_load(self) -> None:
+        self._model = f"model-{self._seed}-{next(self._model_numbers)}"
+        self._accept()
+
+    def _accept(self) -> None:
+        document = builders_authority.roles_document(*self._split)
+        if self._model:
+            document["default"]["load"] = {
+                "model": self._model,
+                "engines_count": 1,
+            }
+            document["models"] = {self._model: {"adapters": [], "versions": []}}
+        self._zone.accept(document)
+
+    def _is_calm(self) -> bool:
+        if not self._zone.is_calm(*self._split):
+            return False
+        models = [set(r["models"]) for r in self._zone.loads().values()]
+        return not self._model or any(self._model in m for m in models)
+
+    def _restart_dead(self) -> None:
+        for index, process in enumerate(self._zone.controllers):
+            code = process.poll()
+            if code is not None:
+                self._killed_by_fuse_count += code == -signal.SIGALRM
+                self._zone.start_controller(index)
+
+    def _heal(self) -> None:
+        self._zone.set_key_value_faults()
+        for engine_id in self._zone.engines:
+            self._zone.set_proxy_faults(engine_id, mode="pass", delay_ms=0.0)
+            self._zone.set_engine_faults(
+                engine_id, drop_order_answers=0, crash_mid_change=False
+            )
+        self._restart_dead()
+
+    def _judge(self, names: tuple[str, ...]) -> RunResult:
+        begun_s = time.monotonic()
+
+        def is_calm() -> bool:
+            self._restart_dead()
+            if not self._is_calm():
+                return False
+            time.sleep(_CALM_FOR_ROUNDS_COUNT * self._zone.timing.evaluate_s)
+            return self._is_calm()
+
+        calm = builders_authority.wait_for(is_calm, _CALM_LIMIT_S)
+        logs = {
+            engine_id: [o for o in log if o["unix_s"] >= self._since_unix_s]
+            for engine_id, log in self._zone.order_logs().items()
+        }
+        findings = authority_audit.audit(
+            logs,
+            self._zone.lease_history(),
+            late_allowed=frozenset(self._late_allowed),
+        )
+        return RunResult(
+            self._seed,
+            names,
+            tuple(findings),
+            time.monotonic() - begun_s if calm else None,
+            "" if calm else self._left_over(),
+            self._killed_by_fuse_count,
+        )
+
+    def _left_over(self) -> str:
+        roles = {
+            e: (r["role"], r["state"]) for e, r in self._zone.loads().items()
+        }
+        records = {
+            e: (r.action, r.role, r.phase)
+            for e, r in self._zone.records().records.items()
+        }
+        return (
+            f"wanted {self._split} {self._model}, seen {roles}, "
+            f"records {records}"
+        )
+
+
+FAULTS: dict[str, Callable[[FaultyRun], None]] = {
+    fault.__name__: fault
+    for fault in (
+        FaultyRun.kill_holder,
+        FaultyRun.freeze_holder,
+        FaultyRun.freeze_before_send,
+        FaultyRun.cut_from_service,
+        FaultyRun.service_down,
+        FaultyRun.lose_answers,
+        FaultyRun.crash_engine,
+        FaultyRun.lose_order_answers,
+        FaultyRun.delay_engine,
+        FaultyRun.cut_engine,
+        FaultyRun.take_lease_away,
+        FaultyRun.send_late_and_lose_lease,
+    )
+}
--- a/tests/builders_authority.py
+++ b/tests/builders_authority.py
@@ -22,6 +22,7 @@
 ORDERS_KEY = f"/mulberry/{DEPLOYMENT}/orders/{ZONE}"
 
 _POLL_S = 0.02
+_LOST_ANSWERS_LIMIT_COUNT = 10
 
 
 def load_report(
@@ -69,13 +70,18 @@
         connection.close()
 
 
-def wait_for(condition: Callable[[], object], limit_s: float = 30.0) -> bool:
+def wait_for(
+    condition: Callable[[], object],
+    limit_s: float = 30.0,
+    *,
+    poll_s: float = _POLL_S,
+) -> bool:
     """Polls until a condition holds; False when it never did."""
     end_s = time.monotonic() + limit_s
     while time.monotonic() < end_s:
         if condition():
             return True
-        time.sleep(_POLL_S)
+        time.sleep(poll_s)
     return bool(condition())
 
 
@@ -108,58 +114,45 @@
 
 
 class Zone:
-    """One zone: key-value service, VM list, engines, controllers."""
+    """One zone: its outside in one process, and its controllers."""
 
     def __init__(
         self,
         *,
         engines: int = 4,
+        controllers: int = 2,
         timing: Timing | None = None,
         mechanism_off: str = "",
-        weight_store: bool = False,
+        gap_s: float = 0.0,
     ):
         self.timing = timing or Timing()
-        self._mechanism_off = mechanism_off
-        self.key_value = processes.Process(
-            "standins.key_value", "--writes-per-s", "0", "--reads-per-s", "0"
+        self._variant: list[str] = []
+        if mechanism_off:
+            self._variant += ["--off", mechanism_off]
+        if gap_s:
+            self._variant += ["--gap-s", str(gap_s)]
+        self._host = processes.Process(
+            "tests.authority_host",
+            f"--engines={engines}",
+            f"--controllers={controllers}",
+            f"--role-change-s={self.timing.role_change_s}",
         )
-        self.vm_list = processes.Process("standins.vm_list", "--lag-s", "0")
-        self.weight_store: processes.Process | None = None
-        if weight_store:
-            self.weight_store = processes.Process(
-                "standins.weight_store", "--loads-per-s", "2"
-            )
-        self.engines: dict[str, processes.Process] = {}
-        self.kinds: dict[str, str] = {}
-        for index in range(engines):
-            kind = CHECKING_KIND if index % 2 else IGNORING_KIND
-            self._start_engine(f"engine-{index}", kind)
+        self._key_value_port: int = self._host.ready["key_value"]
+        self._proxies: dict[str, int] = self._host.ready["proxies"]
+        self.engines: dict[str, int] = self._host.ready["engines"]
+        self.kinds = {
+            engine_id: CHECKING_KIND if index % 2 else IGNORING_KIND
+            for index, engine_id in enumerate(self.engines)
+        }
         self.controllers: list[processes.Process] = []
         self._version = 0
         self._publish_vms()
 
     def close(self) -> None:
         """Ends every process."""
-        standins = [self.key_value, self.vm_list]
-        if self.weight_store is not None:
-            standins.append(self.weight_store)
-        for process in [*self.controllers, *self.engines.values(), *standins]:
+        for process in [*self.controllers, self._host]:
             process.close()
 
-    def _start_engine(self, engine_id: str, kind: str) -> None:
-        self.kinds[engine_id] = kind
-        self.engines[engine_id] = processes.Process(
-            "standins.engine",
-            "--engine-id",
-            engine_id,
-            "--checks-fencing",
-            "true" if kind == CHECKING_KIND else "false",
-            "--role-change-s",
-            str(self.timing.role_change_s),
-            "--load-model-s",
-            str(self.timing.role_change_s),
-        )
-
     def _publish_vms(self) -> None:
         vms = [
             {
@@ -167,23 +160,34 @@
                 "kind": "engine",
                 "availability_zone": ZONE,
                 "ip": "127.0.0.1",
-                "port": engine.ready["port"],
+                "port": self._proxies[engine_id],
                 "state": "live",
                 "engine_kind": self.kinds[engine_id],
             }
-            for engine_id, engine in self.engines.items()
+            for engine_id in self.engines
         ]
-        call(self.vm_list.ready["port"], "POST", "/standin/vms", {"vms": vms})
+        port = self._host.ready["vm_list"]
+        call(port, "POST", "/standin/vms", {"vms": vms})
+
+    def set_proxy_faults(self, name: str, **faults: Any) -> None:
+        """Sets faults of the way to an engine or to the service.
+
+        Args:
+            name: An engine's id, or ``key-value-N`` for the way of the
+                controller ``entry-N``.
+            **faults: Fields of the proxy's faults.
+        """
+        body = {"name": name, **faults}
+        call(self._host.ready["port"], "POST", "/proxies", body)
 
     def settings(self, vm_id: str) -> dict[str, Any]:
         """Returns the settings of one controller."""
+        index = vm_id.rsplit("-", 1)[1]
         platform: dict[str, Any] = {
-            "key_value": [_endpoint(self.key_value)],
-            "vm_list": _endpoint(self.vm_list),
+            "key_value": [_endpoint(self._proxies[f"key-value-{index}"])],
+            "vm_list": _endpoint(self._host.ready["vm_list"]),
             "call_timeout_s": 0.5,
         }
-        if self.weight_store is not None:
-            platform["weight_store"] = _endpoint(self.weight_store)
         return builders_settings.node_settings(
             deployment=DEPLOYMENT,
             vm_id=vm_id,
@@ -199,22 +203,20 @@
             },
         )
 
-    def start_controller(self, vm_id: str) -> processes.Process:
-        """Starts a controller and waits until it takes part."""
-        path = builders_settings.write_settings(self.settings(vm_id))
-        if self._mechanism_off:
-            process = processes.Process(
-                "tests.controller_without",
-                "--settings",
-                path,
-                "--off",
-                self._mechanism_off,
-            )
+    def start_controller(self, index: int) -> processes.Process:
+        """Starts controller ``entry-INDEX``, again if it ran before."""
+        config = self.settings(f"entry-{index}")
+        arguments = ["--settings", builders_settings.write_settings(config)]
+        module = "mulberrywharf.programs.controller"
+        if self._variant:
+            module = "tests.controller_without"
+            arguments += self._variant
+        process = processes.Process(module, *arguments)
+        if index < len(self.controllers):
+            self.controllers[index].close()
+            self.controllers[index] = process
         else:
-            process = processes.Process(
-                "mulberrywharf.programs.controller", "--settings", path
-            )
-        self.controllers.append(process)
+            self.controllers.append(process)
         return process
 
     def accept(self, document: dict[str, Any]) -> int:
@@ -246,7 +248,14 @@
         return base64.b64decode(kvs[0]["value"]) if kvs else None
 
     def _key_value_call(self, path: str, body: object) -> dict[str, Any]:
-        return call(self.key_value.ready["port"], "POST", path, body)
+        for _ in range(_LOST_ANSWERS_LIMIT_COUNT):
+            try:
+                return call(self._key_value_port, "POST", path, body)
+            except http.client.RemoteDisconnected:
+                # A fault that loses answers doesn't spare this caller, whose
+                # calls may be repeated.
+                continue
+        raise AssertionError(f"{path}: no answer")
 
     def set_key_value_faults(self, **faults: Any) -> None:
         """Replaces the faults of the key-value service."""
@@ -254,8 +263,7 @@
 
     def set_engine_faults(self, engine_id: str, **faults: Any) -> None:
         """Sets faults of one engine."""
-        port = self.engines[engine_id].ready["port"]
-        call(port, "POST", "/standin/faults", faults)
+        call(self.engines[engine_id], "POST", "/standin/faults", faults)
 
     def records(self) -> order_records.ZoneRecords:
         """Returns the zone's order records."""
@@ -269,18 +277,22 @@
         value = self.read(LEASE_KEY)
         return "" if value is None else str(json.loads(value)["vm_id"])
 
-    def holder(self) -> processes.Process | None:
-        """Returns the process that holds the controller lease."""
+    def holder_index(self) -> int | None:
+        """Returns which controller holds the lease."""
         vm_id = self.holder_vm_id()
-        if not vm_id:
-            return None
-        return self.controllers[int(vm_id.rsplit("-", 1)[1])]
+        return int(vm_id.rsplit("-", 1)[1]) if vm_id else None
+
+    def take_lease_key_away(self) -> None:
+        """Deletes the lease key before its time, as an operator might."""
+        order = {"requestDeleteRange": {"key": _base64(LEASE_KEY.encode())}}
+        body = {"compare": [], "success": [order]}
+        self._key_value_call("/v3/kv/txn", body)
 
     def loads(self) -> dict[str, dict[str, Any]]:
         """Returns every engine's own report."""
         return {
-            engine_id: call(engine.ready["port"], "GET", "/load")
-            for engine_id, engine in self.engines.items()
+            engine_id: call(port, "GET", "/load")
+            for engine_id, port in self.engines.items()
         }
 
     def role_counts(self) -> tuple[int, int, int]:
@@ -302,15 +314,13 @@
     def order_logs(self) -> dict[str, list[dict[str, Any]]]:
         """Returns what each engine says that it was ordered."""
         return {
-            engine_id: call(engine.ready["port"], "GET", "/standin/log")[
-                "orders"
-            ]
-            for engine_id, engine in self.engines.items()
+            engine_id: call(port, "GET", "/standin/log")["orders"]
+            for engine_id, port in self.engines.items()
         }
 
     def lease_history(self) -> list[dict[str, Any]]:
         """Returns every change of the lease key, oldest first."""
-        log = call(self.key_value.ready["port"], "GET", "/standin/log")
+        log = call(self._key_value_port, "GET", "/standin/log")
         return [e for e in log["history"] if e["key"] == LEASE_KEY]
 
 
@@ -324,8 +334,8 @@
     process.signal(signal.SIGCONT)
 
 
-def _endpoint(process: processes.Process) -> dict[str, Any]:
-    return {"ip": "127.0.0.1", "port": process.ready["port"]}
+def _endpoint(port: int) -> dict[str, Any]:
+    return {"ip": "127.0.0.1", "port": port}
 
 
 def _base64(data: bytes) -> str:
--- a/tests/controller_without.py
+++ b/tests/controller_without.py
@@ -1,4 +1,4 @@
-"""A controller with one mechanism turned off, to see a test go red."""
+"""A controller with a mechanism off or a gap widened, to see tests go red."""
 
 # ruff: noqa: E402
 from gevent import monkey
@@ -6,20 +6,45 @@
 monkey.patch_all()
 
 import argparse
+import time
+from typing import Any
 
 from mulberrywharf import settings
+from mulberrywharf.engines import orders
 from mulberrywharf.programs import controller
 
 
+def _widen_gap(gap_s: float) -> None:
+    """Lets time pass between the last check of an order and its first byte.
+
+    There are microseconds in between, too few for a test to stop a process
+    there; a page fault or a busy host can make them longer.
+    """
+    check = orders._OrderConnection.after_connect
+
+    def check_then_linger(connection: Any, sock: Any) -> None:
+        check(connection, sock)
+        end_s = time.monotonic() + gap_s
+        while time.monotonic() < end_s:
+            pass
+
+    orders._OrderConnection.after_connect = (  # type: ignore[method-assign]
+        check_then_linger
+    )
+
+
 def main() -> None:
     """Runs it until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--settings", required=True)
-    parser.add_argument(
-        "--off", choices=controller.Mechanisms._fields, required=True
-    )
+    parser.add_argument("--off", choices=controller.Mechanisms._fields)
+    parser.add_argument("--gap-s", type=float, default=0.0)
     arguments = parser.parse_args()
-    mechanisms = controller.Mechanisms()._replace(**{arguments.off: False})
+    mechanisms = controller.Mechanisms()
+    if arguments.off:
+        mechanisms = mechanisms._replace(**{arguments.off: False})
+    if arguments.gap_s:
+        _widen_gap(arguments.gap_s)
     controller.run(settings.load(arguments.settings).unwrap(), mechanisms)
 
 
