Let the pace of answers hold the concurrency limit

Over the fleet's capacity nearly every answer missed the target between tokens while first tokens still looked fair: the limit followed first tokens only, and those of short prompts come early even from an overfull batch. The limit now also shrinks by the pace of answers (on_answer), and does not grow while the pace is bad; without the second part growth undid every cut. Estimates alone were ruled out: they refuse too few, since no report tells what a step of the engine costs.

The test on refusals now sets its own first limit and asks for exact values; it leaned on the default before.

--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -15,7 +15,7 @@
 from typing import Any, NamedTuple
 
 from mulberrywharf import fleet
-from mulberrywharf.policy import pace, prefix_index
+from mulberrywharf.policy import concurrency, pace, prefix_index
 
 MODEL = "verdict"
 ZONES = ("regina-hall", "saskatoon-hall", "winnipeg-hall")
@@ -54,7 +54,8 @@
         block_hashes: Of the prompt.
         output_tokens: To generate; 0 stops after the prefill.
         on_end: Called with the run and the time when it ends.
-        on_pace: Called with the time between its tokens early in the answer.
+        on_pace: Called with the run and the time between its tokens, early
+            in the answer.
     """
 
     __slots__ = (
@@ -74,7 +75,7 @@
         block_hashes: tuple[str, ...],
         output_tokens: int,
         on_end: "Callable[[Run, float], None]",
-        on_pace: Callable[[float], None] | None = None,
+        on_pace: "Callable[[Run, float], None] | None" = None,
     ):
         self.prompt_tokens = prompt_tokens
         self.block_hashes = block_hashes
@@ -244,17 +245,15 @@
                 self._timeline.at(
                     now_s + _PACE_AFTER_S,
                     self._tell_pace,
-                    run.on_pace,
+                    run,
                     self._step_number,
                 )
         self._begin_step()
 
-    def _tell_pace(
-        self, on_pace: Callable[[float], None], first_step: int
-    ) -> None:
-        if not self.is_lost:
+    def _tell_pace(self, run: Run, first_step: int) -> None:
+        if not self.is_lost and run.on_pace is not None:
             step_count = self._step_number - first_step
-            on_pace(_PACE_AFTER_S / max(1, step_count))
+            run.on_pace(run, _PACE_AFTER_S / max(1, step_count))
 
     def _admit(self) -> None:
         limit_count = self._speeds.batch_limit_count
@@ -302,11 +301,15 @@
         zone: Its availability zone.
         index: Its beliefs about the prefix caches.
         pace: What its own answers say of the engines' speed.
+        limits: Its adaptive limit at each engine.
     """
 
     def __init__(self, zone: str):
         self.zone = zone
         self.pace = pace.PaceMeter.from_config()
+        self.limits: dict[str, concurrency.ConcurrencyLimit] = (
+            collections.defaultdict(concurrency.ConcurrencyLimit.from_config)
+        )
         self.index = prefix_index.PrefixIndex.from_config()
         self._reports: dict[str, fleet.LoadReport] = {}
         self._in_flight: collections.Counter[str] = collections.Counter()
@@ -315,6 +318,15 @@
         )
         self._failures: dict[str, list[float]] = collections.defaultdict(list)
 
+    def in_flight_count(self, engine_id: str) -> int:
+        """Returns its requests at the engine."""
+        return self._in_flight[engine_id]
+
+    def has_slot(self, view: fleet.EngineView) -> bool:
+        """Returns whether the engine's limit leaves a place."""
+        limit = self.limits[view.vm.vm_id]
+        return limit.has_slot(view.own_in_flight_count)
+
     def take_report(self, report: fleet.LoadReport) -> None:
         """Takes a report that arrived; what was sent before it is in it."""
         self._reports[report.engine_id] = report
--- a/bench/policy_choice.py
+++ b/bench/policy_choice.py
@@ -15,7 +15,7 @@
 import json
 import random
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 from bench import engine_model
 from mulberrywharf import fleet
@@ -50,7 +50,9 @@
         roles: Role of each engine of a zone.
         slow_from_s: When the first engine becomes slow, or None.
         lost_from_s: When the first zone is lost, or None.
-        with_admission: Whether routers refuse what would come too late.
+        admission_kind: ``none``: all is sent; ``estimate``: routers refuse
+            what would come too late; ``limits``: they keep to the engines'
+            adaptive limits as well.
     """
 
     name: str
@@ -59,7 +61,7 @@
     roles: tuple[fleet.Role, ...] = ("mixed",) * _ENGINES_PER_ZONE
     slow_from_s: float | None = None
     lost_from_s: float | None = None
-    with_admission: bool = False
+    admission_kind: Literal["none", "estimate", "limits"] = "none"
 
 
 class Arrival(NamedTuple):
@@ -139,7 +141,8 @@
         (Scenario("zone_lost", 52.0, steady, lost_from_s=middle_s), every),
         (Scenario("roles", 70.0, steady, roles=roles), every),
         (over, ours),
-        (over._replace(name="admission", with_admission=True), ours),
+        (over._replace(name="estimate", admission_kind="estimate"), ours),
+        (over._replace(name="admission", admission_kind="limits"), ours),
     ]
 
 
@@ -263,6 +266,8 @@
             availability_zone=router.zone,
         )
         views = [router.view(vm, now_s) for vm in self._visible]
+        if self._scenario.admission_kind == "limits":
+            views = [view for view in views if router.has_slot(view)]
         choose = self._choosers[arrival.router_number]
         if self._uses_pace:
             choose = functools.partial(
@@ -279,7 +284,7 @@
     def _is_admitted(
         self, choice: engine_choice.Choice, arrival: Arrival
     ) -> bool:
-        if not self._scenario.with_admission:
+        if self._scenario.admission_kind == "none":
             return True
         decision = admission.decide(
             admission.Demand(30.0, 5, FIRST_TOKEN_TARGET_S),
@@ -300,18 +305,20 @@
             if run.has_failed:
                 return
             following = max(1, run.output_tokens - 1)
-            self._answers.append(
-                Answer(
-                    arrival,
-                    run.first_token_s - arrival.at_s,
-                    (now_s - run.first_token_s) / following,
-                )
+            answer = Answer(
+                arrival,
+                run.first_token_s - arrival.at_s,
+                (now_s - run.first_token_s) / following,
             )
+            self._answers.append(answer)
 
-        def tell_pace(between_tokens_s: float) -> None:
+        def tell_pace(run: engine_model.Run, between_tokens_s: float) -> None:
             router.pace.on_pace(
                 choice.decode.vm_id, between_tokens_s, self._timeline.now_s
             )
+            first_token_s = run.first_token_s - arrival.at_s
+            begun = Answer(arrival, first_token_s, between_tokens_s)
+            self._adapt(router, choice, begun)
 
         def hand_over(run: engine_model.Run, now_s: float) -> None:
             router.on_ended(choice.prefill.vm_id, run.has_failed, now_s)
@@ -340,6 +347,24 @@
         )
         self._engines[choice.prefill.vm_id].submit(run)
 
+    def _adapt(
+        self,
+        router: engine_model.RouterModel,
+        choice: engine_choice.Choice,
+        answer: Answer,
+    ) -> None:
+        engine_id = choice.decode.vm_id
+        limit = router.limits[engine_id]
+        in_flight_count = router.in_flight_count(engine_id)
+        new_tokens = answer.arrival.prompt_tokens - choice.cached_tokens
+        rate_per_s = engine_model.EngineSpeeds().prefill_tokens_per_s
+        limit.on_first_token(
+            answer.first_token_s, new_tokens / rate_per_s, in_flight_count
+        )
+        limit.on_answer(
+            answer.between_tokens_s, BETWEEN_TOKENS_TARGET_S, in_flight_count
+        )
+
     def _report(self, engine: engine_model.Engine) -> None:
         if engine.is_lost:
             return
--- a/tests/test_concurrency.py
+++ b/tests/test_concurrency.py
@@ -54,14 +54,35 @@
             limit.on_first_token(2.0, 1.9, before_count)
         self.assertGreaterEqual(limit.limit_count, before_count)
 
-    def test_refusals_at_once_are_one_event(self):
+    def test_slow_pace_shrinks_though_first_tokens_come_early(self):
+        """Tokens drip from engines whose first tokens look fine.
+
+        Sequence: short prompts fill the batch, each first token comes at
+        once, every answer slows. Cause: only the first token's delay counted.
+        """
+        limit = _limit()
+        for _ in range(100):
+            in_flight = limit.limit_count
+            limit.on_first_token(_IDLE_S, _IDLE_S, in_flight)
+            limit.on_answer(0.002 * in_flight, 0.028, in_flight)
+        self.assertLessEqual(0.002 * limit.limit_count, 0.032)
+        self.assertGreaterEqual(limit.limit_count, 8)
+
+    def test_good_pace_changes_nothing(self):
         limit = _limit()
         before_count = limit.limit_count
+        limit.on_answer(0.01, 0.028, before_count)
+        self.assertEqual(limit.limit_count, before_count)
+
+    def test_refusals_at_once_are_one_event(self):
+        limit = concurrency.ConcurrencyLimit.from_config(
+            concurrency.ConcurrencySettings(first_limit_count=100.0)
+        )
         for _ in range(20):
             limit.on_refused(10.0)
-        self.assertGreater(limit.limit_count, before_count / 2)
+        self.assertEqual(limit.limit_count, 70)
         limit.on_refused(12.0)
-        self.assertLess(limit.limit_count, before_count / 2 + 1)
+        self.assertEqual(limit.limit_count, 49)
 
     @given(
         st.lists(
