Start concurrency limits low

Nine routers that each begin with 16 places fill an engine with 144 requests before the first answer teaches them better, and such a queue takes most of half a minute to drain. The first limit goes from 16 to 4; it grows within seconds while answers keep their pace.

--- a/src/mulberrywharf/policy/concurrency.py
+++ b/src/mulberrywharf/policy/concurrency.py
@@ -27,7 +27,7 @@
             prompts does not look like overload.
     """
 
-    first_limit_count: float = 16.0
+    first_limit_count: float = 4.0
     least_limit_count: float = 2.0
     most_limit_count: float = 256.0
     delay_tolerance: float = 3.0
