Bound writes to paused peers and connections of vanished ones

A paused neighbour's buffers fill, and the next heartbeat to it would have held up the one task that tells all the others until the kernel gave up after 10 s, longer than the 8 s of suspicion; a one-way send now waits 0.2 s at most. Connections of VMs that vanished stayed open for ever and would have met the limit in time; the server closes one that is silent for 120 s. The mesh's demand reports and its configuration fetch moved to modules of their own, and a planned stop gives up its shards side by side.

--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -42,6 +42,7 @@
 _RENEWALS_PER_TTL_COUNT = 3
 _FINISH_TIMEOUT_S = 5.0
 _HANDOVER_TIMEOUT_S = 1.0
+_GIVE_UP_TIMEOUT_S = 5.0
 
 
 class VmList(Protocol):
@@ -160,8 +161,12 @@
             for shard in self._shards.values()
         ]
         gevent.joinall(finishing)
-        for number in list(self._shards):
-            self._give_up(number)
+        # Side by side: with the service away each call takes its timeouts,
+        # and one after the other they would hold up the stop.
+        giving_up = [
+            gevent.spawn(self._give_up, number) for number in self._shards
+        ]
+        gevent.joinall(giving_up, timeout=_GIVE_UP_TIMEOUT_S)
         if self._lease_id:
             self._store.revoke(self._lease_id, purpose=PURPOSE_OWNER)
             self._lease_id = 0
--- a/src/mulberrywharf/nodes/codec.py
+++ b/src/mulberrywharf/nodes/codec.py
@@ -1,4 +1,6 @@
-"""Messages to bytes and back: packed Cap'n Proto in authenticated frames.
+"""Messages to bytes and back: Cap'n Proto in authenticated frames.
+
+A payload is a flat Cap'n Proto message, deflated by zlib.
 
 A frame is ``length:uint32 sequence:uint64 mac:16 bytes payload``, big endian.
 The MAC is keyed BLAKE2b over the sequence number and the payload. Its key is
@@ -12,6 +14,7 @@
 import hmac
 import pathlib
 import struct
+import zlib
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -28,8 +31,11 @@
 
 _DIGEST_BYTES = 16
 _SEQUENCE = struct.Struct(">Q")
-# A packed payload can claim to unpack to far more than its own length; the
-# reader refuses a message that exceeds this many 8-byte words.
+_DEFLATE_LEVEL = 1
+# A few deflated bytes can inflate to gigabytes and exhaust the memory.
+_INFLATED_LIMIT_BYTES = FRAME_LIMIT_BYTES
+# A message can point many times at the same bytes; the reader refuses one
+# whose traversal exceeds this many 8-byte words.
 _TRAVERSAL_LIMIT_WORDS = 2 * FRAME_LIMIT_BYTES // 8
 _NESTING_LIMIT = 8
 
@@ -72,13 +78,16 @@
         self, envelope: messages.Envelope
     ) -> Result[bytes, errors.BadFrameError]:
         """Returns the next frame, or an error if it exceeds the bound."""
-        payload = encode(envelope)
-        if len(payload) > FRAME_LIMIT_BYTES:
+        flat = _flat(envelope)
+        # The bound holds before deflation, as for whoever inflates it again:
+        # a frame that fits on the wire but not there would be sent for ever.
+        if len(flat) > FRAME_LIMIT_BYTES:
             return Err(
                 errors.BadFrameError(
-                    f"a message of {len(payload)} bytes exceeds the bound"
+                    f"a message of {len(flat)} bytes exceeds the bound"
                 )
             )
+        payload = zlib.compress(flat, _DEFLATE_LEVEL)
         self._sequence += 1
         mac = _mac(self._key, self._sequence, payload)
         return Ok(HEADER.pack(len(payload), self._sequence, mac) + payload)
@@ -124,28 +133,22 @@
 
 
 def encode(envelope: messages.Envelope) -> bytes:
-    """Returns the packed payload of an envelope."""
+    """Returns the payload of an envelope."""
+    return zlib.compress(_flat(envelope), _DEFLATE_LEVEL)
+
+
+def _flat(envelope: messages.Envelope) -> bytes:
     builder = _SCHEMA.Envelope.new_message()
     builder.senderVmId = envelope.sender_vm_id
     builder.correlation = envelope.correlation
     _write(envelope.message, builder)
-    return bytes(builder.to_bytes_packed())
+    return bytes(builder.to_bytes())
 
 
 def decode(payload: bytes) -> Result[messages.Envelope, errors.BadFrameError]:
     """Reads a payload; whatever the bytes, the error is a BadFrameError."""
     try:
-        reader = _SCHEMA.Envelope.from_bytes_packed(
-            payload,
-            traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS,
-            nesting_limit=_NESTING_LIMIT,
-        )
-        read = _READERS[str(reader.which())]
-        return Ok(
-            messages.Envelope(
-                reader.senderVmId, reader.correlation, read(reader)
-            )
-        )
+        return Ok(_read(_inflated(payload)))
     except (
         capnp.KjException,
         errors.BadFrameError,
@@ -153,10 +156,35 @@
         UnicodeDecodeError,
         ValueError,
         MemoryError,
+        zlib.error,
     ) as error:
         return Err(errors.BadFrameError(f"a payload is malformed: {error}"))
 
 
+def _inflated(payload: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    flat = inflater.decompress(payload, _INFLATED_LIMIT_BYTES)
+    if not inflater.eof:
+        raise errors.BadFrameError("a payload is cut short or too large")
+    return flat
+
+
+def _read(flat: bytes) -> messages.Envelope:
+    # Not ``from_bytes_packed``: its reader throws from a C++ destructor when
+    # the packed bytes end early, which no Python handler can catch. The
+    # process would abort with "Premature EOF". A flat message is checked
+    # against its length before it is read.
+    with _SCHEMA.Envelope.from_bytes(
+        flat,
+        traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS,
+        nesting_limit=_NESTING_LIMIT,
+    ) as reader:
+        read = _READERS[str(reader.which())]
+        return messages.Envelope(
+            reader.senderVmId, reader.correlation, read(reader)
+        )
+
+
 def _mac(key: bytes, sequence: int, payload: bytes) -> bytes:
     mac = hashlib.blake2b(
         _SEQUENCE.pack(sequence), key=key, digest_size=MAC_BYTES
--- a/src/mulberrywharf/nodes/frames.py
+++ b/src/mulberrywharf/nodes/frames.py
@@ -4,6 +4,7 @@
 import socket
 from typing import Any, NoReturn
 
+import gevent
 from gevent.lock import BoundedSemaphore
 from result import Err, Ok, Result
 
@@ -38,21 +39,31 @@
         self._write_lock = BoundedSemaphore(1)
 
     def write(
+        self, envelope: messages.Envelope, timeout_s: float
+    ) -> Result[None, errors.NodeError]:
+        """Sends one message, whole frames in order of their sequence.
+
+        A peer that is paused stops reading; once the buffers are full a
+        write would wait for as long as the pause, and with it the task that
+        tells all the others. After ``timeout_s`` the connection is closed.
+        """
+        try:
+            with gevent.Timeout(timeout_s, TimeoutError()), self._write_lock:
+                return self._write_frame(envelope)
+        except OSError as error:
+            # Half a frame may be out; nothing more may follow it.
+            self.close()
+            return Err(errors.NodeUnreachableError(f"no write: {error!r}"))
+
+    def _write_frame(
         self, envelope: messages.Envelope
     ) -> Result[None, errors.NodeError]:
-        """Sends one message, whole frames in order of their sequence."""
-        with self._write_lock:
-            sealed = self._sealer.seal(envelope)
-            if isinstance(sealed, Err):
-                return sealed
-            try:
-                self._sock.sendall(sealed.ok_value)
-            except OSError as error:
-                # Half a frame may be out; nothing more may follow it.
-                self.close()
-                return Err(errors.NodeUnreachableError(str(error)))
-            self._traffic.sent_bytes += len(sealed.ok_value)
-            self._traffic.sent_count += 1
+        sealed = self._sealer.seal(envelope)
+        if isinstance(sealed, Err):
+            return sealed
+        self._sock.sendall(sealed.ok_value)
+        self._traffic.sent_bytes += len(sealed.ok_value)
+        self._traffic.sent_count += 1
         return Ok(None)
 
     def read(self) -> Result[messages.Envelope, errors.NodeError]:
--- a/src/mulberrywharf/nodes/link.py
+++ b/src/mulberrywharf/nodes/link.py
@@ -21,6 +21,7 @@
 _CONNECT_TIMEOUT_S = 2.0
 _CONNECT_WAIT_S = 1.0
 _WRITE_TIMEOUT_S = 10.0
+_SEND_TIMEOUT_S = 0.2
 _FIRST_DELAY_S = 0.1
 _LONGEST_DELAY_S = 5.0
 
@@ -67,8 +68,13 @@
         self._drop()
 
     def send(self, message: messages.Message) -> Result[None, errors.NodeError]:
-        """Sends a message that has no answer; never waits for a connection."""
-        return self._write(messages.Envelope(self._own_vm_id, 0, message))
+        """Sends a message that has no answer.
+
+        It is not sent if there is no connection now, and hardly waits for a
+        peer that does not read.
+        """
+        envelope = messages.Envelope(self._own_vm_id, 0, message)
+        return self._write(envelope, _SEND_TIMEOUT_S)
 
     def call(
         self, message: messages.Message, timeout_s: float
@@ -90,7 +96,8 @@
             with gevent.Timeout(timeout_s, False):
                 self._connected.wait(_CONNECT_WAIT_S)
                 written = self._write(
-                    messages.Envelope(self._own_vm_id, correlation, message)
+                    messages.Envelope(self._own_vm_id, correlation, message),
+                    _WRITE_TIMEOUT_S,
                 )
                 if isinstance(written, Err):
                     return written
@@ -107,13 +114,13 @@
         )
 
     def _write(
-        self, envelope: messages.Envelope
+        self, envelope: messages.Envelope, timeout_s: float
     ) -> Result[None, errors.NodeError]:
         if self._frames is None:
             return Err(
                 errors.NodeUnreachableError(f"no connection to {self.address}")
             )
-        return self._frames.write(envelope)
+        return self._frames.write(envelope, timeout_s)
 
     def _run(self) -> None:
         delay_s = _FIRST_DELAY_S
--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -8,15 +8,16 @@
 
 import random
 import time
-from collections.abc import Iterable, Mapping
-from typing import Any, Protocol
+from collections.abc import Mapping
+from typing import Protocol
 
 import gevent
 from loguru import logger
-from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet, metrics, settings
+from mulberrywharf import clock, fleet, metrics, settings
 from mulberrywharf.nodes import (
+    config_exchange,
+    demands,
     links,
     membership,
     messages,
@@ -36,14 +37,6 @@
 PARTNER_EPOCH_S = 60.0
 """How long a node keeps its partners in the other zones."""
 
-DEMAND_LIMIT_BYTES = 128
-"""Room for the demand report in a heartbeat; the busiest come first."""
-
-_ROUNDS_KEPT_COUNT = 3
-_DEMAND_OVERHEAD_BYTES = 14
-_FETCH_GRACE_S = 1.5
-_FETCH_TIMEOUT_S = 5.0
-
 _suspected_count = metrics.gauge(
     "mulberry_nodes_suspected_count",
     "Entry VMs of this zone that are suspected.",
@@ -66,24 +59,6 @@
         ...
 
 
-class ConfigurationSource(Protocol):
-    """What the mesh needs of ``ConfigFollower``."""
-
-    def version(self) -> int:
-        """Returns the version in force, 0 without one."""
-        ...
-
-    def current(self) -> Any:
-        """Returns the configuration in force, with ``raw``, or None."""
-        ...
-
-    def offer(
-        self, configuration_bytes: bytes
-    ) -> Result[bool, errors.DocumentError]:
-        """Takes a neighbour's configuration if it is newer."""
-        ...
-
-
 class NodeMesh:
     """This node's part in the exchange; one task sends, handlers receive."""
 
@@ -92,7 +67,7 @@
         vm_id: str,
         availability_zone: str,
         vm_list: VmList,
-        configuration: ConfigurationSource,
+        configuration: config_exchange.ConfigurationSource,
         node_links: links.Links,
         *,
         interval_s: float = DEFAULT_INTERVAL_S,
@@ -102,7 +77,9 @@
         self._vm_id = vm_id
         self._zone = availability_zone
         self._vm_list = vm_list
-        self._configuration = configuration
+        self._configuration = config_exchange.ConfigExchange(
+            configuration, node_links
+        )
         self._links = node_links
         self._interval_s = interval_s
         self._clock = system_clock or clock.SystemClock()
@@ -118,26 +95,22 @@
         self._loads = slices.LoadTable()
         self._incarnations: dict[str, int] = {}
         self._leaving: set[str] = set()
-        self._versions: dict[str, int] = {}
-        self._own_demand: shares.DemandReport | None = None
-        self._demands: dict[str, dict[int, shares.DemandReport]] = {}
+        self._demands = demands.DemandBook()
         self._membership = suspicion.Membership(
             frozenset({vm_id}), frozenset(), frozenset(), False
         )
         self._neighbours: list[fleet.VmRecord] = []
         self._partners: list[fleet.VmRecord] = []
         self._epoch = -1
-        self._told: dict[fleet.Address, int] = {}
         self._slice: tuple[fleet.VmRecord, ...] = ()
         self._task: gevent.Greenlet | None = None
-        self._fetching: gevent.Greenlet | None = None
 
     @classmethod
     def from_config(
         cls,
         config: settings.Settings,
         vm_list: VmList,
-        configuration: ConfigurationSource,
+        configuration: config_exchange.ConfigurationSource,
         node_links: links.Links,
         node_server: server.NodeServer,
     ) -> "NodeMesh":
@@ -170,7 +143,7 @@
         """Lets other nodes talk to this one."""
         node_server.register(messages.Heartbeat, self._on_heartbeat)
         node_server.register(messages.Leaving, self._on_leaving)
-        node_server.register(messages.ConfigFetch, self._on_config_fetch)
+        node_server.register(messages.ConfigFetch, self._configuration.answer)
 
     def start(self) -> None:
         """Begins to send heartbeats."""
@@ -178,9 +151,9 @@
 
     def close(self) -> None:
         """Stops; the links stay with whoever made them."""
-        for task in (self._task, self._fetching):
-            if task is not None:
-                task.kill()
+        if self._task is not None:
+            self._task.kill()
+        self._configuration.close()
 
     def membership(self) -> suspicion.Membership:
         """Returns who of this zone's entry VMs is alive, itself included."""
@@ -207,14 +180,8 @@
         return self._loads.read(self._clock.monotonic_s())
 
     def publish_demand(self, report: shares.DemandReport) -> None:
-        """Shares this node's demand from the next heartbeat on.
-
-        Customers that find no room in a heartbeat are left out of the own
-        report as well: counted here and nowhere else, they would give this
-        node more than its part.
-        """
-        self._own_demand = report._replace(demands=_busiest(report.demands))
-        self._keep_demand(self._own_demand)
+        """Shares this node's demand from the next heartbeat on."""
+        self._demands.publish(report)
 
     def demand_reports(
         self, round_number: int | None = None
@@ -226,12 +193,7 @@
                 A node whose clock is a little ahead already reports the next
                 round while this one still divides by the one before.
         """
-        found = {}
-        for vm_id, reports in self._demands.items():
-            wanted = max(reports) if round_number is None else round_number
-            if wanted in reports:
-                found[vm_id] = reports[wanted]
-        return found
+        return self._demands.reports(round_number)
 
     def rotation_s(self) -> float:
         """Returns how long it takes to tell each neighbour of the zone once.
@@ -243,7 +205,8 @@
 
     def config_versions(self) -> Mapping[str, int]:
         """Returns the configuration version last heard from each node."""
-        return {**self._versions, self._vm_id: self._configuration.version()}
+        own = {self._vm_id: self._configuration.version()}
+        return {**self._configuration.versions(), **own}
 
     def announce_leaving(self) -> None:
         """Tells the zone that this node stops; called once, at a stop."""
@@ -290,9 +253,11 @@
             for zone in self._book.zones()
             for vm_id in self._book.current(zone).entry_vm_ids
         }
-        for book in (self._versions, self._demands, self._incarnations):
-            for vm_id in book.keys() - present:
-                del book[vm_id]
+        addresses = {vm.address for vm in lists.entry_vms}
+        self._demands.keep_only(present, addresses)
+        self._configuration.keep_only(present)
+        for vm_id in self._incarnations.keys() - present:
+            del self._incarnations[vm_id]
         self._leaving &= present
         self._epoch = -1
         return True
@@ -319,7 +284,7 @@
         heartbeat = self._heartbeat(now_s)
         self._choose_links()
         for address in self._rotation.take(self._neighbours, FAN_OUT_COUNT):
-            self._tell_neighbour(address, heartbeat)
+            self._demands.tell(self._links.to(address), heartbeat)
         if self._ticks_count % OTHER_ZONES_EVERY_COUNT:
             return
         # Stamps and suspicions concern the own zone only.
@@ -327,28 +292,6 @@
         for address in self._rotation_elsewhere.take(self._partners, 1):
             self._links.to(address).send(brief)
 
-    def _tell_neighbour(
-        self, address: fleet.Address, heartbeat: messages.Heartbeat
-    ) -> None:
-        """Sends a heartbeat, with the demand report if it is new there.
-
-        The report is a third of a heartbeat and stays the same for a round,
-        in which each neighbour is told more than once.
-        """
-        report = self._own_demand
-        if report is None or self._told.get(address) == report.round_number:
-            self._links.to(address).send(heartbeat)
-            return
-        sent = self._links.to(address).send(
-            heartbeat._replace(
-                round_number=report.round_number,
-                live_digest=report.live_digest,
-                demands=_demands_on_wire(report),
-            )
-        )
-        if isinstance(sent, Ok):
-            self._told[address] = report.round_number
-
     def _choose_links(self) -> None:
         """Links to all of the zone and to a few partners elsewhere."""
         epoch = int(self._clock.unix_s() / PARTNER_EPOCH_S)
@@ -365,8 +308,6 @@
         )
         addresses = {vm.address for vm in self._neighbours + self._partners}
         self._links.keep_only(addresses)
-        for address in self._told.keys() - addresses:
-            del self._told[address]
         for address in addresses:
             self._links.to(address)
 
@@ -392,8 +333,13 @@
     ) -> None:
         now_s = self._clock.monotonic_s()
         self._note_incarnation(sender_vm_id, heartbeat.incarnation, now_s)
-        self._versions[sender_vm_id] = heartbeat.config_version
-        self._note_demand(sender_vm_id, heartbeat)
+        is_ahead = heartbeat.config_version > self._configuration.version()
+        self._configuration.note(
+            sender_vm_id,
+            heartbeat.config_version,
+            self._address_of(sender_vm_id) if is_ahead else None,
+        )
+        self._demands.note(sender_vm_id, heartbeat)
         lists = self._book.find(heartbeat.list_hash)
         if heartbeat.availability_zone == self._zone:
             is_new = self._members.note_stamp(
@@ -407,8 +353,6 @@
             self._loads.merge(
                 lists.engine_ids, heartbeat.loads, heartbeat.load_ages, now_s
             )
-        if heartbeat.config_version > self._configuration.version():
-            self._fetch_later(sender_vm_id)
 
     def _note_zone(
         self,
@@ -436,91 +380,14 @@
             self._leaving.discard(vm_id)
             self._members.restart(vm_id, now_s)
 
-    def _note_demand(
-        self, sender_vm_id: str, heartbeat: messages.Heartbeat
-    ) -> None:
-        if not heartbeat.round_number:
-            return
-        self._keep_demand(
-            shares.DemandReport(
-                sender_vm_id,
-                heartbeat.round_number,
-                heartbeat.live_digest,
-                tuple(
-                    shares.CustomerDemand(*demand)
-                    for demand in heartbeat.demands
-                ),
-            )
-        )
-
-    def _keep_demand(self, report: shares.DemandReport) -> None:
-        reports = self._demands.setdefault(report.node_id, {})
-        reports[report.round_number] = report
-        while len(reports) > _ROUNDS_KEPT_COUNT:
-            del reports[min(reports)]
-
     def _on_leaving(self, sender_vm_id: str, notice: messages.Leaving) -> None:
         # A notice that arrives after the node's restart is about the process
         # before.
         if notice.incarnation >= self._incarnations.get(sender_vm_id, 0):
             self._leaving.add(sender_vm_id)
 
-    def _on_config_fetch(
-        self, sender_vm_id: str, question: messages.ConfigFetch
-    ) -> messages.ConfigDocument:
-        del sender_vm_id, question
-        current = self._configuration.current()
-        return messages.ConfigDocument(current.raw if current else b"")
-
-    def _fetch_later(self, vm_id: str) -> None:
-        if self._fetching is None or self._fetching.ready():
-            self._fetching = gevent.spawn(self._fetch, vm_id)
-
-    def _fetch(self, vm_id: str) -> None:
-        """Gets a newer configuration from a neighbour.
-
-        Normally the watch brings it within the grace time and nothing is
-        fetched; when the key-value service is away this is the only way.
-        """
-        gevent.sleep(_FETCH_GRACE_S * random.uniform(0.5, 1.0))
-        if self._versions.get(vm_id, 0) <= self._configuration.version():
-            return
-        address = self._address_of(vm_id)
-        if address is None:
-            return
-        answered = self._links.to(address).call(
-            messages.ConfigFetch(), _FETCH_TIMEOUT_S
-        )
-        if isinstance(answered, Err):
-            return
-        answer = answered.ok_value
-        if not isinstance(answer, messages.ConfigDocument):
-            return
-        offered = self._configuration.offer(answer.document)
-        if isinstance(offered, Ok) and offered.ok_value:
-            logger.info("took a newer configuration from {}", vm_id)
-
     def _address_of(self, vm_id: str) -> fleet.Address | None:
         for vm in self._vm_list.vms():
             if vm.vm_id == vm_id and vm.kind == "entry":
                 return vm.address
         return None
-
-
-def _busiest(
-    demands: Iterable[shares.CustomerDemand],
-) -> tuple[shares.CustomerDemand, ...]:
-    left_bytes = DEMAND_LIMIT_BYTES
-    taken = []
-    for demand in sorted(demands, key=lambda each: -each.requests_per_s):
-        left_bytes -= len(demand.customer) + _DEMAND_OVERHEAD_BYTES
-        if left_bytes < 0:
-            break
-        taken.append(demand)
-    return tuple(taken)
-
-
-def _demands_on_wire(
-    report: shares.DemandReport,
-) -> tuple[messages.Demand, ...]:
-    return tuple(messages.Demand(*demand) for demand in report.demands)
--- a/src/mulberrywharf/nodes/server.py
+++ b/src/mulberrywharf/nodes/server.py
@@ -18,6 +18,15 @@
 Handler = Callable[[str, Any], messages.Message | None]
 """Takes the sender's vm_id and the message; returns the answer, if any."""
 
+IDLE_TIMEOUT_S = 120.0
+"""A connection that brings nothing for so long is closed.
+
+A VM that vanishes says no farewell. Its connections, and those of a stranger
+who never sends a genuine frame, would else stay until the limit is reached
+and no node can connect any more. A live node connects again at once.
+"""
+
+_WRITE_TIMEOUT_S = 10.0
 _CONNECTION_LIMIT_COUNT = 2048
 _HANDSHAKE_TIMEOUT_S = 5.0
 _QUESTIONS_LIMIT_COUNT = 4096
@@ -36,12 +45,21 @@
         port: The TCP port, known after ``start``.
     """
 
-    def __init__(self, ip: str, port: int, vm_id: str, shared_key: bytes):
+    def __init__(
+        self,
+        ip: str,
+        port: int,
+        vm_id: str,
+        shared_key: bytes,
+        *,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+    ):
         self.traffic = frames.Traffic()
         self.port = port
         self._ip = ip
         self._vm_id = vm_id
         self._shared_key = shared_key
+        self._idle_timeout_s = idle_timeout_s
         self._handlers: dict[type, _Registration] = {}
         self._questions = gevent.pool.Pool(_QUESTIONS_LIMIT_COUNT)
         self._connections: set[frames.FrameSocket] = set()
@@ -106,7 +124,7 @@
                 os.urandom(codec.NONCE_BYTES),
                 self.traffic,
             )
-            sock.settimeout(None)
+            sock.settimeout(self._idle_timeout_s)
         except OSError:
             sock.close()
             return
@@ -156,5 +174,6 @@
         answer = handler(envelope.sender_vm_id, envelope.message)
         if answer is not None and envelope.correlation:
             connection.write(
-                messages.Envelope(self._vm_id, envelope.correlation, answer)
+                messages.Envelope(self._vm_id, envelope.correlation, answer),
+                _WRITE_TIMEOUT_S,
             )
