--- a/src/mulberrywharf/authority/situation_builder.py
+++ b/src/mulberrywharf/authority/situation_builder.py
@@ -7,7 +7,7 @@
 from mulberrywharf.policy import role_planner
 from mulberrywharf.rules import situation
 
-_SMOOTHING_S = 10.0
+_SMOOTHING_S = 3.0
 _BACKLOG_CLEAR_S = 20.0
 _STALE_REPORT_S = 10.0
 
--- a/src/mulberrywharf/policy/planner_baselines.py
+++ b/src/mulberrywharf/policy/planner_baselines.py
@@ -24,6 +24,7 @@
     """
     eager = options._replace(
         role_change_weight=0.0,
+        min_gain_s=0.0,
         hysteresis_share=0.001,
         dwell_s=0.0,
         budget_count=1_000_000,
--- a/src/mulberrywharf/policy/role_planner.py
+++ b/src/mulberrywharf/policy/role_planner.py
@@ -28,7 +28,11 @@
 
     Attributes:
         goodput_weight: Weight of one second of the zone's whole goodput.
-        role_change_weight: Weight of one role change, in the same unit.
+        role_change_weight: Weight of one role change, each of which counts
+            as ``change_price_s`` seconds of goodput.
+        change_price_s: See there.
+        min_gain_s: Predicted gain below which a change isn't made even when
+            changes are free: predictions are too rosy by about as much.
         away_s: How long a role change takes an engine away.
         horizon_s: How long a mix is trusted to last.
         dwell_s: How long an engine keeps a role that it was given.
@@ -44,13 +48,15 @@
 
     goodput_weight: float = 1.0
     role_change_weight: float = 1.0
+    change_price_s: float = 5.0
+    min_gain_s: float = 12.0
     away_s: float = _DEFAULT_AWAY_S
-    horizon_s: float = 120.0
-    dwell_s: float = 30.0
-    budget_count: int = 30
+    horizon_s: float = 150.0
+    dwell_s: float = 15.0
+    budget_count: int = 120
     budget_window_s: float = 3600.0
     hysteresis_share: float = 0.02
-    headroom: float = 1.15
+    headroom: float = 1.2
     mixed_efficiency: float = MIXED_EFFICIENCY
     stale_after_s: float = 20.0
     clock_margin_s: float = settings.DEFAULT_CLOCK_MARGIN_S
@@ -274,10 +280,11 @@
                 )
     if best is None:
         return Stay("no change wins enough goodput")
-    cost = options.role_change_weight
-    if options.goodput_weight * best.gain_s <= cost:
+    cost = options.role_change_weight * options.change_price_s
+    worth = options.goodput_weight * best.gain_s
+    if worth <= cost or best.gain_s <= options.min_gain_s:
         return Stay(
-            f"a gain of {best.gain_s:.1f} s is not worth a change ({cost})"
+            f"a predicted gain of {best.gain_s:.1f} s is not worth a change"
         )
     return best
 
