Divide less of a limit regardless of demand

A tenth of every limit was divided equally among the nodes, and a customer whose load sits on one node could never use what lay idle elsewhere. The floor only has to let a first request pass, and a bucket holds at least one request anyway. It goes from 10% to 3%. No floor at all was ruled out: a node without demand would refuse its second request until the round after next.

The test that pinned the tenth now names the constant and checks the same equality.

--- a/src/mulberrywharf/policy/shares.py
+++ b/src/mulberrywharf/policy/shares.py
@@ -20,7 +20,7 @@
 
 import xxhash
 
-FLOOR_SHARE = 0.1
+FLOOR_SHARE = 0.03
 """Part of a group's limit that is divided equally whatever the demand."""
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -56,8 +56,11 @@
         division = shares.divide("entry-0", self.nodes, 9, self.reports, _ROUND)
         busy = division.part_of("entry-0", _CUSTOMER)
         idle = division.part_of("entry-1", _CUSTOMER)
-        self.assertAlmostEqual(busy.requests_share, 0.9 + 0.1 / 9)
-        self.assertAlmostEqual(idle.requests_share, 0.1 / 9)
+        floor = shares.FLOOR_SHARE / 9
+        self.assertAlmostEqual(
+            busy.requests_share, 1 - shares.FLOOR_SHARE + floor
+        )
+        self.assertAlmostEqual(idle.requests_share, floor)
 
     def test_without_demand_the_shares_are_equal(self):
         division = shares.divide("entry-0", self.nodes, 9, self.reports, _ROUND)
