--- a/bench/nodes_slopes.py
+++ b/bench/nodes_slopes.py
@@ -11,6 +11,7 @@
 import gc
 import json
 import pathlib
+import random
 import resource
 import statistics
 import subprocess
@@ -109,20 +110,25 @@
 
     def publish(self) -> None:
         """Shares what a router would each second."""
-        for number, vm in enumerate(self.mesh.engine_slice()):
+        for vm in self.mesh.engine_slice():
             self.mesh.publish_load(
                 fleet.LoadReport(
                     vm.vm_id,
                     "mixed",
                     "ready",
                     ("m",),
-                    running_count=number % 30,
-                    waiting_prompt_tokens=number * 500,
+                    # Drawn anew, since a pattern would deflate too well.
+                    running_count=random.randrange(100),
+                    waiting_prompt_tokens=int(random.expovariate(1e-4)),
                     reported_unix_s=time.time(),
                 )
             )
         demands = tuple(
-            shares.CustomerDemand(f"customer-{n:03d}", n / 7, n * 31.0)
+            shares.CustomerDemand(
+                f"customer-{n:03d}",
+                random.uniform(0, 10),
+                random.uniform(0, 10_000),
+            )
             for n in range(_CUSTOMERS_COUNT)
         )
         self.mesh.publish_demand(
