Keep a node without a VM list from owning every shard

A node whose VM list is empty, or does not name it yet, ranked itself first for each claim shard, took all of them, and its end would have stopped all claims until the lease lapsed. It is no candidate now until the list names it; a shard whose candidates are all gone is still taken by whoever needs it.

--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -275,14 +275,20 @@
             self._open(number, owned.mod_revision)
 
     def _ranks(self) -> dict[int, int]:
-        """Returns this node's rank for each shard it is a candidate of."""
+        """Returns this node's rank for each shard it is a candidate of.
+
+        A node that the VM list does not name yet, or whose list is still
+        empty, would rank itself first for everything and own all shards; its
+        end would then stop all claims at once.
+        """
         vm_ids = {
             vm.vm_id
             for vm in self._vm_list.vms()
             if vm.kind == "entry" and vm.state == "live"
         }
-        vm_ids.add(self._own.vm_id)
-        ranks = {}
+        ranks: dict[int, int] = {}
+        if self._own.vm_id not in vm_ids:
+            return ranks
         for number in range(self._shard_count):
             ranked = ranking.rank(f"claim-shard-{number}", vm_ids)
             rank = ranked.index(self._own.vm_id)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,7 +6,7 @@
 from result import Err, Ok
 
 from mulberrywharf import errors
-from mulberrywharf.nodes import claim_log, claims, messages
+from mulberrywharf.nodes import claim_log, claims, messages, ranking
 from mulberrywharf.platform_service import key_value
 from tests import builders_claims
 
@@ -216,6 +216,61 @@
         self.assertEqual(met.answer, b"done")
 
 
+class CandidateTest(unittest.TestCase):
+    def setUp(self):
+        self.standin = builders_claims.start_standin()
+        self.addCleanup(self.standin.close)
+        self.vm_list = builders_claims.ListedVms()
+
+    def add_node(self, name, **extra):
+        node = builders_claims.ClaimNode(
+            name, self.standin.port, self.vm_list, **extra
+        )
+        self.addCleanup(node.close)
+        return node
+
+    def test_a_node_without_a_list_takes_no_shard(self):
+        """The first node starts before the VM list is read.
+
+        Symptom: it owns every shard, and its end stops all claims. Cause: a
+        node that knows of nobody else is the first candidate for everything.
+        """
+        node = self.add_node("entry-1", shard_count=8)
+        listed = self.vm_list.records
+        self.vm_list.records = []
+        node.owner.start()
+        gevent.sleep(5 * builders_claims.POLL_INTERVAL_S)
+        self.assertEqual(node.owner.owned_shards(), [])
+        self.vm_list.records = listed
+        builders_claims.wait_until(lambda: len(node.owner.owned_shards()) == 8)
+
+    def test_whoever_needs_a_shard_takes_it_when_all_candidates_are_gone(self):
+        """The list still names VMs that are gone.
+
+        Symptom: claims of a shard are refused until the list is corrected.
+        Cause: only the candidates that the list names look after the shard.
+        """
+        names = [f"entry-{number}" for number in range(7)]
+        nodes = {name: self.add_node(name) for name in names}
+        # All are gone but the one that is drawn to the shard least.
+        asker = nodes[ranking.rank("claim-shard-0", names)[-1]]
+        asker.owner.start()
+        claimed = asker.client.claim(
+            "solano", "key-1", _BODY, "r-1", timeout_s=15.0
+        )
+        self.assertIsInstance(claimed.ok(), claims.ClaimGranted)
+
+    def test_shards_are_spread(self):
+        nodes = [self.add_node(f"entry-{n}", shard_count=16) for n in range(3)]
+        for node in nodes:
+            node.owner.start()
+        builders_claims.wait_until(
+            lambda: sum(len(n.owner.owned_shards()) for n in nodes) == 16
+        )
+        for node in nodes:
+            self.assertLess(len(node.owner.owned_shards()), 16)
+
+
 class ServiceTest(ClaimsTestCase):
     nodes_count = 1
 
