Bound callers that stop reading, not those that read slowly

A caller that stopped reading in mid-stream held its engine for as long as it liked, and a large plain answer was one write, so that a bound on it would have cut callers that do read. A bound on whole answers was ruled out: it would cut the slow ones.

--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -34,6 +34,7 @@
 _CONNECTIONS_LIMIT_COUNT = 8192
 _DISCARD_BLOCK_BYTES = 16_384
 _TARGET_TOO_LONG = "414"
+_CALLER_LEFT = (OSError, errors.CallerGoneError)
 _HANDSHAKE_S = 0.1
 """Longer than a handshake with a caller that has begun one takes."""
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
@@ -140,6 +141,14 @@
             self.response_headers.append((b"Connection", b"close"))
             self.close_connection = True
 
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Ends the connection; only faults of ours are worth a trace."""
+        if issubclass(t, _CALLER_LEFT):
+            logger.debug("a caller left or stopped reading: {}", v)
+            self.close_connection = True
+            return
+        super().handle_error(t, v, tb)
+
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         error = _refusal(ex)
         logger.debug("refused a request head: {}", error.message)
@@ -157,6 +166,7 @@
         header_limit_bytes: int = DEFAULT_HEADER_LIMIT_BYTES,
         body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         connections_limit_count: int = _CONNECTIONS_LIMIT_COUNT,
+        idle_timeout_s: float = _IDLE_TIMEOUT_S,
     ):
         super().__init__(ip, port, _no_application)
         self.handler_class = _CallerHandler
@@ -165,6 +175,7 @@
         self.set_spawn(gevent.pool.Pool(connections_limit_count))
         self.header_limit_bytes = header_limit_bytes
         self.body_limit_bytes = body_limit_bytes
+        self._idle_timeout_s = idle_timeout_s
         self.stopping = False
         self.busy_sockets: set[Any] = set()
         self._open_sockets: set[Any] = set()
@@ -193,9 +204,11 @@
         """Serves one accepted connection until it ends."""
         self._open_sockets.add(sock)
         self._all_closed.clear()
-        sock.settimeout(_IDLE_TIMEOUT_S)
+        sock.settimeout(self._idle_timeout_s)
         try:
             super().handle(sock, address)
+        except OSError as error:
+            logger.debug("a caller's connection broke: {}", error)
         finally:
             self._open_sockets.discard(sock)
             if not self._open_sockets:
--- a/src/mulberrywharf/callers/passthrough.py
+++ b/src/mulberrywharf/callers/passthrough.py
@@ -198,7 +198,7 @@
         given = dict(answer.headers).get("content-length", "0")
         headers.append(("content-length", given))
         return []
-    return [answer.body]
+    return response.blocks(answer.body)
 
 
 def _reason(answer: ServiceAnswer) -> str:
--- a/tests/test_completions.py
+++ b/tests/test_completions.py
@@ -1,6 +1,7 @@
 """Completions towards callers: shapes, ends, slow callers, callers gone."""
 
 import json
+import socket
 import unittest
 from collections.abc import Iterator
 from typing import Any
@@ -26,9 +27,11 @@
 
 
 class _CompletionsTest(unittest.TestCase):
-    def serve(self, batches: Any) -> None:
+    def serve(self, batches: Any, **limits: Any) -> None:
         self.generations = fixture.FakeGenerations(batches)
-        self.server = fixture.caller_server(generations=self.generations)
+        self.server = fixture.caller_server(
+            generations=self.generations, **limits
+        )
         self.server.start()
         self.addCleanup(self.server.close)
 
@@ -208,6 +211,43 @@
         sock.close()
         self.wait_closed()
 
+    def test_caller_that_stops_reading_is_given_up(self) -> None:
+        """An engine is held for as long as a caller cares to stall.
+
+        Symptom: engines are busy, their streams stand still.
+        Sequence: a caller asks for a long stream and reads nothing more,
+        but keeps its connection open.
+        Cause: a write without a bound.
+        """
+        block = fixture.batch("x" * 65_536, 0)
+
+        def endless() -> _Batches:
+            while True:
+                yield block
+
+        self.serve(endless, idle_timeout_s=0.2)
+        sock = fixture.connect(self.server.port)
+        self.addCleanup(sock.close)
+        sock.sendall(self.data(_COMPLETIONS, stream=True))
+        self.wait_closed()
+
+    def test_large_answer_reaches_a_caller_that_reads_slowly(self) -> None:
+        text = "x" * 8_000_000
+        self.serve(
+            lambda: iter([fixture.last_batch(text, 0)]), idle_timeout_s=0.5
+        )
+        sock = fixture.connect(self.server.port)
+        self.addCleanup(sock.close)
+        # Else the kernel holds the whole answer and nobody has to wait.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 131_072)
+        sock.sendall(self.data(_COMPLETIONS))
+        received_bytes = 0
+        while received_bytes < len(text):
+            part = sock.recv(262_144)
+            self.assertTrue(part, "the answer was cut")
+            received_bytes += len(part)
+            gevent.sleep(0.05)
+
 
 if __name__ == "__main__":
     unittest.main()
