Forget the waiters of claims that have expired

A press that waited for a run which never completed left its event in the shard's table of waiters for as long as the shard was owned: a small leak for each such run, noticed on review and not measured. Waiters whose claim has expired are now woken and dropped with it. The 70 tests of claims, links, mesh, slices and codec passed three times in a row on the busy machine.

--- a/src/mulberrywharf/nodes/claim_shard.py
+++ b/src/mulberrywharf/nodes/claim_shard.py
@@ -393,6 +393,9 @@
         self._next_expiry_s = now_s + _EXPIRE_INTERVAL_S
         now_unix_s = self._clock.unix_s()
         self._table.expire(now_unix_s)
+        for claim in list(self._waiters):
+            if self._table.get(claim) is None:
+                self._waiters.pop(claim).set()
         self._log.delete_expired(now_unix_s, self._window_s + _EXPIRY_MARGIN_S)
 
 
