Report a change that nodes replaced as replaced

mulberryctl apply took a node's version at or above the change's as proof that the change is in force. A change that is accepted while the service has lost newer versions gets a lower version than nodes run, and is replaced when a node puts its own back; apply said "in force on all nodes" of a change that no node ever ran.

After the wait apply now asks ConfigStore.still_holds. Asking once is not enough: until a node has acted, the service still holds the doomed change, so apply waits while the service is behind the highest version that a node reports. A replaced change ends with change-replaced and exit code 3, one that can't be decided with exit code 5. A node that is in force by a higher version of later changes stays a success, since their audit entries hold the change.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -425,6 +425,32 @@
         self.seen_version = seen_version
 
 
+class ChangeReplacedError(ConfigChangeError):
+    """An accepted change stood on data that the service had lost.
+
+    Attributes:
+        change_id: Of the change.
+        version: The version that it had.
+        held_version: The version that nodes have put back.
+    """
+
+    code = "change-replaced"
+    advice = (
+        "Nothing of the change is in force. Take the rules with show, make "
+        "the change again and apply it with a new change id."
+    )
+
+    def __init__(self, *, change_id: str, version: int, held_version: int):
+        super().__init__(
+            f"change {change_id}, accepted as version {version}, was replaced "
+            f"by version {held_version}, which nodes put back into a service "
+            "that had lost it"
+        )
+        self.change_id = change_id
+        self.version = version
+        self.held_version = held_version
+
+
 class ChangeIdReusedError(ConfigChangeError):
     """A change id came back with another document."""
 
--- a/src/mulberrywharf/programs/_ctl_apply.py
+++ b/src/mulberrywharf/programs/_ctl_apply.py
@@ -8,7 +8,9 @@
 from result import Err, Ok, Result
 
 from mulberrywharf.errors import (
+    ChangeReplacedError,
     ConfigConflictError,
+    ConfigStoreBehindError,
     MulberryError,
     UsageError,
     WriteOutcomeUnknownError,
@@ -16,6 +18,7 @@
 from mulberrywharf.fleet import Address
 from mulberrywharf.operators.client import NodeAnswer
 from mulberrywharf.operators.status import StatusReport
+from mulberrywharf.platform_service.config_store import ConfigStore
 from mulberrywharf.platform_service.configuration import Configuration
 from mulberrywharf.programs._ctl_check import (
     CheckedDocument,
@@ -133,7 +136,10 @@
     configuration: Configuration,
     checked: CheckedDocument,
 ) -> CommandResult:
-    """Waits until every node reports the version, or time is up."""
+    """Waits until every node reports the version, or time is up.
+
+    A node's version proves the change only while the service holds it.
+    """
     version = configuration.version
     accepted = (
         f"accepted as version {version}, change {configuration.change_id}"
@@ -144,17 +150,21 @@
         lines.append("  next: run mulberryctl status until all report it")
         value = {"version": version, "nodes": [], "in_force": False}
         return CommandResult(ExitCode.NOT_EVERYWHERE, value, lines)
-    answers = _poll(context, version, addresses.ok_value)
+    end_s = time.monotonic() + context.arguments.wait_s
+    answers = _poll(context, version, addresses.ok_value, end_s)
     missing = [answer for answer in answers if not _runs(answer, version)]
+    kept = _is_kept(context, configuration, answers, end_s)
     value = {
         "version": version,
         "change_id": configuration.change_id,
-        "in_force": bool(answers) and not missing,
+        "in_force": bool(answers) and not missing and isinstance(kept, Ok),
         "nodes": [_node_value(answer) for answer in answers],
         "warnings": [warning._asdict() for warning in checked.warnings],
     }
     lines = [accepted, *warning_lines(checked)]
     lines += [_node_line(answer, version) for answer in answers]
+    if isinstance(kept, Err):
+        return _not_kept(kept.err_value, value, lines)
     if value["in_force"]:
         lines.append(f"in force on all {len(answers)} nodes asked")
         return CommandResult(ExitCode.OK, value, lines)
@@ -166,10 +176,88 @@
     return CommandResult(ExitCode.NOT_EVERYWHERE, value, lines)
 
 
+def _is_kept(
+    context: Context,
+    accepted: Configuration,
+    answers: list[NodeAnswer],
+    end_s: float,
+) -> Result[None, MulberryError]:
+    """Asks the service whether it still holds the change.
+
+    A change that was accepted on data that the service had lost is replaced
+    once a node puts the newer configuration back. Nodes then report a higher
+    version, and the operator would read "in force on all nodes" of a change
+    that none of them ever ran. While the service is behind a node, the
+    answer is not final: it is about to be replaced, so this waits.
+
+    Args:
+        context: Of this run.
+        accepted: What the service accepted.
+        answers: The last of each node.
+        end_s: When to stop waiting, on the monotonic clock.
+    """
+    store = context.config_store()
+    if isinstance(store, Err):
+        return store
+    reported = [
+        answer.report["config_version"] for answer in answers if answer.report
+    ]
+    newest_version = max([accepted.version, *reported])
+    while True:
+        found = _look_for(store.ok_value, accepted, newest_version)
+        is_final = isinstance(found, Ok) or isinstance(
+            found.err_value, ChangeReplacedError
+        )
+        if is_final or time.monotonic() >= end_s:
+            return found
+        gevent.sleep(_POLL_INTERVAL_S)
+
+
+def _look_for(
+    store: ConfigStore, accepted: Configuration, newest_version: int
+) -> Result[None, MulberryError]:
+    read = store.read()
+    if isinstance(read, Err):
+        return read
+    held_version = read.ok_value.version if read.ok_value else 0
+    if held_version < newest_version:
+        return Err(
+            ConfigStoreBehindError(
+                held_version=held_version, seen_version=newest_version
+            )
+        )
+    holds = store.still_holds(accepted)
+    if isinstance(holds, Err):
+        return holds
+    if holds.ok_value:
+        return Ok(None)
+    return Err(
+        ChangeReplacedError(
+            change_id=accepted.change_id,
+            version=accepted.version,
+            held_version=held_version,
+        )
+    )
+
+
+def _not_kept(
+    error: MulberryError, value: dict[str, object], lines: list[str]
+) -> CommandResult:
+    """Says that an accepted change was replaced, or may have been."""
+    failure = error_result(error)
+    assert isinstance(failure.value, dict)
+    value = {**value, **failure.value}
+    if isinstance(error, ChangeReplacedError):
+        lines = [*lines, *failure.lines]
+        return CommandResult(ExitCode.CONFLICT, value, lines)
+    lines = [*lines, "not known whether the service still holds it"]
+    lines += failure.lines
+    return CommandResult(ExitCode.NOT_EVERYWHERE, value, lines)
+
+
 def _poll(
-    context: Context, version: int, addresses: list[Address]
+    context: Context, version: int, addresses: list[Address], end_s: float
 ) -> list[NodeAnswer]:
-    end_s = time.monotonic() + context.arguments.wait_s
     latest = {answer.address: answer for answer in context.statuses(addresses)}
     while time.monotonic() < end_s:
         behind = [
