--- /dev/null
+++ b/tests/router_without.py
@@ -0,0 +1,172 @@
+"""A router with a mechanism off, to see the seeded runs go red.
+
+``--claim-lease-s`` shortens the lease on claim shards, so that a run of a few
+seconds sees owners lapse and change; it takes nothing away.
+"""
+
+# ruff: noqa: E402
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from result import Ok
+
+from mulberrywharf import _answers, errors
+from mulberrywharf.backend_servers import directory
+from mulberrywharf.engines import streams
+from mulberrywharf.nodes import claim_log, claim_owner
+from mulberrywharf.policy import outcome, retry_budget
+from mulberrywharf.programs import _router, router
+from mulberrywharf.requests import service_call
+
+_POLLS_PER_LEASE = 5
+
+
+def _patch(owner: type, name: str, value: Callable[..., Any]) -> None:
+    setattr(owner, name, value)
+
+
+def _ignore_request_ids() -> None:
+    header = _answers.Answer.header
+    check = streams.EngineStream._checked_token
+
+    def header_but_id(answer: Any, name: str) -> str | None:
+        return None if name == "x-request-id" else header(answer, name)
+
+    def check_but_id(stream: Any, document: Any, event: bytes) -> Any:
+        return check(stream, {**document, "id": stream._request_id}, event)
+
+    _patch(_answers.Answer, "header", header_but_id)
+    _patch(streams.EngineStream, "_checked_token", check_but_id)
+
+
+def _run_without_claims() -> None:
+    def run(pipeline: Any, wanted: Any, key: str) -> Any:
+        del key
+        return pipeline._run(wanted)
+
+    _patch(service_call.ServiceCallPipeline, "_run_under_claim", run)
+
+
+def _claim_in_memory_only() -> None:
+    def append(*_: Any) -> Any:
+        return Ok(None)
+
+    _patch(claim_log.ClaimLog, "append", append)
+
+
+def _write_claims_unguarded() -> None:
+    def write_once(log: Any, wanted: Any) -> Any:
+        return log._store.compare_and_swap(
+            wanted.key,
+            wanted.value,
+            expected_revision=wanted.mod_revision,
+            purpose=claim_log.PURPOSE_COMMIT,
+        )
+
+    _patch(claim_log.ClaimLog, "_write_once", write_once)
+
+
+def _take_every_failure_for_not_run() -> None:
+    judge = outcome.judge
+
+    def judge_lightly(progress: Any, *, is_idempotent: bool) -> Any:
+        verdict = judge(progress, is_idempotent=is_idempotent)
+        return verdict._replace(outcome="not-run")
+
+    retry_budget.outcome.judge = judge_lightly
+
+
+def _send_again_whatever_it_is() -> None:
+    judge = outcome.judge
+
+    def judge_lightly(progress: Any, *, is_idempotent: bool) -> Any:
+        del is_idempotent
+        return judge(progress, is_idempotent=True)
+
+    retry_budget.outcome.judge = judge_lightly
+
+
+def _take_any_end_for_the_end() -> None:
+    read = streams.EngineStream._read_events
+
+    def read_to_any_end(stream: Any) -> list[bytes]:
+        try:
+            return read(stream)
+        except errors.StreamBrokenError as error:
+            if "end mark" not in error.message:
+                raise
+            stream._failed = False
+            stream._done = True
+            return []
+
+    def end(stream: Any) -> None:
+        stream._done = True
+
+    _patch(streams.EngineStream, "_read_events", read_to_any_end)
+    _patch(streams.EngineStream, "_end", end)
+
+
+def _stop_at_once() -> None:
+    def stop(running: _router.Router) -> None:
+        running._operators.set_ready(False)
+
+    _patch(_router.Router, "stop", stop)
+
+
+def _take_leaving_for_live() -> None:
+    set_vms = directory.ServiceDirectory.set_vms
+
+    def set_all_live(servers: Any, vms: Any) -> None:
+        set_vms(servers, [vm._replace(state="live") for vm in vms])
+
+    _patch(directory.ServiceDirectory, "set_vms", set_all_live)
+
+
+OFF: dict[str, Callable[[], None]] = {
+    "request-ids": _ignore_request_ids,
+    "claims": _run_without_claims,
+    "claim-log": _claim_in_memory_only,
+    "claim-guard": _write_claims_unguarded,
+    "outcome": _take_every_failure_for_not_run,
+    "sent-once": _send_again_whatever_it_is,
+    "stream-end": _take_any_end_for_the_end,
+    "graceful-stop": _stop_at_once,
+    "leaving": _take_leaving_for_live,
+}
+"""What each mechanism's name takes out of the router."""
+
+
+def _shorten_claim_lease(lease_s: float) -> None:
+    make = claim_owner.ClaimOwner.__init__
+
+    def make_short(owner: Any, *arguments: Any, **options: Any) -> None:
+        options["lease_ttl_s"] = lease_s
+        options["poll_interval_s"] = lease_s / _POLLS_PER_LEASE
+        make(owner, *arguments, **options)
+
+    _patch(claim_owner.ClaimOwner, "__init__", make_short)
+
+
+def main() -> int:
+    """Runs it until SIGTERM."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--settings", required=True)
+    parser.add_argument("--off", choices=sorted(OFF))
+    parser.add_argument("--claim-lease-s", type=float, default=0.0)
+    arguments = parser.parse_args()
+    if arguments.off:
+        OFF[arguments.off]()
+    if arguments.claim_lease_s:
+        _shorten_claim_lease(arguments.claim_lease_s)
+    sys.argv = [sys.argv[0], "--settings", arguments.settings]
+    return router.main()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
