--- a/src/mulberrywharf/authority/order_records.py
+++ b/src/mulberrywharf/authority/order_records.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from collections.abc import Collection
 from typing import Any, Literal, NamedTuple
 
 import pydantic
@@ -20,6 +21,8 @@
 engine was told to. ``sent``: the order itself may have left. ``applied`` and
 ``failed`` are final."""
 
+_GONE_KEPT_S = 86_400.0
+
 IN_FLIGHT_PHASES: frozenset[OrderPhase] = frozenset(
     ("recorded", "draining", "sent")
 )
@@ -91,10 +94,24 @@
             version=self.version,
         )
 
+    def drain_order_id(self) -> str:
+        """Returns the id under which the engine is told to drain first.
+
+        It changes with each time that the phase is recorded, so that an
+        engine that took up work again in between can be drained anew.
+        """
+        return f"{self.order_id}/drain/{round(self.recorded_unix_s * 1000)}"
+
+    def awaited_order_id(self) -> str:
+        """Returns the id that was sent, or is to be sent, in this phase."""
+        if self.phase == "draining":
+            return self.drain_order_id()
+        return self.order_id
+
     def drain_order(self, fencing_number: int) -> orders.Order:
         """Returns the order that makes the engine finish its work first."""
         return orders.Order(
-            order_id=f"{self.order_id}/drain",
+            order_id=self.drain_order_id(),
             fencing_number=fencing_number,
             action="drain",
         )
@@ -151,6 +168,27 @@
         """Returns these records with some engines' records replaced."""
         return ZoneRecords(holder, {**self.records, **changed})
 
+    def without_gone(
+        self, engine_ids: Collection[str], now_unix_s: float
+    ) -> "ZoneRecords":
+        """Returns these records without those of engines long gone.
+
+        VMs are replaced daily and all records share one value of limited
+        size. The VM list lags, so a record outlives its engine for a day.
+
+        Args:
+            engine_ids: Engines that the VM list names.
+            now_unix_s: Wall clock.
+        """
+        kept_from_unix_s = now_unix_s - _GONE_KEPT_S
+        kept = {
+            engine_id: record
+            for engine_id, record in self.records.items()
+            if engine_id in engine_ids
+            or record.recorded_unix_s > kept_from_unix_s
+        }
+        return ZoneRecords(self.holder, kept)
+
     def drained_engine_ids(self) -> frozenset[str]:
         """Returns the engines that routers give no new work."""
         return frozenset(
--- a/src/mulberrywharf/authority/wanted_states.py
+++ b/src/mulberrywharf/authority/wanted_states.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from mulberrywharf import fleet, rules
-from mulberrywharf.authority import order_records, reconcile, situation_builder
+from mulberrywharf.authority import findings, order_records, situation_builder
 from mulberrywharf.policy import role_planner
 
 
@@ -46,7 +46,7 @@
         plan: The planner's decision.
     """
 
-    engines: dict[str, reconcile.WantedEngine]
+    engines: dict[str, findings.WantedEngine]
     plan: role_planner.Plan
 
 
@@ -220,7 +220,7 @@
     in_force: RuleInForce,
     plan: role_planner.Plan,
     is_to_load: bool,
-) -> reconcile.WantedEngine:
+) -> findings.WantedEngine:
     actions = in_force.match.actions
     record = zone.records.get(engine_id)
     role = settled_role(zone.reports[engine_id].report, record)
@@ -232,7 +232,7 @@
         reason = f"{reason}; {plan.reason}"
     elif _is_pointless(engine_id, zone, in_force):
         role = zone.reports[engine_id].report.role
-    wanted = reconcile.WantedEngine(
+    wanted = findings.WantedEngine(
         role=role,
         rule=in_force.match.rule_name,
         config_version=in_force.config_version,
--- a/src/mulberrywharf/programs/_controller_observer.py
+++ b/src/mulberrywharf/programs/_controller_observer.py
@@ -10,8 +10,8 @@
 from mulberrywharf import clock as clocks
 from mulberrywharf import errors, fleet, rules
 from mulberrywharf.authority import (
+    findings,
     order_records,
-    reconcile,
     situation_builder,
     wanted_states,
 )
@@ -43,7 +43,7 @@
     """
 
     vms: Mapping[str, fleet.VmRecord]
-    facts: Mapping[str, reconcile.EngineFacts]
+    facts: Mapping[str, findings.EngineFacts]
     match: rules.Match | None = None
     config_version: int = 0
     situation: rules.Situation | None = None
@@ -224,19 +224,21 @@
     vms: Mapping[str, fleet.VmRecord],
     reports: Mapping[str, situation_builder.SeenReport],
     records: Mapping[str, order_records.OrderRecord],
-    wanted: Mapping[str, reconcile.WantedEngine],
+    wanted: Mapping[str, findings.WantedEngine],
     accepted_unix_s: Mapping[str, float],
-) -> dict[str, reconcile.EngineFacts]:
+) -> dict[str, findings.EngineFacts]:
     facts = {}
     for engine_id in vms:
         seen = reports.get(engine_id)
         record = records.get(engine_id)
-        facts[engine_id] = reconcile.EngineFacts(
+        facts[engine_id] = findings.EngineFacts(
             engine_id,
             wanted.get(engine_id),
             record,
             None if seen is None else seen.report,
-            accepted_unix_s.get(record.order_id, 0.0) if record else 0.0,
+            accepted_unix_s.get(record.awaited_order_id(), 0.0)
+            if record
+            else 0.0,
         )
     return facts
 
--- a/src/mulberrywharf/programs/_controller_records.py
+++ b/src/mulberrywharf/programs/_controller_records.py
@@ -1,6 +1,6 @@
 """The order records as one controller keeps them under its lease."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from result import Err, Ok, Result
 
@@ -78,16 +78,20 @@
         self,
         held: _controller_lease.HeldLease,
         changed: Mapping[str, order_records.OrderRecord],
+        engine_ids: Collection[str],
     ) -> Result[None, record_store.StoreError]:
         """Stores all changed records in one write.
 
         Args:
             held: The lease under which they were changed.
             changed: By engine id.
+            engine_ids: Engines that the VM list names.
         """
         if not changed:
             return Ok(None)
-        before = dict(self.by_engine)
+        before = self._store.zone_records.without_gone(
+            engine_ids, self._clock.unix_s()
+        ).records
         written = self._write(held, {**before, **changed}, settled=False)
         if isinstance(written, Ok):
             for engine_id, record in changed.items():
@@ -106,7 +110,7 @@
         if record is None or record.order_id != order_id:
             return Ok(None)
         failed = record._replace(phase="failed", reason=reason)
-        return self.change(held, {engine_id: failed})
+        return self.change(held, {engine_id: failed}, self.by_engine.keys())
 
     def mark_settled(self, held: _controller_lease.HeldLease) -> None:
         """Tells the next holder that no order can still be on its way.
--- a/src/mulberrywharf/programs/_controller_status.py
+++ b/src/mulberrywharf/programs/_controller_status.py
@@ -1,7 +1,7 @@
 """What the controller's ``GET /status`` says."""
 
 from mulberrywharf import settings
-from mulberrywharf.authority import order_records, reconcile
+from mulberrywharf.authority import findings, order_records
 from mulberrywharf.operators import situations, status
 from mulberrywharf.programs import _controller_lease, _controller_observer
 
@@ -54,7 +54,7 @@
 
 
 def _engine(
-    availability_zone: str, fact: reconcile.EngineFacts, now_unix_s: float
+    availability_zone: str, fact: findings.EngineFacts, now_unix_s: float
 ) -> status.EngineStatus:
     engine = status.EngineStatus(
         engine_id=fact.engine_id,
--- a/src/mulberrywharf/programs/_controller_zone.py
+++ b/src/mulberrywharf/programs/_controller_zone.py
@@ -15,7 +15,12 @@
 
 from mulberrywharf import clock as clocks
 from mulberrywharf import errors, fleet, metrics
-from mulberrywharf.authority import order_records, reconcile
+from mulberrywharf.authority import (
+    findings,
+    order_records,
+    reconcile,
+    steps,
+)
 from mulberrywharf.engines import orders
 from mulberrywharf.platform_service import weight_store
 from mulberrywharf.programs import (
@@ -36,7 +41,7 @@
     "mulberry_controller_rounds_total", "Rounds, by what ended them."
 )
 
-_Steps = dict[str, reconcile.Step]
+_Steps = dict[str, steps.Step]
 
 
 class ZoneController:
@@ -146,16 +151,16 @@
             self._records.change_ends_unix_s,
         )
         self.view = view
-        steps = self._steps(held, view)
+        next_steps = self._next_steps(held, view)
         changed = {
             engine_id: step.record
-            for engine_id, step in steps.items()
+            for engine_id, step in next_steps.items()
             if step.record is not None
         }
-        written = self._records.change(held, changed)
+        written = self._records.change(held, changed, view.vms.keys())
         if isinstance(written, Err):
             return self._fail(held, written.err_value)
-        self._send(held, view, steps)
+        self._send(held, view, next_steps)
         _rounds.inc({"outcome": "done"})
         return any(
             self._records.by_engine[engine_id].in_flight()
@@ -181,7 +186,7 @@
 
     # --- deciding ----------------------------------------------------------
 
-    def _steps(
+    def _next_steps(
         self,
         held: _controller_lease.HeldLease,
         view: _controller_observer.ZoneView,
@@ -190,38 +195,36 @@
 
         Planned changes are paced: one engine of the zone at a time.
         """
-        steps: _Steps = {}
+        next_steps: _Steps = {}
         may_plan = not any(_is_in_change(f) for f in view.facts.values())
         for engine_id, facts in view.facts.items():
             holder = self._reconciler(held, view.vms[engine_id])
             finding = reconcile.find(facts, holder)
-            step = reconcile.next_step(finding, self._context(held))
+            step = steps.next_step(finding, self._context(held))
             if step.planned and not may_plan:
                 continue
-            if isinstance(finding, reconcile.Astray) and not self._may_begin(
+            if isinstance(finding, findings.Astray) and not self._may_begin(
                 engine_id, step.record
             ):
                 continue
             may_plan = may_plan and not step.planned
-            steps[engine_id] = step
-        return steps
+            next_steps[engine_id] = step
+        return next_steps
 
     def _reconciler(
         self, held: _controller_lease.HeldLease, vm: fleet.VmRecord
-    ) -> reconcile.Holder:
+    ) -> findings.Holder:
         ends_s = self._options.quiet.ends_s(
             self._records.takeover, vm.engine_kind
         )
-        return reconcile.Holder(
+        return findings.Holder(
             held.fencing_number,
             quiet=self._clock.monotonic_s() < ends_s,
             clock_margin_s=self._options.clock_margin_s,
         )
 
-    def _context(
-        self, held: _controller_lease.HeldLease
-    ) -> reconcile.StepContext:
-        return reconcile.StepContext(
+    def _context(self, held: _controller_lease.HeldLease) -> steps.StepContext:
+        return steps.StepContext(
             fencing_number=held.fencing_number,
             new_order_id=uuid.uuid4().hex,
             now_unix_s=self._clock.unix_s(),
@@ -250,10 +253,10 @@
         self,
         held: _controller_lease.HeldLease,
         view: _controller_observer.ZoneView,
-        steps: _Steps,
+        next_steps: _Steps,
     ) -> None:
         sendings = []
-        for engine_id, step in steps.items():
+        for engine_id, step in next_steps.items():
             order = self._order(held, engine_id, step)
             if order is not None and self._is_due(order.order_id):
                 address = view.vms[engine_id].address
@@ -272,7 +275,7 @@
         self,
         held: _controller_lease.HeldLease,
         engine_id: str,
-        step: reconcile.Step,
+        step: steps.Step,
     ) -> orders.Order | None:
         record = self._records.by_engine.get(engine_id)
         if record is None:
@@ -324,7 +327,7 @@
 
     def _note_accepted(self, order_id: str) -> None:
         in_flight = {
-            record.order_id
+            record.awaited_order_id()
             for record in self._records.by_engine.values()
             if record.in_flight()
         }
@@ -342,7 +345,7 @@
         self._unknown_until_s = now_s + self._options.user_timeout_s
 
 
-def _is_in_change(facts: reconcile.EngineFacts) -> bool:
+def _is_in_change(facts: findings.EngineFacts) -> bool:
     if facts.report is not None and facts.report.state == "changing":
         return True
     record = facts.record
--- a/tests/test_order_records.py
+++ b/tests/test_order_records.py
@@ -48,6 +48,15 @@
                 records = order_records.ZoneRecords(None, {"e": record})
                 self.assertEqual("e" in records.drained_engine_ids(), drained)
 
+    def test_records_of_engines_long_gone_are_dropped(self):
+        old = builders_authority.order_record(recorded_unix_s=1_000.0)
+        new = builders_authority.order_record(recorded_unix_s=90_000.0)
+        records = order_records.ZoneRecords(
+            None, {"here": old, "gone": old, "just-gone": new}
+        )
+        kept = records.without_gone({"here"}, 100_000.0).records
+        self.assertEqual(set(kept), {"here", "just-gone"})
+
     def test_the_role_is_sent_only_with_a_role_change(self):
         record = builders_authority.order_record(action="resume")
         self.assertEqual(record.order(9).role, "")
