Let routers answer a controller's question for rates

Rules may have conditions on a customer's or a model's rate, but only routers count requests, so such a rule was undecided at the controller and held its zone. Ruled out: the mesh, whose demand reports hold five customers and are a round old; a value in the key-value service, a write every few seconds in each zone and gone in an outage; /status, which needs an operator's token and carries all of it.

The controller does not ask yet; its observer takes the parts in next.

--- a/src/mulberrywharf/nodes/codec.py
+++ b/src/mulberrywharf/nodes/codec.py
@@ -12,6 +12,7 @@
 import functools
 import hashlib
 import hmac
+import math
 import pathlib
 import struct
 import zlib
@@ -291,6 +292,20 @@
     builder.shardHandover = message.shard
 
 
+@_write.register
+def _(message: messages.RatesFetch, builder: Any) -> None:
+    body = builder.init("ratesFetch")
+    body.customers = list(message.customers)
+    body.models = list(message.models)
+
+
+@_write.register
+def _(message: messages.Rates, builder: Any) -> None:
+    body = builder.init("rates")
+    body.customers = list(message.customers)
+    body.models = list(message.models)
+
+
 def _digest(value: bytes) -> bytes:
     if len(value) != _DIGEST_BYTES:
         raise errors.BadFrameError("a digest has the wrong length")
@@ -386,6 +401,24 @@
     return messages.ShardHandover(reader.shardHandover)
 
 
+def _read_rates_fetch(reader: Any) -> messages.Message:
+    body = reader.ratesFetch
+    return messages.RatesFetch(tuple(body.customers), tuple(body.models))
+
+
+def _read_rates(reader: Any) -> messages.Message:
+    body = reader.rates
+    return messages.Rates(_rates(body.customers), _rates(body.models))
+
+
+def _rates(values: Any) -> tuple[float, ...]:
+    rates = tuple(values)
+    # One NaN would make a sum compare as neither above nor below anything.
+    if not all(math.isfinite(rate) and rate >= 0 for rate in rates):
+        raise errors.BadFrameError("a rate is no rate")
+    return rates
+
+
 _READERS: dict[str, Callable[[Any], messages.Message]] = {
     "heartbeat": _read_heartbeat,
     "leaving": _read_leaving,
@@ -397,4 +430,6 @@
     "claimWait": _read_claim_wait,
     "claimReply": _read_claim_reply,
     "shardHandover": _read_shard_handover,
+    "ratesFetch": _read_rates_fetch,
+    "rates": _read_rates,
 }
--- a/src/mulberrywharf/nodes/messages.capnp
+++ b/src/mulberrywharf/nodes/messages.capnp
@@ -15,6 +15,8 @@
     claimWait @9 :ClaimWait;
     claimReply @10 :ClaimReply;
     shardHandover @11 :UInt32;
+    ratesFetch @12 :RatesFetch;
+    rates @13 :Rates;
   }
 }
 
@@ -39,6 +41,16 @@
   tokensPerS @2 :Float32;
 }
 
+struct RatesFetch {
+  customers @0 :List(Text);
+  models @1 :List(Text);
+}
+
+struct Rates {
+  customers @0 :List(Float32);  # in the order of the question
+  models @1 :List(Float32);
+}
+
 struct Leaving {
   incarnation @0 :UInt64;
 }
--- a/src/mulberrywharf/nodes/messages.py
+++ b/src/mulberrywharf/nodes/messages.py
@@ -194,6 +194,31 @@
     shard: int
 
 
+class RatesFetch(NamedTuple):
+    """Asks a router for the rates of some customers and models.
+
+    Attributes:
+        customers: Names of customers.
+        models: Names of models.
+    """
+
+    customers: tuple[str, ...]
+    models: tuple[str, ...]
+
+
+class Rates(NamedTuple):
+    """Answers ``RatesFetch``.
+
+    Attributes:
+        customers: Requests per second at this router, refused ones too, in
+            the order of the question.
+        models: Likewise.
+    """
+
+    customers: tuple[float, ...]
+    models: tuple[float, ...]
+
+
 Message = (
     Heartbeat
     | Leaving
@@ -205,6 +230,8 @@
     | ClaimWait
     | ClaimReply
     | ShardHandover
+    | RatesFetch
+    | Rates
 )
 
 
--- a/src/mulberrywharf/operators/situations.py
+++ b/src/mulberrywharf/operators/situations.py
@@ -28,7 +28,9 @@
         engines_lost_count=_fresh(situation.engines_lost_count),
         customer_requests_per_s=dict(situation.customer_requests_per_s),
         model_requests_per_s=dict(situation.model_requests_per_s),
+        absent_requests_per_s=situation.absent_requests_per_s,
         rates_age_s=None if math.isinf(age_s) else age_s,
+        rates_given_up=situation.rates_given_up,
     )
 
 
@@ -43,7 +45,9 @@
         engines_lost_count=Reading(status["engines_lost_count"], 0.0),
         customer_requests_per_s=status["customer_requests_per_s"],
         model_requests_per_s=status["model_requests_per_s"],
+        absent_requests_per_s=status.get("absent_requests_per_s", 0.0),
         rates_age_s=math.inf if age_s is None else age_s,
+        rates_given_up=status.get("rates_given_up", False),
     )
 
 
--- a/src/mulberrywharf/operators/status.py
+++ b/src/mulberrywharf/operators/status.py
@@ -122,7 +122,10 @@
         engines_lost_count: None when unknown.
         customer_requests_per_s: By customer.
         model_requests_per_s: By model.
+        absent_requests_per_s: Of those absent there; None when unknown.
         rates_age_s: Age of both kinds of rates; None when unknown.
+        rates_given_up: No condition on them holds, as too few routers have
+            told them for long.
     """
 
     availability_zone: str
@@ -132,7 +135,9 @@
     engines_lost_count: float | None
     customer_requests_per_s: dict[str, float]
     model_requests_per_s: dict[str, float]
+    absent_requests_per_s: NotRequired[float | None]
     rates_age_s: float | None
+    rates_given_up: NotRequired[bool]
 
 
 @pydantic.with_config(_OPEN)
--- a/src/mulberrywharf/programs/_router.py
+++ b/src/mulberrywharf/programs/_router.py
@@ -100,6 +100,7 @@
         )
         retries = retry_budget.RetryBudget.from_config(now_s)
         rates = demand_rates.DemandRates()
+        self._nodes.share_rates(rates)
         self._configuration = _router_configuration.RouterConfiguration(
             self._platform.follower, customer_limits, self._audit, self._clock
         )
--- a/src/mulberrywharf/programs/_router_nodes.py
+++ b/src/mulberrywharf/programs/_router_nodes.py
@@ -1,5 +1,7 @@
 """The router's side of the other entry VMs."""
 
+import time
+
 import gevent
 
 from mulberrywharf import fleet, settings
@@ -10,7 +12,9 @@
     mesh,
     server,
 )
+from mulberrywharf.nodes import rates as node_rates
 from mulberrywharf.programs import _router_platform
+from mulberrywharf.requests import demand_rates
 
 
 class Nodes:
@@ -57,6 +61,12 @@
             callers_address,
         )
 
+    def share_rates(self, rates: demand_rates.DemandRates) -> None:
+        """Lets the zone's controller ask how many requests come here."""
+        node_rates.answer_from(
+            self._server, lambda: rates.read(time.monotonic())
+        )
+
     def start(self) -> None:
         """Begins to send heartbeats and to look after shards of claims."""
         self.mesh.start()
--- a/src/mulberrywharf/programs/_router_rules.py
+++ b/src/mulberrywharf/programs/_router_rules.py
@@ -109,6 +109,7 @@
         return built._replace(
             customer_requests_per_s=_times(rates.customers, routers_count),
             model_requests_per_s=_times(rates.models, routers_count),
+            absent_requests_per_s=0.0,
             rates_age_s=0.0,
         )
 
--- a/src/mulberrywharf/rules/match.py
+++ b/src/mulberrywharf/rules/match.py
@@ -161,18 +161,28 @@
     for condition, name, rates in subjects:
         if name is None:
             continue
-        # Whoever is absent sends nothing, unless the rates are not known.
         known = not math.isinf(situation.rates_age_s)
-        rate = rates.get(name, 0.0) if known else None
+        absent_per_s = situation.absent_requests_per_s
+        rate = rates.get(name, absent_per_s) if known else None
         reading = Reading(rate, situation.rates_age_s)
         above = when.get("requests_above_per_s")
         below = when.get("requests_below_per_s")
         if above is not None or below is None:
             label = f"{condition} {name} requests_above_per_s"
-            yield _compare(label, above or 0.0, reading, True, stale_after_s)
+            seen = _compare(label, above or 0.0, reading, True, stale_after_s)
+            yield _unless_given_up(seen, situation)
         if below is not None:
             label = f"{condition} {name} requests_below_per_s"
-            yield _compare(label, below, reading, False, stale_after_s)
+            seen = _compare(label, below, reading, False, stale_after_s)
+            yield _unless_given_up(seen, situation)
+
+
+def _unless_given_up(seen: SeenInput, situation: Situation) -> SeenInput:
+    # While nobody tells the rates, a rule on them would hold the zone for
+    # ever and with it the rules behind, whose figures may all be there.
+    if seen.holds is None and situation.rates_given_up:
+        return seen._replace(holds=False)
+    return seen
 
 
 def _compare(
--- a/src/mulberrywharf/rules/situation.py
+++ b/src/mulberrywharf/rules/situation.py
@@ -34,9 +34,13 @@
         prefill_share: Prefill's share of the work, 0 to 1.
         queue_delay_s: How long requests wait for an engine.
         engines_lost_count: Engines of the zone that should serve and do not.
-        customer_requests_per_s: By customer; one who is absent sends none.
-        model_requests_per_s: By model; one that is absent gets none.
+        customer_requests_per_s: By customer.
+        model_requests_per_s: By model.
+        absent_requests_per_s: Rate of customers and models that are absent
+            there: none, or None when only some were asked for.
         rates_age_s: Age of both kinds of rates; infinite when unknown.
+        rates_given_up: They have been unknown for so long that no condition
+            on them holds.
     """
 
     availability_zone: str
@@ -46,7 +50,9 @@
     engines_lost_count: Reading = UNKNOWN
     customer_requests_per_s: Mapping[str, float] = _NO_RATES
     model_requests_per_s: Mapping[str, float] = _NO_RATES
+    absent_requests_per_s: float | None = 0.0
     rates_age_s: float = float("inf")
+    rates_given_up: bool = False
 
 
 def utc_minute(unix_s: float) -> int:
--- a/tests/builders_nodes.py
+++ b/tests/builders_nodes.py
@@ -38,6 +38,8 @@
             "done", "entry-2", "127.0.0.1", 80, 200, DIGEST, b"", "request-1"
         ),
         messages.ShardHandover(3),
+        messages.RatesFetch(("dispatch", "solano"), ("tagger",)),
+        messages.Rates((1.5, 0.25), (3.0,)),
     ]
 
 
