Give controllers the rates of customers and models

A rule on a customer's or a model's rate stayed undecided at its controller and held the zone and every rule behind it, because only routers count requests. The observer now adds to the situation what the zone's routers answer.

With the change the rule in front matches once two routers together get more than its bound, and no longer when the load is gone. The second test ends all routers while the VM list shows them: the rule is undecided first, and after the time of giving up, shortened from 60 s to 6 s for the test, the one behind counts.

--- a/src/mulberrywharf/programs/_controller_observer.py
+++ b/src/mulberrywharf/programs/_controller_observer.py
@@ -18,7 +18,7 @@
 from mulberrywharf.engines import state
 from mulberrywharf.platform_service import configuration
 from mulberrywharf.policy import role_planner
-from mulberrywharf.programs import _controller_options
+from mulberrywharf.programs import _controller_options, _controller_rates
 from mulberrywharf.rules.explain import reason as rule_reason
 
 _CONCURRENT_READS_COUNT = 64
@@ -75,11 +75,13 @@
         clock: clocks.Clock,
         vm_source: VmSource,
         current_configuration: Callable[[], configuration.Configuration | None],
+        rates: _controller_rates.ZoneRates,
     ):
         self._options = options
         self._clock = clock
         self._vm_source = vm_source
         self._configuration = current_configuration
+        self._rates = rates
         self._tracker = situation_builder.DemandTracker()
         self._sustain = rules.Sustain()
         self._reads = gevent.pool.Pool(_CONCURRENT_READS_COUNT)
@@ -163,7 +165,7 @@
         reports: Mapping[str, situation_builder.SeenReport],
         demand: role_planner.Demand | None,
     ) -> rules.Situation:
-        return situation_builder.build(
+        situation = situation_builder.build(
             availability_zone=self._options.availability_zone,
             now_unix_s=self._clock.unix_s(),
             engine_ids=list(vms),
@@ -171,6 +173,10 @@
             demand=demand,
             vm_list_age_s=self._vm_source.age_s(),
         )
+        current = self._configuration()
+        if current is None:
+            return situation
+        return self._rates.add_to(situation, current.document)
 
     def _rule_in_force(
         self, situation: rules.Situation
--- a/src/mulberrywharf/programs/controller.py
+++ b/src/mulberrywharf/programs/controller.py
@@ -34,6 +34,7 @@
     _controller_lease,
     _controller_observer,
     _controller_options,
+    _controller_rates,
     _controller_records,
     _controller_sending,
     _controller_status,
@@ -92,6 +93,9 @@
         self._keeper = _controller_lease.LeaseKeeper.from_config(
             config, self._key_value, fuse, clock, self._audit
         )
+        self._rates = _controller_rates.ZoneRates.from_config(
+            config, self._vm_list.vms, clock
+        )
         sender = _controller_sending.OrderSender(
             fuse, user_timeout_s=_controller_options.user_timeout_s(config)
         )
@@ -116,6 +120,7 @@
         self._configuration.start()
         self._vm_list.start()
         self._weights.start()
+        self._rates.start()
         self._operators.start()
         self._keeper.start()
         self._zone.start()
@@ -129,6 +134,7 @@
         self._operators.set_ready(False)
         self._zone.close(_FINISH_S)
         self._keeper.close()
+        self._rates.close()
         self._weights.close()
         self._vm_list.close()
         self._configuration.close()
@@ -163,7 +169,11 @@
                 self._key_value, self._configuration, self._clock, deployment
             ),
             observer=_controller_observer.ZoneObserver(
-                options, self._clock, vm_source, self._configuration.current
+                options,
+                self._clock,
+                vm_source,
+                self._configuration.current,
+                self._rates,
             ),
             records=_controller_records.ZoneRecords(
                 options, store, self._clock, self._audit
--- a/tests/controller_without.py
+++ b/tests/controller_without.py
@@ -11,6 +11,7 @@
 
 from mulberrywharf import settings
 from mulberrywharf.engines import orders
+from mulberrywharf.nodes import rates
 from mulberrywharf.programs import controller
 
 
@@ -33,18 +34,31 @@
     )
 
 
+def _give_up_rates_after(give_up_s: float) -> None:
+    """Shortens the minute after which rules on rates are passed over."""
+    make = rates.RateBook.__init__
+
+    def make_hasty(book: Any, *_: Any) -> None:
+        make(book, give_up_s)
+
+    rates.RateBook.__init__ = make_hasty  # type: ignore[method-assign]
+
+
 def main() -> None:
     """Runs it until SIGTERM."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--settings", required=True)
     parser.add_argument("--off", choices=controller.Mechanisms._fields)
     parser.add_argument("--gap-s", type=float, default=0.0)
+    parser.add_argument("--rates-give-up-s", type=float, default=0.0)
     arguments = parser.parse_args()
     mechanisms = controller.Mechanisms()
     if arguments.off:
         mechanisms = mechanisms._replace(**{arguments.off: False})
     if arguments.gap_s:
         _widen_gap(arguments.gap_s)
+    if arguments.rates_give_up_s:
+        _give_up_rates_after(arguments.rates_give_up_s)
     controller.run(settings.load(arguments.settings).unwrap(), mechanisms)
 
 
--- /dev/null
+++ b/tests/test_controller_rates.py
@@ -0,0 +1,100 @@
+"""Rules on a customer's rate, in real controllers beside real routers."""
+
+import unittest
+
+import gevent
+
+from tests import builders_settings, callers_fixture, cluster, processes
+
+_ZONE = "regina-hall"
+_RULES = [
+    {
+        "name": "busy-customer",
+        "when": {
+            "customer": callers_fixture.CUSTOMER,
+            "requests_above_per_s": 5,
+        },
+        "then": {"hold": True},
+    },
+    {
+        "name": "behind",
+        "when": {"queue_delay_below_s": 1000},
+        "then": {"hold": True},
+    },
+]
+_SHAPE = cluster.Shape(
+    routers_per_zone=2,
+    backends_per_zone=1,
+    document={"rules": _RULES},
+)
+
+
+class ControllerRatesTest(unittest.TestCase):
+    def start(self, shape: cluster.Shape) -> cluster.Cluster:
+        running = cluster.Cluster(shape).start()
+        self.addCleanup(running.close)
+        return running
+
+    def wait_for_rule(
+        self, running: cluster.Cluster, wanted: str, *, undecided: bool = False
+    ) -> None:
+        def is_in_force() -> bool:
+            rule = running.status(running.controllers[0]).get("rule")
+            if rule is None or rule["undecided"] != undecided:
+                return False
+            return bool(rule["rule_name"] == wanted)
+
+        cluster.wait_until(is_in_force, f"{wanted} in force", 60.0)
+
+    def test_a_rule_follows_the_load_of_a_customer(self) -> None:
+        """A customer's load rises and the rule on it does not match.
+
+        Symptom: the rule stays undecided and holds the zone, whatever the
+        customer sends. Sequence: requests come to two routers, each gets less
+        than the bound. Cause: only routers count requests, and a controller
+        that asks none, or only one, does not know the zone's rate.
+        """
+        running = self.start(_SHAPE._replace(controllers=True))
+        self.wait_for_rule(running, "behind")
+        senders = [
+            gevent.spawn(self._send, running.caller(index)) for index in (0, 1)
+        ]
+        try:
+            self.wait_for_rule(running, "busy-customer")
+        finally:
+            gevent.killall(senders)
+        self.wait_for_rule(running, "behind")
+
+    def test_rules_behind_count_when_no_router_answers(self) -> None:
+        """No router tells its rates, and the whole zone stands still.
+
+        Symptom: no rule acts any more, also those on engines' reports.
+        Sequence: the routers are gone while the VM list shows them. Cause: a
+        condition that stays unknown holds every rule behind it.
+        """
+        running = self.start(_SHAPE)
+        settings = running.node_settings("controller-1", _ZONE)
+        process = processes.Process(
+            "tests.controller_without",
+            "--settings",
+            builders_settings.write_settings(settings),
+            "--rates-give-up-s",
+            "6",
+        )
+        running.controllers.append(
+            cluster.Member("controller-1", "", _ZONE, process, 0)
+        )
+        self.wait_for_rule(running, "behind")
+        for router in running.routers:
+            router.process.close()
+        self.wait_for_rule(running, "busy-customer", undecided=True)
+        self.wait_for_rule(running, "behind")
+
+    def _send(self, caller: cluster.Caller) -> None:
+        while True:
+            caller.call("/echo", b"x")
+            gevent.sleep(0.25)
+
+
+if __name__ == "__main__":
+    unittest.main()
