Give each request an id of its own towards back ends

Callers choose x-request-id, and engines cancel and echo by what they get. Between real processes, two callers with one id at one engine: when one left in mid-stream both runs were cancelled and the other's answer was resumed (3 runs instead of 2), and answers that an engine or a service swapped were delivered as whole.

What goes out is now the caller's id, "~" and 128 random bits in hexadecimal, one for all attempts of a request. A fresh id alone would be lost to back ends' logs; refusing ids that are in use would need routers to know of each other's requests. The caller goes on seeing its own id in the header, in problem details and in plain answers; the id in a stream's events is the run's, since the engine's bytes are passed on. Services get the caller's id in a header of its own.

The audit checker maps runs back to callers by a rule of its own. A caller's id that nobody shares may still run once, whatever the run id; besides, it now checks that events carry one run id of their caller and that no run answered two requests. test_passthrough asserted the caller's id in x-request-id, which is what was wrong; it asserts the new header and the absence of the old one.

--- a/bench/_request_callers.py
+++ b/bench/_request_callers.py
@@ -213,7 +213,8 @@
         whole = bool(events) and events[-1] == "[DONE]"
         documents = [json.loads(e) for e in events if e != "[DONE]"]
         ids = {d["id"] for d in documents if "id" in d}
-        if ids - {request_id}:
+        callers_ids = {histories.caller_request_id(run_id) for run_id in ids}
+        if callers_ids - {request_id} or len(ids) > 1:
             self._find("foreign-answer", request_id, f"events of {ids}")
         if not whole and (not documents or "error" not in documents[-1]):
             self._find("unanswered", request_id, "the stream just ends")
--- a/proofs/histories.py
+++ b/proofs/histories.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import re
 from typing import Any, Literal, NotRequired
 
 import pydantic
@@ -15,6 +16,19 @@
 its answer is incomplete. ``none``: nothing came while the caller waited."""
 
 
+_RUN_ID = re.compile(r"(?P<caller_request_id>[^~]+)~[0-9a-f]{32}")
+
+
+def caller_request_id(run_id: str) -> str:
+    """Returns the caller's id of a request as a back end logged it.
+
+    Towards back ends a request's id is its caller's id, ``~`` and 32
+    hexadecimal digits. An id of another form is nobody's but its own.
+    """
+    found = _RUN_ID.fullmatch(run_id)
+    return found["caller_request_id"] if found else run_id
+
+
 class HistoryError(errors.DocumentError):
     """The document of collected logs cannot be used."""
 
@@ -44,6 +58,7 @@
     """One request that an engine began to run.
 
     Attributes:
+        request_id: The run's; see ``caller_request_id``.
         came_unix_s: When the request arrived there.
     """
 
@@ -60,7 +75,11 @@
 
 
 class BackendRun(TypedDict):
-    """One call that a backend server ran."""
+    """One call that a backend server ran.
+
+    Attributes:
+        request_id: The run's; see ``caller_request_id``.
+    """
 
     path: str
     request_id: str
@@ -93,7 +112,7 @@
     """What one caller asked and got.
 
     Attributes:
-        request_id: Its own.
+        request_id: Its own; callers may choose the same.
         outcome: How it ended, as the caller may understand it.
         customer: Idempotency keys of different customers differ.
         path: Of a call to a plain service.
@@ -104,6 +123,7 @@
         prompt: The whole prompt text.
         max_tokens: None leaves the length to the model.
         answer_text: What arrived.
+        answer_ids: Of a streamed answer: each id that its events carry.
     """
 
     request_id: str
@@ -117,6 +137,7 @@
     prompt: NotRequired[str]
     max_tokens: NotRequired[int | None]
     answer_text: NotRequired[str]
+    answer_ids: NotRequired[list[str]]
 
 
 class Leaving(TypedDict):
--- a/proofs/request_checks.py
+++ b/proofs/request_checks.py
@@ -15,22 +15,23 @@
 
 def check_at_most_once(history: histories.History) -> Iterator[Violation]:
     """Finds non-idempotent calls that ran twice, by request and by key."""
-    by_request: collections.Counter[str] = collections.Counter()
+    by_request: collections.defaultdict[str, list[str]] = (
+        collections.defaultdict(list)
+    )
     by_key: collections.defaultdict[
         tuple[str, str], list[histories.BackendRun]
     ] = collections.defaultdict(list)
     for run in _non_idempotent_runs(history):
-        by_request[run["request_id"]] += 1
+        caller_id = histories.caller_request_id(run["request_id"])
+        by_request[caller_id].append(run["request_id"])
         if run["idempotency_key"]:
             by_key[run["path"], run["idempotency_key"]].append(run)
-    for request_id, count in by_request.items():
-        if request_id and count > 1:
-            detail = f"the request ran {count} times"
-            yield Violation("ran-twice", request_id, detail)
-    customers = {
-        record["request_id"]: record.get("customer", "")
-        for record in history.get("callers", [])
-    }
+    asked = _asked_counts(history)
+    for caller_id, run_ids in by_request.items():
+        if caller_id and _is_repeated(run_ids, asked[caller_id]):
+            detail = f"the request ran {len(run_ids)} times: {run_ids}"
+            yield Violation("ran-twice", caller_id, detail)
+    customers = _customers(history)
     for (path, key), runs in by_key.items():
         count = _highest_count(runs, customers)
         if count > 1:
@@ -42,12 +43,19 @@
 def check_not_run(history: histories.History) -> Iterator[Violation]:
     """Finds requests that were told not to have run, and did."""
     places = _places_of_runs(history)
-    for record in history.get("callers", []):
-        if record["outcome"] != "not-run":
-            continue
-        if record["request_id"] in places:
-            detail = f"ran at {places[record['request_id']]}"
-            yield Violation("not-run-ran", record["request_id"], detail)
+    told = collections.Counter(
+        record["request_id"]
+        for record in history.get("callers", [])
+        if record["outcome"] == "not-run"
+    )
+    sent = collections.Counter(
+        record["request_id"] for record in history.get("callers", [])
+    )
+    for caller_id in told:
+        ran = places.get(caller_id, {})
+        # Callers may share an id: the others of that id may have run.
+        if len(ran) > sent[caller_id] - told[caller_id]:
+            yield Violation("not-run-ran", caller_id, f"ran at {ran}")
 
 
 def check_answers(history: histories.History) -> Iterator[Violation]:
@@ -62,14 +70,15 @@
         if record["outcome"] == "none":
             detail = "the caller got neither an answer nor a refusal"
             yield Violation("unanswered", request_id, detail)
-        if record["outcome"] != "answered":
-            continue
-        if "prompt" in record:
-            fault = _completion_fault(record)
-        else:
-            fault = _service_fault(record, keyed_runs)
+        fault = _ids_fault(record)
+        if record["outcome"] == "answered" and not fault:
+            if "prompt" in record:
+                fault = _completion_fault(record)
+            else:
+                fault = _service_fault(record, keyed_runs)
         if fault:
             yield Violation("foreign-answer", request_id, fault)
+    yield from _shared_answers(history)
 
 
 def check_leaving(history: histories.History) -> Iterator[Violation]:
@@ -93,6 +102,36 @@
                 yield run
 
 
+def _asked_counts(history: histories.History) -> collections.Counter[str]:
+    """Returns how many calls under each id may have run."""
+    idempotent = history.get("idempotent_paths", _DEFAULT_IDEMPOTENT_PATHS)
+    return collections.Counter(
+        record["request_id"]
+        for record in history.get("callers", [])
+        if record["outcome"] != "not-run"
+        and "path" in record
+        and record["path"] not in idempotent
+    )
+
+
+def _is_repeated(run_ids: list[str], asked_count: int) -> bool:
+    """Whether the runs under one caller's id are more than its calls."""
+    by_run_id = collections.Counter(run_ids)
+    return max(by_run_id.values()) > 1 or len(run_ids) > max(1, asked_count)
+
+
+def _customers(history: histories.History) -> dict[str, str]:
+    """Returns the customer of each id that only one customer used."""
+    found: collections.defaultdict[str, set[str]] = collections.defaultdict(set)
+    for record in history.get("callers", []):
+        found[record["request_id"]].add(record.get("customer", ""))
+    return {
+        request_id: next(iter(names))
+        for request_id, names in found.items()
+        if len(names) == 1
+    }
+
+
 def _highest_count(
     runs: list[histories.BackendRun], customers: dict[str, str]
 ) -> int:
@@ -101,21 +140,69 @@
     A run whose customer nobody recorded counts for each of them: it may be a
     repeat that the system made under an id of its own.
     """
-    known = [customers.get(run["request_id"]) for run in runs]
+    known = [
+        customers.get(histories.caller_request_id(run["request_id"]))
+        for run in runs
+    ]
     unknown_count = known.count(None)
     counts = collections.Counter(c for c in known if c is not None)
     return max(counts.values(), default=0) + unknown_count
 
 
-def _places_of_runs(history: histories.History) -> dict[str, list[str]]:
-    places = collections.defaultdict(list)
+def _places_of_runs(
+    history: histories.History,
+) -> dict[str, dict[str, list[str]]]:
+    """Returns where each run was, by the caller's id and the run's."""
+    places: dict[str, dict[str, list[str]]] = {}
+    for vm_id, run_id in _run_places(history):
+        caller_id = histories.caller_request_id(run_id)
+        by_run_id = places.setdefault(caller_id, {})
+        by_run_id.setdefault(run_id, []).append(vm_id)
+    return places
+
+
+def _run_places(history: histories.History) -> Iterator[tuple[str, str]]:
     for log in history.get("engines", []):
         for run in log["runs"]:
-            places[run["request_id"]].append(log["engine_id"])
+            yield log["engine_id"], run["request_id"]
     for backend_log in history.get("backend_servers", []):
         for backend_run in backend_log["runs"]:
-            places[backend_run["request_id"]].append(backend_log["vm_id"])
-    return dict(places)
+            yield backend_log["vm_id"], backend_run["request_id"]
+
+
+def _ids_fault(record: histories.CallerRecord) -> str:
+    """Checks what arrived of a stream, whole or not."""
+    ids = record.get("answer_ids", [])
+    foreign = [
+        run_id
+        for run_id in ids
+        if histories.caller_request_id(run_id) != record["request_id"]
+    ]
+    if foreign:
+        return f"events belong to {foreign}"
+    if len(set(ids)) > 1:
+        return f"events belong to several requests: {ids}"
+    return ""
+
+
+def _shared_answers(history: histories.History) -> Iterator[Violation]:
+    """Finds one run whose answer two requests got.
+
+    Second presses of one key get the answer of the first and may.
+    """
+    owners: dict[str, str] = {}
+    for record in history.get("callers", []):
+        run_ids = set(record.get("answer_ids", []))
+        key = record.get("idempotency_key", "")
+        answer = record.get("answer_body", {})
+        if record["outcome"] == "answered" and "request_id" in answer:
+            run_ids.add(str(answer["request_id"]))
+        for run_id in run_ids:
+            if run_id not in owners:
+                owners[run_id] = key
+            elif not key or owners[run_id] != key:
+                detail = f"{run_id} answered another request as well"
+                yield Violation("foreign-answer", record["request_id"], detail)
 
 
 def _completion_fault(record: histories.CallerRecord) -> str:
@@ -137,7 +224,7 @@
     if answer.get("body") != record.get("request_body", ""):
         return f"the answer belongs to the body {answer.get('body')!r}"
     answered_id = str(answer.get("request_id"))
-    if answered_id == record["request_id"]:
+    if histories.caller_request_id(answered_id) == record["request_id"]:
         return ""
     key = record.get("idempotency_key", "")
     if key and (answered_id, record.get("path"), key) in keyed_runs:
--- a/src/mulberrywharf/backend_servers/client.py
+++ b/src/mulberrywharf/backend_servers/client.py
@@ -34,7 +34,8 @@
         path: Target with its query, percent-encoded.
         headers: The caller's header fields; hop-by-hop ones are left out.
         body: The whole body.
-        request_id: Goes along as ``x-request-id``.
+        request_id: Goes along as ``x-request-id``; an answer that echoes
+            another one is refused.
         idempotent: Whether running it twice does no harm.
         timeout_s: How long each wait for the server may last.
     """
--- a/src/mulberrywharf/callers/passthrough.py
+++ b/src/mulberrywharf/callers/passthrough.py
@@ -26,6 +26,9 @@
         "upgrade",
     }
 )
+CALLER_REQUEST_ID_HEADER = "x-mulberry-caller-request-id"
+"""Names the caller's own id to a service; ``x-request-id`` is the run's."""
+
 _REWRITTEN = frozenset(
     {
         "authorization",
@@ -33,6 +36,7 @@
         "expect",
         "host",
         "idempotency-key",
+        CALLER_REQUEST_ID_HEADER,
         "x-mulberry-idempotent",
         "x-request-id",
     }
@@ -49,7 +53,8 @@
         caller: The request it came in.
         service: Name of the service.
         path: Origin-form target at the backend server, with its query.
-        headers: Header fields for the backend server.
+        headers: Header fields for the backend server, without the id of the
+            run, which is not known yet.
         idempotent: Whether it may run more than once.
         timeout_s: The service's bound for one call.
     """
@@ -166,7 +171,7 @@
         if name not in _REWRITTEN:
             joined = name in headers
             headers[name] = f"{headers[name]}, {value}" if joined else value
-    headers["x-request-id"] = caller.request_id
+    headers[CALLER_REQUEST_ID_HEADER] = caller.request_id
     if caller.idempotency_key is not None:
         headers["idempotency-key"] = caller.idempotency_key
     return headers
--- a/src/mulberrywharf/engines/resume.py
+++ b/src/mulberrywharf/engines/resume.py
@@ -33,7 +33,7 @@
     Attributes:
         path: ``/v1/completions`` or ``/v1/chat/completions``.
         body: The OpenAI request; ``stream`` is set here.
-        request_id: Its id.
+        request_id: Its id, unique among all requests; engines cancel by it.
         prompt_tokens: Length of its prompt.
         priority: 0 (first) to 9.
     """
--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -24,6 +24,7 @@
     demand_rates,
     output_lengths,
     places,
+    run_ids,
     standing,
 )
 
@@ -238,7 +239,7 @@
         self.generation = resume.Generation(
             wanted.caller.path,
             _engine_body(wanted),
-            wanted.caller.request_id,
+            run_ids.make(wanted.caller.request_id),
             wanted.prompt_tokens,
             ask.shape.priority,
         )
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -16,7 +16,12 @@
 from mulberrywharf.callers import passthrough
 from mulberrywharf.nodes import claims
 from mulberrywharf.policy import limits, outcome, retry_budget
-from mulberrywharf.requests import demand_rates, in_flight, kept_answers
+from mulberrywharf.requests import (
+    demand_rates,
+    in_flight,
+    kept_answers,
+    run_ids,
+)
 
 _ANSWER_LIMIT_BYTES = 16_000_000
 _CLAIM_TIMEOUT_S = 4.0
@@ -255,6 +260,7 @@
     ) -> passthrough.ServiceAnswer:
         tried: set[str] = set()
         told: errors.Outcome = "not-run"
+        run_id = run_ids.make(wanted.caller.request_id)
         while True:
             chosen = self._servers.choose(
                 wanted.service, self._clock.monotonic_s(), frozenset(tried)
@@ -263,7 +269,7 @@
                 raise _no_server(chosen.err_value, told)
             vm = chosen.ok_value
             tried.add(vm.vm_id)
-            attempted = self._attempt(wanted, vm)
+            attempted = self._attempt(wanted, vm, run_id)
             if isinstance(attempted, Ok):
                 return attempted.ok_value
             progress = _progress(attempted.err_value)
@@ -285,7 +291,10 @@
             gevent.sleep(verdict.after_s)
 
     def _attempt(
-        self, wanted: passthrough.ServiceCall, vm: fleet.VmRecord
+        self,
+        wanted: passthrough.ServiceCall,
+        vm: fleet.VmRecord,
+        run_id: str,
     ) -> Result[passthrough.ServiceAnswer, errors.EngineError]:
         caller = wanted.caller
         left_s = max(_LEAST_WAIT_S, self._time_left_s(wanted))
@@ -294,7 +303,7 @@
             wanted.path,
             wanted.headers,
             caller.body,
-            caller.request_id,
+            run_id,
             idempotent=wanted.idempotent,
             timeout_s=min(wanted.timeout_s, left_s),
         )
--- a/tests/caller_records.py
+++ b/tests/caller_records.py
@@ -1,5 +1,6 @@
 """What callers asked and got, as the audit checker reads it."""
 
+import json
 from collections.abc import Iterable
 
 from mulberrywharf import fleet
@@ -27,9 +28,18 @@
     }
     if answer.status == 200:
         record["answer_text"] = answer.text()
+        record["answer_ids"] = _event_ids(answer)
     return record
 
 
+def _event_ids(answer: cluster.Answer) -> list[str]:
+    """Returns each id that a stream's events carry."""
+    documents = [
+        json.loads(event) for event in answer.events() if event != "[DONE]"
+    ]
+    return sorted({d["id"] for d in documents if "id" in d})
+
+
 def press(
     request_id: str,
     path: str,
--- a/tests/test_audit_checker.py
+++ b/tests/test_audit_checker.py
@@ -38,6 +38,16 @@
     return lambda history: history["callers"].append(record)
 
 
+def _run_id(short: str) -> str:
+    """Returns the id of a run, as in ``c1~1``: its caller's and a digit."""
+    caller_id, digit = short.split("~")
+    return f"{caller_id}~{digit * 32}"
+
+
+def _answer(short: str) -> dict[str, Any]:
+    return {"answer_body": {"request_id": _run_id(short), "body": "fee"}}
+
+
 def _add_write(write: Any) -> Change:
     return lambda history: history["key_value_writes"].append(write)
 
@@ -108,6 +118,86 @@
         "ran-twice",
         _add_run(builders.run("own-id", "/payment", 300.0, "k1")),
     ),
+    "a call ran again under a new id of its own": (
+        "ran-twice",
+        _add_run(builders.run(_run_id("p1~1"), "/payment", 300.0)),
+    ),
+    "one call of two that share an id ran again": (
+        "ran-twice",
+        lambda h: (
+            _add_caller(
+                builders.call(
+                    "p1",
+                    idempotency_key="",
+                    outcome="unknown",
+                )
+            )(h),
+            _add_run(builders.run(_run_id("p1~1"), "/payment", 300.0))(h),
+            _add_run(builders.run(_run_id("p1~1"), "/payment", 301.0))(h),
+        ),
+    ),
+    "a run with the key has an id that two customers chose": (
+        "ran-twice",
+        lambda h: (
+            _add_caller(
+                builders.call("p1", customer="prairie", outcome="unknown")
+            )(h),
+            _add_run(builders.run(_run_id("p1~1"), "/payment", 300.0, "k1"))(h),
+        ),
+    ),
+    "a not-run call ran under its run's id": (
+        "not-run-ran",
+        lambda h: h["engines"][0]["runs"].append(
+            {"request_id": _run_id("c2~1"), "came_unix_s": 300.0}
+        ),
+    ),
+    "a not-run call ran beside one that shares its id": (
+        "not-run-ran",
+        lambda h: (
+            _add_caller(builders.completion("c2"))(h),
+            h["engines"][0]["runs"].extend(
+                {"request_id": _run_id(f"c2~{digit}"), "came_unix_s": 300.0}
+                for digit in "12"
+            ),
+        ),
+    ),
+    "an event carries another caller's id": (
+        "foreign-answer",
+        lambda h: h["callers"][0].update(answer_ids=[_run_id("c9~1")]),
+    ),
+    "a broken stream carries another caller's id": (
+        "foreign-answer",
+        lambda h: h["callers"][2].update(answer_ids=[_run_id("c9~1")]),
+    ),
+    "an answer changed its id in the middle": (
+        "foreign-answer",
+        lambda h: h["callers"][0].update(
+            answer_ids=[_run_id(f"c1~{digit}") for digit in "12"]
+        ),
+    ),
+    "an id's unique part is malformed": (
+        "foreign-answer",
+        lambda h: h["callers"][0].update(answer_ids=["c1~x"]),
+    ),
+    "one run answered two callers that share an id": (
+        "foreign-answer",
+        lambda h: (
+            h["callers"][0].update(answer_ids=[_run_id("c1~1")]),
+            _add_caller(
+                builders.completion("c1", answer_ids=[_run_id("c1~1")])
+            )(h),
+        ),
+    ),
+    "one call's answer went to two that share an id": (
+        "foreign-answer",
+        _add_caller(
+            builders.call(
+                "p1",
+                idempotency_key="",
+                answer_body={"request_id": "p1", "body": "fee"},
+            )
+        ),
+    ),
     "a not-run completion ran": (
         "not-run-ran",
         lambda h: h["engines"][0]["runs"].append(
@@ -227,6 +317,24 @@
         _add_run(builders.run("p3", "/payment", 300.0, "k1"))(h),
         _add_caller(builders.call("p3", customer="prairie"))(h),
     ),
+    "two callers that chose one id, and each its own run": lambda h: (
+        h["callers"][0].update(answer_ids=[_run_id("c1~1")]),
+        _add_caller(builders.completion("c1", answer_ids=[_run_id("c1~2")]))(h),
+        _add_caller(builders.call("p9", idempotency_key="", **_answer("p9~1")))(
+            h
+        ),
+        _add_caller(builders.call("p9", idempotency_key="", **_answer("p9~2")))(
+            h
+        ),
+        _add_run(builders.run(_run_id("p9~1"), "/payment", 300.0))(h),
+        _add_run(builders.run(_run_id("p9~2"), "/payment", 300.0))(h),
+    ),
+    "a not-run call beside one that shares its id": lambda h: (
+        _add_caller(builders.completion("c2"))(h),
+        h["engines"][0]["runs"].append(
+            {"request_id": _run_id("c2~1"), "came_unix_s": 303.0}
+        ),
+    ),
     "a lease that the test ended early": lambda h: (
         h.update(early_ended_fencing_numbers=[builders.LEASE_NUMBER]),
         _add_order("o1", builders.LEASE_END_UNIX_S + 1)(h),
--- a/tests/test_passthrough.py
+++ b/tests/test_passthrough.py
@@ -41,7 +41,10 @@
             (call.service, call.path), ("desk", "/check-in?door=2")
         )
         self.assertEqual(call.caller.body, b"who")
-        self.assertEqual(call.headers["x-request-id"], "r9")
+        own_id = call.headers[passthrough.CALLER_REQUEST_ID_HEADER]
+        self.assertEqual(own_id, "r9")
+        # The client that sends it writes the id of the run.
+        self.assertNotIn("x-request-id", call.headers)
 
     def test_hop_by_hop_fields_stay_on_their_hop(self) -> None:
         response = self.send(
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -266,6 +266,96 @@
         self.assertEqual(len(self.cluster.runs()), 2)
 
 
+class SharedRequestIdTest(_ClusterTest):
+    """Callers choose their request ids, so two may choose the same."""
+
+    shape = cluster.Shape(backends_per_zone=1, engine_arguments=_SLOW_TOKENS)
+    _SHARED_ID = "night-shift:7"
+
+    def ask(self, prompt: str) -> Any:
+        return self.spawn(
+            self.caller.complete, prompt, _TOKENS, x_request_id=self._SHARED_ID
+        )
+
+    def _engine_runs(self) -> list[Any]:
+        return list(self.cluster.engines[0].log()["runs"])
+
+    def test_cancel_of_one_leaves_the_other(self) -> None:
+        """A verdict stops because a stranger hung up.
+
+        Symptom: a stream goes on from the retry budget, or breaks, although
+        its engine is well.
+        Sequence: two callers send the same request id to one engine; one of
+        them goes away in mid-stream, and its request is cancelled by id.
+        Cause: the id that engines cancel by was the callers' own.
+        """
+        leaving = self.ask("who leaves")
+        staying = self.ask("who stays")
+
+        def both_run() -> bool:
+            runs = self._engine_runs()
+            return len(runs) == 2 and all(r["token_count"] > 5 for r in runs)
+
+        cluster.wait_until(both_run, "both in the middle of their answers")
+        leaving.kill()
+        answer = staying.get(timeout=_JOIN_S)
+        self.assert_whole(answer, "who stays")
+        self.assertEqual(answer.headers["x-request-id"], self._SHARED_ID)
+        runs = self._engine_runs()
+        self.assertEqual(len(runs), 2, runs)
+        self.assertEqual([run["resumed_from"] for run in runs], [0, 0])
+        self.assertEqual(sorted(run["finished"] for run in runs), [False, True])
+
+    def test_crossed_streams_are_dropped(self) -> None:
+        """Two callers with one id hold each other's verdicts.
+
+        Symptom: whole answers to the other's question.
+        Sequence: an engine swaps the answers of two concurrent requests
+        that carry the same id.
+        Cause: an id that does not tell requests apart cannot show a swap.
+        """
+        self.cluster.engines[0].set_faults(cross_answers=1)
+        prompts = ["first", "second"]
+        asking = [self.ask(prompt) for prompt in prompts]
+        records = []
+        for prompt, greenlet in zip(prompts, asking, strict=True):
+            answer = greenlet.get(timeout=_JOIN_S)
+            self.assert_whole(answer, prompt)
+            records.append(
+                caller_records.completion(
+                    self._SHARED_ID, prompt, _TOKENS, answer
+                )
+            )
+        self.assertEqual(caller_records.violations(self.cluster, records), [])
+        run_ids = {run_id for r in records for run_id in r["answer_ids"]}
+        self.assertEqual(len(run_ids), 2)
+        counted = self.cluster.metric(
+            self.cluster.routers[0], "mulberry_foreign_answers_total"
+        )
+        self.assertGreaterEqual(counted, 1)
+
+    def test_crossed_calls_are_dropped(self) -> None:
+        self.cluster.backends[0].set_faults(cross_answers=1)
+        calling = [
+            self.spawn(
+                self.caller.call, "/payment", body, x_request_id=self._SHARED_ID
+            )
+            for body in (b"captain 7", b"captain 8")
+        ]
+        answers = [greenlet.get(timeout=_JOIN_S) for greenlet in calling]
+        self.assertEqual([a.outcome for a in answers], ["unknown"] * 2)
+        self.assertEqual(len(self.cluster.runs()), 2)
+
+    def test_one_id_through_all_attempts(self) -> None:
+        self.cluster.engines[0].set_faults(cut_stream_after_tokens=9)
+        answer = self.ask("cut once").get(timeout=_JOIN_S)
+        self.assert_whole(answer, "cut once")
+        runs = self._engine_runs()
+        self.assertEqual(len(runs), 2)
+        self.assertEqual(len({run["request_id"] for run in runs}), 1)
+        self.assertTrue(runs[0]["request_id"].startswith(self._SHARED_ID))
+
+
 class AtMostOnceTest(_ClusterTest):
     shape = cluster.Shape(
         zones=("regina-hall", "saskatoon-hall"),
