--- a/bench/load.py
+++ b/bench/load.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import math
 import time
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -87,6 +88,18 @@
     between_tokens_p95_ms: float
 
 
+class SecondCounts(NamedTuple):
+    """Counts for each second of a run, from its start.
+
+    Attributes:
+        calls: Calls that fell due in it.
+        good: Those of them that became good answers.
+    """
+
+    calls: list[int]
+    good: list[int]
+
+
 class LoadClient:
     """Sends calls to routers in turn and checks every answer."""
 
@@ -233,6 +246,34 @@
     )
 
 
+def by_second(
+    outcomes: Sequence[CallOutcome], targets: Targets, duration_s: float
+) -> SecondCounts:
+    """Counts calls and good answers by the second in which each fell due.
+
+    Args:
+        outcomes: Of one run.
+        targets: What a good answer meets.
+        duration_s: Length of the run; sets the length of the lists.
+    """
+    due_s = [outcome.call.at_s for outcome in outcomes]
+    good_s = [o.call.at_s for o in outcomes if is_good(o, targets)]
+    return SecondCounts(
+        count_by_second(due_s, duration_s), count_by_second(good_s, duration_s)
+    )
+
+
+def count_by_second(
+    instants_s: Sequence[float], duration_s: float
+) -> list[int]:
+    """Counts instants in buckets of a second; later ones are left out."""
+    counts = [0] * math.ceil(duration_s)
+    for instant_s in instants_s:
+        if 0 <= instant_s < len(counts):
+            counts[int(instant_s)] += 1
+    return counts
+
+
 def is_good(outcome: CallOutcome, targets: Targets) -> bool:
     """Returns whether an answer is whole and inside both targets."""
     return (
