Say once what header fields and stand-ins' answers are

The list of hop-by-hop fields and the filter around it stood in callers/passthrough and backend_servers/client, with one field missing in the first (expect); the stand-ins had two modules for HTTP answers; the controller's status repeated operators.order_status. Each now stands once: _headers.end_to_end, standins._http with http_control on top, order_status. Leaving the two lists and testing that they agree was weighed and ruled out as more code.

--- a/src/mulberrywharf/backend_servers/client.py
+++ b/src/mulberrywharf/backend_servers/client.py
@@ -5,26 +5,18 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import _answers, _connections, _exchange, errors, fleet
+from mulberrywharf import (
+    _answers,
+    _connections,
+    _exchange,
+    _headers,
+    errors,
+    fleet,
+)
 
 DEFAULT_CONNECT_TIMEOUT_S = 1.0
 REQUEST_ID_HEADER = "x-request-id"
 
-_HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "expect",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
-
 
 class ServiceRequest(NamedTuple):
     """One request to a plain service.
@@ -66,7 +58,7 @@
     ):
         self.status = answer.status_code
         self.reason = answer.status_message or ""
-        self.headers = _end_to_end(list(answer.items()))
+        self.headers = _headers.end_to_end(list(answer.items()))
         self._exchange = exchange
         self._timeout_s = timeout_s
 
@@ -180,18 +172,8 @@
 
 
 def _wire_request(request: ServiceRequest) -> _exchange.Request:
-    headers = dict(_end_to_end(list(request.headers.items())))
-    headers = {name.lower(): value for name, value in headers.items()}
+    headers = dict(_headers.end_to_end(list(request.headers.items())))
     headers[REQUEST_ID_HEADER] = request.request_id
     return _exchange.Request(
         request.method, request.path, headers, request.body
     )
-
-
-def _end_to_end(fields: list[tuple[str, str]]) -> list[tuple[str, str]]:
-    """Leaves out what concerns only one connection (RFC 9110, 7.6.1)."""
-    dropped = set(_HOP_BY_HOP)
-    for name, value in fields:
-        if name.lower() == "connection":
-            dropped.update(part.strip().lower() for part in value.split(","))
-    return [field for field in fields if field[0].lower() not in dropped]
--- a/src/mulberrywharf/callers/passthrough.py
+++ b/src/mulberrywharf/callers/passthrough.py
@@ -5,27 +5,14 @@
 """
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any, NamedTuple, Protocol
 
-from mulberrywharf import errors
+from mulberrywharf import _headers, errors
 from mulberrywharf.callers import request, response
 
 _PREFIX = "/services/"
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 CALLER_REQUEST_ID_HEADER = "x-mulberry-caller-request-id"
 """Names the caller's own id to a service; ``x-request-id`` is the run's."""
 
@@ -111,7 +98,7 @@
     answer = calls.call(read_call(caller, services))
     headers = [
         (name, value)
-        for name, value in _end_to_end(answer.headers)
+        for name, value in _headers.end_to_end(answer.headers)
         if name not in ("content-length", "x-request-id")
         and not name.startswith("x-mulberry-")
     ]
@@ -167,7 +154,7 @@
 
 def _forwarded(caller: request.CallerRequest) -> dict[str, str]:
     headers: dict[str, str] = {}
-    for name, value in _end_to_end(caller.fields):
+    for name, value in _headers.end_to_end(caller.fields):
         if name not in _REWRITTEN:
             joined = name in headers
             headers[name] = f"{headers[name]}, {value}" if joined else value
@@ -177,23 +164,6 @@
     return headers
 
 
-def _end_to_end(
-    fields: Iterable[tuple[str, str]],
-) -> list[tuple[str, str]]:
-    fields = [(name.lower(), value) for name, value in fields]
-    named = {
-        option.strip().lower()
-        for name, value in fields
-        if name == "connection"
-        for option in value.split(",")
-    }
-    return [
-        (name, value)
-        for name, value in fields
-        if name not in _HOP_BY_HOP and name not in named and "_" not in name
-    ]
-
-
 def _body(
     answer: ServiceAnswer, method: str, headers: list[tuple[str, str]]
 ) -> list[bytes]:
--- a/src/mulberrywharf/programs/_controller_status.py
+++ b/src/mulberrywharf/programs/_controller_status.py
@@ -1,8 +1,8 @@
 """What the controller's ``GET /status`` says."""
 
 from mulberrywharf import settings
-from mulberrywharf.authority import findings, order_records
-from mulberrywharf.operators import situations, status
+from mulberrywharf.authority import findings
+from mulberrywharf.operators import order_status, situations, status
 from mulberrywharf.programs import _controller_lease, _controller_observer
 
 
@@ -63,7 +63,9 @@
         seen_state="unknown",
         report_age_s=None,
         wanted_role=None if fact.wanted is None else fact.wanted.role,
-        order=None if fact.record is None else _order(fact.record),
+        order=None
+        if fact.record is None
+        else order_status.order_status(fact.record),
     )
     if fact.report is not None:
         engine["seen_role"] = fact.report.role
@@ -72,20 +74,5 @@
     return engine
 
 
-def _order(record: order_records.OrderRecord) -> status.OrderStatus:
-    return status.OrderStatus(
-        order_id=record.order_id,
-        action=record.action,
-        wanted=record.model or record.role,
-        phase=record.phase,
-        in_flight=record.in_flight(),
-        rule=record.rule,
-        config_version=record.config_version,
-        fencing_number=record.fencing_number,
-        reason=record.reason,
-        recorded_unix_s=record.recorded_unix_s,
-    )
-
-
 def _finite(age_s: float) -> float | None:
     return None if age_s == float("inf") else age_s
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -21,6 +21,7 @@
     400: "400 Bad Request",
     404: "404 Not Found",
     409: "409 Conflict",
+    429: "429 Too Many Requests",
     503: "503 Service Unavailable",
 }
 
@@ -85,7 +86,7 @@
         gevent.sleep(0.05)
 
 
-class _Handler(_wsgi._Handler):
+class Handler(_wsgi._Handler):
     """Shows the connection's socket to the application."""
 
     def get_environ(self) -> dict[str, Any]:
@@ -117,6 +118,6 @@
 def start_server(ip: str, port: int, application: Any) -> _wsgi.WsgiServer:
     """Returns a running server whose requests carry their socket."""
     server = _wsgi.WsgiServer(ip, port, application)
-    server.handler_class = _Handler
+    server.handler_class = Handler
     server.start()
     return server
--- a/standins/http_control.py
+++ b/standins/http_control.py
@@ -1,11 +1,9 @@
-"""What the platform's stand-ins share: answers, rate limits, cut answers."""
+"""What the platform's stand-ins share: rate limits, cuts, start and end."""
 
 import argparse
-import json
 import signal
-import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, Protocol
 
 import gevent
@@ -13,25 +11,17 @@
 import gevent.pool
 
 from mulberrywharf import _wsgi
+from standins import _http
 
 Environ = dict[str, Any]
 
 
-class _Handler(_wsgi._Handler):
-    """Lets an application close its connection without an answer."""
-
-    def get_environ(self) -> Environ:
-        environ: Environ = super().get_environ()
-        environ["standin.socket"] = self.socket
-        return environ
-
-
 def make_server(
     ip: str, port: int, application: _wsgi.Application
 ) -> _wsgi.WsgiServer:
     """Makes a listener whose answers can be cut."""
     server = _wsgi.WsgiServer(ip, port, application)
-    server.handler_class = _Handler
+    server.handler_class = _http.Handler
     # Without a pool a stopped server goes on answering on the connections
     # that it has: an outage that a test causes would not be one.
     server.set_spawn(gevent.pool.Pool())
@@ -43,33 +33,9 @@
     server.stop(timeout=0)
 
 
-def read_json(environ: Environ) -> dict[str, Any]:
-    """Reads the request's JSON body."""
-    return dict(json.loads(environ["wsgi.input"].read() or b"{}"))
-
-
-def answer(
-    start_response: Any,
-    status: str,
-    body: object,
-    headers: Iterable[tuple[str, str]] = (),
-) -> list[bytes]:
-    """Answers with a JSON body."""
-    data = json.dumps(body).encode()
-    start_response(
-        status,
-        [
-            ("content-type", "application/json"),
-            ("content-length", str(len(data))),
-            *headers,
-        ],
-    )
-    return [data]
-
-
 def cut(environ: Environ, start_response: Any) -> list[bytes]:
     """Closes the connection so that no answer reaches the caller."""
-    environ["standin.socket"].shutdown(socket.SHUT_RDWR)
+    _http.break_connection(environ)
     start_response("500 Cut", [("connection", "close")])
     return []
 
--- a/standins/key_value.py
+++ b/standins/key_value.py
@@ -13,7 +13,7 @@
 import gevent
 import gevent.queue
 
-from standins import http_control
+from standins import _http, http_control
 from standins.key_value_store import (
     VALUE_LIMIT_BYTES,
     Record,
@@ -114,8 +114,8 @@
             return self._control(path, environ, start_response)
         kind = _KIND_BY_PATH.get(path)
         if kind is None:
-            return http_control.answer(start_response, "404 Not Found", {})
-        body = http_control.read_json(environ)
+            return _http.send_reply(_http.Reply(404, {}), start_response)
+        body = _http.read_json(environ)
         self.calls_by_kind[kind] += 1
         if self.faults.get("delay_s"):
             gevent.sleep(self.faults["delay_s"])
@@ -123,13 +123,13 @@
             return http_control.cut(environ, start_response)
         is_write = kind in _WRITE_KINDS
         if is_write and self.faults.get("refuse_writes"):
-            return http_control.answer(start_response, "503 No Writes", {})
+            return _http.send_reply(_http.Reply(503, {}), start_response)
         limit = self._write_limit if is_write else self._read_limit
         if not limit.take():
             self.refused_calls_count += 1
-            headers = [("retry-after", "1")]
-            return http_control.answer(
-                start_response, "429 Too Many Calls", {}, headers
+            headers = (("retry-after", "1"),)
+            return _http.send_reply(
+                _http.Reply(429, {}, headers), start_response
             )
         if kind == "watch":
             return self._watch(body["create_request"], start_response)
@@ -137,37 +137,37 @@
         if is_write and self.faults.get("lose_answers_count", 0) > 0:
             self.faults["lose_answers_count"] -= 1
             return http_control.cut(environ, start_response)
-        return http_control.answer(start_response, status, result)
+        return _http.send_reply(_http.Reply(status, result), start_response)
 
-    def _range(self, body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+    def _range(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         key = base64.b64decode(body["key"])
         range_end = base64.b64decode(body.get("range_end", ""))
         kvs = self.store.range(key, range_end)
-        return "200 OK", {"header": self.store.header(), "kvs": kvs}
+        return 200, {"header": self.store.header(), "kvs": kvs}
 
-    def _txn(self, body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+    def _txn(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         for operation in body.get("success", []):
             put = operation.get("requestPut", {})
             if len(put.get("value", "")) * 3 // 4 > VALUE_LIMIT_BYTES + 2:
-                return "400 Bad Request", {"message": "value too large"}
+                return 400, {"message": "value too large"}
             lease = int(put.get("lease", 0))
             if lease and not self.store.has_lease(lease):
-                return "404 Not Found", {"message": "lease not found"}
+                return 404, {"message": "lease not found"}
         succeeded = all(
             self.store.holds(compare) for compare in body.get("compare", [])
         )
         branch = "success" if succeeded else "failure"
         responses = self.store.transact(body.get(branch, []))
-        return "200 OK", {
+        return 200, {
             "header": self.store.header(),
             "succeeded": succeeded,
             "responses": responses,
         }
 
-    def _lease_grant(self, body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+    def _lease_grant(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         ttl_s = float(body["TTL"])
         lease_id = self.store.grant(ttl_s)
-        return "200 OK", {
+        return 200, {
             "header": self.store.header(),
             "ID": str(lease_id),
             "TTL": str(int(ttl_s)),
@@ -175,14 +175,14 @@
 
     def _lease_keepalive(
         self, body: dict[str, Any]
-    ) -> tuple[str, dict[str, Any]]:
+    ) -> tuple[int, dict[str, Any]]:
         ttl_s = self.store.keep_alive(int(body["ID"]))
         result = {"ID": body["ID"], "TTL": str(int(ttl_s))}
-        return "200 OK", {"result": result}
+        return 200, {"result": result}
 
-    def _lease_revoke(self, body: dict[str, Any]) -> tuple[str, dict[str, Any]]:
+    def _lease_revoke(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         self.store.revoke(int(body["ID"]))
-        return "200 OK", {"header": self.store.header()}
+        return 200, {"header": self.store.header()}
 
     def _watch(
         self, request: dict[str, Any], start_response: Any
@@ -240,14 +240,14 @@
         self, path: str, environ: http_control.Environ, start_response: Any
     ) -> list[bytes]:
         if path == "/standin/faults":
-            self.set_faults(**http_control.read_json(environ))
+            self.set_faults(**_http.read_json(environ))
         elif path == "/standin/wipe":
             self.wipe()
         elif path == "/standin/compact":
             self.store.compact()
         elif path != "/standin/log":
-            return http_control.answer(start_response, "404 Not Found", {})
-        return http_control.answer(start_response, "200 OK", self.log())
+            return _http.send_reply(_http.Reply(404, {}), start_response)
+        return _http.send_reply(_http.Reply(200, self.log()), start_response)
 
     def log(self) -> dict[str, Any]:
         """Returns every effective write and the counts of calls."""
--- a/standins/vm_list.py
+++ b/standins/vm_list.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from standins import http_control
+from standins import _http, http_control
 
 
 class VmListStandin:
@@ -62,15 +62,15 @@
     ) -> Iterable[bytes]:
         path = environ["PATH_INFO"]
         if path == "/standin/vms":
-            body = http_control.read_json(environ)
+            body = _http.read_json(environ)
             version = self.set_vms(body["vms"])
             result = {"version": version}
-            return http_control.answer(start_response, "200 OK", result)
+            return _http.send_reply(_http.Reply(200, result), start_response)
         if path == "/standin/faults":
-            self.faults = http_control.read_json(environ)
-            return http_control.answer(start_response, "200 OK", {})
+            self.faults = _http.read_json(environ)
+            return _http.send_reply(_http.Reply(200, {}), start_response)
         if path != "/vms":
-            return http_control.answer(start_response, "404 Not Found", {})
+            return _http.send_reply(_http.Reply(404, {}), start_response)
         self.reads_count += 1
         if self.faults.get("delay_s"):
             gevent.sleep(self.faults["delay_s"])
@@ -82,8 +82,10 @@
             start_response("304 Not Modified", [("etag", etag)])
             return []
         self.full_answers_count += 1
-        headers = [("etag", etag)]
-        return http_control.answer(start_response, "200 OK", current, headers)
+        headers = (("etag", etag),)
+        return _http.send_reply(
+            _http.Reply(200, current, headers), start_response
+        )
 
     def current(self) -> dict[str, Any]:
         """Returns the list as readers see it now."""
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from standins import http_control
+from standins import _http, http_control
 
 
 class WeightStoreStandin:
@@ -48,20 +48,20 @@
         path = environ["PATH_INFO"]
         if path == "/standin/log":
             result = {"loads": self.loads, "refused_count": self.refused_count}
-            return http_control.answer(start_response, "200 OK", result)
+            return _http.send_reply(_http.Reply(200, result), start_response)
         if path != "/loads":
-            return http_control.answer(start_response, "404 Not Found", {})
-        body = http_control.read_json(environ)
+            return _http.send_reply(_http.Reply(404, {}), start_response)
+        body = _http.read_json(environ)
         if not self._limit.take():
             self.refused_count += 1
-            headers = [("retry-after", f"{1 / self._limit.per_s:.3f}")]
-            return http_control.answer(
-                start_response, "429 Too Many Loads", {}, headers
+            headers = (("retry-after", f"{1 / self._limit.per_s:.3f}"),)
+            return _http.send_reply(
+                _http.Reply(429, {}, headers), start_response
             )
         load = {**body, "load_id": uuid.uuid4().hex, "away_s": self._away_s}
         self.loads.append(load)
         result = {"load_id": load["load_id"], "away_s": self._away_s}
-        return http_control.answer(start_response, "200 OK", result)
+        return _http.send_reply(_http.Reply(200, result), start_response)
 
 
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
