Keep waiting presses from using up the calls for claims

The service's log showed ten reads a second from each router and no write.

Each question of a waiting press, release or completion asks the owner for a look at the shards, several times a second, and each led to a look at once. The looks spent the budget that taking a shard and renewing the lease are paid from, so no shard was taken and leases lapsed one after the other.

There are now at most four looks in a poll interval, but for handovers, which are looked at right away, and the lease has a budget of its own.

--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -26,11 +26,15 @@
 from mulberrywharf.platform_service import call_budget, key_value
 
 PURPOSE_OWNER = "claim-owner"
+PURPOSE_LEASE = "claim-lease"
 
 PURPOSE_BUDGETS = {
     claim_log.PURPOSE_COMMIT: call_budget.CallBudget(60.0, 120),
     claim_log.PURPOSE_READ: call_budget.CallBudget(20.0, 60),
     PURPOSE_OWNER: call_budget.CallBudget(10.0, 60),
+    # Of its own: whatever is spent on looking for shards, the lease on those
+    # that are held must not lapse for want of a call.
+    PURPOSE_LEASE: call_budget.CallBudget(4.0, 20),
 }
 """What the key-value client of a router should allow for claims."""
 
@@ -40,6 +44,7 @@
 """Nodes that look after a shard without being asked to."""
 
 _RENEWALS_PER_TTL_COUNT = 3
+_LOOKS_PER_POLL_COUNT = 4
 _FINISH_TIMEOUT_S = 5.0
 _HANDOVER_TIMEOUT_S = 1.0
 _GIVE_UP_TIMEOUT_S = 5.0
@@ -89,6 +94,7 @@
         self._wanted: set[int] = set()
         self._handed: set[int] = set()
         self._look_now = gevent.event.Event()
+        self._handover_came = gevent.event.Event()
 
     @classmethod
     def from_config(
@@ -168,7 +174,7 @@
         ]
         gevent.joinall(giving_up, timeout=_GIVE_UP_TIMEOUT_S)
         if self._lease_id:
-            self._store.revoke(self._lease_id, purpose=PURPOSE_OWNER)
+            self._store.revoke(self._lease_id, purpose=PURPOSE_LEASE)
             self._lease_id = 0
 
     def owned_shards(self) -> list[int]:
@@ -198,6 +204,7 @@
         """Answers one claim message, from another node or this one."""
         if isinstance(message, messages.ShardHandover):
             self._handed.add(message.shard)
+            self._handover_came.set()
             self._look_now.set()
             return messages.ClaimReply("accepted")
         if not isinstance(
@@ -227,7 +234,7 @@
             gevent.sleep(self._lease_ttl_s / _RENEWALS_PER_TTL_COUNT)
 
     def _renew(self) -> None:
-        renewed = self._store.keep_alive(self._lease_id, purpose=PURPOSE_OWNER)
+        renewed = self._store.keep_alive(self._lease_id, purpose=PURPOSE_LEASE)
         if isinstance(renewed, Ok):
             return
         if isinstance(renewed.err_value, errors.AuthorityLostError):
@@ -241,7 +248,14 @@
         while True:
             if not self._is_leaving:
                 self._look()
-            self._look_now.wait(self._poll_interval_s)
+            # Every press that waits for a shard asks for a look, many times a
+            # second. Looking each time would spend all calls on reading and
+            # leave none to take the shards: an outage of the service would
+            # never end for claims, and only its count of reads would show it.
+            pause_s = self._poll_interval_s / _LOOKS_PER_POLL_COUNT
+            self._handover_came.wait(pause_s)
+            self._look_now.wait(self._poll_interval_s - pause_s)
+            self._handover_came.clear()
             self._look_now.clear()
 
     def _look(self) -> None:
@@ -351,7 +365,7 @@
         if self._lease_id:
             return True
         granted = self._store.grant_lease(
-            self._lease_ttl_s, purpose=PURPOSE_OWNER
+            self._lease_ttl_s, purpose=PURPOSE_LEASE
         )
         if isinstance(granted, Err):
             return False
