--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -108,6 +108,10 @@
         views = (
             builders_rules.situation(0.7, customer_requests_per_s={"a": 2.0}),
             builders_rules.situation(None, rates_age_s=float("inf")),
+            builders_rules.situation(absent_requests_per_s=None),
+            builders_rules.situation(
+                rates_age_s=float("inf"), rates_given_up=True
+            ),
             builders_rules.situation(0.7, age_s=99.0),
         )
         document = builders_rules.document(
