Prove the configuration's promise with real processes

Three zones with a router each, a fault proxy between each zone and the key-value service, and mulberryctl apply processes: operators who race while answers get lost, a zone cut from the service, a router replaced while the service is down, one that finds no configuration at all, a service restored empty or with an older version, and a change accepted on a service that lost what nodes run. What is asserted comes from the service's record of writes, from asking each node every 50 ms, and from proofs.audit_checker.

--- /dev/null
+++ b/tests/config_cluster.py
@@ -0,0 +1,458 @@
+"""A cluster whose zones can be cut from the key-value service, and its checks.
+
+Operators' changes are made by ``mulberryctl apply`` processes; what is
+asserted comes from the stand-in's record of writes and from asking each node
+again and again.
+"""
+
+import base64
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+import gevent
+
+from mulberrywharf.platform_service import configuration
+from proofs import audit_checker
+from tests import builders_settings, callers_fixture, cluster, processes
+
+DEPLOYMENT = "prairie"
+ZONES = ("regina-hall", "saskatoon-hall", "winnipeg-hall")
+LOOK_INTERVAL_S = 0.05
+
+ROUTER_MECHANISMS = ("neighbours", "put-back", "highest", "readiness")
+CTL_MECHANISMS = ("compare", "read-back", "still-holds")
+"""What ``tests.config_without`` can take out, by the program that has it."""
+
+_POLL_S = 0.02
+_CTL_LIMIT_S = 60.0
+_ACCEPTED_EXIT_CODES = (0, 5)
+_CONFLICT_EXIT_CODE = 3
+
+
+class Apply(NamedTuple):
+    """One run of ``mulberryctl apply`` and what it told its operator.
+
+    Attributes:
+        change_id: Of the change.
+        base_version: The version that the operator edited.
+        exit_code: Of the process.
+        value: What it printed as JSON.
+    """
+
+    change_id: str
+    base_version: int
+    exit_code: int
+    value: dict[str, Any]
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the operator was told that the change is accepted."""
+        return self.exit_code in _ACCEPTED_EXIT_CODES
+
+    @property
+    def is_conflict(self) -> bool:
+        """Whether the operator was told that another came first."""
+        return (
+            self.exit_code == _CONFLICT_EXIT_CODE
+            and self.value["error"]["code"] == "config-conflict"
+        )
+
+    @property
+    def code(self) -> str:
+        """The error code, empty without one."""
+        return str(self.value.get("error", {}).get("code", ""))
+
+
+class Write(NamedTuple):
+    """One configuration that was stored.
+
+    Attributes:
+        version: Its version.
+        change_id: Of the change that made it.
+        unix_s: When the service took it.
+        configuration: The whole stored value.
+    """
+
+    version: int
+    change_id: str
+    unix_s: float
+    configuration: dict[str, Any]
+
+
+class Looks:
+    """Asks nodes for their version again and again, until closed.
+
+    Attributes:
+        seen: As ``proofs`` takes them, with ``ready`` beside.
+    """
+
+    def __init__(self, running: "ConfigCluster"):
+        self._cluster = running
+        self.seen: list[dict[str, Any]] = []
+        self._greenlets: list[gevent.Greenlet] = []
+
+    def follow(self, member: cluster.Member) -> None:
+        """Begins to ask a node."""
+        self._greenlets.append(gevent.spawn(self._follow, member))
+
+    def close(self) -> None:
+        """Asks no more."""
+        gevent.killall(self._greenlets)
+
+    def first_unix_s(
+        self, member: cluster.Member, version: int, *, ready: bool = False
+    ) -> float | None:
+        """Returns when a node was first seen with a version or a later one.
+
+        Args:
+            member: The node.
+            version: The least that counts.
+            ready: Whether it has to be ready as well.
+        """
+        for look in self.seen:
+            if look["process_id"] != member.process.pid:
+                continue
+            if look["version"] >= version and (look["ready"] or not ready):
+                return float(look["unix_s"])
+        return None
+
+    def versions(self, member: cluster.Member) -> list[int]:
+        """Returns the versions of a node, in their order, without repeats."""
+        found = [
+            look["version"]
+            for look in self.seen
+            if look["process_id"] == member.process.pid
+        ]
+        return list(dict.fromkeys(found))
+
+    def _follow(self, member: cluster.Member) -> None:
+        while True:
+            try:
+                status = self._cluster.status(member)
+            except (OSError, AssertionError):
+                gevent.sleep(LOOK_INTERVAL_S)
+                continue
+            self.seen.append(
+                {
+                    "vm_id": f"{member.vm_id}",
+                    "process_id": member.process.pid,
+                    "version": status["config_version"],
+                    "ready": status["ready"],
+                    "unix_s": time.time(),
+                }
+            )
+            gevent.sleep(LOOK_INTERVAL_S)
+
+
+class ConfigCluster(cluster.Cluster):
+    """Three zones, and a fault proxy before the key-value service in each.
+
+    Attributes:
+        looks: What nodes were seen to run.
+    """
+
+    def __init__(self, *, controllers: bool = False, off: str = ""):
+        """Prepares it.
+
+        Args:
+            controllers: Whether each zone has one.
+            off: The mechanism to leave out, see ``tests.config_without``.
+        """
+        shape = cluster.Shape(
+            zones=ZONES, engines_per_zone=0, controllers=controllers
+        )
+        super().__init__(shape)
+        self._off = off
+        self._gates: dict[str, processes.Process] = {}
+        self._directory = tempfile.TemporaryDirectory(prefix="mulberry-test-")
+        self._restored_at_count = 0
+        self.looks = Looks(self)
+
+    # --- parts ------------------------------------------------------------
+
+    def start(self) -> "ConfigCluster":
+        """Starts everything and begins to ask each node."""
+        super().start()
+        for member in self.nodes():
+            self.looks.follow(member)
+        return self
+
+    def close(self) -> None:
+        """Ends every process."""
+        self.looks.close()
+        super().close()
+        self._directory.cleanup()
+
+    def nodes(self) -> list[cluster.Member]:
+        """Returns the programs that run, replaced ones left out."""
+        members = [*self.routers, *self.controllers]
+        return [m for m in members if m.process.poll() is None]
+
+    def _start_platform(self) -> None:
+        super()._start_platform()
+        upstream = f"{cluster.LOOPBACK}:{self.endpoint('key_value')['port']}"
+
+        def start(_: str) -> processes.Process:
+            return processes.Process(
+                "standins.fault_proxy", "--upstream", upstream
+            )
+
+        self._gates = dict(zip(ZONES, self._each(start, ZONES), strict=True))
+        self._proxies += self._gates.values()
+
+    def _start_program(
+        self, program: str, kind: str, vm_id: str, zone: str
+    ) -> cluster.Member:
+        if program != "router" or self._off not in ROUTER_MECHANISMS:
+            return super()._start_program(program, kind, vm_id, zone)
+        path = builders_settings.write_settings(self.node_settings(vm_id, zone))
+        process = processes.Process(
+            "tests.config_without", self._off, "--settings", path
+        )
+        port = process.ready["nodes"]
+        return cluster.Member(vm_id, kind, zone, process, port)
+
+    def node_settings(self, vm_id: str, zone: str) -> dict[str, Any]:
+        """Returns settings that lead to the service through the zone's gate."""
+        found = super().node_settings(vm_id, zone)
+        port = self._gates[zone].ready["port"]
+        gate = {"ip": cluster.LOOPBACK, "port": port}
+        found["platform"] = {**found["platform"], "key_value": [gate]}
+        return found
+
+    # --- faults -----------------------------------------------------------
+
+    def set_gate(self, zone: str, mode: str) -> None:
+        """Sets what the zone's way to the key-value service does."""
+        port = self._gates[zone].ready["control_port"]
+        cluster.post_json(port, "/faults", {"mode": mode})
+
+    def lose_answers(self, is_losing: bool) -> None:
+        """Loses the answer of every write that takes effect, or of none."""
+        port = self.endpoint("key_value")["port"]
+        faults = {"lose_answers_count": 1_000_000} if is_losing else {}
+        cluster.post_json(port, "/standin/faults", faults)
+
+    def restore_service(self, raw: bytes | None) -> float:
+        """Brings the service back empty or with an older configuration.
+
+        Args:
+            raw: The older configuration, None for none.
+
+        Returns:
+            When it answers again, in Unix seconds.
+        """
+        for zone in ZONES:
+            self.set_gate(zone, "cut")
+        self._restored_at_count = len(self._history())
+        port = self.endpoint("key_value")["port"]
+        cluster.post_json(port, "/standin/wipe", {})
+        if raw is not None:
+            self.put(configuration.config_key(DEPLOYMENT), raw)
+        for zone in ZONES:
+            self.set_gate(zone, "pass")
+        return time.time()
+
+    def replace_router(self, member: cluster.Member) -> cluster.Member:
+        """Kills a router's VM and starts another in its zone."""
+        member.process.close()
+        self._left.add(member.vm_id)
+        name = f"{member.vm_id}-next"
+        started = self.start_router(name, member.availability_zone)
+        self.looks.follow(started)
+        return started
+
+    def start_unlisted_router(self, zone: str) -> cluster.Member:
+        """Starts a router that no other node has in its VM list yet."""
+        router = self._start_program("router", "entry", "unlisted", zone)
+        self.routers.append(router)
+        return router
+
+    # --- operators ----------------------------------------------------------
+
+    def apply_by_ctl(
+        self,
+        change_id: str,
+        base_version: int,
+        *,
+        wait_s: float = 20.0,
+        options: Iterable[str] = (),
+    ) -> Apply:
+        """Runs ``mulberryctl apply`` of a document that names its change."""
+        path = pathlib.Path(self._directory.name) / f"{change_id}.json"
+        path.write_text(json.dumps(document_of(change_id)))
+        platform = self.endpoint("key_value")["port"]
+        vm_list = self.endpoint("vm_list")["port"]
+        command = [sys.executable, "-m"]
+        if self._off in CTL_MECHANISMS:
+            command += ["tests.config_without", self._off]
+        else:
+            command += ["mulberrywharf.programs.ctl"]
+        command += ["--deployment", DEPLOYMENT, "--output", "json"]
+        command += ["--platform", f"{cluster.LOOPBACK}:{platform}"]
+        command += ["--vm-list", f"{cluster.LOOPBACK}:{vm_list}", *options]
+        command += ["apply", str(path), "--author", change_id, "--note", "why"]
+        command += ["--change-id", change_id]
+        command += ["--base-version", str(base_version)]
+        command += ["--wait-s", str(wait_s)]
+        code, output = _run(command)
+        return Apply(change_id, base_version, code, json.loads(output))
+
+    # --- looking ------------------------------------------------------------
+
+    def wait_version(
+        self, version: int, members: Iterable[cluster.Member] | None = None
+    ) -> None:
+        """Waits until nodes were seen with a version."""
+        for member in self.nodes() if members is None else members:
+            cluster.wait_until(
+                lambda m=member: (  # type: ignore[misc]
+                    self.looks.first_unix_s(m, version) is not None
+                ),
+                f"{member.vm_id} runs version {version}",
+            )
+
+    def spread_s(
+        self, version: int, members: Iterable[cluster.Member] | None = None
+    ) -> list[float]:
+        """Returns from acceptance to in force, for each node in seconds."""
+        asked = list(self.nodes() if members is None else members)
+        self.wait_version(version, asked)
+        accepted = min(
+            write.unix_s for write in self.writes() if write.version == version
+        )
+        found = [self.looks.first_unix_s(member, version) for member in asked]
+        return [max(0.0, unix_s - accepted) for unix_s in found if unix_s]
+
+    def writes(self) -> list[Write]:
+        """Returns every configuration that was ever stored."""
+        return list(map(_write_of, _config_entries(self._history())))
+
+    def writes_since_restore(self) -> list[Write]:
+        """Returns those that were stored since the service came back."""
+        since = self._history()[self._restored_at_count :]
+        return list(map(_write_of, _config_entries(since)))
+
+    def newest_version(self) -> int:
+        """Returns the highest version that was ever stored."""
+        return max(write.version for write in self.writes())
+
+    def raw_of(self, version: int) -> bytes:
+        """Returns the stored value of a version."""
+        for entry in _config_entries(self._history()):
+            if _write_of(entry).version == version:
+                return base64.b64decode(entry["value"])
+        raise AssertionError(f"version {version} was never stored")
+
+    def violations(
+        self, applied: Iterable[Apply], *, told_replaced: str = ""
+    ) -> list[str]:
+        """Checks what was stored since the last restore and what nodes ran.
+
+        Args:
+            applied: The runs whose accepted changes must not be lost.
+            told_replaced: A change whose author was told that nodes have
+                replaced it; that it is gone is not held against the system.
+        """
+        written = [
+            entry
+            for entry in self._history()[self._restored_at_count :]
+            if not _is_of_change(entry, told_replaced)
+        ]
+        accepted = [
+            {"version": run.value["version"], "change_id": run.change_id}
+            for run in applied
+            if run.is_accepted
+        ]
+        seen = [
+            {name: look[name] for name in look if name != "ready"}
+            for look in self.looks.seen
+        ]
+        history: Any = {
+            "key_value_writes": written,
+            "accepted_changes": accepted,
+            "seen_versions": seen,
+        }
+        found = audit_checker.check(history)
+        return [f"{v.kind} {v.subject}: {v.detail}" for v in found]
+
+    def _history(self) -> list[dict[str, Any]]:
+        port = self.endpoint("key_value")["port"]
+        return list(cluster.get_json(port, "/standin/log")["history"])
+
+
+def document_of(change_id: str) -> Mapping[str, Any]:
+    """Returns a document that can be told from that of another change."""
+    rule = {
+        "name": change_id,
+        "when": {"prefill_share_above": 0.5},
+        "then": {"hold": True},
+    }
+    return callers_fixture.document(rules=[rule])
+
+
+def race_violations(writes: list[Write], applied: list[Apply]) -> list[str]:
+    """Checks that winners stand as they wrote and losers changed nothing."""
+    found = []
+    stored = {write.change_id: write for write in writes}
+    for run in applied:
+        write = stored.get(run.change_id)
+        if run.is_accepted:
+            if write is None or write.configuration["document"] != dict(
+                document_of(run.change_id)
+            ):
+                found.append(f"accepted {run.change_id} stands otherwise")
+        elif not run.is_conflict:
+            found.append(f"{run.change_id}: {run.exit_code} {run.code}")
+        elif write is not None:
+            found.append(f"refused {run.change_id} was stored")
+    order = [(w.version, w.change_id) for w in writes]
+    audit = writes[-1].configuration["audit"]
+    held = [(entry["version"], entry["change_id"]) for entry in audit]
+    if held != order[-len(held) :]:
+        found.append(f"audit entries {held}, stored {order}")
+    return found
+
+
+def _config_entries(
+    history: Iterable[dict[str, Any]],
+) -> list[dict[str, Any]]:
+    key = configuration.config_key(DEPLOYMENT)
+    return [e for e in history if e["type"] == "PUT" and e["key"] == key]
+
+
+def _is_of_change(entry: dict[str, Any], change_id: str) -> bool:
+    found = _config_entries([entry])
+    return bool(found) and _write_of(entry).change_id == change_id
+
+
+def _write_of(entry: dict[str, Any]) -> Write:
+    value = json.loads(base64.b64decode(entry["value"]))
+    version, change_id = value["version"], value["change_id"]
+    return Write(version, change_id, entry["unix_s"], value)
+
+
+def _run(command: list[str]) -> tuple[int, str]:
+    """Runs a process beside this one's greenlets."""
+    environment = {
+        **os.environ,
+        "MULBERRY_OPERATOR_TOKEN": cluster.OPERATOR_TOKEN,
+    }
+    with tempfile.TemporaryFile() as output:
+        child = subprocess.Popen(
+            command, cwd=processes.ROOT, stdout=output, env=environment
+        )
+        end_s = time.monotonic() + _CTL_LIMIT_S
+        while child.poll() is None:
+            if time.monotonic() > end_s:
+                child.kill()
+            gevent.sleep(_POLL_S)
+        output.seek(0)
+        return child.returncode, output.read().decode()
--- a/tests/test_config_in_force.py
+++ b/tests/test_config_in_force.py
@@ -1,6 +1,11 @@
-"""An accepted configuration is in force everywhere and never reverts."""
+"""An accepted configuration is in force everywhere and never reverts.
+
+The tests with real processes can be seen red: ``MULBERRY_MECHANISM_OFF`` names
+what ``tests.config_without`` takes out of the routers or of ``mulberryctl``.
+"""
 
 import json
+import os
 import pathlib
 import tempfile
 import unittest
@@ -10,8 +15,17 @@
 import gevent
 
 from mulberrywharf.platform_service import config_store
-from tests import builders_operators, builders_platform, builders_rules
+from tests import (
+    builders_operators,
+    builders_platform,
+    builders_rules,
+    config_cluster,
+    config_scenarios,
+)
 from tests.builders_platform import DEPLOYMENT
+from tests.config_cluster import ZONES
+
+MECHANISM_OFF = os.environ.get("MULBERRY_MECHANISM_OFF", "")
 
 
 class ReplacedChangeTest(unittest.TestCase):
@@ -101,5 +115,103 @@
         self.assertEqual(value["error"]["code"], "config-store-behind")
 
 
+class InForceTest(unittest.TestCase):
+    """Three zones with a router each, and operators' own processes."""
+
+    def setUp(self):
+        self.running = config_cluster.ConfigCluster(off=MECHANISM_OFF)
+        self.running.start()
+        self.addCleanup(self.running.close)
+
+    def expect_none(self, outcome: config_scenarios.Outcome) -> None:
+        """Fails with every breach and what the nodes wrote."""
+        if outcome.violations:
+            self.fail(f"{outcome}\n{self.running.collect_logs()}")
+
+    def test_operators_who_race_while_answers_get_lost(self):
+        """Several apply from the same version; the answers get lost.
+
+        Symptom: a change that its author was told is accepted is gone, or a
+        loser's document stands.
+        Sequence: operators edit the same version and apply; the service
+        writes one change, its answer is lost; its author reads back.
+        Cause: a write that did not compare with what it replaces, or a lost
+        answer that was taken for a write that failed.
+        """
+        outcome = config_scenarios.race(
+            self.running, operators_count=4, applies_count=2
+        )
+        self.expect_none(outcome)
+        self.assertGreaterEqual(outcome.counts["conflicts"], 1)
+        self.assertGreaterEqual(outcome.counts["accepted"], 2)
+
+    def test_a_zone_that_is_cut_from_the_service(self):
+        """One zone's router cannot reach the key-value service.
+
+        Symptom: that zone goes on by rules that operators replaced.
+        Sequence: the zone loses the service; a change is accepted; the
+        other zones have it.
+        Cause: nodes learn of changes from the service alone.
+        """
+        self.expect_none(
+            config_scenarios.cut_zone(self.running, ZONES[0], "cut")
+        )
+
+    def test_a_router_replaced_while_the_service_is_down(self):
+        """A VM is replaced during an outage of the service.
+
+        Symptom: the new router refuses every request until the outage ends.
+        Sequence: the service goes down; a router dies; another starts in
+        its place with nothing in memory.
+        Cause: a fresh node reads its configuration from the service alone.
+        """
+        self.running.apply(config_cluster.document_of("before"))
+        self.expect_none(
+            config_scenarios.replace_router(self.running, ZONES[1])
+        )
+
+    def test_a_router_that_finds_no_configuration(self):
+        """Neither the service nor a neighbour answers a fresh router.
+
+        Symptom: the balancer sends it callers whom it cannot judge.
+        Sequence: the service is down; a router starts; no other node has it
+        in its VM list yet.
+        Cause: readiness that did not ask for a configuration.
+        """
+        self.expect_none(config_scenarios.find_nothing(self.running, ZONES[2]))
+
+    def test_a_service_restored_from_a_backup(self):
+        """The service comes back with older data, or with none.
+
+        Symptom: nodes go back to rules that were replaced, or no later
+        change ever comes into force.
+        Sequence: versions 2 and 3 are accepted; the service is restored
+        with 2, then empty; operators apply.
+        Cause: a node took what came last, or nobody put the newest back.
+        """
+        self.running.apply(config_cluster.document_of("second"))
+        newest = self.running.apply(config_cluster.document_of("third"))
+        for name, older_version in (("older", newest - 1), ("empty", 0)):
+            with self.subTest(name):
+                self.expect_none(
+                    config_scenarios.restore(
+                        self.running, name, older_version=older_version
+                    )
+                )
+
+    def test_a_change_on_a_service_that_lost_what_nodes_run(self):
+        """An operator reaches the empty service and no node.
+
+        Symptom: apply tells that a change is in force that no node runs.
+        Sequence: all nodes pause; the service comes back empty; a change is
+        accepted as version 1; the nodes wake and put theirs back.
+        Cause: a node's higher version was taken as proof of the change.
+        """
+        self.running.apply(config_cluster.document_of("second"))
+        self.expect_none(
+            config_scenarios.replaced_change(self.running, "doomed")
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
