--- a/src/mulberrywharf/programs/_router_nodes.py
+++ b/src/mulberrywharf/programs/_router_nodes.py
@@ -92,6 +92,7 @@
     def close(self) -> None:
         """Ends every exchange."""
         self.mesh.close()
+        self.claims.close()
         self._owner.close()
         self._server.close()
         self._links.close()
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -452,6 +452,9 @@
         """
         kept = self.caller.call("/payment", b"fee", idempotency_key="before")
         self.assertEqual(kept.status, 200)
+        # Its answer is recorded beside its delivery; a press waits for that.
+        again = self.caller.call("/payment", b"fee", idempotency_key="before")
+        self.assertEqual((again.status, again.body), (200, kept.body))
         self.cluster.set_key_value_down(True)
         answer = self.caller.complete("still there", _TOKENS)
         self.assert_whole(answer, "still there")
@@ -460,6 +463,8 @@
         keyed = self.caller.call("/payment", b"fee", idempotency_key="during")
         self.assertEqual((keyed.status, keyed.outcome), (503, "not-run"))
         self.assertIn("retry-after", keyed.headers)
+        again = self.caller.call("/payment", b"fee", idempotency_key="before")
+        self.assertEqual((again.status, again.body), (200, kept.body))
         self.assertTrue(self.cluster.is_ready(self.cluster.routers[0]))
         self.cluster.set_key_value_down(False)
         self.assertNotIn(
