Keep a killed engine listed and go on after a lost cluster

Their new router waited 30 s in vain for an engine's load: the harness took a killed stand-in off its members until it was back, and the VM list that the new router's start published lacked it. It stays a member now, as a VM does whose process is being restarted.

SIGTERM ends the runs without leaving processes behind.

--- a/bench/_request_fleet.py
+++ b/bench/_request_fleet.py
@@ -206,12 +206,13 @@
         with self._lock:
             self._earlier = collect.merge(self._earlier, _logs_of([member]))
             member.process.close()
-            self._members(member).remove(member)
         member.set_proxy_faults(mode="pass")
         gevent.sleep(down_s)
         process = _start_again(member)
-        with self._lock:
-            self._members(member).append(member._replace(process=process))
+        # It stays among the members meanwhile: the VM list that a new router
+        # reads would otherwise lack it until the next change of the list.
+        members = self._members(member)
+        members[members.index(member)] = member._replace(process=process)
 
     def pause_member(self, member: cluster.Member, for_s: float) -> None:
         """Stops a stand-in's process for a while."""
@@ -286,15 +287,15 @@
         for life in self.lives:
             self.cluster.wait_ready(life.member)
         cluster.wait_until(
-            lambda: self.shards_count() == claims.SHARD_COUNT,
+            lambda: sum(self.shards_counts()) == claims.SHARD_COUNT,
             "an owner for each claim shard",
             _HEAL_WAIT_S,
         )
 
-    def shards_count(self) -> int:
-        """Returns how many shards of claims have an owner that knows it."""
+    def shards_counts(self) -> list[int]:
+        """Returns of how many claim shards each router knows it owns them."""
         statuses = [self.cluster.status(life.member) for life in self.lives]
-        return sum(s["counts"]["claim_shards_count"] for s in statuses)
+        return [s["counts"]["claim_shards_count"] for s in statuses]
 
     # --- evidence ----------------------------------------------------------
 
--- a/bench/request_runs.py
+++ b/bench/request_runs.py
@@ -22,6 +22,7 @@
 import json
 import pathlib
 import re
+import signal
 import sys
 import time
 from collections.abc import Sequence
@@ -52,6 +53,7 @@
         operations_count: Things that callers wanted.
         load_s: Until the last caller and fault had ended.
         heal_s: Until all was well again.
+        has_recovered: Whether it was.
     """
 
     seed: int
@@ -61,6 +63,7 @@
     operations_count: int
     load_s: float
     heal_s: float
+    has_recovered: bool
 
 
 class Runner:
@@ -79,11 +82,11 @@
         planned = _request_faults.plan(seed)
         with gevent.Timeout(_SEED_BOUND_S):
             self._load(book, injector, planned)
-            loaded_s = time.monotonic()
-            self._fleet.heal()
-            healed_s = time.monotonic()
+        loaded_s = time.monotonic()
+        sick = self._heal()
+        healed_s = time.monotonic()
         self._records += book.records
-        findings = book.findings + self._stop_findings()
+        findings = book.findings + self._stop_findings() + sick
         findings += self._judge(seed, book.records)
         outcomes = collections.Counter(
             str(record["outcome"]) for record in book.records
@@ -96,6 +99,7 @@
             book.operations_count,
             loaded_s - began_s,
             healed_s - loaded_s,
+            not sick,
         )
         if findings:
             self._keep_evidence(report, book.records, planned)
@@ -129,6 +133,16 @@
         gevent.joinall(callers, raise_error=True)
         gevent.joinall(failing, raise_error=True)
 
+    def _heal(self) -> list[_request_callers.Finding]:
+        try:
+            with gevent.Timeout(_SEED_BOUND_S):
+                self._fleet.heal()
+        except (AssertionError, gevent.Timeout) as error:
+            counts = f"claim shards {self._fleet.shards_counts()}"
+            detail = f"{error}; {counts}"
+            return [_request_callers.Finding("not-recovered", "", detail)]
+        return []
+
     def _stop_findings(self) -> list[_request_callers.Finding]:
         failures = self._fleet.stop_failures
         found = [
@@ -283,34 +297,40 @@
     options: argparse.Namespace,
     until_s: float,
 ) -> None:
-    variant = _request_fleet.Variant(
-        options.mechanism_off, options.claim_lease_s
-    )
-    fleet = _request_fleet.Fleet(variant).start()
-    runner = Runner(fleet, options.keep)
-    try:
-        while not seeds.empty():
-            seed = seeds.get()
-            if time.monotonic() > until_s:
-                totals.not_run[seed] = "out of time"
-                continue
-            try:
-                totals.add(runner.run(seed))
-            except (Exception, gevent.Timeout) as error:
-                # The cluster is in no state for the next seed.
-                totals.not_run[seed] = repr(error)
-                runner.keep_logs(seed)
-                raise
-        runner.judge_all(totals)
-    finally:
-        fleet.close()
+    """Runs seeds, on a new cluster after each one that did not recover."""
+    while not seeds.empty():
+        fleet = _request_fleet.Fleet(
+            _request_fleet.Variant(options.mechanism_off, options.claim_lease_s)
+        )
+        runner = Runner(fleet, options.keep)
+        try:
+            fleet.start()
+            _run_while_healthy(seeds, totals, runner, until_s)
+            runner.judge_all(totals)
+        finally:
+            fleet.close()
+
+
+def _run_while_healthy(
+    seeds: "gevent.queue.Queue", totals: Totals, runner: Runner, until_s: float
+) -> None:
+    while not seeds.empty():
+        seed = seeds.get()
+        if time.monotonic() > until_s:
+            totals.not_run[seed] = "out of time"
+            continue
+        report = runner.run(seed)
+        totals.add(report)
+        if not report.has_recovered:
+            return
 
 
 def main() -> int:
     """Runs the seeds; returns the exit code."""
     options = _options()
     seeds: gevent.queue.Queue = gevent.queue.Queue()
-    for seed in range(options.first_seed, options.first_seed + options.seeds):
+    all_seeds = range(options.first_seed, options.first_seed + options.seeds)
+    for seed in all_seeds:
         seeds.put(seed)
     totals = Totals()
     began_s = time.monotonic()
@@ -324,9 +344,15 @@
         )
         for _ in range(min(options.clusters, options.seeds))
     ]
+    # Whoever ends the runs early leaves no process behind.
+    gevent.signal_handler(
+        signal.SIGTERM, lambda: gevent.spawn(gevent.killall, workers)
+    )
     gevent.joinall(workers)
     while not seeds.empty():
         totals.not_run[seeds.get()] = "no cluster was left"
+    for seed in set(all_seeds) - {r.seed for r in totals.reports}:
+        totals.not_run.setdefault(seed, "its run failed")
     figures = totals.figures()
     figures["mechanism_off"] = options.mechanism_off
     figures["elapsed_s"] = round(time.monotonic() - began_s, 1)
