--- a/bench/end_to_end.py
+++ b/bench/end_to_end.py
@@ -66,6 +66,8 @@
 }
 """Short, so that a run sees a takeover."""
 _SETTLE_LIMIT_S = 60.0
+_LOSS_LEAST_S = 8.0
+"""Long enough for the controllers' answer to the loss to be part of it."""
 
 Fault = Callable[[cluster.Cluster, load.LoadClient], None]
 
@@ -127,12 +129,13 @@
         workload.Phase(third_s, rate_per_s, share) for share in (0.1, 0.7, 0.1)
     ]
     fault_at_s = duration_s / 4
+    loss = steady._replace(duration_s=max(duration_s, _LOSS_LEAST_S))
     return [
         Scenario("steady", [steady]),
         Scenario("steady_mixed", [steady], split_roles=False),
         Scenario("swing", swing),
         Scenario("swing_mixed", swing, split_roles=False),
-        Scenario("engine_loss", [steady], _kill_engine, fault_at_s),
+        Scenario("engine_loss", [loss], _kill_engine, loss.duration_s / 4),
         Scenario("zone_cut", [steady], _cut_zone, fault_at_s),
         Scenario("outage", [steady], _stop_key_value, fault_at_s),
         Scenario("graceful_stop", [steady], _stop_router, fault_at_s),
--- a/bench/run.py
+++ b/bench/run.py
@@ -30,6 +30,7 @@
 _BOUNDS_PATH = _ROOT / "bench" / "bounds.json"
 _SECTION_LIMIT_S = 900
 _FAILURE_TAIL_CHARACTERS = 2000
+_USAGE_EXIT_CODE = 2
 
 Figures = dict[str, Any]
 Bounds = dict[str, dict[str, float]]
@@ -149,7 +150,8 @@
         roots = [_ROOT]
         if arguments.against:
             roots.append(pathlib.Path(directory))
-            _unpack(arguments.against, roots[-1])
+            if not _unpack(arguments.against, roots[-1]):
+                return _USAGE_EXIT_CODE
         for _ in range(arguments.repeat):
             results = _run_all(sections, roots)
             runs.append({name: parts[0] for name, parts in results.items()})
@@ -196,6 +198,9 @@
     if earlier:
         compared = compare(runs[-1], earlier)
         _print_comparisons(arguments.against, compared)
+        for name, part in earlier.items():
+            if "failed" in part:
+                print(f"NOT COMPARED {name}: {part['failed']}")
         summary["against"] = {
             "revision": arguments.against,
             "figures": earlier,
@@ -327,7 +332,7 @@
         if child.poll() is None:
             os.killpg(child.pid, signal.SIGKILL)
             child.wait()
-    *table, last = stdout.strip().splitlines() or [""]
+    *table, last = stdout.rstrip().splitlines() or [""]
     figures = _parse(last)
     if child.returncode != 0:
         table.append(stderr[-_FAILURE_TAIL_CHARACTERS:])
@@ -345,16 +350,18 @@
         return {"failed": "the last line is no JSON object"}
 
 
-def _unpack(revision: str, directory: pathlib.Path) -> None:
+def _unpack(revision: str, directory: pathlib.Path) -> bool:
+    """Writes the tree of a revision; returns whether there is one."""
     archive = subprocess.run(
-        ["git", "archive", revision],
-        cwd=_ROOT,
-        capture_output=True,
-        check=True,
+        ["git", "archive", revision], cwd=_ROOT, capture_output=True
     )
+    if archive.returncode != 0:
+        print(archive.stderr.decode(), file=sys.stderr, end="")
+        return False
     subprocess.run(
         ["tar", "-x", "-C", str(directory)], input=archive.stdout, check=True
     )
+    return True
 
 
 def read_bounds() -> Bounds:
