Run test modules side by side, each in a process of its own

Threads in one process were ruled out because gevent's patching is per process. Modules now run four at a time; a module that ends without its result counts as failed, and its output is shown.

--- a/tests/run.py
+++ b/tests/run.py
@@ -1,17 +1,44 @@
 """Runs every test module and prints one plain closing line.
 
-A test that is listed in ``KNOWN-RED.txt`` (one line each: test id, cause,
-issue; three at most) is run and printed, and its failure alone doesn't fail
-the run. A listed test that passes does: the list must then be shortened.
+Modules run side by side, each in a process of its own, so that the whole run
+stays short; what a module prints is shown only if it failed. A test that is
+listed in ``KNOWN-RED.txt`` (one line each: test id, cause, issue; three at
+most) is run and printed, and its failure alone doesn't fail the run. A listed
+test that passes does: the list must then be shortened.
 """
 
+import argparse
+import concurrent.futures
+import json
+import os
 import pathlib
+import subprocess
 import sys
 import unittest
 from collections.abc import Iterable
+from typing import NamedTuple
 
 _KNOWN_RED_PATH = pathlib.Path("KNOWN-RED.txt")
 _KNOWN_RED_LIMIT_COUNT = 3
+_WORKERS_LIMIT_COUNT = 4
+_MODULE_LIMIT_S = 900
+_RESULT_MARK = "MODULE RESULT "
+
+
+class ModuleResult(NamedTuple):
+    """How one test module came out.
+
+    Attributes:
+        run_count: Tests that were run.
+        skipped_count: Tests that were skipped.
+        failed: Ids of the tests that failed.
+        output: What the module printed.
+    """
+
+    run_count: int
+    skipped_count: int
+    failed: list[str]
+    output: str = ""
 
 
 def known_red_ids(lines: Iterable[str]) -> list[str]:
@@ -29,30 +56,85 @@
 
 
 def main() -> int:
-    """Discovers and runs the tests; returns the exit code."""
-    suite = unittest.defaultTestLoader.discover("tests", top_level_dir=".")
-    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
-    failed = sorted(
-        {_test_id(test) for test, _ in outcome.failures + outcome.errors}
-        | {_test_id(test) for test in outcome.unexpectedSuccesses}
-    )
+    """Runs all modules, or the one named; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--module", help="run this one, in this process")
+    module = parser.parse_args().module
+    if module is not None:
+        print(_RESULT_MARK + json.dumps(_run_here(module)))
+        return 0
+    results = _run_all()
+    failed = sorted(test for result in results for test in result.failed)
     known = []
     if _KNOWN_RED_PATH.exists():
         known = known_red_ids(_KNOWN_RED_PATH.read_text().splitlines())
         print("KNOWN RED:\n" + _KNOWN_RED_PATH.read_text())
     reasons = judge(known, failed)
-    print("\n".join(reasons))
-    skipped_count = len(outcome.skipped)
-    passed_count = outcome.testsRun - len(failed) - skipped_count
+    for reason in reasons:
+        print(reason)
+    run_count = sum(result.run_count for result in results)
+    skipped_count = sum(result.skipped_count for result in results)
+    passed_count = run_count - len(failed) - skipped_count
     print(
         f"{passed_count} passed, {len(failed)} failed, {skipped_count} skipped"
     )
-    return 1 if reasons or not outcome.testsRun else 0
+    return 1 if reasons or not run_count else 0
+
+
+def _run_all() -> list[ModuleResult]:
+    """Runs the largest modules first, so that none is left for the end."""
+    paths = sorted(
+        pathlib.Path("tests").glob("test_*.py"),
+        key=lambda path: -path.stat().st_size,
+    )
+    workers_count = min(_WORKERS_LIMIT_COUNT, os.cpu_count() or 1)
+    with concurrent.futures.ThreadPoolExecutor(workers_count) as pool:
+        modules = [f"tests.{path.stem}" for path in paths]
+        return list(pool.map(_run_apart, modules))
+
+
+def _run_apart(module: str) -> ModuleResult:
+    command = [sys.executable, "-m", "tests.run", "--module", module]
+    try:
+        done = subprocess.run(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            timeout=_MODULE_LIMIT_S,
+        )
+        output = done.stdout.decode(errors="replace")
+    except subprocess.TimeoutExpired as error:
+        output = (error.stdout or b"").decode(errors="replace")
+    result = _read_result(module, output)
+    state = "FAILED" if result.failed else "ok"
+    print(f"{state:<7}{module} ({result.run_count} tests)", flush=True)
+    if result.failed:
+        print(result.output, flush=True)
+    return result
+
+
+def _read_result(module: str, output: str) -> ModuleResult:
+    """Reads what a module's process told; one that told nothing failed."""
+    for line in output.splitlines():
+        if line.startswith(_RESULT_MARK):
+            told = json.loads(line.removeprefix(_RESULT_MARK))
+            return ModuleResult(*told)._replace(output=output)
+    return ModuleResult(1, 0, [f"{module} did not end"], output)
+
+
+def _run_here(module: str) -> ModuleResult:
+    suite = unittest.defaultTestLoader.loadTestsFromName(module)
+    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
+    failed = {_test_id(test) for test, _ in outcome.failures + outcome.errors}
+    failed |= {_test_id(test) for test in outcome.unexpectedSuccesses}
+    return ModuleResult(
+        max(outcome.testsRun, len(failed)), len(outcome.skipped), sorted(failed)
+    )
 
 
 def _test_id(test: unittest.TestCase) -> str:
     """Names the whole test, also when only one of its sub-tests failed."""
-    return getattr(test, "test_case", test).id()
+    return str(getattr(test, "test_case", test).id())
 
 
 if __name__ == "__main__":
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -26,6 +26,10 @@
             run.known_red_ids(lines), ["tests.test_a.B.test_c", "x"]
         )
 
+    def test_a_module_that_told_no_result_has_failed(self) -> None:
+        result = run._read_result("tests.test_x", "Segmentation fault")
+        self.assertEqual(result.failed, ["tests.test_x did not end"])
+
 
 if __name__ == "__main__":
     unittest.main()
