Tell other zones of a new configuration at once

Each node tells one other zone each fourth interval, so with three zones a change waited up to eight intervals for its turn, and then for the grace before a fetch. The watch and the fetch itself were ruled out: other zones had the change in milliseconds.

A node that runs a new version now tells a partner in every other zone in its next interval, a node without a configuration asks them each interval, and who hears a node that is behind answers at once.

Found beside it: a fetch went to whom was heard first, not to whom was furthest ahead, so a router that starts while the service is down could serve by rules that had been replaced before it began, if a neighbour that had been paused was heard first.

--- a/src/mulberrywharf/nodes/config_exchange.py
+++ b/src/mulberrywharf/nodes/config_exchange.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Mapping
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import gevent
 from loguru import logger
@@ -12,6 +12,17 @@
 from mulberrywharf.nodes import links, messages
 
 _FETCH_GRACE_S = 1.5
+
+_FRESH_GRACE_S = 3.0
+"""Grace of a node that has no configuration yet.
+
+With the first answer that came, a node that starts while the key-value
+service is away could serve by rules that were replaced before it began: one
+neighbour may have been paused and not have caught up yet. The VM list lets
+the others know of this node within a second or two; then each answers at
+once.
+"""
+
 _FETCH_TIMEOUT_S = 5.0
 
 
@@ -33,6 +44,14 @@
         ...
 
 
+class _Ahead(NamedTuple):
+    """The node with the highest version that was heard since a fetch."""
+
+    version: int
+    vm_id: str
+    address: fleet.Address | None
+
+
 class ConfigExchange:
     """The versions that other nodes run, and at most one fetch."""
 
@@ -42,6 +61,7 @@
         self._configuration = configuration
         self._links = node_links
         self._versions: dict[str, int] = {}
+        self._best = _Ahead(0, "", None)
         self._fetching: gevent.Greenlet | None = None
 
     def version(self) -> int:
@@ -70,7 +90,10 @@
         if version <= self._configuration.version() or address is None:
             return
         if self._fetching is None or self._fetching.ready():
-            self._fetching = gevent.spawn(self._fetch, vm_id, address)
+            self._best = _Ahead(version, vm_id, address)
+            self._fetching = gevent.spawn(self._fetch)
+        elif version > self._best.version:
+            self._best = _Ahead(version, vm_id, address)
 
     def answer(
         self, sender_vm_id: str, question: messages.ConfigFetch
@@ -80,16 +103,21 @@
         current = self._configuration.current()
         return messages.ConfigDocument(current.raw if current else b"")
 
-    def _fetch(self, vm_id: str, address: fleet.Address) -> None:
-        """Gets the document from a neighbour.
+    def _fetch(self) -> None:
+        """Gets the document from the neighbour that is furthest ahead.
 
         Normally the watch brings it within the grace time and nothing is
         fetched; when the key-value service is away this is the only way.
         """
-        gevent.sleep(_FETCH_GRACE_S * random.uniform(0.5, 1.0))
-        if self._versions.get(vm_id, 0) <= self._configuration.version():
+        is_fresh = self._configuration.version() == 0
+        grace_s = _FRESH_GRACE_S if is_fresh else _FETCH_GRACE_S
+        gevent.sleep(grace_s * random.uniform(0.5, 1.0))
+        ahead = self._best
+        if ahead.address is None:
+            return
+        if ahead.version <= self._configuration.version():
             return
-        answered = self._links.to(address).call(
+        answered = self._links.to(ahead.address).call(
             messages.ConfigFetch(), _FETCH_TIMEOUT_S
         )
         if isinstance(answered, Err):
@@ -99,4 +127,4 @@
             return
         offered = self._configuration.offer(answer.document)
         if isinstance(offered, Ok) and offered.ok_value:
-            logger.info("took a newer configuration from {}", vm_id)
+            logger.info("took a newer configuration from {}", ahead.vm_id)
--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -86,6 +86,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._stamp = 0
         self._ticks_count = 0
+        self._told_version = 0
         self._book = neighbours.ListBook()
         self._rotation = neighbours.Rotation()
         self._rotation_elsewhere = neighbours.Rotation()
@@ -285,6 +286,7 @@
         self._choose_links()
         for address in self._rotation.take(self._neighbours, FAN_OUT_COUNT):
             self._demands.tell(self._links.to(address), heartbeat)
+        self._tell_version()
         if self._ticks_count % OTHER_ZONES_EVERY_COUNT:
             return
         # Stamps and suspicions concern the own zone only.
@@ -292,6 +294,29 @@
         for address in self._rotation_elsewhere.take(self._partners, 1):
             self._links.to(address).send(brief)
 
+    def _tell_version(self) -> None:
+        """Tells every other zone of a new version, or asks for a first one.
+
+        In its turn, a zone that is cut from the key-value service would hear
+        of a change after as many rounds as there are zones, and operators
+        would find it in force there last, after 8 s and more.
+        """
+        version = self._configuration.version()
+        if version and version == self._told_version:
+            return
+        self._told_version = version
+        for vm in self._partners:
+            self._links.to(vm.address).send(self._version_only())
+
+    def _version_only(self) -> messages.Heartbeat:
+        """Returns a heartbeat without the columns of the zone."""
+        return messages.Heartbeat(
+            self._zone,
+            self._incarnation,
+            self._stamp,
+            self._configuration.version(),
+        )
+
     def _choose_links(self) -> None:
         """Links to all of the zone and to a few partners elsewhere."""
         epoch = int(self._clock.unix_s() / PARTNER_EPOCH_S)
@@ -339,6 +364,8 @@
             heartbeat.config_version,
             self._address_of(sender_vm_id) if is_ahead else None,
         )
+        if heartbeat.config_version < self._configuration.version():
+            self._answer_version(sender_vm_id)
         self._demands.note(sender_vm_id, heartbeat)
         lists = self._book.find(heartbeat.list_hash)
         if heartbeat.availability_zone == self._zone:
@@ -354,6 +381,12 @@
                 lists.engine_ids, heartbeat.loads, heartbeat.load_ages, now_s
             )
 
+    def _answer_version(self, vm_id: str) -> None:
+        """Lets a node that is behind know, without waiting for its turn."""
+        address = self._address_of(vm_id)
+        if address is not None:
+            self._links.to(address).send(self._version_only())
+
     def _note_zone(
         self,
         sender_vm_id: str,
