Make the configuration's tests catch every mechanism

Two of the tests with real processes stayed green with their mechanism off. Operators who raced hardly ever read the same version before one of them wrote, so a write that compares nothing was not noticed; calls to the service are now slow during the race. Readiness was asked once, before the router had judged it; it is now watched for a second, several times the router's own interval. And a failure's message could not be built once a router had been replaced, since the logs of closed processes were read.

--- a/tests/config_cluster.py
+++ b/tests/config_cluster.py
@@ -32,6 +32,7 @@
 
 _POLL_S = 0.02
 _CTL_LIMIT_S = 60.0
+_SLOW_CALL_S = 0.1
 _ACCEPTED_EXIT_CODES = (0, 5)
 _CONFLICT_EXIT_CODE = 3
 
@@ -235,9 +236,15 @@
         cluster.post_json(port, "/faults", {"mode": mode})
 
     def lose_answers(self, is_losing: bool) -> None:
-        """Loses the answer of every write that takes effect, or of none."""
+        """Loses the answer of every write that takes effect, or of none.
+
+        Calls are slow either way: answered at once, operators who race would
+        hardly ever read the same version before one of them writes.
+        """
         port = self.endpoint("key_value")["port"]
-        faults = {"lose_answers_count": 1_000_000} if is_losing else {}
+        faults: dict[str, Any] = {"delay_s": _SLOW_CALL_S}
+        if is_losing:
+            faults["lose_answers_count"] = 1_000_000
         cluster.post_json(port, "/standin/faults", faults)
 
     def restore_service(self, raw: bytes | None) -> float:
@@ -331,6 +338,11 @@
         found = [self.looks.first_unix_s(member, version) for member in asked]
         return [max(0.0, unix_s - accepted) for unix_s in found if unix_s]
 
+    def collect_logs(self) -> str:
+        """Returns what the running programs wrote; replaced ones are gone."""
+        parts = [f"--- {m.vm_id}\n{m.process.errors()}" for m in self.nodes()]
+        return "\n".join(parts)
+
     def writes(self) -> list[Write]:
         """Returns every configuration that was ever stored."""
         return list(map(_write_of, _config_entries(self._history())))
--- a/tests/config_scenarios.py
+++ b/tests/config_scenarios.py
@@ -15,6 +15,9 @@
 from tests.config_cluster import Apply, ConfigCluster
 
 _LOSSY_S = 1.0
+_READINESS_S = 1.0
+"""Several times as long as a router takes to judge its readiness again."""
+
 _BEHIND = "config-store-behind"
 
 
@@ -56,7 +59,7 @@
 
     runs = pool.Pool(operators_count).map(operate, range(operators_count))
     losing.kill()
-    running.lose_answers(False)
+    running.set_key_value_down(False)
     applied = [run for of_operator in runs for run in of_operator]
     own = {run.change_id for run in applied}
     written = [w for w in running.writes() if w.change_id in own]
@@ -146,8 +149,9 @@
         ),
         "the router read the VM list",
     )
+    gevent.sleep(_READINESS_S)
     violations = []
-    if running.is_ready(started):
+    if running.looks.first_unix_s(started, 0, ready=True) is not None:
         violations.append("ready without a configuration")
     answer = cluster.Caller(started.process.ready["callers"]).complete("note")
     if (answer.status, answer.outcome) != (503, "not-run"):
