Decode events with orjson

Every check stays as it was. What orjson refuses goes to the standard decoder, so the same events are taken and refused as before; half a surrogate pair is the case that showed the need, seen red without the second decoder. A pattern over the raw bytes was ruled out: engines order the fields as they like, and a text may look like a field. orjson was installed and locked already, as a dependency of aioprometheus.

--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 import gevent
+import orjson
 from result import Err, Ok, Result
 
 from mulberrywharf import _answers, _exchange, errors, fleet
@@ -17,7 +18,7 @@
 _EVENT_END = b"\n\n"
 _DATA_PREFIX = b"data: "
 _DONE = b"[DONE]"
-# json.loads() looks for the encoding of each event; it is always UTF-8.
+# Takes what orjson refuses, such as half a surrogate pair in a token's text.
 _DECODER = json.JSONDecoder()
 _EVENT_LIMIT_BYTES = 1024 * 1024
 _ERROR_BODY_LIMIT_BYTES = 64 * 1024
@@ -288,7 +289,7 @@
 
     def _token(self, payload: bytes, event: bytes) -> Token:
         try:
-            document = _DECODER.decode(payload.decode())
+            document = _decoded(payload)
             token = self._checked_token(document, event)
         except _MALFORMED as error:
             raise self._broken(f"malformed event: {error!r}") from error
@@ -312,6 +313,13 @@
         return Token(index, _text(choice), reason, event + _EVENT_END, usage)
 
 
+def _decoded(payload: bytes) -> Any:
+    try:
+        return orjson.loads(payload)
+    except orjson.JSONDecodeError:
+        return _DECODER.decode(payload.decode())
+
+
 def _text(choice: Any) -> str:
     if "text" in choice:
         return str(choice["text"])
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -61,6 +61,31 @@
         self.assertLess(len(batches), 8)
         self.assertTrue(batches[-1].is_last)
 
+    def test_takes_all_that_json_allows(self) -> None:
+        """A correct answer is cut off.
+
+        Symptom: an engine is taken for broken in the middle of an emoji.
+        Sequence: it sends each half of a surrogate pair as one token.
+        Cause: the fast decoder refuses what the standard one reads.
+        """
+        cases = {
+            "half a surrogate pair": (rb'"\ud83d"', "\ud83d"),
+            "an escaped text": (rb'"\u00e9\n"', "\u00e9\n"),
+            "text outside ASCII": ('"\u00e9"'.encode(), "\u00e9"),
+        }
+        for name, (encoded, text) in cases.items():
+            with self.subTest(name):
+                first = build.event(0)
+                own = json.dumps(build.answer_text(1)).encode()
+                self.assertIn(own, first)
+                raw = first.replace(own, encoded) + build.events(1, 3, 3)
+                data = build.STREAM_HEAD + build.chunk(raw + build.DONE)
+                stream = self.open(self.serve_bytes(data + build.LAST_CHUNK))
+                batches = list(stream.batches())
+                self.assertEqual(batches[0].tokens[0].text, text)
+                passed = b"".join(batch.raw for batch in batches)
+                self.assertEqual(passed, raw + build.DONE)
+
     def test_events_cut_anywhere_are_put_together(self) -> None:
         body = build.events(0, 3, 3) + build.DONE
 
@@ -108,6 +133,9 @@
             + build.chunk(build.events(0, 8, 8) + build.event(8))
             + last,
             "not JSON": head + build.chunk(b"data: {\n\n") + last,
+            "not UTF-8": head
+            + build.chunk(build.event(0).replace(b"{", b'{"x": "\xff", ', 1))
+            + last,
             "not an object": head + build.chunk(b"data: 7\n\n") + last,
             "nested too deep": head
             + build.chunk(b"data: " + b"[" * 100_000 + b"\n\n")
