Share the programs' start-up and their tasks at intervals

The router and the controller each parsed the same arguments, loaded and checked the settings and set up the logs; the two said "no faults" and "no fault found" for the same finding. programs/_startup.py does it once, and the finding now reads "no faults" in both. The mesh keeps a loop of its own, since its pauses vary. Taking the router's signal handling in as well was ruled out: only there does a second SIGINT end the process.

--- a/src/mulberrywharf/programs/_controller_rates.py
+++ b/src/mulberrywharf/programs/_controller_rates.py
@@ -7,14 +7,13 @@
 import random
 from collections.abc import Callable
 
-import gevent
 import gevent.pool
-from loguru import logger
 from result import Ok
 
 from mulberrywharf import clock as clocks
 from mulberrywharf import fleet, settings
 from mulberrywharf.nodes import links, rates
+from mulberrywharf.programs import _interval_task
 from mulberrywharf.rules import Document, Situation
 
 _SHORTEST_CYCLE_S = 3.0
@@ -74,7 +73,11 @@
         self._read_s = float("-inf")
         self._due_s: dict[str, float] = {}
         self._questions = gevent.pool.Pool(_ASKED_AT_ONCE_COUNT)
-        self._task: gevent.Greenlet | None = None
+        self._task = _interval_task.IntervalTask(
+            (self._ask_due,),
+            interval_s=_TICK_S,
+            failure_message="an interval of asking for rates failed",
+        )
 
     @classmethod
     def from_config(
@@ -93,12 +96,11 @@
 
     def start(self) -> None:
         """Begins to ask, once ``add_to`` has said what is wanted."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def close(self) -> None:
         """Ends all questions and connections."""
-        if self._task is not None:
-            self._task.kill()
+        self._task.close()
         self._questions.kill()
         self._links.close()
 
@@ -137,16 +139,6 @@
             and vm.availability_zone == self._zone
         ]
 
-    def _run(self) -> None:
-        while True:
-            try:
-                self._ask_due()
-            except Exception:
-                # Were this task to end, the rates would stay unknown and
-                # rules on them be passed over until the process restarts.
-                logger.exception("an interval of asking for rates failed")
-            gevent.sleep(_TICK_S)
-
     def _ask_due(self) -> None:
         now_s = self._clock.monotonic_s()
         is_read = now_s - self._read_s <= _IDLE_AFTER_S
--- a/src/mulberrywharf/programs/_router_rules.py
+++ b/src/mulberrywharf/programs/_router_rules.py
@@ -8,15 +8,13 @@
 
 from collections.abc import Callable
 
-import gevent
-from loguru import logger
-
 from mulberrywharf import clock, fleet, rules
 from mulberrywharf.authority import situation_builder
 from mulberrywharf.engines import loads
 from mulberrywharf.nodes import mesh
 from mulberrywharf.platform_service import config_follower, vm_list
 from mulberrywharf.policy import role_planner
+from mulberrywharf.programs import _interval_task
 from mulberrywharf.requests import demand_rates
 
 _INTERVAL_S = 1.0
@@ -47,16 +45,19 @@
         self._clock = system_clock
         self._tracker = situation_builder.DemandTracker()
         self._sustain = rules.Sustain()
-        self._greenlet: gevent.Greenlet | None = None
+        self._task = _interval_task.IntervalTask(
+            (self.tick,),
+            interval_s=_INTERVAL_S,
+            failure_message="an evaluation of the rules failed",
+        )
 
     def start(self) -> None:
         """Begins to evaluate."""
-        self._greenlet = gevent.spawn(self._run)
+        self._task.start()
 
     def close(self) -> None:
         """Ends it; the last actions hold."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
+        self._task.close()
 
     def tick(self) -> None:
         """Evaluates once; an undecided match leaves things as they are."""
@@ -72,15 +73,6 @@
         if not found.undecided:
             self._on_actions(found.actions)
 
-    def _run(self) -> None:
-        while True:
-            try:
-                self.tick()
-            except Exception:
-                # Old limits would else stay in force for good.
-                logger.exception("an evaluation of the rules failed")
-            gevent.sleep(_INTERVAL_S)
-
     def _situation(self) -> rules.Situation:
         views = [
             view
--- a/src/mulberrywharf/programs/_router_sharing.py
+++ b/src/mulberrywharf/programs/_router_sharing.py
@@ -12,7 +12,6 @@
 from collections.abc import Collection, Mapping
 
 import gevent
-from loguru import logger
 from result import Ok
 
 from mulberrywharf import clock, fleet, metrics
@@ -20,6 +19,7 @@
 from mulberrywharf.nodes import mesh, slices
 from mulberrywharf.platform_service import vm_list
 from mulberrywharf.policy import limits, shares
+from mulberrywharf.programs import _interval_task
 
 WHOLE_FLEET_LIMIT_COUNT = 8
 """Up to so many engines, every router reads them all."""
@@ -222,25 +222,16 @@
         limit_sharing: LimitSharing,
         fleet_gauges: FleetGauges,
     ):
-        self._parts = (load_sharing, limit_sharing, fleet_gauges)
-        self._greenlet: gevent.Greenlet | None = None
+        self._task = _interval_task.IntervalTask(
+            (load_sharing.tick, limit_sharing.tick, fleet_gauges.tick),
+            interval_s=_INTERVAL_S,
+            failure_message="an interval of sharing failed",
+        )
 
     def start(self) -> None:
         """Begins to share."""
-        self._greenlet = gevent.spawn(self._run)
+        self._task.start()
 
     def close(self) -> None:
         """Ends sharing."""
-        if self._greenlet is not None:
-            self._greenlet.kill()
-
-    def _run(self) -> None:
-        while True:
-            for part in self._parts:
-                try:
-                    part.tick()
-                except Exception:
-                    # One bad interval must not leave this node with an old
-                    # picture, or old limits, for good.
-                    logger.exception("an interval of sharing failed")
-            gevent.sleep(_INTERVAL_S)
+        self._task.close()
--- a/src/mulberrywharf/programs/controller.py
+++ b/src/mulberrywharf/programs/controller.py
@@ -10,16 +10,14 @@
 
 monkey.patch_all()
 
-import argparse
 import signal
 import sys
 from typing import NamedTuple
 
 import gevent
 import gevent.event
-from result import Err
 
-from mulberrywharf import _wsgi, logs, settings
+from mulberrywharf import _wsgi, settings
 from mulberrywharf import clock as clocks
 from mulberrywharf.authority import lease_fuse, record_store
 from mulberrywharf.operators import audit, server, status
@@ -40,6 +38,7 @@
     _controller_status,
     _controller_weights,
     _controller_zone,
+    _startup,
 )
 
 _FINISH_S = 20.0
@@ -90,8 +89,16 @@
             user_timeout_s=_controller_options.user_timeout_s(config),
             enabled=mechanisms.fuse,
         )
+        self._operators = server.OperatorsServer.from_config(
+            config, self._status, self.stopping.set, audit=self._audit
+        )
         self._keeper = _controller_lease.LeaseKeeper.from_config(
-            config, self._key_value, fuse, clock, self._audit
+            config,
+            self._key_value,
+            fuse,
+            clock,
+            self._audit,
+            operators_port=self._operators.port,
         )
         self._rates = _controller_rates.ZoneRates.from_config(
             config, self._vm_list.vms, clock
@@ -101,9 +108,6 @@
         )
         self._keeper.on_step_down = sender.drop_all
         self._zone = self._make_zone(sender, mechanisms)
-        self._operators = server.OperatorsServer.from_config(
-            config, self._status, self.stopping.set, audit=self._audit
-        )
 
     @classmethod
     def from_config(
@@ -189,6 +193,7 @@
             self._keeper.held,
             config_version=self._configuration.version(),
             ready=self._operators.ready,
+            key_value_age_s=self._key_value.age_s(),
             vm_list_age_s=self._vm_list.age_s(),
             now_unix_s=self._clock.unix_s(),
         )
@@ -196,12 +201,7 @@
 
 def run(config: settings.Settings, mechanisms: Mechanisms) -> None:
     """Runs a controller until SIGTERM or SIGINT."""
-    logs.configure(
-        vm_id=config["vm_id"],
-        availability_zone=config["availability_zone"],
-        program="controller",
-        level=config.get("log_level", "INFO"),
-    )
+    _startup.configure_logs(config, "controller")
     lease_fuse.restore_default_alarm()
     program = ControllerProgram.from_config(config, mechanisms)
     gevent.signal_handler(signal.SIGTERM, program.stopping.set)
@@ -213,25 +213,13 @@
 
 def main() -> int:
     """Runs ``mulberry-controller``."""
-    parser = argparse.ArgumentParser(
+    config = _startup.read_settings(
         prog="mulberry-controller",
         description="Keeps a zone's engines as the rules say.",
     )
-    parser.add_argument("--settings", required=True, help="JSON with comments")
-    parser.add_argument(
-        "--check-settings",
-        action="store_true",
-        help="check the file, list every fault, and exit",
-    )
-    arguments = parser.parse_args()
-    loaded = settings.load(arguments.settings)
-    if isinstance(loaded, Err):
-        print(loaded.err_value, file=sys.stderr)
-        return 1
-    if arguments.check_settings:
-        print(f"{arguments.settings}: no faults")
-        return 0
-    run(loaded.ok_value, Mechanisms())
+    if isinstance(config, int):
+        return config
+    run(config, Mechanisms())
     return 0
 
 
--- a/src/mulberrywharf/programs/router.py
+++ b/src/mulberrywharf/programs/router.py
@@ -5,7 +5,6 @@
 
 monkey.patch_all()
 
-import argparse
 import os
 import signal
 import sys
@@ -13,29 +12,22 @@
 import gevent
 from result import Err, Ok, Result
 
-from mulberrywharf import _wsgi, errors, logs, settings
-from mulberrywharf.programs import _router
+from mulberrywharf import _wsgi, errors, settings
+from mulberrywharf.programs import _router, _startup
 
 _INTERRUPTED_EXIT_CODE = 130
 
 
 def main() -> int:
     """Runs a router until SIGTERM, SIGINT or an operator's drain."""
-    arguments = _arguments()
-    loaded = _load(arguments.settings)
-    if isinstance(loaded, Err):
-        print(loaded.err_value, file=sys.stderr)
-        return 1
-    config = loaded.ok_value
-    if arguments.check_settings:
-        print(f"{arguments.settings}: no fault found")
-        return 0
-    logs.configure(
-        vm_id=config["vm_id"],
-        availability_zone=config["availability_zone"],
-        program="router",
-        level=config.get("log_level", "INFO"),
+    config = _startup.read_settings(
+        prog="mulberry-router",
+        description="Serves callers from engines and backend servers.",
+        load=_load,
     )
+    if isinstance(config, int):
+        return config
+    _startup.configure_logs(config, "router")
     router = _router.Router.from_config(config)
     _handle_signals(router)
     router.start()
@@ -45,20 +37,6 @@
     return 0
 
 
-def _arguments() -> argparse.Namespace:
-    parser = argparse.ArgumentParser(
-        prog="mulberry-router",
-        description="Serves callers from engines and backend servers.",
-    )
-    parser.add_argument("--settings", required=True, help="JSON with comments")
-    parser.add_argument(
-        "--check-settings",
-        action="store_true",
-        help="check the settings, say what is wrong, and end",
-    )
-    return parser.parse_args()
-
-
 def _load(path: str) -> Result[settings.Settings, errors.SettingsError]:
     loaded = settings.load(path)
     if isinstance(loaded, Ok) and "callers" not in loaded.ok_value:
