Tell the age of the key-value service and where a controller is asked

The status of every node said null for the age of its picture of the key-value service, also in an outage, since nobody noted when the service last did what it was asked.

The client now keeps the monotonic time of the last call that the service carried out and of the last message of a watch; refusals do not count. The lease value carries operators_ip and operators_port, unless the listener listens on every address, where no address could be named. Controllers' ages are rounded as routers' are.

--- a/src/mulberrywharf/platform_service/gateway.py
+++ b/src/mulberrywharf/platform_service/gateway.py
@@ -55,6 +55,7 @@
         system_clock: clock.Clock,
     ):
         self._clock = system_clock
+        self._answered_s = float("-inf")
         self._endpoints = [
             http_calls.HttpCalls(endpoint, timeout_s) for endpoint in endpoints
         ]
@@ -65,6 +66,14 @@
         for endpoint in self._endpoints:
             endpoint.close()
 
+    def age_s(self) -> float:
+        """Returns how long ago the service last answered, inf before."""
+        return self._clock.monotonic_s() - self._answered_s
+
+    def note_answer(self) -> None:
+        """Notes that the service did what it was asked, just now."""
+        self._answered_s = self._clock.monotonic_s()
+
     def open_stream(
         self,
         path: str,
@@ -90,6 +99,7 @@
             message = f"{endpoint.name}: watch refused with {stream.status}"
             return Err(errors.PlatformUnavailableError(message))
         self._count(purpose, "watch", "ok")
+        self.note_answer()
         return Ok(stream)
 
     def send(self, call: Call) -> Result[dict[str, Any], errors.PlatformError]:
@@ -123,6 +133,7 @@
         answer = sent.ok_value
         self._count(call.purpose, call.kind, str(answer.status))
         if answer.status == 200:
+            self.note_answer()
             return Ok(answer.body)
         return Err(_refusal(endpoint.name, call, answer))
 
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -81,6 +81,16 @@
         self._watches.clear()
         self._gateway.close()
 
+    def age_s(self) -> float:
+        """Returns how long ago the service last answered, inf before.
+
+        Only calls that it carried out count, and what watches bring: a
+        service that refuses everything is as good as away. A process that
+        has nothing to ask learns only from its watches, which may be quiet
+        for up to ``watch.REOPEN_S``.
+        """
+        return self._gateway.age_s()
+
     def get(
         self, key: str, *, purpose: str
     ) -> Result[KeyValue | None, errors.PlatformError]:
@@ -279,6 +289,10 @@
         if watch in self._watches:
             self._watches.remove(watch)
 
+    def note_watch_message(self) -> None:
+        """Counts a message of a watch as an answer of the service."""
+        self._gateway.note_answer()
+
     def read_for_watch(
         self, prefix: str, *, purpose: str
     ) -> Result[tuple[list[KeyValue], ServiceState], errors.PlatformError]:
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -147,6 +147,7 @@
                 return True
             self._failures_count = 0
             brought_any = True
+            self._client.note_watch_message()
             self._take_events(result)
 
     def _is_continuous(self, result: dict[str, Any]) -> bool:
--- a/src/mulberrywharf/programs/_controller_lease.py
+++ b/src/mulberrywharf/programs/_controller_lease.py
@@ -1,16 +1,17 @@
 """Keeps the zone's controller lease, or waits for it."""
 
+import ipaddress
 import json
 import random
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import gevent
 import gevent.event
 from result import Err
 
 from mulberrywharf import clock as clocks
-from mulberrywharf import errors, metrics, settings
+from mulberrywharf import errors, fleet, metrics, settings
 from mulberrywharf.authority import lease_fuse, record_store
 from mulberrywharf.operators import audit
 from mulberrywharf.platform_service import key_value, lease, watch
@@ -54,6 +55,16 @@
     return f"/mulberry/{deployment}/controllers/{config['availability_zone']}"
 
 
+def _operators_address(
+    config: settings.Settings, port: int
+) -> fleet.Address | None:
+    ip = config["operators"]["listen"]["ip"]
+    # A listener on every address of the VM is reached at none of this name.
+    if ipaddress.ip_address(ip).is_unspecified:
+        return None
+    return fleet.Address(ip, port)
+
+
 def _do_nothing() -> None:
     """Stands in until someone wants to know."""
 
@@ -78,6 +89,7 @@
         vm_id: str,
         key: str,
         ttl_s: float,
+        operators_address: fleet.Address | None = None,
     ):
         self._key_value = key_value_client
         self._fuse = fuse
@@ -85,6 +97,7 @@
         self._audit = audit_log
         self._vm_id = vm_id
         self._key = key
+        self._operators_address = operators_address
         # The service counts in whole seconds. Rounded up, this process
         # would believe in a longer lease than it was given.
         self._ttl_s = float(max(1, int(ttl_s)))
@@ -103,8 +116,20 @@
         fuse: lease_fuse.LeaseFuse,
         clock: clocks.Clock,
         audit_log: audit.AuditLog,
+        *,
+        operators_port: int,
     ) -> "LeaseKeeper":
-        """Builds the keeper of the settings' zone."""
+        """Builds the keeper of the settings' zone.
+
+        Args:
+            config: Settings of the process.
+            key_value_client: Keeps the lease.
+            fuse: Ends the process at the end of the lease.
+            clock: Monotonic and wall clock.
+            audit_log: Where leases taken and lost are recorded.
+            operators_port: Where the admin listener listens; the settings
+                may leave the choice to the kernel.
+        """
         controller = config.get("controller", {})
         return cls(
             key_value_client,
@@ -114,6 +139,7 @@
             vm_id=config["vm_id"],
             key=controller_key(config),
             ttl_s=controller.get("lease_ttl_s", settings.DEFAULT_LEASE_TTL_S),
+            operators_address=_operators_address(config, operators_port),
         )
 
     @property
@@ -202,8 +228,7 @@
         granted = holder.start()
         if isinstance(granted, Err):
             return False
-        value = {"vm_id": self._vm_id, "lease_id": granted.ok_value}
-        created = holder.create_key(self._key, json.dumps(value).encode())
+        created = holder.create_key(self._key, self._value(granted.ok_value))
         if isinstance(created, Err):
             return False
         if not self._fuse.renewed(holder.valid_until_monotonic_s):
@@ -223,6 +248,20 @@
         self.changed.set()
         return True
 
+    def _value(self, lease_id: int) -> bytes:
+        """Returns the key's value: who holds it, and where to ask it.
+
+        The VM list names one admin listener a VM, which is the router's.
+        Without these fields ``mulberryctl`` would not find a controller that
+        nobody names to it.
+        """
+        value: dict[str, Any] = {"vm_id": self._vm_id, "lease_id": lease_id}
+        address = self._operators_address
+        if address is not None:
+            value["operators_ip"] = address.ip
+            value["operators_port"] = address.port
+        return json.dumps(value).encode()
+
     def _on_renewed(self, valid_until_monotonic_s: float) -> None:
         if self.held is None:
             return
--- a/src/mulberrywharf/programs/_controller_status.py
+++ b/src/mulberrywharf/programs/_controller_status.py
@@ -13,6 +13,7 @@
     *,
     config_version: int,
     ready: bool,
+    key_value_age_s: float,
     vm_list_age_s: float,
     now_unix_s: float,
 ) -> status.StatusReport:
@@ -24,7 +25,9 @@
         held: The lease, or None on standby.
         config_version: Version in force here, 0 when there is none.
         ready: Whether the process takes part.
-        vm_list_age_s: Age of the VM list.
+        key_value_age_s: Since the key-value service last answered; inf
+            before.
+        vm_list_age_s: Age of the VM list; inf before the first.
         now_unix_s: Wall clock.
     """
     report = status.StatusReport(
@@ -38,7 +41,7 @@
             for _, fact in sorted(view.facts.items())
         ],
         platform=status.PlatformStatus(
-            key_value_age_s=None,
+            key_value_age_s=_finite(key_value_age_s),
             vm_list_age_s=_finite(vm_list_age_s),
         ),
         lease=status.LeaseStatus(
@@ -70,9 +73,11 @@
     if fact.report is not None:
         engine["seen_role"] = fact.report.role
         engine["seen_state"] = fact.report.state
-        engine["report_age_s"] = now_unix_s - fact.report.reported_unix_s
+        engine["report_age_s"] = _finite(
+            now_unix_s - fact.report.reported_unix_s
+        )
     return engine
 
 
 def _finite(age_s: float) -> float | None:
-    return None if age_s == float("inf") else age_s
+    return None if age_s == float("inf") else round(age_s, 3)
--- a/src/mulberrywharf/programs/_router_platform.py
+++ b/src/mulberrywharf/programs/_router_platform.py
@@ -44,6 +44,6 @@
     def status(self) -> status.PlatformStatus:
         """Returns how old this picture is."""
         return status.PlatformStatus(
-            key_value_age_s=None,
+            key_value_age_s=_router_status.finite(self.key_value.age_s()),
             vm_list_age_s=_router_status.finite(self.vm_list.age_s()),
         )
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -134,6 +134,36 @@
                 read = self.client.get("/a", purpose="test").unwrap_err()
                 self.assertIsInstance(read, errors.PlatformUnavailableError)
 
+    def test_age_counts_from_the_last_answer(self) -> None:
+        """An operator asks how old a node's picture of the service is.
+
+        Symptom: the age of every node is unknown, also in an outage.
+        Sequence: calls answer, then the service goes away and comes back.
+        Cause: nobody noted when the service last did what it was asked.
+        """
+        hands = mock.Mock()
+        hands.monotonic_s.return_value = 100.0
+        client = key_value.KeyValueClient(
+            [builders.endpoint(self.service.port)],
+            timeout_s=0.3,
+            purpose_budgets={"test": builders.GENEROUS},
+            system_clock=hands,
+        )
+        self.addCleanup(client.close)
+        self.assertEqual(client.age_s(), float("inf"))
+        steps = (
+            (200.0, {}, 0.0),
+            (230.0, {"down": True}, 30.0),
+            (240.0, {"refuse_writes": True}, 40.0),
+            (250.0, {}, 0.0),
+        )
+        for now_s, faults, age_s in steps:
+            with self.subTest(now_s=now_s, faults=faults):
+                hands.monotonic_s.return_value = now_s
+                self.service.set_faults(**faults)
+                client.delete("/a", purpose="test")
+                self.assertEqual(client.age_s(), age_s)
+
     def test_next_endpoint_answers(self) -> None:
         closed = builders.closed_port()
         client = builders.client_for(closed, self.service.port)
@@ -245,6 +275,23 @@
             ("put", "/a1", b"1"), ("put", "/a1", b"2"), ("delete", "/a1", b"")
         )
 
+    def test_what_a_watch_brings_counts_as_an_answer(self) -> None:
+        hands = mock.Mock()
+        hands.monotonic_s.return_value = 100.0
+        watching = key_value.KeyValueClient(
+            [builders.endpoint(self.service.port)], system_clock=hands
+        )
+        self.addCleanup(watching.close)
+        watching.watch("/a", self.events.append, purpose="test")
+        revision = self.put("/a1", b"0")
+        self.assert_sees(("put", "/a1", b"0"))
+        self.events.clear()
+        hands.monotonic_s.return_value = 130.0
+        self.assertEqual(watching.age_s(), 30.0)
+        self.put("/a1", b"1", revision)
+        self.assert_sees(("put", "/a1", b"1"))
+        self.assertEqual(watching.age_s(), 0.0)
+
     def test_change_during_a_cut_is_reported_once(self) -> None:
         """Symptom: a node misses the change made while its watch was cut.
 
