Let mulberryctl say what is missing and what to do next

Tried as a new operator on a small cluster, every command answered, but some led astray. handover ended with 0 although no controller of a zone answered, and called an empty service "none could be read". A token with a line end passed for a node that is down. "no node answers" did not say why, and a VM list asked for at the address of the key-value service told to try later. history took a negative count for none, apply a negative base version.

handover now ends with 5 when a zone has no active controller that answers, as its page says of a picture with a part missing, and names the next step; plan's notes do as well. Failures name each node's reason. Such tokens are refused as tokens (6), such numbers as usage (2). Advice of the admin listener names the operators' page; a body that is too large has its own advice.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -118,6 +118,7 @@
 
     code = "request-too-large"
     status = 413
+    advice = "Send less; the operators' settings bound head and body."
 
 
 class UnknownTargetError(RequestError):
@@ -511,7 +512,7 @@
     """The admin listener has no such path or method."""
 
     code = "unknown-operator-request"
-    advice = "docs/design/interfaces.md lists what the admin listener answers."
+    advice = "docs/operators/settings.md lists what the admin listener answers."
 
 
 class AdminListenerError(OperatorError):
--- a/src/mulberrywharf/operators/client.py
+++ b/src/mulberrywharf/operators/client.py
@@ -48,6 +48,9 @@
         token: The operator's token.
         timeout_s: For connecting and for the whole answer.
     """
+    if not _fits_in_a_header(token):
+        message = "the token holds characters that no header can carry"
+        return Err(NotAuthorisedError(message))
     message = f"{address} did not answer in {timeout_s:g} s"
     try:
         with gevent.Timeout(timeout_s):
@@ -75,6 +78,13 @@
     return list(pool.map(read, addresses))
 
 
+def _fits_in_a_header(token: str) -> bool:
+    # Sent all the same, a token with a line end would make the client fail
+    # as if the node did not answer, and the operator would look for a node
+    # that is down.
+    return token.isascii() and (token.isprintable() or not token)
+
+
 def _exchange(
     address: Address, token: str, timeout_s: float
 ) -> Result[StatusReport, OperatorError]:
--- a/src/mulberrywharf/operators/server.py
+++ b/src/mulberrywharf/operators/server.py
@@ -192,7 +192,7 @@
     def _authorise(self, environ: Environ) -> str:
         operator = self._tokens.operator(environ.get("HTTP_AUTHORIZATION", ""))
         if operator is None:
-            raise NotAuthorisedError("no operator's token in the request")
+            raise NotAuthorisedError("no valid operator's token in the request")
         return operator
 
 
--- a/src/mulberrywharf/programs/_ctl_arguments.py
+++ b/src/mulberrywharf/programs/_ctl_arguments.py
@@ -59,6 +59,16 @@
     return value_s
 
 
+def _whole_number(text: str) -> int:
+    try:
+        value = int(text)
+    except ValueError:
+        value = -1
+    if value < 0:
+        raise argparse.ArgumentTypeError("a whole number, 0 or more")
+    return value
+
+
 def _audit_text(text: str) -> str:
     # Others read this in their terminals; control characters could hide or
     # forge lines of the history there.
@@ -181,7 +191,7 @@
     )
     apply.add_argument(
         "--base-version",
-        type=int,
+        type=_whole_number,
         help="version that you edited; left out: the line "
         "'// base-version: N' that show wrote into the file. 0: none yet",
     )
@@ -204,7 +214,10 @@
         "history", help="list the latest changes of the rules"
     )
     history.add_argument(
-        "--count", type=int, default=10, help="how many (default: 10)"
+        "--count",
+        type=_whole_number,
+        default=10,
+        help="how many (default: %(default)s)",
     )
     explain = commands.add_parser(
         "explain",
--- a/src/mulberrywharf/programs/_ctl_context.py
+++ b/src/mulberrywharf/programs/_ctl_context.py
@@ -18,6 +18,10 @@
 from mulberrywharf.rules import Document, FleetSize, parse
 
 _PURPOSE = "mulberryctl"
+_GLOBAL_ADVICE = (
+    "Put --deployment NAME --platform IP:PORT --vm-list IP:PORT before the "
+    "command; mulberryctl --help explains them."
+)
 _FILE_LIMIT_BYTES = 4 * 1024 * 1024
 
 
@@ -73,14 +77,26 @@
         if address is None and self.arguments.platform:
             address = self.arguments.platform[0]
         if address is None:
-            return Err(errors.UsageError("name --vm-list or --platform"))
+            return Err(
+                errors.UsageError(
+                    "name --vm-list or --platform", advice=_GLOBAL_ADVICE
+                )
+            )
         reader = vm_list.VmListReader(
             _endpoint(address), timeout_s=self.arguments.timeout_s
         )
         try:
-            return reader.read_once().map(lambda _: reader.vms())
+            read = reader.read_once()
+            if isinstance(read, Ok):
+                return Ok(reader.vms())
         finally:
             reader.close()
+        if self.arguments.vm_list is None:
+            read.err_value.advice = (
+                "Name the VM list's address with --vm-list; it was asked for "
+                f"at --platform, {address}."
+            )
+        return read
 
     def fleet_size(self) -> Result[FleetSize, errors.MulberryError]:
         """Counts the engines of each zone in the VM list."""
@@ -155,7 +171,11 @@
         if self._key_value is not None:
             return Ok(self._key_value)
         if not self.arguments.platform or not self.arguments.deployment:
-            return Err(errors.UsageError("name --platform and --deployment"))
+            return Err(
+                errors.UsageError(
+                    "name --platform and --deployment", advice=_GLOBAL_ADVICE
+                )
+            )
         self._key_value = key_value.KeyValueClient(
             [_endpoint(address) for address in self.arguments.platform],
             timeout_s=self.arguments.timeout_s,
--- a/src/mulberrywharf/programs/_ctl_handover.py
+++ b/src/mulberrywharf/programs/_ctl_handover.py
@@ -17,6 +17,7 @@
 from mulberrywharf.programs._ctl_context import Context
 from mulberrywharf.programs._ctl_engines import EngineLine, join_engines
 from mulberrywharf.programs._ctl_nodes import (
+    NO_CONTROLLER_ADVICE,
     active_controllers,
     ask_nodes,
     explanation_lines,
@@ -39,12 +40,14 @@
 
     Attributes:
         configuration: In the key-value service, or None.
+        is_configured: False if the service was read and holds none.
         answers: Of the nodes.
         engines: Wanted and seen, with their orders.
         failures: Sources that could not be read.
     """
 
     configuration: Configuration | None
+    is_configured: bool
     answers: list[NodeAnswer]
     engines: list[EngineLine]
     failures: list[MulberryError]
@@ -60,14 +63,18 @@
     if len(picture.failures) == _SOURCES_COUNT:
         return error_result(picture.failures[0])
     lines = [
-        *_rule_lines(picture.configuration),
+        *_rule_lines(picture),
         *_zone_lines(picture.answers),
         *_engine_lines(picture.engines),
         *_order_lines(picture.engines, time.time()),
         *_node_lines(picture),
         *_failure_lines(picture.failures),
     ]
-    is_partial = picture.failures or missing_lines(picture.answers)
+    is_partial = (
+        picture.failures
+        or missing_lines(picture.answers)
+        or _zones_without_controller(picture.answers)
+    )
     code = ExitCode.NOT_EVERYWHERE if is_partial else ExitCode.OK
     return CommandResult(code, _value(picture), lines)
 
@@ -86,13 +93,18 @@
     answers = asked.unwrap_or([])
     return _Picture(
         configuration=current.unwrap_or(None),
+        is_configured=isinstance(current, Err) or current.ok_value is not None,
         answers=answers,
         engines=join_engines(reports(answers), orders.unwrap_or({})),
         failures=failures,
     )
 
 
-def _rule_lines(configuration: Configuration | None) -> list[str]:
+def _rule_lines(picture: _Picture) -> list[str]:
+    if not picture.is_configured:
+        error = _ctl_show.no_configuration()
+        return [f"RULES: {error.message}", f"  next: {error.advice}"]
+    configuration = picture.configuration
     if configuration is None:
         return ["RULES: none could be read"]
     lines = [
@@ -113,12 +125,18 @@
         report = controllers.get(zone)
         if report is None:
             lines.append(f"  {zone}: no active controller answers")
+            lines.append(f"    next: {NO_CONTROLLER_ADVICE}")
             continue
         lines.append(f"  {zone}: controller on {report['vm_id']}")
         lines += [f"  {line}" for line in explanation_lines(report)]
     return lines
 
 
+def _zones_without_controller(answers: list[NodeAnswer]) -> set[str]:
+    zones = {report["availability_zone"] for report in reports(answers)}
+    return zones - active_controllers(answers).keys()
+
+
 def _engine_lines(engines: list[EngineLine]) -> list[str]:
     lines = ["ENGINES (wanted / seen):"]
     for engine in engines:
--- a/src/mulberrywharf/programs/_ctl_nodes.py
+++ b/src/mulberrywharf/programs/_ctl_nodes.py
@@ -12,6 +12,11 @@
     error_result,
 )
 
+NO_CONTROLLER_ADVICE = (
+    "Name the controllers' admin listeners with --node; if none holds a "
+    "lease, the key-value service may be away."
+)
+
 
 def ask_nodes(
     context: Context,
@@ -30,8 +35,12 @@
     ]
     if refused:
         return Err(refused[0])
-    names = ", ".join(str(answer.address) for answer in answers) or "none"
-    return Err(errors.AdminListenerError(f"no node answers (asked: {names})"))
+    reasons = "; ".join(str(answer.error) for answer in answers)
+    return Err(
+        errors.AdminListenerError(
+            f"no node answers: {reasons or 'the VM list names none'}"
+        )
+    )
 
 
 def reports(answers: list[NodeAnswer]) -> list[StatusReport]:
@@ -117,8 +126,7 @@
     where = f"in {zone}" if zone else "in any zone"
     return errors.AdminListenerError(
         f"no controller that answers holds a lease {where}",
-        advice="Name the controllers' admin listeners with --node; if none "
-        "holds a lease, the key-value service may be away.",
+        advice=NO_CONTROLLER_ADVICE,
     )
 
 
--- a/src/mulberrywharf/programs/_ctl_plan.py
+++ b/src/mulberrywharf/programs/_ctl_plan.py
@@ -14,6 +14,7 @@
 )
 from mulberrywharf.programs._ctl_context import Context
 from mulberrywharf.programs._ctl_nodes import (
+    NO_CONTROLLER_ADVICE,
     active_controllers,
     ask_nodes,
     missing_lines,
@@ -86,7 +87,8 @@
 ) -> tuple[list[_ZonePlan], list[str]]:
     asked = ask_nodes(context)
     if not isinstance(asked, Ok):
-        return [], [f"the live fleet is not known: {asked.err_value}"]
+        error = asked.err_value
+        return [], [f"the live fleet is not known: {error}", error.advice]
     plans = [
         plan
         for report in active_controllers(asked.ok_value).values()
@@ -94,7 +96,7 @@
     ]
     notes = missing_lines(asked.ok_value)
     if not plans:
-        notes.append("no controller told what it sees")
+        notes += ["no controller told what it sees", NO_CONTROLLER_ADVICE]
     return plans, notes
 
 
--- a/src/mulberrywharf/programs/_ctl_show.py
+++ b/src/mulberrywharf/programs/_ctl_show.py
@@ -39,8 +39,7 @@
     found = _configuration(context)
     if isinstance(found, CommandResult):
         return found
-    count = max(0, context.arguments.count)
-    entries = list(reversed(found.audit))[:count]
+    entries = list(reversed(found.audit))[: context.arguments.count]
     lines = [line for entry in entries for line in entry_lines(entry)]
     return CommandResult(ExitCode.OK, {"changes": entries}, lines)
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -85,6 +85,8 @@
             ["--timeout-s", "-1", "show"],
             ["apply", "f", "--author", "ana", "--note", "a\x1b[2Jb"],
             ["apply", "f", "--author", "", "--note", "why"],
+            ["apply", "f", "--base-version", "-1"],
+            ["history", "--count", "-1"],
         ]
         for arguments in cases:
             with (
@@ -100,7 +102,7 @@
             with self.subTest(command=command):
                 found = build.run_ctl(command)
                 self.assertEqual(found.exit_code, 2)
-                self.assertIn("next:", found.stderr)
+                self.assertIn("next: Put --", found.stderr)
 
 
 class SituationStatusTest(unittest.TestCase):
@@ -304,6 +306,50 @@
         self.assertEqual(found.exit_code, 6)
         self.assertIn("--operator-token-env", found.stderr)
 
+    def test_a_token_that_no_header_can_carry(self):
+        """A token was read from a file together with its line end.
+
+        Symptom: the node is said not to answer, and is looked for in vain.
+        Sequence: the variable holds more than one line. Cause: the client
+        refuses to write such a header, which passed for a failed connection.
+        """
+        for token in ("two\nlines", "caf\u00e9"):
+            with (
+                self.subTest(token=token),
+                mock.patch.dict("os.environ", {"OTHER": token}),
+            ):
+                found = self.ctl(
+                    "--operator-token-env",
+                    "OTHER",
+                    "status",
+                    nodes=(self.node(),),
+                )
+                self.assertEqual(found.exit_code, 6)
+                self.assertIn("no header can carry", found.stderr)
+
+    def test_what_cannot_be_reached_is_told_with_the_next_step(self):
+        closed = builders_platform.closed_port()
+        away = self.ctl("status", nodes=(closed,))
+        self.assertIn(f"127.0.0.1:{closed}: ", away.stderr)
+        self.assertIn("refused", away.stderr)
+        no_list = self.ctl("status")
+        self.assertEqual(no_list.exit_code, 4)
+        self.assertIn("next: Name the VM list's address", no_list.stderr)
+        self.apply(PLAIN, "--base-version", "0", nodes=(self.node(),))
+        plan = self.ctl("plan", _write(PLAIN, self), nodes=(self.node(),))
+        self.assertIn("with --node", plan.stdout)
+
+    def test_handover_without_rules_and_without_a_controller(self):
+        found = self.ctl("handover", nodes=(self.node(),))
+        self.assertEqual(found.exit_code, 5)
+        for text in (
+            "RULES: no configuration is in force",
+            "--base-version 0",
+            "hall-a: no active controller answers",
+            "next: Name the controllers' admin listeners",
+        ):
+            self.assertIn(text, found.stdout)
+
     def test_history_tells_who_changed_what(self):
         nodes = (self.node(),)
         self.apply(PLAIN, "--base-version", "0", nodes=nodes)
