Split ownership keys and candidates from the claim owner

The order of calls to the service is the same; a lost answer to a create is read back as before, and a lapsed lease still drops all shards. Moving the answers out too was ruled out: they are one dispatch over the shards that the owner holds. The tests of claims, their budgets and the mesh pass.

--- a/src/mulberrywharf/nodes/claim_client.py
+++ b/src/mulberrywharf/nodes/claim_client.py
@@ -1,6 +1,5 @@
 """Asks the owners of claim shards on behalf of this node's callers."""
 
-import json
 import random
 from typing import NamedTuple
 
@@ -12,6 +11,7 @@
 from mulberrywharf.nodes import (
     claim_log,
     claim_owner,
+    claim_ownership,
     claims,
     links,
     messages,
@@ -317,14 +317,13 @@
         )
         found = self._store.get_prefix(
             claims.owners_prefix(self._deployment),
-            purpose=claim_owner.PURPOSE_OWNER,
+            purpose=claim_ownership.PURPOSE_OWNER,
         )
         if isinstance(found, Ok):
             for key_value in found.ok_value:
-                shard = int(key_value.key.rsplit("/", 1)[1])
-                fields = json.loads(key_value.value)
-                self._owners[shard] = fleet.Address(
-                    fields["ip"], fields["port"]
+                shard = claim_ownership.shard_number(key_value.key)
+                self._owners[shard] = claim_ownership.owner_address(
+                    key_value.value
                 )
         if self._owners == known_before:
             self._lookup_delay_s = min(
--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -5,43 +5,37 @@
 few nodes spend calls on looking and the owners are spread.
 """
 
-import json
 from typing import Protocol
 
 import gevent
 import gevent.event
-from loguru import logger
-from result import Err, Ok, Result
+from result import Err
 
-from mulberrywharf import clock, errors, fleet, metrics, settings
+from mulberrywharf import clock, fleet, metrics, settings
 from mulberrywharf.nodes import (
+    claim_candidates,
     claim_log,
+    claim_ownership,
     claim_shard,
     claims,
     links,
     messages,
-    ranking,
     server,
 )
 from mulberrywharf.platform_service import call_budget, key_value
 
-PURPOSE_OWNER = "claim-owner"
-PURPOSE_LEASE = "claim-lease"
-
 PURPOSE_BUDGETS = {
     claim_log.PURPOSE_COMMIT: call_budget.CallBudget(60.0, 120),
     claim_log.PURPOSE_READ: call_budget.CallBudget(20.0, 60),
-    PURPOSE_OWNER: call_budget.CallBudget(10.0, 60),
+    claim_ownership.PURPOSE_OWNER: call_budget.CallBudget(10.0, 60),
     # Of its own: whatever is spent on looking for shards, the lease on those
     # that are held must not lapse for want of a call.
-    PURPOSE_LEASE: call_budget.CallBudget(4.0, 20),
+    claim_ownership.PURPOSE_LEASE: call_budget.CallBudget(4.0, 20),
 }
 """What the key-value client of a router should allow for claims."""
 
 LEASE_TTL_S = 10.0
 POLL_INTERVAL_S = 2.0
-CANDIDATES_COUNT = 3
-"""Nodes that look after a shard without being asked to."""
 
 _RENEWALS_PER_TTL_COUNT = 3
 _LOOKS_PER_POLL_COUNT = 4
@@ -49,6 +43,11 @@
 _HANDOVER_TIMEOUT_S = 1.0
 _GIVE_UP_TIMEOUT_S = 5.0
 
+_shards_owned = metrics.gauge(
+    "mulberry_claim_shards_owned_count",
+    "Claim shards that this process owns.",
+)
+
 
 class VmList(Protocol):
     """What claims need of ``VmListReader``."""
@@ -88,7 +87,9 @@
         self._shards: dict[int, claim_shard.ClaimShard] = {}
         self._revisions: dict[int, int] = {}
         self._ownerless_since_s: dict[int, float] = {}
-        self._lease_id = 0
+        self._keys = claim_ownership.OwnershipKeys(
+            store, deployment, own, lease_ttl_s
+        )
         self._is_leaving = False
         self._tasks: list[gevent.Greenlet] = []
         self._wanted: set[int] = set()
@@ -173,9 +174,7 @@
             gevent.spawn(self._give_up, number) for number in self._shards
         ]
         gevent.joinall(giving_up, timeout=_GIVE_UP_TIMEOUT_S)
-        if self._lease_id:
-            self._store.revoke(self._lease_id, purpose=PURPOSE_LEASE)
-            self._lease_id = 0
+        self._keys.revoke()
 
     def owned_shards(self) -> list[int]:
         """Returns the numbers of the shards that it answers for."""
@@ -229,27 +228,16 @@
 
     def _keep_lease(self) -> None:
         while True:
-            if self._lease_id and not self._is_leaving:
-                self._renew()
+            if not self._is_leaving and not self._keys.renew():
+                self._drop_all()
             gevent.sleep(self._lease_ttl_s / _RENEWALS_PER_TTL_COUNT)
 
-    def _renew(self) -> None:
-        renewed = self._store.keep_alive(self._lease_id, purpose=PURPOSE_LEASE)
-        if isinstance(renewed, Ok):
-            return
-        if isinstance(renewed.err_value, errors.AuthorityLostError):
-            logger.warning("the lease on claim shards lapsed")
-            self._lease_id = 0
-            self._drop_all()
-        # While the service is away the shards are kept: their commits fail
-        # anyhow, and if it is back before the lease lapses nothing moved.
-
     def _look_for_shards(self) -> None:
         while True:
             if not self._is_leaving:
                 self._look()
-            # Every press that waits for a shard asks for a look, many times a
-            # second. Looking each time would spend all calls on reading and
+            # Every request that waits for a shard asks for a look, many times
+            # a second. Looking each time would spend all calls on reading and
             # leave none to take the shards: an outage of the service would
             # never end for claims, and only its count of reads would show it.
             pause_s = self._poll_interval_s / _LOOKS_PER_POLL_COUNT
@@ -260,15 +248,15 @@
 
     def _look(self) -> None:
         self._forget_lost()
-        ranks = self._ranks()
+        ranks = claim_candidates.own_ranks(
+            self._own.vm_id, self._vm_list.vms(), self._shard_count
+        )
         if not ranks and not self._wanted and not self._handed:
             return
-        found = self._store.get_prefix(
-            claims.owners_prefix(self._deployment), purpose=PURPOSE_OWNER
-        )
+        found = self._keys.read()
         if isinstance(found, Err):
             return
-        owned = {_shard_number(kv.key): kv for kv in found.ok_value}
+        owned = found.ok_value
         for number in range(self._shard_count):
             if number in owned:
                 self._adopt(number, owned[number])
@@ -285,31 +273,9 @@
         lost and the reading back showed nothing. Nobody else could take the
         shard for as long as this process renews its lease.
         """
-        if owned.lease_id == self._lease_id and number not in self._shards:
+        if self._keys.is_own(owned) and number not in self._shards:
             self._open(number, owned.mod_revision)
 
-    def _ranks(self) -> dict[int, int]:
-        """Returns this node's rank for each shard it is a candidate of.
-
-        A node that the VM list does not name yet, or whose list is still
-        empty, would rank itself first for everything and own all shards; its
-        end would then stop all claims at once.
-        """
-        vm_ids = {
-            vm.vm_id
-            for vm in self._vm_list.vms()
-            if vm.kind == "entry" and vm.state == "live"
-        }
-        ranks: dict[int, int] = {}
-        if self._own.vm_id not in vm_ids:
-            return ranks
-        for number in range(self._shard_count):
-            ranked = ranking.rank(f"claim-shard-{number}", vm_ids)
-            rank = ranked.index(self._own.vm_id)
-            if rank < CANDIDATES_COUNT:
-                ranks[number] = rank
-        return ranks
-
     def _is_due(self, number: int, ranks: dict[int, int]) -> bool:
         """Tells whether it is this node's turn to take an unowned shard.
 
@@ -320,20 +286,18 @@
             return True
         now_s = self._clock.monotonic_s()
         since_s = self._ownerless_since_s.setdefault(number, now_s)
-        rank = ranks.get(number, CANDIDATES_COUNT)
-        if rank == CANDIDATES_COUNT and number not in self._wanted:
+        rank = ranks.get(number, claim_candidates.CANDIDATES_COUNT)
+        is_candidate = number in ranks
+        if not is_candidate and number not in self._wanted:
             return False
         if number in self._wanted:
             rank = min(rank, 1)
         return now_s - since_s >= rank * self._poll_interval_s
 
     def _acquire(self, number: int) -> None:
-        if not self._has_lease():
-            return
-        key = claims.owner_key(self._deployment, number)
-        created = self._create(key)
-        if isinstance(created, Ok):
-            self._open(number, created.ok_value.mod_revision)
+        mod_revision = self._keys.take(number)
+        if mod_revision is not None:
+            self._open(number, mod_revision)
 
     def _open(self, number: int, mod_revision: int) -> None:
         """Reads the log of a shard that was won and begins to answer."""
@@ -353,7 +317,7 @@
         if isinstance(started, Err):
             # Owning a shard without having read its log would grant claims
             # that were granted before.
-            self._delete_ownership(number)
+            self._keys.delete(number, self._revisions.pop(number))
             return
         self._shards[number] = shard
         self._ownerless_since_s.pop(number, None)
@@ -361,74 +325,18 @@
         self._handed.discard(number)
         _shards_owned.set({}, len(self._shards))
 
-    def _has_lease(self) -> bool:
-        if self._lease_id:
-            return True
-        granted = self._store.grant_lease(
-            self._lease_ttl_s, purpose=PURPOSE_LEASE
-        )
-        if isinstance(granted, Err):
-            return False
-        self._lease_id = granted.ok_value
-        return True
-
-    def _create(
-        self, key: str
-    ) -> Result[key_value.KeyValue, errors.PlatformError]:
-        value = json.dumps(
-            {
-                "vm_id": self._own.vm_id,
-                "ip": self._own.address.ip,
-                "port": self._own.address.port,
-                "lease_id": str(self._lease_id),
-            }
-        ).encode()
-        created = self._store.compare_and_swap(
-            key,
-            value,
-            expected_revision=0,
-            lease_id=self._lease_id,
-            purpose=PURPOSE_OWNER,
-        )
-        if isinstance(created, Ok):
-            return created
-        # The answer may be lost though the key was written, at this attempt
-        # or one before; the value names this process's own lease.
-        found = self._store.get(key, purpose=PURPOSE_OWNER)
-        if isinstance(found, Err) or found.ok_value is None:
-            return created
-        if found.ok_value.value != value:
-            return created
-        return Ok(found.ok_value)
-
     def _give_up(self, number: int) -> None:
         shard = self._shards.pop(number)
         shard.close()
-        self._delete_ownership(number)
-        successor = self._successor(number)
+        self._keys.delete(number, self._revisions.pop(number))
+        successor = claim_candidates.successor(
+            number, self._own.vm_id, self._vm_list.vms()
+        )
         if successor is not None:
             self._links.to(successor).call(
                 messages.ShardHandover(number), _HANDOVER_TIMEOUT_S
             )
 
-    def _delete_ownership(self, number: int) -> None:
-        self._store.delete(
-            claims.owner_key(self._deployment, number),
-            expected_revision=self._revisions.pop(number),
-            purpose=PURPOSE_OWNER,
-        )
-
-    def _successor(self, number: int) -> fleet.Address | None:
-        others = {
-            vm.vm_id: vm.address
-            for vm in self._vm_list.vms()
-            if vm.kind == "entry"
-            and vm.state == "live"
-            and vm.vm_id != self._own.vm_id
-        }
-        name = ranking.first(f"claim-shard-{number}", others)
-        return others.get(name)
-
     def _forget_lost(self) -> None:
         for number, shard in list(self._shards.items()):
             if not shard.is_owner:
@@ -441,13 +349,3 @@
             shard.close()
         self._shards.clear()
         self._revisions.clear()
-
-
-def _shard_number(owner_key: str) -> int:
-    return int(owner_key.rsplit("/", 1)[1])
-
-
-_shards_owned = metrics.gauge(
-    "mulberry_claim_shards_owned_count",
-    "Claim shards that this process owns.",
-)
--- /dev/null
+++ b/src/mulberrywharf/nodes/claim_ownership.py
@@ -0,0 +1,141 @@
+"""The keys that say who owns which claim shard, and the lease they hang on."""
+
+import json
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from mulberrywharf import errors, fleet
+from mulberrywharf.nodes import claim_log, claims
+from mulberrywharf.platform_service import key_value
+
+PURPOSE_OWNER = "claim-owner"
+PURPOSE_LEASE = "claim-lease"
+
+
+class OwnershipKeys:
+    """One process's lease, and the ownership keys under it."""
+
+    def __init__(
+        self,
+        store: claim_log.KeyValue,
+        deployment: str,
+        own: fleet.VmRecord,
+        lease_ttl_s: float,
+    ):
+        self._store = store
+        self._deployment = deployment
+        self._own = own
+        self._lease_ttl_s = lease_ttl_s
+        self._lease_id = 0
+
+    def is_own(self, owned: key_value.KeyValue) -> bool:
+        """Tells whether an ownership key is under this process's lease."""
+        return owned.lease_id == self._lease_id
+
+    def renew(self) -> bool:
+        """Renews the lease if there is one; False once it has lapsed."""
+        if not self._lease_id:
+            return True
+        renewed = self._store.keep_alive(self._lease_id, purpose=PURPOSE_LEASE)
+        # While the service is away the shards are kept: their commits fail
+        # anyhow, and if it is back before the lease lapses nothing moved.
+        if isinstance(renewed, Ok) or not isinstance(
+            renewed.err_value, errors.AuthorityLostError
+        ):
+            return True
+        logger.warning("the lease on claim shards lapsed")
+        self._lease_id = 0
+        return False
+
+    def revoke(self) -> None:
+        """Gives the lease up, and with it every key that is left."""
+        if self._lease_id:
+            self._store.revoke(self._lease_id, purpose=PURPOSE_LEASE)
+            self._lease_id = 0
+
+    def read(
+        self,
+    ) -> Result[dict[int, key_value.KeyValue], errors.PlatformError]:
+        """Returns the ownership keys of all processes by shard number."""
+        found = self._store.get_prefix(
+            claims.owners_prefix(self._deployment), purpose=PURPOSE_OWNER
+        )
+        return found.map(lambda keys: {shard_number(kv.key): kv for kv in keys})
+
+    def take(self, shard: int) -> int | None:
+        """Makes this process the owner of a shard that has none.
+
+        Returns:
+            The revision of the ownership key, or None if another process was
+            first or the service did not answer.
+        """
+        if not self._has_lease():
+            return None
+        key = claims.owner_key(self._deployment, shard)
+        created = self._create(key)
+        if isinstance(created, Err):
+            return None
+        return created.ok_value.mod_revision
+
+    def delete(self, shard: int, mod_revision: int) -> None:
+        """Gives a shard up, if the key is still as this process wrote it."""
+        self._store.delete(
+            claims.owner_key(self._deployment, shard),
+            expected_revision=mod_revision,
+            purpose=PURPOSE_OWNER,
+        )
+
+    def _has_lease(self) -> bool:
+        if self._lease_id:
+            return True
+        granted = self._store.grant_lease(
+            self._lease_ttl_s, purpose=PURPOSE_LEASE
+        )
+        if isinstance(granted, Err):
+            return False
+        self._lease_id = granted.ok_value
+        return True
+
+    def _create(
+        self, key: str
+    ) -> Result[key_value.KeyValue, errors.PlatformError]:
+        value = self._value()
+        created = self._store.compare_and_swap(
+            key,
+            value,
+            expected_revision=0,
+            lease_id=self._lease_id,
+            purpose=PURPOSE_OWNER,
+        )
+        if isinstance(created, Ok):
+            return created
+        # The answer may be lost though the key was written, at this attempt
+        # or one before; the value names this process's own lease.
+        found = self._store.get(key, purpose=PURPOSE_OWNER)
+        if isinstance(found, Err) or found.ok_value is None:
+            return created
+        if found.ok_value.value != value:
+            return created
+        return Ok(found.ok_value)
+
+    def _value(self) -> bytes:
+        return json.dumps(
+            {
+                "vm_id": self._own.vm_id,
+                "ip": self._own.address.ip,
+                "port": self._own.address.port,
+                "lease_id": str(self._lease_id),
+            }
+        ).encode()
+
+
+def shard_number(owner_key: str) -> int:
+    """Returns the shard that an ownership key is of."""
+    return int(owner_key.rsplit("/", 1)[1])
+
+
+def owner_address(value: bytes) -> fleet.Address:
+    """Returns the owner's listener for nodes from an ownership key's value."""
+    fields = json.loads(value)
+    return fleet.Address(fields["ip"], fields["port"])
