Say which address cannot be listened on, and what handover lacks

A router started beside a controller with the same ports, or with another VM's address, ended in a traceback that named no field of the settings.

One function binds for the HTTP listeners and for the nodes' port, which had a copy each, and raises ListenError (cannot-listen); both programs print it with the next step and end with 1, before READY.

The new test starts real processes on a held port and on an address of no VM; before, the same start printed the traceback.

--- a/src/mulberrywharf/_wsgi.py
+++ b/src/mulberrywharf/_wsgi.py
@@ -8,9 +8,12 @@
 import gevent
 import gevent.event
 from gevent import pywsgi
-from gevent import socket as gevent_socket
 from loguru import logger
 
+from mulberrywharf import _listening
+
+_BACKLOG_COUNT = 1024
+
 StartResponse = Callable[..., Any]
 Environ = dict[str, Any]
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
@@ -65,7 +68,9 @@
     """
 
     def __init__(self, ip: str, port: int, application: Application):
-        listener = _listening_socket(ip, port)
+        listener = _listening.listening_socket(
+            ip, port, backlog_count=_BACKLOG_COUNT
+        )
         super().__init__(
             listener,
             application,
@@ -103,16 +108,6 @@
         self._idle.wait()
 
 
-def _listening_socket(ip: str, port: int) -> Any:
-    listener = gevent_socket.socket(
-        socket.AF_INET6 if ":" in ip else socket.AF_INET
-    )
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.bind((ip, port))
-    listener.listen(1024)
-    return listener
-
-
 def announce_ready(**fields: object) -> None:
     """Prints the line that tells a supervisor which ports are open."""
     print("READY " + json.dumps(fields), flush=True)
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -72,6 +72,16 @@
     code = "bad-settings"
 
 
+class ListenError(MulberryError):
+    """A port that the settings name cannot be listened on."""
+
+    code = "cannot-listen"
+    advice = (
+        "Correct the `listen` field in the settings, or end what holds the "
+        "port; a router and a controller on one VM need different ports."
+    )
+
+
 class RulesError(DocumentError):
     """The operators' rules document cannot be accepted."""
 
--- a/src/mulberrywharf/nodes/server.py
+++ b/src/mulberrywharf/nodes/server.py
@@ -1,18 +1,16 @@
 """Listens for other entry VMs, one task for each connection."""
 
 import os
-import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import gevent
 import gevent.pool
 import gevent.server
-from gevent import socket as gevent_socket
 from loguru import logger
 from result import Err
 
-from mulberrywharf import settings
+from mulberrywharf import _listening, settings
 from mulberrywharf.nodes import codec, frames, link, messages
 
 Handler = Callable[[str, Any], messages.Message | None]
@@ -28,6 +26,7 @@
 
 _WRITE_TIMEOUT_S = 10.0
 _CONNECTION_LIMIT_COUNT = 2048
+_BACKLOG_COUNT = 256
 _HANDSHAKE_TIMEOUT_S = 5.0
 _QUESTIONS_LIMIT_COUNT = 4096
 
@@ -90,13 +89,14 @@
         self._handlers[message_type] = _Registration(handler, may_wait)
 
     def start(self) -> None:
-        """Binds and begins to accept."""
-        listener = gevent_socket.socket(
-            socket.AF_INET6 if ":" in self._ip else socket.AF_INET
+        """Binds and begins to accept.
+
+        Raises:
+            ListenError: The port cannot be listened on.
+        """
+        listener = _listening.listening_socket(
+            self._ip, self.port, backlog_count=_BACKLOG_COUNT
         )
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._ip, self.port))
-        listener.listen(256)
         self.port = int(listener.getsockname()[1])
         self._server = gevent.server.StreamServer(
             listener,
--- a/src/mulberrywharf/programs/_ctl_handover.py
+++ b/src/mulberrywharf/programs/_ctl_handover.py
@@ -43,25 +43,25 @@
         is_configured: False if the service was read and holds none.
         answers: Of the nodes.
         engines: Wanted and seen, with their orders.
-        failures: Sources that could not be read.
+        failures: Sources that could not be read, by their name.
     """
 
     configuration: Configuration | None
     is_configured: bool
     answers: list[NodeAnswer]
     engines: list[EngineLine]
-    failures: list[MulberryError]
+    failures: dict[str, MulberryError]
 
 
 def run(context: Context) -> CommandResult:
     """Shows the rules, the engines and the orders in flight."""
     picture = _read(context)
     # A wrong command line or token is the operator's to correct, at once.
-    for error in picture.failures:
+    for error in picture.failures.values():
         if isinstance(error, (UsageError, NotAuthorisedError)):
             return error_result(error)
     if len(picture.failures) == _SOURCES_COUNT:
-        return error_result(picture.failures[0])
+        return error_result(next(iter(picture.failures.values())))
     lines = [
         *_rule_lines(picture),
         *_zone_lines(picture.answers),
@@ -80,16 +80,16 @@
 
 
 def _read(context: Context) -> _Picture:
-    failures: list[MulberryError] = []
+    failures: dict[str, MulberryError] = {}
     current = context.configuration()
     if isinstance(current, Err):
-        failures.append(current.err_value)
+        failures["the rules"] = current.err_value
     orders = context.order_records()
     if isinstance(orders, Err):
-        failures.append(orders.err_value)
+        failures["the orders"] = orders.err_value
     asked = ask_nodes(context)
     if isinstance(asked, Err):
-        failures.append(asked.err_value)
+        failures["the nodes"] = asked.err_value
     answers = asked.unwrap_or([])
     return _Picture(
         configuration=current.unwrap_or(None),
@@ -184,12 +184,12 @@
     return ["NODES:", *(behind or [everything]), *missing]
 
 
-def _failure_lines(failures: list[MulberryError]) -> list[str]:
+def _failure_lines(failures: dict[str, MulberryError]) -> list[str]:
     if not failures:
         return []
     lines = ["NOT KNOWN:"]
-    for error in failures:
-        lines.append(f"  {error.code}: {error.message}")
+    for source, error in failures.items():
+        lines.append(f"  {source}: {error.code}: {error.message}")
         lines.append(f"    next: {error.advice}")
     return lines
 
@@ -210,5 +210,8 @@
         ],
         "nodes": reports(picture.answers),
         "not_reached": missing_lines(picture.answers),
-        "not_known": [error.message for error in picture.failures],
+        "not_known": [
+            f"{source}: {error.message}"
+            for source, error in picture.failures.items()
+        ],
     }
--- a/src/mulberrywharf/programs/_startup.py
+++ b/src/mulberrywharf/programs/_startup.py
@@ -48,6 +48,24 @@
     return loaded.ok_value
 
 
+def run_until_stopped(run: Callable[[], object]) -> int:
+    """Runs a program, or says why it cannot listen.
+
+    Args:
+        run: Opens the ports, serves, and returns after a graceful stop.
+
+    Returns:
+        The exit code: 0 after a graceful stop, 1 when it could not listen.
+    """
+    try:
+        run()
+    except errors.ListenError as error:
+        print(f"{error.code}: {error}", file=sys.stderr)
+        print(f"  next: {error.advice}", file=sys.stderr)
+        return 1
+    return 0
+
+
 def configure_logs(
     config: settings.Settings, program: Literal["router", "controller"]
 ) -> None:
--- a/src/mulberrywharf/programs/controller.py
+++ b/src/mulberrywharf/programs/controller.py
@@ -219,8 +219,7 @@
     )
     if isinstance(config, int):
         return config
-    run(config, Mechanisms())
-    return 0
+    return _startup.run_until_stopped(lambda: run(config, Mechanisms()))
 
 
 if __name__ == "__main__":
--- a/src/mulberrywharf/programs/router.py
+++ b/src/mulberrywharf/programs/router.py
@@ -27,6 +27,10 @@
     )
     if isinstance(config, int):
         return config
+    return _startup.run_until_stopped(lambda: _run(config))
+
+
+def _run(config: settings.Settings) -> None:
     _startup.configure_logs(config, "router")
     router = _router.Router.from_config(config)
     _handle_signals(router)
@@ -34,7 +38,6 @@
     _wsgi.announce_ready(program="router", **router.ports())
     router.stopping.wait()
     router.stop()
-    return 0
 
 
 def _load(path: str) -> Result[settings.Settings, errors.SettingsError]:
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -465,7 +465,8 @@
             "engine-0: prefill / decode",
             "rule contracts of version 4: long contracts",
             "NOT KNOWN:",
-            "platform-unavailable",
+            "the rules: platform-unavailable",
+            "the orders: platform-unavailable",
         ):
             self.assertIn(text, found.stdout)
 
--- /dev/null
+++ b/tests/test_startup.py
@@ -0,0 +1,73 @@
+"""Programs whose ports cannot be listened on say so and end."""
+
+import subprocess
+import sys
+import unittest
+from typing import Any
+
+from gevent import socket
+
+from mulberrywharf import _listening
+from tests import builders_settings
+
+_ADDRESS_OF_NO_VM = "192.0.2.1"
+_LIMIT_S = 60
+
+
+class ListenTest(unittest.TestCase):
+    """A program is started beside another one with its ports.
+
+    Symptom: the operator reads a traceback that names no field of the
+    settings. Sequence: a router's file is copied for the controller and its
+    ports are left as they are; the second program starts. Cause: the failed
+    bind was not told from a fault of the program.
+    """
+
+    def run_program(
+        self, program: str, settings: dict[str, Any]
+    ) -> subprocess.CompletedProcess[str]:
+        path = builders_settings.write_settings(settings)
+        module = f"mulberrywharf.programs.{program}"
+        return subprocess.run(
+            [sys.executable, "-m", module, "--settings", path],
+            capture_output=True,
+            text=True,
+            timeout=_LIMIT_S,
+        )
+
+    def test_it_names_the_address_and_the_next_step(self) -> None:
+        holder = _listening.listening_socket("127.0.0.1", 0, backlog_count=1)
+        self.addCleanup(holder.close)
+        taken = {"ip": "127.0.0.1", "port": holder.getsockname()[1]}
+        elsewhere = {"ip": _ADDRESS_OF_NO_VM, "port": 0}
+        key = {"key_hex": builders_settings.NODE_KEY_HEX}
+        cases = (
+            ("router", taken, {"operators": {"listen": taken}}),
+            ("router", taken, {"nodes": {"listen": taken, **key}}),
+            ("router", elsewhere, {"callers": {"listen": elsewhere}}),
+            ("controller", taken, {"operators": {"listen": taken}}),
+        )
+        for program, address, changes in cases:
+            with self.subTest(program=program, changes=changes):
+                done = self.run_program(
+                    program, builders_settings.node_settings(**changes)
+                )
+                self.assertEqual(done.returncode, 1)
+                name = f"{address['ip']}:{address['port']}"
+                self.assertIn(f"cannot-listen: {name}: ", done.stderr)
+                self.assertIn("next: Correct the `listen` field", done.stderr)
+                self.assertNotIn("Traceback", done.stderr)
+                self.assertNotIn("READY", done.stdout)
+
+    def test_a_port_is_free_again_after_close(self) -> None:
+        first = _listening.listening_socket("127.0.0.1", 0, backlog_count=1)
+        address = first.getsockname()
+        first.close()
+        again = _listening.listening_socket(*address, backlog_count=1)
+        self.addCleanup(again.close)
+        with socket.create_connection(address):
+            pass
+
+
+if __name__ == "__main__":
+    unittest.main()
