--- a/src/mulberrywharf/nodes/claim_shard.py
+++ b/src/mulberrywharf/nodes/claim_shard.py
@@ -133,7 +133,7 @@
             left_s = deadline_s - self._clock.monotonic_s()
             # A claim that is being released is neither held nor free: to
             # grant it again now would let the release free it under its
-            # new holder, and a third press would run beside him.
+            # new holder, and a third request would run beside it.
             leaving = self._queued_releases.get(request.claim_id)
             if leaving is not None:
                 if not _wait(leaving, left_s):
--- a/src/mulberrywharf/nodes/claims.py
+++ b/src/mulberrywharf/nodes/claims.py
@@ -213,7 +213,7 @@
         """Forgets claims older than the window, oldest first.
 
         A claim whose run may still be going on is kept however old it is:
-        forgotten, a second press would run beside the first.
+        forgotten, a duplicate request would run beside the first.
         """
         for claim, entry in list(self._entries.items()):
             if entry.claimed_unix_s + self._window_s > now_unix_s:
--- a/src/mulberrywharf/requests/kept_answers.py
+++ b/src/mulberrywharf/requests/kept_answers.py
@@ -1,4 +1,4 @@
-"""Answers kept for a second press: how they are written, and a local store.
+"""Answers kept for duplicate requests: how they are written, and a local store.
 
 The owner of a claim keeps short answers with the claim. Long ones stay in the
 memory of the router that ran the request; other routers ask it for them.
