Copy and set less for each block of a stream

With writing and decoding cheaper, a profile of the router spreads what is left of a token over many small steps beside its system calls. A lazier timer for silence was ruled out: setting it costs 0.2 microseconds.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -119,6 +119,7 @@
         self._connection: _connections.Connection | None = connection
         self._pool = pool
         self._answer: _answers.Answer | None = None
+        self._wait_limit_s: float | None = None
 
     @classmethod
     def open(
@@ -160,7 +161,7 @@
         if connection is None:
             return Err(errors.AnswerLostError("the exchange is closed"))
         data = encode(request, connection.address)
-        connection.sock.settimeout(answer_timeout_s)
+        self._limit_waits(connection, answer_timeout_s)
         try:
             self.stage = MaybeSent()
             connection.sock.sendall(data)
@@ -183,7 +184,7 @@
         connection, answer = self._connection, self._answer
         if connection is None or answer is None:
             return Err(errors.AnswerLostError("the exchange is closed"))
-        connection.sock.settimeout(idle_timeout_s)
+        self._limit_waits(connection, idle_timeout_s)
         try:
             if answer.needs_bytes:
                 connection.wait_readable(idle_timeout_s)
@@ -196,6 +197,15 @@
             self.close()
             raise
 
+    def _limit_waits(
+        self, connection: _connections.Connection, limit_s: float
+    ) -> None:
+        # Setting the same timeout again for each token of a stream shows in
+        # what the token costs.
+        if limit_s != self._wait_limit_s:
+            connection.sock.settimeout(limit_s)
+            self._wait_limit_s = limit_s
+
     def read_all(
         self, idle_timeout_s: float, limit_bytes: int
     ) -> Result[bytes, errors.EngineError]:
--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -80,7 +80,7 @@
     @property
     def raw(self) -> bytes:
         """The events as bytes, with ``[DONE]`` in the last batch."""
-        data = b"".join(token.raw for token in self.tokens)
+        data = b"".join([token.raw for token in self.tokens])
         return data + DONE_EVENT if self.is_last else data
 
 
@@ -105,7 +105,7 @@
         self._request_id = request_id
         self._next_index = first_index
         self._idle_timeout_s = idle_timeout_s
-        self._buffer = bytearray()
+        self._rest = b""
         self._finished = False
         self._done = False
         self._failed = False
@@ -259,15 +259,15 @@
                 raise self._broken(some.err_value.message)
             if not some.ok_value:
                 raise self._broken("the stream ended before its end mark")
-            self._buffer += some.ok_value
-            end = self._buffer.rfind(_EVENT_END)
+            data = self._rest + some.ok_value
+            end = data.rfind(_EVENT_END)
             if end >= 0:
                 break
-            if len(self._buffer) > _EVENT_LIMIT_BYTES:
+            if len(data) > _EVENT_LIMIT_BYTES:
                 raise self._broken("an event is too large")
-        whole = bytes(self._buffer[:end])
-        del self._buffer[: end + len(_EVENT_END)]
-        return whole.split(_EVENT_END)
+            self._rest = data
+        self._rest = data[end + len(_EVENT_END) :]
+        return data[:end].split(_EVENT_END)
 
     def _parse(self, events: list[bytes]) -> list[Token]:
         tokens = []
