Measure what the whole router spends on a token

bench.relay measured a small relay with the router's parts and not the router, so the figure left out the callers' side, admission and the reports of loads. It now starts a cluster with a real router as well and counts the kernel's processor time while 100 paced streams flow. The sources play the engines: the stand-in engine's first tokens come a step late, which held the router's limits at four requests an engine, and a process for each of 30 engines would be too many. Warming the limits up was tried and did not reach 100 streams in ten rounds.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -2,8 +2,9 @@
 
 ``python -m bench.relay`` prints a table and one JSON object. The relay runs on
 one core with one listener and one ``EngineStream`` for each request; source,
-busy reader and this process are others. Tokens per CPU second come from the
-relay's own processor time, so that a busy machine changes them little.
+busy reader and this process are others. ``router_100`` is a router as it is
+deployed, in a cluster of its own. Tokens per CPU second come from the
+processor time of relay or router, so that a busy machine changes them little.
 """
 
 # ruff: noqa: E402
@@ -13,8 +14,6 @@
 
 import contextlib
 import json
-import os
-import pathlib
 import time
 from typing import NamedTuple
 
@@ -22,7 +21,7 @@
 from gevent import socket
 from hdrh.histogram import HdrHistogram
 
-from bench import relay_processes
+from bench import relay_processes, relay_router
 from mulberrywharf import fleet
 from tests import processes
 
@@ -35,7 +34,6 @@
 _PROBE_TOKENS = 4
 _HIGHEST_US = 60_000_000
 _US_PER_S = 1_000_000
-_CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Throughput(NamedTuple):
@@ -104,7 +102,7 @@
     def _throughput(
         self, name: str, count: int, tokens: int, between_s: float = 0.0
     ) -> Throughput:
-        begun_cpu_s = _cpu_s(self._relay.pid)
+        begun_cpu_s = relay_router.processor_time_s(self._relay.pid)
         begun_s = time.monotonic()
         readers = [
             gevent.spawn(
@@ -117,7 +115,9 @@
         ]
         gevent.joinall(readers, raise_error=True)
         took_s = time.monotonic() - begun_s
-        took_cpu_s = _cpu_s(self._relay.pid) - begun_cpu_s
+        took_cpu_s = (
+            relay_router.processor_time_s(self._relay.pid) - begun_cpu_s
+        )
         whole = sum(reader.value for reader in readers)
         if whole != count * tokens:
             raise RuntimeError(f"{whole} of {count * tokens} tokens came")
@@ -157,10 +157,21 @@
         throughputs.append(bench.paced())
         straight, relayed = bench.first_tokens()
         beside = bench.beside_busy_stream()
+    throughputs.append(_whole_router())
     _print_table(throughputs, [straight, relayed, beside])
     print(json.dumps(_figures(throughputs, straight, relayed, beside)))
 
 
+def _whole_router() -> Throughput:
+    """Paced streams through a router as it is deployed."""
+    relayed = relay_router.measure(_PACED_STREAMS)
+    return Throughput(
+        f"router_{_PACED_STREAMS}",
+        relayed.tokens_per_s,
+        relayed.tokens_per_cpu_s,
+    )
+
+
 def _figures(
     throughputs: list[Throughput],
     straight: Delays,
@@ -225,11 +236,5 @@
     )
 
 
-def _cpu_s(pid: int) -> float:
-    text = pathlib.Path(f"/proc/{pid}/stat").read_text()
-    fields = text.rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _CLOCK_TICKS_PER_S
-
-
 if __name__ == "__main__":
     main()
--- a/bench/relay_processes.py
+++ b/bench/relay_processes.py
@@ -11,6 +11,7 @@
 
 import argparse
 import json
+import time
 from collections.abc import Iterable, Iterator
 from typing import Any
 
@@ -22,6 +23,7 @@
 from mulberrywharf.engines import streams
 
 _BLOCK_EVENTS = 16
+_REQUEST_LINE = b""
 _READ_BYTES = 256 * 1024
 _HEAD = (
     b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
@@ -30,10 +32,23 @@
 
 
 class Source:
-    """Sends numbered events, as fast as they are taken or at a pace."""
+    """Sends numbered events, as fast as they are taken or at a pace.
 
-    def __init__(self, ip: str):
+    To a router it is an engine that always has room: it reports an idle load
+    and begins each answer at once.
+    """
+
+    def __init__(self, ip: str, *, engine_id: str = "", between_s: float = 0.0):
+        """Makes a source.
+
+        Args:
+            ip: Where to listen.
+            engine_id: Its name in reports of its load.
+            between_s: Time between tokens for requests that name none.
+        """
         self._server = StreamServer((ip, 0), self._serve)
+        self._engine_id = engine_id
+        self._between_s = between_s
 
     def start(self) -> int:
         """Listens; returns the port."""
@@ -45,16 +60,21 @@
         reader = sock.makefile("rb")
         try:
             while head := _read_head(reader):
-                body = json.loads(reader.read(int(head[b"content-length"])))
-                request_id = head[b"x-request-id"]
-                self._send(sock, request_id, body)
+                length = int(head.get(b"content-length", b"0"))
+                body = reader.read(length)
+                if head[_REQUEST_LINE].startswith(b"POST /v1/"):
+                    request_id = head[b"x-request-id"]
+                    self._send(sock, request_id, json.loads(body))
+                else:
+                    sock.sendall(self._report(head[_REQUEST_LINE]))
         except OSError:
             return
         finally:
             sock.close()
 
     def _send(self, sock: Any, request_id: bytes, body: Any) -> None:
-        count, between_s = body["max_tokens"], body["between_s"]
+        count = body["max_tokens"]
+        between_s = body.get("between_s", self._between_s)
         sock.sendall(_HEAD % request_id)
         block_events = 1 if between_s else _BLOCK_EVENTS
         for start in range(0, count, block_events):
@@ -69,6 +89,25 @@
                 gevent.sleep(between_s)
         sock.sendall(_chunk(streams.DONE_EVENT) + _chunk(b""))
 
+    def _report(self, request_line: bytes) -> bytes:
+        """Returns what an idle engine says of its load or of its cache."""
+        document: dict[str, Any] = {"events": [], "last_sequence": 0}
+        if b" /load " in request_line:
+            document = fleet.LoadReport(
+                engine_id=self._engine_id,
+                role="mixed",
+                state="ready",
+                models=("tagger",),
+                prefill_tokens_per_s=20_000.0,
+                decode_tokens_per_s=4_000.0,
+                reported_unix_s=time.time(),
+            )._asdict()
+        body = json.dumps(document).encode()
+        return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (
+            len(body),
+            body,
+        )
+
 
 class Relay:
     """Relays streams of the source as a router does."""
@@ -164,6 +203,8 @@
 
 def _read_head(reader: Any) -> dict[bytes, bytes]:
     fields = {}
+    if request_line := reader.readline():
+        fields[_REQUEST_LINE] = request_line
     while (line := reader.readline()) not in (b"\r\n", b""):
         name, _, value = line.partition(b":")
         fields[name.lower()] = value.strip()
@@ -189,16 +230,24 @@
     parser.add_argument("kind", choices=("source", "relay", "reader"))
     parser.add_argument("--peer-port", type=int, default=0)
     parser.add_argument("--source-port", type=int, default=0)
+    parser.add_argument("--engine-ids", nargs="+", default=["source"])
+    parser.add_argument("--between-s", type=float, default=0.0)
     arguments = parser.parse_args()
     peer = fleet.Address("127.0.0.1", arguments.peer_port)
     if arguments.kind == "reader":
         _wsgi.announce_ready(kind="reader")
         Reader(peer, arguments.source_port).run()
         return
-    server: Source | Relay = Source(peer.ip)
     if arguments.kind == "relay":
-        server = Relay(peer.ip, peer)
-    _wsgi.announce_ready(kind=arguments.kind, port=server.start())
+        port = Relay(peer.ip, peer).start()
+        _wsgi.announce_ready(kind="relay", port=port)
+    else:
+        sources = [
+            Source(peer.ip, engine_id=name, between_s=arguments.between_s)
+            for name in arguments.engine_ids
+        ]
+        ports = [source.start() for source in sources]
+        _wsgi.announce_ready(kind="source", port=ports[0], ports=ports)
     gevent.wait()
 
 
