--- a/bench/end_to_end.py
+++ b/bench/end_to_end.py
@@ -136,7 +136,7 @@
         Scenario("swing", swing),
         Scenario("swing_mixed", swing, split_roles=False),
         Scenario("engine_loss", [loss], _kill_engine, loss.duration_s / 4),
-        Scenario("zone_cut", [steady], _cut_zone, fault_at_s),
+        Scenario("zone_cut", [loss], _cut_zone, loss.duration_s / 4),
         Scenario("outage", [steady], _stop_key_value, fault_at_s),
         Scenario("graceful_stop", [steady], _stop_router, fault_at_s),
         Scenario(
@@ -310,20 +310,23 @@
 def _settle(running: cluster.Cluster, handover_unix_s: float) -> dict[str, Any]:
     """Waits for the new rules' roles; says how long and what was cut.
 
-    Waiting is no failure of its own: whoever reads ``settled_count`` sees
-    how many zones ended as the rules ask.
+    Waiting in vain is no failure of its own: whoever reads ``settled_count``
+    sees how many zones ended as the rules ask. When they did comes from the
+    engines' own logs, since asking routers all the while would load them.
     """
     try:
         _wait_for_roles(running)
         settled_count = len(_ZONES)
     except AssertionError:
         settled_count = 0
+    orders = list(_role_orders(running))
+    last_unix_s = max(
+        (order["ended_unix_s"] or 0.0 for order in orders), default=0.0
+    )
     return {
         "settled_count": settled_count,
-        "settled_s": round(time.time() - handover_unix_s, 2),
-        "cut_count": sum(
-            len(order["cut_request_ids"]) for order in _role_orders(running)
-        ),
+        "settled_s": round(last_unix_s - handover_unix_s, 2),
+        "cut_count": sum(len(order["cut_request_ids"]) for order in orders),
         "active_controller_count": len(_active_controllers(running)),
     }
 
