--- a/proofs/order_checks.py
+++ b/proofs/order_checks.py
@@ -14,7 +14,6 @@
 
 _CONTROLLERS_PART = "/controllers/"
 _ORDERS_PART = "/orders/"
-_DRAIN_SUFFIX = "/drain"
 _IN_FLIGHT_PHASES = ("recorded", "draining", "sent")
 
 
@@ -115,8 +114,7 @@
     recorded_unix_s = _first_recorded(writes)
     for engine_id, orders in effective_orders(logs).items():
         for order in orders:
-            record_id = order["order_id"].removesuffix(_DRAIN_SUFFIX)
-            first_unix_s = recorded_unix_s.get((engine_id, record_id))
+            first_unix_s = recorded_unix_s.get((engine_id, order["order_id"]))
             if first_unix_s is None:
                 detail = f"{_describe(order)} was never recorded"
                 yield Violation("unrecorded-order", engine_id, detail)
@@ -169,11 +167,24 @@
     first: dict[tuple[str, str], float] = {}
     for write in writes:
         for engine_id, record in _records(write).items():
-            name = (engine_id, record["order_id"])
-            first.setdefault(name, write["unix_s"])
+            for order_id in _recorded_order_ids(record):
+                first.setdefault((engine_id, order_id), write["unix_s"])
     return first
 
 
+def _recorded_order_ids(record: dict[str, Any]) -> list[str]:
+    """Returns the ids that a record entitles to send.
+
+    While it drains, that is also the id of this drain, which names the
+    instant of the record: a drain of another instant was not recorded.
+    """
+    order_id = record["order_id"]
+    if record["phase"] != "draining":
+        return [order_id]
+    recorded_ms = round(record["recorded_unix_s"] * 1000)
+    return [order_id, f"{order_id}/drain/{recorded_ms}"]
+
+
 def _last_records(
     writes: Sequence[histories.KeyValueWrite],
 ) -> list[tuple[str, Any]]:
--- a/tests/builders_histories.py
+++ b/tests/builders_histories.py
@@ -7,6 +7,7 @@
 from proofs import histories
 from standins import engine_tokens
 
+DRAIN_ID = "o1/drain/98900"
 ENGINE_ID = "engine-1"
 LEASE_NUMBER = 10
 NEXT_LEASE_NUMBER = 40
@@ -49,9 +50,16 @@
     }
 
 
-def records(order_id: str, phase: str) -> dict[str, Any]:
+def records(
+    order_id: str, phase: str, recorded_unix_s: float = 0.0
+) -> dict[str, Any]:
     """Returns the zone's order records with one engine's."""
-    return {"records": {ENGINE_ID: {"order_id": order_id, "phase": phase}}}
+    record = {
+        "order_id": order_id,
+        "phase": phase,
+        "recorded_unix_s": recorded_unix_s,
+    }
+    return {"records": {ENGINE_ID: record}}
 
 
 def configuration(version: int, change_ids: list[str]) -> dict[str, Any]:
@@ -72,7 +80,7 @@
     return [
         write(5, config_key, configuration(1, ["a"]), 50.0),
         write(LEASE_NUMBER, lease_key, {}, 90.0),
-        write(11, orders_key, records("o1", "recorded"), 99.0),
+        write(11, orders_key, records("o1", "draining", 98.9), 99.0),
         write(12, orders_key, records("o1", "applied"), 102.0),
         write(20, config_key, configuration(2, ["a", "b"]), 150.0),
         delete(30, lease_key, LEASE_END_UNIX_S),
@@ -126,7 +134,7 @@
             {
                 "engine_id": ENGINE_ID,
                 "orders": [
-                    order("o1/drain", 99.5, ended_unix_s=99.5, action="drain"),
+                    order(DRAIN_ID, 99.5, ended_unix_s=99.5, action="drain"),
                     order("o1", 100.0),
                     order("o0", 150.0, effective=False),
                     order("o2", 220.0, fencing_number=NEXT_LEASE_NUMBER),
--- a/tests/test_audit_checker.py
+++ b/tests/test_audit_checker.py
@@ -66,7 +66,17 @@
     ),
     "a drain came while a role change was in flight": (
         "overlapping-orders",
-        _add_order("o1/drain", 100.5, action="drain", ended_unix_s=100.5),
+        _add_order(
+            builders.DRAIN_ID, 100.5, action="drain", ended_unix_s=100.5
+        ),
+    ),
+    "a drain of another instant than the recorded one": (
+        "unrecorded-order",
+        _add_order("o1/drain/98901", 99.6, action="drain", ended_unix_s=99.6),
+    ),
+    "a drain that no draining record names": (
+        "unrecorded-order",
+        _add_order("o1/drain", 99.6, action="drain", ended_unix_s=99.6),
     ),
     "an order came after one that never ended": (
         "overlapping-orders",
