Name loads and rates for what they hold

EngineBook, RateBook and this node's "books" borrowed a word from accounting for what the field calls a load and a rate. The class of one engine's load is now EngineLoad in engines/engine_load.py, and the answers of the zone's routers are RouterRates. was_well is was_read, as it says whether the load could be read. The unit tests of loads and rates pass.

--- a/src/mulberrywharf/engines/load_books.py
+++ b/src/mulberrywharf/engines/engine_load.py
@@ -1,4 +1,4 @@
-"""This node's books on one engine: its last report and our own requests."""
+"""One engine's load as this node knows it: its last report, own requests."""
 
 import collections
 
@@ -24,7 +24,7 @@
     return min(max(now_unix_s - report.reported_unix_s, 0.0), _LAG_LIMIT_S)
 
 
-class EngineBook:
+class EngineLoad:
     """What one node knows of one engine.
 
     Attributes:
--- a/src/mulberrywharf/engines/loads.py
+++ b/src/mulberrywharf/engines/loads.py
@@ -21,7 +21,7 @@
     metrics,
     settings,
 )
-from mulberrywharf.engines import load_books
+from mulberrywharf.engines import engine_load
 from mulberrywharf.policy import prefix_index
 
 DEFAULT_INTERVAL_S = 1.0
@@ -63,8 +63,8 @@
 class LoadReader:
     """Reads engines' loads and cache events, one greenlet for each engine.
 
-    It also keeps this node's own books, so that ``views()`` shows what the
-    lagging reports cannot yet contain.
+    It also counts this node's own requests, so that ``views()`` shows what
+    the lagging reports cannot yet contain.
     """
 
     def __init__(
@@ -79,7 +79,7 @@
         self._clock = now
         self._chance = chance
         self._pool = _connections.ConnectionPool(idle_limit_count=1)
-        self._books: dict[str, load_books.EngineBook] = {}
+        self._loads: dict[str, engine_load.EngineLoad] = {}
         self._readers: dict[str, gevent.Greenlet] = {}
         self._drained: frozenset[str] = frozenset()
         self._slice: frozenset[str] | None = None
@@ -124,17 +124,17 @@
     def set_vms(self, vms: Iterable[fleet.VmRecord]) -> None:
         """Takes the VM list; engines that went are forgotten."""
         engines = {vm.vm_id: vm for vm in vms if vm.kind == "engine"}
-        for engine_id in set(self._books) - set(engines):
+        for engine_id in set(self._loads) - set(engines):
             self._forget(engine_id)
         for engine_id, vm in engines.items():
-            book = self._books.get(engine_id)
-            if book is not None and book.vm.address != vm.address:
+            load = self._loads.get(engine_id)
+            if load is not None and load.vm.address != vm.address:
                 self._forget(engine_id)
-                book = None
-            if book is None:
-                self._books[engine_id] = load_books.EngineBook(vm)
+                load = None
+            if load is None:
+                self._loads[engine_id] = engine_load.EngineLoad(vm)
             else:
-                book.vm = vm
+                load.vm = vm
         self._match_readers()
 
     def set_drained(self, engine_ids: Collection[str]) -> None:
@@ -153,25 +153,25 @@
             report: What the engine said.
             age_s: How long ago it said so.
         """
-        book = self._books.get(report.engine_id)
-        if book is not None:
-            book.take_report(report, self._clock.monotonic_s() - age_s)
+        load = self._loads.get(report.engine_id)
+        if load is not None:
+            load.take_report(report, self._clock.monotonic_s() - age_s)
 
     def views(self) -> list[fleet.EngineView]:
         """Returns every known engine as it looks from here, now."""
         now_s = self._clock.monotonic_s()
         return [
-            book.view(now_s, engine_id in self._drained)
-            for engine_id, book in self._books.items()
+            load.view(now_s, engine_id in self._drained)
+            for engine_id, load in self._loads.items()
         ]
 
     def view(self, engine_id: str) -> fleet.EngineView | None:
         """Returns one engine as it looks from here, or None."""
-        book = self._books.get(engine_id)
-        if book is None:
+        load = self._loads.get(engine_id)
+        if load is None:
             return None
         now_s = self._clock.monotonic_s()
-        return book.view(now_s, engine_id in self._drained)
+        return load.view(now_s, engine_id in self._drained)
 
     def begin(self, engine_id: str, prompt_tokens: int) -> None:
         """Notes that a request goes to an engine now.
@@ -181,19 +181,19 @@
             prompt_tokens: Prompt tokens that it has to prefill, 0 if the
                 request brings its KV cache along.
         """
-        book = self._books.get(engine_id)
-        if book is not None:
-            book.begin(prompt_tokens, self._clock.monotonic_s())
+        load = self._loads.get(engine_id)
+        if load is not None:
+            load.begin(prompt_tokens, self._clock.monotonic_s())
 
     def end(self, engine_id: str, failed: bool) -> None:
         """Notes that a request left an engine, after exactly one begin."""
-        book = self._books.get(engine_id)
-        if book is not None:
-            book.end(failed, self._clock.monotonic_s())
+        load = self._loads.get(engine_id)
+        if load is not None:
+            load.end(failed, self._clock.monotonic_s())
 
     def _forget(self, engine_id: str) -> None:
-        book = self._books.pop(engine_id)
-        self._pool.forget(book.vm.address)
+        load = self._loads.pop(engine_id)
+        self._pool.forget(load.vm.address)
         reader = self._readers.pop(engine_id, None)
         if reader is not None:
             reader.kill(block=False)
@@ -203,56 +203,56 @@
     def _match_readers(self) -> None:
         wanted = set()
         if self._started:
-            wanted = {e for e in self._books if self._is_mine(e)}
+            wanted = {e for e in self._loads if self._is_mine(e)}
         for engine_id in set(self._readers) - wanted:
             self._readers.pop(engine_id).kill(block=False)
         for engine_id in wanted - set(self._readers):
-            book = self._books[engine_id]
-            self._readers[engine_id] = gevent.spawn(self._read_on, book)
+            load = self._loads[engine_id]
+            self._readers[engine_id] = gevent.spawn(self._read_on, load)
 
     def _is_mine(self, engine_id: str) -> bool:
         return self._slice is None or engine_id in self._slice
 
-    def _read_on(self, book: load_books.EngineBook) -> None:
-        was_well = True
+    def _read_on(self, load: engine_load.EngineLoad) -> None:
+        was_read = True
         while True:
-            read = self._read_once(book)
-            is_well = isinstance(read, Ok)
-            if not is_well:
-                book.fail(self._clock.monotonic_s())
-                _failed_reads.inc({"engine": book.vm.vm_id})
-            if is_well != was_well:
-                logger.bind(engine_id=book.vm.vm_id).info(
-                    "load of engine is {}", "read" if is_well else "not read"
+            read = self._read_once(load)
+            is_read = isinstance(read, Ok)
+            if not is_read:
+                load.fail(self._clock.monotonic_s())
+                _failed_reads.inc({"engine": load.vm.vm_id})
+            if is_read != was_read:
+                logger.bind(engine_id=load.vm.vm_id).info(
+                    "load of engine is {}", "read" if is_read else "not read"
                 )
-            was_well = is_well
+            was_read = is_read
             spread = self._chance.uniform(-_JITTER_SHARE, _JITTER_SHARE)
             gevent.sleep(self._interval_s * (1 + spread))
 
     def _read_once(
-        self, book: load_books.EngineBook
+        self, load: engine_load.EngineLoad
     ) -> Result[None, errors.EngineError]:
-        fetched = self._fetch(book.vm.address, "/load")
+        fetched = self._fetch(load.vm.address, "/load")
         if isinstance(fetched, Err):
             return fetched
         report = parse_report(fetched.ok_value)
         if isinstance(report, Err):
             return report
-        if report.ok_value.engine_id != book.vm.vm_id:
+        if report.ok_value.engine_id != load.vm.vm_id:
             # The address was given to another engine and the list lags.
-            message = f"{book.vm.vm_id} answers as {report.ok_value.engine_id}"
+            message = f"{load.vm.vm_id} answers as {report.ok_value.engine_id}"
             return Err(errors.EngineError(message))
-        lag_s = load_books.report_lag_s(report.ok_value, self._clock.unix_s())
-        book.take_report(report.ok_value, self._clock.monotonic_s() - lag_s)
+        lag_s = engine_load.report_lag_s(report.ok_value, self._clock.unix_s())
+        load.take_report(report.ok_value, self._clock.monotonic_s() - lag_s)
         if self._sink is None:
             return Ok(None)
-        return self._read_events(book, self._sink)
+        return self._read_events(load, self._sink)
 
     def _read_events(
-        self, book: load_books.EngineBook, sink: CacheEventSink
+        self, load: engine_load.EngineLoad, sink: CacheEventSink
     ) -> Result[None, errors.EngineError]:
-        path = f"/cache_events?after={book.last_sequence}"
-        fetched = self._fetch(book.vm.address, path)
+        path = f"/cache_events?after={load.last_sequence}"
+        fetched = self._fetch(load.vm.address, path)
         if isinstance(fetched, Err):
             return fetched
         try:
@@ -264,9 +264,9 @@
         if not all(_BLOCK_HASH.fullmatch(e.block_hash) for e in events):
             return Err(errors.EngineError("a block hash is not hexadecimal"))
         now_s = self._clock.monotonic_s()
-        sink.apply(book.vm.vm_id, events, last_sequence, now_s)
-        restarted = last_sequence < book.last_sequence
-        book.last_sequence = 0 if restarted else last_sequence
+        sink.apply(load.vm.vm_id, events, last_sequence, now_s)
+        restarted = last_sequence < load.last_sequence
+        load.last_sequence = 0 if restarted else last_sequence
         return Ok(None)
 
     def _fetch(
--- a/src/mulberrywharf/nodes/rates.py
+++ b/src/mulberrywharf/nodes/rates.py
@@ -82,7 +82,7 @@
         ) and self.models.keys() >= set(wanted.models)
 
 
-class RateBook:
+class RouterRates:
     """The latest answer of each router, and since when they are too few."""
 
     def __init__(self, give_up_s: float = GIVE_UP_S):
--- a/src/mulberrywharf/programs/_controller_rates.py
+++ b/src/mulberrywharf/programs/_controller_rates.py
@@ -68,7 +68,7 @@
         self._links = node_links
         self._vms = vms
         self._clock = clock
-        self._book = rates.RateBook(give_up_s)
+        self._router_rates = rates.RouterRates(give_up_s)
         self._wanted = rates.WantedRates()
         self._read_s = float("-inf")
         self._due_s: dict[str, float] = {}
@@ -128,7 +128,7 @@
             self._wanted = wanted
             self._due_s.clear()
         vm_ids = {vm.vm_id for vm in self._routers()}
-        return self._book.read(wanted, vm_ids, now_s)
+        return self._router_rates.read(wanted, vm_ids, now_s)
 
     def _routers(self) -> list[fleet.VmRecord]:
         return [
@@ -164,6 +164,6 @@
         router = self._links.to(vm.address)
         answered = rates.ask(router, wanted, _ANSWER_TIMEOUT_S)
         if isinstance(answered, Ok):
-            self._book.note(vm.vm_id, wanted, answered.ok_value, now_s)
+            self._router_rates.note(vm.vm_id, wanted, answered.ok_value, now_s)
         elif vm.vm_id in self._due_s:
             self._due_s[vm.vm_id] = self._clock.monotonic_s() + _RETRY_S
--- a/tests/controller_without.py
+++ b/tests/controller_without.py
@@ -36,12 +36,12 @@
 
 def _give_up_rates_after(give_up_s: float) -> None:
     """Shortens the minute after which rules on rates are passed over."""
-    make = rates.RateBook.__init__
+    make = rates.RouterRates.__init__
 
-    def make_hasty(book: Any, *_: Any) -> None:
-        make(book, give_up_s)
+    def make_hasty(router_rates: Any, *_: Any) -> None:
+        make(router_rates, give_up_s)
 
-    rates.RateBook.__init__ = make_hasty  # type: ignore[method-assign]
+    rates.RouterRates.__init__ = make_hasty  # type: ignore[method-assign]
 
 
 def main() -> None:
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mulberrywharf import fleet
-from mulberrywharf.engines import load_books, loads
+from mulberrywharf.engines import engine_load, loads
 from mulberrywharf.policy import prefix_index
 from tests import builders_engines as build
 
@@ -252,7 +252,9 @@
         for reported_unix_s, lag_s in cases:
             with self.subTest(reported_unix_s):
                 report = self.report()._replace(reported_unix_s=reported_unix_s)
-                self.assertEqual(load_books.report_lag_s(report, 1000.0), lag_s)
+                self.assertEqual(
+                    engine_load.report_lag_s(report, 1000.0), lag_s
+                )
 
 
 if __name__ == "__main__":
--- a/tests/test_node_rates.py
+++ b/tests/test_node_rates.py
@@ -44,20 +44,22 @@
         self.assertEqual(wanted.customers, tuple(names[:-1]))
 
 
-class RateBookTest(unittest.TestCase):
-    def _book(self, answered_count: int, asked_s: float = 0.0):
-        book = rates.RateBook()
+class RouterRatesTest(unittest.TestCase):
+    def _rates_of(self, answered_count: int, asked_s: float = 0.0):
+        router_rates = rates.RouterRates()
         answer = messages.Rates((2.0,), (0.5,))
         for number in range(answered_count):
-            book.note(f"vm-{number}", _WANTED, answer, asked_s + number)
-        return book
+            router_rates.note(f"vm-{number}", _WANTED, answer, asked_s + number)
+        return router_rates
 
     def test_known_once_enough_answered(self):
         cases = ((3, 3), (3, 2), (2, 2), (1, 1), (6, 4))
         for routers_count, answered_count in cases:
             with self.subTest(routers=routers_count, answered=answered_count):
                 vm_ids = [f"vm-{n}" for n in range(routers_count)]
-                seen = self._book(answered_count).read(_WANTED, vm_ids, 10.0)
+                seen = self._rates_of(answered_count).read(
+                    _WANTED, vm_ids, 10.0
+                )
                 self.assertEqual(
                     seen.customers, {"dispatch": 2.0 * answered_count}
                 )
@@ -68,7 +70,9 @@
         for routers_count, answered_count in ((3, 1), (2, 1), (1, 0), (0, 0)):
             with self.subTest(routers=routers_count, answered=answered_count):
                 vm_ids = [f"vm-{n}" for n in range(routers_count)]
-                seen = self._book(answered_count).read(_WANTED, vm_ids, 10.0)
+                seen = self._rates_of(answered_count).read(
+                    _WANTED, vm_ids, 10.0
+                )
                 self.assertEqual(seen, rates.NO_RATES)
 
     def test_answers_that_do_not_count(self):
@@ -84,19 +88,19 @@
         }
         for name, (wanted, listed, now_s) in cases.items():
             with self.subTest(name):
-                seen = self._book(1).read(wanted, listed, now_s)
+                seen = self._rates_of(1).read(wanted, listed, now_s)
                 self.assertEqual(seen, rates.NO_RATES)
 
     def test_gives_up_after_a_while_without_answers(self):
-        book = rates.RateBook()
+        router_rates = rates.RouterRates()
         given_up = [
-            book.read(_WANTED, ["vm-0"], float(second)).given_up
+            router_rates.read(_WANTED, ["vm-0"], float(second)).given_up
             for second in range(100)
         ]
         self.assertEqual(given_up.index(True), int(rates.GIVE_UP_S))
         self.assertTrue(all(given_up[int(rates.GIVE_UP_S) :]))
-        book.note("vm-0", _WANTED, messages.Rates((1.0,), (1.0,)), 99.0)
-        self.assertFalse(book.read(_WANTED, ["vm-0"], 100.0).given_up)
+        router_rates.note("vm-0", _WANTED, messages.Rates((1.0,), (1.0,)), 99.0)
+        self.assertFalse(router_rates.read(_WANTED, ["vm-0"], 100.0).given_up)
 
     def test_a_pause_is_not_taken_for_silence_of_the_routers(self):
         """A controller wakes, and passes over a rule that matches.
@@ -105,9 +109,9 @@
         is stopped for minutes and evaluates before any answer came. Cause:
         time in which nobody was asked counts as time without answers.
         """
-        book = self._book(1)
-        book.read(_WANTED, ["vm-0"], 1.0)
-        woken = book.read(_WANTED, ["vm-0"], 500.0)
+        router_rates = self._rates_of(1)
+        router_rates.read(_WANTED, ["vm-0"], 1.0)
+        woken = router_rates.read(_WANTED, ["vm-0"], 500.0)
         self.assertEqual(woken, rates.NO_RATES)
 
 
