Say once what tests of back ends and plans share

Four test modules started a scripted back end and registered its end in the same lines; ScriptedServerCase in the builders does it. The tests of mulberryctl built an order record by hand though order_record() exists, and the planner's tests applied a role change twice in the same seven lines. No assertion changes, and no test goes. The tests of streams, exchanges, backend clients, resuming, mulberryctl and the planner pass.

--- a/tests/builders_engines.py
+++ b/tests/builders_engines.py
@@ -1,6 +1,7 @@
 """Builders of engine answers and scripted back ends for tests."""
 
 import json
+import unittest
 from collections.abc import Callable
 from typing import Any
 
@@ -63,6 +64,16 @@
             sock.close()
 
 
+class ScriptedServerCase(unittest.TestCase):
+    """A test case whose back ends answer by scripts."""
+
+    def serve(self, script: Script) -> ScriptedServer:
+        """Starts a scripted back end that ends with the test."""
+        server = ScriptedServer(script)
+        self.addCleanup(server.close)
+        return server
+
+
 def read_request(sock: Any) -> bytes:
     """Reads one request with its body; nothing when the peer closed."""
     data = b""
--- a/tests/test_backend_client.py
+++ b/tests/test_backend_client.py
@@ -9,16 +9,11 @@
 from tests import builders_engines as build
 
 
-class ClientCase(unittest.TestCase):
+class ClientCase(build.ScriptedServerCase):
     def setUp(self) -> None:
         self.client = client.BackendClient()
         self.addCleanup(self.client.close)
 
-    def serve(self, script: build.Script) -> build.ScriptedServer:
-        server = build.ScriptedServer(script)
-        self.addCleanup(server.close)
-        return server
-
     def send(self, address: Any, **changes: Any) -> Any:
         request = client.ServiceRequest(
             method="POST",
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -21,8 +21,8 @@
 from mulberrywharf.platform_service import config_store
 from mulberrywharf.rules.match import match_once
 from standins.vm_list import VmListStandin
+from tests import builders_authority, builders_platform, builders_rules
 from tests import builders_operators as build
-from tests import builders_platform, builders_rules
 from tests.builders_platform import DEPLOYMENT
 
 FLAPPING = builders_rules.document(
@@ -403,14 +403,9 @@
     def test_handover_shows_wanted_seen_and_orders_in_flight(self):
         nodes = (self.controller(), self.node())
         self.apply(FLAPPING, "--base-version", "0", nodes=nodes)
-        record = order_records.OrderRecord(
-            order_id="o-1",
+        record = builders_authority.order_record(
             rule="contracts",
             config_version=1,
-            fencing_number=7,
-            action="set-role",
-            role="prefill",
-            phase="sent",
             recorded_unix_s=time.time() - 90,
             reason="long contracts",
         )
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -12,16 +12,11 @@
 _BODY_LIMIT_BYTES = 1000
 
 
-class ExchangeCase(unittest.TestCase):
+class ExchangeCase(build.ScriptedServerCase):
     def setUp(self) -> None:
         self.pool = _connections.ConnectionPool()
         self.addCleanup(self.pool.close)
 
-    def serve(self, script: build.Script) -> build.ScriptedServer:
-        server = build.ScriptedServer(script)
-        self.addCleanup(server.close)
-        return server
-
     def fetch(
         self,
         address: Any,
--- a/tests/test_resume.py
+++ b/tests/test_resume.py
@@ -64,7 +64,7 @@
     return retry_budget.GiveUp(error)
 
 
-class ResumeCase(unittest.TestCase):
+class ResumeCase(build.ScriptedServerCase):
     def setUp(self) -> None:
         self.books = Books()
         self.tries: list[resume.FailedTry] = []
@@ -89,8 +89,7 @@
             sock.sendall(left.pop(0))
             sock.close()
 
-        server = build.ScriptedServer(script)
-        self.addCleanup(server.close)
+        server = self.serve(script)
         return _view(vm_id, server.address, version), server
 
     def stream(
--- a/tests/test_role_planner.py
+++ b/tests/test_role_planner.py
@@ -37,6 +37,18 @@
     return role_planner.plan(view, _OPTIONS._replace(**options), _NOW_S)
 
 
+def _after(
+    view: role_planner.PlannerView, change: role_planner.RoleChange
+) -> role_planner.PlannerView:
+    engines = tuple(
+        engine._replace(role=change.role)
+        if engine.engine_id == change.engine_id
+        else engine
+        for engine in view.engines
+    )
+    return view._replace(engines=engines)
+
+
 class FreePlanTest(unittest.TestCase):
     def test_a_mix_swing_moves_an_engine(self):
         plan = _plan(_view())
@@ -88,13 +100,7 @@
             plan = _plan(view)
             if isinstance(plan, role_planner.Stay):
                 return
-            engines = tuple(
-                e._replace(role=plan.role)
-                if e.engine_id == plan.engine_id
-                else e
-                for e in view.engines
-            )
-            view = view._replace(engines=engines)
+            view = _after(view, plan)
         self.fail("still changing after ten changes")
 
     def test_the_last_engine_of_a_phase_stays(self):
@@ -118,13 +124,7 @@
         for _ in range(4):
             plan = _plan(view)
             assert isinstance(plan, role_planner.RoleChange)
-            engines = tuple(
-                e._replace(role=plan.role)
-                if e.engine_id == plan.engine_id
-                else e
-                for e in view.engines
-            )
-            view = view._replace(engines=engines)
+            view = _after(view, plan)
         self.assertIsInstance(_plan(view), role_planner.Stay)
         surplus = role_planner.surplus_by_role(view.engines, target)
         self.assertEqual(set(surplus.values()), {0})
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,12 +14,7 @@
 from tests import builders_engines as build
 
 
-class StreamCase(unittest.TestCase):
-    def serve(self, script: build.Script) -> build.ScriptedServer:
-        server = build.ScriptedServer(script)
-        self.addCleanup(server.close)
-        return server
-
+class StreamCase(build.ScriptedServerCase):
     def serve_bytes(self, data: bytes, *, close: bool = True) -> Any:
         def script(sock: Any, request: bytes) -> None:
             if build.is_cancel(request):
