Let every failure say what to do next

36 of the classes in errors.py had no advice of their own: a caller whose request was refused read "Look up the code in docs/operators/errors.md", a page that callers don't have. Each class now carries the next step in a sentence, in line with the operators' page; codes, statuses and outcomes are unchanged. The class for a stored configuration moved to the other documents, and changes of the configuration got a section.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -39,7 +39,7 @@
     """
 
     code: ClassVar[str] = "internal"
-    advice: str = "Look up the code in docs/operators/errors.md."
+    advice: str = "Keep the log line and report it."
 
     def __init__(self, message: str, *, advice: str | None = None):
         super().__init__(message)
@@ -88,6 +88,12 @@
     code = "bad-rules"
 
 
+class StoredConfigurationError(DocumentError):
+    """The stored configuration is not in the form that we write."""
+
+    code = "bad-stored-configuration"
+
+
 # --- requests of callers ----------------------------------------------------
 
 
@@ -102,6 +108,9 @@
 
     code = "request-failed"
     status: ClassVar[int] = 500
+    advice = (
+        "Send the request id to the operators; see outcome before repeating."
+    )
 
     def __init__(
         self,
@@ -121,6 +130,7 @@
 
     code = "bad-request"
     status = 400
+    advice = "Correct the request; the same bytes are refused again."
 
 
 class RequestTooLargeError(BadRequestError):
@@ -136,6 +146,7 @@
 
     code = "unknown-target"
     status = 404
+    advice = "Correct the path, the service or the model."
 
 
 class UnknownCustomerError(RequestError):
@@ -143,6 +154,7 @@
 
     code = "unknown-customer"
     status = 401
+    advice = "Send `authorization: Bearer <customer key>`."
 
 
 class NotReadyError(RequestError):
@@ -150,6 +162,7 @@
 
     code = "not-ready"
     status = 503
+    advice = "Retry after a few seconds; another node may be ready now."
 
 
 class CallerGoneError(RequestError):
@@ -157,6 +170,7 @@
 
     code = "caller-gone"
     status = 400
+    advice = "Keep the connection open until the deadline that was sent."
 
 
 class KeyReuseError(RequestError):
@@ -164,6 +178,7 @@
 
     code = "idempotency-key-reused"
     status = 422
+    advice = "Use a new key for a new request, the old key for the old body."
 
 
 class OverLimitError(RequestError):
@@ -171,6 +186,7 @@
 
     code = "over-limit"
     status = 429
+    advice = "Retry after the time in Retry-After."
 
 
 class OverloadedError(RequestError):
@@ -178,6 +194,7 @@
 
     code = "overloaded"
     status = 503
+    advice = "Retry after the time in Retry-After, or with a later deadline."
 
 
 class NoEngineError(RequestError):
@@ -185,6 +202,7 @@
 
     code = "no-engine"
     status = 503
+    advice = "GET /v1/models lists the models; retry if it names this one."
 
 
 class RetryBudgetSpentError(RequestError):
@@ -192,6 +210,7 @@
 
     code = "retry-budget-spent"
     status = 503
+    advice = "Retry later if the outcome is not-run, else check what ran first."
 
 
 class ClaimUnavailableError(RequestError):
@@ -199,6 +218,7 @@
 
     code = "claim-unavailable"
     status = 503
+    advice = "Retry with the same idempotency key."
 
 
 class BackEndLostError(RequestError):
@@ -206,6 +226,7 @@
 
     code = "back-end-lost"
     status = 502
+    advice = "Check whether the request ran before repeating it."
 
 
 class DeadlineExceededError(RequestError):
@@ -213,6 +234,7 @@
 
     code = "deadline-exceeded"
     status = 504
+    advice = "Check the outcome before repeating; allow more time."
 
 
 # --- engines and backend servers ---------------------------------------------
@@ -227,6 +249,7 @@
 
     code = "engine-failed"
     outcome: Outcome = "unknown"
+    advice = "Look at the back end's own log."
 
 
 class EngineUnreachableError(EngineError):
@@ -234,6 +257,7 @@
 
     code = "engine-unreachable"
     outcome: Outcome = "not-run"
+    advice = "Check that the back end's VM is up."
 
 
 class EngineRefusedError(EngineError):
@@ -248,6 +272,7 @@
 
     code = "engine-refused"
     outcome: Outcome = "not-run"
+    advice = "Retry at another back end."
 
     def __init__(
         self,
@@ -269,54 +294,67 @@
     """The request may have left, and its whole answer did not come."""
 
     code = "answer-lost"
+    advice = (
+        "Repeat only an idempotent request; drain a VM that often fails so."
+    )
 
 
 class AnswerTooLargeError(EngineError):
     """An answer exceeds the bound on what is kept in memory."""
 
     code = "answer-too-large"
+    advice = "Ask for fewer tokens, or a smaller answer."
 
 
 class StreamBrokenError(EngineError):
     """An answer ended before its checked end, or is not the caller's own."""
 
     code = "stream-broken"
+    advice = "Drain the engine if it often breaks answers."
 
 
 class ForeignAnswerError(StreamBrokenError):
     """An answer carries another request's id; none of it is passed on."""
 
     code = "foreign-answer"
+    advice = "Drain the back end and report it to who runs it."
 
 
 class OrderRefusedError(EngineError):
     """An engine refused an order, such as one with an old fencing number."""
 
     code = "order-refused"
+    advice = "Run mulberryctl handover to see the order."
 
 
 class EngineBusyError(OrderRefusedError):
     """The engine is in mid-change; the order can be repeated later."""
 
     code = "engine-busy"
+    advice = "Nothing; the order is repeated."
 
 
 class StaleFencingNumberError(OrderRefusedError):
     """The engine has seen a newer fencing number: the authority has passed."""
 
     code = "stale-fencing-number"
+    advice = "Nothing; the controller steps down and a newer one acts."
 
 
 class OrderOutcomeUnknownError(EngineError):
     """An order was sent and no answer came; read the engine's state back."""
 
     code = "order-outcome-unknown"
+    advice = "Nothing; the engine's state is read back."
 
 
 class OrderRecordsError(MulberryError):
     """The zone's order records cannot be read; nothing is ordered."""
 
     code = "bad-order-records"
+    advice = (
+        "Find who wrote the key; look at each engine's state before deleting."
+    )
 
 
 # --- the platform's services --------------------------------------------------
@@ -326,6 +364,7 @@
     """An exchange with the platform's services failed."""
 
     code = "platform-failed"
+    advice = "Look at the service and its log."
 
 
 class PlatformUnavailableError(PlatformError):
@@ -339,6 +378,7 @@
     """A write was sent and its answer was lost; read back before deciding."""
 
     code = "write-outcome-unknown"
+    advice = "Read back, or repeat with the same change id."
 
 
 class RevisionConflictError(PlatformError):
@@ -349,6 +389,7 @@
     """
 
     code = "revision-conflict"
+    advice = "Read the key again and decide anew."
 
     def __init__(self, key: str):
         super().__init__(f"{key} was changed by another writer")
@@ -366,18 +407,24 @@
     """This process has spent its share of calls for the purpose."""
 
     code = "call-budget-exceeded"
+    advice = "Try again later; the metrics name the purpose that spends."
 
 
 class AuthorityLostError(PlatformError):
     """The lease that entitled this process to act has lapsed."""
 
     code = "authority-lost"
+    advice = "Nothing; the next lease holder goes on."
+
+
+# --- changes of the configuration ---------------------------------------------
 
 
 class ConfigChangeError(PlatformError):
     """A change of the configuration was refused; nothing of it applies."""
 
     code = "config-change-refused"
+    advice = "Read the message; the configuration in force stays."
 
 
 class ConfigConflictError(ConfigChangeError):
@@ -472,12 +519,6 @@
         super().__init__(f"change id {change_id} belongs to another document")
 
 
-class StoredConfigurationError(DocumentError):
-    """The stored configuration is not in the form that we write."""
-
-    code = "bad-stored-configuration"
-
-
 # --- between our own processes ---------------------------------------------
 
 
@@ -485,18 +526,21 @@
     """An exchange with another entry VM failed."""
 
     code = "node-failed"
+    advice = "Look at the other entry VM and its log."
 
 
 class BadFrameError(NodeError):
     """A frame is malformed, too large or not authenticated."""
 
     code = "bad-frame"
+    advice = "Compare nodes.key_hex of both nodes."
 
 
 class NodeUnreachableError(NodeError):
     """The other entry VM does not answer."""
 
     code = "node-unreachable"
+    advice = "Check that the other entry VM is up and its zone reachable."
 
 
 # --- operators and their tools -----------------------------------------------
@@ -506,6 +550,7 @@
     """Something that an operator asked for could not be done."""
 
     code = "operator-failed"
+    advice = "Read the message and correct what it names."
 
 
 class NotAuthorisedError(OperatorError):
