Let the pace of answers steer limits and choices in the request path

The adaptive limits saw first-token delays only, and PaceMeter was not wired, so a batch that had grown too large was noticed late and an engine that is slower than it says was not noticed at all. An answer whose caller held it up for over a tenth of that time tells nothing: its tokens wait in buffers, and the engine would be blamed for its reader. The limits get the pace where the configuration sets a target between tokens.

--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -21,6 +21,7 @@
     retry_budget,
 )
 from mulberrywharf.requests import (
+    answer_pace,
     demand_rates,
     output_lengths,
     places,
@@ -150,6 +151,7 @@
             weight=own.weight,
             deadline_s=caller.deadline_s,
             first_token_target_s=standings.first_token_target_s,
+            between_tokens_target_s=standings.between_tokens_target_s,
             prefer_zone=standings.prefer_zone,
         )
 
@@ -183,15 +185,17 @@
     ) -> Iterator[streams.TokenBatch]:
         is_first = True
         for batch in answer.batches():
+            now_s = self._clock.monotonic_s()
+            attempts.on_tokens(len(batch.tokens), now_s)
             if is_first:
                 is_first = False
-                now_s = self._clock.monotonic_s()
                 attempts.on_first_token(now_s)
                 _first_token_seconds_total.add(
                     {"model": model}, now_s - began_s
                 )
                 _first_tokens_total.inc({"model": model})
             yield batch
+            attempts.on_passed_on(now_s, self._clock.monotonic_s())
 
     def _decide(
         self,
@@ -249,6 +253,7 @@
         self._place: places.Place | None = None
         self._sent_s = 0.0
         self._has_token = False
+        self._pace = answer_pace.AnswerPace()
 
     def close(self) -> None:
         """Gives back a place that was taken and not used."""
@@ -290,13 +295,27 @@
     def begin(self, engine_id: str, prompt_tokens: int) -> None:
         """Notes when the request goes to the engine of the place."""
         self._sent_s = self._places.now_s()
+        self._pace = answer_pace.AnswerPace()
 
     def end(self, engine_id: str, failed: bool) -> None:
         """Gives the place back."""
         if self._place is not None:
+            self._tell_pace(self._pace.at_end())
             self._place.release(failed=failed)
             self._place = None
 
+    def on_tokens(self, count: int, now_s: float) -> None:
+        """Notes that tokens arrived."""
+        self._tell_pace(self._pace.on_tokens(count, now_s))
+
+    def on_passed_on(self, arrived_s: float, now_s: float) -> None:
+        """Notes that the caller took what had arrived."""
+        self._pace.on_passed_on(arrived_s, now_s)
+
+    def _tell_pace(self, between_tokens_s: float | None) -> None:
+        if self._place is not None and between_tokens_s is not None:
+            self._place.on_pace(between_tokens_s)
+
     def on_first_token(self, now_s: float) -> None:
         """Tells the place how long the first token took."""
         self._has_token = True
--- a/src/mulberrywharf/requests/places.py
+++ b/src/mulberrywharf/requests/places.py
@@ -20,6 +20,7 @@
     concurrency,
     engine_choice,
     fairness,
+    pace,
     prefix_index,
 )
 
@@ -44,6 +45,7 @@
         weight: The customer's weight against others.
         deadline_s: Monotonic instant of the caller's deadline.
         first_token_target_s: Target of the first token, or None.
+        between_tokens_target_s: Target between tokens, or None.
         prefer_zone: Zone that the rules prefer, or empty.
     """
 
@@ -52,6 +54,7 @@
     weight: float
     deadline_s: float
     first_token_target_s: float | None = None
+    between_tokens_target_s: float | None = None
     prefer_zone: str = ""
 
 
@@ -63,17 +66,28 @@
     """
 
     def __init__(
-        self, owner: "EnginePlaces", choice: engine_choice.Choice, tokens: int
+        self,
+        owner: "EnginePlaces",
+        choice: engine_choice.Choice,
+        tokens: int,
+        between_tokens_target_s: float | None,
     ):
         self.choice = choice
         self._owner = owner
         self._tokens = tokens
+        self._between_tokens_target_s = between_tokens_target_s
         self._released = False
 
     def on_first_token(self, delay_s: float) -> None:
         """Tells how long the first token took since the request left."""
         self._owner.on_first_token(self.choice, delay_s, self._tokens)
 
+    def on_pace(self, between_tokens_s: float) -> None:
+        """Tells the mean time between tokens, as the engine made them."""
+        self._owner.on_pace(
+            self.choice, between_tokens_s, self._between_tokens_target_s
+        )
+
     def release(self, *, failed: bool) -> None:
         """Gives the place back."""
         if not self._released:
@@ -114,6 +128,7 @@
         self._rng = rng
         self._admission = admission_settings or admission.AdmissionSettings()
         self._limits: dict[str, concurrency.ConcurrencyLimit] = {}
+        self._paces = pace.PaceMeter.from_config()
         self._lanes: dict[str, _Lane] = {}
         self._greenlet: gevent.Greenlet | None = None
 
@@ -189,6 +204,29 @@
             delay_s, idle_delay_s, view.own_in_flight_count
         )
 
+    def on_pace(
+        self,
+        choice: engine_choice.Choice,
+        between_tokens_s: float,
+        target_s: float | None,
+    ) -> None:
+        """Learns how fast the decoding engine makes an answer.
+
+        Args:
+            choice: Where the answer is made.
+            between_tokens_s: Mean time between its tokens.
+            target_s: What that should be, or None for no matter.
+        """
+        engine_id = choice.decode.vm_id
+        view = self._reader.view(engine_id)
+        if view is None:
+            return
+        self._paces.on_pace(engine_id, between_tokens_s, self.now_s())
+        if target_s is not None:
+            self._limit(engine_id).on_answer(
+                between_tokens_s, target_s, view.own_in_flight_count
+            )
+
     def on_refused(self, engine_id: str) -> None:
         """Cuts the limit of an engine that was full."""
         self._limit(engine_id).on_refused(self._clock.monotonic_s())
@@ -239,20 +277,23 @@
         self._reader.begin(
             choice.decode.vm_id, 0 if choice.is_split else new_tokens
         )
-        return Place(self, choice, max(0, new_tokens))
+        target_s = ask.between_tokens_target_s
+        return Place(self, choice, max(0, new_tokens), target_s)
 
     # --- decisions --------------------------------------------------------
 
     def _choose(
         self, ask: Ask, views: list[fleet.EngineView]
     ) -> engine_choice.Choice:
+        now_s = self._clock.monotonic_s()
         chosen = engine_choice.choose(
             views,
             ask.shape,
             self._index,
             self._rng,
-            now_s=self._clock.monotonic_s(),
+            now_s=now_s,
             prefer_zone=ask.prefer_zone,
+            slow_factors=self._paces.slow_factors(now_s),
         )
         if isinstance(chosen, Err):
             self._count(ask, "no-engine")
@@ -349,6 +390,7 @@
         known = {view.vm.vm_id for view in self._reader.views()}
         for engine_id in self._limits.keys() - known:
             del self._limits[engine_id]
+            self._paces.forget(engine_id)
 
     def _hand_out_all(self) -> None:
         for model, lane in list(self._lanes.items()):
--- a/src/mulberrywharf/requests/standing.py
+++ b/src/mulberrywharf/requests/standing.py
@@ -29,11 +29,13 @@
     Attributes:
         customers: By name.
         first_token_target_s: Admission's target, or None for none.
+        between_tokens_target_s: What engines' limits aim at, or None.
         prefer_zone: Zone that the rule in force prefers, or empty.
     """
 
     customers: Mapping[str, Standing] = {}
     first_token_target_s: float | None = None
+    between_tokens_target_s: float | None = None
     prefer_zone: str = ""
 
     @classmethod
@@ -46,10 +48,11 @@
             for name, entry in document.get("customers", {}).items()
         }
         shed = document.get("shed")
-        target_s = None
+        first_token_s = between_tokens_s = None
         if shed is not None:
-            target_s = shed["first_token_target_ms"] / _MS_PER_S
-        return cls(customers, target_s, prefer_zone)
+            first_token_s = shed["first_token_target_ms"] / _MS_PER_S
+            between_tokens_s = shed["between_tokens_target_ms"] / _MS_PER_S
+        return cls(customers, first_token_s, between_tokens_s, prefer_zone)
 
     def of(self, customer: str) -> Standing:
         """Returns a customer's standing."""
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -159,6 +159,46 @@
             admitted += 1
         self.assertLess(admitted, self.slots_count)
 
+    def test_slow_answers_shrink_the_engine_s_limit(self) -> None:
+        for target_s, is_smaller in (
+            (0.028, True),
+            (0.2, False),
+            (None, False),
+        ):
+            with self.subTest(target_s=target_s):
+                made = self._places(self.reader)
+                ask = self.ask(between_tokens_target_s=target_s)
+                place = made.take(ask)
+                for _ in range(5):
+                    place.on_pace(0.1)
+                place.release(failed=False)
+                limit_count = made._limit(_ENGINE).limit_count
+                self.assertEqual(limit_count < self.slots_count, is_smaller)
+
+    def test_engine_with_slow_answers_is_avoided(self) -> None:
+        """Answers crawl from one engine that goes on being chosen.
+
+        Symptom: one answer in four is slow while reports look alike.
+        Sequence: an accelerator is throttled; reports name usual speeds.
+        Cause: what the router's own answers show was not looked at.
+        """
+        reader = _reader(4)
+        made = self._places(reader)
+        for _ in range(40):
+            place = made.take(self.ask())
+            is_slow = place.choice.decode.vm_id == _ENGINE
+            place.on_pace(0.1 if is_slow else 0.01)
+            place.release(failed=False)
+        chosen = [made.take(self.ask()) for _ in range(6)]
+        self.assertNotIn(_ENGINE, [p.choice.decode.vm_id for p in chosen])
+
+    def test_engine_that_went_is_forgotten(self) -> None:
+        self.places.take(self.ask()).on_pace(0.1)
+        self.reader.set_vms([])
+        with gevent.Timeout(_WAIT_S):
+            while self.places._limits or self.places._paces._paces:
+                gevent.sleep(0.01)
+
     def _would_wait(self) -> bool:
         view = self.reader.view(_ENGINE)
         assert view is not None
