--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -8,13 +8,31 @@
 from mulberrywharf.programs import _ctl_arguments, _ctl_result
 from mulberrywharf.rules import document
 
-PAGES = pathlib.Path(__file__).resolve().parent.parent / "docs" / "operators"
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PAGES = ROOT / "docs" / "operators"
+SOURCE = ROOT / "src" / "mulberrywharf"
+METRIC = r"mulberry_[a-z_]+"
 
 
 def _page(name: str) -> str:
     return (PAGES / name).read_text(encoding="utf-8")
 
 
+def _metrics() -> set[str]:
+    """Returns every metric that the code counts."""
+    return {
+        name
+        for path in SOURCE.rglob("*.py")
+        for name in re.findall(rf'"({METRIC})"', path.read_text())
+    }
+
+
+def _links(page: pathlib.Path) -> list[str]:
+    """Returns the files that a page links, from its own place."""
+    found = re.findall(r"\]\(([^)#]+)", page.read_text(encoding="utf-8"))
+    return [link for link in found if "://" not in link]
+
+
 def _fields(part: type) -> list[str]:
     return [key for key in part.__annotations__ if not key.startswith("_")]
 
@@ -75,6 +93,46 @@
                 self.assertIn(f"| {int(code)} |", page)
                 self.assertRegex(usage, rf"(?m)^  {int(code)}  ")
 
+    def test_every_metric_is_described_and_exists(self):
+        metrics = _metrics()
+        named = {
+            name
+            for page in PAGES.glob("*.md")
+            for name in re.findall(METRIC, page.read_text(encoding="utf-8"))
+        }
+        self.assertEqual(sorted(named), sorted(metrics))
+
+    def test_every_alarm_leads_to_a_page_on_its_metric(self):
+        """An operator follows an alarm at night and finds nothing.
+
+        Symptom: the page that an alarm leads to does not name its metric.
+        Sequence: a metric is renamed, or its row moves to another page.
+        Cause: nothing held the table of alarms to the pages.
+        """
+        rows = re.findall(r"^\| (`mulberry_.*)$", _page("index.md"), re.M)
+        self.assertGreater(len(rows), 15)
+        for row in rows:
+            link = re.search(r"\]\(([a-z_]+\.md)\)", row)
+            self.assertIsNotNone(link, row)
+            if link[1] == "errors.md":
+                # It lists codes; the metric's labels are those codes.
+                codes = re.findall(r"`([a-z]+(?:-[a-z]+)*)`", row)
+                wanted = [f"| `{code}` |" for code in codes]
+            else:
+                wanted = re.findall(METRIC, row)
+            self.assertTrue(wanted, row)
+            for text in wanted:
+                with self.subTest(text=text, page=link[1]):
+                    self.assertIn(text, _page(link[1]))
+
+    def test_every_page_is_listed_and_every_link_leads_somewhere(self):
+        names = {page.name for page in PAGES.glob("*.md")} - {"index.md"}
+        self.assertLessEqual(names, set(_links(PAGES / "index.md")))
+        for page in (*PAGES.glob("*.md"), ROOT / "README.md"):
+            for link in _links(page):
+                with self.subTest(page=page.name, link=link):
+                    self.assertTrue((page.parent / link).exists())
+
 
 if __name__ == "__main__":
     unittest.main()
