Use plain terms where comments and names used pictures

"Picture" stood for a report, a view or an overview, engines "played" roles, a fuse "burned", a node "went blind" and `told` held three different things: the outcome so far, an error and a round number. Names and comments now say which. No behaviour, message or metric changes. The unit tests of the planner, the choice of engine, retries, mulberryctl, callers, orders, rules, the lease timer and the mesh pass.

--- a/src/mulberrywharf/authority/findings.py
+++ b/src/mulberrywharf/authority/findings.py
@@ -13,7 +13,7 @@
     """The state that the rules describe for one engine.
 
     Attributes:
-        role: Role to play, or empty when the rules leave it open.
+        role: Role to take, or empty when the rules leave it open.
         model: Model to have loaded, or empty when left open.
         adapter: Adapter to have loaded, or empty.
         version: Version of the weights, or empty.
@@ -71,7 +71,7 @@
 
 
 class Unseen(NamedTuple):
-    """The engine gave no report; nothing is ordered blindly."""
+    """The engine gave no report; nothing is ordered without one."""
 
 
 class Waiting(NamedTuple):
--- a/src/mulberrywharf/authority/lease_fuse.py
+++ b/src/mulberrywharf/authority/lease_fuse.py
@@ -74,7 +74,7 @@
             signal.setitimer(signal.ITIMER_REAL, 0)
 
     def remaining_s(self) -> float:
-        """Returns the seconds until the fuse burns, by the worse clock.
+        """Returns the seconds until the timer fires, by the worse clock.
 
         A pause of the whole VM can stop the monotonic clock and the timer
         with it; the wall clock, set right by the host, shows the loss. A
@@ -132,7 +132,7 @@
     """Leaves SIGALRM at its default action, which ends the process.
 
     A parent may have set it to be ignored, which survives an exec; the
-    fuse would then burn without effect.
+    timer would then fire without effect.
     """
     signal.signal(signal.SIGALRM, signal.SIG_DFL)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGALRM})
--- a/src/mulberrywharf/authority/order_records.py
+++ b/src/mulberrywharf/authority/order_records.py
@@ -54,7 +54,7 @@
         config_version: Version of the configuration that holds the rule.
         fencing_number: Of the lease under which it was last recorded.
         action: What the engine shall do.
-        role: Role that the engine is to play after it. Sent only with
+        role: Role that the engine is to have after it. Sent only with
             ``set-role``; other actions carry it along, so that an engine
             which loses its role in a crash can be given it back.
         model: For ``load-model``.
--- a/src/mulberrywharf/authority/situation_builder.py
+++ b/src/mulberrywharf/authority/situation_builder.py
@@ -173,8 +173,8 @@
 ) -> dict[str, Speeds]:
     """Estimates each engine's speeds in a dedicated role, by engine id.
 
-    An engine reports its speeds in the role that it plays. What it would do
-    in another is taken from the engines that play that one, as they are
+    An engine reports its speeds in the role that it has. What it would do
+    in another is taken from the engines that have that one, as they are
     alike; failing those, from engines that do both.
     """
     prefill_mean = _dedicated_mean(
--- a/src/mulberrywharf/authority/wanted_states.py
+++ b/src/mulberrywharf/authority/wanted_states.py
@@ -53,11 +53,11 @@
 def settled_role(
     report: fleet.LoadReport, record: order_records.OrderRecord | None
 ) -> fleet.Role:
-    """Returns the role that an engine is to play by its last order.
+    """Returns the role that an engine is to have by its last order.
 
     Its own word counts only if no order says otherwise: after a crash in
     mid-change, or an order of a process without authority, the engine may
-    play a role that nobody wants.
+    keep a role that nobody wants.
     """
     if record is None:
         return report.role
--- a/src/mulberrywharf/callers/server.py
+++ b/src/mulberrywharf/callers/server.py
@@ -168,14 +168,14 @@
 
 
 def _refusal(
-    told: errors.RequestError, kind: str, request_id: str
+    error: errors.RequestError, kind: str, request_id: str
 ) -> response.Response:
-    _requests_total.inc({"kind": kind, "result": told.code})
-    if told.outcome == "unknown":
+    _requests_total.inc({"kind": kind, "result": error.code})
+    if error.outcome == "unknown":
         logger.bind(request_id=request_id).warning(
-            "{} with unknown outcome: {}", told.code, told.message
+            "{} with unknown outcome: {}", error.code, error.message
         )
-    return response.refusal(told, request_id)
+    return response.refusal(error, request_id)
 
 
 def _kind(path: str) -> str:
--- a/src/mulberrywharf/fleet.py
+++ b/src/mulberrywharf/fleet.py
@@ -1,7 +1,7 @@
 """What a node believes about the fleet: VMs, engines and their loads.
 
 These are the typed views that ``policy`` and ``rules`` decide on. Every
-figure that came from afar carries its age, because the picture is always
+figure that came from afar carries its age, because the view is always
 somewhat old.
 """
 
@@ -58,7 +58,7 @@
 
     Attributes:
         engine_id: The engine.
-        role: The role it plays.
+        role: Its role.
         state: Whether it serves.
         models: Models it has loaded.
         adapters: Adapters it has loaded.
--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -1,7 +1,7 @@
 """Owns claim shards by lease: acquires, keeps and hands them over.
 
 Two tasks: one renews the lease, the other looks for shards without an owner.
-The order in which VMs are drawn to a shard decides who looks first, so that
+The rank of the VMs for a shard decides who looks first, so that
 few nodes spend calls on looking and the owners are spread.
 """
 
--- a/src/mulberrywharf/nodes/demands.py
+++ b/src/mulberrywharf/nodes/demands.py
@@ -76,8 +76,8 @@
         in which each neighbour is told more than once.
         """
         report = self._own
-        told = self._told.get(neighbour.address)
-        if report is None or told == report.round_number:
+        told_round_number = self._told.get(neighbour.address)
+        if report is None or told_round_number == report.round_number:
             neighbour.send(heartbeat)
             return
         sent = neighbour.send(
--- a/src/mulberrywharf/nodes/link.py
+++ b/src/mulberrywharf/nodes/link.py
@@ -134,7 +134,7 @@
                 pass
             self._drop()
             # Without jitter all neighbours of a restarted node would come
-            # back in the same instant and crowd out its first heartbeats.
+            # back in the same instant and delay its first heartbeats.
             gevent.sleep(delay_s * random.uniform(0.5, 1.5))
             delay_s = min(2 * delay_s, _LONGEST_DELAY_S)
 
--- a/src/mulberrywharf/nodes/ranking.py
+++ b/src/mulberrywharf/nodes/ranking.py
@@ -6,7 +6,7 @@
 
 
 def rank(subject: str, vm_ids: Iterable[str]) -> list[str]:
-    """Orders VMs by how strongly they are drawn to a subject.
+    """Orders VMs by their rendezvous hash with a subject.
 
     When one VM goes, only the subjects that it was first for move on.
 
--- a/src/mulberrywharf/policy/engine_choice.py
+++ b/src/mulberrywharf/policy/engine_choice.py
@@ -1,6 +1,6 @@
 """Chooses the engine, or the two engines, that a request runs on.
 
-Each router decides alone on an old picture. If all took the engine that looks
+Each router decides alone on old reports. If all took the engine that looks
 best they would all take the same one, so only a few are looked at: three at
 random in the preferred availability zone, two elsewhere, and those that hold
 the longest beginning of the prompt. The best of these by estimated time wins.
@@ -67,7 +67,7 @@
         slow_factors=slow_factors or {},
         settings=settings,
     )
-    # Old pictures only when there is no newer one: an engine that has been
+    # Old reports only when there is no newer one: an engine that has been
     # silent may be gone, yet trying it beats refusing for certain.
     scored = _score_ways(fresh, situation, rng)
     scored = scored or _score_ways(usable, situation, rng)
@@ -125,11 +125,11 @@
     rng: random.Random,
 ) -> list[fleet.EngineView]:
     settings = situation.settings
-    home = [v for v in views if v.vm.availability_zone == situation.zone]
+    preferred = [v for v in views if v.vm.availability_zone == situation.zone]
     away = [v for v in views if v.vm.availability_zone != situation.zone]
-    if not home:
-        home, away = away, home
-    sampled = _some(home, settings.home_sample_count, rng)
+    if not preferred:
+        preferred, away = away, preferred
+    sampled = _some(preferred, settings.home_sample_count, rng)
     sampled += _some(away, settings.away_sample_count, rng)
     sampled += _best_holders(views, situation, rng)
     return list({view.vm.vm_id: view for view in sampled}.values())
--- a/src/mulberrywharf/policy/estimates.py
+++ b/src/mulberrywharf/policy/estimates.py
@@ -1,4 +1,4 @@
-"""What an engine would take for a request, from an old picture of it.
+"""What an engine would take for a request, from an old report of it.
 
 A report of the engine's queue is believed less the older it is: what it said
 fades into the mean of the fleet, since a queue that was long or short seconds
--- a/src/mulberrywharf/policy/planner_baselines.py
+++ b/src/mulberrywharf/policy/planner_baselines.py
@@ -20,7 +20,7 @@
     """Takes any change that the latest report makes look better.
 
     It has the same prediction, but neither hysteresis nor dwell nor budget,
-    gives a change no price and doesn't ask how old its picture is.
+    gives a change no price and doesn't ask how old its reports are.
     """
     eager = options._replace(
         role_change_weight=0.0,
--- a/src/mulberrywharf/policy/planner_types.py
+++ b/src/mulberrywharf/policy/planner_types.py
@@ -25,7 +25,7 @@
             as ``change_price_s`` seconds of goodput.
         change_price_s: See there.
         min_gain_s: Predicted gain below which a change isn't made even when
-            changes are free: predictions are too rosy by about as much.
+            changes are free: predictions exceed the real gain by about as much.
         away_s: How long a role change takes an engine away.
         horizon_s: How long a mix is trusted to last.
         dwell_s: How long an engine keeps a role that it was given.
@@ -35,7 +35,7 @@
         headroom: Capacity over demand from which on waiting is short.
         mixed_efficiency: Speed of a mixed engine against a dedicated one;
             prefill steps delay its decode steps.
-        stale_after_s: Age from which on a picture is not acted on.
+        stale_after_s: Age from which on a report is not acted on.
         clock_margin_s: Allowed error between clocks.
     """
 
@@ -73,7 +73,7 @@
 
     Attributes:
         engine_id: The engine.
-        role: The role that it plays.
+        role: Its role.
         usable: Whether it serves and may be changed.
         prefill_tokens_per_s: Its speed when it only prefills.
         decode_tokens_per_s: Its speed when it only decodes.
--- a/src/mulberrywharf/policy/retry_budget.py
+++ b/src/mulberrywharf/policy/retry_budget.py
@@ -126,25 +126,28 @@
         verdict = outcome.judge(
             attempt.progress, is_idempotent=attempt.is_idempotent
         )
-        told = outcome.combine(attempt.outcome, verdict.outcome)
+        outcome_so_far = outcome.combine(attempt.outcome, verdict.outcome)
         if not (verdict.may_retry or verdict.may_resume):
             return GiveUp(
                 errors.BackEndLostError(
                     "the back end failed and the request may have run",
-                    outcome=told,
+                    outcome=outcome_so_far,
                 )
             )
         if attempt.attempt_count >= self._settings.attempts_limit_count:
-            return GiveUp(_spent("every allowed attempt failed", told))
+            return GiveUp(
+                _spent("every allowed attempt failed", outcome_so_far)
+            )
         after_s = self._backoff_s(attempt, rng)
         if after_s + attempt.expected_s >= attempt.time_left_s:
             return GiveUp(
                 errors.DeadlineExceededError(
-                    "no attempt fits before the deadline", outcome=told
+                    "no attempt fits before the deadline",
+                    outcome=outcome_so_far,
                 )
             )
         if not self._pay(attempt.customer, now_s):
-            return GiveUp(_spent("the retry budget is spent", told))
+            return GiveUp(_spent("the retry budget is spent", outcome_so_far))
         return Retry(after_s, is_resume=verdict.may_resume)
 
     def _backoff_s(self, attempt: FailedAttempt, rng: random.Random) -> float:
@@ -179,7 +182,9 @@
         return bucket
 
 
-def _spent(message: str, told: errors.Outcome) -> errors.RetryBudgetSpentError:
+def _spent(
+    message: str, outcome_so_far: errors.Outcome
+) -> errors.RetryBudgetSpentError:
     return errors.RetryBudgetSpentError(
-        message, outcome=told, retry_after_s=1.0
+        message, outcome=outcome_so_far, retry_after_s=1.0
     )
--- a/src/mulberrywharf/policy/role_planner.py
+++ b/src/mulberrywharf/policy/role_planner.py
@@ -67,7 +67,7 @@
 ) -> Plan:
     """Picks the engine whose change costs callers least.
 
-    The rules fix the split; neither gain nor dwell argues with them.
+    The rules fix the split; neither the gain nor the dwell time is considered.
     """
     surplus = surplus_by_role(engines, target)
     wanted_role = min(ROLES, key=lambda role: surplus[role])
@@ -185,7 +185,7 @@
 ) -> float:
     """Returns the goodput won less that lost, in seconds of all demand.
 
-    An old picture shortens the horizon: the mix has lasted that long
+    An old report shortens the horizon: the mix has lasted that long
     already without being seen.
     """
     horizon_s = max(0.0, options.horizon_s - demand.age_s - options.away_s)
--- a/src/mulberrywharf/programs/_ctl_handover.py
+++ b/src/mulberrywharf/programs/_ctl_handover.py
@@ -35,7 +35,7 @@
 _SOURCES_COUNT = 3
 
 
-class _Picture(NamedTuple):
+class _Overview(NamedTuple):
     """What could be read.
 
     Attributes:
@@ -55,31 +55,31 @@
 
 def run(context: Context) -> CommandResult:
     """Shows the rules, the engines and the orders in flight."""
-    picture = _read(context)
+    overview = _read(context)
     # A wrong command line or token is the operator's to correct, at once.
-    for error in picture.failures.values():
+    for error in overview.failures.values():
         if isinstance(error, (UsageError, NotAuthorisedError)):
             return error_result(error)
-    if len(picture.failures) == _SOURCES_COUNT:
-        return error_result(next(iter(picture.failures.values())))
+    if len(overview.failures) == _SOURCES_COUNT:
+        return error_result(next(iter(overview.failures.values())))
     lines = [
-        *_rule_lines(picture),
-        *_zone_lines(picture.answers),
-        *_engine_lines(picture.engines),
-        *_order_lines(picture.engines, time.time()),
-        *_node_lines(picture),
-        *_failure_lines(picture.failures),
+        *_rule_lines(overview),
+        *_zone_lines(overview.answers),
+        *_engine_lines(overview.engines),
+        *_order_lines(overview.engines, time.time()),
+        *_node_lines(overview),
+        *_failure_lines(overview.failures),
     ]
     is_partial = (
-        picture.failures
-        or missing_lines(picture.answers)
-        or _zones_without_controller(picture.answers)
+        overview.failures
+        or missing_lines(overview.answers)
+        or _zones_without_controller(overview.answers)
     )
     code = ExitCode.NOT_EVERYWHERE if is_partial else ExitCode.OK
-    return CommandResult(code, _value(picture), lines)
+    return CommandResult(code, _value(overview), lines)
 
 
-def _read(context: Context) -> _Picture:
+def _read(context: Context) -> _Overview:
     failures: dict[str, MulberryError] = {}
     current = context.configuration()
     if isinstance(current, Err):
@@ -91,7 +91,7 @@
     if isinstance(asked, Err):
         failures["the nodes"] = asked.err_value
     answers = asked.unwrap_or([])
-    return _Picture(
+    return _Overview(
         configuration=current.unwrap_or(None),
         is_configured=isinstance(current, Err) or current.ok_value is not None,
         answers=answers,
@@ -100,11 +100,11 @@
     )
 
 
-def _rule_lines(picture: _Picture) -> list[str]:
-    if not picture.is_configured:
+def _rule_lines(overview: _Overview) -> list[str]:
+    if not overview.is_configured:
         error = _ctl_show.no_configuration()
         return [f"RULES: {error.message}", f"  next: {error.advice}"]
-    configuration = picture.configuration
+    configuration = overview.configuration
     if configuration is None:
         return ["RULES: none could be read"]
     lines = [
@@ -167,9 +167,9 @@
     return ["ORDERS IN FLIGHT:", *(lines or ["  none known"])]
 
 
-def _node_lines(picture: _Picture) -> list[str]:
-    found = reports(picture.answers)
-    configuration = picture.configuration
+def _node_lines(overview: _Overview) -> list[str]:
+    found = reports(overview.answers)
+    configuration = overview.configuration
     # Without the service, the highest version that a node runs is accepted.
     versions = [report["config_version"] for report in found]
     version = configuration.version if configuration else max([0, *versions])
@@ -179,7 +179,7 @@
         for report in found
         if report["config_version"] < version
     ]
-    missing = [f"  {line}" for line in missing_lines(picture.answers)]
+    missing = [f"  {line}" for line in missing_lines(overview.answers)]
     everything = f"  all {len(found)} that answer run version {version}"
     return ["NODES:", *(behind or [everything]), *missing]
 
@@ -194,24 +194,24 @@
     return lines
 
 
-def _value(picture: _Picture) -> dict[str, object]:
-    configuration = picture.configuration
+def _value(overview: _Overview) -> dict[str, object]:
+    configuration = overview.configuration
     audit = configuration.audit if configuration else ()
     return {
         "version": configuration.version if configuration else None,
         "changes": list(audit[-_LATEST_CHANGES_COUNT:]),
         "zones": {
             zone: report.get("rule")
-            for zone, report in active_controllers(picture.answers).items()
+            for zone, report in active_controllers(overview.answers).items()
         },
         "engines": [
             engine._asdict() | {"differs": engine.differs()}
-            for engine in picture.engines
+            for engine in overview.engines
         ],
-        "nodes": reports(picture.answers),
-        "not_reached": missing_lines(picture.answers),
+        "nodes": reports(overview.answers),
+        "not_reached": missing_lines(overview.answers),
         "not_known": [
             f"{source}: {error.message}"
-            for source, error in picture.failures.items()
+            for source, error in overview.failures.items()
         ],
     }
--- a/src/mulberrywharf/programs/_router_rules.py
+++ b/src/mulberrywharf/programs/_router_rules.py
@@ -3,7 +3,7 @@
 Roles, loads and drains are the controller's; ``limit`` and ``prefer_zone``
 act on requests, so each router evaluates the rules for them by itself, on
 what it sees of its zone. Two routers may differ for a moment, as their
-pictures do; nothing that they order can conflict.
+views do; nothing that they order can conflict.
 """
 
 from collections.abc import Callable
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -94,14 +94,14 @@
         self, wanted: passthrough.ServiceCall
     ) -> passthrough.ServiceAnswer:
         tried: set[str] = set()
-        told: errors.Outcome = "not-run"
+        outcome_so_far: errors.Outcome = "not-run"
         run_id = run_ids.make(wanted.caller.request_id)
         while True:
             chosen = self._servers.choose(
                 wanted.service, self._clock.monotonic_s(), frozenset(tried)
             )
             if isinstance(chosen, Err):
-                raise _no_server(chosen.err_value, told)
+                raise _no_server(chosen.err_value, outcome_so_far)
             vm = chosen.ok_value
             tried.add(vm.vm_id)
             attempted = self._attempt(wanted, vm, run_id)
@@ -115,14 +115,16 @@
                     progress=progress,
                     is_idempotent=wanted.idempotent,
                     time_left_s=self._time_left_s(wanted),
-                    outcome=told,
+                    outcome=outcome_so_far,
                 ),
                 self._rng,
                 self._clock.monotonic_s(),
             )
             if isinstance(verdict, retry_budget.GiveUp):
                 raise verdict.error
-            told = outcome.combine(told, attempted.err_value.outcome)
+            outcome_so_far = outcome.combine(
+                outcome_so_far, attempted.err_value.outcome
+            )
             gevent.sleep(verdict.after_s)
 
     def _attempt(
@@ -165,7 +167,7 @@
 
 
 def _no_server(
-    error: errors.RequestError, told: errors.Outcome
+    error: errors.RequestError, outcome_so_far: errors.Outcome
 ) -> errors.RequestError:
     # The service is configured, so a list that names no server of it is a
     # matter of time, not a mistake of the caller.
@@ -173,7 +175,7 @@
         error = errors.OverloadedError(
             "no server of the service is known now", retry_after_s=1.0
         )
-    error.outcome = told
+    error.outcome = outcome_so_far
     return error
 
 
--- a/src/mulberrywharf/rules/match.py
+++ b/src/mulberrywharf/rules/match.py
@@ -3,7 +3,7 @@
 Each condition holds, does not hold, or is unknown because its input is
 missing or too old. A rule that may match, but is not known to, stops the
 search: whether a later rule counts depends on it. The answer is then
-undecided and carries ``hold``, so that a node that has gone blind does not
+undecided and carries ``hold``, so that a node without current readings does not
 change the fleet.
 """
 
--- a/src/mulberrywharf/rules/wanted.py
+++ b/src/mulberrywharf/rules/wanted.py
@@ -1,4 +1,4 @@
-"""How many engines of a zone should play each role under a match."""
+"""How many engines of a zone should have each role under a match."""
 
 from typing import NamedTuple
 
