--- a/tests/test_operator_pages.py
+++ b/tests/test_operator_pages.py
@@ -125,6 +125,12 @@
                 with self.subTest(text=text, page=link[1]):
                     self.assertIn(text, _page(link[1]))
 
+    def test_the_readme_lists_every_package(self):
+        readme = (ROOT / "README.md").read_text(encoding="utf-8")
+        listed = re.findall(r"^\| `([a-z_]+)` \|", readme, re.M)
+        packages = [path.parent.name for path in SOURCE.glob("*/__init__.py")]
+        self.assertEqual(sorted(listed), sorted(packages))
+
     def test_every_page_is_listed_and_every_link_leads_somewhere(self):
         names = {page.name for page in PAGES.glob("*.md")} - {"index.md"}
         self.assertLessEqual(names, set(_links(PAGES / "index.md")))
