Split finding and asking a shard's owner from the claim client

nodes/claim_client.py held the four questions about a claim and, below them, the look-up of owners, the pauses between look-ups and the repeats until an owner answers. The second half is now ShardOwners in claim_shard_owners.py; the client keeps claim, wait, complete and release. Two fields that nothing read are gone: _own_shards and lookups_count. What is asked, how often and for how long is the same. Passing the owners in from outside was ruled out, since every caller would then build both.

--- a/src/mulberrywharf/nodes/claim_client.py
+++ b/src/mulberrywharf/nodes/claim_client.py
@@ -1,7 +1,6 @@
 """Asks the owners of claim shards on behalf of this node's callers."""
 
 import random
-from typing import NamedTuple
 
 import gevent
 import gevent.pool
@@ -11,7 +10,7 @@
 from mulberrywharf.nodes import (
     claim_log,
     claim_owner,
-    claim_ownership,
+    claim_shard_owners,
     claims,
     links,
     messages,
@@ -20,9 +19,6 @@
 DEFAULT_TIMEOUT_S = 4.0
 DEFAULT_RUN_BOUND_S = 60.0
 
-_CALL_TIMEOUT_S = 3.0
-_FIRST_LOOKUP_DELAY_S = 0.1
-_LONGEST_LOOKUP_DELAY_S = 1.0
 _RELEASE_ATTEMPTS_COUNT = 10
 _LONGEST_RELEASE_DELAY_S = 30.0
 _RELEASES_LIMIT_COUNT = 1000
@@ -36,18 +32,8 @@
 )
 
 
-class _Question(NamedTuple):
-    shard: int
-    message: messages.Message
-    timeout_s: float
-
-
 class ClaimClient:
-    """Claims, completes and releases for one node.
-
-    Attributes:
-        lookups_count: Reads of the owners' keys so far.
-    """
+    """Claims, completes and releases for one node."""
 
     def __init__(
         self,
@@ -61,20 +47,18 @@
         system_clock: clock.Clock | None = None,
         shard_count: int = claims.SHARD_COUNT,
     ):
-        self.lookups_count = 0
-        self._store = store
-        self._links = node_links
-        self._owner = owner
-        self._own_vm_id = own_vm_id
         self._callers_address = callers_address
-        self._deployment = deployment
         self._clock = system_clock or clock.SystemClock()
-        self._shard_count = shard_count
-        self._owners: dict[int, fleet.Address] = {}
-        self._own_shards: set[int] = set()
+        self._owners = claim_shard_owners.ShardOwners(
+            store,
+            node_links,
+            owner,
+            own_vm_id,
+            deployment,
+            system_clock=self._clock,
+            shard_count=shard_count,
+        )
         self._releases = gevent.pool.Pool(_RELEASES_LIMIT_COUNT)
-        self._next_lookup_s = 0.0
-        self._lookup_delay_s = _FIRST_LOOKUP_DELAY_S
 
     @classmethod
     def from_config(
@@ -137,7 +121,7 @@
             self._callers_address.port,
             run_bound_s,
         )
-        reply = self._ask(claim, question, timeout_s, insist=True)
+        reply = self._owners.ask(claim, question, timeout_s, insist=True)
         if reply is not None and reply.kind == "granted":
             _outcomes.inc({"outcome": "granted"})
             return Ok(claims.ClaimGranted(claim, token))
@@ -174,10 +158,10 @@
         while True:
             left_s = max(0.0, deadline_s - self._clock.monotonic_s())
             slice_s = min(left_s, _WAIT_SLICE_S)
-            reply = self._ask(
+            reply = self._owners.ask(
                 claim,
                 messages.ClaimWait(claim, slice_s),
-                slice_s + _CALL_TIMEOUT_S,
+                slice_s + claim_shard_owners.CALL_TIMEOUT_S,
             )
             if reply is None or reply.kind in ("not-found", "unavailable"):
                 return Err(_unavailable())
@@ -212,7 +196,9 @@
             claims.digest(answer),
             kept,
         )
-        reply = self._ask(granted.claim_id, message, timeout_s, insist=True)
+        reply = self._owners.ask(
+            granted.claim_id, message, timeout_s, insist=True
+        )
         if reply is not None and reply.kind == "accepted":
             return Ok(None)
         return Err(_unavailable())
@@ -222,7 +208,7 @@
     ) -> Result[None, errors.ClaimUnavailableError]:
         """Frees a claim of a request of which no byte reached a back end."""
         message = messages.ClaimRelease(granted.claim_id, granted.token)
-        reply = self._ask(
+        reply = self._owners.ask(
             granted.claim_id, message, DEFAULT_TIMEOUT_S, insist=True
         )
         if reply is not None and reply.kind in ("accepted", "not-found"):
@@ -238,110 +224,6 @@
                 random.uniform(0, min(2.0**attempt, _LONGEST_RELEASE_DELAY_S))
             )
 
-    def _ask(
-        self,
-        claim: bytes,
-        message: messages.Message,
-        timeout_s: float,
-        *,
-        insist: bool = False,
-    ) -> messages.ClaimReply | None:
-        """Asks whoever owns the claim's shard until somebody answers.
-
-        Args:
-            claim: The claim.
-            message: The question; harmless when asked twice.
-            timeout_s: In all.
-            insist: Whether ``unavailable`` is asked again.
-
-        Returns:
-            The owner's answer, or None.
-        """
-        shard = claims.shard_of(claim, self._shard_count)
-        deadline_s = self._clock.monotonic_s() + timeout_s
-        reply = None
-        while True:
-            left_s = deadline_s - self._clock.monotonic_s()
-            if left_s <= 0:
-                return reply
-            call_s = min(left_s, _call_timeout_s(message))
-            reply = self._ask_once(_Question(shard, message, call_s))
-            if reply is not None and not _asks_again(reply, insist):
-                return reply
-            self._owners.pop(shard, None)
-            reply = None
-            gevent.sleep(random.uniform(0.02, 0.1))
-
-    def _ask_once(self, question: _Question) -> messages.ClaimReply | None:
-        if question.shard in self._owner.owned_shards():
-            return self._ask_own(question)
-        address = self._owners.get(question.shard)
-        if address is None:
-            self._look_up()
-            address = self._owners.get(question.shard)
-        if address is None:
-            self._owner.consider(question.shard)
-            return None
-        answered = self._links.to(address).call(
-            question.message, question.timeout_s
-        )
-        if isinstance(answered, Err):
-            return None
-        answer = answered.ok_value
-        return answer if isinstance(answer, messages.ClaimReply) else None
-
-    def _ask_own(self, question: _Question) -> messages.ClaimReply | None:
-        # In a greenlet of its own, as for other nodes: cut off in the middle
-        # by this caller's timeout, the owner would not note that nobody
-        # waits for the claim any more.
-        task = gevent.spawn(
-            self._owner.answer, self._own_vm_id, question.message
-        )
-        task.join(question.timeout_s)
-        reply: messages.ClaimReply | None = task.value
-        return reply
-
-    def _look_up(self) -> None:
-        """Reads who owns what, ever less often while it does not help.
-
-        During a takeover every node that holds a request would else read in
-        a tight loop, and the service's rate is shared by the whole fleet.
-        """
-        now_s = self._clock.monotonic_s()
-        if now_s < self._next_lookup_s:
-            return
-        known_before = dict(self._owners)
-        self.lookups_count += 1
-        self._next_lookup_s = now_s + self._lookup_delay_s * random.uniform(
-            0.5, 1.0
-        )
-        found = self._store.get_prefix(
-            claims.owners_prefix(self._deployment),
-            purpose=claim_ownership.PURPOSE_OWNER,
-        )
-        if isinstance(found, Ok):
-            for key_value in found.ok_value:
-                shard = claim_ownership.shard_number(key_value.key)
-                self._owners[shard] = claim_ownership.owner_address(
-                    key_value.value
-                )
-        if self._owners == known_before:
-            self._lookup_delay_s = min(
-                2 * self._lookup_delay_s, _LONGEST_LOOKUP_DELAY_S
-            )
-        else:
-            self._lookup_delay_s = _FIRST_LOOKUP_DELAY_S
-
-
-def _call_timeout_s(message: messages.Message) -> float:
-    if isinstance(message, messages.ClaimWait):
-        return message.wait_s + _CALL_TIMEOUT_S
-    return _CALL_TIMEOUT_S
-
-
-def _asks_again(reply: messages.ClaimReply, insist: bool) -> bool:
-    return reply.kind == "not-owner" or (insist and reply.kind == "unavailable")
-
 
 def _met(reply: messages.ClaimReply) -> claims.ClaimMet:
     state: claims.ClaimState = "unknown"
