Tell how to get over values that others wrote, and call a failed read one

With a value in the configuration's key that mulberryctl did not write, the pages said to apply a good document, which apply refuses; with one in the order records, to delete it without a word on how. And while the VM list was away, mulberryctl status told of a write whose outcome is not known and to repeat it with its change id, though it only reads.

Letting apply overwrite such a value was ruled out: it may be a newer release's. handover indents a message of several lines.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -93,6 +93,13 @@
 
     code = "bad-stored-configuration"
 
+    def __init__(self, source: str, faults: list[Fault]):
+        super().__init__(source, faults)
+        self.advice = (
+            "Nodes keep theirs. Unless a newer release wrote the key, delete "
+            "it; docs/operators/platform_outage.md says how."
+        )
+
 
 # --- requests of callers ----------------------------------------------------
 
@@ -353,7 +360,8 @@
 
     code = "bad-order-records"
     advice = (
-        "Find who wrote the key; look at each engine's state before deleting."
+        "Find who wrote the key; docs/operators/platform_outage.md says when "
+        "and how to delete it."
     )
 
 
--- a/src/mulberrywharf/platform_service/vm_list.py
+++ b/src/mulberrywharf/platform_service/vm_list.py
@@ -136,7 +136,10 @@
         sent = self._calls.call("GET", "/vms", headers=headers)
         if isinstance(sent, Err):
             _reads.inc({"outcome": "failed"})
-            return sent
+            # A read whose answer was lost did nothing; passed on as it came
+            # it would be told as a write whose outcome is not known.
+            message = sent.err_value.message
+            return Err(errors.PlatformUnavailableError(message))
         answer = sent.ok_value
         if answer.status == 304:
             self._confirm("unchanged")
--- a/src/mulberrywharf/programs/_ctl_context.py
+++ b/src/mulberrywharf/programs/_ctl_context.py
@@ -91,11 +91,12 @@
                 return Ok(reader.vms())
         finally:
             reader.close()
-        if self.arguments.vm_list is None:
-            read.err_value.advice = (
-                "Name the VM list's address with --vm-list; it was asked for "
-                f"at --platform, {address}."
-            )
+        read.err_value.advice = (
+            "Name the VM list's address with --vm-list; it was asked for at "
+            f"--platform, {address}."
+            if self.arguments.vm_list is None
+            else "Name the nodes' admin listeners with --node meanwhile."
+        )
         return read
 
     def fleet_size(self) -> Result[FleetSize, errors.MulberryError]:
--- a/src/mulberrywharf/programs/_ctl_handover.py
+++ b/src/mulberrywharf/programs/_ctl_handover.py
@@ -189,7 +189,8 @@
         return []
     lines = ["NOT KNOWN:"]
     for source, error in failures.items():
-        lines.append(f"  {source}: {error.code}: {error.message}")
+        message = error.message.replace("\n", "\n    ")
+        lines.append(f"  {source}: {error.code}: {message}")
         lines.append(f"    next: {error.advice}")
     return lines
 
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -335,10 +335,26 @@
         no_list = self.ctl("status")
         self.assertEqual(no_list.exit_code, 4)
         self.assertIn("next: Name the VM list's address", no_list.stderr)
+        list_away = self.ctl("--vm-list", f"127.0.0.1:{closed}", "status")
+        self.assertIn("next: Name the nodes' admin", list_away.stderr)
         self.apply(PLAIN, "--base-version", "0", nodes=(self.node(),))
         plan = self.ctl("plan", _write(PLAIN, self), nodes=(self.node(),))
         self.assertIn("with --node", plan.stdout)
 
+    def test_a_configuration_that_others_wrote(self):
+        self.client.compare_and_swap(
+            f"/mulberry/{DEPLOYMENT}/config",
+            b'{"version": 9}',
+            expected_revision=0,
+            purpose="test",
+        ).unwrap()
+        for command in (("show",), ("handover",)):
+            with self.subTest(command=command):
+                found = self.ctl(*command, nodes=(self.node(version=1),))
+                told = found.stdout + found.stderr
+                self.assertIn("bad-stored-configuration", told)
+                self.assertIn("docs/operators/platform_outage.md", told)
+
     def test_handover_without_rules_and_without_a_controller(self):
         found = self.ctl("handover", nodes=(self.node(),))
         self.assertEqual(found.exit_code, 5)
--- a/tests/test_vm_list.py
+++ b/tests/test_vm_list.py
@@ -71,7 +71,7 @@
                 self.service.faults = faults
                 age_s = self.reader.age_s()
                 failure = self.reader.read_once().unwrap_err()
-                self.assertIsInstance(failure, errors.PlatformError)
+                self.assertIsInstance(failure, errors.PlatformUnavailableError)
                 self.assertEqual(self.reader.vms()[0].vm_id, "e1")
                 self.assertGreater(self.reader.age_s(), age_s)
 
