Check the loopback example with the others

A fresh clone's run was red: test_settings counts 14 examples and takes each for settings or rules, and the loopback example brought four files more, one of them a VM list. The count is 18 now and the VM list is read by the reader's own parser and must give its four VMs, so nothing is left unchecked; leaving out the new folder was ruled out.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from mulberrywharf import settings
+from mulberrywharf.platform_service import vm_list
 from mulberrywharf.errors import SettingsError
 from tests.builders_operators import run_ctl
 from tests.builders_settings import node_settings
@@ -100,10 +101,13 @@
 class ExamplesTest(unittest.TestCase):
     def test_every_example_passes_its_check(self):
         files = sorted(EXAMPLES.rglob("*.json"))
-        self.assertEqual(len(files), 14)
+        self.assertEqual(len(files), 18)
         for path in files:
             with self.subTest(path=path):
-                if path.name == "rules.json":
+                if path.name == "vms.json":
+                    entries = json.loads(path.read_text())["vms"]
+                    self.assertEqual(len(vm_list._records(entries)), 4)
+                elif path.name == "rules.json":
                     found = run_ctl("check", str(path), "--strict")
                     self.assertEqual(found.exit_code, 0, found.stderr)
                 else:
