--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,8 +9,8 @@
 from result import Err, Ok
 
 from mulberrywharf import settings
-from mulberrywharf.platform_service import vm_list
 from mulberrywharf.errors import SettingsError
+from mulberrywharf.platform_service import vm_list
 from tests.builders_operators import run_ctl
 from tests.builders_settings import node_settings
 
