Keep the records that wait for a commit in a queue of their own

CommitQueue in claim_queue.py now holds them: adding a record also makes it known by its claim, and the events follow. What is written, in which order, and when somebody who waits is told is the same. Splitting the answers to claims from those to releases was ruled out: each must see the other's records. The tests of claims and budgets pass, and so do those of request failures with real processes (126 s).

--- a/src/mulberrywharf/nodes/claim_shard.py
+++ b/src/mulberrywharf/nodes/claim_shard.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import clock, errors
-from mulberrywharf.nodes import claim_log, claims, messages
+from mulberrywharf.nodes import claim_log, claim_queue, claims, messages
 
 GATHER_S = 0.003
 """The first claim of a group waits so long for others."""
@@ -22,8 +22,6 @@
 """Claims that a shard remembers; more are refused as not run."""
 
 _EXPIRY_MARGIN_S = 60.0
-_BATCH_LIMIT_BYTES = 256 * 1024
-_QUEUE_LIMIT_COUNT = 4096
 _GIVEN_UP_LIMIT_COUNT = 4096
 _EXPIRE_INTERVAL_S = 5.0
 _WAIT_LIMIT_S = 60.0
@@ -34,21 +32,6 @@
 _NOT_FOUND = messages.ClaimReply("not-found")
 
 
-class _Queued:
-    """A record on its way into the log.
-
-    Attributes:
-        record: The record.
-        committed: Set to True once it is in the log, False if it never will.
-        is_abandoned: Whoever asked was told ``unavailable`` meanwhile.
-    """
-
-    def __init__(self, record: claims.Record):
-        self.record = record
-        self.committed = gevent.event.AsyncResult()
-        self.is_abandoned = False
-
-
 class ShardStatistics(NamedTuple):
     """Counts since the ownership began.
 
@@ -75,14 +58,9 @@
         self._clock = system_clock
         self._window_s = window_s
         self._table = claims.Table(window_s)
-        self._queue: list[_Queued] = []
-        self._queued_claims: dict[bytes, _Queued] = {}
-        self._queued_releases: dict[bytes, _Queued] = {}
+        self._queue = claim_queue.CommitQueue()
         self._given_up_tokens: dict[int, None] = {}
         self._waiters: dict[bytes, gevent.event.Event] = {}
-        self._wake = gevent.event.Event()
-        self._idle = gevent.event.Event()
-        self._idle.set()
         self._task: gevent.Greenlet | None = None
         self._next_expiry_s = 0.0
         self._records_count = 0
@@ -109,14 +87,14 @@
         if self._task is not None and self._task is not gevent.getcurrent():
             self._task.kill()
         self._task = None
-        self._fail(self._queue)
+        self._queue.fail_all()
         for event in self._waiters.values():
             event.set()
 
     def finish(self, timeout_s: float) -> None:
         """Commits what is queued, takes nothing new, then stops."""
         self.is_owner = False
-        self._idle.wait(timeout_s)
+        self._queue.idle.wait(timeout_s)
         self.close()
 
     def claim(
@@ -134,9 +112,9 @@
             # A claim that is being released is neither held nor free: to
             # grant it again now would let the release free it under its
             # new holder, and a third request would run beside it.
-            leaving = self._queued_releases.get(request.claim_id)
+            leaving = self._queue.queued_release(request.claim_id)
             if leaving is not None:
-                if not _wait(leaving, left_s):
+                if not leaving.wait(left_s):
                     return _UNAVAILABLE
                 continue
             entry = self._table.get(request.claim_id)
@@ -163,15 +141,15 @@
             request.answer_digest,
             request.answer,
         )
-        return self._commit_and_reply(_Queued(record))
+        return self._commit_and_reply(record)
 
     def release(self, request: messages.ClaimRelease) -> messages.ClaimReply:
         """Frees a claim whose request was not run."""
         if not self.is_owner:
             return _NOT_OWNER
         self._note_given_up(request.token)
-        queued = self._queued_claims.get(request.claim_id)
-        if queued is not None and _token_of(queued) == request.token:
+        queued = self._queue.queued_claim(request.claim_id)
+        if queued is not None and queued.token == request.token:
             queued.is_abandoned = True
             # Accepted any earlier, the release would be forgotten with this
             # owner while the claim's write, still under way, might survive.
@@ -183,10 +161,12 @@
         entry = self._table.get(request.claim_id)
         if entry is None or entry.token != request.token or entry.is_done:
             return _NOT_FOUND
-        leaving = self._queued_releases.get(request.claim_id)
+        leaving = self._queue.queued_release(request.claim_id)
         if leaving is None:
-            leaving = self._queue_release(request.claim_id, request.token)
-        if _wait(leaving, ANSWER_WITHIN_S):
+            leaving = self._queue.add(
+                claims.Released(request.claim_id, request.token)
+            )
+        if leaving.wait(ANSWER_WITHIN_S):
             return _ACCEPTED
         return _UNAVAILABLE if self.is_owner else _NOT_OWNER
 
@@ -231,17 +211,15 @@
         self, sender_vm_id: str, request: messages.ClaimRequest, left_s: float
     ) -> messages.ClaimReply | None:
         """Queues the claim and waits; None means look at the table again."""
-        queued = self._queued_claims.get(request.claim_id)
+        queued = self._queue.queued_claim(request.claim_id)
         if queued is None:
             if self._is_full():
                 return _UNAVAILABLE
-            queued = _Queued(self._claimed(sender_vm_id, request))
-            self._queued_claims[request.claim_id] = queued
-            self._enqueue(queued)
-        is_own = _token_of(queued) == request.token
+            queued = self._queue.add(self._claimed(sender_vm_id, request))
+        is_own = queued.token == request.token
         if is_own:
             queued.is_abandoned = False
-        if _wait(queued, left_s):
+        if queued.wait(left_s):
             return None
         if queued.committed.ready():
             # Not written. Another attempt's failure is not this one's.
@@ -273,31 +251,17 @@
         )
 
     def _is_full(self) -> bool:
-        return (
-            len(self._queue) >= _QUEUE_LIMIT_COUNT
-            or len(self._table) >= ENTRIES_LIMIT_COUNT
-        )
+        return self._queue.is_full or len(self._table) >= ENTRIES_LIMIT_COUNT
 
-    def _commit_and_reply(self, queued: _Queued) -> messages.ClaimReply:
-        self._enqueue(queued)
-        if _wait(queued, ANSWER_WITHIN_S):
+    def _commit_and_reply(self, record: claims.Record) -> messages.ClaimReply:
+        queued = self._queue.add(record)
+        if queued.wait(ANSWER_WITHIN_S):
             return _ACCEPTED
         return _UNAVAILABLE if self.is_owner else _NOT_OWNER
 
-    def _queue_release(self, claim: bytes, token: int) -> _Queued:
-        leaving = _Queued(claims.Released(claim, token))
-        self._queued_releases[claim] = leaving
-        self._enqueue(leaving)
-        return leaving
-
-    def _enqueue(self, queued: _Queued) -> None:
-        self._queue.append(queued)
-        self._idle.clear()
-        self._wake.set()
-
     def _run(self) -> None:
         while True:
-            if self._wake.wait(_EXPIRE_INTERVAL_S):
+            if self._queue.filled.wait(_EXPIRE_INTERVAL_S):
                 gevent.sleep(GATHER_S)
                 if not self._commit_batch():
                     self.close()
@@ -307,7 +271,7 @@
 
     def _commit_batch(self) -> bool:
         """Commits part of the queue; False if the ownership is lost."""
-        batch = self._cut_batch()
+        batch = self._queue.cut_batch()
         if not batch:
             return True
         appended = self._log.append(
@@ -317,75 +281,33 @@
         )
         if isinstance(appended, Err):
             if isinstance(appended.err_value, errors.AuthorityLostError):
-                self._queue[:0] = batch
+                self._queue.put_all_back(batch)
                 return False
-            self._put_back(batch)
+            self._queue.put_back(batch)
             return True
         self._commits_count += 1
         self._records_count += len(batch)
         for queued in batch:
             self._settle(queued)
-        self._note_idle()
+        self._queue.note_idle()
         return True
 
-    def _cut_batch(self) -> list[_Queued]:
-        batch: list[_Queued] = []
-        size_bytes = 0
-        while self._queue and size_bytes < _BATCH_LIMIT_BYTES:
-            queued = self._queue.pop(0)
-            # A claim that nobody waits for any more need not be written.
-            if queued.is_abandoned:
-                self._forget(queued)
-                queued.committed.set(False)
-                continue
-            batch.append(queued)
-            size_bytes += len(claims.encode_record(queued.record))
-        if not self._queue:
-            self._wake.clear()
-        if not batch:
-            self._note_idle()
-        return batch
-
-    def _settle(self, queued: _Queued) -> None:
+    def _settle(self, queued: claim_queue.QueuedRecord) -> None:
         record = queued.record
         self._table.apply(record)
-        self._forget(queued)
-        queued.committed.set(True)
+        self._queue.settle(queued)
         if isinstance(record, claims.Claimed):
             # The asker was told that nothing runs, so the key must be free
             # for his next try; committed all the same, it would block him.
             if queued.is_abandoned:
-                self._queue_release(record.entry.claim_id, record.entry.token)
+                self._queue.add(
+                    claims.Released(record.entry.claim_id, record.entry.token)
+                )
             return
         event = self._waiters.pop(record.claim_id, None)
         if event is not None:
             event.set()
 
-    def _put_back(self, batch: list[_Queued]) -> None:
-        """Fails claims that were surely not written; keeps the rest."""
-        kept = [q for q in batch if not isinstance(q.record, claims.Claimed)]
-        self._fail([q for q in batch if isinstance(q.record, claims.Claimed)])
-        self._queue[:0] = kept
-        if self._queue:
-            self._wake.set()
-        self._note_idle()
-
-    def _fail(self, batch: list[_Queued]) -> None:
-        for queued in list(batch):
-            self._forget(queued)
-            queued.committed.set(False)
-
-    def _forget(self, queued: _Queued) -> None:
-        record = queued.record
-        if isinstance(record, claims.Claimed):
-            self._queued_claims.pop(record.entry.claim_id, None)
-        elif isinstance(record, claims.Released):
-            self._queued_releases.pop(record.claim_id, None)
-
-    def _note_idle(self) -> None:
-        if not self._queue:
-            self._idle.set()
-
     def _expire(self) -> None:
         now_s = self._clock.monotonic_s()
         if now_s < self._next_expiry_s:
@@ -399,23 +321,6 @@
         self._log.delete_expired(now_unix_s, self._window_s + _EXPIRY_MARGIN_S)
 
 
-def _wait(queued: _Queued, timeout_s: float) -> bool:
-    """Waits for a record; True once it is in the log."""
-    queued.committed.wait(max(0.0, timeout_s))
-    # Read afresh: the record may have been settled between the end of the
-    # timeout and the moment this greenlet ran again.
-    return bool(queued.committed.value)
-
-
-def _token_of(queued: _Queued) -> int:
-    record = queued.record
-    return (
-        record.entry.token
-        if isinstance(record, claims.Claimed)
-        else record.token
-    )
-
-
 def _reply_of(entry: claims.Entry, now_unix_s: float) -> messages.ClaimReply:
     return messages.ClaimReply(
         entry.state(now_unix_s),
