--- a/tests/test_operator_tour.py
+++ b/tests/test_operator_tour.py
@@ -38,7 +38,9 @@
                 if path.name == "vms.json":
                     self.assertTrue(json5.loads(text)["vms"])
                 elif path.name == "rules.json":
-                    self.assertEqual(check(parse(text, path.name).unwrap(), None), [])
+                    self.assertEqual(
+                        check(parse(text, path.name).unwrap(), None), []
+                    )
                 else:
                     self.assertIsInstance(settings.load(str(path)), Ok)
 
