--- a/bench/end_to_end.py
+++ b/bench/end_to_end.py
@@ -71,6 +71,8 @@
 
 Fault = Callable[[cluster.Cluster, load.LoadClient], None]
 
+_TARGETS = load.Targets()
+
 
 class Scenario(NamedTuple):
     """One run of load with one fault in its midst.
@@ -249,6 +251,10 @@
     }
     default = {"roles": _SPLIT_ROLES} if split_roles else {"hold": True}
     return {
+        "shed": {
+            "first_token_target_ms": _TARGETS.first_token_ms,
+            "between_tokens_target_ms": _TARGETS.between_tokens_ms,
+        },
         "default": default,
         "customers": names,
         "models": {cluster.MODEL: {"adapters": [], "versions": []}},
@@ -286,7 +292,7 @@
         if order["unix_s"] >= began_unix_s
     ]
     seconds = max([duration_s, *(at_s + 1.0 for at_s in changes_s)])
-    counts = load.by_second(outcomes, load.Targets(), seconds)
+    counts = load.by_second(outcomes, _TARGETS, seconds)
     figures["role_change_count"] = len(changes_s)
     figures["series"] = {
         **counts._asdict(),
@@ -342,7 +348,7 @@
 
 
 def _report(name: str, outcomes: Sequence[load.CallOutcome]) -> dict[str, Any]:
-    summary = load.summarize(outcomes, load.Targets())
+    summary = load.summarize(outcomes, _TARGETS)
     print(
         f"{name:<16}{summary.call_count:>7}{summary.whole_count:>7}"
         f"{summary.goodput_share * 100:>8.1f}{summary.refused_count:>9}"
