Let the fault proxy cross the answers of two connections

Answers could be crossed only by a stand-in itself, so nothing showed what a router does when the way to a back end swaps them. The proxy now gives each of a pair of connections the other's answers. Reordering bytes within one connection was ruled out: TCP does not do that. A new test with real processes calls a service twice at once through it: both callers are told unknown, both calls ran once.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -13,6 +13,8 @@
   delivers them after the thaw, as a healed partition does); ``half-open-up``
   (drops what goes to the upstream) and ``half-open-down`` (drops what comes
   back), in both of which no side is told.
+- ``cross_pairs_count``: of so many next pairs of connections each gets the
+  other's answers; the first's wait until the second came.
 - ``delay_ms``: each piece of data waits so long, in order.
 - ``reset_after_up_bytes``, ``reset_after_down_bytes``: a connection is reset
   once it has carried so many bytes that way; null lifts it.
@@ -61,12 +63,14 @@
 
     Attributes:
         mode: One of ``MODES``.
+        cross_pairs_count: Pairs of connections still to be crossed.
         delay_ms: For each piece of data.
         reset_after_up_bytes: Towards the upstream; None for never.
         reset_after_down_bytes: Towards the client; None for never.
     """
 
     mode: str = "pass"
+    cross_pairs_count: int = 0
     delay_ms: float = 0.0
     reset_after_up_bytes: int | None = None
     reset_after_down_bytes: int | None = None
@@ -82,6 +86,19 @@
         self._carried_bytes = {_UP: 0, _DOWN: 0}
         self._open_ways = {_UP, _DOWN}
         self._is_closed = False
+        self._answers_to = self
+        self._may_answer = gevent.event.Event()
+        self._may_answer.set()
+
+    def await_partner(self) -> None:
+        """Holds its answers back until ``cross`` names who gets them."""
+        self._may_answer.clear()
+
+    def cross(self, other: "_Connection") -> None:
+        """Gives either connection the other's answers from here on."""
+        self._answers_to = other
+        other._answers_to = self
+        self._may_answer.set()
 
     def carry(self) -> None:
         """Carries bytes both ways until both ways have ended."""
@@ -113,6 +130,9 @@
             if data is None:
                 self.reset()
                 return
+            if way == _DOWN:
+                self._may_answer.wait()
+                target = self._answers_to._client
             if not self._deliver(way, target, data):
                 return
 
@@ -197,6 +217,8 @@
         self._server: gevent.server.StreamServer | None = None
         # Keeps the port, without listening, while connections are refused.
         self._bound: Any = None
+        # The first of a pair that is to be crossed, until the second comes.
+        self._awaiting: _Connection | None = None
 
     def start(self, port: int = 0) -> None:
         """Starts to listen."""
@@ -287,11 +309,24 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(self, client, upstream)
         self._connections.add(connection)
+        self._cross(connection)
         try:
             connection.carry()
         finally:
             self._connections.discard(connection)
 
+    def _cross(self, connection: _Connection) -> None:
+        pairs_count = self.faults.cross_pairs_count
+        if self._awaiting is not None:
+            self._awaiting.cross(connection)
+            self._awaiting = None
+            self.faults = self.faults._replace(
+                cross_pairs_count=pairs_count - 1
+            )
+        elif pairs_count > 0:
+            connection.await_partner()
+            self._awaiting = connection
+
 
 def _shut_down_writing(target: Any) -> None:
     try:
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -68,6 +68,18 @@
         sock.shutdown(socket.SHUT_WR)
         self.assertEqual(sock.recv(1), b"")
 
+    def test_crossed_pair_gets_each_others_answers(self) -> None:
+        self.proxy.set_faults(cross_pairs_count=1)
+        first = self.connect()
+        first.sendall(b"one")
+        self.assert_silent(first)
+        second = self.connect()
+        second.sendall(b"two")
+        self.assertEqual(first.recv(3), b"two")
+        self.assertEqual(second.recv(3), b"one")
+        third = self.connect()
+        self.assertEqual(self.exchange(third, b"six"), b"six")
+
     def test_freeze_keeps_bytes_and_delivers_them_on_thaw(self) -> None:
         sock = self.connect()
         self.exchange(sock, b"one")
--- a/tests/test_request_failures.py
+++ b/tests/test_request_failures.py
@@ -356,6 +356,28 @@
         self.assertTrue(runs[0]["request_id"].startswith(self._SHARED_ID))
 
 
+class CrossedConnectionsTest(_ClusterTest):
+    shape = cluster.Shape(backends_per_zone=1, proxied=True)
+
+    def test_crossed_connections_are_dropped(self) -> None:
+        """A caller reads another caller's receipt.
+
+        Symptom: two payments, each told of the other's.
+        Sequence: something on the way swaps the answers of two connections;
+        the backend server did nothing wrong.
+        Cause: an answer was taken for the request's because it came on the
+        request's connection.
+        """
+        self.cluster.backends[0].set_proxy_faults(cross_pairs_count=1)
+        calling = [
+            self.spawn(self.caller.call, "/payment", body)
+            for body in (b"one", b"two")
+        ]
+        answers = [greenlet.get(timeout=_JOIN_S) for greenlet in calling]
+        self.assertEqual([a.outcome for a in answers], ["unknown"] * 2)
+        self.assertEqual(len(self.cluster.runs()), 2)
+
+
 class AtMostOnceTest(_ClusterTest):
     shape = cluster.Shape(
         zones=("regina-hall", "saskatoon-hall"),
