Remove what nothing calls

A look through the whole change for names that stand once found three functions without a caller: ZoneRecords.with_records, FairQueue.waiting_cost and the generator only it used; test_demo set a path that running from the root gives anyway. Lint is clean; the tests of the order records, the fair queue, places, reconciliation and the demo pass.

--- a/src/mulberrywharf/authority/order_records.py
+++ b/src/mulberrywharf/authority/order_records.py
@@ -162,12 +162,6 @@
     holder: Holder | None
     records: dict[str, OrderRecord]
 
-    def with_records(
-        self, holder: Holder, changed: dict[str, OrderRecord]
-    ) -> "ZoneRecords":
-        """Returns these records with some engines' records replaced."""
-        return ZoneRecords(holder, {**self.records, **changed})
-
     def without_gone(
         self, engine_ids: Collection[str], now_unix_s: float
     ) -> "ZoneRecords":
--- a/src/mulberrywharf/policy/fairness.py
+++ b/src/mulberrywharf/policy/fairness.py
@@ -11,7 +11,6 @@
 import collections
 import heapq
 import itertools
-from collections.abc import Iterator
 from typing import Generic, NamedTuple, TypeVar
 
 Item = TypeVar("Item")
@@ -135,10 +134,6 @@
         flow = self._flows.get(customer)
         return flow.waiting_count if flow else 0
 
-    def waiting_cost(self) -> float:
-        """Returns the tokens of all that wait, for estimates of the wait."""
-        return sum(ticket.cost for ticket in self._tickets())
-
     def push(
         self,
         customer: str,
@@ -218,12 +213,6 @@
             flow.heap = [e for e in flow.heap if e[2].is_waiting]
             heapq.heapify(flow.heap)
 
-    def _tickets(self) -> Iterator[Ticket[Item]]:
-        for flow in self._flows.values():
-            for _, _, ticket in flow.heap:
-                if ticket.is_waiting:
-                    yield ticket
-
     def _schedule(self, customer: str, flow: _Flow[Item], start: float) -> None:
         flow.start = start
         if len(self._order) > 2 * len(self._flows) + _SLACK_COUNT:
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -1,6 +1,5 @@
 """The README's first command."""
 
-import os
 import subprocess
 import sys
 import unittest
@@ -15,7 +14,6 @@
         done = subprocess.run(
             [sys.executable, "-m", "bench.demo"],
             cwd=processes.ROOT,
-            env=dict(os.environ, PYTHONPATH=str(processes.ROOT)),
             capture_output=True,
             text=True,
             timeout=_LIMIT_S,
