Let gateways tell each other the long prompts that they place

Cause: each gateway saw its own part of an engine's prefill queue; at nine gateways the queue was believed empty while prompts waited 0.6 to 1.6 s in bursts, and parts were believed cached that had been pushed out. Ruled out: the load beside answers (a prefill's answer carries none); polling of reports (each costs); correcting queues by any answer (short prompts overtake, and the queue looked empty). Change: notices by UDP to the gateways that the store lists, queues as fluids corrected by prompts read in order, caches with the tokens that no prompt shares, the attention's part of the time to read.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -411,6 +411,12 @@
     advice = "The same call will be refused again; see the message."
 
 
+class ConditionFailedError(PlatformRefusedError):
+    """A write was not done, because what it was to depend on has changed."""
+
+    code = "condition-failed"
+
+
 class HistoryGoneError(PlatformRefusedError):
     """The changes behind a revision are no longer kept."""
 
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -1,12 +1,14 @@
 """The engines of a service as one prompt meets them, and plans for it."""
 
 import random
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 from loguru import logger
 
 from mulberrywharf import clock, errors
 from mulberrywharf.forwarding import request, server_book, servers, time_limits
+from mulberrywharf.peers import codec
 from mulberrywharf.policy import (
     engine_queues,
     part_caches,
@@ -20,16 +22,41 @@
 server list comes within a heartbeat of the servers, about a second."""
 
 
+TOLD_PART_TOKENS = 1_000
+"""Shorter parts are not told: reading one takes less than 10 ms."""
+
+
+class Notices(Protocol):
+    """Tells other gateways what this one places."""
+
+    @property
+    def peers_count(self) -> int:
+        """Gateways that are told."""
+        ...
+
+    def add(
+        self,
+        engine_id: str,
+        work_s: float,
+        part: request.PromptPart,
+        own_tokens: int,
+    ) -> None:
+        """Takes in one placement."""
+        ...
+
+
 class Placed(NamedTuple):
     """A plan that was chosen and counted.
 
     Attributes:
         plan: The plan.
         ticket: The prompt's place in the reader's queue.
+        is_in_order: Whether the reader reads it after all that came before.
     """
 
     plan: prompt_placement.Plan
     ticket: engine_queues.Ticket
+    is_in_order: bool
 
 
 class EnginePool:
@@ -41,18 +68,38 @@
         book: server_book.ServerBook,
         system_clock: clock.Clock,
         rng: random.Random,
+        notices: Notices,
+        memory_tokens: Callable[[str], int],
     ):
+        """Makes an empty pool.
+
+        Args:
+            server_list: The engines.
+            book: What this node knows of them.
+            system_clock: Measures queues.
+            rng: Spreads refused callers.
+            notices: Tells other gateways what is placed.
+            memory_tokens: Returns what the memory of an engine of a service
+                holds.
+        """
         self._server_list = server_list
         self._book = book
         self._clock = system_clock
         self._rng = rng
         self._queues = engine_queues.EngineQueues()
         self._caches = part_caches.PartCaches()
+        self._notices = notices
+        self._memory_tokens = memory_tokens
+        self._server_by_key: dict[int, servers.Server] = {}
 
-    def keep_only(self, server_ids: frozenset[str]) -> None:
-        """Forgets engines that left."""
+    def follow(self, known: tuple[servers.Server, ...]) -> None:
+        """Takes in the server list; forgets engines that left."""
+        server_ids = frozenset(server.server_id for server in known)
         self._queues.keep_only(server_ids)
         self._caches.keep_only(server_ids)
+        self._server_by_key = {
+            codec.key_of_engine(server.server_id): server for server in known
+        }
 
     def place(
         self,
@@ -94,6 +141,8 @@
 
     def read(self, placed: Placed) -> None:
         """Notes that the reader has read the prompt."""
+        if not placed.is_in_order:
+            return
         self._queues.finished(placed.ticket, self._clock.monotonic_s())
 
     def _refuse_if_late(
@@ -153,8 +202,8 @@
         among: list[servers.Server],
         parts: tuple[request.PromptPart, ...],
     ) -> list[prompt_placement.EngineView]:
-        shared = max(parts[:-1], key=lambda part: part.tokens, default=None)
-        if shared is None or shared.tokens < prompt_placement.HOME_LEAST_TOKENS:
+        shared = _told_part(parts)
+        if shared is None:
             return [self._view(one, parts, is_home=False) for one in among]
         ranked = prompt_placement.homes(shared.part_id, among)
         return [
@@ -170,21 +219,16 @@
     ) -> prompt_placement.EngineView:
         now_s = self._clock.monotonic_s()
         server_id = server.server_id
-        cached_tokens = self._caches.cached_tokens(server_id, parts)
-        if is_home:
-            # Other nodes send the part there too, so it is held there even
-            # if this node never sent it.
-            shared_tokens = sum(part.tokens for part in parts[:-1])
-            cached_tokens = max(cached_tokens, shared_tokens)
         (candidate,) = self._book.candidates([server], now_s)
         running_count = candidate.own_count + candidate.others_count
         return prompt_placement.EngineView(
             server=server,
             wait_s=self._queues.wait_s(server_id, now_s),
             running_share=running_count / max(1, server.slots_count),
-            cached_tokens=cached_tokens,
+            cached_tokens=self._caches.cached_tokens(server_id, parts),
             is_suspected=candidate.is_suspected,
             is_near=candidate.is_near,
+            is_home=is_home,
         )
 
     def _count_in(
@@ -193,15 +237,72 @@
         service: table.Service,
         plan: prompt_placement.Plan,
     ) -> Placed:
-        now_s = self._clock.monotonic_s()
         reader_id = plan.reader.server.server_id
-        ticket = self._queues.add(reader_id, plan.prefill_work_s, now_s)
-        if service.engine is not None and wanted.prompt is not None:
-            for engine in {reader_id, plan.decode.server.server_id}:
+        work_s = plan.prefill_work_s
+        now_s = self._clock.monotonic_s()
+        ticket = self._queues.add(reader_id, work_s, now_s)
+        if service.engine is None or wanted.prompt is None:
+            return Placed(plan, ticket, is_in_order=False)
+        self._note_prompt(wanted.prompt, plan, work_s, service.engine.kv_tokens)
+        is_long = _told_part(wanted.prompt.parts) is not None
+        return Placed(plan, ticket, is_in_order=is_long)
+
+    def _note_prompt(
+        self,
+        prompt: request.Prompt,
+        plan: prompt_placement.Plan,
+        work_s: float,
+        memory_tokens: int,
+    ) -> None:
+        """Notes what both engines of a plan will hold, and tells peers."""
+        told = _told_part(prompt.parts)
+        engine_ids = {
+            plan.reader.server.server_id,
+            plan.decode.server.server_id,
+        }
+        if told is None:
+            # Short prompts are many and spread evenly over the gateways, so
+            # each counts its own for all instead of telling them.
+            tokens = prompt.tokens * (1 + self._notices.peers_count)
+            for engine_id in engine_ids:
+                self._caches.note_own(engine_id, tokens, memory_tokens)
+            return
+        own_tokens = prompt.tokens - told.tokens
+        for engine_id in engine_ids:
+            self._note_read(engine_id, told, memory_tokens)
+            self._caches.note_own(engine_id, own_tokens, memory_tokens)
+            is_reader = engine_id == plan.reader.server.server_id
+            self._notices.add(
+                engine_id, work_s if is_reader else 0.0, told, own_tokens
+            )
+
+    def _note_read(
+        self, engine_id: str, part: request.PromptPart, memory_tokens: int
+    ) -> None:
+        key = part_caches.part_key(part.part_id)
+        self._caches.note_read(engine_id, key, part.tokens, memory_tokens)
+
+    def on_notice(self, placements: tuple[codec.Placement, ...]) -> None:
+        """Takes in what another gateway placed."""
+        now_s = self._clock.monotonic_s()
+        for placement in placements:
+            server = self._server_by_key.get(placement.engine_key)
+            if server is None:
+                continue
+            if placement.work_s > 0:
+                self._queues.add(server.server_id, placement.work_s, now_s)
+            memory_tokens = self._memory_tokens(server.service)
+            if placement.own_tokens:
+                self._caches.note_own(
+                    server.server_id, placement.own_tokens, memory_tokens
+                )
+            if placement.part_key:
                 self._caches.note_read(
-                    engine, wanted.prompt.parts, service.engine.kv_tokens
+                    server.server_id,
+                    placement.part_key,
+                    placement.part_tokens,
+                    memory_tokens,
                 )
-        return Placed(plan, ticket)
 
     def _log(
         self,
@@ -234,3 +335,16 @@
         kv_token_bytes=engine.kv_token_bytes if engine else 0.0,
         link_bytes_per_s=engine.link_bytes_per_s if engine else 1.0,
     )
+
+
+def _told_part(
+    parts: tuple[request.PromptPart, ...],
+) -> request.PromptPart | None:
+    """Returns the part of a prompt that is worth an account of its own.
+
+    The others together take less time to read than one placement to tell.
+    """
+    longest = max(parts[:-1], key=lambda part: part.tokens, default=None)
+    if longest is None or longest.tokens < TOLD_PART_TOKENS:
+        return None
+    return longest
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -383,6 +383,7 @@
             has_cache=attempt.cache is not None,
             took_s=round(took_s, 4),
             left_s=round(self._limit.left_s(), 3),
+            reported=self._parts.book.last_report(attempt.server.server_id),
             result="ok" if isinstance(outcome, Ok) else outcome.err_value.code,
         ).info("attempt")
 
--- a/src/mulberrywharf/forwarding/server_book.py
+++ b/src/mulberrywharf/forwarding/server_book.py
@@ -29,6 +29,7 @@
         self.own_count = 0
         self.others_count = 0
         self.others_at_s = float("-inf")
+        self.reported: request.ReportedLoad | None = None
         self.failure_share = 0.0
         self.answer_s: float | None = None
         self.suspected_until_s = float("-inf")
@@ -75,6 +76,11 @@
         total = load.running_count + load.waiting_count
         entry.others_count = max(0, total - entry.own_count)
         entry.others_at_s = now_s
+        entry.reported = load
+
+    def last_report(self, server_id: str) -> request.ReportedLoad | None:
+        """Returns what a server last said of its load, None before that."""
+        return self._entry(server_id).reported
 
     def succeeded(self, server_id: str, answer_s: float | None = None) -> None:
         """Notes a whole answer.
--- a/src/mulberrywharf/gateway_settings.py
+++ b/src/mulberrywharf/gateway_settings.py
@@ -54,6 +54,7 @@
         availability_zone: Where it stands.
         callers_listen: Where callers connect.
         operators_listen: Readiness, health and metrics.
+        nodes_listen: Where other gateways send notices, by UDP.
         store: The key-value service.
         repeats: Bounds on repeats.
         grace_s: Time between a request to stop and the forced end.
@@ -64,6 +65,7 @@
     availability_zone: NodeName
     callers_listen: HostPort
     operators_listen: HostPort
+    nodes_listen: HostPort
     store: HostPort
     repeats: RepeatSettings
     grace_s: Seconds
--- /dev/null
+++ b/src/mulberrywharf/peers/codec.py
@@ -0,0 +1,98 @@
+"""Notices to datagrams and back, by Cap'n Proto."""
+
+import pathlib
+from typing import NamedTuple
+
+import capnp
+import xxhash
+from result import Err, Ok, Result
+
+from mulberrywharf import errors
+
+PLACEMENTS_LIMIT_COUNT = 40
+"""Placements in one notice: 28 bytes each, so that a notice stays below the
+1,472 bytes that a datagram carries unfragmented."""
+
+DATAGRAM_LIMIT_BYTES = 1_472
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("notice.capnp")))
+
+
+class Placement(NamedTuple):
+    """Work that a gateway gave an engine.
+
+    Attributes:
+        engine_key: Of the engine, see ``key_of_engine``.
+        work_s: Engine time that it takes.
+        part_key: Of a part that the engine holds now, 0 for none.
+        part_tokens: Length of that part.
+        own_tokens: Other tokens that the engine holds now.
+    """
+
+    engine_key: int
+    work_s: float
+    part_key: int = 0
+    part_tokens: int = 0
+    own_tokens: int = 0
+
+
+class Notice(NamedTuple):
+    """What one gateway placed since its last notice.
+
+    Attributes:
+        sender: Names the start of the sending process.
+        sequence: Rises by one with each notice of a sender.
+        placements: What it placed.
+    """
+
+    sender: int
+    sequence: int
+    placements: tuple[Placement, ...]
+
+
+def key_of_engine(engine_id: str) -> int:
+    """Returns the 32 bits that stand for an engine's id in notices.
+
+    Among 850 engines two share a key with a chance of one in 12,000; the
+    queue of one would then be believed too long by the other's.
+    """
+    return xxhash.xxh32_intdigest(engine_id.encode())
+
+
+def encode(notice: Notice) -> bytes:
+    """Returns a notice as one datagram."""
+    message = _SCHEMA.Notice.new_message()
+    message.sender = notice.sender
+    message.sequence = notice.sequence
+    placements = message.init("placements", len(notice.placements))
+    for wire, placement in zip(placements, notice.placements, strict=True):
+        wire.engine = placement.engine_key
+        wire.workUs = int(placement.work_s * 1e6)
+        wire.part = placement.part_key
+        wire.partTokens = placement.part_tokens
+        wire.ownTokens = placement.own_tokens
+    return bytes(message.to_bytes())
+
+
+def decode(datagram: bytes) -> Result[Notice, errors.BadFrameError]:
+    """Reads a datagram.
+
+    Returns:
+        The notice, or why the datagram is none.
+    """
+    try:
+        with _SCHEMA.Notice.from_bytes(datagram) as message:
+            return Ok(
+                Notice(
+                    message.sender,
+                    message.sequence,
+                    tuple(_placement(wire) for wire in message.placements),
+                )
+            )
+    except (capnp.KjException, ValueError) as error:
+        return Err(errors.BadFrameError(f"not a notice: {error}"))
+
+
+def _placement(wire: capnp.lib.capnp._DynamicStructReader) -> Placement:
+    return Placement(wire.engine, wire.workUs / 1e6, wire.part, wire.partTokens)
--- /dev/null
+++ b/src/mulberrywharf/peers/notice.capnp
@@ -0,0 +1,16 @@
+@0xc6b1f7d0a94e2d53;
+# One datagram between gateways. codec.py turns it into NamedTuples.
+
+struct Notice {
+  sender @0 :UInt32;    # names the start of the sending process
+  sequence @1 :UInt32;  # rises with each notice of a sender
+  placements @2 :List(Placement);
+}
+
+struct Placement {
+  engine @0 :UInt32;      # hash of the engine's id
+  workUs @1 :UInt32;      # engine time, microseconds
+  part @2 :UInt64;        # hash of the part's id, 0 for none
+  partTokens @3 :UInt32;
+  ownTokens @4 :UInt32;   # other tokens that fill the engine's memory
+}
--- /dev/null
+++ b/src/mulberrywharf/peers/notices.py
@@ -0,0 +1,174 @@
+"""Tells other gateways what this one places, and hears what they place.
+
+Without it each gateway sees only its own part of an engine's queue. In a burst
+all of them then send to the same engines until answers come late, and none
+refuses a caller in time.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+import gevent.event
+from gevent import socket
+from loguru import logger
+from result import Err
+
+from mulberrywharf import clock, fleet, metrics
+from mulberrywharf.forwarding import request
+from mulberrywharf.peers import codec
+from mulberrywharf.policy import part_caches, token_bucket
+
+COLLECTING_S = 0.002
+"""Placements of the same moment leave in one datagram; a burst gains by it and
+a queue of 30 ms and more is not misjudged for want of 2 ms."""
+
+SENT_BYTES_PER_S = 2_000
+"""What a node may spend on control, from the operators' letter."""
+
+SENT_BURST_BYTES = 60_000
+"""Half a minute's worth, for bursts of long prompts: 120 bytes to each of
+eight peers, seven times a second, for ten seconds."""
+
+_DATAGRAM_OVERHEAD_BYTES = 28
+"""IP and UDP headers."""
+
+_sent_bytes = metrics.counter(
+    "mulberry_notices_sent_bytes_total", "Bytes of notices to other gateways."
+)
+_received = metrics.counter(
+    "mulberry_notices_received_total", "Notices received, by result."
+)
+
+
+class Peers(Protocol):
+    """The other gateways."""
+
+    def addresses(self) -> tuple[fleet.Address, ...]:
+        """Returns where they take notices."""
+        ...
+
+    def knows(self, ip: str) -> bool:
+        """Tells whether a gateway has this address."""
+        ...
+
+
+class WorkNotices:
+    """Sends and receives notices."""
+
+    def __init__(
+        self,
+        listen: fleet.Address,
+        peers: Peers,
+        sender: int,
+        system_clock: clock.Clock,
+    ):
+        self._listen = listen
+        self._peers = peers
+        self._sender = sender
+        self._clock = system_clock
+        self._sequence = 0
+        self._pending: dict[tuple[int, int], codec.Placement] = {}
+        self._has_pending = gevent.event.Event()
+        self._callback: Callable[[tuple[codec.Placement, ...]], None] = (
+            lambda _: None
+        )
+        self._bytes = token_bucket.TokenBucket(
+            SENT_BYTES_PER_S, SENT_BURST_BYTES, system_clock.monotonic_s()
+        )
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._tasks: list[gevent.Greenlet] = []
+
+    def on_notice(
+        self, callback: Callable[[tuple[codec.Placement, ...]], None]
+    ) -> None:
+        """Sets who takes in what other gateways placed."""
+        self._callback = callback
+
+    @property
+    def peers_count(self) -> int:
+        """Gateways that are told."""
+        return len(self._peers.addresses())
+
+    def start(self) -> None:
+        """Begins to send and to receive."""
+        self._socket.bind((self._listen.ip, self._listen.port))
+        self._tasks = [gevent.spawn(self._send), gevent.spawn(self._receive)]
+
+    def close(self) -> None:
+        """Stops both."""
+        gevent.killall(self._tasks)
+        self._socket.close()
+
+    def add(
+        self,
+        engine_id: str,
+        work_s: float,
+        part: request.PromptPart,
+        own_tokens: int,
+    ) -> None:
+        """Takes in one placement; it is told at once."""
+        part_key = part_caches.part_key(part.part_id)
+        key = codec.key_of_engine(engine_id), part_key
+        before = self._pending.get(key)
+        self._pending[key] = codec.Placement(
+            key[0],
+            work_s + (before.work_s if before else 0.0),
+            part_key,
+            part.tokens,
+            own_tokens + (before.own_tokens if before else 0),
+        )
+        self._has_pending.set()
+
+    def _send(self) -> None:
+        while True:
+            self._has_pending.wait()
+            gevent.sleep(COLLECTING_S)
+            placements = tuple(self._pending.values())
+            self._pending.clear()
+            self._has_pending.clear()
+            self._tell(placements[: codec.PLACEMENTS_LIMIT_COUNT])
+
+    def _tell(self, placements: tuple[codec.Placement, ...]) -> None:
+        self._sequence += 1
+        datagram = codec.encode(
+            codec.Notice(self._sender, self._sequence, placements)
+        )
+        peers = self._peers.addresses()
+        cost = len(peers) * (len(datagram) + _DATAGRAM_OVERHEAD_BYTES)
+        wait_s = self._bytes.wait_s(cost, self._clock.monotonic_s())
+        if wait_s > 0:
+            gevent.sleep(wait_s)
+        self._bytes.take(cost)
+        _sent_bytes.add({}, cost)
+        for peer in peers:
+            try:
+                self._socket.sendto(datagram, (peer.ip, peer.port))
+            except OSError as error:
+                logger.debug("no notice to {}: {}", peer, error)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                datagram, source = self._socket.recvfrom(
+                    codec.DATAGRAM_LIMIT_BYTES
+                )
+            except OSError as error:
+                # Such as an ICMP error of a peer that is gone.
+                logger.debug("no notice received: {}", error)
+                gevent.sleep(COLLECTING_S)
+                continue
+            self._take(datagram, source[0])
+
+    def _take(self, datagram: bytes, source_ip: str) -> None:
+        # Anybody who reaches the port could otherwise make engines look busy.
+        if not self._peers.knows(source_ip):
+            _received.inc({"result": "unknown-sender"})
+            return
+        decoded = codec.decode(datagram)
+        if isinstance(decoded, Err):
+            _received.inc({"result": "malformed"})
+            logger.warning("notice dropped: {}", decoded.err_value.message)
+            return
+        _received.inc({"result": "ok"})
+        self._callback(decoded.ok_value.placements)
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -10,6 +10,7 @@
 from mulberrywharf import errors
 from mulberrywharf.platform_service import dialect, gateway
 from mulberrywharf.platform_service.key_value_types import (
+    Guard,
     KeyValue,
     ServiceState,
     WatchEvent,
@@ -72,6 +73,91 @@
     return Ok(_PollStream(poll, wanted, spoken.wait_s))
 
 
+@dialect.read_key.register
+def _(
+    spoken: StoreDialect, calls: gateway.Gateway, key: str, purpose: str
+) -> Result[KeyValue | None, errors.PlatformError]:
+    # A read of one key answers 404 for an absent one, which could not be
+    # told from a wrong path; a range of the key's name says so plainly.
+    read = dialect.read_prefix(spoken, calls, key, purpose)
+    return read.map(
+        lambda reading: next((kv for kv in reading[0] if kv.key == key), None)
+    )
+
+
+@dialect.write_key.register
+def _(
+    spoken: StoreDialect, calls: gateway.Gateway, wanted: dialect.KeyWrite
+) -> Result[KeyValue, errors.PlatformError]:
+    body = {
+        "expected": [
+            {"key": guard.key, "revision": guard.mod_revision}
+            for guard in wanted.guards
+        ],
+        "puts": _puts(wanted),
+        "deletes": [wanted.key] if wanted.value is None else [],
+    }
+    call = gateway.Call("/kv-txn", body, "txn", wanted.purpose, True)
+    sent = calls.send(call)
+    if isinstance(sent, Err):
+        error = sent.err_value
+        if isinstance(error, errors.ConditionFailedError):
+            return Err(errors.RevisionConflictError(wanted.key))
+        return Err(error)
+    revision = int(sent.ok_value["revision"])
+    is_new = Guard(wanted.key, 0) in wanted.guards
+    return Ok(
+        KeyValue(
+            wanted.key,
+            wanted.value or b"",
+            revision if is_new else 0,
+            revision,
+            wanted.lease_id,
+        )
+    )
+
+
+@dialect.grant_lease.register
+def _(
+    spoken: StoreDialect, calls: gateway.Gateway, ttl_s: float, purpose: str
+) -> Result[int, errors.PlatformError]:
+    body = {"ttl-ms": int(ttl_s * _MS_PER_S)}
+    call = gateway.Call("/kv-lease", body, "lease_grant", purpose, False)
+    return calls.send(call).map(lambda answer: int(answer["lease"]))
+
+
+@dialect.keep_alive.register
+def _(
+    spoken: StoreDialect, calls: gateway.Gateway, lease_id: int, purpose: str
+) -> Result[float, errors.PlatformError]:
+    path = f"/kv-keep/{lease_id}"
+    call = gateway.Call(path, {}, "lease_keepalive", purpose, False)
+    sent = calls.send(call)
+    if isinstance(sent, Ok):
+        return Ok(sent.ok_value["ttl-ms"] / _MS_PER_S)
+    if isinstance(sent.err_value, errors.PlatformRefusedError):
+        return Err(errors.AuthorityLostError(f"lease {lease_id} lapsed"))
+    return Err(sent.err_value)
+
+
+@dialect.revoke.register
+def _(
+    spoken: StoreDialect, calls: gateway.Gateway, lease_id: int, purpose: str
+) -> Result[None, errors.PlatformError]:
+    path = f"/kv-lease-end/{lease_id}"
+    call = gateway.Call(
+        path, None, "lease_revoke", purpose, False, method="DELETE"
+    )
+    return calls.send(call).map(lambda _: None)
+
+
+def _puts(wanted: dialect.KeyWrite) -> list[dict[str, Any]]:
+    if wanted.value is None:
+        return []
+    value = base64.b64encode(wanted.value).decode()
+    return [{"key": wanted.key, "value": value, "lease": wanted.lease_id}]
+
+
 class _PollStream:
     """A watch made of calls that the store keeps waiting."""
 
--- a/src/mulberrywharf/platform_service/dialect.py
+++ b/src/mulberrywharf/platform_service/dialect.py
@@ -1,6 +1,6 @@
 """How a key-value service is read and watched, whatever it speaks.
 
-The client asks through two functions that vary with the dialect's type; what
+The client asks through functions that vary with the dialect's type; what
 they return is typed and the same for all. ``EtcdGateway`` is the built-in
 dialect; an adapter registers another.
 """
@@ -8,28 +8,21 @@
 from functools import singledispatch
 from typing import Any, NamedTuple, Protocol
 
-from result import Err, Ok, Result
+from result import Result
 
 from mulberrywharf import errors
-from mulberrywharf.platform_service import gateway, http_calls
+from mulberrywharf.platform_service import gateway
 from mulberrywharf.platform_service.key_value_types import (
+    Guard,
     KeyValue,
     ServiceState,
     WatchEvent,
-    decode_header,
-    decode_key_value,
-    encode,
-    prefix_end,
 )
 
 Reading = tuple[list[KeyValue], ServiceState]
 """Every key under a prefix, and where the service stood then."""
 
 
-class EtcdGateway(NamedTuple):
-    """The JSON gateway of etcd v3."""
-
-
 class WatchMessage(NamedTuple):
     """What one message of a watch brings.
 
@@ -100,6 +93,14 @@
     raise TypeError(f"no reading in the dialect {dialect!r}")
 
 
+@singledispatch
+def read_key(
+    dialect: Any, calls: gateway.Gateway, key: str, purpose: str
+) -> Result[KeyValue | None, errors.PlatformError]:
+    """Reads one key; ``Ok(None)`` if it does not exist."""
+    raise TypeError(f"no reading in the dialect {dialect!r}")
+
+
 @singledispatch
 def open_watch(
     dialect: Any, calls: gateway.Gateway, wanted: WatchRequest
@@ -114,72 +115,64 @@
     raise TypeError(f"no watch in the dialect {dialect!r}")
 
 
-@read_prefix.register
-def _(
-    dialect: EtcdGateway, calls: gateway.Gateway, prefix: str, purpose: str
-) -> Result[Reading, errors.PlatformError]:
-    body = {"key": encode(prefix), "range_end": prefix_end(prefix)}
-    call = gateway.Call("/v3/kv/range", body, "range", purpose, False)
-    return calls.send(call).map(
-        lambda answer: (
-            [decode_key_value(kv) for kv in answer.get("kvs", [])],
-            decode_header(answer),
-        )
-    )
-
-
-@open_watch.register
-def _(
-    dialect: EtcdGateway, calls: gateway.Gateway, wanted: WatchRequest
-) -> Result[WatchStream, errors.PlatformError]:
-    request = {
-        "key": encode(wanted.prefix),
-        "range_end": prefix_end(wanted.prefix),
-        "start_revision": str(wanted.known_revision + 1),
-        "progress_notify": True,
-    }
-    opened = calls.open_stream(
-        "/v3/watch",
-        {"create_request": request},
-        attempt=wanted.attempt,
-        silence_s=wanted.silence_s,
-        purpose=wanted.purpose,
-    )
-    if isinstance(opened, Err):
-        return opened
-    return Ok(_EtcdStream(opened.ok_value))
-
-
-class _EtcdStream:
-    """One watch as the gateway streams it, a JSON object a line."""
-
-    def __init__(self, lines: http_calls.LineStream):
-        self._lines = lines
+class KeyWrite(NamedTuple):
+    """A key to be written, or deleted, if all guards are as expected.
 
-    def read(self) -> WatchMessage | None:
-        while True:
-            message = self._lines.read()
-            if message is None:
-                return None
-            if message:
-                return _decode_message(message.get("result", {}))
+    Attributes:
+        key: The key.
+        value: Its new value, None to delete it.
+        guards: Keys and their revisions that must hold; 0 for absent.
+        lease_id: The key goes when this lease lapses; 0 for none.
+        purpose: Whose budget pays.
+    """
+
+    key: str
+    value: bytes | None
+    guards: tuple[Guard, ...]
+    lease_id: int
+    purpose: str
 
-    def close(self) -> None:
-        self._lines.close()
 
+@singledispatch
+def write_key(
+    dialect: Any, calls: gateway.Gateway, wanted: KeyWrite
+) -> Result[KeyValue, errors.PlatformError]:
+    """Writes or deletes a key and returns it as it is then.
+
+    The ``create_revision`` is 0 where a service doesn't tell that of a key
+    which existed before.
+
+    Args:
+        dialect: What the service speaks.
+        calls: Its endpoints.
+        wanted: What to write; a guard that does not hold is a
+            ``RevisionConflictError``.
+    """
+    raise TypeError(f"no write in the dialect {dialect!r}")
 
-def _decode_message(result: dict[str, Any]) -> WatchMessage:
-    return WatchMessage(
-        tuple(_decode_event(event) for event in result.get("events", [])),
-        decode_header(result),
-        is_start=bool(result.get("created")),
-        is_canceled=bool(result.get("canceled")),
-    )
 
+@singledispatch
+def grant_lease(
+    dialect: Any, calls: gateway.Gateway, ttl_s: float, purpose: str
+) -> Result[int, errors.PlatformError]:
+    """Asks for a lease of at least the length and returns its id."""
+    raise TypeError(f"no leases in the dialect {dialect!r}")
 
-def _decode_event(event: dict[str, Any]) -> WatchEvent:
-    # The JSON gateway leaves out the default, which is PUT.
-    kind = event.get("type", "PUT")
-    return WatchEvent(
-        "delete" if kind == "DELETE" else "put", decode_key_value(event["kv"])
-    )
+
+@singledispatch
+def keep_alive(
+    dialect: Any, calls: gateway.Gateway, lease_id: int, purpose: str
+) -> Result[float, errors.PlatformError]:
+    """Renews a lease and returns its new length in seconds.
+
+    A lease that has lapsed is an ``AuthorityLostError``.
+    """
+    raise TypeError(f"no leases in the dialect {dialect!r}")
+
+
+@singledispatch
+def revoke(
+    dialect: Any, calls: gateway.Gateway, lease_id: int, purpose: str
+) -> Result[None, errors.PlatformError]:
+    """Ends a lease; the service deletes its keys at once."""
+    raise TypeError(f"no leases in the dialect {dialect!r}")
--- a/src/mulberrywharf/platform_service/gateway.py
+++ b/src/mulberrywharf/platform_service/gateway.py
@@ -18,6 +18,7 @@
 _BACKOFF_BASE_S = 0.05
 _BACKOFF_LIMIT_S = 1.0
 _HISTORY_GONE_STATUS = 410
+_CONDITION_FAILED_STATUS = 412
 _NOTHING_DONE_STATUSES = frozenset({429, 503})
 
 _calls = metrics.counter(
@@ -195,6 +196,8 @@
         return errors.PlatformUnavailableError(message)
     if answer.status == _HISTORY_GONE_STATUS:
         return errors.HistoryGoneError(message)
+    if answer.status == _CONDITION_FAILED_STATUS:
+        return errors.ConditionFailedError(message)
     if answer.status < 500:
         return errors.PlatformRefusedError(message)
     if call.is_write:
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -1,27 +1,23 @@
-"""Client of the platform's key-value service (JSON gateway of etcd v3).
+"""Client of the platform's key-value service, whatever dialect it speaks.
 
 Reads are tried at every endpoint in turn. A write is tried again only while
 it is certain that nothing was written; when its answer is lost the caller
 gets ``WriteOutcomeUnknownError`` and reads back before it decides.
 """
 
-import base64
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from result import Err, Ok, Result
+from result import Err, Result
 
 from mulberrywharf import clock, errors, settings
-from mulberrywharf.platform_service import call_budget, gateway
+from mulberrywharf.platform_service import call_budget, etcd, gateway
 from mulberrywharf.platform_service import dialect as dialect_module
 from mulberrywharf.platform_service import watch as watch_module
 from mulberrywharf.platform_service.key_value_types import (
     Guard,
     KeyValue,
     WatchEvent,
-    decode_header,
-    decode_key_value,
-    encode,
 )
 
 __all__ = ["Guard", "KeyValue", "KeyValueClient", "WatchEvent"]
@@ -52,7 +48,7 @@
             system_clock: Measures how old the last answer is.
             dialect: What the service speaks, None for etcd's gateway.
         """
-        self._dialect = dialect or dialect_module.EtcdGateway()
+        self._dialect = dialect or etcd.EtcdGateway()
         self._gateway = gateway.Gateway(
             endpoints,
             timeout_s=timeout_s,
@@ -109,8 +105,8 @@
         self, key: str, *, purpose: str
     ) -> Result[KeyValue | None, errors.PlatformError]:
         """Reads one key; ``Ok(None)`` if it does not exist."""
-        return self._range({"key": encode(key)}, purpose).map(
-            lambda found: found[0] if found else None
+        return dialect_module.read_key(
+            self._dialect, self._gateway, key, purpose
         )
 
     def get_prefix(
@@ -121,16 +117,6 @@
             lambda reading: reading[0]
         )
 
-    def _range(
-        self, body: Mapping[str, Any], purpose: str
-    ) -> Result[list[KeyValue], errors.PlatformError]:
-        call = gateway.Call("/v3/kv/range", body, "range", purpose, False)
-        return self._gateway.send(call).map(
-            lambda answer: [
-                decode_key_value(kv) for kv in answer.get("kvs", [])
-            ]
-        )
-
     def compare_and_swap(
         self,
         key: str,
@@ -160,17 +146,16 @@
         if len(value) > VALUE_LIMIT_BYTES:
             message = f"{key}: {len(value)} bytes exceed the service's limit"
             return Err(errors.PlatformRefusedError(message))
-        put: dict[str, Any] = {
-            "key": encode(key),
-            "value": base64.b64encode(value).decode(),
-        }
-        if lease_id:
-            put["lease"] = str(lease_id)
-        conditions = [Guard(key, expected_revision), *guards]
-        operations = [{"requestPut": put}, _revisions_of(key)]
-        sent = self._transact(conditions, operations, purpose)
-        return sent.map(
-            lambda answer: _ranges(answer)[0][0]._replace(value=value)
+        return dialect_module.write_key(
+            self._dialect,
+            self._gateway,
+            dialect_module.KeyWrite(
+                key,
+                value,
+                (Guard(key, expected_revision), *guards),
+                lease_id,
+                purpose,
+            ),
         )
 
     def delete(
@@ -195,33 +180,11 @@
         conditions = list(guards)
         if expected_revision is not None:
             conditions.insert(0, Guard(key, expected_revision))
-        operation = {"requestDeleteRange": {"key": encode(key)}}
-        sent = self._transact(conditions, [operation], purpose)
-        return sent.map(lambda answer: decode_header(answer).revision)
-
-    def _transact(
-        self,
-        conditions: Sequence[Guard],
-        operations: Sequence[Mapping[str, Any]],
-        purpose: str,
-    ) -> Result[dict[str, Any], errors.PlatformError]:
-        body = {
-            "compare": [_comparison(condition) for condition in conditions],
-            "success": operations,
-            "failure": [
-                _revisions_of(condition.key) for condition in conditions
-            ],
-        }
-        call = gateway.Call("/v3/kv/txn", body, "txn", purpose, True)
-        sent = self._gateway.send(call)
-        if isinstance(sent, Err):
-            return sent
-        answer = sent.ok_value
-        if answer.get("succeeded"):
-            return sent
-        return Err(
-            errors.RevisionConflictError(_changed_key(conditions, answer))
-        )
+        return dialect_module.write_key(
+            self._dialect,
+            self._gateway,
+            dialect_module.KeyWrite(key, None, tuple(conditions), 0, purpose),
+        ).map(lambda deleted: deleted.mod_revision)
 
     def grant_lease(
         self, ttl_s: float, *, purpose: str
@@ -233,13 +196,9 @@
                 part of a second is dropped, and at least one is asked for.
             purpose: Whose budget pays.
         """
-        body = {"TTL": str(max(1, int(ttl_s)))}
-        # A grant whose answer is lost leaves a lease without keys, which
-        # lapses by itself; so it is tried again like a read.
-        call = gateway.Call(
-            "/v3/lease/grant", body, "lease_grant", purpose, False
+        return dialect_module.grant_lease(
+            self._dialect, self._gateway, ttl_s, purpose
         )
-        return self._gateway.send(call).map(lambda answer: int(answer["ID"]))
 
     def keep_alive(
         self, lease_id: int, *, purpose: str
@@ -250,29 +209,17 @@
             Its new length in seconds, counted by the service from when it
             received the renewal; ``AuthorityLostError`` if it has lapsed.
         """
-        body = {"ID": str(lease_id)}
-        # A renewal that is repeated does no harm, so a lost answer is
-        # treated as that of a read.
-        call = gateway.Call(
-            "/v3/lease/keepalive", body, "lease_keepalive", purpose, False
+        return dialect_module.keep_alive(
+            self._dialect, self._gateway, lease_id, purpose
         )
-        sent = self._gateway.send(call)
-        if isinstance(sent, Err):
-            return sent
-        ttl_s = float(sent.ok_value.get("result", {}).get("TTL", 0))
-        if ttl_s <= 0:
-            return Err(errors.AuthorityLostError(f"lease {lease_id} lapsed"))
-        return Ok(ttl_s)
 
     def revoke(
         self, lease_id: int, *, purpose: str
     ) -> Result[None, errors.PlatformError]:
         """Ends a lease; the service deletes its keys at once."""
-        body = {"ID": str(lease_id)}
-        call = gateway.Call(
-            "/v3/lease/revoke", body, "lease_revoke", purpose, False
+        return dialect_module.revoke(
+            self._dialect, self._gateway, lease_id, purpose
         )
-        return self._gateway.send(call).map(lambda _: None)
 
     def watch(
         self,
@@ -321,34 +268,3 @@
     ) -> Result[dialect_module.WatchStream, errors.PlatformError]:
         """Opens the stream of one watch at the endpoint of this attempt."""
         return dialect_module.open_watch(self._dialect, self._gateway, wanted)
-
-
-def _comparison(condition: Guard) -> dict[str, str]:
-    return {
-        "key": encode(condition.key),
-        "target": "MOD",
-        "result": "EQUAL",
-        "mod_revision": str(condition.mod_revision),
-    }
-
-
-def _revisions_of(key: str) -> dict[str, Any]:
-    return {"requestRange": {"key": encode(key), "keys_only": True}}
-
-
-def _ranges(answer: Mapping[str, Any]) -> list[list[KeyValue]]:
-    """Returns what each range of a transaction found."""
-    return [
-        [decode_key_value(kv) for kv in part["response_range"].get("kvs", [])]
-        for part in answer.get("responses", [])
-        if "response_range" in part
-    ]
-
-
-def _changed_key(conditions: Sequence[Guard], answer: Mapping[str, Any]) -> str:
-    """Finds the condition that the service's reading contradicts."""
-    for condition, found in zip(conditions, _ranges(answer), strict=False):
-        revision = found[0].mod_revision if found else 0
-        if revision != condition.mod_revision:
-            return condition.key
-    return conditions[0].key
--- a/src/mulberrywharf/policy/engine_queues.py
+++ b/src/mulberrywharf/policy/engine_queues.py
@@ -48,10 +48,12 @@
     def finished(self, ticket: Ticket, now_s: float) -> None:
         """Corrects a queue by a prompt that was just read.
 
-        Whatever was queued before it is read too; only what was added after
-        it can be left.
+        Whatever was added before that prompt is read too, and nothing that
+        was added after it: an engine reads prompts of equal priority in the
+        order in which they come. Only such a prompt may be told of here; one
+        that overtakes the others says nothing of them, and taken for one in
+        the order it would make a queue of a second look empty.
         """
         engine_id = ticket.engine_id
         behind_s = self._added_s.get(engine_id, 0.0) - ticket.added_s
-        left_s = min(self.wait_s(engine_id, now_s), max(0.0, behind_s))
-        self._drained_s[engine_id] = now_s + left_s
+        self._drained_s[engine_id] = now_s + max(0.0, behind_s)
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -21,6 +21,10 @@
 PREFILL_TOKENS_PER_S = 112_000.0
 """Prefill speed of a prefill engine, from the operators' sheet of engines."""
 
+PAIR_S = 0.218e-9
+"""Engine time for each pair of a token that is read and one that it attends
+to, by the same sheet: 25 ms for the last 8,000 tokens of a prompt of 18,000."""
+
 DECODE_PREFILL_SHARE = 0.5
 """A decode engine prefills at half that speed, by the same sheet."""
 
@@ -37,10 +41,6 @@
 """A missing part is fetched from another engine if it is longer than this:
 reading so many tokens takes 13 ms, a move with its setup some 6 ms."""
 
-HOME_LEAST_TOKENS = 1_000
-"""Shorter shared parts have no home: reading them takes under 10 ms, and to
-spread their requests evenly gains more."""
-
 WORK_WEIGHT = 1.0
 """Seconds of engine time against seconds of this request's own wait. Work on
 an engine delays each request that comes behind it, at a load where about one
@@ -52,6 +52,10 @@
 OTHER_ZONE_COST_S = 0.002
 """Between equals the own zone goes first; a hop takes about 1 ms each way."""
 
+HOME_BONUS_S = 0.01
+"""What speaks for the home of a part that is held nowhere. It only breaks
+ties, so that parts spread evenly and nodes that choose at once choose alike."""
+
 SHORTLIST_COUNT = 3
 """Homes of a part that are looked at, of each role. With more, a decision
 takes longer in a large fleet and seldom differs."""
@@ -68,6 +72,7 @@
         pace: Its speed against its peers', 1 for equal, 2 for half as fast.
         is_suspected: Whether it did not answer a moment ago.
         is_near: Whether it stands in the node's availability zone.
+        is_home: Whether it is the first home of the prompt's shared part.
     """
 
     server: servers.Server
@@ -77,6 +82,7 @@
     pace: float = 1.0
     is_suspected: bool = False
     is_near: bool = True
+    is_home: bool = False
 
 
 class PromptShape(NamedTuple):
@@ -217,8 +223,7 @@
     tokens_per_s: float,
 ) -> tuple[float, servers.Server | None, int]:
     """Returns the time to have the prompt read, and how it is had."""
-    missing_tokens = shape.tokens - reader.cached_tokens
-    read_s = missing_tokens / tokens_per_s * reader.pace
+    read_s = _read_s(shape, reader, reader.cached_tokens, tokens_per_s)
     holder = max(
         holders, key=lambda one: (one.cached_tokens, one.is_near), default=None
     )
@@ -228,10 +233,24 @@
     if gained_tokens < FETCH_LEAST_TOKENS:
         return read_s, None, reader.cached_tokens
     fetch_s = _move_s(shape, gained_tokens, holder.server, reader.server)
-    rest_s = (missing_tokens - gained_tokens) / tokens_per_s * reader.pace
+    rest_s = _read_s(shape, reader, holder.cached_tokens, tokens_per_s)
     return fetch_s + rest_s, holder.server, holder.cached_tokens
 
 
+def _read_s(
+    shape: PromptShape,
+    reader: EngineView,
+    cached_tokens: int,
+    tokens_per_s: float,
+) -> float:
+    """Returns the engine time to read what is not cached."""
+    missing_tokens = shape.tokens - cached_tokens
+    pairs = missing_tokens * (shape.tokens + cached_tokens) / 2
+    speed_share = tokens_per_s / PREFILL_TOKENS_PER_S
+    pairs_s = pairs * PAIR_S / speed_share
+    return (missing_tokens / tokens_per_s + pairs_s) * reader.pace
+
+
 def _move_s(
     shape: PromptShape,
     tokens: int,
@@ -253,4 +272,5 @@
         engine.running_share * 0.2
         + (SUSPECT_COST_S if engine.is_suspected else 0.0)
         + (0.0 if engine.is_near else OTHER_ZONE_COST_S)
+        - (HOME_BONUS_S if engine.is_home else 0.0)
     )
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -6,7 +6,7 @@
 import gevent.event
 from loguru import logger
 
-from mulberrywharf import clock, gateway_settings
+from mulberrywharf import clock, fleet, gateway_settings
 from mulberrywharf.callers import listener, routed_server
 from mulberrywharf.forwarding import (
     engine_pool,
@@ -17,6 +17,7 @@
     servers,
 )
 from mulberrywharf.operators import readiness
+from mulberrywharf.peers import directory, notices
 from mulberrywharf.platform import documents, requests, store
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.policy import repeat_budget
@@ -60,9 +61,16 @@
         self._client = exchanges.ServerClient(
             requests.ServerDialect(), self._book, self._clock
         )
+        self._peers, self._notices = self._peer_parts()
         self._pool = engine_pool.EnginePool(
-            self._servers, self._book, self._clock, self._rng
+            self._servers,
+            self._book,
+            self._clock,
+            self._rng,
+            self._notices,
+            self._memory_tokens,
         )
+        self._notices.on_notice(self._pool.on_notice)
         self._servers.on_change(self._forget_left)
         self._listener = _listener(config)
         self._callers = self._routed_server()
@@ -89,6 +97,8 @@
         self._readiness.start()
         self._routes.start()
         self._servers.start()
+        self._peers.start()
+        self._notices.start()
         self._listener.start()
         self._watching = gevent.spawn(self._keep_ready)
 
@@ -109,12 +119,32 @@
 
     def close(self) -> None:
         """Ends every part at once."""
+        self._notices.close()
+        self._peers.close()
         self._servers.close()
         self._routes.close()
         self._store.close()
         self._client.close()
         self._readiness.close()
 
+    def _peer_parts(
+        self,
+    ) -> tuple[directory.PeerDirectory, notices.WorkNotices]:
+        listen = gateway_settings.endpoint(self._config["nodes_listen"])
+        incarnation = self._rng.getrandbits(32)
+        address = fleet.Address(listen["ip"], listen["port"])
+        peers = directory.PeerDirectory(
+            self._store, self._config["vm_id"], address, f"{incarnation:08x}"
+        )
+        return peers, notices.WorkNotices(
+            address, peers, incarnation, self._clock
+        )
+
+    def _memory_tokens(self, service: str) -> int:
+        routes = self._routes.current()
+        known = routes.services.get(service) if routes else None
+        return known.engine.kv_tokens if known and known.engine else 0
+
     def _routed_server(self) -> routed_server.RoutedServer:
         repeats = self._config["repeats"]
         budget = repeat_budget.RepeatBudget(
@@ -151,7 +181,7 @@
         known = self._servers.all()
         ids = frozenset(server.server_id for server in known)
         self._book.keep_only(ids)
-        self._pool.keep_only(ids)
+        self._pool.follow(known)
 
     def _keep_ready(self) -> None:
         while True:
