--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -54,12 +54,13 @@
         self._pool.forget(server.address)
 
     def send(
-        self, attempt: request.Attempt, *, may_run_again: bool
+        self, attempt: request.Attempt, *, may_run_again: bool, wait_s: float
     ) -> Result[Begun, errors.EngineError]:
         """Sends one attempt and waits for the head of its answer.
 
         Args:
             attempt: What to send where.
+            wait_s: How long each wait for the server may last.
             may_run_again: Whether the request may be sent again if nobody
                 knows whether it ran. One that may not never takes an idle
                 connection, which the server may close just then.
@@ -84,7 +85,7 @@
         # Every connection is kept for later requests that may run again.
         exchange = opened.ok_value.keep_in(self._pool)
         try:
-            received = self._receive(exchange, attempt, wanted)
+            received = self._receive(exchange, attempt, wanted, wait_s)
         except BaseException:
             exchange.close()
             raise
@@ -125,8 +126,9 @@
         exchange: _exchange.Exchange,
         attempt: request.Attempt,
         wanted: _exchange.Request,
+        wait_s: float,
     ) -> Result[Begun, errors.EngineError]:
-        sent = exchange.send(wanted, attempt.time_left_s)
+        sent = exchange.send(wanted, wait_s)
         if isinstance(sent, Err):
             return sent
         answer = sent.ok_value
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -186,7 +186,7 @@
         begun = sent.ok_value
         try:
             body = begun.exchange.read_all(
-                self._limit.left_s(), _HANDLE_LIMIT_BYTES
+                self._limit.wait_s(), _HANDLE_LIMIT_BYTES
             )
         except BaseException:
             begun.exchange.close()
@@ -249,7 +249,9 @@
         self, attempt: request.Attempt, *, may_run_again: bool
     ) -> Result[exchanges.Begun, errors.EngineError]:
         self._sends_count += 1
-        return self._parts.client.send(attempt, may_run_again=may_run_again)
+        return self._parts.client.send(
+            attempt, may_run_again=may_run_again, wait_s=self._limit.wait_s()
+        )
 
     def _after_failure(self, error: errors.EngineError) -> None:
         """Allows another attempt, or ends the request.
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -180,14 +180,16 @@
         self, attempt: request.Attempt
     ) -> Result[WholeAnswer, errors.EngineError]:
         sent = self._parts.client.send(
-            attempt, may_run_again=self._may_run_again
+            attempt,
+            may_run_again=self._may_run_again,
+            wait_s=self._limit.wait_s(),
         )
         if isinstance(sent, Err):
             return sent
         begun = sent.ok_value
         try:
             body = begun.exchange.read_all(
-                self._limit.left_s(), ANSWER_LIMIT_BYTES
+                self._limit.wait_s(), ANSWER_LIMIT_BYTES
             )
         except BaseException:
             begun.exchange.close()
--- a/src/mulberrywharf/forwarding/time_limits.py
+++ b/src/mulberrywharf/forwarding/time_limits.py
@@ -8,6 +8,11 @@
 """Kept back from what a server is given, for its answer's way to the caller;
 a server that stops at its limit then still lets its caller know in time."""
 
+WAIT_MARGIN_S = 0.25
+"""Single waits end this long after the request itself. The bound on the whole
+request then ends it, and its caller is told that time ran out instead of that
+a server broke off."""
+
 _LEAST_S = 0.001
 
 
@@ -38,6 +43,10 @@
         """Returns the time left, a little above zero when there is none."""
         return max(_LEAST_S, self._ends_s - self._clock.monotonic_s())
 
+    def wait_s(self) -> float:
+        """Returns the bound on a single wait for a server."""
+        return self.left_s() + WAIT_MARGIN_S
+
     def for_server_s(self) -> float:
         """Returns the time that a server may use."""
         return max(_LEAST_S, self.left_s() - TRANSIT_S)
--- a/src/mulberrywharf/peers/codec.py
+++ b/src/mulberrywharf/peers/codec.py
@@ -95,4 +95,10 @@
 
 
 def _placement(wire: capnp.lib.capnp._DynamicStructReader) -> Placement:
-    return Placement(wire.engine, wire.workUs / 1e6, wire.part, wire.partTokens)
+    return Placement(
+        wire.engine,
+        wire.workUs / 1e6,
+        wire.part,
+        wire.partTokens,
+        wire.ownTokens,
+    )
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -36,6 +36,11 @@
 MOVE_SETUP_S = 0.005
 """Before a KV cache begins to move between two engines, by the sheet."""
 
+HANDOVER_S = 0.01
+"""What going on at another engine takes besides the move: a second exchange
+and a step of the batch. Answers from a prefilled cache began 15 to 20 ms after
+they were asked for, 5 of them the move's setup."""
+
 OTHER_ZONE_MOVE_FACTOR = 2.0
 """A move between availability zones takes twice as long."""
 
@@ -216,7 +221,11 @@
     moved_tokens = shape.tokens - min(decode.cached_tokens, cached)
     move_s = _move_s(shape, moved_tokens, prefill.server, decode.server)
     first_token_s = (
-        prefill.wait_s + read_s + move_s + FIRST_TOKEN_S * decode.pace
+        prefill.wait_s
+        + read_s
+        + move_s
+        + HANDOVER_S
+        + FIRST_TOKEN_S * decode.pace
     )
     place_cost_s = _place_cost_s(prefill) + _place_cost_s(decode)
     copy_cost_s = _copy_cost_s(shape, prefill) + _copy_cost_s(shape, decode)
--- /dev/null
+++ b/standins/platform_server.py
@@ -0,0 +1,107 @@
+"""A stand-in server of the platform: a plain service or a small engine.
+
+It speaks the platform's header fields, makes streams of numbered events, keeps
+prefilled prompts by handle, and remembers what it ran.
+"""
+
+import json
+import uuid
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import gevent
+
+from standins import http_control
+
+_EVENTS_COUNT = 5
+_PAUSE_S = 0.01
+
+
+class PlatformServerStandin:
+    """One server in this process.
+
+    Attributes:
+        port: The TCP port that it listens on.
+        runs: Every request that it ran.
+        handles: Prefilled prompts that nobody has freed.
+        faults: ``delay_s`` holds answers back, ``break_after`` ends a stream
+            behind that event.
+    """
+
+    def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
+        self.runs: list[dict[str, str]] = []
+        self.handles: set[str] = set()
+        self.faults: dict[str, Any] = {}
+        self._server_id = server_id
+        self._server = http_control.make_server(ip, port, self._application)
+        self.port = self._server.port
+
+    def start(self) -> None:
+        """Begins to listen."""
+        self._server.start()
+
+    def close(self) -> None:
+        """Stops and closes every connection."""
+        http_control.stop_server(self._server)
+
+    def _application(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        if environ["REQUEST_METHOD"] == "DELETE":
+            self.handles.discard(environ["PATH_INFO"].rsplit("/", 1)[1])
+            return _say({}, start_response)
+        if self._header(environ, "EXPECTED_INSTANCE") != self._server_id:
+            start_response("421 Misdirected", [("content-length", "0")])
+            return []
+        return self._run(environ, start_response)
+
+    def _run(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        body = environ["wsgi.input"].read()
+        if self._header(environ, "STAGE") == "prefill":
+            handle = uuid.uuid4().hex[:12]
+            self.handles.add(handle)
+            return _say({"kv-handle": handle}, start_response)
+        source = self._header(environ, "KV_SOURCE")
+        self.runs.append(
+            {
+                "id": self._header(environ, "REQUEST_ID"),
+                "path": environ["PATH_INFO"],
+                "body": body.decode(),
+                "source": source,
+                "after": environ.get("HTTP_LAST_EVENT_ID", ""),
+            }
+        )
+        gevent.sleep(self.faults.get("delay_s", 0.0))
+        headers = [
+            (
+                "X-Mulberrywharf-Request-Id",
+                self._header(environ, "REQUEST_ID"),
+            ),
+            ("X-Mulberrywharf-Response-Signature", self._server_id),
+            ("X-Mulberrywharf-Instance-Load", "1,0,6"),
+        ]
+        if self._header(environ, "TOKEN_USAGE"):
+            start_response("200 OK", headers)
+            return self._events(environ)
+        content = f"{self._server_id}:{body.decode()}".encode()
+        start_response("200 OK", headers)
+        return [content]
+
+    def _events(self, environ: dict[str, Any]) -> Iterator[bytes]:
+        first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
+        for number in range(first, _EVENTS_COUNT + 1):
+            if number > self.faults.get("break_after", _EVENTS_COUNT):
+                raise ConnectionError("told to break off")
+            yield b"id: %d\ndata: %d\n\n" % (number, number)
+            gevent.sleep(_PAUSE_S)
+
+    def _header(self, environ: dict[str, Any], name: str) -> str:
+        return str(environ.get(f"HTTP_X_MULBERRYWHARF_{name}", ""))
+
+
+def _say(value: Any, start_response: Any) -> Iterable[bytes]:
+    content = json.dumps(value).encode()
+    start_response("200 OK", [("content-type", "application/json")])
+    return [content]
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,264 @@
+"""The gateway as a real process, between callers and stand-ins."""
+
+import contextlib
+import json
+import pathlib
+import signal
+import tempfile
+import unittest
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+from gevent import socket
+
+from mulberrywharf.platform import documents
+from standins.platform_server import PlatformServerStandin
+from tests import builders_platform, processes
+from tests import builders_routes as build
+
+TOKENS = (
+    "x-mulberrywharf-model: m\r\n"
+    "x-mulberrywharf-token-usage: 16000,50\r\n"
+    "x-mulberrywharf-prompt-prefix: aa:13000,bb:3000\r\n"
+)
+
+
+class Answer:
+    """One HTTP answer, read by hand so that its framing shows."""
+
+    def __init__(self, raw: bytes):
+        head, _, self.body = raw.partition(b"\r\n\r\n")
+        lines = head.decode("latin-1").split("\r\n")
+        self.status = int(lines[0].split(" ")[1]) if lines[0] else 0
+        self.headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:])
+        }
+
+
+class GatewayCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = self.enterContext(build.running_store())
+        self.plain = self.server("plain-1", "plain")
+        self.prefill = self.server("pre-1", "engines", "prefill")
+        self.decodes = [
+            self.server(f"dec-{number}", "engines", "decode")
+            for number in (1, 2)
+        ]
+        self.gateway: processes.Process | None = None
+
+    def server(
+        self, server_id: str, service: str, stage: str = ""
+    ) -> PlatformServerStandin:
+        made = PlatformServerStandin(server_id)
+        made.start()
+        self.addCleanup(made.close)
+        record = build.server_value(
+            service=service,
+            address=f"127.0.0.1:{made.port}",
+            **({"stage": stage} if stage else {}),
+        )
+        self.store.put(documents.SERVERS_PREFIX + server_id, record)
+        return made
+
+    def write_routes(self, version: int = 1) -> None:
+        document = build.routes_document(version)
+        document["routes"][1].pop("traffic-split")
+        document["routes"][1]["service"] = "engines"
+        self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
+
+    def start(self) -> processes.Process:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        path = pathlib.Path(folder) / "gateway.json"
+        path.write_text(
+            json.dumps(
+                {
+                    "vm_id": "entry-1",
+                    "availability_zone": "zone-a",
+                    "callers_listen": "127.0.0.1:0",
+                    "operators_listen": "127.0.0.1:0",
+                    "nodes_listen": "127.0.0.1:0",
+                    "store": f"127.0.0.1:{self.store.port}",
+                    "repeats": {
+                        "ratio": 0.2,
+                        "window_s": 10,
+                        "allowance_count": 58,
+                    },
+                    "grace_s": 8,
+                }
+            )
+        )
+        pool = gevent.get_hub().threadpool
+        self.gateway = pool.apply(
+            processes.Process,
+            ("mulberrywharf.programs.gateway", "--settings", str(path)),
+        )
+        self.addCleanup(self.gateway.close)
+        return self.gateway
+
+    def ask(self, path: str, **changes: Any) -> Answer:
+        with self.connection() as sock:
+            sock.sendall(request(path, **changes))
+            return Answer(read_to_end(sock))
+
+    @contextlib.contextmanager
+    def connection(self) -> Iterator[Any]:
+        assert self.gateway is not None
+        address = ("127.0.0.1", self.gateway.ready["callers"])
+        sock = socket.create_connection(address)
+        sock.settimeout(15)
+        try:
+            yield sock
+        finally:
+            sock.close()
+
+    def readiness(self) -> int:
+        assert self.gateway is not None
+        address = ("127.0.0.1", self.gateway.ready["operators"])
+        with socket.create_connection(address) as sock:
+            sock.sendall(b"GET /ready HTTP/1.0\r\n\r\n")
+            return Answer(read_to_end(sock)).status
+
+    def wait_ready(self) -> None:
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.readiness() == 200)
+        )
+
+
+def request(
+    path: str, *, fields: str = "", body: str = "body", close: bool = True
+) -> bytes:
+    ending = "connection: close\r\n" if close else ""
+    return (
+        f"POST {path} HTTP/1.1\r\nhost: {build.HOST}\r\n"
+        "x-mulberrywharf-request-id: id-1\r\n"
+        "x-mulberrywharf-deadline-ms: 3000\r\n"
+        f"{fields}{ending}content-length: {len(body)}\r\n\r\n{body}"
+    ).encode()
+
+
+def read_to_end(sock: Any) -> bytes:
+    data = b""
+    while some := sock.recv(65536):
+        data += some
+    return data
+
+
+class ServingTest(GatewayCase):
+    def test_not_ready_before_the_routes(self) -> None:
+        """Callers get 404 from a node that has just started.
+
+        Sequence: a node starts while no routes are written yet. Cause: no
+        routes were taken for an empty table.
+        """
+        self.start()
+        self.assertEqual(self.readiness(), 503)
+        answer = self.ask("/safe/x")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("retry-after", answer.headers)
+        self.write_routes()
+        self.wait_ready()
+        self.assertEqual(self.ask("/safe/x").status, 200)
+
+    def test_the_whole_path(self) -> None:
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        plain = self.ask("/safe/x?q=1")
+        self.assertEqual(plain.status, 200)
+        self.assertEqual(plain.body, b"plain-1:body")
+        self.assertEqual(
+            plain.headers["x-mulberrywharf-response-signature"], "plain-1"
+        )
+        self.assertEqual(self.ask("/unknown/x").status, 404)
+        stream = self.ask("/stream/x", fields=TOKENS)
+        self.assertEqual(stream.status, 200)
+        self.assertEqual(stream.body.count(b"data: "), 5)
+        self.assertTrue(stream.body.endswith(b"0\r\n\r\n"))
+        (run,) = self.decodes[0].runs + self.decodes[1].runs
+        (handle,) = self.prefill.handles
+        self.assertTrue(
+            run["source"].endswith(f":{self.prefill.port}/{handle}")
+        )
+
+    def test_a_broken_stream_goes_on_at_the_other_engine(self) -> None:
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        for engine in self.decodes:
+            engine.faults = {"break_after": 3}
+        # The second run starts behind the break, so it isn't told to break.
+        stream = self.ask("/stream/x", fields=TOKENS)
+        runs = self.decodes[0].runs + self.decodes[1].runs
+        self.assertEqual([run["after"] for run in runs][-1], "3")
+        self.assertEqual(stream.body.count(b"data: 3"), 1)
+
+    def test_routes_change_while_serving(self) -> None:
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        document = build.routes_document(2)
+        document["routes"] = document["routes"][:1]
+        document["routes"][0]["prefix"] = "/new/"
+        self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.ask("/new/x").status == 200
+            )
+        )
+        self.assertEqual(self.ask("/safe/x").status, 404)
+
+    def test_it_serves_on_while_the_store_is_away(self) -> None:
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        self.store.faults = {"down": True}
+        gevent.sleep(0.5)
+        self.assertEqual(self.ask("/safe/x").status, 200)
+        self.assertEqual(self.readiness(), 200)
+
+
+class SignalTest(GatewayCase):
+    def test_a_stop_cuts_nothing(self) -> None:
+        """A check-in is cut by a planned restart.
+
+        Sequence: SIGTERM comes while an answer is awaited, and a request
+        comes on an open connection afterwards. Cause: the process ended with
+        what it had.
+        """
+        self.write_routes()
+        gateway = self.start()
+        self.wait_ready()
+        self.plain.faults = {"delay_s": 1.0}
+        with self.connection() as first, self.connection() as second:
+            first.sendall(request("/safe/1", close=False))
+            gevent.sleep(0.2)
+            gateway.signal(signal.SIGTERM)
+            builders_platform.wait_until(lambda: self.readiness() == 503)
+            second.sendall(request("/safe/2", close=False))
+            for sock in (first, second):
+                answer = Answer(read_to_end(sock))
+                self.assertEqual(answer.status, 200)
+                self.assertEqual(answer.headers["connection"], "close")
+        pool = gevent.get_hub().threadpool
+        self.assertEqual(pool.apply(gateway.wait), 0)
+
+    def test_a_reload_cuts_nothing(self) -> None:
+        """Every request of a node is cut when its settings file changes.
+
+        Sequence: SIGHUP. Cause: the signal's default ends the process.
+        """
+        self.write_routes()
+        gateway = self.start()
+        self.wait_ready()
+        self.plain.faults = {"delay_s": 0.5}
+        with self.connection() as sock:
+            sock.sendall(request("/safe/1"))
+            gateway.signal(signal.SIGHUP)
+            self.assertEqual(Answer(read_to_end(sock)).status, 200)
+        self.assertIsNone(gateway.poll())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,183 @@
+"""Gateways: notices between them, and the directory in the store."""
+
+import unittest
+
+import gevent
+from result import Err
+
+from mulberrywharf import clock, fleet
+from mulberrywharf.forwarding import request
+from mulberrywharf.peers import codec, directory, notices
+from mulberrywharf.policy import part_caches
+from tests import builders_platform
+from tests import builders_routes as build
+
+PART = request.PromptPart("aa", 13_000)
+
+
+class KnownPeers:
+    """Peers that tests fill."""
+
+    def __init__(self, *addresses: fleet.Address):
+        self.known = addresses
+
+    def addresses(self) -> tuple[fleet.Address, ...]:
+        return self.known
+
+    def knows(self, ip: str) -> bool:
+        return any(address.ip == ip for address in self.known)
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        notice = codec.Notice(
+            7, 3, (codec.Placement(1, 0.125, 2**63, 13_000, 4_000),)
+        )
+        self.assertEqual(codec.decode(codec.encode(notice)).unwrap(), notice)
+
+    def test_a_full_notice_fits_a_datagram(self) -> None:
+        placements = tuple(
+            codec.Placement(n, 1.0, 2**64 - 1, 60_000, 60_000)
+            for n in range(codec.PLACEMENTS_LIMIT_COUNT)
+        )
+        datagram = codec.encode(codec.Notice(1, 1, placements))
+        self.assertLessEqual(len(datagram), codec.DATAGRAM_LIMIT_BYTES)
+
+    def test_damaged_datagrams_are_errors(self) -> None:
+        """One damaged datagram ends a gateway.
+
+        Sequence: bytes are cut or changed on the way. Cause: the reader of
+        the library aborts or raises where nobody expects it.
+        """
+        whole = codec.encode(
+            codec.Notice(7, 3, (codec.Placement(1, 0.1, 5, 6, 7),))
+        )
+        for cut in range(0, len(whole), 3):
+            damaged = whole[:cut]
+            self.assertIsInstance(codec.decode(damaged), Err, cut)
+        for place in range(len(whole)):
+            changed = bytearray(whole)
+            changed[place] ^= 0xFF
+            codec.decode(bytes(changed))
+
+
+class NoticesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.one_at = fleet.Address("127.0.0.1", self.free_port())
+        self.two_at = fleet.Address("127.0.0.1", self.free_port())
+        self.heard: list[codec.Placement] = []
+        self.one = self.start(self.one_at, KnownPeers(self.two_at))
+        self.two = self.start(self.two_at, KnownPeers(self.one_at))
+        self.two.on_notice(self.heard.extend)
+
+    def free_port(self) -> int:
+        with gevent.socket.socket(type=gevent.socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            return int(sock.getsockname()[1])
+
+    def start(
+        self, address: fleet.Address, peers: KnownPeers
+    ) -> notices.WorkNotices:
+        made = notices.WorkNotices(address, peers, 1, clock.SystemClock())
+        made.start()
+        self.addCleanup(made.close)
+        return made
+
+    def test_a_placement_is_told_at_once(self) -> None:
+        self.one.add("e", 0.1, PART, 3_000)
+        builders_platform.wait_until(lambda: self.heard, limit_s=1.0)
+        (told,) = self.heard
+        self.assertEqual(told.engine_key, codec.key_of_engine("e"))
+        self.assertEqual(told.part_key, part_caches.part_key("aa"))
+        self.assertAlmostEqual(told.work_s, 0.1)
+        self.assertEqual((told.part_tokens, told.own_tokens), (13_000, 3_000))
+
+    def test_placements_of_one_moment_are_added_up(self) -> None:
+        for _ in range(3):
+            self.one.add("e", 0.1, PART, 1_000)
+        builders_platform.wait_until(lambda: self.heard, limit_s=1.0)
+        (told,) = self.heard
+        self.assertAlmostEqual(told.work_s, 0.3, places=5)
+        self.assertEqual(told.own_tokens, 3_000)
+
+    def test_strangers_are_not_heard(self) -> None:
+        """Engines look busy because of somebody who is no gateway.
+
+        Sequence: a datagram comes from an address outside the directory.
+        Cause: whatever came to the port was believed.
+        """
+        stranger = notices.WorkNotices(
+            fleet.Address("127.0.0.2", self.free_port()),
+            KnownPeers(self.two_at),
+            9,
+            clock.SystemClock(),
+        )
+        stranger.start()
+        self.addCleanup(stranger.close)
+        stranger.add("e", 5.0, PART, 1)
+        gevent.sleep(0.05)
+        self.assertEqual(self.heard, [])
+
+    def test_what_is_spent_stays_bounded(self) -> None:
+        """Notices take more of the network than the operators allow.
+
+        Sequence: long prompts come at a rate far above the usual for long.
+        Cause: each was told in a datagram of its own, whatever had been sent.
+        """
+        sent_before = notices.SENT_BURST_BYTES
+        for _ in range(2_000):
+            self.one.add("e", 0.1, PART, 1)
+            gevent.sleep(0.0005)
+        self.assertLess(len(self.heard) * 100, 2 * sent_before)
+
+
+class DirectoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = self.enterContext(build.running_store())
+
+    def start(self, name: str, port: int) -> directory.PeerDirectory:
+        client = build.store_client(self.store.port)
+        self.addCleanup(client.close)
+        made = directory.PeerDirectory(
+            client, name, fleet.Address("127.0.0.1", port), "boot"
+        )
+        made.start()
+        self.addCleanup(made.close)
+        return made
+
+    def test_gateways_find_each_other(self) -> None:
+        one, two = self.start("one", 1), self.start("two", 2)
+        builders_platform.wait_until(lambda: one.addresses())
+        builders_platform.wait_until(lambda: two.addresses())
+        self.assertEqual(one.addresses(), (fleet.Address("127.0.0.1", 2),))
+        self.assertEqual(two.addresses(), (fleet.Address("127.0.0.1", 1),))
+        self.assertTrue(one.knows("127.0.0.1"))
+
+    def test_a_gateway_that_closes_is_gone(self) -> None:
+        one, two = self.start("one", 1), self.start("two", 2)
+        builders_platform.wait_until(lambda: one.addresses())
+        two.close()
+        self.assertTrue(
+            builders_platform.wait_until(lambda: not one.addresses())
+        )
+
+    def test_a_lost_registration_is_made_again(self) -> None:
+        """A gateway is not told of work for the rest of its life.
+
+        Sequence: the store takes its key away while it lives. Cause: the
+        registration was made once.
+        """
+        one, _ = self.start("one", 1), self.start("two", 2)
+        builders_platform.wait_until(lambda: one.addresses())
+        for lease_id in list(self.store.store._leases):
+            self.store.store.revoke(lease_id)
+        builders_platform.wait_until(lambda: not one.addresses())
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: one.addresses(), directory.LEASE_TTL_S + 4.0
+            )
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_plain_call.py
@@ -0,0 +1,276 @@
+"""A request to a plain service: whole answers, repeats, truthful refusals."""
+
+import random
+import unittest
+from typing import Any
+
+from gevent import socket
+
+from mulberrywharf import clock, errors
+from mulberrywharf.forwarding import exchanges, plain_call, server_book
+from mulberrywharf.platform import requests
+from mulberrywharf.policy import repeat_budget
+from mulberrywharf.routes import kinds
+from tests import builders_engines
+from tests import builders_routes as build
+
+RECEIPT = b"x-mulberrywharf-response-signature: r\r\n"
+ECHO = b"x-mulberrywharf-request-id: request-1\r\n"
+
+
+class StaticServers:
+    """A server list that tests fill."""
+
+    def __init__(self, *known: Any):
+        self.known = known
+
+    def usable(self, service: str) -> tuple[Any, ...]:
+        return tuple(one for one in self.known if one.service == service)
+
+
+def answer(
+    body: bytes = b"fine", status: bytes = b"200 OK", extra: bytes = b""
+) -> bytes:
+    length = b"content-length: %d\r\n" % len(body)
+    head = b"HTTP/1.1 " + status + b"\r\n" + RECEIPT + ECHO + extra + length
+    return head + b"\r\n" + body
+
+
+def refusal(status: bytes = b"503 Busy") -> bytes:
+    head = b"HTTP/1.1 " + status + b"\r\nx-mulberrywharf-not-executed: 1\r\n"
+    return head + b"content-length: 0\r\n\r\n"
+
+
+class CallCase(builders_engines.ScriptedServerCase):
+    def setUp(self) -> None:
+        self.clock = clock.SystemClock()
+        self.book = server_book.ServerBook("zone-a")
+        self.client = exchanges.ServerClient(
+            requests.ServerDialect(), self.book, self.clock
+        )
+        self.addCleanup(self.client.close)
+        self.budget = repeat_budget.RepeatBudget(
+            repeat_budget.RepeatBudgetSettings(allowance_count=100.0)
+        )
+
+    def say(self, data: bytes) -> Any:
+        return self.serve(lambda sock, _: sock.sendall(data))
+
+    def call(
+        self, *scripted: Any, kind: Any = None, **changes: Any
+    ) -> plain_call.WholeAnswer:
+        known = [
+            build.server(f"s{number}", one.address)
+            for number, one in enumerate(scripted)
+        ]
+        calls = plain_call.PlainCalls(
+            plain_call.Parts(
+                StaticServers(*known),
+                self.book,
+                self.client,
+                self.budget,
+                self.clock,
+                random.Random(1),
+            )
+        )
+        route = build.route(kind=kind or kinds.Idempotent())
+        wanted = build.routed(self.clock.monotonic_s(), **changes)
+        return calls.call(wanted, route._replace(timeout_s=1.0), "service")
+
+    def failure(self, *scripted: Any, **changes: Any) -> errors.RequestError:
+        with self.assertRaises(errors.RequestError) as caught:
+            self.call(*scripted, **changes)
+        return caught.exception
+
+
+class PassThroughTest(CallCase):
+    def test_request_and_answer_pass_unchanged(self) -> None:
+        server = self.say(answer(b"\x00body", extra=b"x-own: 1\r\n"))
+        got = self.call(server)
+        self.assertEqual(got.body, b"\x00body")
+        self.assertIn(("x-own", "1"), got.head.fields)
+        (sent,) = server.requests
+        self.assertTrue(sent.startswith(b"POST /a/x?q=1 HTTP/1.1\r\n"))
+        self.assertTrue(sent.endswith(b"\r\n\r\nbody"))
+        self.assertEqual(
+            builders_engines.header(sent, b"host"), build.HOST.encode()
+        )
+
+    def test_the_server_is_named_and_gets_the_time_left(self) -> None:
+        server = self.say(answer())
+        self.call(server)
+        head = server.requests[0]
+        self.assertEqual(
+            builders_engines.header(head, b"x-mulberrywharf-expected-instance"),
+            b"s0",
+        )
+        left_ms = int(
+            builders_engines.header(head, b"x-mulberrywharf-deadline-ms")
+        )
+        self.assertLessEqual(left_ms, 1000)
+        self.assertGreater(left_ms, 900)
+
+    def test_a_server_failure_passes_unchanged(self) -> None:
+        server = self.say(answer(b"broken", b"500 Broken"))
+        got = self.call(server, kind=kinds.AtMostOnce())
+        self.assertEqual((got.head.status, got.body), (500, b"broken"))
+
+    def test_an_answer_that_ends_with_its_connection_is_whole(self) -> None:
+        def script(sock: Any, _: bytes) -> None:
+            sock.sendall(b"HTTP/1.1 200 OK\r\n" + RECEIPT + ECHO + b"\r\nall")
+            sock.shutdown(socket.SHUT_WR)
+
+        self.assertEqual(self.call(self.serve(script)).body, b"all")
+
+
+class RepeatTest(CallCase):
+    def test_a_refused_request_goes_to_another(self) -> None:
+        for kind in (kinds.Idempotent(), kinds.AtMostOnce()):
+            got = self.call(self.say(refusal()), self.say(answer()), kind=kind)
+            self.assertEqual(got.body, b"fine")
+
+    def test_a_failure_is_repeated_only_if_that_is_harmless(self) -> None:
+        """A check-in is run twice.
+
+        Sequence: the first server runs it and answers 500. Cause: every
+        failure was taken for something that another server may mend.
+        """
+        broken = self.say(answer(b"broken", b"500 Broken"))
+        sound = self.say(answer())
+        self.assertEqual(self.call(broken, sound).body, b"fine")
+        self.book.succeeded("s0", 0.001)
+        got = self.call(broken, kind=kinds.AtMostOnce())
+        self.assertEqual(got.head.status, 500)
+
+    def test_a_lost_answer_of_a_request_that_may_run_once(self) -> None:
+        """A payment is charged twice, or refused as not run.
+
+        Sequence: the server closes the connection without an answer. Cause:
+        no answer was taken for not run.
+        """
+        lost = self.serve(lambda sock, _: sock.close())
+        other = self.say(answer())
+        error = self.failure(lost, kind=kinds.AtMostOnce())
+        self.assertEqual((error.status, error.outcome), (502, "unknown"))
+        self.assertEqual(other.requests, [])
+
+    def test_a_lost_answer_of_a_harmless_request_is_repeated(self) -> None:
+        lost = self.serve(lambda sock, _: sock.close())
+        self.assertEqual(self.call(lost, self.say(answer())).body, b"fine")
+
+    def test_attempts_are_bounded_by_the_route(self) -> None:
+        broken = [self.say(answer(b"", b"500 Broken")) for _ in range(3)]
+        self.assertEqual(self.call(*broken).head.status, 500)
+        self.assertEqual(sum(len(one.requests) for one in broken), 2)
+
+    def test_a_spent_budget_ends_the_attempts(self) -> None:
+        self.budget.configure(repeat_budget.RepeatBudgetSettings(ratio=0.0))
+        error = self.failure(self.say(refusal()), self.say(answer()))
+        self.assertEqual((error.status, error.outcome), (503, "not-run"))
+        assert error.retry_after_s is not None
+        self.assertLess(error.retry_after_s, 0.3)
+
+
+class RefusalTest(CallCase):
+    def test_no_server_is_a_promise(self) -> None:
+        error = self.failure()
+        self.assertEqual((error.status, error.outcome), (503, "not-run"))
+
+    def test_unreachable_servers_are_a_promise(self) -> None:
+        closed = self.say(b"")
+        closed.close()
+        error = self.failure(closed, kind=kinds.AtMostOnce())
+        self.assertEqual((error.status, error.outcome), (503, "not-run"))
+
+    def test_silence_ends_at_the_route_timeout(self) -> None:
+        """A caller waits beyond the time that the operators allow.
+
+        Sequence: the server takes the request and stays silent. Cause: only
+        single reads were bounded.
+        """
+        silent = self.serve(lambda sock, _: sock.recv(1))
+        before_s = self.clock.monotonic_s()
+        error = self.failure(silent)
+        self.assertEqual((error.status, error.outcome), (504, "unknown"))
+        self.assertLess(self.clock.monotonic_s() - before_s, 1.4)
+
+
+class GarbledTest(CallCase):
+    def test_an_answer_of_another_request_is_dropped(self) -> None:
+        """A caller reads another caller's receipt.
+
+        Sequence: a server sends an answer that came late for an earlier
+        request. Cause: the next bytes on a connection were taken for the
+        answer that is awaited.
+        """
+        foreign = answer().replace(b"request-1", b"request-0")
+        error = self.failure(self.say(foreign), kind=kinds.AtMostOnce())
+        self.assertEqual(error.status, 502)
+
+    def test_a_truncated_answer_is_not_passed_on(self) -> None:
+        def script(sock: Any, _: bytes) -> None:
+            sock.sendall(answer(b"0123456789")[:-4])
+            sock.close()
+
+        cut = self.serve(script)
+        self.assertEqual(self.failure(cut, kind=kinds.AtMostOnce()).status, 502)
+        self.assertEqual(self.call(cut, self.say(answer())).body, b"fine")
+
+    def test_a_success_without_receipt_is_not_passed_on(self) -> None:
+        bare = answer().replace(RECEIPT, b"")
+        error = self.failure(self.say(bare), kind=kinds.AtMostOnce())
+        self.assertEqual(error.status, 502)
+
+    def test_bytes_after_an_answer_never_reach_the_next_request(self) -> None:
+        """The second caller on a connection gets the first one's bytes.
+
+        Sequence: a server sends a second answer behind the first. Cause: the
+        connection was kept.
+        """
+        server = self.say(answer(b"one") + answer(b"extra"))
+        for _ in range(2):
+            try:
+                got = self.call(server)
+            except errors.BackEndLostError:
+                continue
+            self.assertEqual(got.body, b"one")
+        self.assertEqual(server.connection_count, 2)
+
+    def test_a_refusal_before_the_body_was_read_is_heard(self) -> None:
+        """A caller with a long body waits for its deadline instead.
+
+        Sequence: a server refuses after the head and reads no further. Cause:
+        the whole body had to be written before the answer was read.
+        """
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+
+        def refuse() -> None:
+            sock, _ = listener.accept()
+            sock.recv(1000)
+            sock.sendall(refusal())
+            self.addCleanup(sock.close)
+
+        import gevent
+
+        refusing = gevent.spawn(refuse)
+        self.addCleanup(refusing.kill)
+        address = builders_engines.fleet.Address(
+            "127.0.0.1", listener.getsockname()[1]
+        )
+
+        class Scripted:
+            def __init__(self) -> None:
+                self.address = address
+
+        before_s = self.clock.monotonic_s()
+        error = self.failure(Scripted(), body=b"x" * 8_000_000)
+        self.assertEqual((error.status, error.outcome), (503, "not-run"))
+        self.assertLess(self.clock.monotonic_s() - before_s, 0.6)
+
+
+if __name__ == "__main__":
+    unittest.main()
