Refuse what would come late by waits that engines show

Change: waits for slots by reported load and run times, waits seen by answers of a moment ago, refusal from 0.6 to 0.95 of the target, one request at a time tries a lost server again, 0.2 s to connect.

--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -12,9 +12,11 @@
 from mulberrywharf.policy import (
     background_work,
     engine_queues,
+    observed_waits,
     part_caches,
     prompt_admission,
     prompt_placement,
+    slot_waits,
 )
 from mulberrywharf.routes import table
 
@@ -88,6 +90,8 @@
         self._clock = system_clock
         self._rng = rng
         self._queues = engine_queues.EngineQueues()
+        self._observed = observed_waits.ObservedWaits()
+        self._slots = slot_waits.SlotWaits()
         self._caches = part_caches.PartCaches()
         self._background: dict[fleet.Role, background_work.BackgroundWork] = {
             "prefill": background_work.BackgroundWork(),
@@ -101,6 +105,8 @@
         """Takes in the server list; forgets engines that left."""
         server_ids = frozenset(server.server_id for server in known)
         self._queues.keep_only(server_ids)
+        self._observed.keep_only(server_ids)
+        self._slots.keep_only(server_ids)
         self._caches.keep_only(server_ids)
         self._server_by_key = {
             codec.key_of_engine(server.server_id): server for server in known
@@ -144,11 +150,32 @@
         self._log(wanted, route, plan)
         return placed
 
-    def read(self, placed: Placed) -> None:
-        """Notes that the reader has read the prompt."""
-        if not placed.is_in_order:
-            return
-        self._queues.finished(placed.ticket, self._clock.monotonic_s())
+    def read(self, placed: Placed, took_s: float) -> None:
+        """Notes that the reader has read the prompt.
+
+        Args:
+            placed: The prompt's plan.
+            took_s: From its sending until it was read.
+        """
+        now_s = self._clock.monotonic_s()
+        plan = placed.plan
+        self._observed.note(
+            plan.reader.server.server_id,
+            took_s,
+            plan.first_token_s - plan.queue_s,
+            now_s,
+        )
+        if placed.is_in_order:
+            self._queues.finished(placed.ticket, now_s)
+
+    def ended(self, server: servers.Server, run_s: float) -> None:
+        """Notes that an engine has finished a stream.
+
+        Args:
+            server: The engine.
+            run_s: From the stream's head to its end.
+        """
+        self._slots.note_run(server.server_id, run_s)
 
     def _refuse_if_late(
         self,
@@ -159,7 +186,7 @@
     ) -> None:
         prospect = prompt_admission.Prospect(
             first_token_s=plan.first_token_s,
-            queue_s=plan.reader.wait_s,
+            queue_s=plan.queue_s,
             target_s=route.target_s,
             left_s=limit.left_s(),
         )
@@ -238,9 +265,16 @@
         server_id = server.server_id
         (candidate,) = self._book.candidates([server], now_s)
         running_count = candidate.own_count + candidate.others_count
+        slot_wait_s = self._slots.wait_s(
+            server_id, running_count, server.slots_count
+        )
         return prompt_placement.EngineView(
             server=server,
-            wait_s=self._queues.wait_s(server_id, now_s) * pace,
+            wait_s=max(
+                self._queues.wait_s(server_id, now_s) * pace + slot_wait_s,
+                self._observed.wait_s(server_id, now_s),
+            ),
+            slot_wait_s=slot_wait_s,
             running_share=running_count / max(1, server.slots_count),
             cached_tokens=self._caches.cached_tokens(server_id, parts),
             pace=pace,
@@ -343,7 +377,7 @@
             else None,
             prompt_tokens=wanted.prompt.tokens if wanted.prompt else None,
             cached_tokens=plan.cached_tokens,
-            queue_s=round(plan.reader.wait_s, 4),
+            queue_s=round(plan.queue_s, 4),
             first_token_s=round(plan.first_token_s, 4),
         ).info("placed")
 
--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -9,9 +9,10 @@
 from mulberrywharf import _answers, _connections, _exchange, clock, errors
 from mulberrywharf.forwarding import request, server_book, servers
 
-CONNECT_TIMEOUT_S = 0.35
-"""A living server of the same region completes a handshake within a few ms.
-Nothing was sent yet, so another server can be tried at once."""
+CONNECT_TIMEOUT_S = 0.2
+"""A living server of the same region completes a handshake within a few ms,
+and within 100 ms if its machine was out of processor time. Nothing was sent
+yet, so another server can be tried at once."""
 
 _REFUSAL_BODY_LIMIT_BYTES = 64 * 1024
 _RELEASE_TIMEOUT_S = 1.0
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -169,10 +169,10 @@
             prefill_only=True, fetch_from=_fetch_from(placed)
         )
         began_s = self._parts.system_clock.monotonic_s()
-        with _Counted(self._parts.book, server):
+        with _Counted(self._parts.book, server, began_s):
             read = self._prefill_exchange(attempt)
         if isinstance(read, Ok):
-            self._parts.pool.read(placed)
+            self._parts.pool.read(placed, self._since_s(began_s))
         self._log(attempt, began_s, read)
         return read
 
@@ -218,7 +218,7 @@
         began_s = self._parts.system_clock.monotonic_s()
         before = self._outcome
         self._outcome = "unknown"
-        self._parts.book.began(server.server_id)
+        self._parts.book.began(server.server_id, began_s)
         try:
             sent = self._send(attempt, may_run_again=self._may_run_again)
         except BaseException:
@@ -233,7 +233,7 @@
                 self._runs_count += 1
             return sent
         if reads_itself:
-            self._parts.pool.read(placed)
+            self._parts.pool.read(placed, self._since_s(began_s))
         self._runs_count += 1
         return Ok(_Run(server, sent.ok_value))
 
@@ -300,6 +300,7 @@
         """Yields one engine's events; returns why it broke off, if it did."""
         cutter = events.EventCutter()
         exchange = run.begun.exchange
+        began_s = self._parts.system_clock.monotonic_s()
         try:
             while True:
                 some = exchange.read_some(self._limit.left_s())
@@ -316,6 +317,7 @@
                 if block:
                     yield block
             self._parts.book.succeeded(run.server.server_id)
+            self._parts.pool.ended(run.server, self._since_s(began_s))
             if cutter.rest:
                 yield cutter.rest
             exchange.finish()
@@ -368,6 +370,9 @@
             self._parts.client.release(self._cache)
             self._cache = None
 
+    def _since_s(self, began_s: float) -> float:
+        return self._parts.system_clock.monotonic_s() - began_s
+
     def _log(
         self,
         attempt: request.Attempt,
@@ -376,14 +381,13 @@
     ) -> None:
         if isinstance(outcome, Err):
             self._excluded.add(attempt.server.server_id)
-        took_s = self._parts.system_clock.monotonic_s() - began_s
         logger.bind(
             request_id=self._wanted.request_id,
             route=self._route.name,
             server_id=attempt.server.server_id,
             prefill_only=attempt.prefill_only,
             has_cache=attempt.cache is not None,
-            took_s=round(took_s, 4),
+            took_s=round(self._since_s(began_s), 4),
             left_s=round(self._limit.left_s(), 3),
             reported=self._parts.book.last_report(attempt.server.server_id),
             result="ok" if isinstance(outcome, Ok) else outcome.err_value.code,
@@ -393,12 +397,18 @@
 class _Counted:
     """Counts a request at a server for as long as the block runs."""
 
-    def __init__(self, book: server_book.ServerBook, server: servers.Server):
+    def __init__(
+        self,
+        book: server_book.ServerBook,
+        server: servers.Server,
+        now_s: float,
+    ):
         self._book = book
+        self._now_s = now_s
         self._server_id = server.server_id
 
     def __enter__(self) -> None:
-        self._book.began(self._server_id)
+        self._book.began(self._server_id, self._now_s)
 
     def __exit__(self, *failure: object) -> None:
         self._book.ended(self._server_id)
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -159,7 +159,7 @@
         before = self._outcome
         # Until the attempt has told how it failed it may have run.
         self._outcome = "unknown"
-        book.began(server.server_id)
+        book.began(server.server_id, began_s)
         try:
             tried = self._exchange(attempt)
         finally:
--- a/src/mulberrywharf/forwarding/server_book.py
+++ b/src/mulberrywharf/forwarding/server_book.py
@@ -18,8 +18,14 @@
 PACE_WEIGHT = 0.15
 PACE_LIMIT = 10.0
 SUSPECT_S = 1.0
-"""A server that did not answer is passed over so long, then tried again by
-whatever request comes: the outages that operators reported last seconds."""
+SUSPECT_LIMIT_S = 4.0
+"""A server that did not answer is passed over for the first, then tried again
+by one request; each further failure doubles the time up to the limit. Outages
+last seconds, and the list drops a dead server after some four."""
+
+PROBE_S = 0.5
+"""While one request tries a server again the others pass it over: each would
+wait for the same silence, a fifth of a second or more."""
 
 
 class _Entry:
@@ -33,6 +39,7 @@
         self.failure_share = 0.0
         self.answer_s: float | None = None
         self.suspected_until_s = float("-inf")
+        self.losses_in_row_count = 0
 
 
 class ServerBook:
@@ -51,9 +58,13 @@
             if server_id in kept or entry.own_count
         }
 
-    def began(self, server_id: str) -> None:
-        """Counts a request in."""
-        self._entry(server_id).own_count += 1
+    def began(self, server_id: str, now_s: float) -> None:
+        """Counts a request in; to a server that was lost it is the one try."""
+        entry = self._entry(server_id)
+        entry.own_count += 1
+        if entry.losses_in_row_count:
+            until_s = now_s + PROBE_S
+            entry.suspected_until_s = max(entry.suspected_until_s, until_s)
 
     def ended(self, server_id: str) -> None:
         """Counts a request out."""
@@ -92,6 +103,7 @@
         entry = self._entry(server_id)
         entry.failure_share *= 1 - FAILURE_WEIGHT
         entry.suspected_until_s = float("-inf")
+        entry.losses_in_row_count = 0
         if answer_s is None:
             return
         before_s = entry.answer_s if entry.answer_s is not None else answer_s
@@ -105,7 +117,12 @@
     def lost(self, server_id: str, now_s: float) -> None:
         """Notes that a server could not be reached or broke off."""
         self.failed(server_id)
-        self._entry(server_id).suspected_until_s = now_s + SUSPECT_S
+        entry = self._entry(server_id)
+        if now_s >= entry.suspected_until_s or not entry.losses_in_row_count:
+            # Requests that were lost together count as one loss.
+            entry.losses_in_row_count += 1
+        doubled_s = SUSPECT_S * 2 ** (entry.losses_in_row_count - 1)
+        entry.suspected_until_s = now_s + min(SUSPECT_LIMIT_S, doubled_s)
 
     def is_suspected(self, server_id: str, now_s: float) -> bool:
         """Tells whether a server failed to answer a moment ago."""
--- a/src/mulberrywharf/policy/prompt_admission.py
+++ b/src/mulberrywharf/policy/prompt_admission.py
@@ -9,11 +9,21 @@
 import random
 from typing import NamedTuple
 
-QUEUE_TARGET_SHARE = 0.6
-"""Part of the target for the first token that may pass in a queue. An average
-long prompt takes the rest of it to be read. A larger one is late by its own
-size, so it is judged by the queue alone: refused for its size it would never
-be served, however often its caller came back."""
+ADMITTED_TARGET_SHARE = 0.6
+"""Part of the target for the first token up to which every request is sent."""
+
+REFUSED_TARGET_SHARE = 0.95
+"""Part of the target from which every request is refused. Between the two a
+part is, the more the later: gateways that all refuse everything at the same
+estimate leave the engines idle a moment later, and then all send again. The
+end lies below the target, or engines in overload settle at a wait just above
+it, where nearly every answer is late: at a quarter of a second too much, 3,200
+of 6,300 answers were."""
+
+OWN_TARGET_SHARE = 0.5
+"""Part of the target that a request's own reading counts with at the most. A
+large prompt is late by its size; judged by that it would never be served,
+however often its caller came back, so beyond this its queue decides."""
 
 RETRY_AFTER_LEAST_S = 0.1
 """Shorter waits would bring a caller back before its refusal has any effect on
@@ -57,7 +67,7 @@
         prospect: What it would meet.
         rng: Spreads the callers that come back.
     """
-    if prospect.first_token_s <= _patience_s(prospect):
+    if prospect.first_token_s < prospect.left_s and not _is_late(prospect, rng):
         return None
     longest_s = max(
         RETRY_AFTER_LEAST_S, prospect.left_s * RETRY_AFTER_LEFT_SHARE
@@ -66,9 +76,10 @@
     return Refusal(rng.uniform(soonest_s, longest_s))
 
 
-def _patience_s(prospect: Prospect) -> float:
+def _is_late(prospect: Prospect, rng: random.Random) -> bool:
     if prospect.target_s is None:
-        return prospect.left_s
-    unqueued_s = prospect.first_token_s - prospect.queue_s
-    in_order_s = unqueued_s + QUEUE_TARGET_SHARE * prospect.target_s
-    return min(prospect.left_s, max(prospect.target_s, in_order_s))
+        return False
+    own_s = prospect.first_token_s - prospect.queue_s
+    counted_s = min(own_s, OWN_TARGET_SHARE * prospect.target_s)
+    share = (counted_s + prospect.queue_s) / prospect.target_s
+    return share > rng.uniform(ADMITTED_TARGET_SHARE, REFUSED_TARGET_SHARE)
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -81,6 +81,7 @@
     Attributes:
         server: The engine.
         wait_s: Until its steps reach a new prompt.
+        slot_wait_s: Until one of its slots is free; part of ``wait_s``.
         running_share: Part of its slots that is taken.
         cached_tokens: Leading tokens of the prompt that it holds.
         pace: Its speed against its peers', 1 for equal, 2 for half as fast.
@@ -91,6 +92,7 @@
 
     server: servers.Server
     wait_s: float = 0.0
+    slot_wait_s: float = 0.0
     running_share: float = 0.0
     cached_tokens: int = 0
     pace: float = 1.0
@@ -137,6 +139,13 @@
     cached_tokens: int
     cost: float
 
+    @property
+    def queue_s(self) -> float:
+        """The part of the time to the first token that is spent waiting."""
+        if self.prefill is None:
+            return self.decode.wait_s
+        return self.prefill.wait_s + self.decode.slot_wait_s
+
     @property
     def reader(self) -> EngineView:
         """The engine that reads the prompt."""
@@ -225,6 +234,7 @@
         + read_s
         + move_s
         + HANDOVER_S
+        + decode.slot_wait_s
         + FIRST_TOKEN_S * decode.pace
     )
     place_cost_s = _place_cost_s(prefill) + _place_cost_s(decode)
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -70,7 +70,7 @@
         self.book = server_book.ServerBook("zone-a")
 
     def test_others_are_what_a_server_reports_beyond_our_own(self) -> None:
-        self.book.began("s")
+        self.book.began("s", 0.0)
         self.book.reported("s", request.ReportedLoad(3, 1, 6), 10.0)
         self.assertAlmostEqual(self.book.others_count("s", 10.0), 3.0)
         self.assertLess(self.book.others_count("s", 12.0), 0.5)
@@ -82,6 +82,22 @@
             self.book.is_suspected("s", 10.1 + server_book.SUSPECT_S)
         )
 
+    def test_one_request_tries_a_lost_server_again(self) -> None:
+        """Each request in a crash first waits for a server that is dead.
+
+        Sequence: a server goes dark, its suspicion ends, and all requests of
+        that moment are sent there. Cause: nothing kept them away while the
+        first one was still waiting.
+        """
+        self.book.lost("s", 10.0)
+        after_s = 10.1 + server_book.SUSPECT_S
+        self.assertFalse(self.book.is_suspected("s", after_s))
+        self.book.began("s", after_s)
+        self.assertTrue(self.book.is_suspected("s", after_s + 0.1))
+        self.book.lost("s", after_s + 0.6)
+        longer_s = after_s + 0.6 + 1.9 * server_book.SUSPECT_S
+        self.assertTrue(self.book.is_suspected("s", longer_s))
+
     def test_an_answer_ends_the_suspicion(self) -> None:
         self.book.lost("s", 10.0)
         self.book.succeeded("s", 0.02)
@@ -98,7 +114,7 @@
         self.assertAlmostEqual(by_name["c"], 5.0, delta=0.1)
 
     def test_servers_that_left_are_forgotten_when_idle(self) -> None:
-        self.book.began("busy")
+        self.book.began("busy", 0.0)
         self.book.failed("idle")
         self.book.keep_only([])
         self.assertEqual(self.book.own_count("busy"), 1)
