--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -415,6 +415,7 @@
     """A write was not done, because what it was to depend on has changed."""
 
     code = "condition-failed"
+    advice = "Read the keys again before deciding anew."
 
 
 class HistoryGoneError(PlatformRefusedError):
--- a/src/mulberrywharf/forwarding/events.py
+++ b/src/mulberrywharf/forwarding/events.py
@@ -3,6 +3,8 @@
 import re
 from typing import NamedTuple
 
+from mulberrywharf import errors
+
 EVENT_LIMIT_BYTES = 1024 * 1024
 """A longer event is not one: a broken server must not fill the memory."""
 
@@ -42,7 +44,7 @@
         """Returns the events that are whole now.
 
         Raises:
-            ValueError: An event exceeds the limit.
+            StreamBrokenError: An event exceeds the limit.
         """
         self._rest += data
         events = []
@@ -52,5 +54,7 @@
             found = _EVENT_ID.search(raw)
             events.append(Event(int(found.group(1)) if found else None, raw))
         if len(self._rest) > EVENT_LIMIT_BYTES:
-            raise ValueError("an event exceeds its limit")
+            raise errors.StreamBrokenError(
+                f"an event exceeds {EVENT_LIMIT_BYTES} bytes"
+            )
         return events
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -322,6 +322,9 @@
                 yield cutter.rest
             exchange.finish()
             return None
+        except errors.StreamBrokenError as error:
+            self._lost(run.server)
+            return error
         finally:
             exchange.close()
             self._parts.book.ended(run.server.server_id)
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -7,10 +7,12 @@
 from mulberrywharf.policy import (
     background_work,
     engine_queues,
+    observed_waits,
     part_caches,
     prompt_admission,
     repeat_budget,
     server_choice,
+    slot_waits,
 )
 from tests import builders_routes as build
 
@@ -242,6 +244,59 @@
         self.assertEqual(self.queues.wait_s("e", 0.0), 0.0)
 
 
+class ObservedWaitsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.waits = observed_waits.ObservedWaits()
+
+    def test_what_an_answer_took_too_long_is_the_wait(self) -> None:
+        """An engine that fails is sent everything until it has recovered.
+
+        Sequence: an engine turns slow; what is placed there drains by the
+        clock, so its queue looks empty. Cause: answers told nothing.
+        """
+        for _ in range(10):
+            self.waits.note("e", 1.0, 0.1, 5.0)
+        self.assertAlmostEqual(self.waits.wait_s("e", 5.0), 0.87, delta=0.02)
+
+    def test_it_fades(self) -> None:
+        self.waits.note("e", 1.0, 0.1, 5.0)
+        self.assertLess(self.waits.wait_s("e", 7.0), 0.01)
+
+    def test_an_answer_in_time_is_no_wait(self) -> None:
+        self.waits.note("e", 0.11, 0.1, 5.0)
+        self.assertEqual(self.waits.wait_s("e", 5.0), 0.0)
+        self.assertEqual(self.waits.wait_s("unknown", 5.0), 0.0)
+
+    def test_engines_that_left_are_forgotten(self) -> None:
+        self.waits.note("e", 1.0, 0.1, 5.0)
+        self.waits.keep_only(frozenset())
+        self.assertEqual(self.waits.wait_s("e", 5.0), 0.0)
+
+
+class SlotWaitsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.waits = slot_waits.SlotWaits()
+
+    def test_a_free_slot_is_no_wait(self) -> None:
+        self.assertEqual(self.waits.wait_s("e", 47, 48), 0.0)
+
+    def test_a_full_batch_is_a_wait(self) -> None:
+        """Prompts are handed to an engine with a hundred requests waiting.
+
+        Sequence: all slots are taken; the handover itself takes 15 ms. Cause:
+        only the reading of prompts was counted.
+        """
+        self.assertAlmostEqual(self.waits.wait_s("e", 48, 48), 0.25 / 48)
+        self.assertAlmostEqual(self.waits.wait_s("e", 143, 48), 0.5)
+
+    def test_runs_that_take_long_make_waits_long(self) -> None:
+        for _ in range(100):
+            self.waits.note_run("e", 1.0)
+        self.assertAlmostEqual(self.waits.wait_s("e", 95, 48), 1.0, delta=0.01)
+        self.waits.keep_only(frozenset())
+        self.assertLess(self.waits.wait_s("e", 95, 48), 0.3)
+
+
 class BackgroundWorkTest(unittest.TestCase):
     def test_own_work_stands_for_all(self) -> None:
         work = background_work.BackgroundWork()
--- /dev/null
+++ b/tests/test_gateway_settings.py
@@ -0,0 +1,96 @@
+"""Settings of a gateway: every fault, and the template of the platform."""
+
+import json
+import pathlib
+import re
+import unittest
+from typing import Any
+
+from result import Err
+
+from mulberrywharf import gateway_settings, settings
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TEMPLATE = ROOT / "deploy" / "gateway.json"
+FIELDS: dict[str, Any] = {
+    "node-name": "front-regina-hall-1",
+    "zone": "regina-hall",
+    "ip": "10.1.0.35",
+    "listen.front": "10.1.0.35:8144",
+    "listen.ready": "10.1.0.35:8140",
+    "internal-ports.0": 7660,
+    "platform.address": "10.200.1.7:8142",
+    "bounds.retry-budget-ratio": 0.2,
+    "bounds.budget-window-s": 10,
+    "bounds.retry-budget-slack": 58,
+    "bounds.grace-s": 8,
+}
+GOOD: dict[str, Any] = {
+    "vm_id": "entry-1",
+    "availability_zone": "zone-a",
+    "callers_listen": "127.0.0.1:1",
+    "operators_listen": "127.0.0.1:2",
+    "nodes_listen": "127.0.0.1:3",
+    "store": "127.0.0.1:4",
+    "repeats": {"ratio": 0.2, "window_s": 10, "allowance_count": 58},
+    "grace_s": 8,
+}
+
+
+def parse(document: dict[str, Any]) -> Any:
+    return settings.parse_with(
+        gateway_settings._ADAPTER, json.dumps(document), "gateway.json"
+    )
+
+
+def render(text: str) -> str:
+    """Fills a template in, as the platform does with single values."""
+    text = re.sub(
+        r"\{\{([^{}|]+)\|json\}\}",
+        lambda match: json.dumps(FIELDS[match.group(1)]),
+        text,
+    )
+    return re.sub(
+        r"\{\{([^{}|]+)\}\}", lambda match: str(FIELDS[match.group(1)]), text
+    )
+
+
+class SettingsTest(unittest.TestCase):
+    def test_good_settings(self) -> None:
+        self.assertFalse(isinstance(parse(GOOD), Err))
+
+    def test_every_fault_is_listed(self) -> None:
+        faulty = {**GOOD, "store": "nowhere", "grace_s": -1, "extra": 1}
+        error = parse(faulty).err()
+        paths = {fault.path for fault in error.faults}
+        self.assertEqual(paths, {"store", "grace_s", "extra"})
+
+    def test_missing_fields(self) -> None:
+        for name in GOOD:
+            rest = {key: value for key, value in GOOD.items() if key != name}
+            with self.subTest(name=name):
+                (fault,) = parse(rest).err().faults
+                self.assertEqual(fault.path, name)
+
+    def test_the_template_renders_to_good_settings(self) -> None:
+        """No process starts after a change of the template.
+
+        Sequence: a field is renamed in the settings but not in the template.
+        Cause: the two were never held together.
+        """
+        text = render(TEMPLATE.read_text(encoding="utf-8"))
+        read = settings.parse_with(
+            gateway_settings._ADAPTER, text, TEMPLATE.name
+        )
+        self.assertFalse(isinstance(read, Err), read)
+        self.assertEqual(read.unwrap()["nodes_listen"], "10.1.0.35:7660")
+
+    def test_endpoint(self) -> None:
+        self.assertEqual(
+            gateway_settings.endpoint("10.0.0.1:80"),
+            {"ip": "10.0.0.1", "port": 80},
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,8 +3,11 @@
 import contextlib
 import io
 import json
+import os
+import time
 import unittest
 
+import gevent
 from loguru import logger
 
 from mulberrywharf import logs
@@ -45,5 +48,53 @@
         self.assertNotIn(_TOKEN, self.log_failure())
 
 
+class LineWriterTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.addCleanup(logger.remove)
+        self.writer = logs.LineWriter(writer)
+        self.writer.start()
+
+    def test_lines_come_in_order(self) -> None:
+        for number in range(3):
+            self.writer.add(b"%d\n" % number)
+        gevent.sleep(0.2)
+        self.writer.close()
+        self.assertEqual(os.read(self.reader, 100), b"0\n1\n2\n")
+
+    def test_what_is_left_is_written_at_the_end(self) -> None:
+        self.writer.add(b"last\n")
+        self.writer.close()
+        self.assertEqual(os.read(self.reader, 100), b"last\n")
+
+    def test_a_reader_that_stops_blocks_nobody(self) -> None:
+        """A node stands still because nobody reads its log.
+
+        Sequence: the reader of standard output stops, the pipe fills up.
+        Cause: a line was written by whoever logged it.
+        """
+        before_s = time.monotonic()
+        for _ in range(4 * logs.LINES_LIMIT_COUNT):
+            self.writer.add(b"x" * 500 + b"\n")
+        gevent.sleep(0.2)
+        self.writer.add(b"y\n")
+        self.writer.close()
+        self.assertLess(time.monotonic() - before_s, 3.0)
+
+    def test_each_line_is_an_object_with_what_was_bound(self) -> None:
+        logs.configure_output(
+            self.writer, vm_id="entry-1", availability_zone="zone-1"
+        )
+        logger.bind(request_id="r-1").info("placed")
+        gevent.sleep(0.2)
+        self.writer.close()
+        line = json.loads(os.read(self.reader, 1000))
+        self.assertEqual(line["request_id"], "r-1")
+        self.assertEqual(line["message"], "placed")
+        self.assertEqual(line["vm_id"], "entry-1")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_operator_tour.py
+++ b/tests/test_operator_tour.py
@@ -12,7 +12,7 @@
 import json5
 from result import Ok
 
-from mulberrywharf import settings
+from mulberrywharf import gateway_settings, settings
 from mulberrywharf.rules import check, parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -41,6 +41,8 @@
                     self.assertEqual(
                         check(parse(text, path.name).unwrap(), None), []
                     )
+                elif path.name == "gateway.json":
+                    self.assertIsInstance(gateway_settings.load(str(path)), Ok)
                 else:
                     self.assertIsInstance(settings.load(str(path)), Ok)
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok
 
-from mulberrywharf import settings
+from mulberrywharf import gateway_settings, settings
 from mulberrywharf.errors import SettingsError
 from mulberrywharf.platform_service import vm_list
 from tests.builders_operators import run_ctl
@@ -101,7 +101,7 @@
 class ExamplesTest(unittest.TestCase):
     def test_every_example_passes_its_check(self):
         files = sorted(EXAMPLES.rglob("*.json"))
-        self.assertEqual(len(files), 18)
+        self.assertEqual(len(files), 19)
         for path in files:
             with self.subTest(path=path):
                 if path.name == "vms.json":
@@ -110,6 +110,9 @@
                 elif path.name == "rules.json":
                     found = run_ctl("check", str(path), "--strict")
                     self.assertEqual(found.exit_code, 0, found.stderr)
+                elif path.name == "gateway.json":
+                    read = gateway_settings.load(str(path))
+                    self.assertFalse(isinstance(read, Err), read)
                 else:
                     loaded = settings.load(str(path))
                     self.assertFalse(isinstance(loaded, Err), loaded)
