Keep the account of engines apart, and bound what gateways tell

Change: engine_account.py; beyond 20 peers those of the own zone are told and what is heard stands for the others; the allowance follows the directory. Measured: tests only; nothing changes at nine gateways.

--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -1,23 +1,18 @@
-"""The engines of a service as one prompt meets them, and plans for it."""
+"""Where a prompt goes among the engines of a service, or that it is refused."""
 
 import random
-from collections.abc import Callable
-from typing import NamedTuple, Protocol
 
 from loguru import logger
 
-from mulberrywharf import clock, errors, fleet
-from mulberrywharf.forwarding import request, server_book, servers, time_limits
-from mulberrywharf.peers import codec
-from mulberrywharf.policy import (
-    background_work,
-    engine_queues,
-    observed_waits,
-    part_caches,
-    prompt_admission,
-    prompt_placement,
-    slot_waits,
+from mulberrywharf import clock, errors
+from mulberrywharf.forwarding import (
+    engine_account,
+    request,
+    server_book,
+    servers,
+    time_limits,
 )
+from mulberrywharf.policy import prompt_admission, prompt_placement
 from mulberrywharf.routes import table
 
 RETRY_WITHOUT_ENGINE_S = 0.3
@@ -25,92 +20,31 @@
 server list comes within a heartbeat of the servers, about a second."""
 
 
-TOLD_PART_TOKENS = 1_000
-"""Shorter parts are not told: reading one takes less than 10 ms."""
-
-
-class Notices(Protocol):
-    """Tells other gateways what this one places."""
-
-    @property
-    def peers_count(self) -> int:
-        """Gateways that are told."""
-        ...
-
-    def add(
-        self,
-        engine_id: str,
-        work_s: float,
-        part: request.PromptPart,
-        own_tokens: int,
-    ) -> None:
-        """Takes in one placement."""
-        ...
-
-
-class Placed(NamedTuple):
-    """A plan that was chosen and counted.
-
-    Attributes:
-        plan: The plan.
-        ticket: The prompt's place in the reader's queue.
-        is_in_order: Whether the reader reads it after all that came before.
-    """
-
-    plan: prompt_placement.Plan
-    ticket: engine_queues.Ticket
-    is_in_order: bool
-
-
 class EnginePool:
-    """Plans prompts and keeps account of what was planned."""
+    """Chooses where prompts go, or refuses them."""
 
     def __init__(
         self,
         server_list: servers.ServerList,
         book: server_book.ServerBook,
+        account: engine_account.EngineAccount,
         system_clock: clock.Clock,
         rng: random.Random,
-        notices: Notices,
-        memory_tokens: Callable[[str], int],
     ):
-        """Makes an empty pool.
+        """Makes a pool.
 
         Args:
             server_list: The engines.
-            book: What this node knows of them.
-            system_clock: Measures queues.
+            book: Which of them can be reached.
+            account: What is known of their work.
+            system_clock: Measures time left.
             rng: Spreads refused callers.
-            notices: Tells other gateways what is placed.
-            memory_tokens: Returns what the memory of an engine of a service
-                holds.
         """
         self._server_list = server_list
         self._book = book
+        self._account = account
         self._clock = system_clock
         self._rng = rng
-        self._queues = engine_queues.EngineQueues()
-        self._observed = observed_waits.ObservedWaits()
-        self._slots = slot_waits.SlotWaits()
-        self._caches = part_caches.PartCaches()
-        self._background: dict[fleet.Role, background_work.BackgroundWork] = {
-            "prefill": background_work.BackgroundWork(),
-            "decode": background_work.BackgroundWork(),
-        }
-        self._notices = notices
-        self._memory_tokens = memory_tokens
-        self._server_by_key: dict[int, servers.Server] = {}
-
-    def follow(self, known: tuple[servers.Server, ...]) -> None:
-        """Takes in the server list; forgets engines that left."""
-        server_ids = frozenset(server.server_id for server in known)
-        self._queues.keep_only(server_ids)
-        self._observed.keep_only(server_ids)
-        self._slots.keep_only(server_ids)
-        self._caches.keep_only(server_ids)
-        self._server_by_key = {
-            codec.key_of_engine(server.server_id): server for server in known
-        }
 
     def place(
         self,
@@ -121,7 +55,7 @@
         *,
         excluded: frozenset[str],
         may_refuse: bool,
-    ) -> Placed:
+    ) -> engine_account.Placed:
         """Chooses the best plan and counts it in.
 
         Args:
@@ -146,60 +80,10 @@
         plan = plans[0]
         if may_refuse:
             self._refuse_if_late(wanted, route, plan, limit)
-        placed = self._count_in(wanted, service, plan)
+        placed = self._account.count_in(wanted, service, plan)
         self._log(wanted, route, plan)
         return placed
 
-    def reading(self, placed: Placed) -> observed_waits.Awaited:
-        """Notes that the reader was sent the prompt."""
-        plan = placed.plan
-        return self._sent(
-            plan.reader.server, "read", plan.first_token_s - plan.queue_s
-        )
-
-    def starting(self, placed: Placed) -> observed_waits.Awaited:
-        """Notes that the decode engine was sent a prompt read elsewhere."""
-        return self._sent(
-            placed.plan.decode.server, "start", prompt_placement.TAKEOVER_S
-        )
-
-    def began(self, placed: Placed, awaited: observed_waits.Awaited) -> None:
-        """Notes that an engine has answered what it was sent.
-
-        Args:
-            placed: The prompt's plan.
-            awaited: From ``reading`` or ``starting``.
-        """
-        now_s = self._clock.monotonic_s()
-        self._observed.answered(awaited, now_s)
-        if awaited.matter == "read" and placed.is_in_order:
-            self._queues.finished(placed.ticket, now_s)
-
-    def failed(self, awaited: observed_waits.Awaited) -> None:
-        """Notes that an engine will not answer what it was sent."""
-        self._observed.failed(awaited)
-
-    def _sent(
-        self,
-        server: servers.Server,
-        matter: observed_waits.Matter,
-        unqueued_s: float,
-    ) -> observed_waits.Awaited:
-        awaited = observed_waits.Awaited(
-            server.server_id, matter, self._clock.monotonic_s(), unqueued_s
-        )
-        self._observed.sent(awaited)
-        return awaited
-
-    def ended(self, server: servers.Server, run_s: float) -> None:
-        """Notes that an engine has finished a stream.
-
-        Args:
-            server: The engine.
-            run_s: From the stream's head to its end.
-        """
-        self._slots.note_run(server.server_id, run_s)
-
     def _refuse_if_late(
         self,
         wanted: request.RoutedRequest,
@@ -251,18 +135,11 @@
             prefills = []
         return prompt_placement.plans(
             _shape(wanted, service),
-            self._views(prefills, parts, self._pace("prefill", prefills)),
-            self._views(decodes, parts, self._pace("decode", decodes)),
-        )
-
-    def _pace(self, role: fleet.Role, engines: list[servers.Server]) -> float:
-        """Returns how much longer reading takes beside short prompts."""
-        taken_share = self._background[role].share(
-            1 + self._notices.peers_count,
-            len(engines),
-            self._clock.monotonic_s(),
+            self._views(
+                prefills, parts, self._account.pace("prefill", prefills)
+            ),
+            self._views(decodes, parts, self._account.pace("decode", decodes)),
         )
-        return 1.0 / (1.0 - taken_share)
 
     def _views(
         self,
@@ -270,123 +147,15 @@
         parts: tuple[request.PromptPart, ...],
         pace: float,
     ) -> list[prompt_placement.EngineView]:
-        shared = _told_part(parts)
+        shared = engine_account.told_part(parts)
         if shared is None:
-            return [self._view(one, parts, pace) for one in among]
+            return [self._account.view(one, parts, pace) for one in among]
         ranked = prompt_placement.homes(shared.part_id, among)
         return [
-            self._view(one, parts, pace, is_home=one is ranked[0])
+            self._account.view(one, parts, pace, is_home=one is ranked[0])
             for one in ranked
         ]
 
-    def _view(
-        self,
-        server: servers.Server,
-        parts: tuple[request.PromptPart, ...],
-        pace: float,
-        *,
-        is_home: bool = False,
-    ) -> prompt_placement.EngineView:
-        now_s = self._clock.monotonic_s()
-        server_id = server.server_id
-        (candidate,) = self._book.candidates([server], now_s)
-        running_count = candidate.own_count + candidate.others_count
-        slot_wait_s = max(
-            self._slots.wait_s(server_id, running_count, server.slots_count),
-            self._observed.wait_s(server_id, "start", now_s),
-        )
-        return prompt_placement.EngineView(
-            server=server,
-            wait_s=max(
-                self._queues.wait_s(server_id, now_s) * pace + slot_wait_s,
-                self._observed.wait_s(server_id, "read", now_s),
-            ),
-            slot_wait_s=slot_wait_s,
-            running_share=running_count / max(1, server.slots_count),
-            cached_tokens=self._caches.cached_tokens(server_id, parts),
-            pace=pace,
-            is_suspected=candidate.is_suspected,
-            is_near=candidate.is_near,
-            is_home=is_home,
-        )
-
-    def _count_in(
-        self,
-        wanted: request.RoutedRequest,
-        service: table.Service,
-        plan: prompt_placement.Plan,
-    ) -> Placed:
-        reader_id = plan.reader.server.server_id
-        work_s = plan.prefill_work_s
-        now_s = self._clock.monotonic_s()
-        ticket = self._queues.add(reader_id, work_s, now_s)
-        if service.engine is None or wanted.prompt is None:
-            return Placed(plan, ticket, is_in_order=False)
-        self._note_prompt(wanted.prompt, plan, work_s, service.engine.kv_tokens)
-        is_long = _told_part(wanted.prompt.parts) is not None
-        return Placed(plan, ticket, is_in_order=is_long)
-
-    def _note_prompt(
-        self,
-        prompt: request.Prompt,
-        plan: prompt_placement.Plan,
-        work_s: float,
-        memory_tokens: int,
-    ) -> None:
-        """Notes what both engines of a plan will hold, and tells peers."""
-        told = _told_part(prompt.parts)
-        engine_ids = {
-            plan.reader.server.server_id,
-            plan.decode.server.server_id,
-        }
-        if told is None:
-            # Short prompts are many and spread evenly over the gateways, so
-            # each counts its own for all instead of telling them.
-            tokens = prompt.tokens * (1 + self._notices.peers_count)
-            for engine_id in engine_ids:
-                self._caches.note_own(engine_id, tokens, memory_tokens)
-            role: fleet.Role = "prefill" if plan.prefill else "decode"
-            self._background[role].add(
-                work_s / plan.reader.pace, self._clock.monotonic_s()
-            )
-            return
-        own_tokens = prompt.tokens - told.tokens
-        for engine_id in engine_ids:
-            self._note_read(engine_id, told, memory_tokens)
-            self._caches.note_own(engine_id, own_tokens, memory_tokens)
-            is_reader = engine_id == plan.reader.server.server_id
-            self._notices.add(
-                engine_id, work_s if is_reader else 0.0, told, own_tokens
-            )
-
-    def _note_read(
-        self, engine_id: str, part: request.PromptPart, memory_tokens: int
-    ) -> None:
-        key = part_caches.part_key(part.part_id)
-        self._caches.note_read(engine_id, key, part.tokens, memory_tokens)
-
-    def on_notice(self, placements: tuple[codec.Placement, ...]) -> None:
-        """Takes in what another gateway placed."""
-        now_s = self._clock.monotonic_s()
-        for placement in placements:
-            server = self._server_by_key.get(placement.engine_key)
-            if server is None:
-                continue
-            if placement.work_s > 0:
-                self._queues.add(server.server_id, placement.work_s, now_s)
-            memory_tokens = self._memory_tokens(server.service)
-            if placement.own_tokens:
-                self._caches.note_own(
-                    server.server_id, placement.own_tokens, memory_tokens
-                )
-            if placement.part_key:
-                self._caches.note_read(
-                    server.server_id,
-                    placement.part_key,
-                    placement.part_tokens,
-                    memory_tokens,
-                )
-
     def _log(
         self,
         wanted: request.RoutedRequest,
@@ -414,23 +183,10 @@
 ) -> prompt_placement.PromptShape:
     engine = service.engine
     parts = wanted.prompt.parts if wanted.prompt else ()
-    told = _told_part(parts)
+    told = engine_account.told_part(parts)
     return prompt_placement.PromptShape(
         tokens=wanted.prompt.tokens if wanted.prompt else 0,
         shared_tokens=told.tokens if told else 0,
         kv_token_bytes=engine.kv_token_bytes if engine else 0.0,
         link_bytes_per_s=engine.link_bytes_per_s if engine else 1.0,
     )
-
-
-def _told_part(
-    parts: tuple[request.PromptPart, ...],
-) -> request.PromptPart | None:
-    """Returns the part of a prompt that is worth an account of its own.
-
-    The others together take less time to read than one placement to tell.
-    """
-    longest = max(parts[:-1], key=lambda part: part.tokens, default=None)
-    if longest is None or longest.tokens < TOLD_PART_TOKENS:
-        return None
-    return longest
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -14,6 +14,7 @@
 
 from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
+    engine_account,
     engine_pool,
     events,
     exchanges,
@@ -55,6 +56,7 @@
 
     Attributes:
         pool: Plans where prompts go.
+        account: What is known of the engines' work.
         book: What this node knows of the engines.
         client: Sends the attempts.
         budget: Bounds repeats.
@@ -62,6 +64,7 @@
     """
 
     pool: engine_pool.EnginePool
+    account: engine_account.EngineAccount
     book: server_book.ServerBook
     client: exchanges.ServerClient
     budget: repeat_budget.RepeatBudget
@@ -163,18 +166,18 @@
             self._after_failure(started.err_value)
 
     def _prefill(
-        self, placed: engine_pool.Placed, server: servers.Server
+        self, placed: engine_account.Placed, server: servers.Server
     ) -> Result[request.CacheHandle, errors.EngineError]:
         attempt = self._attempt(server)._replace(
             prefill_only=True, fetch_from=_fetch_from(placed)
         )
         began_s = self._parts.system_clock.monotonic_s()
-        awaited = self._parts.pool.reading(placed)
+        awaited = self._parts.account.reading(placed)
         try:
             with _Counted(self._parts.book, server, began_s):
                 read = self._prefill_exchange(attempt)
         except BaseException:
-            self._parts.pool.failed(awaited)
+            self._parts.account.failed(awaited)
             raise
         self._note_outcome(placed, awaited, read)
         self._log(attempt, began_s, read)
@@ -182,14 +185,14 @@
 
     def _note_outcome(
         self,
-        placed: engine_pool.Placed,
+        placed: engine_account.Placed,
         awaited: observed_waits.Awaited,
         outcome: Result[object, errors.EngineError],
     ) -> None:
         if isinstance(outcome, Ok):
-            self._parts.pool.began(placed, awaited)
+            self._parts.account.began(placed, awaited)
         else:
-            self._parts.pool.failed(awaited)
+            self._parts.account.failed(awaited)
 
     def _prefill_exchange(
         self, attempt: request.Attempt
@@ -218,7 +221,7 @@
         return self._parts.client.decode_handle(attempt.server, body.ok_value)
 
     def _generate(
-        self, placed: engine_pool.Placed
+        self, placed: engine_account.Placed
     ) -> Result[_Run, errors.EngineError]:
         server = placed.plan.decode.server
         reads_itself = self._cache is None
@@ -233,13 +236,14 @@
         began_s = self._parts.system_clock.monotonic_s()
         before = self._outcome
         self._outcome = "unknown"
-        pool = self._parts.pool
-        awaited = (pool.reading if reads_itself else pool.starting)(placed)
+        account = self._parts.account
+        sent_to = account.reading if reads_itself else account.starting
+        awaited = sent_to(placed)
         self._parts.book.began(server.server_id, began_s)
         try:
             sent = self._send(attempt, may_run_again=self._may_run_again)
         except BaseException:
-            pool.failed(awaited)
+            account.failed(awaited)
             self._parts.book.ended(server.server_id)
             raise
         self._note_outcome(placed, awaited, sent)
@@ -334,7 +338,7 @@
                 if block:
                     yield block
             self._parts.book.succeeded(run.server.server_id)
-            self._parts.pool.ended(run.server, self._since_s(began_s))
+            self._parts.account.ended(run.server, self._since_s(began_s))
             if cutter.rest:
                 yield cutter.rest
             exchange.finish()
@@ -434,7 +438,7 @@
         self._book.ended(self._server_id)
 
 
-def _fetch_from(placed: engine_pool.Placed) -> fleet.Address | None:
+def _fetch_from(placed: engine_account.Placed) -> fleet.Address | None:
     source = placed.plan.fetch_from
     return source.address if source is not None else None
 
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -23,6 +23,11 @@
 Renewals come at a third of it, 4.5 a second for nine nodes; each costs a tenth
 of a read."""
 
+TOLD_LIMIT_COUNT = 20
+"""Gateways up to which all are told of each other's work. Beyond it those of
+the own availability zone are, and what is heard stands for the others: a notice
+to each of 80 would cost five times what a node may send."""
+
 _RETRY_BASE_S = 1.0
 _RETRY_LIMIT_S = 8.0
 
@@ -32,10 +37,11 @@
 
 
 class _Registration(NamedTuple):
-    """The key of one gateway, and where it takes notices."""
+    """The key of one gateway, where it takes notices, and where it stands."""
 
     key: str
     address: fleet.Address
+    availability_zone: str
 
 
 class PeerDirectory:
@@ -55,11 +61,13 @@
         client: key_value.KeyValueClient,
         vm_id: str,
         own_address: fleet.Address,
+        availability_zone: str,
         incarnation: str,
     ):
         self._client = client
         self._own_key = f"{KEY_PREFIX}{vm_id}/{incarnation}"
-        self._own_address = own_address
+        self._own_value = f"{own_address}/{availability_zone}".encode()
+        self._availability_zone = availability_zone
         self._own_vm_id = vm_id
         self._by_vm: dict[str, _Registration] = {}
         self._watch: watch.Watch | None = None
@@ -82,9 +90,22 @@
         if self._lease is not None:
             self._lease.close()
 
+    @property
+    def gateways_count(self) -> int:
+        """All gateways, this one included."""
+        return 1 + len(self._by_vm)
+
     def addresses(self) -> tuple[fleet.Address, ...]:
-        """Returns where the other gateways take notices."""
-        return tuple(found.address for found in self._by_vm.values())
+        """Returns where the gateways take notices that this one tells."""
+        known = self._by_vm.values()
+        if len(known) > TOLD_LIMIT_COUNT:
+            zone = self._availability_zone
+            return tuple(
+                found.address
+                for found in known
+                if found.availability_zone == zone
+            )
+        return tuple(found.address for found in known)
 
     def knows(self, ip: str) -> bool:
         """Tells whether a gateway has this address."""
@@ -122,9 +143,7 @@
         if isinstance(started, Err):
             return started.err_value
         self._lease = held
-        created = held.create_key(
-            self._own_key, str(self._own_address).encode()
-        )
+        created = held.create_key(self._own_key, self._own_value)
         if isinstance(created, Err):
             held.close()
             return created.err_value
@@ -148,5 +167,6 @@
 
 
 def _registration(found: key_value.KeyValue) -> _Registration:
-    ip, _, port = found.value.decode().rpartition(":")
-    return _Registration(found.key, fleet.Address(ip, int(port)))
+    address, _, zone = found.value.decode().partition("/")
+    ip, _, port = address.rpartition(":")
+    return _Registration(found.key, fleet.Address(ip, int(port)), zone)
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -44,8 +44,13 @@
 class Peers(Protocol):
     """The other gateways."""
 
+    @property
+    def gateways_count(self) -> int:
+        """All gateways, this one included."""
+        ...
+
     def addresses(self) -> tuple[fleet.Address, ...]:
-        """Returns where they take notices."""
+        """Returns where those that are told take notices."""
         ...
 
     def knows(self, ip: str) -> bool:
@@ -86,9 +91,17 @@
         self._callback = callback
 
     @property
-    def peers_count(self) -> int:
-        """Gateways that are told."""
-        return len(self._peers.addresses())
+    def gateways_count(self) -> int:
+        """All gateways, this one included."""
+        return self._peers.gateways_count
+
+    @property
+    def heard_share(self) -> float:
+        """Part of the other gateways' work that this one hears of."""
+        others_count = self._peers.gateways_count - 1
+        if others_count <= 0:
+            return 1.0
+        return max(1, len(self._peers.addresses())) / others_count
 
     def start(self) -> None:
         """Begins to send and to receive."""
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -65,10 +65,11 @@
 
 BATCH_WEIGHT = 8.0
 """Times its own length that a reading costs at a decode engine whose slots are
-all taken; weighed against 0, 4 and 16. A piece of a prompt makes the step of the whole batch 18 ms longer,
-where a step without one takes 4 to 8 ms; with readings in each step the batch
-hands out a third of the tokens, and each request holds its slot three times as
-long. Beside an empty batch a reading delays nobody."""
+all taken; weighed against 0, 4 and 16. A piece of a prompt makes the step of
+the whole batch 18 ms longer, where a step without one takes 4 to 8 ms; with
+readings in each step the batch hands out a third of the tokens, and each
+request holds its slot three times as long. Beside an empty batch a reading
+delays nobody."""
 
 SUSPECT_COST_S = 5.0
 """More than any queue: an engine that did not answer is a last resort."""
--- a/src/mulberrywharf/policy/repeat_budget.py
+++ b/src/mulberrywharf/policy/repeat_budget.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import NamedTuple
 
 WINDOW_BUCKETS_COUNT = 10
@@ -26,13 +27,11 @@
         ratio: Repeats for each request, over all nodes.
         window_s: Length of the window in which both are counted.
         allowance_count: Repeats beyond that in each window, over all nodes.
-        nodes_count: Nodes that share the allowance, at the most.
     """
 
     ratio: float = 0.2
     window_s: float = 10.0
     allowance_count: float = 0.0
-    nodes_count: int = 1
 
 
 class _Window:
@@ -51,8 +50,17 @@
 class RepeatBudget:
     """The repeats that one node may still send, by service."""
 
-    def __init__(self, settings: RepeatBudgetSettings):
+    def __init__(
+        self, settings: RepeatBudgetSettings, nodes_count: Callable[[], int]
+    ):
+        """Makes a budget that is not spent.
+
+        Args:
+            settings: Its bounds.
+            nodes_count: Returns how many nodes share the allowance.
+        """
         self._settings = settings
+        self._nodes_count = nodes_count
         self._bucket_s = settings.window_s / WINDOW_BUCKETS_COUNT
         self._windows: dict[str, _Window] = {}
 
@@ -74,7 +82,7 @@
         settings = self._settings
         allowed = (
             SHARE_MARGIN * settings.ratio * window.requests.total()
-            + settings.allowance_count / settings.nodes_count
+            + settings.allowance_count / max(1, self._nodes_count())
         )
         if window.repeats.total() + 1 > allowed:
             return False
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -9,6 +9,7 @@
 from mulberrywharf import clock, fleet, gateway_settings
 from mulberrywharf.callers import listener, routed_server
 from mulberrywharf.forwarding import (
+    engine_account,
     engine_pool,
     exchanges,
     generation,
@@ -32,9 +33,10 @@
 platform's balancer asks once a second and takes a node out after two misses."""
 
 READINESS_INTERVAL_S = 0.2
-NODES_LIMIT_COUNT = 12
-"""Nodes that the allowance of repeats is divided by: the nine entry VMs of an
-operator of today and a spare one in each availability zone."""
+NODES_LEAST_COUNT = 12
+"""Nodes that the allowance of repeats is divided by, at the least: the nine
+entry VMs of an operator of today and a spare one in each availability zone. A
+gateway that can't see the others must not take itself for the only one."""
 
 
 class Gateway:
@@ -61,17 +63,18 @@
         self._client = exchanges.ServerClient(
             requests.ServerDialect(), self._book, self._clock
         )
-        self._budget = repeat_budget.RepeatBudget(_repeat_settings(config))
         self._peers, self._notices = self._peer_parts()
+        self._budget = repeat_budget.RepeatBudget(
+            _repeat_settings(config),
+            lambda: max(NODES_LEAST_COUNT, self._peers.gateways_count),
+        )
+        self._account = engine_account.EngineAccount(
+            self._book, self._clock, self._notices, self._memory_tokens
+        )
         self._pool = engine_pool.EnginePool(
-            self._servers,
-            self._book,
-            self._clock,
-            self._rng,
-            self._notices,
-            self._memory_tokens,
+            self._servers, self._book, self._account, self._clock, self._rng
         )
-        self._notices.on_notice(self._pool.on_notice)
+        self._notices.on_notice(self._account.on_notice)
         self._servers.on_change(self._forget_left)
         self._listener = _listener(config)
         self._callers = self._routed_server()
@@ -150,7 +153,11 @@
         incarnation = self._rng.getrandbits(32)
         address = fleet.Address(listen["ip"], listen["port"])
         peers = directory.PeerDirectory(
-            self._store, self._config["vm_id"], address, f"{incarnation:08x}"
+            self._store,
+            self._config["vm_id"],
+            address,
+            self._config["availability_zone"],
+            f"{incarnation:08x}",
         )
         return peers, notices.WorkNotices(
             address, peers, incarnation, self._clock
@@ -179,6 +186,7 @@
             generations=generation.Generations(
                 generation.Parts(
                     self._pool,
+                    self._account,
                     self._book,
                     self._client,
                     self._budget,
@@ -192,7 +200,7 @@
         known = self._servers.all()
         ids = frozenset(server.server_id for server in known)
         self._book.keep_only(ids)
-        self._pool.follow(known)
+        self._account.follow(known)
 
     def _keep_ready(self) -> None:
         while True:
@@ -225,5 +233,4 @@
         ratio=repeats["ratio"],
         window_s=repeats["window_s"],
         allowance_count=repeats["allowance_count"],
-        nodes_count=NODES_LIMIT_COUNT,
     )
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -141,9 +141,12 @@
 
 
 class RepeatBudgetTest(unittest.TestCase):
-    def budget(self, **changes: float) -> repeat_budget.RepeatBudget:
+    def budget(
+        self, nodes_count: int = 1, **changes: float
+    ) -> repeat_budget.RepeatBudget:
         return repeat_budget.RepeatBudget(
-            repeat_budget.RepeatBudgetSettings()._replace(**changes)
+            repeat_budget.RepeatBudgetSettings()._replace(**changes),
+            lambda: nodes_count,
         )
 
     def test_repeats_are_a_share_of_the_requests(self) -> None:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -6,6 +6,7 @@
 
 from mulberrywharf import clock, errors
 from mulberrywharf.forwarding import (
+    engine_account,
     engine_pool,
     exchanges,
     generation,
@@ -46,7 +47,8 @@
 class NoNotices:
     """Tells nobody."""
 
-    peers_count = 0
+    gateways_count = 1
+    heard_share = 1.0
 
     def add(self, *_: Any) -> None:
         """Drops the placement."""
@@ -61,7 +63,8 @@
         )
         self.addCleanup(self.client.close)
         self.budget = repeat_budget.RepeatBudget(
-            repeat_budget.RepeatBudgetSettings(allowance_count=100.0)
+            repeat_budget.RepeatBudgetSettings(allowance_count=100.0),
+            lambda: 1,
         )
 
     def open(
@@ -71,17 +74,24 @@
             build.server(f"s{number}", one.address, role=role, slots_count=16)
             for number, (role, one) in enumerate(scripted)
         ]
+        account = engine_account.EngineAccount(
+            self.book, self.clock, NoNotices(), lambda _: 500_000
+        )
         pool = engine_pool.EnginePool(
             StaticServers(*known),
             self.book,
+            account,
             self.clock,
             random.Random(1),
-            NoNotices(),
-            lambda _: 500_000,
         )
         made = generation.Generations(
             generation.Parts(
-                pool, self.book, self.client, self.budget, self.clock
+                pool,
+                account,
+                self.book,
+                self.client,
+                self.budget,
+                self.clock,
             )
         )
         route = build.route(
@@ -316,13 +326,15 @@
         begin after its target. Cause: it was sent all the same.
         """
         known = build.server("s0", role="decode")
+        account = engine_account.EngineAccount(
+            self.book, self.clock, NoNotices(), lambda _: 500_000
+        )
         pool = engine_pool.EnginePool(
             StaticServers(known),
             self.book,
+            account,
             self.clock,
             random.Random(1),
-            NoNotices(),
-            lambda _: 500_000,
         )
         route = build.route(kind=ONCE, timeout_s=5.0, target_s=0.4)
         service = table.Service("service", 100, build.ENGINE)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,6 +21,10 @@
     def __init__(self, *addresses: fleet.Address):
         self.known = addresses
 
+    @property
+    def gateways_count(self) -> int:
+        return 1 + len(self.known)
+
     def addresses(self) -> tuple[fleet.Address, ...]:
         return self.known
 
@@ -141,7 +145,11 @@
         client = build.store_client(self.store.port)
         self.addCleanup(client.close)
         made = directory.PeerDirectory(
-            client, name, fleet.Address("127.0.0.1", port), incarnation
+            client,
+            name,
+            fleet.Address("127.0.0.1", port),
+            "zone-a",
+            incarnation,
         )
         made.start()
         self.addCleanup(made.close)
@@ -155,6 +163,24 @@
         self.assertEqual(two.addresses(), (fleet.Address("127.0.0.1", 1),))
         self.assertTrue(one.knows("127.0.0.1"))
 
+    def test_in_a_large_fleet_the_own_zone_is_told(self) -> None:
+        """Control traffic grows with the square of the fleet.
+
+        Sequence: 80 gateways, each tells each other one. Cause: nothing
+        bounded how many are told.
+        """
+        one = self.start("one", 1)
+        for number in range(directory.TOLD_LIMIT_COUNT + 10):
+            zone = "zone-a" if number < 5 else "zone-b"
+            self.store.put(
+                f"{directory.KEY_PREFIX}vm-{number}/boot",
+                f"127.0.0.1:{1000 + number}/{zone}".encode(),
+            )
+        builders_platform.wait_until(
+            lambda: one.gateways_count == directory.TOLD_LIMIT_COUNT + 11
+        )
+        self.assertEqual(len(one.addresses()), 5)
+
     def test_a_gateway_that_closes_is_gone(self) -> None:
         one, two = self.start("one", 1), self.start("two", 2)
         builders_platform.wait_until(lambda: one.addresses())
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -50,7 +50,8 @@
         )
         self.addCleanup(self.client.close)
         self.budget = repeat_budget.RepeatBudget(
-            repeat_budget.RepeatBudgetSettings(allowance_count=100.0)
+            repeat_budget.RepeatBudgetSettings(allowance_count=100.0),
+            lambda: 1,
         )
 
     def say(self, data: bytes) -> Any:
