--- /dev/null
+++ b/bench/gateway_slopes.py
@@ -0,0 +1,143 @@
+"""What a gateway's decisions and notices cost as the fleet grows.
+
+Run as ``python -m bench.gateway_slopes``. It prints, for fleets of several
+sizes, the processor time of placing a long and a short prompt, the memory of
+the account, and the bytes of one notice to all who are told.
+"""
+
+import random
+import time
+import tracemalloc
+
+from mulberrywharf import clock, fleet
+from mulberrywharf.forwarding import (
+    engine_account,
+    engine_pool,
+    request,
+    server_book,
+    servers,
+    time_limits,
+)
+from mulberrywharf.peers import codec
+from mulberrywharf.routes import kinds, table
+
+FLEETS = (5, 28, 106, 850)
+PARTS_COUNT = 500
+RUNS_COUNT = 2_000
+_DATAGRAM_OVERHEAD_BYTES = 28
+_ENGINE = table.EngineTraits(48, 545_579, 18_432.0, 46.25e9, 5.0)
+_SERVICE = table.Service("service", 300, _ENGINE)
+_ROUTE = table.Route(
+    "route",
+    "host",
+    "/",
+    kinds.EventStream(False),
+    60.0,
+    (table.Destination("service", 1.0),),
+)
+
+
+class _AllServers:
+    """A server list of one service."""
+
+    def __init__(self, engines: list[servers.Server]):
+        self._engines = tuple(engines)
+
+    def usable(self, service: str) -> tuple[servers.Server, ...]:
+        """Returns every engine."""
+        return self._engines
+
+
+class _NoNotices:
+    """Tells nobody."""
+
+    gateways_count = 9
+    heard_share = 1.0
+
+    def add(self, *placement: object) -> None:
+        """Drops the placement."""
+
+
+def _engines(count: int) -> list[servers.Server]:
+    return [
+        servers.Server(
+            f"engine-{number}",
+            "service",
+            fleet.Address("10.0.0.1", number),
+            f"zone-{number % 3}",
+            48,
+            role="prefill" if number % 3 == 0 else "decode",
+        )
+        for number in range(count)
+    ]
+
+
+def _prompt(rng: random.Random, *, is_long: bool) -> request.Prompt:
+    shared = 13_300 if is_long else 92
+    own = 3_720 if is_long else 291
+    parts = (
+        request.PromptPart(f"{rng.randrange(PARTS_COUNT):x}", shared),
+        request.PromptPart(f"{rng.getrandbits(32):x}", own),
+    )
+    return request.Prompt("m", shared + own, 100, parts)
+
+
+def _place_ms(engines_count: int, *, is_long: bool) -> tuple[float, float]:
+    """Returns processor milliseconds a placing, and MB of the account."""
+    rng = random.Random(1)
+    system_clock = clock.SystemClock()
+    book = server_book.ServerBook("zone-0")
+    tracemalloc.start()
+    account = engine_account.EngineAccount(
+        book, system_clock, _NoNotices(), lambda _: _ENGINE.kv_tokens
+    )
+    pool = engine_pool.EnginePool(
+        _AllServers(_engines(engines_count)), book, account, system_clock, rng
+    )
+
+    def place() -> None:
+        now_s = system_clock.monotonic_s()
+        wanted = request.RoutedRequest(
+            "id", "POST", "/", "/", "host", (), b"", now_s, now_s + 60.0
+        )._replace(prompt=_prompt(rng, is_long=is_long))
+        limit = time_limits.TimeLimit.of(wanted, _ROUTE, system_clock)
+        pool.place(
+            wanted,
+            _ROUTE,
+            _SERVICE,
+            limit,
+            excluded=frozenset(),
+            may_refuse=False,
+        )
+
+    for _ in range(RUNS_COUNT):
+        place()
+    held_mb = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    began_s = time.process_time()
+    for _ in range(RUNS_COUNT):
+        place()
+    return (time.process_time() - began_s) / RUNS_COUNT * 1e3, held_mb
+
+
+def main() -> None:
+    """Prints the table."""
+    from loguru import logger
+
+    logger.remove()
+    print("engines  long_ms  short_ms  account_mb")
+    for count in FLEETS:
+        long_ms, held_mb = _place_ms(count, is_long=True)
+        short_ms, _ = _place_ms(count, is_long=False)
+        print(f"{count:7d}  {long_ms:7.3f}  {short_ms:8.3f}  {held_mb:10.2f}")
+    placements = tuple(
+        codec.Placement(number, 0.1, number, 13_300, 3_720)
+        for number in range(2)
+    )
+    datagram = codec.encode(codec.Notice(1, 1, placements))
+    notice_bytes = len(datagram) + _DATAGRAM_OVERHEAD_BYTES
+    print(f"one notice of a handed over prompt: {notice_bytes} bytes a peer")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -148,12 +148,13 @@
         pace: float,
     ) -> list[prompt_placement.EngineView]:
         shared = engine_account.told_part(parts)
-        if shared is None:
-            return [self._account.view(one, parts, pace) for one in among]
-        ranked = prompt_placement.homes(shared.part_id, among)
+        homes = prompt_placement.homes(shared.part_id, among) if shared else []
+        looked_at = prompt_placement.sample(homes, among, self._rng)
         return [
-            self._account.view(one, parts, pace, is_home=one is ranked[0])
-            for one in ranked
+            self._account.view(
+                one, parts, pace, is_home=bool(homes) and one is homes[0]
+            )
+            for one in looked_at
         ]
 
     def _log(
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -11,6 +11,7 @@
 it takes from others.
 """
 
+import random
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
@@ -82,8 +83,12 @@
 ties, so that parts spread evenly and nodes that choose at once choose alike."""
 
 SHORTLIST_COUNT = 3
-"""Homes of a part that are looked at, of each role. With more, a decision
-takes longer in a large fleet and seldom differs."""
+"""Homes of a part that are always looked at, of each role."""
+
+SAMPLE_COUNT = 8
+"""Engines of each role that are looked at. All ways between them are compared,
+so a decision costs the square of it; the best of eight is seldom much worse
+than the best of all, and gateways that look at all herd to the same one."""
 
 
 class EngineView(NamedTuple):
@@ -186,6 +191,25 @@
     return ranked[:count]
 
 
+def sample(
+    homes_first: Sequence[servers.Server],
+    among: Sequence[servers.Server],
+    rng: random.Random,
+) -> list[servers.Server]:
+    """Returns the engines of one role that are looked at for a prompt.
+
+    Args:
+        homes_first: Homes of its shared part; always among them.
+        among: All engines of the role.
+        rng: Draws the others.
+    """
+    if len(among) <= SAMPLE_COUNT:
+        return list(among)
+    others = [one for one in among if one not in homes_first]
+    drawn = rng.sample(others, SAMPLE_COUNT - len(homes_first))
+    return [*homes_first, *drawn]
+
+
 def plans(
     shape: PromptShape,
     prefills: Sequence[EngineView],
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -1,5 +1,6 @@
 """Where prompts go: homes, direct, split, fetched, and the load they answer."""
 
+import random
 import unittest
 
 from mulberrywharf.policy import engine_queues, prompt_placement
@@ -127,6 +128,20 @@
         self.assertEqual(moved, 0)
 
 
+class SampleTest(unittest.TestCase):
+    def test_a_small_fleet_is_looked_at_whole(self) -> None:
+        engines = [build.server(f"e{number}") for number in range(5)]
+        found = prompt_placement.sample([], engines, random.Random(1))
+        self.assertEqual(found, engines)
+
+    def test_a_large_fleet_is_sampled_with_the_homes(self) -> None:
+        engines = [build.server(f"e{number}") for number in range(100)]
+        homes = prompt_placement.homes("part", engines)
+        found = prompt_placement.sample(homes, engines, random.Random(1))
+        self.assertEqual(found[:3], homes)
+        self.assertEqual(len(set(found)), prompt_placement.SAMPLE_COUNT)
+
+
 class BurstTest(unittest.TestCase):
     """Plays a burst of long prompts on two prefill and three decode engines.
 
