Keep a handle that no engine was asked to take

Cause: when the decode engine could not be reached the prefilled prompt was given up and read again, and its handle filled the engine until it lapsed. Change: nothing was sent, so the handle goes to the next engine or is freed. Measured: test only; the former test allowed both ways and is strict now.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -250,6 +250,9 @@
         self._log(attempt, began_s, sent)
         if isinstance(sent, Err):
             self._parts.book.ended(server.server_id)
+            if isinstance(sent.err_value, errors.EngineUnreachableError):
+                # Nothing left, so the handle is still there for another.
+                self._cache = attempt.cache
             if sent.err_value.outcome == "not-run":
                 self._outcome = before
             else:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -296,7 +296,25 @@
             self.body(self.prefill(), gone, prompt=build.prompt(), kind=ONCE)
         self.assertEqual(caught.exception.outcome, "not-run")
         builders_engines.gevent.sleep(0.05)
-        self.assertIn(self.freed, ([], [b"/kv-handle/h1"]))
+        self.assertEqual(self.freed, [b"/kv-handle/h1"])
+
+    def test_a_handle_outlives_an_engine_out_of_reach(self) -> None:
+        """A long prompt is read twice, or refused, in a crash.
+
+        Sequence: the decode engine that was to take the prefill can't be
+        reached. Cause: the handle was given up although nothing was sent.
+        """
+        gone = self.say(b"")
+        gone[1].close()
+        decode = self.say(HEAD + chunks(event(1)))
+        prefill = self.prefill()
+        for engines in ((gone, decode), (decode, gone)):
+            self.book = server_book.ServerBook("zone-a")
+            body = self.body(
+                prefill, *engines, prompt=build.prompt(), kind=ONCE
+            )
+            self.assertEqual(body, event(1))
+        self.assertEqual(len(prefill[1].requests), 2)
 
     def test_a_lost_run_of_a_handed_over_prompt_is_not_repeated(self) -> None:
         lost = self.decode(lambda sock, _: sock.close())
