--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test lint format bench bench-long clean
+.PHONY: setup demo test lint format soak bench bench-long clean
 
 setup: $(STAMP)
 
@@ -30,6 +30,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+soak: setup
+	$(BIN)/python -m bench.gateway_soak
+
 bench: setup
 	$(BIN)/python -m bench.run --short
 
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -24,8 +24,8 @@
 
 READ_INTERVAL_S = 5.0
 """Between readings, each of which may be stale and costs a tenth. A watch would
-bring each of 80 registrations to each of 80 gateways: 6,400 calls at a start,
-as many as such a fleet sends for all else in a minute."""
+bring each registration to each gateway: with it 80 gateways sent 6,476 calls in
+their first 31 s, with this 6,052."""
 
 FIRST_READ_S = 1.5
 """After the start: all start together, and have registered by then."""
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -15,6 +15,7 @@
 
 _EVENTS_COUNT = 5
 _PAUSE_S = 0.01
+_REFUSED = [("X-Mulberrywharf-Not-Executed", "1"), ("content-length", "0")]
 
 
 class PlatformServerStandin:
@@ -25,7 +26,9 @@
         runs: Every request that it ran.
         handles: Prefilled prompts that nobody has freed.
         faults: ``delay_s`` holds answers back, ``break_after`` ends a stream
-            behind that event.
+            behind that event, ``refuse`` answers that nothing ran, ``lose``
+            runs a request and closes its connection, ``foreign`` answers
+            with another request's id.
     """
 
     def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
@@ -53,6 +56,9 @@
         if self._header(environ, "EXPECTED_INSTANCE") != self._server_id:
             start_response("421 Misdirected", [("content-length", "0")])
             return []
+        if self.faults.get("refuse"):
+            start_response("503 Busy", _REFUSED)
+            return []
         return self._run(environ, start_response)
 
     def _run(
@@ -64,9 +70,10 @@
             self.handles.add(handle)
             return _say({"kv-handle": handle}, start_response)
         source = self._header(environ, "KV_SOURCE")
+        request_id = self._header(environ, "REQUEST_ID")
         self.runs.append(
             {
-                "id": self._header(environ, "REQUEST_ID"),
+                "id": request_id,
                 "path": environ["PATH_INFO"],
                 "body": body.decode(),
                 "source": source,
@@ -74,10 +81,13 @@
             }
         )
         gevent.sleep(self.faults.get("delay_s", 0.0))
+        if self.faults.get("lose"):
+            return http_control.cut(environ, start_response)
+        echoed = "another" if self.faults.get("foreign") else request_id
         headers = [
             (
                 "X-Mulberrywharf-Request-Id",
-                self._header(environ, "REQUEST_ID"),
+                echoed,
             ),
             ("X-Mulberrywharf-Response-Signature", self._server_id),
             ("X-Mulberrywharf-Instance-Load", "1,0,6"),
@@ -94,7 +104,11 @@
         for number in range(first, _EVENTS_COUNT + 1):
             if number > self.faults.get("break_after", _EVENTS_COUNT):
                 raise ConnectionError("told to break off")
-            yield b"id: %d\ndata: %d\n\n" % (number, number)
+            yield b"id: %d\ndata: %s %d\n\n" % (
+                number,
+                self._header(environ, "REQUEST_ID").encode(),
+                number,
+            )
             gevent.sleep(_PAUSE_S)
 
     def _header(self, environ: dict[str, Any], name: str) -> str:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -192,7 +192,7 @@
         stream = self.ask("/stream/x", fields=TOKENS)
         runs = self.decodes[0].runs + self.decodes[1].runs
         self.assertEqual([run["after"] for run in runs][-1], "3")
-        self.assertEqual(stream.body.count(b"data: 3"), 1)
+        self.assertEqual(stream.body.count(b"data: id-1 3"), 1)
 
     def test_routes_change_while_serving(self) -> None:
         self.write_routes()
