Register anew without waiting, collect changes, log what is regained

Change: a key for each registration, 0.15 s between an answer with changes and the next call, a line.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -72,7 +72,8 @@
         incarnation: str,
     ):
         self._client = client
-        self._own_key = f"{KEY_PREFIX}{vm_id}/{incarnation}"
+        self._incarnation = incarnation
+        self._registrations_count = 0
         self._own_value = f"{own_address}/{availability_zone}".encode()
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
@@ -147,11 +148,18 @@
         if isinstance(started, Err):
             return started.err_value
         self._lease = held
-        created = held.create_key(self._own_key, self._own_value)
+        # Where a renewal failed the key of before may still be there, under
+        # a lease that has yet to lapse; a new key waits for nobody.
+        self._registrations_count += 1
+        key = (
+            f"{KEY_PREFIX}{self._own_vm_id}/"
+            f"{self._incarnation}-{self._registrations_count}"
+        )
+        created = held.create_key(key, self._own_value)
         if isinstance(created, Err):
             held.close()
             return created.err_value
-        logger.bind(key=self._own_key).info("registered")
+        logger.bind(key=key).info("registered")
         return None
 
     def _follow(self) -> None:
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+import gevent
 from result import Err, Ok, Result
 
 from mulberrywharf import errors
@@ -19,6 +20,11 @@
 LONGEST_WAIT_S = 30.0
 """The store keeps a watch waiting no longer than this."""
 
+_COLLECTING_S = 0.15
+"""After an answer that brought changes, before the next call. Each answer is
+paid for; servers that register one by one at a start would wake each of 80
+gateways for each of them. A change that follows is in force that much later."""
+
 _ANSWER_MARGIN_S = 0.4
 """Beyond the wait, for an answer of a store that is slow but serves: 4 ms as a
 rule, 240 ms when it is sixty times slower."""
@@ -181,8 +187,11 @@
         self._wanted = wanted
         self._wait_ms = int(wait_s * _MS_PER_S)
         self._revision = wanted.known_revision
+        self._brought_changes = False
 
     def read(self) -> dialect.WatchMessage | None:
+        if self._brought_changes:
+            gevent.sleep(_COLLECTING_S)
         query = {
             "prefix": self._wanted.prefix,
             "after": str(self._revision),
@@ -195,10 +204,9 @@
             return self._failed(answered.err_value)
         message = answered.ok_value
         self._revision = int(message["store-revision"])
-        return dialect.WatchMessage(
-            tuple(_decode_event(event) for event in message["events"]),
-            self._state(),
-        )
+        events = tuple(_decode_event(event) for event in message["events"])
+        self._brought_changes = bool(events)
+        return dialect.WatchMessage(events, self._state())
 
     def _failed(self, error: errors.PlatformError) -> dialect.WatchMessage:
         if isinstance(error, errors.HistoryGoneError):
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -155,11 +155,18 @@
             if not self._is_continuous(message):
                 self._state = None
                 return True
-            self._failures_count = 0
+            self._note_regained()
             brought_any = True
             self._client.note_watch_message()
             self._take_events(message)
 
+    def _note_regained(self) -> None:
+        if self._failures_count:
+            logger.bind(
+                prefix=self._prefix, failures_count=self._failures_count
+            ).info("watch regained")
+        self._failures_count = 0
+
     def _is_continuous(self, message: dialect.WatchMessage) -> bool:
         """Tells whether the stream goes on where this watch stopped.
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -227,6 +227,18 @@
             builders_platform.wait_until(lambda: one.addresses(), limit_s)
         )
 
+    def test_a_new_registration_does_not_wait_for_the_old_lease(self) -> None:
+        """A gateway is not told of work for seconds after a lost renewal.
+
+        Sequence: the renewal of its lease fails for so long that it gives the
+        lease up; the store has not let it lapse yet. Cause: the same key was
+        created again, and it was still there.
+        """
+        one = self.start("one", 1)
+        builders_platform.wait_until(lambda: self.registered_count() == 1)
+        self.assertIsNone(one._register(gevent.event.Event()))
+        self.assertEqual(self.registered_count(), 2)
+
     def registered_count(self) -> int:
         prefix = directory.KEY_PREFIX.encode()
         return sum(key.startswith(prefix) for key in self.store.store.records)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -185,6 +185,25 @@
         self.client.get("a/k", purpose="test")
         self.assertLessEqual(len(self.store.calls), 4)
 
+    def test_changes_that_follow_each_other_cost_few_calls(self) -> None:
+        """A start of the fleet is paid for by thousands of calls.
+
+        Sequence: servers register one after the other; each wakes the watch
+        of each gateway. Cause: the next call was sent at once.
+        """
+        seen: list[str] = []
+        watch = self.client.watch(
+            "a/", lambda event: seen.append(event.kind), purpose="test"
+        )
+        self.addCleanup(watch.close)
+        builders_platform.wait_until(lambda: len(self.store.calls) >= 2)
+        for number in range(40):
+            self.store.put(f"a/{number}", b"x")
+            builders_platform.gevent.sleep(0.02)
+        builders_platform.wait_until(lambda: len(seen) == 40)
+        self.assertEqual(len(seen), 40)
+        self.assertLess(len(self.store.calls), 20)
+
     def test_a_watch_brings_changes_and_deletions(self) -> None:
         seen: list[tuple[str, str]] = []
         self.store.put("a/1", b"x")
