--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -39,6 +39,11 @@
 
 _HANDSHAKE_S = 0.1
 """Longer than a handshake with a caller that has begun one takes."""
+_FIRST_REQUEST_S = 1.0
+"""How long a stop waits for the first request of a connection that was made
+just before it. A caller that is short of processor time needs some 100 ms and
+more between connecting and sending; closed at once, it sees its request cut."""
+
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FIELD = re.compile(
     rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\x7e\x80-\xff]*)\r\n"
@@ -128,6 +133,7 @@
     def handle_one_response(self) -> None:
         """Answers one request, and ends the connection when stopping."""
         self.server.busy_sockets.add(self.socket)
+        self.server.note_request(self.socket)
         try:
             super().handle_one_response()
         finally:
@@ -181,6 +187,9 @@
         self.stopping = False
         self.busy_sockets: set[Any] = set()
         self._open_sockets: set[Any] = set()
+        self._fresh_sockets: set[Any] = set()
+        self._none_fresh = gevent.event.Event()
+        self._none_fresh.set()
         self._all_closed = gevent.event.Event()
         self._all_closed.set()
 
@@ -205,6 +214,8 @@
     def handle(self, sock: Any, address: Any) -> None:
         """Serves one accepted connection until it ends."""
         self._open_sockets.add(sock)
+        self._fresh_sockets.add(sock)
+        self._none_fresh.clear()
         self._all_closed.clear()
         sock.settimeout(self._idle_timeout_s)
         try:
@@ -212,10 +223,17 @@
         except OSError as error:
             logger.debug("a caller's connection broke: {}", error)
         finally:
+            self.note_request(sock)
             self._open_sockets.discard(sock)
             if not self._open_sockets:
                 self._all_closed.set()
 
+    def note_request(self, sock: Any) -> None:
+        """Notes that a connection has had its first request, or its end."""
+        self._fresh_sockets.discard(sock)
+        if not self._fresh_sockets:
+            self._none_fresh.set()
+
     def announce_stop(self) -> None:
         """Makes every further answer the last one of its connection."""
         self.stopping = True
@@ -235,6 +253,7 @@
             self.do_handle(*accepted)
         self.socket.close()
         gevent.sleep(0)
+        self._none_fresh.wait(_FIRST_REQUEST_S)
         for idle in self._open_sockets - self.busy_sockets:
             _end_reading(idle)
         self._all_closed.wait()
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -330,6 +330,22 @@
             self.assertIn(b"200 OK", sock.recv(65_536))
         finishing.get(timeout=_JOIN_S)
 
+    def test_a_caller_slow_to_send_its_first_request_is_served(self) -> None:
+        """A request is cut by a stop on a busy machine.
+
+        Symptom: a new connection closes without an answer.
+        Sequence: a caller connects just before the listener closes, and sends
+        its request some 300 ms later, for want of processor time.
+        Cause: connections without a request were ended at once.
+        """
+        self.may_end.set()
+        sock = self.connect()
+        finishing = gevent.spawn(self.listener.finish)
+        gevent.sleep(0.3)
+        sock.sendall(callers_fixture.request_bytes("GET", "/"))
+        self.assertIn(b"200 OK", sock.recv(65_536))
+        finishing.get(timeout=_JOIN_S)
+
     def test_request_that_races_with_the_end_of_reading_is_served(
         self,
     ) -> None:
