Leave connections open for the next request behind a stream that ends in a stop

Cause: test_stop_under_load_cuts_nothing failed beside load in the part that streams ("connection closed"), never in the part that posts. A stream whose head went out before the stop says nothing of the end of its connection; a stop closed it right behind the stream, while the caller's next request was on its way. Ruled out: callers slow to send their first request (the earlier guess; all eight tracebacks are of kept connections), an error of the router (none logged). Change: a connection is closed behind an answer only if that answer said so. Else it stays open for 1 s from its last answer or its accept, for a request whose answer says it. One rule takes the place of the wait for first requests. Test: a stream begun before a stop, whose caller sends again 0.3 s after its end; red before.

--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -10,6 +10,7 @@
 import io
 import re
 import socket
+import time
 from typing import Any
 
 import gevent
@@ -39,10 +40,15 @@
 
 _HANDSHAKE_S = 0.1
 """Longer than a handshake with a caller that has begun one takes."""
-_FIRST_REQUEST_S = 1.0
-"""How long a stop waits for the first request of a connection that was made
-just before it. A caller that is short of processor time needs some 100 ms and
-more between connecting and sending; closed at once, it sees its request cut."""
+_NEXT_REQUEST_S = 1.0
+"""How long a stop leaves a connection open for its next request, counted from
+its accept or its last answer. Its caller was not told that the connection
+ends: the head of that answer went out before the stop. Closed at once, the
+request that is on its way is cut; a caller that is short of processor time
+needs some 100 ms and more to send it."""
+_END_IDLE_INTERVAL_S = 0.05
+"""How often a stop looks for connections that became idle; a twentieth of
+what they are left open for."""
 
 _TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 _FIELD = re.compile(
@@ -133,13 +139,13 @@
     def handle_one_response(self) -> None:
         """Answers one request, and ends the connection when stopping."""
         self.server.busy_sockets.add(self.socket)
-        self.server.note_request(self.socket)
         try:
             super().handle_one_response()
         finally:
             self.server.busy_sockets.discard(self.socket)
+            self.server.note_use(self.socket)
         # What is left of a body would be read as the next request's head.
-        if self.server.stopping or not self.wsgi_input.is_whole:
+        if not self.wsgi_input.is_whole:
             self.close_connection = True
 
     def finalize_headers(self) -> None:
@@ -186,10 +192,8 @@
         self._idle_timeout_s = idle_timeout_s
         self.stopping = False
         self.busy_sockets: set[Any] = set()
-        self._open_sockets: set[Any] = set()
-        self._fresh_sockets: set[Any] = set()
-        self._none_fresh = gevent.event.Event()
-        self._none_fresh.set()
+        self._last_use_s: dict[Any, float] = {}
+        """Open connections, and when each was accepted or last answered on."""
         self._all_closed = gevent.event.Event()
         self._all_closed.set()
 
@@ -213,9 +217,7 @@
 
     def handle(self, sock: Any, address: Any) -> None:
         """Serves one accepted connection until it ends."""
-        self._open_sockets.add(sock)
-        self._fresh_sockets.add(sock)
-        self._none_fresh.clear()
+        self.note_use(sock)
         self._all_closed.clear()
         sock.settimeout(self._idle_timeout_s)
         try:
@@ -223,16 +225,13 @@
         except OSError as error:
             logger.debug("a caller's connection broke: {}", error)
         finally:
-            self.note_request(sock)
-            self._open_sockets.discard(sock)
-            if not self._open_sockets:
+            del self._last_use_s[sock]
+            if not self._last_use_s:
                 self._all_closed.set()
 
-    def note_request(self, sock: Any) -> None:
-        """Notes that a connection has had its first request, or its end."""
-        self._fresh_sockets.discard(sock)
-        if not self._fresh_sockets:
-            self._none_fresh.set()
+    def note_use(self, sock: Any) -> None:
+        """Notes that a connection was accepted, or answered on, just now."""
+        self._last_use_s[sock] = time.monotonic()
 
     def announce_stop(self) -> None:
         """Makes every further answer the last one of its connection."""
@@ -253,10 +252,15 @@
             self.do_handle(*accepted)
         self.socket.close()
         gevent.sleep(0)
-        self._none_fresh.wait(_FIRST_REQUEST_S)
-        for idle in self._open_sockets - self.busy_sockets:
-            _end_reading(idle)
-        self._all_closed.wait()
+        while self._last_use_s:
+            self._end_idle()
+            self._all_closed.wait(_END_IDLE_INTERVAL_S)
+
+    def _end_idle(self) -> None:
+        unused_since_s = time.monotonic() - _NEXT_REQUEST_S
+        for sock, last_use_s in self._last_use_s.items():
+            if last_use_s <= unused_since_s and sock not in self.busy_sockets:
+                _end_reading(sock)
 
 
 def _no_application(
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import unittest
+from collections.abc import Iterator
 from typing import Any
 
 import gevent
@@ -346,6 +347,44 @@
         self.assertIn(b"200 OK", sock.recv(65_536))
         finishing.get(timeout=_JOIN_S)
 
+    def test_a_stream_begun_before_the_stop_leaves_its_connection_open(
+        self,
+    ) -> None:
+        """A caller's next request is cut by a stop.
+
+        Symptom: "connection closed" for the request behind a stream.
+        Sequence: the head of a stream goes out, the stop begins, the stream
+        ends whole; its caller sends the next request on that connection.
+        Cause: the connection was closed behind the stream, though the head
+        had not said so.
+        """
+        self.listener.serve(self._answer_in_two_parts)
+        sock = self.connect()
+        sock.sendall(callers_fixture.request_bytes("GET", "/"))
+        self.assertIn(b"200 OK", sock.recv(65_536))
+        self.listener.announce_stop()
+        finishing = gevent.spawn(self.listener.finish)
+        gevent.sleep(0.3)
+        self.may_end.set()
+        received = b""
+        while not received.endswith(b"0\r\n\r\n"):
+            part = sock.recv(65_536)
+            self.assertNotEqual(part, b"")
+            received += part
+        gevent.sleep(0.3)
+        sock.sendall(callers_fixture.request_bytes("GET", "/"))
+        head = callers_fixture.head_of(sock.recv(65_536))
+        self.assertEqual(head["connection"], "close")
+        finishing.get(timeout=_JOIN_S)
+
+    def _answer_in_two_parts(
+        self, environ: Any, start_response: Any
+    ) -> Iterator[bytes]:
+        start_response("200 OK", [("content-type", "text/plain")])
+        yield b"first"
+        self.may_end.wait()
+        yield b"second"
+
     def test_request_that_races_with_the_end_of_reading_is_served(
         self,
     ) -> None:
@@ -360,7 +399,7 @@
         sock = self.connect()
         sock.sendall(callers_fixture.request_bytes("GET", "/"))
         self.assertIn(b"200 OK", sock.recv(65_536))
-        (accepted,) = self.listener._open_sockets
+        (accepted,) = self.listener._last_use_s
         # No greenlet runs between these two.
         sock._sock.send(callers_fixture.request_bytes("GET", "/"))
         listener._end_reading(accepted)
