Soak gateways behind fault proxies on every way

Ruled out: clock jumps (gateways go by the steady clock, which nothing outside can set), a proxy for the notices between gateways (datagrams; pauses lose them). Change: a package `soak` with a module for callers on kept connections, the fleet, faults, promises and the play of a seed. New faults: nine of ways; a store that loses answers and drops its history; callers that leave. New promises: an answer soon after the deadline, service again behind the faults. What excuses a missing answer is exact: a kill, a harmed way, or a connection that the gateway never took. HTTP by the standard library's client.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(BIN)/ruff check --fix .
 
 soak: setup
-	$(BIN)/python -m bench.gateway_soak
+	$(BIN)/python -m soak
 
 bench: setup
 	$(BIN)/python -m bench.run --short
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,45 @@
+"""``python -m soak``: plays seeds and prints which promises were broken."""
+
+import argparse
+import collections
+import sys
+
+from soak import play, seeds
+
+DEFAULT_LENGTH_S = 5.0
+_SHOWN_LIMIT_COUNT = 10
+
+
+def _range(text: str) -> list[int]:
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+def main() -> int:
+    """Plays the seeds; returns 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seeds", type=_range, default=_range("1-50"))
+    parser.add_argument("--length-s", type=float, default=DEFAULT_LENGTH_S)
+    arguments = parser.parse_args()
+    failed_count = 0
+    for seed in [*seeds.ONCE_FAILED, *arguments.seeds]:
+        outcome = play.play(seed, arguments.length_s)
+        failed_count += bool(outcome.broken)
+        _print(seed, outcome)
+    print(f"{failed_count} seeds broke a promise")
+    return 1 if failed_count else 0
+
+
+def _print(seed: int, outcome: play.Outcome) -> None:
+    statuses = collections.Counter(call.status for call in outcome.calls)
+    print(
+        f"seed {seed}: {outcome.faults.total()} faults, "
+        f"{len(outcome.calls)} calls {dict(statuses.most_common())}",
+        flush=True,
+    )
+    for line in outcome.broken[:_SHOWN_LIMIT_COUNT]:
+        print(f"  broken: {line}", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/calls.py
@@ -0,0 +1,195 @@
+"""Callers of the soak: requests on kept connections, and what came back."""
+
+import http.client
+import itertools
+import random
+import time
+from typing import NamedTuple
+
+import gevent
+from gevent import socket
+
+from soak import fleet
+from tests import builders_routes as build
+
+KINDS = ("safe", "unsafe", "stream")
+DEADLINE_MS = 2_000
+"""What callers give each request; longer than any fault on a server but the
+longest delay, so that answers in time and too late both occur."""
+
+ANSWER_TIMEOUT_S = 6.0
+"""A caller gives up then; three times the deadline, so that a gateway which
+answers late is told from one that never does."""
+
+_CONNECT_TIMEOUT_S = 1.0
+_PAUSE_LIMIT_S = 0.05
+_LEAVE_CHANCE = 0.03
+_LEAVE_AFTER_S = 0.2
+_KEEP_CHANCE = 0.9
+
+
+class Call(NamedTuple):
+    """One request as its caller saw it.
+
+    Attributes:
+        request_id: Its id.
+        kind: One of ``KINDS``.
+        status: HTTP status, 0 for no answer.
+        has_receipt: Whether the answer bears a server's receipt.
+        body: What came of the body, chunks joined.
+        is_whole: Whether the body ended as it should.
+        gateway: Index of the gateway.
+        connected_s: Monotonic time at which its connection was made.
+        has_left: Whether the caller closed the connection itself.
+        is_reached: Whether a gateway was behind the connection.
+        began_s: Monotonic time of the call.
+        ended_s: Monotonic time of its end.
+    """
+
+    request_id: str
+    kind: str
+    status: int
+    has_receipt: bool
+    body: bytes
+    is_whole: bool
+    gateway: int
+    connected_s: float
+    has_left: bool
+    is_reached: bool
+    began_s: float
+    ended_s: float
+
+
+class Caller:
+    """One caller; it keeps its connection until that is closed."""
+
+    def __init__(self, played: fleet.Fleet, rng: random.Random):
+        self.calls: list[Call] = []
+        self._fleet = played
+        self._rng = rng
+        self._connection: _Connection | None = None
+
+    def run(self) -> None:
+        """Calls until the fleet is over."""
+        while not self._fleet.is_over:
+            if self._connect():
+                self._call()
+            gevent.sleep(self._rng.uniform(0.0, _PAUSE_LIMIT_S))
+        self._hang_up()
+
+    def _connect(self) -> bool:
+        """Returns whether there is a connection, new or kept."""
+        if self._connection is not None:
+            return True
+        gateway = self._rng.randrange(len(self._fleet.gateways))
+        made = _Connection(gateway, self._fleet.callers_port(gateway))
+        try:
+            made.connect()
+        except OSError:
+            return False
+        self._connection = made
+        return True
+
+    def _call(self) -> None:
+        connection = self._connection
+        assert connection is not None
+        kind = self._rng.choice(KINDS)
+        request_id = f"{self._rng.getrandbits(48):012x}"
+        leaves = self._rng.random() < _LEAVE_CHANCE
+        began_s = time.monotonic()
+        leaving = None
+        if leaves:
+            leaving = gevent.spawn_later(_LEAVE_AFTER_S, connection.leave)
+        status, has_receipt, body, is_whole = _exchange(
+            connection, kind, request_id
+        )
+        if leaving is not None:
+            leaving.kill()
+        self.calls.append(
+            Call(
+                request_id,
+                kind,
+                status,
+                has_receipt,
+                body,
+                is_whole,
+                connection.gateway,
+                connection.connected_s,
+                connection.has_left,
+                self._fleet.reached(connection.gateway, connection.own_port),
+                began_s,
+                time.monotonic(),
+            )
+        )
+        may_keep = is_whole and connection.sock is not None
+        if not may_keep or self._rng.random() > _KEEP_CHANCE:
+            self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+
+class _Connection(http.client.HTTPConnection):
+    """A connection to one gateway, on gevent's sockets."""
+
+    auto_open = 0
+
+    def __init__(self, gateway: int, port: int):
+        super().__init__(fleet.LOOPBACK, port)
+        self.gateway = gateway
+        self.connected_s = time.monotonic()
+        self.own_port = 0
+        self.has_left = False
+
+    def connect(self) -> None:
+        self.sock = socket.create_connection(
+            (self.host, self.port), timeout=_CONNECT_TIMEOUT_S
+        )
+        self.sock.settimeout(ANSWER_TIMEOUT_S)
+        self.own_port = self.sock.getsockname()[1]
+
+    def leave(self) -> None:
+        """Ends the connection in the middle of whatever it carries."""
+        self.has_left = True
+        if self.sock is not None:
+            self.sock.shutdown(socket.SHUT_RDWR)
+
+
+def _exchange(
+    connection: _Connection, kind: str, request_id: str
+) -> tuple[int, bool, bytes, bool]:
+    """Returns status, whether there is a receipt, the body, and its wholeness.
+
+    Status 0 stands for a connection that ended without a head.
+    """
+    fields = {
+        "host": build.HOST,
+        "x-mulberrywharf-request-id": request_id,
+        "x-mulberrywharf-deadline-ms": str(DEADLINE_MS),
+    }
+    if kind == "stream":
+        fields |= {
+            "x-mulberrywharf-model": "m",
+            "x-mulberrywharf-token-usage": "16000,50",
+            "x-mulberrywharf-prompt-prefix": f"aa:13000,{request_id}:3000",
+        }
+    try:
+        connection.request("POST", f"/{kind}/x", request_id, fields)
+        answer = connection.getresponse()
+    except (OSError, http.client.HTTPException):
+        return 0, False, b"", False
+    has_receipt = "x-mulberrywharf-response-signature" in answer.headers
+    try:
+        body, is_whole = answer.read(), True
+    except http.client.IncompleteRead as error:
+        body, is_whole = error.partial, False
+    except (OSError, http.client.HTTPException):
+        body, is_whole = b"", False
+    return answer.status, has_receipt, body, is_whole
+
+
+def all_of(callers: list[Caller]) -> list[Call]:
+    """Returns every call that the callers made."""
+    return list(itertools.chain(*(caller.calls for caller in callers)))
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,146 @@
+"""The faults of one seed; they come in series and overlap."""
+
+import collections
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+
+from soak import fleet
+
+_PAUSE_S = (0.05, 0.5)
+_TASKS_LIMIT_S = 60.0
+"""For the last faults to end: a stop takes its grace and a start."""
+
+_WEIGHT_BY_FAULT = {"server": 3, "way": 4, "store": 2, "signal": 3}
+_SERVER_FAULTS: tuple[dict[str, Any], ...] = (
+    {"refuse": 1},
+    {"lose": 1},
+    {"foreign": 1},
+    {"delay_s": 0.6},
+    {"delay_s": 3.0},
+    {"break_after": 2},
+)
+_STORE_FAULTS: tuple[dict[str, Any], ...] = (
+    {"down": True},
+    {"status": 503},
+    {"status": 429},
+    {"silent": 2.0},
+    {"lose_answers": True},
+    {"drop_history": True},
+)
+_WAY_FAULTS: tuple[dict[str, Any], ...] = (
+    {"mode": "cut"},
+    {"mode": "refuse"},
+    {"mode": "freeze"},
+    {"mode": "half-open-up"},
+    {"mode": "half-open-down"},
+    {"delay_ms": 80.0},
+    {"delay_ms": 400.0},
+    {"reset_after_down_bytes": 300},
+    {"reset_after_up_bytes": 200},
+)
+_NO_WAY_FAULT: dict[str, Any] = {
+    "mode": "pass",
+    "delay_ms": 0.0,
+    "reset_after_down_bytes": None,
+    "reset_after_up_bytes": None,
+}
+_SIGNALS = (
+    signal.SIGHUP,
+    signal.SIGSTOP,
+    signal.SIGTERM,
+    signal.SIGKILL,
+)
+
+
+class Faults:
+    """Plays faults on a fleet.
+
+    Attributes:
+        counts: Faults that took place, by name.
+    """
+
+    def __init__(self, played: fleet.Fleet, rng: random.Random):
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._fleet = played
+        self._rng = rng
+        self._tasks: list[gevent.Greenlet] = []
+
+    def play(self, length_s: float) -> None:
+        """Plays faults for a time and waits until the last has ended."""
+        plays: dict[str, Callable[[], None]] = {
+            "server": self._harm_server,
+            "way": self._harm_way,
+            "store": self._harm_store,
+            "signal": self._signal,
+        }
+        names = list(_WEIGHT_BY_FAULT)
+        weights = list(_WEIGHT_BY_FAULT.values())
+        ends_s = time.monotonic() + length_s
+        while time.monotonic() < ends_s:
+            gevent.sleep(self._rng.uniform(*_PAUSE_S))
+            (name,) = self._rng.choices(names, weights)
+            self._tasks.append(gevent.spawn(plays[name]))
+        # A gateway that is still being started would outlive the soak.
+        gevent.joinall(self._tasks, timeout=_TASKS_LIMIT_S)
+        self._fleet.heal()
+
+    def _harm_server(self) -> None:
+        server = self._rng.choice(list(self._fleet.servers.values()))
+        server.faults = self._rng.choice(_SERVER_FAULTS)
+        self._count("server", server.faults)
+        gevent.sleep(self._rng.uniform(0.2, 1.0))
+        server.faults = {}
+
+    def _harm_store(self) -> None:
+        store = self._fleet.store
+        store.faults = self._rng.choice(_STORE_FAULTS)
+        self._count("store", store.faults)
+        if "drop_history" in store.faults:
+            store.hang_watches()
+            store.store.compact()
+        gevent.sleep(self._rng.uniform(0.2, 1.5))
+        store.faults = {}
+
+    def _harm_way(self) -> None:
+        name = self._rng.choice(list(self._fleet.ways))
+        way = self._fleet.ways[name]
+        harm = self._rng.choice(_WAY_FAULTS)
+        self._count(f"way {name.partition('-')[0]}", harm)
+        began_s = time.monotonic()
+        way.set_faults(**harm)
+        gevent.sleep(self._rng.uniform(0.2, 1.2))
+        way.set_faults(**_NO_WAY_FAULT)
+        self._fleet.note_harm(name, began_s)
+
+    def _signal(self) -> None:
+        index = self._rng.randrange(fleet.GATEWAYS_COUNT)
+        number = self._rng.choice(_SIGNALS)
+        pause_s = self._rng.uniform(0.1, 0.8)
+        gateway = self._fleet.gateways[index]
+        if gateway is None or gateway.poll() is not None:
+            return
+        self.counts[number.name] += 1
+        ends = number in (signal.SIGTERM, signal.SIGKILL)
+        if ends:
+            self._fleet.gateways[index] = None
+        if number == signal.SIGKILL:
+            self._fleet.note_kill(index)
+        with contextlib.suppress(ProcessLookupError):
+            gateway.signal(number)
+            if number == signal.SIGSTOP:
+                gevent.sleep(pause_s)
+                gateway.signal(signal.SIGCONT)
+        if ends:
+            gevent.get_hub().threadpool.apply(gateway.wait)
+            gateway.close()
+            self._fleet.launch(index)
+
+    def _count(self, where: str, harm: dict[str, Any]) -> None:
+        what = ",".join(str(harm.get("mode", name)) for name in harm)
+        self.counts[f"{where} {what}"] += 1
--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,165 @@
+"""The processes of one seed, and a fault proxy on every way between them."""
+
+import json
+import pathlib
+import random
+import tempfile
+import time
+from typing import Any
+
+import gevent
+
+from standins import fault_proxy, platform_server, platform_store
+from tests import builders_routes as build
+from tests import processes
+
+LOOPBACK = "127.0.0.1"
+GATEWAYS_COUNT = 2
+GRACE_S = 4
+"""Time to stop that the gateways' settings name."""
+
+_NOTICES_PORT = 7661
+_SERVERS = (
+    ("plain-1", "plain", ""),
+    ("plain-2", "plain", ""),
+    ("pre-1", "engines", "prefill"),
+    ("dec-1", "engines", "decode"),
+    ("dec-2", "engines", "decode"),
+)
+
+
+class Fleet:
+    """Gateways as processes; store and servers beside them.
+
+    Attributes:
+        store: The store.
+        servers: The servers by id.
+        ways: The fault proxies by name.
+        gateways: The gateways' processes, None while one is started anew.
+        kills: Index of a gateway that was killed, and when.
+        harms: Name of a way that was harmed, from when until when.
+        is_over: Set once callers are to end.
+    """
+
+    def __init__(self) -> None:
+        self.store = platform_store.PlatformStoreStandin()
+        self.servers: dict[str, platform_server.PlatformServerStandin] = {}
+        self.ways: dict[str, fault_proxy.FaultProxy] = {}
+        self.gateways: list[processes.Process | None] = []
+        self.kills: list[tuple[int, float]] = []
+        self.harms: list[tuple[str, float, float]] = []
+        self.is_over = False
+        self._folder = tempfile.TemporaryDirectory()
+        # Two soaks at once must not hear each other's notices.
+        pick = random.SystemRandom()
+        self._notices_net = f"127.{pick.randint(1, 254)}.{pick.randint(1, 254)}"
+
+    def start(self) -> None:
+        """Starts the store, the servers and the gateways."""
+        self.store.start()
+        for server_id, service, role in _SERVERS:
+            self._start_server(server_id, service, role)
+        self.store.put("op/config", json.dumps(_routes()).encode())
+        for index in range(GATEWAYS_COUNT):
+            self._open_way(f"store-{index}", self.store.port)
+            self.gateways.append(None)
+            self.launch(index)
+
+    def close(self) -> None:
+        """Ends every process and listener."""
+        for gateway in self.gateways:
+            if gateway is not None:
+                gateway.close()
+        for way in self.ways.values():
+            way.close()
+        for server in self.servers.values():
+            server.close()
+        self.store.close()
+        self._folder.cleanup()
+
+    def launch(self, index: int) -> None:
+        """Starts a gateway and leads its callers' way to it."""
+        path = pathlib.Path(self._folder.name) / f"gateway-{index}.json"
+        path.write_text(json.dumps(self._settings(index)))
+        gateway: processes.Process = gevent.get_hub().threadpool.apply(
+            processes.Process,
+            ("mulberrywharf.programs.gateway", "--settings", str(path)),
+        )
+        port = gateway.ready["callers"]
+        way = self.ways.get(f"callers-{index}")
+        if way is None:
+            self._open_way(f"callers-{index}", port)
+        else:
+            way.upstream = (LOOPBACK, port)
+        self.gateways[index] = gateway
+
+    def callers_port(self, index: int) -> int:
+        """Returns where callers of a gateway connect."""
+        return self.ways[f"callers-{index}"].port
+
+    def reached(self, index: int, port: int) -> bool:
+        """Tells whether a caller's connection got through to its gateway.
+
+        Args:
+            index: The gateway.
+            port: The caller's own port of the connection.
+        """
+        return port not in self.ways[f"callers-{index}"].unreached_ports
+
+    def heal(self) -> None:
+        """Takes back whatever servers, store and ways still suffer from."""
+        for server in self.servers.values():
+            server.faults = {}
+        self.store.faults = {}
+        for way in self.ways.values():
+            way.set_faults(**fault_proxy.Faults()._asdict())
+
+    def note_kill(self, index: int) -> None:
+        """Notes that a gateway is being killed."""
+        self.kills.append((index, time.monotonic()))
+
+    def note_harm(self, name: str, began_s: float) -> None:
+        """Notes that a way was harmed from a moment until now."""
+        self.harms.append((name, began_s, time.monotonic()))
+
+    def _start_server(self, server_id: str, service: str, role: str) -> None:
+        server = platform_server.PlatformServerStandin(server_id)
+        server.start()
+        self.servers[server_id] = server
+        way = self._open_way(f"server-{server_id}", server.port)
+        record = build.server_value(
+            service=service,
+            address=f"{LOOPBACK}:{way.port}",
+            **({"stage": role} if role else {}),
+        )
+        self.store.put(f"servers/{server_id}", record)
+
+    def _open_way(self, name: str, port: int) -> fault_proxy.FaultProxy:
+        way = fault_proxy.FaultProxy((LOOPBACK, port))
+        way.start()
+        self.ways[name] = way
+        return way
+
+    def _settings(self, index: int) -> dict[str, Any]:
+        return {
+            "vm_id": f"entry-{index}",
+            "availability_zone": "zone-a",
+            "callers_listen": f"{LOOPBACK}:0",
+            "operators_listen": f"{LOOPBACK}:0",
+            "nodes_listen": f"{self._notices_net}.{index + 1}:{_NOTICES_PORT}",
+            "store": f"{LOOPBACK}:{self.ways[f'store-{index}'].port}",
+            "repeats": {"ratio": 0.2, "window_s": 10, "allowance_count": 58},
+            "grace_s": GRACE_S,
+            "log_level": "WARNING",
+        }
+
+
+def _routes() -> dict[str, Any]:
+    document = build.routes_document()
+    safe, stream = document["routes"]
+    stream = {**stream, "service": "engines"}
+    del stream["traffic-split"]
+    unsafe = {**safe, "name": "r-unsafe", "prefix": "/unsafe/"}
+    unsafe["kind"] = "unsafe"
+    document["routes"] = [safe, unsafe, stream]
+    return document
--- /dev/null
+++ b/soak/play.py
@@ -0,0 +1,58 @@
+"""One seed of the soak, from its start to its verdict."""
+
+import collections
+import random
+import time
+from typing import NamedTuple
+
+import gevent
+
+from soak import calls, faults, fleet, promises
+
+CALLERS_COUNT = 12
+_SETTLE_S = 0.5
+"""For servers to note what callers gave up on."""
+
+
+class Outcome(NamedTuple):
+    """What one seed came to.
+
+    Attributes:
+        broken: A line for each promise that was broken.
+        calls: Every call.
+        faults: Faults that took place, by name.
+    """
+
+    broken: list[str]
+    calls: list[calls.Call]
+    faults: collections.Counter[str]
+
+
+def play(seed: int, length_s: float) -> Outcome:
+    """Plays one seed.
+
+    Args:
+        seed: Decides faults and calls; their interleaving is the machine's.
+        length_s: How long faults are begun.
+    """
+    rng = random.Random(seed)
+    played = fleet.Fleet()
+    try:
+        played.start()
+        callers = [
+            calls.Caller(played, random.Random(rng.getrandbits(64)))
+            for _ in range(CALLERS_COUNT)
+        ]
+        running = [gevent.spawn(caller.run) for caller in callers]
+        injected = faults.Faults(played, rng)
+        injected.play(length_s)
+        healed_s = time.monotonic()
+        gevent.sleep(promises.RECOVERY_S + promises.RECOVERED_S)
+        played.is_over = True
+        gevent.joinall(running, timeout=2 * calls.ANSWER_TIMEOUT_S)
+        gevent.sleep(_SETTLE_S)
+        made = calls.all_of(callers)
+        judge = promises.Judge(played, healed_s)
+        return Outcome(judge.broken(made), made, injected.counts)
+    finally:
+        played.close()
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,138 @@
+"""The promises that a soak holds against what callers and servers saw.
+
+* An answer of success is the request's own, vouched for, and whole.
+* A request that may run once ran at most once.
+* A request that was refused as not run did not run.
+* A stream's events are its own and follow each other without a gap.
+* A request ends without a whole answer only if its gateway was killed, the
+  way to it was harmed, or no gateway was there to take it; a stream also if
+  its servers failed it.
+* The final answer comes soon after the caller's deadline.
+* Once the faults have ended, requests are served again.
+"""
+
+import collections
+import re
+from collections.abc import Iterator
+
+from soak import calls, fleet
+
+RECOVERY_S = 3.0
+"""After the last fault; suspicion of a server lasts a second or two, and a
+store that was away is asked again after some hundred ms."""
+
+RECOVERED_S = 1.5
+"""How long callers go on behind that."""
+
+_RECOVERED_SHARE = 0.9
+_RECOVERED_LEAST_COUNT = 20
+_KILL_GRACE_S = 0.3
+_LATEST_S = calls.DEADLINE_MS / 1000 + 2.5
+"""A gateway ends a request at its deadline; pauses of its process add up to a
+second or two, and the soak shares its cores."""
+
+_EVENTS_COUNT = 5
+_PROMISES_NOT_RUN = frozenset({429, 503})
+_EXPECTED = frozenset({200, 500, 502, 503, 504})
+_EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\n\n")
+
+
+class Judge:
+    """Holds one seed's calls against the promises."""
+
+    def __init__(self, played: fleet.Fleet, healed_s: float):
+        """Makes a judge.
+
+        Args:
+            played: What the calls went through.
+            healed_s: Monotonic time at which the last fault had ended.
+        """
+        self._fleet = played
+        self._healed_s = healed_s
+
+    def broken(self, made: list[calls.Call]) -> list[str]:
+        """Returns a line for each promise that was broken."""
+        runs: collections.Counter[str] = collections.Counter()
+        for server in self._fleet.servers.values():
+            runs.update(run["id"] for run in server.runs)
+        lines = [
+            f"{call.kind} {call.request_id}: {reason}"
+            for call in made
+            for reason in self.broken_by(call, runs[call.request_id])
+        ]
+        return lines + list(self._not_recovered(made))
+
+    def broken_by(self, call: calls.Call, runs_count: int) -> Iterator[str]:
+        """Yields what one call shows.
+
+        Args:
+            call: The call.
+            runs_count: How often servers ran its request.
+        """
+        if call.kind == "unsafe" and runs_count > 1:
+            yield f"ran {runs_count} times"
+        if call.status in _PROMISES_NOT_RUN and runs_count:
+            yield f"refused with {call.status} and ran"
+        if call.status and call.status not in _EXPECTED:
+            yield f"answered {call.status}"
+        if call.status == 200:
+            yield from _wrong_answer(call)
+        if not self._is_excused(call):
+            yield from _unfinished(call)
+
+    def _is_excused(self, call: calls.Call) -> bool:
+        """Tells whether something between caller and gateway was harmed.
+
+        What a connection suffered while it rested shows only with the next
+        request on it, so its whole life counts.
+        """
+        if call.has_left or not call.is_reached:
+            return True
+        way = f"callers-{call.gateway}"
+        ended_s = call.ended_s + _KILL_GRACE_S
+        was_harmed = any(
+            name == way and began_s <= ended_s and call.connected_s <= to_s
+            for name, began_s, to_s in self._fleet.harms
+        )
+        was_killed = any(
+            index == call.gateway
+            and call.connected_s - _KILL_GRACE_S <= at_s <= ended_s
+            for index, at_s in self._fleet.kills
+        )
+        return was_harmed or was_killed
+
+    def _not_recovered(self, made: list[calls.Call]) -> Iterator[str]:
+        since_s = self._healed_s + RECOVERY_S
+        late = [call for call in made if call.began_s >= since_s]
+        if len(late) < _RECOVERED_LEAST_COUNT:
+            yield f"only {len(late)} calls after the faults"
+            return
+        served = [call for call in late if call.status == 200 and call.is_whole]
+        if len(served) < _RECOVERED_SHARE * len(late):
+            yield f"served {len(served)} of {len(late)} after the faults"
+
+
+def _unfinished(call: calls.Call) -> Iterator[str]:
+    if call.status == 0:
+        yield "no answer"
+    elif not call.is_whole and call.kind != "stream":
+        yield "cut"
+    if call.ended_s - call.began_s > _LATEST_S:
+        yield f"ended after {call.ended_s - call.began_s:.1f} s"
+
+
+def _wrong_answer(call: calls.Call) -> Iterator[str]:
+    if not call.has_receipt:
+        yield "no receipt"
+    if call.kind != "stream":
+        if call.is_whole and call.request_id.encode() not in call.body:
+            yield "the answer of another request"
+        return
+    events = _EVENT.findall(call.body)
+    numbers = [int(number) for number, _, _ in events]
+    if numbers != list(range(1, len(numbers) + 1)):
+        yield f"events {numbers}"
+    if any(owner != call.request_id.encode() for _, owner, _ in events):
+        yield "events of another request"
+    if call.is_whole and len(numbers) != _EVENTS_COUNT:
+        yield f"ended as whole after {len(numbers)} events"
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -204,6 +204,9 @@
         faults: What it does now.
         thawed: Set while bytes may move.
         port: The TCP port that clients connect to, once started.
+        upstream: Where new connections are led to.
+        unreached_ports: Clients' ports of connections that the upstream did
+            not take.
     """
 
     def __init__(self, upstream: tuple[str, int], *, ip: str = "127.0.0.1"):
@@ -211,7 +214,8 @@
         self.thawed = gevent.event.Event()
         self.thawed.set()
         self.port = 0
-        self._upstream = upstream
+        self.upstream = upstream
+        self.unreached_ports: set[int] = set()
         self._ip = ip
         self._connections: set[_Connection] = set()
         self._server: gevent.server.StreamServer | None = None
@@ -290,7 +294,6 @@
         return self.faults.reset_after_down_bytes
 
     def _accept(self, client: Any, address: Any) -> None:
-        del address
         if self.faults.mode == "cut":
             client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
             client.close()
@@ -299,9 +302,10 @@
         self.thawed.wait()
         try:
             upstream = gevent_socket.create_connection(
-                self._upstream, timeout=_CONNECT_TIMEOUT_S
+                self.upstream, timeout=_CONNECT_TIMEOUT_S
             )
         except OSError:
+            self.unreached_ports.add(address[1])
             client.close()
             return
         upstream.settimeout(None)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -29,7 +29,8 @@
         store: What it holds; tests may read and change it.
         page_count: Items in one page of a range.
         faults: ``down`` closes every connection without an answer, ``status``
-            answers every call with it, ``silent`` answers nothing.
+            answers every call with it, ``silent`` answers nothing,
+            ``lose_answers`` does what a call asks and closes its connection.
         calls: Method and path of each call.
     """
 
@@ -89,6 +90,8 @@
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
         environ["standins.call"] = len(self.calls)
         reply = self._reply(method, path, query, environ)
+        if self.faults.get("lose_answers"):
+            return http_control.cut(environ, start_response)
         return _http.send_reply(reply, start_response)
 
     def _reply(
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,95 @@
+"""A short run of the soak, and what its checks find."""
+
+import unittest
+
+from soak import calls, fleet, play, promises, seeds
+from standins import platform_server
+
+SEEDS = (1, 2)
+LENGTH_S = 3.0
+
+
+class SoakTest(unittest.TestCase):
+    def test_no_promise_is_broken(self) -> None:
+        for seed in (*SEEDS, *seeds.ONCE_FAILED):
+            with self.subTest(seed=seed):
+                outcome = play.play(seed, LENGTH_S)
+                self.assertEqual(outcome.broken, [])
+                self.assertGreater(len(outcome.calls), 50)
+                self.assertGreater(outcome.faults.total(), 3)
+
+
+class PromisesTest(unittest.TestCase):
+    """The checks find what they are meant to find."""
+
+    def setUp(self) -> None:
+        self.fleet = fleet.Fleet()
+        self.addCleanup(self.fleet.close)
+
+    def call(self, **changes: object) -> calls.Call:
+        made = calls.Call(
+            request_id="id-1",
+            kind="unsafe",
+            status=200,
+            has_receipt=True,
+            body=b"s:id-1",
+            is_whole=True,
+            gateway=0,
+            connected_s=1.0,
+            has_left=False,
+            is_reached=True,
+            began_s=1.0,
+            ended_s=2.0,
+        )
+        return made._replace(**changes)
+
+    def broken(self, call: calls.Call, runs_count: int = 1) -> list[str]:
+        return list(promises.Judge(self.fleet, 0.0).broken_by(call, runs_count))
+
+    def test_a_good_answer(self) -> None:
+        self.assertEqual(self.broken(self.call()), [])
+
+    def test_what_must_not_be(self) -> None:
+        stream = self.call(kind="stream")
+        cut = stream._replace(is_whole=False)
+        for call, runs_count in (
+            (self.call(), 2),
+            (self.call(status=503), 1),
+            (self.call(status=0), 1),
+            (self.call(status=404), 0),
+            (self.call(has_receipt=False), 1),
+            (self.call(body=b"s:id-2"), 1),
+            (self.call(is_whole=False), 1),
+            (self.call(ended_s=9.0), 1),
+            (cut._replace(body=b"id: 2\ndata: id-1 2\n\n"), 1),
+            (cut._replace(body=b"id: 1\ndata: id-2 1\n\n"), 1),
+            (stream._replace(body=b"id: 1\ndata: id-1 1\n\n"), 1),
+        ):
+            with self.subTest(call=call):
+                self.assertEqual(len(self.broken(call, runs_count)), 1)
+
+    def test_only_harm_between_caller_and_gateway_excuses(self) -> None:
+        unanswered = self.call(status=0, connected_s=1.0, began_s=5.0)
+        self.fleet.harms = [
+            ("server-plain-1", 1.0, 2.0),
+            ("callers-1", 1.0, 2.0),
+            ("callers-0", 0.1, 0.2),
+        ]
+        self.fleet.kills = [(1, 1.5), (0, 9.0)]
+        self.assertEqual(len(self.broken(unanswered)), 1)
+        self.fleet.harms.append(("callers-0", 1.5, 2.0))
+        self.assertEqual(self.broken(unanswered), [])
+
+    def test_what_is_not_served_after_the_faults_is_found(self) -> None:
+        begins_s = promises.RECOVERY_S + 1.0
+        judge = promises.Judge(self.fleet, 0.0)
+        served = [self.call(began_s=begins_s, ended_s=begins_s)] * 40
+        self.fleet.servers["s"] = platform_server.PlatformServerStandin("s")
+        self.assertEqual(judge.broken(served), [])
+        failed = [call._replace(status=502) for call in served[:20]]
+        self.assertEqual(len(judge.broken(served[20:] + failed)), 1)
+        self.assertEqual(len(judge.broken(served[:3])), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
