--- a/src/mulberrywharf/_wsgi.py
+++ b/src/mulberrywharf/_wsgi.py
@@ -43,6 +43,17 @@
         finally:
             self.server.request_ended()
 
+    def _handle_client_error(self, ex: Exception) -> Any:
+        """Answers a head that can't be read; nothing to one that broke off.
+
+        gevent takes a reset in the middle of a head for a malformed one, logs
+        a trace of it, and another one when its answer can't be sent.
+        """
+        if isinstance(ex, OSError):
+            logger.debug("a connection broke in the middle of a head: {}", ex)
+            return None
+        return super()._handle_client_error(ex)
+
     def _sendall(self, data: bytes | bytearray) -> None:
         """Writes it all, a small write by one call of the kernel.
 
--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -163,7 +163,9 @@
             return
         super().handle_error(t, v, tb)
 
-    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+    def _handle_client_error(self, ex: Exception) -> Any:
+        if isinstance(ex, OSError):
+            return super()._handle_client_error(ex)
         error = _refusal(ex)
         logger.debug("refused a request head: {}", error.message)
         return str(error.status), problems.raw_response(error, "")
