Believe parts held at their homes where not all placements are heard

Cause: in fleets of more than 20 gateways each hears of its own zone's placements only. Ruled out: memory (367 parts, 4.9 million tokens, against 12.1 million on 28 engines); telling all gateways (48 placements a second to 80 nodes is above the 2 KB/s that a node may spend). Change: where not everything is heard, the home of a part counts as holding it.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -143,13 +143,34 @@
             ),
             slot_wait_s=slot_wait_s,
             running_share=running_count / max(1, server.slots_count),
-            cached_tokens=self._caches.cached_tokens(server_id, parts),
+            cached_tokens=self._cached_tokens(server_id, parts, is_home),
             pace=pace,
             is_suspected=candidate.is_suspected,
             is_near=candidate.is_near,
             is_home=is_home,
         )
 
+    def _cached_tokens(
+        self,
+        server_id: str,
+        parts: tuple[request.PromptPart, ...],
+        is_home: bool,
+    ) -> int:
+        """Returns the leading tokens that an engine is believed to hold.
+
+        Where this node doesn't hear of every placement, the home of a part is
+        believed to hold it: every node sends the part's prompts there, and
+        who reads it first does so at its home. By its own knowledge alone
+        each zone read each part at an engine of its own choice: of 22.4
+        million prompt tokens read in 34 s on 28 engines 7.9 million were of
+        parts that another engine held, and 1.8 of 15.1 million since.
+        """
+        held_tokens = self._caches.cached_tokens(server_id, parts)
+        if not is_home or self._notices.heard_share >= 1.0:
+            return held_tokens
+        told = told_part(parts)
+        return max(held_tokens, told.tokens if told else 0)
+
     def count_in(
         self,
         wanted: request.RoutedRequest,
