Tell work in the availability zone of its engine

Cause: in fleets of more than 20 gateways each told its own zone of all that it placed, anywhere. What it heard was a third of every engine's queue, scaled up by three; all zones sent to whatever looked idle, and answers came late. Ruled out: telling everybody (2 KB/s a node); scaling by a better share (the share is right on the mean, the queue of one engine is not). Change: gateways in the zone of an engine are told of work that it gets, so each knows the queues and caches nearby exactly. Prefill engines elsewhere cost 0.1 s more: they take what those nearby can't. Homes at prefill engines are nearby. Tests: who is told of work in which zone; a directory of a large fleet.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -52,7 +52,10 @@
     """Tells nobody."""
 
     gateways_count = 9
-    heard_share = 1.0
+
+    def hears_of(self, server: servers.Server) -> bool:
+        """Hears of every engine."""
+        return True
 
     def add(self, *placement: object) -> None:
         """Drops the placement."""
--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -28,14 +28,13 @@
         """All gateways, this one included."""
         ...
 
-    @property
-    def heard_share(self) -> float:
-        """Part of the other gateways' work that this one hears of."""
+    def hears_of(self, server: servers.Server) -> bool:
+        """Tells whether this gateway hears of all work at an engine."""
         ...
 
     def add(
         self,
-        engine_id: str,
+        server: servers.Server,
         work_s: float,
         part: request.PromptPart,
         own_tokens: int,
@@ -143,16 +142,17 @@
             ),
             slot_wait_s=slot_wait_s,
             running_share=running_count / max(1, server.slots_count),
-            cached_tokens=self._cached_tokens(server_id, parts, is_home),
+            cached_tokens=self._cached_tokens(server, parts, is_home),
             pace=pace,
             is_suspected=candidate.is_suspected,
             is_near=candidate.is_near,
             is_home=is_home,
+            is_heard=self._notices.hears_of(server),
         )
 
     def _cached_tokens(
         self,
-        server_id: str,
+        server: servers.Server,
         parts: tuple[request.PromptPart, ...],
         is_home: bool,
     ) -> int:
@@ -165,12 +165,16 @@
         million prompt tokens read in 34 s on 28 engines 7.9 million were of
         parts that another engine held, and 1.8 of 15.1 million since.
         """
-        held_tokens = self._caches.cached_tokens(server_id, parts)
-        if not is_home or self._notices.heard_share >= 1.0:
+        held_tokens = self._caches.cached_tokens(server.server_id, parts)
+        if not is_home or self._notices.hears_of(server):
             return held_tokens
         told = told_part(parts)
         return max(held_tokens, told.tokens if told else 0)
 
+    def hears_of(self, server: servers.Server) -> bool:
+        """Tells whether this node hears of all work at an engine."""
+        return self._notices.hears_of(server)
+
     def count_in(
         self,
         wanted: request.RoutedRequest,
@@ -234,8 +238,7 @@
             if server is None:
                 continue
             if placement.work_s > 0:
-                work_s = placement.work_s / self._notices.heard_share
-                self._queues.add(server.server_id, work_s, now_s)
+                self._queues.add(server.server_id, placement.work_s, now_s)
             memory_tokens = self._memory_tokens(server.service)
             if placement.own_tokens:
                 self._caches.note_own(
@@ -270,28 +273,25 @@
     ) -> None:
         """Notes what both engines of a plan will hold, and tells peers."""
         told = told_part(prompt.parts)
-        engine_ids = {
-            plan.reader.server.server_id,
-            plan.decode.server.server_id,
-        }
+        engines = {plan.reader.server, plan.decode.server}
         if told is None:
             # Short prompts are many and spread evenly over the gateways, so
             # each counts its own for all instead of telling them.
             tokens = prompt.tokens * self._notices.gateways_count
-            for engine_id in engine_ids:
-                self._caches.note_own(engine_id, tokens, memory_tokens)
+            for engine in engines:
+                self._caches.note_own(engine.server_id, tokens, memory_tokens)
             role: fleet.Role = "prefill" if plan.prefill else "decode"
             self._background[role].add(
                 work_s / plan.reader.pace, self._clock.monotonic_s()
             )
             return
         own_tokens = prompt.tokens - told.tokens
-        for engine_id in engine_ids:
-            self._note_read(engine_id, told, memory_tokens)
-            self._caches.note_own(engine_id, own_tokens, memory_tokens)
-            is_reader = engine_id == plan.reader.server.server_id
+        for engine in engines:
+            self._note_read(engine.server_id, told, memory_tokens)
+            self._caches.note_own(engine.server_id, own_tokens, memory_tokens)
+            is_reader = engine == plan.reader.server
             self._notices.add(
-                engine_id, work_s if is_reader else 0.0, told, own_tokens
+                engine, work_s if is_reader else 0.0, told, own_tokens
             )
 
     def _note_read(
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -148,7 +148,7 @@
         pace: float,
     ) -> list[prompt_placement.EngineView]:
         shared = engine_account.told_part(parts)
-        homes = prompt_placement.homes(shared.part_id, among) if shared else []
+        homes = self._homes(shared, among) if shared else []
         looked_at = prompt_placement.sample(homes, among, self._rng)
         return [
             self._account.view(
@@ -157,6 +157,21 @@
             for one in looked_at
         ]
 
+    def _homes(
+        self, shared: request.PromptPart, among: list[servers.Server]
+    ) -> list[servers.Server]:
+        """Returns the homes of a part, the first one first.
+
+        Prefill engines keep parts for a while only and copy what they lack,
+        so their homes are among those whose queues this node follows.
+        """
+        heard = [
+            one
+            for one in among
+            if one.role == "prefill" and self._account.hears_of(one)
+        ]
+        return prompt_placement.homes(shared.part_id, heard or among)
+
     def _log(
         self,
         wanted: request.RoutedRequest,
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -31,9 +31,9 @@
 """After the start: all start together, and have registered by then."""
 
 TOLD_LIMIT_COUNT = 20
-"""Gateways up to which all are told of each other's work. Beyond it those of
-the own availability zone are, and what is heard stands for the others: a notice
-to each of 80 would cost five times what a node may send."""
+"""Gateways up to which all are told of all work. Beyond it those in an engine's
+availability zone are told of work that it gets: a notice to each of 80 would
+cost five times what a node may send."""
 
 _RETRY_BASE_S = 1.0
 _RETRY_LIMIT_S = 8.0
@@ -100,17 +100,20 @@
         """All gateways, this one included."""
         return 1 + len(self._by_vm)
 
-    def addresses(self) -> tuple[fleet.Address, ...]:
-        """Returns where the gateways take notices that this one tells."""
+    def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
+        """Returns where the gateways take notices of a zone's engines."""
         known = self._by_vm.values()
-        if len(known) > TOLD_LIMIT_COUNT:
-            zone = self._availability_zone
-            return tuple(
-                found.address
-                for found in known
-                if found.availability_zone == zone
-            )
-        return tuple(found.address for found in known)
+        return tuple(
+            found.address
+            for found in known
+            if len(known) <= TOLD_LIMIT_COUNT
+            or found.availability_zone == availability_zone
+        )
+
+    def hears_of(self, availability_zone: str) -> bool:
+        """Tells whether this gateway hears of all work at a zone's engines."""
+        is_told_all = len(self._by_vm) <= TOLD_LIMIT_COUNT
+        return is_told_all or availability_zone == self._availability_zone
 
     def knows(self, ip: str) -> bool:
         """Tells whether a gateway has this address."""
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -15,7 +15,7 @@
 from result import Err
 
 from mulberrywharf import clock, fleet, metrics
-from mulberrywharf.forwarding import request
+from mulberrywharf.forwarding import request, servers
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import part_caches, token_bucket
 
@@ -49,8 +49,12 @@
         """All gateways, this one included."""
         ...
 
-    def addresses(self) -> tuple[fleet.Address, ...]:
-        """Returns where those that are told take notices."""
+    def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
+        """Returns where the gateways take notices of a zone's engines."""
+        ...
+
+    def hears_of(self, availability_zone: str) -> bool:
+        """Tells whether this gateway hears of all work at a zone's engines."""
         ...
 
     def knows(self, ip: str) -> bool:
@@ -66,14 +70,25 @@
         listen: fleet.Address,
         peers: Peers,
         sender: int,
+        availability_zone: str,
         system_clock: clock.Clock,
     ):
+        """Makes it; nothing is sent before ``start``.
+
+        Args:
+            listen: Where notices are taken.
+            peers: The other gateways.
+            sender: Names this start of the process.
+            availability_zone: Where this gateway stands.
+            system_clock: Measures what is spent.
+        """
         self._listen = listen
+        self._availability_zone = availability_zone
         self._peers = peers
         self._sender = sender
         self._clock = system_clock
         self._sequence = 0
-        self._pending: dict[tuple[int, int], codec.Placement] = {}
+        self._pending: dict[str, dict[tuple[int, int], codec.Placement]] = {}
         self._has_pending = gevent.event.Event()
         self._callback: Callable[[tuple[codec.Placement, ...]], None] = (
             lambda _: None
@@ -108,25 +123,22 @@
 
     def tell_now(self) -> None:
         """Sends a notice though nothing was placed."""
+        self._pending.setdefault(self._availability_zone, {})
         self._has_pending.set()
 
     @property
     def told_count(self) -> int:
         """Gateways that tell each other, this one included."""
-        return 1 + len(self._peers.addresses())
+        return 1 + len(self._peers.addresses(self._availability_zone))
 
     @property
     def gateways_count(self) -> int:
         """All gateways, this one included."""
         return self._peers.gateways_count
 
-    @property
-    def heard_share(self) -> float:
-        """Part of the other gateways' work that this one hears of."""
-        others_count = self._peers.gateways_count - 1
-        if others_count <= 0:
-            return 1.0
-        return max(1, len(self._peers.addresses())) / others_count
+    def hears_of(self, server: servers.Server) -> bool:
+        """Tells whether this gateway hears of all work at an engine."""
+        return self._peers.hears_of(server.availability_zone)
 
     def start(self) -> None:
         """Begins to send and to receive."""
@@ -140,16 +152,17 @@
 
     def add(
         self,
-        engine_id: str,
+        server: servers.Server,
         work_s: float,
         part: request.PromptPart,
         own_tokens: int,
     ) -> None:
         """Takes in one placement; it is told at once."""
         part_key = part_caches.part_key(part.part_id)
-        key = codec.key_of_engine(engine_id), part_key
-        before = self._pending.get(key)
-        self._pending[key] = codec.Placement(
+        key = codec.key_of_engine(server.server_id), part_key
+        pending = self._pending.setdefault(server.availability_zone, {})
+        before = pending.get(key)
+        pending[key] = codec.Placement(
             key[0],
             work_s + (before.work_s if before else 0.0),
             part_key,
@@ -162,17 +175,18 @@
         while True:
             self._has_pending.wait()
             gevent.sleep(COLLECTING_S)
-            placements = tuple(self._pending.values())
-            self._pending.clear()
+            pending, self._pending = self._pending, {}
             self._has_pending.clear()
-            self._tell(placements[: codec.PLACEMENTS_LIMIT_COUNT])
+            for zone, by_key in pending.items():
+                placements = tuple(by_key.values())
+                self._tell(zone, placements[: codec.PLACEMENTS_LIMIT_COUNT])
 
-    def _tell(self, placements: tuple[codec.Placement, ...]) -> None:
+    def _tell(self, zone: str, placements: tuple[codec.Placement, ...]) -> None:
         self._sequence += 1
         datagram = codec.encode(
             codec.Notice(self._sender, self._sequence, placements, self._seen())
         )
-        peers = self._peers.addresses()
+        peers = self._peers.addresses(zone)
         cost = len(peers) * (len(datagram) + _DATAGRAM_OVERHEAD_BYTES)
         wait_s = self._bytes.wait_s(cost, self._clock.monotonic_s())
         if wait_s > 0:
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -78,6 +78,12 @@
 OTHER_ZONE_COST_S = 0.002
 """Between equals the own zone goes first; a hop takes about 1 ms each way."""
 
+UNHEARD_COST_S = 0.1
+"""Against a prefill engine whose queue the node doesn't follow, in fleets too
+large to tell everybody of everything. Gateways that all judge such a queue by
+their own few prompts send to it until answers come late; the engines of the
+own availability zone come first, and others take over what they can't."""
+
 HOME_BONUS_S = 0.01
 """What speaks for the home of a part that is held nowhere. It only breaks
 ties, so that parts spread evenly and nodes that choose at once choose alike."""
@@ -104,6 +110,7 @@
         is_suspected: Whether it did not answer a moment ago.
         is_near: Whether it stands in the node's availability zone.
         is_home: Whether it is the first home of the prompt's shared part.
+        is_heard: Whether the node hears of all work that it gets.
     """
 
     server: servers.Server
@@ -115,6 +122,7 @@
     is_suspected: bool = False
     is_near: bool = True
     is_home: bool = False
+    is_heard: bool = True
 
 
 class PromptShape(NamedTuple):
@@ -273,6 +281,8 @@
         + FIRST_TOKEN_S * decode.pace
     )
     place_cost_s = _place_cost_s(prefill) + _place_cost_s(decode)
+    if not prefill.is_heard:
+        place_cost_s += UNHEARD_COST_S
     copy_cost_s = _copy_cost_s(shape, prefill) + _copy_cost_s(shape, decode)
     return Plan(
         decode,
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -167,7 +167,11 @@
             f"{incarnation:08x}",
         )
         return peers, notices.WorkNotices(
-            address, peers, incarnation, self._clock
+            address,
+            peers,
+            incarnation,
+            self._config["availability_zone"],
+            self._clock,
         )
 
     def _watches(self) -> dict[str, watch.Watch]:
--- a/tests/test_engine_account.py
+++ b/tests/test_engine_account.py
@@ -12,26 +12,29 @@
 class _Notices:
     gateways_count = 30
 
-    def __init__(self, heard_share: float):
-        self.heard_share = heard_share
+    def __init__(self, *, hears: bool):
+        self._hears = hears
+
+    def hears_of(self, server: object) -> bool:
+        return self._hears
 
     def add(self, *_: object) -> None:
         """Tells nobody."""
 
 
-def _account(heard_share: float) -> engine_account.EngineAccount:
+def _account(*, hears: bool) -> engine_account.EngineAccount:
     return engine_account.EngineAccount(
         server_book.ServerBook("zone-a"),
         clock.SystemClock(),
-        _Notices(heard_share),
+        _Notices(hears=hears),
         lambda _: _MEMORY_TOKENS,
     )
 
 
 class HomeTest(unittest.TestCase):
-    def cached_tokens(self, heard_share: float, *, is_home: bool) -> int:
+    def cached_tokens(self, *, hears: bool, is_home: bool) -> int:
         parts = build.prompt(shared_tokens=13_000, own_tokens=3_000).parts
-        view = _account(heard_share).view(
+        view = _account(hears=hears).view(
             build.server(), parts, 1.0, is_home=is_home
         )
         return view.cached_tokens
@@ -44,11 +47,11 @@
         only; a part was read for another zone. Cause: a part nobody was heard
         to place counted as held nowhere, and was read wherever it was idle.
         """
-        self.assertEqual(self.cached_tokens(0.33, is_home=True), 13_000)
-        self.assertEqual(self.cached_tokens(0.33, is_home=False), 0)
+        self.assertEqual(self.cached_tokens(hears=False, is_home=True), 13_000)
+        self.assertEqual(self.cached_tokens(hears=False, is_home=False), 0)
 
     def test_where_all_is_heard_only_that_counts(self) -> None:
-        self.assertEqual(self.cached_tokens(1.0, is_home=True), 0)
+        self.assertEqual(self.cached_tokens(hears=True, is_home=True), 0)
 
 
 if __name__ == "__main__":
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -48,7 +48,10 @@
     """Tells nobody."""
 
     gateways_count = 1
-    heard_share = 1.0
+
+    def hears_of(self, server: Any) -> bool:
+        """Hears of every engine."""
+        return True
 
     def add(self, *_: Any) -> None:
         """Drops the placement."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,6 +13,8 @@
 from tests import builders_routes as build
 
 PART = request.PromptPart("aa", 13_000)
+ZONE = "zone-a"
+ENGINE = build.server("e")
 
 
 class KnownPeers:
@@ -25,8 +27,11 @@
     def gateways_count(self) -> int:
         return 1 + len(self.known)
 
-    def addresses(self) -> tuple[fleet.Address, ...]:
-        return self.known
+    def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
+        return self.known if availability_zone == ZONE else ()
+
+    def hears_of(self, availability_zone: str) -> bool:
+        return availability_zone == ZONE
 
     def knows(self, ip: str) -> bool:
         return any(address.ip == ip for address in self.known)
@@ -85,28 +90,36 @@
     def start(
         self, address: fleet.Address, peers: KnownPeers
     ) -> notices.WorkNotices:
-        made = notices.WorkNotices(address, peers, 1, clock.SystemClock())
+        made = notices.WorkNotices(address, peers, 1, ZONE, clock.SystemClock())
         made.start()
         self.addCleanup(made.close)
         return made
 
     def test_a_placement_is_told_at_once(self) -> None:
-        self.one.add("e", 0.1, PART, 3_000)
+        self.one.add(ENGINE, 0.1, PART, 3_000)
         builders_platform.wait_until(lambda: self.heard, limit_s=1.0)
         (told,) = self.heard
-        self.assertEqual(told.engine_key, codec.key_of_engine("e"))
+        self.assertEqual(told.engine_key, codec.key_of_engine(ENGINE.server_id))
         self.assertEqual(told.part_key, part_caches.part_key("aa"))
         self.assertAlmostEqual(told.work_s, 0.1)
         self.assertEqual((told.part_tokens, told.own_tokens), (13_000, 3_000))
 
     def test_placements_of_one_moment_are_added_up(self) -> None:
         for _ in range(3):
-            self.one.add("e", 0.1, PART, 1_000)
+            self.one.add(ENGINE, 0.1, PART, 1_000)
         builders_platform.wait_until(lambda: self.heard, limit_s=1.0)
         (told,) = self.heard
         self.assertAlmostEqual(told.work_s, 0.3, places=5)
         self.assertEqual(told.own_tokens, 3_000)
 
+    def test_work_in_another_zone_is_told_there_alone(self) -> None:
+        self.one.add(ENGINE._replace(availability_zone="zone-b"), 0.1, PART, 1)
+        self.one.add(ENGINE._replace(server_id="near"), 0.1, PART, 1)
+        builders_platform.wait_until(lambda: self.heard, limit_s=1.0)
+        gevent.sleep(0.05)
+        (told,) = self.heard
+        self.assertEqual(told.engine_key, codec.key_of_engine("near"))
+
     def test_strangers_are_not_heard(self) -> None:
         """Engines look busy because of somebody who is no gateway.
 
@@ -117,11 +130,12 @@
             fleet.Address("127.0.0.2", self.free_port()),
             KnownPeers(self.two_at),
             9,
+            ZONE,
             clock.SystemClock(),
         )
         stranger.start()
         self.addCleanup(stranger.close)
-        stranger.add("e", 5.0, PART, 1)
+        stranger.add(ENGINE, 5.0, PART, 1)
         gevent.sleep(0.05)
         self.assertEqual(self.heard, [])
 
@@ -133,7 +147,7 @@
         """
         sent_before = notices.SENT_BURST_BYTES
         for _ in range(2_000):
-            self.one.add("e", 0.1, PART, 1)
+            self.one.add(ENGINE, 0.1, PART, 1)
             gevent.sleep(0.0005)
         self.assertLess(len(self.heard) * 100, 2 * sent_before)
 
@@ -151,7 +165,7 @@
             client,
             name,
             fleet.Address("127.0.0.1", port),
-            "zone-a",
+            ZONE,
             incarnation,
         )
         made.start()
@@ -160,13 +174,13 @@
 
     def test_gateways_find_each_other(self) -> None:
         one, two = self.start("one", 1), self.start("two", 2)
-        builders_platform.wait_until(lambda: one.addresses())
-        builders_platform.wait_until(lambda: two.addresses())
-        self.assertEqual(one.addresses(), (fleet.Address("127.0.0.1", 2),))
-        self.assertEqual(two.addresses(), (fleet.Address("127.0.0.1", 1),))
+        builders_platform.wait_until(lambda: one.addresses(ZONE))
+        builders_platform.wait_until(lambda: two.addresses(ZONE))
+        self.assertEqual(one.addresses(ZONE), (fleet.Address("127.0.0.1", 2),))
+        self.assertEqual(two.addresses(ZONE), (fleet.Address("127.0.0.1", 1),))
         self.assertTrue(one.knows("127.0.0.1"))
 
-    def test_in_a_large_fleet_the_own_zone_is_told(self) -> None:
+    def test_in_a_large_fleet_the_engines_zone_is_told(self) -> None:
         """Control traffic grows with the square of the fleet.
 
         Sequence: 80 gateways, each tells each other one. Cause: nothing
@@ -182,14 +196,19 @@
         builders_platform.wait_until(
             lambda: one.gateways_count == directory.TOLD_LIMIT_COUNT + 11
         )
-        self.assertEqual(len(one.addresses()), 5)
+        self.assertEqual(len(one.addresses(ZONE)), 5)
+        self.assertTrue(one.hears_of(ZONE))
+        self.assertEqual(
+            len(one.addresses("zone-b")), directory.TOLD_LIMIT_COUNT + 5
+        )
+        self.assertFalse(one.hears_of("zone-b"))
 
     def test_a_gateway_that_closes_is_gone(self) -> None:
         one, two = self.start("one", 1), self.start("two", 2)
-        builders_platform.wait_until(lambda: one.addresses())
+        builders_platform.wait_until(lambda: one.addresses(ZONE))
         two.close()
         self.assertTrue(
-            builders_platform.wait_until(lambda: not one.addresses())
+            builders_platform.wait_until(lambda: not one.addresses(ZONE))
         )
 
     def test_a_restarted_gateway_counts_once(self) -> None:
@@ -202,12 +221,12 @@
         """
         one = self.start("one", 1)
         self.start("two", 2, "before")
-        builders_platform.wait_until(lambda: one.addresses())
+        builders_platform.wait_until(lambda: one.addresses(ZONE))
         self.start("two", 3, "after")
         builders_platform.wait_until(
-            lambda: one.addresses() == (fleet.Address("127.0.0.1", 3),)
+            lambda: one.addresses(ZONE) == (fleet.Address("127.0.0.1", 3),)
         )
-        self.assertEqual(one.addresses(), (fleet.Address("127.0.0.1", 3),))
+        self.assertEqual(one.addresses(ZONE), (fleet.Address("127.0.0.1", 3),))
 
     def test_a_lost_registration_is_made_again(self) -> None:
         """A gateway is not told of work for the rest of its life.
@@ -216,7 +235,7 @@
         registration was made once.
         """
         one, _ = self.start("one", 1), self.start("two", 2)
-        builders_platform.wait_until(lambda: one.addresses())
+        builders_platform.wait_until(lambda: one.addresses(ZONE))
         for lease_id in list(self.store.store._leases):
             self.store.store.revoke(lease_id)
         self.assertEqual(self.registered_count(), 0)
@@ -227,7 +246,7 @@
             )
         )
         self.assertTrue(
-            builders_platform.wait_until(lambda: one.addresses(), limit_s)
+            builders_platform.wait_until(lambda: one.addresses(ZONE), limit_s)
         )
 
     def test_a_new_registration_does_not_wait_for_the_old_lease(self) -> None:
