Keep the type of a server beside the other views of the fleet

Cause: policy modules, which know no network, imported it from forwarding. Ruled out: a type of its own for policy (one copy of each type). Change: `fleet.Server`; 61 places name it there. No behaviour changes.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -15,7 +15,6 @@
     engine_pool,
     request,
     server_book,
-    servers,
     time_limits,
 )
 from mulberrywharf.peers import codec
@@ -40,10 +39,10 @@
 class _AllServers:
     """A server list of one service."""
 
-    def __init__(self, engines: list[servers.Server]):
+    def __init__(self, engines: list[fleet.Server]):
         self._engines = tuple(engines)
 
-    def usable(self, service: str) -> tuple[servers.Server, ...]:
+    def usable(self, service: str) -> tuple[fleet.Server, ...]:
         """Returns every engine."""
         return self._engines
 
@@ -53,7 +52,7 @@
 
     gateways_count = 9
 
-    def hears_of(self, server: servers.Server) -> bool:
+    def hears_of(self, server: fleet.Server) -> bool:
         """Hears of every engine."""
         return True
 
@@ -61,9 +60,9 @@
         """Drops the placement."""
 
 
-def _engines(count: int) -> list[servers.Server]:
+def _engines(count: int) -> list[fleet.Server]:
     return [
-        servers.Server(
+        fleet.Server(
             f"engine-{number}",
             "service",
             fleet.Address("10.0.0.1", number),
--- a/src/mulberrywharf/fleet.py
+++ b/src/mulberrywharf/fleet.py
@@ -53,6 +53,28 @@
     operators_address: Address | None = None
 
 
+class Server(NamedTuple):
+    """One start of one server, as it registered itself.
+
+    Attributes:
+        server_id: New with each start.
+        service: The service that it belongs to.
+        address: Where it takes requests.
+        availability_zone: Where it stands.
+        slots_count: Requests that it works on at once.
+        is_draining: Whether it is about to leave.
+        role: What an engine spends its steps on, None for plain servers.
+    """
+
+    server_id: str
+    service: str
+    address: Address
+    availability_zone: str
+    slots_count: int
+    is_draining: bool = False
+    role: Role | None = None
+
+
 class LoadReport(NamedTuple):
     """What an engine said about itself, some time ago.
 
--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from mulberrywharf import clock, fleet
-from mulberrywharf.forwarding import request, server_book, servers
+from mulberrywharf.forwarding import request, server_book
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import (
     background_work,
@@ -33,13 +33,13 @@
         """All gateways, this one included."""
         ...
 
-    def hears_of(self, server: servers.Server) -> bool:
+    def hears_of(self, server: fleet.Server) -> bool:
         """Tells whether this gateway hears of all work at an engine."""
         ...
 
     def add(
         self,
-        server: servers.Server,
+        server: fleet.Server,
         work_s: float,
         part: request.PromptPart,
         own_tokens: int,
@@ -94,11 +94,11 @@
         self._home_hits = home_hits.HomeHits()
         self._notices = notices
         self._memory_tokens = memory_tokens
-        self._server_by_key: dict[int, servers.Server] = {}
+        self._server_by_key: dict[int, fleet.Server] = {}
         self._zone_by_id: dict[str, str] = {}
-        self._decodes_by_service: dict[str, list[servers.Server]] = {}
+        self._decodes_by_service: dict[str, list[fleet.Server]] = {}
 
-    def follow(self, known: tuple[servers.Server, ...]) -> None:
+    def follow(self, known: tuple[fleet.Server, ...]) -> None:
         """Takes in the server list; forgets engines that left."""
         server_ids = frozenset(server.server_id for server in known)
         self._queues.keep_only(server_ids)
@@ -121,7 +121,7 @@
             if server.role is not None
         }
 
-    def pace(self, role: fleet.Role, engines: list[servers.Server]) -> float:
+    def pace(self, role: fleet.Role, engines: list[fleet.Server]) -> float:
         """Returns how much longer reading takes beside short prompts."""
         taken_share = self._background[role].share(
             self._notices.gateways_count,
@@ -132,7 +132,7 @@
 
     def view(
         self,
-        server: servers.Server,
+        server: fleet.Server,
         parts: tuple[request.PromptPart, ...],
         pace: float,
         *,
@@ -172,7 +172,7 @@
 
     def _cached_tokens(
         self,
-        server: servers.Server,
+        server: fleet.Server,
         parts: tuple[request.PromptPart, ...],
         is_home: bool,
     ) -> int:
@@ -195,7 +195,7 @@
         likely_tokens = int(self._home_hits.share * told.tokens)
         return max(held_tokens, likely_tokens)
 
-    def hears_of(self, server: servers.Server) -> bool:
+    def hears_of(self, server: fleet.Server) -> bool:
         """Tells whether this node hears of all work at an engine."""
         return self._notices.hears_of(server)
 
@@ -245,7 +245,7 @@
         """Notes that an engine will not answer what it was sent."""
         self._observed.failed(awaited)
 
-    def ended(self, server: servers.Server, run_s: float) -> None:
+    def ended(self, server: fleet.Server, run_s: float) -> None:
         """Notes that an engine has finished a stream.
 
         Args:
@@ -299,7 +299,7 @@
 
     def _sent(
         self,
-        server: servers.Server,
+        server: fleet.Server,
         matter: observed_waits.Matter,
         unqueued_s: float,
     ) -> observed_waits.Awaited:
@@ -342,7 +342,7 @@
 
     def _note_read(
         self,
-        server: servers.Server,
+        server: fleet.Server,
         part_key: int,
         part_tokens: int,
         memory_tokens: int,
@@ -354,7 +354,7 @@
             self._home_hits.note(is_held=is_held)
         self._caches.note_read(server_id, part_key, part_tokens, memory_tokens)
 
-    def _is_heard_home(self, server: servers.Server, part_key: int) -> bool:
+    def _is_heard_home(self, server: fleet.Server, part_key: int) -> bool:
         # Prefill engines say nothing of homes: they copy what they lack.
         if server.role == "prefill" or not self._notices.hears_of(server):
             return False
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from mulberrywharf import clock, errors
+from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
     engine_account,
     request,
@@ -147,7 +147,7 @@
 
     def _views(
         self,
-        among: list[servers.Server],
+        among: list[fleet.Server],
         parts: tuple[request.PromptPart, ...],
         pace: float,
     ) -> list[prompt_placement.EngineView]:
@@ -162,8 +162,8 @@
         ]
 
     def _homes(
-        self, shared: request.PromptPart, among: list[servers.Server]
-    ) -> list[servers.Server]:
+        self, shared: request.PromptPart, among: list[fleet.Server]
+    ) -> list[fleet.Server]:
         """Returns the homes of a part, the first one first.
 
         Prefill engines keep parts for a while only and copy what they lack,
--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -6,8 +6,15 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import _answers, _connections, _exchange, clock, errors
-from mulberrywharf.forwarding import request, server_book, servers
+from mulberrywharf import (
+    _answers,
+    _connections,
+    _exchange,
+    clock,
+    errors,
+    fleet,
+)
+from mulberrywharf.forwarding import request, server_book
 
 CONNECT_TIMEOUT_S = 0.2
 """A living server of the same region completes a handshake within a few ms,
@@ -50,7 +57,7 @@
         """Closes idle connections."""
         self._pool.close()
 
-    def forget(self, server: servers.Server) -> None:
+    def forget(self, server: fleet.Server) -> None:
         """Closes idle connections to a server that left."""
         self._pool.forget(server.address)
 
@@ -96,7 +103,7 @@
         return received
 
     def decode_handle(
-        self, server: servers.Server, body: bytes
+        self, server: fleet.Server, body: bytes
     ) -> Result[request.CacheHandle, errors.EngineError]:
         """Reads the answer of a server that prefilled a prompt."""
         return self._dialect.decode_handle(server, body)
@@ -149,7 +156,7 @@
     def _refused(
         self,
         exchange: _exchange.Exchange,
-        server: servers.Server,
+        server: fleet.Server,
         head: request.AnswerHead,
     ) -> errors.EngineError:
         # Read to its end the connection can be used again.
@@ -159,7 +166,7 @@
         )
 
     def _note_failure(
-        self, server: servers.Server, error: errors.EngineError
+        self, server: fleet.Server, error: errors.EngineError
     ) -> None:
         now_s = self._clock.monotonic_s()
         if isinstance(error, errors.EngineRefusedError):
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -20,7 +20,6 @@
     exchanges,
     request,
     server_book,
-    servers,
     time_limits,
 )
 from mulberrywharf.policy import observed_waits, repeat_budget
@@ -96,7 +95,7 @@
 class _Run(NamedTuple):
     """An answer that is being read, and where it is made."""
 
-    server: servers.Server
+    server: fleet.Server
     begun: exchanges.Begun
 
 
@@ -166,7 +165,7 @@
             self._after_failure(started.err_value)
 
     def _prefill(
-        self, placed: engine_account.Placed, server: servers.Server
+        self, placed: engine_account.Placed, server: fleet.Server
     ) -> Result[request.CacheHandle, errors.EngineError]:
         attempt = self._attempt(server)._replace(
             prefill_only=True, fetch_from=_fetch_from(placed)
@@ -261,7 +260,7 @@
         self._runs_count += 1
         return Ok(_Run(server, sent.ok_value))
 
-    def _attempt(self, server: servers.Server) -> request.Attempt:
+    def _attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
             self._wanted,
             server,
@@ -383,12 +382,12 @@
         ).info("resumed")
         return run
 
-    def _lost(self, server: servers.Server) -> None:
+    def _lost(self, server: fleet.Server) -> None:
         self._excluded.add(server.server_id)
         now_s = self._parts.system_clock.monotonic_s()
         self._parts.book.lost(server.server_id, now_s)
 
-    def _failed(self, server: servers.Server) -> None:
+    def _failed(self, server: fleet.Server) -> None:
         self._excluded.add(server.server_id)
         self._parts.book.failed(server.server_id)
 
@@ -427,7 +426,7 @@
     def __init__(
         self,
         book: server_book.ServerBook,
-        server: servers.Server,
+        server: fleet.Server,
         now_s: float,
     ):
         self._book = book
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -11,7 +11,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors
+from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
     exchanges,
     request,
@@ -208,7 +208,7 @@
         return Ok(WholeAnswer(begun.head, body.ok_value))
 
     def _note_answer(
-        self, server: servers.Server, status: int, took_s: float
+        self, server: fleet.Server, status: int, took_s: float
     ) -> None:
         if status >= _FAILURE_STATUS:
             self._parts.book.failed(server.server_id)
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -5,7 +5,6 @@
 from result import Result
 
 from mulberrywharf import _answers, _exchange, errors, fleet
-from mulberrywharf.forwarding import servers
 
 
 class PromptPart(NamedTuple):
@@ -93,7 +92,7 @@
     """
 
     request: RoutedRequest
-    server: servers.Server
+    server: fleet.Server
     time_left_s: float
     priority: int | None = None
     prefill_only: bool = False
@@ -160,7 +159,7 @@
         ...
 
     def decode_handle(
-        self, server: servers.Server, body: bytes
+        self, server: fleet.Server, body: bytes
     ) -> Result[CacheHandle, errors.EngineError]:
         """Reads the answer to a prefill."""
         ...
--- a/src/mulberrywharf/forwarding/server_book.py
+++ b/src/mulberrywharf/forwarding/server_book.py
@@ -3,7 +3,8 @@
 import math
 from collections.abc import Iterable
 
-from mulberrywharf.forwarding import request, servers
+from mulberrywharf import fleet
+from mulberrywharf.forwarding import request
 from mulberrywharf.policy import server_choice
 
 REPORT_AGE_CONSTANT_S = 1.0
@@ -172,8 +173,8 @@
         return now_s >= self._entry(server_id).avoided_until_s
 
     def reachable(
-        self, among: Iterable[servers.Server], now_s: float
-    ) -> list[servers.Server]:
+        self, among: Iterable[fleet.Server], now_s: float
+    ) -> list[fleet.Server]:
         """Returns those of the servers that may be reached."""
         return [one for one in among if self.may_use(one.server_id, now_s)]
 
@@ -188,7 +189,7 @@
         return entry.others_count * math.exp(-age_s / REPORT_AGE_CONSTANT_S)
 
     def candidates(
-        self, among: Iterable[servers.Server], now_s: float
+        self, among: Iterable[fleet.Server], now_s: float
     ) -> list[server_choice.Candidate]:
         """Returns servers of one service as the choice wants them."""
         among = list(among)
@@ -196,7 +197,7 @@
         return [self._candidate(server, usual_s, now_s) for server in among]
 
     def _candidate(
-        self, server: servers.Server, usual_s: float | None, now_s: float
+        self, server: fleet.Server, usual_s: float | None, now_s: float
     ) -> server_choice.Candidate:
         entry = self._entry(server.server_id)
         pace = 1.0
@@ -212,7 +213,7 @@
             is_near=server.availability_zone == self._availability_zone,
         )
 
-    def _usual_answer_s(self, among: list[servers.Server]) -> float | None:
+    def _usual_answer_s(self, among: list[fleet.Server]) -> float | None:
         known = sorted(
             answer_s
             for server in among
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -1,7 +1,7 @@
 """Which servers of a service may get new work, by what the store says."""
 
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 import gevent
 from loguru import logger
@@ -23,34 +23,12 @@
 )
 
 
-class Server(NamedTuple):
-    """One start of one server, as it registered itself.
-
-    Attributes:
-        server_id: New with each start.
-        service: The service that it belongs to.
-        address: Where it takes requests.
-        availability_zone: Where it stands.
-        slots_count: Requests that it works on at once.
-        is_draining: Whether it is about to leave.
-        role: What an engine spends its steps on, None for plain servers.
-    """
-
-    server_id: str
-    service: str
-    address: fleet.Address
-    availability_zone: str
-    slots_count: int
-    is_draining: bool = False
-    role: fleet.Role | None = None
-
-
 class ServerSource(Protocol):
     """Where servers register themselves and how they write it."""
 
     servers_prefix: str
 
-    def decode_server(self, key: str, value: bytes) -> Server | None:
+    def decode_server(self, key: str, value: bytes) -> fleet.Server | None:
         """Reads one record; None if it can't be used."""
         ...
 
@@ -93,8 +71,8 @@
         self._source = source
         self._missing_hold_s = missing_hold_s
         self._clock = system_clock or clock.SystemClock()
-        self._by_id: dict[str, Server] = {}
-        self._by_service: dict[str, tuple[Server, ...]] = {}
+        self._by_id: dict[str, fleet.Server] = {}
+        self._by_service: dict[str, tuple[fleet.Server, ...]] = {}
         self._missing: dict[str, gevent.Greenlet] = {}
         self._watch: watch.Watch | None = None
         self._callbacks: list[Callable[[], None]] = []
@@ -124,15 +102,15 @@
         """Calls back after each change of the list."""
         self._callbacks.append(callback)
 
-    def usable(self, service: str) -> tuple[Server, ...]:
+    def usable(self, service: str) -> tuple[fleet.Server, ...]:
         """Returns the servers of a service that may get new work."""
         return self._by_service.get(service, ())
 
-    def find(self, server_id: str) -> Server | None:
+    def find(self, server_id: str) -> fleet.Server | None:
         """Returns a server that has not left, None for any other."""
         return self._by_id.get(server_id)
 
-    def all(self) -> tuple[Server, ...]:
+    def all(self) -> tuple[fleet.Server, ...]:
         """Returns every server that has not left."""
         return tuple(self._by_id.values())
 
@@ -178,8 +156,8 @@
         if server is not None:
             self._changed(server, reason)
 
-    def _changed(self, server: Server, belief: str) -> None:
-        by_service: dict[str, list[Server]] = {}
+    def _changed(self, server: fleet.Server, belief: str) -> None:
+        by_service: dict[str, list[fleet.Server]] = {}
         for known in self._by_id.values():
             of_service = by_service.setdefault(known.service, [])
             if not known.is_draining:
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -15,7 +15,7 @@
 from result import Err
 
 from mulberrywharf import clock, fleet, metrics
-from mulberrywharf.forwarding import request, servers
+from mulberrywharf.forwarding import request
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import part_caches, token_bucket
 
@@ -144,7 +144,7 @@
         """All gateways, this one included."""
         return self._peers.gateways_count
 
-    def hears_of(self, server: servers.Server) -> bool:
+    def hears_of(self, server: fleet.Server) -> bool:
         """Tells whether this gateway hears of all work at an engine."""
         return self._peers.hears_of(server.availability_zone)
 
@@ -160,7 +160,7 @@
 
     def add(
         self,
-        server: servers.Server,
+        server: fleet.Server,
         work_s: float,
         part: request.PromptPart,
         own_tokens: int,
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -8,7 +8,6 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import errors, fleet
-from mulberrywharf.forwarding import servers
 from mulberrywharf.routes import kinds, table
 
 ROUTES_KEY = "op/config"
@@ -44,7 +43,7 @@
             )
             return Err(errors.StoredConfigurationError(ROUTES_KEY, [fault]))
 
-    def decode_server(self, key: str, value: bytes) -> servers.Server | None:
+    def decode_server(self, key: str, value: bytes) -> fleet.Server | None:
         """Reads the record of one server; None if it can't be used."""
         try:
             return _server(self.server_id(key), orjson.loads(value))
@@ -144,9 +143,9 @@
     )
 
 
-def _server(server_id: str, fields: Mapping[str, Any]) -> servers.Server:
+def _server(server_id: str, fields: Mapping[str, Any]) -> fleet.Server:
     ip, port = fields["address"].rsplit(":", 1)
-    return servers.Server(
+    return fleet.Server(
         server_id=server_id,
         service=fields["service"],
         address=fleet.Address(ip, int(port)),
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -5,9 +5,8 @@
 import orjson
 from result import Err, Ok, Result
 
-from mulberrywharf import _answers, _exchange, _headers, errors
+from mulberrywharf import _answers, _exchange, _headers, errors, fleet
 from mulberrywharf.forwarding import request as forwarded
-from mulberrywharf.forwarding import servers
 from mulberrywharf.platform import headers
 
 DEFAULT_DEADLINE_S = 30.0
@@ -97,7 +96,7 @@
         )
 
     def decode_handle(
-        self, server: servers.Server, body: bytes
+        self, server: fleet.Server, body: bytes
     ) -> Result[forwarded.CacheHandle, errors.EngineError]:
         """Reads the answer to a prefill."""
         try:
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -18,7 +18,7 @@
 
 import xxhash
 
-from mulberrywharf.forwarding import servers
+from mulberrywharf import fleet
 
 PREFILL_TOKENS_PER_S = 102_000.0
 """Prefill speed of a prefill engine: by the operators' sheet it reads 112
@@ -114,7 +114,7 @@
         is_heard: Whether the node hears of all work that it gets.
     """
 
-    server: servers.Server
+    server: fleet.Server
     wait_s: float = 0.0
     slot_wait_s: float = 0.0
     running_share: float = 0.0
@@ -158,7 +158,7 @@
 
     decode: EngineView
     prefill: EngineView | None
-    fetch_from: servers.Server | None
+    fetch_from: fleet.Server | None
     first_token_s: float
     prefill_work_s: float
     cached_tokens: int
@@ -178,8 +178,8 @@
 
 
 def homes(
-    part_key: int, among: Iterable[servers.Server], count: int = SHORTLIST_COUNT
-) -> list[servers.Server]:
+    part_key: int, among: Iterable[fleet.Server], count: int = SHORTLIST_COUNT
+) -> list[fleet.Server]:
     """Returns the engines where a part lives, the first home first.
 
     Rendezvous hashing: every node finds the same ones without a message, and
@@ -200,10 +200,10 @@
 
 
 def sample(
-    homes_first: Sequence[servers.Server],
-    among: Sequence[servers.Server],
+    homes_first: Sequence[fleet.Server],
+    among: Sequence[fleet.Server],
     rng: random.Random,
-) -> list[servers.Server]:
+) -> list[fleet.Server]:
     """Returns the engines of one role that are looked at for a prompt.
 
     Args:
@@ -300,7 +300,7 @@
     reader: EngineView,
     holders: Sequence[EngineView],
     tokens_per_s: float,
-) -> tuple[float, servers.Server | None, int]:
+) -> tuple[float, fleet.Server | None, int]:
     """Returns the time to have the prompt read, and how it is had.
 
     Another holder is named even if the reader is believed to hold as much.
@@ -359,8 +359,8 @@
 def _move_s(
     shape: PromptShape,
     tokens: int,
-    source: servers.Server,
-    target: servers.Server,
+    source: fleet.Server,
+    target: fleet.Server,
 ) -> float:
     move_s = tokens * shape.kv_token_bytes / shape.link_bytes_per_s
     if source.availability_zone != target.availability_zone:
--- a/src/mulberrywharf/policy/server_choice.py
+++ b/src/mulberrywharf/policy/server_choice.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from mulberrywharf.forwarding import servers
+from mulberrywharf import fleet
 
 OTHER_ZONE_COST = 0.15
 """In shares of a server's slots: the own zone is left once it is that much
@@ -39,7 +39,7 @@
         is_near: Whether it stands in the node's availability zone.
     """
 
-    server: servers.Server
+    server: fleet.Server
     own_count: int = 0
     others_count: float = 0.0
     failure_share: float = 0.0
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from mulberrywharf import fleet
-from mulberrywharf.forwarding import request, servers
+from mulberrywharf.forwarding import request
 from mulberrywharf.platform import store
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.routes import kinds, table
@@ -54,8 +54,8 @@
     server_id: str = "server-1",
     address: fleet.Address | None = None,
     **changes: Any,
-) -> servers.Server:
-    made = servers.Server(
+) -> fleet.Server:
+    made = fleet.Server(
         server_id=server_id,
         service="service",
         address=address or fleet.Address("127.0.0.1", 1),
--- a/tests/test_engine_account.py
+++ b/tests/test_engine_account.py
@@ -2,12 +2,11 @@
 
 import unittest
 
-from mulberrywharf import clock
+from mulberrywharf import clock, fleet
 from mulberrywharf.forwarding import (
     engine_account,
     request,
     server_book,
-    servers,
 )
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import prompt_placement
@@ -23,7 +22,7 @@
 class _Notices:
     gateways_count = 30
 
-    def hears_of(self, server: servers.Server) -> bool:
+    def hears_of(self, server: fleet.Server) -> bool:
         return server.availability_zone == "zone-a"
 
     def add(self, *_: object) -> None:
@@ -31,7 +30,7 @@
 
 
 def _account_at(
-    known: tuple[servers.Server, ...],
+    known: tuple[fleet.Server, ...],
 ) -> tuple[engine_account.EngineAccount, server_book.ServerBook]:
     book = server_book.ServerBook("zone-a")
     account = engine_account.EngineAccount(
@@ -45,7 +44,7 @@
     def setUp(self) -> None:
         self.account, _ = _account_at((_HEARD, _UNHEARD))
 
-    def cached_tokens(self, server: servers.Server, *, is_home: bool) -> int:
+    def cached_tokens(self, server: fleet.Server, *, is_home: bool) -> int:
         parts = build.prompt(shared_tokens=13_000, own_tokens=3_000).parts
         view = self.account.view(server, parts, 1.0, is_home=is_home)
         return view.cached_tokens
