Tell of a run whose answer was lost also where no engine is left

A resumable stream whose answer was lost may run again; when no engine was left for that, the absence was told with the status that promises that nothing ran, whatever had run before. Ruled out: plain calls (they look at the outcome before they give up), refusals by queue (only before the first send), deadlines (504). Change: where something may have run, an absent engine ends in 502. Test: one engine that runs and closes, a resumable request; 503 before.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -145,14 +145,7 @@
 
     def _start(self) -> _Run:
         while True:
-            placed = self._parts.pool.place(
-                self._wanted,
-                self._route,
-                self._service,
-                self._limit,
-                excluded=frozenset(self._excluded),
-                may_refuse=self._sends_count == 0,
-            )
+            placed = self._place()
             if placed.plan.prefill is not None and self._cache is None:
                 prefilled = self._prefill(placed, placed.plan.prefill.server)
                 if isinstance(prefilled, Err):
@@ -164,6 +157,24 @@
                 return started.ok_value
             self._after_failure(started.err_value)
 
+    def _place(self) -> engine_account.Placed:
+        try:
+            return self._parts.pool.place(
+                self._wanted,
+                self._route,
+                self._service,
+                self._limit,
+                excluded=frozenset(self._excluded),
+                may_refuse=self._sends_count == 0,
+            )
+        except errors.NoEngineError as error:
+            if self._outcome == "not-run":
+                raise
+            # The status of an absent engine promises that nothing ran.
+            raise errors.BackEndLostError(
+                error.message, outcome=self._outcome
+            ) from error
+
     def _prefill(
         self, placed: engine_account.Placed, server: fleet.Server
     ) -> Result[request.CacheHandle, errors.EngineError]:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -335,6 +335,19 @@
         self.assertEqual(caught.exception.outcome, "not-run")
         self.assertEqual(caught.exception.status, 503)
 
+    def test_a_run_whose_answer_was_lost_is_no_refusal(self) -> None:
+        """A caller is told that its request has not run, and it has.
+
+        Symptom: 503 for a request that an engine has in its log.
+        Sequence: the only engine runs a resumable request and closes the
+        connection; the request may run again, and no engine is left.
+        Cause: that no engine was left was told as if nothing had been sent.
+        """
+        with self.assertRaises(errors.BackEndLostError) as caught:
+            self.open(self.break_after(b""))
+        self.assertEqual(caught.exception.outcome, "unknown")
+        self.assertEqual(caught.exception.status, 502)
+
     def test_engines_that_refuse_are_a_promise(self) -> None:
         with self.assertRaises(errors.RequestError) as caught:
             self.body(self.say(refusal()), kind=ONCE)
