Bound how late a stop still takes requests

A connection whose stream ends in a stop stays open for the next request; with a stream that ends five seconds into the stop that request is taken so late that it may outlast the grace of eight, and is cut. Change: requests are waited for until 1 s after the listener closed; behind that answers end their connections and idle ones end at once. Test: a stream that ends 1.3 s after the listener closed; red before.

--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -45,7 +45,9 @@
 its accept or its last answer. Its caller was not told that the connection
 ends: the head of that answer went out before the stop. Closed at once, the
 request that is on its way is cut; a caller that is short of processor time
-needs some 100 ms and more to send it."""
+needs some 100 ms and more to send it. No request is waited for longer than that
+after the listener has closed either: one that is taken late in a stop may
+outlast the grace, and is cut then."""
 _END_IDLE_INTERVAL_S = 0.05
 """How often a stop looks for connections that became idle; a twentieth of
 what they are left open for."""
@@ -145,7 +147,7 @@
             self.server.busy_sockets.discard(self.socket)
             self.server.note_use(self.socket)
         # What is left of a body would be read as the next request's head.
-        if not self.wsgi_input.is_whole:
+        if not self.wsgi_input.is_whole or self.server.awaits_no_request:
             self.close_connection = True
 
     def finalize_headers(self) -> None:
@@ -194,6 +196,7 @@
         self._idle_timeout_s = idle_timeout_s
         self.stopping = False
         self.busy_sockets: set[Any] = set()
+        self._awaits_until_s = float("inf")
         self._last_use_s: dict[Any, float] = {}
         """Open connections, and when each was accepted or last answered on."""
         self._all_closed = gevent.event.Event()
@@ -235,6 +238,11 @@
         """Notes that a connection was accepted, or answered on, just now."""
         self._last_use_s[sock] = time.monotonic()
 
+    @property
+    def awaits_no_request(self) -> bool:
+        """Whether a stop has gone so far that idle connections end at once."""
+        return time.monotonic() >= self._awaits_until_s
+
     def announce_stop(self) -> None:
         """Makes every further answer the last one of its connection."""
         self.stopping = True
@@ -254,6 +262,7 @@
             self.do_handle(*accepted)
         self.socket.close()
         gevent.sleep(0)
+        self._awaits_until_s = time.monotonic() + _NEXT_REQUEST_S
         while self._last_use_s:
             self._end_idle()
             self._all_closed.wait(_END_IDLE_INTERVAL_S)
@@ -261,7 +270,8 @@
     def _end_idle(self) -> None:
         unused_since_s = time.monotonic() - _NEXT_REQUEST_S
         for sock, last_use_s in self._last_use_s.items():
-            if last_use_s <= unused_since_s and sock not in self.busy_sockets:
+            is_over = last_use_s <= unused_since_s or self.awaits_no_request
+            if is_over and sock not in self.busy_sockets:
                 _end_reading(sock)
 
 
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -4,6 +4,7 @@
 import signal
 import subprocess
 import sys
+import time
 import unittest
 from collections.abc import Iterator
 from typing import Any
@@ -377,6 +378,29 @@
         self.assertEqual(head["connection"], "close")
         finishing.get(timeout=_JOIN_S)
 
+    def test_a_stream_that_ends_late_in_a_stop_ends_its_connection(
+        self,
+    ) -> None:
+        """A request is cut by the end of the grace of a stop.
+
+        Symptom: an answer breaks off, eight seconds after the stop began.
+        Sequence: a stream ends five seconds into the stop; its caller sends
+        the next request on that connection, and it is taken.
+        Cause: how late a stop still takes requests was not bounded.
+        """
+        self.listener.serve(self._answer_in_two_parts)
+        sock = self.connect()
+        sock.sendall(callers_fixture.request_bytes("GET", "/"))
+        self.assertIn(b"200 OK", sock.recv(65_536))
+        finishing = gevent.spawn(self.listener.finish)
+        gevent.sleep(listener._NEXT_REQUEST_S + 0.3)
+        self.may_end.set()
+        ended = time.monotonic()
+        while sock.recv(65_536):
+            pass
+        self.assertLess(time.monotonic() - ended, 0.5)
+        finishing.get(timeout=_JOIN_S)
+
     def _answer_in_two_parts(
         self, environ: Any, start_response: Any
     ) -> Iterator[bytes]:
