Pause briefly again, and count on peers only while they know of this gateway

The store had turned 35 % of the gateways away for 9 s and had taken their keys; the version was written as it let them in again. Pauses behind a failure had been let grow to 3.4 s, since peers would tell of a change; but peers tell only whom they find in the directory. Change: the longer pause is taken back. A gateway that isn't registered, or not for 8 s, waits as one that nobody tells. Tests: a gateway whose key was taken; the pause is brief at any size.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -1,6 +1,7 @@
 """Which gateways there are, by the keys that they hold in the store."""
 
 import random
+import time
 from typing import NamedTuple
 
 import gevent
@@ -27,6 +28,11 @@
 bring each registration to each gateway: with it 80 gateways sent 6,476 calls in
 their first 31 s, with this 6,052."""
 
+KNOWN_AFTER_S = 8.0
+"""From the registration of a gateway until the others tell it of work: they
+read every 5 s, a fifth more at the most, and a reading may be a second or two
+old."""
+
 FIRST_READ_S = 1.5
 """After the start: all start together, and have registered by then."""
 
@@ -74,6 +80,7 @@
         self._client = client
         self._incarnation = incarnation
         self._registrations_count = 0
+        self._registered_s: float | None = None
         self._own_value = f"{own_address}/{availability_zone}".encode()
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
@@ -100,6 +107,17 @@
         """All gateways, this one included."""
         return 1 + len(self._by_vm)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the others know of this gateway, and tell it of work.
+
+        They read the directory now and then; a gateway whose key was just
+        made, or was taken away, hears nothing meanwhile.
+        """
+        if self._registered_s is None:
+            return False
+        return time.monotonic() - self._registered_s >= KNOWN_AFTER_S
+
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         """Returns where the gateways take notices of a zone's engines."""
         known = self._by_vm.values()
@@ -126,7 +144,9 @@
             failed = self._register(lost)
             if failed is None:
                 failures_count = 0
+                self._registered_s = time.monotonic()
                 lost.wait()
+                self._registered_s = None
             else:
                 failures_count += 1
                 logger.warning("not registered: {}", failed.message)
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -49,6 +49,11 @@
         """All gateways, this one included."""
         ...
 
+    @property
+    def is_known(self) -> bool:
+        """Whether the others know of this gateway."""
+        ...
+
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         """Returns where the gateways take notices of a zone's engines."""
         ...
@@ -137,6 +142,8 @@
     @property
     def told_count(self) -> int:
         """Gateways that tell each other, this one included."""
+        if not self._peers.is_known:
+            return 1
         return 1 + len(self._peers.addresses(self._availability_zone))
 
     @property
--- a/src/mulberrywharf/peers/store_news.py
+++ b/src/mulberrywharf/peers/store_news.py
@@ -26,12 +26,6 @@
 REOPEN_LIMIT_S = 8.0
 """For a gateway that the others' notices don't reach, unknown to itself."""
 
-PAUSE_SHARE = 0.5
-"""Bound of the pause behind a failure as part of the wait for a change. One
-gateway that finds the service back tells the others; 80 that tried every
-second sent 230 calls a second to a service that refused them all, reckoned
-from 2,700 in 12 s."""
-
 PATIENCE_S = 0.8
 """From a peer's news until a watch that has not brought it is opened again. A
 sound watch begins to bring a change within some ms of its peers', or 0.5 s
@@ -91,10 +85,9 @@
 def patience(told_count: int) -> watch.Patience:
     """Returns how long a watch may wait where so many tell each other."""
     shared_s = min(REOPEN_LIMIT_S, told_count * OPENINGS_INTERVAL_S)
-    return watch.Patience(
-        max(watch.BRIEF.silence_s, shared_s),
-        max(watch.BRIEF.pause_s, shared_s * PAUSE_SHARE),
-    )
+    # A pause behind a failure stays brief: whom the service turns away loses
+    # its key in it too, so its peers no longer tell it of anything.
+    return watch.BRIEF._replace(silence_s=max(watch.BRIEF.silence_s, shared_s))
 
 
 class StoreNews:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -27,6 +27,8 @@
     def gateways_count(self) -> int:
         return 1 + len(self.known)
 
+    is_known = True
+
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         return self.known if availability_zone == ZONE else ()
 
@@ -229,6 +231,31 @@
         )
         self.assertEqual(one.addresses(ZONE), (fleet.Address("127.0.0.1", 3),))
 
+    def test_a_gateway_whose_key_is_gone_counts_on_nobody(self) -> None:
+        """One gateway refuses a new route with 404 for a second too long.
+
+        Sequence: the store turns a gateway away and takes its key; a change
+        is made as it lets it in again. Its peers tell it nothing, and it
+        waits as if they did. Cause: it went by whom it knew, not by who knew
+        it.
+        """
+        one = self.start("one", 1)
+        builders_platform.wait_until(lambda: one._registered_s is not None)
+        self.assertFalse(one.is_known)
+        one._registered_s -= directory.KNOWN_AFTER_S
+        self.assertTrue(one.is_known)
+        for lease_id in list(self.store.store._leases):
+            self.store.store.revoke(lease_id)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: not one.is_known, directory.LEASE_TTL_S
+            )
+        )
+        told = notices.WorkNotices(
+            fleet.Address("127.0.0.1", 1), one, 1, ZONE, clock.SystemClock()
+        )
+        self.assertEqual(told.told_count, 1)
+
     def test_a_lost_registration_is_made_again(self) -> None:
         """A gateway is not told of work for the rest of its life.
 
--- a/tests/test_store_news.py
+++ b/tests/test_store_news.py
@@ -104,7 +104,7 @@
         self.assertEqual(store_news.patience(1), watch.BRIEF)
         self.assertEqual(store_news.patience(8), watch.BRIEF)
         self.assertGreater(store_news.patience(27).silence_s, 6.0)
-        self.assertGreater(store_news.patience(27).pause_s, 3.0)
+        self.assertEqual(store_news.patience(340).pause_s, watch.BRIEF.pause_s)
         self.assertEqual(
             store_news.patience(340).silence_s, store_news.REOPEN_LIMIT_S
         )
