Choose the engine that answers when the prefill is done

Cause: a plan named the engine that prefills and the one that goes on at once. A prefill waits up to seconds in a queue; by then the second engine may leave, have another role or be full.

Ruled out: watching the first choice for changes, which needs all that is known at the choice anyway.

Change: the prefill's answer leads to a choice of its own, by what is known then; a handle that its engine has dropped by then counts as lost.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -212,9 +212,33 @@
         ticket = self._queues.add(reader_id, work_s, now_s)
         if service.engine is None or wanted.prompt is None:
             return Placed(plan, ticket, is_in_order=False)
-        self._note_prompt(wanted.prompt, plan, work_s, service.engine.kv_tokens)
-        is_long = told_part(wanted.prompt.parts) is not None
-        return Placed(plan, ticket, is_in_order=is_long)
+        self._note_prompt(
+            wanted.prompt,
+            plan.reader.server,
+            work_s,
+            service.engine.kv_tokens,
+        )
+        if told_part(wanted.prompt.parts) is not None:
+            return Placed(plan, ticket, is_in_order=True)
+        role: fleet.Role = "prefill" if plan.prefill else "decode"
+        self._background[role].add(work_s / plan.reader.pace, now_s)
+        return Placed(plan, ticket, is_in_order=False)
+
+    def count_in_takeover(
+        self,
+        wanted: request.RoutedRequest,
+        service: table.Service,
+        plan: prompt_placement.Plan,
+    ) -> Placed:
+        """Counts in that an engine goes on from a prefilled prompt."""
+        engine = plan.decode.server
+        if service.engine is not None and wanted.prompt is not None:
+            self._note_prompt(
+                wanted.prompt, engine, 0.0, service.engine.kv_tokens
+            )
+        now_s = self._clock.monotonic_s()
+        ticket = self._queues.add(engine.server_id, 0.0, now_s)
+        return Placed(plan, ticket, is_in_order=False)
 
     def reading(self, placed: Placed) -> observed_waits.Awaited:
         """Notes that the reader was sent the prompt."""
@@ -312,33 +336,23 @@
     def _note_prompt(
         self,
         prompt: request.Prompt,
-        plan: prompt_placement.Plan,
+        engine: fleet.Server,
         work_s: float,
         memory_tokens: int,
     ) -> None:
-        """Notes what both engines of a plan will hold, and tells peers."""
+        """Notes what an engine will hold of a prompt, and tells peers."""
         told = told_part(prompt.parts)
-        engines = {plan.reader.server, plan.decode.server}
         if told is None:
             # Short prompts are many and spread evenly over the gateways, so
             # each counts its own for all instead of telling them.
             tokens = prompt.tokens * self._notices.gateways_count
-            for engine in engines:
-                self._caches.note_own(engine.server_id, tokens, memory_tokens)
-            role: fleet.Role = "prefill" if plan.prefill else "decode"
-            self._background[role].add(
-                work_s / plan.reader.pace, self._clock.monotonic_s()
-            )
+            self._caches.note_own(engine.server_id, tokens, memory_tokens)
             return
         own_tokens = prompt.tokens - told.tokens
-        for engine in engines:
-            key = part_caches.part_key(told.part_id)
-            self._note_read(engine, key, told.tokens, memory_tokens)
-            self._caches.note_own(engine.server_id, own_tokens, memory_tokens)
-            is_reader = engine == plan.reader.server
-            self._notices.add(
-                engine, work_s if is_reader else 0.0, told, own_tokens
-            )
+        key = part_caches.part_key(told.part_id)
+        self._note_read(engine, key, told.tokens, memory_tokens)
+        self._caches.note_own(engine.server_id, own_tokens, memory_tokens)
+        self._notices.add(engine, work_s, told, own_tokens)
 
     def _note_read(
         self,
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -88,6 +88,48 @@
         self._log(wanted, route, plan)
         return placed
 
+    def take_over(
+        self,
+        wanted: request.RoutedRequest,
+        service: table.Service,
+        source: fleet.Server,
+        *,
+        excluded: frozenset[str],
+    ) -> engine_account.Placed:
+        """Chooses the engine that answers a prompt that was prefilled.
+
+        Args:
+            wanted: The request.
+            service: Whose engines to choose from.
+            source: The engine that prefilled the prompt.
+            excluded: Engines that failed it already.
+
+        Raises:
+            NoEngineError: No engine is left.
+        """
+        usable = self._usable(service, excluded)
+        decodes = [one for one in usable if one.role != "prefill"]
+        parts = wanted.prompt.parts if wanted.prompt else ()
+        plans = prompt_placement.takeovers(
+            _shape(wanted, service),
+            prompt_placement.EngineView(source),
+            self._views(decodes, parts, self._account.pace("decode", decodes)),
+        )
+        if not plans:
+            raise errors.NoEngineError(
+                f"no engine of {service.name} is left to go on",
+                retry_after_s=RETRY_WITHOUT_ENGINE_S,
+            )
+        placed = self._account.count_in_takeover(wanted, service, plans[0])
+        logger.bind(
+            request_id=wanted.request_id,
+            decode_id=placed.plan.decode.server.server_id,
+            prefill_id=source.server_id,
+            running_share=round(placed.plan.decode.running_share, 3),
+            first_token_s=round(placed.plan.first_token_s, 4),
+        ).info("taken over")
+        return placed
+
     def _refuse_if_late(
         self,
         wanted: request.RoutedRequest,
@@ -124,14 +166,7 @@
         service: table.Service,
         excluded: frozenset[str],
     ) -> list[prompt_placement.Plan]:
-        usable = self._book.reachable(
-            (
-                server
-                for server in self._server_list.usable(service.name)
-                if server.server_id not in excluded
-            ),
-            self._clock.monotonic_s(),
-        )
+        usable = self._usable(service, excluded)
         parts = wanted.prompt.parts if wanted.prompt else ()
         prefills = [one for one in usable if one.role == "prefill"]
         decodes = [one for one in usable if one.role != "prefill"]
@@ -145,6 +180,18 @@
             self._views(decodes, parts, self._account.pace("decode", decodes)),
         )
 
+    def _usable(
+        self, service: table.Service, excluded: frozenset[str]
+    ) -> list[fleet.Server]:
+        return self._book.reachable(
+            (
+                server
+                for server in self._server_list.usable(service.name)
+                if server.server_id not in excluded
+            ),
+            self._clock.monotonic_s(),
+        )
+
     def _views(
         self,
         among: list[fleet.Server],
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -99,6 +99,14 @@
     begun: exchanges.Begun
 
 
+class _Prefilled(NamedTuple):
+    """A prompt that was prefilled and waits to be taken over."""
+
+    cache: request.CacheHandle
+    server: fleet.Server
+    lapses_s: float
+
+
 class _Generation:
     """One request, its attempts and its stream."""
 
@@ -123,7 +131,7 @@
         self._outcome: errors.Outcome = "not-run"
         self._last_event_id = wanted.last_event_id
         self._delivered_id = _number(wanted.last_event_id)
-        self._cache: request.CacheHandle | None = None
+        self._prefilled: _Prefilled | None = None
 
     def open(self) -> StreamAnswer:
         run = self._bounded_start()
@@ -145,17 +153,39 @@
 
     def _start(self) -> _Run:
         while True:
+            attempted = self._attempt_once()
+            if isinstance(attempted, Ok):
+                return attempted.ok_value
+            self._after_failure(attempted.err_value)
+
+    def _attempt_once(self) -> Result[_Run, errors.EngineError]:
+        """Prefills the prompt where that is best, and has it answered.
+
+        The engine that answers is chosen when the prefill is done. Chosen
+        before, by what was known a queue's length ago, it may since have
+        begun to leave, taken another role, failed or filled up: the answer
+        then comes late, or the prefill is lost and done again.
+        """
+        prefilled = self._usable_prefill()
+        if prefilled is None:
             placed = self._place()
-            if placed.plan.prefill is not None and self._cache is None:
-                prefilled = self._prefill(placed, placed.plan.prefill.server)
-                if isinstance(prefilled, Err):
-                    self._after_failure(prefilled.err_value)
-                    continue
-                self._cache = prefilled.ok_value
-            started = self._generate(placed)
-            if isinstance(started, Ok):
-                return started.ok_value
-            self._after_failure(started.err_value)
+            if placed.plan.prefill is None:
+                return self._generate(placed)
+            read = self._prefill(placed, placed.plan.prefill.server)
+            if isinstance(read, Err):
+                return read
+            prefilled = self._prefilled = read.ok_value
+        return self._generate(self._take_over(prefilled))
+
+    def _usable_prefill(self) -> _Prefilled | None:
+        """Returns what was prefilled, unless its engine has dropped it."""
+        prefilled = self._prefilled
+        if prefilled is None:
+            return None
+        if self._parts.system_clock.monotonic_s() < prefilled.lapses_s:
+            return prefilled
+        self._prefilled = None
+        return None
 
     def _place(self) -> engine_account.Placed:
         try:
@@ -168,16 +198,30 @@
                 may_refuse=self._sends_count == 0,
             )
         except errors.NoEngineError as error:
-            if self._outcome == "not-run":
-                raise
-            # The status of an absent engine promises that nothing ran.
-            raise errors.BackEndLostError(
-                error.message, outcome=self._outcome
-            ) from error
+            raise self._without_engine(error) from error
+
+    def _take_over(self, prefilled: _Prefilled) -> engine_account.Placed:
+        try:
+            return self._parts.pool.take_over(
+                self._wanted,
+                self._service,
+                prefilled.server,
+                excluded=frozenset(self._excluded),
+            )
+        except errors.NoEngineError as error:
+            raise self._without_engine(error) from error
+
+    def _without_engine(
+        self, error: errors.NoEngineError
+    ) -> errors.RequestError:
+        if self._outcome == "not-run":
+            return error
+        # The status of an absent engine promises that nothing ran.
+        return errors.BackEndLostError(error.message, outcome=self._outcome)
 
     def _prefill(
         self, placed: engine_account.Placed, server: fleet.Server
-    ) -> Result[request.CacheHandle, errors.EngineError]:
+    ) -> Result[_Prefilled, errors.EngineError]:
         attempt = self._attempt(server)._replace(
             prefill_only=True, fetch_from=_fetch_from(placed)
         )
@@ -191,7 +235,15 @@
             raise
         self._note_outcome(placed, awaited, read)
         self._log(attempt, began_s, read)
-        return read
+        return read.map(lambda cache: self._kept(cache, server))
+
+    def _kept(
+        self, cache: request.CacheHandle, server: fleet.Server
+    ) -> _Prefilled:
+        engine = self._service.engine
+        kept_s = engine.handle_ttl_s if engine else 0.0
+        now_s = self._parts.system_clock.monotonic_s()
+        return _Prefilled(cache, server, now_s + kept_s)
 
     def _note_outcome(
         self,
@@ -234,15 +286,15 @@
         self, placed: engine_account.Placed
     ) -> Result[_Run, errors.EngineError]:
         server = placed.plan.decode.server
-        reads_itself = self._cache is None
+        prefilled, self._prefilled = self._prefilled, None
+        # A handle can be taken once, and nobody knows whether it was when
+        # this attempt fails.
+        reads_itself = prefilled is None
         attempt = self._attempt(server)._replace(
-            cache=self._cache,
+            cache=prefilled.cache if prefilled else None,
             fetch_from=_fetch_from(placed) if reads_itself else None,
             last_event_id=self._last_event_id,
         )
-        # A handle can be taken once, and nobody knows whether it was when
-        # this attempt fails.
-        self._cache = None
         began_s = self._parts.system_clock.monotonic_s()
         before = self._outcome
         self._outcome = "unknown"
@@ -262,7 +314,7 @@
             self._parts.book.ended(server.server_id)
             if isinstance(sent.err_value, errors.EngineUnreachableError):
                 # Nothing left, so the handle is still there for another.
-                self._cache = attempt.cache
+                self._prefilled = prefilled
             if sent.err_value.outcome == "not-run":
                 self._outcome = before
             else:
@@ -403,9 +455,9 @@
         self._parts.book.failed(server.server_id)
 
     def _release_cache(self) -> None:
-        if self._cache is not None:
-            self._parts.client.release(self._cache)
-            self._cache = None
+        if self._prefilled is not None:
+            self._parts.client.release(self._prefilled.cache)
+            self._prefilled = None
 
     def _since_s(self, began_s: float) -> float:
         return self._parts.system_clock.monotonic_s() - began_s
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -240,6 +240,41 @@
     return sorted(found, key=lambda plan: plan.cost)
 
 
+def takeovers(
+    shape: PromptShape, source: EngineView, decodes: Sequence[EngineView]
+) -> list[Plan]:
+    """Returns every way to go on from a prefilled prompt, the best first.
+
+    Args:
+        shape: The prompt.
+        source: The engine that prefilled it.
+        decodes: Engines that may answer it.
+    """
+    found = [_takeover(shape, source, decode) for decode in decodes]
+    return sorted(found, key=lambda plan: plan.cost)
+
+
+def _takeover(
+    shape: PromptShape, source: EngineView, decode: EngineView
+) -> Plan:
+    moved_tokens = shape.tokens - decode.cached_tokens
+    first_token_s = (
+        _move_s(shape, moved_tokens, source.server, decode.server)
+        + HANDOVER_S
+        + decode.slot_wait_s
+        + FIRST_TOKEN_S * decode.pace
+    )
+    return Plan(
+        decode,
+        source,
+        None,
+        first_token_s,
+        0.0,
+        shape.tokens,
+        first_token_s + _place_cost_s(decode) + _copy_cost_s(shape, decode),
+    )
+
+
 def _direct(
     shape: PromptShape, decode: EngineView, holders: Sequence[EngineView]
 ) -> Plan:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -57,6 +57,17 @@
         """Drops the placement."""
 
 
+class _WatchedPool(engine_pool.EnginePool):
+    """Notes whom each plan was to be answered by when it was made."""
+
+    chosen: list[str]
+
+    def place(self, *args: Any, **options: Any) -> engine_account.Placed:
+        placed = super().place(*args, **options)
+        self.chosen.append(placed.plan.decode.server.server_id)
+        return placed
+
+
 class GenerationCase(builders_engines.ScriptedServerCase):
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -71,7 +82,11 @@
         )
 
     def open(
-        self, *scripted: tuple[str, Any], kind: Any = RESUMABLE, **changes: Any
+        self,
+        *scripted: tuple[str, Any],
+        kind: Any = RESUMABLE,
+        engine: table.EngineTraits = build.ENGINE,
+        **changes: Any,
     ) -> generation.StreamAnswer:
         known = [
             build.server(f"s{number}", one.address, role=role, slots_count=16)
@@ -80,13 +95,12 @@
         account = engine_account.EngineAccount(
             self.book, self.clock, NoNotices(), lambda _: 500_000
         )
-        pool = engine_pool.EnginePool(
-            StaticServers(*known),
-            self.book,
-            account,
-            self.clock,
-            random.Random(1),
+        self.servers = StaticServers(*known)
+        self.chosen: list[str] = []
+        pool = _WatchedPool(
+            self.servers, self.book, account, self.clock, random.Random(1)
         )
+        pool.chosen = self.chosen
         made = generation.Generations(
             generation.Parts(
                 pool,
@@ -101,9 +115,7 @@
             kind=kind, timeout_s=1.0, target_s=0.5, has_prompt=True
         )
         wanted = build.routed(self.clock.monotonic_s(), **changes)
-        return made.open(
-            wanted, route, table.Service("service", 100, build.ENGINE)
-        )
+        return made.open(wanted, route, table.Service("service", 100, engine))
 
     def body(self, *scripted: tuple[str, Any], **changes: Any) -> bytes:
         return b"".join(self.open(*scripted, **changes).blocks)
@@ -262,6 +274,60 @@
             builders_engines.header(run, b"x-mulberrywharf-stage"), b""
         )
 
+    def test_who_goes_on_is_chosen_when_the_prefill_is_done(self) -> None:
+        """An engine that said that it leaves still gets new work.
+
+        Symptom: a stream reaches an engine 2.3 s after its record said
+        ``draining``. Sequence: a prompt waits for seconds in a prefill queue;
+        meanwhile the engine that was to go on begins to leave. Cause: that
+        engine was chosen before the prefill and not looked at again. The
+        same way led to engines that had taken another role, whose refusal
+        lost the prefill, and to batches that had filled up.
+        """
+        decodes = [self.say(HEAD + chunks(event(1))) for _ in range(2)]
+
+        def script(sock: Any, asked: bytes) -> None:
+            placed = [one for one in self.chosen if one != "s0"]
+            self.servers.known = tuple(
+                one._replace(is_draining=one.server_id in placed)
+                for one in self.servers.known
+            )
+            sock.sendall(PREFILLED)
+
+        prefill = "prefill", self.serve(script)
+        self.body(prefill, *decodes, prompt=build.prompt(), kind=ONCE)
+        reached = [
+            f"s{number + 1}"
+            for number, (_, one) in enumerate(decodes)
+            if one.requests
+        ]
+        self.assertEqual(len(reached), 1)
+        self.assertNotIn(reached[0], self.chosen)
+
+    def test_a_lapsed_prefill_is_not_asked_for(self) -> None:
+        """A prompt is sent with a handle that its engine has dropped.
+
+        Sequence: the first engine that was to go on can't be reached, and
+        finding that out takes longer than the handle lives. Cause: a handle
+        counted as there until somebody took it.
+        """
+        gone = self.say(b"")
+        gone[1].close()
+        decode = self.say(HEAD + chunks(event(1)))
+        prefill = self.prefill()
+        lapsed = build.ENGINE._replace(handle_ttl_s=0.0)
+        for engines in ((gone, decode), (decode, gone)):
+            self.book = server_book.ServerBook("zone-a")
+            self.body(
+                prefill,
+                *engines,
+                prompt=build.prompt(),
+                kind=ONCE,
+                engine=lapsed,
+            )
+        # Only one of the two orders meets the engine that is gone.
+        self.assertEqual(len(prefill[1].requests), 3)
+
     def test_a_prefill_that_fails_leaves_the_direct_way(self) -> None:
         for failing in (
             self.prefill(refusal()),
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -25,7 +25,11 @@
         self.known = known
 
     def usable(self, service: str) -> tuple[Any, ...]:
-        return tuple(one for one in self.known if one.service == service)
+        return tuple(
+            one
+            for one in self.known
+            if one.service == service and not one.is_draining
+        )
 
 
 def answer(
