Learn engines' speeds from their answers

Cause: prefill speed, pair time, first token and hand-over were constants of two operators' sheet.

Ruled out: any other constant. A regression over all answers was not tried: waits spoil it, where a correction of each term by its share of the estimate takes them in.

Change: each answer corrects the terms of its own estimate (beginning, tokens, pairs, takeover) by the logarithm of its error, and the pace of its engine. The error is a metric and in the attempt lines.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -1,14 +1,16 @@
 """What this node knows of engines and their work, and what peers tell of it."""
 
+import collections
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
-from mulberrywharf import clock, fleet
+from mulberrywharf import clock, fleet, metrics
 from mulberrywharf.forwarding import request, server_book
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import (
     background_work,
     engine_queues,
+    engine_speeds,
     home_hits,
     observed_waits,
     part_caches,
@@ -29,6 +31,12 @@
 time."""
 
 
+_estimate_ratio = metrics.histogram(
+    "mulberry_estimate_ratio",
+    "What an engine took to answer over what was estimated, by matter.",
+)
+
+
 class Notices(Protocol):
     """Tells other gateways what this one places."""
 
@@ -96,6 +104,9 @@
             "decode": background_work.BackgroundWork(),
         }
         self._home_hits = home_hits.HomeHits()
+        self._speeds: dict[str, engine_speeds.EngineSpeeds] = (
+            collections.defaultdict(engine_speeds.EngineSpeeds)
+        )
         self._notices = notices
         self._memory_tokens = memory_tokens
         self._server_by_key: dict[int, fleet.Server] = {}
@@ -109,6 +120,8 @@
         self._observed.keep_only(server_ids)
         self._slots.keep_only(server_ids)
         self._caches.keep_only(server_ids)
+        for learned in self._speeds.values():
+            learned.keep_only(server_ids)
         self._server_by_key = {
             codec.key_of_engine(server.server_id): server for server in known
         }
@@ -125,6 +138,10 @@
             if server.role is not None
         }
 
+    def speeds(self, service: str) -> engine_speeds.Speeds:
+        """Returns what is known of the speed of a service's engines."""
+        return self._speeds[service].speeds
+
     def pace(self, role: fleet.Role, engines: list[fleet.Server]) -> float:
         """Returns how much longer reading takes beside short prompts."""
         taken_share = self._background[role].share(
@@ -152,6 +169,7 @@
         """
         now_s = self._clock.monotonic_s()
         server_id = server.server_id
+        pace *= self._speeds[server.service].pace(server_id, now_s)
         (candidate,) = self._book.candidates([server], now_s)
         running_count = candidate.own_count + candidate.others_count
         slot_wait_s = max(
@@ -161,7 +179,7 @@
         return prompt_placement.EngineView(
             server=server,
             wait_s=max(
-                self._queues.wait_s(server_id, now_s) * pace + slot_wait_s,
+                self._queues.wait_s(server_id, now_s) + slot_wait_s,
                 self._observed.wait_s(server_id, "read", now_s),
             ),
             slot_wait_s=slot_wait_s,
@@ -248,15 +266,27 @@
         """Notes that the reader was sent the prompt."""
         plan = placed.plan
         return self._sent(
-            plan.reader.server, "read", plan.first_token_s - plan.queue_s
+            plan.reader.server, "read", plan.copy_s + plan.reading.total_s
         )
 
     def starting(self, placed: Placed) -> observed_waits.Awaited:
         """Notes that the decode engine was sent a prompt read elsewhere."""
+        plan = placed.plan
         return self._sent(
-            placed.plan.decode.server, "start", prompt_placement.TAKEOVER_S
+            plan.decode.server,
+            "start",
+            plan.first_token_s - plan.decode.slot_wait_s,
         )
 
+    def expected_s(
+        self, placed: Placed, awaited: observed_waits.Awaited
+    ) -> float:
+        """Returns when an engine was to answer what it was sent."""
+        plan = placed.plan
+        if awaited.matter == "read":
+            return plan.reader.wait_s + awaited.unqueued_s
+        return plan.decode.slot_wait_s + awaited.unqueued_s
+
     def began(self, placed: Placed, awaited: observed_waits.Awaited) -> None:
         """Notes that an engine has answered what it was sent.
 
@@ -268,6 +298,29 @@
         self._observed.answered(awaited, now_s)
         if awaited.matter == "read" and placed.is_in_order:
             self._queues.finished(placed.ticket, now_s)
+        self._learn(placed, awaited, now_s)
+
+    def _learn(
+        self, placed: Placed, awaited: observed_waits.Awaited, now_s: float
+    ) -> None:
+        plan = placed.plan
+        took_s = now_s - awaited.sent_s
+        expected_s = self.expected_s(placed, awaited)
+        if expected_s > 0:
+            _estimate_ratio.observe(
+                {"matter": awaited.matter}, took_s / expected_s
+            )
+        learned = self._speeds[plan.decode.server.service]
+        if awaited.matter == "read":
+            learned.learn_reading(
+                plan.reader.server,
+                plan.reading,
+                plan.reader.wait_s + plan.copy_s,
+                took_s,
+                now_s,
+            )
+        else:
+            learned.learn_takeover(plan.copy_s, plan.decode.slot_wait_s, took_s)
 
     def failed(self, awaited: observed_waits.Awaited) -> None:
         """Notes that an engine will not answer what it was sent."""
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -112,6 +112,7 @@
         parts = engine_account.chain_of(wanted.prompt)
         plans = prompt_placement.takeovers(
             _shape(wanted, service),
+            self._account.speeds(service.name),
             prompt_placement.EngineView(source),
             self._views(decodes, parts, self._account.pace("decode", decodes)),
         )
@@ -174,6 +175,7 @@
             prefills = []
         return prompt_placement.plans(
             _shape(wanted, service),
+            self._account.speeds(service.name),
             self._views(
                 prefills, parts, self._account.pace("prefill", prefills)
             ),
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -234,7 +234,8 @@
             self._parts.account.failed(awaited)
             raise
         self._note_outcome(placed, awaited, read)
-        self._log(attempt, began_s, read)
+        expected_s = self._parts.account.expected_s(placed, awaited)
+        self._log(attempt, began_s, expected_s, read)
         return read.map(lambda cache: self._kept(cache, server))
 
     def _kept(
@@ -309,7 +310,8 @@
             self._parts.book.ended(server.server_id)
             raise
         self._note_outcome(placed, awaited, sent)
-        self._log(attempt, began_s, sent)
+        expected_s = account.expected_s(placed, awaited)
+        self._log(attempt, began_s, expected_s, sent)
         if isinstance(sent, Err):
             self._parts.book.ended(server.server_id)
             if isinstance(sent.err_value, errors.EngineUnreachableError):
@@ -466,6 +468,7 @@
         self,
         attempt: request.Attempt,
         began_s: float,
+        expected_s: float,
         outcome: Result[object, errors.EngineError],
     ) -> None:
         if isinstance(outcome, Err):
@@ -477,6 +480,7 @@
             prefill_only=attempt.prefill_only,
             has_cache=attempt.cache is not None,
             took_s=round(self._since_s(began_s), 4),
+            expected_s=round(expected_s, 4),
             left_s=round(self._limit.left_s(), 3),
             reported=self._parts.book.last_report(attempt.server.server_id),
             result="ok" if isinstance(outcome, Ok) else outcome.err_value.code,
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -1,11 +1,11 @@
 """Where a prompt is prefilled and where its answer is generated.
 
 The load it answers: long prompts, most of whose tokens are shared with other
-prompts, beside many short ones. A long prompt costs an engine 150 ms when
-nothing of it is cached and 30 ms when the shared part is, and all shared parts
-together don't fit into any one engine. So where a part lives decides most: it
-has a home, the same on every node, and leaves it only when the home is so far
-behind that reading it anew elsewhere is faster.
+prompts, beside many short ones. A long prompt costs an engine five times as
+much when nothing of it is cached as when the shared part is, and all shared
+parts together don't fit into any one engine. So where a part lives decides
+most: it has a home, the same on every node, and leaves it only when the home
+is so far behind that reading it anew elsewhere is faster.
 
 Every way is scored by its time to the first token and by the engine time that
 it takes from others.
@@ -19,40 +19,11 @@
 import xxhash
 
 from mulberrywharf import fleet
-
-PREFILL_TOKENS_PER_S = 102_000.0
-"""Prefill speed of a prefill engine: by the operators' sheet it reads 112
-tokens in a ms, in pieces of 4,096, with a step of 3.4 ms and more for each."""
-
-PAIR_S = 0.218e-9
-"""Engine time for each pair of a token that is read and one that it attends
-to, by the same sheet: 25 ms for the last 8,000 tokens of a prompt of 18,000."""
-
-DECODE_PREFILL_SHARE = 0.44
-"""A decode engine reads 56 tokens in a ms, in pieces of 1,024, with a step of
-some 4.5 ms for the tokens of its batch between two pieces."""
-
-FIRST_TOKEN_S = 0.031
-"""From the end of a prefill to the first event of an answer, by the sheet."""
-
-MOVE_SETUP_S = 0.005
-"""Before a KV cache begins to move between two engines, by the sheet."""
-
-HANDOVER_S = 0.01
-"""What going on at another engine takes besides the move: a second exchange
-and a step of the batch. Answers from a prefilled cache began 15 to 20 ms after
-they were asked for, 5 of them the move's setup."""
-
-TAKEOVER_S = MOVE_SETUP_S + HANDOVER_S
-"""Until an idle engine answers a prompt that was prefilled elsewhere."""
+from mulberrywharf.policy import engine_speeds
 
 OTHER_ZONE_MOVE_FACTOR = 2.0
 """A move between availability zones takes twice as long."""
 
-FETCH_LEAST_TOKENS = 1_500
-"""A missing part is fetched from another engine if it is longer than this:
-reading so many tokens takes 13 ms, a move with its setup some 6 ms."""
-
 WORK_WEIGHT = 1.0
 """Seconds of engine time against seconds of this request's own wait. Work on
 an engine delays each request that comes behind it, at a load where about one
@@ -68,10 +39,13 @@
 BATCH_WEIGHT = 8.0
 """Times its own length that a reading costs at a decode engine whose slots are
 all taken; weighed against 0, 4 and 16. A piece of a prompt makes the step of
-the whole batch 18 ms longer, where a step without one takes 4 to 8 ms; with
-readings in each step the batch hands out a third of the tokens, and each
-request holds its slot three times as long. Beside an empty batch a reading
-delays nobody."""
+the whole batch three to five times as long; with readings in each step the
+batch hands out a third of the tokens, and each request holds its slot three
+times as long. Beside an empty batch a reading delays nobody."""
+
+FULL_BATCH_COST_S = 0.2
+"""What speaks against an engine whose slots are all taken, and in proportion
+below that: its steps are longer, and whatever ends it ends them all."""
 
 SUSPECT_COST_S = 5.0
 """More than any queue: an engine that did not answer is a last resort."""
@@ -150,8 +124,9 @@
         prefill: The engine that prefills, None if ``decode`` does it.
         fetch_from: The engine that cached parts are copied from, if any.
         first_token_s: Estimated time to the first token.
-        prefill_work_s: Engine time that the prefill takes, at the engine
-            that does it.
+        reading: What reading the prompt takes, at the engine that does it.
+        copy_s: Time to copy cached parts before that, or, of a prompt that
+            was prefilled, to move its KV cache.
         cached_tokens: Prompt tokens that need not be read.
         cost: What the ways are compared by; lower is better.
     """
@@ -160,10 +135,16 @@
     prefill: EngineView | None
     fetch_from: fleet.Server | None
     first_token_s: float
-    prefill_work_s: float
+    reading: engine_speeds.ReadingTime
+    copy_s: float
     cached_tokens: int
     cost: float
 
+    @property
+    def prefill_work_s(self) -> float:
+        """Engine time that the prefill takes from other prompts."""
+        return self.copy_s + self.reading.work_s
+
     @property
     def queue_s(self) -> float:
         """The part of the time to the first token that is spent waiting."""
@@ -218,8 +199,26 @@
     return [*homes_first, *drawn]
 
 
+class _Reading(NamedTuple):
+    """How an engine gets at a prompt."""
+
+    time: engine_speeds.ReadingTime
+    copy_s: float
+    fetch_from: fleet.Server | None
+    cached_tokens: int
+
+    @property
+    def total_s(self) -> float:
+        return self.copy_s + self.time.total_s
+
+    @property
+    def work_s(self) -> float:
+        return self.copy_s + self.time.work_s
+
+
 def plans(
     shape: PromptShape,
+    speeds: engine_speeds.Speeds,
     prefills: Sequence[EngineView],
     decodes: Sequence[EngineView],
 ) -> list[Plan]:
@@ -227,13 +226,21 @@
 
     Args:
         shape: The prompt.
+        speeds: How fast the engines are.
         prefills: Prefill engines that may read it.
         decodes: Decode engines that may read it or go on from a prefill.
     """
     holders = [*prefills, *decodes]
-    found = [_direct(shape, decode, holders) for decode in decodes]
+    read_at = {
+        engine.server: _reading(shape, speeds, engine, holders)
+        for engine in holders
+    }
+    found = [
+        _direct(shape, speeds, decode, read_at[decode.server])
+        for decode in decodes
+    ]
     found += [
-        _split(shape, prefill, decode, holders)
+        _split(shape, speeds, prefill, decode, read_at[prefill.server])
         for prefill in prefills
         for decode in decodes
     ]
@@ -241,118 +248,150 @@
 
 
 def takeovers(
-    shape: PromptShape, source: EngineView, decodes: Sequence[EngineView]
+    shape: PromptShape,
+    speeds: engine_speeds.Speeds,
+    source: EngineView,
+    decodes: Sequence[EngineView],
 ) -> list[Plan]:
     """Returns every way to go on from a prefilled prompt, the best first.
 
     Args:
         shape: The prompt.
+        speeds: How fast the engines are.
         source: The engine that prefilled it.
         decodes: Engines that may answer it.
     """
-    found = [_takeover(shape, source, decode) for decode in decodes]
+    found = [_takeover(shape, speeds, source, decode) for decode in decodes]
     return sorted(found, key=lambda plan: plan.cost)
 
 
 def _takeover(
-    shape: PromptShape, source: EngineView, decode: EngineView
+    shape: PromptShape,
+    speeds: engine_speeds.Speeds,
+    source: EngineView,
+    decode: EngineView,
 ) -> Plan:
     moved_tokens = shape.tokens - decode.cached_tokens
+    move_s = _move_s(shape, moved_tokens, source.server, decode.server)
     first_token_s = (
-        _move_s(shape, moved_tokens, source.server, decode.server)
-        + HANDOVER_S
-        + decode.slot_wait_s
-        + FIRST_TOKEN_S * decode.pace
+        move_s + decode.slot_wait_s + speeds.takeover_s * decode.pace
     )
     return Plan(
         decode,
         source,
         None,
         first_token_s,
-        0.0,
+        engine_speeds.ReadingTime(0.0, 0.0, 0.0),
+        move_s,
         shape.tokens,
-        first_token_s + _place_cost_s(decode) + _copy_cost_s(shape, decode),
+        first_token_s
+        + _place_cost_s(decode)
+        + _copy_cost_s(shape, speeds, decode),
     )
 
 
 def _direct(
-    shape: PromptShape, decode: EngineView, holders: Sequence[EngineView]
+    shape: PromptShape,
+    speeds: engine_speeds.Speeds,
+    decode: EngineView,
+    reading: _Reading,
 ) -> Plan:
-    read_s, fetch_from, cached = _reading(
-        shape, decode, holders, PREFILL_TOKENS_PER_S * DECODE_PREFILL_SHARE
-    )
-    first_token_s = decode.wait_s + read_s + FIRST_TOKEN_S * decode.pace
+    first_token_s = decode.wait_s + reading.total_s
     return Plan(
         decode,
         None,
-        fetch_from,
+        reading.fetch_from,
         first_token_s,
-        read_s,
-        cached,
+        reading.time,
+        reading.copy_s,
+        reading.cached_tokens,
         first_token_s
-        + (WORK_WEIGHT + BATCH_WEIGHT * decode.running_share) * read_s
+        + (WORK_WEIGHT + BATCH_WEIGHT * decode.running_share) * reading.work_s
         + _place_cost_s(decode)
-        + _copy_cost_s(shape, decode),
+        + _copy_cost_s(shape, speeds, decode),
     )
 
 
 def _split(
     shape: PromptShape,
+    speeds: engine_speeds.Speeds,
     prefill: EngineView,
     decode: EngineView,
-    holders: Sequence[EngineView],
+    reading: _Reading,
 ) -> Plan:
-    read_s, fetch_from, cached = _reading(
-        shape, prefill, holders, PREFILL_TOKENS_PER_S
+    moved_tokens = shape.tokens - min(
+        decode.cached_tokens, reading.cached_tokens
     )
-    moved_tokens = shape.tokens - min(decode.cached_tokens, cached)
-    move_s = _move_s(shape, moved_tokens, prefill.server, decode.server)
     first_token_s = (
         prefill.wait_s
-        + read_s
-        + move_s
-        + HANDOVER_S
+        + reading.total_s
+        + _move_s(shape, moved_tokens, prefill.server, decode.server)
         + decode.slot_wait_s
-        + FIRST_TOKEN_S * decode.pace
+        + speeds.takeover_s * decode.pace
+    )
+    cost = (
+        first_token_s
+        + WORK_WEIGHT * reading.work_s
+        + _place_cost_s(prefill)
+        + _place_cost_s(decode)
+        + _copy_cost_s(shape, speeds, prefill)
+        + _copy_cost_s(shape, speeds, decode)
     )
-    place_cost_s = _place_cost_s(prefill) + _place_cost_s(decode)
     if not prefill.is_heard:
-        place_cost_s += UNHEARD_COST_S
-    copy_cost_s = _copy_cost_s(shape, prefill) + _copy_cost_s(shape, decode)
+        cost += UNHEARD_COST_S
     return Plan(
         decode,
         prefill,
-        fetch_from,
+        reading.fetch_from,
         first_token_s,
-        read_s,
-        cached,
-        first_token_s + WORK_WEIGHT * read_s + place_cost_s + copy_cost_s,
+        reading.time,
+        reading.copy_s,
+        reading.cached_tokens,
+        cost,
     )
 
 
 def _reading(
     shape: PromptShape,
+    speeds: engine_speeds.Speeds,
     reader: EngineView,
     holders: Sequence[EngineView],
-    tokens_per_s: float,
-) -> tuple[float, fleet.Server | None, int]:
-    """Returns the time to have the prompt read, and how it is had.
+) -> _Reading:
+    """Returns how an engine gets at the prompt in the shortest time.
 
     Another holder is named even if the reader is believed to hold as much.
     The reader copies only what it lacks, so that costs nothing if the belief
-    is true; if the reader has dropped the part since, the copy takes 10 ms
-    where reading the part anew takes 120 ms and holds up whatever comes next.
+    is true; if the reader has dropped the part since, the copy takes a tenth
+    of the time of reading the part anew, which holds up whatever comes next.
     """
-    read_s = _read_s(shape, reader, reader.cached_tokens, tokens_per_s)
+    speed = _speed(speeds, reader)
+    held_tokens = reader.cached_tokens
+    alone = speed.reading(shape.tokens, held_tokens).paced(reader.pace)
     holder = _other_holder(reader, holders)
     if holder is None:
-        return read_s, None, reader.cached_tokens
-    gained_tokens = holder.cached_tokens - reader.cached_tokens
-    if gained_tokens < FETCH_LEAST_TOKENS:
-        return read_s, holder.server, reader.cached_tokens
-    fetch_s = _move_s(shape, gained_tokens, holder.server, reader.server)
-    rest_s = _read_s(shape, reader, holder.cached_tokens, tokens_per_s)
-    return fetch_s + rest_s, holder.server, holder.cached_tokens
+        return _Reading(alone, 0.0, None, held_tokens)
+    gained_tokens = holder.cached_tokens - held_tokens
+    # The setup of a copy is about that of a takeover, which is one too.
+    copy_s = speeds.takeover_s + _move_s(
+        shape, max(0, gained_tokens), holder.server, reader.server
+    )
+    if gained_tokens <= 0:
+        part_s = speed.reading(holder.cached_tokens, 0).work_s
+        source = holder.server if part_s > copy_s else None
+        return _Reading(alone, 0.0, source, held_tokens)
+    rest = speed.reading(shape.tokens, holder.cached_tokens)
+    rest = rest.paced(reader.pace)
+    if copy_s + rest.work_s >= alone.work_s:
+        return _Reading(alone, 0.0, None, held_tokens)
+    return _Reading(rest, copy_s, holder.server, holder.cached_tokens)
+
+
+def _speed(
+    speeds: engine_speeds.Speeds, engine: EngineView
+) -> engine_speeds.RoleSpeed:
+    if engine.server.role == "prefill":
+        return speeds.prefill
+    return speeds.decode
 
 
 def _other_holder(
@@ -363,7 +402,7 @@
         one
         for one in holders
         if one.server != reader.server
-        and one.cached_tokens >= FETCH_LEAST_TOKENS
+        and one.cached_tokens > 0
         and not one.is_suspected
     ]
     zone = reader.server.availability_zone
@@ -377,20 +416,6 @@
     )
 
 
-def _read_s(
-    shape: PromptShape,
-    reader: EngineView,
-    cached_tokens: int,
-    tokens_per_s: float,
-) -> float:
-    """Returns the engine time to read what is not cached."""
-    missing_tokens = shape.tokens - cached_tokens
-    pairs = missing_tokens * (shape.tokens + cached_tokens) / 2
-    speed_share = tokens_per_s / PREFILL_TOKENS_PER_S
-    pairs_s = pairs * PAIR_S / speed_share
-    return (missing_tokens / tokens_per_s + pairs_s) * reader.pace
-
-
 def _move_s(
     shape: PromptShape,
     tokens: int,
@@ -400,13 +425,15 @@
     move_s = tokens * shape.kv_token_bytes / shape.link_bytes_per_s
     if source.availability_zone != target.availability_zone:
         move_s *= OTHER_ZONE_MOVE_FACTOR
-    return MOVE_SETUP_S + move_s
+    return move_s
 
 
-def _copy_cost_s(shape: PromptShape, engine: EngineView) -> float:
+def _copy_cost_s(
+    shape: PromptShape, speeds: engine_speeds.Speeds, engine: EngineView
+) -> float:
     """Returns what it costs that an engine gets a copy of shared parts."""
     copied_tokens = max(0, shape.shared_tokens - engine.cached_tokens)
-    return COPY_WEIGHT * copied_tokens / PREFILL_TOKENS_PER_S
+    return COPY_WEIGHT * copied_tokens * speeds.prefill.token_s
 
 
 def _place_cost_s(engine: EngineView) -> float:
@@ -415,7 +442,7 @@
     A full batch makes each token of all its requests slower.
     """
     return (
-        engine.running_share * 0.2
+        engine.running_share * FULL_BATCH_COST_S
         + (SUSPECT_COST_S if engine.is_suspected else 0.0)
         + (0.0 if engine.is_near else OTHER_ZONE_COST_S)
         - (HOME_BONUS_S if engine.is_home else 0.0)
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -3,10 +3,15 @@
 import random
 import unittest
 
-from mulberrywharf.policy import engine_queues, prompt_placement
+from mulberrywharf.policy import engine_queues, engine_speeds, prompt_placement
 from mulberrywharf.policy.prompt_placement import EngineView, PromptShape
 from tests import builders_routes as build
 
+SPEEDS = engine_speeds.Speeds(
+    prefill=engine_speeds.RoleSpeed(0.031, 9.8e-6, 0.218e-9),
+    decode=engine_speeds.RoleSpeed(0.031, 22.3e-6, 0.495e-9),
+    takeover_s=0.015,
+)
 SHAPE = PromptShape(
     tokens=16_000,
     shared_tokens=13_000,
@@ -24,7 +29,7 @@
 def best(
     shape: PromptShape, prefills: list[EngineView], decodes: list[EngineView]
 ) -> prompt_placement.Plan:
-    return prompt_placement.plans(shape, prefills, decodes)[0]
+    return prompt_placement.plans(shape, SPEEDS, prefills, decodes)[0]
 
 
 class PlansTest(unittest.TestCase):
@@ -106,7 +111,9 @@
         self.assertEqual(plan.reader.server.server_id, "p2")
 
     def test_no_decode_engine_is_no_plan(self) -> None:
-        self.assertEqual(prompt_placement.plans(SHAPE, [self.prefill], []), [])
+        self.assertEqual(
+            prompt_placement.plans(SHAPE, SPEEDS, [self.prefill], []), []
+        )
 
     def test_a_slow_engine_is_charged_for_its_pace(self) -> None:
         slow = self.prefill._replace(pace=4.0)
