--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import time
 import uuid
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -25,15 +26,26 @@
         port: The TCP port that it listens on.
         runs: Every request that it ran.
         handles: Prefilled prompts that nobody has freed.
+        orders: Every order that it took, with the time at which it came.
+        report: What it says of itself.
         faults: ``delay_s`` holds answers back, ``break_after`` ends a stream
             behind that event, ``refuse`` answers that nothing ran, ``lose``
             runs a request and closes its connection, ``foreign`` answers
-            with another request's id.
+            with another request's id, ``prefill_s`` is how long it reads.
     """
 
     def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
         self.runs: list[dict[str, str]] = []
         self.handles: set[str] = set()
+        self.orders: list[tuple[float, dict[str, Any]]] = []
+        self.report: dict[str, Any] = {
+            "stage": "decode",
+            "models": [],
+            "busy": False,
+            "sequence": 0,
+            "waiting": 0,
+            "running": 0,
+        }
         self.faults: dict[str, Any] = {}
         self._server_id = server_id
         self._server = http_control.make_server(ip, port, self._application)
@@ -53,19 +65,36 @@
         if environ["REQUEST_METHOD"] == "DELETE":
             self.handles.discard(environ["PATH_INFO"].rsplit("/", 1)[1])
             return _say({}, start_response)
+        if environ["PATH_INFO"] == "/report":
+            return _say(self.report, start_response)
         if self._header(environ, "EXPECTED_INSTANCE") != self._server_id:
             start_response("421 Misdirected", [("content-length", "0")])
             return []
         if self.faults.get("refuse"):
             start_response("503 Busy", _REFUSED)
             return []
+        if environ["PATH_INFO"] == "/order":
+            return self._take_order(environ, start_response)
         return self._run(environ, start_response)
 
+    def _take_order(
+        self, environ: dict[str, Any], start_response: Any
+    ) -> Iterable[bytes]:
+        order = json.loads(environ["wsgi.input"].read())
+        if order["expected"] != self.report["sequence"]:
+            start_response("409 Conflict", [("content-length", "0")])
+            return []
+        self.orders.append((time.monotonic(), order))
+        self.report["sequence"] += 1
+        start_response("202 Accepted", [("content-length", "0")])
+        return []
+
     def _run(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
         if self._header(environ, "STAGE") == "prefill":
+            gevent.sleep(self.faults.get("prefill_s", 0.0))
             handle = uuid.uuid4().hex[:12]
             self.handles.add(handle)
             return _say({"kv-handle": handle}, start_response)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -68,13 +68,15 @@
         document["routes"][1]["service"] = "engines"
         self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
 
-    def start(self) -> processes.Process:
+    def start(
+        self, vm_id: str = "entry-1", **changes: Any
+    ) -> processes.Process:
         folder = self.enterContext(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder) / "gateway.json"
         path.write_text(
             json.dumps(
                 {
-                    "vm_id": "entry-1",
+                    "vm_id": vm_id,
                     "availability_zone": "zone-a",
                     "callers_listen": "127.0.0.1:0",
                     "operators_listen": "127.0.0.1:0",
@@ -86,6 +88,7 @@
                         "allowance_count": 58,
                     },
                     "grace_s": 8,
+                    **changes,
                 }
             )
         )
