Give homes, parts and demand of prompts modules of their own

Homes and the sample of engines move to policy/part_homes.py, which parts count and are told to forwarding/prompt_parts.py, the demand to forwarding/prompt_demand.py. No behaviour changes; tests of these modules pass.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -5,7 +5,12 @@
 from typing import NamedTuple, Protocol
 
 from mulberrywharf import clock, fleet, metrics
-from mulberrywharf.forwarding import request, server_book
+from mulberrywharf.forwarding import (
+    prompt_demand,
+    prompt_parts,
+    request,
+    server_book,
+)
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import (
     background_work,
@@ -14,19 +19,12 @@
     home_hits,
     observed_waits,
     part_caches,
+    part_homes,
     prompt_placement,
-    read_demand,
     slot_waits,
 )
 from mulberrywharf.routes import table
 
-TOLD_PART_TOKENS = 1_000
-"""Shorter parts are not told: reading one takes some 10 to 20 ms, less than
-what an estimate of a queue is off by."""
-
-TOLD_PARTS_LIMIT_COUNT = 4
-"""Parts told of one prompt, its longest ones, some 13 bytes each."""
-
 TOLD_LOAD_AGE_S = 0.5
 """Older loads are not told on: a batch of short answers turns over in that
 time."""
@@ -76,7 +74,11 @@
 
 
 class EngineAccount:
-    """Queues, caches, batches and waits of all engines."""
+    """Queues, caches, batches and waits of all engines.
+
+    Attributes:
+        demand: What callers' prompts want of the engines.
+    """
 
     def __init__(
         self,
@@ -108,8 +110,8 @@
         self._speeds: dict[str, engine_speeds.EngineSpeeds] = (
             collections.defaultdict(engine_speeds.EngineSpeeds)
         )
-        self._demands: dict[str, read_demand.ReadDemand] = (
-            collections.defaultdict(read_demand.ReadDemand)
+        self.demand = prompt_demand.PromptDemand(
+            system_clock, self.speeds, lambda: notices.gateways_count
         )
         self._notices = notices
         self._memory_tokens = memory_tokens
@@ -152,47 +154,6 @@
         """Returns what is known of the speed of a service's engines."""
         return self._speeds[service].speeds
 
-    def note_demand(
-        self, wanted: request.RoutedRequest, service: table.Service
-    ) -> None:
-        """Counts a prompt that callers ask for, whatever becomes of it.
-
-        Shared parts are left out: they are read once, most of them just after
-        a start, and roles that were changed for that fit nothing afterwards.
-        Short prompts, whose reading takes less than the fixed beginning of an
-        answer, are read where they are answered and want no prefill engine.
-
-        Args:
-            wanted: The request.
-            service: Whose engines it asks for.
-        """
-        prompt = wanted.prompt
-        if service.engine is None or prompt is None:
-            return
-        shared_tokens = sum(part.tokens for part in prompt.parts[:-1])
-        speed = self.speeds(service.name).prefill
-        reading = speed.reading(prompt.tokens, shared_tokens)
-        if reading.work_s >= reading.begin_s:
-            now_s = self._clock.monotonic_s()
-            self._demands[service.name].note(reading.work_s, now_s)
-
-    def demands(self) -> tuple[codec.Demand, ...]:
-        """Returns what this node's callers ask of each service's engines."""
-        now_s = self._clock.monotonic_s()
-        return tuple(
-            codec.Demand(codec.key_of(service), demand.own(now_s))
-            for service, demand in self._demands.items()
-        )
-
-    def wanted_prefill(self, service: str) -> float | None:
-        """Returns the prefill engines that all callers' prompts keep busy.
-
-        None while too little is known of them.
-        """
-        return self._demands[service].total(
-            self._notices.gateways_count, self._clock.monotonic_s()
-        )
-
     def pace(self, role: fleet.Role, engines: list[fleet.Server]) -> float:
         """Returns how much longer reading takes beside short prompts."""
         taken_share = self._background[role].share(
@@ -260,7 +221,7 @@
         million with homes believed in.
         """
         held_tokens = self._caches.cached_tokens(server.server_id, parts)
-        home_part = part_of_home(parts)
+        home_part = prompt_parts.part_of_home(parts)
         if not is_home or home_part is None:
             return held_tokens
         if self._notices.hears_of(server):
@@ -291,7 +252,10 @@
             work_s,
             service.engine.kv_tokens,
         )
-        if part_of_home(chain_of(wanted.prompt)) is not None:
+        if (
+            prompt_parts.part_of_home(prompt_parts.chain_of(wanted.prompt))
+            is not None
+        ):
             return Placed(plan, ticket, is_in_order=True)
         role: fleet.Role = "prefill" if plan.prefill else "decode"
         self._background[role].add(work_s / plan.reader.pace, now_s)
@@ -414,10 +378,7 @@
             server = self._server_by_key.get(engine_key)
             if server is not None:
                 self._book.changing(server.server_id, now_s)
-        for told in notice.demands:
-            for service, demand in self._demands.items():
-                if codec.key_of(service) == told.service_key:
-                    demand.hear(notice.sender, told.engines, now_s)
+        self.demand.on_notice(notice)
         for placement in notice.placements:
             server = self._server_by_key.get(placement.engine_key)
             if server is None:
@@ -452,9 +413,9 @@
         memory_tokens: int,
     ) -> None:
         """Notes what an engine will hold of a prompt, and tells peers."""
-        parts = chain_of(prompt)
+        parts = prompt_parts.chain_of(prompt)
         held = tuple(part.held for part in parts)
-        told = _told_parts(parts)
+        told = prompt_parts.told(parts)
         if not told:
             self._note_read(engine, held, memory_tokens)
             # Short prompts are many and spread evenly over the gateways, so
@@ -476,7 +437,7 @@
     ) -> None:
         """Notes what an engine will hold, and whether the home did before."""
         server_id = server.server_id
-        longest = _longest(parts)
+        longest = prompt_parts.longest(parts)
         if longest is not None and self._is_heard_home(server, longest.key):
             is_held = self._caches.holds(server_id, longest.key)
             self._home_hits.note(is_held=is_held)
@@ -487,48 +448,4 @@
         if server.role == "prefill" or not self._notices.hears_of(server):
             return False
         decodes = self._decodes_by_service.get(server.service, ())
-        return server in prompt_placement.homes(part_key, decodes, count=1)
-
-
-def chain_of(
-    prompt: request.Prompt | None,
-) -> tuple[part_caches.ChainPart, ...]:
-    """Returns the parts of a prompt by what they share with others."""
-    return part_caches.chain(prompt.parts) if prompt else ()
-
-
-def part_of_home(
-    parts: tuple[part_caches.ChainPart, ...],
-) -> part_caches.ChainPart | None:
-    """Returns the part by which a prompt has a home, None if it has none.
-
-    It is the longest one that others share, so that prompts with a long
-    common beginning meet at one engine, whatever short parts follow it.
-    """
-    shared = parts[:-1]
-    longest = max(shared, key=lambda one: one.held.tokens, default=None)
-    if longest is None or longest.held.tokens < TOLD_PART_TOKENS:
-        return None
-    return longest
-
-
-def _told_parts(
-    parts: tuple[part_caches.ChainPart, ...],
-) -> tuple[part_caches.HeldPart, ...]:
-    """Returns the shared parts that are worth an account of their own.
-
-    The others together take less time to read than one placement to tell.
-    """
-    long = [
-        part.held for part in parts[:-1] if part.held.tokens >= TOLD_PART_TOKENS
-    ]
-    longest = sorted(long, key=lambda part: part.tokens, reverse=True)
-    kept = set(longest[:TOLD_PARTS_LIMIT_COUNT])
-    return tuple(part for part in long if part in kept)
-
-
-def _longest(
-    parts: tuple[part_caches.HeldPart, ...],
-) -> part_caches.HeldPart | None:
-    long = [part for part in parts if part.tokens >= TOLD_PART_TOKENS]
-    return max(long, key=lambda part: part.tokens, default=None)
+        return server in part_homes.homes(part_key, decodes, count=1)
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -7,6 +7,7 @@
 from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
     engine_account,
+    prompt_parts,
     request,
     server_book,
     servers,
@@ -14,6 +15,7 @@
 )
 from mulberrywharf.policy import (
     part_caches,
+    part_homes,
     prompt_admission,
     prompt_placement,
 )
@@ -83,7 +85,7 @@
             )
         plan = plans[0]
         if may_refuse:
-            self._account.note_demand(wanted, service)
+            self._account.demand.note(wanted, service)
             self._refuse_if_late(wanted, route, plan, limit)
         placed = self._account.count_in(wanted, service, plan)
         self._log(wanted, route, plan)
@@ -110,7 +112,7 @@
         """
         usable = self._usable(service, excluded)
         decodes = [one for one in usable if one.role != "prefill"]
-        parts = engine_account.chain_of(wanted.prompt)
+        parts = prompt_parts.chain_of(wanted.prompt)
         plans = prompt_placement.takeovers(
             _shape(wanted, service),
             self._account.speeds(service.name),
@@ -169,7 +171,7 @@
         excluded: frozenset[str],
     ) -> list[prompt_placement.Plan]:
         usable = self._usable(service, excluded)
-        parts = engine_account.chain_of(wanted.prompt)
+        parts = prompt_parts.chain_of(wanted.prompt)
         prefills = [one for one in usable if one.role == "prefill"]
         decodes = [one for one in usable if one.role != "prefill"]
         if service.engine is None or wanted.prompt is None:
@@ -201,9 +203,9 @@
         parts: tuple[part_caches.ChainPart, ...],
         pace: float,
     ) -> list[prompt_placement.EngineView]:
-        shared = engine_account.part_of_home(parts)
+        shared = prompt_parts.part_of_home(parts)
         homes = self._homes(shared, among) if shared else []
-        looked_at = prompt_placement.sample(homes, among, self._rng)
+        looked_at = part_homes.sample(homes, among, self._rng)
         return [
             self._account.view(
                 one, parts, pace, is_home=bool(homes) and one is homes[0]
@@ -224,7 +226,7 @@
             for one in among
             if one.role == "prefill" and self._account.hears_of(one)
         ]
-        return prompt_placement.homes(shared.held.key, heard or among)
+        return part_homes.homes(shared.held.key, heard or among)
 
     def _log(
         self,
@@ -252,7 +254,7 @@
     wanted: request.RoutedRequest, service: table.Service
 ) -> prompt_placement.PromptShape:
     engine = service.engine
-    shared = engine_account.part_of_home(engine_account.chain_of(wanted.prompt))
+    shared = prompt_parts.part_of_home(prompt_parts.chain_of(wanted.prompt))
     return prompt_placement.PromptShape(
         tokens=wanted.prompt.tokens if wanted.prompt else 0,
         shared_tokens=shared.end_tokens if shared else 0,
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -11,13 +11,9 @@
 it takes from others.
 """
 
-import heapq
-import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
-import xxhash
-
 from mulberrywharf import fleet
 from mulberrywharf.policy import engine_speeds
 
@@ -71,14 +67,6 @@
 """What speaks for the home of a part that is held nowhere. It only breaks
 ties, so that parts spread evenly and nodes that choose at once choose alike."""
 
-SHORTLIST_COUNT = 3
-"""Homes of a part that are always looked at, of each role."""
-
-SAMPLE_COUNT = 8
-"""Engines of each role that are looked at. All ways between them are compared,
-so a decision costs the square of it; the best of eight is seldom much worse
-than the best of all, and gateways that look at all herd to the same one."""
-
 
 class EngineView(NamedTuple):
     """An engine as this node sees it for one prompt.
@@ -166,47 +154,6 @@
         return self.prefill or self.decode
 
 
-def homes(
-    part_key: int, among: Iterable[fleet.Server], count: int = SHORTLIST_COUNT
-) -> list[fleet.Server]:
-    """Returns the engines where a part lives, the first home first.
-
-    Rendezvous hashing: every node finds the same ones without a message, and
-    an engine that comes or goes moves only the parts that it has or gets.
-
-    Args:
-        part_key: Of the part, see ``part_caches.HeldPart``.
-        among: Engines that may be its home.
-        count: How many to return.
-    """
-    return heapq.nlargest(
-        count,
-        among,
-        key=lambda one: xxhash.xxh3_64_intdigest(
-            one.server_id.encode(), seed=part_key
-        ),
-    )
-
-
-def sample(
-    homes_first: Sequence[fleet.Server],
-    among: Sequence[fleet.Server],
-    rng: random.Random,
-) -> list[fleet.Server]:
-    """Returns the engines of one role that are looked at for a prompt.
-
-    Args:
-        homes_first: Homes of its shared part; always among them.
-        among: All engines of the role.
-        rng: Draws the others.
-    """
-    if len(among) <= SAMPLE_COUNT:
-        return list(among)
-    others = [one for one in among if one not in homes_first]
-    drawn = rng.sample(others, SAMPLE_COUNT - len(homes_first))
-    return [*homes_first, *drawn]
-
-
 class _Reading(NamedTuple):
     """How an engine gets at a prompt."""
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -83,7 +83,9 @@
             self._servers, self._book, self._account, self._clock, self._rng
         )
         self._notices.on_notice(
-            self._account.on_notice, self._account.loads, self._account.demands
+            self._account.on_notice,
+            self._account.loads,
+            self._account.demand.told,
         )
         self._servers.on_change(self._forget_left)
         self._servers.on_change(self._news.on_change)
@@ -300,7 +302,7 @@
 
     def wanted_prefill(self, service: str) -> float | None:
         """Returns the prefill engines that all callers' prompts keep busy."""
-        return self._account.wanted_prefill(service)
+        return self._account.demand.wanted_prefill(service)
 
 
 def _listener(
--- a/tests/test_engine_account.py
+++ b/tests/test_engine_account.py
@@ -5,11 +5,12 @@
 from mulberrywharf import clock, fleet
 from mulberrywharf.forwarding import (
     engine_account,
+    prompt_parts,
     request,
     server_book,
 )
 from mulberrywharf.peers import codec
-from mulberrywharf.policy import part_caches, prompt_placement
+from mulberrywharf.policy import part_caches, part_homes
 from tests import builders_routes as build
 
 _MEMORY_TOKENS = 400_000
@@ -46,7 +47,7 @@
 
     def cached_tokens(self, server: fleet.Server, *, is_home: bool) -> int:
         prompt = build.prompt(shared_tokens=13_000, own_tokens=3_000)
-        parts = engine_account.chain_of(prompt)
+        parts = prompt_parts.chain_of(prompt)
         view = self.account.view(server, parts, 1.0, is_home=is_home)
         return view.cached_tokens
 
@@ -75,8 +76,7 @@
         away = [
             part_key
             for part_key in range(2_000)
-            if prompt_placement.homes(part_key, (_HEARD, _UNHEARD), 1)
-            == [_UNHEARD]
+            if part_homes.homes(part_key, (_HEARD, _UNHEARD), 1) == [_UNHEARD]
         ]
         self.assertGreater(len(away), 100)
         for part_key in away:
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -3,7 +3,12 @@
 import random
 import unittest
 
-from mulberrywharf.policy import engine_queues, engine_speeds, prompt_placement
+from mulberrywharf.policy import (
+    engine_queues,
+    engine_speeds,
+    part_homes,
+    prompt_placement,
+)
 from mulberrywharf.policy.prompt_placement import EngineView, PromptShape
 from tests import builders_routes as build
 
@@ -134,16 +139,16 @@
         self.engines = [build.server(f"e{number}") for number in range(6)]
 
     def test_homes_do_not_depend_on_the_order(self) -> None:
-        one = prompt_placement.homes(7, self.engines)
-        two = prompt_placement.homes(7, reversed(self.engines))
+        one = part_homes.homes(7, self.engines)
+        two = part_homes.homes(7, reversed(self.engines))
         self.assertEqual(one, two)
-        self.assertEqual(len(one), prompt_placement.SHORTLIST_COUNT)
+        self.assertEqual(len(one), part_homes.SHORTLIST_COUNT)
 
     def test_an_engine_that_leaves_moves_only_its_own_parts(self) -> None:
         moved = 0
         for number in range(300):
-            before = prompt_placement.homes(number, self.engines)[0]
-            after = prompt_placement.homes(number, self.engines[1:])[0]
+            before = part_homes.homes(number, self.engines)[0]
+            after = part_homes.homes(number, self.engines[1:])[0]
             if before == self.engines[0]:
                 continue
             moved += before != after
@@ -153,15 +158,15 @@
 class SampleTest(unittest.TestCase):
     def test_a_small_fleet_is_looked_at_whole(self) -> None:
         engines = [build.server(f"e{number}") for number in range(5)]
-        found = prompt_placement.sample([], engines, random.Random(1))
+        found = part_homes.sample([], engines, random.Random(1))
         self.assertEqual(found, engines)
 
     def test_a_large_fleet_is_sampled_with_the_homes(self) -> None:
         engines = [build.server(f"e{number}") for number in range(100)]
-        homes = prompt_placement.homes(7, engines)
-        found = prompt_placement.sample(homes, engines, random.Random(1))
+        homes = part_homes.homes(7, engines)
+        found = part_homes.sample(homes, engines, random.Random(1))
         self.assertEqual(found[:3], homes)
-        self.assertEqual(len(set(found)), prompt_placement.SAMPLE_COUNT)
+        self.assertEqual(len(set(found)), part_homes.SAMPLE_COUNT)
 
 
 class BurstTest(unittest.TestCase):
