--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -5,14 +5,20 @@
 own, and keep the parts that they read; gateways see answers and each other's
 notices, late by a few milliseconds, and nothing else.
 
-``python -m bench.prompt_play`` prints what callers got for each speed.
+``python -m bench.prompt_play`` prints what callers got for each speed, and
+``--ablate`` what they get with each mechanism switched off. A copy of cached
+parts takes no time here and streams don't slow readings down, so what these
+decide shows little.
 """
 
 import argparse
 import collections
+import contextlib
 import json
 import random
-from typing import NamedTuple
+from collections.abc import Iterator
+from typing import Any, NamedTuple
+from unittest import mock
 
 from loguru import logger
 
@@ -26,7 +32,15 @@
     time_limits,
 )
 from mulberrywharf.peers import codec
-from mulberrywharf.policy import engine_speeds, part_caches
+from mulberrywharf.policy import (
+    background_work,
+    engine_queues,
+    engine_speeds,
+    observed_waits,
+    part_caches,
+    prompt_admission,
+    prompt_placement,
+)
 from mulberrywharf.routes import kinds, table
 
 SERVICE = "engines"
@@ -428,31 +442,107 @@
     return engine_speeds.Speeds(speed, decode)
 
 
-def main() -> None:
-    """Plays all speeds and chains, with and without learning."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", type=int, default=3)
-    arguments = parser.parse_args()
-    logger.remove()
+class _Switch(NamedTuple):
+    """What is put in the place of a mechanism."""
+
+    owner: Any
+    name: str
+    stand_in: Any
+
+
+MECHANISMS = {
+    "copy price": _Switch(prompt_placement, "COPY_WEIGHT", 0.0),
+    "work price": _Switch(prompt_placement, "WORK_WEIGHT", 0.0),
+    "stream price": _Switch(prompt_placement, "STREAM_WEIGHT", 0.0),
+    "cost of other zones": _Switch(
+        prompt_placement, "OTHER_ZONE_STREAM_COST_S", 0.0
+    ),
+    "cost of full batches": _Switch(prompt_placement, "FULL_BATCH_COST_S", 0.0),
+    "homes": _Switch(prompt_placement, "HOME_BONUS_S", 0.0),
+    "observed waits": _Switch(
+        observed_waits.ObservedWaits, "wait_s", lambda *_: 0.0
+    ),
+    "queues corrected": _Switch(
+        engine_queues.EngineQueues, "finished", lambda *_: None
+    ),
+    "background work": _Switch(
+        background_work.BackgroundWork, "share", lambda *_: 0.0
+    ),
+    "paces": _Switch(engine_speeds.EngineSpeeds, "pace", lambda *_: 1.0),
+    "slow learning": _Switch(engine_speeds, "SLOWER_WEIGHT", 1.0),
+    "notices": _Switch(_Notices, "add", lambda *_: None),
+    "refusals": _Switch(prompt_admission, "decide", lambda *_: None),
+}
+"""What ``without`` can switch off."""
+
+
+@contextlib.contextmanager
+def without(mechanism: str) -> Iterator[None]:
+    """Switches a mechanism off while the block runs."""
+    switch = MECHANISMS[mechanism]
+    with mock.patch.object(switch.owner, switch.name, switch.stand_in):
+        yield
+
+
+def _print_row(labels: dict[str, Any], outcomes: list[Outcome]) -> None:
+    count = len(outcomes)
+    shares = [one.in_time_share for one in outcomes]
+    row = {
+        **labels,
+        "in_time": round(sum(shares) / count, 3),
+        "least": round(min(shares), 3),
+        "most": round(max(shares), 3),
+        "refused": sum(one.refused for one in outcomes) / count,
+        "late": sum(one.late for one in outcomes) / count,
+        "hits": round(sum(one.hit_share for one in outcomes) / count, 3),
+        "ratio": round(sum(one.estimate_ratio for one in outcomes) / count, 2),
+    }
+    print(json.dumps(row))
+
+
+def _play_speeds(seeds_count: int) -> None:
     for name, speed in SPEEDS.items():
         for chain_length in (1, 2, 3, 4):
             prompts = Prompts(chain_length=chain_length)
             for learns in (False, True):
                 outcomes = [
                     Play(speed, prompts, learns=learns, seed=seed).run()
-                    for seed in range(arguments.seeds)
+                    for seed in range(seeds_count)
                 ]
-                count = len(outcomes)
-                row = {
+                labels = {
                     "speed": name,
                     "chain_length": chain_length,
                     "learns": learns,
-                    "in_time": sum(o.in_time_share for o in outcomes) / count,
-                    "hits": sum(o.hit_share for o in outcomes) / count,
-                    "ratio": sum(o.estimate_ratio for o in outcomes) / count,
-                    "refused": sum(o.refused for o in outcomes) / count,
                 }
-                print(json.dumps(row))
+                _print_row(labels, outcomes)
+
+
+def _ablate(seeds_count: int) -> None:
+    prompts = Prompts(chain_length=2)
+    for name, speed in SPEEDS.items():
+        for mechanism in ("none", *MECHANISMS):
+            off = (
+                contextlib.nullcontext()
+                if mechanism == "none"
+                else without(mechanism)
+            )
+            with off:
+                outcomes = [
+                    Play(speed, prompts, seed=seed).run()
+                    for seed in range(seeds_count)
+                ]
+            _print_row({"speed": name, "without": mechanism}, outcomes)
+
+
+def main() -> None:
+    """Plays all speeds and chains, or each mechanism switched off."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--ablate", action="store_true")
+    arguments = parser.parse_args()
+    logger.remove()
+    play = _ablate if arguments.ablate else _play_speeds
+    play(arguments.seeds)
 
 
 if __name__ == "__main__":
