Ask only of shared parts whether their home held them

Cause: (the whole chain of parts in account) took the longest part of a prompt for the one with a home, its own included. An own part is new each time, so homes nearby counted as empty, and in fleets of more than 20 gateways, where homes elsewhere are believed to hold as much as those nearby, every part elsewhere was believed missing.

Ruled out: the notices, which tell shared parts alone.

Change: the home is asked by the parts that are told. The test failed before (0 believed cached of 13,000) and passes.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -391,7 +391,10 @@
                     server.server_id, placement.own_tokens, memory_tokens
                 )
             if placement.parts:
-                self._note_read(server, placement.parts, memory_tokens)
+                self._note_home(server, placement.parts)
+                self._caches.note_read(
+                    server.server_id, placement.parts, memory_tokens
+                )
 
     def _sent(
         self,
@@ -417,7 +420,7 @@
         held = tuple(part.held for part in parts)
         told = prompt_parts.told(parts)
         if not told:
-            self._note_read(engine, held, memory_tokens)
+            self._caches.note_read(engine.server_id, held, memory_tokens)
             # Short prompts are many and spread evenly over the gateways, so
             # each counts its own for all instead of telling them.
             others_count = self._notices.gateways_count - 1
@@ -425,23 +428,24 @@
                 engine.server_id, prompt.tokens * others_count, memory_tokens
             )
             return
-        self._note_read(engine, held, memory_tokens)
+        self._note_home(engine, told)
+        self._caches.note_read(engine.server_id, held, memory_tokens)
         own_tokens = prompt.tokens - sum(part.tokens for part in told)
         self._notices.add(engine, work_s, told, own_tokens)
 
-    def _note_read(
-        self,
-        server: fleet.Server,
-        parts: tuple[part_caches.HeldPart, ...],
-        memory_tokens: int,
+    def _note_home(
+        self, server: fleet.Server, told: tuple[part_caches.HeldPart, ...]
     ) -> None:
-        """Notes what an engine will hold, and whether the home did before."""
-        server_id = server.server_id
-        longest = prompt_parts.longest(parts)
-        if longest is not None and self._is_heard_home(server, longest.key):
-            is_held = self._caches.holds(server_id, longest.key)
+        """Notes whether an engine that gets a prompt as its home held it.
+
+        Only shared parts have a home. What a prompt shares with nobody is new
+        each time: taken for the part with a home it made every home look
+        empty, and parts that homes in other zones hold were read anew.
+        """
+        home_part = max(told, key=lambda part: part.tokens)
+        if self._is_heard_home(server, home_part.key):
+            is_held = self._caches.holds(server.server_id, home_part.key)
             self._home_hits.note(is_held=is_held)
-        self._caches.note_read(server_id, parts, memory_tokens)
 
     def _is_heard_home(self, server: fleet.Server, part_key: int) -> bool:
         # Prefill engines say nothing of homes: they copy what they lack.
--- a/src/mulberrywharf/forwarding/prompt_parts.py
+++ b/src/mulberrywharf/forwarding/prompt_parts.py
@@ -46,11 +46,3 @@
     by_length = sorted(long, key=lambda part: part.tokens, reverse=True)
     kept = set(by_length[:TOLD_PARTS_LIMIT_COUNT])
     return tuple(part for part in long if part in kept)
-
-
-def longest(
-    parts: tuple[part_caches.HeldPart, ...],
-) -> part_caches.HeldPart | None:
-    """Returns the longest part, None if all of them are short."""
-    long = [part for part in parts if part.tokens >= TOLD_PART_TOKENS]
-    return max(long, key=lambda part: part.tokens, default=None)
--- a/tests/test_engine_account.py
+++ b/tests/test_engine_account.py
@@ -10,7 +10,8 @@
     server_book,
 )
 from mulberrywharf.peers import codec
-from mulberrywharf.policy import part_caches, part_homes
+from mulberrywharf.policy import part_caches, part_homes, prompt_placement
+from mulberrywharf.routes import table
 from tests import builders_routes as build
 
 _MEMORY_TOKENS = 400_000
@@ -84,6 +85,47 @@
             self.place_nearby(part_key)
         self.assertEqual(self.cached_tokens(_UNHEARD, is_home=True), 0)
 
+    def place_at_home_nearby(self, number: int, shared_id: str) -> None:
+        """Places a prompt whose own part is new and its longest."""
+        parts = (
+            request.PromptPart(shared_id, 2_000),
+            request.PromptPart(f"own-{number}", 6_000),
+        )
+        prompt = request.Prompt("m", 8_000, 100, parts)
+        plan = prompt_placement.plans(
+            prompt_placement.PromptShape(8_000, 2_000, 18_432.0, 46e9),
+            self.account.speeds("service"),
+            [],
+            [prompt_placement.EngineView(_HEARD)],
+        )[0]
+        self.account.count_in(
+            build.routed(0.0, prompt=prompt),
+            table.Service("service", 100, build.ENGINE),
+            plan,
+        )
+
+    def test_what_a_prompt_shares_with_nobody_says_nothing(self) -> None:
+        """Homes in other zones are believed empty in a large fleet.
+
+        Symptom: parts that their home holds are read anew. Sequence: prompts
+        whose own part is longer than the shared one go to the home of the
+        shared one, which holds it. Cause: the longest part of all counted as
+        the one with a home; a prompt's own is new each time, and a miss.
+        """
+        at_home = next(
+            shared_id
+            for shared_id in map(str, range(100))
+            if part_homes.homes(
+                part_caches.chain([(shared_id, 1)])[0].held.key,
+                (_HEARD, _UNHEARD),
+                1,
+            )
+            == [_HEARD]
+        )
+        for number in range(200):
+            self.place_at_home_nearby(number, at_home)
+        self.assertGreater(self.cached_tokens(_UNHEARD, is_home=True), 12_000)
+
     def test_after_a_start_nothing_is_believed_held(self) -> None:
         """First prompts are read at half speed, and come late.
 
