Hash a prompt's parts once for a plan

Each placement hashed the chain of parts four times and looked for the part of the home once more for every engine. It is hashed once for the choice and once for the account, and looked for at homes of other zones alone; whether a prompt is told says whether it is in order, which were two ways to ask the same. No behaviour changes: the tests of placing, account and play pass unchanged.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -221,10 +221,10 @@
         million with homes believed in.
         """
         held_tokens = self._caches.cached_tokens(server.server_id, parts)
-        home_part = prompt_parts.part_of_home(parts)
-        if not is_home or home_part is None:
+        if not is_home or self._notices.hears_of(server):
             return held_tokens
-        if self._notices.hears_of(server):
+        home_part = prompt_parts.part_of_home(parts)
+        if home_part is None:
             return held_tokens
         likely_tokens = int(self._home_hits.share * home_part.end_tokens)
         return max(held_tokens, likely_tokens)
@@ -246,16 +246,13 @@
         ticket = self._queues.add(reader_id, work_s, now_s)
         if service.engine is None or wanted.prompt is None:
             return Placed(plan, ticket, is_in_order=False)
-        self._note_prompt(
+        is_told = self._note_prompt(
             wanted.prompt,
             plan.reader.server,
             work_s,
             service.engine.kv_tokens,
         )
-        if (
-            prompt_parts.part_of_home(prompt_parts.chain_of(wanted.prompt))
-            is not None
-        ):
+        if is_told:
             return Placed(plan, ticket, is_in_order=True)
         role: fleet.Role = "prefill" if plan.prefill else "decode"
         self._background[role].add(work_s / plan.reader.pace, now_s)
@@ -414,8 +411,12 @@
         engine: fleet.Server,
         work_s: float,
         memory_tokens: int,
-    ) -> None:
-        """Notes what an engine will hold of a prompt, and tells peers."""
+    ) -> bool:
+        """Notes what an engine will hold of a prompt.
+
+        Returns:
+            Whether peers are told of it.
+        """
         parts = prompt_parts.chain_of(prompt)
         held = tuple(part.held for part in parts)
         told = prompt_parts.told(parts)
@@ -427,11 +428,12 @@
             self._caches.note_own(
                 engine.server_id, prompt.tokens * others_count, memory_tokens
             )
-            return
+            return False
         self._note_home(engine, told)
         self._caches.note_read(engine.server_id, held, memory_tokens)
         own_tokens = prompt.tokens - sum(part.tokens for part in told)
         self._notices.add(engine, work_s, told, own_tokens)
+        return True
 
     def _note_home(
         self, server: fleet.Server, told: tuple[part_caches.HeldPart, ...]
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -114,7 +114,7 @@
         decodes = [one for one in usable if one.role != "prefill"]
         parts = prompt_parts.chain_of(wanted.prompt)
         plans = prompt_placement.takeovers(
-            _shape(wanted, service),
+            _shape(wanted, service, parts),
             self._account.speeds(service.name),
             prompt_placement.EngineView(source),
             self._views(decodes, parts, self._account.pace("decode", decodes)),
@@ -177,7 +177,7 @@
         if service.engine is None or wanted.prompt is None:
             prefills = []
         return prompt_placement.plans(
-            _shape(wanted, service),
+            _shape(wanted, service, parts),
             self._account.speeds(service.name),
             self._views(
                 prefills, parts, self._account.pace("prefill", prefills)
@@ -251,10 +251,12 @@
 
 
 def _shape(
-    wanted: request.RoutedRequest, service: table.Service
+    wanted: request.RoutedRequest,
+    service: table.Service,
+    parts: tuple[part_caches.ChainPart, ...],
 ) -> prompt_placement.PromptShape:
     engine = service.engine
-    shared = prompt_parts.part_of_home(prompt_parts.chain_of(wanted.prompt))
+    shared = prompt_parts.part_of_home(parts)
     return prompt_placement.PromptShape(
         tokens=wanted.prompt.tokens if wanted.prompt else 0,
         shared_tokens=shared.end_tokens if shared else 0,
