Tell work at servers that the store lists no more

Cause: the logs could not tell the hypotheses of the leaving server apart. No line said that a request went to a server whose record was gone, from which failure its time was counted, or that a watch had found the history dropped and read the present. Change: `unlisted` in `attempt`, `placed` and `taken over`, `left_s` and `trouble_age_s` where a server is kept, a line for a dropped history, and a counter of kept servers by how that ended. No decision changes.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -8,6 +8,7 @@
 import random
 import time
 import tracemalloc
+from collections.abc import Iterable
 
 from mulberrywharf import clock, fleet
 from mulberrywharf.forwarding import (
@@ -47,6 +48,10 @@
         """Returns every engine."""
         return self._engines
 
+    def unlisted(self, server_ids: Iterable[str]) -> list[str]:
+        """Returns none: every engine is listed."""
+        return []
+
 
 class _NoNotices:
     """Tells nobody."""
--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -16,7 +16,7 @@
 import contextlib
 import json
 import random
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 from unittest import mock
 
@@ -195,6 +195,10 @@
     def usable(self, service: str) -> tuple[fleet.Server, ...]:
         return self._servers
 
+    def unlisted(self, server_ids: Iterable[str]) -> list[str]:
+        """Returns none: every engine is listed."""
+        return []
+
 
 class _FixedSpeeds(engine_speeds.EngineSpeeds):
     """Speeds that no answer changes, such as those of one operator."""
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -129,6 +129,9 @@
             request_id=wanted.request_id,
             decode_id=placed.plan.decode.server.server_id,
             prefill_id=source.server_id,
+            unlisted=self._server_list.unlisted(
+                [placed.plan.decode.server.server_id]
+            ),
             running_share=round(placed.plan.decode.running_share, 3),
             first_token_s=round(placed.plan.first_token_s, 4),
         ).info("taken over")
@@ -240,6 +243,11 @@
             route=route.name,
             decode_id=plan.decode.server.server_id,
             prefill_id=prefill,
+            unlisted=self._server_list.unlisted(
+                one
+                for one in (plan.decode.server.server_id, prefill)
+                if one is not None
+            ),
             fetch_from=str(plan.fetch_from.address)
             if plan.fetch_from
             else None,
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -263,6 +263,9 @@
             request_id=self._wanted.request_id,
             route=self._route.name,
             server_id=chosen.server.server_id,
+            unlisted=self._parts.server_list.unlisted(
+                [chosen.server.server_id]
+            ),
             own_count=chosen.own_count,
             others_count=round(chosen.others_count, 1),
             failure_share=round(chosen.failure_share, 2),
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -1,6 +1,6 @@
 """Which servers of a service may get new work, by what the store says."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import gevent
@@ -19,6 +19,10 @@
 _servers_gauge = metrics.gauge(
     "mulberry_servers_count", "Servers that may get new work."
 )
+_kept_counter = metrics.counter(
+    "mulberry_servers_kept_total",
+    "Servers kept although their record vanished, by how that ended.",
+)
 
 
 class ServerSource(Protocol):
@@ -114,6 +118,14 @@
         """Returns every server that has not left."""
         return tuple(self._by_id.values())
 
+    def unlisted(self, server_ids: Iterable[str]) -> list[str]:
+        """Returns those of the servers whose record the store has lost.
+
+        They are kept for an outage; work that goes to them is logged so,
+        because nothing else tells it from work at a listed server.
+        """
+        return [one for one in server_ids if one in self._missing]
+
     def _on_event(self, event: key_value_types.WatchEvent) -> None:
         key = event.key_value.key
         server_id = self._source.server_id(key)
@@ -142,17 +154,21 @@
             server_id,
             "its record did not come back",
         )
-        logger.bind(server_id=server_id).warning(
-            "a server's record vanished in an outage; the server is kept"
-        )
+        logger.bind(
+            server_id=server_id,
+            trouble_age_s=round(self._client.trouble_age_s(), 3),
+            left_s=round(left_s, 3),
+        ).warning("a server's record vanished in an outage; the server is kept")
 
     def _keep(self, server_id: str) -> None:
         waiting = self._missing.pop(server_id, None)
         if waiting is not None:
             waiting.kill()
+            _kept_counter.inc({"end": "back"})
 
     def _drop(self, server_id: str, reason: str) -> None:
-        self._missing.pop(server_id, None)
+        if self._missing.pop(server_id, None) is not None:
+            _kept_counter.inc({"end": "dropped"})
         server = self._by_id.pop(server_id, None)
         if server is not None:
             self._changed(server, reason)
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -226,6 +226,11 @@
             if message is None:
                 return brought_any
             if not self._is_continuous(message):
+                logger.bind(
+                    prefix=self._prefix,
+                    seen=self.seen_revision,
+                    age_s=round(self._client.age_s(), 3),
+                ).info("history was dropped: the present is read instead")
                 self._state = None
                 return True
             self._note_regained()
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -31,6 +31,9 @@
             if one.service == service and not one.is_draining
         )
 
+    def unlisted(self, server_ids: Any) -> list[str]:
+        return []
+
 
 def answer(
     body: bytes = b"fine", status: bytes = b"200 OK", extra: bytes = b""
