--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -41,6 +41,8 @@
         self.faults: dict[str, Any] = {}
         self.calls: list[tuple[str, str]] = []
         self._hung_below = 0
+        self._ports: set[str] = set()
+        self._muted_ports: frozenset[str] = frozenset()
         self._server = http_control.make_server(ip, port, self._application)
         self.port = self._server.port
         self._expiry: gevent.Greenlet | None = None
@@ -60,6 +62,18 @@
         """Never answers the watches that wait now."""
         self._hung_below = len(self.calls)
 
+    def mute_connections(self) -> None:
+        """Never answers again on the connections that were used so far.
+
+        New ones work: a network that lost an answer may leave a connection
+        like that, open at both ends and silent for good.
+        """
+        self._muted_ports = frozenset(self._ports)
+
+    def drop_history(self) -> None:
+        """Forgets every change so far; watches from before it end."""
+        self.store.compacted_revision = self.store.revision
+
     def put(self, key: str, value: bytes) -> int:
         """Writes a key as the operators or the servers do."""
         self.store.transact([_put_operation(key, value, 0)])
@@ -80,6 +94,11 @@
     ) -> Iterable[bytes]:
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         self.calls.append((method, path))
+        port = environ["REMOTE_PORT"]
+        self._ports.add(port)
+        if port in self._muted_ports:
+            gevent.sleep(_HUNG_S)
+            return http_control.cut(environ, start_response)
         if self.faults.get("down"):
             return http_control.cut(environ, start_response)
         if self.faults.get("silent"):
