Count an outage of the store from when its calls were sent

Cause: a server whose record vanished in an outage is kept for 2 s, counted from the last failure. A failure is noticed up to a second after its call was sent, so one call from before the return kept a server that had left for up to 3 s behind it, as long as operators excuse. Ruled out: fixing the hold at less than 2 s; live servers whose records lapsed may need that long to be back. Refusals count as answers.

--- a/src/mulberrywharf/platform_service/gateway.py
+++ b/src/mulberrywharf/platform_service/gateway.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import clock, errors, metrics, settings
-from mulberrywharf.platform_service import call_budget, http_calls
+from mulberrywharf.platform_service import call_budget, http_calls, outage
 
 _ROUNDS_COUNT = 2
 _BACKOFF_BASE_S = 0.05
@@ -60,7 +60,7 @@
     ):
         self._clock = system_clock
         self._answered_s = float("-inf")
-        self._failed_s = float("-inf")
+        self._outage = outage.LastOutage()
         self._endpoints = [
             http_calls.HttpCalls(endpoint, timeout_s) for endpoint in endpoints
         ]
@@ -76,12 +76,13 @@
         return self._clock.monotonic_s() - self._answered_s
 
     def trouble_age_s(self) -> float:
-        """Returns how long ago a call failed to be carried out, inf before."""
-        return self._clock.monotonic_s() - self._failed_s
+        """Returns how long ago the last outage ended, inf before any."""
+        return self._outage.age_s(self._clock.monotonic_s())
 
     def note_answer(self) -> None:
         """Notes that the service did what it was asked, just now."""
         self._answered_s = self._clock.monotonic_s()
+        self._outage.answered(self._answered_s)
 
     def open_stream(
         self,
@@ -145,10 +146,11 @@
         self, endpoint: http_calls.HttpCalls, call: Call
     ) -> Result[dict[str, Any], errors.PlatformError]:
         """Sends a call to one endpoint and classifies its answer."""
+        sent_s = self._clock.monotonic_s()
         sent = endpoint.call(call.method, call.path, call.body)
         if isinstance(sent, Err):
             failure = sent.err_value
-            self._failed_s = self._clock.monotonic_s()
+            self._outage.failed(sent_s)
             self._count(call.purpose, call.kind, failure.code)
             return Err(failure if call.is_write else _as_unavailable(failure))
         answer = sent.ok_value
@@ -157,8 +159,10 @@
             self.note_answer()
             return Ok(answer.body)
         refusal = _refusal(endpoint.name, call, answer)
-        if not isinstance(refusal, errors.PlatformRefusedError):
-            self._failed_s = self._clock.monotonic_s()
+        if isinstance(refusal, errors.PlatformRefusedError):
+            self._outage.answered(self._clock.monotonic_s())
+        else:
+            self._outage.failed(sent_s)
         return Err(refusal)
 
     def take(self, purpose: str) -> bool:
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -98,7 +98,11 @@
         return self._gateway.age_s()
 
     def trouble_age_s(self) -> float:
-        """Returns how long ago the service last failed a call, inf before."""
+        """Returns how long ago the service's last outage ended, inf before.
+
+        An outage is a time in which calls of this process were not carried
+        out; see ``outage.LastOutage`` for how its end is told.
+        """
         return self._gateway.trouble_age_s()
 
     def get(
