Take a call beyond the rate for no outage of the store

Cause, the same as of the server that left in an outage, met in calm times: any call that was not carried out counted as an outage, also one that the store refused because all nodes together asked too often. The store takes servers' writes meanwhile, so a record that vanishes then means a leaving. Change: such a refusal neither begins nor ends an outage.

--- a/src/mulberrywharf/platform_service/gateway.py
+++ b/src/mulberrywharf/platform_service/gateway.py
@@ -19,7 +19,8 @@
 _BACKOFF_LIMIT_S = 1.0
 _HISTORY_GONE_STATUS = 410
 _CONDITION_FAILED_STATUS = 412
-_NOTHING_DONE_STATUSES = frozenset({429, 503})
+_RATE_EXCEEDED_STATUS = 429
+_NOTHING_DONE_STATUSES = frozenset({_RATE_EXCEEDED_STATUS, 503})
 
 _calls = metrics.counter(
     "mulberry_platform_calls_total",
@@ -161,7 +162,10 @@
         refusal = _refusal(endpoint.name, call, answer)
         if isinstance(refusal, errors.PlatformRefusedError):
             self._outage.answered(self._clock.monotonic_s())
-        else:
+        elif answer.status != _RATE_EXCEEDED_STATUS:
+            # A service that bounds its callers' rate goes on serving the
+            # others. Taken for an outage, a refusal kept a server that left
+            # just behind it in use for 2 s more, in calm times.
             self._outage.failed(sent_s)
         return Err(refusal)
 
