--- a/src/mulberrywharf/platform_service/http_calls.py
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -98,7 +98,7 @@
     ):
         super().__init__(endpoint["ip"], endpoint["port"])
         self.block_size = _BLOCK_BYTES
-        self._connection_pool = _Pool(
+        self._pool = _Pool(
             endpoint["ip"],
             endpoint["port"],
             endpoint["ip"],
@@ -107,15 +107,16 @@
             connection_timeout=connect_timeout_s,
             network_timeout=read_timeout_s,
         )
+        self._connection_pool = self._pool
         # The library sends an idempotent call again on a fresh connection as
         # often as the pool is large, and once more: a service that closes
         # each connection at once gets 33 calls for one, each of them paid
         # for. One more is enough for an idle connection that it had closed.
-        self._connection_pool.size = 0
+        self._pool.size = 0
 
     def drop_idle(self) -> None:
         """Closes the connections that wait for a call."""
-        self._connection_pool.drop_idle()
+        self._pool.drop_idle()
 
 
 class HttpCalls:
