--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -180,7 +180,7 @@
         own_tokens: int,
     ) -> None:
         placement = codec.Placement(
-            codec.key_of(server.server_id), work_s, parts, own_tokens
+            codec.key_of_server(server.start), work_s, parts, own_tokens
         )
         notice = codec.Notice(self._sender, 1, (placement,))
         at_s = self._timeline.now_s + NOTICE_DELAY_S
@@ -376,8 +376,8 @@
     ) -> None:
         now_s = self._timeline.now_s
         self._begun.append(now_s - wanted.arrived_s)
-        gateway.book.began(server.server_id, now_s)
-        self._timeline.at(now_s + RUN_S, gateway.book.ended, server.server_id)
+        gateway.book.began(server.start, now_s)
+        self._timeline.at(now_s + RUN_S, gateway.book.ended, server.start)
 
     def _request(self, number: int, now_s: float) -> request.RoutedRequest:
         rng = random.Random(number)
--- a/src/mulberrywharf/authority/role_keeper.py
+++ b/src/mulberrywharf/authority/role_keeper.py
@@ -83,6 +83,10 @@
 
     order: role_orders.RoleOrder
     sent_s: float
+    is_accepted: bool = False
+
+
+_Reports = dict[fleet.ServerStart, role_orders.EngineReport]
 
 
 class RoleKeeper:
@@ -96,6 +100,7 @@
         vm_id: str,
         system_clock: clock.Clock,
         on_accepted: Callable[[fleet.Server], None] = lambda _: None,
+        on_restarted: Callable[[fleet.ServerStart], None] = lambda _: None,
     ):
         """Makes it; no round begins before ``start``.
 
@@ -106,6 +111,8 @@
             vm_id: Names this gateway in orders.
             system_clock: Measures how long orders are awaited.
             on_accepted: Called with an engine that has taken an order on.
+            on_restarted: Called with the start of an engine that reports
+                another one.
         """
         self._holder = holder
         self._engines = engines
@@ -113,9 +120,10 @@
         self._vm_id = vm_id
         self._clock = system_clock
         self._on_accepted = on_accepted
+        self._on_restarted = on_restarted
         self._splits: dict[str, role_split.RoleSplit] = {}
         self._unsettled: _Sent | None = None
-        self._ordered: dict[str, _Sent] = {}
+        self._ordered: dict[fleet.ServerStart, _Sent] = {}
         self._last_reason: dict[str, str] = {}
         self._pool = gevent.pool.Pool(_CONCURRENT_REPORTS_COUNT)
         self._task: gevent.Greenlet | None = None
@@ -144,33 +152,47 @@
 
     def round(self, service: str, servers: Sequence[fleet.Server]) -> None:
         """Looks at the engines of one service, and orders one if need be."""
-        asked = self._pool.map(self._client.report, servers)
-        reports = {
-            server.server_id: report.ok_value
-            for server, report in zip(servers, asked, strict=True)
-            if isinstance(report, Ok)
-        }
+        reports = self._reports(servers)
         now_s = self._clock.monotonic_s()
         self._settle(reports, servers, now_s)
         decision = self._decide(service, servers, reports, now_s)
         self._log(service, decision)
         if isinstance(decision, role_split.Change):
-            report = reports[decision.server.server_id]
+            report = reports[decision.server.start]
             self._order(decision, report.accepted_count)
 
+    def _reports(self, servers: Sequence[fleet.Server]) -> _Reports:
+        """Asks engines; one that reports another start says nothing of this.
+
+        Its count of orders began anew, so an order by the old count could be
+        taken on by the new start as if it were meant for it.
+        """
+        asked = self._pool.map(self._client.report, servers)
+        reports = {}
+        for server, asked_one in zip(servers, asked, strict=True):
+            if isinstance(asked_one, Err):
+                continue
+            report = asked_one.ok_value
+            starts = (report.started_unix_ms, server.started_unix_ms)
+            if None in starts or starts[0] == starts[1]:
+                reports[server.start] = report
+            else:
+                self._on_restarted(server.start)
+        return reports
+
     def _decide(
         self,
         service: str,
         servers: Sequence[fleet.Server],
-        reports: dict[str, role_orders.EngineReport],
+        reports: _Reports,
         now_s: float,
     ) -> role_split.Decision:
         if len(reports) < REPORTING_SHARE * len(servers):
             return role_split.Stay("too many engines do not report")
         loads = [
-            self._load(one, reports[one.server_id], now_s)
+            self._load(one, reports[one.start], now_s)
             for one in servers
-            if one.server_id in reports
+            if one.start in reports
         ]
         split = self._splits.setdefault(service, role_split.RoleSplit())
         decision = split.decide(
@@ -193,7 +215,7 @@
         Reports are some hundred ms old. One that does not show an order yet
         would have the same engine, or one more, ordered again.
         """
-        sent = self._ordered.get(server.server_id)
+        sent = self._ordered.get(server.start)
         is_awaited = (
             sent is not None
             and report.role != sent.order.role
@@ -209,7 +231,7 @@
 
     def _settle(
         self,
-        reports: dict[str, role_orders.EngineReport],
+        reports: _Reports,
         servers: Sequence[fleet.Server],
         now_s: float,
     ) -> None:
@@ -218,8 +240,10 @@
             one.service != sent.order.server.service for one in servers
         ):
             return
-        report = reports.get(sent.order.server.server_id)
-        has_left = sent.order.server.server_id not in {
+        report = reports.get(sent.order.server.start)
+        # Without an answer the order may still be carried out by the engine's
+        # next start, whose count of orders may be the expected one again.
+        has_left = sent.is_accepted and sent.order.server.server_id not in {
             one.server_id for one in servers
         }
         is_taken = (
@@ -246,7 +270,7 @@
             return
         leaves = _Sent(order, self._clock.monotonic_s())
         self._unsettled = leaves
-        self._ordered[change.server.server_id] = leaves
+        self._ordered[change.server.start] = leaves
         sent = self._client.send(
             order,
             user_timeout_s=role_holder.USER_TIMEOUT_S,
@@ -257,8 +281,9 @@
         ):
             # It has not left, or the engine says that it did not take it.
             self._unsettled = None
-            del self._ordered[change.server.server_id]
+            del self._ordered[change.server.start]
         if isinstance(sent, Ok):
+            self._unsettled = leaves._replace(is_accepted=True)
             self._on_accepted(order.server)
         _log_order(
             order, sent.err_value.code if isinstance(sent, Err) else "accepted"
--- a/src/mulberrywharf/engines/role_orders.py
+++ b/src/mulberrywharf/engines/role_orders.py
@@ -51,6 +51,7 @@
         waiting_count: Requests in its queue.
         is_changing: Whether it carries out an order.
         accepted_count: Orders that it has accepted since its start.
+        started_unix_ms: Its start, see ``fleet.ServerStart``.
     """
 
     role: fleet.Role
@@ -58,6 +59,7 @@
     waiting_count: int
     is_changing: bool
     accepted_count: int
+    started_unix_ms: int | None = None
 
 
 class RoleDialect(Protocol):
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -101,6 +101,13 @@
         )
 
 
+class StoredRecordError(MulberryError):
+    """A record in the key-value service is not in the form that it has."""
+
+    code = "bad-stored-record"
+    advice = "Look who else writes under its prefix; what it names is unused."
+
+
 # --- requests of callers ----------------------------------------------------
 
 
--- a/src/mulberrywharf/fleet.py
+++ b/src/mulberrywharf/fleet.py
@@ -53,17 +53,41 @@
     operators_address: Address | None = None
 
 
+class ServerStart(NamedTuple):
+    """One start of one server.
+
+    A server may start again under its id. What it held and counted before is
+    gone then, so whatever is believed of it belongs to one start.
+
+    Attributes:
+        server_id: Names the server.
+        started_unix_ms: Tells its starts apart, by its own clock. It says
+            nothing of their order, as that clock may be stepped back. None
+            where servers don't tell it.
+    """
+
+    server_id: str
+    started_unix_ms: int | None = None
+
+    def __str__(self) -> str:
+        """Returns the id, with the start behind it if that is told."""
+        if self.started_unix_ms is None:
+            return self.server_id
+        return f"{self.server_id}@{self.started_unix_ms}"
+
+
 class Server(NamedTuple):
     """One start of one server, as it registered itself.
 
     Attributes:
-        server_id: New with each start.
+        server_id: Names it; it keeps the id when it starts again.
         service: The service that it belongs to.
         address: Where it takes requests.
         availability_zone: Where it stands.
         slots_count: Requests that it works on at once.
         is_draining: Whether it is about to leave.
         role: What an engine spends its steps on, None for plain servers.
+        started_unix_ms: See ``ServerStart``.
     """
 
     server_id: str
@@ -73,6 +97,12 @@
     slots_count: int
     is_draining: bool = False
     role: Role | None = None
+    started_unix_ms: int | None = None
+
+    @property
+    def start(self) -> ServerStart:
+        """What everything is kept by that is believed of this start."""
+        return ServerStart(self.server_id, self.started_unix_ms)
 
 
 class LoadReport(NamedTuple):
--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -116,26 +116,29 @@
         self._notices = notices
         self._memory_tokens = memory_tokens
         self._server_by_key: dict[int, fleet.Server] = {}
-        self._zone_by_id: dict[str, str] = {}
+        self._zone_by_start: dict[fleet.ServerStart, str] = {}
         self._decodes_by_service: dict[str, list[fleet.Server]] = {}
 
     def follow(self, known: tuple[fleet.Server, ...]) -> None:
-        """Takes in the server list; forgets engines that left."""
+        """Takes in the server list; forgets starts of engines that ended.
+
+        An engine that starts again holds no part and runs nothing. Its speed
+        stays known: that is its machine's.
+        """
+        starts = frozenset(server.start for server in known)
+        self._queues.keep_only(starts)
+        self._observed.keep_only(starts)
+        self._slots.keep_only(starts)
+        self._caches.keep_only(starts)
         server_ids = frozenset(server.server_id for server in known)
-        self._queues.keep_only(server_ids)
-        self._observed.keep_only(server_ids)
-        self._slots.keep_only(server_ids)
-        self._caches.keep_only(server_ids)
         for learned in self._speeds.values():
             learned.keep_only(server_ids)
-        before = {
-            one.server_id: one.role for one in self._server_by_key.values()
-        }
+        before = {one.start: one.role for one in self._server_by_key.values()}
         for server in known:
-            if before.get(server.server_id, server.role) != server.role:
-                self._book.changed(server.server_id)
+            if before.get(server.start, server.role) != server.role:
+                self._book.changed(server.start)
         self._server_by_key = {
-            codec.key_of(server.server_id): server for server in known
+            codec.key_of_server(server.start): server for server in known
         }
         self._decodes_by_service = {}
         for server in known:
@@ -144,8 +147,8 @@
                     server.service, []
                 )
                 of_service.append(server)
-        self._zone_by_id = {
-            server.server_id: server.availability_zone
+        self._zone_by_start = {
+            server.start: server.availability_zone
             for server in known
             if server.role is not None
         }
@@ -180,19 +183,19 @@
             is_home: Whether it is the first home of the shared part.
         """
         now_s = self._clock.monotonic_s()
-        server_id = server.server_id
-        pace *= self._speeds[server.service].pace(server_id, now_s)
+        start = server.start
+        pace *= self._speeds[server.service].pace(server.server_id, now_s)
         (candidate,) = self._book.candidates([server], now_s)
         running_count = candidate.own_count + candidate.others_count
         slot_wait_s = max(
-            self._slots.wait_s(server_id, running_count, server.slots_count),
-            self._observed.wait_s(server_id, "start", now_s),
+            self._slots.wait_s(start, running_count, server.slots_count),
+            self._observed.wait_s(start, "start", now_s),
         )
         return prompt_placement.EngineView(
             server=server,
             wait_s=max(
-                self._queues.wait_s(server_id, now_s) + slot_wait_s,
-                self._observed.wait_s(server_id, "read", now_s),
+                self._queues.wait_s(start, now_s) + slot_wait_s,
+                self._observed.wait_s(start, "read", now_s),
             ),
             slot_wait_s=slot_wait_s,
             running_share=running_count / max(1, server.slots_count),
@@ -220,7 +223,7 @@
         million were of parts that another engine held, and 1.2 of 14.5
         million with homes believed in.
         """
-        held_tokens = self._caches.cached_tokens(server.server_id, parts)
+        held_tokens = self._caches.cached_tokens(server.start, parts)
         if not is_home or self._notices.hears_of(server):
             return held_tokens
         home_part = prompt_parts.part_of_home(parts)
@@ -240,10 +243,10 @@
         plan: prompt_placement.Plan,
     ) -> Placed:
         """Counts a plan in and tells peers of a long prompt."""
-        reader_id = plan.reader.server.server_id
+        reader = plan.reader.server.start
         work_s = plan.prefill_work_s
         now_s = self._clock.monotonic_s()
-        ticket = self._queues.add(reader_id, work_s, now_s)
+        ticket = self._queues.add(reader, work_s, now_s)
         if service.engine is None or wanted.prompt is None:
             return Placed(plan, ticket, is_in_order=False)
         is_told = self._note_prompt(
@@ -271,7 +274,7 @@
                 wanted.prompt, engine, 0.0, service.engine.kv_tokens
             )
         now_s = self._clock.monotonic_s()
-        ticket = self._queues.add(engine.server_id, 0.0, now_s)
+        ticket = self._queues.add(engine.start, 0.0, now_s)
         return Placed(plan, ticket, is_in_order=False)
 
     def reading(self, placed: Placed) -> observed_waits.Awaited:
@@ -345,21 +348,21 @@
             server: The engine.
             run_s: From the stream's head to its end.
         """
-        self._slots.note_run(server.server_id, run_s)
+        self._slots.note_run(server.start, run_s)
 
     def loads(self, availability_zone: str) -> tuple[codec.Load, ...]:
         """Returns what engines of a zone told this node lately."""
         now_s = self._clock.monotonic_s()
         return tuple(
             codec.Load(
-                codec.key_of(server_id),
+                codec.key_of_server(start),
                 load.requests_count,
                 now_s - told_s,
             )
-            for server_id, load, told_s in self._book.reported_since(
+            for start, load, told_s in self._book.reported_since(
                 now_s - TOLD_LOAD_AGE_S
             )
-            if self._zone_by_id.get(server_id) == availability_zone
+            if self._zone_by_start.get(start) == availability_zone
         )
 
     def on_notice(self, notice: codec.Notice) -> None:
@@ -369,28 +372,28 @@
             server = self._server_by_key.get(load.engine_key)
             if server is not None:
                 self._book.heard(
-                    server.server_id, load.requests_count, now_s - load.age_s
+                    server.start, load.requests_count, now_s - load.age_s
                 )
         for engine_key in notice.changing:
             server = self._server_by_key.get(engine_key)
             if server is not None:
-                self._book.changing(server.server_id, now_s)
+                self._book.changing(server.start, now_s)
         self.demand.on_notice(notice)
         for placement in notice.placements:
             server = self._server_by_key.get(placement.engine_key)
             if server is None:
                 continue
             if placement.work_s > 0:
-                self._queues.add(server.server_id, placement.work_s, now_s)
+                self._queues.add(server.start, placement.work_s, now_s)
             memory_tokens = self._memory_tokens(server.service)
             if placement.own_tokens:
                 self._caches.note_own(
-                    server.server_id, placement.own_tokens, memory_tokens
+                    server.start, placement.own_tokens, memory_tokens
                 )
             if placement.parts:
                 self._note_home(server, placement.parts)
                 self._caches.note_read(
-                    server.server_id, placement.parts, memory_tokens
+                    server.start, placement.parts, memory_tokens
                 )
 
     def _sent(
@@ -400,7 +403,7 @@
         unqueued_s: float,
     ) -> observed_waits.Awaited:
         awaited = observed_waits.Awaited(
-            server.server_id, matter, self._clock.monotonic_s(), unqueued_s
+            server.start, matter, self._clock.monotonic_s(), unqueued_s
         )
         self._observed.sent(awaited)
         return awaited
@@ -421,16 +424,16 @@
         held = tuple(part.held for part in parts)
         told = prompt_parts.told(parts)
         if not told:
-            self._caches.note_read(engine.server_id, held, memory_tokens)
+            self._caches.note_read(engine.start, held, memory_tokens)
             # Short prompts are many and spread evenly over the gateways, so
             # each counts its own for all instead of telling them.
             others_count = self._notices.gateways_count - 1
             self._caches.note_own(
-                engine.server_id, prompt.tokens * others_count, memory_tokens
+                engine.start, prompt.tokens * others_count, memory_tokens
             )
             return False
         self._note_home(engine, told)
-        self._caches.note_read(engine.server_id, held, memory_tokens)
+        self._caches.note_read(engine.start, held, memory_tokens)
         own_tokens = prompt.tokens - sum(part.tokens for part in told)
         self._notices.add(engine, work_s, told, own_tokens)
         return True
@@ -446,7 +449,7 @@
         """
         home_part = max(told, key=lambda part: part.tokens)
         if self._is_heard_home(server, home_part.key):
-            is_held = self._caches.holds(server.server_id, home_part.key)
+            is_held = self._caches.holds(server.start, home_part.key)
             self._home_hits.note(is_held=is_held)
 
     def _is_heard_home(self, server: fleet.Server, part_key: int) -> bool:
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -59,7 +59,7 @@
         service: table.Service,
         limit: time_limits.TimeLimit,
         *,
-        excluded: frozenset[str],
+        excluded: frozenset[fleet.ServerStart],
         may_refuse: bool,
     ) -> engine_account.Placed:
         """Chooses the best plan and counts it in.
@@ -97,7 +97,7 @@
         service: table.Service,
         source: fleet.Server,
         *,
-        excluded: frozenset[str],
+        excluded: frozenset[fleet.ServerStart],
     ) -> engine_account.Placed:
         """Chooses the engine that answers a prompt that was prefilled.
 
@@ -171,7 +171,7 @@
         self,
         wanted: request.RoutedRequest,
         service: table.Service,
-        excluded: frozenset[str],
+        excluded: frozenset[fleet.ServerStart],
     ) -> list[prompt_placement.Plan]:
         usable = self._usable(service, excluded)
         parts = prompt_parts.chain_of(wanted.prompt)
@@ -189,13 +189,13 @@
         )
 
     def _usable(
-        self, service: table.Service, excluded: frozenset[str]
+        self, service: table.Service, excluded: frozenset[fleet.ServerStart]
     ) -> list[fleet.Server]:
         return self._book.reachable(
             (
                 server
                 for server in self._server_list.usable(service.name)
-                if server.server_id not in excluded
+                if server.start not in excluded
             ),
             self._clock.monotonic_s(),
         )
--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -142,9 +142,7 @@
         answer = sent.ok_value
         head = self._dialect.read_head(answer)
         server = attempt.server
-        self._book.reported(
-            server.server_id, head.load, self._clock.monotonic_s()
-        )
+        self._book.reported(server.start, head.load, self._clock.monotonic_s())
         if head.request_id not in (None, attempt.request.request_id):
             _answers.count_foreign(server.address)
             message = f"{server.address} answered another request"
@@ -174,14 +172,14 @@
         elif isinstance(
             error, errors.EngineUnreachableError | errors.PeerSilentError
         ):
-            self._book.unreachable(server.server_id, now_s)
+            self._book.unreachable(server.start, now_s)
         else:
-            self._book.lost(server.server_id, now_s)
+            self._book.lost(server.start, now_s)
 
     def _note_refusal(self, server: fleet.Server, now_s: float) -> None:
         # A plain server refuses while its few slots are taken, for the time
         # of one request; it is compared by its load instead.
         if server.role is None:
-            self._book.failed(server.server_id)
+            self._book.failed(server.start)
         else:
-            self._book.refused(server.server_id, now_s)
+            self._book.refused(server.start, now_s)
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -125,7 +125,7 @@
         self._limit = time_limits.TimeLimit.of(
             wanted, route, parts.system_clock
         )
-        self._excluded: set[str] = set()
+        self._excluded: set[fleet.ServerStart] = set()
         self._sends_count = 0
         self._runs_count = 0
         self._outcome: errors.Outcome = "not-run"
@@ -280,7 +280,7 @@
             self._failed(attempt.server)
             message = f"{attempt.server.address} did not prefill"
             return Err(errors.AnswerLostError(message))
-        self._parts.book.succeeded(attempt.server.server_id)
+        self._parts.book.succeeded(attempt.server.start)
         return self._parts.client.decode_handle(attempt.server, body.ok_value)
 
     def _generate(
@@ -302,18 +302,18 @@
         account = self._parts.account
         sent_to = account.reading if reads_itself else account.starting
         awaited = sent_to(placed)
-        self._parts.book.began(server.server_id, began_s)
+        self._parts.book.began(server.start, began_s)
         try:
             sent = self._send(attempt, may_run_again=self._may_run_again)
         except BaseException:
             account.failed(awaited)
-            self._parts.book.ended(server.server_id)
+            self._parts.book.ended(server.start)
             raise
         self._note_outcome(placed, awaited, sent)
         expected_s = account.expected_s(placed, awaited)
         self._log(attempt, began_s, expected_s, sent)
         if isinstance(sent, Err):
-            self._parts.book.ended(server.server_id)
+            self._parts.book.ended(server.start)
             if isinstance(sent.err_value, errors.EngineUnreachableError):
                 # Nothing left, so the handle is still there for another.
                 self._prefilled = prefilled
@@ -406,7 +406,7 @@
                 if block:
                     gaps.note(self._parts.system_clock.monotonic_s())
                     yield block
-            self._parts.book.succeeded(run.server.server_id)
+            self._parts.book.succeeded(run.server.start)
             self._parts.account.ended(run.server, self._since_s(began_s))
             if cutter.rest:
                 yield cutter.rest
@@ -417,7 +417,7 @@
             return error
         finally:
             exchange.close()
-            self._parts.book.ended(run.server.server_id)
+            self._parts.book.ended(run.server.start)
             self._log_stream(run.server, gaps)
 
     def _log_stream(
@@ -450,7 +450,7 @@
         run = self._bounded_start()
         if not run.begun.head.is_success:
             run.begun.exchange.close()
-            self._parts.book.ended(run.server.server_id)
+            self._parts.book.ended(run.server.start)
             raise errors.BackEndLostError(
                 f"{run.server.address} did not resume", outcome="unknown"
             )
@@ -463,13 +463,13 @@
         return run
 
     def _lost(self, server: fleet.Server) -> None:
-        self._excluded.add(server.server_id)
+        self._excluded.add(server.start)
         now_s = self._parts.system_clock.monotonic_s()
-        self._parts.book.lost(server.server_id, now_s)
+        self._parts.book.lost(server.start, now_s)
 
     def _failed(self, server: fleet.Server) -> None:
-        self._excluded.add(server.server_id)
-        self._parts.book.failed(server.server_id)
+        self._excluded.add(server.start)
+        self._parts.book.failed(server.start)
 
     def _release_cache(self) -> None:
         if self._prefilled is not None:
@@ -487,7 +487,7 @@
         outcome: Result[object, errors.EngineError],
     ) -> None:
         if isinstance(outcome, Err):
-            self._excluded.add(attempt.server.server_id)
+            self._excluded.add(attempt.server.start)
         logger.bind(
             request_id=self._wanted.request_id,
             route=self._route.name,
@@ -497,7 +497,7 @@
             took_s=round(self._since_s(began_s), 4),
             expected_s=round(expected_s, 4),
             left_s=round(self._limit.left_s(), 3),
-            reported=self._parts.book.last_report(attempt.server.server_id),
+            reported=self._parts.book.last_report(attempt.server.start),
             result="ok" if isinstance(outcome, Ok) else outcome.err_value.code,
         ).info("attempt")
 
@@ -513,13 +513,13 @@
     ):
         self._book = book
         self._now_s = now_s
-        self._server_id = server.server_id
+        self._start = server.start
 
     def __enter__(self) -> None:
-        self._book.began(self._server_id, self._now_s)
+        self._book.began(self._start, self._now_s)
 
     def __exit__(self, *failure: object) -> None:
-        self._book.ended(self._server_id)
+        self._book.ended(self._start)
 
 
 def _fetch_from(placed: engine_account.Placed) -> fleet.Address | None:
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -102,7 +102,7 @@
         self._route = route
         self._service = service
         self._may_run_again = kinds.may_run_again(route.kind)
-        self._tried: set[str] = set()
+        self._tried: set[fleet.ServerStart] = set()
         self._runs_count = 0
         self._outcome: errors.Outcome = "not-run"
         self._failure: WholeAnswer | None = None
@@ -127,7 +127,7 @@
             chosen = self._choose()
             if chosen is None:
                 return self._give_up("no server is left to try")
-            self._tried.add(chosen.server.server_id)
+            self._tried.add(chosen.server.start)
             tried = self._attempt(chosen)
             if isinstance(tried, Ok):
                 answer = tried.ok_value
@@ -142,7 +142,7 @@
         usable = [
             server
             for server in self._parts.server_list.usable(self._service)
-            if server.server_id not in self._tried
+            if server.start not in self._tried
         ]
         reachable = self._parts.book.reachable(usable, now_s)
         candidates = self._parts.book.candidates(reachable, now_s)
@@ -160,11 +160,11 @@
         before = self._outcome
         # Until the attempt has told how it failed it may have run.
         self._outcome = "unknown"
-        book.began(server.server_id, began_s)
+        book.began(server.start, began_s)
         try:
             tried = self._exchange(attempt)
         finally:
-            book.ended(server.server_id)
+            book.ended(server.start)
         took_s = self._parts.system_clock.monotonic_s() - began_s
         if isinstance(tried, Err):
             if tried.err_value.outcome == "not-run":
@@ -198,7 +198,7 @@
         begun.exchange.finish()
         if isinstance(body, Err):
             self._parts.book.lost(
-                attempt.server.server_id,
+                attempt.server.start,
                 self._parts.system_clock.monotonic_s(),
             )
             return body
@@ -211,9 +211,9 @@
         self, server: fleet.Server, status: int, took_s: float
     ) -> None:
         if status >= _FAILURE_STATUS:
-            self._parts.book.failed(server.server_id)
+            self._parts.book.failed(server.start)
         else:
-            self._parts.book.succeeded(server.server_id, took_s)
+            self._parts.book.succeeded(server.start, took_s)
 
     def _wants_another(self, answer: WholeAnswer) -> bool:
         return answer.head.status >= _FAILURE_STATUS and self._may_run_again
--- a/src/mulberrywharf/forwarding/server_book.py
+++ b/src/mulberrywharf/forwarding/server_book.py
@@ -67,35 +67,38 @@
 
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
-        self._entries: dict[str, _Entry] = {}
+        self._entries: dict[fleet.ServerStart, _Entry] = {}
 
-    def keep_only(self, server_ids: Iterable[str]) -> None:
-        """Forgets servers that left and hold no request of this node."""
-        kept = set(server_ids)
+    def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
+        """Forgets starts of servers that ended and hold no request of ours."""
+        kept = set(starts)
         self._entries = {
-            server_id: entry
-            for server_id, entry in self._entries.items()
-            if server_id in kept or entry.own_count
+            start: entry
+            for start, entry in self._entries.items()
+            if start in kept or entry.own_count
         }
 
-    def began(self, server_id: str, now_s: float) -> None:
+    def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a request in; to a server that was lost it is the one try."""
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         entry.own_count += 1
         if entry.failed_tries_count:
             until_s = now_s + PROBE_S
             entry.avoided_until_s = max(entry.avoided_until_s, until_s)
 
-    def ended(self, server_id: str) -> None:
+    def ended(self, start: fleet.ServerStart) -> None:
         """Counts a request out."""
-        self._entry(server_id).own_count -= 1
+        self._entry(start).own_count -= 1
 
-    def own_count(self, server_id: str) -> int:
+    def own_count(self, start: fleet.ServerStart) -> int:
         """Returns the requests that this node has at a server."""
-        return self._entry(server_id).own_count
+        return self._entry(start).own_count
 
     def reported(
-        self, server_id: str, load: request.ReportedLoad | None, now_s: float
+        self,
+        start: fleet.ServerStart,
+        load: request.ReportedLoad | None,
+        now_s: float,
     ) -> None:
         """Takes in the load that came with an answer.
 
@@ -103,20 +106,22 @@
         """
         if load is None:
             return
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         entry.reported = load
         entry.reported_at_s = now_s
-        self.heard(server_id, load.requests_count, now_s)
+        self.heard(start, load.requests_count, now_s)
 
-    def heard(self, server_id: str, requests_count: int, at_s: float) -> None:
+    def heard(
+        self, start: fleet.ServerStart, requests_count: int, at_s: float
+    ) -> None:
         """Takes in how many requests a server had, by whomever it was told.
 
         Args:
-            server_id: The server.
+            start: The server's start.
             requests_count: Running and waiting, this node's own included.
             at_s: When it said so; what was known later than that stays.
         """
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         if at_s < entry.others_at_s:
             return
         entry.others_count = max(0, requests_count - entry.own_count)
@@ -124,30 +129,34 @@
 
     def reported_since(
         self, since_s: float
-    ) -> list[tuple[str, request.ReportedLoad, float]]:
+    ) -> list[tuple[fleet.ServerStart, request.ReportedLoad, float]]:
         """Returns what servers told this node since then, the newest first.
 
-        Each with the server's id and the time at which it was told.
+        Each with the server's start and the time at which it was told.
         """
         found = [
-            (server_id, entry.reported, entry.reported_at_s)
-            for server_id, entry in self._entries.items()
+            (start, entry.reported, entry.reported_at_s)
+            for start, entry in self._entries.items()
             if entry.reported is not None and entry.reported_at_s >= since_s
         ]
         return sorted(found, key=lambda one: one[2], reverse=True)
 
-    def last_report(self, server_id: str) -> request.ReportedLoad | None:
+    def last_report(
+        self, start: fleet.ServerStart
+    ) -> request.ReportedLoad | None:
         """Returns what a server last said of its load, None before that."""
-        return self._entry(server_id).reported
+        return self._entry(start).reported
 
-    def succeeded(self, server_id: str, answer_s: float | None = None) -> None:
+    def succeeded(
+        self, start: fleet.ServerStart, answer_s: float | None = None
+    ) -> None:
         """Notes a whole answer.
 
         Args:
-            server_id: Who gave it.
+            start: Who gave it.
             answer_s: How long it took, if that says something of its pace.
         """
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         entry.failure_share *= 1 - FAILURE_WEIGHT
         entry.suspected_until_s = float("-inf")
         entry.avoided_until_s = float("-inf")
@@ -157,63 +166,63 @@
         before_s = entry.answer_s if entry.answer_s is not None else answer_s
         entry.answer_s = before_s + PACE_WEIGHT * (answer_s - before_s)
 
-    def failed(self, server_id: str) -> None:
+    def failed(self, start: fleet.ServerStart) -> None:
         """Notes an answer that is a failure."""
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         entry.failure_share += FAILURE_WEIGHT * (1 - entry.failure_share)
 
-    def refused(self, server_id: str, now_s: float) -> None:
+    def refused(self, start: fleet.ServerStart, now_s: float) -> None:
         """Notes that a server did not run what it was sent."""
-        self.failed(server_id)
-        entry = self._entry(server_id)
+        self.failed(start)
+        entry = self._entry(start)
         until_s = now_s + REFUSED_S
         entry.suspected_until_s = max(entry.suspected_until_s, until_s)
 
-    def changing(self, server_id: str, now_s: float) -> None:
+    def changing(self, start: fleet.ServerStart, now_s: float) -> None:
         """Notes that an engine was ordered to change its role."""
-        self._entry(server_id).changing_until_s = now_s + CHANGING_LIMIT_S
+        self._entry(start).changing_until_s = now_s + CHANGING_LIMIT_S
 
-    def changed(self, server_id: str) -> None:
+    def changed(self, start: fleet.ServerStart) -> None:
         """Notes that an engine's record shows another role."""
-        self._entry(server_id).changing_until_s = float("-inf")
+        self._entry(start).changing_until_s = float("-inf")
 
-    def lost(self, server_id: str, now_s: float) -> None:
+    def lost(self, start: fleet.ServerStart, now_s: float) -> None:
         """Notes that a server broke off."""
-        self.failed(server_id)
-        self._entry(server_id).suspected_until_s = now_s + SUSPECT_S
+        self.failed(start)
+        self._entry(start).suspected_until_s = now_s + SUSPECT_S
 
-    def unreachable(self, server_id: str, now_s: float) -> None:
+    def unreachable(self, start: fleet.ServerStart, now_s: float) -> None:
         """Notes that a server could not be reached, or went silent."""
-        self.failed(server_id)
-        entry = self._entry(server_id)
+        self.failed(start)
+        entry = self._entry(start)
         if now_s >= entry.avoided_until_s or not entry.failed_tries_count:
             # Requests that failed together count as one try.
             entry.failed_tries_count += 1
         doubled_s = AVOID_S * 2 ** (entry.failed_tries_count - 1)
         entry.avoided_until_s = now_s + min(AVOID_LIMIT_S, doubled_s)
 
-    def may_use(self, server_id: str, now_s: float) -> bool:
+    def may_use(self, start: fleet.ServerStart, now_s: float) -> bool:
         """Tells whether a server may be reached, as far as this node knows.
 
         A node that is cut off from all of them refuses its callers at once
         instead of letting each wait for every silent server in turn.
         """
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         return now_s >= max(entry.avoided_until_s, entry.changing_until_s)
 
     def reachable(
         self, among: Iterable[fleet.Server], now_s: float
     ) -> list[fleet.Server]:
         """Returns those of the servers that may be reached."""
-        return [one for one in among if self.may_use(one.server_id, now_s)]
+        return [one for one in among if self.may_use(one.start, now_s)]
 
-    def is_suspected(self, server_id: str, now_s: float) -> bool:
+    def is_suspected(self, start: fleet.ServerStart, now_s: float) -> bool:
         """Tells whether a server failed to answer a moment ago."""
-        return now_s < self._entry(server_id).suspected_until_s
+        return now_s < self._entry(start).suspected_until_s
 
-    def others_count(self, server_id: str, now_s: float) -> float:
+    def others_count(self, start: fleet.ServerStart, now_s: float) -> float:
         """Returns the requests that other nodes are believed to have there."""
-        entry = self._entry(server_id)
+        entry = self._entry(start)
         age_s = now_s - entry.others_at_s
         return entry.others_count * math.exp(-age_s / REPORT_AGE_CONSTANT_S)
 
@@ -228,17 +237,17 @@
     def _candidate(
         self, server: fleet.Server, usual_s: float | None, now_s: float
     ) -> server_choice.Candidate:
-        entry = self._entry(server.server_id)
+        entry = self._entry(server.start)
         pace = 1.0
         if usual_s and entry.answer_s is not None:
             pace = min(PACE_LIMIT, max(1.0, entry.answer_s / usual_s))
         return server_choice.Candidate(
             server=server,
             own_count=entry.own_count,
-            others_count=self.others_count(server.server_id, now_s),
+            others_count=self.others_count(server.start, now_s),
             failure_share=entry.failure_share,
             pace=pace,
-            is_suspected=self.is_suspected(server.server_id, now_s),
+            is_suspected=self.is_suspected(server.start, now_s),
             is_near=server.availability_zone == self._availability_zone,
         )
 
@@ -246,9 +255,9 @@
         known = sorted(
             answer_s
             for server in among
-            if (answer_s := self._entry(server.server_id).answer_s) is not None
+            if (answer_s := self._entry(server.start).answer_s) is not None
         )
         return known[(len(known) - 1) // 2] if known else None
 
-    def _entry(self, server_id: str) -> _Entry:
-        return self._entries.setdefault(server_id, _Entry())
+    def _entry(self, start: fleet.ServerStart) -> _Entry:
+        return self._entries.setdefault(start, _Entry())
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -1,12 +1,14 @@
 """Which servers of a service may get new work, by what the store says."""
 
+import collections
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
 import gevent
 from loguru import logger
+from result import Err, Result
 
-from mulberrywharf import clock, fleet, metrics
+from mulberrywharf import clock, errors, fleet, metrics
 from mulberrywharf.platform_service import key_value, key_value_types, watch
 
 PURPOSE = "servers"
@@ -16,6 +18,10 @@
 return. A record that vanishes later means a server that leaves, and one that
 vanishes before is awaited no longer than that."""
 
+ENDED_STARTS_COUNT = 4
+"""Earlier starts of a server that are remembered. News of one is late by some
+seconds, in which a server starts again once or twice."""
+
 _servers_gauge = metrics.gauge(
     "mulberry_servers_count", "Servers that may get new work."
 )
@@ -25,13 +31,21 @@
 )
 
 
+_unreadable_counter = metrics.counter(
+    "mulberry_server_records_unreadable_total",
+    "Records of servers that name none to use, each time one was written.",
+)
+
+
 class ServerSource(Protocol):
     """Where servers register themselves and how they write it."""
 
     servers_prefix: str
 
-    def decode_server(self, key: str, value: bytes) -> fleet.Server | None:
-        """Reads one record; None if it can't be used."""
+    def decode_server(
+        self, key: str, value: bytes
+    ) -> Result[fleet.Server, errors.StoredRecordError]:
+        """Reads one record, or says why it names no server to use."""
         ...
 
     def server_id(self, key: str) -> str:
@@ -49,6 +63,14 @@
     until ``missing_hold_s`` after the outage and is dropped if it isn't back by
     then. Counted from when the record vanished instead, a server that left
     1.7 s after an outage got work for 2.4 s more.
+
+    A record that can't be read was written by another program: what it says of
+    the server is unknown, also whether it is still there, so the server is not
+    used until it writes its own again.
+
+    A server may start again under its id. Its starts have no order by
+    themselves, as their clocks may be stepped back; the one whose record came
+    last is the one that runs, and what is told of an earlier one is late.
     """
 
     def __init__(
@@ -78,6 +100,8 @@
         self._by_id: dict[str, fleet.Server] = {}
         self._by_service: dict[str, tuple[fleet.Server, ...]] = {}
         self._missing: dict[str, gevent.Greenlet] = {}
+        self._unreadable: set[str] = set()
+        self._ended: dict[str, collections.deque[fleet.ServerStart]] = {}
         self._watch: watch.Watch | None = None
         self._callbacks: list[Callable[[], None]] = []
 
@@ -126,19 +150,64 @@
         """
         return [one for one in server_ids if one in self._missing]
 
+    def superseded(self, start: fleet.ServerStart) -> None:
+        """Notes that a server says of itself that it has started again.
+
+        Its record shows the new start up to a heartbeat later; until then it
+        gets no work, as what it is now is not known.
+        """
+        known = self._by_id.get(start.server_id)
+        if known is not None and known.start == start:
+            self._note_ended(start)
+            self._keep(start.server_id)
+            self._drop(start.server_id, "it has started again")
+
     def _on_event(self, event: key_value_types.WatchEvent) -> None:
         key = event.key_value.key
         server_id = self._source.server_id(key)
         if event.kind == "delete":
+            self._unreadable.discard(server_id)
             self._on_missing(server_id)
             return
-        server = self._source.decode_server(key, event.key_value.value)
-        if server is None:
+        decoded = self._source.decode_server(key, event.key_value.value)
+        if isinstance(decoded, Err):
+            self._on_unreadable(server_id, decoded.err_value)
+            return
+        self._unreadable.discard(server_id)
+        self._on_record(decoded.ok_value)
+
+    def _on_record(self, server: fleet.Server) -> None:
+        server_id = server.server_id
+        if server.start in self._ended.get(server_id, ()):
+            logger.bind(start=str(server.start)).info(
+                "news of an earlier start of a server, ignored"
+            )
             return
         self._keep(server_id)
-        if self._by_id.get(server_id) != server:
-            self._by_id[server_id] = server
-            self._changed(server, "draining" if server.is_draining else "live")
+        known = self._by_id.get(server_id)
+        if known == server:
+            return
+        if known is not None and known.start != server.start:
+            self._note_ended(known.start)
+        self._by_id[server_id] = server
+        self._changed(server, "draining" if server.is_draining else "live")
+
+    def _on_unreadable(
+        self, server_id: str, error: errors.StoredRecordError
+    ) -> None:
+        _unreadable_counter.inc({})
+        if server_id in self._unreadable:
+            return
+        self._unreadable.add(server_id)
+        logger.bind(server_id=server_id).warning("{}", error.message)
+        self._keep(server_id)
+        self._drop(server_id, "its record can't be read")
+
+    def _note_ended(self, start: fleet.ServerStart) -> None:
+        ended = self._ended.setdefault(
+            start.server_id, collections.deque(maxlen=ENDED_STARTS_COUNT)
+        )
+        ended.append(start)
 
     def _on_missing(self, server_id: str) -> None:
         server = self._by_id.get(server_id)
@@ -173,11 +242,26 @@
         if server is not None:
             self._changed(server, reason)
 
+    def _starts_are_told(self) -> bool:
+        """Tells whether this deployment's servers tell their start.
+
+        Where most do, a record without one is another program's. Some
+        deployments' servers tell none at all.
+        """
+        told_count = sum(
+            one.started_unix_ms is not None for one in self._by_id.values()
+        )
+        return 2 * told_count > len(self._by_id)
+
     def _changed(self, server: fleet.Server, belief: str) -> None:
         by_service: dict[str, list[fleet.Server]] = {}
+        starts_are_told = self._starts_are_told()
         for known in self._by_id.values():
             of_service = by_service.setdefault(known.service, [])
-            if not known.is_draining:
+            is_own_record = (
+                known.started_unix_ms is not None or not starts_are_told
+            )
+            if is_own_record and not known.is_draining:
                 of_service.append(known)
         self._by_service = {
             service: tuple(sorted(found, key=lambda one: one.server_id))
@@ -187,6 +271,7 @@
             _servers_gauge.set({"service": service}, len(found))
         logger.bind(
             server_id=server.server_id,
+            started_unix_ms=server.started_unix_ms,
             service=server.service,
             address=str(server.address),
             role=server.role,
--- a/src/mulberrywharf/peers/codec.py
+++ b/src/mulberrywharf/peers/codec.py
@@ -8,7 +8,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from mulberrywharf import errors
+from mulberrywharf import errors, fleet
 from mulberrywharf.policy import part_caches
 
 PLACEMENTS_LIMIT_COUNT = 36
@@ -33,7 +33,7 @@
     """Work that a gateway gave an engine.
 
     Attributes:
-        engine_key: Of the engine, see ``key_of``.
+        engine_key: Of the engine, see ``key_of_server``.
         work_s: Engine time that it takes.
         parts: Long parts that the engine holds now, in order.
         own_tokens: Other tokens that the engine holds now.
@@ -49,7 +49,7 @@
     """What an engine said of its requests.
 
     Attributes:
-        engine_key: Of the engine, see ``key_of``.
+        engine_key: Of the engine, see ``key_of_server``.
         requests_count: Requests that it ran or kept waiting.
         age_s: How long ago it said so.
     """
@@ -114,6 +114,14 @@
     return xxhash.xxh32_intdigest(name.encode())
 
 
+def key_of_server(start: fleet.ServerStart) -> int:
+    """Returns the key of one start of a server.
+
+    What a peer tells of an earlier start has another key and is not heard.
+    """
+    return key_of(str(start))
+
+
 def encode(notice: Notice) -> bytes:
     """Returns a notice as one datagram."""
     message = _SCHEMA.Notice.new_message()
--- a/src/mulberrywharf/peers/notice.capnp
+++ b/src/mulberrywharf/peers/notice.capnp
@@ -9,7 +9,7 @@
   serversRevision @4 :UInt64;
   loads @5 :List(Load);
   demands @6 :List(Demand);
-  changing @7 :List(UInt32);   # hashes of engines that change their role
+  changing @7 :List(UInt32);   # hashes of engines and starts that change their role
 }
 
 struct Demand {
@@ -18,13 +18,13 @@
 }
 
 struct Load {
-  engine @0 :UInt32;       # hash of the engine's id
+  engine @0 :UInt32;       # hash of the engine's id and start
   requests @1 :UInt16;     # running and waiting
   ageMs @2 :UInt16;        # since the engine said so
 }
 
 struct Placement {
-  engine @0 :UInt32;      # hash of the engine's id
+  engine @0 :UInt32;      # hash of the engine's id and start
   workUs @1 :UInt32;      # engine time, microseconds
   part @2 :UInt64;        # hash of the longest known chain, 0 for none
   partTokens @3 :UInt32;  # of the part at its end
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -149,7 +149,7 @@
 
     def tell_changing(self, server: fleet.Server) -> None:
         """Tells that an engine was ordered to change its role."""
-        self._changing.append(codec.key_of(server.server_id))
+        self._changing.append(codec.key_of_server(server.start))
         self._pending.setdefault(server.availability_zone, {})
         self.tell_now()
 
@@ -194,7 +194,7 @@
             parts: Long parts that the engine holds now, in order.
             own_tokens: Other tokens that it holds now.
         """
-        key = codec.key_of(server.server_id), parts
+        key = codec.key_of_server(server.start), parts
         pending = self._pending.setdefault(server.availability_zone, {})
         before = pending.get(key)
         pending[key] = codec.Placement(
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import orjson
-from loguru import logger
 from result import Err, Ok, Result
 
 from mulberrywharf import errors, fleet
+from mulberrywharf.platform import server_records
 from mulberrywharf.routes import kinds, table
 
 ROUTES_KEY = "op/config"
@@ -16,8 +16,14 @@
 _MS_PER_S = 1000.0
 _BITS_PER_BYTE = 8
 _BITS_PER_MEGABIT = 1e6
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
-ROLES: Mapping[str, fleet.Role] = {"prefill": "prefill", "decode": "decode"}
+_MALFORMED = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    # A number that no integer can hold, such as 1e999.
+    OverflowError,
+)
 
 
 class StoredDocuments:
@@ -43,13 +49,16 @@
             )
             return Err(errors.StoredConfigurationError(ROUTES_KEY, [fault]))
 
-    def decode_server(self, key: str, value: bytes) -> fleet.Server | None:
-        """Reads the record of one server; None if it can't be used."""
-        try:
-            return _server(self.server_id(key), orjson.loads(value))
-        except _MALFORMED as error:
-            logger.bind(key=key).error("server record not read: {!r}", error)
-            return None
+    def decode_server(
+        self, key: str, value: bytes
+    ) -> Result[fleet.Server, errors.StoredRecordError]:
+        """Reads the record of one server.
+
+        Another program may write under the prefix. A record of which a field
+        is missing, or has another type or a value that no server writes, is
+        taken for one of those as a whole.
+        """
+        return server_records.decode(self.server_id(key), value)
 
     def server_id(self, key: str) -> str:
         """Returns the id of the server whose record has this key."""
@@ -141,17 +150,3 @@
         header_timeout_s=fields["header-timeout-ms"] / _MS_PER_S,
         idle_timeout_s=fields["idle-timeout-ms"] / _MS_PER_S,
     )
-
-
-def _server(server_id: str, fields: Mapping[str, Any]) -> fleet.Server:
-    ip, port = fields["address"].rsplit(":", 1)
-    return fleet.Server(
-        server_id=server_id,
-        service=fields["service"],
-        address=fleet.Address(ip, int(port)),
-        availability_zone=fields["zone"],
-        slots_count=int(fields["slots"]),
-        is_draining=fields["state"] != "ready",
-        # Only engines have a stage; it is their role.
-        role=ROLES.get(fields.get("stage", "")),
-    )
--- a/src/mulberrywharf/platform/orders.py
+++ b/src/mulberrywharf/platform/orders.py
@@ -7,9 +7,9 @@
 
 from mulberrywharf import _exchange, errors, fleet
 from mulberrywharf.engines import role_orders
-from mulberrywharf.platform import documents, headers
+from mulberrywharf.platform import headers, server_records
 
-_MALFORMED = (KeyError, TypeError, ValueError)
+_MALFORMED = (KeyError, TypeError, ValueError, OverflowError)
 
 
 class OrderDialect:
@@ -50,13 +50,14 @@
             fields = orjson.loads(body)
             return Ok(
                 role_orders.EngineReport(
-                    role=documents.ROLES[fields["stage"]],
+                    role=server_records.ROLES[fields["stage"]],
                     running_count=int(fields["running"]),
                     waiting_count=int(fields["waiting"]),
                     # ``busy`` means that an order is under way, not that the
                     # engine has much to do.
                     is_changing=bool(fields["busy"]),
                     accepted_count=int(fields["sequence"]),
+                    started_unix_ms=server_records.started_unix_ms(fields),
                 )
             )
         except _MALFORMED as error:
--- a/src/mulberrywharf/policy/engine_queues.py
+++ b/src/mulberrywharf/policy/engine_queues.py
@@ -8,16 +8,18 @@
 
 from typing import NamedTuple
 
+from mulberrywharf import fleet
+
 
 class Ticket(NamedTuple):
     """A prompt's place in an engine's queue.
 
     Attributes:
-        engine_id: The engine.
+        engine: The engine.
         added_s: All work ever added there, up to and with this prompt.
     """
 
-    engine_id: str
+    engine: fleet.ServerStart
     added_s: float
 
 
@@ -25,25 +27,27 @@
     """The queue of each engine, by when it will have drained."""
 
     def __init__(self) -> None:
-        self._drained_s: dict[str, float] = {}
-        self._added_s: dict[str, float] = {}
+        self._drained_s: dict[fleet.ServerStart, float] = {}
+        self._added_s: dict[fleet.ServerStart, float] = {}
 
-    def keep_only(self, engine_ids: frozenset[str]) -> None:
+    def keep_only(self, engines: frozenset[fleet.ServerStart]) -> None:
         """Forgets engines that left."""
         for by_engine in (self._drained_s, self._added_s):
-            for engine_id in by_engine.keys() - engine_ids:
-                del by_engine[engine_id]
+            for engine in by_engine.keys() - engines:
+                del by_engine[engine]
 
-    def wait_s(self, engine_id: str, now_s: float) -> float:
+    def wait_s(self, engine: fleet.ServerStart, now_s: float) -> float:
         """Returns how long a new prompt would wait at an engine."""
-        return max(0.0, self._drained_s.get(engine_id, 0.0) - now_s)
+        return max(0.0, self._drained_s.get(engine, 0.0) - now_s)
 
-    def add(self, engine_id: str, work_s: float, now_s: float) -> Ticket:
+    def add(
+        self, engine: fleet.ServerStart, work_s: float, now_s: float
+    ) -> Ticket:
         """Adds a prompt that takes an engine ``work_s`` to read."""
-        waited_s = self.wait_s(engine_id, now_s)
-        self._drained_s[engine_id] = now_s + waited_s + work_s
-        self._added_s[engine_id] = self._added_s.get(engine_id, 0.0) + work_s
-        return Ticket(engine_id, self._added_s[engine_id])
+        waited_s = self.wait_s(engine, now_s)
+        self._drained_s[engine] = now_s + waited_s + work_s
+        self._added_s[engine] = self._added_s.get(engine, 0.0) + work_s
+        return Ticket(engine, self._added_s[engine])
 
     def finished(self, ticket: Ticket, now_s: float) -> None:
         """Corrects a queue by a prompt that was just read.
@@ -54,6 +58,6 @@
         that overtakes the others says nothing of them, and taken for one in
         the order it would make a queue of a second look empty.
         """
-        engine_id = ticket.engine_id
-        behind_s = self._added_s.get(engine_id, 0.0) - ticket.added_s
-        self._drained_s[engine_id] = now_s + max(0.0, behind_s)
+        engine = ticket.engine
+        behind_s = self._added_s.get(engine, 0.0) - ticket.added_s
+        self._drained_s[engine] = now_s + max(0.0, behind_s)
--- a/src/mulberrywharf/policy/observed_waits.py
+++ b/src/mulberrywharf/policy/observed_waits.py
@@ -11,6 +11,8 @@
 import math
 from typing import Literal, NamedTuple
 
+from mulberrywharf import fleet
+
 AGE_CONSTANT_S = 0.4
 """A wait fades by 1/e in this time: a gateway has an answer of each engine
 some four times a second, and a burst is over within seconds."""
@@ -30,13 +32,13 @@
     """A prompt whose answer has not begun.
 
     Attributes:
-        engine_id: Where it is.
+        engine: Where it is.
         matter: What the engine does first.
         sent_s: When it was sent.
         unqueued_s: What it would take at an idle engine.
     """
 
-    engine_id: str
+    engine: fleet.ServerStart
     matter: Matter
     sent_s: float
     unqueued_s: float
@@ -58,46 +60,48 @@
     """The waits of all engines, as this gateway's own requests meet them."""
 
     def __init__(self) -> None:
-        self._waits: dict[tuple[str, Matter], _Wait] = {}
+        self._waits: dict[tuple[fleet.ServerStart, Matter], _Wait] = {}
 
-    def keep_only(self, engine_ids: frozenset[str]) -> None:
+    def keep_only(self, engines: frozenset[fleet.ServerStart]) -> None:
         """Forgets engines that left."""
         self._waits = {
             key: wait
             for key, wait in self._waits.items()
-            if key[0] in engine_ids or wait.awaited
+            if key[0] in engines or wait.awaited
         }
 
     def sent(self, awaited: Awaited) -> None:
         """Notes that a prompt was sent; ``answered`` or ``failed`` follows."""
-        wait = self._wait(awaited.engine_id, awaited.matter)
+        wait = self._wait(awaited.engine, awaited.matter)
         wait.awaited[id(awaited)] = awaited
 
     def failed(self, awaited: Awaited) -> None:
         """Notes that a prompt's answer will not come."""
-        wait = self._wait(awaited.engine_id, awaited.matter)
+        wait = self._wait(awaited.engine, awaited.matter)
         wait.awaited.pop(id(awaited), None)
 
     def answered(self, awaited: Awaited, now_s: float) -> None:
         """Notes that a prompt's answer has begun."""
         self.failed(awaited)
         seen_s = _over_s(awaited, now_s)
-        wait = self._wait(awaited.engine_id, awaited.matter)
+        wait = self._wait(awaited.engine, awaited.matter)
         held_s = _faded_s(wait, now_s)
         wait.wait_s = held_s + WEIGHT * (seen_s - held_s)
         wait.at_s = now_s
 
-    def wait_s(self, engine_id: str, matter: Matter, now_s: float) -> float:
+    def wait_s(
+        self, engine: fleet.ServerStart, matter: Matter, now_s: float
+    ) -> float:
         """Returns how long a prompt would wait at an engine, by all that."""
-        wait = self._waits.get((engine_id, matter))
+        wait = self._waits.get((engine, matter))
         if wait is None:
             return 0.0
         oldest = next(iter(wait.awaited.values()), None)
         shown_s = _over_s(oldest, now_s) if oldest is not None else 0.0
         return max(shown_s, _faded_s(wait, now_s))
 
-    def _wait(self, engine_id: str, matter: Matter) -> _Wait:
-        return self._waits.setdefault((engine_id, matter), _Wait())
+    def _wait(self, engine: fleet.ServerStart, matter: Matter) -> _Wait:
+        return self._waits.setdefault((engine, matter), _Wait())
 
 
 def _over_s(awaited: Awaited, now_s: float) -> float:
--- a/src/mulberrywharf/policy/part_caches.py
+++ b/src/mulberrywharf/policy/part_caches.py
@@ -16,6 +16,8 @@
 
 import xxhash
 
+from mulberrywharf import fleet
+
 USABLE_SHARE = 0.9
 """Part of an engine's memory that cached parts can count on. The rest is taken
 by running requests, which never yield to cached parts."""
@@ -91,33 +93,38 @@
     """Beliefs about all engines."""
 
     def __init__(self) -> None:
-        self._by_engine: dict[str, _Cache] = {}
+        self._by_engine: dict[fleet.ServerStart, _Cache] = {}
         self._own_count = 0
 
-    def keep_only(self, engine_ids: frozenset[str]) -> None:
+    def keep_only(self, engines: frozenset[fleet.ServerStart]) -> None:
         """Forgets engines that left."""
         self._by_engine = {
-            engine_id: cache
-            for engine_id, cache in self._by_engine.items()
-            if engine_id in engine_ids
+            engine: cache
+            for engine, cache in self._by_engine.items()
+            if engine in engines
         }
 
     def note_read(
-        self, engine_id: str, parts: Sequence[HeldPart], memory_tokens: int
+        self,
+        engine: fleet.ServerStart,
+        parts: Sequence[HeldPart],
+        memory_tokens: int,
     ) -> None:
         """Records that an engine holds the beginning of a prompt now.
 
         Args:
-            engine_id: The engine.
+            engine: The engine.
             parts: Its parts in order; some may be left out.
             memory_tokens: What the engine's memory holds.
         """
-        cache = self._by_engine.setdefault(engine_id, _Cache())
+        cache = self._by_engine.setdefault(engine, _Cache())
         for part in reversed(parts):
             cache.use(part)
         cache.shrink(memory_tokens * USABLE_SHARE)
 
-    def note_own(self, engine_id: str, tokens: int, memory_tokens: int) -> None:
+    def note_own(
+        self, engine: fleet.ServerStart, tokens: int, memory_tokens: int
+    ) -> None:
         """Records tokens that no other prompt will share.
 
         An engine keeps them like any others, so they push shared parts out:
@@ -125,26 +132,28 @@
         seconds ago, and prompts are sent where they must be read anew.
 
         Args:
-            engine_id: The engine.
+            engine: The engine.
             tokens: How many.
             memory_tokens: What the engine's memory holds.
         """
         self._own_count += 1
         key = (1 << _OWN_KEY_BITS) + self._own_count
-        self.note_read(engine_id, (HeldPart(key, tokens),), memory_tokens)
+        self.note_read(engine, (HeldPart(key, tokens),), memory_tokens)
 
-    def holds(self, engine_id: str, key: int) -> bool:
+    def holds(self, engine: fleet.ServerStart, key: int) -> bool:
         """Tells whether an engine is believed to hold a part."""
-        cache = self._by_engine.get(engine_id)
+        cache = self._by_engine.get(engine)
         return cache is not None and key in cache.parts
 
-    def cached_tokens(self, engine_id: str, parts: Sequence[ChainPart]) -> int:
+    def cached_tokens(
+        self, engine: fleet.ServerStart, parts: Sequence[ChainPart]
+    ) -> int:
         """Returns the leading tokens of a prompt that an engine holds.
 
         An engine that holds a part holds all parts before it, also those
         that nobody told of.
         """
-        cache = self._by_engine.get(engine_id)
+        cache = self._by_engine.get(engine)
         if cache is None:
             return 0
         for part in reversed(parts):
--- a/src/mulberrywharf/policy/role_split.py
+++ b/src/mulberrywharf/policy/role_split.py
@@ -135,7 +135,7 @@
     """Watches the loads of the engines of one service."""
 
     def __init__(self) -> None:
-        self._engine_ids: frozenset[str] = frozenset()
+        self._engines: frozenset[fleet.ServerStart] = frozenset()
         self._since_s = 0.0
         self._decode_share = _Mean()
 
@@ -154,9 +154,9 @@
                 while that isn't known.
             now_s: The present.
         """
-        engine_ids = frozenset(load.server.server_id for load in loads)
-        if engine_ids != self._engine_ids:
-            self._engine_ids = engine_ids
+        engines = frozenset(load.server.start for load in loads)
+        if engines != self._engines:
+            self._engines = engines
             self._since_s = now_s
         share = _decode_share(loads)
         if share is None or wanted_prefill is None:
--- a/src/mulberrywharf/policy/slot_waits.py
+++ b/src/mulberrywharf/policy/slot_waits.py
@@ -6,6 +6,8 @@
 handed to an engine with a hundred requests waiting, and begin a second late.
 """
 
+from mulberrywharf import fleet
+
 USUAL_RUN_S = 0.25
 """Before any run was seen: 50 tokens at 5 ms each."""
 
@@ -17,30 +19,30 @@
     """How long runs take at each engine, and what that means for a slot."""
 
     def __init__(self) -> None:
-        self._run_s: dict[str, float] = {}
+        self._run_s: dict[fleet.ServerStart, float] = {}
 
-    def keep_only(self, engine_ids: frozenset[str]) -> None:
+    def keep_only(self, engines: frozenset[fleet.ServerStart]) -> None:
         """Forgets engines that left."""
-        for engine_id in self._run_s.keys() - engine_ids:
-            del self._run_s[engine_id]
+        for engine in self._run_s.keys() - engines:
+            del self._run_s[engine]
 
-    def note_run(self, engine_id: str, run_s: float) -> None:
+    def note_run(self, engine: fleet.ServerStart, run_s: float) -> None:
         """Takes in how long a run took, from its first event to its end."""
-        held_s = self._run_s.get(engine_id, USUAL_RUN_S)
-        self._run_s[engine_id] = held_s + WEIGHT * (run_s - held_s)
+        held_s = self._run_s.get(engine, USUAL_RUN_S)
+        self._run_s[engine] = held_s + WEIGHT * (run_s - held_s)
 
     def wait_s(
-        self, engine_id: str, requests_count: float, slots_count: int
+        self, engine: fleet.ServerStart, requests_count: float, slots_count: int
     ) -> float:
         """Returns how long one more request waits for a slot.
 
         Args:
-            engine_id: The engine.
+            engine: The engine.
             requests_count: Requests that it has, running and waiting.
             slots_count: Requests that it runs at once.
         """
         before_count = requests_count + 1 - slots_count
         if before_count <= 0 or slots_count <= 0:
             return 0.0
-        run_s = self._run_s.get(engine_id, USUAL_RUN_S)
+        run_s = self._run_s.get(engine, USUAL_RUN_S)
         return before_count * run_s / slots_count
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -206,11 +206,12 @@
             self._config["vm_id"],
             self._clock,
             self._on_role_ordered,
+            self._servers.superseded,
         )
         return keeper, holder
 
     def _on_role_ordered(self, server: fleet.Server) -> None:
-        self._book.changing(server.server_id, self._clock.monotonic_s())
+        self._book.changing(server.start, self._clock.monotonic_s())
         self._notices.tell_changing(server)
 
     def _watches(self) -> dict[str, watch.Watch]:
@@ -255,8 +256,7 @@
 
     def _forget_left(self) -> None:
         known = self._servers.all()
-        ids = frozenset(server.server_id for server in known)
-        self._book.keep_only(ids)
+        self._book.keep_only(server.start for server in known)
         self._account.follow(known)
 
     def _keep_ready(self) -> None:
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -65,6 +65,10 @@
     return made._replace(**changes)
 
 
+def start(server_id: str = "server-1") -> fleet.ServerStart:
+    return fleet.ServerStart(server_id)
+
+
 def prompt(shared_tokens: int = 13_000, own_tokens: int = 3_000) -> Any:
     return request.Prompt(
         "m",
--- a/tests/test_engine_account.py
+++ b/tests/test_engine_account.py
@@ -54,7 +54,7 @@
 
     def place_nearby(self, part_key: int) -> None:
         """Lets the engine nearby hold a part."""
-        key = codec.key_of(_HEARD.server_id)
+        key = codec.key_of_server(_HEARD.start)
         part = part_caches.HeldPart(part_key, 1_000)
         placement = codec.Placement(key, 0.1, (part,))
         self.account.on_notice(codec.Notice(1, 1, (placement,)))
@@ -157,7 +157,7 @@
         """
         account, book = self.told_at
         now_s = clock.SystemClock().monotonic_s()
-        book.reported("near", request.ReportedLoad(6, 3, 6), now_s)
+        book.reported(_HEARD.start, request.ReportedLoad(6, 3, 6), now_s)
         loads = account.loads("zone-a")
         self.assertEqual([load.requests_count for load in loads], [9])
         self.assertEqual(account.loads("zone-b"), ())
@@ -169,8 +169,8 @@
     def test_what_is_newer_stays(self) -> None:
         hearing, book = self.hearing
         now_s = clock.SystemClock().monotonic_s()
-        book.reported("near", request.ReportedLoad(0, 0, 6), now_s)
-        old = codec.Load(codec.key_of("near"), 9, 0.4)
+        book.reported(_HEARD.start, request.ReportedLoad(0, 0, 6), now_s)
+        old = codec.Load(codec.key_of_server(_HEARD.start), 9, 0.4)
         hearing.on_notice(codec.Notice(1, 1, (), loads=(old,)))
         self.assertEqual(self.running_share(hearing), 0.0)
 
@@ -178,7 +178,7 @@
         account, book = self.told_at
         old_s = clock.SystemClock().monotonic_s()
         old_s -= engine_account.TOLD_LOAD_AGE_S + 0.1
-        book.reported("near", request.ReportedLoad(6, 3, 6), old_s)
+        book.reported(_HEARD.start, request.ReportedLoad(6, 3, 6), old_s)
         self.assertEqual(account.loads("zone-a"), ())
 
 
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -72,17 +72,23 @@
         self.book = server_book.ServerBook("zone-a")
 
     def test_others_are_what_a_server_reports_beyond_our_own(self) -> None:
-        self.book.began("s", 0.0)
-        self.book.reported("s", request.ReportedLoad(3, 1, 6), 10.0)
-        self.assertAlmostEqual(self.book.others_count("s", 10.0), 3.0)
-        self.assertLess(self.book.others_count("s", 12.0), 0.5)
+        self.book.began(build.start("s"), 0.0)
+        self.book.reported(
+            build.start("s"), request.ReportedLoad(3, 1, 6), 10.0
+        )
+        self.assertAlmostEqual(
+            self.book.others_count(build.start("s"), 10.0), 3.0
+        )
+        self.assertLess(self.book.others_count(build.start("s"), 12.0), 0.5)
 
     def test_a_lost_server_is_suspected_for_a_while(self) -> None:
-        self.book.lost("s", 10.0)
-        self.assertTrue(self.book.is_suspected("s", 10.1))
-        self.assertTrue(self.book.may_use("s", 10.1))
+        self.book.lost(build.start("s"), 10.0)
+        self.assertTrue(self.book.is_suspected(build.start("s"), 10.1))
+        self.assertTrue(self.book.may_use(build.start("s"), 10.1))
         self.assertFalse(
-            self.book.is_suspected("s", 10.1 + server_book.SUSPECT_S)
+            self.book.is_suspected(
+                build.start("s"), 10.1 + server_book.SUSPECT_S
+            )
         )
 
     def test_a_server_out_of_reach_gets_no_work(self) -> None:
@@ -92,7 +98,7 @@
         after the other, a fifth of a second each. Cause: servers that could
         not be reached were only the last choice.
         """
-        self.book.unreachable("s", 10.0)
+        self.book.unreachable(build.start("s"), 10.0)
         self.assertEqual(
             self.book.reachable([build.server("s"), build.server("t")], 10.5),
             [build.server("t")],
@@ -105,37 +111,37 @@
         that moment are sent there. Cause: nothing kept them away while the
         first one was still waiting.
         """
-        self.book.unreachable("s", 10.0)
+        self.book.unreachable(build.start("s"), 10.0)
         after_s = 10.1 + server_book.AVOID_S
-        self.assertTrue(self.book.may_use("s", after_s))
-        self.book.began("s", after_s)
-        self.assertFalse(self.book.may_use("s", after_s + 0.1))
-        self.book.unreachable("s", after_s + 0.6)
+        self.assertTrue(self.book.may_use(build.start("s"), after_s))
+        self.book.began(build.start("s"), after_s)
+        self.assertFalse(self.book.may_use(build.start("s"), after_s + 0.1))
+        self.book.unreachable(build.start("s"), after_s + 0.6)
         longer_s = after_s + 0.6 + 1.9 * server_book.AVOID_S
-        self.assertFalse(self.book.may_use("s", longer_s))
+        self.assertFalse(self.book.may_use(build.start("s"), longer_s))
 
     def test_an_answer_ends_the_suspicion(self) -> None:
-        self.book.lost("s", 10.0)
-        self.book.unreachable("s", 10.0)
-        self.book.succeeded("s", 0.02)
-        self.assertFalse(self.book.is_suspected("s", 10.1))
-        self.assertTrue(self.book.may_use("s", 10.1))
+        self.book.lost(build.start("s"), 10.0)
+        self.book.unreachable(build.start("s"), 10.0)
+        self.book.succeeded(build.start("s"), 0.02)
+        self.assertFalse(self.book.is_suspected(build.start("s"), 10.1))
+        self.assertTrue(self.book.may_use(build.start("s"), 10.1))
 
     def test_pace_is_against_the_peers(self) -> None:
         servers = [build.server(name) for name in ("a", "b", "c")]
         for name, answer_s in (("a", 0.02), ("b", 0.02), ("c", 0.1)):
             for _ in range(30):
-                self.book.succeeded(name, answer_s)
+                self.book.succeeded(build.start(name), answer_s)
         candidates = self.book.candidates(servers, 0.0)
         by_name = {one.server.server_id: one.pace for one in candidates}
         self.assertAlmostEqual(by_name["a"], 1.0)
         self.assertAlmostEqual(by_name["c"], 5.0, delta=0.1)
 
     def test_servers_that_left_are_forgotten_when_idle(self) -> None:
-        self.book.began("busy", 0.0)
-        self.book.failed("idle")
+        self.book.began(build.start("busy"), 0.0)
+        self.book.failed(build.start("idle"))
         self.book.keep_only([])
-        self.assertEqual(self.book.own_count("busy"), 1)
+        self.assertEqual(self.book.own_count(build.start("busy")), 1)
         (idle,) = self.book.candidates([build.server("idle")], 0.0)
         self.assertEqual(idle.failure_share, 0.0)
 
@@ -196,10 +202,10 @@
         self.part = self.chain[0].held
 
     def cached(self) -> int:
-        return self.caches.cached_tokens("e", self.chain)
+        return self.caches.cached_tokens(build.start("e"), self.chain)
 
     def note(self, *parts: part_caches.HeldPart) -> None:
-        self.caches.note_read("e", parts, 1000)
+        self.caches.note_read(build.start("e"), parts, 1000)
 
     def test_a_read_part_is_held(self) -> None:
         self.assertEqual(self.cached(), 0)
@@ -224,7 +230,7 @@
         """
         self.note(self.part)
         for _ in range(20):
-            self.caches.note_own("e", 50, 1000)
+            self.caches.note_own(build.start("e"), 50, 1000)
         self.assertEqual(self.cached(), 0)
 
     def test_an_engine_that_left_holds_nothing(self) -> None:
@@ -246,10 +252,10 @@
 
     def read(self, *names: str) -> None:
         held = [part.held for part in self.chain(*names)]
-        self.caches.note_read("e", held, self.MEMORY_TOKENS)
+        self.caches.note_read(build.start("e"), held, self.MEMORY_TOKENS)
 
     def cached(self, *names: str) -> int:
-        return self.caches.cached_tokens("e", self.chain(*names))
+        return self.caches.cached_tokens(build.start("e"), self.chain(*names))
 
     def test_every_part_of_a_chain_is_held(self) -> None:
         """Nothing is ever believed cached, and all is read again.
@@ -284,7 +290,7 @@
 
     def test_a_told_part_stands_for_all_before_it(self) -> None:
         told = self.chain("a", "b")[-1].held
-        self.caches.note_read("e", (told,), self.MEMORY_TOKENS)
+        self.caches.note_read(build.start("e"), (told,), self.MEMORY_TOKENS)
         self.assertEqual(self.cached("a", "b", "own"), 2_000)
 
 
@@ -293,11 +299,11 @@
         self.queues = engine_queues.EngineQueues()
 
     def test_work_adds_up_and_drains(self) -> None:
-        self.queues.add("e", 0.1, 0.0)
-        self.queues.add("e", 0.2, 0.0)
-        self.assertAlmostEqual(self.queues.wait_s("e", 0.0), 0.3)
-        self.assertAlmostEqual(self.queues.wait_s("e", 0.25), 0.05)
-        self.assertEqual(self.queues.wait_s("e", 1.0), 0.0)
+        self.queues.add(build.start("e"), 0.1, 0.0)
+        self.queues.add(build.start("e"), 0.2, 0.0)
+        self.assertAlmostEqual(self.queues.wait_s(build.start("e"), 0.0), 0.3)
+        self.assertAlmostEqual(self.queues.wait_s(build.start("e"), 0.25), 0.05)
+        self.assertEqual(self.queues.wait_s(build.start("e"), 1.0), 0.0)
 
     def test_a_prompt_that_was_read_leaves_what_came_after_it(self) -> None:
         """A queue of a second is believed empty in a burst.
@@ -306,20 +312,20 @@
         after its queue should have drained. Cause: the work behind it was
         taken for done by the clock alone.
         """
-        ticket = self.queues.add("e", 0.1, 0.0)
-        self.queues.add("e", 0.2, 0.0)
+        ticket = self.queues.add(build.start("e"), 0.1, 0.0)
+        self.queues.add(build.start("e"), 0.2, 0.0)
         self.queues.finished(ticket, 0.9)
-        self.assertAlmostEqual(self.queues.wait_s("e", 0.9), 0.2)
+        self.assertAlmostEqual(self.queues.wait_s(build.start("e"), 0.9), 0.2)
 
     def test_a_queue_that_drained_early_is_shortened(self) -> None:
-        ticket = self.queues.add("e", 0.5, 0.0)
+        ticket = self.queues.add(build.start("e"), 0.5, 0.0)
         self.queues.finished(ticket, 0.1)
-        self.assertEqual(self.queues.wait_s("e", 0.1), 0.0)
+        self.assertEqual(self.queues.wait_s(build.start("e"), 0.1), 0.0)
 
     def test_engines_that_left_are_forgotten(self) -> None:
-        self.queues.add("e", 0.5, 0.0)
-        self.queues.keep_only(frozenset({"other"}))
-        self.assertEqual(self.queues.wait_s("e", 0.0), 0.0)
+        self.queues.add(build.start("e"), 0.5, 0.0)
+        self.queues.keep_only(frozenset({build.start("other")}))
+        self.assertEqual(self.queues.wait_s(build.start("e"), 0.0), 0.0)
 
 
 class ObservedWaitsTest(unittest.TestCase):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -118,7 +118,7 @@
         self.one.add(ENGINE, 0.1, (PART,), 3_000)
         builders_platform.wait_until(lambda: self.heard, limit_s=1.0)
         (told,) = self.heard
-        self.assertEqual(told.engine_key, codec.key_of(ENGINE.server_id))
+        self.assertEqual(told.engine_key, codec.key_of_server(ENGINE.start))
         self.assertEqual(told.parts, (PART,))
         self.assertAlmostEqual(told.work_s, 0.1)
         self.assertEqual(told.own_tokens, 3_000)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -67,13 +67,13 @@
     def test_server(self) -> None:
         found = self.documents.decode_server(
             "servers/i-1",
-            build.server_value(stage="prefill", state="draining"),
-        )
-        assert found is not None
+            build.server_value(stage="prefill", state="draining", born=7),
+        ).unwrap()
         self.assertEqual(found.server_id, "i-1")
         self.assertEqual(found.address, fleet.Address("127.0.0.1", 80))
         self.assertEqual(found.role, "prefill")
         self.assertTrue(found.is_draining)
+        self.assertEqual(found.start, fleet.ServerStart("i-1", 7))
 
 
 class CallerDialectTest(unittest.TestCase):
--- a/tests/test_role_keeper.py
+++ b/tests/test_role_keeper.py
@@ -70,6 +70,7 @@
         self.answers_orders = True
         self.takes_orders = True
         self.status = b"202 Accepted"
+        self.born: int | None = None
 
     def script(self, sock: Any, asked: bytes) -> None:
         if asked.startswith(b"GET /report"):
@@ -84,8 +85,10 @@
             sock.close()
 
     def _report(self) -> bytes:
+        born = {} if self.born is None else {"born": self.born}
         return orjson.dumps(
             {
+                **born,
                 "stage": self.role,
                 "models": [],
                 "busy": False,
@@ -118,7 +121,9 @@
             role_orders.RoleClient(orders.OrderDialect()),
             "vm-1",
             self.clock,
+            on_restarted=lambda start: self.restarted.append(start),
         )
+        self.restarted: list[fleet.ServerStart] = []
         self.addCleanup(self.keeper.close)
         self.engines = [_Engine("prefill", 5)]
         self.engines += [_Engine("decode", 2 + n) for n in range(3)]
@@ -199,6 +204,39 @@
         self.rounds(8)
         self.assertEqual(len(self.sent()), 1)
 
+    def test_an_order_that_a_new_start_may_take_is_not_settled(self) -> None:
+        """An engine that has just started is ordered twice.
+
+        Sequence: an order's answer is lost, and the engine starts again under
+        its id; the order is carried out late, by the new start, whose count of
+        orders matches again. Cause: the engine's earlier start counted as
+        left, and another order was sent beside the one under way.
+        """
+        for number, engine in enumerate(self.engines):
+            engine.born = 1_000
+            engine.answers_orders = False
+            engine.takes_orders = False
+            self.servers[number] = self.servers[number]._replace(
+                started_unix_ms=1_000
+            )
+        self.rounds(8)
+        self.assertEqual(len(self.sent()), 1)
+        self.engines[1].born = 2_000
+        self.servers[1] = self.servers[1]._replace(started_unix_ms=2_000)
+        self.rounds(5)
+        self.assertEqual(len(self.sent()), 1)
+
+    def test_an_engine_that_started_again_is_not_ordered(self) -> None:
+        """An order meant for one start is sent to the next one."""
+        for number, engine in enumerate(self.engines):
+            engine.born = 2_000
+            self.servers[number] = self.servers[number]._replace(
+                started_unix_ms=1_000
+            )
+        self.rounds(8)
+        self.assertEqual(self.sent(), [])
+        self.assertIn(fleet.ServerStart("e1", 1_000), self.restarted)
+
     def test_a_refused_order_is_no_order(self) -> None:
         for engine in self.engines:
             engine.status = b"409 Conflict"
--- /dev/null
+++ b/tests/test_server_starts.py
@@ -0,0 +1,187 @@
+"""Servers that start again under the id that they had.
+
+Such a server holds and knows nothing of before, and counts anew. A gateway that
+goes by the id alone sends prompts where their parts were held, waits for work
+that nobody does any more, and counts orders that nobody took.
+"""
+
+import unittest
+from typing import Any
+
+from mulberrywharf import clock, fleet
+from mulberrywharf.forwarding import (
+    engine_account,
+    prompt_parts,
+    request,
+    server_book,
+    servers,
+)
+from mulberrywharf.peers import codec
+from mulberrywharf.platform import documents
+from mulberrywharf.policy import part_caches
+from tests import builders_platform
+from tests import builders_routes as build
+
+KEY = documents.SERVERS_PREFIX + "i-1"
+FIRST = 1_700_000_000_000
+LATER = FIRST + 60_000
+EARLIER = FIRST - 3_600_000
+MEMORY_TOKENS = 400_000
+
+
+class _Notices:
+    gateways_count = 9
+
+    def hears_of(self, server: fleet.Server) -> bool:
+        return True
+
+    def add(self, *_: object) -> None:
+        """Tells nobody."""
+
+
+class RestartTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = self.enterContext(build.running_store())
+        client = build.store_client(self.store.port)
+        self.addCleanup(client.close)
+        self.list = servers.ServerList(client, documents.StoredDocuments())
+        self.clock = clock.SystemClock()
+        self.book = server_book.ServerBook("zone-a")
+        self.account = engine_account.EngineAccount(
+            self.book, self.clock, _Notices(), lambda _: MEMORY_TOKENS
+        )
+        self.list.on_change(lambda: self.account.follow(self.list.all()))
+        self.write(born=FIRST)
+        self.list.start()
+        self.addCleanup(self.list.close)
+        self.assertTrue(self.wait_for(lambda: self.usable()))
+
+    def wait_for(self, condition: Any) -> bool:
+        return builders_platform.wait_until(condition, 3.0)
+
+    def write(self, **fields: Any) -> None:
+        self.store.put(KEY, build.server_value(stage="decode", **fields))
+
+    def usable(self) -> list[int | None]:
+        return [one.started_unix_ms for one in self.list.usable("plain")]
+
+    def restart(self, born: int) -> fleet.Server:
+        self.write(born=born)
+        self.assertTrue(self.wait_for(lambda: self.usable() == [born]))
+        found = self.list.find("i-1")
+        assert found is not None
+        return found
+
+    def read_a_prompt(self) -> tuple[part_caches.ChainPart, ...]:
+        """Lets a gateway tell that the engine has read a prompt."""
+        parts = prompt_parts.chain_of(build.prompt())
+        held = tuple(part.held for part in parts)
+        server = self.list.usable("plain")[0]
+        told = codec.Placement(
+            codec.key_of_server(server.start), 5.0, held, 3_000
+        )
+        self.account.on_notice(codec.Notice(1, 1, (told,)))
+        return parts
+
+    def test_a_new_start_holds_nothing(self) -> None:
+        """Prompts go where their parts were held, and are read anew there."""
+        for born in (LATER, EARLIER):
+            with self.subTest(born=born):
+                parts = self.read_a_prompt()
+                before = self.list.usable("plain")[0]
+                view = self.account.view(before, parts, 1.0)
+                self.assertGreater(view.cached_tokens, 0)
+                self.assertGreater(view.wait_s, 1.0)
+                after = self.restart(born)
+                view = self.account.view(after, parts, 1.0)
+                self.assertEqual(view.cached_tokens, 0)
+                self.assertLess(view.wait_s, 1.0)
+
+    def test_a_new_start_is_not_suspected(self) -> None:
+        """A fresh server gets no work for what the start before it did."""
+        before = self.list.usable("plain")[0]
+        now_s = self.clock.monotonic_s()
+        self.book.unreachable(before.start, now_s)
+        self.book.reported(before.start, request.ReportedLoad(6, 9, 6), now_s)
+        after = self.restart(LATER)
+        self.assertTrue(self.book.may_use(after.start, now_s))
+        self.assertEqual(self.book.others_count(after.start, now_s), 0.0)
+
+    def test_requests_of_the_start_before_are_not_counted(self) -> None:
+        """A stream that broke off with its start takes no place behind it."""
+        before = self.list.usable("plain")[0]
+        self.book.began(before.start, 0.0)
+        after = self.restart(LATER)
+        self.book.keep_only([after.start])
+        self.assertEqual(self.book.own_count(after.start), 0)
+        self.book.ended(before.start)
+        self.assertEqual(self.book.own_count(after.start), 0)
+
+    def test_late_notices_of_the_start_before_are_not_heard(self) -> None:
+        """A peer tells what it placed a moment before the restart."""
+        before = self.list.usable("plain")[0]
+        after = self.restart(LATER)
+        old = codec.Load(codec.key_of_server(before.start), 9, 0.1)
+        self.account.on_notice(codec.Notice(1, 1, (), loads=(old,)))
+        view = self.account.view(after, (), 1.0)
+        self.assertEqual(view.running_share, 0.0)
+
+    def test_late_records_of_the_start_before_are_ignored(self) -> None:
+        """A server that is ready again gets no work.
+
+        Sequence: a server announces its leaving, and the write is carried out
+        seconds late; meanwhile it has started again. Cause: the announcement
+        was taken for the new start's.
+        """
+        self.restart(LATER)
+        self.write(born=FIRST, state="draining")
+        self.store.put(
+            documents.SERVERS_PREFIX + "i-2", build.server_value(born=1)
+        )
+        self.assertTrue(self.wait_for(lambda: len(self.usable()) == 2))
+        self.assertIn(LATER, self.usable())
+
+    def test_a_new_start_is_not_leaving(self) -> None:
+        self.write(born=FIRST, state="draining")
+        self.assertTrue(self.wait_for(lambda: not self.usable()))
+        self.restart(LATER)
+
+    def test_a_start_that_is_told_by_the_server_first(self) -> None:
+        """Until its record shows the new start, nothing of it is known."""
+        before = self.list.usable("plain")[0]
+        self.list.superseded(before.start)
+        self.assertEqual(self.usable(), [])
+        self.write(born=FIRST)
+        self.restart(LATER)
+        self.list.superseded(before.start)
+        self.assertEqual(self.usable(), [LATER])
+
+    def test_a_record_without_a_start_beside_others_is_foreign(self) -> None:
+        """Work goes to what another program registered."""
+        self.store.put(documents.SERVERS_PREFIX + "i-0", build.server_value())
+        self.store.put(
+            documents.SERVERS_PREFIX + "i-2", build.server_value(born=LATER)
+        )
+        self.assertTrue(self.wait_for(lambda: len(self.list.all()) == 3))
+        self.assertEqual(sorted(filter(None, self.usable())), [FIRST, LATER])
+        self.assertNotIn(None, self.usable())
+
+
+class ListWithoutStartsTest(unittest.TestCase):
+    """Servers of some deployments don't tell their starts."""
+
+    def test_they_are_used_all_the_same(self) -> None:
+        store = self.enterContext(build.running_store())
+        client = build.store_client(store.port)
+        self.addCleanup(client.close)
+        store.put(KEY, build.server_value())
+        listed = servers.ServerList(client, documents.StoredDocuments())
+        listed.start()
+        self.addCleanup(listed.close)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: listed.usable("plain"), 3.0)
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
