Use no server that another program's record names

Cause: a record that could not be read was passed over, so that its server stayed in use as its record had been before; and fields were hardly checked. The test that such a record changes nothing asserted what is now known to be wrong; it is replaced by one that asserts that it names no server and that the others hold (red before).

--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -106,11 +106,22 @@
         self.store.faults = {}
         self.assertTrue(self.wait_usable(0, limit_s=10 * HOLD_S))
 
-    def test_a_record_that_cannot_be_read_changes_nothing(self) -> None:
-        self.store.put(KEY, b"{}")
-        self.store.put(
-            documents.SERVERS_PREFIX + "i-2", build.server_value(slots=9)
-        )
+    def test_a_record_of_another_writer_names_no_server(self) -> None:
+        """Work goes to a server of which nobody knows whether it is there.
+
+        Sequence: another program writes over a server's record, and registers
+        what is no server. Cause: a record that could not be read was passed
+        over, so that the server stayed as its record had been before.
+        """
+        second = documents.SERVERS_PREFIX + "i-2"
+        self.store.put(second, build.server_value())
+        self.assertTrue(self.wait_usable(2))
+        self.store.put(KEY, b"\xff{")
+        self.store.put(documents.SERVERS_PREFIX + "i-3", b"{}")
+        self.assertTrue(self.wait_usable(1, limit_s=2.0))
+        self.assertIsNone(self.list.find("i-1"))
+        self.assertIsNotNone(self.list.find("i-2"))
+        self.store.put(KEY, build.server_value())
         self.assertTrue(self.wait_usable(2))
 
     def test_pages_are_read_to_the_end(self) -> None:
