Go on following gateways past a key of another writer

Cause: a key under the gateways' prefix whose value is no address raised in the task that follows the others, and ended it: the gateway counted on nobody any more, and no line said so. Change: such a key names no gateway; the others hold.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -1,5 +1,6 @@
 """Which gateways there are, by the keys that they hold in the store."""
 
+import ipaddress
 import random
 import time
 from typing import NamedTuple
@@ -41,6 +42,7 @@
 availability zone are told of work that it gets: a notice to each of 80 would
 cost five times what a node may send."""
 
+_PORT_LIMIT = 65_535
 _RETRY_BASE_S = 1.0
 _RETRY_LIMIT_S = 8.0
 
@@ -200,8 +202,9 @@
         by_vm: dict[str, _Registration] = {}
         for kv in sorted(found, key=lambda one: one.create_revision):
             vm_id = kv.key.removeprefix(KEY_PREFIX).rpartition("/")[0]
-            if vm_id != self._own_vm_id:
-                by_vm[vm_id] = _registration(kv)
+            registration = _registration(kv)
+            if vm_id and vm_id != self._own_vm_id and registration is not None:
+                by_vm[vm_id] = registration
         if by_vm == self._by_vm:
             return
         self._by_vm = by_vm
@@ -211,7 +214,20 @@
         )
 
 
-def _registration(found: key_value.KeyValue) -> _Registration:
-    address, _, zone = found.value.decode().partition("/")
-    ip, _, port = address.rpartition(":")
-    return _Registration(found.key, fleet.Address(ip, int(port)), zone)
+def _registration(found: key_value.KeyValue) -> _Registration | None:
+    """Reads the value of a key, None if another program wrote it.
+
+    Raised from here, it would end the task that follows the other gateways:
+    this one would count on nobody, and nothing would show it.
+    """
+    try:
+        address, _, zone = found.value.decode().partition("/")
+        ip, _, port = address.rpartition(":")
+        ipaddress.IPv4Address(ip)
+        number = int(port)
+    except ValueError as error:
+        logger.debug("{} names no gateway: {}", found.key, error)
+        return None
+    if not zone or not 0 < number <= _PORT_LIMIT:
+        return None
+    return _Registration(found.key, fleet.Address(ip, number), zone)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -201,6 +201,32 @@
         self.assertEqual(two.addresses(ZONE), (fleet.Address("127.0.0.1", 1),))
         self.assertTrue(one.knows("127.0.0.1"))
 
+    def test_a_key_of_another_writer_names_no_gateway(self) -> None:
+        """A gateway knows of no peer any more, and refuses half its callers.
+
+        Sequence: another program writes a key under the gateways' prefix whose
+        value is no address. Cause: reading it raised, which ended the task
+        that follows the others, for good and without a line.
+        """
+        for number, value in enumerate(
+            (
+                b"",
+                b"\xff\xfe",
+                b"127.0.0.1",
+                b"127.0.0.1:x/a",
+                b"x:1/zone",
+                b"/",
+            )
+        ):
+            key = f"{directory.KEY_PREFIX}other-{number}/1-1"
+            self.store.put(key, value)
+        self.store.put(directory.KEY_PREFIX + "nameless", b"127.0.0.1:9/zone")
+        one, two = self.start("one", 1), self.start("two", 2)
+        builders_platform.wait_until(
+            lambda: one.gateways_count == 2 and two.gateways_count == 2
+        )
+        self.assertEqual((one.gateways_count, two.gateways_count), (2, 2))
+
     def test_in_a_large_fleet_the_engines_zone_is_told(self) -> None:
         """Control traffic grows with the square of the fleet.
 
