Restart servers and write over records in the soak

The soak's servers start again under their ids, with a new start, an empty store of handles and a count of orders from zero, and another program writes over their records and beside them.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,22 @@
 _TASKS_LIMIT_S = 60.0
 """For the last faults to end: a stop takes its grace and a start."""
 
-_WEIGHT_BY_FAULT = {"server": 3, "way": 4, "store": 2, "signal": 3}
+_WEIGHT_BY_FAULT = {
+    "server": 3,
+    "way": 4,
+    "store": 2,
+    "signal": 3,
+    "restart": 1,
+    "record": 1,
+}
+_FOREIGN_RECORDS = (
+    b"",
+    b"\xff\xfe",
+    b"[]",
+    b'{"state":"ready"}',
+    b"[" * 10_000,
+    b'{"service":7,"address":"127.0.0.1:1","zone":"a","slots":1e999}',
+)
 _SERVER_FAULTS: tuple[dict[str, Any], ...] = (
     {"refuse": 1},
     {"lose": 1},
@@ -78,6 +93,8 @@
             "way": self._harm_way,
             "store": self._harm_store,
             "signal": self._signal,
+            "restart": self._restart_server,
+            "record": self._write_over_record,
         }
         names = list(_WEIGHT_BY_FAULT)
         weights = list(_WEIGHT_BY_FAULT.values())
@@ -97,6 +114,30 @@
         gevent.sleep(self._rng.uniform(0.2, 1.0))
         server.faults = {}
 
+    def _restart_server(self) -> None:
+        """Lets a server start again under its id, with its work cut off."""
+        server_id = self._rng.choice(list(self._fleet.servers))
+        away_s = self._rng.uniform(0.1, 0.8)
+        self.counts["restart"] += 1
+        name = f"server-{server_id}"
+        began_s = time.monotonic()
+        self._fleet.ways[name].set_faults(mode="cut")
+        gevent.sleep(away_s)
+        self._fleet.servers[server_id].start_again()
+        self._fleet.ways[name].set_faults(**_NO_WAY_FAULT)
+        self._fleet.register(server_id)
+        self._fleet.note_harm(name, began_s)
+
+    def _write_over_record(self) -> None:
+        """Lets another program write over a server's record, and beside it."""
+        server_id = self._rng.choice(list(self._fleet.servers))
+        value = self._rng.choice(_FOREIGN_RECORDS)
+        self.counts["record"] += 1
+        self._fleet.store.put(f"servers/{server_id}", value)
+        self._fleet.store.put("servers/foreign", value)
+        gevent.sleep(self._rng.uniform(0.1, 1.0))
+        self._fleet.register(server_id)
+
     def _harm_store(self) -> None:
         store = self._fleet.store
         store.faults = self._rng.choice(_STORE_FAULTS)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -49,6 +49,7 @@
         self.kills: list[tuple[int, float]] = []
         self.harms: list[tuple[str, float, float]] = []
         self.is_over = False
+        self._fields: dict[str, dict[str, str]] = {}
         self._folder = tempfile.TemporaryDirectory()
         # Two soaks at once must not hear each other's notices.
         pick = random.SystemRandom()
@@ -114,6 +115,15 @@
         for way in self.ways.values():
             way.set_faults(**fault_proxy.Faults()._asdict())
 
+    def register(self, server_id: str) -> None:
+        """Writes the record of a server as the server itself does."""
+        record = build.server_value(
+            address=f"{LOOPBACK}:{self.ways[f'server-{server_id}'].port}",
+            born=self.servers[server_id].born,
+            **self._fields[server_id],
+        )
+        self.store.put(f"servers/{server_id}", record)
+
     def note_kill(self, index: int) -> None:
         """Notes that a gateway is being killed."""
         self.kills.append((index, time.monotonic()))
@@ -126,13 +136,12 @@
         server = platform_server.PlatformServerStandin(server_id)
         server.start()
         self.servers[server_id] = server
-        way = self._open_way(f"server-{server_id}", server.port)
-        record = build.server_value(
-            service=service,
-            address=f"{LOOPBACK}:{way.port}",
+        self._open_way(f"server-{server_id}", server.port)
+        self._fields[server_id] = {
+            "service": service,
             **({"stage": role} if role else {}),
-        )
-        self.store.put(f"servers/{server_id}", record)
+        }
+        self.register(server_id)
 
     def _open_way(self, name: str, port: int) -> fault_proxy.FaultProxy:
         way = fault_proxy.FaultProxy((LOOPBACK, port))
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -16,6 +16,7 @@
 
 _EVENTS_COUNT = 5
 _PAUSE_S = 0.01
+_MS_PER_S = 1000
 _REFUSED = [("X-Mulberrywharf-Not-Executed", "1"), ("content-length", "0")]
 
 
@@ -27,7 +28,7 @@
         runs: Every request that it ran.
         handles: Prefilled prompts that nobody has freed.
         orders: Every order that it took, with the time at which it came.
-        report: What it says of itself.
+        report: What it says of itself, its start among it.
         faults: ``delay_s`` holds answers back, ``break_after`` ends a stream
             behind that event, ``refuse`` answers that nothing ran, ``lose``
             runs a request and closes its connection, ``foreign`` answers
@@ -45,6 +46,7 @@
             "sequence": 0,
             "waiting": 0,
             "running": 0,
+            "born": int(time.time() * _MS_PER_S),
         }
         self.faults: dict[str, Any] = {}
         self._server_id = server_id
@@ -59,6 +61,21 @@
         """Stops and closes every connection."""
         http_control.stop_server(self._server)
 
+    @property
+    def born(self) -> int:
+        """The Unix millisecond of its start."""
+        return int(self.report["born"])
+
+    def start_again(self) -> None:
+        """Starts again under its id: all that it held and counted is gone.
+
+        What runs is left to end by itself; who caused the restart also cuts
+        the connections, which this server shares with its proxy.
+        """
+        self.handles.clear()
+        now_ms = int(time.time() * _MS_PER_S)
+        self.report.update(sequence=0, born=max(now_ms, self.born + 1))
+
     def _application(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
