Take a start that is over for late news wherever it is told

Cause, found by reading: an engine's report that shows another start than its record took the engine out of use, whichever of the two was the later one. A report of an earlier start, late behind a restart, would have marked the running start as over, and its server would have got no work until it started once more. Change: a start that is known to be over supersedes none; what is known of starts that are over has a module of its own.

--- a/src/mulberrywharf/authority/role_keeper.py
+++ b/src/mulberrywharf/authority/role_keeper.py
@@ -100,7 +100,9 @@
         vm_id: str,
         system_clock: clock.Clock,
         on_accepted: Callable[[fleet.Server], None] = lambda _: None,
-        on_restarted: Callable[[fleet.ServerStart], None] = lambda _: None,
+        on_restarted: Callable[
+            [fleet.ServerStart, fleet.ServerStart], None
+        ] = lambda known, told: None,
     ):
         """Makes it; no round begins before ``start``.
 
@@ -111,8 +113,8 @@
             vm_id: Names this gateway in orders.
             system_clock: Measures how long orders are awaited.
             on_accepted: Called with an engine that has taken an order on.
-            on_restarted: Called with the start of an engine that reports
-                another one.
+            on_restarted: Called with the start that an engine's record
+                shows and the other one that it reports.
         """
         self._holder = holder
         self._engines = engines
@@ -173,11 +175,11 @@
             if isinstance(asked_one, Err):
                 continue
             report = asked_one.ok_value
-            starts = (report.started_unix_ms, server.started_unix_ms)
-            if None in starts or starts[0] == starts[1]:
+            told = server.start._replace(started_unix_ms=report.started_unix_ms)
+            if told == server.start or not _both_told(told, server.start):
                 reports[server.start] = report
             else:
-                self._on_restarted(server.start)
+                self._on_restarted(server.start, told)
         return reports
 
     def _decide(
@@ -305,6 +307,10 @@
         ).info("roles: {}", reason)
 
 
+def _both_told(one: fleet.ServerStart, other: fleet.ServerStart) -> bool:
+    return None not in (one.started_unix_ms, other.started_unix_ms)
+
+
 def _encode(order: role_orders.RoleOrder) -> bytes:
     """Returns an order as it is recorded, for the next holder and operators."""
     return json.dumps(
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -1,6 +1,5 @@
 """Which servers of a service may get new work, by what the store says."""
 
-import collections
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -9,6 +8,7 @@
 from result import Err, Result
 
 from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf.forwarding import server_starts
 from mulberrywharf.platform_service import key_value, key_value_types, watch
 
 PURPOSE = "servers"
@@ -18,10 +18,6 @@
 return. A record that vanishes later means a server that leaves, and one that
 vanishes before is awaited no longer than that."""
 
-ENDED_STARTS_COUNT = 4
-"""Earlier starts of a server that are remembered. News of one is late by some
-seconds, in which a server starts again once or twice."""
-
 _servers_gauge = metrics.gauge(
     "mulberry_servers_count", "Servers that may get new work."
 )
@@ -29,8 +25,6 @@
     "mulberry_servers_kept_total",
     "Servers kept although their record vanished, by how that ended.",
 )
-
-
 _unreadable_counter = metrics.counter(
     "mulberry_server_records_unreadable_total",
     "Records of servers that name none to use, each time one was written.",
@@ -101,7 +95,7 @@
         self._by_service: dict[str, tuple[fleet.Server, ...]] = {}
         self._missing: dict[str, gevent.Greenlet] = {}
         self._unreadable: set[str] = set()
-        self._ended: dict[str, collections.deque[fleet.ServerStart]] = {}
+        self._ended = server_starts.EndedStarts()
         self._watch: watch.Watch | None = None
         self._callbacks: list[Callable[[], None]] = []
 
@@ -150,17 +144,24 @@
         """
         return [one for one in server_ids if one in self._missing]
 
-    def superseded(self, start: fleet.ServerStart) -> None:
+    def superseded(
+        self, start: fleet.ServerStart, by: fleet.ServerStart
+    ) -> None:
         """Notes that a server says of itself that it has started again.
 
         Its record shows the new start up to a heartbeat later; until then it
         gets no work, as what it is now is not known.
+
+        Args:
+            start: The start that its record shows.
+            by: The start that it tells; one that is over is late news.
         """
         known = self._by_id.get(start.server_id)
-        if known is not None and known.start == start:
-            self._note_ended(start)
-            self._keep(start.server_id)
-            self._drop(start.server_id, "it has started again")
+        if known is None or known.start != start or self._ended.has(by):
+            return
+        self._ended.note(start)
+        self._keep(start.server_id)
+        self._drop(start.server_id, "it has started again")
 
     def _on_event(self, event: key_value_types.WatchEvent) -> None:
         key = event.key_value.key
@@ -178,7 +179,7 @@
 
     def _on_record(self, server: fleet.Server) -> None:
         server_id = server.server_id
-        if server.start in self._ended.get(server_id, ()):
+        if self._ended.has(server.start):
             logger.bind(start=str(server.start)).info(
                 "news of an earlier start of a server, ignored"
             )
@@ -188,7 +189,7 @@
         if known == server:
             return
         if known is not None and known.start != server.start:
-            self._note_ended(known.start)
+            self._ended.note(known.start)
         self._by_id[server_id] = server
         self._changed(server, "draining" if server.is_draining else "live")
 
@@ -203,12 +204,6 @@
         self._keep(server_id)
         self._drop(server_id, "its record can't be read")
 
-    def _note_ended(self, start: fleet.ServerStart) -> None:
-        ended = self._ended.setdefault(
-            start.server_id, collections.deque(maxlen=ENDED_STARTS_COUNT)
-        )
-        ended.append(start)
-
     def _on_missing(self, server_id: str) -> None:
         server = self._by_id.get(server_id)
         if server is None or server_id in self._missing:
--- a/tests/test_role_keeper.py
+++ b/tests/test_role_keeper.py
@@ -121,9 +121,9 @@
             role_orders.RoleClient(orders.OrderDialect()),
             "vm-1",
             self.clock,
-            on_restarted=lambda start: self.restarted.append(start),
+            on_restarted=lambda *starts: self.restarted.append(starts),
         )
-        self.restarted: list[fleet.ServerStart] = []
+        self.restarted: list[tuple[fleet.ServerStart, ...]] = []
         self.addCleanup(self.keeper.close)
         self.engines = [_Engine("prefill", 5)]
         self.engines += [_Engine("decode", 2 + n) for n in range(3)]
@@ -235,7 +235,8 @@
             )
         self.rounds(8)
         self.assertEqual(self.sent(), [])
-        self.assertIn(fleet.ServerStart("e1", 1_000), self.restarted)
+        starts = fleet.ServerStart("e1", 1_000), fleet.ServerStart("e1", 2_000)
+        self.assertIn(starts, self.restarted)
 
     def test_a_refused_order_is_no_order(self) -> None:
         for engine in self.engines:
--- a/tests/test_server_starts.py
+++ b/tests/test_server_starts.py
@@ -148,12 +148,25 @@
 
     def test_a_start_that_is_told_by_the_server_first(self) -> None:
         """Until its record shows the new start, nothing of it is known."""
-        before = self.list.usable("plain")[0]
-        self.list.superseded(before.start)
+        before = self.list.usable("plain")[0].start
+        later = before._replace(started_unix_ms=LATER)
+        self.list.superseded(before, later)
         self.assertEqual(self.usable(), [])
         self.write(born=FIRST)
         self.restart(LATER)
-        self.list.superseded(before.start)
+        self.list.superseded(before, later)
+        self.assertEqual(self.usable(), [LATER])
+
+    def test_a_start_that_is_over_supersedes_none(self) -> None:
+        """A server that runs gets no work until it starts once more.
+
+        Sequence: a server starts again; what it told of itself before that
+        arrives late. Cause: whatever start was told last was taken for the one
+        that runs.
+        """
+        before = self.list.usable("plain")[0].start
+        after = self.restart(LATER)
+        self.list.superseded(after.start, before)
         self.assertEqual(self.usable(), [LATER])
 
     def test_a_record_without_a_start_beside_others_is_foreign(self) -> None:
