--- a/src/mulberrywharf/peers/codec.py
+++ b/src/mulberrywharf/peers/codec.py
@@ -77,10 +77,13 @@
     Attributes:
         routes_revision: Revision of the last change of the routes.
         servers_revision: Revision of the last change of a server's record.
+        is_reading: Whether the gateway asked the service a moment ago, so
+            that it would have seen a later change.
     """
 
     routes_revision: int = 0
     servers_revision: int = 0
+    is_reading: bool = False
 
 
 class Notice(NamedTuple):
@@ -129,6 +132,7 @@
     message.sequence = notice.sequence
     message.routesRevision = notice.seen.routes_revision
     message.serversRevision = notice.seen.servers_revision
+    message.isReading = notice.seen.is_reading
     placements = message.init("placements", len(notice.placements))
     for wire, placement in zip(placements, notice.placements, strict=True):
         wire.engine = placement.engine_key
@@ -192,7 +196,11 @@
                 message.sender,
                 message.sequence,
                 tuple(_placement(wire) for wire in message.placements),
-                Seen(message.routesRevision, message.serversRevision),
+                Seen(
+                    message.routesRevision,
+                    message.serversRevision,
+                    message.isReading,
+                ),
                 tuple(_load(wire) for wire in message.loads),
                 tuple(
                     Demand(wire.service, wire.milliEngines / _MILLI)
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -2,11 +2,11 @@
 
 import ipaddress
 import random
-import time
 from typing import NamedTuple
 
 import gevent
 import gevent.event
+import xxhash
 from loguru import logger
 from result import Err
 
@@ -29,10 +29,10 @@
 bring each registration to each gateway: with it 80 gateways sent 6,476 calls in
 their first 31 s, with this 6,052."""
 
-KNOWN_AFTER_S = 8.0
-"""From the registration of a gateway until the others tell it of work: they
-read every 5 s, a fifth more at the most, and a reading may be a second or two
-old."""
+READERS_COUNT = 2
+"""Gateways among those that tell each other whose watches are never left
+waiting for long; the others wait while they hear from one of them. With one,
+its restart would send all the others to the store."""
 
 FIRST_READ_S = 1.5
 """After the start: all start together, and have registered by then."""
@@ -82,7 +82,7 @@
         self._client = client
         self._incarnation = incarnation
         self._registrations_count = 0
-        self._registered_s: float | None = None
+        self._is_registered = False
         self._own_value = f"{own_address}/{availability_zone}".encode()
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
@@ -110,24 +110,31 @@
         return 1 + len(self._by_vm)
 
     @property
-    def is_known(self) -> bool:
-        """Whether the others know of this gateway, and tell it of work.
+    def is_registered(self) -> bool:
+        """Whether the others can know of this gateway, and tell it of work."""
+        return self._is_registered
 
-        They read the directory now and then; a gateway whose key was just
-        made, or was taken away, hears nothing meanwhile.
+    @property
+    def is_reader(self) -> bool:
+        """Whether this gateway reads the store on behalf of its neighbours.
+
+        All of them choose the same ones by hashing, without a message. Where
+        they know of different gateways more than the usual number may read.
         """
-        if self._registered_s is None:
-            return False
-        return time.monotonic() - self._registered_s >= KNOWN_AFTER_S
+        told = {
+            vm_id
+            for vm_id, found in self._by_vm.items()
+            if self._tells(found, self._availability_zone)
+        }
+        ranked = sorted({*told, self._own_vm_id}, key=_reader_rank)
+        return self._own_vm_id in ranked[:READERS_COUNT]
 
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         """Returns where the gateways take notices of a zone's engines."""
-        known = self._by_vm.values()
         return tuple(
             found.address
-            for found in known
-            if len(known) <= TOLD_LIMIT_COUNT
-            or found.availability_zone == availability_zone
+            for found in self._by_vm.values()
+            if self._tells(found, availability_zone)
         )
 
     def hears_of(self, availability_zone: str) -> bool:
@@ -139,6 +146,11 @@
         """Tells whether a gateway has this address."""
         return any(found.address.ip == ip for found in self._by_vm.values())
 
+    def _tells(self, found: _Registration, availability_zone: str) -> bool:
+        """Tells whether a gateway is told of work at a zone's engines."""
+        is_told_all = len(self._by_vm) <= TOLD_LIMIT_COUNT
+        return is_told_all or found.availability_zone == availability_zone
+
     def _keep_registered(self) -> None:
         failures_count = 0
         while True:
@@ -146,9 +158,9 @@
             failed = self._register(lost)
             if failed is None:
                 failures_count = 0
-                self._registered_s = time.monotonic()
+                self._is_registered = True
                 lost.wait()
-                self._registered_s = None
+                self._is_registered = False
             else:
                 failures_count += 1
                 logger.warning("not registered: {}", failed.message)
@@ -214,6 +226,10 @@
         )
 
 
+def _reader_rank(vm_id: str) -> int:
+    return xxhash.xxh3_64_intdigest(vm_id.encode())
+
+
 def _registration(found: key_value.KeyValue) -> _Registration | None:
     """Reads the value of a key, None if another program wrote it.
 
--- a/src/mulberrywharf/peers/notice.capnp
+++ b/src/mulberrywharf/peers/notice.capnp
@@ -10,6 +10,7 @@
   loads @5 :List(Load);
   demands @6 :List(Demand);
   changing @7 :List(UInt32);   # hashes of engines and starts that change their role
+  isReading @8 :Bool;          # the revisions above are seconds old at the most
 }
 
 struct Demand {
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -53,8 +53,13 @@
         ...
 
     @property
-    def is_known(self) -> bool:
-        """Whether the others know of this gateway."""
+    def is_registered(self) -> bool:
+        """Whether the others can know of this gateway."""
+        ...
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this gateway reads the store for its neighbours."""
         ...
 
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
@@ -96,6 +101,7 @@
         self._sender = sender
         self._clock = system_clock
         self._sequence = 0
+        self._told_at_s = float("-inf")
         self._pending: dict[str, dict[_PendingKey, codec.Placement]] = {}
         self._has_pending = gevent.event.Event()
         self._on_notice: Callable[[codec.Notice], None] = lambda _: None
@@ -154,11 +160,19 @@
         self.tell_now()
 
     @property
-    def told_count(self) -> int:
-        """Gateways that tell each other, this one included."""
-        if not self._peers.is_known:
-            return 1
-        return 1 + len(self._peers.addresses(self._availability_zone))
+    def told_at_s(self) -> float:
+        """When the gateways of the own zone were last told anything."""
+        return self._told_at_s
+
+    @property
+    def is_registered(self) -> bool:
+        """Whether the others can know of this gateway."""
+        return self._peers.is_registered
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this gateway reads the store for its neighbours."""
+        return self._peers.is_reader
 
     @property
     def gateways_count(self) -> int:
@@ -239,6 +253,8 @@
         if wait_s > 0:
             gevent.sleep(wait_s)
         self._bytes.take(cost)
+        if zone == self._availability_zone:
+            self._told_at_s = self._clock.monotonic_s()
         _sent_bytes.add({}, cost)
         for peer in peers:
             try:
--- a/src/mulberrywharf/peers/store_news.py
+++ b/src/mulberrywharf/peers/store_news.py
@@ -1,10 +1,15 @@
 """Gateways tell each other how far they have seen the key-value service.
 
 A watch that the service leaves without a word brings no change until it is
-opened again. Opened every two seconds by each of 80 gateways, two watches cost
-half of all calls to the service. Here few calls serve all: each notice tells
-the revisions that its sender has seen, so one watch that was opened in time
-shows the others that theirs were left, and they open them again at once.
+opened again. Opened every two seconds by each gateway, two watches cost three
+quarters of all that a fleet pays for calls. Here a few gateways, the readers,
+open theirs so often, and tell the others what they have seen and that they go
+on reading. The others let theirs wait as long as the service allows: a reader's
+notice shows them that theirs were left, and they open them again at once.
+
+Nothing that must hold depends on a reader. Whoever hears from none that reads,
+because they are gone, frozen, cut off or turned away by the service, is as good
+as a reader itself until it does.
 """
 
 import random
@@ -15,16 +20,32 @@
 import gevent
 from loguru import logger
 
+from mulberrywharf import metrics
 from mulberrywharf.peers import codec
 from mulberrywharf.platform_service import watch
 
-OPENINGS_INTERVAL_S = 0.25
-"""Mean time between two openings of a watch among the gateways that tell each
-other. With 27 of them that open theirs at random every 5 to 7 s, the chance
-that none does in 2 s is below 1 in 10,000."""
+RELIEVED = watch.BRIEF._replace(silence_s=30.0)
+"""For a gateway that hears from a reader: as long as the service keeps a call
+waiting. A pause behind a failure stays brief: whom the service turns away loses
+its key too, so its peers no longer tell it of anything."""
 
-REOPEN_LIMIT_S = 8.0
-"""For a gateway that the others' notices don't reach, unknown to itself."""
+READING_AGE_S = 3.0
+"""A gateway whose watches were both answered within it is reading: they are
+opened every 2 s, and an answer comes within 0.4 s even where the service is
+slow."""
+
+BEAT_INTERVAL_S = 1.5
+"""A reader tells its peers that it reads so often, unless a notice of other
+matters did: with 40 of them some 70 bytes each, 1,900 bytes a second of the
+2,000 that a node may send."""
+
+HEARD_AGE_S = 4.0
+"""A reader is believed so long after its last word: one lost datagram of two
+readers' isn't noticed. When both are gone, a change that a watch has missed
+comes with its next opening, half a second later at the most."""
+
+CHECK_INTERVAL_S = 0.5
+"""Between two looks at whether a reader is heard and a beat is due."""
 
 PATIENCE_S = 0.8
 """From a peer's news until a watch that has not brought it is opened again. A
@@ -43,9 +64,20 @@
 be lost."""
 
 
+_relieved_gauge = metrics.gauge(
+    "mulberry_watches_relieved",
+    "1 while this node's watches wait long, as it hears from a reader.",
+)
+
+
 class Watched(Protocol):
     """A watch as it matters here."""
 
+    @property
+    def age_s(self) -> float:
+        """How long ago the service last answered it."""
+        ...
+
     @property
     def changed_revision(self) -> int:
         """Revision of the last change that it brought."""
@@ -65,8 +97,18 @@
     """Carries the news."""
 
     @property
-    def told_count(self) -> int:
-        """Gateways that tell each other, this one included."""
+    def told_at_s(self) -> float:
+        """When the gateways of the own zone were last told anything."""
+        ...
+
+    @property
+    def is_registered(self) -> bool:
+        """Whether the others can know of this gateway."""
+        ...
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this gateway reads the service for its neighbours."""
         ...
 
     def tell_seen(
@@ -82,14 +124,6 @@
         ...
 
 
-def patience(told_count: int) -> watch.Patience:
-    """Returns how long a watch may wait where so many tell each other."""
-    shared_s = min(REOPEN_LIMIT_S, told_count * OPENINGS_INTERVAL_S)
-    # A pause behind a failure stays brief: whom the service turns away loses
-    # its key in it too, so its peers no longer tell it of anything.
-    return watch.BRIEF._replace(silence_s=max(watch.BRIEF.silence_s, shared_s))
-
-
 class StoreNews:
     """Compares this gateway's watches with what peers have seen."""
 
@@ -109,21 +143,77 @@
         self._told_counts: dict[tuple[str, int], int] = {}
         self._pending: set[str] = set()
         self._hurried_at_s: dict[str, float] = {}
+        self._heard_at_s = float("-inf")
+        self._is_relieved = False
+        self._task: gevent.Greenlet | None = None
         notices.tell_seen(self.seen, self.on_seen)
 
+    def start(self) -> None:
+        """Begins to look for readers, and to beat as one."""
+        self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Ends both."""
+        if self._task is not None:
+            self._task.kill()
+
     def patience(self) -> watch.Patience:
         """Returns how long the watches may wait now."""
-        return patience(self._notices.told_count)
+        return RELIEVED if self._is_relieved else watch.BRIEF
 
     def seen(self) -> codec.Seen:
         """Returns what this gateway has seen."""
         found = self._watches()
         return codec.Seen(
-            **{name: found[name].changed_revision for name in found}
+            **{name: found[name].changed_revision for name in found},
+            is_reading=self._is_reading(found),
         )
 
+    def _is_reading(self, found: Mapping[str, Watched]) -> bool:
+        # A relieved gateway may have had an answer just now, but nobody may
+        # count on the next one.
+        ages_s = [watched.age_s for watched in found.values()]
+        is_fresh = bool(ages_s) and max(ages_s) <= READING_AGE_S
+        return is_fresh and not self._is_relieved
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(CHECK_INTERVAL_S)
+            self._look()
+
+    def _look(self) -> None:
+        """Takes in whether a reader is heard, and beats if this is one."""
+        now_s = time.monotonic()
+        is_relieved = (
+            self._notices.is_registered
+            and not self._notices.is_reader
+            and now_s - self._heard_at_s <= HEARD_AGE_S
+        )
+        if is_relieved != self._is_relieved:
+            self._turn(is_relieved)
+        is_due = now_s - self._notices.told_at_s >= BEAT_INTERVAL_S
+        if is_due and self._notices.is_reader and self.seen().is_reading:
+            self._notices.tell_now()
+
+    def _turn(self, is_relieved: bool) -> None:
+        self._is_relieved = is_relieved
+        _relieved_gauge.set({}, int(is_relieved))
+        logger.bind(
+            relieved=is_relieved,
+            is_reader=self._notices.is_reader,
+            heard_age_s=round(time.monotonic() - self._heard_at_s, 3),
+        ).info("watches wait long" if is_relieved else "watches wait briefly")
+        if is_relieved:
+            return
+        # They may wait for half a minute by now, and the service may have
+        # left them meanwhile without a word.
+        for watched in self._watches().values():
+            watched.hurry()
+
     def on_seen(self, seen: codec.Seen) -> None:
         """Takes in what a peer has seen."""
+        if seen.is_reading:
+            self._heard_at_s = time.monotonic()
         for name, watched in self._watches().items():
             revision = getattr(seen, name)
             if revision >= watched.changed_revision:
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import random
+import time
 from collections.abc import Callable, Iterable, Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -100,6 +101,7 @@
         self._failures_count = 0
         self._opened_count = 0
         self._changed_revision = 0
+        self._answered_s = float("-inf")
         self._is_waiting = False
         self._stream: dialect.WatchStream | None = None
         self._greenlet: gevent.Greenlet | None = None
@@ -125,6 +127,11 @@
         revision = self._state.revision if self._state else 0
         return max(revision, self._changed_revision)
 
+    @property
+    def age_s(self) -> float:
+        """How long ago the service last answered it, inf before."""
+        return time.monotonic() - self._answered_s
+
     def hurry(self) -> None:
         """Opens the watch again if it waits for a change.
 
@@ -239,6 +246,7 @@
                 self._state = None
                 return True
             self._note_regained()
+            self._answered_s = time.monotonic()
             brought_any = True
             self._client.note_watch_message()
             self._take_events(message)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -118,6 +118,7 @@
         self._servers.start()
         self._peers.start()
         self._notices.start()
+        self._news.start()
         for part in self._roles:
             part.start()
         self._listener.start()
@@ -159,6 +160,7 @@
         """Ends every part at once."""
         for part in self._roles:
             part.close()
+        self._news.close()
         self._notices.close()
         self._peers.close()
         self._servers.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -30,7 +30,8 @@
     def gateways_count(self) -> int:
         return 1 + len(self.known)
 
-    is_known = True
+    is_registered = True
+    is_reader = False
 
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         return self.known if availability_zone == ZONE else ()
@@ -52,7 +53,7 @@
                 codec.Placement(2, 0.25, (_part(1), _part(2), _part(3))),
                 codec.Placement(3, 0.5),
             ),
-            codec.Seen(5, 2**40),
+            codec.Seen(5, 2**40, is_reading=True),
             (codec.Load(9, 14, 0.25),),
             (codec.Demand(11, 1.5),),
             (21, 22),
@@ -286,21 +287,49 @@
         it.
         """
         one = self.start("one", 1)
-        builders_platform.wait_until(lambda: one._registered_s is not None)
-        self.assertFalse(one.is_known)
-        one._registered_s -= directory.KNOWN_AFTER_S
-        self.assertTrue(one.is_known)
+        self.assertTrue(builders_platform.wait_until(lambda: one.is_registered))
         for lease_id in list(self.store.store._leases):
             self.store.store.revoke(lease_id)
         self.assertTrue(
             builders_platform.wait_until(
-                lambda: not one.is_known, directory.LEASE_TTL_S
+                lambda: not one.is_registered, directory.LEASE_TTL_S
             )
         )
-        told = notices.WorkNotices(
-            fleet.Address("127.0.0.1", 1), one, 1, ZONE, clock.SystemClock()
+
+    def test_all_choose_the_same_readers(self) -> None:
+        """Every gateway goes to the store for itself, or none does.
+
+        Cause: each chose the readers by a list of its own.
+        """
+        names = [f"vm-{number}" for number in range(5)]
+        started = [
+            self.start(name, 1 + number) for number, name in enumerate(names)
+        ]
+        builders_platform.wait_until(
+            lambda: all(one.gateways_count == 5 for one in started)
+        )
+        readers_count = sum(one.is_reader for one in started)
+        self.assertEqual(readers_count, directory.READERS_COUNT)
+
+    def test_a_gateway_that_knows_nobody_reads(self) -> None:
+        self.assertTrue(self.start("one", 1).is_reader)
+
+    def test_each_zone_of_a_large_fleet_has_readers(self) -> None:
+        """A zone that is cut off hears of no change.
+
+        Cause: the readers of a large fleet, who tell their own zone alone,
+        all stood in another one.
+        """
+        for number in range(directory.TOLD_LIMIT_COUNT + 10):
+            self.store.put(
+                f"{directory.KEY_PREFIX}vm-{number}/boot",
+                f"127.0.0.1:{1000 + number}/zone-b".encode(),
+            )
+        one = self.start("one", 1)
+        builders_platform.wait_until(
+            lambda: one.gateways_count == directory.TOLD_LIMIT_COUNT + 11
         )
-        self.assertEqual(told.told_count, 1)
+        self.assertTrue(one.is_reader)
 
     def test_a_lost_registration_is_made_again(self) -> None:
         """A gateway is not told of work for the rest of its life.
--- a/tests/test_store_news.py
+++ b/tests/test_store_news.py
@@ -1,5 +1,6 @@
 """Gateways that tell each other of changes their watches may miss."""
 
+import time
 import unittest
 from unittest import mock
 
@@ -20,6 +21,7 @@
     def __init__(self, changed: int, seen: int):
         self.changed_revision = changed
         self.seen_revision = seen
+        self.age_s = 0.5
         self.hurries_count = 0
 
     def hurry(self) -> None:
@@ -28,7 +30,9 @@
 
 class _Notices:
     def __init__(self) -> None:
-        self.told_count = 3
+        self.told_at_s = float("-inf")
+        self.is_registered = True
+        self.is_reader = False
         self.sent_count = 0
 
     def tell_seen(self, seen: object, on_seen: object) -> None:
@@ -52,7 +56,7 @@
         )
 
     def test_what_is_told(self) -> None:
-        self.assertEqual(self.news.seen(), codec.Seen(7, 8))
+        self.assertEqual(self.news.seen(), codec.Seen(7, 8, is_reading=True))
 
     def test_a_watch_that_stays_behind_is_opened_again(self) -> None:
         """A gateway serves old routes for seconds.
@@ -95,19 +99,85 @@
         gevent.sleep(latest_s)
         self.assertEqual(self.notices.sent_count, 1)
 
-    def test_watches_wait_longer_where_many_tell_each_other(self) -> None:
+    def test_a_watch_waits_long_while_a_reader_is_heard(self) -> None:
         """Calls to the service grow with the fleet.
 
-        Symptom: 80 gateways sent 7,000 calls in 46 s, half of them to open
-        two watches each every 2 s. Cause: each of them looked for itself.
+        Symptom: three quarters of what a fleet of 18 gateways pays for calls
+        goes for opening two watches each every few seconds. Cause: each of
+        them looked for itself.
         """
-        self.assertEqual(store_news.patience(1), watch.BRIEF)
-        self.assertEqual(store_news.patience(8), watch.BRIEF)
-        self.assertGreater(store_news.patience(27).silence_s, 6.0)
-        self.assertEqual(store_news.patience(340).pause_s, watch.BRIEF.pause_s)
-        self.assertEqual(
-            store_news.patience(340).silence_s, store_news.REOPEN_LIMIT_S
-        )
+        self.assertEqual(self.news.patience(), watch.BRIEF)
+        self.hear_reader()
+        self.assertEqual(self.news.patience(), store_news.RELIEVED)
+        self.assertEqual(self.hurries_counts(), [0, 0])
+
+    def test_watches_are_opened_again_when_no_reader_is_heard(self) -> None:
+        """Routes stay old for half a minute.
+
+        Sequence: the readers are gone, or cut off; the service has left this
+        gateway's watches without a word, and a change is made. Cause: the
+        watches went on waiting as if somebody read.
+        """
+        self.hear_reader()
+        self.news._heard_at_s -= store_news.HEARD_AGE_S
+        self.news._look()
+        self.assertEqual(self.news.patience(), watch.BRIEF)
+        self.assertEqual(self.hurries_counts(), [1, 1])
+        self.news._look()
+        self.assertEqual(self.hurries_counts(), [1, 1])
+
+    def test_a_peer_that_does_not_read_relieves_nobody(self) -> None:
+        """No gateway reads the service any more.
+
+        Sequence: the service turns the readers away; they go on telling their
+        placements. Cause: whatever they told counted as a sign of reading.
+        """
+        self.news.on_seen(codec.Seen(7, 8))
+        self.news._look()
+        self.assertEqual(self.news.patience(), watch.BRIEF)
+
+    def test_a_gateway_that_peers_do_not_know_counts_on_nobody(self) -> None:
+        self.hear_reader()
+        self.notices.is_registered = False
+        self.news._look()
+        self.assertEqual(self.news.patience(), watch.BRIEF)
+
+    def test_a_reader_reads_and_says_so(self) -> None:
+        self.notices.is_reader = True
+        self.hear_reader()
+        self.assertEqual(self.news.patience(), watch.BRIEF)
+        self.assertEqual(self.notices.sent_count, 1)
+        self.notices.told_at_s = time.monotonic()
+        self.news._look()
+        self.assertEqual(self.notices.sent_count, 1)
+
+    def test_a_reader_that_the_service_left_does_not_beat(self) -> None:
+        """A change is missed by a whole fleet.
+
+        Sequence: the readers are cut off from the service, and not from their
+        peers. Cause: they told that they read because they meant to.
+        """
+        self.notices.is_reader = True
+        self.routes.age_s = store_news.READING_AGE_S + 0.1
+        self.news._look()
+        self.assertEqual(self.notices.sent_count, 0)
+        self.assertFalse(self.news.seen().is_reading)
+
+    def test_a_relieved_gateway_does_not_claim_to_read(self) -> None:
+        """Gateways wait for each other.
+
+        Sequence: a watch that waits long has just been answered. Cause: that
+        counted as reading, though its next answer may be half a minute away.
+        """
+        self.hear_reader()
+        self.assertFalse(self.news.seen().is_reading)
+
+    def hear_reader(self) -> None:
+        self.news.on_seen(codec.Seen(7, 8, is_reading=True))
+        self.news._look()
+
+    def hurries_counts(self) -> list[int]:
+        return [one.hurries_count for one in (self.routes, self.servers)]
 
 
 class HurryTest(unittest.TestCase):
