--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -137,7 +137,7 @@
             if self._tells(found, availability_zone)
         )
 
-    def envoys(self) -> tuple[fleet.Address, ...]:
+    def one_of_each_other_zone(self) -> tuple[fleet.Address, ...]:
         """Returns one gateway of each zone that hears nothing of this one's.
 
         Drawn anew each time, so that all are told in turn. None where all are
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -72,7 +72,7 @@
         """Returns where the gateways take notices of a zone's engines."""
         ...
 
-    def envoys(self) -> tuple[fleet.Address, ...]:
+    def one_of_each_other_zone(self) -> tuple[fleet.Address, ...]:
         """Returns one gateway of each zone that hears nothing of this one's."""
         ...
 
@@ -273,8 +273,11 @@
         """Tells other zones how busy the engines of this one are."""
         while True:
             gevent.sleep(ZONE_LOADS_INTERVAL_S)
-            envoys, told = self._peers.envoys(), self._role_loads()
-            if not envoys or not told:
+            neighbours, told = (
+                self._peers.one_of_each_other_zone(),
+                self._role_loads(),
+            )
+            if not neighbours or not told:
                 continue
             self._sequence += 1
             notice = codec.Notice(
@@ -284,7 +287,7 @@
                 zone_key=codec.key_of(self._availability_zone),
                 role_loads=told,
             )
-            self._send_to(envoys, codec.encode(notice))
+            self._send_to(neighbours, codec.encode(notice))
 
     def _send_to(
         self, peers: tuple[fleet.Address, ...], datagram: bytes
--- a/src/mulberrywharf/peers/store_news.py
+++ b/src/mulberrywharf/peers/store_news.py
@@ -24,7 +24,7 @@
 from mulberrywharf.peers import codec
 from mulberrywharf.platform_service import watch
 
-RELIEVED = watch.BRIEF._replace(silence_s=30.0)
+LONG = watch.BRIEF._replace(silence_s=30.0)
 """For a gateway that hears from a reader: as long as the service keeps a call
 waiting. A pause behind a failure stays brief: whom the service turns away loses
 its key too, so its peers no longer tell it of anything."""
@@ -34,7 +34,7 @@
 opened every 2 s, and an answer comes within 0.4 s even where the service is
 slow."""
 
-BEAT_INTERVAL_S = 1.5
+HEARTBEAT_INTERVAL_S = 1.5
 """A reader tells its peers that it reads so often, unless a notice of other
 matters did: with 40 of them some 70 bytes each, 1,900 bytes a second of the
 2,000 that a node may send."""
@@ -45,7 +45,7 @@
 comes with its next opening, half a second later at the most."""
 
 CHECK_INTERVAL_S = 0.5
-"""Between two looks at whether a reader is heard and a beat is due."""
+"""Between two looks at whether a reader is heard and a heartbeat is due."""
 
 PATIENCE_S = 0.8
 """From a peer's news until a watch that has not brought it is opened again. A
@@ -64,8 +64,8 @@
 be lost."""
 
 
-_relieved_gauge = metrics.gauge(
-    "mulberry_watches_relieved",
+_waiting_long_gauge = metrics.gauge(
+    "mulberry_watches_waiting_long",
     "1 while this node's watches wait long, as it hears from a reader.",
 )
 
@@ -144,12 +144,12 @@
         self._pending: set[str] = set()
         self._hurried_at_s: dict[str, float] = {}
         self._heard_at_s = float("-inf")
-        self._is_relieved = False
+        self._waits_long = False
         self._task: gevent.Greenlet | None = None
         notices.tell_seen(self.seen, self.on_seen)
 
     def start(self) -> None:
-        """Begins to look for readers, and to beat as one."""
+        """Begins to look for readers, and to send heartbeats as one."""
         self._task = gevent.spawn(self._run)
 
     def close(self) -> None:
@@ -159,7 +159,7 @@
 
     def patience(self) -> watch.Patience:
         """Returns how long the watches may wait now."""
-        return RELIEVED if self._is_relieved else watch.BRIEF
+        return LONG if self._waits_long else watch.BRIEF
 
     def seen(self) -> codec.Seen:
         """Returns what this gateway has seen."""
@@ -170,11 +170,11 @@
         )
 
     def _is_reading(self, found: Mapping[str, Watched]) -> bool:
-        # A relieved gateway may have had an answer just now, but nobody may
-        # count on the next one.
+        # A gateway that counts on a reader may have had an answer just now,
+        # but nobody may count on its next one.
         ages_s = [watched.age_s for watched in found.values()]
         is_fresh = bool(ages_s) and max(ages_s) <= READING_AGE_S
-        return is_fresh and not self._is_relieved
+        return is_fresh and not self._waits_long
 
     def _run(self) -> None:
         while True:
@@ -182,28 +182,28 @@
             self._look()
 
     def _look(self) -> None:
-        """Takes in whether a reader is heard, and beats if this is one."""
+        """Takes in whether a reader is heard; sends a heartbeat as one."""
         now_s = time.monotonic()
-        is_relieved = (
+        waits_long = (
             self._notices.is_registered
             and not self._notices.is_reader
             and now_s - self._heard_at_s <= HEARD_AGE_S
         )
-        if is_relieved != self._is_relieved:
-            self._turn(is_relieved)
-        is_due = now_s - self._notices.told_at_s >= BEAT_INTERVAL_S
+        if waits_long != self._waits_long:
+            self._turn(waits_long)
+        is_due = now_s - self._notices.told_at_s >= HEARTBEAT_INTERVAL_S
         if is_due and self._notices.is_reader and self.seen().is_reading:
             self._notices.tell_now()
 
-    def _turn(self, is_relieved: bool) -> None:
-        self._is_relieved = is_relieved
-        _relieved_gauge.set({}, int(is_relieved))
+    def _turn(self, waits_long: bool) -> None:
+        self._waits_long = waits_long
+        _waiting_long_gauge.set({}, int(waits_long))
         logger.bind(
-            relieved=is_relieved,
+            waits_long=waits_long,
             is_reader=self._notices.is_reader,
             heard_age_s=round(time.monotonic() - self._heard_at_s, 3),
-        ).info("watches wait long" if is_relieved else "watches wait briefly")
-        if is_relieved:
+        ).info("watches wait long" if waits_long else "watches wait briefly")
+        if waits_long:
             return
         # They may wait for half a minute by now, and the service may have
         # left them meanwhile without a word.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -36,7 +36,7 @@
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         return self.known if availability_zone == ZONE else ()
 
-    def envoys(self) -> tuple[fleet.Address, ...]:
+    def one_of_each_other_zone(self) -> tuple[fleet.Address, ...]:
         return self.known
 
     def hears_of(self, availability_zone: str) -> bool:
@@ -222,7 +222,7 @@
         self.assertEqual(one.addresses(ZONE), (fleet.Address("127.0.0.1", 2),))
         self.assertEqual(two.addresses(ZONE), (fleet.Address("127.0.0.1", 1),))
         self.assertTrue(one.knows("127.0.0.1"))
-        self.assertEqual(one.envoys(), ())
+        self.assertEqual(one.one_of_each_other_zone(), ())
 
     def test_a_key_of_another_writer_names_no_gateway(self) -> None:
         """A gateway knows of no peer any more, and refuses half its callers.
@@ -272,8 +272,8 @@
             len(one.addresses("zone-b")), directory.TOLD_LIMIT_COUNT + 5
         )
         self.assertFalse(one.hears_of("zone-b"))
-        (envoy,) = one.envoys()
-        self.assertIn(envoy, one.addresses("zone-b"))
+        (neighbour,) = one.one_of_each_other_zone()
+        self.assertIn(neighbour, one.addresses("zone-b"))
 
     def test_a_gateway_that_closes_is_gone(self) -> None:
         one, two = self.start("one", 1), self.start("two", 2)
--- a/tests/test_store_news.py
+++ b/tests/test_store_news.py
@@ -108,7 +108,7 @@
         """
         self.assertEqual(self.news.patience(), watch.BRIEF)
         self.hear_reader()
-        self.assertEqual(self.news.patience(), store_news.RELIEVED)
+        self.assertEqual(self.news.patience(), store_news.LONG)
         self.assertEqual(self.hurries_counts(), [0, 0])
 
     def test_watches_are_opened_again_when_no_reader_is_heard(self) -> None:
@@ -163,7 +163,9 @@
         self.assertEqual(self.notices.sent_count, 0)
         self.assertFalse(self.news.seen().is_reading)
 
-    def test_a_relieved_gateway_does_not_claim_to_read(self) -> None:
+    def test_a_gateway_that_counts_on_readers_does_not_claim_to_read(
+        self,
+    ) -> None:
         """Gateways wait for each other.
 
         Sequence: a watch that waits long has just been answered. Cause: that
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -57,8 +57,8 @@
         self.client.close()
 
     @property
-    def is_relieved(self) -> bool:
-        return self.news.patience() == store_news.RELIEVED
+    def waits_long(self) -> bool:
+        return self.news.patience() == store_news.LONG
 
     @property
     def version(self) -> int:
@@ -81,7 +81,7 @@
         self.assertTrue(
             builders_platform.wait_until(
                 lambda: (
-                    len(self.relieved()) == self.relieved_count()
+                    len(self.waiting_long()) == self.waiting_count()
                     and all(one.version for one in self.gateways)
                 ),
                 limit_s=10.0,
@@ -90,10 +90,10 @@
         # Calls that were to wait briefly are over by then.
         gevent.sleep(watch.BRIEF.silence_s + 0.5)
 
-    def relieved(self) -> list[_Gateway]:
-        return [one for one in self.gateways if one.is_relieved]
+    def waiting_long(self) -> list[_Gateway]:
+        return [one for one in self.gateways if one.waits_long]
 
-    def relieved_count(self) -> int:
+    def waiting_count(self) -> int:
         return GATEWAYS_COUNT - directory.READERS_COUNT
 
     def put(self) -> int:
@@ -146,7 +146,7 @@
         without a word in the same moment, and a change is made. Cause: the
         others wait for news of readers that are gone.
         """
-        left = self.relieved()
+        left = self.waiting_long()
         for one in self.gateways:
             if one not in left:
                 one.notices.close()
@@ -162,7 +162,7 @@
         watch without a word, and a change is made. Cause: it went on waiting
         for news of readers that it could not hear.
         """
-        deaf = self.relieved()[0]
+        deaf = self.waiting_long()[0]
         deaf.notices.close()
         self.store.hang_watches()
         self.wait_for(self.put(), [deaf])
