--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -273,11 +273,9 @@
         """Tells other zones how busy the engines of this one are."""
         while True:
             gevent.sleep(ZONE_LOADS_INTERVAL_S)
-            neighbours, told = (
-                self._peers.one_of_each_other_zone(),
-                self._role_loads(),
-            )
-            if not neighbours or not told:
+            whom = self._peers.one_of_each_other_zone()
+            told = self._role_loads()
+            if not whom or not told:
                 continue
             self._sequence += 1
             notice = codec.Notice(
@@ -287,7 +285,7 @@
                 zone_key=codec.key_of(self._availability_zone),
                 role_loads=told,
             )
-            self._send_to(neighbours, codec.encode(notice))
+            self._send_to(whom, codec.encode(notice))
 
     def _send_to(
         self, peers: tuple[fleet.Address, ...], datagram: bytes
