--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -621,7 +621,10 @@
 
 @contextlib.contextmanager
 def without(mechanism: str) -> Iterator[None]:
-    """Switches a mechanism off while the block runs."""
+    """Switches a mechanism off while the block runs; ``none`` is none."""
+    if mechanism == "none":
+        yield
+        return
     switch = MECHANISMS[mechanism]
     with mock.patch.object(switch.owner, switch.name, switch.stand_in):
         yield
@@ -665,12 +668,7 @@
     prompts = Prompts(chain_length=2)
     for name, speed in SPEEDS.items():
         for mechanism in ("none", *MECHANISMS):
-            off = (
-                contextlib.nullcontext()
-                if mechanism == "none"
-                else without(mechanism)
-            )
-            with off:
+            with without(mechanism):
                 outcomes = [
                     Play(speed, prompts, seed=seed).run()
                     for seed in range(seeds_count)
@@ -697,12 +695,7 @@
 def _play_sizes(seeds_count: int) -> None:
     for name, shape in SIZES.items():
         for mechanism in KNOWLEDGE:
-            off = (
-                contextlib.nullcontext()
-                if mechanism == "none"
-                else without(mechanism)
-            )
-            with off:
+            with without(mechanism):
                 outcomes = [
                     Play(SPEEDS["slow"], Prompts(), seed=seed, shape=shape).run(
                         2_000
