--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -200,7 +200,6 @@
             is_suspected=candidate.is_suspected,
             is_near=candidate.is_near,
             is_home=is_home,
-            is_heard=self._notices.hears_of(server),
         )
 
     def _cached_tokens(
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -57,12 +57,6 @@
 that zones still take over what others can't. Where a zone was cut, 0.035 of the
 worth of a day came from it; 0.1 s left engines idle beside full ones."""
 
-UNHEARD_COST_S = 0.1
-"""Against a prefill engine whose queue the node doesn't follow, in fleets too
-large to tell everybody of everything. Gateways that all judge such a queue by
-their own few prompts send to it until answers come late; the engines of the
-own availability zone come first, and others take over what they can't."""
-
 HOME_BONUS_S = 0.01
 """What speaks for the home of a part that is held nowhere. It only breaks
 ties, so that parts spread evenly and nodes that choose at once choose alike."""
@@ -81,7 +75,6 @@
         is_suspected: Whether it did not answer a moment ago.
         is_near: Whether it stands in the node's availability zone.
         is_home: Whether it is the first home of the prompt's shared part.
-        is_heard: Whether the node hears of all work that it gets.
     """
 
     server: fleet.Server
@@ -93,7 +86,6 @@
     is_suspected: bool = False
     is_near: bool = True
     is_home: bool = False
-    is_heard: bool = True
 
 
 class PromptShape(NamedTuple):
@@ -297,8 +289,6 @@
         + _copy_cost_s(shape, speeds, prefill)
         + _copy_cost_s(shape, speeds, decode)
     )
-    if not prefill.is_heard:
-        cost += UNHEARD_COST_S
     return Plan(
         decode,
         prefill,
