--- a/src/mulberrywharf/authority/role_keeper.py
+++ b/src/mulberrywharf/authority/role_keeper.py
@@ -34,12 +34,6 @@
 where more are silent this gateway is cut off from an availability zone, and
 what it sees is no picture of the fleet."""
 
-ROUND_SHARE = 0.1
-"""Part of a service's engines that are ordered in one round, at least one. The
-next round sees by reports what became of them. One a round, as in a fleet of
-nine, would take a fleet of 45 that lacks a quarter 11 s, most of the time over
-which its load stays the same; 11 were ordered in 2.4 s."""
-
 CALM_S = 3.0
 """After the store failed a call the list of engines may be old for so long."""
 
@@ -130,7 +124,7 @@
         self._on_accepted = on_accepted
         self._on_restarted = on_restarted
         self._splits: dict[str, role_split.RoleSplit] = {}
-        self._unsettled: list[_Sent] = []
+        self._unsettled: _Sent | None = None
         self._ordered: dict[fleet.ServerStart, _Sent] = {}
         self._last_reason: dict[str, str] = {}
         self._pool = gevent.pool.Pool(_CONCURRENT_REPORTS_COUNT)
@@ -153,28 +147,21 @@
                 # Another may order meanwhile; all is looked at anew then.
                 self._splits.clear()
                 self._ordered.clear()
-                self._unsettled.clear()
+                self._unsettled = None
                 continue
             for service, servers in self._engines.engines().items():
                 self.round(service, servers)
 
     def round(self, service: str, servers: Sequence[fleet.Server]) -> None:
-        """Looks at the engines of one service, and orders some if need be.
-
-        An order that isn't accepted ends the round: it may still be carried
-        out, or this gateway may not order any more.
-        """
+        """Looks at the engines of one service, and orders one if need be."""
         reports = self._reports(servers)
         now_s = self._clock.monotonic_s()
         self._settle(reports, servers, now_s)
-        for _ in range(max(1, int(ROUND_SHARE * len(servers)))):
-            decision = self._decide(service, servers, reports, now_s)
-            self._log(service, decision)
-            if not isinstance(decision, role_split.Change):
-                return
+        decision = self._decide(service, servers, reports, now_s)
+        self._log(service, decision)
+        if isinstance(decision, role_split.Change):
             report = reports[decision.server.start]
-            if not self._order(decision, report.accepted_count):
-                return
+            self._order(decision, report.accepted_count)
 
     def _reports(self, servers: Sequence[fleet.Server]) -> _Reports:
         """Asks engines; one that reports another start says nothing of this.
@@ -213,11 +200,8 @@
         decision = split.decide(
             loads, self._engines.wanted_prefill(service), now_s
         )
-        if any(
-            not sent.is_accepted or sent.sent_s < now_s
-            for sent in self._unsettled
-        ):
-            return role_split.Stay("the last orders are not settled")
+        if self._unsettled is not None:
+            return role_split.Stay("the last order is not settled")
         if self._engines.trouble_age_s() < CALM_S:
             return role_split.Stay("the list of engines may be old")
         return decision
@@ -253,17 +237,28 @@
         servers: Sequence[fleet.Server],
         now_s: float,
     ) -> None:
-        self._unsettled = [
-            sent
-            for sent in self._unsettled
-            if not _is_settled(sent, reports, servers, now_s)
-        ]
+        sent = self._unsettled
+        if sent is None or all(
+            one.service != sent.order.server.service for one in servers
+        ):
+            return
+        report = reports.get(sent.order.server.start)
+        # Without an answer the order may still be carried out by the engine's
+        # next start, whose count of orders may be the expected one again.
+        has_left = sent.is_accepted and sent.order.server.server_id not in {
+            one.server_id for one in servers
+        }
+        is_taken = (
+            report is not None
+            and report.accepted_count > sent.order.expected_count
+        )
+        if has_left or is_taken or now_s - sent.sent_s > UNSETTLED_S:
+            self._unsettled = None
 
-    def _order(self, change: role_split.Change, accepted_count: int) -> bool:
-        """Orders an engine; returns whether it has accepted."""
+    def _order(self, change: role_split.Change, accepted_count: int) -> None:
         held = self._holder.authority()
         if isinstance(held, Err):
-            return False
+            return
         order = role_orders.RoleOrder(
             change.server,
             change.role,
@@ -274,9 +269,9 @@
         recorded = self._holder.record(_encode(order))
         if isinstance(recorded, Err):
             _log_order(order, recorded.err_value.code)
-            return False
+            return
         leaves = _Sent(order, self._clock.monotonic_s())
-        self._unsettled.append(leaves)
+        self._unsettled = leaves
         self._ordered[change.server.start] = leaves
         sent = self._client.send(
             order,
@@ -287,15 +282,14 @@
             sent.err_value, errors.OrderOutcomeUnknownError
         ):
             # It has not left, or the engine says that it did not take it.
-            self._unsettled.remove(leaves)
+            self._unsettled = None
             del self._ordered[change.server.start]
         if isinstance(sent, Ok):
-            self._unsettled[-1] = leaves._replace(is_accepted=True)
+            self._unsettled = leaves._replace(is_accepted=True)
             self._on_accepted(order.server)
         _log_order(
             order, sent.err_value.code if isinstance(sent, Err) else "accepted"
         )
-        return isinstance(sent, Ok)
 
     def _log(self, service: str, decision: role_split.Decision) -> None:
         """Logs a decision, and one that is the same again only once."""
@@ -313,28 +307,6 @@
         ).info("roles: {}", reason)
 
 
-def _is_settled(
-    sent: _Sent,
-    reports: _Reports,
-    servers: Sequence[fleet.Server],
-    now_s: float,
-) -> bool:
-    """Tells whether it is known what became of an order of this service."""
-    server = sent.order.server
-    if all(one.service != server.service for one in servers):
-        return False
-    report = reports.get(server.start)
-    # Without an answer the order may still be carried out by the engine's
-    # next start, whose count of orders may be the expected one again.
-    has_left = sent.is_accepted and server.server_id not in {
-        one.server_id for one in servers
-    }
-    is_taken = (
-        report is not None and report.accepted_count > sent.order.expected_count
-    )
-    return has_left or is_taken or now_s - sent.sent_s > UNSETTLED_S
-
-
 def _both_told(one: fleet.ServerStart, other: fleet.ServerStart) -> bool:
     return None not in (one.started_unix_ms, other.started_unix_ms)
 
--- a/src/mulberrywharf/policy/role_split.py
+++ b/src/mulberrywharf/policy/role_split.py
@@ -25,12 +25,6 @@
 """Means are acted on so long after the fleet has changed by itself: an engine
 that was lost is often back, or another one is, within that time."""
 
-CHANGED_SHARE = 0.1
-"""Part of a service's engines that come or go until the fleet counts as
-changed. In a large one some engine comes or goes all the time, and one in
-forty moves no split; with a wait for each, none is ever ordered while one
-flaps."""
-
 FULL_PREFILL_SHARE = 0.75
 """Part of the time of prefill engines that reading takes, from which they need
 one more. Beyond two thirds to three quarters a queue's wait exceeds the reading
@@ -160,7 +154,10 @@
                 while that isn't known.
             now_s: The present.
         """
-        self._note_engines(loads, now_s)
+        engines = frozenset(load.server.start for load in loads)
+        if engines != self._engines:
+            self._engines = engines
+            self._since_s = now_s
         share = _decode_share(loads)
         if share is None or wanted_prefill is None:
             return Stay("too little is known of the load")
@@ -174,13 +171,6 @@
             return Stay("enough engines are changing", pressure)
         return _decide(loads, pressure)
 
-    def _note_engines(self, loads: Sequence[EngineLoad], now_s: float) -> None:
-        engines = frozenset(load.server.start for load in loads)
-        changed_count = len(engines ^ self._engines)
-        if changed_count > CHANGED_SHARE * len(engines):
-            self._engines = engines
-            self._since_s = now_s
-
 
 class _Mean:
     """The mean of what is noted, the newest counting most."""
@@ -191,9 +181,6 @@
         self._noted_s = 0.0
 
     def note(self, seen: float, now_s: float) -> float:
-        """Returns the mean; of what is noted at one time the first counts."""
-        if self._weight and now_s == self._noted_s:
-            return self._sum / self._weight
         kept = math.exp(-(now_s - self._noted_s) / MEAN_CONSTANT_S)
         self._noted_s = now_s
         self._weight = self._weight * kept + 1.0
--- a/tests/test_role_keeper.py
+++ b/tests/test_role_keeper.py
@@ -130,11 +130,8 @@
         )
         self.restarted: list[tuple[fleet.ServerStart, ...]] = []
         self.addCleanup(self.keeper.close)
-        self.serve_engines(decodes_count=3)
-
-    def serve_engines(self, decodes_count: int) -> None:
         self.engines = [_Engine("prefill", 5)]
-        self.engines += [_Engine("decode", 2 + n) for n in range(decodes_count)]
+        self.engines += [_Engine("decode", 2 + n) for n in range(3)]
         self.servers = [
             build.server(
                 f"e{n}",
@@ -203,32 +200,6 @@
         self.rounds(12)
         self.assertGreater(len(self.sent()), 1)
 
-    def test_a_large_fleet_is_ordered_several_at_a_time(self) -> None:
-        """Half of a large fleet's day passes before its roles fit.
-
-        Sequence: 45 engines want 11 more that prefill. Cause: one was ordered
-        each second, as in a fleet of nine.
-        """
-        self.serve_engines(decodes_count=29)
-        self.listed.wanted = 8.0
-        ordered_counts = []
-        for _ in range(7):
-            self.rounds(1)
-            ordered_counts.append(len(self.sent()))
-        self.assertIn(3, ordered_counts)
-        self.assertNotIn(1, ordered_counts)
-        server_ids = [one["server_id"] for one in self.holder.recorded]
-        self.assertEqual(len(server_ids), len(set(server_ids)))
-
-    def test_an_order_without_an_answer_ends_the_round(self) -> None:
-        self.serve_engines(decodes_count=29)
-        self.listed.wanted = 8.0
-        for engine in self.engines:
-            engine.answers_orders = False
-            engine.takes_orders = False
-        self.rounds(8)
-        self.assertEqual(len(self.sent()), 1)
-
     def test_an_order_that_shows_in_a_report_is_settled(self) -> None:
         self.engines[1].answers_orders = False
         self.rounds(8)
--- a/tests/test_role_split.py
+++ b/tests/test_role_split.py
@@ -91,27 +91,6 @@
         self.play(loads, 1.0)
         self.assertIsInstance(self.play(loads[:-1], 3.5, 2.0), role_split.Stay)
 
-    def test_an_engine_that_flaps_does_not_stop_a_large_fleet(self) -> None:
-        """A large fleet gets its first order when the burst is over.
-
-        Symptom: callers want a third more engines that prefill, and no order
-        leaves for as long as the burst lasts. Sequence: some engine crashes,
-        comes back or leaves every second or two. Cause: each time the planner
-        waited for the fleet to settle, as a fleet of nine does.
-        """
-        loads = engines(8, prefills=20, decodes=40)
-        decisions = [
-            self.play(loads[: len(loads) - number % 2], 18.0, 1.0)
-            for number in range(6)
-        ]
-        self.assertIsInstance(decisions[-1], role_split.Change)
-
-    def test_the_loss_of_many_engines_is_waited_out(self) -> None:
-        loads = engines(8, prefills=20, decodes=40)
-        self.play(loads, 18.0, 6.0)
-        decision = self.play(loads[:-10], 18.0, 2.0)
-        self.assertIsInstance(decision, role_split.Stay)
-
     def test_nothing_changes_before_the_demand_is_known(self) -> None:
         self.assertIsInstance(self.play(engines(8), None), role_split.Stay)
 
