--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -62,7 +62,6 @@
 pause for longer than callers accept: they expect an event each 0.3 s, and an
 event of eleven tokens takes 0.06 to 0.13 s without it."""
 
-ROLE_LOADS_INTERVAL_S = notices.ZONE_LOADS_INTERVAL_S
 TARGET_IN_READINGS = 4.0
 """The target for the first token, in times of reading a mean prompt."""
 
@@ -394,7 +393,7 @@
         assert isinstance(until_s, float)
         for gateway in self._gateways:
             gateway.notices.tell_zones(self._rng)
-        next_s = self._timeline.now_s + ROLE_LOADS_INTERVAL_S
+        next_s = self._timeline.now_s + notices.ZONE_LOADS_INTERVAL_S
         if next_s < until_s:
             self._timeline.at(next_s, self._tell_zones, until_s)
 
--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -64,6 +64,7 @@
         self._notices = notices
         self._clock = system_clock
         self._known: dict[int, fleet.Server] = {}
+        self._zones: dict[fleet.ServerStart, str] = {}
         self._usual: dict[_Kind, tuple[usual_load.Load, float]] = {}
         self._told_shares: dict[_Kind, tuple[float, float]] = {}
         self._told: dict[_ToldKind, tuple[usual_load.Load, float]] = {}
@@ -71,6 +72,11 @@
     def follow(self, known: dict[int, fleet.Server]) -> None:
         """Takes in the engines, by their keys in notices."""
         self._known = known
+        self._zones = {
+            server.start: server.availability_zone
+            for server in known.values()
+            if server.role is not None
+        }
 
     def load(
         self, candidate: server_choice.Candidate, now_s: float
@@ -86,11 +92,6 @@
     def reported(self, availability_zone: str) -> tuple[codec.Load, ...]:
         """Returns what engines of a zone told this node lately."""
         now_s = self._clock.monotonic_s()
-        zones = {
-            server.start: server.availability_zone
-            for server in self._known.values()
-            if server.role is not None
-        }
         return tuple(
             codec.Load(
                 codec.key_of_server(start),
@@ -100,7 +101,7 @@
             for start, load, told_s in self._book.reported_since(
                 now_s - TOLD_LOAD_AGE_S
             )
-            if zones.get(start) == availability_zone
+            if self._zones.get(start) == availability_zone
         )
 
     def of_roles(self) -> tuple[codec.RoleLoad, ...]:
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -363,8 +363,7 @@
         if isinstance(error, errors.EngineUnreachableError):
             # Nothing arrived anywhere, so nothing is repeated.
             return True
-        now_s = self._parts.system_clock.monotonic_s()
-        return self._parts.budget.take(self._service.name, now_s)
+        return self._take_repeat()
 
     def _pay_for_prefill(self) -> None:
         """Pays for a prefill, unless it is the request's first.
@@ -376,12 +375,12 @@
         Raises:
             RequestError: The budget is spent.
         """
-        if not self._was_prefilled:
-            return
+        if self._was_prefilled and not self._take_repeat():
+            raise self._given_up("the budget of repeats is spent")
+
+    def _take_repeat(self) -> bool:
         now_s = self._parts.system_clock.monotonic_s()
-        if self._parts.budget.take(self._service.name, now_s):
-            return
-        raise self._given_up("the budget of repeats is spent")
+        return self._parts.budget.take(self._service.name, now_s)
 
     def _given_up(self, message: str) -> errors.RequestError:
         if self._outcome == "unknown":
--- a/src/mulberrywharf/peers/store_news.py
+++ b/src/mulberrywharf/peers/store_news.py
@@ -184,15 +184,16 @@
     def _look(self) -> None:
         """Takes in whether a reader is heard; sends a heartbeat as one."""
         now_s = time.monotonic()
+        is_reader = self._notices.is_reader
         waits_long = (
             self._notices.is_registered
-            and not self._notices.is_reader
+            and not is_reader
             and now_s - self._heard_at_s <= HEARD_AGE_S
         )
         if waits_long != self._waits_long:
             self._turn(waits_long)
         is_due = now_s - self._notices.told_at_s >= HEARTBEAT_INTERVAL_S
-        if is_due and self._notices.is_reader and self.seen().is_reading:
+        if is_due and is_reader and self.seen().is_reading:
             self._notices.tell_now()
 
     def _turn(self, waits_long: bool) -> None:
