Tell how long notices between gateways wait for their bytes

Sight for the first two hypotheses on late long prompts of a large fleet: from outside nobody could tell a queue that was told late from one that was never told. A histogram of the wait from a notice's first placement until it left, and a line for each that waited for more than 0.1 s; no change of logic.

--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -35,6 +35,10 @@
 where zones have as many gateways. Some 80 bytes a zone, 560 a second with eight
 zones; the mix swings within three seconds."""
 
+LATE_S = 0.1
+"""A notice that waited for longer is logged: queues of a few tenths of a second
+have changed by then."""
+
 _DATAGRAM_OVERHEAD_BYTES = 28
 """IP and UDP headers."""
 
@@ -44,6 +48,10 @@
 _received = metrics.counter(
     "mulberry_notices_received_total", "Notices received, by result."
 )
+_waited_s = metrics.histogram(
+    "mulberry_notice_wait_seconds",
+    "From the first placement of a notice until it left.",
+)
 
 
 _PendingKey = tuple[int, tuple[part_caches.HeldPart, ...]]
@@ -114,6 +122,7 @@
         self._told_at_s = float("-inf")
         self._pending: dict[str, dict[_PendingKey, codec.Placement]] = {}
         self._has_pending = gevent.event.Event()
+        self._pending_since_s: float | None = None
         self._on_notice: Callable[[codec.Notice], None] = lambda _: None
         self._loads: Callable[[str], tuple[codec.Load, ...]] = lambda _: ()
         self._demands: Callable[[], tuple[codec.Demand, ...]] = lambda: ()
@@ -226,6 +235,8 @@
             parts: Long parts that the engine holds now, in order.
             own_tokens: Other tokens that it holds now.
         """
+        if self._pending_since_s is None:
+            self._pending_since_s = self._clock.monotonic_s()
         key = codec.key_of_server(server.start), parts
         pending = self._pending.setdefault(server.availability_zone, {})
         before = pending.get(key)
@@ -243,9 +254,22 @@
             gevent.sleep(COLLECTING_S)
             pending, self._pending = self._pending, {}
             changing, self._changing = tuple(self._changing), []
+            since_s, self._pending_since_s = self._pending_since_s, None
             self._has_pending.clear()
             for zone, by_key in pending.items():
                 self._tell(zone, codec.fitting(by_key.values()), changing)
+                if since_s is not None:
+                    self._note_wait(since_s)
+
+    def _note_wait(self, since_s: float) -> None:
+        waited_s = self._clock.monotonic_s() - since_s
+        _waited_s.observe({}, waited_s)
+        if waited_s > LATE_S:
+            # At most as many lines as the budget lets notices leave.
+            logger.bind(
+                waited_s=round(waited_s, 3),
+                budget_bytes=round(self._bytes.level),
+            ).info("a notice left late: its bytes were not to be had before")
 
     def _tell(
         self,
