Reproduce late long prompts: notices that wait for their bytes, in virtual time

The model of three gateways goes without the budget: one gateway of it places four times the prompts of a real one.

--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -8,8 +8,9 @@
 ``python -m bench.prompt_play`` prints what callers got for each speed,
 ``--ablate`` what they get with each mechanism switched off, and ``--sizes``
 what they get in fleets of several sizes, with each way in which gateways know
-of engines switched off. A copy of cached parts takes no time here and streams
-don't slow readings down, so what these decide shows little.
+of engines switched off. Notices wait when their bytes are spent, as behind some
+seconds of load. A copy of cached parts takes no time here and streams don't
+slow readings down, so what these decide shows little.
 """
 
 import argparse
@@ -42,6 +43,7 @@
     part_caches,
     prompt_admission,
     prompt_placement,
+    token_bucket,
     usual_load,
 )
 from mulberrywharf.routes import kinds, table
@@ -88,6 +90,9 @@
         tells_all: Whether gateways tell each other of all work; otherwise of
             the work at engines of their zone, and how busy these are.
         engines_tell: Whether answers tell how many requests an engine runs.
+        notices_wait: Whether notices wait for the bytes that a gateway may
+            spend. Three gateways that place the prompts of a fleet would spend
+            more than its nine and more do, and play other matters.
     """
 
     gateways_count: int = GATEWAYS_COUNT
@@ -96,9 +101,10 @@
     decodes_count: int = DECODES_COUNT
     tells_all: bool = True
     engines_tell: bool = False
+    notices_wait: bool = True
 
 
-SMALL = Fleet()
+SMALL = Fleet(notices_wait=False)
 LARGE = Fleet(60, 3, 16, 29, tells_all=False, engines_tell=True)
 """As one operator's grown deployment: 20 gateways and 15 engines a zone."""
 
@@ -111,12 +117,20 @@
         part_tokens: Length of each of them.
         own_tokens: Mean length of what nobody shares.
         leaves_count: Different ends of chains.
+        short_share: Part of the prompts that are short and share nothing long.
+        short_tokens: Mean length of these.
     """
 
     chain_length: int = 2
     part_tokens: int = 2_500
     own_tokens: int = 5_000
     leaves_count: int = 60
+    short_share: float = 0.0
+    short_tokens: int = 2_000
+
+
+MIXED = Prompts(short_share=0.6)
+"""As one operator's grown deployment: reviews beside tags and chats."""
 
 
 class Outcome(NamedTuple):
@@ -248,6 +262,15 @@
         self.zone = f"zone-{sender % shape.zones_count}"
         self.account: engine_account.EngineAccount | None = None
         self.others: list[_Notices] = []
+        self._pending: dict[
+            str, dict[tuple[int, tuple[part_caches.HeldPart, ...]], Any]
+        ] = {}
+        self._is_sending = False
+        # As behind some seconds of load: what could be saved up is spent.
+        self._bytes = token_bucket.TokenBucket(
+            notices.SENT_BYTES_PER_S, notices.SENT_BURST_BYTES, timeline.now_s
+        )
+        self._bytes.take(notices.SENT_BURST_BYTES)
 
     def hears_of(self, server: fleet.Server) -> bool:
         return self._shape.tells_all or server.availability_zone == self.zone
@@ -259,20 +282,57 @@
         parts: tuple[part_caches.HeldPart, ...],
         own_tokens: int,
     ) -> None:
-        placement = codec.Placement(
-            codec.key_of_server(server.start), work_s, parts, own_tokens
+        key = codec.key_of_server(server.start), parts
+        pending = self._pending.setdefault(server.availability_zone, {})
+        before = pending.get(key, codec.Placement(key[0], 0.0, parts, 0))
+        pending[key] = before._replace(
+            work_s=before.work_s + work_s,
+            own_tokens=before.own_tokens + own_tokens,
         )
+        if not self._is_sending:
+            self._is_sending = True
+            at_s = self._timeline.now_s + notices.COLLECTING_S
+            self._timeline.at(at_s, self._send)
+
+    def _send(self, *_: object) -> None:
+        """Sends what is pending, one zone after the other."""
+        pending, self._pending = self._pending, {}
+        at_s = self._timeline.now_s
+        for zone, by_key in pending.items():
+            at_s = self._send_zone(zone, list(by_key.values()), at_s)
+        self._timeline.at(at_s, self._sent)
+
+    def _send_zone(
+        self, zone: str, placements: list[codec.Placement], at_s: float
+    ) -> float:
+        """Sends a notice as soon as its bytes are there; returns when."""
         assert self.account is not None
-        loads = self.account.loads.reported(server.availability_zone)
+        loads = self.account.loads.reported(zone)
         notice = codec.Notice(
             self._sender,
             1,
-            (placement,),
+            codec.fitting(placements),
             loads=loads[: codec.LOADS_LIMIT_COUNT],
         )
-        self._tell(
-            notice, [other for other in self.others if other.hears_of(server)]
+        whom = [
+            other
+            for other in self.others
+            if self._shape.tells_all or other.zone == zone
+        ]
+        cost = len(whom) * (
+            len(codec.encode(notice)) + notices.DATAGRAM_OVERHEAD_BYTES
         )
+        if self._shape.notices_wait:
+            at_s += self._bytes.wait_s(cost, at_s)
+            self._bytes.take(cost)
+        self._tell(notice, whom, at_s)
+        return at_s
+
+    def _sent(self, *_: object) -> None:
+        self._is_sending = bool(self._pending)
+        if self._is_sending:
+            at_s = self._timeline.now_s + notices.COLLECTING_S
+            self._timeline.at(at_s, self._send)
 
     def tell_zones(self, rng: random.Random) -> None:
         """Tells one gateway of each other zone how busy this zone is."""
@@ -288,13 +348,17 @@
         for other in self.others:
             if other.zone != self.zone:
                 by_zone[other.zone].append(other)
-        self._tell(told, [rng.choice(known) for known in by_zone.values()])
+        whom = [rng.choice(known) for known in by_zone.values()]
+        self._tell(told, whom, self._timeline.now_s)
 
-    def _tell(self, notice: codec.Notice, whom: "list[_Notices]") -> None:
-        at_s = self._timeline.now_s + NOTICE_DELAY_S
+    def _tell(
+        self, notice: codec.Notice, whom: "list[_Notices]", at_s: float
+    ) -> None:
         for other in whom:
             assert other.account is not None
-            self._timeline.at(at_s, other.account.on_notice, notice)
+            self._timeline.at(
+                at_s + NOTICE_DELAY_S, other.account.on_notice, notice
+            )
 
 
 class _Listed:
@@ -440,12 +504,18 @@
         )
 
     def _mean_reading(self) -> engine_speeds.ReadingTime:
+        """Returns what reading a long prompt takes, its shared parts held."""
         shared = self._prompts.chain_length * self._prompts.part_tokens
         return self._speed.reading(shared + self._prompts.own_tokens, shared)
 
     def _rate_per_s(self) -> float:
         prefills_count = self._shape.prefills_count
-        return LOAD_SHARE * prefills_count / self._mean_reading().work_s
+        short = self._speed.reading(self._prompts.short_tokens, 0)
+        short_share = self._prompts.short_share
+        work_s = (
+            1.0 - short_share
+        ) * self._mean_reading().work_s + short_share * short.work_s
+        return LOAD_SHARE * prefills_count / work_s
 
     def _target_s(self) -> float:
         return TARGET_IN_READINGS * self._mean_reading().total_s
@@ -523,6 +593,19 @@
 
     def _request(self, number: int, now_s: float) -> request.RoutedRequest:
         rng = random.Random(number)
+        if self._prompts.short_share > rng.random():
+            return self._wanted(number, now_s, self._short_parts(number, rng))
+        return self._wanted(number, now_s, self._long_parts(number, rng))
+
+    def _short_parts(
+        self, number: int, rng: random.Random
+    ) -> list[request.PromptPart]:
+        tokens = int(self._prompts.short_tokens * rng.uniform(0.3, 1.7))
+        return [request.PromptPart(f"own-{number}", tokens)]
+
+    def _long_parts(
+        self, number: int, rng: random.Random
+    ) -> list[request.PromptPart]:
         leaf = rng.randrange(self._prompts.leaves_count)
         names = [
             # The first parts are few, so that chains share their beginnings.
@@ -534,7 +617,11 @@
             request.PromptPart(name, self._prompts.part_tokens)
             for name in names
         ]
-        parts.append(request.PromptPart(f"own-{number}", own_tokens))
+        return [*parts, request.PromptPart(f"own-{number}", own_tokens)]
+
+    def _wanted(
+        self, number: int, now_s: float, parts: list[request.PromptPart]
+    ) -> request.RoutedRequest:
         tokens = sum(part.tokens for part in parts)
         return request.RoutedRequest(
             request_id=str(number),
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -39,7 +39,7 @@
 """A notice that waited for longer is logged: queues of a few tenths of a second
 have changed by then."""
 
-_DATAGRAM_OVERHEAD_BYTES = 28
+DATAGRAM_OVERHEAD_BYTES = 28
 """IP and UDP headers."""
 
 _sent_bytes = metrics.counter(
@@ -314,7 +314,7 @@
     def _send_to(
         self, peers: tuple[fleet.Address, ...], datagram: bytes
     ) -> None:
-        cost = len(peers) * (len(datagram) + _DATAGRAM_OVERHEAD_BYTES)
+        cost = len(peers) * (len(datagram) + DATAGRAM_OVERHEAD_BYTES)
         wait_s = self._bytes.wait_s(cost, self._clock.monotonic_s())
         if wait_s > 0:
             gevent.sleep(wait_s)
--- a/tests/test_prompt_play.py
+++ b/tests/test_prompt_play.py
@@ -64,13 +64,35 @@
         logger.disable("mulberrywharf")
         self.addCleanup(logger.enable, "mulberrywharf")
 
-    def play(self) -> prompt_play.Outcome:
+    def play(
+        self, prompts: prompt_play.Prompts | None = None
+    ) -> prompt_play.Outcome:
         return prompt_play.Play(
             prompt_play.SPEEDS["slow"],
-            prompt_play.Prompts(),
+            prompts or prompt_play.Prompts(),
             shape=prompt_play.LARGE,
         ).run(2_000)
 
+    def test_queues_are_known_within_what_notices_may_cost(self) -> None:
+        """Half of all long prompts come late on a fleet of 60 gateways.
+
+        Sequence: each placement is told to the 20 gateways of the engine's
+        zone, which takes three times the bytes that a gateway may spend; so
+        notices wait for a second and more, and each gateway sends to queues
+        that look empty. Short prompts are not told at all. Cause: what it
+        takes to tell a queue grew with the number of gateways, and what they
+        may spend did not.
+
+        Evidence: on a played day prefills of long prompts took 2.2 times what
+        was expected at engines of the own zone; with forty times the bytes
+        0.44 of them were in time instead of 0.33, and 0.55 with short prompts
+        told as well.
+        """
+        for prompts in (prompt_play.Prompts(), prompt_play.MIXED):
+            outcome = self.play(prompts)
+            with self.subTest(short_share=prompts.short_share):
+                self.assertGreater(outcome.in_time_share, 0.9)
+
     def test_streams_of_other_zones_are_left_in_peace(self) -> None:
         """Streams pause for longer than callers accept in a large fleet.
 
