Let callers of a gateway that starts wait for its first routes

What callers saw: behind a loss of power of all machines most of those who came in the next two seconds got nothing. Each caller was told to come back in half a second, to another gateway without routes.

Cause: a state that passes by itself within a second was answered like one that stays. Ruled out: the store (its rates are not reached, and each call answers), and the balancer (it sends to all when fewer than half are ready).

Change: such a caller waits for a third of its time, 1.5 s at the most; its body is read before, so it isn't taken for unread, and its leaving is noticed. Without routes by then it is refused as before. Red before: its test.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -26,6 +26,15 @@
 """For a caller that came before the routes: they are read within a second of
 the start if the store answers."""
 
+ROUTES_WAIT_LIMIT_S = 1.5
+"""How long a caller that came before the routes waits for them. They come
+within a second of a start as a rule; without them by then the store is away,
+which may last."""
+
+ROUTES_WAIT_SHARE = 1 / 3
+"""Part of its time that a caller waits for the routes at the most: what is left
+is enough for its answer, or for another gateway."""
+
 _answers_total = metrics.counter(
     "mulberry_routed_answers_total", "Answers to callers by route and result."
 )
@@ -127,30 +136,57 @@
 
     def _route(self, environ: _wsgi.Environ) -> _Routed:
         routes = self._routes.current()
+        if routes is None:
+            wanted = self._read(environ, self._listener.body_limit_bytes)
+            routes = self._first_routes(wanted, environ[listener.SOCKET_KEY])
+            route = _match(routes, environ)
+            _check_size(wanted, self._body_limit_bytes(routes))
+        else:
+            route = _match(routes, environ)
+            wanted = self._read(environ, self._body_limit_bytes(routes))
+        name = split.service_of(route, wanted.request_id)
+        service = routes.services.get(name) or table.Service(name, 1)
+        return _Routed(wanted, route, service)
+
+    def _first_routes(
+        self, wanted: request.RoutedRequest, sock: Any
+    ) -> table.RouteTable:
+        """Waits for the first routes of this node.
+
+        When all gateways start at once, the balancer sends callers also to
+        those that are not ready. Turned away at once, most of them failed,
+        although the routes came a moment later; they show as ``not-ready``
+        answers in the first second of a start.
+
+        Raises:
+            NotReadyError: They did not come while the caller could wait.
+            CallerGoneError: The caller did not wait.
+        """
+        left_s = wanted.deadline_s - self._clock.monotonic_s()
+        wait_s = min(ROUTES_WAIT_LIMIT_S, ROUTES_WAIT_SHARE * left_s)
+        watch = caller_watch.CallerWatch(sock)
+        watch.start()
+        try:
+            watch.expect()
+            routes = self._routes.wait_first(max(0.0, wait_s))
+        finally:
+            watch.close()
         if routes is None:
             raise errors.NotReadyError(
                 "this node has no routes yet",
                 retry_after_s=NOT_READY_RETRY_S,
                 advice="Try again; another entry VM may have them already.",
             )
-        target = environ[listener.TARGET_KEY]
-        host = environ.get("HTTP_HOST", "")
-        route = routes.match(host, target.partition("?")[0])
-        if route is None:
-            raise errors.UnknownTargetError("no route of this host and path")
-        wanted = self._read(environ, routes)
-        name = split.service_of(route, wanted.request_id)
-        service = routes.services.get(name) or table.Service(name, 1)
-        return _Routed(wanted, route, service)
+        return routes
+
+    def _body_limit_bytes(self, routes: table.RouteTable) -> int:
+        limits = routes.limits
+        return limits.body_bytes if limits else self._listener.body_limit_bytes
 
     def _read(
-        self, environ: _wsgi.Environ, routes: table.RouteTable
+        self, environ: _wsgi.Environ, body_limit_bytes: int
     ) -> request.RoutedRequest:
-        limits = routes.limits
-        body = caller_request.read_body(
-            environ,
-            limits.body_bytes if limits else self._listener.body_limit_bytes,
-        )
+        body = caller_request.read_body(environ, body_limit_bytes)
         read = self._dialect.read(
             method=environ["REQUEST_METHOD"],
             target=environ[listener.TARGET_KEY],
@@ -206,6 +242,22 @@
         )
 
 
+def _match(routes: table.RouteTable, environ: _wsgi.Environ) -> table.Route:
+    target = environ[listener.TARGET_KEY]
+    host = environ.get("HTTP_HOST", "")
+    route = routes.match(host, target.partition("?")[0])
+    if route is None:
+        raise errors.UnknownTargetError("no route of this host and path")
+    return route
+
+
+def _check_size(wanted: request.RoutedRequest, limit_bytes: int) -> None:
+    if len(wanted.body) > limit_bytes:
+        raise errors.RequestTooLargeError(
+            f"the body exceeds {limit_bytes} bytes"
+        )
+
+
 @singledispatch
 def _answer_by_kind(
     kind: kinds.RequestKind,
--- a/src/mulberrywharf/routes/follower.py
+++ b/src/mulberrywharf/routes/follower.py
@@ -86,6 +86,15 @@
         """Returns the routes in force, None before the first."""
         return self._table
 
+    def wait_first(self, limit_s: float) -> table.RouteTable | None:
+        """Returns the routes in force, once there are any.
+
+        Args:
+            limit_s: None is returned if there are none by then.
+        """
+        self._known.wait(limit_s)
+        return self._table
+
     def on_change(self, callback: Callable[[table.RouteTable], None]) -> None:
         """Calls back with each new version, from the watch's greenlet."""
         self._callbacks.append(callback)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import tempfile
+import time
 import unittest
 from collections.abc import Iterator
 from typing import Any
@@ -248,6 +249,17 @@
         for one in asked:
             self.assertEqual(one.get(timeout=5).status, 200)
 
+    def test_it_is_told_at_a_third_of_its_time_that_there_are_none(
+        self,
+    ) -> None:
+        self.start()
+        began_s = time.monotonic()
+        answer = self.ask("/safe/x")
+        took_s = time.monotonic() - began_s
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(took_s, 0.8)
+        self.assertLess(took_s, 1.5)
+
 
 class SignalTest(GatewayCase):
     def test_a_stop_cuts_nothing(self) -> None:
