Check that a datagram is whole before the library reads it

What happens: some datagrams abort the gateway's process, 'terminate called after throwing an instance of kj::ExceptionImpl'. The library throws while it cleans up behind a packed message that ends early, which nothing can catch.

Change: a datagram carries 32 bits of checksum over its kind and body, four bytes of some sixty, and only what a gateway has encoded gets to the library. The test sends such a datagram, and 6,000 damaged ones; without the checksum it aborts the test's own process.

--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -4,6 +4,7 @@
 from typing import Literal, Protocol
 
 import gevent
+import xxhash
 from gevent import socket
 from loguru import logger
 
@@ -18,10 +19,12 @@
 eight peers, seven times a second, for ten seconds."""
 
 DATAGRAM_LIMIT_BYTES = 1_472
-"""What a datagram carries unfragmented, its kind included."""
+"""What a datagram carries unfragmented, its kind and checksum included."""
 
-DATAGRAM_OVERHEAD_BYTES = 29
-"""IP and UDP headers, and the byte that names the kind."""
+_CHECKSUM_BYTES = 4
+
+DATAGRAM_OVERHEAD_BYTES = 28 + 1 + _CHECKSUM_BYTES
+"""IP and UDP headers, the byte that names the kind, and the checksum."""
 
 _PAUSE_BEHIND_ERROR_S = 0.002
 
@@ -132,14 +135,20 @@
         if not self._peers.knows(source.ip):
             _received.inc({"result": "unknown-sender"})
             return
-        take = self._takers.get(datagram[:1])
-        is_read = take is not None and take(datagram[1:], source)
+        kind, body = datagram[:1], datagram[1 + _CHECKSUM_BYTES :]
+        take = self._takers.get(kind)
+        # Some bytes end the whole process in the library that reads them, by
+        # an exception that it throws while it cleans up. Only what a gateway
+        # has encoded gets there.
+        is_whole = datagram == seal(kind, body)
+        is_read = take is not None and is_whole and take(body, source)
         _received.inc({"result": "ok" if is_read else "malformed"})
 
 
 def seal(kind: bytes, body: bytes) -> bytes:
     """Returns what is sent of a datagram of a kind."""
-    return kind + body
+    checksum = xxhash.xxh32_digest(kind + body)
+    return kind + checksum + body
 
 
 def _cost(datagram: bytes, peers_count: int) -> int:
--- a/tests/test_queue_owners.py
+++ b/tests/test_queue_owners.py
@@ -1,5 +1,6 @@
 """Who keeps the queue of an engine, and how the others ask."""
 
+import random
 import unittest
 from collections.abc import Mapping
 
@@ -32,6 +33,10 @@
 )
 
 
+ABORTING = bytes.fromhex("010650010101ba10031103015109020107a086ae")
+"""A question with some bytes changed, on which the library aborts."""
+
+
 class CodecTest(unittest.TestCase):
     def test_round_trip(self) -> None:
         for message in MESSAGES:
@@ -200,6 +205,31 @@
                 sock.sendto(datagrams.seal(b"q", answer), tuple(self.asker_at))
             self.assertEqual(asking.get(), {})
 
+    def test_damaged_datagrams_end_no_gateway(self) -> None:
+        """A gateway's process is aborted by one datagram.
+
+        Sequence: bytes of a datagram are changed on the way, or a gateway of
+        another version sends its own. Cause: the library throws while it
+        cleans up behind some of them, which nothing can catch.
+        """
+        rng = random.Random(1)
+        with socket.socket(type=socket.SOCK_DGRAM) as sock:
+            sock.sendto(b"q" + ABORTING, tuple(self.keeper_at))
+            for number in range(3_000):
+                sealed = datagrams.seal(
+                    b"q", queue_codec.encode(MESSAGES[number % len(MESSAGES)])
+                )
+                damaged = bytearray(sealed)
+                for _ in range(rng.randrange(1, 5)):
+                    place = rng.randrange(len(damaged))
+                    damaged[place] = rng.randrange(256)
+                sock.sendto(bytes(damaged), tuple(self.keeper_at))
+                sock.sendto(
+                    rng.randbytes(rng.randrange(40)), tuple(self.keeper_at)
+                )
+                gevent.sleep(0)
+        self.assertEqual(self.told_s(), 0.0)
+
     def test_questions_fill_no_memory(self) -> None:
         with socket.socket(type=socket.SOCK_DGRAM) as sock:
             for first in range(0, 3 * queue_owners.QUEUES_LIMIT_COUNT, 16):
