Find owners of queues once, and put told waits into plans that exist

Cause, by profile: each prompt made all of its plans two or three times, asked for the owner of some hundred engines, each by hashing twenty gateways (25 microseconds), and a book entry was made for each look-up and thrown away.

Change: owners are remembered until the gateways change (0.5 microseconds), told waits shift the cost of plans that exist, and entries are made once.

--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Mapping
-from typing import NamedTuple
 
 from loguru import logger
 
@@ -17,7 +16,6 @@
 )
 from mulberrywharf.peers import queue_owners
 from mulberrywharf.policy import (
-    engine_speeds,
     part_caches,
     part_homes,
     prompt_admission,
@@ -30,34 +28,6 @@
 server list comes within a heartbeat of the servers, about a second."""
 
 
-class _Candidates(NamedTuple):
-    """The engines that a prompt may go to."""
-
-    shape: prompt_placement.PromptShape
-    speeds: engine_speeds.Speeds
-    prefills: list[prompt_placement.EngineView]
-    decodes: list[prompt_placement.EngineView]
-
-    def plans(self) -> list[prompt_placement.Plan]:
-        """Returns every way to serve the prompt, the best first."""
-        return prompt_placement.plans(
-            self.shape, self.speeds, self.prefills, self.decodes
-        )
-
-    def servers(self) -> list[fleet.Server]:
-        """Returns the engines that may read the prompt."""
-        return [view.server for view in (*self.prefills, *self.decodes)]
-
-    def with_waits(
-        self, told: Mapping[fleet.ServerStart, queue_owners.ToldWait]
-    ) -> "_Candidates":
-        """Returns the engines with the waits that were told of some."""
-        return self._replace(
-            prefills=[_with_wait(view, told) for view in self.prefills],
-            decodes=[_with_wait(view, told) for view in self.decodes],
-        )
-
-
 class EnginePool:
     """Chooses where prompts go, or refuses them."""
 
@@ -109,10 +79,9 @@
             NoEngineError: No engine is left.
             OverloadedError: Its answer would be of no use.
         """
-        candidates = self._candidates(wanted, service, excluded)
-        plans = candidates.plans()
+        plans = self._plans(wanted, service, excluded)
         if wanted.prompt is not None and service.engine is not None:
-            plans = self._plans_by_counts(candidates, plans, route.priority)
+            plans = self._with_true_waits(plans, route.priority)
         if not plans:
             raise errors.NoEngineError(
                 f"no engine of {service.name} is left to try",
@@ -202,17 +171,15 @@
             retry_after_s=refusal.retry_after_s,
         )
 
-    def _plans_by_counts(
-        self,
-        candidates: "_Candidates",
-        plans: list[prompt_placement.Plan],
-        priority: int,
+    def _with_true_waits(
+        self, plans: list[prompt_placement.Plan], priority: int
     ) -> list[prompt_placement.Plan]:
         """Returns the plans by the true queues of the best engines.
 
         Where this node doesn't hear of all work, the engine that looks best is
-        the one whose queue it knows least of. So the best few are asked about,
-        and once more the best one if it was none of them.
+        the one whose queue it knows least of. So the owners of the best few
+        queues are asked, and once more that of the best one if it was none of
+        them.
         """
         asked_count = self._account.asked_count
         if not asked_count:
@@ -226,14 +193,15 @@
                 break
             owners = self._owners(plans, count)
             asked |= owners
-            engines = [
-                server
-                for server in candidates.servers()
-                if self._account.owner(server) in owners
-            ]
-            told = self._account.told_waits(engines, priority)
-            candidates = candidates.with_waits(told)
-            plans = candidates.plans()
+            readers = {plan.reader.server for plan in plans}
+            told = self._account.told_waits(
+                [one for one in readers if self._account.owner(one) in owners],
+                priority,
+            )
+            plans = sorted(
+                (_with_wait(plan, told) for plan in plans),
+                key=lambda plan: plan.cost,
+            )
         return plans
 
     def _owners(
@@ -247,19 +215,19 @@
                 break
         return found
 
-    def _candidates(
+    def _plans(
         self,
         wanted: request.RoutedRequest,
         service: table.Service,
         excluded: frozenset[fleet.ServerStart],
-    ) -> "_Candidates":
+    ) -> list[prompt_placement.Plan]:
         usable = self._usable(service, excluded)
         parts = prompt_parts.chain_of(wanted.prompt)
         prefills = [one for one in usable if one.role == "prefill"]
         decodes = [one for one in usable if one.role != "prefill"]
         if service.engine is None or wanted.prompt is None:
             prefills = []
-        return _Candidates(
+        return prompt_placement.plans(
             _shape(wanted, service, parts),
             self._account.speeds(service.name),
             self._views(
@@ -341,16 +309,17 @@
 
 
 def _with_wait(
-    view: prompt_placement.EngineView,
+    plan: prompt_placement.Plan,
     told: Mapping[fleet.ServerStart, queue_owners.ToldWait],
-) -> prompt_placement.EngineView:
-    wait = told.get(view.server.start)
+) -> prompt_placement.Plan:
+    reader = plan.reader
+    wait = told.get(reader.server.start)
     if wait is None:
-        return view
-    wait_s = wait.wait_s + view.slot_wait_s
+        return plan
+    wait_s = wait.wait_s + reader.slot_wait_s
     if not wait.is_whole:
-        wait_s = max(wait_s, view.wait_s)
-    return view._replace(wait_s=wait_s, told_wait_s=wait.wait_s)
+        wait_s = max(wait_s, reader.wait_s)
+    return plan.with_wait(wait_s, wait.wait_s)
 
 
 def _shape(
--- a/src/mulberrywharf/forwarding/server_book.py
+++ b/src/mulberrywharf/forwarding/server_book.py
@@ -279,4 +279,7 @@
         return known[(len(known) - 1) // 2] if known else None
 
     def _entry(self, start: fleet.ServerStart) -> _Entry:
-        return self._entries.setdefault(start, _Entry())
+        entry = self._entries.get(start)
+        if entry is None:
+            entry = self._entries[start] = _Entry()
+        return entry
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -43,6 +43,11 @@
 availability zone are told of work that it gets: a notice to each of 80 would
 cost five times what a node may send."""
 
+_OWNERS_LIMIT_COUNT = 5_000
+"""Owners of queues that are remembered. A prompt asks for those of all engines,
+and choosing one hashes all gateways of a zone. Engines come and go, so there
+are more than the fleet has."""
+
 _PORT_LIMIT = 65_535
 _RETRY_BASE_S = 1.0
 _RETRY_LIMIT_S = 8.0
@@ -88,6 +93,7 @@
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
         self._by_vm: dict[str, _Registration] = {}
+        self._owners: dict[tuple[int, str, int, str], fleet.Address | None] = {}
         self._following: gevent.Greenlet | None = None
         self._lease: lease.LeaseHolder | None = None
         self._registering: gevent.Greenlet | None = None
@@ -181,6 +187,20 @@
                 kind.
             kind: Of the engine; each is kept by other gateways.
         """
+        wanted = engine_key, availability_zone, owners_count, kind
+        if wanted not in self._owners:
+            if len(self._owners) >= _OWNERS_LIMIT_COUNT:
+                self._owners.clear()
+            self._owners[wanted] = self._choose_owner(*wanted)
+        return self._owners[wanted]
+
+    def _choose_owner(
+        self,
+        engine_key: int,
+        availability_zone: str,
+        owners_count: int,
+        kind: str,
+    ) -> fleet.Address | None:
         among: dict[str, fleet.Address | None] = {
             vm_id: found.address
             for vm_id, found in self._by_vm.items()
@@ -278,6 +298,7 @@
         if by_vm == self._by_vm:
             return
         self._by_vm = by_vm
+        self._owners.clear()
         _peers_gauge.set({}, len(by_vm))
         logger.bind(peers=sorted(by_vm)).info(
             "peers changed, {} known", len(by_vm)
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -148,6 +148,22 @@
         """The engine that reads the prompt."""
         return self.prefill or self.decode
 
+    def with_wait(self, wait_s: float, told_wait_s: float) -> "Plan":
+        """Returns the plan with another wait of its reader.
+
+        Args:
+            wait_s: See ``EngineView``.
+            told_wait_s: See ``EngineView``.
+        """
+        longer_s = wait_s - self.reader.wait_s
+        reader = self.reader._replace(wait_s=wait_s, told_wait_s=told_wait_s)
+        return self._replace(
+            decode=self.decode if self.prefill else reader,
+            prefill=reader if self.prefill else None,
+            first_token_s=self.first_token_s + longer_s,
+            cost=self.cost + longer_s,
+        )
+
 
 class _Reading(NamedTuple):
     """How an engine gets at a prompt."""
