--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -18,7 +18,12 @@
     server_book,
     time_limits,
 )
-from mulberrywharf.peers import codec, datagrams
+from mulberrywharf.peers import (
+    codec,
+    datagrams,
+    queue_codec,
+    queue_owners,
+)
 from mulberrywharf.policy import part_caches
 from mulberrywharf.routes import kinds, table
 
@@ -146,6 +151,28 @@
     datagram = codec.encode(codec.Notice(1, 1, placements))
     notice_bytes = len(datagram) + datagrams.DATAGRAM_OVERHEAD_BYTES
     print(f"one notice of a handed over prompt: {notice_bytes} bytes a peer")
+    print(f"owners of queues: {_queue_bytes()} bytes a prompt")
+
+
+def _queue_bytes() -> dict[str, int]:
+    """Returns what owners of queues cost for one prompt, by who sends it."""
+    keys = tuple(range(2**31, 2**31 + queue_owners.ENGINES_PER_OWNER_COUNT))
+    waits = tuple(queue_codec.EngineWait(key, 0.25, 60.0) for key in keys)
+    asker = [queue_codec.Ask(2**20, 2, keys)] * queue_owners.ASKED_COUNT
+    owner = [queue_codec.Waits(2**20, waits)] * queue_owners.ASKED_COUNT
+    told = [
+        queue_codec.Work(keys[0], 2**31, 2**20, "placed", 2, 0.125),
+        queue_codec.Work(keys[0], 2**31, 2**20, "read"),
+    ]
+    return {
+        "asker": sum(map(_datagram_bytes, [*asker, *told])),
+        "owners": sum(map(_datagram_bytes, owner)),
+    }
+
+
+def _datagram_bytes(message: queue_codec.QueueMessage) -> int:
+    encoded = queue_codec.encode(message)
+    return len(encoded) + datagrams.DATAGRAM_OVERHEAD_BYTES
 
 
 if __name__ == "__main__":
