Let owners of queues tell what their engines hold of a prompt

Prompts go where the queue is short; parts are told by notices, which wait for their bytes, and each gateway counted each of its short prompts for all 61, which dropped an engine's parts from its account after three of them.

Change: a prompt's long shared parts go to the owner of the engine's queue with its placing, and the answer to a question says how many of them the engine holds; an owner that has counted for less than 10 s can only add to what the asker believes. Short prompts are no longer counted for all where each is told. Parts are read where the plan says that they are held, so plans of prompts with such parts are made anew with what was told.

--- a/src/mulberrywharf/forwarding/engine_account.py
+++ b/src/mulberrywharf/forwarding/engine_account.py
@@ -285,15 +285,19 @@
         )
 
     def told_waits(
-        self, engines: Sequence[fleet.Server], priority: int
+        self,
+        engines: Sequence[fleet.Server],
+        priority: int,
+        part_keys: tuple[int, ...],
     ) -> Mapping[fleet.ServerStart, queue_owners.ToldWait]:
         """Asks how long a prompt would wait at engines, and believes it.
 
         Args:
             engines: The engines.
             priority: Of the prompt, 0 is read first.
+            part_keys: Of its long shared parts, in order.
         """
-        told = self._counted.waits(engines, priority)
+        told = self._counted.waits(engines, priority, part_keys)
         now_s = self._clock.monotonic_s()
         for start, wait in told.items():
             if wait.is_whole:
@@ -322,8 +326,13 @@
         if service.engine is None or wanted.prompt is None:
             return Placed(plan, ticket, is_in_order=False)
         if self._counted.is_used:
+            told = prompt_parts.told(prompt_parts.chain_of(wanted.prompt))
             counted = self._counted.placed(
-                plan.reader.server, work_s, min(priority, LEAST_PRIORITY)
+                plan.reader.server,
+                work_s,
+                min(priority, LEAST_PRIORITY),
+                told,
+                wanted.prompt.tokens - sum(part.tokens for part in told),
             )
             # Peers are told of the parts; notices are late by seconds in a
             # large fleet, when the work is done.
@@ -457,7 +466,7 @@
         self.demand.on_notice(notice)
         for placement in notice.placements:
             server = self._server_by_key.get(placement.engine_key)
-            if server is None:
+            if server is None or self._keeps(server):
                 continue
             if placement.work_s > 0:
                 self._queues.add(server.start, placement.work_s, now_s)
@@ -472,6 +481,45 @@
                     server.start, placement.parts, memory_tokens
                 )
 
+    def _keeps(self, server: fleet.Server) -> bool:
+        """Tells whether this node is told of each prompt at an engine."""
+        return self._counted.is_used and self._counted.owner(server) is None
+
+    def note_counted(
+        self,
+        engine_key: int,
+        parts: tuple[part_caches.HeldPart, ...],
+        own_tokens: int,
+    ) -> None:
+        """Takes in what another gateway's prompt leaves at an engine.
+
+        Args:
+            engine_key: See ``codec.key_of_server``.
+            parts: Its long shared parts, in order.
+            own_tokens: Its other tokens.
+        """
+        server = self._server_by_key.get(engine_key)
+        if server is None:
+            return
+        memory_tokens = self._memory_tokens(server.service)
+        self._caches.note_own(server.start, own_tokens, memory_tokens)
+        self._caches.note_read(server.start, parts, memory_tokens)
+
+    def held_count(self, engine_key: int, part_keys: Sequence[int]) -> int:
+        """Returns how many of a prompt's parts an engine holds.
+
+        Args:
+            engine_key: See ``codec.key_of_server``.
+            part_keys: Of the parts, in order; who holds one holds all before.
+        """
+        server = self._server_by_key.get(engine_key)
+        if server is None:
+            return 0
+        for count in range(len(part_keys), 0, -1):
+            if self._caches.holds(server.start, part_keys[count - 1]):
+                return count
+        return 0
+
     def _sent(
         self,
         server: fleet.Server,
@@ -501,6 +549,8 @@
         told = prompt_parts.told(parts)
         if not told:
             self._caches.note_read(engine.start, held, memory_tokens)
+            if self._counted.is_used:
+                return False
             # Short prompts are many and spread evenly over the gateways, so
             # each counts its own for all instead of telling them.
             others_count = self._notices.gateways_count - 1
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -16,6 +17,7 @@
 )
 from mulberrywharf.peers import queue_owners
 from mulberrywharf.policy import (
+    engine_speeds,
     part_caches,
     part_homes,
     prompt_admission,
@@ -28,6 +30,37 @@
 server list comes within a heartbeat of the servers, about a second."""
 
 
+class _Candidates(NamedTuple):
+    """The engines that a prompt may go to."""
+
+    shape: prompt_placement.PromptShape
+    speeds: engine_speeds.Speeds
+    prefills: list[prompt_placement.EngineView]
+    decodes: list[prompt_placement.EngineView]
+
+    def plans(self) -> list[prompt_placement.Plan]:
+        """Returns every way to serve the prompt, the best first."""
+        return prompt_placement.plans(
+            self.shape, self.speeds, self.prefills, self.decodes
+        )
+
+    def with_told(
+        self,
+        told: Mapping[fleet.ServerStart, queue_owners.ToldWait],
+        parts: tuple[part_caches.ChainPart, ...],
+    ) -> "_Candidates":
+        """Returns the engines with what was told of some of them.
+
+        Args:
+            told: By engine.
+            parts: Those that were asked about.
+        """
+        return self._replace(
+            prefills=[_with_told(view, told, parts) for view in self.prefills],
+            decodes=[_with_told(view, told, parts) for view in self.decodes],
+        )
+
+
 class EnginePool:
     """Chooses where prompts go, or refuses them."""
 
@@ -79,9 +112,12 @@
             NoEngineError: No engine is left.
             OverloadedError: Its answer would be of no use.
         """
-        plans = self._plans(wanted, service, excluded)
+        candidates = self._candidates(wanted, service, excluded)
+        plans = candidates.plans()
         if wanted.prompt is not None and service.engine is not None:
-            plans = self._with_true_waits(plans, route.priority)
+            plans = self._with_told_waits(
+                candidates, plans, route.priority, wanted.prompt
+            )
         if not plans:
             raise errors.NoEngineError(
                 f"no engine of {service.name} is left to try",
@@ -171,10 +207,14 @@
             retry_after_s=refusal.retry_after_s,
         )
 
-    def _with_true_waits(
-        self, plans: list[prompt_placement.Plan], priority: int
+    def _with_told_waits(
+        self,
+        candidates: _Candidates,
+        plans: list[prompt_placement.Plan],
+        priority: int,
+        prompt: request.Prompt,
     ) -> list[prompt_placement.Plan]:
-        """Returns the plans by the true queues of the best engines.
+        """Returns the plans by what the owners of the best queues tell.
 
         Where this node doesn't hear of all work, the engine that looks best is
         the one whose queue it knows least of. So the owners of the best few
@@ -184,12 +224,12 @@
         asked_count = self._account.asked_count
         if not asked_count:
             return plans
+        parts = prompt_parts.told_chain(prompt_parts.chain_of(prompt))
+        keys = tuple(part.held.key for part in parts)
         asked: set[fleet.Address | None] = set()
         for count in (asked_count, 1):
-            if (
-                not plans
-                or self._account.owner(plans[0].reader.server) in asked
-            ):
+            best = plans[0].reader.server if plans else None
+            if best is None or self._account.owner(best) in asked:
                 break
             owners = self._owners(plans, count)
             asked |= owners
@@ -197,11 +237,13 @@
             told = self._account.told_waits(
                 [one for one in readers if self._account.owner(one) in owners],
                 priority,
+                keys,
             )
-            plans = sorted(
-                (_with_wait(plan, told) for plan in plans),
-                key=lambda plan: plan.cost,
-            )
+            if parts:
+                candidates = candidates.with_told(told, parts)
+                plans = candidates.plans()
+            else:
+                plans = _by_waits(plans, told)
         return plans
 
     def _owners(
@@ -215,19 +257,19 @@
                 break
         return found
 
-    def _plans(
+    def _candidates(
         self,
         wanted: request.RoutedRequest,
         service: table.Service,
         excluded: frozenset[fleet.ServerStart],
-    ) -> list[prompt_placement.Plan]:
+    ) -> _Candidates:
         usable = self._usable(service, excluded)
         parts = prompt_parts.chain_of(wanted.prompt)
         prefills = [one for one in usable if one.role == "prefill"]
         decodes = [one for one in usable if one.role != "prefill"]
         if service.engine is None or wanted.prompt is None:
             prefills = []
-        return prompt_placement.plans(
+        return _Candidates(
             _shape(wanted, service, parts),
             self._account.speeds(service.name),
             self._views(
@@ -308,18 +350,63 @@
         ).info("placed")
 
 
-def _with_wait(
-    plan: prompt_placement.Plan,
+def _by_waits(
+    plans: list[prompt_placement.Plan],
+    told: Mapping[fleet.ServerStart, queue_owners.ToldWait],
+) -> list[prompt_placement.Plan]:
+    """Returns the plans with the waits that were told, the best first.
+
+    For a prompt without long parts; whatever else is told changes nothing.
+    """
+    found = []
+    for plan in plans:
+        wait = told.get(plan.reader.server.start)
+        if wait is None:
+            found.append(plan)
+        else:
+            wait_s = _told_wait_s(plan.reader, wait)
+            found.append(plan.with_wait(wait_s, wait.wait_s))
+    return sorted(found, key=lambda plan: plan.cost)
+
+
+def _with_told(
+    view: prompt_placement.EngineView,
     told: Mapping[fleet.ServerStart, queue_owners.ToldWait],
-) -> prompt_placement.Plan:
-    reader = plan.reader
-    wait = told.get(reader.server.start)
+    parts: tuple[part_caches.ChainPart, ...],
+) -> prompt_placement.EngineView:
+    wait = told.get(view.server.start)
     if wait is None:
-        return plan
-    wait_s = wait.wait_s + reader.slot_wait_s
-    if not wait.is_whole:
-        wait_s = max(wait_s, reader.wait_s)
-    return plan.with_wait(wait_s, wait.wait_s)
+        return view
+    return view._replace(
+        wait_s=_told_wait_s(view, wait),
+        told_wait_s=wait.wait_s,
+        cached_tokens=_told_cached_tokens(view, wait, parts),
+    )
+
+
+def _told_wait_s(
+    view: prompt_placement.EngineView, wait: queue_owners.ToldWait
+) -> float:
+    wait_s = wait.wait_s + view.slot_wait_s
+    return wait_s if wait.is_whole else max(wait_s, view.wait_s)
+
+
+def _told_cached_tokens(
+    view: prompt_placement.EngineView,
+    wait: queue_owners.ToldWait,
+    parts: tuple[part_caches.ChainPart, ...],
+) -> int:
+    """Returns the leading tokens that an engine holds, by what was told.
+
+    Parts that are too short to be asked about are believed held as before.
+    """
+    if wait.held_count:
+        held_tokens = parts[min(wait.held_count, len(parts)) - 1].end_tokens
+        return max(held_tokens, view.cached_tokens)
+    if not wait.knows_parts:
+        return view.cached_tokens
+    before_tokens = parts[0].end_tokens - parts[0].held.tokens
+    return min(view.cached_tokens, before_tokens)
 
 
 def _shape(
--- a/src/mulberrywharf/forwarding/prompt_parts.py
+++ b/src/mulberrywharf/forwarding/prompt_parts.py
@@ -36,13 +36,18 @@
 def told(
     parts: tuple[part_caches.ChainPart, ...],
 ) -> tuple[part_caches.HeldPart, ...]:
-    """Returns the shared parts that are worth an account of their own.
+    """Returns the shared parts that are worth an account of their own."""
+    return tuple(part.held for part in told_chain(parts))
+
+
+def told_chain(
+    parts: tuple[part_caches.ChainPart, ...],
+) -> tuple[part_caches.ChainPart, ...]:
+    """Returns the same with where in the prompt they end.
 
     The others together take less time to read than one placement to tell.
     """
-    long = [
-        part.held for part in parts[:-1] if part.held.tokens >= TOLD_PART_TOKENS
-    ]
-    by_length = sorted(long, key=lambda part: part.tokens, reverse=True)
+    long = [part for part in parts[:-1] if part.held.tokens >= TOLD_PART_TOKENS]
+    by_length = sorted(long, key=lambda part: part.held.tokens, reverse=True)
     kept = set(by_length[:TOLD_PARTS_LIMIT_COUNT])
     return tuple(part for part in long if part in kept)
--- a/src/mulberrywharf/forwarding/queue_accounts.py
+++ b/src/mulberrywharf/forwarding/queue_accounts.py
@@ -5,6 +5,7 @@
 
 from mulberrywharf import fleet
 from mulberrywharf.peers import queue_owners
+from mulberrywharf.policy import part_caches
 
 
 class QueueAccounts(Protocol):
@@ -29,13 +30,21 @@
         ...
 
     def waits(
-        self, engines: Sequence[fleet.Server], priority: int
+        self,
+        engines: Sequence[fleet.Server],
+        priority: int,
+        part_keys: tuple[int, ...] = (),
     ) -> Mapping[fleet.ServerStart, queue_owners.ToldWait]:
         """Returns how long a prompt would wait at engines that are known."""
         ...
 
     def placed(
-        self, server: fleet.Server, work_s: float, priority: int
+        self,
+        server: fleet.Server,
+        work_s: float,
+        priority: int,
+        parts: tuple[part_caches.HeldPart, ...] = (),
+        own_tokens: int = 0,
     ) -> queue_owners.Ticket:
         """Counts a prompt in."""
         ...
@@ -66,9 +75,7 @@
         """Knows nothing."""
         return {}
 
-    def placed(
-        self, server: fleet.Server, work_s: float, priority: int
-    ) -> queue_owners.Ticket:
+    def placed(self, server: fleet.Server, *_: Any) -> queue_owners.Ticket:
         """Counts nothing."""
         return queue_owners.Ticket(server, 0)
 
--- a/src/mulberrywharf/peers/queue.capnp
+++ b/src/mulberrywharf/peers/queue.capnp
@@ -14,6 +14,7 @@
   number @0 :UInt32;         # repeated in the answer
   priority @1 :UInt8;        # of the prompt that is to be placed
   engines @2 :List(UInt32);  # hashes of engines and their starts
+  parts @3 :List(UInt64);    # long shared parts of the prompt, in order
 }
 
 struct Waits {
@@ -25,6 +26,7 @@
   engine @0 :UInt32;
   waitMs @1 :UInt16;   # until the engine reads the prompt
   knownMs @2 :UInt16;  # for how long all of the engine's work is counted
+  heldCount @3 :UInt8; # of the prompt's parts, from the first one on
 }
 
 struct Work {
@@ -34,6 +36,8 @@
   priority @3 :UInt8;
   matter @4 :Matter;
   workUs @5 :UInt32;    # what reading takes, of placed ones
+  parts @6 :List(Part); # long shared parts, in order, of placed ones
+  ownTokens @7 :UInt32; # its other tokens
 
   enum Matter {
     placed @0;
@@ -41,3 +45,8 @@
     withdrawn @2;
   }
 }
+
+struct Part {
+  key @0 :UInt64;         # hash of the part and all before it
+  tokens @1 :UInt32;
+}
--- a/src/mulberrywharf/peers/queue_codec.py
+++ b/src/mulberrywharf/peers/queue_codec.py
@@ -8,10 +8,14 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import errors
+from mulberrywharf.policy import part_caches
 
 ENGINES_LIMIT_COUNT = 16
 """Engines in one question; a gateway keeps the queues of a few."""
 
+PARTS_LIMIT_COUNT = 4
+"""Parts of one prompt in one message, as many as notices tell."""
+
 _UINT16_LIMIT = 0xFFFF
 _MS_PER_S = 1000.0
 _US_PER_S = 1e6
@@ -27,17 +31,19 @@
 
 
 class Ask(NamedTuple):
-    """How long would a prompt wait at these engines?
+    """How long would a prompt wait at these engines, and what do they hold?
 
     Attributes:
         number: Repeated in the answer.
         priority: Of the prompt, 0 is read first.
         engine_keys: See ``codec.key_of_server``.
+        part_keys: Of the prompt's long shared parts, in order.
     """
 
     number: int
     priority: int
     engine_keys: tuple[int, ...]
+    part_keys: tuple[int, ...] = ()
 
 
 class EngineWait(NamedTuple):
@@ -48,11 +54,14 @@
         wait_s: Until the engine reads it.
         known_s: For how long all of the engine's work has been counted. What
             was placed before that is not in ``wait_s``.
+        held_count: How many of the prompt's parts the engine holds, from the
+            first one on.
     """
 
     engine_key: int
     wait_s: float
     known_s: float
+    held_count: int = 0
 
 
 class Waits(NamedTuple):
@@ -77,6 +86,8 @@
         matter: What became of it.
         priority: Of the prompt, 0 is read first.
         work_s: What reading it takes; of placed ones only.
+        parts: Its long shared parts, in order; of placed ones only.
+        own_tokens: Its other tokens; of placed ones only.
     """
 
     engine_key: int
@@ -85,6 +96,8 @@
     matter: WorkMatter
     priority: int = 0
     work_s: float = 0.0
+    parts: tuple[part_caches.HeldPart, ...] = ()
+    own_tokens: int = 0
 
 
 QueueMessage = Ask | Waits | Work
@@ -108,6 +121,7 @@
     ask.number = message.number
     ask.priority = message.priority
     ask.engines = list(message.engine_keys[:ENGINES_LIMIT_COUNT])
+    ask.parts = list(message.part_keys[:PARTS_LIMIT_COUNT])
 
 
 @_fill.register
@@ -119,6 +133,7 @@
         told.engine = wait.engine_key
         told.waitMs = _ms(wait.wait_s)
         told.knownMs = _ms(wait.known_s)
+        told.heldCount = wait.held_count
 
 
 @_fill.register
@@ -130,6 +145,14 @@
     work.matter = message.matter
     work.priority = message.priority
     work.workUs = int(message.work_s * _US_PER_S)
+    work.ownTokens = message.own_tokens
+    parts = message.parts[:PARTS_LIMIT_COUNT]
+    if not parts:
+        # Without a list it takes no pointer.
+        return
+    for told, part in zip(work.init("parts", len(parts)), parts, strict=True):
+        told.key = part.key
+        told.tokens = part.tokens
 
 
 def _ms(seconds: float) -> int:
@@ -155,7 +178,9 @@
 
 
 def _ask(wire: Any) -> Ask:
-    return Ask(wire.number, wire.priority, tuple(wire.engines))
+    return Ask(
+        wire.number, wire.priority, tuple(wire.engines), tuple(wire.parts)
+    )
 
 
 def _waits(wire: Any) -> Waits:
@@ -163,7 +188,10 @@
         wire.number,
         tuple(
             EngineWait(
-                told.engine, told.waitMs / _MS_PER_S, told.knownMs / _MS_PER_S
+                told.engine,
+                told.waitMs / _MS_PER_S,
+                told.knownMs / _MS_PER_S,
+                told.heldCount,
             )
             for told in wire.waits
         ),
@@ -182,4 +210,8 @@
         _MATTERS[number],
         wire.priority,
         wire.workUs / _US_PER_S,
+        tuple(
+            part_caches.HeldPart(part.key, part.tokens) for part in wire.parts
+        ),
+        wire.ownTokens,
     )
--- a/src/mulberrywharf/peers/queue_owners.py
+++ b/src/mulberrywharf/peers/queue_owners.py
@@ -28,7 +28,7 @@
 
 from mulberrywharf import clock, fleet, metrics
 from mulberrywharf.peers import codec, datagrams, queue_codec
-from mulberrywharf.policy import reading_queue
+from mulberrywharf.policy import part_caches, reading_queue
 
 ANSWER_LIMIT_S = 0.02
 """How long an answer is awaited. A way between availability zones and back
@@ -39,6 +39,10 @@
 """An owner that has counted for less is believed only where it knows of more
 than the asker: longer queues are seldom, as callers are refused then."""
 
+PARTS_COUNTED_S = 10.0
+"""An owner that has counted for so long is believed to know of all parts that
+an engine holds: those of before were used since, or make room soon."""
+
 FORGOTTEN_S = 10.0
 """An engine that got no work for so long has no queue: what is kept of it is
 dropped, and counted anew."""
@@ -73,10 +77,16 @@
     Attributes:
         wait_s: Until the engine reads it.
         is_whole: Whether the owner has counted all that may still wait there.
+        held_count: How many of the prompt's parts the engine holds, from the
+            first one on.
+        knows_parts: Whether the owner has counted for so long that it knows
+            of all parts that are still held.
     """
 
     wait_s: float
     is_whole: bool
+    held_count: int = 0
+    knows_parts: bool = False
 
 
 class Ticket(NamedTuple):
@@ -91,6 +101,23 @@
     number: int
 
 
+class Parts(Protocol):
+    """What this gateway knows of the parts that engines hold."""
+
+    def note_counted(
+        self,
+        engine_key: int,
+        parts: tuple[part_caches.HeldPart, ...],
+        own_tokens: int,
+    ) -> None:
+        """Takes in what another gateway's prompt leaves at an engine."""
+        ...
+
+    def held_count(self, engine_key: int, part_keys: Sequence[int]) -> int:
+        """Returns how many of a prompt's parts an engine holds."""
+        ...
+
+
 class Directory(Protocol):
     """The other gateways."""
 
@@ -142,11 +169,16 @@
         self._sender = sender
         self._clock = system_clock
         self._queues: dict[int, reading_queue.ReadingQueue] = {}
+        self._parts: Parts | None = None
         self._questions: dict[int, _Question] = {}
         self._owners_counts: dict[tuple[str, fleet.Role | None], int] = {}
         self._numbers = itertools.count(1)
         socket.on_datagram(b"q", self._take)
 
+    def keep_parts(self, parts: Parts) -> None:
+        """Sets who knows of the parts that engines hold."""
+        self._parts = parts
+
     @property
     def is_used(self) -> bool:
         """Whether the fleet is so large that owners keep the queues."""
@@ -185,13 +217,17 @@
         return ASKED_COUNT if has_bytes else ASKED_IN_DEBT_COUNT
 
     def waits(
-        self, engines: Sequence[fleet.Server], priority: int
+        self,
+        engines: Sequence[fleet.Server],
+        priority: int,
+        part_keys: tuple[int, ...] = (),
     ) -> Mapping[fleet.ServerStart, ToldWait]:
-        """Asks how long a prompt would wait at engines.
+        """Asks how long a prompt would wait at engines, and what they hold.
 
         Args:
             engines: The engines.
             priority: Of the prompt, 0 is read first.
+            part_keys: Of its long shared parts, in order.
 
         Returns:
             What came in time; other engines' owners did not answer.
@@ -201,18 +237,28 @@
             for engine in engines
         }
         keys_by_owner = self._keys_by_owner(engines)
-        found = self._own_waits(keys_by_owner.pop(None, []), priority)
-        found += self._ask(keys_by_owner, priority)
+        found = self._own_waits(
+            keys_by_owner.pop(None, []), priority, part_keys
+        )
+        found += self._ask(keys_by_owner, priority, part_keys)
         return {
             start_by_key[wait.engine_key]: ToldWait(
-                wait.wait_s, wait.known_s >= COUNTED_S
+                wait.wait_s,
+                wait.known_s >= COUNTED_S,
+                wait.held_count,
+                wait.known_s >= PARTS_COUNTED_S,
             )
             for wait in found
             if wait.engine_key in start_by_key
         }
 
     def placed(
-        self, server: fleet.Server, work_s: float, priority: int
+        self,
+        server: fleet.Server,
+        work_s: float,
+        priority: int,
+        parts: tuple[part_caches.HeldPart, ...] = (),
+        own_tokens: int = 0,
     ) -> Ticket:
         """Tells that a prompt was sent to an engine.
 
@@ -220,19 +266,30 @@
             server: The engine.
             work_s: What reading the prompt takes.
             priority: 0 is read first.
+            parts: Its long shared parts, in order.
+            own_tokens: Its other tokens.
         """
         number = next(self._numbers) % _NUMBERS_COUNT
         ticket = Ticket(server, number)
-        self._tell(ticket, "placed", priority, work_s)
+        work = self._work(ticket, "placed")
+        self._tell(
+            ticket,
+            work._replace(
+                priority=priority,
+                work_s=work_s,
+                parts=parts,
+                own_tokens=own_tokens,
+            ),
+        )
         return ticket
 
     def read(self, ticket: Ticket) -> None:
         """Tells that an engine has read a prompt."""
-        self._tell(ticket, "read")
+        self._tell(ticket, self._work(ticket, "read"))
 
     def withdrawn(self, ticket: Ticket) -> None:
         """Tells that an engine will not read a prompt."""
-        self._tell(ticket, "withdrawn")
+        self._tell(ticket, self._work(ticket, "withdrawn"))
 
     def _keys_by_owner(
         self, engines: Sequence[fleet.Server]
@@ -249,6 +306,7 @@
         self,
         keys_by_owner: Mapping[fleet.Address | None, list[int]],
         priority: int,
+        part_keys: tuple[int, ...],
     ) -> list[queue_codec.EngineWait]:
         owners = frozenset(one for one in keys_by_owner if one is not None)
         if not owners:
@@ -257,7 +315,7 @@
         question = self._questions[number] = _Question(owners)
         for owner, keys in keys_by_owner.items():
             if owner is not None:
-                ask = queue_codec.Ask(number, priority, tuple(keys))
+                ask = queue_codec.Ask(number, priority, tuple(keys), part_keys)
                 self._socket.send(b"q", queue_codec.encode(ask), (owner,))
         try:
             is_answered = question.is_answered.wait(ANSWER_LIMIT_S)
@@ -267,17 +325,13 @@
         _asked_total.inc({"result": result})
         return question.waits
 
-    def _tell(
-        self,
-        ticket: Ticket,
-        matter: queue_codec.WorkMatter,
-        priority: int = 0,
-        work_s: float = 0.0,
-    ) -> None:
+    def _work(
+        self, ticket: Ticket, matter: queue_codec.WorkMatter
+    ) -> queue_codec.Work:
         key = codec.key_of_server(ticket.server.start)
-        work = queue_codec.Work(
-            key, self._sender, ticket.number, matter, priority, work_s
-        )
+        return queue_codec.Work(key, self._sender, ticket.number, matter)
+
+    def _tell(self, ticket: Ticket, work: queue_codec.Work) -> None:
         owner = self.owner(ticket.server)
         if owner is None:
             self._note(work)
@@ -299,12 +353,15 @@
         return True
 
     def _answer(self, ask: queue_codec.Ask, source: fleet.Address) -> None:
-        waits = self._own_waits(ask.engine_keys, ask.priority)
+        waits = self._own_waits(ask.engine_keys, ask.priority, ask.part_keys)
         answer = queue_codec.Waits(ask.number, tuple(waits))
         self._socket.send(b"q", queue_codec.encode(answer), (source,))
 
     def _own_waits(
-        self, engine_keys: Sequence[int], priority: int
+        self,
+        engine_keys: Sequence[int],
+        priority: int,
+        part_keys: Sequence[int],
     ) -> list[queue_codec.EngineWait]:
         now_s = self._clock.monotonic_s()
         found = []
@@ -314,11 +371,19 @@
             queue = self._queue(key, now_s)
             found.append(
                 queue_codec.EngineWait(
-                    key, queue.wait_s(priority, now_s), queue.known_s(now_s)
+                    key,
+                    queue.wait_s(priority, now_s),
+                    queue.known_s(now_s),
+                    self._held_count(key, part_keys),
                 )
             )
         return found
 
+    def _held_count(self, engine_key: int, part_keys: Sequence[int]) -> int:
+        if self._parts is None or not part_keys:
+            return 0
+        return self._parts.held_count(engine_key, part_keys)
+
     def _on_waits(
         self, waits: queue_codec.Waits, source: fleet.Address
     ) -> None:
@@ -338,6 +403,10 @@
         match work.matter:
             case "placed":
                 queue.add(placement, work.work_s, work.priority, now_s)
+                if self._parts is not None and work.sender != self._sender:
+                    self._parts.note_counted(
+                        work.engine_key, work.parts, work.own_tokens
+                    )
             case "read":
                 queue.read(placement, now_s)
             case "withdrawn":
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -90,6 +90,7 @@
             self._memory_tokens,
             self._queues,
         )
+        self._queues.keep_parts(self._account)
         self._pool = engine_pool.EnginePool(
             self._servers, self._book, self._account, self._clock, self._rng
         )
--- a/tests/test_engine_account.py
+++ b/tests/test_engine_account.py
@@ -327,5 +327,39 @@
         self.assertEqual(account.view(_UNHEARD, (), 1.0).running_share, 0.0)
 
 
+class CountedPartsTest(unittest.TestCase):
+    """What the owner of an engine's queue knows of the parts it holds."""
+
+    def setUp(self) -> None:
+        self.account, _ = _account_at((_HEARD,))
+        self.account._memory_tokens = lambda _: 10_000
+        self.key = codec.key_of_server(_HEARD.start)
+        self.parts = tuple(
+            part_caches.HeldPart(number, 2_000) for number in (1, 2)
+        )
+
+    def test_parts_of_others_prompts_are_held(self) -> None:
+        self.assertEqual(self.account.held_count(self.key, (1, 2)), 0)
+        self.account.note_counted(self.key, self.parts[:1], 100)
+        self.assertEqual(self.account.held_count(self.key, (1, 2)), 1)
+        self.account.note_counted(self.key, self.parts, 100)
+        self.assertEqual(self.account.held_count(self.key, (1, 2)), 2)
+
+    def test_what_nobody_shares_makes_room_for_nothing_else(self) -> None:
+        """Parts are believed held that were dropped long ago.
+
+        Sequence: prompts that share nothing fill the engine's memory. Cause:
+        only shared parts were counted.
+        """
+        self.account.note_counted(self.key, self.parts, 100)
+        for _ in range(4):
+            self.account.note_counted(self.key, (), 2_500)
+        self.assertEqual(self.account.held_count(self.key, (1, 2)), 0)
+
+    def test_an_engine_that_is_not_listed_holds_nothing(self) -> None:
+        self.account.note_counted(7, self.parts, 100)
+        self.assertEqual(self.account.held_count(7, (1,)), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
