--- a/src/mulberrywharf/peers/queue_owners.py
+++ b/src/mulberrywharf/peers/queue_owners.py
@@ -50,8 +50,7 @@
 ENGINES_PER_OWNER_COUNT = 3
 """Engines whose queues one gateway keeps, on the mean. A question costs about
 the same for one engine or for a few, and the best of eight engines that are
-known is far better than the best of three: 0.98 against 0.87 of long prompts in
-time on 60 gateways, in virtual time."""
+known is far better than the best of three."""
 
 ASKED_COUNT = 3
 """Owners that are asked for one prompt while there are bytes for it."""
