Check the size of a body in one place

Read once more, the wait for first routes had brought a third copy of the check that read_body makes twice, with the same message: one for a body that was read before its limit was known. All three call one function now; what callers get is the same.

--- a/src/mulberrywharf/callers/request.py
+++ b/src/mulberrywharf/callers/request.py
@@ -173,21 +173,31 @@
         BadRequestError: It ended early, or its chunks are malformed.
     """
     announced_bytes = int(environ.get("CONTENT_LENGTH") or 0)
-    if announced_bytes > limit_bytes:
-        raise errors.RequestTooLargeError(
-            f"the body exceeds {limit_bytes} bytes"
-        )
+    check_size(announced_bytes, limit_bytes)
     try:
         body = environ["wsgi.input"].read(limit_bytes + 1)
     except OSError as error:
         raise errors.BadRequestError(
             "the body ended early or its chunks are malformed"
         ) from error
-    if len(body) > limit_bytes:
+    check_size(len(body), limit_bytes)
+    return bytes(body)
+
+
+def check_size(body_bytes: int, limit_bytes: int) -> None:
+    """Refuses a body that is larger than allowed.
+
+    Args:
+        body_bytes: Its length, as announced or as read.
+        limit_bytes: What is allowed.
+
+    Raises:
+        RequestTooLargeError: It is larger.
+    """
+    if body_bytes > limit_bytes:
         raise errors.RequestTooLargeError(
             f"the body exceeds {limit_bytes} bytes"
         )
-    return bytes(body)
 
 
 def read_completion(
--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -140,7 +140,9 @@
             wanted = self._read(environ, self._listener.body_limit_bytes)
             routes = self._first_routes(wanted, environ[listener.SOCKET_KEY])
             route = _match(routes, environ)
-            _check_size(wanted, self._body_limit_bytes(routes))
+            caller_request.check_size(
+                len(wanted.body), self._body_limit_bytes(routes)
+            )
         else:
             route = _match(routes, environ)
             wanted = self._read(environ, self._body_limit_bytes(routes))
@@ -251,13 +253,6 @@
     return route
 
 
-def _check_size(wanted: request.RoutedRequest, limit_bytes: int) -> None:
-    if len(wanted.body) > limit_bytes:
-        raise errors.RequestTooLargeError(
-            f"the body exceeds {limit_bytes} bytes"
-        )
-
-
 @singledispatch
 def _answer_by_kind(
     kind: kinds.RequestKind,
