Tell a server that ended from an answer that was lost

Sight for the incident of requests that end their engines: no line said that a server had ended, or which requests ran there, and an attempt's line has no name that the caller's next attempt shares.

A broken exchange is followed by one connection to the server: refused means that it ended. The line names the request by a hash of host, method, path, caller and body, how long it ran and whether any of its answer had come; a counter counts them. Nothing is decided by it yet.

One connection tells for all exchanges that break off together; where the server lives, the connection is kept for a later request.

--- a/src/mulberrywharf/_connections.py
+++ b/src/mulberrywharf/_connections.py
@@ -63,7 +63,10 @@
         except OSError as error:
             sock.close()
             message = f"no connection to {address}: {error}"
-            return Err(errors.EngineUnreachableError(message))
+            was_refused = isinstance(error, ConnectionRefusedError)
+            return Err(
+                errors.EngineUnreachableError(message, was_refused=was_refused)
+            )
         except BaseException:
             sock.close()
             raise
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -267,12 +267,20 @@
 
 
 class EngineUnreachableError(EngineError):
-    """No connection was made, so no byte of the request left."""
+    """No connection was made, so no byte of the request left.
+
+    Attributes:
+        was_refused: Whether the VM answered that nobody listens there.
+    """
 
     code = "engine-unreachable"
     outcome: Outcome = "not-run"
     advice = "Check that the back end's VM is up."
 
+    def __init__(self, message: str, *, was_refused: bool = False):
+        super().__init__(message)
+        self.was_refused = was_refused
+
 
 class EngineRefusedError(EngineError):
     """The back end answered that it will not run the request.
--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -61,6 +61,13 @@
         """Closes idle connections to a server that left."""
         self._pool.forget(server.address)
 
+    def probe(
+        self, server: fleet.Server
+    ) -> Result[None, errors.EngineUnreachableError]:
+        """Connects to a server; keeps the connection for a later request."""
+        opened = _connections.Connection.open(server.address, CONNECT_TIMEOUT_S)
+        return opened.map(self._pool.put)
+
     def send(
         self, attempt: request.Attempt, *, may_run_again: bool, wait_s: float
     ) -> Result[Begun, errors.EngineError]:
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -14,6 +14,7 @@
 
 from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
+    crash_watch,
     engine_account,
     engine_pool,
     events,
@@ -58,6 +59,7 @@
         book: What this node knows of the engines.
         client: Sends the attempts.
         budget: Bounds repeats.
+        crashes: Notes which requests ran where a server ended.
         system_clock: Measures time left.
     """
 
@@ -66,6 +68,7 @@
     book: server_book.ServerBook
     client: exchanges.ServerClient
     budget: repeat_budget.RepeatBudget
+    crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
 
 
@@ -96,6 +99,7 @@
 
     server: fleet.Server
     begun: exchanges.Begun
+    began_s: float
 
 
 class _Prefilled(NamedTuple):
@@ -263,8 +267,10 @@
         self, attempt: request.Attempt
     ) -> Result[request.CacheHandle, errors.EngineError]:
         # Reading a prompt again does no harm, whatever the request's kind.
+        began_s = self._parts.system_clock.monotonic_s()
         sent = self._send(attempt, may_run_again=True)
         if isinstance(sent, Err):
+            self._broke_off(attempt.server, began_s, sent.err_value)
             return sent
         begun = sent.ok_value
         try:
@@ -277,6 +283,7 @@
         begun.exchange.finish()
         if isinstance(body, Err):
             self._lost(attempt.server)
+            self._broke_off(attempt.server, began_s, body.err_value)
             return body
         if not begun.head.is_success:
             self._failed(attempt.server)
@@ -316,6 +323,7 @@
         self._log(attempt, began_s, expected_s, sent)
         if isinstance(sent, Err):
             self._parts.book.ended(server.start)
+            self._broke_off(server, began_s, sent.err_value)
             if isinstance(sent.err_value, errors.EngineUnreachableError):
                 # Nothing left, so the handle is still there for another.
                 self._prefilled = prefilled
@@ -325,7 +333,7 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
-        return Ok(_Run(server, sent.ok_value))
+        return Ok(_Run(server, sent.ok_value, began_s))
 
     def _attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
@@ -417,6 +425,12 @@
                     )
                 if isinstance(some, Err):
                     self._lost(run.server)
+                    self._broke_off(
+                        run.server,
+                        run.began_s,
+                        some.err_value,
+                        made_output=gaps.has_begun,
+                    )
                     return some.err_value
                 if not some.ok_value:
                     break
@@ -485,6 +499,18 @@
         now_s = self._parts.system_clock.monotonic_s()
         self._parts.book.lost(server.start, now_s)
 
+    def _broke_off(
+        self,
+        server: fleet.Server,
+        began_s: float,
+        error: errors.EngineError,
+        *,
+        made_output: bool = False,
+    ) -> None:
+        if crash_watch.may_be_crash(error):
+            run = crash_watch.Run(self._wanted, server, began_s)
+            self._parts.crashes.broke_off(run, made_output=made_output)
+
     def _failed(self, server: fleet.Server) -> None:
         self._excluded.add(server.start)
         self._parts.book.failed(server.start)
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -13,6 +13,7 @@
 
 from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
+    crash_watch,
     exchanges,
     request,
     server_book,
@@ -51,6 +52,7 @@
         book: What this node knows of them.
         client: Sends the attempts.
         budget: Bounds repeats.
+        crashes: Notes which requests ran where a server ended.
         system_clock: Measures time left.
         rng: Spreads callers and breaks ties.
     """
@@ -59,6 +61,7 @@
     book: server_book.ServerBook
     client: exchanges.ServerClient
     budget: repeat_budget.RepeatBudget
+    crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
     rng: random.Random
 
@@ -167,6 +170,7 @@
             book.ended(server.start)
         took_s = self._parts.system_clock.monotonic_s() - began_s
         if isinstance(tried, Err):
+            self._broke_off(server, began_s, tried.err_value)
             if tried.err_value.outcome == "not-run":
                 self._outcome = before
             else:
@@ -177,6 +181,13 @@
         self._log(chosen, tried, took_s)
         return tried
 
+    def _broke_off(
+        self, server: fleet.Server, began_s: float, error: errors.EngineError
+    ) -> None:
+        if crash_watch.may_be_crash(error):
+            run = crash_watch.Run(self._wanted, server, began_s)
+            self._parts.crashes.broke_off(run, made_output=False)
+
     def _exchange(
         self, attempt: request.Attempt
     ) -> Result[WholeAnswer, errors.EngineError]:
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -1,11 +1,14 @@
 """A request on a route, and what is sent to a server for it."""
 
+import hashlib
 from typing import NamedTuple, Protocol
 
 from result import Result
 
 from mulberrywharf import _answers, _exchange, errors, fleet
 
+_FINGERPRINT_BYTES = 8
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that other prompts may share.
@@ -50,6 +53,7 @@
         deadline_s: Monotonic instant after which the caller is gone.
         last_event_id: The event behind which a stream is to go on, or None.
         prompt: What it says of its prompt, None if nothing.
+        caller: What the caller shows of who it is, empty if nothing.
     """
 
     request_id: str
@@ -63,6 +67,21 @@
     deadline_s: float
     last_event_id: str | None = None
     prompt: Prompt | None = None
+    caller: str = ""
+
+    def fingerprint(self) -> int:
+        """Returns 64 bits that are equal when the same is asked again.
+
+        Of host, method, path, caller and body. Nobody can make another
+        caller's request share them: the hash is a cryptographic one.
+        """
+        digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+        for text in (self.host.lower(), self.method, self.target, self.caller):
+            encoded = text.encode("latin-1", "replace")
+            # With its length before it no part can pass for two.
+            digest.update(b"%d:%b" % (len(encoded), encoded))
+        digest.update(self.body)
+        return int.from_bytes(digest.digest(), "big")
 
 
 class CacheHandle(NamedTuple):
--- /dev/null
+++ b/src/mulberrywharf/forwarding/server_ends.py
@@ -0,0 +1,70 @@
+"""Tells a server that ended from an answer that was lost.
+
+Both break off an exchange. Behind an end nobody listens at the server's
+address, until it starts again some seconds later.
+"""
+
+from typing import Protocol
+
+import gevent
+from result import Err, Result
+
+from mulberrywharf import clock, errors, fleet
+
+REMEMBERED_S = 0.5
+"""All exchanges with a server break off together when it ends; one connection
+tells for all of them."""
+
+
+class Prober(Protocol):
+    """Connects to servers."""
+
+    def probe(
+        self, server: fleet.Server
+    ) -> Result[None, errors.EngineUnreachableError]:
+        """Connects to a server."""
+        ...
+
+
+class ServerEnds:
+    """Finds out whether servers ended."""
+
+    def __init__(self, prober: Prober, system_clock: clock.Clock):
+        self._prober = prober
+        self._clock = system_clock
+        self._probes: dict[fleet.ServerStart, gevent.Greenlet] = {}
+        self._ended_s: dict[fleet.ServerStart, float] = {}
+
+    def has_ended(self, server: fleet.Server) -> bool:
+        """Tells whether nobody listens at a server's address.
+
+        A server that gives no answer at all may live behind a cut, so it
+        does not count as ended.
+        """
+        if self._ended_lately(server.start):
+            return True
+        probe = self._probes.get(server.start)
+        if probe is None:
+            probe = self._probes[server.start] = gevent.spawn(
+                self._probe, server
+            )
+        return bool(probe.get())
+
+    def _probe(self, server: fleet.Server) -> bool:
+        try:
+            probed = self._prober.probe(server)
+        finally:
+            del self._probes[server.start]
+        if isinstance(probed, Err) and probed.err_value.was_refused:
+            self._ended_s[server.start] = self._clock.monotonic_s()
+            return True
+        return False
+
+    def _ended_lately(self, start: fleet.ServerStart) -> bool:
+        since_s = self._clock.monotonic_s() - REMEMBERED_S
+        self._ended_s = {
+            ended: at_s
+            for ended, at_s in self._ended_s.items()
+            if at_s > since_s
+        }
+        return start in self._ended_s
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -29,6 +29,7 @@
 KV_FETCH = "kv-fetch"
 """Address of an engine to copy cached parts from; it bears no prefix."""
 
+CREDENTIALS = "authorization"
 LAST_EVENT_ID = "last-event-id"
 
 SET_BY_US = frozenset(
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -66,6 +66,7 @@
                 deadline_s=deadline_s,
                 last_event_id=by_name.get(headers.LAST_EVENT_ID),
                 prompt=prompt,
+                caller=by_name.get(headers.CREDENTIALS, ""),
             )
         )
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -11,12 +11,14 @@
 from mulberrywharf.callers import listener, routed_server
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
+    crash_watch,
     engine_account,
     engine_pool,
     exchanges,
     generation,
     plain_call,
     server_book,
+    server_ends,
     servers,
 )
 from mulberrywharf.operators import readiness
@@ -79,6 +81,9 @@
         self._client = exchanges.ServerClient(
             requests.ServerDialect(), self._book, self._clock
         )
+        self._crashes = crash_watch.CrashWatch(
+            server_ends.ServerEnds(self._client, self._clock), self._clock
+        )
         self._budget = repeat_budget.RepeatBudget(
             _repeat_settings(config),
             lambda: max(NODES_LEAST_COUNT, self._peers.gateways_count),
@@ -260,6 +265,7 @@
                     self._book,
                     self._client,
                     self._budget,
+                    self._crashes,
                     self._clock,
                     self._rng,
                 )
@@ -271,6 +277,7 @@
                     self._book,
                     self._client,
                     self._budget,
+                    self._crashes,
                     self._clock,
                 )
             ),
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -5,8 +5,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-from mulberrywharf import fleet
-from mulberrywharf.forwarding import request
+from mulberrywharf import clock, fleet
+from mulberrywharf.forwarding import (
+    crash_watch,
+    exchanges,
+    request,
+    server_ends,
+)
 from mulberrywharf.platform import store
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.routes import kinds, table
@@ -96,6 +101,13 @@
     return made._replace(**changes)
 
 
+def crashes_of(client: exchanges.ServerClient) -> crash_watch.CrashWatch:
+    system_clock = clock.SystemClock()
+    return crash_watch.CrashWatch(
+        server_ends.ServerEnds(client, system_clock), system_clock
+    )
+
+
 @contextlib.contextmanager
 def running_store() -> Iterator[PlatformStoreStandin]:
     standin = PlatformStoreStandin()
--- /dev/null
+++ b/tests/test_crash_watch.py
@@ -0,0 +1,86 @@
+"""What is seen of servers that end while they work on requests."""
+
+import unittest
+from typing import Any
+
+import gevent
+from result import Err
+
+from mulberrywharf import clock, errors
+from mulberrywharf.forwarding import exchanges, server_book, server_ends
+from mulberrywharf.platform import requests
+from tests import builders_engines
+from tests import builders_routes as build
+
+
+class ServerEndsTest(builders_engines.ScriptedServerCase):
+    def setUp(self) -> None:
+        system_clock = clock.SystemClock()
+        self.client = exchanges.ServerClient(
+            requests.ServerDialect(),
+            server_book.ServerBook("zone-a"),
+            system_clock,
+        )
+        self.addCleanup(self.client.close)
+        self.ends = server_ends.ServerEnds(self.client, system_clock)
+
+    def scripted(self) -> Any:
+        return self.serve(lambda sock, _: sock.close())
+
+    def test_a_server_that_listens_has_not_ended(self) -> None:
+        scripted = self.scripted()
+        server = build.server(address=scripted.address)
+        self.assertFalse(self.ends.has_ended(server))
+
+    def test_an_end_right_behind_a_lost_answer_is_seen(self) -> None:
+        scripted = self.scripted()
+        server = build.server(address=scripted.address)
+        self.assertFalse(self.ends.has_ended(server))
+        scripted.close()
+        self.assertTrue(self.ends.has_ended(server))
+
+    def test_one_connection_tells_for_all_exchanges(self) -> None:
+        scripted = self.scripted()
+        server = build.server(address=scripted.address)
+        asked = [gevent.spawn(self.ends.has_ended, server) for _ in range(9)]
+        gevent.joinall(asked)
+        gevent.sleep(0)
+        self.assertEqual([one.get() for one in asked], [False] * 9)
+        self.assertLessEqual(scripted.connection_count, 1)
+
+    def test_a_silent_server_has_not_ended(self) -> None:
+        ends = server_ends.ServerEnds(_Silence(), clock.SystemClock())
+        self.assertFalse(ends.has_ended(build.server()))
+
+
+class _Silence:
+    """Stands for a way on which nothing is answered."""
+
+    def probe(self, server: Any) -> Any:
+        return Err(errors.EngineUnreachableError("timed out"))
+
+
+class FingerprintTest(unittest.TestCase):
+    def test_it_is_of_path_caller_and_body(self) -> None:
+        wanted = build.routed(0.0, caller="key-1")
+        same = build.routed(9.0, caller="key-1", request_id="another")
+        self.assertEqual(wanted.fingerprint(), same.fingerprint())
+        for changed in (
+            {"target": "/a/x?q=2"},
+            {"body": b"bodY"},
+            {"caller": "key-2"},
+            {"host": "another.example"},
+            {"method": "PUT"},
+        ):
+            with self.subTest(changed=changed):
+                other = wanted._replace(**changed)
+                self.assertNotEqual(wanted.fingerprint(), other.fingerprint())
+
+    def test_no_part_passes_for_two(self) -> None:
+        one = build.routed(0.0, target="/a/xkey", caller="")
+        two = build.routed(0.0, target="/a/x", caller="key")
+        self.assertNotEqual(one.fingerprint(), two.fingerprint())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -108,6 +108,7 @@
                 self.book,
                 self.client,
                 self.budget,
+                build.crashes_of(self.client),
                 self.clock,
             )
         )
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -77,6 +77,7 @@
                 self.book,
                 self.client,
                 self.budget,
+                build.crashes_of(self.client),
                 self.clock,
                 random.Random(1),
             )
