Reproduce requests that end each server which runs them

Two real gateways in front of engines and plain servers that end under one request, and begin again under another id 0.4 s later.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -7,7 +7,7 @@
 import json
 import time
 import uuid
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import gevent
@@ -16,6 +16,8 @@
 
 _EVENTS_COUNT = 5
 _PAUSE_S = 0.01
+_NEVER = "\0"
+_CRASH_LIMIT_S = 5.0
 _MS_PER_S = 1000
 _REFUSED = [("X-Mulberrywharf-Not-Executed", "1"), ("content-length", "0")]
 
@@ -26,6 +28,10 @@
     Attributes:
         port: The TCP port that it listens on.
         runs: Every request that it ran.
+        arrivals: When a request came, prefills included, and its body.
+        crashes: When it ended under a request, and that request's body.
+        on_crash: Called each time that it has ended, in a task of its own;
+            ``restart`` lets it begin again.
         handles: Prefilled prompts that nobody has freed.
         orders: Every order that it took, with the time at which it came.
         report: What it says of itself, its start among it.
@@ -33,10 +39,15 @@
             behind that event, ``refuse`` answers that nothing ran, ``lose``
             runs a request and closes its connection, ``foreign`` answers
             with another request's id, ``prefill_s`` is how long it reads.
+            ``crash_on`` ends it under each request whose body holds that
+            text, behind ``crash_after`` events.
     """
 
     def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
         self.runs: list[dict[str, str]] = []
+        self.arrivals: list[tuple[float, str]] = []
+        self.crashes: list[tuple[float, str]] = []
+        self.on_crash: Callable[[PlatformServerStandin], None] | None = None
         self.handles: set[str] = set()
         self.orders: list[tuple[float, dict[str, Any]]] = []
         self.report: dict[str, Any] = {
@@ -50,6 +61,7 @@
         }
         self.faults: dict[str, Any] = {}
         self._server_id = server_id
+        self._ip = ip
         self._server = http_control.make_server(ip, port, self._application)
         self.port = self._server.port
 
@@ -61,6 +73,21 @@
         """Stops and closes every connection."""
         http_control.stop_server(self._server)
 
+    def restart(self, server_id: str) -> None:
+        """Begins again at its address after a crash, under another id."""
+        self._server_id = server_id
+        self._server = http_control.make_server(
+            self._ip, self.port, self._application
+        )
+        self.start_again()
+        self.start()
+
+    def _crash(self, body: str) -> None:
+        self.crashes.append((time.monotonic(), body))
+        self.close()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     @property
     def born(self) -> int:
         """The Unix millisecond of its start."""
@@ -110,6 +137,7 @@
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         body = environ["wsgi.input"].read()
+        self.arrivals.append((time.monotonic(), body.decode()))
         if self._header(environ, "STAGE") == "prefill":
             gevent.sleep(self.faults.get("prefill_s", 0.0))
             handle = uuid.uuid4().hex[:12]
@@ -126,7 +154,10 @@
                 "after": environ.get("HTTP_LAST_EVENT_ID", ""),
             }
         )
+        crashes = self.faults.get("crash_on", _NEVER) in body.decode()
         gevent.sleep(self.faults.get("delay_s", 0.0))
+        if crashes and not self._header(environ, "TOKEN_USAGE"):
+            self._end_under(body.decode())
         if self.faults.get("lose"):
             return http_control.cut(environ, start_response)
         echoed = "another" if self.faults.get("foreign") else request_id
@@ -140,14 +171,29 @@
         ]
         if self._header(environ, "TOKEN_USAGE"):
             start_response("200 OK", headers)
-            return self._events(environ)
+            return self._events(environ, body.decode() if crashes else None)
         content = f"{self._server_id}:{body.decode()}".encode()
         start_response("200 OK", headers)
         return [content]
 
-    def _events(self, environ: dict[str, Any]) -> Iterator[bytes]:
+    def _end_under(self, body: str) -> None:
+        """Ends the server; the request's own task ends with it."""
+        gevent.spawn(self._crash, body)
+        gevent.sleep(_CRASH_LIMIT_S)
+        raise ConnectionError("it has ended")
+
+    def _events(
+        self, environ: dict[str, Any], crashes_under: str | None
+    ) -> Iterator[bytes]:
         first = int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
         for number in range(first, _EVENTS_COUNT + 1):
+            events_count = number - first
+            crash_after = self.faults.get("crash_after", 0)
+            if crashes_under is not None and events_count >= crash_after:
+                # With the head, and in the middle of an event.
+                yield b"id: "
+                gevent.sleep(_PAUSE_S)
+                self._end_under(crashes_under)
             if number > self.faults.get("break_after", _EVENTS_COUNT):
                 raise ConnectionError("told to break off")
             yield b"id: %d\ndata: %s %d\n\n" % (
