Let the stand-in server end without an answer

Ended under a plain request it still answered 500, so that the failing test of plain servers was red for another reason than it tells.

--- /dev/null
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -0,0 +1,157 @@
+"""Which requests are suspected of ending the servers that run them.
+
+A request may end each server that runs it, such as a prompt that an engine
+can't take. Repeated by its caller, it takes one server after the other away
+from everybody else. From outside it looks like any request that happened to be
+there: all that a server was working on breaks off together.
+
+What tells it apart is that it is there each time. A request that ever ended
+whole is none. One without any output is more likely the cause than one whose
+answer was under way.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+ENDS_LIMIT_COUNT = 3
+"""Servers that may end under a request before it is blocked, whatever else
+they were working on."""
+
+SURE_ENDS_COUNT = 2
+"""The same for a request that had no output at either and is the only one that
+was at both."""
+
+KEPT_S = 600.0
+"""A request is suspected for so long behind the last end: a new version of its
+service may take it."""
+
+WHOLE_KEPT_S = 10.0
+"""A request that ended whole is not suspected for so long. Without it, one
+that many callers send would be blocked when all servers of a service end
+together."""
+
+SUSPECTS_LIMIT_COUNT = 1_024
+WHOLE_LIMIT_COUNT = 2_048
+_ENDS_KEPT_COUNT = 4
+
+
+class End(NamedTuple):
+    """The end of a server under a request.
+
+    Attributes:
+        server_key: Names the start of the server that ended.
+        made_output: Whether any of the answer had come.
+        at_s: Monotonic instant of it.
+    """
+
+    server_key: int
+    made_output: bool
+    at_s: float
+
+
+class CrashSuspects:
+    """Remembers under which requests servers ended.
+
+    Requests are named by their fingerprints. What is noted twice counts once,
+    and the order does not matter, so gateways that tell each other what they
+    saw come to the same verdict.
+    """
+
+    def __init__(self) -> None:
+        self._ends: collections.OrderedDict[int, dict[int, End]] = (
+            collections.OrderedDict()
+        )
+        self._whole_s: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+
+    def note_end(self, fingerprint: int, end: End) -> bool:
+        """Takes in that a server ended under a request.
+
+        Returns:
+            Whether that was not known before.
+        """
+        self._forget(end.at_s)
+        if fingerprint in self._whole_s:
+            return False
+        ends = self._ends.setdefault(fingerprint, {})
+        known = ends.get(end.server_key)
+        if known is not None and (known.made_output or not end.made_output):
+            return False
+        ends[end.server_key] = end
+        while len(ends) > _ENDS_KEPT_COUNT:
+            del ends[next(iter(ends))]
+        self._ends.move_to_end(fingerprint)
+        if len(self._ends) > SUSPECTS_LIMIT_COUNT:
+            self._ends.popitem(last=False)
+        return True
+
+    def note_whole(self, fingerprint: int, now_s: float) -> bool:
+        """Takes in that a request ended whole, which clears it.
+
+        Returns:
+            Whether it was suspected.
+        """
+        self._whole_s[fingerprint] = now_s
+        self._whole_s.move_to_end(fingerprint)
+        if len(self._whole_s) > WHOLE_LIMIT_COUNT:
+            self._whole_s.popitem(last=False)
+        return self._ends.pop(fingerprint, None) is not None
+
+    def ends(self, fingerprint: int, now_s: float) -> tuple[End, ...]:
+        """Returns the ends of servers under a request, the first one first."""
+        self._forget(now_s)
+        return tuple(self._ends.get(fingerprint, {}).values())
+
+    def is_blocked(self, fingerprint: int, now_s: float) -> bool:
+        """Tells whether a request must not be sent to any server."""
+        ends = self.ends(fingerprint, now_s)
+        if len(ends) >= ENDS_LIMIT_COUNT:
+            return True
+        bare = _bare(ends)
+        return len(bare) >= SURE_ENDS_COUNT and self._is_alone(
+            fingerprint, bare
+        )
+
+    def blocked_for_s(self, fingerprint: int, now_s: float) -> float:
+        """Returns for how long a blocked request stays blocked."""
+        ends = self.ends(fingerprint, now_s)
+        last_s = max((end.at_s for end in ends), default=now_s - KEPT_S)
+        return last_s + KEPT_S - now_s
+
+    def blocked(self, now_s: float) -> list[int]:
+        """Returns the fingerprints of all blocked requests."""
+        self._forget(now_s)
+        return [one for one in self._ends if self.is_blocked(one, now_s)]
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no request is suspected."""
+        return not self._ends
+
+    def _is_alone(self, fingerprint: int, server_keys: frozenset[int]) -> bool:
+        return not any(
+            len(_bare(ends.values()) & server_keys) >= SURE_ENDS_COUNT
+            for other, ends in self._ends.items()
+            if other != fingerprint
+        )
+
+    def _forget(self, now_s: float) -> None:
+        """Drops what is too old; both tables are about in order of time."""
+        while self._ends:
+            oldest = next(iter(self._ends))
+            last_s = max(end.at_s for end in self._ends[oldest].values())
+            if now_s - last_s < KEPT_S:
+                break
+            del self._ends[oldest]
+        while self._whole_s:
+            oldest = next(iter(self._whole_s))
+            if now_s - self._whole_s[oldest] < WHOLE_KEPT_S:
+                break
+            del self._whole_s[oldest]
+
+
+def _bare(ends: Iterable[End]) -> frozenset[int]:
+    """Returns the servers that ended before they made any output."""
+    return frozenset(end.server_key for end in ends if not end.made_output)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-from standins import http_control
+from standins import _http, http_control
 
 _EVENTS_COUNT = 5
 _PAUSE_S = 0.01
@@ -157,7 +157,7 @@
         crashes = self.faults.get("crash_on", _NEVER) in body.decode()
         gevent.sleep(self.faults.get("delay_s", 0.0))
         if crashes and not self._header(environ, "TOKEN_USAGE"):
-            self._end_under(body.decode())
+            self._end_under(environ, body.decode())
         if self.faults.get("lose"):
             return http_control.cut(environ, start_response)
         echoed = "another" if self.faults.get("foreign") else request_id
@@ -176,8 +176,10 @@
         start_response("200 OK", headers)
         return [content]
 
-    def _end_under(self, body: str) -> None:
+    def _end_under(self, environ: dict[str, Any], body: str) -> None:
         """Ends the server; the request's own task ends with it."""
+        # Ended first, its task would still answer that it failed.
+        _http.break_connection(environ)
         gevent.spawn(self._crash, body)
         gevent.sleep(_CRASH_LIMIT_S)
         raise ConnectionError("it has ended")
@@ -193,7 +195,7 @@
                 # With the head, and in the middle of an event.
                 yield b"id: "
                 gevent.sleep(_PAUSE_S)
-                self._end_under(crashes_under)
+                self._end_under(environ, crashes_under)
             if number > self.faults.get("break_after", _EVENTS_COUNT):
                 raise ConnectionError("told to break off")
             yield b"id: %d\ndata: %s %d\n\n" % (
