Block requests under which servers end one after the other

What callers saw: one prompt took three engines at a time away from everybody, every four seconds, and nearly all generations failed or were refused meanwhile.

Cause: which servers failed a request was known to one attempt of its caller alone, and a server that ended was taken for an answer that was lost. An attempt so ended up to as many servers as its route allows runs, and the caller's next attempt began anew.

Now a gateway remembers by a request's fingerprint which servers ended under it. It is blocked at the second end if it had no output at either and is the only one that was at both, at the third in any case; refused at once from there with 503, as it was not sent. A request that ends whole is cleared, and one that ended whole a moment ago is never suspected, so that an end of all servers of a service blocks nothing that many ask for.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -235,6 +235,14 @@
     advice = "Retry with the same idempotency key."
 
 
+class CrashingRequestError(RequestError):
+    """Servers ended under the request before, so it isn't sent to another."""
+
+    code = "crashing-request"
+    status = 503
+    advice = "Change the request; servers end each time that they run it."
+
+
 class BackEndLostError(RequestError):
     """The back end failed after it may have received the request."""
 
--- a/src/mulberrywharf/forwarding/crash_watch.py
+++ b/src/mulberrywharf/forwarding/crash_watch.py
@@ -1,4 +1,8 @@
-"""Which requests servers were working on when they ended."""
+"""Which requests servers were working on when they ended.
+
+A request under which servers end one after the other is blocked: it gets an
+answer at once and is sent to none.
+"""
 
 from typing import NamedTuple
 
@@ -6,12 +10,18 @@
 
 from mulberrywharf import clock, errors, fleet, metrics
 from mulberrywharf.forwarding import request, server_ends
+from mulberrywharf.peers import codec
+from mulberrywharf.policy import crash_suspects
 
 _ends_total = metrics.counter(
     "mulberry_server_ends_total",
     "Requests whose server ended while it worked on them, by whether it had"
     " made any of the answer.",
 )
+_blocked_gauge = metrics.gauge(
+    "mulberry_requests_blocked_count",
+    "Requests that are sent to no server, as servers ended under them.",
+)
 
 
 class Run(NamedTuple):
@@ -40,12 +50,55 @@
 
 
 class CrashWatch:
-    """Takes in which exchanges broke off."""
+    """Takes in which exchanges broke off, and blocks requests."""
+
+    def __init__(
+        self,
+        ends: server_ends.ServerEnds,
+        suspects: crash_suspects.CrashSuspects,
+        system_clock: clock.Clock,
+    ):
+        """Makes it.
 
-    def __init__(self, ends: server_ends.ServerEnds, system_clock: clock.Clock):
+        Args:
+            ends: Tells ends of servers from lost answers.
+            suspects: Remembers what ended under which request.
+            system_clock: Measures ages.
+        """
         self._ends = ends
+        self._suspects = suspects
         self._clock = system_clock
 
+    def check(self, wanted: request.RoutedRequest) -> None:
+        """Lets a request pass that is not blocked.
+
+        Raises:
+            CrashingRequestError: It is blocked.
+        """
+        if self._suspects.is_empty:
+            return
+        now_s = self._clock.monotonic_s()
+        fingerprint = wanted.fingerprint()
+        if not self._suspects.is_blocked(fingerprint, now_s):
+            return
+        raise errors.CrashingRequestError(
+            "servers ended while they worked on this request",
+            retry_after_s=self._suspects.blocked_for_s(fingerprint, now_s),
+        )
+
+    def is_blocked(self, wanted: request.RoutedRequest) -> bool:
+        """Tells whether a request must not be sent to another server."""
+        now_s = self._clock.monotonic_s()
+        return not self._suspects.is_empty and self._suspects.is_blocked(
+            wanted.fingerprint(), now_s
+        )
+
+    def ended_whole(self, wanted: request.RoutedRequest) -> None:
+        """Notes that a server answered a request to its end."""
+        self._suspects.note_whole(
+            wanted.fingerprint(), self._clock.monotonic_s()
+        )
+
     def broke_off(self, run: Run, *, made_output: bool) -> None:
         """Notes that a server broke off what it was working on.
 
@@ -56,11 +109,25 @@
         broke_off_s = self._clock.monotonic_s()
         if not self._ends.has_ended(run.server):
             return
+        fingerprint = run.wanted.fingerprint()
         _ends_total.inc({"made_output": str(made_output).lower()})
+        end = crash_suspects.End(
+            codec.key_of_server(run.server.start), made_output, broke_off_s
+        )
+        was_blocked = self._suspects.is_blocked(fingerprint, broke_off_s)
+        self._suspects.note_end(fingerprint, end)
+        is_blocked = self._suspects.is_blocked(fingerprint, broke_off_s)
         logger.bind(
             request_id=run.wanted.request_id,
-            fingerprint=f"{run.wanted.fingerprint():016x}",
+            fingerprint=f"{fingerprint:016x}",
             server_id=run.server.server_id,
             ran_s=round(broke_off_s - run.began_s, 3),
             made_output=made_output,
+            ends_count=len(self._suspects.ends(fingerprint, broke_off_s)),
+            is_blocked=is_blocked,
         ).warning("a server ended while it worked on a request")
+        if is_blocked and not was_blocked:
+            self._count_blocked(broke_off_s)
+
+    def _count_blocked(self, now_s: float) -> None:
+        _blocked_gauge.set({}, len(self._suspects.blocked(now_s)))
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -59,7 +59,7 @@
         book: What this node knows of the engines.
         client: Sends the attempts.
         budget: Bounds repeats.
-        crashes: Notes which requests ran where a server ended.
+        crashes: Blocks requests under which servers end.
         system_clock: Measures time left.
     """
 
@@ -89,6 +89,7 @@
         Raises:
             RequestError: With the outcome that holds for the request.
         """
+        self._parts.crashes.check(wanted)
         now_s = self._parts.system_clock.monotonic_s()
         self._parts.budget.note_request(service.name, now_s)
         return _Generation(self._parts, wanted, route, service).open()
@@ -359,6 +360,8 @@
         """
         if self._outcome == "unknown" and not self._may_run_again:
             raise errors.BackEndLostError(error.message, outcome="unknown")
+        if self._parts.crashes.is_blocked(self._wanted):
+            raise errors.BackEndLostError(error.message, outcome="unknown")
         is_spent = (
             self._sends_count >= _SENDS_LIMIT_COUNT
             or self._runs_count >= self._route.attempts_limit_count
@@ -440,6 +443,8 @@
                     yield block
             self._parts.book.succeeded(run.server.start)
             self._parts.account.ended(run.server, self._since_s(began_s))
+            if run.begun.head.is_success:
+                self._parts.crashes.ended_whole(self._wanted)
             if cutter.rest:
                 yield cutter.rest
             exchange.finish()
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -52,7 +52,7 @@
         book: What this node knows of them.
         client: Sends the attempts.
         budget: Bounds repeats.
-        crashes: Notes which requests ran where a server ended.
+        crashes: Blocks requests under which servers end.
         system_clock: Measures time left.
         rng: Spreads callers and breaks ties.
     """
@@ -86,6 +86,7 @@
             RequestError: With the outcome that holds for the request.
         """
         parts = self._parts
+        parts.crashes.check(wanted)
         parts.budget.note_request(service, parts.system_clock.monotonic_s())
         return _Call(parts, wanted, route, service).run()
 
@@ -177,7 +178,7 @@
                 self._runs_count += 1
         else:
             self._runs_count += 1
-            self._note_answer(server, tried.ok_value.head.status, took_s)
+            self._note_answer(server, tried.ok_value.head, took_s)
         self._log(chosen, tried, took_s)
         return tried
 
@@ -219,9 +220,11 @@
         return Ok(WholeAnswer(begun.head, body.ok_value))
 
     def _note_answer(
-        self, server: fleet.Server, status: int, took_s: float
+        self, server: fleet.Server, head: request.AnswerHead, took_s: float
     ) -> None:
-        if status >= _FAILURE_STATUS:
+        if head.is_success:
+            self._parts.crashes.ended_whole(self._wanted)
+        if head.status >= _FAILURE_STATUS:
             self._parts.book.failed(server.start)
         else:
             self._parts.book.succeeded(server.start, took_s)
@@ -235,6 +238,8 @@
         """Decides whether another server may get the request."""
         if self._runs_count >= self._route.attempts_limit_count:
             return False
+        if self._parts.crashes.is_blocked(self._wanted):
+            return False
         if isinstance(tried, Err) and isinstance(
             tried.err_value, errors.EngineUnreachableError
         ):
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -30,7 +30,7 @@
 )
 from mulberrywharf.platform import documents, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
-from mulberrywharf.policy import repeat_budget
+from mulberrywharf.policy import crash_suspects, repeat_budget
 from mulberrywharf.routes import follower
 
 STORE_TIMEOUT_S = 1.0
@@ -82,7 +82,9 @@
             requests.ServerDialect(), self._book, self._clock
         )
         self._crashes = crash_watch.CrashWatch(
-            server_ends.ServerEnds(self._client, self._clock), self._clock
+            server_ends.ServerEnds(self._client, self._clock),
+            crash_suspects.CrashSuspects(),
+            self._clock,
         )
         self._budget = repeat_budget.RepeatBudget(
             _repeat_settings(config),
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -14,6 +14,7 @@
 )
 from mulberrywharf.platform import store
 from mulberrywharf.platform_service import key_value
+from mulberrywharf.policy import crash_suspects
 from mulberrywharf.routes import kinds, table
 from standins.platform_store import PlatformStoreStandin
 from tests import builders_platform
@@ -104,7 +105,9 @@
 def crashes_of(client: exchanges.ServerClient) -> crash_watch.CrashWatch:
     system_clock = clock.SystemClock()
     return crash_watch.CrashWatch(
-        server_ends.ServerEnds(client, system_clock), system_clock
+        server_ends.ServerEnds(client, system_clock),
+        crash_suspects.CrashSuspects(),
+        system_clock,
     )
 
 
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -69,6 +69,8 @@
 
 
 class GenerationCase(builders_engines.ScriptedServerCase):
+    crashes: Any = None
+
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
         self.book = server_book.ServerBook("zone-a")
@@ -76,6 +78,7 @@
             requests.ServerDialect(), self.book, self.clock
         )
         self.addCleanup(self.client.close)
+        self.crashes = build.crashes_of(self.client)
         self.budget = repeat_budget.RepeatBudget(
             repeat_budget.RepeatBudgetSettings(allowance_count=100.0),
             lambda: 1,
@@ -108,7 +111,7 @@
                 self.book,
                 self.client,
                 self.budget,
-                build.crashes_of(self.client),
+                self.crashes,
                 self.clock,
             )
         )
@@ -243,6 +246,66 @@
         self.assertEqual(self.book.own_count("s0"), 0)
 
 
+class CrashTest(GenerationCase):
+    def crash(self, *events: bytes) -> tuple[str, Any]:
+        """An engine that ends behind these events of its answer."""
+        made: list[Any] = []
+
+        def script(sock: Any, _: bytes) -> None:
+            sock.sendall(HEAD + chunks(*events, end=False))
+            builders_engines.gevent.spawn(made[0].close)
+            builders_engines.gevent.sleep(1)
+
+        made.append(self.serve(script))
+        return "decode", made[0]
+
+    def test_a_second_end_blocks_it(self) -> None:
+        """Engines end one after the other under a prompt that comes again."""
+        engines = [self.crash(), self.crash()]
+        sound = self.say(HEAD + chunks(event(1)))
+        with self.assertRaises(errors.BackEndLostError) as caught:
+            self.body(*engines)
+        self.assertEqual(caught.exception.outcome, "unknown")
+        with self.assertRaises(errors.CrashingRequestError) as refused:
+            self.open(sound, request_id="another")
+        self.assertEqual(refused.exception.outcome, "not-run")
+        self.assertGreater(refused.exception.retry_after_s or 0.0, 60.0)
+        self.assertEqual(sound[1].requests, [])
+        self.assertEqual(self.body(sound, body=b"another"), event(1))
+
+    def test_one_that_had_output_goes_on_elsewhere(self) -> None:
+        ended = self.crash(event(1), event(2))
+        sound = self.say(HEAD + chunks(event(3)))
+        body = self.body(ended, sound)
+        self.assertEqual(body, event(1) + event(2) + event(3))
+
+    def test_answers_that_are_lost_block_nobody(self) -> None:
+        lost = [self.break_after(HEAD) for _ in range(2)]
+        for _ in range(2):
+            with self.assertRaises(errors.BackEndLostError):
+                self.body(*lost)
+        sound = self.say(HEAD + chunks(event(1)))
+        self.assertEqual(self.body(sound), event(1))
+
+    def test_prompts_that_end_prefill_engines_are_blocked(self) -> None:
+        def reader() -> tuple[str, Any]:
+            made: list[Any] = []
+
+            def script(sock: Any, _: bytes) -> None:
+                builders_engines.gevent.spawn(made[0].close)
+                builders_engines.gevent.sleep(1)
+
+            made.append(self.serve(script))
+            return "prefill", made[0]
+
+        decode = self.say(HEAD + chunks(event(1)))
+        readers = [reader(), reader()]
+        with self.assertRaises(errors.RequestError):
+            self.body(*readers, decode, prompt=build.prompt())
+        with self.assertRaises(errors.CrashingRequestError):
+            self.body(self.say(HEAD), prompt=build.prompt())
+
+
 class HandoverTest(GenerationCase):
     def setUp(self) -> None:
         super().setUp()
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -49,6 +49,8 @@
 
 
 class CallCase(builders_engines.ScriptedServerCase):
+    first_server = 0
+
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
         self.book = server_book.ServerBook("zone-a")
@@ -56,6 +58,7 @@
             requests.ServerDialect(), self.book, self.clock
         )
         self.addCleanup(self.client.close)
+        self.crashes = build.crashes_of(self.client)
         self.budget = repeat_budget.RepeatBudget(
             repeat_budget.RepeatBudgetSettings(allowance_count=100.0),
             lambda: 1,
@@ -69,7 +72,7 @@
     ) -> plain_call.WholeAnswer:
         known = [
             build.server(f"s{number}", one.address)
-            for number, one in enumerate(scripted)
+            for number, one in enumerate(scripted, self.first_server)
         ]
         calls = plain_call.PlainCalls(
             plain_call.Parts(
@@ -77,7 +80,7 @@
                 self.book,
                 self.client,
                 self.budget,
-                build.crashes_of(self.client),
+                self.crashes,
                 self.clock,
                 random.Random(1),
             )
@@ -204,6 +207,38 @@
         self.assertLess(self.clock.monotonic_s() - before_s, 1.4)
 
 
+class CrashTest(CallCase):
+    def crash(self) -> Any:
+        """A server that ends under each request."""
+        made: list[Any] = []
+
+        def script(sock: Any, _: bytes) -> None:
+            builders_engines.gevent.spawn(made[0].close)
+            builders_engines.gevent.sleep(1)
+
+        made.append(self.serve(script))
+        return made[0]
+
+    def test_a_second_end_blocks_it(self) -> None:
+        """Servers end one after the other under a call that comes again."""
+        ending = [self.crash(), self.crash()]
+        error = self.failure(*ending)
+        self.assertEqual((error.status, error.outcome), (502, "unknown"))
+        sound = self.say(answer())
+        refused = self.failure(sound, request_id="another")
+        self.assertEqual((refused.status, refused.outcome), (503, "not-run"))
+        self.assertEqual(sound.requests, [])
+
+    def test_one_that_may_run_once_is_blocked_by_its_repeats(self) -> None:
+        for number in range(2):
+            self.first_server = number
+            error = self.failure(self.crash(), kind=kinds.AtMostOnce())
+            self.assertEqual((error.status, error.outcome), (502, "unknown"))
+        self.first_server = 2
+        refused = self.failure(self.say(answer()), kind=kinds.AtMostOnce())
+        self.assertEqual(refused.code, "crashing-request")
+
+
 class GarbledTest(CallCase):
     def test_an_answer_of_another_request_is_dropped(self) -> None:
         """A caller reads another caller's receipt.
