Tell all gateways under which requests servers ended

What callers saw: a request that one gateway had blocked ended two servers more at each other gateway that it came to.

Cause: what a gateway saw stayed there. With two gateways four servers ended instead of two; with 195 all of them could.

A request that ended whole is cleared everywhere.

--- a/src/mulberrywharf/forwarding/crash_watch.py
+++ b/src/mulberrywharf/forwarding/crash_watch.py
@@ -4,7 +4,8 @@
 answer at once and is sent to none.
 """
 
-from typing import NamedTuple
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
 
 from loguru import logger
 
@@ -49,6 +50,22 @@
     )
 
 
+class Reports(Protocol):
+    """Carries what gateways know to each other."""
+
+    def on_told(self, callback: Callable[[int], None]) -> None:
+        """Calls back with the fingerprint of each request that is told of."""
+        ...
+
+    def tell(self, fingerprint: int) -> None:
+        """Tells what is known of a request, to all."""
+        ...
+
+    def tell_cleared(self, fingerprint: int) -> None:
+        """Tells that a request ended whole."""
+        ...
+
+
 class CrashWatch:
     """Takes in which exchanges broke off, and blocks requests."""
 
@@ -56,17 +73,22 @@
         self,
         ends: server_ends.ServerEnds,
         suspects: crash_suspects.CrashSuspects,
+        reports: Reports,
         system_clock: clock.Clock,
     ):
-        """Makes it.
+        """Makes it; hooks it to the reports.
 
         Args:
             ends: Tells ends of servers from lost answers.
             suspects: Remembers what ended under which request.
+            reports: Tells the other gateways.
             system_clock: Measures ages.
         """
         self._ends = ends
         self._suspects = suspects
+        self._reports = reports
+        self._blocked: frozenset[int] = frozenset()
+        reports.on_told(self._look)
         self._clock = system_clock
 
     def check(self, wanted: request.RoutedRequest) -> None:
@@ -95,9 +117,10 @@
 
     def ended_whole(self, wanted: request.RoutedRequest) -> None:
         """Notes that a server answered a request to its end."""
-        self._suspects.note_whole(
-            wanted.fingerprint(), self._clock.monotonic_s()
-        )
+        fingerprint = wanted.fingerprint()
+        now_s = self._clock.monotonic_s()
+        if self._suspects.note_whole(fingerprint, now_s):
+            self._reports.tell_cleared(fingerprint)
 
     def broke_off(self, run: Run, *, made_output: bool) -> None:
         """Notes that a server broke off what it was working on.
@@ -114,9 +137,8 @@
         end = crash_suspects.End(
             codec.key_of_server(run.server.start), made_output, broke_off_s
         )
-        was_blocked = self._suspects.is_blocked(fingerprint, broke_off_s)
-        self._suspects.note_end(fingerprint, end)
-        is_blocked = self._suspects.is_blocked(fingerprint, broke_off_s)
+        if self._suspects.note_end(fingerprint, end):
+            self._reports.tell(fingerprint)
         logger.bind(
             request_id=run.wanted.request_id,
             fingerprint=f"{fingerprint:016x}",
@@ -124,10 +146,24 @@
             ran_s=round(broke_off_s - run.began_s, 3),
             made_output=made_output,
             ends_count=len(self._suspects.ends(fingerprint, broke_off_s)),
-            is_blocked=is_blocked,
         ).warning("a server ended while it worked on a request")
-        if is_blocked and not was_blocked:
-            self._count_blocked(broke_off_s)
+        self._look(fingerprint)
+
+    def _look(self, fingerprint: int) -> None:
+        """Takes in that more is known of a request.
 
-    def _count_blocked(self, now_s: float) -> None:
-        _blocked_gauge.set({}, len(self._suspects.blocked(now_s)))
+        That may also show that another one is harmless, or not.
+        """
+        now_s = self._clock.monotonic_s()
+        if len(self._suspects.ends(fingerprint, now_s)) < (
+            crash_suspects.SURE_ENDS_COUNT
+        ):
+            return
+        blocked = frozenset(self._suspects.blocked(now_s))
+        for one in blocked - self._blocked:
+            logger.bind(
+                fingerprint=f"{one:016x}",
+                ends_count=len(self._suspects.ends(one, now_s)),
+            ).warning("a request is blocked: servers end under it")
+        self._blocked = blocked
+        _blocked_gauge.set({}, len(blocked))
--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -28,8 +28,9 @@
 
 _PAUSE_BEHIND_ERROR_S = 0.002
 
-Kind = Literal[b"n", b"q"]
-"""Notices to many gateways; messages on the queue of one engine to one."""
+Kind = Literal[b"n", b"q", b"c"]
+"""Notices to many gateways; messages on the queue of one engine to one; reports
+on servers that ended to all."""
 
 _sent_bytes = metrics.counter(
     "mulberry_notices_sent_bytes_total",
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -149,6 +149,10 @@
             if self._tells(found, availability_zone)
         )
 
+    def all_addresses(self) -> tuple[fleet.Address, ...]:
+        """Returns where all other gateways take datagrams."""
+        return tuple(found.address for found in self._by_vm.values())
+
     def one_of_each_other_zone(self) -> tuple[fleet.Address, ...]:
         """Returns one gateway of each zone that hears nothing of this one's.
 
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -104,6 +104,10 @@
         self._forget(now_s)
         return tuple(self._ends.get(fingerprint, {}).values())
 
+    def has_end(self, fingerprint: int, server_key: int) -> bool:
+        """Tells whether the end of a server under a request is known."""
+        return server_key in self._ends.get(fingerprint, {})
+
     def is_blocked(self, fingerprint: int, now_s: float) -> bool:
         """Tells whether a request must not be sent to any server."""
         ends = self.ends(fingerprint, now_s)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -23,6 +23,7 @@
 )
 from mulberrywharf.operators import readiness
 from mulberrywharf.peers import (
+    crash_reports,
     directory,
     notices,
     queue_owners,
@@ -81,9 +82,14 @@
         self._client = exchanges.ServerClient(
             requests.ServerDialect(), self._book, self._clock
         )
+        suspects = crash_suspects.CrashSuspects()
+        self._crash_reports = crash_reports.CrashReports(
+            self._peers, self._notices.socket, suspects, self._clock
+        )
         self._crashes = crash_watch.CrashWatch(
             server_ends.ServerEnds(self._client, self._clock),
-            crash_suspects.CrashSuspects(),
+            suspects,
+            self._crash_reports,
             self._clock,
         )
         self._budget = repeat_budget.RepeatBudget(
@@ -138,6 +144,7 @@
         self._servers.start()
         self._peers.start()
         self._notices.start()
+        self._crash_reports.start()
         self._news.start()
         for part in self._roles:
             part.start()
@@ -181,6 +188,7 @@
         for part in self._roles:
             part.close()
         self._news.close()
+        self._crash_reports.close()
         self._notices.close()
         self._peers.close()
         self._servers.close()
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -102,11 +102,25 @@
     return made._replace(**changes)
 
 
+class NoReports:
+    """Tells nobody of servers that ended."""
+
+    def on_told(self, callback: Any) -> None:
+        """Nobody tells."""
+
+    def tell(self, fingerprint: int) -> None:
+        """Drops it."""
+
+    def tell_cleared(self, fingerprint: int) -> None:
+        """Drops it."""
+
+
 def crashes_of(client: exchanges.ServerClient) -> crash_watch.CrashWatch:
     system_clock = clock.SystemClock()
     return crash_watch.CrashWatch(
         server_ends.ServerEnds(client, system_clock),
         crash_suspects.CrashSuspects(),
+        NoReports(),
         system_clock,
     )
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -129,6 +129,18 @@
         self.send_often("/safe/x", "", until_s)
         self.assert_bounded()
 
+    def test_who_was_told_loses_no_server(self) -> None:
+        self.start_two()
+        first, second = self.gateways
+        for _ in range(2):
+            self.send(first, "/stream/x", test_gateway.TOKENS)
+        gevent.sleep(TOLD_WITHIN_S)
+        ended_count = len(self.crashes())
+        self.assertGreater(ended_count, 1)
+        for _ in range(3):
+            self.send(second, "/stream/x", test_gateway.TOKENS)
+        self.assertEqual(len(self.crashes()), ended_count)
+
     def test_gateways_that_have_all_started_anew(self) -> None:
         self.start_two()
         until_s = time.monotonic() + 4.0
