Let the stand-in store tell what changed at the end of a watch

A watch that ended without a change told the revision of that moment, so a change that came in the same step as its end was skipped. A test log shows the put, then an answer without events at the revision of the put.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -216,7 +216,8 @@
             if environ["standins.call"] <= self._hung_below:
                 # Left without a word, it gets no answer at its end either.
                 gevent.sleep(_HUNG_S)
-            events = []
+            # With the revision below it tells of every change up to there.
+            events = self._events(prefix, after)
         body = {"events": events, "store-revision": self.store.revision}
         return _http.Reply(200, body)
 
