Keep blocked requests in the store, for gateways that begin

What callers saw: after all gateways had started anew a request that had been blocked ended two servers more, by each gateway that it came to before the others were told.

Cause: what is blocked was known to processes only, and VMs keep nothing.

A blocked request is written under its fingerprint 0.2 to 0.6 s behind the verdict, under a lease of what is left of its ten minutes; the moment of each end is kept, so that reading it again never makes it last longer. It is read at the start, every 30 s, and behind a restore of the store from an older copy, and written by whoever finds it missing.

--- a/src/mulberrywharf/forwarding/crash_watch.py
+++ b/src/mulberrywharf/forwarding/crash_watch.py
@@ -66,6 +66,18 @@
         ...
 
 
+class Records(Protocol):
+    """Keeps what is blocked for gateways that begin."""
+
+    def on_read(self, callback: Callable[[], None]) -> None:
+        """Calls back each time that they were read."""
+        ...
+
+    def write_soon(self) -> None:
+        """Lets what is blocked be written, unless it is there already."""
+        ...
+
+
 class CrashWatch:
     """Takes in which exchanges broke off, and blocks requests."""
 
@@ -74,6 +86,7 @@
         ends: server_ends.ServerEnds,
         suspects: crash_suspects.CrashSuspects,
         reports: Reports,
+        records: Records,
         system_clock: clock.Clock,
     ):
         """Makes it; hooks it to the reports.
@@ -82,13 +95,16 @@
             ends: Tells ends of servers from lost answers.
             suspects: Remembers what ended under which request.
             reports: Tells the other gateways.
+            records: Keeps what is blocked.
             system_clock: Measures ages.
         """
         self._ends = ends
         self._suspects = suspects
         self._reports = reports
+        self._records = records
         self._blocked: frozenset[int] = frozenset()
-        reports.on_told(self._look)
+        reports.on_told(self._on_told)
+        records.on_read(self._refresh)
         self._clock = system_clock
 
     def check(self, wanted: request.RoutedRequest) -> None:
@@ -147,18 +163,22 @@
             made_output=made_output,
             ends_count=len(self._suspects.ends(fingerprint, broke_off_s)),
         ).warning("a server ended while it worked on a request")
-        self._look(fingerprint)
+        self._on_told(fingerprint)
+        if fingerprint in self._blocked:
+            self._records.write_soon()
+
+    def _on_told(self, fingerprint: int) -> None:
+        now_s = self._clock.monotonic_s()
+        ends_count = len(self._suspects.ends(fingerprint, now_s))
+        if ends_count >= crash_suspects.SURE_ENDS_COUNT:
+            self._refresh()
 
-    def _look(self, fingerprint: int) -> None:
-        """Takes in that more is known of a request.
+    def _refresh(self) -> None:
+        """Takes in what is blocked now.
 
-        That may also show that another one is harmless, or not.
+        What is learnt of one request may also show that another is harmless.
         """
         now_s = self._clock.monotonic_s()
-        if len(self._suspects.ends(fingerprint, now_s)) < (
-            crash_suspects.SURE_ENDS_COUNT
-        ):
-            return
         blocked = frozenset(self._suspects.blocked(now_s))
         for one in blocked - self._blocked:
             logger.bind(
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -23,6 +23,7 @@
 )
 from mulberrywharf.operators import readiness
 from mulberrywharf.peers import (
+    crash_records,
     crash_reports,
     directory,
     notices,
@@ -86,10 +87,14 @@
         self._crash_reports = crash_reports.CrashReports(
             self._peers, self._notices.socket, suspects, self._clock
         )
+        self._crash_records = crash_records.CrashRecords(
+            self._store, suspects, self._clock
+        )
         self._crashes = crash_watch.CrashWatch(
             server_ends.ServerEnds(self._client, self._clock),
             suspects,
             self._crash_reports,
+            self._crash_records,
             self._clock,
         )
         self._budget = repeat_budget.RepeatBudget(
@@ -145,6 +150,7 @@
         self._peers.start()
         self._notices.start()
         self._crash_reports.start()
+        self._crash_records.start()
         self._news.start()
         for part in self._roles:
             part.start()
@@ -188,6 +194,7 @@
         for part in self._roles:
             part.close()
         self._news.close()
+        self._crash_records.close()
         self._crash_reports.close()
         self._notices.close()
         self._peers.close()
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -115,12 +115,23 @@
         """Drops it."""
 
 
+class NoRecords:
+    """Keeps nothing."""
+
+    def on_read(self, callback: Any) -> None:
+        """Nothing is read."""
+
+    def write_soon(self) -> None:
+        """Drops it."""
+
+
 def crashes_of(client: exchanges.ServerClient) -> crash_watch.CrashWatch:
     system_clock = clock.SystemClock()
     return crash_watch.CrashWatch(
         server_ends.ServerEnds(client, system_clock),
         crash_suspects.CrashSuspects(),
         NoReports(),
+        NoRecords(),
         system_clock,
     )
 
--- /dev/null
+++ b/tests/test_crash_records.py
@@ -0,0 +1,105 @@
+"""Blocked requests in the store."""
+
+import json
+import unittest
+
+from mulberrywharf import clock
+from mulberrywharf.peers import crash_records
+from mulberrywharf.policy import crash_suspects
+from tests import builders_platform
+from tests import builders_routes as build
+
+CULPRIT = 2**64 - 5
+KEY = f"{crash_records.KEY_PREFIX}fffffffffffffffb"
+
+
+class RecordsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = self.enterContext(build.running_store())
+        self.clock = clock.SystemClock()
+        self.client = build.store_client(self.store.port)
+        self.addCleanup(self.client.close)
+
+    def start(self) -> crash_suspects.CrashSuspects:
+        suspects = crash_suspects.CrashSuspects()
+        self.records = crash_records.CrashRecords(
+            self.client, suspects, self.clock
+        )
+        self.records.start()
+        self.addCleanup(self.records.close)
+        return suspects
+
+    def block(self, suspects: crash_suspects.CrashSuspects) -> None:
+        for server_key in (1, 2):
+            end = crash_suspects.End(
+                server_key, False, self.clock.monotonic_s()
+            )
+            suspects.note_end(CULPRIT, end)
+        self.records.write_soon()
+
+    def is_stored(self) -> bool:
+        return self.client.get(KEY, purpose="test").unwrap() is not None
+
+    def is_blocked(self, suspects: crash_suspects.CrashSuspects) -> bool:
+        return suspects.is_blocked(CULPRIT, self.clock.monotonic_s())
+
+    def test_a_gateway_that_begins_reads_what_is_blocked(self) -> None:
+        self.block(self.start())
+        self.assertTrue(builders_platform.wait_until(self.is_stored))
+        began = self.start()
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.is_blocked(began))
+        )
+
+    def test_what_the_store_lost_is_written_again(self) -> None:
+        """All gateways begin anew after the store came from an older copy."""
+        self.store.era = 1
+        copy = self.store.copy()
+        self.block(self.start())
+        self.assertTrue(builders_platform.wait_until(self.is_stored))
+        self.store.restore(copy)
+        self.assertFalse(self.is_stored())
+        self.assertTrue(builders_platform.wait_until(self.is_stored))
+
+    def test_it_is_written_once_the_store_is_back(self) -> None:
+        suspects = self.start()
+        self.store.faults = {"down": True}
+        self.block(suspects)
+        builders_platform.wait_until(lambda: False, 1.0)
+        self.store.faults = {}
+        self.assertTrue(builders_platform.wait_until(self.is_stored))
+
+    def test_the_time_of_an_end_is_kept(self) -> None:
+        ends = [
+            {
+                "server_key": key,
+                "made_output": False,
+                "unix_s": self.clock.unix_s() - 500.0,
+            }
+            for key in (1, 2)
+        ]
+        self.store.put(KEY, json.dumps(ends).encode())
+        began = self.start()
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.is_blocked(began))
+        )
+        left_s = began.blocked_for_s(CULPRIT, self.clock.monotonic_s())
+        self.assertLess(left_s, 101.0)
+
+    def test_records_of_another_writer_are_passed_over(self) -> None:
+        for name, value in (
+            ("x", b"[]"),
+            ("1", b"\xff"),
+            ("2", b"[7]"),
+            ("3", b'[{"unix_s":"x"}]'),
+            ("4", b'{"server_key":1}'),
+        ):
+            self.store.put(crash_records.KEY_PREFIX + name, value)
+        suspects = self.start()
+        self.block(suspects)
+        self.assertTrue(builders_platform.wait_until(self.is_stored))
+        self.assertEqual(suspects.blocked(self.clock.monotonic_s()), [CULPRIT])
+
+
+if __name__ == "__main__":
+    unittest.main()
