Play requests that end engines in virtual time, up to 195 gateways

The memory of ends, what gateways tell each other and what is in the store are the product's own; engines, callers and ways are models.

--- /dev/null
+++ b/bench/crash_play.py
@@ -0,0 +1,529 @@
+"""Plays requests that end each engine which runs them, in virtual time.
+
+What gateways remember, tell each other and keep in the store is the product's
+own; engines, callers and the ways between gateways are models. Datagrams come
+late or not at all, zones are cut off, and all gateways begin anew.
+
+``python -m bench.crash_play`` prints for each scene how many engines ended
+under one request, how often it was sent behind the third end, and what happened
+to the others' requests.
+"""
+
+import argparse
+import heapq
+import itertools
+import random
+import statistics
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from unittest import mock
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from mulberrywharf import errors, fleet
+from mulberrywharf.forwarding import crash_watch, request
+from mulberrywharf.peers import crash_records, crash_reports
+from mulberrywharf.platform_service import key_value
+from mulberrywharf.policy import crash_suspects
+
+CONTACT_S = 3.0
+"""Operators allow gateways in touch so long to know of the third end."""
+
+LENGTH_S = 45.0
+ZONES_COUNT = 3
+RUNS_LIMIT_COUNT = 2
+AWAY_S = 3.0
+_HOP_S = (0.0005, 0.003)
+_HEAD_S = (0.02, 0.15)
+_RUN_S = (0.1, 0.8)
+
+
+class Scene(NamedTuple):
+    """What is played.
+
+    Attributes:
+        gateways_count: Gateways, spread over the zones.
+        engines_count: Engines that answer.
+        calls_per_s: Of all callers.
+        culprits_count: Different requests that end engines.
+        again_s: Bounds of the pause until one of them comes again.
+        crash_s: Bounds of the time for which it runs before.
+        has_output: Whether it makes output before.
+        notice_s: Bounds of the time that a datagram takes.
+        loss_share: Part of the datagrams that are lost.
+        cut_s: From when until when the first zone is cut off, if at all.
+        begin_anew_s: When all gateways begin anew, if they do.
+        store_away_s: From when until when the store is away, if at all.
+    """
+
+    gateways_count: int = 9
+    engines_count: int = 3
+    calls_per_s: float = 110.0
+    culprits_count: int = 1
+    again_s: tuple[float, float] = (2.0, 4.5)
+    crash_s: tuple[float, float] = (0.04, 0.13)
+    has_output: bool = False
+    notice_s: tuple[float, float] = (0.0005, 0.005)
+    loss_share: float = 0.001
+    cut_s: tuple[float, float] | None = None
+    begin_anew_s: float | None = None
+    store_away_s: tuple[float, float] | None = None
+
+
+SMALL = Scene()
+GROWN = Scene(60, 18, 900.0, culprits_count=2)
+LARGE = Scene(195, 20, 1_000.0, culprits_count=2)
+SCENES = {
+    "small": SMALL,
+    "small, output first": SMALL._replace(has_output=True),
+    "small, three at once": SMALL._replace(culprits_count=3),
+    "grown": GROWN,
+    "grown, late notices": GROWN._replace(notice_s=(0.2, 1.5), loss_share=0.05),
+    "grown, a zone is cut": GROWN._replace(cut_s=(1.0, 12.0)),
+    "grown, all begin anew": GROWN._replace(begin_anew_s=12.0),
+    "grown, anew without store": GROWN._replace(
+        begin_anew_s=12.0, store_away_s=(0.0, 15.0)
+    ),
+    "grown, output first": GROWN._replace(has_output=True),
+    "large": LARGE,
+}
+
+
+class Outcome(NamedTuple):
+    """What one play came to.
+
+    Attributes:
+        ended_counts: Engines that ended, by culprit.
+        late_sends_counts: Sends later than ``CONTACT_S`` behind the third
+            end, by gateways in touch, by culprit.
+        calls_count: Requests of others.
+        blocked_count: Those that were refused as if they ended engines.
+        failed_count: Those that got no whole answer.
+    """
+
+    ended_counts: tuple[int, ...]
+    late_sends_counts: tuple[int, ...]
+    calls_count: int
+    blocked_count: int
+    failed_count: int
+
+
+class _Loop:
+    """Virtual time."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+        self._due: list[tuple[float, int, Callable[..., Any], Any]] = []
+        self._numbers = itertools.count()
+
+    def monotonic_s(self) -> float:
+        return self.now_s
+
+    def unix_s(self) -> float:
+        return self.now_s
+
+    def later(
+        self, pause_s: float, call: Callable[..., Any], *args: Any
+    ) -> None:
+        entry = (self.now_s + pause_s, next(self._numbers), call, args)
+        heapq.heappush(self._due, entry)
+
+    def run(self, length_s: float) -> None:
+        end_s = self.now_s + length_s
+        while self._due and self._due[0][0] < end_s:
+            self.now_s, _, call, args = heapq.heappop(self._due)
+            call(*args)
+        self.now_s = end_s
+
+
+class _Store:
+    """The key-value service; nothing in it lapses within a play."""
+
+    def __init__(self, is_away: Callable[[], bool]):
+        self._is_away = is_away
+        self._values: dict[str, bytes] = {}
+
+    def get_prefix(
+        self, prefix: str, *, purpose: str
+    ) -> Result[list[key_value.KeyValue], errors.PlatformError]:
+        if self._is_away():
+            return Err(errors.PlatformUnavailableError("away"))
+        return Ok(
+            [
+                key_value.KeyValue(key, value, 1, 1)
+                for key, value in self._values.items()
+            ]
+        )
+
+    get_prefix_stale = get_prefix
+
+    def grant_lease(
+        self, ttl_s: float, *, purpose: str
+    ) -> Result[int, errors.PlatformError]:
+        if self._is_away():
+            return Err(errors.PlatformUnavailableError("away"))
+        return Ok(1)
+
+    def compare_and_swap(
+        self, key: str, value: bytes, **_: Any
+    ) -> Result[None, errors.PlatformError]:
+        if self._is_away():
+            return Err(errors.PlatformUnavailableError("away"))
+        self._values.setdefault(key, value)
+        return Ok(None)
+
+
+class _Records(crash_records.CrashRecords):
+    """Reads and writes at the moments of virtual time."""
+
+    def __init__(
+        self, play: "Play", suspects: crash_suspects.CrashSuspects
+    ) -> None:
+        super().__init__(play.store, suspects, play.loop)  # type: ignore[arg-type]
+        self._play = play
+        self._is_over = False
+
+    def begin(self) -> None:
+        if self._is_over:
+            return
+        is_read = self.update(is_first=True)
+        pause_s = crash_records.READ_INTERVAL_S if is_read else 1.0
+        self._play.loop.later(pause_s, self.begin)
+
+    def end(self) -> None:
+        self._is_over = True
+
+    def write_soon(self) -> None:
+        pause_s = self._play.rng.uniform(*crash_records.WRITTEN_WITHIN_S)
+        self._play.loop.later(pause_s, self._write_now)
+
+    def _write_now(self) -> None:
+        if not self._is_over:
+            self.update(is_first=False)
+
+
+class _Ends:
+    """Each exchange that breaks off here does so by the end of its engine."""
+
+    def has_ended(self, server: fleet.Server) -> bool:
+        return True
+
+
+class _Call:
+    """One request of a caller, and its attempts."""
+
+    def __init__(self, wanted: request.RoutedRequest, culprit: int | None):
+        self.wanted = wanted
+        self.culprit = culprit
+        self.tries_left_count = 2
+        self.runs_left_count = RUNS_LIMIT_COUNT
+
+
+class _Engine:
+    """An engine: what runs there until it ends, and its present start."""
+
+    def __init__(self, number: int):
+        self.number = number
+        self.starts_count = 0
+        self.runs: dict[int, _Run] = {}
+        self.is_up = True
+
+    @property
+    def server(self) -> fleet.Server:
+        server_id = f"engine-{self.number}-{self.starts_count}"
+        address = fleet.Address("127.0.0.1", 1 + self.number)
+        return fleet.Server(
+            fleet.ServerStart(server_id), "engines", address, "zone", 48
+        )
+
+
+class _Run(NamedTuple):
+    """A request at an engine."""
+
+    call: _Call
+    gateway: "_Gateway"
+    server: fleet.Server
+    began_s: float
+    output_from_s: float
+
+
+class _Gateway:
+    """One start of a gateway."""
+
+    def __init__(self, play: "Play", number: int):
+        self.number = number
+        self.began_s = play.loop.now_s
+        self.zone = number % ZONES_COUNT
+        self.address = fleet.Address(f"10.0.{number // 250}.{number % 250}", 1)
+        self._play = play
+        self.take: Callable[[bytes, fleet.Address], bool] = lambda *_: False
+        suspects = crash_suspects.CrashSuspects()
+        reports = crash_reports.CrashReports(
+            self,
+            self,  # type: ignore[arg-type]
+            suspects,
+            play.loop,
+            play.loop.later,
+        )
+        self.records = _Records(play, suspects)
+        self.watch = crash_watch.CrashWatch(
+            _Ends(),  # type: ignore[arg-type]
+            suspects,
+            reports,
+            self.records,
+            play.loop,
+        )
+        play.loop.later(play.rng.uniform(0.0, 0.3), self.records.begin)
+
+    @property
+    def gateways_count(self) -> int:
+        return len(self._play.gateways)
+
+    def all_addresses(self) -> tuple[fleet.Address, ...]:
+        return tuple(
+            one.address for one in self._play.gateways if one is not self
+        )
+
+    def on_datagram(self, kind: bytes, take: Any) -> None:
+        self.take = take
+
+    def send(
+        self, kind: bytes, datagram: bytes, peers: tuple[fleet.Address, ...]
+    ) -> None:
+        for peer in peers:
+            self._play.carry(self, peer, datagram)
+
+
+class Play:
+    """One play of a scene."""
+
+    def __init__(self, scene: Scene, seed: int):
+        self.rng = random.Random(seed)
+        self.loop = _Loop()
+        self._scene = scene
+        self._began_s = self.loop.now_s
+        self.store = _Store(lambda: self._is_within(scene.store_away_s))
+        self._engines = [_Engine(n) for n in range(scene.engines_count)]
+        self.gateways: list[_Gateway] = []
+        self.gateways = [_Gateway(self, n) for n in range(scene.gateways_count)]
+        self._numbers = itertools.count()
+        self._ends_s: list[list[float]] = [
+            [] for _ in range(scene.culprits_count)
+        ]
+        self._sends: list[list[tuple[float, _Gateway]]] = [
+            [] for _ in range(scene.culprits_count)
+        ]
+        self._calls_count = 0
+        self._blocked_count = 0
+        self._failed_count = 0
+
+    def run(self) -> Outcome:
+        """Plays it."""
+        for culprit in range(self._scene.culprits_count):
+            self.loop.later(self.rng.uniform(2.0, 5.0), self._again, culprit)
+        if self._scene.begin_anew_s is not None:
+            self.loop.later(self._scene.begin_anew_s, self._begin_anew)
+        self.loop.later(0.0, self._next_call)
+        self.loop.run(LENGTH_S)
+        return Outcome(
+            tuple(len(ends_s) for ends_s in self._ends_s),
+            tuple(
+                self._late_sends_count(culprit)
+                for culprit in range(self._scene.culprits_count)
+            ),
+            self._calls_count,
+            self._blocked_count,
+            self._failed_count,
+        )
+
+    def carry(
+        self, source: _Gateway, target: fleet.Address, datagram: bytes
+    ) -> None:
+        """Carries a datagram to a gateway, late or not at all."""
+        found = next(one for one in self.gateways if one.address == target)
+        is_lost = self.rng.random() < self._scene.loss_share
+        if is_lost or self._is_cut(source.zone, found.zone):
+            return
+        self.loop.later(
+            self.rng.uniform(*self._scene.notice_s),
+            lambda: found.take(datagram, source.address),
+        )
+
+    def _is_within(self, span_s: tuple[float, float] | None) -> bool:
+        at_s = self.loop.now_s - self._began_s
+        return span_s is not None and span_s[0] <= at_s < span_s[1]
+
+    def _is_cut(self, zone: int, other: int) -> bool:
+        is_apart = (zone == 0) != (other == 0)
+        return is_apart and self._is_within(self._scene.cut_s)
+
+    def _begin_anew(self) -> None:
+        for gateway in self.gateways:
+            gateway.records.end()
+        self.gateways = [
+            _Gateway(self, n) for n in range(self._scene.gateways_count)
+        ]
+
+    def _next_call(self) -> None:
+        self._calls_count += 1
+        wanted = self._wanted(f"call-{next(self._numbers)}")
+        self._come(_Call(wanted, None))
+        pause_s = self.rng.expovariate(self._scene.calls_per_s)
+        self.loop.later(pause_s, self._next_call)
+
+    def _again(self, culprit: int) -> None:
+        self._come(_Call(self._wanted(f"culprit-{culprit}"), culprit))
+        pause_s = self.rng.uniform(*self._scene.again_s)
+        self.loop.later(pause_s, self._again, culprit)
+
+    def _wanted(self, body: str) -> request.RoutedRequest:
+        return request.RoutedRequest(
+            body,
+            "POST",
+            "/tag/x",
+            "/tag/x",
+            "callers.example",
+            (),
+            body.encode(),
+            self.loop.now_s,
+            self.loop.now_s + 3.0,
+        )
+
+    def _come(self, call: _Call) -> None:
+        """Lets a caller try, at any gateway."""
+        call.tries_left_count -= 1
+        call.runs_left_count = RUNS_LIMIT_COUNT
+        gateway = self.rng.choice(self.gateways)
+        try:
+            gateway.watch.check(call.wanted)
+        except errors.CrashingRequestError:
+            self._blocked_count += call.culprit is None
+            return
+        self._send(call, gateway)
+
+    def _send(self, call: _Call, gateway: _Gateway) -> None:
+        up = [one for one in self._engines if one.is_up]
+        if not up or not call.runs_left_count:
+            self._fail(call)
+            return
+        call.runs_left_count -= 1
+        engine = self.rng.choice(up)
+        now_s = self.loop.now_s
+        output_from_s = now_s + self.rng.uniform(*_HEAD_S)
+        number = next(self._numbers)
+        run = _Run(call, gateway, engine.server, now_s, output_from_s)
+        engine.runs[number] = run
+        if call.culprit is None:
+            pause_s = output_from_s - now_s + self.rng.uniform(*_RUN_S)
+            self.loop.later(pause_s, self._finish, engine, number)
+            return
+        self._sends[call.culprit].append((now_s, gateway))
+        pause_s = self.rng.uniform(*self._scene.crash_s)
+        if self._scene.has_output:
+            pause_s += output_from_s - now_s
+        else:
+            engine.runs[number] = run._replace(output_from_s=now_s + 60.0)
+        self.loop.later(pause_s, self._crash, engine, number)
+
+    def _finish(self, engine: _Engine, number: int) -> None:
+        run = engine.runs.pop(number, None)
+        if run is not None:
+            run.gateway.watch.ended_whole(run.call.wanted)
+
+    def _crash(self, engine: _Engine, number: int) -> None:
+        if number not in engine.runs:
+            return
+        culprit = engine.runs[number].call.culprit
+        assert culprit is not None
+        self._ends_s[culprit].append(self.loop.now_s)
+        engine.is_up = False
+        runs, engine.runs = list(engine.runs.values()), {}
+        self.loop.later(AWAY_S, self._begin_again, engine)
+        for run in runs:
+            made_output = self.loop.now_s >= run.output_from_s
+            self.loop.later(
+                self.rng.uniform(*_HOP_S), self._broke_off, run, made_output
+            )
+
+    def _begin_again(self, engine: _Engine) -> None:
+        engine.starts_count += 1
+        engine.is_up = True
+
+    def _broke_off(self, run: _Run, made_output: bool) -> None:
+        gateway = run.gateway
+        if gateway not in self.gateways:
+            return
+        gateway.watch.broke_off(
+            crash_watch.Run(run.call.wanted, run.server, run.began_s),
+            made_output=made_output,
+        )
+        if gateway.watch.is_blocked(run.call.wanted):
+            self._fail(run.call)
+        else:
+            self.loop.later(
+                self.rng.uniform(*_HOP_S), self._send, run.call, gateway
+            )
+
+    def _fail(self, call: _Call) -> None:
+        if call.tries_left_count:
+            pause_s = self.rng.uniform(0.005, 0.3)
+            self.loop.later(pause_s, self._come, call)
+        else:
+            self._failed_count += call.culprit is None
+
+    def _late_sends_count(self, culprit: int) -> int:
+        ends_s = self._ends_s[culprit]
+        if len(ends_s) < crash_suspects.ENDS_LIMIT_COUNT:
+            return 0
+        since_s = ends_s[crash_suspects.ENDS_LIMIT_COUNT - 1] + CONTACT_S
+        return sum(
+            at_s > since_s and self._was_in_touch(gateway, at_s)
+            for at_s, gateway in self._sends[culprit]
+        )
+
+    def _was_in_touch(self, gateway: _Gateway, at_s: float) -> bool:
+        if at_s - gateway.began_s < CONTACT_S and self._began_s < (
+            gateway.began_s
+        ):
+            return False
+        cut_s = self._scene.cut_s
+        if cut_s is None or gateway.zone != 0:
+            return True
+        passed_s = at_s - self._began_s
+        return not cut_s[0] <= passed_s < cut_s[1] + CONTACT_S
+
+
+def play(scene: Scene, seed: int) -> Outcome:
+    """Plays a scene, without a line of log."""
+    logger.disable("mulberrywharf")
+    try:
+        with mock.patch.object(crash_reports, "random", random.Random(seed)):
+            return Play(scene, seed).run()
+    finally:
+        logger.enable("mulberrywharf")
+
+
+def main() -> None:
+    """Prints what each scene came to."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=10)
+    seeds_count = parser.parse_args().seeds
+    print("scene | ended, mean and most | late sends, most | blocked | failed")
+    for name, scene in SCENES.items():
+        outcomes = [play(scene, seed) for seed in range(seeds_count)]
+        ended = [count for one in outcomes for count in one.ended_counts]
+        late = [count for one in outcomes for count in one.late_sends_counts]
+        calls_count = sum(one.calls_count for one in outcomes)
+        blocked_count = sum(one.blocked_count for one in outcomes)
+        failed_count = sum(one.failed_count for one in outcomes)
+        print(
+            f"{name} | {statistics.mean(ended):.2f} {max(ended)}"
+            f" | {max(late)} | {blocked_count} of {calls_count}"
+            f" | {failed_count}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    main()
--- a/src/mulberrywharf/peers/crash_records.py
+++ b/src/mulberrywharf/peers/crash_records.py
@@ -95,7 +95,7 @@
         failures_count = 0
         while True:
             self._is_due.clear()
-            if self._update(is_first):
+            if self.update(is_first=is_first):
                 is_first = False
                 failures_count = 0
                 wait_s = READ_INTERVAL_S * random.uniform(0.8, 1.2)
@@ -108,7 +108,7 @@
                 )
             self._is_due.wait(wait_s)
 
-    def _update(self, is_first: bool) -> bool:
+    def update(self, *, is_first: bool) -> bool:
         """Reads all records and writes those that lack; False if it failed."""
         read = self._read(is_first)
         if isinstance(read, Err):
--- a/src/mulberrywharf/peers/crash_reports.py
+++ b/src/mulberrywharf/peers/crash_reports.py
@@ -14,7 +14,6 @@
 from typing import Protocol
 
 import gevent
-import gevent.event
 from loguru import logger
 from result import Err
 
@@ -55,6 +54,7 @@
         socket: datagrams.PeerSocket,
         suspects: crash_suspects.CrashSuspects,
         system_clock: clock.Clock,
+        later: Callable[..., object] = gevent.spawn_later,
     ):
         """Makes it; hooks it to the socket, whose owner starts it.
 
@@ -63,31 +63,23 @@
             socket: Carries the reports.
             suspects: Takes in what the others tell.
             system_clock: Measures ages.
+            later: Calls a function with arguments after some seconds.
         """
+        self._later = later
         self._peers = peers
         self._socket = socket
         self._suspects = suspects
         self._clock = system_clock
         self._pending: dict[tuple[int, int], crash_codec.ToldEnd] = {}
         self._cleared: set[int] = set()
-        self._has_pending = gevent.event.Event()
+        self._is_due = False
         self._on_told: Callable[[int], None] = lambda _: None
-        self._sending: gevent.Greenlet | None = None
         socket.on_datagram(b"c", self._take)
 
     def on_told(self, callback: Callable[[int], None]) -> None:
         """Calls back with the fingerprint of each request that is told of."""
         self._on_told = callback
 
-    def start(self) -> None:
-        """Begins to tell."""
-        self._sending = gevent.spawn(self._send)
-
-    def close(self) -> None:
-        """Stops it."""
-        if self._sending is not None:
-            self._sending.kill()
-
     def tell(self, fingerprint: int) -> None:
         """Tells what is known of a request, to all.
 
@@ -99,17 +91,17 @@
         ends = self._suspects.ends(fingerprint, now_s)
         if len(ends) >= crash_suspects.SURE_ENDS_COUNT:
             for pause_s in TOLD_AGAIN_S:
-                gevent.spawn_later(pause_s, self._add, fingerprint)
+                self._later(pause_s, self._add, fingerprint)
 
     def tell_cleared(self, fingerprint: int) -> None:
         """Tells that a request ended whole."""
         self._cleared.add(fingerprint)
-        self._has_pending.set()
+        self._send_soon()
 
     def _add(self, fingerprint: int) -> None:
         for told in self._told_ends(fingerprint):
             self._pending[told.fingerprint, told.server_key] = told
-        self._has_pending.set()
+        self._send_soon()
 
     def _told_ends(self, fingerprint: int) -> list[crash_codec.ToldEnd]:
         now_s = self._clock.monotonic_s()
@@ -120,17 +112,19 @@
             for end in self._suspects.ends(fingerprint, now_s)
         ]
 
+    def _send_soon(self) -> None:
+        if not self._is_due:
+            self._is_due = True
+            self._later(COLLECTING_S, self._send)
+
     def _send(self) -> None:
-        while True:
-            self._has_pending.wait()
-            gevent.sleep(COLLECTING_S)
-            pending, self._pending = list(self._pending.values()), {}
-            cleared, self._cleared = tuple(self._cleared), set()
-            self._has_pending.clear()
-            for some in _split(pending) or [()]:
-                report = crash_codec.CrashReport(some, cleared)
-                self._send_to(report, self._peers.all_addresses())
-                cleared = ()
+        pending, self._pending = list(self._pending.values()), {}
+        cleared, self._cleared = tuple(self._cleared), set()
+        self._is_due = False
+        for some in _split(pending) or [()]:
+            report = crash_codec.CrashReport(some, cleared)
+            self._send_to(report, self._peers.all_addresses())
+            cleared = ()
 
     def _send_to(
         self, report: crash_codec.CrashReport, peers: tuple[fleet.Address, ...]
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -149,7 +149,6 @@
         self._servers.start()
         self._peers.start()
         self._notices.start()
-        self._crash_reports.start()
         self._crash_records.start()
         self._news.start()
         for part in self._roles:
@@ -195,7 +194,6 @@
             part.close()
         self._news.close()
         self._crash_records.close()
-        self._crash_reports.close()
         self._notices.close()
         self._peers.close()
         self._servers.close()
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -70,10 +70,8 @@
 
     def start(self) -> None:
         self.socket.start()
-        self.reports.start()
 
     def close(self) -> None:
-        self.reports.close()
         self.socket.close()
 
     def sees_end(self, server_key: int) -> None:
