--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -30,6 +30,7 @@
         runs: Every request that it ran.
         arrivals: When a request came, prefills included, and its body.
         crashes: When it ended under a request, and that request's body.
+        on_end: Called at the moment at which it ends.
         on_crash: Called each time that it has ended, in a task of its own;
             ``restart`` lets it begin again.
         handles: Prefilled prompts that nobody has freed.
@@ -47,6 +48,7 @@
         self.runs: list[dict[str, str]] = []
         self.arrivals: list[tuple[float, str]] = []
         self.crashes: list[tuple[float, str]] = []
+        self.on_end: Callable[[], None] = lambda: None
         self.on_crash: Callable[[PlatformServerStandin], None] | None = None
         self.handles: set[str] = set()
         self.orders: list[tuple[float, dict[str, Any]]] = []
@@ -178,7 +180,10 @@
 
     def _end_under(self, environ: dict[str, Any], body: str) -> None:
         """Ends the server; the request's own task ends with it."""
-        # Ended first, its task would still answer that it failed.
+        # Nobody listens before any connection shows that it has ended. Its
+        # task is ended behind that, or it would answer that it failed.
+        self.on_end()
+        self._server.close()
         _http.break_connection(environ)
         gevent.spawn(self._crash, body)
         gevent.sleep(_CRASH_LIMIT_S)
