--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -21,8 +21,8 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet
-from mulberrywharf.forwarding import crash_watch, request
+from mulberrywharf import crash_watch, errors, fleet
+from mulberrywharf.forwarding import request
 from mulberrywharf.peers import crash_records, crash_reports
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.policy import crash_suspects
@@ -180,7 +180,7 @@
     def __init__(
         self, play: "Play", suspects: crash_suspects.CrashSuspects
     ) -> None:
-        super().__init__(play.store, suspects, play.loop)  # type: ignore[arg-type]
+        super().__init__(play.store, suspects, play.loop)
         self._play = play
         self._is_over = False
 
@@ -206,7 +206,9 @@
 class _Ends:
     """Each exchange that breaks off here does so by the end of its engine."""
 
-    def has_ended(self, server: fleet.Server) -> bool:
+    def has_ended(
+        self, start: fleet.ServerStart, address: fleet.Address
+    ) -> bool:
         return True
 
 
@@ -261,14 +263,14 @@
         suspects = crash_suspects.CrashSuspects()
         reports = crash_reports.CrashReports(
             self,
-            self,  # type: ignore[arg-type]
+            self,
             suspects,
             play.loop,
             play.loop.later,
         )
         self.records = _Records(play, suspects)
         self.watch = crash_watch.CrashWatch(
-            _Ends(),  # type: ignore[arg-type]
+            _Ends(),
             suspects,
             reports,
             self.records,
@@ -455,7 +457,12 @@
         if gateway not in self.gateways:
             return
         gateway.watch.broke_off(
-            crash_watch.Run(run.call.wanted, run.server, run.began_s),
+            crash_watch.Run(
+                run.call.wanted,
+                run.server.start,
+                run.server.address,
+                run.began_s,
+            ),
             made_output=made_output,
         )
         if gateway.watch.is_blocked(run.call.wanted):
--- a/src/mulberrywharf/forwarding/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -9,8 +9,7 @@
 
 from loguru import logger
 
-from mulberrywharf import clock, errors, fleet, metrics
-from mulberrywharf.forwarding import request, server_ends
+from mulberrywharf import clock, errors, fleet, metrics, server_ends
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import crash_suspects
 
@@ -25,17 +24,32 @@
 )
 
 
+class Request(Protocol):
+    """A caller's request."""
+
+    @property
+    def request_id(self) -> str:
+        """Names this attempt of the caller."""
+        ...
+
+    def fingerprint(self) -> int:
+        """Returns 64 bits that are equal when the same is asked again."""
+        ...
+
+
 class Run(NamedTuple):
     """A request that a server works on.
 
     Attributes:
         wanted: The request.
-        server: The server.
+        start: The server's start.
+        address: Where the server listens.
         began_s: Monotonic instant at which it was sent.
     """
 
-    wanted: request.RoutedRequest
-    server: fleet.Server
+    wanted: Request
+    start: fleet.ServerStart
+    address: fleet.Address
     began_s: float
 
 
@@ -43,10 +57,12 @@
     """Tells whether an exchange may have failed so because its server ended.
 
     A server that ends closes its connections; one that falls silent, or sends
-    what is no answer, is there still.
+    another answer, is there still.
     """
-    return isinstance(error, errors.AnswerLostError) and not isinstance(
-        error, errors.PeerSilentError
+    return isinstance(
+        error, errors.AnswerLostError | errors.StreamBrokenError
+    ) and not isinstance(
+        error, errors.PeerSilentError | errors.ForeignAnswerError
     )
 
 
@@ -78,6 +94,25 @@
         ...
 
 
+class Alone:
+    """Tells nobody and keeps nothing, for nodes without either."""
+
+    def on_told(self, callback: Callable[[int], None]) -> None:
+        """Nobody tells."""
+
+    def tell(self, fingerprint: int) -> None:
+        """Tells nobody."""
+
+    def tell_cleared(self, fingerprint: int) -> None:
+        """Tells nobody."""
+
+    def on_read(self, callback: Callable[[], None]) -> None:
+        """Nothing is read."""
+
+    def write_soon(self) -> None:
+        """Writes nothing."""
+
+
 class CrashWatch:
     """Takes in which exchanges broke off, and blocks requests."""
 
@@ -107,7 +142,7 @@
         records.on_read(self._refresh)
         self._clock = system_clock
 
-    def check(self, wanted: request.RoutedRequest) -> None:
+    def check(self, wanted: Request) -> None:
         """Lets a request pass that is not blocked.
 
         Raises:
@@ -124,14 +159,14 @@
             retry_after_s=self._suspects.blocked_for_s(fingerprint, now_s),
         )
 
-    def is_blocked(self, wanted: request.RoutedRequest) -> bool:
+    def is_blocked(self, wanted: Request) -> bool:
         """Tells whether a request must not be sent to another server."""
         now_s = self._clock.monotonic_s()
         return not self._suspects.is_empty and self._suspects.is_blocked(
             wanted.fingerprint(), now_s
         )
 
-    def ended_whole(self, wanted: request.RoutedRequest) -> None:
+    def ended_whole(self, wanted: Request) -> None:
         """Notes that a server answered a request to its end."""
         fingerprint = wanted.fingerprint()
         now_s = self._clock.monotonic_s()
@@ -146,19 +181,19 @@
             made_output: Whether any of its answer had come.
         """
         broke_off_s = self._clock.monotonic_s()
-        if not self._ends.has_ended(run.server):
+        if not self._ends.has_ended(run.start, run.address):
             return
         fingerprint = run.wanted.fingerprint()
         _ends_total.inc({"made_output": str(made_output).lower()})
         end = crash_suspects.End(
-            codec.key_of_server(run.server.start), made_output, broke_off_s
+            codec.key_of_server(run.start), made_output, broke_off_s
         )
         if self._suspects.note_end(fingerprint, end):
             self._reports.tell(fingerprint)
         logger.bind(
             request_id=run.wanted.request_id,
             fingerprint=f"{fingerprint:016x}",
-            server_id=run.server.server_id,
+            server_id=run.start.server_id,
             ran_s=round(broke_off_s - run.began_s, 3),
             made_output=made_output,
             ends_count=len(self._suspects.ends(fingerprint, broke_off_s)),
--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -62,10 +62,10 @@
         self._pool.forget(server.address)
 
     def probe(
-        self, server: fleet.Server
+        self, address: fleet.Address
     ) -> Result[None, errors.EngineUnreachableError]:
         """Connects to a server; keeps the connection for a later request."""
-        opened = _connections.Connection.open(server.address, CONNECT_TIMEOUT_S)
+        opened = _connections.Connection.open(address, CONNECT_TIMEOUT_S)
         return opened.map(self._pool.put)
 
     def send(
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -12,9 +12,8 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet
+from mulberrywharf import clock, crash_watch, errors, fleet
 from mulberrywharf.forwarding import (
-    crash_watch,
     engine_account,
     engine_pool,
     events,
@@ -513,7 +512,9 @@
         made_output: bool = False,
     ) -> None:
         if crash_watch.may_be_crash(error):
-            run = crash_watch.Run(self._wanted, server, began_s)
+            run = crash_watch.Run(
+                self._wanted, server.start, server.address, began_s
+            )
             self._parts.crashes.broke_off(run, made_output=made_output)
 
     def _failed(self, server: fleet.Server) -> None:
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -11,9 +11,8 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet
+from mulberrywharf import clock, crash_watch, errors, fleet
 from mulberrywharf.forwarding import (
-    crash_watch,
     exchanges,
     request,
     server_book,
@@ -186,7 +185,9 @@
         self, server: fleet.Server, began_s: float, error: errors.EngineError
     ) -> None:
         if crash_watch.may_be_crash(error):
-            run = crash_watch.Run(self._wanted, server, began_s)
+            run = crash_watch.Run(
+                self._wanted, server.start, server.address, began_s
+            )
             self._parts.crashes.broke_off(run, made_output=False)
 
     def _exchange(
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -6,19 +6,23 @@
 import gevent.event
 from loguru import logger
 
-from mulberrywharf import clock, fleet, gateway_settings
+from mulberrywharf import (
+    clock,
+    crash_watch,
+    fleet,
+    gateway_settings,
+    server_ends,
+)
 from mulberrywharf.authority import role_holder, role_keeper
 from mulberrywharf.callers import listener, routed_server
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
-    crash_watch,
     engine_account,
     engine_pool,
     exchanges,
     generation,
     plain_call,
     server_book,
-    server_ends,
     servers,
 )
 from mulberrywharf.operators import readiness
--- a/src/mulberrywharf/forwarding/server_ends.py
+++ b/src/mulberrywharf/server_ends.py
@@ -9,7 +9,7 @@
 import gevent
 from result import Err, Result
 
-from mulberrywharf import clock, errors, fleet
+from mulberrywharf import _connections, clock, errors, fleet
 
 REMEMBERED_S = 0.5
 """All exchanges with a server break off together when it ends; one connection
@@ -20,12 +20,26 @@
     """Connects to servers."""
 
     def probe(
-        self, server: fleet.Server
+        self, address: fleet.Address
     ) -> Result[None, errors.EngineUnreachableError]:
         """Connects to a server."""
         ...
 
 
+class Connector:
+    """Connects to servers and closes the connection."""
+
+    def __init__(self, timeout_s: float):
+        self._timeout_s = timeout_s
+
+    def probe(
+        self, address: fleet.Address
+    ) -> Result[None, errors.EngineUnreachableError]:
+        """Connects to a server."""
+        opened = _connections.Connection.open(address, self._timeout_s)
+        return opened.map(lambda connection: connection.close())
+
+
 class ServerEnds:
     """Finds out whether servers ended."""
 
@@ -35,28 +49,30 @@
         self._probes: dict[fleet.ServerStart, gevent.Greenlet] = {}
         self._ended_s: dict[fleet.ServerStart, float] = {}
 
-    def has_ended(self, server: fleet.Server) -> bool:
+    def has_ended(
+        self, start: fleet.ServerStart, address: fleet.Address
+    ) -> bool:
         """Tells whether nobody listens at a server's address.
 
         A server that gives no answer at all may live behind a cut, so it
         does not count as ended.
         """
-        if self._ended_lately(server.start):
+        if self._ended_lately(start):
             return True
-        probe = self._probes.get(server.start)
+        probe = self._probes.get(start)
         if probe is None:
-            probe = self._probes[server.start] = gevent.spawn(
-                self._probe, server
+            probe = self._probes[start] = gevent.spawn(
+                self._probe, start, address
             )
         return bool(probe.get())
 
-    def _probe(self, server: fleet.Server) -> bool:
+    def _probe(self, start: fleet.ServerStart, address: fleet.Address) -> bool:
         try:
-            probed = self._prober.probe(server)
+            probed = self._prober.probe(address)
         finally:
-            del self._probes[server.start]
+            del self._probes[start]
         if isinstance(probed, Err) and probed.err_value.was_refused:
-            self._ended_s[server.start] = self._clock.monotonic_s()
+            self._ended_s[start] = self._clock.monotonic_s()
             return True
         return False
 
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -5,13 +5,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from mulberrywharf import clock, fleet
-from mulberrywharf.forwarding import (
-    crash_watch,
-    exchanges,
-    request,
-    server_ends,
-)
+from mulberrywharf import clock, crash_watch, fleet, server_ends
+from mulberrywharf.forwarding import exchanges, request
 from mulberrywharf.platform import store
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.policy import crash_suspects
@@ -102,36 +97,13 @@
     return made._replace(**changes)
 
 
-class NoReports:
-    """Tells nobody of servers that ended."""
-
-    def on_told(self, callback: Any) -> None:
-        """Nobody tells."""
-
-    def tell(self, fingerprint: int) -> None:
-        """Drops it."""
-
-    def tell_cleared(self, fingerprint: int) -> None:
-        """Drops it."""
-
-
-class NoRecords:
-    """Keeps nothing."""
-
-    def on_read(self, callback: Any) -> None:
-        """Nothing is read."""
-
-    def write_soon(self) -> None:
-        """Drops it."""
-
-
 def crashes_of(client: exchanges.ServerClient) -> crash_watch.CrashWatch:
     system_clock = clock.SystemClock()
     return crash_watch.CrashWatch(
         server_ends.ServerEnds(client, system_clock),
         crash_suspects.CrashSuspects(),
-        NoReports(),
-        NoRecords(),
+        crash_watch.Alone(),
+        crash_watch.Alone(),
         system_clock,
     )
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -6,12 +6,14 @@
 import gevent
 from result import Err
 
-from mulberrywharf import clock, errors
-from mulberrywharf.forwarding import exchanges, server_book, server_ends
+from mulberrywharf import clock, errors, fleet, server_ends
+from mulberrywharf.forwarding import exchanges, server_book
 from mulberrywharf.platform import requests
 from tests import builders_engines
 from tests import builders_routes as build
 
+START = fleet.ServerStart("server-1")
+
 
 class ServerEndsTest(builders_engines.ScriptedServerCase):
     def setUp(self) -> None:
@@ -27,22 +29,22 @@
     def scripted(self) -> Any:
         return self.serve(lambda sock, _: sock.close())
 
+    def has_ended(self, scripted: Any) -> bool:
+        return self.ends.has_ended(START, scripted.address)
+
     def test_a_server_that_listens_has_not_ended(self) -> None:
         scripted = self.scripted()
-        server = build.server(address=scripted.address)
-        self.assertFalse(self.ends.has_ended(server))
+        self.assertFalse(self.has_ended(scripted))
 
     def test_an_end_right_behind_a_lost_answer_is_seen(self) -> None:
         scripted = self.scripted()
-        server = build.server(address=scripted.address)
-        self.assertFalse(self.ends.has_ended(server))
+        self.assertFalse(self.has_ended(scripted))
         scripted.close()
-        self.assertTrue(self.ends.has_ended(server))
+        self.assertTrue(self.has_ended(scripted))
 
     def test_one_connection_tells_for_all_exchanges(self) -> None:
         scripted = self.scripted()
-        server = build.server(address=scripted.address)
-        asked = [gevent.spawn(self.ends.has_ended, server) for _ in range(9)]
+        asked = [gevent.spawn(self.has_ended, scripted) for _ in range(9)]
         gevent.joinall(asked)
         gevent.sleep(0)
         self.assertEqual([one.get() for one in asked], [False] * 9)
@@ -50,13 +52,14 @@
 
     def test_a_silent_server_has_not_ended(self) -> None:
         ends = server_ends.ServerEnds(_Silence(), clock.SystemClock())
-        self.assertFalse(ends.has_ended(build.server()))
+        address = fleet.Address("127.0.0.1", 1)
+        self.assertFalse(ends.has_ended(START, address))
 
 
 class _Silence:
     """Stands for a way on which nothing is answered."""
 
-    def probe(self, server: Any) -> Any:
+    def probe(self, address: Any) -> Any:
         return Err(errors.EngineUnreachableError("timed out"))
 
 
