Block requests under which servers end at routers, too

The same cause on the product's own interface: nothing knew of a request beyond its attempts, so a completion ended three engines an attempt, a call of a plain service as many as the retry budget allowed.

Routers use the same memory of ends, each for itself: their servers keep their ids when they start again, so each end counts by its instant. A prefill elsewhere counts, too. What a single engine had delivered is told apart from what the caller had before.

--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -206,10 +206,13 @@
 class _Ends:
     """Each exchange that breaks off here does so by the end of its engine."""
 
-    def has_ended(
+    def __init__(self, loop: _Loop):
+        self._loop = loop
+
+    def ended_s(
         self, start: fleet.ServerStart, address: fleet.Address
-    ) -> bool:
-        return True
+    ) -> float:
+        return self._loop.now_s
 
 
 class _Call:
@@ -270,7 +273,7 @@
         )
         self.records = _Records(play, suspects)
         self.watch = crash_watch.CrashWatch(
-            _Ends(),
+            _Ends(play.loop),
             suspects,
             reports,
             self.records,
--- a/src/mulberrywharf/callers/request.py
+++ b/src/mulberrywharf/callers/request.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import _wsgi, errors
+from mulberrywharf import _wsgi, errors, fingerprints
 from mulberrywharf.callers import _completion_body, listener
 
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
@@ -58,6 +58,12 @@
     idempotency_key: str | None = None
     idempotent: bool | None = None
 
+    def fingerprint(self) -> int:
+        """Returns 64 bits that are equal when the same is asked again."""
+        return fingerprints.fingerprint(
+            (self.method, self.target, self.customer), self.body
+        )
+
 
 class CompletionRequest(NamedTuple):
     """One generation that a caller asks for.
--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -13,6 +13,8 @@
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import crash_suspects
 
+_CONNECT_TIMEOUT_S = 0.2
+
 _ends_total = metrics.counter(
     "mulberry_server_ends_total",
     "Requests whose server ended while it worked on them, by whether it had"
@@ -44,13 +46,13 @@
         wanted: The request.
         start: The server's start.
         address: Where the server listens.
-        began_s: Monotonic instant at which it was sent.
+        began_s: Monotonic instant at which it was sent, None if not known.
     """
 
     wanted: Request
     start: fleet.ServerStart
     address: fleet.Address
-    began_s: float
+    began_s: float | None = None
 
 
 def may_be_crash(error: errors.EngineError) -> bool:
@@ -123,6 +125,8 @@
         reports: Reports,
         records: Records,
         system_clock: clock.Clock,
+        *,
+        starts_are_told: bool = True,
     ):
         """Makes it; hooks it to the reports.
 
@@ -132,16 +136,33 @@
             reports: Tells the other gateways.
             records: Keeps what is blocked.
             system_clock: Measures ages.
+            starts_are_told: Whether a server that starts again has another
+                start. Without it each end counts for itself.
         """
         self._ends = ends
         self._suspects = suspects
         self._reports = reports
         self._records = records
+        self._starts_are_told = starts_are_told
         self._blocked: frozenset[int] = frozenset()
         reports.on_told(self._on_told)
         records.on_read(self._refresh)
         self._clock = system_clock
 
+    @classmethod
+    def of_node_alone(cls, system_clock: clock.Clock) -> "CrashWatch":
+        """Makes one for a node that tells nobody, of servers by their ids."""
+        prober = server_ends.Connector(_CONNECT_TIMEOUT_S)
+        alone = Alone()
+        return cls(
+            server_ends.ServerEnds(prober, system_clock),
+            crash_suspects.CrashSuspects(),
+            alone,
+            alone,
+            system_clock,
+            starts_are_told=False,
+        )
+
     def check(self, wanted: Request) -> None:
         """Lets a request pass that is not blocked.
 
@@ -180,13 +201,13 @@
             run: The request there.
             made_output: Whether any of its answer had come.
         """
-        broke_off_s = self._clock.monotonic_s()
-        if not self._ends.has_ended(run.start, run.address):
+        ended_s = self._ends.ended_s(run.start, run.address)
+        if ended_s is None:
             return
         fingerprint = run.wanted.fingerprint()
         _ends_total.inc({"made_output": str(made_output).lower()})
         end = crash_suspects.End(
-            codec.key_of_server(run.start), made_output, broke_off_s
+            self._server_key(run.start, ended_s), made_output, ended_s
         )
         if self._suspects.note_end(fingerprint, end):
             self._reports.tell(fingerprint)
@@ -194,14 +215,21 @@
             request_id=run.wanted.request_id,
             fingerprint=f"{fingerprint:016x}",
             server_id=run.start.server_id,
-            ran_s=round(broke_off_s - run.began_s, 3),
+            ran_s=None
+            if run.began_s is None
+            else round(ended_s - run.began_s, 3),
             made_output=made_output,
-            ends_count=len(self._suspects.ends(fingerprint, broke_off_s)),
+            ends_count=len(self._suspects.ends(fingerprint, ended_s)),
         ).warning("a server ended while it worked on a request")
         self._on_told(fingerprint)
         if fingerprint in self._blocked:
             self._records.write_soon()
 
+    def _server_key(self, start: fleet.ServerStart, ended_s: float) -> int:
+        if self._starts_are_told:
+            return codec.key_of_server(start)
+        return codec.key_of(f"{start} {ended_s}")
+
     def _on_told(self, fingerprint: int) -> None:
         now_s = self._clock.monotonic_s()
         ends_count = len(self._suspects.ends(fingerprint, now_s))
--- a/src/mulberrywharf/engines/handover.py
+++ b/src/mulberrywharf/engines/handover.py
@@ -1,6 +1,7 @@
 """Prefill on one engine, decode on another: the KV cache is handed over."""
 
 import json
+from collections.abc import Callable
 
 from loguru import logger
 from result import Err, Ok, Result
@@ -72,6 +73,7 @@
     generation: resume.Generation,
     books: resume.Books,
     timeout_s: float = DEFAULT_PREFILL_TIMEOUT_S,
+    on_failed: Callable[[errors.EngineError], None] = lambda _: None,
 ) -> resume.Prepared:
     """Prefills elsewhere and points the decode engine to the cache.
 
@@ -84,6 +86,7 @@
         generation: Whose prompt it is.
         books: Told of the prefill's begin and end.
         timeout_s: For the connection and for each wait.
+        on_failed: Called with what made the prefill fail.
     """
     books.begin(prefill_vm.vm_id, generation.prompt_tokens)
     failed = False
@@ -93,6 +96,7 @@
     finally:
         books.end(prefill_vm.vm_id, failed)
     if isinstance(prefilled, Err):
+        on_failed(prefilled.err_value)
         _failed_handovers.inc({"engine": prefill_vm.vm_id})
         logger.bind(
             request_id=generation.request_id, engine_id=prefill_vm.vm_id
--- a/src/mulberrywharf/engines/resume.py
+++ b/src/mulberrywharf/engines/resume.py
@@ -55,6 +55,7 @@
         outcome: Outcome of all attempts before.
         retry_after_s: Wait that the engine asked for, or 0.
         error: What happened.
+        made_output: Whether this engine had delivered any token.
     """
 
     engine_id: str
@@ -63,6 +64,7 @@
     outcome: errors.Outcome
     retry_after_s: float
     error: errors.EngineError
+    made_output: bool = False
 
 
 class Prepared(NamedTuple):
@@ -163,6 +165,7 @@
         self._texts: list[str] = []
         self._finished = False
         self._attempt_count = 0
+        self._delivered_before_count = 0
         self._outcome: errors.Outcome = "not-run"
         self._failed_ids: frozenset[str] = frozenset()
         self._version: str | None = None
@@ -187,6 +190,7 @@
         while True:
             view = self._choose()
             self._attempt_count += 1
+            self._delivered_before_count = len(self._texts)
             try:
                 yield from self._attempt(view)
                 return
@@ -340,6 +344,7 @@
             self._outcome,
             retry_after_s or 0.0,
             failure,
+            made_output=len(self._texts) > self._delivered_before_count,
         )
 
 
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -1,13 +1,10 @@
 """A request on a route, and what is sent to a server for it."""
 
-import hashlib
 from typing import NamedTuple, Protocol
 
 from result import Result
 
-from mulberrywharf import _answers, _exchange, errors, fleet
-
-_FINGERPRINT_BYTES = 8
+from mulberrywharf import _answers, _exchange, errors, fingerprints, fleet
 
 
 class PromptPart(NamedTuple):
@@ -70,18 +67,11 @@
     caller: str = ""
 
     def fingerprint(self) -> int:
-        """Returns 64 bits that are equal when the same is asked again.
-
-        Of host, method, path, caller and body. Nobody can make another
-        caller's request share them: the hash is a cryptographic one.
-        """
-        digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
-        for text in (self.host.lower(), self.method, self.target, self.caller):
-            encoded = text.encode("latin-1", "replace")
-            # With its length before it no part can pass for two.
-            digest.update(b"%d:%b" % (len(encoded), encoded))
-        digest.update(self.body)
-        return int.from_bytes(digest.digest(), "big")
+        """Returns 64 bits that are equal when the same is asked again."""
+        return fingerprints.fingerprint(
+            (self.host.lower(), self.method, self.target, self.caller),
+            self.body,
+        )
 
 
 class CacheHandle(NamedTuple):
--- a/src/mulberrywharf/programs/_router.py
+++ b/src/mulberrywharf/programs/_router.py
@@ -6,7 +6,7 @@
 import gevent.event
 from loguru import logger
 
-from mulberrywharf import clock, fleet, settings
+from mulberrywharf import clock, crash_watch, fleet, settings
 from mulberrywharf.callers import listener, request, server
 from mulberrywharf.operators import audit, status
 from mulberrywharf.operators import server as operators_server
@@ -100,6 +100,7 @@
         )
         retries = retry_budget.RetryBudget.from_config(now_s)
         rates = demand_rates.DemandRates()
+        crashes = crash_watch.CrashWatch.of_node_alone(self._clock)
         self._nodes.share_rates(rates)
         self._configuration = _router_configuration.RouterConfiguration(
             self._platform.follower, customer_limits, self._audit, self._clock
@@ -120,6 +121,7 @@
             customer_limits=customer_limits,
             retries=retries,
             rates=rates,
+            crashes=crashes,
             standings=self._configuration.standings,
             availability_zone=self._config["availability_zone"],
             timeouts=generation.EngineTimeouts.from_config(
@@ -137,6 +139,7 @@
             retries=retries,
             rates=rates,
             background=self._background,
+            crashes=crashes,
             system_clock=self._clock,
             rng=self._rng,
         )
--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -11,7 +11,14 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet, metrics, settings
+from mulberrywharf import (
+    clock,
+    crash_watch,
+    errors,
+    fleet,
+    metrics,
+    settings,
+)
 from mulberrywharf.callers import request
 from mulberrywharf.engines import handover, loads, resume, streams
 from mulberrywharf.policy import (
@@ -81,6 +88,7 @@
         customer_limits: limits.CustomerLimits,
         retries: retry_budget.RetryBudget,
         rates: demand_rates.DemandRates,
+        crashes: crash_watch.CrashWatch,
         standings: Callable[[], standing.Standings],
         availability_zone: str,
         timeouts: EngineTimeouts,
@@ -92,6 +100,7 @@
         self._limits = customer_limits
         self._retries = retries
         self._rates = rates
+        self._crashes = crashes
         self._standings = standings
         self._availability_zone = availability_zone
         self._timeouts = timeouts
@@ -107,6 +116,7 @@
         Raises:
             RequestError: The answer is refused or cannot be made whole.
         """
+        self._crashes.check(wanted.caller)
         now_s = self._clock.monotonic_s()
         ask = self._ask(wanted)
         self._rates.count(ask.customer, wanted.model, now_s)
@@ -117,10 +127,13 @@
         if isinstance(taken, Err):
             raise taken.err_value
         self._retries.on_first_attempt(ask.customer, now_s)
-        attempts = _Attempts(wanted, ask, self._reader, self._places)
+        attempts = _Attempts(
+            wanted, ask, self._reader, self._places, self._crashes
+        )
         answer = self._answer(wanted, ask, attempts)
         try:
             yield from self._timed(answer, attempts, wanted.model, now_s)
+            self._crashes.ended_whole(wanted.caller)
             self._lengths.learn(wanted.model, answer.delivered_count)
         finally:
             attempts.close()
@@ -206,6 +219,19 @@
         _attempts_failed_total.inc({"reason": failed.error.code})
         if failed.progress == "refused":
             self._places.on_refused(failed.engine_id)
+        view = self._reader.view(failed.engine_id)
+        if view is not None:
+            _note_end(
+                self._crashes,
+                wanted,
+                view.vm,
+                failed.error,
+                made_output=failed.made_output,
+            )
+        if self._crashes.is_blocked(wanted.caller):
+            return retry_budget.GiveUp(
+                errors.BackEndLostError(failed.error.message, outcome="unknown")
+            )
         now_s = self._clock.monotonic_s()
         return self._retries.decide(
             retry_budget.FailedAttempt(
@@ -239,7 +265,10 @@
         ask: places.Ask,
         reader: loads.LoadReader,
         engine_places: places.EnginePlaces,
+        crashes: crash_watch.CrashWatch,
     ):
+        self._wanted = wanted
+        self._crashes = crashes
         self.generation = resume.Generation(
             wanted.caller.path,
             _engine_body(wanted),
@@ -288,8 +317,14 @@
             return resume.Prepared(
                 self.generation.body, self.generation.prompt_tokens
             )
+        reader = place.choice.prefill
         return handover.prepare(
-            place.choice.prefill, self.generation, self._reader
+            reader,
+            self.generation,
+            self._reader,
+            on_failed=lambda error: _note_end(
+                self._crashes, self._wanted, reader, error, made_output=False
+            ),
         )
 
     def begin(self, engine_id: str, prompt_tokens: int) -> None:
@@ -323,6 +358,21 @@
             self._place.on_first_token(now_s - self._sent_s)
 
 
+def _note_end(
+    crashes: crash_watch.CrashWatch,
+    wanted: request.CompletionRequest,
+    vm: fleet.VmRecord,
+    error: errors.EngineError,
+    *,
+    made_output: bool,
+) -> None:
+    """Notes that an engine broke off, if it may be its end."""
+    if crash_watch.may_be_crash(error):
+        start = fleet.ServerStart(vm.vm_id)
+        run = crash_watch.Run(wanted.caller, start, vm.address)
+        crashes.broke_off(run, made_output=made_output)
+
+
 def _engine_body(wanted: request.CompletionRequest) -> dict[str, Any]:
     body = dict(wanted.body)
     body["model"] = wanted.model
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -9,7 +9,7 @@
 import gevent
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf import clock, crash_watch, errors, fleet, metrics
 from mulberrywharf.backend_servers import client, directory
 from mulberrywharf.callers import passthrough
 from mulberrywharf.policy import limits, outcome, retry_budget
@@ -22,6 +22,7 @@
 )
 
 _LEAST_WAIT_S = 0.05
+_FAILURE_STATUS = 500
 
 _attempts_total = metrics.counter(
     "mulberry_service_attempts_total",
@@ -43,6 +44,7 @@
         retries: retry_budget.RetryBudget,
         rates: demand_rates.DemandRates,
         background: in_flight.InFlight,
+        crashes: crash_watch.CrashWatch,
         system_clock: clock.Clock,
         rng: random.Random,
     ):
@@ -51,6 +53,7 @@
         self._limits = customer_limits
         self._retries = retries
         self._rates = rates
+        self._crashes = crashes
         self._clock = system_clock
         self._rng = rng
         self._claimed = claimed_call.ClaimedCalls(
@@ -70,6 +73,7 @@
         Raises:
             RequestError: With the outcome that holds for the call.
         """
+        self._crashes.check(wanted.caller)
         now_s = self._clock.monotonic_s()
         self._rates.count(wanted.caller.customer, "", now_s)
         taken = self._limits.take(wanted.caller.customer, 0.0, now_s)
@@ -107,6 +111,10 @@
             attempted = self._attempt(wanted, vm, run_id)
             if isinstance(attempted, Ok):
                 return attempted.ok_value
+            if self._crashes.is_blocked(wanted.caller):
+                raise errors.BackEndLostError(
+                    attempted.err_value.message, outcome="unknown"
+                )
             progress = _progress(attempted.err_value)
             verdict = self._retries.decide(
                 retry_budget.FailedAttempt(
@@ -152,6 +160,8 @@
         except errors.EngineError as error:
             return self._failed(wanted, vm, error)
         self._servers.succeeded(vm.vm_id)
+        if answer.status < _FAILURE_STATUS:
+            self._crashes.ended_whole(wanted.caller)
         _attempts_total.inc({"service": wanted.service, "result": "answered"})
         return Ok(answer)
 
@@ -162,6 +172,11 @@
         error: errors.EngineError,
     ) -> Err[errors.EngineError]:
         self._servers.failed(vm.vm_id, self._clock.monotonic_s())
+        if crash_watch.may_be_crash(error):
+            run = crash_watch.Run(
+                wanted.caller, fleet.ServerStart(vm.vm_id), vm.address
+            )
+            self._crashes.broke_off(run, made_output=False)
         _attempts_total.inc({"service": wanted.service, "result": error.code})
         return Err(error)
 
--- a/src/mulberrywharf/server_ends.py
+++ b/src/mulberrywharf/server_ends.py
@@ -49,38 +49,42 @@
         self._probes: dict[fleet.ServerStart, gevent.Greenlet] = {}
         self._ended_s: dict[fleet.ServerStart, float] = {}
 
-    def has_ended(
+    def ended_s(
         self, start: fleet.ServerStart, address: fleet.Address
-    ) -> bool:
-        """Tells whether nobody listens at a server's address.
+    ) -> float | None:
+        """Returns when it was seen that nobody listens at an address.
 
-        A server that gives no answer at all may live behind a cut, so it
+        The same instant for all that ask of one end, None for a server that
+        lives. One that gives no answer at all may live behind a cut, so it
         does not count as ended.
         """
-        if self._ended_lately(start):
-            return True
+        seen_s = self._seen_s(start)
+        if seen_s is not None:
+            return seen_s
         probe = self._probes.get(start)
         if probe is None:
             probe = self._probes[start] = gevent.spawn(
                 self._probe, start, address
             )
-        return bool(probe.get())
+        found: float | None = probe.get()
+        return found
 
-    def _probe(self, start: fleet.ServerStart, address: fleet.Address) -> bool:
+    def _probe(
+        self, start: fleet.ServerStart, address: fleet.Address
+    ) -> float | None:
         try:
             probed = self._prober.probe(address)
         finally:
             del self._probes[start]
         if isinstance(probed, Err) and probed.err_value.was_refused:
             self._ended_s[start] = self._clock.monotonic_s()
-            return True
-        return False
+        return self._ended_s.get(start)
 
-    def _ended_lately(self, start: fleet.ServerStart) -> bool:
+    def _seen_s(self, start: fleet.ServerStart) -> float | None:
         since_s = self._clock.monotonic_s() - REMEMBERED_S
         self._ended_s = {
             ended: at_s
             for ended, at_s in self._ended_s.items()
             if at_s > since_s
         }
-        return start in self._ended_s
+        return self._ended_s.get(start)
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -11,6 +11,7 @@
 import argparse
 import base64
 import hashlib
+import os
 import time
 from collections.abc import Iterable
 from typing import Any
@@ -27,6 +28,7 @@
     "delay_s": 0.0,
     "cross_answers": 0,
     "half_open": 0,
+    "crash": 0,
 }
 
 
@@ -83,6 +85,8 @@
     ) -> Iterable[bytes]:
         call = _Call(self._run(path, environ))
         gevent.sleep(self._faults["delay_s"])
+        if self._take("crash"):
+            os._exit(1)
         if self._take("close_before_answer"):
             _http.break_connection(environ)
             return []
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -9,11 +9,14 @@
 monkey.patch_all()
 
 import argparse
+import os
 import urllib.parse
 import uuid
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+import gevent
+
 from standins import (
     _http,
     engine_answers,
@@ -192,6 +195,11 @@
             return _http.send_reply(_NOT_SERVING, start_response)
         if not self._batch.submit(run):
             return _http.send_reply(_QUEUE_FULL, start_response)
+        if self._faults.crash_on and self._faults.crash_on in run.prompt:
+            # Its head has gone out by then, and no token.
+            gevent.spawn_later(
+                self._batch.speeds.between_tokens_s / 2, os._exit, 1
+            )
         reason = "length" if body.get("max_tokens") is not None else "stop"
         source = self._faults.source_of(run)
         shape = engine_answers.Shape(source.request_id, is_chat, reason)
--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -30,6 +30,7 @@
 }
 _PLAIN_FAULTS = (
     "crash_mid_change",
+    "crash_on",
     "slow_factor",
     "cross_answers",
     "late_answer_s",
@@ -46,12 +47,14 @@
         late_answer_s: Wait before each answer's first byte.
         cross_answers: So many pairs of concurrent answers are swapped.
         drop_order_answers: So many orders are taken without an answer.
+        crash_on: The process ends under each prompt that holds this text.
     """
 
     def __init__(self) -> None:
         self.late_answer_s = 0.0
         self.cross_answers = 0
         self.drop_order_answers = 0
+        self.crash_on = ""
         self._stream_fault: StreamFault | None = None
         self._stream_fault_count = 0
         self._lone: engine_batch.Run | None = None
@@ -76,6 +79,7 @@
         self.drop_order_answers = fields.get(
             "drop_order_answers", self.drop_order_answers
         )
+        self.crash_on = fields.get("crash_on", self.crash_on)
         for name, kind in _STREAM_FAULTS.items():
             if fields.get(name) is not None:
                 self._stream_fault = StreamFault(kind, fields[name])
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -30,7 +30,7 @@
         return self.serve(lambda sock, _: sock.close())
 
     def has_ended(self, scripted: Any) -> bool:
-        return self.ends.has_ended(START, scripted.address)
+        return self.ends.ended_s(START, scripted.address) is not None
 
     def test_a_server_that_listens_has_not_ended(self) -> None:
         scripted = self.scripted()
@@ -53,7 +53,7 @@
     def test_a_silent_server_has_not_ended(self) -> None:
         ends = server_ends.ServerEnds(_Silence(), clock.SystemClock())
         address = fleet.Address("127.0.0.1", 1)
-        self.assertFalse(ends.has_ended(START, address))
+        self.assertIsNone(ends.ended_s(START, address))
 
 
 class _Silence:
