Reproduce work for servers that say that they leave, or want rest

A real gateway before stand-in servers. With the store silent, a server whose answers say that it leaves gets requests for as long as they come (allowed: 2 s), an engine and a plain server alike. An engine that refuses with Retry-After: 3 gets five requests within these 3 s, beyond the first half second (allowed: two).

An engine that prefills and a plain server with a peer stay within the bound in this test, as others take their work; they stand beside it.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -40,6 +40,8 @@
             behind that event, ``refuse`` answers that nothing ran, ``lose``
             runs a request and closes its connection, ``foreign`` answers
             with another request's id, ``prefill_s`` is how long it reads.
+            ``leaving`` says in each answer that it leaves, ``rest`` refuses
+            and asks for so many seconds of rest.
             ``crash_on`` ends it under each request whose body holds that
             text, behind ``crash_after`` events.
     """
@@ -108,6 +110,7 @@
     def _application(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
+        start_response = self._with_leaving(start_response)
         if environ["REQUEST_METHOD"] == "DELETE":
             self.handles.discard(environ["PATH_INFO"].rsplit("/", 1)[1])
             return _say({}, start_response)
@@ -116,6 +119,11 @@
         if self._header(environ, "EXPECTED_INSTANCE") != self._server_id:
             start_response("421 Misdirected", [("content-length", "0")])
             return []
+        if "rest" in self.faults:
+            self.arrivals.append((time.monotonic(), ""))
+            rest = ("Retry-After", str(self.faults["rest"]))
+            start_response("503 Busy", [*_REFUSED, rest])
+            return []
         if self.faults.get("refuse"):
             start_response("503 Busy", _REFUSED)
             return []
@@ -123,6 +131,14 @@
             return self._take_order(environ, start_response)
         return self._run(environ, start_response)
 
+    def _with_leaving(self, start_response: Any) -> Any:
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            if self.faults.get("leaving"):
+                headers = [*headers, ("Server-Leaving", "1")]
+            return start_response(status, headers)
+
+        return start
+
     def _take_order(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
