Send nothing to a server whose answers say that it leaves

What callers saw: nothing yet; their requests went to a server that was about to end, and would have been cut by it.

Cause: a server's leaving was known from its record alone. While the store is silent the record can't say so, and a gateway that was told by the server itself in each answer went on for 13 s, until the store was back.

The adapter reads the field of every answer but one that another server gave; the list takes that start of the server out of use, whatever its record says of it, until another start or a new record. Callers get the field as it came.

The others of the zone learn it from their own next answer, so nothing is told between gateways.

--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -1,5 +1,6 @@
 """One attempt at one server, with what went wrong told apart by type."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
@@ -47,7 +48,17 @@
         dialect: request.ServerDialect,
         book: server_book.ServerBook,
         system_clock: clock.Clock,
+        on_leaving: Callable[[fleet.ServerStart], None] = lambda _: None,
     ):
+        """Makes a client.
+
+        Args:
+            dialect: What servers speak.
+            book: Told how exchanges ended.
+            system_clock: Measures ages.
+            on_leaving: Called each time that a server states that it leaves.
+        """
+        self._on_leaving = on_leaving
         self._dialect = dialect
         self._book = book
         self._clock = system_clock
@@ -150,6 +161,8 @@
         head = self._dialect.read_head(answer)
         server = attempt.server
         self._book.reported(server.start, head.load, self._clock.monotonic_s())
+        if head.is_leaving:
+            self._on_leaving(server.start)
         if head.request_id not in (None, attempt.request.request_id):
             _answers.count_foreign(server.address)
             message = f"{server.address} answered another request"
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -140,6 +140,7 @@
         has_receipt: Whether the server vouches for having made it.
         not_executed: Whether the server states that nothing ran.
         load: The server's load, None if it doesn't tell.
+        is_leaving: Whether the server states that it leaves.
     """
 
     status: int
@@ -149,6 +150,7 @@
     has_receipt: bool
     not_executed: bool
     load: ReportedLoad | None
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -25,6 +25,11 @@
     "mulberry_servers_kept_total",
     "Servers kept although their record vanished, by how that ended.",
 )
+_leaving_counter = metrics.counter(
+    "mulberry_servers_leaving_total",
+    "Servers that said in an answer that they leave, by whether their record"
+    " did so before.",
+)
 _copied_counter = metrics.counter(
     "mulberry_server_records_copied_total",
     "Records of servers that were ignored, as the store was back from an older"
@@ -105,6 +110,7 @@
         self._missing: dict[str, gevent.Greenlet] = {}
         self._unreadable: set[str] = set()
         self._ended = server_starts.EndedStarts()
+        self._leaving: set[fleet.ServerStart] = set()
         self._watch: watch.Watch | None = None
         self._callbacks: list[Callable[[], None]] = []
 
@@ -153,6 +159,23 @@
         """
         return [one for one in server_ids if one in self._missing]
 
+    def says_it_leaves(self, start: fleet.ServerStart) -> None:
+        """Notes that a server says of itself that it leaves.
+
+        Its record shows that only once the store has taken it. What the
+        record says of this start no longer counts then, as leaving is final;
+        another start of the server is not bound by it.
+        """
+        known = self._by_id.get(start.server_id)
+        if known is None or known.start != start or start in self._leaving:
+            return
+        self._leaving.add(start)
+        _leaving_counter.inc({"listed": str(known.is_draining).lower()})
+        if known.is_draining:
+            return
+        self._by_id[start.server_id] = known._replace(is_draining=True)
+        self._changed(known, "draining: it says so in an answer")
+
     def superseded(
         self, start: fleet.ServerStart, by: fleet.ServerStart
     ) -> None:
@@ -210,11 +233,14 @@
             )
             return
         self._keep(server_id)
+        if server.start in self._leaving:
+            server = server._replace(is_draining=True)
         known = self._by_id.get(server_id)
         if known == server:
             return
         if known is not None and known.start != server.start:
             self._ended.note(known.start)
+            self._leaving.discard(known.start)
         self._by_id[server_id] = server
         self._changed(server, "draining" if server.is_draining else "live")
 
@@ -260,6 +286,7 @@
             _kept_counter.inc({"end": "dropped"})
         server = self._by_id.pop(server_id, None)
         if server is not None:
+            self._leaving.discard(server.start)
             self._changed(server, reason)
 
     def _starts_are_told(self) -> bool:
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -19,6 +19,9 @@
 SERVER_LOAD = _PREFIX + "instance-load"
 """Running, waiting and slots of the server that answers."""
 
+LEAVING = "server-leaving"
+"""``1`` in all answers of a server that leaves; it bears no prefix."""
+
 SERVER_ID = _PREFIX + "instance-id"
 EXPECTED_SERVER = _PREFIX + "expected-instance"
 PRIORITY = _PREFIX + "request-priority"
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -94,6 +94,10 @@
             not_executed=answer.header(headers.NOT_EXECUTED) is not None
             or answer.status_code == _MISDIRECTED_STATUS,
             load=_load(answer.header(headers.SERVER_LOAD)),
+            # Who answers that it is another server says nothing of the one
+            # that was meant.
+            is_leaving=answer.status_code != _MISDIRECTED_STATUS
+            and answer.header(headers.LEAVING) == _YES,
         )
 
     def decode_handle(
@@ -112,6 +116,7 @@
         return _exchange.Request("DELETE", f"/kv-handle/{cache.handle}")
 
 
+_YES = "1"
 _MISDIRECTED_STATUS = 421
 """Only a server that did not run the request answers so."""
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -85,7 +85,10 @@
         )
         self._book = server_book.ServerBook(config["availability_zone"])
         self._client = exchanges.ServerClient(
-            requests.ServerDialect(), self._book, self._clock
+            requests.ServerDialect(),
+            self._book,
+            self._clock,
+            self._servers.says_it_leaves,
         )
         suspects = crash_suspects.CrashSuspects()
         self._crash_reports = crash_reports.CrashReports(
--- a/tests/test_leaving_and_rest.py
+++ b/tests/test_leaving_and_rest.py
@@ -34,8 +34,21 @@
         while time.monotonic() < until_s:
             answer = self.ask(path, fields=fields)
             self.assertEqual(answer.status, 200)
+            self.assertEqual(
+                answer.headers.get("server-leaving"), self.said_by(answer)
+            )
             gevent.sleep(_PAUSE_S)
 
+    def said_by(self, answer: test_gateway.Answer) -> str | None:
+        """Returns what the server whose answer it is says of its leaving."""
+        known = {
+            "dec-1": self.decodes[0],
+            "plain-1": self.plain,
+        }
+        receipt = answer.headers["x-mulberrywharf-response-signature"]
+        server = known.get(receipt)
+        return "1" if server and server.faults.get("leaving") else None
+
     def assert_left(self, server: PlatformServerStandin) -> None:
         first_s = server.arrivals[0][0]
         late = [
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from mulberrywharf import fleet
 from mulberrywharf.forwarding import servers
 from mulberrywharf.platform import documents
 from tests import builders_platform
@@ -34,6 +35,41 @@
         self.assertTrue(self.wait_usable(0))
         self.assertIsNotNone(self.list.find("i-1"))
 
+    def test_one_that_says_that_it_leaves_stays_out_whatever_is_recorded(
+        self,
+    ) -> None:
+        """An older word of a server brings it back into use."""
+        first = fleet.ServerStart("i-1")
+        self.list.says_it_leaves(first)
+        self.assertEqual(self.list.usable("plain"), ())
+        self.store.put(KEY, build.server_value(sequence=2))
+        self.assertFalse(self.wait_usable(1, limit_s=0.5))
+
+    def test_the_next_start_of_one_that_left_is_used(self) -> None:
+        """A server that began again under its id gets no work."""
+        self.store.put(KEY, build.server_value(born=100))
+        first = fleet.ServerStart("i-1", 100)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: [one.start for one in self.list.all()] == [first]
+            )
+        )
+        self.list.says_it_leaves(first)
+        self.store.put(KEY, build.server_value(born=200))
+        self.assertTrue(self.wait_usable(1))
+        # What came late from the start before says nothing of this one.
+        self.list.says_it_leaves(first)
+        self.assertEqual(len(self.list.usable("plain")), 1)
+
+    def test_one_without_a_start_that_registers_anew_is_used(self) -> None:
+        self.list.says_it_leaves(fleet.ServerStart("i-1"))
+        self.store.delete(KEY)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: not self.list.all())
+        )
+        self.store.put(KEY, build.server_value())
+        self.assertTrue(self.wait_usable(1))
+
     def test_a_record_that_vanishes_in_calm_times_is_a_leaving(self) -> None:
         """A server that left without a word gets requests for seconds.
 
