Leave servers alone for the time of rest that they ask for

What callers saw: requests that went to a server which had just refused others for 3 s were refused again, and came late or not at all.

Cause: Retry-After of a server's refusal was not read on the routed path. An engine that refused was passed over for 0.5 s while there was another, then looked idle and was the best one; plain servers were not spared at all. Only the product's own interface read the field.

The field is read once, by one function in the place of three; the gateway that was refused sends the server nothing for that time: no request, no prefill, no release of a cache, no report or order of roles. A minute is the most, so that a mistake does not take a server away for good; what names no time from now is none. Where all servers of a service want rest, callers are told when the first may be asked again.

--- a/src/mulberrywharf/_headers.py
+++ b/src/mulberrywharf/_headers.py
@@ -1,5 +1,6 @@
-"""Header fields that concern one connection and are never passed on."""
+"""Header fields that are read or left out wherever they come."""
 
+import math
 from collections.abc import Iterable
 
 _HOP_BY_HOP = frozenset(
@@ -19,6 +20,20 @@
 """RFC 9110 section 7.6.1, with the fields that older senders add."""
 
 
+def retry_after_s(value: str | None) -> float | None:
+    """Returns the seconds that a ``Retry-After`` field names.
+
+    Returns:
+        None where there is no field, or it names no time from now: it is
+        negative, zero, a date, or no number at all.
+    """
+    try:
+        seconds = float(value or "")
+    except ValueError:
+        return None
+    return seconds if math.isfinite(seconds) and seconds > 0 else None
+
+
 def end_to_end(fields: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
     """Leaves out what concerns only one connection.
 
--- a/src/mulberrywharf/authority/role_keeper.py
+++ b/src/mulberrywharf/authority/role_keeper.py
@@ -51,6 +51,10 @@
         """Returns the engines of each service that may get new work."""
         ...
 
+    def may_ask(self, server: fleet.Server) -> bool:
+        """Tells whether an engine takes anything of this node now."""
+        ...
+
     def trouble_age_s(self) -> float:
         """Returns how long ago the list was last in doubt."""
         ...
@@ -169,6 +173,7 @@
         Its count of orders began anew, so an order by the old count could be
         taken on by the new start as if it were meant for it.
         """
+        servers = [one for one in servers if self._engines.may_ask(one)]
         asked = self._pool.map(self._client.report, servers)
         reports = {}
         for server, asked_one in zip(servers, asked, strict=True):
--- a/src/mulberrywharf/engines/refusals.py
+++ b/src/mulberrywharf/engines/refusals.py
@@ -2,7 +2,7 @@
 
 import json
 
-from mulberrywharf import _answers, errors, fleet
+from mulberrywharf import _answers, _headers, errors, fleet
 
 _SERVICE_UNAVAILABLE = 503
 
@@ -24,7 +24,7 @@
             message,
             status=status,
             reason=reason,
-            retry_after_s=_retry_after_s(answer),
+            retry_after_s=_headers.retry_after_s(answer.header("retry-after")),
             body=body,
         )
     return errors.EngineError(message)
@@ -38,10 +38,3 @@
     if not isinstance(document, dict):
         return ""
     return str(document.get("type", ""))
-
-
-def _retry_after_s(answer: _answers.Answer) -> float | None:
-    try:
-        return float(answer.header("retry-after") or "")
-    except ValueError:
-        return None
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -121,7 +121,7 @@
         if not plans:
             raise errors.NoEngineError(
                 f"no engine of {service.name} is left to try",
-                retry_after_s=RETRY_WITHOUT_ENGINE_S,
+                retry_after_s=self._retry_after_s(service),
             )
         plan = plans[0]
         if may_refuse:
@@ -162,7 +162,7 @@
         if not plans:
             raise errors.NoEngineError(
                 f"no engine of {service.name} is left to go on",
-                retry_after_s=RETRY_WITHOUT_ENGINE_S,
+                retry_after_s=self._retry_after_s(service),
             )
         placed = self._account.count_in_takeover(wanted, service, plans[0])
         logger.bind(
@@ -177,6 +177,18 @@
         ).info("taken over")
         return placed
 
+    def _retry_after_s(self, service: table.Service) -> float:
+        """Returns when a caller may come again who met no engine."""
+        answering = [
+            server
+            for server in self._server_list.usable(service.name)
+            if server.role != "prefill"
+        ]
+        rest_left_s = self._book.rest_left_s(
+            answering, self._clock.monotonic_s()
+        )
+        return RETRY_WITHOUT_ENGINE_S if rest_left_s is None else rest_left_s
+
     def _refuse_if_late(
         self,
         wanted: request.RoutedRequest,
--- a/src/mulberrywharf/forwarding/exchanges.py
+++ b/src/mulberrywharf/forwarding/exchanges.py
@@ -161,6 +161,10 @@
         head = self._dialect.read_head(answer)
         server = attempt.server
         self._book.reported(server.start, head.load, self._clock.monotonic_s())
+        if head.rest_s is not None:
+            self._book.rests(
+                server.start, head.rest_s, self._clock.monotonic_s()
+            )
         if head.is_leaving:
             self._on_leaving(server.start)
         if head.request_id not in (None, attempt.request.request_id):
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -522,9 +522,14 @@
         self._parts.book.failed(server.start)
 
     def _release_cache(self) -> None:
-        if self._prefilled is not None:
-            self._parts.client.release(self._prefilled.cache)
-            self._prefilled = None
+        prefilled, self._prefilled = self._prefilled, None
+        if prefilled is None:
+            return
+        now_s = self._parts.system_clock.monotonic_s()
+        # An engine that wants rest wants no release either; what it holds
+        # lapses by itself.
+        if not self._parts.book.is_resting(prefilled.server.start, now_s):
+            self._parts.client.release(prefilled.cache)
 
     def _since_s(self, began_s: float) -> float:
         return self._parts.system_clock.monotonic_s() - began_s
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -263,6 +263,11 @@
         )
 
     def _retry_after_s(self) -> float:
+        now_s = self._parts.system_clock.monotonic_s()
+        usable = self._parts.server_list.usable(self._service)
+        rest_left_s = self._parts.book.rest_left_s(usable, now_s)
+        if rest_left_s is not None:
+            return rest_left_s
         return self._parts.rng.uniform(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S)
 
     def _log(
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -140,6 +140,8 @@
         has_receipt: Whether the server vouches for having made it.
         not_executed: Whether the server states that nothing ran.
         load: The server's load, None if it doesn't tell.
+        rest_s: For how long the server wants nothing of this node, None if
+            it names no time.
         is_leaving: Whether the server states that it leaves.
     """
 
@@ -150,6 +152,7 @@
     has_receipt: bool
     not_executed: bool
     load: ReportedLoad | None
+    rest_s: float | None = None
     is_leaving: bool = False
 
     @property
--- a/src/mulberrywharf/forwarding/server_book.py
+++ b/src/mulberrywharf/forwarding/server_book.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from mulberrywharf import fleet
+from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
 from mulberrywharf.policy import server_choice
 
@@ -46,6 +46,16 @@
 costs its work for so long."""
 
 
+REST_LIMIT_S = 60.0
+"""A server that asks for a longer rest is asked again behind it: what it says
+may be a mistake, and it would be lost to this node without a sign."""
+
+_rests_total = metrics.counter(
+    "mulberry_server_rests_total",
+    "Refusals that named a time for which the server wants nothing.",
+)
+
+
 class ToldLoad(NamedTuple):
     """What a server last said of other nodes' requests.
 
@@ -72,6 +82,7 @@
         self.suspected_until_s = float("-inf")
         self.avoided_until_s = float("-inf")
         self.changing_until_s = float("-inf")
+        self.resting_until_s = float("-inf")
         self.failed_tries_count = 0
 
 
@@ -191,6 +202,35 @@
         until_s = now_s + REFUSED_S
         entry.suspected_until_s = max(entry.suspected_until_s, until_s)
 
+    def rests(
+        self, start: fleet.ServerStart, rest_s: float, now_s: float
+    ) -> None:
+        """Notes that a server wants nothing of this node for a time."""
+        _rests_total.inc({})
+        entry = self._entry(start)
+        until_s = now_s + min(rest_s, REST_LIMIT_S)
+        entry.resting_until_s = max(entry.resting_until_s, until_s)
+
+    def is_resting(self, start: fleet.ServerStart, now_s: float) -> bool:
+        """Tells whether a server wants nothing of this node now."""
+        return now_s < self._entry(start).resting_until_s
+
+    def rest_left_s(
+        self, among: Iterable[fleet.Server], now_s: float
+    ) -> float | None:
+        """Returns when the first of some servers may be asked again.
+
+        Returns:
+            None unless all of them want rest.
+        """
+        lefts_s = [
+            self._entry(server.start).resting_until_s - now_s
+            for server in among
+        ]
+        if not lefts_s or min(lefts_s) <= 0:
+            return None
+        return min(lefts_s)
+
     def changing(self, start: fleet.ServerStart, now_s: float) -> None:
         """Notes that an engine was ordered to change its role."""
         self._entry(start).changing_until_s = now_s + CHANGING_LIMIT_S
@@ -221,7 +261,11 @@
         instead of letting each wait for every silent server in turn.
         """
         entry = self._entry(start)
-        return now_s >= max(entry.avoided_until_s, entry.changing_until_s)
+        return now_s >= max(
+            entry.avoided_until_s,
+            entry.changing_until_s,
+            entry.resting_until_s,
+        )
 
     def reachable(
         self, among: Iterable[fleet.Server], now_s: float
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -19,6 +19,7 @@
 SERVER_LOAD = _PREFIX + "instance-load"
 """Running, waiting and slots of the server that answers."""
 
+RETRY_AFTER = "retry-after"
 LEAVING = "server-leaving"
 """``1`` in all answers of a server that leaves; it bears no prefix."""
 
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -94,6 +94,9 @@
             not_executed=answer.header(headers.NOT_EXECUTED) is not None
             or answer.status_code == _MISDIRECTED_STATUS,
             load=_load(answer.header(headers.SERVER_LOAD)),
+            rest_s=_headers.retry_after_s(answer.header(headers.RETRY_AFTER))
+            if answer.status_code in _REFUSED_STATUSES
+            else None,
             # Who answers that it is another server says nothing of the one
             # that was meant.
             is_leaving=answer.status_code != _MISDIRECTED_STATUS
@@ -117,6 +120,7 @@
 
 
 _YES = "1"
+_REFUSED_STATUSES = frozenset({429, 503})
 _MISDIRECTED_STATUS = 421
 """Only a server that did not run the request answers so."""
 
--- a/src/mulberrywharf/platform_service/http_calls.py
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -16,7 +16,7 @@
 from geventhttpclient import connectionpool, response
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, settings
+from mulberrywharf import _headers, errors, settings
 
 CONCURRENT_CALLS_COUNT = 32
 """Calls to one endpoint that may wait for their answers at once."""
@@ -231,7 +231,7 @@
         return Answer(
             answer.status_code,
             _parse_object(text),
-            _retry_after_s(answer),
+            _headers.retry_after_s(_field(answer, "retry-after")),
             _field(answer, self._era_header),
         )
 
@@ -303,14 +303,6 @@
     return value if isinstance(value, str) else None
 
 
-def _retry_after_s(answer: Any) -> float | None:
-    text = answer.get("retry-after")
-    try:
-        return max(0.0, float(text)) if text is not None else None
-    except (TypeError, ValueError):
-        return None
-
-
 def full_jitter_s(attempt: int, *, base_s: float, limit_s: float) -> float:
     """Returns a random wait below an exponentially growing bound.
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -251,7 +251,14 @@
         )
         keeper = role_keeper.RoleKeeper(
             holder,
-            _Engines(self._servers, self._routes, self._store, self._account),
+            _Engines(
+                self._servers,
+                self._routes,
+                self._store,
+                self._account,
+                self._book,
+                self._clock,
+            ),
             role_orders.RoleClient(orders.OrderDialect()),
             self._config["vm_id"],
             self._clock,
@@ -336,7 +343,11 @@
         routes: follower.RouteFollower,
         client: key_value.KeyValueClient,
         account: engine_account.EngineAccount,
+        book: server_book.ServerBook,
+        system_clock: clock.Clock,
     ):
+        self._book = book
+        self._clock = system_clock
         self._servers = server_list
         self._routes = routes
         self._client = client
@@ -348,6 +359,12 @@
         services = routes.prompt_services() if routes else frozenset()
         return {name: self._servers.usable(name) for name in services}
 
+    def may_ask(self, server: fleet.Server) -> bool:
+        """Tells whether an engine takes anything of this node now."""
+        return not self._book.is_resting(
+            server.start, self._clock.monotonic_s()
+        )
+
     def trouble_age_s(self) -> float:
         """Returns how long ago the store last failed a call."""
         return self._client.trouble_age_s()
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -67,6 +67,43 @@
         self.assertIsNone(server_choice.choose([], random.Random(1)))
 
 
+class RestTest(unittest.TestCase):
+    """Servers that want nothing for a time."""
+
+    def setUp(self) -> None:
+        self.book = server_book.ServerBook("zone-a")
+        self.one, self.two = build.server("one"), build.server("two")
+
+    def test_it_is_left_alone_for_that_time(self) -> None:
+        self.book.rests(self.one.start, 3.0, 10.0)
+        reached = self.book.reachable([self.one, self.two], 12.9)
+        self.assertEqual(reached, [self.two])
+        self.assertTrue(self.book.may_use(self.one.start, 13.0))
+
+    def test_a_shorter_rest_does_not_end_a_longer_one(self) -> None:
+        self.book.rests(self.one.start, 5.0, 10.0)
+        self.book.rests(self.one.start, 0.1, 10.0)
+        self.assertTrue(self.book.is_resting(self.one.start, 14.0))
+
+    def test_a_whole_answer_does_not_end_it(self) -> None:
+        self.book.rests(self.one.start, 5.0, 10.0)
+        self.book.succeeded(self.one.start)
+        self.assertTrue(self.book.is_resting(self.one.start, 14.0))
+
+    def test_an_hour_of_rest_takes_a_server_away_for_a_minute(self) -> None:
+        self.book.rests(self.one.start, 3600.0, 10.0)
+        self.assertFalse(self.book.may_use(self.one.start, 69.0))
+        self.assertTrue(self.book.may_use(self.one.start, 70.0))
+
+    def test_callers_come_again_when_the_first_may_be_asked(self) -> None:
+        self.book.rests(self.one.start, 3.0, 10.0)
+        both = [self.one, self.two]
+        self.assertIsNone(self.book.rest_left_s(both, 11.0))
+        self.book.rests(self.two.start, 5.0, 10.0)
+        self.assertEqual(self.book.rest_left_s(both, 11.0), 2.0)
+        self.assertIsNone(self.book.rest_left_s([], 11.0))
+
+
 class ServerBookTest(unittest.TestCase):
     def setUp(self) -> None:
         self.book = server_book.ServerBook("zone-a")
--- a/tests/test_leaving_and_rest.py
+++ b/tests/test_leaving_and_rest.py
@@ -105,6 +105,10 @@
         self.play(self.plain, "/safe/x")
         self.assert_rested(self.plain)
 
+    def test_the_only_server(self) -> None:
+        self.play(self.plain, "/safe/x")
+        self.assert_rested(self.plain)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -25,6 +25,59 @@
 )
 
 
+class AnswerTest(unittest.TestCase):
+    """What the head of a server's answer says of the server."""
+
+    def head(self, status: int, **fields: str) -> request.AnswerHead:
+        class Answer:
+            status_code = status
+            status_message = "Said"
+
+            def items(self) -> list[tuple[str, str]]:
+                return list(named.items())
+
+            def header(self, name: str) -> str | None:
+                return named.get(name)
+
+        named = {name.replace("_", "-"): text for name, text in fields.items()}
+        return requests.ServerDialect().read_head(Answer())
+
+    def test_a_refusal_names_a_time_of_rest(self) -> None:
+        for status in (429, 503):
+            self.assertEqual(self.head(status, retry_after="1.5").rest_s, 1.5)
+        self.assertIsNone(self.head(200, retry_after="1.5").rest_s)
+        self.assertIsNone(self.head(421, retry_after="1.5").rest_s)
+
+    def test_what_names_no_time_from_now_is_no_rest(self) -> None:
+        """A malformed field takes a server away."""
+        for text in (
+            "",
+            "0",
+            "-3",
+            "nan",
+            "inf",
+            "1e999",
+            "soon",
+            "3, 5",
+            "Thu, 03 Dec 2026 08:00:00 GMT",
+        ):
+            with self.subTest(text=text):
+                self.assertIsNone(self.head(503, retry_after=text).rest_s)
+
+    def test_a_server_says_that_it_leaves(self) -> None:
+        self.assertTrue(self.head(200, server_leaving="1").is_leaving)
+        self.assertTrue(self.head(503, server_leaving="1").is_leaving)
+        self.assertFalse(self.head(200, server_leaving="0").is_leaving)
+        self.assertFalse(self.head(200).is_leaving)
+        # It is another server that answers so.
+        self.assertFalse(self.head(421, server_leaving="1").is_leaving)
+
+    def test_the_caller_gets_the_fields_as_they_came(self) -> None:
+        head = self.head(200, server_leaving="1", retry_after="7")
+        self.assertIn(("server-leaving", "1"), head.fields)
+        self.assertIn(("retry-after", "7"), head.fields)
+
+
 class DocumentsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.documents = documents.StoredDocuments()
--- a/tests/test_role_keeper.py
+++ b/tests/test_role_keeper.py
@@ -53,10 +53,14 @@
 
     age_s = 1000.0
     wanted = 1.4
+    resting: frozenset[str] = frozenset()
 
     def engines(self) -> dict[str, tuple[fleet.Server, ...]]:
         return {}
 
+    def may_ask(self, server: fleet.Server) -> bool:
+        return server.server_id not in self.resting
+
     def trouble_age_s(self) -> float:
         return self.age_s
 
@@ -132,14 +136,14 @@
         self.addCleanup(self.keeper.close)
         self.engines = [_Engine("prefill", 5)]
         self.engines += [_Engine("decode", 2 + n) for n in range(3)]
+        self.scripted = [self.serve(one.script) for one in self.engines]
         self.servers = [
             build.server(
-                f"e{n}",
-                self.serve(engine.script).address,
-                role=engine.role,
-                slots_count=64,
+                f"e{n}", scripted.address, role=engine.role, slots_count=64
+            )
+            for n, (engine, scripted) in enumerate(
+                zip(self.engines, self.scripted, strict=True)
             )
-            for n, engine in enumerate(self.engines)
         ]
 
     def rounds(self, count: int) -> None:
@@ -150,6 +154,12 @@
     def sent(self) -> list[dict[str, Any]]:
         return [order for engine in self.engines for order in engine.orders]
 
+    def test_engines_that_want_rest_are_not_asked(self) -> None:
+        """Orders and reports reach an engine that has asked for rest."""
+        self.listed.resting = frozenset({"e0", "e1", "e2", "e3"})
+        self.rounds(3)
+        self.assertEqual([one.requests for one in self.scripted], [[]] * 4)
+
     def test_an_engine_is_ordered_as_its_report_stood(self) -> None:
         self.rounds(8)
         (order,) = self.sent()
