Answer streams that fail before their first event

What callers saw: a connection that was closed without a word where the engine had ended behind the head of its answer and no other could go on.

Cause: the head was taken for the answer. It is written with the first event only, so a failure before that had nothing to be told with but the end of the connection.

The first event is awaited before the answer begins, so that such a failure is told as any other, 502 with its outcome; nothing comes later by it.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -237,10 +237,13 @@
         answer = self._generations.open(
             routed.wanted, routed.route, routed.service
         )
+        # Until an event has come nothing is written, so a failure can still
+        # be told; behind it there is only the end of the connection.
+        first = next(answer.blocks, b"")
         return _Answer(
             _status_line(answer.head),
             _headers_without_length(answer.head),
-            _watched(answer.blocks, watch, routed),
+            _watched(first, answer.blocks, watch, routed),
         )
 
 
@@ -274,11 +277,12 @@
 
 
 def _watched(
+    first: bytes,
     blocks: Iterator[bytes],
     watch: caller_watch.CallerWatch,
     routed: _Routed,
 ) -> Iterator[bytes]:
-    """Yields the blocks while the caller is there.
+    """Yields the blocks, the first one before them, while the caller is there.
 
     What ends this iterator early closes ``blocks``, which frees the engine.
     An answer that can't be made whole ends by an exception, so that its
@@ -287,6 +291,7 @@
     result = errors.CallerGoneError.code
     message = ""
     try:
+        yield first
         watch.expect()
         for block in blocks:
             watch.ignore()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -198,6 +198,19 @@
         self.assertEqual([run["after"] for run in runs][-1], "3")
         self.assertEqual(stream.body.count(b"data: id-1 3"), 1)
 
+    def test_a_stream_that_fails_before_its_first_event_is_answered(
+        self,
+    ) -> None:
+        """Connections of callers are closed without a word."""
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        for engine in self.decodes:
+            engine.crash_on = "body"
+        answer = self.ask("/stream/x", fields=TOKENS)
+        self.assertEqual(answer.status, 502)
+        self.assertIn(b"back-end-lost", answer.body)
+
     def test_routes_change_while_serving(self) -> None:
         self.write_routes()
         self.start()
