Let the soak's servers leave in their answers, want rest and end under a request

One caller more sends the same request again and again, which ends each server that runs it; the server is back half a second later under another id. Servers say in their answers that they leave, end some seconds later and begin again; others refuse and ask for rest, in good and in malformed words. Three promises more, held against what came to servers: nothing to a leaving one 2 s behind the answer that said so, two requests at the most within a rest, three at the most behind the third end and 3 s.

--- a/soak/calls.py
+++ b/soak/calls.py
@@ -42,6 +42,9 @@
         connected_s: Monotonic time at which its connection was made.
         has_left: Whether the caller closed the connection itself.
         is_reached: Whether a gateway was behind the connection.
+        leaving_id: Id of the server whose answer says that it leaves, empty
+            if it does not.
+        is_culprit: Whether it ends each server that runs it.
         began_s: Monotonic time of the call.
         ended_s: Monotonic time of its end.
     """
@@ -58,12 +61,48 @@
     is_reached: bool
     began_s: float
     ended_s: float
+    leaving_id: str = ""
+    is_culprit: bool = False
+
+
+class Answer(NamedTuple):
+    """What came back for one request.
+
+    Attributes:
+        status: HTTP status, 0 for a connection that ended without a head.
+        body: What came of the body, chunks joined.
+        is_whole: Whether the body ended as it should.
+        receipt: Id of the server that vouches for it, empty without one.
+        says_leaving: Whether that server says that it leaves.
+    """
+
+    status: int = 0
+    body: bytes = b""
+    is_whole: bool = False
+    receipt: str = ""
+    says_leaving: bool = False
 
 
 class Caller:
     """One caller; it keeps its connection until that is closed."""
 
-    def __init__(self, played: fleet.Fleet, rng: random.Random):
+    def __init__(
+        self,
+        played: fleet.Fleet,
+        rng: random.Random,
+        body: str = "",
+        pause_limit_s: float = _PAUSE_LIMIT_S,
+    ):
+        """Makes a caller.
+
+        Args:
+            played: What it calls.
+            rng: Decides what it asks when.
+            body: What it sends each time; empty for each request's own id.
+            pause_limit_s: Most time between two calls.
+        """
+        self._body = body
+        self._pause_limit_s = pause_limit_s
         self.calls: list[Call] = []
         self._fleet = played
         self._rng = rng
@@ -74,7 +113,7 @@
         while not self._fleet.is_over:
             if self._connect():
                 self._call()
-            gevent.sleep(self._rng.uniform(0.0, _PAUSE_LIMIT_S))
+            gevent.sleep(self._rng.uniform(0.0, self._pause_limit_s))
         self._hang_up()
 
     def _connect(self) -> bool:
@@ -93,15 +132,16 @@
     def _call(self) -> None:
         connection = self._connection
         assert connection is not None
-        kind = self._rng.choice(KINDS)
+        # A culprit is the same each time.
+        kind = KINDS[-1] if self._body else self._rng.choice(KINDS)
         request_id = f"{self._rng.getrandbits(48):012x}"
         leaves = self._rng.random() < _LEAVE_CHANCE
         began_s = time.monotonic()
         leaving = None
         if leaves:
             leaving = gevent.spawn_later(_LEAVE_AFTER_S, connection.leave)
-        status, has_receipt, body, is_whole = _exchange(
-            connection, kind, request_id
+        answer = _exchange(
+            connection, kind, request_id, self._body or request_id
         )
         if leaving is not None:
             leaving.kill()
@@ -109,19 +149,21 @@
             Call(
                 request_id,
                 kind,
-                status,
-                has_receipt,
-                body,
-                is_whole,
+                answer.status,
+                bool(answer.receipt),
+                answer.body,
+                answer.is_whole,
                 connection.gateway,
                 connection.connected_s,
                 connection.has_left,
                 self._fleet.reached(connection.gateway, connection.own_port),
                 began_s,
                 time.monotonic(),
+                answer.receipt if answer.says_leaving else "",
+                bool(self._body),
             )
         )
-        may_keep = is_whole and connection.sock is not None
+        may_keep = answer.is_whole and connection.sock is not None
         if not may_keep or self._rng.random() > _KEEP_CHANCE:
             self._hang_up()
 
@@ -158,12 +200,8 @@
 
 
 def _exchange(
-    connection: _Connection, kind: str, request_id: str
-) -> tuple[int, bool, bytes, bool]:
-    """Returns status, whether there is a receipt, the body, and its wholeness.
-
-    Status 0 stands for a connection that ended without a head.
-    """
+    connection: _Connection, kind: str, request_id: str, body: str
+) -> Answer:
     fields = {
         "host": build.HOST,
         "x-mulberrywharf-request-id": request_id,
@@ -176,18 +214,21 @@
             "x-mulberrywharf-prompt-prefix": f"aa:13000,{request_id}:3000",
         }
     try:
-        connection.request("POST", f"/{kind}/x", request_id, fields)
+        connection.request("POST", f"/{kind}/x", body, fields)
         answer = connection.getresponse()
     except (OSError, http.client.HTTPException):
-        return 0, False, b"", False
-    has_receipt = "x-mulberrywharf-response-signature" in answer.headers
+        return Answer()
+    came = Answer(
+        answer.status,
+        receipt=answer.headers.get("x-mulberrywharf-response-signature", ""),
+        says_leaving=answer.headers.get("server-leaving") == "1",
+    )
     try:
-        body, is_whole = answer.read(), True
+        return came._replace(body=answer.read(), is_whole=True)
     except http.client.IncompleteRead as error:
-        body, is_whole = error.partial, False
+        return came._replace(body=error.partial)
     except (OSError, http.client.HTTPException):
-        body, is_whole = b"", False
-    return answer.status, has_receipt, body, is_whole
+        return came
 
 
 def all_of(callers: list[Caller]) -> list[Call]:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,8 @@
     "signal": 3,
     "restart": 1,
     "record": 1,
+    "leave": 1,
+    "rest": 2,
 }
 _FOREIGN_RECORDS = (
     b"",
@@ -41,6 +43,7 @@
     {"delay_s": 3.0},
     {"break_after": 2},
 )
+_RESTS = ("1", "1.5", "3", "0", "-1", "soon")
 _STORE_FAULTS: tuple[dict[str, Any], ...] = (
     {"down": True},
     {"status": 503},
@@ -97,6 +100,8 @@
             "signal": self._signal,
             "restart": self._restart_server,
             "record": self._write_over_record,
+            "leave": self._leave,
+            "rest": self._ask_for_rest,
         }
         names = list(_WEIGHT_BY_FAULT)
         weights = list(_WEIGHT_BY_FAULT.values())
@@ -140,7 +145,34 @@
         gevent.sleep(self._rng.uniform(0.1, 1.0))
         self._fleet.register(server_id)
 
+    def _leave(self) -> None:
+        """Lets a server say in its answers that it leaves, then leave.
+
+        Its record shows it late or never, as behind an outage of the store.
+        """
+        server_id = self._rng.choice(list(self._fleet.servers))
+        server = self._fleet.servers[server_id]
+        stays_s = self._rng.uniform(1.0, 4.0)
+        self.counts["leave"] += 1
+        left_id = self._fleet.id_of(server_id)
+        server.faults = {"leaving": True}
+        gevent.sleep(stays_s)
+        if self._fleet.id_of(server_id) == left_id:
+            self._fleet.end(server_id)
+            server.close()
+            gevent.sleep(fleet.AWAY_S)
+            self._fleet.begin_again(server_id)
+
+    def _ask_for_rest(self) -> None:
+        server = self._rng.choice(list(self._fleet.servers.values()))
+        rest = self._rng.choice(_RESTS)
+        self.counts[f"rest {rest}"] += 1
+        server.faults = {"rest": rest}
+        gevent.sleep(self._rng.uniform(0.3, 2.0))
+        server.faults = {}
+
     def _harm_store(self) -> None:
+        began_s = time.monotonic()
         store = self._fleet.store
         store.faults = self._rng.choice(_STORE_FAULTS)
         self._count("store", store.faults)
@@ -149,6 +181,7 @@
             store.store.compact()
         gevent.sleep(self._rng.uniform(0.2, 1.5))
         store.faults = {}
+        self._fleet.note_upset(None, began_s)
 
     def _restore_store(self) -> None:
         """Lets the store come back from a copy some seconds old.
@@ -157,6 +190,7 @@
         in its own time.
         """
         store = self._fleet.store
+        began_s = time.monotonic()
         copy = store.copy()
         gevent.sleep(self._rng.uniform(0.2, 2.0))
         self.counts["restore"] += 1
@@ -170,6 +204,7 @@
             gevent.sleep(self._rng.uniform(0.0, 0.4))
             self._fleet.register(server_id)
         self._fleet.write_routes()
+        self._fleet.note_upset(None, began_s)
 
     def _harm_way(self) -> None:
         name = self._rng.choice(list(self._fleet.ways))
@@ -190,6 +225,7 @@
         if gateway is None or gateway.poll() is not None:
             return
         self.counts[number.name] += 1
+        began_s = time.monotonic()
         ends = number in (signal.SIGTERM, signal.SIGKILL)
         if ends:
             self._fleet.gateways[index] = None
@@ -204,6 +240,7 @@
             gevent.get_hub().threadpool.apply(gateway.wait)
             gateway.close()
             self._fleet.launch(index)
+        self._fleet.note_upset(index, began_s)
 
     def _count(self, where: str, harm: dict[str, Any]) -> None:
         what = ",".join(str(harm.get("mode", name)) for name in harm)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,12 +19,19 @@
 """Time to stop that the gateways' settings name."""
 
 _NOTICES_PORT = 7661
+CULPRIT = "ends whoever runs it"
+"""Body of the request that ends each server."""
+
+AWAY_S = 0.5
+"""How long a server is away behind its end, until it begins again."""
+
 _SERVERS = (
     ("plain-1", "plain", ""),
     ("plain-2", "plain", ""),
     ("pre-1", "engines", "prefill"),
     ("dec-1", "engines", "decode"),
     ("dec-2", "engines", "decode"),
+    ("dec-3", "engines", "decode"),
 )
 
 
@@ -33,11 +40,13 @@
 
     Attributes:
         store: The store.
-        servers: The servers by id.
+        servers: The servers by the id that they had first.
         ways: The fault proxies by name.
         gateways: The gateways' processes, None while one is started anew.
         kills: Index of a gateway that was killed, and when.
         harms: Name of a way that was harmed, from when until when.
+        upsets: Index of a gateway that was started, stopped or paused, or None
+            for the store and with it for all, from when until when.
         is_over: Set once callers are to end.
     """
 
@@ -48,6 +57,8 @@
         self.gateways: list[processes.Process | None] = []
         self.kills: list[tuple[int, float]] = []
         self.harms: list[tuple[str, float, float]] = []
+        self.upsets: list[tuple[int | None, float, float]] = []
+        self._ids: dict[str, str] = {}
         self.is_over = False
         self._fields: dict[str, dict[str, str]] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -81,6 +92,7 @@
 
     def launch(self, index: int) -> None:
         """Starts a gateway and leads its callers' way to it."""
+        began_s = time.monotonic()
         path = pathlib.Path(self._folder.name) / f"gateway-{index}.json"
         path.write_text(json.dumps(self._settings(index)))
         gateway: processes.Process = gevent.get_hub().threadpool.apply(
@@ -94,6 +106,7 @@
         else:
             way.upstream = (LOOPBACK, port)
         self.gateways[index] = gateway
+        self.note_upset(index, began_s)
 
     def callers_port(self, index: int) -> int:
         """Returns where callers of a gateway connect."""
@@ -127,7 +140,43 @@
             born=self.servers[server_id].born,
             **self._fields[server_id],
         )
-        self.store.put(f"servers/{server_id}", record)
+        self.store.put(f"servers/{self._ids[server_id]}", record)
+
+    def begin_again(self, server_id: str) -> None:
+        """Lets a server that has ended begin again, under another id."""
+        self.store.delete(f"servers/{self._ids[server_id]}")
+        server = self.servers[server_id]
+        self._ids[server_id] = f"{server_id}-{server.born}"
+        server.faults = {}
+        server.restart(self._ids[server_id])
+        self.ways[f"server-{server_id}"].set_faults(
+            **fault_proxy.Faults()._asdict()
+        )
+        self.register(server_id)
+
+    def note_upset(self, index: int | None, began_s: float) -> None:
+        """Notes that gateways were upset from a moment until now.
+
+        Args:
+            index: The gateway, None for all.
+            began_s: When it began.
+        """
+        self.upsets.append((index, began_s, time.monotonic()))
+
+    def id_of(self, server_id: str) -> str:
+        """Returns what a server calls itself now, by its first id."""
+        return self._ids[server_id]
+
+    def end(self, server_id: str) -> None:
+        """Lets nobody reach a server any more."""
+        way = self.ways[f"server-{server_id}"]
+        way.set_faults(mode="refuse")
+        way.reset_all()
+
+    def _crashed(self, server_id: str) -> None:
+        self.note_harm(f"server-{server_id}", time.monotonic())
+        gevent.sleep(AWAY_S)
+        self.begin_again(server_id)
 
     def note_kill(self, index: int) -> None:
         """Notes that a gateway is being killed."""
@@ -139,8 +188,12 @@
 
     def _start_server(self, server_id: str, service: str, role: str) -> None:
         server = platform_server.PlatformServerStandin(server_id)
+        server.crash_on = CULPRIT
+        server.on_end = lambda: self.end(server_id)
+        server.on_crash = lambda _: self._crashed(server_id)
         server.start()
         self.servers[server_id] = server
+        self._ids[server_id] = server_id
         self._open_way(f"server-{server_id}", server.port)
         self._fields[server_id] = {
             "service": service,
--- a/soak/play.py
+++ b/soak/play.py
@@ -10,6 +10,7 @@
 from soak import calls, faults, fleet, promises
 
 CALLERS_COUNT = 12
+CULPRIT_PAUSE_LIMIT_S = 1.0
 _SETTLE_S = 0.5
 """For servers to note what callers gave up on."""
 
@@ -43,6 +44,14 @@
             calls.Caller(played, random.Random(rng.getrandbits(64)))
             for _ in range(CALLERS_COUNT)
         ]
+        callers.append(
+            calls.Caller(
+                played,
+                random.Random(rng.getrandbits(64)),
+                fleet.CULPRIT,
+                CULPRIT_PAUSE_LIMIT_S,
+            )
+        )
         running = [gevent.spawn(caller.run) for caller in callers]
         injected = faults.Faults(played, rng)
         injected.play(length_s)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -9,13 +9,15 @@
   its servers failed it.
 * The final answer comes soon after the caller's deadline.
 * Once the faults have ended, requests are served again.
+
+Those to servers are in ``server_promises``.
 """
 
 import collections
 import re
 from collections.abc import Iterator
 
-from soak import calls, fleet
+from soak import calls, fleet, server_promises
 
 RECOVERY_S = 3.0
 """After the last fault; suspicion of a server lasts a second or two, and a
@@ -60,7 +62,10 @@
             for call in made
             for reason in self.broken_by(call, runs[call.request_id])
         ]
-        return lines + list(self._not_recovered(made))
+        others = [call for call in made if not call.is_culprit]
+        lines += list(self._not_recovered(others))
+        judge = server_promises.ServerJudge(self._fleet, made)
+        return lines + list(judge.broken())
 
     def broken_by(self, call: calls.Call, runs_count: int) -> Iterator[str]:
         """Yields what one call shows.
--- /dev/null
+++ b/soak/server_promises.py
@@ -0,0 +1,131 @@
+"""The promises to servers, held against what came to them.
+
+* A server whose answer, passed on by a gateway, says that it leaves gets
+  nothing from that gateway later than ``LEFT_WITHIN_S`` behind it.
+* A server that has refused a gateway and asked for rest gets at most
+  ``RESTING_LIMIT_COUNT`` requests from it between ``REST_FROM_S`` behind that
+  and the end of the rest.
+* A request that ends each server which runs it comes to servers at most
+  ``LATE_SENDS_LIMIT_COUNT`` times later than ``TOLD_WITHIN_S`` behind the third
+  end, sent by gateways that were not upset meanwhile.
+"""
+
+from collections.abc import Iterator
+
+from soak import calls, fleet
+
+LEFT_WITHIN_S = 2.0
+REST_FROM_S = 0.5
+RESTING_LIMIT_COUNT = 2
+TOLD_WITHIN_S = 3.0
+LATE_SENDS_LIMIT_COUNT = 3
+_ENDS_LIMIT_COUNT = 3
+
+
+class ServerJudge:
+    """Holds what came to servers against the promises."""
+
+    def __init__(self, played: fleet.Fleet, made: list[calls.Call]):
+        """Makes a judge.
+
+        Args:
+            played: What the calls went through.
+            made: Every call.
+        """
+        self._fleet = played
+        self._calls = {call.request_id: call for call in made}
+        self._arrivals = [
+            (name, arrival, self._calls[arrival.request_id])
+            for name, server in played.servers.items()
+            for arrival in server.arrivals
+            if arrival.request_id in self._calls
+        ]
+
+    def broken(self) -> Iterator[str]:
+        """Yields a line for each promise that was broken."""
+        yield from self._sent_to_leaving()
+        yield from self._sent_to_resting()
+        yield from self._sent_again()
+
+    def _sent_to_leaving(self) -> Iterator[str]:
+        said_s: dict[tuple[int, str], float] = {}
+        for call in self._calls.values():
+            if call.leaving_id:
+                key = call.gateway, call.leaving_id
+                said_s[key] = min(call.ended_s, said_s.get(key, call.ended_s))
+        for name, arrival, call in self._arrivals:
+            since_s = said_s.get((call.gateway, arrival.server_id))
+            if since_s is None or call.began_s <= since_s + LEFT_WITHIN_S:
+                continue
+            if not self._is_upset(call.gateway, since_s, arrival.at_s, name):
+                late_s = call.began_s - since_s
+                yield f"{arrival.server_id} leaves, sent {late_s:.2f} s later"
+
+    def _sent_to_resting(self) -> Iterator[str]:
+        for name, asked, told in self._arrivals:
+            if not _is_rest(asked.rest):
+                continue
+            rest_s = float(asked.rest or 0.0)
+            within = [
+                arrival
+                for _, arrival, call in self._arrivals
+                if arrival.server_id == asked.server_id
+                and call.gateway == told.gateway
+                and REST_FROM_S < arrival.at_s - asked.at_s < rest_s
+            ]
+            is_upset = self._is_upset(
+                told.gateway, asked.at_s, asked.at_s + rest_s, name
+            )
+            if len(within) > RESTING_LIMIT_COUNT and not is_upset:
+                yield f"{asked.server_id} rests, sent {len(within)} times"
+
+    def _sent_again(self) -> Iterator[str]:
+        ends_s = sorted(
+            at_s
+            for server in self._fleet.servers.values()
+            for at_s, _ in server.crashes
+        )
+        if len(ends_s) < _ENDS_LIMIT_COUNT:
+            return
+        since_s = ends_s[_ENDS_LIMIT_COUNT - 1] + TOLD_WITHIN_S
+        late = [
+            arrival
+            for name, arrival, call in self._arrivals
+            if call.is_culprit
+            and arrival.at_s > since_s
+            and not self._is_upset(
+                call.gateway, arrival.at_s - TOLD_WITHIN_S, arrival.at_s, name
+            )
+        ]
+        if len(late) > LATE_SENDS_LIMIT_COUNT:
+            yield f"sent {len(late)} times behind {len(ends_s)} ends"
+
+    def _is_upset(
+        self, gateway: int, from_s: float, to_s: float, server: str
+    ) -> bool:
+        """Tells whether something excuses a gateway in a span of time.
+
+        A start, a stop, a pause or trouble of the store does, and harm on its
+        ways to the store and to the server, or to its callers.
+        """
+        ways = {f"store-{gateway}", f"server-{server}", f"callers-{gateway}"}
+        spans = [
+            (began_s, ended_s)
+            for index, began_s, ended_s in self._fleet.upsets
+            if index in (None, gateway)
+        ]
+        spans += [
+            (began_s, ended_s)
+            for name, began_s, ended_s in self._fleet.harms
+            if name in ways
+        ]
+        return any(
+            began_s <= to_s and ended_s >= from_s for began_s, ended_s in spans
+        )
+
+
+def _is_rest(text: str | None) -> bool:
+    try:
+        return float(text or 0.0) > 0
+    except ValueError:
+        return False
