Excuse gateways in the soak by what operators excuse, and let servers beat

Trouble of the store excused a request to a server that leaves or rests; it does not for operators, and with the store in trouble most of the time nothing was found.

Real servers write again with each heartbeat; so do these now. Two faults no longer begin one server twice.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -157,7 +157,8 @@
         left_id = self._fleet.id_of(server_id)
         server.faults = {"leaving": True}
         gevent.sleep(stays_s)
-        if self._fleet.id_of(server_id) == left_id:
+        has_ended = self._fleet.is_away(server_id)
+        if not has_ended and self._fleet.id_of(server_id) == left_id:
             self._fleet.end(server_id)
             server.close()
             gevent.sleep(fleet.AWAY_S)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,6 +22,9 @@
 CULPRIT = "ends whoever runs it"
 """Body of the request that ends each server."""
 
+HEARTBEAT_S = 1.0
+"""How often a server writes its record."""
+
 AWAY_S = 0.5
 """How long a server is away behind its end, until it begins again."""
 
@@ -59,6 +62,9 @@
         self.harms: list[tuple[str, float, float]] = []
         self.upsets: list[tuple[int | None, float, float]] = []
         self._ids: dict[str, str] = {}
+        self._away: set[str] = set()
+        self._records_count = 0
+        self._heart: gevent.Greenlet | None = None
         self.is_over = False
         self._fields: dict[str, dict[str, str]] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -77,9 +83,12 @@
             self._open_way(f"store-{index}", self.store.port)
             self.gateways.append(None)
             self.launch(index)
+        self._heart = gevent.spawn(self._beat)
 
     def close(self) -> None:
         """Ends every process and listener."""
+        if self._heart is not None:
+            self._heart.kill()
         for gateway in self.gateways:
             if gateway is not None:
                 gateway.close()
@@ -135,15 +144,24 @@
 
     def register(self, server_id: str) -> None:
         """Writes the record of a server as the server itself does."""
+        self._records_count += 1
         record = build.server_value(
+            sequence=self._records_count,
             address=f"{LOOPBACK}:{self.ways[f'server-{server_id}'].port}",
             born=self.servers[server_id].born,
             **self._fields[server_id],
         )
         self.store.put(f"servers/{self._ids[server_id]}", record)
 
+    def _beat(self) -> None:
+        while True:
+            gevent.sleep(HEARTBEAT_S)
+            for server_id in set(self.servers) - self._away:
+                self.register(server_id)
+
     def begin_again(self, server_id: str) -> None:
         """Lets a server that has ended begin again, under another id."""
+        self._away.discard(server_id)
         self.store.delete(f"servers/{self._ids[server_id]}")
         server = self.servers[server_id]
         self._ids[server_id] = f"{server_id}-{server.born}"
@@ -163,12 +181,17 @@
         """
         self.upsets.append((index, began_s, time.monotonic()))
 
+    def is_away(self, server_id: str) -> bool:
+        """Tells whether a server has ended and not begun again."""
+        return server_id in self._away
+
     def id_of(self, server_id: str) -> str:
         """Returns what a server calls itself now, by its first id."""
         return self._ids[server_id]
 
     def end(self, server_id: str) -> None:
         """Lets nobody reach a server any more."""
+        self._away.add(server_id)
         way = self.ways[f"server-{server_id}"]
         way.set_faults(mode="refuse")
         way.reset_all()
--- a/soak/server_promises.py
+++ b/soak/server_promises.py
@@ -53,11 +53,11 @@
             if call.leaving_id:
                 key = call.gateway, call.leaving_id
                 said_s[key] = min(call.ended_s, said_s.get(key, call.ended_s))
-        for name, arrival, call in self._arrivals:
+        for _, arrival, call in self._arrivals:
             since_s = said_s.get((call.gateway, arrival.server_id))
             if since_s is None or call.began_s <= since_s + LEFT_WITHIN_S:
                 continue
-            if not self._is_upset(call.gateway, since_s, arrival.at_s, name):
+            if not self._is_upset((call.gateway,), (), since_s, arrival.at_s):
                 late_s = call.began_s - since_s
                 yield f"{arrival.server_id} leaves, sent {late_s:.2f} s later"
 
@@ -74,7 +74,10 @@
                 and REST_FROM_S < arrival.at_s - asked.at_s < rest_s
             ]
             is_upset = self._is_upset(
-                told.gateway, asked.at_s, asked.at_s + rest_s, name
+                (told.gateway,),
+                (f"server-{name}",),
+                asked.at_s,
+                asked.at_s + rest_s,
             )
             if len(within) > RESTING_LIMIT_COUNT and not is_upset:
                 yield f"{asked.server_id} rests, sent {len(within)} times"
@@ -94,25 +97,35 @@
             if call.is_culprit
             and arrival.at_s > since_s
             and not self._is_upset(
-                call.gateway, arrival.at_s - TOLD_WITHIN_S, arrival.at_s, name
+                (call.gateway, None),
+                _ways(call.gateway, name),
+                arrival.at_s - TOLD_WITHIN_S,
+                arrival.at_s,
             )
         ]
         if len(late) > LATE_SENDS_LIMIT_COUNT:
             yield f"sent {len(late)} times behind {len(ends_s)} ends"
 
     def _is_upset(
-        self, gateway: int, from_s: float, to_s: float, server: str
+        self,
+        who: tuple[int | None, ...],
+        ways: tuple[str, ...],
+        from_s: float,
+        to_s: float,
     ) -> bool:
         """Tells whether something excuses a gateway in a span of time.
 
-        A start, a stop, a pause or trouble of the store does, and harm on its
-        ways to the store and to the server, or to its callers.
+        Args:
+            who: Whose starts, stops and pauses do; None for the store's
+                trouble.
+            ways: Ways whose harm does.
+            from_s: Monotonic begin of the span.
+            to_s: Its end.
         """
-        ways = {f"store-{gateway}", f"server-{server}", f"callers-{gateway}"}
         spans = [
             (began_s, ended_s)
             for index, began_s, ended_s in self._fleet.upsets
-            if index in (None, gateway)
+            if index in who
         ]
         spans += [
             (began_s, ended_s)
@@ -124,6 +137,10 @@
         )
 
 
+def _ways(gateway: int, server: str) -> tuple[str, ...]:
+    return f"store-{gateway}", f"server-{server}", f"callers-{gateway}"
+
+
 def _is_rest(text: str | None) -> bool:
     try:
         return float(text or 0.0) > 0
