Let records of cleared requests go, and wait shortly for the end of a server

A request that ended whole somewhere was cleared everywhere, but its record stayed in the store and had it blocked again with each reading, for up to ten minutes; who cleared it now deletes the record (test red before: the record stayed).

Behind a cut the connection that tells whether a server has ended takes 0.2 s; a broken stream waited so long before it went on. It is awaited for 50 ms, and taken in whenever it is known.

Keys and values that no gateway writes are passed over as a whole: a number beyond its bounds would have raised where reports are encoded.

--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -165,6 +165,14 @@
             return Err(errors.PlatformUnavailableError("away"))
         return Ok(1)
 
+    def delete(
+        self, key: str, *, purpose: str
+    ) -> Result[int, errors.PlatformError]:
+        if self._is_away():
+            return Err(errors.PlatformUnavailableError("away"))
+        self._values.pop(key, None)
+        return Ok(1)
+
     def compare_and_swap(
         self, key: str, value: bytes, **_: Any
     ) -> Result[None, errors.PlatformError]:
--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -7,12 +7,16 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+import gevent
 from loguru import logger
 
 from mulberrywharf import clock, errors, fleet, metrics, server_ends
 from mulberrywharf.peers import codec
 from mulberrywharf.policy import crash_suspects
 
+KNOWN_WITHIN_S = 0.05
+"""A VM that lives refuses a connection within some ms."""
+
 _CONNECT_TIMEOUT_S = 0.2
 
 _ends_total = metrics.counter(
@@ -95,6 +99,10 @@
         """Lets what is blocked be written, unless it is there already."""
         ...
 
+    def remove(self, fingerprint: int) -> None:
+        """Lets the record of a request that is cleared go."""
+        ...
+
 
 class Alone:
     """Tells nobody and keeps nothing, for nodes without either."""
@@ -114,6 +122,9 @@
     def write_soon(self) -> None:
         """Writes nothing."""
 
+    def remove(self, fingerprint: int) -> None:
+        """Removes nothing."""
+
 
 class CrashWatch:
     """Takes in which exchanges broke off, and blocks requests."""
@@ -193,14 +204,23 @@
         now_s = self._clock.monotonic_s()
         if self._suspects.note_whole(fingerprint, now_s):
             self._reports.tell_cleared(fingerprint)
+            self._records.remove(fingerprint)
 
     def broke_off(self, run: Run, *, made_output: bool) -> None:
         """Notes that a server broke off what it was working on.
 
+        Whether it has ended is awaited for a moment only, and taken in
+        whenever it is known: behind a cut a connection takes longer than the
+        request should wait for its next server.
+
         Args:
             run: The request there.
             made_output: Whether any of its answer had come.
         """
+        noting = gevent.spawn(self._note_end, run, made_output)
+        noting.join(timeout=KNOWN_WITHIN_S)
+
+    def _note_end(self, run: Run, made_output: bool) -> None:
         ended_s = self._ends.ended_s(run.start, run.address)
         if ended_s is None:
             return
--- a/src/mulberrywharf/peers/crash_records.py
+++ b/src/mulberrywharf/peers/crash_records.py
@@ -37,6 +37,7 @@
 _RETRY_LIMIT_S = 8.0
 _RECORDS_LIMIT_COUNT = 256
 _FINGERPRINT_DIGITS = 16
+_SERVER_KEY_LIMIT = 0xFFFFFFFF
 
 
 class CrashRecords:
@@ -62,6 +63,7 @@
         self._suspects = suspects
         self._clock = system_clock
         self._on_read: Callable[[], None] = lambda: None
+        self._stored: set[str] = set()
         self._is_due = gevent.event.Event()
         self._task: gevent.Greenlet | None = None
 
@@ -84,6 +86,21 @@
         """Lets what is blocked be written, unless it is there already."""
         gevent.spawn_later(random.uniform(*WRITTEN_WITHIN_S), self._is_due.set)
 
+    def remove(self, fingerprint: int) -> None:
+        """Lets the record of a request that is cleared go.
+
+        Read again, it would have the request blocked once more.
+        """
+        if _key(fingerprint) in self._stored:
+            gevent.spawn(self._remove, _key(fingerprint))
+
+    def _remove(self, key: str) -> None:
+        removed = self._client.delete(key, purpose=PURPOSE)
+        if isinstance(removed, Err):
+            logger.info("not removed: {}", removed.err_value.message)
+            return
+        self._stored.discard(key)
+
     def _on_restored(self) -> None:
         gevent.spawn_later(
             random.uniform(0.0, RESTORED_WITHIN_S), self._is_due.set
@@ -118,12 +135,12 @@
         for record in records:
             self._take(record)
         self._on_read()
-        stored = {record.key for record in records}
+        self._stored = {record.key for record in records}
         now_s = self._clock.monotonic_s()
         return all(
             self._write(fingerprint, now_s)
             for fingerprint in self._suspects.blocked(now_s)
-            if _key(fingerprint) not in stored
+            if _key(fingerprint) not in self._stored
         )
 
     def _read(
@@ -135,7 +152,7 @@
 
     def _take(self, record: key_value.KeyValue) -> None:
         try:
-            fingerprint = int(record.key.removeprefix(KEY_PREFIX), 16)
+            fingerprint = _fingerprint(record.key)
             ends = [self._end(fields) for fields in orjson.loads(record.value)]
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             logger.warning("{} names no request: {!r}", record.key, error)
@@ -147,8 +164,11 @@
         age_s = self._clock.unix_s() - float(fields["unix_s"])
         # Clocks of gateways differ, and may be stepped.
         age_s = min(max(age_s, 0.0), crash_suspects.KEPT_S)
+        server_key = int(fields["server_key"])
+        if not 0 <= server_key <= _SERVER_KEY_LIMIT:
+            raise ValueError(f"no server has the key {server_key}")
         return crash_suspects.End(
-            int(fields["server_key"]),
+            server_key,
             bool(fields["made_output"]),
             self._clock.monotonic_s() - age_s,
         )
@@ -171,6 +191,7 @@
         ):
             logger.info("blocked not written: {}", written.err_value.message)
             return False
+        self._stored.add(_key(fingerprint))
         logger.bind(
             fingerprint=_digits(fingerprint), left_s=round(left_s, 1)
         ).info("a blocked request is in the store")
@@ -190,6 +211,13 @@
         )
 
 
+def _fingerprint(key: str) -> int:
+    digits = key.removeprefix(KEY_PREFIX)
+    if len(digits) != _FINGERPRINT_DIGITS:
+        raise ValueError(f"{digits!r:.40} names no request")
+    return int.from_bytes(bytes.fromhex(digits), "big")
+
+
 def _key(fingerprint: int) -> str:
     return KEY_PREFIX + _digits(fingerprint)
 
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -61,6 +61,17 @@
         self.assertFalse(self.is_stored())
         self.assertTrue(builders_platform.wait_until(self.is_stored))
 
+    def test_the_record_of_one_that_is_cleared_goes(self) -> None:
+        """A harmless request is blocked again with each reading."""
+        suspects = self.start()
+        self.block(suspects)
+        self.assertTrue(builders_platform.wait_until(self.is_stored))
+        suspects.note_whole(CULPRIT, self.clock.monotonic_s())
+        self.records.remove(CULPRIT)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: not self.is_stored())
+        )
+
     def test_it_is_written_once_the_store_is_back(self) -> None:
         suspects = self.start()
         self.store.faults = {"down": True}
@@ -93,6 +104,11 @@
             ("2", b"[7]"),
             ("3", b'[{"unix_s":"x"}]'),
             ("4", b'{"server_key":1}'),
+            ("0" * 17, b"[]"),
+            (
+                "0" * 15 + "5",
+                b'[{"server_key":4294967296,"made_output":0,"unix_s":1}]',
+            ),
         ):
             self.store.put(crash_records.KEY_PREFIX + name, value)
         suspects = self.start()
