Bring routes within 3 s to gateways that are told of them

What callers saw: a proper request was refused with 404 by routes that had been replaced 4.3 s before, while the store had dropped its history.

Cause: the time that a reader needs and the time to tell the others were each below the operators' 3 s, and add up to 4.3 s.

Readers open the watch of the routes every 1.2 s, that of the servers every 2 s as before; the others open theirs 0.3 s behind the news. A watch that collects changes is left alone, which the longer wait was for.

tests.test_store_readers, with one reader turned away and the store leaving watches just behind the other's call: red three times of three (3 s allowed), green now. The limit of its sibling falls from 5 s to 3 s: the operators' two spans do not add up.

--- a/src/mulberrywharf/peers/store_news.py
+++ b/src/mulberrywharf/peers/store_news.py
@@ -47,10 +47,10 @@
 CHECK_INTERVAL_S = 0.5
 """Between two looks at whether a reader is heard and a heartbeat is due."""
 
-PATIENCE_S = 0.8
+PATIENCE_S = 0.3
 """From a peer's news until a watch that has not brought it is opened again. A
-sound watch begins to bring a change within some ms of its peers', or 0.5 s
-later while it collects changes."""
+sound watch begins to bring a change within some ms of its peers'; one that
+collects changes is left alone."""
 
 HURRY_INTERVAL_S = 2.0
 """Between two openings for want of a change. A call that was just sent is given
@@ -164,6 +164,15 @@
         """Returns how long the watches may wait now."""
         return LONG if self._waits_long else watch.BRIEF
 
+    def patience_for_routes(self) -> watch.Patience:
+        """Returns the same for the routes.
+
+        Operators are promised them within 3 s of a moment at which the
+        service leaves its watches, also at gateways that a reader has to tell
+        of the change.
+        """
+        return LONG if self._waits_long else watch.PROMPT
+
     def seen(self) -> codec.Seen:
         """Returns what this gateway has seen."""
         found = self._watches()
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -206,13 +206,14 @@
         self._poll: gateway.Poll | None = None
         self._revision = wanted.known_revision
         self._brought_changes = False
+        self._is_collecting = False
         self._is_over = False
 
     def read(self) -> dialect.WatchMessage | None:
         if self._is_over:
             return None
         if self._brought_changes:
-            gevent.sleep(_COLLECTING_S)
+            self._collect()
         poll = self._opened_poll()
         query = {
             "prefix": self._wanted.prefix,
@@ -232,6 +233,13 @@
         self._is_over = self._wanted.after_failure
         return dialect.WatchMessage(events, self._state())
 
+    def _collect(self) -> None:
+        self._is_collecting = True
+        try:
+            gevent.sleep(_COLLECTING_S)
+        finally:
+            self._is_collecting = False
+
     def _opened_poll(self) -> gateway.Poll:
         """Returns the connection, a new one if calls may wait longer now."""
         wait_s = min(self._longest_wait_s, self._wanted.silence_s())
@@ -256,8 +264,9 @@
         return ServiceState(self._revision, _history_id(era))
 
     @property
-    def is_receiving(self) -> bool:
-        return self._poll is not None and self._poll.is_receiving
+    def is_busy(self) -> bool:
+        is_receiving = self._poll is not None and self._poll.is_receiving
+        return is_receiving or self._is_collecting
 
     def close(self) -> None:
         if self._poll is not None:
--- a/src/mulberrywharf/platform_service/dialect.py
+++ b/src/mulberrywharf/platform_service/dialect.py
@@ -55,8 +55,8 @@
         ...
 
     @property
-    def is_receiving(self) -> bool:
-        """Whether a message has begun to come and not ended."""
+    def is_busy(self) -> bool:
+        """Whether a message comes just now, or is about to be asked for."""
         ...
 
     def close(self) -> None:
--- a/src/mulberrywharf/platform_service/etcd.py
+++ b/src/mulberrywharf/platform_service/etcd.py
@@ -89,7 +89,7 @@
                 return _decode_message(message.get("result", {}))
 
     @property
-    def is_receiving(self) -> bool:
+    def is_busy(self) -> bool:
         # Messages are lines of one answer that never ends.
         return False
 
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -44,6 +44,11 @@
 for the answer and a first pause of up to 0.5 s a change comes within 2.9 s. A
 node that hears of changes from others may wait longer, see ``hurry``."""
 
+PROMPT_REOPEN_S = 1.2
+"""The same for what one node hears for many: with 0.4 s for the answer and a
+first pause of up to 0.5 s a change comes within 2.1 s, which leaves the time to
+tell it to nodes that wait longer."""
+
 _BACKOFF_BASE_S = 0.25
 _BACKOFF_LIMIT_S = 1.0
 """With the wait for an answer it bounds how long after the return of the
@@ -72,6 +77,9 @@
 BRIEF = Patience(BRIEF_REOPEN_S)
 """For what must be in force within seconds."""
 
+PROMPT = Patience(PROMPT_REOPEN_S)
+"""For what must be in force within seconds also where it is heard of others."""
+
 
 class _Hurried(gevent.GreenletExit):
     """The watch is to be opened again at once."""
@@ -144,10 +152,13 @@
         For a node that knows of a change which this watch should have
         brought: the service has left it without a word. A message that has
         begun to come is awaited: a large document takes a second on a slow
-        link, and would be sent from its beginning again.
+        link, and would be sent from its beginning again. So is a call that is
+        about to leave.
         """
-        if self._stream is not None and self._stream.is_receiving:
-            return
+        if self._stream is None or not self._stream.is_busy:
+            self._open_again()
+
+    def _open_again(self) -> None:
         if self._is_waiting and self._greenlet is not None:
             self._greenlet.kill(_Hurried, block=False)
 
@@ -159,7 +170,7 @@
         miss every change up to there.
         """
         self._is_stale = True
-        self.hurry()
+        self._open_again()
 
     def _run(self) -> None:
         while True:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -78,7 +78,7 @@
             self._notices, self._watches, lambda: self._store.era
         )
         self._routes = follower.RouteFollower(
-            self._store, source, patience=self._news.patience
+            self._store, source, patience=self._news.patience_for_routes
         )
         self._servers = servers.ServerList(
             self._store, source, patience=self._news.patience
--- a/tests/test_store_readers.py
+++ b/tests/test_store_readers.py
@@ -16,10 +16,14 @@
 
 ZONE = "zone-a"
 GATEWAYS_COUNT = 5
+_PLAYS_COUNT = 3
 
-IN_FORCE_S = 5.0
-"""What operators are promised of a change while the store leaves watches
-without a word: 2 s, counted from 3 s behind that."""
+IN_FORCE_S = 3.0
+"""What operators are promised of a change that is made while the store leaves
+watches without a word."""
+
+IN_FORCE_WITHOUT_READERS_S = 5.0
+"""The same while readers are gone, or not heard, from the same moment on."""
 
 
 class _Gateway:
@@ -38,7 +42,7 @@
         self.routes = follower.RouteFollower(
             self.client,
             documents.StoredDocuments(),
-            patience=self.news.patience,
+            patience=self.news.patience_for_routes,
         )
         self.routes.on_change(lambda _: self.news.on_change())
         self._parts = [self.routes, self.peers, self.notices, self.news]
@@ -103,11 +107,16 @@
         )
         return version
 
-    def wait_for(self, version: int, among: list[_Gateway]) -> None:
+    def wait_for(
+        self,
+        version: int,
+        among: list[_Gateway],
+        limit_s: float = IN_FORCE_WITHOUT_READERS_S,
+    ) -> None:
         self.assertTrue(
             builders_platform.wait_until(
                 lambda: all(one.version == version for one in among),
-                limit_s=IN_FORCE_S,
+                limit_s=limit_s,
             ),
             [one.version for one in among],
         )
@@ -125,7 +134,7 @@
         quiet_s = 6.0
         gevent.sleep(quiet_s)
         opened_count = self.watch_calls_count() - before_count
-        by_all_count = GATEWAYS_COUNT * quiet_s / 2.0
+        by_all_count = GATEWAYS_COUNT * quiet_s / watch.PROMPT_REOPEN_S
         self.assertLess(opened_count, 0.6 * by_all_count)
         self.assertGreaterEqual(opened_count, 2 * directory.READERS_COUNT)
 
@@ -137,7 +146,29 @@
         nobody looks.
         """
         self.store.hang_watches()
-        self.wait_for(self.put(), self.gateways)
+        self.wait_for(self.put(), self.gateways, IN_FORCE_S)
+
+    def test_a_change_comes_though_the_only_reader_has_just_asked(
+        self,
+    ) -> None:
+        """Gateways refuse proper requests by old routes.
+
+        The store turns one reader away, and leaves the watches just behind
+        the other one's call.
+        """
+        readers = [one for one in self.gateways if not one.waits_long]
+        readers[0].routes.close()
+        left = [one for one in self.gateways if one is not readers[0]]
+        for _ in range(_PLAYS_COUNT):
+            # What was collecting a change is over by then.
+            gevent.sleep(3.0)
+            before_count = self.watch_calls_count()
+            builders_platform.wait_until(
+                lambda count=before_count: self.watch_calls_count() > count
+            )
+            gevent.sleep(0.05)
+            self.store.hang_watches()
+            self.wait_for(self.put(), left, IN_FORCE_S)
 
     def test_a_change_comes_though_the_readers_are_gone(self) -> None:
         """A fleet that lost its readers serves old routes for half a minute.
