--- a/bench/store_restores.py
+++ b/bench/store_restores.py
@@ -64,7 +64,9 @@
         registered_s: The same until it was registered again.
         calls_count: Calls in the seconds behind the return.
         idle_calls_count: Calls in as many seconds before.
-        peak_per_s: Most calls within one second of those.
+        reads_per_s: Most reads within one second of those; renewals of
+            leases count as such.
+        writes_per_s: Most writes likewise.
     """
 
     gateways_count: int
@@ -73,7 +75,8 @@
     registered_s: float
     calls_count: int
     idle_calls_count: int
-    peak_per_s: int
+    reads_per_s: int
+    writes_per_s: int
 
 
 class _Gateway:
@@ -236,9 +239,10 @@
             round(max(one["noticed"] for one in told) - returned_s, 2),
             round(max(one["read"] for one in told) - returned_s, 2),
             round(registered_s - returned_s, 2),
-            sum(counts),
+            sum(map(sum, counts)),
             idle_count,
-            max(counts),
+            max(reads for reads, _ in counts),
+            max(writes for _, writes in counts),
         )
     finally:
         for worker in workers:
@@ -271,16 +275,24 @@
     return len(played.standin.calls)
 
 
-def _calls_by_second(played: _Store, before_count: int) -> list[int]:
+def _calls_by_second(
+    played: _Store, before_count: int
+) -> list[tuple[int, int]]:
+    """Returns the reads and the writes of each second from now on."""
     counts = []
     for _ in range(int(WATCHED_S)):
         gevent.sleep(1.0)
-        now_count = len(played.standin.calls)
-        counts.append(now_count - before_count)
-        before_count = now_count
+        calls = played.standin.calls[before_count:]
+        before_count += len(calls)
+        writes_count = sum(_is_write(*call) for call in calls)
+        counts.append((len(calls) - writes_count, writes_count))
     return counts
 
 
+def _is_write(method: str, path: str) -> bool:
+    return method != "GET" and not path.startswith("/kv-keep")
+
+
 def _await_registered(played: _Store, gateways_count: int) -> float:
     while played.registered_count() < gateways_count:
         gevent.sleep(_LOOK_S)
@@ -305,7 +317,8 @@
             f" read {restore.read_s} s, registered {restore.registered_s} s;"
             f" {restore.calls_count} calls in {WATCHED_S:.0f} s"
             f" ({restore.idle_calls_count} idle), at most"
-            f" {restore.peak_per_s} in one second",
+            f" {restore.reads_per_s} reads and {restore.writes_per_s} writes"
+            " in one second",
             flush=True,
         )
     print(json.dumps([restore._asdict() for restore in found]))
