Tell callers of a blocked request that ran nowhere that it did not run

A request that others had blocked while it was refused by its first server was answered 502, as if it may have run; a plain call was told to come again within 0.25 s. Both are answered 503 crashing-request now. The test failed before (back-end-lost).

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -359,7 +359,9 @@
         """
         if self._outcome == "unknown" and not self._may_run_again:
             raise errors.BackEndLostError(error.message, outcome="unknown")
-        if self._parts.crashes.is_blocked(self._wanted):
+        if self._outcome == "not-run":
+            self._parts.crashes.check(self._wanted)
+        elif self._parts.crashes.is_blocked(self._wanted):
             raise errors.BackEndLostError(error.message, outcome="unknown")
         is_spent = (
             self._sends_count >= _SENDS_LIMIT_COUNT
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -258,6 +258,7 @@
             raise errors.BackEndLostError(
                 f"the server failed: {reason}", outcome="unknown"
             )
+        self._parts.crashes.check(self._wanted)
         raise errors.OverloadedError(
             f"not run: {reason}", retry_after_s=self._retry_after_s()
         )
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -14,7 +14,7 @@
     time_limits,
 )
 from mulberrywharf.platform import requests
-from mulberrywharf.policy import repeat_budget
+from mulberrywharf.policy import crash_suspects, repeat_budget
 from mulberrywharf.routes import kinds, table
 from tests import builders_engines
 from tests import builders_routes as build
@@ -273,6 +273,26 @@
         self.assertEqual(sound[1].requests, [])
         self.assertEqual(self.body(sound, body=b"another"), event(1))
 
+    def test_one_that_ran_nowhere_is_told_that_it_is_blocked(self) -> None:
+        """A caller is told that its request may have run, or to come again."""
+
+        def refuse(sock: Any, _: bytes) -> None:
+            for server_key in (1, 2):
+                end = crash_suspects.End(
+                    server_key, False, self.clock.monotonic_s()
+                )
+                suspects.note_end(fingerprint, end)
+            sock.sendall(refusal())
+
+        suspects = self.crashes._suspects
+        wanted = build.routed(0.0)
+        fingerprint = wanted.fingerprint()
+        sound = self.say(HEAD + chunks(event(1)))
+        with self.assertRaises(errors.CrashingRequestError) as refused:
+            self.body(self.decode(refuse), sound)
+        self.assertEqual(refused.exception.outcome, "not-run")
+        self.assertEqual(sound[1].requests, [])
+
     def test_one_that_had_output_goes_on_elsewhere(self) -> None:
         ended = self.crash(event(1), event(2))
         sound = self.say(HEAD + chunks(event(3)))
