Admit requests by customer key and reject revoked keys on every gateway

Where the configuration lists customers, requests with unknown or revoked keys were run, and the key itself was forwarded to backend servers.

Cause: the gateway had no notion of customers and keys.

Each version of the configuration now has a directory of keys, indexed by hash. A request without exactly one known key is rejected with 401 before anything runs. Backend servers receive the customer's name instead of the key on every attempt, and a customer's priority overrides the route's.

A key is valid only if the configuration was confirmed as the newest within the configured bound before the request arrived. Each gateway asks the key-value service for the changes since the last answer, at an interval of 0.34 of the bound. The age of a confirmation is measured from before its request was sent, on a clock that keeps running while the machine is suspended. Without such a confirmation, a request with a key waits for up to a third of its remaining time and is then rejected with 503. Public routes are not affected.

A customer all of whose keys were revoked is accepted without keys: rejecting the whole configuration would keep the revoked keys in force.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -4,6 +4,7 @@
 whether the request may have run by its status.
 """
 
+import contextlib
 from collections.abc import Iterable, Iterator
 from functools import singledispatch
 from typing import Any, NamedTuple, Protocol
@@ -19,6 +20,7 @@
     response,
 )
 from mulberrywharf.callers import request as caller_request
+from mulberrywharf.customers import admission
 from mulberrywharf.forwarding import generation, plain_call, request
 from mulberrywharf.routes import follower, kinds, split, table
 
@@ -91,9 +93,11 @@
         routes: follower.RouteFollower,
         plain_calls: plain_call.PlainCalls,
         generations: generation.Generations,
+        customers: admission.CustomerAdmission,
         system_clock: clock.Clock,
     ):
         self._listener = caller_listener
+        self._customers = customers
         self._dialect = dialect
         self._routes = routes
         self._plain_calls = plain_calls
@@ -146,10 +150,45 @@
         else:
             route = _match(routes, environ)
             wanted = self._read(environ, self._body_limit_bytes(routes))
+        if routes.customers is not None:
+            wanted, routes, route = self._admit(routes, wanted, environ)
         name = split.service_of(route, wanted.request_id)
         service = routes.services.get(name) or table.Service(name, 1)
         return _Routed(wanted, route, service)
 
+    def _admit(
+        self,
+        routes: table.RouteTable,
+        wanted: request.RoutedRequest,
+        environ: _wsgi.Environ,
+    ) -> tuple[request.RoutedRequest, table.RouteTable, table.Route]:
+        """Identifies the customer that makes a request.
+
+        Returns:
+            The request with its customer, and the routes that admit it, which
+            may be newer than those it was read with.
+
+        Raises:
+            UnknownCustomerError: The key is missing or unknown.
+            UnconfirmedKeyError: The key may have been revoked.
+            CallerGoneError: The caller disconnected.
+        """
+        with _watched_caller(environ[listener.SOCKET_KEY]):
+            admitted = self._customers.admit(
+                lambda: self._routes.current() or routes,
+                lambda current: _match(current, environ).is_public,
+                wanted.key_digests,
+                wanted.deadline_s - self._clock.monotonic_s(),
+            )
+        route = _match(admitted.routes, environ)
+        customer = admitted.customer
+        if customer is None:
+            return wanted, admitted.routes, route
+        if customer.priority is not None:
+            route = route._replace(priority=customer.priority)
+        wanted = wanted._replace(customer=customer.name)
+        return wanted, admitted.routes, route
+
     def _first_routes(
         self, wanted: request.RoutedRequest, sock: Any
     ) -> table.RouteTable:
@@ -166,13 +205,8 @@
         """
         left_s = wanted.deadline_s - self._clock.monotonic_s()
         wait_s = min(ROUTES_WAIT_LIMIT_S, ROUTES_WAIT_SHARE * left_s)
-        watch = caller_watch.CallerWatch(sock)
-        watch.start()
-        try:
-            watch.expect()
+        with _watched_caller(sock):
             routes = self._routes.wait_first(max(0.0, wait_s))
-        finally:
-            watch.close()
         if routes is None:
             raise errors.NotReadyError(
                 "this node has no routes yet",
@@ -247,6 +281,22 @@
         )
 
 
+@contextlib.contextmanager
+def _watched_caller(sock: Any) -> Iterator[None]:
+    """Aborts the enclosed wait when the caller disconnects.
+
+    Raises:
+        CallerGoneError: The caller disconnected.
+    """
+    watch = caller_watch.CallerWatch(sock)
+    watch.start()
+    try:
+        watch.expect()
+        yield
+    finally:
+        watch.close()
+
+
 def _match(routes: table.RouteTable, environ: _wsgi.Environ) -> table.Route:
     target = environ[listener.TARGET_KEY]
     host = environ.get("HTTP_HOST", "")
@@ -306,13 +356,22 @@
         close = getattr(blocks, "close", None)
         if close is not None:
             close()
-        _log_end(routed.wanted.request_id, routed.route.name, result, message)
+        _log_end(
+            routed.wanted.request_id,
+            routed.route.name,
+            result,
+            message,
+            routed.wanted.customer,
+        )
 
 
-def _log_end(request_id: str, route: str, result: str, message: str) -> None:
-    logger.bind(request_id=request_id, route=route, result=result).info(
-        "request ended: {}", message
-    )
+def _log_end(
+    request_id: str, route: str, result: str, message: str, customer: str = ""
+) -> None:
+    bound = logger.bind(request_id=request_id, route=route, result=result)
+    if customer:
+        bound = bound.bind(customer=customer)
+    bound.info("request ended: {}", message)
 
 
 def _headers_without_length(
--- /dev/null
+++ b/src/mulberrywharf/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Identifies customers by the keys in their requests."""
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -164,13 +164,21 @@
 
 
 class UnknownCustomerError(RequestError):
-    """The bearer key is missing or names no customer."""
+    """The customer key is missing or unknown."""
 
     code = "unknown-customer"
     status = 401
     advice = "Send `authorization: Bearer <customer key>`."
 
 
+class UnconfirmedKeyError(RequestError):
+    """The key may have been revoked since the last confirmation."""
+
+    code = "unconfirmed-key"
+    status = 503
+    advice = "Retry; another entry VM may reach the key-value service."
+
+
 class NotReadyError(RequestError):
     """This node has no accepted configuration yet."""
 
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -5,6 +5,7 @@
 from result import Result
 
 from mulberrywharf import _answers, _exchange, errors, fingerprints, fleet
+from mulberrywharf.customers import directory
 
 
 class PromptPart(NamedTuple):
@@ -51,6 +52,8 @@
         last_event_id: The event behind which a stream is to go on, or None.
         prompt: What it says of its prompt, None if nothing.
         caller: What the caller shows of who it is, empty if nothing.
+        key_digests: Hashes of the customer keys in the request.
+        customer: Name of the customer, empty if none was identified.
     """
 
     request_id: str
@@ -65,11 +68,18 @@
     last_event_id: str | None = None
     prompt: Prompt | None = None
     caller: str = ""
+    key_digests: frozenset[directory.KeyDigest] = frozenset()
+    customer: str = ""
 
     def fingerprint(self) -> int:
         """Returns 64 bits that are equal when the same is asked again."""
         return fingerprints.fingerprint(
-            (self.host.lower(), self.method, self.target, self.caller),
+            (
+                self.host.lower(),
+                self.method,
+                self.target,
+                self.customer or self.caller,
+            ),
             self.body,
         )
 
--- a/src/mulberrywharf/gateway_settings.py
+++ b/src/mulberrywharf/gateway_settings.py
@@ -56,6 +56,18 @@
     turn_ms: Milliseconds
 
 
+@pydantic.with_config(_STRICT)
+class RevocationSettings(TypedDict):
+    """Limits how long a revoked customer key stays usable.
+
+    Attributes:
+        bound_ms: Longest time that a revoked key may be used, also at a
+            gateway that cannot reach the key-value service.
+    """
+
+    bound_ms: Milliseconds
+
+
 @pydantic.with_config(_STRICT)
 class GatewaySettings(TypedDict):
     """The whole settings file of a gateway.
@@ -70,6 +82,7 @@
         repeats: Bounds on repeats.
         grace_s: Time between a request to stop and the forced end.
         roles: Set if gateways may change the roles of engines.
+        revocation: Set to limit how long a revoked key stays usable.
         log_level: Lowest level that is logged.
     """
 
@@ -82,6 +95,7 @@
     repeats: RepeatSettings
     grace_s: Seconds
     roles: NotRequired[RoleSettings]
+    revocation: NotRequired[RevocationSettings]
     log_level: NotRequired[Literal["DEBUG", "INFO", "WARNING", "ERROR"]]
 
 
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -1,12 +1,13 @@
 """What the operators and the servers write into the platform's store."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Any
 
 import orjson
 from result import Err, Ok, Result
 
 from mulberrywharf import errors, fleet
+from mulberrywharf.customers import directory
 from mulberrywharf.platform import server_records
 from mulberrywharf.routes import kinds, table
 
@@ -42,7 +43,12 @@
     ) -> Result[table.RouteTable, errors.StoredConfigurationError]:
         """Reads one version of the routes."""
         try:
-            return Ok(_route_table(orjson.loads(value)))
+            document = orjson.loads(value)
+            customers = _customers(document.get("tenants"))
+            faults = directory.find_faults(customers or ())
+            if faults:
+                return Err(errors.StoredConfigurationError(ROUTES_KEY, faults))
+            return Ok(_route_table(document, customers))
         except _MALFORMED as error:
             fault = errors.Fault(
                 "document", repr(error), "write every field of the routes"
@@ -65,16 +71,43 @@
         return key.removeprefix(SERVERS_PREFIX)
 
 
-def _route_table(document: Mapping[str, Any]) -> table.RouteTable:
+def _route_table(
+    document: Mapping[str, Any],
+    customers: Sequence[directory.CustomerKeys] | None,
+) -> table.RouteTable:
     services = [_service(fields) for fields in document["services"]]
     return table.RouteTable(
         int(document["version"]),
         [_route(fields) for fields in document["routes"]],
         {service.name: service for service in services},
         _limits(document.get("limits")),
+        None
+        if customers is None
+        else directory.CustomerDirectory.from_config(customers),
     )
 
 
+def _customers(
+    tenants: Sequence[Mapping[str, Any]] | None,
+) -> list[directory.CustomerKeys] | None:
+    if tenants is None:
+        return None
+    return [_customer(fields) for fields in tenants]
+
+
+def _customer(fields: Mapping[str, Any]) -> directory.CustomerKeys:
+    priority = fields.get("priority")
+    if priority is not None and type(priority) is not int:
+        raise TypeError("a customer's priority must be an integer")
+    keys = fields["api-keys"]
+    if not isinstance(keys, list) or not all(
+        isinstance(key, str) for key in keys
+    ):
+        raise TypeError("a customer's keys must be a list of strings")
+    name = str(fields["name"])
+    return directory.CustomerKeys(directory.Customer(name, priority), keys)
+
+
 def _route(fields: Mapping[str, Any]) -> table.Route:
     return table.Route(
         name=fields["name"],
@@ -90,6 +123,7 @@
         # It says that requests name the parts of their prompt; there is no
         # session that would have to stay with a server.
         has_prompt=bool(fields.get("session-affinity")),
+        is_public=bool(fields.get("public")),
     )
 
 
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -34,6 +34,10 @@
 """Address of an engine to copy cached parts from; it bears no prefix."""
 
 CREDENTIALS = "authorization"
+CUSTOMER_KEY = _PREFIX + "credential"
+CUSTOMER = _PREFIX + "tenant-id"
+"""Name of the customer, sent to servers instead of the key."""
+
 LAST_EVENT_ID = "last-event-id"
 
 SET_BY_US = frozenset(
@@ -45,6 +49,8 @@
         KV_SOURCE,
         KV_FETCH,
         LAST_EVENT_ID,
+        CUSTOMER_KEY,
+        CUSTOMER,
         _PREFIX + "kv-fetch",
         _PREFIX + "expected-version",
         _PREFIX + "pin-ms",
@@ -52,4 +58,5 @@
         _PREFIX + "kv-backup",
     }
 )
-"""Never passed on as a caller sent them: they move memory and work about."""
+"""Never forwarded from a caller: they control the placement of memory and work,
+or identify the customer."""
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import _answers, _exchange, _headers, errors, fleet
+from mulberrywharf.customers import directory
 from mulberrywharf.forwarding import request as forwarded
 from mulberrywharf.platform import headers
 
@@ -67,6 +68,11 @@
                 last_event_id=by_name.get(headers.LAST_EVENT_ID),
                 prompt=prompt,
                 caller=by_name.get(headers.CREDENTIALS, ""),
+                key_digests=frozenset(
+                    directory.digest(value.encode("latin-1", "replace"))
+                    for name, value in fields
+                    if name == headers.CUSTOMER_KEY
+                ),
             )
         )
 
@@ -168,6 +174,8 @@
         headers.DEADLINE_MS: str(left_ms),
         headers.EXPECTED_SERVER: attempt.server.server_id,
     }
+    if attempt.request.customer:
+        fields[headers.CUSTOMER] = attempt.request.customer
     if attempt.priority is not None:
         fields[headers.PRIORITY] = str(attempt.priority)
     if attempt.prefill_only:
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -27,6 +27,9 @@
 for each of them: with 0.15 s each got 22 answers in the first 5 s. A change
 that follows is in force that much later, a quarter of what operators allow."""
 
+_MIN_WAIT_MS = 1
+"""For a watch that returns the changes so far without waiting for more."""
+
 _TRIAL_WAIT_S = 0.2
 """For the first call after a failure. A store that is silent leaves a call
 without an answer even if it comes back meanwhile; one that was to wait for 2 s
@@ -101,6 +104,30 @@
     return Ok(_PollStream(calls, wanted, spoken.wait_s))
 
 
+@dialect.read_changes.register
+def _(
+    spoken: StoreDialect,
+    calls: gateway.Gateway,
+    prefix: str,
+    after_revision: int,
+    purpose: str,
+) -> Result[dialect.WatchMessage, errors.PlatformError]:
+    query = {
+        "prefix": prefix,
+        "after": str(after_revision),
+        "wait-ms": str(_MIN_WAIT_MS),
+    }
+    answered = calls.send(_read_call("/kv-watch", query, "changes", purpose))
+    return answered.map(
+        lambda answer: dialect.WatchMessage(
+            tuple(_decode_event(event) for event in answer["events"]),
+            ServiceState(
+                int(answer["store-revision"]), _history_id(calls.era.current)
+            ),
+        )
+    )
+
+
 @dialect.read_key.register
 def _(
     spoken: StoreDialect, calls: gateway.Gateway, key: str, purpose: str
--- a/src/mulberrywharf/platform_service/dialect.py
+++ b/src/mulberrywharf/platform_service/dialect.py
@@ -143,6 +143,37 @@
     raise TypeError(f"no watch in the dialect {dialect!r}")
 
 
+@singledispatch
+def read_changes(
+    dialect: Any,
+    calls: gateway.Gateway,
+    prefix: str,
+    after_revision: int,
+    purpose: str,
+) -> Result[WatchMessage, errors.PlatformError]:
+    """Reads the changes under a prefix since a revision, without waiting.
+
+    A service without a change history returns every key as a change.
+
+    Args:
+        dialect: Dialect of the service.
+        calls: Endpoints of the service.
+        prefix: Prefix of the keys.
+        after_revision: Last revision already known, 0 for none.
+        purpose: Call budget that is charged.
+
+    Returns:
+        The changes, and the state of the service at some time after the call
+        began. ``HistoryGoneError`` if the changes are no longer available.
+    """
+    return read_prefix(dialect, calls, prefix, purpose).map(_reading_as_changes)
+
+
+def _reading_as_changes(reading: Reading) -> WatchMessage:
+    found, state = reading
+    return WatchMessage(tuple(WatchEvent("put", kv) for kv in found), state)
+
+
 class KeyWrite(NamedTuple):
     """A key to be written, or deleted, if all guards are as expected.
 
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -306,6 +306,23 @@
             self._dialect, self._gateway, prefix, purpose
         )
 
+    def read_changes(
+        self, prefix: str, *, after_revision: int, purpose: str
+    ) -> Result[dialect_module.WatchMessage, errors.PlatformError]:
+        """Reads the changes under a prefix since a revision, without waiting.
+
+        Args:
+            prefix: Prefix of the keys.
+            after_revision: Revision from an earlier answer in the same era.
+            purpose: Call budget that is charged.
+
+        Returns:
+            The changes; ``HistoryGoneError`` if they are no longer available.
+        """
+        return dialect_module.read_changes(
+            self._dialect, self._gateway, prefix, after_revision, purpose
+        )
+
     def open_watch(
         self, wanted: dialect_module.WatchRequest
     ) -> Result[dialect_module.WatchStream, errors.PlatformError]:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -15,6 +15,7 @@
 )
 from mulberrywharf.authority import role_holder, role_keeper
 from mulberrywharf.callers import listener, routed_server
+from mulberrywharf.customers import admission
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
     engine_account,
@@ -37,7 +38,7 @@
 from mulberrywharf.platform import documents, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
 from mulberrywharf.policy import crash_suspects, repeat_budget
-from mulberrywharf.routes import follower
+from mulberrywharf.routes import follower, freshness, table
 
 STORE_TIMEOUT_S = 1.0
 """For one call; the store answers in milliseconds, and some 250 ms when it is
@@ -80,6 +81,9 @@
         self._routes = follower.RouteFollower(
             self._store, source, patience=self._news.patience_for_routes
         )
+        self._freshness = freshness.RoutesFreshness(
+            self._store, self._routes, _revocation_bound_s(config)
+        )
         self._servers = servers.ServerList(
             self._store, source, patience=self._news.patience
         )
@@ -135,6 +139,7 @@
         )
         self._roles = self._role_parts()
         self._watching: gevent.Greenlet | None = None
+        self._routes.on_change(self._on_routes_change)
 
     @classmethod
     def from_config(cls, config: gateway_settings.GatewaySettings) -> "Gateway":
@@ -199,6 +204,7 @@
         """Ends every part at once."""
         for part in self._roles:
             part.close()
+        self._freshness.close()
         self._news.close()
         self._crash_records.close()
         self._notices.close()
@@ -238,6 +244,10 @@
         )
         return peers, told, queues
 
+    def _on_routes_change(self, routes: table.RouteTable) -> None:
+        if routes.customers is not None:
+            self._freshness.start()
+
     def _role_parts(
         self,
     ) -> tuple[role_keeper.RoleKeeper, role_holder.RoleHolder] | tuple[()]:
@@ -310,6 +320,9 @@
                     self._clock,
                 )
             ),
+            customers=admission.CustomerAdmission(
+                self._freshness, _revocation_bound_s(self._config)
+            ),
             system_clock=self._clock,
         )
 
@@ -381,6 +394,14 @@
     return listener.CallerListener(listen["ip"], listen["port"])
 
 
+def _revocation_bound_s(
+    config: gateway_settings.GatewaySettings,
+) -> float | None:
+    if "revocation" not in config:
+        return None
+    return config["revocation"]["bound_ms"] / _MS_PER_S
+
+
 def _repeat_settings(
     config: gateway_settings.GatewaySettings,
 ) -> repeat_budget.RepeatBudgetSettings:
--- a/src/mulberrywharf/routes/follower.py
+++ b/src/mulberrywharf/routes/follower.py
@@ -1,5 +1,6 @@
 """Keeps a node at the newest version of the routes that it has ever seen."""
 
+import hashlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -60,6 +61,7 @@
         self._source = source
         self._patience = patience
         self._table: table.RouteTable | None = None
+        self._taken_digest = b""
         self._known = gevent.event.Event()
         self._watch: watch.Watch | None = None
         self._callbacks: list[Callable[[table.RouteTable], None]] = []
@@ -78,6 +80,11 @@
         if self._watch is not None:
             self._watch.close()
 
+    @property
+    def routes_key(self) -> str:
+        """Key of the routes in the key-value service."""
+        return self._source.routes_key
+
     def watched(self) -> watch.Watch | None:
         """Returns the watch of the routes, None before the start."""
         return self._watch
@@ -99,20 +106,34 @@
         """Calls back with each new version, from the watch's greenlet."""
         self._callbacks.append(callback)
 
+    def take(self, found: key_value_types.KeyValue) -> bool:
+        """Takes a routes document that was read from the service.
+
+        Returns:
+            Whether its routes are in force now, also if they already were.
+            False if it is malformed or another, equal or newer version is in
+            force.
+        """
+        if self._table is not None and (
+            _digest(found.value) == self._taken_digest
+        ):
+            return True
+        decoded = self._source.decode_routes(found.value)
+        if isinstance(decoded, Err):
+            _rejected.inc({"reason": decoded.err_value.code})
+            logger.error("routes not taken: {}", decoded.err_value.message)
+            return False
+        return self._take(decoded.ok_value, found.value)
+
     def _on_event(self, event: key_value_types.WatchEvent) -> None:
         if event.key_value.key != self._source.routes_key:
             return
         if event.kind == "delete":
             logger.warning("the routes were deleted; the last stay in force")
             return
-        decoded = self._source.decode_routes(event.key_value.value)
-        if isinstance(decoded, Err):
-            _rejected.inc({"reason": decoded.err_value.code})
-            logger.error("routes not taken: {}", decoded.err_value.message)
-            return
-        self._take(decoded.ok_value)
+        self.take(event.key_value)
 
-    def _take(self, found: table.RouteTable) -> None:
+    def _take(self, found: table.RouteTable, value: bytes) -> bool:
         held_version = self._table.version if self._table else 0
         if found.version <= held_version:
             _rejected.inc({"reason": "not-newer"})
@@ -121,14 +142,23 @@
                 found.version,
                 held_version,
             )
-            return
+            return False
         self._table = found
+        self._taken_digest = _digest(value)
         self._known.set()
         _version_gauge.set({}, found.version)
         logger.bind(
             version=found.version,
             before_version=held_version,
             routes_count=found.routes_count,
+            customers_count=found.customers.customers_count
+            if found.customers
+            else None,
         ).info("routes in force")
         for callback in self._callbacks:
             callback(found)
+        return True
+
+
+def _digest(value: bytes) -> bytes:
+    return hashlib.sha256(value).digest()
--- /dev/null
+++ b/src/mulberrywharf/routes/freshness.py
@@ -0,0 +1,231 @@
+"""Tracks how recently the routes in force were confirmed as the newest.
+
+A watch without events does not prove that nothing changed: the service may have
+dropped the watch or be unreachable. Operations that must not use outdated
+routes, such as accepting a key that may be revoked, check here first.
+
+A confirmation is dated by when its request was sent, not by when the answer
+arrived, so that slow answers and suspended machines never make it look newer.
+"""
+
+import random
+from typing import Protocol
+
+import gevent
+import gevent.event
+from loguru import logger
+from result import Err
+
+from mulberrywharf import clock, errors, metrics
+from mulberrywharf.platform_service import key_value, key_value_types
+
+PURPOSE = "freshness"
+
+CLOCK_DRIFT_MARGIN_S = 0.1
+"""Subtracted from the maximum age of a confirmation, to allow for clock drift
+between machines."""
+
+DEFAULT_AGE_LIMIT_S = 15.0
+"""Maximum age if no bound is configured. Callers that need a more recent
+confirmation request one."""
+
+INTERVAL_SHARE = 0.34
+"""Interval between confirmations, as a fraction of their maximum age. The rest
+covers short outages of the service or the network."""
+
+_INTERVAL_JITTER = (0.85, 1.0)
+_RETRY_DELAY_S = (0.25, 0.65)
+"""Range of the delay after a failed confirmation."""
+
+MIN_DELAY_S = 0.05
+"""Minimum delay between two confirmations, also if callers wait for one."""
+
+RESTORE_HOLD_OFF_S = 3.0
+"""Time after a restore of the service from a backup in which nothing is
+confirmed: the newest routes may be missing until operators write them again."""
+
+_age_gauge = metrics.gauge(
+    "mulberry_routes_confirmed_age_seconds",
+    "Age of the last confirmation that the routes in force are the newest.",
+)
+_confirmations = metrics.counter(
+    "mulberry_routes_confirmations_total",
+    "Confirmations that were asked for, by result.",
+)
+
+
+class Routes(Protocol):
+    """The routes in force."""
+
+    @property
+    def routes_key(self) -> str:
+        """Key of the routes in the key-value service."""
+        ...
+
+    def take(self, found: key_value_types.KeyValue) -> bool:
+        """Takes a routes document; tells whether it is now in force."""
+        ...
+
+
+class RoutesFreshness:
+    """Periodically checks the key-value service for changes of the routes."""
+
+    def __init__(
+        self,
+        client: key_value.KeyValueClient,
+        routes: Routes,
+        age_limit_s: float | None,
+        *,
+        system_clock: clock.Clock | None = None,
+    ):
+        """Creates it; no requests are sent before ``start``.
+
+        Args:
+            client: The key-value service.
+            routes: Receives changed routes.
+            age_limit_s: Maximum age of a usable confirmation, None for
+                ``DEFAULT_AGE_LIMIT_S``.
+            system_clock: A clock that also runs while suspended.
+        """
+        self._client = client
+        self._routes = routes
+        self._interval_s = INTERVAL_SHARE * (age_limit_s or DEFAULT_AGE_LIMIT_S)
+        self._clock = system_clock or clock.BootClock()
+        self._confirmed_s = float("-inf")
+        self._revision: int | None = None
+        self._era = client.era
+        self._is_failing = False
+        self._confirmation_requested = gevent.event.Event()
+        self._confirmed = gevent.event.Event()
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts the periodic checks, if not yet started."""
+        if self._task is None:
+            self._task = gevent.spawn(self._run)
+
+    def close(self) -> None:
+        """Stops the periodic checks; the last confirmation keeps aging."""
+        if self._task is not None:
+            self._task.kill()
+
+    def now_s(self) -> float:
+        """Returns the current time of the clock that measures ages."""
+        return self._clock.monotonic_s()
+
+    def is_confirmed(self, at_s: float, age_s: float) -> bool:
+        """Tells whether the routes were confirmed shortly before a time.
+
+        Args:
+            at_s: The time, as returned by ``now_s``.
+            age_s: Maximum age of the confirmation at that time.
+        """
+        return at_s - self._confirmed_s <= age_s - CLOCK_DRIFT_MARGIN_S
+
+    def wait_confirmed(self, at_s: float, age_s: float, limit_s: float) -> bool:
+        """Requests a confirmation and waits for it.
+
+        Args:
+            at_s: See ``is_confirmed``.
+            age_s: See ``is_confirmed``.
+            limit_s: Maximum time to wait.
+
+        Returns:
+            Whether the routes are confirmed, see ``is_confirmed``.
+        """
+        until_s = self.now_s() + limit_s
+        while not self.is_confirmed(at_s, age_s):
+            left_s = until_s - self.now_s()
+            if left_s <= 0:
+                return False
+            self._confirmed.clear()
+            self._confirmation_requested.set()
+            self._confirmed.wait(left_s)
+        return True
+
+    def _run(self) -> None:
+        while True:
+            is_confirmed = self._confirm()
+            self._record_result(is_confirmed)
+            pause_s = (
+                self._interval_s * random.uniform(*_INTERVAL_JITTER)
+                if is_confirmed
+                else random.uniform(*_RETRY_DELAY_S)
+            )
+            gevent.sleep(MIN_DELAY_S)
+            # Waiting callers do not shorten the delay after a failure.
+            if is_confirmed:
+                self._confirmation_requested.wait(pause_s)
+            else:
+                gevent.sleep(pause_s)
+            self._confirmation_requested.clear()
+
+    def _record_result(self, is_confirmed: bool) -> None:
+        _confirmations.inc({"result": "ok" if is_confirmed else "failed"})
+        age_s = self.now_s() - self._confirmed_s
+        _age_gauge.set({}, age_s)
+        is_failing = not is_confirmed
+        if is_failing != self._is_failing:
+            self._is_failing = is_failing
+            logger.bind(age_s=round(age_s, 3), era=self._era).info(
+                "routes not confirmed" if is_failing else "routes confirmed"
+            )
+
+    def _confirm(self) -> bool:
+        """Checks once; tells whether the routes in force are the newest."""
+        requested_s = self.now_s()
+        if self._client.restored_age_s() < RESTORE_HOLD_OFF_S:
+            self._revision = None
+            return False
+        if self._client.era != self._era:
+            self._era = self._client.era
+            self._revision = None
+        is_newest = (
+            self._read_all()
+            if self._revision is None
+            else self._read_changes(self._revision)
+        )
+        if self._client.era != self._era:
+            # The reads may come from two different histories.
+            self._revision = None
+            return False
+        if not is_newest:
+            return False
+        self._confirmed_s = requested_s
+        self._confirmed.set()
+        return True
+
+    def _read_all(self) -> bool:
+        key = self._routes.routes_key
+        read = self._client.read_for_watch(key, purpose=PURPOSE)
+        if isinstance(read, Err):
+            return False
+        found, state = read.ok_value
+        matching = [kv for kv in found if kv.key == key]
+        if not matching or not self._routes.take(matching[0]):
+            return False
+        self._revision = state.revision
+        return True
+
+    def _read_changes(self, revision: int) -> bool:
+        key = self._routes.routes_key
+        read = self._client.read_changes(
+            key, after_revision=revision, purpose=PURPOSE
+        )
+        if isinstance(read, Err):
+            if isinstance(read.err_value, errors.HistoryGoneError):
+                return self._read_all()
+            return False
+        message = read.ok_value
+        changes = [
+            event for event in message.events if event.key_value.key == key
+        ]
+        if changes:
+            newest = changes[-1]
+            if newest.kind == "delete" or not self._routes.take(
+                newest.key_value
+            ):
+                self._revision = None
+                return False
+        self._revision = message.state.revision
+        return True
--- a/src/mulberrywharf/routes/table.py
+++ b/src/mulberrywharf/routes/table.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from mulberrywharf.customers import directory
 from mulberrywharf.routes import kinds
 
 
@@ -35,6 +36,7 @@
         gap_target_s: Longest pause between events that is still in time, or
             None if the answer is no stream.
         has_prompt: Whether requests name the parts of a prompt.
+        is_public: Whether requests are admitted without a customer key.
     """
 
     name: str
@@ -48,6 +50,7 @@
     target_s: float | None = None
     gap_target_s: float | None = None
     has_prompt: bool = False
+    is_public: bool = False
 
 
 class EngineTraits(NamedTuple):
@@ -109,6 +112,7 @@
         version: Rises with each change.
         services: By name.
         limits: Bounds on callers, None for the built-in ones.
+        customers: Customers that may send requests, None for no restriction.
     """
 
     def __init__(
@@ -117,10 +121,12 @@
         routes: Iterable[Route],
         services: Mapping[str, Service],
         limits: CallerLimits | None = None,
+        customers: directory.CustomerDirectory | None = None,
     ):
         self.version = version
         self.services = services
         self.limits = limits
+        self.customers = customers
         by_host: dict[str, list[Route]] = collections.defaultdict(list)
         for route in routes:
             by_host[route.host].append(route)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -44,6 +44,8 @@
         port: The TCP port that it listens on.
         runs: Every request that it ran.
         arrivals: Every request that came, refused ones and prefills included.
+        request_headers: The WSGI ``HTTP_*`` variables of every request that
+            came.
         crash_on: It ends under each request whose body holds this text,
             behind ``crash_after`` events; no request does if it is empty.
         crashes: When it ended under a request, and that request's body.
@@ -64,6 +66,7 @@
     def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
         self.runs: list[dict[str, str]] = []
         self.arrivals: list[Arrival] = []
+        self.request_headers: list[dict[str, str]] = []
         self.crash_on = ""
         self.crash_after = 0
         self.crashes: list[tuple[float, str]] = []
@@ -137,6 +140,13 @@
             start_response("421 Misdirected", [("content-length", "0")])
             return []
         rest = self.faults.get("rest")
+        self.request_headers.append(
+            {
+                name: value
+                for name, value in environ.items()
+                if name.startswith("HTTP_")
+            }
+        )
         self.arrivals.append(
             Arrival(
                 time.monotonic(),
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -53,6 +53,11 @@
         self.stderr.seek(0)
         return self.stderr.read().decode(errors="replace")
 
+    def output(self) -> str:
+        """Returns the standard output of the process; blocks until it exits."""
+        assert self._child.stdout is not None
+        return self._child.stdout.read()
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal."""
         os.kill(self.pid, number)
--- /dev/null
+++ b/tests/test_freshness.py
@@ -0,0 +1,169 @@
+"""Tests the confirmation that the routes in force are the newest."""
+
+import unittest
+
+import gevent
+
+from mulberrywharf import clock
+from mulberrywharf.platform import documents
+from mulberrywharf.routes import follower, freshness
+from tests import builders_platform
+from tests import builders_routes as build
+
+AGE_LIMIT_S = 1.5
+INTERVAL_S = AGE_LIMIT_S * freshness.INTERVAL_SHARE
+
+
+class SuspendableClock(clock.BootClock):
+    """A clock that can simulate the suspension of a machine."""
+
+    def __init__(self) -> None:
+        self.suspended_s = 0.0
+
+    def monotonic_s(self) -> float:
+        return super().monotonic_s() + self.suspended_s
+
+
+class FreshnessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = self.enterContext(build.running_store())
+        self.client = build.store_client(self.store.port, timeout_s=0.3)
+        self.addCleanup(self.client.close)
+        self.routes = follower.RouteFollower(
+            self.client, documents.StoredDocuments()
+        )
+        self.clock = SuspendableClock()
+        self.freshness = freshness.RoutesFreshness(
+            self.client, self.routes, AGE_LIMIT_S, system_clock=self.clock
+        )
+        self.addCleanup(self.freshness.close)
+        self.put(1)
+
+    def put(self, version: int) -> None:
+        self.store.put(documents.ROUTES_KEY, build.routes_value(version))
+
+    def is_confirmed(self, age_s: float = AGE_LIMIT_S) -> bool:
+        return self.freshness.is_confirmed(self.freshness.now_s(), age_s)
+
+    def start(self) -> None:
+        self.freshness.start()
+        self.assertTrue(builders_platform.wait_until(self.is_confirmed))
+
+    def version(self) -> int:
+        found = self.routes.current()
+        return found.version if found else 0
+
+    def test_stays_confirmed_while_the_store_responds(self) -> None:
+        self.start()
+        for _ in range(8):
+            gevent.sleep(AGE_LIMIT_S / 4)
+            self.assertTrue(self.is_confirmed())
+        self.assertEqual(self.version(), 1)
+
+    def test_confirmation_loads_changed_routes(self) -> None:
+        """Guards against missing changes after the service drops a watch."""
+        self.start()
+        self.put(2)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.version() == 2)
+        )
+
+    def test_unresponsive_store_does_not_confirm(self) -> None:
+        """Guards against treating missing answers as no change."""
+        self.start()
+        self.store.faults["silent"] = 60.0
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertFalse(self.is_confirmed())
+        self.store.faults.clear()
+        self.assertTrue(builders_platform.wait_until(self.is_confirmed))
+
+    def test_age_is_measured_from_the_request(self) -> None:
+        """Guards against dating a confirmation by a delayed answer."""
+        self.start()
+        self.store.faults["pause_in_body_s"] = 0.2
+        gevent.sleep(2 * INTERVAL_S)
+        start_s = self.freshness.now_s()
+        self.assertTrue(
+            self.freshness.wait_confirmed(
+                start_s, freshness.CLOCK_DRIFT_MARGIN_S, 1.0
+            )
+        )
+        self.assertGreaterEqual(self.freshness.now_s() - start_s, 0.2)
+        self.assertFalse(
+            self.is_confirmed(freshness.CLOCK_DRIFT_MARGIN_S + 0.15)
+        )
+
+    def test_age_includes_suspension(self) -> None:
+        """Guards against outdated routes after a machine resumes."""
+        self.start()
+        self.clock.suspended_s += 60.0
+        self.assertFalse(self.is_confirmed())
+        self.assertTrue(
+            self.freshness.wait_confirmed(
+                self.freshness.now_s(), AGE_LIMIT_S, 1.0
+            )
+        )
+
+    def test_routes_are_read_again_after_dropped_history(self) -> None:
+        """Guards against failing forever once the store drops its history."""
+        self.start()
+        self.put(2)
+        self.store.drop_history()
+        self.put(3)
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertTrue(self.is_confirmed())
+        self.assertEqual(self.version(), 3)
+
+    def test_malformed_routes_do_not_confirm(self) -> None:
+        """Guards against missing a revocation in a malformed document."""
+        self.start()
+        self.store.put(documents.ROUTES_KEY, b'{"version": 2}')
+        gevent.sleep(AGE_LIMIT_S + INTERVAL_S)
+        self.assertFalse(self.is_confirmed())
+        self.put(3)
+        self.assertTrue(builders_platform.wait_until(self.is_confirmed))
+
+    def test_deleted_routes_do_not_confirm(self) -> None:
+        self.start()
+        self.store.delete(documents.ROUTES_KEY)
+        gevent.sleep(AGE_LIMIT_S + INTERVAL_S)
+        self.assertFalse(self.is_confirmed())
+
+    def test_restored_store_does_not_confirm_at_first(self) -> None:
+        """Guards against accepting a revoked key from a restored backup."""
+        self.store.era = 1
+        copy = self.store.copy()
+        self.start()
+        self.put(2)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.version() == 2)
+        )
+        self.store.restore(copy)
+        gevent.sleep(AGE_LIMIT_S + INTERVAL_S)
+        self.assertFalse(self.is_confirmed())
+        # Operators write the newest routes again.
+        self.put(2)
+        self.assertTrue(
+            builders_platform.wait_until(
+                self.is_confirmed, limit_s=freshness.RESTORE_HOLD_OFF_S + 2.0
+            )
+        )
+        self.assertEqual(self.version(), 2)
+
+    def test_waiting_callers_share_a_request(self) -> None:
+        """Guards against overloading the service with unknown keys."""
+        self.start()
+        self.clock.suspended_s += 60.0
+        before_count = len(self.store.calls)
+        now_s = self.freshness.now_s()
+        waiting = [
+            gevent.spawn(self.freshness.wait_confirmed, now_s, AGE_LIMIT_S, 1.0)
+            for _ in range(100)
+        ]
+        gevent.joinall(waiting)
+        self.assertTrue(all(greenlet.value for greenlet in waiting))
+        self.assertLessEqual(len(self.store.calls) - before_count, 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
