Report customers' usage once per window from the gateway that holds the duty

Symptom: no usage window was reported.

Cause: no component counted customers' usage, and no gateway held the duty to report it.

Change: each gateway counts, per customer and five-second window, the requests that a server started to execute. It sends its counts to the gateway that holds the duty, once a second if they have changed and once more after the window has ended. Counts never decrease, so resent counts are not added twice, and a new holder receives all counts that have not been reported yet. A window's counts are complete once they add up to the total that each datagram carries. The duty is held through a lease in the store by the holder class that already orders roles, which now supports any duty. Where the receiver checks fencing numbers, there is no waiting period after a takeover. Each report is recorded in the store before it is sent and is always resent unchanged, including by a successor. A gateway whose key is gone from the store is still heard for 30 s, because the store may have rejected it.

With three real gateways, all executed requests are reported, also when the holder is stopped or killed.

--- a/src/mulberrywharf/authority/role_holder.py
+++ b/src/mulberrywharf/authority/role_holder.py
@@ -1,4 +1,6 @@
-"""Which gateway may order roles: one at a time, by a lease in the store.
+"""Assigns a duty to one gateway at a time through a lease in the store.
+
+The duties are ordering engine roles and calling the operators' platform.
 
 An engine that does not check fencing numbers carries out whatever arrives. So
 no order may leave after the authority has passed on, and none of the next
@@ -45,6 +47,35 @@
 """Allowed error between the clocks of two VMs over one lease."""
 
 
+class Duty(NamedTuple):
+    """A task that one gateway at a time performs for the fleet.
+
+    Attributes:
+        name: Name in logs; also the purpose of calls to the store.
+        key_prefix: Prefix of its keys in the store.
+        is_fencing_checked: Whether the receiver rejects a fencing number lower
+            than one it has seen. If so, a new holder does not wait until
+            orders of the previous holder can no longer arrive.
+    """
+
+    name: str
+    key_prefix: str
+    is_fencing_checked: bool = False
+
+    @property
+    def holder_key(self) -> str:
+        """The key that the current holder owns."""
+        return self.key_prefix + "holder"
+
+    @property
+    def record_key(self) -> str:
+        """The key of the holder's write-ahead record."""
+        return self.key_prefix + "record"
+
+
+ROLES_DUTY = Duty(PURPOSE, KEY_PREFIX)
+
+
 class HolderTiming(NamedTuple):
     """How the right to order is sought and kept.
 
@@ -87,6 +118,7 @@
         turn_s: float,
         timing: HolderTiming | None = None,
         system_clock: clock.Clock | None = None,
+        duty: Duty = ROLES_DUTY,
     ):
         """Prepares it; nothing is asked for before ``start``.
 
@@ -96,7 +128,9 @@
             turn_s: Least time between orders of two holders.
             timing: The usual one when None.
             system_clock: Counts also the time of a frozen machine.
+            duty: The duty to hold.
         """
+        self._duty = duty
         self._client = client
         self._vm_id = vm_id
         self._clock = system_clock or clock.BootClock()
@@ -106,6 +140,7 @@
         self._authority: Authority | None = None
         self._may_order_from_s = float("inf")
         self._record_revision = 0
+        self._last_record: bytes | None = None
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -128,7 +163,11 @@
         """
         held = self._lease
         if self._authority is None or held is None:
-            return Err(errors.AuthorityLostError("another VM orders roles"))
+            return Err(
+                errors.AuthorityLostError(
+                    f"this VM does not hold the duty {self._duty.name}"
+                )
+            )
         now_s = self._clock.monotonic_s()
         ends_s = held.valid_until_monotonic_s - USER_TIMEOUT_S - CLOCK_MARGIN_S
         if now_s >= ends_s:
@@ -157,11 +196,11 @@
         if isinstance(held, Err):
             return held
         written = self._client.compare_and_swap(
-            RECORD_KEY,
+            self._duty.record_key,
             value,
             expected_revision=self._record_revision,
             guards=(held.ok_value.guard,),
-            purpose=PURPOSE,
+            purpose=self._duty.name,
         )
         if isinstance(written, Err):
             # Nobody knows what stands there now; the next holder reads it.
@@ -172,8 +211,22 @@
             # where another key may bear the revision of the guard.
             return Err(errors.AuthorityLostError("the right was lost"))
         self._record_revision = written.ok_value.mod_revision
+        self._last_record = value
         return Ok(None)
 
+    @property
+    def last_record(self) -> bytes | None:
+        """The latest record written by this holder or read at takeover."""
+        return self._last_record
+
+    def resign(self, reason: str) -> None:
+        """Releases the duty so that another gateway can acquire it.
+
+        Args:
+            reason: Reason to log.
+        """
+        self._give_up(reason)
+
     def _campaign(self) -> None:
         gevent.sleep(random.uniform(0.0, self._timing.first_look_s))
         while True:
@@ -183,9 +236,15 @@
             gevent.sleep(interval_s * random.uniform(0.8, 1.2))
 
     def _is_free(self) -> bool:
-        read = self._client.get_prefix_stale(HOLDER_KEY, purpose=PURPOSE)
+        read = self._client.get_prefix_stale(
+            self._duty.holder_key, purpose=self._duty.name
+        )
         if isinstance(read, Err):
-            logger.info("holder of roles not read: {}", read.err_value.message)
+            logger.info(
+                "holder of {} not read: {}",
+                self._duty.name,
+                read.err_value.message,
+            )
             return False
         return not read.ok_value
 
@@ -193,24 +252,36 @@
         held = lease.LeaseHolder(
             self._client,
             ttl_s=self._lease_ttl_s,
-            purpose=PURPOSE,
+            purpose=self._duty.name,
             on_lost=lambda error: self._on_lost(held, error),
             system_clock=self._clock,
         )
         started = held.start()
         if isinstance(started, Err):
-            logger.info("no lease for roles: {}", started.err_value.message)
+            logger.info(
+                "no lease for {}: {}",
+                self._duty.name,
+                started.err_value.message,
+            )
             return
-        created = held.create_key(HOLDER_KEY, self._vm_id.encode())
+        created = held.create_key(self._duty.holder_key, self._vm_id.encode())
         if isinstance(created, Err):
-            logger.info("roles not held: {}", created.err_value.message)
+            logger.info(
+                "{} not held: {}", self._duty.name, created.err_value.message
+            )
             held.close()
             return
         acquired_s = self._clock.monotonic_s()
         # Read once the key is held: no order is recorded without it.
-        record = self._client.get(RECORD_KEY, purpose=PURPOSE)
+        record = self._client.get(
+            self._duty.record_key, purpose=self._duty.name
+        )
         if isinstance(record, Err):
-            logger.warning("orders not read: {}", record.err_value.message)
+            logger.warning(
+                "record of {} not read: {}",
+                self._duty.name,
+                record.err_value.message,
+            )
             held.close()
             return
         if not held.is_valid():
@@ -230,7 +301,9 @@
             self._lease_ttl_s,
             USER_TIMEOUT_S,
             CLOCK_MARGIN_S,
-            fencing_checking_kinds=frozenset(),
+            fencing_checking_kinds=frozenset(
+                {self._duty.name} if self._duty.is_fencing_checked else ()
+            ),
         )
         # A record that isn't there proves nothing where the service can come
         # back from an older copy: the last holder's may be lost with it.
@@ -240,16 +313,17 @@
                 record is not None or self._client.era != era.NO_ERA
             ),
         )
-        self._may_order_from_s = quiet.ends_s(takeover, "")
+        self._may_order_from_s = quiet.ends_s(takeover, self._duty.name)
         self._record_revision = record.mod_revision if record else 0
+        self._last_record = record.value if record else None
         self._lease = held
-        guard = key_value.Guard(HOLDER_KEY, key.mod_revision)
+        guard = key_value.Guard(self._duty.holder_key, key.mod_revision)
         number = self._client.era * ERA_NUMBERS_COUNT + key.create_revision
         self._authority = Authority(number, guard)
         logger.bind(
             number=number,
             quiet_s=round(self._may_order_from_s - acquired_s, 2),
-        ).info("this VM orders roles now")
+        ).info("this VM has the duty {} now", self._duty.name)
 
     def _on_lost(
         self, held: lease.LeaseHolder, error: errors.AuthorityLostError
@@ -257,11 +331,17 @@
         if self._lease is held:
             self._lease = None
             self._authority = None
-            logger.warning("this VM orders no roles: {}", error.message)
+            logger.warning(
+                "this VM has the duty {} no more: {}",
+                self._duty.name,
+                error.message,
+            )
 
     def _give_up(self, reason: str) -> None:
         self._authority = None
         if self._lease is not None:
             self._lease.close()
             self._lease = None
-        logger.warning("this VM orders no roles: {}", reason)
+        logger.warning(
+            "this VM has the duty {} no more: {}", self._duty.name, reason
+        )
--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -5,7 +5,7 @@
 """
 
 import contextlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import singledispatch
 from typing import Any, NamedTuple, Protocol
 
@@ -95,7 +95,22 @@
         generations: generation.Generations,
         customers: admission.CustomerAdmission,
         system_clock: clock.Clock,
+        on_request_started: Callable[[str], None] = lambda customer: None,
     ):
+        """Creates the server and registers it with the listener.
+
+        Args:
+            caller_listener: Accepts requests.
+            dialect: Parses requests.
+            routes: The current routes.
+            plain_calls: Serves plain requests.
+            generations: Serves streams.
+            customers: Admits requests.
+            system_clock: Measures deadlines.
+            on_request_started: Called with the customer of each request that a
+                server has started to execute.
+        """
+        self._on_request_started = on_request_started
         self._listener = caller_listener
         self._customers = customers
         self._dialect = dialect
@@ -256,6 +271,8 @@
             routed.wanted, routed.route, routed.service.name
         )
         watch.close()
+        if not answer.head.not_executed:
+            self._notify_started(routed)
         headers = _headers_without_length(answer.head)
         headers.append(("content-length", str(len(answer.body))))
         if routed.wanted.method == "HEAD":
@@ -274,12 +291,18 @@
         # Until an event has come nothing is written, so a failure can still
         # be told; behind it there is only the end of the connection.
         first = next(answer.blocks, b"")
+        if first:
+            self._notify_started(routed)
         return _Answer(
             _status_line(answer.head),
             _headers_without_length(answer.head),
             _watched(first, answer.blocks, watch, routed),
         )
 
+    def _notify_started(self, routed: _Routed) -> None:
+        if routed.wanted.customer:
+            self._on_request_started(routed.wanted.customer)
+
 
 @contextlib.contextmanager
 def _watched_caller(sock: Any) -> Iterator[None]:
--- /dev/null
+++ b/src/mulberrywharf/duties/client.py
@@ -0,0 +1,137 @@
+"""Client for platform calls that only one gateway at a time may make.
+
+The duty's holder authorizes each call right before its first byte is sent; the
+dialect encodes the call.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from result import Err, Ok, Result
+
+from mulberrywharf import errors, fleet, metrics
+from mulberrywharf.engines import orders
+
+_STALE_FENCING_STATUS = 409
+_OK_STATUSES = (200, 202)
+
+_calls_total = metrics.counter(
+    "mulberry_duty_calls_total",
+    "Calls to the operators' platform, by duty and outcome.",
+)
+
+
+class UsageReport(NamedTuple):
+    """Usage of all customers in one window.
+
+    Attributes:
+        window: Window number.
+        counts: Started requests by customer.
+    """
+
+    window: int
+    counts: Mapping[str, int]
+
+
+class DutyCall(NamedTuple):
+    """An encoded call.
+
+    Attributes:
+        path: Request path.
+        body: Encoded body.
+        headers: Header fields, including the holder's name and fencing number.
+    """
+
+    path: str
+    body: bytes
+    headers: Mapping[str, str]
+
+
+class HolderIdentity(NamedTuple):
+    """Identifies the gateway that makes a call.
+
+    Attributes:
+        holder: Name of the gateway.
+        number: Its fencing number.
+    """
+
+    holder: str
+    number: int
+
+
+class DutyDialect(Protocol):
+    """Encodes calls for the platform."""
+
+    def encode_usage(
+        self, report: UsageReport, identity: HolderIdentity
+    ) -> DutyCall:
+        """Returns the call that reports usage."""
+        ...
+
+
+class DutyClient:
+    """Sends each call on a separate connection."""
+
+    def __init__(
+        self,
+        address: fleet.Address,
+        dialect: DutyDialect,
+        *,
+        user_timeout_s: float,
+        before_send: Callable[[], None],
+    ):
+        """Creates the client.
+
+        Args:
+            address: Address of the platform.
+            dialect: Encodes the calls.
+            user_timeout_s: Timeout for unacknowledged data and for the
+                response.
+            before_send: Raises AuthorityLostError if the call must not be
+                sent.
+        """
+        self._address = address
+        self._dialect = dialect
+        self._user_timeout_s = user_timeout_s
+        self._before_send = before_send
+
+    def report_usage(
+        self, report: UsageReport, identity: HolderIdentity
+    ) -> Result[None, errors.MulberryError]:
+        """Reports usage; sending an identical report again is safe.
+
+        Returns:
+            Nothing if the platform accepted the report;
+            StaleFencingNumberError if another gateway has the duty; another
+            error if the call may be retried.
+        """
+        return self._send("usage", self._dialect.encode_usage(report, identity))
+
+    def _send(
+        self, duty: str, call: DutyCall
+    ) -> Result[None, errors.MulberryError]:
+        sent = orders.deliver(
+            self._address,
+            call.path,
+            call.body,
+            call.headers,
+            user_timeout_s=self._user_timeout_s,
+            before_send=self._before_send,
+        )
+        result = (
+            sent
+            if isinstance(sent, Err)
+            else _interpret(call.path, sent.ok_value[0])
+        )
+        outcome = "ok" if isinstance(result, Ok) else result.err_value.code
+        _calls_total.inc({"duty": duty, "outcome": outcome})
+        return result
+
+
+def _interpret(path: str, status: int) -> Result[None, errors.MulberryError]:
+    if status in _OK_STATUSES:
+        return Ok(None)
+    message = f"{path} answered {status}"
+    if status == _STALE_FENCING_STATUS:
+        return Err(errors.StaleFencingNumberError(message))
+    return Err(errors.PlatformUnavailableError(message))
--- a/src/mulberrywharf/gateway_settings.py
+++ b/src/mulberrywharf/gateway_settings.py
@@ -68,6 +68,37 @@
     bound_ms: Milliseconds
 
 
+@pydantic.with_config(_STRICT)
+class UsageSettings(TypedDict):
+    """Settings for reporting customers' usage.
+
+    Attributes:
+        window_s: Length of a reporting window.
+        late_s: Time after the end of a window within which its report is due.
+    """
+
+    window_s: Seconds
+    late_s: Seconds
+
+
+@pydantic.with_config(_STRICT)
+class DutySettings(TypedDict):
+    """Settings for platform calls made by one gateway at a time.
+
+    Attributes:
+        platform: Address of the operators' platform.
+        lease_ms: Minimum time between the calls of successive holders.
+        checks_fencing: Whether the platform rejects a fencing number lower than
+            one it has seen.
+        usage: Set to report customers' usage.
+    """
+
+    platform: HostPort
+    lease_ms: Milliseconds
+    checks_fencing: bool
+    usage: NotRequired[UsageSettings]
+
+
 @pydantic.with_config(_STRICT)
 class GatewaySettings(TypedDict):
     """The whole settings file of a gateway.
@@ -83,6 +114,7 @@
         grace_s: Time between a request to stop and the forced end.
         roles: Set if gateways may change the roles of engines.
         revocation: Set to limit how long a revoked key stays usable.
+        duties: Set to call the operators' platform from one gateway.
         log_level: Lowest level that is logged.
     """
 
@@ -96,6 +128,7 @@
     grace_s: Seconds
     roles: NotRequired[RoleSettings]
     revocation: NotRequired[RevocationSettings]
+    duties: NotRequired[DutySettings]
     log_level: NotRequired[Literal["DEBUG", "INFO", "WARNING", "ERROR"]]
 
 
--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -28,9 +28,10 @@
 
 _PAUSE_BEHIND_ERROR_S = 0.002
 
-Kind = Literal[b"n", b"q", b"c"]
+Kind = Literal[b"n", b"q", b"c", b"u"]
 """Notices to many gateways; messages on the queue of one engine to one; reports
-on servers that ended to all."""
+on servers that ended to all; announcements of the usage collector to all and
+usage counts to the collector."""
 
 _sent_bytes = metrics.counter(
     "mulberry_notices_sent_bytes_total",
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -3,6 +3,7 @@
 import heapq
 import ipaddress
 import random
+import time
 from typing import NamedTuple
 
 import gevent
@@ -48,6 +49,10 @@
 so long: they notice within a renewal, register again within some seconds, and
 are read with the next look."""
 
+REMOVED_PEER_TIMEOUT_S = 30.0
+"""How long datagrams are exchanged with a gateway after its key is removed. It
+may still be serving if the store rejected its renewals."""
+
 _OWNERS_LIMIT_COUNT = 5_000
 """Owners of queues that are remembered. A prompt asks for those of all engines,
 and choosing one hashes all gateways of a zone. Engines come and go, so there
@@ -98,6 +103,7 @@
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
         self._by_vm: dict[str, _Registration] = {}
+        self._removed_peers: dict[fleet.Address, float] = {}
         self._owners: dict[tuple[int, str, int, str], fleet.Address | None] = {}
         self._following: gevent.Greenlet | None = None
         self._lease: lease.LeaseHolder | None = None
@@ -153,6 +159,25 @@
         """Returns where all other gateways take datagrams."""
         return tuple(found.address for found in self._by_vm.values())
 
+    def recent_addresses(self) -> tuple[fleet.Address, ...]:
+        """Returns the addresses of current and recently removed gateways.
+
+        A gateway whose renewals the store rejects loses its key but keeps
+        serving.
+        """
+        self._expire_removed_peers()
+        return (*self.all_addresses(), *self._removed_peers)
+
+    def _expire_removed_peers(self) -> None:
+        now_s = time.monotonic()
+        known = set(self.all_addresses())
+        self._removed_peers = {
+            address: removed_s
+            for address, removed_s in self._removed_peers.items()
+            if now_s - removed_s < REMOVED_PEER_TIMEOUT_S
+            and address not in known
+        }
+
     def one_of_each_other_zone(self) -> tuple[fleet.Address, ...]:
         """Returns one gateway of each zone that hears nothing of this one's.
 
@@ -232,7 +257,9 @@
 
     def knows(self, ip: str) -> bool:
         """Tells whether a gateway has this address."""
-        return any(found.address.ip == ip for found in self._by_vm.values())
+        return any(
+            found.address.ip == ip for found in self._by_vm.values()
+        ) or any(address.ip == ip for address in self._removed_peers)
 
     def _tells(self, found: _Registration, availability_zone: str) -> bool:
         """Tells whether a gateway is told of work at a zone's engines."""
@@ -311,7 +338,14 @@
             by_vm = {**self._by_vm, **by_vm}
         if by_vm == self._by_vm:
             return
+        removed_s = time.monotonic()
+        self._removed_peers.update(
+            dict.fromkeys(
+                (one.address for one in self._by_vm.values()), removed_s
+            )
+        )
         self._by_vm = by_vm
+        self._expire_removed_peers()
         self._owners.clear()
         _peers_gauge.set({}, len(by_vm))
         logger.bind(peers=sorted(by_vm)).info(
--- /dev/null
+++ b/src/mulberrywharf/peers/usage_codec.py
@@ -0,0 +1,118 @@
+"""Encodes and decodes usage messages with Cap'n Proto."""
+
+import pathlib
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from mulberrywharf import errors
+
+COUNTS_LIMIT_BYTES = 1_100
+"""Maximum size of the customer entries in one message, so that its datagram is
+not fragmented."""
+
+_ENTRY_OVERHEAD_BYTES = 12
+_UINT32_LIMIT = 0xFFFFFFFF
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("usage.capnp")))
+
+
+class Announcement(NamedTuple):
+    """Announces the gateway that collects the counts.
+
+    Attributes:
+        number: Fencing number of the collector; the highest one wins.
+        reported_window: Counts up to this window are no longer needed.
+    """
+
+    number: int
+    reported_window: int
+
+
+class Counts(NamedTuple):
+    """Counts of one gateway for one window.
+
+    Attributes:
+        incarnation: Identifies one run of the gateway.
+        window: Window number.
+        is_final: Whether the window had ended.
+        by_customer: Started requests of some or all customers.
+        total_count: Started requests of all customers.
+    """
+
+    incarnation: int
+    window: int
+    is_final: bool
+    by_customer: Mapping[str, int]
+    total_count: int
+
+
+def split_counts(counts: Counts) -> Iterator[Counts]:
+    """Yields at least one part, each small enough for a datagram."""
+    part: dict[str, int] = {}
+    size_bytes = 0
+    for name, count in counts.by_customer.items():
+        cost_bytes = len(name.encode()) + _ENTRY_OVERHEAD_BYTES
+        if part and size_bytes + cost_bytes > COUNTS_LIMIT_BYTES:
+            yield counts._replace(by_customer=part)
+            part, size_bytes = {}, 0
+        part[name] = count
+        size_bytes += cost_bytes
+    yield counts._replace(by_customer=part)
+
+
+def encode_announcement(announcement: Announcement) -> bytes:
+    """Encodes an announcement as a datagram."""
+    message = _SCHEMA.UsageMessage.new_message()
+    wire = message.init("announcement")
+    wire.number = announcement.number
+    wire.reportedWindow = max(0, announcement.reported_window)
+    return bytes(message.to_bytes_packed())
+
+
+def encode_counts(counts: Counts) -> bytes:
+    """Encodes counts as a datagram."""
+    message = _SCHEMA.UsageMessage.new_message()
+    wire = message.init("counts")
+    wire.incarnation = counts.incarnation
+    wire.window = counts.window
+    wire.isFinal = counts.is_final
+    wire.totalCount = counts.total_count
+    customers = wire.init("customers", len(counts.by_customer))
+    for entry, (name, count) in zip(
+        customers, counts.by_customer.items(), strict=True
+    ):
+        entry.name = name
+        entry.count = min(count, _UINT32_LIMIT)
+    return bytes(message.to_bytes_packed())
+
+
+def decode(
+    datagram: bytes,
+) -> Result[Announcement | Counts, errors.BadFrameError]:
+    """Decodes a datagram.
+
+    Returns:
+        The message, or an error if the datagram is invalid.
+    """
+    try:
+        message = _SCHEMA.UsageMessage.from_bytes_packed(datagram)
+        if message.which() == "announcement":
+            wire = message.announcement
+            return Ok(Announcement(wire.number, wire.reportedWindow))
+        wire = message.counts
+        by_customer = {entry.name: entry.count for entry in wire.customers}
+        return Ok(
+            Counts(
+                wire.incarnation,
+                wire.window,
+                wire.isFinal,
+                by_customer,
+                wire.totalCount,
+            )
+        )
+    except (capnp.KjException, ValueError) as error:
+        return Err(errors.BadFrameError(f"invalid usage message: {error}"))
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -19,6 +19,9 @@
 SERVER_LOAD = _PREFIX + "instance-load"
 """Running, waiting and slots of the server that answers."""
 
+DUTY_HOLDER = _PREFIX + "duty-holder"
+FENCING_NUMBER = _PREFIX + "fencing-token"
+
 RETRY_AFTER = "retry-after"
 LEAVING = "server-leaving"
 """``1`` in all answers of a server that leaves; it bears no prefix."""
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -1,6 +1,7 @@
 """A gateway, put together from its settings."""
 
 import random
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -15,7 +16,9 @@
 )
 from mulberrywharf.authority import role_holder, role_keeper
 from mulberrywharf.callers import listener, routed_server
-from mulberrywharf.customers import admission
+from mulberrywharf.customers import admission, usage
+from mulberrywharf.duties import client as duty_client
+from mulberrywharf.duties import usage_reporter
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
     engine_account,
@@ -34,8 +37,9 @@
     notices,
     queue_owners,
     store_news,
+    usage_exchange,
 )
-from mulberrywharf.platform import documents, orders, requests, store
+from mulberrywharf.platform import documents, duties, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
 from mulberrywharf.policy import crash_suspects, repeat_budget
 from mulberrywharf.routes import follower, freshness, table
@@ -50,6 +54,10 @@
 
 _MS_PER_S = 1000.0
 READINESS_INTERVAL_S = 0.2
+DUTY_TIMING = role_holder.HolderTiming(lease_ttl_s=3.0, look_interval_s=1.5)
+"""A usage report is due about ten seconds after the end of its window; a
+successor acquires the duty of a failed holder within five."""
+
 NODES_LEAST_COUNT = 12
 """Nodes that the allowance of repeats is divided by, at the least: the nine
 entry VMs of an operator of today and a spare one in each availability zone. A
@@ -133,7 +141,12 @@
         self._servers.on_change(self._news.on_change)
         self._routes.on_change(lambda _: self._news.on_change())
         self._listener = _listener(config)
-        self._callers = self._routed_server()
+        self._duties: tuple[
+            usage_reporter.UsageReporter | role_holder.RoleHolder, ...
+        ] = ()
+        self._usage_exchange: usage_exchange.UsageExchange | None = None
+        on_request_started = self._usage_parts()
+        self._callers = self._routed_server(on_request_started)
         self._readiness = readiness.ReadinessServer(
             **gateway_settings.endpoint(config["operators_listen"])
         )
@@ -163,7 +176,9 @@
         self._notices.start()
         self._crash_records.start()
         self._news.start()
-        for part in self._roles:
+        if self._usage_exchange is not None:
+            self._usage_exchange.start()
+        for part in (*self._roles, *self._duties):
             part.start()
         self._listener.start()
         self._watching = gevent.spawn(self._keep_ready)
@@ -189,7 +204,8 @@
         if self._watching is not None:
             self._watching.kill()
         self._readiness.ready = False
-        for part in self._roles:
+        # The next holder also collects the counts of this gateway.
+        for part in (*self._roles, *self._duties):
             part.close()
         self._listener.announce_stop()
         gevent.sleep(min(DRAIN_NOTICE_S, self._config["grace_s"] / 3))
@@ -202,8 +218,10 @@
 
     def close(self) -> None:
         """Ends every part at once."""
-        for part in self._roles:
+        for part in (*self._roles, *self._duties):
             part.close()
+        if self._usage_exchange is not None:
+            self._usage_exchange.close()
         self._freshness.close()
         self._news.close()
         self._crash_records.close()
@@ -293,7 +311,57 @@
         known = routes.services.get(service) if routes else None
         return known.engine.kv_tokens if known and known.engine else 0
 
-    def _routed_server(self) -> routed_server.RoutedServer:
+    def _usage_parts(self) -> Callable[[str], None]:
+        """Creates the usage reporting parts; returns the request counter."""
+        settings = self._config.get("duties")
+        if settings is None or "usage" not in settings:
+            return lambda customer: None
+        window_timing = usage_reporter.WindowTiming(
+            settings["usage"]["window_s"], settings["usage"]["late_s"]
+        )
+        wall_clock = usage.MonotonicWallClock()
+        counts = usage.UsageCounts(window_timing.length_s, wall_clock)
+        exchange = usage_exchange.UsageExchange(
+            self._peers,
+            self._notices.socket,
+            counts,
+            self._rng.getrandbits(32),
+            window_timing.length_s,
+            wall_clock.unix_s,
+        )
+        holder = role_holder.RoleHolder(
+            self._store,
+            self._config["vm_id"],
+            turn_s=settings["lease_ms"] / _MS_PER_S,
+            timing=DUTY_TIMING,
+            duty=role_holder.Duty(
+                "usage",
+                "mulberrywharf/usage/",
+                is_fencing_checked=settings["checks_fencing"],
+            ),
+        )
+        platform = gateway_settings.endpoint(settings["platform"])
+        client = duty_client.DutyClient(
+            fleet.Address(platform["ip"], platform["port"]),
+            duties.DutyDialect(),
+            user_timeout_s=role_holder.USER_TIMEOUT_S,
+            before_send=holder.check,
+        )
+        reporter = usage_reporter.UsageReporter(
+            holder,
+            exchange,
+            client,
+            self._config["vm_id"],
+            window_timing,
+            wall_clock,
+        )
+        self._duties = (reporter, holder)
+        self._usage_exchange = exchange
+        return counts.count_request
+
+    def _routed_server(
+        self, on_request_started: Callable[[str], None]
+    ) -> routed_server.RoutedServer:
         return routed_server.RoutedServer(
             self._listener,
             dialect=requests.CallerDialect(),
@@ -324,6 +392,7 @@
                 self._freshness, _revocation_bound_s(self._config)
             ),
             system_clock=self._clock,
+            on_request_started=on_request_started,
         )
 
     def _forget_left(self) -> None:
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -50,11 +50,17 @@
 
     def section(match: re.Match[str]) -> str:
         name, inner = match.groups()
-        if name not in fields:
+        if not fields.get(name):
             return ""
+        # Render nested sections first; ``{{.}}`` refers to the innermost one.
+        inner = sections(inner)
+        inner = inner.replace("{{.|json}}", json.dumps(fields[name]))
         return inner.replace("{{.}}", str(fields[name]))
 
-    text = re.sub(r"(?s)\{\{#([^{}]+)\}\}(.*?)\{\{/\1\}\}", section, text)
+    def sections(text: str) -> str:
+        return re.sub(r"(?s)\{\{#([^{}]+)\}\}(.*?)\{\{/\1\}\}", section, text)
+
+    text = sections(text)
     text = re.sub(
         r"\{\{([^{}|]+)\|json\}\}",
         lambda match: json.dumps(fields[match.group(1)]),
@@ -104,6 +110,40 @@
         )
         self.assertNotIn("roles", read.unwrap())
 
+    def test_platform_with_revocation_and_duties(self) -> None:
+        fields = {
+            **FIELDS,
+            "bounds.strict-revocation": True,
+            "bounds.revoke-ms": 5000,
+            "bounds.require-fencing": True,
+            "bounds.report-window-s": 5,
+            "bounds.usage-late-s": 10,
+            "cloud.address": "10.200.0.6:8407",
+        }
+        text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
+        read = settings.parse_with(
+            gateway_settings._ADAPTER, text, TEMPLATE.name
+        )
+        self.assertEqual(read.unwrap()["revocation"], {"bound_ms": 5000})
+        self.assertEqual(
+            read.unwrap()["duties"],
+            {
+                "platform": "10.200.0.6:8407",
+                "lease_ms": 3000,
+                "checks_fencing": True,
+                "usage": {"window_s": 5, "late_s": 10},
+            },
+        )
+
+    def test_platform_without_revocation_or_duties(self) -> None:
+        fields = {**FIELDS, "bounds.strict-revocation": False}
+        text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
+        read = settings.parse_with(
+            gateway_settings._ADAPTER, text, TEMPLATE.name
+        )
+        self.assertNotIn("revocation", read.unwrap())
+        self.assertNotIn("duties", read.unwrap())
+
     def test_endpoint(self) -> None:
         self.assertEqual(
             gateway_settings.endpoint("10.0.0.1:80"),
