Keep suspected requests from the last server of a kind

Observed by callers: one short prompt crashed all three decode engines within half a second. For four seconds every request was refused while two prefill engines were idle.

Cause: right after the first engine ends, each of its requests is sent on immediately, to an engine that each gateway chooses on its own. The second engine ends some 25 ms later, before any gateway is told of the first end. The requests that were on both engines can't be told apart then, and the caller's repeat crashes the third engine. Class of fault: retries carry the common cause of a failure to the last healthy server.

Change: for 8 s after a server ends, a request that had no output there is sent only where at least two servers of the kind are alive, not counting those known to have ended nor those that it was tried at. Otherwise it gets 503 if it has not run and 502 if it may have run. Prefill engines, decode engines and plain servers are counted separately. A node that is told no starts of servers knows no ends of others either, and only leaves out what the request was tried at.

The tests of blocking after a second end had two servers in all, the second of which now counts as the last one. They now have three and check that the third gets no request. The test of a call that may run only once now has two servers at each of its two ends.

The new tests with real gateways failed before the change: two servers ended, where one may.

--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -4,7 +4,7 @@
 answer at once and is sent to none.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 import gevent
@@ -198,6 +198,32 @@
             wanted.fingerprint(), now_s
         )
 
+    def allowed_servers(
+        self, wanted: Request, servers: Sequence[fleet.Server]
+    ) -> list[fleet.Server]:
+        """Returns the servers of one kind that a request may be sent to.
+
+        A request under which a server recently ended may crash another before
+        the other gateways learn of the first. It is not sent to the last
+        remaining server, so that other requests can still be served.
+
+        Args:
+            wanted: The request.
+            servers: The servers of that kind that could run it.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._suspects.is_empty or not self._suspects.is_recent_suspect(
+            wanted.fingerprint(), now_s
+        ):
+            return list(servers)
+        ended = self._suspects.ended_servers()
+        alive = [
+            server
+            for server in servers
+            if codec.key_of_server(server.start) not in ended
+        ]
+        return alive if len(alive) > 1 else []
+
     def ended_whole(self, wanted: Request) -> None:
         """Notes that a server answered a request to its end."""
         fingerprint = wanted.fingerprint()
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -1,7 +1,7 @@
 """Where a prompt goes among the engines of a service, or that it is refused."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 from loguru import logger
@@ -30,6 +30,10 @@
 server list comes within a heartbeat of the servers, about a second."""
 
 
+ServerFilter = Callable[[Sequence[fleet.Server]], list[fleet.Server]]
+"""Returns the given servers that a request may be sent to."""
+
+
 class _Candidates(NamedTuple):
     """The engines that a prompt may go to."""
 
@@ -96,6 +100,7 @@
         *,
         excluded: frozenset[fleet.ServerStart],
         may_refuse: bool,
+        allowed_servers: ServerFilter = list,
     ) -> engine_account.Placed:
         """Chooses the best plan and counts it in.
 
@@ -107,12 +112,16 @@
             excluded: Engines that failed it already.
             may_refuse: Whether a prompt that would be late is refused; one
                 that was begun goes on.
+            allowed_servers: Returns the engines that the request may be sent
+                to; called separately for prefill and for decode engines.
 
         Raises:
             NoEngineError: No engine is left.
             OverloadedError: Its answer would be of no use.
         """
-        candidates = self._candidates(wanted, service, excluded)
+        candidates = self._candidates(
+            wanted, service, excluded, allowed_servers
+        )
         plans = candidates.plans()
         if wanted.prompt is not None and service.engine is not None:
             plans = self._with_told_waits(
@@ -138,6 +147,7 @@
         source: fleet.Server,
         *,
         excluded: frozenset[fleet.ServerStart],
+        allowed_servers: ServerFilter = list,
     ) -> engine_account.Placed:
         """Chooses the engine that answers a prompt that was prefilled.
 
@@ -146,12 +156,15 @@
             service: Whose engines to choose from.
             source: The engine that prefilled the prompt.
             excluded: Engines that failed it already.
+            allowed_servers: See ``place``.
 
         Raises:
             NoEngineError: No engine is left.
         """
         usable = self._usable(service, excluded)
-        decodes = [one for one in usable if one.role != "prefill"]
+        decodes = allowed_servers(
+            [one for one in usable if one.role != "prefill"]
+        )
         parts = prompt_parts.chain_of(wanted.prompt)
         plans = prompt_placement.takeovers(
             _shape(wanted, service, parts),
@@ -274,11 +287,16 @@
         wanted: request.RoutedRequest,
         service: table.Service,
         excluded: frozenset[fleet.ServerStart],
+        allowed_servers: ServerFilter,
     ) -> _Candidates:
         usable = self._usable(service, excluded)
         parts = prompt_parts.chain_of(wanted.prompt)
-        prefills = [one for one in usable if one.role == "prefill"]
-        decodes = [one for one in usable if one.role != "prefill"]
+        prefills = allowed_servers(
+            [one for one in usable if one.role == "prefill"]
+        )
+        decodes = allowed_servers(
+            [one for one in usable if one.role != "prefill"]
+        )
         if service.engine is None or wanted.prompt is None:
             prefills = []
         return _Candidates(
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -5,7 +5,7 @@
 the last event that its caller has.
 """
 
-from collections.abc import Generator, Iterator
+from collections.abc import Generator, Iterator, Sequence
 from typing import NamedTuple
 
 import gevent
@@ -201,6 +201,7 @@
                 self._limit,
                 excluded=frozenset(self._excluded),
                 may_refuse=self._sends_count == 0,
+                allowed_servers=self._allowed_servers,
             )
         except errors.NoEngineError as error:
             raise self._without_engine(error) from error
@@ -212,10 +213,16 @@
                 self._service,
                 prefilled.server,
                 excluded=frozenset(self._excluded),
+                allowed_servers=self._allowed_servers,
             )
         except errors.NoEngineError as error:
             raise self._without_engine(error) from error
 
+    def _allowed_servers(
+        self, servers: Sequence[fleet.Server]
+    ) -> list[fleet.Server]:
+        return self._parts.crashes.allowed_servers(self._wanted, servers)
+
     def _without_engine(
         self, error: errors.NoEngineError
     ) -> errors.RequestError:
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -148,7 +148,8 @@
             if server.start not in self._tried
         ]
         reachable = self._parts.book.reachable(usable, now_s)
-        candidates = self._parts.book.candidates(reachable, now_s)
+        allowed = self._parts.crashes.allowed_servers(self._wanted, reachable)
+        candidates = self._parts.book.candidates(allowed, now_s)
         return server_choice.choose(candidates, self._parts.rng)
 
     def _attempt(
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -31,6 +31,11 @@
 that many callers send would be blocked when all servers of a service end
 together."""
 
+RECENT_END_S = 8.0
+"""How long after a server ended without output the request it was running is
+not sent to the last server of a kind. Servers usually restart within
+seconds."""
+
 SUSPECTS_LIMIT_COUNT = 1_024
 WHOLE_LIMIT_COUNT = 2_048
 _ENDS_KEPT_COUNT = 4
@@ -108,6 +113,22 @@
         """Tells whether the end of a server under a request is known."""
         return server_key in self._ends.get(fingerprint, {})
 
+    def is_recent_suspect(self, fingerprint: int, now_s: float) -> bool:
+        """Tells whether a server ended under a request without any output.
+
+        Ends that are ``RECENT_END_S`` old or older do not count.
+        """
+        return any(
+            not end.made_output and now_s - end.at_s < RECENT_END_S
+            for end in self.ends(fingerprint, now_s)
+        )
+
+    def ended_servers(self) -> frozenset[int]:
+        """Returns the keys of servers that ended under suspected requests."""
+        return frozenset(
+            server_key for ends in self._ends.values() for server_key in ends
+        )
+
     def is_blocked(self, fingerprint: int, now_s: float) -> bool:
         """Tells whether a request must not be sent to any server."""
         ends = self.ends(fingerprint, now_s)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -22,6 +22,18 @@
     def blocked(self, now_s: float = 1.0) -> list[int]:
         return self.suspects.blocked(now_s)
 
+    def test_an_end_without_output_makes_a_request_suspected(self) -> None:
+        self.suspects.note_end(CULPRIT, end(10))
+        self.suspects.note_end(OTHER, end(10, made_output=True))
+        self.assertTrue(self.suspects.is_recent_suspect(CULPRIT, 0.0))
+        self.assertFalse(self.suspects.is_recent_suspect(OTHER, 0.0))
+        self.assertFalse(
+            self.suspects.is_recent_suspect(
+                CULPRIT, crash_suspects.RECENT_END_S
+            )
+        )
+        self.assertEqual(self.suspects.ended_servers(), {10})
+
     def test_one_end_blocks_nobody(self) -> None:
         self.suspects.note_end(CULPRIT, end(10))
         self.assertEqual(self.blocked(), [])
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -21,6 +21,9 @@
 
 _AWAY_S = 0.4
 _PAUSE_S = 0.35
+_REPORT_WAIT_S = 0.05
+"""Gateways report an end to each other within milliseconds."""
+
 _BODY = "ends whoever runs it"
 _PLAIN_SERVERS_COUNT = 4
 _NOTICES_NET = "127.77.31"
@@ -114,6 +117,36 @@
         self.assertLessEqual(self.sends_since(since_s), SENDS_LIMIT_COUNT)
 
 
+class LastServerTest(CrashCase):
+    """Repeats of one request crash every server of a kind."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # Leaves two decode engines and two plain servers, without restarts.
+        for server in self.known:
+            server.on_crash = None
+        for server in (*self.known[4:6], *self.known[7:]):
+            self.store.delete(documents.SERVERS_PREFIX + server.fields["id"])
+
+    def check_last_server_survives(self, path: str, fields: str) -> None:
+        self.start_two()
+        for _ in range(3):
+            for gateway in self.gateways:
+                self.send(gateway, path, fields)
+                gevent.sleep(_REPORT_WAIT_S)
+        self.assertEqual(len(self.crashes()), 1)
+        for gateway in self.gateways:
+            self.gateway = gateway
+            answer = self.ask(path, fields=fields, body="harmless")
+            self.assertEqual(answer.status, 200)
+
+    def test_engines(self) -> None:
+        self.check_last_server_survives("/stream/x", test_gateway.TOKENS)
+
+    def test_plain_servers(self) -> None:
+        self.check_last_server_survives("/safe/x", "")
+
+
 class RepeatedCrashTest(CrashCase):
     """Engines end one after the other under a request that comes again."""
 
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -261,10 +261,13 @@
 
     def test_a_second_end_blocks_it(self) -> None:
         """Engines end one after the other under a prompt that comes again."""
-        engines = [self.crash(), self.crash()]
+        # After two ends the third is the last server and gets no request.
+        engines = [self.crash() for _ in range(3)]
         sound = self.say(HEAD + chunks(event(1)))
         with self.assertRaises(errors.BackEndLostError) as caught:
             self.body(*engines)
+        asked_count = sum(bool(one[1].requests) for one in engines)
+        self.assertEqual(asked_count, 2)
         self.assertEqual(caught.exception.outcome, "unknown")
         with self.assertRaises(errors.CrashingRequestError) as refused:
             self.open(sound, request_id="another")
@@ -318,10 +321,10 @@
             made.append(self.serve(script))
             return "prefill", made[0]
 
-        decode = self.say(HEAD + chunks(event(1)))
-        readers = [reader(), reader()]
+        decodes = [self.say(HEAD + chunks(event(1))) for _ in range(2)]
+        readers = [reader() for _ in range(3)]
         with self.assertRaises(errors.RequestError):
-            self.body(*readers, decode, prompt=build.prompt())
+            self.body(*readers, *decodes, prompt=build.prompt())
         with self.assertRaises(errors.CrashingRequestError):
             self.body(self.say(HEAD), prompt=build.prompt())
 
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -221,8 +221,10 @@
 
     def test_a_second_end_blocks_it(self) -> None:
         """Servers end one after the other under a call that comes again."""
-        ending = [self.crash(), self.crash()]
+        # After two ends the third is the last server and gets no request.
+        ending = [self.crash() for _ in range(3)]
         error = self.failure(*ending)
+        self.assertEqual(sum(bool(one.requests) for one in ending), 2)
         self.assertEqual((error.status, error.outcome), (502, "unknown"))
         sound = self.say(answer())
         refused = self.failure(sound, request_id="another")
@@ -231,10 +233,11 @@
 
     def test_one_that_may_run_once_is_blocked_by_its_repeats(self) -> None:
         for number in range(2):
-            self.first_server = number
-            error = self.failure(self.crash(), kind=kinds.AtMostOnce())
+            self.first_server = 2 * number
+            ending = [self.crash(), self.crash()]
+            error = self.failure(*ending, kind=kinds.AtMostOnce())
             self.assertEqual((error.status, error.outcome), (502, "unknown"))
-        self.first_server = 2
+        self.first_server = 4
         refused = self.failure(self.say(answer()), kind=kinds.AtMostOnce())
         self.assertEqual(refused.code, "crashing-request")
 
