Confirm routes through the gateways that read the store for others

Cause: each gateway asked the key-value service whether its routes were still the newest, at 0.34 of the bound on a revoked key, and each looked for the free usage reporting duty every 1.5 s.

Change: only the two readers of a zone ask the service, at 0.1 of the bound. The other gateways ask a reader by datagram, at 0.18 of the bound. Each step measures the age from before its question was sent, so a late reply or a suspended reader only makes a confirmation older. Gateways that are not readers look for the free usage reporting duty every 6 s.

--- a/src/mulberrywharf/authority/role_holder.py
+++ b/src/mulberrywharf/authority/role_holder.py
@@ -20,6 +20,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
@@ -43,6 +44,10 @@
 """Fencing numbers of one era, more than any service gives out revisions. Two
 million eras fit the 53 bits of a number that every reader of JSON knows."""
 
+NON_CANDIDATE_INTERVAL_FACTOR = 4.0
+"""Multiplies the look interval of VMs that are not candidates, because each
+look costs a call to the service."""
+
 CLOCK_MARGIN_S = 0.5
 """Allowed error between the clocks of two VMs over one lease."""
 
@@ -119,6 +124,7 @@
         timing: HolderTiming | None = None,
         system_clock: clock.Clock | None = None,
         duty: Duty = ROLES_DUTY,
+        is_candidate: Callable[[], bool] = lambda: True,
     ):
         """Prepares it; nothing is asked for before ``start``.
 
@@ -129,7 +135,10 @@
             timing: The usual one when None.
             system_clock: Counts also the time of a frozen machine.
             duty: The duty to hold.
+            is_candidate: Whether this VM looks at the usual interval. Other
+                VMs look less often, and take over if no candidate is left.
         """
+        self._is_candidate = is_candidate
         self._duty = duty
         self._client = client
         self._vm_id = vm_id
@@ -233,6 +242,8 @@
             if self._authority is None and self._is_free():
                 self._acquire()
             interval_s = self._timing.look_interval_s
+            if not self._is_candidate():
+                interval_s *= NON_CANDIDATE_INTERVAL_FACTOR
             gevent.sleep(interval_s * random.uniform(0.8, 1.2))
 
     def _is_free(self) -> bool:
--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -28,10 +28,11 @@
 
 _PAUSE_BEHIND_ERROR_S = 0.002
 
-Kind = Literal[b"n", b"q", b"c", b"u"]
+Kind = Literal[b"n", b"q", b"c", b"u", b"f"]
 """Notices to many gateways; messages on the queue of one engine to one; reports
 on servers that ended to all; announcements of the usage collector to all and
-usage counts to the collector."""
+usage counts to the collector; questions about confirmed routes and their
+replies to one."""
 
 _sent_bytes = metrics.counter(
     "mulberry_notices_sent_bytes_total",
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -139,13 +139,24 @@
         All of them choose the same ones by hashing, without a message. Where
         they know of different gateways more than the usual number may read.
         """
+        return self._own_vm_id in self._reader_ids()
+
+    def reader_addresses(self) -> tuple[fleet.Address, ...]:
+        """Returns the datagram addresses of the other readers in the zone."""
+        return tuple(
+            self._by_vm[vm_id].address
+            for vm_id in self._reader_ids()
+            if vm_id != self._own_vm_id
+        )
+
+    def _reader_ids(self) -> list[str]:
         told = {
             vm_id
             for vm_id, found in self._by_vm.items()
             if self._tells(found, self._availability_zone)
         }
         ranked = sorted({*told, self._own_vm_id}, key=_vm_rank)
-        return self._own_vm_id in ranked[:READERS_COUNT]
+        return ranked[:READERS_COUNT]
 
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         """Returns where the gateways take notices of a zone's engines."""
--- /dev/null
+++ b/src/mulberrywharf/peers/freshness_codec.py
@@ -0,0 +1,71 @@
+"""Encodes and decodes messages about confirmed routes, with Cap'n Proto."""
+
+import math
+import pathlib
+from typing import NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from mulberrywharf import errors
+
+_MS_PER_S = 1000.0
+_UINT32_LIMIT = 0xFFFFFFFF
+
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("freshness.capnp")))
+
+
+class Question(NamedTuple):
+    """Asks how recently the routes were confirmed.
+
+    Attributes:
+        nonce: Identifies the question.
+    """
+
+    nonce: int
+
+
+class Reply(NamedTuple):
+    """Answers a question.
+
+    Attributes:
+        nonce: Nonce of the question.
+        version: Version of the routes in force at the answering gateway.
+        age_s: Time since they were confirmed as the newest.
+    """
+
+    nonce: int
+    version: int
+    age_s: float
+
+
+def encode(message: Question | Reply) -> bytes:
+    """Encodes a message as a datagram."""
+    wire = _SCHEMA.FreshnessMessage.new_message()
+    wire.nonce = message.nonce
+    if isinstance(message, Question):
+        wire.question = None
+    else:
+        reply = wire.init("reply")
+        reply.version = message.version
+        # Rounded up so that a confirmation never looks newer than it is.
+        age_ms = min(message.age_s * _MS_PER_S, _UINT32_LIMIT)
+        reply.ageMs = math.ceil(max(0.0, age_ms))
+    return bytes(wire.to_bytes_packed())
+
+
+def decode(datagram: bytes) -> Result[Question | Reply, errors.BadFrameError]:
+    """Decodes a datagram.
+
+    Returns:
+        The message, or an error if the datagram is invalid.
+    """
+    try:
+        wire = _SCHEMA.FreshnessMessage.from_bytes_packed(datagram)
+        if wire.which() == "question":
+            return Ok(Question(wire.nonce))
+        reply = wire.reply
+        return Ok(Reply(wire.nonce, reply.version, reply.ageMs / _MS_PER_S))
+    except (capnp.KjException, ValueError) as error:
+        return Err(errors.BadFrameError(f"invalid freshness message: {error}"))
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -1,5 +1,6 @@
 """A gateway, put together from its settings."""
 
+import math
 import random
 from collections.abc import Callable
 
@@ -34,6 +35,7 @@
     crash_records,
     crash_reports,
     directory,
+    freshness_relay,
     notices,
     queue_owners,
     store_news,
@@ -89,9 +91,16 @@
         self._routes = follower.RouteFollower(
             self._store, source, patience=self._news.patience_for_routes
         )
+        relay = freshness_relay.FreshnessRelay(
+            self._peers, self._notices.socket
+        )
         self._freshness = freshness.RoutesFreshness(
-            self._store, self._routes, _revocation_bound_s(config)
+            self._store,
+            self._routes,
+            _revocation_bound_s(config),
+            relay=relay,
         )
+        relay.on_question(self._confirmed_routes)
         self._servers = servers.ServerList(
             self._store, source, patience=self._news.patience
         )
@@ -262,6 +271,13 @@
         )
         return peers, told, queues
 
+    def _confirmed_routes(self) -> freshness_relay.Confirmation | None:
+        routes = self._routes.current()
+        age_s = self._freshness.age_s()
+        if routes is None or not math.isfinite(age_s):
+            return None
+        return freshness_relay.Confirmation(routes.version, age_s)
+
     def _on_routes_change(self, routes: table.RouteTable) -> None:
         if routes.customers is not None:
             self._freshness.start()
@@ -339,6 +355,7 @@
                 "mulberrywharf/usage/",
                 is_fencing_checked=settings["checks_fencing"],
             ),
+            is_candidate=lambda: self._peers.is_reader,
         )
         platform = gateway_settings.endpoint(settings["platform"])
         client = duty_client.DutyClient(
--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -18,6 +18,7 @@
 
 from mulberrywharf import clock, errors, metrics
 from mulberrywharf.platform_service import key_value, key_value_types
+from mulberrywharf.routes import table
 
 PURPOSE = "freshness"
 
@@ -33,6 +34,20 @@
 """Interval between confirmations, as a fraction of their maximum age. The rest
 covers short outages of the service or the network."""
 
+READER_INTERVAL_SHARE = 0.1
+"""Interval of a gateway that answers others, see ``INTERVAL_SHARE``."""
+
+RELAY_INTERVAL_SHARE = 0.18
+"""Interval of a gateway that asks another, see ``INTERVAL_SHARE``."""
+
+RELAYED_AGE_LIMIT_SHARE = 0.25
+"""Maximum age of a confirmation from another gateway, as a fraction of the
+maximum age. An older one suggests that it cannot reach the service either."""
+
+RELAYED_AGE_LIMIT_S = 2.0
+"""Upper bound of the same, so that callers that need a recent confirmation get
+one of the service."""
+
 _INTERVAL_JITTER = (0.85, 1.0)
 _RETRY_DELAY_S = (0.25, 0.65)
 """Range of the delay after a failed confirmation."""
@@ -62,11 +77,42 @@
         """Key of the routes in the key-value service."""
         ...
 
+    def current(self) -> table.RouteTable | None:
+        """Returns the routes in force."""
+        ...
+
     def take(self, found: key_value_types.KeyValue) -> bool:
         """Takes a routes document; tells whether it is now in force."""
         ...
 
 
+class Confirmation(Protocol):
+    """States how recently another gateway confirmed its routes."""
+
+    @property
+    def version(self) -> int:
+        """Version of the routes in force at that gateway."""
+        ...
+
+    @property
+    def age_s(self) -> float:
+        """Time since it was confirmed as the newest."""
+        ...
+
+
+class Relay(Protocol):
+    """Asks other gateways how recently the routes were confirmed."""
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this gateway has to ask the service itself."""
+        ...
+
+    def ask(self) -> Confirmation | None:
+        """Asks for a confirmation; None if no gateway replies."""
+        ...
+
+
 class RoutesFreshness:
     """Periodically checks the key-value service for changes of the routes."""
 
@@ -76,6 +122,7 @@
         routes: Routes,
         age_limit_s: float | None,
         *,
+        relay: Relay | None = None,
         system_clock: clock.Clock | None = None,
     ):
         """Creates it; no requests are sent before ``start``.
@@ -85,11 +132,17 @@
             routes: Receives changed routes.
             age_limit_s: Maximum age of a usable confirmation, None for
                 ``DEFAULT_AGE_LIMIT_S``.
+            relay: Asks other gateways, None to always ask the service.
             system_clock: A clock that also runs while suspended.
         """
         self._client = client
         self._routes = routes
-        self._interval_s = INTERVAL_SHARE * (age_limit_s or DEFAULT_AGE_LIMIT_S)
+        self._age_limit_s = age_limit_s or DEFAULT_AGE_LIMIT_S
+        self._relayed_age_limit_s = min(
+            RELAYED_AGE_LIMIT_S, RELAYED_AGE_LIMIT_SHARE * self._age_limit_s
+        )
+        self._relay = relay
+        self._interval_share = INTERVAL_SHARE
         self._clock = system_clock or clock.BootClock()
         self._confirmed_s = float("-inf")
         self._revision: int | None = None
@@ -148,7 +201,9 @@
             is_confirmed = self._confirm()
             self._record_result(is_confirmed)
             pause_s = (
-                self._interval_s * random.uniform(*_INTERVAL_JITTER)
+                self._interval_share
+                * self._age_limit_s
+                * random.uniform(*_INTERVAL_JITTER)
                 if is_confirmed
                 else random.uniform(*_RETRY_DELAY_S)
             )
@@ -177,6 +232,10 @@
         if self._client.restored_age_s() < RESTORE_HOLD_OFF_S:
             self._revision = None
             return False
+        if self._relay is not None and self._confirm_by_relay(
+            self._relay, requested_s
+        ):
+            return True
         if self._client.era != self._era:
             self._era = self._client.era
             self._revision = None
@@ -191,10 +250,42 @@
             return False
         if not is_newest:
             return False
+        is_reader = self._relay is not None and self._relay.is_reader
+        self._interval_share = (
+            READER_INTERVAL_SHARE if is_reader else INTERVAL_SHARE
+        )
         self._confirmed_s = requested_s
         self._confirmed.set()
         return True
 
+    def _confirm_by_relay(self, relay: Relay, requested_s: float) -> bool:
+        """Asks another gateway; tells whether that confirmed the routes.
+
+        Versions only increase, so the routes in force were the newest at the
+        time of that confirmation if their version is not lower than its own.
+        """
+        if relay.is_reader:
+            return False
+        confirmation = relay.ask()
+        routes = self._routes.current()
+        if (
+            confirmation is None
+            or routes is None
+            or confirmation.version > routes.version
+            or confirmation.age_s > self._relayed_age_limit_s
+        ):
+            return False
+        self._interval_share = RELAY_INTERVAL_SHARE
+        self._confirmed_s = max(
+            self._confirmed_s, requested_s - confirmation.age_s
+        )
+        self._confirmed.set()
+        return True
+
+    def age_s(self) -> float:
+        """Returns the age of the last confirmation, infinite if none."""
+        return self.now_s() - self._confirmed_s
+
     def _read_all(self) -> bool:
         key = self._routes.routes_key
         read = self._client.read_for_watch(key, purpose=PURPOSE)
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -5,6 +5,7 @@
 import gevent
 
 from mulberrywharf import clock
+from mulberrywharf.peers import freshness_relay
 from mulberrywharf.platform import documents
 from mulberrywharf.routes import follower, freshness
 from tests import builders_platform
@@ -34,11 +35,18 @@
         )
         self.clock = SuspendableClock()
         self.freshness = freshness.RoutesFreshness(
-            self.client, self.routes, AGE_LIMIT_S, system_clock=self.clock
+            self.client,
+            self.routes,
+            AGE_LIMIT_S,
+            relay=self.make_relay(),
+            system_clock=self.clock,
         )
         self.addCleanup(self.freshness.close)
         self.put(1)
 
+    def make_relay(self) -> "FakeRelay | None":
+        return None
+
     def put(self, version: int) -> None:
         self.store.put(documents.ROUTES_KEY, build.routes_value(version))
 
@@ -165,5 +173,61 @@
         self.assertLessEqual(len(self.store.calls) - before_count, 3)
 
 
+class FakeRelay:
+    """Replies to questions with a value that tests set."""
+
+    def __init__(self) -> None:
+        self.is_reader = False
+        self.reply: freshness_relay.Confirmation | None = None
+        self.asked_count = 0
+
+    def ask(self) -> freshness_relay.Confirmation | None:
+        self.asked_count += 1
+        return self.reply
+
+
+class RelayedFreshnessTest(FreshnessTest):
+    """Repeats the tests with a silent reader, and adds some with replies."""
+
+    def make_relay(self) -> FakeRelay:
+        self.relay = FakeRelay()
+        return self.relay
+
+    def test_replies_replace_store_reads(self) -> None:
+        self.start()
+        self.relay.reply = freshness_relay.Confirmation(1, 0.0)
+        gevent.sleep(INTERVAL_S)
+        calls_count = len(self.store.calls)
+        gevent.sleep(2 * AGE_LIMIT_S)
+        self.assertTrue(self.is_confirmed())
+        self.assertEqual(len(self.store.calls), calls_count)
+
+    def test_outdated_reply_confirms_nothing(self) -> None:
+        """Guards against using an old confirmation of a suspended reader."""
+        self.start()
+        self.store.faults["silent"] = 60.0
+        self.relay.reply = freshness_relay.Confirmation(
+            1, freshness.RELAYED_AGE_LIMIT_SHARE * AGE_LIMIT_S + 0.01
+        )
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertFalse(self.is_confirmed())
+
+    def test_reply_with_a_newer_version_confirms_nothing(self) -> None:
+        """Guards against accepting a key that newer routes revoke."""
+        self.start()
+        self.store.faults["silent"] = 60.0
+        self.relay.reply = freshness_relay.Confirmation(2, 0.0)
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertFalse(self.is_confirmed())
+
+    def test_reader_asks_the_store(self) -> None:
+        self.relay.is_reader = True
+        self.relay.reply = freshness_relay.Confirmation(1, 0.0)
+        self.start()
+        gevent.sleep(AGE_LIMIT_S / 2)
+        self.assertEqual(self.relay.asked_count, 0)
+        self.assertTrue(self.is_confirmed(0.5 * AGE_LIMIT_S))
+
+
 if __name__ == "__main__":
     unittest.main()
