Do not report a usage window again after its record was lost

Found by reading the code: after the store is restored from an older copy, the newest record of reports may be missing. The next holder of the duty would then collect that window again and report it. If a gateway's counts were lost in the meantime, the two reports differ, which the platform must never see.

Cause: the record was taken as the complete list of reported windows.

Change: gateways remember the highest window that any collector announced as recorded, and a successor starts after it. A report that was recorded, then lost, and not yet sent is therefore missing. A gateway that restarted or missed the announcement still goes by the restored record (docs/PROOFS.md).

--- a/src/mulberrywharf/duties/usage_reporter.py
+++ b/src/mulberrywharf/duties/usage_reporter.py
@@ -64,6 +64,11 @@
 class Exchange(Protocol):
     """Collects the counts of all gateways."""
 
+    @property
+    def reported_window(self) -> int:
+        """Highest window that a collector announced as recorded, -1 if none."""
+        ...
+
     def announce(self, number: int, reported_window: int) -> None:
         """Announces this gateway as the collector."""
         ...
@@ -178,8 +183,11 @@
 
     @property
     def _recorded_window(self) -> int:
+        # A store restored from an older copy may lack the newest records.
         return max(
-            (report.window for report in self._recorded_reports), default=-1
+            self._exchange.reported_window,
+            *(report.window for report in self._recorded_reports),
+            -1,
         )
 
     def _remaining_s(self, window: int) -> float:
--- a/src/mulberrywharf/peers/usage_exchange.py
+++ b/src/mulberrywharf/peers/usage_exchange.py
@@ -106,6 +106,11 @@
             self._task.kill()
             self._send_changed()
 
+    @property
+    def reported_window(self) -> int:
+        """Highest window that a collector announced as recorded, -1 if none."""
+        return self._reported_window
+
     def announce(self, number: int, reported_window: int) -> None:
         """Announces this gateway to the others as the collector.
 
@@ -256,9 +261,9 @@
             self._last_sent = {}
         self._collector = collector
         self._number = number
-        self._reported_window = reported_window
+        self._reported_window = max(self._reported_window, reported_window)
         for window in [
-            one for one in self._collected if one <= reported_window
+            one for one in self._collected if one <= self._reported_window
         ]:
             self._collected.pop(window)
             self._final_sources.pop(window, None)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -229,6 +229,17 @@
         self.assertEqual(self.one.missing_count(200), 0)
         self.assertEqual(sum(self.one.total(200).values()), 120)
 
+    def test_reported_window_never_decreases(self) -> None:
+        """Guards against a collector that collects a reported window again."""
+        self.counts["two"].count_request("ann")
+        self.one.announce(5, 200)
+        gevent.sleep(0.05)
+        self.three.announce(6, 199)
+        gevent.sleep(0.05)
+        self.assertEqual(self.two.reported_window, 200)
+        self.assertEqual(self.three.reported_window, 200)
+        self.assertEqual(self.three.total(200), {})
+
     def test_former_collector_receives_no_counts(self) -> None:
         """Guards against a collector that resumes after a takeover."""
         self.three.announce(6, 199)
@@ -308,6 +319,7 @@
         self.missing = 0
         self.announced: list[tuple[int, int]] = []
         self.requested_windows: list[int] = []
+        self.reported_window = -1
 
     def announce(self, number: int, reported_window: int) -> None:
         self.announced.append((number, reported_window))
@@ -399,6 +411,19 @@
         self.reporter.poll()
         self.assertEqual(self.platform.calls, [])
 
+    def test_lost_record_causes_no_second_report(self) -> None:
+        """Guards against a second, different report after a store restore."""
+        self.end_window()
+        self.reporter.poll()
+        self.holder.number = None
+        self.shared.clear()
+        _, exchange, successor = self.make(8)
+        exchange.totals[200] = {"ann": 9}
+        exchange.reported_window = 200
+        successor.poll()
+        self.assertEqual(len(self.platform.calls), 1)
+        self.assertEqual(self.platform.conflicts, [])
+
     def test_successor_resends_the_recorded_report(self) -> None:
         """Guards against two different reports for one window.
 
