Rotate customer keys and partition gateways from the store in the soak

Guards against: a revoked key that stays usable, a key forwarded to a server, a customer name forged by the caller, a static key that is rejected.

Change: callers send the key of one of two customers, and a forged customer name. One customer's key is rotated after a pause of 0.5 to 1.5 s, and some callers keep using revoked keys. In half of the rotations one gateway is partitioned from the store, scheduled for 0.3 to 1.5 s longer than the revocation bound; other faults may end that earlier. A gateway that starts while the store is restored from an older copy uses that copy; this is excused, and listed as not proved. 401 is expected now, but not for the static key; the check of recovery looks at calls with that key.

--- a/soak/calls.py
+++ b/soak/calls.py
@@ -26,6 +26,9 @@
 _LEAVE_CHANCE = 0.03
 _LEAVE_AFTER_S = 0.2
 _KEEP_CHANCE = 0.9
+_FORGED_CUSTOMER = "mallory"
+_STATIC_KEY_CHANCE = 0.7
+_REVOKED_KEYS_COUNT = 3
 
 
 class Call(NamedTuple):
@@ -47,6 +50,7 @@
         is_culprit: Whether it ends each server that runs it.
         began_s: Monotonic time of the call.
         ended_s: Monotonic time of its end.
+        key: API key sent with the request.
     """
 
     request_id: str
@@ -63,6 +67,7 @@
     ended_s: float
     leaving_id: str = ""
     is_culprit: bool = False
+    key: str = fleet.STATIC_KEY
 
 
 class Answer(NamedTuple):
@@ -92,6 +97,8 @@
         rng: random.Random,
         body: str = "",
         pause_limit_s: float = _PAUSE_LIMIT_S,
+        *,
+        keys_rng: random.Random,
     ):
         """Makes a caller.
 
@@ -100,7 +107,10 @@
             rng: Decides what it asks when.
             body: What it sends each time; empty for each request's own id.
             pause_limit_s: Most time between two calls.
+            keys_rng: Decides which API key it sends. Separate from ``rng``, so
+                that key choices do not alter the request sequence of a seed.
         """
+        self._keys_rng = keys_rng
         self._body = body
         self._pause_limit_s = pause_limit_s
         self.calls: list[Call] = []
@@ -140,8 +150,9 @@
         leaving = None
         if leaves:
             leaving = gevent.spawn_later(_LEAVE_AFTER_S, connection.leave)
+        key = self._choose_key()
         answer = _exchange(
-            connection, kind, request_id, self._body or request_id
+            connection, kind, request_id, self._body or request_id, key
         )
         if leaving is not None:
             leaving.kill()
@@ -161,12 +172,20 @@
                 time.monotonic(),
                 answer.receipt if answer.says_leaving else "",
                 bool(self._body),
+                key,
             )
         )
         may_keep = answer.is_whole and connection.sock is not None
         if not may_keep or self._rng.random() > _KEEP_CHANCE:
             self._hang_up()
 
+    def _choose_key(self) -> str:
+        """Returns the static, the rotating or a recently revoked key."""
+        if self._body or self._keys_rng.random() < _STATIC_KEY_CHANCE:
+            return fleet.STATIC_KEY
+        revoked = list(self._fleet.revoked_at_s)[-_REVOKED_KEYS_COUNT:]
+        return self._keys_rng.choice([self._fleet.rotating_key, *revoked])
+
     def _hang_up(self) -> None:
         if self._connection is not None:
             self._connection.close()
@@ -200,12 +219,14 @@
 
 
 def _exchange(
-    connection: _Connection, kind: str, request_id: str, body: str
+    connection: _Connection, kind: str, request_id: str, body: str, key: str
 ) -> Answer:
     fields = {
         "host": build.HOST,
         "x-mulberrywharf-request-id": request_id,
         "x-mulberrywharf-deadline-ms": str(DEADLINE_MS),
+        "x-mulberrywharf-credential": key,
+        "x-mulberrywharf-tenant-id": _FORGED_CUSTOMER,
     }
     if kind == "stream":
         fields |= {
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,10 @@
 from soak import fleet
 
 _PAUSE_S = (0.05, 0.5)
+_KEY_ROTATION_PAUSE_S = (0.5, 1.5)
+_PARTITION_CHANCE = 0.5
+_PARTITION_MODES = ("cut", "freeze", "half-open-up", "half-open-down")
+_PARTITION_PAST_BOUND_S = (0.3, 1.5)
 _TASKS_LIMIT_S = 60.0
 """For the last faults to end: a stop takes its grace and a start."""
 
@@ -77,6 +81,36 @@
 )
 
 
+def rotate_keys(
+    played: fleet.Fleet, rng: random.Random, length_s: float
+) -> None:
+    """Rotates a customer's key repeatedly.
+
+    Some rotations take place while one gateway is partitioned from the store.
+    The partition is scheduled to outlast the revocation bound.
+
+    Args:
+        played: The fleet whose key is rotated.
+        rng: Decides pauses, partitions and their gateways.
+        length_s: How long rotations are begun.
+    """
+    ends_s = time.monotonic() + length_s
+    while time.monotonic() < ends_s:
+        gevent.sleep(rng.uniform(*_KEY_ROTATION_PAUSE_S))
+        index = rng.randrange(fleet.GATEWAYS_COUNT)
+        is_partitioned = rng.random() < _PARTITION_CHANCE
+        if not is_partitioned:
+            played.rotate_key()
+            continue
+        way = played.ways[f"store-{index}"]
+        way.set_faults(mode=rng.choice(_PARTITION_MODES))
+        played.rotate_key()
+        gevent.sleep(
+            fleet.REVOCATION_BOUND_S + rng.uniform(*_PARTITION_PAST_BOUND_S)
+        )
+        way.set_faults(**_NO_WAY_FAULT)
+
+
 class Faults:
     """Plays faults on a fleet.
 
@@ -205,6 +239,7 @@
             gevent.sleep(self._rng.uniform(0.0, 0.4))
             self._fleet.register(server_id)
         self._fleet.write_routes()
+        self._fleet.restores.append((began_s, time.monotonic()))
         self._fleet.note_upset(None, began_s)
 
     def _harm_way(self) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -22,6 +22,16 @@
 CULPRIT = "ends whoever runs it"
 """Body of the request that ends each server."""
 
+STATIC_KEY_CUSTOMER = "steady"
+STATIC_KEY = "key-of-steady"
+"""Valid for the whole run."""
+
+ROTATING_KEY_CUSTOMER = "changing"
+"""The customer whose key is rotated during the run."""
+
+REVOCATION_BOUND_S = 2.0
+"""How long gateways may accept a revoked key, as set in their settings."""
+
 HEARTBEAT_S = 1.0
 """How often a server writes its record."""
 
@@ -50,6 +60,12 @@
         harms: Name of a way that was harmed, from when until when.
         upsets: Index of a gateway that was started, stopped or paused, or None
             for the store and with it for all, from when until when.
+        rotating_key: Current key of ``ROTATING_KEY_CUSTOMER``.
+        revoked_at_s: Monotonic time at which each of its previous keys was
+            revoked, infinite while the revocation is being written.
+        starts: Index of a gateway that was started, from when until when.
+        restores: From when until when the store was being restored from an
+            older copy: from taking the copy until the routes are written again.
         is_over: Set once callers are to end.
     """
 
@@ -65,6 +81,10 @@
         self._away: set[str] = set()
         self._records_count = 0
         self._heart: gevent.Greenlet | None = None
+        self.rotating_key = "key-of-changing-0"
+        self.revoked_at_s: dict[str, float] = {}
+        self.starts: list[tuple[int, float, float]] = []
+        self.restores: list[tuple[float, float]] = []
         self.is_over = False
         self._fields: dict[str, dict[str, str]] = {}
         self._folder = tempfile.TemporaryDirectory()
@@ -115,6 +135,7 @@
         else:
             way.upstream = (LOOPBACK, port)
         self.gateways[index] = gateway
+        self.starts.append((index, began_s, time.monotonic()))
         self.note_upset(index, began_s)
 
     def callers_port(self, index: int) -> int:
@@ -140,7 +161,21 @@
 
     def write_routes(self) -> None:
         """Writes the routes as the operators do."""
-        self.store.put("op/config", json.dumps(_routes()).encode())
+        document = _routes()
+        document["version"] = 1 + len(self.revoked_at_s)
+        document["tenants"] = [
+            {"name": STATIC_KEY_CUSTOMER, "api-keys": [STATIC_KEY]},
+            {"name": ROTATING_KEY_CUSTOMER, "api-keys": [self.rotating_key]},
+        ]
+        self.store.put("op/config", json.dumps(document).encode())
+
+    def rotate_key(self) -> None:
+        """Revokes the rotating key and issues a new one."""
+        previous = self.rotating_key
+        self.rotating_key = f"key-of-changing-{len(self.revoked_at_s) + 1}"
+        self.revoked_at_s[previous] = float("inf")
+        self.write_routes()
+        self.revoked_at_s[previous] = time.monotonic()
 
     def register(self, server_id: str) -> None:
         """Writes the record of a server as the server itself does."""
@@ -240,6 +275,7 @@
             "store": f"{LOOPBACK}:{self.ways[f'store-{index}'].port}",
             "repeats": {"ratio": 0.2, "window_s": 10, "allowance_count": 58},
             "grace_s": GRACE_S,
+            "revocation": {"bound_ms": REVOCATION_BOUND_S * 1000},
             "log_level": "WARNING",
         }
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -40,8 +40,13 @@
     played = fleet.Fleet()
     try:
         played.start()
+        keys_rng = random.Random(f"keys {seed}")
         callers = [
-            calls.Caller(played, random.Random(rng.getrandbits(64)))
+            calls.Caller(
+                played,
+                random.Random(rng.getrandbits(64)),
+                keys_rng=keys_rng,
+            )
             for _ in range(CALLERS_COUNT)
         ]
         callers.append(
@@ -50,11 +55,14 @@
                 random.Random(rng.getrandbits(64)),
                 fleet.CULPRIT,
                 CULPRIT_PAUSE_LIMIT_S,
+                keys_rng=keys_rng,
             )
         )
         running = [gevent.spawn(caller.run) for caller in callers]
+        rotation = gevent.spawn(faults.rotate_keys, played, keys_rng, length_s)
         injected = faults.Faults(played, rng)
         injected.play(length_s)
+        rotation.join()
         healed_s = time.monotonic()
         gevent.sleep(promises.RECOVERY_S + promises.RECOVERED_S)
         played.is_over = True
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,14 +10,15 @@
 * The final answer comes soon after the caller's deadline.
 * Once the faults have ended, requests are served again.
 
-Those to servers are in ``server_promises``.
+Those to servers are in ``server_promises``, those on customers' API keys in
+``customer_promises``.
 """
 
 import collections
 import re
 from collections.abc import Iterator
 
-from soak import calls, fleet, server_promises
+from soak import calls, customer_promises, fleet, server_promises
 
 RECOVERY_S = 3.0
 """After the last fault; suspicion of a server lasts a second or two, and a
@@ -35,7 +36,7 @@
 
 _EVENTS_COUNT = 5
 _PROMISES_NOT_RUN = frozenset({429, 503})
-_EXPECTED = frozenset({200, 500, 502, 503, 504})
+_EXPECTED = frozenset({200, 401, 500, 502, 503, 504})
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\d+)\n\n")
 
 
@@ -62,10 +63,15 @@
             for call in made
             for reason in self.broken_by(call, runs[call.request_id])
         ]
-        others = [call for call in made if not call.is_culprit]
+        others = [
+            call
+            for call in made
+            if not call.is_culprit and call.key == fleet.STATIC_KEY
+        ]
         lines += list(self._not_recovered(others))
         judge = server_promises.ServerJudge(self._fleet, made)
-        return lines + list(judge.broken())
+        lines += judge.broken()
+        return lines + list(customer_promises.broken(self._fleet, made))
 
     def broken_by(self, call: calls.Call, runs_count: int) -> Iterator[str]:
         """Yields what one call shows.
