Detect a server end whose probe result is delayed by a process pause

Cause, as far as traced: a request whose connection broke waits 50 ms for the probe that tells whether its server ended. After a pause of the process, the timer of this wait fires before the refused connection is processed, although the refusal arrived long before. The end is then treated as unknown, and the request is sent to another server.

Fix: after the timeout, wait another 10 ms for a result that has already arrived, so up to 60 ms where a probe stays undecided. The new test, which pauses the process during this wait, failed in three of three runs without the fix.

--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -17,6 +17,9 @@
 KNOWN_WITHIN_S = 0.05
 """A VM that lives refuses a connection within some ms."""
 
+_PENDING_RESULT_TIMEOUT_S = 0.01
+"""Time to process a probe result that is already pending."""
+
 _CONNECT_TIMEOUT_S = 0.2
 
 _ends_total = metrics.counter(
@@ -245,6 +248,9 @@
         """
         noting = gevent.spawn(self._note_end, run, made_output)
         noting.join(timeout=KNOWN_WITHIN_S)
+        # After a process pause, the timeout may fire before a pending probe
+        # result is processed.
+        noting.join(timeout=_PENDING_RESULT_TIMEOUT_S)
 
     def _note_end(self, run: Run, made_output: bool) -> None:
         ended_s = self._ends.ended_s(run.start, run.address)
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -1,14 +1,16 @@
 """What is seen of servers that end while they work on requests."""
 
+import time
 import unittest
 from typing import Any
 
 import gevent
 from result import Err
 
-from mulberrywharf import clock, errors, fleet, server_ends
+from mulberrywharf import clock, crash_watch, errors, fleet, server_ends
 from mulberrywharf.forwarding import exchanges, server_book
 from mulberrywharf.platform import requests
+from mulberrywharf.policy import crash_suspects
 from tests import builders_engines
 from tests import builders_routes as build
 
@@ -56,6 +58,33 @@
         self.assertIsNone(ends.ended_s(START, address))
 
 
+class PausedProcessTest(builders_engines.ScriptedServerCase):
+    def test_end_is_noted_after_a_pause_of_the_process(self) -> None:
+        """Guards against retrying a crashing request after a process pause."""
+        scripted = self.serve(lambda sock, _: sock.close())
+        scripted.close()
+        system_clock = clock.SystemClock()
+        suspects = crash_suspects.CrashSuspects()
+        watch = crash_watch.CrashWatch(
+            server_ends.ServerEnds(
+                server_ends.Connector(timeout_s=0.2), system_clock
+            ),
+            suspects,
+            crash_watch.Alone(),
+            crash_watch.Alone(),
+            system_clock,
+        )
+        wanted = build.routed(0.0)
+        # Blocks the event loop once ``broke_off`` starts to wait.
+        gevent.spawn(time.sleep, 2 * crash_watch.KNOWN_WITHIN_S)
+        watch.broke_off(
+            crash_watch.Run(wanted, START, scripted.address),
+            made_output=False,
+        )
+        ends = suspects.ends(wanted.fingerprint(), system_clock.monotonic_s())
+        self.assertEqual(len(ends), 1)
+
+
 class _Silence:
     """Stands for a way on which nothing is answered."""
 
