Look up missing usage counts in one place, and drop two unused keys

Cause: the gateways whose final counts are missing were computed twice in usage_exchange, and role_holder kept the keys of the roles duty as constants beside those of Duty; one was unused, the other used by a test alone.

Change: _missing_addresses serves both, the test takes the key from ROLES_DUTY. No behaviour changes.

--- a/src/mulberrywharf/authority/role_holder.py
+++ b/src/mulberrywharf/authority/role_holder.py
@@ -33,8 +33,6 @@
 
 PURPOSE = "roles"
 KEY_PREFIX = "mulberrywharf/roles/"
-HOLDER_KEY = KEY_PREFIX + "holder"
-RECORD_KEY = KEY_PREFIX + "record"
 
 USER_TIMEOUT_S = 0.5
 """How long the bytes of an order may wait for the engine; one that is alive
--- a/src/mulberrywharf/peers/usage_exchange.py
+++ b/src/mulberrywharf/peers/usage_exchange.py
@@ -136,12 +136,7 @@
             reported_window: Last window whose report is recorded.
             window: The window whose counts are requested.
         """
-        final = self._final_sources.get(window, set())
-        missing = tuple(
-            address
-            for address in self._peers.recent_addresses()
-            if address not in final
-        )
+        missing = self._missing_addresses(window)
         announcement = usage_codec.Announcement(number, reported_window)
         self._socket.send(
             b"u", usage_codec.encode_announcement(announcement), missing
@@ -152,13 +147,18 @@
 
         Returns at least 1 until peer discovery is complete.
         """
-        final = self._final_sources.get(window, set())
-        missing_count = sum(
-            address not in final for address in self._peers.recent_addresses()
-        )
+        missing_count = len(self._missing_addresses(window))
         is_discovering = time.monotonic() - self._created_s < PEER_DISCOVERY_S
         return max(int(is_discovering), missing_count)
 
+    def _missing_addresses(self, window: int) -> tuple[fleet.Address, ...]:
+        final = self._final_sources.get(window, set())
+        return tuple(
+            address
+            for address in self._peers.recent_addresses()
+            if address not in final
+        )
+
     def windows_after(self, window: int) -> list[int]:
         """Returns the windows after the given one that have counts."""
         known = {*self._collected, *self._local_counts.counts_after(window)}
--- a/tests/test_role_holder.py
+++ b/tests/test_role_holder.py
@@ -132,7 +132,7 @@
         """
         holder = self.start()
         self.wait_for(holder)
-        self.store.delete(role_holder.HOLDER_KEY)
+        self.store.delete(role_holder.ROLES_DUTY.holder_key)
         self.assertIsInstance(holder.record(b"order"), Err)
         self.assertIsInstance(holder.authority(), Err)
 
