Read and log the request limits that servers state

Gateways now decode the field, keep the limit in force for each start of a server, log one line for each change and count changes and values that can't be read. Refusals and failures without the field end no limit; misdirected answers and answers to other requests say nothing about the server. Nothing is decided by it yet.

--- a/src/mulberrywharf/_answers.py
+++ b/src/mulberrywharf/_answers.py
@@ -63,6 +63,13 @@
             return str(value[0])
         return value
 
+    def header_values(self, name: str) -> tuple[str, ...]:
+        """Returns each value of a header field, none if it is missing."""
+        value = self.get(name)
+        if value is None:
+            return ()
+        return tuple(value) if isinstance(value, list) else (value,)
+
     def read_some(self) -> bytes:
         """Waits for the next bytes of the body.
 
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -6,6 +6,7 @@
 
 from mulberrywharf import _answers, _exchange, errors, fingerprints, fleet
 from mulberrywharf.customers import directory
+from mulberrywharf.policy import request_limits
 
 
 class PromptPart(NamedTuple):
@@ -157,6 +158,7 @@
         retry_after_s: Time in seconds for which the server asks this gateway to
             send it nothing, None if it asks for none.
         is_leaving: Whether the server states that it is leaving.
+        limit: The request limit that the server states.
     """
 
     status: int
@@ -168,6 +170,7 @@
     load: ReportedLoad | None
     retry_after_s: float | None = None
     is_leaving: bool = False
+    limit: request_limits.StatedLimit = request_limits.NoLimit()
 
     @property
     def is_success(self) -> bool:
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -15,7 +15,7 @@
     errors,
     fleet,
 )
-from mulberrywharf.forwarding import request, server_tracker
+from mulberrywharf.forwarding import request, server_limits, server_tracker
 
 CONNECT_TIMEOUT_S = 0.2
 """A working server in the same region completes the TCP handshake within a few
@@ -49,6 +49,7 @@
         dialect: request.ServerDialect,
         tracker: server_tracker.ServerTracker,
         system_clock: clock.Clock,
+        limits: server_limits.ServerLimits,
         on_leaving: Callable[[fleet.ServerStart], None] = lambda _: None,
     ):
         """Makes a client.
@@ -57,12 +58,14 @@
             dialect: Encodes requests and reads answers.
             tracker: Records reported load, failures and refusals of servers.
             system_clock: Time source of these records.
+            limits: Records the request limits that answers state.
             on_leaving: Called whenever an answer states that its server is
                 leaving.
         """
         self._on_leaving = on_leaving
         self._dialect = dialect
         self._tracker = tracker
+        self._limits = limits
         self._clock = system_clock
         self._pool = _connections.ConnectionPool()
 
@@ -177,6 +180,9 @@
             _answers.count_foreign(server.address)
             message = f"{server.address} answered another request"
             return Err(errors.ForeignAnswerError(message))
+        self._limits.note_answer(
+            server.start, head.limit, may_end=head.is_success
+        )
         if head.not_executed:
             return Err(self._read_refusal_to_end(exchange, server, head))
         return Ok(StartedAnswer(exchange, head, answer.is_framed))
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -29,6 +29,10 @@
 SERVER_LEAVING = "server-leaving"
 """``1`` in every response of a leaving server. The name has no prefix."""
 
+SERVER_LIMIT = "server-limit"
+"""Requests per second that the responding server accepts from all nodes
+together. The name has no prefix."""
+
 SERVER_ID = _PREFIX + "instance-id"
 EXPECTED_SERVER = _PREFIX + "expected-instance"
 PRIORITY = _PREFIX + "request-priority"
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -9,6 +9,7 @@
 from mulberrywharf.customers import directory
 from mulberrywharf.forwarding import request as forwarded
 from mulberrywharf.platform import headers
+from mulberrywharf.policy import request_limits
 
 DEFAULT_DEADLINE_S = 30.0
 """Deadline in seconds for requests that do not state one."""
@@ -109,6 +110,11 @@
             # says nothing about the server that was addressed.
             is_leaving=answer.status_code != _MISDIRECTED_STATUS
             and answer.header(headers.SERVER_LEAVING) == _TRUE,
+            limit=request_limits.parse(
+                answer.header_values(headers.SERVER_LIMIT)
+            )
+            if answer.status_code != _MISDIRECTED_STATUS
+            else request_limits.NoLimit(),
         )
 
     def decode_handle(
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -27,6 +27,7 @@
     generation,
     plain_call,
     server_client,
+    server_limits,
     server_tracker,
     servers,
 )
@@ -111,10 +112,12 @@
         self._tracker = server_tracker.ServerTracker(
             config["availability_zone"]
         )
+        self._limits = server_limits.ServerLimits(self._clock)
         self._client = server_client.ServerClient(
             requests.ServerDialect(),
             self._tracker,
             self._clock,
+            self._limits,
             self._servers.mark_leaving,
         )
         suspects = crash_suspects.CrashSuspects()
@@ -437,6 +440,7 @@
     def _on_servers_change(self) -> None:
         known = self._servers.all()
         self._tracker.keep_only(server.start for server in known)
+        self._limits.keep_only(server.start for server in known)
         self._estimates.set_engines(known)
 
     def _update_readiness(self) -> None:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -60,7 +60,8 @@
             runs a request and closes its connection, ``foreign`` answers
             with another request's id, ``prefill_s`` is how long it reads.
             ``leaving`` says in each answer that it leaves, ``rest`` refuses
-            and asks for so many seconds of rest.
+            and asks for so many seconds of rest, ``limits`` are the values of
+            the request limit fields in each answer.
     """
 
     def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
@@ -130,7 +131,7 @@
     def _application(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
-        start_response = self._with_leaving(start_response)
+        start_response = self._with_fields(start_response)
         if environ["REQUEST_METHOD"] == "DELETE":
             self.handles.discard(environ["PATH_INFO"].rsplit("/", 1)[1])
             return _say({}, start_response)
@@ -166,10 +167,12 @@
             return self._take_order(environ, start_response)
         return self._run(environ, start_response)
 
-    def _with_leaving(self, start_response: Any) -> Any:
+    def _with_fields(self, start_response: Any) -> Any:
         def start(status: str, headers: list[tuple[str, str]]) -> Any:
             if self.faults.get("leaving"):
                 headers = [*headers, ("Server-Leaving", "1")]
+            limits = self.faults.get("limits", ())
+            headers = [*headers, *(("Server-Limit", one) for one in limits)]
             return start_response(status, headers)
 
         return start
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -8,7 +8,11 @@
 from result import Err
 
 from mulberrywharf import clock, crash_watch, errors, fleet, server_ends
-from mulberrywharf.forwarding import server_client, server_tracker
+from mulberrywharf.forwarding import (
+    server_client,
+    server_limits,
+    server_tracker,
+)
 from mulberrywharf.platform import requests
 from mulberrywharf.policy import crash_suspects
 from tests import builders_engines
@@ -24,6 +28,7 @@
             requests.ServerDialect(),
             server_tracker.ServerTracker("zone-a"),
             system_clock,
+            server_limits.ServerLimits(system_clock),
         )
         self.addCleanup(self.client.close)
         self.ends = server_ends.ServerEnds(self.client, system_clock)
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -10,6 +10,7 @@
     engine_pool,
     generation,
     server_client,
+    server_limits,
     server_tracker,
     time_limits,
 )
@@ -75,7 +76,10 @@
         self.clock = clock.SystemClock()
         self.tracker = server_tracker.ServerTracker("zone-a")
         self.client = server_client.ServerClient(
-            requests.ServerDialect(), self.tracker, self.clock
+            requests.ServerDialect(),
+            self.tracker,
+            self.clock,
+            server_limits.ServerLimits(self.clock),
         )
         self.addCleanup(self.client.close)
         self.crashes = build.crash_watch_for(self.client)
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -7,7 +7,12 @@
 from gevent import socket
 
 from mulberrywharf import clock, errors
-from mulberrywharf.forwarding import plain_call, server_client, server_tracker
+from mulberrywharf.forwarding import (
+    plain_call,
+    server_client,
+    server_limits,
+    server_tracker,
+)
 from mulberrywharf.platform import requests
 from mulberrywharf.policy import repeat_budget
 from mulberrywharf.routes import kinds
@@ -55,7 +60,10 @@
         self.clock = clock.SystemClock()
         self.tracker = server_tracker.ServerTracker("zone-a")
         self.client = server_client.ServerClient(
-            requests.ServerDialect(), self.tracker, self.clock
+            requests.ServerDialect(),
+            self.tracker,
+            self.clock,
+            server_limits.ServerLimits(self.clock),
         )
         self.addCleanup(self.client.close)
         self.crashes = build.crash_watch_for(self.client)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -8,6 +8,7 @@
 from mulberrywharf.forwarding import request
 from mulberrywharf.platform import documents, requests
 from mulberrywharf.platform_service import lease
+from mulberrywharf.policy import request_limits
 from mulberrywharf.routes import kinds
 from tests import builders_platform
 from tests import builders_routes as build
@@ -39,9 +40,22 @@
             def header(self, name: str) -> str | None:
                 return named.get(name)
 
+            def header_values(self, name: str) -> tuple[str, ...]:
+                return (named[name],) if name in named else ()
+
         named = {name.replace("_", "-"): text for name, text in fields.items()}
         return requests.ServerDialect().read_head(Answer())
 
+    def test_limit_of_a_misdirected_answer_is_ignored(self) -> None:
+        for status in (200, 500, 503):
+            self.assertEqual(
+                self.head(status, server_limit="2.5").limit,
+                request_limits.RequestLimit(2.5),
+            )
+        self.assertEqual(
+            self.head(421, server_limit="2.5").limit, request_limits.NoLimit()
+        )
+
     def test_retry_after_is_read_from_refusals_only(self) -> None:
         for status in (429, 503):
             self.assertEqual(
--- /dev/null
+++ b/tests/test_server_limit.py
@@ -0,0 +1,117 @@
+"""Tests with real gateways before servers that state a request limit."""
+
+import itertools
+import random
+import time
+import unittest
+
+import gevent
+from gevent import socket
+
+from standins.platform_server import PlatformServerStandin
+from tests import processes, test_gateway
+
+LIMIT_PER_S = 10.0
+BOUND_FROM_S = 3.0
+"""Time after the first answer with a limit from which operators hold gateways
+to it."""
+
+WINDOW_S = 4.0
+ALLOWED_FACTOR = 1.5
+ALLOWED_EXTRA_COUNT = 5
+CALLS_PER_S = 40.0
+_CALLERS_COUNT = 20
+_NODES_PORT = 7662
+
+
+def most_in_window(times_s: list[float], window_s: float = WINDOW_S) -> int:
+    """Returns the largest number of events in any window of that length."""
+    most = first = 0
+    for last, at_s in enumerate(times_s):
+        while times_s[first] < at_s - window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class LimitCase(test_gateway.GatewayCase):
+    """Callers of several gateways before stand-ins."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.gateways: list[processes.Process] = []
+        self.statuses: list[int] = []
+        self._numbers = itertools.count()
+
+    def start_gateways(self, count: int) -> None:
+        """Starts gateways that can exchange datagrams."""
+        self.write_routes()
+        net = random.SystemRandom().randint(1, 250)
+        starting = [
+            gevent.spawn(
+                self.start,
+                f"entry-{number}",
+                nodes_listen=f"127.{net}.7.{number + 1}:{_NODES_PORT}",
+            )
+            for number in range(count)
+        ]
+        self.gateways = [one.get() for one in starting]
+        for gateway in self.gateways:
+            self.gateway = gateway
+            self.wait_ready()
+        gevent.sleep(2.0)
+
+    def call(self, path: str, fields: str = "") -> test_gateway.Answer:
+        """Sends one request to the next gateway in turn."""
+        number = next(self._numbers)
+        gateway = self.gateways[number % len(self.gateways)]
+        address = ("127.0.0.1", gateway.ready["callers"])
+        with socket.create_connection(address) as sock:
+            sock.settimeout(15)
+            sent = test_gateway.request(path, fields=fields)
+            sock.sendall(sent.replace(b"id-1", b"id-%d" % number))
+            return test_gateway.Answer(test_gateway.read_to_end(sock))
+
+    def call_for(self, length_s: float, path: str, fields: str = "") -> None:
+        """Sends ``CALLS_PER_S`` for a time."""
+
+        def run() -> None:
+            while time.monotonic() < ends_s:
+                began_s = time.monotonic()
+                self.statuses.append(self.call(path, fields).status)
+                pause_s = _CALLERS_COUNT / CALLS_PER_S
+                gevent.sleep(began_s + pause_s - time.monotonic())
+
+        ends_s = time.monotonic() + length_s
+        callers = []
+        for _ in range(_CALLERS_COUNT):
+            callers.append(gevent.spawn(run))
+            gevent.sleep(1 / CALLS_PER_S)
+        gevent.joinall(callers, raise_error=True)
+
+    def assert_limited(
+        self, server: PlatformServerStandin, limit_per_s: float = LIMIT_PER_S
+    ) -> None:
+        """Checks the arrivals at a server that stated its limit throughout."""
+        arrivals_s = [arrival.at_s for arrival in server.arrivals]
+        bound_s = arrivals_s[0] + BOUND_FROM_S
+        counted_s = [at_s for at_s in arrivals_s if at_s >= bound_s]
+        allowed = ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_EXTRA_COUNT
+        self.assertLessEqual(most_in_window(counted_s), allowed)
+        self.assertGreaterEqual(len(counted_s), limit_per_s)
+
+
+class FieldTest(LimitCase):
+    def test_caller_gets_the_field_as_the_server_sent_it(self) -> None:
+        self.start_gateways(1)
+        for limits in (["10.50"], [" x"], ["", "7"]):
+            self.plain.faults = {"limits": limits}
+            answer = self.call("/safe/x")
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(
+                answer.headers.get("server-limit"), limits[-1].strip()
+            )
+
+
+if __name__ == "__main__":
+    unittest.main()
