Add a failing test: nine gateways keep a server's request limit

Nine real gateways and callers at 40 requests a second before two decode engines, one of which states a limit of 10 a second in each answer. Counted are its arrivals in any 4 s, from 3 s after its first answer on; operators allow one and a half times the limit and 5 more, 65.

--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -101,6 +101,17 @@
         self.assertGreaterEqual(len(counted_s), limit_per_s)
 
 
+class NineGatewaysTest(LimitCase):
+    """Servers got many times the limit that they stated in their answers."""
+
+    def test_decode_engine_gets_no_more_than_its_limit(self) -> None:
+        self.decodes[0].faults = {"limits": [str(LIMIT_PER_S)]}
+        self.start_gateways(9)
+        self.call_for(9.0, "/stream/x", test_gateway.PROMPT_FIELDS)
+        self.assert_limited(self.decodes[0])
+        self.assertEqual(set(self.statuses), {200})
+
+
 class FieldTest(LimitCase):
     def test_caller_gets_the_field_as_the_server_sent_it(self) -> None:
         self.start_gateways(1)
