--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -34,6 +34,7 @@
     engine_loads,
     engine_pool,
     request,
+    server_limits,
     server_tracker,
     time_limits,
 )
@@ -667,6 +668,7 @@
             _Listed(servers),  # type: ignore[arg-type]
             tracker,
             estimates,
+            server_limits.ServerLimits(self._clock),
             self._clock,
             random.Random(number),
         )
@@ -717,7 +719,7 @@
         )
         limit = time_limits.TimeLimit.of(routed_request, route, self._clock)
         try:
-            placed = gateway.pool.place(
+            placed, _ = gateway.pool.place(
                 routed_request,
                 route,
                 _SERVICE,
@@ -751,10 +753,11 @@
         if placed.plan.prefill is None:
             self._answer(gateway, routed_request, placed.plan.decode.server)
             return
-        taken = gateway.pool.place_decode(
+        taken, _ = gateway.pool.place_decode(
             routed_request,
             _SERVICE,
             placed.plan.prefill.server,
+            time_limits.TimeLimit(routed_request.deadline_s, self._clock),
             excluded=frozenset(),
         )
         self._answer(gateway, routed_request, taken.plan.decode.server)
--- a/src/mulberrywharf/authority/role_manager.py
+++ b/src/mulberrywharf/authority/role_manager.py
@@ -284,6 +284,8 @@
         held = self._holder.authority()
         if isinstance(held, Err):
             return
+        if not self._engines.accepts_calls(change.server):
+            return
         order = role_orders.RoleOrder(
             change.server,
             change.role,
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -335,6 +335,22 @@
         self.body = body
 
 
+class ServerLimitError(EngineError):
+    """The request would exceed the request limit of the back end.
+
+    Attributes:
+        retry_after_s: Seconds after which it may be within the limit.
+    """
+
+    code = "server-limit"
+    outcome: Outcome = "not-run"
+    advice = "Retry with another back end, or after the time given."
+
+    def __init__(self, message: str, *, retry_after_s: float):
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
+
+
 class AnswerLostError(EngineError):
     """The request may have been sent, but no complete answer was received."""
 
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -5,12 +5,14 @@
 from typing import NamedTuple
 
 from loguru import logger
+from result import Ok
 
 from mulberrywharf import clock, errors, fleet
 from mulberrywharf.forwarding import (
     engine_estimates,
     prompt_parts,
     request,
+    server_limits,
     server_tracker,
     servers,
     time_limits,
@@ -30,10 +32,29 @@
 within one heartbeat of the servers, about a second."""
 
 
+PERMIT_TRIES_COUNT = 3
+"""Plans that are tried to find an engine whose request limit permits the
+request. The last one may wait longer than estimated."""
+
+LIMIT_WAIT_TOLERANCE_S = 0.01
+"""How much longer than estimated a request waits for an engine's limit before
+another plan is tried."""
+
+MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
+"""Longest wait for an engine's limit at the last try, as a share of the
+caller's remaining time; the rest is needed for the answer."""
+
 ServerFilter = Callable[[Sequence[fleet.Server]], list[fleet.Server]]
 """Returns those of the given servers that may receive the request."""
 
 
+class PermittedPlacement(NamedTuple):
+    """A placement, and the permit to send the request to its first engine."""
+
+    placed: engine_estimates.Placed
+    permit: server_limits.SendPermit
+
+
 class _Candidates(NamedTuple):
     """The engines that may serve one prompt.
 
@@ -90,6 +111,7 @@
         server_list: servers.ServerList,
         tracker: server_tracker.ServerTracker,
         estimates: engine_estimates.EngineEstimates,
+        limits: server_limits.ServerLimits,
         system_clock: clock.Clock,
         rng: random.Random,
     ):
@@ -99,6 +121,7 @@
             server_list: The registered engines.
             tracker: Tells which of them are reachable.
             estimates: Load, caches and queues of the engines.
+            limits: Permits requests to engines that state a request limit.
             system_clock: Source of monotonic time.
             rng: Samples engines, and adds jitter to admission decisions and
                 to Retry-After.
@@ -106,6 +129,7 @@
         self._server_list = server_list
         self._tracker = tracker
         self._estimates = estimates
+        self._limits = limits
         self._clock = system_clock
         self._rng = rng
 
@@ -119,9 +143,13 @@
         excluded: frozenset[fleet.ServerStart],
         may_refuse: bool,
         allowed_servers: ServerFilter = list,
-    ) -> engine_estimates.Placed:
+    ) -> PermittedPlacement:
         """Chooses the cheapest plan and records it.
 
+        The request may wait for the request limit of the engine that it is
+        sent to first. If it would wait longer than estimated, another plan may
+        be cheaper.
+
         Args:
             routed_request: The request.
             route: The route that it matched.
@@ -137,6 +165,34 @@
             NoEngineError: No usable engine is left.
             OverloadedError: The first token would come too late.
         """
+        if may_refuse:
+            self._estimates.demand.note(routed_request, service)
+
+        def choose() -> prompt_placement.Plan:
+            plan = self._cheapest_plan(
+                routed_request, route, service, excluded, allowed_servers
+            )
+            if may_refuse:
+                self._refuse_if_late(routed_request, route, plan, limit)
+            return plan
+
+        plan, permit = self._acquire_for_plan(
+            choose, lambda plan: plan.prefill_engine, service, limit
+        )
+        placed = self._estimates.record_placement(
+            routed_request, service, plan, route.priority
+        )
+        self._log_placement(routed_request, route, plan, permit)
+        return PermittedPlacement(placed, permit)
+
+    def _cheapest_plan(
+        self,
+        routed_request: request.RoutedRequest,
+        route: table.Route,
+        service: table.Service,
+        excluded: frozenset[fleet.ServerStart],
+        allowed_servers: ServerFilter,
+    ) -> prompt_placement.Plan:
         candidates = self._candidates(
             routed_request, service, excluded, allowed_servers
         )
@@ -150,37 +206,101 @@
                 f"no engine of {service.name} is left to try",
                 retry_after_s=self._retry_after_s(service),
             )
-        plan = plans[0]
-        if may_refuse:
-            self._estimates.demand.note(routed_request, service)
-            self._refuse_if_late(routed_request, route, plan, limit)
-        placed = self._estimates.record_placement(
-            routed_request, service, plan, route.priority
-        )
-        self._log_placement(routed_request, route, plan)
-        return placed
+        return plans[0]
+
+    def _acquire_for_plan(
+        self,
+        choose: Callable[[], prompt_placement.Plan],
+        first_engine: Callable[
+            [prompt_placement.Plan], prompt_placement.EngineView
+        ],
+        service: table.Service,
+        limit: time_limits.TimeLimit,
+    ) -> tuple[prompt_placement.Plan, server_limits.SendPermit]:
+        """Chooses a plan and acquires a permit for its first engine.
+
+        A refused claim tells how long the engine's requests wait for its limit.
+        The plan is then chosen again with that wait.
+
+        Raises:
+            OverloadedError: No engine permits the request in time.
+        """
+        tries_left_count = PERMIT_TRIES_COUNT
+        while True:
+            tries_left_count -= 1
+            plan = choose()
+            server = first_engine(plan).server
+            max_wait_s = (
+                self._limits.wait_s(server.start) + LIMIT_WAIT_TOLERANCE_S
+                if tries_left_count
+                else MAX_LIMIT_WAIT_LEFT_SHARE * limit.left_s()
+            )
+            acquired = self._limits.acquire(server, max_wait_s)
+            if isinstance(acquired, Ok):
+                return plan, acquired.ok_value
+            if not tries_left_count:
+                raise errors.OverloadedError(
+                    f"not run: {acquired.err_value.message}",
+                    retry_after_s=self._limits.retry_after_s([server])
+                    or self._retry_after_s(service),
+                )
 
     def place_decode(
         self,
         routed_request: request.RoutedRequest,
         service: table.Service,
         source: fleet.Server,
+        limit: time_limits.TimeLimit,
         *,
         excluded: frozenset[fleet.ServerStart],
         allowed_servers: ServerFilter = list,
-    ) -> engine_estimates.Placed:
+    ) -> PermittedPlacement:
         """Chooses the engine that decodes an already prefilled prompt.
 
         Args:
             routed_request: The request.
             service: The service whose engines may serve it.
             source: The engine that prefilled the prompt.
+            limit: The request's time limit.
             excluded: Engines that already failed this request.
             allowed_servers: See ``place``.
 
         Raises:
             NoEngineError: No usable engine is left.
+            OverloadedError: No engine permits the request in time.
         """
+
+        def choose() -> prompt_placement.Plan:
+            return self._best_takeover(
+                routed_request, service, source, excluded, allowed_servers
+            )
+
+        plan, permit = self._acquire_for_plan(
+            choose, lambda plan: plan.decode, service, limit
+        )
+        placed = self._estimates.record_takeover(routed_request, service, plan)
+        logger.bind(
+            request_id=routed_request.request_id,
+            decode_id=placed.plan.decode.server.server_id,
+            prefill_id=source.server_id,
+            unlisted=self._server_list.unlisted(
+                [placed.plan.decode.server.server_id]
+            ),
+            running_share=round(placed.plan.decode.running_share, 3),
+            first_token_s=round(placed.plan.first_token_s, 4),
+            limit_per_s=permit.limit_per_s,
+            limit_wait_s=round(permit.waited_s, 3),
+        ).info("taken over")
+        return PermittedPlacement(placed, permit)
+
+    def _best_takeover(
+        self,
+        routed_request: request.RoutedRequest,
+        service: table.Service,
+        source: fleet.Server,
+        excluded: frozenset[fleet.ServerStart],
+        allowed_servers: ServerFilter,
+    ) -> prompt_placement.Plan:
         usable = self._usable(service, excluded)
         decodes = allowed_servers(
             [one for one in usable if one.role != "prefill"]
@@ -201,20 +321,7 @@
                 f"no engine of {service.name} is left to continue the request",
                 retry_after_s=self._retry_after_s(service),
             )
-        placed = self._estimates.record_takeover(
-            routed_request, service, plans[0]
-        )
-        logger.bind(
-            request_id=routed_request.request_id,
-            decode_id=placed.plan.decode.server.server_id,
-            prefill_id=source.server_id,
-            unlisted=self._server_list.unlisted(
-                [placed.plan.decode.server.server_id]
-            ),
-            running_share=round(placed.plan.decode.running_share, 3),
-            first_token_s=round(placed.plan.first_token_s, 4),
-        ).info("taken over")
-        return placed
+        return plans[0]
 
     def _retry_after_s(self, service: table.Service) -> float:
         """Returns Retry-After for a caller that found no usable engine."""
@@ -226,6 +333,8 @@
         retry_after_left_s = self._tracker.retry_after_left_s(
             answering, self._clock.monotonic_s()
         )
+        if retry_after_left_s is None:
+            retry_after_left_s = self._limits.retry_after_s(answering)
         return (
             RETRY_WITHOUT_ENGINE_S
             if retry_after_left_s is None
@@ -376,12 +485,33 @@
         homes = self._home_engines(shared, candidates) if shared else []
         sampled = self._estimates.sample(homes, candidates, self._rng)
         return [
-            self._estimates.view(
-                one, parts, slowdown, is_home=bool(homes) and one is homes[0]
+            self._with_limit_wait(
+                self._estimates.view(
+                    one,
+                    parts,
+                    slowdown,
+                    is_home=bool(homes) and one is homes[0],
+                )
             )
             for one in sampled
         ]
 
+    def _with_limit_wait(
+        self, view: prompt_placement.EngineView
+    ) -> prompt_placement.EngineView:
+        """Returns an engine's view with the wait for its request limit.
+
+        Slots become free while a request waits for the limit, so the longer of
+        the two waits counts.
+        """
+        limit_wait_s = self._limits.wait_s(view.server.start)
+        if limit_wait_s <= 0:
+            return view
+        return view._replace(
+            wait_s=max(view.wait_s, limit_wait_s),
+            slot_wait_s=max(view.slot_wait_s, limit_wait_s),
+        )
+
     def _home_engines(
         self, shared: part_caches.ChainPart, candidates: list[fleet.Server]
     ) -> list[fleet.Server]:
@@ -406,6 +536,7 @@
         routed_request: request.RoutedRequest,
         route: table.Route,
         plan: prompt_placement.Plan,
+        permit: server_limits.SendPermit,
     ) -> None:
         prefill = plan.prefill.server.server_id if plan.prefill else None
         logger.bind(
@@ -429,6 +560,8 @@
             told_wait_s=plan.prefill_engine.reported_wait_s,
             work_s=round(plan.prefill_work_s, 4),
             first_token_s=round(plan.first_token_s, 4),
+            limit_per_s=permit.limit_per_s,
+            limit_wait_s=round(permit.waited_s, 3),
         ).info("placed")
 
 
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -19,6 +19,7 @@
     events,
     request,
     server_client,
+    server_limits,
     server_tracker,
     time_limits,
 )
@@ -61,6 +62,7 @@
         estimates: Tracks the work that the engines have.
         tracker: State of the engines, from this gateway's own exchanges.
         client: Sends the attempts.
+        limits: Permits requests to engines that state a request limit.
         budget: Limits retries.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
@@ -70,6 +72,7 @@
     estimates: engine_estimates.EngineEstimates
     tracker: server_tracker.ServerTracker
     client: server_client.ServerClient
+    limits: server_limits.ServerLimits
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
@@ -179,15 +182,15 @@
         """
         prefilled = self._usable_prefill()
         if prefilled is None:
-            placed = self._place()
+            placed, permit = self._place()
             if placed.plan.prefill is None:
-                return self._generate(placed)
+                return self._generate(placed, permit)
             self._charge_prefill()
-            result = self._prefill(placed, placed.plan.prefill.server)
+            result = self._prefill(placed, placed.plan.prefill.server, permit)
             if isinstance(result, Err):
                 return result
             prefilled = self._prefilled = result.ok_value
-        return self._generate(self._place_decode(prefilled))
+        return self._generate(*self._place_decode(prefilled))
 
     def _usable_prefill(self) -> _Prefilled | None:
         """Returns the prefilled prompt, unless its KV cache has expired."""
@@ -199,7 +202,7 @@
         self._prefilled = None
         return None
 
-    def _place(self) -> engine_estimates.Placed:
+    def _place(self) -> engine_pool.PermittedPlacement:
         try:
             return self._dependencies.pool.place(
                 self._routed_request,
@@ -210,19 +213,22 @@
                 may_refuse=self._sends_count == 0,
                 allowed_servers=self._allowed_servers,
             )
-        except errors.NoEngineError as error:
+        except (errors.NoEngineError, errors.OverloadedError) as error:
             raise self._no_engine_error(error) from error
 
-    def _place_decode(self, prefilled: _Prefilled) -> engine_estimates.Placed:
+    def _place_decode(
+        self, prefilled: _Prefilled
+    ) -> engine_pool.PermittedPlacement:
         try:
             return self._dependencies.pool.place_decode(
                 self._routed_request,
                 self._service,
                 prefilled.server,
+                self._limit,
                 excluded=frozenset(self._excluded),
                 allowed_servers=self._allowed_servers,
             )
-        except errors.NoEngineError as error:
+        except (errors.NoEngineError, errors.OverloadedError) as error:
             raise self._no_engine_error(error) from error
 
     def _allowed_servers(
@@ -233,15 +239,18 @@
         )
 
     def _no_engine_error(
-        self, error: errors.NoEngineError
+        self, error: errors.NoEngineError | errors.OverloadedError
     ) -> errors.RequestError:
         if self._outcome == "not-run":
             return error
-        # NoEngineError tells the caller that nothing ran.
+        # Both errors tell the caller that nothing ran.
         return errors.BackEndLostError(error.message, outcome=self._outcome)
 
     def _prefill(
-        self, placed: engine_estimates.Placed, server: fleet.Server
+        self,
+        placed: engine_estimates.Placed,
+        server: fleet.Server,
+        permit: server_limits.SendPermit,
     ) -> Result[_Prefilled, errors.EngineError]:
         attempt = self._new_attempt(server)._replace(
             prefill_only=True, fetch_from=_fetch_from(placed)
@@ -250,7 +259,7 @@
         awaited = self._dependencies.estimates.prefill_sent(placed)
         try:
             with _InFlightRequest(self._dependencies.tracker, server, began_s):
-                result = self._prefill_exchange(attempt)
+                result = self._prefill_exchange(attempt, permit)
         except BaseException:
             self._dependencies.estimates.failed(placed, awaited)
             raise
@@ -280,11 +289,11 @@
             self._dependencies.estimates.failed(placed, awaited)
 
     def _prefill_exchange(
-        self, attempt: request.Attempt
+        self, attempt: request.Attempt, permit: server_limits.SendPermit
     ) -> Result[request.CacheHandle, errors.EngineError]:
         # Prefilling a prompt twice is harmless for every kind of request.
         began_s = self._dependencies.system_clock.monotonic_s()
-        sent = self._send(attempt, may_run_again=True)
+        sent = self._send(attempt, permit, may_run_again=True)
         if isinstance(sent, Err):
             self._report_possible_crash(attempt.server, began_s, sent.err_value)
             return sent
@@ -311,7 +320,7 @@
         )
 
     def _generate(
-        self, placed: engine_estimates.Placed
+        self, placed: engine_estimates.Placed, permit: server_limits.SendPermit
     ) -> Result[_OpenAnswer, errors.EngineError]:
         server = placed.plan.decode.server
         prefilled, self._prefilled = self._prefilled, None
@@ -333,7 +342,9 @@
         awaited = note_sent(placed)
         self._dependencies.tracker.began(server.start, began_s)
         try:
-            sent = self._send(attempt, may_run_again=self._may_run_again)
+            sent = self._send(
+                attempt, permit, may_run_again=self._may_run_again
+            )
         except BaseException:
             estimates.failed(placed, awaited)
             self._dependencies.tracker.ended(server.start)
@@ -344,7 +355,10 @@
         if isinstance(sent, Err):
             self._dependencies.tracker.ended(server.start)
             self._report_possible_crash(server, began_s, sent.err_value)
-            if isinstance(sent.err_value, errors.EngineUnreachableError):
+            if isinstance(
+                sent.err_value,
+                errors.EngineUnreachableError | errors.ServerLimitError,
+            ):
                 # Nothing was sent, so another engine can use the handle.
                 self._prefilled = prefilled
             if sent.err_value.outcome == "not-run":
@@ -364,11 +378,18 @@
         )
 
     def _send(
-        self, attempt: request.Attempt, *, may_run_again: bool
+        self,
+        attempt: request.Attempt,
+        permit: server_limits.SendPermit,
+        *,
+        may_run_again: bool,
     ) -> Result[server_client.StartedAnswer, errors.EngineError]:
         self._sends_count += 1
         return self._dependencies.client.send(
-            attempt, may_run_again=may_run_again, wait_s=self._limit.wait_s()
+            attempt,
+            permit,
+            may_run_again=may_run_again,
+            wait_s=self._limit.wait_s(),
         )
 
     def _allow_retry_or_raise(self, error: errors.EngineError) -> None:
@@ -391,7 +412,9 @@
             raise self._final_error(error.message)
 
     def _charge_repeat(self, error: errors.EngineError) -> bool:
-        if isinstance(error, errors.EngineUnreachableError):
+        if isinstance(
+            error, errors.EngineUnreachableError | errors.ServerLimitError
+        ):
             # No engine received the request, so sending it again is no retry.
             return True
         return self._take_repeat()
@@ -554,10 +577,13 @@
         if prefilled is None:
             return
         now_s = self._dependencies.system_clock.monotonic_s()
-        # An engine whose Retry-After has not passed gets no release request
-        # either; the KV cache that it holds expires by itself.
-        if not self._dependencies.tracker.is_paused(
-            prefilled.server.start, now_s
+        # An engine whose Retry-After has not passed, or whose request limit is
+        # used up, gets no release request; its KV cache expires by itself.
+        if (
+            not self._dependencies.tracker.is_paused(
+                prefilled.server.start, now_s
+            )
+            and self._dependencies.limits.acquire(prefilled.server).is_ok()
         ):
             self._dependencies.client.release(prefilled.cache)
 
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -16,6 +16,7 @@
 from mulberrywharf.forwarding import (
     request,
     server_client,
+    server_limits,
     server_tracker,
     servers,
     time_limits,
@@ -30,6 +31,14 @@
 milliseconds, so a slot becomes free within the delay. The delay is random so
 that refused callers do not all retry at the same time."""
 
+MAX_LIMIT_WAIT_TARGET_SHARE = 0.5
+"""Longest wait for a server's request limit, as a share of the target time to
+the answer. If requests waited longer, all of them would be late while the
+callers send more than the limit."""
+
+MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
+"""The same as a share of the caller's remaining time."""
+
 _FAILURE_STATUS = 500
 
 
@@ -52,6 +61,7 @@
         server_list: The servers of each service.
         tracker: State of the servers, from this gateway's own exchanges.
         client: Sends the attempts.
+        limits: Permits requests to servers that state a request limit.
         budget: Limits retries.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
@@ -61,6 +71,7 @@
     server_list: servers.ServerList
     tracker: server_tracker.ServerTracker
     client: server_client.ServerClient
+    limits: server_limits.ServerLimits
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
@@ -98,6 +109,13 @@
         return _Call(dependencies, routed_request, route, service).run()
 
 
+class _Chosen(NamedTuple):
+    """A server, and the permit to send the request to it."""
+
+    candidate: server_choice.Candidate
+    permit: server_limits.SendPermit
+
+
 class _Call:
     """One request with its attempts."""
 
@@ -117,6 +135,7 @@
         self._runs_count = 0
         self._outcome: errors.Outcome = "not-run"
         self._failure_answer: WholeAnswer | None = None
+        self._limit_error: errors.ServerLimitError | None = None
         self._limit = time_limits.TimeLimit.of(
             routed_request, route, dependencies.system_clock
         )
@@ -137,8 +156,8 @@
         while True:
             chosen = self._choose()
             if chosen is None:
-                return self._give_up("no server is left to try")
-            self._tried.add(chosen.server.start)
+                return self._give_up(self._reason_without_server())
+            self._tried.add(chosen.candidate.server.start)
             attempted = self._attempt(chosen)
             if isinstance(attempted, Ok):
                 answer = attempted.ok_value
@@ -148,7 +167,38 @@
             if not self._may_repeat(attempted):
                 return self._give_up("no further attempt is allowed")
 
-    def _choose(self) -> server_choice.Candidate | None:
+    def _choose(self) -> _Chosen | None:
+        """Returns the best server that permits a request, None if none does.
+
+        Only if every server would have to be waited for because of its request
+        limit, the request waits, for the server with the shortest wait.
+        """
+        servers = self._untried_servers()
+        for _ in servers:
+            permitting = [
+                server
+                for server in servers
+                if self._dependencies.limits.wait_s(server.start) <= 0
+            ]
+            if not permitting:
+                break
+            chosen = self._acquire(permitting, max_wait_s=0.0)
+            if chosen is not None:
+                return chosen
+        shortest_s = self._dependencies.limits.shortest_wait_s(servers)
+        soonest = [
+            server
+            for server in servers
+            if self._dependencies.limits.wait_s(server.start) <= shortest_s
+        ]
+        return self._acquire(soonest, max_wait_s=self._max_limit_wait_s())
+
+    def _reason_without_server(self) -> str:
+        if self._limit_error is None:
+            return "no server is left to try"
+        return f"no server is left to try; {self._limit_error.message}"
+
+    def _untried_servers(self) -> list[fleet.Server]:
         now_s = self._dependencies.system_clock.monotonic_s()
         usable = [
             server
@@ -156,16 +206,45 @@
             if server.start not in self._tried
         ]
         reachable = self._dependencies.tracker.reachable(usable, now_s)
-        allowed = self._dependencies.crashes.allowed_servers(
+        return self._dependencies.crashes.allowed_servers(
             self._routed_request, reachable
         )
-        candidates = self._dependencies.tracker.candidates(allowed, now_s)
-        return server_choice.choose(candidates, self._dependencies.rng)
+
+    def _acquire(
+        self, servers: list[fleet.Server], max_wait_s: float
+    ) -> _Chosen | None:
+        """Chooses one of the servers and acquires a permit for it."""
+        now_s = self._dependencies.system_clock.monotonic_s()
+        candidates = self._dependencies.tracker.candidates(servers, now_s)
+        candidate = server_choice.choose(candidates, self._dependencies.rng)
+        if candidate is None:
+            return None
+        acquired = self._dependencies.limits.acquire(
+            candidate.server, max_wait_s
+        )
+        if isinstance(acquired, Err):
+            self._limit_error = acquired.err_value
+            return None
+        return _Chosen(candidate, acquired.ok_value)
+
+    def _max_limit_wait_s(self) -> float:
+        """Returns how long the request can wait and still be answered in time.
+
+        The rest of the time is left for the answer, or for other servers.
+        """
+        left_s = self._limit.left_s()
+        target_s = self._route.target_s
+        if target_s is None:
+            return MAX_LIMIT_WAIT_LEFT_SHARE * left_s
+        return min(
+            MAX_LIMIT_WAIT_TARGET_SHARE * target_s,
+            MAX_LIMIT_WAIT_LEFT_SHARE * left_s,
+        )
 
     def _attempt(
-        self, chosen: server_choice.Candidate
+        self, chosen: _Chosen
     ) -> Result[WholeAnswer, errors.EngineError]:
-        server = chosen.server
+        server = chosen.candidate.server
         tracker = self._dependencies.tracker
         attempt = request.Attempt(
             self._routed_request, server, self._limit.for_server_s()
@@ -176,7 +255,7 @@
         self._outcome = "unknown"
         tracker.began(server.start, began_s)
         try:
-            attempted = self._exchange(attempt)
+            attempted = self._exchange(attempt, chosen.permit)
         finally:
             tracker.ended(server.start)
         took_s = self._dependencies.system_clock.monotonic_s() - began_s
@@ -204,10 +283,11 @@
             )
 
     def _exchange(
-        self, attempt: request.Attempt
+        self, attempt: request.Attempt, permit: server_limits.SendPermit
     ) -> Result[WholeAnswer, errors.EngineError]:
         sent = self._dependencies.client.send(
             attempt,
+            permit,
             may_run_again=self._may_run_again,
             wait_s=self._limit.wait_s(),
         )
@@ -257,7 +337,8 @@
         if self._dependencies.crashes.is_blocked(self._routed_request):
             return False
         if isinstance(attempted, Err) and isinstance(
-            attempted.err_value, errors.EngineUnreachableError
+            attempted.err_value,
+            errors.EngineUnreachableError | errors.ServerLimitError,
         ):
             # No server received the request, so sending it again is no retry.
             return True
@@ -286,16 +367,22 @@
         )
         if retry_after_left_s is not None:
             return retry_after_left_s
+        limit_wait_s = self._dependencies.limits.retry_after_s(
+            self._dependencies.tracker.reachable(usable, now_s)
+        )
+        if limit_wait_s is not None:
+            return limit_wait_s
         return self._dependencies.rng.uniform(
             RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S
         )
 
     def _log(
         self,
-        chosen: server_choice.Candidate,
+        chosen: _Chosen,
         attempted: Result[WholeAnswer, errors.EngineError],
         took_s: float,
     ) -> None:
+        candidate = chosen.candidate
         result = (
             str(attempted.ok_value.head.status)
             if isinstance(attempted, Ok)
@@ -304,14 +391,16 @@
         logger.bind(
             request_id=self._routed_request.request_id,
             route=self._route.name,
-            server_id=chosen.server.server_id,
+            server_id=candidate.server.server_id,
             unlisted=self._dependencies.server_list.unlisted(
-                [chosen.server.server_id]
+                [candidate.server.server_id]
             ),
-            own_count=chosen.own_in_flight_count,
-            others_count=round(chosen.others_in_flight_count, 1),
-            failure_share=round(chosen.failure_share, 2),
-            pace=round(chosen.slowdown, 2),
+            own_count=candidate.own_in_flight_count,
+            others_count=round(candidate.others_in_flight_count, 1),
+            failure_share=round(candidate.failure_share, 2),
+            pace=round(candidate.slowdown, 2),
+            limit_per_s=chosen.permit.limit_per_s,
+            limit_wait_s=round(chosen.permit.waited_s, 3),
             took_s=round(took_s, 4),
             left_s=round(self._limit.left_s(), 3),
             result=result,
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -85,12 +85,18 @@
         return opened.map(self._pool.put)
 
     def send(
-        self, attempt: request.Attempt, *, may_run_again: bool, wait_s: float
+        self,
+        attempt: request.Attempt,
+        permit: server_limits.SendPermit,
+        *,
+        may_run_again: bool,
+        wait_s: float,
     ) -> Result[StartedAnswer, errors.EngineError]:
         """Sends one attempt and waits for the head of its answer.
 
         Args:
             attempt: The request and the server to send it to.
+            permit: Permits this request, see ``ServerLimits.acquire``.
             may_run_again: Whether the request may be sent again if it is
                 unknown whether it ran. If not, it never uses an idle
                 connection, as the server may close that while the request is
@@ -99,6 +105,7 @@
 
         Returns:
             The answer; ``EngineUnreachableError`` if no byte was sent,
+            ``ServerLimitError`` if the permit has expired,
             ``EngineRefusedError`` if the server states that nothing ran,
             ``AnswerLostError`` or ``ForeignAnswerError`` if it may have run.
 
@@ -106,6 +113,9 @@
             BadRequestError: The request is malformed; nothing was sent.
         """
         encoded_request = self._dialect.encode(attempt)
+        checked = self._limits.check(permit, attempt.server)
+        if isinstance(checked, Err):
+            return checked
         opened = _exchange.Exchange.open(
             attempt.server.address,
             connect_timeout_s=CONNECT_TIMEOUT_S,
--- a/src/mulberrywharf/forwarding/server_limits.py
+++ b/src/mulberrywharf/forwarding/server_limits.py
@@ -1,13 +1,34 @@
-"""Request limits of servers, as their answers stated them to this gateway."""
+"""Keeps the request limits that servers state in their answers.
+
+Each request to a server needs a ``SendPermit``. Servers without a limit permit
+every request. The requests to all others are granted by the owners of their
+limits, see ``limit_grants``, which count the requests of all gateways.
+"""
 
 from collections.abc import Iterable
 from functools import singledispatchmethod
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
+import gevent
 from loguru import logger
+from result import Err, Ok, Result
+
+from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf.policy import limit_grants, request_limits
+
+PERMIT_LIFETIME_S = 0.25
+"""A request must be sent within this time from its time slot. After a pause of
+the process the slot has passed, and later ones have been granted to others."""
+
+RETRY_AFTER_LIMIT_S = 10.0
+"""Longest Retry-After of a refused caller. The limit may have risen or ended by
+then, which is not known in advance."""
 
-from mulberrywharf import clock, fleet, metrics
-from mulberrywharf.policy import request_limits
+SILENT_RETRY_S = 0.3
+"""Time after which a request is claimed again if no owner of the limit has
+replied."""
+
+_LOGGED_TEXT_LIMIT = 64
 
 _changes_total = metrics.counter(
     "mulberry_server_limit_changes_total",
@@ -21,43 +42,205 @@
     "mulberry_limited_servers_count", "Servers that state a request limit."
 )
 
-_LOGGED_TEXT_LIMIT = 64
-
 
-class KnownLimit(NamedTuple):
-    """The latest limit that a server stated.
+class SendPermit(NamedTuple):
+    """Permits one request to a server.
 
     Attributes:
-        requests_per_s: Requests per second from all gateways together.
-        stated_s: Monotonic time of the answer that stated it.
+        start: The server.
+        expires_s: Monotonic time until which the request may be sent.
+        limit_per_s: The server's limit, None if it has none.
+        waited_s: How long the request waited for its time slot.
     """
 
-    requests_per_s: float
-    stated_s: float
+    start: fleet.ServerStart
+    expires_s: float = float("inf")
+    limit_per_s: float | None = None
+    waited_s: float = 0.0
 
 
-class ServerLimits:
-    """The limits in force, by server."""
+class LimitOwners(Protocol):
+    """Grants requests to servers with a limit, for all gateways."""
+
+    def note_statement(
+        self, server: fleet.ServerStart, statement: limit_grants.LimitStatement
+    ) -> None:
+        """Records what a server stated to this gateway."""
+        ...
+
+    def claim(
+        self,
+        server: fleet.Server,
+        statement: limit_grants.LimitStatement,
+        max_wait_s: float,
+    ) -> limit_grants.Grant | None:
+        """Claims one request; None if no owner has replied."""
+        ...
+
+
+class LocalLimitOwner:
+    """Grants the requests of a node that has no peers."""
 
     def __init__(self, system_clock: clock.Clock):
         self._clock = system_clock
-        self._limits: dict[fleet.ServerStart, KnownLimit] = {}
+        self._grants = limit_grants.LimitGrants()
+
+    def note_statement(
+        self, server: fleet.ServerStart, statement: limit_grants.LimitStatement
+    ) -> None:
+        """Does nothing; each claim has the newest statement."""
+
+    def claim(
+        self,
+        server: fleet.Server,
+        statement: limit_grants.LimitStatement,
+        max_wait_s: float,
+    ) -> limit_grants.Grant | None:
+        """Decides a claim of one request."""
+        claim = limit_grants.Claim(
+            hash(server.start), 0, True, statement, max_wait_s
+        )
+        return self._grants.decide(claim, self._clock.monotonic_s())
+
+
+class _Entry:
+    """The limit of one server, and what its owner last replied."""
+
+    def __init__(self, requests_per_s: float, stated_s: float):
+        self.requests_per_s = requests_per_s
+        self.stated_s = stated_s
+        self.next_s = float("-inf")
+        """When the next request can probably be sent."""
+
+        self.return_s = float("-inf")
+        """When the last of the refused callers comes back."""
+
+
+class ServerLimits:
+    """The limits in force, and the permits to send requests."""
+
+    def __init__(
+        self, system_clock: clock.Clock, owners: LimitOwners | None = None
+    ):
+        """Creates it without any limits.
+
+        Args:
+            system_clock: Times statements and permits.
+            owners: Grants requests; None for a node without peers.
+        """
+        self._clock = system_clock
+        self._owners = owners or LocalLimitOwner(system_clock)
+        self._entries: dict[fleet.ServerStart, _Entry] = {}
         self._malformed: set[fleet.ServerStart] = set()
 
     def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
         """Drops the limits of servers that have ended."""
         kept = frozenset(starts)
         self._malformed &= kept
-        self._limits = {
-            start: limit
-            for start, limit in self._limits.items()
+        self._entries = {
+            start: entry
+            for start, entry in self._entries.items()
             if start in kept
         }
-        _limited_gauge.set({}, len(self._limits))
+        _limited_gauge.set({}, len(self._entries))
 
-    def limit(self, start: fleet.ServerStart) -> KnownLimit | None:
+    def limit_per_s(self, start: fleet.ServerStart) -> float | None:
         """Returns the limit in force at a server, None if there is none."""
-        return self._limits.get(start)
+        entry = self._entries.get(start)
+        return entry.requests_per_s if entry is not None else None
+
+    def wait_s(self, start: fleet.ServerStart) -> float:
+        """Estimates how long a request to a server waits for its limit."""
+        entry = self._entries.get(start)
+        if entry is None:
+            return 0.0
+        return max(0.0, entry.next_s - self._clock.monotonic_s())
+
+    def shortest_wait_s(self, servers: Iterable[fleet.Server]) -> float:
+        """Returns the shortest of the servers' waits, 0 without servers."""
+        waits_s = (self.wait_s(server.start) for server in servers)
+        return min(waits_s, default=0.0)
+
+    def retry_after_s(self, servers: Iterable[fleet.Server]) -> float | None:
+        """Returns when a caller that none of the servers can take may return.
+
+        Callers return one after the other at the rate of the limit. If all came
+        back when the next request can be sent, all but one would be refused
+        again.
+
+        Args:
+            servers: The servers that could run the request.
+
+        Returns:
+            The delay in seconds; None unless each server makes the request
+            wait for its limit.
+        """
+        now_s = self._clock.monotonic_s()
+        entries = [self._entries.get(server.start) for server in servers]
+        limited = [one for one in entries if one and one.next_s > now_s]
+        if not entries or len(limited) < len(entries):
+            return None
+        soonest = min(limited, key=lambda one: max(one.next_s, one.return_s))
+        rate_per_s = max(limit_grants.TRIAL_PER_S, soonest.requests_per_s)
+        soonest.return_s = (
+            max(soonest.next_s, soonest.return_s) + 1.0 / rate_per_s
+        )
+        return min(RETRY_AFTER_LIMIT_S, soonest.return_s - now_s)
+
+    def acquire(
+        self, server: fleet.Server, max_wait_s: float = 0.0
+    ) -> Result[SendPermit, errors.ServerLimitError]:
+        """Waits until a request may be sent to a server.
+
+        Args:
+            server: The server.
+            max_wait_s: Longest time in seconds that the request can wait. If
+                it would wait longer, this returns the error at once.
+        """
+        entry = self._entries.get(server.start)
+        if entry is None:
+            return Ok(SendPermit(server.start))
+        if self.wait_s(server.start) > max_wait_s:
+            return self._exceeded(server, entry)
+        claimed = limit_grants.LimitStatement(
+            entry.requests_per_s, entry.stated_s
+        )
+        grant = self._owners.claim(server, claimed, max_wait_s)
+        now_s = self._clock.monotonic_s()
+        if grant is None:
+            entry.next_s = now_s + SILENT_RETRY_S
+            return self._exceeded(server, entry)
+        self._adopt(server.start, grant.statement)
+        if not grant.is_granted:
+            entry.next_s = now_s + grant.wait_s
+            return self._exceeded(server, entry)
+        slot_s = now_s + grant.wait_s
+        if grant.wait_s > 0:
+            entry.next_s = slot_s
+            gevent.sleep(grant.wait_s)
+        return Ok(
+            SendPermit(
+                server.start,
+                slot_s + PERMIT_LIFETIME_S,
+                self.limit_per_s(server.start),
+                grant.wait_s,
+            )
+        )
+
+    def check(
+        self, permit: SendPermit, server: fleet.Server
+    ) -> Result[None, errors.ServerLimitError]:
+        """Checks a permit at the moment at which its request is sent."""
+        if permit.start != server.start:
+            raise ValueError(f"a permit for {permit.start}, not {server.start}")
+        if self._clock.monotonic_s() <= permit.expires_s:
+            return Ok(None)
+        return Err(
+            errors.ServerLimitError(
+                f"the time slot of a request to {server.address} has passed",
+                retry_after_s=0.0,
+            )
+        )
 
     def note_answer(
         self,
@@ -77,35 +260,29 @@
         """
         if isinstance(stated, request_limits.NoLimit) and not may_end:
             return
-        self._apply(stated, start)
+        self._note(stated, start)
 
     @singledispatchmethod
-    def _apply(
+    def _note(
         self, stated: request_limits.StatedLimit, start: fleet.ServerStart
     ) -> None:
         raise TypeError(f"not a stated limit: {stated!r}")
 
-    @_apply.register
+    @_note.register
     def _(
         self, stated: request_limits.NoLimit, start: fleet.ServerStart
     ) -> None:
-        known = self._limits.pop(start, None)
-        if known is not None:
-            self._log_change(start, "ended", known, None)
+        if start in self._entries:
+            self._set(start, None, self._clock.monotonic_s(), "answer")
 
-    @_apply.register
+    @_note.register
     def _(
         self, stated: request_limits.RequestLimit, start: fleet.ServerStart
     ) -> None:
-        known = self._limits.get(start)
-        limit = KnownLimit(stated.requests_per_s, self._clock.monotonic_s())
-        self._limits[start] = limit
-        if known is None:
-            self._log_change(start, "set", known, limit)
-        elif known.requests_per_s != limit.requests_per_s:
-            self._log_change(start, "changed", known, limit)
-
-    @_apply.register
+        now_s = self._clock.monotonic_s()
+        self._set(start, stated.requests_per_s, now_s, "answer")
+
+    @_note.register
     def _(
         self, stated: request_limits.MalformedLimit, start: fleet.ServerStart
     ) -> None:
@@ -117,17 +294,67 @@
             server_id=start.server_id, text=stated.text[:_LOGGED_TEXT_LIMIT]
         ).warning("a server stated a request limit that can't be read")
 
+    def _adopt(
+        self, start: fleet.ServerStart, statement: limit_grants.LimitStatement
+    ) -> None:
+        """Takes over a newer limit that the owner knows from other gateways."""
+        entry = self._entries.get(start)
+        if entry is None or statement.requests_per_s == entry.requests_per_s:
+            return
+        if statement.stated_s > entry.stated_s:
+            self._set(
+                start, statement.requests_per_s, statement.stated_s, "owner"
+            )
+
+    def _set(
+        self,
+        start: fleet.ServerStart,
+        per_s: float | None,
+        stated_s: float,
+        source: str,
+    ) -> None:
+        entry = self._entries.get(start)
+        before_per_s = entry.requests_per_s if entry is not None else None
+        if per_s is None:
+            self._entries.pop(start, None)
+        elif entry is None:
+            self._entries[start] = _Entry(per_s, stated_s)
+        else:
+            entry.requests_per_s = per_s
+            entry.stated_s = stated_s
+        statement = limit_grants.LimitStatement(per_s, stated_s)
+        self._owners.note_statement(start, statement)
+        if before_per_s != per_s:
+            self._log_change(start, before_per_s, per_s, source)
+
+    def _exceeded(
+        self, server: fleet.Server, entry: _Entry
+    ) -> Err[errors.ServerLimitError]:
+        return Err(
+            errors.ServerLimitError(
+                f"{server.server_id} accepts {entry.requests_per_s:g} requests"
+                " per second",
+                retry_after_s=self.wait_s(server.start),
+            )
+        )
+
     def _log_change(
         self,
         start: fleet.ServerStart,
-        kind: str,
-        before: KnownLimit | None,
-        after: KnownLimit | None,
+        before_per_s: float | None,
+        after_per_s: float | None,
+        source: str,
     ) -> None:
+        kind = "changed"
+        if before_per_s is None:
+            kind = "set"
+        elif after_per_s is None:
+            kind = "ended"
         _changes_total.inc({"kind": kind})
-        _limited_gauge.set({}, len(self._limits))
+        _limited_gauge.set({}, len(self._entries))
         logger.bind(
             server_id=start.server_id,
-            limit_per_s=after.requests_per_s if after else None,
-            before_per_s=before.requests_per_s if before else None,
+            limit_per_s=after_per_s,
+            before_per_s=before_per_s,
+            source=source,
         ).info("server limit {}", kind)
--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -28,7 +28,7 @@
 
 _RECEIVE_RETRY_DELAY_S = 0.002
 
-Kind = Literal[b"n", b"q", b"c", b"u", b"f"]
+Kind = Literal[b"n", b"q", b"c", b"u", b"f", b"l"]
 """Kind byte of a datagram.
 
 - ``n``: a notice to many gateways.
@@ -37,6 +37,8 @@
 - ``u``: an announcement of the usage collector to all gateways, or usage counts
   to the collector.
 - ``f``: a question about confirmed routes, or its reply, to one gateway.
+- ``l``: a claim of a request to a server with a limit, or its reply, to one
+  gateway.
 """
 
 _sent_bytes = metrics.counter(
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -13,11 +13,13 @@
 from result import Err
 
 from mulberrywharf import errors, fleet, metrics
+from mulberrywharf.peers import limit_owners
 from mulberrywharf.platform_service import (
     http_calls,
     key_value,
     lease,
 )
+from mulberrywharf.policy import limit_ownership
 
 PURPOSE = "peers"
 KEY_PREFIX = "mulberrywharf/gateways/"
@@ -113,6 +115,8 @@
         self._owner_cache: dict[
             tuple[int, str, int, str], fleet.Address | None
         ] = {}
+        self._limit_ownership = limit_ownership.LimitOwnership()
+        self._address_by_vm: dict[str, fleet.Address] = {}
         self._poll_task: gevent.Greenlet | None = None
         self._lease: lease.LeaseHolder | None = None
         self._register_task: gevent.Greenlet | None = None
@@ -282,6 +286,30 @@
         )
         return candidates[owner_id]
 
+    def limit_owners(
+        self, server_key: int, availability_zone: str
+    ) -> tuple[limit_owners.RankedGateway, ...]:
+        """Returns the gateways that grant requests to a server, by rank.
+
+        None until the registrations were read once: a gateway that knows no
+        other one would grant itself the whole limit.
+
+        Args:
+            server_key: Key of the server, see
+                ``notice_codec.hash_server_start``.
+            availability_zone: Zone of the server.
+        """
+        now_s = time.monotonic()
+        ownership = self._limit_ownership
+        is_settled = ownership.is_settled(server_key, availability_zone, now_s)
+        owners = ownership.owners(server_key, availability_zone, now_s)
+        return tuple(
+            limit_owners.RankedGateway(
+                rank, self._address_by_vm.get(vm_id), is_settled
+            )
+            for rank, vm_id in enumerate(owners)
+        )
+
     def knows(self, ip: str) -> bool:
         """Returns whether a current or recently removed gateway has this IP."""
         return any(
@@ -366,6 +394,14 @@
             # Without them, this gateway would assume that it is the only one
             # and claim all retries and all traffic for itself.
             by_vm = {**self._peers_by_vm, **by_vm}
+        zones_by_vm = {
+            vm_id: one.availability_zone for vm_id, one in by_vm.items()
+        }
+        zones_by_vm[self._own_vm_id] = self._availability_zone
+        self._limit_ownership.note_listed(zones_by_vm, time.monotonic())
+        self._address_by_vm.update(
+            {vm_id: one.address for vm_id, one in by_vm.items()}
+        )
         if by_vm == self._peers_by_vm:
             return
         removed_s = time.monotonic()
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -37,6 +37,7 @@
     crash_reports,
     directory,
     freshness_relay,
+    limit_owners,
     notices,
     queue_owners,
     revision_exchange,
@@ -69,6 +70,12 @@
 gateway that cannot see the others must not spend the whole allowance."""
 
 
+ROLE_CALL_LIMIT_WAIT_S = 0.2
+"""Longest wait for an engine's request limit before a role report is read or a
+role is ordered. Callers' requests can wait only some hundred milliseconds, so
+longer waits would delay them."""
+
+
 class Gateway:
     """Creates the parts of a gateway, and starts and closes them in order.
 
@@ -112,7 +119,12 @@
         self._tracker = server_tracker.ServerTracker(
             config["availability_zone"]
         )
-        self._limits = server_limits.ServerLimits(self._clock)
+        self._limits = server_limits.ServerLimits(
+            self._clock,
+            limit_owners.LimitOwners(
+                self._peers, self._notices.socket, self._clock
+            ),
+        )
         self._client = server_client.ServerClient(
             requests.ServerDialect(),
             self._tracker,
@@ -150,6 +162,7 @@
             self._servers,
             self._tracker,
             self._estimates,
+            self._limits,
             self._clock,
             self._rng,
         )
@@ -315,6 +328,7 @@
                 self._store,
                 self._estimates,
                 self._tracker,
+                self._limits,
                 self._clock,
             ),
             role_orders.RoleClient(orders.OrderDialect()),
@@ -413,6 +427,7 @@
                     self._servers,
                     self._tracker,
                     self._client,
+                    self._limits,
                     self._budget,
                     self._crashes,
                     self._clock,
@@ -425,6 +440,7 @@
                     self._estimates,
                     self._tracker,
                     self._client,
+                    self._limits,
                     self._budget,
                     self._crashes,
                     self._clock,
@@ -469,9 +485,11 @@
         client: key_value.KeyValueClient,
         estimates: engine_estimates.EngineEstimates,
         tracker: server_tracker.ServerTracker,
+        limits: server_limits.ServerLimits,
         system_clock: clock.Clock,
     ):
         self._tracker = tracker
+        self._limits = limits
         self._clock = system_clock
         self._servers = server_list
         self._routes = routes
@@ -487,11 +505,16 @@
     def accepts_calls(self, server: fleet.Server) -> bool:
         """Returns whether this gateway may send anything to an engine now.
 
-        It may not until the engine's last Retry-After has passed.
+        It may not until the engine's last Retry-After has passed, and only
+        within the engine's request limit.
         """
-        return not self._tracker.is_paused(
+        is_paused = self._tracker.is_paused(
             server.start, self._clock.monotonic_s()
         )
+        return (
+            not is_paused
+            and self._limits.acquire(server, ROLE_CALL_LIMIT_WAIT_S).is_ok()
+        )
 
     def outage_age_s(self) -> float:
         """Returns the time since the store's last outage, inf before any."""
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -63,10 +63,13 @@
 
     planned_decode_ids: list[str]
 
-    def place(self, *args: Any, **options: Any) -> engine_estimates.Placed:
-        placed = super().place(*args, **options)
-        self.planned_decode_ids.append(placed.plan.decode.server.server_id)
-        return placed
+    def place(
+        self, *args: Any, **options: Any
+    ) -> engine_pool.PermittedPlacement:
+        found = super().place(*args, **options)
+        decode = found.placed.plan.decode
+        self.planned_decode_ids.append(decode.server.server_id)
+        return found
 
 
 class GenerationCase(builders_engines.ScriptedServerCase):
@@ -75,11 +78,12 @@
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
         self.tracker = server_tracker.ServerTracker("zone-a")
+        self.limits = server_limits.ServerLimits(self.clock)
         self.client = server_client.ServerClient(
             requests.ServerDialect(),
             self.tracker,
             self.clock,
-            server_limits.ServerLimits(self.clock),
+            self.limits,
         )
         self.addCleanup(self.client.close)
         self.crashes = build.crash_watch_for(self.client)
@@ -105,7 +109,12 @@
         self.servers = StaticServers(*servers)
         self.planned_decode_ids: list[str] = []
         pool = _RecordingPool(
-            self.servers, self.tracker, estimates, self.clock, random.Random(1)
+            self.servers,
+            self.tracker,
+            estimates,
+            self.limits,
+            self.clock,
+            random.Random(1),
         )
         pool.planned_decode_ids = self.planned_decode_ids
         generations = generation.Generations(
@@ -114,6 +123,7 @@
                 estimates,
                 self.tracker,
                 self.client,
+                self.limits,
                 self.budget,
                 self.crashes,
                 self.clock,
@@ -599,6 +609,7 @@
             StaticServers(engine),
             self.tracker,
             estimates,
+            self.limits,
             self.clock,
             random.Random(1),
         )
--- /dev/null
+++ b/tests/test_limit_owners.py
@@ -0,0 +1,191 @@
+"""Tests claims of requests at the owners of limits, over real sockets."""
+
+import itertools
+import unittest
+
+from gevent import socket
+from result import Err
+
+from mulberrywharf import clock, errors, fleet
+from mulberrywharf.forwarding import server_limits
+from mulberrywharf.peers import datagrams, limit_codec, limit_owners
+from mulberrywharf.policy import limit_grants, request_limits
+from tests import builders_routes as build
+
+LIMIT_PER_S = 10.0
+SERVER = build.server()
+STATEMENT = limit_grants.LimitStatement(LIMIT_PER_S, 90.0)
+CLAIM = limit_grants.Claim(2**32 - 1, 2, True, STATEMENT, 0.25)
+MESSAGES = (
+    limit_codec.ClaimMessage(7, CLAIM),
+    limit_codec.GrantMessage(8, limit_grants.Grant(True, 0.5, STATEMENT)),
+    limit_codec.GrantMessage(
+        9,
+        limit_grants.Grant(False, 4.0, limit_grants.LimitStatement(None, 1.0)),
+    ),
+)
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        for message in MESSAGES:
+            with self.subTest(message=message):
+                encoded = limit_codec.encode(message, 100.0)
+                decoded = limit_codec.decode(encoded, 100.0)
+                self.assertEqual(decoded.unwrap(), message)
+
+    def test_truncated_datagrams_are_errors(self) -> None:
+        for message in MESSAGES:
+            whole = limit_codec.encode(message, 100.0)
+            for cut in range(len(whole) - 1):
+                limit_codec.decode(whole[:cut], 100.0)
+        self.assertIsInstance(limit_codec.decode(b"", 100.0), Err)
+
+    def test_impossible_limits_are_errors(self) -> None:
+        for limit_per_s in (-1.0, float("nan"), float("inf")):
+            statement = limit_grants.LimitStatement(limit_per_s, 90.0)
+            message = limit_codec.ClaimMessage(
+                7, CLAIM._replace(statement=statement)
+            )
+            encoded = limit_codec.encode(message, 100.0)
+            self.assertIsInstance(limit_codec.decode(encoded, 100.0), Err)
+
+
+class Peers:
+    """Gateways with given ranks; all of them share one IP address."""
+
+    def __init__(self) -> None:
+        self.ranked: tuple[limit_owners.RankedGateway, ...] = ()
+        self.known_ips = {"127.0.0.1"}
+
+    def knows(self, ip: str) -> bool:
+        return ip in self.known_ips
+
+    def limit_owners(
+        self, server_key: int, availability_zone: str
+    ) -> tuple[limit_owners.RankedGateway, ...]:
+        return self.ranked
+
+    def rank(self, *addresses: fleet.Address | None) -> None:
+        self.ranked = tuple(
+            limit_owners.RankedGateway(rank, address, True)
+            for rank, address in enumerate(addresses)
+        )
+
+
+class LimitOwnersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = clock.SystemClock()
+        self.owner_peers = Peers()
+        self.owner_at, self.owner = self.start(self.owner_peers)
+        self.peers = Peers()
+        self.peers.rank(self.owner_at)
+        _, owners = self.start(self.peers)
+        self.limits = self.limits_with(owners)
+
+    def start(
+        self, peers: Peers
+    ) -> tuple[fleet.Address, limit_owners.LimitOwners]:
+        address = self.free_address()
+        carrier = datagrams.PeerSocket(address, peers, self.clock)
+        made = limit_owners.LimitOwners(peers, carrier, self.clock)
+        carrier.start()
+        self.addCleanup(carrier.close)
+        return address, made
+
+    def free_address(self) -> fleet.Address:
+        with socket.socket(type=socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            return fleet.Address("127.0.0.1", int(sock.getsockname()[1]))
+
+    def limits_with(
+        self, owners: limit_owners.LimitOwners
+    ) -> server_limits.ServerLimits:
+        limits = server_limits.ServerLimits(self.clock, owners)
+        stated = request_limits.RequestLimit(LIMIT_PER_S)
+        limits.note_answer(SERVER.start, stated, may_end=True)
+        return limits
+
+    def acquired_count(
+        self, limits: server_limits.ServerLimits, tries_count: int = 20
+    ) -> int:
+        return sum(limits.acquire(SERVER).is_ok() for _ in range(tries_count))
+
+    def test_all_gateways_together_get_one_limit(self) -> None:
+        count = 0
+        for _ in range(9):
+            peers = Peers()
+            peers.rank(self.owner_at)
+            _, owners = self.start(peers)
+            count += self.acquired_count(self.limits_with(owners))
+        self.assertGreaterEqual(count, 1)
+        self.assertLessEqual(count, 3)
+
+    def test_servers_without_a_limit_need_no_owner(self) -> None:
+        self.peers.rank()
+        other = build.server("server-2")
+        for _ in range(100):
+            self.assertTrue(self.limits.acquire(other).is_ok())
+
+    def test_an_unknown_gateway_is_granted_nothing(self) -> None:
+        self.owner_peers.known_ips = set()
+        self.assertEqual(self.acquired_count(self.limits), 0)
+
+    def test_a_standby_grants_a_part_when_the_owner_is_silent(self) -> None:
+        standby_at, _ = self.start(Peers())
+        self.peers.rank(self.free_address(), standby_at)
+        self.assertEqual(self.acquired_count(self.limits), 1)
+
+    def test_without_any_reply_nothing_is_sent(self) -> None:
+        self.peers.rank(self.free_address(), self.free_address())
+        refused = self.limits.acquire(SERVER)
+        assert isinstance(refused, Err)
+        self.assertGreater(refused.err_value.retry_after_s, 0.0)
+        self.assertLessEqual(
+            refused.err_value.retry_after_s, server_limits.SILENT_RETRY_S
+        )
+
+    def test_the_end_of_a_limit_is_learned_from_the_owner(self) -> None:
+        """A limit whose end one gateway missed kept a server idle there."""
+        ended = limit_grants.LimitStatement(None, self.clock.monotonic_s() + 1)
+        self.owner.note_statement(SERVER.start, ended)
+        self.assertEqual(self.acquired_count(self.limits), 20)
+        self.assertIsNone(self.limits.limit_per_s(SERVER.start))
+
+
+class PermitTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = build.ManualClock()
+        self.limits = server_limits.ServerLimits(self.clock)
+        stated = request_limits.RequestLimit(LIMIT_PER_S)
+        self.limits.note_answer(SERVER.start, stated, may_end=True)
+
+    def test_a_permit_expires_during_a_pause_of_the_process(self) -> None:
+        permit = self.limits.acquire(SERVER).unwrap()
+        self.assertTrue(self.limits.check(permit, SERVER).is_ok())
+        self.clock.now_s += 1.0
+        checked = self.limits.check(permit, SERVER)
+        assert isinstance(checked, Err)
+        self.assertIsInstance(checked.err_value, errors.ServerLimitError)
+        self.assertEqual(checked.err_value.outcome, "not-run")
+
+    def test_a_permit_holds_for_its_server_only(self) -> None:
+        permit = self.limits.acquire(SERVER).unwrap()
+        with self.assertRaises(ValueError):
+            self.limits.check(permit, build.server("server-2"))
+
+    def test_refused_callers_return_one_after_the_other(self) -> None:
+        """All refused callers came back at once and were refused again."""
+        self.assertIsNone(self.limits.retry_after_s([SERVER]))
+        while self.limits.acquire(SERVER).is_ok():
+            pass
+        delays_s = [self.limits.retry_after_s([SERVER]) for _ in range(5)]
+        for before_s, after_s in itertools.pairwise(delays_s):
+            assert before_s is not None and after_s is not None
+            self.assertAlmostEqual(after_s - before_s, 1 / LIMIT_PER_S)
+        other = build.server("server-2")
+        self.assertIsNone(self.limits.retry_after_s([SERVER, other]))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -59,11 +59,12 @@
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
         self.tracker = server_tracker.ServerTracker("zone-a")
+        self.limits = server_limits.ServerLimits(self.clock)
         self.client = server_client.ServerClient(
             requests.ServerDialect(),
             self.tracker,
             self.clock,
-            server_limits.ServerLimits(self.clock),
+            self.limits,
         )
         self.addCleanup(self.client.close)
         self.crashes = build.crash_watch_for(self.client)
@@ -87,6 +88,7 @@
                 StaticServers(*servers),
                 self.tracker,
                 self.client,
+                self.limits,
                 self.budget,
                 self.crashes,
                 self.clock,
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -60,8 +60,7 @@
     def note(self, *values: str, may_end: bool = True) -> float | None:
         stated = request_limits.parse(values)
         self.limits.note_answer(SERVER, stated, may_end=may_end)
-        known = self.limits.limit(SERVER)
-        return known.requests_per_s if known else None
+        return self.limits.limit_per_s(SERVER)
 
     def test_the_newest_answer_holds(self) -> None:
         self.assertIsNone(self.note())
@@ -83,7 +82,7 @@
     def test_an_ended_server_has_no_limit(self) -> None:
         self.note("10")
         self.limits.keep_only([])
-        self.assertIsNone(self.limits.limit(SERVER))
+        self.assertIsNone(self.limits.limit_per_s(SERVER))
 
 
 if __name__ == "__main__":
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -20,6 +20,16 @@
 ALLOWED_FACTOR = 1.5
 ALLOWED_EXTRA_COUNT = 5
 CALLS_PER_S = 40.0
+SHORT_PROMPT_FIELDS = (
+    "x-mulberrywharf-model: m\r\n"
+    "x-mulberrywharf-token-usage: 300,5\r\n"
+    "x-mulberrywharf-prompt-prefix: cc:300\r\n"
+)
+"""Prompts so short that admission control refuses none of them."""
+
+SETTLED_S = 9.0
+"""Time from the start of gateways to grants at the whole limit."""
+
 _CALLERS_COUNT = 20
 _NODES_PORT = 7662
 
@@ -90,15 +100,17 @@
         gevent.joinall(callers, raise_error=True)
 
     def assert_limited(
-        self, server: PlatformServerStandin, limit_per_s: float = LIMIT_PER_S
+        self,
+        server: PlatformServerStandin,
+        least_count: int = int(LIMIT_PER_S),
     ) -> None:
         """Checks the arrivals at a server that stated its limit throughout."""
         arrivals_s = [arrival.at_s for arrival in server.arrivals]
         bound_s = arrivals_s[0] + BOUND_FROM_S
         counted_s = [at_s for at_s in arrivals_s if at_s >= bound_s]
-        allowed = ALLOWED_FACTOR * limit_per_s * WINDOW_S + ALLOWED_EXTRA_COUNT
+        allowed = ALLOWED_FACTOR * LIMIT_PER_S * WINDOW_S + ALLOWED_EXTRA_COUNT
         self.assertLessEqual(most_in_window(counted_s), allowed)
-        self.assertGreaterEqual(len(counted_s), limit_per_s)
+        self.assertGreaterEqual(len(counted_s), least_count)
 
 
 class NineGatewaysTest(LimitCase):
@@ -107,15 +119,54 @@
     def test_decode_engine_gets_no_more_than_its_limit(self) -> None:
         self.decodes[0].faults = {"limits": [str(LIMIT_PER_S)]}
         self.start_gateways(9)
-        self.call_for(9.0, "/stream/x", test_gateway.PROMPT_FIELDS)
+        self.call_for(9.0, "/stream/x", SHORT_PROMPT_FIELDS)
         self.assert_limited(self.decodes[0])
         self.assertEqual(set(self.statuses), {200})
 
+    def test_plain_server_gets_no_more_than_its_limit(self) -> None:
+        self.server("plain-2", "plain")
+        self.plain.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.start_gateways(9)
+        self.call_for(9.0, "/safe/x")
+        # The other server is nearly idle and can serve all callers.
+        self.assert_limited(self.plain, least_count=1)
+        self.assertEqual(set(self.statuses), {200})
+
+    def test_only_server_gets_its_limit_and_others_are_refused(self) -> None:
+        self.plain.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.start_gateways(9)
+        gevent.sleep(SETTLED_S)
+        self.call_for(9.0, "/safe/x")
+        self.assert_limited(self.plain)
+        self.assertEqual(set(self.statuses), {200, 503})
+        served_count = self.statuses.count(200)
+        self.assertGreaterEqual(served_count, 0.9 * 9.0 * LIMIT_PER_S)
+
+
+class OneGatewayTest(LimitCase):
+    """A gateway alone sent a server more than it accepts from all."""
+
+    def test_prefill_engine_gets_no_more_than_its_limit(self) -> None:
+        self.prefill.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.start_gateways(1)
+        self.call_for(8.0, "/stream/x", test_gateway.PROMPT_FIELDS)
+        self.assert_limited(self.prefill)
+
+    def test_decode_engines_continue_no_more_prompts_than_their_limit(
+        self,
+    ) -> None:
+        for decode in self.decodes:
+            decode.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.start_gateways(1)
+        self.call_for(8.0, "/stream/x", test_gateway.PROMPT_FIELDS)
+        for decode in self.decodes:
+            self.assert_limited(decode)
+
 
 class FieldTest(LimitCase):
     def test_caller_gets_the_field_as_the_server_sent_it(self) -> None:
         self.start_gateways(1)
-        for limits in (["10.50"], [" x"], ["", "7"]):
+        for limits in (["1000.50"], [" x"], ["", "7000"]):
             self.plain.faults = {"limits": limits}
             answer = self.call("/safe/x")
             self.assertEqual(answer.status, 200)
