Keep servers' request limits in the routers, too

What callers' operators would see: a router sends an engine or a backend server that states a request limit as many requests as before. Cause and class are the gateways': the field was not read.

Change: the limits, permits and claims move to the root of the package, and a carrier over the routers' links stands beside the one over datagrams. Routers rank each other by the VM list. Completions, resumptions, prefills, cancel requests and calls to plain services need a permit. A router sends a request to an engine or server without a limit, or whose limit is not used up, if there is one, and waits otherwise for at most 0.3 of the caller's time. Load reads and orders need none: they come at a fixed rate from one node and don't follow callers.

While no owner of a limit replies, a request that can wait claims again instead of being refused: beside a run of all tests on the same machine some callers got 503 where another engine was idle.

--- a/bench/gateway_slopes.py
+++ b/bench/gateway_slopes.py
@@ -10,7 +10,7 @@
 import tracemalloc
 from collections.abc import Iterable
 
-from mulberrywharf import clock, fleet
+from mulberrywharf import clock, fleet, server_limits
 from mulberrywharf.forwarding import (
     engine_estimates,
     engine_pool,
@@ -20,16 +20,18 @@
 )
 from mulberrywharf.peers import (
     datagrams,
+    limit_codec,
     notice_codec,
     queue_codec,
     queue_owners,
 )
-from mulberrywharf.policy import part_caches
+from mulberrywharf.policy import limit_grants, part_caches
 from mulberrywharf.routes import kinds, table
 
 FLEETS = (5, 28, 106, 850)
 PARTS_COUNT = 500
 RUNS_COUNT = 2_000
+CLAIMS_COUNT = 20_000
 _ENGINE = table.EngineTraits(48, 545_579, 18_432.0, 46.25e9, 5.0)
 _SERVICE = table.Service("service", 300, _ENGINE)
 _ROUTE = table.Route(
@@ -107,6 +109,7 @@
         _AllServers(_engines(engines_count)),
         tracker,
         estimates,
+        server_limits.ServerLimits(system_clock),
         system_clock,
         rng,
     )
@@ -156,6 +159,35 @@
     notice_bytes = len(datagram) + datagrams.DATAGRAM_OVERHEAD_BYTES
     print(f"one notice of a handed over prompt: {notice_bytes} bytes a peer")
     print(f"owners of queues: {_queue_bytes()} bytes a prompt")
+    claim_bytes, grant_bytes, owner_us = _limit_costs()
+    print(
+        f"limited servers: {claim_bytes} bytes a claim, {grant_bytes} a grant,"
+        f" {owner_us:.0f} us of its owner"
+    )
+
+
+def _limit_costs() -> tuple[int, int, float]:
+    """Returns bytes of a claim and a grant, and the owner's us for both."""
+    statement = limit_grants.LimitStatement(10.5, 99.0)
+    claim = limit_grants.Claim(2**31 + 7, 0, True, statement, 0.1)
+    message = limit_codec.ClaimMessage(2**31 + 9, claim)
+    encoded = limit_codec.encode(message, 100.0)
+    grants = limit_grants.LimitGrants()
+    began_s = time.process_time()
+    for number in range(CLAIMS_COUNT):
+        now_s = 100.0 + number / 100
+        received = limit_codec.decode(encoded, now_s).unwrap()
+        assert isinstance(received, limit_codec.ClaimMessage)
+        grant = grants.decide(received.claim, now_s)
+        reply = limit_codec.GrantMessage(received.number, grant)
+        answered = limit_codec.encode(reply, now_s)
+    owner_s = (time.process_time() - began_s) / CLAIMS_COUNT
+    overhead_bytes = datagrams.DATAGRAM_OVERHEAD_BYTES
+    return (
+        len(encoded) + overhead_bytes,
+        len(answered) + overhead_bytes,
+        owner_s * 1e6,
+    )
 
 
 def _queue_bytes() -> dict[str, int]:
--- a/bench/limit_play.py
+++ b/bench/limit_play.py
@@ -15,7 +15,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from mulberrywharf.peers import limit_codec, limit_owners
+from mulberrywharf import limit_claims
+from mulberrywharf.peers import limit_codec
 from mulberrywharf.policy import limit_grants, limit_ownership
 
 CONTACT_S = 3.0
@@ -412,11 +413,11 @@
             if pending["is_open"]:
                 pending["is_open"] = False
                 gateway.silent_until_s[vm_id] = (
-                    self._loop.now_s + limit_owners.SILENT_S
+                    self._loop.now_s + limit_claims.SILENT_S
                 )
                 self._claim(gateway, run, rest, max_wait_s)
 
-        self._loop.at(now_s + limit_owners.REPLY_TIMEOUT_S, time_out)
+        self._loop.at(now_s + limit_claims.REPLY_TIMEOUT_S, time_out)
 
     def _datagram(
         self,
--- a/bench/prompt_play.py
+++ b/bench/prompt_play.py
@@ -28,13 +28,12 @@
 from loguru import logger
 
 from bench import engine_model
-from mulberrywharf import errors, fleet
+from mulberrywharf import errors, fleet, server_limits
 from mulberrywharf.forwarding import (
     engine_estimates,
     engine_loads,
     engine_pool,
     request,
-    server_limits,
     server_tracker,
     time_limits,
 )
--- a/src/mulberrywharf/_headers.py
+++ b/src/mulberrywharf/_headers.py
@@ -20,6 +20,10 @@
 """Fields of RFC 9110 section 7.6.1, and those that older senders add."""
 
 
+REQUEST_LIMIT = "server-limit"
+"""Requests per second that the responding server accepts from all nodes."""
+
+
 def retry_after_s(value: str | None) -> float | None:
     """Returns the delay in seconds that a ``Retry-After`` field states.
 
--- a/src/mulberrywharf/engines/handover.py
+++ b/src/mulberrywharf/engines/handover.py
@@ -39,6 +39,7 @@
     address: fleet.Address,
     generation: resume.Generation,
     timeout_s: float = DEFAULT_PREFILL_TIMEOUT_S,
+    on_head: Callable[[_answers.Answer], None] = lambda _: None,
 ) -> Result[KvSource, errors.EngineError]:
     """Asks an engine to prefill the prompt and to keep its KV cache.
 
@@ -46,6 +47,7 @@
         address: The prefill engine.
         generation: The generation with the prompt.
         timeout_s: Timeout of the connect and of each read, in seconds.
+        on_head: Called with the answer.
     """
     extension = {"priority": generation.priority, "prefill_only": True}
     body = {**generation.body, "stream": False, "mulberry": extension}
@@ -64,6 +66,7 @@
     if isinstance(fetched, Err):
         return fetched
     answer, data = fetched.ok_value
+    on_head(answer)
     if answer.status_code != _OK:
         return Err(refusals.error_from_answer(address, answer, data))
     return _parse_kv_source(address, data, generation.request_id)
@@ -75,6 +78,7 @@
     tracker: resume.RequestTracker,
     timeout_s: float = DEFAULT_PREFILL_TIMEOUT_S,
     on_failed: Callable[[errors.EngineError], None] = lambda _: None,
+    on_head: Callable[[_answers.Answer], None] = lambda _: None,
 ) -> resume.PreparedRequest:
     """Prefills on another engine and points the decode engine to the KV cache.
 
@@ -88,11 +92,12 @@
         tracker: Notified when the prefill begins and ends.
         timeout_s: Timeout of the connect and of each read, in seconds.
         on_failed: Called with the error if the prefill fails.
+        on_head: Called with the engine's answer.
     """
     tracker.request_started(prefill_vm.vm_id, generation.prompt_tokens)
     failed = False
     try:
-        prefilled = prefill(prefill_vm.address, generation, timeout_s)
+        prefilled = prefill(prefill_vm.address, generation, timeout_s, on_head)
         failed = isinstance(prefilled, Err)
     finally:
         tracker.request_finished(prefill_vm.vm_id, failed)
--- a/src/mulberrywharf/engines/resume.py
+++ b/src/mulberrywharf/engines/resume.py
@@ -143,6 +143,9 @@
         decide: DecideRetry,
         tracker: RequestTracker,
         prepare: Prepare | None = None,
+        hooks_of: Callable[
+            [fleet.EngineView], streams.StreamHooks
+        ] = lambda _: streams.StreamHooks(),
         idle_timeout_s: float = streams.DEFAULT_IDLE_TIMEOUT_S,
         connect_timeout_s: float = streams.DEFAULT_CONNECT_TIMEOUT_S,
     ):
@@ -155,6 +158,7 @@
                 allows another one.
             tracker: Notified when each attempt begins and ends.
             prepare: Prepares each attempt until a token was delivered.
+            hooks_of: Returns the hooks for an exchange with an engine.
             idle_timeout_s: Time without data after which an engine counts as
                 failed, in seconds.
             connect_timeout_s: Timeout of a connect to an engine, in seconds.
@@ -164,6 +168,7 @@
         self._decide = decide
         self._tracker = tracker
         self._prepare = prepare
+        self._hooks_of = hooks_of
         self._idle_timeout_s = idle_timeout_s
         self._connect_timeout_s = connect_timeout_s
         self._token_texts: list[str] = []
@@ -256,7 +261,7 @@
         failed = False
         self._tracker.request_started(engine_id, prepared.prompt_tokens)
         try:
-            yield from self._stream_from(view.vm.address, prepared.body)
+            yield from self._stream_from(view, prepared.body)
         except errors.EngineError as error:
             failed = not _is_bad_request(error)
             raise
@@ -264,16 +269,17 @@
             self._tracker.request_finished(engine_id, failed)
 
     def _stream_from(
-        self, address: fleet.Address, body: dict[str, Any]
+        self, view: fleet.EngineView, body: dict[str, Any]
     ) -> Iterator[streams.TokenBatch]:
         opened = streams.EngineStream.open(
-            address,
+            view.vm.address,
             self._generation.path,
             json.dumps(body).encode(),
             self._generation.request_id,
             first_index=len(self._token_texts),
             connect_timeout_s=self._connect_timeout_s,
             idle_timeout_s=self._idle_timeout_s,
+            hooks=self._hooks_of(view),
         )
         if isinstance(opened, Err):
             raise opened.err_value
--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -1,7 +1,7 @@
 """Sends a request to an engine and validates the streamed answer."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import gevent
@@ -84,6 +84,18 @@
         return data + DONE_EVENT if self.is_last else data
 
 
+class StreamHooks(NamedTuple):
+    """Functions that are called during an exchange with an engine.
+
+    Attributes:
+        on_head: Called with each answer to the request, when its head was read.
+        may_cancel: Tells whether a cancel request may be sent.
+    """
+
+    on_head: Callable[[_answers.Answer], None] = lambda _: None
+    may_cancel: Callable[[], bool] = lambda: True
+
+
 class EngineStream:
     """The streamed answer to one request from one engine.
 
@@ -99,7 +111,9 @@
         *,
         first_index: int = 0,
         idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
+        hooks: StreamHooks | None = None,
     ):
+        self._hooks = hooks or StreamHooks()
         self._exchange = exchange
         self._address = address
         self._request_id = request_id
@@ -122,6 +136,7 @@
         first_index: int = 0,
         connect_timeout_s: float = DEFAULT_CONNECT_TIMEOUT_S,
         idle_timeout_s: float = DEFAULT_IDLE_TIMEOUT_S,
+        hooks: StreamHooks | None = None,
     ) -> Result["EngineStream", errors.EngineError]:
         """Sends the request and waits for the head of the answer.
 
@@ -135,6 +150,7 @@
             connect_timeout_s: Timeout of the connect, in seconds.
             idle_timeout_s: Time without data after which the stream counts as
                 broken, in seconds.
+            hooks: Called during the exchange; None for none.
 
         Returns:
             The stream; or ``EngineUnreachableError`` (nothing sent),
@@ -153,6 +169,7 @@
             request_id,
             first_index=first_index,
             idle_timeout_s=idle_timeout_s,
+            hooks=hooks,
         )
         try:
             sent = stream._send(path, body)
@@ -200,7 +217,8 @@
         The engine may not notice the closed connection before its next write,
         so a cancel request is sent as well; its result is ignored. No cancel
         request follows a failed stream: the same engine may already resume the
-        answer under the same request id, and a late cancel would stop it.
+        answer under the same request id, and a late cancel would stop it. An
+        engine whose request limit is used up gets no cancel request either.
         """
         if self._closed:
             return
@@ -210,7 +228,7 @@
             return
         sent = not isinstance(self._exchange.stage, _exchange.NotSent)
         self._exchange.close()
-        if sent and not self._failed:
+        if sent and not self._failed and self._hooks.may_cancel():
             gevent.spawn(cancel, self._address, self._request_id)
         self._failed = True
 
@@ -225,11 +243,14 @@
             self._failed = True
             return sent
         answer = sent.ok_value
+        echoed = answer.header("x-request-id")
+        is_foreign = echoed is not None and echoed != self._request_id
+        if not is_foreign:
+            self._hooks.on_head(answer)
         if answer.status_code != _OK:
             self._failed = True
             return Err(self._read_error(answer))
-        echoed = answer.header("x-request-id")
-        if echoed is not None and echoed != self._request_id:
+        if is_foreign:
             return Err(self._fail_foreign())
         return Ok(None)
 
--- a/src/mulberrywharf/fleet.py
+++ b/src/mulberrywharf/fleet.py
@@ -115,6 +115,20 @@
         return self.start.started_unix_ms
 
 
+def server_of(vm: VmRecord) -> Server:
+    """Returns an engine or backend server of the VM list as a server.
+
+    The VM list tells neither its start nor its slots.
+    """
+    return Server(
+        start=ServerStart(vm.vm_id),
+        service=vm.service,
+        address=vm.address,
+        availability_zone=vm.availability_zone,
+        slots_count=0,
+    )
+
+
 class LoadReport(NamedTuple):
     """Load and state that an engine last reported.
 
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -7,12 +7,11 @@
 from loguru import logger
 from result import Ok
 
-from mulberrywharf import clock, errors, fleet
+from mulberrywharf import clock, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
     engine_estimates,
     prompt_parts,
     request,
-    server_limits,
     server_tracker,
     servers,
     time_limits,
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -12,14 +12,13 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, crash_watch, errors, fleet
+from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
     engine_estimates,
     engine_pool,
     events,
     request,
     server_client,
-    server_limits,
     server_tracker,
     time_limits,
 )
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -12,11 +12,10 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, crash_watch, errors, fleet
+from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
     request,
     server_client,
-    server_limits,
     server_tracker,
     servers,
     time_limits,
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -14,8 +14,9 @@
     clock,
     errors,
     fleet,
+    server_limits,
 )
-from mulberrywharf.forwarding import request, server_limits, server_tracker
+from mulberrywharf.forwarding import request, server_tracker
 
 CONNECT_TIMEOUT_S = 0.2
 """A working server in the same region completes the TCP handshake within a few
--- a/src/mulberrywharf/nodes/messages.capnp
+++ b/src/mulberrywharf/nodes/messages.capnp
@@ -17,6 +17,7 @@
     shardHandover @11 :UInt32;
     ratesFetch @12 :RatesFetch;
     rates @13 :Rates;
+    limitCall @14 :Data;  # see limit.capnp of the gateways
   }
 }
 
--- a/src/mulberrywharf/nodes/messages.py
+++ b/src/mulberrywharf/nodes/messages.py
@@ -225,6 +225,16 @@
     models: tuple[float, ...]
 
 
+class LimitCall(NamedTuple):
+    """A claim of a request to a server with a limit, or its reply.
+
+    Attributes:
+        body: The message, see ``peers.limit_codec``.
+    """
+
+    body: bytes
+
+
 Message = (
     Heartbeat
     | Leaving
@@ -238,6 +248,7 @@
     | ShardHandover
     | RatesFetch
     | Rates
+    | LimitCall
 )
 
 
--- a/src/mulberrywharf/nodes/wire_forms.py
+++ b/src/mulberrywharf/nodes/wire_forms.py
@@ -133,6 +133,11 @@
     body.models = list(message.models)
 
 
+@write.register
+def _(message: messages.LimitCall, builder: Any) -> None:
+    builder.limitCall = message.body
+
+
 def read(reader: Any) -> messages.Message:
     """Reads the message in the union of an envelope's reader.
 
@@ -262,6 +267,10 @@
     return rates
 
 
+def _read_limit_call(reader: Any) -> messages.Message:
+    return messages.LimitCall(bytes(reader.limitCall))
+
+
 _READERS: dict[str, Callable[[Any], messages.Message]] = {
     "heartbeat": _read_heartbeat,
     "leaving": _read_leaving,
@@ -275,4 +284,5 @@
     "shardHandover": _read_shard_handover,
     "ratesFetch": _read_rates_fetch,
     "rates": _read_rates,
+    "limitCall": _read_limit_call,
 }
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -12,8 +12,7 @@
 from loguru import logger
 from result import Err
 
-from mulberrywharf import errors, fleet, metrics
-from mulberrywharf.peers import limit_owners
+from mulberrywharf import errors, fleet, limit_claims, metrics
 from mulberrywharf.platform_service import (
     http_calls,
     key_value,
@@ -288,7 +287,7 @@
 
     def limit_owners(
         self, server_key: int, availability_zone: str
-    ) -> tuple[limit_owners.RankedGateway, ...]:
+    ) -> tuple[limit_claims.RankedOwner, ...]:
         """Returns the gateways that grant requests to a server, by rank.
 
         None until the registrations were read once: a gateway that knows no
@@ -304,7 +303,7 @@
         is_settled = ownership.is_settled(server_key, availability_zone, now_s)
         owners = ownership.owners(server_key, availability_zone, now_s)
         return tuple(
-            limit_owners.RankedGateway(
+            limit_claims.RankedOwner(
                 rank, self._address_by_vm.get(vm_id), is_settled
             )
             for rank, vm_id in enumerate(owners)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -13,7 +13,9 @@
     crash_watch,
     fleet,
     gateway_settings,
+    limit_claims,
     server_ends,
+    server_limits,
 )
 from mulberrywharf.authority import duty_holder, role_manager
 from mulberrywharf.callers import listener, routed_server
@@ -27,7 +29,6 @@
     generation,
     plain_call,
     server_client,
-    server_limits,
     server_tracker,
     servers,
 )
@@ -37,7 +38,7 @@
     crash_reports,
     directory,
     freshness_relay,
-    limit_owners,
+    limit_datagrams,
     notices,
     queue_owners,
     revision_exchange,
@@ -119,12 +120,12 @@
         self._tracker = server_tracker.ServerTracker(
             config["availability_zone"]
         )
-        self._limits = server_limits.ServerLimits(
-            self._clock,
-            limit_owners.LimitOwners(
-                self._peers, self._notices.socket, self._clock
-            ),
+        carrier = limit_datagrams.LimitDatagrams(
+            self._notices.socket, self._clock
         )
+        claims = limit_claims.LimitClaims(self._peers, carrier, self._clock)
+        carrier.on_claim(claims.decide)
+        self._limits = server_limits.ServerLimits(self._clock, claims)
         self._client = server_client.ServerClient(
             requests.ServerDialect(),
             self._tracker,
--- a/src/mulberrywharf/programs/_router.py
+++ b/src/mulberrywharf/programs/_router.py
@@ -6,8 +6,15 @@
 import gevent.event
 from loguru import logger
 
-from mulberrywharf import clock, crash_watch, fleet, settings
+from mulberrywharf import (
+    clock,
+    crash_watch,
+    fleet,
+    server_limits,
+    settings,
+)
 from mulberrywharf.callers import listener, request, server
+from mulberrywharf.nodes import limit_ranks
 from mulberrywharf.operators import audit, status
 from mulberrywharf.operators import server as operators_server
 from mulberrywharf.policy import limits, retry_budget
@@ -62,6 +69,12 @@
             self._platform,
             fleet.Address(callers["listen"]["ip"], caller_listener.port),
         )
+        ranks = limit_ranks.RouterRanks(config["vm_id"], self._clock)
+        self._backends.on_vm_list(ranks.set_vms)
+        self._server_limits = server_limits.ServerLimits(
+            self._clock, self._nodes.limit_claims(ranks, self._clock)
+        )
+        self._backends.on_vm_list(self._drop_limits_of_removed_servers)
         self._background = background_tasks.InFlight()
         self._build_request_pipelines(callers, caller_listener)
         self._readiness: gevent.Greenlet | None = None
@@ -122,6 +135,7 @@
             retries=retries,
             rates=rates,
             crashes=crashes,
+            engine_limits=self._server_limits,
             standings=self._configuration.standings,
             availability_zone=self._config["availability_zone"],
             timeouts=generation.EngineTimeouts.from_config(
@@ -140,6 +154,7 @@
             rates=rates,
             background=self._background,
             crashes=crashes,
+            server_request_limits=self._server_limits,
             system_clock=self._clock,
             rng=self._rng,
         )
@@ -154,6 +169,11 @@
             system_clock=self._clock,
         )
 
+    def _drop_limits_of_removed_servers(
+        self, vms: list[fleet.VmRecord]
+    ) -> None:
+        self._server_limits.keep_only(fleet.ServerStart(vm.vm_id) for vm in vms)
+
     def ports(self) -> dict[str, int]:
         """Returns the TCP port of each listener."""
         return {
--- a/src/mulberrywharf/programs/_router_backends.py
+++ b/src/mulberrywharf/programs/_router_backends.py
@@ -1,6 +1,7 @@
 """The engines and backend servers that a router sends requests to."""
 
 import random
+from collections.abc import Callable
 
 import gevent
 
@@ -47,6 +48,7 @@
             platform.key_value, config["deployment"], self.loads.set_drained
         )
         self._vm_list_version = 0
+        self._callbacks: list[Callable[[list[fleet.VmRecord]], None]] = []
         self._backend_addresses: frozenset[fleet.Address] = frozenset()
         self._greenlet: gevent.Greenlet | None = None
 
@@ -54,6 +56,12 @@
         """Tells whether a VM list was received, so that targets are known."""
         return self._vm_list_version > 0
 
+    def on_vm_list(
+        self, callback: Callable[[list[fleet.VmRecord]], None]
+    ) -> None:
+        """Registers a callback that gets each new VM list."""
+        self._callbacks.append(callback)
+
     def start(self) -> None:
         """Starts to read loads and to follow the VM list."""
         self.loads.start()
@@ -89,3 +97,5 @@
         for address in self._backend_addresses - addresses:
             self.client.forget(address)
         self._backend_addresses = addresses
+        for callback in self._callbacks:
+            callback(vms)
--- a/src/mulberrywharf/programs/_router_nodes.py
+++ b/src/mulberrywharf/programs/_router_nodes.py
@@ -4,10 +4,12 @@
 
 import gevent
 
-from mulberrywharf import fleet, settings
+from mulberrywharf import clock, fleet, limit_claims, settings
 from mulberrywharf.nodes import (
     claim_client,
     claim_owner,
+    limit_links,
+    limit_ranks,
     links,
     mesh,
     server,
@@ -61,6 +63,22 @@
             callers_address,
         )
 
+    def limit_claims(
+        self, ranks: limit_ranks.RouterRanks, system_clock: clock.Clock
+    ) -> limit_claims.LimitClaims:
+        """Creates the claims of requests to servers with a limit.
+
+        Args:
+            ranks: Ranks the routers.
+            system_clock: Times claims and grants.
+        """
+        carrier = limit_links.LimitLinks(
+            self._links, self._server, system_clock
+        )
+        claims = limit_claims.LimitClaims(ranks, carrier, system_clock)
+        carrier.on_claim(claims.decide)
+        return claims
+
     def serve_rates(self, rates: demand_rates.DemandRates) -> None:
         """Answers the zone's controller with the rates of this router."""
         node_rates.register_rates_handler(
--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -12,11 +12,14 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import (
+    _answers,
+    _headers,
     clock,
     crash_watch,
     errors,
     fleet,
     metrics,
+    server_limits,
     settings,
 )
 from mulberrywharf.callers import request
@@ -25,6 +28,7 @@
     engine_choice,
     limits,
     prefix_index,
+    request_limits,
     retry_budget,
 )
 from mulberrywharf.requests import (
@@ -36,7 +40,16 @@
     standing,
 )
 
+MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
+"""Longest wait for an engine's request limit, as a share of the caller's
+remaining time; the rest is needed for the answer."""
+
+MIN_LIMIT_RETRY_AFTER_S = 0.1
+"""Retry-After if the engine's limit has just become free again."""
+
 _DEFAULT_IDLE_TIMEOUT_S = 10.0
+_LIMIT_TRIES_COUNT = 3
+_OK_STATUS = 200
 
 _attempts_failed_total = metrics.counter(
     "mulberry_engine_attempts_failed_total",
@@ -89,6 +102,7 @@
         retries: retry_budget.RetryBudget,
         rates: demand_rates.DemandRates,
         crashes: crash_watch.CrashWatch,
+        engine_limits: server_limits.ServerLimits,
         standings: Callable[[], standing.Standings],
         availability_zone: str,
         timeouts: EngineTimeouts,
@@ -101,6 +115,7 @@
         self._retries = retries
         self._rates = rates
         self._crashes = crashes
+        self._engine_limits = engine_limits
         self._standings = standings
         self._availability_zone = availability_zone
         self._timeouts = timeouts
@@ -129,7 +144,12 @@
             raise taken.err_value
         self._retries.on_first_attempt(slot_request.customer, now_s)
         attempts = _Attempts(
-            completion, slot_request, self._reader, self._places, self._crashes
+            completion,
+            slot_request,
+            self._reader,
+            self._places,
+            self._crashes,
+            self._engine_limits,
         )
         answer = self._make_stream(completion, slot_request, attempts)
         try:
@@ -197,6 +217,7 @@
             decide=decide,
             tracker=attempts,
             prepare=attempts.prepare,
+            hooks_of=attempts.hooks_of,
             idle_timeout_s=self._timeouts.idle_s,
             connect_timeout_s=self._timeouts.connect_s,
         )
@@ -277,9 +298,11 @@
         reader: load_reader.LoadReader,
         engine_places: places.EnginePlaces,
         crashes: crash_watch.CrashWatch,
+        engine_limits: server_limits.ServerLimits,
     ):
         self._completion = completion
         self._crashes = crashes
+        self._engine_limits = engine_limits
         self.generation = resume.Generation(
             completion.caller.path,
             _engine_body(completion),
@@ -304,7 +327,51 @@
     def choose_engine(
         self, excluded_engine_ids: frozenset[str]
     ) -> Result[fleet.EngineView, errors.RequestError]:
-        """Allocates a slot and returns its decode engine."""
+        """Allocates a slot and returns its decode engine.
+
+        The request waits for an engine's request limit only if no other engine
+        can run it.
+        """
+        waiting_ids: frozenset[str] = frozenset()
+        for _ in range(_LIMIT_TRIES_COUNT):
+            waiting_ids = self._engine_limits.waiting_ids()
+            chosen = self._choose_within_limit(
+                excluded_engine_ids | waiting_ids, max_wait_s=0.0
+            )
+            if isinstance(chosen, Ok):
+                return chosen
+            if waiting_ids == self._engine_limits.waiting_ids():
+                break
+        if not waiting_ids:
+            return chosen
+        left_s = self._slot_request.deadline_s - self._places.now_s()
+        return self._choose_within_limit(
+            excluded_engine_ids, MAX_LIMIT_WAIT_LEFT_SHARE * left_s
+        )
+
+    def _choose_within_limit(
+        self, excluded_engine_ids: frozenset[str], max_wait_s: float
+    ) -> Result[fleet.EngineView, errors.RequestError]:
+        """Chooses an engine whose request limit permits the request."""
+        chosen = self._allocate_slot(excluded_engine_ids)
+        if isinstance(chosen, Err):
+            return chosen
+        server = fleet.server_of(chosen.ok_value.vm)
+        acquired = self._engine_limits.acquire(server, max_wait_s)
+        if isinstance(acquired, Ok):
+            return chosen
+        self.close()
+        retry_after_s = self._engine_limits.retry_after_s([server])
+        return Err(
+            errors.OverloadedError(
+                f"not run: {acquired.err_value.message}",
+                retry_after_s=retry_after_s or MIN_LIMIT_RETRY_AFTER_S,
+            )
+        )
+
+    def _allocate_slot(
+        self, excluded_engine_ids: frozenset[str]
+    ) -> Result[fleet.EngineView, errors.RequestError]:
         self.close()
         try:
             if self._has_token:
@@ -336,6 +403,11 @@
                 self.generation.body, self.generation.prompt_tokens
             )
         prefill_vm = slot.choice.prefill
+        if self._engine_limits.acquire(fleet.server_of(prefill_vm)).is_err():
+            # The decode engine prefills the prompt itself.
+            return resume.PreparedRequest(
+                self.generation.body, self.generation.prompt_tokens
+            )
         return handover.prepare(
             prefill_vm,
             self.generation,
@@ -347,6 +419,22 @@
                 error,
                 made_output=False,
             ),
+            on_head=lambda answer: self._note_limit(prefill_vm, answer),
+        )
+
+    def hooks_of(self, view: fleet.EngineView) -> streams.StreamHooks:
+        """Returns the hooks that keep an engine's request limit."""
+        server = fleet.server_of(view.vm)
+        return streams.StreamHooks(
+            on_head=lambda answer: self._note_limit(view.vm, answer),
+            may_cancel=lambda: self._engine_limits.acquire(server).is_ok(),
+        )
+
+    def _note_limit(self, vm: fleet.VmRecord, answer: _answers.Answer) -> None:
+        self._engine_limits.note_answer(
+            fleet.ServerStart(vm.vm_id),
+            request_limits.parse(answer.header_values(_headers.REQUEST_LIMIT)),
+            may_end=answer.status_code == _OK_STATUS,
         )
 
     def request_started(self, engine_id: str, prompt_tokens: int) -> None:
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -9,10 +9,23 @@
 import gevent
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, crash_watch, errors, fleet, metrics
+from mulberrywharf import (
+    _headers,
+    clock,
+    crash_watch,
+    errors,
+    fleet,
+    metrics,
+    server_limits,
+)
 from mulberrywharf.backend_servers import client, directory
 from mulberrywharf.callers import passthrough
-from mulberrywharf.policy import limits, outcome, retry_budget
+from mulberrywharf.policy import (
+    limits,
+    outcome,
+    request_limits,
+    retry_budget,
+)
 from mulberrywharf.requests import (
     background_tasks,
     claimed_call,
@@ -21,6 +34,13 @@
     service_exchange,
 )
 
+MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
+"""Longest wait for a backend server's request limit, as a share of the caller's
+remaining time; the rest is needed for the answer."""
+
+MIN_LIMIT_RETRY_AFTER_S = 0.1
+"""Retry-After if the server's limit has just become free again."""
+
 _MIN_TIMEOUT_S = 0.05
 _SERVER_ERROR_STATUS = 500
 
@@ -45,6 +65,7 @@
         rates: demand_rates.DemandRates,
         background: background_tasks.InFlight,
         crashes: crash_watch.CrashWatch,
+        server_request_limits: server_limits.ServerLimits,
         system_clock: clock.Clock,
         rng: random.Random,
     ):
@@ -54,6 +75,7 @@
         self._retries = retries
         self._rates = rates
         self._crashes = crashes
+        self._server_limits = server_request_limits
         self._clock = system_clock
         self._rng = rng
         self._claimed = claimed_call.ClaimedCalls(
@@ -97,9 +119,7 @@
         outcome_so_far: errors.Outcome = "not-run"
         sent_request_id = run_ids.make(call.caller.request_id)
         while True:
-            chosen = self._servers.choose(
-                call.service, self._clock.monotonic_s(), frozenset(tried_ids)
-            )
+            chosen = self._choose_server(call, frozenset(tried_ids))
             if isinstance(chosen, Err):
                 raise _no_server_error(chosen.err_value, outcome_so_far)
             vm = chosen.ok_value
@@ -131,6 +151,66 @@
             )
             gevent.sleep(decision.delay_s)
 
+    def _choose_server(
+        self, call: passthrough.ServiceCall, tried_ids: frozenset[str]
+    ) -> Result[fleet.VmRecord, errors.RequestError]:
+        """Chooses a server whose request limit permits the call.
+
+        The call waits for a server's limit only if no other server is left.
+        """
+        waiting_ids: frozenset[str] = frozenset()
+        for _ in self._servers.servers(call.service):
+            waiting_ids = self._server_limits.waiting_ids()
+            chosen = self._choose_within_limit(
+                call, tried_ids | waiting_ids, max_wait_s=0.0
+            )
+            if isinstance(chosen, Ok):
+                return chosen
+            if waiting_ids == self._server_limits.waiting_ids():
+                break
+        return self._choose_within_limit(
+            call,
+            tried_ids,
+            max_wait_s=MAX_LIMIT_WAIT_LEFT_SHARE * self._time_left_s(call),
+        )
+
+    def _choose_within_limit(
+        self,
+        call: passthrough.ServiceCall,
+        excluded_ids: frozenset[str],
+        max_wait_s: float,
+    ) -> Result[fleet.VmRecord, errors.RequestError]:
+        chosen = self._servers.choose(
+            call.service, self._clock.monotonic_s(), excluded_ids
+        )
+        if isinstance(chosen, Err):
+            return chosen
+        server = fleet.server_of(chosen.ok_value)
+        acquired = self._server_limits.acquire(server, max_wait_s)
+        if isinstance(acquired, Ok):
+            return chosen
+        retry_after_s = self._server_limits.retry_after_s([server])
+        return Err(
+            errors.OverloadedError(
+                f"not run: {acquired.err_value.message}",
+                retry_after_s=retry_after_s or MIN_LIMIT_RETRY_AFTER_S,
+            )
+        )
+
+    def _note_limit(
+        self, vm: fleet.VmRecord, answer: client.BackendAnswer
+    ) -> None:
+        values = [
+            value
+            for name, value in answer.headers
+            if name == _headers.REQUEST_LIMIT
+        ]
+        self._server_limits.note_answer(
+            fleet.ServerStart(vm.vm_id),
+            request_limits.parse(values),
+            may_end=answer.status < _SERVER_ERROR_STATUS,
+        )
+
     def _attempt(
         self,
         call: passthrough.ServiceCall,
@@ -151,6 +231,7 @@
         sent = self._backend.send(vm.address, request)
         if isinstance(sent, Err):
             return self._record_failure(call, vm, sent.err_value)
+        self._note_limit(vm, sent.ok_value)
         try:
             answer = service_exchange.read_whole(sent.ok_value)
         except errors.EngineError as error:
--- a/src/mulberrywharf/forwarding/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -156,6 +156,12 @@
             return 0.0
         return max(0.0, entry.next_s - self._clock.monotonic_s())
 
+    def waiting_ids(self) -> frozenset[str]:
+        """Returns the ids of the servers that make requests wait now."""
+        return frozenset(
+            start.server_id for start in self._entries if self.wait_s(start) > 0
+        )
+
     def shortest_wait_s(self, servers: Iterable[fleet.Server]) -> float:
         """Returns the shortest of the servers' waits, 0 without servers."""
         waits_s = (self.wait_s(server.start) for server in servers)
@@ -202,14 +208,10 @@
             return Ok(SendPermit(server.start))
         if self.wait_s(server.start) > max_wait_s:
             return self._exceeded(server, entry)
-        claimed = limit_grants.LimitStatement(
-            entry.requests_per_s, entry.stated_s
-        )
-        grant = self._owners.claim(server, claimed, max_wait_s)
-        now_s = self._clock.monotonic_s()
+        grant = self._claim(server, entry, max_wait_s)
         if grant is None:
-            entry.next_s = now_s + SILENT_RETRY_S
             return self._exceeded(server, entry)
+        now_s = self._clock.monotonic_s()
         self._adopt(server.start, grant.statement)
         if not grant.is_granted:
             entry.next_s = now_s + grant.wait_s
@@ -227,6 +229,24 @@
             )
         )
 
+    def _claim(
+        self, server: fleet.Server, entry: _Entry, max_wait_s: float
+    ) -> limit_grants.Grant | None:
+        """Claims a request; while no owner replies, claims it again."""
+        ends_s = self._clock.monotonic_s() + max_wait_s
+        while True:
+            statement = limit_grants.LimitStatement(
+                entry.requests_per_s, entry.stated_s
+            )
+            left_s = max(0.0, ends_s - self._clock.monotonic_s())
+            grant = self._owners.claim(server, statement, left_s)
+            if grant is not None:
+                return grant
+            entry.next_s = self._clock.monotonic_s() + SILENT_RETRY_S
+            if entry.next_s > ends_s:
+                return None
+            gevent.sleep(SILENT_RETRY_S)
+
     def check(
         self, permit: SendPermit, server: fleet.Server
     ) -> Result[None, errors.ServerLimitError]:
--- a/standins/backend_server.py
+++ b/standins/backend_server.py
@@ -29,6 +29,7 @@
     "cross_answers": 0,
     "half_open": 0,
     "crash": 0,
+    "limit_per_s": -1.0,
 }
 
 
@@ -60,6 +61,7 @@
     ) -> Iterable[bytes]:
         """Serves one HTTP request."""
         path = environ["PATH_INFO"]
+        start_response = self._with_limit(start_response)
         if path == "/standin/log":
             reply = _http.Reply(200, {"runs": self._runs})
             return _http.send_reply(reply, start_response)
@@ -73,6 +75,17 @@
             return _http.send_reply(reply, start_response)
         return self._serve_call(path, environ, start_response)
 
+    def _with_limit(self, start_response: Any) -> Any:
+        """Adds the request limit field unless ``limit_per_s`` is negative."""
+
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            limit_per_s = self._faults["limit_per_s"]
+            if limit_per_s >= 0:
+                headers = [*headers, ("Server-Limit", str(limit_per_s))]
+            return start_response(status, headers)
+
+        return start
+
     def _set_faults(self, fields: dict[str, float]) -> _http.Reply:
         unknown = [name for name in fields if name not in self._faults]
         if unknown:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -10,6 +10,7 @@
 
 import argparse
 import os
+import time
 import urllib.parse
 import uuid
 from collections.abc import Iterable, Iterator
@@ -59,6 +60,7 @@
         )
         self._exports = engine_cache.KvExports(arguments.engine_id)
         self._faults = engine_faults.Faults()
+        self._arrivals_unix_s: list[float] = []
         self._batch = engine_batch.Batch(
             speeds, self._cache, lambda: self._orders.role
         )
@@ -88,6 +90,9 @@
         """Serves one HTTP request."""
         method = environ["REQUEST_METHOD"]
         path = environ["PATH_INFO"]
+        if path.startswith("/v1/"):
+            self._arrivals_unix_s.append(time.time())
+            start_response = self._with_limit(start_response)
         if method == "GET":
             return self._get(path, environ, start_response)
         try:
@@ -103,6 +108,14 @@
             return self._order(body, environ, start_response)
         return _http.send_reply(self._post(path, body), start_response)
 
+    def _with_limit(self, start_response: Any) -> Any:
+        def start(status: str, headers: list[tuple[str, str]]) -> Any:
+            if self._faults.limit:
+                headers = [*headers, ("Server-Limit", self._faults.limit)]
+            return start_response(status, headers)
+
+        return start
+
     def _get(
         self, path: str, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
@@ -123,7 +136,11 @@
             return _http.Reply(200, {"object": "list", "data": data})
         if path == "/standin/log":
             runs = [run.record() for run in self._batch.log]
-            log = {"orders": self._orders.log, "runs": runs}
+            log = {
+                "orders": self._orders.log,
+                "runs": runs,
+                "arrivals_unix_s": self._arrivals_unix_s,
+            }
             return _http.Reply(200, log)
         if path == "/healthz":
             return _http.Reply(200, {"state": self._orders.state})
--- a/standins/engine_faults.py
+++ b/standins/engine_faults.py
@@ -35,6 +35,7 @@
     "cross_answers",
     "late_answer_s",
     "drop_order_answers",
+    "limit",
     "stream_fault_count",
     *_STREAM_FAULTS,
 )
@@ -48,6 +49,8 @@
         cross_answers: So many pairs of concurrent answers are swapped.
         drop_order_answers: So many orders are taken without an answer.
         crash_on: The process ends under each prompt that holds this text.
+        limit: Value of the request limit field in each answer; no field if it
+            is empty.
     """
 
     def __init__(self) -> None:
@@ -55,6 +58,7 @@
         self.cross_answers = 0
         self.drop_order_answers = 0
         self.crash_on = ""
+        self.limit = ""
         self._stream_fault: StreamFault | None = None
         self._stream_fault_count = 0
         self._lone: engine_batch.Run | None = None
@@ -80,6 +84,7 @@
             "drop_order_answers", self.drop_order_answers
         )
         self.crash_on = fields.get("crash_on", self.crash_on)
+        self.limit = fields.get("limit", self.limit)
         for name, kind in _STREAM_FAULTS.items():
             if fields.get(name) is not None:
                 self._stream_fault = StreamFault(kind, fields[name])
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -29,12 +29,14 @@
         server_id: What the server called itself then.
         request_id: The request's id.
         rest: The rest that it was refused with, as told; None if it was not.
+        limits: Values of the request limit fields in its answer.
     """
 
     at_s: float
     server_id: str
     request_id: str
     rest: str | None
+    limits: tuple[str, ...] = ()
 
 
 class PlatformServerStandin:
@@ -60,8 +62,8 @@
             runs a request and closes its connection, ``foreign`` answers
             with another request's id, ``prefill_s`` is how long it reads.
             ``leaving`` says in each answer that it leaves, ``rest`` refuses
-            and asks for so many seconds of rest, ``limits`` are the values of
-            the request limit fields in each answer.
+            and asks for so many seconds of rest.
+        limits: Values of the request limit fields in each answer.
     """
 
     def __init__(self, server_id: str, ip: str = "127.0.0.1", port: int = 0):
@@ -85,6 +87,7 @@
             "born": int(time.time() * _MS_PER_S),
         }
         self.faults: dict[str, Any] = {}
+        self.limits: tuple[str, ...] = ()
         self._server_id = server_id
         self._ip = ip
         self._server = http_control.make_server(ip, port, self._application)
@@ -131,7 +134,7 @@
     def _application(
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
-        start_response = self._with_fields(start_response)
+        start_response = self._with_fields(start_response, self.limits)
         if environ["REQUEST_METHOD"] == "DELETE":
             self.handles.discard(environ["PATH_INFO"].rsplit("/", 1)[1])
             return _say({}, start_response)
@@ -154,6 +157,7 @@
                 self._server_id,
                 self._header(environ, "REQUEST_ID"),
                 rest,
+                self.limits,
             )
         )
         if rest is not None:
@@ -167,11 +171,10 @@
             return self._take_order(environ, start_response)
         return self._run(environ, start_response)
 
-    def _with_fields(self, start_response: Any) -> Any:
+    def _with_fields(self, start_response: Any, limits: tuple[str, ...]) -> Any:
         def start(status: str, headers: list[tuple[str, str]]) -> Any:
             if self.faults.get("leaving"):
                 headers = [*headers, ("Server-Leaving", "1")]
-            limits = self.faults.get("limits", ())
             headers = [*headers, *(("Server-Limit", one) for one in limits)]
             return start_response(status, headers)
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -7,10 +7,16 @@
 import gevent
 from result import Err
 
-from mulberrywharf import clock, crash_watch, errors, fleet, server_ends
+from mulberrywharf import (
+    clock,
+    crash_watch,
+    errors,
+    fleet,
+    server_ends,
+    server_limits,
+)
 from mulberrywharf.forwarding import (
     server_client,
-    server_limits,
     server_tracker,
 )
 from mulberrywharf.platform import requests
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -4,13 +4,12 @@
 import unittest
 from typing import Any
 
-from mulberrywharf import clock, errors
+from mulberrywharf import clock, errors, server_limits
 from mulberrywharf.forwarding import (
     engine_estimates,
     engine_pool,
     generation,
     server_client,
-    server_limits,
     server_tracker,
     time_limits,
 )
--- a/tests/test_limit_owners.py
+++ b/tests/test_limit_owners.py
@@ -6,9 +6,8 @@
 from gevent import socket
 from result import Err
 
-from mulberrywharf import clock, errors, fleet
-from mulberrywharf.forwarding import server_limits
-from mulberrywharf.peers import datagrams, limit_codec, limit_owners
+from mulberrywharf import clock, errors, fleet, limit_claims, server_limits
+from mulberrywharf.peers import datagrams, limit_codec, limit_datagrams
 from mulberrywharf.policy import limit_grants, request_limits
 from tests import builders_routes as build
 
@@ -55,7 +54,7 @@
     """Gateways with given ranks; all of them share one IP address."""
 
     def __init__(self) -> None:
-        self.ranked: tuple[limit_owners.RankedGateway, ...] = ()
+        self.ranked: tuple[limit_claims.RankedOwner, ...] = ()
         self.known_ips = {"127.0.0.1"}
 
     def knows(self, ip: str) -> bool:
@@ -63,12 +62,12 @@
 
     def limit_owners(
         self, server_key: int, availability_zone: str
-    ) -> tuple[limit_owners.RankedGateway, ...]:
+    ) -> tuple[limit_claims.RankedOwner, ...]:
         return self.ranked
 
     def rank(self, *addresses: fleet.Address | None) -> None:
         self.ranked = tuple(
-            limit_owners.RankedGateway(rank, address, True)
+            limit_claims.RankedOwner(rank, address, True)
             for rank, address in enumerate(addresses)
         )
 
@@ -85,10 +84,12 @@
 
     def start(
         self, peers: Peers
-    ) -> tuple[fleet.Address, limit_owners.LimitOwners]:
+    ) -> tuple[fleet.Address, limit_claims.LimitClaims]:
         address = self.free_address()
         carrier = datagrams.PeerSocket(address, peers, self.clock)
-        made = limit_owners.LimitOwners(peers, carrier, self.clock)
+        sender = limit_datagrams.LimitDatagrams(carrier, self.clock)
+        made = limit_claims.LimitClaims(peers, sender, self.clock)
+        sender.on_claim(made.decide)
         carrier.start()
         self.addCleanup(carrier.close)
         return address, made
@@ -99,7 +100,7 @@
             return fleet.Address("127.0.0.1", int(sock.getsockname()[1]))
 
     def limits_with(
-        self, owners: limit_owners.LimitOwners
+        self, owners: limit_claims.LimitClaims
     ) -> server_limits.ServerLimits:
         limits = server_limits.ServerLimits(self.clock, owners)
         stated = request_limits.RequestLimit(LIMIT_PER_S)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -35,9 +35,9 @@
         pool.apply(gateway.stop)
         stdout = gateway._child.stdout
         assert stdout is not None
-        logged = [json.loads(line) for line in stdout if line[0] == "{"]
+        self.logged = [json.loads(line) for line in stdout if line[0] == "{"]
         found = [
-            line for line in logged if line.get("request_id") == request_id
+            line for line in self.logged if line.get("request_id") == request_id
         ]
         self.assertTrue(found)
         return found
@@ -68,6 +68,31 @@
         self.assertEqual(last["result"], "no-engine")
         self.assertIn("`no-engine`", self.page)
 
+    def test_request_over_a_limit_logs_the_limit(self) -> None:
+        """The only server of a service accepts no requests.
+
+        The last log line with the id names the server and its limit, and the
+        line of that limit is in the same log.
+        """
+        self.plain.limits = ("0",)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.ask("/safe/x").status == 503
+            )
+        )
+        last = self.lines("id-1")[-1]
+        self.assertEqual(last["result"], "overloaded")
+        self.assertIn("plain-1 accepts 0 requests per second", last["message"])
+        (limited,) = [
+            line
+            for line in self.logged
+            if line["message"] == "server limit set"
+        ]
+        self.assertEqual(limited["server_id"], "plain-1")
+        self.assertEqual(limited["limit_per_s"], 0.0)
+        for text in ("accepts 10 requests per second", "`server limit set`"):
+            self.assertIn(text, self.page)
+
     def test_failed_request_logs_its_last_attempt(self) -> None:
         """A server closes the connection while it runs a request.
 
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -6,11 +6,10 @@
 
 from gevent import socket
 
-from mulberrywharf import clock, errors
+from mulberrywharf import clock, errors, server_limits
 from mulberrywharf.forwarding import (
     plain_call,
     server_client,
-    server_limits,
     server_tracker,
 )
 from mulberrywharf.platform import requests
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from mulberrywharf.forwarding import server_limits
+from mulberrywharf import server_limits
 from mulberrywharf.policy import request_limits
 from tests import builders_routes as build
 
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -117,7 +117,7 @@
     """Servers got many times the limit that they stated in their answers."""
 
     def test_decode_engine_gets_no_more_than_its_limit(self) -> None:
-        self.decodes[0].faults = {"limits": [str(LIMIT_PER_S)]}
+        self.decodes[0].limits = (str(LIMIT_PER_S),)
         self.start_gateways(9)
         self.call_for(9.0, "/stream/x", SHORT_PROMPT_FIELDS)
         self.assert_limited(self.decodes[0])
@@ -125,7 +125,7 @@
 
     def test_plain_server_gets_no_more_than_its_limit(self) -> None:
         self.server("plain-2", "plain")
-        self.plain.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.plain.limits = (str(LIMIT_PER_S),)
         self.start_gateways(9)
         self.call_for(9.0, "/safe/x")
         # The other server is nearly idle and can serve all callers.
@@ -133,7 +133,7 @@
         self.assertEqual(set(self.statuses), {200})
 
     def test_only_server_gets_its_limit_and_others_are_refused(self) -> None:
-        self.plain.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.plain.limits = (str(LIMIT_PER_S),)
         self.start_gateways(9)
         gevent.sleep(SETTLED_S)
         self.call_for(9.0, "/safe/x")
@@ -147,7 +147,7 @@
     """A gateway alone sent a server more than it accepts from all."""
 
     def test_prefill_engine_gets_no_more_than_its_limit(self) -> None:
-        self.prefill.faults = {"limits": [str(LIMIT_PER_S)]}
+        self.prefill.limits = (str(LIMIT_PER_S),)
         self.start_gateways(1)
         self.call_for(8.0, "/stream/x", test_gateway.PROMPT_FIELDS)
         self.assert_limited(self.prefill)
@@ -156,7 +156,7 @@
         self,
     ) -> None:
         for decode in self.decodes:
-            decode.faults = {"limits": [str(LIMIT_PER_S)]}
+            decode.limits = (str(LIMIT_PER_S),)
         self.start_gateways(1)
         self.call_for(8.0, "/stream/x", test_gateway.PROMPT_FIELDS)
         for decode in self.decodes:
@@ -166,8 +166,8 @@
 class FieldTest(LimitCase):
     def test_caller_gets_the_field_as_the_server_sent_it(self) -> None:
         self.start_gateways(1)
-        for limits in (["1000.50"], [" x"], ["", "7000"]):
-            self.plain.faults = {"limits": limits}
+        for limits in (("1000.50",), (" x",), ("", "7000")):
+            self.plain.limits = limits
             answer = self.call("/safe/x")
             self.assertEqual(answer.status, 200)
             self.assertEqual(
