Soak: servers state request limits, which change and end

Held against the arrivals at servers: from 3 s behind the first answer with a limit, at most one and a half times the limit and 5 more in any 4 s, by gateways that have had such an answer for a second and were not upset.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -47,6 +47,20 @@
     {"delay_s": 3.0},
     {"break_after": 2},
 )
+_LIMITS: tuple[tuple[str, ...], ...] = (
+    ("5",),
+    ("5",),
+    ("2.5",),
+    ("1",),
+    ("0",),
+    ("0.001",),
+    ("nan",),
+    ("",),
+    ("1e300",),
+    ("-1",),
+    ("6", "3"),
+)
+_LIMIT_LENGTH_S = (0.5, 4.0)
 _RESTS = ("1", "1.5", "3", "0", "-1", "soon")
 _STORE_FAULTS: tuple[dict[str, Any], ...] = (
     {"down": True},
@@ -111,6 +125,27 @@
         way.set_faults(**_NO_WAY_FAULT)
 
 
+def state_limits(
+    played: fleet.Fleet, rng: random.Random, length_s: float
+) -> None:
+    """Lets servers state request limits, which change and end.
+
+    Args:
+        played: The fleet whose servers do.
+        rng: Decides servers, limits and pauses.
+        length_s: How long limits are stated.
+    """
+    ends_s = time.monotonic() + length_s
+    while time.monotonic() < ends_s:
+        server = rng.choice(list(played.servers.values()))
+        for _ in range(rng.randint(1, 4)):
+            server.limits = rng.choice(_LIMITS)
+            left_s = max(0.0, ends_s - time.monotonic())
+            gevent.sleep(min(left_s, rng.uniform(*_LIMIT_LENGTH_S)))
+        server.limits = ()
+        gevent.sleep(rng.uniform(*_PAUSE_S))
+
+
 class Faults:
     """Plays faults on a fleet.
 
--- a/soak/play.py
+++ b/soak/play.py
@@ -60,9 +60,16 @@
         )
         running = [gevent.spawn(caller.run) for caller in callers]
         rotation = gevent.spawn(faults.rotate_keys, played, keys_rng, length_s)
+        limiting = gevent.spawn(
+            faults.state_limits,
+            played,
+            random.Random(f"limits {seed}"),
+            length_s,
+        )
         injected = faults.Faults(played, rng)
         injected.play(length_s)
         rotation.join()
+        limiting.join()
         healed_s = time.monotonic()
         gevent.sleep(promises.RECOVERY_S + promises.RECOVERED_S)
         played.is_over = True
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -10,15 +10,21 @@
 * The final answer comes soon after the caller's deadline.
 * Once the faults have ended, requests are served again.
 
-Those to servers are in ``server_promises``, those on customers' API keys in
-``customer_promises``.
+Those to servers are in ``server_promises`` and ``limit_promises``, those on
+customers' API keys in ``customer_promises``.
 """
 
 import collections
 import re
 from collections.abc import Iterator
 
-from soak import calls, customer_promises, fleet, server_promises
+from soak import (
+    calls,
+    customer_promises,
+    fleet,
+    limit_promises,
+    server_promises,
+)
 
 RECOVERY_S = 3.0
 """After the last fault; suspicion of a server lasts a second or two, and a
@@ -71,6 +77,7 @@
         lines += list(self._not_recovered(others))
         judge = server_promises.ServerJudge(self._fleet, made)
         lines += judge.broken()
+        lines += list(limit_promises.broken(self._fleet, made))
         return lines + list(customer_promises.broken(self._fleet, made))
 
     def broken_by(self, call: calls.Call, runs_count: int) -> Iterator[str]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from soak import calls, fleet, play, promises, seeds
+from soak import calls, fleet, limit_promises, play, promises, seeds
 from standins import platform_server
 
 SEEDS = (1, 3)
@@ -90,6 +90,32 @@
         self.assertEqual(len(judge.broken(served[20:] + failed)), 1)
         self.assertEqual(len(judge.broken(served[:3])), 1)
 
+    def limit_lines(
+        self, limits: tuple[str, ...], per_s: float, upset: bool = False
+    ) -> list[str]:
+        """Returns what is found when 2 gateways send a server ``per_s``."""
+        server = platform_server.PlatformServerStandin("s")
+        self.addCleanup(server.close)
+        made = []
+        for number in range(int(10 * per_s)):
+            made.append(self.call(request_id=f"{number}", gateway=number % 2))
+            server.arrivals.append(
+                platform_server.Arrival(
+                    100.0 + number / per_s, "s", f"{number}", None, limits
+                )
+            )
+        self.fleet.servers = {"s": server}
+        self.fleet.upsets = [(0, 100.0, 110.0), (1, 100.0, 110.0)] * upset
+        return list(limit_promises.broken(self.fleet, made))
+
+    def test_requests_over_a_limit(self) -> None:
+        self.assertTrue(self.limit_lines(("5",), 9.0))
+        self.assertTrue(self.limit_lines(("0",), 3.0))
+        self.assertEqual(self.limit_lines(("5",), 8.0), [])
+        self.assertEqual(self.limit_lines((), 50.0), [])
+        self.assertEqual(self.limit_lines(("nan",), 50.0), [])
+        self.assertEqual(self.limit_lines(("5",), 9.0, upset=True), [])
+
 
 if __name__ == "__main__":
     unittest.main()
