Let prompts wait for an engine's limit only while they can be in time

What callers see: before engines at their request limit most answers came late, and prompts were refused although an engine without a limit was left.

Cause: a prompt took any slot within 0.3 of its remaining time, so the queue of slots was always longer than the target to the first token; and a plan that needs a long wait was chosen again and again until the tries were used up.

Change: a new prompt waits for a limit for at most 0.4 of its target, engines with a longer wait are left out of its plans, and a claim that waits more than 20 ms longer than estimated leads to another plan first.

A test failed before.

--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -31,17 +31,22 @@
 within one heartbeat of the servers, about a second."""
 
 
-PERMIT_TRIES_COUNT = 3
+PERMIT_TRIES_COUNT = 4
 """Plans that are tried to find an engine whose request limit permits the
-request. The last one may wait longer than estimated."""
+request. Each claim takes some milliseconds."""
 
-LIMIT_WAIT_TOLERANCE_S = 0.01
+LIMIT_WAIT_TOLERANCE_S = 0.02
 """How much longer than estimated a request waits for an engine's limit before
 another plan is tried."""
 
+MAX_LIMIT_WAIT_TARGET_SHARE = 0.4
+"""Longest wait of a new request for an engine's limit, as a share of the target
+time to its first token. If requests waited longer, all of them would be late
+while the callers send more than the limit."""
+
 MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
-"""Longest wait for an engine's limit at the last try, as a share of the
-caller's remaining time; the rest is needed for the answer."""
+"""Longest wait of any request for an engine's limit, as a share of the caller's
+remaining time; the rest is needed for the answer."""
 
 ServerFilter = Callable[[Sequence[fleet.Server]], list[fleet.Server]]
 """Returns those of the given servers that may receive the request."""
@@ -167,16 +172,27 @@
         if may_refuse:
             self._estimates.demand.note(routed_request, service)
 
-        def choose() -> prompt_placement.Plan:
+        def choose(
+            waiting: frozenset[fleet.ServerStart],
+        ) -> prompt_placement.Plan:
             plan = self._cheapest_plan(
-                routed_request, route, service, excluded, allowed_servers
+                routed_request,
+                route,
+                service,
+                excluded | waiting,
+                allowed_servers,
             )
             if may_refuse:
                 self._refuse_if_late(routed_request, route, plan, limit)
             return plan
 
+        longest_wait_s = MAX_LIMIT_WAIT_LEFT_SHARE * limit.left_s()
+        if may_refuse and route.target_s is not None:
+            longest_wait_s = min(
+                longest_wait_s, MAX_LIMIT_WAIT_TARGET_SHARE * route.target_s
+            )
         plan, permit = self._acquire_for_plan(
-            choose, lambda plan: plan.prefill_engine, service, limit
+            choose, lambda plan: plan.prefill_engine, service, longest_wait_s
         )
         placed = self._estimates.record_placement(
             routed_request, service, plan, route.priority
@@ -209,40 +225,70 @@
 
     def _acquire_for_plan(
         self,
-        choose: Callable[[], prompt_placement.Plan],
+        choose: Callable[[frozenset[fleet.ServerStart]], prompt_placement.Plan],
         first_engine: Callable[
             [prompt_placement.Plan], prompt_placement.EngineView
         ],
         service: table.Service,
-        limit: time_limits.TimeLimit,
+        longest_wait_s: float,
     ) -> tuple[prompt_placement.Plan, server_limits.SendPermit]:
         """Chooses a plan and acquires a permit for its first engine.
 
         A refused claim tells how long the engine's requests wait for its limit.
-        The plan is then chosen again with that wait.
+        The plan is then chosen again with that wait, and without the engine if
+        that is too long.
+
+        Args:
+            choose: Chooses a plan without the given engines.
+            first_engine: Returns the engine that the request is sent to first.
+            service: The service whose engines may serve the request.
+            longest_wait_s: Longest wait for an engine's request limit.
 
         Raises:
             OverloadedError: No engine permits the request in time.
         """
-        tries_left_count = PERMIT_TRIES_COUNT
-        while True:
-            tries_left_count -= 1
-            plan = choose()
+        for tries_left_count in reversed(range(PERMIT_TRIES_COUNT)):
+            waiting = self._waiting_longer(service, longest_wait_s)
+            try:
+                plan = choose(frozenset(one.start for one in waiting))
+            except errors.NoEngineError as error:
+                if not waiting:
+                    raise
+                raise self._limit_exceeded(service, waiting) from error
             server = first_engine(plan).server
-            max_wait_s = (
-                self._limits.wait_s(server.start) + LIMIT_WAIT_TOLERANCE_S
-                if tries_left_count
-                else MAX_LIMIT_WAIT_LEFT_SHARE * limit.left_s()
-            )
+            max_wait_s = longest_wait_s
+            if tries_left_count:
+                # Another plan may be better if the wait is longer than that.
+                estimated_s = self._limits.wait_s(server.start)
+                max_wait_s = min(
+                    longest_wait_s, estimated_s + LIMIT_WAIT_TOLERANCE_S
+                )
             acquired = self._limits.acquire(server, max_wait_s)
             if isinstance(acquired, Ok):
                 return plan, acquired.ok_value
-            if not tries_left_count:
-                raise errors.OverloadedError(
-                    f"not run: {acquired.err_value.message}",
-                    retry_after_s=self._limits.retry_after_s([server])
-                    or self._retry_after_s(service),
-                )
+        raise self._limit_exceeded(service, [server])
+
+    def _waiting_longer(
+        self, service: table.Service, longest_wait_s: float
+    ) -> list[fleet.Server]:
+        """Returns the engines whose request limit causes a longer wait."""
+        return [
+            server
+            for server in self._server_list.usable(service.name)
+            if self._limits.wait_s(server.start) > longest_wait_s
+        ]
+
+    def _limit_exceeded(
+        self, service: table.Service, waiting: Sequence[fleet.Server]
+    ) -> errors.OverloadedError:
+        exceeded = self._limits.exceeded(
+            min(waiting, key=lambda one: self._limits.wait_s(one.start))
+        )
+        return errors.OverloadedError(
+            f"not run: {exceeded.message}",
+            retry_after_s=self._limits.retry_after_s(waiting)
+            or self._retry_after_s(service),
+        )
 
     def place_decode(
         self,
@@ -269,13 +315,22 @@
             OverloadedError: No engine permits the request in time.
         """
 
-        def choose() -> prompt_placement.Plan:
+        def choose(
+            waiting: frozenset[fleet.ServerStart],
+        ) -> prompt_placement.Plan:
             return self._best_takeover(
-                routed_request, service, source, excluded, allowed_servers
+                routed_request,
+                service,
+                source,
+                excluded | waiting,
+                allowed_servers,
             )
 
         plan, permit = self._acquire_for_plan(
-            choose, lambda plan: plan.decode, service, limit
+            choose,
+            lambda plan: plan.decode,
+            service,
+            MAX_LIMIT_WAIT_LEFT_SHARE * limit.left_s(),
         )
         placed = self._estimates.record_takeover(routed_request, service, plan)
         logger.bind(
--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -193,6 +193,14 @@
         )
         return min(RETRY_AFTER_LIMIT_S, soonest.return_s - now_s)
 
+    def exceeded(self, server: fleet.Server) -> errors.ServerLimitError:
+        """Returns the error of a request beyond a server's limit."""
+        limit_per_s = self.limit_per_s(server.start) or 0.0
+        return errors.ServerLimitError(
+            f"{server.server_id} accepts {limit_per_s:g} requests per second",
+            retry_after_s=self.wait_s(server.start),
+        )
+
     def acquire(
         self, server: fleet.Server, max_wait_s: float = 0.0
     ) -> Result[SendPermit, errors.ServerLimitError]:
@@ -207,15 +215,15 @@
         if entry is None:
             return Ok(SendPermit(server.start))
         if self.wait_s(server.start) > max_wait_s:
-            return self._exceeded(server, entry)
+            return Err(self.exceeded(server))
         grant = self._claim(server, entry, max_wait_s)
         if grant is None:
-            return self._exceeded(server, entry)
+            return Err(self.exceeded(server))
         now_s = self._clock.monotonic_s()
         self._adopt(server.start, grant.statement)
         if not grant.is_granted:
             entry.next_s = now_s + grant.wait_s
-            return self._exceeded(server, entry)
+            return Err(self.exceeded(server))
         slot_s = now_s + grant.wait_s
         if grant.wait_s > 0:
             entry.next_s = slot_s
@@ -347,17 +355,6 @@
         if before_per_s != per_s:
             self._log_change(start, before_per_s, per_s, source)
 
-    def _exceeded(
-        self, server: fleet.Server, entry: _Entry
-    ) -> Err[errors.ServerLimitError]:
-        return Err(
-            errors.ServerLimitError(
-                f"{server.server_id} accepts {entry.requests_per_s:g} requests"
-                " per second",
-                retry_after_s=self.wait_s(server.start),
-            )
-        )
-
     def _log_change(
         self,
         start: fleet.ServerStart,
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -4,7 +4,7 @@
 import unittest
 from typing import Any
 
-from mulberrywharf import clock, errors, server_limits
+from mulberrywharf import clock, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
     engine_estimates,
     engine_pool,
@@ -14,7 +14,7 @@
     time_limits,
 )
 from mulberrywharf.platform import requests
-from mulberrywharf.policy import crash_suspects, repeat_budget
+from mulberrywharf.policy import crash_suspects, repeat_budget, request_limits
 from mulberrywharf.routes import kinds, table
 from tests import builders_engines
 from tests import builders_routes as build
@@ -632,5 +632,68 @@
         assert caught.exception.retry_after_s is not None
 
 
+class LimitedEnginesTest(GenerationCase):
+    """Prompts before decode engines that accept one request per second."""
+
+    def place(self, *engines: fleet.Server) -> str:
+        """Returns the engine that a new prompt is placed at."""
+        estimates = engine_estimates.EngineEstimates(
+            self.tracker, self.clock, NoNotices(), lambda _: 500_000
+        )
+        pool = engine_pool.EnginePool(
+            StaticServers(*engines),
+            self.tracker,
+            estimates,
+            self.limits,
+            self.clock,
+            random.Random(1),
+        )
+        route = build.route(kind=NOT_RESUMABLE, timeout_s=5.0, target_s=0.4)
+        routed_request = build.routed_request(
+            self.clock.monotonic_s(), prompt=build.prompt(100, 100)
+        )
+        found = pool.place(
+            routed_request,
+            route,
+            table.Service("service", 100, build.ENGINE),
+            time_limits.TimeLimit.of(routed_request, route, self.clock),
+            excluded=frozenset(),
+            may_refuse=True,
+        )
+        return found.placed.plan.decode.server.server_id
+
+    def limited_engine(self, server_id: str) -> fleet.Server:
+        engine = build.server(server_id, role="decode", slots_count=16)
+        self.limits.note_answer(
+            engine.start, request_limits.RequestLimit(1.0), may_end=True
+        )
+        return engine
+
+    def test_prompts_go_to_an_engine_without_a_limit_meanwhile(self) -> None:
+        """Callers were refused beside an idle engine without a limit."""
+        engines = [
+            self.limited_engine("s0"),
+            self.limited_engine("s1"),
+            build.server("s2", role="decode", slots_count=16),
+        ]
+        placed = [self.place(*engines) for _ in range(12)]
+        self.assertLessEqual(placed.count("s0"), 2)
+        self.assertLessEqual(placed.count("s1"), 2)
+        self.assertGreaterEqual(placed.count("s2"), 8)
+
+    def test_prompts_beyond_all_limits_are_refused_at_once(self) -> None:
+        """Callers waited for a limit until their answers were late."""
+        engines = [self.limited_engine("s0"), self.limited_engine("s1")]
+        began_s = self.clock.monotonic_s()
+        with self.assertRaises(errors.OverloadedError) as caught:
+            for _ in range(12):
+                self.place(*engines)
+        self.assertLess(self.clock.monotonic_s() - began_s, 0.4)
+        self.assertEqual(caught.exception.outcome, "not-run")
+        self.assertIn("accepts 1 requests", caught.exception.message)
+        assert caught.exception.retry_after_s is not None
+        self.assertGreater(caught.exception.retry_after_s, 0.5)
+
+
 if __name__ == "__main__":
     unittest.main()
