Soak: keep two servers limited throughout and count what freezes send

The check of request limits was never put to the test: servers were limited for shorter than the 3 s from which the limit is held, and requests of a gateway that had been paused or restarted shortly before were not counted, which holds most of the time. Two servers now state changing limits for the whole length of a seed, malformed ones leave the limit before in force, and only two kinds of requests are left out: those of a gateway that has known the limit for less than a second since its start, and those behind a harmed way to the server.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -59,6 +59,7 @@
     ("1e300",),
     ("-1",),
     ("6", "3"),
+    (),
 )
 _LIMIT_LENGTH_S = (0.5, 4.0)
 _RESTS = ("1", "1.5", "3", "0", "-1", "soon")
@@ -128,22 +129,20 @@
 def state_limits(
     played: fleet.Fleet, rng: random.Random, length_s: float
 ) -> None:
-    """Lets servers state request limits, which change and end.
+    """Lets a server state request limits, which change and end.
 
     Args:
-        played: The fleet whose servers do.
-        rng: Decides servers, limits and pauses.
+        played: The fleet whose server does.
+        rng: Decides the server, the limits and how long they are stated.
         length_s: How long limits are stated.
     """
     ends_s = time.monotonic() + length_s
+    server = rng.choice(list(played.servers.values()))
     while time.monotonic() < ends_s:
-        server = rng.choice(list(played.servers.values()))
-        for _ in range(rng.randint(1, 4)):
-            server.limits = rng.choice(_LIMITS)
-            left_s = max(0.0, ends_s - time.monotonic())
-            gevent.sleep(min(left_s, rng.uniform(*_LIMIT_LENGTH_S)))
-        server.limits = ()
-        gevent.sleep(rng.uniform(*_PAUSE_S))
+        server.limits = rng.choice(_LIMITS)
+        left_s = max(0.0, ends_s - time.monotonic())
+        gevent.sleep(min(left_s, rng.uniform(*_LIMIT_LENGTH_S)))
+    server.limits = ()
 
 
 class Faults:
--- a/soak/limit_promises.py
+++ b/soak/limit_promises.py
@@ -2,9 +2,12 @@
 
 In any ``WINDOW_S`` that begins later than ``DIVIDED_WITHIN_S`` behind the first
 answer with a limit, a server gets at most one and a half times the highest
-limit that it stated in that window, and ``EXTRA_COUNT`` requests more. Requests
-of a gateway that has had an answer with a limit for less than ``TOLD_S``, or
-that was upset shortly before, are not counted.
+limit that it stated in that window, and ``EXTRA_COUNT`` requests more. A
+malformed limit leaves the one before in force.
+
+Two kinds of requests are not counted: those of a gateway that has known the
+limit for less than ``TOLD_S`` since its start, and those while the way to the
+server is harmed, which holds requests back and lets them through together.
 """
 
 import bisect
@@ -19,6 +22,7 @@
 FACTOR = 1.5
 EXTRA_COUNT = 5
 TOLD_S = 1.0
+HELD_S = 0.5
 
 
 class _Sent(NamedTuple):
@@ -26,6 +30,7 @@
 
     at_s: float
     gateway: int
+    states_limit: bool
     limit_per_s: float | None
 
 
@@ -37,6 +42,7 @@
             _Sent(
                 arrival.at_s,
                 gateways[arrival.request_id],
+                bool(arrival.limits),
                 _limit_per_s(arrival),
             )
             for arrival in server.arrivals
@@ -55,32 +61,30 @@
 
 
 def _limited_spans(sent: list[_Sent]) -> Iterator[list[_Sent]]:
-    """Yields the requests of each span in which every answer had a limit."""
+    """Yields the requests of each span in which a limit was in force."""
     span: list[_Sent] = []
     for one in sent:
         if one.limit_per_s is not None:
             span.append(one)
-            continue
-        if span:
+        elif one.states_limit and span:
+            span.append(one._replace(limit_per_s=span[-1].limit_per_s))
+        else:
             yield span
-        span = []
-    if span:
-        yield span
+            span = []
+    yield span
 
 
 def _over_limit(
     played: fleet.Fleet, name: str, span: list[_Sent]
 ) -> Iterator[str]:
-    first_s: dict[int, float] = {}
+    first_s: dict[tuple[int, float], float] = {}
+    counted = []
     for one in span:
-        first_s.setdefault(one.gateway, one.at_s)
-    counted = [
-        one
-        for one in span
-        if one.at_s >= span[0].at_s + DIVIDED_WITHIN_S
-        and one.at_s >= first_s[one.gateway] + TOLD_S
-        and not _was_upset(played, one)
-    ]
+        run = one.gateway, _started_s(played, one)
+        told_s = first_s.setdefault(run, one.at_s) + TOLD_S
+        is_due = one.at_s >= span[0].at_s + DIVIDED_WITHIN_S
+        if is_due and one.at_s >= told_s and not _was_held(played, name, one):
+            counted.append(one)
     times_s = [one.at_s for one in counted]
     for index, one in enumerate(counted):
         end = bisect.bisect_right(times_s, one.at_s + WINDOW_S)
@@ -95,9 +99,21 @@
             return
 
 
-def _was_upset(played: fleet.Fleet, one: _Sent) -> bool:
+def _started_s(played: fleet.Fleet, one: _Sent) -> float:
+    """Returns when the gateway's process that sent a request was started."""
+    return max(
+        (
+            ended_s
+            for index, _, ended_s in played.starts
+            if index == one.gateway and ended_s <= one.at_s
+        ),
+        default=0.0,
+    )
+
+
+def _was_held(played: fleet.Fleet, name: str, one: _Sent) -> bool:
+    """Tells whether a request may have been held back on its way."""
     return any(
-        index == one.gateway
-        and began_s <= one.at_s <= ended_s + DIVIDED_WITHIN_S
-        for index, began_s, ended_s in played.upsets
+        way == f"server-{name}" and began_s <= one.at_s <= ended_s + HELD_S
+        for way, began_s, ended_s in played.harms
     )
--- a/soak/play.py
+++ b/soak/play.py
@@ -11,6 +11,7 @@
 
 CALLERS_COUNT = 12
 CULPRIT_PAUSE_LIMIT_S = 1.0
+LIMITED_SERVERS_COUNT = 2
 _SETTLE_S = 0.5
 """For servers to note what callers gave up on."""
 
@@ -60,16 +61,15 @@
         )
         running = [gevent.spawn(caller.run) for caller in callers]
         rotation = gevent.spawn(faults.rotate_keys, played, keys_rng, length_s)
-        limiting = gevent.spawn(
-            faults.state_limits,
-            played,
-            random.Random(f"limits {seed}"),
-            length_s,
-        )
+        limits_rng = random.Random(f"limits {seed}")
+        limiting = [
+            gevent.spawn(faults.state_limits, played, limits_rng, length_s)
+            for _ in range(LIMITED_SERVERS_COUNT)
+        ]
         injected = faults.Faults(played, rng)
         injected.play(length_s)
         rotation.join()
-        limiting.join()
+        gevent.joinall(limiting)
         healed_s = time.monotonic()
         gevent.sleep(promises.RECOVERY_S + promises.RECOVERED_S)
         played.is_over = True
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -91,7 +91,7 @@
         self.assertEqual(len(judge.broken(served[:3])), 1)
 
     def limit_lines(
-        self, limits: tuple[str, ...], per_s: float, upset: bool = False
+        self, limits: tuple[str, ...], per_s: float, held: bool = False
     ) -> list[str]:
         """Returns what is found when 2 gateways send a server ``per_s``."""
         server = platform_server.PlatformServerStandin("s")
@@ -105,7 +105,7 @@
                 )
             )
         self.fleet.servers = {"s": server}
-        self.fleet.upsets = [(0, 100.0, 110.0), (1, 100.0, 110.0)] * upset
+        self.fleet.harms = [("server-s", 100.0, 110.0)] * held
         return list(limit_promises.broken(self.fleet, made))
 
     def test_requests_over_a_limit(self) -> None:
@@ -114,7 +114,7 @@
         self.assertEqual(self.limit_lines(("5",), 8.0), [])
         self.assertEqual(self.limit_lines((), 50.0), [])
         self.assertEqual(self.limit_lines(("nan",), 50.0), [])
-        self.assertEqual(self.limit_lines(("5",), 9.0, upset=True), [])
+        self.assertEqual(self.limit_lines(("5",), 9.0, held=True), [])
 
 
 if __name__ == "__main__":
