Name the steps around limits for a first reader

The read of the whole diff found: attributes of a limit's entry described behind their assignments, a method that schedules a return described as if it only read, the ranks of gateways updated in the middle of another step. No behaviour changes. A test more: the limit of an earlier start of a server binds no later one.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -290,8 +290,8 @@
     ) -> tuple[limit_claims.RankedOwner, ...]:
         """Returns the gateways that grant requests to a server, by rank.
 
-        None until the registrations were read once: a gateway that knows no
-        other one would grant itself the whole limit.
+        There are none until the registrations were read once: a gateway that
+        knows no other one would grant itself the whole limit.
 
         Args:
             server_key: Key of the server, see
@@ -381,6 +381,13 @@
                 self._update_peers(read.ok_value)
             pause_s = READ_INTERVAL_S
 
+    def _rank_limit_owners(self, by_vm: dict[str, _Registration]) -> None:
+        zones_by_vm = {self._own_vm_id: self._availability_zone}
+        for vm_id, registration in by_vm.items():
+            zones_by_vm[vm_id] = registration.availability_zone
+            self._address_by_vm[vm_id] = registration.address
+        self._limit_ownership.note_listed(zones_by_vm, time.monotonic())
+
     def _update_peers(self, records: list[key_value.KeyValue]) -> None:
         by_vm: dict[str, _Registration] = {}
         for kv in sorted(records, key=lambda one: one.create_revision):
@@ -393,14 +400,7 @@
             # Without them, this gateway would assume that it is the only one
             # and claim all retries and all traffic for itself.
             by_vm = {**self._peers_by_vm, **by_vm}
-        zones_by_vm = {
-            vm_id: one.availability_zone for vm_id, one in by_vm.items()
-        }
-        zones_by_vm[self._own_vm_id] = self._availability_zone
-        self._limit_ownership.note_listed(zones_by_vm, time.monotonic())
-        self._address_by_vm.update(
-            {vm_id: one.address for vm_id, one in by_vm.items()}
-        )
+        self._rank_limit_owners(by_vm)
         if by_vm == self._peers_by_vm:
             return
         removed_s = time.monotonic()
--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -104,16 +104,20 @@
 
 
 class _Entry:
-    """The limit of one server, and what its owner last replied."""
+    """The limit of one server, and what its owner last replied.
+
+    Attributes:
+        requests_per_s: The limit.
+        stated_s: Monotonic time of the answer that stated it.
+        next_s: Monotonic time at which the next request can probably be sent.
+        return_s: Monotonic time at which the last refused caller may return.
+    """
 
     def __init__(self, requests_per_s: float, stated_s: float):
         self.requests_per_s = requests_per_s
         self.stated_s = stated_s
         self.next_s = float("-inf")
-        """When the next request can probably be sent."""
-
         self.return_s = float("-inf")
-        """When the last of the refused callers comes back."""
 
 
 class ServerLimits:
@@ -168,7 +172,7 @@
         return min(waits_s, default=0.0)
 
     def retry_after_s(self, servers: Iterable[fleet.Server]) -> float | None:
-        """Returns when a caller that none of the servers can take may return.
+        """Schedules the return of a caller that no server can take in time.
 
         Callers return one after the other at the rate of the limit. If all came
         back when the next request can be sent, all but one would be refused
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -79,6 +79,11 @@
         for text in MALFORMED:
             self.assertEqual(self.note(text), 10.0)
 
+    def test_an_earlier_start_limits_no_later_one(self) -> None:
+        self.note("10")
+        later = SERVER._replace(started_unix_ms=1)
+        self.assertIsNone(self.limits.limit_per_s(later))
+
     def test_an_ended_server_has_no_limit(self) -> None:
         self.note("10")
         self.limits.keep_only([])
