Decide in one place how long a request waits for a limit

Four modules held the share of a caller's time that a request may wait for a server's request limit, three made the same refusal, and a node without peers had a class of its own to grant. The decision is policy/limit_waits now, the refusal ServerLimits.overloaded, and a node without peers claims at itself.

Tests of nine gateways and routers wait until the owners are settled before they ask that the limit is used: right behind a start owners grant 0.25 of a limit, so 9 requests came in one run where 10 were asked. A test more holds the bound right behind the start, where no use of the limit is asked.

--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -19,6 +19,7 @@
 from mulberrywharf.peers import queue_owners
 from mulberrywharf.policy import (
     engine_speeds,
+    limit_waits,
     part_caches,
     part_homes,
     prompt_admission,
@@ -39,15 +40,6 @@
 """How much longer than estimated a request waits for an engine's limit before
 another plan is tried."""
 
-MAX_LIMIT_WAIT_TARGET_SHARE = 0.4
-"""Longest wait of a new request for an engine's limit, as a share of the target
-time to its first token. If requests waited longer, all of them would be late
-while the callers send more than the limit."""
-
-MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
-"""Longest wait of any request for an engine's limit, as a share of the caller's
-remaining time; the rest is needed for the answer."""
-
 ServerFilter = Callable[[Sequence[fleet.Server]], list[fleet.Server]]
 """Returns those of the given servers that may receive the request."""
 
@@ -186,13 +178,13 @@
                 self._refuse_if_late(routed_request, route, plan, limit)
             return plan
 
-        longest_wait_s = MAX_LIMIT_WAIT_LEFT_SHARE * limit.left_s()
-        if may_refuse and route.target_s is not None:
-            longest_wait_s = min(
-                longest_wait_s, MAX_LIMIT_WAIT_TARGET_SHARE * route.target_s
-            )
         plan, permit = self._acquire_for_plan(
-            choose, lambda plan: plan.prefill_engine, service, longest_wait_s
+            choose,
+            lambda plan: plan.prefill_engine,
+            service,
+            limit_waits.longest_wait_s(
+                limit.left_s(), route.target_s if may_refuse else None
+            ),
         )
         placed = self._estimates.record_placement(
             routed_request, service, plan, route.priority
@@ -254,7 +246,7 @@
             except errors.NoEngineError as error:
                 if not waiting:
                     raise
-                raise self._limit_exceeded(service, waiting) from error
+                raise self._limits.overloaded(waiting) from error
             server = first_engine(plan).server
             max_wait_s = longest_wait_s
             if tries_left_count:
@@ -266,7 +258,7 @@
             acquired = self._limits.acquire(server, max_wait_s)
             if isinstance(acquired, Ok):
                 return plan, acquired.ok_value
-        raise self._limit_exceeded(service, [server])
+        raise self._limits.overloaded([server])
 
     def _waiting_longer(
         self, service: table.Service, longest_wait_s: float
@@ -278,18 +270,6 @@
             if self._limits.wait_s(server.start) > longest_wait_s
         ]
 
-    def _limit_exceeded(
-        self, service: table.Service, waiting: Sequence[fleet.Server]
-    ) -> errors.OverloadedError:
-        exceeded = self._limits.exceeded(
-            min(waiting, key=lambda one: self._limits.wait_s(one.start))
-        )
-        return errors.OverloadedError(
-            f"not run: {exceeded.message}",
-            retry_after_s=self._limits.retry_after_s(waiting)
-            or self._retry_after_s(service),
-        )
-
     def place_decode(
         self,
         routed_request: request.RoutedRequest,
@@ -330,7 +310,7 @@
             choose,
             lambda plan: plan.decode,
             service,
-            MAX_LIMIT_WAIT_LEFT_SHARE * limit.left_s(),
+            limit_waits.longest_wait_s(limit.left_s()),
         )
         placed = self._estimates.record_takeover(routed_request, service, plan)
         logger.bind(
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -20,7 +20,7 @@
     servers,
     time_limits,
 )
-from mulberrywharf.policy import repeat_budget, server_choice
+from mulberrywharf.policy import limit_waits, repeat_budget, server_choice
 from mulberrywharf.routes import kinds, table
 
 ANSWER_LIMIT_BYTES = 16_000_000
@@ -30,14 +30,6 @@
 milliseconds, so a slot becomes free within the delay. The delay is random so
 that refused callers do not all retry at the same time."""
 
-MAX_LIMIT_WAIT_TARGET_SHARE = 0.5
-"""Longest wait for a server's request limit, as a share of the target time to
-the answer. If requests waited longer, all of them would be late while the
-callers send more than the limit."""
-
-MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
-"""The same as a share of the caller's remaining time."""
-
 _FAILURE_STATUS = 500
 
 
@@ -190,7 +182,12 @@
             for server in servers
             if self._dependencies.limits.wait_s(server.start) <= shortest_s
         ]
-        return self._acquire(soonest, max_wait_s=self._max_limit_wait_s())
+        return self._acquire(
+            soonest,
+            limit_waits.longest_wait_s(
+                self._limit.left_s(), self._route.target_s
+            ),
+        )
 
     def _reason_without_server(self) -> str:
         if self._limit_error is None:
@@ -226,20 +223,6 @@
             return None
         return _Chosen(candidate, acquired.ok_value)
 
-    def _max_limit_wait_s(self) -> float:
-        """Returns how long the request can wait and still be answered in time.
-
-        The rest of the time is left for the answer, or for other servers.
-        """
-        left_s = self._limit.left_s()
-        target_s = self._route.target_s
-        if target_s is None:
-            return MAX_LIMIT_WAIT_LEFT_SHARE * left_s
-        return min(
-            MAX_LIMIT_WAIT_TARGET_SHARE * target_s,
-            MAX_LIMIT_WAIT_LEFT_SHARE * left_s,
-        )
-
     def _attempt(
         self, chosen: _Chosen
     ) -> Result[WholeAnswer, errors.EngineError]:
--- a/src/mulberrywharf/limit_claims.py
+++ b/src/mulberrywharf/limit_claims.py
@@ -78,6 +78,15 @@
         self._grants = limit_grants.LimitGrants()
         self._silent_until_s: dict[fleet.Address, float] = {}
 
+    @classmethod
+    def standalone(cls, system_clock: clock.Clock) -> "LimitClaims":
+        """Creates one for a node without peers, which owns all limits.
+
+        Args:
+            system_clock: Times the grants.
+        """
+        return cls(_SoleOwner(), _NoCarrier(), system_clock)
+
     def note_statement(
         self, server: fleet.ServerStart, statement: limit_grants.LimitStatement
     ) -> None:
@@ -137,3 +146,23 @@
             return None
         self._silent_until_s.pop(address, None)
         return grant
+
+
+class _SoleOwner:
+    """A node without peers."""
+
+    def limit_owners(
+        self, server_key: int, availability_zone: str
+    ) -> tuple[RankedOwner, ...]:
+        """Returns this node."""
+        return (RankedOwner(0, None, is_settled=True),)
+
+
+class _NoCarrier:
+    """Carries nothing, as a sole owner asks no other node."""
+
+    def ask(
+        self, address: fleet.Address, claim: limit_grants.Claim
+    ) -> limit_grants.Grant | None:
+        """Returns no decision."""
+        return None
--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -26,6 +26,7 @@
 from mulberrywharf.engines import handover, load_reader, resume, streams
 from mulberrywharf.policy import (
     engine_choice,
+    limit_waits,
     limits,
     prefix_index,
     request_limits,
@@ -40,13 +41,6 @@
     standing,
 )
 
-MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
-"""Longest wait for an engine's request limit, as a share of the caller's
-remaining time; the rest is needed for the answer."""
-
-MIN_LIMIT_RETRY_AFTER_S = 0.1
-"""Retry-After if the engine's limit has just become free again."""
-
 _DEFAULT_IDLE_TIMEOUT_S = 10.0
 _LIMIT_TRIES_COUNT = 3
 _OK_STATUS = 200
@@ -346,7 +340,7 @@
             return chosen
         left_s = self._slot_request.deadline_s - self._places.now_s()
         return self._choose_within_limit(
-            excluded_engine_ids, MAX_LIMIT_WAIT_LEFT_SHARE * left_s
+            excluded_engine_ids, limit_waits.longest_wait_s(left_s)
         )
 
     def _choose_within_limit(
@@ -361,13 +355,7 @@
         if isinstance(acquired, Ok):
             return chosen
         self.close()
-        retry_after_s = self._engine_limits.retry_after_s([server])
-        return Err(
-            errors.OverloadedError(
-                f"not run: {acquired.err_value.message}",
-                retry_after_s=retry_after_s or MIN_LIMIT_RETRY_AFTER_S,
-            )
-        )
+        return Err(self._engine_limits.overloaded([server]))
 
     def _allocate_slot(
         self, excluded_engine_ids: frozenset[str]
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -21,6 +21,7 @@
 from mulberrywharf.backend_servers import client, directory
 from mulberrywharf.callers import passthrough
 from mulberrywharf.policy import (
+    limit_waits,
     limits,
     outcome,
     request_limits,
@@ -34,13 +35,6 @@
     service_exchange,
 )
 
-MAX_LIMIT_WAIT_LEFT_SHARE = 0.3
-"""Longest wait for a backend server's request limit, as a share of the caller's
-remaining time; the rest is needed for the answer."""
-
-MIN_LIMIT_RETRY_AFTER_S = 0.1
-"""Retry-After if the server's limit has just become free again."""
-
 _MIN_TIMEOUT_S = 0.05
 _SERVER_ERROR_STATUS = 500
 
@@ -171,7 +165,7 @@
         return self._choose_within_limit(
             call,
             tried_ids,
-            max_wait_s=MAX_LIMIT_WAIT_LEFT_SHARE * self._time_left_s(call),
+            max_wait_s=limit_waits.longest_wait_s(self._time_left_s(call)),
         )
 
     def _choose_within_limit(
@@ -189,13 +183,7 @@
         acquired = self._server_limits.acquire(server, max_wait_s)
         if isinstance(acquired, Ok):
             return chosen
-        retry_after_s = self._server_limits.retry_after_s([server])
-        return Err(
-            errors.OverloadedError(
-                f"not run: {acquired.err_value.message}",
-                retry_after_s=retry_after_s or MIN_LIMIT_RETRY_AFTER_S,
-            )
-        )
+        return Err(self._server_limits.overloaded([server]))
 
     def _note_limit(
         self, vm: fleet.VmRecord, answer: client.BackendAnswer
--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -7,13 +7,13 @@
 
 from collections.abc import Iterable
 from functools import singledispatchmethod
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 import gevent
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf import clock, errors, fleet, limit_claims, metrics
 from mulberrywharf.policy import limit_grants, request_limits
 
 PERMIT_LIFETIME_S = 0.25
@@ -24,6 +24,9 @@
 """Longest Retry-After of a refused caller. The limit may have risen or ended by
 then, which is not known in advance."""
 
+MIN_RETRY_AFTER_S = 0.1
+"""Retry-After of a refused caller if a limit has just become free again."""
+
 SILENT_RETRY_S = 0.3
 """Time after which a request is claimed again if no owner of the limit has
 replied."""
@@ -59,50 +62,6 @@
     waited_s: float = 0.0
 
 
-class LimitOwners(Protocol):
-    """Grants requests to servers with a limit, for all gateways."""
-
-    def note_statement(
-        self, server: fleet.ServerStart, statement: limit_grants.LimitStatement
-    ) -> None:
-        """Records what a server stated to this gateway."""
-        ...
-
-    def claim(
-        self,
-        server: fleet.Server,
-        statement: limit_grants.LimitStatement,
-        max_wait_s: float,
-    ) -> limit_grants.Grant | None:
-        """Claims one request; None if no owner has replied."""
-        ...
-
-
-class LocalLimitOwner:
-    """Grants the requests of a node that has no peers."""
-
-    def __init__(self, system_clock: clock.Clock):
-        self._clock = system_clock
-        self._grants = limit_grants.LimitGrants()
-
-    def note_statement(
-        self, server: fleet.ServerStart, statement: limit_grants.LimitStatement
-    ) -> None:
-        """Does nothing; each claim has the newest statement."""
-
-    def claim(
-        self,
-        server: fleet.Server,
-        statement: limit_grants.LimitStatement,
-        max_wait_s: float,
-    ) -> limit_grants.Grant | None:
-        """Decides a claim of one request."""
-        claim = limit_grants.Claim(
-            hash(server.start), 0, True, statement, max_wait_s
-        )
-        return self._grants.decide(claim, self._clock.monotonic_s())
-
-
 class _Entry:
     """The limit of one server, and what its owner last replied.
 
@@ -124,16 +83,20 @@
     """The limits in force, and the permits to send requests."""
 
     def __init__(
-        self, system_clock: clock.Clock, owners: LimitOwners | None = None
+        self,
+        system_clock: clock.Clock,
+        claims: limit_claims.LimitClaims | None = None,
     ):
         """Creates it without any limits.
 
         Args:
             system_clock: Times statements and permits.
-            owners: Grants requests; None for a node without peers.
+            claims: Claims requests; None for a node without peers.
         """
         self._clock = system_clock
-        self._owners = owners or LocalLimitOwner(system_clock)
+        self._claims = claims or limit_claims.LimitClaims.standalone(
+            system_clock
+        )
         self._entries: dict[fleet.ServerStart, _Entry] = {}
         self._malformed: set[fleet.ServerStart] = set()
 
@@ -205,6 +168,21 @@
             retry_after_s=self.wait_s(server.start),
         )
 
+    def overloaded(
+        self, servers: Iterable[fleet.Server]
+    ) -> errors.OverloadedError:
+        """Returns the refusal of a request that no server can take in time.
+
+        Args:
+            servers: The servers that could run the request, at least one.
+        """
+        servers = list(servers)
+        soonest = min(servers, key=lambda server: self.wait_s(server.start))
+        return errors.OverloadedError(
+            f"not run: {self.exceeded(soonest).message}",
+            retry_after_s=self.retry_after_s(servers) or MIN_RETRY_AFTER_S,
+        )
+
     def acquire(
         self, server: fleet.Server, max_wait_s: float = 0.0
     ) -> Result[SendPermit, errors.ServerLimitError]:
@@ -251,7 +229,7 @@
                 entry.requests_per_s, entry.stated_s
             )
             left_s = max(0.0, ends_s - self._clock.monotonic_s())
-            grant = self._owners.claim(server, statement, left_s)
+            grant = self._claims.claim(server, statement, left_s)
             if grant is not None:
                 return grant
             entry.next_s = self._clock.monotonic_s() + SILENT_RETRY_S
@@ -355,7 +333,7 @@
             entry.requests_per_s = per_s
             entry.stated_s = stated_s
         statement = limit_grants.LimitStatement(per_s, stated_s)
-        self._owners.note_statement(start, statement)
+        self._claims.note_statement(start, statement)
         if before_per_s != per_s:
             self._log_change(start, before_per_s, per_s, source)
 
--- a/tests/test_router_limit.py
+++ b/tests/test_router_limit.py
@@ -30,6 +30,7 @@
         )
         self.cluster = started.start()
         self.addCleanup(started.close)
+        gevent.sleep(SETTLED_S)
         self.statuses: collections.Counter[int] = collections.Counter()
 
     def call_for(
@@ -72,7 +73,6 @@
         self.start(engines_per_zone=1)
         (limited,) = self.cluster.engines
         limited.set_faults(limit=str(LIMIT_PER_S))
-        gevent.sleep(SETTLED_S)
         fields = {"x-mulberry-deadline-ms": "1000"}
         self.call_for(9.0, lambda one: one.complete("hello", 3, **fields))
         self.assert_limited(limited.log()["arrivals_unix_s"])
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -27,7 +27,10 @@
 )
 """Prompts so short that admission control refuses none of them."""
 
-SETTLED_S = 9.0
+KNOWN_S = 2.0
+"""Time from the start of gateways until they know each other."""
+
+SETTLED_S = 11.0
 """Time from the start of gateways to grants at the whole limit."""
 
 _CALLERS_COUNT = 20
@@ -53,8 +56,13 @@
         self.statuses: list[int] = []
         self._numbers = itertools.count()
 
-    def start_gateways(self, count: int) -> None:
-        """Starts gateways that can exchange datagrams."""
+    def start_gateways(self, count: int, *, is_settled: bool = True) -> None:
+        """Starts gateways that can exchange datagrams.
+
+        Args:
+            count: Number of gateways.
+            is_settled: Whether to wait until they grant whole limits.
+        """
         self.write_routes()
         net = random.SystemRandom().randint(1, 250)
         starting = [
@@ -69,7 +77,7 @@
         for gateway in self.gateways:
             self.gateway = gateway
             self.wait_ready()
-        gevent.sleep(2.0)
+        gevent.sleep(SETTLED_S if is_settled else KNOWN_S)
 
     def call(self, path: str, fields: str = "") -> test_gateway.Answer:
         """Sends one request to the next gateway in turn."""
@@ -135,13 +143,18 @@
     def test_only_server_gets_its_limit_and_others_are_refused(self) -> None:
         self.plain.limits = (str(LIMIT_PER_S),)
         self.start_gateways(9)
-        gevent.sleep(SETTLED_S)
         self.call_for(9.0, "/safe/x")
         self.assert_limited(self.plain)
         self.assertEqual(set(self.statuses), {200, 503})
         served_count = self.statuses.count(200)
         self.assertGreaterEqual(served_count, 0.9 * 9.0 * LIMIT_PER_S)
 
+    def test_limit_is_kept_right_behind_the_start(self) -> None:
+        self.plain.limits = (str(LIMIT_PER_S),)
+        self.start_gateways(9, is_settled=False)
+        self.call_for(6.0, "/safe/x")
+        self.assert_limited(self.plain, least_count=1)
+
 
 class OneGatewayTest(LimitCase):
     """A gateway alone sent a server more than it accepts from all."""
@@ -165,7 +178,7 @@
 
 class FieldTest(LimitCase):
     def test_caller_gets_the_field_as_the_server_sent_it(self) -> None:
-        self.start_gateways(1)
+        self.start_gateways(1, is_settled=False)
         for limits in (("1000.50",), (" x",), ("", "7000")):
             self.plain.limits = limits
             answer = self.call("/safe/x")
