Soak: a restarted gateway has no limit from malformed answers

The trace of the replay shows that the check was wrong: the gateway that sent them had been started at 2.6 s, and every answer behind that stated '1e300' or 'nan', which tell it no limit; the limit of 5 was last stated at 1.0 s, to the process before. Requests are counted from a gateway's first answer with a readable limit on, and a server that starts again has no limit until it states one, as the operators' rule has it.

--- a/soak/limit_promises.py
+++ b/soak/limit_promises.py
@@ -3,14 +3,17 @@
 In any ``WINDOW_S`` that begins later than ``DIVIDED_WITHIN_S`` behind the first
 answer with a limit, a server gets at most one and a half times the highest
 limit that it stated in that window, and ``EXTRA_COUNT`` requests more. A
-malformed limit leaves the one before in force.
+malformed limit leaves the one before in force; a later start of the server has
+none until it states one.
 
-Two kinds of requests are not counted: those of a gateway that has known the
-limit for less than ``TOLD_S`` since its start, and those while the way to the
-server is harmed, which holds requests back and lets them through together.
+Two kinds of requests are not counted: those of a gateway that has had an answer
+with a readable limit for less than ``TOLD_S`` since its start, and those while
+the way to the server is harmed, which holds requests back and lets them through
+together.
 """
 
 import bisect
+import math
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -30,7 +33,8 @@
 
     at_s: float
     gateway: int
-    states_limit: bool
+    server_born: int
+    limit_text: str | None
     limit_per_s: float | None
 
 
@@ -42,7 +46,8 @@
             _Sent(
                 arrival.at_s,
                 gateways[arrival.request_id],
-                bool(arrival.limits),
+                arrival.born,
+                arrival.limits[0] if arrival.limits else None,
                 _limit_per_s(arrival),
             )
             for arrival in server.arrivals
@@ -54,19 +59,25 @@
 
 def _limit_per_s(arrival: platform_server.Arrival) -> float | None:
     """Returns the limit in an answer, None if there is none to be read."""
-    if not arrival.limits:
+    if not arrival.limits or not _is_readable(arrival.limits[0]):
         return None
-    text = arrival.limits[0]
-    return float(text) if text.replace(".", "", 1).isdecimal() else None
+    return float(arrival.limits[0])
+
+
+def _is_readable(text: str | None) -> bool:
+    return text is not None and text.replace(".", "", 1).isdecimal()
 
 
 def _limited_spans(sent: list[_Sent]) -> Iterator[list[_Sent]]:
     """Yields the requests of each span in which a limit was in force."""
     span: list[_Sent] = []
     for one in sent:
+        if span and one.server_born != span[-1].server_born:
+            yield span
+            span = []
         if one.limit_per_s is not None:
             span.append(one)
-        elif one.states_limit and span:
+        elif one.limit_text is not None and span:
             span.append(one._replace(limit_per_s=span[-1].limit_per_s))
         else:
             yield span
@@ -81,7 +92,9 @@
     counted = []
     for one in span:
         run = one.gateway, _started_s(played, one)
-        told_s = first_s.setdefault(run, one.at_s) + TOLD_S
+        if _is_readable(one.limit_text):
+            first_s.setdefault(run, one.at_s)
+        told_s = first_s.get(run, math.inf) + TOLD_S
         is_due = one.at_s >= span[0].at_s + DIVIDED_WITHIN_S
         if is_due and one.at_s >= told_s and not _was_held(played, name, one):
             counted.append(one)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -30,6 +30,7 @@
         request_id: The request's id.
         rest: The rest that it was refused with, as told; None if it was not.
         limits: Values of the request limit fields in its answer.
+        born: The server's start, see ``PlatformServerStandin.born``.
     """
 
     at_s: float
@@ -37,6 +38,7 @@
     request_id: str
     rest: str | None
     limits: tuple[str, ...] = ()
+    born: int = 0
 
 
 class PlatformServerStandin:
@@ -158,6 +160,7 @@
                 self._header(environ, "REQUEST_ID"),
                 rest,
                 self.limits,
+                self.born,
             )
         )
         if rest is not None:
