Wait for another slot when a router's claim was refused for a moment

Cause: a router took a refused claim for no limit at all when the wait that came with the refusal had passed by the time at which it looked for servers that wait. A busy machine takes some milliseconds between the two. It then returned the refusal instead of choosing again.

Change: the last choice, which may wait, is left out only where no server states a limit. Plain calls, service calls and placement choose again in any case.

Measured: test_router_limit_choice plays the refusal whose wait has passed; it fails on the code before and passes now. The three tests with nine real routers pass on a quiet machine, as they did before.

--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -336,7 +336,7 @@
                 return chosen
             if waiting_ids == self._engine_limits.waiting_ids():
                 break
-        if not waiting_ids:
+        if not self._engine_limits.is_any_in_force:
             return chosen
         left_s = self._slot_request.deadline_s - self._places.now_s()
         return self._choose_within_limit(
--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -111,6 +111,11 @@
         }
         _limited_gauge.set({}, len(self._entries))
 
+    @property
+    def is_any_in_force(self) -> bool:
+        """Whether any server states a limit."""
+        return bool(self._entries)
+
     def limit_per_s(self, start: fleet.ServerStart) -> float | None:
         """Returns the limit in force at a server, None if there is none."""
         entry = self._entries.get(start)
