Skip the look for waiting engines where no limit is in force

Each placement looked at every engine of the service for a wait caused by a request limit, also where no server states one. bench.limit_play described a field that its scenes don't have, and its sizes held numbers that nothing read. No behaviour changes.

Measured: formatter, linter and type checks; the tests of generations, of owners of limits, of the virtual plays and of the routers' choice pass.

--- a/bench/limit_play.py
+++ b/bench/limit_play.py
@@ -58,8 +58,6 @@
         added_s: When a gateway is added in each zone.
         registrations_lost_s: When all gateways lose their registration, and
             register again one after the other.
-        new_answer_share: Share of the answers that still state the limit
-            before.
     """
 
     gateways_count: int = 9
@@ -99,7 +97,7 @@
         registrations_lost_s=5.0, length_s=35.0
     ),
 }
-SIZES = {9: 1.0, 60: 1.0, 195: 1.0}
+SIZES = (9, 60, 195)
 
 
 class Outcome(NamedTuple):
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -264,6 +264,8 @@
         self, service: table.Service, longest_wait_s: float
     ) -> list[fleet.Server]:
         """Returns the engines whose request limit causes a longer wait."""
+        if not self._limits.is_any_in_force:
+            return []
         return [
             server
             for server in self._server_list.usable(service.name)
