Count a server as running only if it keeps a new connection open

Callers saw: a request that crashes its servers ended a third one, in tests.test_router_crashes (both tests, listed as flaky) and once in tests.test_crashing_requests.LastServerTest.test_last_engine_survives, each beside about twelve busy processes.

Cause, traced with a log of each probe: the probe of the ended process connected after 0.2 ms. The kernel closes the connections of an ending process before its listening socket, and on a busy machine a probe in between succeeds. The end was not known to be one, so the request went on to the next server. Ruled out: a probe that took longer than the 50 ms (each took 0.2 to 0.6 ms).

Change: a probe counts its server as running only if the connection stays open for 30 ms; if it is closed, it connects again. Three connections at the most, as a server at its connection limit closes each. The check, its 50 ms and the counts of the tests are as they were. The new test fails without the change.

--- a/src/mulberrywharf/_connections.py
+++ b/src/mulberrywharf/_connections.py
@@ -16,6 +16,20 @@
 Servers commonly close idle connections after five seconds.
 """
 
+CONFIRM_S = 0.03
+"""How long a new connection must stay open for its peer to count as running.
+While a process ends, the kernel closes its open connections and its listening
+socket one after the other, and connects in between succeed. On a busy machine
+the gap is some milliseconds long."""
+
+_CONFIRM_TRIES_COUNT = 3
+"""Connections opened to confirm that a peer runs. A running server at its
+connection limit closes new connections at once, so the number is bounded."""
+
+_CONFIRM_PAUSE_S = 0.002
+_MIN_WAIT_S = 0.001
+"""A timer of no length never fires."""
+
 _IDLE_LIMIT_COUNT = 16
 _LOOP_READ = 1
 _UNACKNOWLEDGED_LIMIT_MS = 1_500
@@ -77,6 +91,43 @@
             raise
         return Ok(cls(address, sock))
 
+    @classmethod
+    def open_confirmed(
+        cls, address: fleet.Address, connect_timeout_s: float
+    ) -> Result["Connection", errors.EngineUnreachableError]:
+        """Connects, and checks that the peer keeps the connection open.
+
+        Returns:
+            A connection that stayed open for ``CONFIRM_S``. An error if the
+            peer refused one, cannot be reached or closed each of them.
+        """
+        confirmed_at_s = time.monotonic() + CONFIRM_S
+        for _ in range(_CONFIRM_TRIES_COUNT):
+            opened = cls.open(address, connect_timeout_s)
+            if isinstance(opened, Err):
+                return opened
+            connection = opened.ok_value
+            if connection.stays_open(confirmed_at_s - time.monotonic()):
+                return opened
+            connection.close()
+            gevent.sleep(_CONFIRM_PAUSE_S)
+        return Err(
+            errors.EngineUnreachableError(
+                f"{address} closed {_CONFIRM_TRIES_COUNT} new connections"
+            )
+        )
+
+    def stays_open(self, duration_s: float) -> bool:
+        """Returns whether an idle connection is still open after a time."""
+        try:
+            self.wait_readable(max(_MIN_WAIT_S, duration_s))
+        except TimeoutError:
+            # It may have been closed while this process was suspended.
+            pass
+        except OSError:
+            return False
+        return self.is_reusable()
+
     def is_reusable(self) -> bool:
         """Returns whether the connection is open and has no unread bytes.
 
--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -17,7 +17,8 @@
 
 PROBE_WAIT_S = 0.05
 """How long a request waits for the result of a probe. A running VM refuses a
-connection within a few milliseconds."""
+connection within a few milliseconds; a server counts as running only after
+``_connections.CONFIRM_S``."""
 
 _PENDING_RESULT_TIMEOUT_S = 0.01
 """Time to process a probe result that is already pending."""
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -81,8 +81,13 @@
     def probe(
         self, address: fleet.Address
     ) -> Result[None, errors.EngineUnreachableError]:
-        """Connects to a server and keeps the connection for later requests."""
-        opened = _connections.Connection.open(address, CONNECT_TIMEOUT_S)
+        """Connects to a server and keeps the connection for later requests.
+
+        Checks first that the server keeps the connection open.
+        """
+        opened = _connections.Connection.open_confirmed(
+            address, CONNECT_TIMEOUT_S
+        )
         return opened.map(self._pool.put)
 
     def send(
--- a/src/mulberrywharf/server_ends.py
+++ b/src/mulberrywharf/server_ends.py
@@ -22,7 +22,7 @@
     def probe(
         self, address: fleet.Address
     ) -> Result[None, errors.EngineUnreachableError]:
-        """Connects to a server."""
+        """Connects to a server and checks that the connection stays open."""
         ...
 
 
@@ -35,8 +35,10 @@
     def probe(
         self, address: fleet.Address
     ) -> Result[None, errors.EngineUnreachableError]:
-        """Connects to a server."""
-        opened = _connections.Connection.open(address, self._timeout_s)
+        """Connects to a server and checks that the connection stays open."""
+        opened = _connections.Connection.open_confirmed(
+            address, self._timeout_s
+        )
         return opened.map(lambda connection: connection.close())
 
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -3,11 +3,14 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 import gevent
+from gevent.server import StreamServer
 from result import Err
 
 from mulberrywharf import (
+    _connections,
     clock,
     crash_watch,
     errors,
@@ -55,6 +58,29 @@
         server.close()
         self.assertTrue(self.has_exited(server))
 
+    def test_an_end_is_detected_while_the_listening_socket_still_accepts(
+        self,
+    ) -> None:
+        """Guards against a connect to a process that is just ending.
+
+        Its connections are closed before its listening socket, which accepts
+        one more connection. The request would go to one more server.
+        """
+        # The server runs in this process, which a busy machine may suspend for
+        # longer than the usual time.
+        self.enterContext(mock.patch.object(_connections, "CONFIRM_S", 5.0))
+        server = self.start_server()
+        gevent.spawn_later(0.01, server.close)
+        self.assertTrue(self.has_exited(server))
+
+    def test_a_server_that_closes_new_connections_has_not_exited(self) -> None:
+        """Guards against taking a server at its connection limit for ended."""
+        server = StreamServer(("127.0.0.1", 0), lambda sock, _: sock.close())
+        server.start()
+        self.addCleanup(server.stop)
+        address = fleet.Address("127.0.0.1", server.server_port)
+        self.assertIsNone(self.ends.ended_s(START, address))
+
     def test_concurrent_checks_share_one_connection(self) -> None:
         server = self.start_server()
         checks = [gevent.spawn(self.has_exited, server) for _ in range(9)]
