--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -28,7 +28,7 @@
 
 _RECEIVE_RETRY_DELAY_S = 0.002
 
-Kind = Literal[b"n", b"q", b"c", b"u", b"f", b"l"]
+Kind = Literal[b"n", b"q", b"c", b"u", b"f", b"l", b"t"]
 """Kind byte of a datagram.
 
 - ``n``: a notice to many gateways.
@@ -39,6 +39,7 @@
 - ``f``: a question about confirmed routes, or its reply, to one gateway.
 - ``l``: a claim of a request to a server with a limit, or its reply, to one
   gateway.
+- ``t``: a message of one of the topics of ``topics.TopicExchange``.
 """
 
 _sent_bytes = metrics.counter(
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -18,7 +18,7 @@
     key_value,
     lease,
 )
-from mulberrywharf.policy import limit_ownership
+from mulberrywharf.policy import gateway_ranks
 
 PURPOSE = "peers"
 KEY_PREFIX = "mulberrywharf/gateways/"
@@ -81,6 +81,20 @@
     availability_zone: str
 
 
+class RankedGateway(NamedTuple):
+    """A gateway that may handle a matter for all.
+
+    Attributes:
+        rank: Its rank, 0 for the gateway that handles the matter.
+        address: Its datagram address, None for this gateway.
+        is_settled: Whether every gateway knows the one of rank 0.
+    """
+
+    rank: int
+    address: fleet.Address | None
+    is_settled: bool
+
+
 class PeerDirectory:
     """Registers this gateway and keeps a list of the others.
 
@@ -114,7 +128,7 @@
         self._owner_cache: dict[
             tuple[int, str, int, str], fleet.Address | None
         ] = {}
-        self._limit_ownership = limit_ownership.LimitOwnership()
+        self._ranks = gateway_ranks.GatewayRanks()
         self._address_by_vm: dict[str, fleet.Address] = {}
         self._poll_task: gevent.Greenlet | None = None
         self._lease: lease.LeaseHolder | None = None
@@ -298,15 +312,36 @@
                 ``notice_codec.hash_server_start``.
             availability_zone: Zone of the server.
         """
+        return tuple(
+            limit_claims.RankedOwner(*ranked)
+            for ranked in self._ranked(server_key, availability_zone)
+        )
+
+    def ranked_gateways(
+        self, matter: str, key: int, availability_zone: str
+    ) -> tuple[RankedGateway, ...]:
+        """Returns the gateways that handle a matter for all, by rank.
+
+        There are none until the registrations were read once.
+
+        Args:
+            matter: Name of the kind of matter.
+            key: Identifies what it concerns, such as the hash of a server.
+            availability_zone: Zone whose gateways come first.
+        """
+        return self._ranked(
+            gateway_ranks.matter_key(matter, key), availability_zone
+        )
+
+    def _ranked(
+        self, key: int, availability_zone: str
+    ) -> tuple[RankedGateway, ...]:
         now_s = time.monotonic()
-        ownership = self._limit_ownership
-        is_settled = ownership.is_settled(server_key, availability_zone, now_s)
-        owners = ownership.owners(server_key, availability_zone, now_s)
+        is_settled = self._ranks.is_settled(key, availability_zone, now_s)
+        vm_ids = self._ranks.ranked(key, availability_zone, now_s)
         return tuple(
-            limit_claims.RankedOwner(
-                rank, self._address_by_vm.get(vm_id), is_settled
-            )
-            for rank, vm_id in enumerate(owners)
+            RankedGateway(rank, self._address_by_vm.get(vm_id), is_settled)
+            for rank, vm_id in enumerate(vm_ids)
         )
 
     def knows(self, ip: str) -> bool:
@@ -381,12 +416,12 @@
                 self._update_peers(read.ok_value)
             pause_s = READ_INTERVAL_S
 
-    def _rank_limit_owners(self, by_vm: dict[str, _Registration]) -> None:
+    def _rank_gateways(self, by_vm: dict[str, _Registration]) -> None:
         zones_by_vm = {self._own_vm_id: self._availability_zone}
         for vm_id, registration in by_vm.items():
             zones_by_vm[vm_id] = registration.availability_zone
             self._address_by_vm[vm_id] = registration.address
-        self._limit_ownership.note_listed(zones_by_vm, time.monotonic())
+        self._ranks.note_listed(zones_by_vm, time.monotonic())
 
     def _update_peers(self, records: list[key_value.KeyValue]) -> None:
         by_vm: dict[str, _Registration] = {}
@@ -400,7 +435,7 @@
             # Without them, this gateway would assume that it is the only one
             # and claim all retries and all traffic for itself.
             by_vm = {**self._peers_by_vm, **by_vm}
-        self._rank_limit_owners(by_vm)
+        self._rank_gateways(by_vm)
         if by_vm == self._peers_by_vm:
             return
         removed_s = time.monotonic()
