--- a/src/mulberrywharf/policy/capacity_plan.py
+++ b/src/mulberrywharf/policy/capacity_plan.py
@@ -1,13 +1,45 @@
 """Plans how many engines of a service each availability zone has.
 
-Engines are paid for by the second, by zone and kind. Preemptible engines, called
-reclaimable here, cost less, and the platform may take back all of a zone's at
-once.
+Engines are paid for by the second, by zone and kind. Preemptible engines,
+called reclaimable here, cost less, and the platform may take back all of a
+zone's at once. ``capacity_totals`` decides how many engines a zone has; this
+module decides of which kind they are and when orders are sent.
 """
 
+import math
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from mulberrywharf.policy import capacity_totals
+
+REGULAR_FLOOR = 2
+"""Regular engines that each zone keeps where it has that many: one may drain or
+be replaced while the zone is partitioned from the others."""
+
+FOUND_AFTER_S = 2.0
+"""The engines that a plan starts with are known when their number has not
+changed for this long; while engines register, the first few are not all."""
+
+RELEASE_PAUSE_S = 5.0
+"""Time between two releases under load. Prompts whose cached parts went with an
+engine are read again elsewhere, which takes engines some seconds."""
+
+MAX_RELEASED_SHARE = 0.17
+"""Share of the engines that are given back at once under load, all of one zone
+being allowed: as many as the plan is prepared to lose."""
+
+LOST_WAIT_S = 8.0
+"""Time after a zone's reclaimable engines were taken back until new ones are
+ordered there, if enough engines are left."""
+
+START_MARGIN_S = 2.0
+"""Time beyond the start of an engine within which it registers. A later one is
+taken to be lost and ordered again."""
+
+UNKNOWN_LOSS_SHARE = 0.5
+"""Share of the engines found that the loss of one zone's reclaimable engines
+must leave while the work is unknown. It matters with one or two zones only."""
+
 
 class CapacityBounds(NamedTuple):
     """Engines that a service may have, and what they cost.
@@ -90,9 +122,36 @@
     reason: str
 
 
+class _ZonePlan(NamedTuple):
+    """Engines that a zone is to have once all that is ordered serves."""
+
+    regular_count: int
+    reclaimable_count: int
+
+
+class _Round(NamedTuple):
+    """What a decision is based on."""
+
+    bounds: CapacityBounds
+    zones: Sequence[ZoneEngines]
+    unavailable: frozenset[Unavailable]
+    now_s: float
+
+
 class CapacityPlan:
     """Plans the engines of one service from one round to the next."""
 
+    def __init__(self) -> None:
+        self._totals = capacity_totals.ZoneTotals()
+        self._floors: dict[str, int] = {}
+        self._found: list[tuple[int, int]] = []
+        self._found_at_s = 0.0
+        self._seen_reclaimable: dict[str, int] = {}
+        self._lost_at_s: dict[str, float] = {}
+        self._ordered: dict[Unavailable, tuple[int, float]] = {}
+        self._released_at_s = -math.inf
+        self._raised_at_s = -math.inf
+
     def decide(
         self,
         bounds: CapacityBounds,
@@ -103,6 +162,9 @@
     ) -> list[CapacityOrder]:
         """Returns the orders to send now.
 
+        An order with the number that was last ordered repeats it, because the
+        engines have not come or were taken back.
+
         Args:
             bounds: Engines that the service may have.
             zones: Its engines in each zone.
@@ -110,4 +172,355 @@
             unavailable: What the platform recently refused.
             now_s: The current time.
         """
-        raise NotImplementedError
+        seen = _Round(bounds, zones, unavailable, now_s)
+        self._note_orders(seen)
+        self._note_losses(seen)
+        if not self._note_found(seen):
+            return []
+        if demand is not None:
+            self._totals.note_demand(*demand, now_s)
+        self._totals.grow(
+            bounds.max_count,
+            bounds.zone_prices,
+            {one.availability_zone for one in unavailable},
+        )
+        if self._may_release(seen):
+            self._totals.cut(bounds.min_count, bounds.zone_prices, now_s)
+        plans = self._plans(seen)
+        orders: list[CapacityOrder] = []
+        for zone in zones:
+            orders += self._raises(seen, zone, plans[zone.availability_zone])
+        return orders + self._releases(seen, plans)
+
+    def _note_orders(self, seen: _Round) -> None:
+        """Notes since when which numbers are ordered.
+
+        What was refused counts as ordered long ago, so that it is ordered again
+        as soon as the refusal has expired.
+        """
+        for zone in seen.zones:
+            for is_reclaimable in (False, True):
+                kind = Unavailable(zone.availability_zone, is_reclaimable)
+                ordered = _ordered_count(zone, is_reclaimable)
+                if ordered is None:
+                    self._ordered.pop(kind, None)
+                elif kind in seen.unavailable:
+                    self._ordered[kind] = ordered, -math.inf
+                elif self._ordered.get(kind, (None, 0.0))[0] != ordered:
+                    self._ordered[kind] = ordered, seen.now_s
+
+    def _note_losses(self, seen: _Round) -> None:
+        """Notes reclaimable engines that vanished without an order."""
+        for zone in seen.zones:
+            name, count = zone.availability_zone, zone.reclaimable_count
+            seen_count = self._seen_reclaimable.get(name, 0)
+            ordered = zone.reclaimable_ordered_count
+            if count < seen_count and (ordered is None or count < ordered):
+                self._lost_at_s[name] = seen.now_s
+                if ordered is not None:
+                    kind = Unavailable(name, True)
+                    self._ordered[kind] = ordered, -math.inf
+            self._seen_reclaimable[name] = count
+
+    def _note_found(self, seen: _Round) -> bool:
+        """Notes the engines to start from; returns whether they are known."""
+        by_zone = self._totals.by_zone
+        if not by_zone:
+            found = [
+                (zone.regular_count, zone.reclaimable_count)
+                for zone in seen.zones
+            ]
+            if found != self._found:
+                self._found = found
+                self._found_at_s = seen.now_s
+            is_settled = seen.now_s - self._found_at_s >= FOUND_AFTER_S
+            if not any(map(sum, found)) or not is_settled:
+                return False
+        for zone in seen.zones:
+            name = zone.availability_zone
+            if name in by_zone and (
+                self._totals.is_demand_known
+                or zone.regular_ordered_count is not None
+            ):
+                continue
+            found_count = min(
+                max(_found_count(zone), seen.bounds.min_count),
+                seen.bounds.max_count,
+            )
+            if name not in by_zone or zone.regular_count > by_zone[name]:
+                by_zone[name] = found_count
+            self._floors[name] = min(
+                REGULAR_FLOOR,
+                max(self._floors.get(name, 0), zone.regular_count),
+            )
+        return True
+
+    def _plans(self, seen: _Round) -> dict[str, _ZonePlan]:
+        plans = {
+            zone.availability_zone: self._zone_plan(seen, zone)
+            for zone in seen.zones
+        }
+        self._fill_with_regular(seen, plans)
+        return plans
+
+    def _zone_plan(self, seen: _Round, zone: ZoneEngines) -> _ZonePlan:
+        count = self._totals.by_zone[zone.availability_zone]
+        price = seen.bounds.reclaimable_price
+        if price is None or price >= 1:
+            kept_count = min(zone.reclaimable_count, count)
+            return _ZonePlan(count - kept_count, kept_count)
+        elsewhere_count = self._totals.total - count
+        regular_count = min(
+            count,
+            max(
+                self._floors[zone.availability_zone],
+                self._loss_need() - elsewhere_count,
+            ),
+        )
+        reclaimable_count = count - regular_count
+        if not self._is_scarce(seen, zone.availability_zone):
+            return _ZonePlan(regular_count, reclaimable_count)
+        reclaimable_count = min(
+            reclaimable_count,
+            zone.reclaimable_count + self._starting_count(seen, zone, True),
+        )
+        # Regular engines that are there stay in place of the missing ones.
+        kept_count = min(_desired_count(zone, False), count - reclaimable_count)
+        return _ZonePlan(max(regular_count, kept_count), reclaimable_count)
+
+    def _loss_need(self) -> int:
+        """Engines that the loss of a zone's reclaimable ones must leave."""
+        if self._totals.is_demand_known:
+            return math.ceil(self._totals.mean_need)
+        return math.ceil(UNKNOWN_LOSS_SHARE * self._totals.total)
+
+    def _is_scarce(self, seen: _Round, name: str) -> bool:
+        """Tells whether no reclaimable engines should be ordered in a zone.
+
+        Before traffic they are ordered again at once: only a refusal shows that
+        there are none, and no callers wait for the outcome.
+        """
+        if Unavailable(name, True) in seen.unavailable:
+            return True
+        lost_at_s = self._lost_at_s.get(name, -math.inf)
+        is_recent = seen.now_s - lost_at_s < LOST_WAIT_S
+        return is_recent and self._totals.is_demand_known
+
+    def _fill_with_regular(
+        self, seen: _Round, plans: dict[str, _ZonePlan]
+    ) -> None:
+        """Adds the regular engines without which callers are not served."""
+        while sum(map(sum, plans.values())) < self._totals.required:
+            names = [
+                name
+                for name, plan in plans.items()
+                if sum(plan) < seen.bounds.max_count
+                and Unavailable(name, False) not in seen.unavailable
+            ]
+            if not names:
+                return
+            chosen = min(
+                names,
+                key=lambda name: (
+                    sum(plans[name]),
+                    seen.bounds.zone_prices.get(name, 1.0),
+                    name,
+                ),
+            )
+            plan = plans[chosen]
+            plans[chosen] = plan._replace(regular_count=plan.regular_count + 1)
+
+    def _raises(
+        self, seen: _Round, zone: ZoneEngines, plan: _ZonePlan
+    ) -> list[CapacityOrder]:
+        orders = []
+        name, max_count = zone.availability_zone, seen.bounds.max_count
+        regular_count = _desired_count(zone, False)
+        reclaimable_count = _desired_count(zone, True)
+        if plan.regular_count > regular_count:
+            # What was ordered in vain makes room for regular engines.
+            room_count = max(
+                max_count - plan.regular_count, zone.reclaimable_count
+            )
+            if reclaimable_count > room_count:
+                reclaimable_count = room_count
+                orders.append(
+                    CapacityOrder(name, True, room_count, "makes room")
+                )
+            regular_count = max(
+                regular_count,
+                min(plan.regular_count, max_count - reclaimable_count),
+            )
+            self._raised_at_s = seen.now_s
+            orders.append(
+                CapacityOrder(name, False, regular_count, "too few engines")
+            )
+        elif self._is_missing(seen, zone, False):
+            orders.append(self._repeat(seen, zone, False))
+        wanted_count = min(plan.reclaimable_count, max_count - regular_count)
+        if wanted_count > reclaimable_count:
+            orders.append(
+                CapacityOrder(name, True, wanted_count, "more at less cost")
+            )
+        elif wanted_count > zone.reclaimable_count and self._is_missing(
+            seen, zone, True
+        ):
+            orders.append(self._repeat(seen, zone, True))
+        return orders
+
+    def _repeat(
+        self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
+    ) -> CapacityOrder:
+        count = _desired_count(zone, is_reclaimable)
+        kind = Unavailable(zone.availability_zone, is_reclaimable)
+        self._ordered[kind] = count, seen.now_s
+        return CapacityOrder(
+            zone.availability_zone, is_reclaimable, count, "engines are missing"
+        )
+
+    def _releases(
+        self, seen: _Round, plans: Mapping[str, _ZonePlan]
+    ) -> list[CapacityOrder]:
+        """Returns orders that give engines back.
+
+        Before traffic, in all zones at once. Under load, a part of the engines
+        at a time, because their caches go with them.
+        """
+        is_under_load = self._totals.is_demand_known
+        if is_under_load and not self._may_release(seen):
+            return []
+        spare_count = sum(map(_serving_count, seen.zones))
+        spare_count -= self._totals.required
+        limit_count = spare_count
+        if is_under_load:
+            limit_count = max(1, int(MAX_RELEASED_SHARE * self._totals.total))
+        orders: list[CapacityOrder] = []
+        for zone in seen.zones:
+            released = self._zone_release(
+                zone, plans[zone.availability_zone], spare_count
+            )
+            if released is None or (orders and released[1] > limit_count):
+                continue
+            orders.append(released[0])
+            spare_count -= released[1]
+            limit_count -= released[1]
+        if orders:
+            self._released_at_s = seen.now_s
+        return orders
+
+    def _zone_release(
+        self, zone: ZoneEngines, plan: _ZonePlan, spare_count: int
+    ) -> tuple[CapacityOrder, int] | None:
+        """Returns the order for a zone's engines to spare and their number."""
+        name = zone.availability_zone
+        spare_count = min(
+            spare_count, _serving_count(zone) - self._totals.by_zone[name]
+        )
+        regular_count = _desired_count(zone, False)
+        count = min(spare_count, regular_count - plan.regular_count)
+        if count > 0:
+            order = CapacityOrder(
+                name,
+                False,
+                regular_count - count,
+                "others serve in their place",
+            )
+            return order, count
+        count = min(
+            spare_count, zone.reclaimable_count - plan.reclaimable_count
+        )
+        if count <= 0:
+            return None
+        order = CapacityOrder(
+            name, True, zone.reclaimable_count - count, "little work"
+        )
+        return order, count
+
+    def _may_release(self, seen: _Round) -> bool:
+        """Tells whether engines may be given back under load."""
+        since_raise_s = seen.now_s - self._raised_at_s
+        return (
+            seen.now_s - self._released_at_s >= RELEASE_PAUSE_S
+            and since_raise_s >= capacity_totals.LOW_FOR_S
+            and not any(zone.leaving_count for zone in seen.zones)
+            and not any(
+                self._starting_count(seen, zone, is_reclaimable)
+                for zone in seen.zones
+                for is_reclaimable in (False, True)
+            )
+        )
+
+    def _starting_count(
+        self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
+    ) -> int:
+        """Returns the number of engines that are ordered and not overdue."""
+        if self._is_overdue(seen, zone, is_reclaimable):
+            return 0
+        return max(
+            0,
+            _desired_count(zone, is_reclaimable)
+            - _present_count(zone, is_reclaimable),
+        )
+
+    def _is_missing(
+        self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
+    ) -> bool:
+        kind = Unavailable(zone.availability_zone, is_reclaimable)
+        return (
+            kind not in seen.unavailable
+            and _desired_count(zone, is_reclaimable)
+            > _present_count(zone, is_reclaimable)
+            and self._is_overdue(seen, zone, is_reclaimable)
+        )
+
+    def _is_overdue(
+        self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
+    ) -> bool:
+        kind = Unavailable(zone.availability_zone, is_reclaimable)
+        if kind not in self._ordered:
+            return False
+        age_s = seen.now_s - self._ordered[kind][1]
+        return age_s > seen.bounds.boot_s + START_MARGIN_S
+
+
+def _present_count(zone: ZoneEngines, is_reclaimable: bool) -> int:
+    return zone.reclaimable_count if is_reclaimable else zone.regular_count
+
+
+def _ordered_count(zone: ZoneEngines, is_reclaimable: bool) -> int | None:
+    if is_reclaimable:
+        return zone.reclaimable_ordered_count
+    return zone.regular_ordered_count
+
+
+def _desired_count(zone: ZoneEngines, is_reclaimable: bool) -> int:
+    ordered = _ordered_count(zone, is_reclaimable)
+    return _present_count(zone, is_reclaimable) if ordered is None else ordered
+
+
+def _serving_count(zone: ZoneEngines) -> int:
+    """Returns the engines that serve and were not given back."""
+    return sum(
+        min(
+            _present_count(zone, is_reclaimable),
+            _desired_count(zone, is_reclaimable),
+        )
+        for is_reclaimable in (False, True)
+    )
+
+
+def _found_count(zone: ZoneEngines) -> int:
+    """Returns the engines that a zone had before the first order.
+
+    After a change of the duty's holder, a replacement may be half done; engines
+    that are being replaced don't count twice.
+    """
+    if zone.regular_ordered_count is not None:
+        return zone.regular_ordered_count + _desired_count(zone, True)
+    if zone.reclaimable_ordered_count is not None:
+        return max(
+            zone.regular_count,
+            min(REGULAR_FLOOR, zone.regular_count)
+            + zone.reclaimable_ordered_count,
+        )
+    return zone.regular_count + zone.reclaimable_count
