Keep a minimum share of prefill engines where engines are replaced

New engines start in the decode role, and the engines that go may be the prefill engines. Roles followed the load only, which is low or unknown before traffic, so a fleet whose engines were replaced was left without prefill engines. RoleSplit takes an optional minimum share. While fewer prefill, one decode engine a round changes its role, and none changes back below it. The settling time runs from the first round with too few instead of the last change of the set, which a replacement zone by zone would restart each time.

--- a/src/mulberrywharf/policy/role_split.py
+++ b/src/mulberrywharf/policy/role_split.py
@@ -54,6 +54,9 @@
 one is always allowed."""
 
 
+_LIMIT_REACHED = "the maximum number of engines is already changing roles"
+
+
 class EngineLoad(NamedTuple):
     """Recent report of an engine.
 
@@ -95,12 +98,12 @@
     Attributes:
         server: The engine.
         role: Its next role.
-        pressure: The load that the decision is based on.
+        pressure: The load that the decision is based on, None if it is unknown.
     """
 
     server: fleet.Server
     role: fleet.Role
-    pressure: Pressure
+    pressure: Pressure | None
 
 
 class Stay(NamedTuple):
@@ -138,7 +141,17 @@
 class RoleSplit:
     """Decides on role changes of one service from the loads of its engines."""
 
-    def __init__(self) -> None:
+    def __init__(self, min_prefill_share: float | None = None) -> None:
+        """Creates it.
+
+        Args:
+            min_prefill_share: Minimum share of the engines that prefill,
+                whatever the load; None if there is no minimum. Where engines
+                are replaced, new ones start in the decode role, and those that
+                go may be the prefill engines.
+        """
+        self._min_prefill_share = min_prefill_share
+        self._short_since_s: float | None = None
         self._engines: frozenset[fleet.ServerStart] = frozenset()
         self._changed_at_s = 0.0
         self._decode_share = _MovingAverage()
@@ -162,21 +175,63 @@
         if engines != self._engines:
             self._engines = engines
             self._changed_at_s = now_s
-        share = _decode_share(loads)
-        if share is None or wanted_prefill is None:
+        pressure = self._pressure(loads, wanted_prefill, now_s)
+        if self._is_short_for_long(loads, now_s):
+            if _is_limit_reached(loads):
+                return Stay(_LIMIT_REACHED, pressure)
+            return _restore_prefill(loads, pressure)
+        if pressure is None:
             return Stay("not enough load data yet")
-        pressure = Pressure(
-            wanted_prefill, self._decode_share.note(share, now_s)
-        )
         if now_s - self._changed_at_s < SETTLE_TIME_S:
             return Stay("the set of engines has just changed", pressure)
-        changing_count = sum(load.is_changing for load in loads)
-        if changing_count >= max(1, int(MAX_CHANGING_SHARE * len(loads))):
-            return Stay(
-                "the maximum number of engines is already changing roles",
-                pressure,
-            )
-        return _decide(loads, pressure)
+        if _is_limit_reached(loads):
+            return Stay(_LIMIT_REACHED, pressure)
+        decision = _decide(loads, pressure)
+        if (
+            isinstance(decision, Change)
+            and decision.role == "decode"
+            and self._is_short(loads, _prefill_count(loads) - 1)
+        ):
+            return Stay("the minimum share of engines prefills", pressure)
+        return decision
+
+    def _pressure(
+        self,
+        loads: Sequence[EngineLoad],
+        wanted_prefill: float | None,
+        now_s: float,
+    ) -> Pressure | None:
+        share = _decode_share(loads)
+        if share is None or wanted_prefill is None:
+            return None
+        return Pressure(wanted_prefill, self._decode_share.note(share, now_s))
+
+    def _is_short(
+        self, loads: Sequence[EngineLoad], prefill_count: int
+    ) -> bool:
+        """Tells whether that many prefill engines are below the minimum."""
+        if self._min_prefill_share is None:
+            return False
+        # Without the margin, 0.1 of 30 engines would be above 3.
+        return prefill_count < self._min_prefill_share * len(loads) - 1e-6
+
+    def _is_short_for_long(
+        self, loads: Sequence[EngineLoad], now_s: float
+    ) -> bool:
+        """Tells whether too few have prefilled for the settling time.
+
+        The time runs from the first round with too few, and not from the last
+        change of the set of engines: where engines are replaced one zone after
+        the other, the set might not be unchanged for that long before most
+        prefill engines are gone. An engine that is lost and back within the
+        time causes no order, as elsewhere.
+        """
+        if not self._is_short(loads, _prefill_count(loads)):
+            self._short_since_s = None
+            return False
+        if self._short_since_s is None:
+            self._short_since_s = now_s
+        return now_s - self._short_since_s >= SETTLE_TIME_S
 
 
 class _MovingAverage:
@@ -203,8 +258,28 @@
     return sum(load.requests_count for load in decodes) / slots_count
 
 
+def _prefill_count(loads: Sequence[EngineLoad]) -> int:
+    return sum(load.server.role == "prefill" for load in loads)
+
+
+def _is_limit_reached(loads: Sequence[EngineLoad]) -> bool:
+    """Tells whether no further engine may change its role now."""
+    changing_count = sum(load.is_changing for load in loads)
+    return changing_count >= max(1, int(MAX_CHANGING_SHARE * len(loads)))
+
+
+def _restore_prefill(
+    loads: Sequence[EngineLoad], pressure: Pressure | None
+) -> Decision:
+    """Changes a decode engine's role, however busy both roles are."""
+    movable = _movable_decodes(loads)
+    if len(_not_changing(loads, "decode")) <= MIN_DECODE_COUNT or not movable:
+        return Stay("no decode engine can be spared", pressure)
+    return Change(movable[0].server, "prefill", pressure)
+
+
 def _decide(loads: Sequence[EngineLoad], pressure: Pressure) -> Decision:
-    prefill_count = sum(load.server.role == "prefill" for load in loads)
+    prefill_count = _prefill_count(loads)
     if pressure.wanted_prefill > ADD_PREFILL_ABOVE_SHARE * prefill_count:
         return _change_to_prefill(loads, pressure)
     if pressure.decode_share > ADD_DECODE_ABOVE_SHARE:
--- a/tests/test_role_split.py
+++ b/tests/test_role_split.py
@@ -132,6 +132,81 @@
         self.assertEqual(decision.server.server_id, "d5")
 
 
+class MinimumPrefillShareTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.split = role_split.RoleSplit(min_prefill_share=1 / 3)
+
+    def rounds(
+        self, loads: list[role_split.EngineLoad], count: int, start_s: float
+    ) -> None:
+        """Carries out the decisions of some rounds, one second apart."""
+        for number in range(count):
+            decision = self.split.decide(loads, None, start_s + number)
+            if isinstance(decision, role_split.Change):
+                names = [one.server.server_id for one in loads]
+                index = names.index(decision.server.server_id)
+                changed = decision.server._replace(role=decision.role)
+                loads[index] = loads[index]._replace(server=changed)
+
+    def test_prefill_engines_are_replaced_before_traffic(self) -> None:
+        """Long prompts find no prefill engine after engines were replaced.
+
+        The prefill engines were among those that went, and roles followed the
+        load only, which is unknown or low then.
+        """
+        loads = engines(0, prefills=0, decodes=9)
+        self.rounds(loads, 8, 100.0)
+        roles = [one.server.role for one in loads]
+        self.assertEqual(roles.count("prefill"), 3)
+        zones = {
+            one.server.availability_zone
+            for one in loads
+            if one.server.role == "prefill"
+        }
+        self.assertEqual(len(zones), 3)
+
+    def test_replacing_zone_by_zone_does_not_delay_orders(self) -> None:
+        """The fleet is without prefill engines while its zones are replaced.
+
+        Each change of the set of engines put off all orders by another 3 s.
+        """
+        loads = engines(0, prefills=0, decodes=9)
+        for number in range(4):
+            loads[number] = load(f"new-{number}", "decode", 0, zone="zone-0")
+            self.rounds(loads, 2, 100.0 + 2 * number)
+        roles = [one.server.role for one in loads]
+        self.assertEqual(roles.count("prefill"), 3)
+
+    def test_engine_back_within_the_settling_time_causes_no_order(self) -> None:
+        loads = engines(0)
+        for now_s in range(100, 110):
+            seen = loads[1:] if now_s < 103 else loads
+            decision = self.split.decide(seen, 1.0, float(now_s))
+            self.assertIsInstance(decision, role_split.Stay)
+
+    def test_each_zone_keeps_a_decode_engine(self) -> None:
+        loads = [load(f"d{n}", "decode", 0, zone=f"zone-{n}") for n in range(6)]
+        self.rounds(loads, 10, 100.0)
+        self.assertEqual({one.server.role for one in loads}, {"decode"})
+
+    def test_full_batches_take_no_engine_below_the_minimum(self) -> None:
+        for now_s in range(10):
+            decision = self.split.decide(engines(60), 0.5, 100.0 + now_s)
+            self.assertIsInstance(decision, role_split.Stay)
+
+    def test_nothing_changes_without_a_minimum(self) -> None:
+        """Fleets whose engines are never replaced get other role orders."""
+        for loads, wanted in (
+            (engines(0, prefills=0, decodes=9), None),
+            (engines(0, prefills=0, decodes=9), 0.0),
+            (engines(0, prefills=1, decodes=8), 0.5),
+        ):
+            split = role_split.RoleSplit()
+            for now_s in range(10):
+                decision = split.decide(loads, wanted, 100.0 + now_s)
+                self.assertIsInstance(decision, role_split.Stay)
+
+
 class ReadDemandTest(unittest.TestCase):
     def setUp(self) -> None:
         self.demand = prefill_demand.PrefillDemand()
