--- a/src/mulberrywharf/policy/capacity_plan.py
+++ b/src/mulberrywharf/policy/capacity_plan.py
@@ -10,7 +10,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
-from mulberrywharf.policy import capacity_totals
+from mulberrywharf.policy import capacity_arrivals, capacity_totals
 
 REGULAR_FLOOR = 2
 """Regular engines that each zone keeps where it has that many: one may drain or
@@ -24,6 +24,10 @@
 """Time between two releases under load. Prompts whose cached parts went with an
 engine are read again elsewhere, which takes engines some seconds."""
 
+RAISE_HOLD_S = 20.0
+"""Time after an order of more regular engines within which none are given back,
+so that scarce reclaimable engines don't cause orders back and forth."""
+
 MAX_RELEASED_SHARE = 0.17
 """Share of the engines that are given back at once under load, all of one zone
 being allowed: as many as the plan is prepared to lose."""
@@ -32,10 +36,6 @@
 """Time after a zone's reclaimable engines were taken back until new ones are
 ordered there, if enough engines are left."""
 
-START_MARGIN_S = 2.0
-"""Time beyond the start of an engine within which it registers. A later one is
-taken to be lost and ordered again."""
-
 UNKNOWN_LOSS_SHARE = 0.5
 """Share of the engines found that the loss of one zone's reclaimable engines
 must leave while the work is unknown. It matters with one or two zones only."""
@@ -148,7 +148,7 @@
         self._found_at_s = 0.0
         self._seen_reclaimable: dict[str, int] = {}
         self._lost_at_s: dict[str, float] = {}
-        self._ordered: dict[Unavailable, tuple[int, float]] = {}
+        self._arrivals = capacity_arrivals.CapacityArrivals()
         self._released_at_s = -math.inf
         self._raised_at_s = -math.inf
 
@@ -184,8 +184,12 @@
             bounds.zone_prices,
             {one.availability_zone for one in unavailable},
         )
-        if self._may_release(seen):
-            self._totals.cut(bounds.min_count, bounds.zone_prices, now_s)
+        if demand is not None and self._may_release(seen):
+            floors = {
+                name: max(bounds.min_count, floor)
+                for name, floor in self._floors.items()
+            }
+            self._totals.cut(floors, bounds.zone_prices, now_s)
         plans = self._plans(seen)
         orders: list[CapacityOrder] = []
         for zone in zones:
@@ -193,21 +197,13 @@
         return orders + self._releases(seen, plans)
 
     def _note_orders(self, seen: _Round) -> None:
-        """Notes since when which numbers are ordered.
-
-        What was refused counts as ordered long ago, so that it is ordered again
-        as soon as the refusal has expired.
-        """
         for zone in seen.zones:
             for is_reclaimable in (False, True):
                 kind = Unavailable(zone.availability_zone, is_reclaimable)
                 ordered = _ordered_count(zone, is_reclaimable)
-                if ordered is None:
-                    self._ordered.pop(kind, None)
-                elif kind in seen.unavailable:
-                    self._ordered[kind] = ordered, -math.inf
-                elif self._ordered.get(kind, (None, 0.0))[0] != ordered:
-                    self._ordered[kind] = ordered, seen.now_s
+                self._arrivals.note(kind, ordered, seen.now_s)
+                if kind in seen.unavailable:
+                    self._arrivals.note_lost(kind)
 
     def _note_losses(self, seen: _Round) -> None:
         """Notes reclaimable engines that vanished without an order."""
@@ -217,9 +213,7 @@
             ordered = zone.reclaimable_ordered_count
             if count < seen_count and (ordered is None or count < ordered):
                 self._lost_at_s[name] = seen.now_s
-                if ordered is not None:
-                    kind = Unavailable(name, True)
-                    self._ordered[kind] = ordered, -math.inf
+                self._arrivals.note_lost((name, True))
             self._seen_reclaimable[name] = count
 
     def _note_found(self, seen: _Round) -> bool:
@@ -285,7 +279,11 @@
             zone.reclaimable_count + self._starting_count(seen, zone, True),
         )
         # Regular engines that are there stay in place of the missing ones.
-        kept_count = min(_desired_count(zone, False), count - reclaimable_count)
+        kept_count = min(
+            _serving_count(zone, False)
+            + self._starting_count(seen, zone, False),
+            count - reclaimable_count,
+        )
         return _ZonePlan(max(regular_count, kept_count), reclaimable_count)
 
     def _loss_need(self) -> int:
@@ -309,12 +307,23 @@
     def _fill_with_regular(
         self, seen: _Round, plans: dict[str, _ZonePlan]
     ) -> None:
-        """Adds the regular engines without which callers are not served."""
-        while sum(map(sum, plans.values())) < self._totals.required:
+        """Adds the regular engines without which callers are not served.
+
+        A zone whose engines are all gone may be cut off, so that engines which
+        it is to have count for nothing, and others come first.
+        """
+        gone_zones = {
+            zone.availability_zone
+            for zone in seen.zones
+            if self._is_gone(seen, zone)
+        }
+        live_zones = plans.keys() - gone_zones
+        required = self._totals.required(live_zones)
+        while sum(sum(plans[name]) for name in live_zones) < required:
             names = [
                 name
-                for name, plan in plans.items()
-                if sum(plan) < seen.bounds.max_count
+                for name in live_zones
+                if sum(plans[name]) < seen.bounds.max_count
                 and Unavailable(name, False) not in seen.unavailable
             ]
             if not names:
@@ -330,6 +339,13 @@
             plan = plans[chosen]
             plans[chosen] = plan._replace(regular_count=plan.regular_count + 1)
 
+    def _is_gone(self, seen: _Round, zone: ZoneEngines) -> bool:
+        return not any(
+            _present_count(zone, is_reclaimable)
+            or self._starting_count(seen, zone, is_reclaimable)
+            for is_reclaimable in (False, True)
+        )
+
     def _raises(
         self, seen: _Round, zone: ZoneEngines, plan: _ZonePlan
     ) -> list[CapacityOrder]:
@@ -355,14 +371,16 @@
             orders.append(
                 CapacityOrder(name, False, regular_count, "too few engines")
             )
-        elif self._is_missing(seen, zone, False):
+        elif plan.regular_count > zone.regular_count and self._is_repeat_due(
+            seen, zone, False
+        ):
             orders.append(self._repeat(seen, zone, False))
         wanted_count = min(plan.reclaimable_count, max_count - regular_count)
         if wanted_count > reclaimable_count:
             orders.append(
                 CapacityOrder(name, True, wanted_count, "more at less cost")
             )
-        elif wanted_count > zone.reclaimable_count and self._is_missing(
+        elif wanted_count > zone.reclaimable_count and self._is_repeat_due(
             seen, zone, True
         ):
             orders.append(self._repeat(seen, zone, True))
@@ -371,12 +389,10 @@
     def _repeat(
         self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
     ) -> CapacityOrder:
-        count = _desired_count(zone, is_reclaimable)
         kind = Unavailable(zone.availability_zone, is_reclaimable)
-        self._ordered[kind] = count, seen.now_s
-        return CapacityOrder(
-            zone.availability_zone, is_reclaimable, count, "engines are missing"
-        )
+        self._arrivals.note_repeated(kind, seen.now_s)
+        count = _desired_count(zone, is_reclaimable)
+        return CapacityOrder(*kind, count, "engines are missing")
 
     def _releases(
         self, seen: _Round, plans: Mapping[str, _ZonePlan]
@@ -389,13 +405,20 @@
         is_under_load = self._totals.is_demand_known
         if is_under_load and not self._may_release(seen):
             return []
-        spare_count = sum(map(_serving_count, seen.zones))
-        spare_count -= self._totals.required
+        spare_count = sum(map(_all_serving_count, seen.zones))
+        spare_count -= self._totals.required(
+            {zone.availability_zone for zone in seen.zones}
+        )
         limit_count = spare_count
         if is_under_load:
             limit_count = max(1, int(MAX_RELEASED_SHARE * self._totals.total))
         orders: list[CapacityOrder] = []
-        for zone in seen.zones:
+        for zone in sorted(
+            seen.zones,
+            key=lambda zone: (
+                -seen.bounds.zone_prices.get(zone.availability_zone, 1.0)
+            ),
+        ):
             released = self._zone_release(
                 zone, plans[zone.availability_zone], spare_count
             )
@@ -414,7 +437,7 @@
         """Returns the order for a zone's engines to spare and their number."""
         name = zone.availability_zone
         spare_count = min(
-            spare_count, _serving_count(zone) - self._totals.by_zone[name]
+            spare_count, _all_serving_count(zone) - self._totals.by_zone[name]
         )
         regular_count = _desired_count(zone, False)
         count = min(spare_count, regular_count - plan.regular_count)
@@ -441,7 +464,7 @@
         since_raise_s = seen.now_s - self._raised_at_s
         return (
             seen.now_s - self._released_at_s >= RELEASE_PAUSE_S
-            and since_raise_s >= capacity_totals.LOW_FOR_S
+            and since_raise_s >= RAISE_HOLD_S
             and not any(zone.leaving_count for zone in seen.zones)
             and not any(
                 self._starting_count(seen, zone, is_reclaimable)
@@ -453,35 +476,21 @@
     def _starting_count(
         self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
     ) -> int:
-        """Returns the number of engines that are ordered and not overdue."""
-        if self._is_overdue(seen, zone, is_reclaimable):
+        """Returns the number of engines that are ordered and may be coming."""
+        kind = Unavailable(zone.availability_zone, is_reclaimable)
+        if not self._arrivals.is_awaited(kind, seen.bounds.boot_s, seen.now_s):
             return 0
-        return max(
-            0,
-            _desired_count(zone, is_reclaimable)
-            - _present_count(zone, is_reclaimable),
-        )
+        present_count = _present_count(zone, is_reclaimable)
+        return max(0, _desired_count(zone, is_reclaimable) - present_count)
 
-    def _is_missing(
+    def _is_repeat_due(
         self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
     ) -> bool:
         kind = Unavailable(zone.availability_zone, is_reclaimable)
-        return (
-            kind not in seen.unavailable
-            and _desired_count(zone, is_reclaimable)
-            > _present_count(zone, is_reclaimable)
-            and self._is_overdue(seen, zone, is_reclaimable)
+        return kind not in seen.unavailable and self._arrivals.is_repeat_due(
+            kind, seen.bounds.boot_s, seen.now_s
         )
 
-    def _is_overdue(
-        self, seen: _Round, zone: ZoneEngines, is_reclaimable: bool
-    ) -> bool:
-        kind = Unavailable(zone.availability_zone, is_reclaimable)
-        if kind not in self._ordered:
-            return False
-        age_s = seen.now_s - self._ordered[kind][1]
-        return age_s > seen.bounds.boot_s + START_MARGIN_S
-
 
 def _present_count(zone: ZoneEngines, is_reclaimable: bool) -> int:
     return zone.reclaimable_count if is_reclaimable else zone.regular_count
@@ -498,17 +507,18 @@
     return _present_count(zone, is_reclaimable) if ordered is None else ordered
 
 
-def _serving_count(zone: ZoneEngines) -> int:
-    """Returns the engines that serve and were not given back."""
-    return sum(
-        min(
-            _present_count(zone, is_reclaimable),
-            _desired_count(zone, is_reclaimable),
-        )
-        for is_reclaimable in (False, True)
+def _serving_count(zone: ZoneEngines, is_reclaimable: bool) -> int:
+    """Returns the engines of a kind that serve and were not given back."""
+    return min(
+        _present_count(zone, is_reclaimable),
+        _desired_count(zone, is_reclaimable),
     )
 
 
+def _all_serving_count(zone: ZoneEngines) -> int:
+    return _serving_count(zone, False) + _serving_count(zone, True)
+
+
 def _found_count(zone: ZoneEngines) -> int:
     """Returns the engines that a zone had before the first order.
 
--- a/src/mulberrywharf/policy/capacity_totals.py
+++ b/src/mulberrywharf/policy/capacity_totals.py
@@ -7,13 +7,19 @@
 
 import collections
 import math
-from collections.abc import Container, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 BURST_FACTOR = 1.9
 """Highest burst over the mean work for which engines are ready. Bursts of 1.7
 to 1.9 last for 3 to 10 s, and an engine that is ordered when one begins serves
 at its end."""
 
+RISE_FACTOR = 1.2
+"""Room above the work of the moment, which may be in a burst already: it still
+rises a little until engines that are ordered now serve. With the whole burst
+factor on top of a burst, engines were ordered and given back soon after."""
+
 PREFILL_SHARE = 0.4
 """Utilization of the prefill engines in a burst. With random arrivals, nine in
 ten prompts at an engine then wait for less than the prefill of one other; at
@@ -23,30 +29,46 @@
 """Share of the decode engines' slots in use in a burst; the bound above which
 ``role_split`` adds a decode engine."""
 
-LOW_FOR_S = 20.0
-"""Fewer engines are planned only after they would have sufficed for this long.
-It is longer than a swing of the work, and bounds reversals to one in this
-time."""
+LOW_FOR_S = 30.0
+"""Time over which the mean of the work is taken, and for which fewer engines
+must have sufficed before some are given back; longer than two swings of it.
+With 20 s, twice as many orders were undone by the next burst, and callers in
+time were the same (bench.capacity_play)."""
 
 MIN_CUT_SHARE = 0.1
 """Minimum share of the engines to be given up at once. Cached parts are lost
 with an engine, and the estimate of the work varies by about as much."""
 
 
+MIN_KEPT_SHARE = 0.5
+"""Share of the engines that a service had when its work became known which it
+keeps. Shared parts of prompts are cached in so many engines; work that is low
+now says nothing about how many parts there are."""
+
+
+class _Need(NamedTuple):
+    """Engines needed at a time, without and with room for a burst."""
+
+    at_s: float
+    engines: float
+    burst_engines: int
+
+
 class ZoneTotals:
     """The number of engines that each zone is to have.
 
     Attributes:
         by_zone: Number of engines by zone, both kinds together.
-        mean_need: Number of engines for the current work without a burst; 0
-            while it is unknown.
+        mean_need: Number of engines for the mean of the work; 0 while it is
+            unknown.
     """
 
     def __init__(self) -> None:
         self.by_zone: dict[str, int] = {}
         self.mean_need = 0.0
-        self._needs: collections.deque[tuple[float, int]] = collections.deque()
+        self._recent: collections.deque[_Need] = collections.deque()
         self._first_need_s: float | None = None
+        self._kept_count = 0
 
     @property
     def is_demand_known(self) -> bool:
@@ -58,15 +80,16 @@
         """Number of engines in all zones."""
         return sum(self.by_zone.values())
 
-    @property
-    def required(self) -> int:
-        """Number of engines without which callers would not be served.
+    def required(self, zones: Iterable[str]) -> int:
+        """Returns the engines without which callers would not be served.
 
-        While the work is unknown, those that the service had.
+        Args:
+            zones: Zones that have engines. While the work is unknown, the
+                engines that these had are required.
         """
         if not self.is_demand_known:
-            return self.total
-        return min(self.total, self._burst_need())
+            return sum(self.by_zone[name] for name in zones)
+        return min(self.total, self._recent[-1].burst_engines)
 
     def note_demand(
         self, prefill_engines: float, decode_engines: float, now_s: float
@@ -74,12 +97,17 @@
         """Notes how many engines the work keeps busy."""
         if self._first_need_s is None:
             self._first_need_s = now_s
-        self.mean_need = (
-            prefill_engines / PREFILL_SHARE + decode_engines / DECODE_SHARE
+            self._kept_count = math.ceil(MIN_KEPT_SHARE * self.total)
+        need = prefill_engines / PREFILL_SHARE + decode_engines / DECODE_SHARE
+        while self._recent and now_s - self._recent[0].at_s > LOW_FOR_S:
+            self._recent.popleft()
+        needs = [one.engines for one in self._recent]
+        needs.append(need)
+        self.mean_need = sum(needs) / len(needs)
+        burst_need = math.ceil(
+            max(BURST_FACTOR * self.mean_need, RISE_FACTOR * need)
         )
-        self._needs.append((now_s, self._burst_need()))
-        while now_s - self._needs[0][0] > LOW_FOR_S:
-            self._needs.popleft()
+        self._recent.append(_Need(now_s, need, burst_need))
 
     def grow(
         self,
@@ -111,12 +139,15 @@
             self.by_zone[chosen] += 1
 
     def cut(
-        self, min_count: int, zone_prices: Mapping[str, float], now_s: float
+        self,
+        min_counts: Mapping[str, int],
+        zone_prices: Mapping[str, float],
+        now_s: float,
     ) -> None:
         """Gives up at most one engine for each zone if all can be spared.
 
         Args:
-            min_count: Minimum number of engines in a zone.
+            min_counts: Minimum number of engines by zone.
             zone_prices: Price by zone.
             now_s: The current time.
         """
@@ -128,8 +159,10 @@
         ):
             return
         for _ in range(len(self.by_zone)):
-            names = [name for name, n in self.by_zone.items() if n > min_count]
-            if not names:
+            names = [
+                name for name, n in self.by_zone.items() if n > min_counts[name]
+            ]
+            if not names or self.total <= self._kept_count:
                 return
             chosen = max(
                 names,
@@ -144,11 +177,8 @@
                 self.by_zone[chosen] += 1
                 return
 
-    def _burst_need(self) -> int:
-        return math.ceil(BURST_FACTOR * self.mean_need)
-
     def _highest_need(self) -> int:
-        return max((need for _, need in self._needs), default=0)
+        return max((one.burst_engines for one in self._recent), default=0)
 
     def _is_short(self) -> bool:
         counts: Sequence[int] = list(self.by_zone.values())
