Tell whether the servers and routes were read completely

A process that starts knows no server until its first read of the records ends, and the same holds while records are read again after a restore. Who orders engines from such a view would order too many. The watch now tells whether it has read all keys; the server list and the routes pass this on. mypy and tests.test_server_list and tests.test_routes passed.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -141,6 +141,11 @@
         """Returns the watch of the records, None before ``start``."""
         return self._watch
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all records were read and changes are followed since."""
+        return self._watch is not None and self._watch.has_read_all
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Registers a callback that runs after each change of the list."""
         self._callbacks.append(callback)
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -151,6 +151,14 @@
         revision = self._position.revision if self._position else 0
         return max(revision, self._changed_revision)
 
+    @property
+    def has_read_all(self) -> bool:
+        """Whether all present keys were read and changes are followed since.
+
+        False before the first reading and while the keys must be read again.
+        """
+        return self._position is not None and not self._needs_resync
+
     @property
     def age_s(self) -> float:
         """Seconds since the last message of the watch, or inf."""
--- a/src/mulberrywharf/routes/follower.py
+++ b/src/mulberrywharf/routes/follower.py
@@ -95,6 +95,11 @@
         """Returns the watch of the routes, None before ``start``."""
         return self._watch
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the routes were read since the start and are followed."""
+        return self._watch is not None and self._watch.has_read_all
+
     def current(self) -> table.RouteTable | None:
         """Returns the routes in force, None if there are none yet."""
         return self._table
