Decode the engines that a service may have, and reclaimable servers

The routes document may state in `scaling` how many engines a service has and what they cost, and a server record may state `spot` and `leaves_ms`; all were ignored. They are now decoded into CapacityBounds and fields of Server. Impossible figures refuse the whole document with the path of the field, and the former version stays in force.

--- a/src/mulberrywharf/fleet.py
+++ b/src/mulberrywharf/fleet.py
@@ -94,6 +94,10 @@
         slots_count: Requests that the server processes at the same time.
         is_draining: Whether the server is about to leave the fleet.
         role: Role of an engine; None for other servers.
+        is_reclaimable: Whether the platform may take the server back at any
+            time, with short notice.
+        leaves_in_s: Time left when its record was written until it leaves,
+            None if the record states none.
     """
 
     start: ServerStart
@@ -103,6 +107,8 @@
     slots_count: int
     is_draining: bool = False
     role: Role | None = None
+    is_reclaimable: bool = False
+    leaves_in_s: float | None = None
 
     @property
     def server_id(self) -> str:
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -8,7 +8,7 @@
 
 from mulberrywharf import errors, fleet
 from mulberrywharf.customers import directory
-from mulberrywharf.platform import server_records
+from mulberrywharf.platform import scaling, server_records
 from mulberrywharf.routes import kinds, table
 
 ROUTES_KEY = "op/config"
@@ -46,6 +46,7 @@
             document = orjson.loads(value)
             customers = _customers(document.get("tenants"))
             faults = directory.find_faults(customers or ())
+            faults += scaling.find_faults(document["services"])
             if faults:
                 return Err(errors.StoredConfigurationError(ROUTES_KEY, faults))
             return Ok(_route_table(document, customers))
@@ -161,6 +162,7 @@
         name=fields["name"],
         connections_limit_count=int(fields["max-connections"]),
         engine=_engine(engine) if engine else None,
+        scaling=scaling.decode(fields),
     )
 
 
--- a/src/mulberrywharf/platform/server_records.py
+++ b/src/mulberrywharf/platform/server_records.py
@@ -13,6 +13,7 @@
 ROLES: Mapping[str, fleet.Role] = {"prefill": "prefill", "decode": "decode"}
 
 _STATES_DRAINING = {"ready": False, "draining": True}
+_MS_PER_S = 1000.0
 _PORT_LIMIT = 65_535
 _COUNT_LIMIT = 1_000_000
 """More slots than any server can have. A record with more was not written by a
@@ -66,7 +67,7 @@
     # values was not written by a server.
     _string(fields, "version")
     _integer(fields, "sequence", minimum=0)
-    _check_duration(fields, "cold-remaining-ms")
+    _duration_ms(fields, "cold-remaining-ms")
     return fleet.Server(
         start=fleet.ServerStart(server_id, started_unix_ms(fields)),
         service=_string(fields, "service"),
@@ -76,6 +77,10 @@
         is_draining=_enum_value(fields, "state", _STATES_DRAINING),
         # Only engines have a ``stage``, which is their role.
         role=_enum_value(fields, "stage", ROLES) if "stage" in fields else None,
+        is_reclaimable=_optional_bool(fields, "spot"),
+        leaves_in_s=_duration_ms(fields, "leaves_ms") / _MS_PER_S
+        if "leaves_ms" in fields
+        else None,
     )
 
 
@@ -93,11 +98,19 @@
     return int(value)
 
 
-def _check_duration(fields: Mapping[str, Any], name: str) -> None:
+def _duration_ms(fields: Mapping[str, Any], name: str) -> float:
     value: Any = fields.get(name)
     is_number = _is_integer(value) or isinstance(value, float)
     if not is_number or not math.isfinite(value) or value < 0:
         raise _FieldError(f"invalid {name}: {value!r:.40}")
+    return float(value)
+
+
+def _optional_bool(fields: Mapping[str, Any], name: str) -> bool:
+    value = fields.get(name, False)
+    if not isinstance(value, bool):
+        raise _FieldError(f"invalid {name}: {value!r:.40}")
+    return value
 
 
 def _is_integer(value: Any) -> bool:
--- a/src/mulberrywharf/routes/table.py
+++ b/src/mulberrywharf/routes/table.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from mulberrywharf.customers import directory
+from mulberrywharf.policy import capacity_plan
 from mulberrywharf.routes import kinds
 
 
@@ -88,11 +89,14 @@
         connections_limit_count: Maximum number of connections that one of its
             servers accepts from all nodes together.
         engine: Properties of its engines, None if its servers are not engines.
+        scaling: Bounds within which its engines are ordered, None if they are
+            not ordered.
     """
 
     name: str
     connections_limit_count: int
     engine: EngineTraits | None = None
+    scaling: capacity_plan.CapacityBounds | None = None
 
 
 class CallerLimits(NamedTuple):
@@ -165,3 +169,11 @@
         return frozenset(
             name for name, service in self.services.items() if service.engine
         )
+
+    def scaled_services(self) -> dict[str, capacity_plan.CapacityBounds]:
+        """Returns the bounds of the services whose engines are ordered."""
+        return {
+            name: service.scaling
+            for name, service in self.services.items()
+            if service.scaling is not None
+        }
--- a/tests/test_server_records.py
+++ b/tests/test_server_records.py
@@ -62,6 +62,8 @@
             "sequence": [None, -1, 1.5, True, "1"],
             "stage": ["mixed", "", 7, None],
             "born": [None, True, 1.5, "1700000000000", -1, 0, []],
+            "spot": [None, 0, 1, "true", []],
+            "leaves_ms": [None, -1, "2000", True, []],
         }
         for name, values in cases.items():
             for value in values:
@@ -104,6 +106,16 @@
         )
         self.assertIsNone(decode(build.server_value()).unwrap().role)
 
+    def test_reclaimable_server_and_the_time_that_it_leaves(self) -> None:
+        found = decode(
+            build.server_value(spot=True, state="draining", leaves_ms=2_400)
+        ).unwrap()
+        self.assertTrue(found.is_reclaimable)
+        self.assertEqual(found.leaves_in_s, 2.4)
+        regular = decode(build.server_value()).unwrap()
+        self.assertFalse(regular.is_reclaimable)
+        self.assertIsNone(regular.leaves_in_s)
+
 
 class AnyValueTest(unittest.TestCase):
     """Decoding returns an error and never raises, whatever the value."""
