Keep one write-ahead record for each task of a duty

A second task of the duty that reports usage needs a record of its own, but no lease, holder key or polling of its own. The records share a prefix, so that one read at takeover returns all of them, and each is written only by the holder.

--- a/src/mulberrywharf/authority/duty_holder.py
+++ b/src/mulberrywharf/authority/duty_holder.py
@@ -82,9 +82,21 @@
 
     @property
     def record_key(self) -> str:
-        """The key of the holder's write-ahead record."""
+        """The key of the holder's write-ahead record.
+
+        Also the prefix of the keys of the records of its tasks, so that one
+        read returns all records.
+        """
         return self.key_prefix + "record"
 
+    def task_record_key(self, task: str) -> str:
+        """The key of the write-ahead record of one task.
+
+        Args:
+            task: Name of the task, empty for the main one.
+        """
+        return f"{self.record_key}/{task}" if task else self.record_key
+
 
 ROLES_DUTY = Duty(_ROLES_DUTY_NAME, _ROLES_KEY_PREFIX)
 
@@ -121,8 +133,22 @@
     guard: key_value.Guard
 
 
+_MAIN_TASK = ""
+
+
+class _Record(NamedTuple):
+    """A write-ahead record and its revision in the key-value service."""
+
+    revision: int
+    value: bytes
+
+
 class DutyHolder:
-    """Tries to acquire a duty, and tells whether this gateway holds it."""
+    """Tries to acquire a duty, and tells whether this gateway holds it.
+
+    A duty may have several tasks, each with a write-ahead record of its own.
+    They share the lease, the holder key and the fencing number.
+    """
 
     def __init__(
         self,
@@ -134,6 +160,7 @@
         system_clock: clock.Clock | None = None,
         duty: Duty = ROLES_DUTY,
         is_candidate: Callable[[], bool] = lambda: True,
+        is_needed: Callable[[], bool] = lambda: True,
     ):
         """Creates the holder; ``start`` begins to acquire the duty.
 
@@ -149,8 +176,11 @@
             is_candidate: Whether this gateway checks at the normal interval.
                 Other gateways check less often, and take over if no candidate
                 is left.
+            is_needed: Whether the duty has anything to do. While it has not,
+                it is not acquired, and released if it is held.
         """
         self._is_candidate = is_candidate
+        self._is_needed = is_needed
         self._duty = duty
         self._client = client
         self._vm_id = vm_id
@@ -160,8 +190,7 @@
         self._lease: lease.LeaseHolder | None = None
         self._authority: Authority | None = None
         self._may_send_from_s = float("inf")
-        self._record_revision = 0
-        self._last_record: bytes | None = None
+        self._records: dict[str, _Record] = {}
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -213,15 +242,24 @@
         if isinstance(held, Err):
             raise held.err_value
 
-    def record(self, value: bytes) -> Result[None, errors.PlatformError]:
-        """Records a request before it is sent, if the duty is still held."""
+    def record(
+        self, value: bytes, task: str = _MAIN_TASK
+    ) -> Result[None, errors.PlatformError]:
+        """Records a request before it is sent, if the duty is still held.
+
+        Args:
+            value: The new record.
+            task: Name of the task that the record belongs to.
+        """
         held = self.authority()
         if isinstance(held, Err):
             return held
+        key = self._duty.task_record_key(task)
+        known = self._records.get(key)
         written = self._client.compare_and_swap(
-            self._duty.record_key,
+            key,
             value,
-            expected_revision=self._record_revision,
+            expected_revision=known.revision if known else 0,
             guards=(held.ok_value.guard,),
             purpose=self._duty.name,
         )
@@ -240,14 +278,18 @@
                     "the duty was lost while the request was being recorded"
                 )
             )
-        self._record_revision = written.ok_value.mod_revision
-        self._last_record = value
+        self._records[key] = _Record(written.ok_value.mod_revision, value)
         return Ok(None)
 
     @property
     def last_record(self) -> bytes | None:
         """The latest record written by this holder or read at takeover."""
-        return self._last_record
+        return self.last_task_record(_MAIN_TASK)
+
+    def last_task_record(self, task: str) -> bytes | None:
+        """Returns the latest record of a task, None if there is none."""
+        known = self._records.get(self._duty.task_record_key(task))
+        return known.value if known else None
 
     def resign(self, reason: str) -> None:
         """Steps down, so that another gateway can acquire the duty.
@@ -260,7 +302,10 @@
     def _acquire_repeatedly(self) -> None:
         gevent.sleep(random.uniform(0.0, self._timing.first_check_max_delay_s))
         while True:
-            if self._authority is None and self._is_free():
+            if not self._is_needed():
+                if self._authority is not None:
+                    self._step_down("the duty has nothing to do")
+            elif self._authority is None and self._is_free():
                 self._acquire()
             interval_s = self._timing.check_interval_s
             if not self._is_candidate():
@@ -305,15 +350,15 @@
             return
         acquired_s = self._clock.monotonic_s()
         # Read after the key was acquired: a previous holder can no longer
-        # change the record.
-        record = self._client.get(
+        # change the records.
+        records = self._client.get_prefix(
             self._duty.record_key, purpose=self._duty.name
         )
-        if isinstance(record, Err):
+        if isinstance(records, Err):
             logger.warning(
-                "record of {} not read: {}",
+                "records of {} not read: {}",
                 self._duty.name,
-                record.err_value.message,
+                records.err_value.message,
             )
             held.close()
             return
@@ -322,13 +367,15 @@
             # set yet, so _on_lost ignored it.
             held.close()
             return
-        self._become_holder(held, created.ok_value, record.ok_value, acquired_s)
+        self._become_holder(
+            held, created.ok_value, records.ok_value, acquired_s
+        )
 
     def _become_holder(
         self,
         held: lease.LeaseHolder,
         key: key_value.KeyValue,
-        record: key_value.KeyValue | None,
+        records: list[key_value.KeyValue],
         acquired_s: float,
     ) -> None:
         delay = takeover_delay.TakeoverDelay(
@@ -345,12 +392,13 @@
         takeover = takeover_delay.Takeover(
             acquired_s,
             predecessor_unsettled=(
-                record is not None or self._client.era != era.NO_ERA
+                bool(records) or self._client.era != era.NO_ERA
             ),
         )
         self._may_send_from_s = delay.ends_s(takeover, self._duty.name)
-        self._record_revision = record.mod_revision if record else 0
-        self._last_record = record.value if record else None
+        self._records = {
+            one.key: _Record(one.mod_revision, one.value) for one in records
+        }
         self._lease = held
         guard = key_value.Guard(self._duty.holder_key, key.mod_revision)
         number = self._client.era * ERA_NUMBERS_COUNT + key.create_revision
@@ -380,3 +428,30 @@
         logger.warning(
             "this VM has the duty {} no more: {}", self._duty.name, reason
         )
+
+
+class DutyTask:
+    """One task of a duty, with a write-ahead record of its own."""
+
+    def __init__(self, holder: DutyHolder, task: str):
+        """Creates it; its owner starts and closes the holder.
+
+        Args:
+            holder: Holds the duty.
+            task: Name of the task, part of the key of its record.
+        """
+        self._holder = holder
+        self._task = task
+
+    @property
+    def last_record(self) -> bytes | None:
+        """The latest record written by this holder or read at takeover."""
+        return self._holder.last_task_record(self._task)
+
+    def authority(self) -> Result[Authority, errors.AuthorityLostError]:
+        """Returns the authority if it is held and may be used now."""
+        return self._holder.authority()
+
+    def record(self, value: bytes) -> Result[None, errors.PlatformError]:
+        """Records a request of the task before it is sent."""
+        return self._holder.record(value, self._task)
