Encode and send orders of engines to the operators' platform

The platform accepts `POST /scale`, which no gateway sent. The client now sends such an order, and tells apart a refusal that may be a stale fencing number or a lack of engines, too many calls, and a missing response. The test of the wire names also covers those of scaling. tests.test_platform_names, tests.test_errors and tests.test_usage passed.

--- a/src/mulberrywharf/duties/client.py
+++ b/src/mulberrywharf/duties/client.py
@@ -15,6 +15,7 @@
 from mulberrywharf.engines import orders
 
 _STALE_FENCING_STATUS = 409
+_TOO_MANY_CALLS_STATUS = 429
 _OK_STATUSES = (200, 202)
 
 _calls_total = metrics.counter(
@@ -35,6 +36,22 @@
     counts: Mapping[str, int]
 
 
+class ServiceOrder(NamedTuple):
+    """Number of engines of one kind that a service is to have in a zone.
+
+    Attributes:
+        service: Name of the service.
+        availability_zone: The zone.
+        is_reclaimable: Whether reclaimable engines are ordered.
+        desired_count: Their absolute number.
+    """
+
+    service: str
+    availability_zone: str
+    is_reclaimable: bool
+    desired_count: int
+
+
 class DutyCall(NamedTuple):
     """An encoded call.
 
@@ -70,6 +87,12 @@
         """Returns the call that reports usage."""
         ...
 
+    def encode_capacity(
+        self, order: ServiceOrder, identity: HolderIdentity
+    ) -> DutyCall:
+        """Returns the call that orders engines."""
+        ...
+
 
 class DutyClient:
     """Sends each call on a separate connection."""
@@ -111,6 +134,27 @@
         """
         return self._send("usage", self._dialect.encode_usage(report, identity))
 
+    def order_engines(
+        self, order: ServiceOrder, identity: HolderIdentity
+    ) -> Result[None, errors.MulberryError]:
+        """Orders engines; sending an identical order again is safe.
+
+        Returns:
+            Nothing if the platform accepted the order.
+            ConflictingOrderError if another gateway has the duty or no such
+            engines are available now, which the response does not tell apart.
+            TooManyCallsError if the order was not accepted and may be sent
+            again later. Another error if it may have been accepted.
+        """
+        sent = self._send(
+            "capacity", self._dialect.encode_capacity(order, identity)
+        )
+        if isinstance(sent, Err) and isinstance(
+            sent.err_value, errors.StaleFencingNumberError
+        ):
+            return Err(errors.ConflictingOrderError(sent.err_value.message))
+        return sent
+
     def _send(
         self, duty: str, call: DutyCall
     ) -> Result[None, errors.MulberryError]:
@@ -138,4 +182,6 @@
     message = f"{path} answered {status}"
     if status == _STALE_FENCING_STATUS:
         return Err(errors.StaleFencingNumberError(message))
+    if status == _TOO_MANY_CALLS_STATUS:
+        return Err(errors.TooManyCallsError(message))
     return Err(errors.PlatformUnavailableError(message))
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -412,6 +412,20 @@
     )
 
 
+class ConflictingOrderError(OrderRefusedError):
+    """The platform refused an order of engines.
+
+    Another gateway has ordered with a higher fencing number, or no engines of
+    that kind are available.
+    """
+
+    code = "conflicting-order"
+    advice = (
+        "None needed while the gateway still holds the duty; engines are "
+        "ordered elsewhere until the platform has some again."
+    )
+
+
 class OrderOutcomeUnknownError(EngineError):
     """An order was sent but not answered; the engine's state must be read."""
 
@@ -446,6 +460,13 @@
     advice = "The fleet keeps its last accepted state; retry later."
 
 
+class TooManyCallsError(PlatformError):
+    """The operators' platform refused a call because there were too many."""
+
+    code = "too-many-calls"
+    advice = "None needed; the call is sent again later."
+
+
 class WriteOutcomeUnknownError(PlatformError):
     """A write was sent but its answer was lost; it may have been applied."""
 
--- a/src/mulberrywharf/platform/duties.py
+++ b/src/mulberrywharf/platform/duties.py
@@ -16,6 +16,19 @@
         body = {"window-number": report.window, "counts": dict(report.counts)}
         return _call("/usage", body, identity)
 
+    def encode_capacity(
+        self, order: client.ServiceOrder, identity: client.HolderIdentity
+    ) -> client.DutyCall:
+        """Returns the call that orders engines."""
+        body: dict[str, object] = {
+            "service": order.service,
+            "zone": order.availability_zone,
+            "desired-count": order.desired_count,
+        }
+        if order.is_reclaimable:
+            body["spot"] = True
+        return _call("/scale", body, identity)
+
 
 def _call(
     path: str, body: dict[str, object], identity: client.HolderIdentity
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -22,6 +22,13 @@
     r"fencing-token",
     r"allow-stale",
     r"handle-ttl",
+    r"min-instances",
+    r"max-instances",
+    r"zone-prices",
+    r"spot-price",
+    r"desired-count",
+    r"leaves_ms",
+    r"\bspot\b",
 )
 
 
