Order engines from the gateway that holds the duty

No engine was ever ordered. The holder of the duty that reports usage now builds a view of each service that has `scaling` once a second, calls the capacity plan, and records and sends its orders, one a service and zone at a time, repeated until answered. Nothing is ordered from a view that may be stale.

--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -130,6 +130,32 @@
             for service, role in sorted(kinds)
         )
 
+    def busy_decode_engines(self, service: str) -> float | None:
+        """Returns how many engines generation keeps in use, over all zones.
+
+        Slots in use count as fractions of an engine, and waiting requests like
+        running ones. Prefill engines are left out.
+
+        Returns:
+            The number of engines, None if no engine is known.
+        """
+        now_s = self._clock.monotonic_s()
+        engines = [
+            one
+            for one in self._server_by_key.values()
+            if one.service == service
+            and one.role not in (None, "prefill")
+            and not one.is_draining
+        ]
+        if not engines:
+            return None
+        return sum(
+            self._mean_load((service, one.role), now_s).running_share
+            if self._notices.receives_notices_for(one)
+            else self._believed(one, now_s).running_share
+            for one in engines
+        )
+
     def on_notice(self, notice: notice_codec.Notice) -> None:
         """Applies the loads in another gateway's notice."""
         now_s = self._clock.monotonic_s()
--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -28,6 +28,10 @@
 
 _RECEIVE_RETRY_DELAY_S = 0.002
 
+_SENDERS_LIMIT_COUNT = 2_000
+"""Maximum number of senders whose last datagram is remembered, more than the
+gateways of a fleet. Ports of gateways that have restarted stay until then."""
+
 Kind = Literal[b"n", b"q", b"c", b"u", b"f", b"l", b"t"]
 """Kind byte of a datagram.
 
@@ -84,6 +88,7 @@
         self.budget = token_bucket.TokenBucket(
             SENT_BYTES_PER_S, SENT_BURST_BYTES, system_clock.monotonic_s()
         )
+        self._heard_s: dict[fleet.Address, float] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._receive_task: gevent.Greenlet | None = None
 
@@ -99,6 +104,10 @@
         """
         self._handlers[kind] = handler
 
+    def heard_s(self, sender: fleet.Address) -> float:
+        """Returns the monotonic time of a sender's last datagram, or -inf."""
+        return self._heard_s.get(sender, float("-inf"))
+
     def start(self) -> None:
         """Binds the socket and starts receiving."""
         self._socket.bind((self._listen.ip, self._listen.port))
@@ -164,9 +173,16 @@
         # throws an exception during its cleanup. The checksum ensures that only
         # bytes that a gateway encoded reach the decoder.
         is_intact = datagram == frame_datagram(kind, body)
+        if is_intact:
+            self._note_heard(source)
         is_decoded = handler is not None and is_intact and handler(body, source)
         _received.inc({"result": "ok" if is_decoded else "malformed"})
 
+    def _note_heard(self, source: fleet.Address) -> None:
+        if len(self._heard_s) >= _SENDERS_LIMIT_COUNT:
+            self._heard_s.clear()
+        self._heard_s[source] = self._clock.monotonic_s()
+
 
 def frame_datagram(kind: bytes, body: bytes) -> bytes:
     """Returns the datagram: the kind byte, a checksum and the body."""
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -120,6 +120,7 @@
         self._incarnation = incarnation
         self._registrations_count = 0
         self._is_registered = False
+        self._has_read = False
         self._own_value = f"{own_address}/{availability_zone}".encode()
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
@@ -152,6 +153,11 @@
         """Number of all gateways, including this one."""
         return 1 + len(self._peers_by_vm)
 
+    @property
+    def has_read(self) -> bool:
+        """Whether the registrations of the other gateways were read once."""
+        return self._has_read
+
     @property
     def is_registered(self) -> bool:
         """Whether this gateway is registered, so that others can notify it."""
@@ -199,6 +205,14 @@
         """Returns the datagram addresses of all other gateways."""
         return tuple(peer.address for peer in self._peers_by_vm.values())
 
+    def other_zone_addresses(self) -> tuple[fleet.Address, ...]:
+        """Returns the datagram addresses of the gateways of other zones."""
+        return tuple(
+            peer.address
+            for peer in self._peers_by_vm.values()
+            if peer.availability_zone != self._availability_zone
+        )
+
     def recent_addresses(self) -> tuple[fleet.Address, ...]:
         """Returns the addresses of current and recently removed gateways.
 
@@ -436,6 +450,7 @@
             # and claim all retries and all traffic for itself.
             by_vm = {**self._peers_by_vm, **by_vm}
         self._rank_gateways(by_vm)
+        self._has_read = True
         if by_vm == self._peers_by_vm:
             return
         removed_s = time.monotonic()
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -19,9 +19,7 @@
 )
 from mulberrywharf.authority import duty_holder, role_manager
 from mulberrywharf.callers import listener, routed_server
-from mulberrywharf.customers import authentication, usage
-from mulberrywharf.duties import client as duty_client
-from mulberrywharf.duties import usage_reporter
+from mulberrywharf.customers import authentication
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
     engine_estimates,
@@ -42,11 +40,11 @@
     notices,
     queue_owners,
     revision_exchange,
-    usage_exchange,
 )
 from mulberrywharf.platform import documents, duties, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
 from mulberrywharf.policy import crash_suspects, repeat_budget
+from mulberrywharf.programs import _gateway_duties
 from mulberrywharf.routes import follower, freshness, table
 
 STORE_TIMEOUT_S = 1.0
@@ -60,11 +58,6 @@
 
 _MS_PER_S = 1000.0
 READINESS_INTERVAL_S = 0.2
-DUTY_TIMING = duty_holder.HolderTiming(lease_ttl_s=3.0, check_interval_s=1.5)
-"""Lease timing of the usage duty. A report is due about ten seconds after the
-end of its window; a successor takes over from a failed duty holder within
-five."""
-
 MIN_GATEWAYS_COUNT = 12
 """Minimum number of gateways that share the allowance of repeats: the nine
 entry VMs of a current operator and one spare in each availability zone. A
@@ -177,12 +170,21 @@
         self._servers.on_change(self._revision_exchange.on_change)
         self._routes.on_change(lambda _: self._revision_exchange.on_change())
         self._listener = _listener(config)
-        self._duties: tuple[
-            usage_reporter.UsageReporter | duty_holder.DutyHolder, ...
-        ] = ()
-        self._usage_exchange: usage_exchange.UsageExchange | None = None
-        on_request_started = self._usage_parts()
-        self._callers = self._routed_server(on_request_started)
+        self._duties = _gateway_duties.create(
+            config,
+            _gateway_duties.Dependencies(
+                self._store,
+                self._peers,
+                self._notices.socket,
+                self._routes,
+                self._servers,
+                self._estimates,
+                self._clock,
+                self._rng,
+            ),
+            duties.DutyDialect(),
+        )
+        self._callers = self._routed_server(self._duties.count_request)
         self._readiness = readiness.ReadinessServer(
             **gateway_settings.endpoint(config["operators_listen"])
         )
@@ -212,9 +214,7 @@
         self._notices.start()
         self._crash_records.start()
         self._revision_exchange.start()
-        if self._usage_exchange is not None:
-            self._usage_exchange.start()
-        for part in (*self._roles, *self._duties):
+        for part in (*self._roles, self._duties):
             part.start()
         self._listener.start()
         self._readiness_greenlet = gevent.spawn(self._update_readiness)
@@ -242,7 +242,7 @@
         self._readiness.ready = False
         # Closed before the drain: the next holder of the usage duty also
         # collects the counts of this gateway.
-        for part in (*self._roles, *self._duties):
+        for part in (*self._roles, self._duties):
             part.close()
         self._listener.announce_stop()
         gevent.sleep(min(DRAIN_NOTICE_S, self._config["grace_s"] / 3))
@@ -255,10 +255,9 @@
 
     def close(self) -> None:
         """Closes all parts without waiting for requests."""
-        for part in (*self._roles, *self._duties):
+        for part in (*self._roles, self._duties):
             part.close()
-        if self._usage_exchange is not None:
-            self._usage_exchange.close()
+        self._duties.close_exchange()
         self._freshness.close()
         self._revision_exchange.close()
         self._crash_records.close()
@@ -362,60 +361,6 @@
         known = routes.services.get(service) if routes else None
         return known.engine.kv_tokens if known and known.engine else 0
 
-    def _usage_parts(self) -> Callable[[str], None]:
-        """Creates the parts that report usage.
-
-        Returns:
-            A function that counts a request of the customer it is given. It
-            does nothing if the settings do not ask for usage reports.
-        """
-        settings = self._config.get("duties")
-        if settings is None or "usage" not in settings:
-            return lambda customer: None
-        window_timing = usage_reporter.WindowTiming(
-            settings["usage"]["window_s"], settings["usage"]["late_s"]
-        )
-        wall_clock = usage.MonotonicWallClock()
-        counts = usage.UsageCounts(window_timing.length_s, wall_clock)
-        exchange = usage_exchange.UsageExchange(
-            self._peers,
-            self._notices.socket,
-            counts,
-            self._rng.getrandbits(32),
-            window_timing.length_s,
-            wall_clock.unix_s,
-        )
-        holder = duty_holder.DutyHolder(
-            self._store,
-            self._config["vm_id"],
-            min_lease_s=settings["lease_ms"] / _MS_PER_S,
-            timing=DUTY_TIMING,
-            duty=duty_holder.Duty(
-                "usage",
-                "mulberrywharf/usage/",
-                is_fencing_checked=settings["checks_fencing"],
-            ),
-            is_candidate=lambda: self._peers.is_reader,
-        )
-        platform = gateway_settings.endpoint(settings["platform"])
-        client = duty_client.DutyClient(
-            fleet.Address(platform["ip"], platform["port"]),
-            duties.DutyDialect(),
-            user_timeout_s=duty_holder.USER_TIMEOUT_S,
-            before_send=holder.check,
-        )
-        reporter = usage_reporter.UsageReporter(
-            holder,
-            exchange,
-            client,
-            self._config["vm_id"],
-            window_timing,
-            wall_clock,
-        )
-        self._duties = (reporter, holder)
-        self._usage_exchange = exchange
-        return counts.count_request
-
     def _routed_server(
         self, on_request_started: Callable[[str], None]
     ) -> routed_server.RoutedServer:
