Order no role of a leaving engine, and note the first prefill share

An engine that started to leave between its report and the order was still ordered to change its role. It is now checked against the list right before the order. Where engines are ordered, the share of prefill engines in the first full view is noted by every gateway, for the minimum that role_manager.make_split will pass to RoleSplit.

--- a/src/mulberrywharf/authority/role_manager.py
+++ b/src/mulberrywharf/authority/role_manager.py
@@ -15,7 +15,7 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import clock, errors, fleet, metrics
-from mulberrywharf.authority import duty_holder
+from mulberrywharf.authority import duty_holder, initial_roles
 from mulberrywharf.engines import role_orders
 from mulberrywharf.policy import role_split
 
@@ -56,7 +56,8 @@
     def accepts_calls(self, server: fleet.Server) -> bool:
         """Tells whether this gateway may send an engine anything now.
 
-        It may not until the engine's last Retry-After has passed.
+        It may not until the engine's last Retry-After has passed, and not once
+        the engine is leaving.
         """
         ...
 
@@ -75,6 +76,14 @@
         """
         ...
 
+    def is_complete(self) -> bool:
+        """Tells whether all engines were read since the start."""
+        ...
+
+    def is_scaled(self, service: str) -> bool:
+        """Tells whether engines of a service are ordered and released."""
+        ...
+
 
 class RolesDutyHolder(Protocol):
     """Holds the duty of ordering roles."""
@@ -139,7 +148,8 @@
         self._clock = system_clock
         self._on_accepted = on_accepted
         self._on_restarted = on_restarted
-        self._splits: dict[str, role_split.RoleSplit] = {}
+        self._splits: dict[str, tuple[float | None, role_split.RoleSplit]] = {}
+        self._initial_shares = initial_roles.InitialPrefillShares()
         self._awaited_order: _SentOrder | None = None
         self._last_orders: dict[fleet.ServerStart, _SentOrder] = {}
         self._last_reason: dict[str, str] = {}
@@ -159,6 +169,7 @@
     def _run(self) -> None:
         while True:
             gevent.sleep(ROUND_INTERVAL_S)
+            self.note_initial_shares()
             if isinstance(self._holder.authority(), Err):
                 # Another gateway may send orders until this one holds the duty
                 # again, so the state of earlier rounds is dropped.
@@ -169,6 +180,19 @@
             for service, servers in self._engines.engines().items():
                 self.round(service, servers)
 
+    def note_initial_shares(self) -> None:
+        """Notes the prefill share of each service whose engines are ordered.
+
+        Gateways that don't hold the duty note it too: when they take over,
+        engines that started since then have changed it.
+        """
+        if not self._engines.is_complete():
+            return
+        now_s = self._clock.monotonic_s()
+        for service, servers in self._engines.engines().items():
+            if self._engines.is_scaled(service):
+                self._initial_shares.note(service, servers, now_s)
+
     def round(self, service: str, servers: Sequence[fleet.Server]) -> None:
         """Reads the engines of one service and orders one if necessary."""
         reports = self._reports(servers)
@@ -219,8 +243,7 @@
             for one in servers
             if one.start in reports
         ]
-        split = self._splits.setdefault(service, role_split.RoleSplit())
-        decision = split.decide(
+        decision = self._split(service).decide(
             loads, self._engines.wanted_prefill(service), now_s
         )
         if self._awaited_order is not None:
@@ -229,6 +252,18 @@
             return role_split.Stay("the list of engines may be old")
         return decision
 
+    def _split(self, service: str) -> role_split.RoleSplit:
+        """Returns the split of a service, a new one if its minimum changed."""
+        share = (
+            self._initial_shares.share(service)
+            if self._engines.is_scaled(service)
+            else None
+        )
+        known = self._splits.get(service)
+        if known is None or known[0] != share:
+            known = self._splits[service] = share, make_split(share)
+        return known[1]
+
     def _engine_load(
         self,
         server: fleet.Server,
@@ -334,6 +369,17 @@
         ).info("roles: {}", reason)
 
 
+def make_split(min_prefill_share: float | None) -> role_split.RoleSplit:
+    """Creates the split of a service.
+
+    Args:
+        min_prefill_share: Share of its engines that are to be prefill engines
+            at least, None for no minimum.
+    """
+    del min_prefill_share
+    return role_split.RoleSplit()
+
+
 def _both_start_times_known(
     one: fleet.ServerStart, other: fleet.ServerStart
 ) -> bool:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -451,9 +451,12 @@
     def accepts_calls(self, server: fleet.Server) -> bool:
         """Returns whether this gateway may send anything to an engine now.
 
-        It may not until the engine's last Retry-After has passed, and only
-        within the engine's request limit.
+        It may not until the engine's last Retry-After has passed, not once the
+        engine is leaving, and only within the engine's request limit.
         """
+        known = self._servers.find(server.server_id)
+        if known is None or known.is_draining or known.start != server.start:
+            return False
         is_paused = self._tracker.is_paused(
             server.start, self._clock.monotonic_s()
         )
@@ -466,6 +469,15 @@
         """Returns the time since the store's last outage, inf before any."""
         return self._client.outage_age_s()
 
+    def is_complete(self) -> bool:
+        """Returns whether all engines were read since the start."""
+        return self._servers.is_complete
+
+    def is_scaled(self, service: str) -> bool:
+        """Returns whether engines of a service are ordered and released."""
+        routes = self._routes.current()
+        return routes is not None and service in routes.scaled_services()
+
     def wanted_prefill(self, service: str) -> float | None:
         """Returns how many prefill engines all callers' prompts keep busy.
 
--- a/tests/test_role_manager.py
+++ b/tests/test_role_manager.py
@@ -54,6 +54,7 @@
     age_s = 1000.0
     wanted = 1.4
     blocked_ids: frozenset[str] = frozenset()
+    scaled: frozenset[str] = frozenset()
 
     def engines(self) -> dict[str, tuple[fleet.Server, ...]]:
         return {}
@@ -64,6 +65,12 @@
     def outage_age_s(self) -> float:
         return self.age_s
 
+    def is_complete(self) -> bool:
+        return True
+
+    def is_scaled(self, service: str) -> bool:
+        return service in self.scaled
+
     def wanted_prefill(self, service: str) -> float | None:
         return self.wanted
 
@@ -160,6 +167,25 @@
         self.rounds(3)
         self.assertEqual([one.requests for one in self.scripted], [[]] * 4)
 
+    def test_engine_that_starts_to_leave_is_not_ordered(self) -> None:
+        """Guards against an order to an engine that leaves since its report."""
+
+        def record(value: bytes) -> Result[None, errors.PlatformError]:
+            self.fail("an order was recorded")
+
+        self.holder.record = record  # type: ignore[method-assign]
+        reports = self.manager._reports
+
+        def leave_after_report(servers: Any) -> Any:
+            self.listed.blocked_ids = frozenset()
+            found = reports(servers)
+            self.listed.blocked_ids = frozenset({"e1", "e2", "e3"})
+            return found
+
+        self.manager._reports = leave_after_report  # type: ignore[method-assign]
+        self.rounds(12)
+        self.assertEqual(self.sent(), [])
+
     def test_order_expects_the_count_in_the_report(self) -> None:
         self.rounds(8)
         (order,) = self.sent()
