Group draining servers and decode engines by service once

The round of capacity orders scanned all servers for each service, 28 times a second at 850 servers. The lists are now grouped when the servers change. tests.test_server_list, tests.test_engine_estimates and tests.test_capacity_orders passed.

--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -68,6 +68,7 @@
         self._clock = system_clock
         self._server_by_key: dict[int, fleet.Server] = {}
         self._zone_by_start: dict[fleet.ServerStart, str] = {}
+        self._decode_engines: dict[str, list[fleet.Server]] = {}
         self._mean_loads: dict[
             _ServiceRole, tuple[load_estimates.Load, float]
         ] = {}
@@ -84,6 +85,11 @@
             for server in known.values()
             if server.role is not None
         }
+        self._decode_engines = {}
+        for server in known.values():
+            if server.role not in (None, "prefill") and not server.is_draining:
+                engines = self._decode_engines.setdefault(server.service, [])
+                engines.append(server)
 
     def load(
         self, candidate: server_choice.Candidate, now_s: float
@@ -140,13 +146,7 @@
             The number of engines, None if no engine is known.
         """
         now_s = self._clock.monotonic_s()
-        engines = [
-            one
-            for one in self._server_by_key.values()
-            if one.service == service
-            and one.role not in (None, "prefill")
-            and not one.is_draining
-        ]
+        engines = self._decode_engines.get(service)
         if not engines:
             return None
         return sum(
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -113,6 +113,7 @@
         self._clock = system_clock or clock.SystemClock()
         self._by_id: dict[str, fleet.Server] = {}
         self._by_service: dict[str, tuple[fleet.Server, ...]] = {}
+        self._draining: dict[str, tuple[fleet.Server, ...]] = {}
         self._missing: dict[str, gevent.Greenlet] = {}
         self._unreadable: set[str] = set()
         self._ended = server_starts.EndedStarts()
@@ -154,6 +155,10 @@
         """Returns the servers of a service that may get new requests."""
         return self._by_service.get(service, ())
 
+    def draining(self, service: str) -> tuple[fleet.Server, ...]:
+        """Returns the servers of a service that are about to leave."""
+        return self._draining.get(service, ())
+
     def find(self, server_id: str) -> fleet.Server | None:
         """Returns a known server by its id, None if there is none."""
         return self._by_id.get(server_id)
@@ -323,6 +328,7 @@
             state: Its new state or why it was dropped, for the log.
         """
         by_service: dict[str, list[fleet.Server]] = {}
+        draining: dict[str, list[fleet.Server]] = {}
         most_report_start = self._most_report_start()
         for known in self._by_id.values():
             of_service = by_service.setdefault(known.service, [])
@@ -331,10 +337,15 @@
             )
             if is_own_record and not known.is_draining:
                 of_service.append(known)
+            elif is_own_record:
+                draining.setdefault(known.service, []).append(known)
         self._by_service = {
             service: tuple(sorted(found, key=lambda one: one.server_id))
             for service, found in by_service.items()
         }
+        self._draining = {
+            service: tuple(found) for service, found in draining.items()
+        }
         for service, found in self._by_service.items():
             _servers_gauge.set({"service": service}, len(found))
         logger.bind(
--- a/src/mulberrywharf/programs/_gateway_duties.py
+++ b/src/mulberrywharf/programs/_gateway_duties.py
@@ -196,12 +196,8 @@
 
     def engines(self, service: str) -> Sequence[fleet.Server]:
         """Returns the engines of a service, also those that are leaving."""
-        leaving = (
-            one
-            for one in self._parts.servers.all()
-            if one.service == service and one.is_draining
-        )
-        return (*self._parts.servers.usable(service), *leaving)
+        listed = self._parts.servers
+        return (*listed.usable(service), *listed.draining(service))
 
     def demand(self, service: str) -> capacity_plan.CapacityDemand | None:
         """Returns the demand, None while it is not known."""
