--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -68,6 +68,7 @@
         self._clock = system_clock
         self._server_by_key: dict[int, fleet.Server] = {}
         self._zone_by_start: dict[fleet.ServerStart, str] = {}
+        self._decode_engines: dict[str, list[fleet.Server]] = {}
         self._mean_loads: dict[
             _ServiceRole, tuple[load_estimates.Load, float]
         ] = {}
@@ -84,6 +85,11 @@
             for server in known.values()
             if server.role is not None
         }
+        self._decode_engines = {}
+        for server in known.values():
+            if server.role not in (None, "prefill") and not server.is_draining:
+                engines = self._decode_engines.setdefault(server.service, [])
+                engines.append(server)
 
     def load(
         self, candidate: server_choice.Candidate, now_s: float
@@ -130,6 +136,26 @@
             for service, role in sorted(kinds)
         )
 
+    def busy_decode_engines(self, service: str) -> float | None:
+        """Returns how many engines generation keeps in use, over all zones.
+
+        Slots in use count as fractions of an engine, and waiting requests like
+        running ones. Prefill engines are left out.
+
+        Returns:
+            The number of engines, None if no engine is known.
+        """
+        now_s = self._clock.monotonic_s()
+        engines = self._decode_engines.get(service)
+        if not engines:
+            return None
+        return sum(
+            self._mean_load((service, one.role), now_s).running_share
+            if self._notices.receives_notices_for(one)
+            else self._believed(one, now_s).running_share
+            for one in engines
+        )
+
     def on_notice(self, notice: notice_codec.Notice) -> None:
         """Applies the loads in another gateway's notice."""
         now_s = self._clock.monotonic_s()
