--- a/src/mulberrywharf/authority/role_manager.py
+++ b/src/mulberrywharf/authority/role_manager.py
@@ -376,8 +376,7 @@
         min_prefill_share: Share of its engines that are to be prefill engines
             at least, None for no minimum.
     """
-    del min_prefill_share
-    return role_split.RoleSplit()
+    return role_split.RoleSplit(min_prefill_share)
 
 
 def _both_start_times_known(
