Keep regular engines of a zone that was cut off as the plan began

The floor of regular engines was read once, when the plan began. A holder that took over while a zone was cut off found none there, and gave all of them back when the zone had returned. The floor now follows what the zone has or has ordered. The new test fails without the change.

--- a/src/mulberrywharf/policy/capacity_plan.py
+++ b/src/mulberrywharf/policy/capacity_plan.py
@@ -177,6 +177,7 @@
         self._note_losses(seen)
         if not self._note_found(seen):
             return []
+        self._note_floors(seen)
         if demand is not None:
             self._totals.note_demand(*demand, now_s)
         self._totals.grow(
@@ -243,11 +244,19 @@
             )
             if name not in by_zone or zone.regular_count > by_zone[name]:
                 by_zone[name] = found_count
+        return True
+
+    def _note_floors(self, seen: _Round) -> None:
+        """Notes the regular engines that each zone keeps.
+
+        A zone may have had none when the plan began, as it was cut off.
+        """
+        for zone in seen.zones:
+            name = zone.availability_zone
+            had_count = max(zone.regular_count, _desired_count(zone, False))
             self._floors[name] = min(
-                REGULAR_FLOOR,
-                max(self._floors.get(name, 0), zone.regular_count),
+                REGULAR_FLOOR, max(self._floors.get(name, 0), had_count)
             )
-        return True
 
     def _plans(self, seen: _Round) -> dict[str, _ZonePlan]:
         plans = {
--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -158,6 +158,17 @@
         fleet.run(20)
         self.assertEqual((fleet.total, fleet.lowest_total), (24, 24))
 
+    def test_next_holder_keeps_regular_engines_of_a_zone_cut_off(self) -> None:
+        """A zone has no regular engines after it was cut off for a while."""
+        fleet = replaced(MODERATE)
+        fleet.counts["a", False] = fleet.counts["a", True] = 0
+        fleet.plan = capacity_plan.CapacityPlan()
+        fleet.run(5)
+        fleet.coming.clear()
+        fleet.counts["a", False], fleet.counts["a", True] = 2, 4
+        fleet.run(100)
+        self.assertEqual(fleet.counts["a", False], 2)
+
     def test_without_a_price_of_reclaimable_engines_nothing_is_ordered(
         self,
     ) -> None:
