Keep what the plan knows of vanished engines with that of ordered ones

Which engines vanished without an order is now noted in capacity_arrivals, beside which may still come.

--- a/src/mulberrywharf/policy/capacity_arrivals.py
+++ b/src/mulberrywharf/policy/capacity_arrivals.py
@@ -24,27 +24,44 @@
 
 
 class CapacityArrivals:
-    """The orders of one service by zone and kind."""
+    """The engines of one service that come and go, by zone and kind."""
 
     def __init__(self) -> None:
         self._ordered: dict[EngineKind, _Ordered] = {}
-
-    def note(self, kind: EngineKind, count: int | None, now_s: float) -> None:
-        """Notes the number that is ordered now, None if there is none."""
+        self._present: dict[EngineKind, int] = {}
+        self._lost_at_s: dict[EngineKind, float] = {}
+
+    def note(
+        self,
+        kind: EngineKind,
+        present_count: int,
+        ordered_count: int | None,
+        now_s: float,
+    ) -> None:
+        """Notes the engines that serve, and how many are ordered if any."""
         known = self._ordered.get(kind)
-        if count is None:
+        if ordered_count is None:
             self._ordered.pop(kind, None)
-        elif known is None or known.wanted_count != count:
-            self._ordered[kind] = _Ordered(count, now_s, now_s)
-
-    def note_lost(self, kind: EngineKind) -> None:
+        elif known is None or known.wanted_count != ordered_count:
+            self._ordered[kind] = _Ordered(ordered_count, now_s, now_s)
+        is_wanted = ordered_count is None or present_count < ordered_count
+        if present_count < self._present.get(kind, 0) and is_wanted:
+            self._lost_at_s[kind] = now_s
+            self.note_unavailable(kind)
+        self._present[kind] = present_count
+
+    def note_unavailable(self, kind: EngineKind) -> None:
         """Notes that engines were refused or taken back, so none is coming."""
         known = self._ordered.get(kind)
         if known is not None:
-            self._ordered[kind] = _Ordered(
-                known.wanted_count, -math.inf, -math.inf
+            self._ordered[kind] = known._replace(
+                since_s=-math.inf, repeated_s=-math.inf
             )
 
+    def lost_at_s(self, kind: EngineKind) -> float:
+        """Returns when engines last vanished without an order."""
+        return self._lost_at_s.get(kind, -math.inf)
+
     def note_repeated(self, kind: EngineKind, now_s: float) -> None:
         """Notes that an order was repeated.
 
--- a/src/mulberrywharf/policy/capacity_plan.py
+++ b/src/mulberrywharf/policy/capacity_plan.py
@@ -152,8 +152,6 @@
         self._floors: dict[str, int] = {}
         self._found: list[tuple[int, int]] = []
         self._found_at_s = 0.0
-        self._seen_reclaimable: dict[str, int] = {}
-        self._lost_at_s: dict[str, float] = {}
         self._arrivals = capacity_arrivals.CapacityArrivals()
         self._released_at_s = -math.inf
         self._raised_at_s = -math.inf
@@ -179,8 +177,7 @@
             now_s: The current time.
         """
         seen = _Round(bounds, zones, unavailable, now_s)
-        self._note_orders(seen)
-        self._note_losses(seen)
+        self._note_arrivals(seen)
         if not self._note_found(seen):
             return []
         self._note_floors(seen)
@@ -203,25 +200,18 @@
             orders += self._raises(seen, zone, plans[zone.availability_zone])
         return orders + self._releases(seen, plans)
 
-    def _note_orders(self, seen: _Round) -> None:
+    def _note_arrivals(self, seen: _Round) -> None:
         for zone in seen.zones:
             for is_reclaimable in (False, True):
                 kind = Unavailable(zone.availability_zone, is_reclaimable)
-                ordered = _ordered_count(zone, is_reclaimable)
-                self._arrivals.note(kind, ordered, seen.now_s)
+                self._arrivals.note(
+                    kind,
+                    _present_count(zone, is_reclaimable),
+                    _ordered_count(zone, is_reclaimable),
+                    seen.now_s,
+                )
                 if kind in seen.unavailable:
-                    self._arrivals.note_lost(kind)
-
-    def _note_losses(self, seen: _Round) -> None:
-        """Notes reclaimable engines that vanished without an order."""
-        for zone in seen.zones:
-            name, count = zone.availability_zone, zone.reclaimable_count
-            seen_count = self._seen_reclaimable.get(name, 0)
-            ordered = zone.reclaimable_ordered_count
-            if count < seen_count and (ordered is None or count < ordered):
-                self._lost_at_s[name] = seen.now_s
-                self._arrivals.note_lost((name, True))
-            self._seen_reclaimable[name] = count
+                    self._arrivals.note_unavailable(kind)
 
     def _note_found(self, seen: _Round) -> bool:
         """Notes the engines to start from; returns whether they are known."""
@@ -313,10 +303,10 @@
         Before traffic they are ordered again at once: only a refusal shows that
         there are none, and no callers wait for the outcome.
         """
-        if Unavailable(name, True) in seen.unavailable:
+        kind = Unavailable(name, True)
+        if kind in seen.unavailable:
             return True
-        lost_at_s = self._lost_at_s.get(name, -math.inf)
-        is_recent = seen.now_s - lost_at_s < LOST_WAIT_S
+        is_recent = seen.now_s - self._arrivals.lost_at_s(kind) < LOST_WAIT_S
         return is_recent and self._totals.is_demand_known
 
     def _fill_with_regular(
