--- a/src/mulberrywharf/duties/capacity_orders.py
+++ b/src/mulberrywharf/duties/capacity_orders.py
@@ -28,6 +28,10 @@
 loss of all reclaimable engines of a zone, none are available for some seconds,
 and each call counts toward the platform's limit on duty calls."""
 
+MIN_REPEAT_INTERVAL_S = 2.0
+"""Time after its answer before an order may be repeated because its engines are
+missing. The list of engines may be a heartbeat old."""
+
 MAX_UNANSWERED_COUNT = 1
 """Unanswered orders with which other zones are still planned. One may fail for
 a reason of its own; with more, the platform is unavailable, and orders planned
@@ -251,9 +255,7 @@
             bounds, zones, demand, self._recently_refused(service, now_s), now_s
         )
         orders = [
-            one
-            for one in planned
-            if self._is_due(service, one, present, bounds.boot_s, now_s)
+            one for one in planned if self._is_due(service, one, present, now_s)
         ]
         if orders:
             _log_plan(service, demand, zones, orders)
@@ -307,13 +309,14 @@
         service: str,
         planned: capacity_plan.CapacityOrder,
         present: Mapping[str, _Presence],
-        boot_s: float,
         now_s: float,
     ) -> bool:
         """Returns whether a planned order is to be sent now.
 
         It is not while another order of its zone has no answer, while the
-        platform has no such engines, and if it changes nothing.
+        platform has no such engines, and if nothing was ever ordered and it
+        asks for what is there. The number that was last ordered repeats the
+        order.
         """
         zone, kind = planned.availability_zone, planned.is_reclaimable
         subject = capacity_records.Subject(service, zone, kind)
@@ -325,12 +328,13 @@
             and planned.desired_count > present_count
         ):
             return False
-        if not self._book.has_any(subject):
+        known = self._book.find(subject)
+        if known is None:
             return planned.desired_count != present_count
-        valid_count = self._book.valid_count(
-            subject, present_count, boot_s, now_s
+        return (
+            planned.desired_count != known.order.desired_count
+            or now_s - known.answered_s >= MIN_REPEAT_INTERVAL_S
         )
-        return planned.desired_count != valid_count
 
     def _order(
         self, service: str, planned: Iterable[capacity_plan.CapacityOrder]
--- a/src/mulberrywharf/duties/capacity_records.py
+++ b/src/mulberrywharf/duties/capacity_records.py
@@ -43,6 +43,8 @@
         has_arrived: Whether exactly the ordered number of engines was present
             since the answer.
         outcome: Outcome of the last attempt to send it, for the log.
+        former: The accepted order that it replaces; in force again if the
+            platform refuses this one.
     """
 
     order: client.ServiceOrder
@@ -50,6 +52,7 @@
     answered_s: float = 0.0
     has_arrived: bool = False
     outcome: str = ""
+    former: "RecordedOrder | None" = None
 
 
 class OrderBook:
@@ -81,7 +84,14 @@
     def put(self, orders: Iterable[client.ServiceOrder]) -> None:
         """Adds orders that are about to be recorded and sent."""
         for order in orders:
-            self._orders[subject_of(order)] = RecordedOrder(order)
+            subject = subject_of(order)
+            known = self._orders.get(subject)
+            former = (
+                known._replace(former=None)
+                if known and known.is_answered
+                else None
+            )
+            self._orders[subject] = RecordedOrder(order, former=former)
 
     def note_accepted(self, order: client.ServiceOrder, now_s: float) -> None:
         """Notes that the platform accepted an order."""
@@ -105,11 +115,13 @@
 
     def drop(self, order: client.ServiceOrder) -> None:
         """Drops an order that the platform refused."""
-        self._orders.pop(subject_of(order), None)
+        refused = self._orders.pop(subject_of(order), None)
+        if refused is not None and refused.former is not None:
+            self._orders[subject_of(order)] = refused.former
 
-    def has_any(self, subject: Subject) -> bool:
-        """Returns whether there is an order of a subject."""
-        return subject in self._orders
+    def find(self, subject: Subject) -> RecordedOrder | None:
+        """Returns the latest order of a subject, None if there is none."""
+        return self._orders.get(subject)
 
     def unanswered(self) -> list[client.ServiceOrder]:
         """Returns the orders to repeat, the longest not tried first."""
--- a/tests/test_capacity_orders.py
+++ b/tests/test_capacity_orders.py
@@ -3,8 +3,10 @@
 import json
 import unittest
 from typing import Any
+from unittest import mock
 
 from mulberrywharf.duties import capacity_orders, capacity_records, client
+from mulberrywharf.policy import capacity_plan
 from tests import builders_capacity as capacity
 from tests import builders_routes as build
 
@@ -105,6 +107,12 @@
         self.plan.targets.update({A_REGULAR: 4, B_REGULAR: 4})
         self.rounds(2)
         recorded_count = self.task.recorded_count
+        self.fleet.scaled = {
+            capacity.SERVICE: capacity.BOUNDS._replace(
+                zone_prices={"zone-a": 1.0, "zone-b": 1.0, "zone-c": 1.0}
+            )
+        }
+        self.plan.targets["zone-c", False] = 1
         self.rounds(8)
         self.assertEqual(len(self.platform.calls), 10)
         self.assertEqual(self.task.recorded_count, recorded_count)
@@ -167,6 +175,27 @@
         self.rounds(1)
         self.assertEqual(self.recorded(self.shared["record"]), [])
 
+    def test_order_before_a_refused_one_stays_in_force(self) -> None:
+        """Guards against replacing engines that are still starting."""
+        self.plan.targets[A_RECLAIMABLE] = 1
+        self.rounds(1)
+        self.platform.unavailable.add(A_RECLAIMABLE)
+        self.plan.targets[A_RECLAIMABLE] = 3
+        self.rounds(2)
+        seen = self.plan.seen[-1][0]["zone-a"]
+        self.assertEqual(
+            (seen.reclaimable_count, seen.reclaimable_ordered_count), (0, 1)
+        )
+
+    def test_plan_may_repeat_an_order(self) -> None:
+        """Guards against engines that are lost while others still start."""
+        self.plan.targets[A_REGULAR] = 4
+        self.rounds(2)
+        order = capacity_plan.CapacityOrder("zone-a", False, 4, "missing")
+        with mock.patch.object(self.plan, "decide", return_value=[order]):
+            self.rounds(4)
+        self.assertEqual(self.sent(), [("zone-a", False, 4)] * 3)
+
     def test_all_reclaimable_engines_of_a_zone_are_taken_back(self) -> None:
         """Guards against waiting for engines that will not come back.
 
