--- a/standins/operators_platform.py
+++ b/standins/operators_platform.py
@@ -38,6 +38,9 @@
         calls: All received calls.
         usage: Accepted counts by window.
         conflicts: Windows that were reported twice with different counts.
+        desired: Accepted numbers of engines by service, zone and whether they
+            are reclaimable.
+        unavailable: Zones and kinds (as in ``desired``) without engines.
         faults: ``status`` rejects every call with that status; ``silent`` waits
             that many seconds and closes the connection; ``lose`` executes a
             call without a response; ``late_s`` executes it after that delay,
@@ -49,6 +52,8 @@
         self.calls: list[DutyCall] = []
         self.usage: dict[int, dict[str, int]] = {}
         self.conflicts: list[int] = []
+        self.desired: dict[tuple[str, str, bool], int] = {}
+        self.unavailable: set[tuple[str, bool]] = set()
         self.faults: dict[str, Any] = {}
         self._highest_numbers: dict[str, int] = {}
         self._server = http_control.make_server(ip, port, self._application)
@@ -88,12 +93,24 @@
         return _http.send_reply(_http.Reply(status, {}), start_response)
 
     def _execute(self, call: DutyCall) -> int:
-        highest = self._highest_numbers.get(call.path, 0)
+        subject = call.path
+        if call.path == "/scale":
+            subject += f"/{call.body['service']}/{call.body['zone']}"
+        highest = self._highest_numbers.get(subject, 0)
         if self.checks_fencing and call.number < highest:
             return 409
-        self._highest_numbers[call.path] = max(highest, call.number)
+        self._highest_numbers[subject] = max(highest, call.number)
+        if call.path == "/scale":
+            return self._scale(call.body)
         window = call.body["window-number"]
         known = self.usage.setdefault(window, call.body["counts"])
         if known != call.body["counts"]:
             self.conflicts.append(window)
         return 200
+
+    def _scale(self, body: dict[str, Any]) -> int:
+        kind = body["zone"], bool(body.get("spot", False))
+        if kind in self.unavailable:
+            return 409
+        self.desired[body["service"], *kind] = body["desired-count"]
+        return 200
--- a/tests/test_duty_holder.py
+++ b/tests/test_duty_holder.py
@@ -122,6 +122,35 @@
         with self.assertRaises(errors.AuthorityLostError):
             holder.check()
 
+    def test_next_holder_reads_the_record_of_each_task(self) -> None:
+        """Guards against a task that overwrites or misses another's record."""
+        first = self.start()
+        self.wait_for(first)
+        self.assertIsInstance(first.record(b"usage"), Ok)
+        task = duty_holder.DutyTask(first, "capacity")
+        for value in (b"order-1", b"order-2"):
+            self.assertIsInstance(task.record(value), Ok)
+        first.close()
+        second = self.start("vm-2")
+        self.wait_for(second)
+        task = duty_holder.DutyTask(second, "capacity")
+        self.assertEqual(second.last_record, b"usage")
+        self.assertEqual(task.last_record, b"order-2")
+        self.assertIsInstance(task.record(b"order-3"), Ok)
+        self.assertIsInstance(second.record(b"usage-2"), Ok)
+
+    def test_record_of_another_task_delays_the_next_holder(self) -> None:
+        """Guards against orders of two holders that may arrive interleaved."""
+        first = self.start()
+        self.wait_for(first)
+        task = duty_holder.DutyTask(first, "capacity")
+        self.assertIsInstance(task.record(b"order"), Ok)
+        first.close()
+        began_s = clock.BootClock().monotonic_s()
+        self.wait_for(self.start("vm-2"))
+        waited_s = clock.BootClock().monotonic_s() - began_s
+        self.assertGreaterEqual(waited_s, QUIET_S - 0.1)
+
     def test_no_order_is_recorded_without_the_key(self) -> None:
         """Guards against a holder that lost its key but still sends orders.
 
--- a/tests/test_engine_estimates.py
+++ b/tests/test_engine_estimates.py
@@ -328,6 +328,18 @@
             )
         self.assertEqual(self.view(_REMOTE).running_share, 0.0)
 
+    def test_engines_in_use_of_all_zones_are_added_up(self) -> None:
+        """Guards against a demand that leaves out the zones without notices."""
+        self.make_busy(_LOCAL, 3)
+        self.report(load_estimates.Load(0.25, 0.125))
+        loads = self.estimates.loads
+        self.assertAlmostEqual(
+            loads.busy_decode_engines(_LOCAL.service) or 0.0,
+            3 / _LOCAL.slots_count + 0.25,
+            places=2,
+        )
+        self.assertIsNone(loads.busy_decode_engines("other"))
+
     def test_only_local_engines_are_reported_by_role(self) -> None:
         self.make_busy(_LOCAL, 3)
         self.make_busy(_REMOTE, 6)
--- a/tests/test_gateway_settings.py
+++ b/tests/test_gateway_settings.py
@@ -137,6 +137,29 @@
             },
         )
 
+    def test_platform_without_usage_reports_gets_duty_settings(self) -> None:
+        """Guards against engines that no gateway may order.
+
+        The platform accepts orders of engines, but no usage reports.
+        """
+        fields = {
+            **FIELDS,
+            "bounds.require-fencing": True,
+            "cloud.address": "10.200.0.6:8407",
+        }
+        text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
+        read = settings.parse_with(
+            gateway_settings._ADAPTER, text, TEMPLATE.name
+        )
+        self.assertEqual(
+            read.unwrap()["duties"],
+            {
+                "platform": "10.200.0.6:8407",
+                "lease_ms": 3000,
+                "checks_fencing": True,
+            },
+        )
+
     def test_platform_without_revocation_or_duties_gets_neither(self) -> None:
         fields = {**FIELDS, "bounds.strict-revocation": False}
         text = render(TEMPLATE.read_text(encoding="utf-8"), fields)
