Set the gauges of capacity orders only when they change

Rounds also let callers' requests run between two services. The gauges moved to a module of their own.

--- a/src/mulberrywharf/duties/capacity_orders.py
+++ b/src/mulberrywharf/duties/capacity_orders.py
@@ -16,7 +16,7 @@
 
 from mulberrywharf import clock, errors, fleet, metrics
 from mulberrywharf.authority import duty_holder
-from mulberrywharf.duties import capacity_records, client
+from mulberrywharf.duties import capacity_metrics, capacity_records, client
 from mulberrywharf.policy import capacity_plan
 
 ROUND_INTERVAL_S = 1.0
@@ -37,27 +37,10 @@
 a reason of its own; with more, the platform is unavailable, and orders planned
 now would be old when it is back."""
 
-_KIND_NAMES = {False: "regular", True: "reclaimable"}
-
 _orders_total = metrics.counter(
     "mulberry_capacity_orders_total",
     "Calls that order engines, by kind of engine and outcome.",
 )
-_desired_gauge = metrics.gauge(
-    "mulberry_capacity_desired_count",
-    "Engines that the holder of the duty last ordered, or that are present if"
-    " no order is in force, by service, zone and kind; 0 at other gateways.",
-)
-_ordered_gauge = metrics.gauge(
-    "mulberry_capacity_ordered_count",
-    "Engines ordered and not yet present, by service, zone and kind; 0 at"
-    " gateways that don't hold the duty.",
-)
-_present_gauge = metrics.gauge(
-    "mulberry_capacity_present_count",
-    "Engines that serve, by service, zone and kind; 0 at gateways that don't"
-    " hold the duty.",
-)
 
 
 class CapacityTask(Protocol):
@@ -169,7 +152,7 @@
         self._book = capacity_records.OrderBook()
         self._plans: dict[str, Plan] = {}
         self._unavailable: dict[capacity_records.Subject, float] = {}
-        self._shown: set[capacity_records.Subject] = set()
+        self._gauges = capacity_metrics.CapacityGauges()
         self._last_stale_reason: str | None = None
         self._greenlet: gevent.Greenlet | None = None
 
@@ -207,6 +190,9 @@
                 if len(self._book.unanswered()) > MAX_UNANSWERED_COUNT:
                     break
                 self._round(service, bounds)
+                # Callers' requests go first: a round over all services of a
+                # large fleet takes some milliseconds.
+                gevent.sleep(0)
         except _AuthorityGoneError as error:
             logger.info("no engines ordered: {}", error)
             self._forget()
@@ -224,10 +210,7 @@
         self._number = None
         self._plans.clear()
         self._unavailable.clear()
-        for subject in self._shown:
-            for gauge in (_desired_gauge, _ordered_gauge, _present_gauge):
-                gauge.set(_labels(subject), 0)
-        self._shown.clear()
+        self._gauges.clear()
 
     def _log_stale(self, reason: str | None) -> None:
         if reason != self._last_stale_reason:
@@ -277,7 +260,7 @@
                 boot_s,
                 now_s,
             )
-            for kind in _KIND_NAMES
+            for kind in capacity_metrics.KIND_NAMES
         }
         return capacity_plan.ZoneEngines(
             zone,
@@ -412,7 +395,7 @@
     def _log_order(
         self, order: client.ServiceOrder, outcome: str, *, is_logged: bool
     ) -> None:
-        kind = _KIND_NAMES[order.is_reclaimable]
+        kind = capacity_metrics.KIND_NAMES[order.is_reclaimable]
         _orders_total.inc({"kind": kind, "outcome": outcome})
         if is_logged:
             logger.bind(
@@ -434,12 +417,11 @@
                 valid_count = self._book.valid_count(
                     subject, count, boot_s, now_s
                 )
-                desired_count = count if valid_count is None else valid_count
-                labels = _labels(subject)
-                _present_gauge.set(labels, count)
-                _desired_gauge.set(labels, desired_count)
-                _ordered_gauge.set(labels, max(0, desired_count - count))
-                self._shown.add(subject)
+                self._gauges.show(
+                    subject,
+                    count if valid_count is None else valid_count,
+                    count,
+                )
 
 
 def _presence(
@@ -457,20 +439,13 @@
             serving[one.availability_zone, one.is_reclaimable] += 1
     return {
         zone: _Presence(
-            {kind: serving[zone, kind] for kind in _KIND_NAMES}, leaving[zone]
+            {kind: serving[zone, kind] for kind in capacity_metrics.KIND_NAMES},
+            leaving[zone],
         )
         for zone in names
     }
 
 
-def _labels(subject: capacity_records.Subject) -> dict[str, str]:
-    return {
-        "service": subject.service,
-        "zone": subject.availability_zone,
-        "kind": _KIND_NAMES[subject.is_reclaimable],
-    }
-
-
 def _log_plan(
     service: str,
     demand: capacity_plan.CapacityDemand | None,
@@ -487,8 +462,13 @@
             for one in zones
         ],
         orders=[
-            f"{one.availability_zone} {_KIND_NAMES[one.is_reclaimable]}"
-            f" {one.desired_count}: {one.reason}"
+            " ".join(
+                (
+                    one.availability_zone,
+                    capacity_metrics.KIND_NAMES[one.is_reclaimable],
+                    f"{one.desired_count}: {one.reason}",
+                )
+            )
             for one in orders
         ],
     ).info("capacity planned")
