Ask gateways of other zones for a sign of contact before engines are ordered

The holder now asks one gateway of each other zone after a second of silence. tests.test_zone_contact, tests.test_gateway_duties and tests.test_peers passed.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -205,13 +205,14 @@
         """Returns the datagram addresses of all other gateways."""
         return tuple(peer.address for peer in self._peers_by_vm.values())
 
-    def other_zone_addresses(self) -> tuple[fleet.Address, ...]:
-        """Returns the datagram addresses of the gateways of other zones."""
-        return tuple(
-            peer.address
-            for peer in self._peers_by_vm.values()
-            if peer.availability_zone != self._availability_zone
-        )
+    def other_zone_addresses(self) -> dict[str, tuple[fleet.Address, ...]]:
+        """Returns the datagram addresses of the gateways of each other zone."""
+        by_zone: dict[str, tuple[fleet.Address, ...]] = {}
+        for peer in self._peers_by_vm.values():
+            zone = peer.availability_zone
+            if zone != self._availability_zone:
+                by_zone[zone] = (*by_zone.get(zone, ()), peer.address)
+        return by_zone
 
     def recent_addresses(self) -> tuple[fleet.Address, ...]:
         """Returns the addresses of current and recently removed gateways.
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -40,6 +40,7 @@
     notices,
     queue_owners,
     revision_exchange,
+    topics,
 )
 from mulberrywharf.platform import documents, duties, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
@@ -170,12 +171,14 @@
         self._servers.on_change(self._revision_exchange.on_change)
         self._routes.on_change(lambda _: self._revision_exchange.on_change())
         self._listener = _listener(config)
+        self._topics = topics.TopicExchange(self._notices.socket)
         self._duties = _gateway_duties.create(
             config,
             _gateway_duties.Dependencies(
                 self._store,
                 self._peers,
                 self._notices.socket,
+                self._topics,
                 self._routes,
                 self._servers,
                 self._estimates,
--- a/src/mulberrywharf/programs/_gateway_duties.py
+++ b/src/mulberrywharf/programs/_gateway_duties.py
@@ -14,7 +14,13 @@
 )
 from mulberrywharf.duties import client as duty_client
 from mulberrywharf.forwarding import engine_estimates, servers
-from mulberrywharf.peers import datagrams, directory, usage_exchange
+from mulberrywharf.peers import (
+    datagrams,
+    directory,
+    topics,
+    usage_exchange,
+    zone_contact,
+)
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.policy import capacity_plan
 from mulberrywharf.routes import follower
@@ -29,11 +35,6 @@
 are dropped after the same time; an engine that was starting takes some seconds
 more."""
 
-ZONE_CONTACT_S = 10.0
-"""Time since the last datagram of a gateway of another zone after which this
-gateway counts as separated from the other zones. Gateways of other zones send
-one about every second, or with each notice in a small fleet."""
-
 _CAPACITY_TASK = "capacity"
 _MS_PER_S = 1000.0
 
@@ -56,6 +57,7 @@
     store: key_value.KeyValueClient
     peers: directory.PeerDirectory
     socket: datagrams.PeerSocket
+    topics: topics.TopicExchange
     routes: follower.RouteFollower
     servers: servers.ServerList
     estimates: engine_estimates.EngineEstimates
@@ -184,6 +186,12 @@
 
     def __init__(self, dependencies: Dependencies):
         self._parts = dependencies
+        self._contact = zone_contact.ZoneContact(
+            dependencies.peers,
+            dependencies.socket,
+            dependencies.topics,
+            dependencies.clock,
+        )
         self._demand = capacity_demand.ServiceDemand(
             dependencies.estimates.demand.wanted_prefill,
             dependencies.estimates.loads.busy_decode_engines,
@@ -211,16 +219,6 @@
             return "the other gateways were not read"
         if self._parts.store.outage_age_s() < STALE_LIST_S:
             return "the key-value service was unavailable just now"
-        if not self._reaches_other_zone():
+        if not self._contact.check():
             return "no gateway of another zone is heard"
         return None
-
-    def _reaches_other_zone(self) -> bool:
-        addresses = self._parts.peers.other_zone_addresses()
-        if not addresses:
-            return True
-        since_s = self._parts.clock.monotonic_s() - ZONE_CONTACT_S
-        return any(
-            self._parts.socket.heard_s(address) >= since_s
-            for address in addresses
-        )
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -11,6 +11,7 @@
 from mulberrywharf import clock, errors, fleet, gateway_settings
 from mulberrywharf.duties import capacity_demand, client
 from mulberrywharf.forwarding import servers
+from mulberrywharf.peers import zone_contact
 from mulberrywharf.platform import documents, duties
 from mulberrywharf.policy import capacity_plan
 from mulberrywharf.programs import _gateway_duties
@@ -28,10 +29,9 @@
 
     has_read = True
     is_reader = True
-    others: tuple[fleet.Address, ...] = (OTHER_ZONE,)
 
-    def other_zone_addresses(self) -> tuple[fleet.Address, ...]:
-        return self.others
+    def other_zone_addresses(self) -> dict[str, tuple[fleet.Address, ...]]:
+        return {"zone-b": (OTHER_ZONE,)}
 
 
 class _Socket:
@@ -108,6 +108,7 @@
                 self.client,
                 cast(Any, self.peers),
                 cast(Any, self.socket),
+                mock.Mock(),
                 self.routes,
                 self.servers,
                 cast(Any, _Estimates()),
@@ -199,13 +200,13 @@
         """Guards against replacing engines that are only out of reach."""
         self.put_routes(1, test_scaling.SCALING)
         self.socket.at_s = (
-            clock.SystemClock().monotonic_s() - _gateway_duties.ZONE_CONTACT_S
+            clock.SystemClock().monotonic_s() - zone_contact.CONTACT_S
         )
         self.start()
         builders_platform.wait_until(self.has_holder, 5.0)
         gevent.sleep(3.0)
         self.assertEqual(self.platform.calls, [])
-        self.socket.at_s = clock.SystemClock().monotonic_s()
+        self.socket.at_s = float("inf")
         self.assertTrue(self.wait_for_order(5.0))
 
 
