Keep the known figures of loads that have further ones

A load with a fourth figure was dropped as a whole, so the loads of all servers of an operator were unknown, and no log line said so. Now the first three figures are read and further ones ignored. A load that can't be read is counted and logged once for each start of a server.

--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -143,6 +143,19 @@
         return self.running_count + self.waiting_count
 
 
+class MalformedLoad(NamedTuple):
+    """A load that can't be read.
+
+    Attributes:
+        text: The load as received.
+    """
+
+    text: str
+
+
+StatedLoad = ReportedLoad | MalformedLoad
+
+
 class AnswerHead(NamedTuple):
     """The head of a server's answer.
 
@@ -154,7 +167,7 @@
             if it names none.
         has_signature: Whether it carries the server's response signature.
         not_executed: Whether the server states that nothing ran.
-        load: The load that the server reports, None if it reports none.
+        load: The load that the server states, None if it states none.
         retry_after_s: Time in seconds for which the server asks this gateway to
             send it nothing, None if it asks for none.
         is_leaving: Whether the server states that it is leaving.
@@ -167,7 +180,7 @@
     request_id: str | None
     has_signature: bool
     not_executed: bool
-    load: ReportedLoad | None
+    load: StatedLoad | None
     retry_after_s: float | None = None
     is_leaving: bool = False
     limit: request_limits.StatedLimit = request_limits.NoLimit()
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -1,9 +1,12 @@
 """Tracks requests and health of each server, as this gateway sees them."""
 
+import functools
 import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from loguru import logger
+
 from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
 from mulberrywharf.policy import server_choice
@@ -58,6 +61,12 @@
     "Answers with a Retry-After, until which their servers get no requests.",
 )
 
+_malformed_loads_total = metrics.counter(
+    "mulberry_malformed_loads_total",
+    "Answers that state a load which can't be read.",
+)
+_LOGGED_TEXT_LIMIT = 64
+
 
 class OthersLoad(NamedTuple):
     """Other gateways' requests at a server, by its last report.
@@ -80,6 +89,7 @@
         self.others_reported_at_s = float("-inf")
         self.reported: request.ReportedLoad | None = None
         self.reported_at_s = float("-inf")
+        self.has_logged_malformed_load = False
         self.failure_share = 0.0
         self.mean_answer_s: float | None = None
         self.suspected_until_s = float("-inf")
@@ -124,20 +134,45 @@
     def reported(
         self,
         start: fleet.ServerStart,
-        load: request.ReportedLoad | None,
+        load: request.StatedLoad | None,
         now_s: float,
     ) -> None:
         """Records the load report that came with an answer.
 
-        The report still includes the answered request.
+        The report still includes the answered request. A load that can't be
+        read is counted, and logged once for each start of a server.
         """
-        if load is None:
-            return
+        if load is not None:
+            self._note_load(load, start, now_s)
+
+    @functools.singledispatchmethod
+    def _note_load(
+        self,
+        load: request.ReportedLoad,
+        start: fleet.ServerStart,
+        now_s: float,
+    ) -> None:
         entry = self._entry(start)
         entry.reported = load
         entry.reported_at_s = now_s
         self.note_requests_count(start, load.requests_count, now_s)
 
+    @_note_load.register
+    def _(
+        self,
+        load: request.MalformedLoad,
+        start: fleet.ServerStart,
+        now_s: float,
+    ) -> None:
+        _malformed_loads_total.inc({})
+        entry = self._entry(start)
+        if entry.has_logged_malformed_load:
+            return
+        entry.has_logged_malformed_load = True
+        logger.bind(
+            server_id=start.server_id, text=load.text[:_LOGGED_TEXT_LIMIT]
+        ).warning("a server stated a load that can't be read")
+
     def note_requests_count(
         self, start: fleet.ServerStart, requests_count: int, at_s: float
     ) -> None:
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -20,7 +20,7 @@
 NOT_EXECUTED = _PREFIX + "not-executed"
 SERVER_LOAD = _PREFIX + "instance-load"
 """Running requests, waiting requests and slots of the responding server,
-separated by commas."""
+separated by commas. Further figures may follow."""
 
 DUTY_HOLDER = _PREFIX + "duty-holder"
 FENCING_NUMBER = _PREFIX + "fencing-token"
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -1,5 +1,6 @@
 """Encodes and decodes requests and responses with the platform's headers."""
 
+import re
 from collections.abc import Iterable, Mapping
 
 import orjson
@@ -100,7 +101,7 @@
             has_signature=answer.header(headers.RESPONSE_SIGNATURE) is not None,
             not_executed=answer.header(headers.NOT_EXECUTED) is not None
             or answer.status_code == _MISDIRECTED_STATUS,
-            load=_reported_load(answer.header(headers.SERVER_LOAD)),
+            load=_stated_load(answer.header(headers.SERVER_LOAD)),
             retry_after_s=_headers.retry_after_s(
                 answer.header(headers.RETRY_AFTER)
             )
@@ -134,6 +135,13 @@
 
 
 _TRUE = "1"
+_LOAD_FIGURES_COUNT = 3
+"""Figures that every load has. Servers may add further ones."""
+
+_COUNT = re.compile(r"[0-9]{1,6}")
+"""A count in a load. ``int`` alone would accept signs and other scripts'
+digits; no server runs a million requests."""
+
 _RETRY_AFTER_STATUSES = frozenset({429, 503})
 _MISDIRECTED_STATUS = 421
 """A server responds with this status only if it did not run the request."""
@@ -198,11 +206,14 @@
     return fields
 
 
-def _reported_load(text: str | None) -> forwarded.ReportedLoad | None:
+def _stated_load(text: str | None) -> forwarded.StatedLoad | None:
     if text is None:
         return None
-    try:
-        running, waiting, slots = (int(part) for part in text.split(","))
-    except ValueError:
-        return None
+    figures = [figure.strip(" \t") for figure in text.split(",")]
+    known = figures[:_LOAD_FIGURES_COUNT]
+    if len(known) < _LOAD_FIGURES_COUNT or not all(
+        map(_COUNT.fullmatch, known)
+    ):
+        return forwarded.MalformedLoad(text)
+    running, waiting, slots = map(int, known)
     return forwarded.ReportedLoad(running, waiting, slots)
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from loguru import logger
+
 from mulberrywharf.forwarding import request, server_tracker
 from mulberrywharf.policy import (
     background_work,
@@ -128,6 +130,24 @@
             self.tracker.others_in_flight_count(build.start("s"), 12.0), 0.5
         )
 
+    def test_malformed_loads_are_logged_once_per_server(self) -> None:
+        """Guards against one log line for each answer of a faulty server."""
+        lines: list[str] = []
+        handler_id = logger.add(lines.append, format="{extra}")
+        self.addCleanup(logger.remove, handler_id)
+        self.tracker.reported(
+            build.start("s"), request.ReportedLoad(3, 1, 6), 10.0
+        )
+        for name in ("s", "t") * 50:
+            malformed = request.MalformedLoad("9" * 5_000)
+            self.tracker.reported(build.start(name), malformed, 11.0)
+        self.assertEqual(len(lines), 2)
+        self.assertLess(max(map(len, lines)), 200)
+        self.assertEqual(
+            self.tracker.last_report(build.start("s")),
+            request.ReportedLoad(3, 1, 6),
+        )
+
     def test_a_lost_server_is_suspected_for_a_while(self) -> None:
         self.tracker.connection_lost(build.start("s"), 10.0)
         self.assertTrue(self.tracker.is_suspected(build.start("s"), 10.1))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -56,6 +56,33 @@
             self.head(421, server_limit="2.5").limit, request_limits.NoLimit()
         )
 
+    def load(self, text: str) -> request.StatedLoad | None:
+        return self.head(200, x_mulberrywharf_instance_load=text).load
+
+    def test_further_figures_of_a_load_keep_the_known_ones(self) -> None:
+        """Guards against loads that are unknown for a whole fleet.
+
+        Servers of one operator add a fourth figure. Their loads were dropped
+        as a whole, without a log line.
+        """
+        for text in ("3,1,6", " 3, 1 ,6", "3,1,6,250", "3,1,6,,x", "3,1,6,-1"):
+            with self.subTest(text=text):
+                load = self.load(text)
+                assert isinstance(load, request.ReportedLoad)
+                self.assertEqual(load[:3], (3, 1, 6))
+
+    def test_a_malformed_load_is_reported_as_such(self) -> None:
+        """Guards against loads that are dropped without a trace.
+
+        Python's ``int`` accepts signs, underscores and other scripts' digits,
+        and raises for thousands of digits.
+        """
+        texts = ("", "3,1", "3,,6", "a,1,6", "-3,1,6", "+3,1,6", "1_0,1,6")
+        for text in (*texts, "\u0663,1,6", "9" * 5_000 + ",1,6", "3,1,1e3"):
+            with self.subTest(text=text[:20]):
+                self.assertEqual(self.load(text), request.MalformedLoad(text))
+        self.assertIsNone(self.head(200).load)
+
     def test_retry_after_is_read_from_refusals_only(self) -> None:
         for status in (429, 503):
             self.assertEqual(
