Decode the pace that servers state with their load

Some servers state with their load how long work takes there now, where 100 is usual. The adapter decodes it into a factor; a figure that is not a plain decimal, or is not credible, counts as not stated and never discards the load. test_platform_adapter passes; the new test failed before, because the load had no such field.

--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -131,11 +131,14 @@
         running_count: Requests that it is running.
         waiting_count: Requests in its queue.
         slots_count: Requests that it can run at the same time.
+        pace: Factor on the duration of work at the server now, 1 is usual; None
+            if not stated.
     """
 
     running_count: int
     waiting_count: int
     slots_count: int
+    pace: float | None = None
 
     @property
     def requests_count(self) -> int:
--- a/src/mulberrywharf/platform/headers.py
+++ b/src/mulberrywharf/platform/headers.py
@@ -20,7 +20,8 @@
 NOT_EXECUTED = _PREFIX + "not-executed"
 SERVER_LOAD = _PREFIX + "instance-load"
 """Running requests, waiting requests and slots of the responding server,
-separated by commas. Further figures may follow."""
+separated by commas. Some servers add how long work takes there now, where 100
+is usual. Further figures may follow."""
 
 DUTY_HOLDER = _PREFIX + "duty-holder"
 FENCING_NUMBER = _PREFIX + "fencing-token"
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -1,7 +1,7 @@
 """Encodes and decodes requests and responses with the platform's headers."""
 
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 import orjson
 from result import Err, Ok, Result
@@ -142,6 +142,14 @@
 """A count in a load. ``int`` alone would accept signs and other scripts'
 digits; no server runs a million requests."""
 
+_DECIMAL = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
+_USUAL_PACE = 100.0
+_LEAST_PACE = 0.1
+_MOST_PACE = 20.0
+"""Paces outside of these bounds count as not stated. No machine of a fleet is
+ten times faster than usual, and one that takes twenty times as long is shown by
+its answers."""
+
 _RETRY_AFTER_STATUSES = frozenset({429, 503})
 _MISDIRECTED_STATUS = 421
 """A server responds with this status only if it did not run the request."""
@@ -216,4 +224,14 @@
     ):
         return forwarded.MalformedLoad(text)
     running, waiting, slots = map(int, known)
-    return forwarded.ReportedLoad(running, waiting, slots)
+    return forwarded.ReportedLoad(
+        running, waiting, slots, _pace(figures[_LOAD_FIGURES_COUNT:])
+    )
+
+
+def _pace(further_figures: Sequence[str]) -> float | None:
+    """Returns the stated pace, None if there is none or it is not credible."""
+    if not further_figures or not _DECIMAL.fullmatch(further_figures[0]):
+        return None
+    pace = float(further_figures[0]) / _USUAL_PACE
+    return pace if _LEAST_PACE <= pace <= _MOST_PACE else None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -71,6 +71,17 @@
                 assert isinstance(load, request.ReportedLoad)
                 self.assertEqual(load[:3], (3, 1, 6))
 
+    def test_pace_of_a_load(self) -> None:
+        """Guards against an incredible pace that is used or hides the load."""
+        stated = {"100": 1.0, "250,7": 2.5, " 62.5": 0.625}
+        invalid = ("", "0", "-1", "+100", "1", "1e9", "nan", "inf", "9" * 5_000)
+        for text, pace in {**stated, **dict.fromkeys(invalid)}.items():
+            with self.subTest(text=text[:20]):
+                self.assertEqual(
+                    self.load(f"3,1,6,{text}"),
+                    request.ReportedLoad(3, 1, 6, pace),
+                )
+
     def test_a_malformed_load_is_reported_as_such(self) -> None:
         """Guards against loads that are dropped without a trace.
 
