Choose servers and engines by the pace that they state

Gateways knew the speed of a server only from their own few answers, although some servers state it. The stated pace now multiplies the slowdown of plain servers and engines. It decays with its age, over a time learned from how well it predicts the next statement; answer times and learned speeds are corrected by it, so that it counts once. Durations bound a wrong figure: what they don't follow is not used, and a constant error cancels out.

--- a/src/mulberrywharf/forwarding/engine_estimates.py
+++ b/src/mulberrywharf/forwarding/engine_estimates.py
@@ -43,6 +43,8 @@
 """Longest reported wait, as a share of a prompt's prefill time, with which the
 answer still updates the prefill speed."""
 
+_MIN_USUAL_S = 1e-4
+
 LEAST_PRIORITY = 9
 """Lowest priority that engines accept for a request; 0 is served first."""
 
@@ -225,6 +227,7 @@
         now_s = self._clock.monotonic_s()
         start = server.start
         slowdown *= self._speeds[server.service].pace(server.server_id, now_s)
+        pace = self._tracker.paces.expected(server, now_s).pace
         (candidate,) = self._tracker.candidates([server], now_s)
         load = self.loads.load(candidate, now_s)
         running_count = load.running_share * server.slots_count
@@ -241,10 +244,11 @@
             slot_wait_s=slot_wait_s,
             running_share=load.running_share,
             cached_tokens=self._cached_tokens(server, parts, is_home),
-            slowdown=slowdown,
+            slowdown=slowdown * pace,
             is_suspected=candidate.is_suspected,
             is_same_zone=candidate.is_same_zone,
             is_home=is_home,
+            pace=pace,
         )
 
     def _cached_tokens(
@@ -456,20 +460,27 @@
             awaited: The result of ``prefill_sent`` or ``decode_sent``.
         """
         now_s = self._clock.monotonic_s()
-        self._observed_waits.answered(awaited, now_s)
+        pace = self._pace_of_work(placed, awaited, now_s)
+        slowdown = pace / _awaited_engine(placed.plan, awaited).pace
+        self._observed_waits.answered(awaited, now_s, slowdown)
         if awaited.kind == "read" and placed.may_correct_queue:
             self._queues.finished(placed.ticket, now_s)
         if awaited.kind == "read" and placed.owner_placement_id is not None:
             self._queue_owners.report_prefilled(placed.owner_placement_id)
-        self._update_speeds(placed, awaited, now_s)
+        self._update_speeds(placed, awaited, now_s, pace)
 
     def _update_speeds(
         self,
         placed: Placed,
         awaited: observed_waits.PendingPrompt,
         now_s: float,
+        pace: float,
     ) -> None:
-        """Updates the learned speeds by the time an answer took."""
+        """Updates the learned speeds by the time an answer took.
+
+        Durations are corrected by the pace at which the engine worked, because
+        it also counts where engines are chosen.
+        """
         plan = placed.plan
         took_s = now_s - awaited.sent_s
         expected_s = self.expected_s(placed, awaited)
@@ -486,13 +497,33 @@
                 return
             learned.learn_prefill(
                 plan.prefill_engine.server,
-                plan.prefill_time,
+                plan.prefill_time.slowed(pace / plan.prefill_engine.pace),
                 plan.prefill_engine.wait_s + plan.copy_s,
                 took_s,
                 now_s,
             )
         else:
-            learned.learn_takeover(plan.copy_s, plan.decode.slot_wait_s, took_s)
+            longer_s = (pace - 1.0) * learned.speeds.takeover_s
+            learned.learn_takeover(
+                plan.copy_s, plan.decode.slot_wait_s, took_s - longer_s
+            )
+
+    def _pace_of_work(
+        self,
+        placed: Placed,
+        awaited: observed_waits.PendingPrompt,
+        now_s: float,
+    ) -> float:
+        """Returns the pace at which an engine worked on an answered prompt."""
+        engine = _awaited_engine(placed.plan, awaited)
+        longer_s = awaited.unloaded_s * (1.0 - 1.0 / engine.pace)
+        usual_s = self.expected_s(placed, awaited) - longer_s
+        return self._tracker.paces.note_duration(
+            engine.server,
+            (now_s - awaited.sent_s) / max(usual_s, _MIN_USUAL_S),
+            awaited.sent_s,
+            now_s,
+        )
 
     def failed(
         self, placed: Placed, awaited: observed_waits.PendingPrompt
@@ -678,6 +709,12 @@
         return server in part_homes.home_engines_of(part_key, decodes, count=1)
 
 
+def _awaited_engine(
+    plan: prompt_placement.Plan, awaited: observed_waits.PendingPrompt
+) -> prompt_placement.EngineView:
+    return plan.prefill_engine if awaited.kind == "read" else plan.decode
+
+
 def _was_prefilled_without_queueing(plan: prompt_placement.Plan) -> bool:
     """Tells whether the queue owner reported next to no wait for a prompt.
 
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -305,7 +305,12 @@
         if head.status >= _FAILURE_STATUS:
             self._dependencies.tracker.failed(server.start)
         else:
-            self._dependencies.tracker.succeeded(server.start, took_s)
+            tracker = self._dependencies.tracker
+            now_s = self._dependencies.system_clock.monotonic_s()
+            pace = tracker.paces.note_duration(
+                server, took_s, now_s - took_s, now_s
+            )
+            tracker.succeeded(server.start, took_s / pace)
 
     def _is_retryable(self, answer: WholeAnswer) -> bool:
         return answer.head.status >= _FAILURE_STATUS and self._may_run_again
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -186,6 +186,10 @@
         self._tracker.reported(
             server.start, head.load, self._clock.monotonic_s()
         )
+        if isinstance(head.load, request.ReportedLoad) and head.load.pace:
+            self._tracker.paces.note(
+                server, head.load.pace, self._clock.monotonic_s()
+            )
         if head.retry_after_s is not None:
             self._tracker.pause_until_retry_after(
                 server.start, head.retry_after_s, self._clock.monotonic_s()
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -9,7 +9,7 @@
 
 from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
-from mulberrywharf.policy import server_choice
+from mulberrywharf.policy import server_choice, stated_pace
 
 REPORT_TIME_CONSTANT_S = 1.0
 """A reported count of other gateways' requests decays by 1/e in this time. The
@@ -100,11 +100,16 @@
 
 
 class ServerTracker:
-    """Request counts and recent outcomes of all servers."""
+    """Request counts and recent outcomes of all servers.
+
+    Attributes:
+        paces: The paces that servers state.
+    """
 
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
         self._entries: dict[fleet.ServerStart, _Entry] = {}
+        self.paces = stated_pace.StatedPaces()
 
     def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
         """Drops ended servers, except those with requests of this gateway."""
@@ -114,6 +119,7 @@
             for start, entry in self._entries.items()
             if start in kept or entry.own_in_flight_count
         }
+        self.paces.keep_only(self._entries.keys())
 
     def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a new request; at an unreachable server it is the trial."""
@@ -347,7 +353,9 @@
     ) -> list[server_choice.Candidate]:
         """Returns servers of one service as input for the server choice.
 
-        The slowdown of each is its answer time relative to the median of all.
+        The slowdown of each is its answer time relative to the median of all,
+        times its expected pace. Answer times are corrected by the stated pace,
+        so that it counts once.
         """
         among = list(among)
         median_s = self._median_answer_s(among)
@@ -357,9 +365,10 @@
         self, server: fleet.Server, median_s: float | None, now_s: float
     ) -> server_choice.Candidate:
         entry = self._entry(server.start)
+        expected = self.paces.expected(server, now_s)
         slowdown = 1.0
         if median_s and entry.mean_answer_s is not None:
-            slowdown = min(PACE_LIMIT, max(1.0, entry.mean_answer_s / median_s))
+            slowdown = max(expected.offset, entry.mean_answer_s / median_s)
         return server_choice.Candidate(
             server=server,
             own_in_flight_count=entry.own_in_flight_count,
@@ -367,7 +376,7 @@
                 server.start, now_s
             ),
             failure_share=entry.failure_share,
-            slowdown=slowdown,
+            slowdown=min(PACE_LIMIT, slowdown * expected.pace),
             is_suspected=self.is_suspected(server.start, now_s),
             is_same_zone=server.availability_zone == self._availability_zone,
         )
--- a/src/mulberrywharf/policy/observed_waits.py
+++ b/src/mulberrywharf/policy/observed_waits.py
@@ -82,10 +82,20 @@
         wait = self._wait(awaited.engine, awaited.kind)
         wait.awaited.pop(id(awaited), None)
 
-    def answered(self, awaited: PendingPrompt, now_s: float) -> None:
-        """Records that a prompt's answer has begun."""
+    def answered(
+        self, awaited: PendingPrompt, now_s: float, slowdown: float = 1.0
+    ) -> None:
+        """Records that a prompt's answer has begun.
+
+        Args:
+            awaited: The prompt.
+            now_s: The current time.
+            slowdown: Factor by which the engine states that it was slower than
+                assumed when the prompt was sent.
+        """
         self.failed(awaited)
-        observed_s = _excess_s(awaited, now_s)
+        unloaded_s = awaited.unloaded_s * slowdown
+        observed_s = _excess_s(awaited._replace(unloaded_s=unloaded_s), now_s)
         wait = self._wait(awaited.engine, awaited.kind)
         previous_s = _decayed_s(wait, now_s)
         wait.wait_s = previous_s + EWMA_WEIGHT * (observed_s - previous_s)
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -84,6 +84,7 @@
             part.
         reported_wait_s: The part of ``wait_s`` reported by the owner of the
             engine's queue, None if there was no report.
+        pace: The part of ``slowdown`` that the engine states itself.
     """
 
     server: fleet.Server
@@ -96,6 +97,7 @@
     is_same_zone: bool = True
     is_home: bool = False
     reported_wait_s: float | None = None
+    pace: float = 1.0
 
 
 class PromptShape(NamedTuple):
