--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -1,12 +1,15 @@
 """Tracks requests and health of each server, as this gateway sees them."""
 
+import functools
 import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from loguru import logger
+
 from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
-from mulberrywharf.policy import server_choice
+from mulberrywharf.policy import server_choice, stated_pace
 
 REPORT_TIME_CONSTANT_S = 1.0
 """A reported count of other gateways' requests decays by 1/e in this time. The
@@ -58,6 +61,12 @@
     "Answers with a Retry-After, until which their servers get no requests.",
 )
 
+_malformed_loads_total = metrics.counter(
+    "mulberry_malformed_loads_total",
+    "Answers that state a load which can't be read.",
+)
+_LOGGED_TEXT_LIMIT = 64
+
 
 class OthersLoad(NamedTuple):
     """Other gateways' requests at a server, by its last report.
@@ -80,6 +89,7 @@
         self.others_reported_at_s = float("-inf")
         self.reported: request.ReportedLoad | None = None
         self.reported_at_s = float("-inf")
+        self.has_logged_malformed_load = False
         self.failure_share = 0.0
         self.mean_answer_s: float | None = None
         self.suspected_until_s = float("-inf")
@@ -90,11 +100,16 @@
 
 
 class ServerTracker:
-    """Request counts and recent outcomes of all servers."""
+    """Request counts and recent outcomes of all servers.
+
+    Attributes:
+        paces: The paces that servers state.
+    """
 
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
         self._entries: dict[fleet.ServerStart, _Entry] = {}
+        self.paces = stated_pace.StatedPaces()
 
     def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
         """Drops ended servers, except those with requests of this gateway."""
@@ -104,6 +119,7 @@
             for start, entry in self._entries.items()
             if start in kept or entry.own_in_flight_count
         }
+        self.paces.keep_only(self._entries.keys())
 
     def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a new request; at an unreachable server it is the trial."""
@@ -124,20 +140,45 @@
     def reported(
         self,
         start: fleet.ServerStart,
-        load: request.ReportedLoad | None,
+        load: request.StatedLoad | None,
         now_s: float,
     ) -> None:
         """Records the load report that came with an answer.
 
-        The report still includes the answered request.
+        The report still includes the answered request. A load that can't be
+        read is counted, and logged once for each start of a server.
         """
-        if load is None:
-            return
+        if load is not None:
+            self._note_load(load, start, now_s)
+
+    @functools.singledispatchmethod
+    def _note_load(
+        self,
+        load: request.ReportedLoad,
+        start: fleet.ServerStart,
+        now_s: float,
+    ) -> None:
         entry = self._entry(start)
         entry.reported = load
         entry.reported_at_s = now_s
         self.note_requests_count(start, load.requests_count, now_s)
 
+    @_note_load.register
+    def _(
+        self,
+        load: request.MalformedLoad,
+        start: fleet.ServerStart,
+        now_s: float,
+    ) -> None:
+        _malformed_loads_total.inc({})
+        entry = self._entry(start)
+        if entry.has_logged_malformed_load:
+            return
+        entry.has_logged_malformed_load = True
+        logger.bind(
+            server_id=start.server_id, text=load.text[:_LOGGED_TEXT_LIMIT]
+        ).warning("a server stated a load that can't be read")
+
     def note_requests_count(
         self, start: fleet.ServerStart, requests_count: int, at_s: float
     ) -> None:
@@ -312,7 +353,9 @@
     ) -> list[server_choice.Candidate]:
         """Returns servers of one service as input for the server choice.
 
-        The slowdown of each is its answer time relative to the median of all.
+        The slowdown of each is its answer time relative to the median of all,
+        times its expected pace. Answer times are corrected by the stated pace,
+        so that it counts once.
         """
         among = list(among)
         median_s = self._median_answer_s(among)
@@ -322,9 +365,10 @@
         self, server: fleet.Server, median_s: float | None, now_s: float
     ) -> server_choice.Candidate:
         entry = self._entry(server.start)
+        expected = self.paces.expected(server, now_s)
         slowdown = 1.0
         if median_s and entry.mean_answer_s is not None:
-            slowdown = min(PACE_LIMIT, max(1.0, entry.mean_answer_s / median_s))
+            slowdown = max(expected.offset, entry.mean_answer_s / median_s)
         return server_choice.Candidate(
             server=server,
             own_in_flight_count=entry.own_in_flight_count,
@@ -332,7 +376,7 @@
                 server.start, now_s
             ),
             failure_share=entry.failure_share,
-            slowdown=slowdown,
+            slowdown=min(PACE_LIMIT, slowdown * expected.pace),
             is_suspected=self.is_suspected(server.start, now_s),
             is_same_zone=server.availability_zone == self._availability_zone,
         )
