Leave ejected servers out where servers are chosen

Plain calls and engines no longer use a server that the gateways have ejected while another one can serve, and send it only requests that may be repeated while it is on trial; a stream that fails there is repeated elsewhere. The gateway connects the exchange to the outcomes of answers. Tests show which outcomes count, and that no request that runs at most once is a trial.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -14,6 +14,7 @@
 
 from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     engine_estimates,
     engine_pool,
     events,
@@ -70,6 +71,7 @@
         budget: Limits retries.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
+        ejections: Tells which engines are ejected.
     """
 
     pool: engine_pool.EnginePool
@@ -80,6 +82,7 @@
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
+    ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
 
 
 class Generations:
@@ -238,9 +241,14 @@
     def _allowed_servers(
         self, servers: Sequence[fleet.Server]
     ) -> list[fleet.Server]:
-        return self._dependencies.crashes.allowed_servers(
+        allowed = self._dependencies.crashes.allowed_servers(
             self._routed_request, servers
         )
+        # A prefill may always be repeated.
+        is_prefill = all(server.role == "prefill" for server in allowed)
+        return self._dependencies.ejections.allowed(
+            allowed, may_repeat=self._may_run_again or is_prefill
+        )
 
     def _no_engine_error(
         self, error: errors.NoEngineError | errors.OverloadedError
@@ -376,8 +384,28 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
+        if self._is_failed_trial(server, sent.ok_value.head):
+            sent.ok_value.exchange.close()
+            self._dependencies.tracker.ended(server.start)
+            self._excluded.add(server.start)
+            return Err(
+                errors.EngineError(f"{server.address} failed while on trial")
+            )
         return Ok(_OpenAnswer(server, sent.ok_value, began_s))
 
+    def _is_failed_trial(
+        self, server: fleet.Server, head: request.AnswerHead
+    ) -> bool:
+        """Tells whether an ejected engine has failed a repeatable request.
+
+        The caller must not lose by the trial, so another engine is tried.
+        """
+        return (
+            self._may_run_again
+            and outcome.is_server_fault(head.status)
+            and self._dependencies.ejections.is_ejected(server.start)
+        )
+
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
             self._routed_request,
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -14,6 +14,7 @@
 
 from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     request,
     server_client,
     server_tracker,
@@ -62,6 +63,7 @@
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
         rng: Spreads retry delays and breaks ties between servers.
+        ejections: Tells which servers are ejected.
     """
 
     server_list: servers.ServerList
@@ -72,6 +74,7 @@
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
     rng: random.Random
+    ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
 
 
 class PlainCalls:
@@ -207,9 +210,12 @@
             if server.start not in self._tried
         ]
         reachable = self._dependencies.tracker.reachable(usable, now_s)
-        return self._dependencies.crashes.allowed_servers(
+        allowed = self._dependencies.crashes.allowed_servers(
             self._routed_request, reachable
         )
+        return self._dependencies.ejections.allowed(
+            allowed, may_repeat=self._may_run_again
+        )
 
     def _acquire(
         self, servers: list[fleet.Server], max_wait_s: float
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -17,6 +17,7 @@
     server_limits,
 )
 from mulberrywharf.forwarding import request, server_tracker
+from mulberrywharf.policy import outcome
 
 CONNECT_TIMEOUT_S = 0.2
 """A working server in the same region completes the TCP handshake within a few
@@ -201,6 +202,8 @@
         )
         if head.not_executed:
             return Err(self._read_refusal_to_end(exchange, server, head))
+        if not outcome.is_server_fault(head.status):
+            self._tracker.answered(server.start)
         return Ok(StartedAnswer(exchange, head, answer.is_framed))
 
     def _read_refusal_to_end(
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -1,7 +1,7 @@
 """Tracks requests and health of each server, as this gateway sees them."""
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from mulberrywharf import fleet, metrics
@@ -102,6 +102,20 @@
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
         self._entries: dict[fleet.ServerStart, _Entry] = {}
+        self._on_outcome: Callable[[fleet.ServerStart, bool], None] = (
+            lambda _, __: None
+        )
+
+    def on_outcome(
+        self, callback: Callable[[fleet.ServerStart, bool], None]
+    ) -> None:
+        """Sets the callback for the outcomes that servers are responsible for.
+
+        Args:
+            callback: Called with the server and whether it failed, when the
+                head of an answer was received or the answer was lost.
+        """
+        self._on_outcome = callback
 
     def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
         """Drops ended servers, except those with requests of this gateway."""
@@ -212,6 +226,10 @@
         )
         entry.mean_answer_s = before_s + PACE_WEIGHT * (answer_s - before_s)
 
+    def answered(self, start: fleet.ServerStart) -> None:
+        """Records the head of an answer that is no fault of the server."""
+        self._on_outcome(start, False)
+
     def failed(
         self, start: fleet.ServerStart, now_s: float, *, is_fault: bool = True
     ) -> None:
@@ -230,6 +248,7 @@
         share = self.fault_share(start, now_s)
         entry.fault_share = share + FAILURE_WEIGHT * (1 - share)
         entry.fault_at_s = now_s
+        self._on_outcome(start, True)
 
     def fault_share(self, start: fleet.ServerStart, now_s: float) -> float:
         """Returns the share of recent answers that were a server's faults."""
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -37,11 +37,13 @@
     crash_records,
     crash_reports,
     directory,
+    ejection_exchange,
     freshness_relay,
     limit_datagrams,
     notices,
     queue_owners,
     revision_exchange,
+    topics,
     usage_exchange,
 )
 from mulberrywharf.platform import documents, duties, orders, requests, store
@@ -134,6 +136,15 @@
             self._servers.mark_leaving,
         )
         suspects = crash_suspects.CrashSuspects()
+        self._topics = topics.TopicExchange(self._notices.socket)
+        self._ejections = ejection_exchange.EjectionExchange(
+            self._peers,
+            self._topics,
+            self._reachable_servers,
+            self._clock,
+            self._rng,
+        )
+        self._tracker.on_outcome(self._ejections.note_outcome)
         self._crash_reports = crash_reports.CrashReports(
             self._peers, self._notices.socket, suspects, self._clock
         )
@@ -433,6 +444,7 @@
                     self._crashes,
                     self._clock,
                     self._rng,
+                    self._ejections,
                 )
             ),
             generations=generation.Generations(
@@ -445,6 +457,7 @@
                     self._budget,
                     self._crashes,
                     self._clock,
+                    self._ejections,
                 )
             ),
             customers=authentication.CustomerAdmission(
@@ -459,6 +472,12 @@
         self._tracker.keep_only(server.start for server in known)
         self._limits.keep_only(server.start for server in known)
         self._estimates.set_engines(known)
+        self._ejections.set_servers(known)
+
+    def _reachable_servers(self, service: str) -> list[fleet.Server]:
+        return self._tracker.reachable(
+            self._servers.usable(service), self._clock.monotonic_s()
+        )
 
     def _update_readiness(self) -> None:
         while True:
--- a/tests/test_failing_engines.py
+++ b/tests/test_failing_engines.py
@@ -1,12 +1,16 @@
 """Tests that engines which fail requests get few of them."""
 
+import contextlib
 import random
 import unittest
+from collections.abc import Sequence
 
+from mulberrywharf import errors, fleet
 from mulberrywharf.forwarding import server_tracker
 from mulberrywharf.policy import prompt_placement
+from mulberrywharf.routes import kinds
 from tests import builders_routes as build
-from tests import test_generation
+from tests import test_generation, test_plain_call
 from tests.test_plain_call import ECHO, RECEIPT
 from tests.test_prompt_placement import SHAPE, SHORT, SPEEDS, view
 
@@ -37,6 +41,82 @@
         self.assertGreaterEqual(len(failing[1].requests), 1)
 
 
+class OnTrial:
+    """Stands in for the ejections: one server is on trial."""
+
+    def __init__(self, server_id: str):
+        self.server_id = server_id
+
+    def allowed(
+        self, servers: Sequence[fleet.Server], *, may_repeat: bool
+    ) -> list[fleet.Server]:
+        on_trial = [one for one in servers if one.server_id == self.server_id]
+        others = [one for one in servers if one.server_id != self.server_id]
+        return on_trial if may_repeat and on_trial else others or on_trial
+
+    def is_ejected(self, start: fleet.ServerStart) -> bool:
+        return start.server_id == self.server_id
+
+
+class TrialStreamTest(test_generation.GenerationCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.ejections = OnTrial("s1")
+        self.sound = self.respond_with(
+            test_generation.HEAD
+            + test_generation.chunks(test_generation.event(1))
+        )
+        self.failing = self.respond_with(FAILURE)
+
+    def test_a_failed_trial_is_repeated_elsewhere(self) -> None:
+        """Guards against callers that fail so that an engine can return."""
+        body = self.body(self.sound, self.failing)
+        self.assertEqual(body, test_generation.event(1))
+        self.assertEqual(len(self.failing[1].requests), 1)
+
+    def test_a_stream_that_cannot_resume_is_no_trial(self) -> None:
+        self.body(self.sound, self.failing, kind=test_generation.NOT_RESUMABLE)
+        self.assertEqual(self.failing[1].requests, [])
+        alone = self.open(self.failing, kind=test_generation.NOT_RESUMABLE)
+        self.assertEqual(alone.head.status, 500)
+
+
+class TrialCallTest(test_plain_call.CallCase):
+    def test_a_call_that_runs_at_most_once_is_no_trial(self) -> None:
+        """Guards against a payment that is sent to a server as a probe."""
+        self.ejections = OnTrial("s0")
+        failing = self.respond_with(FAILURE)
+        sound = self.respond_with(test_plain_call.answer())
+        answer = self.call(failing, sound, kind=kinds.AtMostOnce())
+        self.assertEqual(answer.body, b"fine")
+        self.assertEqual(failing.requests, [])
+        answer = self.call(failing, sound, kind=kinds.Idempotent())
+        self.assertEqual(answer.body, b"fine")
+        self.assertEqual(len(failing.requests), 1)
+
+
+class ReportedOutcomesTest(test_plain_call.CallCase):
+    def test_only_faults_and_answers_are_reported(self) -> None:
+        """Guards against ejections of servers that are full or slow."""
+        noted: list[bool] = []
+        self.tracker.on_outcome(lambda _, is_failure: noted.append(is_failure))
+        late = test_plain_call.answer(status=b"504 Late")
+        for data, expected in (
+            (test_plain_call.answer(), [False]),
+            (FAILURE, [True]),
+            (test_plain_call.refusal(), []),
+            (late, [False]),
+            (b"HTTP/1.1 200 OK\r\n", [True]),
+        ):
+            noted.clear()
+            server = self.serve(
+                lambda sock, _, data=data: (sock.sendall(data), sock.close())
+            )
+            with contextlib.suppress(errors.RequestError):
+                self.call(server, kind=kinds.AtMostOnce())
+            self.assertEqual(noted, expected, data)
+
+
 class FaultShareTest(unittest.TestCase):
     def setUp(self) -> None:
         self.tracker = server_tracker.ServerTracker("zone-a")
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -6,6 +6,7 @@
 
 from mulberrywharf import clock, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     engine_estimates,
     engine_pool,
     generation,
@@ -73,6 +74,7 @@
 
 class GenerationCase(builders_engines.ScriptedServerCase):
     crashes: Any = None
+    ejections: Any = ejection_filter.NoEjections()
 
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -126,6 +128,7 @@
                 self.budget,
                 self.crashes,
                 self.clock,
+                self.ejections,
             )
         )
         route = build.route(
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -8,6 +8,7 @@
 
 from mulberrywharf import clock, errors, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     plain_call,
     server_client,
     server_tracker,
@@ -54,6 +55,7 @@
 
 class CallCase(builders_engines.ScriptedServerCase):
     first_server = 0
+    ejections: Any = ejection_filter.NoEjections()
 
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -92,6 +94,7 @@
                 self.crashes,
                 self.clock,
                 random.Random(1),
+                self.ejections,
             )
         )
         route = build.route(kind=kinds.Idempotent() if kind is None else kind)
