--- a/tests/test_ejection_policy.py
+++ b/tests/test_ejection_policy.py
@@ -27,6 +27,20 @@
             judge.note(reporter, counts(3, 0, 20, 0), 0.0)
         self.assertFalse(judge.verdict(0.1).is_failing)
 
+    def test_a_server_must_be_much_worse_than_the_others(self) -> None:
+        """Guards against ejections by chance, or for a fault of all servers."""
+        for own, others, expected in (
+            ((30, 18), (60, 15), False),  # 0.6 is less than three times 0.25.
+            ((6, 3), (50, 7), False),  # 0.5 of few answers may be by chance.
+            ((30, 18), (60, 6), True),
+            ((30, 18), (2, 0), False),  # Too little is known of the others.
+        ):
+            judge = server_ejection.EjectionJudge[int]()
+            for reporter in range(3):
+                judge.note(reporter, counts(*own, *others), 0.0)
+            is_failing = judge.verdict(0.1).is_failing
+            self.assertEqual(is_failing, expected, (own, others))
+
     def test_at_most_a_quarter_and_never_the_last_is_ejected(self) -> None:
         """Guards against servers that are overloaded by the ejection."""
         servers = [build.server(f"s{number}") for number in range(8)]
--- a/tests/test_server_ejection.py
+++ b/tests/test_server_ejection.py
@@ -23,6 +23,11 @@
     )
 
 
+def decisions_count(played: play.Play) -> int:
+    """Returns how many messages carried a decision."""
+    return sum(one.messages.count(b"e\x02") for one in played.nodes)
+
+
 class PlayTest(unittest.TestCase):
     def known_s(self, played: play.Play) -> float:
         """Returns when all running gateways have ejected the server."""
@@ -38,6 +43,7 @@
             start_failing(played)
             self.assertLess(self.known_s(played), KNOWN_S)
             self.assertLess(played.failed_count, 20)
+            self.assertEqual(decisions_count(played), 67)
             played.run(20.0)
             self.assertEqual(played.ejections_count(), 0)
             self.assertLess(played.failed_count, 40)
@@ -136,10 +142,7 @@
             node.ranked_gateways = turned  # type: ignore[method-assign]
         start_failing(played)
         self.assertLess(self.known_s(played), KNOWN_S)
-        decisions_count = sum(
-            one.messages.count(b"e\x02") for one in played.nodes
-        )
-        self.assertLess(decisions_count, 2 * 68)
+        self.assertLess(decisions_count(played), 2 * 68)
 
     def test_a_zone_that_is_cut_off_ejects_its_own_server(self) -> None:
         """Guards against decisions that need gateways of other zones."""
