Choose servers without cost while none is ejected

The state of an ended ejection stayed until the next change of the server list, and each choice then examined all servers. Only servers with an ejection in force are examined now, and past ones are dropped with each decision.

--- a/src/mulberrywharf/peers/ejection_exchange.py
+++ b/src/mulberrywharf/peers/ejection_exchange.py
@@ -167,8 +167,6 @@
 
         See ``ejected_servers.EjectedServers.allowed``.
         """
-        if self._ejected.is_empty:
-            return list(servers)
         return self._ejected.allowed(
             servers,
             self._keys,
--- a/src/mulberrywharf/policy/ejected_servers.py
+++ b/src/mulberrywharf/policy/ejected_servers.py
@@ -4,6 +4,7 @@
 that decide about it have ended or can't be reached.
 """
 
+import collections
 import random
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Literal, NamedTuple
@@ -36,6 +37,8 @@
 """For so long after a server's return, the decision to eject it is taken for
 one that was delayed or duplicated."""
 
+_Group = tuple[str, fleet.Role | None, str]
+
 State = Literal["used", "ejected", "trial", "returning"]
 
 
@@ -112,6 +115,7 @@
             is_late = now_s - entry.returns_at_s < LATE_DECISION_S
             if state in ("ejected", "trial") or is_late:
                 return False
+        self._drop_past(now_s)
         left_s = min(decision.left_s, server_ejection.EJECTED_LIMIT_S)
         self._entries[key] = _Entry(
             decision.times_count,
@@ -156,10 +160,16 @@
     def keep_only(self, server_keys: Iterable[int], now_s: float) -> None:
         """Drops servers that have left, and ejections long past."""
         known = frozenset(server_keys)
+        self._entries = {
+            key: entry for key, entry in self._entries.items() if key in known
+        }
+        self._drop_past(now_s)
+
+    def _drop_past(self, now_s: float) -> None:
         self._entries = {
             key: entry
             for key, entry in self._entries.items()
-            if key in known and now_s < entry.returns_at_s + REMEMBERED_S
+            if now_s < entry.returns_at_s + REMEMBERED_S
         }
         self._next_trial_s = {
             key: at_s
@@ -167,11 +177,6 @@
             if key in self._entries
         }
 
-    @property
-    def is_empty(self) -> bool:
-        """Whether no server was ejected recently."""
-        return not self._entries
-
     def allowed(
         self,
         servers: Sequence[fleet.Server],
@@ -184,7 +189,7 @@
 
         Args:
             servers: The servers of one service that it could be sent to.
-            keys: Key of each server.
+            keys: Key of each of them.
             now_s: The current time.
             may_repeat: Whether the request may be repeated. Only then is it
                 sent to a server on trial, and to that one alone.
@@ -192,17 +197,32 @@
         Returns:
             All servers if only servers that are not used would be left.
         """
-        left_out = self._within_limit(servers, keys, now_s)
+        limited = {
+            key for key in self._entries if self.state(key, now_s) != "used"
+        }
+        affected = [
+            one for one in servers if limited and keys.get(one.start) in limited
+        ]
+        if not affected:
+            return list(servers)
+        left_out = self._within_limit(affected, servers, keys, now_s)
         if may_repeat:
             for server in left_out:
                 if self._takes_trial(keys[server.start], now_s):
                     return [server]
-        used = [one for one in servers if one not in left_out]
-        usual = [one for one in used if self._is_drawn(keys, one, now_s)]
+        unused = {one.start for one in left_out}
+        undrawn = {
+            one.start
+            for one in affected
+            if not self._is_drawn(keys[one.start], now_s)
+        }
+        used = [one for one in servers if one.start not in unused]
+        usual = [one for one in used if one.start not in undrawn]
         return usual or used or list(servers)
 
     def _within_limit(
         self,
+        affected: Sequence[fleet.Server],
         servers: Sequence[fleet.Server],
         keys: Mapping[fleet.ServerStart, int],
         now_s: float,
@@ -215,19 +235,18 @@
         ejected = sorted(
             (
                 one
-                for one in servers
-                if self.state(keys.get(one.start, 0), now_s)
-                in ("ejected", "trial")
+                for one in affected
+                if self.state(keys[one.start], now_s) != "returning"
             ),
             key=lambda one: keys[one.start],
         )
-        left_out: list[fleet.Server] = []
+        sizes = collections.Counter(map(_group, servers))
+        counts: collections.Counter[_Group] = collections.Counter()
+        left_out = []
         for server in ejected:
-            group = [one for one in servers if _group(one) == _group(server)]
-            in_group_count = sum(
-                _group(one) == _group(server) for one in left_out
-            )
-            if in_group_count < server_ejection.limit_count(len(group)):
+            group = _group(server)
+            if counts[group] < server_ejection.limit_count(sizes[group]):
+                counts[group] += 1
                 left_out.append(server)
         return left_out
 
@@ -243,19 +262,14 @@
         self._next_trial_s[server_key] = now_s + TRIAL_INTERVAL_S
         return True
 
-    def _is_drawn(
-        self,
-        keys: Mapping[fleet.ServerStart, int],
-        server: fleet.Server,
-        now_s: float,
-    ) -> bool:
-        key = keys.get(server.start, 0)
-        if self.state(key, now_s) != "returning":
+    def _is_drawn(self, server_key: int, now_s: float) -> bool:
+        """Tells whether a request may use a server that may be returning."""
+        if self.state(server_key, now_s) != "returning":
             return True
-        since_s = now_s - self._entries[key].returns_at_s
+        since_s = now_s - self._entries[server_key].returns_at_s
         risen_share = (1 - _FIRST_RETURN_SHARE) * since_s / RETURN_S
         return self._rng.random() < _FIRST_RETURN_SHARE + risen_share
 
 
-def _group(server: fleet.Server) -> tuple[str, str | None, str]:
+def _group(server: fleet.Server) -> _Group:
     return server.service, server.role, server.availability_zone
