--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -14,6 +14,7 @@
 
 from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     engine_estimates,
     engine_pool,
     events,
@@ -22,7 +23,12 @@
     server_tracker,
     time_limits,
 )
-from mulberrywharf.policy import observed_waits, repeat_budget, stream_gaps
+from mulberrywharf.policy import (
+    observed_waits,
+    outcome,
+    repeat_budget,
+    stream_gaps,
+)
 from mulberrywharf.routes import kinds, table
 
 RETRY_AFTER_REFUSED_S = 0.3
@@ -65,6 +71,7 @@
         budget: Limits retries.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
+        ejections: Tells which engines are ejected.
     """
 
     pool: engine_pool.EnginePool
@@ -75,6 +82,7 @@
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
+    ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
 
 
 class Generations:
@@ -233,9 +241,14 @@
     def _allowed_servers(
         self, servers: Sequence[fleet.Server]
     ) -> list[fleet.Server]:
-        return self._dependencies.crashes.allowed_servers(
+        allowed = self._dependencies.crashes.allowed_servers(
             self._routed_request, servers
         )
+        # A prefill may always be repeated.
+        is_prefill = all(server.role == "prefill" for server in allowed)
+        return self._dependencies.ejections.allowed(
+            allowed, may_repeat=self._may_run_again or is_prefill
+        )
 
     def _no_engine_error(
         self, error: errors.NoEngineError | errors.OverloadedError
@@ -310,7 +323,7 @@
             self._report_possible_crash(attempt.server, began_s, body.err_value)
             return body
         if not answer.head.is_success:
-            self._note_answer_failed(attempt.server)
+            self._note_answer_failed(attempt.server, answer.head)
             message = f"{attempt.server.address} failed to prefill the prompt"
             return Err(errors.AnswerLostError(message))
         self._dependencies.tracker.succeeded(attempt.server.start)
@@ -348,7 +361,12 @@
             estimates.failed(placed, awaited)
             self._dependencies.tracker.ended(server.start)
             raise
-        self._note_result(placed, awaited, sent)
+        if isinstance(sent, Ok) and not sent.ok_value.head.is_success:
+            # The time to a failure says nothing about the engine's speed.
+            estimates.failed(placed, awaited)
+            self._note_failed_head(server, sent.ok_value.head)
+        else:
+            self._note_result(placed, awaited, sent)
         expected_s = estimates.expected_s(placed, awaited)
         self._record_attempt(attempt, began_s, expected_s, sent)
         if isinstance(sent, Err):
@@ -366,8 +384,28 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
+        if self._is_failed_trial(server, sent.ok_value.head):
+            sent.ok_value.exchange.close()
+            self._dependencies.tracker.ended(server.start)
+            self._excluded.add(server.start)
+            return Err(
+                errors.EngineError(f"{server.address} failed while on trial")
+            )
         return Ok(_OpenAnswer(server, sent.ok_value, began_s))
 
+    def _is_failed_trial(
+        self, server: fleet.Server, head: request.AnswerHead
+    ) -> bool:
+        """Tells whether an ejected engine has failed a repeatable request.
+
+        The caller must not lose by the trial, so another engine is tried.
+        """
+        return (
+            self._may_run_again
+            and outcome.is_server_fault(head.status)
+            and self._dependencies.ejections.is_ejected(server.start)
+        )
+
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
             self._routed_request,
@@ -485,11 +523,11 @@
                 if new_events:
                     gaps.note(self._dependencies.system_clock.monotonic_s())
                     yield new_events
-            self._dependencies.tracker.succeeded(run.server.start)
-            self._dependencies.estimates.ended(
-                run.server, self._since_s(began_s)
-            )
             if run.answer.head.is_success:
+                self._dependencies.tracker.succeeded(run.server.start)
+                self._dependencies.estimates.ended(
+                    run.server, self._since_s(began_s)
+                )
                 self._dependencies.crashes.note_completed(self._routed_request)
             if splitter.pending:
                 yield splitter.pending
@@ -567,9 +605,25 @@
                 run, made_output=made_output
             )
 
-    def _note_answer_failed(self, server: fleet.Server) -> None:
+    def _note_answer_failed(
+        self, server: fleet.Server, head: request.AnswerHead
+    ) -> None:
         self._excluded.add(server.start)
-        self._dependencies.tracker.failed(server.start)
+        self._dependencies.tracker.failed(
+            server.start,
+            self._dependencies.system_clock.monotonic_s(),
+            is_fault=outcome.is_server_fault(head.status),
+        )
+
+    def _note_failed_head(
+        self, server: fleet.Server, head: request.AnswerHead
+    ) -> None:
+        tracker = self._dependencies.tracker
+        if outcome.is_server_fault(head.status):
+            now_s = self._dependencies.system_clock.monotonic_s()
+            tracker.failed(server.start, now_s)
+        else:
+            tracker.succeeded(server.start)
 
     def _release_cache(self) -> None:
         prefilled, self._prefilled = self._prefilled, None
