--- a/tests/test_role_split.py
+++ b/tests/test_role_split.py
@@ -68,6 +68,11 @@
         to_prefill = self.simulate(loads, 3.5)
         assert isinstance(to_prefill, role_split.Change)
         self.assertEqual(to_prefill.server.server_id, "d4")
+        alike = [one._replace(slowdown=1.0) for one in loads]
+        alike[-1] = alike[-1]._replace(slowdown=0.95, running_count=9)
+        to_prefill = self.simulate(alike, 3.5)
+        assert isinstance(to_prefill, role_split.Change)
+        self.assertEqual(to_prefill.server.server_id, "d0")
         busy = [
             one._replace(running_count=60)
             if one.server.role == "decode"
