--- a/src/mulberrywharf/authority/role_manager.py
+++ b/src/mulberrywharf/authority/role_manager.py
@@ -128,6 +128,7 @@
         on_restarted: Callable[
             [fleet.ServerStart, fleet.ServerStart], None
         ] = lambda known, reported: None,
+        slowdown: Callable[[fleet.Server], float] = lambda _: 1.0,
     ):
         """Creates it; ``start`` begins the rounds.
 
@@ -140,6 +141,8 @@
             on_accepted: Called with an engine that has accepted an order.
             on_restarted: Called with the start under which an engine is
                 registered and the different start that it reports.
+            slowdown: Returns the lasting slowdown of an engine relative to its
+                role, 1 if it is unknown.
         """
         self._holder = holder
         self._engines = engines
@@ -150,6 +153,7 @@
         self._on_restarted = on_restarted
         self._splits: dict[str, tuple[float | None, role_split.RoleSplit]] = {}
         self._initial_shares = initial_roles.InitialPrefillShares()
+        self._slowdown = slowdown
         self._awaited_order: _SentOrder | None = None
         self._last_orders: dict[fleet.ServerStart, _SentOrder] = {}
         self._last_reason: dict[str, str] = {}
@@ -288,6 +292,7 @@
             report.running_count,
             report.waiting_count,
             report.is_changing or is_awaited,
+            self._slowdown(server),
         )
 
     def _settle(
