Test that the share of a partial view is not taken

With a settle time of 0, no test of tests.test_initial_roles failed, because the engines changed between any two looks. The test now looks twice at the partial view; with a settle time of 0 it fails, and with 1 s all three tests passed.

--- a/tests/test_initial_roles.py
+++ b/tests/test_initial_roles.py
@@ -24,7 +24,8 @@
 
     def test_share_is_taken_once_the_view_is_full(self) -> None:
         """Guards against the share of the first engines that registered."""
-        self.shares.note("service", engines(2, 0), 0.0)
+        for now_s in (0.0, 0.5):
+            self.shares.note("service", engines(2, 0), now_s)
         self.shares.note("service", engines(4, 8), 0.9)
         self.assertIsNone(self.shares.share("service"))
         self.shares.note("service", engines(4, 8), 2.0)
