Keep the paces of listed servers that got no request yet

The paces of servers without a request of this gateway were dropped with each change of the server list, although other gateways had stated them. All listed servers keep theirs now.

--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -124,7 +124,7 @@
             for start, entry in self._entries.items()
             if start in kept or entry.own_in_flight_count
         }
-        self.paces.keep_only(self._entries.keys())
+        self.paces.keep_only(kept | self._entries.keys())
 
     def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a new request; at an unreachable server it is the trial."""
@@ -370,7 +370,12 @@
         self, server: fleet.Server, median_s: float | None, now_s: float
     ) -> server_choice.Candidate:
         entry = self._entry(server.start)
-        expected = self.paces.expected(server, now_s)
+        # Engines are chosen by their views, which contain the pace.
+        expected = (
+            self.paces.expected(server, now_s)
+            if server.role is None
+            else stated_pace.NOT_STATED
+        )
         slowdown = 1.0
         if median_s and entry.mean_answer_s is not None:
             slowdown = max(expected.offset, entry.mean_answer_s / median_s)
--- a/src/mulberrywharf/policy/stated_pace.py
+++ b/src/mulberrywharf/policy/stated_pace.py
@@ -102,7 +102,7 @@
     offset: float = 1.0
 
 
-_NOT_STATED = ExpectedPace()
+NOT_STATED = ExpectedPace()
 
 
 class _Trust:
@@ -254,7 +254,7 @@
         service = self._services.get(server.service)
         known = self._servers.get(server.start)
         if service is None:
-            return _NOT_STATED
+            return NOT_STATED
         self._update_mean(server.service, service, now_s)
         if known is None:
             return ExpectedPace(spread=service.deviation)
--- a/tests/test_stated_pace.py
+++ b/tests/test_stated_pace.py
@@ -88,6 +88,24 @@
         self.assertEqual(paces.last(_SERVERS[0].start, 0.0), (2.0, 10.0))
 
 
+class ServerListTest(unittest.TestCase):
+    """Servers that join and leave."""
+
+    def test_only_listed_servers_are_kept(self) -> None:
+        """Guards against paces that other gateways stated being forgotten.
+
+        This gateway may not have sent anything to their servers yet.
+        """
+        tracker = server_tracker.ServerTracker("zone-a")
+        for server in _SERVERS:
+            tracker.paces.note(server, 2.0, 10.0)
+        tracker.keep_only([_SERVERS[0].start])
+        first, second = (
+            tracker.paces.last(one.start, 0.0) for one in _SERVERS[:2]
+        )
+        self.assertEqual((first, second), ((2.0, 10.0), None))
+
+
 class WrongFigureTest(unittest.TestCase):
     """Servers whose figure is wrong, beside three that state theirs."""
 
