--- a/tests/test_stated_pace.py
+++ b/tests/test_stated_pace.py
@@ -88,6 +88,24 @@
         self.assertEqual(paces.last(_SERVERS[0].start, 0.0), (2.0, 10.0))
 
 
+class ServerListTest(unittest.TestCase):
+    """Servers that join and leave."""
+
+    def test_only_listed_servers_are_kept(self) -> None:
+        """Guards against paces that other gateways stated being forgotten.
+
+        This gateway may not have sent anything to their servers yet.
+        """
+        tracker = server_tracker.ServerTracker("zone-a")
+        for server in _SERVERS:
+            tracker.paces.note(server, 2.0, 10.0)
+        tracker.keep_only([_SERVERS[0].start])
+        first, second = (
+            tracker.paces.last(one.start, 0.0) for one in _SERVERS[:2]
+        )
+        self.assertEqual((first, second), ((2.0, 10.0), None))
+
+
 class WrongFigureTest(unittest.TestCase):
     """Servers whose figure is wrong, beside three that state theirs."""
 
@@ -251,6 +269,20 @@
             self.tracker.succeeded(server.start, 0.02 * (number + 1) / pace)
         candidates = self.tracker.candidates(_SERVERS, 10.1)
         self.assertEqual([one.slowdown for one in candidates], [1, 1, 1.5, 2])
+        self.assertEqual([one.longest_s for one in candidates], [None] * 4)
+
+    def test_a_slow_phase_lengthens_the_time_until_a_certain_answer(
+        self,
+    ) -> None:
+        for server in _SERVERS:
+            self.tracker.succeeded(server.start, 0.02)
+            self.tracker.paces.note(server, 1.0, 9.9)
+        self.tracker.paces.note(_SERVERS[0], 2.5, 9.99)
+        slow, *usual = self.tracker.candidates(_SERVERS, 10.0)
+        longest_s = [one.longest_s or 0.0 for one in usual]
+        self.assertGreater(slow.longest_s or 0.0, 0.05)
+        self.assertGreater(min(longest_s), 0.02)
+        self.assertLess(max(longest_s), slow.longest_s or 0.0)
 
 
 if __name__ == "__main__":
