Decide by the customers' fair level while engines are scarce

Requests were served first come, first served, so a customer that sends ten times as many took the engines from the others.

--- a/src/mulberrywharf/policy/prompt_admission.py
+++ b/src/mulberrywharf/policy/prompt_admission.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 ADMIT_ALL_TARGET_SHARE = 0.6
 """Share of the first-token target up to which every request is admitted.
@@ -30,6 +30,26 @@
 a large part of the first-token target of their route are hardly ever
 served."""
 
+Claim = Literal["usual", "assured", "yielding"]
+"""Claim of a request to the engines, by its customer's part of them.
+
+- ``usual``: decided by the bounds above.
+- ``assured``: its customer uses less than its fair part. The request is
+  admitted as long as it can be answered in time.
+- ``yielding``: its customer uses more. The request is also refused if it waits
+  longer than the yield bounds, which leaves assured ones the room above.
+"""
+
+ASSURED_TARGET_SHARE = 0.8
+"""Share of the first-token target from which an assured request is refused."""
+
+MIN_YIELD_TARGET_SHARE = 0.2
+MAX_YIELD_TARGET_SHARE = 0.4
+"""Bounds of the wait from which a yielding request is refused, as shares of the
+first-token target. Estimates are off by a third, so with waits around the usual
+bounds some assured requests would be late or refused. Its own prefill doesn't
+count, or long prompts of a large customer would never be served."""
+
 MAX_OWN_PREFILL_TARGET_SHARE = 0.5
 """A request's own prefill counts as at most this share of the first-token
 target. A large prompt is late because of its size and would be refused at every
@@ -70,18 +90,24 @@
     retry_after_s: float
 
 
-def decide(estimate: AdmissionEstimate, rng: random.Random) -> Refusal | None:
+def decide(
+    estimate: AdmissionEstimate,
+    rng: random.Random,
+    *,
+    claim: Claim = "usual",
+) -> Refusal | None:
     """Decides whether a request is refused.
 
     Args:
         estimate: Its estimated delays.
         rng: Spreads refusals and retries.
+        claim: Its claim to the engines.
 
     Returns:
         The refusal, or None if the request may be sent.
     """
     if estimate.first_token_s < estimate.left_s and not _draw_refusal(
-        estimate, rng
+        estimate, rng, claim
     ):
         return None
     max_retry_after_s = max(
@@ -93,16 +119,35 @@
     return Refusal(rng.uniform(min_retry_after_s, max_retry_after_s))
 
 
-def _draw_refusal(estimate: AdmissionEstimate, rng: random.Random) -> bool:
+def _draw_refusal(
+    estimate: AdmissionEstimate, rng: random.Random, claim: Claim
+) -> bool:
     """Returns whether a request is refused because its first token is late.
 
     The bound is drawn at random, so two calls with equal estimates may differ.
     """
     if estimate.target_s is None:
         return False
+    if claim == "assured":
+        return _target_share(estimate) > ASSURED_TARGET_SHARE
+    if claim == "yielding" and estimate.queue_s > estimate.target_s * (
+        rng.uniform(MIN_YIELD_TARGET_SHARE, MAX_YIELD_TARGET_SHARE)
+    ):
+        return True
+    return _target_share(estimate) > rng.uniform(
+        ADMIT_ALL_TARGET_SHARE, REFUSE_ALL_TARGET_SHARE
+    )
+
+
+def _target_share(estimate: AdmissionEstimate) -> float:
+    """Returns the estimated delay as a share of the first-token target.
+
+    It is 0 without a target.
+    """
+    if estimate.target_s is None:
+        return 0.0
     own_prefill_s = estimate.first_token_s - estimate.queue_s
     counted_prefill_s = min(
         own_prefill_s, MAX_OWN_PREFILL_TARGET_SHARE * estimate.target_s
     )
-    share = (counted_prefill_s + estimate.queue_s) / estimate.target_s
-    return share > rng.uniform(ADMIT_ALL_TARGET_SHARE, REFUSE_ALL_TARGET_SHARE)
+    return (counted_prefill_s + estimate.queue_s) / estimate.target_s
