Divide scarce engines among customers at the gateways

The engine pool asks for the claim of a customer's request before it refuses it for lateness, and counts what it admits, refuses and starts late.

--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -9,6 +9,7 @@
 
 from mulberrywharf import clock, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    customer_admission,
     engine_estimates,
     prompt_parts,
     request,
@@ -110,6 +111,7 @@
         limits: server_limits.ServerLimits,
         system_clock: clock.Clock,
         rng: random.Random,
+        customers: customer_admission.CustomerAdmission | None = None,
     ):
         """Initializes the pool.
 
@@ -121,6 +123,8 @@
             system_clock: Source of monotonic time.
             rng: Samples engines, and adds jitter to admission decisions and
                 to Retry-After.
+            customers: Divides scarce engines among customers, None to serve
+                all callers alike.
         """
         self._server_list = server_list
         self._tracker = tracker
@@ -128,6 +132,7 @@
         self._limits = limits
         self._clock = system_clock
         self._rng = rng
+        self._customers = customers
 
     def place(
         self,
@@ -161,8 +166,13 @@
             NoEngineError: No usable engine is left.
             OverloadedError: The first token would come too late.
         """
+        customer_request = None
         if may_refuse:
             self._estimates.demand.note(routed_request, service)
+            if self._customers is not None:
+                customer_request = self._customers.begin(
+                    routed_request, service
+                )
 
         def choose(
             waiting: frozenset[fleet.ServerStart],
@@ -175,7 +185,9 @@
                 allowed_servers,
             )
             if may_refuse:
-                self._refuse_if_late(routed_request, route, plan, limit)
+                self._refuse_if_late(
+                    routed_request, route, plan, limit, customer_request
+                )
             return plan
 
         plan, permit = self._acquire_for_plan(
@@ -189,9 +201,21 @@
         placed = self._estimates.record_placement(
             routed_request, service, plan, route.priority
         )
+        if customer_request is not None:
+            customer_request.note_admitted()
         self._log_placement(routed_request, route, plan, permit)
         return PermittedPlacement(placed, permit)
 
+    def note_started(
+        self,
+        routed_request: request.RoutedRequest,
+        route: table.Route,
+        service: table.Service,
+    ) -> None:
+        """Records that the answer of a request began."""
+        if self._customers is not None:
+            self._customers.note_started(routed_request, route, service)
+
     def _cheapest_plan(
         self,
         routed_request: request.RoutedRequest,
@@ -383,17 +407,29 @@
         route: table.Route,
         plan: prompt_placement.Plan,
         limit: time_limits.TimeLimit,
+        customer_request: customer_admission.CustomerRequest | None,
     ) -> None:
-        """Raises OverloadedError if the first token would be late."""
+        """Raises OverloadedError if the first token would be late.
+
+        It is also raised if the customer is above its part of the engines.
+        """
         estimate = prompt_admission.AdmissionEstimate(
             first_token_s=plan.first_token_s,
             queue_s=plan.queue_s,
             target_s=route.target_s,
             left_s=limit.left_s(),
         )
-        refusal = prompt_admission.decide(estimate, self._rng)
+        refusal = prompt_admission.decide(
+            estimate,
+            self._rng,
+            claim=customer_request.claim(estimate)
+            if customer_request is not None
+            else "usual",
+        )
         if refusal is None:
             return
+        if customer_request is not None:
+            customer_request.note_late()
         logger.bind(
             request_id=routed_request.request_id,
             route=route.name,
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -148,6 +148,9 @@
 
     def open(self) -> StreamAnswer:
         run = self._start_within_limit()
+        self._dependencies.pool.note_started(
+            self._routed_request, self._route, self._service
+        )
         return StreamAnswer(run.answer.head, self._events(run))
 
     def _start_within_limit(self) -> _OpenAnswer:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -24,6 +24,7 @@
 from mulberrywharf.duties import usage_reporter
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
+    customer_admission,
     engine_estimates,
     engine_pool,
     generation,
@@ -36,17 +37,24 @@
 from mulberrywharf.peers import (
     crash_records,
     crash_reports,
+    customer_demand,
     directory,
     freshness_relay,
     limit_datagrams,
     notices,
     queue_owners,
     revision_exchange,
+    topics,
     usage_exchange,
 )
 from mulberrywharf.platform import documents, duties, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
-from mulberrywharf.policy import crash_suspects, repeat_budget
+from mulberrywharf.policy import (
+    crash_suspects,
+    customer_meter,
+    customer_shares,
+    repeat_budget,
+)
 from mulberrywharf.routes import follower, freshness, table
 
 STORE_TIMEOUT_S = 1.0
@@ -159,6 +167,8 @@
             self._queues,
         )
         self._queues.set_parts(self._estimates)
+        self._topics = topics.TopicExchange(self._notices.socket)
+        self._customer_demand, customer_part = self._customer_parts()
         self._pool = engine_pool.EnginePool(
             self._servers,
             self._tracker,
@@ -166,6 +176,7 @@
             self._limits,
             self._clock,
             self._rng,
+            customer_part,
         )
         self._notices.set_sources(
             self._estimates.on_notice,
@@ -259,6 +270,7 @@
             part.close()
         if self._usage_exchange is not None:
             self._usage_exchange.close()
+        self._customer_demand.close()
         self._freshness.close()
         self._revision_exchange.close()
         self._crash_records.close()
@@ -309,6 +321,35 @@
     def _on_routes_change(self, routes: table.RouteTable) -> None:
         if routes.customers is not None:
             self._freshness.start()
+            self._customer_demand.start()
+
+    def _customers_count(self) -> int:
+        routes = self._routes.current()
+        if routes is None or routes.customers is None:
+            return 0
+        return routes.customers.customers_count
+
+    def _customer_parts(
+        self,
+    ) -> tuple[
+        customer_demand.CustomerDemandExchange,
+        customer_admission.CustomerAdmission,
+    ]:
+        """Creates the parts that divide scarce engines among customers."""
+        meter = customer_meter.CustomerMeter()
+        shares = customer_shares.CustomerShares(random.Random())
+        exchange = customer_demand.CustomerDemandExchange(
+            self._peers,
+            self._topics,
+            meter,
+            shares,
+            self._config["availability_zone"],
+            self._customers_count,
+            self._clock,
+        )
+        return exchange, customer_admission.CustomerAdmission(
+            meter, shares, self._estimates.speeds, self._clock
+        )
 
     def _role_parts(
         self,
