Count requests that time out before their answer as late starts

Only answers that began were counted, so engines that begin nothing in time looked as if they kept up, and no customer's level came into force. A request whose time runs out now counts like one that began late.

--- a/src/mulberrywharf/forwarding/customer_admission.py
+++ b/src/mulberrywharf/forwarding/customer_admission.py
@@ -89,7 +89,7 @@
         route: table.Route,
         service: table.Service,
     ) -> None:
-        """Counts a request whose answer began, if that was late."""
+        """Counts a request whose answer began or timed out, if it was late."""
         if (
             not routed_request.customer
             or service.engine is None
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -212,7 +212,7 @@
         route: table.Route,
         service: table.Service,
     ) -> None:
-        """Records that the answer of a request began."""
+        """Records that the answer of a request began, or that it timed out."""
         if self._customers is not None:
             self._customers.note_started(routed_request, route, service)
 
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -147,11 +147,18 @@
         self._was_prefilled = False
 
     def open(self) -> StreamAnswer:
-        run = self._start_within_limit()
+        try:
+            run = self._start_within_limit()
+        except errors.DeadlineExceededError:
+            self._note_started()
+            raise
+        self._note_started()
+        return StreamAnswer(run.answer.head, self._events(run))
+
+    def _note_started(self) -> None:
         self._dependencies.pool.note_started(
             self._routed_request, self._route, self._service
         )
-        return StreamAnswer(run.answer.head, self._events(run))
 
     def _start_within_limit(self) -> _OpenAnswer:
         bound = gevent.Timeout(self._limit.left_s())
--- a/tests/test_customer_admission.py
+++ b/tests/test_customer_admission.py
@@ -119,3 +119,17 @@
         self.assertGreater(small.count("placed"), large.count("placed"))
         self.assertNotIn(message, small)
         self.assertIn("the engines can't answer in time", small)
+
+    def test_late_starts_count_as_scarce(self) -> None:
+        """Engines that start everything late looked as if they kept up."""
+        pool = self.pool()
+        route = build.route(kind=kinds.EventStream(False), target_s=1.0)
+        for arrived_s, customer in ((99.5, "ann"), (98.0, ""), (98.0, "ann")):
+            self.assertEqual(self.meter.services(), ())
+            pool.note_started(
+                build.routed_request(arrived_s, customer=customer),
+                route,
+                SERVICE,
+            )
+        report = self.meter.report("service", 100.0)
+        self.assertGreater(report.unserved, 0.0)
