--- a/bench/customer_play.py
+++ b/bench/customer_play.py
@@ -166,7 +166,13 @@
         if retry_after_s < left_s:
             self._at(now_s + retry_after_s, request)
 
-    def _admit(self, request, wait_s, meter, now_s) -> None:
+    def _admit(
+        self,
+        request: _Request,
+        wait_s: float,
+        meter: customer_meter.CustomerMeter,
+        now_s: float,
+    ) -> None:
         self._queue_s += request.work_s
         meter.note_admitted("s", request.work_s, now_s)
         if wait_s + request.work_s > TARGET_S:
@@ -192,7 +198,13 @@
         if now_s < self._scene.duration_s:
             self._at(now_s + REPORT_S * self._rng.uniform(0.9, 1.1), gateway)
 
-    def _deliver(self, zone, gateway, report, now_s) -> None:
+    def _deliver(
+        self,
+        zone: int,
+        gateway: int,
+        report: customer_meter.DemandReport,
+        now_s: float,
+    ) -> None:
         self._zones[zone].note(gateway, report, now_s)
         shares = self._zones[zone].shares(self._scene.customers_count, now_s)
         if shares is not None:
