--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -22,6 +22,7 @@
 from mulberrywharf.customers import authentication
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
+    customer_admission,
     engine_estimates,
     engine_pool,
     generation,
@@ -34,6 +35,7 @@
 from mulberrywharf.peers import (
     crash_records,
     crash_reports,
+    customer_demand,
     directory,
     ejection_exchange,
     freshness_relay,
@@ -45,7 +47,12 @@
 )
 from mulberrywharf.platform import documents, duties, orders, requests, store
 from mulberrywharf.platform_service import key_value, watch
-from mulberrywharf.policy import crash_suspects, repeat_budget
+from mulberrywharf.policy import (
+    crash_suspects,
+    customer_meter,
+    customer_shares,
+    repeat_budget,
+)
 from mulberrywharf.programs import _gateway_duties
 from mulberrywharf.routes import follower, freshness, table
 
@@ -163,6 +170,7 @@
             self._queues,
         )
         self._queues.set_parts(self._estimates)
+        self._customer_demand, customer_part = self._customer_parts()
         self._pool = engine_pool.EnginePool(
             self._servers,
             self._tracker,
@@ -170,6 +178,7 @@
             self._limits,
             self._clock,
             self._rng,
+            customer_part,
         )
         self._notices.set_sources(
             self._estimates.on_notice,
@@ -181,7 +190,6 @@
         self._servers.on_change(self._revision_exchange.on_change)
         self._routes.on_change(lambda _: self._revision_exchange.on_change())
         self._listener = _listener(config)
-        self._topics = topics.TopicExchange(self._notices.socket)
         self._duties = _gateway_duties.create(
             config,
             _gateway_duties.Dependencies(
@@ -271,6 +279,7 @@
         for part in (*self._roles, self._duties):
             part.close()
         self._duties.close_exchange()
+        self._customer_demand.close()
         self._freshness.close()
         self._revision_exchange.close()
         self._crash_records.close()
@@ -321,6 +330,35 @@
     def _on_routes_change(self, routes: table.RouteTable) -> None:
         if routes.customers is not None:
             self._freshness.start()
+            self._customer_demand.start()
+
+    def _customers_count(self) -> int:
+        routes = self._routes.current()
+        if routes is None or routes.customers is None:
+            return 0
+        return routes.customers.customers_count
+
+    def _customer_parts(
+        self,
+    ) -> tuple[
+        customer_demand.CustomerDemandExchange,
+        customer_admission.CustomerAdmission,
+    ]:
+        """Creates the parts that divide scarce engines among customers."""
+        meter = customer_meter.CustomerMeter()
+        shares = customer_shares.CustomerShares(random.Random())
+        exchange = customer_demand.CustomerDemandExchange(
+            self._peers,
+            self._topics,
+            meter,
+            shares,
+            self._config["availability_zone"],
+            self._customers_count,
+            self._clock,
+        )
+        return exchange, customer_admission.CustomerAdmission(
+            meter, shares, self._estimates.speeds, self._clock
+        )
 
     def _role_parts(
         self,
--- a/tests/test_shared_speeds.py
+++ b/tests/test_shared_speeds.py
@@ -298,7 +298,12 @@
         engine = plan.prefill_engine._replace(wait_s=0.0, reported_wait_s=0.0)
         fit = plan._replace(prefill=engine)
         expected_s = fit.prefill_time.total_s
-        measured = engine_estimates._measured_slowdown
+
+        def measured(
+            plan: prompt_placement.Plan, took_s: float, pace: float = 1.0
+        ) -> float | None:
+            return engine_estimates._measured_slowdown(plan, took_s, pace)
+
         self.assertAlmostEqual(measured(fit, expected_s) or 0.0, 1 / 1.6)
         self.assertAlmostEqual(measured(fit, 2 * expected_s) or 0.0, 2 / 1.6)
         unfit = (
@@ -313,6 +318,15 @@
         for one in unfit:
             self.assertIsNone(measured(one, expected_s))
 
+    def test_the_stated_pace_is_not_taken_for_a_lasting_slowdown(self) -> None:
+        """Guards against counting a pace of the moment twice."""
+        (plan, *_) = self.plans()
+        engine = plan.prefill_engine._replace(wait_s=0.0, reported_wait_s=0.0)
+        fit = plan._replace(prefill=engine)
+        took_s = 2.5 * fit.prefill_time.total_s
+        measured = engine_estimates._measured_slowdown(fit, took_s, 2.5)
+        self.assertAlmostEqual(measured or 0.0, 1.0)
+
 
 class SpeedPlayTest(unittest.TestCase):
     def setUp(self) -> None:
