--- a/tests/test_shared_speeds.py
+++ b/tests/test_shared_speeds.py
@@ -284,6 +284,16 @@
             self.chosen_id(slowdown=1.6, lasting_slowdown=1.6), "slow"
         )
 
+    def test_cached_parts_are_not_prefilled_again_elsewhere(self) -> None:
+        """Guards against an overload that grows by repeated prefills."""
+        plans = self.plans(slowdown=1.6, lasting_slowdown=1.6)
+        assert plans[0].prefill is not None
+        holder = plans[0].prefill._replace(cached_tokens=9_000)
+        best = plans[0]._replace(prefill=holder)
+        self.assertEqual(
+            prompt_admission.choose_plan([best, *plans[1:]], 0.663), best
+        )
+
     def test_cheapest_plan_is_kept_while_no_lasting_speed_is_known(
         self,
     ) -> None:
