--- a/src/mulberrywharf/policy/prompt_admission.py
+++ b/src/mulberrywharf/policy/prompt_admission.py
@@ -118,9 +118,9 @@
     cheapest until their queue is so long that requests are refused, although
     slow engines are idle and would answer in time. Only plans of prefill
     engines whose queue is reported replace the cheapest one: other engines may
-    only look idle, and prefills at decode engines make streams pause. The engine
-    must hold as much of the prompt: in an overload, prefilling cached parts
-    again elsewhere left 0.58 of the callers served in time instead of 0.79.
+    only look idle, and prefills at decode engines make streams pause. The
+    engine must hold as much of the prompt: in an overload, prefilling cached
+    parts again elsewhere left 0.58 of the callers served in time, not 0.79.
 
     Args:
         plans: At least one plan, the cheapest first.
