--- a/src/mulberrywharf/duties/capacity_demand.py
+++ b/src/mulberrywharf/duties/capacity_demand.py
@@ -1,6 +1,8 @@
 """Combines what is known of a service's load to its demand for engines."""
 
+import math
 from collections.abc import Callable
+from typing import NamedTuple
 
 from mulberrywharf.policy import capacity_plan
 
@@ -14,6 +16,33 @@
 then, or an average that decays after the last one."""
 
 
+SMOOTHING_S = 3.0
+"""Time constant of the moving average of the estimates, the length of a short
+burst. Estimates of one moment vary by a factor of three on a steady mix, and an
+engine that is ordered for one second of it serves only 4 s later."""
+
+
+class _Average(NamedTuple):
+    """Moving average of the busy engines of a service."""
+
+    since_s: float
+    updated_s: float
+    prefill_engines: float
+    decode_engines: float
+
+    def updated(
+        self, prefill_engines: float, decode_engines: float, now_s: float
+    ) -> "_Average":
+        kept = math.exp(-(now_s - self.updated_s) / SMOOTHING_S)
+        return self._replace(
+            updated_s=now_s,
+            prefill_engines=prefill_engines
+            + kept * (self.prefill_engines - prefill_engines),
+            decode_engines=decode_engines
+            + kept * (self.decode_engines - decode_engines),
+        )
+
+
 class ServiceDemand:
     """Tells the demand of each service while it has traffic."""
 
@@ -32,7 +61,7 @@
         """
         self._wanted_prefill = wanted_prefill
         self._busy_decode_engines = busy_decode_engines
-        self._in_use_since_s: dict[str, float] = {}
+        self._averages: dict[str, _Average] = {}
 
     def demand(
         self, service: str, now_s: float
@@ -51,9 +80,15 @@
             decode_engines is None
             or prefill_engines + decode_engines < MIN_ENGINES
         ):
-            self._in_use_since_s.pop(service, None)
+            self._averages.pop(service, None)
             return None
-        since_s = self._in_use_since_s.setdefault(service, now_s)
-        if now_s - since_s < MIN_OBSERVATION_S:
+        known = self._averages.get(service) or _Average(
+            now_s, now_s, prefill_engines, decode_engines
+        )
+        average = known.updated(prefill_engines, decode_engines, now_s)
+        self._averages[service] = average
+        if now_s - average.since_s < MIN_OBSERVATION_S:
             return None
-        return capacity_plan.CapacityDemand(prefill_engines, decode_engines)
+        return capacity_plan.CapacityDemand(
+            average.prefill_engines, average.decode_engines
+        )
--- a/src/mulberrywharf/forwarding/prompt_demand.py
+++ b/src/mulberrywharf/forwarding/prompt_demand.py
@@ -85,3 +85,18 @@
             for service, demand in self._demands.items():
                 if notice_codec.hash_name(service) == report.service_key:
                     demand.record_report(notice.sender, report.engines, now_s)
+
+    def mean_prefill(self, service: str) -> float | None:
+        """Returns how many engines prefill keeps busy, without extrapolation.
+
+        Unlike ``wanted_prefill``, prompts of the last moments don't stand for
+        gateways that had none.
+
+        Returns:
+            The mean number of busy engines; None until there is enough data.
+        """
+        if self.wanted_prefill(service) is None:
+            return None
+        return self._demands[service].mean_engines(
+            self._gateways_count(), self._clock.monotonic_s()
+        )
--- a/src/mulberrywharf/policy/prefill_demand.py
+++ b/src/mulberrywharf/policy/prefill_demand.py
@@ -6,6 +6,7 @@
 others.
 """
 
+import math
 from collections.abc import Iterable
 
 from mulberrywharf.policy import decaying_rate
@@ -19,6 +20,12 @@
 """Older reports of other gateways are ignored; a gateway with callers reports a
 few times a second."""
 
+FORGET_REPORT_S = 60.0
+"""A gateway whose last report is older has stopped, or has no callers that ask
+for prefill."""
+
+_SENDERS_LIMIT_COUNT = 1_000
+
 MIN_OBSERVATION_S = 2.5
 """No demand is reported until prompts have arrived for this long, because the
 few prompts of the first second say little."""
@@ -31,6 +38,7 @@
         self._own = decaying_rate.DecayingRate(RATE_TIME_CONSTANT_S)
         self._first_prompt_s: float | None = None
         self._reports: dict[int, tuple[float, float]] = {}
+        self._last_reports: dict[int, tuple[float, float]] = {}
 
     def note(self, work_s: float, now_s: float) -> None:
         """Counts a prompt whose prefill takes a prefill engine ``work_s``."""
@@ -51,6 +59,9 @@
             now_s: The current time.
         """
         self._reports[sender] = engines, now_s
+        self._last_reports[sender] = engines, now_s
+        if len(self._last_reports) > _SENDERS_LIMIT_COUNT:
+            del self._last_reports[next(iter(self._last_reports))]
 
     def total_engines(self, gateways_count: int, now_s: float) -> float | None:
         """Returns how many engines the prompts of all gateways keep busy.
@@ -72,6 +83,27 @@
         known = self.own_engines(now_s) + sum(recent)
         return known * max(1.0, gateways_count / (1 + len(recent)))
 
+    def mean_engines(self, gateways_count: int, now_s: float) -> float:
+        """Returns how many engines the prompts of all gateways keep busy.
+
+        In large fleets gateways report only with a prompt, and those that just
+        had one are the busiest. So a report counts until it has decayed like
+        the average that it states, instead of standing for gateways that had
+        no prompt.
+
+        Args:
+            gateways_count: Number of gateways, including this one. Those that
+                never reported count like the mean of the others.
+            now_s: The current time.
+        """
+        decayed = [
+            engines * math.exp(-(now_s - at_s) / RATE_TIME_CONSTANT_S)
+            for engines, at_s in self._last_reports.values()
+            if now_s - at_s <= FORGET_REPORT_S
+        ]
+        known = self.own_engines(now_s) + sum(decayed)
+        return known * max(1.0, gateways_count / (1 + len(decayed)))
+
     def _recent_reports(self, now_s: float) -> Iterable[float]:
         self._reports = {
             sender: (engines, at_s)
--- a/src/mulberrywharf/programs/_gateway_duties.py
+++ b/src/mulberrywharf/programs/_gateway_duties.py
@@ -193,7 +193,7 @@
             dependencies.clock,
         )
         self._demand = capacity_demand.ServiceDemand(
-            dependencies.estimates.demand.wanted_prefill,
+            dependencies.estimates.demand.mean_prefill,
             dependencies.estimates.loads.busy_decode_engines,
         )
 
--- a/tests/test_gateway_duties.py
+++ b/tests/test_gateway_duties.py
@@ -49,7 +49,7 @@
 
     def __init__(self) -> None:
         self.demand = mock.Mock()
-        self.demand.wanted_prefill.return_value = 1.5
+        self.demand.mean_prefill.return_value = 1.5
         self.loads = mock.Mock()
         self.loads.busy_decode_engines.return_value = 3.0
 
