Let another engine answer in place of a server's own failure

A failure of the server (500 and above, not 504) of a request that may run again is now replaced by another attempt, within the attempts of the route and the retry budget; otherwise the engine's answer is passed on unchanged, as before. The repeat of failed trials is a case of it.

--- a/bench/capacity_play.py
+++ b/bench/capacity_play.py
@@ -151,7 +151,10 @@
         """Returns orders for the fixed numbers."""
         orders = []
         for zone in zones:
-            name, extra = zone.availability_zone, max(0, self._count - 2)
+            name, extra = (
+                zone.availability_zone,
+                max(0, self._count - capacity_plan.REGULAR_FLOOR),
+            )
             if zone.reclaimable_count < extra:
                 orders.append(
                     capacity_plan.CapacityOrder(name, True, extra, "fixed")
@@ -159,7 +162,10 @@
             elif zone.regular_ordered_count is None:
                 orders.append(
                     capacity_plan.CapacityOrder(
-                        name, False, min(2, self._count), "fixed"
+                        name,
+                        False,
+                        min(capacity_plan.REGULAR_FLOOR, self._count),
+                        "fixed",
                     )
                 )
         return orders
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -185,9 +185,12 @@
     def _start(self) -> _OpenAnswer:
         while True:
             attempted = self._attempt_once()
-            if isinstance(attempted, Ok):
+            if isinstance(attempted, Err):
+                self._allow_retry_or_raise(attempted.err_value)
+            elif self._replaces_failure(attempted.ok_value):
+                self._discard(attempted.ok_value)
+            else:
                 return attempted.ok_value
-            self._allow_retry_or_raise(attempted.err_value)
 
     def _attempt_once(self) -> Result[_OpenAnswer, errors.EngineError]:
         """Sends the request once, after a separate prefill if that is best.
@@ -394,28 +397,28 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
-        if self._is_failed_trial(server, sent.ok_value.head):
-            sent.ok_value.exchange.close()
-            self._dependencies.tracker.ended(server.start)
-            self._excluded.add(server.start)
-            return Err(
-                errors.EngineError(f"{server.address} failed while on trial")
-            )
         return Ok(_OpenAnswer(server, sent.ok_value, began_s))
 
-    def _is_failed_trial(
-        self, server: fleet.Server, head: request.AnswerHead
-    ) -> bool:
-        """Tells whether an ejected engine has failed a repeatable request.
+    def _replaces_failure(self, run: _OpenAnswer) -> bool:
+        """Returns whether another engine is to answer in place of a failure.
 
-        The caller must not lose by the trial, so another engine is tried.
+        An engine that fails a part of its requests would otherwise cost the
+        callers of all of them their answers, although others work. The
+        request's route allows the attempt, and the retry budget is charged.
         """
         return (
             self._may_run_again
-            and outcome.is_server_fault(head.status)
-            and self._dependencies.ejections.is_ejected(server.start)
+            and outcome.is_server_fault(run.answer.head.status)
+            and not self._is_limit_reached()
+            and not self._dependencies.crashes.is_blocked(self._routed_request)
+            and self._take_repeat()
         )
 
+    def _discard(self, run: _OpenAnswer) -> None:
+        run.answer.exchange.close()
+        self._dependencies.tracker.ended(run.server.start)
+        self._excluded.add(run.server.start)
+
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
             self._routed_request,
@@ -451,12 +454,14 @@
             self._dependencies.crashes.check(self._routed_request)
         elif self._dependencies.crashes.is_blocked(self._routed_request):
             raise errors.BackEndLostError(error.message, outcome="unknown")
-        is_limit_reached = (
+        if self._is_limit_reached() or not self._charge_repeat(error):
+            raise self._final_error(error.message)
+
+    def _is_limit_reached(self) -> bool:
+        return (
             self._sends_count >= _SENDS_LIMIT_COUNT
             or self._runs_count >= self._route.attempts_limit_count
         )
-        if is_limit_reached or not self._charge_repeat(error):
-            raise self._final_error(error.message)
 
     def _charge_repeat(self, error: errors.EngineError) -> bool:
         if isinstance(
--- a/tests/test_failing_engines.py
+++ b/tests/test_failing_engines.py
@@ -41,6 +41,47 @@
         self.assertGreaterEqual(len(failing[1].requests), 1)
 
 
+class RepeatedFailureTest(test_generation.GenerationCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.failing = self.respond_with(FAILURE)
+        self.sound = self.respond_with(
+            test_generation.HEAD
+            + test_generation.chunks(test_generation.event(1))
+        )
+        # The failing engine is the one that is chosen first.
+        self.tracker.note_requests_count(
+            build.start("s1"), 10, self.clock.monotonic_s()
+        )
+
+    def test_another_engine_answers_in_place_of_a_failure(self) -> None:
+        """Guards against a caller that gets a 500 while other engines work."""
+        body = self.body(self.failing, self.sound)
+        self.assertEqual(body, test_generation.event(1))
+        self.assertEqual(len(self.failing[1].requests), 1)
+
+    def test_a_stream_that_cannot_resume_runs_once(self) -> None:
+        """Guards against running a request twice that must run once."""
+        answer = self.open(
+            self.failing, self.sound, kind=test_generation.NOT_RESUMABLE
+        )
+        self.assertEqual(answer.head.status, 500)
+        self.assertEqual(self.sound[1].requests, [])
+
+    def test_a_failure_is_passed_on_where_no_attempt_is_left(self) -> None:
+        """Guards against more runs than the route allows."""
+        route = build.route(
+            kind=test_generation.RESUMABLE,
+            timeout_s=1.0,
+            target_s=0.5,
+            has_prompt=True,
+            attempts_limit_count=1,
+        )
+        answer = self.open(self.failing, self.sound, route=route)
+        self.assertEqual(answer.head.status, 500)
+        self.assertEqual(self.sound[1].requests, [])
+
+
 class OnTrial:
     """Stands in for the ejections: one server is on trial."""
 
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -98,6 +98,7 @@
         *scripted: tuple[str, Any],
         kind: Any = RESUMABLE,
         engine: table.EngineTraits = build.ENGINE,
+        route: table.Route | None = None,
         **changes: Any,
     ) -> generation.StreamAnswer:
         servers = [
@@ -131,7 +132,7 @@
                 self.ejections,
             )
         )
-        route = build.route(
+        route = route or build.route(
             kind=kind, timeout_s=1.0, target_s=0.5, has_prompt=True
         )
         routed_request = build.routed_request(
