--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -14,6 +14,7 @@
 
 from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     engine_estimates,
     engine_pool,
     events,
@@ -22,7 +23,12 @@
     server_tracker,
     time_limits,
 )
-from mulberrywharf.policy import observed_waits, repeat_budget, stream_gaps
+from mulberrywharf.policy import (
+    observed_waits,
+    outcome,
+    repeat_budget,
+    stream_gaps,
+)
 from mulberrywharf.routes import kinds, table
 
 RETRY_AFTER_REFUSED_S = 0.3
@@ -65,6 +71,7 @@
         budget: Limits retries.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
+        ejections: Tells which engines are ejected.
     """
 
     pool: engine_pool.EnginePool
@@ -75,6 +82,7 @@
     budget: repeat_budget.RepeatBudget
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
+    ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
 
 
 class Generations:
@@ -147,9 +155,19 @@
         self._was_prefilled = False
 
     def open(self) -> StreamAnswer:
-        run = self._start_within_limit()
+        try:
+            run = self._start_within_limit()
+        except errors.DeadlineExceededError:
+            self._note_started()
+            raise
+        self._note_started()
         return StreamAnswer(run.answer.head, self._events(run))
 
+    def _note_started(self) -> None:
+        self._dependencies.pool.note_started(
+            self._routed_request, self._route, self._service
+        )
+
     def _start_within_limit(self) -> _OpenAnswer:
         bound = gevent.Timeout(self._limit.left_s())
         try:
@@ -167,9 +185,12 @@
     def _start(self) -> _OpenAnswer:
         while True:
             attempted = self._attempt_once()
-            if isinstance(attempted, Ok):
+            if isinstance(attempted, Err):
+                self._allow_retry_or_raise(attempted.err_value)
+            elif self._replaces_failure(attempted.ok_value):
+                self._discard(attempted.ok_value)
+            else:
                 return attempted.ok_value
-            self._allow_retry_or_raise(attempted.err_value)
 
     def _attempt_once(self) -> Result[_OpenAnswer, errors.EngineError]:
         """Sends the request once, after a separate prefill if that is best.
@@ -233,9 +254,14 @@
     def _allowed_servers(
         self, servers: Sequence[fleet.Server]
     ) -> list[fleet.Server]:
-        return self._dependencies.crashes.allowed_servers(
+        allowed = self._dependencies.crashes.allowed_servers(
             self._routed_request, servers
         )
+        # A prefill may always be repeated.
+        is_prefill = all(server.role == "prefill" for server in allowed)
+        return self._dependencies.ejections.allowed(
+            allowed, may_repeat=self._may_run_again or is_prefill
+        )
 
     def _no_engine_error(
         self, error: errors.NoEngineError | errors.OverloadedError
@@ -310,7 +336,7 @@
             self._report_possible_crash(attempt.server, began_s, body.err_value)
             return body
         if not answer.head.is_success:
-            self._note_answer_failed(attempt.server)
+            self._note_answer_failed(attempt.server, answer.head)
             message = f"{attempt.server.address} failed to prefill the prompt"
             return Err(errors.AnswerLostError(message))
         self._dependencies.tracker.succeeded(attempt.server.start)
@@ -348,7 +374,12 @@
             estimates.failed(placed, awaited)
             self._dependencies.tracker.ended(server.start)
             raise
-        self._note_result(placed, awaited, sent)
+        if isinstance(sent, Ok) and not sent.ok_value.head.is_success:
+            # The time to a failure says nothing about the engine's speed.
+            estimates.failed(placed, awaited)
+            self._note_failed_head(server, sent.ok_value.head)
+        else:
+            self._note_result(placed, awaited, sent)
         expected_s = estimates.expected_s(placed, awaited)
         self._record_attempt(attempt, began_s, expected_s, sent)
         if isinstance(sent, Err):
@@ -368,6 +399,26 @@
         self._runs_count += 1
         return Ok(_OpenAnswer(server, sent.ok_value, began_s))
 
+    def _replaces_failure(self, run: _OpenAnswer) -> bool:
+        """Returns whether another engine is to answer in place of a failure.
+
+        An engine that fails a part of its requests would otherwise cost the
+        callers of all of them their answers, although others work. The
+        request's route allows the attempt, and the retry budget is charged.
+        """
+        return (
+            self._may_run_again
+            and outcome.is_server_fault(run.answer.head.status)
+            and not self._is_limit_reached()
+            and not self._dependencies.crashes.is_blocked(self._routed_request)
+            and self._take_repeat()
+        )
+
+    def _discard(self, run: _OpenAnswer) -> None:
+        run.answer.exchange.close()
+        self._dependencies.tracker.ended(run.server.start)
+        self._excluded.add(run.server.start)
+
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
             self._routed_request,
@@ -403,12 +454,14 @@
             self._dependencies.crashes.check(self._routed_request)
         elif self._dependencies.crashes.is_blocked(self._routed_request):
             raise errors.BackEndLostError(error.message, outcome="unknown")
-        is_limit_reached = (
+        if self._is_limit_reached() or not self._charge_repeat(error):
+            raise self._final_error(error.message)
+
+    def _is_limit_reached(self) -> bool:
+        return (
             self._sends_count >= _SENDS_LIMIT_COUNT
             or self._runs_count >= self._route.attempts_limit_count
         )
-        if is_limit_reached or not self._charge_repeat(error):
-            raise self._final_error(error.message)
 
     def _charge_repeat(self, error: errors.EngineError) -> bool:
         if isinstance(
@@ -485,11 +538,11 @@
                 if new_events:
                     gaps.note(self._dependencies.system_clock.monotonic_s())
                     yield new_events
-            self._dependencies.tracker.succeeded(run.server.start)
-            self._dependencies.estimates.ended(
-                run.server, self._since_s(began_s)
-            )
             if run.answer.head.is_success:
+                self._dependencies.tracker.succeeded(run.server.start)
+                self._dependencies.estimates.ended(
+                    run.server, self._since_s(began_s)
+                )
                 self._dependencies.crashes.note_completed(self._routed_request)
             if splitter.pending:
                 yield splitter.pending
@@ -567,9 +620,25 @@
                 run, made_output=made_output
             )
 
-    def _note_answer_failed(self, server: fleet.Server) -> None:
+    def _note_answer_failed(
+        self, server: fleet.Server, head: request.AnswerHead
+    ) -> None:
         self._excluded.add(server.start)
-        self._dependencies.tracker.failed(server.start)
+        self._dependencies.tracker.failed(
+            server.start,
+            self._dependencies.system_clock.monotonic_s(),
+            is_fault=outcome.is_server_fault(head.status),
+        )
+
+    def _note_failed_head(
+        self, server: fleet.Server, head: request.AnswerHead
+    ) -> None:
+        tracker = self._dependencies.tracker
+        if outcome.is_server_fault(head.status):
+            now_s = self._dependencies.system_clock.monotonic_s()
+            tracker.failed(server.start, now_s)
+        else:
+            tracker.succeeded(server.start)
 
     def _release_cache(self) -> None:
         prefilled, self._prefilled = self._prefilled, None
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -14,13 +14,19 @@
 
 from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     request,
     server_client,
     server_tracker,
     servers,
     time_limits,
 )
-from mulberrywharf.policy import limit_waits, repeat_budget, server_choice
+from mulberrywharf.policy import (
+    limit_waits,
+    outcome,
+    repeat_budget,
+    server_choice,
+)
 from mulberrywharf.routes import kinds, table
 
 ANSWER_LIMIT_BYTES = 16_000_000
@@ -57,6 +63,7 @@
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
         rng: Spreads retry delays and breaks ties between servers.
+        ejections: Tells which servers are ejected.
     """
 
     server_list: servers.ServerList
@@ -67,6 +74,7 @@
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
     rng: random.Random
+    ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
 
 
 class PlainCalls:
@@ -202,9 +210,12 @@
             if server.start not in self._tried
         ]
         reachable = self._dependencies.tracker.reachable(usable, now_s)
-        return self._dependencies.crashes.allowed_servers(
+        allowed = self._dependencies.crashes.allowed_servers(
             self._routed_request, reachable
         )
+        return self._dependencies.ejections.allowed(
+            allowed, may_repeat=self._may_run_again
+        )
 
     def _acquire(
         self, servers: list[fleet.Server], max_wait_s: float
@@ -212,7 +223,14 @@
         """Chooses one of the servers and acquires a permit for it."""
         now_s = self._dependencies.system_clock.monotonic_s()
         candidates = self._dependencies.tracker.candidates(servers, now_s)
-        candidate = server_choice.choose(candidates, self._dependencies.rng)
+        rng = self._dependencies.rng
+        candidate = (
+            server_choice.choose(candidates, rng)
+            if self._may_run_again
+            else server_choice.choose_most_certain(
+                candidates, self._limit.for_server_s(), rng
+            )
+        )
         if candidate is None:
             return None
         acquired = self._dependencies.limits.acquire(
@@ -303,9 +321,18 @@
         if head.is_success:
             self._dependencies.crashes.note_completed(self._routed_request)
         if head.status >= _FAILURE_STATUS:
-            self._dependencies.tracker.failed(server.start)
+            self._dependencies.tracker.failed(
+                server.start,
+                self._dependencies.system_clock.monotonic_s(),
+                is_fault=outcome.is_server_fault(head.status),
+            )
         else:
-            self._dependencies.tracker.succeeded(server.start, took_s)
+            tracker = self._dependencies.tracker
+            now_s = self._dependencies.system_clock.monotonic_s()
+            pace = tracker.paces.note_duration(
+                server, took_s, now_s - took_s, now_s
+            )
+            tracker.succeeded(server.start, took_s / pace)
 
     def _is_retryable(self, answer: WholeAnswer) -> bool:
         return answer.head.status >= _FAILURE_STATUS and self._may_run_again
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -1,12 +1,15 @@
 """Tracks requests and health of each server, as this gateway sees them."""
 
+import functools
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from loguru import logger
+
 from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
-from mulberrywharf.policy import server_choice
+from mulberrywharf.policy import server_choice, stated_pace
 
 REPORT_TIME_CONSTANT_S = 1.0
 """A reported count of other gateways' requests decays by 1/e in this time. The
@@ -18,8 +21,18 @@
 about the last twenty answers, which a server gets in about one second if its
 service has three servers."""
 
+FAULT_TIME_CONSTANT_S = 5.0
+"""The share of faults decays by 1/e in this time. A gateway of a large fleet
+gets an answer of an engine every few seconds, and an engine that is passed over
+gives none that could show that it works again."""
+
 PACE_WEIGHT = 0.15
 PACE_LIMIT = 10.0
+CERTAIN_DEVIATIONS_COUNT = 3.0
+"""Standard deviations of the pace within which an answer almost certainly
+comes. Paces are far from normally distributed: one of 2.5 where 85 of 100 are 1
+is 2.4 deviations above the mean."""
+
 SUSPECT_S = 0.3
 """How long a server that broke off an exchange is used only as a last resort.
 A restarting server refuses connections before this time has passed, and counts
@@ -58,6 +71,12 @@
     "Answers with a Retry-After, until which their servers get no requests.",
 )
 
+_malformed_loads_total = metrics.counter(
+    "mulberry_malformed_loads_total",
+    "Answers that state a load which can't be read.",
+)
+_LOGGED_TEXT_LIMIT = 64
+
 
 class OthersLoad(NamedTuple):
     """Other gateways' requests at a server, by its last report.
@@ -80,7 +99,10 @@
         self.others_reported_at_s = float("-inf")
         self.reported: request.ReportedLoad | None = None
         self.reported_at_s = float("-inf")
+        self.has_logged_malformed_load = False
         self.failure_share = 0.0
+        self.fault_share = 0.0
+        self.fault_at_s = float("-inf")
         self.mean_answer_s: float | None = None
         self.suspected_until_s = float("-inf")
         self.avoided_until_s = float("-inf")
@@ -90,11 +112,30 @@
 
 
 class ServerTracker:
-    """Request counts and recent outcomes of all servers."""
+    """Request counts and recent outcomes of all servers.
+
+    Attributes:
+        paces: The paces that servers state.
+    """
 
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
         self._entries: dict[fleet.ServerStart, _Entry] = {}
+        self.paces = stated_pace.StatedPaces()
+        self._on_outcome: Callable[[fleet.ServerStart, bool], None] = (
+            lambda _, __: None
+        )
+
+    def on_outcome(
+        self, callback: Callable[[fleet.ServerStart, bool], None]
+    ) -> None:
+        """Sets the callback for the outcomes that servers are responsible for.
+
+        Args:
+            callback: Called with the server and whether it failed, when the
+                head of an answer was received or the answer was lost.
+        """
+        self._on_outcome = callback
 
     def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
         """Drops ended servers, except those with requests of this gateway."""
@@ -104,6 +145,7 @@
             for start, entry in self._entries.items()
             if start in kept or entry.own_in_flight_count
         }
+        self.paces.keep_only(kept | self._entries.keys())
 
     def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a new request; at an unreachable server it is the trial."""
@@ -124,20 +166,45 @@
     def reported(
         self,
         start: fleet.ServerStart,
-        load: request.ReportedLoad | None,
+        load: request.StatedLoad | None,
         now_s: float,
     ) -> None:
         """Records the load report that came with an answer.
 
-        The report still includes the answered request.
+        The report still includes the answered request. A load that can't be
+        read is counted, and logged once for each start of a server.
         """
-        if load is None:
-            return
+        if load is not None:
+            self._note_load(load, start, now_s)
+
+    @functools.singledispatchmethod
+    def _note_load(
+        self,
+        load: request.ReportedLoad,
+        start: fleet.ServerStart,
+        now_s: float,
+    ) -> None:
         entry = self._entry(start)
         entry.reported = load
         entry.reported_at_s = now_s
         self.note_requests_count(start, load.requests_count, now_s)
 
+    @_note_load.register
+    def _(
+        self,
+        load: request.MalformedLoad,
+        start: fleet.ServerStart,
+        now_s: float,
+    ) -> None:
+        _malformed_loads_total.inc({})
+        entry = self._entry(start)
+        if entry.has_logged_malformed_load:
+            return
+        entry.has_logged_malformed_load = True
+        logger.bind(
+            server_id=start.server_id, text=load.text[:_LOGGED_TEXT_LIMIT]
+        ).warning("a server stated a load that can't be read")
+
     def note_requests_count(
         self, start: fleet.ServerStart, requests_count: int, at_s: float
     ) -> None:
@@ -194,6 +261,7 @@
         """
         entry = self._entry(start)
         entry.failure_share *= 1 - FAILURE_WEIGHT
+        entry.fault_share *= 1 - FAILURE_WEIGHT
         entry.suspected_until_s = float("-inf")
         entry.avoided_until_s = float("-inf")
         entry.failed_attempts_count = 0
@@ -204,14 +272,39 @@
         )
         entry.mean_answer_s = before_s + PACE_WEIGHT * (answer_s - before_s)
 
-    def failed(self, start: fleet.ServerStart) -> None:
-        """Records a failed answer."""
+    def answered(self, start: fleet.ServerStart) -> None:
+        """Records the head of an answer that is no fault of the server."""
+        self._on_outcome(start, False)
+
+    def failed(
+        self, start: fleet.ServerStart, now_s: float, *, is_fault: bool = True
+    ) -> None:
+        """Records a failed answer.
+
+        Args:
+            start: The server.
+            now_s: The current time.
+            is_fault: Whether it is a fault of the server. A full server that
+                refuses a request has none.
+        """
         entry = self._entry(start)
         entry.failure_share += FAILURE_WEIGHT * (1 - entry.failure_share)
+        if not is_fault:
+            return
+        share = self.fault_share(start, now_s)
+        entry.fault_share = share + FAILURE_WEIGHT * (1 - share)
+        entry.fault_at_s = now_s
+        self._on_outcome(start, True)
+
+    def fault_share(self, start: fleet.ServerStart, now_s: float) -> float:
+        """Returns the share of recent answers that were a server's faults."""
+        entry = self._entry(start)
+        age_s = now_s - entry.fault_at_s
+        return entry.fault_share * math.exp(-age_s / FAULT_TIME_CONSTANT_S)
 
     def refused(self, start: fleet.ServerStart, now_s: float) -> None:
         """Records that a server refused a request without running it."""
-        self.failed(start)
+        self.failed(start, now_s, is_fault=False)
         entry = self._entry(start)
         until_s = now_s + REFUSED_S
         entry.suspected_until_s = max(entry.suspected_until_s, until_s)
@@ -257,12 +350,12 @@
 
     def connection_lost(self, start: fleet.ServerStart, now_s: float) -> None:
         """Records that a server broke off an exchange."""
-        self.failed(start)
+        self.failed(start, now_s)
         self._entry(start).suspected_until_s = now_s + SUSPECT_S
 
     def unreachable(self, start: fleet.ServerStart, now_s: float) -> None:
         """Records that a server could not be reached, or stopped responding."""
-        self.failed(start)
+        self.failed(start, now_s, is_fault=False)
         entry = self._entry(start)
         if now_s >= entry.avoided_until_s or not entry.failed_attempts_count:
             # Requests that fail at the same time count as one failure.
@@ -312,7 +405,9 @@
     ) -> list[server_choice.Candidate]:
         """Returns servers of one service as input for the server choice.
 
-        The slowdown of each is its answer time relative to the median of all.
+        The slowdown of each is its answer time relative to the median of all,
+        times its expected pace. Answer times are corrected by the stated pace,
+        so that it counts once.
         """
         among = list(among)
         median_s = self._median_answer_s(among)
@@ -322,19 +417,35 @@
         self, server: fleet.Server, median_s: float | None, now_s: float
     ) -> server_choice.Candidate:
         entry = self._entry(server.start)
+        # Engines are chosen by their views, which contain the pace.
+        expected = (
+            self.paces.expected(server, now_s)
+            if server.role is None
+            else stated_pace.NOT_STATED
+        )
         slowdown = 1.0
         if median_s and entry.mean_answer_s is not None:
-            slowdown = min(PACE_LIMIT, max(1.0, entry.mean_answer_s / median_s))
+            slowdown = max(expected.offset, entry.mean_answer_s / median_s)
+        others_in_flight_count = self.others_in_flight_count(
+            server.start, now_s
+        )
+        longest_s = None
+        if median_s and expected.spread is not None:
+            busy_count = entry.own_in_flight_count + others_in_flight_count + 1
+            longest_s = (
+                (entry.mean_answer_s or median_s)
+                * (expected.pace + CERTAIN_DEVIATIONS_COUNT * expected.spread)
+                * max(1.0, busy_count / max(1, server.slots_count))
+            )
         return server_choice.Candidate(
             server=server,
             own_in_flight_count=entry.own_in_flight_count,
-            others_in_flight_count=self.others_in_flight_count(
-                server.start, now_s
-            ),
+            others_in_flight_count=others_in_flight_count,
             failure_share=entry.failure_share,
-            slowdown=slowdown,
+            slowdown=min(PACE_LIMIT, slowdown * expected.pace),
             is_suspected=self.is_suspected(server.start, now_s),
             is_same_zone=server.availability_zone == self._availability_zone,
+            longest_s=longest_s,
         )
 
     def _median_answer_s(self, among: list[fleet.Server]) -> float | None:
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -1,6 +1,7 @@
 """Encodes and decodes requests and responses with the platform's headers."""
 
-from collections.abc import Iterable, Mapping
+import re
+from collections.abc import Iterable, Mapping, Sequence
 
 import orjson
 from result import Err, Ok, Result
@@ -100,7 +101,7 @@
             has_signature=answer.header(headers.RESPONSE_SIGNATURE) is not None,
             not_executed=answer.header(headers.NOT_EXECUTED) is not None
             or answer.status_code == _MISDIRECTED_STATUS,
-            load=_reported_load(answer.header(headers.SERVER_LOAD)),
+            load=_stated_load(answer.header(headers.SERVER_LOAD)),
             retry_after_s=_headers.retry_after_s(
                 answer.header(headers.RETRY_AFTER)
             )
@@ -134,6 +135,21 @@
 
 
 _TRUE = "1"
+_LOAD_FIGURES_COUNT = 3
+"""Figures that every load has. Servers may add further ones."""
+
+_COUNT = re.compile(r"[0-9]{1,6}")
+"""A count in a load. ``int`` alone would accept signs and other scripts'
+digits; no server runs a million requests."""
+
+_DECIMAL = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
+_USUAL_PACE = 100.0
+_LEAST_PACE = 0.1
+_MOST_PACE = 20.0
+"""Paces outside of these bounds count as not stated. No machine of a fleet is
+ten times faster than usual, and one that takes twenty times as long is shown by
+its answers."""
+
 _RETRY_AFTER_STATUSES = frozenset({429, 503})
 _MISDIRECTED_STATUS = 421
 """A server responds with this status only if it did not run the request."""
@@ -198,11 +214,24 @@
     return fields
 
 
-def _reported_load(text: str | None) -> forwarded.ReportedLoad | None:
+def _stated_load(text: str | None) -> forwarded.StatedLoad | None:
     if text is None:
         return None
-    try:
-        running, waiting, slots = (int(part) for part in text.split(","))
-    except ValueError:
+    figures = [figure.strip(" \t") for figure in text.split(",")]
+    known = figures[:_LOAD_FIGURES_COUNT]
+    if len(known) < _LOAD_FIGURES_COUNT or not all(
+        map(_COUNT.fullmatch, known)
+    ):
+        return forwarded.MalformedLoad(text)
+    running, waiting, slots = map(int, known)
+    return forwarded.ReportedLoad(
+        running, waiting, slots, _pace(figures[_LOAD_FIGURES_COUNT:])
+    )
+
+
+def _pace(further_figures: Sequence[str]) -> float | None:
+    """Returns the stated pace, None if there is none or it is not credible."""
+    if not further_figures or not _DECIMAL.fullmatch(further_figures[0]):
         return None
-    return forwarded.ReportedLoad(running, waiting, slots)
+    pace = float(further_figures[0]) / _USUAL_PACE
+    return pace if _LEAST_PACE <= pace <= _MOST_PACE else None
--- a/src/mulberrywharf/policy/prompt_placement.py
+++ b/src/mulberrywharf/policy/prompt_placement.py
@@ -22,7 +22,9 @@
 WORK_WEIGHT = 1.0
 """Cost of a second of engine time, relative to a second of this request's own
 wait. Work on an engine delays every request behind it; at the expected load
-about one is waiting."""
+about one is waiting. A lastingly slow engine serves fewer requests in a second,
+so fewer are delayed, and its seconds cost less by its slowdown. If they did
+not, slow engines would be idle while fast ones refuse callers."""
 
 COPY_WEIGHT = 0.8
 """Cost of caching a shared part on one more engine, as a share of the part's
@@ -49,6 +51,20 @@
 """Cost of an engine that recently failed to answer. It exceeds any queueing
 delay, so that such an engine is used only if there is no other."""
 
+FAILURE_COST_S = 0.4
+"""Cost of an engine that fails all requests, for its first faults: a share that
+is 0.1 higher costs as much as another fifth of its slots in use, as where plain
+servers are chosen. Random faults of a sound service so shift little load."""
+
+RANDOM_FAULT_SHARE_LIMIT = 0.35
+"""Share of faults that an engine rarely exceeds by chance if 14 in 100 of all
+requests fail by themselves, over its last twenty answers."""
+
+FAILING_COST_S = 5.0
+"""Additional cost of the share above ``RANDOM_FAULT_SHARE_LIMIT``. An engine
+that fails all requests at once has an empty queue, and the queues of the others
+are up to seconds long under load."""
+
 OTHER_ZONE_COST_S = 0.002
 """Prefers the gateway's own zone among equal engines; a network hop between
 zones takes about 1 ms each way."""
@@ -78,12 +94,18 @@
         cached_tokens: Leading tokens of the prompt that it holds.
         slowdown: Its slowdown relative to other engines of its role: 1 for
             equal speed, 2 for half the speed.
+        learned_slowdown: The part of ``slowdown`` that was learned from the
+            durations of earlier prompts.
+        lasting_slowdown: The part of ``learned_slowdown`` that the owner of the
+            engine's queue told, 1 if it told none.
         is_suspected: Whether it recently failed to answer.
+        fault_share: Share of its recent answers that were its own faults.
         is_same_zone: Whether it is in the gateway's availability zone.
         is_home: Whether it is the first home engine of the prompt's shared
             part.
         reported_wait_s: The part of ``wait_s`` reported by the owner of the
             engine's queue, None if there was no report.
+        pace: The part of ``slowdown`` that the engine states itself.
     """
 
     server: fleet.Server
@@ -93,9 +115,13 @@
     cached_tokens: int = 0
     slowdown: float = 1.0
     is_suspected: bool = False
+    fault_share: float = 0.0
     is_same_zone: bool = True
     is_home: bool = False
     reported_wait_s: float | None = None
+    pace: float = 1.0
+    learned_slowdown: float = 1.0
+    lasting_slowdown: float = 1.0
 
 
 class PromptShape(NamedTuple):
@@ -289,7 +315,10 @@
         estimate.copy_s,
         estimate.cached_tokens,
         first_token_s
-        + (WORK_WEIGHT + STREAM_WEIGHT * _streams_count(decode))
+        + (
+            WORK_WEIGHT / decode.lasting_slowdown
+            + STREAM_WEIGHT * _streams_count(decode)
+        )
         * estimate.work_s
         + _stream_cost_s(decode)
         + _cache_cost_s(shape, speeds, decode),
@@ -319,7 +348,7 @@
     )
     cost = (
         first_token_s
-        + WORK_WEIGHT * estimate.work_s
+        + WORK_WEIGHT / prefill.lasting_slowdown * estimate.work_s
         + _engine_cost_s(prefill)
         + _stream_cost_s(decode)
         + _cache_cost_s(shape, speeds, prefill)
@@ -422,6 +451,12 @@
     return transfer_s
 
 
+def failure_cost_s(fault_share: float) -> float:
+    """Returns the cost of using an engine with a share of faults."""
+    excess_share = max(0.0, fault_share - RANDOM_FAULT_SHARE_LIMIT)
+    return FAILURE_COST_S * fault_share + FAILING_COST_S * excess_share
+
+
 def _cache_cost_s(
     shape: PromptShape, speeds: engine_speeds.Speeds, engine: EngineView
 ) -> float:
@@ -444,6 +479,7 @@
     return (
         engine.running_share * FULL_BATCH_COST_S
         + (SUSPECT_COST_S if engine.is_suspected else 0.0)
+        + failure_cost_s(engine.fault_share)
         + (0.0 if engine.is_same_zone else OTHER_ZONE_COST_S)
         - (HOME_BONUS_S if engine.is_home else 0.0)
     )
--- a/src/mulberrywharf/policy/role_split.py
+++ b/src/mulberrywharf/policy/role_split.py
@@ -49,11 +49,20 @@
 """Minimum number of decode engines; with only one, its loss ends all
 streams."""
 
+SPEED_CLASS_LOG = 0.3
+"""Logarithm of the ratio of slowdowns by which engines differ in speed. A
+smaller difference, such as errors of measurement, doesn't decide which engine
+changes its role. Prefill engines should be fast, because a slow one delays the
+first token of each of its prompts."""
+
 MAX_CHANGING_SHARE = 0.25
 """Maximum share of a service's engines that change their role at the same time;
 one is always allowed."""
 
 
+_LIMIT_REACHED = "the maximum number of engines is already changing roles"
+
+
 class EngineLoad(NamedTuple):
     """Recent report of an engine.
 
@@ -62,12 +71,14 @@
         running_count: Requests that it is working on.
         waiting_count: Requests in its queue.
         is_changing: Whether it is carrying out a role order.
+        slowdown: Its lasting slowdown relative to its role, 1 if unknown.
     """
 
     server: fleet.Server
     running_count: int
     waiting_count: int
     is_changing: bool = False
+    slowdown: float = 1.0
 
     @property
     def requests_count(self) -> int:
@@ -95,12 +106,12 @@
     Attributes:
         server: The engine.
         role: Its next role.
-        pressure: The load that the decision is based on.
+        pressure: The load that the decision is based on, None if it is unknown.
     """
 
     server: fleet.Server
     role: fleet.Role
-    pressure: Pressure
+    pressure: Pressure | None
 
 
 class Stay(NamedTuple):
@@ -138,7 +149,17 @@
 class RoleSplit:
     """Decides on role changes of one service from the loads of its engines."""
 
-    def __init__(self) -> None:
+    def __init__(self, min_prefill_share: float | None = None) -> None:
+        """Creates it.
+
+        Args:
+            min_prefill_share: Minimum share of the engines that prefill,
+                whatever the load; None if there is no minimum. Where engines
+                are replaced, new ones start in the decode role, and those that
+                go may be the prefill engines.
+        """
+        self._min_prefill_share = min_prefill_share
+        self._short_since_s: float | None = None
         self._engines: frozenset[fleet.ServerStart] = frozenset()
         self._changed_at_s = 0.0
         self._decode_share = _MovingAverage()
@@ -162,21 +183,63 @@
         if engines != self._engines:
             self._engines = engines
             self._changed_at_s = now_s
-        share = _decode_share(loads)
-        if share is None or wanted_prefill is None:
+        pressure = self._pressure(loads, wanted_prefill, now_s)
+        if self._is_short_for_long(loads, now_s):
+            if _is_limit_reached(loads):
+                return Stay(_LIMIT_REACHED, pressure)
+            return _restore_prefill(loads, pressure)
+        if pressure is None:
             return Stay("not enough load data yet")
-        pressure = Pressure(
-            wanted_prefill, self._decode_share.note(share, now_s)
-        )
         if now_s - self._changed_at_s < SETTLE_TIME_S:
             return Stay("the set of engines has just changed", pressure)
-        changing_count = sum(load.is_changing for load in loads)
-        if changing_count >= max(1, int(MAX_CHANGING_SHARE * len(loads))):
-            return Stay(
-                "the maximum number of engines is already changing roles",
-                pressure,
-            )
-        return _decide(loads, pressure)
+        if _is_limit_reached(loads):
+            return Stay(_LIMIT_REACHED, pressure)
+        decision = _decide(loads, pressure)
+        if (
+            isinstance(decision, Change)
+            and decision.role == "decode"
+            and self._is_short(loads, _prefill_count(loads) - 1)
+        ):
+            return Stay("the minimum share of engines prefills", pressure)
+        return decision
+
+    def _pressure(
+        self,
+        loads: Sequence[EngineLoad],
+        wanted_prefill: float | None,
+        now_s: float,
+    ) -> Pressure | None:
+        share = _decode_share(loads)
+        if share is None or wanted_prefill is None:
+            return None
+        return Pressure(wanted_prefill, self._decode_share.note(share, now_s))
+
+    def _is_short(
+        self, loads: Sequence[EngineLoad], prefill_count: int
+    ) -> bool:
+        """Tells whether that many prefill engines are below the minimum."""
+        if self._min_prefill_share is None:
+            return False
+        # Without the margin, 0.1 of 30 engines would be above 3.
+        return prefill_count < self._min_prefill_share * len(loads) - 1e-6
+
+    def _is_short_for_long(
+        self, loads: Sequence[EngineLoad], now_s: float
+    ) -> bool:
+        """Tells whether too few have prefilled for the settling time.
+
+        The time runs from the first round with too few, and not from the last
+        change of the set of engines: where engines are replaced one zone after
+        the other, the set might not be unchanged for that long before most
+        prefill engines are gone. An engine that is lost and back within the
+        time causes no order, as elsewhere.
+        """
+        if not self._is_short(loads, _prefill_count(loads)):
+            self._short_since_s = None
+            return False
+        if self._short_since_s is None:
+            self._short_since_s = now_s
+        return now_s - self._short_since_s >= SETTLE_TIME_S
 
 
 class _MovingAverage:
@@ -203,8 +266,28 @@
     return sum(load.requests_count for load in decodes) / slots_count
 
 
+def _prefill_count(loads: Sequence[EngineLoad]) -> int:
+    return sum(load.server.role == "prefill" for load in loads)
+
+
+def _is_limit_reached(loads: Sequence[EngineLoad]) -> bool:
+    """Tells whether no further engine may change its role now."""
+    changing_count = sum(load.is_changing for load in loads)
+    return changing_count >= max(1, int(MAX_CHANGING_SHARE * len(loads)))
+
+
+def _restore_prefill(
+    loads: Sequence[EngineLoad], pressure: Pressure | None
+) -> Decision:
+    """Changes a decode engine's role, however busy both roles are."""
+    movable = _movable_decodes(loads)
+    if len(_not_changing(loads, "decode")) <= MIN_DECODE_COUNT or not movable:
+        return Stay("no decode engine can be spared", pressure)
+    return Change(movable[0].server, "prefill", pressure)
+
+
 def _decide(loads: Sequence[EngineLoad], pressure: Pressure) -> Decision:
-    prefill_count = sum(load.server.role == "prefill" for load in loads)
+    prefill_count = _prefill_count(loads)
     if pressure.wanted_prefill > ADD_PREFILL_ABOVE_SHARE * prefill_count:
         return _change_to_prefill(loads, pressure)
     if pressure.decode_share > ADD_DECODE_ABOVE_SHARE:
@@ -235,8 +318,10 @@
         return Stay("no prefill engine can be spared", pressure)
     if pressure.wanted_prefill > RELEASE_PREFILL_UP_TO_SHARE * remaining_count:
         return Stay("both roles have much to do", pressure)
-    least_loaded = min(prefills, key=lambda load: load.requests_count)
-    return Change(least_loaded.server, "decode", pressure)
+    slowest = min(
+        prefills, key=lambda load: (-_speed_class(load), load.requests_count)
+    )
+    return Change(slowest.server, "decode", pressure)
 
 
 def _movable_decodes(loads: Sequence[EngineLoad]) -> list[EngineLoad]:
@@ -244,8 +329,8 @@
 
     An availability zone keeps at least one decode engine, so that it can still
     answer when it is cut off from the others. Engines in zones with few prefill
-    engines come first, and among them those with few streams, which have to end
-    before the change.
+    engines come first, among them lastingly faster ones, and among these those
+    with few streams, which have to end before the change.
     """
     decodes = _not_changing(loads, "decode")
     zones = [load.server.availability_zone for load in decodes]
@@ -263,12 +348,18 @@
         movable,
         key=lambda load: (
             prefill_zones.count(load.server.availability_zone),
+            _speed_class(load),
             load.requests_count,
             load.server.server_id,
         ),
     )
 
 
+def _speed_class(load: EngineLoad) -> int:
+    """Returns the class of an engine's speed, lower for faster engines."""
+    return round(math.log(load.slowdown) / SPEED_CLASS_LOG)
+
+
 def _not_changing(
     loads: Sequence[EngineLoad], role: fleet.Role
 ) -> list[EngineLoad]:
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from loguru import logger
+
 from mulberrywharf.forwarding import request, server_tracker
 from mulberrywharf.policy import (
     background_work,
@@ -69,6 +71,43 @@
         self.assertEqual(self.choose(suspected, full), "full")
         self.assertEqual(self.choose(suspected), "suspected")
 
+    def choose_most_certain(
+        self, *candidates: server_choice.Candidate
+    ) -> server_choice.Candidate:
+        found = server_choice.choose_most_certain(
+            candidates, 0.5, random.Random(1)
+        )
+        assert found is not None
+        return found
+
+    def test_a_call_for_one_run_goes_where_it_ends_in_time(self) -> None:
+        """Guards against a call that is late and can't be sent again.
+
+        The nearest or least loaded server may need longer than is left.
+        """
+        late = self.candidate("late")._replace(longest_s=0.6)
+        timely = self.candidate("timely", failure_share=0.3)
+        timely = timely._replace(longest_s=0.4)
+        later = self.candidate("later")._replace(longest_s=0.7)
+        self.assertEqual(self.choose_most_certain(late, timely), timely)
+        self.assertEqual(self.choose_most_certain(later, late), late)
+        suspected = late._replace(is_suspected=True)
+        self.assertEqual(self.choose_most_certain(later, suspected), later)
+
+    def test_a_call_for_one_run_where_no_pace_is_stated(self) -> None:
+        """Guards against other decisions where loads have three figures."""
+        rng = random.Random(4)
+        for _ in range(200):
+            candidates = [
+                self.candidate(f"s{number}", others_in_flight_count=count)
+                for number, count in enumerate(rng.choices(range(9), k=4))
+            ]
+            self.assertEqual(
+                self.choose_most_certain(*candidates),
+                server_choice.choose(candidates, random.Random(1)),
+            )
+        self.assertIsNone(server_choice.choose_most_certain([], 0.5, rng))
+
     def test_without_candidates_none_is_chosen(self) -> None:
         self.assertIsNone(server_choice.choose([], random.Random(1)))
 
@@ -128,6 +167,24 @@
             self.tracker.others_in_flight_count(build.start("s"), 12.0), 0.5
         )
 
+    def test_malformed_loads_are_logged_once_per_server(self) -> None:
+        """Guards against one log line for each answer of a faulty server."""
+        lines: list[str] = []
+        handler_id = logger.add(lines.append, format="{extra}")
+        self.addCleanup(logger.remove, handler_id)
+        self.tracker.reported(
+            build.start("s"), request.ReportedLoad(3, 1, 6), 10.0
+        )
+        for name in ("s", "t") * 50:
+            malformed = request.MalformedLoad("9" * 5_000)
+            self.tracker.reported(build.start(name), malformed, 11.0)
+        self.assertEqual(len(lines), 2)
+        self.assertLess(max(map(len, lines)), 200)
+        self.assertEqual(
+            self.tracker.last_report(build.start("s")),
+            request.ReportedLoad(3, 1, 6),
+        )
+
     def test_a_lost_server_is_suspected_for_a_while(self) -> None:
         self.tracker.connection_lost(build.start("s"), 10.0)
         self.assertTrue(self.tracker.is_suspected(build.start("s"), 10.1))
@@ -188,7 +245,7 @@
 
     def test_servers_that_left_are_dropped_once_idle(self) -> None:
         self.tracker.began(build.start("busy"), 0.0)
-        self.tracker.failed(build.start("idle"))
+        self.tracker.failed(build.start("idle"), 0.0)
         self.tracker.keep_only([])
         self.assertEqual(
             self.tracker.own_in_flight_count(build.start("busy")), 1
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -6,6 +6,7 @@
 
 from mulberrywharf import clock, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
+    ejection_filter,
     engine_estimates,
     engine_pool,
     generation,
@@ -73,6 +74,7 @@
 
 class GenerationCase(builders_engines.ScriptedServerCase):
     crashes: Any = None
+    ejections: Any = ejection_filter.NoEjections()
 
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -96,6 +98,7 @@
         *scripted: tuple[str, Any],
         kind: Any = RESUMABLE,
         engine: table.EngineTraits = build.ENGINE,
+        route: table.Route | None = None,
         **changes: Any,
     ) -> generation.StreamAnswer:
         servers = [
@@ -126,9 +129,10 @@
                 self.budget,
                 self.crashes,
                 self.clock,
+                self.ejections,
             )
         )
-        route = build.route(
+        route = route or build.route(
             kind=kind, timeout_s=1.0, target_s=0.5, has_prompt=True
         )
         routed_request = build.routed_request(
