Estimate the engines in use from their own reports

It was taken from the loads that placing goes by, which count waiting requests and each engine only when it works. Change: the mean of running requests in the engines' reports, without the request that each answers.

--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -7,6 +7,10 @@
 from mulberrywharf.peers import notice_codec
 from mulberrywharf.policy import engine_queues, load_estimates, server_choice
 
+BUSY_REPORT_MAX_AGE_S = 2.0
+"""Age up to which a report counts for the number of busy engines. A gateway of
+a large fleet gets some ten answers of engines in this time."""
+
 RELAYED_LOAD_MAX_AGE_S = 0.5
 """Oldest engine load that is passed on to peers. A batch of short answers is
 replaced within that time."""
@@ -147,22 +151,28 @@
     def busy_decode_engines(self, service: str) -> float | None:
         """Returns how many engines generation keeps in use, over all zones.
 
-        Slots in use count as fractions of an engine, and waiting requests like
-        running ones. Prefill engines are left out.
+        Slots in use count as fractions of an engine. The mean of the engines'
+        own reports is used. Each report came with an answer and includes the
+        answered request, which is left out: an engine is seen only when it
+        works, and would otherwise look busier than it is. Requests that wait
+        are left out, too, because they wait for prefills rather than slots.
 
         Returns:
-            The number of engines, None if no engine is known.
+            The number of engines, None if no engine has reported lately.
         """
         now_s = self._clock.monotonic_s()
-        engines = self._decode_engines.get(service)
-        if not engines:
+        engines = self._decode_engines.get(service, ())
+        slots_by_start = {one.start: max(1, one.slots_count) for one in engines}
+        shares = [
+            max(0, load.running_count - 1) / slots_by_start[start]
+            for start, load, _ in self._tracker.reported_since(
+                now_s - BUSY_REPORT_MAX_AGE_S
+            )
+            if start in slots_by_start
+        ]
+        if not shares:
             return None
-        return sum(
-            self._mean_load((service, one.role), now_s).running_share
-            if self._notices.receives_notices_for(one)
-            else self._believed(one, now_s).running_share
-            for one in engines
-        )
+        return len(engines) * sum(shares) / len(shares)
 
     def on_notice(self, notice: notice_codec.Notice) -> None:
         """Applies the loads in another gateway's notice."""
