--- a/src/mulberrywharf/policy/capacity_plan.py
+++ b/src/mulberrywharf/policy/capacity_plan.py
@@ -149,8 +149,14 @@
 class CapacityPlan:
     """Plans the engines of one service from one round to the next."""
 
-    def __init__(self) -> None:
-        self._totals = capacity_totals.ZoneTotals()
+    def __init__(self, *, may_grow: bool = True) -> None:
+        """Creates a plan that knows no engines yet.
+
+        Args:
+            may_grow: Whether more engines are planned than the service had when
+                its work became known.
+        """
+        self._totals = capacity_totals.ZoneTotals(may_grow=may_grow)
         self._floors: dict[str, int] = {}
         self._found: list[tuple[int, int]] = []
         self._found_at_s = 0.0
--- a/src/mulberrywharf/policy/capacity_totals.py
+++ b/src/mulberrywharf/policy/capacity_totals.py
@@ -63,7 +63,15 @@
             unknown.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_grow: bool = True) -> None:
+        """Creates it without any zones.
+
+        Args:
+            may_grow: Whether more engines are planned than the service had when
+                its work became known.
+        """
+        self._may_grow = may_grow
+        self._found_count = 0
         self.by_zone: dict[str, int] = {}
         self.mean_need = 0.0
         self._recent: collections.deque[_Need] = collections.deque()
@@ -97,6 +105,7 @@
         """Notes how many engines the work keeps busy."""
         if self._first_need_s is None:
             self._first_need_s = now_s
+            self._found_count = self.total
             self._kept_count = math.ceil(MIN_KEPT_SHARE * self.total)
         need = prefill_engines / PREFILL_SHARE + decode_engines / DECODE_SHARE
         while self._recent and now_s - self._recent[0].at_s > LOW_FOR_S:
@@ -124,6 +133,8 @@
                 last.
         """
         while self.is_demand_known and self._is_short():
+            if not self._may_grow and self.total >= self._found_count:
+                return
             names = [name for name, n in self.by_zone.items() if n < max_count]
             if not names:
                 return
--- a/src/mulberrywharf/programs/_gateway_duties.py
+++ b/src/mulberrywharf/programs/_gateway_duties.py
@@ -1,5 +1,6 @@
 """Assembles the parts of a gateway that call the operators' platform."""
 
+import functools
 import random
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
@@ -36,6 +37,11 @@
 more."""
 
 _CAPACITY_TASK = "capacity"
+
+_make_plan = functools.partial(capacity_plan.CapacityPlan, may_grow=False)
+"""The demand that one gateway knows varies by a factor of three within seconds.
+A plan that grew with it ordered twice the engines that the work needed."""
+
 _MS_PER_S = 1000.0
 
 
@@ -159,6 +165,7 @@
         client,
         config["vm_id"],
         dependencies.clock,
+        make_plan=_make_plan,
     )
     if "usage" not in settings:
         return Duties((capacity, holder))
--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -238,6 +238,20 @@
 
 
 class UnderLoadTest(unittest.TestCase):
+    def test_a_plan_that_may_not_grow_keeps_to_the_engines_found(self) -> None:
+        """Guards against orders by an estimate that is far above the work."""
+        fleet = Fleet(6)
+        fleet.plan = capacity_plan.CapacityPlan(may_grow=False)
+        fleet.run(20)
+        # Reclaimable engines are given back only when regular ones serve.
+        fleet.demand = capacity_plan.CapacityDemand(8.0, 8.0)
+        fleet.run(80)
+        self.assertEqual(fleet.total, 24)
+        fleet.demand = capacity_plan.CapacityDemand(30.0, 30.0)
+        for _ in range(60):
+            fleet.run(1)
+            self.assertEqual(fleet.total, 24)
+
     def test_more_work_adds_engines_at_once(self) -> None:
         """Callers wait until averages have noticed that work has risen."""
         fleet = replaced(MODERATE)
