--- a/src/mulberrywharf/peers/queue_speeds.py
+++ b/src/mulberrywharf/peers/queue_speeds.py
@@ -12,7 +12,7 @@
 
 
 class QueueSpeeds:
-    """The slowdowns that this gateway learned as an owner, and was told."""
+    """The slowdowns that this gateway learned as an owner, or received."""
 
     def __init__(self) -> None:
         self._id_by_key: dict[int, str] = {}
@@ -34,7 +34,7 @@
         return self._known.relative_slowdown(server, now_s)
 
     def known_slowdown(self, engine_key: int, now_s: float) -> float | None:
-        """Returns what owners told about an engine, None if nothing."""
+        """Returns what owners reported of an engine, None if nothing."""
         engine_id = self._id_by_key.get(engine_key)
         if engine_id is None:
             return None
--- a/src/mulberrywharf/peers/zone_contact.py
+++ b/src/mulberrywharf/peers/zone_contact.py
@@ -57,7 +57,7 @@
         exchange.register(b"z", self._on_message)
 
     def check(self) -> bool:
-        """Returns whether another zone was heard, and asks if not just now.
+        """Returns whether another zone is in contact; asks if in doubt.
 
         A gateway that knows no other zone is not separated from one. Nothing
         is sent unless this is called, at most about once a second.
--- a/src/mulberrywharf/policy/shared_speeds.py
+++ b/src/mulberrywharf/policy/shared_speeds.py
@@ -142,7 +142,7 @@
     def known(
         self, engine_id: str, sender: int, slowdown: float, now_s: float
     ) -> None:
-        """Records a slowdown that a gateway was told by a former owner."""
+        """Records a slowdown that a former owner reported to a gateway."""
         log_slowdown = bounded_log(slowdown)
         if log_slowdown is not None:
             self._reports(engine_id, now_s).known(sender, log_slowdown, now_s)
@@ -164,7 +164,7 @@
 
 
 class KnownSlowdowns:
-    """The slowdowns that owners told this gateway.
+    """The slowdowns that owners reported to this gateway.
 
     They are kept while the owner says that it knows none, such as a new owner,
     and forgotten in the same time as at owners.
@@ -198,7 +198,7 @@
             self._told.popitem(last=False)
 
     def slowdown(self, engine_id: str, now_s: float) -> float | None:
-        """Returns an engine's slowdown as told, None if unknown."""
+        """Returns an engine's reported slowdown, None if unknown."""
         log_slowdown = self._log(engine_id, now_s)
         return None if log_slowdown is None else math.exp(log_slowdown)
 
