Remove what the merges of the new parts left over

The wrapper make_split was a seam for one merge. Nobody asked the filter of ejected servers whether one is ejected since another engine answers in place of any server's failure. The prefill demand kept two tables of the same reports, one of them unbounded; one bounded table, ordered by time, serves both estimates.

--- a/src/mulberrywharf/authority/role_manager.py
+++ b/src/mulberrywharf/authority/role_manager.py
@@ -265,7 +265,7 @@
         )
         known = self._splits.get(service)
         if known is None or known[0] != share:
-            known = self._splits[service] = share, make_split(share)
+            known = self._splits[service] = share, role_split.RoleSplit(share)
         return known[1]
 
     def _engine_load(
@@ -374,16 +374,6 @@
         ).info("roles: {}", reason)
 
 
-def make_split(min_prefill_share: float | None) -> role_split.RoleSplit:
-    """Creates the split of a service.
-
-    Args:
-        min_prefill_share: Share of its engines that are to be prefill engines
-            at least, None for no minimum.
-    """
-    return role_split.RoleSplit(min_prefill_share)
-
-
 def _both_start_times_known(
     one: fleet.ServerStart, other: fleet.ServerStart
 ) -> bool:
--- a/src/mulberrywharf/forwarding/ejection_filter.py
+++ b/src/mulberrywharf/forwarding/ejection_filter.py
@@ -23,10 +23,6 @@
         """
         ...
 
-    def is_ejected(self, start: fleet.ServerStart) -> bool:
-        """Tells whether a server is ejected or on trial."""
-        ...
-
 
 class NoEjections:
     """Ejects no server."""
@@ -36,7 +32,3 @@
     ) -> list[fleet.Server]:
         """Returns all servers."""
         return list(servers)
-
-    def is_ejected(self, start: fleet.ServerStart) -> bool:
-        """Returns False."""
-        return False
--- a/src/mulberrywharf/policy/prefill_demand.py
+++ b/src/mulberrywharf/policy/prefill_demand.py
@@ -38,7 +38,6 @@
         self._own = decaying_rate.DecayingRate(RATE_TIME_CONSTANT_S)
         self._first_prompt_s: float | None = None
         self._reports: dict[int, tuple[float, float]] = {}
-        self._last_reports: dict[int, tuple[float, float]] = {}
 
     def note(self, work_s: float, now_s: float) -> None:
         """Counts a prompt whose prefill takes a prefill engine ``work_s``."""
@@ -58,10 +57,11 @@
             engines: Number of engines that its prompts keep busy.
             now_s: The current time.
         """
+        self._reports.pop(sender, None)
         self._reports[sender] = engines, now_s
-        self._last_reports[sender] = engines, now_s
-        if len(self._last_reports) > _SENDERS_LIMIT_COUNT:
-            del self._last_reports[next(iter(self._last_reports))]
+        if len(self._reports) > _SENDERS_LIMIT_COUNT:
+            # The reports are ordered by their time.
+            del self._reports[next(iter(self._reports))]
 
     def total_engines(self, gateways_count: int, now_s: float) -> float | None:
         """Returns how many engines the prompts of all gateways keep busy.
@@ -98,16 +98,15 @@
         """
         decayed = [
             engines * math.exp(-(now_s - at_s) / RATE_TIME_CONSTANT_S)
-            for engines, at_s in self._last_reports.values()
+            for engines, at_s in self._reports.values()
             if now_s - at_s <= FORGET_REPORT_S
         ]
         known = self.own_engines(now_s) + sum(decayed)
         return known * max(1.0, gateways_count / (1 + len(decayed)))
 
     def _recent_reports(self, now_s: float) -> Iterable[float]:
-        self._reports = {
-            sender: (engines, at_s)
-            for sender, (engines, at_s) in self._reports.items()
+        return (
+            engines
+            for engines, at_s in self._reports.values()
             if now_s - at_s <= MAX_REPORT_AGE_S
-        }
-        return (engines for engines, _ in self._reports.values())
+        )
--- a/tests/test_failing_engines.py
+++ b/tests/test_failing_engines.py
@@ -95,9 +95,6 @@
         others = [one for one in servers if one.server_id != self.server_id]
         return on_trial if may_repeat and on_trial else others or on_trial
 
-    def is_ejected(self, start: fleet.ServerStart) -> bool:
-        return start.server_id == self.server_id
-
 
 class TrialStreamTest(test_generation.GenerationCase):
     def setUp(self) -> None:
