Log when no server of a service and role is reachable

A gateway now keeps for each server when a connection failed or an exchange was interrupted, and when the opposite was last seen. One log line and a counter tell when the last reachable server of a role is gone, with cause and ages for each server; another line tells when one is back. No decision depends on it.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -135,14 +135,18 @@
 
     Attributes:
         stage: How far the exchange got.
+        is_new_connection: Whether its connection was opened for it.
     """
 
     def __init__(
         self,
         connection: _connections.Connection,
         pool: _connections.ConnectionPool | None,
+        *,
+        is_new_connection: bool = True,
     ):
         self.stage: Stage = NotSent()
+        self.is_new_connection = is_new_connection
         self._connection: _connections.Connection | None = connection
         self._pool = pool
         self._answer: _answers.Answer | None = None
@@ -169,7 +173,7 @@
         """
         idle = pool.take(address) if pool is not None else None
         if idle is not None:
-            return Ok(cls(idle, pool))
+            return Ok(cls(idle, pool, is_new_connection=False))
         opened = _connections.Connection.open(address, connect_timeout_s)
         return opened.map(lambda connection: cls(connection, pool))
 
--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -182,6 +182,9 @@
             if server is None:
                 continue
             reported_s = now_s - load.age_s
+            self._tracker.reachability.note_others_contact(
+                server.start, reported_s
+            )
             self._tracker.note_requests_count(
                 server.start, load.requests_count, reported_s
             )
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -17,7 +17,7 @@
     server_limits,
 )
 from mulberrywharf.forwarding import request, server_tracker
-from mulberrywharf.policy import outcome
+from mulberrywharf.policy import outcome, reachability
 
 CONNECT_TIMEOUT_S = 0.2
 """A working server in the same region completes the TCP handshake within a few
@@ -131,6 +131,10 @@
         if isinstance(opened, Err):
             self._note_failure(attempt.server, opened.err_value)
             return opened
+        if opened.ok_value.is_new_connection:
+            self._tracker.reachability.note_connected(
+                attempt.server.start, self._clock.monotonic_s()
+            )
         # Every connection is kept, also one opened for a request that must not
         # run again; only requests that may run again reuse it.
         exchange = opened.ok_value.keep_in(self._pool)
@@ -184,6 +188,9 @@
         answer = sent.ok_value
         head = self._dialect.read_head(answer)
         server = attempt.server
+        self._tracker.reachability.note_answered(
+            server.start, self._clock.monotonic_s()
+        )
         self._tracker.reported(
             server.start, head.load, self._clock.monotonic_s()
         )
@@ -228,10 +235,13 @@
         now_s = self._clock.monotonic_s()
         if isinstance(error, errors.EngineRefusedError):
             self._note_refusal(server, now_s)
-        elif isinstance(
-            error, errors.EngineUnreachableError | errors.PeerSilentError
-        ):
-            self._tracker.unreachable(server.start, now_s)
+        elif isinstance(error, errors.EngineUnreachableError):
+            cause: reachability.Cause = (
+                "refused" if error.was_refused else "silent"
+            )
+            self._tracker.unreachable(server.start, now_s, cause)
+        elif isinstance(error, errors.PeerSilentError):
+            self._tracker.fell_silent(server.start, now_s)
         else:
             self._tracker.connection_lost(server.start, now_s)
 
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -9,7 +9,7 @@
 
 from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
-from mulberrywharf.policy import server_choice, stated_pace
+from mulberrywharf.policy import reachability, server_choice, stated_pace
 
 REPORT_TIME_CONSTANT_S = 1.0
 """A reported count of other gateways' requests decays by 1/e in this time. The
@@ -116,12 +116,14 @@
 
     Attributes:
         paces: The paces that servers state.
+        reachability: Which servers this gateway reaches.
     """
 
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
         self._entries: dict[fleet.ServerStart, _Entry] = {}
         self.paces = stated_pace.StatedPaces()
+        self.reachability = reachability.Reachability()
         self._on_outcome: Callable[[fleet.ServerStart, bool], None] = (
             lambda _, __: None
         )
@@ -348,13 +350,33 @@
         """Records that an engine's record shows its new role."""
         self._entry(start).changing_until_s = float("-inf")
 
-    def connection_lost(self, start: fleet.ServerStart, now_s: float) -> None:
+    def connection_lost(
+        self,
+        start: fleet.ServerStart,
+        now_s: float,
+        cause: reachability.Cause = "interrupted",
+    ) -> None:
         """Records that a server broke off an exchange."""
+        self.reachability.note_interrupted(start, cause, now_s)
         self.failed(start, now_s)
         self._entry(start).suspected_until_s = now_s + SUSPECT_S
 
-    def unreachable(self, start: fleet.ServerStart, now_s: float) -> None:
-        """Records that a server could not be reached, or stopped responding."""
+    def unreachable(
+        self,
+        start: fleet.ServerStart,
+        now_s: float,
+        cause: reachability.Cause = "silent",
+    ) -> None:
+        """Records that no connection to a server could be opened."""
+        self.reachability.note_connect_failed(start, cause, now_s)
+        self._avoid(start, now_s)
+
+    def fell_silent(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that a server stopped responding during an exchange."""
+        self.reachability.note_interrupted(start, "silent", now_s)
+        self._avoid(start, now_s)
+
+    def _avoid(self, start: fleet.ServerStart, now_s: float) -> None:
         self.failed(start, now_s, is_fault=False)
         entry = self._entry(start)
         if now_s >= entry.avoided_until_s or not entry.failed_attempts_count:
--- /dev/null
+++ b/src/mulberrywharf/policy/reachability.py
@@ -0,0 +1,205 @@
+"""Tells which servers a gateway can reach, by its own exchanges with them.
+
+A server counts as unreachable from the moment at which a connection to it could
+not be opened, or an exchange with it was interrupted, until the opposite is
+seen. This alone doesn't tell whether the server or the gateway's own network
+path is the cause; ``lost_path`` decides that.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Literal, NamedTuple
+
+from mulberrywharf import fleet
+
+Cause = Literal["refused", "silent", "interrupted"]
+"""Why a server counts as unreachable.
+
+- ``refused``: A connection was refused or reset while it was opened.
+- ``silent``: A connection was not opened in time, or its peer no longer
+  acknowledges data.
+- ``interrupted``: A connection ended in the middle of an exchange.
+"""
+
+
+class UnreachableServer(NamedTuple):
+    """A server that this gateway does not reach.
+
+    Attributes:
+        server: The server.
+        cause: Why it counts as unreachable.
+        unreachable_s: Time since the last failure, in seconds.
+        own_contact_s: Time since its last answer to this gateway.
+        others_contact_s: Time since another gateway last reported a load of
+            it; infinite if none has.
+    """
+
+    server: fleet.Server
+    cause: Cause
+    unreachable_s: float
+    own_contact_s: float
+    others_contact_s: float
+
+
+class _Contact:
+    """The last events at one server, as monotonic times."""
+
+    def __init__(self) -> None:
+        self.answered_s = float("-inf")
+        self.connected_s = float("-inf")
+        self.connect_failed_s = float("-inf")
+        self.interrupted_s = float("-inf")
+        self.others_s = float("-inf")
+        self.cause: Cause = "refused"
+
+    @property
+    def is_unreachable(self) -> bool:
+        # An answer on a connection from before says nothing about new ones:
+        # some network failures leave open connections alone.
+        return (
+            self.connect_failed_s > self.connected_s
+            or self.interrupted_s > self.answered_s
+        )
+
+
+class Reachability:
+    """Which servers are reachable, and which roles have no reachable one."""
+
+    def __init__(self) -> None:
+        self._contacts: dict[fleet.ServerStart, _Contact] = {}
+        self._by_service: dict[str, dict[fleet.ServerStart, fleet.Server]] = {}
+        self._service_of: dict[fleet.ServerStart, str] = {}
+        self._on_change: Callable[[str, float], None] = lambda _, __: None
+
+    def on_change(self, callback: Callable[[str, float], None]) -> None:
+        """Sets the callback for changes of a server's state.
+
+        Args:
+            callback: Called with the service of the server and the time.
+        """
+        self._on_change = callback
+
+    def set_servers(self, servers: Iterable[fleet.Server]) -> None:
+        """Updates the servers that new requests may be sent to."""
+        self._by_service = {}
+        for server in servers:
+            known = self._by_service.setdefault(server.service, {})
+            known[server.start] = server
+        self._service_of = {
+            start: service
+            for service, known in self._by_service.items()
+            for start in known
+        }
+        self._contacts = {
+            start: contact
+            for start, contact in self._contacts.items()
+            if start in self._service_of
+        }
+
+    def note_connected(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that a new connection was opened."""
+        contact = self._contact(start)
+        was_unreachable = contact.is_unreachable
+        contact.connected_s = now_s
+        self._publish(start, contact, was_unreachable, now_s)
+
+    def note_confirmed(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that a new connection was opened and stayed open."""
+        contact = self._contact(start)
+        was_unreachable = contact.is_unreachable
+        contact.connected_s = contact.answered_s = now_s
+        self._publish(start, contact, was_unreachable, now_s)
+
+    def note_answered(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that an answer began to arrive."""
+        contact = self._contact(start)
+        was_unreachable = contact.is_unreachable
+        contact.answered_s = now_s
+        self._publish(start, contact, was_unreachable, now_s)
+
+    def note_connect_failed(
+        self, start: fleet.ServerStart, cause: Cause, now_s: float
+    ) -> None:
+        """Records that no connection could be opened."""
+        contact = self._contact(start)
+        was_unreachable = contact.is_unreachable
+        contact.connect_failed_s = now_s
+        contact.cause = cause
+        self._publish(start, contact, was_unreachable, now_s)
+
+    def note_interrupted(
+        self, start: fleet.ServerStart, cause: Cause, now_s: float
+    ) -> None:
+        """Records that an exchange ended before its answer was complete."""
+        contact = self._contact(start)
+        was_unreachable = contact.is_unreachable
+        contact.interrupted_s = now_s
+        contact.cause = cause
+        self._publish(start, contact, was_unreachable, now_s)
+
+    def note_others_contact(
+        self, start: fleet.ServerStart, at_s: float
+    ) -> None:
+        """Records that another gateway had an answer of a server."""
+        contact = self._contacts.get(start)
+        if contact is None:
+            contact = self._contact(start)
+        contact.others_s = max(contact.others_s, at_s)
+
+    def is_unreachable(self, start: fleet.ServerStart) -> bool:
+        """Tells whether a server counts as unreachable."""
+        contact = self._contacts.get(start)
+        return contact is not None and contact.is_unreachable
+
+    def servers(self, service: str) -> tuple[fleet.Server, ...]:
+        """Returns the servers of a service."""
+        return tuple(self._by_service.get(service, {}).values())
+
+    def unreachable_roles(self, service: str) -> frozenset[fleet.Role | None]:
+        """Returns the roles of a service without a reachable server.
+
+        Plain servers have the role None.
+        """
+        servers = self.servers(service)
+        reachable = {
+            server.role
+            for server in servers
+            if not self.is_unreachable(server.start)
+        }
+        return frozenset(server.role for server in servers) - reachable
+
+    def unreachable(
+        self, service: str, now_s: float
+    ) -> tuple[UnreachableServer, ...]:
+        """Returns the unreachable servers of a service."""
+        return tuple(
+            UnreachableServer(
+                server,
+                contact.cause,
+                now_s - max(contact.connect_failed_s, contact.interrupted_s),
+                now_s - contact.answered_s,
+                now_s - contact.others_s,
+            )
+            for server in self.servers(service)
+            if (contact := self._contacts.get(server.start)) is not None
+            and contact.is_unreachable
+        )
+
+    def _publish(
+        self,
+        start: fleet.ServerStart,
+        contact: _Contact,
+        was_unreachable: bool,
+        now_s: float,
+    ) -> None:
+        service = self._service_of.get(start)
+        if service is not None and contact.is_unreachable != was_unreachable:
+            self._on_change(service, now_s)
+
+    def _contact(self, start: fleet.ServerStart) -> _Contact:
+        contact = self._contacts.get(start)
+        if contact is None:
+            contact = _Contact()
+            # Servers that are draining or unknown are not tracked.
+            if start in self._service_of:
+                self._contacts[start] = contact
+        return contact
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -26,6 +26,7 @@
     engine_estimates,
     engine_pool,
     generation,
+    path_log,
     plain_call,
     server_client,
     server_tracker,
@@ -122,6 +123,8 @@
         self._tracker = server_tracker.ServerTracker(
             config["availability_zone"]
         )
+        self._path_log = path_log.PathLog(self._tracker.reachability)
+        self._tracker.reachability.on_change(self._path_log.note_change)
         carrier = limit_datagrams.LimitDatagrams(
             self._notices.socket, self._clock
         )
@@ -456,6 +459,9 @@
     def _on_servers_change(self) -> None:
         known = self._servers.all()
         self._tracker.keep_only(server.start for server in known)
+        self._tracker.reachability.set_servers(
+            server for server in known if not server.is_draining
+        )
         self._limits.keep_only(server.start for server in known)
         self._estimates.set_engines(known)
         self._ejections.set_servers(known)
