Add failing tests: gateways without a path to the servers serve their callers

Nine real gateways with a fault proxy between each of them and each server; six, two in each zone, lose the path to all servers. From 3 s later on, one try of each kind of request is made five times at each gateway. First tries at the six must be served as often as at the others, within 0.05.

The stand-in of the store can show each gateway other addresses, and the fault proxy has a mode in which new connections stay unanswered.

--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -10,7 +10,8 @@
 - ``mode``: ``pass``; ``cut`` (resets every connection, new ones right after
   they were accepted); ``refuse`` (new ones get no connection at all, those
   that are open go on); ``freeze`` (holds all bytes and
-  delivers them after the thaw, as a healed partition does); ``half-open-up``
+  delivers them after the thaw, as a healed partition does); ``silent`` (like
+  ``freeze``, and new connections are never opened); ``half-open-up``
   (drops what goes to the upstream) and ``half-open-down`` (drops what comes
   back), in both of which no side is told.
 - ``cross_pairs_count``: of so many next pairs of connections each gets the
@@ -48,10 +49,14 @@
     "half-open-up",
     "half-open-down",
     "refuse",
+    "silent",
 )
 _READ_BYTES = 65_536
 _HELD_PIECES = 256
 _BACKLOG = 256
+_QUEUE_FILLERS_COUNT = 2
+"""Connections that fill the queue of a listener with a backlog of 0."""
+
 _CONNECT_TIMEOUT_S = 10.0
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 _UP = "up"
@@ -221,6 +226,7 @@
         self._server: gevent.server.StreamServer | None = None
         # Keeps the port, without listening, while connections are refused.
         self._bound: Any = None
+        self._fillers: list[Any] = []
         # The first of a pair that is to be crossed, until the second comes.
         self._awaiting: _Connection | None = None
 
@@ -235,8 +241,14 @@
             self._server.stop(timeout=0)
         if self._bound is not None:
             self._bound.close()
+        self._close_fillers()
         self.reset_all()
 
+    def _close_fillers(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
     def _bind(self, port: int) -> None:
         self._bound = gevent_socket.socket()
         self._bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -246,17 +258,36 @@
     def _listen(self) -> None:
         if self._server is not None:
             return
+        if self._fillers:
+            self._refuse()
         self._bound.listen(_BACKLOG)
         self._server = gevent.server.StreamServer(self._bound, self._accept)
         self._server.start()
 
     def _refuse(self) -> None:
-        if self._server is None:
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        elif self._fillers:
+            self._bound.close()
+        else:
             return
-        self._server.close()
-        self._server = None
+        self._close_fillers()
         self._bind(self.port)
 
+    def _ignore_new(self) -> None:
+        """Lets the kernel drop the first packet of each new connection.
+
+        It does so while the queue of connections to accept is full.
+        """
+        self._refuse()
+        self._bound.listen(0)
+        for _ in range(_QUEUE_FILLERS_COUNT):
+            filler = gevent_socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((self._ip, self.port))
+            self._fillers.append(filler)
+
     def set_faults(self, **fields: Any) -> None:
         """Lays fields over the faults in force.
 
@@ -267,12 +298,14 @@
         if unknown or fields.get("mode", "pass") not in MODES:
             raise ValueError(f"unknown fault: {fields}")
         self.faults = self.faults._replace(**fields)
-        if self.faults.mode == "freeze":
+        if self.faults.mode in ("freeze", "silent"):
             self.thawed.clear()
         else:
             self.thawed.set()
         if self.faults.mode == "refuse":
             self._refuse()
+        elif self.faults.mode == "silent":
+            self._ignore_new()
         else:
             self._listen()
         if self.faults.mode == "cut":
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,7 +6,7 @@
 
 import base64
 import urllib.parse
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
 
 import gevent
@@ -15,6 +15,10 @@
 from standins import _http, http_control
 from standins.key_value_store import Record, Store
 
+View = Callable[[str, bytes], bytes]
+"""Returns the value that a reader sees under a key, from the key's value."""
+
+_VIEW_KEY = "standins.view"
 _HUNG_S = 60.0
 _WATCH_STEP_S = 0.005
 _EXPIRY_INTERVAL_S = 0.02
@@ -60,6 +64,7 @@
         self._muted_ports: frozenset[str] = frozenset()
         self._server = http_control.make_server(ip, port, self._application)
         self.port = self._server.port
+        self._views: list[Any] = []
         self._expiry: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -71,7 +76,26 @@
         """Stops; later calls are refused a connection."""
         if self._expiry is not None:
             self._expiry.kill()
-        http_control.stop_server(self._server)
+        for server in (self._server, *self._views):
+            http_control.stop_server(server)
+
+    def add_view(self, view: View, ip: str = "127.0.0.1") -> int:
+        """Listens on another port, whose callers read changed values.
+
+        Returns:
+            The TCP port.
+        """
+
+        def application(
+            environ: http_control.Environ, start_response: Any
+        ) -> Iterable[bytes]:
+            environ[_VIEW_KEY] = view
+            return self._application(environ, start_response)
+
+        server = http_control.make_server(ip, 0, application)
+        server.start()
+        self._views.append(server)
+        return int(server.port)
 
     def hang_watches(self) -> None:
         """Never answers the watches that wait now."""
@@ -142,6 +166,8 @@
         query = dict(urllib.parse.parse_qsl(environ["QUERY_STRING"]))
         environ["standins.call"] = len(self.calls)
         reply = self._reply(method, path, query, environ)
+        if _VIEW_KEY in environ:
+            reply = _seen_through(environ[_VIEW_KEY], reply)
         if self.faults.get("lose_answers"):
             return http_control.cut(environ, start_response)
         blocks = _http.send_reply(reply, start_response)
@@ -264,6 +290,21 @@
         return _http.Reply(200, {"ttl-ms": int(ttl_s * _MS_PER_S)})
 
 
+def _seen_through(view: View, reply: _http.Reply) -> _http.Reply:
+    def seen(item: dict[str, Any]) -> dict[str, Any]:
+        if "value" not in item:
+            return item
+        value = view(item["key"], base64.b64decode(item["value"]))
+        return {**item, "value": base64.b64encode(value).decode()}
+
+    changed = {
+        name: [seen(item) for item in reply.body[name]]
+        for name in ("items", "events")
+        if name in reply.body
+    }
+    return reply._replace(body={**reply.body, **changed})
+
+
 def _in_two_parts(blocks: Iterable[bytes], pause_s: float) -> Iterable[bytes]:
     whole = b"".join(blocks)
     yield whole[: len(whole) // 2]
--- /dev/null
+++ b/tests/builders_paths.py
@@ -0,0 +1,227 @@
+"""Gateways with a fault proxy between each of them and each server."""
+
+import itertools
+import json
+import random
+import time
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+import gevent
+from gevent import socket
+
+from mulberrywharf import _exchange, fleet
+from mulberrywharf.platform import documents
+from standins import fault_proxy
+from tests import builders_platform, processes, test_gateway
+from tests import builders_routes as build
+
+SHORT_PROMPT_FIELDS = (
+    "x-mulberrywharf-model: m\r\n"
+    "x-mulberrywharf-token-usage: 300,5\r\n"
+    "x-mulberrywharf-prompt-prefix: cc:300\r\n"
+)
+KNOWN_S = 2.0
+"""Time from the start of gateways until they know each other."""
+
+_NODES_PORT = 7663
+_CALLERS_COUNT = 4
+
+
+class Tried(NamedTuple):
+    """The first and only try of one request.
+
+    Attributes:
+        path: The path called.
+        status: HTTP status, 0 for a closed connection.
+        took_s: Time until the end of the answer.
+        body: Body of the answer.
+        request_id: Its id.
+        headers: Header fields of the answer.
+    """
+
+    path: str
+    status: int
+    took_s: float
+    body: bytes
+    request_id: str
+    headers: dict[str, str]
+
+
+class PathCase(test_gateway.GatewayCase):
+    """Gateways whose paths to the servers can be cut one by one."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.gateways: list[processes.Process] = []
+        self.zones: Sequence[str] = ()
+        self.paths: list[dict[str, fault_proxy.FaultProxy]] = []
+        self._numbers = itertools.count()
+
+    def write_routes(self, version: int = 1) -> None:
+        """Writes a route of each kind of request."""
+        document = build.routes_document(version)
+        safe, stream = document["routes"]
+        stream = {**stream, "service": "engines"}
+        del stream["traffic-split"]
+        unsafe = {**safe, "name": "r-unsafe", "prefix": "/unsafe/"}
+        unsafe["kind"] = "unsafe"
+        once = {**stream, "name": "r-once", "prefix": "/once/"}
+        once["resumable"] = False
+        document["routes"] = [safe, unsafe, stream, once]
+        self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
+
+    def start_gateways(
+        self, count: int, zones: Sequence[str] = ("zone-a",)
+    ) -> None:
+        """Starts gateways, in the given zones by turns."""
+        self.write_routes()
+        net = random.SystemRandom().randint(1, 250)
+        starting = []
+        for number in range(count):
+            self.paths.append({})
+            store_port = self.store.add_view(self._view_of(number))
+            starting.append(
+                gevent.spawn(
+                    self.start,
+                    f"entry-{number}",
+                    nodes_listen=f"127.{net}.8.{number + 1}:{_NODES_PORT}",
+                    availability_zone=zones[number % len(zones)],
+                    store=f"127.0.0.1:{store_port}",
+                )
+            )
+        self.gateways = [one.get() for one in starting]
+        for gateway in self.gateways:
+            self.gateway = gateway
+            self.wait_ready()
+        gevent.sleep(KNOWN_S)
+
+    def cut(
+        self,
+        numbers: Iterable[int],
+        mode: str,
+        server_ids: Sequence[str] | None = None,
+    ) -> None:
+        """Cuts gateways off from servers.
+
+        Args:
+            numbers: The gateways.
+            mode: A mode of ``FaultProxy``; ``pass`` heals.
+            server_ids: The servers, None for all.
+        """
+        for number in numbers:
+            for server_id, path in self.paths[number].items():
+                if server_ids is None or server_id in server_ids:
+                    path.set_faults(mode=mode)
+
+    def call(self, number: int, path: str, fields: str = "") -> Tried:
+        """Sends one request to a gateway and returns what became of it."""
+        request_id = f"call-{next(self._numbers)}"
+        address = ("127.0.0.1", self.gateways[number].ready["callers"])
+        sent = test_gateway.request(path, fields=fields)
+        began_s = time.monotonic()
+        raw = b""
+        with socket.create_connection(address) as sock:
+            sock.settimeout(15)
+            sock.sendall(sent.replace(b"id-1", request_id.encode()))
+            try:
+                while some := sock.recv(65536):
+                    raw += some
+            except OSError:
+                raw = b""
+        took_s = time.monotonic() - began_s
+        if not raw:
+            return Tried(path, 0, took_s, b"", request_id, {})
+        answer = test_gateway.Answer(raw)
+        return Tried(
+            path,
+            answer.status,
+            took_s,
+            answer.body,
+            request_id,
+            answer.headers,
+        )
+
+    def call_all(
+        self,
+        numbers: Iterable[int],
+        paths: Sequence[str],
+        rounds_count: int,
+    ) -> dict[int, list[Tried]]:
+        """Calls each path at each of the gateways, a few at a time."""
+        tried: dict[int, list[Tried]] = {number: [] for number in numbers}
+        work = [
+            (number, path)
+            for _ in range(rounds_count)
+            for path in paths
+            for number in tried
+        ]
+
+        def run() -> None:
+            while work:
+                number, path = work.pop(0)
+                fields = (
+                    SHORT_PROMPT_FIELDS
+                    if path.startswith(("/stream/", "/once/"))
+                    else ""
+                )
+                tried[number].append(self.call(number, path, fields))
+
+        gevent.joinall(
+            [gevent.spawn(run) for _ in range(_CALLERS_COUNT)],
+            raise_error=True,
+        )
+        return tried
+
+    def metric(self, number: int, name: str) -> float:
+        """Returns the sum of a gateway's metric over its labels."""
+        address = fleet.Address(
+            "127.0.0.1", self.gateways[number].ready["operators"]
+        )
+        fetched = _exchange.fetch(
+            address,
+            _exchange.Request("GET", "/metrics"),
+            timeout_s=5.0,
+            limit_bytes=2_000_000,
+        )
+        lines = fetched.unwrap()[1].decode().splitlines()
+        return sum(
+            float(line.rpartition(" ")[2])
+            for line in lines
+            if line.startswith((f"{name}{{", f"{name} "))
+        )
+
+    def wait_metric(self, number: int, name: str, least: float = 1.0) -> bool:
+        """Waits until a gateway's metric has reached a value."""
+        return builders_platform.wait_until(
+            lambda: self.metric(number, name) >= least
+        )
+
+    def _view_of(self, number: int):
+        def view(key: str, value: bytes) -> bytes:
+            if not key.startswith(documents.SERVERS_PREFIX):
+                return value
+            record = json.loads(value)
+            server_id = key.removeprefix(documents.SERVERS_PREFIX)
+            path = self._path(number, server_id, record["address"])
+            record["address"] = f"127.0.0.1:{path.port}"
+            return json.dumps(record).encode()
+
+        return view
+
+    def _path(
+        self, number: int, server_id: str, address: str
+    ) -> fault_proxy.FaultProxy:
+        paths = self.paths[number]
+        if server_id not in paths:
+            ip, _, port = address.rpartition(":")
+            paths[server_id] = fault_proxy.FaultProxy((ip, int(port)))
+            paths[server_id].start()
+            self.addCleanup(paths[server_id].close)
+        return paths[server_id]
+
+
+def served_share(tried: Iterable[Tried]) -> float:
+    """Returns the share of requests that ended with a server's whole answer."""
+    statuses = [one.status for one in tried]
+    return statuses.count(200) / len(statuses)
--- a/tests/test_fault_proxy.py
+++ b/tests/test_fault_proxy.py
@@ -116,6 +116,24 @@
         self.proxy.set_faults(mode="pass")
         self.assertEqual(self.exchange(self.connect(), b"new"), b"new")
 
+    def test_silent_opens_no_new_connections_until_it_ends(self) -> None:
+        old = self.connect()
+        self.assertEqual(self.exchange(old, b"a"), b"a")
+        self.proxy.set_faults(mode="silent")
+        old.sendall(b"b")
+        self.assert_silent(old)
+        with self.assertRaises(TimeoutError):
+            socket.create_connection(
+                ("127.0.0.1", self.proxy.port), timeout=_QUIET_S
+            )
+        self.proxy.set_faults(mode="refuse")
+        with self.assertRaises(ConnectionRefusedError):
+            self.connect()
+        self.proxy.set_faults(mode="silent")
+        self.proxy.set_faults(mode="pass")
+        self.assertEqual(old.recv(10), b"b")
+        self.assertEqual(self.exchange(self.connect(), b"c"), b"c")
+
     def test_reset_is_passed_on_but_not_through_a_half_open_way(self) -> None:
         for mode, is_told in (("pass", True), ("half-open-up", False)):
             with self.subTest(mode=mode):
--- /dev/null
+++ b/tests/test_lost_path.py
@@ -0,0 +1,63 @@
+"""Tests with real gateways, some of which lose their paths to the servers."""
+
+import unittest
+from collections.abc import Iterable, Mapping
+
+import gevent
+
+from tests import builders_paths
+
+GATEWAYS_COUNT = 9
+CUT = tuple(range(6))
+OTHERS = tuple(range(6, GATEWAYS_COUNT))
+PATHS = ("/safe/x", "/unsafe/x", "/stream/x", "/once/x")
+BOUND_FROM_S = 3.0
+"""Time after the loss of the path from which callers must be served."""
+
+ALLOWED_DIFFERENCE = 0.05
+_ROUNDS_COUNT = 5
+
+
+def shares_by_path(
+    tried: Mapping[int, Iterable[builders_paths.Tried]], numbers: Iterable[int]
+) -> dict[str, float]:
+    """Returns the share of served requests by path, over some gateways."""
+    made = [one for number in numbers for one in tried[number]]
+    return {
+        path: builders_paths.served_share(
+            one for one in made if one.path == path
+        )
+        for path in PATHS
+    }
+
+
+class LostPathTest(builders_paths.PathCase):
+    """Callers of gateways without a path to any server were refused."""
+
+    def assert_served_alike(self, mode: str) -> None:
+        self.start_gateways(GATEWAYS_COUNT, ("zone-a", "zone-b", "zone-c"))
+        everyone = range(GATEWAYS_COUNT)
+        self.call_all(everyone, PATHS, 1)
+        self.cut(CUT, mode)
+        self.call_all(everyone, PATHS, 2)
+        gevent.sleep(BOUND_FROM_S)
+        tried = self.call_all(everyone, PATHS, _ROUNDS_COUNT)
+        at_cut = shares_by_path(tried, CUT)
+        at_others = shares_by_path(tried, OTHERS)
+        self.assertEqual(at_others, dict.fromkeys(PATHS, 1.0))
+        least = 1.0 - ALLOWED_DIFFERENCE
+        worse = {path: at for path, at in at_cut.items() if at < least}
+        self.assertEqual(worse, {})
+
+    def test_callers_are_served_while_servers_stay_silent(self) -> None:
+        self.assert_served_alike("silent")
+
+    def test_callers_are_served_while_connections_are_reset(self) -> None:
+        self.assert_served_alike("cut")
+
+    def test_callers_are_served_while_new_connections_are_refused(self) -> None:
+        self.assert_served_alike("refuse")
+
+
+if __name__ == "__main__":
+    unittest.main()
