--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -9,6 +9,8 @@
 
 import errno
 import re
+import socket
+import time
 from collections.abc import Mapping
 from functools import singledispatch
 from typing import Any, NamedTuple
@@ -39,6 +41,9 @@
 
 _CONNECTION_ERRORS = (OSError, http_response.HTTPParseError)
 
+_INTERIM_START = b"HTTP/1.1 100"
+_INTERIM_POLL_S = 0.001
+
 
 class NotSent(NamedTuple):
     """No byte of the request was passed to the kernel."""
@@ -219,6 +224,90 @@
         self._answer = answer
         return Ok(answer)
 
+    def offer(
+        self, request: Request, accept_timeout_s: float
+    ) -> Result[bool, errors.EngineUnreachableError]:
+        """Writes the head of a request and waits for the peer to accept it.
+
+        The peer can't process the request without its body, so it certainly
+        does not run before ``send_body`` is called.
+
+        Args:
+            request: The request; it must have a body.
+            accept_timeout_s: How long the peer's reply is awaited.
+
+        Returns:
+            Whether the peer accepts the body. If it does not, its answer can
+            be read with ``receive``.
+        """
+        connection = self._connection
+        if connection is None or not request.body:
+            raise ValueError("only an open exchange can offer a body")
+        expecting = request._replace(
+            headers={**request.headers, "expect": "100-continue"}
+        )
+        head = encode(expecting, connection.address)[: -len(request.body)]
+        ends_s = time.monotonic() + accept_timeout_s
+        self._set_timeout(connection, accept_timeout_s)
+        try:
+            connection.sock.sendall(head)
+            return Ok(_awaits_body(connection.sock, ends_s))
+        except OSError as error:
+            self.close()
+            message = f"{connection.address} took no request: {error}"
+            return Err(errors.EngineUnreachableError(message))
+        except BaseException:
+            self.close()
+            raise
+
+    def send_body(
+        self, body: bytes, timeout_s: float
+    ) -> Result[None, errors.EngineError]:
+        """Writes the body of a request that the peer has accepted.
+
+        Returns:
+            An ``EngineUnreachableError`` if a part of the body was not passed
+            to the kernel, so that the peer can't have all of it.
+        """
+        connection = self._connection
+        if connection is None:
+            return Err(errors.AnswerLostError("the exchange is closed"))
+        self._set_timeout(connection, timeout_s)
+        try:
+            connection.sock.sendall(body[:-1])
+            self.stage = MaybeSent()
+            connection.sock.sendall(body[-1:])
+        except OSError as error:
+            self.close()
+            message = f"{connection.address} took no request: {error}"
+            if self.stage == NotSent():
+                return Err(errors.EngineUnreachableError(message))
+            return Err(errors.AnswerLostError(message))
+        except BaseException:
+            self.close()
+            raise
+        return Ok(None)
+
+    def receive(
+        self, answer_timeout_s: float, method: str = "POST"
+    ) -> Result[_answers.Answer, errors.AnswerLostError]:
+        """Waits for the head of the answer to an offered request."""
+        connection = self._connection
+        if connection is None:
+            return Err(errors.AnswerLostError("the exchange is closed"))
+        self._set_timeout(connection, answer_timeout_s)
+        try:
+            answer = _answers.Answer(connection.sock, method)
+        except _CONNECTION_ERRORS as error:
+            self.close()
+            return Err(_lost_error(connection.address, "gave no answer", error))
+        except BaseException:
+            self.close()
+            raise
+        self.stage = AnswerBegan(answer.status_code)
+        self._answer = answer
+        return Ok(answer)
+
     def read_some(
         self, idle_timeout_s: float
     ) -> Result[bytes, errors.AnswerLostError]:
@@ -318,6 +407,23 @@
             connection.close()
 
 
+def _awaits_body(sock: Any, ends_s: float) -> bool:
+    """Waits for an answer; tells whether it is an interim one.
+
+    Raises:
+        OSError: The connection failed, or there was no answer in time.
+    """
+    while True:
+        began = sock.recv(len(_INTERIM_START), socket.MSG_PEEK)
+        if not began:
+            raise ConnectionResetError("the connection was closed")
+        if len(began) == len(_INTERIM_START):
+            return bool(began == _INTERIM_START)
+        if time.monotonic() >= ends_s:
+            raise TimeoutError("no complete answer in time")
+        gevent.sleep(_INTERIM_POLL_S)
+
+
 def _lost_error(
     address: fleet.Address, failure: str, error: Exception
 ) -> errors.AnswerLostError:
--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -69,7 +69,7 @@
         ...
 
 
-class _MatchedRequest(NamedTuple):
+class MatchedRequest(NamedTuple):
     """A request with its matching route and the service that answers it."""
 
     routed_request: request.RoutedRequest
@@ -77,7 +77,7 @@
     service: table.Service
 
 
-class _Response(NamedTuple):
+class Response(NamedTuple):
     """An HTTP response to a caller, as ``response.Response``."""
 
     status_line: str
@@ -137,7 +137,7 @@
         try:
             matched = self._route(environ)
             route_name = matched.route.name
-            http_response = self._answer(matched, environ[listener.SOCKET_KEY])
+            http_response = self.answer(matched, environ[listener.SOCKET_KEY])
             result = http_response.status_line[:3]
         except errors.CallerGoneError:
             _log_request_end(request_id, route_name, "caller-gone", "")
@@ -165,7 +165,7 @@
         start_response(http_response.status_line, http_response.headers)
         return http_response.body
 
-    def _route(self, environ: _wsgi.Environ) -> _MatchedRequest:
+    def _route(self, environ: _wsgi.Environ) -> MatchedRequest:
         routes = self._route_follower.current()
         if routes is None:
             routed_request = self._read(
@@ -187,7 +187,7 @@
             )
         name = split.service_of(route, routed_request.request_id)
         service = routes.services.get(name) or table.Service(name, 1)
-        return _MatchedRequest(routed_request, route, service)
+        return MatchedRequest(routed_request, route, service)
 
     def _admit(
         self,
@@ -268,7 +268,16 @@
             raise read.err_value
         return read.ok_value
 
-    def _answer(self, matched: _MatchedRequest, sock: Any) -> _Response:
+    def answer(self, matched: MatchedRequest, sock: Any) -> Response:
+        """Returns the answer to a request whose route is known.
+
+        Args:
+            matched: The request.
+            sock: The connection on which it arrived.
+
+        Raises:
+            RequestError: There is no answer.
+        """
         # Until the watch is closed, a disconnect of the caller cancels the
         # request, which frees the backend server or the engine.
         watch = caller_watch.CallerWatch(sock)
@@ -285,8 +294,8 @@
         return http_response
 
     def answer_non_streaming(
-        self, matched: _MatchedRequest, watch: caller_watch.CallerWatch
-    ) -> _Response:
+        self, matched: MatchedRequest, watch: caller_watch.CallerWatch
+    ) -> Response:
         """Answers a request after its complete answer has been received."""
         answer = self._plain_calls.call(
             matched.routed_request, matched.route, matched.service.name
@@ -297,14 +306,14 @@
         headers = _headers_without_length(answer.head)
         headers.append(("content-length", str(len(answer.body))))
         if matched.routed_request.method == "HEAD":
-            return _Response(_status_line(answer.head), headers, [])
-        return _Response(
+            return Response(_status_line(answer.head), headers, [])
+        return Response(
             _status_line(answer.head), headers, response.blocks(answer.body)
         )
 
     def answer_stream(
-        self, matched: _MatchedRequest, watch: caller_watch.CallerWatch
-    ) -> _Response:
+        self, matched: MatchedRequest, watch: caller_watch.CallerWatch
+    ) -> Response:
         """Answers a streaming request; relays events as they arrive."""
         answer = self._generations.open(
             matched.routed_request, matched.route, matched.service
@@ -315,15 +324,17 @@
         first = next(answer.blocks, b"")
         if first:
             self._notify_started(matched)
-        return _Response(
+        return Response(
             _status_line(answer.head),
             _headers_without_length(answer.head),
             _relayed_events(first, answer.blocks, watch, matched),
         )
 
-    def _notify_started(self, matched: _MatchedRequest) -> None:
-        if matched.routed_request.customer:
-            self._on_request_started(matched.routed_request.customer)
+    def _notify_started(self, matched: MatchedRequest) -> None:
+        # The gateway that handed a request over counts it for its customer.
+        routed_request = matched.routed_request
+        if routed_request.customer and routed_request.handover is None:
+            self._on_request_started(routed_request.customer)
 
 
 @contextlib.contextmanager
@@ -355,9 +366,9 @@
 def _answer_by_kind(
     kind: kinds.RequestKind,
     server: RoutedServer,
-    matched: _MatchedRequest,
+    matched: MatchedRequest,
     watch: caller_watch.CallerWatch,
-) -> _Response:
+) -> Response:
     return server.answer_non_streaming(matched, watch)
 
 
@@ -365,9 +376,9 @@
 def _(
     kind: kinds.EventStream,
     server: RoutedServer,
-    matched: _MatchedRequest,
+    matched: MatchedRequest,
     watch: caller_watch.CallerWatch,
-) -> _Response:
+) -> Response:
     return server.answer_stream(matched, watch)
 
 
@@ -375,7 +386,7 @@
     first: bytes,
     events: Iterator[bytes],
     watch: caller_watch.CallerWatch,
-    matched: _MatchedRequest,
+    matched: MatchedRequest,
 ) -> Iterator[bytes]:
     """Yields the first event and then the others until the caller disconnects.
 
@@ -407,16 +418,22 @@
             matched.route.name,
             result,
             message,
-            matched.routed_request.customer,
+            matched.routed_request,
         )
 
 
 def _log_request_end(
-    request_id: str, route: str, result: str, message: str, customer: str = ""
+    request_id: str,
+    route: str,
+    result: str,
+    message: str,
+    routed_request: request.RoutedRequest | None = None,
 ) -> None:
     bound = logger.bind(request_id=request_id, route=route, result=result)
-    if customer:
-        bound = bound.bind(customer=customer)
+    if routed_request is not None and routed_request.customer:
+        bound = bound.bind(customer=routed_request.customer)
+    if routed_request is not None and routed_request.handover is not None:
+        bound = bound.bind(handed_over_by=routed_request.handover.vm_id)
     bound.info("request ended: {}", message)
 
 
@@ -432,7 +449,7 @@
     return f"{head.status} {head.reason or 'Answered'}"
 
 
-def _error_response(error: errors.RequestError, request_id: str) -> _Response:
+def _error_response(error: errors.RequestError, request_id: str) -> Response:
     headers = [
         (name, value)
         for name, value in problems.headers(error, request_id)
@@ -443,7 +460,7 @@
         # it would delay callers although the queue is only some tenths of a
         # second long.
         headers.append(("retry-after", f"{error.retry_after_s:.3f}"))
-    return _Response(
+    return Response(
         problems.status_line(error.status),
         headers,
         [problems.body(error, request_id)],
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -368,6 +368,39 @@
     advice = "Check the back end's VM and the network to its availability zone."
 
 
+class HelperRefusedError(EngineError):
+    """Another gateway did not take a request that was offered to it.
+
+    Attributes:
+        refusal: Why, see ``policy.helpers.Refusal``.
+    """
+
+    code = "helper-refused"
+    outcome: Outcome = "not-run"
+    advice = "None needed; the request is offered to another gateway."
+
+    def __init__(
+        self, message: str, *, refusal: Literal["no-path", "busy", "silent"]
+    ):
+        super().__init__(message)
+        self.refusal = refusal
+
+
+class NoHelperError(EngineError):
+    """No other gateway took the request."""
+
+    code = "no-helper"
+    outcome: Outcome = "not-run"
+    advice = "Check the network between the VM and the back ends."
+
+
+class HelperLostError(AnswerLostError):
+    """Another gateway took the request and gave no complete answer."""
+
+    code = "helper-lost"
+    advice = "Check the log of the other gateway for the request id."
+
+
 class AnswerTooLargeError(EngineError):
     """An answer exceeds the limit on what is kept in memory."""
 
--- a/src/mulberrywharf/forwarding/engine_pool.py
+++ b/src/mulberrywharf/forwarding/engine_pool.py
@@ -143,6 +143,7 @@
         *,
         excluded: frozenset[fleet.ServerStart],
         may_refuse: bool,
+        is_admitted: bool = False,
         allowed_servers: ServerFilter = list,
     ) -> PermittedPlacement:
         """Chooses the cheapest plan and records it.
@@ -159,6 +160,8 @@
             excluded: Engines that already failed this request.
             may_refuse: Whether the request is refused if its first token
                 would be late. False for a request that was already started.
+            is_admitted: Whether its demand was counted and its customer's part
+                of the engines was checked before, here or at another gateway.
             allowed_servers: Filters the engines that the request may be sent
                 to; called separately for prefill and for decode engines.
 
@@ -167,7 +170,8 @@
             OverloadedError: The first token would come too late.
         """
         customer_request = None
-        if may_refuse:
+        if may_refuse and not is_admitted:
+            self._require_engine(service, excluded)
             self._estimates.demand.note(routed_request, service)
             if self._customers is not None:
                 customer_request = self._customers.begin(
@@ -206,6 +210,21 @@
         self._log_placement(routed_request, route, plan, permit)
         return PermittedPlacement(placed, permit)
 
+    def _require_engine(
+        self, service: table.Service, excluded: frozenset[fleet.ServerStart]
+    ) -> None:
+        """Raises NoEngineError if no engine that can answer is reachable.
+
+        A request that is handed over counts at the gateway that takes it.
+        """
+        if all(
+            one.role == "prefill" for one in self._usable(service, excluded)
+        ):
+            raise errors.NoEngineError(
+                f"no engine of {service.name} is left to try",
+                retry_after_s=self._retry_after_s(service),
+            )
+
     def note_started(
         self,
         routed_request: request.RoutedRequest,
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -12,12 +12,20 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
+from mulberrywharf import (
+    _exchange,
+    clock,
+    crash_watch,
+    errors,
+    fleet,
+    server_limits,
+)
 from mulberrywharf.forwarding import (
     ejection_filter,
     engine_estimates,
     engine_pool,
     events,
+    handover,
     request,
     server_client,
     server_tracker,
@@ -72,6 +80,7 @@
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
         ejections: Tells which engines are ejected.
+        handovers: Hands requests over to other gateways.
     """
 
     pool: engine_pool.EnginePool
@@ -83,6 +92,7 @@
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
     ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
+    handovers: handover.Handovers = handover.NoHandovers()
 
 
 class Generations:
@@ -104,20 +114,43 @@
                 the request may have run.
         """
         self._dependencies.crashes.check(routed_request)
-        now_s = self._dependencies.system_clock.monotonic_s()
-        self._dependencies.budget.note_request(service.name, now_s)
         return _Generation(
             self._dependencies, routed_request, route, service
         ).open()
 
 
-class _OpenAnswer(NamedTuple):
+class _EngineAnswer(NamedTuple):
     """An answer that is being read, and the engine that generates it."""
 
     server: fleet.Server
     answer: server_client.StartedAnswer
     began_s: float
 
+    @property
+    def head(self) -> request.AnswerHead:
+        return self.answer.head
+
+    @property
+    def exchange(self) -> _exchange.Exchange:
+        return self.answer.exchange
+
+
+class _HelperAnswer(NamedTuple):
+    """An answer that is being read, relayed by another gateway."""
+
+    handed: handover.OpenHandover
+
+    @property
+    def head(self) -> request.AnswerHead:
+        return self.handed.answer.head
+
+    @property
+    def exchange(self) -> _exchange.Exchange:
+        return self.handed.answer.exchange
+
+
+_OpenAnswer = _EngineAnswer | _HelperAnswer
+
 
 class _Prefilled(NamedTuple):
     """A prefilled prompt that no decode engine has taken over yet."""
@@ -153,6 +186,11 @@
         self._delivered_id = _parse_event_id(routed_request.last_event_id)
         self._prefilled: _Prefilled | None = None
         self._was_prefilled = False
+        received = routed_request.handover
+        self._is_counted = received is not None and received.is_counted
+        self._is_admitted = received is not None and received.is_admitted
+        self._was_placed = False
+        self._was_handed_over = False
 
     def open(self) -> StreamAnswer:
         try:
@@ -161,9 +199,12 @@
             self._note_started()
             raise
         self._note_started()
-        return StreamAnswer(run.answer.head, self._events(run))
+        return StreamAnswer(run.head, self._events(run))
 
     def _note_started(self) -> None:
+        if self._was_handed_over and not self._was_placed:
+            # The other gateway records it.
+            return
         self._dependencies.pool.note_started(
             self._routed_request, self._route, self._service
         )
@@ -200,6 +241,22 @@
         have started to leave, changed its role, failed or filled up. The
         answer would then be late, or the prefill would be lost and repeated.
         """
+        if self._prefers_helper():
+            handed = self._hand_over("own path lost")
+            if handed is not None:
+                return handed
+        self._count_request()
+        try:
+            return self._attempt_on_own_path()
+        except errors.NoEngineError as error:
+            handed = None
+            if self._may_hand_over():
+                handed = self._hand_over("no engine reachable")
+            if handed is None:
+                raise self._no_engine_error(error) from error
+            return handed
+
+    def _attempt_on_own_path(self) -> Result[_OpenAnswer, errors.EngineError]:
         prefilled = self._usable_prefill()
         if prefilled is None:
             placed, permit = self._place()
@@ -212,6 +269,75 @@
             prefilled = self._prefilled = result.ok_value
         return self._generate(*self._place_decode(prefilled))
 
+    def _count_request(self) -> None:
+        """Adds the request to the retry budget, if no gateway has done so."""
+        if self._is_counted:
+            return
+        self._is_counted = True
+        self._dependencies.budget.note_request(
+            self._service.name, self._dependencies.system_clock.monotonic_s()
+        )
+
+    def _prefers_helper(self) -> bool:
+        return (
+            self._routed_request.handover is None
+            and self._dependencies.handovers.prefers_helper(
+                self._service.name, may_repeat=self._may_run_again
+            )
+        )
+
+    def _may_hand_over(self) -> bool:
+        return (
+            self._routed_request.handover is None
+            and self._dependencies.handovers.may_hand_over(self._service.name)
+        )
+
+    def _hand_over(
+        self, reason: str
+    ) -> Result[_OpenAnswer, errors.EngineError] | None:
+        """Lets another gateway answer; returns None if none takes the request.
+
+        Raises:
+            RequestError: The other gateway ended the request.
+        """
+        previous_outcome = self._outcome
+        handed = self._dependencies.handovers.hand_over(
+            self._handed_over(reason), self._note_sent
+        )
+        if isinstance(handed, Err) and isinstance(
+            handed.err_value, errors.NoHelperError
+        ):
+            self._outcome = previous_outcome
+            return None
+        self._was_handed_over = True
+        self._runs_count += 1
+        self._sends_count += 1
+        if isinstance(handed, Ok):
+            return Ok(_HelperAnswer(handed.ok_value))
+        error = handed.err_value
+        if isinstance(error, errors.EngineError):
+            return Err(error)
+        if previous_outcome == "not-run" or error.outcome == "unknown":
+            raise error
+        raise errors.BackEndLostError(error.message, outcome="unknown")
+
+    def _handed_over(self, reason: str) -> handover.HandedOver:
+        return handover.HandedOver(
+            self._routed_request._replace(last_event_id=self._last_event_id),
+            self._route,
+            self._service.name,
+            self._limit,
+            attempts_left_count=max(
+                1, self._route.attempts_limit_count - self._runs_count
+            ),
+            is_counted=self._is_counted,
+            is_admitted=self._is_admitted,
+            reason=reason,
+        )
+
+    def _note_sent(self) -> None:
+        self._outcome = "unknown"
+
     def _usable_prefill(self) -> _Prefilled | None:
         """Returns the prefilled prompt, unless its KV cache has expired."""
         prefilled = self._prefilled
@@ -224,17 +350,20 @@
 
     def _place(self) -> engine_pool.PermittedPlacement:
         try:
-            return self._dependencies.pool.place(
+            placement = self._dependencies.pool.place(
                 self._routed_request,
                 self._route,
                 self._service,
                 self._limit,
                 excluded=frozenset(self._excluded),
                 may_refuse=self._sends_count == 0,
+                is_admitted=self._is_admitted,
                 allowed_servers=self._allowed_servers,
             )
-        except (errors.NoEngineError, errors.OverloadedError) as error:
+        except errors.OverloadedError as error:
             raise self._no_engine_error(error) from error
+        self._is_admitted = self._was_placed = True
+        return placement
 
     def _place_decode(
         self, prefilled: _Prefilled
@@ -248,7 +377,7 @@
                 excluded=frozenset(self._excluded),
                 allowed_servers=self._allowed_servers,
             )
-        except (errors.NoEngineError, errors.OverloadedError) as error:
+        except errors.OverloadedError as error:
             raise self._no_engine_error(error) from error
 
     def _allowed_servers(
@@ -397,7 +526,7 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
-        return Ok(_OpenAnswer(server, sent.ok_value, began_s))
+        return Ok(_EngineAnswer(server, sent.ok_value, began_s))
 
     def _replaces_failure(self, run: _OpenAnswer) -> bool:
         """Returns whether another engine is to answer in place of a failure.
@@ -408,16 +537,24 @@
         """
         return (
             self._may_run_again
-            and outcome.is_server_fault(run.answer.head.status)
+            and isinstance(run, _EngineAnswer)
+            and outcome.is_server_fault(run.head.status)
             and not self._is_limit_reached()
             and not self._dependencies.crashes.is_blocked(self._routed_request)
             and self._take_repeat()
         )
 
     def _discard(self, run: _OpenAnswer) -> None:
-        run.answer.exchange.close()
-        self._dependencies.tracker.ended(run.server.start)
-        self._excluded.add(run.server.start)
+        run.exchange.close()
+        self._note_ended(run)
+        if isinstance(run, _EngineAnswer):
+            self._excluded.add(run.server.start)
+
+    def _note_ended(self, run: _OpenAnswer) -> None:
+        if isinstance(run, _EngineAnswer):
+            self._dependencies.tracker.ended(run.server.start)
+        else:
+            run.handed.end()
 
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
@@ -513,7 +650,7 @@
     ) -> Generator[bytes, None, errors.EngineError | None]:
         """Yields one engine's events; returns the error if it broke off."""
         splitter = events.EventSplitter()
-        exchange = run.answer.exchange
+        exchange = run.exchange
         began_s = self._dependencies.system_clock.monotonic_s()
         gaps = stream_gaps.StreamGaps(began_s)
         try:
@@ -524,12 +661,8 @@
                         "the answer did not end in time", outcome="unknown"
                     )
                 if isinstance(received, Err):
-                    self._note_answer_lost(run.server)
-                    self._report_possible_crash(
-                        run.server,
-                        run.began_s,
-                        received.err_value,
-                        made_output=gaps.has_begun,
+                    self._note_broken(
+                        run, received.err_value, made_output=gaps.has_begun
                     )
                     return received.err_value
                 if not received.ok_value:
@@ -538,31 +671,49 @@
                 if new_events:
                     gaps.note(self._dependencies.system_clock.monotonic_s())
                     yield new_events
-            if run.answer.head.is_success:
-                self._dependencies.tracker.succeeded(run.server.start)
-                self._dependencies.estimates.ended(
-                    run.server, self._since_s(began_s)
-                )
-                self._dependencies.crashes.note_completed(self._routed_request)
+            self._note_complete(run, began_s)
             if splitter.pending:
                 yield splitter.pending
             exchange.finish()
             return None
         except errors.StreamBrokenError as error:
-            self._note_answer_lost(run.server)
+            if isinstance(run, _EngineAnswer):
+                self._note_answer_lost(run.server)
             return error
         finally:
             exchange.close()
-            self._dependencies.tracker.ended(run.server.start)
-            self._log_stream(run.server, gaps)
+            self._note_ended(run)
+            self._log_stream(run, gaps)
+
+    def _note_broken(
+        self,
+        run: _OpenAnswer,
+        error: errors.EngineError,
+        *,
+        made_output: bool,
+    ) -> None:
+        if isinstance(run, _HelperAnswer):
+            run.handed.note_lost()
+            return
+        self._note_answer_lost(run.server)
+        self._report_possible_crash(
+            run.server, run.began_s, error, made_output=made_output
+        )
+
+    def _note_complete(self, run: _OpenAnswer, began_s: float) -> None:
+        if isinstance(run, _HelperAnswer) or not run.head.is_success:
+            return
+        self._dependencies.tracker.succeeded(run.server.start)
+        self._dependencies.estimates.ended(run.server, self._since_s(began_s))
+        self._dependencies.crashes.note_completed(self._routed_request)
 
     def _log_stream(
-        self, server: fleet.Server, gaps: stream_gaps.StreamGaps
+        self, run: _OpenAnswer, gaps: stream_gaps.StreamGaps
     ) -> None:
         logger.bind(
             request_id=self._routed_request.request_id,
             route=self._route.name,
-            server_id=server.server_id,
+            **_source_of(run),
             run_s=round(gaps.run_s, 3),
             worst_gap_s=round(gaps.longest_gap_s, 3),
             gap_target_s=self._route.gap_target_s,
@@ -584,16 +735,16 @@
         """Resumes at another engine after the last event delivered."""
         self._allow_retry_or_raise(error)
         run = self._start_within_limit()
-        if not run.answer.head.is_success:
-            run.answer.exchange.close()
-            self._dependencies.tracker.ended(run.server.start)
+        if not run.head.is_success:
+            run.exchange.close()
+            self._note_ended(run)
             raise errors.BackEndLostError(
-                f"{run.server.address} did not resume the stream",
+                "the stream was not resumed",
                 outcome="unknown",
             )
         logger.bind(
             request_id=self._routed_request.request_id,
-            server_id=run.server.server_id,
+            **_source_of(run),
             last_event_id=self._last_event_id,
             reason=error.code,
         ).info("resumed")
@@ -704,6 +855,13 @@
         self._tracker.ended(self._start)
 
 
+def _source_of(run: _OpenAnswer) -> dict[str, str]:
+    """Returns the log fields that tell who sends an answer."""
+    if isinstance(run, _EngineAnswer):
+        return {"server_id": run.server.server_id}
+    return {"helper": str(run.handed.address)}
+
+
 def _fetch_from(placed: engine_estimates.Placed) -> fleet.Address | None:
     source = placed.plan.fetch_from
     return source.address if source is not None else None
--- /dev/null
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -0,0 +1,195 @@
+"""Follows whether this gateway's paths to the servers work.
+
+While a service has servers that can't be reached, it opens connections to them
+and asks other gateways, so that no caller's request has to try.
+"""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+import gevent
+from loguru import logger
+from result import Err, Result
+
+from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf.forwarding import server_tracker
+from mulberrywharf.policy import lost_path, reachability
+
+TICK_S = 0.05
+PROBE_INTERVAL_S = 0.25
+"""Interval between two probes of a role without a reachable server. A failing
+probe takes up to 0.2 s."""
+
+SWEEP_SILENT_COUNT = 2
+"""Silent servers of a service from which its other servers are probed at once.
+Each would otherwise cost a request the timeout of a connection."""
+
+SWEEP_PAUSE_S = 1.0
+SWEEP_LIMIT_COUNT = 8
+"""Maximum number of servers probed at once; more than the unreachable servers
+from which a role counts as unreachable."""
+
+_lost_total = metrics.counter(
+    "mulberry_paths_lost_total",
+    "How often this gateway lost its own path to a service.",
+)
+_lost_gauge = metrics.gauge(
+    "mulberry_paths_lost",
+    "Whether requests for a service are handed over to other gateways.",
+)
+_STATES_LOST = ("lost", "returning")
+
+
+class Questions(Protocol):
+    """Asks other gateways whether they can serve requests."""
+
+    def ask(self) -> None:
+        """Sends the questions that are due."""
+        ...
+
+
+class Prober(Protocol):
+    """Checks whether servers accept connections."""
+
+    def probe(
+        self, address: fleet.Address
+    ) -> Result[None, errors.EngineUnreachableError]:
+        """Connects to a server and checks that the connection stays open."""
+        ...
+
+
+class PathMonitor:
+    """Keeps ``LostPaths`` up to date while servers are unreachable."""
+
+    def __init__(
+        self,
+        tracker: server_tracker.ServerTracker,
+        paths: lost_path.LostPaths,
+        questions: Questions,
+        prober: Prober,
+        system_clock: clock.Clock,
+    ):
+        """Creates it.
+
+        Args:
+            tracker: Tells which servers are reachable.
+            paths: Decides which paths are lost.
+            questions: Asks other gateways.
+            prober: Probes servers.
+            system_clock: Source of monotonic time.
+        """
+        self._tracker = tracker
+        self._servers = tracker.reachability
+        self._paths = paths
+        self._questions = questions
+        self._prober = prober
+        self._clock = system_clock
+        self._probing: set[fleet.ServerStart] = set()
+        self._probed_s: dict[tuple[str, fleet.Role | None], float] = {}
+        self._next_probe: dict[tuple[str, fleet.Role | None], int] = {}
+        self._swept_s: dict[str, float] = {}
+        self._task: gevent.Greenlet | None = None
+
+    def close(self) -> None:
+        """Stops probing."""
+        if self._task is not None:
+            self._task.kill()
+
+    def note_change(self, service: str, now_s: float) -> None:
+        """Handles a change of which servers of a service are reachable."""
+        self._paths.update(service, self._servers.status(service), now_s)
+        if self._is_sweep_due(service, now_s):
+            self._sweep(service, now_s)
+        if self._paths.unsettled() and not self._task:
+            self._task = gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        while self._paths.unsettled():
+            now_s = self._clock.monotonic_s()
+            for service in self._paths.unsettled():
+                self._paths.update(
+                    service, self._servers.status(service), now_s
+                )
+                self._probe_due(service, now_s)
+            self._questions.ask()
+            gevent.sleep(TICK_S)
+
+    def _is_sweep_due(self, service: str, now_s: float) -> bool:
+        if now_s - self._swept_s.get(service, float("-inf")) < SWEEP_PAUSE_S:
+            return False
+        silent_count = sum(
+            one.cause == "silent"
+            for one in self._servers.unreachable(service, now_s)
+        )
+        return silent_count >= SWEEP_SILENT_COUNT
+
+    def _sweep(self, service: str, now_s: float) -> None:
+        """Probes other servers of a service whose servers fall silent.
+
+        If the service can't be reached at all, other services are probably
+        unreachable, too.
+        """
+        swept = [service]
+        if self._servers.status(service) == "none":
+            swept = list(self._servers.services())
+        for name in swept:
+            self._swept_s[name] = now_s
+            reachable = [
+                server
+                for server in self._servers.servers(name)
+                if not self._servers.is_unreachable(server.start)
+            ]
+            self._probe(reachable[:SWEEP_LIMIT_COUNT])
+
+    def _probe_due(self, service: str, now_s: float) -> None:
+        """Probes one server of each role that is not reachable."""
+        unreachable = [
+            one.server for one in self._servers.unreachable(service, now_s)
+        ]
+        for role in self._servers.unreachable_roles(service):
+            key = service, role
+            servers = [one for one in unreachable if one.role == role]
+            last_s = self._probed_s.get(key, float("-inf"))
+            if not servers or now_s - last_s < PROBE_INTERVAL_S:
+                continue
+            self._probed_s[key] = now_s
+            number = self._next_probe.get(key, 0)
+            self._next_probe[key] = number + 1
+            self._probe([servers[number % len(servers)]])
+
+    def _probe(self, servers: Iterable[fleet.Server]) -> None:
+        for server in servers:
+            if server.start not in self._probing:
+                self._probing.add(server.start)
+                gevent.spawn(self._probe_one, server)
+
+    def _probe_one(self, server: fleet.Server) -> None:
+        try:
+            probed = self._prober.probe(server.address)
+        finally:
+            self._probing.discard(server.start)
+        now_s = self._clock.monotonic_s()
+        if isinstance(probed, Err):
+            cause: reachability.Cause = (
+                "refused" if probed.err_value.was_refused else "silent"
+            )
+            self._tracker.unreachable(server.start, now_s, cause)
+        else:
+            self._tracker.confirmed(server.start, now_s)
+
+
+def log_change(change: lost_path.Change) -> None:
+    """Logs that a path was lost or is used again."""
+    is_lost = change.state in _STATES_LOST
+    was_lost = change.before in _STATES_LOST
+    _lost_gauge.set({"service": change.service}, int(is_lost))
+    bound = logger.bind(
+        service=change.service,
+        helpers_count=change.helpers_count,
+        lasted_s=round(change.lasted_s, 3),
+    )
+    if is_lost and not was_lost:
+        _lost_total.inc({"service": change.service})
+        bound.warning("own path lost: requests are handed over")
+    elif was_lost and not is_lost:
+        bound.info("own path in use again")
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -15,6 +15,7 @@
 from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
 from mulberrywharf.forwarding import (
     ejection_filter,
+    handover,
     request,
     server_client,
     server_tracker,
@@ -64,6 +65,7 @@
         system_clock: Measures the time left.
         rng: Spreads retry delays and breaks ties between servers.
         ejections: Tells which servers are ejected.
+        handovers: Hands requests over to other gateways.
     """
 
     server_list: servers.ServerList
@@ -75,6 +77,7 @@
     system_clock: clock.Clock
     rng: random.Random
     ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
+    handovers: handover.Handovers = handover.NoHandovers()
 
 
 class PlainCalls:
@@ -102,9 +105,6 @@
         """
         dependencies = self._dependencies
         dependencies.crashes.check(routed_request)
-        dependencies.budget.note_request(
-            service, dependencies.system_clock.monotonic_s()
-        )
         return _Call(dependencies, routed_request, route, service).run()
 
 
@@ -132,6 +132,10 @@
         self._may_run_again = kinds.may_run_again(route.kind)
         self._tried: set[fleet.ServerStart] = set()
         self._runs_count = 0
+        self._is_counted = (
+            routed_request.handover is not None
+            and routed_request.handover.is_counted
+        )
         self._outcome: errors.Outcome = "not-run"
         self._failure_answer: WholeAnswer | None = None
         self._limit_error: errors.ServerLimitError | None = None
@@ -153,8 +157,17 @@
 
     def _attempts(self) -> WholeAnswer:
         while True:
+            if self._prefers_helper():
+                answer = self._hand_over("own path lost")
+                if answer is not None:
+                    return answer
+            self._count_request()
             chosen = self._choose()
             if chosen is None:
+                if self._may_hand_over():
+                    answer = self._hand_over("no server reachable")
+                    if answer is not None:
+                        return answer
                 return self._give_up(self._reason_without_server())
             self._tried.add(chosen.candidate.server.start)
             attempted = self._attempt(chosen)
@@ -166,6 +179,98 @@
             if not self._may_repeat(attempted):
                 return self._give_up("no further attempt is allowed")
 
+    def _count_request(self) -> None:
+        """Adds the request to the retry budget, if no gateway has done so."""
+        if self._is_counted:
+            return
+        self._is_counted = True
+        self._dependencies.budget.note_request(
+            self._service, self._dependencies.system_clock.monotonic_s()
+        )
+
+    def _prefers_helper(self) -> bool:
+        return (
+            self._routed_request.handover is None
+            and self._dependencies.handovers.prefers_helper(
+                self._service, may_repeat=self._may_run_again
+            )
+        )
+
+    def _may_hand_over(self) -> bool:
+        return (
+            self._routed_request.handover is None
+            and self._dependencies.handovers.may_hand_over(self._service)
+        )
+
+    def _hand_over(self, reason: str) -> WholeAnswer | None:
+        """Lets another gateway answer; returns None if none takes the request.
+
+        Raises:
+            RequestError: The other gateway, or this one, gives up.
+        """
+        while True:
+            previous_outcome = self._outcome
+            handed = self._dependencies.handovers.hand_over(
+                self._handed_over(reason), self._note_sent
+            )
+            if isinstance(handed, Ok):
+                received = self._read_handed(handed.ok_value)
+            elif isinstance(handed.err_value, errors.RequestError):
+                if self._failure_answer is not None:
+                    return self._failure_answer
+                raise self._helper_error(handed.err_value, previous_outcome)
+            elif isinstance(handed.err_value, errors.NoHelperError):
+                self._outcome = previous_outcome
+                return None
+            else:
+                received = Err(handed.err_value)
+            self._runs_count += 1
+            if isinstance(received, Ok):
+                return received.ok_value
+            if not self._may_repeat(received):
+                return self._give_up("no further attempt is allowed")
+
+    def _handed_over(self, reason: str) -> handover.HandedOver:
+        return handover.HandedOver(
+            self._routed_request,
+            self._route,
+            self._service,
+            self._limit,
+            attempts_left_count=max(
+                1, self._route.attempts_limit_count - self._runs_count
+            ),
+            is_counted=self._is_counted,
+            is_admitted=False,
+            reason=reason,
+        )
+
+    def _note_sent(self) -> None:
+        self._outcome = "unknown"
+
+    def _read_handed(
+        self, handed: handover.OpenHandover
+    ) -> Result[WholeAnswer, errors.EngineError]:
+        exchange = handed.answer.exchange
+        try:
+            body = exchange.read_all(self._limit.wait_s(), ANSWER_LIMIT_BYTES)
+            exchange.finish()
+        except BaseException:
+            exchange.close()
+            raise
+        finally:
+            handed.end()
+        if isinstance(body, Err):
+            handed.note_lost()
+        return body.map(lambda data: WholeAnswer(handed.answer.head, data))
+
+    def _helper_error(
+        self, error: errors.RequestError, previous_outcome: errors.Outcome
+    ) -> errors.RequestError:
+        """Returns the error for the caller after another gateway gave up."""
+        if previous_outcome == "not-run" or error.outcome == "unknown":
+            return error
+        return errors.BackEndLostError(error.message, outcome="unknown")
+
     def _choose(self) -> _Chosen | None:
         """Returns the best server that permits a request, None if none does.
 
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -37,6 +37,20 @@
     parts: tuple[PromptPart, ...]
 
 
+class Handover(NamedTuple):
+    """What the gateway that handed over a request has done with it.
+
+    Attributes:
+        vm_id: Name of the gateway.
+        is_counted: Whether its retry budget includes the request.
+        is_admitted: Whether it has admitted the request and counts its demand.
+    """
+
+    vm_id: str
+    is_counted: bool
+    is_admitted: bool
+
+
 class RoutedRequest(NamedTuple):
     """A caller's request, completely read.
 
@@ -57,6 +71,7 @@
         caller: Credentials that the caller sent, empty if none.
         key_digests: Hashes of the customer keys in the request.
         customer: Name of the customer, empty if none was identified.
+        handover: Set if another gateway handed the request over.
     """
 
     request_id: str
@@ -73,6 +88,7 @@
     caller: str = ""
     key_digests: frozenset[directory.KeyDigest] = frozenset()
     customer: str = ""
+    handover: Handover | None = None
 
     def fingerprint(self) -> int:
         """Returns a 64-bit hash that is equal for repeats of the request."""
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -371,6 +371,13 @@
         self.reachability.note_connect_failed(start, cause, now_s)
         self._avoid(start, now_s)
 
+    def confirmed(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that a server accepts connections again."""
+        self.reachability.note_confirmed(start, now_s)
+        entry = self._entry(start)
+        entry.avoided_until_s = float("-inf")
+        entry.failed_attempts_count = 0
+
     def fell_silent(self, start: fleet.ServerStart, now_s: float) -> None:
         """Records that a server stopped responding during an exchange."""
         self.reachability.note_interrupted(start, "silent", now_s)
--- a/src/mulberrywharf/gateway_settings.py
+++ b/src/mulberrywharf/gateway_settings.py
@@ -108,7 +108,8 @@
         availability_zone: Availability zone of the VM.
         callers_listen: Address that callers connect to.
         operators_listen: Address for readiness, health and metrics.
-        nodes_listen: UDP address that other gateways send notices to.
+        nodes_listen: Address for other gateways: UDP for their messages, TCP
+            for requests that they hand over.
         store: Address of the key-value service.
         repeats: Limits on repeated requests.
         grace_s: Time between a request to stop and the forced end.
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -3,6 +3,7 @@
 import heapq
 import ipaddress
 import random
+import secrets
 import time
 from typing import NamedTuple
 
@@ -18,7 +19,7 @@
     key_value,
     lease,
 )
-from mulberrywharf.policy import gateway_ranks
+from mulberrywharf.policy import gateway_ranks, helpers
 
 PURPOSE = "peers"
 KEY_PREFIX = "mulberrywharf/gateways/"
@@ -64,6 +65,11 @@
 removed engines stay in the cache, so the limit exceeds the number of engines in
 a fleet."""
 
+TOKEN_BYTES = 16
+"""Length of the random part of a registration's key. It is known to whoever may
+read the registrations, and so proves to a gateway that a sender is another
+one."""
+
 _PORT_LIMIT = 65_535
 _RETRY_BASE_S = 1.0
 _RETRY_LIMIT_S = 8.0
@@ -119,6 +125,7 @@
         self._client = client
         self._incarnation = incarnation
         self._registrations_count = 0
+        self._own_tokens: list[str] = []
         self._is_registered = False
         self._has_read = False
         self._own_value = f"{own_address}/{availability_zone}".encode()
@@ -214,6 +221,32 @@
                 by_zone[zone] = (*by_zone.get(zone, ()), peer.address)
         return by_zone
 
+    def zones(self) -> helpers.Zones:
+        """Returns the addresses of the other gateways by closeness."""
+        own: list[fleet.Address] = []
+        others: list[fleet.Address] = []
+        for peer in self._peers_by_vm.values():
+            is_own = peer.availability_zone == self._availability_zone
+            (own if is_own else others).append(peer.address)
+        return helpers.Zones(own, others)
+
+    def token(self, address: fleet.Address) -> str | None:
+        """Returns the token of a gateway, None if it is not registered.
+
+        See ``TOKEN_BYTES``.
+        """
+        for peer in self._peers_by_vm.values():
+            if peer.address == address:
+                return peer.key.rpartition("/")[2]
+        return None
+
+    def is_own_token(self, token: str) -> bool:
+        """Tells whether a token is one of this gateway's registrations."""
+        return any(
+            secrets.compare_digest(token.encode(), own.encode())
+            for own in self._own_tokens
+        )
+
     def recent_addresses(self) -> tuple[fleet.Address, ...]:
         """Returns the addresses of current and recently removed gateways.
 
@@ -406,10 +439,12 @@
         # After a failed renewal, the previous key may still exist under a lease
         # that has not yet expired. A new key name can be created at once.
         self._registrations_count += 1
-        key = (
-            f"{KEY_PREFIX}{self._own_vm_id}/"
-            f"{self._incarnation}-{self._registrations_count}"
+        token = (
+            f"{self._incarnation}-{self._registrations_count}-"
+            f"{secrets.token_hex(TOKEN_BYTES)}"
         )
+        self._own_tokens.append(token)
+        key = f"{KEY_PREFIX}{self._own_vm_id}/{token}"
         created = holder.create_key(key, self._own_value)
         if isinstance(created, Err):
             holder.close()
--- /dev/null
+++ b/src/mulberrywharf/peers/handover_fields.py
@@ -0,0 +1,53 @@
+"""Header fields of the exchanges in which requests are handed over.
+
+All begin with ``PREFIX``. Fields of callers and servers never do: those of
+callers are in the body, and those of servers are dropped.
+"""
+
+from typing import Literal
+
+PREFIX = "x-mulberry-handover-"
+
+PATH = "/handovers"
+
+TOKEN = PREFIX + "token"
+"""Token of the receiving gateway's registration, see
+``directory.TOKEN_BYTES``."""
+
+SENDER = PREFIX + "sender"
+"""``vm_id`` of the gateway that hands over."""
+
+NUMBER = PREFIX + "number"
+"""Number of the handover, repeated in the answer."""
+
+REQUEST_ID = PREFIX + "request-id"
+SERVICE = PREFIX + "service"
+
+HELPER = PREFIX + "helper"
+"""``vm_id`` of the gateway that answers."""
+
+RESULT = PREFIX + "result"
+LOAD = PREFIX + "load"
+"""Handed over requests that the answering gateway is serving."""
+
+CODE = PREFIX + "code"
+OUTCOME = PREFIX + "outcome"
+RETRY_AFTER_S = PREFIX + "retry-after-s"
+
+Result = Literal[
+    "answer", "error", "no-path", "busy", "malformed", "unauthenticated"
+]
+"""What became of a handed over request.
+
+- ``answer``: The answer of a server follows.
+- ``error``: The request failed; ``CODE``, ``OUTCOME`` and ``RETRY_AFTER_S``
+  have the error.
+- The others: The gateway did not take it.
+"""
+
+ANSWER: Result = "answer"
+ERROR: Result = "error"
+NO_PATH: Result = "no-path"
+BUSY: Result = "busy"
+MALFORMED: Result = "malformed"
+UNAUTHENTICATED: Result = "unauthenticated"
--- a/src/mulberrywharf/peers/topics.py
+++ b/src/mulberrywharf/peers/topics.py
@@ -10,13 +10,14 @@
 from mulberrywharf import fleet, metrics
 from mulberrywharf.peers import datagrams
 
-Topic = Literal[b"o", b"e", b"d", b"z"]
+Topic = Literal[b"o", b"e", b"d", b"z", b"p"]
 """Topic byte of a message.
 
 - ``o``: outcomes of a server's answers, to the gateways that add them up.
 - ``e``: whether a server is used, to all gateways.
 - ``d``: customers' demand, to the gateways that divide the room, and back.
 - ``z``: whether a gateway of another zone is reachable, and its reply.
+- ``p``: whether a gateway can serve requests for a service, and its reply.
 """
 
 Handler = Callable[[bytes, fleet.Address], bool]
--- a/src/mulberrywharf/policy/reachability.py
+++ b/src/mulberrywharf/policy/reachability.py
@@ -21,6 +21,22 @@
 """
 
 
+Status = Literal["whole", "partial", "none"]
+"""How much of a service a gateway reaches.
+
+- ``whole``: A server of each role.
+- ``partial``: No server of some role, but one that can answer callers.
+- ``none``: No server that can answer callers.
+"""
+
+SAMPLE_COUNT = 6
+"""Servers of a role found unreachable one after the other, with no
+contact to any server of the role in between, from which all of them count as
+unreachable. In a large fleet it would take a request's time to try each. A
+gateway that is separated from a third of the servers finds so many by chance
+once in 700 times."""
+
+
 class UnreachableServer(NamedTuple):
     """A server that this gateway does not reach.
 
@@ -69,6 +85,11 @@
         self._by_service: dict[str, dict[fleet.ServerStart, fleet.Server]] = {}
         self._service_of: dict[fleet.ServerStart, str] = {}
         self._on_change: Callable[[str, float], None] = lambda _, __: None
+        self._on_answer: Callable[[str, float], None] = lambda _, __: None
+
+    def on_answer(self, callback: Callable[[str, float], None]) -> None:
+        """Sets the callback for answers, called like that of ``on_change``."""
+        self._on_answer = callback
 
     def on_change(self, callback: Callable[[str, float], None]) -> None:
         """Sets the callback for changes of a server's state.
@@ -115,6 +136,9 @@
         was_unreachable = contact.is_unreachable
         contact.answered_s = now_s
         self._publish(start, contact, was_unreachable, now_s)
+        service = self._service_of.get(start)
+        if service is not None:
+            self._on_answer(service, now_s)
 
     def note_connect_failed(
         self, start: fleet.ServerStart, cause: Cause, now_s: float
@@ -150,22 +174,39 @@
         contact = self._contacts.get(start)
         return contact is not None and contact.is_unreachable
 
+    def services(self) -> tuple[str, ...]:
+        """Returns the services with servers."""
+        return tuple(self._by_service)
+
     def servers(self, service: str) -> tuple[fleet.Server, ...]:
         """Returns the servers of a service."""
         return tuple(self._by_service.get(service, {}).values())
 
+    def status(self, service: str) -> Status:
+        """Returns how much of a service is reachable.
+
+        A service without servers is whole, as no path is missing.
+        """
+        unreachable = self.unreachable_roles(service)
+        if not unreachable:
+            return "whole"
+        roles = {server.role for server in self.servers(service)}
+        return "partial" if roles - unreachable - {"prefill"} else "none"
+
     def unreachable_roles(self, service: str) -> frozenset[fleet.Role | None]:
         """Returns the roles of a service without a reachable server.
 
         Plain servers have the role None.
         """
-        servers = self.servers(service)
-        reachable = {
-            server.role
-            for server in servers
-            if not self.is_unreachable(server.start)
-        }
-        return frozenset(server.role for server in servers) - reachable
+        by_role: dict[fleet.Role | None, list[_Contact]] = {}
+        for server in self.servers(service):
+            contact = self._contacts.get(server.start) or _Contact()
+            by_role.setdefault(server.role, []).append(contact)
+        return frozenset(
+            role
+            for role, contacts in by_role.items()
+            if _are_unreachable(contacts)
+        )
 
     def unreachable(
         self, service: str, now_s: float
@@ -203,3 +244,17 @@
             if start in self._service_of:
                 self._contacts[start] = contact
         return contact
+
+
+def _are_unreachable(contacts: list[_Contact]) -> bool:
+    """Tells whether no server of a role is reachable."""
+    if all(contact.is_unreachable for contact in contacts):
+        return True
+    connected_s = max(contact.connected_s for contact in contacts)
+    answered_s = max(contact.answered_s for contact in contacts)
+    failed_count = sum(
+        contact.connect_failed_s > connected_s
+        or contact.interrupted_s > answered_s
+        for contact in contacts
+    )
+    return failed_count >= SAMPLE_COUNT
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -18,7 +18,7 @@
     server_limits,
 )
 from mulberrywharf.authority import duty_holder, role_manager
-from mulberrywharf.callers import listener, routed_server
+from mulberrywharf.callers import handed_over, listener, routed_server
 from mulberrywharf.customers import authentication
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
@@ -26,7 +26,9 @@
     engine_estimates,
     engine_pool,
     generation,
+    handover,
     path_log,
+    path_monitor,
     plain_call,
     server_client,
     server_tracker,
@@ -40,8 +42,11 @@
     directory,
     ejection_exchange,
     freshness_relay,
+    handover_client,
+    handover_server,
     limit_datagrams,
     notices,
+    path_questions,
     queue_owners,
     revision_exchange,
     topics,
@@ -52,6 +57,7 @@
     crash_suspects,
     customer_meter,
     customer_shares,
+    lost_path,
     repeat_budget,
 )
 from mulberrywharf.programs import _gateway_duties
@@ -124,7 +130,9 @@
             config["availability_zone"]
         )
         self._path_log = path_log.PathLog(self._tracker.reachability)
-        self._tracker.reachability.on_change(self._path_log.note_change)
+        self._paths = lost_path.LostPaths(self._rng, path_monitor.log_change)
+        self._tracker.reachability.on_change(self._on_reachability_change)
+        self._tracker.reachability.on_answer(self._paths.note_answered)
         carrier = limit_datagrams.LimitDatagrams(
             self._notices.socket, self._clock
         )
@@ -154,6 +162,23 @@
         self._crash_records = crash_records.CrashRecords(
             self._store, suspects, self._clock
         )
+        self._handover_client = handover_client.HandoverClient(
+            config["vm_id"], requests.ServerDialect()
+        )
+        self._path_monitor = path_monitor.PathMonitor(
+            self._tracker,
+            self._paths,
+            path_questions.PathQuestions(
+                self._peers,
+                self._topics,
+                self._paths,
+                self._tracker.reachability.services,
+                lambda: self._helping.load,
+                self._clock,
+            ),
+            self._client,
+            self._clock,
+        )
         self._crashes = crash_watch.CrashWatch(
             server_ends.ServerEnds(self._client, self._clock),
             suspects,
@@ -209,6 +234,19 @@
             duties.DutyDialect(),
         )
         self._callers = self._routed_server(self._duties.count_request)
+        self._peer_listener = _peer_listener(config)
+        self._helping = handover_server.HandoverServer(
+            self._peer_listener,
+            self._peers,
+            config["vm_id"],
+            self._can_serve,
+            handed_over.HandedOverRequests(
+                self._callers,
+                requests.CallerDialect(),
+                self._routes,
+                self._clock,
+            ).serve,
+        )
         self._readiness = readiness.ReadinessServer(
             **gateway_settings.endpoint(config["operators_listen"])
         )
@@ -241,6 +279,7 @@
         for part in (*self._roles, self._duties):
             part.start()
         self._listener.start()
+        self._peer_listener.start()
         self._readiness_greenlet = gevent.spawn(self._update_readiness)
 
     def reload(self, config: gateway_settings.GatewaySettings) -> None:
@@ -269,11 +308,18 @@
         for part in (*self._roles, self._duties):
             part.close()
         self._listener.announce_stop()
+        self._peer_listener.announce_stop()
         gevent.sleep(min(DRAIN_NOTICE_S, self._config["grace_s"] / 3))
         logger.bind(in_flight_count=self._listener.in_flight_count).info(
             "stopping: finishing what is in flight"
         )
-        self._listener.finish()
+        gevent.joinall(
+            [
+                gevent.spawn(self._listener.finish),
+                gevent.spawn(self._peer_listener.finish),
+            ],
+            raise_error=True,
+        )
         self.close()
         logger.info("stopped")
 
@@ -291,6 +337,8 @@
         self._servers.close()
         self._routes.close()
         self._store.close()
+        self._path_monitor.close()
+        self._handover_client.close()
         self._client.close()
         self._readiness.close()
 
@@ -416,6 +464,20 @@
         known = routes.services.get(service) if routes else None
         return known.engine.kv_tokens if known and known.engine else 0
 
+    def _can_serve(self, service: str) -> bool:
+        return self._paths.can_serve(service) and bool(
+            self._servers.usable(service)
+        )
+
+    def _on_reachability_change(self, service: str, now_s: float) -> None:
+        self._path_log.note_change(service, now_s)
+        self._path_monitor.note_change(service, now_s)
+
+    def _handovers(self) -> handover.PeerHandovers:
+        return handover.PeerHandovers(
+            self._paths, self._peers, self._handover_client, self._clock
+        )
+
     def _routed_server(
         self, on_request_started: Callable[[str], None]
     ) -> routed_server.RoutedServer:
@@ -434,6 +496,7 @@
                     self._clock,
                     self._rng,
                     self._ejections,
+                    self._handovers(),
                 )
             ),
             generations=generation.Generations(
@@ -447,6 +510,7 @@
                     self._crashes,
                     self._clock,
                     self._ejections,
+                    self._handovers(),
                 )
             ),
             customers=authentication.CustomerAdmission(
@@ -559,6 +623,21 @@
     return listener.CallerListener(listen["ip"], listen["port"])
 
 
+def _peer_listener(
+    config: gateway_settings.GatewaySettings,
+) -> listener.CallerListener:
+    """Returns the TCP listener for other gateways."""
+    listen = gateway_settings.endpoint(config["nodes_listen"])
+    return listener.CallerListener(
+        listen["ip"],
+        listen["port"],
+        header_limit_bytes=handover_server.HEAD_LIMIT_BYTES,
+        body_limit_bytes=handover_server.BODY_LIMIT_BYTES,
+        connections_limit_count=handover_server.CONNECTIONS_LIMIT_COUNT,
+        idle_timeout_s=handover_server.IDLE_TIMEOUT_S,
+    )
+
+
 def _revocation_bound_s(
     config: gateway_settings.GatewaySettings,
 ) -> float | None:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -10,6 +10,7 @@
     engine_estimates,
     engine_pool,
     generation,
+    handover,
     server_client,
     server_tracker,
     time_limits,
@@ -75,6 +76,7 @@
 class GenerationCase(builders_engines.ScriptedServerCase):
     crashes: Any = None
     ejections: Any = ejection_filter.NoEjections()
+    handovers: Any = handover.NoHandovers()
 
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -130,6 +132,7 @@
                 self.crashes,
                 self.clock,
                 self.ejections,
+                self.handovers,
             )
         )
         route = route or build.route(
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -9,6 +9,7 @@
 from mulberrywharf import clock, errors, server_limits
 from mulberrywharf.forwarding import (
     ejection_filter,
+    handover,
     plain_call,
     server_client,
     server_tracker,
@@ -56,6 +57,7 @@
 class CallCase(builders_engines.ScriptedServerCase):
     first_server = 0
     ejections: Any = ejection_filter.NoEjections()
+    handovers: Any = handover.NoHandovers()
 
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -95,6 +97,7 @@
                 self.clock,
                 random.Random(1),
                 self.ejections,
+                self.handovers,
             )
         )
         route = build.route(kind=kinds.Idempotent() if kind is None else kind)
