Repeat requests in flight at silent servers through another gateway

What callers saw: in the first two seconds of a cut in which servers stay silent, requests on connections from before waited for the kernel's timeout of 1.5 s, and others for the timeout of one server after the other.

Cause: each exchange found out by itself that its server is out of reach.

Change: when the path to a service is lost, exchanges with its silent servers that had no byte for 0.2 s and may be repeated are ended, and their requests go on through another gateway. When one server of a service falls silent and no other one has answered in the last 0.2 s, the others are probed at once.

Measured: the test in tests/test_lost_path.py fails without it (504 at the deadline of 3 s) and takes less than 2 s with it.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -141,6 +141,7 @@
     Attributes:
         stage: How far the exchange got.
         is_new_connection: Whether its connection was opened for it.
+        active_s: Monotonic time of the last byte sent or received.
     """
 
     def __init__(
@@ -152,6 +153,8 @@
     ):
         self.stage: Stage = NotSent()
         self.is_new_connection = is_new_connection
+        self.active_s = time.monotonic()
+        self._is_interrupted = False
         self._connection: _connections.Connection | None = connection
         self._pool = pool
         self._answer: _answers.Answer | None = None
@@ -182,6 +185,11 @@
         opened = _connections.Connection.open(address, connect_timeout_s)
         return opened.map(lambda connection: cls(connection, pool))
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the exchange has not ended."""
+        return self._connection is not None
+
     def keep_in(self, pool: _connections.ConnectionPool) -> "Exchange":
         """Sets the pool that gets the connection after a complete answer.
 
@@ -213,13 +221,15 @@
             self._is_request_incomplete = not _send_all(
                 connection.sock, data, answer_timeout_s
             )
+            self.active_s = time.monotonic()
             answer = _answers.Answer(connection.sock, request.method)
         except _CONNECTION_ERRORS as error:
             self.close()
-            return Err(_lost_error(connection.address, "gave no answer", error))
+            return Err(self._lost_error(connection, "gave no answer", error))
         except BaseException:
             self.close()
             raise
+        self.active_s = time.monotonic()
         self.stage = AnswerBegan(answer.status_code)
         self._answer = answer
         return Ok(answer)
@@ -300,7 +310,7 @@
             answer = _answers.Answer(connection.sock, method)
         except _CONNECTION_ERRORS as error:
             self.close()
-            return Err(_lost_error(connection.address, "gave no answer", error))
+            return Err(self._lost_error(connection, "gave no answer", error))
         except BaseException:
             self.close()
             raise
@@ -319,12 +329,14 @@
         try:
             if answer.needs_bytes:
                 connection.wait_readable(idle_timeout_s)
-            return Ok(answer.read_some())
+            data = answer.read_some()
+            self.active_s = time.monotonic()
+            return Ok(data)
         except _CONNECTION_ERRORS as error:
             self.close()
             return Err(
-                _lost_error(
-                    connection.address, "did not complete its answer", error
+                self._lost_error(
+                    connection, "did not complete its answer", error
                 )
             )
         except BaseException:
@@ -406,6 +418,27 @@
         if connection is not None:
             connection.close()
 
+    def interrupt(self) -> None:
+        """Ends the exchange while another greenlet waits for the peer.
+
+        That greenlet gets a ``PeerSilentError``.
+        """
+        self._is_interrupted = True
+        self.close()
+
+    def _lost_error(
+        self,
+        connection: _connections.Connection,
+        failure: str,
+        error: Exception,
+    ) -> errors.AnswerLostError:
+        message = f"{connection.address} {failure}: {error}"
+        if self._is_interrupted or (
+            isinstance(error, OSError) and error.errno == errno.ETIMEDOUT
+        ):
+            return errors.PeerSilentError(message)
+        return errors.AnswerLostError(message)
+
 
 def _awaits_body(sock: Any, ends_s: float) -> bool:
     """Waits for an answer; tells whether it is an interim one.
@@ -424,15 +457,6 @@
         gevent.sleep(_INTERIM_POLL_S)
 
 
-def _lost_error(
-    address: fleet.Address, failure: str, error: Exception
-) -> errors.AnswerLostError:
-    message = f"{address} {failure}: {error}"
-    if isinstance(error, OSError) and error.errno == errno.ETIMEDOUT:
-        return errors.PeerSilentError(message)
-    return errors.AnswerLostError(message)
-
-
 def _send_all(sock: Any, data: bytes, timeout_s: float) -> bool:
     """Writes a request; stops if the answer arrives before it is all written.
 
--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -20,15 +20,25 @@
 """Interval between two probes of a role without a reachable server. A failing
 probe takes up to 0.2 s."""
 
-SWEEP_SILENT_COUNT = 2
-"""Silent servers of a service from which its other servers are probed at once.
-Each would otherwise cost a request the timeout of a connection."""
-
 SWEEP_PAUSE_S = 1.0
+"""Shortest interval between two sweeps of a service. A sweep probes its other
+servers after one has fallen silent. Without it, each silent server would cost a
+request the timeout of a connection."""
+
+CONTACT_S = 0.2
+"""Age of the last answer of a service up to which there is no sweep. An answer
+that came while the connection to the silent server was awaited shows that the
+path works."""
+
 SWEEP_LIMIT_COUNT = 8
 """Maximum number of servers probed at once; more than the unreachable servers
 from which a role counts as unreachable."""
 
+IDLE_S = 0.2
+"""Time without a byte after which an exchange with a silent server is repeated
+through another gateway. Engines send a token at least every 0.1 s; answers to
+plain calls may take longer, but connections to their server time out."""
+
 _lost_total = metrics.counter(
     "mulberry_paths_lost_total",
     "How often this gateway lost its own path to a service.",
@@ -37,6 +47,10 @@
     "mulberry_paths_lost",
     "Whether requests for a service are handed over to other gateways.",
 )
+_interrupted_total = metrics.counter(
+    "mulberry_exchanges_interrupted_total",
+    "Exchanges with silent servers that were repeated through a gateway.",
+)
 _STATES_LOST = ("lost", "returning")
 
 
@@ -48,8 +62,14 @@
         ...
 
 
-class Prober(Protocol):
-    """Checks whether servers accept connections."""
+class Client(Protocol):
+    """Has the exchanges with the servers."""
+
+    def interrupt_idle(
+        self, starts: Iterable[fleet.ServerStart], idle_s: float
+    ) -> int:
+        """Ends exchanges without a byte for a time that may be repeated."""
+        ...
 
     def probe(
         self, address: fleet.Address
@@ -66,7 +86,7 @@
         tracker: server_tracker.ServerTracker,
         paths: lost_path.LostPaths,
         questions: Questions,
-        prober: Prober,
+        client: Client,
         system_clock: clock.Clock,
     ):
         """Creates it.
@@ -75,14 +95,14 @@
             tracker: Tells which servers are reachable.
             paths: Decides which paths are lost.
             questions: Asks other gateways.
-            prober: Probes servers.
+            client: Probes servers, and interrupts exchanges with them.
             system_clock: Source of monotonic time.
         """
         self._tracker = tracker
         self._servers = tracker.reachability
         self._paths = paths
         self._questions = questions
-        self._prober = prober
+        self._client = client
         self._clock = system_clock
         self._probing: set[fleet.ServerStart] = set()
         self._probed_s: dict[tuple[str, fleet.Role | None], float] = {}
@@ -111,17 +131,32 @@
                     service, self._servers.status(service), now_s
                 )
                 self._probe_due(service, now_s)
+                if self._paths.state(service) == "lost":
+                    self._interrupt_silent(service, now_s)
             self._questions.ask()
             gevent.sleep(TICK_S)
 
-    def _is_sweep_due(self, service: str, now_s: float) -> bool:
-        if now_s - self._swept_s.get(service, float("-inf")) < SWEEP_PAUSE_S:
-            return False
-        silent_count = sum(
-            one.cause == "silent"
+    def _interrupt_silent(self, service: str, now_s: float) -> None:
+        """Ends exchanges that wait for servers that can't be reached."""
+        silent = [
+            one.server.start
             for one in self._servers.unreachable(service, now_s)
+            if one.cause == "silent"
+        ]
+        count = self._client.interrupt_idle(silent, IDLE_S)
+        if count:
+            _interrupted_total.add({"service": service}, count)
+
+    def _is_sweep_due(self, service: str, now_s: float) -> bool:
+        swept_s = self._swept_s.get(service, float("-inf"))
+        return (
+            now_s - swept_s >= SWEEP_PAUSE_S
+            and now_s - self._servers.answered_s(service) > CONTACT_S
+            and any(
+                one.cause == "silent"
+                for one in self._servers.unreachable(service, now_s)
+            )
         )
-        return silent_count >= SWEEP_SILENT_COUNT
 
     def _sweep(self, service: str, now_s: float) -> None:
         """Probes other servers of a service whose servers fall silent.
@@ -165,7 +200,7 @@
 
     def _probe_one(self, server: fleet.Server) -> None:
         try:
-            probed = self._prober.probe(server.address)
+            probed = self._client.probe(server.address)
         finally:
             self._probing.discard(server.start)
         now_s = self._clock.monotonic_s()
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -1,6 +1,8 @@
 """Sends an attempt to a server; each kind of failure has its own type."""
 
-from collections.abc import Callable
+import time
+import weakref
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 import gevent
@@ -70,6 +72,9 @@
         self._limits = limits
         self._clock = system_clock
         self._pool = _connections.ConnectionPool()
+        self._repeatable: dict[
+            fleet.ServerStart, weakref.WeakSet[_exchange.Exchange]
+        ] = {}
 
     def close(self) -> None:
         """Closes idle connections."""
@@ -91,6 +96,38 @@
         )
         return opened.map(self._pool.put)
 
+    def interrupt_idle(
+        self, starts: Iterable[fleet.ServerStart], idle_s: float
+    ) -> int:
+        """Ends exchanges with unreachable servers that may be repeated.
+
+        Args:
+            starts: The servers.
+            idle_s: Time without a byte after which an exchange is ended.
+
+        Returns:
+            The number of exchanges.
+        """
+        idle_since_s = time.monotonic() - idle_s
+        found = [
+            exchange
+            for start in starts
+            for exchange in self._repeatable.get(start, ())
+            if exchange.is_open and exchange.active_s < idle_since_s
+        ]
+        for exchange in found:
+            exchange.interrupt()
+        return len(found)
+
+    def keep_only(self, starts: Iterable[fleet.ServerStart]) -> None:
+        """Forgets the exchanges with servers that have ended."""
+        kept = frozenset(starts)
+        self._repeatable = {
+            start: exchanges
+            for start, exchanges in self._repeatable.items()
+            if start in kept
+        }
+
     def send(
         self,
         attempt: request.Attempt,
@@ -138,6 +175,10 @@
         # Every connection is kept, also one opened for a request that must not
         # run again; only requests that may run again reuse it.
         exchange = opened.ok_value.keep_in(self._pool)
+        if may_run_again:
+            self._repeatable.setdefault(
+                attempt.server.start, weakref.WeakSet()
+            ).add(exchange)
         try:
             received = self._receive(exchange, attempt, encoded_request, wait_s)
         except BaseException:
--- a/src/mulberrywharf/policy/reachability.py
+++ b/src/mulberrywharf/policy/reachability.py
@@ -182,6 +182,15 @@
         """Returns the servers of a service."""
         return tuple(self._by_service.get(service, {}).values())
 
+    def answered_s(self, service: str) -> float:
+        """Returns the time of the last answer of a service, or -inf."""
+        answered_s = [
+            contact.answered_s
+            for server in self.servers(service)
+            if (contact := self._contacts.get(server.start)) is not None
+        ]
+        return max(answered_s, default=float("-inf"))
+
     def status(self, service: str) -> Status:
         """Returns how much of a service is reachable.
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -527,6 +527,7 @@
             server for server in known if not server.is_draining
         )
         self._limits.keep_only(server.start for server in known)
+        self._client.keep_only(server.start for server in known)
         self._estimates.set_engines(known)
         self._ejections.set_servers(known)
 
--- a/tests/test_lost_path.py
+++ b/tests/test_lost_path.py
@@ -59,5 +59,31 @@
         self.assert_served_alike("refuse")
 
 
+class InFlightTest(builders_paths.PathCase):
+    """Requests waited until their deadline for servers out of reach."""
+
+    def test_repeatable_requests_in_flight_go_on_through_a_helper(self) -> None:
+        self.start_gateways(2)
+        self.call_all(range(2), PATHS, 1)
+        for server in (self.plain, *self.decodes):
+            server.faults = {"delay_s": 0.5}
+        in_flight = [
+            gevent.spawn(self.call, 0, path, fields)
+            for path, fields in (
+                ("/safe/x", ""),
+                ("/stream/x", builders_paths.SHORT_PROMPT_FIELDS),
+            )
+        ]
+        gevent.sleep(0.2)
+        self.cut([0], "silent")
+        for server in (self.plain, *self.decodes):
+            server.faults = {}
+        self.call_all([0], PATHS, 1)
+        for one in in_flight:
+            tried = one.get(timeout=10)
+            self.assertEqual(tried.status, 200, tried.path)
+            self.assertLess(tried.took_s, 2.0, tried.path)
+
+
 if __name__ == "__main__":
     unittest.main()
