Blame no request for the end of servers when the own path has failed

Two such ends block a request at all gateways.

Cause: a connection that is refused right after an exchange broke off was taken for the end of the server. A network that fails may refuse connections, too.

Change: a refusal counts as an end only if another server accepts a connection: one of the same service, or of another one if it has none. Servers that failed earlier don't count. A request that ends one server after the other is still blamed, as the next server still accepts.

Measured: tests/test_lost_path.OthersTest, three of four gateways reset with the same request in flight: 1 end at each before, none now. The tests of requests that crash servers pass unchanged, but for a network of their own: two runs at once met on the same addresses, where TCP is bound now.

--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -34,6 +34,14 @@
 """Maximum number of servers probed at once; more than the unreachable servers
 from which a role counts as unreachable."""
 
+WITNESSES_COUNT = 3
+"""Maximum number of servers that are connected to, to tell whether another one
+or the path to all has failed."""
+
+FAILED_TOGETHER_S = 0.2
+"""Servers that became unreachable within this time may have done so for the
+same reason. Earlier ones had failed before, and show nothing."""
+
 IDLE_S = 0.2
 """Time without a byte after which an exchange with a silent server is repeated
 through another gateway. Engines send a token at least every 0.1 s; answers to
@@ -65,6 +73,10 @@
 class Client(Protocol):
     """Has the exchanges with the servers."""
 
+    def can_connect(self, address: fleet.Address) -> bool:
+        """Tells whether a server accepts a connection."""
+        ...
+
     def interrupt_idle(
         self, starts: Iterable[fleet.ServerStart], idle_s: float
     ) -> int:
@@ -115,6 +127,54 @@
         if self._task is not None:
             self._task.kill()
 
+    def is_path_working(self, start: fleet.ServerStart) -> bool:
+        """Tells whether other servers accept connections.
+
+        The servers of the same service are tried, and those of other services
+        only if there are none. Without any, nothing speaks against the path.
+
+        Args:
+            start: The server that failed.
+        """
+        now_s = self._clock.monotonic_s()
+        own_service = self._servers.service_of(start)
+        others: list[fleet.Server] = []
+        if own_service is not None:
+            others = self._witnesses(own_service, start, now_s)
+        if not others:
+            others = [
+                server
+                for service in self._servers.services()
+                if service != own_service
+                for server in self._witnesses(service, start, now_s)
+            ]
+        tries = [
+            gevent.spawn(self._client.can_connect, server.address)
+            for server in others[:WITNESSES_COUNT]
+        ]
+        try:
+            for tried in gevent.iwait(tries):
+                if tried.value:
+                    return True
+            return not tries
+        finally:
+            gevent.killall(tries, block=False)
+
+    def _witnesses(
+        self, service: str, start: fleet.ServerStart, now_s: float
+    ) -> list[fleet.Server]:
+        """Returns the servers that were reachable before another one failed."""
+        failed_before = {
+            one.server.start
+            for one in self._servers.unreachable(service, now_s)
+            if one.unreachable_s > FAILED_TOGETHER_S
+        }
+        return [
+            server
+            for server in self._servers.servers(service)
+            if server.start != start and server.start not in failed_before
+        ]
+
     def note_change(self, service: str, now_s: float) -> None:
         """Handles a change of which servers of a service are reachable."""
         self._paths.update(service, self._servers.status(service), now_s)
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -96,6 +96,14 @@
         )
         return opened.map(self._pool.put)
 
+    def can_connect(self, address: fleet.Address) -> bool:
+        """Connects to a server and keeps the connection for later requests."""
+        opened = _connections.Connection.open(address, CONNECT_TIMEOUT_S)
+        if isinstance(opened, Err):
+            return False
+        self._pool.put(opened.ok_value)
+        return True
+
     def interrupt_idle(
         self, starts: Iterable[fleet.ServerStart], idle_s: float
     ) -> int:
--- a/src/mulberrywharf/policy/reachability.py
+++ b/src/mulberrywharf/policy/reachability.py
@@ -174,6 +174,10 @@
         contact = self._contacts.get(start)
         return contact is not None and contact.is_unreachable
 
+    def service_of(self, start: fleet.ServerStart) -> str | None:
+        """Returns the service of a server, None if it is not known."""
+        return self._service_of.get(start)
+
     def services(self) -> tuple[str, ...]:
         """Returns the services with servers."""
         return tuple(self._by_service)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -180,7 +180,9 @@
             self._clock,
         )
         self._crashes = crash_watch.CrashWatch(
-            server_ends.ServerEnds(self._client, self._clock),
+            server_ends.ServerEnds(
+                self._client, self._clock, self._path_monitor.is_path_working
+            ),
             suspects,
             self._crash_reports,
             self._crash_records,
--- a/src/mulberrywharf/server_ends.py
+++ b/src/mulberrywharf/server_ends.py
@@ -1,9 +1,11 @@
 """Distinguishes the end of a server process from a lost connection.
 
 Both interrupt an exchange. After the process has ended, nothing listens at the
-server's address until the server restarts some seconds later.
+server's address until the server restarts some seconds later. A network that
+has failed may refuse connections, too, but then to all servers.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -45,9 +47,23 @@
 class ServerEnds:
     """Detects whether server processes have ended."""
 
-    def __init__(self, prober: Prober, system_clock: clock.Clock):
+    def __init__(
+        self,
+        prober: Prober,
+        system_clock: clock.Clock,
+        is_path_working: Callable[[fleet.ServerStart], bool] = lambda _: True,
+    ):
+        """Creates it.
+
+        Args:
+            prober: Checks whether servers accept connections.
+            system_clock: Times the ends.
+            is_path_working: Tells whether other servers than the given one can
+                be reached, so that its refusal says something about itself.
+        """
         self._prober = prober
         self._clock = system_clock
+        self._is_path_working = is_path_working
         self._probes: dict[fleet.ServerStart, gevent.Greenlet] = {}
         self._ended_s: dict[fleet.ServerStart, float] = {}
 
@@ -80,10 +96,14 @@
     ) -> float | None:
         try:
             probed = self._prober.probe(address)
+            if (
+                isinstance(probed, Err)
+                and probed.err_value.was_refused
+                and self._is_path_working(start)
+            ):
+                self._ended_s[start] = self._clock.monotonic_s()
         finally:
             del self._probes[start]
-        if isinstance(probed, Err) and probed.err_value.was_refused:
-            self._ended_s[start] = self._clock.monotonic_s()
         return self._ended_s.get(start)
 
     def _cached_s(self, start: fleet.ServerStart) -> float | None:
--- a/tests/builders_paths.py
+++ b/tests/builders_paths.py
@@ -114,6 +114,13 @@
                 if server_ids is None or server_id in server_ids:
                     path.set_faults(mode=mode)
 
+    def reset(self, numbers: Iterable[int]) -> None:
+        """Resets connections to all servers and refuses new ones."""
+        for number in numbers:
+            for path in self.paths[number].values():
+                path.set_faults(mode="refuse")
+                path.reset_all()
+
     def call(self, number: int, path: str, fields: str = "") -> Tried:
         """Sends one request to a gateway and returns what became of it."""
         request_id = f"call-{next(self._numbers)}"
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,5 +1,6 @@
 """Tests of requests that crash every server, sent through real gateways."""
 
+import random
 import time
 import unittest
 from typing import Any
@@ -27,7 +28,7 @@
 
 _BODY = "ends whoever runs it"
 _PLAIN_SERVERS_COUNT = 4
-_NOTICES_NET = "127.77.31"
+_NOTICES_NET = f"127.{random.SystemRandom().randint(1, 250)}.31"
 _NOTICES_PORT = 7661
 
 
--- a/tests/test_lost_path.py
+++ b/tests/test_lost_path.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from tests import builders_paths
+from tests import builders_paths, test_gateway
 
 GATEWAYS_COUNT = 9
 CUT = tuple(range(6))
@@ -85,5 +85,37 @@
             self.assertLess(tried.took_s, 2.0, tried.path)
 
 
+class OthersTest(builders_paths.PathCase):
+    """Gateways blamed sound servers and requests for their own lost path."""
+
+    def test_requests_are_not_blamed_for_the_end_of_servers(self) -> None:
+        self.server("plain-2", "plain")
+        self.start_gateways(4)
+        cut = range(3)
+        self.call_all(range(4), PATHS, 2)
+        for server in (self.plain, self.prefill, *self.decodes):
+            server.faults = {"delay_s": 0.5, "prefill_s": 0.5}
+        in_flight = [
+            gevent.spawn(self.call, number, path, fields)
+            for number in cut
+            for path, fields in (
+                ("/safe/x", ""),
+                ("/stream/x", test_gateway.PROMPT_FIELDS),
+            )
+        ]
+        gevent.sleep(0.2)
+        self.reset(cut)
+        gevent.joinall(in_flight)
+        for server in (self.plain, self.prefill, *self.decodes):
+            server.faults = {}
+        ends_count = [
+            self.metric(number, "mulberry_server_ends_total") for number in cut
+        ]
+        blocked_count = self.metric(3, "mulberry_requests_blocked_count")
+        self.assertEqual((ends_count, blocked_count), ([0.0] * 3, 0.0))
+        tried = self.call_all([3], PATHS, 1)[3]
+        self.assertEqual(builders_paths.served_share(tried), 1.0)
+
+
 if __name__ == "__main__":
     unittest.main()
