Report a lost answer as a server's failure only if the server is reached again

A gateway that loses its path reported each answer that broke off as a failure of its server to the gateways that decide about ejections.

Cause: an answer that is lost looks the same whether the server or the network broke the connection off.

Change: such a failure is held for up to a second, and counts once the server answers or keeps a new connection open, which the watch for crashes tries at once. An answer that ends because its peer acknowledges nothing any more is no failure of the server, as it already was before the head of the answer.

Measured: test_failing_engines checks the same answers as before, each reported once the server is reached; a server that refuses connections, or falls silent, is not reported (red before: reported at once).

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -461,7 +461,7 @@
             raise
         answer.exchange.finish()
         if isinstance(body, Err):
-            self._note_answer_lost(attempt.server)
+            self._note_answer_lost(attempt.server, body.err_value)
             self._report_possible_crash(attempt.server, began_s, body.err_value)
             return body
         if not answer.head.is_success:
@@ -678,7 +678,7 @@
             return None
         except errors.StreamBrokenError as error:
             if isinstance(run, _EngineAnswer):
-                self._note_answer_lost(run.server)
+                self._note_answer_lost(run.server, error)
             return error
         finally:
             exchange.close()
@@ -695,7 +695,7 @@
         if isinstance(run, _HelperAnswer):
             run.handed.note_lost()
             return
-        self._note_answer_lost(run.server)
+        self._note_answer_lost(run.server, error)
         self._report_possible_crash(
             run.server, run.began_s, error, made_output=made_output
         )
@@ -750,10 +750,11 @@
         ).info("resumed")
         return run
 
-    def _note_answer_lost(self, server: fleet.Server) -> None:
+    def _note_answer_lost(
+        self, server: fleet.Server, error: errors.EngineError
+    ) -> None:
         self._excluded.add(server.start)
-        now_s = self._dependencies.system_clock.monotonic_s()
-        self._dependencies.tracker.connection_lost(server.start, now_s)
+        self._dependencies.client.note_answer_broken(server, error)
 
     def _report_possible_crash(
         self,
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -408,9 +408,8 @@
             raise
         answer.exchange.finish()
         if isinstance(body, Err):
-            self._dependencies.tracker.connection_lost(
-                attempt.server.start,
-                self._dependencies.system_clock.monotonic_s(),
+            self._dependencies.client.note_answer_broken(
+                attempt.server, body.err_value
             )
             return body
         if answer.head.is_success and not answer.head.has_signature:
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -237,9 +237,7 @@
         answer = sent.ok_value
         head = self._dialect.read_head(answer)
         server = attempt.server
-        self._tracker.reachability.note_answered(
-            server.start, self._clock.monotonic_s()
-        )
+        self._tracker.answer_began(server.start, self._clock.monotonic_s())
         self._tracker.reported(
             server.start, head.load, self._clock.monotonic_s()
         )
@@ -294,6 +292,17 @@
         else:
             self._tracker.connection_lost(server.start, now_s)
 
+    def note_answer_broken(
+        self, server: fleet.Server, error: errors.EngineError
+    ) -> None:
+        """Records that an answer broke off behind its head."""
+        is_silent = isinstance(error, errors.PeerSilentError)
+        self._tracker.connection_lost(
+            server.start,
+            self._clock.monotonic_s(),
+            "silent" if is_silent else "interrupted",
+        )
+
     def _note_refusal(self, server: fleet.Server, now_s: float) -> None:
         # A plain server has few slots and refuses only until a running request
         # ends, so it is not passed over; its load decides how often it is
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -9,7 +9,12 @@
 
 from mulberrywharf import fleet, metrics
 from mulberrywharf.forwarding import request
-from mulberrywharf.policy import reachability, server_choice, stated_pace
+from mulberrywharf.policy import (
+    held_failures,
+    reachability,
+    server_choice,
+    stated_pace,
+)
 
 REPORT_TIME_CONSTANT_S = 1.0
 """A reported count of other gateways' requests decays by 1/e in this time. The
@@ -124,6 +129,7 @@
         self._entries: dict[fleet.ServerStart, _Entry] = {}
         self.paces = stated_pace.StatedPaces()
         self.reachability = reachability.Reachability()
+        self._held_failures = held_failures.HeldFailures()
         self._on_outcome: Callable[[fleet.ServerStart, bool], None] = (
             lambda _, __: None
         )
@@ -135,7 +141,8 @@
 
         Args:
             callback: Called with the server and whether it failed, when the
-                head of an answer was received or the answer was lost.
+                head of an answer was received. A lost answer counts as a
+                failure once the server is reached again.
         """
         self._on_outcome = callback
 
@@ -148,6 +155,7 @@
             if start in kept or entry.own_in_flight_count
         }
         self.paces.keep_only(kept | self._entries.keys())
+        self._held_failures.keep_only(kept)
 
     def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a new request; at an unreachable server it is the trial."""
@@ -274,10 +282,22 @@
         )
         entry.mean_answer_s = before_s + PACE_WEIGHT * (answer_s - before_s)
 
+    def answer_began(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that the head of an answer has arrived, whatever it says."""
+        self.reachability.note_answered(start, now_s)
+        self._count_held_failures(start, now_s)
+
     def answered(self, start: fleet.ServerStart) -> None:
         """Records the head of an answer that is no fault of the server."""
         self._on_outcome(start, False)
 
+    def _count_held_failures(
+        self, start: fleet.ServerStart, now_s: float
+    ) -> None:
+        for _ in range(self._held_failures.take(start, now_s)):
+            self._note_fault(start, now_s)
+            self._on_outcome(start, True)
+
     def failed(
         self, start: fleet.ServerStart, now_s: float, *, is_fault: bool = True
     ) -> None:
@@ -293,10 +313,14 @@
         entry.failure_share += FAILURE_WEIGHT * (1 - entry.failure_share)
         if not is_fault:
             return
+        self._note_fault(start, now_s)
+        self._on_outcome(start, True)
+
+    def _note_fault(self, start: fleet.ServerStart, now_s: float) -> None:
+        entry = self._entry(start)
         share = self.fault_share(start, now_s)
         entry.fault_share = share + FAILURE_WEIGHT * (1 - share)
         entry.fault_at_s = now_s
-        self._on_outcome(start, True)
 
     def fault_share(self, start: fleet.ServerStart, now_s: float) -> float:
         """Returns the share of recent answers that were a server's faults."""
@@ -356,9 +380,11 @@
         now_s: float,
         cause: reachability.Cause = "interrupted",
     ) -> None:
-        """Records that a server broke off an exchange."""
+        """Records that a server, or the network, broke off an exchange."""
         self.reachability.note_interrupted(start, cause, now_s)
-        self.failed(start, now_s)
+        self.failed(start, now_s, is_fault=False)
+        if cause != "silent":
+            self._held_failures.note(start, now_s)
         self._entry(start).suspected_until_s = now_s + SUSPECT_S
 
     def unreachable(
@@ -372,8 +398,9 @@
         self._avoid(start, now_s)
 
     def confirmed(self, start: fleet.ServerStart, now_s: float) -> None:
-        """Records that a server accepts connections again."""
+        """Records that a server accepts a connection and keeps it open."""
         self.reachability.note_confirmed(start, now_s)
+        self._count_held_failures(start, now_s)
         entry = self._entry(start)
         entry.avoided_until_s = float("-inf")
         entry.failed_attempts_count = 0
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -181,7 +181,12 @@
         )
         self._crashes = crash_watch.CrashWatch(
             server_ends.ServerEnds(
-                self._client, self._clock, self._path_monitor.is_path_working
+                self._client,
+                self._clock,
+                self._path_monitor.is_path_working,
+                lambda start: self._tracker.confirmed(
+                    start, self._clock.monotonic_s()
+                ),
             ),
             suspects,
             self._crash_reports,
--- a/src/mulberrywharf/server_ends.py
+++ b/src/mulberrywharf/server_ends.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 import gevent
-from result import Err, Result
+from result import Ok, Result
 
 from mulberrywharf import _connections, clock, errors, fleet
 
@@ -52,6 +52,7 @@
         prober: Prober,
         system_clock: clock.Clock,
         is_path_working: Callable[[fleet.ServerStart], bool] = lambda _: True,
+        on_running: Callable[[fleet.ServerStart], None] = lambda _: None,
     ):
         """Creates it.
 
@@ -60,7 +61,9 @@
             system_clock: Times the ends.
             is_path_working: Tells whether other servers than the given one can
                 be reached, so that its refusal says something about itself.
+            on_running: Called with a server that was probed and has not ended.
         """
+        self._on_running = on_running
         self._prober = prober
         self._clock = system_clock
         self._is_path_working = is_path_working
@@ -96,11 +99,9 @@
     ) -> float | None:
         try:
             probed = self._prober.probe(address)
-            if (
-                isinstance(probed, Err)
-                and probed.err_value.was_refused
-                and self._is_path_working(start)
-            ):
+            if isinstance(probed, Ok):
+                self._on_running(start)
+            elif probed.err_value.was_refused and self._is_path_working(start):
                 self._ended_s[start] = self._clock.monotonic_s()
         finally:
             del self._probes[start]
--- a/tests/test_failing_engines.py
+++ b/tests/test_failing_engines.py
@@ -154,6 +154,28 @@
                 self.call(server, kind=kinds.AtMostOnce())
             self.assertEqual(noted, expected, data)
 
+    def test_lost_answers_of_servers_out_of_reach_are_not_reported(
+        self,
+    ) -> None:
+        """Guards against ejections by gateways without a path to the servers.
+
+        A server that is reached again within a second has failed by itself.
+        """
+        noted: list[bool] = []
+        self.tracker.on_outcome(lambda _, is_failure: noted.append(is_failure))
+        server = self.serve(lambda sock, _: (server.close(), sock.close()))
+        with contextlib.suppress(errors.RequestError):
+            self.call(server, kind=kinds.AtMostOnce())
+        self.assertEqual(noted, [])
+        now_s = self.clock.monotonic_s()
+        self.tracker.connection_lost(build.start("s1"), now_s)
+        self.tracker.connection_lost(build.start("s1"), now_s, "silent")
+        self.tracker.confirmed(build.start("s1"), now_s + 0.9)
+        self.assertEqual(noted, [True])
+        self.tracker.connection_lost(build.start("s1"), now_s)
+        self.tracker.answer_began(build.start("s1"), now_s + 1.1)
+        self.assertEqual(noted, [True])
+
 
 class FaultShareTest(unittest.TestCase):
     def setUp(self) -> None:
