--- a/src/mulberrywharf/policy/helpers.py
+++ b/src/mulberrywharf/policy/helpers.py
@@ -12,9 +12,13 @@
 
 from mulberrywharf import fleet
 
-CONFIRMED_S = 3.0
+CONFIRMED_S = 6.0
 """How long a gateway counts as a helper after a sign that it serves requests.
-Helpers in use give one with each request, the others when they are asked."""
+Helpers in use give one with each request, the others when they are asked. One
+that has ended is noticed when a request is offered to it."""
+
+EXPIRING_S = 4.0
+"""Age of the last sign from which a helper is asked again."""
 
 WANTED_COUNT = 4
 """Number of known helpers from which no further ones are searched for quickly.
@@ -30,6 +34,10 @@
 ASKED_COUNT = 3
 """Gateways that are asked at a time whether they can serve requests."""
 
+RANDOM_ROUNDS_COUNT = 2
+"""Rounds of questions to random gateways alone. Where many can serve, each
+gateway finds others of them; named ones would be the same for all."""
+
 AVOID_NO_PATH_S = 1.0
 """How long a gateway is not tried after it stated that it has no path. Network
 partitions last seconds."""
@@ -112,10 +120,12 @@
 
     def __init__(self, rng: random.Random):
         self._rng = rng
+        self._rounds_count = 0
         self._peers: dict[fleet.Address, _Peer] = {}
 
     def clear(self) -> None:
         """Forgets all but the gateways with requests in flight."""
+        self._rounds_count = 0
         self._peers = {
             address: peer
             for address, peer in self._peers.items()
@@ -172,32 +182,52 @@
     ) -> tuple[fleet.Address, ...]:
         """Chooses the gateways to ask whether they can serve requests.
 
-        Gateways that another one named come first, then one of the own zone
-        and any others. Known helpers are asked again before they expire.
+        Known helpers are asked again before they expire. New ones are searched
+        for in the own zone first, then anywhere, and among those that other
+        gateways have named.
         """
-        known = {*zones.own, *zones.others}
-        expiring = [
+        self._rounds_count += 1
+        helpers = self.confirmed(now_s)
+        asked = [
             one
-            for one in self.confirmed(now_s)
-            if self._peers[one].confirmed_s < now_s - CONFIRMED_S / 2
-        ]
+            for one in helpers
+            if self._peers[one].confirmed_s < now_s - EXPIRING_S
+        ][: ASKED_COUNT - 1]
+        if self._rounds_count > RANDOM_ROUNDS_COUNT:
+            asked += self._named(zones, limit_count=1 if helpers else 2)
+        if not helpers:
+            asked += self._unknown(zones.own, asked, now_s)[:1]
+        everyone = (*zones.own, *zones.others)
+        free_count = 1 if len(helpers) >= WANTED_COUNT else ASKED_COUNT
+        free_count = min(free_count, ASKED_COUNT - len(asked))
+        asked += self._unknown(everyone, asked, now_s)[: max(0, free_count)]
+        return tuple(asked)
+
+    def _named(self, zones: Zones, *, limit_count: int) -> list[fleet.Address]:
+        """Returns some of the gateways that others have named."""
+        known = {*zones.own, *zones.others}
         named = [
             address
             for address, peer in self._peers.items()
             if peer.is_named and address in known
         ]
-        asked = dict.fromkeys([*expiring, *named][: ASKED_COUNT - 1])
-        for candidates in (zones.own, (*zones.own, *zones.others)):
-            unknown = [
-                one
-                for one in candidates
-                if one not in asked and not self._is_settled(one, now_s)
-            ]
-            wanted_count = 1 if candidates is zones.own else ASKED_COUNT
-            free_count = min(wanted_count, ASKED_COUNT - len(asked))
-            picked = self._rng.sample(unknown, min(free_count, len(unknown)))
-            asked.update(dict.fromkeys(picked))
-        return tuple(asked)
+        return self._rng.sample(named, min(limit_count, len(named)))
+
+    def _unknown(
+        self,
+        candidates: Sequence[fleet.Address],
+        asked: Collection[fleet.Address],
+        now_s: float,
+    ) -> list[fleet.Address]:
+        """Returns some gateways of which nothing is known now."""
+        sampled = self._rng.sample(
+            candidates, min(2 * ASKED_COUNT, len(candidates))
+        )
+        return [
+            one
+            for one in sampled
+            if one not in asked and not self._is_settled(one, now_s)
+        ]
 
     def note_report(
         self, address: fleet.Address, report: Report, now_s: float
