Take no handed over requests while the event loop runs late

What callers would see: where a few gateways serve for many, the callers of those few wait behind the requests of the others once their processes are short of CPU time. 425 requests a second, 1,700 over four gateways, are more than one process can relay.

Change: while handed over requests are being served, the lateness of a timer is measured; from 0.1 s on average no more are taken, as with full bounds.

Measured: test_handover: refused as busy behind 1.2 s of a loop that is blocked for 0.2 s at a time, accepted again half a second later."

--- a/src/mulberrywharf/peers/handover_server.py
+++ b/src/mulberrywharf/peers/handover_server.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import _wsgi, errors, metrics
+from mulberrywharf import _loop_lag, _wsgi, errors, metrics
 from mulberrywharf.callers import listener, problems
 from mulberrywharf.callers import request as caller_request
 from mulberrywharf.peers import handover_codec
@@ -19,6 +19,10 @@
 SERVED_LIMIT_BYTES = 32_000_000
 """Maximum size of their bodies together."""
 
+LAG_LIMIT_S = 0.1
+"""Lateness of the event loop from which no further requests are taken. A
+process short of CPU time delays its own callers as much."""
+
 BODY_LIMIT_BYTES = 8_000_000
 """Maximum size of one of them, with its header fields. Operators allow callers
 bodies of 4 MB."""
@@ -123,6 +127,7 @@
         self._serve = serve
         self._in_flight_count = 0
         self._in_flight_bytes = 0
+        self._lag = _loop_lag.LoopLag()
         peer_listener.serve(self.application)
 
     @property
@@ -178,6 +183,7 @@
         if (
             self._in_flight_count >= SERVED_LIMIT_COUNT
             or self._in_flight_bytes + offer.body_bytes > SERVED_LIMIT_BYTES
+            or self._lag.average_s > LAG_LIMIT_S
         ):
             return Err(hop.BUSY)
         return Ok(offer)
@@ -290,6 +296,10 @@
         """Adds to the requests being served, or subtracts from them."""
         self._in_flight_count += count
         self._in_flight_bytes += body_bytes
+        if self._in_flight_count:
+            self._lag.start()
+        else:
+            self._lag.close()
         _in_flight_gauge.set({}, self._in_flight_count)
 
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import time
 import unittest
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -375,6 +376,27 @@
             server.note_in_flight(-count, -body_bytes)
         self.assertEqual(self.body(self.send()), b"fine")
 
+    def test_a_helper_short_of_cpu_time_takes_no_more_requests(self) -> None:
+        """Guards against helpers whose own callers wait for others'."""
+        gate = gevent.event.Event()
+
+        def blocks() -> Iterable[bytes]:
+            yield b"first"
+            gate.wait(WAIT_S)
+
+        self.helper.respond = lambda: Response("200 OK", [], blocks())
+        answer = self.send().unwrap()
+        ends_s = time.monotonic() + 1.2
+        while time.monotonic() < ends_s:
+            time.sleep(0.2)
+            gevent.sleep(0.001)
+        self.assert_refused(self.send(), "busy")
+        gevent.sleep(0.5)
+        self.helper.respond = lambda: Response("200 OK", [], [b"fine"])
+        self.assertEqual(self.body(self.send()), b"fine")
+        gate.set()
+        answer.exchange.close()
+
 
 class CodecTest(unittest.TestCase):
     def test_requests_survive_the_wire(self) -> None:
