Keep to what servers state in answers that another gateway relays

What callers would see: requests reach a server that had said in an answer that it is leaving, passed on by the same gateway, or more requests than the limit that such an answer states.

Cause: a relayed answer was passed on unread; only the gateway that had the exchange with the server noted what it states.

Change: the relaying gateway names the server, and the one that passes the answer on notes its leaving and its request limit.

A first form of the test with a second server was green without the change, too, as the first one's failures made the choice.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -13,7 +13,7 @@
 from loguru import logger
 from result import Err, Result
 
-from mulberrywharf import _wsgi, clock, errors, metrics
+from mulberrywharf import _wsgi, clock, errors, fleet, metrics
 from mulberrywharf.callers import (
     caller_watch,
     listener,
@@ -78,11 +78,19 @@
 
 
 class Response(NamedTuple):
-    """An HTTP response to a caller, as ``response.Response``."""
+    """An HTTP response to a caller, as ``response.Response``.
+
+    Attributes:
+        status_line: See ``response.Response``.
+        headers: See ``response.Response``.
+        body: See ``response.Response``.
+        server: The server that answered, None if there is none.
+    """
 
     status_line: str
     headers: list[tuple[str, str]]
     body: Iterable[bytes]
+    server: fleet.ServerStart | None = None
 
 
 class RoutedServer:
@@ -306,9 +314,14 @@
         headers = _headers_without_length(answer.head)
         headers.append(("content-length", str(len(answer.body))))
         if matched.routed_request.method == "HEAD":
-            return Response(_status_line(answer.head), headers, [])
+            return Response(
+                _status_line(answer.head), headers, [], answer.head.server
+            )
         return Response(
-            _status_line(answer.head), headers, response.blocks(answer.body)
+            _status_line(answer.head),
+            headers,
+            response.blocks(answer.body),
+            answer.head.server,
         )
 
     def answer_stream(
@@ -328,6 +341,7 @@
             _status_line(answer.head),
             _headers_without_length(answer.head),
             _relayed_events(first, answer.blocks, watch, matched),
+            answer.head.server,
         )
 
     def _notify_started(self, matched: MatchedRequest) -> None:
--- a/src/mulberrywharf/forwarding/handover.py
+++ b/src/mulberrywharf/forwarding/handover.py
@@ -168,7 +168,18 @@
         peers: Peers,
         client: handover_client.HandoverClient,
         system_clock: clock.Clock,
+        on_relayed: Callable[[request.AnswerHead], None] = lambda _: None,
     ):
+        """Creates it.
+
+        Args:
+            paths: Decides which gateway gets a request.
+            peers: The other gateways.
+            client: Hands requests over.
+            system_clock: Source of monotonic time.
+            on_relayed: Called with the head of each relayed answer.
+        """
+        self._on_relayed = on_relayed
         self._paths = paths
         self._peers = peers
         self._client = client
@@ -249,6 +260,7 @@
         if isinstance(sent, Ok):
             load = sent.ok_value.load
             self._paths.note_served(handed.service, address, load, now_s)
+            self._on_relayed(sent.ok_value.head)
             return Ok(
                 OpenHandover(
                     sent.ok_value,
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -191,6 +191,7 @@
             send it nothing, None if it asks for none.
         is_leaving: Whether the server states that it is leaving.
         limit: The request limit that the server states.
+        server: The server that sent it, None if unknown.
     """
 
     status: int
@@ -203,6 +204,7 @@
     retry_after_s: float | None = None
     is_leaving: bool = False
     limit: request_limits.StatedLimit = request_limits.NoLimit()
+    server: fleet.ServerStart | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -235,8 +235,8 @@
         if isinstance(sent, Err):
             return sent
         answer = sent.ok_value
-        head = self._dialect.read_head(answer)
         server = attempt.server
+        head = self._dialect.read_head(answer)._replace(server=server.start)
         self._tracker.answer_began(server.start, self._clock.monotonic_s())
         self._tracker.reported(
             server.start, head.load, self._clock.monotonic_s()
@@ -292,6 +292,19 @@
         else:
             self._tracker.connection_lost(server.start, now_s)
 
+    def note_relayed(self, head: request.AnswerHead) -> None:
+        """Records what a server states in an answer to another gateway.
+
+        Whoever passes such an answer on must keep to it, too.
+        """
+        if head.server is None:
+            return
+        if head.is_leaving:
+            self._on_leaving(head.server)
+        self._limits.note_answer(
+            head.server, head.limit, may_end=head.is_success
+        )
+
     def note_answer_broken(
         self, server: fleet.Server, error: errors.EngineError
     ) -> None:
--- a/src/mulberrywharf/peers/handover_client.py
+++ b/src/mulberrywharf/peers/handover_client.py
@@ -205,7 +205,10 @@
             return Ok(
                 HandedAnswer(
                     exchange,
-                    head._replace(fields=_without_hop_fields(head.fields)),
+                    head._replace(
+                        fields=_without_hop_fields(head.fields),
+                        server=_server(answer),
+                    ),
                     answer.header(hop.HELPER) or "",
                     _number(answer.header(hop.LOAD)),
                 )
@@ -272,5 +275,15 @@
     )
 
 
+def _server(answer: _answers.Answer) -> fleet.ServerStart | None:
+    server_id = answer.header(hop.SERVER_ID)
+    if not server_id:
+        return None
+    started_ms = answer.header(hop.SERVER_STARTED_MS) or ""
+    return fleet.ServerStart(
+        server_id, int(started_ms) if started_ms.isdecimal() else None
+    )
+
+
 def _number(text: str | None) -> float:
     return float(text) if text and text.isdecimal() else 0.0
--- a/src/mulberrywharf/peers/handover_fields.py
+++ b/src/mulberrywharf/peers/handover_fields.py
@@ -23,6 +23,10 @@
 REQUEST_ID = PREFIX + "request-id"
 SERVICE = PREFIX + "service"
 
+SERVER_ID = PREFIX + "server-id"
+SERVER_STARTED_MS = PREFIX + "server-started-ms"
+"""The server that answered, and its start if it is known."""
+
 HELPER = PREFIX + "helper"
 """``vm_id`` of the gateway that answers."""
 
--- a/src/mulberrywharf/peers/handover_server.py
+++ b/src/mulberrywharf/peers/handover_server.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import _loop_lag, _wsgi, errors, metrics
+from mulberrywharf import _loop_lag, _wsgi, errors, fleet, metrics
 from mulberrywharf.callers import listener, problems
 from mulberrywharf.callers import request as caller_request
 from mulberrywharf.peers import handover_codec
@@ -74,6 +74,11 @@
         """Blocks of the body."""
         ...
 
+    @property
+    def server(self) -> fleet.ServerStart | None:
+        """The server that answered, None if it is not known."""
+        ...
+
 
 class Offer(NamedTuple):
     """The head of a handover.
@@ -230,6 +235,7 @@
                     if not field[0].lower().startswith(hop.PREFIX)
                 ),
                 *self._own_fields(offer.number, result),
+                *_server_fields(http_response.server),
                 *_failure_fields(http_response),
             ],
         )
@@ -316,11 +322,26 @@
     def headers(self) -> list[tuple[str, str]]:
         return [("content-length", str(len(self.error.message.encode())))]
 
+    @property
+    def server(self) -> None:
+        return None
+
     @property
     def body(self) -> list[bytes]:
         return [self.error.message.encode()]
 
 
+def _server_fields(
+    server: fleet.ServerStart | None,
+) -> list[tuple[str, str]]:
+    if server is None:
+        return []
+    fields = [(hop.SERVER_ID, server.server_id)]
+    if server.started_unix_ms is not None:
+        fields.append((hop.SERVER_STARTED_MS, str(server.started_unix_ms)))
+    return fields
+
+
 def _failure_fields(http_response: HttpResponse) -> list[tuple[str, str]]:
     if not isinstance(http_response, _Failure):
         return []
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -502,7 +502,11 @@
 
     def _handovers(self) -> handover.PeerHandovers:
         return handover.PeerHandovers(
-            self._paths, self._peers, self._handover_client, self._clock
+            self._paths,
+            self._peers,
+            self._handover_client,
+            self._clock,
+            self._client.note_relayed,
         )
 
     def _routed_server(
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -35,6 +35,7 @@
     status_line: str
     headers: list[tuple[str, str]]
     body: Iterable[bytes]
+    server: fleet.ServerStart | None = None
 
 
 class Helper:
@@ -158,6 +159,20 @@
         self.helper.respond = lambda: Response("200 OK", forged, [b"fine"])
         self.assertEqual(self.body(self.send()), b"fine")
 
+    def test_the_answering_server_is_named(self) -> None:
+        for start in (
+            None,
+            fleet.ServerStart("s@1"),
+            fleet.ServerStart("s", 12),
+        ):
+            self.helper.respond = lambda start=start: Response(
+                "200 OK", [("server-leaving", "1")], [b"fine"], start
+            )
+            sent = self.send()
+            self.assertEqual(self.body(sent), b"fine")
+            head = sent.unwrap().head
+            self.assertEqual((head.server, head.is_leaving), (start, True))
+
     def test_errors_keep_their_outcome_and_retry_after(self) -> None:
         def fail() -> Response:
             raise errors.OverloadedError("full", retry_after_s=0.25)
--- a/tests/test_lost_path_failures.py
+++ b/tests/test_lost_path_failures.py
@@ -188,6 +188,21 @@
         self.lose([0], "silent")
         self.assert_served([0])
 
+    def test_server_that_leaves_by_a_relayed_answer_gets_nothing_more(
+        self,
+    ) -> None:
+        """Guards against requests to a server whose leaving was passed on."""
+        self.start_gateways(2)
+        self.lose([0], "refuse")
+        self.plain.faults = {"leaving": True}
+        told = self.call(0, "/safe/x")
+        self.assertEqual(told.headers.get("server-leaving"), "1")
+        self.cut([0], "pass")
+        gevent.sleep(lost_path.RETURN_LIMIT_S + FIRST_SECONDS_S)
+        arrived_count = len(self.plain.arrivals)
+        self.call_all([0], PLAIN, 3)
+        self.assertEqual(len(self.plain.arrivals), arrived_count)
+
     def test_newer_routes_of_the_first_gateway_hold(self) -> None:
         """Guards against routes that go back for a caller."""
         self.start_gateways(2)
