Soak: cut gateways off from all servers

Each gateway has its own way to each server now, so that one can lose all of them while the other keeps them: silent, refused, reset or frozen for 0.5 to 3 s, beside all other faults. What came to a server is held against the gateway that sent it, which the port of its connection tells; with handovers it is not always the one that the caller reached.

The unit test of the limits' check names the senders by their ports."

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,7 @@
     "record": 1,
     "leave": 1,
     "rest": 2,
+    "path": 2,
 }
 _FOREIGN_RECORDS = (
     b"",
@@ -82,6 +83,8 @@
     {"reset_after_down_bytes": 300},
     {"reset_after_up_bytes": 200},
 )
+_PATH_MODES = ("silent", "refuse", "cut", "freeze")
+_PATH_LENGTH_S = (0.5, 3.0)
 _NO_WAY_FAULT: dict[str, Any] = {
     "mode": "pass",
     "delay_ms": 0.0,
@@ -170,6 +173,7 @@
             "record": self._write_over_record,
             "leave": self._leave,
             "rest": self._ask_for_rest,
+            "path": self._cut_path,
         }
         names = list(_WEIGHT_BY_FAULT)
         weights = list(_WEIGHT_BY_FAULT.values())
@@ -287,6 +291,17 @@
         way.set_faults(**_NO_WAY_FAULT)
         self._fleet.note_harm(name, began_s)
 
+    def _cut_path(self) -> None:
+        """Cuts a gateway off from all servers."""
+        index = self._rng.randrange(fleet.GATEWAYS_COUNT)
+        mode = self._rng.choice(_PATH_MODES)
+        self.counts[f"path {mode}"] += 1
+        began_s = time.monotonic()
+        self._fleet.set_path_faults(index, mode=mode)
+        gevent.sleep(self._rng.uniform(*_PATH_LENGTH_S))
+        self._fleet.set_path_faults(index, **_NO_WAY_FAULT)
+        self._fleet.note_harm(f"path-{index}", began_s)
+
     def _signal(self) -> None:
         index = self._rng.randrange(fleet.GATEWAYS_COUNT)
         number = self._rng.choice(_SIGNALS)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from mulberrywharf.platform import documents
 from standins import fault_proxy, platform_server, platform_store
 from tests import builders_routes as build
 from tests import processes
@@ -48,13 +49,49 @@
 )
 
 
+class ServerWay:
+    """The ways of all gateways to one server.
+
+    Attributes:
+        paths: One fault proxy for each gateway.
+    """
+
+    def __init__(self, port: int):
+        self.paths = [
+            fault_proxy.FaultProxy((LOOPBACK, port))
+            for _ in range(GATEWAYS_COUNT)
+        ]
+
+    def start(self) -> None:
+        """Starts to listen."""
+        for path in self.paths:
+            path.start()
+
+    def close(self) -> None:
+        """Stops listening and resets every connection."""
+        for path in self.paths:
+            path.close()
+
+    def set_faults(self, **fields: Any) -> None:
+        """Harms or heals the ways of all gateways."""
+        for path in self.paths:
+            path.set_faults(**fields)
+
+    def reset_all(self) -> None:
+        """Resets every connection."""
+        for path in self.paths:
+            path.reset_all()
+
+
 class Fleet:
     """Gateways as processes; store and servers beside them.
 
     Attributes:
         store: The store.
         servers: The servers by the id that they had first.
-        ways: The fault proxies by name.
+        ways: The fault proxies by name; those to a server are one for each
+            gateway.
+        server_ways: The ways to each server by the port that it listens on.
         gateways: The gateways' processes, None while one is started anew.
         kills: Index of a gateway that was killed, and when.
         harms: Name of a way that was harmed, from when until when.
@@ -72,7 +109,8 @@
     def __init__(self) -> None:
         self.store = platform_store.PlatformStoreStandin()
         self.servers: dict[str, platform_server.PlatformServerStandin] = {}
-        self.ways: dict[str, fault_proxy.FaultProxy] = {}
+        self.ways: dict[str, fault_proxy.FaultProxy | ServerWay] = {}
+        self.server_ways: dict[int, ServerWay] = {}
         self.gateways: list[processes.Process | None] = []
         self.kills: list[tuple[int, float]] = []
         self.harms: list[tuple[str, float, float]] = []
@@ -100,7 +138,10 @@
         self.store.era = 1
         self.write_routes()
         for index in range(GATEWAYS_COUNT):
-            self._open_way(f"store-{index}", self.store.port)
+            view_port = self.store.add_view(
+                lambda key, value, index=index: self._seen(index, key, value)
+            )
+            self._open_way(f"store-{index}", view_port)
             self.gateways.append(None)
             self.launch(index)
         self._heart = gevent.spawn(self._beat)
@@ -129,18 +170,17 @@
             ("mulberrywharf.programs.gateway", "--settings", str(path)),
         )
         port = gateway.ready["callers"]
-        way = self.ways.get(f"callers-{index}")
-        if way is None:
-            self._open_way(f"callers-{index}", port)
+        if f"callers-{index}" in self.ways:
+            self._proxy(f"callers-{index}").upstream = (LOOPBACK, port)
         else:
-            way.upstream = (LOOPBACK, port)
+            self._open_way(f"callers-{index}", port)
         self.gateways[index] = gateway
         self.starts.append((index, began_s, time.monotonic()))
         self.note_upset(index, began_s)
 
     def callers_port(self, index: int) -> int:
         """Returns where callers of a gateway connect."""
-        return self.ways[f"callers-{index}"].port
+        return self._proxy(f"callers-{index}").port
 
     def reached(self, index: int, port: int) -> bool:
         """Tells whether a caller's connection got through to its gateway.
@@ -149,7 +189,20 @@
             index: The gateway.
             port: The caller's own port of the connection.
         """
-        return port not in self.ways[f"callers-{index}"].unreached_ports
+        return port not in self._proxy(f"callers-{index}").unreached_ports
+
+    def set_path_faults(self, index: int, **fields: Any) -> None:
+        """Harms or heals a gateway's ways to all servers."""
+        for way in self.server_ways.values():
+            way.paths[index].set_faults(**fields)
+
+    def sender_of(self, arrival: platform_server.Arrival) -> int | None:
+        """Returns the gateway that sent a request to a server."""
+        for way in self.server_ways.values():
+            for index, path in enumerate(way.paths):
+                if arrival.sender_port in path.upstream_ports:
+                    return index
+        return None
 
     def heal(self) -> None:
         """Takes back whatever servers, store and ways still suffer from."""
@@ -182,7 +235,7 @@
         self._records_count += 1
         record = build.server_value(
             sequence=self._records_count,
-            address=f"{LOOPBACK}:{self.ways[f'server-{server_id}'].port}",
+            address=f"{LOOPBACK}:{self.servers[server_id].port}",
             born=self.servers[server_id].born,
             **self._fields[server_id],
         )
@@ -252,19 +305,40 @@
         server.start()
         self.servers[server_id] = server
         self._ids[server_id] = server_id
-        self._open_way(f"server-{server_id}", server.port)
+        way = ServerWay(server.port)
+        way.start()
+        self.ways[f"server-{server_id}"] = way
+        self.server_ways[server.port] = way
         self._fields[server_id] = {
             "service": service,
             **({"stage": role} if role else {}),
         }
         self.register(server_id)
 
-    def _open_way(self, name: str, port: int) -> fault_proxy.FaultProxy:
+    def _open_way(self, name: str, port: int) -> None:
         way = fault_proxy.FaultProxy((LOOPBACK, port))
         way.start()
         self.ways[name] = way
+
+    def _proxy(self, name: str) -> fault_proxy.FaultProxy:
+        way = self.ways[name]
+        assert isinstance(way, fault_proxy.FaultProxy)
         return way
 
+    def _seen(self, index: int, key: str, value: bytes) -> bytes:
+        """Returns what a gateway reads: its own way as a server's address."""
+        if not key.startswith(documents.SERVERS_PREFIX):
+            return value
+        try:
+            record = json.loads(value)
+            port = int(record["address"].rpartition(":")[2])
+            way = self.server_ways[port]
+        except (KeyError, RecursionError, TypeError, ValueError):
+            # Another program wrote it.
+            return value
+        record["address"] = f"{LOOPBACK}:{way.paths[index].port}"
+        return json.dumps(record).encode()
+
     def _settings(self, index: int) -> dict[str, Any]:
         return {
             "vm_id": f"entry-{index}",
@@ -272,7 +346,7 @@
             "callers_listen": f"{LOOPBACK}:0",
             "operators_listen": f"{LOOPBACK}:0",
             "nodes_listen": f"{self._notices_net}.{index + 1}:{_NOTICES_PORT}",
-            "store": f"{LOOPBACK}:{self.ways[f'store-{index}'].port}",
+            "store": f"{LOOPBACK}:{self._proxy(f'store-{index}').port}",
             "repeats": {"ratio": 0.2, "window_s": 10, "allowance_count": 58},
             "grace_s": GRACE_S,
             "revocation": {"bound_ms": REVOCATION_BOUND_S * 1000},
--- a/soak/limit_promises.py
+++ b/soak/limit_promises.py
@@ -40,18 +40,19 @@
 
 def broken(played: fleet.Fleet, made: list[calls.Call]) -> Iterator[str]:
     """Yields a line for each server that got more than its limit."""
-    gateways = {call.request_id: call.gateway for call in made}
+    request_ids = {call.request_id for call in made}
     for name, server in played.servers.items():
         sent = [
             _Sent(
                 arrival.at_s,
-                gateways[arrival.request_id],
+                sender,
                 arrival.born,
                 arrival.limits[0] if arrival.limits else None,
                 _limit_per_s(arrival),
             )
             for arrival in server.arrivals
-            if arrival.request_id in gateways
+            if arrival.request_id in request_ids
+            and (sender := played.sender_of(arrival)) is not None
         ]
         for span in _limited_spans(sent):
             yield from _over_limit(played, name, span)
--- a/soak/server_promises.py
+++ b/soak/server_promises.py
@@ -11,8 +11,10 @@
 """
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from soak import calls, fleet
+from standins import platform_server
 
 LEFT_WITHIN_S = 2.0
 REST_FROM_S = 0.5
@@ -22,6 +24,22 @@
 _ENDS_LIMIT_COUNT = 3
 
 
+class _Sent(NamedTuple):
+    """A request that came to a server.
+
+    Attributes:
+        name: First id of the server.
+        arrival: Its arrival.
+        call: The call that it belongs to.
+        sender: The gateway that sent it.
+    """
+
+    name: str
+    arrival: platform_server.Arrival
+    call: calls.Call
+    sender: int | None
+
+
 class ServerJudge:
     """Holds what came to servers against the promises."""
 
@@ -35,7 +53,12 @@
         self._fleet = played
         self._calls = {call.request_id: call for call in made}
         self._arrivals = [
-            (name, arrival, self._calls[arrival.request_id])
+            _Sent(
+                name,
+                arrival,
+                self._calls[arrival.request_id],
+                played.sender_of(arrival),
+            )
             for name, server in played.servers.items()
             for arrival in server.arrivals
             if arrival.request_id in self._calls
@@ -53,28 +76,30 @@
             if call.leaving_id:
                 key = call.gateway, call.leaving_id
                 said_s[key] = min(call.ended_s, said_s.get(key, call.ended_s))
-        for _, arrival, call in self._arrivals:
-            since_s = said_s.get((call.gateway, arrival.server_id))
+        for _, arrival, call, sender in self._arrivals:
+            if sender is None:
+                continue
+            since_s = said_s.get((sender, arrival.server_id))
             if since_s is None or call.began_s <= since_s + LEFT_WITHIN_S:
                 continue
-            if not self._is_upset((call.gateway,), (), since_s, arrival.at_s):
+            if not self._is_upset((sender,), (), since_s, arrival.at_s):
                 late_s = call.began_s - since_s
                 yield f"{arrival.server_id} leaves, sent {late_s:.2f} s later"
 
     def _sent_to_resting(self) -> Iterator[str]:
-        for name, asked, told in self._arrivals:
+        for name, asked, _, told in self._arrivals:
             if not _is_rest(asked.rest):
                 continue
             rest_s = float(asked.rest or 0.0)
             within = [
                 arrival
-                for _, arrival, call in self._arrivals
+                for _, arrival, _, sender in self._arrivals
                 if arrival.server_id == asked.server_id
-                and call.gateway == told.gateway
+                and sender == told
                 and REST_FROM_S < arrival.at_s - asked.at_s < rest_s
             ]
             is_upset = self._is_upset(
-                (told.gateway,),
+                (told,),
                 (f"server-{name}",),
                 asked.at_s,
                 asked.at_s + rest_s,
@@ -93,12 +118,12 @@
         since_s = ends_s[_ENDS_LIMIT_COUNT - 1] + TOLD_WITHIN_S
         late = [
             arrival
-            for name, arrival, call in self._arrivals
+            for name, arrival, call, sender in self._arrivals
             if call.is_culprit
             and arrival.at_s > since_s
             and not self._is_upset(
-                (call.gateway, None),
-                _ways(call.gateway, name),
+                (sender, None),
+                _ways(sender, name),
                 arrival.at_s - TOLD_WITHIN_S,
                 arrival.at_s,
             )
@@ -137,8 +162,13 @@
         )
 
 
-def _ways(gateway: int, server: str) -> tuple[str, ...]:
-    return f"store-{gateway}", f"server-{server}", f"callers-{gateway}"
+def _ways(gateway: int | None, server: str) -> tuple[str, ...]:
+    return (
+        f"store-{gateway}",
+        f"server-{server}",
+        f"callers-{gateway}",
+        f"path-{gateway}",
+    )
 
 
 def _is_rest(text: str | None) -> bool:
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -212,6 +212,7 @@
         upstream: Where new connections are led to.
         unreached_ports: Clients' ports of connections that the upstream did
             not take.
+        upstream_ports: Own ports of the connections to the upstream.
     """
 
     def __init__(self, upstream: tuple[str, int], *, ip: str = "127.0.0.1"):
@@ -221,6 +222,7 @@
         self.port = 0
         self.upstream = upstream
         self.unreached_ports: set[int] = set()
+        self.upstream_ports: set[int] = set()
         self._ip = ip
         self._connections: set[_Connection] = set()
         self._server: gevent.server.StreamServer | None = None
@@ -342,6 +344,7 @@
             client.close()
             return
         upstream.settimeout(None)
+        self.upstream_ports.add(upstream.getsockname()[1])
         for sock in (client, upstream):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = _Connection(self, client, upstream)
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -31,6 +31,7 @@
         rest: The rest that it was refused with, as told; None if it was not.
         limits: Values of the request limit fields in its answer.
         born: The server's start, see ``PlatformServerStandin.born``.
+        sender_port: The TCP port that it came from.
     """
 
     at_s: float
@@ -39,6 +40,7 @@
     rest: str | None
     limits: tuple[str, ...] = ()
     born: int = 0
+    sender_port: int = 0
 
 
 class PlatformServerStandin:
@@ -162,6 +164,7 @@
                 rest,
                 self.limits,
                 self.born,
+                int(environ["REMOTE_PORT"]),
             )
         )
         if rest is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -96,12 +96,22 @@
         """Returns what is found when 2 gateways send a server ``per_s``."""
         server = platform_server.PlatformServerStandin("s")
         self.addCleanup(server.close)
+        way = fleet.ServerWay(server.port)
+        self.fleet.server_ways = {server.port: way}
+        ports = (10_001, 10_002)
+        for path, port in zip(way.paths, ports, strict=True):
+            path.upstream_ports.add(port)
         made = []
         for number in range(int(10 * per_s)):
             made.append(self.call(request_id=f"{number}", gateway=number % 2))
             server.arrivals.append(
                 platform_server.Arrival(
-                    100.0 + number / per_s, "s", f"{number}", None, limits
+                    100.0 + number / per_s,
+                    "s",
+                    f"{number}",
+                    None,
+                    limits,
+                    sender_port=ports[number % 2],
                 )
             )
         self.fleet.servers = {"s": server}
