Offer a request to other gateways for at most 0.3 s

Cause: a request was offered to up to four gateways, each of which took 0.2 s to give up on where the way between zones was cut.

Change: no further gateway is tried later than 0.3 s behind the first offer.

--- a/src/mulberrywharf/forwarding/handover.py
+++ b/src/mulberrywharf/forwarding/handover.py
@@ -16,6 +16,10 @@
 OFFERS_LIMIT_COUNT = 4
 """Maximum number of gateways that one request is offered to."""
 
+OFFERS_LIMIT_S = 0.3
+"""Time from the first offer after which a request is offered to no further
+gateway. One that is out of reach takes up to 0.25 s to give up on."""
+
 BUSY_LIMIT_COUNT = 2
 """Number of busy gateways after which a request is offered to no other one. If
 two are busy, most are, and callers that come back later have better chances."""
@@ -202,7 +206,10 @@
         began_s = time.monotonic()
         refused: list[fleet.Address] = []
         busy_count = 0
-        while len(refused) < OFFERS_LIMIT_COUNT:
+        while (
+            len(refused) < OFFERS_LIMIT_COUNT
+            and time.monotonic() - began_s < OFFERS_LIMIT_S
+        ):
             address = self._paths.choose_helper(
                 handed.service,
                 self._peers.zones(),
