Prove that requests are handed over beside gateways of another build

Every second of four gateways runs the other build; one of each build loses its path. Requests at the one of this build are served by the other one of this build, and no request that an older gateway refuses has run.

--- a/proofs/rolling_upgrade.py
+++ b/proofs/rolling_upgrade.py
@@ -14,7 +14,11 @@
 
 from proofs import mixed_builds
 
-_MODULES = ("proofs.upgrade_gateways", "proofs.upgrade_routers")
+_MODULES = (
+    "proofs.upgrade_gateways",
+    "proofs.upgrade_handovers",
+    "proofs.upgrade_routers",
+)
 
 
 def main() -> int:
--- /dev/null
+++ b/proofs/upgrade_handovers.py
@@ -0,0 +1,45 @@
+"""Gateways of two builds, some of which lose their paths to the servers."""
+
+from gevent import lock
+
+from proofs import mixed_builds
+from tests import builders_paths, processes
+
+_GATEWAYS_COUNT = 4
+_PATHS = ("/safe/x", "/unsafe/x", "/stream/x", "/once/x")
+_ROUNDS_COUNT = 5
+_starting = lock.BoundedSemaphore()
+"""The interpreter is patched for the whole process."""
+
+
+class HandoverUpgradeTest(builders_paths.PathCase):
+    """Every second gateway runs the other build, which may not hand over."""
+
+    def start(
+        self, vm_id: str = "entry-0", **changes: object
+    ) -> processes.Process:
+        """Starts a gateway of the build that its name stands for."""
+        with _starting, mixed_builds.patch_python(vm_id):
+            return super().start(vm_id, **changes)
+
+    def test_this_build_is_served_beside_the_other_one(self) -> None:
+        """Guards against requests lost at gateways that can't help."""
+        self.start_gateways(_GATEWAYS_COUNT)
+        others_count = _GATEWAYS_COUNT - 1
+        for number in range(_GATEWAYS_COUNT):
+            self.assertTrue(
+                self.wait_metric(number, "mulberry_peers_count", others_count)
+            )
+        self.call_all(range(_GATEWAYS_COUNT), _PATHS, 1)
+        self.cut([0, 1], "refuse")
+        self.call_all([0, 1], _PATHS, 3)
+        tried = self.call_all(range(_GATEWAYS_COUNT), _PATHS, _ROUNDS_COUNT)
+        for number in (0, 2, 3):
+            self.assertEqual(builders_paths.served_share(tried[number]), 1.0)
+        ran = {
+            run["id"]
+            for server in (self.plain, *self.decodes)
+            for run in server.runs
+        }
+        refused = {one.request_id for one in tried[1] if one.status == 503}
+        self.assertFalse(ran & refused)
