Check the own path while a server is probed, not afterwards

Cause: since a refused probe of the server is followed by connections to others, and the report waits for both.

Change: both run at the same time.

--- a/src/mulberrywharf/server_ends.py
+++ b/src/mulberrywharf/server_ends.py
@@ -97,13 +97,15 @@
     def _probe(
         self, start: fleet.ServerStart, address: fleet.Address
     ) -> float | None:
+        path_check = gevent.spawn(self._is_path_working, start)
         try:
             probed = self._prober.probe(address)
             if isinstance(probed, Ok):
                 self._on_running(start)
-            elif probed.err_value.was_refused and self._is_path_working(start):
+            elif probed.err_value.was_refused and path_check.get():
                 self._ended_s[start] = self._clock.monotonic_s()
         finally:
+            path_check.kill(block=False)
             del self._probes[start]
         return self._ended_s.get(start)
 
