--- a/bench/handover_play.py
+++ b/bench/handover_play.py
@@ -34,8 +34,10 @@
 _CONNECT_TIMEOUT_S = 0.2
 _CONNECT_S = 0.001
 _PROBE_INTERVAL_S = 0.25
+_OFFER_TIMEOUT_S = 0.25
 _OFFERS_LIMIT_COUNT = 4
 _BUSY_LIMIT_COUNT = 2
+_CUT_ZONE = "zone-0"
 _TRIES_LIMIT_COUNT = 4
 
 
@@ -50,6 +52,7 @@
         is_silent: Whether servers stay silent, or connections are refused.
         healed_s: When the paths are back.
         cut_again_s: When as many gateways, drawn anew, lose their paths.
+        zone_cut_s: When the first zone loses its links to the others.
         loss_share: Share of the datagrams that are lost.
         served_limit_count: Handed over requests that a helper serves at a time.
         length_s: Length of the play.
@@ -63,6 +66,7 @@
     is_silent: bool = True
     healed_s: float | None = None
     cut_again_s: float | None = None
+    zone_cut_s: float | None = None
     loss_share: float = 0.01
     served_limit_count: int = 256
     length_s: float = 15.0
@@ -129,7 +133,7 @@
 
     def __init__(self, play: "_Play", number: int):
         self.play = play
-        self.zone = number % play.scene.zones_count
+        self.zone = _zone_name(number, play.scene)
         self.address = fleet.Address("10.0.0.1", 1_000 + number)
         self.is_cut = False
         self.taken_count = self.serving_count = self.sent_bytes = 0
@@ -183,7 +187,7 @@
             on_failed()
             return
         server = play.rng.choice(usable)
-        if self.is_cut:
+        if not self._reaches(server):
             one.tries_count += 1
             play.loop.after(
                 self._failure_s(), self._on_failed_try, one, server, on_failed
@@ -215,6 +219,11 @@
         self._servers.note_connected(server.start, self.play.loop.now_s)
         self._servers.note_answered(server.start, self.play.loop.now_s)
 
+    def _reaches(self, server: fleet.Server) -> bool:
+        return not self.is_cut and self.play.are_linked(
+            self.zone, server.availability_zone
+        )
+
     def _failure_s(self) -> float:
         return _CONNECT_TIMEOUT_S if self.play.scene.is_silent else _CONNECT_S
 
@@ -235,7 +244,12 @@
             return
         self.paths.began(SERVICE, address)
         helper = self.play.by_address[address]
-        self.play.loop.after(self.play.message_s(), helper.take, one, self)
+        if self.play.are_linked(self.zone, helper.zone):
+            self.play.loop.after(self.play.message_s(), helper.take, one, self)
+        else:
+            self.play.loop.after(
+                _OFFER_TIMEOUT_S, self.on_refused, one, address, "silent"
+            )
 
     def take(self, one: _Try, sender: "_Gateway") -> None:
         """Serves a handed over request, or refuses it."""
@@ -312,7 +326,8 @@
         asked = self.paths.next_asked(SERVICE, self.zones(), now_s)
         question = path_codec.encode_question(path_codec.PathQuestion(1))
         for address in asked:
-            self.send(question, self.play.by_address[address].on_question, self)
+            asked_one = self.play.by_address[address]
+            self.send(asked_one, question, asked_one.on_question, self)
         if now_s - self._probed_s >= _PROBE_INTERVAL_S:
             self._probed_s = now_s
             self._probe()
@@ -323,18 +338,26 @@
         if not unreachable:
             return
         server = self.play.rng.choice(unreachable).server
-        delay_s = self._failure_s() if self.is_cut else _CONNECT_S
+        delay_s = _CONNECT_S if self._reaches(server) else self._failure_s()
         self.play.loop.after(delay_s, self._on_probed, server)
 
     def _on_probed(self, server: fleet.Server) -> None:
-        if self.is_cut:
-            self._note_failure(server)
-        else:
+        if self._reaches(server):
             self._servers.note_confirmed(server.start, self.play.loop.now_s)
+        else:
+            self._note_failure(server)
 
-    def send(self, body: bytes, call: Callable[..., None], *args: Any) -> None:
+    def send(
+        self,
+        to: "_Gateway",
+        body: bytes,
+        call: Callable[..., None],
+        *args: Any,
+    ) -> None:
         """Sends a datagram, which may be lost."""
         self.sent_bytes += len(body) + 1 + datagrams.DATAGRAM_OVERHEAD_BYTES
+        if not self.play.are_linked(self.zone, to.zone):
+            return
         if self.play.rng.random() >= self.play.scene.loss_share:
             self.play.loop.after(self.play.message_s(), call, *args)
 
@@ -351,7 +374,7 @@
         named = () if can_serve else self.paths.named_helpers(SERVICE, now_s)
         report = helpers.Report(can_serve, self.serving_count, named)
         body = path_codec.encode_reply(path_codec.PathReply(1, report))
-        self.send(body, sender.on_report, self.address, report)
+        self.send(sender, body, sender.on_report, self.address, report)
 
     def on_report(self, address: fleet.Address, report: helpers.Report) -> None:
         """Notes a reply."""
@@ -371,7 +394,7 @@
                 fleet.ServerStart(f"server-{number}"),
                 SERVICE,
                 fleet.Address("10.0.1.1", number + 1),
-                f"zone-{number % scene.zones_count}",
+                _zone_name(number, scene),
                 16,
             )
             for number in range(SERVERS_COUNT)
@@ -382,6 +405,15 @@
         self.by_address = {one.address: one for one in self.gateways}
         self._zones: dict[fleet.Address, helpers.Zones] = {}
 
+    def are_linked(self, zone: str, other_zone: str) -> bool:
+        cut_s = self.scene.zone_cut_s
+        return (
+            zone == other_zone
+            or cut_s is None
+            or self.loop.now_s < cut_s
+            or _CUT_ZONE not in (zone, other_zone)
+        )
+
     def message_s(self) -> float:
         return self.rng.uniform(*_MESSAGE_S)
 
@@ -440,6 +472,10 @@
         )
 
 
+def _zone_name(number: int, scene: Scene) -> str:
+    return f"zone-{number % scene.zones_count}"
+
+
 def _share(flags: Iterable[bool]) -> float:
     found = list(flags)
     return sum(found) / len(found) if found else 1.0
@@ -468,6 +504,9 @@
         "nine tenths": base._replace(cut_count=round(0.9 * gateways_count)),
         "all but a few": most,
         "all but a few, refused": most._replace(is_silent=False),
+        "beside a zone cut": base._replace(
+            cut_count=gateways_count // 3, zone_cut_s=3.0
+        ),
         "cuts in series": half._replace(
             healed_s=10.0, cut_again_s=11.0, length_s=16.0
         ),
--- a/tests/builders_paths.py
+++ b/tests/builders_paths.py
@@ -82,12 +82,18 @@
 
 
 class PathCase(test_gateway.GatewayCase):
-    """Gateways whose paths to the servers can be cut one by one."""
+    """Gateways whose paths to the servers can be cut one by one.
+
+    Attributes:
+        tenants: Customers in the routes; without any, no request needs a key.
+    """
+
+    tenants: Sequence[dict[str, Any]] = ()
 
     def setUp(self) -> None:
         super().setUp()
         self.gateways: list[processes.Process] = []
-        self.zones: Sequence[str] = ()
+        self.node_addresses: list[str] = []
         self.paths: list[dict[str, fault_proxy.FaultProxy]] = []
         self.views: list[StoreView] = []
         self._numbers = itertools.count()
@@ -95,6 +101,8 @@
     def write_routes(self, version: int = 1) -> None:
         """Writes a route of each kind of request."""
         document = build.routes_document(version)
+        if self.tenants:
+            document["tenants"] = list(self.tenants)
         safe, stream = document["routes"]
         stream = {**stream, "service": "engines"}
         del stream["traffic-split"]
@@ -115,12 +123,15 @@
         for number in range(count):
             self.paths.append({})
             self.views.append(self._view_of(number))
+            self.node_addresses.append(
+                f"127.{net}.8.{number + 1}:{_NODES_PORT}"
+            )
             store_port = self.store.add_view(self.views[-1])
             starting.append(
                 gevent.spawn(
                     self.start,
                     f"entry-{number}",
-                    nodes_listen=f"127.{net}.8.{number + 1}:{_NODES_PORT}",
+                    nodes_listen=self.node_addresses[-1],
                     availability_zone=zones[number % len(zones)],
                     store=f"127.0.0.1:{store_port}",
                     **settings,
--- a/tests/test_handover_play.py
+++ b/tests/test_handover_play.py
@@ -8,7 +8,13 @@
 KNOWN_LIMIT_S = 2.5
 """Helpers must be known before operators judge a cut, 3 s after it began."""
 
-LARGE = ("half", "whole zones", "all but a few", "cuts in series")
+LARGE = (
+    "half",
+    "whole zones",
+    "all but a few",
+    "beside a zone cut",
+    "cuts in series",
+)
 
 
 class HandoverPlayTest(unittest.TestCase):
--- a/tests/test_lost_path_failures.py
+++ b/tests/test_lost_path_failures.py
@@ -220,6 +220,55 @@
         self.assertEqual(self.call(1, "/new/x").status, 404)
 
 
+class ReleaseTest(FailureCase):
+    """Gateways stopped for a release while requests were handed over."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.start_gateways(4)
+        self.lose([0], "refuse")
+        for engine in self.decodes:
+            engine.faults = {"pause_s": 0.15}
+
+    def stop(self, number: int) -> None:
+        self.gateways[number].signal(signal.SIGTERM)
+        pool = gevent.get_hub().threadpool
+        pool.apply(self.gateways[number].wait)
+
+    def test_helpers_that_stop_in_turn_cost_no_request(self) -> None:
+        def call_until_stopped() -> None:
+            while not stopped.is_set():
+                tried.extend(self.call_all([0], EVERY_KIND, 1)[0])
+
+        tried: list[builders_paths.Tried] = []
+        stopped = gevent.event.Event()
+        callers = [gevent.spawn(call_until_stopped) for _ in range(3)]
+        for number in (1, 2):
+            gevent.sleep(0.5)
+            self.stop(number)
+        gevent.sleep(0.5)
+        stopped.set()
+        gevent.joinall(callers, raise_error=True)
+        failed = [one for one in tried if one.status != 200]
+        self.assertEqual(failed, [])
+        events = {
+            event_numbers(one.body) == list(_EVENTS)
+            for one in tried
+            if one.path in STREAMS
+        }
+        self.assertEqual(events, {True})
+
+    def test_stream_ends_whole_while_its_first_gateway_stops(self) -> None:
+        stream = gevent.spawn(
+            self.call, 0, "/once/x", builders_paths.SHORT_PROMPT_FIELDS
+        )
+        gevent.sleep(0.4)
+        self.stop(0)
+        tried = stream.get(timeout=10)
+        self.assertEqual(tried.status, 200)
+        self.assertEqual(event_numbers(tried.body), list(_EVENTS))
+
+
 class HelperTest(FailureCase):
     """Helpers failed while they served requests of another gateway."""
 
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -13,12 +13,47 @@
 import gevent
 
 from mulberrywharf.platform import documents
-from tests import builders_platform, test_gateway
+from tests import builders_paths, builders_platform, test_gateway
 from tests import builders_routes as build
 
 PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs/OPERATIONS.md"
 
 
+class HandedOverTest(builders_paths.PathCase):
+    def lines(self, number: int, request_id: str) -> list[dict[str, Any]]:
+        """Stops a gateway and returns its log lines with the request id."""
+        pool = gevent.get_hub().threadpool
+        pool.apply(self.gateways[number].stop)
+        stdout = self.gateways[number]._child.stdout
+        assert stdout is not None
+        logged = [json.loads(line) for line in stdout if line[0] == "{"]
+        return [line for line in logged if line.get("request_id") == request_id]
+
+    def test_request_that_failed_at_another_gateway_leads_there(self) -> None:
+        """The first gateway has no path, and the server loses the answer."""
+        self.start_gateways(2)
+        self.reset([0])
+        self.assertEqual(self.call(0, "/safe/x").status, 200)
+        self.plain.faults = {"lose": 1}
+        failed = self.call(0, "/unsafe/x")
+        self.assertEqual(failed.status, 502)
+        first = self.lines(0, failed.request_id)
+        (handed,) = [one for one in first if one["message"] == "handed over"]
+        self.assertEqual(handed["helper"], self.node_addresses[1])
+        second = self.lines(1, failed.request_id)
+        (served,) = [
+            one
+            for one in second
+            if one["message"] == "served for another gateway"
+        ]
+        self.assertEqual(served["handed_over_by"], "entry-0")
+        attempts = [one for one in second if one["message"] == "attempt"]
+        self.assertEqual(attempts[-1]["result"], "answer-lost")
+        page = PAGE.read_text(encoding="utf-8")
+        for text in ("`handed over`", "`helper`", "`handed_over_by`"):
+            self.assertIn(text, page)
+
+
 class OperationsTest(test_gateway.GatewayCase):
     def setUp(self) -> None:
         super().setUp()
