--- a/src/mulberrywharf/_connections.py
+++ b/src/mulberrywharf/_connections.py
@@ -49,9 +49,10 @@
 If the peer loses power or the network path fails, nothing is received, and a
 request would wait until the caller's deadline. With these options, the kernel
 closes the connection if sent data is not acknowledged for 1.5 s, or if the
-peer does not respond for 3 s while only an answer is awaited. A slow server is
-not affected, because its kernel still acknowledges. The limits leave time for
-two retransmissions of a lost packet.
+peer does not respond for 2 s while only an answer is awaited: with a user
+timeout, the first probe without a response ends the connection, whatever their
+number. A slow server is not affected, because its kernel still acknowledges.
+The limits leave time for two retransmissions of a lost packet.
 """
 
 
