Log the prompt parts of requests under which a server ends

Nothing in logs told which parts of prompts the requests at a crashed server had in common, so hypotheses on a part as the cause couldn't be told apart. The line 'a server ended while it worked on a request' now names the shared parts with the hashes by which gateways will know them. A hash covers service and model: what one can't process, another may.

Callers of the crash watch share one check of the error.

--- a/src/mulberrywharf/callers/request.py
+++ b/src/mulberrywharf/callers/request.py
@@ -68,6 +68,10 @@
             (self.method, self.target, self.customer), self.body
         )
 
+    def part_keys(self, service: str) -> dict[str, int]:
+        """Returns nothing, as callers state no parts of their prompts."""
+        return {}
+
 
 class CompletionRequest(NamedTuple):
     """A validated completion or chat completion request.
--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crash_watch.py
@@ -5,7 +5,7 @@
 both called nodes here, use this module.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 import gevent
@@ -24,6 +24,7 @@
 """Time to process a probe result that is already pending."""
 
 _CONNECT_TIMEOUT_S = 0.2
+_LOGGED_PART_ID_LIMIT = 64
 
 _ends_total = metrics.counter(
     "mulberry_server_ends_total",
@@ -48,6 +49,10 @@
         """Returns 64 bits that are the same when the request is repeated."""
         ...
 
+    def part_keys(self, service: str) -> Mapping[str, int]:
+        """Returns the keys of the shared parts of its prompt, by their ids."""
+        ...
+
 
 class RequestRun(NamedTuple):
     """A request that was sent to a server.
@@ -57,12 +62,23 @@
         start: The server process.
         address: Where the server listens.
         began_s: Monotonic time at which it was sent, None if unknown.
+        service: Service that the server belongs to, empty if unknown.
     """
 
     request: CallerRequest
     start: fleet.ServerStart
     address: fleet.Address
     began_s: float | None = None
+    service: str = ""
+
+    @classmethod
+    def at(
+        cls, request: CallerRequest, server: fleet.Server, began_s: float
+    ) -> "RequestRun":
+        """Returns the run of a request at a registered server."""
+        return cls(
+            request, server.start, server.address, began_s, server.service
+        )
 
 
 def may_be_crash(error: errors.EngineError) -> bool:
@@ -246,6 +262,23 @@
             self._reports.broadcast_cleared(fingerprint)
             self._records.remove(fingerprint)
 
+    def note_failed(
+        self,
+        run: RequestRun,
+        error: errors.EngineError,
+        *,
+        made_output: bool = False,
+    ) -> None:
+        """Checks whether a server has ended, if its failure may mean that.
+
+        Args:
+            run: The request and its server.
+            error: How the exchange failed.
+            made_output: Whether any part of the answer had arrived.
+        """
+        if may_be_crash(error):
+            self.note_connection_lost(run, made_output=made_output)
+
     def note_connection_lost(
         self, run: RequestRun, *, made_output: bool
     ) -> None:
@@ -285,6 +318,7 @@
             else round(ended_s - run.began_s, 3),
             made_output=made_output,
             ends_count=len(self._suspects.ends(fingerprint, ended_s)),
+            parts=_loggable_parts(run),
         ).warning("a server ended while it worked on a request")
         self._on_new_end(fingerprint)
         if fingerprint in self._blocked:
@@ -315,3 +349,12 @@
             ).warning("a request is blocked: servers ended while processing it")
         self._blocked = blocked
         _blocked_gauge.set({}, len(blocked))
+
+
+def _loggable_parts(run: RequestRun) -> dict[str, str]:
+    """Returns the shared parts of a prompt, each id with its key."""
+    part_keys = run.request.part_keys(run.service)
+    return {
+        part_id[:_LOGGED_PART_ID_LIMIT]: f"{key:016x}"
+        for part_id, key in part_keys.items()
+    }
--- a/src/mulberrywharf/fingerprints.py
+++ b/src/mulberrywharf/fingerprints.py
@@ -1,4 +1,4 @@
-"""Computes fingerprints of requests; a repeated request has the same one."""
+"""Computes hashes by which requests and parts of prompts are recognized."""
 
 import hashlib
 from collections.abc import Iterable
@@ -17,10 +17,21 @@
             path.
         body: Body of the request.
     """
+    digest = _hash_texts(texts)
+    digest.update(body)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def part_key(service: str, model: str, part_id: str) -> int:
+    """Returns the 64-bit key of a part of prompts for a model of a service."""
+    digest = _hash_texts((service, model, part_id))
+    return int.from_bytes(digest.digest(), "big")
+
+
+def _hash_texts(texts: Iterable[str]) -> "hashlib.blake2b":
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     for text in texts:
         encoded = text.encode("latin-1", "replace")
         # The length prefix separates the texts: no text can be read as two.
         digest.update(b"%d:%b" % (len(encoded), encoded))
-    digest.update(body)
-    return int.from_bytes(digest.digest(), "big")
+    return digest
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -961,13 +961,10 @@
         *,
         made_output: bool = False,
     ) -> None:
-        if crash_watch.may_be_crash(error):
-            run = crash_watch.RequestRun(
-                self._routed_request, server.start, server.address, began_s
-            )
-            self._dependencies.crashes.note_connection_lost(
-                run, made_output=made_output
-            )
+        run = crash_watch.RequestRun.at(self._routed_request, server, began_s)
+        self._dependencies.crashes.note_failed(
+            run, error, made_output=made_output
+        )
 
     def _note_answer_failed(
         self, server: fleet.Server, head: request.AnswerHead
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -388,13 +388,8 @@
     def _report_possible_crash(
         self, server: fleet.Server, began_s: float, error: errors.EngineError
     ) -> None:
-        if crash_watch.may_be_crash(error):
-            run = crash_watch.RequestRun(
-                self._routed_request, server.start, server.address, began_s
-            )
-            self._dependencies.crashes.note_connection_lost(
-                run, made_output=False
-            )
+        run = crash_watch.RequestRun.at(self._routed_request, server, began_s)
+        self._dependencies.crashes.note_failed(run, error)
 
     def _exchange(
         self, attempt: request.Attempt, permit: server_limits.SendPermit
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -10,6 +10,8 @@
 
 _EVENT_STREAM = "text/event-stream"
 
+_PART_KEYS_LIMIT_COUNT = 16
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that other prompts may share.
@@ -110,6 +112,22 @@
             self.body,
         )
 
+    def part_keys(self, service: str) -> dict[str, int]:
+        """Returns the keys of the parts that other prompts may share, by id.
+
+        Args:
+            service: Service that runs the request; what one service can't
+                process, another one with the same models may.
+        """
+        if self.prompt is None:
+            return {}
+        return {
+            part.part_id: fingerprints.part_key(
+                service, self.prompt.model, part.part_id
+            )
+            for part in self.prompt.parts[:-1][:_PART_KEYS_LIMIT_COUNT]
+        }
+
 
 class CacheHandle(NamedTuple):
     """A prefilled KV cache that another engine can fetch.
--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -465,10 +465,9 @@
     made_output: bool,
 ) -> None:
     """Reports a failed attempt that may have been caused by a crash."""
-    if crash_watch.may_be_crash(error):
-        start = fleet.ServerStart(vm.vm_id)
-        run = crash_watch.RequestRun(completion.caller, start, vm.address)
-        crashes.note_connection_lost(run, made_output=made_output)
+    start = fleet.ServerStart(vm.vm_id)
+    run = crash_watch.RequestRun(completion.caller, start, vm.address)
+    crashes.note_failed(run, error, made_output=made_output)
 
 
 def _engine_body(completion: request.CompletionRequest) -> dict[str, Any]:
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -237,11 +237,10 @@
         error: errors.EngineError,
     ) -> Err[errors.EngineError]:
         self._servers.record_failure(vm.vm_id, self._clock.monotonic_s())
-        if crash_watch.may_be_crash(error):
-            run = crash_watch.RequestRun(
-                call.caller, fleet.ServerStart(vm.vm_id), vm.address
-            )
-            self._crashes.note_connection_lost(run, made_output=False)
+        run = crash_watch.RequestRun(
+            call.caller, fleet.ServerStart(vm.vm_id), vm.address
+        )
+        self._crashes.note_failed(run, error)
         _attempts_total.inc({"service": call.service, "result": error.code})
         return Err(error)
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -19,6 +19,7 @@
     server_limits,
 )
 from mulberrywharf.forwarding import (
+    request,
     server_client,
     server_tracker,
 )
@@ -156,6 +157,23 @@
         second = build.routed_request(0.0, target="/a/x", caller="key")
         self.assertNotEqual(first.fingerprint(), second.fingerprint())
 
+    def test_part_keys_depend_on_service_and_model(self) -> None:
+        prompt = request.Prompt(
+            "m",
+            30,
+            5,
+            tuple(request.PromptPart(name, 10) for name in ("a", "b", "own")),
+        )
+        original = build.routed_request(0.0, prompt=prompt)
+        keys = original.part_keys("engines")
+        self.assertEqual(list(keys), ["a", "b"])
+        other_model = original._replace(prompt=prompt._replace(model="n"))
+        for other in (
+            original.part_keys("others"),
+            other_model.part_keys("engines"),
+        ):
+            self.assertFalse(set(keys.values()) & set(other.values()))
+
 
 if __name__ == "__main__":
     unittest.main()
