--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,7 +1,9 @@
 """Tests of requests that crash every server, sent through real gateways."""
 
+import contextlib
 import time
 import unittest
+from collections.abc import Iterator
 from typing import Any
 
 import gevent
@@ -87,10 +89,15 @@
         self.wait_ready()
         self.assertTrue(builders_gateways.know_each_other(self.gateways))
 
-    def send(self, gateway: processes.Process, path: str, fields: str) -> None:
+    @contextlib.contextmanager
+    def connection_to(self, gateway: processes.Process) -> Iterator[Any]:
         address = ("127.0.0.1", gateway.ready["callers"])
         with socket.create_connection(address) as sock:
             sock.settimeout(15)
+            yield sock
+
+    def send(self, gateway: processes.Process, path: str, fields: str) -> None:
+        with self.connection_to(gateway) as sock:
             sock.sendall(test_gateway.request(path, body=_BODY, fields=fields))
             test_gateway.read_to_end(sock)
 
