Gather what detects and blocks crashing requests in one package

The crash watch, the probes of ended servers, the hashes of requests, the reports between gateways and their records stood in three places. They are modules of 'crashes' now; the decision stays in 'policy'. Nothing else changes; the tests of all of them pass.

--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -21,9 +21,9 @@
 from result import Err, Ok, Result
 
 from bench import virtual_time
-from mulberrywharf import crash_watch, errors, fleet
+from mulberrywharf import errors, fleet
+from mulberrywharf.crashes import crash_records, crash_reports, crash_watch
 from mulberrywharf.forwarding import request
-from mulberrywharf.peers import crash_records, crash_reports
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.policy import crash_suspects
 
--- a/bench/store_restores.py
+++ b/bench/store_restores.py
@@ -24,9 +24,9 @@
 from loguru import logger
 
 from mulberrywharf import clock, fleet
+from mulberrywharf.crashes import crash_records
 from mulberrywharf.forwarding import servers
 from mulberrywharf.peers import (
-    crash_records,
     directory,
     notices,
     revision_exchange,
--- a/src/mulberrywharf/callers/request.py
+++ b/src/mulberrywharf/callers/request.py
@@ -8,8 +8,9 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import _wsgi, errors, fingerprints
+from mulberrywharf import _wsgi, errors
 from mulberrywharf.callers import _completion_body, listener
+from mulberrywharf.crashes import fingerprints
 
 _REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
 _IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
--- a/src/mulberrywharf/peers/crash_reports.py
+++ b/src/mulberrywharf/crashes/crash_reports.py
@@ -18,7 +18,8 @@
 from result import Err
 
 from mulberrywharf import clock, fleet
-from mulberrywharf.peers import crash_codec, datagrams
+from mulberrywharf.crashes import crash_codec
+from mulberrywharf.peers import datagrams
 from mulberrywharf.policy import crash_suspects
 
 BATCH_DELAY_S = 0.002
--- a/src/mulberrywharf/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -11,7 +11,8 @@
 import gevent
 from loguru import logger
 
-from mulberrywharf import clock, errors, fleet, metrics, server_ends
+from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf.crashes import server_ends
 from mulberrywharf.peers import notice_codec
 from mulberrywharf.policy import crash_suspects
 
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -15,11 +15,11 @@
 from mulberrywharf import (
     _exchange,
     clock,
-    crash_watch,
     errors,
     fleet,
     server_limits,
 )
+from mulberrywharf.crashes import crash_watch
 from mulberrywharf.forwarding import (
     answer_ends,
     ejection_filter,
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -12,7 +12,8 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, crash_watch, errors, fleet, server_limits
+from mulberrywharf import clock, errors, fleet, server_limits
+from mulberrywharf.crashes import crash_watch
 from mulberrywharf.forwarding import (
     answer_ends,
     ejection_filter,
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -4,7 +4,8 @@
 
 from result import Result
 
-from mulberrywharf import _answers, _exchange, errors, fingerprints, fleet
+from mulberrywharf import _answers, _exchange, errors, fleet
+from mulberrywharf.crashes import fingerprints
 from mulberrywharf.customers import directory
 from mulberrywharf.policy import request_limits, stream_version
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -10,15 +10,19 @@
 
 from mulberrywharf import (
     clock,
-    crash_watch,
     fleet,
     gateway_settings,
     limit_claims,
-    server_ends,
     server_limits,
 )
 from mulberrywharf.authority import duty_holder, role_manager
 from mulberrywharf.callers import handed_over, listener, routed_server
+from mulberrywharf.crashes import (
+    crash_records,
+    crash_reports,
+    crash_watch,
+    server_ends,
+)
 from mulberrywharf.customers import authentication
 from mulberrywharf.engines import role_orders
 from mulberrywharf.forwarding import (
@@ -37,8 +41,6 @@
 )
 from mulberrywharf.operators import readiness
 from mulberrywharf.peers import (
-    crash_records,
-    crash_reports,
     customer_demand,
     directory,
     ejection_exchange,
--- a/src/mulberrywharf/programs/_router.py
+++ b/src/mulberrywharf/programs/_router.py
@@ -8,12 +8,12 @@
 
 from mulberrywharf import (
     clock,
-    crash_watch,
     fleet,
     server_limits,
     settings,
 )
 from mulberrywharf.callers import listener, request, server
+from mulberrywharf.crashes import crash_watch
 from mulberrywharf.nodes import limit_ranks
 from mulberrywharf.operators import audit, status
 from mulberrywharf.operators import server as operators_server
--- a/src/mulberrywharf/requests/generation.py
+++ b/src/mulberrywharf/requests/generation.py
@@ -15,7 +15,6 @@
     _answers,
     _headers,
     clock,
-    crash_watch,
     errors,
     fleet,
     metrics,
@@ -23,6 +22,7 @@
     settings,
 )
 from mulberrywharf.callers import request
+from mulberrywharf.crashes import crash_watch
 from mulberrywharf.engines import handover, load_reader, resume, streams
 from mulberrywharf.policy import (
     engine_choice,
--- a/src/mulberrywharf/requests/service_call.py
+++ b/src/mulberrywharf/requests/service_call.py
@@ -12,7 +12,6 @@
 from mulberrywharf import (
     _headers,
     clock,
-    crash_watch,
     errors,
     fleet,
     metrics,
@@ -20,6 +19,7 @@
 )
 from mulberrywharf.backend_servers import client, directory
 from mulberrywharf.callers import passthrough
+from mulberrywharf.crashes import crash_watch
 from mulberrywharf.policy import (
     limit_waits,
     limits,
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from mulberrywharf import clock, crash_watch, fleet, server_ends
+from mulberrywharf import clock, fleet
+from mulberrywharf.crashes import crash_watch, server_ends
 from mulberrywharf.forwarding import (
     request,
     server_client,
--- a/tests/test_crash_play.py
+++ b/tests/test_crash_play.py
@@ -4,7 +4,7 @@
 from unittest import mock
 
 from bench import crash_play
-from mulberrywharf.peers import crash_records, crash_reports
+from mulberrywharf.crashes import crash_records, crash_reports
 
 LATE_SENDS_LIMIT_COUNT = 3
 ENDED_LIMIT_COUNT = 3
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -4,7 +4,7 @@
 import unittest
 
 from mulberrywharf import clock
-from mulberrywharf.peers import crash_records
+from mulberrywharf.crashes import crash_records
 from mulberrywharf.policy import crash_suspects
 from tests import builders_platform
 from tests import builders_routes as build
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -6,7 +6,8 @@
 from result import Err
 
 from mulberrywharf import clock, fleet
-from mulberrywharf.peers import crash_codec, crash_reports, datagrams
+from mulberrywharf.crashes import crash_codec, crash_reports
+from mulberrywharf.peers import datagrams
 from mulberrywharf.policy import crash_suspects
 from tests import builders_platform
 from tests.test_peers import FakePeers
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -12,12 +12,11 @@
 from mulberrywharf import (
     _connections,
     clock,
-    crash_watch,
     errors,
     fleet,
-    server_ends,
     server_limits,
 )
+from mulberrywharf.crashes import crash_watch, server_ends
 from mulberrywharf.forwarding import (
     request,
     server_client,
