--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -25,7 +25,7 @@
 from mulberrywharf.crashes import crash_records, crash_reports, crash_watch
 from mulberrywharf.forwarding import request
 from mulberrywharf.platform_service import key_value
-from mulberrywharf.policy import crash_suspects
+from mulberrywharf.policy import crash_blocks, crash_suspects
 
 CONTACT_S = 3.0
 """Operators allow gateways in touch so long to know of the third end."""
@@ -467,9 +467,9 @@
 
     def _late_sends_count(self, culprit: int) -> int:
         ends_s = self._ends_s[culprit]
-        if len(ends_s) < crash_suspects.BLOCK_ENDS_COUNT:
+        if len(ends_s) < crash_blocks.REQUEST_ENDS_COUNT:
             return 0
-        since_s = ends_s[crash_suspects.BLOCK_ENDS_COUNT - 1] + CONTACT_S
+        since_s = ends_s[crash_blocks.REQUEST_ENDS_COUNT - 1] + CONTACT_S
         return sum(
             at_s > since_s and self._was_in_touch(gateway, at_s)
             for at_s, gateway in self._sends[culprit]
--- a/src/mulberrywharf/callers/request.py
+++ b/src/mulberrywharf/callers/request.py
@@ -69,6 +69,10 @@
             (self.method, self.target, self.customer), self.body
         )
 
+    def customer_key(self) -> int:
+        """Returns a 64-bit hash that is equal for requests of one customer."""
+        return fingerprints.fingerprint((self.customer,), b"")
+
     def part_keys(self, service: str) -> dict[str, int]:
         """Returns nothing, as callers state no parts of their prompts."""
         return {}
--- a/src/mulberrywharf/crashes/crash_codec.py
+++ b/src/mulberrywharf/crashes/crash_codec.py
@@ -1,6 +1,7 @@
 """Encodes and decodes reports on ended servers with Cap'n Proto."""
 
 import pathlib
+from collections.abc import Iterator
 from typing import NamedTuple
 
 import capnp
@@ -8,9 +9,17 @@
 
 from mulberrywharf import errors
 
-ENDS_LIMIT_COUNT = 48
-"""Maximum number of server ends in one report. Each takes about 20 bytes
-packed, so that the datagram is not fragmented."""
+REPORT_LIMIT_BYTES = 1_400
+"""Bound of the estimated size of a report, so that the datagram is not
+fragmented."""
+
+CLEARED_LIMIT_COUNT = 32
+"""Maximum number of cleared requests and parts in one report."""
+
+_REPORT_BYTES = 64
+_END_BYTES = 42
+_PART_BYTES = 10
+_CLEARED_BYTES = 30
 
 _UINT32_LIMIT = 0xFFFFFFFF
 _MS_PER_S = 1000.0
@@ -28,12 +37,30 @@
             ``notice_codec.hash_server_start``.
         made_output: Whether any part of the answer had arrived.
         age_s: Time since the end.
+        customer: Hash of the customer.
+        parts: Keys of the parts of its prompt that are suspected.
     """
 
     fingerprint: int
     server_key: int
     made_output: bool
     age_s: float
+    customer: int = 0
+    parts: frozenset[int] = frozenset()
+
+
+class ClearedPart(NamedTuple):
+    """A part with which an answer began.
+
+    Attributes:
+        part: Key of the part.
+        customer: Hash of the customer whose request was answered.
+        age_s: Time since the answer began.
+    """
+
+    part: int
+    customer: int
+    age_s: float
 
 
 class CrashReport(NamedTuple):
@@ -44,11 +71,35 @@
         cleared: Fingerprints of requests that have completed since.
         is_reply: Whether this replies to a report on a request that the
             sender already blocks.
+        cleared_parts: Parts with which answers began.
+        trials: Keys of blocks of which the sender tries one request.
     """
 
     ends: tuple[ReportedEnd, ...] = ()
     cleared: tuple[int, ...] = ()
     is_reply: bool = False
+    cleared_parts: tuple[ClearedPart, ...] = ()
+    trials: tuple[int, ...] = ()
+
+
+def batches(
+    report: CrashReport,
+) -> Iterator[CrashReport]:
+    """Splits a report into reports that each fit into one datagram."""
+    rest = report._replace(ends=())
+    size_bytes = _REPORT_BYTES + _CLEARED_BYTES * (
+        len(rest.cleared) + len(rest.cleared_parts) + len(rest.trials)
+    )
+    batch: list[ReportedEnd] = []
+    for end in report.ends:
+        end_bytes = _END_BYTES + _PART_BYTES * len(end.parts)
+        if batch and size_bytes + end_bytes > REPORT_LIMIT_BYTES:
+            yield rest._replace(ends=tuple(batch))
+            rest = CrashReport(is_reply=report.is_reply)
+            batch, size_bytes = [], _REPORT_BYTES
+        batch.append(end)
+        size_bytes += end_bytes
+    yield rest._replace(ends=tuple(batch))
 
 
 def encode(report: CrashReport) -> bytes:
@@ -61,7 +112,17 @@
         wire.request = end.fingerprint
         wire.server = end.server_key
         wire.madeOutput = end.made_output
-        wire.ageMs = min(int(max(0.0, end.age_s) * _MS_PER_S), _UINT32_LIMIT)
+        wire.ageMs = _encode_age(end.age_s)
+        wire.customer = end.customer
+        if end.parts:
+            wire.parts = sorted(end.parts)
+    if report.cleared_parts:
+        cleared = message.init("clearedParts", len(report.cleared_parts))
+        for wire, one in zip(cleared, report.cleared_parts, strict=True):
+            wire.part = one.part
+            wire.customer = one.customer
+            wire.ageMs = _encode_age(one.age_s)
+    message.trials = list(report.trials)
     return bytes(message.to_bytes_packed())
 
 
@@ -81,12 +142,25 @@
                         wire.server,
                         wire.madeOutput,
                         wire.ageMs / _MS_PER_S,
+                        wire.customer,
+                        frozenset(wire.parts),
                     )
                     for wire in message.ends
                 ),
                 tuple(message.cleared),
                 message.isReply,
+                tuple(
+                    ClearedPart(
+                        wire.part, wire.customer, wire.ageMs / _MS_PER_S
+                    )
+                    for wire in message.clearedParts
+                ),
+                tuple(message.trials),
             )
         )
     except (capnp.KjException, ValueError) as error:
         return Err(errors.BadFrameError(f"invalid crash report: {error}"))
+
+
+def _encode_age(age_s: float) -> int:
+    return min(int(max(0.0, age_s) * _MS_PER_S), _UINT32_LIMIT)
--- a/src/mulberrywharf/crashes/crash_records.py
+++ b/src/mulberrywharf/crashes/crash_records.py
@@ -1,7 +1,8 @@
 """Stores records of blocked requests in the key-value service.
 
 Restarted gateways read them and block the same requests. A record holds the
-fingerprint of a request and the ends of servers during it, not its prompt.
+ends of servers during requests and hashes of these, not their prompts. It has
+the key of its block: the fingerprint of the request, if there is only one.
 
 Gateways do not persist state themselves. When all of them restart at once,
 none is left to report which requests crash servers, and each such request
@@ -20,7 +21,7 @@
 
 from mulberrywharf import clock, errors
 from mulberrywharf.platform_service import http_calls, key_value
-from mulberrywharf.policy import crash_suspects
+from mulberrywharf.policy import crash_blocks, crash_suspects
 
 PURPOSE = "blocked"
 KEY_PREFIX = "mulberrywharf/blocked/"
@@ -42,7 +43,8 @@
 _RETRY_BASE_S = 1.0
 _RETRY_LIMIT_S = 8.0
 _RECORDS_LIMIT_COUNT = 256
-_FINGERPRINT_DIGITS = 16
+_RUNS_LIMIT_COUNT = 16
+_HASH_DIGITS = 16
 _SERVER_KEY_LIMIT = 0xFFFFFFFF
 
 
@@ -96,13 +98,13 @@
             random.uniform(*WRITE_DELAY_RANGE_S), self._update_requested.set
         )
 
-    def remove(self, fingerprint: int) -> None:
-        """Deletes the record of a request that is no longer suspected.
+    def remove(self, block_key: int) -> None:
+        """Deletes the record of a block that has ended.
 
         Otherwise the next read of the record would block the request again.
         """
-        if _key(fingerprint) in self._stored:
-            gevent.spawn(self._remove, _key(fingerprint))
+        if _key(block_key) in self._stored:
+            gevent.spawn(self._remove, _key(block_key))
 
     def _remove(self, key: str) -> None:
         removed = self._client.delete(key, purpose=PURPOSE)
@@ -160,9 +162,9 @@
         self._stored = {record.key for record in records}
         now_s = self._clock.monotonic_s()
         return all(
-            self._write(fingerprint, now_s)
-            for fingerprint in self._suspects.blocked(now_s)
-            if _key(fingerprint) not in self._stored
+            self._write(block, now_s)
+            for block in self._suspects.blocks(now_s)
+            if _key(block.key) not in self._stored
         )
 
     def _read(
@@ -174,9 +176,9 @@
 
     def _apply(self, record: key_value.KeyValue) -> None:
         try:
-            fingerprint = _fingerprint(record.key)
-            ends = [
-                self._decode_end(fields)
+            block_key = _block_key(record.key)
+            lost = [
+                self._decode_run(block_key, fields)
                 for fields in orjson.loads(record.value)
             ]
         except (AttributeError, KeyError, TypeError, ValueError) as error:
@@ -186,26 +188,34 @@
                 error,
             )
             return
-        for end in ends:
-            self._suspects.record_server_end(fingerprint, end)
+        for traits, end in lost:
+            self._suspects.record_server_end(traits, end)
 
-    def _decode_end(
-        self, fields: Mapping[str, Any]
-    ) -> crash_suspects.ServerEnd:
+    def _decode_run(
+        self, block_key: int, fields: Mapping[str, Any]
+    ) -> tuple[crash_blocks.Traits, crash_suspects.ServerEnd]:
         age_s = self._clock.unix_s() - float(fields["unix_s"])
         # The wall clocks of gateways differ and may be adjusted.
         age_s = min(max(age_s, 0.0), crash_suspects.SUSPECT_KEPT_S)
         server_key = int(fields["server_key"])
         if not 0 <= server_key <= _SERVER_KEY_LIMIT:
             raise ValueError(f"server key {server_key} is out of range")
-        return crash_suspects.ServerEnd(
+        # Records of single requests leave these out.
+        fingerprint = fields.get("request")
+        traits = crash_blocks.Traits(
+            block_key if fingerprint is None else _parse_hash(fingerprint),
+            _parse_hash(fields.get("customer", _hex(0))),
+            frozenset(_parse_hash(part) for part in fields.get("parts", ())),
+        )
+        end = crash_suspects.ServerEnd(
             server_key,
             bool(fields["made_output"]),
             self._clock.monotonic_s() - age_s,
         )
+        return traits, end
 
-    def _write(self, fingerprint: int, now_s: float) -> bool:
-        left_s = self._suspects.blocked_for_s(fingerprint, now_s)
+    def _write(self, block: crash_blocks.Block, now_s: float) -> bool:
+        left_s = self._suspects.kept_for_s(block, now_s)
         granted = self._client.grant_lease(max(1.0, left_s), purpose=PURPOSE)
         if isinstance(granted, Err):
             logger.info(
@@ -214,8 +224,8 @@
             )
             return False
         written = self._client.compare_and_swap(
-            _key(fingerprint),
-            self._encode_value(fingerprint, now_s),
+            _key(block.key),
+            self._encode_value(block, now_s),
             expected_revision=0,
             lease_id=granted.ok_value,
             purpose=PURPOSE,
@@ -228,36 +238,52 @@
                 written.err_value.message,
             )
             return False
-        self._stored.add(_key(fingerprint))
-        logger.bind(
-            fingerprint=_hex(fingerprint), left_s=round(left_s, 1)
-        ).info("record of a blocked request is in the key-value service")
+        self._stored.add(_key(block.key))
+        logger.bind(block=_hex(block.key), left_s=round(left_s, 1)).info(
+            "record of a blocked request is in the key-value service"
+        )
         return True
 
-    def _encode_value(self, fingerprint: int, now_s: float) -> bytes:
+    def _encode_value(self, block: crash_blocks.Block, now_s: float) -> bytes:
         unix_s = self._clock.unix_s()
         return orjson.dumps(
             [
                 {
-                    "server_key": end.server_key,
-                    "made_output": end.made_output,
-                    "unix_s": round(unix_s - (now_s - end.at_s), 1),
+                    "server_key": run.server_key,
+                    "made_output": run.made_output,
+                    "unix_s": round(unix_s - (now_s - run.at_s), 1),
+                    **_encode_traits(run, block),
                 }
-                for end in self._suspects.ends(fingerprint, now_s)
+                for run in block.runs[-_RUNS_LIMIT_COUNT:]
             ]
         )
 
 
-def _fingerprint(key: str) -> int:
-    digits = key.removeprefix(KEY_PREFIX)
-    if len(digits) != _FINGERPRINT_DIGITS:
-        raise ValueError(f"{digits!r:.40} is not a fingerprint")
+def _encode_traits(
+    run: crash_blocks.LostRun, block: crash_blocks.Block
+) -> dict[str, Any]:
+    if block.fingerprint is not None:
+        return {}
+    return {
+        "request": _hex(run.fingerprint),
+        "customer": _hex(run.customer),
+        "parts": [_hex(part) for part in sorted(block.parts)],
+    }
+
+
+def _block_key(key: str) -> int:
+    return _parse_hash(key.removeprefix(KEY_PREFIX))
+
+
+def _parse_hash(digits: str) -> int:
+    if len(digits) != _HASH_DIGITS:
+        raise ValueError(f"{digits!r:.40} is not a hash")
     return int.from_bytes(bytes.fromhex(digits), "big")
 
 
-def _key(fingerprint: int) -> str:
-    return KEY_PREFIX + _hex(fingerprint)
+def _key(block_key: int) -> str:
+    return KEY_PREFIX + _hex(block_key)
 
 
-def _hex(fingerprint: int) -> str:
-    return f"{fingerprint:0{_FINGERPRINT_DIGITS}x}"
+def _hex(value: int) -> str:
+    return f"{value:0{_HASH_DIGITS}x}"
--- a/src/mulberrywharf/crashes/crash_reports.py
+++ b/src/mulberrywharf/crashes/crash_reports.py
@@ -20,7 +20,7 @@
 from mulberrywharf import clock, fleet
 from mulberrywharf.crashes import crash_codec
 from mulberrywharf.peers import datagrams
-from mulberrywharf.policy import crash_suspects
+from mulberrywharf.policy import crash_blocks, crash_suspects
 
 BATCH_DELAY_S = 0.002
 """Delay before pending reports are sent together. All requests at a server fail
@@ -34,6 +34,13 @@
 """Mean number of gateways that reply to a report on a request that they block.
 Each one decides at random whether to reply."""
 
+CLEAR_SPREAD_S = 0.0003
+"""Time for each gateway of the fleet within which those that know a reported
+part to be harmless tell the others so."""
+
+_CLEARED_REMEMBERED_S = 1.0
+_CLEARED_REMEMBERED_COUNT = 1_024
+
 
 class Peers(Protocol):
     """The other gateways."""
@@ -75,18 +82,17 @@
         self._suspects = suspects
         self._clock = system_clock
         self._pending: dict[tuple[int, int], crash_codec.ReportedEnd] = {}
-        self._cleared: set[int] = set()
+        self._completed: set[int] = set()
+        self._cleared_parts: dict[tuple[int, int], crash_suspects.Answered] = {}
+        self._trials: set[int] = set()
+        self._cleared_s: dict[tuple[int, int], float] = {}
         self._is_send_scheduled = False
-        self._on_report: Callable[[int], None] = lambda _: None
+        self._on_change: Callable[[], None] = lambda: None
         socket.set_handler(b"c", self._on_datagram)
 
-    def on_report(self, callback: Callable[[int], None]) -> None:
-        """Sets the callback for server ends that other gateways newly report.
-
-        Args:
-            callback: Called with the fingerprint of the request.
-        """
-        self._on_report = callback
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Sets the callback for news of other gateways on suspects."""
+        self._on_change = callback
 
     def tell(self, fingerprint: int) -> None:
         """Sends the known server ends during a request to all gateways.
@@ -96,15 +102,27 @@
                 saw a server end.
         """
         self._enqueue(fingerprint)
-        now_s = self._clock.monotonic_s()
-        ends = self._suspects.ends(fingerprint, now_s)
-        if len(ends) >= crash_suspects.BLOCK_ENDS_WITHOUT_OUTPUT_COUNT:
+        if self._suspects.is_repeated(fingerprint):
             for delay_s in REPEAT_DELAYS_S:
                 self._call_later(delay_s, self._enqueue, fingerprint)
 
-    def broadcast_cleared(self, fingerprint: int) -> None:
+    def broadcast_completed(self, fingerprint: int) -> None:
         """Informs all gateways that a request has completed."""
-        self._cleared.add(fingerprint)
+        self._completed.add(fingerprint)
+        self._schedule_send()
+
+    def broadcast_parts_cleared(
+        self, parts: Iterable[int], answered: crash_suspects.Answered
+    ) -> None:
+        """Informs all gateways of an answer to a request with some parts."""
+        for part in parts:
+            self._cleared_parts[part, answered.customer] = answered
+            self._cleared_s[part, answered.customer] = answered.at_s
+        self._schedule_send()
+
+    def broadcast_trial(self, block_key: int) -> None:
+        """Informs all gateways that a blocked request is tried here."""
+        self._trials.add(block_key)
         self._schedule_send()
 
     def _enqueue(self, fingerprint: int) -> None:
@@ -116,9 +134,14 @@
         now_s = self._clock.monotonic_s()
         return [
             crash_codec.ReportedEnd(
-                fingerprint, end.server_key, end.made_output, now_s - end.at_s
+                fingerprint,
+                run.server_key,
+                run.made_output,
+                now_s - run.at_s,
+                run.customer,
+                run.parts,
             )
-            for end in self._suspects.ends(fingerprint, now_s)
+            for run in self._suspects.runs(fingerprint, now_s)
         ]
 
     def _schedule_send(self) -> None:
@@ -127,18 +150,33 @@
             self._call_later(BATCH_DELAY_S, self._send)
 
     def _send(self) -> None:
-        pending, self._pending = list(self._pending.values()), {}
-        cleared, self._cleared = tuple(self._cleared), set()
+        now_s = self._clock.monotonic_s()
         self._is_send_scheduled = False
-        for batch in _split(pending) or [()]:
-            report = crash_codec.CrashReport(batch, cleared)
-            self._send_to(report, self._peers.all_addresses())
-            cleared = ()
+        limit_count = crash_codec.CLEARED_LIMIT_COUNT
+        cleared_parts = [
+            crash_codec.ClearedPart(part, customer, now_s - answered.at_s)
+            for (part, customer), answered in self._cleared_parts.items()
+        ]
+        report = crash_codec.CrashReport(
+            tuple(self._pending.values()),
+            tuple(self._completed)[:limit_count],
+            cleared_parts=tuple(cleared_parts[:limit_count]),
+            trials=tuple(self._trials),
+        )
+        self._pending = {}
+        self._completed.difference_update(report.cleared)
+        for one in report.cleared_parts:
+            del self._cleared_parts[one.part, one.customer]
+        self._trials = set()
+        self._send_to(report, self._peers.all_addresses())
+        if self._completed or self._cleared_parts:
+            self._schedule_send()
 
     def _send_to(
         self, report: crash_codec.CrashReport, peers: tuple[fleet.Address, ...]
     ) -> None:
-        self._socket.send(b"c", crash_codec.encode(report), peers)
+        for batch in crash_codec.batches(report):
+            self._socket.send(b"c", crash_codec.encode(batch), peers)
 
     def _on_datagram(self, body: bytes, source: fleet.Address) -> bool:
         decoded = crash_codec.decode(body)
@@ -149,18 +187,60 @@
         now_s = self._clock.monotonic_s()
         for fingerprint in report.cleared:
             self._suspects.record_completed(fingerprint, now_s)
+        for one in report.cleared_parts:
+            self._apply_cleared(one, now_s)
+        for block_key in report.trials:
+            self._suspects.record_trial(block_key, now_s)
         if not report.is_reply:
             self._reply(report, source)
         for reported in report.ends:
-            end = crash_suspects.ServerEnd(
-                reported.server_key,
-                reported.made_output,
-                now_s - reported.age_s,
-            )
-            if self._suspects.record_server_end(reported.fingerprint, end):
-                self._on_report(reported.fingerprint)
+            self._apply_end(reported, now_s)
+        self._on_change()
         return True
 
+    def _apply_cleared(
+        self, one: crash_codec.ClearedPart, now_s: float
+    ) -> None:
+        self._cleared_s[one.part, one.customer] = now_s
+        answered = crash_suspects.Answered(one.customer, now_s - one.age_s)
+        self._suspects.record_part_cleared(one.part, answered)
+
+    def _apply_end(
+        self, reported: crash_codec.ReportedEnd, now_s: float
+    ) -> None:
+        traits = _traits(reported)
+        end = crash_suspects.ServerEnd(
+            reported.server_key, reported.made_output, now_s - reported.age_s
+        )
+        self._suspects.record_server_end(traits, end)
+        unsuspected = self._suspects.unsuspected_parts(traits, end)
+        for part, answered in unsuspected.items():
+            # Only some of the gateways that know better reply: the others
+            # hear of it first.
+            delay_s = random.uniform(
+                0.0, CLEAR_SPREAD_S * self._peers.gateways_count
+            )
+            self._call_later(
+                delay_s, self._broadcast_unless_known, part, answered, now_s
+            )
+
+    def _broadcast_unless_known(
+        self, part: int, answered: crash_suspects.Answered, since_s: float
+    ) -> None:
+        known_s = self._cleared_s.get((part, answered.customer))
+        if known_s is None or known_s < since_s:
+            self.broadcast_parts_cleared((part,), answered)
+        self._drop_old_cleared()
+
+    def _drop_old_cleared(self) -> None:
+        since_s = self._clock.monotonic_s() - _CLEARED_REMEMBERED_S
+        if len(self._cleared_s) > _CLEARED_REMEMBERED_COUNT:
+            self._cleared_s = {
+                key: at_s
+                for key, at_s in self._cleared_s.items()
+                if at_s > since_s
+            }
+
     def _reply(
         self, report: crash_codec.CrashReport, source: fleet.Address
     ) -> None:
@@ -170,29 +250,26 @@
         reply.
         """
         now_s = self._clock.monotonic_s()
-        found: list[crash_codec.ReportedEnd] = []
-        for fingerprint in {end.fingerprint for end in report.ends}:
-            is_new = any(
-                end.fingerprint == fingerprint
-                and not self._suspects.has_server_end(
-                    fingerprint, end.server_key
-                )
-                for end in report.ends
-            )
-            if is_new and self._suspects.is_blocked(fingerprint, now_s):
-                found += self._known_ends(fingerprint)
-        if found and random.random() < MEAN_REPLIES_COUNT / max(
+        reasons: set[int] = set()
+        for end in report.ends:
+            if self._suspects.has_server_end(end.fingerprint, end.server_key):
+                continue
+            block = self._suspects.block_of(_traits(end), now_s)
+            if block is not None:
+                reasons.update(run.fingerprint for run in block.runs)
+        if reasons and random.random() < MEAN_REPLIES_COUNT / max(
             1, self._peers.gateways_count - 1
         ):
-            for batch in _split(found):
-                reply = crash_codec.CrashReport(batch, is_reply=True)
-                self._send_to(reply, (source,))
-
-
-def _split(
-    ends: Iterable[crash_codec.ReportedEnd],
-) -> list[tuple[crash_codec.ReportedEnd, ...]]:
-    """Splits server ends into batches that each fit into one datagram."""
-    all_ends = tuple(ends)
-    size = crash_codec.ENDS_LIMIT_COUNT
-    return [all_ends[at : at + size] for at in range(0, len(all_ends), size)]
+            found = [
+                end
+                for fingerprint in sorted(reasons)
+                for end in self._known_ends(fingerprint)
+            ]
+            reply = crash_codec.CrashReport(tuple(found), is_reply=True)
+            self._send_to(reply, (source,))
+
+
+def _traits(reported: crash_codec.ReportedEnd) -> crash_blocks.Traits:
+    return crash_blocks.Traits(
+        reported.fingerprint, reported.customer, reported.parts
+    )
--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -5,7 +5,7 @@
 both called nodes here, use this module.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 import gevent
@@ -14,7 +14,7 @@
 from mulberrywharf import clock, errors, fleet, metrics
 from mulberrywharf.crashes import server_ends
 from mulberrywharf.peers import notice_codec
-from mulberrywharf.policy import crash_suspects
+from mulberrywharf.policy import crash_blocks, crash_suspects
 
 PROBE_WAIT_S = 0.05
 """How long a request waits for the result of a probe. A running VM refuses a
@@ -34,8 +34,23 @@
 )
 _blocked_gauge = metrics.gauge(
     "mulberry_requests_blocked_count",
-    "Requests that are blocked because servers ended while processing them.",
+    "Requests and prompt parts that are blocked because servers ended while"
+    " processing them, by cause.",
 )
+_refused_total = metrics.counter(
+    "mulberry_blocked_requests_refused_total",
+    "Requests refused because they are blocked, by cause.",
+)
+_trials_total = metrics.counter(
+    "mulberry_blocked_requests_tried_total",
+    "Blocked requests sent to find out whether servers can process them now, by"
+    " cause.",
+)
+_parts_cleared_total = metrics.counter(
+    "mulberry_prompt_parts_cleared_total",
+    "Suspected prompt parts that an answer to another request cleared.",
+)
+_CAUSES = ("request", "part")
 
 
 class CallerRequest(Protocol):
@@ -54,6 +69,10 @@
         """Returns the keys of the shared parts of its prompt, by their ids."""
         ...
 
+    def customer_key(self) -> int:
+        """Returns 64 bits that identify its customer."""
+        ...
+
 
 class RequestRun(NamedTuple):
     """A request that was sent to a server.
@@ -98,21 +117,31 @@
 class Reports(Protocol):
     """Exchanges reports on ended servers with the other gateways."""
 
-    def on_report(self, callback: Callable[[int], None]) -> None:
-        """Sets the callback for ends of servers that other gateways report."""
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Sets the callback for news of other gateways on suspects."""
         ...
 
     def tell(self, fingerprint: int) -> None:
         """Sends all gateways the known ends of servers during a request."""
         ...
 
-    def broadcast_cleared(self, fingerprint: int) -> None:
+    def broadcast_completed(self, fingerprint: int) -> None:
         """Informs all gateways that a request has completed."""
         ...
 
+    def broadcast_parts_cleared(
+        self, parts: Iterable[int], answered: crash_suspects.Answered
+    ) -> None:
+        """Informs all gateways of an answer to a request with some parts."""
+        ...
+
+    def broadcast_trial(self, block_key: int) -> None:
+        """Informs all gateways that a blocked request is tried here."""
+        ...
+
 
 class Records(Protocol):
-    """Stores which requests are blocked, for gateways that start later."""
+    """Stores what is blocked, for gateways that start later."""
 
     def on_read(self, callback: Callable[[], None]) -> None:
         """Sets the callback that runs after each read of the records."""
@@ -122,21 +151,29 @@
         """Schedules an update that writes missing records."""
         ...
 
-    def remove(self, fingerprint: int) -> None:
-        """Deletes the record of a request that is no longer suspected."""
+    def remove(self, block_key: int) -> None:
+        """Deletes the record of a block that has ended."""
         ...
 
 
 class NullReportsAndRecords:
     """Reports and records that do nothing, for nodes without either."""
 
-    def on_report(self, callback: Callable[[int], None]) -> None:
+    def on_change(self, callback: Callable[[], None]) -> None:
         """Ignores the callback, as there are no reports."""
 
     def tell(self, fingerprint: int) -> None:
         """Does nothing."""
 
-    def broadcast_cleared(self, fingerprint: int) -> None:
+    def broadcast_completed(self, fingerprint: int) -> None:
+        """Does nothing."""
+
+    def broadcast_parts_cleared(
+        self, parts: Iterable[int], answered: crash_suspects.Answered
+    ) -> None:
+        """Does nothing."""
+
+    def broadcast_trial(self, block_key: int) -> None:
         """Does nothing."""
 
     def on_read(self, callback: Callable[[], None]) -> None:
@@ -145,7 +182,7 @@
     def schedule_write(self) -> None:
         """Does nothing."""
 
-    def remove(self, fingerprint: int) -> None:
+    def remove(self, block_key: int) -> None:
         """Does nothing."""
 
 
@@ -179,8 +216,9 @@
         self._reports = reports
         self._records = records
         self._restarts_are_visible = restarts_are_visible
-        self._blocked: frozenset[int] = frozenset()
-        reports.on_report(self._on_new_end)
+        self._decided: list[crash_blocks.Block] = []
+        self._blocks: dict[int, crash_blocks.Block] = {}
+        reports.on_change(self._refresh)
         records.on_read(self._refresh)
         self._clock = system_clock
 
@@ -204,29 +242,50 @@
             restarts_are_visible=False,
         )
 
-    def check(self, request: CallerRequest) -> None:
-        """Refuses a blocked request.
+    def of(self, request: CallerRequest, service: str) -> "RequestWatch":
+        """Returns the watch of one request to a service."""
+        return RequestWatch(self, request, service)
+
+    def check(self, request: CallerRequest, service: str = "") -> None:
+        """Refuses a blocked request, unless it may be tried again.
+
+        Args:
+            request: The request.
+            service: Service that is to run it, empty if its prompt has no
+                parts.
 
         Raises:
             CrashingRequestError: The request is blocked.
         """
-        if self._suspects.is_empty:
+        block = self._block_of(request, service)
+        if block is None:
             return
         now_s = self._clock.monotonic_s()
-        fingerprint = request.fingerprint()
-        if not self._suspects.is_blocked(fingerprint, now_s):
+        log = logger.bind(
+            request_id=request.request_id, **_loggable(block, now_s)
+        )
+        if self._suspects.may_try(block, now_s):
+            self._suspects.record_trial(block.key, now_s)
+            self._reports.broadcast_trial(block.key)
+            _trials_total.inc({"cause": _cause(block)})
+            log.info("a blocked request is tried again")
             return
+        _refused_total.inc({"cause": _cause(block)})
+        log.info("a blocked request is refused")
         raise errors.CrashingRequestError(
-            "servers ended while processing this request",
-            retry_after_s=self._suspects.blocked_for_s(fingerprint, now_s),
+            _refusal(block),
+            retry_after_s=self._suspects.retry_after_s(block, now_s),
         )
 
-    def is_blocked(self, request: CallerRequest) -> bool:
-        """Returns whether a request must not be sent to another server."""
-        now_s = self._clock.monotonic_s()
-        return not self._suspects.is_empty and self._suspects.is_blocked(
-            request.fingerprint(), now_s
-        )
+    def is_blocked(self, request: CallerRequest, service: str = "") -> bool:
+        """Returns whether a request must not be sent to another server.
+
+        Args:
+            request: The request.
+            service: Service that is to run it, empty if its prompt has no
+                parts.
+        """
+        return self._block_of(request, service) is not None
 
     def allowed_servers(
         self, request: CallerRequest, servers: Sequence[fleet.Server]
@@ -242,10 +301,11 @@
             request: The request.
             servers: The servers of that kind that could run it.
         """
+        if self._suspects.is_empty or not servers:
+            return list(servers)
         now_s = self._clock.monotonic_s()
-        if self._suspects.is_empty or not self._suspects.is_recent_suspect(
-            request.fingerprint(), now_s
-        ):
+        traits = _traits(request, servers[0].service)
+        if not self._suspects.is_recent_suspect(traits, now_s):
             return list(servers)
         ended = self._suspects.ended_servers()
         alive = [
@@ -255,13 +315,34 @@
         ]
         return alive if len(alive) > 1 else []
 
+    def note_answer_began(self, request: CallerRequest, service: str) -> None:
+        """Records that a server made the first output for a request."""
+        parts = request.part_keys(service).values()
+        if not parts:
+            return
+        now_s = self._clock.monotonic_s()
+        customer = request.customer_key()
+        cleared = self._suspects.record_answer_began(
+            customer, parts, service, now_s
+        )
+        if not cleared:
+            return
+        _parts_cleared_total.add({}, len(cleared))
+        logger.bind(
+            request_id=request.request_id, parts=_hex_keys(cleared)
+        ).info("suspected parts are cleared by an answer")
+        self._reports.broadcast_parts_cleared(
+            cleared, crash_suspects.Answered(customer, now_s)
+        )
+        self._refresh()
+
     def note_completed(self, request: CallerRequest) -> None:
         """Records that a server answered a request completely."""
         fingerprint = request.fingerprint()
         now_s = self._clock.monotonic_s()
         if self._suspects.record_completed(fingerprint, now_s):
-            self._reports.broadcast_cleared(fingerprint)
-            self._records.remove(fingerprint)
+            self._reports.broadcast_completed(fingerprint)
+            self._refresh()
 
     def note_failed(
         self,
@@ -303,12 +384,13 @@
         ended_s = self._ends.ended_s(run.start, run.address)
         if ended_s is None:
             return
-        fingerprint = run.request.fingerprint()
+        traits = _traits(run.request, run.service)
+        fingerprint = traits.fingerprint
         _ends_total.inc({"made_output": str(made_output).lower()})
         end = crash_suspects.ServerEnd(
             self._server_key(run.start, ended_s), made_output, ended_s
         )
-        if self._suspects.record_server_end(fingerprint, end):
+        if self._suspects.record_server_end(traits, end):
             self._reports.tell(fingerprint)
         logger.bind(
             request_id=run.request.request_id,
@@ -321,8 +403,8 @@
             ends_count=len(self._suspects.ends(fingerprint, ended_s)),
             parts=_loggable_parts(run),
         ).warning("a server ended while it worked on a request")
-        self._on_new_end(fingerprint)
-        if fingerprint in self._blocked:
+        self._refresh()
+        if any(block.covers(traits) for block in self._blocks.values()):
             self._records.schedule_write()
 
     def _server_key(self, start: fleet.ServerStart, ended_s: float) -> int:
@@ -330,26 +412,122 @@
             return notice_codec.hash_server_start(start)
         return notice_codec.hash_name(f"{start} {ended_s}")
 
-    def _on_new_end(self, fingerprint: int) -> None:
-        now_s = self._clock.monotonic_s()
-        ends_count = len(self._suspects.ends(fingerprint, now_s))
-        if ends_count >= crash_suspects.BLOCK_ENDS_WITHOUT_OUTPUT_COUNT:
-            self._refresh()
+    def _block_of(
+        self, request: CallerRequest, service: str
+    ) -> crash_blocks.Block | None:
+        if self._suspects.is_empty:
+            return None
+        return self._suspects.block_of(
+            _traits(request, service), self._clock.monotonic_s()
+        )
 
     def _refresh(self) -> None:
-        """Updates which requests are blocked.
+        """Updates what is blocked.
 
         New information on one request may also unblock another one.
         """
         now_s = self._clock.monotonic_s()
-        blocked = frozenset(self._suspects.blocked(now_s))
-        for fingerprint in blocked - self._blocked:
-            logger.bind(
-                fingerprint=f"{fingerprint:016x}",
-                ends_count=len(self._suspects.ends(fingerprint, now_s)),
-            ).warning("a request is blocked: servers ended while processing it")
-        self._blocked = blocked
-        _blocked_gauge.set({}, len(blocked))
+        decided = self._suspects.blocks(now_s)
+        if decided is self._decided:
+            return
+        self._decided = decided
+        blocks = {block.key: block for block in decided}
+        for key, block in blocks.items():
+            if key not in self._blocks:
+                logger.bind(**_loggable(block, now_s)).warning(
+                    "a request is blocked: servers ended while processing it"
+                )
+        for key, block in self._blocks.items():
+            if key not in blocks:
+                logger.bind(**_loggable(block, now_s)).info("a block has ended")
+                self._records.remove(key)
+        self._blocks = blocks
+        for cause in _CAUSES:
+            count = sum(_cause(block) == cause for block in blocks.values())
+            _blocked_gauge.set({"cause": cause}, count)
+
+
+class RequestWatch:
+    """The watch of one request; each method is that of ``CrashWatch``."""
+
+    def __init__(
+        self, crashes: CrashWatch, request: CallerRequest, service: str
+    ):
+        self._crashes = crashes
+        self._request = request
+        self._service = service
+
+    def check(self) -> None:
+        """Refuses the request if it is blocked, unless it may be tried again.
+
+        Raises:
+            CrashingRequestError: It is blocked.
+        """
+        self._crashes.check(self._request, self._service)
+
+    def is_blocked(self) -> bool:
+        """Returns whether the request must not be sent to another server."""
+        return self._crashes.is_blocked(self._request, self._service)
+
+    def allowed_servers(
+        self, servers: Sequence[fleet.Server]
+    ) -> list[fleet.Server]:
+        """Returns the servers of one kind that it may be sent to."""
+        return self._crashes.allowed_servers(self._request, servers)
+
+    def note_answer_began(self) -> None:
+        """Records that a server made the first output for the request."""
+        self._crashes.note_answer_began(self._request, self._service)
+
+    def note_completed(self) -> None:
+        """Records that a server answered the request completely."""
+        self._crashes.note_completed(self._request)
+
+    def note_failed(
+        self,
+        server: fleet.Server,
+        began_s: float,
+        error: errors.EngineError,
+        *,
+        made_output: bool = False,
+    ) -> None:
+        """Checks whether a server has ended, if its failure may mean that."""
+        run = RequestRun.at(self._request, server, began_s)
+        self._crashes.note_failed(run, error, made_output=made_output)
+
+
+def _traits(request: CallerRequest, service: str) -> crash_blocks.Traits:
+    return crash_blocks.Traits(
+        request.fingerprint(),
+        request.customer_key(),
+        frozenset(request.part_keys(service).values()),
+    )
+
+
+def _cause(block: crash_blocks.Block) -> str:
+    return "part" if block.fingerprint is None else "request"
+
+
+def _refusal(block: crash_blocks.Block) -> str:
+    if block.fingerprint is None:
+        return "servers ended while processing requests with a part of it"
+    return "servers ended while processing this request"
+
+
+def _loggable(block: crash_blocks.Block, now_s: float) -> dict[str, object]:
+    """Returns the log fields that identify a block and its reason."""
+    return {
+        "block": f"{block.key:016x}",
+        "cause": _cause(block),
+        "parts": _hex_keys(block.parts),
+        "customer": "one" if block.customer is not None else "all",
+        "ends_count": block.servers_count,
+        "last_end_age_s": round(now_s - block.last_end_s, 1),
+    }
+
+
+def _hex_keys(keys: Iterable[int]) -> list[str]:
+    return [f"{key:016x}" for key in sorted(keys)]
 
 
 def _loggable_parts(run: RequestRun) -> dict[str, str]:
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -136,7 +136,6 @@
             RequestError: There is no answer; the error's outcome tells whether
                 the request may have run.
         """
-        self._dependencies.crashes.check(routed_request)
         return _Generation(
             self._dependencies, routed_request, route, service
         ).open()
@@ -233,8 +232,10 @@
         self._has_output = False
         self._only_version: stream_version.VersionKey | None = None
         self._state = StreamState()
+        self._crashes = dependencies.crashes.of(routed_request, service.name)
 
     def open(self) -> StreamAnswer:
+        self._crashes.check()
         self._take_up()
         try:
             run = self._start_within_limit()
@@ -469,11 +470,7 @@
     def _allowed_servers(
         self, servers: Sequence[fleet.Server]
     ) -> list[fleet.Server]:
-        allowed: Sequence[fleet.Server] = (
-            self._dependencies.crashes.allowed_servers(
-                self._routed_request, servers
-            )
-        )
+        allowed: Sequence[fleet.Server] = self._crashes.allowed_servers(servers)
         # A prefill may always be repeated, at any version.
         is_prefill = all(server.role == "prefill" for server in allowed)
         if not is_prefill:
@@ -575,7 +572,7 @@
         began_s = self._dependencies.system_clock.monotonic_s()
         sent = self._send(attempt, permit, may_run_again=True)
         if isinstance(sent, Err):
-            self._report_possible_crash(attempt.server, began_s, sent.err_value)
+            self._crashes.note_failed(attempt.server, began_s, sent.err_value)
             return sent
         answer = sent.ok_value
         try:
@@ -588,7 +585,7 @@
         answer.exchange.finish()
         if isinstance(body, Err):
             self._note_answer_lost(attempt.server, body.err_value)
-            self._report_possible_crash(attempt.server, began_s, body.err_value)
+            self._crashes.note_failed(attempt.server, began_s, body.err_value)
             return body
         if not answer.head.is_success:
             self._note_answer_failed(attempt.server, answer.head)
@@ -641,7 +638,7 @@
         self._record_attempt(attempt, began_s, expected_s, sent)
         if isinstance(sent, Err):
             self._dependencies.tracker.ended(server.start)
-            self._report_possible_crash(server, began_s, sent.err_value)
+            self._crashes.note_failed(server, began_s, sent.err_value)
             if isinstance(
                 sent.err_value,
                 errors.EngineUnreachableError | errors.ServerLimitError,
@@ -668,7 +665,7 @@
             and isinstance(run, _EngineAnswer)
             and outcome.is_server_fault(run.head.status)
             and not self._is_limit_reached()
-            and not self._dependencies.crashes.is_blocked(self._routed_request)
+            and not self._crashes.is_blocked()
             and self._take_repeat()
         )
 
@@ -716,8 +713,8 @@
         if self._outcome == "unknown" and not self._may_run_again:
             raise errors.BackEndLostError(error.message, outcome="unknown")
         if self._outcome == "not-run":
-            self._dependencies.crashes.check(self._routed_request)
-        elif self._dependencies.crashes.is_blocked(self._routed_request):
+            self._crashes.check()
+        elif self._crashes.is_blocked():
             raise errors.BackEndLostError(error.message, outcome="unknown")
         if self._is_limit_reached() or not self._charge_repeat(error):
             raise self._final_error(error.message)
@@ -843,6 +840,8 @@
             self._only_version = run.version_key
         self._state.version_key = self._only_version
         is_own = isinstance(run, _EngineAnswer)
+        if is_own:
+            self._crashes.note_answer_began()
         if is_own and self._may_run_again and self._only_version is not None:
             # A helper does this for the streams that it relays.
             self._dependencies.versions.note_begun(
@@ -889,7 +888,7 @@
             run.handed.note_lost()
             return
         self._note_answer_lost(run.server, error)
-        self._report_possible_crash(
+        self._crashes.note_failed(
             run.server, run.began_s, error, made_output=made_output
         )
 
@@ -898,7 +897,7 @@
             return
         self._dependencies.tracker.succeeded(run.server.start)
         self._dependencies.estimates.ended(run.server, self._since_s(began_s))
-        self._dependencies.crashes.note_completed(self._routed_request)
+        self._crashes.note_completed()
 
     def _log_stream(
         self, run: _OpenAnswer, gaps: stream_gaps.StreamGaps
@@ -953,19 +952,6 @@
         self._excluded.add(server.start)
         self._dependencies.client.note_answer_broken(server, error)
 
-    def _report_possible_crash(
-        self,
-        server: fleet.Server,
-        began_s: float,
-        error: errors.EngineError,
-        *,
-        made_output: bool = False,
-    ) -> None:
-        run = crash_watch.RequestRun.at(self._routed_request, server, began_s)
-        self._dependencies.crashes.note_failed(
-            run, error, made_output=made_output
-        )
-
     def _note_answer_failed(
         self, server: fleet.Server, head: request.AnswerHead
     ) -> None:
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -113,6 +113,10 @@
             self.body,
         )
 
+    def customer_key(self) -> int:
+        """Returns a 64-bit hash that is equal for requests of one customer."""
+        return fingerprints.fingerprint((self.customer or self.caller,), b"")
+
     def part_keys(self, service: str) -> dict[str, int]:
         """Returns the keys of the parts that other prompts may share, by id.
 
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -1,46 +1,65 @@
 """Tracks which requests are suspected of crashing the servers that run them.
 
-A request may crash every server that runs it, such as a prompt that an engine
-cannot process. If its caller repeats it, one server after another becomes
-unavailable to all other requests. A single crash does not show which request
-caused it, because all requests in progress on the server fail together.
-Gateways see a crash as the end of the server's process.
-
-The cause is identified by being in progress at every crash. A request that
-completed is not the cause. A request without any output is a more likely cause
-than one that was already producing its answer.
+If the caller of a request that crashes servers repeats it, or requests with
+such a part in their prompts keep coming, one server after another becomes
+unavailable to all other requests. Gateways see a crash as the end of the
+server's process.
+
+Evidence is what each server was running when it ended, and what went well
+since. A request that completed is not the cause. A part is not the cause if an
+answer to a request with it began. A request without any output is a more likely
+cause than one that was already producing its answer.
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
-BLOCK_ENDS_COUNT = 3
-"""A request is blocked once this many servers ended while they ran it, whatever
-else they were running."""
-
-BLOCK_ENDS_WITHOUT_OUTPUT_COUNT = 2
-"""A request is also blocked once this many servers ended before it had produced
-any output on them, if they have no other such request in common."""
+from mulberrywharf.policy import crash_blocks
 
 SUSPECT_KEPT_S = 600.0
-"""A request stays suspected for this long after the last server ended that ran
-it. The suspicion expires because a new version of the service may be able to
-run the request."""
+"""A request stays blocked for this long after the last server ended that ran
+it. After that, single requests are let through as trials, because servers may
+have been repaired in the meantime."""
+
+TRIAL_RESULT_S = 10.0
+"""Time after the start of a trial until the next one may start. The result of a
+trial is usually known earlier."""
+
+TRIAL_KEPT_S = 3_600.0
+"""Evidence of a block expires this long after the block would have ended, if no
+request came for a trial."""
+
+TRIAL_SPREAD_S = 20.0
+"""Gateways begin with trials at random times within this range, so that they
+hear of the first one before they start their own."""
 
 COMPLETED_KEPT_S = 10.0
 """Time after its completion for which a request is not suspected. Without this,
 a request that many callers send would be blocked when all servers of a service
 end together."""
 
+ANSWERED_KEPT_S = 2.0
+ANSWERED_KEPT_COUNT = 16
+"""A part is not suspected if an answer to a request with it began less than
+``ANSWERED_KEPT_S`` before the server ended, or if fewer than
+``ANSWERED_KEPT_COUNT`` answers of its service began since. During an outage of
+a service there are no answers, also to requests with harmless parts."""
+
 RECENT_END_S = 8.0
 """For this long after a server ended before any output of a request, the
 request is not sent to the only server left that could run it. Servers usually
 restart within seconds."""
 
+RECENT_PART_ENDS_COUNT = 2
+"""The same holds for requests with a part under which this many ended."""
+
 SUSPECTS_LIMIT_COUNT = 1_024
 COMPLETED_LIMIT_COUNT = 2_048
+ANSWERED_LIMIT_COUNT = 8_192
 _ENDS_PER_REQUEST_LIMIT_COUNT = 4
+_TRIALS_LIMIT_COUNT = 256
+_EXPIRY_INTERVAL_S = 1.0
 
 
 class ServerEnd(NamedTuple):
@@ -58,23 +77,57 @@
     at_s: float
 
 
+class Answered(NamedTuple):
+    """The last answer to a request with a part.
+
+    Attributes:
+        customer: The customer of the request.
+        at_s: Monotonic time at which the answer began.
+        service: Service that answered, empty if another gateway reports it.
+        service_count: Number of this gateway's answers of the service then.
+    """
+
+    customer: int
+    at_s: float
+    service: str = ""
+    service_count: int = 0
+
+
 class CrashSuspects:
-    """Records which requests were running when servers ended.
+    """Records what was running when servers ended, and what succeeded.
 
-    Requests are identified by their fingerprints. Recording is idempotent and
-    independent of the order, so gateways that exchange their observations
-    block the same requests.
+    Recording is idempotent and independent of the order, so gateways that
+    exchange their observations block the same requests.
     """
 
-    def __init__(self) -> None:
-        self._ends: collections.OrderedDict[int, dict[int, ServerEnd]] = (
+    def __init__(self, trial_delay_s: float = 0.0) -> None:
+        """Creates it without evidence.
+
+        Args:
+            trial_delay_s: Delay of this gateway's trials, see
+                ``TRIAL_SPREAD_S``.
+        """
+        self._trial_delay_s = trial_delay_s
+        self._runs: collections.OrderedDict[
+            int, dict[int, crash_blocks.LostRun]
+        ] = collections.OrderedDict()
+        self._completed_s: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
-        self._completed_s: collections.OrderedDict[int, float] = (
+        self._answered: collections.OrderedDict[
+            crash_blocks.PartTrait, Answered
+        ] = collections.OrderedDict()
+        self._answers_counts: collections.Counter[str] = collections.Counter()
+        self._trials_s: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
+        self._blocks: list[crash_blocks.Block] = []
+        self._is_changed = False
+        self._expire_from_s = float("-inf")
 
-    def record_server_end(self, fingerprint: int, end: ServerEnd) -> bool:
+    def record_server_end(
+        self, traits: crash_blocks.Traits, end: ServerEnd
+    ) -> bool:
         """Records that a server ended while it ran a request.
 
         Returns:
@@ -82,18 +135,20 @@
             completed recently.
         """
         self._drop_expired(end.at_s)
+        fingerprint = traits.fingerprint
         if fingerprint in self._completed_s:
             return False
-        ends = self._ends.setdefault(fingerprint, {})
-        known = ends.get(end.server_key)
+        runs = self._runs.setdefault(fingerprint, {})
+        known = runs.get(end.server_key)
         if known is not None and (known.made_output or not end.made_output):
             return False
-        ends[end.server_key] = end
-        while len(ends) > _ENDS_PER_REQUEST_LIMIT_COUNT:
-            del ends[next(iter(ends))]
-        self._ends.move_to_end(fingerprint)
-        if len(self._ends) > SUSPECTS_LIMIT_COUNT:
-            self._ends.popitem(last=False)
+        runs[end.server_key] = self._lost_run(traits, end)
+        while len(runs) > _ENDS_PER_REQUEST_LIMIT_COUNT:
+            del runs[next(iter(runs))]
+        self._runs.move_to_end(fingerprint)
+        self._is_changed = True
+        if len(self._runs) > SUSPECTS_LIMIT_COUNT:
+            self._evict_oldest()
         return True
 
     def record_completed(self, fingerprint: int, now_s: float) -> bool:
@@ -106,91 +161,298 @@
         self._completed_s.move_to_end(fingerprint)
         if len(self._completed_s) > COMPLETED_LIMIT_COUNT:
             self._completed_s.popitem(last=False)
-        return self._ends.pop(fingerprint, None) is not None
+        if self._runs.pop(fingerprint, None) is None:
+            return False
+        self._is_changed = True
+        return True
+
+    def record_answer_began(
+        self, customer: int, parts: Collection[int], service: str, now_s: float
+    ) -> frozenset[int]:
+        """Records the first output for a request with parts.
+
+        Returns:
+            The parts that this clears of suspicion.
+        """
+        self._answers_counts[service] += 1
+        answered = Answered(
+            customer, now_s, service, self._answers_counts[service]
+        )
+        suspected = self._suspected_parts() if self._runs else frozenset()
+        cleared = frozenset(parts) & suspected
+        for part in parts:
+            self._note_answered(part, answered)
+        if cleared:
+            self._clear_parts(cleared, answered)
+        return cleared
+
+    def record_part_cleared(self, part: int, answered: Answered) -> None:
+        """Records that another gateway saw an answer to a request with a part.
+
+        Args:
+            part: Key of the part.
+            answered: The answer.
+        """
+        known = self._answered.get(
+            crash_blocks.PartTrait(part, answered.customer)
+        )
+        if known is None or known.at_s < answered.at_s:
+            self._note_answered(part, answered)
+        self._clear_parts(frozenset({part}), answered)
+
+    def unsuspected_parts(
+        self, traits: crash_blocks.Traits, end: ServerEnd
+    ) -> dict[int, Answered]:
+        """Returns the parts that are no cause of an end, with their answers."""
+        found = {}
+        for part in traits.parts:
+            for customer in (traits.customer, None):
+                answered = self._answer_about(part, customer, end.at_s)
+                if answered is not None:
+                    found[part] = answered
+                    break
+        return found
 
     def ends(self, fingerprint: int, now_s: float) -> tuple[ServerEnd, ...]:
         """Returns the server ends of a request, in the order first recorded."""
+        return tuple(
+            ServerEnd(run.server_key, run.made_output, run.at_s)
+            for run in self.runs(fingerprint, now_s)
+        )
+
+    def runs(
+        self, fingerprint: int, now_s: float
+    ) -> tuple[crash_blocks.LostRun, ...]:
+        """Returns the lost runs of a request, in the order first recorded."""
         self._drop_expired(now_s)
-        return tuple(self._ends.get(fingerprint, {}).values())
+        return tuple(self._runs.get(fingerprint, {}).values())
+
+    def is_repeated(self, fingerprint: int) -> bool:
+        """Returns whether servers ended more often under what a request has.
+
+        That is the whole request or one of its suspected parts.
+        """
+        runs = self._runs.get(fingerprint, {})
+        if len(runs) > 1:
+            return True
+        parts = frozenset().union(*(run.parts for run in runs.values()))
+        return any(
+            run.fingerprint != fingerprint and not parts.isdisjoint(run.parts)
+            for run in self._all_runs()
+        )
 
     def has_server_end(self, fingerprint: int, server_key: int) -> bool:
         """Returns whether the end of a server is recorded for a request."""
-        return server_key in self._ends.get(fingerprint, {})
+        return server_key in self._runs.get(fingerprint, {})
 
-    def is_recent_suspect(self, fingerprint: int, now_s: float) -> bool:
+    def is_recent_suspect(
+        self, traits: crash_blocks.Traits, now_s: float
+    ) -> bool:
         """Returns whether a server recently ended before the request's output.
 
-        Ends that are ``RECENT_END_S`` old or older do not count.
+        That is also so if ``RECENT_PART_ENDS_COUNT`` servers ended under
+        requests with the same suspected part. Ends that are ``RECENT_END_S``
+        old or older do not count.
         """
+        self._drop_expired(now_s)
+        servers_by_part: dict[int, set[int]] = collections.defaultdict(set)
+        for run in self._all_runs():
+            if run.made_output or now_s - run.at_s >= RECENT_END_S:
+                continue
+            if run.fingerprint == traits.fingerprint:
+                return True
+            is_own = run.customer == traits.customer
+            for part in run.parts if is_own else run.shared_parts:
+                servers_by_part[part].add(run.server_key)
         return any(
-            not end.made_output and now_s - end.at_s < RECENT_END_S
-            for end in self.ends(fingerprint, now_s)
+            len(servers_by_part[part]) >= RECENT_PART_ENDS_COUNT
+            for part in traits.parts & servers_by_part.keys()
         )
 
     def ended_servers(self) -> frozenset[int]:
         """Returns the keys of servers that ended under suspected requests."""
-        return frozenset(
-            server_key for ends in self._ends.values() for server_key in ends
-        )
+        return crash_blocks.servers_of(self._all_runs())
 
-    def is_blocked(self, fingerprint: int, now_s: float) -> bool:
+    def block_of(
+        self, traits: crash_blocks.Traits, now_s: float
+    ) -> crash_blocks.Block | None:
+        """Returns why a request must not be sent to any server, if it must not.
+
+        One that may be tried is included; see ``may_try``.
+        """
+        for block in self.blocks(now_s):
+            if block.covers(traits):
+                return block
+        return None
+
+    def is_blocked(self, traits: crash_blocks.Traits, now_s: float) -> bool:
         """Returns whether a request must not be sent to any server."""
-        ends = self.ends(fingerprint, now_s)
-        if len(ends) >= BLOCK_ENDS_COUNT:
-            return True
-        server_keys = _ended_without_output(ends)
-        return len(
-            server_keys
-        ) >= BLOCK_ENDS_WITHOUT_OUTPUT_COUNT and self._is_sole_suspect(
-            fingerprint, server_keys
-        )
+        return self.block_of(traits, now_s) is not None
 
-    def blocked_for_s(self, fingerprint: int, now_s: float) -> float:
-        """Returns the remaining time for which a request stays blocked."""
-        ends = self.ends(fingerprint, now_s)
-        last_s = max((end.at_s for end in ends), default=now_s - SUSPECT_KEPT_S)
-        return last_s + SUSPECT_KEPT_S - now_s
+    def retry_after_s(self, block: crash_blocks.Block, now_s: float) -> float:
+        """Returns the time until a blocked request may be sent."""
+        return max(0.0, self._trial_from_s(block) - now_s)
 
-    def blocked(self, now_s: float) -> list[int]:
-        """Returns the fingerprints of all blocked requests."""
+    def kept_for_s(self, block: crash_blocks.Block, now_s: float) -> float:
+        """Returns the time until the evidence of a block expires."""
+        return block.last_end_s + SUSPECT_KEPT_S + TRIAL_KEPT_S - now_s
+
+    def may_try(self, block: crash_blocks.Block, now_s: float) -> bool:
+        """Returns whether one blocked request may be sent as a trial."""
+        return now_s >= self._trial_from_s(block)
+
+    def record_trial(self, block_key: int, now_s: float) -> None:
+        """Records that a gateway sends one blocked request as a trial."""
+        self._trials_s[block_key] = now_s
+        self._trials_s.move_to_end(block_key)
+        if len(self._trials_s) > _TRIALS_LIMIT_COUNT:
+            self._trials_s.popitem(last=False)
+
+    def blocks(self, now_s: float) -> list[crash_blocks.Block]:
+        """Returns what is blocked."""
         self._drop_expired(now_s)
-        return [
-            fingerprint
-            for fingerprint in self._ends
-            if self.is_blocked(fingerprint, now_s)
-        ]
+        return self._decide()
 
     @property
     def is_empty(self) -> bool:
         """Whether no request is suspected."""
-        return not self._ends
+        return not self._runs
+
+    def _lost_run(
+        self, traits: crash_blocks.Traits, end: ServerEnd
+    ) -> crash_blocks.LostRun:
+        parts: frozenset[int] = frozenset()
+        shared_parts: frozenset[int] = frozenset()
+        if not end.made_output:
+            parts = frozenset(
+                part
+                for part in traits.parts
+                if self._answer_about(part, traits.customer, end.at_s) is None
+            )
+            shared_parts = frozenset(
+                part
+                for part in parts
+                if self._answer_about(part, None, end.at_s) is None
+            )
+        return crash_blocks.LostRun(
+            traits.fingerprint,
+            traits.customer,
+            end.server_key,
+            end.made_output,
+            end.at_s,
+            parts,
+            shared_parts,
+        )
 
-    def _is_sole_suspect(
-        self, fingerprint: int, server_keys: frozenset[int]
-    ) -> bool:
-        """Returns whether no other request is as suspect on these servers."""
-        return not any(
-            len(_ended_without_output(ends.values()) & server_keys)
-            >= BLOCK_ENDS_WITHOUT_OUTPUT_COUNT
-            for other, ends in self._ends.items()
-            if other != fingerprint
+    def _answer_about(
+        self, part: int, customer: int | None, end_s: float
+    ) -> Answered | None:
+        """Returns the answer that clears a part of an end, if there is one."""
+        answered = self._answered.get(crash_blocks.PartTrait(part, customer))
+        if answered is None:
+            return None
+        answers_since = (
+            self._answers_counts[answered.service] - answered.service_count
+        )
+        is_usual = bool(answered.service) and (
+            answers_since < ANSWERED_KEPT_COUNT
+        )
+        if is_usual or answered.at_s > end_s - ANSWERED_KEPT_S:
+            return answered
+        return None
+
+    def _note_answered(self, part: int, answered: Answered) -> None:
+        for customer in (answered.customer, None):
+            trait = crash_blocks.PartTrait(part, customer)
+            self._answered[trait] = answered
+            self._answered.move_to_end(trait)
+        while len(self._answered) > ANSWERED_LIMIT_COUNT:
+            self._answered.popitem(last=False)
+
+    def _clear_parts(self, cleared: frozenset[int], answered: Answered) -> None:
+        """Takes parts from the runs that ended before an answer with them."""
+        until_s = answered.at_s + ANSWERED_KEPT_S
+        for runs in self._runs.values():
+            for server_key, run in runs.items():
+                if run.at_s >= until_s or not cleared & run.parts:
+                    continue
+                self._is_changed = True
+                parts = run.parts
+                if run.customer == answered.customer:
+                    parts = parts - cleared
+                runs[server_key] = run._replace(
+                    parts=parts, shared_parts=run.shared_parts - cleared
+                )
+
+    def _suspected_parts(self) -> frozenset[int]:
+        return frozenset().union(*(run.parts for run in self._all_runs()))
+
+    def _all_runs(self) -> Iterable[crash_blocks.LostRun]:
+        return (run for runs in self._runs.values() for run in runs.values())
+
+    def _runs_by_part(
+        self,
+    ) -> dict[crash_blocks.PartTrait, list[crash_blocks.LostRun]]:
+        by_part: dict[crash_blocks.PartTrait, list[crash_blocks.LostRun]] = (
+            collections.defaultdict(list)
         )
+        for run in self._all_runs():
+            for part in run.parts:
+                trait = crash_blocks.PartTrait(part, run.customer)
+                by_part[trait].append(run)
+            for part in run.shared_parts:
+                by_part[crash_blocks.PartTrait(part, None)].append(run)
+        return by_part
+
+    def _trial_from_s(self, block: crash_blocks.Block) -> float:
+        from_s = block.last_end_s + SUSPECT_KEPT_S + self._trial_delay_s
+        tried_s = self._trials_s.get(block.key)
+        if tried_s is not None:
+            from_s = max(from_s, tried_s + TRIAL_RESULT_S)
+        return from_s
+
+    def _decide(self) -> list[crash_blocks.Block]:
+        if self._is_changed:
+            self._is_changed = False
+            self._blocks = crash_blocks.decide(self._runs, self._runs_by_part())
+        return self._blocks
+
+    def _evict_oldest(self) -> None:
+        """Drops the oldest request that no block was based on recently."""
+        kept = {run.fingerprint for block in self._blocks for run in block.runs}
+        oldest = next(
+            (one for one in self._runs if one not in kept),
+            next(iter(self._runs)),
+        )
+        del self._runs[oldest]
 
     def _drop_expired(self, now_s: float) -> None:
         """Drops expired entries; both tables are roughly ordered by time."""
-        while self._ends:
-            oldest = next(iter(self._ends))
-            last_s = max(end.at_s for end in self._ends[oldest].values())
-            if now_s - last_s < SUSPECT_KEPT_S:
-                break
-            del self._ends[oldest]
         while self._completed_s:
             oldest = next(iter(self._completed_s))
             if now_s - self._completed_s[oldest] < COMPLETED_KEPT_S:
                 break
             del self._completed_s[oldest]
-
-
-def _ended_without_output(ends: Iterable[ServerEnd]) -> frozenset[int]:
-    """Returns the keys of servers that ended before any output."""
-    return frozenset(end.server_key for end in ends if not end.made_output)
+        if now_s >= self._expire_from_s:
+            self._expire_from_s = now_s + _EXPIRY_INTERVAL_S
+            self._drop_expired_runs(now_s)
+
+    def _drop_expired_runs(self, now_s: float) -> None:
+        expired = []
+        for fingerprint, runs in self._runs.items():
+            last_s = max(run.at_s for run in runs.values())
+            if now_s - last_s < SUSPECT_KEPT_S:
+                break
+            expired.append(fingerprint)
+        if not expired:
+            return
+        kept = {
+            run.fingerprint
+            for block in self._decide()
+            if self.kept_for_s(block, now_s) > 0
+            for run in block.runs
+        }
+        for fingerprint in expired:
+            if fingerprint not in kept:
+                del self._runs[fingerprint]
+                self._is_changed = True
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -153,7 +153,9 @@
             self._limits,
             self._servers.mark_leaving,
         )
-        suspects = crash_suspects.CrashSuspects()
+        suspects = crash_suspects.CrashSuspects(
+            self._rng.uniform(0.0, crash_suspects.TRIAL_SPREAD_S)
+        )
         self._topics = topics.TopicExchange(self._notices.socket)
         self._stream_origins = stream_origins.StreamOrigins(
             self._peers, self._topics, self._version_history, self._clock
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -8,6 +8,7 @@
 from mulberrywharf.policy import crash_suspects
 from tests import builders_platform
 from tests import builders_routes as build
+from tests.builders_crashes import blocked_requests, end, record_end, traits
 
 FINGERPRINT = 2**64 - 5
 KEY = f"{crash_records.KEY_PREFIX}fffffffffffffffb"
@@ -31,17 +32,17 @@
 
     def block(self, suspects: crash_suspects.CrashSuspects) -> None:
         for server_key in (1, 2):
-            end = crash_suspects.ServerEnd(
-                server_key, False, self.clock.monotonic_s()
-            )
-            suspects.record_server_end(FINGERPRINT, end)
+            at_s = self.clock.monotonic_s()
+            record_end(suspects, FINGERPRINT, end(server_key, at_s))
         self.records.schedule_write()
 
     def is_stored(self) -> bool:
         return self.client.get(KEY, purpose="test").unwrap() is not None
 
     def is_blocked(self, suspects: crash_suspects.CrashSuspects) -> bool:
-        return suspects.is_blocked(FINGERPRINT, self.clock.monotonic_s())
+        return suspects.is_blocked(
+            traits(FINGERPRINT), self.clock.monotonic_s()
+        )
 
     def test_a_new_gateway_reads_blocked_requests(self) -> None:
         self.block(self.start())
@@ -98,8 +99,9 @@
         self.assertTrue(
             builders_platform.wait_until(lambda: self.is_blocked(suspects))
         )
-        left_s = suspects.blocked_for_s(FINGERPRINT, self.clock.monotonic_s())
-        self.assertLess(left_s, 101.0)
+        now_s = self.clock.monotonic_s()
+        (block,) = suspects.blocks(now_s)
+        self.assertLess(suspects.retry_after_s(block, now_s), 101.0)
 
     def test_invalid_records_are_skipped(self) -> None:
         for name, value in (
@@ -119,7 +121,7 @@
         self.block(suspects)
         self.assertTrue(builders_platform.wait_until(self.is_stored))
         self.assertEqual(
-            suspects.blocked(self.clock.monotonic_s()), [FINGERPRINT]
+            blocked_requests(suspects, self.clock.monotonic_s()), [FINGERPRINT]
         )
 
 
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -10,6 +10,7 @@
 from mulberrywharf.peers import datagrams
 from mulberrywharf.policy import crash_suspects
 from tests import builders_platform
+from tests.builders_crashes import end, record_end, traits
 from tests.test_peers import FakePeers
 
 FINGERPRINT = 2**64 - 5
@@ -25,21 +26,50 @@
 class CodecTest(unittest.TestCase):
     def test_round_trip(self) -> None:
         report = crash_codec.CrashReport(
-            (reported_end(), reported_end(8, made_output=True)),
+            (
+                reported_end(),
+                reported_end(8, made_output=True),
+                reported_end(9, customer=2**63, parts=frozenset({1, 2**63})),
+            ),
             (3, 2**63),
             is_reply=True,
+            cleared_parts=(crash_codec.ClearedPart(2**63 + 1, 9, 0.5),),
+            trials=(2**64 - 1,),
         )
         encoded = crash_codec.encode(report)
         self.assertEqual(crash_codec.decode(encoded).unwrap(), report)
 
-    def test_a_full_report_fits_into_a_datagram(self) -> None:
-        ends = tuple(
-            reported_end(2**32 - 1 - number, made_output=True, age_s=4e6)
-            for number in range(crash_codec.ENDS_LIMIT_COUNT)
-        )
-        encoded = crash_codec.encode(crash_codec.CrashReport(ends))
-        sealed = datagrams.frame_datagram(b"c", encoded)
-        self.assertLessEqual(len(sealed), datagrams.DATAGRAM_LIMIT_BYTES)
+    def test_each_batch_of_a_report_fits_into_a_datagram(self) -> None:
+        for parts_count in (0, 1, 4, 16):
+            ends = tuple(
+                reported_end(
+                    2**32 - 1 - number,
+                    made_output=True,
+                    age_s=4e6,
+                    customer=2**64 - 1,
+                    parts=frozenset(range(2**64 - parts_count, 2**64)),
+                )
+                for number in range(100)
+            )
+            count = crash_codec.CLEARED_LIMIT_COUNT // 2
+            report = crash_codec.CrashReport(
+                ends,
+                tuple(range(2**64 - count, 2**64)),
+                cleared_parts=tuple(
+                    crash_codec.ClearedPart(2**64 - 1 - n, 2**64 - 1, 4e6)
+                    for n in range(count)
+                ),
+            )
+            batches = list(crash_codec.batches(report))
+            sent = [end for batch in batches for end in batch.ends]
+            self.assertEqual(tuple(sent), ends)
+            self.assertEqual(batches[0].cleared_parts, report.cleared_parts)
+            for batch in batches:
+                encoded = crash_codec.encode(batch)
+                sealed = datagrams.frame_datagram(b"c", encoded)
+                self.assertLessEqual(
+                    len(sealed), datagrams.DATAGRAM_LIMIT_BYTES
+                )
 
     def test_a_truncated_report_is_an_error(self) -> None:
         whole = crash_codec.encode(
@@ -83,12 +113,13 @@
 
     def report_end(self, server_key: int) -> None:
         now_s = self._clock.monotonic_s()
-        end = crash_suspects.ServerEnd(server_key, False, now_s)
-        self.suspects.record_server_end(FINGERPRINT, end)
+        record_end(self.suspects, FINGERPRINT, end(server_key, now_s))
         self.reports.tell(FINGERPRINT)
 
     def is_blocking(self) -> bool:
-        return self.suspects.is_blocked(FINGERPRINT, self._clock.monotonic_s())
+        return self.suspects.is_blocked(
+            traits(FINGERPRINT), self._clock.monotonic_s()
+        )
 
 
 class ReportsTest(unittest.TestCase):
@@ -136,7 +167,7 @@
         self.second.suspects.record_completed(
             FINGERPRINT, clock.SystemClock().monotonic_s()
         )
-        self.second.reports.broadcast_cleared(FINGERPRINT)
+        self.second.reports.broadcast_completed(FINGERPRINT)
         self.assertTrue(
             builders_platform.wait_until(
                 lambda: not self.first.is_blocking(), 2.5
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -20,7 +20,6 @@
 )
 from mulberrywharf.platform import requests
 from mulberrywharf.policy import (
-    crash_suspects,
     repeat_budget,
     request_limits,
     stream_version,
@@ -28,6 +27,7 @@
 from mulberrywharf.routes import kinds, table
 from tests import builders_engines
 from tests import builders_routes as build
+from tests.builders_crashes import end, record_end
 from tests.test_plain_call import ECHO, RECEIPT, StaticServers, refusal
 
 HEAD = (
@@ -472,10 +472,8 @@
 
         def refuse(sock: Any, _: bytes) -> None:
             for server_key in (1, 2):
-                end = crash_suspects.ServerEnd(
-                    server_key, False, self.clock.monotonic_s()
-                )
-                suspects.record_server_end(fingerprint, end)
+                at_s = self.clock.monotonic_s()
+                record_end(suspects, fingerprint, end(server_key, at_s))
             sock.sendall(refusal())
 
         suspects = self.crashes._suspects
