--- a/src/mulberrywharf/crashes/crash.capnp
+++ b/src/mulberrywharf/crashes/crash.capnp
@@ -7,7 +7,7 @@
   isReply @2 :Bool;          # replies to a report on a request that the sender
                              # already blocks
   clearedParts @3 :List(ClearedPart);
-  trials @4 :List(UInt64);   # blocks of which the sender tries one request
+  trials @4 :List(UInt64);   # blocks and parts of which the sender tries a request
 }
 
 struct End {
--- a/src/mulberrywharf/crashes/crash_codec.py
+++ b/src/mulberrywharf/crashes/crash_codec.py
@@ -72,7 +72,7 @@
         is_reply: Whether this replies to a report on a request that the
             sender already blocks.
         cleared_parts: Parts with which answers began.
-        trials: Keys of blocks of which the sender tries one request.
+        trials: Keys of blocks and parts of which the sender tries a request.
     """
 
     ends: tuple[ReportedEnd, ...] = ()
--- a/src/mulberrywharf/crashes/crash_reports.py
+++ b/src/mulberrywharf/crashes/crash_reports.py
@@ -120,9 +120,13 @@
             self._cleared_s[part, answered.customer] = answered.at_s
         self._schedule_send()
 
-    def broadcast_trial(self, block_key: int) -> None:
-        """Informs all gateways that a blocked request is tried here."""
-        self._trials.add(block_key)
+    def broadcast_trial(self, key: int) -> None:
+        """Informs all gateways that this one sends a request as a trial.
+
+        Args:
+            key: Key of a block, or of a suspected part.
+        """
+        self._trials.add(key)
         self._schedule_send()
 
     def _enqueue(self, fingerprint: int) -> None:
@@ -189,8 +193,8 @@
             self._suspects.record_completed(fingerprint, now_s)
         for one in report.cleared_parts:
             self._apply_cleared(one, now_s)
-        for block_key in report.trials:
-            self._suspects.record_trial(block_key, now_s)
+        for key in report.trials:
+            self._suspects.record_trial(key, now_s)
         if not report.is_reply:
             self._reply(report, source)
         for reported in report.ends:
--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -135,8 +135,8 @@
         """Informs all gateways of an answer to a request with some parts."""
         ...
 
-    def broadcast_trial(self, block_key: int) -> None:
-        """Informs all gateways that a blocked request is tried here."""
+    def broadcast_trial(self, key: int) -> None:
+        """Informs all gateways that this one sends a request as a trial."""
         ...
 
 
@@ -173,7 +173,7 @@
     ) -> None:
         """Does nothing."""
 
-    def broadcast_trial(self, block_key: int) -> None:
+    def broadcast_trial(self, key: int) -> None:
         """Does nothing."""
 
     def on_read(self, callback: Callable[[], None]) -> None:
@@ -218,8 +218,8 @@
         self._restarts_are_visible = restarts_are_visible
         self._decided: list[crash_blocks.Block] = []
         self._blocks: dict[int, crash_blocks.Block] = {}
-        reports.on_change(self._refresh)
-        records.on_read(self._refresh)
+        reports.on_change(self._on_news)
+        records.on_read(self._on_news)
         self._clock = system_clock
 
     @classmethod
@@ -259,14 +259,14 @@
         """
         block = self._block_of(request, service)
         if block is None:
+            self._check_suspected_parts(request, service)
             return
         now_s = self._clock.monotonic_s()
         log = logger.bind(
             request_id=request.request_id, **_loggable(block, now_s)
         )
         if self._suspects.may_try(block, now_s):
-            self._suspects.record_trial(block.key, now_s)
-            self._reports.broadcast_trial(block.key)
+            self._record_trial(block.key)
             _trials_total.inc({"cause": _cause(block)})
             log.info("a blocked request is tried again")
             return
@@ -277,6 +277,38 @@
             retry_after_s=self._suspects.retry_after_s(block, now_s),
         )
 
+    def _check_suspected_parts(
+        self, request: CallerRequest, service: str
+    ) -> None:
+        """Lets requests with suspected parts pass one at a time.
+
+        Raises:
+            CrashingRequestError: The result of another request is awaited.
+        """
+        if self._suspects.is_empty:
+            return
+        now_s = self._clock.monotonic_s()
+        parts = self._suspects.suspected_parts(_traits(request, service), now_s)
+        if not parts:
+            return
+        log = logger.bind(request_id=request.request_id, parts=_hex_keys(parts))
+        delay_s = self._suspects.trial_delay_s_of(parts, now_s)
+        if delay_s > 0.0:
+            _refused_total.inc({"cause": "suspected-part"})
+            log.info("a request with a suspected part is refused")
+            raise errors.CrashingRequestError(
+                "servers may have ended because of a part of this request",
+                retry_after_s=delay_s,
+            )
+        for part in parts:
+            self._record_trial(part)
+        _trials_total.inc({"cause": "suspected-part"})
+        log.info("a request with a suspected part is tried")
+
+    def _record_trial(self, key: int) -> None:
+        self._suspects.record_trial(key, self._clock.monotonic_s())
+        self._reports.broadcast_trial(key)
+
     def is_blocked(self, request: CallerRequest, service: str = "") -> bool:
         """Returns whether a request must not be sent to another server.
 
@@ -334,7 +366,8 @@
         self._reports.broadcast_parts_cleared(
             cleared, crash_suspects.Answered(customer, now_s)
         )
-        self._refresh()
+        if self._refresh():
+            self._records.schedule_write()
 
     def note_completed(self, request: CallerRequest) -> None:
         """Records that a server answered a request completely."""
@@ -403,8 +436,7 @@
             ends_count=len(self._suspects.ends(fingerprint, ended_s)),
             parts=_loggable_parts(run),
         ).warning("a server ended while it worked on a request")
-        self._refresh()
-        if any(block.covers(traits) for block in self._blocks.values()):
+        if self._refresh():
             self._records.schedule_write()
 
     def _server_key(self, start: fleet.ServerStart, ended_s: float) -> int:
@@ -421,30 +453,34 @@
             _traits(request, service), self._clock.monotonic_s()
         )
 
-    def _refresh(self) -> None:
-        """Updates what is blocked.
+    def _on_news(self) -> None:
+        self._refresh()
+
+    def _refresh(self) -> bool:
+        """Updates what is blocked; returns whether there is a new block.
 
         New information on one request may also unblock another one.
         """
         now_s = self._clock.monotonic_s()
         decided = self._suspects.blocks(now_s)
         if decided is self._decided:
-            return
+            return False
         self._decided = decided
         blocks = {block.key: block for block in decided}
-        for key, block in blocks.items():
-            if key not in self._blocks:
-                logger.bind(**_loggable(block, now_s)).warning(
-                    "a request is blocked: servers ended while processing it"
-                )
-        for key, block in self._blocks.items():
-            if key not in blocks:
-                logger.bind(**_loggable(block, now_s)).info("a block has ended")
-                self._records.remove(key)
-        self._blocks = blocks
+        known, self._blocks = self._blocks, blocks
+        added = [block for key, block in blocks.items() if key not in known]
+        ended = [block for key, block in known.items() if key not in blocks]
+        for block in added:
+            logger.bind(**_loggable(block, now_s)).warning(
+                "a request is blocked: servers ended while processing it"
+            )
+        for block in ended:
+            logger.bind(**_loggable(block, now_s)).info("a block has ended")
+            self._records.remove(block.key)
         for cause in _CAUSES:
-            count = sum(_cause(block) == cause for block in blocks.values())
+            count = sum(_cause(block) == cause for block in decided)
             _blocked_gauge.set({"cause": cause}, count)
+        return bool(added)
 
 
 class RequestWatch:
--- a/src/mulberrywharf/crashes/fingerprints.py
+++ b/src/mulberrywharf/crashes/fingerprints.py
@@ -1,9 +1,11 @@
 """Computes hashes by which requests and parts of prompts are recognized."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
 _FINGERPRINT_BYTES = 8
+_PART_KEYS_CACHED_COUNT = 4_096
 
 
 def fingerprint(texts: Iterable[str], body: bytes) -> int:
@@ -22,6 +24,7 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+@functools.lru_cache(_PART_KEYS_CACHED_COUNT)
 def part_key(service: str, model: str, part_id: str) -> int:
     """Returns the 64-bit key of a part of prompts for a model of a service."""
     digest = _hash_texts((service, model, part_id))
--- a/src/mulberrywharf/policy/crash_blocks.py
+++ b/src/mulberrywharf/policy/crash_blocks.py
@@ -230,15 +230,27 @@
     server_keys: frozenset[int],
     by_request: Mapping[int, Mapping[int, LostRun]],
 ) -> bool:
-    """Returns whether another request is as suspect on these servers."""
+    """Returns whether another request is as suspect on these servers.
+
+    One whose parts were all answered in other requests is less suspect than
+    one with a part that was not.
+    """
+    has_unknown_part = _has_unknown_part(by_request[fingerprint], server_keys)
     return any(
         len(_without_output(runs.values()) & server_keys)
         >= REQUEST_ENDS_WITHOUT_OUTPUT_COUNT
+        and (not has_unknown_part or _has_unknown_part(runs, server_keys))
         for other, runs in by_request.items()
         if other != fingerprint
     )
 
 
+def _has_unknown_part(
+    runs: Mapping[int, LostRun], server_keys: frozenset[int]
+) -> bool:
+    return any(runs[key].parts for key in server_keys & runs.keys())
+
+
 def _part_block(
     candidate: _Candidate, trait: PartTrait, explained: set[int]
 ) -> Block | None:
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -12,7 +12,7 @@
 """
 
 import collections
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
 from mulberrywharf.policy import crash_blocks
@@ -51,8 +51,13 @@
 request is not sent to the only server left that could run it. Servers usually
 restart within seconds."""
 
-RECENT_PART_ENDS_COUNT = 2
-"""The same holds for requests with a part under which this many ended."""
+SUSPECT_PART_ENDS_COUNT = 2
+"""From this many ended servers on, requests with a part are sent one at a time
+and not to the only server left."""
+
+PART_TRIAL_RESULT_S = 0.5
+"""Time after which the next request with a suspected part is sent, if the
+result of the one before is still unknown."""
 
 SUSPECTS_LIMIT_COUNT = 1_024
 COMPLETED_LIMIT_COUNT = 2_048
@@ -250,23 +255,46 @@
     ) -> bool:
         """Returns whether a server recently ended before the request's output.
 
-        That is also so if ``RECENT_PART_ENDS_COUNT`` servers ended under
+        That is also so if ``SUSPECT_PART_ENDS_COUNT`` servers ended under
         requests with the same suspected part. Ends that are ``RECENT_END_S``
         old or older do not count.
         """
-        self._drop_expired(now_s)
+        return any(
+            run.fingerprint == traits.fingerprint
+            for run in self._recent_runs(now_s)
+        ) or bool(self.suspected_parts(traits, now_s))
+
+    def suspected_parts(
+        self, traits: crash_blocks.Traits, now_s: float
+    ) -> frozenset[int]:
+        """Returns the parts of a request under which servers recently ended.
+
+        Those are only parts under which ``SUSPECT_PART_ENDS_COUNT`` ended.
+        """
         servers_by_part: dict[int, set[int]] = collections.defaultdict(set)
-        for run in self._all_runs():
-            if run.made_output or now_s - run.at_s >= RECENT_END_S:
-                continue
-            if run.fingerprint == traits.fingerprint:
-                return True
+        for run in self._recent_runs(now_s):
             is_own = run.customer == traits.customer
             for part in run.parts if is_own else run.shared_parts:
                 servers_by_part[part].add(run.server_key)
-        return any(
-            len(servers_by_part[part]) >= RECENT_PART_ENDS_COUNT
+        return frozenset(
+            part
             for part in traits.parts & servers_by_part.keys()
+            if len(servers_by_part[part]) >= SUSPECT_PART_ENDS_COUNT
+        )
+
+    def trial_delay_s_of(self, parts: Iterable[int], now_s: float) -> float:
+        """Returns the time until a request with suspected parts may be sent.
+
+        Requests with such parts are sent one at a time, so that the first one
+        decides on the part before the next one ends another server.
+        """
+        return max(
+            (
+                self._trials_s[part] + PART_TRIAL_RESULT_S - now_s
+                for part in parts
+                if part in self._trials_s
+            ),
+            default=0.0,
         )
 
     def ended_servers(self) -> frozenset[int]:
@@ -301,10 +329,15 @@
         """Returns whether one blocked request may be sent as a trial."""
         return now_s >= self._trial_from_s(block)
 
-    def record_trial(self, block_key: int, now_s: float) -> None:
-        """Records that a gateway sends one blocked request as a trial."""
-        self._trials_s[block_key] = now_s
-        self._trials_s.move_to_end(block_key)
+    def record_trial(self, key: int, now_s: float) -> None:
+        """Records that a gateway sends one request to learn its outcome.
+
+        Args:
+            key: Key of a block that may be tried, or a suspected part.
+            now_s: Monotonic time.
+        """
+        self._trials_s[key] = now_s
+        self._trials_s.move_to_end(key)
         if len(self._trials_s) > _TRIALS_LIMIT_COUNT:
             self._trials_s.popitem(last=False)
 
@@ -387,6 +420,14 @@
     def _suspected_parts(self) -> frozenset[int]:
         return frozenset().union(*(run.parts for run in self._all_runs()))
 
+    def _recent_runs(self, now_s: float) -> Iterator[crash_blocks.LostRun]:
+        self._drop_expired(now_s)
+        return (
+            run
+            for run in self._all_runs()
+            if not run.made_output and now_s - run.at_s < RECENT_END_S
+        )
+
     def _all_runs(self) -> Iterable[crash_blocks.LostRun]:
         return (run for runs in self._runs.values() for run in runs.values())
 
