Accept a part before a request that was resumed at the same ends

In virtual time a request that was resumed from engine to engine was at all three ends of a part, was blocked in its place, and a fourth engine ended. A candidate's rank is now the number of ends without output, and with as many a part comes first.

--- a/src/mulberrywharf/policy/crash_blocks.py
+++ b/src/mulberrywharf/policy/crash_blocks.py
@@ -8,7 +8,7 @@
 The cause is identified by being in progress at several crashes while nothing
 that contains it succeeds. Whole requests and parts are candidates of one
 decision: the candidate that explains most crashes is accepted first, and
-crashes that it explains are no evidence against other parts.
+crashes that it explains are no evidence against others.
 """
 
 from collections.abc import Iterable, Iterator, Mapping
@@ -127,11 +127,16 @@
 
     @property
     def rank(self) -> tuple[int, int, int]:
-        """Sorts by explained ends, then the cause that blocks least."""
-        ends_count = len(servers_of(self.runs))
+        """Sorts by the ends without output.
+
+        With as many, a part of one customer comes before that of all, and both
+        before a request: one that is resumed is often at several servers that
+        another cause ends.
+        """
+        ends_count = len(_without_output(self.runs))
         if self.trait is None:
-            return -ends_count, 0, self.fingerprint or 0
-        scope = 1 if self.trait.customer is not None else 2
+            return -ends_count, 2, self.fingerprint or 0
+        scope = 0 if self.trait.customer is not None else 1
         return -ends_count, scope, self.trait.part
 
 
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -246,6 +246,17 @@
         self.assertEqual(self.blocked_parts(), [{CULPRIT}])
         self.assertEqual(blocked_requests(self.suspects, 1.0), [])
 
+    def test_resumed_request_at_all_servers_of_a_part_is_not_blocked(
+        self,
+    ) -> None:
+        """Guards against blocking a bystander in place of the part."""
+        server_keys = [self.lose(CULPRIT, number) for number in range(3)]
+        for number, server_key in enumerate(server_keys):
+            server_end = end(server_key, made_output=number == 2)
+            record_end(self.suspects, 999, server_end, (POPULAR,))
+        self.assertEqual(self.blocked_parts(), [{CULPRIT}])
+        self.assertEqual(blocked_requests(self.suspects, 1.0), [])
+
     def test_part_at_servers_that_another_part_ended_is_not_blocked(
         self,
     ) -> None:
