--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,10 +20,17 @@
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
     parser.add_argument("--seeds", type=_range, default=_range("1-50"))
     parser.add_argument("--length-s", type=float, default=DEFAULT_LENGTH_S)
+    parser.add_argument(
+        "--part",
+        action="store_true",
+        help="a part of prompts ends servers, too",
+    )
     arguments = parser.parse_args()
     failed_count = 0
     for seed in [*seeds.ONCE_FAILED, *arguments.seeds]:
-        outcome = play.play(seed, arguments.length_s)
+        outcome = play.play(
+            seed, arguments.length_s, has_culprit_part=arguments.part
+        )
         failed_count += bool(outcome.broken)
         _print(seed, outcome)
     print(f"{failed_count} seeds broke a promise")
--- a/soak/calls.py
+++ b/soak/calls.py
@@ -29,6 +29,7 @@
 _LEAVE_AFTER_S = 0.2
 _KEEP_CHANCE = 0.9
 _FORGED_CUSTOMER = "mallory"
+_SHARED_PART = "aa:13000"
 _STATIC_KEY_CHANCE = 0.7
 _REVOKED_KEYS_COUNT = 3
 
@@ -53,6 +54,8 @@
         leaving_id: Id of the server whose answer says that it leaves, empty
             if it does not.
         is_culprit: Whether it ends each server that runs it.
+        has_culprit_part: Whether a part of its prompt does so; each such
+            request is another one.
         began_s: Monotonic time of the call.
         ended_s: Monotonic time of its end.
         key: API key sent with the request.
@@ -76,6 +79,7 @@
     is_marked: bool = True
     resumes: str = ""
     last_event_id: int = 0
+    has_culprit_part: bool = False
 
     @property
     def stream_id(self) -> str:
@@ -120,6 +124,7 @@
         pause_limit_s: float = _PAUSE_LIMIT_S,
         *,
         keys_rng: random.Random,
+        culprit_part: str = "",
     ):
         """Makes a caller.
 
@@ -130,7 +135,10 @@
             pause_limit_s: Most time between two calls.
             keys_rng: Decides which API key it sends. Separate from ``rng``, so
                 that key choices do not alter the request sequence of a seed.
+            culprit_part: Part of the prompts of all its requests, which then
+                have bodies of their own; empty for none.
         """
+        self._culprit_part = culprit_part
         self._keys_rng = keys_rng
         self._body = body
         self._pause_limit_s = pause_limit_s
@@ -178,9 +186,13 @@
         fields = _resuming(broken)
         if broken is not None:
             key = broken.key
-        answer = _exchange(
-            connection, kind, request_id, self._body or request_id, key, fields
-        )
+        body = self._body or request_id
+        if self._culprit_part:
+            body = f"{body} {request_id}"
+            fields["x-mulberrywharf-prompt-prefix"] = (
+                f"{_SHARED_PART},{self._culprit_part}:500,{request_id}:2500"
+            )
+        answer = _exchange(connection, kind, request_id, body, key, fields)
         if leaving is not None:
             leaving.kill()
         self.calls.append(
@@ -203,6 +215,7 @@
                 answer.is_marked,
                 broken.stream_id if broken else "",
                 broken.last_number if broken else 0,
+                bool(self._culprit_part),
             )
         )
         self._note_broken(self.calls[-1])
@@ -271,10 +284,10 @@
     request_id: str,
     body: str,
     key: str,
-    resuming: dict[str, str],
+    more_fields: dict[str, str],
 ) -> Answer:
     fields = {
-        **resuming,
+        **more_fields,
         "host": build.HOST,
         "x-mulberrywharf-request-id": request_id,
         "x-mulberrywharf-deadline-ms": str(DEADLINE_MS),
@@ -285,7 +298,10 @@
         fields |= {
             "x-mulberrywharf-model": "m",
             "x-mulberrywharf-token-usage": "16000,50",
-            "x-mulberrywharf-prompt-prefix": f"aa:13000,{request_id}:3000",
+            "x-mulberrywharf-prompt-prefix": (
+                f"{_SHARED_PART},{request_id}:3000"
+            ),
+            **fields,
         }
     try:
         connection.request("POST", f"/{kind}/x", body, fields)
--- a/soak/play.py
+++ b/soak/play.py
@@ -12,6 +12,7 @@
 CALLERS_COUNT = 12
 CULPRIT_PAUSE_LIMIT_S = 1.0
 LIMITED_SERVERS_COUNT = 2
+_CULPRIT_PART = "dead"
 _SETTLE_S = 0.5
 """For servers to note what callers gave up on."""
 
@@ -30,12 +31,15 @@
     faults: collections.Counter[str]
 
 
-def play(seed: int, length_s: float) -> Outcome:
+def play(
+    seed: int, length_s: float, *, has_culprit_part: bool = False
+) -> Outcome:
     """Plays one seed.
 
     Args:
         seed: Decides faults and calls; their interleaving is the machine's.
         length_s: How long faults are begun.
+        has_culprit_part: Whether a part of prompts ends servers, too.
     """
     rng = random.Random(seed)
     played = fleet.Fleet()
@@ -59,6 +63,17 @@
                 keys_rng=keys_rng,
             )
         )
+        if has_culprit_part:
+            callers.append(
+                calls.Caller(
+                    played,
+                    random.Random(f"part {seed}"),
+                    fleet.CULPRIT,
+                    CULPRIT_PAUSE_LIMIT_S,
+                    keys_rng=keys_rng,
+                    culprit_part=_CULPRIT_PART,
+                )
+            )
         running = [gevent.spawn(caller.run) for caller in callers]
         rotation = gevent.spawn(faults.rotate_keys, played, keys_rng, length_s)
         limits_rng = random.Random(f"limits {seed}")
--- a/soak/server_promises.py
+++ b/soak/server_promises.py
@@ -7,7 +7,8 @@
   and the end of the rest.
 * A request that ends each server which runs it comes to servers at most
   ``LATE_SENDS_LIMIT_COUNT`` times later than ``TOLD_WITHIN_S`` behind the third
-  end, sent by gateways that were not upset meanwhile.
+  end, sent by gateways that were not upset meanwhile; requests with a part that
+  does so, all together, behind the fifth.
 """
 
 from collections.abc import Iterator
@@ -22,6 +23,7 @@
 TOLD_WITHIN_S = 3.0
 LATE_SENDS_LIMIT_COUNT = 3
 _ENDS_LIMIT_COUNT = 3
+_PART_ENDS_LIMIT_COUNT = 5
 
 
 class _Sent(NamedTuple):
@@ -108,18 +110,29 @@
                 yield f"{asked.server_id} rests, sent {len(within)} times"
 
     def _sent_again(self) -> Iterator[str]:
-        ends_s = sorted(
-            at_s
-            for server in self._fleet.servers.values()
-            for at_s, _ in server.crashes
-        )
-        if len(ends_s) < _ENDS_LIMIT_COUNT:
-            return
-        since_s = ends_s[_ENDS_LIMIT_COUNT - 1] + TOLD_WITHIN_S
-        late = [
-            arrival
-            for name, arrival, call, sender in self._arrivals
-            if call.is_culprit
+        for has_part in (False, True):
+            allowed_count = (
+                _PART_ENDS_LIMIT_COUNT if has_part else _ENDS_LIMIT_COUNT
+            )
+            ends_s = sorted(
+                at_s
+                for server in self._fleet.servers.values()
+                for at_s, body in server.crashes
+                if (body != fleet.CULPRIT) == has_part
+            )
+            if len(ends_s) < allowed_count:
+                continue
+            since_s = ends_s[allowed_count - 1] + TOLD_WITHIN_S
+            late_count = self._late_sends_count(since_s, has_part)
+            if late_count > LATE_SENDS_LIMIT_COUNT:
+                what = "a part" if has_part else "a request"
+                ends_count = len(ends_s)
+                yield f"{what} sent {late_count} times behind {ends_count} ends"
+
+    def _late_sends_count(self, since_s: float, has_part: bool) -> int:
+        return sum(
+            call.is_culprit
+            and call.has_culprit_part == has_part
             and arrival.at_s > since_s
             and not self._is_upset(
                 (sender, None),
@@ -127,9 +140,8 @@
                 arrival.at_s - TOLD_WITHIN_S,
                 arrival.at_s,
             )
-        ]
-        if len(late) > LATE_SENDS_LIMIT_COUNT:
-            yield f"sent {len(late)} times behind {len(ends_s)} ends"
+            for name, arrival, call, sender in self._arrivals
+        )
 
     def _is_upset(
         self,
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -101,6 +101,7 @@
         self.faults: dict[str, Any] = {}
         self.limits: tuple[str, ...] = ()
         self._server_id = server_id
+        self._has_ended = False
         self._ip = ip
         self._server = http_control.make_server(ip, port, self._application)
         self.port = self._server.port
@@ -119,6 +120,7 @@
         self._server = http_control.make_server(
             self._ip, self.port, self._application
         )
+        self._has_ended = False
         self.start_again()
         self.start()
 
@@ -273,10 +275,14 @@
         """Ends the server; the request's own task ends with it."""
         # Nobody listens before any connection shows that it has ended. Its
         # task is ended behind that, or it would answer that it failed.
-        self.on_end()
-        self._server.close()
+        is_first = not self._has_ended
+        self._has_ended = True
+        if is_first:
+            self.on_end()
+            self._server.close()
         _http.break_connection(environ)
-        gevent.spawn(self._crash, body)
+        if is_first:
+            gevent.spawn(self._crash, body)
         gevent.sleep(_CRASH_LIMIT_S)
         raise ConnectionError("it has ended")
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,11 +12,22 @@
 class SoakTest(unittest.TestCase):
     def test_no_promise_is_broken(self) -> None:
         for seed in (*SEEDS, *seeds.ONCE_FAILED):
-            with self.subTest(seed=seed):
-                outcome = play.play(seed, LENGTH_S)
-                self.assertEqual(outcome.broken, [])
-                self.assertGreater(len(outcome.calls), 50)
-                self.assertGreater(outcome.faults.total(), 3)
+            self.check(seed)
+
+    def test_no_promise_is_broken_beside_a_part_that_ends_servers(
+        self,
+    ) -> None:
+        for seed in SEEDS:
+            self.check(seed, has_culprit_part=True)
+
+    def check(self, seed: int, *, has_culprit_part: bool = False) -> None:
+        with self.subTest(seed=seed):
+            outcome = play.play(
+                seed, LENGTH_S, has_culprit_part=has_culprit_part
+            )
+            self.assertEqual(outcome.broken, [])
+            self.assertGreater(len(outcome.calls), 50)
+            self.assertGreater(outcome.faults.total(), 3)
 
 
 class PromisesTest(unittest.TestCase):
