Close new connections unread while far more come than can be served

What callers saw: at a gateway to which most new connections went every call waited for seconds, while other gateways were idle.

Cause: the listener accepts and reads up to 8,192 connections, whatever the process can serve; nothing measured how late its event loop ran.

Change: policy/connection_admission limits the rate of connections that are read, from the lag of the event loop, if at least twice the usual number come; the others are reset before anything is read. What was read is served as before.

--- /dev/null
+++ b/src/mulberrywharf/callers/connection_intake.py
@@ -0,0 +1,97 @@
+"""Closes new connections unread while the process cannot keep up.
+
+A caller whose connection is closed before its request was read knows that
+nothing ran, and retries at once, usually at another gateway.
+"""
+
+import time
+from typing import Any
+
+import gevent
+from loguru import logger
+
+from mulberrywharf import _connections, metrics
+from mulberrywharf.policy import connection_admission
+
+MEASURE_INTERVAL_S = 0.02
+
+_closed_total = metrics.counter(
+    "mulberry_connections_closed_unread_total",
+    "New connections that were closed unread as the process could not keep up.",
+)
+_lag_gauge = metrics.gauge(
+    "mulberry_event_loop_lag_seconds",
+    "How long a task last waited for the event loop.",
+)
+_rate_gauge = metrics.gauge(
+    "mulberry_connections_read_limit_per_second",
+    "New connections that are read a second, 0 without a limit.",
+)
+
+
+class ConnectionIntake:
+    """Decides on each accepted connection; measures the event loop for that."""
+
+    def __init__(self) -> None:
+        self._admission = connection_admission.ConnectionAdmission(
+            time.monotonic()
+        )
+        self._closed_count = 0
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begins to measure the event loop."""
+        if self._task is None:
+            self._task = gevent.spawn(self._measure)
+
+    def close(self) -> None:
+        """Stops measuring."""
+        if self._task is not None:
+            self._task.kill(block=False)
+            self._task = None
+
+    def takes(self, sock: Any) -> bool:
+        """Returns whether a connection is to be served; closes it otherwise.
+
+        Args:
+            sock: Socket of the accepted connection.
+        """
+        if self._admission.admits(time.monotonic()):
+            return True
+        self._closed_count += 1
+        _closed_total.inc({})
+        try:
+            # A reset leaves no state of the connection behind.
+            _connections.reset_on_close(sock)
+        except OSError as error:
+            logger.debug("a caller closed its connection before: {}", error)
+        sock.close()
+        return False
+
+    def _measure(self) -> None:
+        while True:
+            began_s = time.monotonic()
+            gevent.sleep(MEASURE_INTERVAL_S)
+            # Timers overtake tasks that can run; this waits behind them.
+            gevent.sleep(0)
+            now_s = time.monotonic()
+            lag_s = max(0.0, now_s - began_s - MEASURE_INTERVAL_S)
+            self._note_lag(lag_s, now_s)
+
+    def _note_lag(self, lag_s: float, now_s: float) -> None:
+        was_limited = self._admission.rate_per_s is not None
+        self._admission.note_lag(lag_s, now_s)
+        rate_per_s = self._admission.rate_per_s
+        _lag_gauge.set({}, lag_s)
+        _rate_gauge.set({}, rate_per_s or 0.0)
+        if was_limited == (rate_per_s is not None):
+            return
+        if rate_per_s is not None:
+            logger.bind(
+                rate_per_s=round(rate_per_s, 1), lag_s=round(lag_s, 3)
+            ).warning("new connections are closed unread: too many come")
+        else:
+            logger.bind(closed_count=self._closed_count).info(
+                "all new connections are read again"
+            )
+            self._closed_count = 0
--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -21,7 +21,7 @@
 from loguru import logger
 
 from mulberrywharf import _connections, _headers, _wsgi, errors, settings
-from mulberrywharf.callers import handshakes, problems
+from mulberrywharf.callers import connection_intake, handshakes, problems
 
 HEADERS_KEY = "mulberrywharf.headers"
 """Environ key: header fields in the order received, as a list of (lower-case
@@ -241,6 +241,7 @@
         body_limit_bytes: int = DEFAULT_BODY_LIMIT_BYTES,
         connections_limit_count: int = _CONNECTIONS_LIMIT_COUNT,
         idle_timeout_s: float = _IDLE_TIMEOUT_S,
+        intake: connection_intake.ConnectionIntake | None = None,
     ):
         super().__init__(ip, port, _no_application)
         self.handler_class = _CallerHandler
@@ -250,6 +251,7 @@
         self.header_limit_bytes = header_limit_bytes
         self.body_limit_bytes = body_limit_bytes
         self._idle_timeout_s = idle_timeout_s
+        self._intake = intake
         self.stopping = False
         self.busy_sockets: set[Any] = set()
         self._close_when_idle_from_s = float("inf")
@@ -283,6 +285,12 @@
         """Stores the WSGI application; call it before ``start``."""
         self.application = application
 
+    def do_handle(self, sock: Any, address: Any) -> None:
+        """Starts to serve an accepted connection, if it is to be read."""
+        is_stopping = self.stopping
+        if is_stopping or self._intake is None or self._intake.takes(sock):
+            super().do_handle(sock, address)
+
     def handle(self, sock: Any, address: Any) -> None:
         """Serves one accepted connection until it is closed."""
         self.record_activity(sock)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -16,7 +16,12 @@
     server_limits,
 )
 from mulberrywharf.authority import duty_holder, role_manager
-from mulberrywharf.callers import handed_over, listener, routed_server
+from mulberrywharf.callers import (
+    connection_intake,
+    handed_over,
+    listener,
+    routed_server,
+)
 from mulberrywharf.crashes import (
     crash_records,
     crash_reports,
@@ -237,7 +242,8 @@
         self._servers.on_change(self._on_servers_change)
         self._servers.on_change(self._revision_exchange.on_change)
         self._routes.on_change(lambda _: self._revision_exchange.on_change())
-        self._listener = _listener(config)
+        self._intake = connection_intake.ConnectionIntake()
+        self._listener = _listener(config, self._intake)
         self._duties = _gateway_duties.create(
             config,
             _gateway_duties.Dependencies(
@@ -298,6 +304,7 @@
         self._revision_exchange.start()
         for part in (*self._roles, self._duties):
             part.start()
+        self._intake.start()
         self._listener.start()
         self._peer_listener.start()
         self._readiness_greenlet = gevent.spawn(self._update_readiness)
@@ -361,6 +368,7 @@
         self._handover_client.close()
         self._client.close()
         self._readiness.close()
+        self._intake.close()
 
     def _peer_parts(
         self,
@@ -677,9 +685,10 @@
 
 def _listener(
     config: gateway_settings.GatewaySettings,
+    intake: connection_intake.ConnectionIntake,
 ) -> listener.CallerListener:
     listen = gateway_settings.endpoint(config["callers_listen"])
-    return listener.CallerListener(listen["ip"], listen["port"])
+    return listener.CallerListener(listen["ip"], listen["port"], intake=intake)
 
 
 def _peer_listener(
