Block a part only once requests without it are answered, or at five ends

The part that all streams had in common was at all three ends and was blocked; then nothing could clear it, and 89 of 196 streams behind the faults were refused.

A part is no more suspect than anything else while nothing is answered at all: a block now needs three answers without the part at the gateway since the first of the ends, or five ends. What other gateways block, and what records in the store hold, needs neither.

--- a/src/mulberrywharf/crashes/crash_records.py
+++ b/src/mulberrywharf/crashes/crash_records.py
@@ -189,7 +189,7 @@
             )
             return
         for traits, end in lost:
-            self._suspects.record_server_end(traits, end)
+            self._suspects.record_server_end(traits, end, is_accepted=True)
 
     def _decode_run(
         self, block_key: int, fields: Mapping[str, Any]
--- a/src/mulberrywharf/crashes/crash_reports.py
+++ b/src/mulberrywharf/crashes/crash_reports.py
@@ -198,7 +198,7 @@
         if not report.is_reply:
             self._reply(report, source)
         for reported in report.ends:
-            self._apply_end(reported, now_s)
+            self._apply_end(reported, now_s, is_reply=report.is_reply)
         self._on_change()
         return True
 
@@ -210,13 +210,14 @@
         self._suspects.record_part_cleared(one.part, answered)
 
     def _apply_end(
-        self, reported: crash_codec.ReportedEnd, now_s: float
+        self, reported: crash_codec.ReportedEnd, now_s: float, *, is_reply: bool
     ) -> None:
         traits = _traits(reported)
         end = crash_suspects.ServerEnd(
             reported.server_key, reported.made_output, now_s - reported.age_s
         )
-        self._suspects.record_server_end(traits, end)
+        # Only gateways that block a request reply.
+        self._suspects.record_server_end(traits, end, is_accepted=is_reply)
         unsuspected = self._suspects.unsuspected_parts(traits, end)
         for part, answered in unsuspected.items():
             # Only some of the gateways that know better reply: the others
--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -358,6 +358,7 @@
             customer, parts, service, now_s
         )
         if not cleared:
+            self._note_changes()
             return
         _parts_cleared_total.add({}, len(cleared))
         logger.bind(
@@ -366,8 +367,7 @@
         self._reports.broadcast_parts_cleared(
             cleared, crash_suspects.Answered(customer, now_s)
         )
-        if self._refresh():
-            self._records.schedule_write()
+        self._note_changes()
 
     def note_completed(self, request: CallerRequest) -> None:
         """Records that a server answered a request completely."""
@@ -436,8 +436,7 @@
             ends_count=len(self._suspects.ends(fingerprint, ended_s)),
             parts=_loggable_parts(run),
         ).warning("a server ended while it worked on a request")
-        if self._refresh():
-            self._records.schedule_write()
+        self._note_changes()
 
     def _server_key(self, start: fleet.ServerStart, ended_s: float) -> int:
         if self._restarts_are_visible:
@@ -453,6 +452,11 @@
             _traits(request, service), self._clock.monotonic_s()
         )
 
+    def _note_changes(self) -> None:
+        """Updates what is blocked after an event at this gateway."""
+        if not self._suspects.is_empty and self._refresh():
+            self._records.schedule_write()
+
     def _on_news(self) -> None:
         self._refresh()
 
--- a/src/mulberrywharf/policy/crash_blocks.py
+++ b/src/mulberrywharf/policy/crash_blocks.py
@@ -26,6 +26,14 @@
 """A part is blocked once this many servers ended before different requests with
 it had produced any output."""
 
+OTHER_ANSWERS_COUNT = 3
+"""This many answers to requests without the part must have begun since the
+first of these ends. If nothing is answered at all, the part is no more suspect
+than anything else."""
+
+PART_ENDS_WITHOUT_ANSWERS_COUNT = 5
+"""A part is blocked at this many ends even if there were no such answers."""
+
 _PART_REQUESTS_COUNT = 2
 _ALL_CUSTOMERS_COUNT = 2
 
@@ -57,6 +65,9 @@
             since.
         shared_parts: Those that no request of any customer was answered with
             since.
+        answers_count: Answers that had begun at this gateway when it learned
+            of the end; None if other gateways have accepted it as the reason
+            of a block.
     """
 
     fingerprint: int
@@ -66,6 +77,7 @@
     at_s: float
     parts: frozenset[int] = frozenset()
     shared_parts: frozenset[int] = frozenset()
+    answers_count: int | None = None
 
 
 class PartTrait(NamedTuple):
@@ -143,19 +155,21 @@
 def decide(
     by_request: Mapping[int, Mapping[int, LostRun]],
     by_part: Mapping[PartTrait, Iterable[LostRun]],
+    answers_count: int,
 ) -> list[Block]:
     """Returns what must be blocked.
 
-    The result depends on the runs alone, not on their order, so gateways that
-    know of the same ones block the same requests.
+    The result does not depend on the order of the runs, so gateways that know
+    of the same ones block the same requests.
 
     Args:
         by_request: Lost runs by fingerprint and server key.
         by_part: Lost runs without output by what they have in common.
+        answers_count: Answers that have begun at this gateway.
     """
     candidates = [
         *_request_candidates(by_request),
-        *_part_candidates(by_part),
+        *_part_candidates(by_part, answers_count),
     ]
     blocks: list[Block] = []
     explained: set[int] = set()
@@ -164,7 +178,9 @@
         if candidate.trait is None:
             block = _request_block(candidate, by_request, explained_by_parts)
         else:
-            block = _part_block(candidate, candidate.trait, explained)
+            block = _part_block(
+                candidate, candidate.trait, explained, answers_count
+            )
         if block is None:
             continue
         blocks.append(block)
@@ -188,21 +204,28 @@
 
 
 def _part_candidates(
-    by_part: Mapping[PartTrait, Iterable[LostRun]],
+    by_part: Mapping[PartTrait, Iterable[LostRun]], answers_count: int
 ) -> Iterator[_Candidate]:
     for trait, runs in by_part.items():
         candidate = _Candidate(tuple(runs), trait=trait)
-        if _is_part_suspected(candidate.runs, trait):
+        if _is_part_suspected(candidate.runs, trait, answers_count):
             yield candidate
 
 
-def _is_part_suspected(runs: Iterable[LostRun], trait: PartTrait) -> bool:
+def _is_part_suspected(
+    runs: Iterable[LostRun], trait: PartTrait, answers_count: int
+) -> bool:
     lost = list(runs)
     if len(lost) < PART_ENDS_COUNT:
         return False
+    ends_count = (
+        PART_ENDS_COUNT
+        if _were_others_answered(lost, answers_count)
+        else PART_ENDS_WITHOUT_ANSWERS_COUNT
+    )
     customers_count = len({run.customer for run in lost})
     return (
-        len(servers_of(lost)) >= PART_ENDS_COUNT
+        len(servers_of(lost)) >= ends_count
         and len({run.fingerprint for run in lost}) >= _PART_REQUESTS_COUNT
         and (
             trait.customer is not None
@@ -211,6 +234,15 @@
     )
 
 
+def _were_others_answered(runs: Iterable[LostRun], answers_count: int) -> bool:
+    """Returns whether answers began while none began with the part."""
+    return any(
+        run.answers_count is None
+        or answers_count - run.answers_count >= OTHER_ANSWERS_COUNT
+        for run in runs
+    )
+
+
 def _request_block(
     candidate: _Candidate,
     by_request: Mapping[int, Mapping[int, LostRun]],
@@ -257,10 +289,13 @@
 
 
 def _part_block(
-    candidate: _Candidate, trait: PartTrait, explained: set[int]
+    candidate: _Candidate,
+    trait: PartTrait,
+    explained: set[int],
+    answers_count: int,
 ) -> Block | None:
     fresh = [run for run in candidate.runs if run.server_key not in explained]
-    if not _is_part_suspected(fresh, trait):
+    if not _is_part_suspected(fresh, trait, answers_count):
         return None
     # Parts that all of the runs contain cannot be told apart.
     common = frozenset.intersection(
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -123,6 +123,8 @@
             crash_blocks.PartTrait, Answered
         ] = collections.OrderedDict()
         self._answers_counts: collections.Counter[str] = collections.Counter()
+        self._answers_count = 0
+        self._awaited_answers_count = 0
         self._trials_s: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
@@ -131,10 +133,19 @@
         self._expire_from_s = float("-inf")
 
     def record_server_end(
-        self, traits: crash_blocks.Traits, end: ServerEnd
+        self,
+        traits: crash_blocks.Traits,
+        end: ServerEnd,
+        *,
+        is_accepted: bool = False,
     ) -> bool:
         """Records that a server ended while it ran a request.
 
+        Args:
+            traits: What the request has in common with others.
+            end: The end.
+            is_accepted: Whether it is the reason of a block elsewhere.
+
         Returns:
             Whether this is new information; False also for a request that
             completed recently.
@@ -147,11 +158,16 @@
         known = runs.get(end.server_key)
         if known is not None and (known.made_output or not end.made_output):
             return False
-        runs[end.server_key] = self._lost_run(traits, end)
+        runs[end.server_key] = self._lost_run(
+            traits, end, None if is_accepted else self._answers_count
+        )
         while len(runs) > _ENDS_PER_REQUEST_LIMIT_COUNT:
             del runs[next(iter(runs))]
         self._runs.move_to_end(fingerprint)
         self._is_changed = True
+        self._awaited_answers_count = (
+            self._answers_count + crash_blocks.OTHER_ANSWERS_COUNT
+        )
         if len(self._runs) > SUSPECTS_LIMIT_COUNT:
             self._evict_oldest()
         return True
@@ -180,6 +196,9 @@
             The parts that this clears of suspicion.
         """
         self._answers_counts[service] += 1
+        self._answers_count += 1
+        if self._answers_count <= self._awaited_answers_count:
+            self._is_changed = True
         answered = Answered(
             customer, now_s, service, self._answers_counts[service]
         )
@@ -352,7 +371,10 @@
         return not self._runs
 
     def _lost_run(
-        self, traits: crash_blocks.Traits, end: ServerEnd
+        self,
+        traits: crash_blocks.Traits,
+        end: ServerEnd,
+        answers_count: int | None,
     ) -> crash_blocks.LostRun:
         parts: frozenset[int] = frozenset()
         shared_parts: frozenset[int] = frozenset()
@@ -375,6 +397,7 @@
             end.at_s,
             parts,
             shared_parts,
+            answers_count,
         )
 
     def _answer_about(
@@ -455,7 +478,9 @@
     def _decide(self) -> list[crash_blocks.Block]:
         if self._is_changed:
             self._is_changed = False
-            self._blocks = crash_blocks.decide(self._runs, self._runs_by_part())
+            self._blocks = crash_blocks.decide(
+                self._runs, self._runs_by_part(), self._answers_count
+            )
         return self._blocks
 
     def _evict_oldest(self) -> None:
--- a/tests/builders_crashes.py
+++ b/tests/builders_crashes.py
@@ -30,6 +30,12 @@
     )
 
 
+def answer_others(suspects: crash_suspects.CrashSuspects, at_s: float) -> None:
+    """Records answers that show that the service works."""
+    for number in range(crash_blocks.OTHER_ANSWERS_COUNT):
+        suspects.record_answer_began(0, (10_000 + number,), "engines", at_s)
+
+
 def blocked_requests(
     suspects: crash_suspects.CrashSuspects, now_s: float
 ) -> list[int]:
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -5,8 +5,9 @@
 import unittest
 from collections.abc import Iterable
 
-from mulberrywharf.policy import crash_suspects
+from mulberrywharf.policy import crash_blocks, crash_suspects
 from tests.builders_crashes import (
+    answer_others,
     blocked_parts,
     blocked_requests,
     end,
@@ -35,6 +36,7 @@
         customer: int = CUSTOMER,
         server_key: int | None = None,
         made_output: bool = False,
+        are_others_answered: bool = True,
     ) -> int:
         """Records the end of a server under a new request; returns its key."""
         server_key = next(self.servers) if server_key is None else server_key
@@ -45,6 +47,8 @@
             parts,
             customer,
         )
+        if are_others_answered:
+            answer_others(self.suspects, at_s)
         return server_key
 
     def answer(
@@ -81,6 +85,7 @@
         for server_key in range(2):
             record_end(self.suspects, 900, end(server_key), (CULPRIT, 5))
         record_end(self.suspects, 901, end(2), (CULPRIT, 6))
+        answer_others(self.suspects, 0.0)
         self.assertEqual(self.blocked_parts(), [{CULPRIT}])
 
     def test_part_that_ends_servers_behind_output_is_not_blocked(self) -> None:
@@ -107,9 +112,42 @@
             suspects = crash_suspects.CrashSuspects()
             for fingerprint, server_end, parts in order:
                 record_end(suspects, fingerprint, server_end, parts)
+            answer_others(suspects, 0.0)
             self.assertEqual(blocked_parts(suspects, 1.0), [{CULPRIT}])
 
 
+class NothingAnsweredTest(PartsCase):
+    """Guards against blocking a popular part when all servers end at once."""
+
+    def test_part_is_blocked_once_others_are_answered(self) -> None:
+        for _ in range(3):
+            self.lose(CULPRIT, are_others_answered=False)
+        self.assertEqual(self.blocked_parts(), [])
+        answer_others(self.suspects, 5.0)
+        self.assertEqual(self.blocked_parts(5.0), [{CULPRIT}])
+
+    def test_part_is_not_blocked_if_it_is_answered_first(self) -> None:
+        for _ in range(3):
+            self.lose(POPULAR, are_others_answered=False)
+        self.answer(POPULAR, at_s=5.0)
+        answer_others(self.suspects, 5.0)
+        self.assertEqual(self.blocked_parts(5.0), [])
+
+    def test_many_ends_block_a_part_that_all_requests_have(self) -> None:
+        for number in range(crash_blocks.PART_ENDS_WITHOUT_ANSWERS_COUNT):
+            self.assertEqual(self.blocked_parts(), [], number)
+            self.lose(CULPRIT, are_others_answered=False)
+        self.assertEqual(self.blocked_parts(), [{CULPRIT}])
+
+    def test_reason_of_a_block_elsewhere_needs_no_answers(self) -> None:
+        """Guards against a gateway that begins anew and has answered none."""
+        for number in range(3):
+            self.suspects.record_server_end(
+                traits(number, (CULPRIT,)), end(number), is_accepted=True
+            )
+        self.assertEqual(self.blocked_parts(), [{CULPRIT}])
+
+
 class IndistinguishableTest(PartsCase):
     def setUp(self) -> None:
         super().setUp()
--- a/tests/test_crash_records.py
+++ b/tests/test_crash_records.py
@@ -8,7 +8,13 @@
 from mulberrywharf.policy import crash_suspects
 from tests import builders_platform
 from tests import builders_routes as build
-from tests.builders_crashes import blocked_requests, end, record_end, traits
+from tests.builders_crashes import (
+    answer_others,
+    blocked_requests,
+    end,
+    record_end,
+    traits,
+)
 
 FINGERPRINT = 2**64 - 5
 PART = 2**64 - 7
@@ -89,6 +95,7 @@
         at_s = self.clock.monotonic_s()
         for number in range(3):
             record_end(suspects, number, end(number, at_s), (PART, number), 9)
+        answer_others(suspects, at_s)
         self.records.schedule_write()
         request = traits(99, (PART,), customer=9)
         self.assertTrue(
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -12,7 +12,7 @@
 from mulberrywharf.peers import datagrams
 from mulberrywharf.policy import crash_suspects
 from tests import builders_platform
-from tests.builders_crashes import end, record_end, traits
+from tests.builders_crashes import answer_others, end, record_end, traits
 from tests.test_peers import FakePeers
 
 FINGERPRINT = 2**64 - 5
@@ -158,6 +158,7 @@
     ) -> None:
         now_s = self._clock.monotonic_s()
         record_end(self.suspects, fingerprint, end(server_key, now_s), (part,))
+        answer_others(self.suspects, now_s)
         self.reports.tell(fingerprint)
 
     def answer(self, part: int) -> None:
@@ -166,6 +167,7 @@
         )
 
     def is_blocking_part(self, part: int) -> bool:
+        answer_others(self.suspects, self._clock.monotonic_s())
         return self.suspects.is_blocked(
             traits(1, (part,)), self._clock.monotonic_s()
         )
