--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -12,7 +12,7 @@
 """
 
 import collections
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from mulberrywharf.policy import crash_blocks
@@ -129,6 +129,9 @@
             collections.OrderedDict()
         )
         self._blocks: list[crash_blocks.Block] = []
+        self._by_part: dict[
+            crash_blocks.PartTrait, list[crash_blocks.LostRun]
+        ] = {}
         self._is_changed = False
         self._expire_from_s = float("-inf")
 
@@ -202,8 +205,7 @@
         answered = Answered(
             customer, now_s, service, self._answers_counts[service]
         )
-        suspected = self._suspected_parts() if self._runs else frozenset()
-        cleared = frozenset(parts) & suspected
+        cleared = self._suspected_of(parts) if self._runs else frozenset()
         for part in parts:
             self._note_answered(part, answered)
         if cleared:
@@ -278,9 +280,11 @@
         requests with the same suspected part. Ends that are ``RECENT_END_S``
         old or older do not count.
         """
+        self._drop_expired(now_s)
+        runs = self._runs.get(traits.fingerprint, {}).values()
         return any(
-            run.fingerprint == traits.fingerprint
-            for run in self._recent_runs(now_s)
+            not run.made_output and now_s - run.at_s < RECENT_END_S
+            for run in runs
         ) or bool(self.suspected_parts(traits, now_s))
 
     def suspected_parts(
@@ -290,15 +294,26 @@
 
         Those are only parts under which ``SUSPECT_PART_ENDS_COUNT`` ended.
         """
-        servers_by_part: dict[int, set[int]] = collections.defaultdict(set)
-        for run in self._recent_runs(now_s):
-            is_own = run.customer == traits.customer
-            for part in run.parts if is_own else run.shared_parts:
-                servers_by_part[part].add(run.server_key)
+        self._drop_expired(now_s)
+        self._decide()
         return frozenset(
             part
-            for part in traits.parts & servers_by_part.keys()
-            if len(servers_by_part[part]) >= SUSPECT_PART_ENDS_COUNT
+            for part in traits.parts
+            if any(
+                self._recent_ends_count(part, customer, now_s)
+                >= SUSPECT_PART_ENDS_COUNT
+                for customer in (traits.customer, None)
+            )
+        )
+
+    def _recent_ends_count(
+        self, part: int, customer: int | None, now_s: float
+    ) -> int:
+        runs = self._by_part.get(crash_blocks.PartTrait(part, customer), ())
+        return len(
+            crash_blocks.servers_of(
+                run for run in runs if now_s - run.at_s < RECENT_END_S
+            )
         )
 
     def trial_delay_s_of(self, parts: Iterable[int], now_s: float) -> float:
@@ -440,15 +455,11 @@
                     parts=parts, shared_parts=run.shared_parts - cleared
                 )
 
-    def _suspected_parts(self) -> frozenset[int]:
-        return frozenset().union(*(run.parts for run in self._all_runs()))
-
-    def _recent_runs(self, now_s: float) -> Iterator[crash_blocks.LostRun]:
-        self._drop_expired(now_s)
-        return (
-            run
-            for run in self._all_runs()
-            if not run.made_output and now_s - run.at_s < RECENT_END_S
+    def _suspected_of(self, parts: Iterable[int]) -> frozenset[int]:
+        """Returns those of the parts that any run is suspected for."""
+        found = frozenset(parts)
+        return found & frozenset().union(
+            *(run.parts & found for run in self._all_runs())
         )
 
     def _all_runs(self) -> Iterable[crash_blocks.LostRun]:
@@ -478,8 +489,9 @@
     def _decide(self) -> list[crash_blocks.Block]:
         if self._is_changed:
             self._is_changed = False
+            self._by_part = self._runs_by_part()
             self._blocks = crash_blocks.decide(
-                self._runs, self._runs_by_part(), self._answers_count
+                self._runs, self._by_part, self._answers_count
             )
         return self._blocks
 
