Send a request with a suspected part once more if an engine refused it

Found by reading the change: the check before a repeat took the request's own first attempt for another request with the part whose outcome is awaited, and the caller got 503 where the next engine would have answered. A repeat is refused only if the request is blocked; the new test failed before.

The intake measures the event loop with the timer that hand-overs use, which can wait behind all tasks now.

--- a/src/mulberrywharf/_loop_lag.py
+++ b/src/mulberrywharf/_loop_lag.py
@@ -1,6 +1,7 @@
 """Measures how late the event loop runs its tasks."""
 
 import time
+from collections.abc import Callable
 
 import gevent
 
@@ -12,7 +13,21 @@
 class LoopLag:
     """The average lateness of a timer, while it is being measured."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        on_measured: Callable[[float], None] = lambda _: None,
+        *,
+        waits_for_tasks: bool = False,
+    ) -> None:
+        """Creates it; measures nothing before ``start``.
+
+        Args:
+            on_measured: Called with each lateness in seconds.
+            waits_for_tasks: Whether to include the time of all tasks that can
+                run; timers overtake these.
+        """
+        self._on_measured = on_measured
+        self._waits_for_tasks = waits_for_tasks
         self._task: gevent.Greenlet | None = None
         self._average_s = 0.0
 
@@ -37,5 +52,8 @@
         while True:
             began_s = time.monotonic()
             gevent.sleep(INTERVAL_S)
-            late_s = time.monotonic() - began_s - INTERVAL_S
-            self._average_s += WEIGHT * (max(0.0, late_s) - self._average_s)
+            if self._waits_for_tasks:
+                gevent.sleep(0)
+            late_s = max(0.0, time.monotonic() - began_s - INTERVAL_S)
+            self._average_s += WEIGHT * (late_s - self._average_s)
+            self._on_measured(late_s)
--- a/src/mulberrywharf/callers/connection_intake.py
+++ b/src/mulberrywharf/callers/connection_intake.py
@@ -7,14 +7,11 @@
 import time
 from typing import Any
 
-import gevent
 from loguru import logger
 
-from mulberrywharf import _connections, metrics
+from mulberrywharf import _connections, _loop_lag, metrics
 from mulberrywharf.policy import connection_admission
 
-MEASURE_INTERVAL_S = 0.02
-
 _closed_total = metrics.counter(
     "mulberry_connections_closed_unread_total",
     "New connections that were closed unread as the process could not keep up.",
@@ -37,18 +34,15 @@
             time.monotonic()
         )
         self._closed_count = 0
-        self._task: gevent.Greenlet | None = None
+        self._lag = _loop_lag.LoopLag(self._note_lag, waits_for_tasks=True)
 
     def start(self) -> None:
         """Begins to measure the event loop."""
-        if self._task is None:
-            self._task = gevent.spawn(self._measure)
+        self._lag.start()
 
     def close(self) -> None:
         """Stops measuring."""
-        if self._task is not None:
-            self._task.kill(block=False)
-            self._task = None
+        self._lag.close()
 
     def takes(self, sock: Any) -> bool:
         """Returns whether a connection is to be served; closes it otherwise.
@@ -68,19 +62,9 @@
         sock.close()
         return False
 
-    def _measure(self) -> None:
-        while True:
-            began_s = time.monotonic()
-            gevent.sleep(MEASURE_INTERVAL_S)
-            # Timers overtake tasks that can run; this waits behind them.
-            gevent.sleep(0)
-            now_s = time.monotonic()
-            lag_s = max(0.0, now_s - began_s - MEASURE_INTERVAL_S)
-            self._note_lag(lag_s, now_s)
-
-    def _note_lag(self, lag_s: float, now_s: float) -> None:
+    def _note_lag(self, lag_s: float) -> None:
         was_limited = self._admission.rate_per_s is not None
-        self._admission.note_lag(lag_s, now_s)
+        self._admission.note_lag(lag_s, time.monotonic())
         rate_per_s = self._admission.rate_per_s
         _lag_gauge.set({}, lag_s)
         _rate_gauge.set({}, rate_per_s or 0.0)
--- a/src/mulberrywharf/crashes/crash_records.py
+++ b/src/mulberrywharf/crashes/crash_records.py
@@ -72,12 +72,12 @@
         self._client = client
         self._suspects = suspects
         self._clock = system_clock
-        self._on_read: Callable[[], None] = lambda: None
+        self._on_read: Callable[[], object] = lambda: None
         self._stored: set[str] = set()
         self._update_requested = gevent.event.Event()
         self._task: gevent.Greenlet | None = None
 
-    def on_read(self, callback: Callable[[], None]) -> None:
+    def on_read(self, callback: Callable[[], object]) -> None:
         """Sets the callback that runs after each read of the records."""
         self._on_read = callback
 
--- a/src/mulberrywharf/crashes/crash_reports.py
+++ b/src/mulberrywharf/crashes/crash_reports.py
@@ -87,10 +87,10 @@
         self._trials: set[int] = set()
         self._cleared_s: dict[tuple[int, int], float] = {}
         self._is_send_scheduled = False
-        self._on_change: Callable[[], None] = lambda: None
+        self._on_change: Callable[[], object] = lambda: None
         socket.set_handler(b"c", self._on_datagram)
 
-    def on_change(self, callback: Callable[[], None]) -> None:
+    def on_change(self, callback: Callable[[], object]) -> None:
         """Sets the callback for news of other gateways on suspects."""
         self._on_change = callback
 
--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -117,7 +117,7 @@
 class Reports(Protocol):
     """Exchanges reports on ended servers with the other gateways."""
 
-    def on_change(self, callback: Callable[[], None]) -> None:
+    def on_change(self, callback: Callable[[], object]) -> None:
         """Sets the callback for news of other gateways on suspects."""
         ...
 
@@ -143,7 +143,7 @@
 class Records(Protocol):
     """Stores what is blocked, for gateways that start later."""
 
-    def on_read(self, callback: Callable[[], None]) -> None:
+    def on_read(self, callback: Callable[[], object]) -> None:
         """Sets the callback that runs after each read of the records."""
         ...
 
@@ -159,7 +159,7 @@
 class NullReportsAndRecords:
     """Reports and records that do nothing, for nodes without either."""
 
-    def on_change(self, callback: Callable[[], None]) -> None:
+    def on_change(self, callback: Callable[[], object]) -> None:
         """Ignores the callback, as there are no reports."""
 
     def tell(self, fingerprint: int) -> None:
@@ -176,7 +176,7 @@
     def broadcast_trial(self, key: int) -> None:
         """Does nothing."""
 
-    def on_read(self, callback: Callable[[], None]) -> None:
+    def on_read(self, callback: Callable[[], object]) -> None:
         """Ignores the callback, as there are no records."""
 
     def schedule_write(self) -> None:
@@ -218,8 +218,8 @@
         self._restarts_are_visible = restarts_are_visible
         self._decided: list[crash_blocks.Block] = []
         self._blocks: dict[int, crash_blocks.Block] = {}
-        reports.on_change(self._on_news)
-        records.on_read(self._on_news)
+        reports.on_change(self._refresh)
+        records.on_read(self._refresh)
         self._clock = system_clock
 
     @classmethod
@@ -262,16 +262,38 @@
             self._check_suspected_parts(request, service)
             return
         now_s = self._clock.monotonic_s()
-        log = logger.bind(
-            request_id=request.request_id, **_loggable(block, now_s)
-        )
         if self._suspects.may_try(block, now_s):
             self._record_trial(block.key)
             _trials_total.inc({"cause": _cause(block)})
-            log.info("a blocked request is tried again")
+            logger.bind(
+                request_id=request.request_id, **_loggable(block, now_s)
+            ).info("a blocked request is tried again")
             return
+        self._refuse(request, block)
+
+    def check_repeat(self, request: CallerRequest, service: str = "") -> None:
+        """Refuses to send a request once more if it is blocked.
+
+        Args:
+            request: The request, which ``check`` has let pass.
+            service: Service that is to run it, empty if its prompt has no
+                parts.
+
+        Raises:
+            CrashingRequestError: The request is blocked.
+        """
+        block = self._block_of(request, service)
+        if block is not None:
+            self._refuse(request, block)
+
+    def _refuse(
+        self, request: CallerRequest, block: crash_blocks.Block
+    ) -> None:
+        now_s = self._clock.monotonic_s()
         _refused_total.inc({"cause": _cause(block)})
-        log.info("a blocked request is refused")
+        logger.bind(
+            request_id=request.request_id, **_loggable(block, now_s)
+        ).info("a blocked request is refused")
         raise errors.CrashingRequestError(
             _refusal(block),
             retry_after_s=self._suspects.retry_after_s(block, now_s),
@@ -457,9 +479,6 @@
         if not self._suspects.is_empty and self._refresh():
             self._records.schedule_write()
 
-    def _on_news(self) -> None:
-        self._refresh()
-
     def _refresh(self) -> bool:
         """Updates what is blocked; returns whether there is a new block.
 
@@ -505,6 +524,14 @@
         """
         self._crashes.check(self._request, self._service)
 
+    def check_repeat(self) -> None:
+        """Refuses to send the request once more if it is blocked.
+
+        Raises:
+            CrashingRequestError: It is blocked.
+        """
+        self._crashes.check_repeat(self._request, self._service)
+
     def is_blocked(self) -> bool:
         """Returns whether the request must not be sent to another server."""
         return self._crashes.is_blocked(self._request, self._service)
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -713,7 +713,7 @@
         if self._outcome == "unknown" and not self._may_run_again:
             raise errors.BackEndLostError(error.message, outcome="unknown")
         if self._outcome == "not-run":
-            self._crashes.check()
+            self._crashes.check_repeat()
         elif self._crashes.is_blocked():
             raise errors.BackEndLostError(error.message, outcome="unknown")
         if self._is_limit_reached() or not self._charge_repeat(error):
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -483,7 +483,7 @@
             raise errors.BackEndLostError(
                 f"the server failed, and {reason}", outcome="unknown"
             )
-        self._dependencies.crashes.check(self._routed_request)
+        self._dependencies.crashes.check_repeat(self._routed_request)
         raise errors.OverloadedError(
             f"not run: {reason}", retry_after_s=self._retry_after_s()
         )
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -485,6 +485,28 @@
         self.assertEqual(refused.exception.outcome, "not-run")
         self.assertEqual(healthy[1].requests, [])
 
+    def test_request_with_a_suspected_part_is_sent_again_if_refused(
+        self,
+    ) -> None:
+        """Guards against counting its own first attempt as another request."""
+        prompt = build.prompt(100, 100)
+        now_s = self.clock.monotonic_s()
+        request_with_part = build.routed_request(now_s, prompt=prompt)
+        for number in range(2):
+            record_end(
+                self.crashes._suspects,
+                number,
+                end(number, now_s),
+                request_with_part.part_keys("service").values(),
+                request_with_part.customer_key(),
+            )
+        answers = [refusal(), HEAD + chunks(event(1))]
+        engines = [
+            self.decode_engine(lambda sock, _: sock.sendall(answers.pop(0)))
+            for _ in range(3)
+        ]
+        self.assertEqual(self.body(*engines, prompt=prompt), event(1))
+
     def test_stream_with_output_resumes_after_a_crash(self) -> None:
         ended = self.crashing_engine(event(1), event(2))
         healthy = self.respond_with(HEAD + chunks(event(3)))
