Tell others only of answers that clear a part there, too

An answer that counts at its own gateway because its service has answered little since was sent to all others, who ignore it: bytes without effect.

--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -229,12 +229,17 @@
     def unsuspected_parts(
         self, traits: crash_blocks.Traits, end: ServerEnd
     ) -> dict[int, Answered]:
-        """Returns the parts that are no cause of an end, with their answers."""
+        """Returns the parts that are no cause of an end, with their answers.
+
+        Those are only answers by which other gateways clear a part, too.
+        """
         found = {}
         for part in traits.parts:
             for customer in (traits.customer, None):
-                answered = self._answer_about(part, customer, end.at_s)
-                if answered is not None:
+                answered = self._answered.get(
+                    crash_blocks.PartTrait(part, customer)
+                )
+                if answered and answered.at_s > end.at_s - ANSWERED_KEPT_S:
                     found[part] = answered
                     break
         return found
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -229,6 +229,8 @@
         reported = traits(1, (POPULAR, CULPRIT), CUSTOMER)
         found = self.suspects.unsuspected_parts(reported, end(1, 10.0))
         self.assertEqual(set(found), {POPULAR})
+        found = self.suspects.unsuspected_parts(reported, end(1, 20.0))
+        self.assertEqual(found, {})
 
 
 class CustomersTest(PartsCase):
