Tell others of a part that one customer's answers clear only once

Found by reading the change: while a part was suspected in one customer's requests, each answer to another customer with it was told to all gateways, up to some hundred a second for a popular part. The new test failed before: the second and third answer were news, too.

--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -205,7 +205,7 @@
         answered = Answered(
             customer, now_s, service, self._answers_counts[service]
         )
-        cleared = self._suspected_of(parts) if self._runs else frozenset()
+        cleared = self._suspected_of(parts, customer)
         for part in parts:
             self._note_answered(part, answered)
         if cleared:
@@ -450,7 +450,8 @@
         until_s = answered.at_s + ANSWERED_KEPT_S
         for runs in self._runs.values():
             for server_key, run in runs.items():
-                if run.at_s >= until_s or not cleared & run.parts:
+                suspected = _parts_seen_by(run, answered.customer)
+                if run.at_s >= until_s or cleared.isdisjoint(suspected):
                     continue
                 self._is_changed = True
                 parts = run.parts
@@ -460,11 +461,13 @@
                     parts=parts, shared_parts=run.shared_parts - cleared
                 )
 
-    def _suspected_of(self, parts: Iterable[int]) -> frozenset[int]:
-        """Returns those of the parts that any run is suspected for."""
+    def _suspected_of(
+        self, parts: Iterable[int], customer: int
+    ) -> frozenset[int]:
+        """Returns those of the parts that an answer to a customer clears."""
         found = frozenset(parts)
-        return found & frozenset().union(
-            *(run.parts & found for run in self._all_runs())
+        return frozenset().union(
+            *(found & _parts_seen_by(run, customer) for run in self._all_runs())
         )
 
     def _all_runs(self) -> Iterable[crash_blocks.LostRun]:
@@ -539,3 +542,8 @@
             if fingerprint not in kept:
                 del self._runs[fingerprint]
                 self._is_changed = True
+
+
+def _parts_seen_by(run: crash_blocks.LostRun, customer: int) -> frozenset[int]:
+    """Returns the parts of a run that a customer's answers may clear."""
+    return run.parts if run.customer == customer else run.shared_parts
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -249,6 +249,12 @@
         self.assertTrue(self.is_blocked(CULPRIT))
         self.assertFalse(self.is_blocked(CULPRIT, customer=OTHER_CUSTOMER))
 
+    def test_answers_to_another_customer_are_news_once(self) -> None:
+        """Guards against telling all gateways of each answer."""
+        self.lose(CULPRIT)
+        news = [self.answer(CULPRIT, customer=OTHER_CUSTOMER) for _ in range(3)]
+        self.assertEqual(news, [{CULPRIT}, frozenset(), frozenset()])
+
     def test_ends_under_two_customers_block_the_part_for_all(self) -> None:
         for customer in (CUSTOMER, CUSTOMER, OTHER_CUSTOMER):
             self.lose(CULPRIT, customer=customer)
