Count answers shortly before the ends of servers, too

The new test failed before: the part was blocked at no gateway that answered nothing between the ends.

--- a/src/mulberrywharf/policy/crash_blocks.py
+++ b/src/mulberrywharf/policy/crash_blocks.py
@@ -27,9 +27,9 @@
 it had produced any output."""
 
 OTHER_ANSWERS_COUNT = 3
-"""This many answers to requests without the part must have begun since the
-first of these ends. If nothing is answered at all, the part is no more suspect
-than anything else."""
+"""This many answers to requests without the part must have begun since shortly
+before the first of these ends. If nothing is answered at all, the part is no
+more suspect than anything else."""
 
 PART_ENDS_WITHOUT_ANSWERS_COUNT = 5
 """A part is blocked at this many ends even if there were no such answers."""
@@ -65,9 +65,9 @@
             since.
         shared_parts: Those that no request of any customer was answered with
             since.
-        answers_count: Answers that had begun at this gateway when it learned
-            of the end; None if other gateways have accepted it as the reason
-            of a block.
+        answers_count: Answers that had begun at this gateway shortly before the
+            end; None if other gateways have accepted it as the reason of a
+            block.
     """
 
     fingerprint: int
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -124,6 +124,9 @@
         ] = collections.OrderedDict()
         self._answers_counts: collections.Counter[str] = collections.Counter()
         self._answers_count = 0
+        self._last_answers_s: collections.deque[float] = collections.deque(
+            maxlen=crash_blocks.OTHER_ANSWERS_COUNT
+        )
         self._awaited_answers_count = 0
         self._trials_s: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
@@ -161,9 +164,8 @@
         known = runs.get(end.server_key)
         if known is not None and (known.made_output or not end.made_output):
             return False
-        runs[end.server_key] = self._lost_run(
-            traits, end, None if is_accepted else self._answers_count
-        )
+        answers_count = None if is_accepted else self._answers_before(end.at_s)
+        runs[end.server_key] = self._lost_run(traits, end, answers_count)
         while len(runs) > _ENDS_PER_REQUEST_LIMIT_COUNT:
             del runs[next(iter(runs))]
         self._runs.move_to_end(fingerprint)
@@ -200,6 +202,7 @@
         """
         self._answers_counts[service] += 1
         self._answers_count += 1
+        self._last_answers_s.append(now_s)
         if self._answers_count <= self._awaited_answers_count:
             self._is_changed = True
         answered = Answered(
@@ -420,6 +423,13 @@
             answers_count,
         )
 
+    def _answers_before(self, end_s: float) -> int:
+        """Returns how many answers had begun shortly before an end."""
+        from_s = end_s - ANSWERED_KEPT_S
+        return self._answers_count - sum(
+            at_s > from_s for at_s in self._last_answers_s
+        )
+
     def _answer_about(
         self, part: int, customer: int | None, end_s: float
     ) -> Answered | None:
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -126,6 +126,15 @@
         answer_others(self.suspects, 5.0)
         self.assertEqual(self.blocked_parts(5.0), [{CULPRIT}])
 
+    def test_answers_just_before_the_ends_show_that_others_are_answered(
+        self,
+    ) -> None:
+        """Guards against losing more servers where each gateway answers few."""
+        answer_others(self.suspects, 9.0)
+        for _ in range(3):
+            self.lose(CULPRIT, at_s=10.0, are_others_answered=False)
+        self.assertEqual(self.blocked_parts(10.0), [{CULPRIT}])
+
     def test_part_is_not_blocked_if_it_is_answered_first(self) -> None:
         for _ in range(3):
             self.lose(POPULAR, are_others_answered=False)
