Record a block again at each end under it, whoever decided it

A gateway blocked the request, was killed before it wrote the record, and the others knew of the block by its report alone; the restarted gateway read nothing and lost two more servers. Since parts are blocked, a record was written only by the gateway that made a block, no longer by one that saw a further end under it. It is again; the new test failed before.

--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -458,7 +458,9 @@
             ends_count=len(self._suspects.ends(fingerprint, ended_s)),
             parts=_loggable_parts(run),
         ).warning("a server ended while it worked on a request")
-        self._note_changes()
+        self._refresh()
+        if any(block.covers(traits) for block in self._blocks.values()):
+            self._records.schedule_write()
 
     def _server_key(self, start: fleet.ServerStart, ended_s: float) -> int:
         if self._restarts_are_visible:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -26,6 +26,7 @@
 from mulberrywharf.policy import crash_suspects
 from tests import builders_engines
 from tests import builders_routes as build
+from tests.builders_crashes import end, record_end
 
 START = fleet.ServerStart("server-1")
 
@@ -126,6 +127,39 @@
         self.assertEqual(len(ends), 1)
 
 
+class RecordsTest(builders_engines.ScriptedServerCase):
+    def test_end_under_a_request_that_others_block_is_recorded(self) -> None:
+        """Guards against a record that only a killed gateway would write."""
+        server = self.serve(lambda sock, _: sock.close())
+        server.close()
+        system_clock = clock.SystemClock()
+        suspects = crash_suspects.CrashSuspects()
+        records = mock.Mock()
+        watch = crash_watch.CrashWatch(
+            server_ends.ServerEnds(
+                server_ends.TcpProber(timeout_s=0.2), system_clock
+            ),
+            suspects,
+            crash_watch.NullReportsAndRecords(),
+            records,
+            system_clock,
+        )
+        routed_request = build.routed_request(0.0)
+        now_s = system_clock.monotonic_s()
+        for server_key in (1, 2):
+            record_end(
+                suspects, routed_request.fingerprint(), end(server_key, now_s)
+            )
+        self.assertTrue(watch.is_blocked(routed_request))
+        watch._refresh()
+        records.schedule_write.assert_not_called()
+        watch.note_connection_lost(
+            crash_watch.RequestRun(routed_request, START, server.address),
+            made_output=False,
+        )
+        records.schedule_write.assert_called_once()
+
+
 class _UnresponsiveProber:
     """Simulates a server that does not respond to connection attempts."""
 
