Review: one usage window is reported twice with different counts behind a restore

Seen: the platform accepts 245 and 245 requests of two customers for a window, and 10 and 1 for the same window from the next holder, whose fence is higher.

Cause: a machine that was added shortly before has heard no announcement of the recorded window, and the store has come back from a copy without its record. The new holder records the window anew, and no peer tells it that it was reported.

--- a/review/harness.py
+++ b/review/harness.py
@@ -194,13 +194,30 @@
     lease: int
 
 
+class Copy(NamedTuple):
+    """What the store held at one moment."""
+
+    items: dict[str, _Item]
+    revision: int
+
+
 class Store:
-    """The platform's store, as PROTOCOL.md describes it."""
+    """The platform's store, as PROTOCOL.md describes it.
+
+    Attributes:
+        era: Told in each answer in ``Store-Era``; None: not told.
+        stale_s: How old stale reads are.
+    """
 
     def __init__(self) -> None:
+        self.era: int | None = None
+        self.stale_s = 0.0
+        self._is_away = False
+        self._versions: list[tuple[float, dict[str, _Item]]] = []
         self._items: dict[str, _Item] = {}
         self._history: list[tuple[int, str, _Item | None]] = []
         self._revision = 1
+        self._first_revision = 0
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_count = 0
         self._changed = asyncio.Event()
@@ -226,6 +243,33 @@
         """Removes a key."""
         self._change([], [key])
 
+    def copy(self) -> Copy:
+        """Returns a copy to come back from."""
+        return Copy(dict(self._items), self._revision)
+
+    async def restore(self, copy: Copy, away_s: float) -> None:
+        """Is away for a moment, then comes back from an older copy.
+
+        What came later is gone, leases too, and revisions are given out again.
+        """
+        self._is_away = True
+        self._wake()
+        await asyncio.sleep(away_s)
+        self._items = {
+            key: item for key, item in copy.items.items() if not item.lease
+        }
+        self._revision = copy.revision
+        self._history.clear()
+        self._first_revision = copy.revision
+        self._leases.clear()
+        self._versions.clear()
+        self.era = (self.era or 0) + 1
+        self._is_away = False
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def _change(
         self, puts: list[tuple[str, bytes, int]], deletes: list[str]
     ) -> None:
@@ -239,8 +283,8 @@
         for key in deletes:
             if self._items.pop(key, None) is not None:
                 self._history.append((self._revision, key, None))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._versions.append((time.monotonic(), dict(self._items)))
+        self._wake()
 
     async def _expire(self) -> None:
         while True:
@@ -259,6 +303,8 @@
     async def _answer(
         self, request: Message, writer: asyncio.StreamWriter
     ) -> bytes | None:
+        if self._is_away:
+            return None
         method, target, _ = request.start.split(" ")
         path, _, query_text = target.partition("?")
         query = dict(urllib.parse.parse_qsl(query_text))
@@ -270,7 +316,7 @@
         elif (method, name) == ("GET", "kv-range"):
             status, result = 200, self._read_range(query)
         elif (method, name) == ("GET", "kv-watch"):
-            status, result = 200, await self._watch(query)
+            status, result = await self._watch(query)
         elif (method, name) == ("POST", "kv-txn"):
             status, result = self._write(body)
         elif (method, name) == ("POST", "kv-lease"):
@@ -280,7 +326,7 @@
             self._leases[self._lease_count] = (ends_s, ttl_s)
             status = 200
             result = {"lease": self._lease_count, "ttl-ms": body["ttl-ms"]}
-        elif int(number) in self._leases:
+        elif number and int(number) in self._leases:
             lease = int(number)
             ttl_s = self._leases[lease][1]
             if method == "DELETE":
@@ -288,7 +334,11 @@
             else:
                 self._leases[lease] = (time.monotonic() + ttl_s, ttl_s)
             status, result = 200, {"ttl-ms": int(ttl_s * 1000)}
+        if self._is_away:
+            return None
         fields = {"Content-Type": "application/json"}
+        if self.era is not None:
+            fields["Store-Era"] = str(self.era)
         return encode(
             f"HTTP/1.1 {status} Said", fields, json.dumps(result).encode()
         )
@@ -304,9 +354,12 @@
         return 200, {**shown, "store-revision": self._revision}
 
     def _read_range(self, query: dict[str, str]) -> dict[str, Any]:
+        items = self._items
+        if query.get("allow-stale"):
+            items = self._stale_items()
         found = [
             self._shown(key, item)
-            for key, item in sorted(self._items.items())
+            for key, item in sorted(items.items())
             if key.startswith(query["prefix"]) and key > query.get("after", "")
         ]
         return {
@@ -315,10 +368,22 @@
             "store-revision": self._revision,
         }
 
-    async def _watch(self, query: dict[str, str]) -> dict[str, Any]:
+    def _stale_items(self) -> dict[str, _Item]:
+        before_s = time.monotonic() - self.stale_s
+        old = [items for at_s, items in self._versions if at_s <= before_s]
+        if old:
+            return old[-1]
+        return self._versions[0][1] if self._versions else self._items
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        era = self.era
         ends_s = time.monotonic() + int(query["wait-ms"]) / 1000
         after = int(query["after"])
         while True:
+            if self._is_away or era != self.era:
+                raise ChannelEndedError("the store is away")
+            if not self._first_revision <= after <= self._revision:
+                return 410, {}
             events = [
                 self._shown(key, item)
                 if item is not None
@@ -328,7 +393,10 @@
             ]
             left_s = ends_s - time.monotonic()
             if events or left_s <= 0:
-                return {"events": events, "store-revision": self._revision}
+                return 200, {
+                    "events": events,
+                    "store-revision": self._revision,
+                }
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left_s)
 
@@ -651,17 +719,15 @@
         value = settings.get(match[1])
         if value is None or value is False:
             return ""
-        inner = match[2].replace("{{.}}", str(value))
-        return _rendered(
-            inner.replace("{{.|json}}", json.dumps(value)), settings
-        )
+        inner = _SECTION.sub(section, match[2])
+        inner = inner.replace("{{.|json}}", json.dumps(value))
+        return inner.replace("{{.}}", str(value))
 
     def placeholder(match: re.Match[str]) -> str:
         value = settings.get(match[1])
         return json.dumps(value) if match[2] else str(value)
 
-    while _SECTION.search(template):
-        template = _SECTION.sub(section, template)
+    template = _SECTION.sub(section, template)
     return _PLACEHOLDER.sub(placeholder, template)
 
 
