--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """Clients send on idle channels while a gateway stops."""
 
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -169,4 +170,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.run(FOLDER, play))
+    trouble = os.environ.get("TROUBLE", "1")
+    sys.exit(harness.run(FOLDER, play, is_harmed=trouble != "0"))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """Clients send long streams on kept channels late in a gateway's stop."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -179,4 +180,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(harness.run(FOLDER, play))
+    trouble = os.environ.get("TROUBLE", "1")
+    sys.exit(harness.run(FOLDER, play, is_harmed=trouble != "0"))
--- a/review/harness.py
+++ b/review/harness.py
@@ -858,15 +858,15 @@
     return await asyncio.wait_for(task, _PLAY_LIMIT_S)
 
 
-def run(folder: pathlib.Path, play: Any) -> int:
+def run(folder: pathlib.Path, play: Any, *, is_harmed: bool) -> int:
     """Plays a case and returns the exit code of its script.
 
     Args:
         folder: Folder of the case, for its record.
         play: Coroutine function that gets the record, a temporary folder and
             whether the disruption takes place; returns the exit code.
+        is_harmed: Whether the disruption takes place.
     """
-    is_harmed = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     try:
         with tempfile.TemporaryDirectory() as temporary:
