Log and count repeats: charged, not charged and why, refused

Change: `forwarding.repeats` stands between requests and the budget. It counts `mulberry_repeats_total{service,result,part}` and `mulberry_uncharged_attempts_total{service,reason}`, and writes one line a decision with the window, its counts and the number of gateways. What is decided is as before.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -27,6 +27,7 @@
     engine_pool,
     events,
     handover,
+    repeats,
     request,
     server_client,
     server_tracker,
@@ -37,7 +38,6 @@
     answer_end,
     observed_waits,
     outcome,
-    repeat_budget,
     stream_gaps,
     stream_version,
 )
@@ -97,7 +97,7 @@
         tracker: State of the engines, from this gateway's own exchanges.
         client: Sends the attempts.
         limits: Permits requests to engines that state a request limit.
-        budget: Limits retries.
+        repeats: Charges repeats.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
         versions: Keeps streams at the software version that began them.
@@ -110,7 +110,7 @@
     tracker: server_tracker.ServerTracker
     client: server_client.ServerClient
     limits: server_limits.ServerLimits
-    budget: repeat_budget.RepeatBudget
+    repeats: repeats.Repeats
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
     versions: stream_versions.StreamVersions
@@ -360,9 +360,7 @@
         if self._is_counted:
             return
         self._is_counted = True
-        self._dependencies.budget.note_request(
-            self._service.name, self._dependencies.system_clock.monotonic_s()
-        )
+        self._dependencies.repeats.note_request(self._service.name)
 
     def _prefers_helper(self) -> bool:
         return (
@@ -666,7 +664,7 @@
             and outcome.is_server_fault(run.head.status)
             and not self._is_limit_reached()
             and not self._crashes.is_blocked()
-            and self._take_repeat()
+            and self._charge("run")
         )
 
     def _discard(self, run: _OpenAnswer) -> None:
@@ -726,12 +724,14 @@
         )
 
     def _charge_repeat(self, error: errors.EngineError) -> bool:
-        if isinstance(
-            error, errors.EngineUnreachableError | errors.ServerLimitError
-        ):
+        reason = repeats.uncharged_reason(error)
+        if reason is not None:
             # No engine received the request, so sending it again is no retry.
+            self._dependencies.repeats.note_uncharged(
+                self._service.name, reason
+            )
             return True
-        return self._take_repeat()
+        return self._charge("run")
 
     def _charge_prefill(self) -> None:
         """Counts a prefill as a retry, unless it is the request's first.
@@ -743,12 +743,13 @@
         Raises:
             RequestError: The retry budget is exhausted.
         """
-        if self._was_prefilled and not self._take_repeat():
+        if self._was_prefilled and not self._charge("prefill"):
             raise self._final_error("the retry budget is exhausted")
 
-    def _take_repeat(self) -> bool:
-        now_s = self._dependencies.system_clock.monotonic_s()
-        return self._dependencies.budget.take(self._service.name, now_s)
+    def _charge(self, part: repeats.Part) -> bool:
+        return self._dependencies.repeats.charge(
+            self._service.name, self._routed_request.request_id, part
+        )
 
     def _final_error(self, message: str) -> errors.RequestError:
         if self._outcome == "unknown":
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -18,6 +18,7 @@
     answer_ends,
     ejection_filter,
     handover,
+    repeats,
     request,
     server_client,
     server_tracker,
@@ -28,7 +29,6 @@
     answer_end,
     limit_waits,
     outcome,
-    repeat_budget,
     server_choice,
 )
 from mulberrywharf.routes import kinds, table
@@ -66,7 +66,7 @@
         tracker: State of the servers, from this gateway's own exchanges.
         client: Sends the attempts.
         limits: Permits requests to servers that state a request limit.
-        budget: Limits retries.
+        repeats: Charges repeats.
         crashes: Blocks requests that crash servers.
         system_clock: Measures the time left.
         rng: Spreads retry delays and breaks ties between servers.
@@ -79,7 +79,7 @@
     tracker: server_tracker.ServerTracker
     client: server_client.ServerClient
     limits: server_limits.ServerLimits
-    budget: repeat_budget.RepeatBudget
+    repeats: repeats.Repeats
     crashes: crash_watch.CrashWatch
     system_clock: clock.Clock
     rng: random.Random
@@ -195,9 +195,7 @@
         if self._is_counted:
             return
         self._is_counted = True
-        self._dependencies.budget.note_request(
-            self._service, self._dependencies.system_clock.monotonic_s()
-        )
+        self._dependencies.repeats.note_request(self._service)
 
     def _prefers_helper(self) -> bool:
         return (
@@ -465,16 +463,18 @@
             return False
         if self._dependencies.crashes.is_blocked(self._routed_request):
             return False
-        if isinstance(attempted, Err) and isinstance(
-            attempted.err_value,
-            errors.EngineUnreachableError | errors.ServerLimitError,
-        ):
-            # No server received the request, so sending it again is no retry.
-            return True
+        if isinstance(attempted, Err):
+            reason = repeats.uncharged_reason(attempted.err_value)
+            if reason is not None:
+                # No server received the request, so sending it again is no
+                # retry.
+                self._dependencies.repeats.note_uncharged(self._service, reason)
+                return True
         if self._outcome == "unknown" and not self._may_run_again:
             return False
-        now_s = self._dependencies.system_clock.monotonic_s()
-        return self._dependencies.budget.take(self._service, now_s)
+        return self._dependencies.repeats.charge(
+            self._service, self._routed_request.request_id, "run"
+        )
 
     def _give_up(self, reason: str) -> WholeAnswer:
         if self._failure_answer is not None:
--- a/src/mulberrywharf/policy/repeat_budget.py
+++ b/src/mulberrywharf/policy/repeat_budget.py
@@ -35,6 +35,26 @@
     allowance_count: float = 0.0
 
 
+class Decision(NamedTuple):
+    """Whether one retry may be sent, and why.
+
+    Attributes:
+        is_allowed: Whether it was charged and may be sent.
+        window_s: Length of the window that decided; less than that of the
+            settings, as the current bucket is not over.
+        requests_count: Requests in that window.
+        retries_count: Retries in that window, this one excluded.
+        gateways_count: Number of gateways among which the allowance was
+            divided.
+    """
+
+    is_allowed: bool
+    window_s: float
+    requests_count: int
+    retries_count: int
+    gateways_count: int
+
+
 class _Window:
     """Counts of one service, by bucket of the sliding window."""
 
@@ -77,18 +97,28 @@
         window, bucket = self._window(service, now_s)
         window.requests[bucket] += 1
 
-    def take(self, service: str, now_s: float) -> bool:
-        """Takes one retry; returns False if the window's budget is spent."""
+    def decide(self, service: str, now_s: float) -> Decision:
+        """Charges one retry, unless the window's budget is spent."""
         window, bucket = self._window(service, now_s)
         settings = self._settings
+        gateways_count = max(1, self._gateways_count())
+        requests_count = window.requests.total()
+        retries_count = window.retries.total()
         allowed = (
-            USABLE_SHARE * settings.ratio * window.requests.total()
-            + settings.allowance_count / max(1, self._gateways_count())
+            USABLE_SHARE * settings.ratio * requests_count
+            + settings.allowance_count / gateways_count
+        )
+        is_allowed = retries_count + 1 <= allowed
+        if is_allowed:
+            window.retries[bucket] += 1
+        window_from_s = (bucket - WINDOW_BUCKETS_COUNT + 1) * self._bucket_s
+        return Decision(
+            is_allowed,
+            now_s - window_from_s,
+            requests_count,
+            retries_count,
+            gateways_count,
         )
-        if window.retries.total() + 1 > allowed:
-            return False
-        window.retries[bucket] += 1
-        return True
 
     def _window(self, service: str, now_s: float) -> tuple[_Window, int]:
         window = self._windows.setdefault(service, _Window())
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -40,6 +40,7 @@
     path_log,
     path_monitor,
     plain_call,
+    repeats,
     server_client,
     server_tracker,
     servers,
@@ -218,6 +219,7 @@
             _repeat_settings(config),
             lambda: max(MIN_GATEWAYS_COUNT, self._peers.gateways_count),
         )
+        self._repeats = repeats.Repeats(self._budget, self._clock)
         self._estimates = engine_estimates.EngineEstimates(
             self._tracker,
             self._clock,
@@ -557,7 +559,7 @@
                     self._tracker,
                     self._client,
                     self._limits,
-                    self._budget,
+                    self._repeats,
                     self._crashes,
                     self._clock,
                     self._rng,
@@ -573,7 +575,7 @@
                     self._tracker,
                     self._client,
                     self._limits,
-                    self._budget,
+                    self._repeats,
                     self._crashes,
                     self._clock,
                     stream_versions.StreamVersions(
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -267,7 +267,7 @@
         budget = self.budget(ratio=0.2)
         for _ in range(100):
             budget.note_request("s", 1.0)
-        granted = sum(budget.take("s", 1.5) for _ in range(100))
+        granted = sum(budget.decide("s", 1.5).is_allowed for _ in range(100))
         self.assertEqual(granted, 16)
 
     def test_all_nodes_together_stay_within_the_budget(self) -> None:
@@ -283,20 +283,24 @@
         for node in nodes:
             for _ in range(20):
                 node.note_request("s", 1.0)
-        granted = sum(node.take("s", 2.0) for node in nodes for _ in range(100))
+        granted = sum(
+            node.decide("s", 2.0).is_allowed
+            for node in nodes
+            for _ in range(100)
+        )
         self.assertLessEqual(granted, 0.2 * 180 + 58)
 
     def test_requests_outside_the_window_do_not_count(self) -> None:
         budget = self.budget(ratio=0.2, window_s=10.0)
         for _ in range(100):
             budget.note_request("s", 1.0)
-        self.assertFalse(budget.take("s", 12.5))
+        self.assertFalse(budget.decide("s", 12.5).is_allowed)
 
     def test_each_service_has_its_own_budget(self) -> None:
         budget = self.budget()
         for _ in range(100):
             budget.note_request("s", 1.0)
-        self.assertFalse(budget.take("other", 1.0))
+        self.assertFalse(budget.decide("other", 1.0).is_allowed)
 
 
 def _held(number: int, tokens: int = 400) -> part_caches.HeldPart:
--- a/tests/test_generation.py
+++ b/tests/test_generation.py
@@ -13,6 +13,7 @@
     engine_pool,
     generation,
     handover,
+    repeats,
     request,
     server_client,
     server_tracker,
@@ -144,7 +145,7 @@
                 self.tracker,
                 self.client,
                 self.limits,
-                self.budget,
+                repeats.Repeats(self.budget, self.clock),
                 self.crashes,
                 self.clock,
                 build.versions_of(*servers, *self.known_servers),
@@ -670,13 +671,13 @@
         like the first, so two arrivals counted as one repeat.
         """
         taken: list[str] = []
-        take = self.budget.take
+        decide = self.budget.decide
 
-        def counted(service: str, now_s: float) -> bool:
+        def counted(service: str, now_s: float) -> repeat_budget.Decision:
             taken.append(service)
-            return take(service, now_s)
+            return decide(service, now_s)
 
-        self.budget.take = counted  # type: ignore[method-assign]
+        self.budget.decide = counted  # type: ignore[method-assign]
         prefill = self.prefill()
         answers = [refusal(), HEAD + chunks(event(1))]
         decodes = [
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -12,6 +12,7 @@
     ejection_filter,
     handover,
     plain_call,
+    repeats,
     server_client,
     server_tracker,
 )
@@ -93,7 +94,7 @@
                 self.tracker,
                 self.client,
                 self.limits,
-                self.budget,
+                repeats.Repeats(self.budget, self.clock),
                 self.crashes,
                 self.clock,
                 random.Random(1),
