Compare each period that operators count before a repeat is sent

What operators saw: more repeats within 10 s than they allow.

Cause: ten buckets of a second, the current one included, hold 9 to 10 s. A repeat was forgotten up to a second before operators forget it, and counted when it was charged, not when it arrived. Two failures within one window spent the budget twice.

Change: every period that may contain the arrival of a repeat is compared, at any begin, in buckets of a hundredth of the window that are rounded against the repeats. Requests count only where they were certainly sent. Each gateway takes the mean of the requests of the period and of the one before: the sum over all gateways is then no more than the larger of the two, which operators take. The unused fifth of the ratio (`USABLE_SHARE`) is no longer needed as a margin.

Evidence: `test_repeat_budget` counts in continuous time, over gateways whose clocks are out of phase. Three tests of the old window are replaced by stricter ones of the same names; the fixed share of 16 in 100 that one of them held was the margin.

--- a/src/mulberrywharf/forwarding/repeats.py
+++ b/src/mulberrywharf/forwarding/repeats.py
@@ -51,9 +51,9 @@
             request_id=request_id,
             service=service,
             part=part,
-            window_s=round(decision.window_s, 2),
-            requests_count=decision.requests_count,
-            repeats_count=decision.retries_count,
+            period_offset_s=round(decision.period_offset_s, 2),
+            requests_count=round(decision.requests_count, 2),
+            repeats_count=decision.repeats_count,
             gateways_count=decision.gateways_count,
         ).info("repeat {}", result)
         return decision.is_allowed
--- a/src/mulberrywharf/policy/repeat_budget.py
+++ b/src/mulberrywharf/policy/repeat_budget.py
@@ -1,33 +1,60 @@
-"""Budget of the requests that a gateway may retry at a second server.
+"""Budget of the repeats that all gateways share.
 
-All gateways share one budget per service: in any window, retries may be a
-fraction of the requests for the service, plus a fixed allowance. Gateways need
-no messages to keep within it. Each gateway spends only the fraction of the
-requests that it sees itself and its equal part of the allowance, so the sum is
-within the budget. ``retry_budget`` has the rules for routers.
+A repeat is an arrival of a request at servers beyond its first one. The first
+prefill of a request that a server accepts is none.
+
+Promise: in any period of ``window_s``, the servers of a service receive at most
+``ratio`` repeats for each request of callers and ``allowance_count`` more, from
+all gateways together. The requests are those that callers sent in the period
+itself or in the one before it, whichever has more. This is the operators' rule.
+
+The promise needs no messages. Each gateway keeps the ratio for the requests
+that it received itself, in each period that contains the repeat, so the sum
+over all gateways keeps it, whatever their number and whenever they start. It
+takes the mean of the requests in the period itself and in the one before: the
+sum of all means is no more than the larger sum, while the sum of each gateway's
+larger number could be twice as much. Each gateway has an equal part of the
+allowance.
+
+Assumptions, with ``now_s`` in seconds of a monotonic clock:
+
+* A repeat arrives within ``ARRIVAL_DELAY_S`` of its charge. The kernel gives up
+  a connection after 1.5 s without an acknowledgement.
+* A request is read within ``READ_DELAY_S`` of being sent. Callers give up later
+  ones.
+* All gateways have the same settings, and know how many they are.
+
+``retry_budget`` has the rules for routers.
 """
 
-import collections
+import itertools
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
-WINDOW_BUCKETS_COUNT = 10
-"""Number of buckets of the sliding window. More buckets cost memory and gain at
-most a tenth of the budget."""
+ARRIVAL_DELAY_S = 1.8
+"""Maximum time from the charge of a repeat to its arrival at a server."""
+
+READ_DELAY_S = 1.0
+"""Maximum time from the sending of a request to its count at a gateway."""
 
-USABLE_SHARE = 0.8
-"""Fraction of ``ratio`` that is spent. The operators count at the servers, in a
-sliding window, and requests arrive there slightly later than they are counted
-here. Without this margin, retries could exceed the budget by a few."""
+_WINDOW_BUCKETS = 100
+"""Buckets in a period. All counts are rounded against the repeats, to whole
+buckets."""
+
+_KEPT_BUCKETS = 2 * _WINDOW_BUCKETS + 1
+"""Buckets that are kept: a period, the one before it and the current bucket."""
+
+_ROUNDING = 1e-9
 
 
 class RepeatBudgetSettings(NamedTuple):
-    """Limits on retries.
+    """Limits on repeats.
 
     Attributes:
-        ratio: Maximum retries per request, over all gateways.
-        window_s: Length of the sliding window for both counts.
-        allowance_count: Additional retries in each window, over all gateways.
+        ratio: Maximum repeats per request, over all gateways.
+        window_s: Length of the period for both counts.
+        allowance_count: Additional repeats in each period, over all gateways.
     """
 
     ratio: float = 0.2
@@ -36,40 +63,82 @@
 
 
 class Decision(NamedTuple):
-    """Whether one retry may be sent, and why.
+    """Whether one repeat may be sent, and why.
 
     Attributes:
         is_allowed: Whether it was charged and may be sent.
-        window_s: Length of the window that decided; less than that of the
-            settings, as the current bucket is not over.
-        requests_count: Requests in that window.
-        retries_count: Retries in that window, this one excluded.
+        period_offset_s: Begin of the period that allows the fewest repeats, in
+            seconds before now.
+        requests_count: Mean of the requests in that period and in the one
+            before.
+        repeats_count: Repeats charged in that period, this one excluded.
         gateways_count: Number of gateways among which the allowance was
             divided.
     """
 
     is_allowed: bool
-    window_s: float
-    requests_count: int
-    retries_count: int
+    period_offset_s: float
+    requests_count: float
+    repeats_count: int
     gateways_count: int
 
 
-class _Window:
-    """Counts of one service, by bucket of the sliding window."""
+class _Period(NamedTuple):
+    """Counts that limit a repeat, for one period that contains it.
+
+    Attributes:
+        offset_buckets: Begin of the period, in buckets before now.
+        requests_count: Mean of the requests in it and in the period before.
+        repeats_count: Repeats charged that may arrive in the period.
+    """
 
-    def __init__(self) -> None:
-        self.requests: collections.Counter[int] = collections.Counter()
-        self.retries: collections.Counter[int] = collections.Counter()
+    offset_buckets: int
+    requests_count: float
+    repeats_count: int
 
-    def drop_before(self, bucket: int) -> None:
-        for counts in (self.requests, self.retries):
-            for old in [key for key in counts if key < bucket]:
-                del counts[old]
+
+class _Counts:
+    """Requests and repeats of one service.
+
+    Attributes:
+        requests: Requests by bucket; the last bucket is the current one.
+        repeats: Repeats by the bucket in which they arrive at the latest. The
+            last bucket is that of a repeat that is charged now.
+        period: The strictest period, None if it must be found anew. New
+            requests can only make it less strict, so it is found once for each
+            bucket.
+    """
+
+    def __init__(self, bucket: int, delay_buckets: int) -> None:
+        self._first_bucket = bucket - _KEPT_BUCKETS + 1
+        self.requests = [0] * _KEPT_BUCKETS
+        self.repeats = [0] * (_KEPT_BUCKETS + delay_buckets)
+        self.period: _Period | None = None
+
+    def advance(self, bucket: int) -> None:
+        """Makes a bucket the current one."""
+        passed_count = bucket - _KEPT_BUCKETS + 1 - self._first_bucket
+        if passed_count <= 0:
+            return
+        self._first_bucket += passed_count
+        self.period = None
+        for counts in (self.requests, self.repeats):
+            size = len(counts)
+            del counts[:passed_count]
+            counts.extend([0] * (size - len(counts)))
+
+    def add_repeat(self) -> None:
+        """Adds a repeat that is charged now."""
+        self.repeats[-1] += 1
+        if self.period is not None:
+            # It may arrive in any period.
+            self.period = self.period._replace(
+                repeats_count=self.period.repeats_count + 1
+            )
 
 
 class RepeatBudget:
-    """Budget of one gateway's retries, by service."""
+    """Budget of one gateway's repeats, by service."""
 
     def __init__(
         self, settings: RepeatBudgetSettings, gateways_count: Callable[[], int]
@@ -77,51 +146,95 @@
         """Makes a budget of which nothing is spent.
 
         Args:
-            settings: Limits on retries.
+            settings: Limits on repeats.
             gateways_count: Returns how many gateways share the allowance.
         """
-        self._settings = settings
         self._gateways_count = gateways_count
-        self._bucket_s = settings.window_s / WINDOW_BUCKETS_COUNT
-        self._windows: dict[str, _Window] = {}
+        self._counts: dict[str, _Counts] = {}
+        self._apply(settings)
 
     def configure(self, settings: RepeatBudgetSettings) -> None:
-        """Changes the limits; a new window length resets the counts."""
+        """Changes the limits; a new length of the period resets the counts."""
         if settings.window_s != self._settings.window_s:
-            self._windows.clear()
+            self._counts.clear()
+        for counts in self._counts.values():
+            counts.period = None
+        self._apply(settings)
+
+    def _apply(self, settings: RepeatBudgetSettings) -> None:
         self._settings = settings
-        self._bucket_s = settings.window_s / WINDOW_BUCKETS_COUNT
+        self._bucket_s = settings.window_s / _WINDOW_BUCKETS
+        self._delay_buckets = math.ceil(ARRIVAL_DELAY_S / self._bucket_s)
+        # Without a bucket that counts, a period would have fewer than none.
+        self._read_buckets = min(
+            math.ceil(READ_DELAY_S / self._bucket_s), _WINDOW_BUCKETS - 1
+        )
 
     def note_request(self, service: str, now_s: float) -> None:
         """Counts a caller's request for the service."""
-        window, bucket = self._window(service, now_s)
-        window.requests[bucket] += 1
+        self._current(service, now_s).requests[-1] += 1
 
     def decide(self, service: str, now_s: float) -> Decision:
-        """Charges one retry, unless the window's budget is spent."""
-        window, bucket = self._window(service, now_s)
+        """Charges one repeat, unless none is left."""
+        counts = self._current(service, now_s)
         settings = self._settings
+        if counts.period is None:
+            counts.period = self._strictest_period(counts)
+        period = counts.period
         gateways_count = max(1, self._gateways_count())
-        requests_count = window.requests.total()
-        retries_count = window.retries.total()
-        allowed = (
-            USABLE_SHARE * settings.ratio * requests_count
+        allowed_count = (
+            settings.ratio * period.requests_count
             + settings.allowance_count / gateways_count
         )
-        is_allowed = retries_count + 1 <= allowed
+        is_allowed = period.repeats_count + 1 <= allowed_count + _ROUNDING
         if is_allowed:
-            window.retries[bucket] += 1
-        window_from_s = (bucket - WINDOW_BUCKETS_COUNT + 1) * self._bucket_s
+            counts.add_repeat()
         return Decision(
             is_allowed,
-            now_s - window_from_s,
-            requests_count,
-            retries_count,
+            period.offset_buckets * self._bucket_s,
+            period.requests_count,
+            period.repeats_count,
             gateways_count,
         )
 
-    def _window(self, service: str, now_s: float) -> tuple[_Window, int]:
-        window = self._windows.setdefault(service, _Window())
-        bucket = int(now_s / self._bucket_s)
-        window.drop_before(bucket - WINDOW_BUCKETS_COUNT + 1)
-        return window, bucket
+    def _strictest_period(self, counts: _Counts) -> _Period:
+        """Returns the period that allows the fewest further repeats.
+
+        Compares every period in which a repeat that is sent now may arrive. A
+        period that begins in a bucket begins anywhere in it, and a request was
+        sent up to ``READ_DELAY_S`` before its count. So repeats count if they
+        may arrive in any such period, and requests if they were certainly sent
+        in any such period or in the one before.
+        """
+        window, delay = _WINDOW_BUCKETS, self._delay_buckets
+        read = self._read_buckets
+        requests = _sums(counts.requests, window + delay)
+        repeats = _sums(counts.repeats, 0)
+        repeats_count = repeats[-1]
+        ratio = self._settings.ratio
+        least = (math.inf, 0, 0.0, 0)
+        for begin in range(window, _KEPT_BUCKETS + delay):
+            sent = (
+                requests[begin + window] - requests[begin + 1 - window + read]
+            )
+            arriving = repeats_count - repeats[begin]
+            left = ratio * sent / 2 - arriving
+            if left < least[0]:
+                least = (left, begin, sent / 2, arriving)
+        _, begin, requests_count, arriving = least
+        return _Period(_KEPT_BUCKETS - 1 - begin, requests_count, arriving)
+
+    def _current(self, service: str, now_s: float) -> _Counts:
+        bucket = math.floor(now_s / self._bucket_s)
+        counts = self._counts.get(service)
+        if counts is None:
+            counts = _Counts(bucket, self._delay_buckets)
+            self._counts[service] = counts
+        counts.advance(bucket)
+        return counts
+
+
+def _sums(counts: list[int], more_count: int) -> list[int]:
+    """Returns the sum of all counts before each one, and then the total."""
+    sums = list(itertools.accumulate(counts, initial=0))
+    return sums + [sums[-1]] * more_count
