Divide the allowance of repeats into shares that leases hold

What operators saw: more repeats than they allow, behind restarts, outages in which leases lapse and cut zones.

Cause: each gateway spent the allowance by the number of gateways that it knew. One that starts, or reads registrations while others' are missing, took the fleet for twelve gateways: 13.5 repeats in place of 2.66 at 61 gateways.

Change: the allowance is eight shares. Each is a key that the key-value service gives to one lease at a time, so no belief about others enters the sum; a share that nobody holds costs repeats. A gateway tries to take one at its start, and ranks tell who takes those that stay free. Shares end with the lease of the registration, by a clock that goes on while a machine is suspended. A reload of the settings keeps what was charged to shares.

--- a/src/mulberrywharf/forwarding/repeats.py
+++ b/src/mulberrywharf/forwarding/repeats.py
@@ -33,7 +33,8 @@
 
         Args:
             budget: Decides whether a repeat may be sent.
-            system_clock: Source of monotonic time.
+            system_clock: Times requests and repeats; must go on while the
+                machine is suspended.
         """
         self._budget = budget
         self._clock = system_clock
@@ -45,7 +46,7 @@
     def charge(self, service: str, request_id: str, part: Part) -> bool:
         """Charges a repeat; returns False if none is left."""
         decision = self._budget.decide(service, self._clock.monotonic_s())
-        result = "charged" if decision.is_allowed else "refused"
+        result = "refused" if decision.charge is None else "charged"
         _repeats_total.inc({"service": service, "result": result, "part": part})
         logger.bind(
             request_id=request_id,
@@ -54,9 +55,11 @@
             period_offset_s=round(decision.period_offset_s, 2),
             requests_count=round(decision.requests_count, 2),
             repeats_count=decision.repeats_count,
-            gateways_count=decision.gateways_count,
+            share=decision.charge.share if decision.charge else None,
+            shares=decision.shares,
+            left_count=decision.left_count,
         ).info("repeat {}", result)
-        return decision.is_allowed
+        return decision.charge is not None
 
     def note_uncharged(self, service: str, reason: str) -> None:
         """Counts a further attempt without a charge."""
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
@@ -13,17 +14,29 @@
 from loguru import logger
 from result import Err
 
-from mulberrywharf import errors, fleet, limit_claims, metrics, supervised_task
+from mulberrywharf import (
+    clock,
+    errors,
+    fleet,
+    limit_claims,
+    metrics,
+    supervised_task,
+)
 from mulberrywharf.platform_service import (
     http_calls,
     key_value,
     lease,
 )
-from mulberrywharf.policy import gateway_ranks, helpers, stream_keepers
+from mulberrywharf.policy import (
+    allowance_shares,
+    gateway_ranks,
+    helpers,
+    stream_keepers,
+)
 
 PURPOSE = "peers"
 KEY_PREFIX = "mulberrywharf/gateways/"
-LEASE_TTL_S = 6.0
+LEASE_TTL_S = allowance_shares.LEASE_TTL_S
 """Limits how long a stopped gateway is still counted and still receives
 notices. Leases are renewed after a third of this time: 4.5 renewals per second
 for nine gateways, each at a tenth of the cost of a read."""
@@ -86,6 +99,11 @@
     address: fleet.Address
     availability_zone: str
 
+    @property
+    def value(self) -> bytes:
+        """The value of the key."""
+        return _registration_value(self.address, self.availability_zone)
+
 
 class RankedGateway(NamedTuple):
     """A gateway that may handle a matter for all.
@@ -121,14 +139,27 @@
         own_address: fleet.Address,
         availability_zone: str,
         incarnation: str,
+        lease_clock: clock.Clock | None = None,
     ):
+        """Creates it; ``start`` registers the gateway.
+
+        Args:
+            client: Client of the key-value service.
+            vm_id: Name of this gateway.
+            own_address: Its address for datagrams.
+            availability_zone: Its availability zone.
+            incarnation: Identifies this run of the gateway.
+            lease_clock: Times the lease of the registration; by default one
+                that goes on while the machine is suspended.
+        """
         self._client = client
+        self._lease_clock = lease_clock or clock.BootClock()
         self._incarnation = incarnation
         self._registrations_count = 0
         self._own_tokens: list[str] = []
         self._is_registered = False
         self._has_read = False
-        self._own_value = f"{own_address}/{availability_zone}".encode()
+        self._own_value = _registration_value(own_address, availability_zone)
         self._availability_zone = availability_zone
         self._own_vm_id = vm_id
         self._peers_by_vm: dict[str, _Registration] = {}
@@ -142,6 +173,8 @@
         self._poll_task: gevent.Greenlet | None = None
         self._lease: lease.LeaseHolder | None = None
         self._register_task: gevent.Greenlet | None = None
+        self._on_read: Callable[[list[key_value.KeyValue]], None] | None = None
+        self._on_registered: Callable[[], None] | None = None
 
     def start(self) -> None:
         """Starts registering this gateway and reading the others."""
@@ -173,6 +206,26 @@
         """Whether this gateway is registered, so that others can notify it."""
         return self._is_registered
 
+    @property
+    def own_lease(self) -> lease.LeaseHolder | None:
+        """Lease of this gateway's registration, None without one."""
+        return self._lease if self._is_registered else None
+
+    @property
+    def own_value(self) -> bytes:
+        """Value of this gateway's registration."""
+        return self._own_value
+
+    def on_read(
+        self, callback: Callable[[list[key_value.KeyValue]], None]
+    ) -> None:
+        """Sets a function that gets all keys of each read."""
+        self._on_read = callback
+
+    def on_registered(self, callback: Callable[[], None]) -> None:
+        """Sets a function that is called after each registration."""
+        self._on_registered = callback
+
     @property
     def is_reader(self) -> bool:
         """Whether this gateway reads the key-value service for others.
@@ -417,6 +470,8 @@
             if failed is None:
                 failures_count = 0
                 self._is_registered = True
+                if self._on_registered is not None:
+                    self._on_registered()
                 lost.wait()
                 self._is_registered = False
             else:
@@ -438,6 +493,7 @@
             ttl_s=LEASE_TTL_S,
             purpose=PURPOSE,
             on_lost=lambda _: lost.set(),
+            system_clock=self._lease_clock,
         )
         started = holder.start()
         if isinstance(started, Err):
@@ -471,6 +527,8 @@
                 )
             else:
                 self._update_peers(read.ok_value)
+                if self._on_read is not None:
+                    self._on_read(read.ok_value)
             pause_s = READ_INTERVAL_S
 
     def _rank_gateways(self, by_vm: dict[str, _Registration]) -> None:
@@ -512,6 +570,12 @@
         )
 
 
+def _registration_value(
+    address: fleet.Address, availability_zone: str
+) -> bytes:
+    return f"{address}/{availability_zone}".encode()
+
+
 def _vm_rank(vm_id: str) -> int:
     return xxhash.xxh3_64_intdigest(vm_id.encode())
 
--- /dev/null
+++ b/src/mulberrywharf/peers/repeat_shares.py
@@ -0,0 +1,165 @@
+"""Acquires and holds shares of the allowance of repeats.
+
+A gateway that starts tries to take one share, and ranks tell who takes the
+shares that stay free. Whoever holds a share keeps it as long as the lease of
+its registration lasts. Losing a share, or not knowing that it is free, costs
+repeats; nothing that this module believes adds to them.
+"""
+
+from collections.abc import Callable, Collection, Iterable
+from typing import Protocol
+
+import gevent
+import xxhash
+from loguru import logger
+from result import Err, Ok, Result
+
+from mulberrywharf import errors, metrics
+from mulberrywharf.peers import directory
+from mulberrywharf.platform_service import key_value, lease
+from mulberrywharf.policy import allowance_shares
+
+KEY_PREFIX = f"{directory.KEY_PREFIX}repeats-"
+"""Prefix of the shares' keys. It begins with that of the registrations, so that
+one read returns both."""
+
+_MATTER = "repeats"
+
+_held_gauge = metrics.gauge(
+    "mulberry_repeat_shares_held_count",
+    "Shares of the allowance of repeats that this gateway holds.",
+)
+_acquired_total = metrics.counter(
+    "mulberry_repeat_shares_acquired_total",
+    "Attempts to acquire a share of the allowance of repeats, by result.",
+)
+
+
+class Peers(Protocol):
+    """The registrations of all gateways."""
+
+    @property
+    def own_lease(self) -> lease.LeaseHolder | None:
+        """Lease of this gateway's registration, None without one."""
+        ...
+
+    @property
+    def own_value(self) -> bytes:
+        """Value of this gateway's registration."""
+        ...
+
+    def ranked_gateways(
+        self, matter: str, key: int, availability_zone: str
+    ) -> tuple[directory.RankedGateway, ...]:
+        """Returns the gateways that handle a matter for all, by rank."""
+        ...
+
+    def on_read(
+        self, callback: Callable[[list[key_value.KeyValue]], None]
+    ) -> None:
+        """Sets a function that gets all keys of each read."""
+        ...
+
+    def on_registered(self, callback: Callable[[], None]) -> None:
+        """Sets a function that is called after each registration."""
+        ...
+
+
+class RepeatShares:
+    """The shares that this gateway holds; see ``allowance_shares.Shares``."""
+
+    def __init__(
+        self,
+        peers: Peers,
+    ):
+        """Creates it without shares.
+
+        Args:
+            peers: The registrations of all gateways.
+        """
+        self._peers = peers
+        self._shares = allowance_shares.HeldShares()
+        self._lease: lease.LeaseHolder | None = None
+        self._free_before: frozenset[int] = frozenset()
+        self._has_tried = False
+        self._acquire_task: gevent.Greenlet | None = None
+        peers.on_read(self._on_read)
+        peers.on_registered(self._on_registered)
+
+    def close(self) -> None:
+        """Stops acquiring shares; the lease of the registration ends them."""
+        if self._acquire_task is not None:
+            self._acquire_task.kill()
+
+    def usable(self, now_s: float, counted_s: float) -> Collection[int]:
+        """Returns the shares that repeats may be charged to."""
+        if self._lease is None or not self._lease.is_valid():
+            return ()
+        return self._shares.usable(now_s, counted_s)
+
+    def _on_registered(self) -> None:
+        if not self._has_tried:
+            self._has_tried = True
+            digest = xxhash.xxh3_64_intdigest(self._peers.own_value)
+            self._start_acquiring([digest % allowance_shares.SHARES_COUNT])
+
+    def _on_read(self, records: Iterable[key_value.KeyValue]) -> None:
+        listed = {
+            one.key.removeprefix(KEY_PREFIX)
+            for one in records
+            if one.key.startswith(KEY_PREFIX)
+        }
+        free = frozenset(
+            share
+            for share in range(allowance_shares.SHARES_COUNT)
+            if str(share) not in listed
+        )
+        wanted = [
+            share
+            for share in sorted(free & self._free_before)
+            if self._is_candidate(share)
+        ]
+        self._free_before = free
+        self._start_acquiring(wanted)
+
+    def _is_candidate(self, share: int) -> bool:
+        ranked = self._peers.ranked_gateways(_MATTER, share, "")
+        return any(one.address is None for one in ranked)
+
+    def _start_acquiring(self, wanted: Collection[int]) -> None:
+        is_busy = self._acquire_task is not None and not self._acquire_task.dead
+        if wanted and not is_busy:
+            self._acquire_task = gevent.spawn(self._acquire, wanted)
+
+    def _acquire(self, wanted: Iterable[int]) -> None:
+        for share in wanted:
+            holder = self._peers.own_lease
+            if holder is None or not holder.is_valid():
+                return
+            if holder is not self._lease:
+                self._shares.clear()
+                self._lease = holder
+            if share in self._shares.held:
+                continue
+            created = holder.create_key(
+                f"{KEY_PREFIX}{share}", self._peers.own_value
+            )
+            if isinstance(created, Ok):
+                self._shares.note_acquired(share)
+            self._log(share, created)
+
+    def _log(
+        self, share: int, created: Result[object, errors.PlatformError]
+    ) -> None:
+        _held_gauge.set({}, len(self._shares.held))
+        if isinstance(created, Err):
+            _acquired_total.inc({"result": "failed"})
+            logger.bind(share=share).info(
+                "share of the allowance of repeats not acquired: {}",
+                created.err_value.message,
+            )
+            return
+        _acquired_total.inc({"result": "acquired"})
+        logger.bind(share=share).info(
+            "share of the allowance of repeats acquired"
+        )
--- a/src/mulberrywharf/policy/repeat_budget.py
+++ b/src/mulberrywharf/policy/repeat_budget.py
@@ -13,25 +13,27 @@
 over all gateways keeps it, whatever their number and whenever they start. It
 takes the mean of the requests in the period itself and in the one before: the
 sum of all means is no more than the larger sum, while the sum of each gateway's
-larger number could be twice as much. Each gateway has an equal part of the
-allowance.
+larger number could be twice as much. The allowance belongs to the gateways that
+hold its shares, see ``allowance_shares``.
 
-Assumptions, with ``now_s`` in seconds of a monotonic clock:
+Assumptions, with ``now_s`` in seconds of a clock that goes on while the machine
+is suspended:
 
 * A repeat arrives within ``ARRIVAL_DELAY_S`` of its charge. The kernel gives up
   a connection after 1.5 s without an acknowledgement.
 * A request is read within ``READ_DELAY_S`` of being sent. Callers give up later
   ones.
-* All gateways have the same settings, and know how many they are.
+* All gateways have the same settings.
 
 ``retry_budget`` has the rules for routers.
 """
 
 import itertools
 import math
-from collections.abc import Callable
 from typing import NamedTuple
 
+from mulberrywharf.policy import allowance_shares
+
 ARRIVAL_DELAY_S = 1.8
 """Maximum time from the charge of a repeat to its arrival at a server."""
 
@@ -62,25 +64,41 @@
     allowance_count: float = 0.0
 
 
+class Charge(NamedTuple):
+    """A repeat that was charged.
+
+    Attributes:
+        service: The service.
+        latest_s: When it arrives at the latest.
+        share: Share of the allowance that it was charged to, None if it was
+            charged to the ratio.
+    """
+
+    service: str
+    latest_s: float
+    share: int | None = None
+
+
 class Decision(NamedTuple):
     """Whether one repeat may be sent, and why.
 
     Attributes:
-        is_allowed: Whether it was charged and may be sent.
+        charge: What was charged, None if the repeat must not be sent.
         period_offset_s: Begin of the period that allows the fewest repeats, in
             seconds before now.
         requests_count: Mean of the requests in that period and in the one
             before.
         repeats_count: Repeats charged in that period, this one excluded.
-        gateways_count: Number of gateways among which the allowance was
-            divided.
+        shares: Shares of the allowance that this gateway could use.
+        left_count: Repeats that were left, of the ratio and of these shares.
     """
 
-    is_allowed: bool
+    charge: Charge | None
     period_offset_s: float
     requests_count: float
     repeats_count: int
-    gateways_count: int
+    shares: tuple[int, ...]
+    left_count: int
 
 
 class _Period(NamedTuple):
@@ -98,7 +116,7 @@
 
 
 class _Counts:
-    """Requests and repeats of one service.
+    """Requests of one service, and repeats charged to the ratio.
 
     Attributes:
         requests: Requests by bucket; the last bucket is the current one.
@@ -141,20 +159,29 @@
     """Budget of one gateway's repeats, by service."""
 
     def __init__(
-        self, settings: RepeatBudgetSettings, gateways_count: Callable[[], int]
+        self,
+        settings: RepeatBudgetSettings,
+        shares: allowance_shares.Shares | None = None,
     ):
         """Makes a budget of which nothing is spent.
 
         Args:
             settings: Limits on repeats.
-            gateways_count: Returns how many gateways share the allowance.
+            shares: The shares of the allowance that this gateway holds; None
+                for a gateway without others, which holds all.
         """
-        self._gateways_count = gateways_count
+        self._shares = shares or allowance_shares.AllShares()
         self._counts: dict[str, _Counts] = {}
+        # For each share, when each repeat charged to it arrives at the latest.
+        self._charged_s: dict[str, list[list[float]]] = {}
         self._apply(settings)
 
     def configure(self, settings: RepeatBudgetSettings) -> None:
-        """Changes the limits; a new length of the period resets the counts."""
+        """Changes the limits.
+
+        A new length of the period resets the counts of the ratio, as a restart
+        does. Repeats that were charged to shares still count.
+        """
         if settings.window_s != self._settings.window_s:
             self._counts.clear()
         for counts in self._counts.values():
@@ -163,6 +190,9 @@
 
     def _apply(self, settings: RepeatBudgetSettings) -> None:
         self._settings = settings
+        self._share_sizes = allowance_shares.share_sizes(
+            settings.allowance_count
+        )
         self._bucket_s = settings.window_s / _WINDOW_BUCKETS
         self._delay_buckets = math.ceil(ARRIVAL_DELAY_S / self._bucket_s)
         # Without a bucket that counts, a period would have fewer than none.
@@ -181,21 +211,47 @@
         if counts.period is None:
             counts.period = self._strictest_period(counts)
         period = counts.period
-        gateways_count = max(1, self._gateways_count())
-        allowed_count = (
-            settings.ratio * period.requests_count
-            + settings.allowance_count / gateways_count
+        allowed_count = settings.ratio * period.requests_count
+        counted_s = settings.window_s + ARRIVAL_DELAY_S
+        usable = tuple(self._shares.usable(now_s, counted_s))
+        charged_s = self._charged_to_shares_s(service, now_s)
+        left_counts = {
+            share: max(0, self._share_sizes[share] - len(charged_s[share]))
+            for share in usable
+        }
+        ratio_left_count = math.floor(
+            allowed_count - period.repeats_count + _ROUNDING
         )
-        is_allowed = period.repeats_count + 1 <= allowed_count + _ROUNDING
-        if is_allowed:
+        latest_s = now_s + ARRIVAL_DELAY_S
+        charge = None
+        if ratio_left_count > 0:
+            charge = Charge(service, latest_s)
             counts.add_repeat()
+        else:
+            share = max(usable, key=left_counts.__getitem__, default=None)
+            if share is not None and left_counts[share] > 0:
+                charge = Charge(service, latest_s, share)
+                charged_s[share].append(latest_s)
         return Decision(
-            is_allowed,
+            charge,
             period.offset_buckets * self._bucket_s,
             period.requests_count,
             period.repeats_count,
-            gateways_count,
+            usable,
+            max(0, ratio_left_count) + sum(left_counts.values()),
+        )
+
+    def _charged_to_shares_s(
+        self, service: str, now_s: float
+    ) -> list[list[float]]:
+        """Returns the charges to each share that still count."""
+        charged_s = self._charged_s.setdefault(
+            service, [[] for _ in range(allowance_shares.SHARES_COUNT)]
         )
+        since_s = now_s - self._settings.window_s
+        for share_s in charged_s:
+            share_s[:] = [one_s for one_s in share_s if one_s >= since_s]
+        return charged_s
 
     def _strictest_period(self, counts: _Counts) -> _Period:
         """Returns the period that allows the fewest further repeats.
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -59,6 +59,7 @@
     notices,
     path_questions,
     queue_owners,
+    repeat_shares,
     revision_exchange,
     stream_origins,
     topics,
@@ -87,12 +88,6 @@
 
 _MS_PER_S = 1000.0
 READINESS_INTERVAL_S = 0.2
-MIN_GATEWAYS_COUNT = 12
-"""Minimum number of gateways that share the allowance of repeats: the nine
-entry VMs of a current operator and one spare in each availability zone. A
-gateway that cannot see the others must not spend the whole allowance."""
-
-
 ROLE_CALL_LIMIT_WAIT_S = 0.2
 """Longest wait for an engine's request limit before a role report is read or a
 role is ordered. Callers' requests can wait only some hundred milliseconds, so
@@ -215,11 +210,11 @@
             self._crash_records,
             self._clock,
         )
+        self._repeat_shares = repeat_shares.RepeatShares(self._peers)
         self._budget = repeat_budget.RepeatBudget(
-            _repeat_settings(config),
-            lambda: max(MIN_GATEWAYS_COUNT, self._peers.gateways_count),
+            _repeat_settings(config), self._repeat_shares
         )
-        self._repeats = repeats.Repeats(self._budget, self._clock)
+        self._repeats = repeats.Repeats(self._budget, clock.BootClock())
         self._estimates = engine_estimates.EngineEstimates(
             self._tracker,
             self._clock,
@@ -373,6 +368,7 @@
         self._revision_exchange.close()
         self._crash_records.close()
         self._notices.close()
+        self._repeat_shares.close()
         self._peers.close()
         self._servers.close()
         self._routes.close()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -54,8 +54,7 @@
             unittest.mock.patch.object(self.crashes, "note_connection_lost")
         )
         self.budget = repeat_budget.RepeatBudget(
-            repeat_budget.RepeatBudgetSettings(allowance_count=100_000.0),
-            lambda: 1,
+            repeat_budget.RepeatBudgetSettings(allowance_count=100_000.0)
         )
 
     def check(self, cut: raw_answers.RawAnswer) -> None:
--- a/tests/test_forwarding_policy.py
+++ b/tests/test_forwarding_policy.py
@@ -12,7 +12,6 @@
     observed_waits,
     part_caches,
     prompt_admission,
-    repeat_budget,
     server_choice,
     slot_waits,
 )
@@ -254,36 +253,6 @@
         self.assertEqual(idle.failure_share, 0.0)
 
 
-class RepeatBudgetTest(unittest.TestCase):
-    def budget(
-        self, nodes_count: int = 1, **changes: float
-    ) -> repeat_budget.RepeatBudget:
-        return repeat_budget.RepeatBudget(
-            repeat_budget.RepeatBudgetSettings()._replace(**changes),
-            lambda: nodes_count,
-        )
-
-    def test_all_nodes_together_stay_within_the_budget(self) -> None:
-        """Guards against more retries than the operators allow.
-
-        Nine nodes see failures of the whole fleet at once, and each spent the
-        whole allowance.
-        """
-        nodes = [
-            self.budget(ratio=0.2, allowance_count=58.0, nodes_count=9)
-            for _ in range(9)
-        ]
-        for node in nodes:
-            for _ in range(20):
-                node.note_request("s", 1.0)
-        granted = sum(
-            node.decide("s", 2.0).is_allowed
-            for node in nodes
-            for _ in range(100)
-        )
-        self.assertLessEqual(granted, 0.2 * 180 + 58)
-
-
 def _held(number: int, tokens: int = 400) -> part_caches.HeldPart:
     return part_caches.HeldPart(number, tokens)
 
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -74,8 +74,7 @@
         self.addCleanup(self.client.close)
         self.crashes = build.crash_watch_for(self.client, self.tracker)
         self.budget = repeat_budget.RepeatBudget(
-            repeat_budget.RepeatBudgetSettings(allowance_count=100.0),
-            lambda: 1,
+            repeat_budget.RepeatBudgetSettings(allowance_count=100.0)
         )
 
     def respond_with(self, data: bytes) -> Any:
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -2,14 +2,16 @@
 
 import random
 import unittest
+from collections.abc import Collection
 from typing import NamedTuple
 
-from mulberrywharf.policy import repeat_budget
+from mulberrywharf.policy import allowance_shares, repeat_budget
 from proofs import repeat_windows
 
 RATIO = 0.2
 WINDOW_S = 10.0
 STEP_S = 0.05
+SHARES = set(range(allowance_shares.SHARES_COUNT))
 
 
 class Gateway:
@@ -19,21 +21,24 @@
         self,
         rng: random.Random,
         allowance_count: float = 0.0,
-        gateways_count: int = 1,
+        held: Collection[int] = (),
     ):
         self._booted_s = rng.uniform(0.0, 100.0)
+        shares = allowance_shares.HeldShares()
+        for share in held:
+            shares.note_acquired(share)
         self.budget = repeat_budget.RepeatBudget(
             repeat_budget.RepeatBudgetSettings(
                 RATIO, WINDOW_S, allowance_count
             ),
-            lambda: gateways_count,
+            shares,
         )
 
     def note_request(self, now_s: float) -> None:
         self.budget.note_request("s", now_s - self._booted_s)
 
-    def charge(self, now_s: float) -> bool:
-        return self.budget.decide("s", now_s - self._booted_s).is_allowed
+    def charge(self, now_s: float) -> repeat_budget.Charge | None:
+        return self.budget.decide("s", now_s - self._booted_s).charge
 
 
 class Counted(NamedTuple):
@@ -75,7 +80,7 @@
     def charge_all(self, gateways: list[Gateway], now_s: float) -> list[float]:
         taken_s = []
         for gateway in gateways:
-            while gateway.charge(now_s):
+            while gateway.charge(now_s) is not None:
                 taken_s.append(now_s)
         return taken_s
 
@@ -96,17 +101,17 @@
         self.assertGreaterEqual(lasting_count, 8 * RATIO * 100)
 
     def test_a_gateway_without_requests_may_repeat_nothing(self) -> None:
-        self.assertFalse(Gateway(self.rng).charge(100.0))
+        self.assertIsNone(Gateway(self.rng).charge(100.0))
 
     def test_requests_of_long_ago_allow_no_repeats(self) -> None:
         gateway = Gateway(self.rng)
         self.steady([gateway], 10.0, 110.0)
-        self.assertFalse(gateway.charge(130.0))
+        self.assertIsNone(gateway.charge(130.0))
 
     def test_each_service_has_its_own_budget(self) -> None:
         gateway = Gateway(self.rng)
         self.steady([gateway], 10.0, 120.0)
-        self.assertFalse(gateway.budget.decide("other", 120.0).is_allowed)
+        self.assertIsNone(gateway.budget.decide("other", 120.0).charge)
 
     def test_two_failures_within_one_window_share_its_budget(self) -> None:
         """Guards against a window that is shorter than the operators'.
@@ -115,7 +120,10 @@
         """
         for distance_s in (8.0, 9.05, 9.5, 9.9, 9.99, 10.01, 11.0, 12.0):
             with self.subTest(distance_s=distance_s):
-                gateways = [Gateway(self.rng, 162.0, 61) for _ in range(61)]
+                gateways = [
+                    Gateway(self.rng, 162.0, {number} & SHARES)
+                    for number in range(61)
+                ]
                 sent_s = self.steady(gateways, 5.0, 140.0)
                 taken_s = self.charge_all(gateways, 140.0)
                 later_s = 140.0 + distance_s
@@ -175,5 +183,43 @@
         return counted
 
 
+class AllowanceTest(unittest.TestCase):
+    def test_all_gateways_together_stay_within_the_allowance(self) -> None:
+        """Guards against more repeats than the operators allow.
+
+        Nine gateways see failures of the whole fleet at once, and each spent
+        the whole allowance.
+        """
+        rng = random.Random(1)
+        gateways = [
+            Gateway(rng, 58.0, {number} & SHARES) for number in range(9)
+        ]
+        taken_count = sum(
+            gateway.charge(200.0) is not None
+            for gateway in gateways
+            for _ in range(100)
+        )
+        self.assertEqual(taken_count, 58)
+
+    def test_a_reload_of_the_settings_forgets_no_repeat(self) -> None:
+        """Guards against a gateway that spends all again after a reload."""
+        settings = repeat_budget.RepeatBudgetSettings(RATIO, WINDOW_S, 58.0)
+        for reloaded in (
+            settings,
+            settings._replace(ratio=0.1),
+            settings._replace(allowance_count=50.0),
+            settings._replace(window_s=5.0),
+            settings._replace(window_s=20.0),
+        ):
+            with self.subTest(reloaded=reloaded):
+                gateway = Gateway(random.Random(1), 58.0, SHARES)
+                for step in range(200):
+                    gateway.note_request(200.0 + step * 0.1)
+                while gateway.charge(220.0) is not None:
+                    pass
+                gateway.budget.configure(reloaded)
+                self.assertIsNone(gateway.charge(220.5))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_repeat_charges.py
+++ b/tests/test_repeat_charges.py
@@ -15,8 +15,7 @@
         )
         charging = repeats.Repeats(
             repeat_budget.RepeatBudget(
-                repeat_budget.RepeatBudgetSettings(allowance_count=1.0),
-                lambda: 1,
+                repeat_budget.RepeatBudgetSettings(allowance_count=1.0)
             ),
             clock.SystemClock(),
         )
