Let a share of the allowance cool down with a new holder

What operators saw: more repeats than they allow, behind starts in series and VMs that leave.

Cause: a process that starts, or takes a share over, doesn't know what the last holder spent a moment before, and spends it again.

Change: a share may be used once the repeats of its last holder have left the period: behind the length of a lease, the period and the delay of an arrival. A record that outlives the lease names the last holder; a holder that gets its own share back, and the first one of all, need not wait. The record holds within one era of the store.

--- a/src/mulberrywharf/peers/repeat_shares.py
+++ b/src/mulberrywharf/peers/repeat_shares.py
@@ -14,7 +14,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, metrics
+from mulberrywharf import clock, errors, metrics
 from mulberrywharf.peers import directory
 from mulberrywharf.platform_service import key_value, lease
 from mulberrywharf.policy import allowance_shares
@@ -23,6 +23,9 @@
 """Prefix of the shares' keys. It begins with that of the registrations, so that
 one read returns both."""
 
+RECORD_PREFIX = "mulberrywharf/repeats/"
+"""Prefix of the records of the shares' last holders, which outlive leases."""
+
 _MATTER = "repeats"
 
 _held_gauge = metrics.gauge(
@@ -71,15 +74,27 @@
     def __init__(
         self,
         peers: Peers,
+        client: key_value.KeyValueClient,
+        process_id: str,
+        system_clock: clock.Clock,
     ):
         """Creates it without shares.
 
         Args:
             peers: The registrations of all gateways.
+            client: Client of the key-value service.
+            process_id: Identifies this run of the gateway.
+            system_clock: Times the shares; must go on while the machine is
+                suspended.
         """
         self._peers = peers
+        self._client = client
+        self._process_id = process_id.encode()
+        self._clock = system_clock
         self._shares = allowance_shares.HeldShares()
         self._lease: lease.LeaseHolder | None = None
+        self._last_holder_in_era: dict[int, int] = {}
+        self._unrecorded: set[int] = set()
         self._free_before: frozenset[int] = frozenset()
         self._has_tried = False
         self._acquire_task: gevent.Greenlet | None = None
@@ -98,10 +113,12 @@
         return self._shares.usable(now_s, counted_s)
 
     def _on_registered(self) -> None:
+        wanted = sorted(self._last_holder_in_era)
         if not self._has_tried:
-            self._has_tried = True
             digest = xxhash.xxh3_64_intdigest(self._peers.own_value)
-            self._start_acquiring([digest % allowance_shares.SHARES_COUNT])
+            wanted.append(digest % allowance_shares.SHARES_COUNT)
+        self._has_tried = True
+        self._start_acquiring(wanted)
 
     def _on_read(self, records: Iterable[key_value.KeyValue]) -> None:
         listed = {
@@ -116,8 +133,8 @@
         )
         wanted = [
             share
-            for share in sorted(free & self._free_before)
-            if self._is_candidate(share)
+            for share in sorted((free & self._free_before) | self._unrecorded)
+            if share in self._unrecorded or self._is_candidate(share)
         ]
         self._free_before = free
         self._start_acquiring(wanted)
@@ -138,28 +155,73 @@
                 return
             if holder is not self._lease:
                 self._shares.clear()
+                self._unrecorded.clear()
                 self._lease = holder
             if share in self._shares.held:
                 continue
-            created = holder.create_key(
-                f"{KEY_PREFIX}{share}", self._peers.own_value
-            )
-            if isinstance(created, Ok):
-                self._shares.note_acquired(share)
-            self._log(share, created)
+            self._log(share, self._acquire_one(share, holder))
 
     def _log(
-        self, share: int, created: Result[object, errors.PlatformError]
+        self, share: int, acquired: Result[bool, errors.PlatformError]
     ) -> None:
         _held_gauge.set({}, len(self._shares.held))
-        if isinstance(created, Err):
+        if isinstance(acquired, Err):
             _acquired_total.inc({"result": "failed"})
             logger.bind(share=share).info(
                 "share of the allowance of repeats not acquired: {}",
-                created.err_value.message,
+                acquired.err_value.message,
             )
             return
         _acquired_total.inc({"result": "acquired"})
-        logger.bind(share=share).info(
+        logger.bind(share=share, needs_cooldown=acquired.ok_value).info(
             "share of the allowance of repeats acquired"
         )
+
+    def _acquire_one(
+        self, share: int, holder: lease.LeaseHolder
+    ) -> Result[bool, errors.PlatformError]:
+        """Takes a share; returns whether it needs a cooldown."""
+        created = holder.create_key(
+            f"{KEY_PREFIX}{share}", self._peers.own_value
+        )
+        if isinstance(created, Err):
+            return created
+        self._unrecorded.add(share)
+        recorded = self._record_holder(share)
+        if isinstance(recorded, Ok):
+            self._unrecorded.discard(share)
+            self._shares.note_acquired(
+                share,
+                self._clock.monotonic_s(),
+                needs_cooldown=recorded.ok_value,
+            )
+        return recorded
+
+    def _record_holder(self, share: int) -> Result[bool, errors.PlatformError]:
+        """Records this process as the last holder of a share that it holds.
+
+        Returns:
+            Whether another process may have used the share before, or since
+            this one did.
+        """
+        key = f"{RECORD_PREFIX}{share}"
+        # A write whose outcome is unknown may take effect at any later time.
+        was_last_in_era = self._last_holder_in_era.pop(share, None)
+        read = self._client.get(key, purpose=directory.PURPOSE)
+        if isinstance(read, Err):
+            return read
+        record, era = read.ok_value, self._client.era
+        is_own = record is not None and record.value == self._process_id
+        if is_own and was_last_in_era == era:
+            self._last_holder_in_era[share] = era
+            return Ok(False)
+        written = self._client.compare_and_swap(
+            key,
+            self._process_id,
+            expected_revision=record.mod_revision if record else 0,
+            purpose=directory.PURPOSE,
+        )
+        if isinstance(written, Err):
+            return written
+        self._last_holder_in_era[share] = era
+        return Ok(record is not None)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -210,7 +210,12 @@
             self._crash_records,
             self._clock,
         )
-        self._repeat_shares = repeat_shares.RepeatShares(self._peers)
+        self._repeat_shares = repeat_shares.RepeatShares(
+            self._peers,
+            self._store,
+            f"{config['vm_id']}/{self._rng.getrandbits(64):016x}",
+            clock.BootClock(),
+        )
         self._budget = repeat_budget.RepeatBudget(
             _repeat_settings(config), self._repeat_shares
         )
--- a/tests/test_repeat_shares.py
+++ b/tests/test_repeat_shares.py
@@ -36,6 +36,7 @@
         )
         self.clock = _SuspendableClock()
         self.clients: list[key_value.KeyValueClient] = []
+        self.directories: list[directory.PeerDirectory] = []
 
     def start(self, vm_id: str) -> repeat_shares.RepeatShares:
         client = build.store_client(self.store.port)
@@ -49,7 +50,10 @@
             vm_id,
             self.clock,
         )
-        shares = repeat_shares.RepeatShares(peers)
+        shares = repeat_shares.RepeatShares(
+            peers, client, f"{vm_id}/{len(self.clients)}", self.clock
+        )
+        self.directories.append(peers)
         peers.start()
         self.addCleanup(peers.close)
         self.addCleanup(shares.close)
@@ -130,6 +134,66 @@
         self.assertEqual(self.usable(first), set())
         self.assertEqual(self.usable(second), ALL)
 
+    def test_a_share_cools_down_until_its_last_holder_is_forgotten(
+        self,
+    ) -> None:
+        """Guards against a start that forgets what its predecessor spent.
+
+        The process before may have spent its part a moment ago.
+        """
+        first = self.start("vm-1")
+        self.wait_for_all(first)
+        first.close()
+        self.directories[0].close()
+        ended_s = time.monotonic()
+        second = self.start("vm-1")
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.usable(second), PASSED_ON_WITHIN_S
+            )
+        )
+        self.assertGreater(time.monotonic() - ended_s, COUNTED_S)
+
+    def test_a_holder_that_gets_its_share_back_need_not_wait(self) -> None:
+        shares = self.start("vm-1")
+        self.wait_for_all(shares)
+        self.store.faults = {"status": 503}
+        gevent.sleep(1.2 * directory.LEASE_TTL_S)
+        self.assertEqual(self.usable(shares), set())
+        self.store.faults = {}
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.directories[0].own_lease, PASSED_ON_WITHIN_S
+            )
+        )
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.usable(shares) == ALL, COUNTED_S
+            )
+        )
+
+    def test_a_share_from_before_a_restore_cools_down(self) -> None:
+        """Guards against two holders of a share across a restore.
+
+        The copy may lack the record of a holder that came later.
+        """
+        self.store.era = 1
+        first = self.start("vm-1")
+        self.wait_for_all(first)
+        self.store.restore(self.store.copy())
+        restored_s = time.monotonic()
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.usable(first) != ALL, COUNTED_S
+            )
+        )
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.usable(first) == ALL, PASSED_ON_WITHIN_S
+            )
+        )
+        self.assertGreater(time.monotonic() - restored_s, COUNTED_S)
+
 
 class ShareSizesTest(unittest.TestCase):
     def test_the_shares_make_up_the_allowance(self) -> None:
