Charge each arrival beyond the first, also behind the hop between gateways

What operators saw: more repeats than they allow.

Cause, by reading: a request that is handed over said whether it was counted, not whether it had arrived at a server or was prefilled. And a repeat was charged when it was decided on, so that a wait for a place or a request limit lay between charge and arrival.

A repeat is charged on an open connection, immediately before its first byte. Its charge ends when its answer begins, the latest moment of its arrival, and is refunded if it turns out to be the request's first accepted prefill. An attempt whose fate is unknown counts.

No breach was traced to this.

--- a/bench/repeat_play.py
+++ b/bench/repeat_play.py
@@ -384,6 +384,7 @@
         self.run = gateway.run
         self.sends_count = 0
         self.attempt = 0
+        self.charge: repeat_budget.Charge | None = None
         self.has_failed = False
 
 
@@ -721,6 +722,10 @@
         self._in_flight.discard(request)
         if not self._is_run(request.gateway, request.run):
             return
+        if request.charge is not None:
+            self._budgets[request.gateway.vm_id].note_arrived(
+                request.charge, self._now_s(request.gateway)
+            )
         if not fails:
             self._served_count += 1
             self._saved_count += request.has_failed
@@ -734,7 +739,8 @@
     def _repeat(self, request: _Request) -> None:
         gateway = request.gateway
         budget = self._budgets[gateway.vm_id]
-        if budget.decide(SERVICE, self._now_s(gateway)).charge is not None:
+        request.charge = budget.decide(SERVICE, self._now_s(gateway)).charge
+        if request.charge is not None:
             self._attempt(request)
 
 
--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -375,6 +375,17 @@
                 message = f"the answer exceeds {limit_bytes} bytes"
                 return Err(errors.AnswerTooLargeError(message))
 
+    def release(self) -> None:
+        """Ends an exchange that has sent nothing; keeps the connection."""
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        is_unused = self.is_new_connection and self.stage == NotSent()
+        if is_unused and self._pool is not None:
+            self._pool.put(connection)
+        else:
+            connection.close()
+
     def finish(self) -> None:
         """Ends the exchange; keeps the connection if that is safe.
 
--- a/src/mulberrywharf/callers/handed_over.py
+++ b/src/mulberrywharf/callers/handed_over.py
@@ -83,6 +83,8 @@
                 handed.is_counted,
                 handed.is_admitted,
                 handed.version_key,
+                handed.has_arrived,
+                handed.is_prefilled,
             ),
         )
 
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -382,6 +382,14 @@
         self.retry_after_s = retry_after_s
 
 
+class RepeatRefusedError(EngineError):
+    """The request was not sent once more, as the budget of repeats is spent."""
+
+    code = "repeat-refused"
+    outcome: Outcome = "not-run"
+    advice = "Find out why requests fail; the budget bounds the extra load."
+
+
 class AnswerLostError(EngineError):
     """The request may have been sent, but no complete answer was received."""
 
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -223,7 +223,6 @@
         self._last_event_id = routed_request.last_event_id
         self._delivered_id = _parse_event_id(routed_request.last_event_id)
         self._prefilled: _Prefilled | None = None
-        self._was_prefilled = False
         received = routed_request.handover
         self._is_counted = received is not None and received.is_counted
         self._is_admitted = received is not None and received.is_admitted
@@ -233,6 +232,7 @@
         self._only_version: stream_version.VersionKey | None = None
         self._state = StreamState()
         self._crashes = dependencies.crashes.of(routed_request, service.name)
+        self._repeats = dependencies.repeats.of(routed_request, service.name)
 
     def open(self) -> StreamAnswer:
         self._crashes.check()
@@ -348,7 +348,8 @@
             placed, permit = self._place()
             if placed.plan.prefill is None:
                 return self._generate(placed, permit)
-            self._charge_prefill()
+            if not self._repeats.may_prefill():
+                raise self._final_error("the repeat budget is exhausted")
             result = self._prefill(placed, placed.plan.prefill.server, permit)
             if isinstance(result, Err):
                 return result
@@ -357,10 +358,9 @@
 
     def _count_request(self) -> None:
         """Adds the request to the retry budget, if no gateway has done so."""
-        if self._is_counted:
-            return
-        self._is_counted = True
-        self._dependencies.repeats.note_request(self._service.name)
+        if not self._is_counted:
+            self._is_counted = True
+            self._dependencies.repeats.note_request(self._service.name)
 
     def _prefers_helper(self) -> bool:
         return (
@@ -418,10 +418,13 @@
             is_admitted=self._is_admitted,
             reason=reason,
             version_key=self._only_version,
+            has_arrived=self._repeats.has_arrived,
+            is_prefilled=self._repeats.is_prefilled,
         )
 
     def _note_sent(self) -> None:
         self._outcome = "unknown"
+        self._repeats.note_handed_over()
 
     def _usable_prefill(self) -> _Prefilled | None:
         """Returns the prefilled prompt, unless its KV cache has expired."""
@@ -546,7 +549,7 @@
     def _record_prefill(
         self, cache: request.CacheHandle, server: fleet.Server
     ) -> _Prefilled:
-        self._was_prefilled = True
+        self._repeats.note_prefilled()
         engine = self._service.engine
         ttl_s = engine.handle_ttl_s if engine else 0.0
         now_s = self._dependencies.system_clock.monotonic_s()
@@ -639,7 +642,9 @@
             self._crashes.note_failed(server, began_s, sent.err_value)
             if isinstance(
                 sent.err_value,
-                errors.EngineUnreachableError | errors.ServerLimitError,
+                errors.EngineUnreachableError
+                | errors.ServerLimitError
+                | errors.RepeatRefusedError,
             ):
                 # Nothing was sent, so another engine can use the handle.
                 self._prefilled = prefilled
@@ -656,7 +661,7 @@
 
         An engine that fails a part of its requests would otherwise cost the
         callers of all of them their answers, although others work. The
-        request's route allows the attempt, and the retry budget is charged.
+        request's route and the budget of repeats allow the attempt.
         """
         return (
             self._may_run_again
@@ -664,7 +669,7 @@
             and outcome.is_server_fault(run.head.status)
             and not self._is_limit_reached()
             and not self._crashes.is_blocked()
-            and self._charge("run")
+            and self._repeats.may_send()
         )
 
     def _discard(self, run: _OpenAnswer) -> None:
@@ -695,15 +700,21 @@
         may_run_again: bool,
     ) -> Result[server_client.StartedAnswer, errors.EngineError]:
         self._sends_count += 1
-        return self._dependencies.client.send(
+        part: repeats.Part = "prefill" if attempt.prefill_only else "run"
+        if not self._repeats.may_send():
+            return Err(errors.RepeatRefusedError("no repeat is left"))
+        sent = self._dependencies.client.send(
             attempt,
             permit,
             may_run_again=may_run_again,
             wait_s=self._limit.wait_s(),
+            on_write=lambda: self._repeats.on_send(part),
         )
+        self._repeats.note_result(sent)
+        return sent
 
     def _allow_retry_or_raise(self, error: errors.EngineError) -> None:
-        """Charges another attempt to the retry budget, if one is allowed.
+        """Returns if another attempt is allowed.
 
         Raises:
             RequestError: No further attempt is allowed.
@@ -714,7 +725,12 @@
             self._crashes.check_repeat()
         elif self._crashes.is_blocked():
             raise errors.BackEndLostError(error.message, outcome="unknown")
-        if self._is_limit_reached() or not self._charge_repeat(error):
+        is_refused = isinstance(error, errors.RepeatRefusedError)
+        if (
+            is_refused
+            or self._is_limit_reached()
+            or not self._repeats.may_send()
+        ):
             raise self._final_error(error.message)
 
     def _is_limit_reached(self) -> bool:
@@ -723,34 +739,6 @@
             or self._runs_count >= self._route.attempts_limit_count
         )
 
-    def _charge_repeat(self, error: errors.EngineError) -> bool:
-        reason = repeats.uncharged_reason(error)
-        if reason is not None:
-            # No engine received the request, so sending it again is no retry.
-            self._dependencies.repeats.note_uncharged(
-                self._service.name, reason
-            )
-            return True
-        return self._charge("run")
-
-    def _charge_prefill(self) -> None:
-        """Counts a prefill as a retry, unless it is the request's first.
-
-        Operators count every prefill after the first as a retry. Without this
-        charge, the engines behind 61 gateways received 935 retries in 10 s
-        where 923 were allowed.
-
-        Raises:
-            RequestError: The retry budget is exhausted.
-        """
-        if self._was_prefilled and not self._charge("prefill"):
-            raise self._final_error("the retry budget is exhausted")
-
-    def _charge(self, part: repeats.Part) -> bool:
-        return self._dependencies.repeats.charge(
-            self._service.name, self._routed_request.request_id, part
-        )
-
     def _final_error(self, message: str) -> errors.RequestError:
         if self._outcome == "unknown":
             return errors.BackEndLostError(message, outcome="unknown")
--- a/src/mulberrywharf/forwarding/handover.py
+++ b/src/mulberrywharf/forwarding/handover.py
@@ -64,6 +64,8 @@
         is_admitted: Whether it was admitted and its demand is counted.
         version_key: Software version at which the stream must go on, None if it
             begins anew.
+        has_arrived: Whether it may have arrived at a server.
+        is_prefilled: Whether a server may have prefilled its prompt.
         reason: Why it is handed over, for the log.
     """
 
@@ -76,6 +78,8 @@
     is_admitted: bool
     reason: str
     version_key: stream_version.VersionKey | None = None
+    has_arrived: bool = False
+    is_prefilled: bool = False
 
 
 class OpenHandover:
@@ -209,6 +213,13 @@
         began_s = time.monotonic()
         refused: list[fleet.Address] = []
         busy_count = 0
+
+        def note_accepted() -> None:
+            # A gateway that accepts a request may send it and then give it up.
+            nonlocal handed
+            handed = handed._replace(has_arrived=True, is_prefilled=True)
+            on_accepted()
+
         while (
             len(refused) < OFFERS_LIMIT_COUNT
             and time.monotonic() - began_s < OFFERS_LIMIT_S
@@ -222,7 +233,7 @@
             if address is None:
                 break
             try:
-                taken = self._offer(address, handed, on_accepted)
+                taken = self._offer(address, handed, note_accepted)
             except BaseException:
                 # The caller has left, or its time is over.
                 _log(handed, address, "abandoned", len(refused), began_s)
@@ -327,6 +338,8 @@
             is_counted=handed.is_counted,
             is_admitted=handed.is_admitted,
             version_key=handed.version_key,
+            has_arrived=handed.has_arrived,
+            is_prefilled=handed.is_prefilled,
         )
 
 
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -148,6 +148,7 @@
         self._failure_answer: WholeAnswer | None = None
         self._limit_error: errors.ServerLimitError | None = None
         self._limit = dependencies.stops.call_limit(routed_request, route)
+        self._repeats = dependencies.repeats.of(routed_request, service)
 
     def run(self) -> WholeAnswer:
         bound = gevent.Timeout(self._limit.left_s())
@@ -192,10 +193,9 @@
 
     def _count_request(self) -> None:
         """Adds the request to the retry budget, if no gateway has done so."""
-        if self._is_counted:
-            return
-        self._is_counted = True
-        self._dependencies.repeats.note_request(self._service)
+        if not self._is_counted:
+            self._is_counted = True
+            self._dependencies.repeats.note_request(self._service)
 
     def _prefers_helper(self) -> bool:
         return (
@@ -251,10 +251,12 @@
             is_counted=self._is_counted,
             is_admitted=False,
             reason=reason,
+            has_arrived=self._repeats.has_arrived,
         )
 
     def _note_sent(self) -> None:
         self._outcome = "unknown"
+        self._repeats.note_handed_over()
 
     def _read_handed(
         self, handed: handover.OpenHandover
@@ -398,12 +400,16 @@
     def _exchange(
         self, attempt: request.Attempt, permit: server_limits.SendPermit
     ) -> Result[WholeAnswer, errors.EngineError]:
+        if not self._repeats.may_send():
+            return Err(errors.RepeatRefusedError("no repeat is left"))
         sent = self._dependencies.client.send(
             attempt,
             permit,
             may_run_again=self._may_run_again,
             wait_s=self._limit.wait_s(),
+            on_write=lambda: self._repeats.on_send("run"),
         )
+        self._repeats.note_result(sent)
         if isinstance(sent, Err):
             return sent
         answer = sent.ok_value
@@ -464,17 +470,16 @@
         if self._dependencies.crashes.is_blocked(self._routed_request):
             return False
         if isinstance(attempted, Err):
-            reason = repeats.uncharged_reason(attempted.err_value)
-            if reason is not None:
-                # No server received the request, so sending it again is no
-                # retry.
-                self._dependencies.repeats.note_uncharged(self._service, reason)
+            error = attempted.err_value
+            if isinstance(error, errors.RepeatRefusedError):
+                return False
+            if isinstance(
+                error, errors.EngineUnreachableError | errors.ServerLimitError
+            ):
                 return True
         if self._outcome == "unknown" and not self._may_run_again:
             return False
-        return self._dependencies.repeats.charge(
-            self._service, self._routed_request.request_id, "run"
-        )
+        return self._repeats.may_send()
 
     def _give_up(self, reason: str) -> WholeAnswer:
         if self._failure_answer is not None:
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -51,12 +51,16 @@
         is_admitted: Whether it has admitted the request and counts its demand.
         version_key: Software version at which the stream goes on, None if it
             begins here.
+        has_arrived: Whether it may have arrived at a server.
+        is_prefilled: Whether a server may have prefilled its prompt.
     """
 
     vm_id: str
     is_counted: bool
     is_admitted: bool
     version_key: stream_version.VersionKey | None = None
+    has_arrived: bool = False
+    is_prefilled: bool = False
 
 
 class RoutedRequest(NamedTuple):
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -146,6 +146,7 @@
         *,
         may_run_again: bool,
         wait_s: float,
+        on_write: Callable[[], Result[None, errors.RepeatRefusedError]],
     ) -> Result[StartedAnswer, errors.EngineError]:
         """Sends one attempt and waits for the head of its answer.
 
@@ -157,10 +158,13 @@
                 connection, as the server may close that while the request is
                 being sent.
             wait_s: Maximum length of each wait for the server, in seconds.
+            on_write: Called on an open connection, immediately before the
+                request is written; its error keeps the request from being sent.
 
         Returns:
             The answer; ``EngineUnreachableError`` if no byte was sent,
             ``ServerLimitError`` if the permit has expired,
+            ``RepeatRefusedError`` if ``on_write`` returned it,
             ``EngineRefusedError`` if the server states that nothing ran,
             ``AnswerLostError`` or ``ForeignAnswerError`` if it may have run.
 
@@ -186,6 +190,10 @@
         # Every connection is kept, also one opened for a request that must not
         # run again; only requests that may run again reuse it.
         exchange = opened.ok_value.keep_in(self._pool)
+        charged = on_write()
+        if isinstance(charged, Err):
+            exchange.release()
+            return charged
         if may_run_again:
             self._repeatable.setdefault(
                 attempt.server.start, weakref.WeakSet()
--- a/src/mulberrywharf/peers/handover.capnp
+++ b/src/mulberrywharf/peers/handover.capnp
@@ -19,6 +19,8 @@
   isAdmitted @13 :Bool;    # whether the sender admitted it and counts its demand
   hasVersionKey @14 :Bool;
   versionKey @15 :UInt64;  # software version at which the stream must go on
+  hasArrived @16 :Bool;    # whether it may have arrived at a server
+  isPrefilled @17 :Bool;   # whether a server may have prefilled its prompt
 }
 
 struct Field {
--- a/src/mulberrywharf/peers/handover_codec.py
+++ b/src/mulberrywharf/peers/handover_codec.py
@@ -67,6 +67,8 @@
         is_admitted: Whether the sender has admitted it and counts its demand.
         version_key: Software version at which the stream must go on, None if it
             begins anew.
+        has_arrived: Whether it may have arrived at a server.
+        is_prefilled: Whether a server may have prefilled its prompt.
     """
 
     method: str
@@ -83,6 +85,8 @@
     is_counted: bool = False
     is_admitted: bool = False
     version_key: int | None = None
+    has_arrived: bool = False
+    is_prefilled: bool = False
 
 
 def encode(handed: HandedRequest) -> bytes:
@@ -105,6 +109,8 @@
     wire.waitedMs = wire_numbers.milliseconds(handed.waited_s)
     wire.isCounted = handed.is_counted
     wire.isAdmitted = handed.is_admitted
+    wire.hasArrived = handed.has_arrived
+    wire.isPrefilled = handed.is_prefilled
     if handed.version_key is not None:
         wire.hasVersionKey = True
         wire.versionKey = handed.version_key
@@ -146,6 +152,8 @@
         is_counted=wire.isCounted,
         is_admitted=wire.isAdmitted,
         version_key=wire.versionKey if wire.hasVersionKey else None,
+        has_arrived=wire.hasArrived,
+        is_prefilled=wire.isPrefilled,
     )
 
 
--- a/src/mulberrywharf/policy/repeat_budget.py
+++ b/src/mulberrywharf/policy/repeat_budget.py
@@ -19,8 +19,9 @@
 Assumptions, with ``now_s`` in seconds of a clock that goes on while the machine
 is suspended:
 
-* A repeat arrives within ``ARRIVAL_DELAY_S`` of its charge. The kernel gives up
-  a connection after 1.5 s without an acknowledgement.
+* A repeat arrives within ``ARRIVAL_DELAY_S`` of its charge, and before its
+  answer begins. The kernel gives up a connection after 1.5 s without an
+  acknowledgement.
 * A request is read within ``READ_DELAY_S`` of being sent. Callers give up later
   ones.
 * All gateways have the same settings.
@@ -72,11 +73,13 @@
         latest_s: When it arrives at the latest.
         share: Share of the allowance that it was charged to, None if it was
             charged to the ratio.
+        resets_count: How often the counts of the ratio had been reset.
     """
 
     service: str
     latest_s: float
     share: int | None = None
+    resets_count: int = 0
 
 
 class Decision(NamedTuple):
@@ -123,8 +126,8 @@
         repeats: Repeats by the bucket in which they arrive at the latest. The
             last bucket is that of a repeat that is charged now.
         period: The strictest period, None if it must be found anew. New
-            requests can only make it less strict, so it is found once for each
-            bucket.
+            requests and early arrivals can only make it less strict, so it is
+            found once for each bucket.
     """
 
     def __init__(self, bucket: int, delay_buckets: int) -> None:
@@ -145,14 +148,11 @@
             del counts[:passed_count]
             counts.extend([0] * (size - len(counts)))
 
-    def add_repeat(self) -> None:
-        """Adds a repeat that is charged now."""
-        self.repeats[-1] += 1
-        if self.period is not None:
-            # It may arrive in any period.
-            self.period = self.period._replace(
-                repeats_count=self.period.repeats_count + 1
-            )
+    def add_repeats(self, bucket: int, count: int) -> None:
+        """Adds repeats that arrive in a bucket at the latest."""
+        if bucket >= self._first_bucket:
+            last = len(self.repeats) - 1
+            self.repeats[min(last, bucket - self._first_bucket)] += count
 
 
 class RepeatBudget:
@@ -172,6 +172,7 @@
         """
         self._shares = shares or allowance_shares.AllShares()
         self._counts: dict[str, _Counts] = {}
+        self._resets_count = 0
         # For each share, when each repeat charged to it arrives at the latest.
         self._charged_s: dict[str, list[list[float]]] = {}
         self._apply(settings)
@@ -184,6 +185,7 @@
         """
         if settings.window_s != self._settings.window_s:
             self._counts.clear()
+            self._resets_count += 1
         for counts in self._counts.values():
             counts.period = None
         self._apply(settings)
@@ -206,6 +208,20 @@
 
     def decide(self, service: str, now_s: float) -> Decision:
         """Charges one repeat, unless none is left."""
+        decision = self.foresee(service, now_s)
+        charge = decision.charge
+        if charge is not None:
+            self._add(charge, 1)
+            counts = self._counts[charge.service]
+            if charge.share is None and counts.period is not None:
+                # It may arrive in any period.
+                counts.period = counts.period._replace(
+                    repeats_count=counts.period.repeats_count + 1
+                )
+        return decision
+
+    def foresee(self, service: str, now_s: float) -> Decision:
+        """Returns what ``decide`` would, and charges nothing."""
         counts = self._current(service, now_s)
         settings = self._settings
         if counts.period is None:
@@ -225,13 +241,11 @@
         latest_s = now_s + ARRIVAL_DELAY_S
         charge = None
         if ratio_left_count > 0:
-            charge = Charge(service, latest_s)
-            counts.add_repeat()
+            charge = Charge(service, latest_s, resets_count=self._resets_count)
         else:
             share = max(usable, key=left_counts.__getitem__, default=None)
             if share is not None and left_counts[share] > 0:
                 charge = Charge(service, latest_s, share)
-                charged_s[share].append(latest_s)
         return Decision(
             charge,
             period.offset_buckets * self._bucket_s,
@@ -241,6 +255,37 @@
             max(0, ratio_left_count) + sum(left_counts.values()),
         )
 
+    def refund(self, charge: Charge) -> None:
+        """Takes a charge back, as what was sent was no repeat."""
+        self._add(charge, -1)
+
+    def note_arrived(self, charge: Charge, now_s: float) -> Charge:
+        """Records that a repeat has arrived, as its answer began.
+
+        Returns:
+            The charge that takes the place of this one.
+        """
+        if now_s >= charge.latest_s:
+            return charge
+        arrived = charge._replace(latest_s=now_s)
+        self._add(charge, -1)
+        self._add(arrived, 1)
+        return arrived
+
+    def _add(self, charge: Charge, count: int) -> None:
+        """Adds a charge to the counts, or takes it back."""
+        if charge.share is None:
+            counts = self._counts.get(charge.service)
+            if counts is not None and charge.resets_count == self._resets_count:
+                bucket = math.floor(charge.latest_s / self._bucket_s)
+                counts.add_repeats(bucket, count)
+            return
+        share_s = self._charged_s[charge.service][charge.share]
+        if count > 0:
+            share_s.append(charge.latest_s)
+        elif charge.latest_s in share_s:
+            share_s.remove(charge.latest_s)
+
     def _charged_to_shares_s(
         self, service: str, now_s: float
     ) -> list[list[float]]:
--- a/tests/test_repeat_budget.py
+++ b/tests/test_repeat_budget.py
@@ -26,7 +26,7 @@
         self._booted_s = rng.uniform(0.0, 100.0)
         shares = allowance_shares.HeldShares()
         for share in held:
-            shares.note_acquired(share)
+            shares.note_acquired(share, 0.0)
         self.budget = repeat_budget.RepeatBudget(
             repeat_budget.RepeatBudgetSettings(
                 RATIO, WINDOW_S, allowance_count
@@ -40,6 +40,9 @@
     def charge(self, now_s: float) -> repeat_budget.Charge | None:
         return self.budget.decide("s", now_s - self._booted_s).charge
 
+    def note_arrived(self, charge: repeat_budget.Charge, now_s: float) -> None:
+        self.budget.note_arrived(charge, now_s - self._booted_s)
+
 
 class Counted(NamedTuple):
     """What operators count: requests that were sent, repeats that arrived."""
@@ -146,6 +149,20 @@
                 counted = Counted(sent_s, taken_s)
                 self.assertLessEqual(most_over(counted), 0)
 
+    def test_a_repeat_counts_until_its_answer_began(self) -> None:
+        early, late = Gateway(self.rng), Gateway(self.rng)
+        self.steady([early, late], 10.0, 130.0)
+        for gateway, answered_s in ((early, 130.1), (late, 131.7)):
+            while (charge := gateway.charge(130.0)) is not None:
+                gateway.note_arrived(charge, answered_s)
+        counts = [0, 0]
+        for step in range(93):
+            now_s = 131.7 + step * 0.1
+            self.steady([early, late], 10.0, now_s + 0.1, now_s)
+            for index, gateway in enumerate((early, late)):
+                counts[index] += len(self.charge_all([gateway], now_s + 0.1))
+        self.assertGreater(counts[0], counts[1])
+
     def test_random_loads_keep_the_promise(self) -> None:
         """Guards against periods that no single case thinks of.
 
@@ -175,11 +192,14 @@
                     delay_s = rng.choice((0.0, repeat_budget.READ_DELAY_S))
                     counted.requests_s.append(read_s - delay_s)
                     gateway.note_request(read_s)
-                while rng.random() < greeds[index] and gateway.charge(
-                    now_s + STEP_S
-                ):
+                while rng.random() < greeds[index]:
+                    charge = gateway.charge(now_s + STEP_S)
+                    if charge is None:
+                        break
                     delay_s = rng.uniform(0.0, repeat_budget.ARRIVAL_DELAY_S)
                     counted.repeats_s.append(now_s + STEP_S + delay_s)
+                    if delay_s < 0.3:
+                        gateway.note_arrived(charge, now_s + STEP_S + delay_s)
         return counted
 
 
@@ -220,6 +240,35 @@
                 gateway.budget.configure(reloaded)
                 self.assertIsNone(gateway.charge(220.5))
 
+    def test_a_refund_of_a_charge_from_before_a_reload_adds_no_repeat(
+        self,
+    ) -> None:
+        """Guards against a refund of what a new period does not count."""
+        settings = repeat_budget.RepeatBudgetSettings(RATIO, 5.0)
+        charged_counts = []
+        for is_refunded in (False, True):
+            gateway = Gateway(random.Random(1))
+            for step in range(200):
+                gateway.note_request(200.0 + step * 0.1)
+            early = gateway.charge(220.0)
+            assert early is not None
+            gateway.budget.configure(settings)
+            charges = []
+            for step in range(100):
+                now_s = 220.0 + step * 0.02
+                gateway.note_request(now_s)
+                charge = gateway.charge(now_s)
+                if charge is not None:
+                    gateway.note_arrived(charge, now_s)
+                    charges.append(charge)
+            if is_refunded:
+                gateway.budget.refund(early)
+            while (charge := gateway.charge(222.0)) is not None:
+                charges.append(charge)
+            charged_counts.append(len(charges))
+        self.assertGreater(charged_counts[0], 0)
+        self.assertEqual(*charged_counts)
+
 
 if __name__ == "__main__":
     unittest.main()
