Let gateways without repeats claim some of others

Cause: failures are not spread over gateways, parts of the budget are.

Whoever grants one charges it as its own, whether or not its reply arrives, and grants up to half of its own ratio; the claimant has 0.25 s to write it, which the grant's charge covers. So a grant never adds to the sum, and a lost message costs one repeat.

--- a/bench/repeat_play.py
+++ b/bench/repeat_play.py
@@ -22,6 +22,8 @@
 import xxhash
 
 from bench import virtual_time
+from mulberrywharf.forwarding import repeats
+from mulberrywharf.peers import repeat_claims
 from mulberrywharf.policy import (
     allowance_shares,
     gateway_ranks,
@@ -50,6 +52,8 @@
 _DELAYED_SHARE = 0.002
 _CALLER_DELAY_S = 0.9
 _SERVER_DELAY_S = 1.4
+_REPLY_S = (0.001, 0.03)
+_LOST_MESSAGES_SHARE = 0.001
 _SENDS_LIMIT_COUNT = 4
 
 
@@ -294,6 +298,7 @@
         taken_count: Repeats that arrived in the worst window.
         allowed_count: Repeats that operators allow in that window.
         repeats_count: Repeats that arrived in the whole play.
+        messages_count: Claims of repeats at other gateways, with their replies.
         served_share: Share of the callers' requests that were served.
         saved_share: Share of the requests served among those that failed once.
     """
@@ -301,6 +306,7 @@
     taken_count: int
     allowed_count: float
     repeats_count: int
+    messages_count: int
     served_share: float
     saved_share: float
 
@@ -367,6 +373,7 @@
         self.recorded_in_era: dict[int, int] = {}
         self.free_before: frozenset[int] = frozenset()
         self.booted_s = rng.uniform(0.0, START_S)
+        self.refused_until_s = 0.0
         self.fails = True
 
     def usable(self, now_s: float, window_s: float) -> Collection[int]:
@@ -404,6 +411,7 @@
         self._sent_s: list[float] = []
         self._repeats_s: list[float] = []
         self._copied_records: dict[int, tuple[str, int]] = {}
+        self._messages_count = 0
         self._served_count = 0
         self._failed_once_count = 0
         self._saved_count = 0
@@ -424,6 +432,7 @@
             window.taken_count,
             window.allowed_count,
             len(self._repeats_s),
+            self._messages_count,
             self._served_count / max(1, len(self._sent_s)),
             self._saved_count / max(1, self._failed_once_count),
         )
@@ -739,10 +748,86 @@
     def _repeat(self, request: _Request) -> None:
         gateway = request.gateway
         budget = self._budgets[gateway.vm_id]
-        request.charge = budget.decide(SERVICE, self._now_s(gateway)).charge
-        if request.charge is not None:
+        decision = budget.decide(SERVICE, self._now_s(gateway))
+        request.charge = decision.charge
+        if decision.charge is not None:
+            self._attempt(request)
+        elif self._loop.now_s >= gateway.refused_until_s:
+            self._claim(request, self._lenders(gateway), self._loop.now_s)
+
+    def _lenders(self, gateway: _Gateway) -> list[_Gateway]:
+        """Returns whom ``peers.repeat_claims`` would ask."""
+        holding = [one for one in self._gateways if one.shares.held]
+        groups = [
+            holding,
+            [one for one in self._gateways if one.zone == gateway.zone],
+            [one for one in self._gateways if one.zone != gateway.zone],
+        ]
+        chosen = [self._rng.choice(group) for group in groups if group]
+        return [one for one in chosen if one is not gateway]
+
+    def _claim(
+        self, request: _Request, lenders: list[_Gateway], asked_s: float
+    ) -> None:
+        gateway = request.gateway
+        if not self._is_run(gateway, request.run):
+            return
+        if not lenders:
+            gateway.refused_until_s = (
+                self._loop.now_s + repeat_claims.REFUSED_PAUSE_S
+            )
+            return
+        lender, *rest = lenders
+        self._messages_count += 2
+        is_reached = (
+            lender.is_running
+            and not self._is_suspended(lender)
+            and not self._are_apart(gateway, lender)
+            and self._rng.random() >= _LOST_MESSAGES_SHARE
+        )
+        if not is_reached:
+            self._loop.after(
+                repeat_claims.REPLY_TIMEOUT_S,
+                self._claim,
+                request,
+                rest,
+                self._loop.now_s + repeat_claims.REPLY_TIMEOUT_S,
+            )
+            return
+        is_granted = self._budgets[lender.vm_id].lend(
+            SERVICE, self._now_s(lender)
+        )
+        self._loop.after(
+            self._rng.uniform(*_REPLY_S),
+            self._on_reply,
+            request,
+            rest,
+            is_granted,
+            asked_s,
+        )
+
+    def _on_reply(
+        self,
+        request: _Request,
+        lenders: list[_Gateway],
+        is_granted: bool,
+        asked_s: float,
+    ) -> None:
+        if not self._is_run(request.gateway, request.run):
+            return
+        if not is_granted:
+            self._claim(request, lenders, self._loop.now_s)
+        elif self._loop.now_s < asked_s + repeats.GRANT_LIFETIME_S:
             self._attempt(request)
 
+    def _are_apart(self, one: _Gateway, other: _Gateway) -> bool:
+        return one.zone != other.zone and any(
+            outage.span.has(self._loop.now_s)
+            and outage.zones_count < ZONES_COUNT
+            and min(one.zone, other.zone) < outage.zones_count
+            for outage in self._scene.outages
+        )
+
 
 @functools.cache
 def _first_names(names: frozenset[str], share: int) -> frozenset[str]:
@@ -788,7 +873,7 @@
     )
     arguments = parser.parse_args()
     is_exceeded = False
-    print(f"{'scene':46} gateways taken allowed repeats served  saved")
+    print(f"{'scene':46} gateways taken allowed repeats served  saved messages")
     for size in SIZES:
         if size.gateways_count not in arguments.gateways:
             continue
@@ -811,7 +896,7 @@
                     f"{name:46} {size.gateways_count:8}"
                     f" {outcome.taken_count:5} {outcome.allowed_count:7.0f}"
                     f" {outcome.repeats_count:7} {outcome.served_share:6.3f}"
-                    f" {outcome.saved_share:6.3f}"
+                    f" {outcome.saved_share:6.3f} {outcome.messages_count:8}"
                     f"{'  EXCEEDED' if outcome.excess_count > 0 else ''}",
                     flush=True,
                 )
--- a/src/mulberrywharf/forwarding/repeats.py
+++ b/src/mulberrywharf/forwarding/repeats.py
@@ -4,6 +4,7 @@
 wait for a server lies between its charge and its arrival.
 """
 
+from collections.abc import Callable
 from typing import Literal
 
 from loguru import logger
@@ -18,8 +19,8 @@
 
 _repeats_total = metrics.counter(
     "mulberry_repeats_total",
-    "Repeats of requests by service, result (charged, refunded, refused) and"
-    " part (prefill, run).",
+    "Repeats of requests by service, result (charged, refunded, refused,"
+    " borrowed, lent) and part (prefill, run or any).",
 )
 _uncharged_total = metrics.counter(
     "mulberry_uncharged_attempts_total",
@@ -27,6 +28,12 @@
 )
 
 
+GRANT_LIFETIME_S = 0.25
+"""Time from a claim within which a granted repeat must be written. The gateway
+that grants it counts it for ``repeat_budget.ARRIVAL_DELAY_S``, which includes
+this time."""
+
+
 class Repeats:
     """The budget of one gateway's repeats."""
 
@@ -34,6 +41,7 @@
         self,
         budget: repeat_budget.RepeatBudget,
         system_clock: clock.Clock,
+        claim: Callable[[str], bool] = lambda service: False,
     ):
         """Creates it.
 
@@ -41,9 +49,12 @@
             budget: Decides whether a repeat may be sent.
             system_clock: Times requests and repeats; must go on while the
                 machine is suspended.
+            claim: Asks other gateways for a repeat for a service; returns
+                whether one was granted.
         """
         self._budget = budget
         self._clock = system_clock
+        self._claim = claim
 
     def note_request(self, service: str) -> None:
         """Counts a caller's request for a service."""
@@ -60,6 +71,39 @@
         now_s = self._clock.monotonic_s()
         return self._budget.foresee(service, now_s).left_count >= count
 
+    def claim(self, service: str) -> float | None:
+        """Asks other gateways for a repeat.
+
+        Returns:
+            The time until which a granted repeat must be written, None if none
+            was granted.
+        """
+        until_s = self._clock.monotonic_s() + GRANT_LIFETIME_S
+        return until_s if self._claim(service) else None
+
+    def is_in_time(self, until_s: float) -> bool:
+        """Returns whether a granted repeat may still be written."""
+        return self._clock.monotonic_s() < until_s
+
+    def note_borrowed(self, service: str, request_id: str, part: Part) -> None:
+        """Records that a repeat is sent that another gateway has charged."""
+        _repeats_total.inc(
+            {"service": service, "result": "borrowed", "part": part}
+        )
+        logger.bind(request_id=request_id, service=service, part=part).info(
+            "repeat borrowed"
+        )
+
+    def lend(self, service: str) -> bool:
+        """Charges a repeat of another gateway, if one can be spared."""
+        is_lent = self._budget.lend(service, self._clock.monotonic_s())
+        if is_lent:
+            _repeats_total.inc(
+                {"service": service, "result": "lent", "part": "any"}
+            )
+            logger.bind(service=service).info("repeat lent")
+        return is_lent
+
     def charge(
         self, service: str, request_id: str, part: Part
     ) -> repeat_budget.Charge | None:
@@ -131,6 +175,7 @@
         self._is_prefilled = handed is not None and handed.is_prefilled
         self._charge: repeat_budget.Charge | None = None
         self._is_free = False
+        self._grant_until_s: float | None = None
 
     @property
     def has_arrived(self) -> bool:
@@ -143,7 +188,10 @@
         return self._is_prefilled
 
     def may_send(self) -> bool:
-        """Returns whether another attempt is free or could be charged."""
+        """Returns whether another attempt is free or could be charged.
+
+        Asks other gateways for a repeat if this one has none left.
+        """
         return self._may_charge(int(self._has_arrived), "run")
 
     def may_prefill(self) -> bool:
@@ -155,14 +203,30 @@
     def _may_charge(self, count: int, part: Part) -> bool:
         if not count or self._repeats.may_charge(self._service, count):
             return True
+        # Others grant one repeat at the most.
+        is_one_missing = count == 1 or self._repeats.may_charge(
+            self._service, count - 1
+        )
+        if is_one_missing and not self._has_grant:
+            self._grant_until_s = self._repeats.claim(self._service)
+        if is_one_missing and self._has_grant:
+            return True
         self._repeats.note_refused(self._service, self._request_id, part)
         return False
 
+    @property
+    def _has_grant(self) -> bool:
+        until_s = self._grant_until_s
+        return until_s is not None and self._repeats.is_in_time(until_s)
+
     def on_send(self, part: Part) -> Result[None, errors.RepeatRefusedError]:
         """Charges an attempt that is about to be written, if it is a repeat."""
         self._charge = None
         self._is_free = not self._has_arrived
-        if self._has_arrived:
+        if self._has_arrived and self._has_grant:
+            self._grant_until_s = None
+            self._repeats.note_borrowed(self._service, self._request_id, part)
+        elif self._has_arrived:
             self._charge = self._repeats.charge(
                 self._service, self._request_id, part
             )
--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 import gevent
@@ -216,6 +216,16 @@
         """Value of this gateway's registration."""
         return self._own_value
 
+    def addresses_of(
+        self, values: Collection[bytes]
+    ) -> tuple[fleet.Address, ...]:
+        """Returns the other gateways whose registration has a value."""
+        return tuple(
+            peer.address
+            for peer in self._peers_by_vm.values()
+            if peer.value in values
+        )
+
     def on_read(
         self, callback: Callable[[list[key_value.KeyValue]], None]
     ) -> None:
--- a/src/mulberrywharf/peers/repeat_shares.py
+++ b/src/mulberrywharf/peers/repeat_shares.py
@@ -14,7 +14,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, metrics
+from mulberrywharf import clock, errors, fleet, metrics
 from mulberrywharf.peers import directory
 from mulberrywharf.platform_service import key_value, lease
 from mulberrywharf.policy import allowance_shares
@@ -57,6 +57,12 @@
         """Returns the gateways that handle a matter for all, by rank."""
         ...
 
+    def addresses_of(
+        self, values: Collection[bytes]
+    ) -> tuple[fleet.Address, ...]:
+        """Returns the other gateways whose registration has a value."""
+        ...
+
     def on_read(
         self, callback: Callable[[list[key_value.KeyValue]], None]
     ) -> None:
@@ -95,6 +101,7 @@
         self._lease: lease.LeaseHolder | None = None
         self._last_holder_in_era: dict[int, int] = {}
         self._unrecorded: set[int] = set()
+        self._holder_values: frozenset[bytes] = frozenset()
         self._free_before: frozenset[int] = frozenset()
         self._has_tried = False
         self._acquire_task: gevent.Greenlet | None = None
@@ -112,6 +119,10 @@
             return ()
         return self._shares.usable(now_s, counted_s)
 
+    def holders(self) -> tuple[fleet.Address, ...]:
+        """Returns the other gateways that hold shares, as last read."""
+        return self._peers.addresses_of(self._holder_values)
+
     def _on_registered(self) -> None:
         wanted = sorted(self._last_holder_in_era)
         if not self._has_tried:
@@ -121,11 +132,9 @@
         self._start_acquiring(wanted)
 
     def _on_read(self, records: Iterable[key_value.KeyValue]) -> None:
-        listed = {
-            one.key.removeprefix(KEY_PREFIX)
-            for one in records
-            if one.key.startswith(KEY_PREFIX)
-        }
+        held = [one for one in records if one.key.startswith(KEY_PREFIX)]
+        listed = {one.key.removeprefix(KEY_PREFIX) for one in held}
+        self._holder_values = frozenset(one.value for one in held)
         free = frozenset(
             share
             for share in range(allowance_shares.SHARES_COUNT)
--- a/src/mulberrywharf/peers/topics.py
+++ b/src/mulberrywharf/peers/topics.py
@@ -10,7 +10,7 @@
 from mulberrywharf import fleet, metrics
 from mulberrywharf.peers import datagrams
 
-Topic = Literal[b"o", b"e", b"d", b"z", b"p", b"s"]
+Topic = Literal[b"o", b"e", b"d", b"z", b"p", b"s", b"r"]
 """Topic byte of a message.
 
 - ``o``: outcomes of a server's answers, to the gateways that add them up.
@@ -20,6 +20,7 @@
 - ``p``: whether a gateway can serve requests for a service, and its reply.
 - ``s``: at which software version a stream began, to the gateways that keep it;
   a question for it, and its reply.
+- ``r``: a claim of a repeat at a gateway that may have one left, and its reply.
 """
 
 Handler = Callable[[bytes, fleet.Address], bool]
--- a/src/mulberrywharf/policy/repeat_budget.py
+++ b/src/mulberrywharf/policy/repeat_budget.py
@@ -41,6 +41,10 @@
 READ_DELAY_S = 1.0
 """Maximum time from the sending of a request to its count at a gateway."""
 
+LENT_SHARE = 0.5
+"""Fraction of its own repeats up to which a gateway grants some to others. The
+rest is kept for its own callers."""
+
 _WINDOW_BUCKETS = 100
 """Buckets in a period. All counts are rounded against the repeats, to whole
 buckets."""
@@ -208,7 +212,18 @@
 
     def decide(self, service: str, now_s: float) -> Decision:
         """Charges one repeat, unless none is left."""
-        decision = self.foresee(service, now_s)
+        return self._charge(self.foresee(service, now_s))
+
+    def lend(self, service: str, now_s: float) -> bool:
+        """Charges a repeat of another gateway, unless it is needed here.
+
+        The other gateway has as much less time to send it as has passed since
+        it asked, so its arrival is within ``ARRIVAL_DELAY_S`` of this charge.
+        """
+        decision = self.foresee(service, now_s, ratio_share=LENT_SHARE)
+        return self._charge(decision).charge is not None
+
+    def _charge(self, decision: Decision) -> Decision:
         charge = decision.charge
         if charge is not None:
             self._add(charge, 1)
@@ -220,14 +235,22 @@
                 )
         return decision
 
-    def foresee(self, service: str, now_s: float) -> Decision:
-        """Returns what ``decide`` would, and charges nothing."""
+    def foresee(
+        self, service: str, now_s: float, *, ratio_share: float = 1.0
+    ) -> Decision:
+        """Returns what ``decide`` would, and charges nothing.
+
+        Args:
+            service: The service.
+            now_s: The current time.
+            ratio_share: Fraction of the ratio that may be spent.
+        """
         counts = self._current(service, now_s)
         settings = self._settings
         if counts.period is None:
             counts.period = self._strictest_period(counts)
         period = counts.period
-        allowed_count = settings.ratio * period.requests_count
+        allowed_count = ratio_share * settings.ratio * period.requests_count
         counted_s = settings.window_s + ARRIVAL_DELAY_S
         usable = tuple(self._shares.usable(now_s, counted_s))
         charged_s = self._charged_to_shares_s(service, now_s)
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -59,6 +59,7 @@
     notices,
     path_questions,
     queue_owners,
+    repeat_claims,
     repeat_shares,
     revision_exchange,
     stream_origins,
@@ -219,7 +220,20 @@
         self._budget = repeat_budget.RepeatBudget(
             _repeat_settings(config), self._repeat_shares
         )
-        self._repeats = repeats.Repeats(self._budget, clock.BootClock())
+        self._repeats = repeats.Repeats(
+            self._budget,
+            clock.BootClock(),
+            lambda service: self._repeat_claims.claim(service),
+        )
+        self._repeat_claims = repeat_claims.RepeatClaims(
+            self._peers,
+            self._repeat_shares.holders,
+            self._topics,
+            self._service_names,
+            self._repeats.lend,
+            self._rng,
+            self._clock,
+        )
         self._estimates = engine_estimates.EngineEstimates(
             self._tracker,
             self._clock,
@@ -513,6 +527,10 @@
         known = routes.services.get(service) if routes else None
         return known.engine.kv_tokens if known and known.engine else 0
 
+    def _service_names(self) -> tuple[str, ...]:
+        routes = self._routes.current()
+        return tuple(routes.services) if routes else ()
+
     def _can_serve(self, service: str) -> bool:
         return self._paths.can_serve(service) and bool(
             self._servers.usable(service)
