Hold repeats against their budget in the soak

The soak counts what comes to its servers, with a budget of its own: 0.2 for each request and 16 more in 4 s. Requests that were held back on a harmed way to a server are left out, as that way lets them through later than a kernel would.

Measured: `test_soak`, the new check finds one repeat beyond the budget and none at it.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -31,6 +31,9 @@
 ROTATING_KEY_CUSTOMER = "changing"
 """The customer whose key is rotated during the run."""
 
+REPEATS = {"ratio": 0.2, "window_s": 4.0, "allowance_count": 16}
+"""Budget of repeats, as set in the gateways' settings."""
+
 REVOCATION_BOUND_S = 2.0
 """How long gateways may accept a revoked key, as set in their settings."""
 
@@ -55,6 +58,12 @@
 engine gets another one in time."""
 
 
+def service_of(server_name: str) -> str:
+    """Returns the service of a server by its first id, or "" if unknown."""
+    services = {name: service for name, service, _ in _SERVERS}
+    return services.get(server_name, "")
+
+
 class ServerWay:
     """The ways of all gateways to one server.
 
@@ -365,7 +374,7 @@
             "operators_listen": f"{LOOPBACK}:0",
             "nodes_listen": f"{self._notices_net}.{index + 1}:{_NOTICES_PORT}",
             "store": f"{LOOPBACK}:{self._proxy(f'store-{index}').port}",
-            "repeats": {"ratio": 0.2, "window_s": 10, "allowance_count": 58},
+            "repeats": REPEATS,
             "grace_s": GRACE_S,
             "revocation": {"bound_ms": REVOCATION_BOUND_S * 1000},
             "log_level": "WARNING",
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -24,6 +24,7 @@
     customer_promises,
     fleet,
     limit_promises,
+    repeat_promises,
     server_promises,
     version_promises,
 )
@@ -80,6 +81,7 @@
         judge = server_promises.ServerJudge(self._fleet, made)
         lines += judge.broken()
         lines += list(limit_promises.broken(self._fleet, made))
+        lines += list(repeat_promises.broken(self._fleet, made))
         return lines + list(customer_promises.broken(self._fleet, made))
 
     def broken_by(self, call: calls.Call, runs_count: int) -> Iterator[str]:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -34,6 +34,7 @@
         limits: Values of the request limit fields in its answer.
         born: The server's start, see ``PlatformServerStandin.born``.
         sender_port: The TCP port that it came from.
+        is_accepted_prefill: Whether its prompt alone was read.
     """
 
     at_s: float
@@ -43,6 +44,7 @@
     limits: tuple[str, ...] = ()
     born: int = 0
     sender_port: int = 0
+    is_accepted_prefill: bool = False
 
 
 class PlatformServerStandin:
@@ -177,6 +179,9 @@
                 self.limits,
                 self.born,
                 int(environ["REMOTE_PORT"]),
+                self._header(environ, "STAGE") == "prefill"
+                and rest is None
+                and not self.faults.get("refuse"),
             )
         )
         if rest is not None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,7 +2,16 @@
 
 import unittest
 
-from soak import calls, fleet, limit_promises, play, promises, seeds, stops
+from soak import (
+    calls,
+    fleet,
+    limit_promises,
+    play,
+    promises,
+    repeat_promises,
+    seeds,
+    stops,
+)
 from standins import platform_server
 
 SEEDS = (1, 3)
@@ -179,6 +188,33 @@
         self.assertEqual(self.limit_lines(("nan",), 50.0), [])
         self.assertEqual(self.limit_lines(("5",), 9.0, held=True), [])
 
+    def repeat_lines(self, arrivals_count: int, prefills_count: int = 0) -> int:
+        """Returns how much is found when a request comes so often."""
+        server = platform_server.PlatformServerStandin("dec-1")
+        self.addCleanup(server.close)
+        server.arrivals = [
+            platform_server.Arrival(
+                1.0 + 0.1 * number,
+                "dec-1",
+                "id-1",
+                None,
+                is_accepted_prefill=number < prefills_count,
+            )
+            for number in range(arrivals_count + prefills_count)
+        ]
+        self.fleet.servers = {"dec-1": server}
+        made = [self.call(kind="stream")]
+        return len(list(repeat_promises.broken(self.fleet, made)))
+
+    def test_too_many_repeats(self) -> None:
+        allowed_count = int(repeat_promises.RULE.allowance_count)
+        self.assertEqual(self.repeat_lines(1 + allowed_count), 0)
+        self.assertEqual(self.repeat_lines(2 + allowed_count), 1)
+        self.assertEqual(self.repeat_lines(1 + allowed_count, 1), 0)
+        self.assertEqual(self.repeat_lines(1 + allowed_count, 2), 1)
+        self.fleet.harms = [("server-dec-1", 0.0, 3.0)]
+        self.assertEqual(self.repeat_lines(2 + allowed_count), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
