Bound heads, frames of chunks and trailers of answers, in bytes and in time

What callers would see: one server that sends trailers without end fills the memory of its gateway, 576 MB in 2.5 s, and every caller of that gateway is lost.

Cause: only the body of an answer was limited. What stands between its bytes, the length of a chunk with its extensions and the trailers, was read and kept without a bound, and the timeout was that of each wait: a byte each 10 ms lasted for good.

The head has its time as a whole; a read of the body ends when none of it came in time, whatever else did.

--- a/src/mulberrywharf/_answers.py
+++ b/src/mulberrywharf/_answers.py
@@ -4,10 +4,9 @@
 
 from geventhttpclient import response as http_response
 
-from mulberrywharf import _headers, fleet, metrics
+from mulberrywharf import _answer_bounds, _headers, fleet, metrics
 
 READ_BLOCK_BYTES = 16 * 1024
-_HEAD_LIMIT_BYTES = 64 * 1024
 _FIRST_FINAL_STATUS = 200
 
 _foreign_answers_total = metrics.counter(
@@ -28,7 +27,13 @@
         self._is_final_complete = False
         self._has_second_answer = False
         self._head_bytes = 0
-        super().__init__(sock, block_size=READ_BLOCK_BYTES, method=method)
+        self._frame_bytes = 0
+        super().__init__(
+            sock,
+            block_size=READ_BLOCK_BYTES,
+            method=method,
+            headers_type=_answer_bounds.BoundedHeaders,
+        )
 
     @property
     def is_framed(self) -> bool:
@@ -85,9 +90,22 @@
             HTTPParseError: The answer is malformed or truncated.
         """
         while self.needs_bytes:
-            if self._sock is None:
-                raise http_response.HTTPConnectionClosed("connection closed")
-            self.feed(self._sock.recv(self.block_size))
+            self.read_block()
+        return self.take_body()
+
+    def read_block(self) -> None:
+        """Waits for the next bytes from the connection and parses them.
+
+        Raises:
+            OSError: The connection failed or timed out.
+            HTTPParseError: The answer is malformed or truncated.
+        """
+        if self._sock is None:
+            raise http_response.HTTPConnectionClosed("connection closed")
+        self.feed(self._sock.recv(self.block_size))
+
+    def take_body(self) -> bytes:
+        """Returns the bytes of the body that were read since the last call."""
         data = bytes(self._body_buffer)
         self._body_buffer.clear()
         return data
@@ -96,11 +114,22 @@
         """Passes bytes from the connection to the parser."""
         if not self.headers_complete:
             self._head_bytes += len(data)
-            if self._head_bytes > _HEAD_LIMIT_BYTES:
+            if self._head_bytes > _answer_bounds.HEAD_LIMIT_BYTES:
                 raise http_response.HTTPParseError(
                     "the head of the answer is too large"
                 )
+            super().feed(data)
+            return
+        body_bytes = len(self._body_buffer)
         super().feed(data)
+        if len(self._body_buffer) > body_bytes:
+            self._frame_bytes = 0
+            return
+        self._frame_bytes += len(data)
+        if self._frame_bytes > _answer_bounds.FRAME_LIMIT_BYTES:
+            raise http_response.HTTPParseError(
+                "the answer has too many bytes between those of its body"
+            )
 
     def release(self) -> None:
         """Does nothing, as the exchange owns the socket."""
--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -206,7 +206,8 @@
 
         Args:
             request: The request.
-            answer_timeout_s: Timeout of each wait for the server.
+            answer_timeout_s: Timeout of each wait until the server has
+                accepted the request, and then of the whole head.
 
         Raises:
             BadRequestError: The request is malformed; nothing was sent.
@@ -222,7 +223,7 @@
                 connection.sock, data, answer_timeout_s
             )
             self.active_s = time.monotonic()
-            answer = _answers.Answer(connection.sock, request.method)
+            answer = _read_head(connection, request.method, answer_timeout_s)
         except _CONNECTION_ERRORS as error:
             self.close()
             return Err(self._lost_error(connection, "gave no answer", error))
@@ -301,13 +302,13 @@
     def receive(
         self, answer_timeout_s: float, method: str = "POST"
     ) -> Result[_answers.Answer, errors.AnswerLostError]:
-        """Waits for the head of the answer to an offered request."""
+        """Waits for the whole head of the answer to an offered request."""
         connection = self._connection
         if connection is None:
             return Err(errors.AnswerLostError("the exchange is closed"))
         self._set_timeout(connection, answer_timeout_s)
         try:
-            answer = _answers.Answer(connection.sock, method)
+            answer = _read_head(connection, method, answer_timeout_s)
         except _CONNECTION_ERRORS as error:
             self.close()
             return Err(self._lost_error(connection, "gave no answer", error))
@@ -321,17 +322,21 @@
     def read_some(
         self, idle_timeout_s: float
     ) -> Result[bytes, errors.AnswerLostError]:
-        """Waits for the next bytes of the body; returns b"" at its end."""
+        """Waits for the next bytes of the body; returns b"" at its end.
+
+        Args:
+            idle_timeout_s: Timeout until at least one byte of the body or its
+                end has arrived.
+        """
         connection, answer = self._connection, self._answer
         if connection is None or answer is None:
             return Err(errors.AnswerLostError("the exchange is closed"))
         self._set_timeout(connection, idle_timeout_s)
         try:
             if answer.needs_bytes:
-                connection.wait_readable(idle_timeout_s)
-            data = answer.read_some()
+                self._read_until_body(connection, answer, idle_timeout_s)
             self.active_s = time.monotonic()
-            return Ok(data)
+            return Ok(answer.take_body())
         except _CONNECTION_ERRORS as error:
             self.close()
             return Err(
@@ -343,6 +348,28 @@
             self.close()
             raise
 
+    def _read_until_body(
+        self,
+        connection: _connections.Connection,
+        answer: _answers.Answer,
+        timeout_s: float,
+    ) -> None:
+        """Reads until some of the body, or its end, has arrived.
+
+        Raises:
+            OSError: The connection failed, or only other bytes arrived in time.
+            HTTPParseError: The answer is malformed or truncated.
+        """
+        ends_s = time.monotonic() + timeout_s
+        connection.wait_readable(timeout_s)
+        answer.read_block()
+        while answer.needs_bytes:
+            left_s = ends_s - time.monotonic()
+            if left_s <= 0:
+                raise TimeoutError(f"none of the body within {timeout_s} s")
+            connection.wait_readable(left_s)
+            answer.read_block()
+
     def _set_timeout(
         self, connection: _connections.Connection, timeout_s: float
     ) -> None:
@@ -451,6 +478,21 @@
         return errors.AnswerLostError(message)
 
 
+def _read_head(
+    connection: _connections.Connection, method: str, timeout_s: float
+) -> _answers.Answer:
+    """Reads the head of an answer.
+
+    Raises:
+        OSError: The connection failed, or the head was not complete in time.
+        HTTPParseError: The head is malformed or too large.
+    """
+    with gevent.Timeout(
+        timeout_s, TimeoutError(f"no complete head within {timeout_s} s")
+    ):
+        return _answers.Answer(connection.sock, method)
+
+
 def _awaits_body(sock: Any, ends_s: float) -> bool:
     """Waits for an answer; tells whether it is an interim one.
 
