Bound the answers of the store, loads, orders and status reports

Cause: geventhttpclient's own client reads heads and trailers without a limit, and each wait anew; so a store or an engine that sends without end fills the memory of any process that asks it.

Change: loads and status reports are read by `_exchange.fetch`. The clients of the store and of orders get a socket that bounds each answer, `BoundedSocket`: 64 KB of a head, 16 MB and 30 s in all for the store, 1 MB and its timeout for an order; a stream of the store has these for each line.

--- a/src/mulberrywharf/_answer_bounds.py
+++ b/src/mulberrywharf/_answer_bounds.py
@@ -4,11 +4,14 @@
 timeout is that of each wait. A peer that sends bytes without end, or single
 bytes at long intervals, would fill the memory of the process or keep its reader
 for good. ``_answers`` reads the answers of servers and gateways within these
-bounds.
+bounds. The library's own client, which reads the key-value service and answers
+to orders, gets them by ``BoundedSocket`` and ``BoundedHeaders``.
 """
 
-from typing import Any
+import time
+from typing import Any, NamedTuple
 
+from gevent import socket
 from geventhttpclient import header, response
 
 HEAD_LIMIT_BYTES = 64 * 1024
@@ -21,6 +24,8 @@
 FIELDS_LIMIT_COUNT = 1_000
 """Maximum number of header fields and trailers of an answer."""
 
+_HEAD_END = b"\r\n\r\n"
+
 
 class BoundedHeaders(header.Headers):
     """Header fields and trailers of an answer, limited in number."""
@@ -34,3 +39,74 @@
         if len(self) >= FIELDS_LIMIT_COUNT:
             raise response.HTTPParseError("the answer has too many fields")
         super().add(key, value)
+
+
+class Bounds(NamedTuple):
+    """Limits of one answer.
+
+    Attributes:
+        answer_bytes: Maximum size, head and trailers included.
+        answer_s: Maximum time from its first byte to its end. The wait for the
+            first byte has the timeout of the socket.
+    """
+
+    answer_bytes: int
+    answer_s: float
+
+
+class BoundedSocket(socket.socket):
+    """A socket on which each answer is bounded.
+
+    An answer begins with each write, as a client writes only requests.
+    """
+
+    def __init__(
+        self, family: int, kind: int, protocol: int, *, bounds: Bounds
+    ):
+        super().__init__(family, kind, protocol)
+        self._bounds = bounds
+        self._received_bytes = 0
+        self._head_tail = b""
+        self._is_in_head = True
+        self._ends_s: float | None = None
+
+    def begin_answer(self, *, with_head: bool = True) -> None:
+        """Starts to count anew.
+
+        Args:
+            with_head: Whether a head comes first.
+        """
+        self._received_bytes = 0
+        self._head_tail = b""
+        self._is_in_head = with_head
+        self._ends_s = None
+
+    def sendall(self, *args: Any) -> None:
+        """Writes a part of a request; what follows is its answer."""
+        self.begin_answer()
+        super().sendall(*args)
+
+    def recv(self, *args: Any) -> bytes:
+        """Reads from the connection.
+
+        Raises:
+            OSError: The connection failed, or the answer exceeds its bounds.
+        """
+        if self._ends_s is not None and time.monotonic() > self._ends_s:
+            raise TimeoutError(
+                f"the answer lasts longer than {self._bounds.answer_s} s"
+            )
+        data = bytes(super().recv(*args))
+        if self._ends_s is None:
+            self._ends_s = time.monotonic() + self._bounds.answer_s
+        self._received_bytes += len(data)
+        limit_bytes = self._bounds.answer_bytes
+        if self._is_in_head:
+            seen = self._head_tail + data
+            self._is_in_head = _HEAD_END not in seen
+            self._head_tail = seen[1 - len(_HEAD_END) :]
+        if self._is_in_head:
+            limit_bytes = HEAD_LIMIT_BYTES
+        if self._received_bytes > limit_bytes:
+            raise OSError(f"an answer exceeds {limit_bytes} bytes")
+        return data
--- a/src/mulberrywharf/engines/load_client.py
+++ b/src/mulberrywharf/engines/load_client.py
@@ -6,12 +6,10 @@
 import json
 from typing import Any
 
-import geventhttpclient
 import pydantic
-from geventhttpclient import response
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet
+from mulberrywharf import _exchange, errors, fleet
 
 _LOAD_PATH = "/load"
 _OK_STATUS = 200
@@ -26,32 +24,30 @@
 
     Args:
         address: The engine's address.
-        timeout_s: Timeout of the connect and of each read, in seconds.
+        timeout_s: Timeout of the connect, and again of the whole answer, in
+            seconds.
 
     Returns:
         The report, or EngineUnreachableError for every failure: no
         connection or a lost one, an unsuccessful status, a malformed report.
     """
-    client = geventhttpclient.HTTPClient(
-        address.ip,
-        address.port,
-        connection_timeout=timeout_s,
-        network_timeout=timeout_s,
+    fetched = _exchange.fetch(
+        address,
+        _exchange.Request("GET", _LOAD_PATH),
+        timeout_s=timeout_s,
+        limit_bytes=_BODY_LIMIT_BYTES,
     )
-    try:
-        answer = client.get(_LOAD_PATH)
-        body = answer.read(_BODY_LIMIT_BYTES)
-        if answer.status_code != _OK_STATUS:
-            return Err(
-                errors.EngineUnreachableError(
-                    f"{address}: /load returned status {answer.status_code}"
-                )
+    if isinstance(fetched, Err):
+        message = f"{address}: {fetched.err_value.message}"
+        return Err(errors.EngineUnreachableError(message))
+    answer, body = fetched.ok_value
+    if answer.status_code != _OK_STATUS:
+        return Err(
+            errors.EngineUnreachableError(
+                f"{address}: /load returned status {answer.status_code}"
             )
-        return parse_load(body)
-    except (OSError, response.HTTPParseError) as error:
-        return Err(errors.EngineUnreachableError(f"{address}: {error}"))
-    finally:
-        client.close()
+        )
+    return parse_load(body)
 
 
 def parse_load(body: bytes) -> Result[fleet.LoadReport, errors.EngineError]:
--- a/src/mulberrywharf/engines/orders.py
+++ b/src/mulberrywharf/engines/orders.py
@@ -13,7 +13,7 @@
 from geventhttpclient import connectionpool, response
 from result import Err, Ok, Result
 
-from mulberrywharf import _connections, errors, fleet
+from mulberrywharf import _answer_bounds, _connections, errors, fleet
 
 OrderAction = Literal["set-role", "load-model", "drain", "resume"]
 
@@ -23,6 +23,7 @@
 _BUSY = "busy"
 _STALE = "stale-fencing-number"
 _JSON_HEADERS = {"content-type": "application/json"}
+_ANSWER_LIMIT_BYTES = 1 << 20
 
 
 class Order(NamedTuple):
@@ -100,6 +101,18 @@
         self._before_send = before_send
         self.was_connected = False
 
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> Any:
+        return _answer_bounds.BoundedSocket(
+            family,
+            socktype,
+            protocol,
+            bounds=_answer_bounds.Bounds(
+                _ANSWER_LIMIT_BYTES, self.network_timeout
+            ),
+        )
+
     def after_connect(self, sock: Any) -> None:
         """Sets the socket options, then calls ``before_send``.
 
@@ -120,7 +133,11 @@
     """An HTTP client that sends one request on an ``_OrderConnection``."""
 
     def __init__(self, address: fleet.Address, connection: _OrderConnection):
-        super().__init__(address.ip, address.port)
+        super().__init__(
+            address.ip,
+            address.port,
+            headers_type=_answer_bounds.BoundedHeaders,
+        )
         self._connection_pool = connection
 
 
--- a/src/mulberrywharf/operators/client.py
+++ b/src/mulberrywharf/operators/client.py
@@ -8,10 +8,9 @@
 
 import gevent.pool
 import pydantic
-from geventhttpclient import HTTPClient
-from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
+from mulberrywharf import _exchange
 from mulberrywharf.errors import (
     AdminListenerError,
     MulberryError,
@@ -63,7 +62,7 @@
             return _fetch_status(address, token, timeout_s)
     except gevent.Timeout:
         return Err(AdminListenerError(message))
-    except (OSError, HTTPParseError, ValueError) as error:
+    except ValueError as error:
         return Err(AdminListenerError(f"{address}: {error}"))
 
 
@@ -97,20 +96,19 @@
 def _fetch_status(
     address: Address, token: str, timeout_s: float
 ) -> Result[StatusReport, OperatorError]:
-    client = HTTPClient(
-        address.ip,
-        address.port,
-        connection_timeout=timeout_s,
-        network_timeout=timeout_s,
+    fetched = _exchange.fetch(
+        address,
+        _exchange.Request(
+            "GET", "/status", {"authorization": f"Bearer {token}"}
+        ),
+        timeout_s=timeout_s,
+        limit_bytes=_BODY_LIMIT_BYTES,
     )
-    try:
-        response = client.request(
-            "GET", "/status", headers={"authorization": f"Bearer {token}"}
-        )
-        body = bytes(response.read(_BODY_LIMIT_BYTES))
-    finally:
-        client.close()
-    http_status = response.status_code
+    if isinstance(fetched, Err):
+        message = f"{address}: {fetched.err_value.message}"
+        return Err(AdminListenerError(message))
+    answer, body = fetched.ok_value
+    http_status = answer.status_code
     if http_status == 401:
         return Err(NotAuthorisedError(f"{address} refuses the token"))
     if http_status != 200:
--- a/src/mulberrywharf/platform_service/http_calls.py
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -16,13 +16,17 @@
 from geventhttpclient import connectionpool, response
 from result import Err, Ok, Result
 
-from mulberrywharf import _headers, errors, settings
+from mulberrywharf import _answer_bounds, _headers, errors, settings
 
 CONCURRENT_CALLS_COUNT = 32
 """Maximum number of concurrent calls to one endpoint."""
 
 _JSON_HEADERS = {"content-type": "application/json"}
 _READ_BLOCK_BYTES = 65_536
+_ANSWER_BOUNDS = _answer_bounds.Bounds(answer_bytes=16_000_000, answer_s=30.0)
+"""Bounds of a response, and of each line of a stream. The largest one is a page
+of about 1 MB, which takes some seconds on a slow link."""
+
 _KEEP_ALIVE_IDLE_S = 1
 _KEEP_ALIVE_INTERVAL_S = 1
 _KEEP_ALIVE_PROBES_COUNT = 2
@@ -68,6 +72,13 @@
         # block forever. ``HttpCalls`` limits concurrent calls instead.
         self._semaphore = lock.DummySemaphore()
 
+    def _create_tcp_socket(
+        self, family: int, socktype: int, protocol: int
+    ) -> Any:
+        return _answer_bounds.BoundedSocket(
+            family, socktype, protocol, bounds=_ANSWER_BOUNDS
+        )
+
     def _create_socket(self) -> Any:
         try:
             return super()._create_socket()
@@ -99,7 +110,11 @@
         connect_timeout_s: float,
         read_timeout_s: float,
     ):
-        super().__init__(endpoint["ip"], endpoint["port"])
+        super().__init__(
+            endpoint["ip"],
+            endpoint["port"],
+            headers_type=_answer_bounds.BoundedHeaders,
+        )
         self.block_size = _READ_BLOCK_BYTES
         self._pool = _Pool(
             endpoint["ip"],
@@ -289,6 +304,10 @@
 
     def read(self) -> dict[str, Any] | None:
         """Returns the next object, or None when the stream has ended."""
+        sock = self._answer._sock
+        if isinstance(sock, _answer_bounds.BoundedSocket):
+            # Only the next line is bounded, not the stream.
+            sock.begin_answer(with_head=False)
         line = self._answer.readline(b"\n")
         return _parse_json_object(line) if line else None
 
--- a/tests/test_unending_answers.py
+++ b/tests/test_unending_answers.py
@@ -4,13 +4,16 @@
 import time
 import tracemalloc
 import unittest
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 import gevent
 from result import Err
 
-from mulberrywharf import _exchange, errors
+from mulberrywharf import _exchange, errors, fleet
+from mulberrywharf.engines import load_client, orders
+from mulberrywharf.operators import client
+from mulberrywharf.platform_service import http_calls
 from tests import builders_engines
 
 MEMORY_LIMIT_BYTES = 8_000_000
@@ -80,12 +83,16 @@
             return sent
         return exchange.read_all(TIMEOUT_S, 100_000)
 
-    def check(self, server: builders_engines.ScriptedServer) -> None:
+    def check(
+        self,
+        server: builders_engines.ScriptedServer,
+        read: Callable[[builders_engines.ScriptedServer], Any] | None = None,
+    ) -> None:
         tracemalloc.start()
         try:
             began_s = time.monotonic()
             with gevent.Timeout(4.0 * TIMEOUT_S):
-                received = self.read(server)
+                received = (read or self.read)(server)
             took_s = time.monotonic() - began_s
             _, peak_bytes = tracemalloc.get_traced_memory()
         finally:
@@ -106,6 +113,48 @@
             with self.subTest(name):
                 self.check(self.serve_blocks(blocks(), pause_s=0.01))
 
+    def test_readers_of_whole_answers(self) -> None:
+        """Guards against a store or an engine that fills a process's memory."""
+        readers: dict[str, Callable[[fleet.Address], Any]] = {
+            "store": lambda address: http_calls.HttpCalls(
+                {"ip": address.ip, "port": address.port}, TIMEOUT_S
+            ).call("GET", "/kv-range"),
+            "load": lambda address: load_client.read_load(
+                address, timeout_s=TIMEOUT_S
+            ),
+            "order": lambda address: orders.post_once(
+                address,
+                "/orders",
+                b"{}",
+                {},
+                user_timeout_s=TIMEOUT_S,
+                before_send=lambda: None,
+            ),
+            "status": lambda address: client.read_status(
+                address, "token", TIMEOUT_S
+            ),
+        }
+        for name, read in readers.items():
+            for kind in ("lines of a head", "trailers", "a line of a head"):
+                with self.subTest(reader=name, kind=kind):
+                    self.check(
+                        self.serve_blocks(WITHOUT_END[kind]()),
+                        lambda server, read=read: read(server.address),
+                    )
+
+    def test_a_line_of_the_store_without_end(self) -> None:
+        stream_head = HEAD + b"content-type: application/json\r\n\r\n"
+        server = self.serve_blocks(
+            itertools.chain([stream_head, b'{"a": "'], _repeated(b"b"))
+        )
+        calls = http_calls.HttpCalls(
+            {"ip": server.address.ip, "port": server.address.port}, TIMEOUT_S
+        )
+        stream = calls.open_stream("/watch", {}, silence_timeout_s=TIMEOUT_S)
+        self.addCleanup(stream.close)
+        with self.assertRaises(OSError):
+            stream.read()
+
     def test_an_answer_in_small_pieces_is_read(self) -> None:
         chunks = b"".join(
             b"1;x=y\r\n%c\r\n" % (97 + n % 26) for n in range(500)
