Bound the memory of large answers that a gateway holds together

Cause: an answer of a plain service is read whole before any of it is passed on, up to 16 MB each. Twenty at once take 299 MB; a gateway has 200 to 300.

Change: answers beyond 256 KB share 48 MB, from the first byte read until their last byte is passed on. One that has no room ends as `answer-memory`: its request may be sent elsewhere if it may run again.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -11,7 +11,7 @@
 import re
 import socket
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from functools import singledispatch
 from typing import Any, NamedTuple
 
@@ -380,7 +380,10 @@
             self._timeout_s = timeout_s
 
     def read_all(
-        self, idle_timeout_s: float, limit_bytes: int
+        self,
+        idle_timeout_s: float,
+        limit_bytes: int,
+        hold: Callable[[int], bool] = lambda size_bytes: True,
     ) -> Result[bytes, errors.EngineError]:
         """Reads the whole body into memory.
 
@@ -388,6 +391,8 @@
             idle_timeout_s: Timeout of each wait for more bytes.
             limit_bytes: Maximum size; a larger body results in an
                 ``AnswerTooLargeError``.
+            hold: Called with the size of each part; returns whether there is
+                memory for it. If not, the result is an ``AnswerMemoryError``.
         """
         body = bytearray()
         while True:
@@ -396,6 +401,10 @@
                 return chunk
             if not chunk.ok_value:
                 return Ok(bytes(body))
+            if not hold(len(chunk.ok_value)):
+                self.close()
+                message = "too many large answers are held at a time"
+                return Err(errors.AnswerMemoryError(message))
             body += chunk.ok_value
             if len(body) > limit_bytes:
                 self.close()
--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -24,6 +24,7 @@
 from mulberrywharf.customers import authentication
 from mulberrywharf.forwarding import (
     generation,
+    held_answers,
     plain_call,
     request,
     stop_gate,
@@ -189,7 +190,13 @@
         _answer_s.observe({"route": route_name}, duration_s)
         if not http_response.is_framed:
             environ[listener.UNFRAMED_KEY] = True
-        start_response(http_response.status_line, http_response.headers)
+        try:
+            start_response(http_response.status_line, http_response.headers)
+        except BaseException:
+            close = getattr(http_response.body, "close", None)
+            if close is not None:
+                close()
+            raise
         return http_response.body
 
     def _route(self, environ: _wsgi.Environ) -> MatchedRequest:
@@ -345,7 +352,7 @@
         return Response(
             _status_line(answer.head),
             _headers_with_length(answer, matched.routed_request.method),
-            response.blocks(answer.body),
+            _held_blocks(answer),
             answer.head.server,
             answer.is_framed,
         )
@@ -402,6 +409,13 @@
             self._on_request_started(routed_request.customer)
 
 
+def _held_blocks(answer: plain_call.WholeAnswer) -> Iterable[bytes]:
+    blocks = response.blocks(answer.body)
+    if answer.hold is None or not answer.hold.is_counted:
+        return blocks
+    return held_answers.HeldBlocks(blocks, answer.hold)
+
+
 @contextlib.contextmanager
 def _abort_on_disconnect(sock: Any) -> Iterator[None]:
     """Aborts the enclosed wait when the caller disconnects.
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -454,6 +454,13 @@
     advice = "Request fewer tokens or a smaller answer."
 
 
+class AnswerMemoryError(EngineError):
+    """Answers that wait for their callers leave no memory for another one."""
+
+    code = "answer-memory"
+    advice = "Request smaller answers, or fewer at a time."
+
+
 class StreamBrokenError(EngineError):
     """An answer ended early or belongs to another request."""
 
--- a/src/mulberrywharf/forwarding/plain_call.py
+++ b/src/mulberrywharf/forwarding/plain_call.py
@@ -12,12 +12,13 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, fleet, server_limits
+from mulberrywharf import _exchange, clock, errors, fleet, server_limits
 from mulberrywharf.crashes import crash_watch
 from mulberrywharf.forwarding import (
     answer_ends,
     ejection_filter,
     handover,
+    held_answers,
     repeats,
     request,
     server_client,
@@ -51,11 +52,18 @@
         body: Its complete body.
         is_framed: Whether it marked its end, so that the body is known to be
             complete.
+        hold: Holds its memory; to be closed once it is passed on.
     """
 
     head: request.AnswerHead
     body: bytes
     is_framed: bool = True
+    hold: held_answers.Hold | None = None
+
+    def close(self) -> None:
+        """Releases its memory for other answers."""
+        if self.hold is not None:
+            self.hold.close()
 
 
 class Dependencies(NamedTuple):
@@ -73,6 +81,7 @@
         ejections: Tells which servers are ejected.
         handovers: Hands requests over to other gateways.
         stops: Refuses requests that a stop of this process would cut off.
+        held: Bounds the memory of answers.
     """
 
     server_list: servers.ServerList
@@ -86,6 +95,7 @@
     ejections: ejection_filter.Ejections = ejection_filter.NoEjections()
     handovers: handover.Handovers = handover.NoHandovers()
     stops: stop_gate.StopGate = stop_gate.StopGate()
+    held: held_answers.HeldAnswers = held_answers.HeldAnswers()
 
 
 class PlainCalls:
@@ -152,15 +162,21 @@
 
     def run(self) -> WholeAnswer:
         bound = gevent.Timeout(self._limit.left_s())
+        answer = None
         try:
             with bound:
-                return self._attempts()
+                answer = self._attempts()
+                return answer
         except gevent.Timeout as timeout:
             if timeout is not bound:
                 raise
             raise errors.DeadlineExceededError(
                 "the answer did not come in time", outcome=self._outcome
             ) from None
+        finally:
+            replaced = self._failure_answer
+            if replaced is not None and replaced is not answer:
+                replaced.close()
 
     def _attempts(self) -> WholeAnswer:
         while True:
@@ -187,6 +203,8 @@
                 answer = attempted.ok_value
                 if not self._is_retryable(answer):
                     return answer
+                if self._failure_answer is not None:
+                    self._failure_answer.close()
                 self._failure_answer = answer
             if not self._may_repeat(attempted):
                 return self._give_up("no further attempt is allowed")
@@ -261,23 +279,36 @@
     def _read_handed(
         self, handed: handover.OpenHandover
     ) -> Result[WholeAnswer, errors.EngineError]:
-        exchange = handed.answer.exchange
+        hold = self._dependencies.held.hold()
         try:
-            body = exchange.read_all(self._limit.wait_s(), ANSWER_LIMIT_BYTES)
-            exchange.finish()
-        except BaseException:
-            exchange.close()
-            raise
+            body = self._read_body(handed.answer.exchange, hold)
         finally:
             handed.end()
-        if isinstance(body, Err):
+        if isinstance(body, Err) and _is_fault_of_peer(body.err_value):
             handed.note_lost()
         return body.map(
             lambda data: WholeAnswer(
-                handed.answer.head, data, handed.answer.is_framed
+                handed.answer.head, data, handed.answer.is_framed, hold
             )
         )
 
+    def _read_body(
+        self, exchange: _exchange.Exchange, hold: held_answers.Hold
+    ) -> Result[bytes, errors.EngineError]:
+        """Reads a body and ends its exchange; holds it if it is complete."""
+        try:
+            body = exchange.read_all(
+                self._limit.wait_s(), ANSWER_LIMIT_BYTES, hold.add
+            )
+            exchange.finish()
+        except BaseException:
+            exchange.close()
+            hold.close()
+            raise
+        if isinstance(body, Err):
+            hold.close()
+        return body
+
     def _helper_error(
         self, error: errors.RequestError, previous_outcome: errors.Outcome
     ) -> errors.RequestError:
@@ -413,18 +444,13 @@
         if isinstance(sent, Err):
             return sent
         answer = sent.ok_value
-        try:
-            body = answer.exchange.read_all(
-                self._limit.wait_s(), ANSWER_LIMIT_BYTES
-            )
-        except BaseException:
-            answer.exchange.close()
-            raise
-        answer.exchange.finish()
+        hold = self._dependencies.held.hold()
+        body = self._read_body(answer.exchange, hold)
         if isinstance(body, Err):
-            self._dependencies.client.note_answer_broken(
-                attempt.server, body.err_value
-            )
+            if _is_fault_of_peer(body.err_value):
+                self._dependencies.client.note_answer_broken(
+                    attempt.server, body.err_value
+                )
             return body
         answer_ends.note(
             self._routed_request.request_id,
@@ -432,7 +458,9 @@
             {"server_id": attempt.server.server_id},
             answer_end.Ending(answer.is_framed),
         )
-        return Ok(WholeAnswer(answer.head, body.ok_value, answer.is_framed))
+        return Ok(
+            WholeAnswer(answer.head, body.ok_value, answer.is_framed, hold)
+        )
 
     def _note_answer(
         self, server: fleet.Server, answer: WholeAnswer, took_s: float
@@ -539,3 +567,8 @@
             left_s=round(self._limit.left_s(), 3),
             result=result,
         ).info("attempt")
+
+
+def _is_fault_of_peer(error: errors.EngineError) -> bool:
+    """Returns whether an answer broke off by its server's or helper's fault."""
+    return not isinstance(error, errors.AnswerMemoryError)
--- a/tests/test_plain_call.py
+++ b/tests/test_plain_call.py
@@ -11,6 +11,7 @@
 from mulberrywharf.forwarding import (
     ejection_filter,
     handover,
+    held_answers,
     plain_call,
     repeats,
     server_client,
@@ -60,6 +61,7 @@
     first_server = 0
     ejections: Any = ejection_filter.NoEjections()
     handovers: Any = handover.NoHandovers()
+    held = held_answers.HeldAnswers()
 
     def setUp(self) -> None:
         self.clock = clock.SystemClock()
@@ -99,6 +101,7 @@
                 random.Random(1),
                 self.ejections,
                 self.handovers,
+                held=self.held,
             )
         )
         route = build.route(kind=kinds.Idempotent() if kind is None else kind)
