Test real gateways and routers beside servers that send without end

Twenty calls at once, one such server among sound ones: plain calls, streams, prefills, large bodies, at gateways and at routers, and load reports. Each kind of plain answer meets a server that the gateway doesn't know yet, and bears the server's signature, as a gateway reads no more of an answer without one.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -34,6 +34,14 @@
         """The process id."""
         return self._child.pid
 
+    def peak_memory_bytes(self) -> int:
+        """Returns the largest memory that it has had."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        (line,) = (
+            line for line in status.splitlines() if line.startswith("VmHWM")
+        )
+        return int(line.split()[1]) * 1024
+
     def _wait_ready(self, module: str) -> dict[str, Any]:
         # A child that hangs would otherwise hang the whole test run.
         watchdog = threading.Timer(_READY_WAIT_S, self._child.kill)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -63,10 +63,10 @@
         self.store.put(documents.SERVERS_PREFIX + server_id, record)
         return made
 
-    def write_routes(self, version: int = 1) -> None:
+    def write_routes(self, version: int = 1, **stream_route: Any) -> None:
         document = build.routes_document(version)
         document["routes"][1].pop("traffic-split")
-        document["routes"][1]["service"] = "engines"
+        document["routes"][1].update(service="engines", **stream_route)
         self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
 
     def start(
