Refuse malformed messages of other gateways without ending the process

Gateways can send one, callers can't.

Cause, two faults of the library: its exceptions walk the whole stack, of which a greenlet has only its part, and its reader of packed bytes throws from a destructor if they are truncated.

Change: `main_stack` lends the stack of the main greenlet to decoders, whoever calls them; `wire_messages` unpacks the bytes in Python, up to 64 KB, and bounds what is read of a message. All codecs of datagrams use it; frames of the hop and of routers are decoded on the main stack.

--- a/src/mulberrywharf/crashes/crash_codec.py
+++ b/src/mulberrywharf/crashes/crash_codec.py
@@ -2,12 +2,12 @@
 
 import pathlib
 from collections.abc import Iterator
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import capnp
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers
 
 REPORT_LIMIT_BYTES = 1_400
 """Bound of the estimated size of a report, so that the datagram is not
@@ -131,31 +131,27 @@
     Returns:
         The report, or an error if the body is invalid.
     """
-    try:
-        message = _SCHEMA.CrashReport.from_bytes_packed(body)
-        return Ok(
-            CrashReport(
-                tuple(
-                    ReportedEnd(
-                        wire.request,
-                        wire.server,
-                        wire.madeOutput,
-                        wire.ageMs / _MS_PER_S,
-                        wire.customer,
-                        frozenset(wire.parts),
-                    )
-                    for wire in message.ends
-                ),
-                tuple(message.cleared),
-                message.isReply,
-                tuple(
-                    ClearedPart(
-                        wire.part, wire.customer, wire.ageMs / _MS_PER_S
-                    )
-                    for wire in message.clearedParts
-                ),
-                tuple(message.trials),
+    return wire_messages.decode(_SCHEMA.CrashReport, body, _decode)
+
+
+def _decode(message: Any) -> CrashReport:
+    return CrashReport(
+        tuple(
+            ReportedEnd(
+                wire.request,
+                wire.server,
+                wire.madeOutput,
+                wire.ageMs / _MS_PER_S,
+                wire.customer,
+                frozenset(wire.parts),
             )
-        )
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid crash report: {error}"))
+            for wire in message.ends
+        ),
+        tuple(message.cleared),
+        message.isReply,
+        tuple(
+            ClearedPart(wire.part, wire.customer, wire.ageMs / _MS_PER_S)
+            for wire in message.clearedParts
+        ),
+        tuple(message.trials),
+    )
--- a/src/mulberrywharf/nodes/codec.py
+++ b/src/mulberrywharf/nodes/codec.py
@@ -19,7 +19,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from mulberrywharf import errors
+from mulberrywharf import errors, main_stack
 from mulberrywharf.nodes import messages, wire_forms
 
 FRAME_LIMIT_BYTES = 2 * 1024 * 1024
@@ -145,6 +145,10 @@
 
 def decode(payload: bytes) -> Result[messages.Envelope, errors.BadFrameError]:
     """Decodes a payload; any malformed payload gives a BadFrameError."""
+    return main_stack.call(lambda: _decode(payload))
+
+
+def _decode(payload: bytes) -> Result[messages.Envelope, errors.BadFrameError]:
     try:
         return Ok(_read(_inflate(payload)))
     except (
--- a/src/mulberrywharf/peers/customer_demand_codec.py
+++ b/src/mulberrywharf/peers/customer_demand_codec.py
@@ -3,12 +3,12 @@
 import math
 import pathlib
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import capnp
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers
 from mulberrywharf.policy import customer_meter
 
 BELOW = 255
@@ -90,13 +90,13 @@
     Returns:
         The message, or an error if the body is invalid.
     """
-    try:
-        wire = _SCHEMA.DemandMessage.from_bytes_packed(body)
-        if wire.which() == "report":
-            return Ok(_decode_report(wire))
-        return Ok(_decode_reply(wire))
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid demand message: {error}"))
+    return wire_messages.decode(_SCHEMA.DemandMessage, body, _decode)
+
+
+def _decode(wire: Any) -> Report | Reply:
+    if wire.which() == "report":
+        return _decode_report(wire)
+    return _decode_reply(wire)
 
 
 def _decode_report(wire: capnp.lib.capnp._DynamicStructReader) -> Report:
--- a/src/mulberrywharf/peers/datagrams.py
+++ b/src/mulberrywharf/peers/datagrams.py
@@ -169,9 +169,6 @@
             return
         kind, body = datagram[:1], datagram[1 + _CHECKSUM_BYTES :]
         handler = self._handlers.get(kind)
-        # Some malformed bytes abort the whole process: the Cap'n Proto library
-        # throws an exception during its cleanup. The checksum ensures that only
-        # bytes that a gateway encoded reach the decoder.
         is_intact = datagram == frame_datagram(kind, body)
         if is_intact:
             self._note_heard(source)
--- a/src/mulberrywharf/peers/freshness_codec.py
+++ b/src/mulberrywharf/peers/freshness_codec.py
@@ -1,12 +1,12 @@
 """Encodes and decodes messages about confirmed routes, with Cap'n Proto."""
 
 import pathlib
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import capnp
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers
 
 _MS_PER_S = 1000.0
 _HALF_MS_S = 0.0005
@@ -61,11 +61,11 @@
     Returns:
         The message, or an error if the body is invalid.
     """
-    try:
-        wire = _SCHEMA.FreshnessMessage.from_bytes_packed(body)
-        if wire.which() == "question":
-            return Ok(Question(wire.nonce))
-        reply = wire.reply
-        return Ok(Reply(wire.nonce, reply.version, reply.ageMs / _MS_PER_S))
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid freshness message: {error}"))
+    return wire_messages.decode(_SCHEMA.FreshnessMessage, body, _decode)
+
+
+def _decode(wire: Any) -> Question | Reply:
+    if wire.which() == "question":
+        return Question(wire.nonce)
+    reply = wire.reply
+    return Reply(wire.nonce, reply.version, reply.ageMs / _MS_PER_S)
--- a/src/mulberrywharf/peers/handover_codec.py
+++ b/src/mulberrywharf/peers/handover_codec.py
@@ -8,11 +8,11 @@
 import xxhash
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, main_stack, wire_numbers
 from mulberrywharf.routes import kinds
 
 _MS_PER_S = 1000.0
-_CHECKSUM_BYTES = 8
+CHECKSUM_BYTES = 8
 
 capnp.remove_import_hook()
 _SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("handover.capnp")))
@@ -122,13 +122,15 @@
 def decode(data: bytes) -> Result[HandedRequest, errors.BadFrameError]:
     """Reads the bytes that carry a request.
 
-    Some malformed bytes abort the whole process: the Cap'n Proto library throws
-    an exception during its cleanup. Because of the checksum only bytes that a
-    gateway encoded reach the library.
+    The checksum only tells damaged bytes apart.
     """
-    checksum, encoded = data[:_CHECKSUM_BYTES], data[_CHECKSUM_BYTES:]
+    checksum, encoded = data[:CHECKSUM_BYTES], data[CHECKSUM_BYTES:]
     if xxhash.xxh3_64_digest(encoded) != checksum:
         return Err(errors.BadFrameError(f"corrupt frame of {len(data)} bytes"))
+    return main_stack.call(lambda: _read(encoded))
+
+
+def _read(encoded: bytes) -> Result[HandedRequest, errors.BadFrameError]:
     try:
         with _SCHEMA.HandedOver.from_bytes(encoded) as wire:
             return Ok(_decode(wire))
--- a/src/mulberrywharf/peers/limit_codec.py
+++ b/src/mulberrywharf/peers/limit_codec.py
@@ -5,9 +5,9 @@
 from typing import Any, NamedTuple
 
 import capnp
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers
 from mulberrywharf.policy import limit_grants
 
 _MS_PER_S = 1000.0
@@ -105,13 +105,15 @@
     Returns:
         The message, or an error if the bytes are not a valid message.
     """
-    try:
-        wire = _SCHEMA.LimitMessage.from_bytes_packed(body)
-        if str(wire.which()) == "claim":
-            return Ok(_decode_claim(wire.claim, now_s))
-        return Ok(_decode_grant(wire.grant, now_s))
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid limit message: {error}"))
+    return wire_messages.decode(
+        _SCHEMA.LimitMessage, body, lambda wire: _decode(wire, now_s)
+    )
+
+
+def _decode(wire: Any, now_s: float) -> LimitMessage:
+    if str(wire.which()) == "claim":
+        return _decode_claim(wire.claim, now_s)
+    return _decode_grant(wire.grant, now_s)
 
 
 def _decode_claim(wire: Any, now_s: float) -> ClaimMessage:
--- a/src/mulberrywharf/peers/notice_codec.py
+++ b/src/mulberrywharf/peers/notice_codec.py
@@ -3,13 +3,13 @@
 import math
 import pathlib
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import capnp
 import xxhash
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, fleet, wire_numbers
+from mulberrywharf import errors, fleet, wire_messages, wire_numbers
 from mulberrywharf.policy import load_estimates, part_caches
 
 PLACEMENTS_LIMIT_COUNT = 36
@@ -270,34 +270,32 @@
     Returns:
         The notice, or an error if the bytes are not a valid notice.
     """
-    try:
-        message = _SCHEMA.Notice.from_bytes_packed(body)
-        return Ok(
-            Notice(
-                message.sender,
-                message.sequence,
-                tuple(_decode_placement(wire) for wire in message.placements),
-                SeenRevisions(
-                    message.routesRevision,
-                    message.serversRevision,
-                    message.isReading,
-                    message.storeEra,
-                ),
-                tuple(
-                    _decode_load(wire, message.paces >> (_PACE_BITS * number))
-                    for number, wire in enumerate(message.loads)
-                ),
-                tuple(
-                    Demand(wire.service, wire.milliEngines / _MILLI)
-                    for wire in message.demands
-                ),
-                tuple(message.changing),
-                message.zone,
-                tuple(_decode_role_load(wire) for wire in message.roleLoads),
-            )
-        )
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid notice: {error}"))
+    return wire_messages.decode(_SCHEMA.Notice, body, _decode)
+
+
+def _decode(message: Any) -> Notice:
+    return Notice(
+        message.sender,
+        message.sequence,
+        tuple(_decode_placement(wire) for wire in message.placements),
+        SeenRevisions(
+            message.routesRevision,
+            message.serversRevision,
+            message.isReading,
+            message.storeEra,
+        ),
+        tuple(
+            _decode_load(wire, message.paces >> (_PACE_BITS * number))
+            for number, wire in enumerate(message.loads)
+        ),
+        tuple(
+            Demand(wire.service, wire.milliEngines / _MILLI)
+            for wire in message.demands
+        ),
+        tuple(message.changing),
+        message.zone,
+        tuple(_decode_role_load(wire) for wire in message.roleLoads),
+    )
 
 
 def _decode_placement(wire: capnp.lib.capnp._DynamicStructReader) -> Placement:
--- a/src/mulberrywharf/peers/queue_codec.py
+++ b/src/mulberrywharf/peers/queue_codec.py
@@ -6,9 +6,9 @@
 from typing import Any, Literal, NamedTuple
 
 import capnp
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers
 from mulberrywharf.policy import part_caches
 
 ENGINES_LIMIT_COUNT = 16
@@ -199,16 +199,16 @@
     Returns:
         The message, or an error if the bytes are not a valid message.
     """
-    try:
-        wire = _SCHEMA.QueueMessage.from_bytes_packed(body)
-        kind = str(wire.which())
-        if kind == "ask":
-            return Ok(_decode_ask(wire.ask))
-        if kind == "waits":
-            return Ok(_decode_waits(wire.waits))
-        return Ok(_decode_work(wire.work))
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid queue message: {error}"))
+    return wire_messages.decode(_SCHEMA.QueueMessage, body, _decode)
+
+
+def _decode(wire: Any) -> QueueMessage:
+    kind = str(wire.which())
+    if kind == "ask":
+        return _decode_ask(wire.ask)
+    if kind == "waits":
+        return _decode_waits(wire.waits)
+    return _decode_work(wire.work)
 
 
 def _decode_ask(wire: Any) -> WaitQuery:
--- a/src/mulberrywharf/peers/usage_codec.py
+++ b/src/mulberrywharf/peers/usage_codec.py
@@ -2,12 +2,12 @@
 
 import pathlib
 from collections.abc import Iterator, Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import capnp
-from result import Err, Ok, Result
+from result import Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers
 
 COUNTS_LIMIT_BYTES = 1_100
 """Maximum size of the customer entries in one message, so that its datagram is
@@ -104,21 +104,19 @@
     Returns:
         The message, or an error if the body is invalid.
     """
-    try:
-        message = _SCHEMA.UsageMessage.from_bytes_packed(body)
-        if message.which() == "announcement":
-            wire = message.announcement
-            return Ok(Announcement(wire.number, wire.reportedWindow))
-        wire = message.counts
-        by_customer = {entry.name: entry.count for entry in wire.customers}
-        return Ok(
-            Counts(
-                wire.incarnation,
-                wire.window,
-                wire.isFinal,
-                by_customer,
-                wire.totalCount,
-            )
-        )
-    except (capnp.KjException, ValueError) as error:
-        return Err(errors.BadFrameError(f"invalid usage message: {error}"))
+    return wire_messages.decode(_SCHEMA.UsageMessage, body, _decode)
+
+
+def _decode(message: Any) -> Announcement | Counts:
+    if message.which() == "announcement":
+        wire = message.announcement
+        return Announcement(wire.number, wire.reportedWindow)
+    wire = message.counts
+    by_customer = {entry.name: entry.count for entry in wire.customers}
+    return Counts(
+        wire.incarnation,
+        wire.window,
+        wire.isFinal,
+        by_customer,
+        wire.totalCount,
+    )
--- a/src/mulberrywharf/programs/_startup.py
+++ b/src/mulberrywharf/programs/_startup.py
@@ -8,7 +8,7 @@
 
 from result import Err, Result
 
-from mulberrywharf import errors, logs, settings
+from mulberrywharf import errors, logs, main_stack, settings
 
 _Read = TypeVar("_Read")
 
@@ -65,7 +65,7 @@
     # Writes the stacks to standard error if a library ends the process.
     faulthandler.enable()
     try:
-        run()
+        main_stack.serve(run)
     except errors.ListenError as error:
         print(f"{error.code}: {error}", file=sys.stderr)
         print(f"  next: {error.advice}", file=sys.stderr)
