--- a/fuzz/inputs.py
+++ b/fuzz/inputs.py
@@ -1,13 +1,23 @@
 """What is drawn: bytes and numbers that come from outside a gateway."""
 
 import json
+import zlib
 from typing import Any
 
+import xxhash
 from hypothesis import strategies as st
 
 from mulberrywharf.crashes import crash_codec
-from mulberrywharf.peers import datagrams, notice_codec, queue_codec
+from mulberrywharf.nodes import codec, messages
+from mulberrywharf.peers import (
+    datagrams,
+    handover_codec,
+    notice_codec,
+    queue_codec,
+)
 from mulberrywharf.policy import load_estimates, part_caches
+from mulberrywharf.routes import kinds
+from tests import builders_nodes, callers_fixture, cluster
 from tests import builders_routes as build
 
 _PREFIX = "x-mulberrywharf-"
@@ -66,6 +76,70 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
+_COMPLETIONS = st.fixed_dictionaries(
+    {"model": st.just(cluster.MODEL) | _VISIBLE},
+    optional={
+        "prompt": _VISIBLE | st.lists(NUMBERS | _VISIBLE, max_size=3),
+        "messages": st.lists(
+            st.fixed_dictionaries(
+                {"role": _VISIBLE, "content": _VISIBLE | NUMBERS}
+            ),
+            max_size=2,
+        ),
+        "max_tokens": st.integers(0, 3) | NUMBERS | _VISIBLE,
+        "stream": st.booleans() | NUMBERS,
+        "n": NUMBERS,
+        "temperature": NUMBERS,
+    },
+)
+_ROUTER_FIELDS = st.fixed_dictionaries(
+    {"authorization": st.just(f"Bearer {callers_fixture.CUSTOMER_KEY}")},
+    optional={
+        "x-mulberry-deadline-ms": _NUMBER_TEXTS,
+        "idempotency-key": _VISIBLE,
+        "last-event-id": _NUMBER_TEXTS,
+        "expect": st.sampled_from(("100-continue", "x")),
+        "content-length": _NUMBER_TEXTS,
+        "transfer-encoding": st.sampled_from(("chunked", "gzip", "")),
+    },
+)
+
+
+@st.composite
+def router_requests(draw: st.DrawFn) -> bytes:
+    """Draws a request of a router's caller."""
+    body = json.dumps(draw(_COMPLETIONS)).encode()
+    if draw(st.integers(0, 4)) == 0:
+        body = draw(st.binary(max_size=200))
+    fields = {"host": "router", "content-length": str(len(body))}
+    fields |= draw(_ROUTER_FIELDS)
+    path = draw(
+        st.sampled_from(
+            (
+                "/v1/completions",
+                "/v1/chat/completions",
+                f"/services/{cluster.SERVICE}/echo",
+                "/v1/models",
+                "/%zz",
+            )
+        )
+    )
+    method = draw(st.sampled_from(("POST", "POST", "GET", "X")))
+    lines = [f"{method} {path} HTTP/1.1"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+@st.composite
+def router_frames(draw: st.DrawFn) -> bytes:
+    """Draws a message between routers, damaged or not."""
+    message = draw(st.sampled_from(builders_nodes.one_of_each_message()))
+    flat = zlib.decompress(
+        codec.encode(messages.Envelope("entry-1", 7, message))
+    )
+    return draw(st.just(flat) | damaged(flat))
+
+
 SERVER_FIELDS = st.fixed_dictionaries(
     {},
     optional={
@@ -154,4 +228,61 @@
         body = crash_codec.encode(crash_codec.CrashReport((end,)))
     else:
         body = draw(st.binary(max_size=200))
+    if draw(st.booleans()):
+        body = draw(damaged(body))
     return datagrams.frame_datagram(kind, body)
+
+
+_KINDS = st.sampled_from(
+    (kinds.Idempotent(), kinds.AtMostOnce(), kinds.EventStream(True))
+)
+_SECONDS = st.floats() | st.floats(0.0, 5.0)
+
+
+@st.composite
+def handovers(draw: st.DrawFn) -> tuple[str, bytes]:
+    """Draws a request that a gateway may hand over, and its service."""
+    service = draw(st.sampled_from(("plain", "engines", "none")))
+    fields = {name.title(): value for name, value in draw(_FIELDS).items()}
+    handed = handover_codec.HandedRequest(
+        draw(st.sampled_from(("GET", "POST", "X y"))),
+        draw(st.sampled_from(("/safe/x", "/stream/x", "*", ""))),
+        draw(_VISIBLE),
+        tuple(fields.items()),
+        draw(_VISIBLE).encode(),
+        service,
+        handover_codec.HandedRoute(
+            draw(_VISIBLE),
+            draw(_KINDS),
+            draw(st.integers(-(2**40), 2**40)),
+            draw(st.integers(-(2**40), 2**40)),
+            draw(st.none() | _SECONDS),
+            draw(st.none() | _SECONDS),
+        ),
+        draw(_SECONDS),
+        draw(_SECONDS),
+        draw(st.none() | _VISIBLE),
+        draw(_VISIBLE),
+        draw(st.booleans()),
+        draw(st.booleans()),
+        draw(st.none() | st.integers(0, 2**63)),
+        draw(st.booleans()),
+        draw(st.booleans()),
+    )
+    body = handover_codec.encode(handed)
+    if draw(st.booleans()):
+        message = draw(damaged(body[handover_codec.CHECKSUM_BYTES :]))
+        body = xxhash.xxh3_64_digest(message) + message
+    return service, body
+
+
+@st.composite
+def damaged(draw: st.DrawFn, body: bytes) -> bytes:
+    """Draws a message with some bytes changed, and perhaps its end cut off."""
+    changed = bytearray(body)
+    places = st.integers(0, max(0, len(body) - 1))
+    for place in draw(st.lists(places, max_size=4)):
+        changed[place : place + 1] = draw(st.binary(max_size=2))
+    return bytes(
+        changed[: draw(places) + 1] if draw(st.booleans()) else changed
+    )
--- a/fuzz/play.py
+++ b/fuzz/play.py
@@ -2,26 +2,28 @@
 
 import contextlib
 import time
+from collections.abc import Callable
+from functools import singledispatch
+from typing import Any
 
 import hypothesis
 from hypothesis import strategies as st
 
-from fuzz import inputs, target
+from fuzz import inputs, router_target, target
 
-_EXAMPLES = st.one_of(
-    st.tuples(st.just("request"), inputs.requests()),
-    st.tuples(st.just("answer"), inputs.SERVER_FIELDS),
-    st.tuples(st.just("record"), inputs.records()),
-    st.tuples(st.just("routes"), inputs.routes()),
-    st.tuples(st.just("datagram"), inputs.gateway_datagrams()),
-)
+Apply = Callable[[Any], None]
+"""Exposes the fuzzed processes to what was drawn."""
 
 
-def play(fuzzed: target.Target, seed: int, length_s: float) -> int:
-    """Fuzzes gateways for a time, and raises the first failure.
+def play(
+    fuzzed: target.Target | router_target.RouterTarget,
+    seed: int,
+    length_s: float,
+) -> int:
+    """Fuzzes processes for a time, and raises the first failure.
 
     Args:
-        fuzzed: The gateways; they have been started.
+        fuzzed: The processes; they have been started.
         seed: Decides the examples; a run with the same seed repeats them.
         length_s: For how long examples are drawn.
 
@@ -30,6 +32,10 @@
     """
     ends_s = time.monotonic() + length_s
     count = 0
+    kinds = _kinds(fuzzed)
+    examples = st.one_of(
+        [st.tuples(st.just(kind), kinds[kind][0]) for kind in kinds]
+    )
 
     @hypothesis.seed(seed)
     @hypothesis.settings(
@@ -40,13 +46,14 @@
         suppress_health_check=list(hypothesis.HealthCheck),
         report_multiple_bugs=False,
     )
-    @hypothesis.given(example=_EXAMPLES, path=st.sampled_from(_PATHS))
-    def run(example: tuple[str, object], path: str) -> None:
+    @hypothesis.given(example=examples)
+    def run(example: tuple[str, Any]) -> None:
         nonlocal count
         if time.monotonic() >= ends_s:
             raise _TimeOverError
         count += 1
-        _apply(fuzzed, example, path)
+        kind, drawn = example
+        kinds[kind][1](drawn)
         fuzzed.check()
 
     with contextlib.suppress(_TimeOverError):
@@ -54,29 +61,42 @@
     return count
 
 
-_PATHS = ("/safe/x", "/stream/x")
-
-
 class _TimeOverError(BaseException):
     """Ends a run at its time."""
 
 
-def _apply(
-    fuzzed: target.Target, example: tuple[str, object], path: str
-) -> None:
-    kind, drawn = example
-    if kind == "request":
-        assert isinstance(drawn, bytes)
-        fuzzed.send(drawn)
-    elif kind == "answer":
-        assert isinstance(drawn, dict)
-        fuzzed.ask_beside(path, drawn)
-    elif kind == "datagram":
-        assert isinstance(drawn, bytes)
-        fuzzed.send_datagram(drawn)
-    elif kind == "record":
-        assert isinstance(drawn, bytes)
-        fuzzed.put_record(drawn)
-    else:
-        assert isinstance(drawn, dict)
-        fuzzed.put_routes(drawn)
+@singledispatch
+def _kinds(fuzzed: Any) -> dict[str, tuple[st.SearchStrategy[Any], Apply]]:
+    """Returns what is drawn for a target, and how it is applied, by kind."""
+    raise TypeError(f"not a target: {fuzzed!r}")
+
+
+@_kinds.register
+def _(
+    fuzzed: target.Target,
+) -> dict[str, tuple[st.SearchStrategy[Any], Apply]]:
+    paths = st.sampled_from(("/safe/x", "/stream/x"))
+    return {
+        "request": (inputs.requests(), fuzzed.send),
+        "answer": (
+            st.tuples(paths, inputs.SERVER_FIELDS),
+            lambda drawn: fuzzed.ask_beside(*drawn),
+        ),
+        "record": (inputs.records(), fuzzed.put_record),
+        "routes": (inputs.routes(), fuzzed.put_routes),
+        "datagram": (inputs.gateway_datagrams(), fuzzed.send_datagram),
+        "handover": (
+            inputs.handovers(),
+            lambda drawn: fuzzed.hand_over(*drawn),
+        ),
+    }
+
+
+@_kinds.register
+def _(
+    fuzzed: router_target.RouterTarget,
+) -> dict[str, tuple[st.SearchStrategy[Any], Apply]]:
+    return {
+        "request": (inputs.router_requests(), fuzzed.send),
+        "frame": (inputs.router_frames(), fuzzed.send_frame),
+    }
--- a/fuzz/target.py
+++ b/fuzz/target.py
@@ -7,7 +7,11 @@
 
 import gevent
 from gevent import socket
+from result import Ok
 
+from mulberrywharf import _exchange, fleet
+from mulberrywharf.peers import directory
+from mulberrywharf.peers import handover_fields as hop
 from mulberrywharf.platform import documents
 from tests import builders_addresses, builders_gateways, test_gateway
 
@@ -58,6 +62,34 @@
             sock.bind((f"{self.net}.1", 0))
             sock.sendto(data, (f"{self.net}.2", _NODES_PORT))
 
+    def hand_over(self, service: str, body: bytes) -> None:
+        """Hands a request over from one gateway to the other."""
+        address = fleet.Address(f"{self.net}.2", _NODES_PORT)
+        fields = {
+            hop.TOKEN: self._token_of("entry-2"),
+            hop.SENDER: "entry-1",
+            hop.NUMBER: "1",
+            hop.REQUEST_ID: "fuzzed",
+            hop.SERVICE: service,
+            hop.PROTOCOL: str(hop.PROTOCOL_VERSION),
+        }
+        exchange = _exchange.Exchange.open(address).unwrap()
+        try:
+            offered = exchange.offer(
+                _exchange.Request("POST", hop.PATH, fields, body),
+                _ANSWER_TIMEOUT_S,
+            )
+            if isinstance(offered, Ok) and offered.ok_value:
+                exchange.send_body(body, _ANSWER_TIMEOUT_S)
+                exchange.receive(_ANSWER_TIMEOUT_S)
+        finally:
+            exchange.close()
+
+    def _token_of(self, vm_id: str) -> str:
+        prefix = f"{directory.KEY_PREFIX}{vm_id}/".encode()
+        keys = [key for key in self.store.store.records if prefix in key]
+        return keys[-1].removeprefix(prefix).decode()
+
     def ask_beside(self, path: str, fields: dict[str, str]) -> None:
         """Sends a sound request while servers answer with other fields."""
         for server in self.servers:
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,12 +1,13 @@
-"""A short run of the fuzzer."""
+"""Short runs of the fuzzer."""
 
 import unittest
 
-from fuzz import play, target
+from fuzz import play, router_target, target
 
 SEED = 1
 LENGTH_S = 20.0
 _EXAMPLES_LEAST_COUNT = 50
+_ROUTER_EXAMPLES_LEAST_COUNT = 20
 
 
 class FuzzTest(target.Target):
@@ -16,5 +17,12 @@
         self.assertGreater(count, _EXAMPLES_LEAST_COUNT)
 
 
+class RouterFuzzTest(router_target.RouterTarget):
+    def test_routers_stand_whatever_comes_from_outside(self) -> None:
+        """Guards against input that ends a router or one of its tasks."""
+        count = play.play(self, SEED, LENGTH_S)
+        self.assertGreater(count, _ROUTER_EXAMPLES_LEAST_COUNT)
+
+
 if __name__ == "__main__":
     unittest.main()
