Keep what a server stated while its record is gone for a moment

Another program wrote the record of a server that had stated a request limit of 0, for half a second.

Cause: what was stated was forgotten with the listing.

--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -72,6 +72,7 @@
     customer_meter,
     customer_shares,
     lost_path,
+    recent_starts,
     repeat_budget,
     stream_version,
 )
@@ -89,6 +90,7 @@
 
 _MS_PER_S = 1000.0
 READINESS_INTERVAL_S = 0.2
+
 ROLE_CALL_LIMIT_WAIT_S = 0.2
 """Longest wait for an engine's request limit before a role report is read or a
 role is ordered. Callers' requests can wait only some hundred milliseconds, so
@@ -151,6 +153,7 @@
         claims = limit_claims.LimitClaims(self._peers, carrier, self._clock)
         carrier.on_claim(claims.decide)
         self._limits = server_limits.ServerLimits(self._clock, claims)
+        self._recent_starts = recent_starts.RecentStarts()
         self._client = server_client.ServerClient(
             requests.ServerDialect(),
             self._tracker,
@@ -616,11 +619,14 @@
 
     def _on_servers_change(self) -> None:
         known = self._servers.all()
-        self._tracker.keep_only(server.start for server in known)
+        recent = self._recent_starts.update(
+            (server.start for server in known), self._clock.monotonic_s()
+        )
+        self._tracker.keep_only(recent)
+        self._limits.keep_only(recent)
         self._tracker.reachability.set_servers(
             server for server in known if not server.is_draining
         )
-        self._limits.keep_only(server.start for server in known)
         self._client.keep_only(server.start for server in known)
         self._estimates.set_engines(known)
         self._note_versions(known)
--- a/src/mulberrywharf/programs/_router.py
+++ b/src/mulberrywharf/programs/_router.py
@@ -18,7 +18,7 @@
 from mulberrywharf.nodes import limit_ranks
 from mulberrywharf.operators import audit, status
 from mulberrywharf.operators import server as operators_server
-from mulberrywharf.policy import limits, retry_budget
+from mulberrywharf.policy import limits, recent_starts, retry_budget
 from mulberrywharf.programs import (
     _router_backends,
     _router_configuration,
@@ -72,6 +72,7 @@
         )
         ranks = limit_ranks.RouterRanks(config["vm_id"], self._clock)
         self._backends.on_vm_list(ranks.set_vms)
+        self._recent_starts = recent_starts.RecentStarts()
         self._server_limits = server_limits.ServerLimits(
             self._clock, self._nodes.limit_claims(ranks, self._clock)
         )
@@ -173,7 +174,11 @@
     def _drop_limits_of_removed_servers(
         self, vms: list[fleet.VmRecord]
     ) -> None:
-        self._server_limits.keep_only(fleet.ServerStart(vm.vm_id) for vm in vms)
+        recent = self._recent_starts.update(
+            (fleet.ServerStart(vm.vm_id) for vm in vms),
+            self._clock.monotonic_s(),
+        )
+        self._server_limits.keep_only(recent)
 
     def ports(self) -> dict[str, int]:
         """Returns the TCP port of each listener."""
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -7,8 +7,10 @@
 import gevent
 from gevent import socket
 
+from mulberrywharf.platform import documents
 from standins.platform_server import PlatformServerStandin
 from tests import builders_addresses, processes, test_gateway
+from tests import builders_routes as build
 
 LIMIT_PER_S = 10.0
 BOUND_FROM_S = 3.0
@@ -26,6 +28,9 @@
 )
 """Prompts so short that admission control refuses none of them."""
 
+RECORD_READ_S = 1.0
+"""Time in which a gateway reads a changed record."""
+
 KNOWN_S = 2.0
 """Time from the start of gateways until they know each other."""
 
@@ -183,6 +188,27 @@
             self.assert_limited(decode)
 
 
+class VanishedRecordTest(LimitCase):
+    def test_limit_is_kept_while_the_record_cannot_be_read(self) -> None:
+        """Guards against a limit that its server can no longer restate."""
+        self.plain.limits = ("0",)
+        self.start_gateways(1, is_settled=False)
+        self.call("/safe/x")
+        key = documents.SERVERS_PREFIX + "plain-1"
+        record = build.server_value(
+            service="plain", address=f"127.0.0.1:{self.plain.port}"
+        )
+        self.plain.limits = ("-1",)
+        self.store.put(key, b"written by another program")
+        gevent.sleep(RECORD_READ_S)
+        self.store.put(key, record)
+        gevent.sleep(RECORD_READ_S)
+        self.call_for(4.0, "/safe/x")
+        counted_s = [arrival.at_s for arrival in self.plain.arrivals[1:]]
+        self.assertGreaterEqual(len(self.statuses), 100)
+        self.assertLessEqual(most_in_window(counted_s), ALLOWED_EXTRA_COUNT)
+
+
 class FieldTest(LimitCase):
     def test_caller_gets_the_field_as_the_server_sent_it(self) -> None:
         self.start_gateways(1, is_settled=False)
