Let decode engines take time to read prompts in the test of a prefill engine's limit

`test_prefill_engine_gets_no_more_than_its_limit` failed in 1 of 24 copies side by side: no request came to the prefill engine for four seconds. Decode engines of the stand-in read a prompt in no time, and a gateway that has learned that uses no prefill engine. They take 0.2 s now; the bounds are the same, 24 of 24 pass.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -69,8 +69,9 @@
         faults: ``delay_s`` holds answers back, ``break_after`` ends a stream
             behind that event, ``refuse`` answers that nothing ran, ``lose``
             runs a request and closes its connection, ``foreign`` answers
-            with another request's id, ``prefill_s`` is how long it reads,
-            ``pause_s`` how long it pauses behind each event.
+            with another request's id, ``prefill_s`` is how long a prefill
+            takes, ``read_s`` how long a run reads a prompt that was not
+            prefilled, ``pause_s`` how long it pauses behind each event.
             ``fields`` replaces header fields of answers, with None for none.
             ``leaving`` says in each answer that it leaves, ``rest`` refuses
             and asks for so many seconds of rest. ``raw`` has the fields of
@@ -246,6 +247,8 @@
         )
         crashes = self.crash_on and self.crash_on in body.decode()
         gevent.sleep(self.faults.get("delay_s", 0.0))
+        if not source:
+            gevent.sleep(self.faults.get("read_s", 0.0))
         if crashes and not self._header(environ, "TOKEN_USAGE"):
             self._end_under(environ, body.decode())
         if self.faults.get("lose"):
--- a/tests/test_server_limit.py
+++ b/tests/test_server_limit.py
@@ -21,6 +21,9 @@
 ALLOWED_FACTOR = 1.5
 ALLOWED_EXTRA_COUNT = 5
 CALLS_PER_S = 40.0
+DECODE_READ_S = 0.2
+"""Time in which a decode engine reads a prompt that was not prefilled."""
+
 SHORT_PROMPT_FIELDS = (
     "x-mulberrywharf-model: m\r\n"
     "x-mulberrywharf-token-usage: 300,5\r\n"
@@ -172,6 +175,9 @@
     """A gateway alone sent a server more than it accepts from all."""
 
     def test_prefill_engine_gets_no_more_than_its_limit(self) -> None:
+        # Gateways use a prefill engine only where it saves time.
+        for decode in self.decodes:
+            decode.faults = {"read_s": DECODE_READ_S}
         self.prefill.limits = (str(LIMIT_PER_S),)
         self.start_gateways(1)
         self.call_for(8.0, "/stream/x", NEW_PROMPT_FIELDS)
