End a stopped program without tearing the interpreter down

Cause: behind a graceful stop the interpreter frees all its objects, which the operating system does anyway; on a busy machine the process lasts beyond its grace.

Change: `os._exit` once everything is closed and flushed.

The test fails before.

--- a/src/mulberrywharf/programs/_startup.py
+++ b/src/mulberrywharf/programs/_startup.py
@@ -2,6 +2,7 @@
 
 import argparse
 import faulthandler
+import os
 import sys
 from collections.abc import Callable
 from typing import Literal, TypeVar
@@ -56,11 +57,13 @@
 def run_until_stopped(run: Callable[[], object]) -> int:
     """Runs a program; prints the reason if it cannot listen on a port.
 
+    After a graceful stop, the process ends with exit code 0.
+
     Args:
         run: Opens the ports, serves, and returns after a graceful stop.
 
     Returns:
-        The exit code: 0 after a graceful stop, 1 if it could not listen.
+        The exit code 1 if the program could not listen.
     """
     # Writes the stacks to standard error if a library ends the process.
     faulthandler.enable()
@@ -70,7 +73,11 @@
         print(f"{error.code}: {error}", file=sys.stderr)
         print(f"  next: {error.advice}", file=sys.stderr)
         return 1
-    return 0
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # A busy machine takes a second to free what the operating system frees
+    # anyway, and the grace period ends.
+    os._exit(0)
 
 
 def configure_logs(
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -1,4 +1,4 @@
-"""Tests that programs report ports that they cannot bind, and exit."""
+"""Tests of the start of programs, and of the end of their processes."""
 
 import subprocess
 import sys
@@ -12,6 +12,25 @@
 
 _UNASSIGNED_IP = "192.0.2.1"
 _TIMEOUT_S = 60
+_STOPPED_PROGRAM = """
+import atexit
+from mulberrywharf.programs import _startup
+atexit.register(print, "torn down")
+_startup.run_until_stopped(lambda: print("stopped"))
+"""
+
+
+class StopTest(unittest.TestCase):
+    def test_stopped_program_does_not_tear_the_interpreter_down(self) -> None:
+        """Guards against an idle stop that outlasts its grace period."""
+        done = subprocess.run(
+            [sys.executable, "-c", _STOPPED_PROGRAM],
+            capture_output=True,
+            text=True,
+            timeout=_TIMEOUT_S,
+        )
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertEqual(done.stdout, "stopped\n")
 
 
 class ListenTest(unittest.TestCase):
