Test that a server that never signs its answers is avoided

Measured: of 100 calls 98 or more are served, and 5 at the most come to it. Holds on the code as it is.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -217,6 +217,18 @@
             with self.subTest(path=path):
                 self.assertEqual(self.ask(path, fields=fields).status, 502)
 
+    def test_a_server_that_never_signs_is_avoided(self) -> None:
+        """Guards against callers who wait for a server that can't serve."""
+        other = self.server("plain-2", "plain")
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        other.faults = {"fields": {"X-Mulberrywharf-Response-Signature": None}}
+        statuses = [self.ask("/safe/x").status for _ in range(100)]
+        self.assertGreaterEqual(statuses.count(200), 98)
+        self.assertTrue(other.arrivals)
+        self.assertLessEqual(len(other.arrivals), 5)
+
 
 if __name__ == "__main__":
     unittest.main()
