--- a/src/mulberrywharf/policy/allowance_shares.py
+++ b/src/mulberrywharf/policy/allowance_shares.py
@@ -16,7 +16,7 @@
 * Leases last ``LEASE_TTL_S`` by a clock that goes on while a machine is
   suspended.
 * The service may come back from an older copy of any age, but not from one that
-  is older than the first start of the fleet.
+  is older than the first records, which a fleet writes at its first start.
 """
 
 from collections.abc import Collection
