Start tasks of claims, the controller's lease and load polls again after a failure

Cause: an exception ended these tasks for good, as what they know could differ from what is stored after a failure halfway. A router then renewed the lease on its claim shards no more, or kept a shard that commits nothing; a controller competed for its lease no more, or held one without following it; an engine's load stayed the last one.

Change: `supervised_task` takes what is to be given up before the task starts again. Owners close their shards and read their logs anew at the next scan; a shard that failed is closed; a controller steps down, and closes a lease that it doesn't hold.

--- a/src/mulberrywharf/engines/load_reader.py
+++ b/src/mulberrywharf/engines/load_reader.py
@@ -1,5 +1,6 @@
 """Polls engines for load reports and cache events."""
 
+import functools
 import json
 import math
 import random
@@ -20,6 +21,7 @@
     fleet,
     metrics,
     settings,
+    supervised_task,
 )
 from mulberrywharf.engines import engine_load
 from mulberrywharf.policy import prefix_index
@@ -209,7 +211,9 @@
             self._poll_tasks.pop(engine_id).kill(block=False)
         for engine_id in wanted - set(self._poll_tasks):
             load = self._loads[engine_id]
-            self._poll_tasks[engine_id] = gevent.spawn(self._poll, load)
+            self._poll_tasks[engine_id] = supervised_task.spawn(
+                "load-reader", functools.partial(self._poll, load)
+            )
 
     def _is_polled(self, engine_id: str) -> bool:
         return self._polled_ids is None or engine_id in self._polled_ids
--- a/src/mulberrywharf/nodes/claim_owner.py
+++ b/src/mulberrywharf/nodes/claim_owner.py
@@ -11,7 +11,7 @@
 import gevent.event
 from result import Err
 
-from mulberrywharf import clock, fleet, metrics, settings
+from mulberrywharf import clock, fleet, metrics, settings, supervised_task
 from mulberrywharf.nodes import (
     claim_candidates,
     claim_log,
@@ -147,8 +147,15 @@
     def start(self) -> None:
         """Starts to renew the lease and to scan for shards."""
         self._tasks = [
-            gevent.spawn(self._keep_lease),
-            gevent.spawn(self._scan_repeatedly),
+            # The next scan reads the shards that this process owns anew.
+            supervised_task.spawn(
+                "claim-lease", self._keep_lease, on_failure=self._close_shards
+            ),
+            supervised_task.spawn(
+                "claim-scan",
+                self._scan_repeatedly,
+                on_failure=self._close_shards,
+            ),
         ]
 
     def close(self) -> None:
--- a/src/mulberrywharf/nodes/claim_shard.py
+++ b/src/mulberrywharf/nodes/claim_shard.py
@@ -6,7 +6,7 @@
 import gevent.event
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors
+from mulberrywharf import clock, errors, supervised_task
 from mulberrywharf.nodes import claim_log, claim_queue, claims, messages
 
 BATCH_DELAY_S = 0.003
@@ -78,7 +78,10 @@
         if isinstance(replayed, Err):
             return replayed
         self.is_owner = True
-        self._task = gevent.spawn(self._run)
+        # A shard that failed is closed; its owner reads its log anew.
+        self._task = supervised_task.spawn(
+            "claim-shard", self._run, on_failure=self.close
+        )
         return Ok(None)
 
     def close(self) -> None:
@@ -264,7 +267,7 @@
         return _UNAVAILABLE if self.is_owner else _NOT_OWNER
 
     def _run(self) -> None:
-        while True:
+        while self.is_owner:
             if self._queue.has_records.wait(_EXPIRE_INTERVAL_S):
                 gevent.sleep(BATCH_DELAY_S)
                 if not self._commit_batch():
--- a/src/mulberrywharf/programs/_controller_lease.py
+++ b/src/mulberrywharf/programs/_controller_lease.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from mulberrywharf import clock as clocks
-from mulberrywharf import errors, fleet, metrics, settings
+from mulberrywharf import errors, fleet, metrics, settings, supervised_task
 from mulberrywharf.authority import lease_watchdog, record_store
 from mulberrywharf.operators import audit
 from mulberrywharf.platform_service import key_value, lease, watch
@@ -152,7 +152,11 @@
         self._watch = self._key_value.watch(
             self._key, self._on_key_change, purpose=_PURPOSE
         )
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = supervised_task.spawn(
+            "controller-lease",
+            self._run,
+            on_failure=lambda: self.step_down("an exception"),
+        )
 
     def close(self) -> None:
         """Stops competing and releases the lease if it is held."""
@@ -205,7 +209,13 @@
                 on_renewed=self._on_renewed,
                 on_lost=self._on_lost,
             )
-            if not self._acquire(holder):
+            try:
+                is_acquired = self._acquire(holder)
+            except Exception:
+                # A lease that is renewed and not held would keep others out.
+                holder.close()
+                raise
+            if not is_acquired:
                 holder.close()
                 self._wait_for_change()
                 continue
--- a/src/mulberrywharf/supervised_task.py
+++ b/src/mulberrywharf/supervised_task.py
@@ -19,25 +19,42 @@
 )
 
 
-def spawn(name: str, run: Callable[[], object]) -> gevent.Greenlet:
+def spawn(
+    name: str,
+    run: Callable[[], object],
+    *,
+    on_failure: Callable[[], object] = lambda: None,
+) -> gevent.Greenlet:
     """Starts a task, and starts it again after each exception.
 
     Args:
         name: Name of the task in logs and metrics.
         run: Runs until it is killed, or returns once nothing is left to do.
+        on_failure: Called after an exception, before the task is started
+            again; gives up what the exception may have left half done.
     """
-    return gevent.spawn(_supervise, name, run)
+    return gevent.spawn(_supervise, name, run, on_failure)
 
 
-def _supervise(name: str, run: Callable[[], object]) -> None:
+def _supervise(
+    name: str, run: Callable[[], object], on_failure: Callable[[], object]
+) -> None:
     while True:
         try:
             run()
         except Exception:
-            _failures_total.inc({"task": name})
-            logger.bind(task=name).exception(
-                "a background task failed; it is started again"
-            )
+            _note_failure(name)
+            try:
+                on_failure()
+            except Exception:
+                _note_failure(name)
         else:
             return
         gevent.sleep(RESTART_PAUSE_S)
+
+
+def _note_failure(name: str) -> None:
+    _failures_total.inc({"task": name})
+    logger.bind(task=name).exception(
+        "a background task failed; it is started again"
+    )
--- a/tests/test_supervised_task.py
+++ b/tests/test_supervised_task.py
@@ -4,6 +4,7 @@
 import re
 import unittest
 import unittest.mock
+from collections.abc import Callable
 
 import gevent
 import gevent.event
@@ -14,12 +15,7 @@
 _NOT_SUPERVISED = {
     "_interval_task.py: _run",  # goes on after a failed step by itself
     "logs.py: _run",  # can't log its own failure
-    # What these know would differ from what is stored after a failure halfway.
-    "_controller_lease.py: _run",
-    "_controller_zone.py: _run",
-    "claim_owner.py: _keep_lease",
-    "claim_owner.py: _scan_repeatedly",
-    "claim_shard.py: _run",
+    "_controller_zone.py: _run",  # steps down after a failed round by itself
 }
 _ENDLESS = re.compile(r"gevent\.spawn\(self\.(_[a-z_]+)\)")
 
@@ -54,6 +50,28 @@
         task.kill(timeout=5.0)
         self.assertTrue(task.ready())
 
+    def test_what_a_failure_left_is_given_up(self) -> None:
+        for given_up in (lambda: None, lambda: 1 / 0):
+            with self.subTest(given_up=given_up):
+                calls = []
+
+                def run(calls: list[str] = calls) -> None:
+                    calls.append("run")
+                    if len(calls) == 1:
+                        raise ValueError("a failure")
+
+                def give_up(
+                    calls: list[str] = calls,
+                    given_up: Callable[[], object] = given_up,
+                ) -> None:
+                    calls.append("given up")
+                    given_up()
+
+                supervised_task.spawn("test", run, on_failure=give_up).get(
+                    timeout=5.0
+                )
+                self.assertEqual(calls, ["run", "given up", "run"])
+
     def test_endless_tasks_are_supervised(self) -> None:
         """Guards against a new task that one exception ends for good."""
         found = []
