Limit the load that a server states to what it can hold

Engines had stated, in one answer, 65,536 running requests of 545,579 slots.

Cause: the number was taken as it stood. A report fades with a time constant of 1 s, so it takes seven of them until engines with 48 slots don't look full, and gateways pass reports on.

Change: running requests are limited to the slots in the server's record, waiting ones to four times as many, in answers and in what other gateways tell.

--- a/src/mulberrywharf/forwarding/engine_loads.py
+++ b/src/mulberrywharf/forwarding/engine_loads.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from mulberrywharf import clock, fleet
-from mulberrywharf.forwarding import server_tracker
+from mulberrywharf.forwarding import request, server_tracker
 from mulberrywharf.peers import notice_codec
 from mulberrywharf.policy import engine_queues, load_estimates, server_choice
 
@@ -185,8 +185,11 @@
             self._tracker.reachability.note_others_contact(
                 server.start, reported_s
             )
+            most_count = (
+                1 + request.WAITING_PER_SLOT_LIMIT
+            ) * server.slots_count
             self._tracker.note_requests_count(
-                server.start, load.requests_count, reported_s
+                server.start, min(load.requests_count, most_count), reported_s
             )
             if load.pace is not None:
                 self._tracker.paces.note(server, load.pace, reported_s)
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -175,6 +175,12 @@
     last_event_id: str | None = None
 
 
+WAITING_PER_SLOT_LIMIT = 4
+"""Longest queue of a server that is believed, in multiples of its slots. A
+longer one would keep all callers away from servers that may be idle until the
+report has faded."""
+
+
 class ReportedLoad(NamedTuple):
     """Load that a server reports with an answer.
 
@@ -196,6 +202,15 @@
         """Requests at the server, running and waiting."""
         return self.running_count + self.waiting_count
 
+    def limited_to(self, slots_count: int) -> "ReportedLoad":
+        """Returns the load, limited to what a server with these slots holds."""
+        return self._replace(
+            running_count=min(self.running_count, slots_count),
+            waiting_count=min(
+                self.waiting_count, WAITING_PER_SLOT_LIMIT * slots_count
+            ),
+        )
+
 
 class MalformedLoad(NamedTuple):
     """A load that can't be read.
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -249,13 +249,14 @@
         server = attempt.server
         head = self._dialect.read_head(answer)._replace(server=server.start)
         self._tracker.answer_began(server.start, self._clock.monotonic_s())
-        self._tracker.reported(
-            server.start, head.load, self._clock.monotonic_s()
-        )
-        if isinstance(head.load, request.ReportedLoad) and head.load.pace:
-            self._tracker.paces.note(
-                server, head.load.pace, self._clock.monotonic_s()
-            )
+        load = head.load
+        if isinstance(load, request.ReportedLoad):
+            load = load.limited_to(server.slots_count)
+            if load.pace:
+                self._tracker.paces.note(
+                    server, load.pace, self._clock.monotonic_s()
+                )
+        self._tracker.reported(server.start, load, self._clock.monotonic_s())
         if head.retry_after_s is not None:
             self._tracker.pause_until_retry_after(
                 server.start, head.retry_after_s, self._clock.monotonic_s()
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -5,10 +5,14 @@
 
 from mulberrywharf import errors
 from mulberrywharf.forwarding import request as forwarded
+from mulberrywharf.forwarding import server_tracker
 from mulberrywharf.platform import documents, requests
 from tests import builders_addresses, builders_gateways
 from tests import builders_routes as build
 from tests import test_gateway as case
+from tests.test_plain_call import CallCase, answer
+
+FADED_S = 3 * server_tracker.REPORT_TIME_CONSTANT_S
 
 GOOD = {
     "x-mulberrywharf-model": "m",
@@ -148,6 +152,36 @@
                 self.assertTrue(decoded.is_err())
 
 
+class StatedLoadTest(unittest.TestCase):
+    def test_no_server_holds_more_than_its_slots_and_a_queue(self) -> None:
+        for load, limited in (
+            (forwarded.ReportedLoad(3, 1, 6), (3, 1)),
+            (forwarded.ReportedLoad(6, 24, 6), (6, 24)),
+            (forwarded.ReportedLoad(999_999, 0, 999_999), (6, 0)),
+            (forwarded.ReportedLoad(0, 999_999, 6), (0, 24)),
+        ):
+            with self.subTest(load=load):
+                self.assertEqual(load.limited_to(6)[:2], limited)
+
+
+class StatedLoadOfAnswerTest(CallCase):
+    def test_a_load_that_no_server_holds_fades_like_a_full_one(self) -> None:
+        """Guards against servers that look full for many seconds.
+
+        Their answers once stated 65,536 running requests of 545,579 slots.
+        """
+        for stated in ("65536,1,545579", "0,999999,6"):
+            with self.subTest(stated=stated):
+                field = f"x-mulberrywharf-instance-load: {stated}\r\n"
+                server = self.respond_with(answer(extra=field.encode()))
+                start = self.call(server).head.server
+                faded_s = self.clock.monotonic_s() + FADED_S
+                self.assertLess(
+                    self.tracker.others_in_flight_count(start, faded_s),
+                    build.server().slots_count,
+                )
+
+
 class GatewayTest(case.GatewayCase):
     def test_requests_with_wrong_numbers_end_no_gateway(self) -> None:
         """Guards against a gateway that one request of any customer ends."""
