Count and log confirmations of the list of servers

A take-up whose version is inferred rests on a confirmation by the key-value service. Neither a log line nor a counter told how it ended, so a stream that went on at another version could not be told from one whose version was known. Confirmations are counted by result; those that fail are logged with the time since the service last answered. No decision changes; tests.test_server_list passes.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
-from typing import Protocol
+from typing import Literal, Protocol
 
 import gevent
 import gevent.event
@@ -53,6 +53,20 @@
 )
 
 
+_confirmations_counter = metrics.counter(
+    "mulberry_server_confirmations_total",
+    "Comparisons of the list with the key-value service, by result.",
+)
+
+Confirmation = Literal["confirmed", "unread", "behind"]
+"""Result of a comparison of the list with the key-value service.
+
+- ``confirmed``: The list has every version.
+- ``unread``: The service could not be asked.
+- ``behind``: The watch has not reported what the service holds.
+"""
+
+
 class ServerSource(Protocol):
     """Location and format of the servers' registration records.
 
@@ -186,35 +200,46 @@
         with self._confirming:
             # Whoever asks from now on needs a later read.
             self._next_confirmation = None
+            began_s = time.monotonic()
+            result: Confirmation = "unread"
             try:
-                waiting.set(self._confirm_now())
-            except BaseException:
-                waiting.set(False)
-                raise
+                result = self._confirm_now()
+            finally:
+                waiting.set(result == "confirmed")
+            self._log_confirmation(result, time.monotonic() - began_s)
             gevent.sleep(_CONFIRM_PAUSE_S)
 
-    def _confirm_now(self) -> bool:
+    def _log_confirmation(self, result: Confirmation, took_s: float) -> None:
+        _confirmations_counter.inc({"result": result})
+        if result != "confirmed":
+            logger.bind(
+                result=result,
+                took_s=round(took_s, 4),
+                store_age_s=round(self._client.age_s(), 3),
+            ).info("the list of servers could not be confirmed")
+
+    def _confirm_now(self) -> Confirmation:
         watched = self._watch
         if watched is None or not watched.has_read_all:
-            return False
+            return "unread"
         read = self._client.read_changes(
             self._source.servers_prefix,
             after_revision=watched.seen_revision,
             purpose=CONFIRM_PURPOSE,
         )
         if isinstance(read, Err):
-            return False
+            return "unread"
         changes = read.ok_value.events
         if not any(map(self._has_new_version, changes)):
-            return True
+            return "confirmed"
         changed_revision = max(one.key_value.mod_revision for one in changes)
         watched.reopen_if_waiting()
         ends_s = time.monotonic() + CONFIRM_LIMIT_S
         while watched.seen_revision < changed_revision:
             if time.monotonic() >= ends_s:
-                return False
+                return "behind"
             gevent.sleep(_CONFIRM_POLL_S)
-        return True
+        return "confirmed"
 
     def _has_new_version(self, event: key_value_types.WatchEvent) -> bool:
         found = event.key_value
