Confirm before a stream of a version not yet seen is refused

A gateway that learned late of a software version refused its streams as gone, with no time at which to come back, although servers of it were registered. Cause: only inferred versions were confirmed; a known one that the list lacks was taken for one that has left. The list is confirmed in both cases now, which waits for the watch, and the decision uses what was seen then. Where nothing can be confirmed, callers get Retry-After, as another gateway may be in step.

--- a/src/mulberrywharf/forwarding/stream_versions.py
+++ b/src/mulberrywharf/forwarding/stream_versions.py
@@ -11,8 +11,8 @@
 from mulberrywharf.policy import stream_keepers, stream_version
 
 RETRY_AFTER_NO_REPLY_S = 0.3
-"""``Retry-After`` if the gateways that may know a stream could not be asked.
-Another gateway may reach them."""
+"""``Retry-After`` if the gateways that may know a stream, or the records of the
+servers, could not be read. Another gateway may reach them."""
 
 _decisions_total = metrics.counter(
     "mulberry_stream_continuations_total",
@@ -53,8 +53,8 @@
             origins: The versions at which streams began.
             history: The versions of the services.
             system_clock: Source of monotonic time.
-            confirm: Asks whether the history has all present versions; may
-                wait for the reply.
+            confirm: Compares the history with the records of the servers;
+                returns whether it had every version until the call. May wait.
         """
         self._origins = origins
         self._history = history
@@ -175,16 +175,13 @@
             StreamNotResumableError: It may not go on.
         """
         seen = self._history.seen(service, self._clock.monotonic_s())
-        is_inferred = seen.is_single and isinstance(
-            origin, stream_version.Unknown
-        )
-        if is_inferred and self._confirm():
+        if not stream_version.needs_confirmation(origin, seen):
+            decided = stream_version.decide(origin, seen)
+        elif self._confirm():
             seen = self._history.seen(service, self._clock.monotonic_s())
-        elif is_inferred:
-            # Another version may have begun it a moment ago.
-            origin = stream_version.Unknown("no-reply")
-            seen = seen._replace(is_complete=False)
-        decided = stream_version.decide(origin, seen)
+            decided = stream_version.decide(origin, seen)
+        else:
+            decided = stream_version.Refused("no-reply")
         self._log(
             taken_up_by, routed_request, service, origin, decided, began_s
         )
@@ -244,7 +241,7 @@
     "other-stream": "Resumes names a stream of another request",
     "not-named": "the software version that began it is unknown",
     "not-found": "no gateway knows the stream that Resumes names",
-    "no-reply": "the gateways that may know the stream did not reply",
+    "no-reply": "who may know its software version did not reply",
 }
 
 
--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -61,7 +61,8 @@
 - ``not-named``: The caller doesn't name the attempt that began it, or its
   server's version is unknown.
 - ``not-found``: No gateway that was asked knows the stream.
-- ``no-reply``: The gateways that may know it could not be asked.
+- ``no-reply``: The gateways that may know it, or the records of the servers,
+  could not be read.
 """
 
 
@@ -140,6 +141,21 @@
 Continuation = Only | Refused
 
 
+def needs_confirmation(origin: Origin, seen: SeenVersions) -> bool:
+    """Returns whether a decision rests on versions that may be missing.
+
+    They are if the version is to be inferred, or if servers of the version that
+    began the stream have not been seen here.
+
+    Args:
+        origin: What is known of the stream's beginning.
+        seen: The versions of its service.
+    """
+    if isinstance(origin, Begun):
+        return origin.version_key not in seen.recent
+    return isinstance(origin, Unknown) and seen.is_single
+
+
 def decide(origin: Origin, seen: SeenVersions) -> Continuation:
     """Returns where a stream may go on.
 
--- a/tests/test_stream_continuations.py
+++ b/tests/test_stream_continuations.py
@@ -1,6 +1,7 @@
 """Tests how decisions on streams are told: errors, counters, log lines."""
 
 import unittest
+from collections.abc import Callable
 
 from mulberrywharf import clock, errors, metrics
 from mulberrywharf.forwarding import stream_versions
@@ -31,5 +32,59 @@
         self.assertIn(GONE, metrics.render_text()[0].decode())
 
 
+class ConfirmationTest(unittest.TestCase):
+    """One version is listed here; another one has just been registered."""
+
+    def setUp(self) -> None:
+        self.history = build.version_history(build.server("s1", role="decode"))
+        self.request = build.routed_request(0.0)._replace(last_event_id="2")
+
+    def take_up(
+        self, confirm: Callable[[], bool], version: str | None = None
+    ) -> stream_version.VersionKey:
+        origins = build.NoOrigins()
+        routed_request = self.request
+        if version is not None:
+            key = stream_version.key_of(version)
+            assert key is not None
+            origin = stream_version.Begun(key)
+            origins.find = lambda stream: origin  # type: ignore[method-assign]
+            routed_request = routed_request._replace(resumes="first")
+        return stream_versions.StreamVersions(
+            origins, self.history, clock.SystemClock(), confirm
+        ).take_up(routed_request, "service")
+
+    def see_newer(self) -> bool:
+        newer = build.server("s2", role="decode", software_version="v2")
+        now_s = clock.SystemClock().monotonic_s()
+        self.history.set_servers([newer], now_s)
+        return True
+
+    def test_version_is_inferred_once_confirmed(self) -> None:
+        self.assertEqual(
+            self.take_up(lambda: True), stream_version.key_of("v1")
+        )
+
+    def test_version_is_not_inferred_unconfirmed(self) -> None:
+        """Guards against a version inferred from a list of long ago."""
+        with self.assertRaises(errors.StreamNotResumableError) as raised:
+            self.take_up(lambda: False)
+        self.assertEqual(
+            raised.exception.retry_after_s,
+            stream_versions.RETRY_AFTER_NO_REPLY_S,
+        )
+
+    def test_version_is_not_inferred_beside_one_that_appears(self) -> None:
+        """Guards against a decision on what was seen before confirming."""
+        with self.assertRaises(errors.StreamNotResumableError):
+            self.take_up(self.see_newer)
+
+    def test_stream_of_a_version_not_yet_seen_goes_on(self) -> None:
+        """Guards against refusals by a gateway that learns of it late."""
+        self.assertEqual(
+            self.take_up(self.see_newer, "v2"), stream_version.key_of("v2")
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -74,6 +74,29 @@
         self.assertIsNone(stream_version.key_of(None))
 
 
+class NeedsConfirmationTest(unittest.TestCase):
+    def test_what_may_be_missing_is_confirmed(self) -> None:
+        """Guards against decisions by a list that may lack a version."""
+        single = stream_version.SeenVersions(
+            frozenset({V1}), frozenset({V1}), True
+        )
+        several = single._replace(recent=frozenset({V1, V2}))
+        unknown = stream_version.Unknown("not-named")
+        for origin, seen, is_needed in (
+            (unknown, single, True),
+            (unknown, several, False),
+            (unknown, single._replace(is_complete=False), False),
+            (stream_version.Begun(V1), single, False),
+            (stream_version.Begun(V2), several, False),
+            (stream_version.Begun(V2), single, True),
+            (stream_version.Foreign(), single, False),
+        ):
+            with self.subTest(origin=origin, seen=seen):
+                self.assertEqual(
+                    stream_version.needs_confirmation(origin, seen), is_needed
+                )
+
+
 class HistoryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.history = stream_version.VersionHistory()
