Lend only confirmed histories of versions, and date contact by the call

A gateway that had just started took the history of versions from one whose watch was behind, and a gateway that had stood still counted as in contact with the store as soon as it read an answer that had waited for it.

Cause: nothing confirmed what a gateway lends; its age was that of the last answer read, of any call. A gateway lends a history now that it confirmed within 2.5 s, and else confirms it first and replies once more. Contact is dated by when the call was sent, by a clock that counts a machine's suspension, and decides only which streams need not be told of. A gateway that just woke up may confirm and infer at once. Gateways whose history is complete ask for none, so that others read no records for them.

Before, test_history_is_lent_only_once_confirmed failed.

--- a/bench/stream_version_play.py
+++ b/bench/stream_version_play.py
@@ -111,12 +111,14 @@
         self.history = stream_version.VersionHistory()
         known_s = stream_version.LEAST_HOLD_S if now_s == 0.0 else 0.0
         self.history.set_following(True, now_s - known_s)
+        self.history.set_contact(math.inf)
         self.history.set_confirmed(math.inf)
         self.origins = stream_origins.StreamOrigins(
             self,
             self,  # type: ignore[arg-type]
             self.history,
             self.play.loop,
+            lambda then: then(),
             self.play.loop.after,
         )
         self.origins.set_services([SERVICE])
--- a/src/mulberrywharf/peers/stream_codec.py
+++ b/src/mulberrywharf/peers/stream_codec.py
@@ -40,7 +40,7 @@
     Attributes:
         stream_key: Key of the stream.
         service_key: Hash of the service whose versions are asked for, too, see
-            ``notice_codec.hash_name``.
+            ``notice_codec.hash_name``; or ``NO_SERVICE_KEY``.
     """
 
     stream_key: int
@@ -73,6 +73,9 @@
 Message = StreamNotes | StreamQuestion | StreamReply
 
 
+NO_SERVICE_KEY = 0
+"""In a question: no versions are asked for."""
+
 NOTES_LIMIT_COUNT = 60
 """Most notes in one message."""
 
--- a/src/mulberrywharf/peers/stream_origins.py
+++ b/src/mulberrywharf/peers/stream_origins.py
@@ -71,8 +71,15 @@
         self,
         stream: StreamId,
         on_end: Callable[[stream_version.Origin], None],
+        *,
+        needs_versions: bool,
     ):
-        self.key = stream.key, notice_codec.hash_name(stream.service)
+        self.key = (
+            stream.key,
+            notice_codec.hash_name(stream.service)
+            if needs_versions
+            else stream_codec.NO_SERVICE_KEY,
+        )
         self.scope = stream.scope
         self.on_end = on_end
         self.replied: set[fleet.Address] = set()
@@ -89,6 +96,7 @@
         exchange: topics.TopicExchange,
         history: stream_version.VersionHistory,
         system_clock: clock.Clock,
+        confirm: Callable[[Callable[[], None]], object],
         call_later: Callable[..., object] = gevent.spawn_later,
     ):
         """Creates it and registers it with the exchange.
@@ -98,6 +106,8 @@
             exchange: Carries the messages.
             history: The versions of the services; gets those that others know.
             system_clock: Source of monotonic time.
+            confirm: Confirms the history, see ``VersionHistory.set_confirmed``,
+                and calls a function if that worked. Returns at once.
             call_later: Calls a function with arguments after a delay in
                 seconds.
         """
@@ -106,6 +116,7 @@
         self._history = history
         self._clock = system_clock
         self._call_later = call_later
+        self._confirm = confirm
         self._table = stream_keepers.StreamTable()
         self._untold: collections.OrderedDict[
             int, tuple[stream_keepers.KeptStream, float]
@@ -123,14 +134,15 @@
     ) -> None:
         """Tells the gateways that keep a stream at which version it began.
 
-        They are not told as long as the service has one version: whoever is
-        asked for the stream infers it.
+        They are not told as long as the service has one version and the
+        key-value service works: whoever is asked for the stream infers it.
         """
         now_s = self._clock.monotonic_s()
         stream_key = stream.key
         kept = stream_keepers.KeptStream(version_key, stream.scope)
         self._table.put(stream_key, kept, now_s)
-        if self._history.seen(stream.service, now_s).is_single:
+        seen = self._history.seen(stream.service, now_s)
+        if seen.is_single and self._history.is_current(now_s):
             self._untold[stream_key] = kept, now_s
             if len(self._untold) > _UNTOLD_LIMIT_COUNT:
                 self._untold.popitem(last=False)
@@ -182,15 +194,20 @@
     ) -> None:
         """Finds the version at which a stream began.
 
+        Gateways whose own history is complete ask for no other one: a lender
+        reads all records to confirm it.
+
         Args:
             stream: The stream.
             on_end: Called once with the result, perhaps before this returns.
         """
-        kept = self._table.get(stream.key, self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        kept = self._table.get(stream.key, now_s)
         if kept is not None:
             self._end(on_end, _origin(kept, stream.scope))
             return
-        search = _Search(stream, on_end)
+        seen = self._history.seen(stream.service, now_s)
+        search = _Search(stream, on_end, needs_versions=not seen.is_complete)
         self._searches.setdefault(search.key, []).append(search)
         self._ask_round(search)
 
@@ -267,15 +284,27 @@
         source: fleet.Address,
         now_s: float,
     ) -> None:
+        history = self._complete_history(question.service_key, now_s)
+        is_lent = history is not None and self._history.is_confirmed(now_s)
         reply = stream_codec.StreamReply(
             question.stream_key,
             question.service_key,
             self._table.get(question.stream_key, now_s),
-            self._complete_history(question.service_key, now_s),
+            history if is_lent else None,
         )
         self._exchange.send(
             b"s", stream_codec.encode_reply(reply), (source,), is_urgent=True
         )
+        if history is not None and not is_lent and reply.kept is None:
+            self._confirm(lambda: self._lend(question, source))
+
+    def _lend(
+        self, question: stream_codec.StreamQuestion, source: fleet.Address
+    ) -> None:
+        """Replies once more, with a history that was confirmed meanwhile."""
+        now_s = self._clock.monotonic_s()
+        if self._history.is_confirmed(now_s):
+            self._reply(question, source, now_s)
 
     def _complete_history(
         self, service_key: int, now_s: float
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -102,6 +102,13 @@
         """
         return self._gateway.age_s()
 
+    def contact_age_s(self) -> float:
+        """Returns the age of what the newest answer to a call says, or inf.
+
+        Unlike ``age_s``, it is counted from when the call was sent.
+        """
+        return self._gateway.contact_age_s()
+
     def outage_age_s(self) -> float:
         """Returns the seconds since the service's last outage ended, or inf.
 
--- a/src/mulberrywharf/platform_service/service_calls.py
+++ b/src/mulberrywharf/platform_service/service_calls.py
@@ -76,6 +76,7 @@
         self._restored_s = float("-inf")
         self.era.on_restored(self._record_restore)
         self._answered_s = float("-inf")
+        self._contact_s = float("-inf")
         self._outage = outage.LastOutage()
         self._endpoints = [
             http_calls.HttpCalls(endpoint, timeout_s, era_header=era_header)
@@ -95,6 +96,14 @@
         """
         return self._clock.monotonic_s() - self._answered_s
 
+    def contact_age_s(self) -> float:
+        """Returns the age of what the newest answer to a call says, or inf.
+
+        Counted from when the call was sent: an answer may have waited to be
+        read for as long as this process stood still.
+        """
+        return self._clock.monotonic_s() - self._contact_s
+
     def outage_age_s(self) -> float:
         """Returns the seconds since the last outage ended, or inf."""
         return self._outage.age_s(self._clock.monotonic_s())
@@ -204,6 +213,7 @@
         if not self.era.observe(answer.era):
             return Err(_older_era_error(endpoint.name, call))
         if answer.status == 200:
+            self._contact_s = max(self._contact_s, sent_s)
             self.record_success()
             return Ok(answer.body)
         error = _error_for_status(endpoint.name, call, answer)
--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -27,10 +27,11 @@
 at the most, and its caller takes it up within its own deadline."""
 
 CONTACT_LIMIT_S = 2.5
-"""Age of the list of servers from which it may miss a version. Leases are
-renewed at least every two seconds, so a gateway in contact with the key-value
-service stays below. A version that comes and leaves within this time, while a
-gateway that lends its history is out of contact, isn't noticed."""
+"""Age from which the newest answer of the key-value service, or what confirmed
+a history, says nothing of the present. Leases are renewed at least every two
+seconds, so a gateway in contact with the service stays below. A version that
+comes and leaves between the confirmation of a lent history and the start of the
+gateway that borrows it isn't noticed."""
 
 VERSIONS_LIMIT_COUNT = 16
 """Most versions of one service that gateways tell each other. A service with
@@ -92,7 +93,8 @@
             sent to.
         recent: Versions that may have begun a stream; None for a server whose
             version is unknown.
-        is_complete: Whether ``recent`` has all of them.
+        is_complete: Whether ``recent`` has all that were registered until the
+            list of servers was last confirmed.
     """
 
     current: frozenset[VersionKey]
@@ -192,6 +194,7 @@
         self._left_s: dict[str, dict[VersionKey | None, float]] = {}
         self._known_since_s: dict[str, float] = {}
         self._followed_since_s: float | None = None
+        self._contact_s = -math.inf
         self._confirmed_s = -math.inf
         self._readings_count = 0
 
@@ -218,16 +221,28 @@
         if is_following and self._followed_since_s is None:
             self._followed_since_s = now_s
 
+    def set_contact(self, contact_s: float) -> None:
+        """Records when the key-value service last worked.
+
+        Args:
+            contact_s: When the newest call that it answered was sent.
+        """
+        self._contact_s = max(self._contact_s, contact_s)
+
     def set_confirmed(self, confirmed_s: float) -> None:
-        """Records until when changes of the records are known.
+        """Records until when every change of the records is known.
 
         Args:
-            confirmed_s: When the key-value service last worked.
+            confirmed_s: When the records that confirm it were asked for.
         """
         self._confirmed_s = max(self._confirmed_s, confirmed_s)
 
     def is_current(self, now_s: float) -> bool:
-        """Returns whether the records are those of ``CONTACT_LIMIT_S`` ago."""
+        """Returns whether the service worked within ``CONTACT_LIMIT_S``."""
+        return now_s - self._contact_s <= CONTACT_LIMIT_S
+
+    def is_confirmed(self, now_s: float) -> bool:
+        """Returns whether the history was confirmed within that time."""
         return now_s - self._confirmed_s <= CONTACT_LIMIT_S
 
     def set_servers(
@@ -293,7 +308,7 @@
         return key
 
     def _is_complete(self, service: str, now_s: float) -> bool:
-        if self._followed_since_s is None or not self.is_current(now_s):
+        if self._followed_since_s is None:
             return False
         since_s = self._known_since_s.get(service, self._followed_since_s)
         return now_s - since_s >= self._hold_s
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -108,11 +108,13 @@
         self.stopping = gevent.event.Event()
         self._config = config
         self._clock = clock.SystemClock()
+        self._boot_clock = clock.BootClock()
         self._stops = stop_gate.StopGate(self._clock)
         self._rng = random.Random()
         self._store = key_value.KeyValueClient(
             [gateway_settings.endpoint(config["store"])],
             timeout_s=STORE_TIMEOUT_S,
+            system_clock=self._boot_clock,
             dialect=store.StoreDialect(),
         )
         source = documents.StoredDocuments()
@@ -168,7 +170,11 @@
         )
         self._topics = topics.TopicExchange(self._notices.socket)
         self._stream_origins = stream_origins.StreamOrigins(
-            self._peers, self._topics, self._version_history, self._clock
+            self._peers,
+            self._topics,
+            self._version_history,
+            self._boot_clock,
+            lambda then: gevent.spawn(self._confirm_versions, then),
         )
         self._ejections = ejection_exchange.EjectionExchange(
             self._peers,
@@ -605,8 +611,8 @@
                     stream_versions.StreamVersions(
                         self._stream_origins,
                         self._version_history,
-                        self._clock,
-                        self._servers.confirm_versions,
+                        self._boot_clock,
+                        self._confirm_versions,
                     ),
                     self._ejections,
                     self._handovers(),
@@ -636,7 +642,7 @@
         self._ejections.set_servers(known)
 
     def _note_versions(self, known: tuple[fleet.Server, ...]) -> None:
-        now_s = self._clock.monotonic_s()
+        now_s = self._boot_clock.monotonic_s()
         passed = self._servers.passed()
         is_new = bool(passed) and self._version_history.set_servers(
             (*known, *passed), now_s
@@ -645,6 +651,17 @@
             self._stream_origins.tell_untold()
         self._stream_origins.set_services({one.service for one in known})
 
+    def _confirm_versions(
+        self, then: Callable[[], None] = lambda: None
+    ) -> bool:
+        """Confirms the history of versions, and then calls a function."""
+        asked_s = self._boot_clock.monotonic_s()
+        is_confirmed = self._servers.confirm_versions()
+        if is_confirmed:
+            self._version_history.set_confirmed(asked_s)
+            then()
+        return is_confirmed
+
     def _reachable_servers(self, service: str) -> list[fleet.Server]:
         return self._tracker.reachable(
             self._servers.usable(service), self._clock.monotonic_s()
@@ -660,14 +677,14 @@
             gevent.sleep(READINESS_INTERVAL_S)
 
     def _follow_versions(self) -> None:
-        now_s = self._clock.monotonic_s()
+        now_s = self._boot_clock.monotonic_s()
         readings_count = self._servers.readings_count
         self._version_history.set_following(
             self._servers.is_complete,
             now_s,
             readings_count=readings_count,
         )
-        self._version_history.set_confirmed(now_s - self._store.age_s())
+        self._version_history.set_contact(now_s - self._store.contact_age_s())
         basis = (
             self._version_history.is_current(now_s),
             readings_count,
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -108,6 +108,7 @@
     history = stream_version.VersionHistory()
     history.set_servers(servers, 0.0)
     history.set_following(True, -stream_version.LEAST_HOLD_S)
+    history.set_contact(math.inf)
     history.set_confirmed(math.inf)
     return history
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,7 +2,7 @@
 
 import math
 import unittest
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from bench import virtual_time
@@ -12,6 +12,7 @@
 from tests import builders_routes as build
 
 KEPT = stream_keepers.KeptStream(7, 9)
+CONFIRM_S = 0.004
 STREAM = stream_origins.StreamId("id-1", "service", KEPT.scope)
 
 
@@ -40,17 +41,27 @@
             self,  # type: ignore[arg-type]
             self.history,
             network.clock,
+            self.confirm,
             network.clock.after,
         )
         self.origins.set_services(["service"])
         network.gateways[self.address] = self
 
+    def confirm(self, then: Callable[[], None]) -> None:
+        """Confirms the history a moment later, as the store does."""
+
+        def confirmed() -> None:
+            self.history.set_confirmed(self.network.clock.now_s)
+            then()
+
+        self.network.clock.after(CONFIRM_S, confirmed)
+
     def see(self, *versions: str, is_complete: bool = True) -> bool:
         now_s = self.network.clock.now_s
         hold_s = stream_version.LEAST_HOLD_S if is_complete else 0.0
         self.history.set_following(False, now_s)
         self.history.set_following(True, now_s - hold_s)
-        self.history.set_confirmed(math.inf)
+        self.history.set_contact(math.inf)
         return self.history.set_servers(
             [
                 build.server(one, role="decode", software_version=one)
@@ -172,6 +183,26 @@
         now_s = self.network.clock.now_s
         self.assertTrue(new.history.seen("service", now_s).is_complete)
 
+    def test_complete_history_is_not_asked_for(self) -> None:
+        """Guards against reads of all records at each stream taken up."""
+        asked: list[object] = []
+        for gateway in self.gateways:
+            gateway.see("v1")
+            gateway.origins._confirm = asked.append
+        self.find(self.gateways[0])
+        self.assertEqual(asked, [])
+
+    def test_history_is_lent_only_once_confirmed(self) -> None:
+        """Guards against the history of a gateway whose watch is behind."""
+        for gateway in self.gateways:
+            gateway.see("v1")
+            gateway.origins._confirm = lambda then: None
+        new = Gateway(self.network, 9, "zone-0")
+        new.see("v1", is_complete=False)
+        self.find(new)
+        now_s = self.network.clock.now_s
+        self.assertFalse(new.history.seen("service", now_s).is_complete)
+
 
 class SingleVersionTest(OriginsCase):
     """While all servers have one version, nobody is told of streams."""
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -101,6 +101,7 @@
     def setUp(self) -> None:
         self.history = stream_version.VersionHistory()
         self.history.set_following(True, 0.0)
+        self.history.set_contact(math.inf)
         self.history.set_confirmed(math.inf)
 
     def set_versions(self, now_s: float, *versions: str | None) -> None:
@@ -166,17 +167,19 @@
         self.history.set_following(True, hold_s + 1.0)
         self.assertFalse(self.history.seen(SERVICE, hold_s + 2).is_complete)
 
-    def test_history_is_incomplete_without_contact(self) -> None:
-        """Guards against a version inferred from a list of long ago."""
+    def test_contact_and_confirmation_are_over_with_time(self) -> None:
+        """Guards against a history that counts as confirmed long after."""
         limit_s = stream_version.CONTACT_LIMIT_S
         history = stream_version.VersionHistory()
-        history.set_following(True, 0.0)
-        for age_s, is_complete in ((limit_s, True), (limit_s + 0.1, False)):
-            now_s = 100.0 + age_s
-            history.set_confirmed(100.0)
-            self.assertEqual(
-                history.seen(SERVICE, now_s).is_complete, is_complete
-            )
+        for ask, note in (
+            (history.is_current, history.set_contact),
+            (history.is_confirmed, history.set_confirmed),
+        ):
+            self.assertFalse(ask(0.0))
+            note(100.0)
+            note(90.0)
+            self.assertTrue(ask(100.0 + limit_s))
+            self.assertFalse(ask(100.1 + limit_s))
 
     def test_history_begins_anew_with_another_reading(self) -> None:
         """Guards against a version that came and left between two readings."""
