Read the changes beside the records before confirming

A version that came and left while a gateway's watch collected changes was missing from a history that had just been confirmed: no record of it was left. The changes that the watch has not yet reported are read behind the records now, and the watch must have reported these as well.

Before, test_versions_that_came_and_left_are_seen_before_confirming failed; the 15 tests of tests.test_server_list pass.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -189,11 +189,12 @@
         return self._watch.readings_count if self._watch is not None else 0
 
     def confirm_versions(self) -> bool:
-        """Compares the list with the records that the service holds now.
+        """Compares the list with what the service holds now.
 
         The watch may be behind without a sign, so the records are read, and the
-        watch must have reported each of them. Then the list had every version
-        that was registered until the read, also those that have left since.
+        watch must have reported each of them. The records lack versions that
+        have come and left, so the changes that the watch has not yet reported
+        are read, too.
 
         Returns:
             Whether all versions of the services' servers are known.
@@ -236,9 +237,17 @@
         )
         if isinstance(read, Err):
             return "unread"
+        changed = self._client.read_changes(
+            self._source.servers_prefix,
+            after_revision=watched.seen_revision,
+            purpose=CONFIRM_PURPOSE,
+        )
+        if isinstance(changed, Err):
+            return "unread"
         if self._client.outage_age_s() < self._missing_hold_s:
             return "after-outage"
-        found = read.ok_value
+        events = changed.ok_value.events
+        found = [*read.ok_value, *(event.key_value for event in events)]
         if not watched.has_reported(found):
             watched.reopen_if_waiting()
         ends_s = time.monotonic() + CONFIRM_LIMIT_S
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -3,9 +3,11 @@
 import unittest
 from unittest import mock
 
+import gevent
+
 from mulberrywharf import fleet
 from mulberrywharf.forwarding import servers
-from mulberrywharf.platform import documents
+from mulberrywharf.platform import documents, store
 from tests import builders_platform
 from tests import builders_routes as build
 
@@ -52,6 +54,24 @@
         self.assertTrue(self.wait_usable(2))
         self.assertEqual(self.list.readings_count, 2)
 
+    def test_versions_that_came_and_left_are_seen_before_confirming(
+        self,
+    ) -> None:
+        """Guards against a version of which no record is left."""
+        with mock.patch.object(store, "_BATCH_DELAY_S", 0.3):
+            self.store.put(KEY, build.server_value(sequence=2))
+            gevent.sleep(0.1)
+            seen: list[str | None] = []
+            self.list.on_change(
+                lambda: seen.extend(
+                    one.software_version for one in self.list.passed()
+                )
+            )
+            self.store.put(KEY + "1", build.server_value(version="v2"))
+            self.store.delete(KEY + "1")
+            self.assertTrue(self.list.confirm_versions())
+            self.assertIn("v2", seen)
+
     def test_versions_are_not_confirmed_just_behind_an_outage(self) -> None:
         """Guards against records that expired and are not back yet."""
         self.store.faults = {"down": True}
