Begin the history of versions anew before a version is inferred

A gateway whose watch had missed a version that came and left made it read all records again, and inferred the remaining version 4 ms later: the list was confirmed, but the history learned of the new reading at the next check of readiness only, up to 0.2 s later, and counted as complete until then.

The history is told of it before each decision that rests on a confirmation.

--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -657,6 +657,8 @@
         """Confirms the history of versions, and then calls a function."""
         asked_s = self._boot_clock.monotonic_s()
         is_confirmed = self._servers.confirm_versions()
+        # The records may have been read again meanwhile, by another call, too.
+        self._follow_versions()
         if is_confirmed:
             self._version_history.set_confirmed(asked_s)
             then()
