Read the id of an event as SSE defines it

Callers whose server wrote two id lines into its events got a stream with pieces missing or twice, marked as whole: the gateway took the first line, SSE takes the last one, so it dropped events as known and went on behind the wrong id. Ids of 19 and more digits counted as none, and a server got back 2 where it had written 002.

The reader now takes the last id line of an event. A line whose value has a NUL doesn't count, one without a value resets the id, and a last line that is no number leaves the event without an id. Numbers may be as long as a Last-Event-Id may be. The next server gets the id as it was written.

--- a/src/mulberrywharf/forwarding/events.py
+++ b/src/mulberrywharf/forwarding/events.py
@@ -17,7 +17,12 @@
 _COMMENTS = re.compile(rb"(?:(?::[^\r\n]*)?[\r\n])*")
 """Whole comment lines and blank lines, which are no part of an event."""
 
-_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ ]?([0-9]{1,18})(?=[\r\n])")
+_ID_LINE = re.compile(rb"(?:\A|[\r\n])id(?::[ ]?([^\r\n]*))?(?=[\r\n])")
+"""A line that sets the id of its event, to an empty one without a value."""
+
+_NUMERIC_ID = re.compile(rb"[0-9]{1,200}")
+"""A number as long as a ``Last-Event-Id`` may be."""
+
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -27,10 +32,12 @@
     Attributes:
         event_id: Its numeric id, None if it has none.
         raw: Its bytes, including the blank line that ends it.
+        id_text: Its numeric id as the server wrote it, empty if it has none.
     """
 
     event_id: int | None
     raw: bytes
+    id_text: str = ""
 
 
 class EventSplitter:
@@ -96,5 +103,17 @@
             text = text.removeprefix(_BYTE_ORDER_MARK)
             self._is_at_start = False
         self._has_events = self._has_events or not _COMMENTS.fullmatch(text)
-        found = _EVENT_ID.search(text)
-        return Event(int(found.group(1)) if found else None, raw)
+        id_text = _id_of(text)
+        return Event(int(id_text) if id_text else None, raw, id_text)
+
+
+def _id_of(text: bytes) -> str:
+    """Returns the numeric id of an event, empty if it has none.
+
+    The last line counts, and one whose value has a NUL doesn't, see the
+    section "Server-sent events" of the HTML standard.
+    """
+    values = [value for value in _ID_LINE.findall(text) if b"\0" not in value]
+    if not values or not _NUMERIC_ID.fullmatch(values[-1]):
+        return ""
+    return str(values[-1], "ascii")
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -909,7 +909,7 @@
                 if event.event_id <= self._delivered_id:
                     continue
                 self._delivered_id = event.event_id
-                self._last_event_id = str(event.event_id)
+                self._last_event_id = event.id_text
             fresh.append(event.raw)
         return b"".join(fresh)
 
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -66,6 +66,43 @@
         (one,) = events.EventSplitter().feed(b"\xef\xbb\xbfid: 1\n\n")
         self.assertEqual(one.event_id, 1)
 
+    def test_the_last_id_line_of_an_event_counts(self) -> None:
+        """Guards against an id that callers read otherwise than the gateway."""
+        cases: dict[bytes, tuple[int | None, str]] = {
+            b"id: 9\nid: 2": (2, "2"),
+            b"id: 9\ndata: a\nid: 2": (2, "2"),
+            b"id: 9\r\nid:2\r\nid: 3": (3, "3"),
+            b"id: 9\rid: 2": (2, "2"),
+            b"id: 2\nid: a": (None, ""),
+            b"id: 2\nid:": (None, ""),
+            b"id: 2\nid": (None, ""),
+            b"id: 2\nid:  3": (None, ""),
+            b"id: 2\nid: 3 ": (None, ""),
+            b"id: 2\nid: -3": (None, ""),
+            b"id: 2\nid: 3\0": (2, "2"),
+            b"id: 2\nid: \0": (2, "2"),
+            b"id: a\nid: 2": (2, "2"),
+            b"id\nid: 2": (2, "2"),
+            b"id: 2\n: id: 3": (2, "2"),
+            b"id: 2\ndata: id: 3": (2, "2"),
+            b"id: 2\nidea: 3": (2, "2"),
+            b"id: 2\nID: 3": (2, "2"),
+            b"id: 007": (7, "007"),
+            b"id: 1764940627123456789": (
+                1764940627123456789,
+                "1764940627123456789",
+            ),
+            b"id: " + b"9" * 200: (int("9" * 200), "9" * 200),
+            b"id: 2\nid: " + b"9" * 201: (None, ""),
+            b"data: id: 3": (None, ""),
+            b": id: 3": (None, ""),
+            b"x: 3": (None, ""),
+        }
+        for lines, expected in cases.items():
+            with self.subTest(lines):
+                (one,) = events.EventSplitter().feed(lines + b"\n\n")
+                self.assertEqual((one.event_id, one.id_text), expected)
+
     def test_a_stream_that_ends_in_an_event_is_told_from_one_between(
         self,
     ) -> None:
