Pass events without an id on once, over all runs of a stream

Callers got a piece twice, in a stream that was marked as whole: behind an event without an id, a stream that broke off went on behind the last id, so the next server sent that event again; a stream without any ids began anew behind its events; and a server that answers from the begin sent it again, too. 3 of the 3 forms of such an event between others, one in front of the first id and one stream without ids came out wrong with a real gateway.

StreamPlace knows where the caller's stream stands. A stream that broke off behind an event without an id ends visibly, as does one whose runs all begin with such an event; those in front of the last id known are left out like those with an id. Events without data, and an end without an id behind the last numbered event, hold up no stream.

--- a/src/mulberrywharf/forwarding/events.py
+++ b/src/mulberrywharf/forwarding/events.py
@@ -1,6 +1,7 @@
-"""Splits the bytes of an event stream into complete events."""
+"""Splits event streams into complete events and keeps a stream's place."""
 
 import re
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from mulberrywharf import errors
@@ -23,6 +24,7 @@
 _NUMERIC_ID = re.compile(rb"[0-9]{1,200}")
 """A number as long as a ``Last-Event-Id`` may be."""
 
+_DATA_LINE = re.compile(rb"(?:\A|[\r\n])data(?=[:\r\n])")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -33,11 +35,17 @@
         event_id: Its numeric id, None if it has none.
         raw: Its bytes, including the blank line that ends it.
         id_text: Its numeric id as the server wrote it, empty if it has none.
+        previous_id: The last numeric id before it in its run, None if there is
+            none.
+        has_data: Whether its caller reads an event, and not a comment or the
+            like.
     """
 
     event_id: int | None
     raw: bytes
     id_text: str = ""
+    previous_id: int | None = None
+    has_data: bool = False
 
 
 class EventSplitter:
@@ -53,6 +61,7 @@
         self._is_at_start = True
         self._ended_with_cr = False
         self._has_events = False
+        self._previous_id: int | None = None
 
     @property
     def pending(self) -> bytes:
@@ -104,7 +113,71 @@
             self._is_at_start = False
         self._has_events = self._has_events or not _COMMENTS.fullmatch(text)
         id_text = _id_of(text)
-        return Event(int(id_text) if id_text else None, raw, id_text)
+        event_id = int(id_text) if id_text else None
+        previous_id = self._previous_id
+        if event_id is not None:
+            self._previous_id = event_id
+        has_data = _DATA_LINE.search(text) is not None
+        return Event(event_id, raw, id_text, previous_id, has_data)
+
+
+class StreamPlace:
+    """Where a caller's stream stands, over the runs that make it.
+
+    A run goes on behind the last event that has an id. Servers may answer from
+    the begin nonetheless, and may send events without an id.
+
+    Attributes:
+        last_event_id: Id of the last event that the caller has, as its server
+            wrote it; None or empty before the first one.
+        is_known: Whether the caller has no event behind that one, which
+            another run would bring again.
+    """
+
+    def __init__(self, last_event_id: str | None):
+        is_number = last_event_id is not None and last_event_id.isdecimal()
+        self.last_event_id = last_event_id
+        self.is_known = True
+        self._number = int(last_event_id or "") if is_number else -1
+        self._has_begin_without_id = False
+
+    def pass_on(self, events: Sequence[Event]) -> bytes:
+        """Returns those events of a run that the caller does not have yet.
+
+        Raises:
+            StreamBrokenError: It is unknown whether the caller has them.
+        """
+        if not all(map(self._is_placed, events)):
+            self.is_known = False
+            raise errors.StreamBrokenError(
+                "a resumed stream begins with an event without an id"
+            )
+        return b"".join(event.raw for event in events if self._is_new(event))
+
+    def _is_placed(self, event: Event) -> bool:
+        # Behind events without an id, only the same run can go on.
+        return not (
+            self._has_begin_without_id
+            and self.is_known
+            and event.has_data
+            and event.event_id is None
+            and event.previous_id is None
+        )
+
+    def _is_new(self, event: Event) -> bool:
+        if event.event_id is not None:
+            if event.event_id <= self._number:
+                return False
+            self._number = event.event_id
+            self.last_event_id = event.id_text
+            self.is_known = True
+        elif event.has_data:
+            if event.previous_id is None:
+                self._has_begin_without_id = True
+            elif event.previous_id < self._number:
+                return False
+            self.is_known = False
+        return True
 
 
 def _id_of(text: bytes) -> str:
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -220,8 +220,7 @@
         self._sends_count = 0
         self._runs_count = 0
         self._outcome: errors.Outcome = "not-run"
-        self._last_event_id = routed_request.last_event_id
-        self._delivered_id = _parse_event_id(routed_request.last_event_id)
+        self._place_in_stream = events.StreamPlace(routed_request.last_event_id)
         self._prefilled: _Prefilled | None = None
         received = routed_request.handover
         self._is_counted = received is not None and received.is_counted
@@ -254,7 +253,7 @@
         routed_request = self._routed_request
         handed = routed_request.handover
         is_new = (
-            not self._last_event_id
+            not routed_request.last_event_id
             and routed_request.resumes is None
             and (handed is None or handed.version_key is None)
         )
@@ -407,7 +406,9 @@
 
     def _handed_over(self, reason: str) -> handover.HandedOver:
         return handover.HandedOver(
-            self._routed_request._replace(last_event_id=self._last_event_id),
+            self._routed_request._replace(
+                last_event_id=self._place_in_stream.last_event_id
+            ),
             self._route,
             self._service.name,
             self._limit,
@@ -610,7 +611,7 @@
         attempt = self._new_attempt(server)._replace(
             cache=prefilled.cache if prefilled else None,
             fetch_from=_fetch_from(placed) if prefills_itself else None,
-            last_event_id=self._last_event_id,
+            last_event_id=self._place_in_stream.last_event_id,
         )
         began_s = self._dependencies.system_clock.monotonic_s()
         previous_outcome = self._outcome
@@ -758,8 +759,9 @@
             broken = yield from self._relay(run)
             if broken is None:
                 return
-            if not run.head.is_success:
-                # An answer of another run must not follow its head.
+            if not (run.head.is_success and self._place_in_stream.is_known):
+                # No answer of another run may follow its head, and no event
+                # may come twice.
                 raise errors.BackEndLostError(broken.message, outcome="unknown")
             run = self._resume(broken)
 
@@ -787,7 +789,8 @@
                     return received.err_value
                 if not received.ok_value:
                     break
-                new_events = self._new_events(splitter, received.ok_value)
+                found = splitter.feed(received.ok_value)
+                new_events = self._place_in_stream.pass_on(found)
                 if new_events:
                     gaps.note(self._dependencies.system_clock.monotonic_s())
                     self._note_output(run)
@@ -901,18 +904,6 @@
             gap_target_s=self._route.gap_target_s,
         ).info("stream")
 
-    def _new_events(self, splitter: events.EventSplitter, data: bytes) -> bytes:
-        """Returns the complete events that the caller has not received yet."""
-        fresh = []
-        for event in splitter.feed(data):
-            if event.event_id is not None:
-                if event.event_id <= self._delivered_id:
-                    continue
-                self._delivered_id = event.event_id
-                self._last_event_id = event.id_text
-            fresh.append(event.raw)
-        return b"".join(fresh)
-
     def _resume(self, error: errors.EngineError) -> _OpenAnswer:
         """Resumes at another engine after the last event delivered."""
         if self._has_output:
@@ -931,7 +922,7 @@
         logger.bind(
             request_id=self._routed_request.request_id,
             **_source_of(run),
-            last_event_id=self._last_event_id,
+            last_event_id=self._place_in_stream.last_event_id,
             reason=error.code,
         ).info("resumed")
         return run
@@ -1039,7 +1030,3 @@
 def _fetch_from(placed: engine_estimates.Placed) -> fleet.Address | None:
     source = placed.plan.fetch_from
     return source.address if source is not None else None
-
-
-def _parse_event_id(event_id: str | None) -> int:
-    return int(event_id) if event_id and event_id.isdecimal() else -1
--- a/tests/test_event_forms.py
+++ b/tests/test_event_forms.py
@@ -2,8 +2,10 @@
 
 import unittest
 from collections.abc import Sequence
+from typing import Any
 
 from tests import test_broken_answers
+from tests.test_broken_answers import EVENTS
 
 
 def data_of(body: bytes) -> list[bytes]:
@@ -19,6 +21,14 @@
 
 
 class FormCase(test_broken_answers.BrokenAnswerCase):
+    """Gateways whose budget of repeats suffices for many broken streams."""
+
+    def start_gateways(
+        self, count: int, zones: Sequence[str] = ("zone-a",), **settings: Any
+    ) -> None:
+        repeats = {"ratio": 0.2, "window_s": 10, "allowance_count": 5_000}
+        super().start_gateways(count, zones, repeats=repeats, **settings)
+
     def cut_in_third(self, events: Sequence[bytes]) -> None:
         """Breaks the next run off in its third event."""
         behind = len(b"".join(events[2:])) - 4
@@ -55,5 +65,70 @@
         self.assertEqual({run["after"] for run in runs}, {"", "002"})
 
 
+class PlaceTest(FormCase):
+    """What a gateway can't place is not sent again, and ends no stream."""
+
+    def answers(self, *runs: Sequence[bytes], cut_at: int = -8) -> None:
+        """Breaks each run but the last one off before its end."""
+        cut = {"framing": "chunks", "cut_at": cut_at, "end": "reset"}
+        *broken, last = ({"framing": "chunks", "body": one} for one in runs)
+        self.next_answers(*(one | cut for one in broken), last)
+
+    def assert_right(self, expected: Sequence[bytes]) -> None:
+        """Asks for a stream; it is whole, or broken off and right so far."""
+        got = self.stream()
+        self.assertEqual(got.status, 200)
+        pieces = data_of(got.body)
+        if got.end == "broken":
+            self.assertEqual(pieces, expected[: len(pieces)])
+        else:
+            self.assertEqual(pieces, expected)
+
+    def assert_whole(self, expected: Sequence[bytes]) -> None:
+        got = self.stream()
+        self.assertEqual(data_of(got.body), expected)
+        self.assertEqual(got.end, "marked")
+
+    def test_event_without_an_id_comes_once(self) -> None:
+        """Guards against a run that begins with what was delivered."""
+        for bare in (
+            b"data: x\n\n",
+            b"id: a\ndata: x\n\n",
+            b"id\ndata: x\n\n",
+        ):
+            with self.subTest(bare):
+                whole = [*EVENTS[:2], bare, *EVENTS[2:]]
+                expected = data_of(b"".join(whole))
+                self.answers([*whole[:3], whole[3]], whole[2:])
+                self.assert_right(expected)
+                self.answers([*whole[:4], whole[4]], whole)
+                self.assert_whole(expected)
+
+    def test_stream_without_ids_comes_once(self) -> None:
+        """Guards against a stream that begins anew behind its events."""
+        events = [b"data: %d\n\n" % number for number in range(5)]
+        self.answers(events, events)
+        self.assert_right(data_of(b"".join(events)))
+
+    def test_event_before_the_first_id_comes_once(self) -> None:
+        """Guards against a begin that each run sends."""
+        whole = [b"data: begin\n\n", *EVENTS]
+        self.answers(whole[:4], [whole[0], *EVENTS[2:]])
+        self.assert_right(data_of(b"".join(whole)))
+
+    def test_end_without_an_id_follows_a_resumed_stream(self) -> None:
+        done = b"data: [DONE]\n\n"
+        expected = data_of(b"".join([*EVENTS, done]))
+        self.answers([*EVENTS, done], [done], cut_at=-14)
+        self.assert_whole(expected)
+        self.answers([*EVENTS, done], [*EVENTS, done], cut_at=-14)
+        self.assert_whole(expected)
+
+    def test_events_without_data_do_not_end_a_stream(self) -> None:
+        between = b": wait\n\nretry: 5\n\nevent: a\n\n"
+        self.answers([*EVENTS[:2], between, EVENTS[2]], EVENTS[2:])
+        self.assert_whole(WHOLE)
+
+
 if __name__ == "__main__":
     unittest.main()
