Break a stream off whose ids don't rise

Callers got a stream with pieces missing, marked as whole: where the ids of a server's events went back or came again, the gateway dropped those events as if its caller had them from an earlier run. Ids of 1, 5, 4, 3, 2 gave 1 and 5; a second event with the id 2 was lost.

Ids rise within a run. Where they don't, what the run has sent so far is in doubt: before anything was passed on another server answers, and behind that the stream ends visibly. Known events at the begin of a run that another server answers from the begin are left out as before.

--- a/src/mulberrywharf/forwarding/events.py
+++ b/src/mulberrywharf/forwarding/events.py
@@ -130,8 +130,8 @@
     Attributes:
         last_event_id: Id of the last event that the caller has, as its server
             wrote it; None or empty before the first one.
-        is_known: Whether the caller has no event behind that one, which
-            another run would bring again.
+        is_known: Whether another run that goes on behind it brings what the
+            caller lacks and nothing else.
     """
 
     def __init__(self, last_event_id: str | None):
@@ -140,6 +140,7 @@
         self.is_known = True
         self._number = int(last_event_id or "") if is_number else -1
         self._has_begin_without_id = False
+        self._has_passed = False
 
     def pass_on(self, events: Sequence[Event]) -> bytes:
         """Returns those events of a run that the caller does not have yet.
@@ -148,19 +149,24 @@
             StreamBrokenError: It is unknown whether the caller has them.
         """
         if not all(map(self._is_placed, events)):
-            self.is_known = False
+            self.is_known = not self._has_passed
             raise errors.StreamBrokenError(
-                "a resumed stream begins with an event without an id"
+                "ids do not rise, or a resumed stream begins without one"
             )
-        return b"".join(event.raw for event in events if self._is_new(event))
+        new = [event.raw for event in events if self._is_new(event)]
+        self._has_passed = self._has_passed or bool(new)
+        return b"".join(new)
 
     def _is_placed(self, event: Event) -> bool:
+        if event.event_id is not None:
+            return event.previous_id is None or (
+                event.event_id > event.previous_id
+            )
         # Behind events without an id, only the same run can go on.
         return not (
             self._has_begin_without_id
             and self.is_known
             and event.has_data
-            and event.event_id is None
             and event.previous_id is None
         )
 
--- a/tests/test_event_forms.py
+++ b/tests/test_event_forms.py
@@ -36,6 +36,9 @@
             {"framing": "none", "body": events, "cut_at": -behind}
         )
 
+    def runs_count(self) -> int:
+        return sum(len(engine.runs) for engine in self.decodes)
+
 
 class IdLineTest(FormCase):
     def test_stream_goes_on_behind_the_id_that_its_caller_reads(self) -> None:
@@ -124,6 +127,31 @@
         self.answers([*EVENTS, done], [*EVENTS, done], cut_at=-14)
         self.assert_whole(expected)
 
+    def test_events_whose_ids_do_not_rise_lose_no_piece(self) -> None:
+        """Guards against pieces that are dropped as if they were known."""
+        one, two, three, four, five = EVENTS
+        again = b"id: 2\ndata: id-1 2b\n\n"
+        for whole in (
+            [one, two, again, three, four, five],
+            [one, two, three, again, four, five],
+            [one, five, four, three, two],
+            [one, b"id: 0\ndata: 0\n\n", two],
+        ):
+            for pause in (b"", b": wait\n\n" * 40_000):
+                with self.subTest(whole, has_pause=bool(pause)):
+                    body = [event + pause for event in whole]
+                    runs_count = self.runs_count()
+                    self.next_answers({"framing": "chunks", "body": body})
+                    got = self.stream()
+                    pieces = data_of(got.body)
+                    if got.end == "broken":
+                        written = data_of(b"".join(whole))
+                        self.assertEqual(pieces, written[: len(pieces)])
+                        continue
+                    # Nothing of it was passed on; another run was.
+                    self.assertEqual(pieces, WHOLE)
+                    self.assertEqual(self.runs_count() - runs_count, 2)
+
     def test_events_without_data_do_not_end_a_stream(self) -> None:
         between = b": wait\n\nretry: 5\n\nevent: a\n\n"
         self.answers([*EVENTS[:2], between, EVENTS[2]], EVENTS[2:])
