--- a/tests/test_event_forms.py
+++ b/tests/test_event_forms.py
@@ -1,10 +1,22 @@
 """Streams whose events have every form that SSE allows, at real gateways."""
 
+import json
+import signal
 import unittest
 from collections.abc import Sequence
 from typing import Any
 
-from tests import test_broken_answers
+from gevent import socket
+
+from mulberrywharf.platform import documents
+from tests import (
+    builders_paths,
+    callers_fixture,
+    processes,
+    test_broken_answers,
+    test_gateway,
+)
+from tests import builders_routes as build
 from tests.test_broken_answers import EVENTS
 
 
@@ -18,10 +30,18 @@
 
 
 WHOLE = data_of(test_broken_answers.STREAM)
+NUMBERS = [line.split()[-1] for line in WHOLE]
 
 
 class FormCase(test_broken_answers.BrokenAnswerCase):
-    """Gateways whose budget of repeats suffices for many broken streams."""
+    """Gateways that repeat as often as many broken streams need."""
+
+    def write_routes(self, version: int = 1) -> None:
+        document = build.routes_document(version)
+        stream = {**document["routes"][1], "service": "engines"}
+        del stream["traffic-split"]
+        document["routes"] = [{**stream, "max-attempts": 4}]
+        self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
 
     def start_gateways(
         self, count: int, zones: Sequence[str] = ("zone-a",), **settings: Any
@@ -157,6 +177,150 @@
         self.answers([*EVENTS[:2], between, EVENTS[2]], EVENTS[2:])
         self.assert_whole(WHOLE)
 
+    def test_events_larger_than_a_buffer_come_whole(self) -> None:
+        for size_bytes in (70_000, 1_000_000):
+            for cut_at in (-40, 30_000 - 6 * size_bytes):
+                with self.subTest(size_bytes=size_bytes, cut_at=cut_at):
+                    large = [
+                        b"id: %d\ndata: %s\n\n" % (one, b"x" * size_bytes)
+                        for one in range(1, 7)
+                    ]
+                    self.answers(large, large, cut_at=cut_at)
+                    self.assert_whole(data_of(b"".join(large)))
+
+    def test_stream_that_breaks_twice_comes_whole(self) -> None:
+        self.answers(EVENTS[:3], EVENTS[2:4], EVENTS[3:])
+        self.assert_whole(WHOLE)
+
+
+class SlowCase(FormCase):
+    """Streams that last, begun and taken up at several gateways."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.break_first(0)
+
+    def break_first(self, count: int) -> None:
+        """Breaks the next runs off in their third event."""
+        cut = {
+            "framing": "chunks",
+            "body": EVENTS[:3],
+            "cut_at": -9,
+            "end": "reset",
+        }
+        raws = [cut] * count
+        for engine in self.decodes:
+            engine.faults = {"raws": raws, "pause_s": 0.2}
+
+    def begin(self, number: int, request_id: str, fields: str = "") -> Any:
+        """Asks a gateway for a stream."""
+        address = ("127.0.0.1", self.gateways[number].ready["callers"])
+        sock = socket.create_connection(address)
+        self.addCleanup(sock.close)
+        sock.settimeout(15)
+        fields = builders_paths.SHORT_PROMPT_FIELDS + fields
+        request = test_gateway.request("/stream/x", fields=fields)
+        sock.sendall(request.replace(b"id-1", request_id.encode()))
+        return sock
+
+    def read_until(self, sock: Any, mark: bytes) -> bytes:
+        data = b""
+        while mark not in data:
+            some = sock.recv(65_536)
+            self.assertTrue(some, data)
+            data += some
+        return data
+
+    def numbers_in(self, data: bytes) -> list[bytes]:
+        return [line.split()[-1] for line in data_of(data)]
+
+
+class TakeUpTest(SlowCase):
+    gateways_count = 2
+
+    def take_up(
+        self, number: int, begun: str, event_id: int
+    ) -> tuple[str, list[bytes]]:
+        fields = f"resumes: {begun}\r\nlast-event-id: {event_id}\r\n"
+        with self.begin(number, f"{begun}-{event_id}", fields) as sock:
+            got = test_broken_answers.receive(sock)
+        self.assertEqual(got.status, 200)
+        return got.end, self.numbers_in(got.body)
+
+    def test_stream_is_taken_up_while_its_first_answer_runs(self) -> None:
+        for number in (0, 1):
+            begun = f"begun-{number}"
+            first = self.begin(0, begun)
+            data = self.read_until(first, b"id: 2\n")
+            end, numbers = self.take_up(number, begun, 2)
+            self.assertEqual((end, numbers), ("marked", [b"3", b"4", b"5"]))
+            data += self.read_until(first, b"\r\n0\r\n\r\n")
+            self.assertEqual(self.numbers_in(data), NUMBERS)
+
+    def test_stream_is_taken_up_behind_an_event_not_yet_delivered(self) -> None:
+        first = self.begin(0, "begun")
+        self.read_until(first, b"id: 1\n")
+        self.assertEqual(self.take_up(1, "begun", 4), ("marked", [b"5"]))
+        self.assertEqual(self.take_up(1, "begun", 5)[1], [])
+
+    def test_known_events_of_a_server_that_begins_anew_are_left_out(
+        self,
+    ) -> None:
+        """Guards against events twice over the attempts of a caller."""
+        first = self.begin(0, "begun")
+        self.read_until(first, b"id: 2\n")
+        self.next_answers({"framing": "chunks", "body": EVENTS})
+        end, numbers = self.take_up(1, "begun", 2)
+        self.assertEqual((end, numbers), ("marked", [b"3", b"4", b"5"]))
+
+
+class StopTest(SlowCase):
+    def test_stream_at_its_second_server_ends_whole_in_a_stop(self) -> None:
+        for reloads in (False, True):
+            with self.subTest(reloads=reloads):
+                if reloads:
+                    self.start_gateways(1)
+                self.break_first(1)
+                sock = self.begin(0, "begun")
+                data = self.read_until(sock, b"id: 3\n")
+                self.gateways[-1].signal(signal.SIGTERM)
+                if reloads:
+                    self.gateways[-1].signal(signal.SIGHUP)
+                data += self.read_until(sock, b"\r\n0\r\n\r\n")
+                self.assertEqual(self.numbers_in(data), NUMBERS)
+
+
+class HopTest(SlowCase):
+    """Guards against cut streams that look whole behind the hop."""
+
+    gateways_count = 3
+
+    def test_streams_whose_helper_is_killed_are_right(self) -> None:
+        self.assert_right_behind_kills(self.gateways[1:2])
+
+    def test_streams_whose_helpers_are_killed_look_cut(self) -> None:
+        self.assertEqual(self.assert_right_behind_kills(self.gateways[1:]), 0)
+
+    def assert_right_behind_kills(
+        self, killed: Sequence[processes.Process]
+    ) -> int:
+        """Kills gateways while streams last; returns how many end whole."""
+        whole_count = 0
+        self.cut([0], "refuse")
+        self.break_first(6)
+        streams = [self.begin(0, f"begun-{one}") for one in range(6)]
+        begun = [self.read_until(one, b"id: 3\n") for one in streams]
+        for gateway in killed:
+            gateway.signal(signal.SIGKILL)
+        for data, sock in zip(begun, streams, strict=True):
+            rest, _ = callers_fixture.read_to_any_end(sock)
+            numbers = self.numbers_in(data + rest)
+            is_whole = rest.endswith(b"\r\n0\r\n\r\n")
+            count = len(NUMBERS) if is_whole else len(numbers)
+            self.assertEqual(numbers, NUMBERS[:count])
+            whole_count += is_whole
+        return whole_count
+
 
 if __name__ == "__main__":
     unittest.main()
