Encode every value of a message's types for other gateways and routers

Cause: encoders put identifiers, texts and rates into their fields as they were. A key, a fencing number, a port, a status or a correlation number that its field can't hold raised an exception of the Cap'n Proto library, which ends the process in a greenlet that was resumed before, or a struct.error; so did text with a lone surrogate. A rate that is not finite, more failures than answers or too many customers were sent, and the receiver refused the whole message for one record. No caller is known to have caused one of these: the decoders of the documents and records refuse most such values.

Change: identifiers and counts become the nearest value of their field by the conversion that numbers already had, rates the nearest finite one (wire_numbers), and what UTF-8 can't represent becomes "?" (wire_text). An impossible limit of a server is still sent as it is and refused, as it would stop or free the server's requests otherwise; its message has no other record.

--- a/src/mulberrywharf/crashes/crash_codec.py
+++ b/src/mulberrywharf/crashes/crash_codec.py
@@ -1,7 +1,7 @@
 """Encodes and decodes reports on ended servers with Cap'n Proto."""
 
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from typing import Any, NamedTuple
 
 import capnp
@@ -104,27 +104,37 @@
 def encode(report: CrashReport) -> bytes:
     """Encodes a report as the body of a datagram."""
     message = _SCHEMA.CrashReport.new_message()
-    message.cleared = list(report.cleared)
+    message.cleared = _keys(report.cleared)
     message.isReply = report.is_reply
     ends = message.init("ends", len(report.ends))
     for wire, end in zip(ends, report.ends, strict=True):
-        wire.request = end.fingerprint
-        wire.server = end.server_key
+        wire.request = _key(end.fingerprint)
+        wire.server = wire_numbers.saturated(
+            end.server_key, wire_numbers.UINT32_LIMIT
+        )
         wire.madeOutput = end.made_output
         wire.ageMs = wire_numbers.milliseconds(end.age_s)
-        wire.customer = end.customer
+        wire.customer = _key(end.customer)
         if end.parts:
-            wire.parts = sorted(end.parts)
+            wire.parts = _keys(sorted(end.parts))
     if report.cleared_parts:
         cleared = message.init("clearedParts", len(report.cleared_parts))
         for wire, one in zip(cleared, report.cleared_parts, strict=True):
-            wire.part = one.part
-            wire.customer = one.customer
+            wire.part = _key(one.part)
+            wire.customer = _key(one.customer)
             wire.ageMs = wire_numbers.milliseconds(one.age_s)
-    message.trials = list(report.trials)
+    message.trials = _keys(report.trials)
     return bytes(message.to_bytes_packed())
 
 
+def _key(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT64_LIMIT)
+
+
+def _keys(values: Iterable[int]) -> list[int]:
+    return wire_numbers.saturated_all(values, wire_numbers.UINT64_LIMIT)
+
+
 def decode(body: bytes) -> Result[CrashReport, errors.BadFrameError]:
     """Decodes the body of a datagram.
 
--- a/src/mulberrywharf/nodes/codec.py
+++ b/src/mulberrywharf/nodes/codec.py
@@ -19,7 +19,7 @@
 import capnp
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, main_stack
+from mulberrywharf import errors, main_stack, wire_numbers, wire_text
 from mulberrywharf.nodes import messages, wire_forms
 
 FRAME_LIMIT_BYTES = 2 * 1024 * 1024
@@ -137,8 +137,10 @@
 
 def _serialize(envelope: messages.Envelope) -> bytes:
     builder = _SCHEMA.Envelope.new_message()
-    builder.senderVmId = envelope.sender_vm_id
-    builder.correlation = envelope.correlation
+    builder.senderVmId = wire_text.encodable(envelope.sender_vm_id)
+    builder.correlation = wire_numbers.saturated(
+        envelope.correlation, wire_numbers.UINT64_LIMIT
+    )
     wire_forms.write(envelope.message, builder)
     return bytes(builder.to_bytes())
 
--- a/src/mulberrywharf/nodes/wire_forms.py
+++ b/src/mulberrywharf/nodes/wire_forms.py
@@ -6,10 +6,10 @@
 
 import functools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
-from mulberrywharf import errors
+from mulberrywharf import errors, wire_numbers, wire_text
 from mulberrywharf.nodes import messages
 
 _DIGEST_BYTES = 16
@@ -29,27 +29,27 @@
 @write.register
 def _(message: messages.Heartbeat, builder: Any) -> None:
     body = builder.init("heartbeat")
-    body.availabilityZone = message.availability_zone
-    body.incarnation = message.incarnation
-    body.stamp = message.stamp
-    body.configVersion = message.config_version
-    body.listHash = message.list_hash
+    body.availabilityZone = wire_text.encodable(message.availability_zone)
+    body.incarnation = _uint64(message.incarnation)
+    body.stamp = _uint16(message.stamp)
+    body.configVersion = _uint64(message.config_version)
+    body.listHash = _uint64(message.list_hash)
     body.stamps = message.stamps
     body.suspicions = message.suspicions
     body.loads = message.loads
     body.loadAges = message.load_ages
-    body.roundNumber = message.round_number
-    body.liveDigest = message.live_digest
+    body.roundNumber = _uint64(message.round_number)
+    body.liveDigest = _uint64(message.live_digest)
     demands = body.init("demands", len(message.demands))
     for entry, demand in zip(demands, message.demands, strict=True):
-        entry.customer = demand.customer
-        entry.requestsPerS = demand.requests_per_s
-        entry.tokensPerS = demand.tokens_per_s
+        entry.customer = wire_text.encodable(demand.customer)
+        entry.requestsPerS = _rate(demand.requests_per_s)
+        entry.tokensPerS = _rate(demand.tokens_per_s)
 
 
 @write.register
 def _(message: messages.Leaving, builder: Any) -> None:
-    builder.init("leaving").incarnation = message.incarnation
+    builder.init("leaving").incarnation = _uint64(message.incarnation)
 
 
 @write.register
@@ -68,19 +68,19 @@
     body = builder.init("claimRequest")
     body.claimId = message.claim_id
     body.bodyDigest = message.body_digest
-    body.requestId = message.request_id
-    body.token = message.token
-    body.runnerIp = message.runner_ip
-    body.runnerPort = message.runner_port
-    body.runBoundS = message.run_bound_s
+    body.requestId = wire_text.encodable(message.request_id)
+    body.token = _uint64(message.token)
+    body.runnerIp = wire_text.encodable(message.runner_ip)
+    body.runnerPort = _uint16(message.runner_port)
+    body.runBoundS = wire_numbers.nonnegative(message.run_bound_s)
 
 
 @write.register
 def _(message: messages.ClaimComplete, builder: Any) -> None:
     body = builder.init("claimComplete")
     body.claimId = message.claim_id
-    body.token = message.token
-    body.status = message.status
+    body.token = _uint64(message.token)
+    body.status = _uint16(message.status)
     body.answerDigest = message.answer_digest
     body.answer = message.answer or b""
     body.hasAnswer = message.answer is not None
@@ -90,40 +90,42 @@
 def _(message: messages.ClaimRelease, builder: Any) -> None:
     body = builder.init("claimRelease")
     body.claimId = message.claim_id
-    body.token = message.token
+    body.token = _uint64(message.token)
 
 
 @write.register
 def _(message: messages.ClaimWait, builder: Any) -> None:
     body = builder.init("claimWait")
     body.claimId = message.claim_id
-    body.waitS = message.wait_s
+    body.waitS = wire_numbers.nonnegative(message.wait_s)
 
 
 @write.register
 def _(message: messages.ClaimReply, builder: Any) -> None:
     body = builder.init("claimReply")
     body.kind = message.kind
-    body.runnerVmId = message.runner_vm_id
-    body.runnerIp = message.runner_ip
-    body.runnerPort = message.runner_port
-    body.status = message.status
+    body.runnerVmId = wire_text.encodable(message.runner_vm_id)
+    body.runnerIp = wire_text.encodable(message.runner_ip)
+    body.runnerPort = _uint16(message.runner_port)
+    body.status = _uint16(message.status)
     body.answerDigest = message.answer_digest
     body.answer = message.answer or b""
     body.hasAnswer = message.answer is not None
-    body.requestId = message.request_id
+    body.requestId = wire_text.encodable(message.request_id)
 
 
 @write.register
 def _(message: messages.ShardHandover, builder: Any) -> None:
-    builder.shardHandover = message.shard
+    builder.shardHandover = wire_numbers.saturated(
+        message.shard, wire_numbers.UINT32_LIMIT
+    )
 
 
 @write.register
 def _(message: messages.RatesFetch, builder: Any) -> None:
     body = builder.init("ratesFetch")
-    body.customers = list(message.customers)
-    body.models = list(message.models)
+    body.customers = _texts(message.customers)
+    body.models = _texts(message.models)
 
 
 @write.register
@@ -138,6 +140,22 @@
     builder.limitCall = message.body
 
 
+def _uint16(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT16_LIMIT)
+
+
+def _uint64(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT64_LIMIT)
+
+
+def _rate(value: float) -> float:
+    return wire_numbers.nonnegative(value, wire_numbers.FLOAT32_LIMIT)
+
+
+def _texts(values: Iterable[str]) -> list[str]:
+    return [wire_text.encodable(value) for value in values]
+
+
 def read(reader: Any) -> messages.Message:
     """Reads the message in the union of an envelope's reader.
 
--- a/src/mulberrywharf/peers/customer_demand_codec.py
+++ b/src/mulberrywharf/peers/customer_demand_codec.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple
 
 import capnp
+from loguru import logger
 from result import Result
 
 from mulberrywharf import errors, wire_messages, wire_numbers
@@ -61,13 +62,21 @@
 def encode(message: Report | Reply) -> bytes:
     """Encodes a message as the body of a datagram."""
     wire = _SCHEMA.DemandMessage.new_message()
-    wire.service = message.service
-    wire.number = message.number
+    wire.service = wire_numbers.saturated(
+        message.service, wire_numbers.UINT32_LIMIT
+    )
+    wire.number = wire_numbers.saturated(
+        message.number, wire_numbers.UINT16_LIMIT
+    )
     if isinstance(message, Report):
         demand = message.demand
         report = wire.init("report")
-        report.customers = [one.key for one in demand.customers]
-        report.demands = [one.demand for one in demand.customers]
+        named = [one for one in demand.customers if _is_sound(one)]
+        named = named[: customer_meter.REPORTED_CUSTOMERS_COUNT]
+        report.customers = wire_numbers.saturated_all(
+            (one.key for one in named), wire_numbers.UINT32_LIMIT
+        )
+        report.demands = [one.demand for one in named]
         report.restDemand = demand.rest_demand
         report.restCount = wire_numbers.saturated(
             demand.rest_count, wire_numbers.UINT16_LIMIT
@@ -78,7 +87,9 @@
         reply = wire.init("reply")
         reply.level = message.level
         reply.reported = _share_bytes(message.reported_shares)
-        reply.others = list(message.other_shares)
+        reply.others = wire_numbers.saturated_all(
+            message.other_shares, wire_numbers.UINT32_LIMIT
+        )
         reply.otherShares = _share_bytes(message.other_shares.values())
         reply.isRestBelow = message.is_rest_below
     return bytes(wire.to_bytes_packed())
@@ -135,6 +146,14 @@
     return value
 
 
+def _is_sound(reported: customer_meter.CustomerDemand) -> bool:
+    """Returns whether the decoder accepts a customer's demand."""
+    if 0 <= reported.demand < wire_numbers.FLOAT32_LIMIT:
+        return True
+    logger.warning("a demand is not reported: {}", reported)
+    return False
+
+
 def _share_bytes(shares: Iterable[float | None]) -> bytes:
     return bytes(
         BELOW
--- a/src/mulberrywharf/peers/ejection_codec.py
+++ b/src/mulberrywharf/peers/ejection_codec.py
@@ -3,6 +3,7 @@
 import struct
 from typing import NamedTuple
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from mulberrywharf import errors, wire_numbers
@@ -54,6 +55,9 @@
     """Encodes a report as the body of a message of topic ``o``."""
     parts = [_KIND.pack(2 if report.is_reply else 1)]
     for entry in report.entries[:ENTRIES_LIMIT_COUNT]:
+        if not _is_sound(entry.counted):
+            logger.warning("contradictory counts are not sent: {}", entry)
+            continue
         figures = (
             figure
             for window in entry.counted
@@ -62,16 +66,26 @@
         )
         parts.append(
             _COUNTS.pack(
-                entry.server_key,
-                *(
-                    wire_numbers.saturated(figure, wire_numbers.UINT16_LIMIT)
-                    for figure in figures
-                ),
+                _key(entry.server_key),
+                *wire_numbers.saturated_all(figures, wire_numbers.UINT16_LIMIT),
             )
         )
     return b"".join(parts)
 
 
+def _is_sound(counted: outcome_counts.Windows) -> bool:
+    """Returns whether the decoder accepts the counts."""
+    return all(
+        one.failures_count <= one.answers_count
+        for window in counted
+        for one in window
+    )
+
+
+def _key(server_key: int) -> int:
+    return wire_numbers.saturated(server_key, wire_numbers.UINT32_LIMIT)
+
+
 def decode_report(body: bytes) -> Result[OutcomeReport, errors.BadFrameError]:
     """Decodes the body of a message of topic ``o``."""
     if body[:1] not in (b"\x01", b"\x02"):
@@ -97,13 +111,13 @@
 
 def encode_question(question: Question) -> bytes:
     """Encodes a question as the body of a message of topic ``e``."""
-    return b"\x01" + _QUESTION.pack(question.server_key)
+    return b"\x01" + _QUESTION.pack(_key(question.server_key))
 
 
 def encode_decision(decision: ejected_servers.Decision) -> bytes:
     """Encodes a decision as the body of a message of topic ``e``."""
     return b"\x02" + _DECISION.pack(
-        decision.server_key,
+        _key(decision.server_key),
         decision.is_ejected,
         wire_numbers.saturated(decision.times_count, wire_numbers.UINT8_LIMIT),
         wire_numbers.milliseconds(decision.left_s, wire_numbers.UINT16_LIMIT),
--- a/src/mulberrywharf/peers/freshness_codec.py
+++ b/src/mulberrywharf/peers/freshness_codec.py
@@ -42,7 +42,9 @@
 def encode(message: Question | Reply) -> bytes:
     """Encodes a message as the body of a datagram."""
     wire = _SCHEMA.FreshnessMessage.new_message()
-    wire.nonce = message.nonce
+    wire.nonce = wire_numbers.saturated(
+        message.nonce, wire_numbers.UINT64_LIMIT
+    )
     if isinstance(message, Question):
         wire.question = None
     else:
--- a/src/mulberrywharf/peers/handover_codec.py
+++ b/src/mulberrywharf/peers/handover_codec.py
@@ -8,7 +8,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, main_stack, wire_numbers
+from mulberrywharf import errors, main_stack, wire_numbers, wire_text
 from mulberrywharf.routes import kinds
 
 _MS_PER_S = 1000.0
@@ -92,19 +92,19 @@
 def encode(handed: HandedRequest) -> bytes:
     """Returns the bytes that carry a request."""
     wire = _SCHEMA.HandedOver.new_message()
-    wire.method = handed.method
-    wire.target = handed.target
-    wire.host = handed.host
+    wire.method = wire_text.encodable(handed.method)
+    wire.target = wire_text.encodable(handed.target)
+    wire.host = wire_text.encodable(handed.host)
     fields = wire.init("fields", len(handed.fields))
     for field, (name, value) in zip(fields, handed.fields, strict=True):
-        field.name = name
-        field.value = value
+        field.name = wire_text.encodable(name)
+        field.value = wire_text.encodable(value)
     wire.body = handed.body
     if handed.last_event_id is not None:
         wire.hasLastEventId = True
-        wire.lastEventId = handed.last_event_id
-    wire.customer = handed.customer
-    wire.service = handed.service
+        wire.lastEventId = wire_text.encodable(handed.last_event_id)
+    wire.customer = wire_text.encodable(handed.customer)
+    wire.service = wire_text.encodable(handed.service)
     wire.leftMs = wire_numbers.milliseconds(handed.left_s)
     wire.waitedMs = wire_numbers.milliseconds(handed.waited_s)
     wire.isCounted = handed.is_counted
@@ -113,7 +113,9 @@
     wire.isPrefilled = handed.is_prefilled
     if handed.version_key is not None:
         wire.hasVersionKey = True
-        wire.versionKey = handed.version_key
+        wire.versionKey = wire_numbers.saturated(
+            handed.version_key, wire_numbers.UINT64_LIMIT
+        )
     _encode_route(handed.route, wire.init("route"))
     encoded = bytes(wire.to_bytes())
     return xxhash.xxh3_64_digest(encoded) + encoded
@@ -160,7 +162,7 @@
 
 
 def _encode_route(route: HandedRoute, wire: Any) -> None:
-    wire.name = route.name
+    wire.name = wire_text.encodable(route.name)
     wire.kind = _kind_name(route.kind)
     wire.attemptsLeft = wire_numbers.saturated(
         route.attempts_left_count, wire_numbers.UINT16_LIMIT
--- a/src/mulberrywharf/peers/limit_codec.py
+++ b/src/mulberrywharf/peers/limit_codec.py
@@ -63,8 +63,12 @@
 @_encode_into.register
 def _(message: ClaimMessage, wire: Any, now_s: float) -> None:
     claim = wire.init("claim")
-    claim.number = message.number
-    claim.server = message.claim.server_key
+    claim.number = wire_numbers.saturated(
+        message.number, wire_numbers.UINT32_LIMIT
+    )
+    claim.server = wire_numbers.saturated(
+        message.claim.server_key, wire_numbers.UINT32_LIMIT
+    )
     claim.rank = wire_numbers.saturated(
         message.claim.rank, wire_numbers.UINT8_LIMIT
     )
@@ -78,7 +82,9 @@
 @_encode_into.register
 def _(message: GrantMessage, wire: Any, now_s: float) -> None:
     grant = wire.init("grant")
-    grant.number = message.number
+    grant.number = wire_numbers.saturated(
+        message.number, wire_numbers.UINT32_LIMIT
+    )
     grant.granted = message.grant.is_granted
     grant.waitMs = wire_numbers.milliseconds(message.grant.wait_s)
     _encode_statement(grant.init("statement"), message.grant.statement, now_s)
--- a/src/mulberrywharf/peers/notice_codec.py
+++ b/src/mulberrywharf/peers/notice_codec.py
@@ -161,8 +161,8 @@
 def encode(notice: Notice) -> bytes:
     """Returns the body of the datagram that carries a notice."""
     message = _SCHEMA.Notice.new_message()
-    message.sender = notice.sender
-    message.sequence = notice.sequence
+    message.sender = _key(notice.sender)
+    message.sequence = _key(notice.sequence)
     message.routesRevision = wire_numbers.saturated(
         notice.seen.routes_revision, wire_numbers.UINT64_LIMIT
     )
@@ -175,7 +175,7 @@
     )
     placements = message.init("placements", len(notice.placements))
     for wire, placement in zip(placements, notice.placements, strict=True):
-        wire.engine = placement.engine_key
+        wire.engine = _key(placement.engine_key)
         wire.workUs = wire_numbers.microseconds(placement.work_s)
         wire.ownTokens = wire_numbers.saturated(
             placement.own_tokens, wire_numbers.UINT32_LIMIT
@@ -183,7 +183,7 @@
         _encode_parts(wire, placement.parts)
     loads = message.init("loads", len(notice.loads))
     for wire, load in zip(loads, notice.loads, strict=True):
-        wire.engine = load.engine_key
+        wire.engine = _key(load.engine_key)
         wire.requests = wire_numbers.saturated(
             load.requests_count, wire_numbers.UINT16_LIMIT
         )
@@ -193,22 +193,32 @@
     message.paces = _encode_paces(notice.loads)
     demands = message.init("demands", len(notice.demands))
     for wire, demand in zip(demands, notice.demands, strict=True):
-        wire.service = demand.service_key
+        wire.service = _key(demand.service_key)
         wire.milliEngines = wire_numbers.saturated(
             demand.engines * _MILLI, wire_numbers.UINT32_LIMIT
         )
-    message.changing = list(notice.changing)
-    message.zone = notice.zone_key
+    message.changing = wire_numbers.saturated_all(
+        notice.changing, wire_numbers.UINT32_LIMIT
+    )
+    message.zone = _key(notice.zone_key)
     role_loads = message.init("roleLoads", len(notice.role_loads))
     for wire, role_load in zip(role_loads, notice.role_loads, strict=True):
         _encode_role_load(wire, role_load)
     return bytes(message.to_bytes_packed())
 
 
+def _key(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT32_LIMIT)
+
+
+def _part_key(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT64_LIMIT)
+
+
 def _encode_role_load(
     wire: capnp.lib.capnp._DynamicStructBuilder, role_load: RoleLoad
 ) -> None:
-    wire.service = role_load.service_key
+    wire.service = _key(role_load.service_key)
     wire.isPrefill = role_load.is_prefill
     wire.milliShare = wire_numbers.saturated(
         role_load.load.running_share * _MILLI, wire_numbers.UINT16_LIMIT
@@ -249,7 +259,7 @@
     if not parts:
         return
     *before, last = parts
-    wire.part = last.key
+    wire.part = _part_key(last.key)
     wire.partTokens = wire_numbers.saturated(
         last.tokens, wire_numbers.UINT32_LIMIT
     )
@@ -258,7 +268,7 @@
     for wire_part, part in zip(
         wire.init("before", len(before)), before, strict=True
     ):
-        wire_part.key = part.key
+        wire_part.key = _part_key(part.key)
         wire_part.tokens = wire_numbers.saturated(
             part.tokens, wire_numbers.UINT32_LIMIT
         )
--- a/src/mulberrywharf/peers/path_codec.py
+++ b/src/mulberrywharf/peers/path_codec.py
@@ -4,6 +4,7 @@
 import struct
 from typing import NamedTuple
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from mulberrywharf import errors, fleet, wire_numbers
@@ -41,22 +42,37 @@
 
 def encode_question(question: PathQuestion) -> bytes:
     """Encodes a question as the body of a message of topic ``p``."""
-    return _QUESTION_KIND + _QUESTION.pack(question.service_key)
+    return _QUESTION_KIND + _QUESTION.pack(_key(question.service_key))
 
 
 def encode_reply(reply: PathReply) -> bytes:
     """Encodes a reply as the body of a message of topic ``p``."""
     report = reply.report
     head = _REPLY.pack(
-        reply.service_key,
+        _key(reply.service_key),
         report.can_serve,
         wire_numbers.saturated(report.load, wire_numbers.UINT16_LIMIT),
     )
-    named = b"".join(
-        _ADDRESS.pack(ipaddress.IPv4Address(one.ip).packed, one.port)
-        for one in report.helpers[: helpers.NAMED_LIMIT_COUNT]
-    )
-    return _REPLY_KIND + head + named
+    named = [
+        record
+        for one in report.helpers
+        if (record := _encode_address(one)) is not None
+    ]
+    return _REPLY_KIND + head + b"".join(named[: helpers.NAMED_LIMIT_COUNT])
+
+
+def _key(service_key: int) -> int:
+    return wire_numbers.saturated(service_key, wire_numbers.UINT32_LIMIT)
+
+
+def _encode_address(address: fleet.Address) -> bytes | None:
+    try:
+        packed = ipaddress.IPv4Address(address.ip).packed
+    except ValueError as error:
+        logger.warning("a helper is not named to other gateways: {}", error)
+        return None
+    port = wire_numbers.saturated(address.port, wire_numbers.UINT16_LIMIT)
+    return _ADDRESS.pack(packed, port)
 
 
 def decode(
--- a/src/mulberrywharf/peers/queue_codec.py
+++ b/src/mulberrywharf/peers/queue_codec.py
@@ -127,21 +127,25 @@
 @_encode_into.register
 def _(message: WaitQuery, wire: Any) -> None:
     ask = wire.init("ask")
-    ask.number = message.number
+    ask.number = _key(message.number)
     ask.priority = wire_numbers.saturated(
         message.priority, wire_numbers.UINT8_LIMIT
     )
-    ask.engines = list(message.engine_keys[:ENGINES_LIMIT_COUNT])
-    ask.parts = list(message.part_keys[:PARTS_LIMIT_COUNT])
+    ask.engines = wire_numbers.saturated_all(
+        message.engine_keys[:ENGINES_LIMIT_COUNT], wire_numbers.UINT32_LIMIT
+    )
+    ask.parts = wire_numbers.saturated_all(
+        message.part_keys[:PARTS_LIMIT_COUNT], wire_numbers.UINT64_LIMIT
+    )
 
 
 @_encode_into.register
 def _(message: Waits, wire: Any) -> None:
     reply = wire.init("waits")
-    reply.number = message.number
+    reply.number = _key(message.number)
     waits = reply.init("waits", len(message.waits))
     for wire_wait, wait in zip(waits, message.waits, strict=True):
-        wire_wait.engine = wait.engine_key
+        wire_wait.engine = _key(wait.engine_key)
         wire_wait.waitMs = _to_ms(wait.wait_s)
         wire_wait.knownMs = _to_ms(wait.counted_s)
         wire_wait.heldCount = wire_numbers.saturated(
@@ -153,9 +157,9 @@
 @_encode_into.register
 def _(message: PromptUpdate, wire: Any) -> None:
     work = wire.init("work")
-    work.engine = message.engine_key
-    work.sender = message.sender
-    work.number = message.number
+    work.engine = _key(message.engine_key)
+    work.sender = _key(message.sender)
+    work.number = _key(message.number)
     work.matter = message.event
     work.priority = wire_numbers.saturated(
         message.priority, wire_numbers.UINT8_LIMIT
@@ -172,12 +176,18 @@
     for wire_part, part in zip(
         work.init("parts", len(parts)), parts, strict=True
     ):
-        wire_part.key = part.key
+        wire_part.key = wire_numbers.saturated(
+            part.key, wire_numbers.UINT64_LIMIT
+        )
         wire_part.tokens = wire_numbers.saturated(
             part.tokens, wire_numbers.UINT32_LIMIT
         )
 
 
+def _key(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT32_LIMIT)
+
+
 def _to_ms(seconds: float) -> int:
     return wire_numbers.milliseconds(seconds, wire_numbers.UINT16_LIMIT)
 
--- a/src/mulberrywharf/peers/repeat_codec.py
+++ b/src/mulberrywharf/peers/repeat_codec.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import errors
+from mulberrywharf import errors, wire_numbers
 
 _CLAIM = struct.Struct(">BII")
 _REPLY = struct.Struct(">BI?")
@@ -39,12 +39,16 @@
 
 def encode_claim(claim: RepeatClaim) -> bytes:
     """Encodes a claim as the body of a message of topic ``r``."""
-    return _CLAIM.pack(_CLAIM_KIND, claim.number, claim.service_key)
+    return _CLAIM.pack(
+        _CLAIM_KIND,
+        *wire_numbers.saturated_all(claim, wire_numbers.UINT32_LIMIT),
+    )
 
 
 def encode_reply(reply: RepeatReply) -> bytes:
     """Encodes a reply as the body of a message of topic ``r``."""
-    return _REPLY.pack(_REPLY_KIND, reply.number, reply.is_granted)
+    number = wire_numbers.saturated(reply.number, wire_numbers.UINT32_LIMIT)
+    return _REPLY.pack(_REPLY_KIND, number, reply.is_granted)
 
 
 def decode(
--- a/src/mulberrywharf/peers/stream_codec.py
+++ b/src/mulberrywharf/peers/stream_codec.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import errors
+from mulberrywharf import errors, wire_numbers
 from mulberrywharf.policy import stream_keepers, stream_version
 
 _NOTE = struct.Struct(">QQI")
@@ -83,24 +83,48 @@
 def encode_notes(notes: Iterable[StreamNote]) -> bytes:
     """Encodes notes as the body of a message of topic ``s``."""
     return _NOTE_KIND + b"".join(
-        _NOTE.pack(note.stream_key, note.kept.version_key, note.kept.scope)
+        _NOTE.pack(
+            _key(note.stream_key),
+            _key(note.kept.version_key),
+            _short_key(note.kept.scope),
+        )
         for note in notes
     )
 
 
 def encode_question(question: StreamQuestion) -> bytes:
     """Encodes a question as the body of a message of topic ``s``."""
-    return _QUESTION_KIND + _QUESTION.pack(*question)
+    return _QUESTION_KIND + _QUESTION.pack(
+        _key(question.stream_key), _short_key(question.service_key)
+    )
 
 
 def encode_reply(reply: StreamReply) -> bytes:
     """Encodes a reply as the body of a message of topic ``s``."""
     flags = _IS_KEPT if reply.kept is not None else 0
-    flags |= _IS_COMPLETE if reply.recent is not None else 0
-    body = _REPLY.pack(reply.stream_key, reply.service_key, flags)
+    recent = reply.recent
+    if recent is not None and len(recent) > stream_version.VERSIONS_LIMIT_COUNT:
+        recent = None
+    flags |= _IS_COMPLETE if recent is not None else 0
+    body = _REPLY.pack(
+        _key(reply.stream_key), _short_key(reply.service_key), flags
+    )
     if reply.kept is not None:
-        body += _KEPT.pack(reply.kept.version_key, reply.kept.scope)
-    return _REPLY_KIND + body + b"".join(map(_VERSION.pack, reply.recent or ()))
+        body += _KEPT.pack(
+            _key(reply.kept.version_key), _short_key(reply.kept.scope)
+        )
+    versions = b"".join(
+        _VERSION.pack(_key(version)) for version in recent or ()
+    )
+    return _REPLY_KIND + body + versions
+
+
+def _key(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT64_LIMIT)
+
+
+def _short_key(value: int) -> int:
+    return wire_numbers.saturated(value, wire_numbers.UINT32_LIMIT)
 
 
 def decode(body: bytes) -> Result[Message, errors.BadFrameError]:
--- a/src/mulberrywharf/peers/usage_codec.py
+++ b/src/mulberrywharf/peers/usage_codec.py
@@ -7,7 +7,7 @@
 import capnp
 from result import Result
 
-from mulberrywharf import errors, wire_messages, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers, wire_text
 
 COUNTS_LIMIT_BYTES = 1_100
 """Maximum size of the customer entries in one message, so that its datagram is
@@ -55,7 +55,9 @@
     batch: dict[str, int] = {}
     size_bytes = 0
     for name, count in counts.by_customer.items():
-        cost_bytes = len(name.encode()) + _ENTRY_OVERHEAD_BYTES
+        cost_bytes = (
+            len(wire_text.encodable(name).encode()) + _ENTRY_OVERHEAD_BYTES
+        )
         if batch and size_bytes + cost_bytes > COUNTS_LIMIT_BYTES:
             yield counts._replace(by_customer=batch)
             batch, size_bytes = {}, 0
@@ -68,7 +70,9 @@
     """Encodes an announcement as the body of a datagram."""
     message = _SCHEMA.UsageMessage.new_message()
     wire = message.init("announcement")
-    wire.number = announcement.number
+    wire.number = wire_numbers.saturated(
+        announcement.number, wire_numbers.UINT64_LIMIT
+    )
     wire.reportedWindow = wire_numbers.saturated(
         announcement.reported_window, wire_numbers.UINT64_LIMIT
     )
@@ -79,7 +83,9 @@
     """Encodes counts as the body of a datagram."""
     message = _SCHEMA.UsageMessage.new_message()
     wire = message.init("counts")
-    wire.incarnation = counts.incarnation
+    wire.incarnation = wire_numbers.saturated(
+        counts.incarnation, wire_numbers.UINT32_LIMIT
+    )
     wire.window = wire_numbers.saturated(
         counts.window, wire_numbers.UINT64_LIMIT
     )
@@ -91,7 +97,7 @@
     for entry, (name, count) in zip(
         customers, counts.by_customer.items(), strict=True
     ):
-        entry.name = name
+        entry.name = wire_text.encodable(name)
         entry.count = wire_numbers.saturated(count, wire_numbers.UINT32_LIMIT)
     return bytes(message.to_bytes_packed())
 
--- a/tests/test_wire_numbers.py
+++ b/tests/test_wire_numbers.py
@@ -186,6 +186,21 @@
             with self.subTest(value=str(value)[:20]):
                 self.assertEqual(wire_numbers.saturated(value, limit), wanted)
 
+    def test_rates_become_the_nearest_finite_one(self) -> None:
+        limit = wire_numbers.FLOAT32_LIMIT
+        for value, wanted in (
+            (-1.0, 0.0),
+            (-math.inf, 0.0),
+            (math.nan, 0.0),
+            (0.25, 0.25),
+            (limit, limit),
+            (1e300, limit),
+            (math.inf, limit),
+            (10**400, limit),
+        ):
+            with self.subTest(value=str(value)[:20]):
+                self.assertEqual(wire_numbers.nonnegative(value, limit), wanted)
+
 
 if __name__ == "__main__":
     unittest.main()
