Count failed intervals of the network of routers as failures of a task

Cause: the task that sends heartbeats goes on by itself after an exception. It logged it, but did not count it, so that a router that sends no heartbeats any more because each interval fails showed nothing in mulberry_task_failures_total, where operators look for such faults.

Change: it uses the count and the log line of supervised tasks.

Measured: test_failed_interval_is_counted_and_the_next_one_runs failed before (no count within 20 s) and passes.

--- a/src/mulberrywharf/nodes/mesh.py
+++ b/src/mulberrywharf/nodes/mesh.py
@@ -14,9 +14,8 @@
 from typing import Protocol
 
 import gevent
-from loguru import logger
 
-from mulberrywharf import clock, fleet, metrics, settings
+from mulberrywharf import clock, fleet, metrics, settings, supervised_task
 from mulberrywharf.nodes import (
     config_exchange,
     demands,
@@ -253,7 +252,7 @@
             except Exception:
                 # Without this, a single malformed record would end this
                 # router's heartbeats, and the others would suspect it.
-                logger.exception("an interval of the mesh failed")
+                supervised_task.note_failure("mesh")
             gevent.sleep(self._interval_s * random.uniform(0.9, 1.1))
 
     def _apply_vm_list(self, now_s: float) -> bool:
--- a/src/mulberrywharf/supervised_task.py
+++ b/src/mulberrywharf/supervised_task.py
@@ -43,17 +43,22 @@
         try:
             run()
         except Exception:
-            _note_failure(name)
+            note_failure(name)
             try:
                 on_failure()
             except Exception:
-                _note_failure(name)
+                note_failure(name)
         else:
             return
         gevent.sleep(RESTART_PAUSE_S)
 
 
-def _note_failure(name: str) -> None:
+def note_failure(name: str) -> None:
+    """Counts and logs the exception that is being handled.
+
+    Args:
+        name: Name of the task; one that is not supervised goes on by itself.
+    """
     _failures_total.inc({"task": name})
     logger.bind(task=name).exception(
         "a background task failed; it is started again"
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -8,12 +8,12 @@
 
 from result import Ok
 
-from mulberrywharf import clock, fleet, supervised_task
+from mulberrywharf import clock, fleet, metrics, supervised_task
 from mulberrywharf.engines import load_reader
 from mulberrywharf.nodes import claim_log
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.programs import _controller_lease
-from tests import builders_claims, builders_settings
+from tests import builders_claims, builders_mesh, builders_settings
 from tests.test_claims import ClaimsTestCase
 
 
@@ -158,5 +158,22 @@
             builders_claims.wait_until(lambda: polled.call_count >= 2)
 
 
+class MeshTest(unittest.TestCase):
+    def test_failed_interval_is_counted_and_the_next_one_runs(self) -> None:
+        """Guards against a router that fails without an operator's notice."""
+        labels = {"task": "mesh"}
+        failures = metrics.counter("mulberry_task_failures_total", "")
+        before_count = failures.values.get(labels) or 0
+        _, (node,) = builders_mesh.start_zone(1)
+        self.addCleanup(node.close)
+        with failing(node.mesh, "tick"):
+            pass
+        builders_claims.wait_until(
+            lambda: (failures.values.get(labels) or 0) > before_count
+        )
+        with unittest.mock.patch.object(node.mesh, "tick") as ticked:
+            builders_claims.wait_until(lambda: ticked.call_count >= 2)
+
+
 if __name__ == "__main__":
     unittest.main()
