--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -19,12 +19,32 @@
 """Returns the value that a reader sees under a key, from the key's value."""
 
 _VIEW_KEY = "standins.view"
+_VIEW_PORT_KEY = "standins.view-port"
 _HUNG_S = 60.0
 _WATCH_STEP_S = 0.005
 _EXPIRY_INTERVAL_S = 0.02
 _MS_PER_S = 1000.0
 
 
+class WatchFault(NamedTuple):
+    """How the watches of a view are behind; their other calls work.
+
+    Attributes:
+        events_count: Events in an answer at the most, None for no limit. The
+            revision told with fewer than there are is that of the last one.
+        last_revision: Later changes are not told of, nor their revision; None
+            for no limit.
+        is_hidden: Whether answers hold no event although they tell the present
+            revision.
+        pause_s: Pause before each answer.
+    """
+
+    events_count: int | None = None
+    last_revision: int | None = None
+    is_hidden: bool = False
+    pause_s: float = 0.0
+
+
 class Copy(NamedTuple):
     """What the store held at one moment.
 
@@ -65,6 +85,7 @@
         self._server = http_control.make_server(ip, port, self._application)
         self.port = self._server.port
         self._views: list[Any] = []
+        self._watch_faults: dict[int, WatchFault] = {}
         self._expiry: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -90,6 +111,7 @@
             environ: http_control.Environ, start_response: Any
         ) -> Iterable[bytes]:
             environ[_VIEW_KEY] = view
+            environ[_VIEW_PORT_KEY] = server.port
             return self._application(environ, start_response)
 
         server = http_control.make_server(ip, 0, application)
@@ -97,6 +119,28 @@
         self._views.append(server)
         return int(server.port)
 
+    def hold_watches(self, view_port: int) -> None:
+        """Answers watches of a view with the revision and without events."""
+        self._watch_faults[view_port] = WatchFault(is_hidden=True)
+
+    def stop_watches(self, view_port: int) -> None:
+        """Tells watches of a view of nothing that happens from now on."""
+        self._watch_faults[view_port] = WatchFault(
+            last_revision=self.store.revision
+        )
+
+    def slow_watches(
+        self, view_port: int, *, events_count: int, pause_s: float
+    ) -> None:
+        """Tells watches of a view of few events at a time, after a pause."""
+        self._watch_faults[view_port] = WatchFault(
+            events_count=events_count, pause_s=pause_s
+        )
+
+    def free_watches(self, view_port: int) -> None:
+        """Lets watches of a view work again."""
+        self._watch_faults.pop(view_port, None)
+
     def hang_watches(self) -> None:
         """Never answers the watches that wait now."""
         self._hung_below = len(self.calls)
@@ -234,8 +278,8 @@
                         return _http.Reply(410, {})
                     if environ["standins.call"] <= self._hung_below:
                         gevent.sleep(_HUNG_S)
-                    events = self._events(prefix, after)
-                    if events:
+                    told = self._told(prefix, after, environ)
+                    if told["events"]:
                         break
                     gevent.sleep(_WATCH_STEP_S)
         except gevent.Timeout:
@@ -243,9 +287,30 @@
                 # Left without a word, it gets no answer at its end either.
                 gevent.sleep(_HUNG_S)
             # With the revision below it tells of every change up to there.
-            events = self._events(prefix, after)
-        body = {"events": events, "store-revision": self.store.revision}
-        return _http.Reply(200, body)
+            told = self._told(prefix, after, environ)
+        gevent.sleep(self._watch_fault(environ).pause_s)
+        return _http.Reply(200, told)
+
+    def _watch_fault(self, environ: dict[str, Any]) -> WatchFault:
+        port = environ.get(_VIEW_PORT_KEY, 0)
+        return self._watch_faults.get(port, WatchFault())
+
+    def _told(
+        self, prefix: str, after: int, environ: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Returns the body of an answer to a watch."""
+        fault = self._watch_fault(environ)
+        events = self._events(prefix, after)
+        revision = self.store.revision
+        if fault.is_hidden:
+            events = []
+        if fault.last_revision is not None:
+            revision = max(after, fault.last_revision)
+            events = [one for one in events if one["revision"] <= revision]
+        if fault.events_count is not None and len(events) > fault.events_count:
+            events = events[: fault.events_count]
+            revision = events[-1]["revision"]
+        return {"events": events, "store-revision": revision}
 
     def _has(self, revision: int) -> bool:
         """Tells whether the changes since a revision are known."""
--- a/tests/builders_paths.py
+++ b/tests/builders_paths.py
@@ -1,16 +1,21 @@
-"""Gateways with a fault proxy between each of them and each server."""
+"""Gateways with a fault proxy between each of them and each server.
 
+Datagrams between gateways can be led through relays.
+"""
+
+import functools
 import itertools
 import json
 import time
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Any, NamedTuple
 
 import gevent
 from gevent import socket
 
+from mulberrywharf.peers import directory
 from mulberrywharf.platform import documents
-from standins import fault_proxy
+from standins import datagram_relay, fault_proxy
 from tests import (
     builders_addresses,
     builders_gateways,
@@ -31,6 +36,8 @@
 
 _NODES_PORT = 7663
 _CALLERS_COUNT = 4
+_RELAYS_HOST = 100
+_NODES_LIMIT_COUNT = 10
 
 
 class Tried(NamedTuple):
@@ -60,15 +67,22 @@
         is_held: Whether it reads the routes as they were when this was set.
     """
 
-    def __init__(self, address_of: Callable[[str, str], str]):
+    def __init__(
+        self,
+        address_of: Callable[[str, str], str],
+        peer_address_of: Callable[[str], str] = str,
+    ):
         """Creates it.
 
         Args:
             address_of: Returns the address at which the gateway finds a
                 server, given the server's id and address.
+            peer_address_of: Returns the address at which it finds another
+                gateway, given that gateway's address.
         """
         self.is_held = False
         self._address_of = address_of
+        self._peer_address_of = peer_address_of
         self._routes = b""
 
     def __call__(self, key: str, value: bytes) -> bytes:
@@ -77,6 +91,9 @@
             if not self.is_held:
                 self._routes = value
             return self._routes
+        if key.startswith(directory.KEY_PREFIX):
+            address, mark, zone = value.decode().partition("/")
+            return f"{self._peer_address_of(address)}{mark}{zone}".encode()
         if not key.startswith(documents.SERVERS_PREFIX):
             return value
         record = json.loads(value)
@@ -85,14 +102,71 @@
         return json.dumps(record).encode()
 
 
+class PeerPath:
+    """The path between two gateways, for datagrams and connections."""
+
+    def __init__(self, ends: tuple[str, str], net: str, hosts: tuple[int, int]):
+        """Creates it.
+
+        Args:
+            ends: Addresses of the gateways.
+            net: First three numbers of the addresses of this path.
+            hosts: Last number of the address by which the other gateway knows
+                each of them.
+        """
+        self.seen_as = tuple(f"{net}.{host}:{_NODES_PORT}" for host in hosts)
+        first, second = map(_pair, ends)
+        first_seen, second_seen = map(_pair, self.seen_as)
+        self._relay = datagram_relay.DatagramRelay(
+            (first, second), (first_seen, second_seen)
+        )
+        self._proxies = [
+            fault_proxy.FaultProxy(end, ip=seen[0])
+            for end, seen in ((first, first_seen), (second, second_seen))
+        ]
+
+    def start(self) -> None:
+        """Begins to carry."""
+        self._relay.start()
+        for proxy in self._proxies:
+            proxy.start(_NODES_PORT)
+
+    def close(self) -> None:
+        """Stops."""
+        self._relay.close()
+        for proxy in self._proxies:
+            proxy.close()
+
+    def lose(self, ways: Collection[datagram_relay.Way]) -> None:
+        """Loses all that goes these ways; no way heals the path."""
+        self._relay.lost_ways = frozenset(ways)
+        for to_way, from_way, proxy in zip(
+            datagram_relay.WAYS,
+            reversed(datagram_relay.WAYS),
+            self._proxies,
+            strict=True,
+        ):
+            mode = "pass"
+            if {to_way, from_way} <= set(ways):
+                mode = "silent"
+            elif to_way in ways:
+                mode = "half-open-up"
+            elif from_way in ways:
+                mode = "half-open-down"
+            proxy.set_faults(mode=mode)
+
+
 class PathCase(test_gateway.GatewayCase):
     """Gateways whose paths to the servers can be cut one by one.
 
     Attributes:
         tenants: Customers in the routes; without any, no request needs a key.
+        relayed_number: The gateway whose paths to the others can be cut, None
+            for none.
     """
 
     tenants: Sequence[dict[str, Any]] = ()
+    relayed_number: int | None = None
 
     def setUp(self) -> None:
         super().setUp()
@@ -100,6 +174,8 @@
         self.node_addresses: list[str] = []
         self.paths: list[dict[str, fault_proxy.FaultProxy]] = []
         self.views: list[StoreView] = []
+        self.view_ports: list[int] = []
+        self.peer_paths: dict[int, PeerPath] = {}
         self._numbers = itertools.count()
 
     def write_routes(self, version: int = 1) -> None:
@@ -124,11 +200,14 @@
         self.write_routes()
         net = builders_addresses.claim_net(self)
         starting = []
+        if self.relayed_number is not None:
+            self._start_peer_paths(net, count)
         for number in range(count):
             self.paths.append({})
             self.views.append(self._view_of(number))
             self.node_addresses.append(f"{net}.{number + 1}:{_NODES_PORT}")
             store_port = self.store.add_view(self.views[-1])
+            self.view_ports.append(store_port)
             starting.append(
                 gevent.spawn(
                     self.start,
@@ -173,6 +252,16 @@
                 path.set_faults(mode="refuse")
                 path.reset_all()
 
+    def cut_peers(self, ways: Collection[datagram_relay.Way]) -> None:
+        """Cuts the relayed gateway off from the others.
+
+        Args:
+            ways: What is lost; ``to-first`` is what goes to that gateway. No
+                way heals the paths.
+        """
+        for path in self.peer_paths.values():
+            path.lose(ways)
+
     def call(self, number: int, path: str, fields: str = "") -> Tried:
         """Sends one request to a gateway and returns what became of it."""
         request_id = f"call-{next(self._numbers)}"
@@ -246,7 +335,38 @@
         def address_of(server_id: str, address: str) -> str:
             return f"127.0.0.1:{self._path(number, server_id, address).port}"
 
-        return StoreView(address_of)
+        return StoreView(
+            address_of, functools.partial(self._peer_address, number)
+        )
+
+    def _start_peer_paths(self, net: str, count: int) -> None:
+        relayed = self.relayed_number
+        for other in range(count):
+            if relayed is None or other == relayed:
+                continue
+            host = _RELAYS_HOST + _NODES_LIMIT_COUNT * other
+            path = PeerPath(
+                (
+                    f"{net}.{relayed + 1}:{_NODES_PORT}",
+                    f"{net}.{other + 1}:{_NODES_PORT}",
+                ),
+                net,
+                (host, host + 1),
+            )
+            path.start()
+            self.addCleanup(path.close)
+            self.peer_paths[other] = path
+
+    def _peer_address(self, number: int, address: str) -> str:
+        """Returns where a gateway finds the one with an address."""
+        if address not in self.node_addresses:
+            return address
+        found = self.node_addresses.index(address)
+        if number == self.relayed_number and found in self.peer_paths:
+            return self.peer_paths[found].seen_as[1]
+        if found == self.relayed_number and number in self.peer_paths:
+            return self.peer_paths[number].seen_as[0]
+        return address
 
     def _path(
         self, number: int, server_id: str, address: str
@@ -260,6 +380,11 @@
         return paths[server_id]
 
 
+def _pair(address: str) -> tuple[str, int]:
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
 def served_share(tried: Iterable[Tried]) -> float:
     """Returns the share of requests that ended with a server's whole answer."""
     statuses = [one.status for one in tried]
