--- a/tests/builders_out_of_step.py
+++ b/tests/builders_out_of_step.py
@@ -4,13 +4,15 @@
 import itertools
 import json
 import signal
-from collections.abc import Iterable, Iterator, Sequence
+import unittest
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
 import gevent
 from gevent import socket
 
 from mulberrywharf.platform import documents
+from standins import fault_proxy
 from tests import (
     builders_paths,
     builders_platform,
@@ -31,7 +33,8 @@
 
 OLDER, NEWER = "v1", "v1.1"
 _KNOWN_LIMIT_S = HOLD_S + 5.0
-_SERVICES_COUNT = 16
+_SERVICES_COUNT = 48
+_SLOTS_COUNT = 24
 _HEARTBEAT_S = 1.2
 
 
@@ -63,7 +66,7 @@
         return self.taken_count - self.newer_count
 
 
-class OutOfStepCase(test_streams_after_kills.KillCase):
+class Fleet(test_streams_after_kills.KillCase):
     """Four gateways before services with an engine of each version.
 
     The engines of the newer version are registered later. Each scene has
@@ -72,7 +75,11 @@
     """
 
     gateways_count = 4
-    relayed_number: int | None = BEHIND
+    relayed_number = BEHIND
+    proxied_numbers = (BEHIND,)
+
+    def runTest(self) -> None:  # noqa: N802 (unittest's name)
+        """Lets a fleet be made that is no test."""
 
     def start_gateways(self, count: int, **settings: Any) -> None:
         """Starts gateways that know the older engines of all services."""
@@ -128,6 +135,7 @@
             "stage": "decode",
             "address": f"127.0.0.1:{self._engines[server_id].port}",
             "version": version,
+            "slots": _SLOTS_COUNT,
             **changes,
         }
         self.store.put(
@@ -183,20 +191,33 @@
         self,
         services: Iterable[str],
         numbers: Sequence[int] = OTHERS,
-        label: str = "begun",
-    ) -> list[list[str]]:
-        """Begins streams of each service at gateways by turns."""
-        names = [
-            [f"{service}.{label}-{at}" for at in range(STREAMS_COUNT)]
-            for service in services
-        ]
-        beginning = [
-            gevent.spawn(self.begin, numbers[at % len(numbers)], name)
-            for of_service in names
-            for at, name in enumerate(of_service)
+        sets_count: int = 1,
+    ) -> list[list[list[str]]]:
+        """Begins streams at gateways by turns.
+
+        Args:
+            services: The services.
+            numbers: The gateways.
+            sets_count: Sets of streams for each service.
+
+        Returns:
+            The streams of each service, by set.
+        """
+        sets = [
+            [
+                [f"{service}.begun-{one}-{at}" for at in range(STREAMS_COUNT)]
+                for service in services
+            ]
+            for one in range(sets_count)
         ]
-        gevent.joinall(beginning, raise_error=True)
-        return names
+        for names in sets:
+            beginning = [
+                gevent.spawn(self.begin, numbers[at % len(numbers)], name)
+                for of_service in names
+                for at, name in enumerate(of_service)
+            ]
+            gevent.joinall(beginning, raise_error=True)
+        return sets
 
     def take_up(self, number: int, name: str, *, is_named: bool = True) -> int:
         """Takes a stream up at a gateway.
@@ -225,6 +246,7 @@
         *,
         number: int = BEHIND,
         wake_in_s: float | None = None,
+        before_wake: Callable[[], None] = lambda: None,
     ) -> list[Outcome]:
         """Takes streams up, named for the first service, else not.
 
@@ -234,6 +256,7 @@
             number: The gateway.
             wake_in_s: The stopped gateway is woken after this time, None for a
                 running one.
+            before_wake: Called before that.
 
         Returns:
             The outcomes, which are also collected.
@@ -247,6 +270,7 @@
         ]
         if wake_in_s is not None:
             gevent.sleep(wake_in_s)
+            before_wake()
             self.wake(number)
         made = []
         for at, of_service in enumerate(names):
@@ -304,14 +328,64 @@
             self.join(service, NEWER)
         gevent.sleep(SEEN_S)
 
-    def assert_none_joined(self) -> None:
-        """Asserts that no scene so far joined two versions."""
-        for one in self.outcomes:
-            with self.subTest(one.scene):
-                self.assertEqual(one.joined, [])
+    def heal(self) -> None:
+        """Ends all faults and starts killed gateways again."""
+        self.wake(BEHIND)
+        self.cut_peers(())
+        for path in self.store_paths:
+            path.set_faults(mode="pass")
+        self.cut([BEHIND], "pass")
+        for port in self.view_ports:
+            self.store.free_watches(port)
+        self.restart(
+            [
+                number
+                for number, gateway in enumerate(self.gateways)
+                if gateway.poll() is not None
+            ]
+        )
+
+    def replace_in_place(self, service: str) -> None:
+        """Starts the newer engine at the address of the older one."""
+        engine = self.engine(service, OLDER)
+        self.part(service, OLDER)
+        engine.close()
+        engine.restart(f"{service}-{NEWER}")
+        self._engines[f"{service}-{NEWER}"] = engine
+        self.join(service, NEWER)
+
+    def engine(self, service: str, version: str) -> Any:
+        """Returns the engine of a version."""
+        return self._engines[f"{service}-{version}"]
+
+    def path_to(self, service: str, version: str) -> fault_proxy.FaultProxy:
+        """Returns the path of the gateway out of step to an engine."""
+        return self.paths[BEHIND][f"{service}-{version}"]
+
+
+class OutOfStepCase(unittest.TestCase):
+    """Scenes that share a fleet: it takes long to learn its versions."""
 
-    def assert_newer_began(self) -> None:
-        """Asserts that the newer version began streams in each scene."""
-        for one in self.outcomes:
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        cls.fleet = Fleet()
+        cls.addClassCleanup(cls.fleet.doCleanups)
+        cls.fleet.setUp()
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet.outcomes.clear()
+
+    def tearDown(self) -> None:
+        self.fleet.heal()
+        super().tearDown()
+
+    def assert_none_joined(self) -> None:
+        """Asserts that the newer version began streams and none were joined."""
+        for one in self.fleet.outcomes:
             with self.subTest(one.scene):
                 self.assertGreater(one.newer_count, 0)
+                self.assertEqual(one.joined, [])
--- a/tests/builders_paths.py
+++ b/tests/builders_paths.py
@@ -163,10 +163,13 @@
         tenants: Customers in the routes; without any, no request needs a key.
         relayed_number: The gateway whose paths to the others can be cut, None
             for none.
+        proxied_numbers: The gateways with a fault proxy before each server,
+            None for all.
     """
 
     tenants: Sequence[dict[str, Any]] = ()
     relayed_number: int | None = None
+    proxied_numbers: Collection[int] | None = None
 
     def setUp(self) -> None:
         super().setUp()
@@ -333,6 +336,9 @@
 
     def _view_of(self, number: int) -> StoreView:
         def address_of(server_id: str, address: str) -> str:
+            proxied = self.proxied_numbers
+            if proxied is not None and number not in proxied:
+                return address
             return f"127.0.0.1:{self._path(number, server_id, address).port}"
 
         return StoreView(
@@ -373,8 +379,7 @@
     ) -> fault_proxy.FaultProxy:
         paths = self.paths[number]
         if server_id not in paths:
-            ip, _, port = address.rpartition(":")
-            paths[server_id] = fault_proxy.FaultProxy((ip, int(port)))
+            paths[server_id] = fault_proxy.FaultProxy(_pair(address))
             paths[server_id].start()
             self.addCleanup(paths[server_id].close)
         return paths[server_id]
--- a/tests/test_streams_out_of_step.py
+++ b/tests/test_streams_out_of_step.py
@@ -9,90 +9,135 @@
 from collections.abc import Callable, Sequence
 
 import gevent
+from gevent import socket
 
 from standins import datagram_relay
 from tests import builders_out_of_step as build
+from tests import test_gateway
 
 BEHIND, OTHERS = build.BEHIND, build.OTHERS
 OLDER, NEWER = build.OLDER, build.NEWER
 
+STOPPED_S = (0.7, 1.4, 2.2, 3.5)
+KILLED_STOPPED_S = (1.4, 3.5)
 STORE_MODES = ("silent", "cut", "refuse", "half-open-up", "half-open-down")
+KILLED_STORE_MODES = ("silent", "half-open-down")
 PEER_CUTS: dict[str, tuple[datagram_relay.Way, ...]] = {
     "both ways": datagram_relay.WAYS,
     "to it": ("to-first",),
     "from it": ("to-second",),
 }
-DROPPED_AFTER_S = 1.0
-"""How long watches hear nothing before the history is dropped."""
 
 
-class StoppedTest(build.OutOfStepCase):
-    relayed_number = None
-
-    def play(self, pause_s: float, *, are_others_killed: bool) -> None:
-        services = self.next_services()
+class OutOfStepTest(build.OutOfStepCase):
+    def play_stopped(self, pause_s: float, *, are_others_killed: bool) -> None:
+        fleet = self.fleet
+        services = fleet.next_services()
         began_s = time.monotonic()
-        self.stop(BEHIND)
-        self.release_to(services)
-        names = self.begin_streams(services)
+        fleet.stop(BEHIND)
+        fleet.release_to(services)
+        (names,) = fleet.begin_streams(services)
         if are_others_killed:
-            self.kill(OTHERS)
+            fleet.kill(OTHERS)
         left_s = pause_s - (time.monotonic() - began_s)
-        self.take_up_both(
+        fleet.take_up_both(
             f"stopped for {pause_s} s, others "
             + ("killed" if are_others_killed else "alive"),
             names,
             wake_in_s=max(0.05, left_s),
         )
         if are_others_killed:
-            self.restart(OTHERS)
+            fleet.restart(OTHERS)
 
     def test_gateway_that_stood_still_joins_no_versions(self) -> None:
         """Guards against joins by what a gateway knew before it stood still."""
-        for are_others_killed in (False, True):
-            for pause_s in (0.7, 1.4, 2.2, 3.5):
-                self.play(pause_s, are_others_killed=are_others_killed)
-        self.assert_newer_began()
+        for pause_s in STOPPED_S:
+            self.play_stopped(pause_s, are_others_killed=False)
+        for pause_s in KILLED_STOPPED_S:
+            self.play_stopped(pause_s, are_others_killed=True)
         self.assert_none_joined()
 
+    def test_attempt_sent_before_a_restart_in_place_joins_no_versions(
+        self,
+    ) -> None:
+        """Guards against joins by a server that replaced the one decided on."""
+        fleet = self.fleet
+        services = fleet.next_services()
+        (names,) = fleet.begin_streams(services)
+        paths = [fleet.path_to(service, OLDER) for service in services]
+        for path in paths:
+            path.set_faults(mode="freeze")
+            path.reset_all()
+            path.upstream_ports.clear()
+
+        def replace() -> None:
+            fleet.stop(BEHIND)
+            for service in services:
+                fleet.replace_in_place(service)
+            for path in paths:
+                path.set_faults(mode="pass")
 
-class CutOffTest(build.OutOfStepCase):
-    def play(
-        self, scene: str, cut: Callable[[], None], heal: Callable[[], None]
+        outcomes = fleet.take_up_both(
+            "engine replaced in place",
+            names,
+            wake_in_s=0.5,
+            before_wake=replace,
+        )
+        for service, path, one in zip(services, paths, outcomes, strict=True):
+            with self.subTest(one.scene):
+                self.assertTrue(path.upstream_ports)
+                self.assertEqual(one.joined, [])
+                self.assertEqual(self.status_of(service, OLDER), 421)
+                self.assertEqual(self.status_of(service, NEWER), 200)
+
+    def status_of(self, service: str, version: str) -> int:
+        """Asks the newer engine as if it were one of a version."""
+        engine = self.fleet.engine(service, NEWER)
+        with socket.create_connection(("127.0.0.1", engine.port)) as sock:
+            sock.sendall(
+                test_gateway.request(
+                    f"/{service}/x",
+                    fields="x-mulberrywharf-expected-instance: "
+                    f"{service}-{version}\r\n",
+                )
+            )
+            return test_gateway.Answer(test_gateway.read_to_end(sock)).status
+
+    def play_cut_off(
+        self, scene: str, cut: Callable[[], None], *, kills_others: bool = False
     ) -> None:
-        """Takes streams up beside the others, and some once those are killed."""
-        services = self.next_services()
+        """Takes streams up beside the others and, if told, without them."""
+        fleet = self.fleet
+        services = fleet.next_services()
         cut()
-        self.release_to(services)
-        first = self.begin_streams(services)
-        second = self.begin_streams(services, label="later")
-        self.take_up_both(f"{scene}, others alive", first)
-        self.kill(OTHERS)
-        self.take_up_both(f"{scene}, others killed", second)
-        heal()
-        self.restart(OTHERS)
+        fleet.release_to(services)
+        first, second = fleet.begin_streams(services, sets_count=2)
+        fleet.take_up_both(f"{scene}, others alive", first)
+        if kills_others:
+            fleet.kill(OTHERS)
+            fleet.take_up_both(f"{scene}, others killed", second)
+        fleet.heal()
 
     def cut_store(self, mode: str) -> None:
-        self.store_paths[BEHIND].set_faults(mode=mode)
+        path = self.fleet.store_paths[BEHIND]
+        path.set_faults(mode=mode)
         if mode == "refuse":
-            self.store_paths[BEHIND].reset_all()
+            path.reset_all()
 
     def test_gateway_cut_off_from_the_others_joins_no_versions(self) -> None:
         """Guards against joins where no other gateway can be asked."""
         for scene, ways in PEER_CUTS.items():
-            self.play(
+            self.play_cut_off(
                 f"no datagrams {scene}",
-                lambda ways=ways: self.cut_peers(ways),
-                lambda: self.cut_peers(()),
+                lambda ways=ways: self.fleet.cut_peers(ways),
             )
-        self.assert_newer_began()
         self.assert_none_joined()
 
     def test_streams_go_on_at_a_gateway_cut_off_from_the_others(self) -> None:
         """Guards against refusals where one version could begin streams."""
-        self.cut_peers(datagram_relay.WAYS)
-        names = self.begin_streams(self.next_services())
-        for one in self.take_up_both("one version, no datagrams", names):
+        self.fleet.cut_peers(datagram_relay.WAYS)
+        (names,) = self.fleet.begin_streams(self.fleet.next_services())
+        for one in self.fleet.take_up_both("one version", names):
             with self.subTest(one.scene):
                 self.assertEqual(one.joined, [])
                 self.assertGreaterEqual(
@@ -102,19 +147,18 @@
     def test_gateway_cut_off_from_the_store_joins_no_versions(self) -> None:
         """Guards against joins by a list that can't be read anew."""
         for mode in STORE_MODES:
-            self.play(
+            self.play_cut_off(
                 f"store {mode}",
                 lambda mode=mode: self.cut_store(mode),
-                lambda: self.cut_store("pass"),
+                kills_others=mode in KILLED_STORE_MODES,
             )
-        self.assert_newer_began()
         self.assert_none_joined()
 
     def test_gateway_cut_off_from_all_joins_no_versions(self) -> None:
         """Guards against joins where neither store nor gateways answer."""
 
         def cut(ways: Sequence[datagram_relay.Way], mode: str) -> None:
-            self.cut_peers(ways)
+            self.fleet.cut_peers(ways)
             self.cut_store(mode)
 
         for mode, way in (
@@ -122,110 +166,82 @@
             ("half-open-up", "from it"),
             ("half-open-down", "to it"),
         ):
-            self.play(
+            self.play_cut_off(
                 f"store {mode} and no datagrams {way}",
                 lambda mode=mode, way=way: cut(PEER_CUTS[way], mode),
-                lambda: cut((), "pass"),
             )
-        self.assert_newer_began()
         self.assert_none_joined()
 
-
-class WatchBehindTest(build.OutOfStepCase):
-    relayed_number = None
-
-    def assert_older_went_on(self, outcomes: Sequence[build.Outcome]) -> None:
-        """Asserts that named streams of the version that it knows went on."""
-        named = outcomes[0]
-        with self.subTest(f"{named.scene}: the older version's go on"):
+    def take_up_beside_and_without_others(
+        self, scene: str, services: Sequence[str]
+    ) -> None:
+        fleet = self.fleet
+        fleet.release_to(services)
+        first, second = fleet.begin_streams(services, sets_count=2)
+        named, _ = fleet.take_up_both(f"{scene}, others alive", first)
+        fleet.kill(OTHERS)
+        fleet.take_up_both(f"{scene}, others killed", second)
+        self.assert_none_joined()
+        with self.subTest(f"{scene}: the older version's streams go on"):
             self.assertEqual(named.older_went_on_count, named.older_count)
 
     def test_gateway_whose_watch_hears_nothing_joins_no_versions(self) -> None:
         """Guards against joins by a watch that skips changes."""
-        services = self.next_services()
-        self.store.hold_watches(self.view_ports[BEHIND])
-        self.release_to(services)
-        names = self.begin_streams(services)
-        later = self.begin_streams(services, label="later")
-        alive = self.take_up_both("watch held, others alive", names)
-        self.kill(OTHERS)
-        self.take_up_both("watch held, others killed", later)
-        self.store.free_watches(self.view_ports[BEHIND])
-        self.restart(OTHERS)
-        self.assert_newer_began()
-        self.assert_none_joined()
-        self.assert_older_went_on(alive)
+        services = self.fleet.next_services()
+        self.fleet.store.hold_watches(self.fleet.view_ports[BEHIND])
+        self.take_up_beside_and_without_others("watch held", services)
 
     def test_gateway_told_of_few_changes_joins_no_versions(self) -> None:
         """Guards against joins by an answer that holds only some changes."""
-        services = self.next_services()
-        port = self.view_ports[BEHIND]
-        self.store.slow_watches(port, events_count=1, pause_s=0.3)
+        services = self.fleet.next_services()
+        self.fleet.store.slow_watches(
+            self.fleet.view_ports[BEHIND], events_count=1, pause_s=0.3
+        )
         for _ in range(10):
             for service in services:
-                self.join(service, OLDER)
-        self.release_to(services)
-        names = self.begin_streams(services)
-        later = self.begin_streams(services, label="later")
-        alive = self.take_up_both("watch slow, others alive", names)
-        self.kill(OTHERS)
-        self.take_up_both("watch slow, others killed", later)
-        self.store.free_watches(port)
-        self.restart(OTHERS)
-        self.assert_newer_began()
+                self.fleet.join(service, OLDER)
+        self.take_up_beside_and_without_others("watch slow", services)
+
+    def test_version_that_left_unseen_is_not_forgotten(self) -> None:
+        """Guards against joins by a history lent without a passed version."""
+        fleet = self.fleet
+        with fleet.heartbeats():
+            services = fleet.next_services()
+            fleet.store.hold_watches(fleet.view_ports[BEHIND])
+            fleet.release_to(services)
+            first, second = fleet.begin_streams(services, sets_count=2)
+            for service in services:
+                fleet.part(service, NEWER)
+            gevent.sleep(build.SEEN_S)
+            fleet.kill(OTHERS)
+            fleet.restart([0])
+            fleet.take_up_both("version left, new gateway", first, number=0)
+            fleet.take_up_both("version left, gateway behind", second)
         self.assert_none_joined()
-        self.assert_older_went_on(alive)
 
-    def test_gateways_whose_history_is_dropped_join_no_versions(self) -> None:
+    def test_watches_that_lose_their_history_join_no_versions(self) -> None:
         """Guards against joins while the store drops its history.
 
-        One gateway starts and reads all records, while the watches of the
-        others hear nothing.
+        A gateway that starts reads all records, while the watches of the others
+        hear nothing.
         """
-        services = self.next_services()
-        self.kill([0])
-        for port in self.view_ports[1:]:
-            self.store.stop_watches(port)
+        fleet = self.fleet
+        services = fleet.next_services()
+        fleet.kill([0])
+        for port in fleet.view_ports[1:]:
+            fleet.store.stop_watches(port)
         for service in services:
-            self.join(service, NEWER)
-        self.restart([0])
-        names = self.begin_streams(services, [0])
-        later = self.begin_streams(services, [0], label="later")
-        last = self.begin_streams(services, [0], label="last")
-        self.take_up_both("watches hear nothing, others alive", names)
-        self.kill([0, 1, 2])
-        self.take_up_both("watches hear nothing, others killed", later)
-        for port in self.view_ports:
-            self.store.free_watches(port)
-        self.store.hang_watches()
-        self.store.drop_history()
-        self.take_up_both("history dropped, others killed", last)
-        self.restart([0, 1, 2])
-        self.assert_newer_began()
-        self.assert_none_joined()
-
-    def test_history_of_a_gateway_that_missed_a_version_joins_none(
-        self,
-    ) -> None:
-        """Guards against joins by a history lent without the passed version."""
-        with self.heartbeats():
-            services = self.next_services()
-            self.store.hold_watches(self.view_ports[BEHIND])
-            self.release_to(services)
-            names = self.begin_streams(services)
-            later = self.begin_streams(services, label="later")
-            for service in services:
-                self.part(service, NEWER)
-            gevent.sleep(build.SEEN_S)
-            self.kill(OTHERS)
-            self.restart([0])
-            self.take_up_both(
-                "passed version, at a new gateway", names, number=0
-            )
-            self.take_up_both("passed version, at the one behind", later)
-            self.store.free_watches(self.view_ports[BEHIND])
-            self.restart([1, 2])
-        self.assert_newer_began()
+            fleet.join(service, NEWER)
+        fleet.restart([0])
+        sets = fleet.begin_streams(services, [0], sets_count=3)
+        fleet.take_up_both("watches stopped, others alive", sets[0])
+        fleet.kill(OTHERS)
+        fleet.take_up_both("watches stopped, others killed", sets[1])
+        for port in fleet.view_ports:
+            fleet.store.free_watches(port)
+        fleet.store.hang_watches()
+        fleet.store.drop_history()
+        fleet.take_up_both("history dropped, others killed", sets[2])
         self.assert_none_joined()
 
 
