--- a/tests/test_streams_out_of_step.py
+++ b/tests/test_streams_out_of_step.py
@@ -13,7 +13,7 @@
 
 from standins import datagram_relay
 from tests import builders_out_of_step as build
-from tests import test_gateway
+from tests import builders_gateways, test_gateway
 
 BEHIND, OTHERS = build.BEHIND, build.OTHERS
 OLDER, NEWER = build.OLDER, build.NEWER
@@ -215,6 +215,9 @@
             gevent.sleep(build.SEEN_S)
             fleet.kill(OTHERS)
             fleet.restart([0])
+            self.assertTrue(
+                builders_gateways.know_each_other([fleet.gateways[0]] * 2)
+            )
             fleet.take_up_both("version left, new gateway", first, number=0)
             fleet.take_up_both("version left, gateway behind", second)
         self.assert_none_joined()
