--- a/tests/builders_out_of_step.py
+++ b/tests/builders_out_of_step.py
@@ -35,6 +35,7 @@
 _KNOWN_LIMIT_S = HOLD_S + 5.0
 _SERVICES_COUNT = 48
 _SLOTS_COUNT = 24
+_MORE_ROUNDS_COUNT = 4
 _HEARTBEAT_S = 1.2
 
 
@@ -203,22 +204,44 @@
         Returns:
             The streams of each service, by set.
         """
-        sets = [
-            [
-                [f"{service}.begun-{one}-{at}" for at in range(STREAMS_COUNT)]
-                for service in services
-            ]
-            for one in range(sets_count)
-        ]
-        for names in sets:
-            beginning = [
-                gevent.spawn(self.begin, numbers[at % len(numbers)], name)
-                for of_service in names
-                for at, name in enumerate(of_service)
+        sets = []
+        for one in range(sets_count):
+            names = [
+                self._names(f"{service}.begun-{one}") for service in services
             ]
-            gevent.joinall(beginning, raise_error=True)
+            self._begin_at(numbers, itertools.chain.from_iterable(names))
+            for of_service in names:
+                self._begin_newer(numbers, of_service)
+            sets.append(names)
         return sets
 
+    def _names(self, prefix: str) -> list[str]:
+        return [f"{prefix}-{at}" for at in range(STREAMS_COUNT)]
+
+    def _begin_at(self, numbers: Sequence[int], names: Iterable[str]) -> None:
+        beginning = [
+            gevent.spawn(self.begin, numbers[at % len(numbers)], name)
+            for at, name in enumerate(names)
+        ]
+        gevent.joinall(beginning, raise_error=True)
+
+    def _begin_newer(self, numbers: Sequence[int], names: list[str]) -> None:
+        """Begins more streams until the newer version has begun some.
+
+        Gateways choose the engines, and may choose the older one each time.
+        """
+        service = names[0].partition(".")[0]
+        engine = self._engines[f"{service}-{NEWER}"]
+        if f"{service}-{NEWER}" not in self._registered:
+            return
+        for round_count in range(_MORE_ROUNDS_COUNT):
+            begun = {arrival.request_id for arrival in engine.arrivals}
+            if begun.intersection(names):
+                return
+            more = self._names(f"{names[0]}-{round_count}")
+            self._begin_at(numbers, more)
+            names += more
+
     def take_up(self, number: int, name: str, *, is_named: bool = True) -> int:
         """Takes a stream up at a gateway.
 
