Wait for the histories of two services at once

Each scene waits until the gateway that is to be out of step infers the version of both of its services. It waited for one after the other, and the module took longer than needed.

--- a/tests/builders_out_of_step.py
+++ b/tests/builders_out_of_step.py
@@ -174,20 +174,23 @@
         nothing.
         """
         found = [f"s{next(self._unused)}" for _ in range(count)]
-        for service in found:
-            name = f"{service}.control"
-            self.begin(BEHIND, name)
-            self.assertTrue(
-                builders_platform.wait_until(
-                    lambda name=name: (
-                        self.take_up(BEHIND, name, is_named=False) == 200
-                    ),
-                    _KNOWN_LIMIT_S,
-                ),
-                f"nothing is inferred for {service}",
-            )
+        gevent.joinall(
+            [gevent.spawn(self._await_inference, one) for one in found],
+            raise_error=True,
+        )
         return found
 
+    def _await_inference(self, service: str) -> None:
+        name = f"{service}.control"
+        self.begin(BEHIND, name)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.take_up(BEHIND, name, is_named=False) == 200,
+                _KNOWN_LIMIT_S,
+            ),
+            f"nothing is inferred for {service}",
+        )
+
     def begin_streams(
         self,
         services: Iterable[str],
