--- a/bench/stream_version_play.py
+++ b/bench/stream_version_play.py
@@ -127,7 +127,7 @@
     def learn(self) -> None:
         """Reads which servers there are."""
         self.versions = self.play.versions()
-        servers = [_SERVERS[one] for one in self.versions]
+        servers = [SERVERS[one] for one in self.versions]
         if self.history.set_servers(servers, self.play.loop.now_s):
             self.origins.tell_untold()
 
@@ -322,7 +322,7 @@
         gateway.origins.ask(stream, end)
 
 
-_SERVERS = {
+SERVERS = {
     version: fleet.Server(
         fleet.ServerStart(f"engine-{version}"),
         SERVICE,
