--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -464,7 +464,10 @@
 
     def _report_change(self) -> None:
         for gateway in self.gateways:
-            gateway.call_later(self.rng.uniform(*_LEARN_S), gateway.learn)
+            if gateway.stands_still:
+                self.at_end_of_fault(gateway, gateway.learn)
+            else:
+                gateway.call_later(self.rng.uniform(*_LEARN_S), gateway.learn)
 
     def _wake(self) -> None:
         for gateway in self.out:
