Play confirmation by records and changes, and lenders that confirm

The play follows ServerList.confirm_versions, StreamOrigins' confirmation of what it lends, and the date of contact.

--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -10,14 +10,17 @@
 taken up, which share went on, and how many went on at another version.
 """
 
+import collections
 import itertools
+import math
 import random
 import sys
 from collections.abc import Callable, Iterable
-from typing import Literal, NamedTuple
+from typing import Literal, NamedTuple, get_args
 
 from bench import stream_version_play, virtual_time
 from mulberrywharf import fleet
+from mulberrywharf.forwarding import servers
 from mulberrywharf.peers import stream_origins, topics
 from mulberrywharf.policy import stream_keepers, stream_version
 
@@ -40,9 +43,9 @@
   to the store work.
 """
 
-Way = Literal["watch", "records"]
-"""How a gateway confirms that it knows all versions: by the changes that the
-watch would report, or by a read of all records."""
+Way = Literal["changes", "records"]
+"""How a gateway confirms that it knows all versions: by the changes since its
+watch's last report, which may be as late, or by all records as well."""
 
 JOIN_S = 3.0
 OUT_BEGIN_S = JOIN_S - 0.3
@@ -63,11 +66,10 @@
 _CONTACT_S = (0.5, 2.0)
 """Time between two calls of a gateway to the store."""
 
-_FOLLOW_S = 0.25
+_FOLLOW_S = 0.2
 _READ_S = 0.004
-_READ_PAUSE_S = 0.05
 _READ_TIMEOUT_S = 1.0
-_AWAIT_WATCH_S = 0.5
+_CONFIRM_PAUSE_S = 0.5
 _POLL_S = 0.01
 _RECORD_BYTES = 350
 _SERVERS_COUNT = {9: 5, 60: 150, 195: 488, 340: 850}
@@ -99,7 +101,7 @@
     zones_count: int = 3
     fault: Fault = "none"
     out_s: float = OUT_S[1]
-    way: Way = "watch"
+    way: Way = "records"
     kills_others: bool = False
     is_canary: bool = False
     joins: bool = True
@@ -117,8 +119,9 @@
         refusals: How many were refused, by the reason.
         contactless_count: Those taken up at a gateway that could not read the
             store, or not ask other gateways.
-        refused_in_contact_count: Those refused at other gateways though their
-            version served and they were named and told, or it was the only one.
+        known_in_contact_count: Those taken up at other gateways whose version
+            served and that were named and told, or it was the only one.
+        refused_in_contact_count: Those of them that were refused.
         reads_per_s: Reads of the records by one gateway in its busiest second.
         read_bytes_per_s: Their bytes.
     """
@@ -126,8 +129,9 @@
     taken_up_count: int
     went_on_count: int
     joined_count: int
-    refusals: dict[str, int]
+    refusals: collections.Counter[str]
     contactless_count: int
+    known_in_contact_count: int
     refused_in_contact_count: int
     reads_per_s: int
     read_bytes_per_s: int
@@ -177,15 +181,20 @@
         known_s = stream_version.LEAST_HOLD_S if now_s == 0.0 else 0.0
         self.history.set_following(True, now_s - known_s)
         self.contact_s = now_s
-        self.was_current = False
+        self.has_outage = False
+        self.outage_end_s = -math.inf
+        self.readings_count = 1
+        self.basis = True, 1
         self.origins = stream_origins.StreamOrigins(
             self,
             self,  # type: ignore[arg-type]
             self.history,
             self.play.loop,
+            self.confirm_versions,
             self.call_later,
         )
         self.origins.set_services([stream_version_play.SERVICE])
+        self.history.set_contact(now_s)
         self.awaiting: list[Callable[[bool], None]] = []
         self.is_confirming = False
         self.versions: list[str] = []
@@ -257,16 +266,24 @@
             call()
 
     def _keep_contact(self) -> None:
-        if self.has_store:
+        if not self.has_store:
+            self.has_outage = True
+        else:
             self.contact_s = self.play.loop.now_s
+            if self.has_outage:
+                self.has_outage = False
+                self.outage_end_s = self.contact_s
         self.call_later(self.play.rng.uniform(*_CONTACT_S), self._keep_contact)
 
     def _follow(self) -> None:
         now_s = self.play.loop.now_s
-        self.history.set_confirmed(self.contact_s)
-        is_current = self.history.is_current(now_s)
-        if is_current != self.was_current:
-            self.was_current = is_current
+        self.history.set_following(
+            True, now_s, readings_count=self.readings_count
+        )
+        self.history.set_contact(self.contact_s)
+        basis = self.history.is_current(now_s), self.readings_count
+        if basis != self.basis:
+            self.basis = basis
             self.origins.tell_untold()
         self.call_later(_FOLLOW_S, self._follow)
 
@@ -284,71 +301,79 @@
             self.origins.tell_untold()
 
     def _set(self, versions: list[str]) -> bool:
-        servers = [stream_version_play.SERVERS[one] for one in versions]
-        return self.history.set_servers(servers, self.play.loop.now_s)
+        known = [stream_version_play.SERVERS[one] for one in versions]
+        return self.history.set_servers(known, self.play.loop.now_s)
+
+    def confirm_versions(
+        self,
+        then: Callable[[], None],
+        otherwise: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Confirms the history of versions, as ``Gateway`` does."""
+        asked_s = self.play.loop.now_s
+        waiting = [True]
+
+        def end(is_confirmed: bool) -> None:
+            if not waiting:
+                return
+            waiting.clear()
+            if is_confirmed:
+                self.history.set_confirmed(asked_s)
+                then()
+            else:
+                otherwise()
 
-    def confirm(self, on_end: Callable[[bool], None]) -> None:
-        """Confirms that it knows all versions, as ``ServerList`` does."""
-        self.awaiting.append(on_end)
+        self.awaiting.append(end)
+        self.call_later(servers.CONFIRM_LIMIT_S, end, False)
         if not self.is_confirming:
-            self._read()
+            self._confirm_next()
 
-    def _read(self) -> None:
+    def _confirm_next(self) -> None:
+        """Compares the list with the store's, as ``ServerList`` does."""
+        self.is_confirming = bool(self.awaiting)
         if not self.awaiting:
-            self.is_confirming = False
             return
-        self.is_confirming = True
         awaiting, self.awaiting = self.awaiting, []
-        self.read_times_s.append(self.play.loop.now_s)
-        # A read that began in contact is answered as of now.
-        reaches = self.has_store
+        began_s = self.play.loop.now_s
+        readings_count = self.readings_count
+        has_read = self.has_store
+        self.read_times_s.append(began_s)
+        changed_s = 0.0
         if self.play.scene.way == "records":
-            found = self.play.versions()
-        elif self.is_watch_late:
-            found = self.versions
-        else:
-            found = self.play.versions_since(self.learned_s)
-        known_s = self.learned_s
-
-        def end() -> None:
-            if reaches:
-                self.contact_s = self.play.loop.now_s
-                self.history.set_confirmed(self.contact_s)
-            self._await_versions(
-                found,
-                known_s,
-                awaiting,
-                reaches,
-                self.play.loop.now_s + _AWAIT_WATCH_S,
-            )
-
-        self.call_later(_READ_S if reaches else _READ_TIMEOUT_S, end)
-
-    def _await_versions(
-        self,
-        found: list[str],
-        read_s: float,
-        awaiting: list[Callable[[bool], None]],
-        has_read: bool,
-        ends_s: float,
-    ) -> None:
-        is_known = set(found) <= set(self.versions) or self.learned_s > read_s
-        if has_read and not is_known and self.play.loop.now_s < ends_s:
-            if not self.is_watch_late:
-                self.learn()
-            self.call_later(
-                _POLL_S,
-                self._await_versions,
-                found,
-                read_s,
-                awaiting,
-                has_read,
-                ends_s,
-            )
-            return
-        for on_end in awaiting:
-            on_end(has_read and is_known)
-        self.call_later(_READ_PAUSE_S, self._read)
+            changed_s = self.play.joined_s()
+        if not self.is_watch_late:
+            changed_s = max(changed_s, self.play.changed_s())
+
+        def end(is_confirmed: bool) -> None:
+            for on_end in awaiting:
+                on_end(is_confirmed)
+            self.call_later(_CONFIRM_PAUSE_S, self._confirm_next)
+
+        def compare() -> None:
+            now_s = self.play.loop.now_s
+            outage_age_s = now_s - self.outage_end_s
+            if not has_read or outage_age_s < servers.DEFAULT_MISSING_HOLD_S:
+                end(False)
+            elif self.learned_s >= changed_s:
+                end(self.readings_count == readings_count)
+            elif now_s >= began_s + servers.CONFIRM_LIMIT_S:
+                self._read_again()
+                end(False)
+            else:
+                if not self.is_watch_late:
+                    self.learn()
+                self.call_later(_POLL_S, compare)
+
+        self.call_later(_READ_S if has_read else _READ_TIMEOUT_S, compare)
+
+    def _read_again(self) -> None:
+        """Reads all records, which lack what came and left meanwhile."""
+        if self.has_store:
+            self.readings_count += 1
+            self.learned_s = self.play.loop.now_s
+            self.versions = self.play.versions()
+            if self._set(self.versions):
+                self.origins.tell_untold()
 
     def register(self, topic: topics.Topic, handler: topics.Handler) -> None:
         self.handler = handler
@@ -398,8 +423,9 @@
         self.numbers = itertools.count()
         self.open: dict[str, tuple[_Gateway, _Stream, float]] = {}
         self.taken_up_count = self.went_on_count = self.joined_count = 0
-        self.contactless_count = self.refused_in_contact_count = 0
-        self.refusals: dict[str, int] = {}
+        self.contactless_count = self.known_in_contact_count = 0
+        self.refused_in_contact_count = 0
+        self.refusals: collections.Counter[str] = collections.Counter()
 
     @property
     def is_out_time(self) -> bool:
@@ -429,6 +455,17 @@
         )
         return list(stream_version_play.VERSIONS[: 2 if has_newer else 1])
 
+    def joined_s(self) -> float:
+        """Returns when a server joined whose record is there, 0 if none is."""
+        return JOIN_S if len(self.versions()) > 1 else 0.0
+
+    def changed_s(self) -> float:
+        """Returns when the records were last changed, 0 if never."""
+        if not self.scene.joins or self.loop.now_s < JOIN_S:
+            return 0.0
+        has_left = self.scene.is_canary and self.loop.now_s >= self._leaves_s
+        return self._leaves_s if has_left else JOIN_S
+
     def at_end_of_fault(
         self, gateway: _Gateway, call: Callable[[], None]
     ) -> None:
@@ -457,6 +494,7 @@
             self.joined_count,
             self.refusals,
             self.contactless_count,
+            self.known_in_contact_count,
             self.refused_in_contact_count,
             reads,
             reads * servers_count * _RECORD_BYTES,
@@ -581,50 +619,47 @@
     ) -> None:
         """Decides where a stream goes on, as ``StreamVersions`` does."""
         service = one.stream.service
-        seen = gateway.history.seen(service, self.loop.now_s)
 
-        def end(is_confirmed: bool) -> None:
+        def decide() -> None:
             now_seen = gateway.history.seen(service, self.loop.now_s)
-            if is_confirmed:
-                self._note(gateway, one, had_contact, origin, now_seen)
-                return
-            self._note(
-                gateway,
-                one,
-                had_contact,
-                stream_version.Unknown("no-reply"),
-                now_seen._replace(is_complete=False),
-            )
-
-        if seen.is_single and isinstance(origin, stream_version.Unknown):
-            gateway.confirm(end)
+            decided = stream_version.decide(origin, now_seen)
+            self._note(gateway, one, had_contact, decided)
+
+        def refuse() -> None:
+            refused = stream_version.Refused("no-reply")
+            self._note(gateway, one, had_contact, refused)
+
+        seen = gateway.history.seen(service, self.loop.now_s)
+        if stream_version.needs_confirmation(origin, seen):
+            gateway.confirm_versions(decide, refuse)
         else:
-            self._note(gateway, one, had_contact, origin, seen)
+            decide()
 
     def _note(
         self,
         gateway: _Gateway,
         one: _Stream,
         had_contact: bool,
-        origin: stream_version.Origin,
-        seen: stream_version.SeenVersions,
+        decided: stream_version.Continuation,
     ) -> None:
         if self.loop.now_s < JOIN_S:
             return
-        decided = stream_version.decide(origin, seen)
         has_contact = had_contact and gateway.has_contact
+        is_known = (
+            has_contact
+            and (not self.scene.joins or (one.is_named and one.is_told))
+            and one.version in self.versions()
+        )
         self.taken_up_count += 1
         self.contactless_count += not has_contact
+        self.known_in_contact_count += is_known
         if isinstance(decided, stream_version.Only):
             self.went_on_count += 1
             began_key = stream_version.key_of(one.version)
             self.joined_count += decided.version_key != began_key
-            return
-        self.refusals[decided.reason] = self.refusals.get(decided.reason, 0) + 1
-        is_known = not self.scene.joins or (one.is_named and one.is_told)
-        self.refused_in_contact_count += (
-            has_contact and is_known and one.version in self.versions()
-        )
+        else:
+            self.refusals[decided.reason] += 1
+            self.refused_in_contact_count += is_known
 
 
 def _most_in_a_second(times_s: list[float]) -> int:
@@ -642,16 +677,7 @@
     return _Play(scene, seed).run()
 
 
-FAULTS: tuple[Fault, ...] = (
-    "none",
-    "stands still",
-    "no gateways",
-    "no store",
-    "no gateways, no store",
-    "no replies",
-    "no questions",
-    "late watch",
-)
+FAULTS: tuple[Fault, ...] = get_args(Fault)
 
 
 def scenes() -> dict[str, Scene]:
@@ -670,12 +696,13 @@
 def describe(outcome: Outcome) -> str:
     """Returns what a play came to, on one line."""
     taken_up = max(1, outcome.taken_up_count)
-    refused_share = sum(outcome.refusals.values()) / taken_up
+    refused_share = outcome.refusals.total() / taken_up
     return (
         f"{outcome.taken_up_count:5} taken up, {outcome.went_on_share:.3f} went"
         f" on, {refused_share:.3f} refused, {outcome.joined_count:3} joined,"
         f" {outcome.contactless_count:4} without contact,"
-        f" {outcome.refused_in_contact_count:3} refused in contact,"
+        f" {outcome.refused_in_contact_count:3} of"
+        f" {outcome.known_in_contact_count:4} known ones refused in contact,"
         f" {outcome.reads_per_s:2} reads/s,"
         f" {outcome.read_bytes_per_s / 1000:.0f} KB/s"
     )
@@ -686,7 +713,7 @@
     sizes = [int(one) for one in sys.argv[1:]] or stream_version_play.SIZES
     for gateways_count in sizes:
         for name, scene in scenes().items():
-            for way in ("watch", "records"):
+            for way in ("changes", "records"):
                 outcome = play(
                     scene._replace(
                         gateways_count=gateways_count,
