--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -69,7 +69,9 @@
 _FOLLOW_S = 0.2
 _READ_S = 0.004
 _READ_TIMEOUT_S = 1.0
-_CONFIRM_PAUSE_S = 0.5
+_CONFIRM_INTERVAL_S = 0.5
+_CATCH_UP_S = 0.8
+_MISSING_HOLD_S = servers.DEFAULT_MISSING_HOLD_S
 _POLL_S = 0.01
 _RECORD_BYTES = 350
 _SERVERS_COUNT = {9: 5, 60: 150, 195: 488, 340: 850}
@@ -347,16 +349,17 @@
         def end(is_confirmed: bool) -> None:
             for on_end in awaiting:
                 on_end(is_confirmed)
-            self.call_later(_CONFIRM_PAUSE_S, self._confirm_next)
+            pause_s = began_s + _CONFIRM_INTERVAL_S - self.play.loop.now_s
+            self.call_later(max(0.0, pause_s), self._confirm_next)
 
         def compare() -> None:
             now_s = self.play.loop.now_s
-            outage_age_s = now_s - self.outage_end_s
-            if not has_read or outage_age_s < servers.DEFAULT_MISSING_HOLD_S:
+            if not has_read:
                 end(False)
             elif self.learned_s >= changed_s:
-                end(self.readings_count == readings_count)
-            elif now_s >= began_s + servers.CONFIRM_LIMIT_S:
+                is_after = now_s - self.outage_end_s >= _MISSING_HOLD_S
+                end(is_after and self.readings_count == readings_count)
+            elif now_s >= began_s + _CATCH_UP_S:
                 self._read_again()
                 end(False)
             else:
@@ -620,20 +623,21 @@
         """Decides where a stream goes on, as ``StreamVersions`` does."""
         service = one.stream.service
 
-        def decide() -> None:
+        def end(is_confirmed: bool) -> None:
             now_seen = gateway.history.seen(service, self.loop.now_s)
-            decided = stream_version.decide(origin, now_seen)
+            decided: stream_version.Continuation = (
+                stream_version.decide(origin, now_seen)
+                if is_confirmed
+                or not stream_version.needs_confirmation(origin, now_seen)
+                else stream_version.Refused("no-reply")
+            )
             self._note(gateway, one, had_contact, decided)
 
-        def refuse() -> None:
-            refused = stream_version.Refused("no-reply")
-            self._note(gateway, one, had_contact, refused)
-
         seen = gateway.history.seen(service, self.loop.now_s)
         if stream_version.needs_confirmation(origin, seen):
-            gateway.confirm_versions(decide, refuse)
+            gateway.confirm_versions(lambda: end(True), lambda: end(False))
         else:
-            decide()
+            end(True)
 
     def _note(
         self,
--- a/tests/test_out_of_step_play.py
+++ b/tests/test_out_of_step_play.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from bench import out_of_step_play, stream_version_play
-from tests import test_stream_version_play
 
 SHORTEST_S, MIDDLE_S, LONGEST_S = out_of_step_play.OUT_S
 
@@ -13,8 +12,7 @@
     """No stream holds events of two versions.
 
     One that its gateway can find is refused only where the gateway can't read
-    the store or ask others. Where only the watch is late, operators' least
-    share goes on.
+    the store or ask others.
     """
 
     def play(
@@ -36,13 +34,7 @@
                 # Killed gateways take along where streams began.
                 if changes.get("kills_others"):
                     continue
-                limit = 0.0
-                if fault == "late watch":
-                    limit = 1.0 - test_stream_version_play.LEAST_SHARE
-                self.assertLessEqual(
-                    outcome.refused_in_contact_count,
-                    limit * outcome.known_in_contact_count,
-                )
+                self.assertEqual(outcome.refused_in_contact_count, 0)
 
     def test_no_versions_are_joined_at_9_gateways(self) -> None:
         """Guards against a stream that goes on at another version."""
