--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -201,7 +201,7 @@
         self.is_confirming = False
         self.versions: list[str] = []
         self.learned_s = now_s
-        self.postponed: list[Callable[[], None]] = []
+        self.postponed: list[Callable[[], object]] = []
         self._keep_contact()
         self._follow()
         self.learn()
@@ -243,7 +243,9 @@
     def is_watch_late(self) -> bool:
         return not self.has_store or self._is_out("late watch")
 
-    def call_later(self, delay_s: float, call: Callable, *args: object) -> None:  # type: ignore[type-arg]
+    def call_later(
+        self, delay_s: float, call: Callable[..., object], *args: object
+    ) -> None:
         """Calls a function of this process, as it wakes at the earliest."""
         process_number = self.process_number
 
@@ -253,7 +255,10 @@
 
         self.play.loop.after(delay_s, run)
 
-    def when_awake(self, call: Callable[[], None], *, is_first: bool = False):  # type: ignore[no-untyped-def]
+    def when_awake(
+        self, call: Callable[[], object], *, is_first: bool = False
+    ) -> None:
+        """Calls a function now, or as the process wakes."""
         if not self.stands_still:
             call()
         elif is_first:
@@ -540,7 +545,7 @@
         def arrive() -> None:
             if receiver.is_up:
                 receiver.when_awake(
-                    lambda: receiver.handler(body, sender.address) and None
+                    lambda: receiver.handler(body, sender.address)
                 )
 
         self.loop.after(self.rng.uniform(*_MESSAGE_S), arrive)
@@ -717,12 +722,12 @@
     sizes = [int(one) for one in sys.argv[1:]] or stream_version_play.SIZES
     for gateways_count in sizes:
         for name, scene in scenes().items():
-            for way in ("changes", "records"):
+            for way in get_args(Way):
                 outcome = play(
                     scene._replace(
                         gateways_count=gateways_count,
                         zones_count=stream_version_play.SIZES[gateways_count],
-                        way=way,  # type: ignore[arg-type]
+                        way=way,
                     )
                 )
                 print(
