--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -283,6 +283,11 @@
         self.call_later(self.play.rng.uniform(*_CONTACT_S), self._keep_contact)
 
     def _follow(self) -> None:
+        self._follow_versions()
+        self.call_later(_FOLLOW_S, self._follow)
+
+    def _follow_versions(self) -> None:
+        """Tells the history of its basis, as ``Gateway`` does."""
         now_s = self.play.loop.now_s
         self.history.set_following(
             True, now_s, readings_count=self.readings_count
@@ -292,7 +297,6 @@
         if basis != self.basis:
             self.basis = basis
             self.origins.tell_untold()
-        self.call_later(_FOLLOW_S, self._follow)
 
     def learn(self) -> None:
         """Applies what its watch of the servers reports."""
@@ -324,6 +328,7 @@
             if not waiting:
                 return
             waiting.clear()
+            self._follow_versions()
             if is_confirmed:
                 self.history.set_confirmed(asked_s)
                 then()
