Confirm no list by changes of an earlier revision than the records

A version that had come and left while a gateway's watch was behind was missing from a history that had just been confirmed: no record of it was left, and the changes, read through the same channel as the watch's, ended before it. The store says how far such an answer goes, and nothing looked at it. The list is confirmed only if the changes go as far as the records do.

--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -351,8 +351,11 @@
         has_read = self.has_store
         self.read_times_s.append(began_s)
         changed_s = 0.0
+        is_behind = False
         if self.play.scene.way == "records":
             changed_s = self.play.joined_s()
+            # The changes are of an earlier revision than the records.
+            is_behind = self.is_watch_late
         if not self.is_watch_late:
             changed_s = max(changed_s, self.play.changed_s())
 
@@ -368,7 +371,8 @@
                 end(False)
             elif self.learned_s >= changed_s:
                 is_after = now_s - self.outage_end_s >= _MISSING_HOLD_S
-                end(is_after and self.readings_count == readings_count)
+                is_same = self.readings_count == readings_count
+                end(is_after and is_same and not is_behind)
             elif now_s >= began_s + _CATCH_UP_S:
                 self._read_again()
                 end(False)
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -239,7 +239,7 @@
         if watched is None or not watched.has_read_all:
             return "unread"
         readings_count = watched.readings_count
-        read = self._client.get_prefix(
+        read = self._client.read_for_watch(
             self._source.servers_prefix, purpose=CONFIRM_PURPOSE
         )
         if isinstance(read, Err):
@@ -251,15 +251,17 @@
         )
         if isinstance(changed, Err):
             return "unread"
-        events = changed.ok_value.events
-        found = [*read.ok_value, *(event.key_value for event in events)]
+        records, state = read.ok_value
+        changes = changed.ok_value
+        found = [*records, *(one.key_value for one in changes.events)]
         if not watched.has_reported(found):
             watched.reopen_if_waiting()
         if not _wait_reported(watched, found, _CATCH_UP_LIMIT_S):
             # Versions may have come and left, but those of now can be known.
             watched.read_again()
             _wait_reported(watched, found, _READ_AGAIN_LIMIT_S)
-        if watched.readings_count != readings_count:
+        is_behind = changes.state.revision < state.revision
+        if is_behind or watched.readings_count != readings_count:
             return "behind"
         if self._client.outage_age_s() < self._missing_hold_s:
             return "after-outage"
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -54,6 +54,25 @@
             self.assertEqual(len(self.list.usable("plain")), 2)
             self.assertEqual(self.list.readings_count, 2)
 
+    def test_versions_are_not_confirmed_by_changes_of_before(self) -> None:
+        """Guards against a version that left and that no answer shows yet."""
+        port = self.store.add_view(lambda _, value: value)
+        client = build.store_client(port)
+        self.addCleanup(client.close)
+        behind = servers.ServerList(client, documents.StoredDocuments())
+        behind.start()
+        self.addCleanup(behind.close)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: behind.is_complete)
+        )
+        self.assertTrue(behind.confirm_versions())
+        self.store.stop_watches(port)
+        self.store.put(KEY + "1", build.server_value(version="v2"))
+        self.store.delete(KEY + "1")
+        self.assertFalse(behind.confirm_versions())
+        self.store.free_watches(port)
+        self.assertTrue(builders_platform.wait_until(behind.confirm_versions))
+
     def test_versions_that_came_and_left_are_seen_before_confirming(
         self,
     ) -> None:
