Confirm no list whose watch could not read all records again

A watch that had to read again has been behind, so nothing is confirmed then.

Before, test_versions_are_not_confirmed_where_reading_again_fails failed; the 18 tests of test_server_list pass.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -260,6 +260,7 @@
             # Versions may have come and left, but those of now can be known.
             watched.read_again()
             _wait_reported(watched, found, _READ_AGAIN_LIMIT_S)
+            return "behind"
         is_behind = changes.state.revision < state.revision
         if is_behind or watched.readings_count != readings_count:
             return "behind"
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -1,6 +1,8 @@
 """The server list, with a working store and through its outages."""
 
+import itertools
 import unittest
+from typing import Any
 from unittest import mock
 
 import gevent
@@ -8,6 +10,7 @@
 from mulberrywharf import fleet
 from mulberrywharf.forwarding import servers
 from mulberrywharf.platform import documents, store
+from standins import _http
 from tests import builders_platform
 from tests import builders_routes as build
 
@@ -15,6 +18,10 @@
 KEY = documents.SERVERS_PREFIX + "i-1"
 
 
+def _rate_limited(query: dict[str, Any]) -> _http.Reply:
+    return _http.Reply(429, {})
+
+
 class ServerListTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = self.enterContext(build.running_store())
@@ -54,6 +61,19 @@
             self.assertEqual(len(self.list.usable("plain")), 2)
             self.assertEqual(self.list.readings_count, 2)
 
+    def test_versions_are_not_confirmed_where_reading_again_fails(self) -> None:
+        """Guards against a confirmation that only waited long enough."""
+        read = self.store._range
+        replies = itertools.chain([read], itertools.repeat(_rate_limited))
+        with (
+            mock.patch.object(self.store, "_events", lambda *_: []),
+            mock.patch.object(
+                self.store, "_range", lambda query: next(replies)(query)
+            ),
+        ):
+            self.store.put(KEY + "1", build.server_value(version="v2"))
+            self.assertFalse(self.list.confirm_versions())
+
     def test_versions_are_not_confirmed_by_changes_of_before(self) -> None:
         """Guards against a version that left and that no answer shows yet."""
         port = self.store.add_view(lambda _, value: value)
