Take no revision of a lost history for one that was seen

News of other gateways on later changes counted as already seen. Both begin at the copy's revisions now.

--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -314,10 +314,14 @@
                 before_revision=self.seen_revision,
                 revision=state.revision,
             ).info("the present is read from the older copy")
-            # The restored service may assign lower revisions.
-            self._changed_revision = 0
-            self._deleted_revisions.clear()
         self._report_differences(found, is_restored=is_restored)
+        if is_restored:
+            # The restored service may assign lower revisions. What the copy
+            # lacks was reported with those of the history that was lost.
+            self._deleted_revisions.clear()
+            self._changed_revision = max(
+                (kv.mod_revision for kv in found), default=0
+            )
         self._readings_count += 1
         self._position = state
         return True
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -61,6 +61,38 @@
             self.assertEqual(len(self.list.usable("plain")), 2)
             self.assertEqual(self.list.readings_count, 2)
 
+    def test_versions_are_confirmed_behind_a_restore(self) -> None:
+        """Guards against revisions of a history that was lost."""
+        self.store.era = 1
+        client = build.store_client(self.store.port)
+        self.addCleanup(client.close)
+        restored = servers.ServerList(
+            client, documents.StoredDocuments(), missing_hold_s=HOLD_S
+        )
+        restored.start()
+        self.addCleanup(restored.close)
+
+        def wait_known(count: int) -> None:
+            self.assertTrue(
+                builders_platform.wait_until(
+                    lambda: len(restored.all()) == count
+                )
+            )
+
+        wait_known(1)
+        copy = self.store.copy()
+        for number in range(9):
+            value = build.server_value(sequence=number + 2)
+            self.store.put(KEY + "1", value)
+        wait_known(2)
+        self.store.restore(copy)
+        self.store.put(KEY, build.server_value(sequence=99))
+        wait_known(1)
+        watched = restored.watched()
+        assert watched is not None
+        self.assertLessEqual(watched.seen_revision, self.store.store.revision)
+        self.assertTrue(builders_platform.wait_until(restored.confirm_versions))
+
     def test_versions_are_not_confirmed_where_reading_again_fails(self) -> None:
         """Guards against a confirmation that only waited long enough."""
         read = self.store._range
