Await a history that other gateways confirm before they lend it

The others replied at once without a history and with one a few ms later, and the search had ended with the first replies. A gateway that needs a history waits for it, up to the end of its rounds of questions.

--- a/src/mulberrywharf/peers/stream_origins.py
+++ b/src/mulberrywharf/peers/stream_origins.py
@@ -81,6 +81,8 @@
             else stream_codec.NO_SERVICE_KEY,
         )
         self.scope = stream.scope
+        self.service = stream.service
+        self.needs_versions = needs_versions
         self.on_end = on_end
         self.replied: set[fleet.Address] = set()
         self.asked: set[fleet.Address] = set()
@@ -225,7 +227,7 @@
             stream_key, self._peers.stream_fleet(), ranks_count=ranks_count
         )
         search.asked |= set(self._addresses(vm_ids))
-        if search.replied >= search.asked:
+        if self._has_all_replies(search):
             self._give_up(search)
             return
         question = stream_codec.StreamQuestion(stream_key, service_key)
@@ -345,9 +347,20 @@
         if kept is not None:
             self._remove(search)
             self._end(search.on_end, _origin(kept, search.scope))
-        elif search.replied >= search.asked:
+        elif self._has_all_replies(search):
             self._ask_round(search)
 
+    def _has_all_replies(self, search: _Search) -> bool:
+        """Returns whether no more replies are awaited.
+
+        Gateways that confirm their history before they lend it reply twice.
+        """
+        now_s = self._clock.monotonic_s()
+        return search.replied >= search.asked and (
+            not search.needs_versions
+            or self._history.seen(search.service, now_s).is_complete
+        )
+
     def _addresses(self, vm_ids: Iterable[str]) -> list[fleet.Address]:
         addresses = map(self._peers.address_of, vm_ids)
         return [address for address in addresses if address is not None]
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -192,6 +192,24 @@
         self.find(self.gateways[0])
         self.assertEqual(asked, [])
 
+    def test_first_stream_at_a_new_gateway_awaits_a_history(self) -> None:
+        """Guards against a refusal just before a confirmed history arrives."""
+        for gateway in self.gateways:
+            gateway.see("v1")
+        new = Gateway(self.network, 9, "zone-0")
+        new.see("v1", is_complete=False)
+        complete: list[bool] = []
+        new.origins.ask(
+            STREAM,
+            lambda _: complete.append(
+                new.history.seen(
+                    "service", self.network.clock.now_s
+                ).is_complete
+            ),
+        )
+        self.network.clock.run_until(math.inf)
+        self.assertEqual(complete, [True])
+
     def test_history_is_lent_only_once_confirmed(self) -> None:
         """Guards against the history of a gateway whose watch is behind."""
         for gateway in self.gateways:
