Give a stream the head of the server that sends its first event

Callers got the signature of a server that had sent them nothing: where a stream broke off behind its head or inside its first event, another server's events followed under the first one's head, although nothing had left the gateway yet.

The head is settled with the first event, as the framing was already. A stream that breaks off behind an event keeps its first head.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -61,12 +61,14 @@
     """What is known of a stream; settled once it has yielded its first block.
 
     Attributes:
-        is_framed: Whether its first engine marks the end of its answer.
+        head: Of the engine that sent its first event.
+        is_framed: Whether that engine marks the end of its answer.
         end: What its end proves; settled at the end.
         version_key: Software version that began it, None if it is unknown.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, head: request.AnswerHead) -> None:
+        self.head = head
         self.is_framed = True
         self.version_key: stream_version.VersionKey | None = None
         self.end: answer_end.End = "broken"
@@ -76,17 +78,20 @@
     """A streamed answer whose head has been received.
 
     Attributes:
-        head: The head sent by the first engine that answered.
         blocks: Complete events as they arrive, one or more in each item, and at
             the end any bytes after the last one; closing it cancels the
             request.
         state: What is known of the stream.
     """
 
-    head: request.AnswerHead
     blocks: Iterator[bytes]
     state: StreamState
 
+    @property
+    def head(self) -> request.AnswerHead:
+        """The head; settled as the state is."""
+        return self.state.head
+
 
 class Dependencies(NamedTuple):
     """Components shared by all generations.
@@ -229,7 +234,6 @@
         self._was_handed_over = False
         self._has_output = False
         self._only_version: stream_version.VersionKey | None = None
-        self._state = StreamState()
         self._crashes = dependencies.crashes.of(routed_request, service.name)
         self._repeats = dependencies.repeats.of(routed_request, service.name)
 
@@ -242,7 +246,8 @@
             self._note_started()
             raise
         self._note_started()
-        return StreamAnswer(run.head, self._events(run), self._state)
+        self._state = StreamState(run.head)
+        return StreamAnswer(self._events(run), self._state)
 
     def _take_up(self) -> None:
         """Finds the version of a stream that the caller takes up.
@@ -771,6 +776,7 @@
         """Yields one engine's events; returns the error if it broke off."""
         splitter = events.EventSplitter()
         if not self._has_output:
+            self._state.head = run.head
             self._state.is_framed = run.is_framed
         exchange = run.exchange
         began_s = self._dependencies.system_clock.monotonic_s()
--- a/tests/test_event_forms.py
+++ b/tests/test_event_forms.py
@@ -30,6 +30,7 @@
 
 
 WHOLE = data_of(test_broken_answers.STREAM)
+SIGNATURE = "x-mulberrywharf-response-signature"
 NUMBERS = [line.split()[-1] for line in WHOLE]
 
 
@@ -192,6 +193,22 @@
         self.answers(EVENTS[:3], EVENTS[2:4], EVENTS[3:])
         self.assert_whole(WHOLE)
 
+    def test_head_is_of_the_server_whose_events_follow(self) -> None:
+        """Guards against the signature of a server that sent no event."""
+        behind_head = {"framing": "chunks", "body": [], "cut_at": -5}
+        inside_first = {"framing": "chunks", "cut_at": -120}
+        for cut in (behind_head, inside_first, {"framing": "none", "body": []}):
+            with self.subTest(cut):
+                self.next_answers(cut)
+                got = self.stream()
+                self.assertEqual(data_of(got.body), WHOLE)
+                arrivals = [
+                    one for engine in self.decodes for one in engine.arrivals
+                ]
+                latest = max(arrivals, key=lambda one: one.at_s)
+                self.assertEqual(got.headers[SIGNATURE], latest.server_id)
+                self.assertEqual(got.end, "marked")
+
 
 class SlowCase(FormCase):
     """Streams that last, begun and taken up at several gateways."""
