Test answers without a signature over the hop, and engines that never sign

Both hold: of 100 streams beside an engine that never signs at least 98 are served and at most 5 reach it, and no such head comes over the hop. No code changes.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -188,6 +188,26 @@
                 self.assertEqual(got.status, 200)
                 self.assertEqual(got.end, "closed")
 
+    def test_answers_without_a_signature_stay_behind_another_gateway(
+        self,
+    ) -> None:
+        """Guards against a rule that only the gateway next to a caller has."""
+        self.cut([0], "refuse")
+        name = "X-Mulberrywharf-Response-Signature"
+        for server in (self.decodes[0], self.plain):
+            server.faults = {"fields": {name: None}}
+        for path in ("/stream/x", "/once/x", "/safe/x", "/unsafe/x"):
+            with self.subTest(path):
+                is_plain = path in ("/safe/x", "/unsafe/x")
+                for _ in range(5):
+                    got = self.receive(path) if is_plain else self.stream(path)
+                    if is_plain or got.status != 200:
+                        self.assertIn(got.status, (502, 503))
+                    else:
+                        self.assertEqual(got.headers[name.lower()], "dec-2")
+        self.assertTrue(self.decodes[0].runs)
+        self.assertTrue(self.decodes[1].runs)
+
 
 class UnsignedAnswerTest(test_gateway.GatewayCase):
     def test_head_without_a_signature_does_not_reach_the_caller(self) -> None:
@@ -229,6 +249,21 @@
         self.assertTrue(other.arrivals)
         self.assertLessEqual(len(other.arrivals), 5)
 
+    def test_an_engine_that_never_signs_is_avoided(self) -> None:
+        """Guards against streams that wait for an engine that can't serve."""
+        self.write_routes()
+        self.start()
+        self.wait_ready()
+        unsigned = {"X-Mulberrywharf-Response-Signature": None}
+        self.decodes[0].faults = {"fields": unsigned}
+        statuses = [
+            self.ask("/stream/x", fields=test_gateway.PROMPT_FIELDS).status
+            for _ in range(100)
+        ]
+        self.assertGreaterEqual(statuses.count(200), 98)
+        self.assertTrue(self.decodes[0].runs)
+        self.assertLessEqual(len(self.decodes[0].runs), 5)
+
 
 if __name__ == "__main__":
     unittest.main()
