--- /dev/null
+++ b/proofs/stream_order.py
@@ -0,0 +1,244 @@
+"""Judges streams by what their callers received: the rule ORDER.
+
+A piece of a stream is an event whose data says who made it, see ``Piece``.
+"""
+
+import collections
+import re
+from collections.abc import Iterator, Sequence
+from typing import Literal, NamedTuple
+
+Form = Literal["missing", "twice", "joined", "short", "back", "foreign"]
+"""How a stream breaks the rule: a piece is missing; one comes twice; pieces
+of two software versions are joined; it ends as complete before its last piece;
+an event id doesn't rise; an event is no piece of this stream."""
+
+End = Literal["marked", "closed", "broken", "left"]
+"""How an answer ended: by its chunks or length, by a close alone, otherwise,
+or because its caller left."""
+
+_LINE_END = re.compile(r"\r\n|\n|\r")
+_CHUNK_SIZE = re.compile(rb"([0-9a-fA-F]+)[^\r\n]*\r\n")
+
+
+class Piece(NamedTuple):
+    """One event as a caller read it.
+
+    Attributes:
+        event_id: The last event id that the caller has behind it.
+        stream: Name of the stream, empty if the data names none.
+        number: Its number, from 1.
+        server: Id of the server that made it.
+        version: Software version of that server's run.
+        run: Name of the run.
+    """
+
+    event_id: str
+    stream: str
+    number: int
+    server: str
+    version: str
+    run: str
+
+    @property
+    def data(self) -> str:
+        """What a server writes as the data of this piece."""
+        return " ".join(map(str, self[1:]))
+
+
+class Answer(NamedTuple):
+    """One HTTP answer.
+
+    Attributes:
+        status: HTTP status, 0 without a whole head.
+        body: What came of the body, chunks joined.
+        is_framed: Whether chunks or a length mark its end.
+        is_complete: Whether that end came.
+        rest: Bytes behind it.
+    """
+
+    status: int = 0
+    body: bytes = b""
+    is_framed: bool = False
+    is_complete: bool = False
+    rest: bytes = b""
+
+
+class Attempt(NamedTuple):
+    """One request for a stream, and what came back.
+
+    Attributes:
+        request_id: Its id.
+        gateway: Name of the gateway.
+        last_event_id: Behind which event it asks, empty for a new stream.
+        raw: All bytes of the answer.
+        was_reset: Whether the connection ended other than by a close.
+        has_left: Whether the caller ended it.
+        had_unmarked_end: Whether a server closed an answer whose end nothing
+            marks, so that no gateway can tell whether it was whole.
+    """
+
+    request_id: str
+    gateway: str
+    last_event_id: str
+    raw: bytes
+    was_reset: bool = False
+    has_left: bool = False
+    had_unmarked_end: bool = False
+
+    @property
+    def end(self) -> End:
+        """How the answer ended."""
+        answer = read_answer(self.raw)
+        if answer.is_complete:
+            return "marked"
+        if self.has_left:
+            return "left"
+        if answer.status and not answer.is_framed and not self.was_reset:
+            return "closed"
+        return "broken"
+
+    @property
+    def pieces(self) -> list[Piece]:
+        """The events that came."""
+        answer = read_answer(self.raw)
+        if answer.status != 200:
+            return []
+        return list(read_pieces(answer.body, self.last_event_id))
+
+
+class Case(NamedTuple):
+    """A stream that broke the rule.
+
+    Attributes:
+        form: How.
+        text: What shows it.
+    """
+
+    form: Form
+    text: str
+
+
+def read_answer(raw: bytes) -> Answer:
+    """Parses an answer, which may have ended anywhere."""
+    status, fields, data = 100, {}, raw
+    while 100 <= status < 200:
+        head, separator, data = data.partition(b"\r\n\r\n")
+        if not separator:
+            return Answer()
+        first, *lines = head.decode("latin-1").split("\r\n")
+        status = int(first.split(" ")[1])
+        fields = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines)
+        }
+    if fields.get("transfer-encoding") == "chunked":
+        return _read_chunks(status, data)
+    if "content-length" not in fields:
+        return Answer(status, data)
+    length = int(fields["content-length"])
+    is_complete = len(data) >= length
+    return Answer(status, data[:length], True, is_complete, data[length:])
+
+
+def _read_chunks(status: int, data: bytes) -> Answer:
+    body = b""
+    while size := _CHUNK_SIZE.match(data):
+        length, begin = int(size.group(1), 16), size.end()
+        body += data[begin : begin + length]
+        data = data[begin + length :]
+        if not data.startswith(b"\r\n"):
+            break
+        data = data[2:]
+        if length == 0:
+            return Answer(status, body, True, True, data)
+    return Answer(status, body, True)
+
+
+def read_pieces(body: bytes, last_event_id: str) -> Iterator[Piece]:
+    """Yields the events of a stream, as the standard has callers read them.
+
+    Args:
+        body: The body; an event that is not complete is none.
+        last_event_id: The last event id that the caller had before.
+    """
+    text = body.decode("utf-8", "replace").removeprefix("\ufeff")
+    data: list[str] = []
+    lines = _LINE_END.split(text)
+    for line in lines[:-1]:
+        if not line:
+            if data:
+                yield _piece("\n".join(data), last_event_id)
+            data = []
+            continue
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "data":
+            data.append(value)
+        elif name == "id" and "\0" not in value:
+            last_event_id = value
+
+
+def _piece(data: str, event_id: str) -> Piece:
+    parts = data.split()
+    if len(parts) < 5 or not parts[1].isdecimal():
+        return Piece(event_id, "", 0, data[:80], "", "")
+    stream, number, server, version, run = parts[:5]
+    return Piece(event_id, stream, int(number), server, version, run)
+
+
+def judge(
+    stream: str, pieces_count: int, attempts: Sequence[Attempt]
+) -> list[Case]:
+    """Returns how a stream broke the rule.
+
+    Args:
+        stream: Its name.
+        pieces_count: How many pieces it has when it is whole.
+        attempts: What its caller asked, in this order.
+    """
+    cases: list[Case] = []
+    number_by_id = {"": 0}
+    versions: dict[str, list[Piece]] = collections.defaultdict(list)
+    for attempt in attempts:
+        had_id = attempt.last_event_id
+        had_number = number_by_id[had_id]
+        for piece in attempt.pieces:
+            cases += _broken_by(piece, stream, had_number, had_id)
+            had_number = max(had_number, piece.number)
+            had_id = piece.event_id
+            number_by_id[had_id] = had_number
+            versions[piece.version].append(piece)
+        cases += _ended_early(attempt, had_number, pieces_count)
+    if len(versions) > 1:
+        made = ", ".join(
+            f"{one}: {[piece.number for piece in versions[one]]}"
+            for one in versions
+        )
+        cases.append(Case("joined", made))
+    return cases
+
+
+def _broken_by(
+    piece: Piece, stream: str, had_number: int, had_id: str
+) -> Iterator[Case]:
+    if piece.stream != stream:
+        yield Case("foreign", str(piece))
+        return
+    if piece.number <= had_number:
+        yield Case("twice", f"{piece.number} behind {had_number}")
+    if piece.number > had_number + 1:
+        yield Case("missing", f"{piece.number} behind {had_number}")
+    if int(piece.event_id or 0) <= int(had_id or 0):
+        yield Case("back", f"id {piece.event_id} behind {had_id}")
+
+
+def _ended_early(
+    attempt: Attempt, had_number: int, pieces_count: int
+) -> Iterator[Case]:
+    looks_complete = attempt.end == "marked" or (
+        attempt.end == "closed" and not attempt.had_unmarked_end
+    )
+    is_success = read_answer(attempt.raw).status == 200
+    if is_success and looks_complete and had_number < pieces_count:
+        yield Case("short", f"{attempt.end} behind {had_number}")
