Share callers and shapes of streams between the runs and the soak

The soak needs callers that take streams up and judge them by the whole rule; what a stream is to be is now with the judge, and callers ask for gateways through an interface.

--- a/proofs/stream_order.py
+++ b/proofs/stream_order.py
@@ -5,7 +5,7 @@
 
 import collections
 import re
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from typing import Literal, NamedTuple
 
 Form = Literal["missing", "twice", "joined", "short", "back", "foreign"]
@@ -46,6 +46,72 @@
         return " ".join(map(str, self[1:]))
 
 
+class Shape(NamedTuple):
+    """What a stream is to be; stand-in servers read it from the body.
+
+    Attributes:
+        name: Its name.
+        count: How many pieces it has.
+        step: By how much its ids rise.
+        form: How its events are written, one of ``FORMS``.
+    """
+
+    name: str
+    count: int
+    step: int
+    form: str
+
+    @property
+    def body(self) -> str:
+        """The body of its requests."""
+        return " ".join(map(str, self))
+
+    @classmethod
+    def from_body(cls, body: str) -> "Shape":
+        """Returns what a body asks for."""
+        name, count, step, form = body.split()
+        return cls(name, int(count), int(step), form)
+
+    def events(
+        self, after: str, server: str, version: str, run: str
+    ) -> list[bytes]:
+        """Returns the events that a run makes.
+
+        Args:
+            after: Id of the event that it goes on behind, empty for none.
+            server: Id of the server.
+            version: Its software version.
+            run: Name of the run.
+        """
+        write = FORMS[self.form]
+        made = []
+        first = int(after or 0) // self.step + 1
+        for number in range(first, self.count + 1):
+            piece = Piece("", self.name, number, server, version, run)
+            made.append(write(str(number * self.step), piece.data).encode())
+        return made
+
+
+FORMS: dict[str, Callable[[str, str], str]] = {
+    "lf": lambda one, data: f"id: {one}\ndata: {data}\n\n",
+    "crlf": lambda one, data: f"id: {one}\r\ndata: {data}\r\n\r\n",
+    "cr": lambda one, data: f"id: {one}\rdata: {data}\r\r",
+    "data-first": lambda one, data: f"data: {data}\nid: {one}\n\n",
+    "no-space": lambda one, data: f"id:{one}\ndata:{data}\n\n",
+    "comment": lambda one, data: f": note\n\nid: {one}\ndata: {data}\n\n",
+    "comment-in": lambda one, data: f"id: {one}\n: note\ndata: {data}\n\n",
+    "retry": lambda one, data: f"retry: 9\nid: {one}\ndata: {data}\n\n",
+    "named": lambda one, data: f"event: token\nid: {one}\ndata: {data}\n\n",
+    "lines": lambda one, data: f"id: {one}\ndata: {data}\ndata: x\n\n",
+    "large": lambda one, data: f"id: {one}\ndata: {data} {'x' * 20_000}\n\n",
+    "two-ids": lambda one, data: f"id: 0\nid: {one}\ndata: {data}\n\n",
+}
+"""Ways to write an event with an id and data."""
+
+USUAL_FORMS = tuple(name for name in FORMS if name != "two-ids")
+"""Those that gateways read as callers do."""
+
+
 class Answer(NamedTuple):
     """One HTTP answer.
 
--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -18,7 +18,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Iterable, Iterator, Sequence
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import gevent
 from gevent import socket
@@ -54,53 +54,7 @@
 )
 
 
-class Shape(NamedTuple):
-    """What a stream is to be; it is the body of its requests.
-
-    Attributes:
-        name: Its name.
-        count: How many pieces it has.
-        step: By how much its ids rise.
-        form: How its events are written, one of ``FORMS``.
-    """
-
-    name: str
-    count: int
-    step: int
-    form: str
-
-    @property
-    def body(self) -> str:
-        """The body of its requests."""
-        return " ".join(map(str, self))
-
-    @classmethod
-    def from_body(cls, body: str) -> "Shape":
-        """Returns what a body asks for."""
-        name, count, step, form = body.split()
-        return cls(name, int(count), int(step), form)
-
-
-FORMS: dict[str, Callable[[str, str], str]] = {
-    "lf": lambda one, data: f"id: {one}\ndata: {data}\n\n",
-    "crlf": lambda one, data: f"id: {one}\r\ndata: {data}\r\n\r\n",
-    "cr": lambda one, data: f"id: {one}\rdata: {data}\r\r",
-    "data-first": lambda one, data: f"data: {data}\nid: {one}\n\n",
-    "no-space": lambda one, data: f"id:{one}\ndata:{data}\n\n",
-    "comment": lambda one, data: f": note\n\nid: {one}\ndata: {data}\n\n",
-    "comment-in": lambda one, data: f"id: {one}\n: note\ndata: {data}\n\n",
-    "retry": lambda one, data: f"retry: 9\nid: {one}\ndata: {data}\n\n",
-    "named": lambda one, data: f"event: token\nid: {one}\ndata: {data}\n\n",
-    "lines": lambda one, data: f"id: {one}\ndata: {data}\ndata: x\n\n",
-    "large": lambda one, data: f"id: {one}\ndata: {data} {'x' * 20_000}\n\n",
-    "two-ids": lambda one, data: f"id: 0\nid: {one}\ndata: {data}\n\n",
-}
-
-
-_USUAL_FORMS = [name for name in FORMS if name != "two-ids"]
-
-
-class Store(platform_store.PlatformStoreStandin):
+class LaggingStore(platform_store.PlatformStoreStandin):
     """A store some of whose readers' watches are behind.
 
     Attributes:
@@ -143,7 +97,9 @@
         limits: tuple[str, ...],
     ) -> Iterable[bytes]:
         del start_response, limits
-        shape = Shape.from_body(environ["wsgi.input"].read().decode())
+        shape = stream_order.Shape.from_body(
+            environ["wsgi.input"].read().decode()
+        )
         request_id = self._header(environ, "REQUEST_ID")
         after = environ.get("HTTP_LAST_EVENT_ID", "")
         ends = self.ends.setdefault(request_id, [])
@@ -161,7 +117,7 @@
         )
         run = f"{self._server_id}/{len(self.runs)}"
         environ[_http.IS_ANSWERED_KEY] = True
-        made = self._pieces(shape, int(after or 0) // shape.step, run)
+        made = shape.events(after, self._server_id, self.software_version, run)
         head = self._head(request_id, framing, made)
         try:
             ends[at] = self._send(environ, head, made, framing, rng)
@@ -172,21 +128,6 @@
             raise
         raise BrokenPipeError(errno.EPIPE, "the answer has ended")
 
-    def _pieces(self, shape: Shape, after: int, run: str) -> list[bytes]:
-        made = []
-        for number in range(after + 1, shape.count + 1):
-            piece = stream_order.Piece(
-                "",
-                shape.name,
-                number,
-                self._server_id,
-                self.software_version,
-                run,
-            )
-            one = str(number * shape.step)
-            made.append(FORMS[shape.form](one, piece.data).encode())
-        return made
-
     def _send(
         self,
         environ: dict[str, Any],
@@ -276,7 +217,7 @@
     ):
         self.seed = seed
         self.forms = forms
-        self.store = Store()
+        self.store = LaggingStore()
         self.gateways: list[processes.LoggedProcess | None] = []
         self.logged: list[processes.LoggedProcess] = []
         self.servers: dict[str, Server] = {}
@@ -287,6 +228,8 @@
         self.views: list[Any] = []
         self.troubles: list[tuple[float, str]] = []
         self.ends: dict[str, list[str]] = {}
+        self.pieces_count = (4, 14)
+        self.fields = ""
         self.began_s = time.monotonic()
         self.is_over = False
         self._cleanup = cleanup
@@ -360,6 +303,16 @@
         self.logged.append(made)
         self.gateways[index] = made
 
+    def choose(self, rng: random.Random, *, takes_up: bool) -> int | None:
+        """Returns a gateway for a request."""
+        del takes_up
+        running = [
+            index
+            for index, gateway in enumerate(self.gateways)
+            if gateway is not None
+        ]
+        return rng.choice(running) if running else None
+
     def note(self, trouble: str) -> None:
         """Notes that a trouble begins."""
         self.troubles.append((time.monotonic() - self.began_s, trouble))
@@ -579,13 +532,40 @@
         took_up_early: Whether it was taken up while its first answer ran.
     """
 
-    shape: Shape
+    shape: stream_order.Shape
     caller: str
     attempts: list[stream_order.Attempt]
     at_s: list[float]
     took_up_early: bool = False
 
 
+class Calls(Protocol):
+    """What callers of streams share.
+
+    Attributes:
+        seed: Decides what they ask.
+        forms: Forms of events.
+        pieces_count: Least and most pieces of a stream.
+        fields: Header fields of every request.
+        began_s: Monotonic time from which attempts are dated.
+        is_over: Set once they are to end.
+        ends: How each run at a server ended, by request id, by time.
+        gateways: The gateways' processes, None for one that is started anew.
+    """
+
+    seed: int
+    forms: Sequence[str]
+    pieces_count: tuple[int, int]
+    fields: str
+    began_s: float
+    is_over: bool
+    ends: dict[str, list[str]]
+    gateways: list[processes.LoggedProcess | None]
+
+    def choose(self, rng: random.Random, *, takes_up: bool) -> int | None:
+        """Returns the gateway for a request, None while there is none."""
+
+
 class Caller:
     """A caller that reads streams, and takes them up behind a break.
 
@@ -594,12 +574,12 @@
         refused_count: Attempts to take one up that got no stream.
     """
 
-    def __init__(self, wharf: Wharf, number: int):
+    def __init__(self, calls: Calls, number: int):
         self.streams: list[Stream] = []
         self.refused_count = 0
-        self._wharf = wharf
+        self._calls = calls
         self._number = number
-        self._rng = random.Random(f"caller {number} {wharf.seed}")
+        self._rng = random.Random(f"caller {number} {calls.seed}")
         self._names_stream = number % 3 != 0
         self._is_slow = number % 6 == 1
         self._is_early = number % 6 == 2
@@ -615,17 +595,17 @@
 
     def run(self) -> None:
         """Reads streams until the run is over."""
-        while not self._wharf.is_over:
+        while not self._calls.is_over:
             self._read_stream()
             gevent.sleep(self._rng.uniform(0.0, 0.2))
 
     def _read_stream(self) -> None:
         rng = self._rng
-        shape = Shape(
+        shape = stream_order.Shape(
             f"s{self._number}-{len(self.streams)}",
-            rng.randint(4, 14),
+            rng.randint(*self._calls.pieces_count),
             rng.choice((1, 1, 2, 7)),
-            rng.choice(self._wharf.forms),
+            rng.choice(self._calls.forms),
         )
         stream = Stream(shape, self.name, [], [], self._is_early)
         self.streams.append(stream)
@@ -651,7 +631,7 @@
             if last_id and not pieces:
                 self.refused_count += 1
                 refusals_count += 1
-            if refusals_count > 2 or self._wharf.is_over:
+            if refusals_count > 2 or self._calls.is_over:
                 return
             gevent.sleep(rng.choice((0.0, rng.uniform(0.0, 0.8))))
 
@@ -679,7 +659,7 @@
         last_id: str,
         leave_after: int | None = None,
     ) -> stream_order.Attempt:
-        fields = _FIELDS
+        fields = _FIELDS + self._calls.fields
         if last_id:
             fields += f"last-event-id: {last_id}\r\n"
             if self._names_stream:
@@ -690,8 +670,10 @@
             f"x-mulberrywharf-request-id: {request_id}\r\n{fields}"
             f"content-length: {len(body)}\r\n\r\n{body}"
         ).encode()
-        stream.at_s.append(time.monotonic() - self._wharf.began_s)
-        index, raw, how = self._exchange(sent, request_id, leave_after)
+        stream.at_s.append(time.monotonic() - self._calls.began_s)
+        index, raw, how = self._exchange(
+            sent, request_id, leave_after, takes_up=bool(last_id)
+        )
         return stream_order.Attempt(
             request_id,
             str(index),
@@ -699,26 +681,29 @@
             raw,
             was_reset=how != "closed",
             has_left=how == "left",
-            had_unmarked_end=self._wharf.ends.get(request_id, [""])[-1]
+            had_unmarked_end=self._calls.ends.get(request_id, [""])[-1]
             == "unmarked",
         )
 
     def _exchange(
-        self, sent: bytes, request_id: str, leave_after: int | None
+        self,
+        sent: bytes,
+        request_id: str,
+        leave_after: int | None,
+        *,
+        takes_up: bool,
     ) -> tuple[int, bytes, str]:
         """Sends a request; returns the gateway, the answer and its end."""
-        running = [
-            index
-            for index, gateway in enumerate(self._wharf.gateways)
-            if gateway is not None
-        ]
-        index = self._rng.choice(running)
-        gateway = self._wharf.gateways[index]
+        index = self._calls.choose(self._rng, takes_up=takes_up)
+        if index is None:
+            gevent.sleep(0.1)
+            return -1, b"", "refused"
+        gateway = self._calls.gateways[index]
+        assert gateway is not None
         kept, self._kept = self._kept, None
         if kept is not None and kept[1] is gateway:
             sock = kept[2]
         else:
-            assert gateway is not None
             try:
                 sock = socket.create_connection(
                     ("127.0.0.1", gateway.ready["callers"]), 1.0
@@ -822,18 +807,23 @@
         yield f"  refused {count}: {reason}"
     for stream, case in played.cases:
         yield f"  {case.form}: {case.text}"
-        yield f"    {stream.caller}, {stream.shape.body}"
-        for at_s, attempt in zip(stream.at_s, stream.attempts, strict=True):
-            answer = stream_order.read_answer(attempt.raw)
-            made = " ".join(
-                f"{one.number}@{one.server}/{one.version}#{one.event_id}"
-                for one in attempt.pieces
-            )
-            yield (
-                f"    {at_s:.2f} s {attempt.request_id} at {attempt.gateway}"
-                f" behind {attempt.last_event_id or '-'}: {answer.status}"
-                f" {attempt.end} {made or answer.body[-200:]!r}"
-            )
+        yield from evidence(stream)
+
+
+def evidence(stream: Stream) -> Iterator[str]:
+    """Yields what a caller asked for a stream, and what it got."""
+    yield f"    {stream.caller}, {stream.shape.body}"
+    for at_s, attempt in zip(stream.at_s, stream.attempts, strict=True):
+        answer = stream_order.read_answer(attempt.raw)
+        made = " ".join(
+            f"{one.number}@{one.server}/{one.version}#{one.event_id}"
+            for one in attempt.pieces
+        )
+        yield (
+            f"    {at_s:.2f} s {attempt.request_id} at {attempt.gateway}"
+            f" behind {attempt.last_event_id or '-'}: {answer.status}"
+            f" {attempt.end} {made or answer.body[-200:]!r}"
+        )
 
 
 def _details(played: Played) -> Iterator[str]:
@@ -864,7 +854,9 @@
     parser.add_argument("--source", type=pathlib.Path, help="a checkout")
     parser.add_argument("--details", action="store_true")
     parser.add_argument(
-        "--forms", type=lambda text: text.split(","), default=_USUAL_FORMS
+        "--forms",
+        type=lambda text: text.split(","),
+        default=stream_order.USUAL_FORMS,
     )
     arguments = parser.parse_args()
     sys.executable = arguments.python
