Soak releases beside a gateway that is out of step

The soak drew pauses of gateways and starts of newer versions apart, its streams were numbered by ones in one form, and only gaps and versions were judged. Engines of newer versions now join, and some leave again, while a gateway stands still, is cut off from the store one way or both, or has a watch that is behind, at times with the others standing still. Callers take streams of many shapes up there, and are held against the whole rule ORDER.

--- a/proofs/stream_order.py
+++ b/proofs/stream_order.py
@@ -67,9 +67,12 @@
         return " ".join(map(str, self))
 
     @classmethod
-    def from_body(cls, body: str) -> "Shape":
-        """Returns what a body asks for."""
-        name, count, step, form = body.split()
+    def find(cls, body: str) -> "Shape | None":
+        """Returns what a body asks for, None if that is no stream's shape."""
+        parts = body.split()
+        if len(parts) != len(cls._fields) or parts[-1] not in FORMS:
+            return None
+        name, count, step, form = parts
         return cls(name, int(count), int(step), form)
 
     def events(
--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -97,9 +97,8 @@
         limits: tuple[str, ...],
     ) -> Iterable[bytes]:
         del start_response, limits
-        shape = stream_order.Shape.from_body(
-            environ["wsgi.input"].read().decode()
-        )
+        shape = stream_order.Shape.find(environ["wsgi.input"].read().decode())
+        assert shape is not None
         request_id = self._header(environ, "REQUEST_ID")
         after = environ.get("HTTP_LAST_EVENT_ID", "")
         ends = self.ends.setdefault(request_id, [])
@@ -380,8 +379,8 @@
         self._rng = random.Random(f"troubles {wharf.seed}")
         self._upset: set[int] = set()
 
-    def play(self) -> None:
-        """Plays a release and troubles beside it."""
+    def play(self, length_s: float) -> None:
+        """Plays releases, and begins troubles beside them for a time."""
         releases = gevent.spawn(
             self._release, random.Random(f"releases {self._wharf.seed}")
         )
@@ -395,14 +394,14 @@
             self._drop_history: 1,
             self._restart_server: 3,
         }
-        ends_s = time.monotonic() + LENGTH_S
+        ends_s = time.monotonic() + length_s
         running = []
         while time.monotonic() < ends_s:
             gevent.sleep(self._rng.uniform(0.2, 1.2))
             (play,) = self._rng.choices(list(plays), list(plays.values()))
-            length_s = self._rng.uniform(0.3, 3.5)
+            lasts_s = self._rng.uniform(0.3, 3.5)
             index = self._rng.randrange(GATEWAYS_COUNT)
-            running.append(gevent.spawn(play, index, length_s))
+            running.append(gevent.spawn(play, index, lasts_s))
         gevent.joinall([*running, releases], raise_error=True)
 
     def _release(self, rng: random.Random) -> None:
@@ -753,14 +752,24 @@
     wharf: Wharf
 
 
-def play(seed: int, forms: Sequence[str]) -> Played:
-    """Plays one seed with streams whose events have these forms."""
+def play(
+    seed: int,
+    forms: Sequence[str] = stream_order.USUAL_FORMS,
+    length_s: float = LENGTH_S,
+) -> Played:
+    """Plays one seed.
+
+    Args:
+        seed: Decides troubles and streams; the machine interleaves them.
+        forms: How events are written.
+        length_s: How long troubles are begun.
+    """
     with contextlib.ExitStack() as cleanup:
         wharf = Wharf(seed, forms, cleanup)
         wharf.start()
         callers = [Caller(wharf, number) for number in range(_CALLERS_COUNT)]
         running = [gevent.spawn(caller.run) for caller in callers]
-        Troubles(wharf).play()
+        Troubles(wharf).play(length_s)
         wharf.is_over = True
         gevent.joinall(running, timeout=3 * _ANSWER_TIMEOUT_S)
         streams = list(itertools.chain(*(one.streams for one in callers)))
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,6 +4,7 @@
 import collections
 import sys
 
+from proofs import stream_order_runs
 from soak import play, seeds, stops
 
 DEFAULT_LENGTH_S = 5.0
@@ -42,12 +43,24 @@
         )
         failed_count += bool(outcome.broken)
         statuses = [call.status for call in outcome.calls]
-        faults = f"{outcome.faults.total()} faults"
+        faults = (
+            f"{outcome.faults.total()} faults, {_taken_up(outcome.streams)}"
+        )
         _print(seed, faults, statuses, outcome.broken)
     print(f"{failed_count} seeds broke a promise")
     return 1 if failed_count else 0
 
 
+def _taken_up(streams: list[stream_order_runs.Stream]) -> str:
+    attempts = [one for stream in streams for one in stream.attempts]
+    taken_up = [one for one in attempts if one.last_event_id]
+    went_on_count = sum(bool(one.pieces) for one in taken_up)
+    return (
+        f"{len(streams)} streams beside releases, {len(taken_up)} taken up,"
+        f" {went_on_count} went on"
+    )
+
+
 def _play_stops(chosen: list[int]) -> int:
     failed_count = 0
     for seed in chosen:
--- a/soak/charge_promises.py
+++ b/soak/charge_promises.py
@@ -53,7 +53,7 @@
     """Returns each request's arrivals, and the gateways that sent them."""
     found: dict[str, dict[repeat_windows.Arrival, int | None]]
     found = collections.defaultdict(dict)
-    for server in played.servers.values():
+    for server in played.all_servers.values():
         for came in server.arrivals:
             arrival = repeat_windows.Arrival(
                 came.at_s, came.request_id, came.is_accepted_prefill
--- a/soak/customer_promises.py
+++ b/soak/customer_promises.py
@@ -21,7 +21,7 @@
 def broken(played: fleet.Fleet, made: Sequence[calls.Call]) -> Iterator[str]:
     """Yields a line for each promise that was broken."""
     by_id = {call.request_id: call for call in made}
-    for server in played.servers.values():
+    for server in played.all_servers.values():
         for headers in server.request_headers:
             call = by_id.get(headers.get(_REQUEST_ID_HEADER, ""))
             if call is not None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,9 @@
 import gevent
 
 from mulberrywharf.platform import documents
-from standins import fault_proxy, platform_server, platform_store
+from proofs import stream_order_runs
+from soak import stream_server
+from standins import fault_proxy, platform_server
 from tests import builders_routes as build
 from tests import processes
 
@@ -54,6 +56,10 @@
 )
 
 
+_JOINED = "joined-"
+JOINED_SERVICE = "engines"
+"""Service of the servers that join."""
+
 _VERSIONS = ("v1", "v1", "v1", "v1.1", "v1.1")
 """Software versions of servers in the order of their starts; five, so that each
 engine gets another one in time."""
@@ -62,7 +68,8 @@
 def service_of(server_name: str) -> str:
     """Returns the service of a server by its first id, or "" if unknown."""
     services = {name: service for name, service, _ in _SERVERS}
-    return services.get(server_name, "")
+    default = JOINED_SERVICE if server_name.startswith(_JOINED) else ""
+    return services.get(server_name, default)
 
 
 class ServerWay:
@@ -105,6 +112,9 @@
     Attributes:
         store: The store.
         servers: The servers by the id that they had first.
+        joined: Those of newer software versions that joined later, likewise.
+        run_ends: How each run at a server ended, by request id, by time; those
+            of streams with shapes only.
         ways: The fault proxies by name; those to a server are one for each
             gateway.
         server_ways: The ways to each server by the port that it listens on.
@@ -129,8 +139,10 @@
             timeout_ms: Timeout of all routes, None for the usual ones.
         """
         self._timeout_ms = timeout_ms
-        self.store = platform_store.PlatformStoreStandin()
+        self.store = stream_order_runs.LaggingStore()
         self.servers: dict[str, platform_server.PlatformServerStandin] = {}
+        self.joined: dict[str, platform_server.PlatformServerStandin] = {}
+        self.run_ends: dict[str, list[str]] = {}
         self.ways: dict[str, fault_proxy.FaultProxy | ServerWay] = {}
         self.server_ways: dict[int, ServerWay] = {}
         self.gateways: list[processes.Process | None] = []
@@ -141,6 +153,7 @@
         self._ids: dict[str, str] = {}
         self._versions = itertools.cycle(_VERSIONS)
         self._away: set[str] = set()
+        self._parted: set[str] = set()
         self._records_count = 0
         self._heart: gevent.Greenlet | None = None
         self.rotating_key = "key-of-changing-0"
@@ -149,11 +162,19 @@
         self.restores: list[tuple[float, float]] = []
         self.is_over = False
         self._fields: dict[str, dict[str, str]] = {}
+        self._views: list[Any] = []
         self._folder = tempfile.TemporaryDirectory()
         # Two soaks at once must not hear each other's notices.
         pick = random.SystemRandom()
         self._notices_net = f"127.{pick.randint(1, 254)}.{pick.randint(1, 254)}"
 
+    @property
+    def all_servers(
+        self,
+    ) -> dict[str, platform_server.PlatformServerStandin]:
+        """All servers by the id that they had first."""
+        return {**self.servers, **self.joined}
+
     def start(self) -> None:
         """Starts the store, the servers and the gateways."""
         self.store.start()
@@ -162,9 +183,10 @@
         self.store.era = 1
         self.write_routes()
         for index in range(GATEWAYS_COUNT):
-            view_port = self.store.add_view(
+            self._views.append(
                 lambda key, value, index=index: self._seen(index, key, value)
             )
+            view_port = self.store.add_view(self._views[-1])
             self._open_way(f"store-{index}", view_port)
             self.gateways.append(None)
             self.launch(index)
@@ -176,9 +198,9 @@
             self._heart.kill()
         for gateway in self._logged:
             gateway.close()
-        for way in self.ways.values():
+        for way in (*self.ways.values(), *self.server_ways.values()):
             way.close()
-        for server in self.servers.values():
+        for server in self.all_servers.values():
             server.close()
         self.store.close()
         self._folder.cleanup()
@@ -235,10 +257,11 @@
 
     def heal(self) -> None:
         """Takes back whatever servers, store and ways still suffer from."""
-        for server in self.servers.values():
+        for server in self.all_servers.values():
             server.faults = {}
         self.store.faults = {}
-        for way in self.ways.values():
+        self.store.behind.clear()
+        for way in (*self.ways.values(), *self.server_ways.values()):
             way.set_faults(**fault_proxy.Faults()._asdict())
 
     def write_routes(self) -> None:
@@ -264,11 +287,12 @@
     def register(self, server_id: str) -> None:
         """Writes the record of a server as the server itself does."""
         self._records_count += 1
+        server = self.all_servers[server_id]
         record = build.server_value(
             sequence=self._records_count,
-            address=f"{LOOPBACK}:{self.servers[server_id].port}",
-            born=self.servers[server_id].born,
-            version=self.servers[server_id].software_version,
+            address=f"{LOOPBACK}:{server.port}",
+            born=server.born,
+            version=server.software_version,
             **self._fields[server_id],
         )
         self.store.put(f"servers/{self._ids[server_id]}", record)
@@ -276,19 +300,20 @@
     def _beat(self) -> None:
         while True:
             gevent.sleep(HEARTBEAT_S)
-            for server_id in set(self.servers) - self._away:
+            for server_id in set(self.all_servers) - self._away:
                 self.register(server_id)
 
     def begin_again(self, server_id: str) -> None:
         """Lets a server that has ended begin again, under another id."""
         self._away.discard(server_id)
         self.store.delete(f"servers/{self._ids[server_id]}")
-        server = self.servers[server_id]
+        server = self.all_servers[server_id]
         self._ids[server_id] = f"{server_id}-{server.born}"
         server.faults = {}
-        server.software_version = next(self._versions)
+        if server_id in self.servers:
+            server.software_version = next(self._versions)
         server.restart(self._ids[server_id])
-        self.ways[f"server-{server_id}"].set_faults(
+        self.server_ways[server.port].set_faults(
             **fault_proxy.Faults()._asdict()
         )
         self.register(server_id)
@@ -313,14 +338,42 @@
     def end(self, server_id: str) -> None:
         """Lets nobody reach a server any more."""
         self._away.add(server_id)
-        way = self.ways[f"server-{server_id}"]
+        way = self.server_ways[self.all_servers[server_id].port]
         way.set_faults(mode="refuse")
         way.reset_all()
 
+    def join(self, server_id: str, version: str) -> None:
+        """Lets an engine of a newer software version join.
+
+        Args:
+            server_id: Its name; it gets an id of its own.
+            version: Its software version.
+        """
+        name = f"{_JOINED}{server_id}"
+        self.joined[name] = self._make_server(name, version)
+        self._fields[name] = {"service": JOINED_SERVICE, "stage": "decode"}
+        self.register(name)
+
+    def part(self, server_id: str) -> None:
+        """Lets an engine that joined leave for good."""
+        name = f"{_JOINED}{server_id}"
+        self._parted.add(name)
+        self.end(name)
+        self.store.delete(f"servers/{self._ids[name]}")
+        self.joined[name].close()
+
+    def set_watch_behind(self, index: int, *, is_behind: bool) -> None:
+        """Lets a gateway's watches of the store tell of no change, or heals."""
+        if is_behind:
+            self.store.behind.add(self._views[index])
+        else:
+            self.store.behind.discard(self._views[index])
+
     def _crashed(self, server_id: str) -> None:
         self.note_harm(f"server-{server_id}", time.monotonic())
         gevent.sleep(AWAY_S)
-        self.begin_again(server_id)
+        if server_id not in self._parted:
+            self.begin_again(server_id)
 
     def note_kill(self, index: int) -> None:
         """Notes that a gateway is being killed."""
@@ -331,23 +384,29 @@
         self.harms.append((name, began_s, time.monotonic()))
 
     def _start_server(self, server_id: str, service: str, role: str) -> None:
-        server = platform_server.PlatformServerStandin(server_id)
-        server.software_version = next(self._versions)
+        made = self._make_server(server_id, next(self._versions))
+        self.servers[server_id] = made
+        self.ways[f"server-{server_id}"] = self.server_ways[made.port]
+        self._fields[server_id] = {
+            "service": service,
+            **({"stage": role} if role else {}),
+        }
+        self.register(server_id)
+
+    def _make_server(
+        self, server_id: str, version: str
+    ) -> platform_server.PlatformServerStandin:
+        server = stream_server.StreamServer(server_id, self.run_ends)
+        server.software_version = version
         server.crash_on = CULPRIT
         server.on_end = lambda: self.end(server_id)
         server.on_crash = lambda _: self._crashed(server_id)
         server.start()
-        self.servers[server_id] = server
         self._ids[server_id] = server_id
         way = ServerWay(server.port)
         way.start()
-        self.ways[f"server-{server_id}"] = way
         self.server_ways[server.port] = way
-        self._fields[server_id] = {
-            "service": service,
-            **({"stage": role} if role else {}),
-        }
-        self.register(server_id)
+        return server
 
     def _open_way(self, name: str, port: int) -> None:
         way = fault_proxy.FaultProxy((LOOPBACK, port))
--- a/soak/limit_promises.py
+++ b/soak/limit_promises.py
@@ -41,7 +41,7 @@
 def broken(played: fleet.Fleet, made: list[calls.Call]) -> Iterator[str]:
     """Yields a line for each server that got more than its limit."""
     request_ids = {call.request_id for call in made}
-    for name, server in played.servers.items():
+    for name, server in played.all_servers.items():
         sent = [
             _Sent(
                 arrival.at_s,
--- a/soak/play.py
+++ b/soak/play.py
@@ -7,7 +7,8 @@
 
 import gevent
 
-from soak import calls, faults, fleet, promises
+from proofs import stream_order_runs
+from soak import calls, faults, fleet, promises, releases
 
 CALLERS_COUNT = 12
 CULPRIT_PAUSE_LIMIT_S = 1.0
@@ -24,11 +25,13 @@
         broken: A line for each promise that was broken.
         calls: Every call.
         faults: Faults that took place, by name.
+        streams: Streams of the callers beside releases.
     """
 
     broken: list[str]
     calls: list[calls.Call]
     faults: collections.Counter[str]
+    streams: list[stream_order_runs.Stream]
 
 
 def play(
@@ -74,24 +77,38 @@
                     culprit_part=_CULPRIT_PART,
                 )
             )
-        running = [gevent.spawn(caller.run) for caller in callers]
+        stream_calls = releases.StreamCalls(played, seed)
+        readers = [
+            stream_order_runs.Caller(stream_calls, number)
+            for number in range(releases.CALLERS_COUNT)
+        ]
+        running = [gevent.spawn(caller.run) for caller in (*callers, *readers)]
         rotation = gevent.spawn(faults.rotate_keys, played, keys_rng, length_s)
         limits_rng = random.Random(f"limits {seed}")
         limiting = [
             gevent.spawn(faults.state_limits, played, limits_rng, length_s)
             for _ in range(LIMITED_SERVERS_COUNT)
         ]
+        released = releases.Releases(
+            played, stream_calls, random.Random(f"releases {seed}")
+        )
+        releasing = gevent.spawn(released.play, length_s)
         injected = faults.Faults(played, rng)
         injected.play(length_s)
         rotation.join()
+        releasing.join()
+        played.heal()
         gevent.joinall(limiting)
         healed_s = time.monotonic()
         gevent.sleep(promises.RECOVERY_S + promises.RECOVERED_S)
-        played.is_over = True
+        played.is_over = stream_calls.is_over = True
         gevent.joinall(running, timeout=2 * calls.ANSWER_TIMEOUT_S)
         gevent.sleep(_SETTLE_S)
         made = calls.all_of(callers)
         judge = promises.Judge(played, healed_s)
-        return Outcome(judge.broken(made), made, injected.counts)
+        streams = [one for reader in readers for one in reader.streams]
+        broken = [*judge.broken(made), *releases.broken(streams)]
+        counts = injected.counts + released.counts
+        return Outcome(broken, made, counts, streams)
     finally:
         played.close()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -65,7 +65,7 @@
     def broken(self, made: list[calls.Call]) -> list[str]:
         """Returns a line for each promise that was broken."""
         runs: collections.Counter[str] = collections.Counter()
-        for server in self._fleet.servers.values():
+        for server in self._fleet.all_servers.values():
             runs.update(run["id"] for run in server.runs)
         lines = [
             f"{call.kind} {call.request_id}: {reason}"
--- a/soak/repeat_promises.py
+++ b/soak/repeat_promises.py
@@ -32,7 +32,7 @@
             repeat_windows.Arrival(
                 arrival.at_s, arrival.request_id, arrival.is_accepted_prefill
             ): (f"server-{name}", f"path-{played.sender_of(arrival)}")
-            for name, server in played.servers.items()
+            for name, server in played.all_servers.items()
             if fleet.service_of(name) == service
             for arrival in server.arrivals
             if arrival.request_id in request_ids
--- a/soak/server_promises.py
+++ b/soak/server_promises.py
@@ -61,7 +61,7 @@
                 self._calls[arrival.request_id],
                 played.sender_of(arrival),
             )
-            for name, server in played.servers.items()
+            for name, server in played.all_servers.items()
             for arrival in server.arrivals
             if arrival.request_id in self._calls
         ]
@@ -116,7 +116,7 @@
             )
             ends_s = sorted(
                 at_s
-                for server in self._fleet.servers.values()
+                for server in self._fleet.all_servers.values()
                 for at_s, body in server.crashes
                 if (body != fleet.CULPRIT) == has_part
             )
--- a/soak/version_promises.py
+++ b/soak/version_promises.py
@@ -17,7 +17,7 @@
         made: Every call.
     """
     runs: dict[str, list[dict[str, str]]] = collections.defaultdict(list)
-    for server in played.servers.values():
+    for server in played.all_servers.values():
         for run in server.runs:
             runs[run["id"]].append(run)
     versions: dict[str, set[str]] = collections.defaultdict(set)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,9 @@
 import unittest
 import unittest.mock
 
+from gevent import socket
+
+from proofs import stream_order, stream_order_runs
 from soak import (
     calls,
     charge_promises,
@@ -11,11 +14,14 @@
     limit_promises,
     play,
     promises,
+    releases,
     repeat_promises,
     seeds,
     stops,
+    stream_server,
 )
 from standins import platform_server
+from tests import test_gateway
 
 SEEDS = (1, 3)
 LENGTH_S = 3.0
@@ -47,6 +53,13 @@
             self.assertEqual(outcome.broken, [])
             self.assertGreater(len(outcome.calls), 50)
             self.assertGreater(outcome.faults.total(), 3)
+            taken_up = [
+                attempt
+                for stream in outcome.streams
+                for attempt in stream.attempts
+                if attempt.last_event_id
+            ]
+            self.assertGreater(len(taken_up), 5)
 
 
 class StopPromisesTest(unittest.TestCase):
@@ -237,5 +250,81 @@
         self.assertEqual(self.uncharged_count(), 0)
 
 
+class ReleasesTest(unittest.TestCase):
+    """Streams of the callers beside releases are held against the rule."""
+
+    def setUp(self) -> None:
+        self.run_ends: dict[str, list[str]] = {}
+        self.server = stream_server.StreamServer("dec-1", self.run_ends)
+        self.server.start()
+        self.addCleanup(self.server.close)
+
+    def attempt(
+        self, shape: stream_order.Shape, request_id: str, after: str = ""
+    ) -> stream_order.Attempt:
+        """Asks the server for a stream and reads the answer to its end."""
+        sent = (
+            "POST /stream/x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n"
+            "x-mulberrywharf-expected-instance: dec-1\r\n"
+            "x-mulberrywharf-token-usage: 300,5\r\n"
+            f"x-mulberrywharf-request-id: {request_id}\r\n"
+            f"{f'last-event-id: {after}' if after else 'x: y'}\r\n"
+            f"content-length: {len(shape.body)}\r\n\r\n{shape.body}"
+        )
+        with socket.create_connection(("127.0.0.1", self.server.port)) as sock:
+            sock.sendall(sent.encode())
+            raw = test_gateway.read_to_end(sock)
+        return stream_order.Attempt(request_id, "0", after, raw)
+
+    def broken(
+        self, shape: stream_order.Shape, *attempts: stream_order.Attempt
+    ) -> list[str]:
+        times_s = [0.0] * len(attempts)
+        made = stream_order_runs.Stream(shape, "one", list(attempts), times_s)
+        return list(releases.broken([made]))
+
+    def test_streams_of_any_shape_are_sound(self) -> None:
+        for form in stream_order.FORMS:
+            for step in (1, 7):
+                with self.subTest(form=form, step=step):
+                    shape = stream_order.Shape("s", 4, step, form)
+                    first = self.attempt(shape, "id-1")
+                    last_id = first.pieces[1].event_id
+                    second = self.attempt(shape, "id-2", last_id)
+                    self.assertEqual(len(first.pieces), 4)
+                    self.assertEqual(len(second.pieces), 2)
+                    self.assertEqual(self.broken(shape, first, second), [])
+
+    def test_streams_that_break_the_rule_are_found(self) -> None:
+        shape = stream_order.Shape("s", 4, 2, "lf")
+        first = self.attempt(shape, "id-1")
+        self.server.software_version = "v1.1"
+        newer = self.attempt(shape, "id-2", "4")
+        again = self.attempt(shape, "id-3")._replace(last_event_id="4")
+        self.server.faults = {"break_after": 2}
+        cut = self.attempt(shape, "id-4")
+        ended = cut._replace(raw=cut.raw + b"0\r\n\r\n")
+        self.assertEqual(self.broken(shape, cut), [])
+        for attempts, form in (
+            ((first, newer), "joined"),
+            ((first, again), "twice"),
+            ((first, again), "back"),
+            ((ended,), "short"),
+        ):
+            with self.subTest(form):
+                lines = self.broken(shape, *attempts)
+                self.assertTrue(any(f"{form}: " in line for line in lines))
+
+    def test_unmarked_ends_of_servers_are_noted(self) -> None:
+        shape = stream_order.Shape("s", 4, 1, "lf")
+        self.server.faults = {"raw": {"framing": "none", "cut_at": -10}}
+        self.attempt(shape, "id-1")
+        self.server.faults = {"raw": {"framing": "length"}}
+        self.attempt(shape, "id-2")
+        self.assertEqual(
+            self.run_ends, {"id-1": ["unmarked"], "id-2": ["marked"]}
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
