Play a release beside a gateway out of step in the runs of streams

The runs began before any gateway had seen its servers for long enough to infer a version, so take-ups without Resumes were refused. They now begin behind that time, with one release, and send take-ups to the gateway out of step.

--- a/proofs/stream_order.py
+++ b/proofs/stream_order.py
@@ -105,6 +105,9 @@
     "comment-in": lambda one, data: f"id: {one}\n: note\ndata: {data}\n\n",
     "retry": lambda one, data: f"retry: 9\nid: {one}\ndata: {data}\n\n",
     "named": lambda one, data: f"event: token\nid: {one}\ndata: {data}\n\n",
+    "weights": lambda one, data: (
+        f"x-mulberrywharf-weight-versions: 7\nid: {one}\ndata: {data}\n\n"
+    ),
     "lines": lambda one, data: f"id: {one}\ndata: {data}\ndata: x\n\n",
     "large": lambda one, data: f"id: {one}\ndata: {data} {'x' * 20_000}\n\n",
     "two-ids": lambda one, data: f"id: 0\nid: {one}\ndata: {data}\n\n",
--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -25,6 +25,7 @@
 
 from mulberrywharf import _connections
 from mulberrywharf.platform import documents
+from mulberrywharf.policy import stream_version
 from proofs import stream_order
 from standins import _http, fault_proxy, platform_server, platform_store
 from tests import builders_addresses, processes
@@ -32,11 +33,16 @@
 
 GATEWAYS_COUNT = 4
 LENGTH_S = 25.0
-VERSIONS = ("v1", "v1.1", "v1.2")
+VERSIONS = ("v1", "v1.1")
 _SERVERS_PER_VERSION = 4
 _CALLERS_COUNT = 15
 _NODES_PORT = 7663
-_KNOWN_S = 3.0
+_KNOWN_S = stream_version.LEAST_HOLD_S + 1.0
+"""Until gateways have seen their servers for long enough to know what began
+any stream."""
+
+_LOSES_OTHERS_CHANCE = 0.3
+_AT_OUT_OF_STEP_CHANCE = 0.5
 _HEARTBEAT_S = 1.0
 _PAUSE_S = (0.02, 0.12)
 _BREAK_CHANCE = 0.3
@@ -45,6 +51,9 @@
 _ATTEMPTS_LIMIT_COUNT = 8
 _ANSWER_TIMEOUT_S = 6.0
 _LOG_LINES_LIMIT_COUNT = 30
+_UPSET_COUNT = 3
+_TRIES_COUNT = 50
+_TRY_PAUSE_S = 0.2
 _REFUSALS_LIMIT_COUNT = 6
 _FIELDS = (
     "x-mulberrywharf-model: m\r\n"
@@ -207,6 +216,7 @@
     Attributes:
         forms: Forms of events.
         gateways: The processes, None while one is started anew.
+        out_of_step: Gateway that is out of step in a release, if any.
         troubles: Names of the troubles that took place, with their times.
         ends: How each run ended, by request id, by time.
     """
@@ -227,6 +237,7 @@
         self.views: list[Any] = []
         self.troubles: list[tuple[float, str]] = []
         self.ends: dict[str, list[str]] = {}
+        self.out_of_step: int | None = None
         self.pieces_count = (4, 14)
         self.fields = ""
         self.began_s = time.monotonic()
@@ -304,12 +315,14 @@
 
     def choose(self, rng: random.Random, *, takes_up: bool) -> int | None:
         """Returns a gateway for a request."""
-        del takes_up
+        is_drawn = rng.random() < _AT_OUT_OF_STEP_CHANCE
         running = [
             index
             for index, gateway in enumerate(self.gateways)
             if gateway is not None
         ]
+        if takes_up and is_drawn and self.out_of_step in running:
+            return self.out_of_step
         return rng.choice(running) if running else None
 
     def note(self, trouble: str) -> None:
@@ -405,26 +418,46 @@
         gevent.joinall([*running, releases], raise_error=True)
 
     def _release(self, rng: random.Random) -> None:
-        """Lets newer versions join, and the older ones leave."""
+        """Lets a newer version join beside a gateway that is out of step."""
+        wharf = self._wharf
+        newer = VERSIONS[1]
+        gevent.sleep(rng.uniform(1.0, 8.0))
+        index = rng.randrange(GATEWAYS_COUNT)
+        play = rng.choice((self._stop, self._delay_watch, self._cut_store))
+        loses_others = rng.random() < _LOSES_OTHERS_CHANCE
+        length_s = rng.uniform(0.5, 3.5)
+        wharf.out_of_step = index
+        aside = [gevent.spawn(play, index, length_s)]
+        gevent.sleep(0.2)
+        wharf.note(f"{newer} joins")
+        for name in wharf.names_of(newer):
+            wharf.register(name)
+        gevent.sleep(length_s / 2)
+        if loses_others:
+            aside += [
+                gevent.spawn(self._kill, other, length_s)
+                for other in range(GATEWAYS_COUNT)
+                if other != index
+            ]
+        gevent.joinall(aside, raise_error=True)
+        gevent.sleep(rng.uniform(0.0, 2.0))
+        wharf.out_of_step = None
+        self._end_release(rng)
+
+    def _end_release(self, rng: random.Random) -> None:
+        """Lets either version leave, or keeps both."""
         wharf = self._wharf
-        for older, newer in itertools.pairwise(VERSIONS):
-            gevent.sleep(rng.uniform(2.0, 5.0))
-            index = rng.randrange(GATEWAYS_COUNT)
-            out_of_step = rng.choice((self._stop, self._delay_watch))
-            aside = gevent.spawn(out_of_step, index, rng.uniform(1.0, 3.5))
-            gevent.sleep(0.2)
-            wharf.note(f"{newer} joins")
-            for name in wharf.names_of(newer):
-                wharf.register(name)
-            aside.join()
-            gevent.sleep(rng.uniform(0.0, 2.0))
-            wharf.note(f"{older} leaves")
-            leaving, again, *staying = rng.sample(wharf.names_of(older), 4)
-            wharf.leave(leaving)
-            self._begin_again(again, newer, rng.uniform(0.05, 0.5))
-            gevent.sleep(rng.uniform(0.5, 2.0))
-            for name in staying:
-                wharf.leave(name)
+        leaving = rng.choice((None, *VERSIONS, VERSIONS[0]))
+        if leaving is None:
+            return
+        (staying,) = set(VERSIONS) - {leaving}
+        wharf.note(f"{leaving} leaves")
+        first, again, *others = rng.sample(wharf.names_of(leaving), 4)
+        wharf.leave(first)
+        self._begin_again(again, staying, rng.uniform(0.05, 0.5))
+        gevent.sleep(rng.uniform(0.5, 2.0))
+        for name in others:
+            wharf.leave(name)
 
     def _begin_again(self, name: str, version: str, away_s: float) -> None:
         wharf = self._wharf
@@ -478,7 +511,7 @@
     def _take(self, index: int) -> processes.LoggedProcess | None:
         """Returns a gateway, unless too many are away."""
         gateway = self._wharf.gateways[index]
-        is_free = index not in self._upset and len(self._upset) < 2
+        is_free = index not in self._upset and len(self._upset) < _UPSET_COUNT
         if gateway is None or not is_free or gateway.poll() is not None:
             return None
         self._upset.add(index)
@@ -493,18 +526,18 @@
                 path.reset_all()
             return
         for path in paths:
-            path.set_faults(mode=mode)
+            _set_mode(path, mode)
         gevent.sleep(length_s)
         for path in paths:
-            path.set_faults(mode="pass")
+            _set_mode(path, "pass")
 
     def _cut_store(self, index: int, length_s: float) -> None:
         mode = self._rng.choice(("cut", "silent", "freeze", "half-open-down"))
         self._wharf.note(f"{index} loses the store: {mode} {length_s:.1f} s")
         path = self._wharf.store_paths[index]
-        path.set_faults(mode=mode)
+        _set_mode(path, mode)
         gevent.sleep(length_s)
-        path.set_faults(mode="pass")
+        _set_mode(path, "pass")
 
     def _delay_watch(self, index: int, length_s: float) -> None:
         self._wharf.note(f"{index} has a watch behind {length_s:.1f} s")
@@ -520,6 +553,20 @@
         self._wharf.store.store.compact()
 
 
+def _set_mode(path: fault_proxy.FaultProxy, mode: str) -> None:
+    """Sets a mode, also if another socket has the port for a moment."""
+    for _ in range(_TRIES_COUNT):
+        try:
+            path.set_faults(mode=mode)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            gevent.sleep(_TRY_PAUSE_S)
+        else:
+            return
+    raise AssertionError(f"the port {path.port} is taken")
+
+
 class Stream(NamedTuple):
     """A stream as its caller saw it.
 
