--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -21,7 +21,7 @@
 from typing import Any, NamedTuple, Protocol
 
 import gevent
-from gevent import socket
+from gevent import event, socket
 
 from mulberrywharf import _connections
 from mulberrywharf.platform import documents
@@ -151,8 +151,8 @@
             cut_in = None
         end = rng.choice(_ENDS)
         sock.sendall(head)
-        for number, event in enumerate(made):
-            wire = _in_chunks(event, rng) if framing == "chunks" else event
+        for number, written in enumerate(made):
+            wire = _in_chunks(written, rng) if framing == "chunks" else written
             if number == cut_in:
                 # Further events may come along with the one that is cut.
                 sock.sendall(wire[: rng.randrange(len(wire) + 1)])
@@ -391,6 +391,7 @@
         self._wharf = wharf
         self._rng = random.Random(f"troubles {wharf.seed}")
         self._upset: set[int] = set()
+        self._has_joined = event.Event()
 
     def play(self, length_s: float) -> None:
         """Plays releases, and begins troubles beside them for a time."""
@@ -407,6 +408,8 @@
             self._drop_history: 1,
             self._restart_server: 3,
         }
+        # What upsets gateways before it lets none of them infer a version.
+        self._has_joined.wait()
         ends_s = time.monotonic() + length_s
         running = []
         while time.monotonic() < ends_s:
@@ -421,7 +424,7 @@
         """Lets a newer version join beside a gateway that is out of step."""
         wharf = self._wharf
         newer = VERSIONS[1]
-        gevent.sleep(rng.uniform(1.0, 8.0))
+        gevent.sleep(rng.uniform(0.5, 2.0))
         index = rng.randrange(GATEWAYS_COUNT)
         play = rng.choice((self._stop, self._delay_watch, self._cut_store))
         loses_others = rng.random() < _LOSES_OTHERS_CHANCE
@@ -433,6 +436,7 @@
         for name in wharf.names_of(newer):
             wharf.register(name)
         gevent.sleep(length_s / 2)
+        self._has_joined.set()
         if loses_others:
             aside += [
                 gevent.spawn(self._kill, other, length_s)
