--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -52,6 +52,7 @@
 _ANSWER_TIMEOUT_S = 6.0
 _LOG_LINES_LIMIT_COUNT = 30
 _UPSET_COUNT = 3
+_WATCH_STEP_MS = 20
 _TRIES_COUNT = 50
 _TRY_PAUSE_S = 0.2
 _REFUSALS_LIMIT_COUNT = 6
@@ -78,13 +79,20 @@
         self, query: dict[str, str], environ: dict[str, Any]
     ) -> _http.Reply:
         view = environ.get(platform_store._VIEW_KEY)
-        if view not in self.behind:
-            return super()._watch(query, environ)
         ends_s = time.monotonic() + int(query["wait-ms"]) / 1000
-        while view in self.behind and time.monotonic() < ends_s:
-            gevent.sleep(0.02)
+        # Asks in steps, so that a watch that waits is behind at once, too.
+        step = {**query, "wait-ms": str(_WATCH_STEP_MS)}
         body = {"events": [], "store-revision": int(query["after"])}
-        return _http.Reply(200, body)
+        reply = _http.Reply(200, body)
+        while True:
+            if view in self.behind:
+                gevent.sleep(_WATCH_STEP_MS / 1000)
+            else:
+                reply = super()._watch(step, environ)
+                if reply.status != 200 or reply.body["events"]:
+                    return reply
+            if time.monotonic() >= ends_s:
+                return reply
 
 
 class Server(platform_server.PlatformServerStandin):
