--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -35,14 +35,16 @@
 LENGTH_S = 25.0
 VERSIONS = ("v1", "v1.1")
 _SERVERS_PER_VERSION = 4
-_CALLERS_COUNT = 15
+_CALLERS_COUNT = 18
 _NODES_PORT = 7663
+_FIRST_SERVER_HOST = 100
+_PROXIES_HOST = 200
 _KNOWN_S = stream_version.LEAST_HOLD_S + 1.0
 """Until gateways have seen their servers for long enough to know what began
 any stream."""
 
 _LOSES_OTHERS_CHANCE = 0.3
-_AT_OUT_OF_STEP_CHANCE = 0.5
+_AT_OUT_OF_STEP_CHANCE = 0.7
 _HEARTBEAT_S = 1.0
 _PAUSE_S = (0.02, 0.12)
 _BREAK_CHANCE = 0.3
@@ -53,8 +55,6 @@
 _LOG_LINES_LIMIT_COUNT = 30
 _UPSET_COUNT = 3
 _WATCH_STEP_MS = 20
-_TRIES_COUNT = 50
-_TRY_PAUSE_S = 0.2
 _REFUSALS_LIMIT_COUNT = 6
 _FIELDS = (
     "x-mulberrywharf-model: m\r\n"
@@ -102,8 +102,15 @@
         ends: How each run at any server ended, by request id, by time.
     """
 
-    def __init__(self, server_id: str, seed: int, ends: dict[str, list[str]]):
-        super().__init__(server_id)
+    def __init__(
+        self,
+        server_id: str,
+        ip: str,
+        seed: int,
+        ends: dict[str, list[str]],
+    ):
+        super().__init__(server_id, ip)
+        self.ip = ip
         self.ends = ends
         self._seed = seed
 
@@ -240,7 +247,7 @@
         self.servers: dict[str, Server] = {}
         self.ids: dict[str, str] = {}
         self.states: dict[str, str] = {}
-        self.paths: list[dict[int, fault_proxy.FaultProxy]] = []
+        self.paths: list[dict[str, fault_proxy.FaultProxy]] = []
         self.store_paths: list[fault_proxy.FaultProxy] = []
         self.views: list[Any] = []
         self.troubles: list[tuple[float, str]] = []
@@ -260,6 +267,7 @@
 
     def start(self) -> None:
         """Starts the store, servers of the first version and gateways."""
+        self._net = builders_addresses.claim_net(self)  # type: ignore[arg-type]
         self.store.era = 1
         self.store.start()
         self.addCleanup(self.store.close)
@@ -274,7 +282,6 @@
         for name in self.servers:
             if name.endswith(f"-{VERSIONS[0]}"):
                 self.register(name)
-        self._net = builders_addresses.claim_net(self)  # type: ignore[arg-type]
         for index in range(GATEWAYS_COUNT):
             self.paths.append({})
             self.gateways.append(None)
@@ -282,7 +289,7 @@
                 lambda key, value, index=index: self._seen(index, key, value)
             )
             port = self.store.add_view(self.views[-1])
-            self.store_paths.append(self._proxy(port))
+            self.store_paths.append(self._proxy("127.0.0.1", port))
         starting = [
             gevent.spawn(self.launch, index) for index in range(GATEWAYS_COUNT)
         ]
@@ -303,7 +310,7 @@
                     "callers_listen": "127.0.0.1:0",
                     "operators_listen": "127.0.0.1:0",
                     "nodes_listen": f"{self._net}.{index + 1}:{_NODES_PORT}",
-                    "store": f"127.0.0.1:{self.store_paths[index].port}",
+                    "store": self._address(self.store_paths[index]),
                     "repeats": {
                         "ratio": 0.2,
                         "window_s": 10,
@@ -344,7 +351,7 @@
         record = build.server_value(
             service="engines",
             stage="decode",
-            address=f"127.0.0.1:{server.port}",
+            address=f"{server.ip}:{server.port}",
             version=server.software_version,
             state=state,
             sequence=next(self._sequence),
@@ -362,7 +369,9 @@
         return [one for one in self.servers if one.endswith(f"-{version}")]
 
     def _make_server(self, name: str, version: str) -> None:
-        server = Server(name, self.seed, self.ends)
+        # Ports are bound again, so no other socket may get them meanwhile.
+        ip = f"{self._net}.{_FIRST_SERVER_HOST + len(self.servers)}"
+        server = Server(name, ip, self.seed, self.ends)
         server.software_version = version
         server.start()
         self.addCleanup(server.close)
@@ -375,20 +384,26 @@
             for name, state in list(self.states.items()):
                 self.register(name, state)
 
-    def _proxy(self, port: int) -> fault_proxy.FaultProxy:
-        made = fault_proxy.FaultProxy(("127.0.0.1", port))
+    def _proxy(self, ip: str, port: int) -> fault_proxy.FaultProxy:
+        made = fault_proxy.FaultProxy(
+            (ip, port), ip=f"{self._net}.{_PROXIES_HOST}"
+        )
         made.start()
         self.addCleanup(made.close)
         return made
 
+    def _address(self, path: fault_proxy.FaultProxy) -> str:
+        return f"{self._net}.{_PROXIES_HOST}:{path.port}"
+
     def _seen(self, index: int, key: str, value: bytes) -> bytes:
         if not key.startswith(documents.SERVERS_PREFIX):
             return value
         record = json.loads(value)
-        port = int(record["address"].rpartition(":")[2])
-        if port not in self.paths[index]:
-            self.paths[index][port] = self._proxy(port)
-        record["address"] = f"127.0.0.1:{self.paths[index][port].port}"
+        address = record["address"]
+        if address not in self.paths[index]:
+            ip, _, port = address.rpartition(":")
+            self.paths[index][address] = self._proxy(ip, int(port))
+        record["address"] = self._address(self.paths[index][address])
         return json.dumps(record).encode()
 
 
@@ -436,7 +451,7 @@
         index = rng.randrange(GATEWAYS_COUNT)
         play = rng.choice((self._stop, self._delay_watch, self._cut_store))
         loses_others = rng.random() < _LOSES_OTHERS_CHANCE
-        length_s = rng.uniform(0.5, 3.5)
+        length_s = rng.uniform(1.5, 3.5)
         wharf.out_of_step = index
         aside = [gevent.spawn(play, index, length_s)]
         gevent.sleep(0.2)
@@ -538,18 +553,18 @@
                 path.reset_all()
             return
         for path in paths:
-            _set_mode(path, mode)
+            path.set_faults(mode=mode)
         gevent.sleep(length_s)
         for path in paths:
-            _set_mode(path, "pass")
+            path.set_faults(mode="pass")
 
     def _cut_store(self, index: int, length_s: float) -> None:
         mode = self._rng.choice(("cut", "silent", "freeze", "half-open-down"))
         self._wharf.note(f"{index} loses the store: {mode} {length_s:.1f} s")
         path = self._wharf.store_paths[index]
-        _set_mode(path, mode)
+        path.set_faults(mode=mode)
         gevent.sleep(length_s)
-        _set_mode(path, "pass")
+        path.set_faults(mode="pass")
 
     def _delay_watch(self, index: int, length_s: float) -> None:
         self._wharf.note(f"{index} has a watch behind {length_s:.1f} s")
@@ -565,20 +580,6 @@
         self._wharf.store.store.compact()
 
 
-def _set_mode(path: fault_proxy.FaultProxy, mode: str) -> None:
-    """Sets a mode, also if another socket has the port for a moment."""
-    for _ in range(_TRIES_COUNT):
-        try:
-            path.set_faults(mode=mode)
-        except OSError as error:
-            if error.errno != errno.EADDRINUSE:
-                raise
-            gevent.sleep(_TRY_PAUSE_S)
-        else:
-            return
-    raise AssertionError(f"the port {path.port} is taken")
-
-
 class Stream(NamedTuple):
     """A stream as its caller saw it.
 
@@ -638,7 +639,7 @@
         self._calls = calls
         self._number = number
         self._rng = random.Random(f"caller {number} {calls.seed}")
-        self._names_stream = number % 3 != 0
+        self._names_stream = number % 2 == 0
         self._is_slow = number % 6 == 1
         self._is_early = number % 6 == 2
         self._kept: tuple[int, Any, Any] | None = None
