--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -21,7 +21,7 @@
 from typing import Any, NamedTuple, Protocol
 
 import gevent
-from gevent import event, socket
+from gevent import event, lock, socket
 
 from mulberrywharf import _connections
 from mulberrywharf.platform import documents
@@ -113,6 +113,7 @@
         self.ip = ip
         self.ends = ends
         self._seed = seed
+        self._starting = lock.BoundedSemaphore()
 
     def _run(
         self,
@@ -208,11 +209,12 @@
 
     def begin_again(self, server_id: str, version: str, away_s: float) -> None:
         """Ends in the middle of everything and starts again in place."""
-        self.close()
-        with platform_server._held_port(self._ip, self.port):
-            gevent.sleep(away_s)
-            self.software_version = version
-            self.restart(server_id)
+        with self._starting:
+            self.close()
+            with platform_server._held_port(self._ip, self.port):
+                gevent.sleep(away_s)
+                self.software_version = version
+                self.restart(server_id)
 
 
 def _closed(framing: str) -> str:
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -120,6 +120,28 @@
             self.assertEqual(self.forms(made)[0], "foreign")
 
 
+class ShapeTest(unittest.TestCase):
+    def test_events_of_any_shape_are_a_sound_stream(self) -> None:
+        for form in stream_order.FORMS:
+            for step in (1, 7):
+                with self.subTest(form=form, step=step):
+                    shape = stream_order.Shape("s", COUNT, step, form)
+                    self.assertEqual(stream_order.Shape.find(shape.body), shape)
+                    made = shape.events("", "dec-1", "v1", "dec-1/1")
+                    begun = broken(b"".join(made[:2]))
+                    last_id = begun.pieces[-1].event_id
+                    rest = shape.events(last_id, "dec-2", "v1", "dec-2/1")
+                    ended = whole(b"".join(rest), last_id)
+                    self.assertEqual(len(ended.pieces), COUNT - 2)
+                    self.assertEqual(
+                        stream_order.judge("s", COUNT, [begun, ended]), []
+                    )
+
+    def test_other_bodies_are_no_shapes(self) -> None:
+        for body in ("", "ends whoever runs it", "one two 3 4 5 lf", "id-1"):
+            self.assertIsNone(stream_order.Shape.find(body))
+
+
 class ReadTest(unittest.TestCase):
     def ids(self, body: bytes) -> list[tuple[str, int]]:
         read = stream_order.read_pieces(body, "")
