Let no caller name its stream in some runs

A gateway whose watch is behind learns a new version from callers that name streams of it, so runs in which half of the callers did so showed nothing.

--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -286,6 +286,7 @@
         self.out_of_step: int | None = None
         self.pieces_count = (4, 14)
         self.fields = ""
+        self.named_share = draw_named_share(seed)
         self.began_s = time.monotonic()
         self.is_over = False
         self._cleanup = cleanup
@@ -627,6 +628,14 @@
     took_up_early: bool = False
 
 
+def draw_named_share(seed: int) -> float:
+    """Returns the share of callers that name streams in the runs of a seed.
+
+    A gateway learns versions from callers that do, so some runs have none.
+    """
+    return random.Random(f"named {seed}").choice((0.0, 0.5, 1.0))
+
+
 class Calls(Protocol):
     """What callers of streams share.
 
@@ -635,6 +644,7 @@
         forms: Forms of events.
         pieces_count: Least and most pieces of a stream.
         fields: Header fields of every request.
+        named_share: Share of callers that name the stream that they take up.
         began_s: Monotonic time from which attempts are dated.
         is_over: Set once they are to end.
         ends: How each run at a server ended, by request id, by time.
@@ -645,6 +655,7 @@
     forms: Sequence[str]
     pieces_count: tuple[int, int]
     fields: str
+    named_share: float
     began_s: float
     is_over: bool
     ends: dict[str, list[str]]
@@ -668,7 +679,8 @@
         self._calls = calls
         self._number = number
         self._rng = random.Random(f"caller {number} {calls.seed}")
-        self._names_stream = number % 2 == 0
+        naming_rng = random.Random(f"names {number} {calls.seed}")
+        self._names_stream = naming_rng.random() < calls.named_share
         self._is_slow = number % 6 == 1
         self._is_early = number % 6 == 2
         self._kept: tuple[int, Any, Any] | None = None
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -46,6 +46,7 @@
         self.seed = seed
         self.forms = stream_order.USUAL_FORMS
         self.pieces_count = (3, 7)
+        self.named_share = stream_order_runs.draw_named_share(seed)
         self.fields = f"x-mulberrywharf-credential: {fleet.STATIC_KEY}\r\n"
         self.began_s = time.monotonic()
         self.ends = played.run_ends
