--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -962,6 +962,7 @@
     parser.add_argument("--seeds", type=_range, default=_range("1-6"))
     parser.add_argument("--python", default=sys.executable)
     parser.add_argument("--source", type=pathlib.Path, help="a checkout")
+    parser.add_argument("--length-s", type=float, default=LENGTH_S)
     parser.add_argument("--details", action="store_true")
     parser.add_argument(
         "--forms",
@@ -974,7 +975,7 @@
         os.environ["PYTHONPATH"] = str(arguments.source.resolve() / "src")
     cases_count = 0
     for seed in arguments.seeds:
-        played = play(seed, arguments.forms)
+        played = play(seed, arguments.forms, arguments.length_s)
         cases_count += len(played.cases)
         for line in _lines(played):
             print(line, flush=True)
