--- a/proofs/stream_order_runs.py
+++ b/proofs/stream_order_runs.py
@@ -67,10 +67,10 @@
 
 
 class LaggingStore(platform_store.PlatformStoreStandin):
-    """A store some of whose readers' watches are behind.
+    """A store some of whose readers' watches of the servers are behind.
 
     Attributes:
-        behind: Views whose watches are told of no change.
+        behind: Views whose watches of the servers are told of no change.
     """
 
     def __init__(self) -> None:
@@ -81,6 +81,8 @@
         self, query: dict[str, str], environ: dict[str, Any]
     ) -> _http.Reply:
         view = environ.get(platform_store._VIEW_KEY)
+        if not query["prefix"].startswith(documents.SERVERS_PREFIX):
+            return super()._watch(query, environ)
         ends_s = time.monotonic() + int(query["wait-ms"]) / 1000
         # Asks in steps, so that a watch that waits is behind at once, too.
         step = {**query, "wait-ms": str(_WATCH_STEP_MS)}
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -363,7 +363,7 @@
         self.joined[name].close()
 
     def set_watch_behind(self, index: int, *, is_behind: bool) -> None:
-        """Lets a gateway's watches of the store tell of no change, or heals."""
+        """Lets a gateway's watch of the servers tell of no change, or heals."""
         if is_behind:
             self.store.behind.add(self._views[index])
         else:
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -1,8 +1,8 @@
 """Releases beside a gateway that is out of step, and callers of streams.
 
 Servers of newer software versions join, and some leave again, while a gateway
-stands still, is cut off from the store one way or both, has watches of the
-store that are behind, or these while the other gateways stand still. Callers
+stands still, is cut off from the store one way or both, has a watch of the
+servers that is behind, or these while the other gateways stand still. Callers
 leave streams that began meanwhile and take them up, often at that gateway.
 """
 
