Start the task that follows lost paths again after an exception

Cause: it was a greenlet of its own that one exception ended. The paths that were not settled stayed as they were, and nothing was probed, until a server of some service became reachable or unreachable; no metric showed it. The test of endless tasks looked for "while True" alone.

Change: it is a supervised task, and the test looks for every loop. The two tasks of a lease end with it and are named there: without them the lease ends at its expiry.

--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -12,7 +12,7 @@
 from loguru import logger
 from result import Err, Result
 
-from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf import clock, errors, fleet, metrics, supervised_task
 from mulberrywharf.forwarding import server_tracker
 from mulberrywharf.policy import lost_path, reachability
 
@@ -221,7 +221,7 @@
         if self._is_sweep_due(service, now_s):
             self._sweep(service, now_s)
         if self._paths.unsettled() and not self._task:
-            self._task = gevent.spawn(self._run)
+            self._task = supervised_task.spawn("path-monitor", self._run)
 
     def _run(self) -> None:
         while self._paths.unsettled():
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -10,6 +10,7 @@
 
 from mulberrywharf import clock, fleet, metrics, supervised_task
 from mulberrywharf.engines import load_reader
+from mulberrywharf.forwarding import path_monitor
 from mulberrywharf.nodes import claim_log
 from mulberrywharf.platform_service import key_value
 from mulberrywharf.programs import _controller_lease
@@ -175,5 +176,30 @@
             builders_claims.wait_until(lambda: ticked.call_count >= 2)
 
 
+class PathMonitorTest(unittest.TestCase):
+    def test_paths_are_followed_after_an_exception(self) -> None:
+        """Guards against a path that counts as lost until it changes again."""
+        self.enterContext(
+            unittest.mock.patch.object(supervised_task, "RESTART_PAUSE_S", 0.05)
+        )
+        paths = unittest.mock.Mock()
+        paths.unsettled.return_value = ["service"]
+        monitor = path_monitor.PathMonitor(
+            unittest.mock.Mock(),
+            paths,
+            unittest.mock.Mock(),
+            unittest.mock.Mock(),
+            clock.SystemClock(),
+        )
+        self.addCleanup(monitor.close)
+        with (
+            unittest.mock.patch.object(monitor, "_is_sweep_due", lambda *_: 0),
+            failing(monitor, "_probe_due"),
+        ):
+            monitor.note_change("service", 0.0)
+        with unittest.mock.patch.object(monitor, "_probe_due") as probed:
+            builders_claims.wait_until(lambda: probed.call_count >= 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_supervised_task.py
+++ b/tests/test_supervised_task.py
@@ -16,7 +16,10 @@
     "_interval_task.py: _run",  # goes on after a failed step by itself
     "logs.py: _run",  # can't log its own failure
     "_controller_zone.py: _run",  # steps down after a failed round by itself
+    "lease.py: _renew_until_lost",  # the lease then ends at its expiry
+    "lease.py: _wait_for_expiry",  # ends with the lease
 }
+_LOOP = re.compile(r"^ +while ", re.MULTILINE)
 _ENDLESS = re.compile(r"gevent\.spawn\(self\.(_[a-z_]+)\)")
 
 
@@ -79,10 +82,7 @@
             text = path.read_text(encoding="utf-8")
             for name in _ENDLESS.findall(text):
                 body = text.partition(f"def {name}(")[2].partition("\n    def ")
-                if (
-                    "while True:" in body[0]
-                    and "except Exception" not in body[0]
-                ):
+                if _LOOP.search(body[0]) and "except Exception" not in body[0]:
                     found.append(f"{path.name}: {name}")
         self.assertEqual(set(found), _NOT_SUPERVISED)
 
