Read changes from where the watch goes on

A review read it: the records of a large fleet come in several pages, and a later page may hold a record that changed behind the first one. The changes read to confirm a list began behind that record, so one between the pages was left out. They begin at the revision that the watch continues from now. The 19 tests of tests.test_server_list pass; no test has two pages and such a change.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -246,7 +246,7 @@
             return "unread"
         changed = self._client.read_changes(
             self._source.servers_prefix,
-            after_revision=watched.seen_revision,
+            after_revision=watched.continues_at_revision,
             purpose=CONFIRM_PURPOSE,
         )
         if isinstance(changed, Err):
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -160,8 +160,16 @@
     @property
     def seen_revision(self) -> int:
         """Revision up to which every change has been reported."""
-        revision = self._position.revision if self._position else 0
-        return max(revision, self._changed_revision)
+        return max(self.continues_at_revision, self._changed_revision)
+
+    @property
+    def continues_at_revision(self) -> int:
+        """Revision behind which the next message of the watch begins.
+
+        Lower than ``seen_revision`` if a later page of a reading held a record
+        that changed behind the first page.
+        """
+        return self._position.revision if self._position else 0
 
     @property
     def has_read_all(self) -> bool:
