Take another share of repeats if the one drawn at the start is held

Callers of a gateway that had just started got a stream that broke off at its first server, although another server could go on: the gateway had no share of the allowance of repeats. At its start a gateway draws one of eight shares. If another gateway held that one, it had none until a share was free in two reads, 5 s apart, and it ranked first for it.

It now draws once more at its first read (1.5 s behind the start) among the other shares that are free there. One more call to the store for a gateway that drew in vain, none where all shares are held.

--- a/src/mulberrywharf/peers/repeat_shares.py
+++ b/src/mulberrywharf/peers/repeat_shares.py
@@ -1,12 +1,12 @@
 """Acquires and holds shares of the allowance of repeats.
 
-A gateway that starts tries to take one share, and ranks tell who takes the
-shares that stay free. Whoever holds a share keeps it as long as the lease of
-its registration lasts. Losing a share, or not knowing that it is free, costs
-repeats; nothing that this module believes adds to them.
+A gateway that starts tries to take one share, and if that is held, another one.
+Ranks tell who takes the shares that stay free. Whoever holds a share keeps it
+as long as the lease of its registration lasts. Losing a share, or not knowing
+that it is free, costs repeats; nothing that this module believes adds to them.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
 from typing import Protocol
 
 import gevent
@@ -104,6 +104,7 @@
         self._holder_values: frozenset[bytes] = frozenset()
         self._free_before: frozenset[int] = frozenset()
         self._has_tried = False
+        self._drawn_in_vain: int | None = None
         self._acquire_task: gevent.Greenlet | None = None
         peers.on_read(self._on_read)
         peers.on_registered(self._on_registered)
@@ -126,11 +127,16 @@
     def _on_registered(self) -> None:
         wanted = sorted(self._last_holder_in_era)
         if not self._has_tried:
-            digest = xxhash.xxh3_64_intdigest(self._peers.own_value)
-            wanted.append(digest % allowance_shares.SHARES_COUNT)
+            drawn = self._draw(range(allowance_shares.SHARES_COUNT))
+            wanted.append(drawn)
+            self._drawn_in_vain = drawn
         self._has_tried = True
         self._start_acquiring(wanted)
 
+    def _draw(self, shares: Sequence[int]) -> int:
+        digest = xxhash.xxh3_64_intdigest(self._peers.own_value)
+        return shares[digest % len(shares)]
+
     def _on_read(self, records: Iterable[key_value.KeyValue]) -> None:
         held = [one for one in records if one.key.startswith(KEY_PREFIX)]
         listed = {one.key.removeprefix(KEY_PREFIX) for one in held}
@@ -146,6 +152,11 @@
             if share in self._unrecorded or self._is_candidate(share)
         ]
         self._free_before = free
+        if self._drawn_in_vain is not None and not wanted:
+            # One that was held a moment ago has to cool down.
+            others = sorted(free - {self._drawn_in_vain})
+            wanted = [self._draw(others)] if others else []
+            self._drawn_in_vain = None
         self._start_acquiring(wanted)
 
     def _is_candidate(self, share: int) -> bool:
@@ -181,6 +192,7 @@
                 acquired.err_value.message,
             )
             return
+        self._drawn_in_vain = None
         _acquired_total.inc({"result": "acquired"})
         logger.bind(share=share, needs_cooldown=acquired.ok_value).info(
             "share of the allowance of repeats acquired"
--- a/tests/test_repeat_shares.py
+++ b/tests/test_repeat_shares.py
@@ -75,6 +75,32 @@
         held = [share for one in gateways for share in self.usable(one)]
         self.assertEqual(sorted(held), sorted(ALL))
 
+    def test_a_gateway_whose_first_share_is_held_takes_another(self) -> None:
+        """Guards against a start without repeats while shares are free."""
+        self.enterContext(
+            unittest.mock.patch.object(directory, "READ_INTERVAL_S", 60.0)
+        )
+        # Gateways of the same address draw the same share.
+        first = self.start("vm-1")
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.usable(first), 5.0)
+        )
+        for vm_id, is_free_again in (("vm-2", False), ("vm-3", True)):
+            with self.subTest(is_free_again=is_free_again):
+                started = self.start(vm_id)
+                gevent.sleep(0.5)
+                if is_free_again:
+                    first.close()
+                    self.directories[0].close()
+                self.assertTrue(
+                    builders_platform.wait_until(
+                        lambda gateway=started: self.usable(gateway),
+                        2 * directory.FIRST_READ_DELAY_S,
+                    )
+                )
+                held = [self.usable(one) for one in (first, started)]
+                self.assertFalse(set.intersection(*held))
+
     def test_a_gateway_that_knows_no_other_has_no_part_of_the_allowance(
         self,
     ) -> None:
