Bound the waits of a take-up by its caller's deadline

Callers saw: a stream taken up with a deadline of 0.3 s at a gateway cut off from the store was answered after 1.506 s, long behind the deadline.

Cause: the confirmation of the list of servers was awaited for 1.5 s, and replies of other gateways for 0.16 s, whatever time the request had left; the bound of the attempts begins behind both.

The deadline of the request (the caller's or the route's, the earlier one) goes along, and each of the two waits takes half of the time left at the most. What can't be found or confirmed by then is refused as before: 503, stream-not-resumable, with Retry-After, while the caller has at least a quarter of its time for another gateway. The comparison itself goes on for others that wait. The same holds for streams that go on within an answer.

A line of programs/_gateway passes the limit on.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -265,7 +265,7 @@
         if is_new:
             return
         self._only_version = self._dependencies.versions.take_up(
-            routed_request, self._service.name
+            routed_request, self._service.name, self._limit
         )
 
     def _note_started(self) -> None:
@@ -341,7 +341,10 @@
             return
         try:
             self._dependencies.versions.require_server(
-                self._routed_request, self._service.name, self._only_version
+                self._routed_request,
+                self._service.name,
+                self._only_version,
+                self._limit,
             )
         except errors.StreamNotResumableError as error:
             raise self._no_engine_error(error) from error
@@ -914,7 +917,10 @@
         """Resumes at another engine after the last event delivered."""
         if self._has_output:
             self._only_version = self._dependencies.versions.go_on(
-                self._routed_request, self._service.name, self._only_version
+                self._routed_request,
+                self._service.name,
+                self._only_version,
+                self._limit,
             )
         self._allow_retry_or_raise(error)
         run = self._start_within_limit()
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -194,7 +194,7 @@
         """How often all records were read."""
         return self._watch.readings_count if self._watch is not None else 0
 
-    def confirm_versions(self) -> bool:
+    def confirm_versions(self, limit_s: float = CONFIRM_LIMIT_S) -> bool:
         """Compares the list with what the service holds now.
 
         The watch may be behind without a sign, so the records are read, and the
@@ -202,6 +202,10 @@
         have come and left, so the changes that the watch has not yet reported
         are read, too.
 
+        Args:
+            limit_s: Longest wait in seconds, if below ``CONFIRM_LIMIT_S``. The
+                comparison goes on for others that wait.
+
         Returns:
             Whether all versions of the services' servers are known.
         """
@@ -209,7 +213,7 @@
         if waiting is None:
             waiting = self._next_confirmation = gevent.event.AsyncResult()
             gevent.spawn(self._confirm_for, waiting)
-        return bool(waiting.wait(CONFIRM_LIMIT_S))
+        return bool(waiting.wait(min(limit_s, CONFIRM_LIMIT_S)))
 
     def _confirm_for(self, waiting: "gevent.event.AsyncResult[bool]") -> None:
         with self._confirming:
--- a/src/mulberrywharf/forwarding/stream_versions.py
+++ b/src/mulberrywharf/forwarding/stream_versions.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from mulberrywharf import clock, errors, metrics
-from mulberrywharf.forwarding import request
+from mulberrywharf.forwarding import request, time_limits
 from mulberrywharf.peers import stream_origins
 from mulberrywharf.policy import stream_keepers, stream_version
 
@@ -24,8 +24,15 @@
 class Origins(Protocol):
     """The versions at which streams began."""
 
-    def find(self, stream: stream_origins.StreamId) -> stream_version.Origin:
-        """Returns the version at which a stream began; may ask for it."""
+    def find(
+        self, stream: stream_origins.StreamId, limit_s: float
+    ) -> stream_version.Origin:
+        """Returns the version at which a stream began; may ask for it.
+
+        Args:
+            stream: The stream.
+            limit_s: Longest wait for replies, in seconds.
+        """
         ...
 
     def note_begun(
@@ -45,7 +52,7 @@
         origins: Origins,
         history: stream_version.VersionHistory,
         system_clock: clock.Clock,
-        confirm: Callable[[], bool],
+        confirm: Callable[[float], bool],
     ):
         """Creates it.
 
@@ -54,7 +61,8 @@
             history: The versions of the services.
             system_clock: Source of monotonic time.
             confirm: Compares the history with the records of the servers;
-                returns whether it had every version until the call. May wait.
+                returns whether it had every version until the call. Waits for
+                so many seconds at the most.
         """
         self._origins = origins
         self._history = history
@@ -62,12 +70,20 @@
         self._confirm = confirm
 
     def take_up(
-        self, routed_request: request.RoutedRequest, service: str
+        self,
+        routed_request: request.RoutedRequest,
+        service: str,
+        limit: time_limits.TimeLimit,
     ) -> stream_version.VersionKey:
         """Returns the version at which a caller's stream goes on.
 
         Asks other gateways, if necessary.
 
+        Args:
+            routed_request: The request.
+            service: The service that answers it.
+            limit: The deadline of the request.
+
         Raises:
             StreamNotResumableError: It may not go on; nothing ran.
         """
@@ -78,14 +94,17 @@
                 handed.version_key
             )
         else:
-            origin = self._find(routed_request, service)
-        return self._settle("caller", routed_request, service, origin, began_s)
+            origin = self._find(routed_request, service, limit)
+        return self._settle(
+            "caller", routed_request, service, origin, began_s, limit
+        )
 
     def go_on(
         self,
         routed_request: request.RoutedRequest,
         service: str,
         version_key: stream_version.VersionKey | None,
+        limit: time_limits.TimeLimit,
     ) -> stream_version.VersionKey:
         """Returns the version at which a stream goes on within its answer.
 
@@ -93,6 +112,7 @@
             routed_request: The request.
             service: The service that answers it.
             version_key: Version that began the stream, None if it is unknown.
+            limit: The deadline of the request.
 
         Raises:
             BackEndLostError: It may not go on.
@@ -105,7 +125,7 @@
         now_s = self._clock.monotonic_s()
         try:
             return self._settle(
-                "answer", routed_request, service, origin, now_s
+                "answer", routed_request, service, origin, now_s, limit
             )
         except errors.StreamNotResumableError as error:
             raise errors.BackEndLostError(
@@ -117,6 +137,7 @@
         routed_request: request.RoutedRequest,
         service: str,
         version_key: stream_version.VersionKey,
+        limit: time_limits.TimeLimit,
     ) -> None:
         """Requires a server of a version that may get new requests.
 
@@ -126,7 +147,9 @@
         now_s = self._clock.monotonic_s()
         if version_key not in self._history.seen(service, now_s).current:
             origin = stream_version.Begun(version_key)
-            self._settle("attempt", routed_request, service, origin, now_s)
+            self._settle(
+                "attempt", routed_request, service, origin, now_s, limit
+            )
 
     def note_begun(
         self,
@@ -146,7 +169,10 @@
             )
 
     def _find(
-        self, routed_request: request.RoutedRequest, service: str
+        self,
+        routed_request: request.RoutedRequest,
+        service: str,
+        limit: time_limits.TimeLimit,
     ) -> stream_version.Origin:
         """Finds the version of a stream that the caller takes up.
 
@@ -154,11 +180,14 @@
         service had before this gateway started.
         """
         name = routed_request.resumes
+        limit_s = stream_version.wait_limit_s(limit.left_s())
         if name is not None:
-            return self._origins.find(_stream_id(routed_request, name, service))
+            stream = _stream_id(routed_request, name, service)
+            return self._origins.find(stream, limit_s)
         seen = self._history.seen(service, self._clock.monotonic_s())
         if not seen.is_complete:
-            self._origins.find(_stream_id(routed_request, "", service))
+            stream = _stream_id(routed_request, "", service)
+            self._origins.find(stream, limit_s)
         return stream_version.Unknown("not-named")
 
     def _settle(
@@ -168,6 +197,7 @@
         service: str,
         origin: stream_version.Origin,
         began_s: float,
+        limit: time_limits.TimeLimit,
     ) -> stream_version.VersionKey:
         """Decides where a stream goes on, and logs and counts the decision.
 
@@ -176,7 +206,8 @@
         """
         seen = self._history.seen(service, self._clock.monotonic_s())
         if stream_version.needs_confirmation(origin, seen):
-            is_confirmed = self._confirm()
+            limit_s = stream_version.wait_limit_s(limit.left_s())
+            is_confirmed = self._confirm(limit_s)
             seen = self._history.seen(service, self._clock.monotonic_s())
         else:
             is_confirmed = True
--- a/src/mulberrywharf/peers/stream_origins.py
+++ b/src/mulberrywharf/peers/stream_origins.py
@@ -179,15 +179,19 @@
                     b"s", body, self._addresses([vm_id]), is_urgent=True
                 )
 
-    def find(self, stream: StreamId) -> stream_version.Origin:
+    def find(self, stream: StreamId, limit_s: float) -> stream_version.Origin:
         """Returns the version at which a stream began; asks if necessary.
 
-        Waits for ``ROUNDS_COUNT`` rounds at most.
+        Args:
+            stream: The stream.
+            limit_s: Longest wait in seconds, if below ``ROUNDS_COUNT`` rounds.
         """
-        found: gevent.event.AsyncResult = gevent.event.AsyncResult()
+        found: gevent.event.AsyncResult[stream_version.Origin] = (
+            gevent.event.AsyncResult()
+        )
         self.ask(stream, found.set)
-        origin: stream_version.Origin = found.get()
-        return origin
+        origin = found.wait(limit_s)
+        return stream_version.Unknown("no-reply") if origin is None else origin
 
     def ask(
         self,
--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -33,6 +33,10 @@
 comes and leaves between the confirmation of a lent history and the start of the
 gateway that borrows it isn't noticed."""
 
+_WAIT_SHARE = 0.5
+"""Largest part of the time left to a request that one wait of its take-up may
+use. The rest is for the answer, or for another gateway."""
+
 VERSIONS_LIMIT_COUNT = 16
 """Most versions of one service that gateways tell each other. A service with
 more has no version that all servers share."""
@@ -143,6 +147,15 @@
 Continuation = Only | Refused
 
 
+def wait_limit_s(left_s: float) -> float:
+    """Returns how long a take-up may wait for a reply or a confirmation.
+
+    Args:
+        left_s: Time until the deadline of its request.
+    """
+    return _WAIT_SHARE * left_s
+
+
 def needs_confirmation(origin: Origin, seen: SeenVersions) -> bool:
     """Returns whether a decision rests on versions that may be missing.
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -174,7 +174,7 @@
             self._topics,
             self._version_history,
             self._boot_clock,
-            lambda then: gevent.spawn(self._confirm_versions, then),
+            lambda then: gevent.spawn(self._confirm_versions, then=then),
         )
         self._ejections = ejection_exchange.EjectionExchange(
             self._peers,
@@ -652,11 +652,13 @@
         self._stream_origins.set_services({one.service for one in known})
 
     def _confirm_versions(
-        self, then: Callable[[], None] = lambda: None
+        self,
+        limit_s: float = servers.CONFIRM_LIMIT_S,
+        then: Callable[[], None] = lambda: None,
     ) -> bool:
         """Confirms the history of versions, and then calls a function."""
         asked_s = self._boot_clock.monotonic_s()
-        is_confirmed = self._servers.confirm_versions()
+        is_confirmed = self._servers.confirm_versions(limit_s)
         # The records may have been read again meanwhile, by another call, too.
         self._follow_versions()
         if is_confirmed:
--- a/tests/builders_routes.py
+++ b/tests/builders_routes.py
@@ -82,7 +82,9 @@
 class NoOrigins:
     """Knows no stream."""
 
-    def find(self, stream: stream_origins.StreamId) -> stream_version.Origin:
+    def find(
+        self, stream: stream_origins.StreamId, limit_s: float
+    ) -> stream_version.Origin:
         return stream_version.Unknown("no-reply")
 
     def note_begun(
@@ -99,7 +101,7 @@
         NoOrigins(),
         version_history(*servers),
         clock.SystemClock(),
-        lambda: True,
+        lambda limit_s: True,
     )
 
 
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -1,6 +1,7 @@
 """The server list, with a working store and through its outages."""
 
 import itertools
+import time
 import unittest
 from typing import Any
 from unittest import mock
@@ -166,6 +167,13 @@
             builders_platform.wait_until(self.list.confirm_versions)
         )
 
+    def test_confirmation_is_awaited_for_the_time_left(self) -> None:
+        """Guards against waits for the store beyond a caller's deadline."""
+        self.store.faults = {"silent": 5.0}
+        began_s = time.monotonic()
+        self.assertFalse(self.list.confirm_versions(0.1))
+        self.assertLess(time.monotonic() - began_s, 0.3)
+
     def test_versions_are_not_confirmed_without_the_store(self) -> None:
         self.store.faults = {"down": True}
         self.assertFalse(self.list.confirm_versions())
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -164,6 +164,23 @@
             took_s, stream_origins.ROUNDS_COUNT * stream_origins.ROUND_S
         )
 
+    def test_replies_are_awaited_for_the_time_left(self) -> None:
+        """Guards against waits for replies beyond a caller's deadline."""
+        gateway = self.gateways[0]
+        self.network.lost.update(self.network.gateways)
+        self.assertEqual(
+            gateway.origins.find(STREAM, 0.01),
+            stream_version.Unknown("no-reply"),
+        )
+        gateway.origins.note_begun(STREAM, 7)
+        self.assertEqual(
+            gateway.origins.find(STREAM, 0.01), stream_version.Begun(7)
+        )
+        self.assertEqual(
+            gateway.origins.find(STREAM._replace(scope=8), 0.01),
+            stream_version.Foreign(),
+        )
+
     def test_stream_is_forgotten(self) -> None:
         self.gateways[0].origins.note_begun(STREAM, 7)
         self.network.clock.now_s += stream_keepers.KEEP_S
--- a/tests/test_streams_out_of_step.py
+++ b/tests/test_streams_out_of_step.py
@@ -143,6 +143,20 @@
                     one.older_went_on_count, one.taken_count / 2
                 )
 
+    def test_take_up_is_refused_before_its_deadline(self) -> None:
+        """Guards against callers that wait for a store until it is too late."""
+        (service, _) = self.fleet.next_services()
+        name = f"{service}.begun"
+        self.fleet.begin(BEHIND, name)
+        self.cut_store("silent")
+        began_s = time.monotonic()
+        fields = "last-event-id: 2\r\nx-mulberrywharf-deadline-ms: 300\r\n"
+        got = self.fleet.stream(BEHIND, f"next-{name}", fields)
+        self.assertLess(time.monotonic() - began_s, 0.3)
+        self.assertEqual(got.status, 503)
+        self.assertIn(b"stream-not-resumable", got.body)
+        self.assertIn(b'"outcome": "not-run"', got.body)
+
     def test_gateway_cut_off_from_the_store_joins_no_versions(self) -> None:
         """Guards against joins by a list that can't be read anew."""
         for mode in STORE_MODES:
