Remember the versions of servers whose records became unreadable

Callers saw (12 streams with Last-Event-Id alone, real gateways): 7 of them held events of two versions. A gateway that had been cut off from the store went on sending to a server of v1.1 whose record was then overwritten by one that can't be decoded; 11 s later streams began there, and another gateway, whose list was confirmed, took them up at v1.

Cause: a server whose record becomes unreadable counted as gone. Its version was forgotten after the hold of 10 s, although the server runs on and gateways without the newer record still use it. The confirmation only compares revisions, so such a list was called confirmed.

Such a server's version now counts as one that may have begun a stream for as long as its record is there and can't be read; it gets no request, as before. With two versions, streams are told to their keepers, and only unnamed ones are refused. A record that was never readable makes no difference: no gateway of this build can have sent anything to its server, and refusing for it would let any stray key stop all inference.

Red before: test_streams_out_of_step, test_unreadable_record_of_a_server_joins_no_versions: 7 elements joined of 12, Last-Event-Id alone (one run); none with Resumes. Green now, one run.

Two lines of programs/_gateway hand these servers to the history.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -151,7 +151,7 @@
         self._by_service: dict[str, tuple[fleet.Server, ...]] = {}
         self._draining: dict[str, tuple[fleet.Server, ...]] = {}
         self._missing: dict[str, gevent.Greenlet] = {}
-        self._unreadable: set[str] = set()
+        self._unreadable: dict[str, fleet.Server | None] = {}
         self._ended = server_starts.EndedStarts()
         self._leaving: set[fleet.ServerStart] = set()
         self._watch: watch.Watch | None = None
@@ -276,6 +276,19 @@
         """Returns servers that came and left between the last two changes."""
         return tuple(self._passed)
 
+    def overwritten(self) -> tuple[fleet.Server, ...]:
+        """Returns servers whose record has become unreadable, as draining.
+
+        Such a server may still run, and gateways that have not read its record
+        since may still send requests to it. Requests to one whose record never
+        was readable can't have been sent.
+        """
+        return tuple(
+            server._replace(is_draining=True)
+            for server in self._unreadable.values()
+            if server is not None
+        )
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Registers a callback that runs after each change of the list."""
         self._callbacks.append(callback)
@@ -361,14 +374,16 @@
             self._on_restored_record(server_id)
             return
         if event.kind == "delete":
-            self._unreadable.discard(server_id)
+            if self._unreadable.pop(server_id, None) is not None:
+                self._has_changed = True
             self._on_missing(server_id)
             return
         decoded = self._source.decode_server(key, event.key_value.value)
         if isinstance(decoded, Err):
             self._on_unreadable(server_id, decoded.err_value)
             return
-        self._unreadable.discard(server_id)
+        if self._unreadable.pop(server_id, None) is not None:
+            self._has_changed = True
         self._on_record(decoded.ok_value)
 
     def _on_restored_record(self, server_id: str) -> None:
@@ -413,7 +428,7 @@
         _unreadable_counter.inc({})
         if server_id in self._unreadable:
             return
-        self._unreadable.add(server_id)
+        self._unreadable[server_id] = self._by_id.get(server_id)
         logger.bind(server_id=server_id).warning("{}", error.message)
         self._cancel_pending_drop(server_id)
         self._drop(server_id, "its record can't be read")
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -644,10 +644,11 @@
     def _note_versions(self, known: tuple[fleet.Server, ...]) -> None:
         now_s = self._boot_clock.monotonic_s()
         passed = self._servers.passed()
+        running = (*known, *self._servers.overwritten())
         is_new = bool(passed) and self._version_history.set_servers(
-            (*known, *passed), now_s
+            (*running, *passed), now_s
         )
-        if self._version_history.set_servers(known, now_s) or is_new:
+        if self._version_history.set_servers(running, now_s) or is_new:
             self._stream_origins.tell_untold()
         self._stream_origins.set_services({one.service for one in known})
 
--- a/tests/builders_out_of_step.py
+++ b/tests/builders_out_of_step.py
@@ -144,6 +144,13 @@
             build.server_value(**self._registered[server_id]),
         )
 
+    def overwrite(self, service: str, version: str) -> None:
+        """Makes the record of a version's engine unreadable."""
+        server_id = f"{service}-{version}"
+        fields = {**self._registered[server_id], "slots": 0}
+        value = build.server_value(**fields)
+        self.store.put(documents.SERVERS_PREFIX + server_id, value)
+
     def part(self, service: str, version: str) -> None:
         """Removes the record of a version's engine."""
         server_id = f"{service}-{version}"
--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -294,6 +294,30 @@
         self.store.put(KEY, build.server_value())
         self.assertTrue(self.wait_usable(2))
 
+    def test_overwritten_server_is_remembered_until_its_record_is_sound(
+        self,
+    ) -> None:
+        """Guards against versions inferred beside a server that runs on."""
+        found: list[str | None] = []
+
+        def note() -> None:
+            found[:] = [one.software_version for one in self.list.overwritten()]
+
+        self.list.on_change(note)
+        self.store.put(documents.SERVERS_PREFIX + "i-3", b"{}")
+        ends = (
+            lambda: self.store.put(KEY, build.server_value()),
+            lambda: self.store.delete(KEY),
+        )
+        for end in ends:
+            self.store.put(KEY, b"{}")
+            self.assertTrue(
+                builders_platform.wait_until(lambda: found == ["v1"])
+            )
+            self.assertTrue(self.list.overwritten()[0].is_draining)
+            end()
+            self.assertTrue(builders_platform.wait_until(lambda: not found))
+
     def test_all_pages_of_records_are_read(self) -> None:
         self.store.page_count = 2
         for number in range(2, 8):
--- a/tests/test_streams_out_of_step.py
+++ b/tests/test_streams_out_of_step.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import Callable, Sequence
 
+import gevent
 from gevent import socket
 
 from standins import datagram_relay
@@ -167,6 +168,23 @@
             )
         self.assert_none_joined()
 
+    def test_unreadable_record_of_a_server_joins_no_versions(self) -> None:
+        """Guards against joins where a gateway still uses such a server.
+
+        It has been cut off from the store since before the record was
+        overwritten, for longer than a version that has left is remembered.
+        """
+        fleet = self.fleet
+        services = fleet.next_services()
+        fleet.release_to(services)
+        self.cut_store("silent")
+        for service in services:
+            fleet.overwrite(service, NEWER)
+        gevent.sleep(build.HOLD_S + 1.0)
+        (names,) = fleet.begin_streams(services, (BEHIND,))
+        fleet.take_up_both("unreadable record", names, number=OTHERS[0])
+        self.assert_none_joined()
+
     def test_gateway_cut_off_from_all_joins_no_versions(self) -> None:
         """Guards against joins where neither store nor gateways answer."""
 
