Date a borrowed history by when it was asked for

Callers could see events of two versions: a gateway that has just started, or read all records anew, borrows the history of versions of another one, and merged it as of the moment at which it read the reply. A reply that had waited since before its last reading of the records made the history count as complete, although a version may have come and left in between.

Cause: a reply held nothing that told which question it answers. Its stream and service are those of every later question, and callers that name no stream share one, so a date of the question alone would not have helped.

Versions are now asked for by a question of its own, whose key is used once; lenders of any build return it. A history is dated by when its question was first sent and dropped if that is older than CONTACT_LIMIT_S or than this gateway's last reading. Gateways that look for a named stream ask for versions only in the second round, which begins as soon as all of the first have replied: a lender reads all records to confirm its own history, which is wasted if the stream is found.

The test of merging in test_stream_version got the arguments. Not shown with real gateways: as a stopped one wakes, it reads the replies before its records, and forgets them with these; it takes a reply that is late on its way as well.

--- a/src/mulberrywharf/peers/stream_codec.py
+++ b/src/mulberrywharf/peers/stream_codec.py
@@ -38,7 +38,7 @@
     """Asks at which version a stream began.
 
     Attributes:
-        stream_key: Key of the stream.
+        stream_key: Key of the stream, or of a question for versions alone.
         service_key: Hash of the service whose versions are asked for, too, see
             ``notice_codec.hash_name``; or ``NO_SERVICE_KEY``.
     """
--- a/src/mulberrywharf/peers/stream_origins.py
+++ b/src/mulberrywharf/peers/stream_origins.py
@@ -1,6 +1,7 @@
 """Tells other gateways at which version streams began, and asks them."""
 
 import collections
+import itertools
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, Protocol
 
@@ -74,21 +75,33 @@
         *,
         needs_versions: bool,
     ):
-        self.key = (
-            stream.key,
-            notice_codec.hash_name(stream.service)
-            if needs_versions
-            else stream_codec.NO_SERVICE_KEY,
-        )
-        self.scope = stream.scope
-        self.service = stream.service
+        self.stream = stream
         self.needs_versions = needs_versions
         self.on_end = on_end
+        self.loan: _Loan | None = None
         self.replied: set[fleet.Address] = set()
         self.asked: set[fleet.Address] = set()
         self.rounds_count = 0
 
 
+class _Loan:
+    """A question for the versions of a service.
+
+    Attributes:
+        search: Needs them.
+        key: Takes the place of a stream's key in the question, and in replies
+            to this question alone.
+        asked_s: When it was first sent.
+        replied: Gateways that replied, perhaps without the versions.
+    """
+
+    def __init__(self, search: _Search, key: int, asked_s: float):
+        self.search = search
+        self.key = key
+        self.asked_s = asked_s
+        self.replied: set[fleet.Address] = set()
+
+
 class StreamOrigins:
     """The versions at which streams began, as the gateways keep them."""
 
@@ -124,7 +137,11 @@
             int, tuple[stream_keepers.KeptStream, float]
         ] = collections.OrderedDict()
         self._services: dict[int, str] = {}
-        self._searches: dict[tuple[int, int], list[_Search]] = {}
+        self._searches: dict[int, list[_Search]] = {}
+        self._loans: collections.OrderedDict[int, _Loan] = (
+            collections.OrderedDict()
+        )
+        self._loan_numbers = itertools.count()
         exchange.register(b"s", self._on_message)
 
     def set_services(self, services: Iterable[str]) -> None:
@@ -200,11 +217,12 @@
     ) -> None:
         """Finds the version at which a stream began.
 
-        Gateways whose own history is complete ask for no other one: a lender
-        reads all records to confirm it.
+        Gateways whose own history is complete ask for no other one, nor do
+        others as long as the stream may be found: a lender reads all records to
+        confirm it.
 
         Args:
-            stream: The stream.
+            stream: The stream; without a name to ask for the history alone.
             on_end: Called once with the result, perhaps before this returns.
         """
         now_s = self._clock.monotonic_s()
@@ -214,11 +232,12 @@
             return
         seen = self._history.seen(stream.service, now_s)
         search = _Search(stream, on_end, needs_versions=not seen.is_complete)
-        self._searches.setdefault(search.key, []).append(search)
+        self._searches.setdefault(stream.key, []).append(search)
         self._ask_round(search)
 
     def _ask_round(self, search: _Search) -> None:
-        if search not in self._searches.get(search.key, ()):
+        stream_key = search.stream.key
+        if search not in self._searches.get(stream_key, ()):
             return
         if search.rounds_count >= ROUNDS_COUNT:
             self._give_up(search)
@@ -226,7 +245,9 @@
         ranks_count = 1 if search.rounds_count == 0 else RANKS_COUNT
         search.rounds_count += 1
         round_count = search.rounds_count
-        stream_key, service_key = search.key
+        needs_loan = round_count > 1 or not search.stream.name
+        if search.needs_versions and needs_loan and search.loan is None:
+            search.loan = self._new_loan(search)
         vm_ids = stream_keepers.gateways_to_ask(
             stream_key, self._peers.stream_fleet(), ranks_count=ranks_count
         )
@@ -234,15 +255,46 @@
         if self._has_all_replies(search):
             self._give_up(search)
             return
-        question = stream_codec.StreamQuestion(stream_key, service_key)
-        self._exchange.send(
-            b"s",
-            stream_codec.encode_question(question),
-            sorted(search.asked - search.replied),
-            is_urgent=True,
-        )
+        if search.stream.name:
+            self._send_question(
+                stream_codec.StreamQuestion(
+                    stream_key, stream_codec.NO_SERVICE_KEY
+                ),
+                search.asked - search.replied,
+            )
+        if search.loan is not None:
+            service_key = notice_codec.hash_name(search.stream.service)
+            self._send_question(
+                stream_codec.StreamQuestion(search.loan.key, service_key),
+                search.asked - search.loan.replied,
+            )
         self._call_later(ROUND_S, self._end_round, search, round_count)
 
+    def _send_question(
+        self,
+        question: stream_codec.StreamQuestion,
+        addresses: Iterable[fleet.Address],
+    ) -> None:
+        body = stream_codec.encode_question(question)
+        self._exchange.send(b"s", body, sorted(addresses), is_urgent=True)
+
+    def _new_loan(self, search: _Search) -> _Loan:
+        """Returns a question for versions, whose replies are told apart.
+
+        A reply to an earlier question may lie unread for as long as this
+        gateway stands still.
+        """
+        now_s = self._clock.monotonic_s()
+        while self._loans:
+            oldest = next(iter(self._loans.values()))
+            if now_s - oldest.asked_s <= stream_version.CONTACT_LIMIT_S:
+                break
+            del self._loans[oldest.key]
+        number = next(self._loan_numbers)
+        loan = _Loan(search, stream_keepers.key_of(f"{now_s} {number}"), now_s)
+        self._loans[loan.key] = loan
+        return loan
+
     def _end_round(self, search: _Search, round_count: int) -> None:
         if search.rounds_count == round_count:
             self._ask_round(search)
@@ -255,10 +307,10 @@
         self._end(search.on_end, stream_version.Unknown(reason))
 
     def _remove(self, search: _Search) -> None:
-        searches = self._searches[search.key]
+        searches = self._searches[search.stream.key]
         searches.remove(search)
         if not searches:
-            del self._searches[search.key]
+            del self._searches[search.stream.key]
 
     def _end(
         self,
@@ -334,24 +386,36 @@
         source: fleet.Address,
         now_s: float,
     ) -> None:
-        service = self._services.get(reply.service_key)
-        if service is not None and reply.recent is not None:
-            self._history.merge(service, reply.recent, now_s)
-        key = reply.stream_key, reply.service_key
-        for search in list(self._searches.get(key, ())):
-            self._note_reply(search, reply.kept, source)
-
-    def _note_reply(
+        if reply.service_key != stream_codec.NO_SERVICE_KEY:
+            self._on_versions(reply, source, now_s)
+            return
+        for search in list(self._searches.get(reply.stream_key, ())):
+            search.replied.add(source)
+            if reply.kept is not None:
+                self._remove(search)
+                origin = _origin(reply.kept, search.stream.scope)
+                self._end(search.on_end, origin)
+            elif self._has_all_replies(search):
+                self._ask_round(search)
+
+    def _on_versions(
         self,
-        search: _Search,
-        kept: stream_keepers.KeptStream | None,
+        reply: stream_codec.StreamReply,
         source: fleet.Address,
+        now_s: float,
     ) -> None:
-        search.replied.add(source)
-        if kept is not None:
-            self._remove(search)
-            self._end(search.on_end, _origin(kept, search.scope))
-        elif self._has_all_replies(search):
+        loan = self._loans.get(reply.stream_key)
+        if loan is None:
+            return
+        search = loan.search
+        loan.replied.add(source)
+        if not search.stream.name:
+            search.replied.add(source)
+        if reply.recent is not None:
+            self._history.merge(
+                search.stream.service, reply.recent, loan.asked_s, now_s
+            )
+        if self._has_all_replies(search):
             self._ask_round(search)
 
     def _has_all_replies(self, search: _Search) -> bool:
@@ -361,8 +425,8 @@
         """
         now_s = self._clock.monotonic_s()
         return search.replied >= search.asked and (
-            not search.needs_versions
-            or self._history.seen(search.service, now_s).is_complete
+            search.loan is None
+            or self._history.seen(search.stream.service, now_s).is_complete
         )
 
     def _addresses(self, vm_ids: Iterable[str]) -> list[fleet.Address]:
--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -289,13 +289,35 @@
         return is_new
 
     def merge(
-        self, service: str, recent: Iterable[VersionKey], now_s: float
-    ) -> None:
-        """Adds the complete history of a service that another gateway knows."""
+        self,
+        service: str,
+        recent: Iterable[VersionKey],
+        asked_s: float,
+        now_s: float,
+    ) -> bool:
+        """Adds the complete history of a service that another gateway knows.
+
+        Nothing is known of the time between an older one, or one from before
+        this gateway's last reading of all records, and the present.
+
+        Args:
+            service: The service.
+            recent: The versions that may have begun a stream of it.
+            asked_s: When the other gateway was asked.
+            now_s: The current time.
+
+        Returns:
+            Whether it was added.
+        """
+        since_s = self._followed_since_s
+        is_late = now_s - asked_s > CONTACT_LIMIT_S
+        if is_late or since_s is None or asked_s < since_s:
+            return False
         left = self._left_s.setdefault(service, {})
         for key in recent:
-            left[key] = now_s
-        self._known_since_s[service] = now_s - self._hold_s
+            left[key] = max(left.get(key, asked_s), asked_s)
+        self._known_since_s[service] = asked_s - self._hold_s
+        return True
 
     def seen(self, service: str, now_s: float) -> SeenVersions:
         """Returns the versions of a service."""
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -239,6 +239,54 @@
         self.assertFalse(new.history.seen("service", now_s).is_complete)
 
 
+class LateReplyTest(OriginsCase):
+    """A gateway stands still between its question and the replies."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for gateway in self.gateways:
+            gateway.see("v1")
+        self.new = Gateway(self.network, 9, "zone-0")
+        self.new.see("v1", is_complete=False)
+
+    def replies(self, name: str) -> list[tuple[bytes, fleet.Address]]:
+        """Asks for a stream and returns the replies, which lie unread."""
+        unread: list[tuple[bytes, fleet.Address]] = []
+        handler = self.new.handler
+        self.new.handler = lambda *reply: unread.append(reply)
+        self.find(self.new, STREAM._replace(name=name))
+        self.new.handler = handler
+        return unread
+
+    def read(self, replies: list[tuple[bytes, fleet.Address]]) -> bool:
+        """Returns whether the history is complete behind the replies."""
+        for reply in replies:
+            self.assertTrue(self.new.handler(*reply))
+        now_s = self.network.clock.now_s
+        return self.new.history.seen("service", now_s).is_complete
+
+    def test_history_is_borrowed_behind_the_end_of_a_search(self) -> None:
+        self.assertTrue(self.read(self.replies("")))
+
+    def test_old_history_is_not_borrowed(self) -> None:
+        """Guards against replies dated by when they were read."""
+        replies = self.replies("")
+        self.network.clock.now_s += stream_version.CONTACT_LIMIT_S
+        self.assertFalse(self.read(replies))
+
+    def test_history_of_before_a_reading_is_not_borrowed(self) -> None:
+        """Guards against a version that came and left before the reading."""
+        for name in ("", "id-1"):
+            before = self.replies(name)
+            now_s = self.network.clock.now_s
+            self.new.history.set_following(
+                True, now_s, readings_count=2 + len(name)
+            )
+            again = self.replies(name)
+            self.assertFalse(self.read(before))
+            self.assertTrue(self.read(again))
+
+
 class SingleVersionTest(OriginsCase):
     """While all servers have one version, nobody is told of streams."""
 
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -190,11 +190,27 @@
 
     def test_complete_history_of_another_gateway_counts(self) -> None:
         self.set_versions(1.0, "v1")
-        self.history.merge(SERVICE, [V2], 2.0)
-        versions = self.history.seen(SERVICE, 2.0)
+        self.assertTrue(self.history.merge(SERVICE, [V2], 2.0, 2.1))
+        versions = self.history.seen(SERVICE, 2.1)
         self.assertTrue(versions.is_complete)
         self.assertEqual(versions.recent, {V1, V2})
-        self.assertFalse(self.history.seen("another", 2.0).is_complete)
+        self.assertFalse(self.history.seen("another", 2.1).is_complete)
+
+    def test_history_of_another_gateway_counts_from_the_question(self) -> None:
+        """Guards against a lent history that counts as newer than it is."""
+        limit_s = stream_version.CONTACT_LIMIT_S
+        self.set_versions(1.0, "v1")
+        self.history.set_following(True, 5.0, readings_count=2)
+        for asked_s, now_s in ((4.9, 5.1), (5.0, 5.1 + limit_s)):
+            merged = self.history.merge(SERVICE, [V2], asked_s, now_s)
+            self.assertFalse(merged)
+            versions = self.history.seen(SERVICE, now_s)
+            self.assertFalse(versions.is_complete)
+            self.assertEqual(versions.recent, {V1})
+        self.assertTrue(self.history.merge(SERVICE, [V2], 5.0, 5.0 + limit_s))
+        hold_s = stream_version.LEAST_HOLD_S
+        versions = self.history.seen(SERVICE, 5.0 + hold_s)
+        self.assertEqual(versions.recent, {V1})
 
 
 if __name__ == "__main__":
