Split proofs.stream_order_runs by what its parts do

They are now stream_order_fleet, stream_order_troubles, stream_order_callers and, for playing and the command line, stream_order_runs. Lines were moved, names of other modules qualified, one constant made public; the soak and its test import the new names.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -4,7 +4,7 @@
 import collections
 import sys
 
-from proofs import stream_order_runs
+from proofs import stream_order_callers
 from soak import play, seeds, stops
 
 DEFAULT_LENGTH_S = 5.0
@@ -51,7 +51,7 @@
     return 1 if failed_count else 0
 
 
-def _taken_up(streams: list[stream_order_runs.Stream]) -> str:
+def _taken_up(streams: list[stream_order_callers.Stream]) -> str:
     attempts = [one for stream in streams for one in stream.attempts]
     taken_up = [one for one in attempts if one.last_event_id]
     went_on_count = sum(bool(one.pieces) for one in taken_up)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,7 @@
 import gevent
 
 from mulberrywharf.platform import documents
-from proofs import stream_order_runs
+from proofs import stream_order_fleet
 from soak import stream_server
 from standins import fault_proxy, platform_server
 from tests import builders_routes as build
@@ -139,7 +139,7 @@
             timeout_ms: Timeout of all routes, None for the usual ones.
         """
         self._timeout_ms = timeout_ms
-        self.store = stream_order_runs.LaggingStore()
+        self.store = stream_order_fleet.LaggingStore()
         self.servers: dict[str, platform_server.PlatformServerStandin] = {}
         self.joined: dict[str, platform_server.PlatformServerStandin] = {}
         self.run_ends: dict[str, list[str]] = {}
--- a/soak/play.py
+++ b/soak/play.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from proofs import stream_order_runs
+from proofs import stream_order_callers
 from soak import calls, faults, fleet, promises, releases
 
 CALLERS_COUNT = 12
@@ -31,7 +31,7 @@
     broken: list[str]
     calls: list[calls.Call]
     faults: collections.Counter[str]
-    streams: list[stream_order_runs.Stream]
+    streams: list[stream_order_callers.Stream]
 
 
 def play(
@@ -79,7 +79,7 @@
             )
         stream_calls = releases.StreamCalls(played, seed)
         readers = [
-            stream_order_runs.Caller(stream_calls, number)
+            stream_order_callers.Caller(stream_calls, number)
             for number in range(releases.CALLERS_COUNT)
         ]
         running = [gevent.spawn(caller.run) for caller in (*callers, *readers)]
--- a/soak/releases.py
+++ b/soak/releases.py
@@ -15,7 +15,7 @@
 
 import gevent
 
-from proofs import stream_order, stream_order_runs
+from proofs import stream_order, stream_order_callers
 from soak import fleet
 from standins import fault_proxy
 
@@ -36,7 +36,7 @@
 
 
 class StreamCalls:
-    """What the callers of streams share; see ``stream_order_runs.Calls``.
+    """What the callers of streams share; see ``stream_order_callers.Calls``.
 
     Attributes:
         out_of_step: Gateway that is out of step, None if none is.
@@ -46,7 +46,7 @@
         self.seed = seed
         self.forms = stream_order.USUAL_FORMS
         self.pieces_count = (3, 7)
-        self.named_share = stream_order_runs.draw_named_share(seed)
+        self.named_share = stream_order_callers.draw_named_share(seed)
         self.fields = f"x-mulberrywharf-credential: {fleet.STATIC_KEY}\r\n"
         self.began_s = time.monotonic()
         self.ends = played.run_ends
@@ -154,12 +154,12 @@
 
 
 def broken(
-    streams: Iterable[stream_order_runs.Stream],
+    streams: Iterable[stream_order_callers.Stream],
 ) -> Iterator[str]:
     """Yields a line for each way in which a stream broke the rule ORDER."""
     for stream in streams:
         for case in stream_order.judge(
             stream.shape.name, stream.shape.count, stream.attempts
         ):
-            seen = " |".join(stream_order_runs.evidence(stream))
+            seen = " |".join(stream_order_callers.evidence(stream))
             yield f"stream, {case.form}: {case.text} |{seen}"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 from gevent import socket
 
-from proofs import stream_order, stream_order_runs
+from proofs import stream_order, stream_order_callers
 from soak import (
     calls,
     charge_promises,
@@ -280,7 +280,9 @@
         self, shape: stream_order.Shape, *attempts: stream_order.Attempt
     ) -> list[str]:
         times_s = [0.0] * len(attempts)
-        made = stream_order_runs.Stream(shape, "one", list(attempts), times_s)
+        made = stream_order_callers.Stream(
+            shape, "one", list(attempts), times_s
+        )
         return list(releases.broken([made]))
 
     def test_streams_of_any_shape_are_sound(self) -> None:
