--- /dev/null
+++ b/tests/test_stream_review.py
@@ -0,0 +1,97 @@
+"""Streams that hold events of two versions by what gateways believe of them."""
+
+import unittest
+
+import gevent
+
+from tests import builders_out_of_step as build
+from tests import builders_platform
+
+BEHIND, OTHERS = build.BEHIND, build.OTHERS
+OLDER, NEWER = build.OLDER, build.NEWER
+
+_HEAD_BYTES = 60
+"""An acceptance fits, the head of an answer doesn't."""
+
+_LOST_COUNT = 8
+_PAUSE_S = 1.0
+"""Time after which a helper that was lost is asked again."""
+
+
+class StreamReviewTest(build.OutOfStepCase):
+    def begin_by_second_helper(self, name: str) -> tuple[list[int], bytes]:
+        """Begins a stream through the second of two helpers.
+
+        The first one has begun it at another version, but its answer is lost.
+
+        Returns:
+            The gateways that were asked first, and what the caller has.
+        """
+        fleet = self.fleet
+        service = name.partition(".")[0]
+        engines = [fleet.engine(service, one) for one in (OLDER, NEWER)]
+        proxies = [path._proxies[1] for path in fleet.peer_paths.values()]
+        for engine in engines:
+            engine.faults = {"pause_s": 0.1, "delay_s": 0.4}
+        for proxy in proxies:
+            proxy.reset_all()
+            proxy.upstream_ports.clear()
+            proxy.set_faults(reset_after_down_bytes=_HEAD_BYTES)
+        beginning = gevent.spawn(fleet.begin, BEHIND, name)
+        builders_platform.wait_until(lambda: bool(self.runs(name)))
+        for engine in engines:
+            if any(one.request_id == name for one in engine.arrivals):
+                engine.faults = {**engine.faults, "refuse": True}
+        first = []
+        for number, path in fleet.peer_paths.items():
+            proxy = path._proxies[1]
+            if proxy.upstream_ports:
+                first.append(number)
+            else:
+                proxy.set_faults(reset_after_down_bytes=None)
+        beginning.join()
+        for proxy in proxies:
+            proxy.set_faults(reset_after_down_bytes=None)
+        for engine in engines:
+            engine.faults = {"pause_s": 0.1}
+        return first, beginning.get()
+
+    def runs(self, name: str) -> list[str]:
+        """Returns the versions of the runs of a request, by time."""
+        service = name.removeprefix("next-").partition(".")[0]
+        found = [
+            (float(run["at_s"]), version)
+            for version in (OLDER, NEWER)
+            for run in self.fleet.engine(service, version).runs
+            if run["id"] == name
+        ]
+        return [version for _, version in sorted(found)]
+
+    def test_run_whose_events_reached_nobody_names_no_version(self) -> None:
+        """Guards against joins by what a helper kept of a lost answer."""
+        fleet = self.fleet
+        (service,) = fleet.next_services(1)
+        fleet.release_to([service])
+        fleet.cut([BEHIND], "refuse")
+        begun: dict[str, list[str]] = {}
+        joined = []
+        for at in range(_LOST_COUNT):
+            name = f"{service}.lost-{at}"
+            first, received = self.begin_by_second_helper(name)
+            if b"id: 2" not in received:
+                continue
+            begun[name] = self.runs(name)
+            for number in first:
+                fleet.take_up(number, name)
+            if any(
+                version != begun[name][-1]
+                for version in self.runs(f"next-{name}")
+            ):
+                joined.append(name)
+            gevent.sleep(_PAUSE_S)
+        self.assertTrue(any(len(set(one)) > 1 for one in begun.values()))
+        self.assertEqual(joined, [], begun)
+
+
+if __name__ == "__main__":
+    unittest.main()
