Show streams joined that a late gateway begins at a removed version

How long a version may have begun streams is counted from the removal of its last record. A gateway that has not heard of that goes on beginning streams at its servers, which serve on for a while.

Seen with four real gateways: the watch of one hears nothing, the newer version joins, the record of the older one is removed; 12 streams begun there 8.3 s (or 6 s) later were all taken up 10.8 s behind the removal at another gateway, which is in step, with Last-Event-Id alone, and went on at the newer version. This test fails as it stands.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -17,6 +17,9 @@
 _PAUSE_S = 1.0
 """Time after which a helper that was lost is asked again."""
 
+_BEGUN_BEHIND_S = 8.3
+_TAKEN_UP_S = build.HOLD_S + 0.8
+
 
 class StreamReviewTest(build.OutOfStepCase):
     def begin_by_second_helper(self, name: str) -> tuple[list[int], bytes]:
@@ -92,6 +95,25 @@
         self.assertTrue(any(len(set(one)) > 1 for one in begun.values()))
         self.assertEqual(joined, [], begun)
 
+    def test_version_begins_streams_behind_its_removal(self) -> None:
+        """Guards against joins by streams that a late gateway begins.
+
+        Its servers go on serving for a while once their records are gone.
+        """
+        fleet = self.fleet
+        (service,) = fleet.next_services(1)
+        fleet.store.hold_watches(fleet.view_ports[BEHIND])
+        fleet.join(service, NEWER)
+        gevent.sleep(build.SEEN_S)
+        fleet.part(service, OLDER)
+        gevent.sleep(_BEGUN_BEHIND_S)
+        names = [f"{service}.late-{at}" for at in range(build.STREAMS_COUNT)]
+        fleet._begin_at([BEHIND], names)
+        gevent.sleep(_TAKEN_UP_S - _BEGUN_BEHIND_S)
+        for name in names:
+            fleet.take_up(0, name, is_named=False)
+        self.assertEqual(fleet.joined(names), [])
+
 
 if __name__ == "__main__":
     unittest.main()
