Show streams joined by a route that moves or is split

A version is inferred from the versions of the service that the route names now. The stream may have begun at the service that it named before, or, where traffic is split, at another one of its services, which the attempt's own id chooses. All gateways are in step and confirm their lists; what is believed without a confirmation is the service.

Seen with four real gateways, one service at v1 alone and the other at v1.1 alone: behind a move of the route 12 of 12 streams taken up with Last-Event-Id alone were joined, and 8 of 12 named by Resumes whose gateway had been killed (others are not told of streams of a service with one version). Behind a split of the route 7 of 12 and 7 of 12. With Resumes and that gateway alive, none. These tests fail as they stand.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -1,9 +1,14 @@
 """Streams that hold events of two versions by what gateways believe of them."""
 
+import base64
+import json
 import unittest
+from collections.abc import Callable
+from typing import Any
 
 import gevent
 
+from mulberrywharf.platform import documents
 from tests import builders_out_of_step as build
 from tests import builders_platform
 
@@ -18,6 +23,7 @@
 """Time after which a helper that was lost is asked again."""
 
 _BEGUN_BEHIND_S = 8.3
+_ROUTES_SEEN_S = 1.0
 _TAKEN_UP_S = build.HOLD_S + 0.8
 
 
@@ -114,6 +120,58 @@
             fleet.take_up(0, name, is_named=False)
         self.assertEqual(fleet.joined(names), [])
 
+    def play_other_service(
+        self, change: Callable[[dict[str, Any], str], None]
+    ) -> None:
+        """Takes streams up as a change sends them to another service."""
+        fleet = self.fleet
+        services = fleet.next_services()
+        first, second = services
+        fleet.join(second, NEWER)
+        fleet.part(second, OLDER)
+        gevent.sleep(build.HOLD_S + 1.0)
+        names = [f"{first}.moved-{at}" for at in range(build.STREAMS_COUNT)]
+        lost = [f"{first}.lost-{at}" for at in range(build.STREAMS_COUNT)]
+        fleet._begin_at([0], names)
+        fleet._begin_at([1], lost)
+        key = documents.ROUTES_KEY.encode()
+        document = json.loads(
+            base64.b64decode(fleet.store.store.records[key].value)
+        )
+        document["version"] += 1
+        (route,) = [
+            one for one in document["routes"] if one["name"] == f"r-{first}"
+        ]
+        change(route, second)
+        fleet.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
+        gevent.sleep(_ROUTES_SEEN_S)
+        fleet.take_up_both("others alive", [names, names], number=2)
+        with self.subTest("others alive"):
+            self.assertEqual(fleet.joined(names), [])
+        fleet.kill([1])
+        fleet.take_up_both("others killed", [lost], number=2)
+        with self.subTest("gateway of the streams killed, Resumes"):
+            self.assertEqual(fleet.joined(lost), [])
+
+    def test_stream_of_a_moved_route_goes_on_at_no_other_version(self) -> None:
+        """Guards against joins by the versions of another service."""
+
+        def move(route: dict[str, Any], second: str) -> None:
+            route["service"] = second
+
+        self.play_other_service(move)
+
+    def test_stream_of_a_split_route_goes_on_at_no_other_version(self) -> None:
+        """Guards against joins by the service that an attempt's id chooses."""
+
+        def divide(route: dict[str, Any], second: str) -> None:
+            route["traffic-split"] = [
+                {"service": one, "weight": 50}
+                for one in (route["service"], second)
+            ]
+
+        self.play_other_service(divide)
+
 
 if __name__ == "__main__":
     unittest.main()
