Hold a version as long as streams of its time may last

A stream could go on at another version than the one that began it behind a change of the routes: how long a version counts as one that may have begun a stream was reckoned from the longest route in force now. A change that removes that route, or shortens its timeout, ended the hold of versions that had left before, while their streams were still open; it also completed a history that was shorter than they last.

A version is now held for the longer of two times: that of the routes as it left, and the present one. A history is complete once it is as long as the longest route since it began.

--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -196,15 +196,23 @@
     return Only(version_key, is_inferred)
 
 
+class _Left(NamedTuple):
+    """When a version was last seen, and how long it counts from then on."""
+
+    at_s: float
+    hold_s: float
+
+
 class VersionHistory:
     """The versions of the services' servers, now and for some time before."""
 
     def __init__(self) -> None:
         self._hold_s = LEAST_HOLD_S
+        self._complete_after_s = LEAST_HOLD_S
         self._names: dict[VersionKey, str] = {}
         self._current: dict[str, frozenset[VersionKey | None]] = {}
         self._generating: dict[str, frozenset[VersionKey]] = {}
-        self._left_s: dict[str, dict[VersionKey | None, float]] = {}
+        self._left: dict[str, dict[VersionKey | None, _Left]] = {}
         self._known_since_s: dict[str, float] = {}
         self._followed_since_s: float | None = None
         self._contact_s = -math.inf
@@ -212,8 +220,12 @@
         self._readings_count = 0
 
     def set_longest_timeout(self, timeout_s: float) -> None:
-        """Sets the timeout of the route with the longest one."""
+        """Sets the timeout of the route with the longest one.
+
+        Streams that began under a longer one may still be open.
+        """
         self._hold_s = max(LEAST_HOLD_S, HOLD_TIMEOUTS_COUNT * timeout_s)
+        self._complete_after_s = max(self._complete_after_s, self._hold_s)
 
     def set_following(
         self, is_following: bool, now_s: float, *, readings_count: int = 1
@@ -233,6 +245,7 @@
             self._known_since_s.clear()
         if is_following and self._followed_since_s is None:
             self._followed_since_s = now_s
+            self._complete_after_s = self._hold_s
 
     def set_contact(self, contact_s: float) -> None:
         """Records when the key-value service last worked.
@@ -277,9 +290,9 @@
             if may_generate and key is not None:
                 generating.setdefault(server.service, set()).add(key)
         for service, keys in self._current.items():
-            left = self._left_s.setdefault(service, {})
+            left = self._left.setdefault(service, {})
             for key in keys - current.get(service, set()):
-                left[key] = now_s
+                left[key] = _Left(now_s, self._hold_s)
         is_new = any(
             keys - self._current.get(service, frozenset())
             for service, keys in current.items()
@@ -313,19 +326,19 @@
         is_late = now_s - asked_s > CONTACT_LIMIT_S
         if is_late or since_s is None or asked_s < since_s:
             return False
-        left = self._left_s.setdefault(service, {})
+        left = self._left.setdefault(service, {})
+        borrowed = _Left(asked_s, self._hold_s)
         for key in recent:
-            left[key] = max(left.get(key, asked_s), asked_s)
-        self._known_since_s[service] = asked_s - self._hold_s
+            left[key] = max(left.get(key, borrowed), borrowed)
+        self._known_since_s[service] = asked_s - self._complete_after_s
         return True
 
     def seen(self, service: str, now_s: float) -> SeenVersions:
         """Returns the versions of a service."""
-        left = self._left_s.get(service, {})
-        for key in [
-            k for k, at_s in left.items() if now_s - at_s >= self._hold_s
-        ]:
-            del left[key]
+        left = self._left.get(service, {})
+        for key, (at_s, hold_s) in list(left.items()):
+            if now_s - at_s >= max(hold_s, self._hold_s):
+                del left[key]
         return SeenVersions(
             self._generating.get(service, frozenset()),
             self._current.get(service, frozenset()) | frozenset(left),
@@ -346,7 +359,7 @@
         if self._followed_since_s is None:
             return False
         since_s = self._known_since_s.get(service, self._followed_since_s)
-        return now_s - since_s >= self._hold_s
+        return now_s - since_s >= self._complete_after_s
 
 
 _Key = TypeVar("_Key")
--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -195,6 +195,17 @@
         history.set_longest_timeout(5.0)
         self.assertFalse(history.seen("service", 220.0).is_single)
 
+    def test_history_is_no_sooner_complete_as_its_longest_route_goes(
+        self,
+    ) -> None:
+        """Guards against versions that left before the first reading."""
+        history = stream_version.VersionHistory()
+        history.set_longest_timeout(_LONG_TIMEOUT_S)
+        history.set_following(True, 0.0)
+        history.set_servers([routes_build.server("s1", role="decode")], 0.0)
+        history.set_longest_timeout(5.0)
+        self.assertFalse(history.seen("service", 20.0).is_complete)
+
 
 class ConfirmationReadTest(unittest.TestCase):
     def setUp(self) -> None:
