Judge what follows the last piece of a stream

The judge of streams called a stream whole although a piece too many came, an event without data took the last event id back, half an event stood before the marked end, or bytes followed that end. A run joined behind a whole one, or an id from which a caller would read pieces twice, could not be seen in runs of real processes or in the soak.

JudgeTest fails in all four cases on the parent, passes now; test_stream_order passes unchanged.

--- a/proofs/stream_order.py
+++ b/proofs/stream_order.py
@@ -234,13 +234,19 @@
         body: The body; an event that is not complete is none.
         last_event_id: The last event id that the caller had before.
     """
-    text = body.decode("utf-8", "replace").removeprefix("\ufeff")
+    for data, event_id in _read_events(body, last_event_id):
+        if data:
+            yield _piece("\n".join(data), event_id)
+
+
+def _read_events(
+    body: bytes, last_event_id: str
+) -> Iterator[tuple[list[str], str]]:
+    """Yields the data of each event, perhaps none, and the id behind it."""
     data: list[str] = []
-    lines = _LINE_END.split(text)
-    for line in lines[:-1]:
+    for line in _lines(body)[:-1]:
         if not line:
-            if data:
-                yield _piece("\n".join(data), last_event_id)
+            yield data, last_event_id
             data = []
             continue
         name, _, value = line.partition(":")
@@ -251,6 +257,17 @@
             last_event_id = value
 
 
+def _ends_inside_event(body: bytes) -> bool:
+    """Returns whether bytes of an event follow the last complete one."""
+    *lines, rest = _lines(body)
+    return bool(rest or (lines and lines[-1]))
+
+
+def _lines(body: bytes) -> list[str]:
+    text = body.decode("utf-8", "replace").removeprefix("\ufeff")
+    return _LINE_END.split(text)
+
+
 def _piece(data: str, event_id: str) -> Piece:
     parts = data.split()
     if len(parts) < 5 or not parts[1].isdecimal():
@@ -281,6 +298,9 @@
             had_id = piece.event_id
             number_by_id[had_id] = had_number
             versions[piece.version].append(piece)
+            if piece.number > pieces_count:
+                cases.append(Case("foreign", f"{piece.number} is one too many"))
+        cases += _went_back(attempt)
         cases += _ended_early(attempt, had_number, pieces_count)
     if len(versions) > 1:
         made = ", ".join(
@@ -305,12 +325,28 @@
         yield Case("back", f"id {piece.event_id} behind {had_id}")
 
 
+def _went_back(attempt: Attempt) -> Iterator[Case]:
+    """Yields the events without data that take the last event id back."""
+    answer = read_answer(attempt.raw)
+    if answer.status != 200:
+        return
+    had_id = attempt.last_event_id
+    for data, event_id in _read_events(answer.body, had_id):
+        if not data and int(event_id or 0) < int(had_id or 0):
+            yield Case("back", f"id {event_id} without data behind {had_id}")
+        had_id = event_id
+
+
 def _ended_early(
     attempt: Attempt, had_number: int, pieces_count: int
 ) -> Iterator[Case]:
     looks_complete = attempt.end == "marked" or (
         attempt.end == "closed" and not attempt.had_unmarked_end
     )
-    is_success = read_answer(attempt.raw).status == 200
-    if is_success and looks_complete and had_number < pieces_count:
+    answer = read_answer(attempt.raw)
+    if answer.rest:
+        yield Case("foreign", f"{len(answer.rest)} bytes behind the end")
+    if answer.status != 200 or not looks_complete:
+        return
+    if had_number < pieces_count or _ends_inside_event(answer.body):
         yield Case("short", f"{attempt.end} behind {had_number}")
