--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -841,11 +841,16 @@
         if self._only_version is None:
             self._only_version = run.version_key
         self._state.version_key = self._only_version
-        is_own = isinstance(run, _EngineAnswer)
-        if is_own:
+        if isinstance(run, _EngineAnswer):
             self._crashes.note_answer_began()
-        if is_own and self._may_run_again and self._only_version is not None:
-            # A helper does this for the streams that it relays.
+        # A helper's answer may be lost, and another one begin the stream. The
+        # gateway that relays it to the caller knows which one did.
+        is_helper = self._routed_request.handover is not None
+        if (
+            not is_helper
+            and self._may_run_again
+            and self._only_version is not None
+        ):
             self._dependencies.versions.note_begun(
                 self._routed_request, self._service.name, self._only_version
             )
