Infer no version of a stream from the present service of its route alone

Streams taken up with Last-Event-Id alone went on at another version where their route had been moved to another service, or where its traffic is split: the version was inferred from the servers of the service that the route names now, while the stream had begun at those of another one. All gateways were in step; what no read confirmed was the service.

The versions of every service whose streams may be taken up at a service count: of those that share a route with it, and, as long as their streams last, of those that its routes named before, also by a longer prefix that is gone. Where all have one version it is inferred as before. Recent streams are told to other gateways when such a service is added.

Open: a gateway whose routes are behind infers by the services that it knows.

--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -9,7 +9,7 @@
 
 import functools
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Literal, NamedTuple, TypeVar
 
 import xxhash
@@ -95,8 +95,8 @@
     Attributes:
         current: Versions with an engine that new requests for answers may be
             sent to.
-        recent: Versions that may have begun a stream; None for a server whose
-            version is unknown.
+        recent: Versions that may have begun a stream, also at another service
+            of its route; None for a server whose version is unknown.
         is_complete: Whether ``recent`` has all that were registered until the
             list of servers was last confirmed.
     """
@@ -203,6 +203,11 @@
     hold_s: float
 
 
+_PRESENT = _Left(math.inf, 0.0)
+
+_Key = TypeVar("_Key")
+
+
 class VersionHistory:
     """The versions of the services' servers, now and for some time before."""
 
@@ -210,6 +215,7 @@
         self._hold_s = LEAST_HOLD_S
         self._complete_after_s = LEAST_HOLD_S
         self._names: dict[VersionKey, str] = {}
+        self._sources: dict[str, dict[str, _Left]] = {}
         self._current: dict[str, frozenset[VersionKey | None]] = {}
         self._generating: dict[str, frozenset[VersionKey]] = {}
         self._left: dict[str, dict[VersionKey | None, _Left]] = {}
@@ -227,6 +233,36 @@
         self._hold_s = max(LEAST_HOLD_S, HOLD_TIMEOUTS_COUNT * timeout_s)
         self._complete_after_s = max(self._complete_after_s, self._hold_s)
 
+    def set_sources(
+        self,
+        present: Mapping[str, Iterable[str]],
+        passed: Mapping[str, Iterable[str]],
+        now_s: float,
+    ) -> bool:
+        """Sets which services' streams may be taken up at which service.
+
+        Args:
+            present: By each service, those that share a route with it.
+            passed: By each service, those that its routes named until now.
+            now_s: The current time.
+
+        Returns:
+            Whether one is new.
+        """
+        is_new = False
+        left = _Left(now_s, self._hold_s)
+        for service, sources in self._sources.items():
+            for source, last in sources.items():
+                if last == _PRESENT and source not in present.get(service, ()):
+                    sources[source] = left
+        for added, last in ((passed, left), (present, _PRESENT)):
+            for service, found in added.items():
+                sources = self._sources.setdefault(service, {})
+                for source in found:
+                    is_new = is_new or source not in sources
+                    sources[source] = last
+        return is_new
+
     def set_following(
         self, is_following: bool, now_s: float, *, readings_count: int = 1
     ) -> None:
@@ -335,16 +371,41 @@
 
     def seen(self, service: str, now_s: float) -> SeenVersions:
         """Returns the versions of a service."""
-        left = self._left.get(service, {})
-        for key, (at_s, hold_s) in list(left.items()):
-            if now_s - at_s >= max(hold_s, self._hold_s):
-                del left[key]
+        sources = self._sources_of(service, now_s)
+        recent: set[VersionKey | None] = set()
+        for name in sources:
+            recent |= self._current.get(name, frozenset())
+            recent |= self._unexpired(self._left.get(name, {}), now_s).keys()
+        # Who lends a history has added those of the sources.
+        is_complete = self._is_complete(service, now_s) and (
+            service in self._known_since_s
+            or all(self._is_complete(source, now_s) for source in sources)
+        )
         return SeenVersions(
             self._generating.get(service, frozenset()),
-            self._current.get(service, frozenset()) | frozenset(left),
-            self._is_complete(service, now_s),
+            frozenset(recent),
+            is_complete,
         )
 
+    def _sources_of(self, service: str, now_s: float) -> set[str]:
+        """Returns a service, and those whose streams may be taken up at it."""
+        found, added = {service}, [service]
+        while added:
+            sources = self._sources.get(added.pop(), {})
+            new = self._unexpired(sources, now_s).keys() - found
+            found |= new
+            added += new
+        return found
+
+    def _unexpired(
+        self, left: dict[_Key, _Left], now_s: float
+    ) -> dict[_Key, _Left]:
+        """Removes what no longer counts; returns the rest."""
+        for key, (at_s, hold_s) in list(left.items()):
+            if now_s - at_s >= max(hold_s, self._hold_s):
+                del left[key]
+        return left
+
     def name(self, version_key: VersionKey) -> str | None:
         """Returns the name of a version, None if no server here had it."""
         return self._names.get(version_key)
@@ -362,8 +423,5 @@
         return now_s - since_s >= self._complete_after_s
 
 
-_Key = TypeVar("_Key")
-
-
 def _frozen(keys: dict[str, set[_Key]]) -> dict[str, frozenset[_Key]]:
     return {service: frozenset(found) for service, found in keys.items()}
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -309,6 +309,7 @@
         )
         self._roles = self._role_parts()
         self._readiness_greenlet: gevent.Greenlet | None = None
+        self._routes_before: table.RouteTable | None = None
         self._routes.on_change(self._on_routes_change)
 
     @classmethod
@@ -450,11 +451,23 @@
         return freshness_relay.Confirmation(routes.version, age_s)
 
     def _on_routes_change(self, routes: table.RouteTable) -> None:
+        self._note_stream_sources(routes)
         self._version_history.set_longest_timeout(routes.longest_timeout_s())
         if routes.customers is not None:
             self._freshness.start()
             self._customer_demand.start()
 
+    def _note_stream_sources(self, routes: table.RouteTable) -> None:
+        before, self._routes_before = self._routes_before or routes, routes
+        has_new = self._version_history.set_sources(
+            routes.shared_streams(),
+            routes.redirected_streams(before),
+            self._boot_clock.monotonic_s(),
+        )
+        if has_new:
+            # The version of untold streams may not be inferred from here on.
+            self._stream_origins.tell_untold()
+
     def _customers_count(self) -> int:
         routes = self._routes.current()
         if routes is None or routes.customers is None:
--- a/src/mulberrywharf/routes/table.py
+++ b/src/mulberrywharf/routes/table.py
@@ -2,7 +2,7 @@
 
 import collections
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from mulberrywharf.customers import directory
@@ -57,6 +57,11 @@
     has_prompt: bool = False
     is_public: bool = False
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Names of its services."""
+        return frozenset(one.service for one in self.destinations)
+
 
 class EngineTraits(NamedTuple):
     """Configured properties of the engines of a service.
@@ -170,6 +175,44 @@
         routes = itertools.chain(*self._by_host.values())
         return max((route.timeout_s for route in routes), default=0.0)
 
+    def shared_streams(self) -> dict[str, set[str]]:
+        """Returns, by service, those that share a route of streams with it."""
+        return self.redirected_streams(self)
+
+    def redirected_streams(self, before: "RouteTable") -> dict[str, set[str]]:
+        """Returns where streams go on that began under other routes.
+
+        Args:
+            before: The other routes.
+
+        Returns:
+            By service, the other services at which its streams may have begun.
+        """
+        paths = {
+            (route.host, route.prefix)
+            for routes in (self, before)
+            for route in routes._resumable_routes()
+        }
+        redirected: dict[str, set[str]] = collections.defaultdict(set)
+        for host, prefix in paths:
+            route, earlier = (
+                self.match(host, prefix),
+                before.match(host, prefix),
+            )
+            if route is None or earlier is None:
+                continue
+            for service in route.services:
+                redirected[service] |= earlier.services - {service}
+        return dict(redirected)
+
+    def _resumable_routes(self) -> Iterator[Route]:
+        for route in itertools.chain(*self._by_host.values()):
+            if (
+                isinstance(route.kind, kinds.EventStream)
+                and route.kind.resumable
+            ):
+                yield route
+
     def engine_services(self) -> frozenset[str]:
         """Returns the names of the services whose servers are engines."""
         return frozenset(
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -63,6 +63,39 @@
         self.assertEqual(len(found), 1)
 
 
+class RedirectedStreamsTest(unittest.TestCase):
+    def table(self, **services: str) -> table.RouteTable:
+        routes = [
+            table.Route(
+                prefix,
+                "a.example",
+                f"/{prefix.replace('_', '/')}/",
+                kinds.EventStream(resumable=True),
+                5.0,
+                tuple(table.Destination(one, 1.0) for one in names.split()),
+            )
+            for prefix, names in services.items()
+        ]
+        return table.RouteTable(1, routes, {})
+
+    def test_streams_of_moved_and_split_routes_are_found(self) -> None:
+        before = self.table(x="one", y="two", z="three")
+        after = self.table(x="two one", x_deep="four", y="two")
+        self.assertEqual(
+            after.redirected_streams(before),
+            {"one": set(), "two": {"one"}, "four": {"one"}},
+        )
+        self.assertEqual(
+            after.shared_streams(),
+            {"one": {"two"}, "two": {"one"}, "four": set()},
+        )
+
+    def test_removed_route_sends_streams_to_the_shorter_one(self) -> None:
+        before = self.table(x="one", x_deep="two")
+        after = self.table(x="one")
+        self.assertEqual(after.redirected_streams(before), {"one": {"two"}})
+
+
 class KindsTest(unittest.TestCase):
     def test_which_kinds_may_run_again(self) -> None:
         self.assertTrue(kinds.may_run_again(kinds.Idempotent()))
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -213,5 +213,42 @@
         self.assertEqual(versions.recent, {V1})
 
 
+class SourcesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.history = stream_version.VersionHistory()
+        self.history.set_following(True, 0.0)
+        self.now_s = 2 * stream_version.LEAST_HOLD_S
+        self.history.set_servers(
+            [
+                build.server("s1", service="a", role="decode"),
+                build.server(
+                    "s2", service="b", role="decode", software_version="v2"
+                ),
+            ],
+            self.now_s,
+        )
+
+    def is_single(self, service: str, after_s: float = 0.0) -> bool:
+        return self.history.seen(service, self.now_s + after_s).is_single
+
+    def test_moved_streams_count_until_they_have_ended(self) -> None:
+        """Guards against the versions of the present service alone."""
+        passed = {"b": {"a"}, "c": {"b"}}
+        self.assertTrue(self.history.set_sources({}, passed, self.now_s))
+        self.assertTrue(self.is_single("a"))
+        for service in ("b", "c"):
+            self.assertFalse(self.is_single(service, 9.0))
+        self.assertFalse(self.history.set_sources({}, passed, self.now_s))
+        self.assertTrue(self.is_single("b", stream_version.LEAST_HOLD_S))
+
+    def test_split_streams_count_as_long_as_the_split_lasts(self) -> None:
+        split = {"a": {"b"}, "b": {"a"}}
+        self.history.set_sources(split, {}, self.now_s)
+        self.assertFalse(self.is_single("a", 60.0))
+        self.history.set_sources({}, {}, self.now_s + 60.0)
+        self.assertFalse(self.is_single("a", 69.0))
+        self.assertTrue(self.is_single("a", 70.0))
+
+
 if __name__ == "__main__":
     unittest.main()
