Show streams joined by callers that wait longer than a version is held

A version counts as one that may have begun a stream for twice the longest timeout once its last server is gone, 10 s at least. Callers that state no deadline wait for 30 s, as the module that keeps streams says.

Seen with four real gateways, all in step, timeouts of 5 s: 12 streams begin at v1, v1.1 joins and v1 leaves at once, and all 12 that are taken up 10.8 s later with Last-Event-Id alone go on at v1.1. This test fails as it stands.

--- a/tests/test_stream_review.py
+++ b/tests/test_stream_review.py
@@ -14,7 +14,7 @@
 from mulberrywharf.policy import stream_version
 from proofs import stream_order
 from tests import builders_out_of_step as build
-from tests import builders_platform
+from tests import builders_platform, test_gateway
 from tests import builders_routes as routes_build
 
 BEHIND, OTHERS = build.BEHIND, build.OTHERS
@@ -128,6 +128,26 @@
             fleet.take_up(0, name, is_named=False)
         self.assertEqual(fleet.joined(names), [])
 
+    def test_version_is_held_as_long_as_callers_wait(self) -> None:
+        """Guards against joins by callers without a deadline, which wait."""
+        fleet = self.fleet
+        (service,) = fleet.next_services(1)
+        names = [f"{service}.held-{at}" for at in range(build.STREAMS_COUNT)]
+        request = test_gateway.request
+
+        def without_deadline(*args: Any, **fields: Any) -> bytes:
+            made = request(*args, **fields)
+            return made.replace(b"x-mulberrywharf-deadline-ms: 3000\r\n", b"")
+
+        with mock.patch.object(test_gateway, "request", without_deadline):
+            fleet._begin_at(OTHERS, names)
+            fleet.join(service, NEWER)
+            fleet.part(service, OLDER)
+            gevent.sleep(_TAKEN_UP_S)
+            for name in names:
+                fleet.take_up(0, name, is_named=False)
+        self.assertEqual(fleet.joined(names), [])
+
     def play_other_service(
         self, change: Callable[[dict[str, Any], str], None]
     ) -> None:
