Hold a version that has left as long as callers may take its streams up

Streams taken up with Last-Event-Id alone went on at another version although every gateway was in step: a version counted as one that may have begun a stream for 10 s behind the removal of its last record (timeouts of 5 s). Callers that state no deadline wait for 30 s; and a gateway that has not yet heard of the removal begins streams at its servers as long as those serve on.

It counts for 40 s at least now. When a history is complete behind a start is unchanged (10 s, or two timeouts).

The price: without Resumes, streams of a service are refused for 40 s instead of 10 s behind the end of a release.

--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -22,9 +22,13 @@
 
 LEAST_HOLD_S = 10.0
 HOLD_TIMEOUTS_COUNT = 2.0
-"""How long a version counts as one that may have begun a stream after its last
-server is gone, in timeouts of the longest route. A stream lasts for one of them
-at the most, and its caller takes it up within its own deadline."""
+"""How long records are followed until their history is complete, in timeouts of
+the longest route. A stream lasts for one of them at the most."""
+
+LEAST_LEFT_HOLD_S = 40.0
+"""How long a version counts at least as one that may have begun a stream once
+its last record is gone. Callers that state no deadline wait for 30 s, and a
+server may serve on for seconds at gateways that have not yet heard of it."""
 
 CONTACT_LIMIT_S = 2.5
 """Age from which the newest answer of the key-value service, or what confirmed
@@ -250,7 +254,7 @@
             Whether one is new.
         """
         is_new = False
-        left = _Left(now_s, self._hold_s)
+        left = _Left(now_s, self._left_hold_s)
         for service, sources in self._sources.items():
             for source, last in sources.items():
                 if last == _PRESENT and source not in present.get(service, ()):
@@ -263,6 +267,10 @@
                     sources[source] = last
         return is_new
 
+    @property
+    def _left_hold_s(self) -> float:
+        return max(LEAST_LEFT_HOLD_S, self._hold_s)
+
     def set_following(
         self, is_following: bool, now_s: float, *, readings_count: int = 1
     ) -> None:
@@ -328,7 +336,7 @@
         for service, keys in self._current.items():
             left = self._left.setdefault(service, {})
             for key in keys - current.get(service, set()):
-                left[key] = _Left(now_s, self._hold_s)
+                left[key] = _Left(now_s, self._left_hold_s)
         is_new = any(
             keys - self._current.get(service, frozenset())
             for service, keys in current.items()
@@ -363,7 +371,7 @@
         if is_late or since_s is None or asked_s < since_s:
             return False
         left = self._left.setdefault(service, {})
-        borrowed = _Left(asked_s, self._hold_s)
+        borrowed = _Left(asked_s, self._left_hold_s)
         for key in recent:
             left[key] = max(left.get(key, borrowed), borrowed)
         self._known_since_s[service] = asked_s - self._complete_after_s
@@ -402,7 +410,7 @@
     ) -> dict[_Key, _Left]:
         """Removes what no longer counts; returns the rest."""
         for key, (at_s, hold_s) in list(left.items()):
-            if now_s - at_s >= max(hold_s, self._hold_s):
+            if now_s - at_s >= max(hold_s, self._left_hold_s):
                 del left[key]
         return left
 
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -119,7 +119,7 @@
         """Guards against a stream of a version that has just left."""
         self.set_versions(0.0, "v1", "v2")
         self.set_versions(40.0, "v2")
-        left_s = 40.0 + stream_version.LEAST_HOLD_S
+        left_s = 40.0 + stream_version.LEAST_LEFT_HOLD_S
         before = self.history.seen(SERVICE, left_s - 0.1)
         self.assertEqual(before.current, {V2})
         self.assertEqual(before.recent, {V1, V2})
@@ -208,7 +208,7 @@
             self.assertFalse(versions.is_complete)
             self.assertEqual(versions.recent, {V1})
         self.assertTrue(self.history.merge(SERVICE, [V2], 5.0, 5.0 + limit_s))
-        hold_s = stream_version.LEAST_HOLD_S
+        hold_s = stream_version.LEAST_LEFT_HOLD_S
         versions = self.history.seen(SERVICE, 5.0 + hold_s)
         self.assertEqual(versions.recent, {V1})
 
@@ -237,17 +237,19 @@
         self.assertTrue(self.history.set_sources({}, passed, self.now_s))
         self.assertTrue(self.is_single("a"))
         for service in ("b", "c"):
-            self.assertFalse(self.is_single(service, 9.0))
+            self.assertFalse(self.is_single(service, 39.0))
         self.assertFalse(self.history.set_sources({}, passed, self.now_s))
-        self.assertTrue(self.is_single("b", stream_version.LEAST_HOLD_S))
+        hold_s = stream_version.LEAST_LEFT_HOLD_S
+        self.assertTrue(self.is_single("b", hold_s))
 
     def test_split_streams_count_as_long_as_the_split_lasts(self) -> None:
         split = {"a": {"b"}, "b": {"a"}}
         self.history.set_sources(split, {}, self.now_s)
         self.assertFalse(self.is_single("a", 60.0))
         self.history.set_sources({}, {}, self.now_s + 60.0)
-        self.assertFalse(self.is_single("a", 69.0))
-        self.assertTrue(self.is_single("a", 70.0))
+        hold_s = stream_version.LEAST_LEFT_HOLD_S
+        self.assertFalse(self.is_single("a", 59.0 + hold_s))
+        self.assertTrue(self.is_single("a", 60.0 + hold_s))
 
 
 if __name__ == "__main__":
