Share the gateway of the two plays of streams

bench.out_of_step_play and bench.stream_version_play each had a gateway with the same register, send, stream_fleet and address_of. They now inherit them.

--- a/bench/out_of_step_play.py
+++ b/bench/out_of_step_play.py
@@ -15,13 +15,13 @@
 import math
 import random
 import sys
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Literal, NamedTuple, get_args
 
-from bench import stream_version_play, virtual_time
+from bench import _stream_gateway, stream_version_play, virtual_time
 from mulberrywharf import fleet
 from mulberrywharf.forwarding import servers
-from mulberrywharf.peers import stream_origins, topics
+from mulberrywharf.peers import stream_origins
 from mulberrywharf.policy import stream_keepers, stream_version
 
 Fault = Literal[
@@ -160,15 +160,10 @@
     is_told: bool
 
 
-class _Gateway:
-    """One gateway; stands in for its topic exchange and its directory."""
-
+class _Gateway(_stream_gateway.StreamGateway):
     def __init__(self, play: "_Play", number: int):
+        super().__init__(number, play.scene.zones_count, play)
         self.play = play
-        self.zone = f"zone-{number % play.scene.zones_count}"
-        self.vm_id = f"entry-{number}"
-        self.address = fleet.Address("10.0.0.1", 1_000 + number)
-        self.is_up = True
         self.may_be_out = False
         self.process_number = 0
         self.read_times_s: list[float] = []
@@ -392,26 +387,9 @@
             if self._set(self.versions):
                 self.origins.tell_untold()
 
-    def register(self, topic: topics.Topic, handler: topics.Handler) -> None:
-        self.handler = handler
-
-    def send(
-        self,
-        topic: topics.Topic,
-        body: bytes,
-        addresses: Iterable[fleet.Address],
-        *,
-        is_urgent: bool,
-    ) -> bool:
-        for address in addresses:
-            self.play.deliver(self, address, body)
-        return True
-
-    def stream_fleet(self) -> stream_keepers.Fleet:
-        return stream_keepers.Fleet(self.play.zones_by_vm, self.vm_id)
-
-    def address_of(self, vm_id: str) -> fleet.Address | None:
-        return None if vm_id == self.vm_id else self.play.addresses[vm_id]
+    def deliver(self, address: fleet.Address, body: bytes) -> None:
+        """Carries the body of a message to a gateway, or loses it."""
+        self.play.deliver(self, address, body)
 
 
 class _Play:
--- a/bench/stream_version_play.py
+++ b/bench/stream_version_play.py
@@ -11,12 +11,11 @@
 import itertools
 import math
 import random
-from collections.abc import Iterable
 from typing import NamedTuple
 
-from bench import virtual_time
+from bench import _stream_gateway, virtual_time
 from mulberrywharf import fleet
-from mulberrywharf.peers import datagrams, stream_origins, topics
+from mulberrywharf.peers import stream_origins
 from mulberrywharf.policy import stream_keepers, stream_version
 
 SERVICE = "service"
@@ -91,17 +90,10 @@
     found_s: float
 
 
-class _Gateway:
-    """One gateway; stands in for its topic exchange and its directory."""
-
+class _Gateway(_stream_gateway.StreamGateway):
     def __init__(self, play: "_Play", number: int):
+        super().__init__(number, play.scene.zones_count, play)
         self.play = play
-        self.zone = f"zone-{number % play.scene.zones_count}"
-        self.vm_id = f"entry-{number}"
-        self.address = fleet.Address("10.0.0.1", 1_000 + number)
-        self.is_up = True
-        self.sent_bytes = 0
-        self.unknown: frozenset[str] = frozenset()
         self.start()
 
     def start(self) -> None:
@@ -131,34 +123,9 @@
         if self.history.set_servers(servers, self.play.loop.now_s):
             self.origins.tell_untold()
 
-    def register(self, topic: topics.Topic, handler: topics.Handler) -> None:
-        self.handler = handler
-
-    def send(
-        self,
-        topic: topics.Topic,
-        body: bytes,
-        addresses: Iterable[fleet.Address],
-        *,
-        is_urgent: bool,
-    ) -> bool:
-        for address in addresses:
-            self.sent_bytes += (
-                len(body) + len(topic) + datagrams.DATAGRAM_OVERHEAD_BYTES
-            )
-            self.play.deliver(self, address, body)
-        return True
-
-    def stream_fleet(self) -> stream_keepers.Fleet:
-        known = {
-            vm_id: zone
-            for vm_id, zone in self.play.zones_by_vm.items()
-            if vm_id not in self.unknown
-        }
-        return stream_keepers.Fleet(known, self.vm_id)
-
-    def address_of(self, vm_id: str) -> fleet.Address | None:
-        return None if vm_id == self.vm_id else self.play.addresses[vm_id]
+    def deliver(self, address: fleet.Address, body: bytes) -> None:
+        """Carries the body of a message to a gateway, or loses it."""
+        self.play.deliver(self, address, body)
 
 
 class _Play:
