Use servers last that another one has replaced at their address

Cause: a server that ends and starts again has another id. The record of the one that ended stays until it expires, another server answers 421 in its name, and it looks empty, so it is chosen first. A refusal counted for half a second only, and each one cost the prefill that no engine had taken, one of the four sends of the request and a repeat.

Change: a server that answered 421 for a start, or at whose address another server has registered since, is a last resort until it answers or writes its record again. The belief concerns one start, never its successor. A 421 may also mean that the role of the addressed server has changed; that server writes its record within a heartbeat and is used again then. The expected version, the third reason on which servers answer 421, is never sent. A 421 no longer costs the prefill or a send; the budget of repeats still counts it. It has a type of its own, so that logs tell it from a refusal.

Behind it test_misdirected_requests and ten neighbours pass, 201 tests.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -366,6 +366,16 @@
         self.body = body
 
 
+class MisdirectedError(EngineRefusedError):
+    """Another server than the addressed one answered, or its role changed."""
+
+    code = "misdirected"
+    advice = (
+        "None is needed if the server ended or changed its role a moment ago;"
+        " otherwise compare its record with what listens at its address."
+    )
+
+
 class ServerLimitError(EngineError):
     """The request would exceed the request limit of the back end.
 
--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -652,10 +652,11 @@
             if isinstance(
                 sent.err_value,
                 errors.EngineUnreachableError
+                | errors.MisdirectedError
                 | errors.ServerLimitError
                 | errors.RepeatRefusedError,
             ):
-                # Nothing was sent, so another engine can use the handle.
+                # No engine took the handle, so another one can use it.
                 self._prefilled = prefilled
             if sent.err_value.outcome == "not-run":
                 self._outcome = previous_outcome
@@ -721,6 +722,11 @@
                 on_write=lambda: self._repeats.on_send(part),
             )
             self._repeats.note_result(sent)
+        if isinstance(sent, Err) and isinstance(
+            sent.err_value, errors.MisdirectedError
+        ):
+            # An engine that has ended leaves as much time as if not tried.
+            self._sends_count -= 1
         return sent
 
     def _allow_retry_or_raise(self, error: errors.EngineError) -> None:
--- a/src/mulberrywharf/forwarding/request.py
+++ b/src/mulberrywharf/forwarding/request.py
@@ -242,6 +242,8 @@
         is_leaving: Whether the server states that it is leaving.
         limit: The request limit that the server states.
         server: The server that sent it, None if unknown.
+        is_misdirected: Whether another server than the addressed one answered,
+            or the addressed one has another role now.
     """
 
     status: int
@@ -255,6 +257,7 @@
     is_leaving: bool = False
     limit: request_limits.StatedLimit = request_limits.NoLimit()
     server: fleet.ServerStart | None = None
+    is_misdirected: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/mulberrywharf/forwarding/server_client.py
+++ b/src/mulberrywharf/forwarding/server_client.py
@@ -165,7 +165,8 @@
             The answer; ``EngineUnreachableError`` if no byte was sent,
             ``ServerLimitError`` if the permit has expired,
             ``RepeatRefusedError`` if ``on_write`` returned it,
-            ``EngineRefusedError`` if the server states that nothing ran,
+            ``EngineRefusedError`` if the server states that nothing ran, or
+            its subtype ``MisdirectedError`` if it isn't the addressed one,
             ``AnswerLostError`` or ``ForeignAnswerError`` if it may have run.
 
         Raises:
@@ -295,7 +296,12 @@
     ) -> errors.EngineError:
         # The connection can be reused only if the answer is read to its end.
         exchange.drain(_SHORT_ANSWER_TIMEOUT_S)
-        return errors.EngineRefusedError(
+        error_type = (
+            errors.MisdirectedError
+            if head.is_misdirected
+            else errors.EngineRefusedError
+        )
+        return error_type(
             f"{server.address} refused with {head.status}", status=head.status
         )
 
@@ -303,7 +309,9 @@
         self, server: fleet.Server, error: errors.EngineError
     ) -> None:
         now_s = self._clock.monotonic_s()
-        if isinstance(error, errors.EngineRefusedError):
+        if isinstance(error, errors.MisdirectedError):
+            self._tracker.misdirected(server.start, now_s)
+        elif isinstance(error, errors.EngineRefusedError):
             self._note_refusal(server, now_s)
         elif isinstance(error, errors.EngineUnreachableError):
             cause: reachability.Cause = (
--- a/src/mulberrywharf/forwarding/server_tracker.py
+++ b/src/mulberrywharf/forwarding/server_tracker.py
@@ -110,6 +110,7 @@
         self.fault_at_s = float("-inf")
         self.mean_answer_s: float | None = None
         self.suspected_until_s = float("-inf")
+        self.is_doubted = False
         self.avoided_until_s = float("-inf")
         self.changing_until_s = float("-inf")
         self.retry_after_until_s = float("-inf")
@@ -127,6 +128,7 @@
     def __init__(self, availability_zone: str):
         self._availability_zone = availability_zone
         self._entries: dict[fleet.ServerStart, _Entry] = {}
+        self._start_by_address: dict[fleet.Address, fleet.ServerStart] = {}
         self.paces = stated_pace.StatedPaces()
         self.reachability = reachability.Reachability()
         self._held_failures = held_failures.HeldFailures()
@@ -156,6 +158,11 @@
         }
         self.paces.keep_only(kept | self._entries.keys())
         self._held_failures.keep_only(kept)
+        self._start_by_address = {
+            address: start
+            for address, start in self._start_by_address.items()
+            if start in kept
+        }
 
     def began(self, start: fleet.ServerStart, now_s: float) -> None:
         """Counts a new request; at an unreachable server it is the trial."""
@@ -273,6 +280,7 @@
         entry.failure_share *= 1 - FAILURE_WEIGHT
         entry.fault_share *= 1 - FAILURE_WEIGHT
         entry.suspected_until_s = float("-inf")
+        entry.is_doubted = False
         entry.avoided_until_s = float("-inf")
         entry.failed_attempts_count = 0
         if answer_s is None:
@@ -335,6 +343,27 @@
         until_s = now_s + REFUSED_S
         entry.suspected_until_s = max(entry.suspected_until_s, until_s)
 
+    def misdirected(self, start: fleet.ServerStart, now_s: float) -> None:
+        """Records that a request for a server reached another one.
+
+        The server has ended, or it has another role than its record shows. It
+        stays a last resort until it answers a request or writes its record
+        again; one that has ended does neither.
+        """
+        self.refused(start, now_s)
+        self._entry(start).is_doubted = True
+
+    def registered(self, server: fleet.Server) -> None:
+        """Records that a server has written its record, so it is running.
+
+        Any other one that registered at its address before has ended.
+        """
+        before = self._start_by_address.get(server.address, server.start)
+        self._start_by_address[server.address] = server.start
+        self._entry(server.start).is_doubted = False
+        if before != server.start:
+            self._entry(before).is_doubted = True
+
     def pause_until_retry_after(
         self, start: fleet.ServerStart, retry_after_s: float, now_s: float
     ) -> None:
@@ -447,8 +476,13 @@
         return [one for one in among if self.may_use(one.start, now_s)]
 
     def is_suspected(self, start: fleet.ServerStart, now_s: float) -> bool:
-        """Tells whether a server recently broke off or refused a request."""
-        return now_s < self._entry(start).suspected_until_s
+        """Tells whether a server is used only as a last resort.
+
+        It recently broke off or refused a request, or another server seems to
+        be at its address.
+        """
+        entry = self._entry(start)
+        return entry.is_doubted or now_s < entry.suspected_until_s
 
     def others_in_flight_count(
         self, start: fleet.ServerStart, now_s: float
--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -131,6 +131,7 @@
             watch.SHORT_TIMEOUTS
         ),
         system_clock: clock.Clock | None = None,
+        on_registered: Callable[[fleet.Server], None] = lambda _: None,
     ):
         """Initializes an empty list; ``start`` begins to read the records.
 
@@ -141,8 +142,11 @@
                 whose record vanished in it.
             timeouts: See ``KeyValueClient.watch``.
             system_clock: Source of monotonic time, None for the system's.
+            on_registered: Called each time that a server has written its
+                record, whether that changed or not.
         """
         self._client = client
+        self._on_registered = on_registered
         self._timeouts = timeouts
         self._source = source
         self._missing_hold_s = missing_hold_s
@@ -407,6 +411,7 @@
             )
             return
         self._cancel_pending_drop(server_id)
+        self._on_registered(server)
         if server.start in self._leaving:
             server = server._replace(is_draining=True)
         known = self._by_id.get(server_id)
--- a/src/mulberrywharf/platform/requests.py
+++ b/src/mulberrywharf/platform/requests.py
@@ -126,6 +126,7 @@
             )
             if answer.status_code != _MISDIRECTED_STATUS
             else request_limits.NoLimit(),
+            is_misdirected=answer.status_code == _MISDIRECTED_STATUS,
         )
 
     def decode_handle(
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -137,15 +137,18 @@
             relay=relay,
         )
         relay.on_question(self._confirmed_routes)
+        self._tracker = server_tracker.ServerTracker(
+            config["availability_zone"]
+        )
         self._servers = servers.ServerList(
-            self._store, source, timeouts=self._revision_exchange.watch_timeouts
+            self._store,
+            source,
+            timeouts=self._revision_exchange.watch_timeouts,
+            on_registered=self._tracker.registered,
         )
         self._version_history = stream_version.VersionHistory()
         # Contact with the store, and the reading that the history began with.
         self._history_basis = (False, 0)
-        self._tracker = server_tracker.ServerTracker(
-            config["availability_zone"]
-        )
         self._path_log = path_log.PathLog(self._tracker.reachability)
         self._paths = lost_path.LostPaths(self._rng, self._on_path_change)
         self._role_holder: duty_holder.DutyHolder | None = None
