End the trial of a suspected part with the first server that ends

Change: once a server has ended under such a trial before any output, the request isn't sent to another one; its result is known. Other requests, a trial whose answer had begun and one that was merely refused go on elsewhere.

Red before: TrialTest.test_it_is_over_once_a_server_has_ended (False is not true).

--- a/bench/crash_play.py
+++ b/bench/crash_play.py
@@ -272,6 +272,7 @@
         self.tries_left_count = TRIES_COUNT
         self.runs_left_count = RUNS_LIMIT_COUNT
         self.has_begun = False
+        self.watch: crash_watch.RequestWatch | None = None
 
 
 class _Engine:
@@ -482,8 +483,9 @@
         call.tries_left_count -= 1
         call.runs_left_count = RUNS_LIMIT_COUNT
         gateway = self.rng.choice(self.gateways)
+        call.watch = gateway.watch.of(call.routed_request, _SERVICE)
         try:
-            gateway.watch.check(call.routed_request, _SERVICE)
+            call.watch.check()
         except errors.CrashingRequestError:
             self._blocked_count += call.culprit is None
             return
@@ -587,7 +589,7 @@
             ),
             made_output=made_output,
         )
-        if gateway.watch.is_blocked(run.call.routed_request, _SERVICE):
+        if run.call.watch is not None and run.call.watch.is_blocked():
             self._fail(run.call)
         else:
             self.loop.after(
--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from typing import NamedTuple, Protocol
+from typing import NamedTuple, NoReturn, Protocol
 
 import gevent
 from loguru import logger
@@ -25,6 +25,7 @@
 """Time to process a probe result that is already pending."""
 
 _CONNECT_TIMEOUT_S = 0.2
+_SUSPECTED_PART = "servers may have ended because of a part of this request"
 _LOGGED_PART_ID_LIMIT = 64
 
 _ends_total = metrics.counter(
@@ -246,7 +247,7 @@
         """Returns the watch of one request to a service."""
         return RequestWatch(self, request, service)
 
-    def check(self, request: CallerRequest, service: str = "") -> None:
+    def check(self, request: CallerRequest, service: str = "") -> float | None:
         """Refuses a blocked request, unless it may be tried again.
 
         Args:
@@ -254,30 +255,38 @@
             service: Service that is to run it, empty if its prompt has no
                 parts.
 
+        Returns:
+            The time, if the request is a trial of its suspected parts.
+
         Raises:
             CrashingRequestError: The request is blocked.
         """
         block = self._block_of(request, service)
         if block is None:
-            self._check_suspected_parts(request, service)
-            return
+            return self._check_suspected_parts(request, service)
         now_s = self._clock.monotonic_s()
-        if self._suspects.may_try(block, now_s):
-            self._record_trial(block.key)
-            _trials_total.inc({"cause": _cause(block)})
-            logger.bind(
-                request_id=request.request_id, **_loggable(block, now_s)
-            ).info("a blocked request is tried again")
-            return
-        self._refuse(request, block)
+        if not self._suspects.may_try(block, now_s):
+            self._refuse(request, block)
+        self._record_trial(block.key)
+        _trials_total.inc({"cause": _cause(block)})
+        logger.bind(
+            request_id=request.request_id, **_loggable(block, now_s)
+        ).info("a blocked request is tried again")
+        return None
 
-    def check_repeat(self, request: CallerRequest, service: str = "") -> None:
+    def check_repeat(
+        self,
+        request: CallerRequest,
+        service: str = "",
+        tried_s: float | None = None,
+    ) -> None:
         """Refuses to send a request once more if it is blocked.
 
         Args:
             request: The request, which ``check`` has let pass.
             service: Service that is to run it, empty if its prompt has no
                 parts.
+            tried_s: What ``check`` returned.
 
         Raises:
             CrashingRequestError: The request is blocked.
@@ -285,10 +294,22 @@
         block = self._block_of(request, service)
         if block is not None:
             self._refuse(request, block)
+        if self._has_failed_trial(request, tried_s):
+            raise errors.CrashingRequestError(
+                _SUSPECTED_PART,
+                retry_after_s=crash_suspects.PART_TRIAL_RESULT_S,
+            )
+
+    def _has_failed_trial(
+        self, request: CallerRequest, tried_s: float | None
+    ) -> bool:
+        return tried_s is not None and self._suspects.has_ended_server_since(
+            request.fingerprint(), tried_s, self._clock.monotonic_s()
+        )
 
     def _refuse(
         self, request: CallerRequest, block: crash_blocks.Block
-    ) -> None:
+    ) -> NoReturn:
         now_s = self._clock.monotonic_s()
         _refused_total.inc({"cause": _cause(block)})
         logger.bind(
@@ -301,45 +322,58 @@
 
     def _check_suspected_parts(
         self, request: CallerRequest, service: str
-    ) -> None:
+    ) -> float | None:
         """Lets requests with suspected parts pass one at a time.
 
+        Returns:
+            The time, if the request has such parts.
+
         Raises:
             CrashingRequestError: The result of another request is awaited.
         """
         if self._suspects.is_empty:
-            return
+            return None
         now_s = self._clock.monotonic_s()
         parts = self._suspects.suspected_parts(_traits(request, service), now_s)
         if not parts:
-            return
+            return None
         log = logger.bind(request_id=request.request_id, parts=_hex_keys(parts))
         delay_s = self._suspects.trial_delay_s_of(parts, now_s)
         if delay_s > 0.0:
             _refused_total.inc({"cause": "suspected-part"})
             log.info("a request with a suspected part is refused")
             raise errors.CrashingRequestError(
-                "servers may have ended because of a part of this request",
-                retry_after_s=delay_s,
+                _SUSPECTED_PART, retry_after_s=delay_s
             )
         for part in parts:
             self._record_trial(part)
         _trials_total.inc({"cause": "suspected-part"})
         log.info("a request with a suspected part is tried")
+        return now_s
 
     def _record_trial(self, key: int) -> None:
         self._suspects.record_trial(key, self._clock.monotonic_s())
         self._reports.broadcast_trial(key)
 
-    def is_blocked(self, request: CallerRequest, service: str = "") -> bool:
+    def is_blocked(
+        self,
+        request: CallerRequest,
+        service: str = "",
+        tried_s: float | None = None,
+    ) -> bool:
         """Returns whether a request must not be sent to another server.
 
+        A trial of suspected parts is over once a server has ended under it.
+
         Args:
             request: The request.
             service: Service that is to run it, empty if its prompt has no
                 parts.
+            tried_s: What ``check`` returned.
         """
-        return self._block_of(request, service) is not None
+        return self._block_of(
+            request, service
+        ) is not None or self._has_failed_trial(request, tried_s)
 
     def allowed_servers(
         self, request: CallerRequest, servers: Sequence[fleet.Server]
@@ -517,6 +551,7 @@
         self._crashes = crashes
         self._request = request
         self._service = service
+        self._tried_s: float | None = None
 
     def check(self) -> None:
         """Refuses the request if it is blocked, unless it may be tried again.
@@ -524,7 +559,7 @@
         Raises:
             CrashingRequestError: It is blocked.
         """
-        self._crashes.check(self._request, self._service)
+        self._tried_s = self._crashes.check(self._request, self._service)
 
     def check_repeat(self) -> None:
         """Refuses to send the request once more if it is blocked.
@@ -532,11 +567,13 @@
         Raises:
             CrashingRequestError: It is blocked.
         """
-        self._crashes.check_repeat(self._request, self._service)
+        self._crashes.check_repeat(self._request, self._service, self._tried_s)
 
     def is_blocked(self) -> bool:
         """Returns whether the request must not be sent to another server."""
-        return self._crashes.is_blocked(self._request, self._service)
+        return self._crashes.is_blocked(
+            self._request, self._service, self._tried_s
+        )
 
     def allowed_servers(
         self, servers: Sequence[fleet.Server]
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -254,6 +254,21 @@
             for run in self.runs(fingerprint, now_s)
         )
 
+    def has_ended_server_since(
+        self, fingerprint: int, since_s: float, now_s: float
+    ) -> bool:
+        """Returns whether a server ended before any output of a request.
+
+        Args:
+            fingerprint: The request.
+            since_s: Earlier ends don't count.
+            now_s: Monotonic time.
+        """
+        return any(
+            run.at_s >= since_s and not run.made_output
+            for run in self.runs(fingerprint, now_s)
+        )
+
     def runs(
         self, fingerprint: int, now_s: float
     ) -> tuple[crash_blocks.LostRun, ...]:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -160,6 +160,65 @@
         records.schedule_write.assert_called_once()
 
 
+class TrialTest(unittest.TestCase):
+    """A request that tried a suspected part ended two servers, not one."""
+
+    def setUp(self) -> None:
+        self.suspects = crash_suspects.CrashSuspects()
+        self.clock = clock.SystemClock()
+        self.watch = crash_watch.CrashWatch(
+            mock.Mock(),
+            self.suspects,
+            crash_watch.NullReportsAndRecords(),
+            crash_watch.NullReportsAndRecords(),
+            self.clock,
+        )
+
+    def numbered(self, number: int) -> request.RoutedRequest:
+        return build.routed_request(
+            0.0, prompt=build.prompt(100, 100), body=str(number).encode()
+        )
+
+    def end_server(
+        self, number: int, ended: request.RoutedRequest, *, made_output: bool
+    ) -> None:
+        record_end(
+            self.suspects,
+            ended.fingerprint(),
+            end(number, self.clock.monotonic_s(), made_output=made_output),
+            ended.part_keys("service").values(),
+            ended.customer_key(),
+        )
+
+    def trial(self) -> crash_watch.RequestWatch:
+        for number in range(2):
+            self.end_server(number, self.numbered(number), made_output=False)
+        tried = self.watch.of(self.numbered(2), "service")
+        tried.check()
+        return tried
+
+    def test_it_is_over_once_a_server_has_ended(self) -> None:
+        tried = self.trial()
+        self.assertFalse(tried.is_blocked())
+        tried.check_repeat()
+        self.end_server(2, self.numbered(2), made_output=False)
+        self.assertTrue(tried.is_blocked())
+        with self.assertRaises(errors.CrashingRequestError):
+            tried.check_repeat()
+
+    def test_answer_that_began_goes_on_elsewhere(self) -> None:
+        tried = self.trial()
+        self.end_server(2, self.numbered(2), made_output=True)
+        self.assertFalse(tried.is_blocked())
+
+    def test_request_that_is_no_trial_goes_on_elsewhere(self) -> None:
+        watched = self.watch.of(self.numbered(2), "service")
+        watched.check()
+        self.trial()
+        self.end_server(2, self.numbered(2), made_output=False)
+        self.assertFalse(watched.is_blocked())
+
+
 class _UnresponsiveProber:
     """Simulates a server that does not respond to connection attempts."""
 
