Keep the ports of stand-ins and gateways while nobody listens on them

Cause: a port whose listener was closed is free at once. A stand-in gave its port up between its end and the moment at which it was held, a fault proxy each time that it began to refuse connections, and a gateway of the soak from its kill until its successor listened elsewhere, a second or more, while its callers' way still led there. Another process that gets the port in between answers in its place, or keeps the stand-in from beginning again; its record is written all the same, and its way is opened when the faults are healed.

Change: a port is held from the first listener to the last by a socket that is bound and doesn't listen. A gateway of the soak begins again at its own port. No check is changed.

Red before: the port of an ended stand-in was free (1 of 1), that of a proxy in each of 3 changes of its mode, that of a killed gateway as well.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -14,7 +14,7 @@
 from mulberrywharf.platform import documents
 from proofs import stream_order_fleet
 from soak import stream_server
-from standins import fault_proxy, platform_server
+from standins import fault_proxy, held_port, platform_server
 from tests import builders_routes as build
 from tests import processes
 
@@ -163,6 +163,10 @@
         self.is_over = False
         self._fields: dict[str, dict[str, str]] = {}
         self._views: list[Any] = []
+        # A caller's way leads there also while the gateway is started anew.
+        self._callers_ports = [
+            held_port.HeldPort(LOOPBACK) for _ in range(GATEWAYS_COUNT)
+        ]
         self._folder = tempfile.TemporaryDirectory()
         # Two soaks at once must not hear each other's notices.
         pick = random.SystemRandom()
@@ -202,11 +206,13 @@
             way.close()
         for server in self.all_servers.values():
             server.close()
+        for held in self._callers_ports:
+            held.close()
         self.store.close()
         self._folder.cleanup()
 
     def launch(self, index: int) -> None:
-        """Starts a gateway and leads its callers' way to it."""
+        """Starts a gateway; its callers' way leads to it each time."""
         began_s = time.monotonic()
         path = pathlib.Path(self._folder.name) / f"gateway-{index}.json"
         path.write_text(json.dumps(self._settings(index)))
@@ -214,11 +220,8 @@
             processes.LoggedProcess,
             ("mulberrywharf.programs.gateway", "--settings", str(path)),
         )
-        port = gateway.ready["callers"]
-        if f"callers-{index}" in self.ways:
-            self._proxy(f"callers-{index}").upstream = (LOOPBACK, port)
-        else:
-            self._open_way(f"callers-{index}", port)
+        if f"callers-{index}" not in self.ways:
+            self._open_way(f"callers-{index}", gateway.ready["callers"])
         self.gateways[index] = gateway
         self._logged.append(gateway)
         self.starts.append((index, began_s, time.monotonic()))
@@ -436,7 +439,7 @@
         return {
             "vm_id": f"entry-{index}",
             "availability_zone": "zone-a",
-            "callers_listen": f"{LOOPBACK}:0",
+            "callers_listen": f"{LOOPBACK}:{self._callers_ports[index].port}",
             "operators_listen": f"{LOOPBACK}:0",
             "nodes_listen": f"{self._notices_net}.{index + 1}:{_NOTICES_PORT}",
             "store": f"{LOOPBACK}:{self._proxy(f'store-{index}').port}",
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -40,7 +40,7 @@
 from gevent import socket as gevent_socket
 
 from mulberrywharf import _connections, _wsgi
-from standins import _http
+from standins import _http, held_port
 
 MODES = (
     "pass",
@@ -223,7 +223,8 @@
         self._ip = ip
         self._connections: set[_Connection] = set()
         self._server: gevent.server.StreamServer | None = None
-        # Keeps the port, without listening, while connections are refused.
+        self._held_port: held_port.HeldPort | None = None
+        # Listens, unless connections are refused.
         self._bound: Any = None
         self._fillers: list[Any] = []
         # The first of a pair that is to be crossed, until the second comes.
@@ -231,7 +232,9 @@
 
     def start(self, port: int = 0) -> None:
         """Starts to listen."""
-        self._bind(port)
+        self._held_port = held_port.HeldPort(self._ip, port)
+        self.port = self._held_port.port
+        self._bind()
         self._listen()
 
     def close(self) -> None:
@@ -240,6 +243,8 @@
             self._server.stop(timeout=0)
         if self._bound is not None:
             self._bound.close()
+        if self._held_port is not None:
+            self._held_port.close()
         self._close_fillers()
         self.reset_all()
 
@@ -248,11 +253,10 @@
             filler.close()
         self._fillers.clear()
 
-    def _bind(self, port: int) -> None:
+    def _bind(self) -> None:
         self._bound = gevent_socket.socket()
         self._bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._bound.bind((self._ip, port))
-        self.port = self._bound.getsockname()[1]
+        self._bound.bind((self._ip, self.port))
 
     def _listen(self) -> None:
         if self._server is not None:
@@ -272,7 +276,7 @@
         else:
             return
         self._close_fillers()
-        self._bind(self.port)
+        self._bind()
 
     def _ignore_new(self) -> None:
         """Lets the kernel drop the first packet of each new connection.
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -13,7 +13,6 @@
     monkey.patch_all()
 
 import argparse
-import contextlib
 import json
 import time
 import uuid
@@ -21,9 +20,9 @@
 from typing import Any, NamedTuple
 
 import gevent
-from gevent import socket
 
-from standins import _http, http_control, raw_answers
+from mulberrywharf import _wsgi
+from standins import _http, held_port, http_control, raw_answers
 
 _EVENTS_COUNT = 5
 _PAUSE_S = 0.01
@@ -119,33 +118,36 @@
         self._server_id = server_id
         self._has_ended = False
         self._ip = ip
-        self._server = http_control.make_server(ip, port, self._application)
-        self.port = self._server.port
+        self._held_port = held_port.HeldPort(ip, port)
+        self.port = self._held_port.port
+        self._server = self._make_server()
 
     def start(self) -> None:
         """Begins to listen."""
         self._server.start()
 
     def close(self) -> None:
-        """Stops and closes every connection."""
+        """Stops, closes every connection and gives the port back."""
         http_control.stop_server(self._server)
+        self._held_port.close()
+
+    def _make_server(self) -> _wsgi.WsgiServer:
+        return http_control.make_server(self._ip, self.port, self._application)
 
     def restart(self, server_id: str) -> None:
         """Begins again at its address after a crash, under another id."""
         self._server_id = server_id
-        self._server = http_control.make_server(
-            self._ip, self.port, self._application
-        )
+        self._held_port.take()
+        self._server = self._make_server()
         self._has_ended = False
         self.start_again()
         self.start()
 
     def _crash(self, body: str) -> None:
         self.crashes.append((time.monotonic(), body))
-        self.close()
+        http_control.stop_server(self._server)
         if self.on_crash is not None:
-            with _held_port(self._ip, self.port):
-                self.on_crash(self)
+            self.on_crash(self)
 
     @property
     def born(self) -> int:
@@ -346,15 +348,6 @@
         return str(environ.get(f"HTTP_X_MULBERRYWHARF_{name}", ""))
 
 
-@contextlib.contextmanager
-def _held_port(ip: str, port: int) -> Iterator[None]:
-    """Leaves a port to listeners of stand-ins; no other socket gets it."""
-    with socket.socket() as place:
-        place.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        place.bind((ip, port))
-        yield
-
-
 def _first_event(environ: dict[str, Any]) -> int:
     return int(environ.get("HTTP_LAST_EVENT_ID") or 0) + 1
 
--- a/tests/test_platform_standins.py
+++ b/tests/test_platform_standins.py
@@ -2,11 +2,18 @@
 
 import json
 import signal
+import socket
 import subprocess
 import sys
 import unittest
+from typing import Any
+from unittest import mock
 
+from gevent import socket as gevent_socket
+
+from mulberrywharf import _connections
 from mulberrywharf.platform_service import http_calls
+from standins import fault_proxy, http_control, platform_server
 from tests import builders_platform as builders
 
 PATH_BY_NAME = {
@@ -48,5 +55,58 @@
             self.assertEqual(log["calls_by_kind"], {"lease_grant": 1})
 
 
+class PortTest(unittest.TestCase):
+    """Another process got the port of a server that was about to restart."""
+
+    def is_free(self, port: int) -> bool:
+        with socket.socket() as taker:
+            try:
+                taker.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+            return True
+
+    def test_port_of_a_server_that_ends_stays_its_own(self) -> None:
+        server = platform_server.PlatformServerStandin("s1")
+        self.addCleanup(server.close)
+        server.start()
+        server.crash_on = "body"
+        were_free: list[bool] = []
+        stop_server = http_control.stop_server
+
+        def stop_and_note(stopped: Any) -> None:
+            stop_server(stopped)
+            were_free.append(self.is_free(server.port))
+
+        sock = gevent_socket.create_connection(("127.0.0.1", server.port))
+        # A reset leaves no connection that would keep the port.
+        _connections.reset_on_close(sock)
+        server.on_arrival = lambda _: sock.close()
+        with mock.patch.object(http_control, "stop_server", stop_and_note):
+            sock.sendall(
+                b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 4\r\n"
+                b"x-mulberrywharf-expected-instance: s1\r\n\r\nbody"
+            )
+            self.assertTrue(builders.wait_until(lambda: bool(were_free)))
+        self.assertEqual(were_free, [False])
+        server.restart("s2")
+
+    def test_port_of_a_proxy_that_refuses_stays_its_own(self) -> None:
+        proxy = fault_proxy.FaultProxy(("127.0.0.1", 1))
+        proxy.start()
+        self.addCleanup(proxy.close)
+        were_free: list[bool] = []
+        bind = proxy._bind
+
+        def note_and_bind(*arguments: int) -> None:
+            were_free.append(self.is_free(proxy.port))
+            bind(*arguments)
+
+        with mock.patch.object(proxy, "_bind", note_and_bind):
+            for mode in ("refuse", "pass", "silent", "pass"):
+                proxy.set_faults(mode=mode)
+        self.assertEqual(were_free, [False] * 3)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -94,6 +94,23 @@
                 self.assertEqual(self.broken(**changes), "")
 
 
+class FleetTest(unittest.TestCase):
+    """Another process answered callers of a gateway that had been killed."""
+
+    def test_port_for_callers_stays_that_of_the_gateway(self) -> None:
+        played = fleet.Fleet()
+        self.addCleanup(played.close)
+        played.start()
+        first, _ = played.gateways
+        self.assertIsNotNone(first)
+        first.close()
+        with socket.socket() as taker, self.assertRaises(OSError):
+            taker.bind((fleet.LOOPBACK, first.ready["callers"]))
+        played.launch(0)
+        again = played.gateways[0]
+        self.assertEqual(again.ready["callers"], first.ready["callers"])
+
+
 class PromisesTest(unittest.TestCase):
     """The checks find what they are meant to find."""
 
