Lengthen the time between trials of a part that ended servers

The part is blocked at three ends once three answers to others have begun at a gateway since; two had. Then neither gateway nor a caller did anything for half a second, the next trial was allowed 0.5 s behind the one before, at 0.83 s, and the third answer began 8 ms later.

Change: each trial that ends a server doubles the time until the next one, to 2 s at the most; two ends give 0.5 s as before. A request without the suspected parts doesn't wait, and an answer to one with them clears them as before.

Red before (the test with the former signature): [0.5, 0.5, 0.5, 0.5] != [0.5, 1, 2, 2].

--- a/src/mulberrywharf/crashes/crash_watch.py
+++ b/src/mulberrywharf/crashes/crash_watch.py
@@ -334,11 +334,12 @@
         if self._suspects.is_empty:
             return None
         now_s = self._clock.monotonic_s()
-        parts = self._suspects.suspected_parts(_traits(request, service), now_s)
+        traits = _traits(request, service)
+        parts = self._suspects.suspected_parts(traits, now_s)
         if not parts:
             return None
         log = logger.bind(request_id=request.request_id, parts=_hex_keys(parts))
-        delay_s = self._suspects.trial_delay_s_of(parts, now_s)
+        delay_s = self._suspects.trial_delay_s_of(parts, traits.customer, now_s)
         if delay_s > 0.0:
             _refused_total.inc({"cause": "suspected-part"})
             log.info("a request with a suspected part is refused")
--- a/src/mulberrywharf/policy/crash_suspects.py
+++ b/src/mulberrywharf/policy/crash_suspects.py
@@ -59,6 +59,10 @@
 """Time after which the next request with a suspected part is sent, if the
 result of the one before is still unknown."""
 
+PART_TRIAL_LIMIT_S = 2.0
+"""Longest time between two trials of a suspected part. Servers that ended are
+back after some seconds, and callers wait about as long."""
+
 SUSPECTS_LIMIT_COUNT = 1_024
 COMPLETED_LIMIT_COUNT = 2_048
 ANSWERED_LIMIT_COUNT = 8_192
@@ -339,21 +343,45 @@
             )
         )
 
-    def trial_delay_s_of(self, parts: Iterable[int], now_s: float) -> float:
+    def trial_delay_s_of(
+        self, parts: Iterable[int], customer: int, now_s: float
+    ) -> float:
         """Returns the time until a request with suspected parts may be sent.
 
         Requests with such parts are sent one at a time, so that the first one
-        decides on the part before the next one ends another server.
+        decides on the part before the next one ends another server. Each trial
+        that ended one doubles the time, in which answers to other requests
+        show whether the part is the cause.
+
+        Args:
+            parts: The suspected parts.
+            customer: Identifies the customer.
+            now_s: Monotonic time.
         """
+        self._decide()
         return max(
             (
-                self._trials_s[part] + PART_TRIAL_RESULT_S - now_s
+                self._trials_s[part]
+                + self._trial_interval_s(part, customer, now_s)
+                - now_s
                 for part in parts
                 if part in self._trials_s
             ),
             default=0.0,
         )
 
+    def _trial_interval_s(
+        self, part: int, customer: int, now_s: float
+    ) -> float:
+        ends_count = max(
+            self._recent_ends_count(part, one, now_s)
+            for one in (customer, None)
+        )
+        doublings_count = max(0, ends_count - SUSPECT_PART_ENDS_COUNT)
+        return min(
+            PART_TRIAL_LIMIT_S, PART_TRIAL_RESULT_S * 2.0**doublings_count
+        )
+
     def ended_servers(self) -> frozenset[int]:
         """Returns the keys of servers that ended under suspected requests."""
         return crash_blocks.servers_of(self._all_runs())
--- a/tests/test_crash_parts.py
+++ b/tests/test_crash_parts.py
@@ -379,6 +379,23 @@
         self.assertEqual(self.blocked_parts(4 * kept_s), [])
 
 
+class SuspectedPartTest(PartsCase):
+    """The next trial came before others' answers decided on the part."""
+
+    def delay_s(self, at_s: float) -> float:
+        return self.suspects.trial_delay_s_of((CULPRIT,), CUSTOMER, at_s)
+
+    def test_trials_that_end_servers_become_rarer(self) -> None:
+        for _ in range(2):
+            self.lose(CULPRIT, are_others_answered=False)
+        delays_s = []
+        for _ in range(4):
+            self.suspects.record_trial(CULPRIT, 1.0)
+            delays_s.append(self.delay_s(1.0))
+            self.lose(CULPRIT, at_s=1.0, are_others_answered=False)
+        self.assertEqual(delays_s, [0.5, 1.0, 2.0, 2.0])
+
+
 class BoundedTest(PartsCase):
     def test_evidence_of_a_block_outlives_other_ends(self) -> None:
         for _ in range(3):
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -282,7 +282,7 @@
             builders_platform.wait_until(
                 lambda: (
                     self.second.suspects.trial_delay_s_of(
-                        (block.key,), clock.SystemClock().monotonic_s()
+                        (block.key,), 0, clock.SystemClock().monotonic_s()
                     )
                     > 0.0
                 ),
