Soak: say what preceded a run with a revoked key

It now says how long behind the revocation the request began, at which gateway, and which starts, upsets, restores and faults of its way to the store had begun before. The check itself is unchanged, and had no test: one covers what is found and what a restore excuses.

--- a/soak/customer_promises.py
+++ b/soak/customer_promises.py
@@ -29,7 +29,10 @@
         for run in server.runs:
             call = by_id.get(run["id"])
             if call is not None and _violates_revocation_bound(played, call):
-                yield f"{call.request_id}: ran with a revoked key"
+                yield (
+                    f"{call.request_id}: ran with a revoked key;"
+                    f" {_evidence(played, call)}"
+                )
     for call in made:
         if call.status == _UNAUTHORIZED_STATUS and call.key == fleet.STATIC_KEY:
             yield f"{call.request_id}: 401 for a valid key"
@@ -59,6 +62,38 @@
     return not _is_excused_by_restore(played, call, revoked_s)
 
 
+def _evidence(played: fleet.Fleet, call: calls.Call) -> str:
+    """Returns when the request began, and what befell its gateway before."""
+    revoked_s = played.revoked_at_s[call.key]
+    upset = [
+        *(
+            ("start", *span)
+            for index, *span in played.starts
+            if index == call.gateway
+        ),
+        *(
+            ("upset", *span)
+            for index, *span in played.upsets
+            if index in (None, call.gateway)
+        ),
+        *(("restore", *span) for span in played.restores),
+        *(
+            (way, *span)
+            for way, *span in played.harms
+            if way == f"store-{call.gateway}"
+        ),
+    ]
+    spans = [
+        f"{name} {began_s - call.began_s:.2f} to {ended_s - call.began_s:.2f} s"
+        for name, began_s, ended_s in upset
+        if began_s <= call.began_s
+    ]
+    return (
+        f"began {call.began_s - revoked_s:.2f} s behind that at gateway"
+        f" {call.gateway}, before: {', '.join(spans) or 'nothing'}"
+    )
+
+
 def _is_excused_by_restore(
     played: fleet.Fleet, call: calls.Call, revoked_s: float
 ) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak import (
     calls,
     charge_promises,
+    customer_promises,
     fleet,
     limit_promises,
     play,
@@ -217,6 +218,24 @@
         self.fleet.harms = [(way, 100.0, 110.0) for way in held]
         return list(limit_promises.broken(self.fleet, made))
 
+    def test_runs_with_a_revoked_key(self) -> None:
+        server = platform_server.PlatformServerStandin("s")
+        self.addCleanup(server.close)
+        server.runs = [{"id": "id-1"}]
+        self.fleet.servers = {"s": server}
+        self.fleet.revoked_at_s = {"old": 10.0}
+        self.fleet.starts = [(0, 11.0, 12.0), (1, 11.0, 12.0)]
+        late = self.call(key="old", began_s=12.5)
+        (line,) = customer_promises.broken(self.fleet, [late])
+        self.assertIn("2.50 s behind", line)
+        self.assertIn("start -1.50 to -0.50 s", line)
+        for call in (late._replace(began_s=11.5), late._replace(key="new")):
+            lines = list(customer_promises.broken(self.fleet, [call]))
+            self.assertEqual(lines, [])
+        self.fleet.restores = [(9.0, 11.5)]
+        lines = list(customer_promises.broken(self.fleet, [late]))
+        self.assertEqual(lines, [])
+
     def test_requests_over_a_limit(self) -> None:
         self.assertTrue(self.limit_lines(("5",), 9.0))
         self.assertTrue(self.limit_lines(("0",), 3.0))
