Refuse counts of an engine's report that fit no order

An engine whose report states 2**70 orders was ordered with that count: `encode_order` raised TypeError "Integer exceeds 64-bit range", behind the write of the order's record, and the rounds of all engines ended with it until their task was started again and read the same report. -1, true and "3" were sent to the engine as they were.

The decoder made any of them an integer. JSON's parser returns integers over 64 bits as floats, and `int()` makes integers of them again. `stated_numbers` accepts integers of a range; a report without one is an unreadable report, and the first of several in a row is logged with its engine.

--- a/src/mulberrywharf/authority/role_manager.py
+++ b/src/mulberrywharf/authority/role_manager.py
@@ -157,6 +157,7 @@
         self._awaited_order: _SentOrder | None = None
         self._last_orders: dict[fleet.ServerStart, _SentOrder] = {}
         self._last_reason: dict[str, str] = {}
+        self._unreadable: set[fleet.ServerStart] = set()
         self._pool = gevent.pool.Pool(_CONCURRENT_REPORTS_COUNT)
         self._task: gevent.Greenlet | None = None
 
@@ -181,7 +182,11 @@
                 self._last_orders.clear()
                 self._awaited_order = None
                 continue
-            for service, servers in self._engines.engines().items():
+            engines = self._engines.engines()
+            self._unreadable &= {
+                one.start for listed in engines.values() for one in listed
+            }
+            for service, servers in engines.items():
                 self.round(service, servers)
 
     def note_initial_shares(self) -> None:
@@ -219,6 +224,7 @@
         results = self._pool.map(self._client.report, servers)
         reports = {}
         for server, result in zip(servers, results, strict=True):
+            self._note_outcome(server, result)
             if isinstance(result, Err):
                 continue
             report = result.ok_value
@@ -233,6 +239,20 @@
                 self._on_restarted(server.start, reported)
         return reports
 
+    def _note_outcome(
+        self,
+        server: fleet.Server,
+        result: Result[role_orders.EngineReport, errors.EngineError],
+    ) -> None:
+        """Logs the first of several reports of an engine that can't be used."""
+        if isinstance(result, Ok):
+            self._unreadable.discard(server.start)
+        elif server.start not in self._unreadable:
+            self._unreadable.add(server.start)
+            logger.bind(server_id=server.server_id).warning(
+                "report of an engine not used: {}", result.err_value.message
+            )
+
     def _decide(
         self,
         service: str,
--- a/src/mulberrywharf/platform/orders.py
+++ b/src/mulberrywharf/platform/orders.py
@@ -1,15 +1,16 @@
 """Encodes role orders and decodes engine reports in the platform's format."""
 
 from collections.abc import Mapping
+from typing import Any
 
 import orjson
 from result import Err, Ok, Result
 
-from mulberrywharf import _exchange, errors, fleet
+from mulberrywharf import _exchange, errors, fleet, stated_numbers
 from mulberrywharf.engines import role_orders
 from mulberrywharf.platform import headers, server_records
 
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
+_DECODE_ERRORS = (KeyError, TypeError, ValueError)
 
 
 class OrderDialect:
@@ -51,15 +52,19 @@
             return Ok(
                 role_orders.EngineReport(
                     role=server_records.ROLES[fields["stage"]],
-                    running_count=int(fields["running"]),
-                    waiting_count=int(fields["waiting"]),
+                    running_count=_count(fields, "running"),
+                    waiting_count=_count(fields, "waiting"),
                     # ``busy`` means that the engine is executing an order,
                     # not that its load is high.
                     is_changing=bool(fields["busy"]),
-                    accepted_count=int(fields["sequence"]),
+                    accepted_count=_count(fields, "sequence"),
                     started_unix_ms=server_records.started_unix_ms(fields),
                 )
             )
         except _DECODE_ERRORS as error:
             message = f"{server.address} returned no valid report: {error!r}"
             return Err(errors.AnswerLostError(message))
+
+
+def _count(fields: Mapping[str, Any], name: str) -> int:
+    return stated_numbers.count(fields[name], name)
--- a/tests/test_role_manager.py
+++ b/tests/test_role_manager.py
@@ -186,6 +186,18 @@
         self.rounds(12)
         self.assertEqual(self.sent(), [])
 
+    def test_count_that_fits_no_order_is_never_expected(self) -> None:
+        """Guards against a report that ends the rounds of all engines."""
+        engine: Any = self.engines[1]
+        for count in (1e30, -1, True, "3", None):
+            with self.subTest(count=count):
+                engine.accepted_count = count
+                self.rounds(8)
+                self.assertEqual(self.sent(), [])
+        engine.accepted_count = 3
+        self.rounds(8)
+        self.assertEqual([one["expected"] for one in self.sent()], [3])
+
     def test_order_expects_the_count_in_the_report(self) -> None:
         self.rounds(8)
         (order,) = self.sent()
