Refuse numbers in records of duties that can't be sent

A record of usage with a count of 2**70, or of engines ordered with such a number, was taken over, and encoding the report or the order raised TypeError in the duty's task at each attempt. A record of a window of the far future stopped all reports until then, as only later windows are reported.

The decoders now accept integers up to what can be encoded, orders up to 100,000 engines, and a holder skips recorded windows that have not begun, with a line.

Red before: 12 values of the two records in test_decoded_numbers, and test_record_of_a_window_to_come_stops_no_report. Green: both, test_usage and test_capacity_orders.

--- a/src/mulberrywharf/duties/capacity_records.py
+++ b/src/mulberrywharf/duties/capacity_records.py
@@ -11,8 +11,13 @@
 import orjson
 from loguru import logger
 
+from mulberrywharf import stated_numbers
 from mulberrywharf.duties import client
 
+_COUNT_LIMIT = 100_000
+"""More engines than any fleet has. The next holder repeats an order that has no
+answer, so a larger number must not be one."""
+
 ARRIVAL_MARGIN_S = 2.0
 """Added to the boot time of an engine. Within it an ordered engine registers
 and its record reaches the gateway; a record is a heartbeat old at most."""
@@ -210,7 +215,11 @@
                     str(fields["service"]),
                     str(fields["availability_zone"]),
                     bool(fields["is_reclaimable"]),
-                    int(fields["desired_count"]),
+                    stated_numbers.count(
+                        fields["desired_count"],
+                        "desired_count",
+                        limit=_COUNT_LIMIT,
+                    ),
                 ),
                 bool(fields["is_answered"]),
             )
--- a/src/mulberrywharf/duties/usage_reporter.py
+++ b/src/mulberrywharf/duties/usage_reporter.py
@@ -16,7 +16,7 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, metrics, supervised_task
+from mulberrywharf import errors, metrics, stated_numbers, supervised_task
 from mulberrywharf.authority import duty_holder
 from mulberrywharf.customers import usage
 from mulberrywharf.duties import client
@@ -185,7 +185,11 @@
 
     def _take_over(self, number: int) -> None:
         self._number = number
-        self._recorded_reports = decode_record(self._holder.last_record)
+        self._recorded_reports = [
+            report
+            for report in decode_record(self._holder.last_record)
+            if self._may_have_ended(report.window)
+        ]
         self._pending = [
             report
             for report in self._recorded_reports
@@ -213,6 +217,14 @@
             -1,
         )
 
+    def _may_have_ended(self, window: int) -> bool:
+        # Nothing would be reported until a window of the far future. Clocks
+        # of gateways differ by less than a window.
+        if window * self._timing.length_s <= self._clock.unix_s():
+            return True
+        logger.warning("usage record states window {}, not begun yet", window)
+        return False
+
     def _remaining_s(self, window: int) -> float:
         """Returns the time until the report for a window is overdue."""
         ended_s = (window + 1) * self._timing.length_s
@@ -321,8 +333,11 @@
     try:
         return [
             client.UsageReport(
-                int(fields["window"]),
-                {str(name): int(n) for name, n in fields["counts"].items()},
+                stated_numbers.count(fields["window"], "window"),
+                {
+                    str(name): stated_numbers.count(number, "a count")
+                    for name, number in fields["counts"].items()
+                },
             )
             for fields in orjson.loads(value)
         ]
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -229,7 +229,7 @@
     decoded = capacity_records.decode(body)
     assert capacity_records.decode(book.encode(7)) == decoded
     for recorded in decoded:
-        assert is_count(recorded.order.desired_count)
+        assert is_count(recorded.order.desired_count, 2**20)
         identity = client.HolderIdentity("vm-1", 7)
         duties.DutyDialect().encode_capacity(recorded.order, identity)
 
@@ -421,6 +421,8 @@
 
 ALL: dict[str, tuple[Any, Callable[[bytes], None]]] = {
     "engine report": (REPORT, use_report),
+    "usage record": ([{"window": 3, "counts": {"c": 4}}], use_usage),
+    "capacity record": (CAPACITY, use_capacity),
     "claim owner": ({"ip": "127.0.0.1", "port": 80}, use_claim_owner),
     "blocked request": (
         [
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -490,6 +490,15 @@
             with self.subTest(value=value):
                 self.assertEqual(usage_reporter.decode_record(value), [])
 
+    def test_record_of_a_window_to_come_stops_no_report(self) -> None:
+        """Guards against a record behind which nothing is reported."""
+        self.shared["record"] = usage_reporter.encode_record(
+            [client.UsageReport(2**53, {"ann": 1})]
+        )
+        self.end_window()
+        self.reporter.poll()
+        self.assertEqual(self.platform.usage, {200: {"ann": 3, "bob": 1}})
+
     def test_record_round_trip(self) -> None:
         reports = [
             client.UsageReport(200, {"ann": 1}),
