Ignore announcements of usage windows that have not begun

One datagram of another gateway that announced window 2**60 as reported made every gateway that received it drop all counts of lower windows: no usage was reported until its end.

Such an announcement is dropped, with a line that names its source.

Red before: test_announced_window_to_come_is_not_believed ({} instead of {"ann": 1}). Green: test_usage, 30 of 30. Sums of counts were tried as well and fit a report, as a count has 32 bits on the wire.

--- a/src/mulberrywharf/peers/usage_exchange.py
+++ b/src/mulberrywharf/peers/usage_exchange.py
@@ -231,6 +231,14 @@
     ) -> None:
         if announcement.number < self._number:
             return
+        if announcement.reported_window * self._window_s > self._unix_s():
+            # No window would be collected any more.
+            logger.warning(
+                "announcement of {} dropped: window {} has not begun",
+                source,
+                announcement.reported_window,
+            )
+            return
         self._set_collector(
             source, announcement.number, announcement.reported_window
         )
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -240,6 +240,14 @@
         self.assertEqual(self.three.reported_window, 200)
         self.assertEqual(self.three.total(200), {})
 
+    def test_announced_window_to_come_is_not_believed(self) -> None:
+        """Guards against one datagram behind which no usage is reported."""
+        self.counts["two"].count_request("ann")
+        self.three.announce(5, 2**60)
+        gevent.sleep(0.05)
+        self.one.announce(6, 199)
+        self.wait_total(self.one, 200, {"ann": 1})
+
     def test_former_collector_receives_no_counts(self) -> None:
         """Guards against a collector that resumes after a takeover."""
         self.three.announce(6, 199)
