Limit the numbers of a routes document

A link of 0 Mbit/s divided by zero in the placement of each prompt, and tokens of 1e308 bytes made a transfer time that is no number. A version of 2**70, of -1 or of "5" was taken; nothing older than it would have been, ever again. A route's priority of 2**31 was handed over as 255 and sent to servers as stated, where customers' priorities are refused beyond 9.

Numbers over 2**53 count as 2**53, with a line, so that what is meant as no limit stays in force; a link has at least a byte per second. Versions are integers up to 64 bits, priorities are 0 to 9, or the version is refused.

Red before: 29 values of the table in test_decoded_numbers. Green: it, and test_platform_adapter, test_scaling, test_customers, test_routes.

--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -5,9 +5,10 @@
 from typing import Any
 
 import orjson
+from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet
+from mulberrywharf import errors, fleet, stated_numbers
 from mulberrywharf.customers import directory
 from mulberrywharf.platform import scaling, server_records
 from mulberrywharf.routes import kinds, table
@@ -18,14 +19,14 @@
 _MS_PER_S = 1000.0
 _BITS_PER_BYTE = 8
 _BITS_PER_MEGABIT = 1e6
-_DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    # int() raises it for numbers that are parsed as infinity, such as 1e999.
-    OverflowError,
-)
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+
+_NUMBER_LIMIT = 2**53
+"""Higher numbers count as this one. JSON carries integers up to it exactly, and
+products of two of them are finite."""
+
+_LEAST_LINK_BYTES_PER_S = 1.0
+"""Transfer times are divided by it. A link without bandwidth is used last."""
 
 
 class StoredDocuments:
@@ -81,7 +82,7 @@
 ) -> table.RouteTable:
     services = [_service(fields) for fields in document["services"]]
     return table.RouteTable(
-        int(document["version"]),
+        stated_numbers.count(document["version"], "version"),
         [_route(fields) for fields in document["routes"]],
         {service.name: service for service in services},
         _limits(document.get("limits")),
@@ -121,7 +122,7 @@
         timeout_s=_number(fields, "timeout-ms") / _MS_PER_S,
         destinations=_destinations(fields),
         attempts_limit_count=int(_number(fields, "max-attempts", 1)),
-        priority=int(_number(fields, "priority", 5)),
+        priority=_priority(fields),
         target_s=_seconds(fields, "target-latency-ms"),
         gap_target_s=_seconds(fields, "target-gap-ms"),
         # Despite its name, the field states that requests list the parts of
@@ -131,6 +132,13 @@
     )
 
 
+def _priority(fields: Mapping[str, Any]) -> int:
+    priority = int(_number(fields, "priority", 5))
+    if priority > directory.LOWEST_PRIORITY:
+        raise ValueError(f"priority is {priority}")
+    return priority
+
+
 def _kind(fields: Mapping[str, Any]) -> kinds.RequestKind:
     match fields["kind"]:
         case "safe":
@@ -169,12 +177,15 @@
 def _number(
     fields: Mapping[str, Any], name: str, default: float | None = None
 ) -> float:
-    """Returns a field that holds a finite number of 0 or more."""
+    """Returns a field that holds a finite number of 0 or more, limited."""
     value = fields[name] if default is None else fields.get(name, default)
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{name} is not a number")
     if not 0 <= value < math.inf:
         raise ValueError(f"{name} is {value}")
+    if value > _NUMBER_LIMIT:
+        logger.warning("routes: {} of {:g} is limited", name, value)
+        return _NUMBER_LIMIT
     return value
 
 
@@ -194,7 +205,9 @@
         slots_count=int(_number(fields, "slots")),
         kv_tokens=int(_number(fields, "kv-tokens")),
         kv_token_bytes=float(_number(fields, "kv-token-bytes")),
-        link_bytes_per_s=bits_per_s / _BITS_PER_BYTE,
+        link_bytes_per_s=max(
+            bits_per_s / _BITS_PER_BYTE, _LEAST_LINK_BYTES_PER_S
+        ),
         handle_ttl_s=float(_number(fields, "handle-ttl-s")),
         # ``most`` is the number of long polls that an engine accepts at once.
         event_readers_limit_count=int(_number(fields, "most", 0)),
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -421,6 +421,7 @@
 
 ALL: dict[str, tuple[Any, Callable[[bytes], None]]] = {
     "engine report": (REPORT, use_report),
+    "routes": (_routes_document(), use_routes),
     "usage record": ([{"window": 3, "counts": {"c": 4}}], use_usage),
     "capacity record": (CAPACITY, use_capacity),
     "claim owner": ({"ip": "127.0.0.1", "port": 80}, use_claim_owner),
