Refuse load reports whose figures fit no float

A load report with a number of 400 digits raised OverflowError in the check for finite figures: the task that polls the engine ended, was started again after a pause and read the same report. Two sound-looking figures of 1e308 added up to infinity in scores. A sequence number of cache events could be negative or true.

Figures are 0 to 2**53, sequence numbers integers; other reports are not read, as any malformed one, and the engine is logged when that changes.

Red before: 7 values of the table in test_decoded_numbers (OverflowError). Green: it, and test_load_reader.

--- a/src/mulberrywharf/engines/load_reader.py
+++ b/src/mulberrywharf/engines/load_reader.py
@@ -2,7 +2,6 @@
 
 import functools
 import json
-import math
 import random
 import re
 from collections.abc import Collection, Iterable
@@ -21,6 +20,7 @@
     fleet,
     metrics,
     settings,
+    stated_numbers,
     supervised_task,
 )
 from mulberrywharf.engines import engine_load
@@ -33,6 +33,7 @@
 _ANSWER_LIMIT_BYTES = 1024 * 1024
 _OK = 200
 _PARSE_ERRORS = (KeyError, OverflowError, RecursionError, TypeError, ValueError)
+_FIGURE_LIMIT = 2**53
 _BLOCK_HASH = re.compile(r"[0-9a-f]{1,16}")
 
 _REPORT_ADAPTER = pydantic.TypeAdapter(fleet.LoadReport)
@@ -265,18 +266,10 @@
         fetched = self._fetch(load.vm.address, path)
         if isinstance(fetched, Err):
             return fetched
-        try:
-            document = json.loads(fetched.ok_value)
-            events = _EVENTS_ADAPTER.validate_python(document["events"])
-            last_sequence = int(document["last_sequence"])
-        except _PARSE_ERRORS as error:
-            return Err(errors.EngineError(f"malformed cache events: {error}"))
-        if not all(_BLOCK_HASH.fullmatch(e.block_hash) for e in events):
-            return Err(
-                errors.EngineError(
-                    "a cache event has a block hash that is not hexadecimal"
-                )
-            )
+        parsed = parse_cache_events(fetched.ok_value)
+        if isinstance(parsed, Err):
+            return parsed
+        events, last_sequence = parsed.ok_value
         now_s = self._clock.monotonic_s()
         sink.apply(load.vm.vm_id, events, last_sequence, now_s)
         restarted = last_sequence < load.last_sequence
@@ -302,13 +295,34 @@
         return Ok(body)
 
 
+def parse_cache_events(
+    body: bytes,
+) -> Result[tuple[list[prefix_index.CacheEvent], int], errors.EngineError]:
+    """Parses cache events and the sequence number of the last one."""
+    try:
+        document = json.loads(body)
+        events = _EVENTS_ADAPTER.validate_python(document["events"])
+        last_sequence = stated_numbers.count(
+            document["last_sequence"], "last_sequence"
+        )
+    except _PARSE_ERRORS as error:
+        return Err(errors.EngineError(f"malformed cache events: {error}"))
+    if not all(_BLOCK_HASH.fullmatch(e.block_hash) for e in events):
+        return Err(
+            errors.EngineError(
+                "a cache event has a block hash that is not hexadecimal"
+            )
+        )
+    return Ok((events, last_sequence))
+
+
 def parse_report(
     body: bytes,
 ) -> Result[fleet.LoadReport, errors.EngineError]:
     """Parses a load report from JSON and ignores unknown fields.
 
-    Unlike ``load_client.parse_load``, it rejects negative and non-finite
-    figures.
+    Unlike ``load_client.parse_load``, it rejects negative, non-finite
+    and huge figures.
     """
     try:
         document = json.loads(body)
@@ -321,14 +335,13 @@
     except _PARSE_ERRORS as error:
         return Err(errors.EngineError(f"malformed load report: {error}"))
     if not _is_plausible(report):
-        return Err(
-            errors.EngineError("load report has negative or non-finite figures")
-        )
+        return Err(errors.EngineError("load report has impossible figures"))
     return Ok(report)
 
 
 def _is_plausible(report: fleet.LoadReport) -> bool:
     # A NaN makes every comparison of engine scores false and so every choice of
     # engine arbitrary. Bad latencies would be the only symptom.
+    # Figures over the limit would add up to infinity, or fit no float.
     figures = [field for field in report if isinstance(field, (int, float))]
-    return all(math.isfinite(figure) and figure >= 0 for figure in figures)
+    return all(0 <= figure <= _FIGURE_LIMIT for figure in figures)
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -27,7 +27,7 @@
     json_text,
     key_value,
 )
-from mulberrywharf.policy import crash_suspects
+from mulberrywharf.policy import crash_suspects, prefix_index
 from mulberrywharf.routes import table
 from tests import (
     builders_authority,
@@ -270,14 +270,28 @@
 def use_load(body: bytes) -> None:
     parsed = load_reader.parse_report(body)
     if isinstance(parsed, Ok):
-        assert all(
-            is_finite(one)
-            for one in parsed.ok_value
-            if not isinstance(one, str | tuple)
-        )
+        figures = [
+            one for one in parsed.ok_value if not isinstance(one, str | tuple)
+        ]
+        assert all(is_finite(one) for one in figures), figures
+        assert is_finite(sum(figures) * 1e6)
     load_client.parse_load(body)
 
 
+def use_cache_events(body: bytes) -> None:
+    parsed = load_reader.parse_cache_events(body)
+    if isinstance(parsed, Err):
+        return
+    events, last_sequence = parsed.ok_value
+    assert is_count(last_sequence), last_sequence
+    index = prefix_index.PrefixIndex.from_config()
+    index.apply("engine-1", events, last_sequence, 0.0)
+
+
+CACHE_EVENTS = {
+    "events": [{"sequence": 1, "kind": "stored", "block_hash": "aa"}],
+    "last_sequence": 2,
+}
 LOAD = {
     "engine_id": "engine-1",
     "role": "mixed",
@@ -424,6 +438,8 @@
     "routes": (_routes_document(), use_routes),
     "usage record": ([{"window": 3, "counts": {"c": 4}}], use_usage),
     "capacity record": (CAPACITY, use_capacity),
+    "load report": (LOAD, use_load),
+    "cache events": (CACHE_EVENTS, use_cache_events),
     "claim owner": ({"ip": "127.0.0.1", "port": 80}, use_claim_owner),
     "blocked request": (
         [
