Refuse claims in a log whose numbers can't be used

A claim with the end time "5" or null was replayed into the table of its shard; the first repeat of that request, or the next round that expires claims, raised TypeError in the owner. A port of -1 or a status of 1e308 was put into replies as the nearest number, so that callers were sent to port 0 or 65535.

A segment with such a record can't be read, as one with a malformed line: its claims are unknown, and the shard stays unserved, with the reason in its line. What an owner writes itself is within these limits already.

--- a/src/mulberrywharf/nodes/claims.py
+++ b/src/mulberrywharf/nodes/claims.py
@@ -15,7 +15,7 @@
 import orjson
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet
+from mulberrywharf import errors, fleet, stated_numbers, wire_numbers
 
 SHARD_COUNT = 16
 WINDOW_S = 900.0
@@ -318,7 +318,9 @@
 
 def _decode_record(fields: Any) -> Record:
     claim = bytes.fromhex(fields["id"])
-    token = fields["token"]
+    token = stated_numbers.count(
+        fields["token"], "token", limit=wire_numbers.UINT64_LIMIT
+    )
     if fields["op"] == "release":
         return Released(claim, token)
     if fields["op"] == "done":
@@ -326,7 +328,9 @@
         return Completed(
             claim,
             token,
-            fields["status"],
+            stated_numbers.count(
+                fields["status"], "status", limit=wire_numbers.UINT16_LIMIT
+            ),
             bytes.fromhex(fields["digest"]),
             None if answer is None else base64.b64decode(answer),
         )
@@ -338,9 +342,11 @@
             token,
             fields["vm"],
             fields["ip"],
-            fields["port"],
-            fields["at_unix_s"],
-            fields["until_unix_s"],
+            stated_numbers.count(
+                fields["port"], "port", limit=wire_numbers.UINT16_LIMIT
+            ),
+            stated_numbers.figure(fields["at_unix_s"], "at_unix_s"),
+            stated_numbers.figure(fields["until_unix_s"], "until_unix_s"),
         )
     )
 
