Refuse order records whose time is no number

A record of an order with the time "nan" was read as such. The controller then raised ValueError in the id of the order that drains the engine, and wrote NaN back, which no reader can parse: the records of the zone were lost to every later holder.

The time is a finite number from 0; other records are unreadable, as any malformed value, with the advice that they have.

Red before: 3 values of the table in test_decoded_numbers. Green: it, test_order_records and test_reconcile.

--- a/src/mulberrywharf/authority/order_records.py
+++ b/src/mulberrywharf/authority/order_records.py
@@ -7,7 +7,7 @@
 
 import json
 from collections.abc import Collection
-from typing import Any, Literal, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
 import orjson
 import pydantic
@@ -32,6 +32,11 @@
 )
 
 
+_UnixTime = Annotated[
+    float, pydantic.Field(ge=0.0, le=2.0**53, allow_inf_nan=False)
+]
+
+
 class OrderRecordFields(TypedDict):
     """One record as JSON; fields as in ``OrderRecord``."""
 
@@ -45,7 +50,7 @@
     adapter: str
     version: str
     phase: OrderPhase
-    recorded_unix_s: float
+    recorded_unix_s: _UnixTime
     reason: str
 
 
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -440,6 +440,7 @@
     "routes": (_routes_document(), use_routes),
     "usage record": ([{"window": 3, "counts": {"c": 4}}], use_usage),
     "capacity record": (CAPACITY, use_capacity),
+    "order records": (_order_records(), use_order_records),
     "load report": (LOAD, use_load),
     "cache events": (CACHE_EVENTS, use_cache_events),
     "claim": (CLAIMED, use_claims),
