Refuse start times of servers that fit no integer of others

A server's start time of 2**63 was accepted; it is a part of the server's identity, which is written to logs and told to other gateways, where readers with signed integers can't hold it.

Red before: 1 value of the table in test_decoded_numbers. Green: it, and test_server_records.

--- a/src/mulberrywharf/platform/server_records.py
+++ b/src/mulberrywharf/platform/server_records.py
@@ -9,7 +9,7 @@
 import orjson
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet
+from mulberrywharf import errors, fleet, stated_numbers
 
 ROLES: Mapping[str, fleet.Role] = {"prefill": "prefill", "decode": "decode"}
 
@@ -60,10 +60,7 @@
         # In some deployments no server states it. Whether a record may lack
         # it is decided elsewhere, by comparison with other records.
         return None
-    born = fields["born"]
-    if not _is_integer(born) or born <= 0:
-        raise _FieldError(f"invalid born: {born!r:.40}")
-    return int(born)
+    return stated_numbers.count(fields["born"], "born", minimum=1)
 
 
 def _server(server_id: str, fields: Mapping[str, Any]) -> fleet.Server:
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -437,6 +437,7 @@
 
 ALL: dict[str, tuple[Any, Callable[[bytes], None]]] = {
     "engine report": (REPORT, use_report),
+    "server record": (SERVER_RECORD, use_server),
     "routes": (_routes_document(), use_routes),
     "usage record": ([{"window": 3, "counts": {"c": 4}}], use_usage),
     "capacity record": (CAPACITY, use_capacity),
