Refuse token counts of engines that are no counts

An engine's last event with null, "5" or NaN for a token count was taken as it was: adding the counts up for an answer raised TypeError behind the whole answer, NaN made the caller's answer invalid JSON, and a count of a resumed stream was compared with a text.

Counts are integers from 0 to 2**63 - 1; an event with others is malformed, as one without them, and the answer goes on at another engine.

Red before: 26 values of the table in test_decoded_numbers. Green: it, test_streams, test_resume and test_completions.

--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -8,7 +8,7 @@
 import orjson
 from result import Err, Ok, Result
 
-from mulberrywharf import _answers, _exchange, errors, fleet
+from mulberrywharf import _answers, _exchange, errors, fleet, stated_numbers
 from mulberrywharf.engines import refusals
 
 DONE_EVENT = b"data: [DONE]\n\n"
@@ -357,7 +357,9 @@
     usage = document.get("usage")
     if usage is None:
         return None
-    return Usage(usage["prompt_tokens"], usage["completion_tokens"])
+    return Usage(
+        *(stated_numbers.count(usage[name], name) for name in Usage._fields)
+    )
 
 
 def cancel(address: fleet.Address, request_id: str) -> bool:
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -430,9 +430,13 @@
 
 
 def use_stream_usage(body: bytes) -> None:
-    usage = streams._parse_usage(json.loads(body))
+    try:
+        usage = streams._parse_usage(json.loads(body))
+    except ValueError:
+        return
     if usage is not None:
         assert all(is_count(count) for count in usage), usage
+        json.dumps(sum(usage), allow_nan=False)
 
 
 ALL: dict[str, tuple[Any, Callable[[bytes], None]]] = {
@@ -454,6 +458,10 @@
         ],
         use_blocked,
     ),
+    "usage of a stream": (
+        {"usage": {"prompt_tokens": 1, "completion_tokens": 2}},
+        use_stream_usage,
+    ),
 }
 
 
