Refuse answers of the store whose numbers are none

A revision, lease or time to live of null, NaN or 1e400 in an answer of the store raised TypeError, ValueError or OverflowError in whoever had called: a lease was no longer renewed, as the task that does it had ended, and a watch ended with a KeyError instead of being opened again. A negative or huge revision was taken, and changes were asked for behind it from then on.

Each answer is decoded in one place; a malformed one counts as none, with a line: a write's outcome is unknown then, a read is repeated. Numbers that are written as texts are still read. A watch decodes the changes before it takes the revision behind them.

--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -1,14 +1,16 @@
 """Dialect of the key-value client for the platform's store."""
 
 import base64
+import re
 import urllib.parse
-from collections.abc import Mapping
-from typing import Any, NamedTuple
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
 
 import gevent
+from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors
+from mulberrywharf import errors, stated_numbers
 from mulberrywharf.platform_service import dialect, service_calls
 from mulberrywharf.platform_service import era as era_module
 from mulberrywharf.platform_service.key_value_types import (
@@ -46,6 +48,10 @@
 from an older copy."""
 
 _MS_PER_S = 1000.0
+_DIGITS = re.compile(r"[0-9]{1,19}")
+_DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
+
+_Decoded = TypeVar("_Decoded")
 
 
 class StoreDialect(NamedTuple):
@@ -91,7 +97,8 @@
     found: list[KeyValue] = []
     first_revision: int | None = None
     while True:
-        read = calls.send(_read_call("/kv-range", query, "range", purpose))
+        call = _read_call("/kv-range", query, "range", purpose)
+        read = _decoded(call, calls.send(call), _decode_page)
         if isinstance(read, Err):
             return read
         page = read.ok_value
@@ -100,9 +107,9 @@
         # revision of the first page reports such changes again instead of
         # missing some.
         if first_revision is None:
-            first_revision = int(page["store-revision"])
-        found += [_decode_item(item) for item in page["items"]]
-        if not page.get("has-more") or not page["items"]:
+            first_revision = page.revision
+        found += page.items
+        if not page.has_more:
             state = ServiceState(first_revision, _history_id(calls.era.current))
             return Ok((found, state))
         query = {**query, "after": found[-1].key}
@@ -130,14 +137,17 @@
         "after": str(after_revision),
         "wait-ms": str(_MIN_WAIT_MS),
     }
-    answered = calls.send(_read_call("/kv-watch", query, "changes", purpose))
-    return answered.map(
+    call = _read_call("/kv-watch", query, "changes", purpose)
+    return _decoded(
+        call,
+        calls.send(call),
         lambda answer: dialect.WatchMessage(
-            tuple(_decode_event(event) for event in answer["events"]),
+            _decode_events(answer),
             ServiceState(
-                int(answer["store-revision"]), _history_id(calls.era.current)
+                _count(answer, "store-revision"),
+                _history_id(calls.era.current),
             ),
-        )
+        ),
     )
 
 
@@ -171,13 +181,15 @@
         "deletes": [write.key] if write.value is None else [],
     }
     call = service_calls.Call("/kv-txn", body, "txn", write.purpose, True)
-    sent = calls.send(call)
+    sent = _decoded(
+        call, calls.send(call), lambda answer: _count(answer, "revision")
+    )
     if isinstance(sent, Err):
         error = sent.err_value
         if isinstance(error, errors.ConditionFailedError):
             return Err(errors.RevisionConflictError(write.key))
         return Err(error)
-    revision = int(sent.ok_value["revision"])
+    revision = sent.ok_value
     is_new = Guard(write.key, 0) in write.guards
     return Ok(
         KeyValue(
@@ -199,7 +211,9 @@
 ) -> Result[int, errors.PlatformError]:
     body = {"ttl-ms": int(ttl_s * _MS_PER_S)}
     call = service_calls.Call("/kv-lease", body, "lease_grant", purpose, False)
-    return calls.send(call).map(lambda answer: int(answer["lease"]))
+    return _decoded(
+        call, calls.send(call), lambda answer: _count(answer, "lease")
+    )
 
 
 @dialect.keep_alive.register
@@ -211,9 +225,13 @@
 ) -> Result[float, errors.PlatformError]:
     path = f"/kv-keep/{lease_id}"
     call = service_calls.Call(path, {}, "lease_keepalive", purpose, False)
-    sent = calls.send(call)
+    sent = _decoded(
+        call,
+        calls.send(call),
+        lambda answer: stated_numbers.figure(answer["ttl-ms"], "ttl-ms"),
+    )
     if isinstance(sent, Ok):
-        return Ok(sent.ok_value["ttl-ms"] / _MS_PER_S)
+        return Ok(sent.ok_value / _MS_PER_S)
     if isinstance(sent.err_value, errors.PlatformRefusedError):
         return Err(errors.AuthorityLostError(f"lease {lease_id} has expired"))
     return Err(sent.err_value)
@@ -280,8 +298,11 @@
         if isinstance(answered, Err):
             return self._handle_error(answered.err_value)
         message = answered.ok_value
-        self._revision = int(message["store-revision"])
-        events = tuple(_decode_event(event) for event in message["events"])
+        try:
+            events = _decode_events(message)
+            self._revision = _count(message, "store-revision")
+        except _DECODE_ERRORS as error:
+            raise ValueError(f"malformed changes: {error!r}") from error
         self._had_changes = bool(events)
         # A probe after a failure ends here: the store responds, so the next
         # watch may use long waits again.
@@ -337,20 +358,73 @@
     return service_calls.Call(target, None, kind, purpose, False, method="GET")
 
 
+def _decoded(
+    call: service_calls.Call,
+    sent: Result[dict[str, Any], errors.PlatformError],
+    decode: Callable[[dict[str, Any]], _Decoded],
+) -> Result[_Decoded, errors.PlatformError]:
+    """Decodes a response; a malformed one counts as none."""
+    if isinstance(sent, Err):
+        return sent
+    try:
+        return Ok(decode(sent.ok_value))
+    except _DECODE_ERRORS as error:
+        message = f"malformed response to {call.kind}: {error!r}"
+        logger.bind(purpose=call.purpose).warning("{}", message)
+        if call.is_write:
+            return Err(errors.WriteOutcomeUnknownError(message))
+        return Err(errors.PlatformUnavailableError(message))
+
+
+class _Page(NamedTuple):
+    """One page of a range.
+
+    Attributes:
+        revision: Revision of the store.
+        items: The keys of the page.
+        has_more: Whether another page follows.
+    """
+
+    revision: int
+    items: list[KeyValue]
+    has_more: bool
+
+
+def _decode_page(answer: Mapping[str, Any]) -> _Page:
+    items = [_decode_item(item) for item in answer["items"]]
+    return _Page(
+        _count(answer, "store-revision"),
+        items,
+        bool(answer.get("has-more")) and bool(items),
+    )
+
+
+def _decode_events(answer: Mapping[str, Any]) -> tuple[WatchEvent, ...]:
+    return tuple(_decode_event(event) for event in answer["events"])
+
+
+def _count(fields: Mapping[str, Any], name: str) -> int:
+    """Returns a number that may be written as a text."""
+    value = fields[name]
+    if isinstance(value, str) and _DIGITS.fullmatch(value):
+        value = int(value)
+    return stated_numbers.count(value, name)
+
+
 def _decode_item(item: Mapping[str, Any]) -> KeyValue:
     # ``revision`` is the revision of the last change. ``created`` is the
     # revision at which the key was created, not a time.
     return KeyValue(
         str(item["key"]),
         base64.b64decode(item["value"]),
-        int(item["created"]),
-        int(item["revision"]),
-        int(item.get("lease", 0)),
+        _count(item, "created"),
+        _count(item, "revision"),
+        _count(item, "lease") if "lease" in item else 0,
     )
 
 
 def _decode_event(event: Mapping[str, Any]) -> WatchEvent:
     if event.get("removed"):
-        deleted = KeyValue(str(event["key"]), b"", 0, int(event["revision"]))
+        deleted = KeyValue(str(event["key"]), b"", 0, _count(event, "revision"))
         return WatchEvent("delete", deleted)
     return WatchEvent("put", _decode_item(event))
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -458,6 +458,7 @@
         ],
         use_blocked,
     ),
+    "store": (STORE, use_store),
     "usage of a stream": (
         {"usage": {"prompt_tokens": 1, "completion_tokens": 2}},
         use_stream_usage,
