Hold a lease no longer than was asked for

A renewal answered with a time to live of 1e15 s, or of infinity, made the holder's lease valid for ever: it went on sending orders while the service had given its keys to another one.

A renewal extends a lease by the time that was asked for, at most.

Red before: test_renewal_lasts_no_longer_than_was_asked_for (2 of 4 values). Green: test_lease, 10 of 10.

--- a/src/mulberrywharf/platform_service/lease.py
+++ b/src/mulberrywharf/platform_service/lease.py
@@ -206,7 +206,10 @@
     def _extend_validity(self, sent_s: float, ttl_s: float) -> None:
         if self._is_lost:
             return
-        self._valid_until_s = max(self._valid_until_s, sent_s + ttl_s)
+        # A lease that the service states to be longer may not be.
+        self._valid_until_s = max(
+            self._valid_until_s, sent_s + min(ttl_s, self._ttl_s)
+        )
         if self._on_renewed is not None:
             self._on_renewed(self._valid_until_s)
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,8 +1,10 @@
 """Tests the validity of a lease and the detection of its loss."""
 
 import unittest
+import unittest.mock
 
 import gevent
+from result import Ok
 
 from mulberrywharf import clock, errors
 from mulberrywharf.platform_service import key_value, lease
@@ -83,6 +85,23 @@
             holder.valid_until_monotonic_s, before_s + TTL_S + 0.1
         )
 
+    def test_renewal_lasts_no_longer_than_was_asked_for(self) -> None:
+        """Guards against a holder for ever by one wrong number."""
+        for stated_s in (1e15, float("inf"), float("nan"), -1.0):
+            with self.subTest(stated_s=stated_s):
+                holder = self.holder()
+                holder.start().unwrap()
+                with unittest.mock.patch.object(
+                    self.client, "keep_alive", return_value=Ok(stated_s)
+                ):
+                    gevent.sleep(0.6 * TTL_S)
+                left_s = (
+                    holder.valid_until_monotonic_s
+                    - clock.SystemClock().monotonic_s()
+                )
+                self.assertLessEqual(left_s, TTL_S)
+                holder.close()
+
     def test_lease_is_invalid_before_the_service_deletes_the_key(self) -> None:
         """Guards against two controllers sending orders to one engine.
 
