Read numbers of thousands of digits in header fields as none

A load of 400 digits was infinity.

`stated_numbers.from_digits` reads up to 18 digits; what is longer is not stated. The hop's content length is read by it, too; its listener had refused longer ones already.

Red before: test_missing_or_malformed_era_changes_nothing (1 value added) and test_numbers_of_too_many_digits_count_as_not_stated, both ValueError. Green: both, test_handover.

--- a/src/mulberrywharf/peers/handover_client.py
+++ b/src/mulberrywharf/peers/handover_client.py
@@ -14,6 +14,7 @@
     _headers,
     errors,
     fleet,
+    stated_numbers,
 )
 from mulberrywharf.forwarding import request
 from mulberrywharf.peers import handover_codec
@@ -316,10 +317,8 @@
     if not server_id:
         return None
     started_ms = answer.header(hop.SERVER_STARTED_MS) or ""
-    return fleet.ServerStart(
-        server_id, int(started_ms) if started_ms.isdecimal() else None
-    )
+    return fleet.ServerStart(server_id, stated_numbers.from_digits(started_ms))
 
 
 def _number(text: str | None) -> float:
-    return float(text) if text and text.isdecimal() else 0.0
+    return float(stated_numbers.from_digits(text or "") or 0)
--- a/src/mulberrywharf/peers/handover_server.py
+++ b/src/mulberrywharf/peers/handover_server.py
@@ -7,7 +7,14 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import _loop_lag, _wsgi, errors, fleet, metrics
+from mulberrywharf import (
+    _loop_lag,
+    _wsgi,
+    errors,
+    fleet,
+    metrics,
+    stated_numbers,
+)
 from mulberrywharf.callers import listener, problems
 from mulberrywharf.callers import request as caller_request
 from mulberrywharf.peers import handover_codec
@@ -183,12 +190,14 @@
         """Decides by its head whether a handover is accepted."""
         if not self._peers.is_own_token(fields.get(hop.TOKEN, "")):
             return Err(hop.UNAUTHENTICATED)
-        length = fields.get("content-length", "")
+        body_bytes = stated_numbers.from_digits(
+            fields.get("content-length", "")
+        )
         if (
             environ["REQUEST_METHOD"] != "POST"
             or environ[listener.TARGET_KEY] not in _PATHS
-            or not length.isdecimal()
-            or int(length) > BODY_LIMIT_BYTES
+            or body_bytes is None
+            or body_bytes > BODY_LIMIT_BYTES
         ):
             return Err(hop.MALFORMED)
         offer = Offer(
@@ -196,7 +205,7 @@
             fields.get(hop.NUMBER, ""),
             fields.get(hop.REQUEST_ID, ""),
             fields.get(hop.SERVICE, ""),
-            int(length),
+            body_bytes,
             hop.protocol_of(fields.get(hop.PROTOCOL)),
         )
         if self._listener.stopping or not self._can_serve(offer.service):
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -1,7 +1,6 @@
 """Dialect of the key-value client for the platform's store."""
 
 import base64
-import re
 import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeVar
@@ -48,7 +47,6 @@
 from an older copy."""
 
 _MS_PER_S = 1000.0
-_DIGITS = re.compile(r"[0-9]{1,19}")
 _DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
 
 _Decoded = TypeVar("_Decoded")
@@ -406,8 +404,8 @@
 def _count(fields: Mapping[str, Any], name: str) -> int:
     """Returns a number that may be written as a text."""
     value = fields[name]
-    if isinstance(value, str) and _DIGITS.fullmatch(value):
-        value = int(value)
+    if isinstance(value, str):
+        value = stated_numbers.from_digits(value)
     return stated_numbers.count(value, name)
 
 
--- a/src/mulberrywharf/platform_service/era.py
+++ b/src/mulberrywharf/platform_service/era.py
@@ -10,7 +10,7 @@
 
 from loguru import logger
 
-from mulberrywharf import metrics
+from mulberrywharf import metrics, stated_numbers
 
 NO_ERA = 0
 """Era of a service that sends none; it is assumed never to be restored."""
@@ -58,12 +58,12 @@
             if self.current != NO_ERA:
                 self._warn_once("missing", "an answer tells no era")
             return True
-        if not (era_text.isascii() and era_text.isdecimal()):
+        era = stated_numbers.from_digits(era_text)
+        if era is None:
             self._warn_once(
-                "unreadable", f"an answer tells the era {era_text!r}"
+                "unreadable", f"an answer tells the era {era_text!r:.40}"
             )
             return True
-        era = int(era_text)
         if era < self.current:
             self._warn_once("older", f"an answer is of era {era}, now past")
             return False
--- a/src/mulberrywharf/stated_numbers.py
+++ b/src/mulberrywharf/stated_numbers.py
@@ -5,11 +5,23 @@
 """
 
 import math
+import re
 from typing import Any
 
 INT64_LIMIT = 2**63 - 1
 """Maximum of what every encoder of this package and of others can write."""
 
+_DIGITS = re.compile(r"[0-9]{1,18}")
+
+
+def from_digits(text: str) -> int | None:
+    """Returns the number that a text of decimal digits states, None if none.
+
+    ``int`` alone accepts signs, underscores and other scripts' digits, and
+    raises ValueError for thousands of digits.
+    """
+    return int(text) if _DIGITS.fullmatch(text) else None
+
 
 def count(
     value: Any, name: str, *, minimum: int = 0, limit: int = INT64_LIMIT
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -376,6 +376,21 @@
         self.assertIsNone(sent.unwrap().version_key)
 
 
+class LongNumbersTest(unittest.TestCase):
+    def test_numbers_of_too_many_digits_count_as_not_stated(self) -> None:
+        """Guards against an exception by a field of another gateway."""
+        fields = {
+            hop.SERVER_ID: "server-1",
+            hop.SERVER_STARTED_MS: "9" * 5_000,
+            hop.LOAD: "9" * 400,
+        }
+        answer: Any = unittest.mock.Mock(header=fields.get)
+        self.assertEqual(
+            handover_client._server(answer), fleet.ServerStart("server-1", None)
+        )
+        self.assertEqual(handover_client._number(fields[hop.LOAD]), 0.0)
+
+
 class RefusalTest(HandoverCase):
     """Frames that no gateway sent, and requests beyond a helper's bounds."""
 
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -65,7 +65,16 @@
 
     def test_missing_or_malformed_era_changes_nothing(self) -> None:
         self.era.observe("4")
-        for era_text in (None, "", "x", "-1", "5.0", "\u0665", "1e3"):
+        for era_text in (
+            None,
+            "",
+            "x",
+            "-1",
+            "5.0",
+            "\u0665",
+            "1e3",
+            "9" * 5_000,
+        ):
             with self.subTest(era_text=era_text):
                 self.assertTrue(self.era.observe(era_text))
                 self.assertEqual(self.era.current, 4)
