Refuse numbers of other nodes that are not finite

Demands of customers could be NaN, infinite or negative, and went into the shares of all routers. A timer of NaN stops gevent's event loop for good (measured: nothing else runs in a process in which an event is waited for that long).

All such numbers are checked like rates were: the frame is refused and logged with its sender, and the connection is closed.

Red before: test_numbers_of_peers_are_finite, 12 of 24 values. Green: it, test_node_codec, test_claims, test_encoders.

--- a/src/mulberrywharf/nodes/wire_forms.py
+++ b/src/mulberrywharf/nodes/wire_forms.py
@@ -190,7 +190,9 @@
         body.roundNumber,
         body.liveDigest,
         tuple(
-            messages.Demand(d.customer, d.requestsPerS, d.tokensPerS)
+            messages.Demand(
+                d.customer, *_checked_numbers((d.requestsPerS, d.tokensPerS))
+            )
             for d in body.demands
         ),
     )
@@ -218,7 +220,7 @@
         body.token,
         body.runnerIp,
         body.runnerPort,
-        body.runBoundS,
+        *_checked_numbers((body.runBoundS,)),
     )
 
 
@@ -240,7 +242,9 @@
 
 def _read_claim_wait(reader: Any) -> messages.Message:
     body = reader.claimWait
-    return messages.ClaimWait(_checked_digest(body.claimId), body.waitS)
+    return messages.ClaimWait(
+        _checked_digest(body.claimId), *_checked_numbers((body.waitS,))
+    )
 
 
 def _read_claim_reply(reader: Any) -> messages.Message:
@@ -272,17 +276,17 @@
 def _read_rates(reader: Any) -> messages.Message:
     body = reader.rates
     return messages.Rates(
-        _checked_rates(body.customers), _checked_rates(body.models)
+        _checked_numbers(body.customers), _checked_numbers(body.models)
     )
 
 
-def _checked_rates(values: Any) -> tuple[float, ...]:
-    rates = tuple(values)
-    # A single NaN would make the sum of the rates NaN, and a NaN is neither
-    # above nor below any threshold.
-    if not all(math.isfinite(rate) and rate >= 0 for rate in rates):
-        raise errors.BadFrameError("a rate is negative or not finite")
-    return rates
+def _checked_numbers(values: Any) -> tuple[float, ...]:
+    numbers = tuple(values)
+    # A single NaN would make the sum of rates NaN, is neither above nor below
+    # any threshold, and as the time of a timer stops the event loop.
+    if not all(math.isfinite(number) and number >= 0 for number in numbers):
+        raise errors.BadFrameError("a number is negative or not finite")
+    return numbers
 
 
 def _read_limit_call(reader: Any) -> messages.Message:
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -3,18 +3,23 @@
 import json
 import math
 import unittest
+import unittest.mock
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
-from mulberrywharf import clock
+from mulberrywharf import clock, wire_numbers
 from mulberrywharf.authority import order_records
 from mulberrywharf.crashes import crash_records
 from mulberrywharf.duties import capacity_records, client, usage_reporter
 from mulberrywharf.engines import load_client, load_reader, role_orders, streams
 from mulberrywharf.nodes import claim_ownership, claims, codec, messages
-from mulberrywharf.peers import handover_codec
+from mulberrywharf.peers import (
+    customer_demand_codec,
+    handover_codec,
+    limit_codec,
+)
 from mulberrywharf.platform import (
     documents,
     duties,
@@ -27,7 +32,12 @@
     json_text,
     key_value,
 )
-from mulberrywharf.policy import crash_suspects, prefix_index
+from mulberrywharf.policy import (
+    crash_suspects,
+    customer_meter,
+    limit_grants,
+    prefix_index,
+)
 from mulberrywharf.routes import table
 from tests import (
     builders_authority,
@@ -479,5 +489,80 @@
                         field.use(text.encode())
 
 
+NOT_FINITE = (math.nan, math.inf, -math.inf, -1.0)
+
+
+def _heartbeat(number: float) -> messages.Heartbeat:
+    demand = messages.Demand("customer", number, number)
+    return messages.Heartbeat(
+        "zone-a", 1, 1, 1, 1, b"", b"", b"", b"", 1, 1, (demand,)
+    )
+
+
+def _limit_message(number: float) -> limit_codec.ClaimMessage:
+    statement = limit_grants.LimitStatement(number, 1.0)
+    return limit_codec.ClaimMessage(
+        2, limit_grants.Claim(1, 1, True, statement, 1)
+    )
+
+
+def _demand_report(number: float) -> customer_demand_codec.Report:
+    customers = (customer_meter.CustomerDemand(1, number),)
+    report = customer_meter.DemandReport(customers, number, 0, number, number)
+    return customer_demand_codec.Report(1, 2, report)
+
+
+def _node(message: messages.Message) -> Result[Any, Any]:
+    envelope = messages.Envelope("vm-1", 1, message)
+    return codec.decode(codec.encode(envelope))
+
+
+OF_PEERS: dict[str, Callable[[float], Result[Any, Any]]] = {
+    "heartbeat": lambda number: _node(_heartbeat(number)),
+    "claim wait": lambda number: _node(messages.ClaimWait(b"0" * 16, number)),
+    "claim request": lambda number: _node(
+        messages.ClaimRequest(b"0" * 16, b"1" * 16, "r", 1, "", 1, number)
+    ),
+    "rates": lambda number: _node(messages.Rates((number,), (number,))),
+    "limit": lambda number: limit_codec.decode(
+        limit_codec.encode(_limit_message(number), 0.0), 0.0
+    ),
+    "customer demand": lambda number: customer_demand_codec.decode(
+        customer_demand_codec.encode(_demand_report(number))
+    ),
+}
+
+
+def _numbers(value: Any) -> Iterator[float]:
+    if isinstance(value, int | float):
+        yield value
+    elif isinstance(value, tuple | list):
+        for one in value:
+            yield from _numbers(one)
+
+
+class PeerNumbersTest(unittest.TestCase):
+    def test_numbers_of_peers_are_finite(self) -> None:
+        """Guards against a timer of no number, which stops the event loop."""
+        with unittest.mock.patch.object(
+            wire_numbers, "nonnegative", lambda number, limit=None: number
+        ):
+            decoded = {
+                (kind, number): round_trip(number)
+                for kind, round_trip in OF_PEERS.items()
+                for number in NOT_FINITE
+            }
+        for (kind, number), result in decoded.items():
+            with self.subTest(kind, number=number):
+                if isinstance(result, Ok):
+                    found = list(_numbers(result.ok_value))
+                    self.assertTrue(found)
+                    self.assertTrue(all(map(is_finite_or_bool, found)), found)
+
+
+def is_finite_or_bool(value: Any) -> bool:
+    return isinstance(value, bool) or is_finite(value)
+
+
 if __name__ == "__main__":
     unittest.main()
