Refuse answers of etcd whose numbers are none

The dialect for etcd read its answers as the one of the platform's store did: a revision, lease or time to live of null, NaN or 1e400 raised an exception in whoever had called, and a negative one was taken.

Both decode by `service_calls.decoded` now: a malformed answer counts as none, with a line. Numbers may be written as texts, as etcd does.

Red before: the values of the new row "etcd" in test_decoded_numbers. Green: it, test_key_value, test_lease, test_store_restored, test_config_store, test_authority, test_duty_holder, test_platform_standins (88 of 88).

--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -2,11 +2,10 @@
 
 import base64
 import urllib.parse
-from collections.abc import Callable, Mapping
-from typing import Any, NamedTuple, TypeVar
+from collections.abc import Mapping
+from typing import Any, NamedTuple
 
 import gevent
-from loguru import logger
 from result import Err, Ok, Result
 
 from mulberrywharf import errors, stated_numbers
@@ -47,9 +46,6 @@
 from an older copy."""
 
 _MS_PER_S = 1000.0
-_DECODE_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
-
-_Decoded = TypeVar("_Decoded")
 
 
 class StoreDialect(NamedTuple):
@@ -96,7 +92,7 @@
     first_revision: int | None = None
     while True:
         call = _read_call("/kv-range", query, "range", purpose)
-        read = _decoded(call, calls.send(call), _decode_page)
+        read = service_calls.decoded(call, calls.send(call), _decode_page)
         if isinstance(read, Err):
             return read
         page = read.ok_value
@@ -136,7 +132,7 @@
         "wait-ms": str(_MIN_WAIT_MS),
     }
     call = _read_call("/kv-watch", query, "changes", purpose)
-    return _decoded(
+    return service_calls.decoded(
         call,
         calls.send(call),
         lambda answer: dialect.WatchMessage(
@@ -179,7 +175,7 @@
         "deletes": [write.key] if write.value is None else [],
     }
     call = service_calls.Call("/kv-txn", body, "txn", write.purpose, True)
-    sent = _decoded(
+    sent = service_calls.decoded(
         call, calls.send(call), lambda answer: _count(answer, "revision")
     )
     if isinstance(sent, Err):
@@ -209,7 +205,7 @@
 ) -> Result[int, errors.PlatformError]:
     body = {"ttl-ms": int(ttl_s * _MS_PER_S)}
     call = service_calls.Call("/kv-lease", body, "lease_grant", purpose, False)
-    return _decoded(
+    return service_calls.decoded(
         call, calls.send(call), lambda answer: _count(answer, "lease")
     )
 
@@ -223,7 +219,7 @@
 ) -> Result[float, errors.PlatformError]:
     path = f"/kv-keep/{lease_id}"
     call = service_calls.Call(path, {}, "lease_keepalive", purpose, False)
-    sent = _decoded(
+    sent = service_calls.decoded(
         call,
         calls.send(call),
         lambda answer: stated_numbers.figure(answer["ttl-ms"], "ttl-ms"),
@@ -299,7 +295,7 @@
         try:
             events = _decode_events(message)
             self._revision = _count(message, "store-revision")
-        except _DECODE_ERRORS as error:
+        except service_calls.DECODE_ERRORS as error:
             raise ValueError(f"malformed changes: {error!r}") from error
         self._had_changes = bool(events)
         # A probe after a failure ends here: the store responds, so the next
@@ -356,24 +352,6 @@
     return service_calls.Call(target, None, kind, purpose, False, method="GET")
 
 
-def _decoded(
-    call: service_calls.Call,
-    sent: Result[dict[str, Any], errors.PlatformError],
-    decode: Callable[[dict[str, Any]], _Decoded],
-) -> Result[_Decoded, errors.PlatformError]:
-    """Decodes a response; a malformed one counts as none."""
-    if isinstance(sent, Err):
-        return sent
-    try:
-        return Ok(decode(sent.ok_value))
-    except _DECODE_ERRORS as error:
-        message = f"malformed response to {call.kind}: {error!r}"
-        logger.bind(purpose=call.purpose).warning("{}", message)
-        if call.is_write:
-            return Err(errors.WriteOutcomeUnknownError(message))
-        return Err(errors.PlatformUnavailableError(message))
-
-
 class _Page(NamedTuple):
     """One page of a range.
 
@@ -402,11 +380,7 @@
 
 
 def _count(fields: Mapping[str, Any], name: str) -> int:
-    """Returns a number that may be written as a text."""
-    value = fields[name]
-    if isinstance(value, str):
-        value = stated_numbers.from_digits(value)
-    return stated_numbers.count(value, name)
+    return stated_numbers.count_or_text(fields[name], name)
 
 
 def _decode_item(item: Mapping[str, Any]) -> KeyValue:
--- a/src/mulberrywharf/platform_service/etcd.py
+++ b/src/mulberrywharf/platform_service/etcd.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import errors
+from mulberrywharf import errors, stated_numbers
 from mulberrywharf.platform_service import dialect, http_calls, service_calls
 from mulberrywharf.platform_service.key_value_types import (
     Guard,
@@ -32,11 +32,13 @@
 ) -> Result[dialect.PrefixRead, errors.PlatformError]:
     body = {"key": encode_key(prefix), "range_end": encode_prefix_end(prefix)}
     call = service_calls.Call("/v3/kv/range", body, "range", purpose, False)
-    return calls.send(call).map(
+    return service_calls.decoded(
+        call,
+        calls.send(call),
         lambda answer: (
             [decode_key_value(kv) for kv in answer.get("kvs", [])],
             decode_header(answer),
-        )
+        ),
     )
 
 
@@ -50,7 +52,7 @@
     call = service_calls.Call(
         "/v3/kv/range", {"key": encode_key(key)}, "range", purpose, False
     )
-    return calls.send(call).map(_first_key)
+    return service_calls.decoded(call, calls.send(call), _first_key)
 
 
 def _first_key(answer: Mapping[str, Any]) -> KeyValue | None:
@@ -94,7 +96,7 @@
             if message is None:
                 return None
             if message:
-                return _decode_message(message.get("result", {}))
+                return _decode_line(message)
 
     @property
     def is_busy(self) -> bool:
@@ -105,6 +107,13 @@
         self._lines.close()
 
 
+def _decode_line(message: dict[str, Any]) -> dialect.WatchMessage:
+    try:
+        return _decode_message(message.get("result", {}))
+    except service_calls.DECODE_ERRORS as error:
+        raise ValueError(f"malformed changes: {error!r}") from error
+
+
 def _decode_message(result: dict[str, Any]) -> dialect.WatchMessage:
     return dialect.WatchMessage(
         tuple(_decode_event(event) for event in result.get("events", [])),
@@ -135,14 +144,10 @@
         "failure": [_revision_read(guard.key) for guard in write.guards],
     }
     call = service_calls.Call("/v3/kv/txn", body, "txn", write.purpose, True)
-    sent = calls.send(call)
-    if isinstance(sent, Err):
-        return sent
-    answer = sent.ok_value
-    if answer.get("succeeded"):
-        return Ok(_written_key(write, answer))
-    changed = _conflicting_key(write.guards, answer)
-    return Err(errors.RevisionConflictError(changed))
+    sent = service_calls.decoded(
+        call, calls.send(call), lambda answer: _write_result(write, answer)
+    )
+    return sent.and_then(lambda result: result)
 
 
 @dialect.grant_lease.register
@@ -158,7 +163,11 @@
     call = service_calls.Call(
         "/v3/lease/grant", body, "lease_grant", purpose, False
     )
-    return calls.send(call).map(lambda answer: int(answer["ID"]))
+    return service_calls.decoded(
+        call,
+        calls.send(call),
+        lambda answer: stated_numbers.count_or_text(answer["ID"], "ID"),
+    )
 
 
 @dialect.keep_alive.register
@@ -174,13 +183,16 @@
     call = service_calls.Call(
         "/v3/lease/keepalive", body, "lease_keepalive", purpose, False
     )
-    sent = calls.send(call)
+    sent = service_calls.decoded(
+        call,
+        calls.send(call),
+        lambda answer: _ttl_s(answer.get("result", {}).get("TTL", 0)),
+    )
     if isinstance(sent, Err):
         return sent
-    ttl_s = float(sent.ok_value.get("result", {}).get("TTL", 0))
-    if ttl_s <= 0:
+    if not sent.ok_value:
         return Err(errors.AuthorityLostError(f"lease {lease_id} expired"))
-    return Ok(ttl_s)
+    return Ok(float(sent.ok_value))
 
 
 @dialect.revoke.register
@@ -197,6 +209,22 @@
     return calls.send(call).map(lambda _: None)
 
 
+def _ttl_s(stated: Any) -> int:
+    # A lease that has expired has no time to live, or a negative one.
+    if str(stated).startswith("-"):
+        return 0
+    return stated_numbers.count_or_text(stated, "TTL")
+
+
+def _write_result(
+    write: dialect.KeyWrite, answer: Mapping[str, Any]
+) -> Result[KeyValue, errors.PlatformError]:
+    if answer.get("succeeded"):
+        return Ok(_written_key(write, answer))
+    changed = _conflicting_key(write.guards, answer)
+    return Err(errors.RevisionConflictError(changed))
+
+
 def _written_key(
     write: dialect.KeyWrite, answer: Mapping[str, Any]
 ) -> KeyValue:
--- a/src/mulberrywharf/platform_service/key_value_types.py
+++ b/src/mulberrywharf/platform_service/key_value_types.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import Any, Literal, NamedTuple
 
+from mulberrywharf import stated_numbers
+
 
 class KeyValue(NamedTuple):
     """A key with its value and revisions.
@@ -83,9 +85,11 @@
     return KeyValue(
         base64.b64decode(kv["key"]).decode(),
         base64.b64decode(kv.get("value", "")),
-        int(kv.get("create_revision", 0)),
-        int(kv.get("mod_revision", 0)),
-        int(kv.get("lease", 0)),
+        stated_numbers.count_or_text(
+            kv.get("create_revision", 0), "create_revision"
+        ),
+        stated_numbers.count_or_text(kv.get("mod_revision", 0), "mod_revision"),
+        stated_numbers.count_or_text(kv.get("lease", 0), "lease"),
     )
 
 
@@ -93,5 +97,6 @@
     """Decodes the header that every response of etcd contains."""
     header = answer.get("header", {})
     return ServiceState(
-        int(header.get("revision", 0)), str(header.get("cluster_id", ""))
+        stated_numbers.count_or_text(header.get("revision", 0), "revision"),
+        str(header.get("cluster_id", "")),
     )
--- a/src/mulberrywharf/platform_service/service_calls.py
+++ b/src/mulberrywharf/platform_service/service_calls.py
@@ -4,11 +4,12 @@
 service has certainly not executed it.
 """
 
-from collections.abc import Mapping, Sequence
-from typing import Any, NamedTuple
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 import gevent
 from geventhttpclient import response
+from loguru import logger
 from result import Err, Ok, Result
 
 from mulberrywharf import clock, errors, metrics, settings
@@ -27,6 +28,11 @@
 _RATE_EXCEEDED_STATUS = 429
 _NOT_EXECUTED_STATUSES = frozenset({_RATE_EXCEEDED_STATUS, 503})
 
+DECODE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+"""What a decoder raises for a malformed answer."""
+
+_Decoded = TypeVar("_Decoded")
+
 _calls = metrics.counter(
     "mulberry_platform_calls_total",
     "Calls sent to the key-value service, by purpose, kind and outcome.",
@@ -262,6 +268,24 @@
         self._endpoint.close()
 
 
+def decoded(
+    call: Call,
+    sent: Result[dict[str, Any], errors.PlatformError],
+    decode: Callable[[dict[str, Any]], _Decoded],
+) -> Result[_Decoded, errors.PlatformError]:
+    """Decodes the answer to a call; a malformed one counts as none."""
+    if isinstance(sent, Err):
+        return sent
+    try:
+        return Ok(decode(sent.ok_value))
+    except DECODE_ERRORS as error:
+        message = f"malformed answer to {call.kind}: {error!r}"
+        logger.bind(purpose=call.purpose).warning("{}", message)
+        if call.is_write:
+            return Err(errors.WriteOutcomeUnknownError(message))
+        return Err(errors.PlatformUnavailableError(message))
+
+
 def _older_era_error(name: str, call: Call) -> errors.PlatformError:
     """Returns the error for a response from an older era.
 
--- a/src/mulberrywharf/stated_numbers.py
+++ b/src/mulberrywharf/stated_numbers.py
@@ -44,6 +44,15 @@
     return value
 
 
+def count_or_text(value: Any, name: str) -> int:
+    """Returns a stated number of things that may be written as a text.
+
+    Raises:
+        ValueError: It is no integer, or out of range.
+    """
+    return count(from_digits(value) if type(value) is str else value, name)
+
+
 def figure(value: Any, name: str, *, limit: float = math.inf) -> float:
     """Returns a stated quantity, a finite number of 0 or more.
 
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -29,6 +29,7 @@
 )
 from mulberrywharf.platform_service import (
     dialect,
+    etcd,
     json_text,
     key_value,
 )
@@ -401,9 +402,8 @@
         return Ok(json_text.loads(self._body))
 
 
-def use_store(body: bytes) -> None:
+def _use_answers(body: bytes, made: Any) -> None:
     calls: Any = _Calls(body)
-    made = store.StoreDialect()
     write = dialect.KeyWrite("k", b"v", (key_value.Guard("k", 0),), 0, "test")
     read = dialect.read_prefix(made, calls, "k", "test")
     if isinstance(read, Ok):
@@ -427,6 +427,23 @@
         assert is_finite(renewed.ok_value), renewed
 
 
+def use_store(body: bytes) -> None:
+    _use_answers(body, store.StoreDialect())
+
+
+def use_etcd(body: bytes) -> None:
+    _use_answers(body, etcd.EtcdGateway())
+
+
+ETCD_KEY = {"key": "aw==", "create_revision": 1, "mod_revision": 2, "lease": 3}
+ETCD = {
+    "header": {"revision": 5, "cluster_id": "1"},
+    "kvs": [ETCD_KEY],
+    "succeeded": True,
+    "responses": [{"response_range": {"kvs": [ETCD_KEY]}}],
+    "ID": 7,
+    "result": {"TTL": 8},
+}
 STORE = {
     "store-revision": 5,
     "revision": 6,
@@ -469,6 +486,7 @@
         use_blocked,
     ),
     "store": (STORE, use_store),
+    "etcd": (ETCD, use_etcd),
     "usage of a stream": (
         {"usage": {"prompt_tokens": 1, "completion_tokens": 2}},
         use_stream_usage,
