--- a/src/mulberrywharf/nodes/link.py
+++ b/src/mulberrywharf/nodes/link.py
@@ -18,7 +18,7 @@
 from mulberrywharf import errors, fleet, supervised_task
 from mulberrywharf.nodes import codec, frames, messages
 
-_CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 2.0
 _CONNECT_WAIT_S = 1.0
 _WRITE_TIMEOUT_S = 10.0
 _SEND_TIMEOUT_S = 0.2
@@ -141,7 +141,7 @@
 
     def _connect(self) -> frames.FrameSocket:
         sock: Any = gevent_socket.create_connection(
-            (self.address.ip, self.address.port), timeout=_CONNECT_TIMEOUT_S
+            (self.address.ip, self.address.port), timeout=CONNECT_TIMEOUT_S
         )
         try:
             configure_socket(sock)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -1,11 +1,15 @@
 """Short runs of the fuzzer."""
 
+import signal
 import unittest
 
+import gevent
+
 from fuzz import play, router_target, target
 
 SEED = 1
 LENGTH_S = 20.0
+HELD_UP_S = 1.0
 _EXAMPLES_LEAST_COUNT = 50
 _ROUTER_EXAMPLES_LEAST_COUNT = 20
 
@@ -23,6 +27,14 @@
         count = play.play(self, SEED, LENGTH_S)
         self.assertGreater(count, _ROUTER_EXAMPLES_LEAST_COUNT)
 
+    def test_router_that_is_held_up_is_found(self) -> None:
+        """Guards against a check that excuses a router by the machine."""
+        process = self.cluster.routers[0].process
+        process.signal(signal.SIGSTOP)
+        gevent.spawn_later(HELD_UP_S, process.signal, signal.SIGCONT)
+        with self.assertRaises(AssertionError):
+            self.send_frame(b"")
+
 
 if __name__ == "__main__":
     unittest.main()
