Count the records that a message to other gateways leaves out

`wire_records.note_left_out` counts and logs them: mulberry_records_left_out_total{kind}.

Red before: the counter, asked for in three tests of test_encoders.

--- a/src/mulberrywharf/peers/customer_demand_codec.py
+++ b/src/mulberrywharf/peers/customer_demand_codec.py
@@ -6,10 +6,9 @@
 from typing import Any, NamedTuple
 
 import capnp
-from loguru import logger
 from result import Result
 
-from mulberrywharf import errors, wire_messages, wire_numbers
+from mulberrywharf import errors, wire_messages, wire_numbers, wire_records
 from mulberrywharf.policy import customer_meter
 
 BELOW = 255
@@ -150,7 +149,7 @@
     """Returns whether the decoder accepts a customer's demand."""
     if 0 <= reported.demand < wire_numbers.FLOAT32_LIMIT:
         return True
-    logger.warning("a demand is not reported: {}", reported)
+    wire_records.note_left_out("demand", reported)
     return False
 
 
--- a/src/mulberrywharf/peers/ejection_codec.py
+++ b/src/mulberrywharf/peers/ejection_codec.py
@@ -3,10 +3,9 @@
 import struct
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, wire_numbers
+from mulberrywharf import errors, wire_numbers, wire_records
 from mulberrywharf.policy import ejected_servers, outcome_counts
 
 _KIND = struct.Struct(">B")
@@ -56,7 +55,7 @@
     parts = [_KIND.pack(2 if report.is_reply else 1)]
     for entry in report.entries[:ENTRIES_LIMIT_COUNT]:
         if not _is_sound(entry.counted):
-            logger.warning("contradictory counts are not sent: {}", entry)
+            wire_records.note_left_out("outcomes", entry)
             continue
         figures = (
             figure
--- a/src/mulberrywharf/peers/path_codec.py
+++ b/src/mulberrywharf/peers/path_codec.py
@@ -4,10 +4,9 @@
 import struct
 from typing import NamedTuple
 
-from loguru import logger
 from result import Err, Ok, Result
 
-from mulberrywharf import errors, fleet, wire_numbers
+from mulberrywharf import errors, fleet, wire_numbers, wire_records
 from mulberrywharf.policy import helpers
 
 _QUESTION = struct.Struct(">I")
@@ -68,8 +67,8 @@
 def _encode_address(address: fleet.Address) -> bytes | None:
     try:
         packed = ipaddress.IPv4Address(address.ip).packed
-    except ValueError as error:
-        logger.warning("a helper is not named to other gateways: {}", error)
+    except ValueError:
+        wire_records.note_left_out("helper", address)
         return None
     port = wire_numbers.saturated(address.port, wire_numbers.UINT16_LIMIT)
     return _ADDRESS.pack(packed, port)
--- a/tests/test_encoders.py
+++ b/tests/test_encoders.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 from result import Ok, Result
 
-from mulberrywharf import errors, fleet, wire_text
+from mulberrywharf import errors, fleet, metrics, wire_text
 from mulberrywharf.crashes import crash_codec
 from mulberrywharf.nodes import codec, messages
 from mulberrywharf.peers import (
@@ -204,13 +204,22 @@
 class OneRecordTest(unittest.TestCase):
     """A record that can't be sent as it is costs no other one."""
 
+    def left_out_count(self, kind: str) -> float:
+        """Returns how many records of a kind were counted as left out."""
+        label = f'mulberry_records_left_out_total{{kind="{kind}"}} '
+        lines = metrics.render_text()[0].decode().splitlines()
+        found = [line for line in lines if line.startswith(label)]
+        return float(found[0].removeprefix(label)) if found else 0.0
+
     def test_helper_without_an_ipv4_address_costs_no_other_helper(self) -> None:
         sound = fleet.Address("10.0.0.1", 80)
         odd = fleet.Address("fe80::1", 80)
         reply = path_codec.PathReply(1, helpers.Report(False, 0, (odd, sound)))
+        before_count = self.left_out_count("helper")
         decoded = path_codec.decode(path_codec.encode_reply(reply)).unwrap()
         assert isinstance(decoded, path_codec.PathReply)
         self.assertEqual(decoded.report.helpers, (sound,))
+        self.assertEqual(self.left_out_count("helper"), before_count + 1)
 
     def test_more_failures_than_answers_cost_no_other_server(self) -> None:
         odd = outcome_counts.Outcomes(answers_count=1, failures_count=2)
@@ -228,10 +237,12 @@
                 for key, one in ((1, odd), (2, sound))
             ),
         )
+        before_count = self.left_out_count("outcomes")
         decoded = ejection_codec.decode_report(
             ejection_codec.encode_report(report)
         ).unwrap()
         self.assertEqual(decoded.entries, report.entries[1:])
+        self.assertEqual(self.left_out_count("outcomes"), before_count + 1)
 
     def test_rate_that_is_not_finite_costs_no_other_customer(self) -> None:
         customers = tuple(
@@ -241,9 +252,11 @@
         report = customer_demand_codec.Report(
             1, 2, customer_meter.DemandReport(customers, 0.0, 0, 0.0, 0.0)
         )
+        before_count = self.left_out_count("demand")
         decoded = customer_demand_codec.decode(
             customer_demand_codec.encode(report)
         ).unwrap()
+        self.assertEqual(self.left_out_count("demand"), before_count + 2)
         assert isinstance(decoded, customer_demand_codec.Report)
         self.assertEqual(decoded.demand.customers, customers[2:])
 
