Confirm routes by the revision of their document

Callers saw a revoked key accepted for as long as the store answered calls for changes with its present revision and without the change: the confirmation of the routes asked by the kind of call that the watch uses, so what hid the change from the one hid it from the other, and the next call asked behind it.

Cause: a belief that errs to the unsafe side was confirmed through the channel that it came by. A confirmation now asks the store whether the document still has the revision at which the routes in force were stored: a transaction that expects it and changes nothing. It is linearizable, depends on no history and carries no document; if the revision differs, the document is read. If the store refuses such a transaction (403), the document is read each time. The revision is the one that the watch or a read brought in the present era; behind a restore it is unknown until the routes were read again, as revisions are assigned again.

What the read brings goes through the watch, so that its own revision and the notices to other gateways follow, and a change that it passed over is counted and logged.

A call is about 150 bytes of body where a read of the key is the whole document.

The stand-in store answers a failed condition with the items, as the store does.

Red before: in tests/test_freshness (twice, with and without a relay) version 1 stayed in force and confirmed; with four real gateways, all watches held, a revoked key ran until the end of the scene, 3.99 s, at a bound of 2 s. Now none runs behind the bound, with the watches of all, of the readers and of the others held.

--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -145,6 +145,34 @@
     )
 
 
+@dialect.is_unchanged.register
+def _(
+    store: StoreDialect,
+    calls: service_calls.ServiceCalls,
+    key: str,
+    mod_revision: int,
+    purpose: str,
+) -> Result[bool, errors.PlatformError]:
+    # Reads return whole values. A transaction that changes nothing compares the
+    # revision in the store.
+    body = {
+        "expected": [{"key": key, "revision": mod_revision}],
+        "puts": [],
+        "deletes": [],
+    }
+    call = service_calls.Call("/kv-txn", body, "compare", purpose, False)
+    sent = calls.send(call)
+    if isinstance(sent, Ok):
+        return Ok(True)
+    if isinstance(sent.err_value, errors.ConditionFailedError):
+        return Ok(False)
+    if isinstance(sent.err_value, errors.PlatformRefusedError):
+        # The store may refuse transactions on keys that are not written here.
+        read = dialect.read_key(store, calls, key, purpose)
+        return read.map(lambda found: _has_revision(found, mod_revision))
+    return Err(sent.err_value)
+
+
 @dialect.read_key.register
 def _(
     store: StoreDialect,
@@ -245,6 +273,10 @@
     return calls.send(call).map(lambda _: None)
 
 
+def _has_revision(found: KeyValue | None, mod_revision: int) -> bool:
+    return found is not None and found.mod_revision == mod_revision
+
+
 def _history_id(era: int) -> str:
     return str(era)
 
--- a/src/mulberrywharf/platform_service/dialect.py
+++ b/src/mulberrywharf/platform_service/dialect.py
@@ -134,6 +134,30 @@
     raise TypeError(f"dialect {dialect!r} does not implement read_key")
 
 
+@singledispatch
+def is_unchanged(
+    dialect: Any,
+    calls: service_calls.ServiceCalls,
+    key: str,
+    mod_revision: int,
+    purpose: str,
+) -> Result[bool, errors.PlatformError]:
+    """Tells whether a key still has the value that was written at a revision.
+
+    Unlike ``read_changes``, it depends on no history of changes.
+
+    Args:
+        dialect: Dialect of the service.
+        calls: Endpoints of the service.
+        key: The key.
+        mod_revision: Revision of the write.
+        purpose: Call budget that is charged.
+    """
+    return read_key(dialect, calls, key, purpose).map(
+        lambda found: found is not None and found.mod_revision == mod_revision
+    )
+
+
 @singledispatch
 def open_watch(
     dialect: Any, calls: service_calls.ServiceCalls, request: WatchRequest
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -349,6 +349,23 @@
             self._dialect, self._gateway, prefix, after_revision, purpose
         )
 
+    def is_unchanged(
+        self, key: str, *, mod_revision: int, purpose: str
+    ) -> Result[bool, errors.PlatformError]:
+        """Tells whether a key still has the value written at a revision.
+
+        It depends on no history of changes, and does not read the value at
+        services that can compare revisions.
+
+        Args:
+            key: The key.
+            mod_revision: Revision of the write, of the present era.
+            purpose: Call budget that is charged.
+        """
+        return dialect_module.is_unchanged(
+            self._dialect, self._gateway, key, mod_revision, purpose
+        )
+
     def open_watch(
         self, request: dialect_module.WatchRequest
     ) -> Result[dialect_module.WatchStream, errors.PlatformError]:
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -232,6 +232,20 @@
             return reported.mod_revision
         return self._deleted_revisions.get(key, 0)
 
+    def take_read(self, found: KeyValue) -> bool:
+        """Reports a key that was read elsewhere, if that shows a change.
+
+        Returns:
+            Whether the watch is known to have skipped the change: it goes on
+            behind its revision.
+        """
+        if self.has_reported([found]):
+            return False
+        is_skipped = self.continues_at_revision >= found.mod_revision
+        self._report(WatchEvent("put", found))
+        self._run_callback(self._on_reported)
+        return is_skipped
+
     def read_again(self) -> None:
         """Reads all keys again, because a change was not reported."""
         self._position = None
--- a/src/mulberrywharf/routes/follower.py
+++ b/src/mulberrywharf/routes/follower.py
@@ -17,6 +17,10 @@
 _version_gauge = metrics.gauge(
     "mulberry_routes_version", "Version of the routes in force on this node."
 )
+_skipped = metrics.counter(
+    "mulberry_routes_changes_skipped_total",
+    "Changed routes that the watch passed over and a read brought.",
+)
 _rejected = metrics.counter(
     "mulberry_routes_rejected_total",
     "Route documents that were read and not taken, by reason.",
@@ -68,6 +72,7 @@
         self._timeouts = timeouts
         self._table: table.RouteTable | None = None
         self._applied_digest = b""
+        self._stored_revision = 0
         self._has_routes = gevent.event.Event()
         self._watch: watch.Watch | None = None
         self._callbacks: list[Callable[[table.RouteTable], None]] = []
@@ -120,6 +125,15 @@
         """
         self._callbacks.append(callback)
 
+    @property
+    def stored_revision(self) -> int | None:
+        """Revision at which the routes in force were stored, None if unknown.
+
+        It belongs to the present era of the service: after a restore it is
+        unknown until the routes were read again.
+        """
+        return (self.is_read and self._stored_revision) or None
+
     def take(self, found: key_value_types.KeyValue) -> bool:
         """Applies a routes document that was read from the service.
 
@@ -128,6 +142,20 @@
             False if it is malformed, or if another document with the same or
             a newer version is in force.
         """
+        if self._watch is not None and self._watch.take_read(found):
+            _skipped.inc({})
+            logger.bind(
+                revision=found.mod_revision,
+                watched=self._watch.continues_at_revision,
+            ).warning("the watch of the routes passed over a change")
+        return self._take(found)
+
+    def _take(self, found: key_value_types.KeyValue) -> bool:
+        is_in_force = self._is_in_force_after(found)
+        self._stored_revision = found.mod_revision if is_in_force else 0
+        return is_in_force
+
+    def _is_in_force_after(self, found: key_value_types.KeyValue) -> bool:
         if self._table is not None and (
             _digest(found.value) == self._applied_digest
         ):
@@ -146,8 +174,9 @@
             logger.warning(
                 "the routes were deleted; the last version stays in force"
             )
+            self._stored_revision = 0
             return
-        self.take(event.key_value)
+        self._take(event.key_value)
 
     def _apply(self, found: table.RouteTable, value: bytes) -> bool:
         current_version = self._table.version if self._table else 0
--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -4,6 +4,10 @@
 dropped the watch or be unreachable. Operations that must not use outdated
 routes, such as accepting a key that may be revoked, check here first.
 
+The service is asked whether the document still has the revision at which it
+was stored. Changes are not asked for: what keeps them from a watch would keep
+them from the confirmation, too.
+
 A confirmation is dated by when its request was sent, not by when the answer
 arrived, so that slow answers and suspended machines never make it look newer.
 """
@@ -16,7 +20,7 @@
 from loguru import logger
 from result import Err
 
-from mulberrywharf import clock, errors, metrics, supervised_task
+from mulberrywharf import clock, metrics, supervised_task
 from mulberrywharf.platform_service import key_value, key_value_types
 from mulberrywharf.routes import table
 
@@ -77,6 +81,11 @@
         """Key of the routes in the key-value service."""
         ...
 
+    @property
+    def stored_revision(self) -> int | None:
+        """Revision at which the routes in force were stored, if known."""
+        ...
+
     def current(self) -> table.RouteTable | None:
         """Returns the routes in force."""
         ...
@@ -114,7 +123,7 @@
 
 
 class RoutesFreshness:
-    """Periodically checks the key-value service for changes of the routes."""
+    """Periodically checks that the key-value service has no newer routes."""
 
     def __init__(
         self,
@@ -239,11 +248,7 @@
         if self._client.era != self._era:
             self._era = self._client.era
             self._revision = None
-        is_newest = (
-            self._read_all()
-            if self._revision is None
-            else self._read_changes(self._revision)
-        )
+        is_newest = self._confirm_by_service()
         if self._client.era != self._era:
             # The reads may come from two different histories.
             self._revision = None
@@ -286,37 +291,25 @@
         """Returns the age of the last confirmation, infinite if none."""
         return self.now_s() - self._confirmed_s
 
-    def _read_all(self) -> bool:
-        key = self._routes.routes_key
-        read = self._client.read_for_watch(key, purpose=PURPOSE)
-        if isinstance(read, Err):
-            return False
-        found, state = read.ok_value
-        matching = [kv for kv in found if kv.key == key]
-        if not matching or not self._routes.take(matching[0]):
+    def _confirm_by_service(self) -> bool:
+        revision = self._routes.stored_revision or self._revision
+        if revision is not None:
+            compared = self._client.is_unchanged(
+                self._routes.routes_key, mod_revision=revision, purpose=PURPOSE
+            )
+            if isinstance(compared, Err):
+                return False
+            if compared.ok_value:
+                return True
+        return self._read_routes()
+
+    def _read_routes(self) -> bool:
+        self._revision = None
+        read = self._client.get(self._routes.routes_key, purpose=PURPOSE)
+        if isinstance(read, Err) or read.ok_value is None:
             return False
-        self._revision = state.revision
-        return True
-
-    def _read_changes(self, revision: int) -> bool:
-        key = self._routes.routes_key
-        read = self._client.read_changes(
-            key, after_revision=revision, purpose=PURPOSE
-        )
-        if isinstance(read, Err):
-            if isinstance(read.err_value, errors.HistoryGoneError):
-                return self._read_all()
+        found = read.ok_value
+        if not self._routes.take(found):
             return False
-        message = read.ok_value
-        changes = [
-            event for event in message.events if event.key_value.key == key
-        ]
-        if changes:
-            newest = changes[-1]
-            if newest.kind == "delete" or not self._routes.take(
-                newest.key_value
-            ):
-                self._revision = None
-                return False
-        self._revision = message.state.revision
+        self._revision = found.mod_revision
         return True
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -22,6 +22,7 @@
     200: "200 OK",
     202: "202 Accepted",
     400: "400 Bad Request",
+    403: "403 Forbidden",
     404: "404 Not Found",
     409: "409 Conflict",
     410: "410 Gone",
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -68,6 +68,7 @@
         faults: ``down`` closes every connection without an answer, ``status``
             answers every call with it, ``silent`` answers nothing,
             ``lose_answers`` does what a call asks and closes its connection,
+            ``txn_status`` answers transactions with it,
             ``pause_in_body_s`` waits so long in the middle of each answer,
             ``era`` is told in place of the store's.
         calls: Method and path of each call.
@@ -323,6 +324,8 @@
         return [_event(event) for event in missed]
 
     def _txn(self, body: dict[str, Any]) -> _http.Reply:
+        if "txn_status" in self.faults:
+            return _http.Reply(self.faults["txn_status"], {})
         for expected in body["expected"]:
             if not self.store.holds(
                 {
@@ -330,7 +333,8 @@
                     "mod_revision": expected["revision"],
                 }
             ):
-                return _http.Reply(412, {"items": []})
+                keys = [one["key"] for one in body["expected"]]
+                return _http.Reply(412, {"items": self._items(keys)})
         operations: list[dict[str, Any]] = []
         for put in body["puts"]:
             lease = put["lease"]
@@ -344,6 +348,14 @@
         self.store.transact(operations)
         return _http.Reply(200, {"revision": self.store.revision})
 
+    def _items(self, keys: Iterable[str]) -> list[dict[str, Any]]:
+        """Returns those of the keys that exist."""
+        return [
+            _item(kv)
+            for key in keys
+            for kv in self.store.range(key.encode(), b"")
+        ]
+
     def _grant(self, body: dict[str, Any]) -> _http.Reply:
         lease = self.store.grant(body["ttl-ms"] / _MS_PER_S)
         return _http.Reply(200, {"lease": lease, "ttl-ms": body["ttl-ms"]})
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -158,6 +158,63 @@
         )
         self.assertEqual(self.version(), 2)
 
+    def test_routes_are_loaded_though_their_change_is_hidden(self) -> None:
+        """Guards against confirming by the kind of call that is behind."""
+        self.start()
+        self.store.hold_watches(0)
+        self.put(2)
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertEqual(self.version(), 2)
+        self.assertTrue(self.is_confirmed())
+
+    def test_revision_of_a_lost_history_confirms_nothing(self) -> None:
+        """Guards against an old document at a revision assigned again."""
+        self.store.era = 1
+        self.routes.start()
+        self.addCleanup(self.routes.close)
+        copy = self.store.copy()
+        self.start()
+        self.put(2)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.version() == 2 and self.is_confirmed(0.5)
+            )
+        )
+        revision = self.store.store.revision
+        self.store.restore(copy)
+        self.store.hold_watches(0)
+        self.put(1)
+        self.assertEqual(self.store.store.revision, revision)
+        gevent.sleep(freshness.RESTORE_HOLD_OFF_S + AGE_LIMIT_S)
+        self.assertFalse(self.is_confirmed())
+
+    def test_watch_goes_on_from_what_a_confirmation_read(self) -> None:
+        """Guards against a watch that stays behind a change it passed over."""
+        self.routes.start()
+        self.addCleanup(self.routes.close)
+        self.start()
+        changes = []
+        self.routes.on_change(changes.append)
+        watched = self.routes.watched()
+        assert watched is not None
+        self.store.hold_watches(0)
+        self.put(2)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.version() == 2)
+        )
+        self.assertEqual(watched.changed_revision, self.store.store.revision)
+        self.store.free_watches(0)
+        before_count = self.store.calls.count(("GET", "/kv-range"))
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertTrue(self.is_confirmed())
+        after_count = self.store.calls.count(("GET", "/kv-range"))
+        self.assertEqual(after_count, before_count)
+        self.put(3)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: self.version() == 3)
+        )
+        self.assertEqual([one.version for one in changes], [2, 3])
+
     def test_waiting_callers_share_a_request(self) -> None:
         """Guards against overloading the service with unknown keys."""
         self.start()
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -60,6 +60,19 @@
                 self.assertEqual(refused.key, changed)
         self.assertEqual(len(self.service.log()["history"]), 2)
 
+    def test_change_of_a_key_is_recognized_without_its_history(self) -> None:
+        found = self.create("/a/1")
+
+        def compare() -> bool:
+            return self.client.is_unchanged(
+                "/a/1", mod_revision=found.mod_revision, purpose="test"
+            ).unwrap()
+
+        self.create("/a/2")
+        self.assertTrue(compare())
+        self.client.delete("/a/1", purpose="test").unwrap()
+        self.assertFalse(compare())
+
     def test_delete_is_conditional(self) -> None:
         held = self.create("/a")
         stale = self.client.delete(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from mulberrywharf import errors, fleet
 from mulberrywharf.forwarding import request
@@ -266,6 +266,31 @@
         self.store.put("a/key-2", b"2")
         self.assertIsNone(self.client.get("a/key", purpose="test").unwrap())
 
+    def test_comparison_of_a_revision_reads_no_value(self) -> None:
+        """Guards against reading a large document to see if it changed."""
+        revision = self.store.put("key", b"1")
+        self.store.put("other", b"2")
+
+        def compare() -> Result[bool, errors.PlatformError]:
+            return self.client.is_unchanged(
+                "key", mod_revision=revision, purpose="test"
+            )
+
+        before = (self.store.store.revision, len(self.store.calls))
+        self.assertEqual(compare(), Ok(True))
+        self.assertEqual(self.store.calls[before[1] :], [("POST", "/kv-txn")])
+        self.assertEqual(self.store.store.revision, before[0])
+        self.store.faults["txn_status"] = 403
+        self.assertEqual(compare(), Ok(True))
+        self.store.put("key", b"1")
+        self.assertEqual(compare(), Ok(False))
+        self.store.faults.clear()
+        self.assertEqual(compare(), Ok(False))
+        self.store.delete("key")
+        self.assertEqual(compare(), Ok(False))
+        self.store.faults["status"] = 503
+        self.assertIsInstance(compare(), Err)
+
     def test_end_of_a_lease_deletes_its_keys(self) -> None:
         holder = lease.LeaseHolder(self.client, ttl_s=5.0, purpose="test")
         holder.start().unwrap()
--- /dev/null
+++ b/tests/test_routes_watch_behind.py
@@ -0,0 +1,133 @@
+"""Routes and keys at gateways whose watch of them is behind, with real ones.
+
+Each watch is told the present revision and none of the changes before it; all
+other calls to the store work.
+"""
+
+import json
+import time
+import unittest
+from collections.abc import Callable, Iterable
+
+import gevent
+
+from mulberrywharf.platform import documents
+from tests import builders_addresses, builders_gateways, processes
+from tests import builders_routes as build
+from tests.test_customer_requests import key_fields
+from tests.test_gateway import GatewayCase
+
+REVOCATION_BOUND_S = 2.0
+
+SCENES = ("all", "readers", "others")
+"""Whose watches are held."""
+
+_WAITS_LONG = "mulberry_watches_waiting_long"
+_NODES_PORT = 7660
+_POLL_S = 0.05
+
+
+class RoutesWatchBehindCase(GatewayCase):
+    """Gateways that know each other; two of them are readers."""
+
+    gateways_count = 4
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.put_routes(1, path="/safe/")
+        net = builders_addresses.claim_net(self)
+        self.views: list[int] = []
+        self.gateways: list[processes.Process] = []
+        for number in range(self.gateways_count):
+            self.views.append(self.store.add_view(lambda _, value: value))
+            self.gateways.append(
+                self.start(
+                    f"entry-{number}",
+                    nodes_listen=f"{net}.{number + 1}:{_NODES_PORT}",
+                    store=f"127.0.0.1:{self.views[number]}",
+                    **self.settings(),
+                )
+            )
+            self.wait_ready()
+        self.assertTrue(builders_gateways.know_each_other(self.gateways))
+
+    def settings(self) -> dict[str, object]:
+        """Returns more settings of the gateways."""
+        return {}
+
+    def put_routes(self, version: int, *, path: str) -> None:
+        """Writes routes with one path."""
+        document = build.routes_document(version)
+        document["routes"] = [{**document["routes"][0], "prefix": path}]
+        document.update(self.customers(version))
+        self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
+
+    def customers(self, version: int) -> dict[str, object]:
+        """Returns the part of the routes with the customers."""
+        return {}
+
+    def read_as(self, number: int, path: str, *, key: str = "") -> int:
+        """Asks a gateway; returns the status of its answer."""
+        self.gateway = self.gateways[number]
+        return self.ask(path, fields=key_fields(key) if key else "").status
+
+    def held(self, scene: str) -> list[int]:
+        """Holds the watches of all gateways, or of those of one kind."""
+        held = [
+            number
+            for number, gateway in enumerate(self.gateways)
+            if scene == "all"
+            or (scene == "readers")
+            == (not builders_gateways.metric(gateway, _WAITS_LONG))
+        ]
+        for number in held:
+            self.store.hold_watches(self.views[number])
+        return held
+
+    def free(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.store.free_watches(self.views[number])
+
+    def last_s(self, is_old: Callable[[int], bool], limit_s: float) -> float:
+        """Returns when a gateway last went by what was replaced."""
+        began_s = time.monotonic()
+        last_s = 0.0
+        while (asked_s := time.monotonic() - began_s) < limit_s:
+            asking = [
+                gevent.spawn(is_old, number)
+                for number in range(self.gateways_count)
+            ]
+            gevent.joinall(asking, raise_error=True)
+            if any(one.value for one in asking):
+                last_s = asked_s
+            gevent.sleep(_POLL_S)
+        return last_s
+
+
+class RevokedKeyTest(RoutesWatchBehindCase):
+    def settings(self) -> dict[str, object]:
+        return {"revocation": {"bound_ms": REVOCATION_BOUND_S * 1000}}
+
+    def customers(self, version: int) -> dict[str, object]:
+        return {"tenants": [{"name": "ann", "api-keys": [f"key-{version}"]}]}
+
+    def test_key_ends_though_watches_skip_its_revocation(self) -> None:
+        """Guards against a revocation that no watch reported."""
+        for version, scene in enumerate(SCENES, start=2):
+            with self.subTest(scene):
+                held = self.held(scene)
+                self.assertTrue(held)
+                self.put_routes(version, path="/safe/")
+                revoked = f"key-{version - 1}"
+                last_s = self.last_s(
+                    lambda number, key=revoked: (
+                        self.read_as(number, "/safe/x", key=key) == 200
+                    ),
+                    REVOCATION_BOUND_S + 2.0,
+                )
+                self.assertLessEqual(last_s, REVOCATION_BOUND_S)
+                self.free(held)
+
+
+if __name__ == "__main__":
+    unittest.main()
