Read a watch again that peers know to have passed over a change

Without customers nobody confirmed the routes: a gateway whose watch was told the store's present revision without a change served the old routes until the next one, and peers' notices did not help, as the revision that the watch had been told counted as seen.

Just after its start a gateway that is no reader waits to hear from one first, so that a fleet that starts does not add a write call each to its registrations.

A watch is compared with peers by what it has reported, or read in full, rather than by the revision it was told. If it was told a later revision it reads all keys again at once. A watch that stays late is reopened first, as before, and read again only if that brought nothing and it is the routes': servers' records take three calls at 850 servers, and watches of a slow store are late without having lost anything. A message that is being received is not interrupted.

The fakes in tests/test_revision_exchange and tests/test_store_restored got the new property; what they check is unchanged.

--- a/src/mulberrywharf/peers/revision_exchange.py
+++ b/src/mulberrywharf/peers/revision_exchange.py
@@ -69,12 +69,24 @@
 unnecessary. It tolerates the loss of one datagram."""
 
 
+_SMALL_MATTERS = frozenset({"routes_revision"})
+"""Matters that are read again on suspicion. The records of 850 servers take
+three calls: while the key-value service is slow, the watches of 340 gateways
+are late without having lost anything."""
+
 _waiting_long_gauge = metrics.gauge(
     "mulberry_watches_waiting_long",
     "1 while watches use long timeouts because a reader is active, else 0.",
 )
 
 
+_read_again = metrics.counter(
+    "mulberry_watches_read_again_total",
+    "Readings of all keys because peers know of a change that the watch did"
+    " not bring, by matter.",
+)
+
+
 class WatchState(Protocol):
     """State of a watch, and a way to reopen it."""
 
@@ -93,10 +105,19 @@
         """Revision up to which the watch delivered every change."""
         ...
 
+    @property
+    def proven_revision(self) -> int:
+        """Revision up to which changes were reported or all keys were read."""
+        ...
+
     def reopen_if_waiting(self) -> None:
         """Reopens the watch if it waits for a change."""
         ...
 
+    def read_again_if_waiting(self) -> None:
+        """Reads all keys again if the watch waits for a change."""
+        ...
+
 
 class Notices(Protocol):
     """Exchanges notices with other gateways."""
@@ -132,7 +153,9 @@
 class RevisionExchange:
     """Compares this gateway's watches with the revisions that peers have seen.
 
-    A watch that stays behind is reopened.
+    A watch that stays behind is reopened. If the service named it a revision
+    without the change up to there, all its keys are read again; those of the
+    routes also if reopening the watch brought nothing.
     """
 
     def __init__(
@@ -155,8 +178,10 @@
         self._notice_counts: dict[tuple[str, int, int], int] = {}
         self._pending: set[str] = set()
         self._reopened_at_s: dict[str, float] = {}
+        self._reopened_for: dict[str, tuple[int, int]] = {}
         self._reader_heard_at_s = float("-inf")
         self._waits_long = False
+        self._began_s = time.monotonic()
         self._task: gevent.Greenlet | None = None
         notices.set_seen_callbacks(self.seen, self.on_seen)
 
@@ -169,6 +194,12 @@
         if self._task is not None:
             self._task.kill()
 
+    @property
+    def relies_on_reader(self) -> bool:
+        """Whether a reader is active, or is still awaited after the start."""
+        is_new = time.monotonic() - self._began_s < READER_TIMEOUT_S
+        return self._waits_long or (is_new and not self._notices.is_reader)
+
     def watch_timeouts(self) -> watch.WatchTimeouts:
         """Returns how long the watches may currently wait."""
         return LONG_TIMEOUTS if self._waits_long else watch.SHORT_TIMEOUTS
@@ -258,7 +289,7 @@
                 key = (name, seen.era, revision)
                 self._notice_counts[key] = self._notice_counts.get(key, 0) + 1
             if (
-                revision > watch_state.seen_revision
+                revision > watch_state.proven_revision
                 and name not in self._pending
             ):
                 self._pending.add(name)
@@ -275,7 +306,7 @@
     def _reopen_if_behind(self, name: str, revision: int) -> None:
         self._pending.discard(name)
         watch_state = self._watches().get(name)
-        if watch_state is None or watch_state.seen_revision >= revision:
+        if watch_state is None or watch_state.proven_revision >= revision:
             return
         self._reopen(name, watch_state, revision, self._era())
 
@@ -287,14 +318,33 @@
         if now_s - last_s < MIN_REOPEN_INTERVAL_S:
             return
         self._reopened_at_s[name] = now_s
+        reads_again = era == self._era() and (
+            watch_state.seen_revision >= revision
+            or self._was_reopened_in_vain(name, watch_state)
+        )
+        self._reopened_for[name] = (era, revision)
         logger.bind(
             matter=name,
             heard=revision,
             heard_era=era,
             seen=watch_state.seen_revision,
+            proven=watch_state.proven_revision,
             seen_era=self._era(),
+            reads_again=reads_again,
         ).warning("peers know of a change that the watch did not bring")
-        watch_state.reopen_if_waiting()
+        if reads_again:
+            _read_again.inc({"matter": name})
+            watch_state.read_again_if_waiting()
+        else:
+            watch_state.reopen_if_waiting()
+
+    def _was_reopened_in_vain(self, name: str, watch_state: WatchState) -> bool:
+        era, revision = self._reopened_for.get(name, (0, 0))
+        return (
+            name in _SMALL_MATTERS
+            and era == self._era()
+            and revision > watch_state.proven_revision
+        )
 
     def _send_if_needed(self) -> None:
         current = self._watches()
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -136,6 +136,7 @@
         self._failures_count = 0
         self._opened_count = 0
         self._changed_revision = 0
+        self._read_revision = 0
         self._readings_count = 0
         self._answered_s = float("-inf")
         self._is_interruptible = False
@@ -171,6 +172,15 @@
         """
         return self._position.revision if self._position else 0
 
+    @property
+    def proven_revision(self) -> int:
+        """Revision up to which changes were reported or all keys were read.
+
+        Lower than ``seen_revision`` if the service named a later revision
+        without a change.
+        """
+        return max(self._changed_revision, self._read_revision)
+
     @property
     def has_read_all(self) -> bool:
         """Whether all present keys were read and changes are followed since.
@@ -246,6 +256,11 @@
         self._run_callback(self._on_reported)
         return is_skipped
 
+    def read_again_if_waiting(self) -> None:
+        """Reads all keys again, unless a message is being received."""
+        if self._stream is None or not self._stream.is_busy:
+            self.read_again()
+
     def read_again(self) -> None:
         """Reads all keys again, because a change was not reported."""
         self._position = None
@@ -345,6 +360,7 @@
                 (kv.mod_revision for kv in found), default=0
             )
         self._readings_count += 1
+        self._read_revision = state.revision
         self._position = state
         return True
 
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -135,6 +135,7 @@
             self._routes,
             _revocation_bound_s(config),
             relay=relay,
+            is_needed=self._needs_confirmed_routes,
         )
         relay.on_question(self._confirmed_routes)
         self._tracker = server_tracker.ServerTracker(
@@ -453,11 +454,20 @@
             return None
         return freshness_relay.Confirmation(routes.version, age_s)
 
+    def _needs_confirmed_routes(self) -> bool:
+        """Tells whether no other gateway would notice that the routes are old.
+
+        Keys need confirmed routes at each gateway.
+        """
+        routes = self._routes.current()
+        has_customers = routes is not None and routes.customers is not None
+        return has_customers or not self._revision_exchange.relies_on_reader
+
     def _on_routes_change(self, routes: table.RouteTable) -> None:
         self._note_stream_sources(routes)
         self._version_history.set_longest_timeout(routes.longest_timeout_s())
+        self._freshness.start()
         if routes.customers is not None:
-            self._freshness.start()
             self._customer_demand.start()
 
     def _note_stream_sources(self, routes: table.RouteTable) -> None:
--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -13,6 +13,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -59,6 +60,9 @@
 MIN_DELAY_S = 0.05
 """Minimum delay between two confirmations, also if callers wait for one."""
 
+UNNEEDED_INTERVAL_S = 1.0
+"""Interval between checks whether confirmations are needed again."""
+
 RESTORE_HOLD_OFF_S = 3.0
 """Time after a restore of the service from a backup in which nothing is
 confirmed: the newest routes may be missing until operators write them again."""
@@ -132,6 +136,7 @@
         age_limit_s: float | None,
         *,
         relay: Relay | None = None,
+        is_needed: Callable[[], bool] = lambda: True,
         system_clock: clock.Clock | None = None,
     ):
         """Creates it; no requests are sent before ``start``.
@@ -142,6 +147,8 @@
             age_limit_s: Maximum age of a usable confirmation, None for
                 ``DEFAULT_AGE_LIMIT_S``.
             relay: Asks other gateways, None to always ask the service.
+            is_needed: Whether to confirm the routes although nobody waits for
+                it.
             system_clock: A clock that also runs while suspended.
         """
         self._client = client
@@ -151,6 +158,7 @@
             RELAYED_AGE_LIMIT_S, RELAYED_AGE_LIMIT_SHARE * self._age_limit_s
         )
         self._relay = relay
+        self._is_needed = is_needed
         self._interval_share = INTERVAL_SHARE
         self._clock = system_clock or clock.BootClock()
         self._confirmed_s = float("-inf")
@@ -207,6 +215,10 @@
 
     def _run(self) -> None:
         while True:
+            if not self._is_needed() and not self._confirmation_requested.wait(
+                UNNEEDED_INTERVAL_S
+            ):
+                continue
             is_confirmed = self._confirm()
             self._record_result(is_confirmed)
             pause_s = (
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -34,11 +34,13 @@
             self.client, documents.StoredDocuments()
         )
         self.clock = SuspendableClock()
+        self.is_needed = True
         self.freshness = freshness.RoutesFreshness(
             self.client,
             self.routes,
             AGE_LIMIT_S,
             relay=self.make_relay(),
+            is_needed=lambda: self.is_needed,
             system_clock=self.clock,
         )
         self.addCleanup(self.freshness.close)
@@ -215,6 +217,17 @@
         )
         self.assertEqual([one.version for one in changes], [2, 3])
 
+    def test_unneeded_confirmations_send_no_calls(self) -> None:
+        self.is_needed = False
+        self.freshness.start()
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertEqual(self.store.calls, [])
+        self.assertTrue(
+            self.freshness.wait_confirmed(
+                self.freshness.now_s(), AGE_LIMIT_S, 1.0
+            )
+        )
+
     def test_waiting_callers_share_a_request(self) -> None:
         """Guards against overloading the service with unknown keys."""
         self.start()
--- a/tests/test_revision_exchange.py
+++ b/tests/test_revision_exchange.py
@@ -21,12 +21,17 @@
     def __init__(self, changed: int, seen: int):
         self.changed_revision = changed
         self.seen_revision = seen
+        self.proven_revision = seen
         self.age_s = 0.5
         self.reopenings_count = 0
+        self.readings_count = 0
 
     def reopen_if_waiting(self) -> None:
         self.reopenings_count += 1
 
+    def read_again_if_waiting(self) -> None:
+        self.readings_count += 1
+
 
 class _Notices:
     def __init__(self) -> None:
@@ -81,10 +86,30 @@
 
     def test_watch_that_delivers_the_change_late_is_not_reopened(self) -> None:
         self.news.on_seen(notice_codec.SeenRevisions(12, 8))
-        self.routes.seen_revision = 12
+        self.routes.seen_revision = self.routes.proven_revision = 12
+        gevent.sleep(_AFTER_REOPEN_DELAY_S)
+        self.assertEqual(self.routes.reopenings_count, 0)
+
+    def test_watch_that_passed_over_a_change_reads_again(self) -> None:
+        """Guards against routes that are lost until the next change.
+
+        The service names a watch a revision without the change up to there.
+        """
+        self.routes.seen_revision = 14
+        self.news.on_seen(notice_codec.SeenRevisions(12, 8))
         gevent.sleep(_AFTER_REOPEN_DELAY_S)
+        self.assertEqual(self.routes.readings_count, 1)
         self.assertEqual(self.routes.reopenings_count, 0)
 
+    def test_watch_that_a_reopening_did_not_help_reads_again(self) -> None:
+        """Guards against reopening a watch that hears nothing for ever."""
+        self.news.on_seen(notice_codec.SeenRevisions(12, 8))
+        gevent.sleep(revision_exchange.MIN_REOPEN_INTERVAL_S + 0.4)
+        self.news.on_seen(notice_codec.SeenRevisions(12, 8))
+        gevent.sleep(_AFTER_REOPEN_DELAY_S)
+        self.assertEqual(self.routes.reopenings_count, 1)
+        self.assertEqual(self.routes.readings_count, 1)
+
     def test_older_revisions_are_ignored(self) -> None:
         self.news.on_seen(notice_codec.SeenRevisions(9, 3))
         gevent.sleep(_AFTER_REOPEN_DELAY_S)
--- a/tests/test_routes_watch_behind.py
+++ b/tests/test_routes_watch_behind.py
@@ -18,6 +18,8 @@
 from tests.test_gateway import GatewayCase
 
 REVOCATION_BOUND_S = 2.0
+NEW_ROUTES_BOUND_S = 2.0 + 5.0
+"""``config-apply-ms`` and ``max-stretch-ms``: the store is impaired."""
 
 SCENES = ("all", "readers", "others")
 """Whose watches are held."""
@@ -104,6 +106,24 @@
         return last_s
 
 
+class OldRoutesTest(RoutesWatchBehindCase):
+    def test_old_routes_end_though_watches_skip_their_change(self) -> None:
+        """Guards against routes that stay old until the next change."""
+        for version, scene in enumerate(SCENES, start=2):
+            with self.subTest(scene):
+                held = self.held(scene)
+                self.assertTrue(held)
+                self.put_routes(version, path=f"/v{version}/")
+                last_s = self.last_s(
+                    lambda number, version=version: (
+                        self.read_as(number, f"/v{version}/x") == 404
+                    ),
+                    NEW_ROUTES_BOUND_S + 2.0,
+                )
+                self.assertLessEqual(last_s, NEW_ROUTES_BOUND_S)
+                self.free(held)
+
+
 class RevokedKeyTest(RoutesWatchBehindCase):
     def settings(self) -> dict[str, object]:
         return {"revocation": {"bound_ms": REVOCATION_BOUND_S * 1000}}
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -379,7 +379,7 @@
 
 class _Watch:
     changed_revision = 50
-    seen_revision = 50
+    seen_revision = proven_revision = 50
     age_s = 0.1
 
     def __init__(self) -> None:
