Confirm routes by a read at a start and behind a restore

Gateways that start together confirmed their routes by a transaction each, which counts as a write: 340 of them beside 340 registrations would reach the store's 400 writes a second. The first confirmation of an era is a read again, as it was before the revision was compared; a restore of the store is the same case.

Red before: the first call behind the watch's reading was POST /kv-txn, with a relay and without one.

--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -304,16 +304,18 @@
         return self.now_s() - self._confirmed_s
 
     def _confirm_by_service(self) -> bool:
-        revision = self._routes.stored_revision or self._revision
-        if revision is not None:
-            compared = self._client.is_unchanged(
-                self._routes.routes_key, mod_revision=revision, purpose=PURPOSE
-            )
-            if isinstance(compared, Err):
-                return False
-            if compared.ok_value:
-                return True
-        return self._read_routes()
+        if self._revision is None:
+            # At a start, and behind a restore, all gateways confirm at once:
+            # the service takes more reads than comparisons.
+            return self._read_routes()
+        compared = self._client.is_unchanged(
+            self._routes.routes_key,
+            mod_revision=self._routes.stored_revision or self._revision,
+            purpose=PURPOSE,
+        )
+        if isinstance(compared, Err):
+            return False
+        return compared.ok_value or self._read_routes()
 
     def _read_routes(self) -> bool:
         self._revision = None
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -133,6 +133,12 @@
         self.put(3)
         self.assertTrue(builders_platform.wait_until(self.is_confirmed))
 
+    def test_malformed_routes_from_the_watch_do_not_confirm(self) -> None:
+        """Guards against confirming the revision of routes not in force."""
+        self.routes.start()
+        self.addCleanup(self.routes.close)
+        self.test_malformed_routes_do_not_confirm()
+
     def test_deleted_routes_do_not_confirm(self) -> None:
         self.start()
         self.store.delete(documents.ROUTES_KEY)
@@ -190,6 +196,14 @@
         gevent.sleep(freshness.RESTORE_HOLD_OFF_S + AGE_LIMIT_S)
         self.assertFalse(self.is_confirmed())
 
+    def test_first_confirmation_is_no_write_call(self) -> None:
+        """Guards against gateways that start at once and spend all writes."""
+        self.routes.start()
+        self.addCleanup(self.routes.close)
+        self.assertIsNotNone(self.routes.wait_first(1.0))
+        self.start()
+        self.assertNotIn(("POST", "/kv-txn"), self.store.calls)
+
     def test_watch_goes_on_from_what_a_confirmation_read(self) -> None:
         """Guards against a watch that stays behind a change it passed over."""
         self.routes.start()
