Test a change of the routes whose history is dropped

The watches of four gateways hear nothing for 1.5 s in which the routes change, then the store drops its history and cuts them.

--- a/tests/test_routes_watch_behind.py
+++ b/tests/test_routes_watch_behind.py
@@ -26,6 +26,7 @@
 
 _WAITS_LONG = "mulberry_watches_waiting_long"
 _NODES_PORT = 7660
+_HEARD_NOTHING_S = 1.5
 _POLL_S = 0.05
 
 
@@ -123,6 +124,18 @@
                 self.assertLessEqual(last_s, NEW_ROUTES_BOUND_S)
                 self.free(held)
 
+    def test_old_routes_end_though_their_history_is_dropped(self) -> None:
+        """Guards against a change that some watches lose with its history."""
+        held = self.held("all")
+        gevent.spawn_later(_HEARD_NOTHING_S, self.store.drop_history)
+        gevent.spawn_later(_HEARD_NOTHING_S, self.free, held)
+        self.put_routes(2, path="/v2/")
+        last_s = self.last_s(
+            lambda number: self.read_as(number, "/v2/x") == 404,
+            NEW_ROUTES_BOUND_S + 2.0,
+        )
+        self.assertLessEqual(last_s, NEW_ROUTES_BOUND_S)
+
 
 class RevokedKeyTest(RoutesWatchBehindCase):
     def settings(self) -> dict[str, object]:
