Move the tests of the review beside what they test

One module held tests of the history of versions, of the server list, of the judge of streams and of real gateways. Each is in the module of its subject now; tests/test_streams_begun_elsewhere has those of real gateways.

--- a/tests/test_server_list.py
+++ b/tests/test_server_list.py
@@ -17,6 +17,7 @@
 
 HOLD_S = 0.6
 KEY = documents.SERVERS_PREFIX + "i-1"
+READ_S = 0.2
 
 
 def _rate_limited(query: dict[str, Any]) -> _http.Reply:
@@ -330,3 +331,51 @@
         self.addCleanup(fresh.close)
         builders_platform.wait_until(lambda: len(fresh.usable("plain")) == 7)
         self.assertEqual(len(fresh.usable("plain")), 7)
+
+
+class ConfirmationReadTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = self.enterContext(build.running_store())
+        client = build.store_client(self.store.port)
+        self.addCleanup(client.close)
+        self.list = servers.ServerList(client, documents.StoredDocuments())
+        self.store.put(KEY, build.server_value())
+        self.list.start()
+        self.addCleanup(self.list.close)
+        self.assertTrue(
+            builders_platform.wait_until(lambda: bool(self.list.all()))
+        )
+
+    def test_confirmation_rests_on_no_read_of_before_it(self) -> None:
+        """Guards against a read shared with who asks behind its sending."""
+        read = self.store._range
+
+        def read_late(query: dict[str, str]) -> Any:
+            reply = read(query)
+            gevent.sleep(READ_S)
+            return reply
+
+        with (
+            mock.patch.object(self.store, "_events", lambda *_: []),
+            mock.patch.object(self.store, "_range", read_late),
+        ):
+            first = gevent.spawn(self.list.confirm_versions)
+            gevent.sleep(READ_S / 2)
+            self.store.put(KEY + "1", build.server_value(version="v2"))
+            self.assertFalse(self.list.confirm_versions())
+            self.assertTrue(first.get())
+
+    def test_confirmation_takes_no_stale_answers(self) -> None:
+        """Guards against a confirmation by records of seconds ago."""
+        queries: list[dict[str, str]] = []
+        read = self.store._range
+
+        def note(query: dict[str, str]) -> Any:
+            queries.append(query)
+            return read(query)
+
+        with mock.patch.object(self.store, "_range", note):
+            self.assertTrue(self.list.confirm_versions())
+        self.assertTrue(queries)
+        for query in queries:
+            self.assertNotIn("allow-stale", query)
--- a/tests/test_stream_order.py
+++ b/tests/test_stream_order.py
@@ -1,6 +1,7 @@
 """Tests of the judge of streams on answers made by hand."""
 
 import unittest
+from typing import Any
 
 from proofs import stream_order
 
@@ -175,5 +176,32 @@
         self.assertEqual(answer.rest, b"HTTP")
 
 
+class LastPieceTest(unittest.TestCase):
+    def cases(self, *blocks: bytes, rest: bytes = b"") -> list[Any]:
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(b), b) for b in blocks)
+        raw = head + chunks + b"0\r\n\r\n" + rest
+        return stream_order.judge(
+            "s", 2, [stream_order.Attempt("", "", "", raw)]
+        )
+
+    def test_judge_misses_nothing_behind_the_last_piece(self) -> None:
+        """Guards against a judge that calls broken answers whole."""
+        one, two, three = (
+            f"id: {at}\ndata: s {at} dec-1 v1 run\n\n".encode()
+            for at in (1, 2, 3)
+        )
+        self.assertEqual(self.cases(one, two), [])
+        broken = {
+            "a piece too many": self.cases(one, two, three),
+            "an id goes back": self.cases(one, two, b"id: 1\n\n"),
+            "half an event": self.cases(one, two, three[:-2]),
+            "bytes behind the end": self.cases(one, two, rest=two),
+        }
+        for what, found in broken.items():
+            with self.subTest(what):
+                self.assertTrue(found)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -7,6 +7,7 @@
 from tests import builders_routes as build
 
 SERVICE = "service"
+LONG_TIMEOUT_S = 60.0
 
 
 def key(version: str) -> int:
@@ -252,5 +253,31 @@
         self.assertTrue(self.is_single("a", 60.0 + hold_s))
 
 
+class HoldTest(unittest.TestCase):
+    def test_version_is_held_as_long_as_its_routes_streams_last(self) -> None:
+        """Guards against a version forgotten as the longest route goes."""
+        history = stream_version.VersionHistory()
+        history.set_longest_timeout(LONG_TIMEOUT_S)
+        older = build.server("s1", role="decode")
+        newer = build.server("s2", role="decode", software_version="v2")
+        history.set_following(True, 0.0)
+        history.set_servers([older, newer], 200.0)
+        history.set_servers([newer], 201.0)
+        self.assertFalse(history.seen(SERVICE, 220.0).is_single)
+        history.set_longest_timeout(5.0)
+        self.assertFalse(history.seen(SERVICE, 220.0).is_single)
+
+    def test_history_is_no_sooner_complete_as_its_longest_route_goes(
+        self,
+    ) -> None:
+        """Guards against versions that left before the first reading."""
+        history = stream_version.VersionHistory()
+        history.set_longest_timeout(LONG_TIMEOUT_S)
+        history.set_following(True, 0.0)
+        history.set_servers([build.server("s1", role="decode")], 0.0)
+        history.set_longest_timeout(5.0)
+        self.assertFalse(history.seen(SERVICE, 20.0).is_complete)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stream_review.py
+++ b/tests/test_streams_begun_elsewhere.py
@@ -1,4 +1,4 @@
-"""Streams that hold events of two versions by what gateways believe of them."""
+"""Tests that no version is inferred from a wrong belief of a stream's start."""
 
 import base64
 import json
@@ -9,13 +9,9 @@
 
 import gevent
 
-from mulberrywharf.forwarding import servers
 from mulberrywharf.platform import documents
-from mulberrywharf.policy import stream_version
-from proofs import stream_order
 from tests import builders_out_of_step as build
 from tests import builders_platform, test_gateway
-from tests import builders_routes as routes_build
 
 BEHIND, OTHERS = build.BEHIND, build.OTHERS
 OLDER, NEWER = build.OLDER, build.NEWER
@@ -23,9 +19,6 @@
 _HEAD_BYTES = 60
 """An acceptance fits, the head of an answer doesn't."""
 
-_KEY = documents.SERVERS_PREFIX + "i-1"
-_READ_S = 0.2
-_LONG_TIMEOUT_S = 60.0
 _LOST_COUNT = 8
 _PAUSE_S = 1.0
 """Time after which a helper that was lost is asked again."""
@@ -35,7 +28,7 @@
 _TAKEN_UP_S = build.HOLD_S + 0.8
 
 
-class StreamReviewTest(build.OutOfStepCase):
+class BegunElsewhereTest(build.OutOfStepCase):
     def begin_by_second_helper(self, name: str) -> tuple[list[int], bytes]:
         """Begins a stream through the second of two helpers.
 
@@ -201,106 +194,5 @@
         self.play_other_service(divide)
 
 
-class HoldTest(unittest.TestCase):
-    def test_version_is_held_as_long_as_its_routes_streams_last(self) -> None:
-        """Guards against a version forgotten as the longest route goes."""
-        history = stream_version.VersionHistory()
-        history.set_longest_timeout(_LONG_TIMEOUT_S)
-        older = routes_build.server("s1", role="decode")
-        newer = routes_build.server("s2", role="decode", software_version="v2")
-        history.set_following(True, 0.0)
-        history.set_servers([older, newer], 200.0)
-        history.set_servers([newer], 201.0)
-        self.assertFalse(history.seen("service", 220.0).is_single)
-        history.set_longest_timeout(5.0)
-        self.assertFalse(history.seen("service", 220.0).is_single)
-
-    def test_history_is_no_sooner_complete_as_its_longest_route_goes(
-        self,
-    ) -> None:
-        """Guards against versions that left before the first reading."""
-        history = stream_version.VersionHistory()
-        history.set_longest_timeout(_LONG_TIMEOUT_S)
-        history.set_following(True, 0.0)
-        history.set_servers([routes_build.server("s1", role="decode")], 0.0)
-        history.set_longest_timeout(5.0)
-        self.assertFalse(history.seen("service", 20.0).is_complete)
-
-
-class ConfirmationReadTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.store = self.enterContext(routes_build.running_store())
-        client = routes_build.store_client(self.store.port)
-        self.addCleanup(client.close)
-        self.list = servers.ServerList(client, documents.StoredDocuments())
-        self.store.put(_KEY, routes_build.server_value())
-        self.list.start()
-        self.addCleanup(self.list.close)
-        self.assertTrue(
-            builders_platform.wait_until(lambda: bool(self.list.all()))
-        )
-
-    def test_confirmation_rests_on_no_read_of_before_it(self) -> None:
-        """Guards against a read shared with who asks behind its sending."""
-        read = self.store._range
-
-        def read_late(query: dict[str, str]) -> Any:
-            reply = read(query)
-            gevent.sleep(_READ_S)
-            return reply
-
-        with (
-            mock.patch.object(self.store, "_events", lambda *_: []),
-            mock.patch.object(self.store, "_range", read_late),
-        ):
-            first = gevent.spawn(self.list.confirm_versions)
-            gevent.sleep(_READ_S / 2)
-            self.store.put(_KEY + "1", routes_build.server_value(version="v2"))
-            self.assertFalse(self.list.confirm_versions())
-            self.assertTrue(first.get())
-
-    def test_confirmation_takes_no_stale_answers(self) -> None:
-        """Guards against a confirmation by records of seconds ago."""
-        queries: list[dict[str, str]] = []
-        read = self.store._range
-
-        def note(query: dict[str, str]) -> Any:
-            queries.append(query)
-            return read(query)
-
-        with mock.patch.object(self.store, "_range", note):
-            self.assertTrue(self.list.confirm_versions())
-        self.assertTrue(queries)
-        for query in queries:
-            self.assertNotIn("allow-stale", query)
-
-
-class JudgeTest(unittest.TestCase):
-    def cases(self, *blocks: bytes, rest: bytes = b"") -> list[Any]:
-        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-        chunks = b"".join(b"%x\r\n%b\r\n" % (len(b), b) for b in blocks)
-        raw = head + chunks + b"0\r\n\r\n" + rest
-        return stream_order.judge(
-            "s", 2, [stream_order.Attempt("", "", "", raw)]
-        )
-
-    def test_judge_misses_nothing_behind_the_last_piece(self) -> None:
-        """Guards against a judge that calls broken answers whole."""
-        one, two, three = (
-            f"id: {at}\ndata: s {at} dec-1 v1 run\n\n".encode()
-            for at in (1, 2, 3)
-        )
-        self.assertEqual(self.cases(one, two), [])
-        broken = {
-            "a piece too many": self.cases(one, two, three),
-            "an id goes back": self.cases(one, two, b"id: 1\n\n"),
-            "half an event": self.cases(one, two, three[:-2]),
-            "bytes behind the end": self.cases(one, two, rest=two),
-        }
-        for what, found in broken.items():
-            with self.subTest(what):
-                self.assertTrue(found)
-
-
 if __name__ == "__main__":
     unittest.main()
