Stop gateways in a test that hold a share of repeats

test_stream_at_its_second_server_ends_whole_in_a_stop started its second gateway beside the first one, which was stopping. On a loaded machine the first had run for long enough to hold every share of the allowance; what a new holder takes over has to cool down, so the second gateway had no repeat, and a broken stream ended visibly.

Both gateways start together now and hold a share, which the test awaits, before they are stopped.

--- a/tests/test_event_forms.py
+++ b/tests/test_event_forms.py
@@ -1,5 +1,6 @@
 """Streams whose events have every form that SSE allows, at real gateways."""
 
+import functools
 import json
 import signal
 import unittest
@@ -11,6 +12,7 @@
 from mulberrywharf.platform import documents
 from tests import (
     builders_paths,
+    builders_platform,
     callers_fixture,
     processes,
     test_broken_answers,
@@ -292,17 +294,25 @@
 
 
 class StopTest(SlowCase):
+    gateways_count = 2
+
     def test_stream_at_its_second_server_ends_whole_in_a_stop(self) -> None:
-        for reloads in (False, True):
+        for number, reloads in enumerate((False, True)):
             with self.subTest(reloads=reloads):
-                if reloads:
-                    self.start_gateways(1)
+                gateway = self.gateways[number]
+                # A repeat is charged to a share of the allowance.
+                held = "mulberry_repeat_shares_held_count"
+                self.assertTrue(
+                    builders_platform.wait_until(
+                        functools.partial(self.metric, number, held), 15.0
+                    )
+                )
                 self.break_first(1)
-                sock = self.begin(0, "begun")
+                sock = self.begin(number, f"begun-{number}")
                 data = self.read_until(sock, b"id: 3\n")
-                self.gateways[-1].signal(signal.SIGTERM)
+                gateway.signal(signal.SIGTERM)
                 if reloads:
-                    self.gateways[-1].signal(signal.SIGHUP)
+                    gateway.signal(signal.SIGHUP)
                 data += self.read_until(sock, b"\r\n0\r\n\r\n")
                 self.assertEqual(self.numbers_in(data), NUMBERS)
 
