Refuse numbers in completion bodies that no engine can read

A body with "temperature": 1e400 passed the check, as Python's parser makes it infinity without asking for a constant, and was written anew for the engine as Infinity, which is no JSON. Integers of any number of digits went along, too.

Floats must be finite, integers have up to 20 digits; the answer is 400 and names the number, before anything is counted or sent.

Red before: test_numbers_that_no_engine_can_read_are_refused (4 of 4 values; one was refused as no JSON). Green: it, test_caller_request, test_completions, test_problems (31 of 31).

--- a/src/mulberrywharf/callers/_completion_body.py
+++ b/src/mulberrywharf/callers/_completion_body.py
@@ -5,22 +5,31 @@
 """
 
 import json
+import math
 from collections.abc import Mapping
 from typing import Any
 
 from mulberrywharf import errors
 
 MAX_TOKENS_LIMIT = 131_072
+_DIGITS_LIMIT_COUNT = 20
+"""Digits of an integer in a body; engines have 64 bits for any of them."""
 
 
 def json_object(body: bytes) -> dict[str, Any]:
     """Parses the body as a JSON object.
 
     Rejects ``NaN`` and ``Infinity``, which Python's parser accepts although
-    they are not JSON.
+    they are not JSON, and numbers that are parsed as infinity or that engines
+    have no type for: the body is written anew for an engine.
     """
     try:
-        document = json.loads(body, parse_constant=_reject_constant)
+        document = json.loads(
+            body,
+            parse_constant=_reject_constant,
+            parse_float=_finite_float,
+            parse_int=_short_integer,
+        )
     except (ValueError, RecursionError) as error:
         raise errors.BadRequestError("the body is not JSON") from error
     if not isinstance(document, dict):
@@ -32,6 +41,21 @@
     raise ValueError(f"{name} is not JSON")
 
 
+def _finite_float(text: str) -> float:
+    number = float(text)
+    if not math.isfinite(number):
+        raise errors.BadRequestError(f"the number {text:.40} is too large")
+    return number
+
+
+def _short_integer(text: str) -> int:
+    if len(text) > _DIGITS_LIMIT_COUNT:
+        raise errors.BadRequestError(
+            f"the number {text:.40} has more than {_DIGITS_LIMIT_COUNT} digits"
+        )
+    return int(text)
+
+
 def check_one_choice(body: dict[str, Any]) -> None:
     """Rejects a request for several choices in one answer."""
     # A stream with several choices has no single count of delivered tokens, so
--- a/tests/test_caller_request.py
+++ b/tests/test_caller_request.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from mulberrywharf import errors
+from mulberrywharf.callers import _completion_body
 from tests import callers_fixture as fixture
 
 _CHUNKED = b"transfer-encoding: chunked"
@@ -289,5 +290,17 @@
                 self.assertNotIn("Error", problems.status_line(kind.status))
 
 
+class BodyNumbersTest(unittest.TestCase):
+    def test_numbers_that_no_engine_can_read_are_refused(self) -> None:
+        """Guards against a body for engines that is no JSON."""
+        for number in ("1e400", "-1e400", "9" * 21, "9" * 5_000):
+            with self.subTest(number[:30]):
+                body = f'{{"model": "m", "temperature": {number}}}'.encode()
+                with self.assertRaises(errors.BadRequestError) as raised:
+                    _completion_body.json_object(body)
+                self.assertIn(number[:30], raised.exception.message)
+                self.assertLess(len(raised.exception.message), 200)
+
+
 if __name__ == "__main__":
     unittest.main()
