Begin the runs of streams again with ports that stand-ins hold

`python -m proofs.stream_order_runs` ended with a TypeError, then with an AttributeError: it had its own ways to bind a proxy's port again and to hold that of a server that begins again, and stand-ins hold their ports themselves since.

A server that begins again in place keeps its port now, and both wait for a fork that still holds an old listener, as before.

--- a/proofs/stream_order_fleet.py
+++ b/proofs/stream_order_fleet.py
@@ -21,7 +21,13 @@
 from mulberrywharf.platform import documents
 from mulberrywharf.policy import stream_version
 from proofs import stream_order, stream_order_callers
-from standins import _http, fault_proxy, platform_server, platform_store
+from standins import (
+    _http,
+    fault_proxy,
+    http_control,
+    platform_server,
+    platform_store,
+)
 from tests import builders_addresses, processes
 from tests import builders_routes as build
 
@@ -194,23 +200,17 @@
     def begin_again(self, server_id: str, version: str, away_s: float) -> None:
         """Ends in the middle of everything and starts again in place."""
         with self._starting:
-            self.close()
-            with contextlib.ExitStack() as held:
-                _try_again(
-                    lambda: held.enter_context(
-                        platform_server._held_port(self._ip, self.port)
-                    )
-                )
-                gevent.sleep(away_s)
-                self.software_version = version
-                self.restart(server_id)
+            http_control.stop_server(self._server)
+            gevent.sleep(away_s)
+            self.software_version = version
+            _try_again(lambda: self.restart(server_id))
 
 
 class Path(fault_proxy.FaultProxy):
     """A fault proxy whose port a process that is being started may hold."""
 
-    def _bind(self, port: int) -> None:
-        _try_again(lambda: super(Path, self)._bind(port))
+    def _bind(self) -> None:
+        _try_again(super()._bind)
 
 
 def _try_again(bind: Callable[[], object]) -> None:
