Say plainly why a misdirected send is not counted

Found while reading the change once more: the comment was figurative. A comment alone; behaviour is unchanged. Lint, types and test_generation (41 tests) pass.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -725,7 +725,7 @@
         if isinstance(sent, Err) and isinstance(
             sent.err_value, errors.MisdirectedError
         ):
-            # An engine that has ended leaves as much time as if not tried.
+            # It is refused at once, so the limit on sends need not count it.
             self._sends_count -= 1
         return sent
 
