Draw suspected engines last when only some are compared

What callers saw: 503, refused with 421, beside two sound engines and twelve records of ended ones.

Cause: eight engines of a role are compared for a prompt, the three home engines of its shared part and five drawn at random. That a suspected engine is the last resort was a cost of the comparison only, so a draw without a sound engine sent the request to an ended one, again and again: each such send cost a repeat, until one was refused. If all three homes have ended, five of the eleven others hold neither of the two sound ones with a chance of 0.27.

Change: engines that are not suspected are drawn first.

--- a/src/mulberrywharf/forwarding/engine_estimates.py
+++ b/src/mulberrywharf/forwarding/engine_estimates.py
@@ -319,7 +319,8 @@
         """Returns the engines of one role to consider for a prompt.
 
         Prefers engines whose queues have the same owner as a home's queue,
-        because one query to the owner covers all of them.
+        because one query to the owner covers all of them. Suspected engines
+        come last: a sample of them alone would leave out all sound ones.
 
         Args:
             home_engines: Home engines of the shared part, the first home first;
@@ -327,14 +328,20 @@
             candidates: All engines of the role.
             rng: Samples the other engines.
         """
-        if not self._queue_owners.is_used:
-            return part_homes.sample(home_engines, candidates, rng)
-        owners = {self.queue_owner(home) for home in home_engines}
+        now_s = self._clock.monotonic_s()
+        owners: set[fleet.Address | None] = set()
+        if self._queue_owners.is_used:
+            owners = {self.queue_owner(home) for home in home_engines}
         return part_homes.sample(
             home_engines,
             candidates,
             rng,
-            is_preferred=lambda one: self.queue_owner(one) in owners,
+            is_preferred=lambda one: (
+                bool(owners) and self.queue_owner(one) in owners
+            ),
+            is_suspected=lambda one: self._tracker.is_suspected(
+                one.start, now_s
+            ),
         )
 
     def query_waits(
--- a/src/mulberrywharf/policy/part_homes.py
+++ b/src/mulberrywharf/policy/part_homes.py
@@ -51,6 +51,7 @@
     rng: random.Random,
     *,
     is_preferred: Callable[[fleet.Server], bool] = lambda _: False,
+    is_suspected: Callable[[fleet.Server], bool] = lambda _: False,
 ) -> list[fleet.Server]:
     """Returns the engines of one role that are compared for a prompt.
 
@@ -59,10 +60,12 @@
         candidates: All engines of the role.
         rng: Draws the other engines.
         is_preferred: Returns whether an engine is drawn before others.
+        is_suspected: Returns whether an engine is drawn only if no other is
+            left.
     """
     if len(candidates) <= SAMPLE_COUNT:
         return list(candidates)
     others = [one for one in candidates if one not in home_engines]
     rng.shuffle(others)
-    others.sort(key=lambda one: not is_preferred(one))
+    others.sort(key=lambda one: (is_suspected(one), not is_preferred(one)))
     return [*home_engines, *others[: SAMPLE_COUNT - len(home_engines)]]
--- a/tests/test_prompt_placement.py
+++ b/tests/test_prompt_placement.py
@@ -170,6 +170,23 @@
         self.assertEqual(found[:3], homes)
         self.assertEqual(len(set(found)), part_homes.SAMPLE_COUNT)
 
+    def test_sample_does_not_leave_out_the_sound_engines(self) -> None:
+        """Guards against plans that compare suspected engines alone."""
+        engines = [build.server(f"e{number}") for number in range(100)]
+        homes = part_homes.home_engines_of(7, engines)
+        sound = {one for one in engines[:8] if one not in homes}
+        for seed in range(50):
+            found = part_homes.sample(
+                homes,
+                engines,
+                random.Random(seed),
+                is_preferred=lambda one: one not in sound,
+                is_suspected=lambda one: one not in sound,
+            )
+            left_out = sound.difference(found)
+            self.assertEqual(len(found), part_homes.SAMPLE_COUNT)
+            self.assertEqual(len(left_out), max(0, len(sound) - 5))
+
 
 class BurstTest(unittest.TestCase):
     """Simulates a burst of long prompts.
