Tell the owner of a request limit that the limit has ended

What callers saw: 503 ("dec-2 accepts 0 requests per second") at one gateway for seconds after another one had an answer of that server without a limit.

Cause: a belief without an age. A gateway that learns the end of a limit makes no further claim, so the owner isn't told; and a refused gateway asked again only when its slot came up, which takes 8 s while owners aren't settled and the limit is 0. In a traced run gateway 1 knew the end 1.3 s before the faults had ended; gateway 0 refused callers 3.8 s behind it.

Change: whoever learns the end from an answer sends the owner its statement, by the message of a claim, and a refused gateway asks again after 2 s, the interval at which a settled owner lets a server of limit 0 be tried. No more requests are granted.

Red before: both new tests. test_server_limit, test_router_limit and the tests of limits pass.

--- a/src/mulberrywharf/limit_claims.py
+++ b/src/mulberrywharf/limit_claims.py
@@ -127,6 +127,23 @@
         _claims_total.inc({"result": "silent"})
         return None
 
+    def tell_owner(
+        self, server: fleet.Server, statement: limit_grants.LimitStatement
+    ) -> None:
+        """Tells the owner of a server's limit that the limit has ended.
+
+        Args:
+            server: The server.
+            statement: The server's statement, without a limit.
+        """
+        key = notice_codec.hash_server_start(server.start)
+        for owner in self._owners.limit_owners(key, server.availability_zone):
+            claim = limit_grants.Claim(
+                key, owner.rank, owner.is_settled, statement, 0.0
+            )
+            if self._claim_at(owner.address, claim) is not None:
+                return
+
     def _claim_at(
         self, address: fleet.Address | None, claim: limit_grants.Claim
     ) -> limit_grants.Grant | None:
--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -31,6 +31,10 @@
 """Time after which a request is claimed again if no owner of the limit has
 replied."""
 
+ASK_AGAIN_S = 1.0 / limit_grants.TRIAL_PER_S
+"""Time after which a refused request is claimed again, however long it would
+have to wait. The owner may know by then that the limit has changed."""
+
 _LOGGED_TEXT_LIMIT = 64
 
 _changes_total = metrics.counter(
@@ -68,8 +72,10 @@
     Attributes:
         requests_per_s: The limit.
         stated_s: Monotonic time of the answer that stated it.
-        next_s: Monotonic time at which the next request can probably be sent.
+        next_s: Monotonic time at which the next request can probably be sent,
+            or the owner is asked again.
         return_s: Monotonic time at which the last refused caller may return.
+        claimed: The server of the last claim, None before the first.
     """
 
     def __init__(self, requests_per_s: float, stated_s: float):
@@ -77,6 +83,7 @@
         self.stated_s = stated_s
         self.next_s = float("-inf")
         self.return_s = float("-inf")
+        self.claimed: fleet.Server | None = None
 
 
 class ServerLimits:
@@ -203,13 +210,14 @@
             return Ok(SendPermit(server.start))
         if self.wait_s(server.start) > max_wait_s:
             return Err(self.exceeded(server))
+        entry.claimed = server
         grant = self._claim(server, entry, max_wait_s)
         if grant is None:
             return Err(self.exceeded(server))
         now_s = self._clock.monotonic_s()
         self._adopt(server.start, grant.statement)
         if not grant.is_granted:
-            entry.next_s = now_s + grant.wait_s
+            entry.next_s = now_s + min(grant.wait_s, ASK_AGAIN_S)
             return Err(self.exceeded(server))
         slot_s = now_s + grant.wait_s
         if grant.wait_s > 0:
@@ -339,6 +347,10 @@
             entry.stated_s = stated_s
         statement = limit_grants.LimitStatement(per_s, stated_s)
         self._claims.note_statement(start, statement)
+        has_ended = per_s is None and source == "answer"
+        if has_ended and entry is not None and entry.claimed is not None:
+            # No further claim of this node would bring the owner the news.
+            gevent.spawn(self._claims.tell_owner, entry.claimed, statement)
         if before_per_s != per_s:
             self._log_change(start, before_per_s, per_s, source)
 
--- a/tests/test_limit_owners.py
+++ b/tests/test_limit_owners.py
@@ -2,6 +2,7 @@
 
 import itertools
 import unittest
+from typing import Any
 
 from gevent import socket
 from result import Err
@@ -9,6 +10,7 @@
 from mulberrywharf import clock, errors, fleet, limit_claims, server_limits
 from mulberrywharf.peers import datagrams, limit_codec, limit_datagrams
 from mulberrywharf.policy import limit_grants, request_limits
+from tests import builders_platform
 from tests import builders_routes as build
 
 LIMIT_PER_S = 10.0
@@ -153,6 +155,60 @@
         self.assertEqual(self.acquired_count(self.limits), 20)
         self.assertIsNone(self.limits.limit_per_s(SERVER.start))
 
+    def test_the_owner_learns_of_the_end_of_a_limit(self) -> None:
+        """Other gateways left a server idle whose limit one knew as ended."""
+        other_peers = Peers()
+        other_peers.rank(self.owner_at)
+        _, owners = self.start(other_peers)
+        other = self.limits_with(owners)
+        self.assertLessEqual(self.acquired_count(other), 3)
+        self.acquired_count(self.limits)
+        self.limits.note_answer(
+            SERVER.start, request_limits.NoLimit(), may_end=True
+        )
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: (
+                    other.acquire(SERVER, 1.0).is_ok()
+                    and other.limit_per_s(SERVER.start) is None
+                )
+            )
+        )
+
+
+class RefusingClaims:
+    """An owner that has granted all time slots of the next minute."""
+
+    def __init__(self) -> None:
+        self.claims_count = 0
+
+    def note_statement(self, *_: object) -> None:
+        """Takes what a server states."""
+
+    def claim(
+        self, _: object, statement: limit_grants.LimitStatement, __: float
+    ) -> limit_grants.Grant:
+        self.claims_count += 1
+        return limit_grants.Grant(False, 60.0, statement)
+
+
+class AskAgainTest(unittest.TestCase):
+    def test_a_refused_claim_is_repeated_before_its_wait_has_passed(
+        self,
+    ) -> None:
+        """Guards against a limit that is believed for long behind its end."""
+        manual_clock = build.ManualClock()
+        claims: Any = RefusingClaims()
+        limits = server_limits.ServerLimits(manual_clock, claims)
+        limits.note_answer(
+            SERVER.start, request_limits.RequestLimit(0.0), may_end=True
+        )
+        for count in (1, 2):
+            for _ in range(3):
+                self.assertIsInstance(limits.acquire(SERVER), Err)
+            self.assertEqual(claims.claims_count, count)
+            manual_clock.now_s += server_limits.ASK_AGAIN_S
+
 
 class PermitTest(unittest.TestCase):
     def setUp(self) -> None:
