Probe a service whose return to the own path has failed

What callers saw: 502 for a stream that may not be repeated, at a gateway whose connections to all engines were reset and that had noticed so for another service a second before.

Cause: behind a cut, a few requests try the own path again, for 2 s. If one of them fails at one of several engines, the service counts as reachable still, so its requests were handed over once and the return went on, and ended as if nothing had failed. In the traced run dec-2 was unreachable 0.09 s before the return ended; 1 s later a request that may run once was lost at dec-1.

Change: a failure since the return began lets the other servers of the service be probed, at most once a second. If the path is lost, they fail, too, and requests are handed over again.

--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -29,8 +29,9 @@
 
 SWEEP_PAUSE_S = 1.0
 """Shortest interval between two sweeps of a service. A sweep probes its other
-servers after one has fallen silent. Without it, each silent server would cost a
-request the timeout of a connection."""
+servers after one has fallen silent, or has failed while the own path is tried
+again. Without it, each silent server would cost a request the timeout of a
+connection."""
 
 CONTACT_S = 0.2
 """Age of the last answer of a service up to which there is no sweep. An answer
@@ -231,11 +232,29 @@
                     service, self._servers.status(service), now_s
                 )
                 self._probe_due(service, now_s)
+                self._check_return(service, now_s)
                 if self._paths.state(service) == "lost":
                     self._interrupt_silent(service, now_s)
             self._questions.ask()
             gevent.sleep(TICK_S)
 
+    def _check_return(self, service: str, now_s: float) -> None:
+        """Probes the servers of a service if its return to the path failed.
+
+        One unreachable server of several leaves the service reachable, so the
+        return would go on, and a request that may not be repeated would be
+        lost at the next server.
+        """
+        returning_s = self._paths.returning_s(service, now_s)
+        swept_s = self._swept_s.get(service, float("-inf"))
+        if returning_s is None or now_s - swept_s < SWEEP_PAUSE_S:
+            return
+        if any(
+            one.unreachable_s <= returning_s
+            for one in self._servers.unreachable(service, now_s)
+        ):
+            self._sweep(service, now_s)
+
     def _interrupt_silent(self, service: str, now_s: float) -> None:
         """Ends exchanges that wait for servers that can't be reached."""
         silent = [
@@ -259,7 +278,7 @@
         )
 
     def _sweep(self, service: str, now_s: float) -> None:
-        """Probes other servers of a service whose servers fall silent.
+        """Probes the servers of a service that count as reachable.
 
         If the service can't be reached at all, other services are probably
         unreachable, too.
--- a/src/mulberrywharf/policy/lost_path.py
+++ b/src/mulberrywharf/policy/lost_path.py
@@ -167,6 +167,18 @@
         path = self._paths.get(service)
         return path.state if path is not None else "own"
 
+    def returning_s(self, service: str, now_s: float) -> float | None:
+        """Returns for how long requests have tried the own path again.
+
+        Returns:
+            The time in seconds, None unless the service's state is
+            ``returning``.
+        """
+        path = self._paths.get(service)
+        if path is None or path.state != "returning":
+            return None
+        return now_s - path.since_s
+
     def unsettled(self) -> tuple[str, ...]:
         """Returns the services whose state is not ``own``."""
         return tuple(
--- a/tests/test_lost_path_failures.py
+++ b/tests/test_lost_path_failures.py
@@ -144,6 +144,20 @@
             self.assert_served(range(3))
             gevent.sleep(lost_path.RETURN_LIMIT_S)
 
+    def test_return_to_a_lost_path_is_given_up_behind_one_failure(
+        self,
+    ) -> None:
+        """Guards against requests lost on a path whose return had failed."""
+        self.start_gateways(2)
+        self.lose([0], "cut")
+        self.cut([0], "pass")
+        # The path is returning then, and no request has used it.
+        gevent.sleep(1.5)
+        self.cut([0], "cut")
+        self.assert_served([0], ["/stream/x"])
+        gevent.sleep(lost_path.RETURN_LIMIT_S)
+        self.assert_served([0], ["/once/x"])
+
     def test_own_path_is_used_again(self) -> None:
         self.start_gateways(2)
         self.lose([0], "refuse")
