Move open answers out of generation.py

Why: forwarding/generation.py has 1,055 lines and several jobs. Who sends an answer that is being read, an engine or another gateway, is one of them, and needs nothing of a request's attempts.

What moved: _EngineAnswer, _HelperAnswer and _OpenAnswer are EngineAnswer, HelperAnswer and OpenAnswer in forwarding/open_answers.py; _source_of is log_fields there, and _Generation._note_ended is note_ended, which is given the tracker. generation.py has 1,004 lines. Nothing behaves differently, and no test changed.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -13,7 +13,6 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import (
-    _exchange,
     clock,
     errors,
     fleet,
@@ -27,6 +26,7 @@
     engine_pool,
     events,
     handover,
+    open_answers,
     repeats,
     request,
     server_client,
@@ -146,55 +146,6 @@
         ).open()
 
 
-class _EngineAnswer(NamedTuple):
-    """An answer that is being read, and the engine that generates it."""
-
-    server: fleet.Server
-    answer: server_client.StartedAnswer
-    began_s: float
-
-    @property
-    def head(self) -> request.AnswerHead:
-        return self.answer.head
-
-    @property
-    def exchange(self) -> _exchange.Exchange:
-        return self.answer.exchange
-
-    @property
-    def is_framed(self) -> bool:
-        return self.answer.is_framed
-
-    @property
-    def version_key(self) -> stream_version.VersionKey | None:
-        return stream_version.key_of(self.server.software_version)
-
-
-class _HelperAnswer(NamedTuple):
-    """An answer that is being read, relayed by another gateway."""
-
-    handed: handover.OpenHandover
-
-    @property
-    def head(self) -> request.AnswerHead:
-        return self.handed.answer.head
-
-    @property
-    def exchange(self) -> _exchange.Exchange:
-        return self.handed.answer.exchange
-
-    @property
-    def is_framed(self) -> bool:
-        return self.handed.answer.is_framed
-
-    @property
-    def version_key(self) -> stream_version.VersionKey | None:
-        return self.handed.answer.version_key
-
-
-_OpenAnswer = _EngineAnswer | _HelperAnswer
-
-
 class _Prefilled(NamedTuple):
     """A prefilled prompt that no decode engine has taken over yet."""
 
@@ -276,7 +227,7 @@
             self._routed_request, self._route, self._service
         )
 
-    def _start_within_limit(self) -> _OpenAnswer:
+    def _start_within_limit(self) -> open_answers.OpenAnswer:
         bound = gevent.Timeout(self._limit.left_s())
         try:
             with bound:
@@ -290,7 +241,7 @@
         finally:
             self._release_cache()
 
-    def _start(self) -> _OpenAnswer:
+    def _start(self) -> open_answers.OpenAnswer:
         while True:
             attempted = self._attempt_once()
             if isinstance(attempted, Err):
@@ -300,7 +251,9 @@
             else:
                 return attempted.ok_value
 
-    def _attempt_once(self) -> Result[_OpenAnswer, errors.EngineError]:
+    def _attempt_once(
+        self,
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError]:
         """Sends the request once, after a separate prefill if that is best.
 
         If the stream may go on at one software version only, the decode engine
@@ -349,7 +302,9 @@
         except errors.StreamNotResumableError as error:
             raise self._no_engine_error(error) from error
 
-    def _attempt_on_own_path(self) -> Result[_OpenAnswer, errors.EngineError]:
+    def _attempt_on_own_path(
+        self,
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError]:
         prefilled = self._usable_prefill()
         if prefilled is None:
             placed, permit = self._place()
@@ -385,7 +340,7 @@
 
     def _hand_over(
         self, reason: str
-    ) -> Result[_OpenAnswer, errors.EngineError] | None:
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError] | None:
         """Lets another gateway answer; returns None if none takes the request.
 
         Raises:
@@ -404,7 +359,7 @@
         self._runs_count += 1
         self._sends_count += 1
         if isinstance(handed, Ok):
-            return Ok(_HelperAnswer(handed.ok_value))
+            return Ok(open_answers.HelperAnswer(handed.ok_value))
         error = handed.err_value
         if isinstance(error, errors.EngineError):
             return Err(error)
@@ -610,7 +565,7 @@
 
     def _generate(
         self, placed: engine_estimates.Placed, permit: server_limits.SendPermit
-    ) -> Result[_OpenAnswer, errors.EngineError]:
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError]:
         server = placed.plan.decode.server
         prefilled, self._prefilled = self._prefilled, None
         # A handle can be used only once. If this attempt fails, it is unknown
@@ -664,9 +619,9 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
-        return Ok(_EngineAnswer(server, sent.ok_value, began_s))
+        return Ok(open_answers.EngineAnswer(server, sent.ok_value, began_s))
 
-    def _replaces_failure(self, run: _OpenAnswer) -> bool:
+    def _replaces_failure(self, run: open_answers.OpenAnswer) -> bool:
         """Returns whether another engine is to answer in place of a failure.
 
         An engine that fails a part of its requests would otherwise cost the
@@ -675,25 +630,19 @@
         """
         return (
             self._may_run_again
-            and isinstance(run, _EngineAnswer)
+            and isinstance(run, open_answers.EngineAnswer)
             and outcome.is_server_fault(run.head.status)
             and not self._is_limit_reached()
             and not self._crashes.is_blocked()
             and self._repeats.may_send()
         )
 
-    def _discard(self, run: _OpenAnswer) -> None:
+    def _discard(self, run: open_answers.OpenAnswer) -> None:
         run.exchange.close()
-        self._note_ended(run)
-        if isinstance(run, _EngineAnswer):
+        open_answers.note_ended(run, self._dependencies.tracker)
+        if isinstance(run, open_answers.EngineAnswer):
             self._excluded.add(run.server.start)
 
-    def _note_ended(self, run: _OpenAnswer) -> None:
-        if isinstance(run, _EngineAnswer):
-            self._dependencies.tracker.ended(run.server.start)
-        else:
-            run.handed.end()
-
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
             self._routed_request,
@@ -762,7 +711,7 @@
             message, retry_after_s=RETRY_AFTER_REFUSED_S
         )
 
-    def _events(self, run: _OpenAnswer) -> Iterator[bytes]:
+    def _events(self, run: open_answers.OpenAnswer) -> Iterator[bytes]:
         """Yields complete events; at the end also bytes after the last one.
 
         Raises:
@@ -780,7 +729,7 @@
             run = self._resume(broken)
 
     def _relay(
-        self, run: _OpenAnswer
+        self, run: open_answers.OpenAnswer
     ) -> Generator[bytes, None, errors.EngineError | None]:
         """Yields one engine's events; returns the error if it broke off."""
         splitter = events.EventSplitter()
@@ -829,15 +778,15 @@
             exchange.finish()
             return None
         except errors.StreamBrokenError as error:
-            if isinstance(run, _EngineAnswer):
+            if isinstance(run, open_answers.EngineAnswer):
                 self._note_answer_lost(run.server, error)
             return error
         finally:
             exchange.close()
-            self._note_ended(run)
+            open_answers.note_ended(run, self._dependencies.tracker)
             self._log_stream(run, gaps)
 
-    def _note_output(self, run: _OpenAnswer) -> None:
+    def _note_output(self, run: open_answers.OpenAnswer) -> None:
         """Records, before its first event is passed on, who began a stream."""
         if self._has_output:
             return
@@ -847,7 +796,7 @@
         if self._only_version is None:
             self._only_version = run.version_key
         self._state.version_key = self._only_version
-        if isinstance(run, _EngineAnswer):
+        if isinstance(run, open_answers.EngineAnswer):
             self._crashes.note_answer_began()
         # A helper's answer may be lost, and another one begin the stream. The
         # gateway that relays it to the caller knows which one did.
@@ -863,7 +812,7 @@
 
     def _note_end(
         self,
-        run: _OpenAnswer,
+        run: open_answers.OpenAnswer,
         splitter: events.EventSplitter,
     ) -> answer_end.End:
         ending = answer_end.Ending(
@@ -875,16 +824,18 @@
         return answer_ends.note(
             self._routed_request.request_id,
             self._route.name,
-            _source_of(run),
+            open_answers.log_fields(run),
             ending,
         )
 
-    def _unmarked_end_error(self, run: _OpenAnswer) -> errors.EngineError:
+    def _unmarked_end_error(
+        self, run: open_answers.OpenAnswer
+    ) -> errors.EngineError:
         """Returns the error for an end that the caller must not take for one.
 
         The caller's answer marks its end, as its first engine's did.
         """
-        if isinstance(run, _EngineAnswer):
+        if isinstance(run, open_answers.EngineAnswer):
             self._excluded.add(run.server.start)
         return errors.StreamBrokenError(
             "the end of the resumed stream is not marked"
@@ -892,12 +843,12 @@
 
     def _note_broken(
         self,
-        run: _OpenAnswer,
+        run: open_answers.OpenAnswer,
         error: errors.EngineError,
         *,
         made_output: bool,
     ) -> None:
-        if isinstance(run, _HelperAnswer):
+        if isinstance(run, open_answers.HelperAnswer):
             run.handed.note_lost()
             return
         self._note_answer_lost(run.server, error)
@@ -905,26 +856,31 @@
             run.server, run.began_s, error, made_output=made_output
         )
 
-    def _note_complete(self, run: _OpenAnswer, began_s: float) -> None:
-        if isinstance(run, _HelperAnswer) or not run.head.is_success:
+    def _note_complete(
+        self, run: open_answers.OpenAnswer, began_s: float
+    ) -> None:
+        if (
+            isinstance(run, open_answers.HelperAnswer)
+            or not run.head.is_success
+        ):
             return
         self._dependencies.tracker.succeeded(run.server.start)
         self._dependencies.estimates.ended(run.server, self._since_s(began_s))
         self._crashes.note_completed()
 
     def _log_stream(
-        self, run: _OpenAnswer, gaps: stream_gaps.StreamGaps
+        self, run: open_answers.OpenAnswer, gaps: stream_gaps.StreamGaps
     ) -> None:
         logger.bind(
             request_id=self._routed_request.request_id,
             route=self._route.name,
-            **_source_of(run),
+            **open_answers.log_fields(run),
             run_s=round(gaps.run_s, 3),
             worst_gap_s=round(gaps.longest_gap_s, 3),
             gap_target_s=self._route.gap_target_s,
         ).info("stream")
 
-    def _resume(self, error: errors.EngineError) -> _OpenAnswer:
+    def _resume(self, error: errors.EngineError) -> open_answers.OpenAnswer:
         """Resumes at another engine after the last event delivered."""
         if self._has_output:
             self._only_version = self._dependencies.versions.go_on(
@@ -937,14 +893,14 @@
         run = self._start_within_limit()
         if not run.head.is_success:
             run.exchange.close()
-            self._note_ended(run)
+            open_answers.note_ended(run, self._dependencies.tracker)
             raise errors.BackEndLostError(
                 "the stream was not resumed",
                 outcome="unknown",
             )
         logger.bind(
             request_id=self._routed_request.request_id,
-            **_source_of(run),
+            **open_answers.log_fields(run),
             last_event_id=self._place_in_stream.last_event_id,
             reason=error.code,
         ).info("resumed")
@@ -1043,13 +999,6 @@
         self._tracker.ended(self._start)
 
 
-def _source_of(run: _OpenAnswer) -> dict[str, str]:
-    """Returns the log fields that tell who sends an answer."""
-    if isinstance(run, _EngineAnswer):
-        return {"server_id": run.server.server_id}
-    return {"helper": str(run.handed.address)}
-
-
 def _fetch_from(placed: engine_estimates.Placed) -> fleet.Address | None:
     source = placed.plan.fetch_from
     return source.address if source is not None else None
