Move the relaying of a stream out of generation.py

Why: passing on the events of the answers that make one stream, and recording how each of these answers ends, is a job of its own. generation.py keeps the attempts, and decides whether a stream goes on and at which version.

What moved to forwarding/stream_relay.py: StreamState; _Generation._relay as StreamRelay.relay, with _note_output, _note_end, _note_broken, _note_complete and _log_stream (now _log). _unmarked_end_error is part of relay. The stream's place is an argument, as the attempts read it, too.

Nothing behaves differently: - Whatever answer the relay returns an error for, its engine is excluded from further attempts, as before; now in one place, _events. Nothing reads the excluded engines between the two moments. - _has_begun replaces _has_output in a generation. They differ only behind output of a failure, where no attempt follows and so nothing reads it. - Log lines keep their messages and fields; "module" of the line "stream" is stream_relay now. No test changed.

The whole suite was not run.

--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -5,7 +5,7 @@
 resume at another engine after the last event that the caller has received.
 """
 
-from collections.abc import Generator, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 import gevent
@@ -20,7 +20,6 @@
 )
 from mulberrywharf.crashes import crash_watch
 from mulberrywharf.forwarding import (
-    answer_ends,
     ejection_filter,
     engine_estimates,
     engine_pool,
@@ -31,14 +30,13 @@
     request,
     server_client,
     server_tracker,
+    stream_relay,
     stream_versions,
     time_limits,
 )
 from mulberrywharf.policy import (
-    answer_end,
     observed_waits,
     outcome,
-    stream_gaps,
     stream_version,
 )
 from mulberrywharf.routes import kinds, table
@@ -57,23 +55,6 @@
 _FAILURE_STATUS = 500
 
 
-class StreamState:
-    """What is known of a stream; settled once it has yielded its first block.
-
-    Attributes:
-        head: Of the engine that sent its first event.
-        is_framed: Whether that engine marks the end of its answer.
-        end: What its end proves; settled at the end.
-        version_key: Software version that began it, None if it is unknown.
-    """
-
-    def __init__(self, head: request.AnswerHead) -> None:
-        self.head = head
-        self.is_framed = True
-        self.version_key: stream_version.VersionKey | None = None
-        self.end: answer_end.End = "broken"
-
-
 class StreamAnswer(NamedTuple):
     """A streamed answer whose head has been received.
 
@@ -85,7 +66,7 @@
     """
 
     blocks: Iterator[bytes]
-    state: StreamState
+    state: stream_relay.StreamState
 
     @property
     def head(self) -> request.AnswerHead:
@@ -183,7 +164,7 @@
         self._is_admitted = received is not None and received.is_admitted
         self._was_placed = False
         self._was_handed_over = False
-        self._has_output = False
+        self._has_begun = False
         self._only_version: stream_version.VersionKey | None = None
         self._crashes = dependencies.crashes.of(routed_request, service.name)
         self._repeats = dependencies.repeats.of(routed_request, service.name)
@@ -197,8 +178,30 @@
             self._note_started()
             raise
         self._note_started()
-        self._state = StreamState(run.head)
-        return StreamAnswer(self._events(run), self._state)
+        relay = self._new_relay(run)
+        return StreamAnswer(self._events(run, relay), relay.state)
+
+    def _new_relay(
+        self, run: open_answers.OpenAnswer
+    ) -> stream_relay.StreamRelay:
+        dependencies = self._dependencies
+        return stream_relay.StreamRelay(
+            stream_relay.Dependencies(
+                dependencies.estimates,
+                dependencies.tracker,
+                dependencies.client,
+                dependencies.system_clock,
+            ),
+            stream_relay.StreamedRequest(
+                self._routed_request.request_id,
+                self._route,
+                self._limit,
+                self._crashes,
+            ),
+            self._place_in_stream,
+            run.head,
+            self._note_begun,
+        )
 
     def _take_up(self) -> None:
         """Finds the version of a stream that the caller takes up.
@@ -453,7 +456,7 @@
         Returns:
             Whether there are such engines.
         """
-        if not self._has_output:
+        if not self._has_begun:
             return False
         of_version = {
             server.start
@@ -640,6 +643,9 @@
     def _discard(self, run: open_answers.OpenAnswer) -> None:
         run.exchange.close()
         open_answers.note_ended(run, self._dependencies.tracker)
+        self._exclude(run)
+
+    def _exclude(self, run: open_answers.OpenAnswer) -> None:
         if isinstance(run, open_answers.EngineAnswer):
             self._excluded.add(run.server.start)
 
@@ -711,7 +717,9 @@
             message, retry_after_s=RETRY_AFTER_REFUSED_S
         )
 
-    def _events(self, run: open_answers.OpenAnswer) -> Iterator[bytes]:
+    def _events(
+        self, run: open_answers.OpenAnswer, relay: stream_relay.StreamRelay
+    ) -> Iterator[bytes]:
         """Yields complete events; at the end also bytes after the last one.
 
         Raises:
@@ -719,83 +727,27 @@
                 not end in time.
         """
         while True:
-            broken = yield from self._relay(run)
+            broken = yield from relay.relay(run)
             if broken is None:
                 return
+            self._exclude(run)
             if not (run.head.is_success and self._place_in_stream.is_known):
                 # No answer of another run may follow its head, and no event
                 # may come twice.
                 raise errors.BackEndLostError(broken.message, outcome="unknown")
             run = self._resume(broken)
 
-    def _relay(
+    def _note_begun(
         self, run: open_answers.OpenAnswer
-    ) -> Generator[bytes, None, errors.EngineError | None]:
-        """Yields one engine's events; returns the error if it broke off."""
-        splitter = events.EventSplitter()
-        if not self._has_output:
-            self._state.head = run.head
-            self._state.is_framed = run.is_framed
-        exchange = run.exchange
-        began_s = self._dependencies.system_clock.monotonic_s()
-        gaps = stream_gaps.StreamGaps(began_s)
-        try:
-            while True:
-                received = exchange.read_some(self._limit.left_s())
-                if self._limit.is_over:
-                    raise errors.DeadlineExceededError(
-                        "the answer did not end in time", outcome="unknown"
-                    )
-                if isinstance(received, Err):
-                    self._note_broken(
-                        run, received.err_value, made_output=gaps.has_begun
-                    )
-                    return received.err_value
-                if not received.ok_value:
-                    break
-                found = splitter.feed(received.ok_value)
-                new_events = self._place_in_stream.pass_on(found)
-                if new_events:
-                    gaps.note(self._dependencies.system_clock.monotonic_s())
-                    self._note_output(run)
-                    yield new_events
-            end = self._note_end(run, splitter)
-            if end == "broken":
-                error = errors.StreamBrokenError(
-                    "the stream ended inside an event, or before any"
-                )
-                made_output = splitter.has_events
-                self._note_broken(run, error, made_output=made_output)
-                return error
-            if end == "unmarked" and self._state.is_framed:
-                return self._unmarked_end_error(run)
-            self._state.end = end
-            if end == "complete":
-                self._note_complete(run, began_s)
-            if splitter.pending:
-                self._note_output(run)
-                yield splitter.pending
-            exchange.finish()
-            return None
-        except errors.StreamBrokenError as error:
-            if isinstance(run, open_answers.EngineAnswer):
-                self._note_answer_lost(run.server, error)
-            return error
-        finally:
-            exchange.close()
-            open_answers.note_ended(run, self._dependencies.tracker)
-            self._log_stream(run, gaps)
+    ) -> stream_version.VersionKey | None:
+        """Records, before its first event is passed on, who began a stream.
 
-    def _note_output(self, run: open_answers.OpenAnswer) -> None:
-        """Records, before its first event is passed on, who began a stream."""
-        if self._has_output:
-            return
-        self._has_output = True
-        if not run.head.is_success:
-            return
+        Returns:
+            The software version that began it, None if it is unknown.
+        """
+        self._has_begun = True
         if self._only_version is None:
             self._only_version = run.version_key
-        self._state.version_key = self._only_version
         if isinstance(run, open_answers.EngineAnswer):
             self._crashes.note_answer_began()
         # A helper's answer may be lost, and another one begin the stream. The
@@ -809,80 +761,11 @@
             self._dependencies.versions.note_begun(
                 self._routed_request, self._service.name, self._only_version
             )
-
-    def _note_end(
-        self,
-        run: open_answers.OpenAnswer,
-        splitter: events.EventSplitter,
-    ) -> answer_end.End:
-        ending = answer_end.Ending(
-            is_framed=run.is_framed,
-            is_event_stream=run.head.is_event_stream,
-            has_events=splitter.has_events,
-            is_inside_event=splitter.is_inside_event,
-        )
-        return answer_ends.note(
-            self._routed_request.request_id,
-            self._route.name,
-            open_answers.log_fields(run),
-            ending,
-        )
-
-    def _unmarked_end_error(
-        self, run: open_answers.OpenAnswer
-    ) -> errors.EngineError:
-        """Returns the error for an end that the caller must not take for one.
-
-        The caller's answer marks its end, as its first engine's did.
-        """
-        if isinstance(run, open_answers.EngineAnswer):
-            self._excluded.add(run.server.start)
-        return errors.StreamBrokenError(
-            "the end of the resumed stream is not marked"
-        )
-
-    def _note_broken(
-        self,
-        run: open_answers.OpenAnswer,
-        error: errors.EngineError,
-        *,
-        made_output: bool,
-    ) -> None:
-        if isinstance(run, open_answers.HelperAnswer):
-            run.handed.note_lost()
-            return
-        self._note_answer_lost(run.server, error)
-        self._crashes.note_failed(
-            run.server, run.began_s, error, made_output=made_output
-        )
-
-    def _note_complete(
-        self, run: open_answers.OpenAnswer, began_s: float
-    ) -> None:
-        if (
-            isinstance(run, open_answers.HelperAnswer)
-            or not run.head.is_success
-        ):
-            return
-        self._dependencies.tracker.succeeded(run.server.start)
-        self._dependencies.estimates.ended(run.server, self._since_s(began_s))
-        self._crashes.note_completed()
-
-    def _log_stream(
-        self, run: open_answers.OpenAnswer, gaps: stream_gaps.StreamGaps
-    ) -> None:
-        logger.bind(
-            request_id=self._routed_request.request_id,
-            route=self._route.name,
-            **open_answers.log_fields(run),
-            run_s=round(gaps.run_s, 3),
-            worst_gap_s=round(gaps.longest_gap_s, 3),
-            gap_target_s=self._route.gap_target_s,
-        ).info("stream")
+        return self._only_version
 
     def _resume(self, error: errors.EngineError) -> open_answers.OpenAnswer:
         """Resumes at another engine after the last event delivered."""
-        if self._has_output:
+        if self._has_begun:
             self._only_version = self._dependencies.versions.go_on(
                 self._routed_request,
                 self._service.name,
