--- a/src/mulberrywharf/forwarding/generation.py
+++ b/src/mulberrywharf/forwarding/generation.py
@@ -5,7 +5,7 @@
 resume at another engine after the last event that the caller has received.
 """
 
-from collections.abc import Generator, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 import gevent
@@ -13,7 +13,6 @@
 from result import Err, Ok, Result
 
 from mulberrywharf import (
-    _exchange,
     clock,
     errors,
     fleet,
@@ -21,24 +20,23 @@
 )
 from mulberrywharf.crashes import crash_watch
 from mulberrywharf.forwarding import (
-    answer_ends,
     ejection_filter,
     engine_estimates,
     engine_pool,
     events,
     handover,
+    open_answers,
     repeats,
     request,
     server_client,
     server_tracker,
+    stream_relay,
     stream_versions,
     time_limits,
 )
 from mulberrywharf.policy import (
-    answer_end,
     observed_waits,
     outcome,
-    stream_gaps,
     stream_version,
 )
 from mulberrywharf.routes import kinds, table
@@ -57,23 +55,6 @@
 _FAILURE_STATUS = 500
 
 
-class StreamState:
-    """What is known of a stream; settled once it has yielded its first block.
-
-    Attributes:
-        head: Of the engine that sent its first event.
-        is_framed: Whether that engine marks the end of its answer.
-        end: What its end proves; settled at the end.
-        version_key: Software version that began it, None if it is unknown.
-    """
-
-    def __init__(self, head: request.AnswerHead) -> None:
-        self.head = head
-        self.is_framed = True
-        self.version_key: stream_version.VersionKey | None = None
-        self.end: answer_end.End = "broken"
-
-
 class StreamAnswer(NamedTuple):
     """A streamed answer whose head has been received.
 
@@ -85,7 +66,7 @@
     """
 
     blocks: Iterator[bytes]
-    state: StreamState
+    state: stream_relay.StreamState
 
     @property
     def head(self) -> request.AnswerHead:
@@ -146,55 +127,6 @@
         ).open()
 
 
-class _EngineAnswer(NamedTuple):
-    """An answer that is being read, and the engine that generates it."""
-
-    server: fleet.Server
-    answer: server_client.StartedAnswer
-    began_s: float
-
-    @property
-    def head(self) -> request.AnswerHead:
-        return self.answer.head
-
-    @property
-    def exchange(self) -> _exchange.Exchange:
-        return self.answer.exchange
-
-    @property
-    def is_framed(self) -> bool:
-        return self.answer.is_framed
-
-    @property
-    def version_key(self) -> stream_version.VersionKey | None:
-        return stream_version.key_of(self.server.software_version)
-
-
-class _HelperAnswer(NamedTuple):
-    """An answer that is being read, relayed by another gateway."""
-
-    handed: handover.OpenHandover
-
-    @property
-    def head(self) -> request.AnswerHead:
-        return self.handed.answer.head
-
-    @property
-    def exchange(self) -> _exchange.Exchange:
-        return self.handed.answer.exchange
-
-    @property
-    def is_framed(self) -> bool:
-        return self.handed.answer.is_framed
-
-    @property
-    def version_key(self) -> stream_version.VersionKey | None:
-        return self.handed.answer.version_key
-
-
-_OpenAnswer = _EngineAnswer | _HelperAnswer
-
-
 class _Prefilled(NamedTuple):
     """A prefilled prompt that no decode engine has taken over yet."""
 
@@ -232,7 +164,7 @@
         self._is_admitted = received is not None and received.is_admitted
         self._was_placed = False
         self._was_handed_over = False
-        self._has_output = False
+        self._has_begun = False
         self._only_version: stream_version.VersionKey | None = None
         self._crashes = dependencies.crashes.of(routed_request, service.name)
         self._repeats = dependencies.repeats.of(routed_request, service.name)
@@ -246,8 +178,30 @@
             self._note_started()
             raise
         self._note_started()
-        self._state = StreamState(run.head)
-        return StreamAnswer(self._events(run), self._state)
+        relay = self._new_relay(run)
+        return StreamAnswer(self._events(run, relay), relay.state)
+
+    def _new_relay(
+        self, run: open_answers.OpenAnswer
+    ) -> stream_relay.StreamRelay:
+        dependencies = self._dependencies
+        return stream_relay.StreamRelay(
+            stream_relay.Dependencies(
+                dependencies.estimates,
+                dependencies.tracker,
+                dependencies.client,
+                dependencies.system_clock,
+            ),
+            stream_relay.StreamedRequest(
+                self._routed_request.request_id,
+                self._route,
+                self._limit,
+                self._crashes,
+            ),
+            self._place_in_stream,
+            run.head,
+            self._note_begun,
+        )
 
     def _take_up(self) -> None:
         """Finds the version of a stream that the caller takes up.
@@ -276,7 +230,7 @@
             self._routed_request, self._route, self._service
         )
 
-    def _start_within_limit(self) -> _OpenAnswer:
+    def _start_within_limit(self) -> open_answers.OpenAnswer:
         bound = gevent.Timeout(self._limit.left_s())
         try:
             with bound:
@@ -290,7 +244,7 @@
         finally:
             self._release_cache()
 
-    def _start(self) -> _OpenAnswer:
+    def _start(self) -> open_answers.OpenAnswer:
         while True:
             attempted = self._attempt_once()
             if isinstance(attempted, Err):
@@ -300,7 +254,9 @@
             else:
                 return attempted.ok_value
 
-    def _attempt_once(self) -> Result[_OpenAnswer, errors.EngineError]:
+    def _attempt_once(
+        self,
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError]:
         """Sends the request once, after a separate prefill if that is best.
 
         If the stream may go on at one software version only, the decode engine
@@ -349,7 +305,9 @@
         except errors.StreamNotResumableError as error:
             raise self._no_engine_error(error) from error
 
-    def _attempt_on_own_path(self) -> Result[_OpenAnswer, errors.EngineError]:
+    def _attempt_on_own_path(
+        self,
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError]:
         prefilled = self._usable_prefill()
         if prefilled is None:
             placed, permit = self._place()
@@ -385,7 +343,7 @@
 
     def _hand_over(
         self, reason: str
-    ) -> Result[_OpenAnswer, errors.EngineError] | None:
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError] | None:
         """Lets another gateway answer; returns None if none takes the request.
 
         Raises:
@@ -404,7 +362,7 @@
         self._runs_count += 1
         self._sends_count += 1
         if isinstance(handed, Ok):
-            return Ok(_HelperAnswer(handed.ok_value))
+            return Ok(open_answers.HelperAnswer(handed.ok_value))
         error = handed.err_value
         if isinstance(error, errors.EngineError):
             return Err(error)
@@ -498,7 +456,7 @@
         Returns:
             Whether there are such engines.
         """
-        if not self._has_output:
+        if not self._has_begun:
             return False
         of_version = {
             server.start
@@ -610,7 +568,7 @@
 
     def _generate(
         self, placed: engine_estimates.Placed, permit: server_limits.SendPermit
-    ) -> Result[_OpenAnswer, errors.EngineError]:
+    ) -> Result[open_answers.OpenAnswer, errors.EngineError]:
         server = placed.plan.decode.server
         prefilled, self._prefilled = self._prefilled, None
         # A handle can be used only once. If this attempt fails, it is unknown
@@ -664,9 +622,9 @@
                 self._runs_count += 1
             return sent
         self._runs_count += 1
-        return Ok(_EngineAnswer(server, sent.ok_value, began_s))
+        return Ok(open_answers.EngineAnswer(server, sent.ok_value, began_s))
 
-    def _replaces_failure(self, run: _OpenAnswer) -> bool:
+    def _replaces_failure(self, run: open_answers.OpenAnswer) -> bool:
         """Returns whether another engine is to answer in place of a failure.
 
         An engine that fails a part of its requests would otherwise cost the
@@ -675,24 +633,21 @@
         """
         return (
             self._may_run_again
-            and isinstance(run, _EngineAnswer)
+            and isinstance(run, open_answers.EngineAnswer)
             and outcome.is_server_fault(run.head.status)
             and not self._is_limit_reached()
             and not self._crashes.is_blocked()
             and self._repeats.may_send()
         )
 
-    def _discard(self, run: _OpenAnswer) -> None:
+    def _discard(self, run: open_answers.OpenAnswer) -> None:
         run.exchange.close()
-        self._note_ended(run)
-        if isinstance(run, _EngineAnswer):
-            self._excluded.add(run.server.start)
+        open_answers.note_ended(run, self._dependencies.tracker)
+        self._exclude(run)
 
-    def _note_ended(self, run: _OpenAnswer) -> None:
-        if isinstance(run, _EngineAnswer):
-            self._dependencies.tracker.ended(run.server.start)
-        else:
-            run.handed.end()
+    def _exclude(self, run: open_answers.OpenAnswer) -> None:
+        if isinstance(run, open_answers.EngineAnswer):
+            self._excluded.add(run.server.start)
 
     def _new_attempt(self, server: fleet.Server) -> request.Attempt:
         return request.Attempt(
@@ -762,7 +717,9 @@
             message, retry_after_s=RETRY_AFTER_REFUSED_S
         )
 
-    def _events(self, run: _OpenAnswer) -> Iterator[bytes]:
+    def _events(
+        self, run: open_answers.OpenAnswer, relay: stream_relay.StreamRelay
+    ) -> Iterator[bytes]:
         """Yields complete events; at the end also bytes after the last one.
 
         Raises:
@@ -770,84 +727,28 @@
                 not end in time.
         """
         while True:
-            broken = yield from self._relay(run)
+            broken = yield from relay.relay(run)
             if broken is None:
                 return
+            self._exclude(run)
             if not (run.head.is_success and self._place_in_stream.is_known):
                 # No answer of another run may follow its head, and no event
                 # may come twice.
                 raise errors.BackEndLostError(broken.message, outcome="unknown")
             run = self._resume(broken)
 
-    def _relay(
-        self, run: _OpenAnswer
-    ) -> Generator[bytes, None, errors.EngineError | None]:
-        """Yields one engine's events; returns the error if it broke off."""
-        splitter = events.EventSplitter()
-        if not self._has_output:
-            self._state.head = run.head
-            self._state.is_framed = run.is_framed
-        exchange = run.exchange
-        began_s = self._dependencies.system_clock.monotonic_s()
-        gaps = stream_gaps.StreamGaps(began_s)
-        try:
-            while True:
-                received = exchange.read_some(self._limit.left_s())
-                if self._limit.is_over:
-                    raise errors.DeadlineExceededError(
-                        "the answer did not end in time", outcome="unknown"
-                    )
-                if isinstance(received, Err):
-                    self._note_broken(
-                        run, received.err_value, made_output=gaps.has_begun
-                    )
-                    return received.err_value
-                if not received.ok_value:
-                    break
-                found = splitter.feed(received.ok_value)
-                new_events = self._place_in_stream.pass_on(found)
-                if new_events:
-                    gaps.note(self._dependencies.system_clock.monotonic_s())
-                    self._note_output(run)
-                    yield new_events
-            end = self._note_end(run, splitter)
-            if end == "broken":
-                error = errors.StreamBrokenError(
-                    "the stream ended inside an event, or before any"
-                )
-                made_output = splitter.has_events
-                self._note_broken(run, error, made_output=made_output)
-                return error
-            if end == "unmarked" and self._state.is_framed:
-                return self._unmarked_end_error(run)
-            self._state.end = end
-            if end == "complete":
-                self._note_complete(run, began_s)
-            if splitter.pending:
-                self._note_output(run)
-                yield splitter.pending
-            exchange.finish()
-            return None
-        except errors.StreamBrokenError as error:
-            if isinstance(run, _EngineAnswer):
-                self._note_answer_lost(run.server, error)
-            return error
-        finally:
-            exchange.close()
-            self._note_ended(run)
-            self._log_stream(run, gaps)
+    def _note_begun(
+        self, run: open_answers.OpenAnswer
+    ) -> stream_version.VersionKey | None:
+        """Records, before its first event is passed on, who began a stream.
 
-    def _note_output(self, run: _OpenAnswer) -> None:
-        """Records, before its first event is passed on, who began a stream."""
-        if self._has_output:
-            return
-        self._has_output = True
-        if not run.head.is_success:
-            return
+        Returns:
+            The software version that began it, None if it is unknown.
+        """
+        self._has_begun = True
         if self._only_version is None:
             self._only_version = run.version_key
-        self._state.version_key = self._only_version
-        if isinstance(run, _EngineAnswer):
+        if isinstance(run, open_answers.EngineAnswer):
             self._crashes.note_answer_began()
         # A helper's answer may be lost, and another one begin the stream. The
         # gateway that relays it to the caller knows which one did.
@@ -860,73 +761,11 @@
             self._dependencies.versions.note_begun(
                 self._routed_request, self._service.name, self._only_version
             )
+        return self._only_version
 
-    def _note_end(
-        self,
-        run: _OpenAnswer,
-        splitter: events.EventSplitter,
-    ) -> answer_end.End:
-        ending = answer_end.Ending(
-            is_framed=run.is_framed,
-            is_event_stream=run.head.is_event_stream,
-            has_events=splitter.has_events,
-            is_inside_event=splitter.is_inside_event,
-        )
-        return answer_ends.note(
-            self._routed_request.request_id,
-            self._route.name,
-            _source_of(run),
-            ending,
-        )
-
-    def _unmarked_end_error(self, run: _OpenAnswer) -> errors.EngineError:
-        """Returns the error for an end that the caller must not take for one.
-
-        The caller's answer marks its end, as its first engine's did.
-        """
-        if isinstance(run, _EngineAnswer):
-            self._excluded.add(run.server.start)
-        return errors.StreamBrokenError(
-            "the end of the resumed stream is not marked"
-        )
-
-    def _note_broken(
-        self,
-        run: _OpenAnswer,
-        error: errors.EngineError,
-        *,
-        made_output: bool,
-    ) -> None:
-        if isinstance(run, _HelperAnswer):
-            run.handed.note_lost()
-            return
-        self._note_answer_lost(run.server, error)
-        self._crashes.note_failed(
-            run.server, run.began_s, error, made_output=made_output
-        )
-
-    def _note_complete(self, run: _OpenAnswer, began_s: float) -> None:
-        if isinstance(run, _HelperAnswer) or not run.head.is_success:
-            return
-        self._dependencies.tracker.succeeded(run.server.start)
-        self._dependencies.estimates.ended(run.server, self._since_s(began_s))
-        self._crashes.note_completed()
-
-    def _log_stream(
-        self, run: _OpenAnswer, gaps: stream_gaps.StreamGaps
-    ) -> None:
-        logger.bind(
-            request_id=self._routed_request.request_id,
-            route=self._route.name,
-            **_source_of(run),
-            run_s=round(gaps.run_s, 3),
-            worst_gap_s=round(gaps.longest_gap_s, 3),
-            gap_target_s=self._route.gap_target_s,
-        ).info("stream")
-
-    def _resume(self, error: errors.EngineError) -> _OpenAnswer:
+    def _resume(self, error: errors.EngineError) -> open_answers.OpenAnswer:
         """Resumes at another engine after the last event delivered."""
-        if self._has_output:
+        if self._has_begun:
             self._only_version = self._dependencies.versions.go_on(
                 self._routed_request,
                 self._service.name,
@@ -937,14 +776,14 @@
         run = self._start_within_limit()
         if not run.head.is_success:
             run.exchange.close()
-            self._note_ended(run)
+            open_answers.note_ended(run, self._dependencies.tracker)
             raise errors.BackEndLostError(
                 "the stream was not resumed",
                 outcome="unknown",
             )
         logger.bind(
             request_id=self._routed_request.request_id,
-            **_source_of(run),
+            **open_answers.log_fields(run),
             last_event_id=self._place_in_stream.last_event_id,
             reason=error.code,
         ).info("resumed")
@@ -1043,13 +882,6 @@
         self._tracker.ended(self._start)
 
 
-def _source_of(run: _OpenAnswer) -> dict[str, str]:
-    """Returns the log fields that tell who sends an answer."""
-    if isinstance(run, _EngineAnswer):
-        return {"server_id": run.server.server_id}
-    return {"helper": str(run.handed.address)}
-
-
 def _fetch_from(placed: engine_estimates.Placed) -> fleet.Address | None:
     source = placed.plan.fetch_from
     return source.address if source is not None else None
