Check every number of a load report that a router reads

A router reads engines outside its slice over new connections, and the controller all; these reports were not checked like polled ones: a load of -1, 1e308 or "inf" was taken and went into estimates. Nothing told why a report was refused.

One decoder reads both: numbers are integers or finite, from 0 to 2**53, and a speed is 0 or at least 0.001. The reason is logged once, with the engine, when its reports begin to be refused.

--- a/src/mulberrywharf/engines/load_client.py
+++ b/src/mulberrywharf/engines/load_client.py
@@ -3,18 +3,14 @@
 ``load_reader`` polls engines over kept connections instead.
 """
 
-from typing import Any
-
-import orjson
-import pydantic
-from result import Err, Ok, Result
+from result import Err, Result
 
 from mulberrywharf import _exchange, errors, fleet
+from mulberrywharf.engines import load_reader
 
 _LOAD_PATH = "/load"
 _OK_STATUS = 200
 _BODY_LIMIT_BYTES = 1 << 20
-_REPORT_ADAPTER = pydantic.TypeAdapter(fleet.LoadReport)
 
 
 def read_load(
@@ -51,16 +47,11 @@
 
 
 def parse_load(body: bytes) -> Result[fleet.LoadReport, errors.EngineError]:
-    """Parses a load report from JSON and ignores unknown fields.
+    """Parses a load report from JSON, as ``load_reader.parse_report`` does.
 
-    Unlike ``load_reader.parse_report``, it accepts negative and non-finite
-    figures and returns EngineUnreachableError for a malformed report.
+    Returns:
+        The report, or EngineUnreachableError for a malformed one.
     """
-    try:
-        fields: dict[str, Any] = orjson.loads(body)
-        known = {k: fields[k] for k in fleet.LoadReport._fields if k in fields}
-        return Ok(_REPORT_ADAPTER.validate_python(known))
-    except (ValueError, TypeError) as error:
-        return Err(
-            errors.EngineUnreachableError(f"malformed load report: {error}")
-        )
+    return load_reader.parse_report(body).map_err(
+        lambda error: errors.EngineUnreachableError(error.message)
+    )
--- a/src/mulberrywharf/engines/load_reader.py
+++ b/src/mulberrywharf/engines/load_reader.py
@@ -4,7 +4,7 @@
 import json
 import random
 import re
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 from typing import Any, Protocol
 
 import gevent
@@ -34,6 +34,18 @@
 _OK = 200
 _PARSE_ERRORS = (KeyError, OverflowError, RecursionError, TypeError, ValueError)
 _FIGURE_LIMIT = 2**53
+_COUNTS, _FIGURES = (
+    frozenset(
+        name
+        for name, field_type in fleet.LoadReport.__annotations__.items()
+        if field_type is number_type
+    )
+    for number_type in (int, float)
+)
+_SPEEDS = frozenset({"prefill_tokens_per_s", "decode_tokens_per_s"})
+_LEAST_TOKENS_PER_S = 1e-3
+"""Waits are divided by a speed, which must not make them infinite."""
+
 _BLOCK_HASH = re.compile(r"[0-9a-f]{1,16}")
 
 _REPORT_ADAPTER = pydantic.TypeAdapter(fleet.LoadReport)
@@ -230,7 +242,9 @@
             if succeeded != last_succeeded:
                 logger.bind(engine_id=load.vm.vm_id).info(
                     "load of engine is {}",
-                    "read" if succeeded else "not read",
+                    "read"
+                    if isinstance(read, Ok)
+                    else f"not read: {read.err_value}",
                 )
             last_succeeded = succeeded
             jitter = self._random.uniform(-_JITTER_SHARE, _JITTER_SHARE)
@@ -321,8 +335,7 @@
 ) -> Result[fleet.LoadReport, errors.EngineError]:
     """Parses a load report from JSON and ignores unknown fields.
 
-    Unlike ``load_client.parse_load``, it rejects negative, non-finite
-    and huge figures.
+    Numbers are refused that are none, negative, not finite or huge.
     """
     try:
         document = json.loads(body)
@@ -331,17 +344,26 @@
             for name in fleet.LoadReport._fields
             if name in document
         }
+        _check_numbers(known)
         report = _REPORT_ADAPTER.validate_python(known)
     except _PARSE_ERRORS as error:
         return Err(errors.EngineError(f"malformed load report: {error}"))
-    if not _is_plausible(report):
-        return Err(errors.EngineError("load report has impossible figures"))
     return Ok(report)
 
 
-def _is_plausible(report: fleet.LoadReport) -> bool:
-    # A NaN makes every comparison of engine scores false and so every choice of
-    # engine arbitrary. Bad latencies would be the only symptom.
-    # Figures over the limit would add up to infinity, or fit no float.
-    figures = [field for field in report if isinstance(field, (int, float))]
-    return all(0 <= figure <= _FIGURE_LIMIT for figure in figures)
+def _check_numbers(known: Mapping[str, Any]) -> None:
+    """Raises ValueError for a number that can't be used.
+
+    A NaN makes every comparison of engine scores false and so every choice of
+    engine arbitrary. Figures over the limit would add up to infinity, or fit no
+    float. Bad latencies would be the only symptom.
+    """
+    for name in _COUNTS & known.keys():
+        stated_numbers.count(known[name], name, limit=_FIGURE_LIMIT)
+    for name in _FIGURES & known.keys():
+        stated_numbers.figure(known[name], name, limit=_FIGURE_LIMIT)
+    for name in _SPEEDS & known.keys():
+        if 0 < known[name] < _LEAST_TOKENS_PER_S:
+            raise ValueError(
+                f"{name} is {known[name]!r}, no speed of an engine"
+            )
--- a/src/mulberrywharf/programs/_router_sharing.py
+++ b/src/mulberrywharf/programs/_router_sharing.py
@@ -13,7 +13,8 @@
 from collections.abc import Collection, Mapping
 
 import gevent
-from result import Ok
+from loguru import logger
+from result import Err
 
 from mulberrywharf import clock, fleet, metrics
 from mulberrywharf.engines import load_client, load_reader
@@ -77,6 +78,7 @@
         self._clock = system_clock
         self._rng = rng
         self._known: dict[str, _OutsideEngine] = {}
+        self._unread_ids: set[str] = set()
 
     def tick(self) -> None:
         """Publishes and updates loads; called at each interval."""
@@ -108,6 +110,7 @@
         present = {view.vm.vm_id for view in others}
         for engine_id in self._known.keys() - present:
             del self._known[engine_id]
+        self._unread_ids &= present
 
     def _is_due(self, vm: fleet.VmRecord, now_s: float) -> bool:
         known = self._known.get(vm.vm_id)
@@ -115,7 +118,15 @@
 
     def _read(self, vm: fleet.VmRecord) -> None:
         read = load_client.read_load(vm.address, timeout_s=_READ_TIMEOUT_S)
-        if not isinstance(read, Ok) or read.ok_value.engine_id != vm.vm_id:
+        if isinstance(read, Err):
+            if vm.vm_id not in self._unread_ids:
+                self._unread_ids.add(vm.vm_id)
+                logger.bind(engine_id=vm.vm_id).warning(
+                    "load of engine is not read: {}", read.err_value
+                )
+            return
+        self._unread_ids.discard(vm.vm_id)
+        if read.ok_value.engine_id != vm.vm_id:
             return
         delay_s = FULL_READ_INTERVAL_S * self._rng.uniform(0.5, 1.0)
         next_read_s = self._clock.monotonic_s() + delay_s
--- /dev/null
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -0,0 +1,109 @@
+"""Routers refuse what is no number where one belongs, and use the others."""
+
+import json
+import math
+import unittest
+from collections.abc import Callable
+from typing import Any
+
+from result import Ok
+
+from mulberrywharf import fleet
+from mulberrywharf.engines import load_client, load_reader
+from mulberrywharf.policy import estimates
+from tests import test_decoded_numbers as decoded_numbers
+
+NO_NUMBERS = (
+    "NaN",
+    "Infinity",
+    "-Infinity",
+    "1e400",
+    "9" * 5000,
+    "true",
+    "false",
+    "null",
+    '"5"',
+    '"nan"',
+    '"inf"',
+    "[5]",
+    "{}",
+)
+NUMBERS = (
+    "-1",
+    "-1e308",
+    "0",
+    "-0.0",
+    "5e-324",
+    "0.5",
+    str(2**31),
+    str(2**53),
+    str(2**63),
+    str(2**64),
+    str(2**70),
+    "9" * 400,
+    "1e308",
+)
+
+
+class NumbersTest(unittest.TestCase):
+    def check(
+        self, kind: str, sound: Any, accepts: Callable[[bytes], bool]
+    ) -> None:
+        """Puts each number into each numeric field of a message.
+
+        Args:
+            kind: Names the message in failures.
+            sound: A message that is accepted.
+            accepts: Decodes a message and uses what it holds; returns whether
+                it was accepted.
+        """
+        self.assertTrue(accepts(json.dumps(sound).encode()))
+        marker = json.dumps(decoded_numbers.MARKER)
+        for field in decoded_numbers.fields(kind, sound, accepts):
+            for number in NUMBERS + NO_NUMBERS:
+                with self.subTest(field.label, number=number[:20]):
+                    text = field.message.replace(marker, number)
+                    is_accepted = accepts(text.encode())
+                    if number in NO_NUMBERS:
+                        self.assertFalse(is_accepted)
+
+
+def use_report(report: fleet.LoadReport) -> None:
+    figures = [one for one in report if not isinstance(one, str | tuple)]
+    assert all(decoded_numbers.is_finite(one) for one in figures), figures
+    vm = fleet.VmRecord(
+        "engine-1", "engine", "zone-a", fleet.Address("127.0.0.1", 80), "live"
+    )
+    view = fleet.EngineView(vm, report, 0.5, 1, 1000, 0, False)
+    mean = estimates.fleet_mean([view])
+    assert all(math.isfinite(one) for one in mean), mean
+    estimate = estimates.estimate(view, 1000, mean, 1.0)
+    assert all(math.isfinite(one) for one in estimate), estimate
+
+
+class EngineNumbersTest(NumbersTest):
+    def test_load_read_over_a_new_connection(self) -> None:
+        """Guards against loads from outside a slice that fit no estimate."""
+
+        def accepts(body: bytes) -> bool:
+            parsed = load_client.parse_load(body)
+            if isinstance(parsed, Ok):
+                use_report(parsed.ok_value)
+            return parsed.is_ok()
+
+        self.check("load report", decoded_numbers.LOAD, accepts)
+
+    def test_polled_load(self) -> None:
+        """Guards against polled loads that fit no estimate."""
+
+        def accepts(body: bytes) -> bool:
+            parsed = load_reader.parse_report(body)
+            if isinstance(parsed, Ok):
+                use_report(parsed.ok_value)
+            return parsed.is_ok()
+
+        self.check("load report", decoded_numbers.LOAD, accepts)
+
+
+if __name__ == "__main__":
+    unittest.main()
