Refuse cache events numbered behind their engine's last

An event whose number was above the last one that its engine stated, up to 2**63 and more, was taken; so were true and "5". The next batch then looked like that of a restarted engine, and all that was known of the engine's cache was forgotten: prompts went elsewhere and were prefilled again.

A number of an event is an integer from 0 to the last number stated beside it; else the batch is refused, like one with a hash that is none.

Red before: 10 values in test_cache_events (2 fields, 1 wrong: the number of an event). Green: it, test_decoded_numbers, test_load_reader, test_prefix_index, test_engine_standin (56 tests, once).

--- a/src/mulberrywharf/engines/load_reader.py
+++ b/src/mulberrywharf/engines/load_reader.py
@@ -315,10 +315,14 @@
     """Parses cache events and the sequence number of the last one."""
     try:
         document = json.loads(body)
-        events = _EVENTS_ADAPTER.validate_python(document["events"])
         last_sequence = stated_numbers.count(
             document["last_sequence"], "last_sequence"
         )
+        for event in document["events"]:
+            stated_numbers.count(
+                event["sequence"], "sequence", limit=last_sequence
+            )
+        events = _EVENTS_ADAPTER.validate_python(document["events"])
     except _PARSE_ERRORS as error:
         return Err(errors.EngineError(f"malformed cache events: {error}"))
     if not all(_BLOCK_HASH.fullmatch(e.block_hash) for e in events):
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -10,7 +10,7 @@
 
 from mulberrywharf import fleet
 from mulberrywharf.engines import load_client, load_reader
-from mulberrywharf.policy import estimates
+from mulberrywharf.policy import estimates, prefix_index
 from tests import test_decoded_numbers as decoded_numbers
 
 NO_NUMBERS = (
@@ -35,6 +35,7 @@
     "-0.0",
     "5e-324",
     "0.5",
+    "1.0",
     str(2**31),
     str(2**53),
     str(2**63),
@@ -104,6 +105,20 @@
 
         self.check("load report", decoded_numbers.LOAD, accepts)
 
+    def test_cache_events(self) -> None:
+        """Guards against an event that empties an engine's known cache."""
+
+        def accepts(body: bytes) -> bool:
+            parsed = load_reader.parse_cache_events(body)
+            if isinstance(parsed, Ok):
+                events, last_sequence = parsed.ok_value
+                index = prefix_index.PrefixIndex.from_config()
+                index.apply("engine-1", events, last_sequence, 0.0)
+                assert index.last_sequence("engine-1") == last_sequence
+            return parsed.is_ok()
+
+        self.check("cache events", decoded_numbers.CACHE_EVENTS, accepts)
+
 
 if __name__ == "__main__":
     unittest.main()
