Refuse tokens whose place in the answer is no integer

A place is an integer from 0 to 2**63 - 1, else the stream is broken there, as with any other malformed event, and its answer goes on at another engine.

Red before: 2 values in test_tokens (3 fields, 1 wrong: token_index). Green: it, test_streams, test_resume, test_completions, test_decoded_numbers (53 tests, once).

--- a/src/mulberrywharf/engines/streams.py
+++ b/src/mulberrywharf/engines/streams.py
@@ -326,7 +326,7 @@
             raise self._fail_foreign()
         if self._has_finish_reason:
             raise self._fail_broken("a token arrived after the finish reason")
-        index = document["token_index"]
+        index = stated_numbers.count(document["token_index"], "token_index")
         if index != self._next_index:
             raise self._fail_broken(
                 f"got token {index}, expected {self._next_index}"
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Ok
+from result import Ok, Result
 
-from mulberrywharf import fleet
-from mulberrywharf.engines import load_client, load_reader
+from mulberrywharf import errors, fleet
+from mulberrywharf.engines import load_client, load_reader, streams
 from mulberrywharf.policy import estimates, prefix_index
 from tests import test_decoded_numbers as decoded_numbers
 
@@ -82,6 +82,24 @@
     assert all(math.isfinite(one) for one in estimate), estimate
 
 
+class _Exchange:
+    """An exchange whose answer is one event."""
+
+    def __init__(self, event: bytes):
+        self._event = event
+
+    def read_some(self, timeout_s: float) -> Result[bytes, Any]:
+        return Ok(self._event)
+
+
+TOKEN = {
+    "id": "request-1",
+    "token_index": 1,
+    "choices": [{"text": "a", "finish_reason": "stop"}],
+    "usage": {"prompt_tokens": 1, "completion_tokens": 2},
+}
+
+
 class EngineNumbersTest(NumbersTest):
     def test_load_read_over_a_new_connection(self) -> None:
         """Guards against loads from outside a slice that fit no estimate."""
@@ -119,6 +137,29 @@
 
         self.check("cache events", decoded_numbers.CACHE_EVENTS, accepts)
 
+    def test_tokens(self) -> None:
+        """Guards against a token whose place is no integer."""
+
+        def accepts(body: bytes) -> bool:
+            exchange: Any = _Exchange(b"data: " + body + b"\n\n")
+            stream = streams.EngineStream(
+                exchange,
+                fleet.Address("127.0.0.1", 80),
+                "request-1",
+                first_index=1,
+            )
+            try:
+                token = next(iter(stream))
+            except errors.EngineError:
+                return False
+            assert decoded_numbers.is_count(token.index), token
+            assert decoded_numbers.is_count(stream.next_index)
+            assert token.usage is not None
+            assert all(map(decoded_numbers.is_count, token.usage)), token
+            return True
+
+        self.check("token", TOKEN, accepts)
+
 
 if __name__ == "__main__":
     unittest.main()
