--- a/src/mulberrywharf/_headers.py
+++ b/src/mulberrywharf/_headers.py
@@ -1,6 +1,6 @@
 """Handling of HTTP header fields that several modules share."""
 
-import math
+import re
 from collections.abc import Iterable
 
 _HOP_BY_HOP = frozenset(
@@ -23,22 +23,29 @@
 BODILESS_STATUSES = frozenset({204, 304})
 """Answers of these statuses have no body."""
 
+RETRY_AFTER_LIMIT_S = 86_400.0
+"""Longest delay that is believed and passed on."""
+
 REQUEST_LIMIT = "server-limit"
 """Requests per second that the responding server accepts from all nodes."""
 
 
+_DELAY_S = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+"""``float`` alone would accept signs, underscores, other scripts' digits and
+exponents."""
+
+
 def retry_after_s(value: str | None) -> float | None:
     """Returns the delay in seconds that a ``Retry-After`` field states.
 
     Returns:
-        None if there is no field or its value is not a positive, finite
-        number; a date also gives None.
+        At most ``RETRY_AFTER_LIMIT_S``. None if there is no field or its value
+        is not a positive decimal number; a date also gives None.
     """
-    try:
-        seconds = float(value or "")
-    except ValueError:
+    text = (value or "").strip(" \t")
+    if not _DELAY_S.fullmatch(text):
         return None
-    return seconds if math.isfinite(seconds) and seconds > 0 else None
+    return min(float(text), RETRY_AFTER_LIMIT_S) or None
 
 
 def end_to_end(fields: Iterable[tuple[str, str]]) -> list[tuple[str, str]]:
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -8,7 +8,8 @@
 
 from result import Ok, Result
 
-from mulberrywharf import errors, fleet
+from mulberrywharf import _headers, errors, fleet
+from mulberrywharf.callers import problems
 from mulberrywharf.engines import load_client, load_reader, streams
 from mulberrywharf.policy import estimates, prefix_index
 from tests import test_decoded_numbers as decoded_numbers
@@ -160,6 +161,21 @@
 
         self.check("token", TOKEN, accepts)
 
+    def test_retry_after(self) -> None:
+        """Guards against a delay of 309 digits that callers are told."""
+        self.assertEqual(_headers.retry_after_s("2"), 2.0)
+        self.assertEqual(_headers.retry_after_s(" 0.25 "), 0.25)
+        texts = ("1_000", "+5", "0x10", "1e3", "\u0663", "5 5", "", ".")
+        for text in NO_NUMBERS + texts:
+            with self.subTest(text[:20]):
+                self.assertIsNone(_headers.retry_after_s(text))
+        for text in NUMBERS:
+            with self.subTest(text[:20]):
+                delay_s = _headers.retry_after_s(text)
+                error = errors.OverloadedError("full", retry_after_s=delay_s)
+                told = dict(problems.headers(error, "request-1"))
+                self.assertLess(len(told.get("retry-after", "")), 20)
+
 
 if __name__ == "__main__":
     unittest.main()
