Refuse configurations whose version or time routers can't compare

A stored configuration, or one that another router sends, could have a version of 2**64 and more, which heartbeats tell as 2**64 - 1: no router then saw who had the newer one. A time of NaN, infinity or a text of these ranks neither above nor below another, so that routers could keep different configurations of one version for good, and mulberryctl show ended with an exception at a time of 1e308 (read, not run). true and "5" counted as numbers.

A version is an integer from 1 to 2**62 and a time a number up to the end of the year 9999, in the value and in its audit entries; else the value is refused and logged, as with other faults, and the configuration in force stays.

Red before: 38 values in test_configuration (4 fields, 4 wrong). Green: it, test_config_exchange, test_config_follower, test_config_in_force, test_config_store, test_ctl, test_mesh, test_router_rules, test_rules_document, test_audit_checker (108 tests, once).

--- a/src/mulberrywharf/platform_service/configuration.py
+++ b/src/mulberrywharf/platform_service/configuration.py
@@ -17,6 +17,8 @@
     AUDIT_LIMIT_COUNT,
     AuditEntry,
     DiffLine,
+    UnixTime,
+    Version,
 )
 from mulberrywharf.rules.document import Document
 from mulberrywharf.rules.parse import check_value
@@ -75,10 +77,10 @@
 class _Stored(TypedDict):
     """The stored value; its document is validated separately."""
 
-    version: Annotated[int, pydantic.Field(ge=1)]
+    version: Version
     change_id: Annotated[str, pydantic.Field(min_length=1)]
     author: str
-    changed_unix_s: float
+    changed_unix_s: UnixTime
     document: dict[str, Any]
     audit: list[AuditEntry]
 
--- a/src/mulberrywharf/rules/audit_trail.py
+++ b/src/mulberrywharf/rules/audit_trail.py
@@ -5,7 +5,9 @@
 """
 
 import json
+from typing import Annotated
 
+import pydantic
 from typing_extensions import TypedDict
 
 from mulberrywharf.rules.document import ADAPTER, Document
@@ -14,6 +16,16 @@
 """Number of changes kept in the stored value; older ones are in the logs."""
 
 
+Version = Annotated[int, pydantic.Field(ge=1, le=2**62, strict=True)]
+"""Routers send the version to each other in a field of 64 bits."""
+
+UnixTime = Annotated[
+    float,
+    pydantic.Field(ge=0, le=253_402_300_799, strict=True, allow_inf_nan=False),
+]
+"""Until the end of the year 9999, the last one that a date can show."""
+
+
 class DiffLine(TypedDict):
     """One field that a change of the configuration added, set or removed.
 
@@ -32,10 +44,10 @@
 class AuditEntry(TypedDict):
     """One accepted change of the configuration."""
 
-    version: int
+    version: Version
     change_id: str
     author: str
-    changed_unix_s: float
+    changed_unix_s: UnixTime
     note: str
     diff: list[DiffLine]
 
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -6,12 +6,15 @@
 from collections.abc import Callable
 from typing import Any
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from mulberrywharf import _headers, errors, fleet
 from mulberrywharf.callers import problems
 from mulberrywharf.engines import load_client, load_reader, streams
+from mulberrywharf.nodes import codec, messages
+from mulberrywharf.platform_service import config_change, configuration
 from mulberrywharf.policy import estimates, prefix_index
+from mulberrywharf.rules import audit_trail
 from tests import test_decoded_numbers as decoded_numbers
 
 NO_NUMBERS = (
@@ -177,5 +180,58 @@
                 self.assertLess(len(told.get("retry-after", "")), 20)
 
 
+CONFIGURATION = {
+    "version": 3,
+    "change_id": "change-1",
+    "author": "ana",
+    "changed_unix_s": 5.0,
+    "document": {"rules": [], "default": {}},
+    "audit": [
+        {
+            "version": 3,
+            "change_id": "change-1",
+            "author": "ana",
+            "changed_unix_s": 5.0,
+            "note": "",
+            "diff": [],
+        }
+    ],
+}
+
+
+class StoreNumbersTest(NumbersTest):
+    def test_configuration(self) -> None:
+        """Guards against configurations that routers rank differently."""
+
+        def accepts(body: bytes) -> bool:
+            decoded = configuration.decode(body)
+            if isinstance(decoded, Err):
+                return False
+            found = decoded.ok_value
+            for one in (found, *map(_entry_rank, found.audit)):
+                assert decoded_numbers.is_count(one[0]), one
+            assert found.rank() <= found.rank()
+            assert decoded_numbers.is_finite(found.changed_unix_s), found
+            stored = config_change.StoredConfiguration(found, 1)
+            change = config_change.Change(
+                found.document, "bo", "", "change-2", found.version, 0
+            )
+            changed = config_change.next_configuration(change, stored, 6.0)
+            assert configuration.decode(changed.raw).is_ok(), changed.version
+            demands = messages.Heartbeat(
+                "zone-a", found.version, 1, 1, 1, b"", b"", b"", b"", 1, 1, ()
+            )
+            sent = codec.encode(messages.Envelope("vm-1", 1, demands))
+            assert codec.decode(sent).unwrap().message == demands
+            return True
+
+        self.check("configuration", CONFIGURATION, accepts)
+
+
+def _entry_rank(entry: audit_trail.AuditEntry) -> tuple[int, float]:
+    assert decoded_numbers.is_finite(entry["changed_unix_s"]), entry
+    return entry["version"], entry["changed_unix_s"]
+
+
 if __name__ == "__main__":
     unittest.main()
