Refuse VM lists whose version is none

A version of true, -1 or up to was taken. true equals 1, so a router did not apply the list of version 1 behind it; one of 0 or below with VMs counted as no list at the router, which stayed not ready; a huge one hid the next ten lists. A list that could not be read was told in debug lines only.

A version is an integer from 1, or 0 for an empty list; else the list counts as malformed and the last one stays. The first failed read of a row is logged as a warning, with the service and the reason.

--- a/src/mulberrywharf/platform_service/vm_list.py
+++ b/src/mulberrywharf/platform_service/vm_list.py
@@ -23,6 +23,7 @@
     fleet,
     metrics,
     settings,
+    stated_numbers,
     supervised_task,
 )
 from mulberrywharf.platform_service import http_calls
@@ -136,7 +137,11 @@
             outcome = self.read_once()
             if isinstance(outcome, Err):
                 failures_count += 1
-                logger.debug("VM list could not be read: {}", outcome.err_value)
+                logger.log(
+                    "WARNING" if failures_count == 1 else "DEBUG",
+                    "VM list could not be read: {}",
+                    outcome.err_value,
+                )
             else:
                 failures_count = 0
             gevent.sleep(self._pause_s(failures_count))
@@ -180,11 +185,17 @@
     def _apply_answer(
         self, body: Mapping[str, Any]
     ) -> Result[None, errors.PlatformError]:
-        version = body.get("version")
         entries = body.get("vms")
-        if not isinstance(version, int) or not isinstance(entries, list):
+        try:
+            if not isinstance(entries, list):
+                raise ValueError("vms is no list")
+            # Readers take 0 for no list, so only an empty one can have it.
+            version = stated_numbers.count(
+                body.get("version"), "version", minimum=1 if entries else 0
+            )
+        except ValueError as error:
             _reads.inc({"outcome": "malformed"})
-            message = f"{self._calls.name}: the VM list is malformed"
+            message = f"{self._calls.name}: the VM list is malformed: {error}"
             return Err(errors.PlatformUnavailableError(message))
         if self._is_older(version):
             _reads.inc({"outcome": "older"})
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -8,11 +8,16 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import _headers, errors, fleet
+from mulberrywharf import _headers, errors, fleet, settings
 from mulberrywharf.callers import problems
 from mulberrywharf.engines import load_client, load_reader, streams
 from mulberrywharf.nodes import codec, messages
-from mulberrywharf.platform_service import config_change, configuration
+from mulberrywharf.platform_service import (
+    config_change,
+    configuration,
+    json_text,
+    vm_list,
+)
 from mulberrywharf.policy import estimates, prefix_index
 from mulberrywharf.rules import audit_trail
 from tests import test_decoded_numbers as decoded_numbers
@@ -228,6 +233,38 @@
         self.check("configuration", CONFIGURATION, accepts)
 
 
+VM_LIST = {
+    "version": 3,
+    "vms": [
+        {
+            "vm_id": "vm-1",
+            "kind": "entry",
+            "availability_zone": "zone-a",
+            "ip": "127.0.0.1",
+            "port": 80,
+        }
+    ],
+}
+
+
+class VmListNumbersTest(NumbersTest):
+    def test_list(self) -> None:
+        """Guards against a list that replaces or hides later ones."""
+
+        def accepts(body: bytes) -> bool:
+            answer = json_text.loads(body)
+            reader = vm_list.VmListReader(settings.Endpoint(ip="::1", port=1))
+            is_read = reader._apply_answer(answer).is_ok()
+            assert decoded_numbers.is_count(reader.version())
+            assert (reader.version() > 0) == is_read
+            for vm in reader.vms():
+                assert 0 < vm.address.port < 65_536
+                assert type(vm.address.port) is int
+            return is_read and bool(reader.vms())
+
+        self.check("VM list", VM_LIST, accepts)
+
+
 def _entry_rank(entry: audit_trail.AuditEntry) -> tuple[int, float]:
     assert decoded_numbers.is_finite(entry["changed_unix_s"]), entry
     return entry["version"], entry["changed_unix_s"]
