Refuse permissions to load a model with an absurd time away

The weight store's answer could state any time for which the engine is away: negative, NaN, infinite, 1e308, true or "5". Nobody plans with this time yet; whoever does must not get these.

It is a number from 0 to 86,400 s; else the answer is malformed: the refusal is logged with the store's reason and the load isn't ordered.

--- a/src/mulberrywharf/platform_service/weight_store.py
+++ b/src/mulberrywharf/platform_service/weight_store.py
@@ -7,12 +7,13 @@
 from gevent import lock
 from result import Err, Ok, Result
 
-from mulberrywharf import clock, errors, settings
+from mulberrywharf import clock, errors, settings, stated_numbers
 from mulberrywharf.platform_service import http_calls
 
 _DEFAULT_CALL_TIMEOUT_S = 2.0
 _DEFAULT_RETRY_AFTER_S = 1.0
 _RETRY_JITTER_SHARE = 0.25
+_AWAY_LIMIT_S = 86_400.0
 
 
 class LoadRequest(NamedTuple):
@@ -126,7 +127,10 @@
 ) -> Result[LoadSlot, errors.PlatformError]:
     try:
         slot = LoadSlot(
-            str(answer.body["load_id"]), float(answer.body["away_s"])
+            str(answer.body["load_id"]),
+            stated_numbers.figure(
+                answer.body["away_s"], "away_s", limit=_AWAY_LIMIT_S
+            ),
         )
     except (KeyError, TypeError, ValueError) as error:
         message = f"the weight store's answer is malformed: {error}"
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -15,8 +15,10 @@
 from mulberrywharf.platform_service import (
     config_change,
     configuration,
+    http_calls,
     json_text,
     vm_list,
+    weight_store,
 )
 from mulberrywharf.policy import estimates, prefix_index
 from mulberrywharf.rules import audit_trail
@@ -265,6 +267,21 @@
         self.check("VM list", VM_LIST, accepts)
 
 
+class WeightStoreNumbersTest(NumbersTest):
+    def test_slot(self) -> None:
+        """Guards against an engine that is away for ever or no time."""
+
+        def accepts(body: bytes) -> bool:
+            answer = http_calls.Answer(200, json_text.loads(body), None, None)
+            decoded = weight_store._decode_slot(answer)
+            if isinstance(decoded, Ok):
+                assert decoded_numbers.is_finite(decoded.ok_value.away_s)
+                assert decoded.ok_value.away_s <= 86_400
+            return decoded.is_ok()
+
+        self.check("load slot", {"load_id": "1", "away_s": 2.5}, accepts)
+
+
 def _entry_rank(entry: audit_trail.AuditEntry) -> tuple[int, float]:
     assert decoded_numbers.is_finite(entry["changed_unix_s"]), entry
     return entry["version"], entry["changed_unix_s"]
