Refuse rates of a rules document by which no wait can be told

Waits are divided by the rate: a caller above the limit was told a Retry-After of 301 digits.

A rate is 0 or from 1e-6 to 1e9 per second; a document with another is refused and the fault names the field and its value.

Red before: 3 values in test_document (24 fields, 3 wrong: both limits of a customer and that of a rule; the document already limited the others). Green: it, test_rules_document, test_rules_check, test_limits, test_router_rules, test_config_store (61 tests, once).

--- a/src/mulberrywharf/rules/document.py
+++ b/src/mulberrywharf/rules/document.py
@@ -16,6 +16,18 @@
 DOCUMENT_LIMIT_BYTES = 768 * 1024
 """Leaves room for the audit entries in a stored value of at most 1 MB."""
 
+LEAST_RATE_PER_S = 1e-6
+
+
+def _usable_rate(rate_per_s: float) -> float:
+    # Waits are divided by it, and callers are told the result.
+    if 0 < rate_per_s < LEAST_RATE_PER_S:
+        raise ValueError(
+            f"{rate_per_s} is neither 0 nor at least {LEAST_RATE_PER_S}"
+        )
+    return rate_per_s
+
+
 Share = settings.Share
 Name = settings.Name
 ModelName = Annotated[
@@ -26,7 +38,11 @@
 ]
 Seconds = Annotated[float, pydantic.Field(ge=0, le=86_400)]
 Count = Annotated[int, pydantic.Field(ge=0, le=1_000_000)]
-Rate = Annotated[float, pydantic.Field(ge=0, le=1e9)]
+Rate = Annotated[
+    float,
+    pydantic.Field(ge=0, le=1e9),
+    pydantic.AfterValidator(_usable_rate),
+]
 Priority = Annotated[int, pydantic.Field(ge=0, le=9)]
 Path = Annotated[str, pydantic.Field(pattern=r"^/[!-~]*$", max_length=1024)]
 
--- a/tests/test_decoded_numbers_of_routers.py
+++ b/tests/test_decoded_numbers_of_routers.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from mulberrywharf import _headers, errors, fleet, settings
+from mulberrywharf import _headers, errors, fleet, rules, settings
 from mulberrywharf.callers import problems
 from mulberrywharf.engines import load_client, load_reader, streams
 from mulberrywharf.nodes import codec, messages
@@ -20,7 +20,7 @@
     vm_list,
     weight_store,
 )
-from mulberrywharf.policy import estimates, prefix_index
+from mulberrywharf.policy import estimates, limits, prefix_index
 from mulberrywharf.rules import audit_trail
 from tests import test_decoded_numbers as decoded_numbers
 
@@ -45,6 +45,7 @@
     "0",
     "-0.0",
     "5e-324",
+    "1e-300",
     "0.5",
     "1.0",
     str(2**31),
@@ -282,6 +283,99 @@
         self.check("load slot", {"load_id": "1", "away_s": 2.5}, accepts)
 
 
+def _rule(name: str, when: Any, then: Any) -> Any:
+    return {"name": name, "when": when, "then": then}
+
+
+RULES = {
+    "rules": [
+        _rule(
+            "a",
+            {
+                "prefill_share_above": 0.5,
+                "prefill_share_below": 0.9,
+                "queue_delay_above_s": 1.0,
+                "queue_delay_below_s": 9.0,
+                "engines_lost_above_count": 1,
+                "customer": "c",
+                "requests_above_per_s": 1.0,
+                "requests_below_per_s": 5.0,
+                "for_s": 5.0,
+            },
+            {"roles": {"prefill": 0.5, "decode": 0.5}},
+        ),
+        _rule(
+            "b",
+            {"prefill_share_above": 0.6},
+            {"load": {"model": "m", "engines_count": 2}},
+        ),
+        _rule(
+            "c",
+            {"prefill_share_above": 0.7},
+            {"limit": {"customer": "c", "requests_per_s": 2.0}},
+        ),
+        _rule(
+            "d",
+            {"prefill_share_above": 0.8},
+            {"roles": {"prefill_count": 1, "decode_count": 1}},
+        ),
+    ],
+    "default": {"hold": True},
+    "customers": {
+        "c": {
+            "key_sha256_hex": "0" * 64,
+            "requests_per_s": 5.0,
+            "tokens_per_s": 5.0,
+            "weight": 1.0,
+            "priority": 3,
+        }
+    },
+    "services": {
+        "s": {
+            "idempotent_paths": [],
+            "default_idempotent": True,
+            "timeout_s": 5.0,
+        }
+    },
+    "models": {"m": {"adapters": [], "versions": []}},
+    "shed": {"first_token_target_ms": 500.0, "between_tokens_target_ms": 50.0},
+}
+
+
+class RulesNumbersTest(NumbersTest):
+    def test_document(self) -> None:
+        """Guards against a limit whose Retry-After has hundreds of digits."""
+
+        def accepts(body: bytes) -> bool:
+            parsed = rules.parse(body.decode(), "test")
+            if isinstance(parsed, Err):
+                return False
+            document = parsed.ok_value
+            customer = document["customers"]["c"]
+            by_rule = document["rules"][2]["then"]["limit"]
+            for rate in (
+                customer["requests_per_s"],
+                customer["tokens_per_s"],
+                by_rule["requests_per_s"],
+            ):
+                use_rate(rate)
+            return True
+
+        self.check("rules", RULES, accepts)
+
+
+def use_rate(rate_per_s: float) -> None:
+    limit = limits.CustomerLimit(rate_per_s, rate_per_s)
+    node = limits.CustomerLimits.from_config(
+        "vm-1", {"c": limit}, 0.0, nodes_count=2
+    )
+    taken = [node.take("c", 5.0, 0.0) for _ in range(100)]
+    for result in taken:
+        if isinstance(result, Err):
+            told = dict(problems.headers(result.err_value, "request-1"))
+            assert len(told.get("retry-after", "")) < 20, rate_per_s
+
+
 def _entry_rank(entry: audit_trail.AuditEntry) -> tuple[int, float]:
     assert decoded_numbers.is_finite(entry["changed_unix_s"]), entry
     return entry["version"], entry["changed_unix_s"]
