--- a/src/mulberrywharf/platform/scaling.py
+++ b/src/mulberrywharf/platform/scaling.py
@@ -10,6 +10,9 @@
 _COUNT_LIMIT = 100_000
 """More engines than any fleet has; catches a figure in a wrong unit."""
 
+_BOOT_LIMIT_S = 86_400
+"""Longest time until engines that have not come are ordered again."""
+
 _COUNTS = ("min-instances", "max-instances")
 
 
@@ -55,7 +58,9 @@
     faults = [
         *_count_faults(path, fields),
         *_number_faults(
-            f"{path}.boot-timeout-s", fields.get("boot-timeout-s"), math.inf
+            f"{path}.boot-timeout-s",
+            fields.get("boot-timeout-s"),
+            _BOOT_LIMIT_S,
         ),
         *_zone_price_faults(path, fields.get("zone-prices", {})),
     ]
--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -191,6 +191,8 @@
         assert is_count(service.connections_limit_count)
         if service.engine is not None:
             _transfer(service.engine)
+        if service.scaling is not None:
+            assert service.scaling.boot_s <= 86_400, service.scaling
     assert routes.limits is not None
     assert all(is_finite(limit) for limit in routes.limits), routes.limits
     assert routes.customers is not None
