--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -57,6 +57,15 @@
     "9" * 400,
     "1e308",
     "1e400",
+    "9" * 5000,
+    "0.5",
+    "1.0",
+    "-1e308",
+    str(2**64),
+    "false",
+    "[5]",
+    "{}",
+    "Infinity",
     "NaN",
     "-0.0",
     "true",
@@ -182,6 +191,8 @@
         assert is_count(service.connections_limit_count)
         if service.engine is not None:
             _transfer(service.engine)
+        if service.scaling is not None:
+            assert service.scaling.boot_s <= 86_400, service.scaling
     assert routes.limits is not None
     assert all(is_finite(limit) for limit in routes.limits), routes.limits
     assert routes.customers is not None
