Keep the wait of a refused claim apart from when to ask again

What callers saw: 503 ("accepts 0 requests per second") beside an engine that would have taken them.

A server whose next slot is 8 s away looked better than one that is busy for 2.5 s: a request that may wait for 3 s planned for it four times, was refused each time and gave up. Each request that may wait for more than 2 s claimed anew, too, at the owner that had just refused one.

Change: the wait stays as the owner told it; from 2 s behind a refusal on, the server counts as one to ask, so the next request claims, and no more until 2 s later. Retry-After states the true wait again.

--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -72,8 +72,9 @@
     Attributes:
         requests_per_s: The limit.
         stated_s: Monotonic time of the answer that stated it.
-        next_s: Monotonic time at which the next request can probably be sent,
-            or the owner is asked again.
+        next_s: Monotonic time at which the next request can probably be sent.
+        ask_s: Monotonic time from which the owner is asked even if that is
+            later.
         return_s: Monotonic time at which the last refused caller may return.
         claimed: The server of the last claim, None before the first.
     """
@@ -82,6 +83,7 @@
         self.requests_per_s = requests_per_s
         self.stated_s = stated_s
         self.next_s = float("-inf")
+        self.ask_s = float("-inf")
         self.return_s = float("-inf")
         self.claimed: fleet.Server | None = None
 
@@ -131,9 +133,10 @@
     def wait_s(self, start: fleet.ServerStart) -> float:
         """Estimates how long a request to a server waits for its limit."""
         entry = self._entries.get(start)
-        if entry is None:
+        now_s = self._clock.monotonic_s()
+        if entry is None or now_s >= entry.ask_s:
             return 0.0
-        return max(0.0, entry.next_s - self._clock.monotonic_s())
+        return max(0.0, entry.next_s - now_s)
 
     def waiting_ids(self) -> frozenset[str]:
         """Returns the ids of the servers that make requests wait now."""
@@ -217,11 +220,12 @@
         now_s = self._clock.monotonic_s()
         self._adopt(server.start, grant.statement)
         if not grant.is_granted:
-            entry.next_s = now_s + min(grant.wait_s, ASK_AGAIN_S)
+            entry.next_s = now_s + grant.wait_s
+            entry.ask_s = now_s + ASK_AGAIN_S
             return Err(self.exceeded(server))
         slot_s = now_s + grant.wait_s
         if grant.wait_s > 0:
-            entry.next_s = slot_s
+            entry.next_s = entry.ask_s = slot_s
             gevent.sleep(grant.wait_s)
         return Ok(
             SendPermit(
@@ -246,6 +250,7 @@
             if grant is not None:
                 return grant
             entry.next_s = self._clock.monotonic_s() + SILENT_RETRY_S
+            entry.ask_s = entry.next_s
             if entry.next_s > ends_s:
                 return None
             gevent.sleep(SILENT_RETRY_S)
--- a/tests/test_limit_owners.py
+++ b/tests/test_limit_owners.py
@@ -1,6 +1,7 @@
 """Tests claims of requests at the owners of limits, over real sockets."""
 
 import itertools
+import types
 import unittest
 from typing import Any
 
@@ -8,6 +9,7 @@
 from result import Err
 
 from mulberrywharf import clock, errors, fleet, limit_claims, server_limits
+from mulberrywharf.forwarding import engine_pool
 from mulberrywharf.peers import datagrams, limit_codec, limit_datagrams
 from mulberrywharf.policy import limit_grants, request_limits
 from tests import builders_platform
@@ -193,6 +195,42 @@
 
 
 class AskAgainTest(unittest.TestCase):
+    def test_a_long_wait_is_not_claimed_by_each_request(self) -> None:
+        """Guards against requests that prefer a server that refuses them."""
+        manual_clock = build.ManualClock()
+        claims: Any = RefusingClaims()
+        limits = server_limits.ServerLimits(manual_clock, claims)
+        limits.note_answer(
+            SERVER.start, request_limits.RequestLimit(0.0), may_end=True
+        )
+        for _ in range(100):
+            self.assertIsInstance(limits.acquire(SERVER, 3.0), Err)
+            self.assertGreater(limits.wait_s(SERVER.start), 50.0)
+            manual_clock.now_s += server_limits.ASK_AGAIN_S / 100
+        self.assertEqual(claims.claims_count, 1)
+
+    def test_another_engine_is_planned_for_behind_a_refused_claim(self) -> None:
+        """Guards against 503 beside an engine that is busy for 2.5 s."""
+        claims: Any = RefusingClaims()
+        limits = server_limits.ServerLimits(clock.SystemClock(), claims)
+        limits.note_answer(
+            SERVER.start, request_limits.RequestLimit(0.0), may_end=True
+        )
+        busy = build.server("server-2")
+
+        def choose(waiting: frozenset[fleet.ServerStart]) -> Any:
+            wait_s = limits.wait_s(SERVER.start)
+            is_first = SERVER.start not in waiting and wait_s < 2.5
+            return types.SimpleNamespace(server=SERVER if is_first else busy)
+
+        pool: Any = engine_pool.EnginePool.__new__(engine_pool.EnginePool)
+        pool._limits = limits
+        pool._server_list = types.SimpleNamespace(usable=lambda _: [SERVER])
+        plan, _ = pool._acquire_for_plan(
+            choose, lambda plan: plan, types.SimpleNamespace(name="s"), 3.0
+        )
+        self.assertEqual(plan.server, busy)
+
     def test_a_refused_claim_is_repeated_before_its_wait_has_passed(
         self,
     ) -> None:
