Soak: count refusals by a limit that a gateway knew as ended

Cause: the check passed over any refusal by a limit of 0 until 10 s behind the last start of a gateway, so also over the fault that mended. Change: such a refusal counts if a served answer without a limit came 2 s before it, and none with a limit since. Before: the new test failed.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -45,7 +45,7 @@
 accepted no requests is tried once in ``SETTLE_S``; more tries might exceed its
 limit, as another gateway may take itself for the owner."""
 
-_REFUSED_BY_LIMIT = re.compile(rb"not run: \S+ accepts (\S+) requests per")
+_REFUSED_BY_LIMIT = re.compile(rb"not run: (\S+) accepts (\S+) requests per")
 _RECOVERED_SHARE = 0.9
 _RECOVERED_LEAST_COUNT = 20
 _KILL_GRACE_S = 0.3
@@ -137,10 +137,12 @@
 
     def _not_recovered(self, made: list[calls.Call]) -> Iterator[str]:
         since_s = self._healed_s + RECOVERY_S
+        served_ids = {one.request_id for one in made if one.status == 200}
         late = [
             call
             for call in made
-            if call.began_s >= since_s and not self._awaits_trial(call)
+            if call.began_s >= since_s
+            and not self._awaits_trial(call, served_ids)
         ]
         if len(late) < _RECOVERED_LEAST_COUNT:
             yield f"only {len(late)} calls after the faults"
@@ -149,11 +151,12 @@
         if len(served) < _RECOVERED_SHARE * len(late):
             yield f"served {len(served)} of {len(late)} after the faults"
 
-    def _awaits_trial(self, call: calls.Call) -> bool:
+    def _awaits_trial(self, call: calls.Call, served_ids: set[str]) -> bool:
         """Tells whether a server was to be tried before a refused call.
 
-        It accepted no requests when it last answered, and the owners of its
-        limit were not settled.
+        It accepted no requests when it last answered any gateway, but for the
+        time in which gateways tell each other, and the owners of its limit
+        were not settled.
         """
         refused = _REFUSED_BY_LIMIT.search(call.body)
         if call.status != _UNAVAILABLE_STATUS or refused is None:
@@ -161,8 +164,21 @@
         last_start_s = max(
             (ready_s for _, _, ready_s in self._fleet.starts), default=0.0
         )
+        came = [
+            one
+            for server in self._fleet.all_servers.values()
+            for one in server.arrivals
+            if one.server_id == refused[1].decode() and one.at_s < call.ended_s
+        ]
+        stated_s = max((one.at_s for one in came if one.limits), default=0.0)
+        has_ended = any(
+            stated_s < one.at_s <= call.began_s - server_limits.ASK_AGAIN_S
+            and one.request_id in served_ids
+            for one in came
+        )
         return (
-            float(refused[1]) < limit_grants.TRIAL_PER_S
+            not has_ended
+            and float(refused[2]) < limit_grants.TRIAL_PER_S
             and call.began_s <= last_start_s + _TRIAL_S
         )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from gevent import socket
 
+from mulberrywharf import server_limits
 from proofs import stream_order, stream_order_callers
 from soak import (
     calls,
@@ -206,6 +207,33 @@
                 lines = list(judge._not_recovered(served + refused))
                 self.assertEqual(len(lines), found_count)
 
+    def test_refusals_by_a_limit_that_a_gateway_knew_as_ended_are_found(
+        self,
+    ) -> None:
+        """Guards against a check that passes over what f1236227 mended."""
+        begins_s = promises.RECOVERY_S + 1.0
+        judge = promises.Judge(self.fleet, 0.0)
+        served = [self.call(began_s=begins_s, ended_s=begins_s + 0.1)] * 40
+        body = b"not run: s accepts 0 requests per second"
+        refused = [call._replace(status=503, body=body) for call in served]
+        server = platform_server.PlatformServerStandin("s")
+        self.addCleanup(server.close)
+        self.fleet.servers = {"s": server}
+        self.fleet.starts = [(0, 0.0, begins_s)]
+        asked_s = begins_s - server_limits.ASK_AGAIN_S
+        for stated, found_count in (
+            ([(1.0, ("0",)), (asked_s - 0.1, ())], 1),
+            ([(1.0, ("0",)), (asked_s + 0.1, ())], 0),
+            ([(1.0, ()), (asked_s - 0.1, ("0",))], 0),
+        ):
+            with self.subTest(stated=stated):
+                server.arrivals = [
+                    platform_server.Arrival(at_s, "s", "id-1", None, limits)
+                    for at_s, limits in stated
+                ]
+                lines = list(judge._not_recovered(served + refused))
+                self.assertEqual(len(lines), found_count)
+
     def limit_lines(
         self,
         limits: tuple[str, ...],
