--- a/src/mulberrywharf/policy/limit_grants.py
+++ b/src/mulberrywharf/policy/limit_grants.py
@@ -153,6 +153,9 @@
         newest = self.note_statement(claim.server_key, claim.statement)
         if newest.requests_per_s is None:
             return Grant(True, 0.0, newest)
+        if claim.statement.requests_per_s is None:
+            # It tells that the limit has ended, and brings no request.
+            return Grant(False, 0.0, newest)
         lane = Lane(
             claim.server_key, claim.rank, claim.is_settled or claim.rank > 0
         )
--- a/tests/test_limit_grants.py
+++ b/tests/test_limit_grants.py
@@ -95,6 +95,17 @@
         again = self.grants.decide(claim(2.0, stated_s=1.8), 2.0)
         self.assertEqual(again.statement.requests_per_s, 2.0)
 
+    def test_news_of_an_end_that_is_late_takes_no_slot(self) -> None:
+        """Guards against a trial that was granted to no request."""
+        self.grants.note_statement(
+            SERVER_KEY, limit_grants.LimitStatement(0.0, 1.0)
+        )
+        told = self.grants.decide(claim(None, stated_s=0.9), 1.1)
+        self.assertEqual(told.statement.requests_per_s, 0.0)
+        self.assertTrue(
+            self.grants.decide(claim(0.0, stated_s=1.0), 1.1).is_granted
+        )
+
     def test_a_lower_limit_holds_from_the_next_claim_on(self) -> None:
         self.granted_count(claim(100.0), 0.0, 1.0)
         count = self.granted_count(claim(2.0, stated_s=1.0), 1.0, 5.0)
