Drop lent histories of versions when routes add a service

Callers: a stream could go on at another version behind a gateway's start; shown by a unit test alone. Cause: a lent history counted as complete also for services that routes added since it was asked for. Change: it is dropped, and one asked for earlier isn't taken.

--- a/src/mulberrywharf/policy/stream_version.py
+++ b/src/mulberrywharf/policy/stream_version.py
@@ -220,6 +220,7 @@
         self._complete_after_s = LEAST_HOLD_S
         self._names: dict[VersionKey, str] = {}
         self._sources: dict[str, dict[str, _Left]] = {}
+        self._sources_since_s = -math.inf
         self._current: dict[str, frozenset[VersionKey | None]] = {}
         self._generating: dict[str, frozenset[VersionKey]] = {}
         self._left: dict[str, dict[VersionKey | None, _Left]] = {}
@@ -265,6 +266,10 @@
                 for source in found:
                     is_new = is_new or source not in sources
                     sources[source] = last
+        if is_new:
+            # Lent histories lack what left a new source before it was known.
+            self._known_since_s.clear()
+            self._sources_since_s = now_s
         return is_new
 
     @property
@@ -355,7 +360,8 @@
         """Adds the complete history of a service that another gateway knows.
 
         Nothing is known of the time between an older one, or one from before
-        this gateway's last reading of all records, and the present.
+        this gateway's last reading of all records, and the present; nor of
+        sources that were added since.
 
         Args:
             service: The service.
@@ -368,7 +374,11 @@
         """
         since_s = self._followed_since_s
         is_late = now_s - asked_s > CONTACT_LIMIT_S
-        if is_late or since_s is None or asked_s < since_s:
+        if (
+            is_late
+            or since_s is None
+            or asked_s < max(since_s, self._sources_since_s)
+        ):
             return False
         left = self._left.setdefault(service, {})
         borrowed = _Left(asked_s, self._left_hold_s)
--- a/tests/test_stream_version.py
+++ b/tests/test_stream_version.py
@@ -253,6 +253,37 @@
         self.assertTrue(self.is_single("a", 60.0 + hold_s))
 
 
+class LentSourcesTest(unittest.TestCase):
+    def test_a_lent_history_lacks_services_that_routes_join_later(
+        self,
+    ) -> None:
+        """Guards against streams joined where routes moved behind a start."""
+        history = stream_version.VersionHistory()
+        history.set_following(True, 0.0)
+        history.set_servers(
+            [
+                build.server(
+                    f"s-{service}",
+                    service=service,
+                    role="decode",
+                    software_version="v1",
+                )
+                for service in ("a", "b")
+            ],
+            0.0,
+        )
+        self.assertTrue(history.merge("a", [V1], 1.0, 1.1))
+        self.assertTrue(history.seen("a", 1.1).is_single)
+        # An engine of v2 may have left service b before this gateway started.
+        history.set_sources({}, {"a": {"b"}}, 2.0)
+        self.assertFalse(history.seen("a", 2.0).is_single)
+        self.assertFalse(history.merge("a", [V1], 1.9, 2.1))
+        self.assertTrue(history.merge("a", [V1, V2], 2.1, 2.2))
+        seen = history.seen("a", 2.2)
+        self.assertTrue(seen.is_complete)
+        self.assertEqual(seen.recent, {V1, V2})
+
+
 class HoldTest(unittest.TestCase):
     def test_version_is_held_as_long_as_its_routes_streams_last(self) -> None:
         """Guards against a version forgotten as the longest route goes."""
