--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -4,6 +4,7 @@
 and asks other gateways, so that no caller's request has to try.
 """
 
+import math
 import random
 from collections.abc import Iterable
 from typing import Protocol
@@ -218,7 +219,7 @@
 
     def note_change(self, service: str, now_s: float) -> None:
         """Handles a change of which servers of a service are reachable."""
-        self._paths.update(service, self._servers.status(service), now_s)
+        self._update(service, now_s)
         if self._is_sweep_due(service, now_s):
             self._sweep(service, now_s)
         if self._paths.unsettled() and not self._task:
@@ -228,32 +229,32 @@
         while self._paths.unsettled():
             now_s = self._clock.monotonic_s()
             for service in self._paths.unsettled():
-                self._paths.update(
-                    service, self._servers.status(service), now_s
-                )
+                self._update(service, now_s)
                 self._probe_due(service, now_s)
-                self._check_return(service, now_s)
                 if self._paths.state(service) == "lost":
                     self._interrupt_silent(service, now_s)
             self._questions.ask()
             gevent.sleep(TICK_S)
 
-    def _check_return(self, service: str, now_s: float) -> None:
-        """Probes the servers of a service if its return to the path failed.
+    def _update(self, service: str, now_s: float) -> None:
+        """Updates a path; probes its servers if its return has failed.
 
         One unreachable server of several leaves the service reachable, so the
         return would go on, and a request that may not be repeated would be
         lost at the next server.
         """
         returning_s = self._paths.returning_s(service, now_s)
-        swept_s = self._swept_s.get(service, float("-inf"))
-        if returning_s is None or now_s - swept_s < SWEEP_PAUSE_S:
-            return
-        if any(
-            one.unreachable_s <= returning_s
-            for one in self._servers.unreachable(service, now_s)
-        ):
-            self._sweep(service, now_s)
+        if returning_s is not None:
+            unreachable = self._servers.unreachable(service, now_s)
+            failed_s = min(
+                (one.unreachable_s for one in unreachable), default=math.inf
+            )
+            if failed_s <= returning_s:
+                self._paths.note_failed(service, now_s - failed_s)
+                swept_s = self._swept_s.get(service, -math.inf)
+                if now_s - swept_s >= SWEEP_PAUSE_S:
+                    self._sweep(service, now_s)
+        self._paths.update(service, self._servers.status(service), now_s)
 
     def _interrupt_silent(self, service: str, now_s: float) -> None:
         """Ends exchanges that wait for servers that can't be reached."""
@@ -293,7 +294,11 @@
                 for server in self._servers.servers(name)
                 if not self._servers.is_unreachable(server.start)
             ]
-            self._probe(reachable[:SWEEP_LIMIT_COUNT])
+            # Gateways that lose their paths together would probe the same ones.
+            # Neighbours mostly have one role, which counts by a few of them.
+            first = random.randrange(len(reachable) or 1)
+            chosen = reachable[first:] + reachable[:first]
+            self._probe(chosen[:SWEEP_LIMIT_COUNT])
 
     def _probe_due(self, service: str, now_s: float) -> None:
         """Probes one server of each role that is not reachable."""
--- a/src/mulberrywharf/policy/lost_path.py
+++ b/src/mulberrywharf/policy/lost_path.py
@@ -88,6 +88,7 @@
     def __init__(self, rng: random.Random, now_s: float):
         self.state: State = "own"
         self.since_s = now_s
+        self.failed_s = float("-inf")
         self.doubtful_since_s = now_s
         self.status: reachability.Status = "whole"
         self.helpers = helpers.Helpers(rng)
@@ -139,7 +140,8 @@
             path.answers_count = 0
             self._set_state(service, path, "returning", now_s)
         elif (
-            path.state == "returning" and now_s - path.since_s >= RETURN_LIMIT_S
+            path.state == "returning"
+            and now_s - max(path.since_s, path.failed_s) >= RETURN_LIMIT_S
         ):
             self._return(service, path, now_s)
 
@@ -179,6 +181,12 @@
             return None
         return now_s - path.since_s
 
+    def note_failed(self, service: str, at_s: float) -> None:
+        """Records that a server failed; a return goes on from then on."""
+        path = self._paths.get(service)
+        if path is not None:
+            path.failed_s = max(path.failed_s, at_s)
+
     def unsettled(self) -> tuple[str, ...]:
         """Returns the services whose state is not ``own``."""
         return tuple(
--- a/tests/test_failing_tasks.py
+++ b/tests/test_failing_tasks.py
@@ -184,6 +184,7 @@
         )
         paths = unittest.mock.Mock()
         paths.unsettled.return_value = ["service"]
+        paths.returning_s.return_value = None
         monitor = path_monitor.PathMonitor(
             unittest.mock.Mock(),
             paths,
