Ask the owners of a limit in one place

Telling an owner that a limit has ended repeated the loop of a claim over the owners. Both use one method now; only a claim counts its result, as before. Two texts of fields say what they mean. No behaviour changes: 68 tests of limits, at gateways and routers, and of decoded numbers pass; formatter, linter and types are clean.

--- a/src/mulberrywharf/_headers.py
+++ b/src/mulberrywharf/_headers.py
@@ -24,7 +24,7 @@
 """Answers of these statuses have no body."""
 
 RETRY_AFTER_LIMIT_S = 86_400.0
-"""Longest delay that is believed and passed on."""
+"""A longer delay counts as this one."""
 
 REQUEST_LIMIT = "server-limit"
 """Requests per second that the responding server accepts from all nodes."""
--- a/src/mulberrywharf/limit_claims.py
+++ b/src/mulberrywharf/limit_claims.py
@@ -114,18 +114,12 @@
         Returns:
             The decision, None if no node that may decide has replied.
         """
-        key = notice_codec.hash_server_start(server.start)
-        for owner in self._owners.limit_owners(key, server.availability_zone):
-            claim = limit_grants.Claim(
-                key, owner.rank, owner.is_settled, statement, max_wait_s
-            )
-            grant = self._claim_at(owner.address, claim)
-            if grant is not None:
-                result = "granted" if grant.is_granted else "refused"
-                _claims_total.inc({"result": result})
-                return grant
-        _claims_total.inc({"result": "silent"})
-        return None
+        grant = self._ask_owners(server, statement, max_wait_s)
+        result = "silent"
+        if grant is not None:
+            result = "granted" if grant.is_granted else "refused"
+        _claims_total.inc({"result": result})
+        return grant
 
     def tell_owner(
         self, server: fleet.Server, statement: limit_grants.LimitStatement
@@ -136,13 +130,24 @@
             server: The server.
             statement: The server's statement, without a limit.
         """
+        self._ask_owners(server, statement, 0.0)
+
+    def _ask_owners(
+        self,
+        server: fleet.Server,
+        statement: limit_grants.LimitStatement,
+        max_wait_s: float,
+    ) -> limit_grants.Grant | None:
+        """Returns the decision of the first owner that replies, if any."""
         key = notice_codec.hash_server_start(server.start)
         for owner in self._owners.limit_owners(key, server.availability_zone):
             claim = limit_grants.Claim(
-                key, owner.rank, owner.is_settled, statement, 0.0
+                key, owner.rank, owner.is_settled, statement, max_wait_s
             )
-            if self._claim_at(owner.address, claim) is not None:
-                return
+            grant = self._claim_at(owner.address, claim)
+            if grant is not None:
+                return grant
+        return None
 
     def _claim_at(
         self, address: fleet.Address | None, claim: limit_grants.Claim
--- a/src/mulberrywharf/server_limits.py
+++ b/src/mulberrywharf/server_limits.py
@@ -73,8 +73,8 @@
         requests_per_s: The limit.
         stated_s: Monotonic time of the answer that stated it.
         next_s: Monotonic time at which the next request can probably be sent.
-        ask_s: Monotonic time from which the owner is asked even if that is
-            later.
+        ask_s: Monotonic time from which the owner is asked again, even if
+            ``next_s`` is later.
         return_s: Monotonic time at which the last refused caller may return.
         claimed: The server of the last claim, None before the first.
     """
