Let each gateway find changed routes by itself

Cause: two gateways of a fleet, the readers, asked the store often; all others let their watches wait 30 s and relied on the readers' notices. A watch that the store had dropped, or had answered without a change, was thus found only through another gateway's life, a datagram, and the byte budget of notices. Readers that were killed or frozen still counted as active for 4 s.

Change: each gateway compares the revision of its routes with the store every 1.28 to 1.5 s, by a call that reads no value and depends on no history, and takes what it finds. Notices only make it faster. There is no reader to rely on, so heartbeats of readers, the long wait that depended on them and its metric go. A gateway that gets no answer from the store within 0.3 s asks others for the confirmation that keys need. The comparison takes several keys now and returns what has changed, so the routes are not read a second time. A key that a failed comparison leaves out is read before it counts as deleted.

Tests of readers' heartbeats in test_revision_exchange guarded a reliance that is gone. A relayed confirmation no longer replaces the own one; it is tested with a silent store.

--- a/bench/store_restores.py
+++ b/bench/store_restores.py
@@ -34,7 +34,7 @@
 from mulberrywharf.platform import documents, store
 from mulberrywharf.platform_service import key_value, watch
 from mulberrywharf.policy import crash_suspects
-from mulberrywharf.routes import follower
+from mulberrywharf.routes import follower, freshness
 from standins import platform_store
 from tests import builders_platform
 from tests import builders_routes as build
@@ -103,17 +103,25 @@
             told, self._watches, lambda: self.client.era
         )
         self.routes = follower.RouteFollower(
-            self.client, source, timeouts=news.routes_watch_timeouts
+            self.client, source, timeouts=lambda: watch.LONG_TIMEOUTS
         )
         self.servers = servers.ServerList(
-            self.client, source, timeouts=news.watch_timeouts
+            self.client, source, timeouts=lambda: watch.SHORTEST_TIMEOUTS
         )
+        confirmed = freshness.RoutesFreshness(self.client, self.routes, None)
         self.servers.on_change(news.on_change)
         self.routes.on_change(lambda _: news.on_change())
         records = crash_records.CrashRecords(
             self.client, crash_suspects.CrashSuspects(), system_clock
         )
-        self._parts = [self.routes, self.servers, peers, told, news, records]
+        self._parts = [
+            self.routes,
+            self.servers,
+            peers,
+            told,
+            confirmed,
+            records,
+        ]
 
     def _watches(self) -> dict[str, watch.Watch]:
         found = {
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -6,8 +6,8 @@
 wrong and ``advice`` that says what to do next.
 """
 
-from collections.abc import Sequence
-from typing import TYPE_CHECKING, ClassVar, Literal, NamedTuple
+from collections.abc import Mapping, Sequence
+from typing import TYPE_CHECKING, Any, ClassVar, Literal, NamedTuple
 
 if TYPE_CHECKING:
     from mulberrywharf.rules.audit_trail import AuditEntry, DiffLine
@@ -593,11 +593,19 @@
 
 
 class ConditionFailedError(PlatformRefusedError):
-    """A conditional write was not done: its condition no longer holds."""
+    """A conditional write was not done: its condition no longer holds.
+
+    Attributes:
+        answer: Body of the response.
+    """
 
     code = "condition-failed"
     advice = "Read the keys again before repeating the write."
 
+    def __init__(self, message: str, answer: Mapping[str, Any]):
+        super().__init__(message)
+        self.answer = answer
+
 
 class HistoryGoneError(PlatformRefusedError):
     """The service no longer keeps the changes since a revision."""
--- a/src/mulberrywharf/peers/notice.capnp
+++ b/src/mulberrywharf/peers/notice.capnp
@@ -11,9 +11,8 @@
   demands @6 :List(Demand);
   changing @7 :List(UInt32);   # hashes of the ids and starts of engines that
                                # change their role
-  isReading @8 :Bool;          # the sender reads the key-value service often
-                               # enough to have seen any change more than a few
-                               # seconds old
+  unused @8 :Bool;             # never set; earlier versions relied on gateways
+                               # that did
   zone @9 :UInt32;             # hash of the availability zone of roleLoads
   roleLoads @10 :List(RoleLoad);
   storeEra @11 :UInt32;        # era of the key-value service that the revisions
--- a/src/mulberrywharf/peers/notice_codec.py
+++ b/src/mulberrywharf/peers/notice_codec.py
@@ -104,14 +104,11 @@
     Attributes:
         routes_revision: Revision of the latest change to the routes.
         servers_revision: Revision of the latest change to a server record.
-        is_reading: Whether the gateway reads the key-value service often enough
-            to have seen any change more than a few seconds old.
         era: Era of the key-value service to which the revisions belong.
     """
 
     routes_revision: int = 0
     servers_revision: int = 0
-    is_reading: bool = False
     era: int = 0
 
 
@@ -169,7 +166,6 @@
     message.serversRevision = wire_numbers.saturated(
         notice.seen.servers_revision, wire_numbers.UINT64_LIMIT
     )
-    message.isReading = notice.seen.is_reading
     message.storeEra = wire_numbers.saturated(
         notice.seen.era, wire_numbers.UINT32_LIMIT
     )
@@ -291,7 +287,6 @@
         SeenRevisions(
             message.routesRevision,
             message.serversRevision,
-            message.isReading,
             message.storeEra,
         ),
         tuple(
--- a/src/mulberrywharf/peers/notices.py
+++ b/src/mulberrywharf/peers/notices.py
@@ -52,16 +52,6 @@
         """Number of all gateways, including this one."""
         ...
 
-    @property
-    def is_registered(self) -> bool:
-        """Whether this gateway's registration is visible to the others."""
-        ...
-
-    @property
-    def is_reader(self) -> bool:
-        """Whether this gateway reads the key-value service for others."""
-        ...
-
     def addresses(self, availability_zone: str) -> tuple[fleet.Address, ...]:
         """Returns the gateways that receive notices about a zone's engines."""
         ...
@@ -108,7 +98,6 @@
         self._sender = sender
         self._clock = system_clock
         self._sequence = 0
-        self._last_sent_s = float("-inf")
         self._pending: dict[str, dict[_PendingKey, notice_codec.Placement]] = {}
         self._has_pending = gevent.event.Event()
         self._pending_since_s: float | None = None
@@ -179,21 +168,6 @@
         self._pending.setdefault(server.availability_zone, {})
         self.send_now()
 
-    @property
-    def last_sent_s(self) -> float:
-        """Monotonic time of the last notice to the own zone, in seconds."""
-        return self._last_sent_s
-
-    @property
-    def is_registered(self) -> bool:
-        """Whether this gateway's registration is visible to the others."""
-        return self._peers.is_registered
-
-    @property
-    def is_reader(self) -> bool:
-        """Whether this gateway reads the key-value service for others."""
-        return self._peers.is_reader
-
     @property
     def gateways_count(self) -> int:
         """Number of all gateways, including this one."""
@@ -290,8 +264,6 @@
             )
         )
         self._send_to(self._peers.addresses(zone), body)
-        if zone == self._availability_zone:
-            self._last_sent_s = self._clock.monotonic_s()
 
     def _send_role_loads(self) -> None:
         """Sends the role loads of this zone to other zones."""
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 import gevent
@@ -145,32 +145,58 @@
     )
 
 
-@dialect.is_unchanged.register
+@dialect.compare_revisions.register
 def _(
     store: StoreDialect,
     calls: service_calls.ServiceCalls,
-    key: str,
-    mod_revision: int,
+    expected: Sequence[Guard],
     purpose: str,
-) -> Result[bool, errors.PlatformError]:
+) -> Result[dialect.ChangedKeys, errors.PlatformError]:
     # Reads return whole values. A transaction that changes nothing compares the
-    # revision in the store.
-    body = {
-        "expected": [{"key": key, "revision": mod_revision}],
-        "puts": [],
-        "deletes": [],
-    }
+    # revisions in the store.
+    body = {"expected": _rows(expected), "puts": [], "deletes": []}
     call = service_calls.Call("/kv-txn", body, "compare", purpose, False)
     sent = calls.send(call)
     if isinstance(sent, Ok):
-        return Ok(True)
-    if isinstance(sent.err_value, errors.ConditionFailedError):
-        return Ok(False)
-    if isinstance(sent.err_value, errors.PlatformRefusedError):
+        return Ok({})
+    error = sent.err_value
+    read_each = dialect.compare_revisions.dispatch(object)
+    if isinstance(error, errors.ConditionFailedError):
+        decoded = service_calls.decoded(
+            call, Ok(dict(error.answer)), _decode_items
+        )
+        if isinstance(decoded, Err):
+            return decoded
+        found = decoded.ok_value
+        # A deletion ends the use of a server, so it is not inferred from an
+        # item that is missing in the response.
+        missing = [one for one in expected if one.key not in found]
+        return read_each(store, calls, missing, purpose).map(
+            lambda deleted: {**_changed(expected, found), **deleted}
+        )
+    if isinstance(error, errors.PlatformRefusedError):
         # The store may refuse transactions on keys that are not written here.
-        read = dialect.read_key(store, calls, key, purpose)
-        return read.map(lambda found: _has_revision(found, mod_revision))
-    return Err(sent.err_value)
+        return read_each(store, calls, expected, purpose)
+    return Err(error)
+
+
+def _decode_items(answer: Mapping[str, Any]) -> dict[str, KeyValue]:
+    items = [_decode_item(item) for item in answer["items"]]
+    return {item.key: item for item in items if item.mod_revision > 0}
+
+
+def _changed(
+    expected: Iterable[Guard], found: Mapping[str, KeyValue]
+) -> dialect.ChangedKeys:
+    return {
+        one.key: found[one.key]
+        for one in expected
+        if one.key in found and found[one.key].mod_revision != one.mod_revision
+    }
+
+
+def _rows(expected: Iterable[Guard]) -> list[dict[str, Any]]:
+    return [{"key": one.key, "revision": one.mod_revision} for one in expected]
 
 
 @dialect.read_key.register
@@ -195,10 +221,7 @@
     write: dialect.KeyWrite,
 ) -> Result[KeyValue, errors.PlatformError]:
     body = {
-        "expected": [
-            {"key": guard.key, "revision": guard.mod_revision}
-            for guard in write.guards
-        ],
+        "expected": _rows(write.guards),
         "puts": _puts(write),
         "deletes": [write.key] if write.value is None else [],
     }
@@ -273,10 +296,6 @@
     return calls.send(call).map(lambda _: None)
 
 
-def _has_revision(found: KeyValue | None, mod_revision: int) -> bool:
-    return found is not None and found.mod_revision == mod_revision
-
-
 def _history_id(era: int) -> str:
     return str(era)
 
--- a/src/mulberrywharf/platform_service/dialect.py
+++ b/src/mulberrywharf/platform_service/dialect.py
@@ -6,11 +6,11 @@
 register others.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import singledispatch
 from typing import Any, NamedTuple, Protocol
 
-from result import Result
+from result import Err, Ok, Result
 
 from mulberrywharf import errors
 from mulberrywharf.platform_service import service_calls
@@ -25,6 +25,10 @@
 """All keys under a prefix, and the state of the service at that time."""
 
 
+ChangedKeys = dict[str, KeyValue | None]
+"""Keys that have changed, with what they hold now; None for a deleted one."""
+
+
 class WatchMessage(NamedTuple):
     """One message of a watch.
 
@@ -135,27 +139,31 @@
 
 
 @singledispatch
-def is_unchanged(
+def compare_revisions(
     dialect: Any,
     calls: service_calls.ServiceCalls,
-    key: str,
-    mod_revision: int,
+    expected: Sequence[Guard],
     purpose: str,
-) -> Result[bool, errors.PlatformError]:
-    """Tells whether a key still has the value that was written at a revision.
+) -> Result[ChangedKeys, errors.PlatformError]:
+    """Reads those of some keys that were written or deleted since a revision.
 
     Unlike ``read_changes``, it depends on no history of changes.
 
     Args:
         dialect: Dialect of the service.
         calls: Endpoints of the service.
-        key: The key.
-        mod_revision: Revision of the write.
+        expected: The keys and the revisions at which they were written.
         purpose: Call budget that is charged.
     """
-    return read_key(dialect, calls, key, purpose).map(
-        lambda found: found is not None and found.mod_revision == mod_revision
-    )
+    changed: ChangedKeys = {}
+    for one in expected:
+        read = read_key(dialect, calls, one.key, purpose)
+        if isinstance(read, Err):
+            return read
+        found = read.ok_value
+        if (found.mod_revision if found else 0) != one.mod_revision:
+            changed[one.key] = found
+    return Ok(changed)
 
 
 @singledispatch
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -24,6 +24,9 @@
 
 VALUE_LIMIT_BYTES = 1_000_000
 
+COMPARE_LIMIT_COUNT = 32
+"""Most keys in one comparison, the limit of the platform's store."""
+
 _DEFAULT_CALL_TIMEOUT_S = 2.0
 
 
@@ -349,21 +352,21 @@
             self._dialect, self._gateway, prefix, after_revision, purpose
         )
 
-    def is_unchanged(
-        self, key: str, *, mod_revision: int, purpose: str
-    ) -> Result[bool, errors.PlatformError]:
-        """Tells whether a key still has the value written at a revision.
+    def compare_revisions(
+        self, expected: Sequence[Guard], *, purpose: str
+    ) -> Result[dialect_module.ChangedKeys, errors.PlatformError]:
+        """Reads those of some keys that were written or deleted since.
 
-        It depends on no history of changes, and does not read the value at
+        It depends on no history of changes, and reads no unchanged value at
         services that can compare revisions.
 
         Args:
-            key: The key.
-            mod_revision: Revision of the write, of the present era.
+            expected: At most ``COMPARE_LIMIT_COUNT`` keys and the revisions, of
+                the present era, at which they were written.
             purpose: Call budget that is charged.
         """
-        return dialect_module.is_unchanged(
-            self._dialect, self._gateway, key, mod_revision, purpose
+        return dialect_module.compare_revisions(
+            self._dialect, self._gateway, expected, purpose
         )
 
     def open_watch(
--- a/src/mulberrywharf/platform_service/service_calls.py
+++ b/src/mulberrywharf/platform_service/service_calls.py
@@ -311,7 +311,7 @@
     if answer.status == _HISTORY_GONE_STATUS:
         return errors.HistoryGoneError(message)
     if answer.status == _CONDITION_FAILED_STATUS:
-        return errors.ConditionFailedError(message)
+        return errors.ConditionFailedError(message, answer.body)
     if answer.status < 500:
         return errors.PlatformRefusedError(message)
     if call.is_write:
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -46,16 +46,16 @@
 error. A change at that moment then arrives only when the watch is reopened:
 with 10 s, routes arrived 7 s late. Operators are promised changes within 2 s,
 counted from 3 s after such a moment. With 0.4 s for the response and a first
-backoff of up to 0.5 s, a change arrives within 2.9 s. A node that hears of
-changes from other nodes may wait longer, as it then reopens its watch.
+backoff of up to 0.5 s, a change arrives within 2.9 s.
 """
 
 SHORTEST_SILENCE_TIMEOUT_S = 1.2
-"""Silence timeout of a node that passes changes on to other nodes.
+"""Silence timeout of a watch whose keys change about once a second. It costs
+nothing while they do."""
 
-With 0.4 s for the response and a first backoff of up to 0.5 s, a change arrives
-within 2.1 s. This leaves time to notify nodes whose watches wait longer.
-"""
+LONG_SILENCE_TIMEOUT_S = 30.0
+"""Silence timeout of a watch on which nothing depends, because its keys are
+also compared with those of the service."""
 
 _BACKOFF_BASE_S = 0.25
 _BACKOFF_LIMIT_S = 1.0
@@ -92,8 +92,10 @@
 """Timeouts for changes that must take effect within seconds."""
 
 SHORTEST_TIMEOUTS = WatchTimeouts(SHORTEST_SILENCE_TIMEOUT_S)
-"""Timeouts for changes that must take effect within seconds, also at the nodes
-that this node notifies."""
+"""See ``SHORTEST_SILENCE_TIMEOUT_S``."""
+
+LONG_TIMEOUTS = WatchTimeouts(LONG_SILENCE_TIMEOUT_S)
+"""See ``LONG_SILENCE_TIMEOUT_S``. The pause after a failure stays short."""
 
 
 class _ReopenRequested(gevent.GreenletExit):
@@ -232,11 +234,11 @@
         revision that it names, so the revision alone doesn't show it.
         """
         return all(
-            self._reported_revision(one.key) >= one.mod_revision
-            for one in found
+            self.reported_revision(one.key) >= one.mod_revision for one in found
         )
 
-    def _reported_revision(self, key: str) -> int:
+    def reported_revision(self, key: str) -> int:
+        """Returns the revision of a key's last reported change, 0 if none."""
         reported = self._reported.get(key)
         if reported is not None:
             return reported.mod_revision
@@ -254,6 +256,8 @@
         is_skipped = self.continues_at_revision >= found.mod_revision
         self._report(WatchEvent("put", found))
         self._run_callback(self._on_reported)
+        if not is_skipped:
+            self.reopen_if_waiting()
         return is_skipped
 
     def read_again_if_waiting(self) -> None:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -125,7 +125,7 @@
         self._routes = follower.RouteFollower(
             self._store,
             source,
-            timeouts=self._revision_exchange.routes_watch_timeouts,
+            timeouts=lambda: watch.LONG_TIMEOUTS,
         )
         relay = freshness_relay.FreshnessRelay(
             self._peers, self._notices.socket
@@ -135,7 +135,6 @@
             self._routes,
             _revocation_bound_s(config),
             relay=relay,
-            is_needed=self._needs_confirmed_routes,
         )
         relay.on_question(self._confirmed_routes)
         self._tracker = server_tracker.ServerTracker(
@@ -144,7 +143,7 @@
         self._servers = servers.ServerList(
             self._store,
             source,
-            timeouts=self._revision_exchange.watch_timeouts,
+            timeouts=lambda: watch.SHORTEST_TIMEOUTS,
             on_registered=self._tracker.registered,
         )
         self._version_history = stream_version.VersionHistory()
@@ -337,7 +336,6 @@
         self._peers.start()
         self._notices.start()
         self._crash_records.start()
-        self._revision_exchange.start()
         for part in (*self._roles, self._duties):
             part.start()
         self._intake.start()
@@ -400,7 +398,6 @@
         self._duties.close_exchange()
         self._customer_demand.close()
         self._freshness.close()
-        self._revision_exchange.close()
         self._crash_records.close()
         self._notices.close()
         self._repeat_shares.close()
@@ -454,15 +451,6 @@
             return None
         return freshness_relay.Confirmation(routes.version, age_s)
 
-    def _needs_confirmed_routes(self) -> bool:
-        """Tells whether no other gateway would notice that the routes are old.
-
-        Keys need confirmed routes at each gateway.
-        """
-        routes = self._routes.current()
-        has_customers = routes is not None and routes.customers is not None
-        return has_customers or not self._revision_exchange.relies_on_reader
-
     def _on_routes_change(self, routes: table.RouteTable) -> None:
         self._note_stream_sources(routes)
         self._version_history.set_longest_timeout(routes.longest_timeout_s())
--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -10,10 +10,13 @@
 
 A confirmation is dated by when its request was sent, not by when the answer
 arrived, so that slow answers and suspended machines never make it look newer.
+
+Each gateway asks the service itself, so that it finds a change that its watch
+missed whatever happens to other gateways. Only a gateway that gets no answer
+relies on what others confirmed.
 """
 
 import random
-from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -39,13 +42,15 @@
 """Interval between confirmations, as a fraction of their maximum age. The rest
 covers short outages of the service or the network."""
 
-READER_INTERVAL_SHARE = 0.1
-"""Interval of a gateway that answers others, see ``INTERVAL_SHARE``."""
+INTERVAL_LIMIT_S = 1.5
+"""Upper bound of the same. Operators are promised changes within 2 s, also if a
+watch does not report them."""
 
-RELAY_INTERVAL_SHARE = 0.18
-"""Interval of a gateway that asks another, see ``INTERVAL_SHARE``."""
+SERVICE_WAIT_S = 0.3
+"""Time after which other gateways are asked, too, if the service is silent. It
+responds within 240 ms when it is sixty times slower than usual."""
 
-RELAYED_AGE_LIMIT_SHARE = 0.25
+RELAYED_AGE_LIMIT_SHARE = 0.4
 """Maximum age of a confirmation from another gateway, as a fraction of the
 maximum age. An older one suggests that it cannot reach the service either."""
 
@@ -60,9 +65,6 @@
 MIN_DELAY_S = 0.05
 """Minimum delay between two confirmations, also if callers wait for one."""
 
-UNNEEDED_INTERVAL_S = 1.0
-"""Interval between checks whether confirmations are needed again."""
-
 RESTORE_HOLD_OFF_S = 3.0
 """Time after a restore of the service from a backup in which nothing is
 confirmed: the newest routes may be missing until operators write them again."""
@@ -116,11 +118,6 @@
 class Relay(Protocol):
     """Asks other gateways how recently the routes were confirmed."""
 
-    @property
-    def is_reader(self) -> bool:
-        """Whether this gateway has to ask the service itself."""
-        ...
-
     def ask(self) -> Confirmation | None:
         """Asks for a confirmation; None if no gateway replies."""
         ...
@@ -136,7 +133,6 @@
         age_limit_s: float | None,
         *,
         relay: Relay | None = None,
-        is_needed: Callable[[], bool] = lambda: True,
         system_clock: clock.Clock | None = None,
     ):
         """Creates it; no requests are sent before ``start``.
@@ -146,9 +142,8 @@
             routes: Receives changed routes.
             age_limit_s: Maximum age of a usable confirmation, None for
                 ``DEFAULT_AGE_LIMIT_S``.
-            relay: Asks other gateways, None to always ask the service.
-            is_needed: Whether to confirm the routes although nobody waits for
-                it.
+            relay: Asks other gateways while the service does not answer, None
+                to ask only the service.
             system_clock: A clock that also runs while suspended.
         """
         self._client = client
@@ -158,16 +153,19 @@
             RELAYED_AGE_LIMIT_S, RELAYED_AGE_LIMIT_SHARE * self._age_limit_s
         )
         self._relay = relay
-        self._is_needed = is_needed
-        self._interval_share = INTERVAL_SHARE
+        self._interval_s = min(
+            INTERVAL_LIMIT_S, INTERVAL_SHARE * self._age_limit_s
+        )
         self._clock = system_clock or clock.BootClock()
         self._confirmed_s = float("-inf")
-        self._revision: int | None = None
+        self._read_revision: int | None = None
+        self._was_taken = False
         self._era = client.era
         self._is_failing = False
         self._confirmation_requested = gevent.event.Event()
         self._confirmed = gevent.event.Event()
         self._task: gevent.Greenlet | None = None
+        self._asking: gevent.Greenlet | None = None
 
     def start(self) -> None:
         """Starts the periodic checks, if not yet started."""
@@ -176,8 +174,9 @@
 
     def close(self) -> None:
         """Stops the periodic checks; the last confirmation keeps aging."""
-        if self._task is not None:
-            self._task.kill()
+        for task in (self._task, self._asking):
+            if task is not None:
+                task.kill()
 
     def now_s(self) -> float:
         """Returns the current time of the clock that measures ages."""
@@ -215,25 +214,17 @@
 
     def _run(self) -> None:
         while True:
-            if not self._is_needed() and not self._confirmation_requested.wait(
-                UNNEEDED_INTERVAL_S
-            ):
-                continue
             is_confirmed = self._confirm()
             self._record_result(is_confirmed)
-            pause_s = (
-                self._interval_share
-                * self._age_limit_s
-                * random.uniform(*_INTERVAL_JITTER)
-                if is_confirmed
-                else random.uniform(*_RETRY_DELAY_S)
-            )
             gevent.sleep(MIN_DELAY_S)
             # Waiting callers do not shorten the delay after a failure.
             if is_confirmed:
-                self._confirmation_requested.wait(pause_s)
+                self._confirmation_requested.wait(
+                    self._interval_s * random.uniform(*_INTERVAL_JITTER)
+                    - MIN_DELAY_S
+                )
             else:
-                gevent.sleep(pause_s)
+                gevent.sleep(random.uniform(*_RETRY_DELAY_S))
             self._confirmation_requested.clear()
 
     def _record_result(self, is_confirmed: bool) -> None:
@@ -251,38 +242,23 @@
         """Checks once; tells whether the routes in force are the newest."""
         requested_s = self.now_s()
         if self._client.restored_age_s() < RESTORE_HOLD_OFF_S:
-            self._revision = None
+            self._read_revision = None
             return False
-        if self._relay is not None and self._confirm_by_relay(
-            self._relay, requested_s
-        ):
+        if self._asking is None or self._asking.ready():
+            self._asking = gevent.spawn(self._ask_service, requested_s)
+        self._asking.join(SERVICE_WAIT_S)
+        if self._asking.ready() and self._asking.value:
             return True
-        if self._client.era != self._era:
-            self._era = self._client.era
-            self._revision = None
-        is_newest = self._confirm_by_service()
-        if self._client.era != self._era:
-            # The reads may come from two different histories.
-            self._revision = None
-            return False
-        if not is_newest:
-            return False
-        is_reader = self._relay is not None and self._relay.is_reader
-        self._interval_share = (
-            READER_INTERVAL_SHARE if is_reader else INTERVAL_SHARE
+        return self._relay is not None and self._ask_others(
+            self._relay, requested_s
         )
-        self._confirmed_s = requested_s
-        self._confirmed.set()
-        return True
 
-    def _confirm_by_relay(self, relay: Relay, requested_s: float) -> bool:
+    def _ask_others(self, relay: Relay, requested_s: float) -> bool:
         """Asks another gateway; tells whether that confirmed the routes.
 
         Versions only increase, so the routes in force were the newest at the
         time of that confirmation if their version is not lower than its own.
         """
-        if relay.is_reader:
-            return False
         confirmation = relay.ask()
         routes = self._routes.current()
         if (
@@ -292,38 +268,52 @@
             or confirmation.age_s > self._relayed_age_limit_s
         ):
             return False
-        self._interval_share = RELAY_INTERVAL_SHARE
-        self._confirmed_s = max(
-            self._confirmed_s, requested_s - confirmation.age_s
-        )
-        self._confirmed.set()
+        self._note_confirmed(requested_s - confirmation.age_s)
         return True
 
+    def _ask_service(self, requested_s: float) -> bool:
+        if self._client.era != self._era:
+            self._era = self._client.era
+            self._read_revision = None
+        is_newest = self._is_newest_in_service()
+        if self._client.era != self._era:
+            # The reads may come from two different histories.
+            self._read_revision = None
+            return False
+        if is_newest:
+            self._note_confirmed(requested_s)
+        return is_newest
+
+    def _note_confirmed(self, at_s: float) -> None:
+        self._confirmed_s = max(self._confirmed_s, at_s)
+        self._confirmed.set()
+
     def age_s(self) -> float:
         """Returns the age of the last confirmation, infinite if none."""
         return self.now_s() - self._confirmed_s
 
-    def _confirm_by_service(self) -> bool:
-        if self._revision is None:
+    def _is_newest_in_service(self) -> bool:
+        if self._read_revision is None:
             # At a start, and behind a restore, all gateways confirm at once:
             # the service takes more reads than comparisons.
             return self._read_routes()
-        compared = self._client.is_unchanged(
-            self._routes.routes_key,
-            mod_revision=self._routes.stored_revision or self._revision,
+        key = self._routes.routes_key
+        in_force = self._routes.stored_revision
+        compared = self._client.compare_revisions(
+            [key_value_types.Guard(key, in_force or self._read_revision)],
             purpose=PURPOSE,
         )
         if isinstance(compared, Err):
             return False
-        return compared.ok_value or self._read_routes()
+        if key not in compared.ok_value:
+            return in_force is not None or self._was_taken
+        return self._take(compared.ok_value[key])
 
     def _read_routes(self) -> bool:
-        self._revision = None
         read = self._client.get(self._routes.routes_key, purpose=PURPOSE)
-        if isinstance(read, Err) or read.ok_value is None:
-            return False
-        found = read.ok_value
-        if not self._routes.take(found):
-            return False
-        self._revision = found.mod_revision
-        return True
+        return not isinstance(read, Err) and self._take(read.ok_value)
+
+    def _take(self, found: key_value_types.KeyValue | None) -> bool:
+        self._was_taken = found is not None and self._routes.take(found)
+        self._read_revision = found.mod_revision if found is not None else None
+        return self._was_taken
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -68,7 +68,8 @@
         faults: ``down`` closes every connection without an answer, ``status``
             answers every call with it, ``silent`` answers nothing,
             ``lose_answers`` does what a call asks and closes its connection,
-            ``txn_status`` answers transactions with it,
+            ``txn_status`` answers transactions with it, ``omits_items``
+            answers failed ones without the keys that they expected,
             ``pause_in_body_s`` waits so long in the middle of each answer,
             ``era`` is told in place of the store's.
         calls: Method and path of each call.
@@ -334,7 +335,8 @@
                 }
             ):
                 keys = [one["key"] for one in body["expected"]]
-                return _http.Reply(412, {"items": self._items(keys)})
+                items = [] if self.faults.get("omits_items") else keys
+                return _http.Reply(412, {"items": self._items(items)})
         operations: list[dict[str, Any]] = []
         for put in body["puts"]:
             lease = put["lease"]
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -13,6 +13,8 @@
 
 AGE_LIMIT_S = 1.5
 INTERVAL_S = AGE_LIMIT_S * freshness.INTERVAL_SHARE
+IN_FORCE_S = 2.0
+"""Operators are promised changed routes after this time."""
 
 
 class SuspendableClock(clock.BootClock):
@@ -34,13 +36,11 @@
             self.client, documents.StoredDocuments()
         )
         self.clock = SuspendableClock()
-        self.is_needed = True
         self.freshness = freshness.RoutesFreshness(
             self.client,
             self.routes,
             AGE_LIMIT_S,
             relay=self.make_relay(),
-            is_needed=lambda: self.is_needed,
             system_clock=self.clock,
         )
         self.addCleanup(self.freshness.close)
@@ -231,16 +231,25 @@
         )
         self.assertEqual([one.version for one in changes], [2, 3])
 
-    def test_unneeded_confirmations_send_no_calls(self) -> None:
-        self.is_needed = False
-        self.freshness.start()
-        gevent.sleep(AGE_LIMIT_S)
-        self.assertEqual(self.store.calls, [])
-        self.assertTrue(
-            self.freshness.wait_confirmed(
-                self.freshness.now_s(), AGE_LIMIT_S, 1.0
+    def test_changes_are_found_within_their_bound(self) -> None:
+        """Guards against routes that are old because no key needs newer ones.
+
+        Without a bound for keys, routes were confirmed seconds apart or by
+        other gateways only.
+        """
+        self.freshness.close()
+        unbounded = freshness.RoutesFreshness(self.client, self.routes, None)
+        self.addCleanup(unbounded.close)
+        unbounded.start()
+        for version in range(2, 5):
+            gevent.sleep(0.4)
+            self.put(version)
+            self.assertTrue(
+                builders_platform.wait_until(
+                    lambda version=version: self.version() == version,
+                    limit_s=IN_FORCE_S,
+                )
             )
-        )
 
     def test_waiting_callers_share_a_request(self) -> None:
         """Guards against overloading the service with unknown keys."""
@@ -261,12 +270,11 @@
     """Replies to questions with a value that tests set."""
 
     def __init__(self) -> None:
-        self.is_reader = False
         self.reply: freshness_relay.Confirmation | None = None
-        self.max_asked_owners_count = 0
+        self.asked_count = 0
 
     def ask(self) -> freshness_relay.Confirmation | None:
-        self.max_asked_owners_count += 1
+        self.asked_count += 1
         return self.reply
 
 
@@ -277,14 +285,27 @@
         self.relay = FakeRelay()
         return self.relay
 
-    def test_replies_replace_store_reads(self) -> None:
+    def test_replies_confirm_while_the_store_is_silent(self) -> None:
+        """Guards against refusing keys that another gateway can confirm."""
         self.start()
+        self.store.faults["silent"] = 60.0
         self.relay.reply = freshness_relay.Confirmation(1, 0.0)
-        gevent.sleep(INTERVAL_S)
-        calls_count = len(self.store.calls)
-        gevent.sleep(2 * AGE_LIMIT_S)
-        self.assertTrue(self.is_confirmed())
-        self.assertEqual(len(self.store.calls), calls_count)
+        gevent.sleep(AGE_LIMIT_S)
+        for _ in range(4):
+            gevent.sleep(AGE_LIMIT_S / 4)
+            self.assertTrue(self.is_confirmed())
+
+    def test_store_is_asked_though_others_reply(self) -> None:
+        """Guards against changes that arrive only if another gateway runs."""
+        self.start()
+        self.relay.reply = freshness_relay.Confirmation(1, 0.0)
+        self.put(2)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.version() == 2, limit_s=AGE_LIMIT_S
+            )
+        )
+        self.assertEqual(self.relay.asked_count, 0)
 
     def test_outdated_reply_confirms_nothing(self) -> None:
         """Guards against using an old confirmation of a suspended reader."""
@@ -304,14 +325,6 @@
         gevent.sleep(AGE_LIMIT_S)
         self.assertFalse(self.is_confirmed())
 
-    def test_reader_asks_the_store(self) -> None:
-        self.relay.is_reader = True
-        self.relay.reply = freshness_relay.Confirmation(1, 0.0)
-        self.start()
-        gevent.sleep(AGE_LIMIT_S / 2)
-        self.assertEqual(self.relay.max_asked_owners_count, 0)
-        self.assertTrue(self.is_confirmed(0.5 * AGE_LIMIT_S))
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -64,9 +64,11 @@
         found = self.create("/a/1")
 
         def compare() -> bool:
-            return self.client.is_unchanged(
-                "/a/1", mod_revision=found.mod_revision, purpose="test"
+            expected = [key_value.Guard("/a/1", found.mod_revision)]
+            changed = self.client.compare_revisions(
+                expected, purpose="test"
             ).unwrap()
+            return "/a/1" not in changed
 
         self.create("/a/2")
         self.assertTrue(compare())
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -56,7 +56,7 @@
                 notice_codec.Placement(2, 0.25, (_part(1), _part(2), _part(3))),
                 notice_codec.Placement(3, 0.5),
             ),
-            notice_codec.SeenRevisions(5, 2**40, is_reading=True),
+            notice_codec.SeenRevisions(5, 2**40),
             (
                 notice_codec.Load(9, 14, 0.25, 1.0),
                 notice_codec.Load(10, 0, 0.5),
@@ -85,7 +85,7 @@
             0xDEADBEEF,
             77,
             (placement,),
-            notice_codec.SeenRevisions(1_234, 5_678, is_reading=True, era=3),
+            notice_codec.SeenRevisions(1_234, 5_678, era=3),
             tuple(
                 notice_codec.Load(0xABCDEF01 + number, 14, 0.25, pace)
                 for number, pace in enumerate(paces)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,7 +7,7 @@
 from mulberrywharf import errors, fleet
 from mulberrywharf.forwarding import request
 from mulberrywharf.platform import documents, requests
-from mulberrywharf.platform_service import lease
+from mulberrywharf.platform_service import key_value_types, lease
 from mulberrywharf.policy import request_limits
 from mulberrywharf.routes import kinds
 from tests import builders_platform
@@ -272,8 +272,9 @@
         self.store.put("other", b"2")
 
         def compare() -> Result[bool, errors.PlatformError]:
-            return self.client.is_unchanged(
-                "key", mod_revision=revision, purpose="test"
+            expected = [key_value_types.Guard("key", revision)]
+            return self.client.compare_revisions(expected, purpose="test").map(
+                lambda changed: "key" not in changed
             )
 
         before = (self.store.store.revision, len(self.store.calls))
@@ -291,6 +292,29 @@
         self.store.faults["status"] = 503
         self.assertIsInstance(compare(), Err)
 
+    def test_comparison_reads_what_has_changed(self) -> None:
+        """Guards against taking a key that a response omits for deleted."""
+        revisions = {
+            name: self.store.put(name, name.encode()) for name in "abc"
+        }
+        self.store.put("b", b"later")
+        self.store.delete("c")
+        expected = [
+            key_value_types.Guard(name, revision)
+            for name, revision in revisions.items()
+        ]
+        for faults in ({}, {"txn_status": 403}, {"omits_items": True}):
+            with self.subTest(faults):
+                self.store.faults = dict(faults)
+                changed = self.client.compare_revisions(
+                    expected, purpose="test"
+                ).unwrap()
+                self.assertEqual(changed.keys(), {"b", "c"})
+                found = changed["b"]
+                assert found is not None
+                self.assertEqual(found.value, b"later")
+                self.assertIsNone(changed["c"])
+
     def test_end_of_a_lease_deletes_its_keys(self) -> None:
         holder = lease.LeaseHolder(self.client, ttl_s=5.0, purpose="test")
         holder.start().unwrap()
--- a/tests/test_revision_exchange.py
+++ b/tests/test_revision_exchange.py
@@ -1,6 +1,5 @@
 """Tests how gateways notify each other of changes that a watch may miss."""
 
-import time
 import unittest
 from unittest import mock
 
@@ -22,7 +21,6 @@
         self.changed_revision = changed
         self.seen_revision = seen
         self.proven_revision = seen
-        self.age_s = 0.5
         self.reopenings_count = 0
         self.readings_count = 0
 
@@ -35,9 +33,6 @@
 
 class _Notices:
     def __init__(self) -> None:
-        self.last_sent_s = float("-inf")
-        self.is_registered = True
-        self.is_reader = False
         self.sent_count = 0
 
     def set_seen_callbacks(self, seen: object, on_seen: object) -> None:
@@ -61,9 +56,7 @@
         )
 
     def test_seen_contains_the_changed_revisions(self) -> None:
-        self.assertEqual(
-            self.news.seen(), notice_codec.SeenRevisions(7, 8, is_reading=True)
-        )
+        self.assertEqual(self.news.seen(), notice_codec.SeenRevisions(7, 8))
 
     def test_watch_that_stays_behind_is_reopened(self) -> None:
         """Guards against a gateway that serves old routes for seconds.
@@ -126,89 +119,6 @@
         gevent.sleep(latest_s)
         self.assertEqual(self.notices.sent_count, 1)
 
-    def test_watch_waits_long_while_a_reader_is_active(self) -> None:
-        """Guards against calls to the service that grow with the fleet.
-
-        If each gateway of a fleet of 18 reopens its two watches every few
-        seconds, this takes three quarters of what the fleet pays for calls.
-        """
-        self.assertEqual(self.news.watch_timeouts(), watch.SHORT_TIMEOUTS)
-        self.receive_reader_heartbeat()
-        self.assertEqual(
-            self.news.watch_timeouts(), revision_exchange.LONG_TIMEOUTS
-        )
-        self.assertEqual(self.reopenings_counts(), [0, 0])
-
-    def test_watches_are_reopened_when_no_reader_is_active(self) -> None:
-        """Guards against routes that stay old for half a minute.
-
-        The readers have stopped or are unreachable, the service has silently
-        dropped this gateway's watches, and a change is made. The watches kept
-        waiting as if a reader were active.
-        """
-        self.receive_reader_heartbeat()
-        self.news._reader_heard_at_s -= revision_exchange.READER_TIMEOUT_S
-        self.news._check_readers()
-        self.assertEqual(self.news.watch_timeouts(), watch.SHORT_TIMEOUTS)
-        self.assertEqual(self.reopenings_counts(), [1, 1])
-        self.news._check_readers()
-        self.assertEqual(self.reopenings_counts(), [1, 1])
-
-    def test_peer_that_is_not_reading_is_no_active_reader(self) -> None:
-        """Guards against a fleet in which no gateway reads the service.
-
-        The service rejects the readers, which still send notices of their
-        placements. Every notice counted as a sign that its sender was reading.
-        """
-        self.news.on_seen(notice_codec.SeenRevisions(7, 8))
-        self.news._check_readers()
-        self.assertEqual(self.news.watch_timeouts(), watch.SHORT_TIMEOUTS)
-
-    def test_unregistered_gateway_does_not_rely_on_readers(self) -> None:
-        self.receive_reader_heartbeat()
-        self.notices.is_registered = False
-        self.news._check_readers()
-        self.assertEqual(self.news.watch_timeouts(), watch.SHORT_TIMEOUTS)
-
-    def test_reader_waits_briefly_and_sends_heartbeats(self) -> None:
-        self.notices.is_reader = True
-        self.receive_reader_heartbeat()
-        self.assertEqual(self.news.watch_timeouts(), watch.SHORT_TIMEOUTS)
-        self.assertEqual(self.notices.sent_count, 1)
-        self.notices.last_sent_s = time.monotonic()
-        self.news._check_readers()
-        self.assertEqual(self.notices.sent_count, 1)
-
-    def test_reader_without_answers_sends_no_heartbeat(self) -> None:
-        """Guards against a change that a whole fleet misses.
-
-        The readers can reach their peers but not the service. They sent
-        heartbeats because of their role, not because they received answers.
-        """
-        self.notices.is_reader = True
-        self.routes.age_s = revision_exchange.READING_AGE_S + 0.1
-        self.news._check_readers()
-        self.assertEqual(self.notices.sent_count, 0)
-        self.assertFalse(self.news.seen().is_reading)
-
-    def test_gateway_that_relies_on_readers_is_not_reading(
-        self,
-    ) -> None:
-        """Guards against gateways that wait for each other.
-
-        A watch that waits long has just been answered. This counted as reading,
-        although the next answer may take half a minute.
-        """
-        self.receive_reader_heartbeat()
-        self.assertFalse(self.news.seen().is_reading)
-
-    def receive_reader_heartbeat(self) -> None:
-        self.news.on_seen(notice_codec.SeenRevisions(7, 8, is_reading=True))
-        self.news._check_readers()
-
-    def reopenings_counts(self) -> list[int]:
-        return [one.reopenings_count for one in (self.routes, self.servers)]
-
 
 class WatchReopenTest(unittest.TestCase):
     def test_answer_in_transit_is_not_interrupted(self) -> None:
--- a/tests/test_routes_watch_behind.py
+++ b/tests/test_routes_watch_behind.py
@@ -1,32 +1,38 @@
-"""Routes and keys at gateways whose watch of them is behind, with real ones.
+"""Routes and keys at gateways whose watches are behind.
 
-Each watch is told the present revision and none of the changes before it; all
-other calls to the store work.
+The gateways are real processes. Watches are told the present revision and none
+of the changes before it, or nothing; all other calls to the store work.
 """
 
 import json
+import signal
 import time
 import unittest
 from collections.abc import Callable, Iterable
 
 import gevent
 
+from mulberrywharf.peers import directory
 from mulberrywharf.platform import documents
-from tests import builders_addresses, builders_gateways, processes
+from tests import (
+    builders_addresses,
+    builders_gateways,
+    processes,
+)
 from tests import builders_routes as build
 from tests.test_customer_requests import key_fields
 from tests.test_gateway import GatewayCase
 
 REVOCATION_BOUND_S = 2.0
-NEW_ROUTES_BOUND_S = 2.0 + 5.0
-"""``config-apply-ms`` and ``max-stretch-ms``: the store is impaired."""
+NEW_ROUTES_BOUND_S = 2.0
+"""``config-apply-ms``."""
 
 SCENES = ("all", "readers", "others")
 """Whose watches are held."""
 
-_WAITS_LONG = "mulberry_watches_waiting_long"
 _NODES_PORT = 7660
 _HEARD_NOTHING_S = 1.5
+_RELIANCE_S = 4.0
 _POLL_S = 0.05
 
 
@@ -76,17 +82,28 @@
 
     def held(self, scene: str) -> list[int]:
         """Holds the watches of all gateways, or of those of one kind."""
+        readers = self.readers()
         held = [
             number
-            for number, gateway in enumerate(self.gateways)
-            if scene == "all"
-            or (scene == "readers")
-            == (not builders_gateways.metric(gateway, _WAITS_LONG))
+            for number in range(self.gateways_count)
+            if scene == "all" or (scene == "readers") == (number in readers)
         ]
         for number in held:
             self.store.hold_watches(self.views[number])
         return held
 
+    def readers(self) -> list[int]:
+        """Returns the gateways on which others rely."""
+        ranked = sorted(
+            range(self.gateways_count),
+            key=lambda number: directory._vm_rank(f"entry-{number}"),
+        )
+        return ranked[: directory.READERS_COUNT]
+
+    def away(self) -> set[int]:
+        """Returns the gateways that are not asked."""
+        return set()
+
     def free(self, numbers: Iterable[int]) -> None:
         for number in numbers:
             self.store.free_watches(self.views[number])
@@ -99,6 +116,7 @@
             asking = [
                 gevent.spawn(is_old, number)
                 for number in range(self.gateways_count)
+                if number not in self.away()
             ]
             gevent.joinall(asking, raise_error=True)
             if any(one.value for one in asking):
@@ -137,6 +155,47 @@
         self.assertLessEqual(last_s, NEW_ROUTES_BOUND_S)
 
 
+class LostReadersTest(RoutesWatchBehindCase):
+    """The gateways that others relied on are gone, and no watch is answered."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        # Gateways that rely on others do so some seconds behind their start.
+        gevent.sleep(_RELIANCE_S)
+        hanging = gevent.spawn(self.hang_watches)
+        self.addCleanup(hanging.kill)
+
+    def hang_watches(self) -> None:
+        while True:
+            self.store.hang_watches()
+            gevent.sleep(_POLL_S)
+
+    def away(self) -> set[int]:
+        return set(self.readers())
+
+    def check(self) -> None:
+        gevent.sleep(0.5)
+        self.put_routes(2, path="/v2/")
+        last_s = self.last_s(
+            lambda number: self.read_as(number, "/v2/x") == 404,
+            NEW_ROUTES_BOUND_S + 2.0,
+        )
+        self.assertLessEqual(last_s, NEW_ROUTES_BOUND_S)
+
+    def test_old_routes_end_though_readers_are_killed(self) -> None:
+        """Guards against waiting for a gateway that was killed."""
+        for number in self.readers():
+            self.gateways[number].signal(signal.SIGKILL)
+        self.check()
+
+    def test_old_routes_end_though_readers_stand_still(self) -> None:
+        """Guards against waiting for a gateway that is suspended."""
+        for number in self.readers():
+            self.gateways[number].signal(signal.SIGSTOP)
+            self.addCleanup(self.gateways[number].signal, signal.SIGCONT)
+        self.check()
+
+
 class RevokedKeyTest(RoutesWatchBehindCase):
     def settings(self) -> dict[str, object]:
         return {"revocation": {"bound_ms": REVOCATION_BOUND_S * 1000}}
--- a/tests/test_store_restored.py
+++ b/tests/test_store_restored.py
@@ -390,10 +390,6 @@
 
 
 class _Notices:
-    last_sent_s = 0.0
-    is_registered = True
-    is_reader = False
-
     def set_seen_callbacks(self, *_: object) -> None:
         """Does nothing; the tests call ``seen`` and ``on_seen`` themselves."""
 
@@ -408,24 +404,20 @@
             _Notices(), lambda: {"routes_revision": self.watched}, lambda: 2
         )
 
-    def test_reader_from_an_older_era_is_ignored(self) -> None:
+    def test_notice_of_an_older_era_is_ignored(self) -> None:
         """Guards against changes that arrive 30 s late.
 
-        The store is restored from an older copy while a reader is paused. When
-        it resumes, it announces that it is reading, with the high revisions of
-        the older era. Revisions of different eras were compared.
+        The store is restored from an older copy while a gateway is paused. When
+        it resumes, it sends the high revisions of the older era. Revisions of
+        different eras were compared.
         """
-        seen = notice_codec.SeenRevisions(90, 90, is_reading=True, era=1)
+        seen = notice_codec.SeenRevisions(90, 90, era=1)
         self.news.on_seen(seen)
-        self.news._check_readers()
-        self.assertEqual(self.news.watch_timeouts(), watch.SHORT_TIMEOUTS)
         gevent.sleep(revision_exchange.REOPEN_DELAY_S + 0.1)
         self.assertEqual(self.watched.hurries_count, 0)
         self.news.on_seen(seen._replace(era=2))
-        self.news._check_readers()
-        self.assertEqual(
-            self.news.watch_timeouts(), revision_exchange.LONG_TIMEOUTS
-        )
+        gevent.sleep(revision_exchange.REOPEN_DELAY_S + 0.1)
+        self.assertEqual(self.watched.hurries_count, 1)
 
     def test_peer_with_a_newer_era_triggers_a_store_read(self) -> None:
         for _ in range(3):
--- a/tests/test_wire_numbers.py
+++ b/tests/test_wire_numbers.py
@@ -44,7 +44,7 @@
                 1,
                 2,
                 (notice_codec.Placement(3, number, parts, number),),
-                notice_codec.SeenRevisions(number, number, True, number),
+                notice_codec.SeenRevisions(number, number, number),
                 (notice_codec.Load(4, number, number, number),),
                 (notice_codec.Demand(5, number),),
                 role_loads=(
