Reopen a watch later if it was reopened just before

A notice of a change that came within 2 s of a reopening was dropped.

The reopening now takes place when the 2 s are over, unless the watch has reported the change by then. The new test failed before (one reopening, two expected).

--- a/src/mulberrywharf/peers/revision_exchange.py
+++ b/src/mulberrywharf/peers/revision_exchange.py
@@ -183,7 +183,9 @@
     ) -> None:
         now_s = time.monotonic()
         last_s = self._reopened_at_s.get(name, float("-inf"))
-        if now_s - last_s < MIN_REOPEN_INTERVAL_S:
+        left_s = last_s + MIN_REOPEN_INTERVAL_S - now_s
+        if left_s > 0:
+            self._schedule_reopening(left_s, name, revision, era)
             return
         self._reopened_at_s[name] = now_s
         reads_again = era == self._era() and (
--- a/tests/test_revision_exchange.py
+++ b/tests/test_revision_exchange.py
@@ -119,6 +119,21 @@
         gevent.sleep(latest_s)
         self.assertEqual(self.notices.sent_count, 1)
 
+    def test_second_change_in_a_row_reopens_the_watch_later(self) -> None:
+        """Guards against a change that waits for the next one.
+
+        A notice that came less than two seconds behind a reopening was dropped,
+        although the watch had lost that change, too.
+        """
+        self.news.on_seen(notice_codec.SeenRevisions(12, 8))
+        gevent.sleep(_AFTER_REOPEN_DELAY_S)
+        self.routes.seen_revision = self.routes.proven_revision = 12
+        self.news.on_seen(notice_codec.SeenRevisions(14, 8))
+        gevent.sleep(_AFTER_REOPEN_DELAY_S)
+        self.assertEqual(self.routes.reopenings_count, 1)
+        gevent.sleep(revision_exchange.MIN_REOPEN_INTERVAL_S)
+        self.assertEqual(self.routes.reopenings_count, 2)
+
 
 class WatchReopenTest(unittest.TestCase):
     def test_answer_in_transit_is_not_interrupted(self) -> None:
