--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -19,6 +19,7 @@
 from mulberrywharf import supervised_task
 from mulberrywharf.platform_service import dialect, http_calls
 from mulberrywharf.platform_service.key_value_types import (
+    Guard,
     KeyValue,
     ServiceState,
     WatchEvent,
@@ -260,6 +261,29 @@
             self.reopen_if_waiting()
         return is_skipped
 
+    def take_compared(self, expected: Guard, found: KeyValue | None) -> bool:
+        """Reports what a comparison of a key with the service found.
+
+        Args:
+            expected: The key, and its reported revision when it was compared.
+            found: What the service held then, None for a deleted key.
+
+        Returns:
+            Whether the change had not been reported meanwhile.
+        """
+        if self.reported_revision(expected.key) != expected.mod_revision:
+            return False
+        if found is not None:
+            is_news = not self.has_reported([found])
+            self.take_read(found)
+            return is_news
+        reported = self._reported.get(expected.key)
+        if reported is None:
+            return False
+        self._report(WatchEvent("delete", reported._replace(value=b"")))
+        self._run_callback(self._on_reported)
+        return True
+
     def read_again_if_waiting(self) -> None:
         """Reads all keys again, unless a message is being received."""
         if self._stream is None or not self._stream.is_busy:
--- a/tests/test_routes_watch_behind.py
+++ b/tests/test_routes_watch_behind.py
@@ -1,4 +1,4 @@
-"""Routes and keys at gateways whose watches are behind.
+"""Routes, keys and servers at gateways whose watches are behind.
 
 The gateways are real processes. Watches are told the present revision and none
 of the changes before it, or nothing; all other calls to the store work.
@@ -17,6 +17,7 @@
 from tests import (
     builders_addresses,
     builders_gateways,
+    builders_platform,
     processes,
 )
 from tests import builders_routes as build
@@ -27,6 +28,9 @@
 NEW_ROUTES_BOUND_S = 2.0
 """``config-apply-ms``."""
 
+LEAVING_BOUND_S = 2.0
+"""``drain-ms``."""
+
 SCENES = ("all", "readers", "others")
 """Whose watches are held."""
 
@@ -196,6 +200,49 @@
         self.check()
 
 
+class LeavingServerTest(RoutesWatchBehindCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.leaving = self.server("plain-2", "plain")
+        self.name = documents.SERVERS_PREFIX + "plain-2"
+
+    def check(self, write: Callable[[], object]) -> None:
+        """Lets the server leave and checks when it gets its last request."""
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: (
+                    all(
+                        self.read_as(number, "/safe/x") == 200
+                        for number in range(self.gateways_count)
+                    )
+                    and len(self.leaving.arrivals) > 0
+                )
+            )
+        )
+        for number in range(self.gateways_count):
+            self.store.hold_watches(self.views[number])
+        gevent.sleep(0.5)
+        write()
+        left_s = time.monotonic()
+        self.last_s(
+            lambda number: self.read_as(number, "/safe/x") != 200,
+            LEAVING_BOUND_S + 2.0,
+        )
+        last_s = max((one.at_s for one in self.leaving.arrivals), default=0.0)
+        self.assertLessEqual(last_s - left_s, LEAVING_BOUND_S)
+        self.assertTrue(any(one.at_s > left_s for one in self.plain.arrivals))
+
+    def test_draining_server_gets_no_work_though_watches_skip_it(self) -> None:
+        """Guards against requests to a server that says once that it leaves."""
+        address = f"127.0.0.1:{self.leaving.port}"
+        record = build.server_value(address=address, state="draining")
+        self.check(lambda: self.store.put(self.name, record))
+
+    def test_removed_server_gets_no_work_though_watches_skip_it(self) -> None:
+        """Guards against requests to a server whose record is gone."""
+        self.check(lambda: self.store.delete(self.name))
+
+
 class RevokedKeyTest(RoutesWatchBehindCase):
     def settings(self) -> dict[str, object]:
         return {"revocation": {"bound_ms": REVOCATION_BOUND_S * 1000}}
