Compare servers' records with the routes, and the store's revision first

The comparison of silent records is replaced.

Change: each gateway asks for the store's revision every 1.28 to 1.5 s, a read without a value. If it stands still, nothing has changed at all. If not, one call compares the routes and up to 31 records; of more, a part takes its turn, and the changes since the last audit are read by a call that does not wait. So keys that were added are found, too, and no watch has to be opened often: those of the records wait 30 s now like those of the routes.

The tests of silent keys are those of tests.test_watch_audit now, with more (added keys, many keys, a dropped history, a restored store). A test that counted range calls to see that a watch is not read again counts readings of the watch, since the store's revision is read by a range call.

--- a/src/mulberrywharf/forwarding/servers.py
+++ b/src/mulberrywharf/forwarding/servers.py
@@ -12,19 +12,12 @@
 
 from mulberrywharf import clock, errors, fleet, metrics
 from mulberrywharf.forwarding import server_starts
-from mulberrywharf.platform_service import (
-    key_value,
-    key_value_types,
-    silent_keys,
-    watch,
-)
+from mulberrywharf.platform_service import key_value, key_value_types, watch
 
 PURPOSE = "servers"
 CONFIRM_PURPOSE = "servers-confirmed"
 """Has a budget of its own, so that confirmations never hold up the watch."""
 
-COMPARE_PURPOSE = "servers-compared"
-
 CONFIRM_LIMIT_S = 1.5
 """How long a confirmation is awaited: for the one before it, and for itself."""
 
@@ -166,9 +159,6 @@
         self._ended = server_starts.EndedStarts()
         self._leaving: set[fleet.ServerStart] = set()
         self._watch: watch.Watch | None = None
-        self._silent_records = silent_keys.SilentKeys(
-            client, self.watched, self._is_in_use, purpose=COMPARE_PURPOSE
-        )
         self._is_reading_events = False
         self._has_changed = False
         self._passed: list[fleet.Server] = []
@@ -185,11 +175,9 @@
             timeouts=self._timeouts,
             on_reported=self._on_reported,
         )
-        self._silent_records.start()
 
     def close(self) -> None:
         """Stops the watch; the list stays unchanged."""
-        self._silent_records.close()
         if self._watch is not None:
             self._watch.close()
         for timer in self._missing.values():
@@ -386,10 +374,6 @@
     def _apply_event(self, event: key_value_types.WatchEvent) -> None:
         key = event.key_value.key
         server_id = self._source.server_id(key)
-        if event.kind == "delete":
-            self._silent_records.note_deleted(key)
-        else:
-            self._silent_records.note_written(key)
         if event.is_restored and event.kind == "put":
             self._on_restored_record(server_id)
             return
@@ -406,13 +390,6 @@
             self._has_changed = True
         self._on_record(decoded.ok_value)
 
-    def _is_in_use(self, key: str) -> bool:
-        """Returns whether the server whose record has this key gets work."""
-        server_id = self._source.server_id(key)
-        known = self._by_id.get(server_id)
-        is_kept = server_id in self._missing
-        return known is not None and not known.is_draining and not is_kept
-
     def _on_restored_record(self, server_id: str) -> None:
         """Ignores a record that comes from an older copy.
 
--- a/src/mulberrywharf/platform/store.py
+++ b/src/mulberrywharf/platform/store.py
@@ -199,6 +199,24 @@
     return [{"key": one.key, "revision": one.mod_revision} for one in expected]
 
 
+@dialect.read_revision.register
+def _(
+    store: StoreDialect,
+    calls: service_calls.ServiceCalls,
+    key: str,
+    purpose: str,
+) -> Result[int, errors.PlatformError]:
+    # The page behind the key is empty unless longer keys begin with it, so no
+    # value is read.
+    query = {"prefix": key, "after": key}
+    call = _read_call("/kv-range", query, "revision", purpose)
+    return service_calls.decoded(
+        call,
+        calls.send(call),
+        lambda answer: _count(answer, "store-revision"),
+    )
+
+
 @dialect.read_key.register
 def _(
     store: StoreDialect,
--- a/src/mulberrywharf/platform_service/dialect.py
+++ b/src/mulberrywharf/platform_service/dialect.py
@@ -166,6 +166,26 @@
     return Ok(changed)
 
 
+@singledispatch
+def read_revision(
+    dialect: Any,
+    calls: service_calls.ServiceCalls,
+    key: str,
+    purpose: str,
+) -> Result[int, errors.PlatformError]:
+    """Reads the present revision of the service.
+
+    Args:
+        dialect: Dialect of the service.
+        calls: Endpoints of the service.
+        key: A key; dialects that can't read the revision alone read it.
+        purpose: Call budget that is charged.
+    """
+    return read_prefix(dialect, calls, key, purpose).map(
+        lambda read: read[1].revision
+    )
+
+
 @singledispatch
 def open_watch(
     dialect: Any, calls: service_calls.ServiceCalls, request: WatchRequest
--- a/src/mulberrywharf/platform_service/key_value.py
+++ b/src/mulberrywharf/platform_service/key_value.py
@@ -369,6 +369,19 @@
             self._dialect, self._gateway, expected, purpose
         )
 
+    def read_revision(
+        self, key: str, *, purpose: str
+    ) -> Result[int, errors.PlatformError]:
+        """Reads the service's revision, which rises with each change of a key.
+
+        Args:
+            key: A key that services without such a call read.
+            purpose: Call budget that is charged.
+        """
+        return dialect_module.read_revision(
+            self._dialect, self._gateway, key, purpose
+        )
+
     def open_watch(
         self, request: dialect_module.WatchRequest
     ) -> Result[dialect_module.WatchStream, errors.PlatformError]:
--- a/src/mulberrywharf/platform_service/watch.py
+++ b/src/mulberrywharf/platform_service/watch.py
@@ -50,13 +50,8 @@
 backoff of up to 0.5 s, a change arrives within 2.9 s.
 """
 
-SHORTEST_SILENCE_TIMEOUT_S = 1.2
-"""Silence timeout of a watch whose keys change about once a second. It costs
-nothing while they do."""
-
 LONG_SILENCE_TIMEOUT_S = 30.0
-"""Silence timeout of a watch on which nothing depends, because its keys are
-also compared with those of the service."""
+"""Silence timeout of a watch whose keys are also compared with the service."""
 
 _BACKOFF_BASE_S = 0.25
 _BACKOFF_LIMIT_S = 1.0
@@ -92,9 +87,6 @@
 SHORT_TIMEOUTS = WatchTimeouts(SHORT_SILENCE_TIMEOUT_S)
 """Timeouts for changes that must take effect within seconds."""
 
-SHORTEST_TIMEOUTS = WatchTimeouts(SHORTEST_SILENCE_TIMEOUT_S)
-"""See ``SHORTEST_SILENCE_TIMEOUT_S``."""
-
 LONG_TIMEOUTS = WatchTimeouts(LONG_SILENCE_TIMEOUT_S)
 """See ``LONG_SILENCE_TIMEOUT_S``. The pause after a failure stays short."""
 
@@ -184,6 +176,20 @@
         """
         return max(self._changed_revision, self._read_revision)
 
+    @property
+    def prefix(self) -> str:
+        """Prefix of the keys."""
+        return self._prefix
+
+    @property
+    def read_revision(self) -> int:
+        """Revision at which all keys were last read, 0 before that."""
+        return self._read_revision
+
+    def reported_keys(self) -> list[str]:
+        """Returns the keys that exist as far as was reported."""
+        return list(self._reported)
+
     @property
     def has_read_all(self) -> bool:
         """Whether all present keys were read and changes are followed since.
@@ -252,14 +258,19 @@
             Whether the watch is known to have skipped the change: it goes on
             behind its revision.
         """
-        if self.has_reported([found]):
-            return False
         is_skipped = self.continues_at_revision >= found.mod_revision
-        self._report(WatchEvent("put", found))
+        return self.take_event(WatchEvent("put", found)) and is_skipped
+
+    def take_event(self, event: WatchEvent) -> bool:
+        """Reports a change that was found elsewhere; returns if it was news."""
+        changed = event.key_value
+        if self.has_reported([changed]):
+            return False
+        self._report(event)
         self._run_callback(self._on_reported)
-        if not is_skipped:
+        if self.continues_at_revision < changed.mod_revision:
             self.reopen_if_waiting()
-        return is_skipped
+        return True
 
     def take_compared(self, expected: Guard, found: KeyValue | None) -> bool:
         """Reports what a comparison of a key with the service found.
@@ -271,17 +282,14 @@
         Returns:
             Whether the change had not been reported meanwhile.
         """
-        if self.reported_revision(expected.key) != expected.mod_revision:
-            return False
         if found is not None:
-            is_news = not self.has_reported([found])
-            self.take_read(found)
-            return is_news
+            return self.take_event(WatchEvent("put", found))
         reported = self._reported.get(expected.key)
-        if reported is None:
+        if reported is None or reported.mod_revision != expected.mod_revision:
             return False
         self._report(WatchEvent("delete", reported._replace(value=b"")))
         self._run_callback(self._on_reported)
+        self.reopen_if_waiting()
         return True
 
     def read_again_if_waiting(self) -> None:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -66,7 +66,7 @@
     topics,
 )
 from mulberrywharf.platform import documents, duties, orders, requests, store
-from mulberrywharf.platform_service import key_value, watch
+from mulberrywharf.platform_service import key_value, watch, watch_audit
 from mulberrywharf.policy import (
     crash_suspects,
     customer_meter,
@@ -135,6 +135,11 @@
             self._routes,
             _revocation_bound_s(config),
             relay=relay,
+            audit=watch_audit.WatchAudit(
+                self._store,
+                lambda: self._servers.watched(),
+                purpose=freshness.PURPOSE,
+            ),
         )
         relay.on_question(self._confirmed_routes)
         self._tracker = server_tracker.ServerTracker(
@@ -143,7 +148,7 @@
         self._servers = servers.ServerList(
             self._store,
             source,
-            timeouts=lambda: watch.SHORTEST_TIMEOUTS,
+            timeouts=lambda: watch.LONG_TIMEOUTS,
             on_registered=self._tracker.registered,
         )
         self._version_history = stream_version.VersionHistory()
--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -4,19 +4,21 @@
 dropped the watch or be unreachable. Operations that must not use outdated
 routes, such as accepting a key that may be revoked, check here first.
 
-The service is asked whether the document still has the revision at which it
-was stored. Changes are not asked for: what keeps them from a watch would keep
-them from the confirmation, too.
+The service is asked for its revision, and whether the document still has the
+revision at which it was stored. Changes are not asked for: what keeps them from
+a watch would keep them from the confirmation, too.
 
 A confirmation is dated by when its request was sent, not by when the answer
 arrived, so that slow answers and suspended machines never make it look newer.
 
-Each gateway asks the service itself, so that it finds a change that its watch
+Each gateway asks the service itself, so that it finds a change that its watches
 missed whatever happens to other gateways. Only a gateway that gets no answer
-relies on what others confirmed.
+relies on what others confirmed. While the revision of the service stands still,
+nothing has changed; else the routes and the keys of an audit are compared.
 """
 
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 import gevent
@@ -25,7 +27,11 @@
 from result import Err
 
 from mulberrywharf import clock, metrics, supervised_task
-from mulberrywharf.platform_service import key_value, key_value_types
+from mulberrywharf.platform_service import (
+    dialect,
+    key_value,
+    key_value_types,
+)
 from mulberrywharf.routes import table
 
 PURPOSE = "freshness"
@@ -115,6 +121,34 @@
         ...
 
 
+class Audit(Protocol):
+    """Other keys that are compared with the service beside the routes."""
+
+    def next_keys(self, limit_count: int) -> list[key_value_types.Guard]:
+        """Returns keys to compare, with the revisions that they should have."""
+        ...
+
+    def take(
+        self,
+        expected: Sequence[key_value_types.Guard],
+        changed: dialect.ChangedKeys,
+    ) -> None:
+        """Takes what a comparison has found."""
+        ...
+
+    def find_missed(self, after_revision: int, revision: int) -> bool:
+        """Finds changes of keys that were not compared.
+
+        Args:
+            after_revision: Revision up to which nothing is missing.
+            revision: Revision of the service before keys were compared.
+
+        Returns:
+            Whether nothing up to that revision is missing now.
+        """
+        ...
+
+
 class Relay(Protocol):
     """Asks other gateways how recently the routes were confirmed."""
 
@@ -133,6 +167,7 @@
         age_limit_s: float | None,
         *,
         relay: Relay | None = None,
+        audit: Audit | None = None,
         system_clock: clock.Clock | None = None,
     ):
         """Creates it; no requests are sent before ``start``.
@@ -142,6 +177,7 @@
             routes: Receives changed routes.
             age_limit_s: Maximum age of a usable confirmation, None for
                 ``DEFAULT_AGE_LIMIT_S``.
+            audit: Other keys to compare, None for none.
             relay: Asks other gateways while the service does not answer, None
                 to ask only the service.
             system_clock: A clock that also runs while suspended.
@@ -153,12 +189,14 @@
             RELAYED_AGE_LIMIT_S, RELAYED_AGE_LIMIT_SHARE * self._age_limit_s
         )
         self._relay = relay
+        self._audit = audit
         self._interval_s = min(
             INTERVAL_LIMIT_S, INTERVAL_SHARE * self._age_limit_s
         )
         self._clock = system_clock or clock.BootClock()
         self._confirmed_s = float("-inf")
         self._read_revision: int | None = None
+        self._checked_revision = 0
         self._was_taken = False
         self._era = client.era
         self._is_failing = False
@@ -231,7 +269,7 @@
         _confirmations.inc({"result": "ok" if is_confirmed else "failed"})
         age_s = self.now_s() - self._confirmed_s
         _age_gauge.set({}, age_s)
-        is_failing = not is_confirmed
+        is_failing = not is_confirmed and age_s > 2 * self._interval_s
         if is_failing != self._is_failing:
             self._is_failing = is_failing
             logger.bind(age_s=round(age_s, 3), era=self._era).info(
@@ -242,7 +280,7 @@
         """Checks once; tells whether the routes in force are the newest."""
         requested_s = self.now_s()
         if self._client.restored_age_s() < RESTORE_HOLD_OFF_S:
-            self._read_revision = None
+            self._forget()
             return False
         if self._asking is None or self._asking.ready():
             self._asking = gevent.spawn(self._ask_service, requested_s)
@@ -274,16 +312,21 @@
     def _ask_service(self, requested_s: float) -> bool:
         if self._client.era != self._era:
             self._era = self._client.era
-            self._read_revision = None
+            self._forget()
         is_newest = self._is_newest_in_service()
         if self._client.era != self._era:
             # The reads may come from two different histories.
-            self._read_revision = None
+            self._forget()
             return False
         if is_newest:
             self._note_confirmed(requested_s)
         return is_newest
 
+    def _forget(self) -> None:
+        """Forgets what was read from a history that may be lost."""
+        self._read_revision = None
+        self._checked_revision = 0
+
     def _note_confirmed(self, at_s: float) -> None:
         self._confirmed_s = max(self._confirmed_s, at_s)
         self._confirmed.set()
@@ -297,23 +340,52 @@
             # At a start, and behind a restore, all gateways confirm at once:
             # the service takes more reads than comparisons.
             return self._read_routes()
+        read = self._client.read_revision(
+            self._routes.routes_key, purpose=PURPOSE
+        )
+        if isinstance(read, Err):
+            return False
+        revision = read.ok_value
+        if revision != self._checked_revision:
+            if not self._compare(revision):
+                return False
+            self._checked_revision = revision
+        return self._is_read_document_in_force()
+
+    def _is_read_document_in_force(self) -> bool:
+        return self._routes.stored_revision is not None or self._was_taken
+
+    def _compare(self, service_revision: int) -> bool:
+        """Compares keys with the service; tells whether none is behind."""
         key = self._routes.routes_key
-        in_force = self._routes.stored_revision
+        revision = self._routes.stored_revision or self._read_revision or 0
+        routes = key_value_types.Guard(key, revision)
+        others = (
+            self._audit.next_keys(key_value.COMPARE_LIMIT_COUNT - 1)
+            if self._audit is not None
+            else []
+        )
         compared = self._client.compare_revisions(
-            [key_value_types.Guard(key, in_force or self._read_revision)],
-            purpose=PURPOSE,
+            [routes, *others], purpose=PURPOSE
         )
-        if isinstance(compared, Err):
+        if isinstance(compared, Err) or self._client.era != self._era:
             return False
-        if key not in compared.ok_value:
-            return in_force is not None or self._was_taken
-        return self._take(compared.ok_value[key])
+        changed = compared.ok_value
+        if self._audit is not None:
+            self._audit.take(others, changed)
+        if key in changed and not self._take(changed[key]):
+            return False
+        return self._audit is None or self._audit.find_missed(
+            self._checked_revision, service_revision
+        )
 
     def _read_routes(self) -> bool:
         read = self._client.get(self._routes.routes_key, purpose=PURPOSE)
-        return not isinstance(read, Err) and self._take(read.ok_value)
+        if isinstance(read, Err):
+            return False
+        return self._take(read.ok_value)
 
     def _take(self, found: key_value_types.KeyValue | None) -> bool:
         self._was_taken = found is not None and self._routes.take(found)
-        self._read_revision = found.mod_revision if found is not None else None
+        self._read_revision = found.mod_revision if found is not None else 0
         return self._was_taken
