Soak: change the routes beside the faults and judge when they are in force

Callers ask each gateway for the paths of the newest versions; while changes are made, watches are never answered or pass over them.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -134,12 +134,14 @@
             played.rotate_key()
             continue
         way = played.ways[f"store-{index}"]
+        began_s = time.monotonic()
         way.set_faults(mode=rng.choice(_PARTITION_MODES))
         played.rotate_key()
         gevent.sleep(
             fleet.REVOCATION_BOUND_S + rng.uniform(*_PARTITION_PAST_BOUND_S)
         )
         way.set_faults(**_NO_WAY_FAULT)
+        played.gateway_outages.append((index, began_s, time.monotonic()))
 
 
 def state_limits(
@@ -283,8 +285,11 @@
         if "drop_history" in store.faults:
             store.hang_watches()
             store.store.compact()
+        is_answering = "drop_history" in store.faults
         gevent.sleep(self._rng.uniform(0.2, 1.5))
         store.faults = {}
+        if not is_answering:
+            self._fleet.store_outages.append((began_s, time.monotonic()))
         self._fleet.note_upset(None, began_s)
 
     def _restore_store(self) -> None:
@@ -309,6 +314,7 @@
             self._fleet.register(server_id)
         self._fleet.write_routes()
         self._fleet.restores.append((began_s, time.monotonic()))
+        self._fleet.store_outages.append((began_s, time.monotonic()))
         self._fleet.note_upset(None, began_s)
 
     def _harm_way(self) -> None:
@@ -357,6 +363,10 @@
             gateway.close()
             self._fleet.launch(index)
         self._fleet.note_upset(index, began_s)
+        if number != signal.SIGHUP:
+            self._fleet.gateway_outages.append(
+                (index, began_s, time.monotonic())
+            )
 
     def _count(self, where: str, harm: dict[str, Any]) -> None:
         what = ",".join(str(harm.get("mode", name)) for name in harm)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,7 +12,7 @@
 import gevent
 
 from mulberrywharf.platform import documents
-from proofs import stream_order_fleet
+from proofs import routes_in_force, stream_order_fleet
 from soak import stream_server
 from standins import fault_proxy, held_port, platform_server
 from tests import builders_routes as build
@@ -123,6 +123,11 @@
         harms: Name of a way that was harmed, from when until when.
         upsets: Index of a gateway that was started, stopped or paused, or None
             for the store and with it for all, from when until when.
+        route_writes: Versions of the added paths, see ``routes_in_force``.
+        store_outages: From when until when the store did not answer as it
+            should, to any gateway.
+        gateway_outages: Index of a gateway that was started, ended or paused,
+            from when until when.
         rotating_key: Current key of ``ROTATING_KEY_CUSTOMER``.
         revoked_at_s: Monotonic time at which each of its previous keys was
             revoked, infinite while the revocation is being written.
@@ -156,6 +161,9 @@
         self._parted: set[str] = set()
         self._records_count = 0
         self._heart: gevent.Greenlet | None = None
+        self.route_writes: list[routes_in_force.Write] = []
+        self.store_outages: list[tuple[float, float]] = []
+        self.gateway_outages: list[tuple[int, float, float]] = []
         self.rotating_key = "key-of-changing-0"
         self.revoked_at_s: dict[str, float] = {}
         self.starts: list[tuple[int, float, float]] = []
@@ -163,6 +171,7 @@
         self.is_over = False
         self._fields: dict[str, dict[str, str]] = {}
         self._views: list[Any] = []
+        self._view_ports: list[int] = []
         # A caller's way leads there also while the gateway is started anew.
         self._callers_ports = [
             held_port.HeldPort(LOOPBACK) for _ in range(GATEWAYS_COUNT)
@@ -185,13 +194,13 @@
         for server_id, service, role in _SERVERS:
             self._start_server(server_id, service, role)
         self.store.era = 1
-        self.write_routes()
+        self.change_routes()
         for index in range(GATEWAYS_COUNT):
             self._views.append(
                 lambda key, value, index=index: self._seen(index, key, value)
             )
-            view_port = self.store.add_view(self._views[-1])
-            self._open_way(f"store-{index}", view_port)
+            self._view_ports.append(self.store.add_view(self._views[-1]))
+            self._open_way(f"store-{index}", self._view_ports[-1])
             self.gateways.append(None)
             self.launch(index)
         self._heart = gevent.spawn(self._beat)
@@ -225,6 +234,7 @@
         self.gateways[index] = gateway
         self._logged.append(gateway)
         self.starts.append((index, began_s, time.monotonic()))
+        self.gateway_outages.append((index, began_s, time.monotonic()))
         self.note_upset(index, began_s)
 
     def callers_port(self, index: int) -> int:
@@ -272,13 +282,48 @@
         document = _routes()
         for route in document["routes"]:
             route["timeout-ms"] = self._timeout_ms or route["timeout-ms"]
-        document["version"] = 1 + len(self.revoked_at_s)
+        newest = len(self.route_writes)
+        document["version"] = newest + len(self.revoked_at_s)
+        oldest = max(1, newest - routes_in_force.KEPT_COUNT + 1)
+        document["routes"] += [
+            {**document["routes"][0], "name": f"v{added}"}
+            | {"prefix": f"/v{added}/"}
+            for added in range(oldest, newest + 1)
+        ]
         document["tenants"] = [
             {"name": STATIC_KEY_CUSTOMER, "api-keys": [STATIC_KEY]},
             {"name": ROTATING_KEY_CUSTOMER, "api-keys": [self.rotating_key]},
         ]
         self.store.put("op/config", json.dumps(document).encode())
 
+    def change_routes(self) -> None:
+        """Adds the path of the next version."""
+        began_s = time.monotonic()
+        version = len(self.route_writes) + 1
+        write = routes_in_force.Write(version, began_s, float("inf"))
+        self.route_writes.append(write)
+        self.write_routes()
+        self.route_writes[-1] = write._replace(acked_s=time.monotonic())
+
+    def view_port(self, index: int) -> int:
+        """Returns the port of the store at which a gateway reads."""
+        return self._view_ports[index]
+
+    def boots_count(self, index: int) -> int:
+        """Returns how often a gateway was started."""
+        return sum(started == index for started, _, _ in self.starts)
+
+    def outages(self, index: int) -> Iterator[tuple[float, float]]:
+        """Yields when a gateway was out of touch with the store or callers."""
+        yield from self.store_outages
+        ways = (f"store-{index}", f"callers-{index}")
+        for where, began_s, ended_s in self.gateway_outages:
+            if where == index:
+                yield began_s, ended_s
+        for name, began_s, ended_s in self.harms:
+            if name in ways:
+                yield began_s, ended_s
+
     def rotate_key(self) -> None:
         """Revokes the rotating key and issues a new one."""
         previous = self.rotating_key
--- a/soak/play.py
+++ b/soak/play.py
@@ -8,7 +8,14 @@
 import gevent
 
 from proofs import stream_order_callers
-from soak import calls, faults, fleet, promises, releases
+from soak import (
+    calls,
+    faults,
+    fleet,
+    promises,
+    releases,
+    route_changes,
+)
 
 CALLERS_COUNT = 12
 CULPRIT_PAUSE_LIMIT_S = 1.0
@@ -82,7 +89,20 @@
             stream_order_callers.Caller(stream_calls, number)
             for number in range(releases.CALLERS_COUNT)
         ]
-        running = [gevent.spawn(caller.run) for caller in (*callers, *readers)]
+        route_callers = [
+            route_changes.Caller(played, index)
+            for index in range(fleet.GATEWAYS_COUNT)
+        ]
+        running = [
+            gevent.spawn(caller.run)
+            for caller in (*callers, *readers, *route_callers)
+        ]
+        changes = gevent.spawn(
+            route_changes.change_routes,
+            played,
+            random.Random(f"routes {seed}"),
+            length_s,
+        )
         rotation = gevent.spawn(faults.rotate_keys, played, keys_rng, length_s)
         limits_rng = random.Random(f"limits {seed}")
         limiting = [
@@ -97,6 +117,7 @@
         injected.play(length_s)
         rotation.join()
         releasing.join()
+        changes.join()
         played.heal()
         gevent.joinall(limiting)
         healed_s = time.monotonic()
@@ -107,7 +128,12 @@
         made = calls.all_of(callers)
         judge = promises.Judge(played, healed_s)
         streams = [one for reader in readers for one in reader.streams]
-        broken = [*judge.broken(made), *releases.broken(streams)]
+        seen = [one for caller in route_callers for one in caller.seen]
+        broken = [
+            *judge.broken(made),
+            *releases.broken(streams),
+            *route_changes.broken(played, seen),
+        ]
         counts = injected.counts + released.counts
         return Outcome(broken, made, counts, streams)
     finally:
