--- a/soak/stops.py
+++ b/soak/stops.py
@@ -17,7 +17,7 @@
 import random
 import signal
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple
 
 import gevent
@@ -113,7 +113,7 @@
                 else {"pause_s": stream_s / _EVENTS_COUNT}
             )
         callers = [
-            _Caller(played, random.Random(rng.getrandbits(64)))
+            Caller(played, random.Random(rng.getrandbits(64)))
             for _ in range(CALLERS_COUNT)
         ]
         running = [gevent.spawn(caller.run) for caller in callers]
@@ -207,18 +207,35 @@
         played.launch(index)
 
 
-class _Caller:
-    """A caller that keeps its connection, also while its gateway stops."""
+class Caller:
+    """A caller that keeps its connection, also while its gateway stops.
 
-    def __init__(self, played: fleet.Fleet, rng: random.Random):
+    Attributes:
+        calls: What it has called.
+    """
+
+    def __init__(
+        self,
+        played: fleet.Fleet,
+        rng: random.Random,
+        gateways: Sequence[int] = range(fleet.GATEWAYS_COUNT),
+    ):
+        """Creates it.
+
+        Args:
+            played: The fleet that it calls.
+            rng: Decides calls and pauses.
+            gateways: Indexes of the gateways that it calls.
+        """
         self.calls: list[Call] = []
         self._fleet = played
         self._rng = rng
+        self._gateways = gateways
 
     def run(self) -> None:
         """Calls until the fleet is over."""
         while not self._fleet.is_over:
-            index = self._rng.randrange(fleet.GATEWAYS_COUNT)
+            index = self._rng.choice(self._gateways)
             gateway = self._fleet.gateways[index]
             assert gateway is not None
             address = (fleet.LOOPBACK, gateway.ready["callers"])
--- a/tests/test_unending_answers.py
+++ b/tests/test_unending_answers.py
@@ -13,8 +13,10 @@
 from mulberrywharf import _exchange, errors, fleet
 from mulberrywharf.engines import load_client, orders
 from mulberrywharf.operators import client
+from mulberrywharf.peers import handover_client
+from mulberrywharf.platform import requests
 from mulberrywharf.platform_service import http_calls
-from tests import builders_engines
+from tests import builders_engines, test_handover
 
 MEMORY_LIMIT_BYTES = 8_000_000
 TIMEOUT_S = 1.0
@@ -114,7 +116,7 @@
                 self.check(self.serve_blocks(blocks(), pause_s=0.01))
 
     def test_readers_of_whole_answers(self) -> None:
-        """Guards against a store or an engine that fills a process's memory."""
+        """Guards against a peer that fills the memory of a process."""
         readers: dict[str, Callable[[fleet.Address], Any]] = {
             "store": lambda address: http_calls.HttpCalls(
                 {"ip": address.ip, "port": address.port}, TIMEOUT_S
@@ -133,6 +135,15 @@
             "status": lambda address: client.read_status(
                 address, "token", TIMEOUT_S
             ),
+            "hop": lambda address: handover_client.HandoverClient(
+                "vm-1", requests.ServerDialect()
+            ).send(
+                handover_client.Helper(address, "token"),
+                "request-1",
+                test_handover.handed_request(),
+                TIMEOUT_S,
+                lambda: None,
+            ),
         }
         for name, read in readers.items():
             for kind in ("lines of a head", "trailers", "a line of a head"):
