Log how and at which revision routes came into force

The logs of the operators' record could not tell whether a gateway had its routes from its watch or from a read beside it, nor how old they were: 'routes in force' now names the revision at which they were stored and the way.

--- a/src/mulberrywharf/routes/follower.py
+++ b/src/mulberrywharf/routes/follower.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections.abc import Callable
-from typing import Protocol
+from typing import Literal, Protocol
 
 import gevent.event
 from loguru import logger
@@ -27,6 +27,10 @@
 )
 
 
+Way = Literal["watch", "read"]
+"""Whether the watch reported routes, or they were read beside it."""
+
+
 class RouteSource(Protocol):
     """Key and format of the operators' routes.
 
@@ -148,14 +152,16 @@
                 revision=found.mod_revision,
                 watched=self._watch.continues_at_revision,
             ).warning("the watch of the routes passed over a change")
-        return self._take(found)
+        return self._take(found, "read")
 
-    def _take(self, found: key_value_types.KeyValue) -> bool:
-        is_in_force = self._is_in_force_after(found)
+    def _take(self, found: key_value_types.KeyValue, way: Way) -> bool:
+        is_in_force = self._is_in_force_after(found, way)
         self._stored_revision = found.mod_revision if is_in_force else 0
         return is_in_force
 
-    def _is_in_force_after(self, found: key_value_types.KeyValue) -> bool:
+    def _is_in_force_after(
+        self, found: key_value_types.KeyValue, way: Way
+    ) -> bool:
         if self._table is not None and (
             _digest(found.value) == self._applied_digest
         ):
@@ -165,7 +171,7 @@
             _rejected.inc({"reason": decoded.err_value.code})
             logger.error("routes not taken: {}", decoded.err_value.message)
             return False
-        return self._apply(decoded.ok_value, found.value)
+        return self._apply(decoded.ok_value, found, way)
 
     def _on_event(self, event: key_value_types.WatchEvent) -> None:
         if event.key_value.key != self._source.routes_key:
@@ -176,9 +182,14 @@
             )
             self._stored_revision = 0
             return
-        self._take(event.key_value)
+        self._take(event.key_value, "watch")
 
-    def _apply(self, found: table.RouteTable, value: bytes) -> bool:
+    def _apply(
+        self,
+        found: table.RouteTable,
+        stored: key_value_types.KeyValue,
+        way: Way,
+    ) -> bool:
         current_version = self._table.version if self._table else 0
         if found.version <= current_version:
             _rejected.inc({"reason": "not-newer"})
@@ -189,12 +200,14 @@
             )
             return False
         self._table = found
-        self._applied_digest = _digest(value)
+        self._applied_digest = _digest(stored.value)
         self._has_routes.set()
         _version_gauge.set({}, found.version)
         logger.bind(
             version=found.version,
             before_version=current_version,
+            revision=stored.mod_revision,
+            way=way,
             routes_count=found.routes_count,
             customers_count=found.customers.customers_count
             if found.customers
