--- a/bench/store_restores.py
+++ b/bench/store_restores.py
@@ -210,12 +210,13 @@
         """Lets each server write its record once, spread over a time."""
         self._sequence += 1
         for number in range(SERVERS_COUNT):
-            self._write_server(number)
+            self.write_server(number, self._sequence)
             gevent.sleep(within_s / SERVERS_COUNT)
 
-    def _write_server(self, number: int) -> None:
+    def write_server(self, number: int, sequence: int) -> None:
+        """Lets a server write its record."""
         record = build.server_value(
-            sequence=self._sequence, address=f"127.0.0.1:{1000 + number}"
+            sequence=sequence, address=f"127.0.0.1:{1000 + number}"
         )
         self.standin.put(f"{documents.SERVERS_PREFIX}i-{number}", record)
 
