Say what readers are for now that each gateway asks the store itself

They answer gateways that the store gives no answer, and are candidates for duties. Removes a property of the relay that nothing uses any more.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -48,10 +48,9 @@
 with these reads 6,052."""
 
 READERS_COUNT = 2
-"""Number of readers among gateways that exchange notices. Readers reopen their
-watches often; the others let theirs wait long while they hear from a reader.
-With a single reader, its restart would make all others read the key-value
-service."""
+"""Number of readers among gateways that exchange notices. A gateway that gets
+no answer from the key-value service asks these for confirmations, and they are
+candidates for duties."""
 
 FIRST_READ_DELAY_S = 1.5
 """Delay of the first read after the start. Gateways that start together have
@@ -238,7 +237,7 @@
 
     @property
     def is_reader(self) -> bool:
-        """Whether this gateway reads the key-value service for others.
+        """Whether this gateway is one of the readers.
 
         All gateways select the same readers by hashing, without messages. If
         they know different gateways, more than the usual number may be readers.
--- a/src/mulberrywharf/peers/freshness_relay.py
+++ b/src/mulberrywharf/peers/freshness_relay.py
@@ -1,8 +1,9 @@
 """Asks other gateways how recently the routes were confirmed as the newest.
 
-The readers ask the key-value service; the other gateways ask a reader. Whoever
-asks counts the age of a confirmation from before it sent its question, so a
-late reply or a suspended reader only makes the confirmation older.
+Each gateway asks the key-value service itself. One that gets no answer asks a
+reader, which may reach the service. Whoever asks counts the age of a
+confirmation from before it sent its question, so a late reply or a suspended
+reader only makes the confirmation older.
 """
 
 import random
@@ -26,11 +27,6 @@
 class Peers(Protocol):
     """The other gateways."""
 
-    @property
-    def is_reader(self) -> bool:
-        """Whether this gateway reads the key-value service for others."""
-        ...
-
     def reader_addresses(self) -> tuple[fleet.Address, ...]:
         """Returns the datagram addresses of the other readers."""
         ...
@@ -75,14 +71,6 @@
         """
         self._confirmation = confirmation
 
-    @property
-    def is_reader(self) -> bool:
-        """Whether this gateway reads the key-value service for others.
-
-        A reader asks the service itself for confirmations.
-        """
-        return self._peers.is_reader
-
     def ask(self) -> Confirmation | None:
         """Asks the readers in random order; None if none of them replies."""
         readers = list(self._peers.reader_addresses())
--- a/tests/test_freshness_relay.py
+++ b/tests/test_freshness_relay.py
@@ -45,7 +45,6 @@
     """Peers with readers that tests set."""
 
     def __init__(self) -> None:
-        self.is_reader = False
         self.readers: tuple[fleet.Address, ...] = ()
 
     def knows(self, ip: str) -> bool:
