--- a/fuzz/inputs.py
+++ b/fuzz/inputs.py
@@ -207,7 +207,7 @@
                 key,
                 key,
                 (notice_codec.Placement(key, number, parts, number),),
-                notice_codec.SeenRevisions(number, number, True, number),
+                notice_codec.SeenRevisions(number, number, number),
                 (notice_codec.Load(key, number, number, number),),
                 (notice_codec.Demand(key, number),),
                 role_loads=(
--- a/tests/test_malformed_datagrams.py
+++ b/tests/test_malformed_datagrams.py
@@ -20,7 +20,7 @@
         1,
         2,
         (notice_codec.Placement(3, 7, _PARTS, 8),),
-        notice_codec.SeenRevisions(1, 2, True, 3),
+        notice_codec.SeenRevisions(1, 2, 3),
         (notice_codec.Load(4, 1, 2, 3),),
         (notice_codec.Demand(5, 6),),
     )
