Name the module that finds missed changes of servers

A docstring pointed at the list of servers, where the first way stood that was replaced; the audit of watches does it now. No statement changes; format, lint and one test of the module passed.

--- a/src/mulberrywharf/peers/revision_exchange.py
+++ b/src/mulberrywharf/peers/revision_exchange.py
@@ -4,7 +4,7 @@
 change. A gateway that has seen a change therefore notifies its peers, which
 reopen a watch that has not reported it. This saves them up to 1.5 s, the time
 in which each gateway finds the change by itself: correctness depends on no
-notice, see ``routes.freshness`` and ``forwarding.servers``.
+notice, see ``routes.freshness`` and ``platform_service.watch_audit``.
 """
 
 import random
