Show runners that get work too long after their leaving

Seen: while waiting watches are cut, runners whose entry is removed get requests up to 2.25 s later; 2 s are allowed.

Cause: a watch that is cut counts as an outage of the whole store, for which servers without an entry are kept for two more seconds.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -172,10 +172,15 @@
 
     Attributes:
         revision: Rises with each change.
+        cut_watches_after_s: How long a watch waits until its channel is
+            closed without an answer; None for never.
+        watches_cut_count: Watches that were cut.
     """
 
     def __init__(self) -> None:
         self.revision = 100
+        self.cut_watches_after_s: float | None = None
+        self.watches_cut_count = 0
         self._items: dict[str, Item] = {}
         self._events: list[tuple[str, Item | None, int]] = []
         self._leases: dict[int, tuple[float, float]] = {}
@@ -313,9 +318,8 @@
         self, query: dict[str, str], view: View | None
     ) -> dict[str, Any]:
         prefix, after = query["prefix"], int(query["after"])
-        until_s = time.monotonic() + min(
-            _WATCH_LIMIT_S, int(query["wait-ms"]) / 1000
-        )
+        began_s = time.monotonic()
+        until_s = began_s + min(_WATCH_LIMIT_S, int(query["wait-ms"]) / 1000)
         while True:
             events = [
                 _told(key, item, view)
@@ -327,6 +331,12 @@
             left_s = until_s - time.monotonic()
             if events or left_s <= 0:
                 return {"events": events, "store-revision": self.revision}
+            if self.cut_watches_after_s is not None:
+                cut_s = began_s + self.cut_watches_after_s
+                left_s = min(left_s, cut_s - time.monotonic())
+                if left_s <= 0:
+                    self.watches_cut_count += 1
+                    raise ConnectionError("the watch is cut")
             async with self._changed:
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), left_s)
@@ -450,6 +460,16 @@
             record |= {"stage": self._stage, "models": models}
         return await self._store.put(f"servers/{self.runner_id}", record)
 
+    async def leave(self) -> float:
+        """Ends its record without notice, and serves on.
+
+        Returns:
+            The time of the acknowledgement.
+        """
+        if self._heart is not None:
+            self._heart.cancel()
+        return await self._store.delete(f"servers/{self.runner_id}")
+
     async def _beat(self) -> None:
         while True:
             await asyncio.sleep(HEARTBEAT_S)
