Show a revoked key at a gateway that starts within a drill

Seen: a gateway that starts while the store is back from an older copy accepts a key that was taken away more than 5 s before.

Cause: it takes the config of the copy for the newest, and asks no other gateway.

--- a/review/harness2.py
+++ b/review/harness2.py
@@ -175,12 +175,15 @@
         cut_watches_after_s: How long a watch waits until its channel is
             closed without an answer; None for never.
         watches_cut_count: Watches that were cut.
+        era: Told in each answer; rises by one with each restore.
     """
 
     def __init__(self) -> None:
         self.revision = 100
         self.cut_watches_after_s: float | None = None
         self.watches_cut_count = 0
+        self.era = 1
+        self._oldest_revision = 0
         self._items: dict[str, Item] = {}
         self._events: list[tuple[str, Item | None, int]] = []
         self._leases: dict[int, tuple[float, float]] = {}
@@ -198,7 +201,10 @@
             while (request := await read_request(reader)) is not None:
                 status, answer = await self._answer(request, view)
                 body = json.dumps(answer).encode()
-                fields = [("content-type", "application/json")]
+                fields = [
+                    ("content-type", "application/json"),
+                    ("Store-Era", str(self.era)),
+                ]
                 writer.write(encode_response(status, body, fields))
                 await writer.drain()
 
@@ -216,6 +222,32 @@
         for listener in self._listeners:
             await listener.close()
 
+    def copy(self) -> dict[str, Item]:
+        """Returns a copy of the keys without a lease, to come back from."""
+        return {
+            key: item for key, item in self._items.items() if not item.lease
+        }
+
+    async def go_away(self) -> None:
+        """Refuses all calls and breaks off those that wait."""
+        for listener in self._listeners:
+            await listener.close()
+
+    async def come_back(self, copy: dict[str, Item], revision: int) -> None:
+        """Answers again, from a copy: what came later and all leases are gone.
+
+        Args:
+            copy: What ``copy`` returned.
+            revision: The revision then.
+        """
+        self._items = dict(copy)
+        self._events.clear()
+        self._leases.clear()
+        self.revision = self._oldest_revision = revision
+        self.era += 1
+        for listener in self._listeners:
+            await listener.start()
+
     async def put(self, key: str, value: Any) -> float:
         """Writes a key as operators and servers do.
 
@@ -293,6 +325,12 @@
                 "store-revision": self.revision,
             }
         if request.path == "/kv-watch":
+            if (
+                not self._oldest_revision
+                <= int(query["after"])
+                <= self.revision
+            ):
+                return 410, {"store-revision": self.revision}
             return 200, await self._watch(query, view)
         if request.path == "/kv-txn":
             return await self._txn(json.loads(request.body))
