Take routes and customers of any rank

What callers saw: a new version of the routes with one route of rank 10 was never in force on any gateway.

A customer's rank had the same check (customers/directory). Ruled out: the watch and the read behind it (the log has "routes not taken ... priority is 10" right behind the change, on all three gateways).

Change: any rank of 0 or more is taken. policy/priority_levels gives each rank of a version a level from 0 to 9: its own number where that is possible, and ranks above 9 take the last levels in their order, so that none overtakes another. Beyond ten distinct ranks the least urgent share a level.

--- a/src/mulberrywharf/customers/directory.py
+++ b/src/mulberrywharf/customers/directory.py
@@ -13,9 +13,6 @@
 KEY_LIMIT_BYTES = 8_192
 """Maximum size of a key in a configuration."""
 
-HIGHEST_PRIORITY = 0
-LOWEST_PRIORITY = 9
-
 _DIGEST_BYTES = 16
 _FINGERPRINT_DIGITS = 8
 
@@ -129,13 +126,13 @@
 
 
 def _priority_faults(path: str, priority: int | None) -> list[errors.Fault]:
-    if priority is None or HIGHEST_PRIORITY <= priority <= LOWEST_PRIORITY:
+    if priority is None or priority >= 0:
         return []
     return [
         errors.Fault(
             f"{path}.priority",
-            f"priority {priority} is out of range",
-            f"use {HIGHEST_PRIORITY} to {LOWEST_PRIORITY}",
+            f"priority {priority} is negative",
+            "use 0 for the highest priority",
         )
     ]
 
--- a/src/mulberrywharf/forwarding/engine_estimates.py
+++ b/src/mulberrywharf/forwarding/engine_estimates.py
@@ -27,6 +27,7 @@
     observed_waits,
     part_caches,
     part_homes,
+    priority_levels,
     prompt_placement,
     slot_waits,
 )
@@ -52,7 +53,7 @@
 """Share of a decode engine's slots in use up to which a prefill there tells the
 engine's lasting slowdown: prefills slow down as a batch fills."""
 
-LEAST_PRIORITY = 9
+LEAST_PRIORITY = priority_levels.LOWEST_LEVEL
 """Lowest priority that engines accept for a request; 0 is served first."""
 
 
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -11,6 +11,7 @@
 from mulberrywharf import errors, fleet, stated_numbers
 from mulberrywharf.customers import directory
 from mulberrywharf.platform import scaling, server_records
+from mulberrywharf.policy import priority_levels
 from mulberrywharf.routes import kinds, table
 
 ROUTES_KEY = "op/config"
@@ -81,17 +82,39 @@
     customers: Sequence[directory.CustomerKeys] | None,
 ) -> table.RouteTable:
     services = [_service(fields) for fields in document["services"]]
+    routes = [_route(fields) for fields in document["routes"]]
+    # A rank has no maximum. Priorities that are sent to engines have one.
+    levels = priority_levels.assign(
+        [route.priority for route in routes]
+        + [
+            entry.customer.priority
+            for entry in customers or ()
+            if entry.customer.priority is not None
+        ]
+    )
     return table.RouteTable(
         stated_numbers.count(document["version"], "version"),
-        [_route(fields) for fields in document["routes"]],
+        [route._replace(priority=levels[route.priority]) for route in routes],
         {service.name: service for service in services},
         _limits(document.get("limits")),
         None
         if customers is None
-        else directory.CustomerDirectory.from_config(customers),
+        else directory.CustomerDirectory.from_config(
+            [_with_level(entry, levels) for entry in customers]
+        ),
     )
 
 
+def _with_level(
+    entry: directory.CustomerKeys, levels: Mapping[int, int]
+) -> directory.CustomerKeys:
+    rank = entry.customer.priority
+    if rank is None:
+        return entry
+    customer = entry.customer._replace(priority=levels[rank])
+    return entry._replace(customer=customer)
+
+
 def _customers(
     tenants: Sequence[Mapping[str, Any]] | None,
 ) -> list[directory.CustomerKeys] | None:
@@ -122,7 +145,7 @@
         timeout_s=_number(fields, "timeout-ms") / _MS_PER_S,
         destinations=_destinations(fields),
         attempts_limit_count=int(_number(fields, "max-attempts", 1)),
-        priority=_priority(fields),
+        priority=int(_number(fields, "priority", 5)),
         target_s=_seconds(fields, "target-latency-ms"),
         gap_target_s=_seconds(fields, "target-gap-ms"),
         # Despite its name, the field states that requests list the parts of
@@ -132,13 +155,6 @@
     )
 
 
-def _priority(fields: Mapping[str, Any]) -> int:
-    priority = int(_number(fields, "priority", 5))
-    if priority > directory.LOWEST_PRIORITY:
-        raise ValueError(f"priority is {priority}")
-    return priority
-
-
 def _kind(fields: Mapping[str, Any]) -> kinds.RequestKind:
     match fields["kind"]:
         case "safe":
--- a/tests/test_customer_requests.py
+++ b/tests/test_customer_requests.py
@@ -117,6 +117,20 @@
         ]
         self.assertEqual(sorted(seen), ["1", "4"])
 
+    def test_engines_get_a_level_for_a_high_rank(self) -> None:
+        """Guards against a rank above 9 that keeps new routes out of force."""
+        self.put_routes([{**builders_customers.tenants()[0], "priority": 70}])
+        gevent.sleep(1.0)
+        self.ask_with_keys(
+            builders_customers.KEY, path="/stream/x", fields=PROMPT_FIELDS
+        )
+        seen = [
+            headers["HTTP_X_MULBERRYWHARF_REQUEST_PRIORITY"]
+            for engine in self.decodes
+            for headers in engine.request_headers
+        ]
+        self.assertEqual(seen, ["9"])
+
     def test_key_changes_take_effect(self) -> None:
         self.put_routes([{"name": "ann", "api-keys": ["new-key"]}])
         self.assertTrue(
