Tell which version of the routes was refused, and for which field

What operators saw: callers got 404 for a route in the newest version, and the gateway's sign of it was a counter that had risen once and a line without the version. A document that is read again with each confirmation was logged each time.

Change: one line per fault with version, field and reason, once for each refused document; mulberry_routes_refused_version is the newest version that could not be taken, 0 once a newer one is.

The new test failed before (no such gauge; it also counts the lines) and passes.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -94,12 +94,19 @@
 
 
 class StoredConfigurationError(DocumentError):
-    """The stored configuration is not in the expected format."""
+    """The stored configuration is not in the expected format.
+
+    Attributes:
+        version: Version that it states, None if it states none.
+    """
 
     code = "bad-stored-configuration"
 
-    def __init__(self, source: str, faults: list[Fault]):
+    def __init__(
+        self, source: str, faults: list[Fault], *, version: int | None = None
+    ):
         super().__init__(source, faults)
+        self.version = version
         self.advice = (
             "Nodes keep the configuration that they run. Unless a newer "
             "release wrote the key, delete it as described in "
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -45,21 +45,31 @@
         self, value: bytes
     ) -> Result[table.RouteTable, errors.StoredConfigurationError]:
         """Decodes one version of the routes."""
+        version = None
         try:
             document = orjson.loads(value)
+            version = stated_numbers.count(document["version"], "version")
             customers = _customers(document.get("tenants"))
             faults = directory.find_faults(customers or ())
             faults += scaling.find_faults(document["services"])
             if faults:
-                return Err(errors.StoredConfigurationError(ROUTES_KEY, faults))
-            return Ok(_route_table(document, customers))
+                return Err(
+                    errors.StoredConfigurationError(
+                        ROUTES_KEY, faults, version=version
+                    )
+                )
+            return Ok(_route_table(version, document, customers))
         except _DECODE_ERRORS as error:
             fault = errors.Fault(
                 "document",
                 repr(error),
                 "set every required field of the routes",
             )
-            return Err(errors.StoredConfigurationError(ROUTES_KEY, [fault]))
+            return Err(
+                errors.StoredConfigurationError(
+                    ROUTES_KEY, [fault], version=version
+                )
+            )
 
     def decode_server(
         self, key: str, value: bytes
@@ -78,6 +88,7 @@
 
 
 def _route_table(
+    version: int,
     document: Mapping[str, Any],
     customers: Sequence[directory.CustomerKeys] | None,
 ) -> table.RouteTable:
@@ -93,7 +104,7 @@
         ]
     )
     return table.RouteTable(
-        stated_numbers.count(document["version"], "version"),
+        version,
         [route._replace(priority=levels[route.priority]) for route in routes],
         {service.name: service for service in services},
         _limits(document.get("limits")),
--- a/src/mulberrywharf/routes/follower.py
+++ b/src/mulberrywharf/routes/follower.py
@@ -1,7 +1,7 @@
 """Keeps the newest version of the routes that a node has seen in force."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Literal, Protocol
 
 import gevent.event
@@ -25,6 +25,18 @@
     "mulberry_routes_rejected_total",
     "Route documents that were read and not taken, by reason.",
 )
+_refused_version_gauge = metrics.gauge(
+    "mulberry_routes_refused_version",
+    "Version of the newest routes that this node could not take; 0 if it has"
+    " taken the newest, -1 if they state no version.",
+)
+_faults_gauge = metrics.gauge(
+    "mulberry_routes_faults_count",
+    "Faults of the routes in force; what they belong to is not in force.",
+)
+
+_LOGGED_FAULTS_LIMIT_COUNT = 20
+_NO_VERSION = -1
 
 
 Way = Literal["watch", "read"]
@@ -76,6 +88,7 @@
         self._timeouts = timeouts
         self._table: table.RouteTable | None = None
         self._applied_digest = b""
+        self._refused_digest = b""
         self._stored_revision = 0
         self._has_routes = gevent.event.Event()
         self._watch: watch.Watch | None = None
@@ -168,11 +181,25 @@
             return True
         decoded = self._source.decode_routes(found.value)
         if isinstance(decoded, Err):
-            _rejected.inc({"reason": decoded.err_value.code})
-            logger.error("routes not taken: {}", decoded.err_value.message)
+            self._report_refused(decoded.err_value, _digest(found.value))
             return False
         return self._apply(decoded.ok_value, found, way)
 
+    def _report_refused(
+        self, error: errors.StoredConfigurationError, digest: bytes
+    ) -> None:
+        # A refused document is read again with each confirmation.
+        if digest == self._refused_digest:
+            return
+        self._refused_digest = digest
+        _rejected.inc({"reason": error.code})
+        in_force = self._table.version if self._table else 0
+        if error.version is None or error.version > in_force:
+            _refused_version_gauge.set(
+                {}, _NO_VERSION if error.version is None else error.version
+            )
+        _log_faults("routes not taken", error.version, error.faults)
+
     def _on_event(self, event: key_value_types.WatchEvent) -> None:
         if event.key_value.key != self._source.routes_key:
             return
@@ -203,6 +230,9 @@
         self._applied_digest = _digest(stored.value)
         self._has_routes.set()
         _version_gauge.set({}, found.version)
+        _refused_version_gauge.set({}, 0)
+        _faults_gauge.set({}, len(found.faults))
+        _log_faults("part of the routes not taken", found.version, found.faults)
         logger.bind(
             version=found.version,
             before_version=current_version,
@@ -218,5 +248,17 @@
         return True
 
 
+def _log_faults(
+    message: str, version: int | None, faults: Sequence[errors.Fault]
+) -> None:
+    for fault in faults[:_LOGGED_FAULTS_LIMIT_COUNT]:
+        logger.bind(
+            version=version,
+            field=fault.path,
+            reason=fault.message,
+            faults_count=len(faults),
+        ).error(message)
+
+
 def _digest(value: bytes) -> bytes:
     return hashlib.sha256(value).digest()
--- a/src/mulberrywharf/routes/table.py
+++ b/src/mulberrywharf/routes/table.py
@@ -2,9 +2,10 @@
 
 import collections
 import itertools
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple, TypeGuard
 
+from mulberrywharf import errors
 from mulberrywharf.customers import directory
 from mulberrywharf.policy import capacity_plan
 from mulberrywharf.routes import kinds
@@ -131,6 +132,8 @@
         services: Services by name.
         limits: Limits for callers, None for the built-in ones.
         customers: Customers that may send requests, None for no restriction.
+        faults: What is wrong with parts of the configuration that are not in
+            force.
     """
 
     def __init__(
@@ -140,11 +143,13 @@
         services: Mapping[str, Service],
         limits: CallerLimits | None = None,
         customers: directory.CustomerDirectory | None = None,
+        faults: Sequence[errors.Fault] = (),
     ):
         self.version = version
         self.services = services
         self.limits = limits
         self.customers = customers
+        self.faults = faults
         by_host: dict[str, list[Route]] = collections.defaultdict(list)
         for route in routes:
             by_host[route.host].append(route)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -1,16 +1,27 @@
 """Tests of matching and splitting routes, request kinds and the follower."""
 
 import collections
+import json
 import time
 import unittest
+from typing import Any
 
+import loguru
+
+from mulberrywharf import metrics
 from mulberrywharf.platform import documents
-from mulberrywharf.platform_service import watch
+from mulberrywharf.platform_service import key_value_types, watch
 from mulberrywharf.routes import follower, kinds, split, table
 from tests import builders_platform
 from tests import builders_routes as build
 
 
+def _refused() -> float:
+    """Returns the version of the routes that could not be taken."""
+    gauge = metrics.gauge("mulberry_routes_refused_version", "")
+    return float(gauge.get({}))
+
+
 class MatchTest(unittest.TestCase):
     def setUp(self) -> None:
         self.routes = table.RouteTable(
@@ -173,6 +184,28 @@
         self.put(6)
         self.assertTrue(self.wait_version(6))
 
+    def test_refused_version_is_told_until_a_newer_one_is_taken(self) -> None:
+        """Guards against routes that stay old and nobody knows why."""
+        lines: list[Any] = []
+        sink = loguru.logger.add(
+            lambda line: lines.append(line.record["extra"])
+        )
+        self.addCleanup(loguru.logger.remove, sink)
+        self.put(3)
+        self.assertTrue(self.wait_version(3))
+        document = build.routes_document(7)
+        del document["services"]
+        refused = json.dumps(document).encode()
+        self.store.put(documents.ROUTES_KEY, refused)
+        self.assertTrue(builders_platform.wait_until(lambda: _refused() == 7))
+        self.routes.take(key_value_types.KeyValue("", refused, 1, 1))
+        told = [line for line in lines if line.get("version") == 7]
+        self.assertEqual(len(told), 1)
+        self.assertIn("services", f"{told[0]['field']} {told[0]['reason']}")
+        self.put(9)
+        self.assertTrue(self.wait_version(9))
+        self.assertEqual(_refused(), 0)
+
     def test_change_in_dropped_history_is_found(self) -> None:
         """Guards against a node that stays at an old version.
 
