Leave out a faulty customer, not the version that lists it

What callers would see: one customer with a malformed priority, a second entry of its name, an empty key or a key of over 8,192 bytes kept a whole version of the routes out of force on every gateway, for good: all other routes, limits and revoked keys with it.

Cause: directory.find_faults and the decoder reported any fault of a customer as one of the document.

Change: a malformed priority yields to the route's; a key that is empty, no text or held by an earlier customer is left out; a customer without a name or a list of keys is left out. Each is a fault of the table in force, which is logged and counted. Entries of one name and keys of any length are taken. Customers that are no list still refuse the document: without them, callers would need no key.

--- a/src/mulberrywharf/customers/directory.py
+++ b/src/mulberrywharf/customers/directory.py
@@ -10,9 +10,6 @@
 
 from mulberrywharf import errors
 
-KEY_LIMIT_BYTES = 8_192
-"""Maximum size of a key in a configuration."""
-
 _DIGEST_BYTES = 16
 _FINGERPRINT_DIGITS = 8
 
@@ -74,10 +71,10 @@
     def from_config(
         cls, customers: Iterable[CustomerKeys]
     ) -> "CustomerDirectory":
-        """Indexes the keys of a valid configuration.
+        """Indexes the keys of a configuration.
 
         Args:
-            customers: All customers; ``find_faults`` must return none.
+            customers: All customers, as ``without_faults`` returns them.
         """
         by_digest: dict[bytes, Customer] = {}
         names = set()
@@ -91,60 +88,67 @@
         return self._by_digest.get(key_digest)
 
 
-def find_faults(customers: Iterable[CustomerKeys]) -> list[errors.Fault]:
-    """Validates a list of customers.
+class UsableCustomers(NamedTuple):
+    """What can be used of a list of customers.
 
-    Faults are logged, so their messages never contain a key.
+    Attributes:
+        customers: The customers without what is faulty.
+        faults: What is wrong with the rest. Faults are logged, so their
+            messages never contain a key.
     """
-    faults = []
+
+    customers: list[CustomerKeys]
+    faults: list[errors.Fault]
+
+
+def without_faults(customers: Iterable[CustomerKeys]) -> UsableCustomers:
+    """Leaves out customers and keys that cannot be used.
+
+    One customer's fault must not keep the keys of all others out of force,
+    among them keys that were revoked.
+    """
+    usable: list[CustomerKeys] = []
+    faults: list[errors.Fault] = []
     holders: dict[bytes, str] = {}
-    names: set[str] = set()
     for customer_index, (customer, keys) in enumerate(customers):
-        path = f"customers[{customer_index}]"
-        if not customer.name or customer.name in names:
+        if not customer.name:
+            path = f"customers[{customer_index}].name"
+            faults.append(errors.Fault(path, "it is empty", "name it"))
+            continue
+        path = f"customers.{customer.name}"
+        if customer.priority is not None and customer.priority < 0:
             faults.append(
                 errors.Fault(
-                    f"{path}.name",
-                    f"{customer.name!r} is empty or a duplicate",
-                    "give each customer one entry with a unique name",
+                    f"{path}.priority",
+                    f"priority {customer.priority} is negative",
+                    "use 0 for the highest priority",
                 )
             )
-        names.add(customer.name)
-        faults += _priority_faults(path, customer.priority)
+            customer = customer._replace(priority=None)
+        usable_keys = []
         for key_index, key in enumerate(keys):
-            faults += _key_faults(f"{path}.keys[{key_index}]", key)
-            holder = holders.setdefault(digest(key.encode()), customer.name)
-            if holder != customer.name:
-                faults.append(
-                    errors.Fault(
-                        f"{path}.keys[{key_index}]",
-                        f"customer {holder!r} holds the same key",
-                        "use each key for one customer only",
-                    )
-                )
-    return faults
-
-
-def _priority_faults(path: str, priority: int | None) -> list[errors.Fault]:
-    if priority is None or priority >= 0:
-        return []
-    return [
-        errors.Fault(
-            f"{path}.priority",
-            f"priority {priority} is negative",
-            "use 0 for the highest priority",
-        )
-    ]
-
-
-def _key_faults(path: str, key: str) -> list[errors.Fault]:
-    size_bytes = len(key.encode())
-    if 0 < size_bytes <= KEY_LIMIT_BYTES:
-        return []
-    return [
-        errors.Fault(
-            path,
-            f"the key has an invalid size of {size_bytes} bytes",
-            f"use 1 to {KEY_LIMIT_BYTES} bytes",
-        )
-    ]
+            fault = _key_fault(
+                f"{path}.keys[{key_index}]", key, customer.name, holders
+            )
+            if fault is None:
+                usable_keys.append(key)
+            else:
+                faults.append(fault)
+        usable.append(CustomerKeys(customer, tuple(usable_keys)))
+    return UsableCustomers(usable, faults)
+
+
+def _key_fault(
+    path: str, key: str, name: str, holders: dict[bytes, str]
+) -> errors.Fault | None:
+    """Returns why a customer does not get a key; the first holder keeps it."""
+    if not key:
+        return errors.Fault(path, "the key is empty", "remove it")
+    holder = holders.setdefault(digest(key.encode()), name)
+    if holder == name:
+        return None
+    return errors.Fault(
+        path,
+        f"customer {holder!r} holds the same key",
+        "use each key for one customer only",
+    )
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -1,7 +1,7 @@
 """Decodes the routes and server records in the platform's store."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
@@ -49,16 +49,14 @@
         try:
             document = orjson.loads(value)
             version = stated_numbers.count(document["version"], "version")
-            customers = _customers(document.get("tenants"))
-            faults = directory.find_faults(customers or ())
-            faults += scaling.find_faults(document["services"])
+            faults = scaling.find_faults(document["services"])
             if faults:
                 return Err(
                     errors.StoredConfigurationError(
                         ROUTES_KEY, faults, version=version
                     )
                 )
-            return Ok(_route_table(version, document, customers))
+            return Ok(_route_table(version, document))
         except _DECODE_ERRORS as error:
             fault = errors.Fault(
                 "document",
@@ -90,8 +88,9 @@
 def _route_table(
     version: int,
     document: Mapping[str, Any],
-    customers: Sequence[directory.CustomerKeys] | None,
 ) -> table.RouteTable:
+    faults: list[errors.Fault] = []
+    customers = _customers(document.get("tenants"), faults)
     services = [_service(fields) for fields in document["services"]]
     routes = [_route(fields) for fields in document["routes"]]
     # A rank has no maximum. Priorities that are sent to engines have one.
@@ -113,6 +112,7 @@
         else directory.CustomerDirectory.from_config(
             [_with_level(entry, levels) for entry in customers]
         ),
+        faults,
     )
 
 
@@ -127,24 +127,52 @@
 
 
 def _customers(
-    tenants: Sequence[Mapping[str, Any]] | None,
+    tenants: list[Any] | None, faults: list[errors.Fault]
 ) -> list[directory.CustomerKeys] | None:
+    """Decodes the customers; None if requests need no key."""
     if tenants is None:
         return None
-    return [_customer(fields) for fields in tenants]
+    if not isinstance(tenants, list):
+        raise TypeError("tenants is not a list")
+    customers = []
+    for index, fields in enumerate(tenants):
+        path = f"tenants[{index}]"
+        try:
+            customers.append(_customer(path, fields, faults))
+        except _DECODE_ERRORS as error:
+            faults.append(_fault(path, error, "its keys are unknown"))
+    usable = directory.without_faults(customers)
+    faults += usable.faults
+    return usable.customers
 
 
-def _customer(fields: Mapping[str, Any]) -> directory.CustomerKeys:
+def _customer(
+    path: str, fields: Mapping[str, Any], faults: list[errors.Fault]
+) -> directory.CustomerKeys:
+    name, keys = _text(fields, "name"), fields["api-keys"]
+    if not isinstance(keys, list):
+        raise TypeError("api-keys is not a list")
     priority = fields.get("priority")
     if priority is not None and type(priority) is not int:
-        raise TypeError("a customer's priority must be an integer")
-    keys = fields["api-keys"]
-    if not isinstance(keys, list) or not all(
-        isinstance(key, str) for key in keys
-    ):
-        raise TypeError("a customer's keys must be a list of strings")
-    name = str(fields["name"])
-    return directory.CustomerKeys(directory.Customer(name, priority), keys)
+        message = f"{priority!r:.40} is not an integer"
+        faults.append(
+            errors.Fault(f"{path}.priority", message, "the route's applies")
+        )
+        priority = None
+    texts = [key for key in keys if isinstance(key, str)]
+    if len(texts) < len(keys):
+        message = f"{len(keys) - len(texts)} of its keys are not texts"
+        faults.append(
+            errors.Fault(f"{path}.api-keys", message, "they are unknown")
+        )
+    return directory.CustomerKeys(directory.Customer(name, priority), texts)
+
+
+def _fault(path: str, error: Exception, effect: str) -> errors.Fault:
+    reason = str(error)
+    if isinstance(error, KeyError):
+        reason = f"{error.args[0]} is missing"
+    return errors.Fault(path, reason, effect)
 
 
 def _route(fields: Mapping[str, Any]) -> table.Route:
