Order no engines by faulty bounds, and keep the routes that list them

What callers would see: one service whose bounds for ordered engines were faulty, such as a minimum above the maximum, kept a whole version of the routes out of force on every gateway.

Cause: scaling.find_faults reported the bounds of one service as faults of the document; they concern only the duty that orders that service's engines.

Change: a service with faulty bounds has none, so that its engines aren't ordered; the faults stand in the table in force, are logged and counted.

--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -49,13 +49,6 @@
         try:
             document = orjson.loads(value)
             version = stated_numbers.count(document["version"], "version")
-            faults = scaling.find_faults(document["services"])
-            if faults:
-                return Err(
-                    errors.StoredConfigurationError(
-                        ROUTES_KEY, faults, version=version
-                    )
-                )
             return Ok(_route_table(version, document))
         except _DECODE_ERRORS as error:
             fault = errors.Fault(
@@ -91,7 +84,10 @@
 ) -> table.RouteTable:
     faults: list[errors.Fault] = []
     customers = _customers(document.get("tenants"), faults)
-    services = [_service(fields) for fields in document["services"]]
+    services = [
+        _service(f"services[{index}]", fields, faults)
+        for index, fields in enumerate(document["services"])
+    ]
     routes = [_route(fields) for fields in document["routes"]]
     # A rank has no maximum. Priorities that are sent to engines have one.
     levels = priority_levels.assign(
@@ -244,13 +240,15 @@
     return value
 
 
-def _service(fields: Mapping[str, Any]) -> table.Service:
+def _service(
+    path: str, fields: Mapping[str, Any], faults: list[errors.Fault]
+) -> table.Service:
     engine = fields.get("engine")
     return table.Service(
         name=_text(fields, "name"),
         connections_limit_count=int(_number(fields, "max-connections")),
         engine=_engine(engine) if engine else None,
-        scaling=scaling.decode(fields),
+        scaling=scaling.decode(path, fields, faults),
     )
 
 
--- a/src/mulberrywharf/platform/scaling.py
+++ b/src/mulberrywharf/platform/scaling.py
@@ -1,7 +1,7 @@
-"""Decodes and validates the ``scaling`` of a service in the routes."""
+"""Decodes the ``scaling`` of a service in the routes."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from typing import Any
 
 from mulberrywharf import errors
@@ -16,15 +16,27 @@
 _COUNTS = ("min-instances", "max-instances")
 
 
-def decode(service: Mapping[str, Any]) -> capacity_plan.CapacityBounds | None:
-    """Decodes the bounds of a service; ``find_faults`` must return none.
+def decode(
+    path: str, service: Mapping[str, Any], faults: list[errors.Fault]
+) -> capacity_plan.CapacityBounds | None:
+    """Decodes the bounds of a service.
+
+    Args:
+        path: Path of the service in the document, for faults.
+        service: The service.
+        faults: List to which the faults of the bounds are added.
 
     Returns:
-        The bounds, None if the service's engines are not ordered.
+        The bounds, None if the service's engines are not ordered, as they have
+        none or faulty ones.
     """
     fields = service.get("scaling")
     if fields is None:
         return None
+    found = _faults(f"{path}.scaling", fields)
+    faults += found
+    if found:
+        return None
     price = fields.get("spot-price")
     return capacity_plan.CapacityBounds(
         min_count=fields["min-instances"],
@@ -38,16 +50,6 @@
     )
 
 
-def find_faults(services: Sequence[Mapping[str, Any]]) -> list[errors.Fault]:
-    """Validates the ``scaling`` of all services."""
-    faults = []
-    for index, service in enumerate(services):
-        fields = service.get("scaling")
-        if fields is not None:
-            faults += _faults(f"services[{index}].scaling", fields)
-    return faults
-
-
 def _faults(path: str, fields: object) -> list[errors.Fault]:
     if not isinstance(fields, dict):
         return [
