Let a faulty route or service cost its own requests only

What callers would see: one malformed field of one route or service, such as a priority of null or a missing limit of connections, kept a whole version of the routes out of force; callers of all other routes were served by the older one.

Cause: decode_routes caught any error of any field.

Change: a malformed optional field (name, kind, max-attempts, targets, priority) has its default. A malformed timeout or service makes its route unusable: its requests get 503, truly not run, with a Retry-After, as 404 or the route of a shorter prefix would be wrong. A route without a readable host or prefix and a service with malformed numbers are left out; the other services of a split get the requests. Every fault is in the table, logged and counted. An unknown kind was taken for the strictest one without a word; it still is, and is told.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -32,6 +32,7 @@
 from mulberrywharf.policy import stream_version
 from mulberrywharf.routes import follower, kinds, split, table
 
+_UNUSABLE_ROUTE_RETRY_S = 5.0
 NOT_READY_RETRY_S = 0.5
 """``Retry-After`` for a request that arrives before the routes are loaded. They
 are loaded within a second of the start if the key-value service answers."""
@@ -453,6 +454,11 @@
     route = routes.match(host, target.partition("?")[0])
     if route is None:
         raise errors.UnknownTargetError("no route matches this host and path")
+    if not route.destinations:
+        raise errors.UnusableRouteError(
+            f"the configuration of the route {route.name} is malformed",
+            retry_after_s=_UNUSABLE_ROUTE_RETRY_S,
+        )
     return route
 
 
--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -204,6 +204,14 @@
     advice = "Retry after a few seconds; another node may be ready now."
 
 
+class UnusableRouteError(RequestError):
+    """A required field of the route, or of its service, is malformed."""
+
+    code = "unusable-route"
+    status = 503
+    advice = "Retry later; the operators must correct the route."
+
+
 class StoppingError(RequestError):
     """This node is stopping and can't serve the request before it ends."""
 
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -1,8 +1,8 @@
 """Decodes the routes and server records in the platform's store."""
 
 import math
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple, TypeVar
 
 import orjson
 from loguru import logger
@@ -22,6 +22,8 @@
 _BITS_PER_MEGABIT = 1e6
 _DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
+_DEFAULT_RANK = 5
+
 _NUMBER_LIMIT = 2**53
 """Higher numbers count as this one. JSON carries integers up to it exactly, and
 products of two of them are finite."""
@@ -29,6 +31,8 @@
 _LEAST_LINK_BYTES_PER_S = 1.0
 """Transfer times are divided by it. A link without bandwidth is used last."""
 
+_Field = TypeVar("_Field")
+
 
 class StoredDocuments:
     """Decodes routes and server records.
@@ -84,11 +88,8 @@
 ) -> table.RouteTable:
     faults: list[errors.Fault] = []
     customers = _customers(document.get("tenants"), faults)
-    services = [
-        _service(f"services[{index}]", fields, faults)
-        for index, fields in enumerate(document["services"])
-    ]
-    routes = [_route(fields) for fields in document["routes"]]
+    services = _services(_list(document, "services"), faults)
+    routes = _routes(_list(document, "routes"), services, faults)
     # A rank has no maximum. Priorities that are sent to engines have one.
     levels = priority_levels.assign(
         [route.priority for route in routes]
@@ -101,7 +102,11 @@
     return table.RouteTable(
         version,
         [route._replace(priority=levels[route.priority]) for route in routes],
-        {service.name: service for service in services},
+        {
+            name: service
+            for name, service in services.items()
+            if service is not None
+        },
         _limits(document.get("limits")),
         None
         if customers is None
@@ -171,18 +176,102 @@
     return errors.Fault(path, reason, effect)
 
 
-def _route(fields: Mapping[str, Any]) -> table.Route:
+def _list(fields: Mapping[str, Any], name: str) -> list[Any]:
+    value = fields[name]
+    if not isinstance(value, list):
+        raise TypeError(f"{name} is not a list")
+    return value
+
+
+class _Section(NamedTuple):
+    """A part of the document whose fields are decoded one by one.
+
+    Attributes:
+        path: Its path in the document.
+        fields: Its fields.
+        faults: List to which faults of its fields are added.
+    """
+
+    path: str
+    fields: Mapping[str, Any]
+    faults: list[errors.Fault]
+
+    def read(
+        self, name: str, decode: Callable[[], _Field], fallback: _Field
+    ) -> _Field:
+        """Returns a decoded field, the fallback if it is faulty."""
+        try:
+            return decode()
+        except _DECODE_ERRORS as error:
+            effect = f"{fallback} applies" if fallback else "it does not apply"
+            self.faults.append(_fault(f"{self.path}.{name}", error, effect))
+            return fallback
+
+
+def _routes(
+    entries: Sequence[Any],
+    services: Mapping[str, table.Service | None],
+    faults: list[errors.Fault],
+) -> list[table.Route]:
+    """Decodes all routes but those whose requests can't be recognised."""
+    routes = []
+    for index, fields in enumerate(entries):
+        path = f"routes[{index}]"
+        try:
+            route = _route(_Section(path, fields, faults))
+        except _DECODE_ERRORS as error:
+            faults.append(_fault(path, error, "it matches no request"))
+            continue
+        destinations = [
+            destination
+            for destination in route.destinations
+            if services.get(destination.service, True) is not None
+        ]
+        routes.append(route._replace(destinations=tuple(destinations)))
+    return routes
+
+
+def _route(section: _Section) -> table.Route:
+    """Decodes a route; it has no destination if it can't be used.
+
+    Raises:
+        KeyError, TypeError, ValueError, AttributeError: Its host or prefix is
+            missing or malformed.
+    """
+    fields = section.fields
+    host, prefix = _text(fields, "host").lower(), _text(fields, "prefix")
+    timeout_s = section.read(
+        "timeout-ms", lambda: _number(fields, "timeout-ms") / _MS_PER_S, None
+    )
+    # A repeat might run a request twice that must run at most once.
+    strictest_kind: kinds.RequestKind = kinds.AtMostOnce()
+    no_destinations: tuple[table.Destination, ...] = ()
+    destinations = section.read(
+        "service", lambda: _destinations(fields), no_destinations
+    )
     return table.Route(
-        name=_text(fields, "name"),
-        host=_text(fields, "host").lower(),
-        prefix=_text(fields, "prefix"),
-        kind=_kind(fields),
-        timeout_s=_number(fields, "timeout-ms") / _MS_PER_S,
-        destinations=_destinations(fields),
-        attempts_limit_count=int(_number(fields, "max-attempts", 1)),
-        priority=int(_number(fields, "priority", 5)),
-        target_s=_seconds(fields, "target-latency-ms"),
-        gap_target_s=_seconds(fields, "target-gap-ms"),
+        name=section.read("name", lambda: _text(fields, "name"), prefix),
+        host=host,
+        prefix=prefix,
+        kind=section.read("kind", lambda: _kind(fields), strictest_kind),
+        timeout_s=timeout_s or 0.0,
+        destinations=no_destinations if timeout_s is None else destinations,
+        attempts_limit_count=section.read(
+            "max-attempts", lambda: int(_number(fields, "max-attempts", 1)), 1
+        ),
+        priority=section.read(
+            "priority",
+            lambda: int(_number(fields, "priority", _DEFAULT_RANK)),
+            _DEFAULT_RANK,
+        ),
+        target_s=section.read(
+            "target-latency-ms",
+            lambda: _seconds(fields, "target-latency-ms"),
+            None,
+        ),
+        gap_target_s=section.read(
+            "target-gap-ms", lambda: _seconds(fields, "target-gap-ms"), None
+        ),
         # Despite its name, the field states that requests list the parts of
         # their prompt. No session is bound to a server.
         has_prompt=bool(fields.get("session-affinity")),
@@ -196,10 +285,10 @@
             return kinds.Idempotent()
         case "streaming":
             return kinds.EventStream(bool(fields.get("resumable")))
-        case _:
-            # An unknown kind is handled like the strictest one, because a
-            # retry might run a request twice that must run at most once.
+        case "unsafe":
             return kinds.AtMostOnce()
+        case other:
+            raise ValueError(f"{other!r:.40} is not a kind of requests")
 
 
 def _destinations(fields: Mapping[str, Any]) -> tuple[table.Destination, ...]:
@@ -240,15 +329,32 @@
     return value
 
 
-def _service(
-    path: str, fields: Mapping[str, Any], faults: list[errors.Fault]
-) -> table.Service:
+def _services(
+    entries: Sequence[Any], faults: list[errors.Fault]
+) -> dict[str, table.Service | None]:
+    """Decodes all services; None is one that can't be used."""
+    services: dict[str, table.Service | None] = {}
+    for index, fields in enumerate(entries):
+        path = f"services[{index}]"
+        name = None
+        try:
+            name = _text(fields, "name")
+            services[name] = _service(_Section(path, fields, faults))
+        except _DECODE_ERRORS as error:
+            faults.append(_fault(path, error, "it is not used"))
+            if name is not None:
+                services[name] = None
+    return services
+
+
+def _service(section: _Section) -> table.Service:
+    fields = section.fields
     engine = fields.get("engine")
     return table.Service(
         name=_text(fields, "name"),
         connections_limit_count=int(_number(fields, "max-connections")),
         engine=_engine(engine) if engine else None,
-        scaling=scaling.decode(path, fields, faults),
+        scaling=scaling.decode(section.path, fields, section.faults),
     )
 
 
--- a/src/mulberrywharf/routes/table.py
+++ b/src/mulberrywharf/routes/table.py
@@ -33,7 +33,9 @@
         prefix: Prefix of the path, beginning and ending with a slash.
         kind: Kind of the requests, which determines what may be retried.
         timeout_s: Maximum time in seconds until the end of an answer.
-        destinations: Services and their weights; at least one.
+        destinations: Services and their weights; none if a required field of
+            the route is malformed. Its requests must not match a shorter
+            prefix then.
         attempts_limit_count: Maximum number of servers that may run one
             request.
         priority: Priority of the requests, 0 is the highest.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -165,6 +165,32 @@
         self.wait_ready()
         self.assertEqual(self.ask("/safe/x").status, 200)
 
+    def test_malformed_route_costs_only_its_own_requests(self) -> None:
+        """Guards against 404 for sound routes beside a malformed one."""
+        self.write_routes(1)
+        self.start()
+        self.wait_ready()
+        document = build.routes_document(2)
+        sound = document["routes"][0]
+        document["routes"] += [
+            {**sound, "prefix": "/safe/odd/", "timeout-ms": "2000"},
+            {**sound, "prefix": "/added/", "max-attempts": None},
+            {**sound, "prefix": 7},
+        ]
+        self.store.put(documents.ROUTES_KEY, json.dumps(document).encode())
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: self.ask("/added/x").status == 200, limit_s=2.0
+            )
+        )
+        self.assertEqual(self.ask("/safe/x").status, 200)
+        runs_count = len(self.plain.request_headers)
+        answer = self.ask("/safe/odd/x")
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"unusable-route", answer.body)
+        self.assertIn("retry-after", answer.headers)
+        self.assertEqual(len(self.plain.request_headers), runs_count)
+
     def test_plain_call_and_stream_reach_their_servers(self) -> None:
         self.write_routes()
         self.start()
