Let a faulty limit for callers leave the built-in one

What callers would see: one malformed or missing limit kept a whole version of the routes out of force on every gateway.

Cause: _limits raised for any field, although two of the four limits are not even used.

Change: each limit is decoded by itself; a faulty one is a fault of the table in force and the built-in limit applies. test_wrong_limit_leaves_the_built_in_one failed before, as the decoder returned Err.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -290,7 +290,9 @@
 
     def _body_limit_bytes(self, routes: table.RouteTable) -> int:
         limits = routes.limits
-        return limits.body_bytes if limits else self._listener.body_limit_bytes
+        if limits is None or limits.body_bytes is None:
+            return self._listener.body_limit_bytes
+        return limits.body_bytes
 
     def _read(
         self, environ: _wsgi.Environ, body_limit_bytes: int
--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -107,7 +107,7 @@
             for name, service in services.items()
             if service is not None
         },
-        _limits(document.get("limits")),
+        _limits(document.get("limits"), faults),
         None
         if customers is None
         else directory.CustomerDirectory.from_config(
@@ -373,12 +373,28 @@
     )
 
 
-def _limits(fields: Mapping[str, Any] | None) -> table.CallerLimits | None:
+def _limits(
+    fields: Any, faults: list[errors.Fault]
+) -> table.CallerLimits | None:
     if not fields:
         return None
+    if not isinstance(fields, dict):
+        error = TypeError("it is not an object")
+        faults.append(_fault("limits", error, "the built-in ones apply"))
+        return None
+    section = _Section("limits", fields, faults)
+
+    def size_bytes(name: str) -> int | None:
+        return section.read(name, lambda: int(_number(fields, name)), None)
+
+    def duration_s(name: str) -> float | None:
+        return section.read(
+            name, lambda: _number(fields, name) / _MS_PER_S, None
+        )
+
     return table.CallerLimits(
-        header_bytes=int(_number(fields, "max-header-bytes")),
-        body_bytes=int(_number(fields, "max-body-bytes")),
-        header_timeout_s=_number(fields, "header-timeout-ms") / _MS_PER_S,
-        idle_timeout_s=_number(fields, "idle-timeout-ms") / _MS_PER_S,
+        header_bytes=size_bytes("max-header-bytes"),
+        body_bytes=size_bytes("max-body-bytes"),
+        header_timeout_s=duration_s("header-timeout-ms"),
+        idle_timeout_s=duration_s("idle-timeout-ms"),
     )
--- a/src/mulberrywharf/routes/table.py
+++ b/src/mulberrywharf/routes/table.py
@@ -111,6 +111,8 @@
 class CallerLimits(NamedTuple):
     """Limits on the requests and connections of callers.
 
+    Each is None if none is configured; the built-in one applies.
+
     Attributes:
         header_bytes: Maximum size of the head of a request.
         body_bytes: Maximum size of the body of a request.
@@ -120,10 +122,10 @@
             without a request.
     """
 
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    header_bytes: int | None
+    body_bytes: int | None
+    header_timeout_s: float | None
+    idle_timeout_s: float | None
 
 
 class RouteTable:
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -1,6 +1,5 @@
 """Numbers that callers state: wrong ones are refused and harm nobody."""
 
-import json
 import unittest
 from typing import Any
 
@@ -114,12 +113,13 @@
 
 class RoutesDocumentTest(unittest.TestCase):
     def decode(self, part: str, name: str, value: Any) -> table.RouteTable:
-        document = build.routes_document()
-        document[part][0][name] = value
-        decoded = documents.StoredDocuments().decode_routes(
-            json.dumps(document).encode()
-        )
-        return decoded.unwrap()
+        entries = build.routes_document()[part]
+        entries[0][name] = value
+        return self.decode_document(**{part: entries})
+
+    def decode_document(self, **changes: Any) -> table.RouteTable:
+        value = build.routes_value(**changes)
+        return documents.StoredDocuments().decode_routes(value).unwrap()
 
     def assert_told(self, routes: table.RouteTable, path: str) -> None:
         (fault,) = routes.faults
@@ -186,6 +186,25 @@
                     self.assertEqual(route.services, {"plain"})
                 self.assert_told(routes, "services[0]")
 
+    def test_wrong_limit_leaves_the_built_in_one(self) -> None:
+        """Guards against one limit that keeps all routes out of force."""
+        names = (
+            "max-header-bytes",
+            "max-body-bytes",
+            "header-timeout-ms",
+            "idle-timeout-ms",
+        )
+        for index, name in enumerate(names):
+            for value in (None, "1", -1, True):
+                with self.subTest(name=name, value=value):
+                    limits = {**build.routes_document()["limits"], name: value}
+                    routes = self.decode_document(limits=limits)
+                    assert routes.limits is not None
+                    for other, found in enumerate(routes.limits):
+                        self.assertEqual(found is None, other == index)
+                    self.assert_told(routes, f"limits.{name}")
+        self.assert_told(self.decode_document(limits=7), "limits")
+
     def test_numbers_of_engines_are_checked(self) -> None:
         for name, value in (
             ("kv-tokens", -1),
