Allow callers the heads and idle times that the operators allow

Connections were closed after 75 s without a request, whatever idle time is configured.

Cause: max-header-bytes and idle-timeout-ms were decoded and used nowhere.

Change: the listener takes both from the routes in force where they exceed its own; an idle time holds for connections that are accepted from then on. Not changed: a request line has 8,192 bytes at most, a limit of the server library, and callers get 413 for a longer one.

test_heads_are_as_long_as_the_operators_allow failed before (413) and passes.

--- a/src/mulberrywharf/callers/listener.py
+++ b/src/mulberrywharf/callers/listener.py
@@ -341,8 +341,10 @@
         # one costs a greenlet, so idle connections could exhaust the memory.
         self.set_spawn(gevent.pool.Pool(connections_limit_count))
         self.header_limit_bytes = header_limit_bytes
+        self._least_header_limit_bytes = header_limit_bytes
         self.body_limit_bytes = body_limit_bytes
         self._idle_timeout_s = idle_timeout_s
+        self._least_idle_timeout_s = idle_timeout_s
         self._intake = intake
         self.stopping = False
         self._last_answer_s = float("inf")
@@ -371,6 +373,23 @@
             ),
         )
 
+    def allow(
+        self, header_bytes: int | None, idle_timeout_s: float | None
+    ) -> None:
+        """Allows callers what the operators do, where that is more.
+
+        Args:
+            header_bytes: Size of the header fields of a request.
+            idle_timeout_s: How long a connection may be idle; it applies to
+                new connections.
+        """
+        self.header_limit_bytes = max(
+            self._least_header_limit_bytes, header_bytes or 0
+        )
+        self._idle_timeout_s = max(
+            self._least_idle_timeout_s, idle_timeout_s or 0.0
+        )
+
     def serve(self, application: _wsgi.Application) -> None:
         """Stores the WSGI application; call it before ``start``."""
         self.application = application
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -458,6 +458,11 @@
 
     def _on_routes_change(self, routes: table.RouteTable) -> None:
         self._note_stream_sources(routes)
+        limits = routes.limits
+        self._listener.allow(
+            limits.header_bytes if limits else None,
+            limits.idle_timeout_s if limits else None,
+        )
         self._version_history.set_longest_timeout(routes.longest_timeout_s())
         self._freshness.start()
         if routes.customers is not None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -191,6 +191,32 @@
         self.assertIn("retry-after", answer.headers)
         self.assertEqual(len(self.plain.request_headers), runs_count)
 
+    def test_heads_are_as_long_as_the_operators_allow(self) -> None:
+        """Guards against 413 for a proper request with a long head."""
+        self.write_routes(1)
+        self.start()
+        self.wait_ready()
+        fields = {
+            length: f"x-note: {'n' * length}\r\n" for length in (40_000, 70_000)
+        }
+        self.assertEqual(self.ask("/safe/x", fields=fields[40_000]).status, 413)
+        limits = build.routes_document()["limits"]
+        self.store.put(
+            documents.ROUTES_KEY,
+            build.routes_value(
+                2, limits={**limits, "max-header-bytes": 65_536}
+            ),
+        )
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: (
+                    self.ask("/safe/x", fields=fields[40_000]).status == 200
+                ),
+                limit_s=2.0,
+            )
+        )
+        self.assertEqual(self.ask("/safe/x", fields=fields[70_000]).status, 413)
+
     def test_plain_call_and_stream_reach_their_servers(self) -> None:
         self.write_routes()
         self.start()
--- a/tests/test_wsgi.py
+++ b/tests/test_wsgi.py
@@ -40,6 +40,28 @@
                 self.assertEqual(lines, [])
 
 
+class IdleTimeoutTest(unittest.TestCase):
+    def test_idle_connections_stay_as_long_as_operators_allow(self) -> None:
+        """Guards against closing a connection that a caller may reuse."""
+        server = listener.CallerListener("127.0.0.1", 0, idle_timeout_s=0.2)
+        server.serve(_no_content)
+        server.start()
+        self.addCleanup(server.stop)
+        for allowed_s, is_open in ((None, False), (0.1, False), (5.0, True)):
+            with self.subTest(allowed_s=allowed_s):
+                server.allow(None, allowed_s)
+                sock = gevent_socket.create_connection(
+                    ("127.0.0.1", server.port)
+                )
+                self.addCleanup(sock.close)
+                gevent.sleep(0.6)
+                sock.settimeout(0.05)
+                try:
+                    self.assertEqual((sock.recv(1), is_open), (b"", False))
+                except TimeoutError:
+                    self.assertTrue(is_open)
+
+
 def _no_content(
     environ: _wsgi.Environ, start_response: _wsgi.StartResponse
 ) -> list[bytes]:
