Keep servers whose record has been written a million times

Cause: `sequence`, which counts a server's records, had the upper limit of its slots.

Change: it has no upper limit.

--- a/src/mulberrywharf/platform/server_records.py
+++ b/src/mulberrywharf/platform/server_records.py
@@ -19,7 +19,7 @@
 _SERVER_ID = re.compile(r"[\x21-\x7e]{1,200}")
 """A server's id is sent in a header field of each request to it."""
 
-_COUNT_LIMIT = 1_000_000
+_SLOTS_LIMIT_COUNT = 1_000_000
 """More slots than any server can have. A record with more was not written by a
 server, and accepting it would send all requests to the server that it names."""
 
@@ -66,14 +66,16 @@
 def _server(server_id: str, fields: Mapping[str, Any]) -> fleet.Server:
     # These fields are not used. They are validated because a record with other
     # values was not written by a server.
-    _integer(fields, "sequence", minimum=0)
+    _integer(fields, "sequence", minimum=0, maximum=math.inf)
     _duration_ms(fields, "cold-remaining-ms")
     return fleet.Server(
         start=fleet.ServerStart(server_id, started_unix_ms(fields)),
         service=_string(fields, "service"),
         address=_address(_string(fields, "address")),
         availability_zone=_string(fields, "zone"),
-        slots_count=_integer(fields, "slots", minimum=1),
+        slots_count=_integer(
+            fields, "slots", minimum=1, maximum=_SLOTS_LIMIT_COUNT
+        ),
         is_draining=_enum_value(fields, "state", _STATES_DRAINING),
         # Only engines have a ``stage``, which is their role.
         role=_enum_value(fields, "stage", ROLES) if "stage" in fields else None,
@@ -92,9 +94,11 @@
     return value
 
 
-def _integer(fields: Mapping[str, Any], name: str, *, minimum: int) -> int:
+def _integer(
+    fields: Mapping[str, Any], name: str, *, minimum: int, maximum: float
+) -> int:
     value: Any = fields.get(name)
-    if not _is_integer(value) or not minimum <= int(value) <= _COUNT_LIMIT:
+    if not _is_integer(value) or not minimum <= int(value) <= maximum:
         raise _FieldError(f"invalid {name}: {value!r:.40}")
     return int(value)
 
--- a/tests/test_server_records.py
+++ b/tests/test_server_records.py
@@ -106,6 +106,13 @@
         )
         self.assertIsNone(decode(build.server_value()).unwrap().role)
 
+    def test_server_is_kept_however_often_it_has_registered(self) -> None:
+        """Guards against servers that are lost two weeks after their start."""
+        for sequence in (10**6, 10**6 + 1, 10**12, 2**63):
+            with self.subTest(sequence=sequence):
+                found = decode(build.server_value(sequence=sequence))
+                self.assertTrue(found.is_ok())
+
     def test_reclaimable_server_and_the_time_that_it_leaves(self) -> None:
         found = decode(
             build.server_value(spot=True, state="draining", leaves_ms=2_400)
