Use leases whose ids have 63 bits

What callers saw: nothing yet; beside a store that grants ids as etcd does no part of the fleet could have had a lease, nor read a record that one holds.

Cause: numbers in answers of the store are texts of digits, and at most 18 digits were read. Ids of leases have 63 bits, so that most have 19.

Every number that 63 bits can hold is now read; above that none is.

--- a/src/mulberrywharf/stated_numbers.py
+++ b/src/mulberrywharf/stated_numbers.py
@@ -11,16 +11,21 @@
 INT64_LIMIT = 2**63 - 1
 """Maximum of what every encoder of this package and of others can write."""
 
-_DIGITS = re.compile(r"[0-9]{1,18}")
+_DIGITS = re.compile(r"[0-9]{1,19}")
 
 
 def from_digits(text: str) -> int | None:
     """Returns the number that a text of decimal digits states, None if none.
 
+    Numbers above ``INT64_LIMIT`` count as none.
+
     ``int`` alone accepts signs, underscores and other scripts' digits, and
     raises ValueError for thousands of digits.
     """
-    return int(text) if _DIGITS.fullmatch(text) else None
+    if not _DIGITS.fullmatch(text):
+        return None
+    number = int(text)
+    return number if number <= INT64_LIMIT else None
 
 
 def count(
--- a/standins/key_value_store.py
+++ b/standins/key_value_store.py
@@ -46,7 +46,8 @@
         self.history: list[dict[str, Any]] = []
         self._events: list[tuple[int, dict[str, Any]]] = []
         self._leases: dict[int, tuple[float, float]] = {}
-        self._last_lease_id = 1000
+        # Ids of etcd's leases use all 63 bits.
+        self._last_lease_id = 2**63 - 2**32
         self.watchers: list[Watcher] = []
 
     def header(self) -> dict[str, str]:
--- a/tests/test_key_value.py
+++ b/tests/test_key_value.py
@@ -39,6 +39,18 @@
         )
         self.assertIsNone(self.client.get("/c", purpose="test").unwrap())
 
+    def test_lease_ids_of_63_bits_are_used(self) -> None:
+        """Guards against a service whose leases can't be had nor read."""
+        lease_id = self.client.grant_lease(10.0, purpose="test").unwrap()
+        self.assertGreater(lease_id, 10**18)
+        written = self.client.compare_and_swap(
+            "/a", b"1", expected_revision=0, purpose="test", lease_id=lease_id
+        ).unwrap()
+        self.assertEqual(written.lease_id, lease_id)
+        self.assertEqual(
+            self.client.get("/a", purpose="test").unwrap(), written
+        )
+
     def test_conflict_names_the_key_that_changed(self) -> None:
         guard = self.create("/guard")
         held = self.create("/a")
