Take no answer whose status HTTP doesn't know

What callers saw: answers of the statuses 600 and 999 as they were sent; for statuses 000 to 099 nothing until their deadline, then 504, as they were taken for interim answers and the final one was awaited.

Cause: the parser takes any three digits for a status, and neither reader checked them. Statuses are 100 to 599 (RFC 9110, section 15). 101 is for requests that ask for another protocol, which none does; to HEAD it was awaited to the deadline as well.

Now both readers, that of exchanges and the socket below the library's own client (the key-value service, orders), end the exchange with an error once such a status is read: a 502 at once, or another server for a request that may run twice. After an interim answer to HEAD a malformed answer was taken for surplus bytes of it; it fails the exchange as well.

Evidence: the tests of exchanges, load reports, orders and the store waited for their timeout of 10 s before; those of gateways got 600, 999 and 504.

--- a/src/mulberrywharf/_answer_bounds.py
+++ b/src/mulberrywharf/_answer_bounds.py
@@ -8,6 +8,7 @@
 to orders, gets them by ``BoundedSocket`` and ``BoundedHeaders``.
 """
 
+import re
 import time
 from typing import Any, NamedTuple
 
@@ -25,6 +26,8 @@
 """Maximum number of header fields and trailers of an answer."""
 
 _HEAD_END = b"\r\n\r\n"
+_UNKNOWN_STATUS = re.compile(rb"HTTP/[0-9]\.[0-9] ([06-9][0-9][0-9])")
+_INTERIM_STATUS = re.compile(rb"HTTP/[0-9]\.[0-9] 1[0-9][0-9]")
 
 
 class BoundedHeaders(header.Headers):
@@ -66,7 +69,7 @@
         super().__init__(family, kind, protocol)
         self._bounds = bounds
         self._received_bytes = 0
-        self._head_tail = b""
+        self._head = b""
         self._is_in_head = True
         self._ends_s: float | None = None
 
@@ -77,7 +80,7 @@
             with_head: Whether a head comes first.
         """
         self._received_bytes = 0
-        self._head_tail = b""
+        self._head = b""
         self._is_in_head = with_head
         self._ends_s = None
 
@@ -90,7 +93,8 @@
         """Reads from the connection.
 
         Raises:
-            OSError: The connection failed, or the answer exceeds its bounds.
+            OSError: The connection failed, the answer exceeds its bounds, or
+                its status is unknown.
         """
         if self._ends_s is not None and time.monotonic() > self._ends_s:
             raise TimeoutError(
@@ -101,12 +105,29 @@
             self._ends_s = time.monotonic() + self._bounds.answer_s
         self._received_bytes += len(data)
         limit_bytes = self._bounds.answer_bytes
-        if self._is_in_head:
-            seen = self._head_tail + data
-            self._is_in_head = _HEAD_END not in seen
-            self._head_tail = seen[1 - len(_HEAD_END) :]
+        self._follow_heads(data)
         if self._is_in_head:
             limit_bytes = HEAD_LIMIT_BYTES
         if self._received_bytes > limit_bytes:
             raise OSError(f"an answer exceeds {limit_bytes} bytes")
         return data
+
+    def _follow_heads(self, data: bytes) -> None:
+        """Looks for the end of the final head, after any interim ones."""
+        if not self._is_in_head:
+            return
+        self._head += data
+        is_complete = True
+        while is_complete:
+            unknown = _UNKNOWN_STATUS.match(self._head)
+            if unknown is not None:
+                status = unknown[1].decode()
+                raise OSError(f"an answer has the unknown status {status}")
+            head, end, rest = self._head.partition(_HEAD_END)
+            is_complete = bool(end)
+            if is_complete and not _INTERIM_STATUS.match(head):
+                self._is_in_head = False
+                self._head = b""
+                return
+            if is_complete:
+                self._head = rest
--- a/src/mulberrywharf/_answers.py
+++ b/src/mulberrywharf/_answers.py
@@ -8,6 +8,8 @@
 
 READ_BLOCK_BYTES = 16 * 1024
 _FIRST_FINAL_STATUS = 200
+_EXPECTED_STATUSES = frozenset(range(100, 600)) - {101}
+"""No request asks for another protocol, which 101 would switch to."""
 
 _foreign_answers_total = metrics.counter(
     "mulberry_foreign_answers_total",
@@ -143,6 +145,17 @@
                 "a second answer follows"
             )
         super()._on_message_begin()
+        # Errors in this message must not count as surplus bytes after an
+        # interim one.
+        self._message_ended_in_skip_body = False
+
+    def _on_headers_complete(self) -> int | bool | None:
+        status = self.get_code()
+        if status not in _EXPECTED_STATUSES:
+            raise http_response.HTTPProtocolViolationError(
+                f"the answer has the unexpected status {status:03}"
+            )
+        return super()._on_headers_complete()
 
     def _on_message_complete(self) -> None:
         super()._on_message_complete()
--- a/standins/raw_answers.py
+++ b/standins/raw_answers.py
@@ -25,6 +25,7 @@
             number counts from the end.
         end: What becomes of the connection then.
         has_interim: Whether an interim head comes first.
+        status: Status code and reason phrase.
     """
 
     headers: Sequence[tuple[str, str]]
@@ -33,11 +34,12 @@
     cut_at: int | None = None
     end: End = "close"
     has_interim: bool = False
+    status: str = "200 OK"
 
     def encode(self) -> bytes:
         """Returns all its bytes, whether they are sent or not."""
         version = "1.0" if self.framing == "http/1.0" else "1.1"
-        lines = [f"HTTP/{version} 200 OK"]
+        lines = [f"HTTP/{version} {self.status}"]
         lines += [f"{name}: {value}" for name, value in self.headers]
         pieces = list(self.body)
         if self.framing == "length":
