Lose an answer that ends before its request has arrived

What callers saw: a server that answered a long upload at once with a 200 without a length, sent a part, ended its half of the connection and reset it a moment later gave its part to the caller as an answer of its own end, on plain and streaming routes, directly and over the hop.

Cause: the end of such an answer is the end of the connection, and what was still to be sent was not asked for. A server that ends while the request arrives may as well have broken off; the reset comes behind.

Now an answer that doesn't mark its end is lost where it ends before the peer's kernel has acknowledged the whole request, unless its status is an error: a 502 (or another server, for what may run twice), or a stream that breaks off. An upload that the server's kernel has in whole can't be told from one that the server has read; its answer is passed on unmarked, as before.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -8,8 +8,11 @@
 """
 
 import errno
+import fcntl
 import re
 import socket
+import struct
+import termios
 import time
 from collections.abc import Callable, Mapping
 from functools import singledispatch
@@ -41,6 +44,7 @@
 
 _CONNECTION_ERRORS = (OSError, http_response.HTTPParseError)
 
+_FIRST_ERROR_STATUS = 400
 _INTERIM_START = b"HTTP/1.1 100"
 _INTERIM_POLL_S = 0.001
 
@@ -336,7 +340,10 @@
             if answer.needs_bytes:
                 self._read_until_body(connection, answer, idle_timeout_s)
             self.active_s = time.monotonic()
-            return Ok(answer.take_body())
+            body = answer.take_body()
+            if not body:
+                self._check_end(connection, answer)
+            return Ok(body)
         except _CONNECTION_ERRORS as error:
             self.close()
             return Err(
@@ -348,6 +355,27 @@
             self.close()
             raise
 
+    def _check_end(
+        self, connection: _connections.Connection, answer: _answers.Answer
+    ) -> None:
+        """Checks that an unmarked end came after the whole request.
+
+        A server that ends while the request arrives may also have broken off:
+        the reset for the rest of the request comes after the end. An error
+        says enough by its status.
+
+        Raises:
+            HTTPParseError: The server ended before it had the request.
+        """
+        if answer.is_framed or answer.status_code >= _FIRST_ERROR_STATUS:
+            return
+        if self._is_request_incomplete or _unacknowledged_bytes(
+            connection.sock
+        ):
+            raise http_response.HTTPParseError(
+                "it ended before the whole request had arrived"
+            )
+
     def _read_until_body(
         self,
         connection: _connections.Connection,
@@ -548,6 +576,12 @@
     return True
 
 
+def _unacknowledged_bytes(sock: Any) -> int:
+    """Returns how many sent bytes the peer's kernel has not acknowledged."""
+    packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return int(struct.unpack("i", packed)[0])
+
+
 def _idle_limit_s(answer: _answers.Answer | None) -> float:
     """Returns how long the connection may be idle before it is discarded."""
     keep_alive = answer.header("keep-alive") if answer is not None else None
