--- a/src/mulberrywharf/forwarding/stream_relay.py
+++ b/src/mulberrywharf/forwarding/stream_relay.py
@@ -217,7 +217,10 @@
         made_output: bool,
     ) -> None:
         if isinstance(run, open_answers.HelperAnswer):
-            run.handed.note_lost()
+            # Another gateway also breaks off where its server did. If it has
+            # ended itself, the next offer to it fails at once.
+            if isinstance(error, errors.PeerSilentError):
+                run.handed.note_lost()
             return
         self._dependencies.client.note_answer_broken(run.server, error)
         self._request.crashes.note_failed(
--- a/tests/builders_handover.py
+++ b/tests/builders_handover.py
@@ -20,6 +20,7 @@
 
     Attributes:
         handed: What was handed over.
+        exchanges: The exchanges with the gateways that took it.
         lost_count: Answers that broke off.
         ended_count: Handed over requests that ended.
         prefers: Whether new requests are handed over at once.
@@ -44,6 +45,7 @@
         """
         self._version = version
         self.handed: list[handover.HandedOver] = []
+        self.exchanges: list[_exchange.Exchange] = []
         self.lost_count = self.ended_count = 0
         self.prefers, self.may = prefers, may
         self._steps = collections.deque(steps)
@@ -68,6 +70,7 @@
 
     def _open(self, helper: Any) -> handover.OpenHandover:
         exchange = _exchange.Exchange.open(helper.address).unwrap()
+        self.exchanges.append(exchange)
         sent = exchange.send(_exchange.Request("GET", "/"), 2.0).unwrap()
         head = requests.ServerDialect().read_head(sent)
         answer = handover_client.HandedAnswer(
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -3,6 +3,8 @@
 import unittest
 from typing import Any, NamedTuple
 
+import gevent
+
 from tests import builders_paths, test_gateway
 
 EVENTS = tuple(
@@ -188,6 +190,27 @@
                 self.assertEqual(got.status, 200)
                 self.assertEqual(got.end, "closed")
 
+    def test_a_servers_broken_answer_does_not_count_against_the_gateway(
+        self,
+    ) -> None:
+        """Guards against a server that takes the way from sound callers."""
+        self.cut([0], "refuse")
+        self.assertEqual(self.stream().status, 200)
+        for end in ("close", "reset"):
+            for path in ("/once/x", "/unsafe/x"):
+                with self.subTest(path, end=end):
+                    self.next_answers(
+                        {"framing": "chunks", "cut_at": -8, "end": end}
+                    )
+                    is_plain = path == "/unsafe/x"
+                    self.receive(path) if is_plain else self.stream(path)
+                    for sound_path in ("/stream/x", "/once/x"):
+                        self.assertEqual(self.stream(sound_path).status, 200)
+                    for sound_path in ("/safe/x", "/unsafe/x"):
+                        self.assertEqual(self.receive(sound_path).status, 200)
+                    # Servers rest after several broken answers.
+                    gevent.sleep(1.0)
+
     def test_answers_without_a_signature_stay_behind_another_gateway(
         self,
     ) -> None:
--- a/tests/test_handed_attempts.py
+++ b/tests/test_handed_attempts.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import gevent
+
 from mulberrywharf import errors
 from mulberrywharf.forwarding import request
 from mulberrywharf.policy import stream_version
@@ -151,6 +153,19 @@
         body = self.body()
         self.assertEqual(body, b"".join(event(n) for n in (1, 2, 3, 4)))
         self.assertEqual(made.handed[1].routed_request.last_event_id, "2")
+        # The server behind it may have broken the stream off.
+        self.assertEqual((made.lost_count, made.ended_count), (0, 2))
+
+    def test_helper_that_falls_silent_within_a_stream_counts_as_lost(
+        self,
+    ) -> None:
+        def silent(sock: Any, _: bytes) -> None:
+            sock.sendall(HEAD + chunks(event(1), end=False))
+            gevent.sleep(0.2)
+            made.exchanges[0].interrupt()
+
+        made = self.hand_over(self.serve(silent), self.helped(event(2)))
+        self.assertEqual(self.body(), event(1) + event(2))
         self.assertEqual((made.lost_count, made.ended_count), (1, 2))
 
     def test_stream_is_handed_over_at_the_version_that_began_it(self) -> None:
