Send large bodies without a copy of them

Cause: the head and the body of a request were joined, and both were kept until the head of the answer.

Bodies above 16 KB are now sent behind the head without a copy. The new test failed before (4,026,657 bytes at the peak beside a body of 4,000,000).

The number of bodies in flight is still not bounded.

--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -44,6 +44,9 @@
 
 _CONNECTION_ERRORS = (OSError, http_response.HTTPParseError)
 
+_COPIED_LIMIT_BYTES = 16 * 1024
+"""Larger bodies are sent apart from the head, without a copy of them."""
+
 _FIRST_ERROR_STATUS = 400
 _INTERIM_START = b"HTTP/1.1 100"
 _INTERIM_POLL_S = 0.001
@@ -105,8 +108,8 @@
     host: str = ""
 
 
-def encode(request: Request, address: fleet.Address) -> bytes:
-    """Encodes a request in the HTTP/1.1 format.
+def encode_head(request: Request, address: fleet.Address) -> bytes:
+    """Encodes the head of a request in the HTTP/1.1 format.
 
     Raises:
         BadRequestError: A part contains bytes, such as a line break, that
@@ -131,7 +134,7 @@
             raise errors.BadRequestError(f"header {name!r} is malformed")
         lines.append(f"{name}: {value}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + request.body
+    return head.encode("latin-1")
 
 
 def _host_of(address: fleet.Address) -> str:
@@ -219,12 +222,16 @@
         connection = self._connection
         if connection is None:
             return Err(errors.AnswerLostError("the exchange is closed"))
-        data = encode(request, connection.address)
+        head = encode_head(request, connection.address)
+        parts = [head, request.body]
+        if len(request.body) <= _COPIED_LIMIT_BYTES:
+            parts = [head + request.body]
         self._set_timeout(connection, answer_timeout_s)
         try:
             self.stage = MaybeSent()
-            self._is_request_incomplete = not _send_all(
-                connection.sock, data, answer_timeout_s
+            self._is_request_incomplete = not all(
+                _send_all(connection.sock, part, answer_timeout_s)
+                for part in parts
             )
             self.active_s = time.monotonic()
             answer = _read_head(connection, request.method, answer_timeout_s)
@@ -261,7 +268,7 @@
         expecting = request._replace(
             headers={**request.headers, "expect": "100-continue"}
         )
-        head = encode(expecting, connection.address)[: -len(request.body)]
+        head = encode_head(expecting, connection.address)
         ends_s = time.monotonic() + accept_timeout_s
         self._set_timeout(connection, accept_timeout_s)
         try:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,12 +1,14 @@
 """Tests HTTP exchanges: no resends, complete answers, safe reuse."""
 
+import tracemalloc
 import unittest
 from typing import Any
 
 import gevent
+from gevent.server import StreamServer
 from geventhttpclient import HTTPClient
 
-from mulberrywharf import _connections, _exchange, errors
+from mulberrywharf import _connections, _exchange, errors, fleet
 from tests import builders_engines as build
 
 _BODY_LIMIT_BYTES = 1000
@@ -75,6 +77,29 @@
         self.assertEqual(server.requests, [])
 
 
+class LargeRequestTest(unittest.TestCase):
+    def test_a_large_body_is_not_copied(self) -> None:
+        """Guards against uploads in flight that take twice their memory."""
+        body = b"x" * 4_000_000
+
+        def discard(sock: Any, _: Any) -> None:
+            received_bytes = 0
+            while received_bytes < len(body):
+                received_bytes += len(sock.recv(16_384))
+            sock.sendall(build.plain_answer(b"fine"))
+
+        server = StreamServer(("127.0.0.1", 0), discard)
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        address = fleet.Address("127.0.0.1", server.server_port)
+        exchange = _exchange.Exchange.open(address).unwrap()
+        self.addCleanup(exchange.close)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        exchange.send(_exchange.Request("POST", "/", body=body), 5.0).unwrap()
+        self.assertLess(tracemalloc.get_traced_memory()[1], len(body) / 2)
+
+
 class ResendTest(ExchangeCase):
     """Guards against running a GET that is not idempotent twice.
 
