--- a/src/mulberrywharf/platform_service/service_calls.py
+++ b/src/mulberrywharf/platform_service/service_calls.py
@@ -222,11 +222,7 @@
         sent = endpoint.call(call.method, call.path, call.body)
         if isinstance(sent, Err):
             failure = sent.err_value
-            was_cut = (
-                isinstance(failure, errors.WriteOutcomeUnknownError)
-                and failure.was_cut
-            )
-            if not (may_be_cut and was_cut):
+            if not (may_be_cut and isinstance(failure, errors.CallCutError)):
                 self._outage.record_failure(sent_s)
             self._count(call.purpose, call.kind, failure.code)
             return Err(failure if call.is_write else _as_unavailable(failure))
