--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -585,10 +585,6 @@
     advice = "Read the data again, or repeat with the same change id."
 
 
-class CallCutError(WriteOutcomeUnknownError):
-    """The connection of a call was closed instead of an answer."""
-
-
 class RevisionConflictError(PlatformError):
     """Another writer changed the key first.
 
--- a/src/mulberrywharf/platform_service/http_calls.py
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -230,10 +230,6 @@
             # after the outage instead of 0.6 s.
             self._client.drop_idle()
             message = f"{self.name}: no complete response to {path}: {error}"
-            if isinstance(
-                error, ConnectionError | response.HTTPConnectionClosed
-            ):
-                return Err(errors.CallCutError(message))
             return Err(errors.WriteOutcomeUnknownError(message))
         finally:
             self._slots.release()
--- a/src/mulberrywharf/platform_service/service_calls.py
+++ b/src/mulberrywharf/platform_service/service_calls.py
@@ -204,26 +204,14 @@
         return Err(failure)
 
     def send_once(
-        self,
-        endpoint: http_calls.HttpCalls,
-        call: Call,
-        *,
-        may_be_cut: bool = False,
+        self, endpoint: http_calls.HttpCalls, call: Call
     ) -> Result[dict[str, Any], errors.PlatformError]:
-        """Sends a call once, to one endpoint, and classifies the response.
-
-        Args:
-            endpoint: The endpoint.
-            call: The call.
-            may_be_cut: Whether a running service may close its connection
-                instead of an answer.
-        """
+        """Sends a call once, to one endpoint, and classifies the response."""
         sent_s = self._clock.monotonic_s()
         sent = endpoint.call(call.method, call.path, call.body)
         if isinstance(sent, Err):
             failure = sent.err_value
-            if not (may_be_cut and isinstance(failure, errors.CallCutError)):
-                self._outage.record_failure(sent_s)
+            self._outage.record_failure(sent_s)
             self._count(call.purpose, call.kind, failure.code)
             return Err(failure if call.is_write else _as_unavailable(failure))
         answer = sent.ok_value
@@ -263,7 +251,7 @@
         """Sends one call, without retries."""
         if not self._gateway.try_charge(call.purpose):
             return Err(_budget_exceeded_error(call.purpose))
-        return self._gateway.send_once(self._endpoint, call, may_be_cut=True)
+        return self._gateway.send_once(self._endpoint, call)
 
     @property
     def era(self) -> int:
