--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -11,7 +11,7 @@
 from mulberrywharf.crashes import crash_codec, crash_reports
 from mulberrywharf.peers import datagrams
 from mulberrywharf.policy import crash_suspects
-from tests import builders_platform
+from tests import builders_addresses, builders_platform
 from tests.builders_crashes import answer_others, end, record_end, traits
 from tests.test_peers import FakePeers
 
@@ -180,9 +180,10 @@
 
 class ReportsTest(unittest.TestCase):
     def setUp(self) -> None:
+        net = builders_addresses.claim_net(self)
         first_address, second_address = (
-            fleet.Address("127.0.0.1", builders_platform.closed_port())
-            for _ in range(2)
+            fleet.Address(f"{net}.{host}", builders_platform.closed_port())
+            for host in (1, 2)
         )
         self.first = Gateway(first_address, second_address)
         self.second = Gateway(second_address, first_address)
