Check the statuses of answers by one rule at both readers

The exchange's reader and the socket below the library's client each had the range of statuses written down, once as a set and once as a pattern, which left 101 to the parser in one of them. Both call check_status now. The socket also copied and searched its whole head again for each piece that arrived; it searches only what is new.

--- a/src/mulberrywharf/_answer_bounds.py
+++ b/src/mulberrywharf/_answer_bounds.py
@@ -25,9 +25,26 @@
 FIELDS_LIMIT_COUNT = 1_000
 """Maximum number of header fields and trailers of an answer."""
 
+FIRST_FINAL_STATUS = 200
+"""Answers with a lower status are interim ones."""
+
+_EXPECTED_STATUSES = frozenset(range(100, 600)) - {101}
+"""No request asks for another protocol, which 101 would switch to."""
+
 _HEAD_END = b"\r\n\r\n"
-_UNKNOWN_STATUS = re.compile(rb"HTTP/[0-9]\.[0-9] ([06-9][0-9][0-9])")
-_INTERIM_STATUS = re.compile(rb"HTTP/[0-9]\.[0-9] 1[0-9][0-9]")
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([0-9]{3})")
+
+
+def check_status(status: int) -> None:
+    """Checks the status of an answer.
+
+    Raises:
+        HTTPParseError: HTTP doesn't know it, or no request asks for it.
+    """
+    if status not in _EXPECTED_STATUSES:
+        raise response.HTTPParseError(
+            f"the answer has the unexpected status {status:03}"
+        )
 
 
 class BoundedHeaders(header.Headers):
@@ -69,7 +86,7 @@
         super().__init__(family, kind, protocol)
         self._bounds = bounds
         self._received_bytes = 0
-        self._head = b""
+        self._head = bytearray()
         self._is_in_head = True
         self._ends_s: float | None = None
 
@@ -80,7 +97,7 @@
             with_head: Whether a head comes first.
         """
         self._received_bytes = 0
-        self._head = b""
+        self._head.clear()
         self._is_in_head = with_head
         self._ends_s = None
 
@@ -93,8 +110,8 @@
         """Reads from the connection.
 
         Raises:
-            OSError: The connection failed, the answer exceeds its bounds, or
-                its status is unknown.
+            OSError: The connection failed, or the answer exceeds its bounds.
+            HTTPParseError: The answer has an unexpected status.
         """
         if self._ends_s is not None and time.monotonic() > self._ends_s:
             raise TimeoutError(
@@ -113,21 +130,23 @@
         return data
 
     def _follow_heads(self, data: bytes) -> None:
-        """Looks for the end of the final head, after any interim ones."""
+        """Looks for the end of the final head, after any interim ones.
+
+        Raises:
+            HTTPParseError: A head has an unexpected status.
+        """
         if not self._is_in_head:
             return
+        searched_bytes = max(0, len(self._head) + 1 - len(_HEAD_END))
         self._head += data
-        is_complete = True
-        while is_complete:
-            unknown = _UNKNOWN_STATUS.match(self._head)
-            if unknown is not None:
-                status = unknown[1].decode()
-                raise OSError(f"an answer has the unknown status {status}")
-            head, end, rest = self._head.partition(_HEAD_END)
-            is_complete = bool(end)
-            if is_complete and not _INTERIM_STATUS.match(head):
-                self._is_in_head = False
-                self._head = b""
+        while self._is_in_head:
+            stated = _STATUS_LINE.match(self._head)
+            status = int(stated[1]) if stated else FIRST_FINAL_STATUS
+            check_status(status)
+            end = self._head.find(_HEAD_END, searched_bytes)
+            if end < 0:
                 return
-            if is_complete:
-                self._head = rest
+            self._is_in_head = status < FIRST_FINAL_STATUS
+            del self._head[: end + len(_HEAD_END)]
+            searched_bytes = 0
+        self._head.clear()
--- a/src/mulberrywharf/_answers.py
+++ b/src/mulberrywharf/_answers.py
@@ -7,9 +7,6 @@
 from mulberrywharf import _answer_bounds, _headers, fleet, metrics
 
 READ_BLOCK_BYTES = 16 * 1024
-_FIRST_FINAL_STATUS = 200
-_EXPECTED_STATUSES = frozenset(range(100, 600)) - {101}
-"""No request asks for another protocol, which 101 would switch to."""
 
 _foreign_answers_total = metrics.counter(
     "mulberry_foreign_answers_total",
@@ -150,14 +147,10 @@
         self._message_ended_in_skip_body = False
 
     def _on_headers_complete(self) -> int | bool | None:
-        status = self.get_code()
-        if status not in _EXPECTED_STATUSES:
-            raise http_response.HTTPProtocolViolationError(
-                f"the answer has the unexpected status {status:03}"
-            )
+        _answer_bounds.check_status(self.get_code())
         return super()._on_headers_complete()
 
     def _on_message_complete(self) -> None:
         super()._on_message_complete()
-        if self.get_code() >= _FIRST_FINAL_STATUS:
+        if self.get_code() >= _answer_bounds.FIRST_FINAL_STATUS:
             self._is_final_complete = True
