--- a/src/mulberrywharf/_connections.py
+++ b/src/mulberrywharf/_connections.py
@@ -1,7 +1,9 @@
 """TCP connections to back ends, and a pool of idle ones."""
 
+import fcntl
 import socket
 import struct
+import termios
 import time
 from typing import Any, NamedTuple
 
@@ -164,6 +166,11 @@
             return False
         return False
 
+    def unacknowledged_bytes(self) -> int:
+        """Returns how many sent bytes the peer has not acknowledged."""
+        packed = fcntl.ioctl(self.sock, termios.TIOCOUTQ, struct.pack("i", 0))
+        return int(struct.unpack("i", packed)[0])
+
     def wait_readable(self, timeout_s: float) -> None:
         """Waits until bytes or the end of the stream can be read.
 
--- a/src/mulberrywharf/_exchange.py
+++ b/src/mulberrywharf/_exchange.py
@@ -8,11 +8,8 @@
 """
 
 import errno
-import fcntl
 import re
 import socket
-import struct
-import termios
 import time
 from collections.abc import Callable, Mapping
 from functools import singledispatch
@@ -376,9 +373,7 @@
         """
         if answer.is_framed or answer.status_code >= _FIRST_ERROR_STATUS:
             return
-        if self._is_request_incomplete or _unacknowledged_bytes(
-            connection.sock
-        ):
+        if self._is_request_incomplete or connection.unacknowledged_bytes():
             raise http_response.HTTPParseError(
                 "it ended before the whole request had arrived"
             )
@@ -583,12 +578,6 @@
     return True
 
 
-def _unacknowledged_bytes(sock: Any) -> int:
-    """Returns how many sent bytes the peer's kernel has not acknowledged."""
-    packed = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    return int(struct.unpack("i", packed)[0])
-
-
 def _idle_limit_s(answer: _answers.Answer | None) -> float:
     """Returns how long the connection may be idle before it is discarded."""
     keep_alive = answer.header("keep-alive") if answer is not None else None
