Share the server records and header fields of the gateways' tests

The test of early answers wrote a server's record as GatewayCase.server does; both call write_server. The choice of header fields by a path stood in seven places of the tests; builders_paths.prompt_fields makes it. The test of unknown statuses imports what it uses instead of reaching through other modules.

All assertions are those of before; two loops over paths became one, so one stands less in the text.

--- a/tests/builders_paths.py
+++ b/tests/builders_paths.py
@@ -311,12 +311,9 @@
         def run() -> None:
             while work:
                 number, path = work.pop(0)
-                fields = (
-                    SHORT_PROMPT_FIELDS
-                    if path.startswith(("/stream/", "/once/"))
-                    else ""
+                tried[number].append(
+                    self.call(number, path, prompt_fields(path))
                 )
-                tried[number].append(self.call(number, path, fields))
 
         gevent.joinall(
             [gevent.spawn(run) for _ in range(_CALLERS_COUNT)],
@@ -385,6 +382,12 @@
         return paths[server_id]
 
 
+def prompt_fields(path: str) -> str:
+    """Returns the header fields that a path's route needs."""
+    is_stream = path.startswith(("/stream/", "/once/"))
+    return SHORT_PROMPT_FIELDS if is_stream else ""
+
+
 def _pair(address: str) -> tuple[str, int]:
     ip, _, port = address.rpartition(":")
     return ip, int(port)
--- a/tests/test_answers_after_kills.py
+++ b/tests/test_answers_after_kills.py
@@ -43,8 +43,7 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
         sock.connect(("127.0.0.1", self.gateways[0].ready["callers"]))
         sock.settimeout(15)
-        is_stream = path.startswith(("/stream/", "/once/"))
-        fields = builders_paths.SHORT_PROMPT_FIELDS if is_stream else ""
+        fields = builders_paths.prompt_fields(path)
         request = test_gateway.request(path, fields=fields)
         request = request.replace(b"HTTP/1.1", version.encode(), 1)
         request = request.replace(b"deadline-ms: 3000", b"deadline-ms: 20000")
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -82,13 +82,15 @@
         for server in (*self.decodes, self.plain):
             server.faults = {"raws": shared}
 
-    def receive(self, path: str, fields: str = "") -> Received:
+    def receive(self, path: str, fields: str | None = None) -> Received:
+        if fields is None:
+            fields = builders_paths.prompt_fields(path)
         with self.connection() as sock:
             sock.sendall(test_gateway.request(path, fields=fields))
             return receive(sock)
 
     def stream(self, path: str = "/stream/x") -> Received:
-        return self.receive(path, builders_paths.SHORT_PROMPT_FIELDS)
+        return self.receive(path)
 
 
 class StreamTest(BrokenAnswerCase):
@@ -185,8 +187,7 @@
         for path in ("/stream/x", "/once/x", "/safe/x", "/unsafe/x"):
             with self.subTest(path):
                 self.next_answers({"framing": "none"})
-                is_plain = path in ("/safe/x", "/unsafe/x")
-                got = self.receive(path) if is_plain else self.stream(path)
+                got = self.receive(path)
                 self.assertEqual(got.status, 200)
                 self.assertEqual(got.end, "closed")
 
@@ -202,11 +203,13 @@
                     self.next_answers(
                         {"framing": "chunks", "cut_at": -8, "end": end}
                     )
-                    is_plain = path == "/unsafe/x"
-                    self.receive(path) if is_plain else self.stream(path)
-                    for sound_path in ("/stream/x", "/once/x"):
-                        self.assertEqual(self.stream(sound_path).status, 200)
-                    for sound_path in ("/safe/x", "/unsafe/x"):
+                    self.receive(path)
+                    for sound_path in (
+                        "/stream/x",
+                        "/once/x",
+                        "/safe/x",
+                        "/unsafe/x",
+                    ):
                         self.assertEqual(self.receive(sound_path).status, 200)
                     # Servers rest after several broken answers.
                     gevent.sleep(1.0)
@@ -223,7 +226,7 @@
             with self.subTest(path):
                 is_plain = path in ("/safe/x", "/unsafe/x")
                 for _ in range(5):
-                    got = self.receive(path) if is_plain else self.stream(path)
+                    got = self.receive(path)
                     if is_plain or got.status != 200:
                         self.assertIn(got.status, (502, 503))
                     else:
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -129,12 +129,7 @@
     ) -> EarlyServer:
         made = EarlyServer(server_id, part)
         self.addCleanup(made.close)
-        record = build.server_value(
-            service=service,
-            address=f"127.0.0.1:{made.port}",
-            **({"stage": stage} if stage else {}),
-        )
-        self.store.put(documents.SERVERS_PREFIX + server_id, record)
+        self.write_server(server_id, made.port, service, stage)
         return made
 
     def check_all(
@@ -179,9 +174,8 @@
 def upload(
     path: str, size_bytes: int, is_chunked: bool, expects: bool
 ) -> bytes:
-    fields = "x-mulberrywharf-deadline-ms: 3000\r\n"
-    if path in ("/stream/x", "/once/x"):
-        fields += builders_paths.SHORT_PROMPT_FIELDS
+    fields = builders_paths.prompt_fields(path)
+    fields += "x-mulberrywharf-deadline-ms: 3000\r\n"
     if expects:
         fields += "expect: 100-continue\r\n"
     if is_chunked:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -55,13 +55,19 @@
         made = PlatformServerStandin(server_id)
         made.start()
         self.addCleanup(made.close)
+        self.write_server(server_id, made.port, service, stage)
+        return made
+
+    def write_server(
+        self, server_id: str, port: int, service: str, stage: str = ""
+    ) -> None:
+        """Writes the record of a server."""
         record = build.server_value(
             service=service,
-            address=f"127.0.0.1:{made.port}",
+            address=f"127.0.0.1:{port}",
             **({"stage": stage} if stage else {}),
         )
         self.store.put(documents.SERVERS_PREFIX + server_id, record)
-        return made
 
     def write_routes(self, version: int = 1, **stream_route: Any) -> None:
         document = build.routes_document(version)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -88,10 +88,8 @@
         """Asserts that a gateway runs, and that sound servers serve."""
         for path in ("/safe/x", "/unsafe/x", "/stream/x"):
             for _ in range(CALLS_COUNT):
-                fields = builders_paths.SHORT_PROMPT_FIELDS
-                tried = self.call(
-                    number, path, fields if path == "/stream/x" else ""
-                )
+                fields = builders_paths.prompt_fields(path)
+                tried = self.call(number, path, fields)
                 self.assertEqual(tried.status, 200, tried)
         self.assertIsNone(self.gateways[number].poll())
         self.assertEqual(self.metric(number, _TASK_FAILURES), 0)
--- a/tests/test_stopped_heads.py
+++ b/tests/test_stopped_heads.py
@@ -70,8 +70,7 @@
             return test_broken_answers.receive(sock)
 
     def check_all(self, path: str, whole: bytes) -> None:
-        is_stream = path.startswith(("/stream/", "/once/"))
-        fields = builders_paths.SHORT_PROMPT_FIELDS if is_stream else ""
+        fields = builders_paths.prompt_fields(path)
         pool = gevent.pool.Pool(_CALLERS_COUNT)
         for cut in self.cuts(_HEAD_MOST_BYTES + len(whole)):
             for server in (*self.decodes, self.plain):
--- a/tests/test_unknown_statuses.py
+++ b/tests/test_unknown_statuses.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 import gevent
+from gevent.server import StreamServer
+from geventhttpclient import response
 from result import Err
 
-from mulberrywharf import _exchange, errors
+from mulberrywharf import _exchange, errors, fleet
 from mulberrywharf.engines import load_client, orders
 from mulberrywharf.platform_service import http_calls
-from tests import builders_engines, test_broken_answers
+from tests import builders_engines, builders_paths, test_broken_answers
 
 UNKNOWN = ("000 None", "001 None", "099 None", "600 None", "999 None")
 MALFORMED = ("0200 OK", "20 OK", "2000 OK", "-20 OK", "abc OK", "", "101 Other")
@@ -76,17 +78,14 @@
                     sock.sendall(raw)
                     sock.recv(65536)
 
-                server = gevent.server.StreamServer(
+                server = StreamServer(
                     ("127.0.0.1", 0), lambda sock, _, do=accept: do(sock)
                 )
                 server.start()
                 self.addCleanup(server.close)
                 began_s = time.monotonic()
                 with self.subTest(status, is_accepted=bool(interim)):
-                    address = builders_engines.fleet.Address(
-                        "127.0.0.1", server.server_port
-                    )
-                    got = offer(address)
+                    got = offer(fleet.Address("127.0.0.1", server.server_port))
                     self.assertIsInstance(got.err_value, errors.AnswerLostError)
                     self.assertLess(time.monotonic() - began_s, AT_ONCE_S)
 
@@ -139,9 +138,7 @@
             began_s = time.monotonic()
             with (
                 self.subTest(status),
-                self.assertRaises(
-                    (OSError, http_calls.response.HTTPParseError)
-                ),
+                self.assertRaises((OSError, response.HTTPParseError)),
             ):
                 self.calls(server.address).open_stream(
                     "/watch", {}, silence_timeout_s=TIMEOUT_S
@@ -153,7 +150,6 @@
     """Guards against callers who get such an answer, or wait for another."""
 
     def check(self, path: str, status: str) -> None:
-        is_plain = path in ("/safe/x", "/unsafe/x")
         for framing, end in (
             ("length", "close"),
             ("none", "close"),
@@ -165,28 +161,25 @@
                 server.faults = {"raw": raw}
             began_s = time.monotonic()
             with self.subTest(path, status=status, framing=framing, end=end):
-                got = self.receive(path) if is_plain else self.stream(path)
+                got = self.receive(path)
                 self.assertLess(time.monotonic() - began_s, AT_ONCE_S)
                 self.assertEqual(got.status, 502, got)
                 self.assertNotIn(
                     "x-mulberrywharf-response-signature", got.headers
                 )
 
-    def check_all(self) -> None:
+    def test_calls_and_streams(self) -> None:
         for status in (*UNKNOWN, *MALFORMED):
             for path in ("/safe/x", "/unsafe/x", "/stream/x", "/once/x"):
                 self.check(path, status)
 
-    def test_calls_and_streams(self) -> None:
-        self.check_all()
-
     def test_prefills(self) -> None:
         for status in (*UNKNOWN, *MALFORMED):
             self.prefill.faults = {"raw_prefill": {"status": status}}
             began_s = time.monotonic()
             with self.subTest(status):
                 got = self.receive(
-                    "/stream/x", test_broken_answers.test_gateway.PROMPT_FIELDS
+                    "/stream/x", builders_paths.LONG_PROMPT_FIELDS
                 )
                 self.assertLess(time.monotonic() - began_s, AT_ONCE_S)
                 self.assertEqual(got.body, test_broken_answers.STREAM)
@@ -215,8 +208,7 @@
             server.faults = {"raws": raws}
         while True:
             began_s = time.monotonic()
-            is_plain = path == "/unsafe/x"
-            got = self.receive(path) if is_plain else self.stream(path)
+            got = self.receive(path)
             self.assertLess(time.monotonic() - began_s, AT_ONCE_S)
             if not raws:
                 return got
