Tell a watch that the store cuts from a store that is down

Cause: each call without an answer counted as an outage of the whole store, a watch that had waited as well, although a watch that is waiting may be cut. A server whose record vanishes is kept for 2 s from the end of an outage, as its lease may have lapsed in it.

Now a watch counts for nothing only if it had waited, and only while the other calls are answered: a connection that is closed at once begins an outage as before, and in an outage each cut prolongs it.

test_cut_watches_do_not_delay_dropping_a_server failed before (age of the last outage 0.0 s); it, test_outage and test_server_list (23) pass.

--- a/src/mulberrywharf/errors.py
+++ b/src/mulberrywharf/errors.py
@@ -579,11 +579,19 @@
 
 
 class WriteOutcomeUnknownError(PlatformError):
-    """A write was sent but its answer was lost; it may have been applied."""
+    """A write was sent but its answer was lost; it may have been applied.
+
+    Attributes:
+        was_cut: Whether the connection was closed instead of an answer.
+    """
 
     code = "write-outcome-unknown"
     advice = "Read the data again, or repeat with the same change id."
 
+    def __init__(self, message: str, *, was_cut: bool = False):
+        super().__init__(message)
+        self.was_cut = was_cut
+
 
 class RevisionConflictError(PlatformError):
     """Another writer changed the key first.
--- a/src/mulberrywharf/platform_service/http_calls.py
+++ b/src/mulberrywharf/platform_service/http_calls.py
@@ -230,7 +230,12 @@
             # after the outage instead of 0.6 s.
             self._client.drop_idle()
             message = f"{self.name}: no complete response to {path}: {error}"
-            return Err(errors.WriteOutcomeUnknownError(message))
+            was_cut = isinstance(
+                error, ConnectionError | response.HTTPConnectionClosed
+            )
+            return Err(
+                errors.WriteOutcomeUnknownError(message, was_cut=was_cut)
+            )
         finally:
             self._slots.release()
 
--- a/src/mulberrywharf/platform_service/outage.py
+++ b/src/mulberrywharf/platform_service/outage.py
@@ -14,6 +14,10 @@
 2 s after an outage, and operators accept requests to a server that has left for
 3 s after it."""
 
+CUT_WAIT_S = 0.1
+"""A waiting call whose connection is closed later than this was cut; a service
+that is down closes connections sooner."""
+
 
 class LastOutage:
     """The last period in which calls to the service failed."""
@@ -36,6 +40,18 @@
         if self._first_answer_s is not None and sent_s > self._first_answer_s:
             self._first_answer_s = None
 
+    def record_cut(self, sent_s: float) -> None:
+        """Records that the service cut a call that waited for a change.
+
+        A service that works may do so. Such a cut therefore prolongs an outage
+        that other calls have shown, but doesn't begin one.
+
+        Args:
+            sent_s: Monotonic time at which the call was sent.
+        """
+        if self._first_answer_s is None:
+            self.record_failure(sent_s)
+
     def record_answer(self, now_s: float) -> None:
         """Records that the service responded, even if it rejected the call.
 
--- a/src/mulberrywharf/platform_service/service_calls.py
+++ b/src/mulberrywharf/platform_service/service_calls.py
@@ -204,14 +204,33 @@
         return Err(failure)
 
     def send_once(
-        self, endpoint: http_calls.HttpCalls, call: Call
+        self,
+        endpoint: http_calls.HttpCalls,
+        call: Call,
+        *,
+        waits_for_change: bool = False,
     ) -> Result[dict[str, Any], errors.PlatformError]:
-        """Sends a call once, to one endpoint, and classifies the response."""
+        """Sends a call once, to one endpoint, and classifies the response.
+
+        Args:
+            endpoint: The endpoint.
+            call: The call.
+            waits_for_change: Whether the service answers only when a key
+                changes. It may cut such a call.
+        """
         sent_s = self._clock.monotonic_s()
         sent = endpoint.call(call.method, call.path, call.body)
         if isinstance(sent, Err):
             failure = sent.err_value
-            self._outage.record_failure(sent_s)
+            waited_s = self._clock.monotonic_s() - sent_s
+            if (
+                waits_for_change
+                and _was_cut(failure)
+                and waited_s >= outage.CUT_WAIT_S
+            ):
+                self._outage.record_cut(sent_s)
+            else:
+                self._outage.record_failure(sent_s)
             self._count(call.purpose, call.kind, failure.code)
             return Err(failure if call.is_write else _as_unavailable(failure))
         answer = sent.ok_value
@@ -251,7 +270,9 @@
         """Sends one call, without retries."""
         if not self._gateway.try_charge(call.purpose):
             return Err(_budget_exceeded_error(call.purpose))
-        return self._gateway.send_once(self._endpoint, call)
+        return self._gateway.send_once(
+            self._endpoint, call, waits_for_change=True
+        )
 
     @property
     def era(self) -> int:
@@ -319,6 +340,12 @@
     return errors.PlatformUnavailableError(message)
 
 
+def _was_cut(failure: errors.PlatformError) -> bool:
+    return (
+        isinstance(failure, errors.WriteOutcomeUnknownError) and failure.was_cut
+    )
+
+
 def _as_unavailable(
     failure: errors.PlatformError,
 ) -> errors.PlatformUnavailableError:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -5,6 +5,8 @@
 """
 
 import base64
+import math
+import time
 import urllib.parse
 from collections.abc import Callable, Iterable
 from typing import Any, NamedTuple
@@ -19,6 +21,7 @@
 """Returns the value that a reader sees under a key, from the key's value."""
 
 _VIEW_KEY = "standins.view"
+_IS_CUT_KEY = "standins.is-cut"
 _VIEW_PORT_KEY = "standins.view-port"
 _HUNG_S = 60.0
 _WATCH_STEP_S = 0.005
@@ -71,7 +74,8 @@
             ``txn_status`` answers transactions with it, ``omits_items``
             answers failed ones without the keys that they expected,
             ``pause_in_body_s`` waits so long in the middle of each answer,
-            ``era`` is told in place of the store's.
+            ``era`` is told in place of the store's, ``cut_watches_s`` closes
+            the connections of watches that have waited so long.
         calls: Method and path of each call.
     """
 
@@ -214,7 +218,7 @@
         reply = self._reply(method, path, query, environ)
         if _VIEW_KEY in environ:
             reply = _seen_through(environ[_VIEW_KEY], reply)
-        if self.faults.get("lose_answers"):
+        if self.faults.get("lose_answers") or environ.get(_IS_CUT_KEY):
             return http_control.cut(environ, start_response)
         blocks = _http.send_reply(reply, start_response)
         if "pause_in_body_s" in self.faults:
@@ -273,9 +277,14 @@
         after = int(query["after"])
         prefix = query["prefix"]
         deadline = gevent.Timeout(int(query["wait-ms"]) / _MS_PER_S)
+        began_s = time.monotonic()
         try:
             with deadline:
                 while True:
+                    waited_s = time.monotonic() - began_s
+                    if waited_s > self.faults.get("cut_watches_s", math.inf):
+                        environ[_IS_CUT_KEY] = True
+                        return _http.Reply(200, {})
                     if not self._has(after):
                         return _http.Reply(410, {})
                     if environ["standins.call"] <= self._hung_below:
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -39,6 +39,18 @@
         self.outage.record_failure(6.0)
         self.assertEqual(self.outage.age_s(6.2), 0.0)
 
+    def test_cut_of_a_waiting_call_begins_no_outage(self) -> None:
+        """Guards against servers kept for a watch that the service cuts."""
+        self.outage.record_answer(4.0)
+        self.outage.record_cut(5.0)
+        self.assertEqual(self.outage.age_s(5.5), math.inf)
+
+    def test_cut_of_a_waiting_call_prolongs_an_outage(self) -> None:
+        """Guards against an outage that ends while only watches are sent."""
+        self.outage.record_failure(5.0)
+        self.outage.record_cut(6.0)
+        self.assertEqual(self.outage.age_s(6.5), 0.0)
+
     def test_outage_expires_without_a_response(self) -> None:
         """A period without calls must not extend the outage."""
         self.outage.record_failure(5.0)
--- a/tests/test_store_return.py
+++ b/tests/test_store_return.py
@@ -83,6 +83,21 @@
             )
         )
 
+    def test_cut_watches_do_not_delay_dropping_a_server(self) -> None:
+        """Guards against a cut watch that counts as an outage of the store."""
+        self.store.faults = {"cut_watches_s": 0.15}
+        listed = self.start_list(self.client)
+        self.assertTrue(wait_for(lambda: listed.usable("plain")))
+        for _ in range(10):
+            gevent.sleep(0.3)
+            self.assertGreater(self.client.outage_age_s(), 60.0)
+        self.store.delete(KEY)
+        self.assertTrue(
+            builders_platform.wait_until(
+                lambda: not listed.usable("plain"), limit_s=HOLD_S
+            )
+        )
+
     def test_a_late_failure_of_an_old_call_does_not_delay_dropping_a_server(
         self,
     ) -> None:
