Ask other gateways for newer routes before the first confirmation

Cause: the hold-off behind a restore needs a process that has seen the era rise. One that starts takes the copy's routes for the newest and confirms them by the same store; the gateways that have the newer version in force were not asked.

Now, where the store tells an era, the first confirmation asks the readers for their version and fails while one has a newer one. A store without an era is never restored, and nothing changes there.

Two of the new tests of test_freshness failed before; it (39 tests), test_customer_requests, test_store_restored and test_freshness_relay pass.

--- a/src/mulberrywharf/peers/directory.py
+++ b/src/mulberrywharf/peers/directory.py
@@ -200,6 +200,15 @@
         """Whether the registrations of the other gateways were read once."""
         return self._has_read
 
+    def read_before_first(self) -> None:
+        """Reads the registrations if that has not happened yet.
+
+        Gateways that start together may not have registered by then, so
+        ``has_read`` stays False until the first regular read.
+        """
+        if not self._has_read:
+            self._read()
+
     @property
     def is_registered(self) -> bool:
         """Whether this gateway is registered, so that others can notify it."""
@@ -528,18 +537,24 @@
         pause_s = FIRST_READ_DELAY_S
         while True:
             gevent.sleep(pause_s * random.uniform(0.8, 1.2))
-            read = self._client.get_prefix_stale(KEY_PREFIX, purpose=PURPOSE)
-            if isinstance(read, Err):
-                logger.info(
-                    "cannot read the registered gateways: {}",
-                    read.err_value.message,
-                )
-            else:
-                self._update_peers(read.ok_value)
+            read = self._read()
+            if read is not None:
+                self._has_read = True
                 if self._on_read is not None:
-                    self._on_read(read.ok_value)
+                    self._on_read(read)
             pause_s = READ_INTERVAL_S
 
+    def _read(self) -> list[key_value.KeyValue] | None:
+        read = self._client.get_prefix_stale(KEY_PREFIX, purpose=PURPOSE)
+        if isinstance(read, Err):
+            logger.info(
+                "cannot read the registered gateways: {}",
+                read.err_value.message,
+            )
+            return None
+        self._update_peers(read.ok_value)
+        return read.ok_value
+
     def _rank_gateways(self, by_vm: dict[str, _Registration]) -> None:
         zones_by_vm = {self._own_vm_id: self._availability_zone}
         for vm_id, registration in by_vm.items():
@@ -561,7 +576,6 @@
             # and claim all retries and all traffic for itself.
             by_vm = {**self._peers_by_vm, **by_vm}
         self._rank_gateways(by_vm)
-        self._has_read = True
         if by_vm == self._peers_by_vm:
             return
         removed_s = time.monotonic()
--- a/src/mulberrywharf/peers/freshness_relay.py
+++ b/src/mulberrywharf/peers/freshness_relay.py
@@ -31,6 +31,10 @@
         """Returns the datagram addresses of the other readers."""
         ...
 
+    def read_before_first(self) -> None:
+        """Reads which gateways there are if that has not happened yet."""
+        ...
+
 
 class Confirmation(NamedTuple):
     """States how recently a gateway confirmed its routes.
@@ -81,6 +85,15 @@
                 return reply
         return None
 
+    def ask_all(self) -> list[Confirmation] | None:
+        """Asks every reader; None if no reader is known."""
+        self._peers.read_before_first()
+        readers = self._peers.reader_addresses()
+        if not readers:
+            return None
+        replies = map(self._ask_one, readers)
+        return [reply for reply in replies if reply is not None]
+
     def _ask_one(self, reader: fleet.Address) -> Confirmation | None:
         nonce = random.getrandbits(_NONCE_BITS)
         reply: gevent.event.AsyncResult[Confirmation] = (
--- a/src/mulberrywharf/routes/freshness.py
+++ b/src/mulberrywharf/routes/freshness.py
@@ -17,6 +17,7 @@
 nothing has changed; else the routes and the keys of an audit are compared.
 """
 
+import math
 import random
 from collections.abc import Sequence
 from typing import Protocol
@@ -29,6 +30,7 @@
 from mulberrywharf import clock, metrics, supervised_task
 from mulberrywharf.platform_service import (
     dialect,
+    era,
     key_value,
     key_value_types,
 )
@@ -156,6 +158,10 @@
         """Asks for a confirmation; None if no gateway replies."""
         ...
 
+    def ask_all(self) -> Sequence[Confirmation] | None:
+        """Asks several gateways; None if no other gateway is known."""
+        ...
+
 
 class RoutesFreshness:
     """Periodically checks that the key-value service has no newer routes."""
@@ -194,6 +200,7 @@
             INTERVAL_LIMIT_S, INTERVAL_SHARE * self._age_limit_s
         )
         self._clock = system_clock or clock.BootClock()
+        self._started_s = float("-inf")
         self._confirmed_s = float("-inf")
         self._read_revision: int | None = None
         self._checked_revision = 0
@@ -208,6 +215,7 @@
     def start(self) -> None:
         """Starts the periodic checks, if not yet started."""
         if self._task is None:
+            self._started_s = self.now_s()
             self._task = supervised_task.spawn("freshness", self._run)
 
     def close(self) -> None:
@@ -318,9 +326,31 @@
             # The reads may come from two different histories.
             self._forget()
             return False
-        if is_newest:
+        if is_newest and not self._may_start_from_older_copy():
             self._note_confirmed(requested_s)
-        return is_newest
+            return True
+        return False
+
+    def _may_start_from_older_copy(self) -> bool:
+        """Tells whether the service may lack routes that others have in force.
+
+        A process that starts while the service is back from an older copy
+        can't see the restore, but gateways that ran before can. Right behind
+        it, they are not registered.
+        """
+        if (
+            self._relay is None
+            or self._client.era == era.NO_ERA
+            or math.isfinite(self._confirmed_s)
+        ):
+            return False
+        confirmations = self._relay.ask_all()
+        if confirmations is None:
+            return self.now_s() - self._started_s < RESTORE_HOLD_OFF_S
+        routes = self._routes.current()
+        return routes is None or any(
+            one.version > routes.version for one in confirmations
+        )
 
     def _forget(self) -> None:
         """Forgets what was read from a history that may be lost."""
--- a/tests/test_freshness.py
+++ b/tests/test_freshness.py
@@ -271,11 +271,17 @@
     def __init__(self) -> None:
         self.reply: freshness_relay.Confirmation | None = None
         self.asked_count = 0
+        self.knows_others = True
 
     def ask(self) -> freshness_relay.Confirmation | None:
         self.asked_count += 1
         return self.reply
 
+    def ask_all(self) -> list[freshness_relay.Confirmation] | None:
+        if not self.knows_others:
+            return None
+        return [self.reply] if self.reply else []
+
 
 class RelayedFreshnessTest(FreshnessTest):
     """Repeats the tests with a silent reader, and adds some with replies."""
@@ -324,6 +330,37 @@
         gevent.sleep(AGE_LIMIT_S)
         self.assertFalse(self.is_confirmed())
 
+    def test_start_beside_newer_routes_confirms_nothing(self) -> None:
+        """Guards against keys that an older copy of the store still holds."""
+        self.store.era = 1
+        self.relay.reply = freshness_relay.Confirmation(2, AGE_LIMIT_S)
+        self.freshness.start()
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertEqual(self.version(), 1)
+        self.assertFalse(self.is_confirmed())
+        self.put(2)
+        self.assertTrue(builders_platform.wait_until(self.is_confirmed))
+
+    def test_start_waits_for_the_other_gateways_to_be_known(self) -> None:
+        """Guards against a first confirmation that asks nobody."""
+        self.store.era = 1
+        self.relay.knows_others = False
+        self.freshness.start()
+        gevent.sleep(AGE_LIMIT_S)
+        self.assertFalse(self.is_confirmed())
+        self.relay.knows_others = True
+        self.assertTrue(builders_platform.wait_until(self.is_confirmed))
+
+    def test_only_gateway_is_confirmed_in_the_end(self) -> None:
+        """Guards against keys refused for good where no other gateway runs."""
+        self.store.era = 1
+        self.relay.knows_others = False
+        self.freshness.start()
+        limit_s = freshness.RESTORE_HOLD_OFF_S + AGE_LIMIT_S
+        self.assertTrue(
+            builders_platform.wait_until(self.is_confirmed, limit_s)
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_freshness_relay.py
+++ b/tests/test_freshness_relay.py
@@ -46,6 +46,7 @@
 
     def __init__(self) -> None:
         self.readers: tuple[fleet.Address, ...] = ()
+        self.read_count = 0
 
     def knows(self, ip: str) -> bool:
         return True
@@ -53,6 +54,9 @@
     def reader_addresses(self) -> tuple[fleet.Address, ...]:
         return self.readers
 
+    def read_before_first(self) -> None:
+        self.read_count += 1
+
 
 class RelayTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -91,6 +95,18 @@
         for _ in range(4):
             self.assertEqual(self.requester.ask(), confirmation)
 
+    def test_all_readers_are_asked(self) -> None:
+        """Guards against a reader's newer routes that another one hides."""
+        second, address = self.make_relay()
+        self.requester._peers.readers += (address,)
+        self.reader.on_question(lambda: freshness_relay.Confirmation(3, 0.25))
+        second.on_question(lambda: freshness_relay.Confirmation(5, 0.25))
+        replies = self.requester.ask_all() or []
+        self.assertEqual([one.version for one in replies], [3, 5])
+        self.assertEqual(self.requester._peers.read_count, 1)
+        self.requester._peers.readers = ()
+        self.assertIsNone(self.requester.ask_all())
+
     def test_late_reply_is_dropped(self) -> None:
         """Guards against matching a late reply to a later question."""
 
