Refuse large bodies only for now before the first routes

Callers send nothing again after 413.

Cause: without routes the built-in limit stood in for the operators' one. What it refuses now gets 503 with Retry-After, as all else that can't wait for the routes; the request has not run.

--- a/src/mulberrywharf/callers/routed_server.py
+++ b/src/mulberrywharf/callers/routed_server.py
@@ -203,9 +203,13 @@
     def _route(self, environ: _wsgi.Environ) -> MatchedRequest:
         routes = self._route_follower.current()
         if routes is None:
-            routed_request = self._read(
-                environ, self._listener.body_limit_bytes
-            )
+            try:
+                routed_request = self._read(
+                    environ, self._listener.body_limit_bytes
+                )
+            except errors.RequestTooLargeError as error:
+                # The routes that are not loaded yet may allow larger bodies.
+                raise _not_ready_error() from error
             routes = self._wait_for_routes(
                 routed_request, environ[listener.SOCKET_KEY]
             )
@@ -281,11 +285,7 @@
         with _abort_on_disconnect(sock):
             routes = self._route_follower.wait_first(max(0.0, wait_s))
         if routes is None:
-            raise errors.NotReadyError(
-                "this gateway has no routes yet",
-                retry_after_s=NOT_READY_RETRY_S,
-                advice="Try again; another entry VM may have them already.",
-            )
+            raise _not_ready_error()
         return routes
 
     def _body_limit_bytes(self, routes: table.RouteTable) -> int:
@@ -450,6 +450,14 @@
         )
 
 
+def _not_ready_error() -> errors.NotReadyError:
+    return errors.NotReadyError(
+        "this gateway has no routes yet",
+        retry_after_s=NOT_READY_RETRY_S,
+        advice="Try again; another entry VM may have them already.",
+    )
+
+
 def _match(routes: table.RouteTable, environ: _wsgi.Environ) -> table.Route:
     target = environ[listener.TARGET_KEY]
     host = environ.get("HTTP_HOST", "")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,6 +13,7 @@
 import gevent
 from gevent import socket
 
+from mulberrywharf.callers import listener
 from mulberrywharf.platform import documents
 from standins.platform_server import PlatformServerStandin
 from tests import builders_platform, processes
@@ -171,6 +172,20 @@
         self.wait_ready()
         self.assertEqual(self.ask("/safe/x").status, 200)
 
+    def test_large_body_is_not_refused_for_good_before_routes_arrive(
+        self,
+    ) -> None:
+        """Guards against 413 for a body that the routes allow."""
+        self.start()
+        large = "x" * (listener.DEFAULT_BODY_LIMIT_BYTES + 1)
+        answer = self.ask("/safe/x", body=large)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"not-ready", answer.body)
+        self.assertIn("retry-after", answer.headers)
+        self.write_routes()
+        self.wait_ready()
+        self.assertEqual(self.ask("/safe/x", body=large).status, 200)
+
     def test_malformed_route_costs_only_its_own_requests(self) -> None:
         """Guards against 404 for sound routes beside a malformed one."""
         self.write_routes(1)
