Take only true and false for the flags of a route

A route whose `public` was the text "false" was open to requests without a key, as any value but an empty one counted as true; `resumable` allowed a second run in the same way. Nothing told it.

A flag that is no boolean is now a fault of its route's field, told with the version and the reason like the others, and counts as false: the stricter reading of `public` and `resumable`, and no prompt is expected. The rest of the route stays in force.

--- a/src/mulberrywharf/platform/documents.py
+++ b/src/mulberrywharf/platform/documents.py
@@ -207,6 +207,10 @@
             self.faults.append(_fault(f"{self.path}.{name}", error, effect))
             return fallback
 
+    def read_flag(self, name: str) -> bool:
+        """Returns a field that is true or false; False if it is faulty."""
+        return self.read(name, lambda: _flag(self.fields, name), False)
+
 
 def _routes(
     entries: Sequence[Any],
@@ -253,7 +257,7 @@
         name=section.read("name", lambda: _text(fields, "name"), prefix),
         host=host,
         prefix=prefix,
-        kind=section.read("kind", lambda: _kind(fields), strictest_kind),
+        kind=section.read("kind", lambda: _kind(section), strictest_kind),
         timeout_s=timeout_s or 0.0,
         destinations=no_destinations if timeout_s is None else destinations,
         attempts_limit_count=section.read(
@@ -274,17 +278,17 @@
         ),
         # Despite its name, the field states that requests list the parts of
         # their prompt. No session is bound to a server.
-        has_prompt=bool(fields.get("session-affinity")),
-        is_public=bool(fields.get("public")),
+        has_prompt=section.read_flag("session-affinity"),
+        is_public=section.read_flag("public"),
     )
 
 
-def _kind(fields: Mapping[str, Any]) -> kinds.RequestKind:
-    match fields["kind"]:
+def _kind(section: _Section) -> kinds.RequestKind:
+    match section.fields["kind"]:
         case "safe":
             return kinds.Idempotent()
         case "streaming":
-            return kinds.EventStream(bool(fields.get("resumable")))
+            return kinds.EventStream(section.read_flag("resumable"))
         case "unsafe":
             return kinds.AtMostOnce()
         case other:
@@ -314,6 +318,13 @@
     return value
 
 
+def _flag(fields: Mapping[str, Any], name: str) -> bool:
+    value = fields.get(name, False)
+    if not isinstance(value, bool):
+        raise TypeError(f"{name} is neither true nor false")
+    return value
+
+
 def _number(
     fields: Mapping[str, Any], name: str, default: float | None = None
 ) -> float:
--- a/tests/test_stated_numbers.py
+++ b/tests/test_stated_numbers.py
@@ -174,6 +174,27 @@
                 self.assertEqual(len(route.destinations), 1)
                 self.assert_told(routes, f"routes[0].{name}")
 
+    def test_flag_that_is_no_boolean_opens_nothing(self) -> None:
+        """Guards against a route without keys for the text of false."""
+        for name, value, attribute in (
+            ("public", "false", "is_public"),
+            ("public", 1, "is_public"),
+            ("session-affinity", "no", "has_prompt"),
+        ):
+            with self.subTest(name=name, value=value):
+                routes = self.decode("routes", name, value)
+                route = routes.match(build.HOST, "/safe/x")
+                assert route is not None
+                self.assertIs(getattr(route, attribute), False)
+                self.assert_told(routes, f"routes[0].{name}")
+        entries = build.routes_document()["routes"]
+        entries[1]["resumable"] = "false"
+        routes = self.decode_document(routes=entries)
+        route = routes.match(build.HOST, "/stream/x")
+        assert route is not None
+        self.assertEqual(route.kind, kinds.EventStream(resumable=False))
+        self.assert_told(routes, "routes[1].resumable")
+
     def test_wrong_service_costs_its_share_of_each_route(self) -> None:
         """Guards against engines that are sent requests as plain servers."""
         for name, value in (("max-connections", -1), ("engine", 7)):
