Return no kept answer whose status HTTP doesn't know

A call with a known idempotency key got the first answer with whatever status its claim stated: 000, 101 or 999, from a record in the store or another router's reply.

The call has run, so that it ends as a lost answer with the outcome unknown: 502 at once.

--- a/src/mulberrywharf/_answer_bounds.py
+++ b/src/mulberrywharf/_answer_bounds.py
@@ -47,6 +47,11 @@
         )
 
 
+def is_final_status(status: int) -> bool:
+    """Returns whether HTTP knows it as the status of a whole answer."""
+    return status >= FIRST_FINAL_STATUS and status in _EXPECTED_STATUSES
+
+
 class BoundedHeaders(header.Headers):
     """Header fields and trailers of an answer, limited in number."""
 
--- a/src/mulberrywharf/requests/claimed_call.py
+++ b/src/mulberrywharf/requests/claimed_call.py
@@ -11,7 +11,7 @@
 import gevent
 from result import Err, Result
 
-from mulberrywharf import clock, errors, fleet, metrics
+from mulberrywharf import _answer_bounds, clock, errors, fleet, metrics
 from mulberrywharf.backend_servers import client
 from mulberrywharf.callers import passthrough
 from mulberrywharf.nodes import claims
@@ -174,6 +174,11 @@
                 return None
             earlier_claim = waited.ok_value
         if earlier_claim.state == "done":
+            if not _answer_bounds.is_final_status(earlier_claim.status):
+                raise self._unknown_outcome_error(
+                    f"ran, but its answer is kept with the unknown status"
+                    f" {earlier_claim.status:03}"
+                )
             answer = self._stored_answer(call, key, earlier_claim)
             if answer is not None:
                 _duplicates_total.inc({"result": "answered"})
