Check the numbers of etcd's watch lines like those of its answers

Each number of a line is replaced by wrong ones; what is taken can be used. It held as it was: a line that can't be decoded ends the watch, which is opened again.

--- a/tests/test_decoded_numbers.py
+++ b/tests/test_decoded_numbers.py
@@ -449,6 +449,18 @@
     _use_answers(body, etcd.EtcdGateway())
 
 
+def use_etcd_watch(body: bytes) -> None:
+    try:
+        message = etcd._decode_line(json_text.loads(body))
+    except ValueError:
+        return
+    assert is_count(message.state.revision), message
+    for event in message.events:
+        assert is_count(event.key_value.mod_revision), event
+        assert is_count(event.key_value.create_revision), event
+        assert is_count(event.key_value.lease_id), event
+
+
 ETCD_KEY = {"key": "aw==", "create_revision": 1, "mod_revision": 2, "lease": 3}
 ETCD = {
     "header": {"revision": 5, "cluster_id": "1"},
@@ -458,6 +470,12 @@
     "ID": 7,
     "result": {"TTL": 8},
 }
+ETCD_WATCH = {
+    "result": {
+        "header": {"revision": 5, "cluster_id": "1"},
+        "events": [{"type": "PUT", "kv": ETCD_KEY}],
+    }
+}
 STORE = {
     "store-revision": 5,
     "revision": 6,
@@ -501,6 +519,7 @@
     ),
     "store": (STORE, use_store),
     "etcd": (ETCD, use_etcd),
+    "etcd watch": (ETCD_WATCH, use_etcd_watch),
     "usage of a stream": (
         {"usage": {"prompt_tokens": 1, "completion_tokens": 2}},
         use_stream_usage,
