Take requests over the hop while servers only break answers off

Now a gateway takes what others hand over while each role without a reachable server has one that answered within 0.5 s, accepts connections and only broke an answer off. Refused or silent connections still stop it at once.

--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -189,6 +189,19 @@
         gevent.joinall(connecting)
         return bool(roles) and all(one.value for one in connecting)
 
+    def takes_from_others(self, service: str) -> bool:
+        """Tells whether requests that other gateways hand over are taken.
+
+        Servers that broke answers off a moment ago don't stop that, unlike
+        those that accept no connection or are silent.
+        """
+        if self._paths.can_serve(service):
+            return True
+        since_s = self._clock.monotonic_s() - PROVEN_S
+        return self._paths.state(
+            service
+        ) == "doubtful" and self._servers.is_only_interrupted(service, since_s)
+
     def _can_reach(self, service: str, role: fleet.Role | None) -> bool:
         of_role = [
             server
--- a/src/mulberrywharf/policy/reachability.py
+++ b/src/mulberrywharf/policy/reachability.py
@@ -239,6 +239,26 @@
             if _are_unreachable(contacts)
         )
 
+    def is_only_interrupted(self, service: str, since_s: float) -> bool:
+        """Tells whether servers break answers off on a path that works.
+
+        Args:
+            service: The service.
+            since_s: Each role without a reachable server must have one that
+                accepts connections, answered later and then broke an exchange
+                off.
+        """
+        unreachable = self.unreachable_roles(service)
+        interrupted = {
+            server.role
+            for server in self.servers(service)
+            if (contact := self._contacts.get(server.start)) is not None
+            and contact.cause == "interrupted"
+            and contact.connect_failed_s <= contact.connected_s
+            and contact.answered_s >= since_s
+        }
+        return unreachable <= interrupted
+
     def unreachable(
         self, service: str, now_s: float
     ) -> tuple[UnreachableServer, ...]:
--- a/src/mulberrywharf/programs/_gateway.py
+++ b/src/mulberrywharf/programs/_gateway.py
@@ -567,7 +567,7 @@
         return tuple(routes.services) if routes else ()
 
     def _can_serve(self, service: str) -> bool:
-        return self._paths.can_serve(service) and bool(
+        return self._path_monitor.takes_from_others(service) and bool(
             self._servers.usable(service)
         )
 
