--- a/src/mulberrywharf/forwarding/path_monitor.py
+++ b/src/mulberrywharf/forwarding/path_monitor.py
@@ -197,10 +197,11 @@
         """
         if self._paths.can_serve(service):
             return True
+        is_doubtful = self._paths.state(service) == "doubtful"
         since_s = self._clock.monotonic_s() - PROVEN_S
-        return self._paths.state(
-            service
-        ) == "doubtful" and self._servers.is_only_interrupted(service, since_s)
+        return is_doubtful and self._servers.is_only_interrupted(
+            service, since_s
+        )
 
     def _can_reach(self, service: str, role: fleet.Role | None) -> bool:
         of_role = [
